--- a/milletgrade/api.py
+++ b/rosepick/api.py
@@ -1,6 +1,6 @@
-"""The interface of milletgrade: settings and events in, actions out.
+"""The interface of rosepick: settings and events in, actions out.
 
-A program that embeds the library makes one `milletgrade.decide.Router` per router instance and calls
+A program that embeds the library makes one `rosepick.decide.Router` per router instance and calls
 `router.handle(now, event)` for everything that happens. Each call returns the actions to carry out, in order.
 Times are milliseconds on one clock that only goes forward. Nothing here knows a wire format.
 """
--- a/milletgrade/simhost.py
+++ b/rosepick/simhost.py
@@ -109,10 +109,10 @@
     except Stop as stop:
         sink.write(stop.last)
         sink.flush()
-        print(f"milletgrade: {stop}", file=sys.stderr)
+        print(f"rosepick: {stop}", file=sys.stderr)
         return 1
     except wire.WireError as problem:
-        print(f"milletgrade: {problem}", file=sys.stderr)
+        print(f"rosepick: {problem}", file=sys.stderr)
         return 1
     except BrokenPipeError:
         return 1
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -10,9 +10,9 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from milletgrade import api
-from milletgrade.api import Effect, Group, Mode, Result, Scope, State
-from milletgrade.decide import Router
+from rosepick import api
+from rosepick.api import Effect, Group, Mode, Result, Scope, State
+from rosepick.decide import Router
 
 ORIGIN_KIND = 2
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from milletgrade import api, decide
-from milletgrade.api import Effect, Mode, Result, Scope
-from milletgrade.decide import Router
+from rosepick import api, decide
+from rosepick.api import Effect, Mode, Result, Scope
+from rosepick.decide import Router
 
 from .driver import fleet, settings
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from milletgrade import api
-from milletgrade.api import Mode
+from rosepick import api
+from rosepick.api import Mode
 
 from .driver import Driver, fleet, settings
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from milletgrade import api, simhost, wire
+from rosepick import api, simhost, wire
 
 ENV = {
     "request_classes": [{"deadline": 1000.0, "objective": 300.0, "effect": "retryable", "worth": 2.0}],
@@ -109,7 +109,7 @@
     status, _ = serve(data)
     err = capfd.readouterr().err
     assert status == 1
-    assert err.count("\n") == 1 and err.startswith("milletgrade: ")
+    assert err.count("\n") == 1 and err.startswith("rosepick: ")
 
 
 @pytest.mark.parametrize(
@@ -139,7 +139,7 @@
     def boom(self: object, event: object) -> None:
         raise KeyError("lost")
 
-    monkeypatch.setattr("milletgrade.decide.Router._request", boom)
+    monkeypatch.setattr("rosepick.decide.Router._request", boom)
     status, out = serve(batch(provision(), pool(), members(), work()))
     assert status == 1
     assert b"KeyError" in out and b"lost" in out and b".py:" in out
@@ -147,7 +147,7 @@
 
 def test_host_runs_as_a_process() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "milletgrade.simhost"], input=batch(provision(), pool(), members(), work()),
+        [sys.executable, "-m", "rosepick.simhost"], input=batch(provision(), pool(), members(), work()),
         capture_output=True, cwd=Path(__file__).parent.parent, timeout=60, check=False,
     )
     assert done.returncode == 0 and done.stderr == b""
