--- /dev/null
+++ b/rosepick/config.py
@@ -0,0 +1,93 @@
+"""The configuration: GW_CONFIG, read once into the values that the program uses."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from . import api, wire
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the message is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Positions of the settings' names, by which the wire tells them."""
+
+    classes: Mapping[str, int]
+    tenants: Mapping[str, int]
+    zones: Mapping[str, int]
+    kinds: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that one router is told at its start. Times are milliseconds."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    settings: api.Settings
+    names: Names
+    conn_idle: float
+    dial_timeout: float
+    known: wire.Reader
+
+
+def address(text: str) -> tuple[str, int]:
+    """Host and port of `host:port`."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} is not an address of the form host:port")
+    return host.strip("[]"), int(port)
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The configuration that GW_CONFIG names."""
+    path = environment.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set; it must name the configuration file")
+    try:
+        return read(json.loads(Path(path).read_bytes()))
+    except OSError as problem:
+        raise ConfigError(f"{path}: {problem.strerror or problem}") from None
+    except (UnicodeDecodeError, json.JSONDecodeError, RecursionError):
+        raise ConfigError(f"{path}: not valid JSON") from None
+    except ValueError as problem:
+        raise ConfigError(f"{path}: {problem}") from None
+
+
+def read(document: object) -> Config:
+    """The configuration from JSON that was read; ValueError names what is wrong."""
+    top = wire.Reader(document, "")
+    told = wire.Reader(top.data.get("settings"), "settings")
+    limits = told.part("limits")
+    try:
+        seed = int(top.text("seed"), 16)
+    except ValueError:
+        raise ValueError("seed is not a hexadecimal number") from None
+    return Config(
+        name=top.text("name"),
+        listen=address(top.text("listen")),
+        discovery=address(top.text("discovery")),
+        seed=seed,
+        sockets=top.part("limits").whole("sockets", 1024),
+        settings=wire.settings_of(told),
+        names=Names(*(_places(told, key) for key in _LISTS)),
+        conn_idle=limits.number("conn_idle", 15_000.0),
+        dial_timeout=limits.number("dial_timeout", 250.0),
+        known=top.part("known"),
+    )
+
+
+_LISTS = ("request_classes", "tenants", "failure_domains", "machine_types")
+
+
+def _places(told: wire.Reader, key: str) -> dict[str, int]:
+    return {name: place for place, name in enumerate(told.names(key))}
--- /dev/null
+++ b/rosepick/engine.py
@@ -0,0 +1,331 @@
+"""The protocol-neutral core: one `Router`, the open envelopes, their delivery attempts and timers.
+
+It turns what happens into `api` events and carries out `api` actions through the ports below. It decides
+nothing, and knows no socket, no HTTP and no clock of its own. A front is whatever hands envelopes in.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from . import api
+from .api import Result
+from .decide import Router
+from .invariants import holds
+from .logs import fault, say
+
+log = logging.getLogger(__name__)
+
+
+class SenderSide(Protocol):
+    """Who handed an envelope in; it gets exactly one of these calls, unless it has gone."""
+
+    def served(self, envelope: Envelope, answer: object) -> None:
+        """A next hop's answer, to be passed on as it is."""
+
+    def refused(self, envelope: Envelope, retry_after: float) -> None:
+        """Turned away; trying again is harmless, best after so many milliseconds."""
+
+    def failed(self, envelope: Envelope, late: bool) -> None:
+        """Failed, because its time was over or otherwise."""
+
+    def broke(self, envelope: Envelope) -> None:
+        """Failed by a fault of this program."""
+
+
+class NextHops(Protocol):
+    """What carries delivery attempts out; it tells each one's end once, by `Engine.attempt_ended`."""
+
+    def deliver(self, attempt: DeliveryAttempt) -> None:
+        """Start a delivery attempt."""
+
+    def give_up(self, attempt: DeliveryAttempt) -> None:
+        """Stop an attempt; its end is not told."""
+
+
+class MapSource(Protocol):
+    """Where the transport map comes from."""
+
+    def watch(self, on: bool) -> None:
+        """Follow changes from now on, or no more."""
+
+
+class TimerHandle(Protocol):
+    """A timer that was set."""
+
+    def cancel(self) -> None:
+        """Not wanted any more."""
+
+
+class Clock(Protocol):
+    """The loop's clock and its timers."""
+
+    def now(self) -> float:
+        """Milliseconds, forward only."""
+
+    def at(self, when: float, call: Callable[[], None], first: bool = False) -> TimerHandle:
+        """Call at that time or soon after; `first`: before the others of the same time."""
+
+
+@dataclass(slots=True, eq=False)
+class Envelope:
+    """A request from its arrival until its final answer and the end of its last delivery attempt."""
+
+    klass: int
+    deadline: float
+    key: int = 0
+    tenant: int = 0
+    write: bool = False
+    retry: bool = False
+    cost_hint: float | None = None
+    payload: object = None  # the front's own form, for its next hops
+    ref: int = 0
+    sender: SenderSide | None = None
+    over: bool = False
+    attempts: list[DeliveryAttempt] = field(default_factory=list)
+    net: TimerHandle | None = None
+
+
+@dataclass(slots=True, eq=False)
+class DeliveryAttempt:
+    """One sending of an envelope to a next hop."""
+
+    envelope: Envelope
+    number: int
+    server: int
+    sent: float
+    stop_at: float
+    out: bool = True
+    expiry: TimerHandle | None = None
+
+
+class Engine:
+    """Owns one router instance and all that it has in hand."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
+        self.settings = settings
+        self.router = Router(settings, seed)
+        self.clock = clock
+        self.next_hops: NextHops
+        self.map_source: MapSource
+        self.envelopes: dict[int, Envelope] = {}
+        self.owed = 0  # envelopes without their final answer
+        self.counts: Counter[str] = Counter()
+        self._last_ref = 0
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+
+    # ------------------------------------------------------------------------------------ what happens
+
+    def accept(self, envelope: Envelope, sender: SenderSide) -> None:
+        """Take an envelope; its final answer is owed from here on."""
+        self._last_ref += 1
+        envelope.ref, envelope.sender = self._last_ref, sender
+        self.envelopes[envelope.ref] = envelope
+        self.owed += 1
+        self.counts["envelopes"] += 1
+        grace = 0.5 * self.settings.rules.grace_to_answer
+        envelope.net = self.clock.at(envelope.deadline + grace, lambda: self._unanswered(envelope))
+        self._tell(
+            api.Request(
+                envelope.ref, envelope.klass, max(0.0, envelope.deadline - self.clock.now()), envelope.key,
+                envelope.tenant, envelope.write, envelope.retry, envelope.cost_hint,
+            )
+        )
+
+    def sender_gone(self, envelope: Envelope) -> None:
+        """The sender side has left; nothing more is owed."""
+        if not envelope.over:
+            self.counts["gone"] += 1
+            self._close(envelope)
+            self._tell(api.ClientGone(envelope.ref))
+            self._forget(envelope)
+
+    def map_told(self, event: api.Members) -> None:
+        """Discovery told, or failed."""
+        self._tell(event)
+
+    def attempt_ended(
+        self, attempt: DeliveryAttempt, result: Result, note: int = 0, answer: object = None
+    ) -> None:
+        """A delivery attempt has its outcome. A served one goes to the sender side before anything else."""
+        if not holds(attempt.out, "attempt_ends_once", ref=attempt.envelope.ref, result=result.value):
+            return
+        attempt.out = False
+        if attempt.expiry is not None:
+            attempt.expiry.cancel()
+        envelope = attempt.envelope
+        self.counts[f"attempt_{result.value}"] += 1
+        if result is Result.OK and not envelope.over:
+            sender = self._close(envelope)
+            self._answer("served", lambda: sender.served(envelope, answer))
+        lag = max(0.0, self.clock.now() - attempt.sent)
+        self._tell(
+            api.Outcome(
+                envelope.ref, attempt.number, attempt.server, result, envelope.over, note, lag
+            )
+        )
+        self._forget(envelope)
+
+    # ----------------------------------------------------------------------------- events and decisions
+
+    def _tell(self, event: api.Event) -> None:
+        """Events are decided on one after another, also those that actions bring about at once."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._decide(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _decide(self, event: api.Event) -> None:
+        try:
+            actions = self.router.handle(self.clock.now(), event)
+        except Exception as problem:
+            self._fault(event, problem)
+            # What was decided before the fault stands: the module counts those attempts as out, and its
+            # tick sets the next one first.
+            actions = self.router.actions
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception as problem:
+                self._fault(event, problem)
+
+    def _fault(self, event: api.Event, problem: Exception) -> None:
+        """An exception over one envelope: it fails, the process goes on."""
+        self.counts["faults"] += 1
+        ref = getattr(event, "ref", 0)
+        fault(log, "engine_fault", problem, ref=ref, over=type(event).__name__, count=self.counts["faults"])
+        envelope = self.envelopes.get(ref)
+        if envelope is not None and not envelope.over:
+            sender = self._close(envelope)
+            self._answer("broke", lambda: sender.broke(envelope))
+            self._tell(api.ClientGone(ref))
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.SetTimer():
+                token = action.token
+                self.clock.at(action.at, lambda: self._tell(api.Timer(token)))
+            case api.Cancel():
+                self._cancel(action)
+            case api.Refuse():
+                wait = action.retry_after
+                self._finish(action.ref, "refused", lambda e, s: s.refused(e, wait))
+            case api.Fail():
+                now = self.clock.now()
+                self._finish(action.ref, "failed", lambda e, s: s.failed(e, now >= e.deadline))
+            case api.Watch():
+                self.map_source.watch(action.on)
+            case api.Log():
+                say(log, logging.INFO, "module", text=action.text)
+            case api.Probe():
+                holds(False, "no_probes", server=action.server)
+
+    # ------------------------------------------------------------------------------- delivery attempts
+
+    def _send(self, action: api.Send) -> None:
+        envelope = self.envelopes.get(action.ref)
+        if envelope is None:
+            holds(False, "send_of_open_envelope", ref=action.ref)
+            return
+        now = self.clock.now()
+        stop_at = min(envelope.deadline, action.stop_at or envelope.deadline)
+        attempt = DeliveryAttempt(envelope, len(envelope.attempts), action.server, now, stop_at)
+        allowed = self._allowed(envelope, attempt)
+        envelope.attempts.append(attempt)
+        if not allowed:
+            self.attempt_ended(attempt, Result.MOOT)
+            return
+        self.counts["attempts"] += 1
+        # before the module's own deadline timer: a time-out says something of its next hop, a cancelled
+        # attempt does not
+        attempt.expiry = self.clock.at(stop_at, lambda: self._expire(attempt), first=True)
+        try:
+            self.next_hops.deliver(attempt)
+        except Exception as problem:
+            self.counts["faults"] += 1
+            fault(log, "delivery_fault", problem, ref=envelope.ref, count=self.counts["faults"])
+            if attempt.out:
+                self.next_hops.give_up(attempt)
+                self.attempt_ended(attempt, Result.RESET)  # it may have run
+
+    def _allowed(self, envelope: Envelope, attempt: DeliveryAttempt) -> bool:
+        """Whether an attempt may go out at all. The module keeps these rules; they are checked once more
+        where a breach would be seen by the fleet."""
+        limits = self.settings.limits
+        alone = limits.second_copies or not any(other.out for other in envelope.attempts)
+        return (
+            holds(not envelope.over, "no_send_after_the_answer", ref=envelope.ref)
+            and holds(attempt.number < limits.max_attempts, "attempts_within_limit", ref=envelope.ref)
+            and holds(alone, "one_attempt_at_a_time", ref=envelope.ref)
+            and attempt.sent < envelope.deadline
+        )
+
+    def _expire(self, attempt: DeliveryAttempt) -> None:
+        if attempt.out:
+            self.next_hops.give_up(attempt)
+            self.attempt_ended(attempt, Result.TIMEOUT)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        envelope = self.envelopes.get(action.ref)
+        if envelope is None or action.attempt >= len(envelope.attempts):
+            return
+        attempt = envelope.attempts[action.attempt]
+        if attempt.out:
+            self.next_hops.give_up(attempt)
+            self.attempt_ended(attempt, Result.CANCELLED)
+
+    # ---------------------------------------------------------------------------------- final answers
+
+    def _finish(self, ref: int, kind: str, call: Callable[[Envelope, SenderSide], None]) -> None:
+        envelope = self.envelopes.get(ref)
+        if envelope is None or envelope.over:
+            return
+        sender = self._close(envelope)
+        self._answer(kind, lambda: call(envelope, sender))
+        self._forget(envelope)
+
+    def _answer(self, kind: str, call: Callable[[], None]) -> None:
+        """Hand a final answer over; a front that breaks over it must not keep the module from hearing."""
+        self.counts[kind] += 1
+        try:
+            call()
+        except Exception as problem:
+            self.counts["faults"] += 1
+            fault(log, "answer_fault", problem, kind=kind, count=self.counts["faults"])
+
+    def _close(self, envelope: Envelope) -> SenderSide:
+        envelope.over = True
+        self.owed -= 1
+        if envelope.net is not None:
+            envelope.net.cancel()
+            envelope.net = None
+        sender, envelope.sender = envelope.sender, None
+        assert sender is not None
+        return sender
+
+    def _unanswered(self, envelope: Envelope) -> None:
+        """The net under rule 1: the module answers at the deadline; if it did not, a failure goes out while
+        it still counts."""
+        if envelope.over:
+            return
+        sender = self._close(envelope)
+        self._answer("failed", lambda: sender.failed(envelope, True))
+        self._tell(api.ClientGone(envelope.ref))
+        self._forget(envelope)
+        holds(False, "answered_at_the_deadline", ref=envelope.ref)
+
+    def _forget(self, envelope: Envelope) -> None:
+        if envelope.over and not any(attempt.out for attempt in envelope.attempts):
+            self.envelopes.pop(envelope.ref, None)
--- /dev/null
+++ b/rosepick/http/next_hop.py
@@ -0,0 +1,89 @@
+"""The next hop's side: one delivery attempt on a connection, as bytes out and an outcome back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..api import Result
+from .response import Answer, AnswerReader, BadAnswer
+from .sender_side import Letter
+
+BODY_LIMIT = 64 * 1024
+_NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """How a delivery attempt ended."""
+
+    result: Result
+    note: int = 0
+    answer: Answer | None = None
+    reusable: bool = False
+
+
+class Exchange:
+    """One delivery attempt: its request's bytes, and what comes back."""
+
+    def __init__(self, letter: Letter, host: str, time_left: float) -> None:
+        self._unsent = memoryview(_request(letter, host, time_left))
+        self._reader = AnswerReader(BODY_LIMIT)
+
+    def unsent(self) -> memoryview:
+        """What is still to be written."""
+        return self._unsent
+
+    def written(self, count: int) -> None:
+        """So many of the unsent bytes were written."""
+        self._unsent = self._unsent[count:]
+
+    def feed(self, data: bytes) -> Verdict | None:
+        """Take in bytes of the answer; a verdict once there is one."""
+        try:
+            answer = self._reader.feed(data)
+        except BadAnswer:
+            return self.broke()
+        return None if answer is None else self._judge(answer)
+
+    def ended(self) -> Verdict:
+        """The next hop has ended its sending."""
+        answer = self._reader.ended()
+        return self.broke() if answer is None else self._judge(answer)
+
+    def broke(self) -> Verdict:
+        """The connection cannot go on. A next hop starts on a request when its last byte is there, so what
+        was not written whole has never run."""
+        return Verdict(Result.CONNECT_FAILED if self._unsent else Result.RESET)
+
+    def _judge(self, answer: Answer) -> Verdict:
+        note = _NOTES.get(answer.headers.get(b"srv-cache", b"").strip().lower(), 0)
+        result = _result(answer)
+        if self._unsent and result is Result.ERROR:
+            result = Result.CONNECT_FAILED  # an early answer: it never had the whole request
+        return Verdict(result, note, answer, answer.reusable and not self._unsent)
+
+
+def _result(answer: Answer) -> Result:
+    if answer.status == 200:
+        return Result.OK
+    if answer.status == 404:
+        return Result.MISS
+    if answer.status in (503, 504) and answer.headers.get(b"srv-declined", b"").strip() == b"1":
+        return Result.FULL
+    return Result.ERROR  # it may have run
+
+
+def _request(letter: Letter, host: str, time_left: float) -> bytes:
+    lines = [
+        letter.method + b" " + letter.target + b" HTTP/1.1",
+        b"Host: " + host.encode(),
+        b"Req-Id: " + letter.req_id,
+        b"Req-Deadline: %.3f" % (max(0.0, time_left) / 1000.0),
+    ]
+    if letter.idempotency_key is not None:
+        lines.append(b"Idempotency-Key: " + letter.idempotency_key)
+    if letter.content_type is not None:
+        lines.append(b"Content-Type: " + letter.content_type)
+    if letter.body or letter.method != b"GET":
+        lines.append(b"Content-Length: %d" % len(letter.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + letter.body
--- /dev/null
+++ b/rosepick/http/response.py
@@ -0,0 +1,90 @@
+"""One answer of an HTTP/1.1 server, read from bytes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import httptools
+
+HEAD_LIMIT = 32 * 1024
+
+
+class BadAnswer(Exception):
+    """The bytes are no whole, acceptable answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    headers: dict[bytes, bytes]  # names in lower case; of several, the first
+    body: bytes
+    reusable: bool  # whether the connection can carry another request
+
+
+class AnswerReader:
+    """Reads one answer; interim ones are passed over."""
+
+    def __init__(self, body_limit: int) -> None:
+        self._limit = body_limit
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._headers: dict[bytes, bytes] = {}
+        self._body = bytearray()
+        self._head = 0  # bytes fed before the headers were whole
+        self._headers_done = False
+        self._surplus = False
+        self._whole = False
+
+    def feed(self, data: bytes) -> Answer | None:
+        """Take in bytes; the answer once it is whole. Raises BadAnswer."""
+        if self._parser is None:
+            raise BadAnswer("bytes after the answer")
+        if not self._headers_done:
+            self._head += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
+            if not self._whole:
+                raise BadAnswer(str(problem) or type(problem).__name__) from None
+            self._surplus = True
+        if not self._headers_done and self._head > HEAD_LIMIT:
+            raise BadAnswer("headers too long")
+        return self._answer(self._parser.should_keep_alive()) if self._whole else None
+
+    def ended(self) -> Answer | None:
+        """The other side has ended; the answer if its body was to reach up to here."""
+        framed = b"content-length" in self._headers or b"transfer-encoding" in self._headers
+        return self._answer(False) if self._headers_done and not self._whole and not framed else None
+
+    def _answer(self, keep_alive: bool) -> Answer:
+        parser, self._parser = self._parser, None  # it refers back to this reader: leave no cycle to collect
+        assert parser is not None
+        reusable = keep_alive and not self._surplus
+        return Answer(parser.get_status_code(), self._headers, bytes(self._body), reusable)
+
+    # ------------------------------------------------------------------------------ the parser's calls
+
+    def on_message_begin(self) -> None:
+        self._surplus = self._whole
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._whole:
+            self._headers.setdefault(name.lower(), value)
+
+    def on_headers_complete(self) -> None:
+        self._headers_done = True
+
+    def on_body(self, data: bytes) -> None:
+        if self._whole:
+            return
+        self._body += data
+        if len(self._body) > self._limit:
+            raise BadAnswer("body too long")
+
+    def on_message_complete(self) -> None:
+        if self._parser is not None and 100 <= self._parser.get_status_code() < 200:
+            self._headers.clear()
+            self._headers_done = False
+            return
+        self._whole = True
--- /dev/null
+++ b/rosepick/http/sender_side.py
@@ -0,0 +1,239 @@
+"""The sender side: requests read from bytes into envelopes, final answers written as bytes."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import isfinite
+
+import httptools
+
+from ..config import Names
+from ..engine import Envelope
+from ..transport_map import key_number
+
+BODY_LIMIT = 64 * 1024
+HEAD_LIMIT = 16 * 1024
+BEHIND_LIMIT = 4  # messages read ahead of the one that is being answered
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 499: b"Client Closed Request",
+    500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Letter:
+    """What of a request is passed on to a next hop unchanged."""
+
+    method: bytes
+    target: bytes
+    body: bytes
+    req_id: bytes
+    idempotency_key: bytes | None
+    content_type: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Delivered:
+    """An envelope has come in whole; its deadline counts from now, so it holds the time left instead."""
+
+    envelope: Envelope
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """The question whether the router serves."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """A request that cannot be taken, with the status that says so."""
+
+    status: int
+    reason: str
+
+
+Received = Delivered | Ready | Rejected
+Extra = tuple[tuple[bytes, bytes], ...]  # further headers of an answer
+
+
+class Bad(Exception):
+    """A request cannot be taken."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class SenderConnection:
+    """One connection of the sender side: one request is answered at a time, in order."""
+
+    def __init__(self, names: Names) -> None:
+        self._names = names
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._inbox: deque[tuple[Received, bool]] = deque()
+        self._keep_alive = True  # after the request that is being answered
+        self._target = b""
+        self._headers: dict[bytes, bytes] = {}
+        self._body = bytearray()
+        self._head = 0  # bytes of the head as parsed, and as fed in reads that did not end it
+        self._fed = 0
+        self._in_head = False
+        self.partial = False  # a request has begun and is not whole
+        self.owing = False  # a request waits for its answer
+        self.done = False  # nothing more will be read or answered
+        self.wants_continue = False
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes."""
+        if self._parser is None:
+            return
+        try:
+            self._parser.feed_data(data)
+            # the parser holds a header that is not whole back: guards against one that never ends
+            self._fed += len(data) if self._in_head else 0
+            if self._fed > HEAD_LIMIT:
+                raise Bad(431, "headers too long")
+        except httptools.HttpParserCallbackError as problem:
+            cause = problem.__context__
+            if isinstance(cause, Bad):
+                self._reject(cause)
+            else:
+                self._reject(Bad(400, "malformed request"))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(Bad(400, "malformed request"))
+        except Bad as problem:
+            self._reject(problem)
+
+    def _reject(self, problem: Bad) -> None:
+        """Refuse what came; where it ends is not known, so nothing after it is read."""
+        self._parser = None
+        self.partial = False
+        self._inbox.append((Rejected(problem.status, str(problem)), False))
+
+    def next(self) -> Received | None:
+        """The next request to answer, unless one is being answered."""
+        if self.owing or self.done or not self._inbox:
+            return None
+        received, self._keep_alive = self._inbox.popleft()
+        self.owing = True
+        return received
+
+    def crowded(self) -> bool:
+        """Whether enough was read ahead."""
+        return len(self._inbox) >= BEHIND_LIMIT
+
+    def idle(self) -> bool:
+        """Between requests."""
+        return not (self.owing or self.partial or self._inbox)
+
+    def too_slow(self) -> None:
+        """The rest of a request did not come."""
+        self._reject(Bad(408, "the request did not come whole"))
+
+    def answer(self, status: int, body: bytes, extra: Extra, closing: bool) -> bytes:
+        """The bytes of the answer to the request in hand. `done` is set if the connection ends with it."""
+        self.owing = False
+        self.done = closing or not self._keep_alive
+        if self.done:
+            self._parser = None
+            self._inbox.clear()
+        lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
+        lines += [name + b": " + value for name, value in extra]
+        if self.done:
+            lines.append(b"Connection: close")
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+    # ------------------------------------------------------------------------------ the parser's calls
+
+    def on_message_begin(self) -> None:
+        self._target, self._headers, self._body = b"", {}, bytearray()
+        self._head = self._fed = 0
+        self.partial = self._in_head = True
+
+    def on_url(self, part: bytes) -> None:
+        self._target += part
+        self._grow(len(part))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.setdefault(name.lower(), value)
+        self._grow(len(name) + len(value) + 4)
+
+    def _grow(self, size: int) -> None:
+        self._head += size
+        if self._head > HEAD_LIMIT:
+            raise Bad(431, "headers too long")
+
+    def on_headers_complete(self) -> None:
+        self._in_head, self._fed = False, 0
+        length = self._headers.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > BODY_LIMIT:
+            raise Bad(413, "body too long")
+        self.wants_continue = self._headers.get(b"expect", b"").lower() == b"100-continue"
+
+    def on_body(self, part: bytes) -> None:
+        self._body += part
+        if len(self._body) > BODY_LIMIT:
+            raise Bad(413, "body too long")
+
+    def on_message_complete(self) -> None:
+        assert self._parser is not None
+        self.partial = self.wants_continue = False
+        method = self._parser.get_method()
+        try:
+            received = self._read(method)
+        except Bad as problem:
+            received = Rejected(problem.status, str(problem))
+        self._inbox.append((received, self._parser.should_keep_alive()))
+
+    # --------------------------------------------------------------------------------- what they say
+
+    def _read(self, method: bytes) -> Received:
+        path = self._target.partition(b"?")[0]
+        if path in (b"/ready", b"/health"):
+            return Ready()
+        if method not in (b"GET", b"PUT"):
+            raise Bad(405, "only GET and PUT are known here")
+        headers, names = self._headers, self._names
+        cost = headers.get(b"req-cost")
+        return Delivered(
+            Envelope(
+                klass=_place(headers, b"req-kind", names.classes),
+                tenant=_place(headers, b"req-owner", names.tenants) if names.tenants else 0,
+                deadline=1000.0 * _number(headers, b"req-deadline"),
+                key=key_number(path.rpartition(b"/")[2]),
+                write=method == b"PUT",
+                retry=headers.get(b"req-retry") == b"1",
+                cost_hint=None if cost is None else 0.001 * _number(headers, b"req-cost"),
+                payload=Letter(
+                    method, self._target, bytes(self._body), _text(headers, b"req-id"),
+                    headers.get(b"idempotency-key"), headers.get(b"content-type"),
+                ),
+            )
+        )
+
+
+def _text(headers: dict[bytes, bytes], name: bytes) -> bytes:
+    value = headers.get(name)
+    if not value:
+        raise Bad(400, f"{name.decode()} is missing")
+    return value
+
+
+def _place(headers: dict[bytes, bytes], name: bytes, places: Mapping[str, int]) -> int:
+    place = places.get(_text(headers, name).decode("latin-1"))
+    if place is None:
+        raise Bad(400, f"{name.decode()} is not known here")
+    return place
+
+
+def _number(headers: dict[bytes, bytes], name: bytes) -> float:
+    try:
+        value = float(_text(headers, name))
+    except ValueError:
+        value = -1.0
+    if not isfinite(value) or value < 0:
+        raise Bad(400, f"{name.decode()} is not a number of 0 or more")
+    return value
--- /dev/null
+++ b/rosepick/logs.py
@@ -0,0 +1,80 @@
+"""Logging: one line an event, key=value, and a bar against storms of one kind of line."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+import traceback
+from collections.abc import Callable
+from typing import TextIO
+
+STORM_LINES = 20  # lines of one kind that pass in ...
+STORM_SPAN = 10.0  # ... this many seconds; the rest are counted
+
+
+def say(log: logging.Logger, level: int, event: str, **fields: object) -> None:
+    """Log an event with its fields."""
+    if log.isEnabledFor(level):
+        log.log(level, event, extra={"fields": fields})
+
+
+def fault(log: logging.Logger, event: str, problem: BaseException, **fields: object) -> None:
+    """Log an exception with the place that raised it."""
+    frames = traceback.extract_tb(problem.__traceback__)
+    place = f"{frames[-1].filename.rsplit('/', 1)[-1]}:{frames[-1].lineno}" if frames else "unknown"
+    say(log, logging.ERROR, event, error=type(problem).__name__, text=problem, place=place, **fields)
+
+
+def _quoted(value: object) -> str:
+    text = f"{value:.1f}" if isinstance(value, float) else str(value)
+    if text and not any(sign in text for sign in ' ="\n\r\t'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
+
+
+class KeyValueFormatter(logging.Formatter):
+    """time=... level=... part=... event=... and the event's own fields."""
+
+    converter = time.gmtime
+
+    def format(self, record: logging.LogRecord) -> str:
+        when = self.formatTime(record, "%Y-%m-%dT%H:%M:%S") + f".{int(record.msecs):03d}Z"
+        pairs: dict[str, object] = {"time": when, "level": record.levelname.lower()}
+        pairs["part"] = record.name.removeprefix("rosepick.")
+        pairs["event"] = record.getMessage()
+        pairs.update(getattr(record, "fields", {}))
+        return " ".join(f"{key}={_quoted(value)}" for key, value in pairs.items())
+
+
+class StormFilter(logging.Filter):
+    """Lets a few lines of a kind through in a span; the first of the next tells how many were held back."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self.clock = clock
+        self.seen: dict[tuple[str, str], tuple[float, int]] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        key = record.name, str(record.msg)
+        now = self.clock()
+        since, count = self.seen.get(key, (now, 0))
+        if now - since >= STORM_SPAN:
+            if count > STORM_LINES:
+                record.fields = {**getattr(record, "fields", {}), "held_back": count - STORM_LINES}
+            since, count = now, 0
+        self.seen[key] = since, count + 1
+        return count < STORM_LINES
+
+
+def set_up(stream: TextIO | None = None) -> None:
+    """Send the package's log to a stream, standard error unless told otherwise."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(KeyValueFormatter())
+    handler.addFilter(StormFilter())
+    root = logging.getLogger("rosepick")
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    root.propagate = False
+    logging.raiseExceptions = False  # a closed log pipe must not print a traceback for each line
--- /dev/null
+++ b/rosepick/net/__init__.py
@@ -0,0 +1,1 @@
+"""The loop, and thin drivers that read and write sockets for the state machines."""
--- /dev/null
+++ b/rosepick/net/listener.py
@@ -0,0 +1,256 @@
+"""The listener, and the driver of one connection of the sender side."""
+
+from __future__ import annotations
+
+import logging
+import socket
+
+from ..config import Names
+from ..engine import Engine, Envelope
+from ..http.response import Answer
+from ..http.sender_side import Delivered, Extra, Ready, Rejected, SenderConnection
+from ..logs import fault, say
+from .budget import Budget
+from .loop import READ, WRITE, Loop
+from .stream import Stream, both
+
+log = logging.getLogger(__name__)
+BACKLOG = 1024
+ACCEPTS = 32  # in one go, so that timers and answers get their turn
+RETRY = 50.0  # after an accept for which there was no descriptor
+LINGER = 500.0  # to read on after an answer that came before the request's end, lest a reset overtakes it
+PATIENCE = 10_000.0  # for the rest of a request, or for an answer to be read
+SWEEP_EVERY = 1_000.0
+
+
+class SenderLink:
+    """One connection of the sender side; the port through which its envelopes are answered."""
+
+    def __init__(self, listener: Listener, sock: socket.socket) -> None:
+        self.listener = listener
+        self.machine = SenderConnection(listener.names)
+        self.envelope: Envelope | None = None
+        self.stuck_since: float | None = None
+        self.lingering = False
+        self.stream = Stream(listener.loop, listener.budget, sock, self.ready)
+
+    def ready(self, mask: int) -> None:
+        """The socket is ready."""
+        try:
+            if mask & WRITE:
+                self.stream.flush()
+            if mask & READ:
+                self._read()
+            self._settle()
+        except OSError:
+            self.gone()
+        except Exception as problem:
+            self._fault(problem)
+
+    def _read(self) -> None:
+        data = self.stream.read()
+        if data is None or self.lingering:
+            if data == b"":
+                self.close()
+            return
+        if not data:
+            self._ended()
+            return
+        self.machine.feed(data)
+        self._take()
+        if self.machine.wants_continue:
+            self.machine.wants_continue = False
+            self.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _take(self) -> None:
+        """Take up the next request, if none is being answered."""
+        while (received := self.machine.next()) is not None:
+            match received:
+                case Delivered(envelope):
+                    envelope.deadline += self.listener.loop.now()
+                    self.envelope = envelope
+                    self.listener.engine.accept(envelope, self)
+                case Ready():
+                    up = not self.listener.ending
+                    self._answer(200 if up else 503, b"ready\n" if up else b"ending\n")
+                case Rejected(status, reason):
+                    self.listener.rejected += 1
+                    say(log, logging.WARNING, "rejected", status=status, reason=reason)
+                    self._answer(status, reason.encode() + b"\n")
+
+    def _ended(self) -> None:
+        """The sender side has ended its sending: it has gone. Should it have closed only that half, it still
+        gets a whole answer."""
+        self.sender_left()
+        if self.machine.owing:
+            self._answer(499, b"")
+        if not self.stream.unwritten():
+            self.close()
+
+    def sender_left(self) -> None:
+        """Nothing more is owed here."""
+        envelope, self.envelope = self.envelope, None
+        if envelope is not None:
+            self.listener.engine.sender_gone(envelope)
+
+    def gone(self) -> None:
+        """The connection broke."""
+        self.sender_left()
+        self.close()
+
+    # ------------------------------------------------------------------------------ the final answers
+
+    def served(self, envelope: Envelope, answer: object) -> None:
+        assert isinstance(answer, Answer)
+        kind = answer.headers.get(b"content-type")
+        self._final(200, answer.body, () if kind is None else ((b"Content-Type", kind),))
+
+    def refused(self, envelope: Envelope, retry_after: float) -> None:
+        wait = ((b"Retry-After", b"%.3f" % (retry_after / 1000.0)),) if retry_after > 0 else ()
+        self._final(503, b"refused\n", wait)
+
+    def failed(self, envelope: Envelope, late: bool) -> None:
+        self._final(504 if late else 502, b"failed\n")
+
+    def broke(self, envelope: Envelope) -> None:
+        self._final(500, b"fault\n")
+
+    def _final(self, status: int, body: bytes, extra: Extra = ()) -> None:
+        self.envelope = None
+        try:
+            self._answer(status, body, extra)
+            self._take()
+            self._settle()
+        except OSError:
+            self.gone()
+
+    def _answer(self, status: int, body: bytes, extra: Extra = ()) -> None:
+        if self.stream.open:
+            self.stream.send(self.machine.answer(status, body, extra, self.listener.ending))
+
+    # -------------------------------------------------------------------------------------- its state
+
+    def _settle(self) -> None:
+        """What to wait for next; the end, once all is answered and written."""
+        if not self.stream.open:
+            return
+        unwritten = self.stream.unwritten()
+        waiting = unwritten or self.machine.partial
+        self.stuck_since = (self.stuck_since or self.listener.loop.now()) if waiting else None
+        if self.machine.done and not unwritten and not self.lingering:
+            self.lingering = True
+            self.stream.end_sending()
+            self.listener.loop.after(LINGER, self.close)
+        behind = self.machine.crowded() and not self.lingering
+        self.stream.want(WRITE if behind and unwritten else both(unwritten))
+
+    def _fault(self, problem: Exception) -> None:
+        """An exception over one request: it is answered 500, the process goes on."""
+        self.listener.loop.faults += 1
+        fault(log, "sender_fault", problem, count=self.listener.loop.faults)
+        try:
+            owing, self.machine.owing = self.machine.owing, False
+            self.sender_left()
+            if owing:
+                self._answer(500, b"fault\n")
+        except Exception:  # it could not even be told
+            pass
+        self.close()
+
+    def check(self, now: float) -> None:
+        """Guards against connections held for ever by half a request or an answer that is not read."""
+        if self.stuck_since is None or now - self.stuck_since < PATIENCE:
+            return
+        if self.stream.unwritten():
+            self.gone()
+        elif not self.machine.owing:
+            self.machine.too_slow()
+            self._take()
+            self._settle()
+
+    def idle(self) -> bool:
+        """Between requests, with nothing to write."""
+        return self.machine.idle() and not self.stream.unwritten()
+
+    def close(self) -> None:
+        """Close it; the sender side can tell an answer that is not whole."""
+        self.stream.close()
+        self.listener.links.pop(self, None)
+
+
+class Listener:
+    """Accepts the sender side's connections."""
+
+    def __init__(
+        self, loop: Loop, budget: Budget, engine: Engine, names: Names, endpoint: tuple[str, int]
+    ) -> None:
+        self.loop, self.budget, self.engine, self.names = loop, budget, engine, names
+        self.links: dict[SenderLink, None] = {}
+        self.ending = False
+        self.rejected = 0
+        family = socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(endpoint)
+        self.sock.listen(BACKLOG)
+        self.sock.setblocking(False)
+        self.watching = False
+        self.open = True
+        loop.after(SWEEP_EVERY, self._sweep)
+
+    def start(self) -> None:
+        """Accept from now on."""
+        if self.open and not self.watching:
+            self.watching = True
+            self.loop.watch(self.sock, READ, self._accept)
+
+    def pause(self) -> None:
+        """Leave new connections in the queue."""
+        if self.watching:
+            self.watching = False
+            self.loop.unwatch(self.sock)
+
+    def freed(self) -> None:
+        """A descriptor was freed."""
+        if not self.watching and self.budget.used < self.budget.limit:
+            self.start()
+
+    def _accept(self, mask: int) -> None:
+        for _ in range(ACCEPTS):
+            if not self.budget.room():
+                say(log, logging.WARNING, "accept_paused", used=self.budget.used)
+                self.pause()
+                return
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionError):
+                return
+            except OSError as problem:
+                # out of descriptors or memory: the same connection would wake the loop again at once
+                say(log, logging.WARNING, "accept_failed", text=problem, used=self.budget.used)
+                self.budget.shed()
+                self.pause()
+                self.loop.after(RETRY, self.start)
+                return
+            self.links[SenderLink(self, sock)] = None
+
+    def _sweep(self) -> None:
+        self.loop.after(SWEEP_EVERY, self._sweep)
+        now = self.loop.now()
+        for link in list(self.links):
+            link.check(now)
+
+    def shed(self) -> bool:
+        """Close a connection of the sender side that is between requests; False if there is none."""
+        for link in self.links:
+            if link.idle():
+                link.close()
+                return True
+        return False
+
+    def close(self) -> None:
+        """Accept no more."""
+        self.pause()
+        if self.open:
+            self.open = False
+            self.sock.close()
--- /dev/null
+++ b/rosepick/net/loop.py
@@ -0,0 +1,131 @@
+"""One loop: a selector for sockets and a heap of timers on the monotonic clock."""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import selectors
+import signal
+import socket
+import time
+from collections.abc import Callable
+from types import FrameType
+
+from ..logs import fault, say
+
+log = logging.getLogger(__name__)
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+LONGEST_WAIT = 1.0  # seconds in one wait: a bound, should a wake-up ever be missed
+LATE = 50.0  # a timer later than this is worth a line
+Ready = Callable[[int], None]
+
+
+class Timer:
+    """A call at some time."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        """Not wanted any more; what it would have called is let go at once."""
+        self.call = None
+
+
+class Loop:
+    """Waits for sockets and timers and calls whoever asked."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._selector = selectors.DefaultSelector()
+        self._heap: list[tuple[float, int, int, Timer]] = []
+        self._count = 0
+        self._stopped = False
+        self.faults = 0
+
+    def now(self) -> float:
+        """Milliseconds, forward only."""
+        return self._clock() * 1000.0
+
+    def at(self, when: float, call: Callable[[], None], first: bool = False) -> Timer:
+        """Call at that time or soon after; `first`: before the others of the same time."""
+        timer = Timer(call)
+        self._count += 1
+        heapq.heappush(self._heap, (when, 0 if first else 1, self._count, timer))
+        return timer
+
+    def after(self, delay: float, call: Callable[[], None]) -> Timer:
+        """Call after so many milliseconds."""
+        return self.at(self.now() + delay, call)
+
+    def watch(self, sock: socket.socket, mask: int, ready: Ready) -> None:
+        """Call when a socket is ready."""
+        self._selector.register(sock, mask, ready)
+
+    def rewatch(self, sock: socket.socket, mask: int, ready: Ready) -> None:
+        """Wait for something else on a watched socket."""
+        self._selector.modify(sock, mask, ready)
+
+    def unwatch(self, sock: socket.socket) -> None:
+        """Forget a socket."""
+        self._selector.unregister(sock)
+
+    def on_signal(self, number: int, call: Callable[[], None]) -> None:
+        """Call from the loop after a signal."""
+        ours, wakeup = socket.socketpair()
+        ours.setblocking(False)
+        wakeup.setblocking(False)
+
+        def wake(mask: int) -> None:
+            ours.recv(64)
+            call()
+
+        def note(number: int, frame: FrameType | None) -> None:
+            """The write to the wake-up socket is all that is needed."""
+
+        signal.set_wakeup_fd(wakeup.fileno(), warn_on_full_buffer=False)
+        signal.signal(number, note)
+        self._wakeup = wakeup  # kept: the signal module holds a bare number
+        self.watch(ours, READ, wake)
+
+    def stop(self) -> None:
+        """End `run` after the present call."""
+        self._stopped = True
+
+    def run(self) -> None:
+        """Serve until stopped."""
+        while not self._stopped:
+            self.step(LONGEST_WAIT)
+
+    def step(self, longest: float) -> None:
+        """Wait once, for so many seconds at most, and call all that is ready."""
+        self._run_timers()
+        wait = longest
+        if self._heap:
+            wait = min(wait, max(0.0, (self._heap[0][0] - self.now()) / 1000.0))
+        if self._stopped:
+            return
+        for key, mask in self._selector.select(wait):
+            # one that an earlier call of this batch has closed is no longer meant
+            if self._selector.get_map().get(key.fd) is key:
+                self._call(key.data, mask)
+            # guards against deadlines that pass behind a long batch of reads
+            self._run_timers()
+
+    def _run_timers(self) -> None:
+        while self._heap and self._heap[0][0] <= self.now():
+            when, _, _, timer = heapq.heappop(self._heap)
+            call = timer.call
+            if call is not None:
+                if self.now() - when > LATE:
+                    say(log, logging.WARNING, "timer_late", by_ms=self.now() - when)
+                self._call(call)
+
+    def _call(self, call: Callable[..., None], *given: int) -> None:
+        """One call; what it raises must not end the process."""
+        try:
+            call(*given)
+        except Exception as problem:
+            self.faults += 1
+            fault(log, "loop_fault", problem, count=self.faults)
--- /dev/null
+++ b/rosepick/net/pool.py
@@ -0,0 +1,245 @@
+"""The next-hop pool: connections to next hops, one delivery attempt at a time on each."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import os
+import socket
+from collections import OrderedDict
+from collections.abc import Callable
+
+from ..api import Result
+from ..engine import DeliveryAttempt, Engine
+from ..http.next_hop import Exchange, Verdict
+from ..http.sender_side import Letter
+from ..logs import say
+from ..transport_map import NextHop, TransportMap
+from .budget import Budget
+from .loop import READ, WRITE, Loop
+from .stream import Stream, both
+
+log = logging.getLogger(__name__)
+IDLE_PART = 0.7  # of the time after which a next hop may close an idle connection: then ours goes
+SWEEP_EVERY = 500.0
+DIAL_SPARE = 16  # sockets that dials may use beyond the budget: what was taken must get its answer
+
+
+class Link:
+    """One connection to a next hop."""
+
+    def __init__(self, pool: NextHopPool, hop: NextHop, sock: socket.socket, dialing: bool) -> None:
+        self.pool = pool
+        self.server = hop.server
+        self.host = f"{hop.endpoint[0]}:{hop.endpoint[1]}"
+        self.endpoint = hop.endpoint
+        self.dialing = dialing
+        self.exchange: Exchange | None = None
+        self.attempt: DeliveryAttempt | None = None
+        self.idle_since = 0.0
+        self.retired = False
+        self.stream = Stream(pool.loop, pool.budget, sock, self.ready, WRITE if dialing else READ)
+
+    def start(self, attempt: DeliveryAttempt, letter: Letter) -> None:
+        """Carry an attempt; its bytes go out as soon as the connection is up."""
+        self.attempt = attempt
+        self.exchange = Exchange(letter, self.host, attempt.stop_at - self.pool.loop.now())
+        if not self.dialing:
+            self._guarded(self._write)
+
+    def ready(self, mask: int) -> None:
+        """The socket is ready."""
+        if self.dialing:
+            self._guarded(self._connected)
+            return
+        if mask & WRITE and self.exchange is not None:
+            self._guarded(self._write)
+        if mask & READ and self.stream.open:
+            self._guarded(self._read)
+
+    def _guarded(self, step: Callable[[], None]) -> None:
+        try:
+            step()
+        except OSError as problem:
+            say(log, logging.DEBUG, "next_hop_broke", server=self.server, text=problem)
+            self._over(self.exchange.broke() if self.exchange is not None else None)
+
+    def _connected(self) -> None:
+        problem = self.stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if problem:
+            raise OSError(problem, os.strerror(problem))
+        self.dialing = False
+        self._write()
+
+    def _write(self) -> None:
+        exchange = self.exchange
+        assert exchange is not None
+        if exchange.unsent():
+            exchange.written(self.stream.write(exchange.unsent()))
+        self.stream.want(both(bool(exchange.unsent())))
+
+    def _read(self) -> None:
+        data = self.stream.read()
+        if data is None:
+            return
+        if self.exchange is None:
+            self._over(None)  # an idle one was closed, or says what nobody asked
+            return
+        verdict = self.exchange.feed(data) if data else self.exchange.ended()
+        if verdict is not None:
+            self._over(verdict)
+
+    def _over(self, verdict: Verdict | None) -> None:
+        """The attempt has ended, or an idle connection has."""
+        attempt, self.attempt, self.exchange = self.attempt, None, None
+        if verdict is not None and verdict.reusable and not self.retired:
+            self.stream.want(READ)
+            self.pool.rest(self)
+        else:
+            self.close()
+        if attempt is not None and verdict is not None:
+            self.pool.ended(attempt, verdict)
+
+    def fresh(self) -> bool:
+        """Whether an idle connection is still good as far as this side can know."""
+        try:
+            self.stream.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
+    def close(self) -> None:
+        """Close it; an attempt on it is given up."""
+        self.attempt = self.exchange = None
+        self.pool.forget(self)
+        self.stream.close()
+
+
+class NextHopPool:
+    """All connections to next hops."""
+
+    def __init__(self, loop: Loop, budget: Budget, hops: TransportMap, dial: float, conn_idle: float) -> None:
+        self.loop, self.budget, self.map = loop, budget, hops
+        self.dial_timeout, self.keep_idle = dial, conn_idle * IDLE_PART
+        self.engine: Engine
+        self.busy: dict[DeliveryAttempt, Link] = {}
+        self.idle: dict[int, list[Link]] = {}  # the most recently used last
+        self.by_age: OrderedDict[Link, None] = OrderedDict()  # the longest idle first
+        loop.after(SWEEP_EVERY, self._sweep)
+
+    # ---------------------------------------------------------------------------- the engine's calls
+
+    def deliver(self, attempt: DeliveryAttempt) -> None:
+        """Start a delivery attempt on the most recently used idle connection, or on a new one."""
+        letter = attempt.envelope.payload
+        assert isinstance(letter, Letter)
+        link = self._idle_link(attempt.server)
+        if link is None:
+            hop = self.map.hops.get(attempt.server)
+            link = self._dial(hop) if hop is not None else None
+        if link is None:
+            self.ended(attempt, Verdict(Result.CONNECT_FAILED))
+            return
+        self.busy[attempt] = link
+        link.start(attempt, letter)
+
+    def give_up(self, attempt: DeliveryAttempt) -> None:
+        """Close the attempt's connection: an answer still to come would be taken for the next request's."""
+        link = self.busy.pop(attempt, None)
+        if link is not None:
+            link.close()
+
+    def retire(self, servers: tuple[int, ...]) -> None:
+        """Close what is idle to next hops that drain, left or restarted; what is busy closes after its
+        attempt."""
+        for server in servers:
+            for link in list(self.idle.get(server, ())):
+                link.close()
+        gone = set(servers)
+        for link in self.busy.values():
+            link.retired = link.retired or link.server in gone
+
+    # ------------------------------------------------------------------------------ the links' calls
+
+    def ended(self, attempt: DeliveryAttempt, verdict: Verdict) -> None:
+        """An attempt has its outcome."""
+        self.busy.pop(attempt, None)
+        self.engine.attempt_ended(attempt, verdict.result, verdict.note, verdict.answer)
+
+    def rest(self, link: Link) -> None:
+        """A connection is free for the next attempt."""
+        link.idle_since = self.loop.now()
+        self.idle.setdefault(link.server, []).append(link)
+        self.by_age[link] = None
+
+    def forget(self, link: Link) -> None:
+        """A connection closes."""
+        if link in self.by_age:
+            del self.by_age[link]
+            self.idle[link.server].remove(link)
+
+    # ---------------------------------------------------------------------------------- connections
+
+    def _idle_link(self, server: int) -> Link | None:
+        links = self.idle.get(server, [])
+        while links:
+            link = links[-1]
+            if link.fresh():
+                del self.by_age[links.pop()]
+                return link
+            link.close()
+        return None
+
+    def _dial(self, hop: NextHop) -> Link | None:
+        if not self.budget.room(DIAL_SPARE):
+            say(log, logging.WARNING, "no_socket_for_dial", server=hop.server, used=self.budget.used)
+            return None
+        sock = self._socket(hop)
+        if sock is None:
+            return None
+        sock.setblocking(False)
+        try:
+            sock.connect(hop.endpoint)
+            dialing = False
+        except (BlockingIOError, InterruptedError):
+            dialing = True
+        except OSError:
+            sock.close()
+            return None
+        link = Link(self, hop, sock, dialing)
+        if dialing:
+            self.loop.after(self.dial_timeout, lambda: self._dial_over(link))
+        return link
+
+    def _socket(self, hop: NextHop) -> socket.socket | None:
+        family = socket.AF_INET6 if ":" in hop.endpoint[0] else socket.AF_INET
+        for _ in range(2):
+            with contextlib.suppress(OSError):
+                return socket.socket(family, socket.SOCK_STREAM)
+            if not self.shed():  # out of descriptors: an idle one gives way
+                break
+        say(log, logging.WARNING, "no_socket_for_dial", server=hop.server, used=self.budget.used)
+        return None
+
+    def _dial_over(self, link: Link) -> None:
+        attempt = link.attempt
+        if link.dialing and link.stream.open and attempt is not None:
+            link.close()
+            self.ended(attempt, Verdict(Result.CONNECT_FAILED))
+
+    def shed(self) -> bool:
+        """Close the connection that was idle the longest; False if there is none."""
+        for link in self.by_age:
+            link.close()
+            return True
+        return False
+
+    def _sweep(self) -> None:
+        """Close what was idle for long, well before the next hop does: a request written to a connection that
+        the other side has closed is a reset."""
+        self.loop.after(SWEEP_EVERY, self._sweep)
+        before = self.loop.now() - self.keep_idle
+        while self.by_age and (link := next(iter(self.by_age))).idle_since <= before:
+            link.close()
--- /dev/null
+++ b/rosepick/net/server.py
@@ -0,0 +1,108 @@
+"""One router process: all parts put together, and its end."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import resource
+import signal
+import time
+
+from .. import api
+from ..config import Config
+from ..engine import Engine
+from ..logs import say
+from ..transport_map import TransportMap
+from ..wire import Reader
+from .budget import Budget
+from .listener import Listener
+from .loop import Loop
+from .pool import NextHopPool
+from .watch import DiscoveryWatch
+
+log = logging.getLogger(__name__)
+STILL_ARRIVING = 600.0  # after SIGTERM new connections are taken for at least so long ...
+QUIET = 150.0  # ... and until none came for so long
+LAST_CALL = 2_500.0  # then idle connections close; the process ends by the longest deadline after that
+SUM_UP_EVERY = 10_000.0
+
+
+class Server:
+    """The parts of one router."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.loop = loop = Loop()
+        self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
+        known = self.map.take(config.known, cached=True)
+        self.budget = Budget(min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
+        self.engine = Engine(config.settings, config.seed, loop)
+        self.pool = NextHopPool(loop, self.budget, self.map, config.dial_timeout, config.conn_idle)
+        self.watch = DiscoveryWatch(
+            loop, self.budget, config.discovery, lambda: self.map.revision, self._told, self._silent
+        )
+        self.pool.engine = self.engine
+        self.engine.next_hops, self.engine.map_source = self.pool, self.watch
+        self.listener = Listener(loop, self.budget, self.engine, config.names, config.listen)
+        self.budget.shed = lambda: self.pool.shed() or self.listener.shed()
+        self.budget.freed = self.listener.freed
+        self.engine.map_told(known.event)
+        self._ending_since = 0.0
+
+    def run(self) -> None:
+        """Serve until told to end and nothing is owed."""
+        self.loop.on_signal(signal.SIGTERM, self.end)
+        self.loop.after(SUM_UP_EVERY, self._sum_up)
+        self.listener.start()
+        # what was made up to here stays: collections look at what is new only, and seldom
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
+        host, port = self.config.listen
+        say(log, logging.INFO, "serving", name=self.config.name, listen=f"{host}:{port}")
+        self.loop.run()
+        self._sum_up()
+        say(log, logging.INFO, "ended", name=self.config.name)
+
+    # ------------------------------------------------------------------------------------- discovery
+
+    def _told(self, told: Reader) -> None:
+        change = self.map.take(told)
+        say(
+            log, logging.INFO, "map_told", rev=change.event.version, scope=change.event.scope.value,
+            entries=len(change.event.members), hops=len(self.map.hops),
+        )
+        self.pool.retire(change.retired)
+        self.engine.map_told(change.event)
+
+    def _silent(self) -> None:
+        self.engine.map_told(api.Members(api.Scope.FAILED))
+
+    # --------------------------------------------------------------------------------------- its end
+
+    def end(self) -> None:
+        """SIGTERM: go on accepting and answering while connections still arrive, end when nothing is owed."""
+        if self.listener.ending:
+            return
+        say(log, logging.INFO, "ending", owed=self.engine.owed, connections=len(self.listener.links))
+        self.listener.ending = True
+        self._ending_since = self.loop.now()
+        self.loop.after(STILL_ARRIVING, self._end_if_quiet)
+
+    def _end_if_quiet(self) -> None:
+        for link in [link for link in self.listener.links if link.idle()]:
+            link.close()
+        if self.engine.owed or self.listener.links:
+            self.loop.after(20.0, self._end_if_quiet)
+            return
+        self.listener.close()
+        self.loop.stop()
+
+    def _sum_up(self) -> None:
+        """A line of counts."""
+        self.loop.after(SUM_UP_EVERY, self._sum_up)
+        counts = {name: self.engine.counts[name] for name in sorted(self.engine.counts)}
+        say(
+            log, logging.INFO, "counts", owed=self.engine.owed, sockets=self.budget.used,
+            rejected=self.listener.rejected, loop_faults=self.loop.faults, **counts,
+        )
--- /dev/null
+++ b/rosepick/net/stream.py
@@ -0,0 +1,82 @@
+"""A watched TCP connection with a buffer for what could not be written yet."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+from .budget import Budget
+from .loop import READ, WRITE, Loop, Ready
+
+CHUNK = 64 * 1024
+
+
+class Stream:
+    """One connected or connecting socket, without blocking."""
+
+    __slots__ = ("sock", "open", "_loop", "_budget", "_ready", "_mask", "_pending")
+
+    def __init__(
+        self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, mask: int = READ
+    ) -> None:
+        self.sock = sock
+        self.open = True
+        self._loop, self._budget, self._ready, self._mask = loop, budget, ready, mask
+        self._pending = bytearray()
+        budget.take()
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):  # a peer that has left already
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        loop.watch(sock, mask, ready)
+
+    def want(self, mask: int) -> None:
+        """What to wait for."""
+        if self.open and mask != self._mask:
+            self._mask = mask
+            self._loop.rewatch(self.sock, mask, self._ready)
+
+    def read(self) -> bytes | None:
+        """What has come; empty at the end; None if there is nothing. OSError if it broke."""
+        try:
+            return self.sock.recv(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return None
+
+    def write(self, data: bytes | memoryview) -> int:
+        """How much was written at once. OSError if it broke."""
+        try:
+            return self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+
+    def send(self, data: bytes) -> None:
+        """Write now what can be, keep the rest for `flush`."""
+        self._pending += data
+        self.flush()
+
+    def flush(self) -> None:
+        """Go on with what was kept."""
+        if self._pending:
+            del self._pending[: self.write(self._pending)]
+
+    def unwritten(self) -> bool:
+        """Whether something is kept."""
+        return bool(self._pending)
+
+    def end_sending(self) -> None:
+        """Tell the other side that nothing more comes."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Close it, whatever is in flight."""
+        if self.open:
+            self.open = False
+            self._loop.unwatch(self.sock)
+            self.sock.close()
+            self._budget.give()
+
+
+def both(writing: bool) -> int:
+    """Reading, and writing too where something waits for it."""
+    return READ | WRITE if writing else READ
--- /dev/null
+++ b/rosepick/net/watch.py
@@ -0,0 +1,134 @@
+"""The discovery watch: one long poll after another on a connection that is kept."""
+
+from __future__ import annotations
+
+import logging
+import os
+import socket
+from collections.abc import Callable
+
+from ..http.discovery import CallFailed, Told, call
+from ..logs import say
+from ..wire import Reader
+from .budget import Budget
+from .loop import READ, WRITE, Loop, Timer
+from .stream import Stream
+
+log = logging.getLogger(__name__)
+FIRST_WAIT = 0.0  # a new watch first asks what it has missed, without waiting
+WAIT = 20_000.0
+SILENCE = 5_000.0  # beyond the wait asked for: a call may wait its turn
+
+
+class DiscoveryWatch:
+    """Follows the transport map once it is told to; a failure ends the watch."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        budget: Budget,
+        endpoint: tuple[str, int],
+        revision: Callable[[], int],
+        told: Callable[[Reader], None],
+        failed: Callable[[], None],
+    ) -> None:
+        self.loop, self.budget, self.endpoint = loop, budget, endpoint
+        self.revision, self.told, self.failed = revision, told, failed
+        self.on = False
+        self._stream: Stream | None = None
+        self._dialing = False
+        self._asking = b""
+        self._answer = Told()
+        self._silence: Timer | None = None
+
+    def watch(self, on: bool) -> None:
+        """Follow changes from now on, or no more. A watch that runs goes on as it is."""
+        if on and not self.on:
+            self.on = True
+            self._call(FIRST_WAIT)
+        elif not on:
+            self._stop()
+
+    def _call(self, wait: float) -> None:
+        """The next call, from the revision held."""
+        host = f"{self.endpoint[0]}:{self.endpoint[1]}"
+        self._asking = call(host, self.revision(), wait)
+        self._answer = Told()
+        self._silence = self.loop.after(wait + SILENCE, lambda: self._fail("silent"))
+        try:
+            if self._stream is None:
+                self._dial()
+            else:
+                self._write()
+        except OSError as problem:
+            self._fail(str(problem))
+
+    def _dial(self) -> None:
+        sock = socket.socket(socket.AF_INET6 if ":" in self.endpoint[0] else socket.AF_INET)
+        try:
+            sock.setblocking(False)
+            sock.connect(self.endpoint)
+        except BlockingIOError:
+            pass
+        except OSError:
+            sock.close()
+            raise
+        self._dialing = True
+        self._stream = Stream(self.loop, self.budget, sock, self._ready, WRITE)
+
+    def _ready(self, mask: int) -> None:
+        stream = self._stream
+        if stream is None:
+            return
+        try:
+            if self._dialing:
+                problem = stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if problem:
+                    raise OSError(problem, os.strerror(problem))
+                self._dialing = False
+                stream.want(READ)
+                self._write()
+            elif mask & READ:
+                self._read(stream)
+            else:
+                self._write()
+        except (OSError, CallFailed, ValueError) as problem:
+            self._fail(str(problem))
+
+    def _write(self) -> None:
+        assert self._stream is not None
+        if self._asking:
+            self._asking = self._asking[self._stream.write(self._asking) :]
+            self._stream.want(READ | WRITE if self._asking else READ)
+
+    def _read(self, stream: Stream) -> None:
+        data = stream.read()
+        if data is None:
+            return
+        told = self._answer.feed(data) if data else self._answer.ended()
+        if told is None:
+            return
+        listed, reusable = told
+        if self._silence is not None:
+            self._silence.cancel()
+        if not reusable or not data:
+            self._close()
+        self.told(listed)  # ValueError if it is malformed
+        if self.on:
+            self._call(WAIT)
+
+    def _fail(self, reason: str) -> None:
+        say(log, logging.WARNING, "discovery_failed", reason=reason)
+        self._stop()
+        self.failed()
+
+    def _stop(self) -> None:
+        self.on = False
+        if self._silence is not None:
+            self._silence.cancel()
+        self._close()
+
+    def _close(self) -> None:
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.close()
--- a/rosepick/wire.py
+++ b/rosepick/wire.py
@@ -173,7 +173,7 @@
 # -------------------------------------------------------------------------------------------- settings
 
 
-class _Reader:
+class Reader:
     """Reads typed values out of a JSON object and names what is wrong."""
 
     def __init__(self, data: Any, where: str) -> None:
@@ -185,14 +185,14 @@
     def name(self, key: str) -> str:
         return f"{self.where}.{key}" if self.where else key
 
-    def part(self, key: str) -> _Reader:
-        return _Reader(self.data.get(key) or {}, self.name(key))
+    def part(self, key: str) -> Reader:
+        return Reader(self.data.get(key) or {}, self.name(key))
 
-    def rows(self, key: str) -> list[_Reader]:
+    def rows(self, key: str) -> list[Reader]:
         rows = self.data.get(key) or []
         if not isinstance(rows, list):
             raise ValueError(f"setting {self.name(key)} is not a list")
-        return [_Reader(row, self.name(key) + "[]") for row in rows]
+        return [Reader(row, self.name(key) + "[]") for row in rows]
 
     def number(self, key: str, default: float | None = None) -> float:
         value = self.data.get(key)
@@ -216,6 +216,19 @@
             raise ValueError(f"setting {self.name(key)} is {value!r}, not true or false")
         return value
 
+    def text(self, key: str) -> str:
+        value = self.data.get(key)
+        if not isinstance(value, str) or not value:
+            raise ValueError(f"setting {self.name(key)} is {value!r}, not a text")
+        return value
+
+    def names(self, key: str) -> tuple[str, ...]:
+        """A list whose entries are names, or objects with a name."""
+        rows = self.data.get(key) or []
+        if not isinstance(rows, list):
+            raise ValueError(f"setting {self.name(key)} is not a list")
+        return tuple(str(row.get("name", "")) if isinstance(row, dict) else str(row) for row in rows)
+
     def choice(self, key: str, default: str, allowed: tuple[str, ...]) -> str:
         value = self.data.get(key, default)
         if value not in allowed:
@@ -226,9 +239,14 @@
 def settings(env: bytes) -> api.Settings:
     """Settings from the text of a PROVISION record; unknown keys are passed over."""
     try:
-        top = _Reader(json.loads(env), "")
+        top = Reader(json.loads(env), "")
     except (json.JSONDecodeError, UnicodeDecodeError, RecursionError):
         raise ValueError("settings are not valid JSON") from None
+    return settings_of(top)
+
+
+def settings_of(top: Reader) -> api.Settings:
+    """Settings from JSON that was read already."""
     domain, limits, rules, costs = (top.part(k) for k in ("domain", "limits", "rules", "costs"))
     report = top.part("report")
     usual = api.Rules()
