Reuse connections: ask for keep-alive before the parser forgets the answer

Checked: AnswerReader said reusable=False for every plain answer; httptools' should_keep_alive() is asked after the message's end, when llhttp has reset its flags. Ruled out: idle checks and retirement, which the same reader never reached. Asked in on_message_complete now; test_connections_are_reused_on_both_sides failed before. Adds the scenario language and its first scenarios.

--- a/rosepick/http/response.py
+++ b/rosepick/http/response.py
@@ -35,6 +35,7 @@
         self._headers_done = False
         self._surplus = False
         self._whole = False
+        self._keep_alive = False
 
     def feed(self, data: bytes) -> Answer | None:
         """Take in bytes; the answer once it is whole. Raises BadAnswer."""
@@ -50,7 +51,7 @@
             self._surplus = True
         if not self._headers_done and self._head > HEAD_LIMIT:
             raise BadAnswer("headers too long")
-        return self._answer(self._parser.should_keep_alive()) if self._whole else None
+        return self._answer(self._keep_alive) if self._whole else None
 
     def ended(self) -> Answer | None:
         """The other side has ended; the answer if its body was to reach up to here."""
@@ -87,4 +88,7 @@
             self._headers.clear()
             self._headers_done = False
             return
+        # Asked here and not later: the parser forgets the answer once it is through with it, and then says
+        # no. Guards against a connection for each attempt.
+        self._keep_alive = self._parser is not None and self._parser.should_keep_alive()
         self._whole = True
--- a/rosepick/net/loop.py
+++ b/rosepick/net/loop.py
@@ -41,7 +41,7 @@
         self._selector = selectors.DefaultSelector()
         self._heap: list[tuple[float, int, int, Timer]] = []
         self._count = 0
-        self._stopped = False
+        self.stopped = False
         self.faults = 0
 
     def now(self) -> float:
@@ -91,11 +91,11 @@
 
     def stop(self) -> None:
         """End `run` after the present call."""
-        self._stopped = True
+        self.stopped = True
 
     def run(self) -> None:
         """Serve until stopped."""
-        while not self._stopped:
+        while not self.stopped:
             self.step(LONGEST_WAIT)
 
     def step(self, longest: float) -> None:
@@ -104,7 +104,7 @@
         wait = longest
         if self._heap:
             wait = min(wait, max(0.0, (self._heap[0][0] - self.now()) / 1000.0))
-        if self._stopped:
+        if self.stopped:
             return
         for key, mask in self._selector.select(wait):
             # one that an earlier call of this batch has closed is no longer meant
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -30,9 +30,9 @@
 class Server:
     """The parts of one router."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, loop: Loop | None = None) -> None:
         self.config = config
-        self.loop = loop = Loop()
+        self.loop = loop = loop or Loop()
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
         self.budget = Budget(min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,242 @@
+"""A small scenario language for a whole router on loopback: who, what, and the rest of the line.
+
+    c1 send GET /api/k1 a=b         a sender side (c...) sends a request: headers as name=value, else its body
+    s1 expect GET /api/k1           a next hop (s1, s2, origin) or discovery (d) gets one that begins so
+    s1 send 404                     ... and answers: status, body, headers as name=value
+    c1 expect 503 Retry-After       an answer with that status comes; all further words are in it
+    d tell 42 s1=leaving            discovery answers with changed entries
+    s1 raw HTTP/1.1 2               raw text, with Python's escapes
+    c1 close / half-close           closes, or ends its sending
+    s1 expect closed / nothing      the router closed that connection; no connection has sent anything
+    s1 refuse                       takes no connections from here on
+    router end / going / ended      is told to end; has not ended yet; has
+    wait 600                        so many milliseconds pass on a clock of the scenario's own
+
+Nothing sleeps: the loop is stepped until what is expected is there, a bounded number of times.
+"""
+
+from __future__ import annotations
+
+import json
+import select
+import socket
+import unittest
+from typing import Any
+
+from rosepick import config
+from rosepick.net.loop import Loop
+from rosepick.net.server import Server
+
+STEPS = 200
+SETTINGS: dict[str, Any] = {
+    "domain": {"mode": "aside", "origin_kind": 1},
+    "failure_domains": ["east"],
+    "machine_types": ["std", "origin"],
+    "limits": {
+        "cancelling": True, "conn_idle": 15000.0, "dial_timeout": 250.0, "max_attempts": 5,
+        "max_retry_after": 2000.0, "retry_after": True,
+    },
+    "membership_mode": "subscribe",
+    "request_classes": [
+        {"name": "read", "deadline": 1200.0, "objective": 600.0, "effect": "retryable", "worth": 3.0},
+        {"name": "set", "deadline": 2500.0, "objective": 750.0, "effect": "dedup", "group": "all",
+         "repeat_window": 1500.0, "worth": 5.0},
+    ],
+    "rules": {"ask_every": 10000.0, "grace_to_answer": 20.0, "stop_sending_within": 750.0},
+    "tenants": [{"name": "acme", "share": 0.5}, {"name": "beta", "share": 0.5}],
+}
+
+
+def target(name: str, port: int, state: str = "active") -> dict[str, object]:
+    """An entry of discovery's list."""
+    kind = "origin" if name == "origin" else "std"
+    return {
+        "uid": name, "endpoint": f"127.0.0.1:{port}", "az": "east", "model": kind, "pod_group": 0,
+        "state": state, "capacity_hint": 1.0, "boot_ms": 0,
+    }
+
+
+class Wire:
+    """One connection as the scenario holds it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.seen, self.ended = sock, b"", False
+        sock.setblocking(False)
+
+    def pull(self) -> None:
+        """Take in what has come."""
+        try:
+            while not self.ended:
+                data = self.sock.recv(65536)
+                self.seen += data
+                self.ended = not data
+        except BlockingIOError:
+            pass
+        except ConnectionError:
+            self.ended = True
+
+    def message(self) -> str | None:
+        """The next whole message, taken off."""
+        head, gap, rest = self.seen.partition(b"\r\n\r\n")
+        if not gap:
+            return None
+        size = next(
+            (int(line[15:]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")), 0
+        )
+        if len(rest) < size:
+            return None
+        self.seen = rest[size:]
+        return (head + gap + rest[:size]).decode()
+
+
+class Scenario(unittest.TestCase):
+    """Runs scenarios; each starts a router of its own."""
+
+    nodes: tuple[str, ...] = ("s1", "origin")
+    sockets = 1024
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        self.listeners = {name: socket.create_server(("127.0.0.1", 0)) for name in (*self.nodes, "d")}
+        self.wires: dict[str, list[Wire]] = {name: [] for name in self.listeners}
+        self.loop = Loop(lambda: self.now)
+        self.server = Server(config.read(json.loads(json.dumps(self.document()))), self.loop)
+        self.server.listener.start()
+        for listener in self.listeners.values():
+            listener.setblocking(False)
+
+    def tearDown(self) -> None:
+        socks = [*self.listeners.values(), *(w.sock for wires in self.wires.values() for w in wires)]
+        for sock in socks:
+            sock.close()
+        self.server.pool.by_age.clear()
+        self.server.listener.close()
+
+    def port(self, name: str) -> int:
+        """Where a party listens."""
+        return int(self.listeners[name].getsockname()[1])
+
+    def document(self) -> dict[str, Any]:
+        """The configuration."""
+        targets = [target(name, self.port(name)) for name in self.nodes]
+        return {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.port('d')}", "seed": "1f",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "known": {"rev": 41, "all": True, "targets": targets}, "settings": SETTINGS,
+        }
+
+    def play(self, text: str) -> None:
+        """Run a scenario."""
+        for line in filter(None, map(str.strip, text.splitlines())):
+            with self.subTest(line):
+                who, what, *rest = line.split(" ", 2)
+                if who == "wait":
+                    self.wait(float(what))
+                elif who == "router":
+                    self.router(what)
+                else:
+                    getattr(self, what.replace("-", "_"))(who, *rest)
+
+    # --------------------------------------------------------------------------------------- the verbs
+
+    def wait(self, span: float) -> None:
+        """Time passes, a few milliseconds at a time."""
+        until = self.now + span / 1000.0
+        while self.now < until:
+            self.now = min(until, self.now + 0.005)
+            self.step()
+
+    def router(self, what: str) -> None:
+        if what == "end":
+            self.server.end()
+        else:
+            self.assertEqual(self.loop.stopped, what == "ended")
+
+    def wire(self, who: str) -> Wire:
+        """A party's present connection; a sender side opens its own."""
+        if who not in self.wires:
+            self.wires[who] = [Wire(socket.create_connection(self.server.listener.sock.getsockname()))]
+        return self.wires[who][-1]
+
+    def send(self, who: str, text: str) -> None:
+        first, second, *more = text.split(" ")
+        fields = dict(word.split("=", 1) for word in more if "=" in word)
+        body = " ".join(word for word in more if "=" not in word)
+        if first.isdigit():
+            head, body = f"HTTP/1.1 {first} X", " ".join([second, body]).strip().replace("''", "")
+        else:
+            head = f"{first} {second} HTTP/1.1"
+            kind = "read" if first == "GET" else "set"
+            usual = {"Req-Id": "ab12", "Req-Kind": kind, "Req-Owner": "acme", "Req-Deadline": "1.000"}
+            fields = {name: value for name, value in {**usual, **fields}.items() if value}
+        fields["Content-Length"] = str(len(body))
+        lines = [head, *(f"{name}: {value}" for name, value in fields.items())]
+        self.put(who, ("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+
+    def raw(self, who: str, text: str) -> None:
+        self.put(who, text.encode().decode("unicode_escape").encode("latin-1"))
+
+    def put(self, who: str, data: bytes) -> None:
+        wire = self.wire(who)
+        while data:
+            try:
+                data = data[wire.sock.send(data) :]
+            except BlockingIOError:
+                self.step()
+        self.step()
+
+    def tell(self, who: str, text: str) -> None:
+        rev, *changes = text.split(" ")
+        pairs = [change.split("=") for change in changes]
+        rows = [target(name, self.port(name), state) for name, state in pairs]
+        body = json.dumps({"rev": int(rev), "all": False, "targets": rows})
+        self.put(who, f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+
+    def close(self, who: str) -> None:
+        self.wire(who).sock.close()
+        self.wires[who].pop()
+        self.step()
+
+    def half_close(self, who: str) -> None:
+        self.wire(who).sock.shutdown(socket.SHUT_WR)
+        self.step()
+
+    def refuse(self, who: str) -> None:
+        self.listeners[who].close()
+
+    def expect(self, who: str, text: str) -> None:
+        if text == "nothing":
+            self.step()
+            self.assertEqual([w.seen for w in self.wires.get(who, []) if w.seen], [])
+            return
+        for _ in range(STEPS):
+            self.step()
+            wires = self.wires.get(who, [])
+            if text == "closed" and any(wire.ended for wire in wires):
+                wires.remove(next(wire for wire in wires if wire.ended))
+                return
+            for wire in wires:
+                if text != "closed" and (message := wire.message()) is not None:
+                    wires.remove(wire)
+                    wires.append(wire)
+                    self.check(message, text)
+                    return
+        self.fail(f"{who}: no {text!r}, but {[w.seen for w in self.wires.get(who, [])]}")
+
+    def check(self, message: str, text: str) -> None:
+        first, *words = text.split(" ")
+        start = f"HTTP/1.1 {first} " if first.isdigit() else first + " "
+        self.assertTrue(message.startswith(start), f"{message!r} does not begin with {start!r}")
+        for word in words:
+            self.assertIn(word.replace("=", ": ", 1) if first.isdigit() else word, message)
+
+    def step(self) -> None:
+        """Let the router and the parties do what they can without waiting for the clock."""
+        for _ in range(3):
+            self.loop.step(0)
+            for name, listener in self.listeners.items():
+                while listener.fileno() >= 0 and select.select([listener], [], [], 0)[0]:
+                    self.wires[name].append(Wire(listener.accept()[0]))
+            for wires in self.wires.values():
+                for wire in wires:
+                    wire.pull()
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,310 @@
+"""Whole scenarios: what the sender side, next hops and discovery do and what the router makes of it."""
+
+from __future__ import annotations
+
+from .scenario import Scenario
+
+
+class Reads(Scenario):
+    def test_hit(self) -> None:
+        self.play("""
+            c1 send GET /api/k1?a=%20b Req-Id=77
+            s1 expect GET /api/k1?a=%20b Req-Id: 77 Req-Deadline: 1.000
+            s1 send 200 value Srv-Cache=hit Content-Type=text/plain
+            c1 expect 200 value Content-Type=text/plain
+        """)
+
+    def test_miss_goes_to_the_origin(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 404 ''
+            origin expect GET /api/k1
+            origin send 200 value
+            c1 expect 200 value
+        """)
+
+    def test_connections_are_reused_on_both_sides(self) -> None:
+        read = """
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 200 value
+            c1 expect 200 value
+        """
+        self.play(read + read)
+        self.assertEqual([len(self.wires[name]) for name in ("c1", "s1")], [1, 1])
+
+    def test_chunked_answer_in_pieces(self) -> None:
+        self.play(r"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 raw HTTP/1.1 200 OK\r\nTransfer-En
+            s1 raw coding: chunked\r\n\r\n2\r\nva\r\n3\r
+            s1 raw \nlue\r\n0\r\n\r
+            c1 expect nothing
+            s1 raw \n
+            c1 expect 200 Content-Length=5 value
+        """)
+
+    def test_answer_that_ends_with_its_connection(self) -> None:
+        self.play(r"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 raw HTTP/1.1 200 OK\r\n\r\nval
+            s1 raw ue
+            s1 close
+            c1 expect 200 value
+        """)
+
+    def test_request_in_pieces(self) -> None:
+        self.play(r"""
+            c1 raw GET /api/k1 HTTP/1.1\r\nReq-Id: 7\r\nReq-Ki
+            c1 raw nd: read\r\nReq-Owner: beta\r\nReq-Deadline: 0.5\r\n\r
+            s1 expect nothing
+            c1 raw \n
+            s1 expect GET /api/k1 Req-Deadline: 0.500
+        """)
+
+    def test_two_requests_at_once_are_answered_in_turn(self) -> None:
+        one = r"GET /api/k1 HTTP/1.1\r\nReq-Id: 7\r\nReq-Kind: read\r\nReq-Owner: beta\r\n"
+        one += r"Req-Deadline: 1\r\n\r\n"
+        self.play(rf"""
+            c1 raw {one}{one.replace("k1", "k2")}
+            s1 expect GET /api/k1
+            s1 expect nothing
+            s1 send 200 first
+            c1 expect 200 first
+            s1 expect GET /api/k2
+            s1 send 200 second
+            c1 expect 200 second
+        """)
+
+
+class Writes(Scenario):
+    def test_passed_on_unchanged(self) -> None:
+        self.play("""
+            c1 send PUT /api/k1 some value Idempotency-Key=i-1
+            origin expect PUT /api/k1 Idempotency-Key: i-1 some value
+            origin send 200 done
+            c1 expect 200 done
+        """)
+
+    def test_large_value_with_a_slow_reader(self) -> None:
+        value = "x" * 60_000
+        self.play(f"""
+            c1 send PUT /api/k1 {value}
+            origin expect PUT /api/k1 {value}
+            origin send 200 {value}
+            c1 expect 200 {value}
+        """)
+
+
+class Outcomes(Scenario):
+    def test_refused_connection(self) -> None:
+        self.play("""
+            s1 refuse
+            c1 send GET /api/k1
+            c1 expect 503 Retry-After
+        """)
+        self.assertEqual(self.server.engine.counts["attempt_connect_failed"], 1)
+
+    def ends(self, answer: str, outcome: str) -> None:
+        self.play(f"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 {answer}
+            c1 expect 503 Retry-After
+        """)
+        self.assertEqual(self.server.engine.counts[f"attempt_{outcome}"], 1)
+
+    def test_declined(self) -> None:
+        self.ends("send 503 '' Srv-Declined=1", "full")
+
+    def test_not_declined(self) -> None:
+        self.ends("send 503 ''", "error")
+
+    def test_malformed_answer(self) -> None:
+        self.ends(r"raw HELO\r\n\r\n", "reset")
+
+    def test_connection_that_breaks(self) -> None:
+        self.ends("close", "reset")
+
+    def test_silence_ends_at_the_deadline_and_its_connection_with_it(self) -> None:
+        self.play("""
+            c1 send PUT /api/k1 v Req-Deadline=0.300
+            origin expect PUT /api/k1
+            wait 295
+            c1 expect nothing
+            wait 10
+            c1 expect 504
+            origin expect closed
+        """)
+        self.assertEqual(self.server.engine.counts["attempt_timeout"], 1)
+
+    def test_idle_connection_that_was_closed_carries_nothing(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 200 value
+            c1 expect 200 value
+            s1 close
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 200 again
+            c1 expect 200 again
+        """)
+
+    def test_idle_connections_close_before_the_next_hop_does_it(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 200 value
+            c1 expect 200 value
+            wait 12000
+            s1 expect closed
+        """)
+
+
+class SenderSide(Scenario):
+    def test_bad_requests(self) -> None:
+        for text, status in (
+            ("c1 send GET /api/k1 Req-Id=", 400),
+            ("c1 send GET /api/k1 Req-Kind=none", 400),
+            ("c1 send GET /api/k1 Req-Owner=none", 400),
+            ("c1 send GET /api/k1 Req-Deadline=soon", 400),
+            ("c1 send GET /api/k1 Req-Deadline=nan", 400),
+            ("c1 send GET /api/k1 Req-Cost=-1", 400),
+            ("c1 send DELETE /api/k1", 405),
+            ("c1 send PUT /api/k1 " + "x" * 65_537, 413),
+            ("c2 send GET /api/k1 Much=" + "x" * 20_000, 431),
+            (r"c3 raw GET nonsense\r\n\r\n", 400),
+        ):
+            self.play(f"{text}\n{text[:2]} expect {status}")
+        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+
+    def test_header_without_end(self) -> None:
+        self.play(rf"""
+            c1 raw GET /api/k1 HTTP/1.1\r\nMuch: {"x" * 9_000}
+            c1 raw {"x" * 9_000}
+            c1 expect 431 Connection=close
+        """)
+
+    def test_client_that_leaves(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            c1 close
+            s1 expect closed
+        """)
+        self.assertEqual(self.server.engine.counts["gone"], 1)
+        self.assertEqual(self.server.engine.owed, 0)
+
+    def test_client_that_ends_its_sending_still_gets_a_whole_answer(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            c1 half-close
+            c1 expect 499
+            c1 expect closed
+        """)
+
+    def test_connection_close_is_kept(self) -> None:
+        self.play("""
+            c1 send GET /ready Connection=close
+            c1 expect 200 Connection=close ready
+            c1 expect closed
+        """)
+
+    def test_half_a_request_is_not_waited_for_without_end(self) -> None:
+        self.play(r"""
+            c1 raw GET /api/k1 HTTP/1.1\r\nReq-
+            wait 12000
+            c1 expect 408
+            c1 expect closed
+        """)
+
+
+class Discovery(Scenario):
+    def test_watch_goes_on_from_the_revision_held_on_one_connection(self) -> None:
+        self.play("""
+            wait 800
+            d expect GET /v1/endpoints?after=41&wait_ms=0
+            d tell 42 s1=leaving
+            d expect GET /v1/endpoints?after=42&wait_ms=20000
+            d tell 43
+            d expect GET /v1/endpoints?after=43&wait_ms=20000
+        """)
+        self.assertEqual(len(self.wires["d"]), 1)
+
+    def test_idle_connections_to_a_next_hop_that_leaves_close_at_once(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 200 value
+            c1 expect 200 value
+            wait 800
+            d expect GET /v1/endpoints
+            d tell 42 s1=leaving
+            s1 expect closed
+        """)
+
+    def fails(self, how: str) -> None:
+        self.play(f"""
+            wait 700
+            d expect GET /v1/endpoints?after=41&wait_ms=0
+            {how}
+            wait 1100
+            d expect GET /v1/endpoints?after=41&wait_ms=0
+        """)
+
+    def test_declined(self) -> None:
+        self.fails("d send 503 busy")
+
+    def test_bad_json(self) -> None:
+        self.fails("d send 200 {")
+
+    def test_no_list(self) -> None:
+        self.fails("d send 200 []")
+
+    def test_no_http(self) -> None:
+        self.fails(r"d raw \x00\x00")
+
+    def test_connection_that_breaks(self) -> None:
+        self.fails("d close")
+
+    def test_silence(self) -> None:
+        self.fails("wait 4500")
+
+
+class Ending(Scenario):
+    def test_what_is_owed_is_answered_and_connections_still_come(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            router end
+            c2 send GET /api/k2
+            s1 expect GET /api/k2
+            s1 send 200 two
+            c2 expect 200 Connection=close two
+            wait 700
+            router going
+            c1 close
+            s1 expect closed
+            wait 30
+            router ended
+        """)
+
+
+class FewSockets(Scenario):
+    sockets = 48 + 9
+
+    def test_idle_connections_give_way_and_accepting_pauses(self) -> None:
+        for n in range(14):
+            self.play(f"c{n} send GET /ready\nc{n} expect 200 ready")
+        self.play("""
+            c20 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 200 value
+            c20 expect 200 value
+        """)
+        self.assertLessEqual(self.server.budget.used, 9)
