Harden the end, read-ahead, number parsing, faults of a link and upgrade requests

Seen by reading and by scenarios that failed first: a request with Upgrade got two answers; pipelined requests were read ahead without bound; 1_0 and 1e300 passed as deadlines; a fault in a next hop's link left its socket ready and its attempt open; a stalled sender held SIGTERM up until SIGKILL; check-config passed a bad list; a hash of 0 meant 'none' to the module. Each has its scenario or test now.

--- a/rosepick/__init__.py
+++ b/rosepick/__init__.py
@@ -1,3 +1,3 @@
-"""Decisions of a client-side router for fleets of cache servers."""
+"""A client-side router for fleets of cache nodes."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/rosepick/__main__.py
+++ b/rosepick/__main__.py
@@ -10,8 +10,12 @@
 import typer
 
 from . import __version__, config, logs
+from .transport_map import TransportMap
 
-app = typer.Typer(add_completion=False, no_args_is_help=True, help="A client-side router for cache nodes.")
+app = typer.Typer(
+    add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
+    help="A client-side router for cache nodes.",
+)
 
 
 def _stop(line: object) -> NoReturn:
@@ -51,9 +55,13 @@
 def check_config() -> None:
     """Read the configuration as `serve` would and say what it holds."""
     told = _config()
+    try:
+        hops = TransportMap(told.names, 0.0).take(told.known, cached=True).event.members
+    except ValueError as problem:
+        _stop(f"known: {problem}")
     print(
         f"ok: {told.name} listens on {told.listen[0]}:{told.listen[1]}, "
-        f"{len(told.settings.classes)} classes, {len(told.known.rows('targets'))} known next hops"
+        f"{len(told.settings.classes)} classes, {len(hops)} known next hops"
     )
 
 
--- a/rosepick/config.py
+++ b/rosepick/config.py
@@ -65,6 +65,8 @@
 
 def read(document: object) -> Config:
     """The configuration from JSON that was read; ValueError names what is wrong."""
+    if not isinstance(document, dict):
+        raise ValueError("the document is not an object")
     top = wire.Reader(document, "")
     told = wire.Reader(top.data.get("settings"), "settings")
     limits = told.part("limits")
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import isfinite
 
 import httptools
 
@@ -22,6 +22,8 @@
     500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }
 
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")  # not all that float() takes: 1_0, nan, 1e300
+
 
 @dataclass(frozen=True, slots=True)
 class Letter:
@@ -37,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Delivered:
-    """An envelope has come in whole; its deadline counts from now, so it holds the time left instead."""
+    """An envelope has come in whole."""
 
     envelope: Envelope
 
@@ -75,6 +77,7 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._inbox: deque[tuple[Received, bool]] = deque()
         self._keep_alive = True  # after the request that is being answered
+        self._now = 0.0
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
@@ -86,10 +89,11 @@
         self.done = False  # nothing more will be read or answered
         self.wants_continue = False
 
-    def feed(self, data: bytes) -> None:
-        """Take in bytes."""
+    def feed(self, data: bytes, now: float) -> None:
+        """Take in bytes that came at that time; deadlines count from there."""
         if self._parser is None:
             return
+        self._now = now
         try:
             self._parser.feed_data(data)
             # the parser holds a header that is not whole back: guards against one that never ends
@@ -102,7 +106,12 @@
                 self._reject(cause)
             else:
                 self._reject(Bad(400, "malformed request"))
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade:
+            # The request itself is whole and in the inbox. Guards against a second answer to it; what follows
+            # would be of another protocol.
+            self._parser = None
+            self._inbox.append((self._inbox.pop()[0], False))
+        except httptools.HttpParserError:
             self._reject(Bad(400, "malformed request"))
         except Bad as problem:
             self._reject(problem)
@@ -202,7 +211,7 @@
             Envelope(
                 klass=_place(headers, b"req-kind", names.classes),
                 tenant=_place(headers, b"req-owner", names.tenants) if names.tenants else 0,
-                deadline=1000.0 * _number(headers, b"req-deadline"),
+                deadline=self._now + 1000.0 * _number(headers, b"req-deadline"),
                 key=key_number(path.rpartition(b"/")[2]),
                 write=method == b"PUT",
                 retry=headers.get(b"req-retry") == b"1",
@@ -230,10 +239,7 @@
 
 
 def _number(headers: dict[bytes, bytes], name: bytes) -> float:
-    try:
-        value = float(_text(headers, name))
-    except ValueError:
-        value = -1.0
-    if not isfinite(value) or value < 0:
-        raise Bad(400, f"{name.decode()} is not a number of 0 or more")
-    return value
+    value = _text(headers, name)
+    if not _DECIMAL.fullmatch(value):
+        raise Bad(400, f"{name.decode()} is not a plain number of 0 or more")
+    return float(value)
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -12,7 +12,7 @@
 from ..logs import fault, say
 from .budget import Budget
 from .loop import READ, WRITE, Loop
-from .stream import Stream, both
+from .stream import Stream
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024
@@ -56,7 +56,7 @@
         if not data:
             self._ended()
             return
-        self.machine.feed(data)
+        self.machine.feed(data, self.listener.loop.now())
         self._take()
         if self.machine.wants_continue:
             self.machine.wants_continue = False
@@ -67,7 +67,6 @@
         while (received := self.machine.next()) is not None:
             match received:
                 case Delivered(envelope):
-                    envelope.deadline += self.listener.loop.now()
                     self.envelope = envelope
                     self.listener.engine.accept(envelope, self)
                 case Ready():
@@ -141,8 +140,9 @@
             self.lingering = True
             self.stream.end_sending()
             self.listener.loop.after(LINGER, self.close)
-        behind = self.machine.crowded() and not self.lingering
-        self.stream.want(WRITE if behind and unwritten else both(unwritten))
+        # Guards against a sender that fills the memory with requests sent ahead: they stay in its socket.
+        reading = READ if self.lingering or not self.machine.crowded() else 0
+        self.stream.want(reading | (WRITE if unwritten else 0))
 
     def _fault(self, problem: Exception) -> None:
         """An exception over one request: it is answered 500, the process goes on."""
@@ -169,8 +169,8 @@
             self._settle()
 
     def idle(self) -> bool:
-        """Between requests, with nothing to write."""
-        return self.machine.idle() and not self.stream.unwritten()
+        """Between requests, with nothing to write and nothing that came unread."""
+        return self.machine.idle() and not self.stream.unwritten() and self.stream.quiet()
 
     def close(self) -> None:
         """Close it; the sender side can tell an answer that is not whole."""
@@ -188,6 +188,7 @@
         self.links: dict[SenderLink, None] = {}
         self.ending = False
         self.rejected = 0
+        self.last_came = loop.now()
         family = socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -232,6 +233,7 @@
                 self.pause()
                 self.loop.after(RETRY, self.start)
                 return
+            self.last_came = self.loop.now()
             self.links[SenderLink(self, sock)] = None
 
     def _sweep(self) -> None:
@@ -249,7 +251,9 @@
         return False
 
     def close(self) -> None:
-        """Accept no more."""
+        """Accept no more. What the machine has accepted already is taken: guards against its reset."""
+        if self.open:
+            self._accept(READ)
         self.pause()
         if self.open:
             self.open = False
--- a/rosepick/net/loop.py
+++ b/rosepick/net/loop.py
@@ -71,8 +71,8 @@
         """Forget a socket."""
         self._selector.unregister(sock)
 
-    def on_signal(self, number: int, call: Callable[[], None]) -> None:
-        """Call from the loop after a signal."""
+    def on_signals(self, numbers: tuple[int, ...], call: Callable[[], None]) -> None:
+        """Call from the loop after one of these signals."""
         ours, wakeup = socket.socketpair()
         ours.setblocking(False)
         wakeup.setblocking(False)
@@ -85,7 +85,8 @@
             """The write to the wake-up socket is all that is needed."""
 
         signal.set_wakeup_fd(wakeup.fileno(), warn_on_full_buffer=False)
-        signal.signal(number, note)
+        for number in numbers:
+            signal.signal(number, note)
         self._wakeup = wakeup  # kept: the signal module holds a bare number
         self.watch(ours, READ, wake)
 
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -13,11 +13,11 @@
 from ..engine import DeliveryAttempt, Engine
 from ..http.next_hop import Exchange, Verdict
 from ..http.sender_side import Letter
-from ..logs import say
+from ..logs import fault, say
 from ..transport_map import NextHop, TransportMap
 from .budget import Budget
 from .loop import READ, WRITE, Loop
-from .stream import Stream, both
+from .stream import Stream
 
 log = logging.getLogger(__name__)
 IDLE_PART = 0.7  # of the time after which a next hop may close an idle connection: then ours goes
@@ -63,6 +63,11 @@
         except OSError as problem:
             say(log, logging.DEBUG, "next_hop_broke", server=self.server, text=problem)
             self._over(self.exchange.broke() if self.exchange is not None else None)
+        except Exception as problem:
+            # Guards against a socket that stays ready and raises the same again at once, without end.
+            self.pool.loop.faults += 1
+            fault(log, "next_hop_fault", problem, server=self.server, count=self.pool.loop.faults)
+            self._over(self.exchange.broke() if self.exchange is not None else None)
 
     def _connected(self) -> None:
         problem = self.stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -75,8 +80,14 @@
         exchange = self.exchange
         assert exchange is not None
         if exchange.unsent():
-            exchange.written(self.stream.write(exchange.unsent()))
-        self.stream.want(both(bool(exchange.unsent())))
+            try:
+                exchange.written(self.stream.write(exchange.unsent()))
+            except OSError:
+                self._read()  # an early answer may have come before the connection broke
+                if self.exchange is exchange:
+                    raise
+                return
+        self.stream.want(READ | WRITE if exchange.unsent() else READ)
 
     def _read(self) -> None:
         data = self.stream.read()
@@ -100,16 +111,6 @@
         if attempt is not None and verdict is not None:
             self.pool.ended(attempt, verdict)
 
-    def fresh(self) -> bool:
-        """Whether an idle connection is still good as far as this side can know."""
-        try:
-            self.stream.sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            pass
-        return False
-
     def close(self) -> None:
         """Close it; an attempt on it is given up."""
         self.attempt = self.exchange = None
@@ -186,7 +187,7 @@
         links = self.idle.get(server, [])
         while links:
             link = links[-1]
-            if link.fresh():
+            if link.stream.quiet():  # as far as this side can know it is still good
                 del self.by_age[links.pop()]
                 return link
             link.close()
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -23,7 +23,9 @@
 log = logging.getLogger(__name__)
 STILL_ARRIVING = 600.0  # after SIGTERM new connections are taken for at least so long ...
 QUIET = 150.0  # ... and until none came for so long
-LAST_CALL = 2_500.0  # then idle connections close; the process ends by the longest deadline after that
+LAST_CALL = 1_000.0  # ... but for no longer than this
+LAST_ANSWER = 100.0  # after the longest deadline from there the process ends, whoever still lingers
+END_STEP = 20.0
 SUM_UP_EVERY = 10_000.0
 
 
@@ -51,7 +53,7 @@
 
     def run(self) -> None:
         """Serve until told to end and nothing is owed."""
-        self.loop.on_signal(signal.SIGTERM, self.end)
+        self.loop.on_signals((signal.SIGTERM, signal.SIGINT), self.end)
         self.loop.after(SUM_UP_EVERY, self._sum_up)
         self.listener.start()
         # what was made up to here stays: collections look at what is new only, and seldom
@@ -90,13 +92,20 @@
         self.loop.after(STILL_ARRIVING, self._end_if_quiet)
 
     def _end_if_quiet(self) -> None:
+        now = self.loop.now()
         for link in [link for link in self.listener.links if link.idle()]:
             link.close()
-        if self.engine.owed or self.listener.links:
-            self.loop.after(20.0, self._end_if_quiet)
-            return
-        self.listener.close()
-        self.loop.stop()
+        if self.listener.open and (
+            now - self.listener.last_came >= QUIET or now - self._ending_since >= LAST_CALL
+        ):
+            self.listener.close()
+        longest = max(klass.deadline for klass in self.config.settings.classes)
+        over = now - self._ending_since >= LAST_CALL + longest + LAST_ANSWER
+        if over or not (self.listener.open or self.engine.owed or self.listener.links):
+            self.listener.close()
+            self.loop.stop()
+        else:
+            self.loop.after(END_STEP, self._end_if_quiet)
 
     def _sum_up(self) -> None:
         """A line of counts."""
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -6,7 +6,7 @@
 import socket
 
 from .budget import Budget
-from .loop import READ, WRITE, Loop, Ready
+from .loop import READ, Loop, Ready
 
 CHUNK = 64 * 1024
 
@@ -30,10 +30,16 @@
         loop.watch(sock, mask, ready)
 
     def want(self, mask: int) -> None:
-        """What to wait for."""
-        if self.open and mask != self._mask:
-            self._mask = mask
+        """What to wait for, if anything."""
+        if not self.open or mask == self._mask:
+            return
+        if not self._mask:
+            self._loop.watch(self.sock, mask, self._ready)
+        elif not mask:
+            self._loop.unwatch(self.sock)
+        else:
             self._loop.rewatch(self.sock, mask, self._ready)
+        self._mask = mask
 
     def read(self) -> bytes | None:
         """What has come; empty at the end; None if there is nothing. OSError if it broke."""
@@ -42,6 +48,16 @@
         except (BlockingIOError, InterruptedError):
             return None
 
+    def quiet(self) -> bool:
+        """Whether the other side has neither ended nor sent anything that is unread."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
     def write(self, data: bytes | memoryview) -> int:
         """How much was written at once. OSError if it broke."""
         try:
@@ -72,11 +88,7 @@
         """Close it, whatever is in flight."""
         if self.open:
             self.open = False
-            self._loop.unwatch(self.sock)
+            if self._mask:
+                self._loop.unwatch(self.sock)
             self.sock.close()
             self._budget.give()
-
-
-def both(writing: bool) -> int:
-    """Reading, and writing too where something waits for it."""
-    return READ | WRITE if writing else READ
--- a/rosepick/net/watch.py
+++ b/rosepick/net/watch.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from ..http.discovery import CallFailed, Told, call
-from ..logs import say
+from ..logs import fault, say
 from ..wire import Reader
 from .budget import Budget
 from .loop import READ, WRITE, Loop, Timer
@@ -94,6 +94,10 @@
                 self._write()
         except (OSError, CallFailed, ValueError) as problem:
             self._fail(str(problem))
+        except Exception as problem:
+            self.loop.faults += 1
+            fault(log, "discovery_fault", problem, count=self.loop.faults)
+            self._fail("fault")
 
     def _write(self) -> None:
         assert self._stream is not None
--- a/rosepick/transport_map.py
+++ b/rosepick/transport_map.py
@@ -17,12 +17,16 @@
 
 def key_number(key: bytes) -> int:
     """A path's key as a non-zero u64; 0 stands for no key."""
-    return int.from_bytes(blake2b(key, digest_size=8).digest(), "big") or 1 if key else 0
+    return _from_hash(blake2b(key, digest_size=8)) if key else 0
 
 
 def uid_number(uid: str, salt: int = 0) -> int:
-    """A next hop's uid as a u32."""
-    return int.from_bytes(blake2b(uid.encode(), digest_size=4, key=salt.to_bytes(4, "big")).digest(), "big")
+    """A next hop's uid as a non-zero u32: the module takes 0 for none."""
+    return _from_hash(blake2b(uid.encode(), digest_size=4, key=salt.to_bytes(4, "big")))
+
+
+def _from_hash(hashed: blake2b) -> int:
+    return int.from_bytes(hashed.digest(), "big") or 1
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,154 @@
+"""Parts by themselves: configuration, transport map, log, loop."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from typing import Any
+from unittest import mock
+
+from rosepick import api, config, logs, transport_map
+from rosepick.net.loop import READ, Loop
+from rosepick.wire import Reader
+
+from .scenario import SETTINGS, target
+
+DOCUMENT: dict[str, Any] = {
+    "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+    "limits": {"sockets": 256}, "known": {"rev": 1, "all": True, "targets": []}, "settings": SETTINGS,
+}
+
+
+class Configuration(unittest.TestCase):
+    def test_values(self) -> None:
+        told = config.read(DOCUMENT)
+        self.assertEqual((told.seed, told.sockets, told.dial_timeout), (31, 256, 250.0))
+        self.assertEqual(told.names.classes, {"read": 0, "set": 1})
+
+    def test_what_is_wrong_is_one_plain_line(self) -> None:
+        broken: tuple[tuple[str, object, str], ...] = (
+            ("listen", "nowhere", "host:port"), ("seed", "xyz", "hexadecimal"), ("name", None, "name"),
+            ("settings", [], "settings"), ("known", 3, "known"), ("known", {"targets": [{}]}, "state"),
+        )
+        for key, value, word in broken:
+            status, said = self.check(json.dumps({**DOCUMENT, key: value}))
+            self.assertEqual((status, said.count("\n")), (1, 1), said)
+            self.assertIn(word, said)
+        for text in ("{", "[]"):
+            status, said = self.check(text)
+            self.assertEqual((status, said.count("\n")), (1, 1), said)
+
+    def check(self, text: str) -> tuple[int, str]:
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write(text)
+            file.flush()
+            done = subprocess.run(
+                [sys.executable, "-m", "rosepick", "check-config"],
+                env={**os.environ, "GW_CONFIG": file.name}, capture_output=True, text=True, check=False,
+            )
+        return done.returncode, done.stderr
+
+
+class Map(unittest.TestCase):
+    def take(self, map_: transport_map.TransportMap, whole: bool, *rows: object) -> transport_map.Change:
+        return map_.take(Reader({"rev": 2, "all": whole, "targets": list(rows)}, ""))
+
+    def test_members(self) -> None:
+        map_ = transport_map.TransportMap(config.read(DOCUMENT).names, unix_offset=5000.0)
+        change = self.take(map_, True, target("s1", 1), {**target("origin", 2), "boot_ms": 7000})
+        first, second = change.event.members
+        self.assertEqual((first.born, first.kind, second.born, second.kind), (0.0, 0, 2000.0, 1))
+        self.assertEqual(map_.hops[second.server].endpoint, ("127.0.0.1", 2))
+
+    def test_retired_when_it_drains_leaves_restarts_or_moves(self) -> None:
+        for row in (
+            target("s1", 1, "leaving"), target("s1", 1, "left"), target("s1", 9),
+            {**target("s1", 1), "boot_ms": 9},
+        ):
+            map_ = transport_map.TransportMap(config.read(DOCUMENT).names, 0.0)
+            (member,) = self.take(map_, True, target("s1", 1)).event.members
+            self.assertEqual(self.take(map_, False, target("s1", 1)).retired, ())
+            self.assertEqual(self.take(map_, False, row).retired, (member.server,))
+
+    def test_numbers_that_collide(self) -> None:
+        map_ = transport_map.TransportMap(config.read(DOCUMENT).names, 0.0)
+        taken = transport_map.uid_number("s2")
+        map_.numbers["another"] = taken
+        (member,) = self.take(map_, False, target("s2", 1)).event.members
+        self.assertNotIn(member.server, (0, taken))
+
+    def test_number_is_never_the_one_for_none(self) -> None:
+        """The module takes 0 for 'no server'; a crafted hash of 0 must not come through."""
+        with mock.patch.object(transport_map, "blake2b") as hashed:
+            hashed.return_value.digest.return_value = bytes(4)
+            self.assertEqual((transport_map.uid_number("a"), transport_map.key_number(b"a")), (1, 1))
+
+    def test_malformed_list_changes_nothing(self) -> None:
+        map_ = transport_map.TransportMap(config.read(DOCUMENT).names, 0.0)
+        self.take(map_, True, target("s1", 1))
+        for row in ({}, target("s1", 1, "odd"), {**target("s2", 1), "endpoint": "x"}):
+            with self.assertRaises(ValueError):
+                self.take(map_, True, row)
+        self.assertEqual([hop.uid for hop in map_.hops.values()], ["s1"])
+        self.assertIs(self.take(map_, False, target("s1", 1)).event.scope, api.Scope.DELTA)
+
+
+class Log(unittest.TestCase):
+    def test_line(self) -> None:
+        record = logging.LogRecord("rosepick.net.pool", logging.INFO, "", 1, "closed", None, None)
+        record.fields = {"ms": 1.25, "text": 'a "b"\n'}
+        line = logs.KeyValueFormatter().format(record)
+        self.assertTrue(line.endswith(r'level=info part=net.pool event=closed ms=1.2 text="a \"b\"\n"'), line)
+
+    def test_storm(self) -> None:
+        now = [0.0]
+        stream = io.StringIO()
+        handler = logging.StreamHandler(stream)
+        handler.setFormatter(logs.KeyValueFormatter())
+        handler.addFilter(logs.StormFilter(lambda: now[0]))
+        log = logging.Logger("rosepick.storm")
+        log.addHandler(handler)
+        for _ in range(50):
+            logs.say(log, logging.INFO, "same")
+        now[0] = 11.0
+        logs.say(log, logging.INFO, "same")
+        lines = stream.getvalue().splitlines()
+        self.assertEqual(len(lines), logs.STORM_LINES + 1)
+        self.assertIn("held_back=30", lines[-1])
+
+
+class Loops(unittest.TestCase):
+    def test_timer_does_not_wait_behind_a_batch_of_reads(self) -> None:
+        now, said = [1.0], list[str]()
+        loop = Loop(lambda: now[0])
+        pairs = [socket.socketpair() for _ in range(3)]
+
+        def ready(mask: int) -> None:
+            now[0] += 0.010
+            said.append("read")
+
+        for near, far in pairs:
+            far.send(b"x")
+            loop.watch(near, READ, ready)
+        loop.at(1015.0, lambda: said.append("timer"))
+        loop.step(0)
+        self.assertEqual(said, ["read", "read", "timer", "read"])
+        for pair in pairs:
+            for sock in pair:
+                sock.close()
+
+    def test_order_at_one_time_and_cancelled(self) -> None:
+        now, said = [1.0], list[str]()
+        loop = Loop(lambda: now[0])
+        loop.at(900.0, lambda: said.append("later"))
+        loop.at(900.0, lambda: said.append("first"), first=True)
+        loop.at(900.0, lambda: said.append("never")).cancel()
+        loop.step(0)
+        self.assertEqual(said, ["first", "later"])
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
+from rosepick.api import Result
+from rosepick.http.next_hop import Exchange
+from rosepick.http.sender_side import Letter
+
 from .scenario import Scenario
 
 
@@ -129,6 +135,12 @@
     def test_connection_that_breaks(self) -> None:
         self.ends("close", "reset")
 
+    def test_early_answer_to_a_request_not_yet_written(self) -> None:
+        exchange = Exchange(Letter(b"PUT", b"/api/k1", b"v", b"7", None, None), "origin", 1000.0)
+        verdict = exchange.feed(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+        assert verdict is not None
+        self.assertEqual((verdict.result, verdict.reusable), (Result.CONNECT_FAILED, False))
+
     def test_silence_ends_at_the_deadline_and_its_connection_with_it(self) -> None:
         self.play("""
             c1 send PUT /api/k1 v Req-Deadline=0.300
@@ -173,6 +185,8 @@
             ("c1 send GET /api/k1 Req-Owner=none", 400),
             ("c1 send GET /api/k1 Req-Deadline=soon", 400),
             ("c1 send GET /api/k1 Req-Deadline=nan", 400),
+            ("c1 send GET /api/k1 Req-Deadline=1_0", 400),
+            ("c1 send GET /api/k1 Req-Deadline=1e300", 400),
             ("c1 send GET /api/k1 Req-Cost=-1", 400),
             ("c1 send DELETE /api/k1", 405),
             ("c1 send PUT /api/k1 " + "x" * 65_537, 413),
@@ -224,6 +238,88 @@
         """)
 
 
+    def test_upgrade_is_passed_over_and_answered_once(self) -> None:
+        self.play(r"""
+            c1 raw GET /ready HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n
+            c1 expect 200 Connection=close ready
+            c1 expect closed
+            c1 expect nothing
+        """)
+
+    def test_many_requests_at_once_are_not_all_read_ahead(self) -> None:
+        request = r"GET /ready HTTP/1.1\r\n\r\n"
+        self.play(f"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            c1 raw {request * 3}
+            c1 raw {request * 3}
+            c1 raw {request * 3}
+            c1 expect nothing
+        """)
+        (link,) = self.server.listener.links
+        self.assertLess(len(link.machine._inbox), 9)
+        self.play("s1 send 200 value\nc1 expect 200 value" + "\nc1 expect 200 ready" * 9)
+
+    def test_continue_is_said_before_a_body_comes(self) -> None:
+        self.play(r"""
+            c1 raw PUT /api/k1 HTTP/1.1\r\nReq-Id: 7\r\nReq-Kind: set\r\nReq-Owner: beta\r\nReq-Deadline: 1
+            c1 raw \r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n
+            c1 expect 100
+            c1 raw ab
+            origin expect PUT /api/k1 ab
+        """)
+
+
+class Faults(Scenario):
+    def test_fault_of_the_module_over_a_request(self) -> None:
+        self.breaks(self.server.engine.router, "_request")
+        self.play("""
+            c1 send GET /api/k1
+            c1 expect 500
+        """)
+        self.assertEqual((self.server.engine.counts["faults"], self.server.engine.owed), (1, 0))
+
+    def test_fault_over_a_delivery(self) -> None:
+        self.breaks(self.server.pool, "_idle_link")
+        self.play("""
+            c1 send GET /api/k1
+            c1 expect 503
+        """)
+        self.assertEqual(self.server.engine.counts["faults"], 1)
+
+    def test_fault_over_an_answer_ends_the_attempt_and_not_the_loop(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+        """)
+        (link,) = self.server.pool.busy.values()
+        self.breaks(link, "_read")
+        self.play("""
+            s1 send 200 value
+            c1 expect 503
+            s1 expect closed
+        """)
+        self.assertEqual(self.loop.faults, 1)
+
+    def test_module_that_forgets_a_request(self) -> None:
+        patch = mock.patch.object(self.server.engine.router, "_finish")
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.play("""
+            c1 send GET /api/k1 Req-Deadline=0.200
+            s1 expect GET /api/k1
+            wait 205
+            c1 expect nothing
+            wait 15
+            c1 expect 504
+        """)
+
+    def breaks(self, part: object, method: str) -> None:
+        patch = mock.patch.object(part, method, side_effect=KeyError("broken on purpose"))
+        patch.start()
+        self.addCleanup(patch.stop)
+
+
 class Discovery(Scenario):
     def test_watch_goes_on_from_the_revision_held_on_one_connection(self) -> None:
         self.play("""
@@ -295,6 +391,34 @@
         """)
 
 
+    def test_connections_in_the_queue_are_still_answered(self) -> None:
+        self.play("""
+            router end
+            wait 590
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            wait 20
+            c2 raw GET /ready HTTP/1.1\\r\\n
+            wait 10
+            c2 raw \\r\\n
+            c2 expect 503 Connection=close
+            s1 send 200 value
+            c1 expect 200 Connection=close value
+            wait 600
+            router ended
+        """)
+
+    def test_stalled_sender_does_not_hold_the_end_up_for_ever(self) -> None:
+        self.play("""
+            c1 raw GET /ready HTTP/1.1\\r\\n
+            router end
+            wait 3400
+            router going
+            wait 240
+            router ended
+        """)
+
+
 class FewSockets(Scenario):
     sockets = 48 + 9
 
