Give the module the exact deadline, answer what was sent ahead, wait for a held address

Seen in scenarios that failed first: a request sent ahead was dropped when SIGTERM closed its connection; the module's deadline lay microseconds after the envelope's, so that a time-out there could be refused instead of failed. A restart while the predecessor still holds the address waits up to 5 s. The release build now runs the scenarios too, and the program is started and ended once as a process.

--- a/rosepick/engine.py
+++ b/rosepick/engine.py
@@ -116,7 +116,7 @@
         self.owed = 0  # envelopes without their final answer
         self.counts: Counter[str] = Counter()
         self._last_ref = 0
-        self._events: deque[api.Event] = deque()
+        self._events: deque[api.Event | Envelope] = deque()
         self._busy = False
 
     # ------------------------------------------------------------------------------------ what happens
@@ -130,12 +130,7 @@
         self.counts["envelopes"] += 1
         grace = 0.5 * self.settings.rules.grace_to_answer
         envelope.net = self.clock.at(envelope.deadline + grace, lambda: self._unanswered(envelope))
-        self._tell(
-            api.Request(
-                envelope.ref, envelope.klass, max(0.0, envelope.deadline - self.clock.now()), envelope.key,
-                envelope.tenant, envelope.write, envelope.retry, envelope.cost_hint,
-            )
-        )
+        self._tell(envelope)
 
     def sender_gone(self, envelope: Envelope) -> None:
         """The sender side has left; nothing more is owed."""
@@ -173,9 +168,9 @@
 
     # ----------------------------------------------------------------------------- events and decisions
 
-    def _tell(self, event: api.Event) -> None:
+    def _tell(self, happened: api.Event | Envelope) -> None:
         """Events are decided on one after another, also those that actions bring about at once."""
-        self._events.append(event)
+        self._events.append(happened)
         if self._busy:
             return
         self._busy = True
@@ -185,9 +180,13 @@
         finally:
             self._busy = False
 
-    def _decide(self, event: api.Event) -> None:
+    def _decide(self, happened: api.Event | Envelope) -> None:
+        now = self.clock.now()
+        # The time left is taken at the very moment the module counts it from. Guards against a deadline of
+        # its own that differs a little: a time-out just before it would be refused, not failed.
+        event = _request(happened, now) if isinstance(happened, Envelope) else happened
         try:
-            actions = self.router.handle(self.clock.now(), event)
+            actions = self.router.handle(now, event)
         except Exception as problem:
             self._fault(event, problem)
             # What was decided before the fault stands: the module counts those attempts as out, and its
@@ -329,3 +328,10 @@
     def _forget(self, envelope: Envelope) -> None:
         if envelope.over and not any(attempt.out for attempt in envelope.attempts):
             self.envelopes.pop(envelope.ref, None)
+
+
+def _request(envelope: Envelope, now: float) -> api.Request:
+    return api.Request(
+        envelope.ref, envelope.klass, max(0.0, envelope.deadline - now), envelope.key, envelope.tenant,
+        envelope.write, envelope.retry, envelope.cost_hint,
+    )
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -145,7 +145,8 @@
     def answer(self, status: int, body: bytes, extra: Extra, closing: bool) -> bytes:
         """The bytes of the answer to the request in hand. `done` is set if the connection ends with it."""
         self.owing = False
-        self.done = closing or not self._keep_alive
+        # what was sent ahead has been taken: it is answered before the connection may close
+        self.done = not self._keep_alive or (closing and not self._inbox and not self.partial)
         if self.done:
             self._parser = None
             self._inbox.clear()
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import socket
+import time
 
 from ..config import Names
 from ..engine import Engine, Envelope
@@ -16,6 +18,7 @@
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024
+HELD_FOR = 5.0  # seconds
 ACCEPTS = 32  # in one go, so that timers and answers get their turn
 RETRY = 50.0  # after an accept for which there was no descriptor
 LINGER = 500.0  # to read on after an answer that came before the request's end, lest a reset overtakes it
@@ -189,12 +192,7 @@
         self.ending = False
         self.rejected = 0
         self.last_came = loop.now()
-        family = socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(endpoint)
-        self.sock.listen(BACKLOG)
-        self.sock.setblocking(False)
+        self.sock = _listen(endpoint)
         self.watching = False
         self.open = True
         loop.after(SWEEP_EVERY, self._sweep)
@@ -258,3 +256,19 @@
         if self.open:
             self.open = False
             self.sock.close()
+
+
+def _listen(endpoint: tuple[str, int]) -> socket.socket:
+    """A listening socket. The address may still be held by a predecessor that answers what it owes: guards
+    against a restart that fails for that."""
+    until = time.monotonic() + HELD_FOR
+    while True:
+        try:
+            family = socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
+            sock = socket.create_server(endpoint, family=family, backlog=BACKLOG)
+            sock.setblocking(False)
+            return sock
+        except OSError as problem:
+            if problem.errno != errno.EADDRINUSE or time.monotonic() >= until:
+                raise
+            time.sleep(0.05)
--- a/rosepick/net/loop.py
+++ b/rosepick/net/loop.py
@@ -99,6 +99,11 @@
         while not self.stopped:
             self.step(LONGEST_WAIT)
 
+    def close(self) -> None:
+        """Let go of the selector."""
+        self._heap.clear()
+        self._selector.close()
+
     def step(self, longest: float) -> None:
         """Wait once, for so many seconds at most, and call all that is ready."""
         self._run_timers()
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -162,6 +162,12 @@
         for link in self.busy.values():
             link.retired = link.retired or link.server in gone
 
+    def close(self) -> None:
+        """Close all connections."""
+        for link in [*self.busy.values(), *self.by_age]:
+            link.close()
+        self.busy.clear()
+
     # ------------------------------------------------------------------------------ the links' calls
 
     def ended(self, attempt: DeliveryAttempt, verdict: Verdict) -> None:
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -60,12 +60,22 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
-        host, port = self.config.listen
+        host, port = self.listener.sock.getsockname()[:2]
         say(log, logging.INFO, "serving", name=self.config.name, listen=f"{host}:{port}")
         self.loop.run()
         self._sum_up()
+        self.close()
         say(log, logging.INFO, "ended", name=self.config.name)
 
+    def close(self) -> None:
+        """Let go of every socket."""
+        self.listener.close()
+        for link in list(self.listener.links):
+            link.close()
+        self.pool.close()
+        self.watch.watch(False)
+        self.loop.close()
+
     # ------------------------------------------------------------------------------------- discovery
 
     def _told(self, told: Reader) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -109,8 +109,7 @@
         socks = [*self.listeners.values(), *(w.sock for wires in self.wires.values() for w in wires)]
         for sock in socks:
             sock.close()
-        self.server.pool.by_age.clear()
-        self.server.listener.close()
+        self.server.close()
 
     def port(self, name: str) -> int:
         """Where a party listens."""
@@ -213,7 +212,9 @@
             self.step()
             wires = self.wires.get(who, [])
             if text == "closed" and any(wire.ended for wire in wires):
-                wires.remove(next(wire for wire in wires if wire.ended))
+                ended = next(wire for wire in wires if wire.ended)
+                ended.sock.close()
+                wires.remove(ended)
                 return
             for wire in wires:
                 if text != "closed" and (message := wire.message()) is not None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -152,3 +152,45 @@
         loop.at(900.0, lambda: said.append("never")).cancel()
         loop.step(0)
         self.assertEqual(said, ["first", "later"])
+
+
+class Process(unittest.TestCase):
+    """The program as it is started."""
+
+    def test_release_build_runs_the_scenarios(self) -> None:
+        done = self.python("-O", "-m", "unittest", "tests.test_scenarios")
+        self.assertEqual(done.returncode, 0, done.stderr)
+
+    def test_invariants_are_counted_in_release_and_asserted_in_debug_builds(self) -> None:
+        code = "from rosepick.invariants import *; holds(False, 'x'); print(broken['x'])"
+        self.assertEqual(self.python("-O", "-c", code).stdout, "1\n")
+        self.assertIn("AssertionError: x", self.python("-c", code).stderr)
+
+    def test_adapter_needs_only_the_standard_library(self) -> None:
+        self.assertEqual(self.python("-S", "-m", "rosepick.simhost").returncode, 0)
+
+    def test_serves_and_ends(self) -> None:
+        with tempfile.NamedTemporaryFile("w") as file, socket.create_server(("127.0.0.1", 0)):
+            json.dump(DOCUMENT, file)
+            file.flush()
+            with subprocess.Popen(
+                [sys.executable, "-O", "-m", "rosepick", "serve"], stderr=subprocess.PIPE, text=True,
+                env={**os.environ, "GW_CONFIG": file.name},
+            ) as process:
+                assert process.stderr is not None
+                line = process.stderr.readline()
+                self.assertIn("event=serving", line)
+                host, port = config.address(line.split("listen=")[1].strip())
+                try:
+                    with socket.create_connection((host, port)) as sock:
+                        sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+                        self.assertTrue(sock.recv(100).startswith(b"HTTP/1.1 200 "))
+                finally:  # whatever went wrong: the test must not wait for it without end
+                    process.terminate()
+                self.assertIn("event=ended", process.stderr.read())
+            self.assertEqual(process.returncode, 0)
+
+    def python(self, *words: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, *words], stdin=subprocess.DEVNULL, capture_output=True, text=True, check=False
+        )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -141,6 +141,27 @@
         assert verdict is not None
         self.assertEqual((verdict.result, verdict.reusable), (Result.CONNECT_FAILED, False))
 
+    def test_read_that_times_out_fails_at_the_deadline(self) -> None:
+        """Not refused, which a decision a few microseconds before the deadline would be."""
+
+        def moving() -> float:
+            self.now += 1e-6
+            return self.now
+
+        self.loop._clock = moving
+        self.play("""
+            c1 send GET /api/k1 Req-Deadline=0.055
+            s1 expect GET /api/k1
+            c1 expect nothing
+        """)
+        attempt = next(iter(self.server.pool.busy))
+        job = self.server.engine.router.jobs[attempt.envelope.ref]
+        self.assertEqual(job.deadline, attempt.stop_at)
+        self.play("""
+            wait 60
+            c1 expect 504
+        """)
+
     def test_silence_ends_at_the_deadline_and_its_connection_with_it(self) -> None:
         self.play("""
             c1 send PUT /api/k1 v Req-Deadline=0.300
@@ -391,6 +412,19 @@
         """)
 
 
+    def test_requests_sent_ahead_are_answered_before_the_connection_closes(self) -> None:
+        request = r"GET /ready HTTP/1.1\r\n\r\n"
+        self.play(f"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            c1 raw {request}
+            router end
+            s1 send 200 value
+            c1 expect 200 value
+            c1 expect 503 Connection=close
+            c1 expect closed
+        """)
+
     def test_connections_in_the_queue_are_still_answered(self) -> None:
         self.play("""
             router end
