--- a/rosepick/decide.py
+++ b/rosepick/decide.py
@@ -573,7 +573,7 @@
             self.cut(now)
         elif self.limit < 1.0:
             self.limit *= GATE_GROW
-        elif self.out + 1 >= self.limit * 0.7:
+        elif self.out + 1 >= int(self.limit) * 0.7:  # int as in `free`: else 1.5 never regrows
             self.limit = min(GATE_MOST, self.limit + 2.0 / self.limit)
         if self.limit < 1.0:
             self.pause_until = now + min(GATE_LONGEST, self.lag * (1.0 / self.limit - 1.0))
