Take the whole accept queue before the listener closes; test life without descriptors

Seen by reading: a queue of more than 32 connections at the end would have been reset. Scenarios for EMFILE on accept and on dial.

--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -216,23 +216,29 @@
 
     def _accept(self, mask: int) -> None:
         for _ in range(ACCEPTS):
-            if not self.budget.room():
-                say(log, logging.WARNING, "accept_paused", used=self.budget.used)
-                self.pause()
+            if not self._accept_one():
                 return
-            try:
-                sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionError):
-                return
-            except OSError as problem:
-                # out of descriptors or memory: the same connection would wake the loop again at once
-                say(log, logging.WARNING, "accept_failed", text=problem, used=self.budget.used)
-                self.budget.shed()
-                self.pause()
-                self.loop.after(RETRY, self.start)
-                return
-            self.last_came = self.loop.now()
-            self.links[SenderLink(self, sock)] = None
+
+    def _accept_one(self) -> bool:
+        """Whether one was accepted, so that there may be more."""
+        if not self.budget.room():
+            say(log, logging.WARNING, "accept_paused", used=self.budget.used)
+            self.pause()
+            return False
+        try:
+            sock, _ = self.sock.accept()
+        except (BlockingIOError, InterruptedError, ConnectionError):
+            return False
+        except OSError as problem:
+            # out of descriptors or memory: the same connection would wake the loop again at once
+            say(log, logging.WARNING, "accept_failed", text=problem, used=self.budget.used)
+            self.budget.shed()
+            self.pause()
+            self.loop.after(RETRY, self.start)
+            return False
+        self.last_came = self.loop.now()
+        self.links[SenderLink(self, sock)] = None
+        return True
 
     def _sweep(self) -> None:
         self.loop.after(SWEEP_EVERY, self._sweep)
@@ -250,8 +256,8 @@
 
     def close(self) -> None:
         """Accept no more. What the machine has accepted already is taken: guards against its reset."""
-        if self.open:
-            self._accept(READ)
+        while self.open and self._accept_one():
+            pass
         self.pause()
         if self.open:
             self.open = False
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import errno
+import socket
+from itertools import chain, repeat
 from unittest import mock
 
 from rosepick.api import Result
@@ -453,6 +456,43 @@
         """)
 
 
+class NoDescriptors(Scenario):
+    none = OSError(errno.EMFILE, "Too many open files")
+
+    def test_accepting_goes_on_after_a_pause(self) -> None:
+        listener = self.server.listener
+        listener.sock = mock.Mock(wraps=listener.sock)
+        listener.sock.accept.side_effect = chain([self.none], repeat(mock.DEFAULT))
+        self.play("""
+            c1 send GET /ready
+            c1 expect nothing
+            wait 60
+            c1 expect 200 ready
+        """)
+
+    def test_dial_without_a_descriptor_did_not_connect(self) -> None:
+        with mock.patch("rosepick.net.pool.socket.socket", side_effect=self.none):
+            self.server.pool._dial(next(iter(self.server.map.hops.values())))
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+        """)
+
+    def test_idle_connection_gives_way_to_a_dial(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 404 ''
+            origin expect GET /api/k1
+        """)
+        hops = {hop.uid: hop for hop in self.server.map.hops.values()}
+        sock = socket.socket()
+        with mock.patch("rosepick.net.pool.socket.socket", side_effect=[self.none, sock]):
+            self.assertIs(self.server.pool._socket(hops["origin"]), sock)
+        sock.close()
+        self.play("s1 expect closed")
+
+
 class FewSockets(Scenario):
     sockets = 48 + 9
 
