--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -14,7 +14,7 @@
 from ..logs import fault, say
 from .budget import Budget
 from .loop import READ, WRITE, Loop
-from .stream import Stream
+from .stream import Stream, family
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024
@@ -270,8 +270,7 @@
     until = time.monotonic() + HELD_FOR
     while True:
         try:
-            family = socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
-            sock = socket.create_server(endpoint, family=family, backlog=BACKLOG)
+            sock = socket.create_server(endpoint, family=family(endpoint), backlog=BACKLOG)
             sock.setblocking(False)
             return sock
         except OSError as problem:
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
+import errno
 import logging
-import os
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
@@ -17,7 +16,7 @@
 from ..transport_map import NextHop, TransportMap
 from .budget import Budget
 from .loop import READ, WRITE, Loop
-from .stream import Stream
+from .stream import Stream, dial
 
 log = logging.getLogger(__name__)
 IDLE_PART = 0.7  # of the time after which a next hop may close an idle connection: then ours goes
@@ -28,17 +27,17 @@
 class Link:
     """One connection to a next hop."""
 
-    def __init__(self, pool: NextHopPool, hop: NextHop, sock: socket.socket, dialing: bool) -> None:
+    def __init__(self, pool: NextHopPool, hop: NextHop, sock: socket.socket) -> None:
         self.pool = pool
         self.server = hop.server
         self.host = f"{hop.endpoint[0]}:{hop.endpoint[1]}"
         self.endpoint = hop.endpoint
-        self.dialing = dialing
+        self.dialing = True
         self.exchange: Exchange | None = None
         self.attempt: DeliveryAttempt | None = None
         self.idle_since = 0.0
         self.retired = False
-        self.stream = Stream(pool.loop, pool.budget, sock, self.ready, WRITE if dialing else READ)
+        self.stream = Stream(pool.loop, pool.budget, sock, self.ready, WRITE)
 
     def start(self, attempt: DeliveryAttempt, letter: Letter) -> None:
         """Carry an attempt; its bytes go out as soon as the connection is up."""
@@ -70,9 +69,7 @@
             self._over(self.exchange.broke() if self.exchange is not None else None)
 
     def _connected(self) -> None:
-        problem = self.stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if problem:
-            raise OSError(problem, os.strerror(problem))
+        self.stream.connected()
         self.dialing = False
         self._write()
 
@@ -206,28 +203,20 @@
         sock = self._socket(hop)
         if sock is None:
             return None
-        sock.setblocking(False)
-        try:
-            sock.connect(hop.endpoint)
-            dialing = False
-        except (BlockingIOError, InterruptedError):
-            dialing = True
-        except OSError:
-            sock.close()
-            return None
-        link = Link(self, hop, sock, dialing)
-        if dialing:
-            self.loop.after(self.dial_timeout, lambda: self._dial_over(link))
+        link = Link(self, hop, sock)
+        self.loop.after(self.dial_timeout, lambda: self._dial_over(link))
         return link
 
     def _socket(self, hop: NextHop) -> socket.socket | None:
-        family = socket.AF_INET6 if ":" in hop.endpoint[0] else socket.AF_INET
         for _ in range(2):
-            with contextlib.suppress(OSError):
-                return socket.socket(family, socket.SOCK_STREAM)
-            if not self.shed():  # out of descriptors: an idle one gives way
-                break
-        say(log, logging.WARNING, "no_socket_for_dial", server=hop.server, used=self.budget.used)
+            try:
+                return dial(hop.endpoint)
+            except OSError as problem:
+                if problem.errno not in (errno.EMFILE, errno.ENFILE):
+                    return None
+                say(log, logging.WARNING, "no_socket_for_dial", server=hop.server, used=self.budget.used)
+                if not self.shed():  # out of descriptors: an idle one gives way
+                    return None
         return None
 
     def _dial_over(self, link: Link) -> None:
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import socket
 
 from .budget import Budget
@@ -29,6 +30,12 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.watch(sock, mask, ready)
 
+    def connected(self) -> None:
+        """A dial has come to its end. OSError if it failed."""
+        problem = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if problem:
+            raise OSError(problem, os.strerror(problem))
+
     def want(self, mask: int) -> None:
         """What to wait for, if anything."""
         if not self.open or mask == self._mask:
@@ -92,3 +99,22 @@
                 self._loop.unwatch(self.sock)
             self.sock.close()
             self._budget.give()
+
+
+def family(endpoint: tuple[str, int]) -> socket.AddressFamily:
+    """Which kind of address it is."""
+    return socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
+
+
+def dial(endpoint: tuple[str, int]) -> socket.socket:
+    """A socket that is connecting; it can be written once it is up. OSError if it failed at once."""
+    sock = socket.socket(family(endpoint), socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.connect(endpoint)
+    except (BlockingIOError, InterruptedError):
+        pass
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/rosepick/net/watch.py
+++ b/rosepick/net/watch.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import logging
-import os
-import socket
 from collections.abc import Callable
 
 from ..http.discovery import CallFailed, Told, call
@@ -12,7 +10,7 @@
 from ..wire import Reader
 from .budget import Budget
 from .loop import READ, WRITE, Loop, Timer
-from .stream import Stream
+from .stream import Stream, dial
 
 log = logging.getLogger(__name__)
 FIRST_WAIT = 0.0  # a new watch first asks what it has missed, without waiting
@@ -64,17 +62,8 @@
             self._fail(str(problem))
 
     def _dial(self) -> None:
-        sock = socket.socket(socket.AF_INET6 if ":" in self.endpoint[0] else socket.AF_INET)
-        try:
-            sock.setblocking(False)
-            sock.connect(self.endpoint)
-        except BlockingIOError:
-            pass
-        except OSError:
-            sock.close()
-            raise
         self._dialing = True
-        self._stream = Stream(self.loop, self.budget, sock, self._ready, WRITE)
+        self._stream = Stream(self.loop, self.budget, dial(self.endpoint), self._ready, WRITE)
 
     def _ready(self, mask: int) -> None:
         stream = self._stream
@@ -82,9 +71,7 @@
             return
         try:
             if self._dialing:
-                problem = stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-                if problem:
-                    raise OSError(problem, os.strerror(problem))
+                stream.connected()
                 self._dialing = False
                 stream.want(READ)
                 self._write()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -471,7 +471,7 @@
         """)
 
     def test_dial_without_a_descriptor_did_not_connect(self) -> None:
-        with mock.patch("rosepick.net.pool.socket.socket", side_effect=self.none):
+        with mock.patch("rosepick.net.stream.socket.socket", side_effect=self.none):
             self.server.pool._dial(next(iter(self.server.map.hops.values())))
         self.play("""
             c1 send GET /api/k1
@@ -487,7 +487,7 @@
         """)
         hops = {hop.uid: hop for hop in self.server.map.hops.values()}
         sock = socket.socket()
-        with mock.patch("rosepick.net.pool.socket.socket", side_effect=[self.none, sock]):
+        with mock.patch("rosepick.net.stream.socket.socket", side_effect=[self.none, sock]):
             self.assertIs(self.server.pool._socket(hops["origin"]), sock)
         sock.close()
         self.play("s1 expect closed")
