--- a/rosepick/__main__.py
+++ b/rosepick/__main__.py
@@ -25,11 +25,15 @@
 
 def _config() -> config.Config:
     try:
-        return config.load(os.environ)
+        return _reread()
     except config.ConfigError as problem:
         _stop(problem)
 
 
+def _reread() -> config.Config:
+    return config.load(os.environ)
+
+
 @app.command()
 def serve() -> None:
     """Run one router, configured by the file that GW_CONFIG names."""
@@ -38,7 +42,7 @@
     told = _config()
     logs.set_up()
     try:
-        server = Server(told)
+        server = Server(told, reread=_reread)
     except (OSError, ValueError) as problem:
         _stop(problem)
     server.run()
--- a/rosepick/config.py
+++ b/rosepick/config.py
@@ -48,6 +48,12 @@
     return host.strip("[]"), int(port)
 
 
+def changed(before: Config, after: Config) -> tuple[str, ...]:
+    """What of a new configuration cannot be applied by a running router: it needs a restart."""
+    kept = ("name", "listen", "seed", "settings", "names", "conn_idle", "dial_timeout")
+    return tuple(key for key in kept if getattr(before, key) != getattr(after, key))
+
+
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration that GW_CONFIG names."""
     path = environment.get("GW_CONFIG")
--- a/rosepick/decide.py
+++ b/rosepick/decide.py
@@ -343,7 +343,7 @@
             self.ask_at = now + self.wait * (0.5 + self.rng.random())
             self.wait = min(ASK_LAST, self.wait * 2.0)
             return
-        if event.scope is not Scope.CACHED and self.asked:
+        if event.scope is not Scope.CACHED:  # also from a watch that began unasked, at a new address
             self.following, self.asked, self.wait = True, False, ASK_FIRST
         named = set()
         for member in event.members:
--- a/rosepick/http/discovery.py
+++ b/rosepick/http/discovery.py
@@ -14,11 +14,12 @@
     """Discovery did not answer with a list."""
 
 
-def call(host: str, after: int, wait: float) -> bytes:
-    """A call for what is newer than a revision; it may wait so many milliseconds for that."""
+def call(host: str, after: int | None, wait: float) -> bytes:
+    """A call for what is newer than a revision; it may wait so many milliseconds for that. Without one: for
+    the whole list."""
+    query = "" if after is None else f"?after={after}&wait_ms={wait:.0f}"
     return (
-        f"GET /v1/endpoints?after={after}&wait_ms={wait:.0f} HTTP/1.1\r\nHost: {host}\r\n"
-        "Accept: application/json\r\n\r\n"
+        f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
     ).encode()
 
 
--- a/rosepick/net/loop.py
+++ b/rosepick/net/loop.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from types import FrameType
 
 from ..logs import fault, say
@@ -71,21 +71,23 @@
         """Forget a socket."""
         self._selector.unregister(sock)
 
-    def on_signals(self, numbers: tuple[int, ...], call: Callable[[], None]) -> None:
-        """Call from the loop after one of these signals."""
+    def on_signals(self, calls: Mapping[int, Callable[[], None]]) -> None:
+        """Call from the loop after each of these signals; once for several of a kind that came together."""
         ours, wakeup = socket.socketpair()
         ours.setblocking(False)
         wakeup.setblocking(False)
 
         def wake(mask: int) -> None:
-            ours.recv(64)
-            call()
+            # the bytes are the signals' numbers
+            for number in sorted(set(ours.recv(4096))):
+                if number in calls:
+                    self._call(calls[number])
 
         def note(number: int, frame: FrameType | None) -> None:
             """The write to the wake-up socket is all that is needed."""
 
         signal.set_wakeup_fd(wakeup.fileno(), warn_on_full_buffer=False)
-        for number in numbers:
+        for number in calls:
             signal.signal(number, note)
         self._wakeup = wakeup  # kept: the signal module holds a bare number
         self.watch(ours, READ, wake)
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -7,9 +7,11 @@
 import resource
 import signal
 import time
+from collections.abc import Callable
+from dataclasses import replace
 
 from .. import api
-from ..config import Config
+from ..config import Config, ConfigError, changed
 from ..engine import Engine
 from ..logs import say
 from ..transport_map import TransportMap
@@ -32,12 +34,15 @@
 class Server:
     """The parts of one router."""
 
-    def __init__(self, config: Config, loop: Loop | None = None) -> None:
+    def __init__(
+        self, config: Config, loop: Loop | None = None, reread: Callable[[], Config] | None = None
+    ) -> None:
         self.config = config
+        self._reread = reread or (lambda: config)
         self.loop = loop = loop or Loop()
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
-        self.budget = Budget(min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
+        self.budget = Budget(_descriptors(config))
         self.engine = Engine(config.settings, config.seed, loop)
         self.pool = NextHopPool(loop, self.budget, self.map, config.dial_timeout, config.conn_idle)
         self.watch = DiscoveryWatch(
@@ -53,7 +58,9 @@
 
     def run(self) -> None:
         """Serve until told to end and nothing is owed."""
-        self.loop.on_signals((signal.SIGTERM, signal.SIGINT), self.end)
+        self.loop.on_signals(
+            {signal.SIGTERM: self.end, signal.SIGINT: self.end, signal.SIGHUP: self.reload}
+        )
         self.loop.after(SUM_UP_EVERY, self._sum_up)
         self.listener.start()
         # what was made up to here stays: collections look at what is new only, and seldom
@@ -90,6 +97,29 @@
     def _silent(self) -> None:
         self.engine.map_told(api.Members(api.Scope.FAILED))
 
+    # ------------------------------------------------------------------------------ a new configuration
+
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again and apply what a running router can. All of it is checked
+        first; guards against a half-written file that takes a serving router down."""
+        try:
+            told = self._reread()
+            TransportMap(told.names, 0.0).take(told.known, cached=True)
+        except (ConfigError, ValueError) as problem:
+            say(log, logging.ERROR, "reload_failed", text=problem)
+            return
+        before, self.config = self.config, replace(
+            self.config, discovery=told.discovery, sockets=told.sockets
+        )
+        self.budget.resize(_descriptors(told))
+        host, port = told.discovery
+        say(
+            log, logging.INFO, "reloaded", discovery=f"{host}:{port}", sockets=told.sockets,
+            needs_restart=",".join(changed(before, told)) or "nothing",
+        )
+        if told.discovery != before.discovery:
+            self.watch.move(told.discovery)
+
     # --------------------------------------------------------------------------------------- its end
 
     def end(self) -> None:
@@ -125,3 +155,8 @@
             log, logging.INFO, "counts", owed=self.engine.owed, sockets=self.budget.used,
             rejected=self.listener.rejected, loop_faults=self.loop.faults, **counts,
         )
+
+
+def _descriptors(config: Config) -> int:
+    """How many descriptors there are: by the configuration, and by the process's own limit."""
+    return min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
--- a/rosepick/net/watch.py
+++ b/rosepick/net/watch.py
@@ -47,10 +47,17 @@
         elif not on:
             self._stop()
 
-    def _call(self, wait: float) -> None:
-        """The next call, from the revision held."""
+    def move(self, endpoint: tuple[str, int]) -> None:
+        """Follow another discovery from now on. Its whole list is asked for: guards against a revision held
+        that means something else there. The held list stands until then, and nothing has failed."""
+        self._stop()
+        self.endpoint, self.on = endpoint, True
+        self._call(FIRST_WAIT, whole=True)
+
+    def _call(self, wait: float, whole: bool = False) -> None:
+        """The next call, from the revision held unless it is to be for the whole list."""
         host = f"{self.endpoint[0]}:{self.endpoint[1]}"
-        self._asking = call(host, self.revision(), wait)
+        self._asking = call(host, None if whole else self.revision(), wait)
         self._answer = Told()
         self._silence = self.loop.after(wait + SILENCE, lambda: self._fail("silent"))
         try:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,11 +5,13 @@
     s1 send 404                     ... and answers: status, body, headers as name=value
     c1 expect 503 Retry-After       an answer with that status comes; all further words are in it
     d tell 42 s1=leaving            discovery answers with changed entries
+    d list 42 s1=active             ... or with the whole list
     s1 raw HTTP/1.1 2               raw text, with Python's escapes
     c1 close / half-close           closes, or ends its sending
     s1 expect closed / nothing      the router closed that connection; no connection has sent anything
     s1 refuse                       takes no connections from here on
     router end / going / ended      is told to end; has not ended yet; has
+    router reload                   is told to read its configuration file again
     wait 600                        so many milliseconds pass on a clock of the scenario's own
 
 Nothing sleeps: the loop is stepped until what is expected is there, a bounded number of times.
@@ -93,14 +95,17 @@
     """Runs scenarios; each starts a router of its own."""
 
     nodes: tuple[str, ...] = ("s1", "origin")
+    discoveries: tuple[str, ...] = ("d",)  # the first is the one that is configured at the start
     sockets = 1024
 
     def setUp(self) -> None:
         self.now = 1000.0
-        self.listeners = {name: socket.create_server(("127.0.0.1", 0)) for name in (*self.nodes, "d")}
+        parties = (*self.nodes, *self.discoveries)
+        self.listeners = {name: socket.create_server(("127.0.0.1", 0)) for name in parties}
         self.wires: dict[str, list[Wire]] = {name: [] for name in self.listeners}
         self.loop = Loop(lambda: self.now)
-        self.server = Server(config.read(json.loads(json.dumps(self.document()))), self.loop)
+        self.file: dict[str, Any] = self.document()
+        self.server = Server(self.read(), self.loop, self.read)
         self.server.listener.start()
         for listener in self.listeners.values():
             listener.setblocking(False)
@@ -124,6 +129,10 @@
             "known": {"rev": 41, "all": True, "targets": targets}, "settings": SETTINGS,
         }
 
+    def read(self) -> config.Config:
+        """What the configuration file says at present."""
+        return config.read(json.loads(json.dumps(self.file)))
+
     def play(self, text: str) -> None:
         """Run a scenario."""
         for line in filter(None, map(str.strip, text.splitlines())):
@@ -146,8 +155,8 @@
             self.step()
 
     def router(self, what: str) -> None:
-        if what == "end":
-            self.server.end()
+        if what in ("end", "reload"):
+            getattr(self.server, what)()
         else:
             self.assertEqual(self.loop.stopped, what == "ended")
 
@@ -184,11 +193,14 @@
                 self.step()
         self.step()
 
-    def tell(self, who: str, text: str) -> None:
+    def list(self, who: str, text: str) -> None:
+        self.tell(who, text, whole=True)
+
+    def tell(self, who: str, text: str, whole: bool = False) -> None:
         rev, *changes = text.split(" ")
         pairs = [change.split("=") for change in changes]
         rows = [target(name, self.port(name), state) for name, state in pairs]
-        body = json.dumps({"rev": int(rev), "all": False, "targets": rows})
+        body = json.dumps({"rev": int(rev), "all": whole, "targets": rows})
         self.put(who, f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
     def close(self, who: str) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -185,6 +186,9 @@
                     with socket.create_connection((host, port)) as sock:
                         sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
                         self.assertTrue(sock.recv(100).startswith(b"HTTP/1.1 200 "))
+                    # guards against a signal that ends a router as it does any program without a handler
+                    process.send_signal(signal.SIGHUP)
+                    self.assertIn("event=reloaded", process.stderr.readline())
                 finally:  # whatever went wrong: the test must not wait for it without end
                     process.terminate()
                 self.assertIn("event=ended", process.stderr.read())
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,127 @@
+"""A new configuration while the router serves."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from unittest import mock
+
+from rosepick.api import Members, Scope
+
+from .scenario import Scenario
+
+
+class Reload(Scenario):
+    nodes = ("s1", "s2", "origin")
+    discoveries = ("d", "e")
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.told: list[Scope] = []
+        engine = self.server.engine
+        patch = mock.patch.object(engine, "map_told", side_effect=self.hear(engine.map_told))
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def hear(self, told: Callable[[Members], None]) -> Callable[[Members], None]:
+        """Note what the module is told."""
+        def hear(event: Members) -> None:
+            self.told.append(event.scope)
+            told(event)
+        return hear
+
+    def moves(self, to: str = "e") -> None:
+        """The file names another discovery, and the router is told."""
+        self.file["discovery"] = f"127.0.0.1:{self.port(to)}"
+        self.play("router reload")
+
+    def following(self) -> None:
+        self.play("""
+            wait 800
+            d expect GET /v1/endpoints?after=41&wait_ms=0
+            d tell 41
+            d expect GET /v1/endpoints?after=41&wait_ms=20000
+        """)
+
+    def test_the_new_discovery_is_followed_at_once_from_its_whole_list(self) -> None:
+        self.following()
+        self.moves()
+        self.play("""
+            d expect closed
+            e expect GET /v1/endpoints HTTP/1.1
+            e list 7 s2=active origin=active
+            e expect GET /v1/endpoints?after=7&wait_ms=20000
+            c1 send GET /api/k1
+            s2 expect GET /api/k1
+            s2 send 200 value
+            c1 expect 200 value
+            e tell 8 s2=leaving
+            e expect GET /v1/endpoints?after=8&wait_ms=20000
+        """)
+        self.assertEqual(self.told, [Scope.DELTA, Scope.FULL, Scope.DELTA])
+
+    def test_the_held_list_and_what_is_in_hand_are_kept(self) -> None:
+        self.following()
+        self.play("""
+            c1 send GET /api/k1
+        """)
+        self.moves()
+        (node,) = (name for name in ("s1", "s2") if any(w.seen for w in self.wires[name]))
+        self.play(f"""
+            {node} expect GET /api/k1
+            {node} send 200 value
+            c1 expect 200 value
+        """)
+        self.assertEqual(len(self.server.map.hops), 3)
+        self.assertNotIn(Scope.FAILED, self.told)
+
+    def test_a_reload_before_the_first_call_and_another_at_once(self) -> None:
+        self.moves()
+        self.moves("d")
+        self.moves()
+        self.play("""
+            e expect GET /v1/endpoints HTTP/1.1
+            e list 7 s1=active s2=active origin=active
+            e expect GET /v1/endpoints?after=7&wait_ms=20000
+            wait 1200
+            e expect nothing
+        """)
+        self.assertTrue(self.server.engine.router.membership.following)
+
+    def test_a_new_discovery_that_refuses_has_failed_and_is_asked_again(self) -> None:
+        self.following()
+        self.play("e refuse")
+        self.file["discovery"] = "127.0.0.1:1"
+        self.play("router reload\nwait 20")
+        self.assertEqual(self.told[1:], [Scope.FAILED])
+
+    def test_the_same_discovery_is_followed_on(self) -> None:
+        self.following()
+        self.play("""
+            router reload
+            d tell 42 s1=leaving
+            d expect GET /v1/endpoints?after=42&wait_ms=20000
+        """)
+        self.assertEqual(len(self.wires["d"]), 1)
+
+    def test_a_bad_file_changes_nothing_and_is_said_in_one_line(self) -> None:
+        self.following()
+        for broken in ({"settings": 1}, {"listen": "here"}, {"known": {"targets": [{"uid": "x"}]}}):
+            usual = self.file
+            self.file = {**usual, "discovery": "127.0.0.1:1", **broken}
+            with self.subTest(broken), self.assertLogs("rosepick", "ERROR") as said:
+                self.play("router reload")
+            self.assertEqual([line.getMessage() for line in said.records], ["reload_failed"])
+            self.file = usual
+        self.play("""
+            d tell 42 s1=leaving
+            d expect GET /v1/endpoints?after=42&wait_ms=20000
+        """)
+
+    def test_what_needs_a_restart_is_named_and_descriptors_are_applied(self) -> None:
+        self.file["limits"] = {"sockets": 300}
+        self.file["listen"] = "127.0.0.1:2"
+        with self.assertLogs("rosepick", "INFO") as said:
+            self.play("router reload")
+        fields = vars(said.records[0])["fields"]
+        self.assertEqual(fields["needs_restart"], "listen")
+        self.assertLess(self.server.budget.limit, 300)
