Keep descriptors for next hops, judge spoilt answers as signs of life, refuse bad clients early

Bad clients' requests came to servers 533 times, mostly one id that a next hop turns away with 400, sent five times each. Checked by a trace of what bad clients and next hops send: all spoilt answers are told at once, ambiguous lengths are refused by the parser already, and floods are hundreds of requests sent ahead on one connection. At fault: server.py shed the pool's idle connections before the sender side's; listener.py kept silent ones for ever and waited 10 s for half a request; next_hop.py took 400 for an error to repeat; decide.py _learn counted spoilt answers as silence and as trouble of the origin; response.py did not bound trailers.

--- a/rosepick/api.py
+++ b/rosepick/api.py
@@ -65,9 +65,10 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
     MISS = "miss"
+    UNFIT = "unfit"  # the request itself was turned away: it would be anywhere
 
 
-NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS})
+NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS, Result.UNFIT})
 """Results which prove that the attempt had no effect."""
 
 
@@ -243,6 +244,7 @@
     note: int = 0
     lag: float = 0.0
     report: tuple[float, ...] = ()
+    spoilt: bool = False  # with RESET: an answer came, so the server lives, but it was of no use
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/decide.py
+++ b/rosepick/decide.py
@@ -1059,6 +1059,13 @@
             self.actions.append(api.Fail(job.ref))
         self._close(job)
 
+    def _give_up(self, job: Job) -> None:
+        """The request itself is at fault. Guards against the five attempts that each would cost, and against
+        a client that is told to ask for the same again."""
+        if not job.final:
+            self.actions.append(api.Fail(job.ref))
+            self._close(job)
+
     def _close(self, job: Job, stream: Attempt | None = None) -> None:
         """Nothing more is owed: free what the request holds, let those who wait for its fetch go on."""
         if job.final:
@@ -1113,6 +1120,8 @@
                 job.missed = attempt.server
             if not job.outstanding():
                 self._to_origin(job)
+        elif event.result is Result.UNFIT:
+            self._give_up(job)
         elif not job.outstanding():
             self._again(job)
         if attempt.gated:
@@ -1124,7 +1133,9 @@
         server.out -= 1
         if event.report:
             self._report(server, event.report)
-        silent = result in SILENT
+        # Guards against healthy servers taken for silent, and an origin for crowded, by answers spoilt on the
+        # way: such a one is a sign of life, and its time is as good as any.
+        silent = result in SILENT and not event.spoilt
         if silent:
             self._strike(server)
         elif result not in UNTOLD:
@@ -1132,7 +1143,7 @@
         self.origin.take(self.now, -int(attempt.gated))
         if attempt.origin:
             if result not in UNTOLD:
-                self.origin.done(now, event.lag, result is Result.OK)
+                self.origin.done(now, event.lag, result in (Result.OK, Result.UNFIT) or event.spoilt)
             return
         self.pressure.held -= 1
         missed = result is Result.MISS or event.note in (2, 3)
@@ -1142,7 +1153,7 @@
         failed = attempt.gated and (result is Result.ERROR or (result is Result.TIMEOUT and lively))
         if self.settings.mode is Mode.THROUGH and (missed or failed):
             self.origin.done(now, event.lag, result is Result.OK)
-        if job.event.key and (silent or result is Result.ERROR):
+        if job.event.key and (silent or event.spoilt or result is Result.ERROR):
             self.filter.went_to(job.event.key, 0)
         if not missed and result in (Result.OK, Result.TIMEOUT, Result.FULL):
             slow = result is not Result.OK or event.lag > ROOM_AIM * job.klass.aim
@@ -1158,7 +1169,7 @@
             self.mean += (event.lag - self.mean) * 0.05
         elif result is Result.FULL:
             server.sample(now, job.klass.aim, attempt.load)
-        if job.keep and result not in UNTOLD:
+        if job.keep and result not in UNTOLD and result is not Result.UNFIT:
             bad = silent or result in (Result.ERROR, Result.FULL) or event.lag > job.klass.aim
             # While overflow is wide and the origin short, a miss in keep is trouble too: a key that its home
             # zone cannot hold is held once for the fleet instead: it saves a fetch for each zone. Not while
--- a/rosepick/engine.py
+++ b/rosepick/engine.py
@@ -145,7 +145,8 @@
         self._tell(event)
 
     def attempt_ended(
-        self, attempt: DeliveryAttempt, result: Result, note: int = 0, answer: object = None
+        self, attempt: DeliveryAttempt, result: Result, note: int = 0, answer: object = None,
+        spoilt: bool = False,
     ) -> None:
         """A delivery attempt has its outcome. A served one goes to the sender side before anything else."""
         if not holds(attempt.out, "attempt_ends_once", ref=attempt.envelope.ref, result=result.value):
@@ -154,14 +155,15 @@
         if attempt.expiry is not None:
             attempt.expiry.cancel()
         envelope = attempt.envelope
-        self.counts[f"attempt_{result.value}"] += 1
+        self.counts["attempt_spoilt" if spoilt else f"attempt_{result.value}"] += 1
         if result is Result.OK and not envelope.over:
             sender = self._close(envelope)
             self._answer("served", lambda: sender.served(envelope, answer))
         lag = max(0.0, self.clock.now() - attempt.sent)
         self._tell(
             api.Outcome(
-                envelope.ref, attempt.number, attempt.server, result, envelope.over, note, lag
+                envelope.ref, attempt.number, attempt.server, result, envelope.over, note, lag,
+                spoilt=spoilt,
             )
         )
         self._forget(envelope)
--- a/rosepick/http/next_hop.py
+++ b/rosepick/http/next_hop.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..api import Result
 from .response import Answer, AnswerReader, BadAnswer
@@ -20,6 +20,7 @@
     note: int = 0
     answer: Answer | None = None
     reusable: bool = False
+    spoilt: bool = False  # an answer came that is of no use
 
 
 class Exchange:
@@ -42,7 +43,7 @@
         try:
             answer = self._reader.feed(data)
         except BadAnswer:
-            return self.broke()
+            return replace(self.broke(), spoilt=not self._unsent)
         return None if answer is None else self._judge(answer)
 
     def ended(self) -> Verdict:
@@ -70,6 +71,8 @@
         return Result.MISS
     if answer.status in (503, 504) and answer.headers.get(b"srv-declined", b"").strip() == b"1":
         return Result.FULL
+    if answer.status == 400:
+        return Result.UNFIT
     return Result.ERROR  # it may have run
 
 
--- a/rosepick/http/response.py
+++ b/rosepick/http/response.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-HEAD_LIMIT = 32 * 1024
+HEAD_LIMIT = 32 * 1024  # of the head, of interim answers with it, and of what frames the body
 
 
 class BadAnswer(Exception):
@@ -31,7 +31,7 @@
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
-        self._head = 0  # bytes fed before the headers were whole
+        self._fed = 0
         self._headers_done = False
         self._surplus = False
         self._whole = False
@@ -41,17 +41,19 @@
         """Take in bytes; the answer once it is whole. Raises BadAnswer."""
         if self._parser is None:
             raise BadAnswer("bytes after the answer")
-        if not self._headers_done:
-            self._head += len(data)
+        self._fed += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
             if not self._whole:
                 raise BadAnswer(str(problem) or type(problem).__name__) from None
             self._surplus = True
-        if not self._headers_done and self._head > HEAD_LIMIT:
+        if self._whole:
+            return self._answer(self._keep_alive)
+        # guards against heads, interim answers and trailers without end, which would fill the memory
+        if self._fed - len(self._body) > HEAD_LIMIT:
             raise BadAnswer("headers too long")
-        return self._answer(self._keep_alive) if self._whole else None
+        return None
 
     def ended(self) -> Answer | None:
         """The other side has ended; the answer if its body was to reach up to here."""
@@ -74,7 +76,12 @@
             self._headers.setdefault(name.lower(), value)
 
     def on_headers_complete(self) -> None:
+        if self._whole:
+            return
         self._headers_done = True
+        length = self._headers.get(b"content-length", b"0").strip()
+        if length.isdigit() and int(length) > self._limit:
+            raise BadAnswer("body too long")  # known at once: nothing of it need be read
 
     def on_body(self, data: bytes) -> None:
         if self._whole:
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -18,10 +18,17 @@
 BEHIND_LIMIT = 4  # messages read ahead of the one that is being answered
 REASONS = {
     200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 499: b"Client Closed Request",
+    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    499: b"Client Closed Request",
     500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }
 
+# Of these a second one would be read one way here and another way elsewhere.
+_ONCE = frozenset({
+    b"req-id", b"req-kind", b"req-owner", b"req-deadline", b"req-cost", b"req-retry", b"idempotency-key",
+    b"content-length", b"transfer-encoding",
+})
+_ID = re.compile(rb"[!-~]{1,128}")
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")  # not all that float() takes: 1_0, nan, 1e300
 
 
@@ -130,6 +137,10 @@
         self.owing = True
         return received
 
+    def sent_ahead(self) -> bool:
+        """Whether more came before the request in hand was answered."""
+        return bool(self._inbox)
+
     def crowded(self) -> bool:
         """Whether enough was read ahead."""
         return len(self._inbox) >= BEHIND_LIMIT
@@ -142,11 +153,12 @@
         """The rest of a request did not come."""
         self._reject(Bad(408, "the request did not come whole"))
 
-    def answer(self, status: int, body: bytes, extra: Extra, closing: bool) -> bytes:
-        """The bytes of the answer to the request in hand. `done` is set if the connection ends with it."""
+    def answer(self, status: int, body: bytes, extra: Extra, closing: bool, last: bool = False) -> bytes:
+        """The bytes of the answer to the request in hand. `done` is set if the connection ends with it, as it
+        does with the `last` one, whatever came behind."""
         self.owing = False
         # what was sent ahead has been taken: it is answered before the connection may close
-        self.done = not self._keep_alive or (closing and not self._inbox and not self.partial)
+        self.done = last or not self._keep_alive or (closing and not self._inbox and not self.partial)
         if self.done:
             self._parser = None
             self._inbox.clear()
@@ -168,8 +180,11 @@
         self._grow(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.setdefault(name.lower(), value)
         self._grow(len(name) + len(value) + 4)
+        low = name.lower()
+        # guards against a request that is one thing here and another at a next hop or a proxy before us
+        if self._headers.setdefault(low, value) is not value and low in _ONCE:
+            raise Bad(400, "a header that may come once came again")
 
     def _grow(self, size: int) -> None:
         self._head += size
@@ -178,7 +193,7 @@
 
     def on_headers_complete(self) -> None:
         self._in_head, self._fed = False, 0
-        length = self._headers.get(b"content-length", b"0")
+        length = self._headers.get(b"content-length", b"0").strip()
         if length.isdigit() and int(length) > BODY_LIMIT:
             raise Bad(413, "body too long")
         self.wants_continue = self._headers.get(b"expect", b"").lower() == b"100-continue"
@@ -218,7 +233,7 @@
                 retry=headers.get(b"req-retry") == b"1",
                 cost_hint=None if cost is None else 0.001 * _number(headers, b"req-cost"),
                 payload=Letter(
-                    method, self._target, bytes(self._body), _text(headers, b"req-id"),
+                    method, self._target, bytes(self._body), _identity(headers),
                     headers.get(b"idempotency-key"), headers.get(b"content-type"),
                 ),
             )
@@ -232,6 +247,13 @@
     return value
 
 
+def _identity(headers: dict[bytes, bytes]) -> bytes:
+    value = _text(headers, b"req-id")
+    if not _ID.fullmatch(value):
+        raise Bad(400, "req-id is no plain text of at most 128 characters")
+    return value
+
+
 def _place(headers: dict[bytes, bytes], name: bytes, places: Mapping[str, int]) -> int:
     place = places.get(_text(headers, name).decode("latin-1"))
     if place is None:
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -6,11 +6,12 @@
 import logging
 import socket
 import time
+from collections import OrderedDict
 
 from ..config import Names
 from ..engine import Engine, Envelope
 from ..http.response import Answer
-from ..http.sender_side import Delivered, Extra, Ready, Rejected, SenderConnection
+from ..http.sender_side import Delivered, Extra, Letter, Ready, Rejected, SenderConnection
 from ..logs import fault, say
 from .budget import Budget
 from .loop import READ, WRITE, Loop
@@ -22,8 +23,14 @@
 ACCEPTS = 32  # in one go, so that timers and answers get their turn
 RETRY = 50.0  # after an accept for which there was no descriptor
 LINGER = 500.0  # to read on after an answer that came before the request's end, lest a reset overtakes it
-PATIENCE = 10_000.0  # for the rest of a request, or for an answer to be read
-SWEEP_EVERY = 1_000.0
+PATIENCE = 2_000.0  # for the rest of a request, from its begin or that of the connection
+UNREAD = 10_000.0  # for an answer to be read
+SWEEP_EVERY = 250.0
+SILENT_FOR = 2_200.0  # with nothing asked yet ...
+IDLE_FOR = 8_000.0  # ... or nothing more: then a connection closes
+SPARE_AFTER = 2_000.0  # without an open request it may close at need
+SLOW_START = 200.0  # sooner than this after connecting nobody counts as silent
+HELD_PART = 0.5  # of the descriptors: the most that the sender side holds, so that next hops keep theirs
 
 
 class SenderLink:
@@ -68,17 +75,33 @@
     def _take(self) -> None:
         """Take up the next request, if none is being answered."""
         while (received := self.machine.next()) is not None:
+            self.listener.engaged(self)
             match received:
                 case Delivered(envelope):
-                    self.envelope = envelope
-                    self.listener.engine.accept(envelope, self)
+                    self._accept(envelope)
                 case Ready():
                     up = not self.listener.ending
                     self._answer(200 if up else 503, b"ready\n" if up else b"ending\n")
                 case Rejected(status, reason):
-                    self.listener.rejected += 1
-                    say(log, logging.WARNING, "rejected", status=status, reason=reason)
-                    self._answer(status, reason.encode() + b"\n")
+                    self._reject(status, reason)
+
+    def _accept(self, envelope: Envelope) -> None:
+        """Hand an envelope over. Guards against an id that another client's open request has: next hops would
+        take the two for one."""
+        open_ids, req_id = self.listener.open_ids, _id_of(envelope)
+        if req_id in open_ids:
+            self._reject(409, "req-id is open already")
+            return
+        open_ids.add(req_id)
+        self.envelope = envelope
+        self.listener.engine.accept(envelope, self)
+
+    def _reject(self, status: int, reason: str) -> None:
+        """A request that cannot be taken. One that came with others close behind ends the connection: guards
+        against hundreds of them sent ahead, each of which would cost an answer."""
+        self.listener.rejected += 1
+        say(log, logging.WARNING, "rejected", status=status, reason=reason)
+        self._answer(status, reason.encode() + b"\n", last=self.machine.sent_ahead())
 
     def _ended(self) -> None:
         """The sender side has ended its sending: it has gone. Should it have closed only that half, it still
@@ -91,10 +114,17 @@
 
     def sender_left(self) -> None:
         """Nothing more is owed here."""
-        envelope, self.envelope = self.envelope, None
+        envelope = self._let_go()
         if envelope is not None:
             self.listener.engine.sender_gone(envelope)
 
+    def _let_go(self) -> Envelope | None:
+        """The envelope in hand, which is in hand no more."""
+        envelope, self.envelope = self.envelope, None
+        if envelope is not None:
+            self.listener.open_ids.discard(_id_of(envelope))
+        return envelope
+
     def gone(self) -> None:
         """The connection broke."""
         self.sender_left()
@@ -118,7 +148,7 @@
         self._final(500, b"fault\n")
 
     def _final(self, status: int, body: bytes, extra: Extra = ()) -> None:
-        self.envelope = None
+        self._let_go()
         try:
             self._answer(status, body, extra)
             self._take()
@@ -126,9 +156,9 @@
         except OSError:
             self.gone()
 
-    def _answer(self, status: int, body: bytes, extra: Extra = ()) -> None:
+    def _answer(self, status: int, body: bytes, extra: Extra = (), last: bool = False) -> None:
         if self.stream.open:
-            self.stream.send(self.machine.answer(status, body, extra, self.listener.ending))
+            self.stream.send(self.machine.answer(status, body, extra, self.listener.ending, last))
 
     # -------------------------------------------------------------------------------------- its state
 
@@ -138,7 +168,11 @@
             return
         unwritten = self.stream.unwritten()
         waiting = unwritten or self.machine.partial
-        self.stuck_since = (self.stuck_since or self.listener.loop.now()) if waiting else None
+        # The first request counts from the connection's begin; bytes that trickle in never set it back.
+        begun = self.listener.fresh.get(self) or self.listener.loop.now()
+        self.stuck_since = (self.stuck_since or begun) if waiting else None
+        if not unwritten and self.machine.idle():
+            self.listener.free(self)
         if self.machine.done and not unwritten and not self.lingering:
             self.lingering = True
             self.stream.end_sending()
@@ -165,7 +199,8 @@
         if self.stuck_since is None or now - self.stuck_since < PATIENCE:
             return
         if self.stream.unwritten():
-            self.gone()
+            if now - self.stuck_since >= UNREAD:
+                self.gone()
         elif not self.machine.owing:
             self.machine.too_slow()
             self._take()
@@ -177,8 +212,14 @@
 
     def close(self) -> None:
         """Close it; the sender side can tell an answer that is not whole."""
+        self.sender_left()
         self.stream.close()
-        self.listener.links.pop(self, None)
+        self.listener.forget(self)
+
+
+def _id_of(envelope: Envelope) -> bytes:
+    assert isinstance(envelope.payload, Letter)
+    return envelope.payload.req_id
 
 
 class Listener:
@@ -189,6 +230,11 @@
     ) -> None:
         self.loop, self.budget, self.engine, self.names = loop, budget, engine, names
         self.links: dict[SenderLink, None] = {}
+        # Since when a connection has had no open request, the longest first: those that asked nothing yet,
+        # and those between requests.
+        self.fresh: OrderedDict[SenderLink, float] = OrderedDict()
+        self.between: OrderedDict[SenderLink, float] = OrderedDict()
+        self.open_ids: set[bytes] = set()
         self.ending = False
         self.rejected = 0
         self.last_came = loop.now()
@@ -211,9 +257,21 @@
 
     def freed(self) -> None:
         """A descriptor was freed."""
-        if not self.watching and self.budget.used < self.budget.limit:
+        if not self.watching and self.budget.used < self.budget.limit and not self._crowded():
             self.start()
 
+    def _crowded(self) -> bool:
+        """Whether the sender side holds its part of the descriptors."""
+        return len(self.links) >= HELD_PART * self.budget.limit
+
+    def _room(self) -> bool:
+        """Whether one more may be accepted. Guards against crowds that take the next hops' descriptors, so
+        that each attempt needs a new connection."""
+        while self._crowded():
+            if not (self.shed(SPARE_AFTER) or self.shed()):
+                return False
+        return self.budget.room()
+
     def _accept(self, mask: int) -> None:
         for _ in range(ACCEPTS):
             if not self._accept_one():
@@ -221,7 +279,7 @@
 
     def _accept_one(self) -> bool:
         """Whether one was accepted, so that there may be more."""
-        if not self.budget.room():
+        if not self._room():
             say(log, logging.WARNING, "accept_paused", used=self.budget.used)
             self.pause()
             return False
@@ -237,18 +295,51 @@
             self.loop.after(RETRY, self.start)
             return False
         self.last_came = self.loop.now()
-        self.links[SenderLink(self, sock)] = None
+        link = SenderLink(self, sock)
+        self.links[link] = None
+        self.fresh[link] = self.last_came
         return True
 
+    # ------------------------------------------------------------------- connections without a request
+
+    def engaged(self, link: SenderLink) -> None:
+        """A request of a connection is taken up."""
+        self.fresh.pop(link, None)
+        self.between.pop(link, None)
+
+    def free(self, link: SenderLink) -> None:
+        """A connection has no open request."""
+        if link not in self.fresh:
+            self.between.setdefault(link, self.loop.now())
+
+    def forget(self, link: SenderLink) -> None:
+        """A connection closes."""
+        self.engaged(link)
+        self.links.pop(link, None)
+
     def _sweep(self) -> None:
         self.loop.after(SWEEP_EVERY, self._sweep)
         now = self.loop.now()
         for link in list(self.links):
             link.check(now)
+        # guards against connections that are held for ever, by the hundred, and say nothing
+        while self._shed_from(self.fresh, SILENT_FOR) or self._shed_from(self.between, IDLE_FOR):
+            pass
 
-    def shed(self) -> bool:
-        """Close a connection of the sender side that is between requests; False if there is none."""
-        for link in self.links:
+    def shed(self, spare_after: float = 0.0) -> bool:
+        """Close a connection that has had no open request for so long; False if there is none. Silent ones go
+        before those that asked already, which are more likely to be used again."""
+        return (
+            self._shed_from(self.between, max(spare_after, SPARE_AFTER))
+            or self._shed_from(self.fresh, max(spare_after, SLOW_START))
+            or self._shed_from(self.between, spare_after)
+        )
+
+    def _shed_from(self, table: OrderedDict[SenderLink, float], age: float) -> bool:
+        before = self.loop.now() - age
+        for link, since in table.items():
+            if since > before:
+                break
             if link.idle():
                 link.close()
                 return True
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -170,7 +170,7 @@
     def ended(self, attempt: DeliveryAttempt, verdict: Verdict) -> None:
         """An attempt has its outcome."""
         self.busy.pop(attempt, None)
-        self.engine.attempt_ended(attempt, verdict.result, verdict.note, verdict.answer)
+        self.engine.attempt_ended(attempt, verdict.result, verdict.note, verdict.answer, verdict.spoilt)
 
     def rest(self, link: Link) -> None:
         """A connection is free for the next attempt."""
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -17,7 +17,7 @@
 from ..transport_map import TransportMap
 from ..wire import Reader
 from .budget import Budget
-from .listener import Listener
+from .listener import SPARE_AFTER, Listener
 from .loop import Loop
 from .pool import NextHopPool
 from .watch import DiscoveryWatch
@@ -51,7 +51,7 @@
         self.pool.engine = self.engine
         self.engine.next_hops, self.engine.map_source = self.pool, self.watch
         self.listener = Listener(loop, self.budget, self.engine, config.names, config.listen)
-        self.budget.shed = lambda: self.pool.shed() or self.listener.shed()
+        self.budget.shed = self._shed
         self.budget.freed = self.listener.freed
         self.engine.map_told(known.event)
         self._ending_since = 0.0
@@ -83,6 +83,11 @@
         self.watch.watch(False)
         self.loop.close()
 
+    def _shed(self) -> bool:
+        """Close a connection that is of little use. Those to next hops cost work to open again, so the sender
+        side's go first, once they may."""
+        return self.listener.shed(SPARE_AFTER) or self.pool.shed() or self.listener.shed()
+
     # ------------------------------------------------------------------------------------- discovery
 
     def _told(self, told: Reader) -> None:
