Take resets for broken connections, not load; pass on large answers; end answers that stall

Ruled out: silence of next hops (few marked), the origin gate by itself, CPU (0.6 of a core at the most). With larger answers memory went over 128 MB: a trace of held bytes showed them in answers that clients did not read. At fault: decide.py _learn and _again (RESET as silence, as a slow origin, charged to the budget), pool.py _idle_link, next_hop.py BODY_LIMIT, listener.py UNREAD. An answer that stopped short lasted to its deadline: now a stall ends it.

--- a/rosepick/config.py
+++ b/rosepick/config.py
@@ -33,6 +33,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: float
     settings: api.Settings
     names: Names
     conn_idle: float
@@ -50,7 +51,7 @@
 
 def changed(before: Config, after: Config) -> tuple[str, ...]:
     """What of a new configuration cannot be applied by a running router: it needs a restart."""
-    kept = ("name", "listen", "seed", "settings", "names", "conn_idle", "dial_timeout")
+    kept = ("name", "listen", "seed", "memory_mb", "settings", "names", "conn_idle", "dial_timeout")
     return tuple(key for key in kept if getattr(before, key) != getattr(after, key))
 
 
@@ -86,6 +87,7 @@
         discovery=address(top.text("discovery")),
         seed=seed,
         sockets=top.part("limits").whole("sockets", 1024),
+        memory_mb=top.part("limits").number("memory_mb", 192.0),
         settings=wire.settings_of(told),
         names=Names(*(_places(told, key) for key in _LISTS)),
         conn_idle=limits.number("conn_idle", 15_000.0),
--- a/rosepick/decide.py
+++ b/rosepick/decide.py
@@ -111,8 +111,9 @@
 MASK = (1 << 64) - 1
 CHECK, DEADLINE, TICK = 1 << 60, 2 << 60, 3 << 60  # kinds of timer; the low bits are the request
 KIND_BITS = 3 << 60
-SILENT = (Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)  # no sign of life
-UNTOLD = (Result.MOOT, Result.CANCELLED)  # say nothing of a server
+SILENT = (Result.TIMEOUT, Result.CONNECT_FAILED)  # no sign of life
+BROKEN = (Result.CONNECT_FAILED, Result.RESET)  # the connection's end: says nothing of the load
+UNTOLD = (Result.MOOT, Result.CANCELLED, Result.RESET)  # say nothing of a server
 
 
 def mix(value: int) -> int:
@@ -1123,7 +1124,8 @@
         elif event.result is Result.UNFIT:
             self._give_up(job)
         elif not job.outstanding():
-            self._again(job)
+            # Guards against refusals where connections break often: the budget is against storms of load.
+            self._again(job, free=event.result in BROKEN)
         if attempt.gated:
             self._drain_queue()
 
@@ -1133,17 +1135,18 @@
         server.out -= 1
         if event.report:
             self._report(server, event.report)
-        # Guards against healthy servers taken for silent, and an origin for crowded, by answers spoilt on the
-        # way: such a one is a sign of life, and its time is as good as any.
-        silent = result in SILENT and not event.spoilt
+        # Guards against healthy servers taken for silent, and an origin for crowded, by spoilt answers and
+        # by broken connections. A spoilt one is a sign of life, and its time is as good as any; a reset alone
+        # says nothing: where the process has died, new connections are refused.
+        silent = result in SILENT
         if silent:
             self._strike(server)
-        elif result not in UNTOLD:
+        elif event.spoilt or result not in UNTOLD:
             self._alive(server)
         self.origin.take(self.now, -int(attempt.gated))
         if attempt.origin:
-            if result not in UNTOLD:
-                self.origin.done(now, event.lag, result in (Result.OK, Result.UNFIT) or event.spoilt)
+            if event.spoilt or result not in (*UNTOLD, *BROKEN):
+                self.origin.done(now, event.lag, event.spoilt or result in (Result.OK, Result.UNFIT))
             return
         self.pressure.held -= 1
         missed = result is Result.MISS or event.note in (2, 3)
@@ -1153,7 +1156,7 @@
         failed = attempt.gated and (result is Result.ERROR or (result is Result.TIMEOUT and lively))
         if self.settings.mode is Mode.THROUGH and (missed or failed):
             self.origin.done(now, event.lag, result is Result.OK)
-        if job.event.key and (silent or event.spoilt or result is Result.ERROR):
+        if job.event.key and (silent or result in (Result.RESET, Result.ERROR)):
             self.filter.went_to(job.event.key, 0)
         if not missed and result in (Result.OK, Result.TIMEOUT, Result.FULL):
             slow = result is not Result.OK or event.lag > ROOM_AIM * job.klass.aim
@@ -1169,7 +1172,7 @@
             self.mean += (event.lag - self.mean) * 0.05
         elif result is Result.FULL:
             server.sample(now, job.klass.aim, attempt.load)
-        if job.keep and result not in UNTOLD and result is not Result.UNFIT:
+        if job.keep and result not in (*UNTOLD, Result.UNFIT):
             bad = silent or result in (Result.ERROR, Result.FULL) or event.lag > job.klass.aim
             # While overflow is wide and the origin short, a miss in keep is trouble too: a key that its home
             # zone cannot hold is held once for the fleet instead: it saves a fetch for each zone. Not while
@@ -1185,12 +1188,12 @@
         if held is not None and held == held:
             server.report(self.now, held)
 
-    def _again(self, job: Job) -> None:
+    def _again(self, job: Job, free: bool) -> None:
         """Another attempt, if the retry budget and the time left allow it."""
-        if self.retries < 1.0 or self.now >= self._useful_until(job):
+        if (self.retries < 1.0 and not free) or self.now >= self._useful_until(job):
             self._finish(job)
             return
-        self.retries -= 1.0
+        self.retries -= not free
         if job.at_origin:
             self._to_origin(job)
         else:
--- a/rosepick/http/next_hop.py
+++ b/rosepick/http/next_hop.py
@@ -8,7 +8,7 @@
 from .response import Answer, AnswerReader, BadAnswer
 from .sender_side import Letter
 
-BODY_LIMIT = 64 * 1024
+BODY_LIMIT = 1024 * 1024  # of an answer; what is longer is taken for spoilt
 _NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
 
 
@@ -43,7 +43,7 @@
         try:
             answer = self._reader.feed(data)
         except BadAnswer:
-            return replace(self.broke(), spoilt=not self._unsent)
+            return self.spoilt()
         return None if answer is None else self._judge(answer)
 
     def ended(self) -> Verdict:
@@ -56,6 +56,14 @@
         was not written whole has never run."""
         return Verdict(Result.CONNECT_FAILED if self._unsent else Result.RESET)
 
+    def spoilt(self) -> Verdict:
+        """An answer came that is of no use."""
+        return replace(self.broke(), spoilt=not self._unsent)
+
+    def held(self) -> int:
+        """Bytes of an answer that is not whole."""
+        return self._reader.held()
+
     def _judge(self, answer: Answer) -> Verdict:
         note = _NOTES.get(answer.headers.get(b"srv-cache", b"").strip().lower(), 0)
         result = _result(answer)
--- a/rosepick/http/response.py
+++ b/rosepick/http/response.py
@@ -55,6 +55,10 @@
             raise BadAnswer("headers too long")
         return None
 
+    def held(self) -> int:
+        """Bytes of the body so far."""
+        return len(self._body)
+
     def ended(self) -> Answer | None:
         """The other side has ended; the answer if its body was to reach up to here."""
         framed = b"content-length" in self._headers or b"transfer-encoding" in self._headers
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -154,8 +154,8 @@
         self._reject(Bad(408, "the request did not come whole"))
 
     def answer(self, status: int, body: bytes, extra: Extra, closing: bool, last: bool = False) -> bytes:
-        """The bytes of the answer to the request in hand. `done` is set if the connection ends with it, as it
-        does with the `last` one, whatever came behind."""
+        """The head of the answer to the request in hand; its body follows. `done` is set if the connection
+        ends with it, as it does with the `last` one, whatever came behind."""
         self.owing = False
         # what was sent ahead has been taken: it is answered before the connection may close
         self.done = last or not self._keep_alive or (closing and not self._inbox and not self.partial)
@@ -166,7 +166,7 @@
         lines += [name + b": " + value for name, value in extra]
         if self.done:
             lines.append(b"Connection: close")
-        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+        return b"\r\n".join(lines) + b"\r\n\r\n"
 
     # ------------------------------------------------------------------------------ the parser's calls
 
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -24,7 +24,7 @@
 RETRY = 50.0  # after an accept for which there was no descriptor
 LINGER = 500.0  # to read on after an answer that came before the request's end, lest a reset overtakes it
 PATIENCE = 2_000.0  # for the rest of a request, from its begin or that of the connection
-UNREAD = 10_000.0  # for an answer to be read
+UNREAD = 500.0  # after its deadline nobody waits for an answer any more
 SWEEP_EVERY = 250.0
 SILENT_FOR = 2_200.0  # with nothing asked yet ...
 IDLE_FOR = 8_000.0  # ... or nothing more: then a connection closes
@@ -41,6 +41,7 @@
         self.machine = SenderConnection(listener.names)
         self.envelope: Envelope | None = None
         self.stuck_since: float | None = None
+        self.waited_for = listener.loop.now() + PATIENCE  # until when the answer in hand is
         self.lingering = False
         self.stream = Stream(listener.loop, listener.budget, sock, self.ready)
 
@@ -76,6 +77,7 @@
         """Take up the next request, if none is being answered."""
         while (received := self.machine.next()) is not None:
             self.listener.engaged(self)
+            self.waited_for = self.listener.loop.now() + PATIENCE
             match received:
                 case Delivered(envelope):
                     self._accept(envelope)
@@ -94,6 +96,7 @@
             return
         open_ids.add(req_id)
         self.envelope = envelope
+        self.waited_for = envelope.deadline + UNREAD
         self.listener.engine.accept(envelope, self)
 
     def _reject(self, status: int, reason: str) -> None:
@@ -158,7 +161,7 @@
 
     def _answer(self, status: int, body: bytes, extra: Extra = (), last: bool = False) -> None:
         if self.stream.open:
-            self.stream.send(self.machine.answer(status, body, extra, self.listener.ending, last))
+            self.stream.send(self.machine.answer(status, body, extra, self.listener.ending, last), body)
 
     # -------------------------------------------------------------------------------------- its state
 
@@ -196,12 +199,12 @@
 
     def check(self, now: float) -> None:
         """Guards against connections held for ever by half a request or an answer that is not read."""
-        if self.stuck_since is None or now - self.stuck_since < PATIENCE:
+        if self.stuck_since is None:
             return
         if self.stream.unwritten():
-            if now - self.stuck_since >= UNREAD:
+            if now >= self.waited_for:  # guards against memory held by answers that nobody reads
                 self.gone()
-        elif not self.machine.owing:
+        elif now - self.stuck_since >= PATIENCE and not self.machine.owing:
             self.machine.too_slow()
             self._take()
             self._settle()
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from ..api import Result
+from ..config import Config
 from ..engine import DeliveryAttempt, Engine
 from ..http.next_hop import Exchange, Verdict
 from ..http.sender_side import Letter
@@ -21,6 +22,9 @@
 log = logging.getLogger(__name__)
 IDLE_PART = 0.7  # of the time after which a next hop may close an idle connection: then ours goes
 SWEEP_EVERY = 500.0
+STALL = 0.2  # of the shortest aim: an answer that has begun and then stops for so long is spoilt
+EARLY = 100.0  # an idle connection that its next hop closes sooner than this was never meant to be kept
+WARY_FOR = 60_000.0  # after such a close
 DIAL_SPARE = 16  # sockets that dials may use beyond the budget: what was taken must get its answer
 
 
@@ -36,6 +40,8 @@
         self.exchange: Exchange | None = None
         self.attempt: DeliveryAttempt | None = None
         self.idle_since = 0.0
+        self.held = 0
+        self.stalls_at: float | None = None
         self.retired = False
         self.stream = Stream(pool.loop, pool.budget, sock, self.ready, WRITE)
 
@@ -91,15 +97,46 @@
         if data is None:
             return
         if self.exchange is None:
+            self.pool.closed_early(self)
             self._over(None)  # an idle one was closed, or says what nobody asked
             return
         verdict = self.exchange.feed(data) if data else self.exchange.ended()
+        if verdict is None:
+            verdict = self._part_came(self.exchange)
         if verdict is not None:
             self._over(verdict)
 
+    def _part_came(self, exchange: Exchange) -> Verdict | None:
+        """More is to come of an answer, if there is memory for it: guards against many large ones at once."""
+        self._hold(exchange.held())
+        if self.pool.budget.held > self.pool.budget.most_held:
+            return exchange.spoilt()
+        if self.stalls_at is None:
+            self.pool.loop.after(self.pool.stall, lambda: self._look(exchange))
+        self.stalls_at = self.pool.loop.now() + self.pool.stall
+        return None
+
+    def _look(self, exchange: Exchange) -> None:
+        """Guards against answers that stop short on a connection that stays open: the attempt would last to
+        its deadline, while another might still be in time."""
+        if self.exchange is not exchange or self.stalls_at is None:
+            return
+        now = self.pool.loop.now()
+        if now < self.stalls_at:
+            self.pool.loop.at(self.stalls_at, lambda: self._look(exchange))
+        else:
+            self._over(exchange.spoilt())
+
+    def _hold(self, count: int) -> None:
+        """So many bytes of an answer are held now."""
+        self.pool.budget.held += count - self.held
+        self.held = count
+
     def _over(self, verdict: Verdict | None) -> None:
         """The attempt has ended, or an idle connection has."""
         attempt, self.attempt, self.exchange = self.attempt, None, None
+        self._hold(0)
+        self.stalls_at = None
         if verdict is not None and verdict.reusable and not self.retired:
             self.stream.want(READ)
             self.pool.rest(self)
@@ -111,6 +148,7 @@
     def close(self) -> None:
         """Close it; an attempt on it is given up."""
         self.attempt = self.exchange = None
+        self._hold(0)
         self.pool.forget(self)
         self.stream.close()
 
@@ -118,13 +156,16 @@
 class NextHopPool:
     """All connections to next hops."""
 
-    def __init__(self, loop: Loop, budget: Budget, hops: TransportMap, dial: float, conn_idle: float) -> None:
+    def __init__(self, loop: Loop, budget: Budget, hops: TransportMap, config: Config) -> None:
         self.loop, self.budget, self.map = loop, budget, hops
-        self.dial_timeout, self.keep_idle = dial, conn_idle * IDLE_PART
+        self.dial_timeout, self.keep_idle = config.dial_timeout, config.conn_idle * IDLE_PART
+        self.stall = STALL * min(klass.aim for klass in config.settings.classes)
         self.engine: Engine
         self.busy: dict[DeliveryAttempt, Link] = {}
         self.idle: dict[int, list[Link]] = {}  # the most recently used last
         self.by_age: OrderedDict[Link, None] = OrderedDict()  # the longest idle first
+        self.rest_for = 0.0  # milliseconds that a connection rests before it is used again ...
+        self.wary_until = 0.0  # ... up to this time
         loop.after(SWEEP_EVERY, self._sweep)
 
     # ---------------------------------------------------------------------------- the engine's calls
@@ -178,21 +219,36 @@
         self.idle.setdefault(link.server, []).append(link)
         self.by_age[link] = None
 
+    def closed_early(self, link: Link) -> None:
+        """A next hop ended an idle connection. Guards against requests written to connections that close
+        right after an answer, which end as resets: while that happens, connections rest before use."""
+        rested = self.loop.now() - link.idle_since
+        if rested < EARLY:
+            self.rest_for = max(self.rest_for, 1.2 * rested)
+            self.wary_until = self.loop.now() + WARY_FOR
+
     def forget(self, link: Link) -> None:
-        """A connection closes."""
+        """A connection is idle no more."""
         if link in self.by_age:
             del self.by_age[link]
-            self.idle[link.server].remove(link)
+            links = self.idle[link.server]
+            links.remove(link)
+            if not links:  # guards against an entry for each next hop that ever was
+                del self.idle[link.server]
 
     # ---------------------------------------------------------------------------------- connections
 
     def _idle_link(self, server: int) -> Link | None:
-        links = self.idle.get(server, [])
-        while links:
-            link = links[-1]
+        now = self.loop.now()
+        if now > self.wary_until:
+            self.rest_for = 0.0
+        for link in self.idle.get(server, [])[::-1]:
+            if now - link.idle_since < self.rest_for:
+                continue
             if link.stream.quiet():  # as far as this side can know it is still good
-                del self.by_age[links.pop()]
+                self.forget(link)
                 return link
+            self.closed_early(link)
             link.close()
         return None
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -42,9 +42,9 @@
         self.loop = loop = loop or Loop()
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
-        self.budget = Budget(_descriptors(config))
+        self.budget = Budget(_descriptors(config), config.memory_mb)
         self.engine = Engine(config.settings, config.seed, loop)
-        self.pool = NextHopPool(loop, self.budget, self.map, config.dial_timeout, config.conn_idle)
+        self.pool = NextHopPool(loop, self.budget, self.map, config)
         self.watch = DiscoveryWatch(
             loop, self.budget, config.discovery, lambda: self.map.revision, self._told, self._silent
         )
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import socket
+from collections import deque
 
 from .budget import Budget
 from .loop import READ, Loop, Ready
@@ -23,7 +24,7 @@
         self.sock = sock
         self.open = True
         self._loop, self._budget, self._ready, self._mask = loop, budget, ready, mask
-        self._pending = bytearray()
+        self._pending: deque[memoryview] = deque()
         budget.take()
         sock.setblocking(False)
         with contextlib.suppress(OSError):  # a peer that has left already
@@ -72,15 +73,26 @@
         except (BlockingIOError, InterruptedError):
             return 0
 
-    def send(self, data: bytes) -> None:
-        """Write now what can be, keep the rest for `flush`."""
-        self._pending += data
+    def send(self, *parts: bytes) -> None:
+        """Write now what can be, keep the rest for `flush`. Nothing is copied: answers can be large."""
+        for part in filter(None, parts):
+            self._pending.append(memoryview(part))
+            self._budget.held += len(part)
         self.flush()
 
     def flush(self) -> None:
         """Go on with what was kept."""
-        if self._pending:
-            del self._pending[: self.write(self._pending)]
+        if not self._pending:
+            return
+        try:
+            count = self.sock.sendmsg(self._pending)
+        except (BlockingIOError, InterruptedError):
+            return
+        self._budget.held -= count
+        while self._pending and count >= len(self._pending[0]):
+            count -= len(self._pending.popleft())
+        if count:
+            self._pending[0] = self._pending[0][count:]
 
     def unwritten(self) -> bool:
         """Whether something is kept."""
@@ -98,6 +110,8 @@
             if self._mask:
                 self._loop.unwatch(self.sock)
             self.sock.close()
+            self._budget.held -= sum(map(len, self._pending))
+            self._pending.clear()
             self._budget.give()
 
 
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 from rosepick import api
 
 from .scenario import Scenario
@@ -91,3 +93,92 @@
 
     def test_a_load_report_that_cannot_be_read(self) -> None:
         self.serves(OK + r"Srv-Cache: \xff\xfe ??\r\nContent-Length: 4\r\n\r\nabcd")
+
+
+class Broken(Scenario):
+    def test_resets_are_no_load_and_no_silence(self) -> None:
+        router = self.server.engine.router
+        limit = router.origin.limit
+        for n in range(40):
+            self.play(f"""
+                c1 send PUT /api/k{n} value Idempotency-Key=i{n}
+                origin expect PUT /api/k{n}
+                origin close
+                origin expect PUT /api/k{n}
+                origin send 200 done
+                c1 expect 200
+                wait 150
+            """)
+        self.assertGreaterEqual(router.origin.limit, limit)
+        self.assertFalse(any(s.failing for s in router.membership.servers.values()))
+
+    def test_connections_rest_while_next_hops_close_them_right_after_an_answer(self) -> None:
+        read = """
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 200 value
+            c1 expect 200 value
+        """
+        self.play(read + "wait 10\ns1 close" + read + read)
+        self.assertEqual(len(self.wires["s1"]), 2)
+        self.play("wait 15" + read)
+        self.assertEqual(len(self.wires["s1"]), 2)
+        self.play("wait 61000\nc1 expect closed\ns1 expect closed\ns1 expect closed" + read + read)
+        self.assertEqual(len(self.wires["s1"]), 1)
+
+
+class Stalled(Scenario):
+    def test_answer_that_stops_short_ends_its_attempt_in_time_for_another(self) -> None:
+        self.play(rf"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 raw {OK}Content-Length: 9\r\n\r\nval
+            wait 100
+            s1 raw ue
+            wait 100
+            c1 expect nothing
+            wait 40
+            c1 expect 503
+            s1 expect closed
+        """)
+        self.assertEqual(self.server.engine.counts["attempt_spoilt"], 1)
+
+
+class Large(Scenario):
+    def test_answers_beyond_the_usual_size_are_passed_on(self) -> None:
+        self.play(f"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 send 200 {"x" * 400_000}
+            c1 expect 200 {"x" * 400_000}
+        """)
+        self.assertEqual(self.server.budget.held, 0)
+
+    def test_memory_for_them_is_bounded(self) -> None:
+        self.server.budget.most_held = 200_000
+        self.play(rf"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 raw {OK}Content-Length: 400000\r\n\r\n{"x" * 300_000}
+            c1 expect 503
+            s1 expect closed
+        """)
+        self.assertEqual(self.server.budget.held, 0)
+
+    def test_nobody_waits_for_an_answer_that_is_not_read_after_its_deadline(self) -> None:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(self.server.listener.sock.getsockname())
+            head = "Req-Id: 7\r\nReq-Kind: read\r\nReq-Owner: beta\r\nReq-Deadline: 1\r\n"
+            self.step()
+            (link,) = self.server.listener.links
+            link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            sock.sendall(f"GET /api/k1 HTTP/1.1\r\n{head}\r\n".encode())
+            self.play(f"""
+                s1 expect GET /api/k1
+                s1 send 200 {"x" * 1_000_000}
+                wait 900
+            """)
+            self.assertGreater(self.server.budget.held, 0)
+            self.play("wait 900")
+            self.assertEqual((self.server.budget.held, len(self.server.listener.links)), (0, 0))
