--- a/rosepick/decide.py
+++ b/rosepick/decide.py
@@ -103,6 +103,7 @@
 ASK_FIRST = 700.0  # spacing of repeated calls to discovery, doubled up to ...
 ASK_LAST = 6_000.0  # ... this, each with jitter
 COLD_SHARE = 1.0  # of a warm neighbour's sends, times the least capacity told: a cold server's budget
+COLD_FAR = 0.7  # of that, where no neighbour in its own zone is warm
 COLD_FLOOR = 1  # sends in a window that are allowed to any cold server: a trial must be possible
 LOG_EVERY = 5_000.0  # at most one log line of a kind in this time
 OVER_ODDS = 1.3  # a tenant this far over its share of the traffic is over its share ...
@@ -931,12 +932,17 @@
             return True
         span = max(1.0, self.settings.rules.fall)
         warm = [
-            s.sent_within(self.now, span)
-            for s in self.membership.servers.values()
-            if s.state is State.READY and s.member.zone == server.member.zone and self.now >= s.warm_until
+            s for s in self.membership.servers.values()
+            if s.state is State.READY and self.now >= s.warm_until
             and not s.failing and s.member.kind != self.settings.origin_kind
         ]
-        usual = sum(warm) / len(warm) if warm else 0.0
+        # Guards against a zone that started as a whole and idles until it counts as warm: then all warm ones
+        # are the measure, by their sizes, as far ones may be larger.
+        near = [s for s in warm if s.member.zone == server.member.zone]
+        size = sum(s.member.weight for s in warm) / len(warm) if warm and not near else 0.0
+        part = COLD_FAR * min(1.0, server.member.weight / size) if size > 0 else 1.0
+        warm = near or warm
+        usual = part * sum(s.sent_within(self.now, span) for s in warm) / len(warm) if warm else 0.0
         return server.sent_within(self.now, span) < COLD_FLOOR + COLD_SHARE * server.least(self.now) * usual
 
     def _to_origin(self, job: Job) -> None:
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -12,7 +12,7 @@
 
 from rosepick import api
 from rosepick.api import Effect, Group, Mode, Result, Scope, State
-from rosepick.decide import Router
+from rosepick.decide import COLD_FAR, Router
 
 ORIGIN_KIND = 2
 
@@ -185,7 +185,10 @@
 
         if warm(member) or member.kind == self.given.origin_kind:  # it is about cache servers
             return
-        beside = [recent(m.server) for m in self.listed.values() if m.zone == member.zone and warm(m)]
+        every = [m for m in self.listed.values() if m.kind != self.given.origin_kind and warm(m)]
+        near = [recent(m.server) for m in every if m.zone == member.zone]
+        # where no neighbour is usable, which the driver cannot know, all warm ones are the measure
+        beside = [*near, *(COLD_FAR * recent(m.server) for m in every)]
         grown = min(1.0, (self.now - member.born) / rules.warm_within)
         least = rules.cold_from + (1.0 - rules.cold_from) * grown
         budget = 1 + least * max(beside, default=0)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -254,6 +254,29 @@
     assert sent <= decide.COLD_FLOOR + warm * made.membership.servers[777].least(now) + 1
 
 
+def test_a_zone_that_is_cold_as_a_whole_is_measured_by_all_warm_ones() -> None:
+    made = router(zone=0, cross_zone_cost=0.0)
+    members = [replace(m, born=1000.0 if m.zone == 1 else 0.0) for m in fleet()]
+    made.handle(1000.0, api.Members(Scope.FULL, tuple(members)))
+    cold = [s for s in made.membership.servers.values() if s.member.zone == 1]
+    warm = [s for s in made.membership.servers.values() if s.member.zone != 1 and s.id != ORIGIN]
+    for server in warm:
+        server.sends.extend(1000.0 + n for n in range(100))
+    made.now = 1900.0
+    part = decide.COLD_FAR * cold[0].least(made.now)
+    for server in cold:
+        given = 0
+        while made._cold_room(server):
+            server.sends.append(made.now)
+            given += 1
+        assert 100 * part <= given <= 100 * part + 2
+    small = replace(cold[0].member, weight=0.1)
+    cold[0].member = small
+    cold[0].sends.clear()
+    cold[0].sends.extend([made.now] * int(20 * part + 2))
+    assert not made._cold_room(cold[0])
+
+
 def test_calls_to_discovery_are_spaced_and_jittered() -> None:
     times = []
     for seed in (1, 2):
