--- a/rosepick/decide.py
+++ b/rosepick/decide.py
@@ -70,6 +70,8 @@
 RESTART_AFTER = 3_000.0  # silent for longer while no list is followed: it may have restarted, so it warms up
 PATIENCE = 4.0  # deviations above the mean before an answer is overdue
 PATIENCE_LOW = 60.0  # never look sooner
+HUNG = 5  # later requests answered first, and ...
+HUNG_LAGS = 4.0  # ... times the usual time of an answer, twice that at a cache: then it will never come
 PROBE_CREDIT = 0.15  # probes a request, where there are load reports
 
 RETRY_CREDIT = 0.2  # retries earned by a request: a storm stays a fifth of the traffic
@@ -220,11 +222,10 @@
         self.room = room
         self.cut_at = now
         self.life_at = float("-inf")
-        self.strikes = 0
+        self.strikes = self.trials = self.answers = 0
         self.failing = False
         self.failing_since = now
         self.trial_at = now
-        self.trials = 0
         self.probing = False
         self.sends: deque[float] = deque()
 
@@ -291,6 +292,7 @@
     def alive(self, now: float) -> None:
         """Any sign of life."""
         self.life_at = now
+        self.answers += 1
         self.strikes = 0
 
     def strike(self, now: float) -> bool:
@@ -671,6 +673,7 @@
     load: float
     origin: bool
     gated: bool
+    answers: int  # that its server had given
     out: bool = True
     harmless: bool = False  # proved never to have run
 
@@ -757,7 +760,7 @@
         self.origin_waits = 0  # looks at which someone waited for the origin
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
-        """Decide on one event."""
+        """Decide on one event. Peers' messages are not among them: each router trusts its own outcomes."""
         self.now = now
         self.actions = []
         if not self.started:
@@ -779,8 +782,6 @@
                 self._gone(event.ref)
             case api.FirstByte():
                 self._first_byte(event)
-            case api.PeerMessage():
-                pass  # nothing is asked of peers: each router trusts its own outcomes
         return self.actions
 
     # ------------------------------------------------------------------------------ a request's way
@@ -939,8 +940,8 @@
         # Guards against a zone that started as a whole and idles until it counts as warm: then all warm ones
         # are the measure, by their sizes, as far ones may be larger.
         near = [s for s in warm if s.member.zone == server.member.zone]
-        size = sum(s.member.weight for s in warm) / len(warm) if warm and not near else 0.0
-        part = COLD_FAR * min(1.0, server.member.weight / size) if size > 0 else 1.0
+        size = sum(s.member.weight for s in warm) / len(warm) if warm else 0.0
+        part = 1.0 if near or size <= 0 else COLD_FAR * min(1.0, server.member.weight / size)
         warm = near or warm
         usual = part * sum(s.sent_within(self.now, span) for s in warm) / len(warm) if warm else 0.0
         return server.sent_within(self.now, span) < COLD_FLOOR + COLD_SHARE * server.least(self.now) * usual
@@ -1032,7 +1033,8 @@
             return False
         at_origin = job.at_origin
         gated = at_origin or self._may_fetch(job, server)
-        job.attempts.append(Attempt(server, self.now, server.load(self.now), at_origin, gated))
+        load = server.load(self.now)
+        job.attempts.append(Attempt(server, self.now, load, at_origin, gated, server.answers))
         server.out += 1
         self.origin.take(self.now, int(gated))
         if not at_origin:
@@ -1221,19 +1223,28 @@
 
     def _overdue(self, job: Job) -> None:
         """No answer for longer than usual. A server that answered others meanwhile is slow, and waiting is
-        cheaper than another copy; one that gave no sign of life may be silent, and the request moves on."""
+        cheaper than another copy; one that gave no sign of life may be silent: the request moves on. So it
+        does if many later ones were answered. Guards against a dead connection to a lively server."""
         number, attempt = next((n, a) for n, a in enumerate(job.attempts) if a.out)
         server = attempt.server
+        limits = self.settings.limits
+        movable = job.anywhere and self.retries >= 1.0 and len(job.attempts) < limits.max_attempts - 1
+        waited = self.now - attempt.sent
+        usual = self.origin.lag if attempt.origin else 2.0 * self.mean
+        passed = server.answers - attempt.answers - attempt.load
+        if movable and limits.cancelling and passed >= HUNG and waited > HUNG_LAGS * usual:
+            self.actions.append(api.Cancel(job.ref, number))
+            return
         # not for a single long fetch: one outlier must not shut a healthy origin
         lively = attempt.origin or server.life_at > attempt.sent
-        waited = self.now - attempt.sent
         if attempt.gated and lively and waited > max(GATE_LATE * job.klass.aim, 3.0 * self.origin.lag):
             self.origin.cut(self.now)  # no need to wait for the failure
         if attempt.origin:
+            self._arm(job)
             return
-        server.sample(self.now, self.now - attempt.sent, attempt.load)
-        if self.now - attempt.sent > ROOM_AIM * job.klass.aim:
-            server.crowded(self.now, self.now - attempt.sent, True)
+        server.sample(self.now, waited, attempt.load)
+        if waited > ROOM_AIM * job.klass.aim:
+            server.crowded(self.now, waited, True)
         if server.life_at > attempt.sent:
             self._arm(job)
             return
@@ -1244,15 +1255,12 @@
             # silence, and copies called off still cost work and room.
             self._arm(job)
             return
-        limits = self.settings.limits
-        if not job.anywhere or self.retries < 1.0 or len(job.attempts) >= limits.max_attempts - 1:
-            return
-        if limits.second_copies:
+        if movable and limits.second_copies:
             other, wait = self._pick(job)
             if other is not None and wait < job.klass.aim:
                 self.retries -= 1.0
                 self._send(job, other)
-        elif limits.cancelling:
+        elif movable and limits.cancelling:
             self.actions.append(api.Cancel(job.ref, number))
 
     def _first_byte(self, event: api.FirstByte) -> None:
--- a/rosepick/http/response.py
+++ b/rosepick/http/response.py
@@ -30,7 +30,8 @@
         self._limit = body_limit
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._headers: dict[bytes, bytes] = {}
-        self._body = bytearray()
+        self._parts: list[bytes] = []  # joined once, at the end: answers can be large
+        self._size = 0
         self._fed = 0
         self._headers_done = False
         self._surplus = False
@@ -51,13 +52,13 @@
         if self._whole:
             return self._answer(self._keep_alive)
         # guards against heads, interim answers and trailers without end, which would fill the memory
-        if self._fed - len(self._body) > HEAD_LIMIT:
+        if self._fed - self._size > HEAD_LIMIT:
             raise BadAnswer("headers too long")
         return None
 
     def held(self) -> int:
         """Bytes of the body so far."""
-        return len(self._body)
+        return self._size
 
     def ended(self) -> Answer | None:
         """The other side has ended; the answer if its body was to reach up to here."""
@@ -68,7 +69,8 @@
         parser, self._parser = self._parser, None  # it refers back to this reader: leave no cycle to collect
         assert parser is not None
         reusable = keep_alive and not self._surplus
-        return Answer(parser.get_status_code(), self._headers, bytes(self._body), reusable)
+        body = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        return Answer(parser.get_status_code(), self._headers, body, reusable)
 
     # ------------------------------------------------------------------------------ the parser's calls
 
@@ -90,8 +92,9 @@
     def on_body(self, data: bytes) -> None:
         if self._whole:
             return
-        self._body += data
-        if len(self._body) > self._limit:
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size > self._limit:
             raise BadAnswer("body too long")
 
     def on_message_complete(self) -> None:
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -10,7 +10,7 @@
 from .budget import Budget
 from .loop import READ, Loop, Ready
 
-CHUNK = 64 * 1024
+CHUNK = 128 * 1024
 
 
 class Stream:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -277,6 +277,41 @@
     assert not made._cold_room(cold[0])
 
 
+@pytest.mark.parametrize("write", [False, True])
+def test_an_attempt_that_many_later_ones_passed_is_given_up(write: bool) -> None:
+    made, now = router(), 1000.0
+
+    def serve(ref: int, event: api.Request) -> None:
+        for action in sends(made.handle(now, event)):
+            made.handle(now + 1.0, api.Outcome(ref, 0, action.server, Result.OK, True, 1, 5.0))
+
+    hung = replace(api.Request(999, 0, 900.0, key=5), write=write)
+    for ref in range(1, 60):  # what is usual is learned first
+        now += 5.0
+        serve(ref, replace(hung, ref=ref))
+    (first,) = sends(made.handle(now, hung))
+    for ref in range(100, 104):
+        now += 1.0
+        serve(ref, replace(hung, ref=ref))
+    calls: list[api.Cancel] = []
+
+    def look(ref: int) -> None:
+        actions = made.handle(now, api.Timer(decide.CHECK | 999))
+        calls.extend(action for action in actions if isinstance(action, api.Cancel))
+
+    now += 90.0
+    look(999)
+    assert not calls  # a few passed: it may be a long one
+    for ref in range(110, 117):
+        now += 1.0
+        serve(ref, replace(hung, ref=ref))
+    now += 90.0
+    look(999)
+    assert [call.ref for call in calls] == [999]
+    made.handle(now, api.Outcome(999, 0, first.server, Result.CANCELLED))
+    assert len(made.jobs[999].attempts) == 2
+
+
 def test_calls_to_discovery_are_spaced_and_jittered() -> None:
     times = []
     for seed in (1, 2):
