--- a/rosepick/decide.py
+++ b/rosepick/decide.py
@@ -13,7 +13,8 @@
 
 import heapq
 import random
-from bisect import insort
+from array import array
+from bisect import bisect
 from collections import OrderedDict, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -144,8 +145,7 @@
         self.tail: OrderedDict[int, tuple[int, float, int]] = OrderedDict()
         self.limit = TOP_START
         self.reads = 0
-        self.asked = 0  # answers of the keep pool since the last look, and how many were bad
-        self.trouble = 0
+        self.asked = self.trouble = 0  # answers of the keep pool since the last look, and how many were bad
 
     def touch(self, key: int) -> tuple[bool, int, float]:
         """Read a key's rank, then make it the youngest: (within top k', server it last went to, its share of
@@ -399,7 +399,7 @@
     def __init__(self, sized: bool) -> None:
         self.sized = sized
         self.members: dict[int, tuple[Server, float]] = {}
-        self.orders: dict[int, list[tuple[float, int, Server]]] = {}
+        self.orders: dict[int, tuple[array[float], list[Server]]] = {}  # few bytes each: there are thousands
         self.left = 0
 
     def follow(self, servers: list[Server]) -> None:
@@ -412,16 +412,18 @@
             self.orders.clear()
             self.left = 0
         for server in new:
-            for slot, order in self.orders.items():
-                insort(order, (self._distance(server, slot), server.id, server), key=lambda entry: entry[:2])
+            for slot, (distances, order) in self.orders.items():
+                at = bisect(distances, distance := self._distance(server, slot))
+                distances.insert(at, distance)
+                order.insert(at, server)
 
-    def order(self, slot: int) -> list[tuple[float, int, Server]]:
+    def order(self, slot: int) -> list[Server]:
         """All servers for a slot, its holder first."""
         found = self.orders.get(slot)
         if found is None:
-            held = [(self._distance(s, slot), n, s) for n, (s, _) in self.members.items()]
-            found = self.orders[slot] = sorted(held, key=lambda entry: entry[:2])
-        return found
+            held = sorted((self._distance(s, slot), n, s) for n, (s, _) in self.members.items())
+            found = self.orders[slot] = array("d", [entry[0] for entry in held]), [entry[2] for entry in held]
+        return found[1]
 
     def _distance(self, server: Server, slot: int) -> float:
         size = max(1e-3, server.member.weight) if self.sized else 1.0
@@ -443,8 +445,7 @@
         self.share = KEEP_START  # of this router's reads that are of top-k' keys
         self.seen = KEEP_PRIOR
         self.wide_share = 0.0
-        self.reads = 0
-        self.short = 0
+        self.reads = self.short = 0
 
     def refresh(self) -> None:
         """Follow a change of the list."""
@@ -484,10 +485,10 @@
     def order(self, slot: int, keep: bool, wide: bool) -> Iterator[Server]:
         """The servers of a slot in its pool, or in the whole fleet, in rendezvous order."""
         if wide:
-            yield from (server for _, _, server in self.fleet.order(slot))
+            yield from self.fleet.order(slot)
             return
         border = self.border()
-        for _, _, server in self.near.order(slot):
+        for server in self.near.order(slot):
             if server.rank >= 0 and ((server.rank < border) is keep or border == len(self.home)):
                 yield server
 
@@ -753,9 +754,8 @@
         self.mean, self.spread = 100.0, 50.0  # latency of cache answers
         self.top_value = max(c.worth for c in settings.classes) or 1.0
         self.started = False
-        self.now = 0.0
+        self.now = self.loop_at = 0.0
         self.actions: list[api.Action] = []
-        self.loop_at = 0.0
         self.logged: dict[str, float] = {}
         self.origin_waits = 0  # looks at which someone waited for the origin
 
@@ -1033,8 +1033,8 @@
             return False
         at_origin = job.at_origin
         gated = at_origin or self._may_fetch(job, server)
-        load = server.load(self.now)
-        job.attempts.append(Attempt(server, self.now, load, at_origin, gated, server.answers))
+        sent = self.now, server.load(self.now)
+        job.attempts.append(Attempt(server, *sent, at_origin, gated, server.answers))
         server.out += 1
         self.origin.take(self.now, int(gated))
         if not at_origin:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import tracemalloc
 from dataclasses import replace
 
 import pytest
@@ -312,6 +313,17 @@
     assert len(made.jobs[999].attempts) == 2
 
 
+def test_orders_of_thousands_of_slots_take_little_memory() -> None:
+    table = decide.Table(False)
+    table.follow([decide.Server(api.Member(n), 0.0) for n in range(1, 17)])
+    tracemalloc.start()
+    for slot in range(500):
+        table.order(slot)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held < 600 * 500
+
+
 def test_calls_to_discovery_are_spaced_and_jittered() -> None:
     times = []
     for seed in (1, 2):
@@ -514,10 +526,10 @@
         made.pools.refresh()
         anew = decide.Table(False)
         anew.follow([server for server, _ in table.members.values()])
-        ready = [s for _, _, s in table.order(n % 50) if s.state is api.State.READY]
+        ready = [s for s in table.order(n % 50) if s.state is api.State.READY]
         listed = made.membership.servers
         found = [server.id for server in dict.fromkeys(ready) if listed.get(server.id) is server]
-        assert found == [number for _, number, _ in anew.order(n % 50)]
+        assert found == [server.id for server in anew.order(n % 50)]
         assert len(table.order(n % 50)) <= 2 * len(table.members) + 2
 
 
