Resume accepting 50 ms after a crowd took all places at once

At fault: listener.py paused with nothing to shed in that instant and resumed only when a connection closed, seconds later. Now it tries again after 50 ms.

--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -285,6 +285,8 @@
         if not self._room():
             say(log, logging.WARNING, "accept_paused", used=self.budget.used)
             self.pause()
+            # guards against a crowd that fills all places at once: those give way only once they have waited
+            self.loop.after(RETRY, self.start)
             return False
         try:
             sock, _ = self.sock.accept()
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -122,6 +122,12 @@
         """)
         self.assertEqual([len(self.wires[name]) for name in ("c1", "s1")], [1, 1])
 
+    def test_accepting_goes_on_soon_after_a_crowd_took_all_places_at_once(self) -> None:
+        for n in range(100, 140):
+            self.wire(f"c{n}")
+        self.play("wait 5")
+        self.play("c1 send GET /ready\nc1 expect nothing\nwait 300\nc1 expect 200 ready")
+
     def test_hundreds_sent_ahead_that_cannot_be_taken_cost_one_answer(self) -> None:
         self.play("c1 raw " + ONE.replace("read", "none") * 100)
         self.play("c1 expect 400 Connection=close\nwait 600\nc1 expect closed")
