Read the operators' file: name value a line, all faults at once, reread on SIGHUP

Seen: the features to come need settings that are not the platform's. operator_file.py holds one table and one parser; serve -f names the file and ends with status 1 on a fault; on SIGHUP it and GW_CONFIG are applied each for itself. Checked: CRLF, no UTF-8, empty, missing and a folder for a file; odd numbers; a fault in either file while the other changes. The table is empty until the first feature.

--- a/rosepick/__init__.py
+++ b/rosepick/__init__.py
@@ -1,3 +1,3 @@
 """A client-side router for fleets of cache nodes."""
 
-__version__ = "0.2.0"
+__version__ = "0.3.0"
--- a/rosepick/__main__.py
+++ b/rosepick/__main__.py
@@ -5,11 +5,13 @@
 import os
 import sys
 from importlib import metadata
-from typing import NoReturn
+from pathlib import Path
+from typing import Annotated, NoReturn
 
 import typer
 
-from . import __version__, config, logs
+from . import __version__, config, logs, operator_file
+from .operator_file import OperatorFile, OperatorFileError
 from .transport_map import TransportMap
 
 app = typer.Typer(
@@ -34,15 +36,27 @@
     return config.load(os.environ)
 
 
+File = Annotated[Path | None, typer.Option("-f", "--file", help="The operators' file.")]
+
+
+def _operators(path: Path | None) -> OperatorFile:
+    """What the operators' file says; each of its faults is a line, and the end."""
+    try:
+        return operator_file.load(path)
+    except OperatorFileError as problem:
+        _stop("\nrosepick: ".join(map(str, problem.faults)))
+
+
 @app.command()
-def serve() -> None:
-    """Run one router, configured by the file that GW_CONFIG names."""
+def serve(file: File = None) -> None:
+    """Run one router, configured by the file that GW_CONFIG names and by the operators' file."""
     from .net.server import Server
 
-    told = _config()
+    operators, told = _operators(file), _config()
     logs.set_up()
+    reread_operators = None if file is None else lambda: operator_file.load(file)
     try:
-        server = Server(told, reread=_reread)
+        server = Server(told, None, _reread, operators, reread_operators)
     except (OSError, ValueError) as problem:
         _stop(problem)
     server.run()
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -10,10 +10,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from .. import api
+from .. import api, operator_file
 from ..config import Config, ConfigError, changed
 from ..engine import Engine
 from ..logs import say
+from ..operator_file import OperatorFile, OperatorFileError
 from ..transport_map import TransportMap
 from ..wire import Reader
 from .budget import Budget
@@ -35,10 +36,17 @@
     """The parts of one router."""
 
     def __init__(
-        self, config: Config, loop: Loop | None = None, reread: Callable[[], Config] | None = None
+        self,
+        config: Config,
+        loop: Loop | None = None,
+        reread: Callable[[], Config] | None = None,
+        operators: OperatorFile | None = None,
+        reread_operators: Callable[[], OperatorFile] | None = None,
     ) -> None:
         self.config = config
         self._reread = reread or (lambda: config)
+        self.operators = self.started_with = operators or operator_file.defaults()
+        self.reread_operators = reread_operators
         self.loop = loop = loop or Loop()
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
@@ -105,8 +113,30 @@
     # ------------------------------------------------------------------------------ a new configuration
 
     def reload(self) -> None:
-        """SIGHUP: read the configuration again and apply what a running router can. All of it is checked
-        first; guards against a half-written file that takes a serving router down."""
+        """SIGHUP: read both files again; a fault in one does not hold up the other."""
+        self._reload_config()
+        if self.reread_operators is not None:
+            self._reload_operators(self.reread_operators)
+
+    def _reload_operators(self, reread: Callable[[], OperatorFile]) -> None:
+        """Apply what a running router can of the operators' file."""
+        try:
+            found = reread()
+        except OperatorFileError as problem:
+            for fault in problem.faults:
+                say(log, logging.ERROR, "operator_file_failed", text=fault)
+            return
+        before, self.operators = self.operators, found
+        waiting = [s.name for s in self.started_with.differing(found) if not s.live]
+        say(
+            log, logging.INFO, "operator_file_reloaded",
+            changed=",".join(s.name for s in before.differing(found)) or "nothing",
+            needs_restart=",".join(waiting) or "nothing",
+        )
+
+    def _reload_config(self) -> None:
+        """Read the configuration again and apply what a running router can. All of it is checked first;
+        guards against a half-written file that takes a serving router down."""
         try:
             told = self._reread()
             TransportMap(told.names, 0.0).take(told.known, cached=True)
