--- a/rosepick/__main__.py
+++ b/rosepick/__main__.py
@@ -11,7 +11,7 @@
 import typer
 
 from . import __version__, config, logs, operator_file
-from .operator_file import OperatorFile, OperatorFileError
+from .operator_file import OperatorFile, OperatorFileError, Operators
 from .transport_map import TransportMap
 
 app = typer.Typer(
@@ -20,9 +20,9 @@
 )
 
 
-def _stop(line: object) -> NoReturn:
+def _stop(line: object, status: int = 1) -> NoReturn:
     print(f"rosepick: {line}", file=sys.stderr)
-    raise typer.Exit(1)
+    raise typer.Exit(status)
 
 
 def _config() -> config.Config:
@@ -48,20 +48,46 @@
 
 
 @app.command()
-def serve(file: File = None) -> None:
+def serve(
+    file: File = None,
+    capture: Annotated[bool, typer.Option("--capture", help="Keep a capture; SIGUSR2 writes it.")] = False,
+) -> None:
     """Run one router, configured by the file that GW_CONFIG names and by the operators' file."""
     from .net.server import Server
 
-    operators, told = _operators(file), _config()
+    reread = None if file is None else lambda: operator_file.load(file)
+    operators, told = Operators(_operators(file), reread, capture), _config()
     logs.set_up()
-    reread_operators = None if file is None else lambda: operator_file.load(file)
     try:
-        server = Server(told, None, _reread, operators, reread_operators)
+        server = Server(told, None, _reread, operators)
     except (OSError, ValueError) as problem:
         _stop(problem)
     server.run()
 
 
+@app.command()
+def replay(
+    files: Annotated[list[Path], typer.Argument(help="A capture, or several that follow on one another.")],
+) -> None:
+    """Feed a capture to the decisions, under the settings of GW_CONFIG, and print what they decide otherwise.
+
+    Ends with 0 if nothing differs, with 1 if something does, and with 2 if the capture cannot be replayed.
+    """
+    from .capture.lines import BadLine
+    from .capture.replay import CannotReplay, replay
+
+    try:
+        told = _reread()
+        report = replay(b"".join(path.read_bytes() for path in files), told.settings, told.names)
+    except OSError as problem:
+        _stop(f"{problem.filename}: {problem.strerror}", 2)
+    except (config.ConfigError, BadLine, CannotReplay) as problem:
+        _stop(problem, 2)
+    for line in report.lines():
+        print(line)
+    raise typer.Exit(1 if report.differing else 0)
+
+
 @app.command()
 def version() -> None:
     """Print the versions of the program and of what it runs on."""
--- a/rosepick/engine.py
+++ b/rosepick/engine.py
@@ -10,6 +10,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol
 
 from . import api
@@ -71,6 +72,30 @@
         """Call at that time or soon after; `first`: before the others of the same time."""
 
 
+class Observer(Protocol):
+    """Who is shown all that the module is fed and decides, in order. It changes nothing."""
+
+    def taken(self, now: float, envelope: Envelope, actions: list[api.Action]) -> None:
+        """The module was fed a request, and decided so."""
+
+    def fed(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
+        """The module was fed another event, and decided so."""
+
+    def answered(self, now: float, envelope: Envelope, end: End) -> None:
+        """An envelope has its end."""
+
+
+class End(Enum):
+    """How an envelope ended."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LATE = "late"  # failed, as its time was over
+    GONE = "gone"  # its sender side has left
+    BROKE = "broke"  # by a fault of this program
+
+
 @dataclass(slots=True, eq=False)
 class Envelope:
     """A request from its arrival until its final answer and the end of its last delivery attempt."""
@@ -135,8 +160,7 @@
     def sender_gone(self, envelope: Envelope) -> None:
         """The sender side has left; nothing more is owed."""
         if not envelope.over:
-            self.counts["gone"] += 1
-            self._close(envelope)
+            self._close(envelope, End.GONE)
             self._tell(api.ClientGone(envelope.ref))
             self._forget(envelope)
 
@@ -157,7 +181,7 @@
         envelope = attempt.envelope
         self.counts["attempt_spoilt" if spoilt else f"attempt_{result.value}"] += 1
         if result is Result.OK and not envelope.over:
-            sender = self._close(envelope)
+            sender = self._close(envelope, End.SERVED)
             self._answer("served", lambda: sender.served(envelope, answer))
         lag = max(0.0, self.clock.now() - attempt.sent)
         self._tell(
@@ -188,7 +212,7 @@
         # its own that differs a little: a time-out just before it would be refused, not failed.
         event = _request(happened, now) if isinstance(happened, Envelope) else happened
         try:
-            actions = self.router.handle(now, event)
+            actions = self._handle(now, event)
         except Exception as problem:
             self._fault(event, problem)
             # What was decided before the fault stands: the module counts those attempts as out, and its
@@ -200,6 +224,9 @@
             except Exception as problem:
                 self._fault(event, problem)
 
+    def _handle(self, now: float, event: api.Event) -> list[api.Action]:
+        return self.router.handle(now, event)
+
     def _fault(self, event: api.Event, problem: Exception) -> None:
         """An exception over one envelope: it fails, the process goes on."""
         self.counts["faults"] += 1
@@ -207,7 +234,7 @@
         fault(log, "engine_fault", problem, ref=ref, over=type(event).__name__, count=self.counts["faults"])
         envelope = self.envelopes.get(ref)
         if envelope is not None and not envelope.over:
-            sender = self._close(envelope)
+            sender = self._close(envelope, End.BROKE)
             self._answer("broke", lambda: sender.broke(envelope))
             self._tell(api.ClientGone(ref))
 
@@ -222,10 +249,9 @@
                 self._cancel(action)
             case api.Refuse():
                 wait = action.retry_after
-                self._finish(action.ref, "refused", lambda e, s: s.refused(e, wait))
+                self._finish(action.ref, End.REFUSED, lambda e, s: s.refused(e, wait))
             case api.Fail():
-                now = self.clock.now()
-                self._finish(action.ref, "failed", lambda e, s: s.failed(e, now >= e.deadline))
+                self._fail(action.ref)
             case api.Watch():
                 self.map_source.watch(action.on)
             case api.Log():
@@ -289,25 +315,30 @@
 
     # ---------------------------------------------------------------------------------- final answers
 
-    def _finish(self, ref: int, kind: str, call: Callable[[Envelope, SenderSide], None]) -> None:
+    def _fail(self, ref: int) -> None:
+        envelope = self.envelopes.get(ref)
+        late = envelope is not None and self.clock.now() >= envelope.deadline
+        self._finish(ref, End.LATE if late else End.FAILED, lambda e, s: s.failed(e, late))
+
+    def _finish(self, ref: int, end: End, call: Callable[[Envelope, SenderSide], None]) -> None:
         envelope = self.envelopes.get(ref)
         if envelope is None or envelope.over:
             return
-        sender = self._close(envelope)
-        self._answer(kind, lambda: call(envelope, sender))
+        sender = self._close(envelope, end)
+        self._answer(end.value, lambda: call(envelope, sender))
         self._forget(envelope)
 
     def _answer(self, kind: str, call: Callable[[], None]) -> None:
         """Hand a final answer over; a front that breaks over it must not keep the module from hearing."""
-        self.counts[kind] += 1
         try:
             call()
         except Exception as problem:
             self.counts["faults"] += 1
             fault(log, "answer_fault", problem, kind=kind, count=self.counts["faults"])
 
-    def _close(self, envelope: Envelope) -> SenderSide:
+    def _close(self, envelope: Envelope, end: End) -> SenderSide:
         envelope.over = True
+        self.counts[(End.FAILED if end is End.LATE else end).value] += 1
         self.owed -= 1
         if envelope.net is not None:
             envelope.net.cancel()
@@ -321,7 +352,7 @@
         it still counts."""
         if envelope.over:
             return
-        sender = self._close(envelope)
+        sender = self._close(envelope, End.LATE)
         self._answer("failed", lambda: sender.failed(envelope, True))
         self._tell(api.ClientGone(envelope.ref))
         self._forget(envelope)
@@ -332,6 +363,36 @@
             self.envelopes.pop(envelope.ref, None)
 
 
+class ObservedEngine(Engine):
+    """The same engine, with an observer of what goes into the module and comes out."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, observer: Observer) -> None:
+        super().__init__(settings, seed, clock)
+        self.observer = observer
+
+    def _handle(self, now: float, event: api.Event) -> list[api.Action]:
+        try:
+            return self.router.handle(now, event)
+        finally:
+            actions = self.router.actions
+            if isinstance(event, api.Request):
+                self._show(self.observer.taken, now, self.envelopes[event.ref], actions)
+            else:
+                self._show(self.observer.fed, now, event, actions)
+
+    def _close(self, envelope: Envelope, end: End) -> SenderSide:
+        self._show(self.observer.answered, self.clock.now(), envelope, end)
+        return super()._close(envelope, end)
+
+    def _show(self, call: Callable[..., None], *given: object) -> None:
+        """An observer that breaks must not keep a request from its answer."""
+        try:
+            call(*given)
+        except Exception as problem:
+            self.counts["faults"] += 1
+            fault(log, "observer_fault", problem, count=self.counts["faults"])
+
+
 def _request(envelope: Envelope, now: float) -> api.Request:
     return api.Request(
         envelope.ref, envelope.klass, max(0.0, envelope.deadline - now), envelope.key, envelope.tenant,
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -42,6 +42,18 @@
     req_id: bytes
     idempotency_key: bytes | None
     content_type: bytes | None
+    wait: bytes = b""  # Req-Deadline as it came: not passed on, but kept for the record
+
+
+def words(payload: object) -> tuple[bytes, bytes, bytes]:
+    """What the sender side wrote that an envelope does not hold: id, key and deadline."""
+    assert isinstance(payload, Letter)
+    return payload.req_id, key_of(payload.target), payload.wait
+
+
+def key_of(target: bytes) -> bytes:
+    """The key that a request's target names: the last part of its path."""
+    return target.partition(b"?")[0].rpartition(b"/")[2]
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,13 +240,14 @@
                 klass=_place(headers, b"req-kind", names.classes),
                 tenant=_place(headers, b"req-owner", names.tenants) if names.tenants else 0,
                 deadline=self._now + 1000.0 * _number(headers, b"req-deadline"),
-                key=key_number(path.rpartition(b"/")[2]),
+                key=key_number(key_of(path)),
                 write=method == b"PUT",
                 retry=headers.get(b"req-retry") == b"1",
                 cost_hint=None if cost is None else 0.001 * _number(headers, b"req-cost"),
                 payload=Letter(
                     method, self._target, bytes(self._body), _identity(headers),
                     headers.get(b"idempotency-key"), headers.get(b"content-type"),
+                    headers[b"req-deadline"],
                 ),
             )
         )
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -9,12 +9,13 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
-from .. import api, operator_file
+from .. import api
 from ..config import Config, ConfigError, changed
-from ..engine import Engine
+from ..engine import Engine, ObservedEngine
 from ..logs import say
-from ..operator_file import OperatorFile, OperatorFileError
+from ..operator_file import OperatorFile, OperatorFileError, Operators
 from ..transport_map import TransportMap
 from ..wire import Reader
 from .budget import Budget
@@ -23,6 +24,9 @@
 from .pool import NextHopPool
 from .watch import DiscoveryWatch
 
+if TYPE_CHECKING:
+    from .capture import Capture  # loaded only where it is on
+
 log = logging.getLogger(__name__)
 STILL_ARRIVING = 600.0  # after SIGTERM new connections are taken for at least so long ...
 QUIET = 150.0  # ... and until none came for so long
@@ -40,18 +44,18 @@
         config: Config,
         loop: Loop | None = None,
         reread: Callable[[], Config] | None = None,
-        operators: OperatorFile | None = None,
-        reread_operators: Callable[[], OperatorFile] | None = None,
+        operators: Operators | None = None,
     ) -> None:
         self.config = config
         self._reread = reread or (lambda: config)
-        self.operators = self.started_with = operators or operator_file.defaults()
-        self.reread_operators = reread_operators
+        self.operators = operators or Operators()
+        self.started_with = self.operators.file
         self.loop = loop = loop or Loop()
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
         self.budget = Budget(_descriptors(config), config.memory_mb)
-        self.engine = Engine(config.settings, config.seed, loop)
+        self.capture = self._capture() if self.operators.capture else None
+        self.engine = self._engine()
         self.pool = NextHopPool(loop, self.budget, self.map, config)
         self.watch = DiscoveryWatch(
             loop, self.budget, config.discovery, lambda: self.map.revision, self._told, self._silent
@@ -64,11 +68,28 @@
         self.engine.map_told(known.event)
         self._ending_since = 0.0
 
+    def _capture(self) -> Capture:
+        from .capture import Capture
+
+        return Capture(
+            self.loop, self.operators.file, self.config.names, self.config.seed, self.map.unix_offset,
+            self.map.uid_of,
+        )
+
+    def _engine(self) -> Engine:
+        settings, seed = self.config.settings, self.config.seed
+        if self.capture is None:
+            return Engine(settings, seed, self.loop)
+        return ObservedEngine(settings, seed, self.loop, self.capture.recorder)
+
     def run(self) -> None:
         """Serve until told to end and nothing is owed."""
-        self.loop.on_signals(
-            {signal.SIGTERM: self.end, signal.SIGINT: self.end, signal.SIGHUP: self.reload}
-        )
+        calls: dict[int, Callable[[], None]] = {
+            signal.SIGTERM: self.end, signal.SIGINT: self.end, signal.SIGHUP: self.reload,
+        }
+        if self.capture is not None:
+            calls[signal.SIGUSR2] = self.capture.dump
+        self.loop.on_signals(calls)
         self.loop.after(SUM_UP_EVERY, self._sum_up)
         self.listener.start()
         # what was made up to here stays: collections look at what is new only, and seldom
@@ -89,6 +110,8 @@
             link.close()
         self.pool.close()
         self.watch.watch(False)
+        if self.capture is not None:
+            self.capture.close()
         self.loop.close()
 
     def _shed(self) -> bool:
@@ -115,8 +138,8 @@
     def reload(self) -> None:
         """SIGHUP: read both files again; a fault in one does not hold up the other."""
         self._reload_config()
-        if self.reread_operators is not None:
-            self._reload_operators(self.reread_operators)
+        if self.operators.reread is not None:
+            self._reload_operators(self.operators.reread)
 
     def _reload_operators(self, reread: Callable[[], OperatorFile]) -> None:
         """Apply what a running router can of the operators' file."""
@@ -126,7 +149,7 @@
             for fault in problem.faults:
                 say(log, logging.ERROR, "operator_file_failed", text=fault)
             return
-        before, self.operators = self.operators, found
+        before, self.operators.file = self.operators.file, found
         waiting = [s.name for s in self.started_with.differing(found) if not s.live]
         say(
             log, logging.INFO, "operator_file_reloaded",
--- a/rosepick/operator_file.py
+++ b/rosepick/operator_file.py
@@ -8,8 +8,8 @@
 
 import difflib
 import re
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 Value = int | float | str | None
@@ -75,9 +75,15 @@
         return text
 
 
-TABLE: tuple[Setting, ...] = ()
+TABLE: tuple[Setting, ...] = (
+    Whole("capture_segments", 4, low=2, high=48),
+    Whole("capture_segment_kb", 192, low=16, high=384),
+    Setting("capture_dir"),
+)
 """Every setting there is, by feature."""
 
+RING_KB = 768  # the most that all segments of the capture may hold
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
@@ -166,7 +172,20 @@
             faults.append(Fault(place, number, "not UTF-8"))
         except ValueError as problem:
             faults.append(Fault(place, number, str(problem)))
-    return OperatorFile(table, values, lines, tuple(faults), place)
+    found = OperatorFile(table, values, lines, tuple(faults), place)
+    return replace(found, faults=found.faults + tuple(_between(found)))
+
+
+def _between(found: OperatorFile) -> Iterator[Fault]:
+    """What is wrong between settings that are right by themselves."""
+    if "capture_segments" in found.values:
+        count, size = found.whole("capture_segments"), found.whole("capture_segment_kb")
+        if count * size > RING_KB:
+            later = max(("capture_segments", "capture_segment_kb"), key=lambda name: found.lines.get(name, 0))
+            yield found.fault(later, (
+                f"capture_segments {count} of capture_segment_kb {size} make a ring of {count * size} KiB, "
+                f"more than {RING_KB}"
+            ))
 
 
 def _line(raw: bytes, known: Mapping[str, Setting], lines: Mapping[str, int]) -> tuple[str, Value] | None:
@@ -217,3 +236,12 @@
     if found.faults:
         raise OperatorFileError(found.faults)
     return found
+
+
+@dataclass(slots=True)
+class Operators:
+    """What the operators tell a router: their file, how to read it again, and the command line's switches."""
+
+    file: OperatorFile = field(default_factory=defaults)
+    reread: Callable[[], OperatorFile] | None = None
+    capture: bool = False
--- a/rosepick/transport_map.py
+++ b/rosepick/transport_map.py
@@ -58,6 +58,11 @@
         self.numbers: dict[str, int] = {}
         self.revision = 0
 
+    def uid_of(self, server: int) -> str | None:
+        """The uid of a next hop that is known now."""
+        hop = self.hops.get(server)
+        return None if hop is None else hop.uid
+
     def take(self, told: Reader, cached: bool = False) -> Change:
         """Apply a list or its changes. ValueError, and nothing applied, if it is malformed."""
         revision, whole = told.whole("rev", 0), told.flag("all")
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -28,6 +28,7 @@
 from rosepick import config
 from rosepick.net.loop import Loop
 from rosepick.net.server import Server
+from rosepick.operator_file import Operators
 
 STEPS = 200
 SETTINGS: dict[str, Any] = {
@@ -106,7 +107,7 @@
         self.wires: dict[str, list[Wire]] = {name: [] for name in self.listeners}
         self.loop = Loop(lambda: self.now)
         self.file: dict[str, Any] = self.document()
-        self.server = Server(self.read(), self.loop, self.read)
+        self.server = Server(self.read(), self.loop, self.read, self.operators())
         self.server.listener.start()
         for listener in self.listeners.values():
             listener.setblocking(False)
@@ -134,6 +135,10 @@
         """What the configuration file says at present."""
         return config.read(json.loads(json.dumps(self.file)))
 
+    def operators(self) -> Operators:
+        """What the operators tell: nothing, unless a scenario says otherwise."""
+        return Operators()
+
     def play(self, text: str) -> None:
         """Run a scenario."""
         for line in filter(None, map(str.strip, text.splitlines())):
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -95,8 +95,8 @@
 
     def test_a_fault_in_one_file_does_not_hold_up_the_other(self) -> None:
         good, bad = read("pigs 7\nrest 5"), read("pigs 7\npigs 9")
-        self.server.operators = self.server.started_with = read("")
-        self.operators(bad)
+        self.server.operators.file = self.server.started_with = read("")
+        self.says(bad)
         self.file["discovery"] = f"127.0.0.1:{self.port('e')}"
         with self.assertLogs("rosepick", "INFO") as said:
             self.play("router reload\ne expect GET /v1/endpoints HTTP/1.1")
@@ -104,8 +104,8 @@
         self.assertEqual(
             str(events["operator_file_failed"]["text"]), "farm.conf line 2: pigs is set already on line 1"
         )
-        self.assertEqual(self.server.operators.values["pigs"], 4)
-        self.operators(good)
+        self.assertEqual(self.server.operators.file.values["pigs"], 4)
+        self.says(good)
         self.file["listen"] = "here"
         with self.assertLogs("rosepick", "INFO") as said:
             self.play("router reload")
@@ -113,8 +113,8 @@
         self.assertEqual(set(events), {"reload_failed", "operator_file_reloaded"})
         told = events["operator_file_reloaded"]
         self.assertEqual((told["changed"], told["needs_restart"]), ("pigs,rest", "pigs"))
-        self.assertEqual(self.server.operators.values["pigs"], 7)
+        self.assertEqual(self.server.operators.file.values["pigs"], 7)
 
-    def operators(self, found: OperatorFile) -> None:
+    def says(self, found: OperatorFile) -> None:
         """What the operators' file says from here on."""
-        self.server.reread_operators = lambda: operator_file.usable(found)
+        self.server.operators.reread = lambda: operator_file.usable(found)
