Add rosepick check: all faults of both files at once, then each value in force

Seen: serve stops at the first fault of GW_CONFIG, and a typo in the operators' file shows only at a restart. check reads both by the code that serve reads them by; a lenient reader notes each fault and goes on with a stand-in, until nothing more shows. Checked by the command line: three planted faults, ten faults of GW_CONFIG at once, no UTF-8, CRLF, an empty and a missing file, no GW_CONFIG, broken JSON; an audit hook ends the program if a socket is made.

--- a/rosepick/__main__.py
+++ b/rosepick/__main__.py
@@ -95,6 +95,19 @@
     print(f"rosepick {__version__} (python {sys.version.split()[0]}, {parts})")
 
 
+@app.command()
+def check(file: File = None) -> None:
+    """Name every fault of the operators' file and of GW_CONFIG, then each value in force with its source.
+
+    Ends with 0 if there is no fault, else with 1. Opens no socket.
+    """
+    from .check import check as checked
+
+    faults, values = checked(file, os.environ)
+    print("\n".join([*faults, *([""] if faults else []), *values]))
+    raise typer.Exit(1 if faults else 0)
+
+
 @app.command("check-config")
 def check_config() -> None:
     """Read the configuration as `serve` would and say what it holds."""
--- a/rosepick/config.py
+++ b/rosepick/config.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from . import api, wire
 
@@ -41,11 +42,14 @@
     known: wire.Reader
 
 
+ADDRESS = "an address of the form host:port"
+
+
 def address(text: str) -> tuple[str, int]:
     """Host and port of `host:port`."""
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ValueError(f"{text!r} is not an address of the form host:port")
+        raise ValueError(f"{text!r} is not {ADDRESS}")
     return host.strip("[]"), int(port)
 
 
@@ -70,22 +74,18 @@
         raise ConfigError(f"{path}: {problem}") from None
 
 
-def read(document: object) -> Config:
+def read(document: object, reader: Callable[[Any, str], wire.Reader] = wire.Reader) -> Config:
     """The configuration from JSON that was read; ValueError names what is wrong."""
     if not isinstance(document, dict):
         raise ValueError("the document is not an object")
-    top = wire.Reader(document, "")
-    told = wire.Reader(top.data.get("settings"), "settings")
+    top = reader(document, "")
+    told = reader(top.data.get("settings"), "settings")
     limits = told.part("limits")
-    try:
-        seed = int(top.text("seed"), 16)
-    except ValueError:
-        raise ValueError("seed is not a hexadecimal number") from None
     return Config(
         name=top.text("name"),
-        listen=address(top.text("listen")),
-        discovery=address(top.text("discovery")),
-        seed=seed,
+        listen=top.parsed("listen", address, ADDRESS, ("", 0)),
+        discovery=top.parsed("discovery", address, ADDRESS, ("", 0)),
+        seed=top.parsed("seed", lambda text: int(text, 16), "a hexadecimal number", 0),
         sockets=top.part("limits").whole("sockets", 1024),
         memory_mb=top.part("limits").number("memory_mb", 192.0),
         settings=wire.settings_of(told),
--- a/rosepick/operator_file.py
+++ b/rosepick/operator_file.py
@@ -173,7 +173,8 @@
         except ValueError as problem:
             faults.append(Fault(place, number, str(problem)))
     found = OperatorFile(table, values, lines, tuple(faults), place)
-    return replace(found, faults=found.faults + tuple(_between(found)))
+    faults += _between(found)
+    return replace(found, faults=tuple(sorted(faults, key=lambda fault: fault.line or 0)))
 
 
 def _between(found: OperatorFile) -> Iterator[Fault]:
--- a/rosepick/transport_map.py
+++ b/rosepick/transport_map.py
@@ -9,7 +9,7 @@
 from hashlib import blake2b
 
 from . import api
-from .config import Names, address
+from .config import ADDRESS, Names, address
 from .wire import Reader
 
 _STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
@@ -90,12 +90,13 @@
     def _hop(self, row: Reader) -> NextHop:
         state = row.text("state")
         if state not in _STATES:
-            raise ValueError(f"{row.name('state')} is {state!r}")
+            raise ValueError(f"setting {row.name('state')} is {state!r}, not one of {', '.join(_STATES)}")
         boot = row.number("boot_ms", 0.0)
         # never 0 for a start that was told, which would read as 'long ago', nor less
         born = max(1e-3, boot - self.unix_offset) if boot > 0 else 0.0
         uid = row.text("uid")
-        return NextHop(self._number(uid), uid, address(row.text("endpoint")), _STATES[state], born)
+        endpoint = row.parsed("endpoint", address, ADDRESS, ("", 0))
+        return NextHop(self._number(uid), uid, endpoint, _STATES[state], born)
 
     def _number(self, uid: str) -> int:
         """Its number; the next salt's where another uid has that one already."""
--- a/rosepick/wire.py
+++ b/rosepick/wire.py
@@ -8,11 +8,13 @@
 import json
 import math
 import struct
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Callable, Iterator
+from typing import Any, TypeVar
 
 from . import api
 
+T = TypeVar("T")
+
 
 class WireError(Exception):
     """The input is not what the wire allows."""
@@ -186,13 +188,17 @@
         return f"{self.where}.{key}" if self.where else key
 
     def part(self, key: str) -> Reader:
-        return Reader(self.data.get(key) or {}, self.name(key))
+        return self.sub(self.data.get(key) or {}, self.name(key))
+
+    def sub(self, data: Any, where: str) -> Reader:
+        """A reader of the same kind for a part."""
+        return Reader(data, where)
 
     def rows(self, key: str) -> list[Reader]:
         rows = self.data.get(key) or []
         if not isinstance(rows, list):
             raise ValueError(f"setting {self.name(key)} is not a list")
-        return [Reader(row, self.name(key) + "[]") for row in rows]
+        return [self.sub(row, self.name(key) + "[]") for row in rows]
 
     def number(self, key: str, default: float | None = None) -> float:
         value = self.data.get(key)
@@ -222,6 +228,14 @@
             raise ValueError(f"setting {self.name(key)} is {value!r}, not a text")
         return value
 
+    def parsed(self, key: str, parse: Callable[[str], T], what: str, stand_in: T) -> T:
+        """A text that must be `what`; a reader that goes on after a fault has the stand-in."""
+        value = self.text(key)
+        try:
+            return parse(value)
+        except ValueError:
+            raise ValueError(f"setting {self.name(key)} is {value!r}, not {what}") from None
+
     def names(self, key: str) -> tuple[str, ...]:
         """A list whose entries are names, or objects with a name."""
         rows = self.data.get(key) or []
