Add TLS on the sender side: a second door, certificates reread, clients' subjects logged

Seen: contract changes must be encrypted from client to router. TlsStream is a Stream under the same SenderLink, over the library's memory buffers; one Listener has several doors, so open ids, caps, pauses, /ready and the ending are shared. A reload builds a new context and swaps it only when whole.

Found on the way: the library takes half a record and tells nobody, so records are counted as they come in.

--- a/rosepick/check.py
+++ b/rosepick/check.py
@@ -15,13 +15,13 @@
 from typing import Any, TypeVar
 
 from . import config, operator_file
-from .config import Config
 from .operator_file import OperatorFile
 from .transport_map import TransportMap
 from .wire import Reader
 
 PLACE = "GW_CONFIG"
 ROUNDS = 100  # a range that is broken shows only once what came before it is put right
+PORTS = ("tls_listen",)
 T = TypeVar("T")
 _SETTING = re.compile(r"setting (\S+) is (.*)", re.S)
 _INDEX = re.compile(r"\[\d+\]")
@@ -105,15 +105,15 @@
 def check(path: Path | None, environment: Mapping[str, str]) -> tuple[list[str], list[str]]:
     """The faults, and the values in force with their sources."""
     operators = operator_file.defaults() if path is None else operator_file.look(path)
-    notes, told = Notes(), None
+    notes = Notes()
     try:
         document = _document(environment)
     except ValueError as problem:
         unusable = [f"{PLACE}: {problem}"]
     else:
         unusable = []
-        told = _read(document, notes)
-    faults = [*map(str, operators.faults), *_around(operators, told), *unusable]
+        _read(document, notes)
+    faults = [*map(str, operators.faults), *_around(operators, notes), *unusable]
     faults += [f"{f'{PLACE} {name}'.strip()}: {text}" for name, text in notes.faults.items()]
     return faults, [*operators.in_force(), *_in_force(notes)]
 
@@ -131,7 +131,7 @@
         raise ValueError(f"{path}: not valid JSON: {problem}") from None
 
 
-def _read(document: Any, notes: Notes) -> Config | None:
+def _read(document: Any, notes: Notes) -> None:
     """Read as `serve` does, over and over, until nothing more is found wrong."""
     for _ in range(ROUNDS):
         before = len(notes.faults)
@@ -141,16 +141,15 @@
         except ValueError as problem:
             notes.fault(problem)
             if len(notes.faults) == before:
-                return None
+                return
             continue
         if isinstance(document.get("limits"), dict) and document["limits"].get("memory_mb") is None:
             notes.faults.setdefault("limits.memory_mb", "missing")
         _known(told, notes)
-        return told
-    return None
+        return
 
 
-def _known(told: Config, notes: Notes) -> None:
+def _known(told: config.Config, notes: Notes) -> None:
     """The list of next hops, entry by entry."""
     for number, row in enumerate(told.known.rows("targets")):
         one = {**told.known.data, "targets": [row.data]}
@@ -176,8 +175,40 @@
 # ---------------------------------------------------------- what a file by itself does not show to be wrong
 
 
-def _around(operators: OperatorFile, told: Config | None) -> Iterator[str]:
+def _around(operators: OperatorFile, notes: Notes) -> Iterator[str]:
     """Faults between the operators' file and what is around it."""
+    yield from _folder(operators)
+    yield from _certificate(operators)
+    yield from _ports(operators, notes)
+
+
+def _folder(operators: OperatorFile) -> Iterator[str]:
     folder = operators.text("capture_dir")
     if folder is not None and not (os.path.isdir(folder) and os.access(folder, os.W_OK | os.X_OK)):
         yield str(operators.fault("capture_dir", f'capture_dir "{folder}" is no folder that can be written'))
+
+
+def _certificate(operators: OperatorFile) -> Iterator[str]:
+    """Files of TLS that cannot be read, cannot be used, or do not go together."""
+    if operators.text("tls_cert") is None or operators.text("tls_key") is None:
+        return  # half a pair has been named already
+    if operators.text("tls_client_cert") != "off" and operators.text("tls_client_ca") is None:
+        return
+    from .net.tls import TlsError, context_of
+
+    try:
+        context_of(operators)
+    except TlsError as problem:
+        yield str(operators.fault(problem.name, str(problem)))
+
+
+def _ports(operators: OperatorFile, notes: Notes) -> Iterator[str]:
+    """Ports on the one host that collide."""
+    listen, _ = notes.values.get("listen", ("", ""))
+    taken = {} if notes.broken("listen") else {str(listen).rpartition(":")[2]: f"{PLACE} listen"}
+    for name in PORTS:
+        port = str(operators.port(name) or "")  # 0 is any that is free
+        if port and port in taken:
+            yield str(operators.fault(name, f"{name} {port} is the port of {taken[port]} already"))
+        elif port:
+            taken[port] = name
--- a/rosepick/logs.py
+++ b/rosepick/logs.py
@@ -11,6 +11,7 @@
 
 STORM_LINES = 20  # lines of one kind that pass in ...
 STORM_SPAN = 10.0  # ... this many seconds; the rest are counted
+KEPT = frozenset({"client_verified"})  # lines that are proof of who came: each of them passes
 
 
 def say(log: logging.Logger, level: int, event: str, **fields: object) -> None:
@@ -57,6 +58,8 @@
         self.seen: dict[tuple[str, str], tuple[float, int]] = {}
 
     def filter(self, record: logging.LogRecord) -> bool:
+        if record.msg in KEPT:
+            return True
         key = record.name, str(record.msg)
         now = self.clock()
         since, count = self.seen.get(key, (now, 0))
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -7,6 +7,8 @@
 import socket
 import time
 from collections import OrderedDict
+from dataclasses import dataclass
+from functools import partial
 
 from ..config import Names
 from ..engine import Engine, Envelope
@@ -15,7 +17,7 @@
 from ..logs import fault, say
 from .budget import Budget
 from .loop import READ, WRITE, Loop
-from .stream import Stream, family
+from .stream import Stream, StreamMaker, family
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024
@@ -36,14 +38,14 @@
 class SenderLink:
     """One connection of the sender side; the port through which its envelopes are answered."""
 
-    def __init__(self, listener: Listener, sock: socket.socket) -> None:
+    def __init__(self, listener: Listener, sock: socket.socket, make: StreamMaker) -> None:
         self.listener = listener
         self.machine = SenderConnection(listener.names)
         self.envelope: Envelope | None = None
         self.stuck_since: float | None = None
         self.waited_for = listener.loop.now() + PATIENCE  # until when the answer in hand is
         self.lingering = False
-        self.stream = Stream(listener.loop, listener.budget, sock, self.ready)
+        self.stream = make(listener.loop, listener.budget, sock, self.ready)
 
     def ready(self, mask: int) -> None:
         """The socket is ready."""
@@ -170,7 +172,7 @@
         if not self.stream.open:
             return
         unwritten = self.stream.unwritten()
-        waiting = unwritten or self.machine.partial
+        waiting = unwritten or self.machine.partial or self.stream.partial()
         # The first request counts from the connection's begin; bytes that trickle in never set it back.
         begun = self.listener.fresh.get(self) or self.listener.loop.now()
         self.stuck_since = (self.stuck_since or begun) if waiting else None
@@ -205,13 +207,17 @@
             if now >= self.waited_for:  # guards against memory held by answers that nobody reads
                 self.gone()
         elif now - self.stuck_since >= PATIENCE and not self.machine.owing:
+            if not self.stream.established():
+                self.gone()
+                return
             self.machine.too_slow()
             self._take()
             self._settle()
 
     def idle(self) -> bool:
         """Between requests, with nothing to write and nothing that came unread."""
-        return self.machine.idle() and not self.stream.unwritten() and self.stream.quiet()
+        stream = self.stream
+        return self.machine.idle() and not (stream.unwritten() or stream.partial()) and stream.quiet()
 
     def close(self) -> None:
         """Close it; the sender side can tell an answer that is not whole."""
@@ -225,8 +231,16 @@
     return envelope.payload.req_id
 
 
+@dataclass(slots=True, eq=False)
+class Door:
+    """A listening socket, and what makes the streams of its connections."""
+
+    sock: socket.socket
+    make: StreamMaker
+
+
 class Listener:
-    """Accepts the sender side's connections."""
+    """Accepts the sender side's connections, at one door or more."""
 
     def __init__(
         self, loop: Loop, budget: Budget, engine: Engine, names: Names, endpoint: tuple[str, int]
@@ -241,22 +255,35 @@
         self.ending = False
         self.rejected = 0
         self.last_came = loop.now()
-        self.sock = _listen(endpoint)
+        self.doors = [Door(_listen(endpoint), Stream)]
         self.watching = False
         self.open = True
         loop.after(SWEEP_EVERY, self._sweep)
 
+    @property
+    def sock(self) -> socket.socket:
+        """The first door's."""
+        return self.doors[0].sock
+
+    def add_door(self, endpoint: tuple[str, int], make: StreamMaker) -> Door:
+        """Another address. What comes in there counts, waits and ends as all the others."""
+        door = Door(_listen(endpoint), make)
+        self.doors.append(door)
+        return door
+
     def start(self) -> None:
         """Accept from now on."""
         if self.open and not self.watching:
             self.watching = True
-            self.loop.watch(self.sock, READ, self._accept)
+            for door in self.doors:
+                self.loop.watch(door.sock, READ, partial(self._accept, door))
 
     def pause(self) -> None:
         """Leave new connections in the queue."""
         if self.watching:
             self.watching = False
-            self.loop.unwatch(self.sock)
+            for door in self.doors:
+                self.loop.unwatch(door.sock)
 
     def freed(self) -> None:
         """A descriptor was freed."""
@@ -275,12 +302,12 @@
                 return False
         return self.budget.room()
 
-    def _accept(self, mask: int) -> None:
+    def _accept(self, door: Door, mask: int) -> None:
         for _ in range(ACCEPTS):
-            if not self._accept_one():
+            if not self._accept_one(door):
                 return
 
-    def _accept_one(self) -> bool:
+    def _accept_one(self, door: Door) -> bool:
         """Whether one was accepted, so that there may be more."""
         if not self._room():
             say(log, logging.WARNING, "accept_paused", used=self.budget.used)
@@ -289,7 +316,7 @@
             self.loop.after(RETRY, self.start)
             return False
         try:
-            sock, _ = self.sock.accept()
+            sock, _ = door.sock.accept()
         except (BlockingIOError, InterruptedError, ConnectionError):
             return False
         except OSError as problem:
@@ -300,7 +327,7 @@
             self.loop.after(RETRY, self.start)
             return False
         self.last_came = self.loop.now()
-        link = SenderLink(self, sock)
+        link = SenderLink(self, sock, door.make)
         self.links[link] = None
         self.fresh[link] = self.last_came
         return True
@@ -352,12 +379,14 @@
 
     def close(self) -> None:
         """Accept no more. What the machine has accepted already is taken: guards against its reset."""
-        while self.open and self._accept_one():
-            pass
+        for door in self.doors:
+            while self.open and self._accept_one(door):
+                pass
         self.pause()
         if self.open:
             self.open = False
-            self.sock.close()
+            for door in self.doors:
+                door.sock.close()
 
 
 def _listen(endpoint: tuple[str, int]) -> socket.socket:
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -25,7 +25,8 @@
 from .watch import DiscoveryWatch
 
 if TYPE_CHECKING:
-    from .capture import Capture  # loaded only where it is on
+    from .capture import Capture  # each is loaded only where it is on
+    from .tls import Tls
 
 log = logging.getLogger(__name__)
 STILL_ARRIVING = 600.0  # after SIGTERM new connections are taken for at least so long ...
@@ -63,6 +64,7 @@
         self.pool.engine = self.engine
         self.engine.next_hops, self.engine.map_source = self.pool, self.watch
         self.listener = Listener(loop, self.budget, self.engine, config.names, config.listen)
+        self.tls = self._tls() if self.operators.file.port("tls_listen") is not None else None
         self.budget.shed = self._shed
         self.budget.freed = self.listener.freed
         self.engine.map_told(known.event)
@@ -76,6 +78,18 @@
             self.map.uid_of,
         )
 
+    def _tls(self) -> Tls:
+        """The second door, for those who come by TLS."""
+        from .tls import Tls
+
+        port = self.operators.file.port("tls_listen")
+        assert port is not None
+        tls = Tls(self.loop, self.operators.file)
+        door = self.listener.add_door((self.config.listen[0], port), tls.stream)
+        host, port = door.sock.getsockname()[:2]
+        say(log, logging.INFO, "tls_serving", listen=f"{host}:{port}", certificate=tls.certificate())
+        return tls
+
     def _engine(self) -> Engine:
         settings, seed = self.config.settings, self.config.seed
         if self.capture is None:
@@ -156,6 +170,8 @@
             changed=",".join(s.name for s in before.differing(found)) or "nothing",
             needs_restart=",".join(waiting) or "nothing",
         )
+        if self.tls is not None and found.text("tls_cert") is not None:
+            self.tls.reload(found)
 
     def _reload_config(self) -> None:
         """Read the configuration again and apply what a running router can. All of it is checked first;
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -6,6 +6,7 @@
 import os
 import socket
 from collections import deque
+from collections.abc import Callable
 
 from .budget import Budget
 from .loop import READ, Loop, Ready
@@ -66,6 +67,14 @@
             pass
         return False
 
+    def partial(self) -> bool:
+        """Whether a part of something has come that is of no use without the rest."""
+        return False
+
+    def established(self) -> bool:
+        """Whether anything can be sent yet."""
+        return True
+
     def write(self, data: bytes | memoryview) -> int:
         """How much was written at once. OSError if it broke."""
         try:
@@ -115,6 +124,9 @@
             self._budget.give()
 
 
+StreamMaker = Callable[[Loop, Budget, socket.socket, Ready], Stream]
+
+
 def family(endpoint: tuple[str, int]) -> socket.AddressFamily:
     """Which kind of address it is."""
     return socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
--- a/rosepick/operator_file.py
+++ b/rosepick/operator_file.py
@@ -79,6 +79,13 @@
     Whole("capture_segments", 4, low=2, high=48),
     Whole("capture_segment_kb", 192, low=16, high=384),
     Setting("capture_dir"),
+    Whole("tls_listen", low=0, high=65_535),
+    Setting("tls_cert", live=True),
+    Setting("tls_key", live=True),
+    Choice("tls_min_version", "1.2", live=True, words=("1.2", "1.3")),
+    Choice("tls_client_cert", "off", live=True, words=("off", "optional", "required")),
+    Setting("tls_client_ca", live=True),
+    Seconds("tls_reload_interval", 30.0, live=True, low=1.0),
 )
 """Every setting there is, by feature."""
 
@@ -179,14 +186,31 @@
 
 def _between(found: OperatorFile) -> Iterator[Fault]:
     """What is wrong between settings that are right by themselves."""
-    if "capture_segments" in found.values:
-        count, size = found.whole("capture_segments"), found.whole("capture_segment_kb")
-        if count * size > RING_KB:
-            later = max(("capture_segments", "capture_segment_kb"), key=lambda name: found.lines.get(name, 0))
-            yield found.fault(later, (
-                f"capture_segments {count} of capture_segment_kb {size} make a ring of {count * size} KiB, "
-                f"more than {RING_KB}"
-            ))
+    if found.table is TABLE:
+        yield from _ring(found)
+        yield from _tls(found)
+
+
+def _ring(found: OperatorFile) -> Iterator[Fault]:
+    count, size = found.whole("capture_segments"), found.whole("capture_segment_kb")
+    if count * size > RING_KB:
+        later = max(("capture_segments", "capture_segment_kb"), key=lambda name: found.lines.get(name, 0))
+        yield found.fault(later, (
+            f"capture_segments {count} of capture_segment_kb {size} make a ring of {count * size} KiB, "
+            f"more than {RING_KB}"
+        ))
+
+
+def _tls(found: OperatorFile) -> Iterator[Fault]:
+    missing = [name for name in ("tls_cert", "tls_key") if found.text(name) is None]
+    if len(missing) == 1:
+        stated = "tls_key" if missing == ["tls_cert"] else "tls_cert"
+        yield found.fault(stated, f"{stated} is set without {missing[0]}")
+    elif missing and found.port("tls_listen") is not None:
+        yield found.fault("tls_listen", "tls_listen needs tls_cert and tls_key")
+    mode = found.text("tls_client_cert")
+    if mode != "off" and found.text("tls_client_ca") is None:
+        yield found.fault("tls_client_cert", f"tls_client_cert {mode} needs tls_client_ca")
 
 
 def _line(raw: bytes, known: Mapping[str, Setting], lines: Mapping[str, int]) -> tuple[str, Value] | None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -461,9 +461,9 @@
     none = OSError(errno.EMFILE, "Too many open files")
 
     def test_accepting_goes_on_after_a_pause(self) -> None:
-        listener = self.server.listener
-        listener.sock = mock.Mock(wraps=listener.sock)
-        listener.sock.accept.side_effect = chain([self.none], repeat(mock.DEFAULT))
+        (door,) = self.server.listener.doors
+        door.sock = mock.Mock(wraps=door.sock)
+        door.sock.accept.side_effect = chain([self.none], repeat(mock.DEFAULT))
         self.play("""
             c1 send GET /ready
             c1 expect nothing
