Add multi-get: a batch of reads whose parts are ordinary requests to our own listener

Seen: billing jobs pay a round trip for each of dozens of meters. BatchConnection reads a batch and frames its answer; BatchLink, a SenderLink at a door of its own, writes the parts in order; Parts asks for them over connections to GW_LISTEN, a few at a time. Nothing of it knows the engine or the pool.

Checked: two cache nodes of which one is stopped, with no answer 400; deadlines past and passing; a client that leaves or does not read; a kept connection that closes under a part; SIGTERM with 64 parts in hand; a batch beside usual clients.

Found on the way: 24 parts at once took the room of two cache nodes from the usual clients, who were refused; now 8, three quarters of them for a batch that is alone. Off, nothing of it is loaded.

--- a/rosepick/__main__.py
+++ b/rosepick/__main__.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from collections.abc import Mapping
 from importlib import metadata
 from pathlib import Path
 from typing import Annotated, NoReturn
@@ -95,6 +96,48 @@
     print(f"rosepick {__version__} (python {sys.version.split()[0]}, {parts})")
 
 
+@app.command()
+def mget(
+    keys: Annotated[list[str] | None, typer.Argument(help="Without any: one a line, standard input.")] = None,
+    file: File = None,
+    to: Annotated[str | None, typer.Option(help="host:port; else as the files tell.")] = None,
+    kind: Annotated[str | None, typer.Option(help="Req-Kind; else GW_CONFIG's first class.")] = None,
+    owner: Annotated[str | None, typer.Option(help="Req-Owner; else GW_CONFIG's first tenant.")] = None,
+    deadline: Annotated[float, typer.Option(help="Req-Deadline in seconds.", min=0.001)] = 1.0,
+) -> None:
+    """Send one batch of reads and print its answer.
+
+    Ends with 0 if all was served, with 1 if a part was not, and with 2 if there is no answer.
+    """
+    from .mget import NoAnswer, ask
+
+    told = _config() if to is None or kind is None or owner is None else None
+    try:
+        endpoint = config.address(to) if to is not None else _batches(told, _operators(file))
+        if keys is None:
+            keys = sys.stdin.read().split()
+        body, whole = ask(
+            endpoint, keys, kind or _first(told.names.classes if told else None),
+            owner or _first(told.names.tenants if told else None), deadline,
+        )
+    except (NoAnswer, ValueError) as problem:
+        _stop(problem, 2)
+    sys.stdout.buffer.write(body)
+    raise typer.Exit(0 if whole else 1)
+
+
+def _batches(told: config.Config | None, operators: OperatorFile) -> tuple[str, int]:
+    """Where batches go by the files."""
+    port = operators.port("multiget_listen")
+    if told is None or not port:
+        raise ValueError("no door for batches: name one by --to, or by -f a file that sets multiget_listen")
+    return told.listen[0], port
+
+
+def _first(names: Mapping[str, int] | None) -> str:
+    return next(iter(names), "-") if names else "-"
+
+
 @app.command()
 def check(file: File = None) -> None:
     """Name every fault of the operators' file and of GW_CONFIG, then each value in force with its source.
--- a/rosepick/check.py
+++ b/rosepick/check.py
@@ -21,7 +21,7 @@
 
 PLACE = "GW_CONFIG"
 ROUNDS = 100  # a range that is broken shows only once what came before it is put right
-PORTS = ("tls_listen",)
+PORTS = ("tls_listen", "multiget_listen")
 T = TypeVar("T")
 _SETTING = re.compile(r"setting (\S+) is (.*)", re.S)
 _INDEX = re.compile(r"\[\d+\]")
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -17,7 +17,7 @@
 HEAD_LIMIT = 16 * 1024
 BEHIND_LIMIT = 4  # messages read ahead of the one that is being answered
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
     499: b"Client Closed Request",
     500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
@@ -76,7 +76,11 @@
     reason: str
 
 
-Received = Delivered | Ready | Rejected
+class Other:
+    """What a machine of another front has read."""
+
+
+Received = Delivered | Ready | Rejected | Other
 Extra = tuple[tuple[bytes, bytes], ...]  # further headers of an answer
 
 
@@ -95,6 +99,7 @@
         self._names = names
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._inbox: deque[tuple[Received, bool]] = deque()
+        self._version = "1.1"  # of the request read last
         self._keep_alive = True  # after the request that is being answered
         self._now = 0.0
         self._target = b""
@@ -168,15 +173,23 @@
     def answer(self, status: int, body: bytes, extra: Extra, closing: bool, last: bool = False) -> bytes:
         """The head of the answer to the request in hand; its body follows. `done` is set if the connection
         ends with it, as it does with the `last` one, whatever came behind."""
+        self._answered(closing, last)
+        return self._head_of(status, self.done, ((b"Content-Length", b"%d" % len(body)), *extra))
+
+    def _answered(self, closing: bool, last: bool = False) -> None:
+        """The request in hand has its answer."""
         self.owing = False
         # what was sent ahead has been taken: it is answered before the connection may close
         self.done = last or not self._keep_alive or (closing and not self._inbox and not self.partial)
         if self.done:
             self._parser = None
             self._inbox.clear()
-        lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
+
+    @staticmethod
+    def _head_of(status: int, closes: bool, extra: Extra) -> bytes:
+        lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
         lines += [name + b": " + value for name, value in extra]
-        if self.done:
+        if closes:
             lines.append(b"Connection: close")
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
@@ -219,6 +232,7 @@
         assert self._parser is not None
         self.partial = self.wants_continue = False
         method = self._parser.get_method()
+        self._version = self._parser.get_http_version()
         try:
             received = self._read(method)
         except Bad as problem:
@@ -237,13 +251,13 @@
         cost = headers.get(b"req-cost")
         return Delivered(
             Envelope(
-                klass=_place(headers, b"req-kind", names.classes),
-                tenant=_place(headers, b"req-owner", names.tenants) if names.tenants else 0,
-                deadline=self._now + 1000.0 * _number(headers, b"req-deadline"),
+                klass=place_of(headers, b"req-kind", names.classes),
+                tenant=place_of(headers, b"req-owner", names.tenants) if names.tenants else 0,
+                deadline=self._now + 1000.0 * number_of(headers, b"req-deadline"),
                 key=key_number(key_of(path)),
                 write=method == b"PUT",
                 retry=headers.get(b"req-retry") == b"1",
-                cost_hint=None if cost is None else 0.001 * _number(headers, b"req-cost"),
+                cost_hint=None if cost is None else 0.001 * number_of(headers, b"req-cost"),
                 payload=Letter(
                     method, self._target, bytes(self._body), _identity(headers),
                     headers.get(b"idempotency-key"), headers.get(b"content-type"),
@@ -253,7 +267,8 @@
         )
 
 
-def _text(headers: dict[bytes, bytes], name: bytes) -> bytes:
+def text_of(headers: dict[bytes, bytes], name: bytes) -> bytes:
+    """A header that must be there."""
     value = headers.get(name)
     if not value:
         raise Bad(400, f"{name.decode()} is missing")
@@ -261,21 +276,23 @@
 
 
 def _identity(headers: dict[bytes, bytes]) -> bytes:
-    value = _text(headers, b"req-id")
+    value = text_of(headers, b"req-id")
     if not _ID.fullmatch(value):
         raise Bad(400, "req-id is no plain text of at most 128 characters")
     return value
 
 
-def _place(headers: dict[bytes, bytes], name: bytes, places: Mapping[str, int]) -> int:
-    place = places.get(_text(headers, name).decode("latin-1"))
+def place_of(headers: dict[bytes, bytes], name: bytes, places: Mapping[str, int]) -> int:
+    """The place of the name that a header states."""
+    place = places.get(text_of(headers, name).decode("latin-1"))
     if place is None:
         raise Bad(400, f"{name.decode()} is not known here")
     return place
 
 
-def _number(headers: dict[bytes, bytes], name: bytes) -> float:
-    value = _text(headers, name)
+def number_of(headers: dict[bytes, bytes], name: bytes) -> float:
+    """The number that a header states."""
+    value = text_of(headers, name)
     if not _DECIMAL.fullmatch(value):
         raise Bad(400, f"{name.decode()} is not a plain number of 0 or more")
     return float(value)
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -7,13 +7,22 @@
 import socket
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
 from ..config import Names
 from ..engine import Engine, Envelope
 from ..http.response import Answer
-from ..http.sender_side import Delivered, Extra, Letter, Ready, Rejected, SenderConnection
+from ..http.sender_side import (
+    Delivered,
+    Extra,
+    Letter,
+    Ready,
+    Received,
+    Rejected,
+    SenderConnection,
+)
 from ..logs import fault, say
 from .budget import Budget
 from .loop import READ, WRITE, Loop
@@ -40,13 +49,17 @@
 
     def __init__(self, listener: Listener, sock: socket.socket, make: StreamMaker) -> None:
         self.listener = listener
-        self.machine = SenderConnection(listener.names)
+        self.machine = self.make_machine()
         self.envelope: Envelope | None = None
         self.stuck_since: float | None = None
         self.waited_for = listener.loop.now() + PATIENCE  # until when the answer in hand is
         self.lingering = False
         self.stream = make(listener.loop, listener.budget, sock, self.ready)
 
+    def make_machine(self) -> SenderConnection:
+        """What reads its requests."""
+        return SenderConnection(self.listener.names)
+
     def ready(self, mask: int) -> None:
         """The socket is ready."""
         try:
@@ -80,14 +93,17 @@
         while (received := self.machine.next()) is not None:
             self.listener.engaged(self)
             self.waited_for = self.listener.loop.now() + PATIENCE
-            match received:
-                case Delivered(envelope):
-                    self._accept(envelope)
-                case Ready():
-                    up = not self.listener.ending
-                    self._answer(200 if up else 503, b"ready\n" if up else b"ending\n")
-                case Rejected(status, reason):
-                    self._reject(status, reason)
+            self._handle(received)
+
+    def _handle(self, received: Received) -> None:
+        match received:
+            case Delivered(envelope):
+                self._accept(envelope)
+            case Ready():
+                up = not self.listener.ending
+                self._answer(200 if up else 503, b"ready\n" if up else b"ending\n")
+            case Rejected(status, reason):
+                self._reject(status, reason)
 
     def _accept(self, envelope: Envelope) -> None:
         """Hand an envelope over. Guards against an id that another client's open request has: next hops would
@@ -231,12 +247,16 @@
     return envelope.payload.req_id
 
 
+LinkMaker = Callable[["Listener", socket.socket, StreamMaker], SenderLink]
+
+
 @dataclass(slots=True, eq=False)
 class Door:
-    """A listening socket, and what makes the streams of its connections."""
+    """A listening socket, and what makes the streams of its connections, and the links that answer there."""
 
     sock: socket.socket
     make: StreamMaker
+    link: LinkMaker
 
 
 class Listener:
@@ -255,7 +275,7 @@
         self.ending = False
         self.rejected = 0
         self.last_came = loop.now()
-        self.doors = [Door(_listen(endpoint), Stream)]
+        self.doors = [Door(_listen(endpoint), Stream, SenderLink)]
         self.watching = False
         self.open = True
         loop.after(SWEEP_EVERY, self._sweep)
@@ -265,9 +285,11 @@
         """The first door's."""
         return self.doors[0].sock
 
-    def add_door(self, endpoint: tuple[str, int], make: StreamMaker) -> Door:
+    def add_door(
+        self, endpoint: tuple[str, int], make: StreamMaker = Stream, link: LinkMaker = SenderLink
+    ) -> Door:
         """Another address. What comes in there counts, waits and ends as all the others."""
-        door = Door(_listen(endpoint), make)
+        door = Door(_listen(endpoint), make, link)
         self.doors.append(door)
         return door
 
@@ -327,7 +349,7 @@
             self.loop.after(RETRY, self.start)
             return False
         self.last_came = self.loop.now()
-        link = SenderLink(self, sock, door.make)
+        link = door.link(self, sock, door.make)
         self.links[link] = None
         self.fresh[link] = self.last_came
         return True
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -17,7 +17,7 @@
 from ..transport_map import NextHop, TransportMap
 from .budget import Budget
 from .loop import READ, WRITE, Loop
-from .stream import Stream, dial
+from .stream import Dialed, Stream, dial
 
 log = logging.getLogger(__name__)
 IDLE_PART = 0.7  # of the time after which a next hop may close an idle connection: then ours goes
@@ -28,15 +28,15 @@
 DIAL_SPARE = 16  # sockets that dials may use beyond the budget: what was taken must get its answer
 
 
-class Link:
+class Link(Dialed):
     """One connection to a next hop."""
 
     def __init__(self, pool: NextHopPool, hop: NextHop, sock: socket.socket) -> None:
+        super().__init__()
         self.pool = pool
         self.server = hop.server
         self.host = f"{hop.endpoint[0]}:{hop.endpoint[1]}"
         self.endpoint = hop.endpoint
-        self.dialing = True
         self.exchange: Exchange | None = None
         self.attempt: DeliveryAttempt | None = None
         self.idle_since = 0.0
@@ -52,16 +52,6 @@
         if not self.dialing:
             self._guarded(self._write)
 
-    def ready(self, mask: int) -> None:
-        """The socket is ready."""
-        if self.dialing:
-            self._guarded(self._connected)
-            return
-        if mask & WRITE and self.exchange is not None:
-            self._guarded(self._write)
-        if mask & READ and self.stream.open:
-            self._guarded(self._read)
-
     def _guarded(self, step: Callable[[], None]) -> None:
         try:
             step()
@@ -74,14 +64,10 @@
             fault(log, "next_hop_fault", problem, server=self.server, count=self.pool.loop.faults)
             self._over(self.exchange.broke() if self.exchange is not None else None)
 
-    def _connected(self) -> None:
-        self.stream.connected()
-        self.dialing = False
-        self._write()
-
     def _write(self) -> None:
         exchange = self.exchange
-        assert exchange is not None
+        if exchange is None:
+            return
         if exchange.unsent():
             try:
                 exchange.written(self.stream.write(exchange.unsent()))
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from .capture import Capture  # each is loaded only where it is on
+    from .multiget import MultiGet
     from .tls import Tls
 
 log = logging.getLogger(__name__)
@@ -65,6 +66,7 @@
         self.engine.next_hops, self.engine.map_source = self.pool, self.watch
         self.listener = Listener(loop, self.budget, self.engine, config.names, config.listen)
         self.tls = self._tls() if self.operators.file.port("tls_listen") is not None else None
+        self.multiget = self._multiget() if self.operators.file.port("multiget_listen") is not None else None
         self.budget.shed = self._shed
         self.budget.freed = self.listener.freed
         self.engine.map_told(known.event)
@@ -90,6 +92,20 @@
         say(log, logging.INFO, "tls_serving", listen=f"{host}:{port}", certificate=tls.certificate())
         return tls
 
+    def _multiget(self) -> MultiGet:
+        """The door for batches."""
+        from .multiget import MultiGet
+
+        port = self.operators.file.port("multiget_listen")
+        assert port is not None
+        made = MultiGet(
+            self.loop, self.budget, self.listener, port,
+            lambda: self.operators.file.whole("multiget_max_keys"),
+        )
+        host, port = made.door.sock.getsockname()[:2]
+        say(log, logging.INFO, "multiget_serving", listen=f"{host}:{port}")
+        return made
+
     def _engine(self) -> Engine:
         settings, seed = self.config.settings, self.config.seed
         if self.capture is None:
@@ -209,11 +225,9 @@
         now = self.loop.now()
         for link in [link for link in self.listener.links if link.idle()]:
             link.close()
-        if self.listener.open and (
-            now - self.listener.last_came >= QUIET or now - self._ending_since >= LAST_CALL
-        ):
-            self.listener.close()
         longest = max(klass.deadline for klass in self.config.settings.classes)
+        if self.listener.open and self._no_more_come(now, longest):
+            self.listener.close()
         over = now - self._ending_since >= LAST_CALL + longest + LAST_ANSWER
         if over or not (self.listener.open or self.engine.owed or self.listener.links):
             self.listener.close()
@@ -221,6 +235,15 @@
         else:
             self.loop.after(END_STEP, self._end_if_quiet)
 
+    def _no_more_come(self, now: float, longest: float) -> bool:
+        """Whether to stop accepting. Not before batches have their parts, which come over this door too; they
+        must be through when any request must."""
+        spent = now - self._ending_since
+        if self.multiget is not None and self.multiget.in_hand() and spent < longest:
+            self.multiget.hurry(self._ending_since + longest)
+            return False
+        return now - self.listener.last_came >= QUIET or spent >= LAST_CALL
+
     def _sum_up(self) -> None:
         """A line of counts."""
         self.loop.after(SUM_UP_EVERY, self._sum_up)
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -5,11 +5,12 @@
 import contextlib
 import os
 import socket
+from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 
 from .budget import Budget
-from .loop import READ, Loop, Ready
+from .loop import READ, WRITE, Loop, Ready
 
 CHUNK = 128 * 1024
 
@@ -124,6 +125,42 @@
             self._budget.give()
 
 
+class Dialed(ABC):
+    """One connection of our own making: it comes up, and is then written and read."""
+
+    stream: Stream
+
+    def __init__(self) -> None:
+        self.dialing = True
+
+    def ready(self, mask: int) -> None:
+        """The socket is ready."""
+        if self.dialing:
+            self._guarded(self._connected)
+            return
+        if mask & WRITE:
+            self._guarded(self._write)
+        if mask & READ and self.stream.open:
+            self._guarded(self._read)
+
+    def _connected(self) -> None:
+        self.stream.connected()
+        self.dialing = False
+        self._write()
+
+    @abstractmethod
+    def _guarded(self, step: Callable[[], None]) -> None:
+        """Take a step, and cope with what it raises."""
+
+    @abstractmethod
+    def _write(self) -> None:
+        """Write what is to be written, if anything."""
+
+    @abstractmethod
+    def _read(self) -> None:
+        """Read what has come."""
+
+
 StreamMaker = Callable[[Loop, Budget, socket.socket, Ready], Stream]
 
 
--- a/rosepick/operator_file.py
+++ b/rosepick/operator_file.py
@@ -86,6 +86,8 @@
     Choice("tls_client_cert", "off", live=True, words=("off", "optional", "required")),
     Setting("tls_client_ca", live=True),
     Seconds("tls_reload_interval", 30.0, live=True, low=1.0),
+    Whole("multiget_listen", low=0, high=65_535),
+    Whole("multiget_max_keys", 64, live=True, low=1, high=1024),
 )
 """Every setting there is, by feature."""
 
--- /dev/null
+++ b/tests/test_multiget.py
@@ -0,0 +1,524 @@
+"""Batches of reads: what is a batch, its parts, their order and bounds, and what ends them."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import socket
+import socketserver
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from rosepick import check, operator_file
+from rosepick.config import Names
+from rosepick.http.multiget import BadBatchAnswer, Batch, BatchConnection, ending, entries, entry
+from rosepick.http.sender_side import Rejected
+from rosepick.net.multiget import BatchLink, Parts
+from rosepick.operator_file import Operators
+
+from .scenario import SETTINGS, Scenario, Wire, target
+
+ROOT = Path(__file__).parent.parent
+MIB = 1024 * 1024
+NAMES = Names({"read": 0}, {"acme": 0}, {}, {})
+HEAD = b"Req-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: 1.0\r\n"
+
+
+def unchunked(data: bytes) -> bytes | None:
+    """The body of a chunked answer, once it is whole."""
+    head, _, rest = data.partition(b"\r\n\r\n")
+    if b"Transfer-Encoding: chunked" not in head:
+        raise AssertionError(data[:500])
+    body = b""
+    while (at := rest.find(b"\r\n")) >= 0:
+        size = int(rest[:at], 16)
+        if len(rest) < at + 2 + size + 2:
+            return None
+        if not size:
+            return body
+        body, rest = body + rest[at + 2 : at + 2 + size], rest[at + 2 + size + 2 :]
+    return None
+
+
+class Reading(unittest.TestCase):
+    def read(self, body: bytes, head: bytes = HEAD, first: bytes = b"POST /mget HTTP/1.1") -> object:
+        machine = BatchConnection(NAMES, lambda: 3)
+        machine.feed(b"%b\r\n%bContent-Length: %d\r\n\r\n%b" % (first, head, len(body), body), 500.0)
+        return machine.next()
+
+    def test_a_batch(self) -> None:
+        batch = Batch((b"m-1", b"a%20b", b"c"), b"read", b"acme", 1500.0)
+        self.assertEqual(self.read(b"m-1\na%20b\r\n\nc"), batch)
+
+    def test_what_is_none(self) -> None:
+        for body, reason in (
+            (b"", "no keys"), (b"\n\r\n", "no keys"), (b"a\nb\na\n", "line 3 repeats the key of line 1"),
+            (b"a\nb\nc\nd", "more than 3 keys"), (b"a\nb/c", "line 2 is no key"),
+            *((key, "line 1 is no key") for key in (
+                b"a b", b"a?b", b"a%2", b"..", b"a\rb", b"\xc3\xa9", b"k" * 2049
+            )),
+        ):
+            self.assertEqual(self.read(body), Rejected(400, reason), body)
+
+    def test_headers_and_paths(self) -> None:
+        for head, status in (
+            (HEAD.replace(b"Req-Kind: read\r\n", b""), 400), (HEAD.replace(b"read", b"other"), 400),
+            (HEAD.replace(b"Req-Owner: acme\r\n", b""), 400), (HEAD.replace(b"1.0", b"soon"), 400),
+            (HEAD.replace(b"Req-Deadline: 1.0\r\n", b""), 400), (HEAD + b"Req-Kind: read\r\n", 400),
+        ):
+            read = self.read(b"a", head)
+            assert isinstance(read, Rejected)
+            self.assertEqual(read.status, status, head)
+        for first, status in ((b"POST /api/k HTTP/1.1", 404), (b"PUT /mget HTTP/1.1", 405)):
+            read = self.read(b"a", HEAD, first)
+            assert isinstance(read, Rejected)
+            self.assertEqual(read.status, status)
+
+    def test_a_body_that_is_too_long(self) -> None:
+        read = self.read(b"k" * 70_000)
+        assert isinstance(read, Rejected)
+        self.assertEqual(read.status, 413)
+
+    def test_answers_read_back(self) -> None:
+        parts = [(b"a", b"1", 200, b"x\ny"), (b"partial:", b"2", 504, b""), (b"c", b"3", 200, b"partial: 1")]
+        data = b"".join(b"".join(entry(*part)) for part in parts) + ending(1, 3)
+        self.assertTrue(data.startswith(b"a 1 200 3\nx\ny\npartial: 2 504 0\n\nc 3 200 10\n"))
+        self.assertEqual(list(entries(data)), parts)
+        for cut in range(len(data)):
+            with self.subTest(cut), contextlib.suppress(BadBatchAnswer):
+                self.assertLess(len(list(entries(data[:cut]))), 2)  # whole, but not of all keys
+
+
+class Batches(Scenario):
+    """A router with a door for batches; b... come there. Next hops answer by themselves once told to."""
+
+    nodes = ("s1", "s2", "origin")
+    conf = ""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.asked: list[tuple[str, str, str]] = []  # node, key, id
+        self.sizes: dict[str, int] = {}
+
+    def operators(self) -> Operators:
+        return Operators(operator_file.read(f"multiget_listen 0\n{self.conf}\n".encode(), "rosepick.conf"))
+
+    @property
+    def parts(self) -> Parts:
+        assert self.server.multiget is not None
+        return self.server.multiget.parts
+
+    def wire(self, who: str) -> Wire:
+        if not self.wires.get(who) and who.startswith("b"):
+            assert self.server.multiget is not None
+            self.wires[who] = [Wire(socket.create_connection(self.server.multiget.door.sock.getsockname()))]
+            self.wires[who][0].seen = bytearray()  # answers can be large
+        return super().wire(who)
+
+    def batch(self, who: str, keys: list[str], wait: str = "3.000") -> None:
+        """Send a batch."""
+        body = "\n".join(keys)
+        self.put(who, (
+            f"POST /mget HTTP/1.1\r\nReq-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: {wait}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode())
+
+    def serve(self) -> None:
+        """Each next hop answers what it was asked."""
+        self.step()
+        for name in self.nodes:
+            for wire in self.wires[name]:
+                while (message := wire.message()) is not None:
+                    found = re.match(r"GET /api/(\S+) .*Req-Id: (\S+)\r\n", message, re.S)
+                    assert found is not None, message
+                    self.asked.append((name, found[1], found[2]))
+                    body = "v" * self.sizes.get(found[1], 5)
+                    data = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+                    while data:
+                        try:
+                            data = data[wire.sock.send(data) :]
+                        except BlockingIOError:
+                            self.loop.step(0)
+
+    def answer(self, who: str, serving: bool = True) -> list[tuple[str, str, int, int]]:
+        """The parts of a batch's answer: key, id, status, length."""
+        for _ in range(3000):
+            if serving:
+                self.serve()
+            else:
+                self.step()
+            wire = self.wires[who][-1]
+            if wire.seen.endswith(b"0\r\n\r\n") and (body := unchunked(wire.seen)) is not None:
+                wire.seen = bytearray()
+                self.body = body
+                return [(k.decode(), i.decode(), s, len(b)) for k, i, s, b in entries(body)]
+        self.fail(f"no whole answer, but {self.wires[who][-1].seen[:500]!r}")
+
+    def nothing_left(self) -> None:
+        self.assertEqual((self.server.budget.held, self.parts.batches, self.parts.idle), (0, {}, []))
+        self.assertEqual(self.server.listener.open_ids, set())
+
+
+class Serves(Batches):
+    def test_parts_in_the_order_of_the_batch_each_by_a_get_of_its_own(self) -> None:
+        keys = [f"m-{n:06d}" for n in range(40)]
+        self.batch("b1", keys)
+        found = self.answer("b1")
+        self.assertEqual([key for key, *_ in found], keys)
+        self.assertEqual({status for _, _, status, _ in found}, {200})
+        self.assertEqual(len({req_id for _, req_id, *_ in found}), 40)
+        self.assertEqual({(key, req_id) for _, key, req_id in self.asked}, {row[:2] for row in found})
+        self.assertNotIn(b"partial", self.body)
+        self.assertEqual(self.server.engine.counts["envelopes"], 40)
+        self.nothing_left()
+
+    def test_one_stopped_node_and_nobody_answers_400(self) -> None:
+        self.batch("b1", ["first"])
+        self.answer("b1")
+        ((stopped, _, first),) = self.asked
+        self.play(f"{stopped} refuse\n{stopped} close")
+        keys = [f"m-{n}" for n in range(30)]
+        self.batch("b1", keys)
+        found = self.answer("b1")
+        failed = [row for row in found if row[2] != 200]
+        self.assertEqual([key for key, *_ in found], keys)
+        self.assertLess(len(failed), 30)
+        self.assertGreater(self.server.engine.counts["attempt_connect_failed"], 0)
+        self.assertEqual(self.server.engine.counts["attempt_unfit"], 0)
+        written = {first, *(req_id for _, req_id, *_ in found)}
+        self.assertTrue({req_id for _, _, req_id in self.asked} <= written)
+        last = f"partial: {len(failed)} of 30 not served\n".encode() if failed else b"\n"
+        self.assertTrue(self.body.endswith(last))
+        self.nothing_left()
+
+    def test_connections_are_kept_within_a_batch_and_let_go_after_it(self) -> None:
+        self.batch("b1", [f"k{n}" for n in range(60)])
+        most = 0
+        for _ in range(400):
+            self.serve()
+            most = max(most, len(self.server.listener.links))
+        self.assertLessEqual(most, 1 + 8)
+        self.assertEqual(len(self.server.listener.links), 1)
+
+    def test_batches_on_one_connection_are_answered_in_turn(self) -> None:
+        self.batch("b1", ["a", "b"])
+        self.batch("b1", ["c"])
+        for _ in range(50):
+            self.serve()
+        first, second = self.wires["b1"][0].seen.split(b"HTTP/1.1 200 OK")[1:]
+        self.assertIn(b"b ", unchunked(first) or b"")
+        self.assertTrue((unchunked(second) or b"").startswith(b"c "))
+
+    def test_http_1_0_gets_its_answer_without_chunks(self) -> None:
+        self.put("b1", b"POST /mget HTTP/1.0\r\n" + HEAD + b"Content-Length: 1\r\n\r\nk")
+        for _ in range(20):
+            self.serve()
+        self.play("wait 10")
+        wire = self.wires["b1"][0]
+        self.assertTrue(wire.ended)
+        head, _, body = wire.seen.partition(b"\r\n\r\n")
+        self.assertIn(b"Connection: close", head)
+        self.assertEqual([row[:1] + row[2:] for row in entries(body)], [(b"k", 200, b"vvvvv")])
+
+    def test_what_is_no_batch_is_turned_away_before_any_part(self) -> None:
+        self.batch("b1", ["a", "a"])
+        self.play("b1 expect 400 line 2 repeats the key of line 1")
+        self.batch("b1", [f"k{n}" for n in range(65)])
+        self.play("b1 expect 400 more than 64 keys")
+        self.play("b1 send GET /mget\nb1 expect 405\nb1 send GET /api/k1\nb1 expect 404")
+        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+
+    def test_usual_clients_are_served_beside_a_batch(self) -> None:
+        self.batch("b1", [f"k{n}" for n in range(64)])
+        self.play("c1 send GET /api/mine")
+        self.answer("b1")
+        self.play("c1 expect 200")
+
+
+class Bounds(Batches):
+    sockets = 256
+
+    def test_parts_out_are_few_and_batches_share_them(self) -> None:
+        self.parts.expected = 100.0
+        for n in range(3):
+            self.batch(f"b{n}", [f"k{n}{m}" for m in range(64)])
+        for _ in range(5):
+            self.step()
+        self.assertEqual(self.parts.allowed(), 8)
+        out = [batch.out for batch in self.parts.batches]
+        self.assertLessEqual(sum(out), 8)
+        self.assertEqual(out, [6, 2, 0])
+        self.serve()
+        self.serve()
+        self.assertGreater(min(batch.out for batch in self.parts.batches), 0)
+        for n in range(3):
+            self.assertEqual(len(self.answer(f"b{n}")), 64)
+        self.nothing_left()
+
+    def test_more_batches_than_there_is_room_for_are_refused(self) -> None:
+        for n in range(13):
+            self.batch(f"b{n}", [f"k{n}"])
+        self.batch("b99", ["k"])
+        self.play("b99 expect 503 Retry-After")
+        self.answer("b5")
+
+    def test_all_descriptors_in_use_is_502(self) -> None:
+        with mock.patch.object(self.server.budget, "room", return_value=False):
+            self.wire("b1").sock.send(b"")
+            link_made = mock.patch.object(self.server.listener, "_room", return_value=True)
+            with link_made:
+                self.batch("b1", ["k1"])
+                self.assertEqual([row[2] for row in self.answer("b1")], [502])
+
+
+class Memory(Batches):
+    def document(self) -> dict[str, object]:
+        return {**super().document(), "limits": {"memory_mb": 32, "sockets": 1024}}
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.keys = [f"k{n}" for n in range(64)]
+        self.sizes = dict.fromkeys(self.keys, MIB)
+        self.most = 0
+
+    def step(self) -> None:
+        super().step()
+        self.most = max(self.most, self.server.budget.held)
+
+    def test_64_answers_of_1_mib_fit_32_mb(self) -> None:
+        self.batch("b1", self.keys)
+        found = self.answer("b1")
+        self.assertEqual([row[2:] for row in found], [(200, MIB)] * 64)
+        self.assertLess(self.most, self.server.budget.most_held)
+        self.nothing_left()
+
+    def test_also_if_the_client_does_not_read(self) -> None:
+        self.batch("b1", self.keys)
+        with mock.patch.object(self.wire("b1"), "pull"):
+            for _ in range(300):
+                self.serve()
+            self.assertLess(len(self.asked), 20)
+            self.assertLess(self.most, self.server.budget.most_held)
+            self.assertGreater(self.server.budget.held, 0)
+            self.sizes = {}
+            self.batch("b2", ["x1", "x2"])
+            self.play("wait 2500")  # then the one that does not read gives way
+            self.assertEqual([row[2] for row in self.answer("b2")], [200, 200])
+        self.assertEqual(self.server.budget.held, 0)
+        self.nothing_left()
+
+
+class Ends(Batches):
+    def test_parts_past_the_deadline_are_504_and_the_answer_is_whole(self) -> None:
+        self.batch("b1", ["k1", "k2", "k3"], "0.300")
+        self.play("wait 400")
+        found = self.answer("b1", serving=False)
+        self.assertEqual([row[2] for row in found], [504, 504, 504])
+        self.assertTrue(self.body.endswith(b"partial: 3 of 3 not served\n"))
+        self.nothing_left()
+
+    def test_a_router_that_does_not_answer_in_time_is_504_here(self) -> None:
+        with mock.patch.object(self.server.engine, "accept"):
+            self.batch("b1", ["k1"], "0.300")
+            self.play("wait 400")
+        self.assertEqual([row[2:] for row in self.answer("b1", serving=False)], [(504, 0)])
+        self.nothing_left()
+
+    def test_a_deadline_that_is_over_already_sends_nothing(self) -> None:
+        self.batch("b1", [f"k{n}" for n in range(64)], "0")
+        self.assertEqual({row[2] for row in self.answer("b1")}, {504})
+        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+
+    def test_what_is_left_of_the_time_goes_with_each_part(self) -> None:
+        self.batch("b1", ["k1"], "0.800")
+        self.step()
+        seen = b"".join(wire.seen for name in self.nodes for wire in self.wires[name])
+        self.assertIn(b"Req-Deadline: 0.800", seen)
+
+    def test_a_client_that_goes_away_cancels_the_rest(self) -> None:
+        self.batch("b1", [f"k{n}" for n in range(64)])
+        self.step()
+        taken = self.server.engine.counts["envelopes"]
+        self.assertGreater(taken, 0)
+        self.play("b1 close\nwait 20")
+        self.assertEqual(self.server.engine.counts["gone"], taken)
+        self.assertEqual(self.server.engine.counts["envelopes"], taken)
+        self.nothing_left()
+
+    def test_the_routers_own_status_is_passed_on(self) -> None:
+        self.play("s1 refuse\ns2 refuse\norigin refuse")
+        self.batch("b1", ["k1"])
+        self.assertEqual([row[2] for row in self.answer("b1")], [503])
+        self.assertIn(b"refused\n", self.body)
+
+    def test_a_kept_connection_that_closes_under_an_unread_part_is_made_good_once(self) -> None:
+        self.batch("b1", ["k1"])
+        for _ in range(3):
+            self.step()
+        (kept,) = [link for link in self.server.listener.links if not isinstance(link, BatchLink)]
+        part = next(iter(self.parts.batches)).all[0]
+        assert part.link is not None
+        part.link.used = True  # as if it had carried one before
+        kept.close()
+        self.serve()
+        found = self.answer("b1")
+        self.assertEqual([row[2] for row in found], [200])
+        self.assertTrue(part.again)
+
+    def test_a_new_connection_that_breaks_is_502(self) -> None:
+        self.batch("b1", ["k1"])
+        for _ in range(3):
+            self.step()
+        (made,) = [link for link in self.server.listener.links if not isinstance(link, BatchLink)]
+        made.close()
+        self.assertEqual([row[2] for row in self.answer("b1", serving=False)], [502])
+
+    def test_sigterm_lets_batches_in_hand_end_whole(self) -> None:
+        keys = [f"k{n}" for n in range(64)]
+        self.batch("b1", keys, "2.000")
+        self.play("router end\nwait 1300\nrouter going")
+        found = self.answer("b1")
+        self.assertEqual([row[0] for row in found], keys)
+        self.assertIn(200, {row[2] for row in found})
+        self.play("wait 1200\nrouter ended")
+
+    def test_sigterm_bounds_the_deadline_of_a_batch(self) -> None:
+        self.batch("b1", [f"k{n}" for n in range(64)], "3600")
+        self.play("router end\nwait 2600")
+        self.assertIn(504, {row[2] for row in self.answer("b1", serving=False)})
+        self.play("wait 1100\nrouter ended")
+
+    def test_a_fault_ends_the_batch_so_that_its_client_can_tell(self) -> None:
+        self.batch("b1", ["k1", "k2"])
+        with mock.patch.object(BatchLink, "_write_part", side_effect=KeyError("x")), \
+                self.assertLogs("rosepick", "ERROR"):
+            for _ in range(20):
+                self.serve()
+        self.assertTrue(self.wires["b1"][0].ended)
+        self.assertIsNone(unchunked(self.wires["b1"][0].seen))
+        self.nothing_left()
+
+
+class Settings(unittest.TestCase):
+    def test_ports_that_collide(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            conf, told = Path(name) / "rosepick.conf", Path(name) / "config.json"
+            conf.write_text("multiget_listen 5000\nmultiget_max_keys 0\n")
+            told.write_text('{"listen": "127.0.0.1:5000"}')
+            faults, _ = check.check(conf, {"GW_CONFIG": str(told)})
+        self.assertEqual(faults[:2], [
+            'rosepick.conf line 2: multiget_max_keys "0" is not a whole number from 1 to 1024',
+            "rosepick.conf line 1: multiget_listen 5000 is the port of GW_CONFIG listen already",
+        ])
+
+
+class Node(socketserver.ThreadingTCPServer):
+    """A cache node on loopback: it answers each GET, and 400 to an id that it was sent before."""
+
+    allow_reuse_address = daemon_threads = True
+
+    def __init__(self) -> None:
+        super().__init__(("127.0.0.1", 0), NodeHandler)
+        self.statuses: list[int] = []
+        self.ids: set[bytes] = set()
+
+
+class NodeHandler(socketserver.StreamRequestHandler):
+    def handle(self) -> None:
+        assert isinstance(self.server, Node)
+        while line := self.rfile.readline():
+            headers = dict(
+                row.strip().split(b": ", 1) for row in iter(self.rfile.readline, b"\r\n") if row.strip()
+            )
+            req_id = headers.get(b"Req-Id", b"")
+            good = line.startswith(b"GET /api/") and req_id and req_id not in self.server.ids
+            self.server.ids.add(req_id)
+            self.server.statuses.append(200 if good else 400)
+            self.wfile.write(b"HTTP/1.1 %d X\r\nContent-Length: 5\r\n\r\nvalue" % (200 if good else 400))
+
+
+class CommandLine(unittest.TestCase):
+    """The program and `rosepick mget`, over real sockets."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.node = Node()
+        self.addCleanup(self.node.server_close)
+        threading.Thread(target=self.node.serve_forever, daemon=True).start()
+        self.addCleanup(self.node.shutdown)
+
+    def start(self, *stopped: str) -> int:
+        """Start a router with one cache node at work and some stopped; the port of its door for batches."""
+        ports = []
+        for _ in stopped:
+            with socket.create_server(("127.0.0.1", 0)) as unused:
+                ports.append(unused.getsockname()[1])
+        nodes = [("s1", self.node.server_address[1]), *zip(stopped, ports, strict=True)]
+        (self.folder / "config.json").write_text(json.dumps({
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "limits": {"memory_mb": 192},
+            "discovery": "127.0.0.1:1", "settings": SETTINGS,
+            "known": {"rev": 41, "all": True, "targets": [target(*node) for node in nodes]},
+        }))
+        (self.folder / "rosepick.conf").write_text("multiget_listen 0\n")
+        process = subprocess.Popen(
+            self.words("serve", "-f", str(self.folder / "rosepick.conf")), cwd=ROOT, text=True,
+            stderr=subprocess.PIPE, env=self.environment(),
+        )
+        assert process.stderr is not None
+        self.addCleanup(process.stderr.close)
+        self.addCleanup(process.wait, 30)
+        self.addCleanup(process.terminate)
+        port = 0
+        for line in process.stderr:
+            if found := re.search(r"event=multiget_serving listen=127.0.0.1:(\d+)", line):
+                port = int(found[1])
+            if "event=serving" in line:
+                return port
+        self.fail("it does not serve")
+
+    def words(self, *words: str) -> list[str]:
+        return [sys.executable, "-m", "rosepick", *words]
+
+    def environment(self) -> dict[str, str]:
+        return {**os.environ, "GW_CONFIG": str(self.folder / "config.json")}
+
+    def mget(self, *words: str, given: str = "") -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            self.words("mget", *words), cwd=ROOT, text=True, input=given, capture_output=True, timeout=60,
+            env=self.environment(),
+        )
+
+    def test_a_batch_by_arguments_and_by_standard_input(self) -> None:
+        door = f"127.0.0.1:{self.start()}"
+        for words, given in ((("m-1", "m-2"), ""), ((), "m-1\nm-2\n")):
+            ended = self.mget("--to", door, *words, given=given)
+            self.assertEqual((ended.returncode, ended.stderr), (0, ""))
+            self.assertRegex(
+                ended.stdout, r"\Am-1 [0-9a-f]{16} 200 5\nvalue\nm-2 [0-9a-f]{16} 200 5\nvalue\n\Z"
+            )
+        ended = self.mget("--to", door, "m-1", "m-1")
+        self.assertEqual((ended.returncode, ended.stdout), (2, ""))
+        self.assertEqual(ended.stderr, "rosepick: status 400: line 2 repeats the key of line 1\n")
+        ended = self.mget("--to", "127.0.0.1:1", "m-1")
+        self.assertEqual((ended.returncode, ended.stdout), (2, ""))
+
+    def test_two_nodes_of_which_one_is_stopped(self) -> None:
+        door = f"127.0.0.1:{self.start('s2', 'origin')}"
+        keys = [f"m-{n:04d}" for n in range(40)]
+        ended = self.mget("--to", door, "--deadline", "2", *keys)
+        found = list(entries(ended.stdout.encode()))
+        self.assertEqual([row[0].decode() for row in found], keys)
+        failed = sum(row[2] != 200 for row in found)
+        self.assertEqual(ended.returncode, 1 if failed else 0)
+        self.assertLess(failed, 40)
+        self.assertEqual(set(self.node.statuses), {200})
+        self.assertTrue(self.node.ids <= {row[1] for row in found})
