Dump the capture beside the log: leave room in a pipe, survive a list cut by the ring

Seen in review: a dump that filled a pipe nobody reads would have blocked the loop at the next log line; a second signal logged at once, into that same pipe. Pieces now go out while less than 16 KiB is unread there, asked of the system (FIONREAD, TIOCOUTQ), by timers that back off, and signals meanwhile are counted in capture_dumped. A list whose end gave way during a dump made the whole capture malformed; it is counted as truncated. Files that follow on one another are read one by one, so that a cut last line of one does not spoil the next.

--- a/rosepick/__main__.py
+++ b/rosepick/__main__.py
@@ -74,12 +74,13 @@
 
     Ends with 0 if nothing differs, with 1 if something does, and with 2 if the capture cannot be replayed.
     """
-    from .capture.lines import BadLine
+    from .capture.lines import BadLine, Lines
     from .capture.replay import CannotReplay, replay
 
     try:
         told = _reread()
-        report = replay(b"".join(path.read_bytes() for path in files), told.settings, told.names)
+        sources = [Lines(path.read_bytes(), f"{path.name} ") for path in files]
+        report = replay(sources, told.settings, told.names)
     except OSError as problem:
         _stop(f"{problem.filename}: {problem.strerror}", 2)
     except (config.ConfigError, BadLine, CannotReplay) as problem:
--- a/rosepick/capture/lines.py
+++ b/rosepick/capture/lines.py
@@ -224,8 +224,8 @@
 class BadLine(Exception):
     """A line that is no record."""
 
-    def __init__(self, number: int) -> None:
-        super().__init__(f"line {number} is malformed")
+    def __init__(self, number: int, place: str = "") -> None:
+        super().__init__(f"{place}line {number} is malformed")
 
 
 @dataclass(slots=True)
@@ -233,6 +233,7 @@
     """The records of a capture, each with the number of its line; log lines between them are passed over."""
 
     data: bytes
+    place: str = ""  # said before the number of a malformed line
     truncated: int = 0
 
     def __iter__(self) -> Iterator[tuple[int, Record]]:
@@ -243,13 +244,16 @@
         for number, row in enumerate(rows[:last], 1):
             if row.startswith((b"time=", b"rosepick: ")):
                 continue
+            if row.startswith(b"H ") and group is not None:  # the dump was overtaken within a list
+                group = None
+                self.truncated += 1
             try:
                 if number == len(rows):
                     raise ValueError("the last line has no end")
                 record, group = _take(row, group)
             except (ValueError, KeyError, IndexError):
                 if number < last:
-                    raise BadLine(number) from None
+                    raise BadLine(number, self.place) from None
                 self.truncated += 1
                 return
             if record is not None:
--- a/rosepick/capture/replay.py
+++ b/rosepick/capture/replay.py
@@ -8,8 +8,9 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import chain
 
 from .. import api
 from ..api import Result, Scope
@@ -131,14 +132,14 @@
     return found
 
 
-def replay(data: bytes, settings: api.Settings, names: Names) -> Report:
-    """Feed a capture to the decisions under these settings. BadLine or CannotReplay if it cannot be."""
-    source = lines.Lines(data)
+def replay(sources: Sequence[lines.Lines], settings: api.Settings, names: Names) -> Report:
+    """Feed a capture, of one file or several that follow on one another, to the decisions under these
+    settings. BadLine or CannotReplay if it cannot be."""
     report = Report()
-    for piece in pieces(source):
+    for piece in pieces(chain.from_iterable(sources)):
         report.pieces += 1
         _Replay(piece, settings, names, report).run()
-    report.truncated = source.truncated
+    report.truncated = sum(source.truncated for source in sources)
     return report
 
 
--- a/rosepick/net/capture.py
+++ b/rosepick/net/capture.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import logging
 import os
 import re
 import select
+import stat
+import termios
+from array import array
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -17,11 +21,14 @@
 from ..http.sender_side import words
 from ..logs import say
 from ..operator_file import OperatorFile
-from .loop import WRITE, Loop
+from .loop import Loop
 
 log = logging.getLogger(__name__)
 AT_ONCE = select.PIPE_BUF  # bytes: a pipe that is ready takes so many without blocking, and as one piece
-PAUSE = 1.0  # between pieces for a file, which no selector can watch and which does not block
+PIECES = 4  # that go out in one step
+UNREAD = 4 * AT_ONCE  # a pipe holds four times as much, by default: the rest is for log lines
+PAUSE = 1.0  # between steps, doubled up to ...
+LONGEST_PAUSE = 250.0  # ... this while nothing is taken
 FLUSH_EVERY = 250.0
 _NAME = re.compile(r"capture-([0-9]{8})\.log")
 
@@ -45,7 +52,7 @@
     def dump(self, fd: int = 2) -> None:
         """SIGUSR2: write all that is held to standard error, a piece whenever that takes one."""
         if self._dump is not None and self._dump.going:
-            say(log, logging.WARNING, "capture_dump_goes_on")
+            self._dump.ignored += 1  # said at the end: a line now might block
             return
         self.recorder.flush()
         self._dump = Dump(self._loop, self.ring, fd)
@@ -53,73 +60,74 @@
     def close(self) -> None:
         """The router ends."""
         if self._dump is not None:
-            self._dump.stop()
+            self._dump.going = False
         if self._files is not None:
             self._files.close()
 
 
 class Dump:
     """One writing of the ring, as it stood at the begin, while it goes on turning. Guards against a reader of
-    standard error that stalls the loop: nothing is written before the descriptor says that it takes it."""
+    standard error that stalls the loop: a piece is written only when the descriptor takes it at once, and
+    while little is unread there, so that log lines find room too."""
 
     def __init__(self, loop: Loop, ring: Ring, fd: int) -> None:
         self.loop, self.ring, self.fd = loop, ring, fd
         self.place, self.until = ring.begin(), ring.end()
         self.going = True
-        self.count = 0
+        self.count = self.ignored = 0
+        self._pause = PAUSE
         self._rest = b""  # of a piece that was taken in part
-        self._watching = False
-        try:
-            loop.watch(fd, WRITE, self._ready)
-            self._watching = True
-        except PermissionError:  # a file
-            loop.after(0.0, self._step)
-        except OSError as problem:
-            self._failed(problem)
-
-    def _ready(self, mask: int) -> None:
-        self._write()
+        loop.after(0.0, self._step)
 
     def _step(self) -> None:
-        if self._write():
-            self.loop.after(PAUSE, self._step)
-
-    def _write(self) -> bool:
-        """One piece of whole lines; whether there is more to come."""
-        if not self.going:
-            return False
-        piece, behind = self.ring.read(self.place, self.until, AT_ONCE)
-        if not self._rest and not piece:
-            self.stop()
-            say(log, logging.INFO, "capture_dumped", bytes=self.count)
-            return False
+        """Some pieces, if they are taken; then again, later and later while none is."""
+        pieces = 0
         try:
-            self._put(piece, behind)
+            while self.going and pieces < PIECES and takes(self.fd):
+                self._write()
+                pieces += 1
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as problem:
-            self._failed(problem)
-        return self.going
-
-    def _put(self, piece: memoryview, behind: Place) -> None:
+            self.going = False
+            say(log, logging.WARNING, "capture_dump_failed", text=problem)
+        if self.going:
+            self._pause = PAUSE if pieces else min(LONGEST_PAUSE, 2.0 * self._pause)
+            self.loop.after(self._pause, self._step)
+
+    def _write(self) -> None:
+        """One piece of whole lines, or the end."""
         if self._rest:
             self._rest = self._rest[os.write(self.fd, self._rest) :]
             return
+        piece, behind = self.ring.read(self.place, self.until, AT_ONCE)
+        if not piece:
+            self.going = False
+            say(log, logging.INFO, "capture_dumped", bytes=self.count, signals_ignored=self.ignored)
+            return
         count = os.write(self.fd, piece)
         self._rest = bytes(piece[count:])  # a descriptor that does not block may take a part
         self.count += len(piece)
         self.place = behind
 
-    def _failed(self, problem: OSError) -> None:
-        self.stop()
-        say(log, logging.WARNING, "capture_dump_failed", text=problem)
 
-    def stop(self) -> None:
-        """Write no more."""
-        self.going = False
-        if self._watching:
-            self._watching = False
-            self.loop.unwatch(self.fd)
+def takes(fd: int) -> bool:
+    """Whether a descriptor takes a piece without blocking, and little that was written there is unread."""
+    poll = select.poll()
+    poll.register(fd, select.POLLOUT)
+    found = poll.poll(0)
+    return bool(found) and (found[0][1] != select.POLLOUT or _unread(fd) <= UNREAD)
+
+
+def _unread(fd: int) -> int:
+    """Bytes that were written and not yet read, where the system tells."""
+    count = array("i", [0])
+    pipe = stat.S_ISFIFO(os.fstat(fd).st_mode)
+    try:
+        fcntl.ioctl(fd, termios.FIONREAD if pipe else termios.TIOCOUTQ, count)
+    except OSError:  # a file, in which nothing waits
+        return 0
+    return count[0]
 
 
 class Files:
--- a/rosepick/net/loop.py
+++ b/rosepick/net/loop.py
@@ -59,7 +59,7 @@
         """Call after so many milliseconds."""
         return self.at(self.now() + delay, call)
 
-    def watch(self, sock: socket.socket | int, mask: int, ready: Ready) -> None:
+    def watch(self, sock: socket.socket, mask: int, ready: Ready) -> None:
         """Call when a socket is ready."""
         self._selector.register(sock, mask, ready)
 
@@ -67,7 +67,7 @@
         """Wait for something else on a watched socket."""
         self._selector.modify(sock, mask, ready)
 
-    def unwatch(self, sock: socket.socket | int) -> None:
+    def unwatch(self, sock: socket.socket) -> None:
         """Forget a socket."""
         self._selector.unregister(sock)
 
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -151,6 +151,12 @@
         self.assertEqual([number for number, _ in found], [1, 3])
         self.assertEqual(found.truncated, 1)
 
+    def test_a_list_that_a_dump_lost_the_end_of_is_counted(self) -> None:
+        head = lines.Header(0, 0, 1, 0.0, 0.0, 0).text().encode()
+        found = lines.Lines(head + b"M 1.0 full 1 2\nm a 1 active 0.0 0 0 0 1.0\n" + head + b"T 1.0 5\n")
+        self.assertEqual([type(record) for _, record in found], [lines.Header, lines.Header, lines.Due])
+        self.assertEqual(found.truncated, 1)
+
     def test_a_malformed_line_before_the_last_is_an_error_with_its_number(self) -> None:
         head = lines.Header(0, 0, 1, 0.0, 0.0, 0).text().encode()
         entry = b"m a 1 active 0.0 0 0 0 1.0"
@@ -175,7 +181,7 @@
 
     def replayed(self, data: bytes | None = None, **changed: object) -> Report:
         told = config.read({**self.document(), **changed})
-        return replay(self.captured() if data is None else data, told.settings, told.names)
+        return replay([lines.Lines(self.captured() if data is None else data)], told.settings, told.names)
 
     def node(self) -> str:
         """The cache node that was sent something."""
@@ -265,6 +271,13 @@
             report = self.replayed(cut)
             self.assertEqual((report.differing, report.truncated), ([], 1), part)
 
+    def test_segments_in_files_of_their_own_are_one_capture(self) -> None:
+        self.busy()
+        data, told = self.captured(), config.read(self.document())
+        half = data.index(b"\n", len(data) // 2) + 1
+        report = replay([lines.Lines(data[:half]), lines.Lines(data[half:])], told.settings, told.names)
+        self.assertEqual((report.compared, report.differing, report.pieces), (12, [], 1))
+
     def test_each_dump_of_a_log_is_a_piece_of_its_own(self) -> None:
         self.busy()
         data = self.captured()
@@ -281,6 +294,19 @@
         report = self.replayed()
         self.assertEqual((report.compared, report.open, report.differing), (1, 0, []))
 
+    def test_a_signal_during_a_dump_is_counted_and_starts_none(self) -> None:
+        self.busy()
+        assert self.server.capture is not None
+        with tempfile.TemporaryFile() as file:
+            self.server.capture.dump(file.fileno())
+            self.server.capture.dump(file.fileno())
+            with self.assertLogs("rosepick", "INFO") as said:
+                self.play("wait 300")
+            file.seek(0)
+            self.assertEqual(file.read().count(b"\nM "), 3)
+        (told,) = [line for line in said.records if line.getMessage() == "capture_dumped"]
+        self.assertEqual(vars(told)["fields"]["signals_ignored"], 1)
+
     def test_what_the_observer_breaks_on_keeps_nobody_from_an_answer(self) -> None:
         assert self.server.capture is not None
         with mock.patch.object(self.server.capture.recorder, "fed", side_effect=KeyError("x")), \
@@ -313,7 +339,8 @@
 
 class Dumps(unittest.TestCase):
     def setUp(self) -> None:
-        self.loop = Loop(lambda: 0.0)
+        self.now = 0.0
+        self.loop = Loop(lambda: self.now)
         self.addCleanup(self.loop.close)
         self.ring = Ring(3, 16_384, lambda ring, most: b"H %d\n" % ring.number)
         for n in range(4000):
@@ -321,6 +348,12 @@
         self.out, self.into = os.pipe()
         self.addCleanup(os.close, self.out)
 
+    def step(self, count: int) -> None:
+        """So many milliseconds pass."""
+        for _ in range(count):
+            self.now += 0.001
+            self.loop.step(0)
+
     def drain(self) -> bytes:
         found = b""
         while select.select([self.out], [], [], 0)[0]:
@@ -335,27 +368,32 @@
         held = whole(self.ring)
         dump = Dump(self.loop, self.ring, self.into)
         with mock.patch("os.write", side_effect=os.write) as written:
-            for _ in range(200):  # the pipe holds 64 KiB; a write that blocked would hang here
-                self.loop.step(0)
+            self.step(2000)  # the pipe holds 64 KiB; a write that blocked would hang here
             self.assertTrue(all(len(call.args[1]) <= select.PIPE_BUF for call in written.call_args_list))
             self.assertTrue(all(bytes(call.args[1]).endswith(b"\n") for call in written.call_args_list))
         self.assertEqual(os.get_blocking(self.into), flags)
         found = b""
         for _ in range(100):
             found += self.drain()
-            self.loop.step(0)
+            self.step(250)
         os.close(self.into)
         self.assertEqual(found, held)
         self.assertFalse(dump.going)
 
+    def test_log_lines_find_room_beside_a_dump_that_nobody_reads(self) -> None:
+        Dump(self.loop, self.ring, self.into)
+        self.step(2000)
+        os.set_blocking(self.into, False)  # so that the test fails, where the router would hang
+        for _ in range(100):
+            self.assertEqual(os.write(self.into, b"x" * 200), 200)
+        os.close(self.into)
+
     def test_what_gives_way_meanwhile_is_passed_over(self) -> None:
-        with mock.patch.object(self.ring, "read", wraps=self.ring.read):
-            dump = Dump(self.loop, self.ring, self.into)
-            self.loop.step(0)
-            for n in range(4000, 12_000):
-                self.ring.append(b"record %08d\n" % n)
-            for _ in range(50):
-                self.loop.step(0)
+        dump = Dump(self.loop, self.ring, self.into)
+        self.step(1)
+        for n in range(4000, 12_000):
+            self.ring.append(b"record %08d\n" % n)
+        self.step(500)
         os.close(self.into)
         self.assertFalse(dump.going)
         self.assertTrue(self.drain().endswith(b"\n"))
@@ -365,22 +403,28 @@
         os.close(out)
         dump = Dump(self.loop, self.ring, into)
         with self.assertLogs("rosepick", "WARNING"):
-            for _ in range(3):
-                self.loop.step(0)
+            self.step(3)
         os.close(into)
         self.assertFalse(dump.going)
 
     def test_a_file_takes_all(self) -> None:
         with tempfile.TemporaryFile() as file:
-            now = 0.0
-            self.loop._clock = lambda: now
             Dump(self.loop, self.ring, file.fileno())
-            for _ in range(200):
-                now += 0.01
-                self.loop.step(0)
+            self.step(200)
             file.seek(0)
             self.assertEqual(file.read(), whole(self.ring))
 
+    def test_a_socket_takes_all(self) -> None:
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            Dump(self.loop, self.ring, ours.fileno())
+            found = b""
+            for _ in range(200):
+                self.step(1)
+                with contextlib.suppress(BlockingIOError):
+                    found += theirs.recv(65_536, socket.MSG_DONTWAIT)
+            self.assertEqual(found, whole(self.ring))
+
 
 class FilesRing(unittest.TestCase):
     def setUp(self) -> None:
