--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -15,7 +15,7 @@
 
 TOGETHER = 64  # records that are written at once
 WORD = lines.WORD_LIMIT + 1  # bytes of a word that are kept until then: enough to show that it was longer
-PIECE = 4096  # bytes that go into the ring at once, unless one line is longer
+PIECE = 4096  # bytes that go into the ring at once, unless one line is longer, or a quarter of a segment
 LEFT_MOST = 256  # next hops that have left, whose uids are kept for the answers still to come
 _STATUS = {End.SERVED: 200, End.REFUSED: 503, End.FAILED: 502, End.LATE: 504, End.GONE: 499, End.BROKE: 500}
 
@@ -41,6 +41,7 @@
         self.members: dict[int, tuple[Member, str]] = {}
         self.left: OrderedDict[int, str] = OrderedDict()
         self.ring = Ring(segments, size, self._header)
+        self._piece = min(PIECE, size // 4)
         self.since = 0.0  # when the oldest record was fed that is not in the ring
         # Records wait for others: written one by one, each would find the processor's caches cold.
         self._waiting: list[tuple[Callable[..., str], tuple[object, ...]]] = []
@@ -96,7 +97,7 @@
         size = 0
         for write, given in waiting:
             text = write(*given)
-            if size + len(text) > PIECE:
+            if size + len(text) > self._piece:
                 self._put(part)
                 part, size = [], 0
             part.append(text)
@@ -104,8 +105,12 @@
         self._put(part)
 
     def _put(self, part: list[str]) -> None:
-        if part:
-            self.ring.append("".join(part).encode("ascii"), len(part))
+        if part and not self.ring.append("".join(part).encode("ascii"), len(part)):
+            self._lost(self.since)
+
+    def _lost(self, now: float) -> None:
+        """No segment can hold what came."""
+        self.ring.append(lines.Lost(now).text().encode("ascii"))
 
     def _arrival(
         self, now: float, ref: int, req_id: bytes, klass: int, tenant: int, key: bytes, wait: bytes,
@@ -134,7 +139,7 @@
         self.since = now
         text = lines.Listed(now, event.scope, event.version, told).text()
         if not self.ring.append(text.encode("ascii"), 1 + len(told)):
-            self.ring.append(lines.Lost(now).text().encode("ascii"))
+            self._lost(now)
         if event.scope is Scope.FAILED:
             return
         self.version = event.version
--- a/rosepick/net/multiget.py
+++ b/rosepick/net/multiget.py
@@ -353,8 +353,7 @@
     def _write_part(self, part: Part) -> None:
         self.not_served += part.status != 200
         self._writing = int(part.out)
-        now = self.listener.loop.now()
-        self.waited_for = min(now + UNREAD, max(self.deadline, now) + LONGEST)
+        self.waited_for = min(self.listener.loop.now() + UNREAD, self.deadline + LONGEST)
         body, part.body = part.body, b""
         self.parts.budget.held -= len(body)
         self.stream.send(*self.batches.chunk(*multiget.entry(part.key, part.req_id, part.status, body)))
--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -178,9 +178,10 @@
                 if len(part) > left:
                     self._pending.appendleft(part[left:])
                 left -= len(parts[-1])
-            piece = b"".join(parts)
+            piece = memoryview(b"".join(parts))
             self._budget.held -= len(piece)
-            self._tls.write(piece)
+            while piece:  # a client may have asked for smaller records
+                piece = piece[self._tls.write(piece) :]
         data = self._out.read()
         self._budget.held += len(data)
         return data
--- a/rosepick/operator_file.py
+++ b/rosepick/operator_file.py
@@ -76,8 +76,8 @@
 
 
 TABLE: tuple[Setting, ...] = (
-    Whole("capture_segments", 4, low=2, high=48),
-    Whole("capture_segment_kb", 192, low=16, high=384),
+    Whole("capture_segments", 4, low=1, high=192),
+    Whole("capture_segment_kb", 192, low=4, high=768),
     Setting("capture_dir"),
     Whole("tls_listen", low=0, high=65_535),
     Setting("tls_cert", live=True),
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -315,6 +315,20 @@
         self.nothing_left()
 
 
+    def test_a_client_that_reads_too_slowly_for_too_long_loses_its_connection(self) -> None:
+        self.batch("b1", self.keys)
+        (batch,) = self.parts.batches
+        batch.deadline -= 12_500.0
+        batch.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        with mock.patch.object(self.wire("b1"), "pull"):
+            for _ in range(5):
+                self.serve()
+            self.assertGreater(self.server.budget.held, 0)
+            self.play("wait 600")
+        self.assertFalse(any(isinstance(link, BatchLink) for link in self.server.listener.links))
+        self.nothing_left()
+
+
 class Ends(Batches):
     def test_parts_past_the_deadline_are_504_and_the_answer_is_whole(self) -> None:
         self.batch("b1", ["k1", "k2", "k3"], "0.300")
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -206,6 +206,28 @@
         self.play("s1 expect GET\nc1 close\ns1 expect closed")
         self.assertFalse(self.server.listener.links)
 
+    def test_a_client_that_asks_for_small_records_gets_all(self) -> None:
+        host, port = self.address()
+        with subprocess.Popen(
+            ["openssl", "s_client", "-connect", f"{host}:{port}", "-maxfraglen", "512", "-quiet"],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
+        ) as process:
+            assert process.stdin is not None and process.stdout is not None
+            process.stdin.write(
+                b"GET /api/k1 HTTP/1.1\r\nReq-Id: 7\r\nReq-Kind: read\r\nReq-Owner: acme\r\n"
+                b"Req-Deadline: 1\r\nConnection: close\r\n\r\n"
+            )
+            process.stdin.flush()
+            while not any(wire.seen for wire in self.wires["s1"]):
+                self.loop.step(0.01)
+                self.step()
+            self.play(f"s1 send 200 {'y' * 40_000}")
+            for _ in range(20):
+                self.step()
+            self.play("wait 600")
+            shown = process.stdout.read()
+        self.assertEqual(shown.count(b"y"), 40_000)
+
     def test_closing_says_goodbye(self) -> None:
         self.play("c1 send GET /ready Connection=close\nc1 expect 200 Connection=close\nwait 10")
         wire = self.wire("c1")
