--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -180,7 +180,7 @@
                 left -= len(parts[-1])
             piece = memoryview(b"".join(parts))
             self._budget.held -= len(piece)
-            while piece:  # a client may have asked for smaller records
+            while piece:  # guards against a library that takes a part, as it may
                 piece = piece[self._tls.write(piece) :]
         data = self._out.read()
         self._budget.held += len(data)
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -235,6 +235,17 @@
         self.play("b1 send GET /mget\nb1 expect 405\nb1 send GET /api/k1\nb1 expect 404")
         self.assertEqual(self.server.engine.counts["envelopes"], 0)
 
+    def test_another_limit_of_keys_applies_after_sighup(self) -> None:
+        changed = operator_file.read(b"multiget_listen 0\nmultiget_max_keys 1", "rosepick.conf")
+        self.server.operators.reread = lambda: changed
+        with self.assertLogs("rosepick", "INFO") as said:
+            self.play("router reload")
+        told = {line.getMessage(): vars(line)["fields"] for line in said.records}
+        expected = {"changed": "multiget_max_keys", "needs_restart": "nothing"}
+        self.assertEqual(told["operator_file_reloaded"], expected)
+        self.batch("b1", ["k1", "k2"])
+        self.play("b1 expect 400 more than 1 keys")
+
     def test_usual_clients_are_served_beside_a_batch(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)])
         self.play("c1 send GET /api/mine")
