--- a/rosepick/capture/replay.py
+++ b/rosepick/capture/replay.py
@@ -87,6 +87,7 @@
     truncated: int = 0
     lost: int = 0
     pieces: int = 0
+    headless: int = 0  # pieces without their begin: the module had learned what is not known here
 
     def lines(self) -> Iterator[str]:
         """Each record whose decision differs, as it was and as it is now; then the counts."""
@@ -96,7 +97,8 @@
         yield (
             f"compared {self.compared}, differing {len(self.differing)}, "
             f"begun before the capture {self.before}, still open at its end {self.open}, "
-            f"truncated last lines {self.truncated}, records lost {self.lost}, pieces {self.pieces}"
+            f"truncated last lines {self.truncated}, records lost {self.lost}, pieces {self.pieces}, "
+            f"of them without their begin {self.headless}"
         )
 
 
@@ -138,6 +140,7 @@
     report = Report()
     for piece in pieces(chain.from_iterable(sources)):
         report.pieces += 1
+        report.headless += piece.header.lines > 0
         _Replay(piece, settings, names, report).run()
     report.truncated = sum(source.truncated for source in sources)
     return report
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -245,6 +245,7 @@
         report = self.replayed()
         self.assertEqual((report.compared, report.differing, report.pieces), (12, [], 1))
         self.assertEqual((report.before, report.open, report.lost, report.truncated), (0, 0, 0, 0))
+        self.assertEqual(report.headless, 0)
 
     def test_a_changed_setting_shows_what_differs(self) -> None:
         """With one attempt allowed, what was sent again fails at once; nothing else is decided otherwise."""
@@ -324,7 +325,7 @@
         data = self.captured()
         self.assertNotIn(b"H 1 0 ", data)
         report = self.replayed(data)
-        self.assertEqual(report.pieces, 1)
+        self.assertEqual((report.pieces, report.headless), (1, 1))
         self.assertLess(report.compared, 150)
         self.assertGreater(report.compared, 20)
 
