Keep room for the next client: connections are judged by when they ask again

A new package without I/O, rosepick/connections, keeps an account of all connections, measures how soon each kind asks again while it stands, learns what clients may hold, and ends a connection with its answer when its place is needed sooner than it is expected to ask. Descriptors are one budget with named parts; handshakes of TLS have a part of the time.

--- a/rosepick/__main__.py
+++ b/rosepick/__main__.py
@@ -129,7 +129,7 @@
 
 def _batches(told: config.Config | None, operators: OperatorFile) -> tuple[str, int]:
     """Where batches go by the files."""
-    port = operators.port("multiget_listen")
+    port = operators.number("multiget_listen")
     if told is None or not port:
         raise ValueError("no door for batches: name one by --to, or by -f a file that sets multiget_listen")
     return told.listen[0], port
--- a/rosepick/check.py
+++ b/rosepick/check.py
@@ -207,7 +207,7 @@
     listen, _ = notes.values.get("listen", ("", ""))
     taken = {} if notes.broken("listen") else {str(listen).rpartition(":")[2]: f"{PLACE} listen"}
     for name in PORTS:
-        port = str(operators.port(name) or "")  # 0 is any that is free
+        port = str(operators.number(name) or "")  # 0 is any that is free
         if port and port in taken:
             yield str(operators.fault(name, f"{name} {port} is the port of {taken[port]} already"))
         elif port:
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -170,6 +170,11 @@
         """The rest of a request did not come."""
         self._reject(Bad(408, "the request did not come whole"))
 
+    def end(self) -> None:
+        """The connection is closed. The parser refers back to this machine: leave no cycle to collect."""
+        self._parser, self.done = None, True
+        self._inbox.clear()
+
     def answer(self, status: int, body: bytes, extra: Extra, closing: bool, last: bool = False) -> bytes:
         """The head of the answer to the request in hand; its body follows. `done` is set if the connection
         ends with it, as it does with the `last` one, whatever came behind."""
--- a/rosepick/net/multiget.py
+++ b/rosepick/net/multiget.py
@@ -13,14 +13,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..connections.descriptors import Use
 from ..http import multiget
 from ..http.multiget import Batch, BatchConnection
 from ..http.response import Answer, AnswerReader, BadAnswer
 from ..http.sender_side import Received
 from ..logs import fault, say
 from .budget import Budget
-from .listener import Listener, SenderLink
+from .listener import Listener
 from .loop import READ, WRITE, Loop, Timer
+from .sender_link import SenderLink
 from .stream import Dialed, Stream, StreamMaker, dial
 
 log = logging.getLogger(__name__)
@@ -62,7 +64,7 @@
         self._reader = AnswerReader(multiget.ANSWER_LIMIT)
         self._unsent = memoryview(b"")
         self._came = False  # something of the present answer
-        self.stream = Stream(parts.loop, parts.budget, sock, self.ready, WRITE)
+        self.stream = Stream(parts.loop, parts.budget, sock, self.ready, WRITE, Use.BATCHES)
 
     def start(self, part: Part, request: bytes) -> None:
         """Ask for a part, as soon as the connection is up."""
@@ -224,7 +226,7 @@
         return None
 
     def _dial(self) -> PartLink:
-        if not self.budget.room():
+        if not self.budget.room(Use.BATCHES):
             raise OSError("every descriptor of the budget is in use")
         return PartLink(self, dial(self.endpoint))
 
@@ -265,7 +267,7 @@
         self.waiting: deque[Part] = deque()  # not yet sent
         self.out = 0  # sent, and not yet written to the client
         self.count = self.not_served = 0
-        self._in_hand = False
+        self._in_hand = self._closes = False
         self._writing = 0  # places that are free once what is being written is
         self._timer: Timer | None = None
         super().__init__(listener, sock, make)
@@ -291,7 +293,8 @@
         self.waiting = self.all.copy()
         self.count, self.not_served, self.out, self._writing = len(self.all), 0, 0, 0
         self._in_hand = True
-        self.stream.send(self.batches.begin(self.listener.ending))
+        self._closes = self.ends()
+        self.stream.send(self.batches.begin(self._closes))
         self._set_timer()
         self.parts.begin(self)
 
@@ -360,9 +363,10 @@
 
     def _finish(self) -> None:
         last = multiget.ending(self.not_served, self.count)
-        closing = self.listener.ending
+        closing = self._closes or self.listener.ending
         self._end()
         self.stream.send(*self.batches.chunk(last), self.batches.finish(closing))
+        self.answered(200)
         self._take()
 
     def _ended(self) -> None:
@@ -416,7 +420,7 @@
         def link(listener: Listener, sock: socket.socket, make: StreamMaker) -> BatchLink:
             return BatchLink(self.parts, max_keys, listener, sock, make)
 
-        self.door = listener.add_door((host, port), link=link)
+        self.door = listener.add_door("multiget", (host, port), link=link)
 
     def in_hand(self) -> bool:
         """Whether a batch is being answered."""
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -10,6 +10,7 @@
 
 from ..api import Result
 from ..config import Config
+from ..connections.descriptors import Use
 from ..engine import DeliveryAttempt, Engine
 from ..http.next_hop import Exchange, Verdict
 from ..http.sender_side import Letter
@@ -25,7 +26,6 @@
 STALL = 0.2  # of the shortest aim: an answer that has begun and then stops for so long is spoilt
 EARLY = 100.0  # an idle connection that its next hop closes sooner than this was never meant to be kept
 WARY_FOR = 60_000.0  # after such a close
-DIAL_SPARE = 16  # sockets that dials may use beyond the budget: what was taken must get its answer
 
 
 class Link(Dialed):
@@ -43,7 +43,7 @@
         self.held = 0
         self.stalls_at: float | None = None
         self.retired = False
-        self.stream = Stream(pool.loop, pool.budget, sock, self.ready, WRITE)
+        self.stream = Stream(pool.loop, pool.budget, sock, self.ready, WRITE, Use.NEXT_HOPS)
 
     def start(self, attempt: DeliveryAttempt, letter: Letter) -> None:
         """Carry an attempt; its bytes go out as soon as the connection is up."""
@@ -239,7 +239,7 @@
         return None
 
     def _dial(self, hop: NextHop) -> Link | None:
-        if not self.budget.room(DIAL_SPARE):
+        if not self.budget.room(Use.NEXT_HOPS):
             say(log, logging.WARNING, "no_socket_for_dial", server=hop.server, used=self.budget.used)
             return None
         sock = self._socket(hop)
--- /dev/null
+++ b/rosepick/net/sender_link.py
@@ -0,0 +1,263 @@
+"""The driver of one connection of the sender side."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from typing import TYPE_CHECKING
+
+from ..connections.account import Conn, State, Why
+from ..engine import Envelope
+from ..http.response import Answer
+from ..http.sender_side import (
+    Delivered,
+    Extra,
+    Letter,
+    Ready,
+    Received,
+    Rejected,
+    SenderConnection,
+)
+from ..logs import fault, say
+from .loop import READ, WRITE, Timer
+from .stream import StreamMaker
+
+if TYPE_CHECKING:
+    from .listener import Listener
+
+log = logging.getLogger(__name__)
+LINGER = 500.0  # to read on after an answer that came before the request's end, lest a reset overtakes it
+UNREAD = 500.0  # after its deadline nobody waits for an answer any more
+
+
+class SenderLink:
+    """One connection of the sender side; the port through which its envelopes are answered."""
+
+    conn: Conn  # its entry in the account
+
+    def __init__(self, listener: Listener, sock: socket.socket, make: StreamMaker) -> None:
+        self.listener = listener
+        self.machine = self.make_machine()
+        self.envelope: Envelope | None = None
+        self.stuck_since: float | None = None
+        self.waited_for = listener.loop.now() + listener.patience  # until when the answer in hand is
+        self._linger: Timer | None = None
+        self.stream = make(listener.loop, listener.budget, sock, self.ready)
+
+    def make_machine(self) -> SenderConnection:
+        """What reads its requests."""
+        return SenderConnection(self.listener.names)
+
+    def ready(self, mask: int) -> None:
+        """The socket is ready."""
+        try:
+            if mask & WRITE:
+                self.stream.flush()
+            if mask & READ:
+                self._read()
+            self._settle()
+        except OSError:
+            self.gone()
+        except Exception as problem:
+            self._fault(problem)
+
+    def _read(self) -> None:
+        data = self.stream.read()
+        if data is None or self._linger is not None:
+            if data == b"":
+                self.close()
+            return
+        if not data:
+            self._ended()
+            return
+        now = self.listener.loop.now()
+        self.conn.begin(now)
+        self.machine.feed(data, now)
+        self._take()
+        if self.machine.wants_continue:
+            self.machine.wants_continue = False
+            self.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _take(self) -> None:
+        """Take up the next request, if none is being answered."""
+        while (received := self.machine.next()) is not None:
+            self.listener.asked(self)
+            self.waited_for = self.listener.loop.now() + self.listener.patience
+            self._handle(received)
+
+    def _handle(self, received: Received) -> None:
+        match received:
+            case Delivered(envelope):
+                self._accept(envelope)
+            case Ready():
+                up = not self.listener.ending
+                self._answer(200 if up else 503, b"ready\n" if up else b"ending\n")
+            case Rejected(status, reason):
+                self._reject(status, reason)
+
+    def _accept(self, envelope: Envelope) -> None:
+        """Hand an envelope over. Guards against an id that another client's open request has: next hops would
+        take the two for one."""
+        open_ids, req_id = self.listener.open_ids, _id_of(envelope)
+        if req_id in open_ids:
+            self._reject(409, "req-id is open already")
+            return
+        open_ids.add(req_id)
+        self.envelope = envelope
+        self.waited_for = envelope.deadline + UNREAD
+        self.listener.engine.accept(envelope, self)
+
+    def _reject(self, status: int, reason: str) -> None:
+        """A request that cannot be taken. One that came with others close behind ends the connection: guards
+        against hundreds of them sent ahead, each of which would cost an answer."""
+        self.listener.rejected += 1
+        say(log, logging.WARNING, "rejected", status=status, reason=reason)
+        self._answer(status, reason.encode() + b"\n", last=self.machine.sent_ahead())
+
+    def _ended(self) -> None:
+        """The sender side has ended its sending: it has gone. Should it have closed only that half, it still
+        gets a whole answer."""
+        self.sender_left()
+        if self.machine.owing:
+            self._answer(499, b"")
+        if not self.stream.unwritten():
+            self.close()
+
+    def sender_left(self) -> None:
+        """Nothing more is owed here."""
+        envelope = self._let_go()
+        if envelope is not None:
+            self.listener.engine.sender_gone(envelope)
+
+    def _let_go(self) -> Envelope | None:
+        """The envelope in hand, which is in hand no more."""
+        envelope, self.envelope = self.envelope, None
+        if envelope is not None:
+            self.listener.open_ids.discard(_id_of(envelope))
+        return envelope
+
+    def gone(self) -> None:
+        """The connection broke."""
+        self.sender_left()
+        self.close(Why.BROKE)
+
+    # ------------------------------------------------------------------------------ the final answers
+
+    def served(self, envelope: Envelope, answer: object) -> None:
+        assert isinstance(answer, Answer)
+        kind = answer.headers.get(b"content-type")
+        self._final(200, answer.body, () if kind is None else ((b"Content-Type", kind),))
+
+    def refused(self, envelope: Envelope, retry_after: float) -> None:
+        wait = ((b"Retry-After", b"%.3f" % (retry_after / 1000.0)),) if retry_after > 0 else ()
+        self._final(503, b"refused\n", wait)
+
+    def failed(self, envelope: Envelope, late: bool) -> None:
+        self._final(504 if late else 502, b"failed\n")
+
+    def broke(self, envelope: Envelope) -> None:
+        self._final(500, b"fault\n")
+
+    def _final(self, status: int, body: bytes, extra: Extra = ()) -> None:
+        self._let_go()
+        try:
+            self._answer(status, body, extra)
+            self._take()
+            self._settle()
+        except OSError:
+            self.gone()
+
+    def _answer(self, status: int, body: bytes, extra: Extra = (), last: bool = False) -> None:
+        if self.stream.open:
+            ends = self.ends()
+            self.stream.send(self.machine.answer(status, body, extra, ends, last), body)
+            self.answered(status)
+
+    def ends(self) -> bool:
+        """Whether the connection is to end with the answer that is due: the router ends, or its place is
+        needed before it is expected to ask again."""
+        return self.listener.ending or self.listener.policy.last(self.conn, self.listener.loop.now())
+
+    def answered(self, status: int) -> None:
+        """The request in hand has its answer, with that status."""
+        self.listener.account.answer(self.conn, status)
+        if not self.machine.done:
+            self.conn.why = None  # a request that was sent ahead is answered first
+        elif self.listener.ending:
+            self.conn.why = Why.ENDING
+        elif self.conn.why is None:
+            self.conn.why = Why.REJECTED if 400 <= status < 500 else Why.CLIENT
+
+    # -------------------------------------------------------------------------------------- its state
+
+    def _settle(self) -> None:
+        """What to wait for next; the end, once all is answered and written."""
+        if not self.stream.open:
+            return
+        unwritten = self.stream.unwritten()
+        waiting = unwritten or self.machine.partial or self.stream.partial()
+        # The first request counts from the connection's begin; bytes that trickle in never set it back.
+        conn, now = self.conn, self.listener.loop.now()
+        begun = conn.opened if conn.state is State.FRESH else now
+        self.stuck_since = (self.stuck_since or begun) if waiting else None
+        if not unwritten and self._linger is None:
+            if self.machine.done:
+                self.listener.account.linger(conn, now)
+                self.stream.end_sending()
+                self._linger = self.listener.loop.after(LINGER, self.close)
+            elif conn.state is State.ASKING and self.machine.idle():
+                self.listener.account.keep(conn, now)
+        # Guards against a sender that fills the memory with requests sent ahead: they stay in its socket.
+        reading = READ if self._linger is not None or not self.machine.crowded() else 0
+        self.stream.want(reading | (WRITE if unwritten else 0))
+
+    def _fault(self, problem: Exception) -> None:
+        """An exception over one request: it is answered 500, the process goes on."""
+        self.listener.loop.faults += 1
+        fault(log, "sender_fault", problem, count=self.listener.loop.faults)
+        try:
+            owing, self.machine.owing = self.machine.owing, False
+            self.sender_left()
+            if owing:
+                self._answer(500, b"fault\n")
+        except Exception:  # it could not even be told
+            pass
+        self.close(Why.FAULT)
+
+    def check(self, now: float) -> None:
+        """Guards against connections held for ever by half a request or an answer that is not read."""
+        if self.stuck_since is None:
+            return
+        if self.stream.unwritten():
+            if now >= self.waited_for:  # guards against memory held by answers that nobody reads
+                self._too_slow()
+        elif now - self.stuck_since >= self.listener.patience and not self.machine.owing:
+            if not self.stream.established():
+                self._too_slow()
+                return
+            self.machine.too_slow()
+            self._take()
+            self._settle()
+
+    def _too_slow(self) -> None:
+        self.sender_left()
+        self.close(Why.SLOW)
+
+    def idle(self) -> bool:
+        """Between requests, with nothing to write and nothing that came unread."""
+        stream = self.stream
+        return self.machine.idle() and not (stream.unwritten() or stream.partial()) and stream.quiet()
+
+    def close(self, why: Why = Why.CLIENT) -> None:
+        """Close it; the sender side can tell an answer that is not whole."""
+        self.sender_left()
+        if self._linger is not None:
+            self._linger.cancel()  # guards against closed connections that a timer holds in memory
+        self.machine.end()
+        self.stream.close()
+        self.listener.forget(self, why)
+
+
+def _id_of(envelope: Envelope) -> bytes:
+    assert isinstance(envelope.payload, Letter)
+    return envelope.payload.req_id
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -9,17 +9,20 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from .. import api
 from ..config import Config, ConfigError, changed
+from ..connections.account import Why
 from ..engine import Engine, ObservedEngine
 from ..logs import say
 from ..operator_file import OperatorFile, OperatorFileError, Operators
 from ..transport_map import TransportMap
 from ..wire import Reader
 from .budget import Budget
-from .listener import SPARE_AFTER, Listener
+from .doors import door_settings
+from .listener import Listener
 from .loop import Loop
 from .pool import NextHopPool
 from .watch import DiscoveryWatch
@@ -55,7 +58,9 @@
         self.loop = loop = loop or Loop()
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
-        self.budget = Budget(_descriptors(config), config.memory_mb)
+        self.budget = Budget(
+            _descriptors(config), config.memory_mb, 0.01 * self.operators.file.whole("doors_part")
+        )
         self.capture = self._capture() if self.operators.capture else None
         self.engine = self._engine()
         self.pool = NextHopPool(loop, self.budget, self.map, config)
@@ -64,10 +69,16 @@
         )
         self.pool.engine = self.engine
         self.engine.next_hops, self.engine.map_source = self.pool, self.watch
-        self.listener = Listener(loop, self.budget, self.engine, config.names, config.listen)
-        self.tls = self._tls() if self.operators.file.port("tls_listen") is not None else None
-        self.multiget = self._multiget() if self.operators.file.port("multiget_listen") is not None else None
-        self.budget.shed = self._shed
+        self.listener = Listener(
+            loop, self.budget, self.engine, config.names, config.listen, door_settings(self.operators.file),
+            _descriptors(config),
+        )
+        file = self.operators.file
+        self.tls = self._tls() if file.number("tls_listen") is not None else None
+        self.multiget = self._multiget() if file.number("multiget_listen") is not None else None
+        # Connections to next hops cost work to open again, so the sender side's go first that are hardly
+        # missed.
+        self.budget.givers = [partial(self.listener.shed, False), self.pool.shed, self.listener.shed]
         self.budget.freed = self.listener.freed
         self.engine.map_told(known.event)
         self._ending_since = 0.0
@@ -84,10 +95,10 @@
         """The second door, for those who come by TLS."""
         from .tls import Tls
 
-        port = self.operators.file.port("tls_listen")
+        port = self.operators.file.number("tls_listen")
         assert port is not None
         tls = Tls(self.loop, self.operators.file)
-        door = self.listener.add_door((self.config.listen[0], port), tls.stream)
+        door = self.listener.add_door("tls", (self.config.listen[0], port), tls.stream)
         host, port = door.sock.getsockname()[:2]
         say(log, logging.INFO, "tls_serving", listen=f"{host}:{port}", certificate=tls.certificate())
         return tls
@@ -96,7 +107,7 @@
         """The door for batches."""
         from .multiget import MultiGet
 
-        port = self.operators.file.port("multiget_listen")
+        port = self.operators.file.number("multiget_listen")
         assert port is not None
         made = MultiGet(
             self.loop, self.budget, self.listener, port,
@@ -137,18 +148,13 @@
         """Let go of every socket."""
         self.listener.close()
         for link in list(self.listener.links):
-            link.close()
+            link.close(Why.ENDING)
         self.pool.close()
         self.watch.watch(False)
         if self.capture is not None:
             self.capture.close()
         self.loop.close()
 
-    def _shed(self) -> bool:
-        """Close a connection that is of little use. Those to next hops cost work to open again, so the sender
-        side's go first, once they may."""
-        return self.listener.shed(SPARE_AFTER) or self.pool.shed() or self.listener.shed()
-
     # ------------------------------------------------------------------------------------- discovery
 
     def _told(self, told: Reader) -> None:
@@ -186,6 +192,7 @@
             changed=",".join(s.name for s in before.differing(found)) or "nothing",
             needs_restart=",".join(waiting) or "nothing",
         )
+        self._resize()
         if self.tls is not None and found.text("tls_cert") is not None:
             self.tls.reload(found)
 
@@ -201,7 +208,7 @@
         before, self.config = self.config, replace(
             self.config, discovery=told.discovery, sockets=told.sockets
         )
-        self.budget.resize(_descriptors(told))
+        self._resize()
         host, port = told.discovery
         say(
             log, logging.INFO, "reloaded", discovery=f"{host}:{port}", sockets=told.sockets,
@@ -210,6 +217,12 @@
         if told.discovery != before.discovery:
             self.watch.move(told.discovery)
 
+    def _resize(self) -> None:
+        """Apply the limit of descriptors, and what the operators set for connections."""
+        self.budget.doors_part = 0.01 * self.operators.file.whole("doors_part")
+        self.budget.resize(_descriptors(self.config))
+        self.listener.apply(door_settings(self.operators.file), _descriptors(self.config))
+
     # --------------------------------------------------------------------------------------- its end
 
     def end(self) -> None:
@@ -224,7 +237,7 @@
     def _end_if_quiet(self) -> None:
         now = self.loop.now()
         for link in [link for link in self.listener.links if link.idle()]:
-            link.close()
+            link.close(Why.ENDING)
         longest = max(klass.deadline for klass in self.config.settings.classes)
         if self.listener.open and self._no_more_come(now, longest):
             self.listener.close()
@@ -252,6 +265,7 @@
             log, logging.INFO, "counts", owed=self.engine.owed, sockets=self.budget.used,
             rejected=self.listener.rejected, loop_faults=self.loop.faults, **counts,
         )
+        self.listener.sum_up()
 
 
 def _descriptors(config: Config) -> int:
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -9,25 +9,31 @@
 from collections import deque
 from collections.abc import Callable
 
+from ..connections.descriptors import Use
 from .budget import Budget
 from .loop import READ, WRITE, Loop, Ready
 
 CHUNK = 128 * 1024
 
 
+def _closed(mask: int) -> None:
+    """Nobody is called for a stream that is closed."""
+
+
 class Stream:
     """One connected or connecting socket, without blocking."""
 
-    __slots__ = ("sock", "open", "_loop", "_budget", "_ready", "_mask", "_pending")
+    __slots__ = ("sock", "open", "_loop", "_budget", "_use", "_ready", "_mask", "_pending")
 
     def __init__(
-        self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, mask: int = READ
+        self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, mask: int = READ,
+        use: Use = Use.DOORS,
     ) -> None:
         self.sock = sock
         self.open = True
-        self._loop, self._budget, self._ready, self._mask = loop, budget, ready, mask
+        self._loop, self._budget, self._use, self._ready, self._mask = loop, budget, use, ready, mask
         self._pending: deque[memoryview] = deque()
-        budget.take()
+        budget.take(use)
         sock.setblocking(False)
         with contextlib.suppress(OSError):  # a peer that has left already
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -122,7 +128,8 @@
             self.sock.close()
             self._budget.held -= sum(map(len, self._pending))
             self._pending.clear()
-            self._budget.give()
+            self._ready = _closed  # guards against a cycle with its owner, which only a collection would free
+            self._budget.give(self._use)
 
 
 class Dialed(ABC):
--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -7,8 +7,12 @@
 import logging
 import socket
 import ssl
+import time
+from collections.abc import Callable, Iterator
+from enum import Enum
 from pathlib import Path
 
+from ..connections.intake import Handshakes
 from ..logs import say
 from ..operator_file import OperatorFile
 from .budget import Budget
@@ -17,6 +21,7 @@
 from .subject import rfc4514
 
 log = logging.getLogger(__name__)
+UNREAD = 64 * 1024  # bytes that a client may send ahead while its handshake waits for its turn
 PIECE = 16 * 1024  # what is read and encrypted at once: the library keeps buffers of that size
 FILES = ("tls_cert", "tls_key", "tls_client_ca")
 _VERSIONS = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
@@ -61,14 +66,63 @@
         return bool(self._head or self._left)
 
 
+class Turn(Enum):
+    """Whether a handshake has had its turn to begin."""
+
+    NONE = 0
+    AWAITED = 1
+    HAD = 2
+
+
+class Turns:
+    """Handshakes take their turn: they have a part of the time, as a crowd of them would hold answers up."""
+
+    def __init__(self, loop: Loop, part: float, cpu: Callable[[], float] = time.thread_time) -> None:
+        self.loop, self._cpu = loop, cpu
+        self.queue = Handshakes(part, loop.now())
+        self._timer: Timer | None = None
+
+    def granted(self, resume: Callable[[], None]) -> bool:
+        """Whether a handshake may begin now; else `resume` is called when it may."""
+        if self.queue.may(self.loop.now()):
+            return True
+        self.queue.wait(resume)
+        self._wake()
+        return False
+
+    @contextlib.contextmanager
+    def measured(self) -> Iterator[None]:
+        """Count the CPU time of what is done within."""
+        begin = self._cpu()
+        try:
+            yield
+        finally:
+            self.queue.spent(1000.0 * (self._cpu() - begin))
+
+    def _wake(self) -> None:
+        due = self.queue.due_in()
+        if due is not None and self._timer is None:
+            self._timer = self.loop.after(due, self._go_on)
+
+    def _go_on(self) -> None:
+        self._timer = None
+        while (resume := self.queue.next(self.loop.now())) is not None:
+            resume()
+        self._wake()
+
+
 class TlsStream(Stream):
     """A stream whose bytes are encrypted on the way."""
 
-    __slots__ = ("_tls", "_in", "_out", "_cipher", "_framing", "_begun", "_up", "_over")
+    __slots__ = (
+        "_tls", "_in", "_out", "_cipher", "_framing", "_begun", "_up", "_over", "_turns", "_turn",
+    )
 
     def __init__(
-        self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, context: ssl.SSLContext
+        self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, context: ssl.SSLContext,
+        turns: Turns,
     ) -> None:
+        self._turns, self._turn = turns, Turn.NONE
         self._in, self._out = ssl.MemoryBIO(), ssl.MemoryBIO()
         self._tls = context.wrap_bio(self._in, self._out, server_side=True)
         self._cipher = memoryview(b"")  # encrypted, not yet written
@@ -85,12 +139,16 @@
         try:
             data = self.sock.recv(PIECE)
         except (BlockingIOError, InterruptedError):
-            return None
+            return self._go_on() if self._in.pending and not self._up else None
         if not data:
             return b""
         self._begun = True
         self._framing.feed(data)
         self._in.write(data)
+        return self._go_on()
+
+    def _go_on(self) -> bytes | None:
+        """Take in what has come so far."""
         try:
             return self._decrypted() if self._up or self._shake_hands() else None
         except ssl.SSLError as problem:
@@ -99,8 +157,11 @@
 
     def _shake_hands(self) -> bool:
         """A step of the handshake; whether it is over."""
+        if self._turn is not Turn.HAD and not self._has_turn():
+            return False
         try:
-            self._tls.do_handshake()
+            with self._turns.measured():
+                self._tls.do_handshake()
         except ssl.SSLWantReadError:
             self.flush()
             return False
@@ -112,6 +173,18 @@
             say(log, logging.INFO, "client_verified", client_subject=subject)
         return True
 
+    def _has_turn(self) -> bool:
+        """Whether the handshake may begin. Guards against one that fills the memory while it waits."""
+        if self._in.pending > UNREAD:
+            raise OSError("too much was sent before the handshake")
+        if self._turn is Turn.NONE:
+            self._turn = Turn.HAD if self._turns.granted(self._resume) else Turn.AWAITED
+        return self._turn is Turn.HAD
+
+    def _resume(self) -> None:
+        self._turn = Turn.HAD
+        self._read_on()
+
     def _decrypted(self) -> bytes | None:
         parts = []
         while not self._over:
@@ -266,6 +339,7 @@
 
     def __init__(self, loop: Loop, file: OperatorFile) -> None:
         self.loop, self.file = loop, file
+        self.turns = Turns(loop, 0.01 * file.whole("tls_handshake_part"))
         self._held = self._contents(file)
         self.context = context_of(file)
         self._timer: Timer
@@ -273,7 +347,7 @@
 
     def stream(self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready) -> TlsStream:
         """A connection's stream, with the present certificate."""
-        return TlsStream(loop, budget, sock, ready, self.context)
+        return TlsStream(loop, budget, sock, ready, self.context, self.turns)
 
     def certificate(self) -> str:
         """What tells the present certificate from others: the begin of its SHA-256."""
@@ -284,6 +358,7 @@
 
     def reload(self, file: OperatorFile) -> None:
         """SIGHUP: other settings, perhaps, and the pair is read again in any case."""
+        self.turns.queue.part = 0.01 * file.whole("tls_handshake_part")
         self._refresh(file, {})
         self._again()
 
--- a/rosepick/net/watch.py
+++ b/rosepick/net/watch.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from ..connections.descriptors import Use
 from ..http.discovery import CallFailed, Told, call
 from ..logs import fault, say
 from ..wire import Reader
@@ -70,7 +71,7 @@
 
     def _dial(self) -> None:
         self._dialing = True
-        self._stream = Stream(self.loop, self.budget, dial(self.endpoint), self._ready, WRITE)
+        self._stream = Stream(self.loop, self.budget, dial(self.endpoint), self._ready, WRITE, Use.DISCOVERY)
 
     def _ready(self, mask: int) -> None:
         stream = self._stream
--- a/rosepick/operator_file.py
+++ b/rosepick/operator_file.py
@@ -88,6 +88,14 @@
     Seconds("tls_reload_interval", 30.0, live=True, low=1.0),
     Whole("multiget_listen", low=0, high=65_535),
     Whole("multiget_max_keys", 64, live=True, low=1, high=1024),
+    Whole("clients_hold", live=True, low=2, high=1_000_000),
+    Whole("doors_part", 50, live=True, low=10, high=90),
+    Choice("address_shares", "on", live=True, words=("on", "off")),
+    Seconds("silent_timeout", 2.2, live=True, low=0.2, high=3600.0),
+    Seconds("idle_timeout", 8.0, live=True, low=0.5, high=3600.0),
+    Seconds("request_timeout", 2.0, live=True, low=0.1, high=60.0),
+    Whole("accept_queue", 1024, live=True, low=1, high=65_535),
+    Whole("tls_handshake_part", 25, live=True, low=1, high=100),
 )
 """Every setting there is, by feature."""
 
@@ -143,8 +151,8 @@
         assert value is None or isinstance(value, str)
         return value
 
-    def port(self, name: str) -> int | None:
-        """The value of a setting that is a port, if it is set."""
+    def number(self, name: str) -> int | None:
+        """The value of a setting that is a whole number, if it is set."""
         value = self.values[name]
         assert value is None or isinstance(value, int)
         return value
@@ -208,7 +216,7 @@
     if len(missing) == 1:
         stated = "tls_key" if missing == ["tls_cert"] else "tls_cert"
         yield found.fault(stated, f"{stated} is set without {missing[0]}")
-    elif missing and found.port("tls_listen") is not None:
+    elif missing and found.number("tls_listen") is not None:
         yield found.fault("tls_listen", "tls_listen needs tls_cert and tls_key")
     mode = found.text("tls_client_cert")
     if mode != "off" and found.text("tls_client_ca") is None:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -95,7 +95,7 @@
             c1 expect closed
         """)
         listener = self.server.listener
-        self.assertFalse(listener.links or listener.fresh or listener.between)
+        self.assertFalse(listener.links or len(listener.account))
 
     def connect(self, who: str) -> None:
         self.wire(who)
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -23,8 +23,8 @@
 )
 
 
-def read(text: str) -> OperatorFile:
-    return operator_file.read(text.encode(), "farm.conf", TABLE)
+def read(text: str, table: tuple[Setting, ...] = TABLE) -> OperatorFile:
+    return operator_file.read(text.encode(), "farm.conf", table)
 
 
 class Form(unittest.TestCase):
@@ -94,8 +94,9 @@
     discoveries = ("d", "e")
 
     def test_a_fault_in_one_file_does_not_hold_up_the_other(self) -> None:
-        good, bad = read("pigs 7\nrest 5"), read("pigs 7\npigs 9")
-        self.server.operators.file = self.server.started_with = read("")
+        table = (*operator_file.TABLE, *TABLE)
+        good, bad = read("pigs 7\nrest 5", table), read("pigs 7\npigs 9", table)
+        self.server.operators.file = self.server.started_with = read("", table)
         self.says(bad)
         self.file["discovery"] = f"127.0.0.1:{self.port('e')}"
         with self.assertLogs("rosepick", "INFO") as said:
