--- a/rosepick/connections/policy.py
+++ b/rosepick/connections/policy.py
@@ -56,7 +56,7 @@
     """Why a crowd is on, as it is logged."""
 
     may_hold: int
-    learned: bool
+    learned: int  # 1 if where clients stop has shown it
     opening_per_s: float
     fill_ms: float
     wait_once_ms: float
@@ -148,7 +148,7 @@
         """What the decisions go by at present."""
         standing = self.account.standing
         return Figures(
-            self.may_hold(), self.ceiling.learned, self.rate(now), min(self.fill_time(now), 1e9),
+            self.may_hold(), int(self.ceiling.learned), self.rate(now), min(self.fill_time(now), 1e9),
             standing["once"].wait(now), standing["often"].wait(now),
         )
 
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -7,7 +7,7 @@
 import socket
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from functools import partial
 
 from ..config import Names
@@ -241,11 +241,9 @@
         since = self.policy.crowded_since
         if since is not None and self._crowd_since is None:
             self._closed_before = dict(self.account.closed)
-            figures = self.policy.figures(self.loop.now())
             say(
                 log, logging.INFO, "crowd_began", by=self.policy.crowded_by.value, **self.account.kinds(),
-                may_hold=figures.may_hold, learned=int(figures.learned), opening_per_s=figures.opening_per_s, fill_ms=figures.fill_ms,
-                wait_once_ms=figures.wait_once_ms, wait_often_ms=figures.wait_often_ms,
+                **asdict(self.policy.figures(self.loop.now())),
             )
         elif since is None and self._crowd_since is not None:
             closed = {why: n - self._closed_before.get(why, 0) for why, n in self.account.closed.items()}
