Test limits on connections: the policy with properties, each hard case on loopback

Found by the tests and put right: room for a dial or a newcomer closed everything over a lowered limit at once; the last place was freed though nobody waited; a crowd of requests from one address kept all others out; a closed connection was held by its entry.

--- a/rosepick/connections/account.py
+++ b/rosepick/connections/account.py
@@ -147,6 +147,7 @@
         if not self.doors[conn.door]:
             del self.doors[conn.door]
         self.holders.drop(conn.peer)
+        conn.owner = None  # it refers back: leave no cycle to collect
         conn.why = conn.why or why
         self.closed[conn.why] += 1
 
--- a/rosepick/connections/descriptors.py
+++ b/rosepick/connections/descriptors.py
@@ -67,14 +67,11 @@
         return max(1, int(self.doors_part * self.limit))
 
     def room(self, use: Use) -> bool:
-        """Whether one more may be opened; others give way for it if need be."""
+        """Whether one more may be opened; another gives way for it if need be."""
+        if use is Use.DOORS and (self.uses[use] >= self.doors() or self.over()):
+            return False  # over a limit that was lowered: it is reached by and by, and nothing new comes in
         limit = self.limit + (DIALS if use in (Use.NEXT_HOPS, Use.DISCOVERY) else 0)
-        if use is Use.DOORS and self.uses[use] >= self.doors():
-            return False
-        while self.used >= limit:
-            if not self.free_one():
-                return False
-        return True
+        return self.used < limit or self.free_one()
 
     def free_one(self) -> bool:
         """Have one closed that is of little use; False if there is none."""
--- a/rosepick/connections/policy.py
+++ b/rosepick/connections/policy.py
@@ -37,7 +37,9 @@
 VAIN_WITHIN = 300.0  # after closing between requests: whether anybody needed the room
 VAIN_LONGEST = 8_000.0
 VAIN_FIRST = 1_000.0
+ADDRESSES_FOR = 10_000.0  # addresses that came count for once to twice as long, also if they hold none
 CALM_AFTER = 5_000.0  # without a close for room a crowd is over
+ROOM_WITHIN = YOUNG + VAIN_WITHIN + 2 * LOOK_EVERY  # see Policy
 RATE_KEPT = 0.8  # of the rate of openings, from look to look
 
 
@@ -64,7 +66,12 @@
 
 
 class Policy:
-    """The decisions of one router on its sender side's connections."""
+    """The decisions of one router on its sender side's connections.
+
+    The bound: while a kept connection stands, clients are without room for at most ROOM_WITHIN; by
+    VAIN_LONGEST more where room that was made before was taken by nobody, as with a front that keeps a fixed
+    pool.
+    """
 
     def __init__(
         self, account: Account, descriptors: Descriptors, limits: Limits, sockets: int, now: float
@@ -80,7 +87,7 @@
         self._needy = 0  # ... and since the last look
         self._rate_before = 0.0  # at the last such opening
         self._last_needy = now
-        self._looked = now
+        self._looked = self._turned = now
         self._sampled = 0
         self._turn = 0
         self._made: float | None = None  # when room was made between requests that nobody took so far
@@ -190,8 +197,7 @@
 
     def _over_share(self, peer: str) -> bool:
         holders = self.account.holders
-        count = holders.of(peer)
-        return count > holders.share(count, self.may_hold())
+        return holders.of(peer) > holders.share(peer, self.may_hold())
 
     def _ends(self, conn: Conn, why: Why, now: float) -> bool:
         """Note why a connection ends with its answer."""
@@ -243,6 +249,9 @@
         for standing in self.account.standing.values():
             standing.wait(now)  # up to here
             standing.forget(span)
+        if now - self._turned >= ADDRESSES_FOR:
+            self._turned = now
+            self.account.holders.turn()
         if self._made is not None and now - self._made >= VAIN_WITHIN:
             # Guards against a front that keeps a fixed pool and opens at once what is closed, with no request
             # for it: closing would become the storm.
@@ -319,8 +328,7 @@
 
     def unfair(self) -> bool:
         """Whether any address holds more than its share."""
-        holders = self.account.holders
-        return self.limits.fair and holders.most() > holders.share(holders.most(), self.may_hold())
+        return self.limits.fair and self.account.holders.greedy(self.may_hold())
 
 
 def _older(standing: Standing[Conn], before: float) -> Iterator[Conn]:
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -133,11 +133,15 @@
     def _room(self) -> bool:
         """Whether one more may be accepted. Guards against crowds that take the next hops' descriptors, so
         that each attempt needs a new connection."""
-        while self._full():
-            if not self.shed():
-                return False
+        if self._full() and not self.shed():
+            return False
         return self.budget.room(Use.DOORS)
 
+    def _unheard(self) -> bool:
+        """Whether one more may be accepted all the same: only then it shows from which address it comes."""
+        beyond = len(self.links) - self.budget.doors()
+        return 0 <= beyond < UNHEARD and self.budget.used < self.budget.limit
+
     def _accept(self, door: Door, mask: int) -> None:
         portion = Portion(self.loop.now())
         while portion.more(self.loop.now()) and self._accept_one(door):
@@ -145,8 +149,9 @@
 
     def _accept_one(self, door: Door) -> bool:
         """Whether one was accepted, so that there may be more."""
-        room = self._room()
-        if not room and not (self.policy.unfair() and len(self.links) < self.budget.doors() + UNHEARD):
+        if self._full() and (accept_queue.waiting(door.sock) or (1, 0))[0] == 0:
+            return False  # guards against making room for nobody
+        if not (self._room() or self._unheard()):
             say(log, logging.WARNING, "accept_paused", used=self.budget.used)
             self._pause_a_while()
             return False
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -123,7 +123,7 @@
         self.assertEqual([len(self.wires[name]) for name in ("c1", "s1")], [1, 1])
 
     def test_accepting_goes_on_soon_after_a_crowd_took_all_places_at_once(self) -> None:
-        for n in range(100, 140):
+        for n in range(100, 160):
             self.wire(f"c{n}")
         self.play("wait 5")
         self.play("c1 send GET /ready\nc1 expect nothing\nwait 300\nc1 expect 200 ready")
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,331 @@
+"""Crowds on the sender side, on loopback: room for the next client, whoever holds connections, and whatever
+for."""
+
+from __future__ import annotations
+
+import gc
+import socket
+import tempfile
+import weakref
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from rosepick import operator_file
+from rosepick.connections.account import Why
+from rosepick.net import accept_queue
+from rosepick.operator_file import Operators
+
+from .scenario import Scenario, Wire
+
+READY = "GET /ready"
+
+
+class Crowd(Scenario):
+    """A router with 80 descriptors for connections; 40 are the doors', and clients may hold so many."""
+
+    sockets = 128
+
+    def operators(self) -> Operators:
+        return Operators(operator_file.read(b"clients_hold 40", "rosepick.conf"))
+
+    def ask(self, who: str, what: str = READY, source: str = "127.0.0.1") -> None:
+        """A new client asks on a connection of its own."""
+        sock = socket.create_connection(
+            self.server.listener.sock.getsockname(), source_address=(source, 0)
+        )
+        self.wires[who] = [Wire(sock)]
+        self.play(f"{who} send {what}")
+
+    def answered(self, who: str) -> bool:
+        """Whether a client has its answer; upon `Connection: close`, or its end, it closes."""
+        wire = self.wires[who][0]
+        message = wire.message()
+        if message is not None and "Connection: close" in message or wire.ended:
+            wire.sock.close()
+            self.wires[who].remove(wire)
+        return message is not None
+
+    def keep_in_hand(self) -> None:
+        """Requests get no answer from here on."""
+        for name in ("accept", "sender_gone"):
+            patch = mock.patch.object(self.server.engine, name)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def held(self) -> int:
+        """How many connections clients hold."""
+        self.step()
+        for name, wires in self.wires.items():
+            for wire in wires[:]:
+                if name.startswith("h") and wire.ended:
+                    wire.sock.close()
+                    wires.remove(wire)
+        return sum(len(wires) for name, wires in self.wires.items() if name.startswith("h"))
+
+    def fill(self, count: int, every: float = 10.0) -> int:
+        """Holders come; each asks once and keeps its connection. Returns how many were answered."""
+        good = 0
+        for n in range(count):
+            if self.held() < 40:
+                self.ask(f"h{n}")
+                good += self.answered(f"h{n}")
+            self.play(f"wait {every}")
+        return good
+
+    def fields(self, logs: Any, event: str) -> dict[str, Any]:
+        """The fields of the last log line of that event."""
+        found = [vars(record)["fields"] for record in logs.records if record.getMessage() == event]
+        self.assertTrue(found, event)
+        return dict(found[-1])
+
+
+class Holders(Crowd):
+    def test_those_that_ask_once_and_hold_leave_room(self) -> None:
+        with self.assertLogs("rosepick", "INFO") as logs:
+            self.assertEqual(self.fill(200), 200)
+            began = self.fields(logs, "crowd_began")
+            self.assertEqual((began["may_hold"], began["by"]), (40, "answered"))
+            self.play("wait 6000")
+            self.assertGreater(self.fields(logs, "crowd_ended")["closed_answered"], 100)
+            self.server.listener.sum_up()
+            told = self.fields(logs, "connections")
+        self.assertEqual(told["asks"], 200)
+        self.assertEqual(told["opened"], sum(told[name] for name in told if name.startswith("closed_")) + sum(
+            told[kind] for kind in ("fresh", "asking", "once", "often", "lingering")
+        ))
+
+    def test_exactly_as_many_as_may_be_all_idle(self) -> None:
+        """No event comes any more: a timer must act."""
+        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+            self.assertEqual(self.fill(40, every=1.0), 40)
+        self.assertEqual(self.held(), 40)
+        self.play("wait 700")
+        self.assertLess(self.held(), 40)
+        self.ask("n1")
+        self.assertTrue(self.answered("n1"))
+
+    def test_one_with_unread_bytes_is_not_closed_and_is_answered(self) -> None:
+        """A close for room must not cross a request that came already."""
+        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+            self.fill(40, every=1.0)
+        self.now += 0.15  # they have stood for a while; nothing ran meanwhile
+        for wires in self.wires.values():
+            for wire in wires:
+                wire.sock.send(b"GET /ready HTTP/1.1\r\nReq-Id: x\r\n\r\n")
+        self.server.listener._look()
+        self.assertEqual(self.server.listener.account.closed[Why.ROOM], 0)
+        self.step()
+        self.assertEqual(sum(self.answered(name) for name in self.wires if name.startswith("h")), 40)
+
+    def test_a_request_that_crosses_a_close_is_answered_once_on_a_new_connection(self) -> None:
+        self.play("""
+            c1 send GET /ready
+            c1 expect 200
+        """)
+        (link,) = self.server.listener.links
+        link.close(Why.ROOM)
+        with self.assertRaises(AssertionError):
+            self.play("c1 send GET /api/k1 Req-Id=77\nc1 expect 200")
+        self.wires["c1"].clear()
+        self.play("""
+            c1 send GET /api/k1 Req-Id=77
+            s1 expect GET /api/k1 Req-Id: 77
+            s1 send 200 value
+            c1 expect 200 value
+            s1 expect nothing
+        """)
+        self.assertEqual(self.server.engine.counts["attempts"], 1)
+
+    def test_a_large_answer_that_ends_its_connection_is_read_slowly_and_whole(self) -> None:
+        self.fill(100)
+        size = 1024 * 1024
+        wire = Wire(socket.socket())
+        wire.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        wire.sock.setblocking(True)
+        wire.sock.connect(self.server.listener.sock.getsockname())
+        wire.sock.setblocking(False)
+        self.wires["c1"] = [wire]
+        with mock.patch.object(wire, "pull"):  # it reads nothing yet
+            self.play("c1 send GET /api/big Req-Deadline=4.000\ns1 expect GET /api/big")
+            link = list(self.server.listener.links)[-1]
+            link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+            with mock.patch.object(self.server.listener.policy, "last", return_value=True):
+                self.play("s1 send 200 " + "x" * size)
+                self.play("wait 300")
+        self.assertGreater(self.server.budget.held, 0)
+        for _ in range(2_000):
+            self.step()
+            if wire.ended:
+                break
+        head, _, body = wire.seen.partition(b"\r\n\r\n")
+        self.assertIn(b"Connection: close", head)
+        self.assertEqual(len(body), size)
+
+
+class Silent(Crowd):
+    def test_hundreds_that_say_nothing_beside_one_that_reconnects_for_each_request(self) -> None:
+        for n in range(150):
+            self.wire(f"x{n}")
+            self.play("wait 10")
+            if n % 3 == 0:
+                self.ask(f"c{n}")
+                self.play("wait 20" if self.wires[f"c{n}"] else "")
+                for _ in range(40):
+                    if self.answered(f"c{n}"):
+                        break
+                    self.play("wait 10")
+                else:
+                    self.fail(f"c{n} has no answer")
+                for wire in self.wires[f"c{n}"]:
+                    wire.sock.close()
+                self.wires[f"c{n}"].clear()
+
+    def test_a_pool_that_reopens_at_once_is_left_alone(self) -> None:
+        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+            self.assertEqual(self.fill(40, every=1.0), 40)
+        opened = self.server.listener.account.opened
+        with self.assertLogs("rosepick", "INFO") as logs:
+            for _ in range(30):
+                while self.held() < 40:
+                    self.wire(f"h-{self.server.listener.account.opened}")
+                    self.step()
+                self.play("wait 100")
+            self.fields(logs, "room_made_in_vain")
+        self.assertLess(self.server.listener.account.opened - opened, 40)
+
+
+class Addresses(Crowd):
+    sockets = 48 + 152
+
+    def operators(self) -> Operators:
+        return Operators(operator_file.read(b"clients_hold 38\ndoors_part 25", "rosepick.conf"))
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.keep_in_hand()
+
+    def test_a_crowd_from_one_address_does_not_take_the_others_room(self) -> None:
+        """All places are taken by requests in hand, so none can give way."""
+        for n in range(38):
+            self.ask(f"h{n}", f"GET /api/k{n} Req-Deadline=9.000", "127.0.0.2")
+        self.assertEqual(len(self.server.listener.links), 38)
+        self.ask("c1", READY, "127.0.0.3")
+        self.play("wait 60\nc1 expect 200")
+        self.ask("h99", READY, "127.0.0.2")
+        self.play("wait 60\nh99 expect closed")
+        self.assertEqual(self.server.listener.account.closed[Why.ADDRESS], 1)
+
+    def test_where_there_is_one_address_it_may_take_all(self) -> None:
+        for n in range(60):
+            self.ask(f"h{n}", f"GET /api/k{n} Req-Deadline=9.000")
+        self.play("wait 200")
+        self.assertIn(len(self.server.listener.links), range(38, 38 + 9))
+        self.assertEqual(self.server.listener.account.closed, {})
+
+
+class Budgets(Crowd):
+    sockets = 400
+
+    def operators(self) -> Operators:
+        return Operators(operator_file.read(b"", "rosepick.conf"))
+
+    def test_descriptors_cut_under_load_and_given_back(self) -> None:
+        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+            for n in range(100):
+                self.ask(f"h{n}")
+                self.answered(f"h{n}")
+        self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
+        self.file["limits"]["sockets"] = 100
+        self.play("router reload")
+        self.assertGreater(len(self.server.listener.links), 90)  # no storm of closes
+        self.play("wait 200\ns1 send 200 value\nc1 expect 200 value")  # what was in hand has its answer
+        self.play("wait 3000")
+        self.assertEqual(self.server.budget.over(), 0)
+        self.keep_in_hand()
+        for n in range(60):
+            self.ask(f"n{n}", f"GET /api/n{n} Req-Deadline=20.000")
+        self.assertFalse(self.server.listener.watching)
+        taken = len(self.server.listener.links)
+        self.file["limits"]["sockets"] = 400
+        self.play("router reload")
+        self.step()
+        self.assertGreater(len(self.server.listener.links), taken)  # at once
+
+    def test_settings_of_connections_apply_on_sighup(self) -> None:
+        lines = b"idle_timeout 1\nsilent_timeout 0.5\naccept_queue 7\nclients_hold 30"
+        found = operator_file.read(lines, "rosepick.conf")
+        self.server.operators.reread = lambda: found
+        self.play("c1 send GET /ready\nc1 expect 200\nrouter reload")
+        self.wire("c2")
+        self.step()
+        self.play("wait 700\nc2 expect closed\nwait 600\nc1 expect closed")
+        self.assertEqual(self.server.listener.policy.may_hold(), 30)
+        self.assertEqual(accept_queue.waiting(self.server.listener.sock), (0, 7))
+
+
+class Accepting(Crowd):
+    def test_a_crowd_is_let_in_by_portions_between_which_timers_run(self) -> None:
+        self.server.listener.pause()
+        waiting = [socket.create_connection(self.server.listener.sock.getsockname()) for _ in range(39)]
+        self.assertEqual(accept_queue.waiting(self.server.listener.sock), (39, 1024))
+        seen: list[int] = []
+        for n in range(5):
+            self.loop.at(self.now * 1000.0 + n, lambda: seen.append(len(self.server.listener.links)))
+        tick = iter(range(100_000))
+
+        def clock() -> float:  # each look at the clock takes a tenth of a millisecond
+            return self.now + next(tick) / 10_000
+
+        with mock.patch.object(self.loop, "_clock", clock):
+            self.server.listener.start()
+            while len(self.server.listener.links) < 39:
+                self.loop.step(0)
+        self.assertGreater(len([count for count in seen if 0 < count < 39]), 0)
+        self.now += 1.0
+        for sock in waiting:
+            sock.close()
+
+    def test_the_kernels_queue_is_watched(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "netstat"
+            for text, count in (
+                ("TcpExt: A ListenOverflows B\nTcpExt: 1 17 3\nIpExt: C\nIpExt: 4\n", 17),
+                ("TcpExt: A B\nTcpExt: 1 3\n", None), ("TcpExt: ListenOverflows\nTcpExt: x\n", None), ("",
+                None),
+            ):
+                path.write_text(text)
+                self.assertEqual(accept_queue.overflows(path), count)
+            self.assertIsNone(accept_queue.overflows(Path(folder) / "none"))
+        with mock.patch.object(accept_queue, "overflows", side_effect=[1, 3, 3]):
+            self.server.listener._overflows = 1
+            with self.assertLogs("rosepick", "INFO") as logs:
+                self.server.listener.sum_up()
+                self.server.listener.sum_up()
+                self.server.listener.sum_up()
+        told = [vars(r)["fields"] for r in logs.records if r.getMessage() == "accept_queue_overflowed"]
+        said = [(line["machine"], line["door"], line["most"]) for line in told]
+        self.assertEqual(said, [(2, "http", 1024)])
+
+    def test_a_closed_connection_leaves_no_cycle(self) -> None:
+        """Guards against closed connections that only a full collection frees: on a day with a new connection
+        for each request they are most of what grows."""
+        self.play("c1 send GET /ready\nc1 expect 200")
+        (link,) = self.server.listener.links
+        watched: list[weakref.ref[Any]] = [weakref.ref(link), weakref.ref(link.machine)]
+        gc.disable()
+        try:
+            link.close(Why.ROOM)
+            del link
+            self.play("wait 10")
+            self.assertEqual([ref() for ref in watched], [None, None])
+        finally:
+            gc.enable()
+
+
+def test_nothing_in_the_package_does_input_or_output() -> None:
+    folder = Path(operator_file.__file__).parent / "connections"
+    for path in folder.glob("*.py"):
+        text = path.read_text()
+        for word in ("import time", "import socket", "import logging", "import random", "..net", "..logs"):
+            assert word not in text, path.name
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -89,6 +89,12 @@
         self.context = self.client()
         self.use(self.first)
         super().setUp()
+        assert self.server.tls is not None
+        # handshakes take no time here, unless a test says otherwise: the clock is the scenario's
+        self.cpu = iter(lambda: 0.0, 1.0)
+        patch = mock.patch.object(self.server.tls.turns, "_cpu", lambda: next(self.cpu))
+        patch.start()
+        self.addCleanup(patch.stop)
 
     def use(self, pair: Pair) -> None:
         """Put a pair where the router reads it."""
@@ -323,6 +329,57 @@
             self.assertTrue(framing.partial())
 
 
+class Turns(Encrypted):
+    conf = "tls_handshake_part 50"
+
+    def test_a_crowds_handshakes_have_their_part_of_the_time(self) -> None:
+        """Each step of one takes 11 ms here: two may begin at once, then one in some 40 ms."""
+        self.cpu = (0.011 * n for n in range(100_000))
+        for n in range(12):
+            self.wire(f"c{n}")
+        for _ in range(10):
+            self.step()
+        self.assertLessEqual(self.up(), 2)
+        self.play("p1 send GET /ready\np1 expect 200")  # the other door waits for none of them
+        counts = []
+        for _ in range(15):
+            self.play("wait 40")
+            counts.append(self.up())
+        self.assertLess(counts[4], 9)
+        self.assertEqual(counts[-1], 12)
+
+    def test_one_that_left_while_it_waited_takes_no_turn(self) -> None:
+        self.cpu = (0.011 * n for n in range(100_000))
+        for n in range(4):
+            self.wire(f"c{n}")
+        for _ in range(10):
+            self.step()
+        assert self.server.tls is not None
+        queue = self.server.tls.turns.queue
+        self.assertEqual(len(queue), 2)
+        self.play("c2 close\nwait 200")
+        self.assertEqual((len(queue), self.up()), (0, 3))
+
+    def test_what_is_sent_while_it_waits_is_bounded(self) -> None:
+        self.cpu = (0.050 * n for n in range(100_000))
+        self.wire("c1")
+        self.step()
+        sock = socket.create_connection(self.address())
+        self.wires["x1"] = [Wire(sock)]
+        sock.setblocking(True)
+        sock.settimeout(0.2)
+        with self.assertRaises(OSError):  # it is closed, or no more is read
+            for _ in range(100):
+                sock.sendall(b"\x16\x03\x01\x40\x00" + b"x" * 16_384)
+                self.loop.step(0)
+        held = [link for link in self.server.listener.links if not link.stream.established()]
+        self.assertEqual(held, [])
+
+    def up(self) -> int:
+        """How many have shaken hands."""
+        return sum(getattr(link.stream, "_up", False) for link in self.server.listener.links)
+
+
 class Certificates(Encrypted):
     conf = "tls_reload_interval 5"
 
