--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -340,6 +340,26 @@
         assert (ended == 0) == kept
 
 
+def test_a_belief_does_not_prove_itself() -> None:
+    """After a crowd that never asked again come clients that would, if only they were let."""
+    world = World()
+    crowd(world, 1_000, 3.0)
+    for holder in world.open[:]:
+        world.close(holder, Why.CLIENT)
+    usual, opened = dict[int, Conn](), list[int]()
+    for turn in range(4_000):
+        conn = usual.get(turn % 20)
+        if conn is None or conn not in world.open:
+            conn = world.connect(f"u{turn}")
+            usual[turn % 20] = conn
+            opened.append(turn)
+        world.ask(conn)
+        world.pass_time(3.0)
+        world.answer(conn)
+    assert len(opened) < 1_000
+    assert not [turn for turn in opened if turn > 2_000]
+
+
 def test_all_that_clients_may_hold_stands_idle_and_nothing_happens() -> None:
     world = World(told=128)
     conns = [world.connect(f"p{n}") for n in range(128)]
@@ -377,6 +397,23 @@
     assert closed < 50
 
 
+def test_room_that_nobody_took_does_not_keep_the_next_crowd_waiting() -> None:
+    world = World(told=40, most=40)
+
+    def fill() -> None:
+        while world.held() < 40:
+            conn = world.connect()
+            world.ask(conn)
+            world.account.keep(conn, world.now)
+
+    for _ in range(4):  # each time nobody comes for a while: closing rests longer and longer
+        fill()
+        world.policy._pause = 4_000.0
+        world.pass_time(ROOM_WITHIN)
+        assert world.policy.free() > 0
+        world.pass_time(400.0)
+
+
 @given(
     st.lists(
         st.tuples(st.sampled_from((*STEPS, "wait", "needy")), st.integers(0, 200), st.integers(0, 2)),
@@ -451,14 +488,17 @@
     world = World(sockets=128)  # 40 places at the doors
     for _ in range(36):
         world.request("greedy", takes=0.0)
-    crowded = [world.connect("greedy") for _ in range(40 - len(world.open))]
+    crowded = [world.connect("greedy") for _ in range(39 - len(world.open))]
     for conn in crowded:
         world.ask(conn)
     other = world.connect("other")
     world.ask(other)
     assert world.policy.turned_away("greedy")
     assert not world.policy.turned_away("other")
-    assert world.policy.last(crowded[0], world.now) and crowded[0].why is not None
+    assert world.policy.last(crowded[0], world.now)
+    assert crowded[0].why is Why.ADDRESS
+    world.policy.last(other, world.now)
+    assert other.why is not Why.ADDRESS
     world.policy.limits.fair = False
     assert not world.policy.turned_away("greedy")
 
@@ -487,6 +527,29 @@
         assert budget.over() == max(0, budget.used - budget.limit)
 
 
+def test_the_doors_keep_to_their_part_and_take_nothing_new_over_a_lowered_limit() -> None:
+    budget = Descriptors(PROGRAM + FILES + DIALS + 40)
+    budget.givers = [lambda: True]
+    for _ in range(20):
+        assert budget.room(Use.DOORS)
+        budget.take(Use.DOORS)
+    assert not budget.room(Use.DOORS)
+    budget.doors_part = 0.9
+    assert budget.room(Use.DOORS)
+    budget.resize(PROGRAM + FILES + DIALS + 19)
+    assert not budget.room(Use.DOORS)
+
+
+def test_over_a_lowered_limit_connections_end_with_their_answers() -> None:
+    world = World(sockets=200)
+    conns = [world.connect(f"p{n}") for n in range(20)]
+    for conn in conns:
+        world.ask(conn)
+    world.budget.resize(60)
+    assert not world.answer(conns[0])
+    assert conns[0].why is Why.NEED
+
+
 def test_others_give_way_in_order() -> None:
     budget = Descriptors(PROGRAM + FILES + DIALS + 8)
     for _ in range(8):
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -252,6 +252,14 @@
         self.step()
         self.assertGreater(len(self.server.listener.links), taken)  # at once
 
+    def test_what_is_over_a_lowered_limit_is_freed_by_whoever_can(self) -> None:
+        with (
+            mock.patch.object(self.server.listener.policy, "excess", return_value=3),
+            mock.patch.object(self.server.budget, "free_one", side_effect=[True, True, False]) as freed,
+        ):
+            self.server.listener._look()
+        self.assertEqual(freed.call_count, 3)
+
     def test_settings_of_connections_apply_on_sighup(self) -> None:
         lines = b"idle_timeout 1\nsilent_timeout 0.5\naccept_queue 7\nclients_hold 30"
         found = operator_file.read(lines, "rosepick.conf")
