--- a/rosepick/capture/lines.py
+++ b/rosepick/capture/lines.py
@@ -12,8 +12,8 @@
 from typing import NamedTuple
 from urllib.parse import quote_from_bytes, unquote_to_bytes
 
-from .. import api
-from ..api import Member, Result, Scope, State
+from ..decisions import api
+from ..decisions.api import Member, Result, Scope, State
 
 VERSION = 1
 WORD_LIMIT = 384  # characters of a word as written: any id fits, and a line stays below PIPE_BUF
--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from .. import api
-from ..api import Member, Scope, State
-from ..config import Names
-from ..engine import End, Envelope
+from ..core.engine import End, Envelope
+from ..decisions import api
+from ..decisions.api import Member, Scope, State
+from ..settings.config import Names
 from . import lines
 from .ring import Ring
 
--- a/rosepick/capture/replay.py
+++ b/rosepick/capture/replay.py
@@ -12,10 +12,10 @@
 from dataclasses import dataclass, field
 from itertools import chain
 
-from .. import api
-from ..api import Result, Scope
-from ..config import Names
-from ..decide import Router
+from ..decisions import api
+from ..decisions.api import Result, Scope
+from ..decisions.decide import Router
+from ..settings.config import Names
 from . import lines
 from .lines import Arrival, Due, Ended, Final, Gone, Header, Listed, Lost, Record, Sent
 
--- /dev/null
+++ b/rosepick/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, by groups of commands."""
--- a/rosepick/mget.py
+++ b/rosepick/cli/batch.py
@@ -5,7 +5,7 @@
 import http.client
 from collections.abc import Iterable
 
-from .http.multiget import PATH, BadBatchAnswer, entries
+from ..http.multiget import PATH, BadBatchAnswer, entries
 
 PATIENCE = 15.0  # seconds beyond the deadline: for an answer that takes long to come over
 
--- a/rosepick/check.py
+++ b/rosepick/cli/check.py
@@ -14,10 +14,10 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from . import config, operator_file
-from .operator_file import OperatorFile
-from .transport_map import TransportMap
-from .wire import Reader
+from ..core.transport_map import TransportMap
+from ..settings import config, operator_file
+from ..settings.operator_file import OperatorFile
+from ..settings.reader import Reader
 
 PLACE = "GW_CONFIG"
 ROUNDS = 100  # a range that is broken shows only once what came before it is put right
@@ -194,7 +194,7 @@
         return  # half a pair has been named already
     if operators.text("tls_client_cert") != "off" and operators.text("tls_client_ca") is None:
         return
-    from .net.tls import TlsError, context_of
+    from ..net.tls import TlsError, context_of
 
     try:
         context_of(operators)
--- /dev/null
+++ b/rosepick/cli/replaying.py
@@ -0,0 +1,39 @@
+"""Commands that look back: replay."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from ..settings import config
+from .common import reread, stop
+
+
+def replay(
+    files: Annotated[list[Path], typer.Argument(help="A capture, or several that follow on one another.")],
+) -> None:
+    """Feed a capture to the decisions, under the settings of GW_CONFIG, and print what they decide otherwise.
+
+    Ends with 0 if nothing differs, with 1 if something does, and with 2 if the capture cannot be replayed.
+    """
+    from ..capture.lines import BadLine, Lines
+    from ..capture.replay import CannotReplay, replay
+
+    try:
+        told = reread()
+        sources = [Lines(path.read_bytes(), f"{path.name} ") for path in files]
+        report = replay(sources, told.settings, told.names)
+    except OSError as problem:
+        stop(f"{problem.filename}: {problem.strerror}", 2)
+    except (config.ConfigError, BadLine, CannotReplay) as problem:
+        stop(problem, 2)
+    for line in report.lines():
+        print(line)
+    raise typer.Exit(1 if report.differing else 0)
+
+
+def add(app: typer.Typer) -> None:
+    """Add the commands of this group."""
+    app.command()(replay)
--- a/rosepick/engine.py
+++ b/rosepick/core/engine.py
@@ -13,11 +13,11 @@
 from enum import Enum
 from typing import Protocol
 
-from . import api
-from .api import Result
-from .decide import Router
+from ..decisions import api
+from ..decisions.api import Result
+from ..decisions.decide import Router
+from ..logs import fault, say
 from .invariants import holds
-from .logs import fault, say
 
 log = logging.getLogger(__name__)
 
--- a/rosepick/invariants.py
+++ b/rosepick/core/invariants.py
@@ -5,7 +5,7 @@
 import logging
 from collections import Counter
 
-from .logs import say
+from ..logs import say
 
 log = logging.getLogger(__name__)
 broken: Counter[str] = Counter()
--- a/rosepick/transport_map.py
+++ b/rosepick/core/transport_map.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from . import api
-from .config import ADDRESS, Names, address
-from .wire import Reader
+from ..decisions import api
+from ..settings.config import ADDRESS, Names, address
+from ..settings.reader import Reader
 
 _STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
 
--- a/rosepick/decide.py
+++ b/rosepick/decisions/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of a rosepick router. Read `rosepick/api.py` first: all that comes in and goes out.
+"""Every decision of a router. Read `rosepick/decisions/api.py` first: all that comes in and goes out.
 
 The ordinary path of a read: `Filter` tells whether its key stands within the top k' of this router's LRU list
 (then the keep pool serves it, else the overflow pool), `Pools` turns the key into a slot and the slot into a
--- a/rosepick/http/discovery.py
+++ b/rosepick/http/discovery.py
@@ -4,7 +4,7 @@
 
 import json
 
-from ..wire import Reader
+from ..settings.reader import Reader
 from .response import Answer, AnswerReader, BadAnswer
 
 LIST_LIMIT = 4 * 1024 * 1024
--- a/rosepick/http/multiget.py
+++ b/rosepick/http/multiget.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from ..config import Names
+from ..settings.config import Names
 from .sender_side import Bad, Other, Received, SenderConnection, number_of, place_of, text_of
 
 PATH = b"/mget"
--- a/rosepick/http/next_hop.py
+++ b/rosepick/http/next_hop.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, replace
 
-from ..api import Result
+from ..decisions.api import Result
 from .response import Answer, AnswerReader, BadAnswer
 from .sender_side import Letter
 
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -9,9 +9,9 @@
 
 import httptools
 
-from ..config import Names
-from ..engine import Envelope
-from ..transport_map import key_number
+from ..core.engine import Envelope
+from ..core.transport_map import key_number
+from ..settings.config import Names
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
--- a/rosepick/net/capture.py
+++ b/rosepick/net/capture.py
@@ -17,10 +17,10 @@
 
 from ..capture.recorder import Recorder
 from ..capture.ring import Place, Ring
-from ..config import Names
 from ..http.sender_side import words
 from ..logs import say
-from ..operator_file import OperatorFile
+from ..settings.config import Names
+from ..settings.operator_file import OperatorFile
 from .loop import Loop
 
 log = logging.getLogger(__name__)
--- a/rosepick/net/doors.py
+++ b/rosepick/net/doors.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..connections.policy import Limits
-from ..operator_file import OperatorFile
+from ..settings.operator_file import OperatorFile
 from .listener import DoorSettings
 
 
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -10,13 +10,13 @@
 from dataclasses import asdict, dataclass
 from functools import partial
 
-from ..config import Names
 from ..connections.account import Account, Conn, State, Why
 from ..connections.descriptors import Use
 from ..connections.intake import Portion
 from ..connections.policy import LOOK_EVERY, Limits, Policy
-from ..engine import Engine
+from ..core.engine import Engine
 from ..logs import say
+from ..settings.config import Names
 from . import accept_queue
 from .budget import Budget
 from .loop import READ, Loop
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -8,14 +8,14 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from ..api import Result
-from ..config import Config
 from ..connections.descriptors import Use
-from ..engine import DeliveryAttempt, Engine
+from ..core.engine import DeliveryAttempt, Engine
+from ..core.transport_map import NextHop, TransportMap
+from ..decisions.api import Result
 from ..http.next_hop import Exchange, Verdict
 from ..http.sender_side import Letter
 from ..logs import fault, say
-from ..transport_map import NextHop, TransportMap
+from ..settings.config import Config
 from .budget import Budget
 from .loop import READ, WRITE, Loop
 from .stream import Dialed, Stream, dial
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..connections.account import Conn, State, Why
-from ..engine import Envelope
+from ..core.engine import Envelope
 from ..http.response import Answer
 from ..http.sender_side import (
     Delivered,
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -12,14 +12,14 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from .. import api
-from ..config import Config, ConfigError, changed
 from ..connections.account import Why
-from ..engine import Engine, ObservedEngine
+from ..core.engine import Engine, ObservedEngine
+from ..core.transport_map import TransportMap
+from ..decisions import api
 from ..logs import say
-from ..operator_file import OperatorFile, OperatorFileError, Operators
-from ..transport_map import TransportMap
-from ..wire import Reader
+from ..settings.config import Config, ConfigError, changed
+from ..settings.operator_file import OperatorFile, OperatorFileError, Operators
+from ..settings.reader import Reader
 from .budget import Budget
 from .doors import door_settings
 from .listener import Listener
--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -14,7 +14,7 @@
 
 from ..connections.intake import Handshakes
 from ..logs import say
-from ..operator_file import OperatorFile
+from ..settings.operator_file import OperatorFile
 from .budget import Budget
 from .loop import READ, Loop, Ready, Timer
 from .stream import Stream
--- a/rosepick/net/watch.py
+++ b/rosepick/net/watch.py
@@ -8,7 +8,7 @@
 from ..connections.descriptors import Use
 from ..http.discovery import CallFailed, Told, call
 from ..logs import fault, say
-from ..wire import Reader
+from ..settings.reader import Reader
 from .budget import Budget
 from .loop import READ, WRITE, Loop, Timer
 from .stream import Stream, dial
--- /dev/null
+++ b/rosepick/settings/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform and what the operators tell: read, typed, checked."""
--- a/rosepick/config.py
+++ b/rosepick/settings/config.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from . import api, wire
+from ..decisions import api
+from . import reader as readers
 
 
 class ConfigError(Exception):
@@ -39,7 +40,7 @@
     names: Names
     conn_idle: float
     dial_timeout: float
-    known: wire.Reader
+    known: readers.Reader
 
 
 ADDRESS = "an address of the form host:port"
@@ -74,7 +75,7 @@
         raise ConfigError(f"{path}: {problem}") from None
 
 
-def read(document: object, reader: Callable[[Any, str], wire.Reader] = wire.Reader) -> Config:
+def read(document: object, reader: Callable[[Any, str], readers.Reader] = readers.Reader) -> Config:
     """The configuration from JSON that was read; ValueError names what is wrong."""
     if not isinstance(document, dict):
         raise ValueError("the document is not an object")
@@ -88,7 +89,7 @@
         seed=top.parsed("seed", lambda text: int(text, 16), "a hexadecimal number", 0),
         sockets=top.part("limits").whole("sockets", 1024),
         memory_mb=top.part("limits").number("memory_mb", 192.0),
-        settings=wire.settings_of(told),
+        settings=readers.settings_of(told),
         names=Names(*(_places(told, key) for key in _LISTS)),
         conn_idle=limits.number("conn_idle", 15_000.0),
         dial_timeout=limits.number("dial_timeout", 250.0),
@@ -99,5 +100,5 @@
 _LISTS = ("request_classes", "tenants", "failure_domains", "machine_types")
 
 
-def _places(told: wire.Reader, key: str) -> dict[str, int]:
+def _places(told: readers.Reader, key: str) -> dict[str, int]:
     return {name: place for place, name in enumerate(told.names(key))}
--- /dev/null
+++ b/rosepick/settings/reader.py
@@ -0,0 +1,155 @@
+"""The settings of the decisions, read out of JSON by name and type; standard library only.
+
+The platform's configuration and the simulator's first message hold the same object, which is read here.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from ..decisions import api
+
+T = TypeVar("T")
+
+
+class Reader:
+    """Reads typed values out of a JSON object and names what is wrong."""
+
+    def __init__(self, data: Any, where: str) -> None:
+        if not isinstance(data, dict):
+            raise ValueError(f"setting {where or 'env'} is not an object")
+        self.data: dict[str, Any] = data
+        self.where = where
+
+    def name(self, key: str) -> str:
+        return f"{self.where}.{key}" if self.where else key
+
+    def part(self, key: str) -> Reader:
+        return self.sub(self.data.get(key) or {}, self.name(key))
+
+    def sub(self, data: Any, where: str) -> Reader:
+        """A reader of the same kind for a part."""
+        return Reader(data, where)
+
+    def rows(self, key: str) -> list[Reader]:
+        rows = self.data.get(key) or []
+        if not isinstance(rows, list):
+            raise ValueError(f"setting {self.name(key)} is not a list")
+        return [self.sub(row, self.name(key) + "[]") for row in rows]
+
+    def number(self, key: str, default: float | None = None) -> float:
+        value = self.data.get(key)
+        if value is None:
+            if default is None:
+                raise ValueError(f"setting {self.name(key)} is missing")
+            return float(default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise ValueError(f"setting {self.name(key)} is {value!r}, not a number")
+        return float(value)
+
+    def whole(self, key: str, default: int) -> int:
+        value = self.number(key, default)
+        if not value.is_integer():
+            raise ValueError(f"setting {self.name(key)} is {value!r}, not a whole number")
+        return int(value)
+
+    def flag(self, key: str) -> bool:
+        value = self.data.get(key, False)
+        if not isinstance(value, bool):
+            raise ValueError(f"setting {self.name(key)} is {value!r}, not true or false")
+        return value
+
+    def text(self, key: str) -> str:
+        value = self.data.get(key)
+        if not isinstance(value, str) or not value:
+            raise ValueError(f"setting {self.name(key)} is {value!r}, not a text")
+        return value
+
+    def parsed(self, key: str, parse: Callable[[str], T], what: str, stand_in: T) -> T:
+        """A text that must be `what`; a reader that goes on after a fault has the stand-in."""
+        value = self.text(key)
+        try:
+            return parse(value)
+        except ValueError:
+            raise ValueError(f"setting {self.name(key)} is {value!r}, not {what}") from None
+
+    def names(self, key: str) -> tuple[str, ...]:
+        """A list whose entries are names, or objects with a name."""
+        rows = self.data.get(key) or []
+        if not isinstance(rows, list):
+            raise ValueError(f"setting {self.name(key)} is not a list")
+        return tuple(str(row.get("name", "")) if isinstance(row, dict) else str(row) for row in rows)
+
+    def choice(self, key: str, default: str, allowed: tuple[str, ...]) -> str:
+        value = self.data.get(key, default)
+        if value not in allowed:
+            raise ValueError(f"setting {self.name(key)} is {value!r}; it must be one of {', '.join(allowed)}")
+        return str(value)
+
+
+def settings(env: bytes) -> api.Settings:
+    """Settings from the text of a PROVISION record; unknown keys are passed over."""
+    try:
+        top = Reader(json.loads(env), "")
+    except (json.JSONDecodeError, UnicodeDecodeError, RecursionError):
+        raise ValueError("settings are not valid JSON") from None
+    return settings_of(top)
+
+
+def settings_of(top: Reader) -> api.Settings:
+    """Settings from JSON that was read already."""
+    domain, limits, rules, costs = (top.part(k) for k in ("domain", "limits", "rules", "costs"))
+    report = top.part("report")
+    usual = api.Rules()
+    fields = report.data.get("fields") or []
+    if not isinstance(fields, list):
+        raise ValueError("setting report.fields is not a list")
+    return api.Settings(
+        classes=tuple(
+            api.RequestClass(
+                aim=c.number("objective", c.number("deadline")),
+                deadline=c.number("deadline"),
+                worth=c.number("worth", 1.0),
+                late_share=c.number("late_share", 0.0),
+                effect=api.Effect(c.choice("effect", "fragile", ("retryable", "dedup", "fragile"))),
+                group=api.Group(c.choice("group", "cell", ("all", "zone", "cell"))),
+                repeat_window=c.number("repeat_window", 0.0),
+                streaming=c.flag("streaming"),
+            )
+            for c in top.rows("request_classes")
+        ),
+        tenants=tuple(
+            api.Tenant(t.number("share", 0.0), t.number("quota_per_s", 0.0)) for t in top.rows("tenants")
+        ),
+        rules=api.Rules(
+            **{
+                name: rules.number(name, getattr(usual, name))
+                for name in (
+                    "stop_sending_within", "grace_to_answer", "ask_every", "cold_from", "warm_within",
+                    "tip_multiple", "fall",
+                )
+            }
+        ),
+        limits=api.Limits(
+            max_attempts=limits.whole("max_attempts", 3),
+            second_copies=limits.flag("second_copies"),
+            cancelling=limits.flag("cancelling"),
+            probes=limits.flag("probes"),
+            peers=limits.flag("peers"),
+            max_retry_after=limits.number("max_retry_after", 0.0) if limits.flag("retry_after") else 0.0,
+        ),
+        mode=api.Mode(domain.choice("mode", "through", ("aside", "through"))),
+        origin_kind=domain.whole("origin_kind", -1),
+        origin_fall_multiple=domain.number("origin_fall_multiple", 0.0),
+        zone=top.whole("zone", 0),
+        subscribe=top.choice("membership_mode", "automatic", ("automatic", "subscribe")) == "subscribe",
+        sized_weights=top.data.get("weights") in ("nominal", "rough"),
+        report_fields=tuple(str(name) for name in fields) if report.data.get("source") != "off" else (),
+        routers=max(1, top.whole("balancers", 1)),
+        position=top.whole("position", 0),
+        over_share_worth=top.number("over_share_worth", 1.0),
+        probe_cost=costs.number("probe", 0.0),
+        cross_zone_cost=costs.number("cross_zone", 0.0),
+    )
--- /dev/null
+++ b/rosepick/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the simulator's wire. Standard library only."""
--- /dev/null
+++ b/rosepick/simulator/__main__.py
@@ -0,0 +1,7 @@
+"""`python3 -m rosepick.simulator`: `sim` in deploy/balancer.toml."""
+
+import sys
+
+from .host import serve
+
+raise SystemExit(serve(sys.stdin.buffer, sys.stdout.buffer))
--- a/rosepick/simhost.py
+++ b/rosepick/simulator/host.py
@@ -11,8 +11,10 @@
 import traceback
 from typing import BinaryIO
 
-from . import api, wire
-from .decide import Router
+from ..decisions import api
+from ..decisions.decide import Router
+from ..settings import reader
+from . import wire
 
 
 class Broken(Exception):
@@ -52,7 +54,7 @@
         try:
             if code == wire.PROVISION:
                 seed, env = wire.provision(fields)
-                self.routers[who] = Router(wire.settings(env), seed)
+                self.routers[who] = Router(reader.settings(env), seed)
                 return
             if code == wire.SHUTDOWN:
                 self.routers.pop(who, None)
@@ -117,7 +119,3 @@
     except BrokenPipeError:
         return 1
     return 0
-
-
-if __name__ == "__main__":
-    raise SystemExit(serve(sys.stdin.buffer, sys.stdout.buffer))
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -10,9 +10,9 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from rosepick import api
-from rosepick.api import Effect, Group, Mode, Result, Scope, State
-from rosepick.decide import COLD_FAR, Router
+from rosepick.decisions import api
+from rosepick.decisions.api import Effect, Group, Mode, Result, Scope, State
+from rosepick.decisions.decide import COLD_FAR, Router
 
 ORIGIN_KIND = 2
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -25,10 +25,10 @@
 import unittest
 from typing import Any
 
-from rosepick import config
 from rosepick.net.loop import Loop
 from rosepick.net.server import Server
-from rosepick.operator_file import Operators
+from rosepick.settings import config
+from rosepick.settings.operator_file import Operators
 
 STEPS = 200
 SETTINGS: dict[str, Any] = {
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -18,17 +18,18 @@
 from pathlib import Path
 from unittest import mock
 
-from rosepick import api, config, operator_file
-from rosepick.api import Member, Scope, State
 from rosepick.capture import lines
 from rosepick.capture.recorder import Recorder
 from rosepick.capture.replay import Report, replay
 from rosepick.capture.ring import Place, Ring
-from rosepick.config import Names
-from rosepick.engine import End, Envelope
+from rosepick.core.engine import End, Envelope
+from rosepick.decisions import api
+from rosepick.decisions.api import Member, Scope, State
 from rosepick.net.capture import Dump, Files
 from rosepick.net.loop import Loop
-from rosepick.operator_file import Operators
+from rosepick.settings import config, operator_file
+from rosepick.settings.config import Names
+from rosepick.settings.operator_file import Operators
 
 from .scenario import SETTINGS, Scenario, target
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from rosepick import api, decide
-from rosepick.api import Effect, Mode, Result, Scope
-from rosepick.decide import Router
+from rosepick.decisions import api, decide
+from rosepick.decisions.api import Effect, Mode, Result, Scope
+from rosepick.decisions.decide import Router
 
 from .driver import fleet, settings
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from rosepick import api
-from rosepick.decide import Origin
+from rosepick.decisions import api
+from rosepick.decisions.decide import Origin
 
 from .driver import settings
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-SOURCE = (ROOT / "rosepick" / "decide.py").read_text()
+SOURCE = (ROOT / "rosepick" / "decisions" / "decide.py").read_text()
 
 
 def test_size() -> None:
@@ -18,7 +18,7 @@
 
 def test_names_the_interface_first() -> None:
     first = (ast.get_docstring(ast.parse(SOURCE)) or "").splitlines()[0]
-    assert "rosepick/api.py" in first
+    assert "rosepick/decisions/api.py" in first
 
 
 def test_no_clock_io_threads_or_salted_hash() -> None:
@@ -34,5 +34,5 @@
 
 def test_interface_knows_nothing_of_the_wire() -> None:
     for name in ("api.py", "decide.py"):
-        text = (ROOT / "rosepick" / name).read_text()
+        text = (ROOT / "rosepick" / "decisions" / name).read_text()
         assert not re.search(r"import (wire|struct|json)", text)
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -16,12 +16,13 @@
 from pathlib import Path
 from unittest import mock
 
-from rosepick import check, operator_file
-from rosepick.config import Names
+from rosepick.cli import check
 from rosepick.http.multiget import BadBatchAnswer, Batch, BatchConnection, ending, entries, entry
 from rosepick.http.sender_side import Rejected
 from rosepick.net.multiget import BatchLink, Parts
-from rosepick.operator_file import Operators
+from rosepick.settings import operator_file
+from rosepick.settings.config import Names
+from rosepick.settings.operator_file import Operators
 
 from .scenario import SETTINGS, Scenario, Wire, target
 
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -9,8 +9,8 @@
 import unittest
 from pathlib import Path
 
-from rosepick import operator_file
-from rosepick.operator_file import Choice, OperatorFile, Seconds, Setting, Whole
+from rosepick.settings import operator_file
+from rosepick.settings.operator_file import Choice, OperatorFile, Seconds, Setting, Whole
 
 from .scenario import Scenario
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,9 +15,12 @@
 from typing import Any
 from unittest import mock
 
-from rosepick import api, config, logs, transport_map
+from rosepick import logs
+from rosepick.core import transport_map
+from rosepick.decisions import api
 from rosepick.net.loop import READ, Loop
-from rosepick.wire import Reader
+from rosepick.settings import config
+from rosepick.settings.reader import Reader
 
 from .scenario import SETTINGS, target
 
@@ -163,12 +166,12 @@
         self.assertEqual(done.returncode, 0, done.stderr)
 
     def test_invariants_are_counted_in_release_and_asserted_in_debug_builds(self) -> None:
-        code = "from rosepick.invariants import *; holds(False, 'x'); print(broken['x'])"
+        code = "from rosepick.core.invariants import *; holds(False, 'x'); print(broken['x'])"
         self.assertEqual(self.python("-O", "-c", code).stdout, "1\n")
         self.assertIn("AssertionError: x", self.python("-c", code).stderr)
 
     def test_adapter_needs_only_the_standard_library(self) -> None:
-        self.assertEqual(self.python("-S", "-m", "rosepick.simhost").returncode, 0)
+        self.assertEqual(self.python("-S", "-m", "rosepick.simulator").returncode, 0)
 
     def test_serves_and_ends(self) -> None:
         with tempfile.NamedTemporaryFile("w") as file, socket.create_server(("127.0.0.1", 0)):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from unittest import mock
 
-from rosepick.api import Members, Scope
+from rosepick.decisions.api import Members, Scope
 
 from .scenario import Scenario
 
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -11,10 +11,10 @@
 from typing import Any
 from unittest import mock
 
-from rosepick import operator_file
 from rosepick.connections.account import Why
 from rosepick.net import accept_queue
-from rosepick.operator_file import Operators
+from rosepick.settings import operator_file
+from rosepick.settings.operator_file import Operators
 
 from .scenario import Scenario, Wire
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from rosepick import api
-from rosepick.api import Mode
+from rosepick.decisions import api
+from rosepick.decisions.api import Mode
 
 from .driver import Driver, fleet, settings
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,7 +7,7 @@
 from itertools import chain, repeat
 from unittest import mock
 
-from rosepick.api import Result
+from rosepick.decisions.api import Result
 from rosepick.http.next_hop import Exchange
 from rosepick.http.sender_side import Letter
 
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from rosepick import api
+from rosepick.decisions import api
 
 from .scenario import Scenario
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -14,12 +14,13 @@
 from typing import Any
 from unittest import mock
 
-from rosepick import check, operator_file
+from rosepick.cli import check
 from rosepick.logs import StormFilter
 from rosepick.net.listener import Listener
 from rosepick.net.subject import Name, rfc4514
 from rosepick.net.tls import Framing
-from rosepick.operator_file import Operators
+from rosepick.settings import operator_file
+from rosepick.settings.operator_file import Operators
 
 from .certificates import Pair, make, openssl
 from .scenario import Scenario, Wire
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,9 @@
 
 import pytest
 
-from rosepick import api, simhost, wire
+from rosepick.decisions import api
+from rosepick.settings import reader
+from rosepick.simulator import host, wire
 
 ENV = {
     "request_classes": [{"deadline": 1000.0, "objective": 300.0, "effect": "retryable", "worth": 2.0}],
@@ -51,7 +53,7 @@
 
 def serve(data: bytes) -> tuple[int, bytes]:
     sink = io.BytesIO()
-    return simhost.serve(io.BytesIO(data), sink), sink.getvalue()
+    return host.serve(io.BytesIO(data), sink), sink.getvalue()
 
 
 def replies(data: bytes) -> list[tuple[int, list[int]]]:
@@ -80,7 +82,7 @@
 
 
 def test_settings_are_read() -> None:
-    got = wire.settings(json.dumps(ENV).encode())
+    got = reader.settings(json.dumps(ENV).encode())
     assert got.mode is api.Mode.ASIDE and got.origin_kind == 2 and got.subscribe
     assert got.classes[0].aim == 300.0
 
@@ -139,7 +141,7 @@
     def boom(self: object, event: object) -> None:
         raise KeyError("lost")
 
-    monkeypatch.setattr("rosepick.decide.Router._request", boom)
+    monkeypatch.setattr("rosepick.decisions.decide.Router._request", boom)
     status, out = serve(batch(provision(), pool(), members(), work()))
     assert status == 1
     assert b"KeyError" in out and b"lost" in out and b".py:" in out
@@ -147,8 +149,9 @@
 
 def test_host_runs_as_a_process() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "rosepick.simhost"], input=batch(provision(), pool(), members(), work()),
-        capture_output=True, cwd=Path(__file__).parent.parent, timeout=60, check=False,
+        [sys.executable, "-m", "rosepick.simulator"],
+        input=batch(provision(), pool(), members(), work()), capture_output=True,
+        cwd=Path(__file__).parent.parent, timeout=60, check=False,
     )
     assert done.returncode == 0 and done.stderr == b""
     assert replies(done.stdout)
@@ -181,4 +184,4 @@
 )
 def test_invalid_setting_is_named(change: dict[str, object], name: str) -> None:
     with pytest.raises(ValueError, match=name.replace("[", r"\[").replace("]", r"\]")):
-        wire.settings(json.dumps(ENV | change).encode())
+        reader.settings(json.dumps(ENV | change).encode())
