--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -22,6 +22,15 @@
 log = logging.getLogger(__name__)
 
 
+class Decider(Protocol):
+    """What decides: the module, or another policy with the same interface."""
+
+    actions: list[api.Action]  # of the present call, also if it ended in an exception
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        """Decide on an event."""
+
+
 class SenderSide(Protocol):
     """Who handed an envelope in; it gets exactly one of these calls, unless it has gone."""
 
@@ -131,9 +140,11 @@
 class Engine:
     """Owns one router instance and all that it has in hand."""
 
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, clock: Clock, decider: Decider | None = None
+    ) -> None:
         self.settings = settings
-        self.router = Router(settings, seed)
+        self.router: Decider = decider or Router(settings, seed)
         self.clock = clock
         self.next_hops: NextHops
         self.map_source: MapSource
--- /dev/null
+++ b/rosepick/lab/experiment.py
@@ -0,0 +1,343 @@
+"""The experiment file: a fleet, its traffic, a timeline of troubles, and what must hold; TOML, checked whole.
+
+Times in the file are seconds unless the name ends in `_ms`; the simulator's own clock counts milliseconds.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+Positive = Annotated[float, Field(gt=0)]
+NotNegative = Annotated[float, Field(ge=0)]
+Part = Annotated[float, Field(ge=0, le=1)]
+Count = Annotated[int, Field(ge=1)]
+
+
+class Strict(BaseModel):
+    """A part of the file: names that are not known are faults, and numbers must be finite."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+
+
+class Nodes(Strict):
+    """A group of cache nodes that are alike."""
+
+    count: Count = 12
+    zone: str = ""  # empty: spread evenly over all zones
+    cores: Count = 2
+    speed: Positive = 1.0  # of each core; 1 does a millisecond of work in a millisecond
+    speed_spread: Part = 0.0  # each node's speed is drawn from speed * (1 - spread) to speed * (1 + spread)
+    slots: Count = 16  # requests in work at one time; they share the cores
+    queue: Annotated[int, Field(ge=0)] = 32  # requests that wait for a slot; beyond that they are turned away
+    crowding: NotNegative = 0.0  # each request in work beyond the cores makes all work so much longer
+    memory: Count = 2_000_000  # bytes of values
+    eviction: Literal["lru", "fifo"] = "lru"
+    keep: NotNegative = 0.0  # a value is forgotten after so long; 0: never
+    connections: Count = 1024  # that are open at one time; beyond that they are refused
+    handshake_ms: NotNegative = 0.5  # of work, for a new connection
+    miss_ms: NotNegative = 0.2  # of work, to find that a key is not there
+    cold_from: Part = 0.12  # of its capacity, when it starts
+    warm_after: NotNegative = 24.0  # seconds, or seconds of work of one core, until it has all of it
+    warm_by: Literal["time", "work"] = "time"
+    falls_at: Positive = 3.0  # work sent to a cold node, over what it can do, at which it falls over ...
+    falls_within: Positive = 3.0  # ... within so long
+    born: float = -1000.0  # when it started; after -warm_after it is cold at the begin
+    cancels: bool = True  # whether work that nobody waits for any more stops
+
+
+class Origin(Strict):
+    """What holds every value: finite, slower under load."""
+
+    cores: Count = 8
+    speed: Positive = 1.0
+    slots: Count = 16
+    queue: Annotated[int, Field(ge=0)] = 200
+    crowding: NotNegative = 0.01
+    connections: Count = 4096
+    handshake_ms: NotNegative = 0.5
+    zone: str = ""  # empty: the first one
+    cancels: bool = False  # it works on for nobody
+    falls_when: NotNegative = 0.0  # seconds with a full queue after which it falls over; 0: never
+    down_for: Positive = 5.0  # seconds that it then needs to come back
+
+
+class Discovery(Strict):
+    """Who tells the routers which nodes there are."""
+
+    delay: NotNegative = 0.5  # until a change is known to it
+    delay_spread: Part = 0.5
+    call_ms: NotNegative = 2.0  # of its time for a call
+    line_ms: NotNegative = 0.01  # and for each line of the list that it tells
+    stale_by: NotNegative = 0.0  # the list that routers begin with is so old
+    watch: bool = True
+
+
+class Network(Strict):
+    """Latencies, one way."""
+
+    within_ms: NotNegative = 0.2
+    across_ms: NotNegative = 1.0
+    jitter: Part = 0.2  # of the latency, drawn for each message
+    breaks: Part = 0.0  # of all attempts lose their connection after they were sent
+
+
+class Class(Strict):
+    """A class of requests."""
+
+    name: str
+    share: Positive = 1.0
+    write: bool = False
+    work_ms: Positive = 10.0  # mean at a cache node, on a core of speed 1
+    origin_ms: Positive = 40.0  # mean at the origin
+    work: Literal["fixed", "exponential", "lognormal"] = "lognormal"
+    spread: NotNegative = 0.5  # of the logarithm, where lognormal
+    size: Count = 512  # bytes of a value, mean
+    aim: Positive = 0.6
+    deadline: Positive = 1.2
+    worth: NotNegative = 1.0
+    effect: Literal["retryable", "dedup", "fragile"] = "retryable"
+    group: Literal["all", "zone", "cell"] = "all"
+    repeat_window: NotNegative = 0.0
+
+
+class Tenant(Strict):
+    """Who shares the service."""
+
+    name: str
+    share: Positive = 1.0  # of the service, as agreed
+    traffic: Positive | None = None  # of the requests; the same if it is not stated
+
+
+class Keys(Strict):
+    """What requests are about."""
+
+    count: Count = 10_000
+    zipf: NotNegative = 0.9  # the key of rank r is asked for in proportion to r ** -zipf
+    drift: NotNegative = 0.0  # so many ranks change places in a second
+
+
+class Clients(Strict):
+    """How clients behave on an answer that they did not want."""
+
+    retries: Annotated[int, Field(ge=0, le=10)] = 1
+    manner: Literal["obey", "ignore", "at once", "in step"] = "obey"
+    # obey: after Retry-After, if there is one, else like ignore; ignore: after `pause`, drawn; at once; in
+    # step: at the next whole second
+    pause: NotNegative = 0.3
+    leave: Part = 0.0  # of the requests are given up by their client before their time is over
+    marked: bool = False  # repeats say that they are
+    one_shot: Part = 0.0  # live only: such a part comes on a new connection that is held and not used again
+
+
+class Traffic(Strict):
+    """Requests of all routers together."""
+
+    rate: Positive = 250.0  # a second
+    arrivals: Literal["poisson", "regular", "bursts", "daily", "trace"] = "poisson"
+    burst: Annotated[int, Field(ge=1)] = 20  # requests that come together, where bursts
+    period: Positive = 60.0  # seconds of a day, where daily ...
+    swing: Part = 0.5  # ... in which the rate goes up and down by this part
+    trace: str = ""  # a file with a line a request: seconds, class, key, and a tenant if there are any
+
+
+class Routers(Strict):
+    """The routers, spread evenly over the zones."""
+
+    count: Count = 3
+    skew: NotNegative = 0.0  # router n has traffic in proportion to (n + 1) ** -skew
+    memory_mb: Count = 192  # live only
+    sockets: Count = 1024  # live only
+
+
+KINDS = Literal[
+    "slow", "stop", "restart", "replace", "shrink", "grow", "cut", "silent", "stale", "discovery_down",
+    "origin_slow", "origin_stop", "flash", "surge", "router_kill", "router_restart", "hang", "reset",
+    "garbage", "drip", "refuse", "reload",
+]
+LIVE_ONLY = frozenset({"garbage", "drip", "refuse", "reload"})
+
+
+class Trouble(Strict):
+    """Something that goes wrong, or changes, from `at` for so long."""
+
+    kind: KINDS
+    at: NotNegative
+    last: Annotated[NotNegative, Field(alias="for")] = 0.0
+    nodes: Annotated[int, Field(ge=1)] | None = None  # so many cache nodes, drawn ...
+    part: Part | None = None  # ... or such a part of them
+    zone: str = ""  # only in this zone
+    zones: tuple[str, str] | None = None  # cut: between these two
+    by: Positive = 5.0  # so many times as slow, or as much traffic; stale: so many seconds more
+    share: Part = 0.2  # flash: of the reads are for one key; hang, reset, garbage, drip: of the attempts
+    down: NotNegative = 1.0  # restart, router_restart: seconds until it is back
+    routers: Annotated[int, Field(ge=1)] | None = None  # router_kill, router_restart: so many
+
+
+FIGURES = Literal[
+    "served_share", "worth_share", "refused_share", "failed_share", "late_share", "p50_ms", "p99_ms",
+    "p999_ms", "attempts_per_request", "origin_share", "hit_share", "crossings", "fell", "broken_rules",
+    "origin_load", "node_load",
+]
+
+
+class Must(Strict):
+    """Something that must hold over a span of the run."""
+
+    what: FIGURES
+    least: float | None = None
+    most: float | None = None
+    after: Annotated[int, Field(ge=1)] | None = None  # number of a trouble, from 1: from its end on ...
+    within: NotNegative = 0.0  # ... and so long after that
+    since: NotNegative | None = None
+    until: NotNegative | None = None
+
+    @model_validator(mode="after")
+    def _bounded(self) -> Must:
+        if self.least is None and self.most is None:
+            raise ValueError("states neither `least` nor `most`")
+        if self.after is not None and self.since is not None:
+            raise ValueError("states both `after` and `since`")
+        return self
+
+
+class Experiment(Strict):
+    """All of one file."""
+
+    name: str
+    seed: Annotated[int, Field(ge=0)] = 1
+    length: Positive = 60.0  # seconds in which requests come
+    warm_up: NotNegative = 5.0  # seconds at the begin that are not measured
+    mode: Literal["aside", "through"] = "aside"
+    zones: Annotated[tuple[str, ...], Field(min_length=1)] = ("east",)
+    fleet: Annotated[tuple[Nodes, ...], Field(min_length=1)] = (Nodes(),)
+    origin: Origin = Origin()
+    discovery: Discovery = Discovery()
+    network: Network = Network()
+    classes: Annotated[tuple[Class, ...], Field(min_length=1)] = (Class(name="read"),)
+    tenants: tuple[Tenant, ...] = ()
+    keys: Keys = Keys()
+    clients: Clients = Clients()
+    traffic: Traffic = Traffic()
+    routers: Routers = Routers()
+    policy: str = "rosepick"
+    troubles: tuple[Trouble, ...] = ()
+    must: tuple[Must, ...] = ()
+    max_attempts: Annotated[int, Field(ge=1, le=5)] = 5
+    max_retry_after: NotNegative = 2.0
+    stop_sending_within: NotNegative = 0.75  # of a node, after a router was told that it drains or is gone
+
+    def faults(self) -> Iterator[str]:
+        """What is wrong between parts that are right by themselves."""
+        known = set(self.zones)
+        zoned = [(f"fleet[{n}]", nodes.zone) for n, nodes in enumerate(self.fleet)]
+        zoned += [(f"troubles[{n}]", trouble.zone) for n, trouble in enumerate(self.troubles)]
+        for place, zone in (*zoned, ("origin", self.origin.zone)):
+            if zone and zone not in known:
+                yield f"{place}.zone {zone!r} is not one of zones"
+        for number, trouble in enumerate(self.troubles):
+            yield from self._trouble_faults(number, trouble, known)
+        for number, must in enumerate(self.must):
+            if must.after is not None and must.after > len(self.troubles):
+                yield f"must[{number}].after: there is no trouble {must.after}"
+        for name, names in (("classes", self.classes), ("tenants", self.tenants)):
+            if len({one.name for one in names}) < len(names):
+                yield f"{name}: a name comes twice"
+        if (self.traffic.arrivals == "trace") != bool(self.traffic.trace):
+            yield "traffic.trace goes with arrivals = \"trace\""
+        if self.warm_up >= self.length:
+            yield "warm_up is not shorter than length"
+
+    def _trouble_faults(self, number: int, trouble: Trouble, known: set[str]) -> Iterator[str]:
+        place = f"troubles[{number}]"
+        if trouble.at >= self.length:
+            yield f"{place}.at is not within length"
+        if trouble.kind == "cut" and trouble.zones is None:
+            yield f"{place}.zones: a cut is between two zones"
+        if trouble.zones is not None and not set(trouble.zones) <= known:
+            yield f"{place}.zones {trouble.zones!r} are not all in zones"
+        if trouble.nodes is not None and trouble.part is not None:
+            yield f"{place}: states both `nodes` and `part`"
+
+
+class ExperimentError(ValueError):
+    """A file that cannot be used; one line a fault, each with its place."""
+
+    def __init__(self, faults: tuple[str, ...]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+def read(text: str, place: str, changes: dict[str, Any] | None = None) -> Experiment:
+    """An experiment from the text of a file, with `changes` by dotted name. ExperimentError names all
+    faults."""
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as problem:
+        raise ExperimentError((f"{place}: {problem}",)) from None
+    for name, value in (changes or {}).items():
+        _change(document, name, value, place)
+    faults: list[str] = []
+    while True:
+        try:
+            found = Experiment.model_validate(document)
+            break
+        except ValidationError as problem:
+            errors = problem.errors()
+        faults += [_fault(place, error) for error in errors if _fault(place, error) not in faults]
+        # go on without what is wrong, so that faults between the other parts show too
+        if not any([_without(document, error["loc"]) for error in errors]):
+            raise ExperimentError(tuple(faults))
+    faults += [f"{place}: {fault}" for fault in found.faults()]
+    if faults:
+        raise ExperimentError(tuple(faults))
+    return found
+
+
+def _without(document: dict[str, Any], where: tuple[int | str, ...]) -> bool:
+    """Take a value out of a document; whether it was there."""
+    at: Any = document
+    try:
+        for step in where[:-1]:
+            at = at[step]
+        del at[where[-1]]
+    except (KeyError, IndexError, TypeError):
+        return False
+    return True
+
+
+def load(path: Path, changes: dict[str, Any] | None = None) -> Experiment:
+    """An experiment from a file. ExperimentError if it cannot be used."""
+    try:
+        return read(path.read_text("utf-8"), path.name, changes)
+    except OSError as problem:
+        raise ExperimentError((f"{path}: {problem.strerror or problem}",)) from None
+    except UnicodeDecodeError:
+        raise ExperimentError((f"{path.name}: not UTF-8",)) from None
+
+
+def _change(document: dict[str, Any], name: str, value: Any, place: str) -> None:
+    """Set one value by its dotted name, such as `traffic.rate` or `troubles.0.by`."""
+    *way, last = name.split(".")
+    at: Any = document
+    try:
+        for step in way:
+            at = at[int(step)] if isinstance(at, list) else at.setdefault(step, {})
+        if isinstance(at, list):
+            at[int(last)] = value
+        else:
+            at[last] = value
+    except (ValueError, IndexError, TypeError, AttributeError):
+        raise ExperimentError((f"{place}: {name} names nothing that can be set",)) from None
+
+
+def _fault(place: str, error: Any) -> str:
+    where = ""
+    for step in error["loc"]:
+        where += f"[{step}]" if isinstance(step, int) else f".{step}" if where else str(step)
+    message = str(error["msg"]).removeprefix("Value error, ")
+    return f"{place}: {where}: {message}" if where else f"{place}: {message}"
--- /dev/null
+++ b/rosepick/lab/world/discovery.py
@@ -0,0 +1,134 @@
+"""Discovery: who tells routers of the nodes, late, one call after another; and when each was told what.
+
+It goes by what it knows: a change reaches it after a delay. A router that watches is told each change in a
+call of its own; one that begins to watch is told what it missed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ...decisions import api
+from ...decisions.api import Member, Scope, State
+from ..experiment import Discovery as Shape
+from .draws import Uniform
+from .kernel import Kernel
+
+Tell = Callable[[api.Members], None]
+
+
+@dataclass(slots=True, eq=False)
+class Watcher:
+    """One router, as discovery sees it."""
+
+    tell: Tell
+    zone: int
+    on: bool = False
+    revision: int = 0
+    told: dict[int, float] = field(default_factory=dict)  # since when a node is known to want nothing new
+
+
+class Discovery:
+    """The one service that all routers ask."""
+
+    def __init__(self, kernel: Kernel, shape: Shape, seed: int, latency: Callable[[int], float]) -> None:
+        self.kernel, self.shape, self.latency = kernel, shape, latency
+        self.up = True
+        self.more_delay = 0.0  # milliseconds, by a trouble
+        self.revision = 1
+        self.watchers: list[Watcher] = []
+        self._draw = Uniform(seed, "discovery")
+        self._list: dict[int, Member] = {}  # as it knows it
+        self._changes: list[tuple[int, Member]] = []
+        self._free_at = 0.0
+        self._last_known = 0.0
+
+    def begin(self, members: list[Member]) -> None:
+        """The list at the begin."""
+        self._list = {member.server: member for member in members}
+
+    def known(self) -> api.Members:
+        """The list as a router that starts now had it last."""
+        return api.Members(Scope.CACHED, tuple(self._list.values()), self.revision)
+
+    def changed(self, member: Member) -> None:
+        """A node starts, drains or goes: it will be known after a while, in the order of what happened."""
+        spread = self.shape.delay_spread * (2.0 * self._draw() - 1.0)
+        delay = 1000.0 * self.shape.delay * (1.0 + spread) + self.more_delay
+        known = max(self.kernel.time + delay, self._last_known)
+        self._last_known = known
+        self.kernel.at(known, lambda: self._know(member))
+
+    def _know(self, member: Member) -> None:
+        self.revision += 1
+        if member.state is State.GONE:
+            self._list.pop(member.server, None)
+        else:
+            self._list[member.server] = member
+        self._changes.append((self.revision, member))
+        if self.up:
+            for watcher in self.watchers:
+                if watcher.on:
+                    self._call(watcher, 1, False)
+
+    # -------------------------------------------------------------------------------------------- calls
+
+    def join(self, tell: Tell, zone: int) -> Watcher:
+        """A router is there; it is told what it watches by `tell`."""
+        watcher = Watcher(tell, zone, revision=self.revision)
+        self.watchers.append(watcher)
+        return watcher
+
+    def leave(self, watcher: Watcher) -> None:
+        """A router is gone."""
+        watcher.on = False
+        self.watchers.remove(watcher)
+
+    def watch(self, watcher: Watcher, on: bool) -> None:
+        """A router watches from now on, or no more."""
+        if on and not watcher.on:
+            if not self.up:
+                self.kernel.after(self.latency(watcher.zone), lambda: self._failed(watcher))
+                return
+            watcher.on = True
+            self._call(watcher, 1, True)
+        elif not on:
+            watcher.on = False
+
+    def _call(self, watcher: Watcher, lines: int, asked: bool) -> None:
+        """Calls are handled one after another."""
+        cost = self.shape.call_ms + self.shape.line_ms * lines
+        self._free_at = max(self._free_at, self.kernel.time) + cost
+        self.kernel.at(self._free_at, lambda: self._tell(watcher, asked))
+
+    def _tell(self, watcher: Watcher, asked: bool) -> None:
+        """What is new to a router; if it asked, also that nothing is."""
+        if not (watcher.on and self.up) or (watcher.revision == self.revision and not asked):
+            return
+        entries = []
+        for revision, member in reversed(self._changes):
+            if revision <= watcher.revision:
+                break
+            entries.append(member)
+        watcher.revision = self.revision
+        for member in entries:
+            if member.state is State.READY:
+                watcher.told.pop(member.server, None)
+            else:
+                watcher.told.setdefault(member.server, self.kernel.time)
+        event = api.Members(Scope.DELTA, tuple(reversed(entries)), self.revision)
+        self.kernel.after(self.latency(watcher.zone), lambda: watcher.tell(event))
+
+    def _failed(self, watcher: Watcher) -> None:
+        watcher.on = False
+        watcher.tell(api.Members(Scope.FAILED))
+
+    def turn(self, up: bool) -> None:
+        """It goes down, and all watches end; or it comes back."""
+        self.up = up
+        if not up:
+            for watcher in self.watchers:
+                if watcher.on:
+                    watcher.on = False
+                    self.kernel.after(self.latency(watcher.zone), lambda w=watcher: self._failed(w))  # type: ignore[misc]
--- /dev/null
+++ b/rosepick/lab/world/requests.py
@@ -0,0 +1,191 @@
+"""What clients ask: arrivals, classes, tenants, keys and work, drawn from one seed whatever policy serves
+them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import numpy as np
+
+from ..experiment import Class, Experiment, ExperimentError
+from .draws import Uniform, Work, Zipf, generator
+
+HINT_SPREAD = 0.3  # of the logarithm: how rough the hint of a request's work is
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What one client wants, once."""
+
+    number: int
+    due: float  # milliseconds
+    router: int
+    klass: int
+    tenant: int
+    key: int
+    work: float  # at a cache node, milliseconds on a core of speed 1
+    origin_work: float
+    hint: float
+    size: int
+    leaves: float  # so many milliseconds after it was due its client leaves; inf: never early
+
+
+class Requests:
+    """All requests of a run, in the order in which they are due."""
+
+    def __init__(self, experiment: Experiment, seed: int) -> None:
+        self.experiment, self.seed = experiment, seed
+        self.surge = 1.0  # so many times the traffic, by a trouble
+        self.flash = 0.0  # of the reads are for one key
+        self.numbers = _numbers(experiment.keys.count)
+        self._ranks = Zipf(seed, "keys", experiment.keys.count, experiment.keys.zipf)
+        self._gaps = generator(seed, "arrivals")
+        self._kind, self._who, self._where, self._odd, self._leave = (
+            Uniform(seed, name) for name in ("classes", "tenants", "routers", "flash", "leave")
+        )
+        self._hints = Work(seed, "hints", "lognormal", HINT_SPREAD)
+        self._works = [
+            Work(seed, f"work {one.name}", one.work, one.spread) for one in experiment.classes
+        ]
+        self._classes = _edges([one.share for one in experiment.classes])
+        self._tenants = _edges([one.traffic or one.share for one in experiment.tenants])
+        skew = experiment.routers.skew
+        self._routers = _edges([(n + 1) ** -skew for n in range(experiment.routers.count)])
+        self._drifts = generator(seed, "drift")
+        self._drifted = 0.0
+
+    def __iter__(self) -> Iterator[Request]:
+        length = 1000.0 * self.experiment.length
+        if self.experiment.traffic.arrivals == "trace":
+            yield from self._traced(length)
+            return
+        for number, due in enumerate(self._arrivals()):
+            if due >= length:
+                return
+            self._drift(due)
+            yield self._request(number, due, self._pick(self._kind, self._classes))
+
+    # ------------------------------------------------------------------------------------------- when
+
+    def _arrivals(self) -> Iterator[float]:
+        """Times of arrivals, without end. Changes of the rate by a trouble count from the next one on."""
+        traffic, now = self.experiment.traffic, 0.0
+        together = traffic.burst if traffic.arrivals == "bursts" else 1
+        while True:
+            rate = traffic.rate * self.surge * self._of_day(now) / together / 1000.0
+            gap = 1.0 if traffic.arrivals == "regular" else float(self._gaps.exponential())
+            now += gap / rate
+            for _ in range(together):
+                yield now
+
+    def _of_day(self, now: float) -> float:
+        traffic = self.experiment.traffic
+        if traffic.arrivals != "daily":
+            return 1.0
+        return 1.0 + traffic.swing * math.sin(2 * math.pi * now / (1000.0 * traffic.period))
+
+    def _traced(self, length: float) -> Iterator[Request]:
+        for number, (due, klass, tenant, key) in enumerate(trace(self.experiment)):
+            if due >= length:
+                return
+            yield self._request(number, due, klass, key, tenant)
+
+    # ------------------------------------------------------------------------------------------- what
+
+    def _request(
+        self, number: int, due: float, klass: int, key: int | None = None, tenant: int | None = None
+    ) -> Request:
+        one = self.experiment.classes[klass]
+        amount = self._works[klass]()
+        if key is None:
+            key = self._key(one)
+        if tenant is None:
+            tenant = self._pick(self._who, self._tenants) if self._tenants else 0
+        leaves = math.inf
+        if self.experiment.clients.leave and self._leave() < self.experiment.clients.leave:
+            leaves = 1000.0 * one.deadline * (0.1 + 0.9 * self._leave())
+        return Request(
+            number, due, self._pick(self._where, self._routers), klass, tenant, key,
+            one.work_ms * amount, one.origin_ms * amount, one.work_ms * amount * self._hints(), one.size,
+            leaves,
+        )
+
+    def _key(self, one: Class) -> int:
+        rank = self._ranks()
+        if self.flash and not one.write and self._odd() < self.flash:
+            rank = len(self.numbers) // 2
+        return self.numbers[rank]
+
+    @staticmethod
+    def _pick(draw: Uniform, edges: list[float]) -> int:
+        """One of several, by their shares. There are few, so that looking through them costs least."""
+        drawn = draw()
+        for place, edge in enumerate(edges):
+            if drawn < edge:
+                return place
+        return len(edges) - 1
+
+    def _drift(self, now: float) -> None:
+        """Keys change places in their popularity."""
+        drift = self.experiment.keys.drift
+        while drift and now - self._drifted >= 1000.0 / drift:
+            self._drifted += 1000.0 / drift
+            one, other = self._drifts.integers(0, len(self.numbers), 2)
+            self.numbers[one], self.numbers[other] = self.numbers[other], self.numbers[one]
+
+
+def _numbers(count: int) -> list[int]:
+    """A number for each rank, that tells nothing of it: a 64-bit mix (splitmix64's finalizer), never 0."""
+    x = np.arange(1, count + 1, dtype=np.uint64) * np.uint64(0x9E3779B97F4A7C15)
+    x ^= x >> np.uint64(30)
+    x *= np.uint64(0xBF58476D1CE4E5B9)
+    x ^= x >> np.uint64(27)
+    x *= np.uint64(0x94D049BB133111EB)
+    x ^= x >> np.uint64(31)
+    return [int(value) or 1 for value in x]
+
+
+def _edges(shares: list[float]) -> list[float]:
+    total, edges = 0.0, []
+    for share in shares:
+        total += share
+        edges.append(total)
+    return [edge / total for edge in edges]
+
+
+def trace(experiment: Experiment) -> list[tuple[float, int, int, int]]:
+    """The requests of a trace file: when due (ms), class, tenant, key. ExperimentError names each bad
+    line."""
+    path = Path(experiment.traffic.trace)
+    classes = {one.name: place for place, one in enumerate(experiment.classes)}
+    tenants = {one.name: place for place, one in enumerate(experiment.tenants)}
+    try:
+        lines = path.read_text("utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as problem:
+        raise ExperimentError((f"{path}: {getattr(problem, 'strerror', None) or 'not UTF-8'}",)) from None
+    found, faults = list[tuple[float, int, int, int]](), list[str]()
+    for number, line in enumerate(lines, 1):
+        words = [word.strip() for word in line.split(",")]
+        if not line.strip() or line.startswith("#"):
+            continue
+        try:
+            due, klass, key = 1000.0 * float(words[0]), classes[words[1]], words[2]
+            tenant = tenants[words[3]] if tenants else 0
+            if not 0 <= due < math.inf or (found and due < found[-1][0]):
+                raise ValueError
+        except (ValueError, KeyError, IndexError):
+            faults.append(f"{path.name} line {number}: not `seconds,class,key[,tenant]` in the order of time")
+            continue
+        found.append((due, klass, tenant, _key_number(key)))
+    if faults or not found:
+        raise ExperimentError(tuple(faults) or (f"{path.name}: holds no request",))
+    return found
+
+
+def _key_number(key: str) -> int:
+    from ...core.transport_map import key_number
+
+    return key_number(key.encode())
--- /dev/null
+++ b/rosepick/lab/world/troubles.py
@@ -0,0 +1,199 @@
+"""The timeline of troubles: each begins and ends at its times, and says whom it met."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..experiment import LIVE_ONLY, Experiment, ExperimentError, Trouble
+from ..results import Span
+from .fleet import CacheNode, Node
+from .world import World
+
+Undo = Callable[[], None]
+
+
+def set_up(world: World) -> None:
+    """Set all troubles of a world's experiment. ExperimentError if one of them is played on sockets only."""
+    only_live = [
+        f"troubles[{place}].kind {trouble.kind!r} is played with --live only"
+        for place, trouble in enumerate(world.experiment.troubles) if trouble.kind in LIVE_ONLY
+    ]
+    if only_live:
+        raise ExperimentError(tuple(only_live))
+    for trouble in world.experiment.troubles:
+        world.kernel.at(1000.0 * trouble.at, lambda trouble=trouble: _begin(world, trouble))  # type: ignore[misc]
+
+
+def _begin(world: World, trouble: Trouble) -> None:
+    what, undo = _KINDS[trouble.kind](world, trouble)
+    until = trouble.at + trouble.last
+    world.measure.spans.append(Span(trouble.kind, trouble.at, until, what))
+    if trouble.last:
+        world.kernel.at(1000.0 * until, undo)
+
+
+def _nothing() -> None:
+    """What happened cannot be taken back."""
+
+
+def _chosen(world: World, trouble: Trouble) -> list[CacheNode]:
+    return world.choose(world.cache_nodes(trouble.zone), trouble.nodes, trouble.part)
+
+
+def _names(nodes: list[CacheNode]) -> str:
+    more = f" and {len(nodes) - 8} more" if len(nodes) > 8 else ""
+    return ", ".join(node.uid for node in nodes[:8]) + more
+
+
+def _each(
+    world: World, trouble: Trouble, begin: Callable[[CacheNode], None], end: Callable[[CacheNode], None]
+) -> tuple[str, Undo]:
+    nodes = _chosen(world, trouble)
+    for node in nodes:
+        begin(node)
+
+    def undo() -> None:
+        for node in nodes:
+            end(node)
+
+    return _names(nodes), undo
+
+
+def _slow(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    return _each(
+        world, trouble, lambda node: node.server.change(trouble.by), lambda node: node.server.change(1.0)
+    )
+
+
+def _stop(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    def back(node: CacheNode) -> None:
+        if not node.server.up:
+            world.restart(node, 0.0)
+
+    return _each(world, trouble, CacheNode.stop, back)
+
+
+def _restart(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    return _each(world, trouble, lambda node: world.restart(node, 1000.0 * trouble.down), lambda node: None)
+
+
+def _replace(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    """Each is replaced by a new one, one after another over the time of the trouble."""
+    nodes = _chosen(world, trouble)
+    step = 1000.0 * trouble.last / max(1, len(nodes))
+
+    def replace(node: CacheNode) -> None:
+        world.add_node(node.group, node.zone, world.kernel.time).zone = node.zone
+        world.drain(node)
+
+    for place, node in enumerate(nodes):
+        world.kernel.after(place * step, lambda node=node: replace(node))  # type: ignore[misc]
+    return _names(nodes), _nothing
+
+
+def _shrink(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    nodes = _chosen(world, trouble)
+    step = 1000.0 * trouble.last / max(1, len(nodes))
+    for place, node in enumerate(nodes):
+        world.kernel.after(place * step, lambda node=node: world.drain(node))  # type: ignore[misc]
+    return _names(nodes), _nothing
+
+
+def _grow(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    among = world.cache_nodes(trouble.zone)
+    count = trouble.nodes or max(1, round((trouble.part or 0.0) * len(among)))
+    made = [
+        world.add_node(among[place % len(among)].group, place, world.kernel.time) for place in range(count)
+    ]
+    return _names(made), _nothing
+
+
+def _cut(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    assert trouble.zones is not None
+    here, there = (world.zone(zone) for zone in trouble.zones)
+    world.network.cut(here, there, True)
+    return f"{trouble.zones[0]} from {trouble.zones[1]}", lambda: world.network.cut(here, there, False)
+
+
+def _silent(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    def turn(on: bool) -> Callable[[CacheNode], None]:
+        return lambda node: setattr(node, "silent", on)
+
+    return _each(world, trouble, turn(True), turn(False))
+
+
+def _share(name: str) -> Callable[[World, Trouble], tuple[str, Undo]]:
+    """Such a part of the attempts at some nodes, or at all of them and the origin if none is named."""
+
+    def begin(world: World, trouble: Trouble) -> tuple[str, Undo]:
+        named = trouble.nodes is not None or trouble.part is not None or trouble.zone
+        nodes: list[Node] = list(_chosen(world, trouble)) if named else [*world.cache_nodes(), world.origin]
+        for node in nodes:
+            setattr(node, name, trouble.share)
+
+        def undo() -> None:
+            for node in nodes:
+                setattr(node, name, 0.0)
+
+        return f"{trouble.share:.0%} of the attempts at {len(nodes)}", undo
+
+    return begin
+
+
+def _stale(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    world.discovery.more_delay += 1000.0 * trouble.by
+
+    def undo() -> None:
+        world.discovery.more_delay -= 1000.0 * trouble.by
+
+    return f"by {trouble.by:g} s", undo
+
+
+def _discovery_down(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    world.discovery.turn(False)
+    return "discovery", lambda: world.discovery.turn(True)
+
+
+def _origin_slow(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    world.origin.server.change(trouble.by)
+    return f"{trouble.by:g} times", lambda: world.origin.server.change(1.0)
+
+
+def _origin_stop(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    world.origin.stop()
+    return "origin", world.origin.start
+
+
+def _flash(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    world.requests.flash = trouble.share
+    return f"{trouble.share:.0%} of the reads", lambda: setattr(world.requests, "flash", 0.0)
+
+
+def _surge(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    world.requests.surge = trouble.by
+    return f"{trouble.by:g} times", lambda: setattr(world.requests, "surge", 1.0)
+
+
+def _routers(back: bool) -> Callable[[World, Trouble], tuple[str, Undo]]:
+    def begin(world: World, trouble: Trouble) -> tuple[str, Undo]:
+        places = range(min(trouble.routers or 1, len(world.routers)))
+        down = trouble.down if back else trouble.last or None
+        for place in places:
+            world.kill_router(place, None if down is None else 1000.0 * down)
+        return ", ".join(f"router-{place}" for place in places), _nothing
+
+    return begin
+
+
+_KINDS: dict[str, Callable[[World, Trouble], tuple[str, Undo]]] = {
+    "slow": _slow, "stop": _stop, "restart": _restart, "replace": _replace, "shrink": _shrink, "grow": _grow,
+    "cut": _cut, "silent": _silent, "stale": _stale, "discovery_down": _discovery_down,
+    "origin_slow": _origin_slow, "origin_stop": _origin_stop, "flash": _flash, "surge": _surge,
+    "router_kill": _routers(False), "router_restart": _routers(True), "hang": _share("hangs"),
+    "reset": _share("resets"),
+}
+
+
+def playable(experiment: Experiment) -> bool:
+    """Whether all troubles of an experiment can be simulated."""
+    return all(trouble.kind in _KINDS for trouble in experiment.troubles)
