--- /dev/null
+++ b/rosepick/lab/demo.py
@@ -0,0 +1,189 @@
+"""`rosepick demo`: a small fleet on this machine, one router, trouble, and what the router makes of it."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from . import console
+from .experiment import Experiment, Trouble, read
+from .live.run import Stage, staged
+from .results import Run, Window
+
+SEED = 1
+STEP = 5  # seconds of a row of the table
+EXPERIMENT = """
+name = "demo"
+length = {seconds}
+warm_up = 2
+
+[[fleet]]
+count = 6
+memory = 400_000
+crowding = 0.01
+
+[origin]
+cores = 8
+slots = 16
+
+[[classes]]
+name = "read"
+share = 97
+work_ms = 12
+origin_ms = 40
+
+[[classes]]
+name = "set"
+share = 3
+write = true
+work_ms = 12
+origin_ms = 40
+aim = 0.75
+deadline = 2.5
+effect = "dedup"
+repeat_window = 1.5
+
+[keys]
+count = 1500
+
+[traffic]
+rate = 120
+
+[routers]
+count = 1
+
+[[troubles]]
+kind = "slow"
+at = {slow_at}
+for = {slow_for}
+nodes = 1
+by = 12
+
+[[troubles]]
+kind = "restart"
+at = {restart_at}
+nodes = 1
+down = 2
+"""
+# what of the router's log is shown, and in which words
+EVENTS = {
+    "serving": "the router serves on {listen}",
+    "module": "the decisions say: {text}",
+    "crowd_began": "room is made at the doors ({by})",
+    "crowd_ended": "no more room is made at the doors",
+    "ending": "the router is told to end",
+    "ended": "the router has ended",
+}
+
+
+def demo(seconds: int) -> int:
+    """Play it and show it; the exit status. Ends with 1 if a rule was broken."""
+    given = experiment(seconds)
+    nodes = sum(group.count for group in given.fleet)
+    print(
+        f"{nodes} cache nodes, an origin and one router on this machine, {given.traffic.rate:g} requests a second "
+        f"for {seconds} seconds.\n"
+    )
+    with staged(given, SEED) as stage:
+        stage.set_up()
+        stage.go_on(Teller(stage, given).told)
+        run, cost = stage.result({})
+    print()
+    _table(run)
+    console.show(run, cost)
+    print("\nMore: docs/lab.md, and `rosepick lab run experiments/slow-node.toml` for the same in simulated time.")
+    return 1 if run.broken else 0
+
+
+def experiment(seconds: int) -> Experiment:
+    """What is played; the troubles keep their places in it, however long it lasts."""
+    times = {"slow_at": 0.25 * seconds, "slow_for": 0.2 * seconds, "restart_at": 0.65 * seconds}
+    return read(EXPERIMENT.format(seconds=seconds, **times), "demo")
+
+
+class Teller:
+    """Says what happens, as it happens: troubles when they begin and end, and lines of the router's log."""
+
+    def __init__(self, stage: Stage, given: Experiment, say: Callable[[str], None] = print) -> None:
+        self._stage, self._say = stage, say
+        self._length = given.length + max(one.deadline for one in given.classes)
+        self._read = 0
+        self._due = sorted(_moments(given.troubles))
+
+    def told(self, part: float) -> None:
+        """Such a part of the run is over, 0 to 1."""
+        now = part * self._length
+        while self._due and self._due[0][0] <= now:
+            at, text = self._due.pop(0)
+            self._say(f"{at:5.1f} s  {text}")
+        for line in self._lines(self._stage.routers[0].log_file):
+            text = _in_words(line)
+            if text:
+                self._say(f"{now:5.1f} s    {text}")
+
+    def _lines(self, path: Path) -> list[str]:
+        """Whole lines that are new in a log."""
+        try:
+            with path.open("rb") as file:
+                file.seek(self._read)
+                data = file.read()
+        except OSError:
+            return []
+        whole = data[: data.rfind(b"\n") + 1]
+        self._read += len(whole)
+        return whole.decode("utf-8", "replace").splitlines()
+
+
+def _moments(troubles: tuple[Trouble, ...]) -> list[tuple[float, str]]:
+    found = []
+    for trouble in troubles:
+        if trouble.kind == "restart":
+            found.append((trouble.at, f"a cache node is restarted; it is back after {trouble.down:g} s, and cold"))
+        else:
+            found.append((trouble.at, f"a cache node is {trouble.by:g} times as slow"))
+            found.append((trouble.at + trouble.last, "it is as fast as before"))
+    return found
+
+
+def _in_words(line: str) -> str:
+    """A line of the log as it is shown; empty if it is not."""
+    fields = dict(_pairs(line))
+    words = EVENTS.get(fields.get("event", ""))
+    return words.format_map({"listen": "", "text": "", "by": "", **fields}) if words else ""
+
+
+def _pairs(line: str) -> list[tuple[str, str]]:
+    """key=value and key="value with blanks", as the log writes them."""
+    found, rest = [], line.strip()
+    while "=" in rest:
+        key, _, rest = rest.partition("=")
+        if rest.startswith('"'):
+            value, _, rest = rest[1:].partition('"')
+            rest = rest.lstrip()
+        else:
+            value, _, rest = rest.partition(" ")
+        found.append((key, value))
+    return found
+
+
+def _table(run: Run) -> None:
+    """What clients got, a row for some seconds."""
+    print("  seconds  requests  in time    p99   origin   nodes up")
+    for begin in range(0, len(run.windows), STEP):
+        windows = run.windows[begin : begin + STEP]
+        offered = sum(window.offered for window in windows)
+        if not offered:
+            continue
+        in_time = sum(window.in_time for window in windows) / offered
+        print(
+            f"  {begin:3}-{begin + len(windows):<3}  {offered:8}  {in_time:7.1%}  "
+            f"{max(window.p99_ms for window in windows):4.0f} ms  {_mean(windows):6.1%}  "
+            f"{min(window.nodes_up for window in windows):9}"
+        )
+    print()
+    sys.stdout.flush()
+
+
+def _mean(windows: list[Window]) -> float:
+    return sum(window.origin_load for window in windows) / len(windows)
