--- a/rosepick/lab/demo.py
+++ b/rosepick/lab/demo.py
@@ -82,8 +82,8 @@
     given = experiment(seconds)
     nodes = sum(group.count for group in given.fleet)
     print(
-        f"{nodes} cache nodes, an origin and one router on this machine, {given.traffic.rate:g} requests a second "
-        f"for {seconds} seconds.\n"
+        f"{nodes} cache nodes, an origin and one router on this machine, {given.traffic.rate:g} requests a "
+        f"second for {seconds} seconds.\n"
     )
     with staged(given, SEED) as stage:
         stage.set_up()
@@ -92,7 +92,7 @@
     print()
     _table(run)
     console.show(run, cost)
-    print("\nMore: docs/lab.md, and `rosepick lab run experiments/slow-node.toml` for the same in simulated time.")
+    print("\nMore: docs/lab.md; `rosepick lab run experiments/slow-node.toml` plays the like in simulated time.")
     return 1 if run.broken else 0
 
 
@@ -139,7 +139,8 @@
     found = []
     for trouble in troubles:
         if trouble.kind == "restart":
-            found.append((trouble.at, f"a cache node is restarted; it is back after {trouble.down:g} s, and cold"))
+            back = f"it is back after {trouble.down:g} s, and cold"
+            found.append((trouble.at, f"a cache node is restarted; {back}"))
         else:
             found.append((trouble.at, f"a cache node is {trouble.by:g} times as slow"))
             found.append((trouble.at + trouble.last, "it is as fast as before"))
--- /dev/null
+++ b/rosepick/lab/live/configuration.py
@@ -0,0 +1,71 @@
+"""What GW_CONFIG says to the routers of an experiment: the same settings as `world.settings` gives the
+simulated ones."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ...core.transport_map import uid_number
+from ..experiment import Experiment
+from ..world.fleet import ORIGIN
+from ..world.settings import settings_of
+
+KINDS = ("std", "origin")  # of machines, by the numbers that the model gives them
+CONN_IDLE = 15_000.0  # milliseconds after which a node closes an idle connection
+DIAL_TIMEOUT = 250.0
+
+
+def document(
+    experiment: Experiment, name: str, listen: str, discovery: str, known: dict[str, Any], *,
+    position: int = 0, seed: int | None = None,
+) -> dict[str, Any]:
+    """The configuration of one router. `listen` and `discovery` are host:port, `known` is a list in
+    discovery's form; `position` counts routers from 0 and gives its zone. Times in it are milliseconds."""
+    drawn = experiment.seed if seed is None else seed
+    return {
+        "name": name, "listen": listen, "discovery": discovery, "seed": f"{uid_number(f'{name} {drawn}'):x}",
+        "limits": {
+            "cores": 1.0, "memory_mb": experiment.routers.memory_mb, "sockets": experiment.routers.sockets,
+        },
+        "known": known, "settings": _settings(experiment, position),
+    }
+
+
+def _settings(experiment: Experiment, position: int) -> dict[str, Any]:
+    zone = position % len(experiment.zones)
+    told = settings_of(experiment, position, zone)
+    rules, limits = told.rules, told.limits
+    return {
+        "domain": {"mode": told.mode.value, "origin_kind": told.origin_kind},
+        "failure_domains": list(experiment.zones),
+        "machine_types": list(KINDS),
+        "limits": {
+            "cancelling": limits.cancelling, "conn_idle": CONN_IDLE, "dial_timeout": DIAL_TIMEOUT,
+            "max_attempts": limits.max_attempts, "max_retry_after": limits.max_retry_after,
+            "retry_after": True,
+        },
+        "membership_mode": "subscribe" if told.subscribe else "automatic",
+        "request_classes": [
+            {
+                "name": named.name, "deadline": one.deadline, "objective": one.aim, "worth": one.worth,
+                "effect": one.effect.value, "group": one.group.value, "repeat_window": one.repeat_window,
+            }
+            for named, one in zip(experiment.classes, told.classes, strict=True)
+        ],
+        "rules": {
+            name: getattr(rules, name)
+            for name in ("stop_sending_within", "grace_to_answer", "ask_every", "cold_from", "warm_within",
+                         "tip_multiple", "fall")
+        },
+        "tenants": [
+            {"name": named.name, "share": one.share}
+            for named, one in zip(experiment.tenants, told.tenants, strict=True)
+        ],
+        "zone": zone, "balancers": told.routers, "position": told.position,
+        "over_share_worth": told.over_share_worth, "costs": {"cross_zone": told.cross_zone_cost},
+    }
+
+
+def model_of(kind: int) -> str:
+    """The name of a kind of machine."""
+    return KINDS[1] if kind == ORIGIN else KINDS[0]
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -12,7 +12,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from ..connections.account import Why
+from ..connections.account import State, Why
+from ..connections.policy import SLOW_START
 from ..core.engine import Engine, ObservedEngine
 from ..core.transport_map import TransportMap
 from ..decisions import api
@@ -25,6 +26,7 @@
 from .listener import Listener
 from .loop import Loop
 from .pool import NextHopPool
+from .sender_link import SenderLink
 from .watch import DiscoveryWatch
 
 if TYPE_CHECKING:
@@ -236,7 +238,7 @@
 
     def _end_if_quiet(self) -> None:
         now = self.loop.now()
-        for link in [link for link in self.listener.links if link.idle()]:
+        for link in [link for link in self.listener.links if link.idle() and not self._unheard(link, now)]:
             link.close(Why.ENDING)
         longest = max(klass.deadline for klass in self.config.settings.classes)
         if self.listener.open and self._no_more_come(now, longest):
@@ -248,6 +250,12 @@
         else:
             self.loop.after(END_STEP, self._end_if_quiet)
 
+    @staticmethod
+    def _unheard(link: SenderLink, now: float) -> bool:
+        """Whether a connection has come just now and its request may be on the way. Guards against a request
+        that is lost as it was written while its connection was closed."""
+        return link.conn.state is State.FRESH and now - link.conn.ready < SLOW_START
+
     def _no_more_come(self, now: float, longest: float) -> bool:
         """Whether to stop accepting. Not before batches have their parts, which come over this door too; they
         must be through when any request must."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -25,6 +25,7 @@
 import unittest
 from typing import Any
 
+from rosepick.decisions.decide import Router
 from rosepick.net.loop import Loop
 from rosepick.net.server import Server
 from rosepick.settings import config
@@ -139,6 +140,12 @@
         """What the operators tell: nothing, unless a scenario says otherwise."""
         return Operators()
 
+    def module(self) -> Router:
+        """The router's decisions."""
+        made = self.server.engine.router
+        assert isinstance(made, Router)
+        return made
+
     def play(self, text: str) -> None:
         """Run a scenario."""
         for line in filter(None, map(str.strip, text.splitlines())):
--- /dev/null
+++ b/tests/test_lab_live.py
@@ -0,0 +1,674 @@
+"""The live runner: its parts by themselves, each fault of sockets once, and short runs with real routers."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import socket
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rosepick.decisions.api import Result, State
+from rosepick.http.response import Answer, AnswerReader, BadAnswer
+from rosepick.lab.experiment import Experiment, read
+from rosepick.lab.live.clients import Clients
+from rosepick.lab.live.configuration import document
+from rosepick.lab.live.control import Helper, HelperFailed
+from rosepick.lab.live.doors import Door
+from rosepick.lab.live.judge import judge
+from rosepick.lab.live.nodes import Stand
+from rosepick.lab.live.origin import Repeats
+from rosepick.lab.live.plan import requests
+from rosepick.lab.live.reader import Message, RequestReader, answer
+from rosepick.lab.live.records import Attempt, Down, Lateness, Tried
+from rosepick.lab.live.run import play
+from rosepick.lab.live.world import LiveWorld
+from rosepick.lab.measure import Measure
+from rosepick.lab.results import Run
+from rosepick.lab.world.settings import settings_of
+from rosepick.net.budget import Budget
+from rosepick.net.loop import READ, Loop
+from rosepick.net.stream import Stream
+from rosepick.settings import config
+
+BASE = """
+name = "small"
+length = 2.5
+warm_up = 0.2
+routers.count = 1
+traffic.rate = 60
+classes = [
+    {name = "read", share = 3, work = "fixed", size = 300},
+    {name = "set", write = true, effect = "dedup", repeat_window = 1.5, aim = 0.75},
+]
+fleet = [{count = 2}]
+"""
+
+
+ONE_NODE = {"fleet": [{"count": 1}]}
+
+
+def experiment(more: str = "", changes: dict[str, Any] | None = None) -> Experiment:
+    """A small experiment."""
+    return read(BASE + more, "test", changes)
+
+
+# ------------------------------------------------------------------------------------------------- its parts
+
+TWO = (
+    b"PUT /api/k1 HTTP/1.1\r\nReq-Id: 7.1\r\nIdempotency-Key: a\r\nContent-Length: 5\r\n\r\nhello"
+    b"GET /api/k2 HTTP/1.1\r\nreq-id: 8.1\r\nConnection: close\r\n\r\n"
+)
+
+
+@given(st.lists(st.integers(0, len(TWO)), max_size=6))
+def test_requests_are_read_at_any_split(cuts: list[int]) -> None:
+    reader, found = RequestReader(), list[Message]()
+    edges = [0, *sorted(cuts), len(TWO)]
+    for begin, end in zip(edges, edges[1:], strict=False):
+        found += reader.feed(TWO[begin:end])
+    assert [(one.method, one.target, one.text(b"req-id"), one.body, one.keep) for one in found] == [
+        (b"PUT", b"/api/k1", "7.1", b"hello", True), (b"GET", b"/api/k2", "8.1", b"", False),
+    ]
+    assert not reader.begun
+
+
+def test_routers_are_told_what_simulated_ones_are() -> None:
+    given = experiment('tenants = [{name = "acme", share = 3}, {name = "beta"}]\nzones = ["a", "b"]')
+    told = document(given, "router-1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1, "all": True}, position=1)
+    found = config.read(json.loads(json.dumps(told)))
+    assert found.settings == settings_of(given, 1, 1)
+    assert list(found.names.classes) == ["read", "set"] and list(found.names.tenants) == ["acme", "beta"]
+
+
+def test_traffic_troubles_count_in_requests_drawn_ahead() -> None:
+    usual = requests(experiment(), 1)
+    surged = requests(experiment('[[troubles]]\nkind = "surge"\nat = 1\nfor = 1\nby = 10'), 1)
+    assert [one for one in usual if one.due < 950] == [one for one in surged if one.due < 950]
+    count = sum(1000 <= one.due < 2000 for one in surged)
+    assert count > 5 * sum(1000 <= one.due < 2000 for one in usual)
+
+
+def test_a_late_run_says_by_how_much() -> None:
+    assert Lateness.of([1.0] * 100).fault("it was") == ""
+    assert "p99 30.0 ms" in Lateness.of([30.0] * 100).fault("it was")
+    assert "longest 300 ms" in Lateness.of([1.0] * 200 + [300.0]).fault("it was")
+
+
+# -------------------------------------------------------------------------------------------------- the rules
+
+
+def sent(begin: float, end: float, result: Result = Result.MISS, told: float | None = None) -> Attempt:
+    """An attempt of the request 5.1."""
+    return Attempt("5.1", 7, "node-1", 0, 0, begin, told, end, result)
+
+
+def tried(how: str = "served", ended: float = 150.0, klass: int = 0, again: bool = False) -> Tried:
+    """The try 5.1, sent at 100."""
+    return Tried("5.1", 0, klass, 2600.0 if klass else 1300.0, 100.0, ended, how, again)
+
+
+SET = 1  # place of a class that is dropped for 1.5 s
+BREACHES: dict[str, tuple[list[Attempt], Tried, str, str, float]] = {
+    "never": ([], tried("none", 2300.0), "answered", "no answer by 1000 ms", 2.3),
+    "late": ([sent(101, 1355)], tried("served", 1360.0), "answered", "60 ms late", 1.36),
+    "twice": ([], tried("failed", again=True), "answered", "twice", 0.15),
+    "broken off": ([], tried("broke"), "answered", "connection ended 50.0 ms after", 0.15),
+    "after the answer": ([sent(101, 120), sent(190, 200)], tried(), "effect", "after the final answer", 0.19),
+    "at one time": ([sent(101, 140), sent(130, 140)], tried(), "effect", "another attempt was out", 0.13),
+    "too many": ([sent(101 + n, 101.5 + n) for n in range(6)], tried(), "effect", "attempt 6 of 5", 0.106),
+    "window": (
+        [sent(101, 110, Result.ERROR), sent(1700, 1710, Result.OK)], tried("served", 1711, SET), "effect",
+        "1599 ms after", 1.7,
+    ),
+    "drains": ([sent(901, 910, told=100.0)], tried("served", 911), "drains", "801 ms after", 0.901),
+}
+
+
+@pytest.mark.parametrize("name", BREACHES)
+def test_each_breach_is_named(name: str) -> None:
+    attempts, one, rule, text, at = BREACHES[name]
+    measure = Measure(experiment())
+    judge(measure.experiment, measure, attempts, [one])
+    assert [(broken.rule, broken.request) for broken in measure.broken] == [(rule, "5.1")]
+    broken = measure.broken[0]
+    assert broken.at == pytest.approx(at) and text in broken.text
+    assert broken.node == ("router-0" if rule == "answered" else "node-1")
+
+
+def test_what_is_right_breaks_nothing() -> None:
+    measure = Measure(experiment())
+    right = [sent(101, 120), sent(121, 149, Result.OK), sent(140.0, 141.0)]
+    right[-1].request = "6.1"
+    judge(measure.experiment, measure, right, [tried(), tried("left"), tried("refused")])
+    judge(measure.experiment, measure, [sent(849, 860, told=100.0)], [tried("served", 870.0)])
+    held_at_its_death = Down(0, 140.0, 151.0)
+    judge(measure.experiment, measure, [], [tried("broke")], [held_at_its_death])
+    assert measure.broken == []
+    judge(measure.experiment, measure, [], [tried("broke")], [Down(1, 140.0, 151.0)])
+    assert len(measure.broken) == 1
+
+
+@pytest.mark.parametrize("falls_at", [0.0005, 0.0008])  # by the connection, or by the request on it
+def test_a_cold_node_that_is_pushed_over_is_named(falls_at: float) -> None:
+    fleet = [{"count": 1, "born": 0.0, "falls_at": falls_at}]
+    with yard(experiment("", {"fleet": fleet})) as here:
+        wire = here.wire()
+        wire.ask()
+        here.until(lambda: wire.broken)
+        broken, = here.world.measure.broken
+        assert (broken.rule, broken.node) == ("cold", "node-1")
+        assert here.refuses()
+
+
+# ------------------------------------------------------------------------------------------- stand-ins'
+# faults
+
+
+class Wire:
+    """A plain client's connection."""
+
+    def __init__(self, port: int) -> None:
+        self.sock = socket.create_connection(("127.0.0.1", port), timeout=1.0)
+        self.sock.setblocking(False)
+        self.seen, self.ended, self.broken, self.asked = b"", False, False, 0
+
+    def ask(self, target: str = "/api/k1", headers: str = "Req-Id: x.{}\r\n") -> None:
+        """Send a read."""
+        self.asked += 1
+        self.sock.sendall(f"GET {target} HTTP/1.1\r\n{headers.format(self.asked)}\r\n".encode())
+
+    def pull(self) -> None:
+        """Take in what has come."""
+        with contextlib.suppress(BlockingIOError):
+            try:
+                while not self.ended:
+                    data = self.sock.recv(65536)
+                    self.seen += data
+                    self.ended = not data
+            except ConnectionError:
+                self.ended = self.broken = True
+
+    def answer(self) -> Answer | None:
+        """The whole answer, if it is one. Raises BadAnswer."""
+        return AnswerReader(1 << 20).feed(self.seen) if self.seen else None
+
+
+class Yard:
+    """Stand-ins in this process, and plain clients."""
+
+    def __init__(self, given: Experiment) -> None:
+        self.loop = Loop()
+        self.world = LiveWorld(self.loop, given, 1, Measure(given))
+        self.wires: list[Wire] = []
+        self.world.open()
+        self.begin = self.loop.now()
+        self.world.begin(self.begin)
+        self.for_ms(5)
+
+    def stand(self, kind: str = "node-1") -> Stand:
+        """One of the stand-ins."""
+        return next(one for one in self.world.stands.values() if one.node.uid == kind)
+
+    def wire(self, port: int | None = None) -> Wire:
+        """A connection to a node, or elsewhere."""
+        self.wires.append(Wire(port or self.stand().doors[0].port))
+        return self.wires[-1]
+
+    def refuses(self) -> bool:
+        """Whether a node refuses connections."""
+        with contextlib.suppress(ConnectionRefusedError):
+            self.wire()
+            return False
+        return True
+
+    def step(self) -> None:
+        self.loop.step(0.002)
+        for wire in self.wires:
+            wire.pull()
+
+    def for_ms(self, span: float) -> None:
+        until = self.loop.now() + span
+        while self.loop.now() < until:
+            self.step()
+
+    def until(self, holds: Callable[[], bool], within: float = 3_000.0) -> None:
+        until = self.loop.now() + within
+        while not holds():
+            assert self.loop.now() < until
+            self.step()
+
+    def answered(self, wire: Wire) -> Answer:
+        """Wait for a whole answer."""
+        self.until(lambda: wire.answer() is not None)
+        found = wire.answer()
+        assert found is not None
+        wire.seen = b""
+        return found
+
+
+@contextlib.contextmanager
+def yard(given: Experiment) -> Iterator[Yard]:
+    """Stand-ins that are closed at the end."""
+    made = Yard(given)
+    try:
+        yield made
+    finally:
+        made.world.close()
+        for wire in made.wires:
+            wire.sock.close()
+    assert made.loop.faults == 0
+
+
+def with_trouble(kind: str, more: str = "") -> Experiment:
+    """One that begins after 60 ms."""
+    return experiment(f'[[troubles]]\nkind = "{kind}"\nat = 0.06\n{more}', ONE_NODE)
+
+
+def test_a_node_misses_until_the_origin_has_answered() -> None:
+    with yard(experiment("", ONE_NODE)) as here:
+        node, origin = here.wire(), here.wire(here.stand("origin").doors[0].port)
+        node.ask()
+        missed = here.answered(node)
+        assert (missed.status, missed.headers[b"srv-cache"]) == (404, b"miss")
+        origin.ask()
+        assert here.answered(origin).body == b"v" * 300
+        node.ask()
+        hit = here.answered(node)
+        assert (hit.status, hit.headers[b"srv-cache"], hit.body) == (200, b"hit", b"v" * 300)
+        node.ask(headers="")
+        assert here.answered(node).status == 400
+
+
+def test_idle_connections_are_closed() -> None:
+    with yard(experiment("", ONE_NODE)) as here:
+        wire = here.wire()
+        wire.ask()
+        here.answered(wire)
+        here.stand().sweep(here.world.pace.now() + 14_000.0)
+        here.for_ms(10)
+        assert not wire.ended
+        here.stand().sweep(here.world.pace.now() + 15_000.0)
+        here.until(lambda: wire.ended)
+        assert not wire.broken
+
+
+def test_repeats_of_a_keyed_write_are_dropped_within_window_and_group() -> None:
+    with yard(experiment("", {"zones": ["a", "b"]})) as here:
+        one, other = here.stand("node-1").node, here.stand("node-2").node
+        klass = here.world.experiment.classes[SET].model_copy(update={"group": "zone"})
+        repeats = Repeats()
+        assert not repeats.is_one("k", klass, one, 0.0)
+        assert repeats.is_one("k", klass, one, 1_499.0)
+        assert not repeats.is_one("k", klass, other, 100.0)  # of another zone
+        assert not repeats.is_one("k", klass, one, 1_700.0)
+        assert not repeats.is_one("", klass, one, 1_700.0)
+
+
+def test_too_many_connections_are_declined() -> None:
+    with yard(experiment("", {"fleet": [{"count": 1, "connections": 1}]})) as here:
+        one, other = here.wire(), here.wire()
+        here.for_ms(10)
+        one.ask()
+        other.ask()
+        answers = {here.answered(wire).status: wire for wire in (one, other)}
+        assert set(answers) == {404, 503}
+
+
+@pytest.mark.parametrize("kind", ["stop", "restart"])
+def test_a_process_that_ends_resets_and_refuses(kind: str) -> None:
+    with yard(with_trouble(kind, "for = 0.2\ndown = 0.2")) as here:
+        wire = here.wire()
+        here.until(lambda: wire.broken)
+        assert here.refuses()
+        here.until(lambda: here.stand().doors[0].state == "open")
+        again = here.wire()
+        again.ask()
+        assert here.answered(again).status == 404
+
+
+def test_a_refusing_node_keeps_its_connections() -> None:
+    with yard(with_trouble("refuse", "for = 0.3")) as here:
+        wire = here.wire()
+        here.until(here.refuses)
+        wire.ask()
+        assert here.answered(wire).status == 404
+        here.until(lambda: here.stand().doors[0].state == "open")
+
+
+def test_a_silent_node_neither_accepts_nor_answers() -> None:
+    with yard(with_trouble("silent", "for = 0.4")) as here:
+        wire = here.wire()
+        here.until(lambda: here.stand().doors[0].state == "mute")
+        wire.ask()
+        with pytest.raises(TimeoutError):
+            socket.create_connection(("127.0.0.1", here.stand().doors[0].port), timeout=0.1)
+        here.for_ms(30)
+        assert not wire.seen and not wire.ended
+        here.until(lambda: here.stand().doors[0].state == "open")
+        again = here.wire()
+        again.ask()
+        assert here.answered(again).status == 404
+
+
+def test_hung_attempts_are_never_answered() -> None:
+    with yard(with_trouble("hang", "share = 1.0")) as here:
+        wire = here.wire()
+        here.for_ms(80)
+        wire.ask()
+        here.for_ms(200)
+        assert not wire.seen and not wire.ended
+        assert here.world.attempts[-1].result is Result.TIMEOUT
+
+
+def test_resets_come_before_within_and_after_answers() -> None:
+    with yard(with_trouble("reset", "share = 0.6")) as here:
+        here.for_ms(80)
+        seen = set()
+        for _ in range(100):
+            wire = here.wire()
+            wire.ask()
+            here.until(lambda wire=wire: wire.ended or wire.answer() is not None)  # type: ignore[misc]
+            here.for_ms(4)
+            seen.add((_status(wire), wire.ended, wire.broken))
+            if len(seen) == 5:
+                break
+        assert seen == {
+            (0, True, True), (-1, True, True), (0, True, False),  # before and within the answer; half a close
+            (404, True, True), (404, False, False),  # after the answer; and one that goes well
+        }
+
+
+def _status(wire: Wire) -> int:
+    """Of a whole answer; 0 if nothing came, -1 if a part did, or no answer."""
+    try:
+        found = wire.answer()
+    except BadAnswer:
+        return -1
+    return found.status if found is not None else -1 if wire.seen else 0
+
+
+def test_garbage_is_no_answer() -> None:
+    with yard(with_trouble("garbage", "share = 1.0")) as here:
+        here.for_ms(80)
+        for _ in range(8):
+            wire = here.wire()
+            wire.ask()
+            here.until(lambda wire=wire: wire.ended)  # type: ignore[misc]
+            assert wire.seen and _status(wire) == -1
+
+
+def test_a_dripping_answer_comes_byte_by_byte() -> None:
+    with yard(with_trouble("drip", "share = 1.0")) as here:
+        here.for_ms(80)
+        wire = here.wire()
+        wire.ask()
+        sizes = set()
+
+        def three() -> bool:
+            sizes.add(len(wire.seen))
+            return len(wire.seen) >= 3
+
+        here.until(three)
+        assert sizes <= {0, 1, 2, 3} and not wire.ended
+        wire.sock.close()
+        here.wires.remove(wire)
+        here.until(lambda: here.world.attempts[-1].result is Result.CANCELLED)
+
+
+def test_a_slow_node_takes_longer() -> None:
+    with yard(with_trouble("slow", "by = 1000.0")) as here:
+        here.for_ms(80)
+        wire, begin = here.wire(), here.loop.now()
+        wire.ask()
+        here.answered(wire)
+        assert here.loop.now() - begin >= 150.0  # 0.2 ms of work
+
+
+# -------------------------------------------------------------------------------------------------- discovery
+
+
+def call(here: Yard, wire: Wire, query: str) -> dict[str, Any]:
+    """Ask discovery, and wait for its answer."""
+    wire.ask(f"/v1/endpoints{query}")
+    found: dict[str, Any] = json.loads(here.answered(wire).body)
+    return found
+
+
+def test_discovery_tells_changes_and_knows_whom() -> None:
+    given = experiment('[[troubles]]\nkind = "shrink"\nat = 0.3\n', {"discovery.delay": 0.05})
+    with yard(given) as here:
+        listing = here.world.listing
+        wire = here.wire(listing.doors[0].port)
+        whole = call(here, wire, "")
+        assert whole["all"] and [row["uid"] for row in whole["targets"]] == ["origin", "node-1", "node-2"]
+        assert [row["model"] for row in whole["targets"]] == ["origin", "std", "std"]
+        nothing = call(here, wire, f"?after={whole['rev']}&wait_ms=20")
+        assert (nothing["rev"], nothing["all"], nothing["targets"]) == (whole["rev"], False, [])
+        news = call(here, wire, f"?after={whole['rev']}&wait_ms=20000")
+        row, = news["targets"]
+        node = here.stand(row["uid"]).node
+        assert (row["state"], news["rev"], node.state) == ("leaving", whole["rev"] + 1, State.DRAINING)
+        assert listing.told(0, node.number) is not None
+        call(here, wire, f"?after={whole['rev']}&wait_ms=0")
+        assert listing.told(0, node.number) is not None
+        listing.asked(0, whole["rev"])  # as by a router that started anew, with the old list
+        assert listing.told(0, node.number) is None
+
+
+def test_a_stale_list_lacks_what_is_young() -> None:
+    fleet = [{"count": 1}, {"count": 1, "born": -2.0}]
+    with yard(experiment("", {"fleet": fleet, "discovery.stale_by": 5.0})) as here:
+        listing = here.world.listing
+        held = listing.held(0)
+        assert [row["uid"] for row in held["targets"]] == ["origin", "node-1"]
+        news = call(here, here.wire(listing.doors[0].port), f"?after={held['rev']}&wait_ms=1000")
+        assert [row["uid"] for row in news["targets"]] == ["node-2"]
+        assert 0 <= time.time() - news["targets"][0]["boot_ms"] / 1000.0 - 2.0 < 60.0
+
+
+def test_discovery_goes_down() -> None:
+    with yard(with_trouble("discovery_down", "for = 0.2")) as here:
+        port = here.world.listing.doors[0].port
+        wire = here.wire(port)
+        here.until(lambda: wire.ended)
+        with pytest.raises(ConnectionRefusedError):
+            here.wire(port)
+        here.until(lambda: here.world.listing.doors[0].state == "open")
+        assert call(here, here.wire(port), "")["all"]
+
+
+# ---------------------------------------------------------------------------------------------------- clients
+
+
+class Router:
+    """A router that says what a test wants."""
+
+    def __init__(self, loop: Loop, says: list[bytes]) -> None:
+        self.loop, self.says = loop, says
+        self.heard: list[Message] = []
+        self.when: list[float] = []
+        self.streams: list[Stream] = []
+        self.door = Door(loop, self._accepted)
+        self.door.turn("open")
+
+    def _accepted(self, sock: socket.socket) -> None:
+        reader = RequestReader()
+
+        def ready(mask: int) -> None:
+            data = stream.read()
+            if not data:
+                stream.close()
+            for message in reader.feed(data or b""):
+                self.heard.append(message)
+                self.when.append(self.loop.now())
+                if self.says:
+                    stream.send(self.says.pop(0))
+
+        stream = Stream(self.loop, Budget(100), sock, ready, READ)
+        self.streams.append(stream)
+
+    def close(self) -> None:
+        """Close its sockets."""
+        self.door.close()
+        for stream in self.streams:
+            stream.close()
+
+
+def clients_of(given: Experiment, says: list[bytes], count: int) -> tuple[Router, Clients]:
+    """Let so many requests come at once, and play until they have their ends."""
+    loop = Loop()
+    router = Router(loop, says)
+    ends = list[bool]()
+    clients = Clients(loop, given, 1, [router.door.port], lambda: ends.append(True))
+    clients.begin_at = loop.now()
+    for request in requests(given, 1)[:count]:
+        clients.come(request)
+    clients.no_more()
+    until = loop.now() + 6_000.0
+    while not ends:
+        assert loop.now() < until
+        loop.step(0.01)
+    clients.close()
+    router.close()
+    assert loop.faults == 0
+    return router, clients
+
+
+READS: dict[str, Any] = {
+    "classes": [{"name": "read", "deadline": 0.4, "aim": 0.3}], "traffic.arrivals": "regular",
+}
+REFUSED = answer(503, b"", ((b"Retry-After", b"0.050"),))
+
+
+def test_a_client_comes_back_when_it_was_told_to() -> None:
+    router, clients = clients_of(experiment("", READS), [REFUSED, answer(200)], 1)
+    assert [one.text(b"req-id") for one in router.heard] == ["0.1", "0.2"]
+    assert router.when[1] - router.when[0] >= 50.0
+    assert [one.how for one in clients.found.tries] == ["refused", "served"]
+    assert [one.how for one in clients.found.ends] == ["in_time"]
+    assert len(router.streams) == 1
+
+
+def test_a_client_without_an_answer_says_so() -> None:
+    _, clients = clients_of(experiment("", READS), [], 1)
+    assert [one.how for one in clients.found.tries] == ["none"]
+    assert [one.how for one in clients.found.ends] == ["failed"]
+
+
+def test_clients_leave_and_hold_connections() -> None:
+    router, clients = clients_of(experiment("", {**READS, "clients.leave": 1.0}), [], 2)
+    assert [one.how for one in clients.found.ends] == ["left", "left"]
+    says = [answer(200)] * 3
+    router, clients = clients_of(experiment("", {**READS, "clients.one_shot": 1.0}), says, 3)
+    assert len(router.streams) == 3
+
+
+def test_an_answer_too_many_is_noticed() -> None:
+    _, clients = clients_of(experiment("", READS), [answer(200) * 2], 1)
+    assert [one.again for one in clients.found.tries] == [True]
+
+
+# --------------------------------------------------------------------------------------------------- whole
+# runs
+
+
+class Children:
+    """Notes which processes a run has."""
+
+    def __init__(self, then: Callable[[], None] = lambda: None) -> None:
+        self.pids: set[int] = set()
+        self.then = then
+
+    def __call__(self, part: float) -> None:
+        me = Path(f"/proc/self/task/{os.getpid()}/children")
+        self.pids |= set(map(int, me.read_text("ascii").split()))
+        self.then()
+
+    def left(self) -> list[int]:
+        """Those that still run."""
+        return [pid for pid in self.pids if Path(f"/proc/{pid}").exists()]
+
+
+def played(given: Experiment) -> Run:
+    """Play it; nothing may be left running."""
+    children = Children()
+    run, cost = play(given, 1, {}, children)
+    assert len(children.pids) >= 2 + given.routers.count
+    assert children.left() == []
+    assert cost.requests == sum(window.offered for window in run.windows) > 0
+    assert not run.void or any(sign.isdigit() for sign in run.void)
+    assert (run.how, run.policy) == ("live", "rosepick")
+    return run
+
+
+def test_a_calm_run() -> None:
+    run = played(experiment())
+    assert run.totals["served_share"] >= 0.9
+    assert run.broken == []
+    assert run.totals["hit_share"] > 0 and run.totals["attempts_per_request"] >= 1
+    assert {window.nodes_up for window in run.windows[:-1]} == {2}
+
+
+def test_killed_routers_owe_nothing() -> None:
+    more = """
+    [[troubles]]
+    kind = "reload"
+    at = 0.3
+    [[troubles]]
+    kind = "router_kill"
+    at = 0.8
+    for = 0.4
+    """
+    run = played(experiment(more, {"length": 2.0, "routers.count": 2, "traffic.rate": 120}))
+    assert run.broken == []
+    assert [(span.kind, span.what) for span in run.troubles] == [
+        ("reload", "all routers"), ("router_kill", "router-0"),
+    ]
+    # half of the requests found nobody while it was down
+    assert sum(window.in_time for window in run.windows) < sum(window.offered for window in run.windows)
+
+
+def test_a_router_that_dies_unasked_breaks_a_rule(capfd: pytest.CaptureFixture[str]) -> None:
+    def kill() -> None:
+        for pid in children.pids:
+            if not killed and b"serve" in Path(f"/proc/{pid}/cmdline").read_bytes():
+                killed.append(pid)
+                os.kill(pid, 9)
+
+    killed = list[int]()
+    children = Children(kill)
+    run, _ = play(experiment("", {**READS, "length": 0.6, "traffic.rate": 20}), 1, {}, children)
+    assert [(one.node, one.text) for one in run.broken if not one.request] == [
+        ("router-0", "ended unasked with status -9")
+    ]
+    assert "event=serving" in capfd.readouterr().err
+    assert children.left() == []
+
+
+def test_nothing_is_left_of_a_run_that_is_stopped() -> None:
+    def stop() -> None:
+        raise KeyboardInterrupt
+
+    children = Children(stop)
+    begin = time.monotonic()
+    with pytest.raises(KeyboardInterrupt):
+        play(experiment("", {"length": 60.0}), 1, {}, children)
+    assert children.pids and children.left() == []
+    assert time.monotonic() - begin < 30.0
+
+
+def test_a_helper_that_fails_shows_its_log(tmp_path: Path) -> None:
+    helper = Helper("stand_ins", tmp_path / "log", {})
+    helper.process.kill()
+    (tmp_path / "log").write_text("event=last_words\n")
+    with pytest.raises(HelperFailed, match="(?s)stand_ins.*last_words"):
+        helper.hear(5.0)
+    helper.end()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -85,7 +85,7 @@
             wait 1200
             e expect nothing
         """)
-        self.assertTrue(self.server.engine.router.membership.following)
+        self.assertTrue(self.module().membership.following)
 
     def test_a_new_discovery_that_refuses_has_failed_and_is_asked_again(self) -> None:
         self.following()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -158,7 +158,7 @@
             c1 expect nothing
         """)
         attempt = next(iter(self.server.pool.busy))
-        job = self.server.engine.router.jobs[attempt.envelope.ref]
+        job = self.module().jobs[attempt.envelope.ref]
         self.assertEqual(job.deadline, attempt.stop_at)
         self.play("""
             wait 60
@@ -428,6 +428,18 @@
             c1 expect closed
         """)
 
+    def test_one_that_came_just_now_is_heard_before_idle_ones_close(self) -> None:
+        """Its request may be on the way: closing it then would lose what was written meanwhile."""
+        self.play("router end\nwait 590")
+        self.wire("c1")
+        self.play("""
+            wait 50
+            c1 send GET /ready
+            c1 expect 503 Connection=close
+        """)
+        self.wire("c2")
+        self.play("wait 300\nc2 expect closed\nwait 600\nrouter ended")
+
     def test_connections_in_the_queue_are_still_answered(self) -> None:
         self.play("""
             router end
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -34,7 +34,7 @@
         self.assertEqual(self.server.engine.counts["attempt_spoilt"], len(SPOILT))
 
     def test_says_nothing_against_a_healthy_next_hop_nor_the_origin(self) -> None:
-        router = self.server.engine.router
+        router = self.module()
         limit = router.origin.limit
         for n in range(4):
             self.play(f"""
@@ -97,7 +97,7 @@
 
 class Broken(Scenario):
     def test_resets_are_no_load_and_no_silence(self) -> None:
-        router = self.server.engine.router
+        router = self.module()
         limit = router.origin.limit
         for n in range(40):
             self.play(f"""
