--- a/rosepick/lab/demo.py
+++ b/rosepick/lab/demo.py
@@ -92,7 +92,7 @@
     print()
     _table(run)
     console.show(run, cost)
-    print("\nMore: docs/lab.md; `rosepick lab run experiments/slow-node.toml` plays the like in simulated time.")
+    print("\nMore: docs/lab.md; `rosepick lab run experiments/slow-node.toml` simulates such a day.")
     return 1 if run.broken else 0
 
 
--- a/rosepick/lab/experiment.py
+++ b/rosepick/lab/experiment.py
@@ -41,7 +41,7 @@
     connections: Count = 1024  # that are open at one time; beyond that they are refused
     handshake_ms: NotNegative = 0.5  # of work, for a new connection
     miss_ms: NotNegative = 0.2  # of work, to find that a key is not there
-    cold_from: Part = 0.12  # of its capacity, when it starts
+    cold_from: Annotated[float, Field(gt=0, le=1)] = 0.12  # of its capacity, when it starts
     warm_after: NotNegative = 24.0  # seconds, or seconds of work of one core, until it has all of it
     warm_by: Literal["time", "work"] = "time"
     falls_at: Positive = 3.0  # work sent to a cold node, over what it can do, at which it falls over ...
@@ -141,7 +141,7 @@
     arrivals: Literal["poisson", "regular", "bursts", "daily", "trace"] = "poisson"
     burst: Annotated[int, Field(ge=1)] = 20  # requests that come together, where bursts
     period: Positive = 60.0  # seconds of a day, where daily ...
-    swing: Part = 0.5  # ... in which the rate goes up and down by this part
+    swing: Annotated[float, Field(ge=0, lt=1)] = 0.5  # ... in which the rate goes up and down by this part
     trace: str = ""  # a file with a line a request: seconds, class, key, and a tenant if there are any
 
 
--- a/rosepick/lab/live/client_links.py
+++ b/rosepick/lab/live/client_links.py
@@ -39,6 +39,9 @@
     def broke(self) -> None:
         """The connection ended without a whole answer."""
 
+    def crossed(self) -> bool:
+        """A kept connection ended with nothing of an answer. Whether the try is to be sent once more."""
+
     def wanted(self) -> bool:
         """Whether it still wants a connection."""
 
@@ -51,13 +54,13 @@
         self.pool = pool
         self.asking: Asking | None = asking
         self._reader: AnswerReader | None = None
-        self._unwritten = False
+        self._unwritten = self._came = False  # the request, and anything of its answer
         self.used = False  # by a request before the present one
         self.stream = Stream(pool.loop, pool.budget, dial(("127.0.0.1", pool.port)), self.ready, WRITE)
 
     def send(self, data: bytes) -> None:
         """Send the request of who has this connection. OSError if it broke."""
-        self._reader, self._unwritten = AnswerReader(ANSWER_LIMIT), True
+        self._reader, self._unwritten, self._came = AnswerReader(ANSWER_LIMIT), True, False
         self.stream.send(data)
         self._write()
 
@@ -110,6 +113,7 @@
                 self.pool.unasked()
             self._broke()
             return
+        self._came = self._came or bool(data)
         try:
             answer = self._reader.feed(data) if data else self._reader.ended()
         except BadAnswer:
@@ -134,7 +138,11 @@
     def _broke(self) -> None:
         asking, self.asking = self.asking, None
         self.close()
-        if asking is not None:
+        if asking is None:
+            return
+        if self.used and not self._came and asking.crossed():
+            self.pool.ask_anew(asking)
+        else:
             asking.broke()
 
     def quiet(self) -> bool:
@@ -174,6 +182,13 @@
             self.waited += 1
             self._waiting.append(asking)
 
+    def ask_anew(self, asking: Asking) -> None:
+        """Have a new connection for a try, whatever is kept."""
+        if len(self._links) < MOST:
+            self._open(asking)
+        else:
+            self._waiting.append(asking)
+
     def _open(self, asking: Asking) -> None:
         try:
             self._links[ClientLink(self, asking)] = None
--- a/rosepick/lab/live/clients.py
+++ b/rosepick/lab/live/clients.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "clients", "request", "klass", "one_shot", "tries", "over", "_last", "_link", "_tried", "_timer",
+        "_crossed",
     )
 
     def __init__(self, clients: Clients, request: Request, one_shot: bool) -> None:
@@ -37,6 +38,7 @@
         self.tries = 0
         self.over = False
         self._last = "failed"
+        self._crossed = False  # a try was sent once more, as a close had crossed it
         self._link: ClientLink | None = None
         self._tried: Tried | None = None  # the try that is out
         self._timer: Timer | None = None
@@ -99,6 +101,17 @@
         wait = answer.headers.get(b"retry-after", b"")
         self._ended(how, 1000.0 * float(wait) if _SECONDS.fullmatch(wait) else 0.0)
 
+    def crossed(self) -> bool:
+        """A kept connection ended with nothing of an answer: its end may have crossed the request, which the
+        protocol lets a client send once more. Whether that is so; then it is the same try."""
+        if self._crossed or self._tried is None:
+            return False
+        self._crossed = True
+        self.clients.found.tries.remove(self._tried)
+        self._tried, self._link = None, None
+        self.tries -= 1
+        return True
+
     def broke(self) -> None:
         self._try_over("broke")
         self._ended("failed", 0.0)
--- a/rosepick/lab/live/plan.py
+++ b/rosepick/lab/live/plan.py
@@ -3,36 +3,39 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from functools import partial
+
 from ..experiment import Experiment
 from ..world.requests import Request, Requests
 
-USUAL = {"flash": 0.0, "surge": 1.0}
+TRAFFIC = ("flash", "surge")
 
 
 def requests(experiment: Experiment, seed: int) -> list[Request]:
     """The requests in the order in which they are due. ExperimentError if a trace cannot be used."""
     made = Requests(experiment, seed)
-    changes = _changes(experiment)
+    changes = _changes(experiment, made)
     coming, found = iter(made), list[Request]()
     while (request := next(coming, None)) is not None:
         found.append(request)
         # each one is drawn when the one before it comes, as in simulated time
         while changes and changes[0][0] <= request.due:
-            _, name, value = changes.pop(0)
-            setattr(made, name, value)
+            changes.pop(0)[1]()
     return found
 
 
-def _changes(experiment: Experiment) -> list[tuple[float, str, float]]:
+def _changes(experiment: Experiment, made: Requests) -> list[tuple[float, Callable[[], None]]]:
     """When traffic changes by a trouble, and how."""
     changes = []
     for trouble in experiment.troubles:
-        if trouble.kind not in USUAL:
+        if trouble.kind not in TRAFFIC:
             continue
         value = trouble.share if trouble.kind == "flash" else trouble.by
-        changes.append((1000.0 * trouble.at, trouble.kind, value))
+        on = made.flashes if trouble.kind == "flash" else made.surges
+        changes.append((1000.0 * trouble.at, partial(on.append, value)))
         if trouble.last:
-            changes.append((1000.0 * (trouble.at + trouble.last), trouble.kind, USUAL[trouble.kind]))
+            changes.append((1000.0 * (trouble.at + trouble.last), partial(on.remove, value)))
     return sorted(changes, key=lambda change: change[0])
 
 
--- a/rosepick/lab/world/clients.py
+++ b/rosepick/lab/world/clients.py
@@ -40,7 +40,6 @@
     ) -> None:
         self.kernel, self.experiment, self.measure, self.settings = kernel, experiment, measure, settings
         self.router = router
-        self.tries: list[tuple[Try, str]] = []  # that have no answer yet, looked at when the run ends
         self._pauses = Uniform(seed, "pauses")
         self._names = [one.name for one in experiment.classes]
         self._tenants = [one.name for one in experiment.tenants]
--- a/rosepick/lab/world/discovery.py
+++ b/rosepick/lab/world/discovery.py
@@ -26,6 +26,7 @@
     zone: int
     on: bool = False
     revision: int = 0
+    heard: float = 0.0  # when it was told the last time
     told: dict[int, float] = field(default_factory=dict)  # since when a node is known to want nothing new
 
 
@@ -39,18 +40,24 @@
         self.revision = 1
         self.watchers: list[Watcher] = []
         self._draw = Uniform(seed, "discovery")
-        self._list: dict[int, Member] = {}  # as it knows it
+        self._list: dict[int, Member] = {}  # as it knows it ...
+        self._last_list: dict[int, Member] = {}  # ... and as routers had it before the begin
         self._changes: list[tuple[int, Member]] = []
         self._free_at = 0.0
         self._last_known = 0.0
 
     def begin(self, members: list[Member]) -> None:
-        """The list at the begin."""
+        """The list at the begin. What routers had last is older by `stale_by`: nodes that started since then
+        are not in it."""
         self._list = {member.server: member for member in members}
+        since = -1000.0 * self.shape.stale_by
+        self._last_list = {m.server: m for m in members if m.born <= 0 or m.born <= since + self.kernel.time}
 
-    def known(self) -> api.Members:
-        """The list as a router that starts now had it last."""
-        return api.Members(Scope.CACHED, tuple(self._list.values()), self.revision)
+    def known(self, watcher: Watcher) -> api.Members:
+        """The list as a router that starts now had it last, and from which version on it is to be told."""
+        old = self._last_list if self.kernel.time <= 0 else self._list
+        watcher.revision = self.revision if old.keys() == self._list.keys() else 0
+        return api.Members(Scope.CACHED, tuple(old.values()), watcher.revision)
 
     def changed(self, member: Member) -> None:
         """A node starts, drains or goes: it will be known after a while, in the order of what happened."""
@@ -106,19 +113,26 @@
         """What is new to a router; if it asked, also that nothing is."""
         if not (watcher.on and self.up) or (watcher.revision == self.revision and not asked):
             return
+        if watcher.revision == 0:
+            self._deliver(watcher, api.Members(Scope.FULL, tuple(self._list.values()), self.revision))
+            return
         entries = []
         for revision, member in reversed(self._changes):
             if revision <= watcher.revision:
                 break
             entries.append(member)
+        self._deliver(watcher, api.Members(Scope.DELTA, tuple(reversed(entries)), self.revision))
+
+    def _deliver(self, watcher: Watcher, event: api.Members) -> None:
         watcher.revision = self.revision
-        for member in entries:
+        for member in event.members:
             if member.state is State.READY:
                 watcher.told.pop(member.server, None)
             else:
                 watcher.told.setdefault(member.server, self.kernel.time)
-        event = api.Members(Scope.DELTA, tuple(reversed(entries)), self.revision)
-        self.kernel.after(self.latency(watcher.zone), lambda: watcher.tell(event))
+        # one connection: what is told later does not overtake what was told before
+        watcher.heard = max(watcher.heard, self.kernel.time + self.latency(watcher.zone))
+        self.kernel.at(watcher.heard, lambda: watcher.tell(event))
 
     def _failed(self, watcher: Watcher) -> None:
         watcher.on = False
--- a/rosepick/lab/world/fleet.py
+++ b/rosepick/lab/world/fleet.py
@@ -45,8 +45,10 @@
         self.number = uid_number(uid)
         self.server = Server(kernel, shape, born)
         self.state = State.READY
-        self.silent = False  # it says nothing, and connections neither come up nor break
-        self.hangs = self.resets = 0.0  # of its attempts are never answered, or lose their connection
+        self.silences = 0  # troubles that keep it from saying anything; connections neither come up nor break
+        self.hang_shares: list[float] = []  # of its attempts, by each trouble that is on: never answered ...
+        self.reset_shares: list[float] = []  # ... or lose their connection
+        self.slowed: list[float] = []  # it is so many times as slow, by each trouble that is on
         self.connections = 0
         self.most_connections = connections
         self.handshake = 0.0
@@ -59,6 +61,26 @@
         """Its entry in the list; `born` on the clock of the routers."""
         return Member(self.number, self.state, born, self.zone, self.cell, self.kind)
 
+    @property
+    def silent(self) -> bool:
+        """Whether it says nothing."""
+        return self.silences > 0
+
+    @property
+    def hangs(self) -> float:
+        """The part of its attempts that is never answered."""
+        return max(self.hang_shares, default=0.0)
+
+    @property
+    def resets(self) -> float:
+        """The part of its attempts that loses its connection."""
+        return max(self.reset_shares, default=0.0)
+
+    def slow(self, by: float, on: bool) -> None:
+        """It is so many times as slow by one more trouble, or by one less; the worst one counts."""
+        (self.slowed.append if on else self.slowed.remove)(by)
+        self.server.change(max(self.slowed, default=1.0))
+
     def fates(self, draw: Uniform) -> None:
         """Where it draws which attempts meet a fault."""
         self._fate = draw
@@ -70,7 +92,7 @@
         self.connections += 1
         if self.handshake:
             self.server.offer(self.handshake, _nothing)
-        return True
+        return self.server.up  # else the work of it was too much
 
     def disconnect(self) -> None:
         """A connection is closed."""
@@ -78,10 +100,11 @@
 
     def arrive(self, asked: Asked) -> None:
         """The last byte of an attempt is here."""
-        fate = self._fate() if self.hangs or self.resets else 1.0
-        if fate < self.hangs:
+        hangs, resets = self.hangs, self.resets
+        fate = self._fate() if hangs or resets else 1.0
+        if fate < hangs:
             return  # it is never answered
-        if fate < self.hangs + self.resets:
+        if fate < hangs + resets:
             self.kernel.after(1.0, lambda: self._answer(asked, Result.RESET, 0))
             return
         if self.state is not State.READY and not self.server.up:
@@ -147,7 +170,13 @@
         self.connections = 0
         self.epoch += 1
         self.lost(self)
-        self.kernel.after(self.down_for, self.start)
+        epoch = self.epoch
+
+        def back() -> None:
+            if self.epoch == epoch:  # else it was stopped meanwhile, and comes back when that ends
+                self.start()
+
+        self.kernel.after(self.down_for, back)
 
     def take(self, asked: Asked) -> None:
         def done() -> None:
@@ -194,8 +223,10 @@
             self._answer(asked, Result.ERROR, 0)
             return
 
+        epoch = self.epoch
+
         def fetched(good: bool) -> None:
-            if good and not asked.write:
+            if good and not asked.write and self.epoch == epoch:  # not in the memory of a later process
                 self.memory.put(asked.key, asked.size, self.kernel.time)
             self._answer(asked, Result.OK if good else Result.ERROR, MISS)
 
--- a/rosepick/lab/world/ports.py
+++ b/rosepick/lab/world/ports.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...core.engine import Decider, DeliveryAttempt, Engine, Envelope
 from ...decisions import api
@@ -31,6 +31,7 @@
     request: Request
     tried: Try
     ended: Callable[[str, float], None]  # how the try ended, and the time to come back in milliseconds
+    missed: list[Node] = field(default_factory=list)  # where a read missed
 
 
 class Link:
@@ -144,6 +145,8 @@
         result = Result.RESET if self.asked is not None else Result.CONNECT_FAILED
         if self.asked is not None:
             self.asked.over = True
+        if not port.reaches(self.node):
+            return
         port.kernel.after(port.latency(self.node), lambda: self._end(result, 0))
 
     def give_up(self) -> None:
@@ -175,12 +178,11 @@
         self.out: dict[DeliveryAttempt, Exchange] = {}
         self.count: Callable[[str], None] = lambda what: None
         self._idle: dict[int, list[Link]] = {}
-        self._missed: dict[int, list[Node]] = {}  # by the envelope: where a read missed
         self.engine = Engine(settings, seed, kernel, decider)
         self.engine.next_hops = self
         self.engine.map_source = self
         self.watcher: Watcher = discovery.join(self._told, zone)
-        self.engine.map_told(discovery.known())
+        self.engine.map_told(discovery.known(self.watcher))
 
     def latency(self, node: Node) -> float:
         """Of one message to or from a node."""
@@ -202,6 +204,8 @@
 
     def deliver(self, attempt: DeliveryAttempt) -> None:
         """Carry an attempt out."""
+        if not self.alive:
+            return
         node = self.nodes.get(attempt.server)
         self.count("attempts")
         if node is None:
@@ -231,7 +235,7 @@
         links, now = self._idle.get(node.number, []), self.kernel.time
         while links:
             link = links.pop()
-            if link.epoch == node.epoch and now - link.idle_since < KEPT_FOR:
+            if link.open and now - link.idle_since < KEPT_FOR:
                 return link
             link.close()
         return None
@@ -250,13 +254,12 @@
 
     def missed(self, attempt: DeliveryAttempt, node: Node, result: Result) -> None:
         """Keep in mind where a read missed: what the origin answers is stored there."""
-        envelope = attempt.envelope
+        payload = attempt.envelope.payload
+        assert isinstance(payload, Payload)
         if result is Result.MISS:
-            self._missed.setdefault(id(envelope), []).append(node)
+            payload.missed.append(node)
         elif result is Result.OK and node.kind == ORIGIN:
-            payload = envelope.payload
-            assert isinstance(payload, Payload)
-            for where in self._missed.pop(id(envelope), ()):
+            for where in payload.missed:
                 store = getattr(where, "memory", None)
                 if store is not None and where.server.up:
                     store.put(payload.request.key, payload.request.size, self.kernel.time)
@@ -265,6 +268,9 @@
         """A node's process has gone, and with it all connections to it."""
         for exchange in [one for one in self.out.values() if one.node is node]:
             exchange.broke()
+        if self.reaches(node):
+            for link in self._idle.get(node.number, ()):
+                self.kernel.after(self.latency(node), link.close)
 
     # -------------------------------------------------------------------------------------- the sender side
 
@@ -296,7 +302,6 @@
         self._final(envelope, "failed", 0.0)
 
     def _final(self, envelope: Envelope, how: str, wait: float) -> None:
-        self._missed.pop(id(envelope), None)
         payload = envelope.payload
         assert isinstance(payload, Payload)
         if not self.alive:
--- a/rosepick/lab/world/requests.py
+++ b/rosepick/lab/world/requests.py
@@ -38,8 +38,8 @@
 
     def __init__(self, experiment: Experiment, seed: int) -> None:
         self.experiment, self.seed = experiment, seed
-        self.surge = 1.0  # so many times the traffic, by a trouble
-        self.flash = 0.0  # of the reads are for one key
+        self.surges: list[float] = []  # so many times the traffic, by each trouble that is on
+        self.flashes: list[float] = []  # of the reads are for one key
         self.numbers = _numbers(experiment.keys.count)
         self._ranks = Zipf(seed, "keys", experiment.keys.count, experiment.keys.zipf)
         self._gaps = generator(seed, "arrivals")
@@ -74,17 +74,20 @@
         """Times of arrivals, without end. Changes of the rate by a trouble count from the next one on."""
         traffic, now = self.experiment.traffic, 0.0
         together = traffic.burst if traffic.arrivals == "bursts" else 1
+        most = 1.0 + (traffic.swing if traffic.arrivals == "daily" else 0.0)
         while True:
-            rate = traffic.rate * self.surge * self._of_day(now) / together / 1000.0
+            rate = most * traffic.rate * math.prod(self.surges) / together / 1000.0
             gap = 1.0 if traffic.arrivals == "regular" else float(self._gaps.exponential())
             now += gap / rate
+            # by thinning: arrivals at the highest rate, of which such a part counts as the present one is
+            # lower
+            if most > 1.0 and self._gaps.random() * most > self._of_day(now):
+                continue
             for _ in range(together):
                 yield now
 
     def _of_day(self, now: float) -> float:
         traffic = self.experiment.traffic
-        if traffic.arrivals != "daily":
-            return 1.0
         return 1.0 + traffic.swing * math.sin(2 * math.pi * now / (1000.0 * traffic.period))
 
     def _traced(self, length: float) -> Iterator[Request]:
@@ -115,7 +118,7 @@
 
     def _key(self, one: Class) -> int:
         rank = self._ranks()
-        if self.flash and not one.write and self._odd() < self.flash:
+        if self.flashes and not one.write and self._odd() < max(self.flashes):
             rank = len(self.numbers) // 2
         return self.numbers[rank]
 
--- a/rosepick/lab/world/server.py
+++ b/rosepick/lab/world/server.py
@@ -16,7 +16,7 @@
 from .kernel import Handle, Kernel
 
 Done = Callable[[], None]
-RAMP_STEP = 250.0  # while it is cold, its speed is looked at so often; milliseconds
+RAMP_STEP = 50.0  # while it is cold, its speed is looked at so often; milliseconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,12 +159,14 @@
         """Work up to now."""
         if self._in_work:
             span = now - self._at
-            each = self._rate(self._in_work, self._at)
-            self._virtual += span * each
             used = span * min(self._in_work, self.shape.cores)
-            self.busy += used
+            # by the speed at the middle of the step: exact where it grows evenly
+            if self.shape.warm_by_work:
+                self.worked_cold += used / 2
+            self._virtual += span * self._rate(self._in_work, self._at + span / 2)
             if self.shape.warm_by_work:
-                self.worked_cold += used
+                self.worked_cold += used / 2
+            self.busy += used
         self._at = now
 
     def _plan(self, now: float) -> None:
@@ -178,14 +180,17 @@
             return
         left = max(0.0, self._running[0][0] - self._virtual)
         delay = left / self._rate(self._in_work, now)
-        if self.warmth(now) < 1.0:
+        steady = self.warmth(now) >= 1.0
+        if not steady:
             delay = min(delay, RAMP_STEP)
-        self._next = self.kernel.at(now + delay, self._go_on)
+        self._next = self.kernel.at(now + delay, lambda: self._go_on(steady))
 
-    def _go_on(self) -> None:
+    def _go_on(self, ends: bool) -> None:
         now = self.kernel.time
         self._next = None
         self._step(now)
+        if ends:  # guards against a clock too coarse to tell the rest of the work
+            self._virtual = max(self._virtual, self._running[0][0])
         ended = []
         while self._running and self._running[0][0] <= self._virtual + 1e-9:
             _, _, job = heappop(self._running)
--- a/rosepick/lab/world/troubles.py
+++ b/rosepick/lab/world/troubles.py
@@ -61,7 +61,7 @@
 
 def _slow(world: World, trouble: Trouble) -> tuple[str, Undo]:
     return _each(
-        world, trouble, lambda node: node.server.change(trouble.by), lambda node: node.server.change(1.0)
+        world, trouble, lambda node: node.slow(trouble.by, True), lambda node: node.slow(trouble.by, False)
     )
 
 
@@ -101,10 +101,9 @@
 
 def _grow(world: World, trouble: Trouble) -> tuple[str, Undo]:
     among = world.cache_nodes(trouble.zone)
-    count = trouble.nodes or max(1, round((trouble.part or 0.0) * len(among)))
-    made = [
-        world.add_node(among[place % len(among)].group, place, world.kernel.time) for place in range(count)
-    ]
+    count = (trouble.nodes or max(1, round((trouble.part or 0.0) * len(among)))) if among else 0
+    alike = [among[place % len(among)] for place in range(count)]
+    made = [world.add_node(node.group, node.zone, world.kernel.time) for node in alike]
     return _names(made), _nothing
 
 
@@ -116,10 +115,10 @@
 
 
 def _silent(world: World, trouble: Trouble) -> tuple[str, Undo]:
-    def turn(on: bool) -> Callable[[CacheNode], None]:
-        return lambda node: setattr(node, "silent", on)
+    def turn(by: int) -> Callable[[CacheNode], None]:
+        return lambda node: setattr(node, "silences", node.silences + by)
 
-    return _each(world, trouble, turn(True), turn(False))
+    return _each(world, trouble, turn(1), turn(-1))
 
 
 def _share(name: str) -> Callable[[World, Trouble], tuple[str, Undo]]:
@@ -129,11 +128,11 @@
         named = trouble.nodes is not None or trouble.part is not None or trouble.zone
         nodes: list[Node] = list(_chosen(world, trouble)) if named else [*world.cache_nodes(), world.origin]
         for node in nodes:
-            setattr(node, name, trouble.share)
+            getattr(node, name).append(trouble.share)
 
         def undo() -> None:
             for node in nodes:
-                setattr(node, name, 0.0)
+                getattr(node, name).remove(trouble.share)
 
         return f"{trouble.share:.0%} of the attempts at {len(nodes)}", undo
 
@@ -155,8 +154,8 @@
 
 
 def _origin_slow(world: World, trouble: Trouble) -> tuple[str, Undo]:
-    world.origin.server.change(trouble.by)
-    return f"{trouble.by:g} times", lambda: world.origin.server.change(1.0)
+    world.origin.slow(trouble.by, True)
+    return f"{trouble.by:g} times", lambda: world.origin.slow(trouble.by, False)
 
 
 def _origin_stop(world: World, trouble: Trouble) -> tuple[str, Undo]:
@@ -165,13 +164,13 @@
 
 
 def _flash(world: World, trouble: Trouble) -> tuple[str, Undo]:
-    world.requests.flash = trouble.share
-    return f"{trouble.share:.0%} of the reads", lambda: setattr(world.requests, "flash", 0.0)
+    world.requests.flashes.append(trouble.share)
+    return f"{trouble.share:.0%} of the reads", lambda: world.requests.flashes.remove(trouble.share)
 
 
 def _surge(world: World, trouble: Trouble) -> tuple[str, Undo]:
-    world.requests.surge = trouble.by
-    return f"{trouble.by:g} times", lambda: setattr(world.requests, "surge", 1.0)
+    world.requests.surges.append(trouble.by)
+    return f"{trouble.by:g} times", lambda: world.requests.surges.remove(trouble.by)
 
 
 def _routers(back: bool) -> Callable[[World, Trouble], tuple[str, Undo]]:
@@ -189,8 +188,8 @@
     "slow": _slow, "stop": _stop, "restart": _restart, "replace": _replace, "shrink": _shrink, "grow": _grow,
     "cut": _cut, "silent": _silent, "stale": _stale, "discovery_down": _discovery_down,
     "origin_slow": _origin_slow, "origin_stop": _origin_stop, "flash": _flash, "surge": _surge,
-    "router_kill": _routers(False), "router_restart": _routers(True), "hang": _share("hangs"),
-    "reset": _share("resets"),
+    "router_kill": _routers(False), "router_restart": _routers(True), "hang": _share("hang_shares"),
+    "reset": _share("reset_shares"),
 }
 
 
--- a/rosepick/lab/world/world.py
+++ b/rosepick/lab/world/world.py
@@ -51,7 +51,10 @@
         for group in experiment.fleet:
             for n in range(group.count):
                 self.add_node(group, n, 1000.0 * group.born, told=False)
-        self.discovery.begin([node.member(self.born(node)) for node in self.nodes.values()])
+        # where nodes fetch by themselves, routers have no origin to speak to
+        aside = experiment.mode == "aside"
+        listed = [node for node in self.nodes.values() if aside or node is not self.origin]
+        self.discovery.begin([node.member(self.born(node)) for node in listed])
         self.routers: list[Router | None] = [self.add_router(n) for n in range(experiment.routers.count)]
         self.clients = Clients(
             self.kernel, experiment, seed, measure, settings_of(experiment), self.routers.__getitem__
@@ -67,7 +70,9 @@
 
     def born(self, node: Node) -> float:
         """When a node started, as its entry tells it: 0 for long ago."""
-        return max(1e-3, node.server.born) if node.server.born > 0 else 0.0
+        if node.server.born > 0 or node.server.cold(self.kernel.time):
+            return max(1e-3, node.server.born)
+        return 0.0
 
     def _make_origin(self) -> OriginNode:
         given = self.experiment.origin
@@ -166,6 +171,8 @@
         node.stop()
 
         def start() -> None:
+            if node.state is not State.READY or node.server.up:
+                return  # it drained meanwhile, or is up already
             node.start()
             self.discovery.changed(node.member(self.born(node)))
 
