--- a/rosepick/lab/experiment.py
+++ b/rosepick/lab/experiment.py
@@ -282,22 +282,31 @@
     for name, value in (changes or {}).items():
         _change(document, name, value, place)
     faults: list[str] = []
+    taken_out: set[tuple[int | str, ...]] = set()
     while True:
         try:
             found = Experiment.model_validate(document)
             break
         except ValidationError as problem:
-            errors = problem.errors()
-        faults += [_fault(place, error) for error in errors if _fault(place, error) not in faults]
+            errors = [error for error in problem.errors() if error["loc"] not in taken_out]
+        wheres = {error["loc"] for error in errors}
+        # a list that is too short as its parts are wrong is no fault of its own
+        errors = [error for error in errors if not any(_is_below(where, error["loc"]) for where in wheres)]
+        faults += [_fault(place, error) for error in errors]
         # go on without what is wrong, so that faults between the other parts show too
         if not any([_without(document, error["loc"]) for error in errors]):
             raise ExperimentError(tuple(faults))
+        taken_out |= wheres
     faults += [f"{place}: {fault}" for fault in found.faults()]
     if faults:
         raise ExperimentError(tuple(faults))
     return found
 
 
+def _is_below(where: tuple[int | str, ...], above: tuple[int | str, ...]) -> bool:
+    return len(where) > len(above) and where[: len(above)] == above
+
+
 def _without(document: dict[str, Any], where: tuple[int | str, ...]) -> bool:
     """Take a value out of a document; whether it was there."""
     at: Any = document
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,257 @@
+"""The lab: its files, what it measures, the rules that it watches, and its commands."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from rosepick.decisions import api
+from rosepick.decisions.api import State
+from rosepick.lab import experiment, results, sim
+from rosepick.lab.experiment import ExperimentError, Must
+from rosepick.lab.measure import Measure
+from rosepick.lab.world import troubles
+from rosepick.lab.world.requests import Requests
+from rosepick.lab.world.rules import Try
+from rosepick.lab.world.world import World
+
+ROOT = Path(__file__).parent.parent
+SMALL = """
+name = "small"
+length = 4
+warm_up = 1
+zones = ["a", "b"]
+fleet = [{count = 4, memory = 100_000}]
+keys = {count = 200}
+traffic = {rate = 50}
+routers = {count = 2}
+classes = [{name = "read", work_ms = 5, origin_ms = 10}]
+"""
+
+
+def rosepick(*words: object, code: str = "") -> subprocess.CompletedProcess[str]:
+    """Run the command line."""
+    begin = [sys.executable, "-c", code] if code else [sys.executable, "-m", "rosepick"]
+    return subprocess.run([*begin, *map(str, words)], cwd=ROOT, capture_output=True, text=True, timeout=120)
+
+
+# --------------------------------------------------------------------------------------------- its files
+
+
+def test_the_experiments_that_come_with_it_have_no_fault() -> None:
+    files = sorted((ROOT / "experiments").glob("*.toml"))
+    assert len(files) >= 8
+    for path in files:
+        assert experiment.load(path).name == path.stem
+
+
+@pytest.mark.parametrize(
+    ("text", "faults"),
+    [
+        ("name = 1\nlenght = 3\nseed = -1", ["name: ", "seed: ", "lenght: "]),
+        ('name = "x"\n[[fleet]]\ncount = 0\nspeed = nan', ["fleet[0].count: ", "fleet[0].speed: "]),
+        ('name = "x"\n[[fleet]]\nzone = "mars"\ncores = "two"', ["fleet[0].cores: ", "zone 'mars'"]),
+        ('name = "x"\n[[troubles]]\nkind = "flood"\nat = 3', ["troubles[0].kind: "]),
+        ('name = "x"\n[[troubles]]\nkind = "cut"\nat = 99', ["troubles[0].at", "troubles[0].zones: "]),
+        ('name = "x"\n[[troubles]]\nkind = "slow"\nat = 1\nnodes = 1\npart = 0.5', ["both `nodes`"]),
+        ('name = "x"\n[[must]]\nwhat = "p99_ms"', ["must[0]: states neither"]),
+        ('name = "x"\n[[must]]\nwhat = "fell"\nmost = 0\nafter = 2', ["must[0].after: there is no"]),
+        ('name = "x"\n[traffic]\narrivals = "trace"', ["traffic.trace goes with"]),
+        ('name = "x"\nwarm_up = 60', ["warm_up is not shorter"]),
+        ('name = "x"\nclasses = [{name = "r"}, {name = "r"}]', ["classes: a name comes twice"]),
+        ("name = ", ["f.toml: "]),
+    ],
+)
+def test_every_fault_of_a_file_is_named_with_its_place(text: str, faults: list[str]) -> None:
+    with pytest.raises(ExperimentError) as raised:
+        experiment.read(text, "f.toml")
+    told = raised.value.faults
+    assert all(line.startswith("f.toml: ") and "\n" not in line for line in told)
+    for fault in faults:
+        assert sum(fault in line for line in told) == 1, (fault, told)
+
+
+def test_values_are_set_by_dotted_names() -> None:
+    found = experiment.read(SMALL, "f", {"traffic.rate": 80, "fleet.0.count": 7, "clients.retries": 0})
+    assert (found.traffic.rate, found.fleet[0].count, found.clients.retries) == (80, 7, 0)
+    for name in ("fleet.9.count", "name.first", "fleet.x.count"):
+        with pytest.raises(ExperimentError, match="names nothing that can be set"):
+            experiment.read(SMALL, "f", {name: 1})
+
+
+def test_a_trace_is_played_as_it_stands_and_its_bad_lines_are_named(tmp_path: Path) -> None:
+    trace = tmp_path / "day.csv"
+    trace.write_text("# seconds,class,key\n0.5,read,k1\n0.75,read,k2\n\n0.75,read,k1\n")
+    changes = {"traffic.arrivals": "trace", "traffic.trace": str(trace)}
+    found = list(Requests(experiment.read(SMALL, "f", changes), 1))
+    assert [one.due for one in found] == [500.0, 750.0, 750.0]
+    assert found[0].key == found[2].key != found[1].key
+    trace.write_text("0.5,read,k1\n0.1,read,k2\n1,write,k3\nx\n")
+    with pytest.raises(ExperimentError) as raised:
+        list(Requests(experiment.read(SMALL, "f", changes), 1))
+    assert [fault.split(":")[0] for fault in raised.value.faults] == [f"day.csv line {n}" for n in (2, 3, 4)]
+
+
+def test_arrivals_keep_their_rate_and_what_one_part_draws_changes_nothing_for_another() -> None:
+    def dues(**changes: object) -> list[tuple[float, int]]:
+        return [
+            (one.due, one.key)
+            for one in Requests(experiment.read(SMALL, "f", {"length": 200.0, **changes}), 3)
+        ]
+
+    for arrivals in ("poisson", "bursts", "daily", "regular"):
+        count = len(dues(**{"traffic.arrivals": arrivals, "traffic.period": 20.0}))
+        assert count == pytest.approx(200 * 50, rel=0.06), arrivals
+    assert dues(**{"clients.leave": 0.5}) == dues()
+
+
+# ------------------------------------------------------------------------------------- what is measured
+
+
+def test_requests_count_when_they_were_due_and_conditions_over_their_span() -> None:
+    given = experiment.read(SMALL, "f").model_copy(update={"must": (
+        Must(what="served_share", least=0.6, since=2.0), Must(what="p99_ms", most=50.0),
+    )})
+    measure = Measure(given)
+    for n in range(40):
+        due = 100.0 * n
+        measure.offered(due, "read", "", 1.0)
+        good = n < 20 or n % 2 == 0
+        measure.ended(due, "read", "", 1.0, "in_time" if good else "refused", 30.0 + n)
+    run = measure.run(1, "sim", "rosepick", {})
+    assert [window.in_time for window in run.windows] == [10, 10, 5, 5]
+    assert run.totals["offered"] == 30  # the first second is no part of it
+    assert run.classes["read"].served_share == pytest.approx(20 / 30, abs=1e-6)
+    assert [(verdict.value, verdict.held) for verdict in run.must] == [(0.5, False), (68.0, False)]
+    assert not run.good()
+    line = results.write(run)
+    assert json.loads(line)["kind"] == "run"
+
+
+def test_results_are_read_back_and_a_cut_line_is_passed_over(tmp_path: Path) -> None:
+    run, cost = sim.play(experiment.read(SMALL, "f"), 1, "rosepick", {})
+    path = tmp_path / "r.jsonl"
+    path.write_bytes(results.write(run) + results.write(cost) + results.write(run)[:100])
+    assert list(results.read(path)) == [run, cost]
+    path.write_bytes(b"{}\n" + results.write(run))
+    with pytest.raises(results.BadResults, match="r.jsonl line 1: "):
+        list(results.read(path))
+
+
+# ------------------------------------------------------------------------------------- what is watched
+
+
+def test_a_broken_rule_is_named_with_request_node_and_time() -> None:
+    given = experiment.read(SMALL, "f")
+    measure = Measure(given)
+    world = World(given, 1, measure)
+    node = world.cache_nodes()[0]
+    router = world.routers[0]
+    assert router is not None
+    router.watcher.told[node.number] = 0.0
+    one = Try("7.1", router.engine.settings.classes[0], 1_000.0)
+    world.kernel.run(749.0)
+    world.monitor.outcome(router.sending(one, node), api.Result.MISS)
+    assert measure.broken == []
+    world.kernel.run(800.0)
+    router.sending(one, node)
+    router.sending(one, node)
+    world.monitor.answered(one, 1_060.0, False, "router-0")
+    world.monitor.answered(one, 1_070.0, False, "router-0")
+    said = [(broken.rule, broken.request, broken.node, broken.at) for broken in measure.broken]
+    assert said[0] == ("drains", "7.1", node.uid, 0.8)
+    assert ("effect", "7.1", node.uid, 0.8) in said  # one while another was out
+    assert ("answered", "7.1", "router-0", 1.06) in said  # late, and then once more
+    assert sum(rule == "answered" for rule, *_ in said) == 3
+
+
+def test_a_cold_node_that_is_pushed_over_is_a_broken_rule() -> None:
+    text = SMALL + 'troubles = [{kind = "grow", at = 1, nodes = 1}]\npolicy = "random"\n'
+    changes = {
+        "fleet.0.falls_at": 0.2, "fleet.0.warm_after": 60.0, "traffic.rate": 400, "classes.0.work_ms": 60,
+    }
+    run, _ = sim.play(experiment.read(text, "f", changes), 1, "random", {})
+    assert run.totals["fell"] >= 1
+    assert {broken.rule for broken in run.broken} == {"cold"}
+    assert not run.good()
+
+
+def test_every_trouble_that_is_simulated_is_played() -> None:
+    kinds = [
+        kind for kind in experiment.KINDS.__args__  # type: ignore[attr-defined]
+        if kind not in experiment.LIVE_ONLY
+    ]
+    rows = ", ".join(
+        f'{{kind = "{kind}", at = {1.0 + 0.05 * n}, for = 0.5'
+        + (', zones = ["a", "b"]}' if kind == "cut" else "}")
+        for n, kind in enumerate(kinds)
+    )
+    run, _ = sim.play(experiment.read(f"{SMALL}troubles = [{rows}]", "f"), 2, "rosepick", {})
+    assert [span.kind for span in run.troubles] == kinds
+    assert all(span.what for span in run.troubles)
+    assert run.broken == []
+    for kind in experiment.LIVE_ONLY:
+        given = experiment.read(f'{SMALL}troubles = [{{kind = "{kind}", at = 1}}]', "f")
+        assert not troubles.playable(given)
+        with pytest.raises(ExperimentError, match=f"kind '{kind}' is played with --live only"):
+            sim.play(given, 1, "rosepick", {})
+
+
+def test_drained_nodes_get_nothing_and_replaced_ones_are_cold_and_known() -> None:
+    text = SMALL + 'troubles = [{kind = "replace", at = 1, for = 1, nodes = 2}]'
+    given = experiment.read(text, "f", {"length": 10.0})
+    measure = Measure(given)
+    world = World(given, 1, measure)
+    troubles.set_up(world)
+    world.start()
+    world.kernel.run(9_000.0)
+    states = [node.state for node in world.nodes.values() if node is not world.origin]
+    assert states.count(State.GONE) == 2 and states.count(State.READY) == 4
+    new = [node for node in world.cache_nodes() if node.server.born > 0]
+    assert len(new) == 2 and all(node.server.given > 0 for node in new)
+    assert measure.broken == []
+
+
+# ----------------------------------------------------------------------------------------- its commands
+
+
+def test_commands_end_with_a_status_that_says_what_came(tmp_path: Path) -> None:
+    good, bad = tmp_path / "good.toml", tmp_path / "bad.toml"
+    good.write_text(SMALL + '[[must]]\nwhat = "served_share"\nleast = 0.5\n')
+    bad.write_text("nmae = 3\nlength = -1\n")
+    checked = rosepick("lab", "check", good, bad)
+    assert checked.returncode == 2
+    assert checked.stderr.count("rosepick: bad.toml: ") == 3
+    out = tmp_path / "out.jsonl"
+    for words, status in (((), 0), (("--set", "must.0.least=1.1"), 1), (("--policy", "best"), 2)):
+        done = rosepick("lab", "run", good, "--out", out, *words)
+        assert done.returncode == status, done.stderr
+    assert len(list(results.read(out))) == 4
+    assert rosepick("lab", "run", good, "--set", "rate").returncode == 2
+    shown = rosepick("lab", "diff", out, "--by", "must.0.least")
+    assert (shown.returncode, "must.0.least=1.1" in shown.stdout) == (0, True)
+    page = tmp_path / "page.html"
+    assert rosepick("lab", "report", out, "-o", page).returncode == 0
+    assert page.read_text().startswith("<!DOCTYPE html>")
+
+
+def test_without_the_extra_one_line_says_what_brings_it(tmp_path: Path) -> None:
+    code = "import sys; sys.modules['msgspec'] = None; from rosepick.cli.app import app; app()"
+    done = rosepick("lab", "report", "x.jsonl", code=code)
+    assert done.returncode == 2
+    assert done.stderr == (
+        "rosepick: msgspec is missing; `pip install 'rosepick[lab]'` brings what the lab needs\n"
+    )
+
+
+def test_serving_loads_nothing_of_the_lab() -> None:
+    code = (
+        "import sys, rosepick.cli.app, rosepick.net.server; "
+        "print([m for m in sys.modules if m.startswith('rosepick.lab') or m.split('.')[0] in "
+        "('numpy', 'msgspec', 'hdrh', 'matplotlib', 'jinja2')])"
+    )
+    assert rosepick(code=code).stdout == "[]\n"
