--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -102,7 +102,8 @@
 
 @lab.command()
 def check(files: Files) -> None:
-    """Name every fault of experiment files, each with its place. Ends with 2 if there is one. Starts nothing."""
+    """Name every fault of experiment files, each with its place. Ends with 2 if there is one. Starts
+    nothing."""
     with _needs_the_extra():
         for path, given in zip(files, _load(files, {}), strict=True):
             print(
@@ -118,8 +119,8 @@
 ) -> None:
     """Play experiments and say what came of each.
 
-    Ends with 0 if all that must hold held, with 1 if something did not, a rule was broken or a run is void, and with
-    2 if nothing could be played.
+    Ends with 0 if all that must hold held, with 1 if something did not, a rule was broken or a run is void,
+    and with 2 if nothing could be played.
     """
     with _needs_the_extra():
         from ..lab import console, results
@@ -141,7 +142,9 @@
     raise typer.Exit(0 if good else 1)
 
 
-def _sweep(file: Path, terms: list[str], workers: int, play: Callable[..., tuple[Run, Cost]]) -> Iterator[Run]:
+def _sweep(
+    file: Path, terms: list[str], workers: int, play: Callable[..., tuple[Run, Cost]]
+) -> Iterator[Run]:
     """Play a grid, telling how far it is; each run as soon as it and all before it are done."""
     from ..lab import console
     from ..lab import sweep as sweeps
@@ -191,10 +194,11 @@
     sets: Annotated[
         list[str] | None, typer.Option("--set", help="name=value,value: compare values of a setting.")
     ] = None,
-    by: Annotated[str, typer.Option(help="What the arms differ in: policy, or the name of a setting.")] = "policy",
+    by: Annotated[str, typer.Option(help="What the arms differ in: policy, or a setting's name.")] = "policy",
     workers: Workers = 1, out: Out = None,
 ) -> None:
-    """Put policies, or values of a setting, side by side on the same days: paired differences to the first."""
+    """Put policies, or values of a setting, side by side on the same days: paired differences to the
+    first."""
     with _needs_the_extra():
         from ..lab import compare as comparing
         from ..lab import console, results
@@ -212,7 +216,7 @@
 
 @lab.command()
 def diff(
-    files: Annotated[list[Path], typer.Argument(help="Results, as JSON lines; the first run's arm is the base.")],
+    files: Annotated[list[Path], typer.Argument(help="Results, as JSON lines; the first arm is the base.")],
     by: Annotated[str, typer.Option(help="policy, revision, how, or the name of a setting.")] = "revision",
 ) -> None:
     """Compare results that were kept: two revisions, simulated and live runs, two values of a setting."""
@@ -256,7 +260,8 @@
 def demo(
     seconds: Annotated[int, typer.Option(min=10, max=600, help="How long traffic lasts.")] = 60,
 ) -> None:
-    """Start a small fleet on this machine, with one router, a slow node and a restart, and show what happens."""
+    """Start a small fleet on this machine, with one router, a slow node and a restart, and show what
+    happens."""
     with _needs_the_extra():
         from ..lab.demo import demo as show
 
