--- a/rosepick/lab/world/kernel.py
+++ b/rosepick/lab/world/kernel.py
@@ -1,7 +1,7 @@
 """Simulated time: events in the order of their times, and of their making where times are the same.
 
-A heap of our own and not simpy: routers ask for callbacks at a time (`engine.Clock`), as they do of the real
-loop, and a callback costs a third of a process that is resumed (docs/lab.md has the figures).
+A heap of our own and not simpy: routers ask for callbacks at a time, some before others of the same time, and
+take many of them back (`engine.Clock`), as they do of the real loop. It costs the same (docs/lab.md).
 """
 
 from __future__ import annotations
