--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -21,6 +21,7 @@
 from itertools import chain, islice
 from math import exp, log
 
+from ..waiting.waiting import Wait, Waiting
 from . import api
 from .api import NEVER_RAN, Effect, Group, Mode, Result, Scope, State
 
@@ -71,8 +72,6 @@
 RESTART_AFTER = 3_000.0  # silent for longer while no list is followed: it may have restarted, so it warms up
 PATIENCE = 4.0  # deviations above the mean before an answer is overdue
 PATIENCE_LOW = 60.0  # never look sooner
-HUNG = 5  # later requests answered first, and ...
-HUNG_LAGS = 4.0  # ... times the usual time of an answer, twice that at a cache: then it will never come
 PROBE_CREDIT = 0.15  # probes a request, where there are load reports
 
 RETRY_CREDIT = 0.2  # retries earned by a request: a storm stays a fifth of the traffic
@@ -117,6 +116,7 @@
 KIND_BITS = 3 << 60
 SILENT = (Result.TIMEOUT, Result.CONNECT_FAILED)  # no sign of life
 BROKEN = (Result.CONNECT_FAILED, Result.RESET)  # the connection's end: says nothing of the load
+ANSWERS = (Result.OK, Result.MISS, Result.ERROR, Result.UNFIT)
 UNTOLD = (Result.MOOT, Result.CANCELLED, Result.RESET)  # say nothing of a server
 
 
@@ -222,7 +222,7 @@
         self.room = room
         self.cut_at = now
         self.life_at = float("-inf")
-        self.strikes = self.trials = self.answers = 0
+        self.strikes = self.trials = 0
         self.failing = False
         self.failing_since = now
         self.trial_at = now
@@ -292,7 +292,6 @@
     def alive(self, now: float) -> None:
         """Any sign of life."""
         self.life_at = now
-        self.answers += 1
         self.strikes = 0
 
     def strike(self, now: float) -> bool:
@@ -674,7 +673,7 @@
     load: float
     origin: bool
     gated: bool
-    answers: int  # that its server had given
+    wait: Wait
     out: bool = True
     harmless: bool = False  # proved never to have run
 
@@ -697,7 +696,8 @@
     at_origin: bool = False
     queued: bool = False
     shared: bool = False
-    check_at: float = 0.0
+    check_at: float = 0.0  # for a look at its attempt, which is overdue from ...
+    overdue_at: float = 0.0  # ... this time on
     missed: Server | None = None
     waiters: list[int] = field(default_factory=list)
 
@@ -717,16 +717,13 @@
         klass = self.klass
         return klass.effect is Effect.RETRYABLE or (klass.effect is Effect.DEDUP and klass.group is Group.ALL)
 
-    def outstanding(self) -> int:
-        """Attempts out."""
+    def outstanding(self) -> int:  # attempts that are out
         return sum(a.out for a in self.attempts)
 
-    def first_risk(self) -> Attempt | None:
-        """The first attempt that may have run, if any."""
+    def first_risk(self) -> Attempt | None:  # that may have run
         return next((a for a in self.attempts if not a.harmless), None)
 
-    def tried(self) -> set[int]:
-        """Servers it went to."""
+    def tried(self) -> set[int]:  # servers it went to
         return {a.server.id for a in self.attempts}
 
 
@@ -758,6 +755,7 @@
         self.actions: list[api.Action] = []
         self.logged: dict[str, float] = {}
         self.origin_waits = 0  # looks at which someone waited for the origin
+        self.waiting = Waiting()
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Decide on one event. Peers' messages are not among them: each router trusts its own outcomes."""
@@ -808,6 +806,7 @@
         self.jobs[event.ref] = job
         self.actions.append(api.SetTimer(DEADLINE | event.ref, job.deadline))
         self.retries = min(RETRY_MOST, self.retries + RETRY_CREDIT)
+        self.waiting.account.request()
         self.probe_credit = min(40.0, self.probe_credit + PROBE_CREDIT)
         self.pools.refresh()
         if aside_write:
@@ -868,8 +867,7 @@
         first: Server | None = None
         best: Server | None = None
         best_wait = float("inf")
-        # The pool first. If it is short of cores (all its candidates are past the bound) or has none that is
-        # usable: bounded spill of this one request, in the order that all routers use for the whole fleet.
+        # The pool first; if all its candidates are past the bound or unusable, the fleet's order.
         for order in (home, None):
             looked = 0
             for server in order or pools.order(job.slot, job.keep, True):
@@ -889,8 +887,7 @@
             if best_wait <= bound:
                 return best, best_wait
         if best is None:
-            # nothing looks usable: most of the fleet silent at once is more likely our own link or our own
-            # error than so many dead servers, so the listed ones are tried all the same
+            # most of the fleet silent at once is more likely our own link: all are tried
             for server in pools.order(job.slot, job.keep, True):
                 if server.id not in tried and self._cold_room(server):
                     return server, server.expect(self.now, self.usual)
@@ -937,8 +934,7 @@
             if s.state is State.READY and self.now >= s.warm_until
             and not s.failing and s.member.kind != self.settings.origin_kind
         ]
-        # Guards against a zone that started as a whole and idles until it counts as warm: then all warm ones
-        # are the measure, by their sizes, as far ones may be larger.
+        # Guards against a zone that started as a whole and idles: then all warm ones are the measure.
         near = [s for s in warm if s.member.zone == server.member.zone]
         size = sum(s.member.weight for s in warm) / len(warm) if warm else 0.0
         part = 1.0 if near or size <= 0 else COLD_FAR * min(1.0, server.member.weight / size)
@@ -1033,8 +1029,9 @@
             return False
         at_origin = job.at_origin
         gated = at_origin or self._may_fetch(job, server)
-        sent = self.now, server.load(self.now)
-        job.attempts.append(Attempt(server, *sent, at_origin, gated, server.answers))
+        expected = (self.origin.lag if at_origin else server.expect(self.now, self.usual)) or FIRST_GUESS
+        wait = self.waiting.begin(self.now, at_origin, expected, job.event.cost_hint)
+        job.attempts.append(Attempt(server, self.now, server.load(self.now), at_origin, gated, wait))
         server.out += 1
         self.origin.take(self.now, int(gated))
         if not at_origin:
@@ -1051,8 +1048,11 @@
         wait = max(PATIENCE_LOW, self.mean + PATIENCE * self.spread)
         if job.at_origin:
             wait = max(wait, 3.0 * self.origin.lag)
-        wait = min(wait, max(PATIENCE_LOW, 0.6 * job.klass.aim))
-        job.check_at = self.now + wait
+        job.overdue_at = self.now + min(wait, max(PATIENCE_LOW, 0.6 * job.klass.aim))
+        self._look_later(job)
+
+    def _look_later(self, job: Job) -> None:
+        job.check_at = min(job.overdue_at, self.waiting.next_look(job.attempts[-1].wait, self.now))
         if job.check_at < job.deadline:
             self.actions.append(api.SetTimer(CHECK | job.ref, job.check_at))
 
@@ -1117,6 +1117,9 @@
         attempt = job.attempts[event.attempt]
         attempt.out = False
         attempt.harmless = event.result in NEVER_RAN
+        self.waiting.end(attempt.wait, self.now, event.spoilt or event.result in ANSWERS)
+        if event.result is Result.OK and self.now <= job.aim_at:
+            self.waiting.won(each.wait for each in job.attempts)
         self._learn(job, attempt, event)
         if event.closed or event.result is Result.TIMEOUT:
             self.pressure.record(1.0 - job.klass.late_share if self.now > job.aim_at else 0.0)
@@ -1133,7 +1136,7 @@
             self._give_up(job)
         elif not job.outstanding():
             # Guards against refusals where connections break often: the budget is against storms of load.
-            self._again(job, free=event.result in BROKEN)
+            self._again(job, free=event.result in BROKEN or attempt.wait.stopped)
         if attempt.gated:
             self._drain_queue()
 
@@ -1143,9 +1146,7 @@
         server.out -= 1
         if event.report:
             self._report(server, event.report)
-        # Guards against healthy servers taken for silent, and an origin for crowded, by spoilt answers and
-        # by broken connections. A spoilt one is a sign of life, and its time is as good as any; a reset alone
-        # says nothing: where the process has died, new connections are refused.
+        # A spoilt answer is a sign of life; a reset alone is none of death: then dials are refused.
         silent = result in SILENT
         if silent:
             self._strike(server)
@@ -1158,8 +1159,7 @@
             return
         self.pressure.held -= 1
         missed = result is Result.MISS or event.note in (2, 3)
-        # A jam may show as time-outs only, but those of a server that gave no sign of life since are its own:
-        # guards against silent servers that shut the way to a healthy origin.
+        # time-outs of a server that gave no sign of life since are its own, and no jam of the origin
         lively = server.life_at > attempt.sent
         failed = attempt.gated and (result is Result.ERROR or (result is Result.TIMEOUT and lively))
         if self.settings.mode is Mode.THROUGH and (missed or failed):
@@ -1169,8 +1169,7 @@
         if not missed and result in (Result.OK, Result.TIMEOUT, Result.FULL):
             slow = result is not Result.OK or event.lag > ROOM_AIM * job.klass.aim
             server.crowded(now, event.lag, slow)
-            # not in through mode, where answers are slow behind fetches, not for want of cores; and not for a
-            # server that gave no sign of life
+            # not in through mode, where answers are slow behind fetches, nor without a sign of life
             if self.settings.mode is Mode.ASIDE and (not slow or lively or result is not Result.TIMEOUT):
                 self.pressure.crowded(now, event.lag, slow)
         if result is Result.OK and not missed:
@@ -1182,9 +1181,8 @@
             server.sample(now, job.klass.aim, attempt.load)
         if job.keep and result not in (*UNTOLD, Result.UNFIT):
             bad = silent or result in (Result.ERROR, Result.FULL) or event.lag > job.klass.aim
-            # While overflow is wide and the origin short, a miss in keep is trouble too: a key that its home
-            # zone cannot hold is held once for the fleet instead: it saves a fetch for each zone. Not while
-            # only cores are short: k' would fall to nothing for a few hot keys.
+            # While overflow is wide and the origin short, a miss in keep is trouble too: such a key is held
+            # once for the fleet. Not while only cores are short: k' would fall to nothing.
             dear = self.pools.wide_share > 0 and self.origin_waits > 0
             self.filter.record(bad or (missed and dear))
 
@@ -1222,18 +1220,22 @@
             self._overdue(job)
 
     def _overdue(self, job: Job) -> None:
-        """No answer for longer than usual. A server that answered others meanwhile is slow, and waiting is
-        cheaper than another copy; one that gave no sign of life may be silent: the request moves on. So it
-        does if many later ones were answered. Guards against a dead connection to a lively server."""
+        """No answer for a while. It moves on where another attempt has the better chance (`Waiting`). Else
+        a server that answered others meanwhile is slow, and waiting is cheaper; one that gave no sign of life
+        may be silent: the request moves on."""
         number, attempt = next((n, a) for n, a in enumerate(job.attempts) if a.out)
         server = attempt.server
         limits = self.settings.limits
-        movable = job.anywhere and self.retries >= 1.0 and len(job.attempts) < limits.max_attempts - 1
+        movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1
         waited = self.now - attempt.sent
-        usual = self.origin.lag if attempt.origin else 2.0 * self.mean
-        passed = server.answers - attempt.answers - attempt.load
-        if movable and limits.cancelling and passed >= HUNG and waited > HUNG_LAGS * usual:
-            self.actions.append(api.Cancel(job.ref, number))
+        if movable and limits.cancelling and self.waiting.passed(attempt.wait):
+            elsewhere = None if attempt.origin else self._pick(job)[1]
+            left, fetch = self._useful_until(job) - self.now, self.origin.lag or FIRST_GUESS
+            if self.waiting.stop(attempt.wait, self.now, left, elsewhere, fetch):
+                self.actions.append(api.Cancel(job.ref, number))
+                return
+        if self.now < job.overdue_at:
+            self._look_later(job)
             return
         # not for a single long fetch: one outlier must not shut a healthy origin
         lively = attempt.origin or server.life_at > attempt.sent
@@ -1251,10 +1253,10 @@
         self._strike(server)
         self._probe(server)
         if not server.failing:
-            # Guards against storms of copies: one long wait, on a fleet where all is slow, is no proof of
-            # silence, and copies called off still cost work and room.
+            # guards against storms of copies: one long wait is no proof of silence
             self._arm(job)
             return
+        movable = movable and self.retries >= 1.0
         if movable and limits.second_copies:
             other, wait = self._pick(job)
             if other is not None and wait < job.klass.aim:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -217,11 +217,11 @@
     made.filter.touch(5)
     first = sends(made.handle(10.0, api.Request(1, 0, 900.0, key=5)))[0].server
     job = made.jobs[1]
-    assert not sends(made.handle(job.check_at, api.Timer(decide.CHECK | 1)))  # one long wait proves nothing
+    assert not sends(made.handle(job.overdue_at, api.Timer(decide.CHECK | 1)))  # one long wait proves nothing
     server = made.membership.servers[first]
     while not server.failing:
-        server.strike(job.check_at)
-    moved = sends(made.handle(job.check_at, api.Timer(decide.CHECK | 1)))
+        server.strike(job.overdue_at)
+    moved = sends(made.handle(job.overdue_at, api.Timer(decide.CHECK | 1)))
     assert len(moved) == 1 and moved[0].server != first
 
 
