--- a/rosepick/capture/replay.py
+++ b/rosepick/capture/replay.py
@@ -38,12 +38,22 @@
     final: Final | None = None
     tries: list[Try] = field(default_factory=list)
     answer: int | None = None
+    answered_at: float = 0.0
 
-    def differs(self) -> bool:
-        """Whether the decisions are not the same. Which failure is told is the clock's choice."""
+    def differs(self, ends: float) -> bool:
+        """Whether the decisions are not the same, in a capture that ends at that time. Which failure is told
+        is the clock's choice. Guards against a capture that is cut between an event and what came of it."""
         recorded = None if self.final is None else _ANSWERS.get(self.final.status)
         now = None if self.answer is None else _ANSWERS.get(self.answer)
-        return self.sends != [one.uid for one in self.tries] or recorded != now
+        if self.final is None and self.answered_at >= ends:
+            now = None
+        last = self.tries[-1] if self.tries else None
+        if self.final is not None and self.final.status == 200 and last is not None and last.out:
+            recorded = now  # the answer is there, and the outcome that brought it is cut off
+        sent = [one.uid for one in self.tries]
+        if self.final is None and self.tries and self.tries[-1].sent >= ends and len(self.sends) < len(sent):
+            sent.pop()
+        return self.sends != sent or recorded != now
 
     def recorded(self) -> str:
         """The record as it stands in the capture, and whom it tried if that were several."""
@@ -185,7 +195,7 @@
         for request in self.requests.values():
             self.report.compared += 1
             self.report.open += request.final is None
-            if request.differs():
+            if request.differs(self.ends):
                 self.report.differing.append(request)
 
     def _take(self, number: int, record: Record) -> None:
@@ -228,6 +238,7 @@
         if request is not None:
             if request.answer is None:
                 request.answer = request.final.status if request.final is not None else 499
+                request.answered_at = self.now
             self._feed(record.now, api.ClientGone(record.ref))
 
     def _list(self, record: Listed) -> None:
@@ -307,6 +318,7 @@
         if request is not None and request.answer is None:
             late = self.now >= request.arrival.deadline
             request.answer = status or (504 if late else 502)
+            request.answered_at = self.now
 
     def _send(self, action: api.Send) -> None:
         request = self.requests.get(action.ref)
@@ -361,6 +373,7 @@
         serves = result is Result.OK and not over
         if serves:
             request.answer = 200
+            request.answered_at = self.now
         # to the letter for the attempt that was recorded, else as things are now
         same = recorded is not None and now is not None and request.sends[number : number + 1] == [one.uid]
         when = self.now if now is None else now
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -1012,15 +1012,17 @@
         risk = job.first_risk()
         if risk is None or klass.effect is Effect.RETRYABLE:
             return True
-        if klass.effect is Effect.FRAGILE:
-            return False
-        if self.now > risk.sent + klass.repeat_window * (1.0 - WINDOW_MARGIN):
-            return False
-        if klass.group is Group.ZONE:
-            return server.member.zone == risk.server.member.zone
-        if klass.group is Group.CELL:
-            return server.member.cell == risk.server.member.cell
-        return True
+        here, there = server.member, risk.server.member
+        near = {Group.ZONE: here.zone == there.zone, Group.CELL: here.cell == there.cell}
+        return self._may_repeat(job) and near.get(klass.group, True)
+
+    def _may_repeat(self, job: Job) -> bool:
+        """Whether what may have run may be sent again at this moment."""
+        klass, risk = job.klass, job.first_risk()
+        if risk is None or klass.effect is Effect.RETRYABLE:
+            return True
+        window = klass.repeat_window * (1.0 - WINDOW_MARGIN)
+        return klass.effect is Effect.DEDUP and self.now <= risk.sent + window
 
     def _send(self, job: Job, server: Server) -> bool:
         if not self._may_send(job, server):
@@ -1220,13 +1222,12 @@
             self._overdue(job)
 
     def _overdue(self, job: Job) -> None:
-        """No answer for a while. It moves on where another attempt has the better chance (`Waiting`). Else
-        a server that answered others meanwhile is slow, and waiting is cheaper; one that gave no sign of life
-        may be silent: the request moves on."""
+        """No answer for a while. The request moves on where another attempt has the better chance (`Waiting`)
+        or its server may be silent. One that answered others meanwhile is slow, and waiting is cheaper."""
         number, attempt = next((n, a) for n, a in enumerate(job.attempts) if a.out)
         server = attempt.server
         limits = self.settings.limits
-        movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1
+        movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1 and self._may_repeat(job)
         waited = self.now - attempt.sent
         if movable and limits.cancelling and self.waiting.passed(attempt.wait):
             elsewhere = None if attempt.origin else self._pick(job)[1]
@@ -1252,17 +1253,15 @@
             return
         self._strike(server)
         self._probe(server)
-        if not server.failing:
+        if not server.failing or not movable or self.retries < 1.0:
             # guards against storms of copies: one long wait is no proof of silence
             self._arm(job)
-            return
-        movable = movable and self.retries >= 1.0
-        if movable and limits.second_copies:
+        elif limits.second_copies:
             other, wait = self._pick(job)
             if other is not None and wait < job.klass.aim:
                 self.retries -= 1.0
                 self._send(job, other)
-        elif movable and limits.cancelling:
+        elif limits.cancelling:
             self.actions.append(api.Cancel(job.ref, number))
 
     def _first_byte(self, event: api.FirstByte) -> None:
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -16,6 +16,7 @@
 from ..http.sender_side import Letter
 from ..logs import fault, say
 from ..settings.config import Config
+from ..waiting.dials import Dials
 from .budget import Budget
 from .loop import READ, WRITE, Loop
 from .stream import Dialed, Stream, dial
@@ -34,6 +35,7 @@
     def __init__(self, pool: NextHopPool, hop: NextHop, sock: socket.socket) -> None:
         super().__init__()
         self.pool = pool
+        self.dialed_at = pool.loop.now()
         self.server = hop.server
         self.host = f"{hop.endpoint[0]}:{hop.endpoint[1]}"
         self.endpoint = hop.endpoint
@@ -52,6 +54,10 @@
         if not self.dialing:
             self._guarded(self._write)
 
+    def _connected(self) -> None:
+        super()._connected()
+        self.pool.dials.up(self.pool.loop.now() - self.dialed_at)
+
     def _guarded(self, step: Callable[[], None]) -> None:
         try:
             step()
@@ -144,7 +150,7 @@
 
     def __init__(self, loop: Loop, budget: Budget, hops: TransportMap, config: Config) -> None:
         self.loop, self.budget, self.map = loop, budget, hops
-        self.dial_timeout, self.keep_idle = config.dial_timeout, config.conn_idle * IDLE_PART
+        self.dials, self.keep_idle = Dials(config.dial_timeout), config.conn_idle * IDLE_PART
         self.stall = STALL * min(klass.aim for klass in config.settings.classes)
         self.engine: Engine
         self.busy: dict[DeliveryAttempt, Link] = {}
@@ -246,7 +252,7 @@
         if sock is None:
             return None
         link = Link(self, hop, sock)
-        self.loop.after(self.dial_timeout, lambda: self._dial_over(link))
+        self.loop.after(self.dials.patience(), lambda: self._dial_over(link))
         return link
 
     def _socket(self, hop: NextHop) -> socket.socket | None:
--- a/rosepick/waiting/dials.py
+++ b/rosepick/waiting/dials.py
@@ -1,7 +1,7 @@
 """How long to wait for a connection to come up: some times what is usual, long before the platform's limit.
 
-Most connections come up within a round trip or two. One that does not has met a machine that says nothing, and the
-system sends its first packet again only after a second: waiting on is waiting for nothing.
+Most connections come up within a round trip or two. One that does not has met a machine that says nothing,
+and the system sends its first packet again only after a second: waiting on is waiting for nothing.
 """
 
 from __future__ import annotations
--- a/rosepick/waiting/waiting.py
+++ b/rosepick/waiting/waiting.py
@@ -62,7 +62,7 @@
         return self.fetches if fetch else self.caches
 
     def begin(self, now: float, fetch: bool, expected: float, hint: float | None = None) -> Wait:
-        """An attempt is sent, and its answer expected after so long, were it an ordinary one; `hint` is of its
+        """An attempt is sent; an ordinary one would have its answer after `expected`. `hint` is of its
         work, in any unit."""
         kind = self._kind(fetch)
         wait = Wait(fetch, now, max(EXPECTED_LEAST, expected * self._dearness(hint)), kind.answers, kind.out)
@@ -70,7 +70,7 @@
         return wait
 
     def _dearness(self, hint: float | None) -> float:
-        """A request's work by its hint, as a multiple of the usual. Half of it counts: hints are rough, and an
+        """Its work by the hint, as a multiple of the usual. Half of it counts: hints are rough, and an
         answer's time is not work alone. Guards against heavy requests taken for hung ones."""
         if not hint or hint <= 0:
             return 1.0
@@ -120,7 +120,8 @@
             return False
         if self.elsewhere(now, left, cache, fetch) - PRICE <= self.stay(wait, now, left):
             return False
-        if waited < wait.expected * self._kind(wait.fetch).times.best_stop(self._cost(wait, cache, fetch), now):
+        times = self._kind(wait.fetch).times
+        if waited < wait.expected * times.best_stop(self._cost(wait, cache, fetch), now):
             return False
         self.account.took()
         wait.stopped = True
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -268,7 +268,7 @@
     def test_a_cut_capture_is_replayed_up_to_the_cut(self) -> None:
         self.busy()
         data = self.captured()
-        for part in (0.3, 0.5, 0.7, 0.9):
+        for part in (0.02 * n for n in range(10, 50)):  # also between an event and what was decided on it
             cut = data[: data.index(b"\n", int(part * len(data))) - 1]
             report = self.replayed(cut)
             self.assertEqual((report.differing, report.truncated), ([], 1), part)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -313,6 +313,25 @@
     assert len(made.jobs[999].attempts) == 2
 
 
+def test_a_write_is_not_given_up_where_it_could_not_be_sent_again() -> None:
+    """Outside its repeat window nothing may follow: what is out is waited for."""
+    for window, given_up in ((900.0, True), (120.0, False)):
+        given = settings(classes=(READ, replace(WRITE, repeat_window=window)), tenants=())
+        made, now = Router(given, 1), 1000.0
+        made.handle(0.0, api.Members(Scope.CACHED, tuple(fleet())))
+        for ref in range(1, 60):
+            now += 5.0
+            for action in sends(made.handle(now, api.Request(ref, 1, 900.0, key=5, write=True))):
+                made.handle(now + 1.0, api.Outcome(ref, 0, action.server, Result.OK, True, 1, 5.0))
+        made.handle(now, api.Request(999, 1, 900.0, key=5, write=True))
+        for ref in range(100, 112):
+            now += 1.0
+            for action in sends(made.handle(now, api.Request(ref, 1, 900.0, key=5, write=True))):
+                made.handle(now + 1.0, api.Outcome(ref, 0, action.server, Result.OK, True, 1, 5.0))
+        actions = made.handle(now + 130.0, api.Timer(decide.CHECK | 999))
+        assert (api.Cancel(999, 0) in actions) == given_up
+
+
 def test_orders_of_thousands_of_slots_take_little_memory() -> None:
     table = decide.Table(False)
     table.follow([decide.Server(api.Member(n), 0.0) for n in range(1, 17)])
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -13,10 +13,12 @@
 from hypothesis import strategies as st
 
 from rosepick.waiting.account import MOST, Account
+from rosepick.waiting.dials import LEAST as DIAL_LEAST
+from rosepick.waiting.dials import Dials
 from rosepick.waiting.times import COUNT, Times, bucket
 from rosepick.waiting.waiting import LEAST, PASSED, Wait, Waiting
 
-Draw = Callable[[random.Random], float]  # how long an attempt takes, as a multiple of what is expected; inf: for ever
+Draw = Callable[[random.Random], float]  # a multiple of what is expected; inf: for ever
 
 
 def mixture(hung: float, spread: float = 0.6) -> Draw:
@@ -270,3 +272,21 @@
     assert not waiting.stop(hung, 500.0, 100.0, 50.0, 400.0)  # no fetch would be in time
     assert not waiting.stop(hung, 500.0, 0.0, 50.0, 1.0)  # nor anything else, with no time left
     assert waiting.stop(hung, 500.0, 100.0, 50.0, 10.0)
+
+
+# -------------------------------------------------------------------------------------------- connections
+
+
+def test_a_connection_has_some_times_what_is_usual_and_never_more_than_the_platform_says() -> None:
+    dials = Dials(250.0)
+    assert dials.patience() == 250.0  # before any came up
+    for _ in range(5):
+        dials.up(1.0)
+    assert dials.patience() == DIAL_LEAST
+    dials.up(20.0)
+    assert dials.patience() == 160.0
+    dials.up(100.0)
+    assert dials.patience() == 250.0
+    for _ in range(300):
+        dials.up(1.0)
+    assert dials.patience() == DIAL_LEAST  # a slow one is forgotten
