Give up only what looks hung by all signs while the origin is short; count ranks exactly

The rank test counted answers less those that were out before, which undercounts where one of those hangs too; it now remembers the places of the last 32 answers.

--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -1232,7 +1232,8 @@
         if movable and limits.cancelling and self.waiting.passed(attempt.wait):
             elsewhere = None if attempt.origin else self._pick(job)[1]
             left, fetch = self._useful_until(job) - self.now, self.origin.lag or FIRST_GUESS
-            if self.waiting.stop(attempt.wait, self.now, left, elsewhere, fetch):
+            short = self.origin_waits > 0 or bool(self.origin.queue)
+            if self.waiting.stop(attempt.wait, self.now, left, elsewhere, fetch, short):
                 self.actions.append(api.Cancel(job.ref, number))
                 return
         if self.now < job.overdue_at:
--- a/rosepick/waiting/waiting.py
+++ b/rosepick/waiting/waiting.py
@@ -10,12 +10,16 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .account import Account
 from .times import Times
 
+LATEST = 32  # answers that are remembered
+HUNG = 6.0  # times what is expected, and
+HARDLY = 0.05  # the chance that is left, of an attempt that is given up also while the origin is short
 PASSED = 5  # later ones that were answered first
 PRICE = 0.3  # by so much more the other one's chance must be: work is wasted, and it may miss
 LEAST = 50.0  # milliseconds that every attempt is given, and ...
@@ -36,8 +40,7 @@
     fetch: bool  # at the origin
     sent: float
     expected: float
-    answers: int  # of its kind, when it was sent ...
-    out: int  # ... and those that were out then, itself not counted
+    place: int  # in the order in which those of its kind were sent
     stopped: bool = False
 
 
@@ -46,7 +49,8 @@
 
     def __init__(self) -> None:
         self.times = Times()
-        self.answers = self.out = 0
+        self.sent = 0
+        self.answered: deque[int] = deque(maxlen=LATEST)  # places of the answered ones, the newest last
 
 
 class Waiting:
@@ -65,8 +69,8 @@
         """An attempt is sent; an ordinary one would have its answer after `expected`. `hint` is of its
         work, in any unit."""
         kind = self._kind(fetch)
-        wait = Wait(fetch, now, max(EXPECTED_LEAST, expected * self._dearness(hint)), kind.answers, kind.out)
-        kind.out += 1
+        wait = Wait(fetch, now, max(EXPECTED_LEAST, expected * self._dearness(hint)), kind.sent)
+        kind.sent += 1
         return wait
 
     def _dearness(self, hint: float | None) -> float:
@@ -80,19 +84,22 @@
     def end(self, wait: Wait, now: float, answered: bool) -> None:
         """It was answered, or is waited for no more."""
         kind = self._kind(wait.fetch)
-        kind.out -= 1
         ratio = max(0.0, now - wait.sent) / wait.expected
         if answered:
-            kind.answers += 1
+            kind.answered.append(wait.place)
             kind.times.answered(ratio, now)
         else:
             kind.times.given_up(ratio, now)
 
     def passed(self, wait: Wait) -> int:
-        """At least so many of its kind that were sent later have been answered: all answers since it was
-        sent, less those that were out before it."""
-        kind = self._kind(wait.fetch)
-        return kind.answers - wait.answers - wait.out
+        """How many of its kind that were sent later have been answered, as far as that is remembered."""
+        return sum(place > wait.place for place in self._kind(wait.fetch).answered)
+
+    def _hung(self, wait: Wait, now: float, left: float) -> bool:
+        """It takes many times what is expected, everything that was answered of late was sent after it, and
+        there is hardly a chance left."""
+        late = now - wait.sent >= HUNG * wait.expected and self.passed(wait) == LATEST
+        return late and self.stay(wait, now, left) <= HARDLY
 
     def stay(self, wait: Wait, now: float, left: float) -> float:
         """The chance that it is answered within `left` from now."""
@@ -113,9 +120,15 @@
             return fetched
         return self.moved_hits * self.fresh(False, cache, now, left) + (1.0 - self.moved_hits) * fetched
 
-    def stop(self, wait: Wait, now: float, left: float, cache: float | None, fetch: float) -> bool:
-        """Whether to give an attempt up for another one; counts it. See `elsewhere`."""
+    def stop(
+        self, wait: Wait, now: float, left: float, cache: float | None, fetch: float, short: bool = False
+    ) -> bool:
+        """Whether to give an attempt up for another one; counts it. See `elsewhere`. While the origin is
+        `short` a fetch more is what it lacks, and a read that moves mostly needs one: then only what looks
+        hung by all signs is given up."""
         waited = now - wait.sent
+        if short and not self._hung(wait, now, left):
+            return False
         if waited < self._least(wait) or self.passed(wait) < PASSED or not self.account.may():
             return False
         if self.elsewhere(now, left, cache, fetch) - PRICE <= self.stay(wait, now, left):
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -16,7 +16,7 @@
 from rosepick.waiting.dials import LEAST as DIAL_LEAST
 from rosepick.waiting.dials import Dials
 from rosepick.waiting.times import COUNT, Times, bucket
-from rosepick.waiting.waiting import LEAST, PASSED, Wait, Waiting
+from rosepick.waiting.waiting import LATEST, LEAST, PASSED, Wait, Waiting
 
 Draw = Callable[[random.Random], float]  # a multiple of what is expected; inf: for ever
 
@@ -274,6 +274,30 @@
     assert waiting.stop(hung, 500.0, 100.0, 50.0, 10.0)
 
 
+def test_while_the_origin_is_short_only_what_looks_hung_by_all_signs_is_given_up() -> None:
+    def hung(waiting: Waiting, older: int) -> Wait:
+        """With so many of the remembered answers to ones that were sent before it."""
+        before = [waiting.begin(0.0, False, 50.0) for _ in range(older)]
+        wait = waiting.begin(1.0, False, 50.0)
+        for n in range(3 * LATEST):
+            waiting.end(waiting.begin(2.0 + n, False, 50.0), 42.0 + n, True)
+        for other in before:
+            waiting.end(other, 150.0, True)
+        waiting.moved_hits = 1.0
+        return wait
+
+    def stops(older: int, waited: float, short: bool) -> bool:
+        waiting = Waiting()
+        wait = hung(waiting, older)
+        return waiting.stop(wait, 1.0 + waited, 500.0, 50.0, 50.0, short)
+
+    assert stops(older=0, waited=900.0, short=True)
+    assert stops(older=0, waited=250.0, short=False)
+    assert not stops(older=0, waited=250.0, short=True)  # not long enough
+    assert stops(older=1, waited=900.0, short=False)
+    assert not stops(older=1, waited=900.0, short=True)  # an older one was answered just now: a queue
+
+
 # -------------------------------------------------------------------------------------------- connections
 
 
