--- a/rosepick/waiting/waiting.py
+++ b/rosepick/waiting/waiting.py
@@ -24,7 +24,8 @@
 PRICE = 0.3  # by so much more the other one's chance must be: work is wasted, and it may miss
 LEAST = 50.0  # milliseconds that every attempt is given, and ...
 LEAST_PART = 1.5  # ... so many times what is expected
-AGAIN = 0.5  # of what is expected, between two looks
+AGAIN = 0.5  # of what is expected, and of the wait so far, between two looks ...
+LOOK_EACH = 20.0  # ... and so many milliseconds
 COST = 0.5  # of what is expected: work that is done twice
 FETCH_MOST = 1_000.0  # milliseconds
 MOVED_HITS = 0.3  # of reads that move to another cache node hit there
@@ -158,5 +159,9 @@
             self.account.won()
 
     def next_look(self, wait: Wait, now: float) -> float:
-        """When to look at it for the next time."""
-        return max(wait.sent + self._least(wait), now + max(10.0, AGAIN * wait.expected))
+        """When to look at it for the next time; never, while no restart is left. Ever less often: guards
+        a router that is short of CPU, where many wait, against spending it on looks."""
+        if not self.account.may():
+            return float("inf")
+        pause = max(LOOK_EACH, AGAIN * wait.expected, AGAIN * (now - wait.sent))
+        return max(wait.sent + self._least(wait), now + pause)
