Fetches that hang while others are answered as ever do not close the origin's gate

A fetch that five later ones passed says nothing to the gate while those that are answered are not slow.

--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -1156,7 +1156,8 @@
             self._alive(server)
         self.origin.take(self.now, -int(attempt.gated))
         if attempt.origin:
-            if event.spoilt or result not in (*UNTOLD, *BROKEN):
+            hung = result is Result.TIMEOUT and self.waiting.hangs(attempt.wait, self.origin.slow())
+            if event.spoilt or (result not in (*UNTOLD, *BROKEN) and not hung):
                 self.origin.done(now, event.lag, event.spoilt or result in (Result.OK, Result.UNFIT))
             return
         self.pressure.held -= 1
@@ -1215,9 +1216,8 @@
         job = self.jobs.get(ref)
         if job is None or job.final:
             return
-        if kind == DEADLINE:
-            if self.now >= job.deadline:
-                self._finish(job)
+        if kind == DEADLINE and self.now >= job.deadline:
+            self._finish(job)
         elif kind == CHECK and self.now >= job.check_at and job.outstanding() == 1:
             self._overdue(job)
 
@@ -1225,8 +1225,7 @@
         """No answer for a while. The request moves on where another attempt has the better chance (`Waiting`)
         or its server may be silent. One that answered others meanwhile is slow, and waiting is cheaper."""
         number, attempt = next((n, a) for n, a in enumerate(job.attempts) if a.out)
-        server = attempt.server
-        limits = self.settings.limits
+        server, limits = attempt.server, self.settings.limits
         movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1 and self._may_repeat(job)
         waited = self.now - attempt.sent
         if movable and limits.cancelling and self.waiting.passed(attempt.wait):
@@ -1239,10 +1238,11 @@
         if self.now < job.overdue_at:
             self._look_later(job)
             return
-        # not for a single long fetch: one outlier must not shut a healthy origin
-        lively = attempt.origin or server.life_at > attempt.sent
-        if attempt.gated and lively and waited > max(GATE_LATE * job.klass.aim, 3.0 * self.origin.lag):
-            self.origin.cut(self.now)  # no need to wait for the failure
+        # not for a single long fetch: one outlier must not shut a healthy origin, nor must those that hang
+        sign = server.life_at > attempt.sent or attempt.origin
+        if attempt.gated and sign and waited > max(GATE_LATE * job.klass.aim, 3.0 * self.origin.lag):
+            if not (attempt.origin and self.waiting.hangs(attempt.wait, self.origin.slow())):
+                self.origin.cut(self.now)  # no need to wait for the failure
         if attempt.origin:
             self._arm(job)
             return
--- a/rosepick/waiting/waiting.py
+++ b/rosepick/waiting/waiting.py
@@ -102,6 +102,12 @@
         late = now - wait.sent >= HUNG * wait.expected and self.passed(wait) == LATEST
         return late and self.stay(wait, now, left) <= HARDLY
 
+    def hangs(self, wait: Wait, slow: bool) -> bool:
+        """Whether it says nothing of load: enough that were sent later were answered before it, and those of
+        its kind that are answered are not `slow`. Guards the origin's gate against closing for answers that
+        never come."""
+        return not slow and self.passed(wait) >= PASSED
+
     def stay(self, wait: Wait, now: float, left: float) -> float:
         """The chance that it is answered within `left` from now."""
         waited = now - wait.sent
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 import tracemalloc
 from dataclasses import replace
@@ -406,6 +407,27 @@
     assert made.origin.limit < before / 2
 
 
+@pytest.mark.parametrize("answer", [100.0, 450.0])
+def test_fetches_that_hang_shut_the_gate_only_where_the_others_are_slow(answer: float) -> None:
+    """Aside mode: every fourth fetch never ends, and the others take so long."""
+    made = router()
+    for n in range(30):
+        made.origin.done(10.0 + n, 100.0, True)
+    before, now = made.origin.limit, 1_000.0
+    events: list[tuple[float, int, api.Outcome]] = []
+    for ref in range(1, 200):
+        now += 40.0
+        write = api.Request(ref, 1, 900.0, key=ref, write=True)
+        while events and events[0][0] <= now:
+            at, _, event = heapq.heappop(events)
+            made.handle(at, event)
+        for sent in sends(made.handle(now, write)):
+            hangs = not ref % 4
+            result, lag = (Result.TIMEOUT, 900.0) if hangs else (Result.OK, answer)
+            heapq.heappush(events, (now + lag, ref, api.Outcome(ref, 0, sent.server, result, lag=lag)))
+    assert (made.origin.limit < before / 2) == (answer > 400.0)
+
+
 def test_a_lost_answer_of_discovery_is_asked_for_again() -> None:
     made = router()
     calls, now = 0, 0.0
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -256,6 +256,8 @@
     for wait in later:
         waiting.end(wait, 70.0, True)
     assert waiting.passed(hung) == PASSED
+    assert waiting.hangs(hung, slow=False)
+    assert not waiting.hangs(hung, slow=True)  # then it may be load, and the origin's gate must hear of it
     waiting.moved_hits = 1.0
     assert not waiting.stop(hung, 1.0 + LEAST / 2, 500.0, 50.0, 50.0)
     assert not waiting.stop(hung, 70.0, 500.0, 50.0, 50.0)  # its time has not come
