--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -1239,10 +1239,10 @@
             self._look_later(job)
             return
         # not for a single long fetch: one outlier must not shut a healthy origin, nor must those that hang
-        sign = server.life_at > attempt.sent or attempt.origin
-        if attempt.gated and sign and waited > max(GATE_LATE * job.klass.aim, 3.0 * self.origin.lag):
-            if not (attempt.origin and self.waiting.hangs(attempt.wait, self.origin.slow())):
-                self.origin.cut(self.now)  # no need to wait for the failure
+        hung = attempt.origin and self.waiting.hangs(attempt.wait, self.origin.slow())
+        sign = attempt.gated and not hung and (attempt.origin or server.life_at > attempt.sent)
+        if sign and waited > max(GATE_LATE * job.klass.aim, 3.0 * self.origin.lag):
+            self.origin.cut(self.now)  # no need to wait for the failure
         if attempt.origin:
             self._arm(job)
             return
