Mend what a review of connections and dials found; drop a callback that did nothing

Patience is each hop's, and doubles with each cut. - A dial that came up while the loop was busy was taken for a failed one, as timers run first. - A closed connection's place was free only at the next retry, as it was counted off after the listener was told. - SIGHUP applied the limits twice, once in a mixed state; descriptors had an allowance that nothing asked for.

--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -152,7 +152,7 @@
     try:
         cells, text = sweeps.parse_grid(terms), file.read_text("utf-8")
         with console.progress(f"{file.name}, {len(cells)} runs") as progress:
-            for done, _ in sweeps.sweep(text, file.name, cells, workers, play, lambda line: None, progress):
+            for done, _ in sweeps.sweep(text, file.name, cells, workers, play, progress):
                 yield done
     except (OSError, ValueError) as problem:
         _stop_all(problem)
--- a/rosepick/connections/ceiling.py
+++ b/rosepick/connections/ceiling.py
@@ -100,7 +100,7 @@
         stopped = now - seen.opened >= max(STOPPED_FOR, STOPPED * 1000.0 / seen.rate)
         if not stopped and not (pinned and seen.still >= STILL_PART * seen.held):
             return 0
-        count = max(2, seen.still // 8)
+        count = min(seen.still, max(2, seen.still // 8))
         usual = 0.0 if stopped else seen.rate * ANSWER_WITHIN / 1000.0
         self._to_come = usual + max(SURE * count, CHANCE * sqrt(usual))
         self._tried = (now, seen.held)
--- a/rosepick/connections/descriptors.py
+++ b/rosepick/connections/descriptors.py
@@ -70,7 +70,7 @@
         """Whether one more may be opened; another gives way for it if need be."""
         if use is Use.DOORS and (self.uses[use] >= self.doors() or self.over()):
             return False  # over a limit that was lowered: it is reached by and by, and nothing new comes in
-        limit = self.limit + (DIALS if use in (Use.NEXT_HOPS, Use.DISCOVERY) else 0)
+        limit = self.limit + (DIALS if use is Use.NEXT_HOPS else 0)
         return self.used < limit or self.free_one()
 
     def free_one(self) -> bool:
--- a/rosepick/connections/policy.py
+++ b/rosepick/connections/policy.py
@@ -140,7 +140,9 @@
             self._sampled -= 1
         if conn.asked == 1 and conn.why is Why.CLIENT:
             self.habits.seen(conn.peer, False)
-        if conn.why in OURS:
+        # Only what counts as an opening can come again as one: guards against a flood that is turned away
+        # unheard, which would make it seem that nobody else needs room.
+        if conn.why in OURS and conn.asked and conn.peer:
             self._replaced += 1.0 if conn.asked > 1 else self._again
 
     # -------------------------------------------------------------------------------------- the figures
@@ -297,12 +299,11 @@
         if lacking > 0:
             return self._least_worth(now, min(PORTION, lacking))
         once = self.account.standing["once"]
-        still = len(once) if once.wait(now) > STILL else 0
-        seen = Seen(self.account.held(), still, self._rate_before, self._last_needy)
+        stood = list(_older(once, now - YOUNG)) if once.wait(now) > STILL else []
+        seen = Seen(self.account.held(), len(stood), self._rate_before, self._last_needy)
         count = self.ceiling.suspects(now, seen)
         # the youngest ones: those that ask from time to time, the oldest next, are left out as far as can be
-        stood = [conn for conn in _older(once, now - YOUNG)] if count else []
-        return stood[-count:] if count else []
+        return stood[len(stood) - count :]
 
     def _kept_lines(self) -> tuple[Standing[Conn], Standing[Conn]]:
         return self.account.standing["once"], self.account.standing["often"]
--- a/rosepick/lab/sweep.py
+++ b/rosepick/lab/sweep.py
@@ -13,7 +13,6 @@
 from collections import deque
 from collections.abc import Callable, Generator, Iterable, Sequence
 from concurrent.futures import BrokenExecutor, Future, ProcessPoolExecutor, wait
-from contextlib import closing
 from dataclasses import dataclass
 from functools import partial
 from itertools import chain, islice, product
@@ -22,7 +21,7 @@
 from typing import Any, Protocol
 
 from .experiment import Experiment, ExperimentError, read
-from .results import Cost, Line, Run
+from .results import Cost, Run
 
 MOST_CELLS = 10_000
 MOST_FAULTS = 20  # that are named one by one
@@ -166,30 +165,21 @@
 
 def sweep(
     experiment_text: str, place: str, cells: Sequence[Cell], workers: int, play: Play,
-    on_line: Callable[[Line], None], on_progress: Progress,
+    on_progress: Progress,
 ) -> Results:
     """Play cells and yield their results in order, each as soon as it and all before it are done.
 
-    `on_line` is given the two lines of a result just before it is yielded, `on_progress` the part of the
-    whole that is done, 0 to 1. More than one worker needs a `play` that can be pickled. When the caller stops
-    or is interrupted, the workers end at once. ExperimentError before anything starts, if a cell is a faulty
-    experiment; CellFailed at the first cell, in order, that could not be played.
+    `on_progress` is given the part of the whole that is done, 0 to 1. More than one worker needs a `play`
+    that can be pickled. When the caller stops or is interrupted, the workers end at once. ExperimentError
+    before anything starts, if a cell is a faulty experiment; CellFailed at the first cell, in order, that
+    could not be played.
     """
     if workers < 1:
         raise ValueError("there must be a worker at least")
     _check(experiment_text, place, cells)
     job = _Job(experiment_text, place, play)
     alone = workers == 1 or len(cells) < 2
-    source = _here(job, cells, on_progress) if alone else _spread(job, cells, workers, on_progress)
-    return _told(source, on_line)
-
-
-def _told(source: Results, on_line: Callable[[Line], None]) -> Results:
-    with closing(source):
-        for result in source:
-            for line in result:
-                on_line(line)
-            yield result
+    return _here(job, cells, on_progress) if alone else _spread(job, cells, workers, on_progress)
 
 
 def _check(text: str, place: str, cells: Sequence[Cell]) -> None:
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -27,6 +27,7 @@
 STALL = 0.2  # of the shortest aim: an answer that has begun and then stops for so long is spoilt
 EARLY = 100.0  # an idle connection that its next hop closes sooner than this was never meant to be kept
 WARY_FOR = 60_000.0  # after such a close
+DIALED = 4_096  # endpoints of whose dials something is kept
 
 
 class Link(Dialed):
@@ -56,7 +57,7 @@
 
     def _connected(self) -> None:
         super()._connected()
-        self.pool.dials.up(self.pool.loop.now() - self.dialed_at)
+        self.pool.dials_to(self.endpoint).up(self.pool.loop.now() - self.dialed_at)
 
     def _guarded(self, step: Callable[[], None]) -> None:
         try:
@@ -150,7 +151,8 @@
 
     def __init__(self, loop: Loop, budget: Budget, hops: TransportMap, config: Config) -> None:
         self.loop, self.budget, self.map = loop, budget, hops
-        self.dials, self.keep_idle = Dials(config.dial_timeout), config.conn_idle * IDLE_PART
+        self.dial_timeout, self.keep_idle = config.dial_timeout, config.conn_idle * IDLE_PART
+        self.dials: OrderedDict[tuple[str, int], Dials] = OrderedDict()  # the most recently dialed last
         self.stall = STALL * min(klass.aim for klass in config.settings.classes)
         self.engine: Engine
         self.busy: dict[DeliveryAttempt, Link] = {}
@@ -252,9 +254,19 @@
         if sock is None:
             return None
         link = Link(self, hop, sock)
-        self.loop.after(self.dials.patience(), lambda: self._dial_over(link))
+        self.loop.after(self.dials_to(hop.endpoint).patience(), lambda: self._dial_over(link))
         return link
 
+    def dials_to(self, endpoint: tuple[str, int]) -> Dials:
+        """What is known of dials there; of those dialed longest ago nothing is kept."""
+        found = self.dials.get(endpoint)
+        if found is None:
+            found = self.dials[endpoint] = Dials(self.dial_timeout)
+            if len(self.dials) > DIALED:
+                self.dials.popitem(last=False)
+        self.dials.move_to_end(endpoint)
+        return found
+
     def _socket(self, hop: NextHop) -> socket.socket | None:
         for _ in range(2):
             try:
@@ -269,7 +281,12 @@
 
     def _dial_over(self, link: Link) -> None:
         attempt = link.attempt
-        if link.dialing and link.stream.open and attempt is not None:
+        if not link.dialing or not link.stream.open or attempt is None:
+            return
+        if link.stream.up():  # guards against a loop that was busy: timers run before sockets are looked at
+            link.ready(WRITE)
+        else:
+            self.dials_to(link.endpoint).cut()
             link.close()
             self.ended(attempt, Verdict(Result.CONNECT_FAILED))
 
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -273,8 +273,8 @@
         if self._linger is not None:
             self._linger.cancel()  # guards against closed connections that a timer holds in memory
         self.machine.end()
+        self.listener.forget(self, why)  # first: what is freed then may be taken at once
         self.stream.close()
-        self.listener.forget(self, why)
 
 
 def _id_of(envelope: Envelope) -> bytes:
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -178,6 +178,7 @@
         self._reload_config()
         if self.operators.reread is not None:
             self._reload_operators(self.operators.reread)
+        self._resize()
 
     def _reload_operators(self, reread: Callable[[], OperatorFile]) -> None:
         """Apply what a running router can of the operators' file."""
@@ -194,7 +195,6 @@
             changed=",".join(s.name for s in before.differing(found)) or "nothing",
             needs_restart=",".join(waiting) or "nothing",
         )
-        self._resize()
         if self.tls is not None and found.text("tls_cert") is not None:
             self.tls.reload(found)
 
@@ -210,7 +210,6 @@
         before, self.config = self.config, replace(
             self.config, discovery=told.discovery, sockets=told.sockets
         )
-        self._resize()
         host, port = told.discovery
         say(
             log, logging.INFO, "reloaded", discovery=f"{host}:{port}", sockets=told.sockets,
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -45,6 +45,14 @@
         if problem:
             raise OSError(problem, os.strerror(problem))
 
+    def up(self) -> bool:
+        """Whether a dial has come up, also where the loop has not said so yet."""
+        try:
+            self.sock.getpeername()
+        except OSError:
+            return False
+        return True
+
     def want(self, mask: int) -> None:
         """What to wait for, if anything."""
         if not self.open or mask == self._mask:
--- a/rosepick/waiting/dials.py
+++ b/rosepick/waiting/dials.py
@@ -1,7 +1,9 @@
 """How long to wait for a connection to come up: some times what is usual, long before the platform's limit.
 
 Most connections come up within a round trip or two. One that does not has met a machine that says nothing,
-and the system sends its first packet again only after a second: waiting on is waiting for nothing.
+and the system sends its first packet again only after a second: waiting on is waiting for nothing. One that
+was given up says only that it would have taken longer: what is waited for doubles with each, up to the
+platform's limit, or else a hop that became slower would be cut each time and nobody would ever know.
 """
 
 from __future__ import annotations
@@ -12,7 +14,7 @@
 
 
 class Dials:
-    """The patience of one pool. Times are milliseconds."""
+    """The patience towards one next hop. Times are milliseconds."""
 
     def __init__(self, longest: float) -> None:
         self.longest = longest
@@ -22,6 +24,10 @@
         """A connection came up."""
         self._slow = max(took, FADES * self._slow)
 
+    def cut(self) -> None:
+        """One was given up."""
+        self._slow = 2.0 * self.patience() / TIMES
+
     def patience(self) -> float:
         """How long to wait for one that is begun now."""
         if not self._slow:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -301,6 +301,44 @@
     assert ceiling.value == 66
 
 
+def test_nothing_is_tried_with_more_than_there_is_to_close() -> None:
+    ceiling = Ceiling(384)
+    assert ceiling.suspects(400.0, seen(still=1)) == 1
+    world, stood = World(most=1_000), list[int]()
+
+    def suspects(now: float, seen: Seen) -> int:
+        stood.append(seen.still)
+        return 0
+
+    world.policy.ceiling.suspects = suspects  # type: ignore[method-assign]
+    world.pass_time(990.0)
+    for _ in range(20):
+        conn = world.connect()
+        world.ask(conn)
+        world.account.answer(conn, 200)
+        world.account.keep(conn, world.now)
+    world.pass_time(10.0)
+    assert stood[-1] == 0  # all stand still, and are too young to go
+    world.pass_time(3_000.0)
+    assert stood[-1] == 20
+
+
+def test_a_flood_that_is_turned_away_unheard_says_nothing_of_the_others_need() -> None:
+    """Ten connections a look are opened for requests; beside them fifty are turned away, or none."""
+    rates = []
+    for flood in (0, 50):
+        world = World(most=1_000)
+        for _ in range(10):
+            for _ in range(flood):
+                world.close(world.connect("flood"), Why.ADDRESS)
+            for _ in range(10):
+                world.request(takes=1.0)
+            world.pass_time(LOOK_EVERY)
+        rates.append(world.policy.rate(world.now))
+    assert rates[0] == pytest.approx(rates[1])
+    assert rates[0] > 20.0
+
+
 @pytest.mark.parametrize(
     ("heights", "still", "tried"),
     [
@@ -635,7 +673,7 @@
         if n == 100:
             budget.resize(later)
         if opens and budget.room(use):
-            assert budget.used < budget.limit + (DIALS if use in (Use.NEXT_HOPS, Use.DISCOVERY) else 0)
+            assert budget.used < budget.limit + (DIALS if use is Use.NEXT_HOPS else 0)
             budget.take(use)
             assert use is not Use.DOORS or budget.uses[use] <= budget.doors()
         elif not opens and budget.uses[use]:
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -16,7 +16,7 @@
 
 from rosepick.lab.compare import Difference, compare, table
 from rosepick.lab.experiment import Experiment, ExperimentError
-from rosepick.lab.results import Broken, Cost, Line, Run, Span, Verdict, Window, read, write
+from rosepick.lab.results import Broken, Cost, Run, Span, Verdict, Window, read, write
 from rosepick.lab.sweep import CellFailed, GridError, parse_grid, sweep
 
 TEXT = 'name = "storm"\npolicy = "hashed"\nseed = 3\n'
@@ -54,17 +54,14 @@
 def played(path: Path, terms: list[str], workers: int, stop_at: int = 99) -> list[float]:
     """Sweep into a file, interrupted after so many lines; how far it said that it was."""
     parts: list[float] = []
-    lines: list[Line] = []
-
-    def keep(line: Line) -> None:
-        lines.append(line)
-        with path.open("ab") as file:
-            file.write(write(line))
-        if len(lines) == stop_at:
-            raise KeyboardInterrupt
-
-    yielded = list(sweep(TEXT, "s.toml", parse_grid(terms), workers, play, keep, parts.append))
-    assert [line for result in yielded for line in result] == lines
+    written = 0
+    for result in sweep(TEXT, "s.toml", parse_grid(terms), workers, play, parts.append):
+        for line in result:
+            with path.open("ab") as file:
+                file.write(write(line))
+            written += 1
+            if written == stop_at:
+                raise KeyboardInterrupt
     return parts
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+import time
 from itertools import chain, repeat
 from unittest import mock
 
@@ -491,6 +492,23 @@
             s1 expect GET /api/k1
         """)
 
+    def test_a_dial_that_came_up_while_the_loop_was_busy_is_used(self) -> None:
+        pool = self.server.pool
+        hop = next(iter(self.server.map.hops.values()))
+        link = pool._dial(hop)
+        assert link is not None
+        link.attempt = mock.Mock()
+        for _ in range(200):
+            if link.stream.up():
+                break
+            time.sleep(0.005)
+        with mock.patch.object(pool, "ended") as ended:
+            pool._dial_over(link)  # its time is over before the loop has looked at sockets
+        ended.assert_not_called()
+        self.assertTrue(link.stream.open and not link.dialing)
+        link.attempt = None
+        link.close()
+
     def test_idle_connection_gives_way_to_a_dial(self) -> None:
         self.play("""
             c1 send GET /api/k1
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -313,6 +313,11 @@
     assert dials.patience() == 160.0
     dials.up(100.0)
     assert dials.patience() == 250.0
+    fast = Dials(250.0)
+    fast.up(1.0)
+    for longer in (120.0, 240.0, 250.0):  # a hop that became slower would else be cut each time
+        fast.cut()
+        assert fast.patience() == longer
     for _ in range(300):
         dials.up(1.0)
     assert dials.patience() == DIAL_LEAST  # a slow one is forgotten
