Mend what a review of waiting found: heavy requests, nowhere to go, cheap tests first

It counts for both. - With no other cache node to go to an answer was given up, and the request refused.

--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -19,7 +19,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from itertools import chain, islice
-from math import exp, log
+from math import exp, inf, log
 
 from ..waiting.waiting import Wait, Waiting
 from . import api
@@ -1047,13 +1047,12 @@
         return True
 
     def _arm(self, job: Job) -> None:
-        wait = max(PATIENCE_LOW, self.mean + PATIENCE * self.spread)
-        if job.at_origin:
-            wait = max(wait, 3.0 * self.origin.lag)
-        job.overdue_at = self.now + min(wait, max(PATIENCE_LOW, 0.6 * job.klass.aim))
-        self._look_later(job)
+        fetch = 3.0 * self.origin.lag if job.at_origin else 0.0
+        wait = max(PATIENCE_LOW, self.mean + PATIENCE * self.spread, fetch)
+        self._look_later(job, self.now + min(wait, max(PATIENCE_LOW, 0.6 * job.klass.aim)))
 
-    def _look_later(self, job: Job) -> None:
+    def _look_later(self, job: Job, overdue_at: float) -> None:
+        job.overdue_at = overdue_at
         job.check_at = min(job.overdue_at, self.waiting.next_look(job.attempts[-1].wait, self.now))
         if job.check_at < job.deadline:
             self.actions.append(api.SetTimer(CHECK | job.ref, job.check_at))
@@ -1120,7 +1119,7 @@
         attempt.out = False
         attempt.harmless = event.result in NEVER_RAN
         self.waiting.end(attempt.wait, self.now, event.spoilt or event.result in ANSWERS)
-        if event.result is Result.OK and self.now <= job.aim_at:
+        if event.result is Result.OK and len(job.attempts) > 1 and self.now <= self._useful_until(job):
             self.waiting.won(each.wait for each in job.attempts)
         self._learn(job, attempt, event)
         if event.closed or event.result is Result.TIMEOUT:
@@ -1228,15 +1227,15 @@
         server, limits = attempt.server, self.settings.limits
         movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1 and self._may_repeat(job)
         waited = self.now - attempt.sent
-        if movable and limits.cancelling and self.waiting.passed(attempt.wait):
-            elsewhere = None if attempt.origin else self._pick(job)[1]
-            left, fetch = self._useful_until(job) - self.now, self.origin.lag or FIRST_GUESS
-            short = self.origin_waits > 0 or bool(self.origin.queue)
-            if self.waiting.stop(attempt.wait, self.now, left, elsewhere, fetch, short):
+        left, short = self._useful_until(job) - self.now, self.origin_waits > 0 or bool(self.origin.queue)
+        if movable and limits.cancelling and self.waiting.ripe(attempt.wait, self.now, left, short):
+            other, cache = (attempt.server, None) if attempt.origin else self._pick(job)
+            fetch = None if self.settings.mode is Mode.THROUGH else self.origin.lag or FIRST_GUESS
+            if other is not None and self.waiting.stop(attempt.wait, self.now, left, cache, fetch):
                 self.actions.append(api.Cancel(job.ref, number))
                 return
         if self.now < job.overdue_at:
-            self._look_later(job)
+            self._look_later(job, job.overdue_at)
             return
         # not for a single long fetch: one outlier must not shut a healthy origin, nor must those that hang
         hung = attempt.origin and self.waiting.hangs(attempt.wait, self.origin.slow())
@@ -1254,9 +1253,10 @@
             return
         self._strike(server)
         self._probe(server)
-        if not server.failing or not movable or self.retries < 1.0:
-            # guards against storms of copies: one long wait is no proof of silence
-            self._arm(job)
+        if not server.failing:
+            self._arm(job)  # guards against storms of copies: one long wait is no proof of silence
+        elif not movable or self.retries < 1.0:
+            self._look_later(job, inf)  # what it says of its server is told
         elif limits.second_copies:
             other, wait = self._pick(job)
             if other is not None and wait < job.klass.aim:
--- a/rosepick/waiting/waiting.py
+++ b/rosepick/waiting/waiting.py
@@ -42,6 +42,7 @@
     sent: float
     expected: float
     place: int  # in the order in which those of its kind were sent
+    dear: float = 1.0  # its work by the hint, as a multiple of the usual: also of another attempt for it
     stopped: bool = False
 
 
@@ -70,7 +71,8 @@
         """An attempt is sent; an ordinary one would have its answer after `expected`. `hint` is of its
         work, in any unit."""
         kind = self._kind(fetch)
-        wait = Wait(fetch, now, max(EXPECTED_LEAST, expected * self._dearness(hint)), kind.sent)
+        dear = self._dearness(hint)
+        wait = Wait(fetch, now, max(EXPECTED_LEAST, expected * dear), kind.sent, dear)
         kind.sent += 1
         return wait
 
@@ -118,30 +120,34 @@
         """The chance that one which is sent now is answered within `left`."""
         return self._kind(fetch).times.chance(0.0, left / max(EXPECTED_LEAST, expected), now)
 
-    def elsewhere(self, now: float, left: float, cache: float | None, fetch: float) -> float:
+    def elsewhere(self, now: float, left: float, cache: float | None, fetch: float | None) -> float:
         """The chance of another attempt within `left`: at the origin, where a fetch is expected to take
         `fetch`, or else at another cache node, where a hit would take `cache`. Most reads that move miss
-        there and go on."""
+        there and go on; no `fetch` where nodes fetch for themselves, so that their answers tell of it."""
+        if fetch is None:
+            return 0.0 if cache is None else self.fresh(False, cache, now, left)
         fetched = self.fresh(True, fetch, now, left)
         if cache is None:
             return fetched
         return self.moved_hits * self.fresh(False, cache, now, left) + (1.0 - self.moved_hits) * fetched
 
-    def stop(
-        self, wait: Wait, now: float, left: float, cache: float | None, fetch: float, short: bool = False
-    ) -> bool:
-        """Whether to give an attempt up for another one; counts it. See `elsewhere`. While the origin is
-        `short` a fetch more is what it lacks, and a read that moves mostly needs one: then only what looks
-        hung by all signs is given up."""
-        waited = now - wait.sent
-        if short and not self._hung(wait, now, left):
-            return False
-        if waited < self._least(wait) or self.passed(wait) < PASSED or not self.account.may():
+    def ripe(self, wait: Wait, now: float, left: float, short: bool = False) -> bool:
+        """Whether it may be given up at all, by what is quick to tell. While the origin is `short` a fetch
+        more is what it lacks, and a read that moves mostly needs one: then only what looks hung by all signs
+        is given up."""
+        if now - wait.sent < self._least(wait) or not self.account.may() or self.passed(wait) < PASSED:
             return False
+        return not short or self._hung(wait, now, left)
+
+    def stop(self, wait: Wait, now: float, left: float, cache: float | None, fetch: float | None) -> bool:
+        """Whether to give one that is ripe up for another one; counts it. `cache` and `fetch` are of an
+        ordinary request, see `elsewhere`."""
+        cache = None if cache is None else cache * wait.dear
+        fetch = None if fetch is None else fetch * wait.dear
         if self.elsewhere(now, left, cache, fetch) - PRICE <= self.stay(wait, now, left):
             return False
         times = self._kind(wait.fetch).times
-        if waited < wait.expected * times.best_stop(self._cost(wait, cache, fetch), now):
+        if now - wait.sent < wait.expected * times.best_stop(self._cost(wait, cache, fetch), now):
             return False
         self.account.took()
         wait.stopped = True
@@ -152,10 +158,12 @@
         """What an attempt is given in any case."""
         return max(LEAST, LEAST_PART * wait.expected)
 
-    def _cost(self, wait: Wait, cache: float | None, fetch: float) -> float:
+    def _cost(self, wait: Wait, cache: float | None, fetch: float | None) -> float:
         """What a new begin costs beside the time that it takes, as a multiple of what this one was expected
         to take: work that is done twice, and a fetch where the read misses."""
-        missed = 0.0 if cache is None else (1.0 - self.moved_hits) * min(fetch, FETCH_MOST)
+        if cache is None or fetch is None:
+            return COST
+        missed = (1.0 - self.moved_hits) * min(fetch, FETCH_MOST)
         return COST + missed / wait.expected
 
     def won(self, waits: Iterable[Wait]) -> None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -12,12 +12,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from rosepick.decisions import api
+from rosepick.decisions.api import Result, Scope
+from rosepick.decisions.decide import CHECK, Router
 from rosepick.waiting.account import MOST, Account
 from rosepick.waiting.dials import LEAST as DIAL_LEAST
 from rosepick.waiting.dials import Dials
 from rosepick.waiting.times import COUNT, Times, bucket
 from rosepick.waiting.waiting import LATEST, LEAST, PASSED, Wait, Waiting
 
+from .driver import fleet, settings
+
 Draw = Callable[[random.Random], float]  # a multiple of what is expected; inf: for ever
 
 
@@ -170,7 +175,9 @@
             over.add(wait)
             waiting.end(wait, now, False)
         elif what == "look" and stops and len(waits) < 5:
-            if waiting.stop(wait, now, born + left - now, expected, 1e9):
+            if waiting.ripe(wait, now, born + left - now) and waiting.stop(
+                wait, now, born + left - now, expected, 1e9
+            ):
                 restarts += 1
                 over.add(wait)
                 waiting.end(wait, now, False)
@@ -253,13 +260,15 @@
     for wait in before:
         waiting.end(wait, 60.0, True)
     assert waiting.passed(hung) == 0  # they came before it
+    assert not waiting.ripe(hung, 900.0, 500.0)
     for wait in later:
         waiting.end(wait, 70.0, True)
     assert waiting.passed(hung) == PASSED
     assert waiting.hangs(hung, slow=False)
     assert not waiting.hangs(hung, slow=True)  # then it may be load, and the origin's gate must hear of it
     waiting.moved_hits = 1.0
-    assert not waiting.stop(hung, 1.0 + LEAST / 2, 500.0, 50.0, 50.0)
+    assert not waiting.ripe(hung, 1.0 + LEAST / 2, 500.0)
+    assert waiting.ripe(hung, 900.0, 500.0)
     assert not waiting.stop(hung, 70.0, 500.0, 50.0, 50.0)  # its time has not come
     assert waiting.stop(hung, 900.0, 500.0, 50.0, 50.0)
     assert hung.stopped and waiting.account.left == MOST - 1.0
@@ -291,7 +300,8 @@
     def stops(older: int, waited: float, short: bool) -> bool:
         waiting = Waiting()
         wait = hung(waiting, older)
-        return waiting.stop(wait, 1.0 + waited, 500.0, 50.0, 50.0, short)
+        now = 1.0 + waited
+        return waiting.ripe(wait, now, 500.0, short) and waiting.stop(wait, now, 500.0, 50.0, 50.0)
 
     assert stops(older=0, waited=900.0, short=True)
     assert stops(older=0, waited=250.0, short=False)
@@ -300,6 +310,44 @@
     assert not stops(older=1, waited=900.0, short=True)  # an older one was answered just now: a queue
 
 
+def test_a_heavy_request_is_heavy_elsewhere_too() -> None:
+    waiting = Waiting()
+    waiting.moved_hits = 1.0
+    for n in range(200):
+        waiting.end(waiting.begin(20.0 * n, False, 40.0, 1.0), 20.0 * n + 40.0, True)
+    heavy = waiting.begin(4_000.0, False, 40.0, 6.0)
+    for n in range(LATEST):  # others pass it
+        waiting.end(waiting.begin(4_001.0 + n, False, 40.0, 1.0), 4_041.0 + n, True)
+    now = 4_000.0 + 6.0 * heavy.expected
+    assert waiting.ripe(heavy, now, 60.0)
+    assert waiting.elsewhere(now, 60.0, 40.0, 40.0) > 0.9  # an ordinary one would be in time ...
+    assert not waiting.stop(heavy, now, 60.0, 40.0, 40.0)  # ... and this one nowhere
+
+
+def test_where_nodes_fetch_for_themselves_their_answers_tell_of_it() -> None:
+    waiting = Waiting()
+    assert waiting.elsewhere(0.0, 500.0, 50.0, None) == waiting.fresh(False, 50.0, 0.0, 500.0)
+
+
+def test_no_read_is_given_up_with_nowhere_to_go() -> None:
+    """One cache node, with others passing: it is waited for up to the end."""
+    router = Router(settings(classes=(api.RequestClass(aim=800, deadline=1000, worth=2),), tenants=()), 1)
+    router.handle(0.0, api.Members(Scope.CACHED, tuple(fleet(1, origin=True))))
+    cancelled, due, now = False, list[tuple[float, int, int]](), 0.0
+    for ref in range(1, 200):
+        now += 5.0
+        while due and due[0][0] <= now:
+            at, other, server = due.pop(0)
+            router.handle(at, api.Outcome(other, 0, server, Result.OK, True, 1, 20.0))
+        for action in router.handle(now, api.Request(ref, 0, 1000.0, key=5)):
+            if isinstance(action, api.Send) and ref != 20:
+                due.append((now + 20.0, ref, action.server))
+        for at in (now, now + 2.0):
+            actions = router.handle(at, api.Timer(CHECK | 20))
+            cancelled = cancelled or any(isinstance(action, api.Cancel) for action in actions)
+    assert not cancelled
+
+
 # -------------------------------------------------------------------------------------------- connections
 
 
