Mend what a review of the lab found; use what the project had already

Found by reading the lab again, each with a test that fails without its mend: - A live connection that a node declined counted one off as it closed: the limit leaked under pressure. - A condition over no whole second was judged all the same, and the second in which a trouble ended counted as after it. Such a condition is a fault of the file; whole seconds count. - The live troubles had a timeline of their own, in which the end of one ended others of its kind. They are kinds of the one timeline now. - A call to discovery cost the same for one line and a thousand; line_ms had no effect in simulated time. - A request that was sent once more as a close had crossed it kept its name, so a killed router's attempt could be charged to the next one.

--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -84,6 +84,7 @@
 
 def _player(live: bool) -> Callable[..., tuple[Run, Cost]]:
     if live:
+        from ..lab.live.control import HelperFailed
         from ..lab.live.run import play as played
 
         def play(
@@ -92,7 +93,10 @@
         ) -> tuple[Run, Cost]:
             if policy != "rosepick":
                 stop(f"policy {policy!r} is played with --sim only", 2)
-            return played(given, seed, changes, progress)
+            try:
+                return played(given, seed, changes, progress)
+            except HelperFailed as problem:
+                _stop_all(problem)
 
         return play
     from ..lab.sim import play as simulated
--- a/rosepick/lab/demo.py
+++ b/rosepick/lab/demo.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from ..logs import fields_of
 from . import console
 from .experiment import Experiment, Trouble, read
 from .live.run import Stage, staged
@@ -149,25 +150,11 @@
 
 def _in_words(line: str) -> str:
     """A line of the log as it is shown; empty if it is not."""
-    fields = dict(_pairs(line))
+    fields = fields_of(line)
     words = EVENTS.get(fields.get("event", ""))
     return words.format_map({"listen": "", "text": "", "by": "", **fields}) if words else ""
 
 
-def _pairs(line: str) -> list[tuple[str, str]]:
-    """key=value and key="value with blanks", as the log writes them."""
-    found, rest = [], line.strip()
-    while "=" in rest:
-        key, _, rest = rest.partition("=")
-        if rest.startswith('"'):
-            value, _, rest = rest[1:].partition('"')
-            rest = rest.lstrip()
-        else:
-            value, _, rest = rest.partition(" ")
-        found.append((key, value))
-    return found
-
-
 def _table(run: Run) -> None:
     """What clients got, a row for some seconds."""
     print("  seconds  requests  in time    p99   origin   nodes up")
--- a/rosepick/lab/experiment.py
+++ b/rosepick/lab/experiment.py
@@ -7,6 +7,7 @@
 
 import tomllib
 from collections.abc import Iterator
+from math import ceil
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -159,7 +160,6 @@
     "origin_slow", "origin_stop", "flash", "surge", "router_kill", "router_restart", "hang", "reset",
     "garbage", "drip", "refuse", "reload",
 ]
-LIVE_ONLY = frozenset({"garbage", "drip", "refuse", "reload"})
 
 
 class Trouble(Strict):
@@ -231,6 +231,14 @@
     max_retry_after: NotNegative = 2.0
     stop_sending_within: NotNegative = 0.75  # of a node, after a router was told that it drains or is gone
 
+    def span(self, must: Must) -> tuple[float, float]:
+        """From when to when something must hold, in seconds from the begin."""
+        since = self.warm_up if must.since is None else must.since
+        if must.after is not None:
+            trouble = self.troubles[must.after - 1]
+            since = trouble.at + trouble.last + must.within
+        return since, self.length if must.until is None else must.until
+
     def faults(self) -> Iterator[str]:
         """What is wrong between parts that are right by themselves."""
         known = set(self.zones)
@@ -244,6 +252,11 @@
         for number, must in enumerate(self.must):
             if must.after is not None and must.after > len(self.troubles):
                 yield f"must[{number}].after: there is no trouble {must.after}"
+                continue
+            since, until = self.span(must)
+            until = min(until, self.length)
+            if ceil(since) >= until:
+                yield f"must[{number}]: no whole second from {since:g} to {until:g} s to judge"
         for name, names in (("classes", self.classes), ("tenants", self.tenants)):
             if len({one.name for one in names}) < len(names):
                 yield f"{name}: a name comes twice"
--- a/rosepick/lab/live/clients.py
+++ b/rosepick/lab/live/clients.py
@@ -28,14 +28,15 @@
     """A client's request with all its tries."""
 
     __slots__ = (
-        "clients", "request", "klass", "one_shot", "tries", "over", "_last", "_link", "_tried", "_timer",
-        "_crossed",
+        "clients", "request", "klass", "one_shot", "tries", "sendings", "over", "_last", "_link", "_tried",
+        "_timer", "_crossed",
     )
 
     def __init__(self, clients: Clients, request: Request, one_shot: bool) -> None:
         self.clients, self.request, self.one_shot = clients, request, one_shot
         self.klass = clients.experiment.classes[request.klass]
         self.tries = 0
+        self.sendings = 0  # tries, and those that were sent once more
         self.over = False
         self._last = "failed"
         self._crossed = False  # a try was sent once more, as a close had crossed it
@@ -79,7 +80,8 @@
             self._end(self._last)
             return
         self.tries += 1
-        name = name_of(self.request, self.tries)
+        self.sendings += 1
+        name = name_of(self.request, self.sendings)
         self._tried = Tried(name, self.request.router, self.request.klass, self.deadline(), kept=link.used)
         self.clients.found.tries.append(self._tried)
         self._link = link
@@ -107,8 +109,7 @@
         if self._crossed or self._tried is None:
             return False
         self._crossed = True
-        self.clients.found.tries.remove(self._tried)
-        self._tried, self._link = None, None
+        self._try_over("crossed")  # by a name of its own: what its router did with it is judged by itself
         self.tries -= 1
         return True
 
--- a/rosepick/lab/live/configuration.py
+++ b/rosepick/lab/live/configuration.py
@@ -3,16 +3,16 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from typing import Any
 
 from ...core.transport_map import uid_number
 from ..experiment import Experiment
-from ..world.fleet import ORIGIN
+from ..world.ports import DIAL_TIMEOUT
 from ..world.settings import settings_of
 
 KINDS = ("std", "origin")  # of machines, by the numbers that the model gives them
 CONN_IDLE = 15_000.0  # milliseconds after which a node closes an idle connection
-DIAL_TIMEOUT = 250.0
 
 
 def document(
@@ -34,7 +34,7 @@
 def _settings(experiment: Experiment, position: int) -> dict[str, Any]:
     zone = position % len(experiment.zones)
     told = settings_of(experiment, position, zone)
-    rules, limits = told.rules, told.limits
+    limits = told.limits
     return {
         "domain": {"mode": told.mode.value, "origin_kind": told.origin_kind},
         "failure_domains": list(experiment.zones),
@@ -52,11 +52,7 @@
             }
             for named, one in zip(experiment.classes, told.classes, strict=True)
         ],
-        "rules": {
-            name: getattr(rules, name)
-            for name in ("stop_sending_within", "grace_to_answer", "ask_every", "cold_from", "warm_within",
-                         "tip_multiple", "fall")
-        },
+        "rules": asdict(told.rules),
         "tenants": [
             {"name": named.name, "share": one.share}
             for named, one in zip(experiment.tenants, told.tenants, strict=True)
@@ -64,8 +60,3 @@
         "zone": zone, "balancers": told.routers, "position": told.position,
         "over_share_worth": told.over_share_worth, "costs": {"cross_zone": told.cross_zone_cost},
     }
-
-
-def model_of(kind: int) -> str:
-    """The name of a kind of machine."""
-    return KINDS[1] if kind == ORIGIN else KINDS[0]
--- a/rosepick/lab/live/discovery.py
+++ b/rosepick/lab/live/discovery.py
@@ -16,7 +16,7 @@
 from ...net.stream import Stream
 from ..experiment import Discovery as Shape
 from ..world.discovery import Discovery
-from .configuration import model_of
+from .configuration import KINDS
 from .doors import HOST, Door
 from .reader import BadRequest, Message, RequestReader, answer
 
@@ -101,7 +101,7 @@
         stand = world.stands[member.server]
         return {
             "uid": stand.node.uid, "endpoint": f"{HOST}:{stand.doors[zone].port}",
-            "az": world.experiment.zones[member.zone], "model": model_of(member.kind),
+            "az": world.experiment.zones[member.zone], "model": KINDS[member.kind],
             "pod_group": member.cell, "state": STATES[member.state], "capacity_hint": member.weight,
             "boot_ms": max(0, round(world.unix_begin + member.born)),
         }
--- a/rosepick/lab/live/faults.py
+++ b/rosepick/lab/live/faults.py
@@ -3,19 +3,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, cast
 
 from ...decisions.api import Result
 from ..experiment import Trouble
-from ..results import Span
+from ..world.fleet import Node
+from ..world.troubles import Play, Undo, chosen, met, named, nothing
+from ..world.world import World
 
 if TYPE_CHECKING:
     from .nodes import NodeLink, Stand
     from .world import LiveWorld
 
 DRIP_EVERY = 50.0  # milliseconds from one byte of a dripping answer to the next
-ONLY_HERE = frozenset({"garbage", "drip", "refuse", "reload"})
 GARBAGE = (
     b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + bytes(range(64)),
     b"HTTP/1.1 2OO OK\r\n\r\n",
@@ -82,40 +83,45 @@
 # ------------------------------------------------------------------------------------------ their troubles
 
 
-def set_up(world: LiveWorld, troubles: tuple[Trouble, ...]) -> None:
-    """Set the troubles that only sockets have. Routers are told to reload by who started them."""
-    for trouble in troubles:
-        if trouble.kind in ONLY_HERE:
-            world.kernel.at(1000.0 * trouble.at, lambda trouble=trouble: _begin(world, trouble))  # type: ignore[misc]
-
-
-def _begin(world: LiveWorld, trouble: Trouble) -> None:
-    until = trouble.at + trouble.last
-    if trouble.kind == "reload":
-        whom = f"{trouble.routers or 'all'} routers"
-        world.measure.spans.append(Span(trouble.kind, trouble.at, until, whom))
-        return
-    stands = _met(world, trouble)
-    names = ", ".join(stand.node.uid for stand in stands[:8])
-    more = f" and {len(stands) - 8} more" if len(stands) > 8 else ""
-    world.measure.spans.append(Span(trouble.kind, trouble.at, until, names + more))
-    _turn(stands, trouble, True)
-    if trouble.last:
-        world.kernel.at(1000.0 * until, lambda: _turn(stands, trouble, False))
-
-
-def _met(world: LiveWorld, trouble: Trouble) -> list[Stand]:
-    """The same as in simulated time: some that are drawn, or all where only a share of attempts is meant."""
-    if trouble.kind != "refuse" and trouble.nodes is None and trouble.part is None and not trouble.zone:
-        return list(world.stands.values())
-    nodes = world.choose(world.cache_nodes(trouble.zone), trouble.nodes, trouble.part)
-    return [world.stands[node.number] for node in nodes]
-
-
-def _turn(stands: list[Stand], trouble: Trouble, on: bool) -> None:
-    for stand in stands:
-        if trouble.kind == "refuse":
-            stand.refuses = on
-        else:
-            setattr(stand, trouble.kind, trouble.share if on else 0.0)
-        stand.look()
+def _refuse(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    stands = _stands(world, chosen(world, trouble))
+
+    def turn(by: int) -> None:
+        for stand in stands:
+            stand.refusals += by
+            stand.look()
+
+    turn(1)
+    return named([stand.node for stand in stands]), lambda: turn(-1)
+
+
+def _share(of: Callable[[Stand], list[float]]) -> Play:
+    """Such a part of the answers of some nodes, or of all and the origin if none is named."""
+
+    def begin(world: World, trouble: Trouble) -> tuple[str, Undo]:
+        stands = _stands(world, met(world, trouble))
+        for stand in stands:
+            of(stand).append(trouble.share)
+
+        def undo() -> None:
+            for stand in stands:
+                of(stand).remove(trouble.share)
+
+        return named([stand.node for stand in stands]), undo
+
+    return begin
+
+
+def _reload(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    """Who started the routers tells them."""
+    return f"{trouble.routers or 'all'} routers", nothing
+
+
+def _stands(world: World, nodes: Sequence[Node]) -> list[Stand]:
+    return [cast("LiveWorld", world).stands[node.number] for node in nodes]
+
+
+KINDS: dict[str, Play] = {
+    "refuse": _refuse, "garbage": _share(lambda stand: stand.garbage_shares),
+    "drip": _share(lambda stand: stand.drip_shares), "reload": _reload,
+}
--- a/rosepick/lab/live/judge.py
+++ b/rosepick/lab/live/judge.py
@@ -41,7 +41,7 @@
 def _is_owed(tried: Tried, downs: Sequence[Down]) -> bool:
     """Whether its router owed it an answer: it was sent whole, its client stayed, and the router was not
     killed meanwhile."""
-    if tried.how == "left" or tried.sent > tried.ended:
+    if tried.how in ("left", "crossed") or tried.sent > tried.ended:
         return False
     return not any(
         down.router == tried.router and tried.sent <= down.until and tried.ended >= down.at for down in downs
--- a/rosepick/lab/live/nodes.py
+++ b/rosepick/lab/live/nodes.py
@@ -17,6 +17,7 @@
 from ..world.draws import Uniform
 from ..world.fleet import HIT, Asked, Node
 from . import faults
+from .configuration import CONN_IDLE
 from .doors import Door
 from .reader import BadRequest, Message, RequestReader, answer
 from .records import Attempt
@@ -25,7 +26,6 @@
     from .world import LiveWorld
 
 log = logging.getLogger(__name__)
-IDLE_FOR = 15_000.0  # milliseconds after which a connection without a request is closed
 DECLINED = (b"Srv-Declined", b"1")
 _RESETS = struct.pack("ii", 1, 0)  # of SO_LINGER: closing resets
 
@@ -36,8 +36,9 @@
 
     def __init__(self, world: LiveWorld, node: Node) -> None:
         self.world, self.node = world, node
-        self.refuses = False
-        self.garbage = self.drip = 0.0  # of the answers
+        self.refusals = 0  # troubles that are on
+        self.garbage_shares: list[float] = []  # of the answers, by each trouble that is on ...
+        self.drip_shares: list[float] = []  # ... of which the worst one counts
         self.links: dict[NodeLink, None] = {}
         zones = range(len(world.experiment.zones))
         self.doors: list[Door] = [Door(world.loop, self._welcome(zone)) for zone in zones]
@@ -46,7 +47,7 @@
     def look(self) -> None:
         """Have the doors as the node is now."""
         node = self.node
-        shut = not node.server.up or node.state is State.GONE or self.refuses
+        shut = not node.server.up or node.state is State.GONE or self.refusals > 0
         for zone, door in enumerate(self.doors):
             door.turn("shut" if shut else "open" if self.hears(zone) else "mute")
 
@@ -57,7 +58,7 @@
     def sweep(self, now: float) -> None:
         """Close what was idle for long."""
         if not self.node.silent:
-            for link in [one for one in self.links if one.idle() and now - one.idle_since >= IDLE_FOR]:
+            for link in [one for one in self.links if one.idle() and now - one.idle_since >= CONN_IDLE]:
                 link.close()
 
     def lost(self) -> None:
@@ -87,14 +88,15 @@
 
     def send(self, link: NodeLink, data: bytes, result: Result) -> None:
         """An answer goes out, or what its fate makes of it. OSError if the connection broke."""
-        draw = self._fate() if self.garbage or self.drip or self.node.resets else 1.0
+        spoilt, drops = max(self.garbage_shares, default=0.0), max(self.drip_shares, default=0.0)
+        draw = self._fate() if spoilt or drops or self.node.resets else 1.0
         if result is Result.RESET:
             faults.LOSSES[int(self._fate() * len(faults.LOSSES))](link, data)
-        elif draw < self.garbage:
+        elif draw < spoilt:
             faults.garbage(link, int(draw * 1e6))
-        elif draw < self.garbage + self.drip:
+        elif draw < spoilt + drops:
             faults.drip(link, data, result)
-        elif draw < self.garbage + self.drip + self.node.resets / len(faults.LOSSES):
+        elif draw < spoilt + drops + self.node.resets / len(faults.LOSSES):
             faults.reset_after(link, data, result)
         else:
             link.stream.send(data)
@@ -244,7 +246,7 @@
                 self._drop(Result.RESET)
             self.stream.close()
             self.stand.links.pop(self, None)
-            if self._epoch == self.node.epoch:
+            if self._welcome and self._epoch == self.node.epoch:
                 self.node.disconnect()
 
 
--- a/rosepick/lab/live/plan.py
+++ b/rosepick/lab/live/plan.py
@@ -39,9 +39,9 @@
     return sorted(changes, key=lambda change: change[0])
 
 
-def name_of(request: Request, tries: int) -> str:
-    """The Req-Id of a try, counted from 1."""
-    return f"{request.number}.{tries}"
+def name_of(request: Request, sendings: int) -> str:
+    """The Req-Id of a sending, counted from 1."""
+    return f"{request.number}.{sendings}"
 
 
 def request_of(plan: list[Request], name: str) -> Request | None:
--- a/rosepick/lab/live/reader.py
+++ b/rosepick/lab/live/reader.py
@@ -6,12 +6,10 @@
 
 import httptools
 
+from ...http.sender_side import REASONS
+
 BODY_LIMIT = 1024 * 1024
 HEAD_LIMIT = 64 * 1024
-REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 500: b"Internal Server Error",
-    503: b"Service Unavailable",
-}
 Extra = tuple[tuple[bytes, bytes], ...]
 
 
--- a/rosepick/lab/live/records.py
+++ b/rosepick/lab/live/records.py
@@ -38,7 +38,8 @@
     deadline: float
     sent: float = inf  # its last byte was written
     ended: float = inf  # its last byte was read, or its connection ended
-    how: str = "none"  # served, refused, failed; broke: no whole answer; none: nothing came; left: given up
+    how: str = "none"  # served, refused, failed; broke: no whole answer; none: nothing came; left: given up;
+    # crossed: its connection ended before anything came, and it was sent once more
     again: bool = False  # something came after the answer that nobody asked for
     kept: bool = False  # it went out on a connection that was used before
 
--- a/rosepick/lab/live/routers.py
+++ b/rosepick/lab/live/routers.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from ...http.discovery import CallFailed, Told, call
 from ..experiment import Experiment
 from . import configuration
 from .control import ROOT, HelperFailed, environment, tail
@@ -145,14 +146,12 @@
 
 def list_at(port: int, usual: dict[str, Any]) -> dict[str, Any]:
     """The list as discovery has it at present; the usual one if it does not say."""
-    data = b""
-    with contextlib.suppress(OSError, ValueError), socket.create_connection((HOST, port), 1.0) as sock:
-        sock.sendall(b"GET /v1/endpoints HTTP/1.1\r\nHost: discovery\r\nConnection: close\r\n\r\n")
+    told = Told()
+    with contextlib.suppress(OSError, CallFailed), socket.create_connection((HOST, port), 1.0) as sock:
+        sock.sendall(call("discovery", None, 0.0))
         while part := sock.recv(65536):
-            data += part
-            head, gap, body = data.partition(b"\r\n\r\n")
-            size = [line[15:] for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")]
-            if gap and size and len(body) >= int(size[0]):
-                found: dict[str, Any] = json.loads(body)
-                return found
+            found = told.feed(part)
+            if found is not None:
+                listed: dict[str, Any] = found[0].data
+                return listed
     return usual
--- a/rosepick/lab/live/world.py
+++ b/rosepick/lab/live/world.py
@@ -39,12 +39,10 @@
         self.budget = Budget(1_000_000)
         self.stands: dict[int, Stand] = {}
         self.attempts: list[Attempt] = []
-        self.troubles = experiment.troubles
         self.unix_begin = 1000.0 * time.time() + START_UP
         self.plan = requests(experiment, seed)
         self._fetches, self._repeats = Fetches(), Repeats()
-        modelled = tuple(one for one in experiment.troubles if one.kind not in faults.ONLY_HERE)
-        super().__init__(experiment.model_copy(update={"troubles": modelled}), seed, measure)
+        super().__init__(experiment, seed, measure)
         self.pace = Pace(loop, self.kernel)
         self.listing = Listing(self, experiment.discovery, seed)
         listed = [node for node in self.nodes.values() if self._listed(node)]
@@ -58,8 +56,7 @@
     def begin(self, at: float) -> None:
         """The run begins at that time of the loop."""
         self.unix_begin = 1000.0 * time.time() + at - self.loop.now()
-        troubles.set_up(self)
-        faults.set_up(self, self.troubles)
+        troubles.set_up(self, faults.KINDS)
         self.kernel.after(1_000.0, self._sample)
         self.pace.begin(at)
 
--- a/rosepick/lab/measure.py
+++ b/rosepick/lab/measure.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import ceil
 
 from hdrh.histogram import HdrHistogram
 
@@ -129,8 +130,9 @@
         )
 
     def figures(self, since: float, until: float) -> dict[str, float]:
-        """All figures over a span, in seconds from the begin."""
-        seconds = self.seconds[int(since) : max(int(since) + 1, int(until))]
+        """All figures over a span, in seconds from the begin; a second counts from the first that begins in
+        it to the last that does."""
+        seconds = self.seconds[ceil(since) : ceil(until)]
         total: Counter[str] = Counter()
         for second in seconds:
             total.update(second.counts)
@@ -159,12 +161,7 @@
         }
 
     def _verdict(self, must: Must) -> Verdict:
-        given = self.experiment
-        since = given.warm_up if must.since is None else must.since
-        if must.after is not None:
-            trouble = given.troubles[must.after - 1]
-            since = trouble.at + trouble.last + must.within
-        until = given.length if must.until is None else must.until
+        since, until = self.experiment.span(must)
         value = self.figures(since, until)[must.what]
         held = (must.least is None or value >= must.least) and (must.most is None or value <= must.most)
         return Verdict(must.what, value, must.least, must.most, since, until, held)
--- a/rosepick/lab/world/discovery.py
+++ b/rosepick/lab/world/discovery.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import takewhile
 
 from ...decisions import api
 from ...decisions.api import Member, Scope, State
@@ -77,7 +78,7 @@
         if self.up:
             for watcher in self.watchers:
                 if watcher.on:
-                    self._call(watcher, 1, False)
+                    self._call(watcher, False)
 
     # -------------------------------------------------------------------------------------------- calls
 
@@ -99,13 +100,13 @@
                 self.kernel.after(self.latency(watcher.zone), lambda: self._failed(watcher))
                 return
             watcher.on = True
-            self._call(watcher, 1, True)
+            self._call(watcher, True)
         elif not on:
             watcher.on = False
 
-    def _call(self, watcher: Watcher, lines: int, asked: bool) -> None:
-        """Calls are handled one after another."""
-        cost = self.shape.call_ms + self.shape.line_ms * lines
+    def _call(self, watcher: Watcher, asked: bool) -> None:
+        """Calls are handled one after another; one takes longer by each line that it tells."""
+        cost = self.shape.call_ms + self.shape.line_ms * len(self._news(watcher))
         self._free_at = max(self._free_at, self.kernel.time) + cost
         self.kernel.at(self._free_at, lambda: self._tell(watcher, asked))
 
@@ -113,15 +114,15 @@
         """What is new to a router; if it asked, also that nothing is."""
         if not (watcher.on and self.up) or (watcher.revision == self.revision and not asked):
             return
-        if watcher.revision == 0:
-            self._deliver(watcher, api.Members(Scope.FULL, tuple(self._list.values()), self.revision))
-            return
-        entries = []
-        for revision, member in reversed(self._changes):
-            if revision <= watcher.revision:
-                break
-            entries.append(member)
-        self._deliver(watcher, api.Members(Scope.DELTA, tuple(reversed(entries)), self.revision))
+        scope = Scope.DELTA if watcher.revision else Scope.FULL
+        self._deliver(watcher, api.Members(scope, self._news(watcher), self.revision))
+
+    def _news(self, watcher: Watcher) -> tuple[Member, ...]:
+        """What a router does not know yet: the whole list, or what changed since it was told."""
+        if not watcher.revision:
+            return tuple(self._list.values())
+        newer = takewhile(lambda change: change[0] > watcher.revision, reversed(self._changes))
+        return tuple(member for _, member in newer)[::-1]
 
     def _deliver(self, watcher: Watcher, event: api.Members) -> None:
         watcher.revision = self.revision
--- a/rosepick/lab/world/ports.py
+++ b/rosepick/lab/world/ports.py
@@ -307,7 +307,6 @@
         if not self.alive:
             return
         self.monitor.answered(payload.tried, self.kernel.time, how == "refused", self.name)
-        payload.tried.served = how == "served"
         payload.ended(how, wait)
 
     # -------------------------------------------------------------------------------------------- its end
--- a/rosepick/lab/world/requests.py
+++ b/rosepick/lab/world/requests.py
@@ -10,6 +10,7 @@
 
 import numpy as np
 
+from ...core.transport_map import key_number
 from ..experiment import Class, Experiment, ExperimentError
 from .draws import Uniform, Work, Zipf, generator
 
@@ -182,13 +183,7 @@
         except (ValueError, KeyError, IndexError):
             faults.append(f"{path.name} line {number}: not `seconds,class,key[,tenant]` in the order of time")
             continue
-        found.append((due, klass, tenant, _key_number(key)))
+        found.append((due, klass, tenant, key_number(key.encode())))
     if faults or not found:
         raise ExperimentError(tuple(faults) or (f"{path.name}: holds no request",))
     return found
-
-
-def _key_number(key: str) -> int:
-    from ...core.transport_map import key_number
-
-    return key_number(key.encode())
--- a/rosepick/lab/world/rules.py
+++ b/rosepick/lab/world/rules.py
@@ -32,7 +32,6 @@
     deadline: float
     sent: list[Sent] = field(default_factory=list)
     answers: int = 0
-    served: bool = False
     gone: bool = False  # its client has left, or its router was killed
 
 
--- a/rosepick/lab/world/server.py
+++ b/rosepick/lab/world/server.py
@@ -40,10 +40,10 @@
 class Job:
     """One piece of work."""
 
-    __slots__ = ("work", "done", "state", "finish", "came")
+    __slots__ = ("work", "done", "state", "finish")
 
-    def __init__(self, work: float, done: Done, came: float) -> None:
-        self.work, self.done, self.came = work, done, came
+    def __init__(self, work: float, done: Done) -> None:
+        self.work, self.done = work, done
         self.state = "waiting"  # then "running", at last "over"
         self.finish = 0.0  # in virtual time
 
@@ -58,7 +58,6 @@
         self.slow = 1.0  # so many times, by a trouble
         self.fell: Callable[[], None] = lambda: None
         self.busy = 0.0  # core-milliseconds of work that were done, up to the last step
-        self.given = 0.0  # work that was sent to it, on a core of speed 1
         self.worked_cold = 0.0  # core-milliseconds since it started
         self._waiting: deque[Job] = deque()
         self._running: list[tuple[float, int, Job]] = []  # by virtual finish
@@ -120,8 +119,7 @@
             self._overrun(now)
             return None
         self._full_since = None
-        self.given += work
-        job = Job(work, done, now)
+        job = Job(work, done)
         self._step(now)
         if self._in_work < self.shape.slots:
             self._begin(job)
--- a/rosepick/lab/world/troubles.py
+++ b/rosepick/lab/world/troubles.py
@@ -2,45 +2,59 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 
-from ..experiment import LIVE_ONLY, Experiment, ExperimentError, Trouble
+from ..experiment import ExperimentError, Trouble
 from ..results import Span
 from .fleet import CacheNode, Node
 from .world import World
 
 Undo = Callable[[], None]
+Play = Callable[[World, Trouble], tuple[str, Undo]]  # begins a trouble: whom it met, and how it ends
+NO_MORE: Mapping[str, Play] = {}
 
 
-def set_up(world: World) -> None:
-    """Set all troubles of a world's experiment. ExperimentError if one of them is played on sockets only."""
+def set_up(world: World, more: Mapping[str, Play] = NO_MORE) -> None:
+    """Set all troubles of a world's experiment; `more` are kinds that only this world can play.
+    ExperimentError if one of them can be played on sockets only."""
+    kinds = {**_KINDS, **more}
     only_live = [
         f"troubles[{place}].kind {trouble.kind!r} is played with --live only"
-        for place, trouble in enumerate(world.experiment.troubles) if trouble.kind in LIVE_ONLY
+        for place, trouble in enumerate(world.experiment.troubles) if trouble.kind not in kinds
     ]
     if only_live:
         raise ExperimentError(tuple(only_live))
     for trouble in world.experiment.troubles:
-        world.kernel.at(1000.0 * trouble.at, lambda trouble=trouble: _begin(world, trouble))  # type: ignore[misc]
+        world.kernel.at(1000.0 * trouble.at, partial(_begin, world, trouble, kinds[trouble.kind]))
 
 
-def _begin(world: World, trouble: Trouble) -> None:
-    what, undo = _KINDS[trouble.kind](world, trouble)
+def _begin(world: World, trouble: Trouble, play: Play) -> None:
+    what, undo = play(world, trouble)
     until = trouble.at + trouble.last
     world.measure.spans.append(Span(trouble.kind, trouble.at, until, what))
     if trouble.last:
         world.kernel.at(1000.0 * until, undo)
 
 
-def _nothing() -> None:
+def nothing() -> None:
     """What happened cannot be taken back."""
 
 
-def _chosen(world: World, trouble: Trouble) -> list[CacheNode]:
+def chosen(world: World, trouble: Trouble) -> list[CacheNode]:
+    """The cache nodes that a trouble meets."""
     return world.choose(world.cache_nodes(trouble.zone), trouble.nodes, trouble.part)
 
 
-def _names(nodes: list[CacheNode]) -> str:
+def met(world: World, trouble: Trouble) -> list[Node]:
+    """The cache nodes that a trouble meets; all of them and the origin if none is named."""
+    if trouble.nodes is not None or trouble.part is not None or trouble.zone:
+        return list(chosen(world, trouble))
+    return [*world.cache_nodes(), world.origin]
+
+
+def named(nodes: Sequence[Node]) -> str:
+    """The names of some nodes, for who reads."""
     more = f" and {len(nodes) - 8} more" if len(nodes) > 8 else ""
     return ", ".join(node.uid for node in nodes[:8]) + more
 
@@ -48,7 +62,7 @@
 def _each(
     world: World, trouble: Trouble, begin: Callable[[CacheNode], None], end: Callable[[CacheNode], None]
 ) -> tuple[str, Undo]:
-    nodes = _chosen(world, trouble)
+    nodes = chosen(world, trouble)
     for node in nodes:
         begin(node)
 
@@ -56,7 +70,7 @@
         for node in nodes:
             end(node)
 
-    return _names(nodes), undo
+    return named(nodes), undo
 
 
 def _slow(world: World, trouble: Trouble) -> tuple[str, Undo]:
@@ -79,7 +93,7 @@
 
 def _replace(world: World, trouble: Trouble) -> tuple[str, Undo]:
     """Each is replaced by a new one, one after another over the time of the trouble."""
-    nodes = _chosen(world, trouble)
+    nodes = chosen(world, trouble)
     step = 1000.0 * trouble.last / max(1, len(nodes))
 
     def replace(node: CacheNode) -> None:
@@ -88,15 +102,15 @@
 
     for place, node in enumerate(nodes):
         world.kernel.after(place * step, lambda node=node: replace(node))  # type: ignore[misc]
-    return _names(nodes), _nothing
+    return named(nodes), nothing
 
 
 def _shrink(world: World, trouble: Trouble) -> tuple[str, Undo]:
-    nodes = _chosen(world, trouble)
+    nodes = chosen(world, trouble)
     step = 1000.0 * trouble.last / max(1, len(nodes))
     for place, node in enumerate(nodes):
         world.kernel.after(place * step, lambda node=node: world.drain(node))  # type: ignore[misc]
-    return _names(nodes), _nothing
+    return named(nodes), nothing
 
 
 def _grow(world: World, trouble: Trouble) -> tuple[str, Undo]:
@@ -104,7 +118,7 @@
     count = (trouble.nodes or max(1, round((trouble.part or 0.0) * len(among)))) if among else 0
     alike = [among[place % len(among)] for place in range(count)]
     made = [world.add_node(node.group, node.zone, world.kernel.time) for node in alike]
-    return _names(made), _nothing
+    return named(made), nothing
 
 
 def _cut(world: World, trouble: Trouble) -> tuple[str, Undo]:
@@ -121,12 +135,11 @@
     return _each(world, trouble, turn(1), turn(-1))
 
 
-def _share(name: str) -> Callable[[World, Trouble], tuple[str, Undo]]:
+def _share(name: str) -> Play:
     """Such a part of the attempts at some nodes, or at all of them and the origin if none is named."""
 
     def begin(world: World, trouble: Trouble) -> tuple[str, Undo]:
-        named = trouble.nodes is not None or trouble.part is not None or trouble.zone
-        nodes: list[Node] = list(_chosen(world, trouble)) if named else [*world.cache_nodes(), world.origin]
+        nodes = met(world, trouble)
         for node in nodes:
             getattr(node, name).append(trouble.share)
 
@@ -173,26 +186,21 @@
     return f"{trouble.by:g} times", lambda: world.requests.surges.remove(trouble.by)
 
 
-def _routers(back: bool) -> Callable[[World, Trouble], tuple[str, Undo]]:
+def _routers(back: bool) -> Play:
     def begin(world: World, trouble: Trouble) -> tuple[str, Undo]:
         places = range(min(trouble.routers or 1, len(world.routers)))
         down = trouble.down if back else trouble.last or None
         for place in places:
             world.kill_router(place, None if down is None else 1000.0 * down)
-        return ", ".join(f"router-{place}" for place in places), _nothing
+        return ", ".join(f"router-{place}" for place in places), nothing
 
     return begin
 
 
-_KINDS: dict[str, Callable[[World, Trouble], tuple[str, Undo]]] = {
+_KINDS: dict[str, Play] = {
     "slow": _slow, "stop": _stop, "restart": _restart, "replace": _replace, "shrink": _shrink, "grow": _grow,
     "cut": _cut, "silent": _silent, "stale": _stale, "discovery_down": _discovery_down,
     "origin_slow": _origin_slow, "origin_stop": _origin_stop, "flash": _flash, "surge": _surge,
     "router_kill": _routers(False), "router_restart": _routers(True), "hang": _share("hang_shares"),
     "reset": _share("reset_shares"),
 }
-
-
-def playable(experiment: Experiment) -> bool:
-    """Whether all troubles of an experiment can be simulated."""
-    return all(trouble.kind in _KINDS for trouble in experiment.troubles)
--- a/rosepick/logs.py
+++ b/rosepick/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import sys
 import time
 import traceback
@@ -35,6 +36,22 @@
     return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
 
 
+_PAIR = re.compile(r'(\w+)=(?:"((?:\\.|[^"\\])*)"|(\S*))')
+_SIGNS = {"n": "\n", "r": "\r", "t": "\t"}
+
+
+def fields_of(line: str) -> dict[str, str]:
+    """The fields of a line as `KeyValueFormatter` writes it."""
+
+    def sign(found: re.Match[str]) -> str:
+        return _SIGNS.get(found[1], found[1])
+
+    return {
+        key: re.sub(r"\\(.)", sign, quoted) or plain
+        for key, quoted, plain in _PAIR.findall(line)
+    }
+
+
 class KeyValueFormatter(logging.Formatter):
     """time=... level=... part=... event=... and the event's own fields."""
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,6 +13,7 @@
 from rosepick.decisions.api import State
 from rosepick.lab import experiment, results, sim
 from rosepick.lab.experiment import ExperimentError, Must
+from rosepick.lab.live import faults
 from rosepick.lab.measure import Measure
 from rosepick.lab.world import troubles
 from rosepick.lab.world.requests import Requests
@@ -183,7 +184,7 @@
 def test_every_trouble_that_is_simulated_is_played() -> None:
     kinds = [
         kind for kind in experiment.KINDS.__args__  # type: ignore[attr-defined]
-        if kind not in experiment.LIVE_ONLY
+        if kind not in faults.KINDS
     ]
     rows = ", ".join(
         f'{{kind = "{kind}", at = {1.0 + 0.05 * n}, for = 0.5'
@@ -194,13 +195,46 @@
     assert [span.kind for span in run.troubles] == kinds
     assert all(span.what for span in run.troubles)
     assert run.broken == []
-    for kind in experiment.LIVE_ONLY:
+    for kind in faults.KINDS:
         given = experiment.read(f'{SMALL}troubles = [{{kind = "{kind}", at = 1}}]', "f")
-        assert not troubles.playable(given)
         with pytest.raises(ExperimentError, match=f"kind '{kind}' is played with --live only"):
             sim.play(given, 1, "rosepick", {})
 
 
+@pytest.mark.parametrize(("given", "text"), [
+    ("since = 3.5", "from 3.5 to 4 s"), ("since = 2\nuntil = 2", "from 2 to 2 s"),
+    ("after = 1\nwithin = 3", "from 4 to 4 s"),
+])
+def test_nothing_is_held_over_no_time_at_all(given: str, text: str) -> None:
+    rows = f'[[troubles]]\nkind = "slow"\nat = 0.5\nfor = 0.5\n[[must]]\nwhat = "p99_ms"\nmost = 1\n{given}'
+    with pytest.raises(ExperimentError, match=f"no whole second {text}"):
+        experiment.read(SMALL + rows, "f", {"length": 4.0})
+
+
+def test_a_second_that_a_trouble_ends_in_does_not_count_as_after_it() -> None:
+    measure = Measure(experiment.read(SMALL, "f", {"length": 4.0}))
+    for second in range(4):
+        measure.offered(1000.0 * second, "read", "", 1.0)
+    assert measure.figures(1.7, 4.0)["offered"] == 2.0
+    assert measure.figures(1.0, 2.5)["offered"] == 2.0
+
+
+def test_a_call_to_discovery_takes_longer_by_each_line_that_it_tells() -> None:
+    def heard(line_ms: float) -> tuple[float, int]:
+        """When a router that knows nothing is told, and how many lines."""
+        given = experiment.read(SMALL, "f", {"discovery.line_ms": line_ms, "discovery.call_ms": 1.0})
+        world = World(given, 1, Measure(given))
+        told: list[float] = []
+        watcher = world.discovery.join(lambda event: told.append(world.kernel.time), 0)
+        watcher.revision = 0  # it knows nothing
+        world.discovery.watch(watcher, True)
+        world.kernel.run(1_000.0)
+        return told[0], len(world.discovery._list)
+
+    (quick, _), (slow, lines) = heard(0.0), heard(10.0)
+    assert slow - quick == pytest.approx(10.0 * lines)
+
+
 def test_drained_nodes_get_nothing_and_replaced_ones_are_cold_and_known() -> None:
     text = SMALL + 'troubles = [{kind = "replace", at = 1, for = 1, nodes = 2}]'
     given = experiment.read(text, "f", {"length": 10.0})
@@ -212,7 +246,7 @@
     states = [node.state for node in world.nodes.values() if node is not world.origin]
     assert states.count(State.GONE) == 2 and states.count(State.READY) == 4
     new = [node for node in world.cache_nodes() if node.server.born > 0]
-    assert len(new) == 2 and all(node.server.given > 0 for node in new)
+    assert len(new) == 2 and all(node.server.busy > 0 for node in new)
     assert measure.broken == []
 
 
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -147,7 +147,7 @@
     measure = Measure(experiment())
     right = [sent(101, 120), sent(121, 149, Result.OK), sent(140.0, 141.0)]
     right[-1].request = "6.1"
-    judge(measure.experiment, measure, right, [tried(), tried("left"), tried("refused")])
+    judge(measure.experiment, measure, right, [tried(), tried("left"), tried("crossed"), tried("refused")])
     judge(measure.experiment, measure, [sent(849, 860, told=100.0)], [tried("served", 870.0)])
     held_at_its_death = Down(0, 140.0, 151.0)
     judge(measure.experiment, measure, [], [tried("broke")], [held_at_its_death])
@@ -320,6 +320,11 @@
         other.ask()
         answers = {here.answered(wire).status: wire for wire in (one, other)}
         assert set(answers) == {404, 503}
+        answers[503].sock.close()
+        here.until(lambda: len(here.stand().links) == 1)
+        another = here.wire()  # one that was declined frees no place as it ends
+        another.ask()
+        assert here.answered(another).status == 503
 
 
 @pytest.mark.parametrize("kind", ["stop", "restart"])
@@ -334,6 +339,21 @@
         assert here.answered(again).status == 404
 
 
+def test_troubles_of_one_kind_may_overlap() -> None:
+    two = "".join(
+        f'[[troubles]]\nkind = "{kind}"\nat = 0.02\nfor = {last}\nshare = {share}\nnodes = 1\n'
+        for kind in ("refuse", "garbage") for last, share in ((0.1, 0.9), (0.4, 0.1))
+    )
+    with yard(experiment(two, ONE_NODE)) as here:
+        stand = here.stand()
+        here.until(lambda: stand.refusals == 2)
+        assert max(stand.garbage_shares) == 0.9
+        here.until(lambda: stand.refusals == 1)
+        assert stand.garbage_shares == [0.1] and here.refuses()
+        here.until(lambda: stand.refusals == 0)
+        assert stand.garbage_shares == []
+
+
 def test_a_refusing_node_keeps_its_connections() -> None:
     with yard(with_trouble("refuse", "for = 0.3")) as here:
         wire = here.wire()
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -110,6 +110,8 @@
         record.fields = {"ms": 1.25, "text": 'a "b"\n'}
         line = logs.KeyValueFormatter().format(record)
         self.assertTrue(line.endswith(r'level=info part=net.pool event=closed ms=1.2 text="a \"b\"\n"'), line)
+        read = logs.fields_of(line)
+        self.assertEqual((read["part"], read["ms"], read["text"]), ("net.pool", "1.2", 'a "b"\n'))
 
     def test_storm(self) -> None:
         now = [0.0]
