Give simulated and live clients one set of manners

Pause, aim, retries and what may be tried again stood in the simulated clients and, word for word, in those on sockets; the comparison of the two kinds of run rests on their being the same. They are two functions in lab/world/manners.py now.

--- a/rosepick/lab/live/clients.py
+++ b/rosepick/lab/live/clients.py
@@ -13,6 +13,7 @@
 from ..experiment import Experiment
 from ..world.clients import RECONNECT
 from ..world.draws import Uniform
+from ..world.manners import end_of, pause
 from ..world.requests import Request
 from .client_links import ClientLink, Pool
 from .plan import name_of
@@ -128,14 +129,11 @@
         """A try has its end."""
         if self.over:
             return
-        if how == "served":
-            took = self.clients.now() - self.request.due
-            self._end("in_time" if took <= 1000.0 * self.klass.aim else "late")
-            return
         self._last = how
-        harmless = how == "refused" or self.klass.effect == "retryable"
-        if self.tries > self.clients.experiment.clients.retries or not harmless:
-            self._end(how)
+        took = self.clients.now() - self.request.due
+        end = end_of(self.clients.experiment.clients, self.klass, self.tries, how, took)
+        if end is not None:
+            self._end(end)
         else:
             self.clients.at(self.clients.now() + self.clients.pause(wait), self.ask)
 
@@ -233,14 +231,8 @@
             self._done()
 
     def pause(self, told: float) -> float:
-        """How long a client waits before it comes back, in milliseconds; the model's clients do the same."""
-        clients = self.experiment.clients
-        usual = 1000.0 * clients.pause * (0.5 + self._pauses())
-        if clients.manner == "at once":
-            return 0.0
-        if clients.manner == "in step":
-            return 1000.0 - self.now() % 1000.0
-        return told if clients.manner == "obey" and told > 0 else usual
+        """How long a client waits before it comes back, in milliseconds."""
+        return pause(self.experiment.clients, told, self.now(), self._pauses())
 
     def _unasked(self, router: int) -> Callable[[], None]:
         def note() -> None:
--- a/rosepick/lab/world/clients.py
+++ b/rosepick/lab/world/clients.py
@@ -12,6 +12,7 @@
 from ..measure import Measure
 from .draws import Uniform
 from .kernel import Kernel
+from .manners import end_of, pause
 from .ports import Payload, Router
 from .requests import Request
 from .rules import Try
@@ -82,31 +83,20 @@
             return
         request = wish.request
         one = self.experiment.classes[request.klass]
-        if how == "served":
-            took = self.kernel.time - request.due
-            self._end(wish, "in_time" if took <= 1000.0 * one.aim else "late")
-            return
         wish.last = how
-        harmless = how == "refused" or one.effect == "retryable"
-        if wish.tries > self.experiment.clients.retries or not harmless:
-            self._end(wish, how)
+        took = self.kernel.time - request.due
+        end = end_of(self.experiment.clients, one, wish.tries, how, took)
+        if end is not None:
+            self._end(wish, end)
             return
-        self.kernel.after(self._pause(wait), lambda: self._try(wish))
+        # drawn each time, whatever the manner: what follows is then the same for all of them
+        wait = pause(self.experiment.clients, wait, self.kernel.time, self._pauses())
+        self.kernel.after(wait, lambda: self._try(wish))
 
     def lost(self, payload: Payload) -> None:
         """The router of a try was killed: its client sees the connection break."""
         payload.ended("failed", 0.0)
 
-    def _pause(self, told: float) -> float:
-        """How long a client waits before it comes back, in milliseconds."""
-        clients = self.experiment.clients
-        usual = 1000.0 * clients.pause * (0.5 + self._pauses())
-        if clients.manner == "at once":
-            return 0.0
-        if clients.manner == "in step":
-            return 1000.0 - self.kernel.time % 1000.0
-        return told if clients.manner == "obey" and told > 0 else usual
-
     def _leave(self, wish: Wish) -> None:
         """The client leaves before its time is up."""
         if wish.over:
