Open a door for operators, and take clients beside the process that is replaced

Cause: the second process of an upgrade bound the address that the first one holds and ended with status 1; nothing answered at the operators' address. Change: rosepick/ops (line protocol and telemetry document, pure), net/ops.py with descriptors and a selector of its own, figures counted by the engine and the pool by class; GW_LISTEN_FD is served without being bound or shut down; rosepick/upgrade and seats in $TMPDIR divide descriptors and memory, and a new process takes clients once discovery has told it a list.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -151,6 +151,8 @@
         self.envelopes: dict[int, Envelope] = {}
         self.owed = 0  # envelopes without their final answer
         self.counts: Counter[str] = Counter()
+        self.ended: Counter[tuple[int, End]] = Counter()  # by class
+        self.written: Counter[int] = Counter()  # delivery attempts written whole, by class
         self._last_ref = 0
         self._events: deque[api.Event | Envelope] = deque()
         self._busy = False
@@ -175,6 +177,10 @@
             self._tell(api.ClientGone(envelope.ref))
             self._forget(envelope)
 
+    def turned_away(self, klass: int) -> None:
+        """A front could not take a request of that class."""
+        self.ended[klass, End.FAILED] += 1
+
     def map_told(self, event: api.Members) -> None:
         """Discovery told, or failed."""
         self._tell(event)
@@ -350,6 +356,7 @@
     def _close(self, envelope: Envelope, end: End) -> SenderSide:
         envelope.over = True
         self.counts[(End.FAILED if end is End.LATE else end).value] += 1
+        self.ended[envelope.klass, end] += 1
         self.owed -= 1
         if envelope.net is not None:
             envelope.net.cancel()
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -853,8 +853,7 @@
         if job.spread > 1:
             stay = None
         if stay is not None and stay.id not in tried and self._may_use(stay, job.slot):
-            # While short, a key that hits where it is does not change its pool: that would cost the origin a
-            # fetch more.
+            # While short, a key that hits where it is does not change its pool: that would cost a fetch more.
             wait = self._wait(job, stay)
             if wait <= bound:
                 self._count(job, False)
@@ -909,7 +908,7 @@
         return self.origin.lag if dear else 0.0
 
     def _wait(self, job: Job, server: Server) -> float:
-        """Expected time of an answer; past the aim where there is no room left."""
+        """Expected time of an answer; past the aim where no room is left."""
         wait = server.expect(self.now, self.usual)
         if server.out >= server.room * (1.0 + ROOM_DEAR * job.value / self.top_value):
             wait = max(wait, job.klass.aim * (1.0 + server.out / server.room))
@@ -934,11 +933,10 @@
             if s.state is State.READY and self.now >= s.warm_until
             and not s.failing and s.member.kind != self.settings.origin_kind
         ]
-        # Guards against a zone that started as a whole and idles: then all warm ones are the measure.
         near = [s for s in warm if s.member.zone == server.member.zone]
         size = sum(s.member.weight for s in warm) / len(warm) if warm else 0.0
         part = 1.0 if near or size <= 0 else COLD_FAR * min(1.0, server.member.weight / size)
-        warm = near or warm
+        warm = near or warm  # a zone that started as a whole idles: then all warm ones are the measure
         usual = part * sum(s.sent_within(self.now, span) for s in warm) / len(warm) if warm else 0.0
         return server.sent_within(self.now, span) < COLD_FLOOR + COLD_SHARE * server.least(self.now) * usual
 
@@ -1183,8 +1181,7 @@
             server.sample(now, job.klass.aim, attempt.load)
         if job.keep and result not in (*UNTOLD, Result.UNFIT):
             bad = silent or result in (Result.ERROR, Result.FULL) or event.lag > job.klass.aim
-            # While overflow is wide and the origin short, a miss in keep is trouble too: such a key is held
-            # once for the fleet. Not while only cores are short: k' would fall to nothing.
+            # A miss in keep is trouble while the origin is short; not while cores are: k' would fall to 0.
             dear = self.pools.wide_share > 0 and self.origin_waits > 0
             self.filter.record(bad or (missed and dear))
 
@@ -1316,18 +1313,22 @@
             self._log_pressure()
             self.pools.loop(self.origin_waits >= 3)
             self.origin_waits = 0
-        stale = [entry for entry in self.origin.queue if self._stale(entry[2])]
-        for _, _, ref in stale:
-            job = self.jobs.get(ref)
-            if job is not None and job.queued:
+        stale = {entry for entry in self.origin.queue if self._stale(entry[2])}
+        for job in filter(None, (self.jobs.get(ref) for _, _, ref in stale)):
+            if job.queued:
                 self._finish(job)  # told at once: a client left waiting for nothing comes back all the same
         if stale:
-            self.origin.queue = [entry for entry in self.origin.queue if not self._stale(entry[2])]
+            self.origin.queue = [entry for entry in self.origin.queue if entry not in stale]
             heapq.heapify(self.origin.queue)
         self._drain_queue()
         self.origin_waits += bool(self.origin.queue) or self.origin.slow()
         self._probes()
 
+    def avoided(self) -> int:
+        """How many servers of the list get nothing at present."""
+        listed = (s for s in self.membership.servers.values() if s.state is not State.GONE)
+        return sum(s.failing or s.state is State.DRAINING for s in listed)
+
     def _probe(self, server: Server) -> None:
         if self.settings.limits.probes and not server.probing and server.state is State.READY:
             server.probing = True
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -74,6 +74,7 @@
 
     status: int
     reason: str
+    klass: int | None = None  # where it stated a class that is known
 
 
 class Other:
@@ -144,7 +145,12 @@
         """Refuse what came; where it ends is not known, so nothing after it is read."""
         self._parser = None
         self.partial = False
-        self._inbox.append((Rejected(problem.status, str(problem)), False))
+        self._inbox.append((self._rejected(problem), False))
+
+    def _rejected(self, problem: Bad) -> Rejected:
+        """The refusal, with the class that the request states: it is the request's final answer."""
+        name = self._headers.get(b"req-kind", b"").decode("latin-1")
+        return Rejected(problem.status, str(problem), self._names.classes.get(name))
 
     def next(self) -> Received | None:
         """The next request to answer, unless one is being answered."""
@@ -241,7 +247,7 @@
         try:
             received = self._read(method)
         except Bad as problem:
-            received = Rejected(problem.status, str(problem))
+            received = self._rejected(problem)
         self._inbox.append((received, self._parser.should_keep_alive()))
 
     # --------------------------------------------------------------------------------- what they say
--- a/rosepick/net/budget.py
+++ b/rosepick/net/budget.py
@@ -13,4 +13,8 @@
     def __init__(self, limit: int, memory_mb: float = 192.0, doors_part: float = 0.5) -> None:
         super().__init__(limit, doors_part)
         self.held = 0
+        self.remember(memory_mb)
+
+    def remember(self, memory_mb: float) -> None:
+        """So much memory is the router's from now on."""
         self.most_held = int(ANSWERS_PART * memory_mb * 1024 * 1024)
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -56,7 +56,7 @@
 
     def __init__(
         self, loop: Loop, budget: Budget, engine: Engine, names: Names, endpoint: tuple[str, int],
-        settings: DoorSettings, sockets: int,
+        settings: DoorSettings, sockets: int, inherited: int | None = None,
     ) -> None:
         self.loop, self.budget, self.engine, self.names = loop, budget, engine, names
         self.settings = settings
@@ -69,8 +69,12 @@
         self.rejected = 0
         self.last_came = loop.now()
         self.doors: list[Door] = []
-        self.add_door("http", endpoint)
-        self.watching = False
+        self.shared = inherited is not None
+        if inherited is None:
+            self.add_door("http", endpoint)
+        else:
+            self._door(Door("http", _inherited(inherited, settings.queue), Stream, SenderLink))
+        self.watching = self.begun = False
         self.open = True
         self._crowd_since: float | None = None
         self._closed_before: dict[Why, int] = {}
@@ -93,7 +97,9 @@
         self, name: str, endpoint: tuple[str, int], make: StreamMaker = Stream, link: LinkMaker = SenderLink
     ) -> Door:
         """Another address. What comes in there counts, waits and ends as all the others."""
-        door = Door(name, _listen(endpoint, self.settings.queue), make, link)
+        return self._door(Door(name, listen(endpoint, self.settings.queue), make, link))
+
+    def _door(self, door: Door) -> Door:
         self.doors.append(door)
         return door
 
@@ -109,10 +115,14 @@
     def start(self) -> None:
         """Accept from now on."""
         if self.open and not self.watching:
-            self.watching = True
+            self.watching = self.begun = True
             for door in self.doors:
                 self.loop.watch(door.sock, READ, partial(self._accept, door))
 
+    def up(self) -> bool:
+        """Whether clients are taken."""
+        return self.begun and not self.ending
+
     def pause(self) -> None:
         """Leave new connections in the queue."""
         if self.watching:
@@ -122,7 +132,7 @@
 
     def freed(self) -> None:
         """A descriptor was freed."""
-        if not self.watching and self.budget.used < self.budget.limit and not self._full():
+        if self.begun and not self.watching and self.budget.used < self.budget.limit and not self._full():
             self.start()
 
     # ---------------------------------------------------------------------------------------- accepting
@@ -239,8 +249,9 @@
         return True
 
     def close(self) -> None:
-        """Accept no more. What the machine has accepted already is taken: guards against its reset."""
-        for door in self.doors:
+        """Accept no more. What the machine has accepted already is taken: guards against its reset. But what
+        waits at a socket that another process holds too is that one's; only our copy is closed."""
+        for door in self.doors[int(self.shared):]:
             while self.open and self._accept_one(door):
                 pass
         self.pause()
@@ -297,7 +308,7 @@
             )
 
 
-def _listen(endpoint: tuple[str, int], queue: int) -> socket.socket:
+def listen(endpoint: tuple[str, int], queue: int) -> socket.socket:
     """A listening socket. The address may still be held by a predecessor that answers what it owes: guards
     against a restart that fails for that."""
     until = time.monotonic() + HELD_FOR
@@ -310,3 +321,14 @@
             if problem.errno != errno.EADDRINUSE or time.monotonic() >= until:
                 raise
             time.sleep(0.05)
+
+
+def _inherited(descriptor: int, queue: int) -> socket.socket:
+    """A listening socket that the platform holds, and other processes too: nothing of it is changed but what
+    they all want alike."""
+    sock = socket.socket(fileno=descriptor)
+    if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise OSError(f"descriptor {descriptor} is no listening socket")
+    sock.setblocking(False)
+    sock.listen(queue)
+    return sock
--- a/rosepick/net/loop.py
+++ b/rosepick/net/loop.py
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 LONGEST_WAIT = 1.0  # seconds in one wait: a bound, should a wake-up ever be missed
+URGENT_EACH = 16  # calls of a batch after which what is urgent is looked at
 LATE = 50.0  # a timer later than this is worth a line
 Ready = Callable[[int], None]
 
@@ -39,6 +40,7 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._selector = selectors.DefaultSelector()
+        self._urgent: selectors.EpollSelector | None = None
         self._heap: list[tuple[float, int, int, Timer]] = []
         self._count = 0
         self.stopped = False
@@ -59,17 +61,30 @@
         """Call after so many milliseconds."""
         return self.at(self.now() + delay, call)
 
-    def watch(self, sock: socket.socket, mask: int, ready: Ready) -> None:
-        """Call when a socket is ready."""
-        self._selector.register(sock, mask, ready)
+    def watch(self, sock: socket.socket, mask: int, ready: Ready, urgent: bool = False) -> None:
+        """Call when a socket is ready; an urgent one also amid a long batch of others."""
+        (self._urgently() if urgent else self._selector).register(sock, mask, ready)
 
-    def rewatch(self, sock: socket.socket, mask: int, ready: Ready) -> None:
+    def rewatch(self, sock: socket.socket, mask: int, ready: Ready, urgent: bool = False) -> None:
         """Wait for something else on a watched socket."""
-        self._selector.modify(sock, mask, ready)
+        (self._urgently() if urgent else self._selector).modify(sock, mask, ready)
 
-    def unwatch(self, sock: socket.socket) -> None:
+    def unwatch(self, sock: socket.socket, urgent: bool = False) -> None:
         """Forget a socket."""
-        self._selector.unregister(sock)
+        (self._urgently() if urgent else self._selector).unregister(sock)
+
+    def _urgently(self) -> selectors.EpollSelector:
+        """The selector for what must not wait for a batch; the loop's own one wakes for it."""
+        if self._urgent is None:
+            self._urgent = selectors.EpollSelector()
+            self._selector.register(self._urgent.fileno(), READ, self._look_at_urgent)
+        return self._urgent
+
+    def _look_at_urgent(self, mask: int = 0) -> None:
+        if self._urgent is not None:
+            for key, ready in self._urgent.select(0):
+                if self._urgent.get_map().get(key.fd) is key:
+                    self._call(key.data, ready)
 
     def on_signals(self, calls: Mapping[int, Callable[[], None]]) -> None:
         """Call from the loop after each of these signals; once for several of a kind that came together."""
@@ -105,6 +120,8 @@
         """Let go of the selector."""
         self._heap.clear()
         self._selector.close()
+        if self._urgent is not None:
+            self._urgent.close()
 
     def step(self, longest: float) -> None:
         """Wait once, for so many seconds at most, and call all that is ready."""
@@ -114,12 +131,14 @@
             wait = min(wait, max(0.0, (self._heap[0][0] - self.now()) / 1000.0))
         if self.stopped:
             return
-        for key, mask in self._selector.select(wait):
+        for number, (key, mask) in enumerate(self._selector.select(wait), 1):
             # one that an earlier call of this batch has closed is no longer meant
             if self._selector.get_map().get(key.fd) is key:
                 self._call(key.data, mask)
             # guards against deadlines that pass behind a long batch of reads
             self._run_timers()
+            if number % URGENT_EACH == 0:
+                self._look_at_urgent()
 
     def _run_timers(self) -> None:
         while self._heap and self._heap[0][0] <= self.now():
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -78,6 +78,8 @@
         if exchange.unsent():
             try:
                 exchange.written(self.stream.write(exchange.unsent()))
+                if not exchange.unsent() and self.attempt is not None:
+                    self.pool.engine.written[self.attempt.envelope.klass] += 1
             except OSError:
                 self._read()  # an early answer may have come before the connection broke
                 if self.exchange is exchange:
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -96,27 +96,29 @@
             case Delivered(envelope):
                 self._accept(envelope)
             case Ready():
-                up = not self.listener.ending
+                up = self.listener.up()
                 self._answer(200 if up else 503, b"ready\n" if up else b"ending\n")
-            case Rejected(status, reason):
-                self._reject(status, reason)
+            case Rejected(status, reason, klass):
+                self._reject(status, reason, klass)
 
     def _accept(self, envelope: Envelope) -> None:
         """Hand an envelope over. Guards against an id that another client's open request has: next hops would
         take the two for one."""
         open_ids, req_id = self.listener.open_ids, _id_of(envelope)
         if req_id in open_ids:
-            self._reject(409, "req-id is open already")
+            self._reject(409, "req-id is open already", envelope.klass)
             return
         open_ids.add(req_id)
         self.envelope = envelope
         self.waited_for = envelope.deadline + UNREAD
         self.listener.engine.accept(envelope, self)
 
-    def _reject(self, status: int, reason: str) -> None:
+    def _reject(self, status: int, reason: str, klass: int | None = None) -> None:
         """A request that cannot be taken. One that came with others close behind ends the connection: guards
         against hundreds of them sent ahead, each of which would cost an answer."""
         self.listener.rejected += 1
+        if klass is not None:
+            self.listener.engine.turned_away(klass)
         say(log, logging.WARNING, "rejected", status=status, reason=reason)
         self._answer(status, reason.encode() + b"\n", last=self.machine.sent_ahead())
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -4,6 +4,7 @@
 
 import gc
 import logging
+import os
 import resource
 import signal
 import time
@@ -17,10 +18,14 @@
 from ..core.engine import Engine, ObservedEngine
 from ..core.transport_map import TransportMap
 from ..decisions import api
+from ..decisions.decide import Router
 from ..logs import say
+from ..ops.lines import Said
+from ..ops.telemetry import Figures
 from ..settings.config import Config, ConfigError, changed
 from ..settings.operator_file import OperatorFile, OperatorFileError, Operators
 from ..settings.reader import Reader
+from ..upgrade.standing import Standing
 from .budget import Budget
 from .doors import door_settings
 from .listener import Listener
@@ -32,6 +37,8 @@
 if TYPE_CHECKING:
     from .capture import Capture  # each is loaded only where it is on
     from .multiget import MultiGet
+    from .ops import OpsDoor
+    from .seats import Seats
     from .tls import Tls
 
 log = logging.getLogger(__name__)
@@ -41,6 +48,7 @@
 LAST_ANSWER = 100.0  # after the longest deadline from there the process ends, whoever still lingers
 END_STEP = 20.0
 SUM_UP_EVERY = 10_000.0
+LOOK_BESIDE = 50.0  # between two looks at other processes of this router
 
 
 class Server:
@@ -58,10 +66,14 @@
         self.operators = operators or Operators()
         self.started_with = self.operators.file
         self.loop = loop = loop or Loop()
+        self.reconfig_ok = self.reconfig_failed = 0
+        self.seats = self._seats() if config.listen_fd is not None else None
+        self.standing = Standing(() if self.seats is None else self.seats.others())
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
         self.budget = Budget(
-            _descriptors(config), config.memory_mb, 0.01 * self.operators.file.whole("doors_part")
+            self._may_open(), self.standing.memory(config.memory_mb),
+            0.01 * self.operators.file.whole("doors_part"),
         )
         self.capture = self._capture() if self.operators.capture else None
         self.engine = self._engine()
@@ -73,7 +85,7 @@
         self.engine.next_hops, self.engine.map_source = self.pool, self.watch
         self.listener = Listener(
             loop, self.budget, self.engine, config.names, config.listen, door_settings(self.operators.file),
-            _descriptors(config),
+            self._may_open(), config.listen_fd,
         )
         file = self.operators.file
         self.tls = self._tls() if file.number("tls_listen") is not None else None
@@ -83,8 +95,68 @@
         self.budget.givers = [partial(self.listener.shed, False), self.pool.shed, self.listener.shed]
         self.budget.freed = self.listener.freed
         self.engine.map_told(known.event)
+        self.ops = self._ops(config.ops) if config.ops is not None else None
         self._ending_since = 0.0
 
+    def _seats(self) -> Seats | None:
+        """This process's seat beside others of the same router."""
+        from .seats import seats_in
+
+        return seats_in(os.environ, self.config.listen)
+
+    def _ops(self, endpoint: tuple[str, int]) -> OpsDoor:
+        """The operators' door."""
+        from .ops import OpsDoor
+
+        return OpsDoor(self.loop, endpoint, {"readyz": self._readyz, "telemetry": self._telemetry})
+
+    def _readyz(self) -> Said:
+        if self.listener.up():
+            return Said(True, "ready")
+        return Said(False, "ending" if self.listener.ending else "no list from discovery yet")
+
+    def _telemetry(self) -> Said:
+        return Said(True, "", (self.figures().line(), "END"))
+
+    def figures(self) -> Figures:
+        """What the router reports of itself."""
+        engine, module = self.engine, self.engine.router
+        down = module.avoided() if isinstance(module, Router) else 0
+        return Figures(
+            {place: name for name, place in self.config.names.classes.items()}, engine.ended, engine.written,
+            engine.owed, len(self.map.hops), down, self.reconfig_ok, self.reconfig_failed,
+        )
+
+    def _may_open(self) -> int:
+        """How many descriptors this process may hold: what the operators' door needs is set aside, and what
+        other processes of this router hold is theirs."""
+        limit = _descriptors(self.config)
+        if self.config.ops is not None:
+            from .ops import DESCRIPTORS
+
+            limit -= DESCRIPTORS
+        return self.standing.descriptors(limit)
+
+    def _look_beside(self) -> None:
+        """Follow other processes of this router that come and go."""
+        assert self.seats is not None
+        self.loop.after(LOOK_BESIDE, self._look_beside)
+        self.seats.tell(self.budget.used)
+        before = len(self.standing.others)
+        if not self.standing.look(self.seats.others()):
+            return
+        if len(self.standing.others) != before:
+            say(log, logging.INFO, "beside", others=len(self.standing.others), may_open=self._may_open())
+        self._resize()
+        self._begin()
+
+    def _begin(self) -> None:
+        """Take clients, once that is right."""
+        if not self.listener.begun and self.standing.takes_clients():
+            self.listener.start()
+            host, port = self.listener.sock.getsockname()[:2]
+            say(log, logging.INFO, "serving", name=self.config.name, listen=f"{host}:{port}")
+
     def _capture(self) -> Capture:
         from .capture import Capture
 
@@ -134,13 +206,13 @@
             calls[signal.SIGUSR2] = self.capture.dump
         self.loop.on_signals(calls)
         self.loop.after(SUM_UP_EVERY, self._sum_up)
-        self.listener.start()
         # what was made up to here stays: collections look at what is new only, and seldom
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
-        host, port = self.listener.sock.getsockname()[:2]
-        say(log, logging.INFO, "serving", name=self.config.name, listen=f"{host}:{port}")
+        if self.seats is not None:
+            self._look_beside()
+        self._begin()
         self.loop.run()
         self._sum_up()
         self.close()
@@ -153,6 +225,10 @@
             link.close(Why.ENDING)
         self.pool.close()
         self.watch.watch(False)
+        if self.ops is not None:
+            self.ops.close()
+        if self.seats is not None:
+            self.seats.close()
         if self.capture is not None:
             self.capture.close()
         self.loop.close()
@@ -167,6 +243,8 @@
         )
         self.pool.retire(change.retired)
         self.engine.map_told(change.event)
+        self.standing.listed = True
+        self._begin()
 
     def _silent(self) -> None:
         self.engine.map_told(api.Members(api.Scope.FAILED))
@@ -205,8 +283,10 @@
             told = self._reread()
             TransportMap(told.names, 0.0).take(told.known, cached=True)
         except (ConfigError, ValueError) as problem:
+            self.reconfig_failed += 1
             say(log, logging.ERROR, "reload_failed", text=problem)
             return
+        self.reconfig_ok += 1
         before, self.config = self.config, replace(
             self.config, discovery=told.discovery, sockets=told.sockets
         )
@@ -221,8 +301,9 @@
     def _resize(self) -> None:
         """Apply the limit of descriptors, and what the operators set for connections."""
         self.budget.doors_part = 0.01 * self.operators.file.whole("doors_part")
-        self.budget.resize(_descriptors(self.config))
-        self.listener.apply(door_settings(self.operators.file), _descriptors(self.config))
+        self.budget.resize(self._may_open())
+        self.budget.remember(self.standing.memory(self.config.memory_mb))
+        self.listener.apply(door_settings(self.operators.file), self._may_open())
 
     # --------------------------------------------------------------------------------------- its end
 
@@ -231,7 +312,9 @@
         if self.listener.ending:
             return
         say(log, logging.INFO, "ending", owed=self.engine.owed, connections=len(self.listener.links))
-        self.listener.ending = True
+        self.listener.ending = self.standing.ending = True
+        if self.listener.shared:
+            self.listener.close()  # what waits there is the new process's
         self._ending_since = self.loop.now()
         self.loop.after(STILL_ARRIVING, self._end_if_quiet)
 
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -23,21 +23,22 @@
 class Stream:
     """One connected or connecting socket, without blocking."""
 
-    __slots__ = ("sock", "open", "_loop", "_budget", "_use", "_ready", "_mask", "_pending")
+    __slots__ = ("sock", "open", "_loop", "_budget", "_use", "_ready", "_mask", "_pending", "_urgent")
 
     def __init__(
         self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, mask: int = READ,
-        use: Use = Use.DOORS,
+        use: Use = Use.DOORS, urgent: bool = False,
     ) -> None:
         self.sock = sock
         self.open = True
+        self._urgent = urgent
         self._loop, self._budget, self._use, self._ready, self._mask = loop, budget, use, ready, mask
         self._pending: deque[memoryview] = deque()
         budget.take(use)
         sock.setblocking(False)
         with contextlib.suppress(OSError):  # a peer that has left already
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        loop.watch(sock, mask, ready)
+        loop.watch(sock, mask, ready, urgent)
 
     def connected(self) -> None:
         """A dial has come to its end. OSError if it failed."""
@@ -58,11 +59,11 @@
         if not self.open or mask == self._mask:
             return
         if not self._mask:
-            self._loop.watch(self.sock, mask, self._ready)
+            self._loop.watch(self.sock, mask, self._ready, self._urgent)
         elif not mask:
-            self._loop.unwatch(self.sock)
+            self._loop.unwatch(self.sock, self._urgent)
         else:
-            self._loop.rewatch(self.sock, mask, self._ready)
+            self._loop.rewatch(self.sock, mask, self._ready, self._urgent)
         self._mask = mask
 
     def read(self) -> bytes | None:
@@ -132,7 +133,7 @@
         if self.open:
             self.open = False
             if self._mask:
-                self._loop.unwatch(self.sock)
+                self._loop.unwatch(self.sock, self._urgent)
             self.sock.close()
             self._budget.held -= sum(map(len, self._pending))
             self._pending.clear()
--- a/rosepick/settings/config.py
+++ b/rosepick/settings/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -41,6 +41,8 @@
     conn_idle: float
     dial_timeout: float
     known: readers.Reader
+    ops: tuple[str, int] | None = None  # where operators ask
+    listen_fd: int | None = None  # a listening socket that is inherited
 
 
 ADDRESS = "an address of the form host:port"
@@ -66,7 +68,7 @@
     if not path:
         raise ConfigError("GW_CONFIG is not set; it must name the configuration file")
     try:
-        return read(json.loads(Path(path).read_bytes()))
+        return around(read(json.loads(Path(path).read_bytes())), environment)
     except OSError as problem:
         raise ConfigError(f"{path}: {problem.strerror or problem}") from None
     except (UnicodeDecodeError, json.JSONDecodeError, RecursionError):
@@ -75,6 +77,18 @@
         raise ConfigError(f"{path}: {problem}") from None
 
 
+def around(told: Config, environment: Mapping[str, str]) -> Config:
+    """What the environment tells beside the file, which comes first."""
+    ops, descriptor = environment.get("GW_OPS"), environment.get("GW_LISTEN_FD")
+    if ops and told.ops is None:
+        told = replace(told, ops=address(ops))
+    if not descriptor:
+        return told
+    if not descriptor.isdecimal():
+        raise ValueError(f"GW_LISTEN_FD is {descriptor!r}, not the number of a descriptor")
+    return replace(told, listen_fd=int(descriptor))
+
+
 def read(document: object, reader: Callable[[Any, str], readers.Reader] = readers.Reader) -> Config:
     """The configuration from JSON that was read; ValueError names what is wrong."""
     if not isinstance(document, dict):
@@ -94,6 +108,7 @@
         conn_idle=limits.number("conn_idle", 15_000.0),
         dial_timeout=limits.number("dial_timeout", 250.0),
         known=top.part("known"),
+        ops=None if top.data.get("ops") is None else top.parsed("ops", address, ADDRESS, ("", 0)),
     )
 
 
