Tell the figures as a document alone; test the upgrade's shares, seats and shared socket

Checked: OK on a line of its own before the document, then OK before it on one line; both were read as no figures. The document alone and a line END is what is meant; all figures were true then.

--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -116,7 +116,7 @@
         return Said(False, "ending" if self.listener.ending else "no list from discovery yet")
 
     def _telemetry(self) -> Said:
-        return Said(True, "", (self.figures().line(), "END"))
+        return Said(True, self.figures().line(), ("END",), plain=True)
 
     def figures(self) -> Figures:
         """What the router reports of itself."""
--- a/rosepick/ops/lines.py
+++ b/rosepick/ops/lines.py
@@ -15,11 +15,13 @@
 
     good: bool
     text: str = ""
-    more: tuple[str, ...] = ()  # lines that follow; a line END closes them
+    more: tuple[str, ...] = ()  # lines that follow
+    plain: bool = False  # nothing before the text: a document, which ends with a line of its own
 
     def encode(self) -> bytes:
         """As it is written."""
-        first = f"{'OK' if self.good else 'ERR'} {self.text}".rstrip()
+        word = "OK" if self.good else "ERR"
+        first = self.text if self.plain else f"{word} {self.text}".rstrip()
         return "".join(f"{line}\n" for line in (first, *self.more)).encode()
 
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,189 @@
+"""A new process beside the running one: one listening socket, shares of the limits, seats, the list first."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+from unittest import TestCase, mock
+
+from rosepick.net.seats import Seats, seats_in
+from rosepick.settings import config
+from rosepick.upgrade.standing import Standing
+
+from .scenario import Scenario
+
+LISTEN = ("127.0.0.1", 5000)
+
+
+class Shares(TestCase):
+    def test_alone_all_is_ours_and_beside_others_their_part_is_theirs(self) -> None:
+        self.assertEqual((Standing().descriptors(384), Standing().memory(80.0)), (384, 80.0))
+        beside = Standing((10,))
+        self.assertEqual((beside.descriptors(384), beside.memory(80.0)), (350, 40.0))
+        beside.look((300,))
+        self.assertEqual(beside.descriptors(384), 192)
+
+    def test_both_together_hold_to_the_limit_whatever_each_holds(self) -> None:
+        for limit in (64, 256, 1024):
+            for held in range(0, limit, 7):
+                other = Standing((held,)).descriptors(limit)
+                self.assertLessEqual(min(other, limit) + min(held, limit // 2), limit)
+
+    def test_clients_are_taken_with_a_list_or_when_nobody_else_is_there(self) -> None:
+        self.assertTrue(Standing().takes_clients())
+        beside = Standing((10,))
+        self.assertFalse(beside.takes_clients())
+        beside.listed = True
+        self.assertTrue(beside.takes_clients())
+        beside.listed = False
+        self.assertTrue(beside.look(()))
+        self.assertTrue(beside.takes_clients())
+
+
+class SeatFiles(TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def test_two_see_each_other_until_one_ends(self) -> None:
+        one, two = Seats(self.folder, LISTEN), Seats(self.folder, LISTEN)
+        self.addCleanup(one.close)
+        two.tell(70)
+        self.assertEqual((one.others(), two.others()), ((70,), (0,)))
+        two.close()
+        self.assertEqual(one.others(), ())
+
+    def test_a_process_that_was_killed_leaves_an_empty_seat(self) -> None:
+        code = (
+            "import sys, time; from pathlib import Path; from rosepick.net.seats import Seats; "
+            f"Seats(Path({str(self.folder)!r}), {LISTEN!r}).tell(9); print('x', flush=True); time.sleep(60)"
+        )
+        # Seats must outlive the expression: the descriptor is closed by nobody
+        with subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE) as other:
+            assert other.stdout is not None
+            other.stdout.read(1)
+            mine = Seats(self.folder, LISTEN)
+            self.addCleanup(mine.close)
+            self.assertEqual(mine.others(), (9,))
+            other.send_signal(signal.SIGKILL)
+            other.wait()
+            self.assertEqual(mine.others(), ())
+
+    def test_what_is_left_in_the_folder_does_not_stop_a_start(self) -> None:
+        for number, content in enumerate((b"", b"\xff", b"junk" * 1000)):
+            (self.folder / f"rosepick-127-0-0-1-5000-{number}.seat").write_bytes(content)
+        (self.folder / "rosepick-127-0-0-1-5000-3.seat").mkdir()
+        seats = Seats(self.folder, LISTEN)
+        self.addCleanup(seats.close)
+        self.assertEqual(seats.others(), ())
+        self.assertIsNone(seats_in({"TMPDIR": str(self.folder / "none")}, LISTEN))
+        self.assertIsNone(seats_in({}, LISTEN))
+
+
+class Shared(Scenario):
+    """A process whose clients' socket another one holds too."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.held = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.held.close)
+        environment = mock.patch.dict(os.environ, {"TMPDIR": folder.name})
+        environment.start()
+        self.addCleanup(environment.stop)
+        self.other: Seats | None = self.seat(Path(folder.name))
+        super().setUp()
+
+    def seat(self, folder: Path) -> Seats | None:
+        return Seats(folder, LISTEN)
+
+    def document(self) -> dict[str, Any]:
+        return {**super().document(), "listen": "127.0.0.1:5000"}
+
+    def read(self) -> config.Config:
+        descriptor = str(os.dup(self.held.fileno()))
+        return config.around(super().read(), {"GW_LISTEN_FD": descriptor})
+
+    def tearDown(self) -> None:
+        if self.other is not None:
+            self.other.close()
+        super().tearDown()
+
+
+class Starting(Shared):
+    """The new process: another one lives."""
+
+    def begin(self) -> None:
+        """As `Server.run` does."""
+        self.server.listener.pause()
+        self.server.listener.begun = False
+        self.server._look_beside()
+        self.server._begin()
+
+    def test_it_takes_clients_once_discovery_has_told_a_list(self) -> None:
+        self.begin()
+        self.assertTrue(self.server._readyz().encode().startswith(b"ERR"))
+        self.play("""
+            c1 send GET /ready
+            wait 800
+            d expect GET /v1/endpoints?after=41&wait_ms=0
+            c1 expect nothing
+            d tell 41
+            c1 expect 200 ready
+        """)
+        self.assertTrue(self.server._readyz().encode().startswith(b"OK"))
+
+    def test_it_takes_over_when_the_other_one_has_died(self) -> None:
+        self.begin()
+        assert self.other is not None
+        before = self.server.budget.limit
+        self.other.close()
+        self.play("""
+            wait 60
+            c1 send GET /ready
+            c1 expect 200 ready
+        """)
+        self.assertGreater(self.server.budget.limit, before)
+
+
+class Leaving(Shared):
+    """The old process: what waits in the shared socket is left there."""
+
+    def seat(self, folder: Path) -> Seats | None:
+        return None
+
+    def test_what_is_in_hand_is_answered_and_what_waits_is_the_new_ones(self) -> None:
+        self.play("""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            c3 raw GET /api/k2 HTTP/1.1\\r\\nReq-
+            router end
+        """)
+        waiting = socket.create_connection(self.held.getsockname())
+        self.addCleanup(waiting.close)
+        waiting.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+        self.play("""
+            wait 300
+            s1 send 200 value
+            c1 expect 200 Connection=close
+            c3 raw Id: x9\\r\\nReq-Kind: read\\r\\nReq-Owner: acme\\r\\nReq-Deadline: 1\\r\\n\\r\\n
+            s1 expect GET /api/k2
+            s1 send 200 other
+            c3 expect 200 Connection=close
+            c1 close
+            c3 close
+            wait 600
+            router ended
+        """)
+        # the socket was not shut down: the other holder accepts what waits
+        self.held.setblocking(False)
+        taken, _ = self.held.accept()
+        self.addCleanup(taken.close)
+        self.assertEqual(taken.recv(100), b"GET /ready HTTP/1.1\r\n\r\n")
