--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -36,7 +36,7 @@
         """`offset` is Unix time less the loop's clock; `words` gives the id, key and deadline that a payload
         states; `uid_of` knows the next hops of the list just told."""
         self.seed, self.offset, self.words, self.uid_of = seed, offset, words, uid_of
-        self.kinds, self.owners = _written(names.classes), _written(names.tenants)
+        self.name(names)
         self.version = 0
         self.members: dict[int, tuple[Member, str]] = {}
         self.left: OrderedDict[int, str] = OrderedDict()
@@ -46,6 +46,10 @@
         # Records wait for others: written one by one, each would find the processor's caches cold.
         self._waiting: list[tuple[Callable[..., str], tuple[object, ...]]] = []
 
+    def name(self, names: Names) -> None:
+        """Classes and tenants have these names from now on; places mean what they meant before."""
+        self.kinds, self.owners = _written(names.every_class()), _written(names.every_tenant())
+
     # ---------------------------------------------------------------------------- the engine's observer
 
     def fed(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
--- a/rosepick/cli/check.py
+++ b/rosepick/cli/check.py
@@ -124,11 +124,11 @@
     if not path:
         raise ValueError("not set")
     try:
-        return json.loads(Path(path).read_bytes())
+        return config.parse(Path(path).read_bytes())
     except OSError as problem:
         raise ValueError(f"{path}: {problem.strerror or problem}") from None
-    except (ValueError, RecursionError) as problem:
-        raise ValueError(f"{path}: not valid JSON: {problem}") from None
+    except ValueError as problem:
+        raise ValueError(f"{path}: {problem}") from None
 
 
 def _read(document: Any, notes: Notes) -> None:
@@ -156,7 +156,7 @@
         try:
             TransportMap(told.names, 0.0).take(Reader(one, "known"), cached=True)
         except ValueError as problem:
-            notes.fault(ValueError(str(problem).replace("known.targets[]", f"known.targets[{number}]")))
+            notes.fault(ValueError(str(problem).replace("known.targets[0]", f"known.targets[{number}]")))
 
 
 def _in_force(notes: Notes) -> Iterator[str]:
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -120,6 +120,7 @@
     ref: int = 0
     sender: SenderSide | None = None
     over: bool = False
+    limits: api.Limits = field(default_factory=api.Limits)  # as it was taken with
     attempts: list[DeliveryAttempt] = field(default_factory=list)
     net: TimerHandle | None = None
 
@@ -163,6 +164,7 @@
         """Take an envelope; its final answer is owed from here on."""
         self._last_ref += 1
         envelope.ref, envelope.sender = self._last_ref, sender
+        envelope.limits = self.settings.limits
         self.envelopes[envelope.ref] = envelope
         self.owed += 1
         self.counts["envelopes"] += 1
@@ -177,6 +179,11 @@
             self._tell(api.ClientGone(envelope.ref))
             self._forget(envelope)
 
+    def reconfigure(self, settings: api.Settings) -> None:
+        """Other settings, for envelopes that come from here on."""
+        self.settings = settings
+        self._tell(api.Reconfigured(settings))
+
     def turned_away(self, klass: int) -> None:
         """A front could not take a request of that class."""
         self.ended[klass, End.FAILED] += 1
@@ -307,7 +314,7 @@
     def _allowed(self, envelope: Envelope, attempt: DeliveryAttempt) -> bool:
         """Whether an attempt may go out at all. The module keeps these rules; they are checked once more
         where a breach would be seen by the fleet."""
-        limits = self.settings.limits
+        limits = envelope.limits
         alone = limits.second_copies or not any(other.out for other in envelope.attempts)
         return (
             holds(not envelope.over, "no_send_after_the_answer", ref=envelope.ref)
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -254,6 +254,14 @@
     ref: int
 
 
+@dataclass(frozen=True, slots=True)
+class Reconfigured:
+    """New settings, for what comes from here on. Places of classes and tenants mean what they meant before;
+    mode, zone, origin and the way of discovery stay."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Timer:
     """A timer set earlier has fallen due."""
@@ -280,7 +288,7 @@
 
 
 Event: TypeAlias = (
-    Members | Request | FirstByte | Outcome | ClientGone | Timer | ProbeResult | PeerMessage
+    Members | Request | FirstByte | Outcome | ClientGone | Reconfigured | Timer | ProbeResult | PeerMessage
 )
 
 # ---------------------------------------------------------------------------------------------- actions
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -236,8 +236,7 @@
         return float(self.out)
 
     def report(self, now: float, held: float) -> None:
-        """Take in a load report. It is old when it comes, so only what lasts over several of them counts:
-        single ones would scatter keys over servers that are long idle again."""
+        """Take in a load report. It is old when it comes: only what lasts over several of them counts."""
         seen = max(0.0, held - self.out)
         before = self.others * exp((self.others_at - now) / REPORT_FADE)
         self.others = before + (seen - before) * REPORT_SMOOTH
@@ -252,8 +251,7 @@
         self.lag_at = now
 
     def crowded(self, now: float, lag: float, slow: bool) -> None:
-        """Adapt how much this router keeps in hand here. Guards against queues that a router with few
-        requests cannot see in its own count: all routers cut back when answers slow down."""
+        """Adapt how much is kept in hand here: all routers cut back from queues that none sees by itself."""
         if not slow:
             if self.out + 1 >= self.room * 0.5:
                 self.room += 1.0 / self.room
@@ -269,14 +267,16 @@
             pace = usual + (pace - usual) * exp((self.lag_at - now) / FORGET)
         wait = pace * (1.0 + self.load(now))
         if not self.out and self.lag:
-            # Answers that came say more than reports of others' load: with nothing in hand here, reports
-            # alone may not raise the expectation far. Guards against routers that refuse while servers idle.
+            # guards against routers that, by reports of others' load alone, refuse while servers idle
             wait = min(wait, REPORT_TRUST * pace * (1.0 + self.lag_load))
         return wait / self.least(now)
 
     def least(self, now: float) -> float:
         """The least share of its capacity that it can have, by the warm-up told in the rules."""
-        return 1.0 if now >= self.warm_until else max(0.05, self._ramp(now))
+        if now >= self.warm_until:
+            return 1.0
+        done = max(0.0, (now - self.warm_from) / max(1e-9, self.warm_until - self.warm_from))
+        return max(0.05, self.cold_from + (1.0 - self.cold_from) * done)
 
     def warm_up(self, since: float, rules: api.Rules) -> None:
         """It counts as started at `since`."""
@@ -284,16 +284,6 @@
         self.warm_until = since + rules.warm_within
         self.cold_from = rules.cold_from
 
-    def _ramp(self, now: float) -> float:
-        span = self.warm_until - self.warm_from
-        done = (now - self.warm_from) / span if span > 0 else 1.0
-        return self.cold_from + (1.0 - self.cold_from) * min(1.0, max(0.0, done))
-
-    def alive(self, now: float) -> None:
-        """Any sign of life."""
-        self.life_at = now
-        self.strikes = 0
-
     def strike(self, now: float) -> bool:
         """A sign of silence; enough of them in a row and slots move off it. True when that begins."""
         self.strikes += 1
@@ -306,9 +296,9 @@
         return False
 
     def back(self, now: float, rules: api.Rules, followed: bool) -> None:
-        """A trial succeeded: slots grow in again, slowly if it may have restarted meanwhile. A list that is
-        followed tells of restarts. Guards against a healed link after which all far servers count as cold."""
-        self.alive(now)
+        """Any sign of life. After a trial slots grow in again, slowly if it may have restarted unheard of: a
+        list that is followed tells. Guards against a healed link after which all far ones count as cold."""
+        self.life_at, self.strikes = now, 0
         if self.failing:
             self.failing = False
             self.lag = 0.0
@@ -348,14 +338,12 @@
             return
         if event.scope is not Scope.CACHED:  # also from a watch that began unasked, at a new address
             self.following, self.asked, self.wait = True, False, ASK_FIRST
-        named = set()
         for member in event.members:
-            named.add(member.server)
             self._one(now, member)
-        if event.scope is not Scope.DELTA:
-            for server in list(self.servers.values()):
-                if server.id not in named:
-                    server.state = State.GONE
+        named = {member.server for member in event.members}
+        for server in self.servers.values():
+            if event.scope is not Scope.DELTA and server.id not in named:
+                server.state = State.GONE
         self.version += 1
         for ref in [s.id for s in self.servers.values() if s.state is State.GONE and not s.out]:
             del self.servers[ref]
@@ -369,7 +357,7 @@
                 server.warm_up(member.born, self.settings.rules)
             return
         if member.born > server.member.born:
-            # a restart: cold from then on, and whatever was learned of the old process is void
+            # a restart: cold from then on, and what was learned of the old process is void
             server.warm_up(member.born, self.settings.rules)
             server.lag = 0.0
             if server.failing and member.born > server.failing_since - self.settings.rules.ask_every:
@@ -391,9 +379,8 @@
 
 
 class Table:
-    """The servers of one set in rendezvous order, for each slot that was asked for. Based on ids alone, and
-    on sizes where the list tells them to all routers alike. Churn is followed by small steps: a new server is
-    put in its place in the orders held; one that left stays in them, unusable, until many have left."""
+    """The servers of one set in rendezvous order by ids, and by sizes where all routers are told them alike,
+    for each slot asked for. A new one is put in its place; one that left stays, unusable, until many have."""
 
     def __init__(self, sized: bool) -> None:
         self.sized = sized
@@ -465,9 +452,8 @@
         self.fleet.follow(caches)
 
     def count(self, keep: bool) -> None:
-        """One read. The keep pool's share of the servers follows its share of this router's reads, so that a
-        router spreads what it sends evenly. Guards against an overflow pool crowded by many routers that each
-        see too little to know a popular key."""
+        """One read. The keep pool's share of the servers follows its share of this router's reads: else many
+        routers, that each see too little to know a popular key, crowd the overflow pool."""
         self.seen = min(KEEP_MEMORY, self.seen + 1.0)
         self.share += (keep - self.share) / self.seen
 
@@ -477,8 +463,7 @@
         return size if size < 2 else min(size - 1, max(1, round(size * self.share)))
 
     def holders(self, share: float) -> int:
-        """How many servers of its slot's order hold a key with this share of the reads. Guards against a hot
-        key that alone is more than one server can do, the more so the larger the fleet."""
+        """How many servers of its slot's order hold a key with this share: a hot one is too much for one."""
         return 1 + int(share * len(self.home) / HOT)
 
     def order(self, slot: int, keep: bool, wide: bool) -> Iterator[Server]:
@@ -496,8 +481,7 @@
         return self.wide_share > 0 and unit(slot ^ 0x5EED) < self.wide_share
 
     def loop(self, origin_short: bool) -> None:
-        """Bounded spill: overflow reaches beyond the home zone while that zone is short of cores or memory,
-        or while the origin cannot carry its misses; it draws back slowly."""
+        """Bounded spill: overflow reaches beyond the home zone while that, or the origin, is short."""
         if origin_short:
             self.wide_share = min(1.0, self.wide_share + WIDEN)
         if self.reads < LOOP_SAMPLES:
@@ -516,11 +500,8 @@
     """How many fetches this router has out at the origin, and who waits for one (aside mode)."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self.fine = GATE_AIM * min(c.aim for c in settings.classes)
-        # Guards against a router restarted into a jam, which never saw the origin quick and takes the jam for
-        # its best. In through mode the time of a fetch holds the wait at the cache, so it says less.
+        self.follow(settings)
         aside = settings.mode is Mode.ASIDE
-        self.most = GATE_AIM * max(c.aim for c in settings.classes) if aside else float("inf")
         self.limit = max(GATE_FIRST, GATE_START / settings.routers) if aside else GATE_OPEN
         # no pauses in through mode: a fetch's time holds the wait at the cache; no pause shortens that
         self.floor = GATE_LEAST if aside else 1.0
@@ -528,8 +509,7 @@
         self.pause_until = float("-inf")
         self.busy = 0.0  # fetches out, on the average
         self.busy_at = 0.0
-        # Guards against a limit that collapses on a healthy origin: single times spread widely, so what
-        # is compared is the smoothed time with its own least, never with the quickest answer.
+        # the smoothed time is compared with its own least: single ones spread widely on a healthy origin
         self.best = 0.0
         self.lag = 0.0
         self.seen = 0
@@ -537,6 +517,13 @@
         self.queue: list[tuple[float, int, int]] = []
         self.count = 0
 
+    def follow(self, settings: api.Settings) -> None:
+        """Aims as they are now. `most` guards against a router restarted into a jam, which takes that for its
+        best. In through mode the time of a fetch holds the wait at the cache, so it says less."""
+        aims = [c.aim for c in settings.classes]
+        self.fine = GATE_AIM * min(aims)
+        self.most = GATE_AIM * max(aims) if settings.mode is Mode.ASIDE else inf
+
     def free(self, now: float) -> bool:
         """Whether one more fetch may go out."""
         return self.out < max(1, int(self.limit)) and now >= self.pause_until
@@ -570,8 +557,7 @@
         self.seen += 1
         if self.seen >= GATE_SAMPLES:
             self.best = min(self.best * GATE_DRIFT, self.lag) if self.best else self.lag
-        # One that came back quickly is no sign of crowding, whatever the mean says: guards against a mean
-        # that, once raised by time-outs, keeps a router with few fetches shut for good.
+        # A quick one is no sign of crowding: guards against a mean, raised by time-outs, that shuts it.
         bar = max(self.fine, min(self.most, GATE_SLOW * self.best))
         if not ok or (self.seen >= GATE_SAMPLES and min(lag, self.lag) > bar):
             self.cut(now)
@@ -590,10 +576,16 @@
     """Which requests are beyond their tenant's share: odds against the others' traffic at this router."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self.tenants = settings.tenants
-        self.rate = [0.0] * len(self.tenants)
         self.at = 0.0
-        self.credit = [0.0] * len(self.tenants)
+        self.rate: list[float] = []
+        self.credit: list[float] = []
+        self.follow(settings)
+
+    def follow(self, settings: api.Settings) -> None:
+        """Shares as they are now; tenants are never fewer."""
+        self.tenants = settings.tenants
+        self.rate += [0.0] * (len(self.tenants) - len(self.rate))
+        self.credit += [0.0] * (len(self.tenants) - len(self.credit))
 
     def over(self, now: float, tenant: int) -> bool:
         """Count a request; true if it is beyond its tenant's share."""
@@ -684,6 +676,7 @@
 
     event: api.Request
     klass: api.RequestClass
+    limits: api.Limits  # as it was taken with, like its class
     born: float
     deadline: float
     slot: int
@@ -749,7 +742,7 @@
         self.probe_turn = 0
         self.usual = FIRST_GUESS  # latency for each request in hand, fleet-wide
         self.mean, self.spread = 100.0, 50.0  # latency of cache answers
-        self.top_value = max(c.worth for c in settings.classes) or 1.0
+        self._reconfigure(settings)
         self.started = False
         self.now = self.loop_at = 0.0
         self.actions: list[api.Action] = []
@@ -774,6 +767,8 @@
                 self._timer(event.token)
             case api.Members():
                 self.membership.take(now, event)
+            case api.Reconfigured():
+                self._reconfigure(event.settings)
             case api.ProbeResult():
                 self._probed(event)
             case api.ClientGone():
@@ -782,7 +777,12 @@
                 self._first_byte(event)
         return self.actions
 
-    # ------------------------------------------------------------------------------ a request's way
+    def _reconfigure(self, settings: api.Settings) -> None:
+        """Other settings from now on; what was learned, and the requests in hand with their class, stay."""
+        self.settings = self.membership.settings = self.pools.settings = settings
+        self.origin.follow(settings)
+        self.tenants.follow(settings)
+        self.top_value = max(c.worth for c in settings.classes) or 1.0
 
     def _request(self, event: api.Request) -> None:
         classes = self.settings.classes
@@ -798,7 +798,8 @@
                 self.pools.count(keep)
         over = self.tenants.over(self.now, event.tenant)
         job = Job(
-            event=event, klass=klass, born=self.now, deadline=self.now + max(0.0, event.time_left),
+            event=event, klass=klass, limits=self.settings.limits, born=self.now,
+            deadline=self.now + max(0.0, event.time_left),
             slot=mix(event.key or event.ref) % SLOTS, keep=keep, last=last,
             spread=self.pools.holders(heat) if keep else 1,
             value=klass.worth * (self.settings.over_share_worth if over else 1.0),
@@ -836,8 +837,7 @@
         self._send(job, server)
 
     def _may_fetch(self, job: Job, server: Server) -> bool:
-        """Through mode: whether the origin is likely to be asked, as the key did not go well to this server
-        before. Guards against a slow origin whose failing fetches hold up all else and are repeated."""
+        """Through mode: whether the origin is likely asked; its failing fetches must not hold up all else."""
         lacking = job.event.key != 0 and not self._held(job, server)
         return self.settings.mode is Mode.THROUGH and (job.event.write or lacking)
 
@@ -849,9 +849,8 @@
         pools = self.pools
         bound = BOUND * job.klass.aim
         tried = job.tried()
-        stay = self.membership.servers.get(job.last) if job.keep and pools.wide_share > 0 else None
-        if job.spread > 1:
-            stay = None
+        stays = job.keep and pools.wide_share > 0 and job.spread == 1
+        stay = self.membership.servers.get(job.last) if stays else None
         if stay is not None and stay.id not in tried and self._may_use(stay, job.slot):
             # While short, a key that hits where it is does not change its pool: that would cost a fetch more.
             wait = self._wait(job, stay)
@@ -901,9 +900,8 @@
                 self.filter.record(short)
 
     def _fetch_price(self, job: Job, server: Server) -> float:
-        """Aside mode, while the origin is short: a move away from where the key was last served is likely to
-        miss, and takes a fetch more. Guards against a crowded fleet that shuns its holders and so crowds the
-        origin. (In through mode the time of a fetch holds the wait at the cache, so it is no such price.)"""
+        """Aside mode, while the origin is short: a move away from where the key was last served likely costs
+        a fetch. Guards against a crowded fleet that shuns its holders and so crowds the origin."""
         dear = self.origin_waits > 0 and self.settings.mode is Mode.ASIDE and not self._held(job, server)
         return self.origin.lag if dear else 0.0
 
@@ -997,7 +995,7 @@
 
     def _may_send(self, job: Job, server: Server) -> bool:
         """The rules, for every path: one final answer, no second effect, orderly drain, attempts, copies."""
-        limits, klass = self.settings.limits, job.klass
+        limits, klass = job.limits, job.klass
         if job.final or self.now >= job.deadline or len(job.attempts) >= limits.max_attempts:
             return False
         if server.state is not State.READY:
@@ -1055,25 +1053,19 @@
         if job.check_at < job.deadline:
             self.actions.append(api.SetTimer(CHECK | job.ref, job.check_at))
 
-    def _finish(self, job: Job) -> None:
-        """The final answer of a request that is not served: refused where that is true, else failed."""
+    def _finish(self, job: Job, unfit: bool = False) -> None:
+        """The final answer of a request that is not served: refused where that is true, else failed. One that
+        is unfit fails: guards against a client that is told to ask for the same again."""
         if job.final:
             return
         risk = job.first_risk()
-        if (risk is None or job.anywhere) and self.now < job.deadline:
+        if (risk is None or job.anywhere) and self.now < job.deadline and not unfit:
             away = min(self.settings.limits.max_retry_after, job.klass.aim)
             self.actions.append(api.Refuse(job.ref, away))
         else:
             self.actions.append(api.Fail(job.ref))
         self._close(job)
 
-    def _give_up(self, job: Job) -> None:
-        """The request itself is at fault. Guards against the five attempts that each would cost, and against
-        a client that is told to ask for the same again."""
-        if not job.final:
-            self.actions.append(api.Fail(job.ref))
-            self._close(job)
-
     def _close(self, job: Job, stream: Attempt | None = None) -> None:
         """Nothing more is owed: free what the request holds, let those who wait for its fetch go on."""
         if job.final:
@@ -1132,9 +1124,9 @@
             if not job.outstanding():
                 self._to_origin(job)
         elif event.result is Result.UNFIT:
-            self._give_up(job)
+            self._finish(job, unfit=True)  # not five attempts, each of which would end the same way
         elif not job.outstanding():
-            # Guards against refusals where connections break often: the budget is against storms of load.
+            # a broken connection costs no budget, which is against storms of load
             self._again(job, free=event.result in BROKEN or attempt.wait.stopped)
         if attempt.gated:
             self._drain_queue()
@@ -1218,10 +1210,10 @@
             self._overdue(job)
 
     def _overdue(self, job: Job) -> None:
-        """No answer for a while. The request moves on where another attempt has the better chance (`Waiting`)
-        or its server may be silent. One that answered others meanwhile is slow, and waiting is cheaper."""
+        """No answer for a while: the request moves on where another attempt has the better chance, or its
+        server may be silent. One that answered others meanwhile is slow, and waiting is cheaper."""
         number, attempt = next((n, a) for n, a in enumerate(job.attempts) if a.out)
-        server, limits = attempt.server, self.settings.limits
+        server, limits = attempt.server, job.limits
         movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1 and self._may_repeat(job)
         waited = self.now - attempt.sent
         left, short = self._useful_until(job) - self.now, self.origin_waits > 0 or bool(self.origin.queue)
--- a/rosepick/http/multiget.py
+++ b/rosepick/http/multiget.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from ..settings.config import Names
-from .sender_side import Bad, Other, Received, SenderConnection, number_of, place_of, text_of
+from .sender_side import Bad, Other, Received, Rejected, SenderConnection, number_of, place_of, text_of
 
 PATH = b"/mget"
 KEY_LIMIT = 2048
@@ -29,7 +29,7 @@
 class BatchConnection(SenderConnection):
     """One connection that batches come on: one is answered at a time, in order, as its parts come."""
 
-    def __init__(self, names: Names, max_keys: Callable[[], int]) -> None:
+    def __init__(self, names: Callable[[], Names], max_keys: Callable[[], int]) -> None:
         super().__init__(names)
         self._max_keys = max_keys
         self._chunked = True
@@ -39,7 +39,7 @@
             raise Bad(404, "only /mget is known here")
         if method != b"POST":
             raise Bad(405, "only POST is known here")
-        headers, names = self._headers, self._names
+        headers, names = self._headers, self._names()
         place_of(headers, b"req-kind", names.classes)
         if names.tenants:
             place_of(headers, b"req-owner", names.tenants)
@@ -47,6 +47,9 @@
         keys = _keys(bytes(self._body), self._max_keys())
         return Batch(keys, text_of(headers, b"req-kind"), text_of(headers, b"req-owner"), deadline)
 
+    def _rejected(self, problem: Bad) -> Rejected:
+        return Rejected(problem.status, str(problem))  # a batch is no request of its class
+
     # ------------------------------------------------------------------------------ the batch's answer
 
     def begin(self, closing: bool) -> bytes:
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -4,7 +4,7 @@
 
 import re
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import httptools
@@ -96,7 +96,8 @@
 class SenderConnection:
     """One connection of the sender side: one request is answered at a time, in order."""
 
-    def __init__(self, names: Names) -> None:
+    def __init__(self, names: Callable[[], Names]) -> None:
+        """`names`: those in force, asked when a request has come whole."""
         self._names = names
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._inbox: deque[tuple[Received, bool]] = deque()
@@ -150,7 +151,7 @@
     def _rejected(self, problem: Bad) -> Rejected:
         """The refusal, with the class that the request states: it is the request's final answer."""
         name = self._headers.get(b"req-kind", b"").decode("latin-1")
-        return Rejected(problem.status, str(problem), self._names.classes.get(name))
+        return Rejected(problem.status, str(problem), self._names().classes.get(name))
 
     def next(self) -> Received | None:
         """The next request to answer, unless one is being answered."""
@@ -258,7 +259,7 @@
             return Ready()
         if method not in (b"GET", b"PUT"):
             raise Bad(405, "only GET and PUT are known here")
-        headers, names = self._headers, self._names
+        headers, names = self._headers, self._names()
         cost = headers.get(b"req-cost")
         return Delivered(
             Envelope(
--- a/rosepick/net/multiget.py
+++ b/rosepick/net/multiget.py
@@ -278,7 +278,8 @@
         super().__init__(listener, sock, make)
 
     def make_machine(self) -> BatchConnection:
-        self.batches = BatchConnection(self.listener.names, self.max_keys)
+        listener = self.listener
+        self.batches = BatchConnection(lambda: listener.names, self.max_keys)
         return self.batches
 
     def _handle(self, received: Received) -> None:
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -153,9 +153,8 @@
 
     def __init__(self, loop: Loop, budget: Budget, hops: TransportMap, config: Config) -> None:
         self.loop, self.budget, self.map = loop, budget, hops
-        self.dial_timeout, self.keep_idle = config.dial_timeout, config.conn_idle * IDLE_PART
+        self.apply(config)
         self.dials: OrderedDict[tuple[str, int], Dials] = OrderedDict()  # the most recently dialed last
-        self.stall = STALL * min(klass.aim for klass in config.settings.classes)
         self.engine: Engine
         self.busy: dict[DeliveryAttempt, Link] = {}
         self.idle: dict[int, list[Link]] = {}  # the most recently used last
@@ -164,6 +163,11 @@
         self.wary_until = 0.0  # ... up to this time
         loop.after(SWEEP_EVERY, self._sweep)
 
+    def apply(self, config: Config) -> None:
+        """Other settings from now on."""
+        self.dial_timeout, self.keep_idle = config.dial_timeout, config.conn_idle * IDLE_PART
+        self.stall = STALL * min(klass.aim for klass in config.settings.classes)
+
     # ---------------------------------------------------------------------------- the engine's calls
 
     def deliver(self, attempt: DeliveryAttempt) -> None:
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -49,7 +49,8 @@
 
     def make_machine(self) -> SenderConnection:
         """What reads its requests."""
-        return SenderConnection(self.listener.names)
+        listener = self.listener
+        return SenderConnection(lambda: listener.names)
 
     def ready(self, mask: int) -> None:
         """The socket is ready."""
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -9,7 +9,6 @@
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -22,7 +21,8 @@
 from ..logs import say
 from ..ops.lines import Said
 from ..ops.telemetry import Figures
-from ..settings.config import Config, ConfigError, changed
+from ..settings import config
+from ..settings.config import Config, ConfigError
 from ..settings.operator_file import OperatorFile, OperatorFileError, Operators
 from ..settings.reader import Reader
 from ..upgrade.standing import Standing
@@ -122,9 +122,10 @@
         """What the router reports of itself."""
         engine, module = self.engine, self.engine.router
         down = module.avoided() if isinstance(module, Router) else 0
+        names = {place: name for name, place in self.config.names.every_class().items()}
         return Figures(
-            {place: name for name, place in self.config.names.classes.items()}, engine.ended, engine.written,
-            engine.owed, len(self.map.hops), down, self.reconfig_ok, self.reconfig_failed,
+            names, engine.ended, engine.written, engine.owed, len(self.map.hops), down,
+            self.reconfig_ok, self.reconfig_failed,
         )
 
     def _may_open(self) -> int:
@@ -282,19 +283,25 @@
         try:
             told = self._reread()
             TransportMap(told.names, 0.0).take(told.known, cached=True)
+            renewed = config.renewed(self.config, told)
         except (ConfigError, ValueError) as problem:
             self.reconfig_failed += 1
             say(log, logging.ERROR, "reload_failed", text=problem)
             return
         self.reconfig_ok += 1
-        before, self.config = self.config, replace(
-            self.config, discovery=told.discovery, sockets=told.sockets
-        )
+        before, self.config = self.config, renewed
         host, port = told.discovery
         say(
             log, logging.INFO, "reloaded", discovery=f"{host}:{port}", sockets=told.sockets,
-            needs_restart=",".join(changed(before, told)) or "nothing",
+            classes=",".join(renewed.names.classes), max_attempts=renewed.settings.limits.max_attempts,
+            needs_restart=",".join(config.changed(before, told)) or "nothing",
         )
+        self.listener.names = renewed.names
+        self.pool.apply(renewed)
+        if self.capture is not None:
+            self.capture.recorder.name(renewed.names)
+        if renewed.settings != before.settings:
+            self.engine.reconfigure(renewed.settings)
         if told.discovery != before.discovery:
             self.watch.move(told.discovery)
 
--- a/rosepick/settings/config.py
+++ b/rosepick/settings/config.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from ..decisions import api
 from . import reader as readers
@@ -24,6 +24,16 @@
     tenants: Mapping[str, int]
     zones: Mapping[str, int]
     kinds: Mapping[str, int]
+    gone_classes: Mapping[str, int] = field(default_factory=dict)  # that vanished: their places stay theirs
+    gone_tenants: Mapping[str, int] = field(default_factory=dict)
+
+    def every_class(self) -> dict[str, int]:
+        """Classes that are or were."""
+        return {**self.gone_classes, **self.classes}
+
+    def every_tenant(self) -> dict[str, int]:
+        """Tenants that are or were."""
+        return {**self.gone_tenants, **self.tenants}
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +53,7 @@
     known: readers.Reader
     ops: tuple[str, int] | None = None  # where operators ask
     listen_fd: int | None = None  # a listening socket that is inherited
+    keys: frozenset[str] = frozenset()  # that the file holds, by their places; of classes those of every one
 
 
 ADDRESS = "an address of the form host:port"
@@ -56,10 +67,67 @@
     return host.strip("[]"), int(port)
 
 
-def changed(before: Config, after: Config) -> tuple[str, ...]:
+def renewed(before: Config, told: Config) -> Config:
+    """The configuration in force once a running router has taken a new file. A class or a tenant keeps its
+    place, also one that has vanished: open requests go by places. What needs a restart stays as it was."""
+    lacking = sorted(before.keys - told.keys)
+    if lacking:  # guards against rules that fall back to defaults as a file was cut or a line of it lost
+        raise ValueError(f"setting {lacking[0]} is missing; the file in force has it")
+    classes, rows = _placed(
+        before.names.every_class(), before.settings.classes, told.names.classes, told.settings.classes
+    )
+    tenants, shares = _placed(
+        before.names.every_tenant(), before.settings.tenants, told.names.tenants, told.settings.tenants
+    )
+    was = before.settings
+    return replace(
+        told,
+        settings=replace(
+            told.settings, classes=rows, tenants=shares, mode=was.mode, origin_kind=was.origin_kind,
+            zone=was.zone, subscribe=was.subscribe, sized_weights=was.sized_weights,
+            report_fields=was.report_fields,
+        ),
+        names=replace(
+            before.names,
+            classes=_now(classes, told.names.classes), tenants=_now(tenants, told.names.tenants),
+            gone_classes=_gone(classes, told.names.classes), gone_tenants=_gone(tenants, told.names.tenants),
+        ),
+        **{key: getattr(before, key) for key in _AT_START},
+    )
+
+
+_AT_START = ("name", "listen", "seed", "ops", "listen_fd", "known")
+
+
+def changed(before: Config, told: Config) -> tuple[str, ...]:
     """What of a new configuration cannot be applied by a running router: it needs a restart."""
-    kept = ("name", "listen", "seed", "memory_mb", "settings", "names", "conn_idle", "dial_timeout")
-    return tuple(key for key in kept if getattr(before, key) != getattr(after, key))
+    fixed = ("mode", "origin_kind", "zone", "subscribe", "sized_weights", "report_fields")
+    found = [key for key in ("name", "listen", "seed", "ops") if getattr(before, key) != getattr(told, key)]
+    found += [key for key in fixed if getattr(before.settings, key) != getattr(told.settings, key)]
+    found += [key for key in ("zones", "kinds") if getattr(before.names, key) != getattr(told.names, key)]
+    return tuple(found)
+
+
+T = TypeVar("T")
+
+
+def _placed(
+    places: Mapping[str, int], rows: Sequence[T], now: Mapping[str, int], told: Sequence[T]
+) -> tuple[dict[str, int], tuple[T, ...]]:
+    """Every name with its place, old places first, and the row at each place."""
+    every = {**places}
+    for name in now:
+        every.setdefault(name, len(every))
+    found = dict(enumerate(rows)) | {every[name]: told[place] for name, place in now.items()}
+    return every, tuple(found[place] for place in range(len(every)))
+
+
+def _now(every: Mapping[str, int], told: Mapping[str, int]) -> dict[str, int]:
+    return {name: place for name, place in every.items() if name in told}
+
+
+def _gone(every: Mapping[str, int], told: Mapping[str, int]) -> dict[str, int]:
+    return {name: place for name, place in every.items() if name not in told}
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -68,15 +136,26 @@
     if not path:
         raise ConfigError("GW_CONFIG is not set; it must name the configuration file")
     try:
-        return around(read(json.loads(Path(path).read_bytes())), environment)
+        return around(read(parse(Path(path).read_bytes())), environment)
     except OSError as problem:
         raise ConfigError(f"{path}: {problem.strerror or problem}") from None
-    except (UnicodeDecodeError, json.JSONDecodeError, RecursionError):
-        raise ConfigError(f"{path}: not valid JSON") from None
     except ValueError as problem:
         raise ConfigError(f"{path}: {problem}") from None
 
 
+def parse(data: bytes) -> object:
+    """The JSON of a file; ValueError names the place where it ends being that."""
+    try:
+        return json.loads(data)
+    except json.JSONDecodeError as problem:
+        where = f"line {problem.lineno} column {problem.colno}"
+        raise ValueError(f"not valid JSON: {problem.msg}: {where}") from None
+    except UnicodeDecodeError as problem:
+        raise ValueError(f"not valid JSON: byte {problem.start} is no UTF-8") from None
+    except RecursionError:
+        raise ValueError("not valid JSON: too deep") from None
+
+
 def around(told: Config, environment: Mapping[str, str]) -> Config:
     """What the environment tells beside the file, which comes first."""
     ops, descriptor = environment.get("GW_OPS"), environment.get("GW_LISTEN_FD")
@@ -108,6 +187,7 @@
         conn_idle=limits.number("conn_idle", 15_000.0),
         dial_timeout=limits.number("dial_timeout", 250.0),
         known=top.part("known"),
+        keys=frozenset(_keys(document, "")),
         ops=None if top.data.get("ops") is None else top.parsed("ops", address, ADDRESS, ("", 0)),
     )
 
@@ -116,4 +196,29 @@
 
 
 def _places(told: readers.Reader, key: str) -> dict[str, int]:
-    return {name: place for place, name in enumerate(told.names(key))}
+    names = told.names(key)
+    twice = next((name for place, name in enumerate(names) if name in names[:place]), None)
+    if twice is not None:
+        raise ValueError(f"setting {told.name(key)} names {twice!r} twice")
+    return {name: place for place, name in enumerate(names)}
+
+
+def _keys(found: object, where: str) -> Iterator[str]:
+    """The places of all keys, but what only some classes have; not the list of next hops."""
+    if not isinstance(found, dict):
+        return
+    for key, value in found.items():
+        if value is None:
+            continue  # as good as missing: it would read as the default
+        place = f"{where}.{key}" if where else key
+        yield place
+        if place == _CLASSES and isinstance(value, list):
+            rows = [row for row in value if isinstance(row, dict)]
+            told = (name for name in _OF_CLASS if all(row.get(name) is not None for row in rows))
+            yield from (f"{place}[].{name}" for name in told)
+        elif place != "known":
+            yield from _keys(value, place)
+
+
+_CLASSES = "settings.request_classes"
+_OF_CLASS = ("name", "deadline", "objective", "effect", "worth")
--- a/rosepick/settings/reader.py
+++ b/rosepick/settings/reader.py
@@ -7,6 +7,7 @@
 
 import json
 from collections.abc import Callable
+from math import isfinite
 from typing import Any, TypeVar
 
 from ..decisions import api
@@ -37,7 +38,7 @@
         rows = self.data.get(key) or []
         if not isinstance(rows, list):
             raise ValueError(f"setting {self.name(key)} is not a list")
-        return [self.sub(row, self.name(key) + "[]") for row in rows]
+        return [self.sub(row, f"{self.name(key)}[{place}]") for place, row in enumerate(rows)]
 
     def number(self, key: str, default: float | None = None) -> float:
         value = self.data.get(key)
@@ -47,6 +48,8 @@
             return float(default)
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise ValueError(f"setting {self.name(key)} is {value!r}, not a number")
+        if not isfinite(value):  # as 1e999 reads
+            raise ValueError(f"setting {self.name(key)} is {value!r}, not a finite number")
         return float(value)
 
     def whole(self, key: str, default: int) -> int:
@@ -98,6 +101,22 @@
     return settings_of(top)
 
 
+def _class(row: Reader) -> api.RequestClass:
+    try:
+        return api.RequestClass(
+            aim=row.number("objective", row.number("deadline")),
+            deadline=row.number("deadline"),
+            worth=row.number("worth", 1.0),
+            late_share=row.number("late_share", 0.0),
+            effect=api.Effect(row.choice("effect", "fragile", ("retryable", "dedup", "fragile"))),
+            group=api.Group(row.choice("group", "cell", ("all", "zone", "cell"))),
+            repeat_window=row.number("repeat_window", 0.0),
+            streaming=row.flag("streaming"),
+        )
+    except ValueError as problem:
+        raise ValueError(str(problem).replace("request_classes[]", row.where)) from None
+
+
 def settings_of(top: Reader) -> api.Settings:
     """Settings from JSON that was read already."""
     domain, limits, rules, costs = (top.part(k) for k in ("domain", "limits", "rules", "costs"))
@@ -107,19 +126,7 @@
     if not isinstance(fields, list):
         raise ValueError("setting report.fields is not a list")
     return api.Settings(
-        classes=tuple(
-            api.RequestClass(
-                aim=c.number("objective", c.number("deadline")),
-                deadline=c.number("deadline"),
-                worth=c.number("worth", 1.0),
-                late_share=c.number("late_share", 0.0),
-                effect=api.Effect(c.choice("effect", "fragile", ("retryable", "dedup", "fragile"))),
-                group=api.Group(c.choice("group", "cell", ("all", "zone", "cell"))),
-                repeat_window=c.number("repeat_window", 0.0),
-                streaming=c.flag("streaming"),
-            )
-            for c in top.rows("request_classes")
-        ),
+        classes=tuple(map(_class, top.rows("request_classes"))),
         tenants=tuple(
             api.Tenant(t.number("share", 0.0), t.number("quota_per_s", 0.0)) for t in top.rows("tenants")
         ),
