--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -1305,7 +1305,7 @@
             self._log_pressure()
             self.pools.loop(self.origin_waits >= 3)
             self.origin_waits = 0
-        stale = {entry for entry in self.origin.queue if self._stale(entry[2])}
+        stale = dict.fromkeys(entry for entry in self.origin.queue if self._stale(entry[2]))
         for job in filter(None, (self.jobs.get(ref) for _, _, ref in stale)):
             if job.queued:
                 self._finish(job)  # told at once: a client left waiting for nothing comes back all the same
