Pass answers over 64 KiB on as they come, through one bounded budget; strip blanks behind values

Cause: answers were held whole, up to 1 MiB, and longer ones taken for spoilt: 68 of 80 MB, and everything larger lost. Ruled out: requests cut in pieces (heads cut at every byte read alike). Slow readers are judged by progress, and the kernel holds 128 KiB of a relay. Trailers no longer count as headers.

--- a/rosepick/connections/account.py
+++ b/rosepick/connections/account.py
@@ -47,6 +47,7 @@
     SILENT = "silent"  # asked nothing for `silent_timeout`
     IDLE = "idle"  # asked nothing more for `idle_timeout`
     SLOW = "slow"  # a request that did not come whole, or an answer that was not read
+    CUT = "cut"  # amid an answer that its next hop did not give whole
     REJECTED = "rejected"  # after a request that cannot be taken
     FAULT = "fault"  # an exception of this program
     ENDING = "ending"  # the router ends
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -37,6 +37,10 @@
     def served(self, envelope: Envelope, answer: object) -> None:
         """A next hop's answer, to be passed on as it is."""
 
+    def begins(self, envelope: Envelope, answer: object) -> None:
+        """A next hop's answer has begun, to be passed on as it comes. The front says when it is at its end,
+        by `Engine.passed_on`, unless its sender side leaves."""
+
     def refused(self, envelope: Envelope, retry_after: float) -> None:
         """Turned away; trying again is harmless, best after so many milliseconds."""
 
@@ -120,6 +124,7 @@
     ref: int = 0
     sender: SenderSide | None = None
     over: bool = False
+    begun: bool = False  # an answer is being passed on
     limits: api.Limits = field(default_factory=api.Limits)  # as it was taken with
     attempts: list[DeliveryAttempt] = field(default_factory=list)
     net: TimerHandle | None = None
@@ -174,10 +179,14 @@
 
     def sender_gone(self, envelope: Envelope) -> None:
         """The sender side has left; nothing more is owed."""
-        if not envelope.over:
-            self._close(envelope, End.GONE)
+        if envelope.over:
+            return
+        self._close(envelope, End.GONE)
+        if envelope.begun:
+            self.next_hops.give_up(envelope.attempts[-1])  # the module is through with it
+        else:
             self._tell(api.ClientGone(envelope.ref))
-            self._forget(envelope)
+        self._forget(envelope)
 
     def reconfigure(self, settings: api.Settings) -> None:
         """Other settings, for envelopes that come from here on."""
@@ -216,6 +225,34 @@
         )
         self._forget(envelope)
 
+    def attempt_begins(self, attempt: DeliveryAttempt, note: int, answer: object) -> bool:
+        """A served answer has begun that is passed on as it comes. That decides the attempt: from here on it
+        is the sender side's, no deadline counts, no other attempt is made. False if nobody waits for it."""
+        envelope = attempt.envelope
+        if envelope.over or not holds(attempt.out, "attempt_ends_once", ref=envelope.ref, result="begun"):
+            return False
+        attempt.out, envelope.begun = False, True
+        for timer in (attempt.expiry, envelope.net):
+            if timer is not None:
+                timer.cancel()
+        self.counts[f"attempt_{Result.OK.value}"] += 1
+        lag = max(0.0, self.clock.now() - attempt.sent)
+        sender = envelope.sender
+        assert sender is not None
+        self._decided(envelope, End.SERVED)
+        self._answer("begins", lambda: sender.begins(envelope, answer))
+        self._tell(api.Outcome(envelope.ref, attempt.number, attempt.server, Result.OK, True, note, lag))
+        return not envelope.over
+
+    def passed_on(self, envelope: Envelope, whole: bool) -> None:
+        """An answer that had begun is at its end, whole or not."""
+        if not envelope.over:
+            self._close(envelope, End.SERVED if whole else End.FAILED)
+            self._forget(envelope)
+
+    def _decided(self, envelope: Envelope, end: End) -> None:
+        """An envelope's final answer is given, or begins."""
+
     # ----------------------------------------------------------------------------- events and decisions
 
     def _tell(self, happened: api.Event | Envelope) -> None:
@@ -361,6 +398,8 @@
             fault(log, "answer_fault", problem, kind=kind, count=self.counts["faults"])
 
     def _close(self, envelope: Envelope, end: End) -> SenderSide:
+        if not envelope.begun:
+            self._decided(envelope, end)
         envelope.over = True
         self.counts[(End.FAILED if end is End.LATE else end).value] += 1
         self.ended[envelope.klass, end] += 1
@@ -405,9 +444,8 @@
             else:
                 self._show(self.observer.fed, now, event, actions)
 
-    def _close(self, envelope: Envelope, end: End) -> SenderSide:
+    def _decided(self, envelope: Envelope, end: End) -> None:
         self._show(self.observer.answered, self.clock.now(), envelope, end)
-        return super()._close(envelope, end)
 
     def _show(self, call: Callable[..., None], *given: object) -> None:
         """An observer that breaks must not keep a request from its answer."""
--- a/rosepick/http/multiget.py
+++ b/rosepick/http/multiget.py
@@ -32,7 +32,6 @@
     def __init__(self, names: Callable[[], Names], max_keys: Callable[[], int]) -> None:
         super().__init__(names)
         self._max_keys = max_keys
-        self._chunked = True
 
     def _read(self, method: bytes) -> Received:
         if self._target.partition(b"?")[0] != PATH:
@@ -50,26 +49,9 @@
     def _rejected(self, problem: Bad) -> Rejected:
         return Rejected(problem.status, str(problem))  # a batch is no request of its class
 
-    # ------------------------------------------------------------------------------ the batch's answer
-
-    def begin(self, closing: bool) -> bytes:
-        """The head of an answer whose length is not known yet."""
-        self._chunked = self._version != "1.0"  # without chunks, the connection's end is the answer's
-        if not self._chunked:
-            self._keep_alive = False
-        extra = ((b"Content-Type", b"application/octet-stream"),)
-        chunks = ((b"Transfer-Encoding", b"chunked"),) if self._chunked else ()
-        return self._head_of(200, closing or not self._keep_alive, extra + chunks)
-
-    def chunk(self, *parts: bytes) -> tuple[bytes, ...]:
-        """Some of its body."""
-        size = sum(map(len, parts))
-        return (b"%x\r\n" % size, *parts, b"\r\n") if self._chunked and size else parts
-
-    def finish(self, closing: bool, last: bool = False) -> bytes:
-        """Its end; the connection's too with the `last` one."""
-        self._answered(closing, last)
-        return b"0\r\n\r\n" if self._chunked else b""
+    def start(self, closing: bool) -> bytes:
+        """The head of a batch's answer, whose length is not known yet."""
+        return self.begin(None, ((b"Content-Type", b"application/octet-stream"),), closing)
 
 
 def _keys(body: bytes, most: int) -> tuple[bytes, ...]:
--- a/rosepick/http/next_hop.py
+++ b/rosepick/http/next_hop.py
@@ -4,11 +4,13 @@
 
 from dataclasses import dataclass, replace
 
+from ..core.flow import Flow
 from ..decisions.api import Result
 from .response import Answer, AnswerReader, BadAnswer
 from .sender_side import Letter
 
-BODY_LIMIT = 1024 * 1024  # of an answer; what is longer is taken for spoilt
+BODY_LIMIT = 36 * 1024 * 1024  # of an answer; what is longer is taken for spoilt
+WHOLE = 64 * 1024  # an answer up to this is held until it is whole, so that another attempt is possible
 _NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
 
 
@@ -23,12 +25,20 @@
     spoilt: bool = False  # an answer came that is of no use
 
 
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """A long answer has begun and is passed on from here as it comes."""
+
+    headers: dict[bytes, bytes]
+    flow: Flow
+
+
 class Exchange:
     """One delivery attempt: its request's bytes, and what comes back."""
 
     def __init__(self, letter: Letter, host: str, time_left: float) -> None:
         self._unsent = memoryview(_request(letter, host, time_left))
-        self._reader = AnswerReader(BODY_LIMIT)
+        self._reader = AnswerReader(BODY_LIMIT, WHOLE)
 
     def unsent(self) -> memoryview:
         """What is still to be written."""
@@ -64,9 +74,24 @@
         """Bytes of an answer that is not whole."""
         return self._reader.held()
 
+    def begun(self) -> bool:
+        """Whether an answer has begun that is given in parts; not before the request is there whole."""
+        return self._reader.begun and not self._unsent
+
+    def head(self) -> tuple[dict[bytes, bytes], int | None]:
+        """Headers and length of the answer that has begun."""
+        return self._reader.headers(), self._reader.length()
+
+    def note(self) -> int:
+        """What it says of the read."""
+        return _NOTES.get(self._reader.headers().get(b"srv-cache", b"").strip().lower(), 0)
+
+    def take(self) -> list[bytes]:
+        """What has come of it."""
+        return self._reader.take()
+
     def _judge(self, answer: Answer) -> Verdict:
-        note = _NOTES.get(answer.headers.get(b"srv-cache", b"").strip().lower(), 0)
-        result = _result(answer)
+        note, result = self.note(), _result(answer)
         if self._unsent and result is Result.ERROR:
             result = Result.CONNECT_FAILED  # an early answer: it never had the whole request
         return Verdict(result, note, answer, answer.reusable and not self._unsent)
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -103,6 +103,7 @@
         self._inbox: deque[tuple[Received, bool]] = deque()
         self._version = "1.1"  # of the request read last
         self._keep_alive = True  # after the request that is being answered
+        self._chunked = self._closes = False  # the answer that comes in parts, and the connection after it
         self._now = 0.0
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
@@ -188,6 +189,31 @@
         self._answered(closing, last)
         return self._head_of(status, self.done, ((b"Content-Length", b"%d" % len(body)), *extra))
 
+    def begin(self, length: int | None, extra: Extra, closing: bool) -> bytes:
+        """The head of an answer whose body comes in parts."""
+        self._chunked = length is None and self._version != "1.0"
+        if length is None and not self._chunked:
+            self._keep_alive = False  # without chunks, the connection's end is the answer's
+        self._closes = not self._keep_alive or (closing and not self._inbox and not self.partial)
+        framing: Extra = ((b"Transfer-Encoding", b"chunked"),) if self._chunked else ()
+        if length is not None:
+            framing = ((b"Content-Length", b"%d" % length),)
+        return self._head_of(200, self._closes, framing + extra)
+
+    def chunk(self, *parts: bytes) -> tuple[bytes, ...]:
+        """Some of its body."""
+        size = sum(map(len, parts))
+        return (b"%x\r\n" % size, *parts, b"\r\n") if self._chunked and size else parts
+
+    def finish(self, closing: bool = False) -> bytes:
+        """Its end; the connection's too, if the head said so."""
+        self._answered(closing or self._closes, self._closes)
+        return b"0\r\n\r\n" if self._chunked else b""
+
+    def unframed(self) -> bool:
+        """Whether only the connection's end tells where the answer in hand ends."""
+        return not self._chunked and not self._keep_alive and self._version == "1.0"
+
     def _answered(self, closing: bool, last: bool = False) -> None:
         """The request in hand has its answer."""
         self.owing = False
@@ -218,7 +244,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow(len(name) + len(value) + 4)
-        low = name.lower()
+        if not self._in_head:
+            return  # a trailer: it may not say what the head did not
+        low, value = name.lower(), value.strip(b" \t")  # the parser leaves blanks behind a value
         # guards against a request that is one thing here and another at a next hop or a proxy before us
         if self._headers.setdefault(low, value) is not value and low in _ONCE:
             raise Bad(400, "a header that may come once came again")
--- a/rosepick/lab/world/ports.py
+++ b/rosepick/lab/world/ports.py
@@ -289,6 +289,10 @@
         """A next hop's answer goes to the client."""
         self._final(envelope, "served", 0.0)
 
+    def begins(self, envelope: Envelope, answer: object) -> None:
+        """Answers come whole here."""
+        raise NotImplementedError
+
     def refused(self, envelope: Envelope, retry_after: float) -> None:
         """The client is turned away."""
         self._final(envelope, "refused", retry_after)
--- a/rosepick/net/multiget.py
+++ b/rosepick/net/multiget.py
@@ -301,7 +301,7 @@
         self._in_hand = True
         # one that was sent ahead will be answered: then this answer is not the last
         self._closes = not (self.batches.sent_ahead() or self.batches.partial) and self.ends()
-        self.stream.send(self.batches.begin(self._closes))
+        self.stream.send(self.batches.start(self._closes))
         self._set_timer()
         self.parts.begin(self)
 
@@ -372,7 +372,7 @@
         last = multiget.ending(self.not_served, self.count)
         closing = self._closes or self.listener.ending
         self._end()
-        self.stream.send(*self.batches.chunk(last), self.batches.finish(closing, self._closes))
+        self.stream.send(*self.batches.chunk(last), self.batches.finish(closing))
         self.answered(200)
         self._take()
 
@@ -414,6 +414,10 @@
         """Whether a batch is being answered."""
         return self._in_hand
 
+    def _stopped_reading(self, now: float) -> bool:
+        """A batch has a time of its own: while a part of it is read, others wait."""
+        return now >= self.waited_for
+
 
 class MultiGet:
     """The door for batches of one router."""
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -10,16 +10,17 @@
 
 from ..connections.descriptors import Use
 from ..core.engine import DeliveryAttempt, Engine
+from ..core.flow import Flow
 from ..core.transport_map import NextHop, TransportMap
 from ..decisions.api import Result
-from ..http.next_hop import Exchange, Verdict
+from ..http.next_hop import Begun, Exchange, Verdict
 from ..http.sender_side import Letter
 from ..logs import fault, say
 from ..settings.config import Config
 from ..waiting.dials import Dials
 from .budget import Budget
 from .loop import READ, WRITE, Loop
-from .stream import Dialed, Stream, dial
+from .stream import CHUNK, Dialed, Stream, dial
 
 log = logging.getLogger(__name__)
 IDLE_PART = 0.7  # of the time after which a next hop may close an idle connection: then ours goes
@@ -27,9 +28,14 @@
 STALL = 0.2  # of the shortest aim: an answer that has begun and then stops for so long is spoilt
 EARLY = 100.0  # an idle connection that its next hop closes sooner than this was never meant to be kept
 WARY_FOR = 60_000.0  # after such a close
+NO_PROGRESS = 10_000.0  # milliseconds without a byte: an answer that is passed on has stopped
 DIALED = 4_096  # endpoints of whose dials something is kept
 
 
+def _nothing() -> None:
+    """Nobody waits."""
+
+
 class Link(Dialed):
     """One connection to a next hop."""
 
@@ -46,6 +52,8 @@
         self.held = 0
         self.stalls_at: float | None = None
         self.retired = False
+        self.flow: Flow | None = None  # an answer is being passed on
+        self.moved = 0.0  # when something of it last came
         self.stream = Stream(pool.loop, pool.budget, sock, self.ready, WRITE, Use.NEXT_HOPS)
 
     def start(self, attempt: DeliveryAttempt, letter: Letter) -> None:
@@ -88,19 +96,86 @@
         self.stream.want(READ | WRITE if exchange.unsent() else READ)
 
     def _read(self) -> None:
-        data = self.stream.read()
+        flow = self.flow
+        data = self.stream.read() if flow is None else self.stream.read(max(1, min(CHUNK, flow.space())))
         if data is None:
             return
         if self.exchange is None:
             self.pool.closed_early(self)
             self._over(None)  # an idle one was closed, or says what nobody asked
             return
-        verdict = self.exchange.feed(data) if data else self.exchange.ended()
+        exchange = self.exchange
+        verdict = exchange.feed(data) if data else exchange.ended()
+        if exchange.begun():
+            self._pass_on(exchange, verdict)
+            return
         if verdict is None:
-            verdict = self._part_came(self.exchange)
+            verdict = self._part_came(exchange)
         if verdict is not None:
             self._over(verdict)
 
+    def _pass_on(self, exchange: Exchange, verdict: Verdict | None) -> None:
+        """More has come of an answer that is passed on as it comes."""
+        self.moved = self.pool.loop.now()
+        if self.flow is None and not self._begin(exchange):
+            return
+        flow = self.flow
+        assert flow is not None
+        for part in exchange.take():
+            flow.put(part)
+        if self.flow is not flow:
+            return  # the sender side left as it was written to
+        if verdict is not None:
+            self._passed(verdict)
+        elif flow.pause():
+            self.stream.want(0)  # its sender side has to read first
+
+    def _begin(self, exchange: Exchange) -> bool:
+        """Whether the answer that has begun is wanted."""
+        attempt = self.attempt
+        assert attempt is not None
+        self._hold(0)
+        self.stalls_at = None
+        headers, length = exchange.head()
+        self.flow = flow = Flow(self.pool.budget.flows, length)
+        flow.freed = self._go_on
+        self.stream.keep_small(socket.SO_RCVBUF)
+        self.pool.passing[self] = None
+        if not self.pool.engine.attempt_begins(attempt, exchange.note(), Begun(headers, flow)):
+            self.close()
+            return False
+        return self.flow is flow
+
+    def _go_on(self) -> None:
+        """The sender side has read."""
+        if self.flow is not None:
+            self.moved = self.pool.loop.now()
+            self.stream.want(READ)
+
+    def _passed(self, verdict: Verdict) -> None:
+        """An answer that was passed on is at its end, whole or not."""
+        flow, attempt, self.flow = self.flow, self.attempt, None
+        assert flow is not None and attempt is not None
+        self.attempt = self.exchange = None
+        self.pool.passing.pop(self, None)
+        self.pool.busy.pop(attempt, None)
+        flow.freed = _nothing
+        if verdict.reusable and not self.retired:
+            self.stream.want(READ)
+            self.pool.rest(self)
+        else:
+            self.close()
+        if verdict.result is Result.OK:
+            flow.end()
+        else:
+            say(log, logging.WARNING, "answer_cut", server=self.server, came=flow.came, length=flow.length)
+            flow.fail()
+
+    def check(self, now: float) -> None:
+        """Guards against a next hop that stops amid an answer which is being passed on."""
+        if self.flow is not None and self.flow.space() and now - self.moved >= NO_PROGRESS:
+            self._passed(Verdict(Result.RESET))
+
     def _part_came(self, exchange: Exchange) -> Verdict | None:
         """More is to come of an answer, if there is memory for it: guards against many large ones at once."""
         self._hold(exchange.held())
@@ -129,6 +204,9 @@
 
     def _over(self, verdict: Verdict | None) -> None:
         """The attempt has ended, or an idle connection has."""
+        if self.flow is not None:
+            self._passed(verdict or Verdict(Result.RESET))
+            return
         attempt, self.attempt, self.exchange = self.attempt, None, None
         self._hold(0)
         self.stalls_at = None
@@ -142,8 +220,9 @@
 
     def close(self) -> None:
         """Close it; an attempt on it is given up."""
-        self.attempt = self.exchange = None
+        self.attempt = self.exchange = self.flow = None
         self._hold(0)
+        self.pool.passing.pop(self, None)
         self.pool.forget(self)
         self.stream.close()
 
@@ -157,6 +236,7 @@
         self.dials: OrderedDict[tuple[str, int], Dials] = OrderedDict()  # the most recently dialed last
         self.engine: Engine
         self.busy: dict[DeliveryAttempt, Link] = {}
+        self.passing: dict[Link, None] = {}  # of the busy ones: an answer is passed on as it comes
         self.idle: dict[int, list[Link]] = {}  # the most recently used last
         self.by_age: OrderedDict[Link, None] = OrderedDict()  # the longest idle first
         self.rest_for = 0.0  # milliseconds that a connection rests before it is used again ...
@@ -307,6 +387,8 @@
         """Close what was idle for long, well before the next hop does: a request written to a connection that
         the other side has closed is a reset."""
         self.loop.after(SWEEP_EVERY, self._sweep)
+        for passing in list(self.passing):
+            passing.check(self.loop.now())
         before = self.loop.now() - self.keep_idle
         while self.by_age and (link := next(iter(self.by_age))).idle_since <= before:
             link.close()
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -8,6 +8,8 @@
 
 from ..connections.account import Conn, State, Why
 from ..core.engine import Envelope
+from ..core.flow import Flow
+from ..http.next_hop import Begun
 from ..http.response import Answer
 from ..http.sender_side import (
     Delivered,
@@ -29,6 +31,9 @@
 LINGER = 500.0  # to read on after an answer that came before the request's end, lest a reset overtakes it
 WHYS = {408: Why.SLOW, 499: Why.CLIENT}  # how a connection ends with such an answer
 FIRST_HAS = 500.0  # for the rest of a first request that began late
+PIECE = 64 * 1024  # of a body in parts that is written at once
+NO_PROGRESS = 10_000.0  # milliseconds without a byte: who reads an answer in parts has stopped
+UNREAD_FOR = 3_000.0  # the same for a short answer, once nobody waits for it
 UNREAD = 500.0  # after its deadline nobody waits for an answer any more
 
 
@@ -44,6 +49,7 @@
         self.stuck_since: float | None = None
         self.waited_for = listener.loop.now() + listener.patience  # until when the answer in hand is
         self._linger: Timer | None = None
+        self.flow: Flow | None = None  # of the answer that is passed on
         self._left = False  # the other side has ended its sending
         self.stream = make(listener.loop, listener.budget, sock, self.ready)
 
@@ -57,6 +63,7 @@
         try:
             if mask & WRITE:
                 self.stream.flush()
+                self._pump()
             if mask & READ:
                 self._read()
             self._settle()
@@ -127,6 +134,8 @@
         """The sender side has ended its sending: it has gone. Should it have closed only that half, it still
         gets a whole answer."""
         self._left = True
+        if self.flow is not None:
+            return  # if it has gone altogether, what is written next breaks
         self.sender_left()
         if self.machine.owing:
             self._answer(499, b"", last=True)
@@ -138,6 +147,9 @@
         envelope = self._let_go()
         if envelope is not None:
             self.listener.engine.sender_gone(envelope)
+        if self.flow is not None:
+            self.flow.close()
+            self.flow = None
 
     def _let_go(self) -> Envelope | None:
         """The envelope in hand, which is in hand no more."""
@@ -155,8 +167,58 @@
 
     def served(self, envelope: Envelope, answer: object) -> None:
         assert isinstance(answer, Answer)
-        kind = answer.headers.get(b"content-type")
-        self._final(200, answer.body, () if kind is None else ((b"Content-Type", kind),))
+        self._final(200, answer.body, _kind(answer.headers))
+
+    def begins(self, envelope: Envelope, answer: object) -> None:
+        assert isinstance(answer, Begun)
+        self.flow = answer.flow
+        self.stream.keep_small(socket.SO_SNDBUF)
+        try:
+            self.stream.send(self.machine.begin(answer.flow.length, _kind(answer.headers), self.ends()))
+            self.flow.more = self._more
+        except OSError:
+            self.gone()
+
+    def _more(self) -> None:
+        """More of the answer that is passed on has come, its end, or its break."""
+        try:
+            self._pump()
+            self._settle()
+        except OSError:
+            self.gone()
+
+    def _pump(self) -> None:
+        """Write what has come as far as the socket takes it: no more of it is held here than one piece."""
+        while self.flow is not None and self.stream.open and not self.stream.unwritten():
+            parts = self.flow.take(PIECE)
+            if parts:
+                self.stream.send(*self.machine.chunk(*parts))
+            elif self.flow.over():
+                self._passed_on()
+            elif self.flow.cut():
+                self._cut()
+            else:
+                break
+
+    def _passed_on(self) -> None:
+        """The answer is whole."""
+        flow, envelope = self.flow, self._let_go()
+        assert flow is not None and envelope is not None
+        self.flow = None
+        flow.close()
+        self.stream.send(self.machine.finish())
+        self.listener.engine.passed_on(envelope, True)
+        self.answered(200)
+        self._take()
+
+    def _cut(self) -> None:
+        """The answer will not be whole, and the sender side must see that."""
+        envelope = self._let_go()
+        assert envelope is not None
+        self.listener.engine.passed_on(envelope, False)
+        if self.machine.unframed():
+            self.stream.abort()
+        self.close(Why.CUT)
 
     def refused(self, envelope: Envelope, retry_after: float) -> None:
         wait = ((b"Retry-After", b"%.3f" % (retry_after / 1000.0)),) if retry_after > 0 else ()
@@ -216,7 +278,7 @@
                 self._linger = self.listener.loop.after(LINGER, self.close)
             elif conn.state is State.ASKING and self.machine.idle():
                 self.listener.account.keep(conn, now)
-        if self._left and not unwritten and self._linger is None:
+        if self._left and not unwritten and self._linger is None and self.flow is None:
             self.close()  # all that it was owed is on its way
             return
         # Guards against a sender that fills the memory with requests sent ahead: they stay in its socket. One
@@ -246,12 +308,17 @@
             pass
         self.close(Why.FAULT)
 
+    def _stopped_reading(self, now: float) -> bool:
+        """Whether an answer is not read: guards against memory held for nobody. A slow reader is none."""
+        still = now - self.stream.moved
+        return still >= NO_PROGRESS or (self.flow is None and now >= self.waited_for and still >= UNREAD_FOR)
+
     def check(self, now: float) -> None:
         """Guards against connections held for ever by half a request or an answer that is not read."""
         if self.stuck_since is None:
             return
         if self.stream.unwritten():
-            if now >= self.waited_for:  # guards against memory held by answers that nobody reads
+            if self._stopped_reading(now):
                 self._too_slow()
         elif now - self.stuck_since >= self.listener.patience and not self.machine.owing:
             if not self.stream.established():
@@ -280,6 +347,12 @@
         self.stream.close()
 
 
+def _kind(headers: dict[bytes, bytes]) -> Extra:
+    """What of a next hop's headers is passed on."""
+    kind = headers.get(b"content-type")
+    return () if kind is None else ((b"Content-Type", kind),)
+
+
 def _id_of(envelope: Envelope) -> bytes:
     assert isinstance(envelope.payload, Letter)
     return envelope.payload.req_id
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import socket
+import struct
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from .loop import READ, WRITE, Loop, Ready
 
 CHUNK = 128 * 1024
+KERNEL = 128 * 1024
 
 
 def _closed(mask: int) -> None:
@@ -23,7 +25,9 @@
 class Stream:
     """One connected or connecting socket, without blocking."""
 
-    __slots__ = ("sock", "open", "_loop", "_budget", "_use", "_ready", "_mask", "_pending", "_urgent")
+    __slots__ = (
+        "sock", "open", "_loop", "_budget", "_use", "_ready", "_mask", "_pending", "_urgent", "moved",
+    )
 
     def __init__(
         self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, mask: int = READ,
@@ -31,6 +35,7 @@
     ) -> None:
         self.sock = sock
         self.open = True
+        self.moved = loop.now()  # when something was last written
         self._urgent = urgent
         self._loop, self._budget, self._use, self._ready, self._mask = loop, budget, use, ready, mask
         self._pending: deque[memoryview] = deque()
@@ -66,10 +71,11 @@
             self._loop.rewatch(self.sock, mask, self._ready, self._urgent)
         self._mask = mask
 
-    def read(self) -> bytes | None:
-        """What has come; empty at the end; None if there is nothing. OSError if it broke."""
+    def read(self, most: int = CHUNK) -> bytes | None:
+        """What has come, so much at the most; empty at the end; None if there is nothing. OSError if it
+        broke."""
         try:
-            return self.sock.recv(CHUNK)
+            return self.sock.recv(most)
         except (BlockingIOError, InterruptedError):
             return None
 
@@ -114,6 +120,7 @@
         except (BlockingIOError, InterruptedError):
             return
         self._budget.held -= count
+        self.moved = self._loop.now()
         while self._pending and count >= len(self._pending[0]):
             count -= len(self._pending.popleft())
         if count:
@@ -123,6 +130,17 @@
         """Whether something is kept."""
         return bool(self._pending)
 
+    def keep_small(self, direction: int) -> None:
+        """Have the kernel hold little in that direction (SO_SNDBUF or SO_RCVBUF): what waits there is seen
+        neither as memory nor as the progress of a slow peer."""
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, direction, KERNEL)
+
+    def abort(self) -> None:
+        """Have the close be a reset."""
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
     def end_sending(self) -> None:
         """Tell the other side that nothing more comes."""
         with contextlib.suppress(OSError):
--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -17,7 +17,7 @@
 from ..settings.operator_file import OperatorFile
 from .budget import Budget
 from .loop import READ, Loop, Ready, Timer
-from .stream import Stream
+from .stream import CHUNK, Stream
 from .subject import rfc4514
 
 log = logging.getLogger(__name__)
@@ -132,7 +132,7 @@
 
     # ------------------------------------------------------------------------------------------ reading
 
-    def read(self) -> bytes | None:
+    def read(self, most: int = CHUNK) -> bytes | None:
         """All that has come is decrypted at once, so that nothing is left where no selector sees it."""
         if self._over:
             return b""
