Pass bodies over 64 KiB on as they come; judge slow peers by progress

Ruled out: the next hops (none declined a body). It may be sent again until a byte of it was taken; then the module hears that it is spent and gives the final answer. A head has 2.5 s, a body has to go on: no second without a byte, half of 64 kB a second. Absolute targets are taken; a second Host, other codings and other expectations are refused; 100 Continue waits for earlier answers. Found by the tests: a body that nobody reads hid its client's leaving; a parser that was closed by its own call. Both are guarded.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -124,6 +124,7 @@
     ref: int = 0
     sender: SenderSide | None = None
     over: bool = False
+    coming: bool = False  # its last byte has not come; the deadline is provisional
     begun: bool = False  # an answer is being passed on
     limits: api.Limits = field(default_factory=api.Limits)  # as it was taken with
     attempts: list[DeliveryAttempt] = field(default_factory=list)
@@ -173,9 +174,26 @@
         self.envelopes[envelope.ref] = envelope
         self.owed += 1
         self.counts["envelopes"] += 1
+        self._spread_net(envelope)
+        self._tell(envelope)
+
+    def _spread_net(self, envelope: Envelope) -> None:
+        if envelope.net is not None:
+            envelope.net.cancel()
         grace = 0.5 * self.settings.rules.grace_to_answer
         envelope.net = self.clock.at(envelope.deadline + grace, lambda: self._unanswered(envelope))
-        self._tell(envelope)
+
+    def whole(self, envelope: Envelope, deadline: float) -> None:
+        """The last byte of an envelope that was coming is there: its time counts from here."""
+        if envelope.over or not envelope.coming:
+            return
+        envelope.coming, envelope.deadline = False, deadline
+        self._spread_net(envelope)
+        for attempt in envelope.attempts:
+            if attempt.out:
+                attempt.sent = self.clock.now()
+                self._until(attempt, deadline)
+        self._tell(api.Whole(envelope.ref, max(0.0, deadline - self.clock.now())))
 
     def sender_gone(self, envelope: Envelope) -> None:
         """The sender side has left; nothing more is owed."""
@@ -184,10 +202,19 @@
         self._close(envelope, End.GONE)
         if envelope.begun:
             self.next_hops.give_up(envelope.attempts[-1])  # the module is through with it
-        else:
-            self._tell(api.ClientGone(envelope.ref))
+            self._forget(envelope)
+            return
+        self._tell(api.ClientGone(envelope.ref))
+        self._stop_sending(envelope)
         self._forget(envelope)
 
+    def _stop_sending(self, envelope: Envelope) -> None:
+        """An envelope that was coming is over: the rest of it will not come."""
+        for attempt in envelope.attempts:
+            if envelope.coming and attempt.out:
+                self.next_hops.give_up(attempt)
+                self.attempt_ended(attempt, Result.CANCELLED)
+
     def reconfigure(self, settings: api.Settings) -> None:
         """Other settings, for envelopes that come from here on."""
         self.settings = settings
@@ -203,7 +230,7 @@
 
     def attempt_ended(
         self, attempt: DeliveryAttempt, result: Result, note: int = 0, answer: object = None,
-        spoilt: bool = False,
+        spoilt: bool = False, spent: bool = False,
     ) -> None:
         """A delivery attempt has its outcome. A served one goes to the sender side before anything else."""
         if not holds(attempt.out, "attempt_ends_once", ref=attempt.envelope.ref, result=result.value):
@@ -220,7 +247,7 @@
         self._tell(
             api.Outcome(
                 envelope.ref, attempt.number, attempt.server, result, envelope.over, note, lag,
-                spoilt=spoilt,
+                spoilt=spoilt, spent=spent,
             )
         )
         self._forget(envelope)
@@ -338,7 +365,7 @@
         self.counts["attempts"] += 1
         # before the module's own deadline timer: a time-out says something of its next hop, a cancelled
         # attempt does not
-        attempt.expiry = self.clock.at(stop_at, lambda: self._expire(attempt), first=True)
+        self._until(attempt, stop_at)
         try:
             self.next_hops.deliver(attempt)
         except Exception as problem:
@@ -348,6 +375,12 @@
                 self.next_hops.give_up(attempt)
                 self.attempt_ended(attempt, Result.RESET)  # it may have run
 
+    def _until(self, attempt: DeliveryAttempt, stop_at: float) -> None:
+        if attempt.expiry is not None:
+            attempt.expiry.cancel()
+        attempt.stop_at = stop_at
+        attempt.expiry = self.clock.at(stop_at, lambda: self._expire(attempt), first=True)
+
     def _allowed(self, envelope: Envelope, attempt: DeliveryAttempt) -> bool:
         """Whether an attempt may go out at all. The module keeps these rules; they are checked once more
         where a breach would be seen by the fleet."""
@@ -387,6 +420,7 @@
             return
         sender = self._close(envelope, end)
         self._answer(end.value, lambda: call(envelope, sender))
+        self._stop_sending(envelope)
         self._forget(envelope)
 
     def _answer(self, kind: str, call: Callable[[], None]) -> None:
@@ -459,5 +493,5 @@
 def _request(envelope: Envelope, now: float) -> api.Request:
     return api.Request(
         envelope.ref, envelope.klass, max(0.0, envelope.deadline - now), envelope.key, envelope.tenant,
-        envelope.write, envelope.retry, envelope.cost_hint,
+        envelope.write, envelope.retry, envelope.cost_hint, envelope.coming,
     )
--- a/rosepick/core/flow.py
+++ b/rosepick/core/flow.py
@@ -33,8 +33,11 @@
 class Flow:
     """One body, of a length that is told or not. `more` and `freed` are set by the taker and the giver."""
 
-    def __init__(self, room: Room, length: int | None) -> None:
+    def __init__(self, room: Room, length: int | None, tells: bool = True) -> None:
+        """`tells`: the taker is told at once; else the giver says when, by `tell`. Guards against a parser
+        that is closed by what its own call brought about."""
         self.length = length
+        self._tells = tells
         self.ended = self.broken = False
         self.touched = False  # something has been taken: the body is not whole here any more
         self.came = 0
@@ -42,7 +45,7 @@
         self.more: Callable[[], None] = _nothing  # bytes came, or the end, or the break
         self.freed: Callable[[], None] = _nothing  # there is room again
         self._room: Room | None = room
-        self._paused = False  # asked for, not derived: portions grow as other flows end
+        self.paused = False  # the giver waits; not derived, as portions grow while other flows end
         self._parts: deque[bytes] = deque()
         room.flows += 1
 
@@ -54,8 +57,8 @@
 
     def pause(self) -> bool:
         """Whether the giver is to wait until it is told of room."""
-        self._paused = not self.space()
-        return self._paused
+        self.paused = not self.space()
+        return self.paused
 
     def put(self, data: bytes) -> None:
         """Some of the body has come."""
@@ -64,18 +67,25 @@
         self._parts.append(data)
         self.came += len(data)
         self._hold(len(data))
+        if self._tells:
+            self.more()
+
+    def tell(self) -> None:
+        """Tell the taker of what has come."""
         self.more()
 
     def end(self) -> None:
         """The body is whole."""
         self.ended = True
-        self.more()
+        if self._tells:
+            self.more()
 
     def fail(self) -> None:
         """The rest will not come."""
         if not self.ended and not self.broken:
             self.broken = True
-            self.more()
+            if self._tells:
+                self.more()
 
     # ------------------------------------------------------------------------------------ the taker's
 
@@ -92,8 +102,8 @@
             size += len(part)
         self._hold(-size)
         self.touched = self.touched or size > 0
-        if self._paused and self.space() >= LEAST // 2:
-            self._paused = False
+        if self.paused and self.space() >= LEAST // 2:
+            self.paused = False
             self.freed()
         return found
 
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -220,6 +220,16 @@
     write: bool = False
     retry: bool = False
     cost_hint: float | None = None
+    coming: bool = False  # its last byte has not come: `time_left` is provisional, `Whole` tells it
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The last byte of a request that was coming is there; its time counts from here. An attempt under way
+    begins to run now."""
+
+    ref: int
+    time_left: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,6 +255,7 @@
     lag: float = 0.0
     report: tuple[float, ...] = ()
     spoilt: bool = False  # with RESET: an answer came, so the server lives, but it was of no use
+    spent: bool = False  # what was sent is not held any more: it cannot be sent again
 
 
 @dataclass(frozen=True, slots=True)
@@ -288,7 +299,8 @@
 
 
 Event: TypeAlias = (
-    Members | Request | FirstByte | Outcome | ClientGone | Reconfigured | Timer | ProbeResult | PeerMessage
+    Members | Request | Whole | FirstByte | Outcome | ClientGone | Reconfigured | Timer | ProbeResult
+    | PeerMessage
 )
 
 # ---------------------------------------------------------------------------------------------- actions
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -144,8 +144,7 @@
         self.top: OrderedDict[int, tuple[int, float, int]] = OrderedDict()
         self.tail: OrderedDict[int, tuple[int, float, int]] = OrderedDict()
         self.limit = TOP_START
-        self.reads = 0
-        self.asked = self.trouble = 0  # answers of the keep pool since the last look, and how many were bad
+        self.reads = self.asked = self.trouble = 0  # answers of the keep pool since the last look; bad ones
 
     def touch(self, key: int) -> tuple[bool, int, float]:
         """Read a key's rank, then make it the youngest: (within top k', server it last went to, its share of
@@ -215,18 +214,12 @@
         self.rank = -1  # among the home zone's servers by hashed id; not one of them: -1
         self.out = 0
         self.others = 0.0  # requests of other routers, from the last report
-        self.others_at = now
-        self.lag = 0.0  # smoothed latency, and the load it was met under; 0 = never heard
-        self.lag_load = 0.0
-        self.lag_at = now
+        self.lag = self.lag_load = 0.0  # smoothed latency (0 = never heard), and the load it was met under
         self.room = room
-        self.cut_at = now
+        self.others_at = self.lag_at = self.cut_at = self.failing_since = self.trial_at = now
         self.life_at = float("-inf")
         self.strikes = self.trials = 0
-        self.failing = False
-        self.failing_since = now
-        self.trial_at = now
-        self.probing = False
+        self.failing = self.probing = False
         self.sends: deque[float] = deque()
 
     def load(self, now: float) -> float:
@@ -323,10 +316,8 @@
         self.rng = rng
         self.servers: dict[int, Server] = {}
         self.version = 0  # grows with every change, so that tables know they are stale
-        self.following = not settings.subscribe
-        self.asked = False
-        self.ask_at = float("-inf")
-        self.wait = ASK_FIRST
+        self.following, self.asked = not settings.subscribe, False
+        self.ask_at, self.wait = float("-inf"), ASK_FIRST
 
     def take(self, now: float, event: api.Members) -> None:
         """Apply an event of discovery."""
@@ -506,16 +497,12 @@
         # no pauses in through mode: a fetch's time holds the wait at the cache; no pause shortens that
         self.floor = GATE_LEAST if aside else 1.0
         self.out = 0
-        self.pause_until = float("-inf")
-        self.busy = 0.0  # fetches out, on the average
-        self.busy_at = 0.0
+        self.pause_until = self.cut_at = float("-inf")
+        self.busy = self.busy_at = 0.0  # fetches out, on the average
         # the smoothed time is compared with its own least: single ones spread widely on a healthy origin
-        self.best = 0.0
-        self.lag = 0.0
-        self.seen = 0
-        self.cut_at = float("-inf")
+        self.best = self.lag = 0.0
+        self.seen = self.count = 0
         self.queue: list[tuple[float, int, int]] = []
-        self.count = 0
 
     def follow(self, settings: api.Settings) -> None:
         """Aims as they are now. `most` guards against a router restarted into a jam, which takes that for its
@@ -692,6 +679,7 @@
     check_at: float = 0.0  # for a look at its attempt, which is overdue from ...
     overdue_at: float = 0.0  # ... this time on
     missed: Server | None = None
+    coming: bool = False
     waiters: list[int] = field(default_factory=list)
 
     @property
@@ -738,8 +726,7 @@
         self.jobs: dict[int, Job] = {}
         self.fetching: dict[int, int] = {}
         self.retries = RETRY_MOST
-        self.probe_credit = 0.0
-        self.probe_turn = 0
+        self.probe_credit, self.probe_turn = 0.0, 0
         self.usual = FIRST_GUESS  # latency for each request in hand, fleet-wide
         self.mean, self.spread = 100.0, 50.0  # latency of cache answers
         self._reconfigure(settings)
@@ -763,6 +750,8 @@
                 self._request(event)
             case api.Outcome():
                 self._outcome(event)
+            case api.Whole():
+                self._whole(event)
             case api.Timer():
                 self._timer(event.token)
             case api.Members():
@@ -799,7 +788,7 @@
         over = self.tenants.over(self.now, event.tenant)
         job = Job(
             event=event, klass=klass, limits=self.settings.limits, born=self.now,
-            deadline=self.now + max(0.0, event.time_left),
+            deadline=self.now + max(0.0, event.time_left), coming=event.coming,
             slot=mix(event.key or event.ref) % SLOTS, keep=keep, last=last,
             spread=self.pools.holders(heat) if keep else 1,
             value=klass.worth * (self.settings.over_share_worth if over else 1.0),
@@ -815,6 +804,19 @@
         else:
             self._to_cache(job)
 
+    def _whole(self, event: api.Whole) -> None:
+        """A request that was coming is whole: its time, and that of its attempt, counts from here."""
+        job = self.jobs.get(event.ref)
+        if job is None or job.final or not job.coming:
+            return
+        job.coming, job.born, job.deadline = False, self.now, self.now + max(0.0, event.time_left)
+        self.actions.append(api.SetTimer(DEADLINE | job.ref, job.deadline))
+        for attempt in filter(lambda a: a.out, job.attempts):
+            attempt.sent, attempt.gated = self.now, attempt.origin or self._may_fetch(job, attempt.server)
+            self.origin.take(self.now, int(attempt.gated))
+            attempt.wait = self.waiting.begin(self.now, attempt.origin, attempt.wait.expected)
+            self._arm(job)
+
     def _to_cache(self, job: Job) -> None:
         """Send to the holder of the key's slot, or to the next in order that can do it in time."""
         if not job.attempts and self.pressure.full(job.value / self.top_value):
@@ -829,7 +831,7 @@
             # pressure: an answer in time is not to be had; the cheapest and the over-share feel it first
             self._finish(job)
             return
-        if self._may_fetch(job, server) and not self.origin.free(self.now):
+        if self._may_fetch(job, server) and not (self.origin.free(self.now) or job.coming):
             # writes too: let past, they and their repeats alone can keep a failing origin down
             job.queued = True
             self.origin.push(job.value, job.ref)
@@ -953,7 +955,7 @@
             return
         if not job.event.write and key:
             self.fetching[key] = job.ref
-        if self.origin.free(self.now):
+        if self.origin.free(self.now) or job.coming:  # what is coming is no load yet
             self._release(job)
         else:
             job.queued = True
@@ -1026,7 +1028,7 @@
                 self._finish(job)
             return False
         at_origin = job.at_origin
-        gated = at_origin or self._may_fetch(job, server)
+        gated = not job.coming and (at_origin or self._may_fetch(job, server))
         expected = (self.origin.lag if at_origin else server.expect(self.now, self.usual)) or FIRST_GUESS
         wait = self.waiting.begin(self.now, at_origin, expected, job.event.cost_hint)
         job.attempts.append(Attempt(server, self.now, server.load(self.now), at_origin, gated, wait))
@@ -1123,6 +1125,8 @@
                 job.missed = attempt.server
             if not job.outstanding():
                 self._to_origin(job)
+        elif event.spent and not job.outstanding():
+            self._finish(job)
         elif event.result is Result.UNFIT:
             self._finish(job, unfit=True)  # not five attempts, each of which would end the same way
         elif not job.outstanding():
@@ -1214,7 +1218,10 @@
         server may be silent. One that answered others meanwhile is slow, and waiting is cheaper."""
         number, attempt = next((n, a) for n, a in enumerate(job.attempts) if a.out)
         server, limits = attempt.server, job.limits
+        if job.coming:
+            return self._arm(job)  # the sender side is not through: nobody can have answered
         movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1 and self._may_repeat(job)
+        movable = movable and not job.event.coming  # what came in parts is not held
         waited = self.now - attempt.sent
         left, short = self._useful_until(job) - self.now, self.origin_waits > 0 or bool(self.origin.queue)
         if movable and limits.cancelling and self.waiting.ripe(attempt.wait, self.now, left, short):
@@ -1282,14 +1289,15 @@
             self.actions.append(api.Log(text))
 
     def _log_pressure(self) -> None:
-        if self.pools.wide_share >= 0.5:
-            self._log("wide", "home zone or origin short: overflow reaches all zones")
-        if self.pressure.part < 0.7:
-            self._log("late", "answers are late: refusing earlier")
-        if len(self.origin.queue) > self.origin.limit:
-            self._log("origin", f"{len(self.origin.queue)} requests wait for the origin")
-        if self.membership.asked is False and self.membership.wait >= ASK_LAST:
-            self._log("list", "the server list does not answer: going by own outcomes")
+        queue, list_ = self.origin.queue, self.membership
+        for kind, on, text in (
+            ("wide", self.pools.wide_share >= 0.5, "home zone or origin short: overflow reaches all zones"),
+            ("late", self.pressure.part < 0.7, "answers are late: refusing earlier"),
+            ("origin", len(queue) > self.origin.limit, f"{len(queue)} requests wait for the origin"),
+            ("list", not list_.asked and list_.wait >= ASK_LAST, "the server list does not answer"),
+        ):
+            if on:
+                self._log(kind, text)
 
     def _tick(self) -> None:
         now = self.now
--- a/rosepick/http/next_hop.py
+++ b/rosepick/http/next_hop.py
@@ -33,17 +33,37 @@
     flow: Flow
 
 
+PIECE = 64 * 1024  # of a body that is coming which is taken at once
+
+
 class Exchange:
     """One delivery attempt: its request's bytes, and what comes back."""
 
     def __init__(self, letter: Letter, host: str, time_left: float) -> None:
         self._unsent = memoryview(_request(letter, host, time_left))
+        self._flow = letter.flow  # of a body that is coming, until its last byte has been taken
+        self._chunked = letter.flow is not None and letter.flow.length is None
         self._reader = AnswerReader(BODY_LIMIT, WHOLE)
 
     def unsent(self) -> memoryview:
-        """What is still to be written."""
+        """What can be written now."""
+        if not self._unsent and self._flow is not None:
+            self._pull(self._flow)
         return self._unsent
 
+    def _pull(self, flow: Flow) -> None:
+        parts = flow.take(PIECE)
+        if parts and self._chunked:
+            parts = [b"%x\r\n" % sum(map(len, parts)), *parts, b"\r\n"]
+        if flow.over():
+            self._flow = None
+            parts += [b"0\r\n\r\n"] if self._chunked else []
+        self._unsent = memoryview(b"".join(parts))
+
+    def sent(self) -> bool:
+        """Whether the request has been written whole."""
+        return not self._unsent and self._flow is None
+
     def written(self, count: int) -> None:
         """So many of the unsent bytes were written."""
         self._unsent = self._unsent[count:]
@@ -64,11 +84,11 @@
     def broke(self) -> Verdict:
         """The connection cannot go on. A next hop starts on a request when its last byte is there, so what
         was not written whole has never run."""
-        return Verdict(Result.CONNECT_FAILED if self._unsent else Result.RESET)
+        return Verdict(Result.RESET if self.sent() else Result.CONNECT_FAILED)
 
     def spoilt(self) -> Verdict:
         """An answer came that is of no use."""
-        return replace(self.broke(), spoilt=not self._unsent)
+        return replace(self.broke(), spoilt=self.sent())
 
     def held(self) -> int:
         """Bytes of an answer that is not whole."""
@@ -76,7 +96,7 @@
 
     def begun(self) -> bool:
         """Whether an answer has begun that is given in parts; not before the request is there whole."""
-        return self._reader.begun and not self._unsent
+        return self._reader.begun and self.sent()
 
     def head(self) -> tuple[dict[bytes, bytes], int | None]:
         """Headers and length of the answer that has begun."""
@@ -92,9 +112,9 @@
 
     def _judge(self, answer: Answer) -> Verdict:
         note, result = self.note(), _result(answer)
-        if self._unsent and result is Result.ERROR:
+        if result is Result.ERROR and not self.sent():
             result = Result.CONNECT_FAILED  # an early answer: it never had the whole request
-        return Verdict(result, note, answer, answer.reusable and not self._unsent)
+        return Verdict(result, note, answer, answer.reusable and self.sent())
 
 
 def _result(answer: Answer) -> Result:
@@ -114,12 +134,17 @@
         letter.method + b" " + letter.target + b" HTTP/1.1",
         b"Host: " + host.encode(),
         b"Req-Id: " + letter.req_id,
-        b"Req-Deadline: %.3f" % (max(0.0, time_left) / 1000.0),
+        # of a body that is coming, the time counts from its last byte
+        b"Req-Deadline: " + (letter.wait if letter.flow else b"%.3f" % (max(0.0, time_left) / 1000.0)),
     ]
     if letter.idempotency_key is not None:
         lines.append(b"Idempotency-Key: " + letter.idempotency_key)
     if letter.content_type is not None:
         lines.append(b"Content-Type: " + letter.content_type)
-    if letter.body or letter.method != b"GET":
+    if letter.flow is not None and letter.flow.length is None:
+        lines.append(b"Transfer-Encoding: chunked")
+    elif letter.flow is not None and letter.flow.length is not None:
+        lines.append(b"Content-Length: %d" % letter.flow.length)
+    elif letter.body or letter.method != b"GET":
         lines.append(b"Content-Length: %d" % len(letter.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + letter.body
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -10,15 +10,19 @@
 import httptools
 
 from ..core.engine import Envelope
+from ..core.flow import Flow, Room
 from ..core.transport_map import key_number
 from ..settings.config import Names
 
-BODY_LIMIT = 64 * 1024
+BODY_LIMIT = 36 * 1024 * 1024
+WHOLE = 64 * 1024  # a body up to this is handed over whole, a longer one as it comes
+COMING = 600_000.0  # milliseconds that a body may take to come
 HEAD_LIMIT = 16 * 1024
 BEHIND_LIMIT = 4  # messages read ahead of the one that is being answered
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+    409: b"Conflict", 413: b"Content Too Large", 417: b"Expectation Failed",
+    431: b"Request Header Fields Too Large",
     499: b"Client Closed Request",
     500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }
@@ -26,7 +30,7 @@
 # Of these a second one would be read one way here and another way elsewhere.
 _ONCE = frozenset({
     b"req-id", b"req-kind", b"req-owner", b"req-deadline", b"req-cost", b"req-retry", b"idempotency-key",
-    b"content-length", b"transfer-encoding",
+    b"content-length", b"transfer-encoding", b"host", b"expect",
 })
 _ID = re.compile(rb"[!-~]{1,128}")
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")  # not all that float() takes: 1_0, nan, 1e300
@@ -43,6 +47,14 @@
     idempotency_key: bytes | None
     content_type: bytes | None
     wait: bytes = b""  # Req-Deadline as it came: not passed on, but kept for the record
+    flow: Flow | None = None  # in place of the body: it is still coming
+
+
+def drop_body(envelope: Envelope) -> None:
+    """What has come of its body is of no use."""
+    assert isinstance(envelope.payload, Letter)
+    if envelope.payload.flow is not None:
+        envelope.payload.flow.close()
 
 
 def words(payload: object) -> tuple[bytes, bytes, bytes]:
@@ -96,13 +108,21 @@
 class SenderConnection:
     """One connection of the sender side: one request is answered at a time, in order."""
 
-    def __init__(self, names: Callable[[], Names]) -> None:
-        """`names`: those in force, asked when a request has come whole."""
-        self._names = names
+    def __init__(self, names: Callable[[], Names], room: Room | None = None) -> None:
+        """`names`: those in force, asked when a request is handed over. `room`: for bodies that are handed
+        over as they come; without it none is longer than WHOLE."""
+        self._names, self._room = names, room
+        self.flow: Flow | None = None  # of the body that is coming
+        self.broken: Rejected | None = None  # a body that was coming came wrong: the answer to its request
+        self.came = 0  # bytes of the present body
+        self._coming: Envelope | None = None
+        self._whole: list[tuple[Envelope, float]] = []
+        self._unused = 0  # bytes since the last that were of a body
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._inbox: deque[tuple[Received, bool]] = deque()
         self._version = "1.1"  # of the request read last
         self._keep_alive = True  # after the request that is being answered
+        self._in_hand = False  # the body that is coming is of the request that is being answered
         self._chunked = self._closes = False  # the answer that comes in parts, and the connection after it
         self._now = 0.0
         self._target = b""
@@ -121,12 +141,16 @@
         if self._parser is None:
             return
         self._now = now
+        came = self.came
         try:
             self._parser.feed_data(data)
             # the parser holds a header that is not whole back: guards against one that never ends
             self._fed += len(data) if self._in_head else 0
             if self._fed > HEAD_LIMIT:
                 raise Bad(431, "headers too long")
+            self._unused = self._unused + len(data) if self.partial and self.came == came else 0
+            if self._unused > HEAD_LIMIT:  # trailers, or what frames a body, without end
+                raise Bad(431, "too much that is no body")
         except httptools.HttpParserCallbackError as problem:
             cause = problem.__context__
             if isinstance(cause, Bad):
@@ -147,6 +171,14 @@
         """Refuse what came; where it ends is not known, so nothing after it is read."""
         self._parser = None
         self.partial = False
+        flow, self.flow, self._coming = self.flow, None, None
+        if flow is not None:
+            flow.fail()
+            if self._in_hand:  # the answer is due to that request
+                self.broken = self._rejected(problem)
+                return
+            self._inbox.pop()
+            flow.close()
         self._inbox.append((self._rejected(problem), False))
 
     def _rejected(self, problem: Bad) -> Rejected:
@@ -160,8 +192,14 @@
             return None
         received, self._keep_alive = self._inbox.popleft()
         self.owing = True
+        self._in_hand = self.flow is not None and not self._inbox
         return received
 
+    def whole(self) -> list[tuple[Envelope, float]]:
+        """Envelopes that were coming and are whole now, with their deadlines."""
+        found, self._whole = self._whole, []
+        return found
+
     def sent_ahead(self) -> bool:
         """Whether more came before the request in hand was answered."""
         return bool(self._inbox)
@@ -181,7 +219,18 @@
     def end(self) -> None:
         """The connection is closed. The parser refers back to this machine: leave no cycle to collect."""
         self._parser, self.done = None, True
+        self._stop()
+
+    def _stop(self) -> None:
+        """Nothing more is read, and nothing of what was sent ahead is taken up."""
+        for received, _ in self._inbox:
+            if isinstance(received, Delivered):
+                drop_body(received.envelope)
         self._inbox.clear()
+        if self.flow is not None:
+            self.flow.fail()
+            self.flow.close()
+        self.flow = self._coming = None
 
     def answer(self, status: int, body: bytes, extra: Extra, closing: bool, last: bool = False) -> bytes:
         """The head of the answer to the request in hand; its body follows. `done` is set if the connection
@@ -217,11 +266,12 @@
     def _answered(self, closing: bool, last: bool = False) -> None:
         """The request in hand has its answer."""
         self.owing = False
+        last = last or (self._in_hand and self.flow is not None)  # the rest of its body is not read
         # what was sent ahead has been taken: it is answered before the connection may close
         self.done = last or not self._keep_alive or (closing and not self._inbox and not self.partial)
         if self.done:
             self._parser = None
-            self._inbox.clear()
+            self._stop()
 
     @staticmethod
     def _head_of(status: int, closes: bool, extra: Extra) -> bytes:
@@ -235,7 +285,8 @@
 
     def on_message_begin(self) -> None:
         self._target, self._headers, self._body = b"", {}, bytearray()
-        self._head = self._fed = 0
+        self._head = self._fed = self._unused = self.came = 0
+        self._in_hand = False
         self.partial = self._in_head = True
 
     def on_url(self, part: bytes) -> None:
@@ -261,16 +312,58 @@
         length = self._headers.get(b"content-length", b"0").strip()
         if length.isdigit() and int(length) > BODY_LIMIT:
             raise Bad(413, "body too long")
-        self.wants_continue = self._headers.get(b"expect", b"").lower() == b"100-continue"
+        if self._headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+            raise Bad(400, "a coding of the body that is not known here")
+        expect = self._headers.get(b"expect", b"100-continue").lower()
+        if expect != b"100-continue":
+            raise Bad(417, "an expectation that is not known here")
+        self.wants_continue = b"expect" in self._headers
+
+    def in_head(self) -> bool:
+        """Whether what has begun to come is still in its head."""
+        return self._in_head
 
     def on_body(self, part: bytes) -> None:
+        if self.done:
+            return
+        self.came += len(part)
+        self.wants_continue = False  # it did not wait
+        if self.came > (BODY_LIMIT if self._room is not None else WHOLE):
+            raise Bad(413, "body too long")
+        if self.flow is not None:
+            self.flow.put(part)
+            return
         self._body += part
-        if len(self._body) > BODY_LIMIT:
+        if len(self._body) > WHOLE:
+            self._hand_over()
+
+    def _hand_over(self) -> None:
+        """A body is too long to be held: its request goes on before it is whole."""
+        assert self._parser is not None and self._room is not None
+        length = self._headers.get(b"content-length", b"").strip()
+        self.flow = Flow(self._room, int(length) if length.isdigit() else None, tells=False)
+        self.flow.put(bytes(self._body))
+        self._body = bytearray()
+        self._version = self._parser.get_http_version()
+        try:
+            delivered = self._read(self._parser.get_method())
+        except Bad:
+            self.flow.close()
+            self.flow = None
+            raise
+        if not isinstance(delivered, Delivered):
             raise Bad(413, "body too long")
+        self._coming = delivered.envelope
+        self._inbox.append((delivered, self._parser.should_keep_alive()))
 
     def on_message_complete(self) -> None:
         assert self._parser is not None
         self.partial = self.wants_continue = False
+        if self.flow is not None and self._coming is not None:
+            self._whole.append((self._coming, self._now + _wait(self._headers)))
+            flow, self.flow, self._coming = self.flow, None, None
+            flow.end()
+            return
         method = self._parser.get_method()
         self._version = self._parser.get_http_version()
         try:
@@ -282,6 +375,7 @@
     # --------------------------------------------------------------------------------- what they say
 
     def _read(self, method: bytes) -> Received:
+        self._target = origin_form(self._target)
         path = self._target.partition(b"?")[0]
         if path in (b"/ready", b"/health"):
             return Ready()
@@ -293,7 +387,8 @@
             Envelope(
                 klass=place_of(headers, b"req-kind", names.classes),
                 tenant=place_of(headers, b"req-owner", names.tenants) if names.tenants else 0,
-                deadline=self._now + 1000.0 * number_of(headers, b"req-deadline"),
+                deadline=self._now + (COMING if self.flow is not None else _wait(headers)),
+                coming=self.flow is not None,
                 key=key_number(key_of(path)),
                 write=method == b"PUT",
                 retry=headers.get(b"req-retry") == b"1",
@@ -301,12 +396,24 @@
                 payload=Letter(
                     method, self._target, bytes(self._body), _identity(headers),
                     headers.get(b"idempotency-key"), headers.get(b"content-type"),
-                    headers[b"req-deadline"],
+                    headers[b"req-deadline"], self.flow,
                 ),
             )
         )
 
 
+def origin_form(target: bytes) -> bytes:
+    """A request's target without scheme and authority, which every server must take."""
+    if target[:7].lower() != b"http://":
+        return target
+    authority, slash, rest = target[7:].partition(b"/")
+    return slash + rest if slash else b"/" + authority[len(authority.partition(b"?")[0]) :]
+
+
+def _wait(headers: dict[bytes, bytes]) -> float:
+    return 1000.0 * number_of(headers, b"req-deadline")
+
+
 def text_of(headers: dict[bytes, bytes], name: bytes) -> bytes:
     """A header that must be there."""
     value = headers.get(name)
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -47,7 +47,7 @@
     """What the operators set for all doors; the listener's part of it. Times are milliseconds."""
 
     limits: Limits
-    patience: float = 2_000.0  # for the rest of a request, from its begin or that of the connection
+    patience: float = 2_500.0  # for the head of a request, from its begin or that of the connection
     queue: int = 1024  # connections that may wait in the kernel, at each door
 
 
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -32,6 +32,12 @@
 DIALED = 4_096  # endpoints of whose dials something is kept
 
 
+def _spent(payload: object) -> bool:
+    """Whether a body that came in parts has been begun to be sent: it cannot be sent again."""
+    assert isinstance(payload, Letter)
+    return payload.flow is not None and payload.flow.touched
+
+
 def _nothing() -> None:
     """Nobody waits."""
 
@@ -60,9 +66,16 @@
         """Carry an attempt; its bytes go out as soon as the connection is up."""
         self.attempt = attempt
         self.exchange = Exchange(letter, self.host, attempt.stop_at - self.pool.loop.now())
+        if letter.flow is not None:
+            letter.flow.more = self._body_came
         if not self.dialing:
             self._guarded(self._write)
 
+    def _body_came(self) -> None:
+        """More of the request's body is there."""
+        if self.exchange is not None and not self.dialing:
+            self._guarded(self._write)
+
     def _connected(self) -> None:
         super()._connected()
         self.pool.dials_to(self.endpoint).up(self.pool.loop.now() - self.dialed_at)
@@ -86,7 +99,7 @@
         if exchange.unsent():
             try:
                 exchange.written(self.stream.write(exchange.unsent()))
-                if not exchange.unsent() and self.attempt is not None:
+                if exchange.sent() and self.attempt is not None:
                     self.pool.engine.written[self.attempt.envelope.klass] += 1
             except OSError:
                 self._read()  # an early answer may have come before the connection broke
@@ -254,6 +267,9 @@
         """Start a delivery attempt on the most recently used idle connection, or on a new one."""
         letter = attempt.envelope.payload
         assert isinstance(letter, Letter)
+        if _spent(letter):
+            self.ended(attempt, Verdict(Result.MOOT))
+            return
         link = self._idle_link(attempt.server)
         if link is None:
             hop = self.map.hops.get(attempt.server)
@@ -291,7 +307,10 @@
     def ended(self, attempt: DeliveryAttempt, verdict: Verdict) -> None:
         """An attempt has its outcome."""
         self.busy.pop(attempt, None)
-        self.engine.attempt_ended(attempt, verdict.result, verdict.note, verdict.answer, verdict.spoilt)
+        self.engine.attempt_ended(
+            attempt, verdict.result, verdict.note, verdict.answer, verdict.spoilt,
+            _spent(attempt.envelope.payload),
+        )
 
     def rest(self, link: Link) -> None:
         """A connection is free for the next attempt."""
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -19,10 +19,11 @@
     Received,
     Rejected,
     SenderConnection,
+    drop_body,
 )
 from ..logs import fault, say
 from .loop import READ, WRITE, Timer
-from .stream import StreamMaker
+from .stream import CHUNK, StreamMaker
 
 if TYPE_CHECKING:
     from .listener import Listener
@@ -31,6 +32,8 @@
 LINGER = 500.0  # to read on after an answer that came before the request's end, lest a reset overtakes it
 WHYS = {408: Why.SLOW, 499: Why.CLIENT}  # how a connection ends with such an answer
 FIRST_HAS = 500.0  # for the rest of a first request that began late
+STILL = 1_000.0  # milliseconds without a byte of a body, once its head's time is over
+SLOWEST = 32.0  # bytes a millisecond of a body, on the average from there: half of what a slow client sends
 PIECE = 64 * 1024  # of a body in parts that is written at once
 NO_PROGRESS = 10_000.0  # milliseconds without a byte: who reads an answer in parts has stopped
 UNREAD_FOR = 3_000.0  # the same for a short answer, once nobody waits for it
@@ -50,13 +53,15 @@
         self.waited_for = listener.loop.now() + listener.patience  # until when the answer in hand is
         self._linger: Timer | None = None
         self.flow: Flow | None = None  # of the answer that is passed on
+        self.upload: Flow | None = None  # of the body of the request in hand
+        self.came = 0.0  # when something last came
         self._left = False  # the other side has ended its sending
         self.stream = make(listener.loop, listener.budget, sock, self.ready)
 
     def make_machine(self) -> SenderConnection:
         """What reads its requests."""
         listener = self.listener
-        return SenderConnection(lambda: listener.names)
+        return SenderConnection(lambda: listener.names, listener.budget.flows)
 
     def ready(self, mask: int) -> None:
         """The socket is ready."""
@@ -74,7 +79,8 @@
 
     def _read(self) -> None:
         was_up = self.stream.established()
-        data = self.stream.read()
+        body = self.machine.flow
+        data = self.stream.read() if body is None else self.stream.read(max(1, min(CHUNK, body.space())))
         now = self.listener.loop.now()
         if not was_up and self.stream.established():
             self.conn.ready = now
@@ -86,9 +92,35 @@
             self._ended()
             return
         self.conn.begin(now)
+        self.came = now
         self.machine.feed(data, now)
+        if self.machine.flow is not None:
+            self.machine.flow.freed = self._settle
         self._take()
-        if self.machine.wants_continue:
+        for envelope, deadline in self.machine.whole():
+            self._whole(envelope, deadline)
+        if self.upload is not None:
+            self.upload.tell()
+        self._came_wrong()
+
+    def _whole(self, envelope: Envelope, deadline: float) -> None:
+        """The last byte of an envelope that was coming is there."""
+        if envelope is self.envelope:
+            self.waited_for = deadline + UNREAD
+            self.listener.engine.whole(envelope, deadline)
+        elif not envelope.ref:  # it waits for the answer to an earlier one
+            envelope.coming, envelope.deadline = False, deadline
+
+    def _came_wrong(self) -> None:
+        """A body that was passed on as it came cannot go on: its request ends."""
+        broken, self.machine.broken = self.machine.broken, None
+        if broken is not None and self.machine.owing:
+            self.sender_left()
+            self._reject(broken.status, broken.reason, broken.klass, last=True)
+
+    def _invite(self) -> None:
+        """Say that a body may come, unless an earlier request is to be answered first."""
+        if self.machine.wants_continue and not self.machine.owing and self.stream.open:
             self.machine.wants_continue = False
             self.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -98,6 +130,7 @@
             self.listener.asked(self)
             self.waited_for = self.listener.loop.now() + self.listener.patience
             self._handle(received)
+        self._invite()
 
     def _handle(self, received: Received) -> None:
         match received:
@@ -114,21 +147,24 @@
         take the two for one."""
         open_ids, req_id = self.listener.open_ids, _id_of(envelope)
         if req_id in open_ids:
+            drop_body(envelope)
             self._reject(409, "req-id is open already", envelope.klass)
             return
         open_ids.add(req_id)
         self.envelope = envelope
+        assert isinstance(envelope.payload, Letter)
+        self.upload = envelope.payload.flow
         self.waited_for = envelope.deadline + UNREAD
         self.listener.engine.accept(envelope, self)
 
-    def _reject(self, status: int, reason: str, klass: int | None = None) -> None:
+    def _reject(self, status: int, reason: str, klass: int | None = None, last: bool = False) -> None:
         """A request that cannot be taken. One that came with others close behind ends the connection: guards
         against hundreds of them sent ahead, each of which would cost an answer."""
         self.listener.rejected += 1
         if klass is not None:
             self.listener.engine.turned_away(klass)
         say(log, logging.WARNING, "rejected", status=status, reason=reason)
-        self._answer(status, reason.encode() + b"\n", last=self.machine.sent_ahead())
+        self._answer(status, reason.encode() + b"\n", last=last or self.machine.sent_ahead())
 
     def _ended(self) -> None:
         """The sender side has ended its sending: it has gone. Should it have closed only that half, it still
@@ -156,6 +192,9 @@
         envelope, self.envelope = self.envelope, None
         if envelope is not None:
             self.listener.open_ids.discard(_id_of(envelope))
+        if self.upload is not None:
+            self.upload.close()
+            self.upload = None
         return envelope
 
     def gone(self) -> None:
@@ -283,7 +322,9 @@
             return
         # Guards against a sender that fills the memory with requests sent ahead: they stay in its socket. One
         # that has ended its sending stays readable for ever, and says no more.
-        reads = self._linger is not None or not (self.machine.crowded() or self._left)
+        body = self.machine.flow
+        full = self.machine.crowded() or self._left or (body is not None and body.pause())
+        reads = self._linger is not None or not full
         self.stream.want((READ if reads else 0) | (WRITE if unwritten else 0))
 
     def _begun(self, now: float) -> float:
@@ -313,6 +354,18 @@
         still = now - self.stream.moved
         return still >= NO_PROGRESS or (self.flow is None and now >= self.waited_for and still >= UNREAD_FOR)
 
+    def _stopped_sending(self, now: float, since: float) -> bool:
+        """Whether what has begun to come does not go on: a head has its time, a body has to make progress."""
+        machine, over = self.machine, now - since - self.listener.patience
+        if over < 0 or (machine.owing and machine.flow is None):
+            return False
+        if machine.flow is not None and machine.flow.paused:
+            self.stuck_since = now - self.listener.patience  # it is us who do not read
+            if self.stream.left():  # no selector tells of that while nothing is waited for
+                self.gone()
+            return False
+        return machine.in_head() or now - self.came >= STILL or machine.came < SLOWEST * over
+
     def check(self, now: float) -> None:
         """Guards against connections held for ever by half a request or an answer that is not read."""
         if self.stuck_since is None:
@@ -320,12 +373,13 @@
         if self.stream.unwritten():
             if self._stopped_reading(now):
                 self._too_slow()
-        elif now - self.stuck_since >= self.listener.patience and not self.machine.owing:
+        elif self._stopped_sending(now, self.stuck_since):
             if not self.stream.established():
                 self._too_slow()
                 return
             self.machine.too_slow()
             self._take()
+            self._came_wrong()
             self._settle()
 
     def _too_slow(self) -> None:
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -15,6 +15,7 @@
 from .loop import READ, WRITE, Loop, Ready
 
 CHUNK = 128 * 1024
+_ENDED = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT, as the kernel numbers the states of a connection
 KERNEL = 128 * 1024
 
 
@@ -89,6 +90,15 @@
             pass
         return False
 
+    def left(self) -> bool:
+        """Whether the other side has ended or broken the connection, whatever of it is still unread."""
+        option = getattr(socket, "TCP_INFO", None)
+        if option is None:
+            return False
+        with contextlib.suppress(OSError):
+            return self.sock.getsockopt(socket.IPPROTO_TCP, option, 1)[0] in _ENDED
+        return True
+
     def partial(self) -> bool:
         """Whether a part of something has come that is of no use without the rest."""
         return False
--- a/rosepick/settings/operator_file.py
+++ b/rosepick/settings/operator_file.py
@@ -93,7 +93,7 @@
     Choice("address_shares", "on", live=True, words=("on", "off")),
     Seconds("silent_timeout", 2.2, live=True, low=0.2, high=3600.0),
     Seconds("idle_timeout", 8.0, live=True, low=0.5, high=3600.0),
-    Seconds("request_timeout", 2.0, live=True, low=0.1, high=60.0),
+    Seconds("request_timeout", 2.5, live=True, low=0.1, high=60.0),
     Whole("accept_queue", 1024, live=True, low=1, high=65_535),
     Whole("tls_handshake_part", 25, live=True, low=1, high=100),
 )
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -5,9 +5,12 @@
 import contextlib
 import socket
 import unittest
+from unittest import mock
 
 from rosepick.core.flow import LEAST, MOST, Flow, Room
 from rosepick.http.response import AnswerReader, BadAnswer
+from rosepick.http.sender_side import Delivered, Letter, Rejected, SenderConnection, origin_form
+from rosepick.settings.config import Names
 
 from .scenario import Scenario, Wire
 
@@ -221,3 +224,192 @@
         if isinstance(reader, socket.socket):
             reader.close()
         super().tearDown()
+
+
+class Requests(unittest.TestCase):
+    """Every form of a request with a long body, cut anywhere, is the same body; what is ambiguous is none."""
+
+    HEAD = b"PUT /api/k1 HTTP/1.1\r\nReq-Id: 7 \t\r\nReq-Kind: set\r\nReq-Owner: acme\r\nReq-Deadline: 1\r\n"
+    BODY = bytes(range(256)) * 300
+    NAMES = Names({"set": 0}, {"acme": 0}, {}, {})
+
+    def read(self, *parts: bytes) -> tuple[object, bytes]:
+        machine, found = SenderConnection(lambda: self.NAMES, Room(MOST)), b""
+        received: object = None
+        for part in parts:
+            machine.feed(part, 0.0)
+            received = received or machine.next()
+            if isinstance(received, Delivered):
+                assert isinstance(received.envelope.payload, Letter)
+                flow = received.envelope.payload.flow
+                found += received.envelope.payload.body if flow is None else b"".join(flow.take(1 << 20))
+        return machine.broken or received, found
+
+    def forms(self) -> dict[str, bytes]:
+        chunk = b"12C00;x=\"y\"\r\n" + self.BODY + b"\r\n"
+        return {
+            "length": self.HEAD + b"Content-Length: 76800\r\n\r\n" + self.BODY,
+            "chunked": self.HEAD + b"Transfer-Encoding: Chunked\r\n\r\n" + chunk + b"0\r\n\r\n",
+            "trailers": self.HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+            + b"0\r\nReq-Cost: x\r\n\r\n",
+        }
+
+    def test_cut_at_many_places(self) -> None:
+        for name, form in self.forms().items():
+            head = form.index(b"\r\n\r\n") + 4
+            cuts = {
+                *range(0, head + 40), *range(head + 65_500, head + 65_560), *range(len(form) - 40, len(form)),
+            }
+            for cut in sorted(cuts):
+                with self.subTest(name, cut=cut):
+                    received, found = self.read(form[:cut], form[cut:])
+                    self.assertIsInstance(received, Delivered)
+                    self.assertEqual(found, self.BODY)
+
+    def test_what_is_wrong_has_an_error_before_and_after_it_was_handed_over(self) -> None:
+        for head, body, status in (
+            (b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", b"", 400),
+            (b"Content-Length: 5\r\nContent-Length: 5\r\n", b"", 400),
+            (b"Transfer-Encoding: gzip, chunked\r\n", b"", 400), (b"Host: a\r\nHost: b\r\n", b"", 400),
+            (b"Expect: a-miracle\r\nContent-Length: 3\r\n", b"", 417),
+            (b"Content-Length: 60000000\r\n", b"", 413), (b"Content-Length: -1\r\n", b"", 400),
+            (b"Transfer-Encoding: chunked\r\n", b"12C00\r\n" + self.BODY + b"\r\nnonsense", 400),
+            (b"Transfer-Encoding: chunked\r\n", b"12C00\r\n" + self.BODY + b"\r\n0\r\n" + b"a: b\r\n" * 9999,
+             431),
+        ):
+            with self.subTest(head, status=status):
+                received, _ = self.read(self.HEAD + head + b"\r\n" + body[:70_000], body[70_000:])
+                assert isinstance(received, Rejected), received
+                self.assertEqual(received.status, status)
+
+    def test_a_target_with_an_authority_is_taken_as_its_path(self) -> None:
+        for target, path in (
+            (b"/a/b?c", b"/a/b?c"), (b"http://app.svc/a/b", b"/a/b"), (b"HTTP://x", b"/"),
+            (b"http://x?q", b"/?q"),
+        ):
+            self.assertEqual(origin_form(target), path)
+
+
+class Coming(Scenario):
+    """Long bodies through a whole router; writes go to the origin."""
+
+    nodes = ("s1", "origin")
+    SIZE = 200_000
+
+    def begin(self, size: int, length: str = "Content-Length: 200000") -> None:
+        """A write whose body has come so far."""
+        self.client = self.wire("c1")
+        self.client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # the clock is not its own
+        head = "PUT /api/k1 HTTP/1.1\r\nReq-Id: 7\r\nReq-Kind: set\r\nReq-Owner: acme\r\nReq-Deadline: 1\r\n"
+        self.put("c1", f"{head}{length}\r\n\r\n".encode() + b"x" * size)
+        for _ in range(5):
+            self.step()
+
+    def free(self) -> None:
+        """Nothing is left of it."""
+        budget = self.server.budget
+        self.assertEqual((self.server.engine.owed, budget.flows.flows, budget.flows.held), (0, 0, 0))
+        self.assertFalse(self.server.pool.busy)
+
+    def test_it_goes_on_as_it_comes_and_its_time_counts_from_its_last_byte(self) -> None:
+        self.begin(80_000)
+        (node,) = self.wires["origin"]
+        self.assertGreater(len(node.seen), 60_000)
+        for _ in range(12):
+            self.put("c1", b"x" * 10_000)
+            self.wait(200)
+        self.play("c1 expect nothing")
+        self.wait(700)
+        self.play("origin expect PUT /api/k1\norigin send 200 stored\nc1 expect 200 stored")
+        told = self.server.figures().line()
+        self.assertIn('"set":{"success":1,"busy":0,"failure":0,"backend_calls":1}', told)
+        self.play("c1 send GET /api/k2\ns1 expect GET /api/k2\ns1 send 200 v\nc1 expect 200 v")
+        self.free()
+
+    def test_it_ends_at_its_deadline_once_it_is_whole(self) -> None:
+        self.begin(self.SIZE)
+        self.wait(900)
+        self.play("c1 expect nothing\nwait 200\nc1 expect 504")
+        self.wait(100)
+        self.free()
+
+    def test_an_origin_that_breaks_midway_is_not_sent_another_one(self) -> None:
+        self.begin(80_000)
+        (node,) = self.wires["origin"]
+        node.sock.close()
+        self.wires["origin"].remove(node)
+        self.put("c1", b"x" * 20_000)
+        self.play("c1 expect 503 Connection=close\norigin expect nothing\ns1 expect nothing")
+        self.free()
+
+    def test_an_origin_that_cannot_be_reached_refuses_it_at_once(self) -> None:
+        self.play("origin refuse")
+        self.begin(80_000)
+        self.play("c1 expect 503 Connection=close")
+        self.free()
+
+    def test_a_client_that_leaves_or_stops_midway_frees_both_sides(self) -> None:
+        self.begin(80_000)
+        self.play("c1 close\norigin expect closed")
+        self.free()
+        self.begin(80_000)
+        self.wait(3_400)
+        self.play("c1 expect 408 Connection=close\norigin expect closed")
+        self.free()
+
+    def test_slow_is_not_stopped_but_too_slow_is(self) -> None:
+        self.begin(0)
+        for _ in range(12):
+            self.put("c1", b"x" * 16_000)
+            self.wait(250)
+        self.put("c1", b"x" * 8_000)
+        self.play("origin expect PUT\norigin send 200 stored\nc1 expect 200")
+        self.begin(0)
+        for _ in range(15):
+            self.put("c1", b"x" * 2_000)
+            self.wait(250)
+        self.play("c1 expect 408")
+        self.free()
+
+    def test_an_origin_that_does_not_read_holds_its_client_back(self) -> None:
+        self.begin(80_000, "Transfer-Encoding: chunked\r\n\r\n1f00000")
+        with mock.patch.object(self.wires["origin"][-1], "pull"):
+            written = 0
+            for _ in range(300):
+                with contextlib.suppress(BlockingIOError):
+                    written += self.client.sock.send(b"x" * MIB)
+                self.step()
+            self.assertLess(written, 20 * MIB)
+            self.assertLessEqual(self.server.budget.flows.held, 2 * MOST)
+            self.wait(8_000)
+            self.assertEqual(self.server.engine.owed, 1)  # it is not the client that is slow
+            self.wires["origin"].pop().sock.close()
+            self.play("c1 expect 503 Connection=close")
+        self.free()
+
+    def test_wrong_chunks_after_it_was_handed_over_end_it(self) -> None:
+        self.begin(0, "Transfer-Encoding: chunked")
+        self.put("c1", b"186a0\r\n" + b"x" * 80_000)
+        self.step()
+        self.put("c1", b"x" * 20_000 + b"\r\nnonsense\r\n")
+        self.play("c1 expect 400 Connection=close\norigin expect closed")
+        self.free()
+
+    def test_one_behind_an_unanswered_request_waits_for_its_turn(self) -> None:
+        self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
+        self.begin(100_000, "Expect: 100-continue\r\nContent-Length: 100000")
+        self.play("c1 expect nothing\norigin expect nothing\ns1 send 200 v\nc1 expect 200 v")
+        self.play("origin expect PUT /api/k1\norigin send 200 stored\nc1 expect 200 stored")
+        self.free()
+
+    def test_a_body_is_asked_for_where_its_client_waits_for_that(self) -> None:
+        self.begin(0, "Expect: 100-continue\r\nContent-Length: 3")
+        self.play("c1 expect 100")
+        self.put("c1", b"abc")
+        self.play("origin expect PUT /api/k1\norigin send 200 stored\nc1 expect 200 stored")
+
+    def test_one_with_an_open_id_is_turned_away_and_let_go(self) -> None:
+        self.play("c2 send GET /api/k1 Req-Id=7\ns1 expect GET")
+        self.begin(100_000)
+        self.play("c1 expect 409\ns1 send 200 v\nc2 expect 200")
+        self.free()
