Send a read whose last attempt is due to the origin where few attempts are allowed

Ruled out: the retry budget (first attempts: 18 of 80). What is left are waits at the origin's gate.

--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -75,6 +75,7 @@
 PROBE_CREDIT = 0.15  # probes a request, where there are load reports
 
 RETRY_CREDIT = 0.2  # retries earned by a request: a storm stays a fifth of the traffic
+FEW = 2  # attempts after which the last one is worth a fetch; after more, time is short too
 RETRY_MOST = 12.0  # and a burst of failures has this many
 WINDOW_MARGIN = 0.1  # of a repeat window, left for the way
 
@@ -761,7 +762,8 @@
             case api.ProbeResult():
                 self._probed(event)
             case api.ClientGone():
-                self._gone(event.ref)
+                if (job := self.jobs.get(event.ref)) is not None:
+                    self._close(job)
             case api.FirstByte():
                 self._first_byte(event)
         return self.actions
@@ -1195,7 +1197,8 @@
             self._finish(job)
             return
         self.retries -= not free
-        if job.at_origin:
+        last = self.settings.mode is Mode.ASIDE and len(job.attempts) == job.limits.max_attempts - 1 <= FEW
+        if job.at_origin or last:  # after a miss there would be no attempt left for the fetch
             self._to_origin(job)
         else:
             self._to_cache(job)
@@ -1268,11 +1271,6 @@
             self._alive(attempt.server)
             self._close(job, attempt)  # the stream is the answer; its own end comes as an outcome
 
-    def _gone(self, ref: int) -> None:
-        job = self.jobs.get(ref)
-        if job is not None:
-            self._close(job)
-
     # ------------------------------------------------------------------------------------- housekeeping
 
     def _alive(self, server: Server) -> None:
