--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -369,6 +369,17 @@
         self.assertEqual(self.server.listener.account.closed[Why.HALF], 1)
         self.play("c100 expect closed")
 
+    def test_sigterm_among_them_ends_in_time_and_true_ones_get_in(self) -> None:
+        for n in range(100, 139):
+            self.play(f"c{n} raw GET /re")
+        self.play(r"c1 raw GET /ready HTTP/1.1\r\n")
+        for _ in range(4):
+            self.play("wait 100\n" + r"c1 raw X: y\r\n")
+        self.play("router end")
+        for _ in range(14):
+            self.play("wait 100\n" + r"c1 raw X: y\r\n")
+        self.play("c1 raw \\r\\n\nc1 expect 503 Connection=close ending\nc1 close\nwait 1800\nrouter ended")
+
     def test_they_are_kept_while_there_is_room(self) -> None:
         for n in range(100, 110):
             self.play(f"c{n} raw GET /re")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
+import json
 import os
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
 from unittest import TestCase, mock
@@ -19,7 +24,7 @@
 from rosepick.upgrade.knowledge import gather, teach
 from rosepick.upgrade.standing import Standing
 
-from .scenario import Scenario
+from .scenario import SETTINGS, Scenario
 
 LISTEN = ("127.0.0.1", 5000)
 
@@ -256,3 +261,101 @@
         taken, _ = self.held.accept()
         self.addCleanup(taken.close)
         self.assertEqual(taken.recv(100), b"GET /ready HTTP/1.1\r\n\r\n")
+
+    def test_a_long_answer_on_its_way_comes_whole(self) -> None:
+        self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
+        self.play(r"s1 raw HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x" * 100_000)
+        self.play("router end\nwait 700\nrouter going")
+        self.play("s1 raw " + "x" * 100_000 + "\nc1 expect 200\nc1 close\nwait 600\nrouter ended")
+
+
+class Discovery(BaseHTTPRequestHandler):
+    """A stand-in that tells one list; a watch lasts a second."""
+
+    def do_GET(self) -> None:
+        if "wait_ms=20000" in self.path:
+            time.sleep(1.0)
+        body = b'{"rev":1,"all":true,"targets":[]}'
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        with contextlib.suppress(OSError):
+            self.wfile.write(body)
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Says nothing."""
+
+
+class Processes(TestCase):
+    """Two real processes on one socket, under a client that never stops asking."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.clients = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.addCleanup(self.clients.close)
+        discovery = ThreadingHTTPServer(("127.0.0.1", 0), Discovery)
+        discovery.daemon_threads = True
+        threading.Thread(target=discovery.serve_forever, daemon=True).start()
+        self.addCleanup(discovery.server_close)
+        self.addCleanup(discovery.shutdown)
+        settings = {**SETTINGS, "membership_mode": "subscribe"}
+        self.document = {
+            "name": "n0", "listen": f"127.0.0.1:{self.clients.getsockname()[1]}", "seed": "1f",
+            "discovery": f"127.0.0.1:{discovery.server_port}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "known": {"rev": 1, "all": True, "targets": []}, "settings": settings,
+        }
+
+    def start(self, name: str, **changes: object) -> tuple[subprocess.Popen[bytes], int]:
+        """A router process, and the port of its door."""
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps({**self.document, "ops": f"127.0.0.1:{port}", **changes}))
+        environment = {
+            **os.environ, "GW_CONFIG": str(path), "TMPDIR": str(self.folder),
+            "GW_LISTEN_FD": str(self.clients.fileno()),
+        }
+        made = subprocess.Popen(
+            [sys.executable, "-m", "rosepick", "serve"], env=environment, pass_fds=[self.clients.fileno()],
+            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+        )
+        self.addCleanup(made.wait)
+        self.addCleanup(made.kill)
+        return made, port
+
+    def says(self, port: int, wanted: bytes) -> None:
+        """Wait until a door says that."""
+        said = b""
+        for _ in range(300):
+            with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port), 1.0) as caller:
+                caller.sendall(b"readyz\n")
+                said = caller.recv(100)
+                if said.startswith(wanted):
+                    return
+            time.sleep(0.05)
+        self.fail(f"{said!r} in place of {wanted!r}")
+
+    def ask(self) -> bytes:
+        with socket.create_connection(self.clients.getsockname(), 5.0) as client:
+            client.sendall(b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+            return client.recv(100)
+
+    def test_one_replaces_the_other_with_no_request_left_at_the_door(self) -> None:
+        old, port = self.start("old")
+        self.says(port, b"OK")
+        broken, _ = self.start("broken", discovery="nowhere")
+        self.assertNotEqual(broken.wait(20), 0)  # the old one goes on as before
+        new, port = self.start("new")
+        self.says(port, b"OK")
+        answers = [self.ask()[:12]]
+        old.terminate()
+        for _ in range(40):
+            answers.append(self.ask()[:12])
+        self.assertEqual(old.wait(10), 0)
+        answers.append(self.ask()[:12])
+        self.assertEqual(set(answers), {b"HTTP/1.1 200"})
+        new.terminate()
+        self.assertEqual(new.wait(10), 0)
