--- a/rosepick/cli/check.py
+++ b/rosepick/cli/check.py
@@ -66,7 +66,7 @@
         return [Lenient(row.data, f"{self.name(key)}[{n}]", self.notes) for n, row in enumerate(rows)]
 
     def number(self, key: str, default: float | None = None) -> float:
-        stand_in = 1.0 if default is None else default
+        stand_in = 1.0 if default is None else float(default)
         return self._read(key, lambda: Reader.number(self, key, default), stand_in)
 
     def whole(self, key: str, default: int) -> int:
--- a/rosepick/net/ops.py
+++ b/rosepick/net/ops.py
@@ -73,6 +73,7 @@
         self.loop, self.calls = loop, calls
         self.budget = Budget(1024)  # apart from the one for clients: guards the door against their crowd
         self.callers: OrderedDict[Caller, None] = OrderedDict()
+        self.came = 0  # callers since the start
         self.sock = listen(endpoint, QUEUE)
         loop.watch(self.sock, READ, self._accept, urgent=True)
         host, port = self.sock.getsockname()[:2]
@@ -86,6 +87,7 @@
                 return
             if len(self.callers) >= CALLERS:
                 next(iter(self.callers)).close()
+            self.came += 1
             self.callers[Caller(self, sock)] = None
 
     def close(self) -> None:
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -384,7 +384,8 @@
         counts = {name: self.engine.counts[name] for name in sorted(self.engine.counts)}
         say(
             log, logging.INFO, "counts", owed=self.engine.owed, sockets=self.budget.used,
-            rejected=self.listener.rejected, loop_faults=self.loop.faults, **counts,
+            rejected=self.listener.rejected, loop_faults=self.loop.faults,
+            callers=self.ops.came if self.ops is not None else 0, **counts,
         )
         self.listener.sum_up()
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -121,6 +121,13 @@
             self.assertEqual(ended.returncode, 1)
             self.assertRegex(ended.stdout, r"\AGW_CONFIG: (not set|/nowhere/config.json: No such file.*)\n\n")
 
+    def test_a_whole_number_that_is_none_is_named_and_the_check_goes_on(self) -> None:
+        self.document["settings"] = copy.deepcopy(SETTINGS)
+        self.document["settings"]["limits"]["max_attempts"] = "soon"
+        status, faults, values = self.check()
+        self.assertEqual((status, faults), (1, ["GW_CONFIG settings.limits.max_attempts: 'soon', not a number"]))
+        self.assertIn("settings.limits.dial_timeout 250.0 (GW_CONFIG)", values)
+
     def test_all_faults_of_the_config_at_once(self) -> None:
         self.document.update(listen="here", seed="xyz", name=7)
         self.document["settings"] = copy.deepcopy(SETTINGS)
