--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -125,7 +125,8 @@
         self.document["settings"] = copy.deepcopy(SETTINGS)
         self.document["settings"]["limits"]["max_attempts"] = "soon"
         status, faults, values = self.check()
-        self.assertEqual((status, faults), (1, ["GW_CONFIG settings.limits.max_attempts: 'soon', not a number"]))
+        fault = "GW_CONFIG settings.limits.max_attempts: 'soon', not a number"
+        self.assertEqual((status, faults), (1, [fault]))
         self.assertIn("settings.limits.dial_timeout 250.0 (GW_CONFIG)", values)
 
     def test_all_faults_of_the_config_at_once(self) -> None:
