--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -205,16 +205,8 @@
             self._forget(envelope)
             return
         self._tell(api.ClientGone(envelope.ref))
-        self._stop_sending(envelope)
         self._forget(envelope)
 
-    def _stop_sending(self, envelope: Envelope) -> None:
-        """An envelope that was coming is over: the rest of it will not come."""
-        for attempt in envelope.attempts:
-            if envelope.coming and attempt.out:
-                self.next_hops.give_up(attempt)
-                self.attempt_ended(attempt, Result.CANCELLED)
-
     def reconfigure(self, settings: api.Settings) -> None:
         """Other settings, for envelopes that come from here on."""
         self.settings = settings
@@ -325,6 +317,7 @@
             sender = self._close(envelope, End.BROKE)
             self._answer("broke", lambda: sender.broke(envelope))
             self._tell(api.ClientGone(ref))
+            self._forget(envelope)
 
     def _carry_out(self, action: api.Action) -> None:
         match action:
@@ -420,7 +413,6 @@
             return
         sender = self._close(envelope, end)
         self._answer(end.value, lambda: call(envelope, sender))
-        self._stop_sending(envelope)
         self._forget(envelope)
 
     def _answer(self, kind: str, call: Callable[[], None]) -> None:
@@ -457,6 +449,12 @@
         holds(False, "answered_at_the_deadline", ref=envelope.ref)
 
     def _forget(self, envelope: Envelope) -> None:
+        """Drop an envelope that is over, once none of its attempts is out. The rest of one that was coming
+        will not come, so nothing is waited for."""
+        for attempt in envelope.attempts:
+            if envelope.over and envelope.coming and attempt.out:
+                self.next_hops.give_up(attempt)
+                self.attempt_ended(attempt, Result.CANCELLED)
         if envelope.over and not any(attempt.out for attempt in envelope.attempts):
             self.envelopes.pop(envelope.ref, None)
 
--- a/rosepick/core/flow.py
+++ b/rosepick/core/flow.py
@@ -76,14 +76,14 @@
 
     def end(self) -> None:
         """The body is whole."""
-        self.ended = True
+        self.ended, self.freed = True, _nothing
         if self._tells:
             self.more()
 
     def fail(self) -> None:
         """The rest will not come."""
         if not self.ended and not self.broken:
-            self.broken = True
+            self.broken, self.freed = True, _nothing
             if self._tells:
                 self.more()
 
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -20,7 +20,7 @@
 from ..waiting.dials import Dials
 from .budget import Budget
 from .loop import READ, WRITE, Loop
-from .stream import CHUNK, LONG, Dialed, Stream, dial
+from .stream import CHUNK, LONG, NO_PROGRESS, Dialed, Stream, dial
 
 log = logging.getLogger(__name__)
 IDLE_PART = 0.7  # of the time after which a next hop may close an idle connection: then ours goes
@@ -29,7 +29,6 @@
 EARLY = 100.0  # an idle connection that its next hop closes sooner than this was never meant to be kept
 WARY_FOR = 60_000.0  # after such a close
 MORE = 3  # reads in one go, beside the first, of an answer that is passed on
-NO_PROGRESS = 10_000.0  # milliseconds without a byte: an answer that is passed on has stopped
 DIALED = 4_096  # endpoints of whose dials something is kept
 
 
@@ -39,10 +38,6 @@
     return payload.flow is not None and payload.flow.touched
 
 
-def _nothing() -> None:
-    """Nobody waits."""
-
-
 class Link(Dialed):
     """One connection to a next hop."""
 
@@ -176,7 +171,6 @@
         self.attempt = self.exchange = None
         self.pool.passing.pop(self, None)
         self.pool.busy.pop(attempt, None)
-        flow.freed = _nothing
         if verdict.reusable and not self.retired:
             self.stream.want(READ)
             self.pool.rest(self)
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -23,7 +23,7 @@
 )
 from ..logs import fault, say
 from .loop import READ, WRITE, Timer
-from .stream import CHUNK, LONG, StreamMaker
+from .stream import CHUNK, LONG, NO_PROGRESS, StreamMaker
 
 if TYPE_CHECKING:
     from .listener import Listener
@@ -35,7 +35,6 @@
 STILL = 1_000.0  # milliseconds without a byte of a body, once its head's time is over
 SLOWEST = 32.0  # bytes a millisecond of a body, on the average from there: half of what a slow client sends
 PIECE = 256 * 1024  # of a body in parts that is written at once
-NO_PROGRESS = 10_000.0  # milliseconds without a byte: who reads an answer in parts has stopped
 UNREAD_FOR = 3_000.0  # the same for a short answer, once nobody waits for it
 UNREAD = 500.0  # after its deadline nobody waits for an answer any more
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -4,7 +4,6 @@
 
 import gc
 import logging
-import os
 import resource
 import signal
 import time
@@ -25,8 +24,6 @@
 from ..settings.config import Config, ConfigError
 from ..settings.operator_file import OperatorFile, OperatorFileError, Operators
 from ..settings.reader import Reader
-from ..upgrade.knowledge import gather, teach, told_at
-from ..upgrade.standing import Standing
 from .budget import Budget
 from .doors import door_settings
 from .listener import Listener
@@ -36,10 +33,10 @@
 from .watch import DiscoveryWatch
 
 if TYPE_CHECKING:
-    from .capture import Capture  # each is loaded only where it is on
+    from .beside import Beside  # each is loaded only where it is on
+    from .capture import Capture
     from .multiget import MultiGet
     from .ops import OpsDoor
-    from .seats import Seats
     from .tls import Tls
 
 log = logging.getLogger(__name__)
@@ -49,8 +46,6 @@
 LAST_ANSWER = 100.0  # after the longest deadline from there the process ends, whoever still lingers
 END_STEP = 20.0
 SUM_UP_EVERY = 10_000.0
-HEAR_FOR = 1_000.0  # how long a new process waits for what the old one has learned
-LOOK_BESIDE = 50.0  # between two looks at other processes of this router
 
 
 class Server:
@@ -69,13 +64,11 @@
         self.started_with = self.operators.file
         self.loop = loop = loop or Loop()
         self.reconfig_ok = self.reconfig_failed = 0
-        self._started = loop.now()
-        self.seats = self._seats() if config.listen_fd is not None else None
-        self.standing = Standing(() if self.seats is None else self.seats.others())
+        self.beside = self._beside() if config.listen_fd is not None else None
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
         self.budget = Budget(
-            self._may_open(), self.standing.memory(config.memory_mb),
+            self._may_open(), self._memory(),
             0.01 * self.operators.file.whole("doors_part"),
         )
         self.capture = self._capture() if self.operators.capture else None
@@ -101,11 +94,11 @@
         self.ops = self._ops(config.ops) if config.ops is not None else None
         self._ending_since = 0.0
 
-    def _seats(self) -> Seats | None:
-        """This process's seat beside others of the same router."""
-        from .seats import seats_in
+    def _beside(self) -> Beside:
+        """What goes on beside this process, where the platform holds the clients' socket."""
+        from .beside import Beside
 
-        return seats_in(os.environ, self.config.listen)
+        return Beside(self.loop, self.config.listen)
 
     def _ops(self, endpoint: tuple[str, int]) -> OpsDoor:
         """The operators' door."""
@@ -139,45 +132,22 @@
             from .ops import DESCRIPTORS
 
             limit -= DESCRIPTORS
-        return self.standing.descriptors(limit)
-
-    def _look_beside(self) -> None:
-        """Follow other processes of this router that come and go."""
-        assert self.seats is not None
-        self.loop.after(LOOK_BESIDE, self._look_beside)
-        self.seats.tell(self.budget.used)
-        before = len(self.standing.others)
-        if self.standing.look(self.seats.others()):
-            now = len(self.standing.others)
-            if now != before:
-                say(log, logging.INFO, "beside", others=now, may_open=self._may_open())
-            if now > before and self.listener.up() and isinstance(self.engine.router, Router):
-                self.seats.leave(gather(self.engine.router, self.loop.now()))
-            self._resize()
-        if not self.listener.begun:
-            self._hear(self.seats)
-            self._begin()
-
-    def _hear(self, seats: Seats) -> None:
-        """Learn what the process that is to be replaced knows. One that leaves nothing is not waited for
-        long; what was left for another one counts as nothing."""
-        now, document = self.loop.now(), seats.found()
-        self.standing.heard = self.standing.heard or now - self._started >= HEAR_FOR
-        if self.standing.heard or document is None or not isinstance(self.engine.router, Router):
-            return
-        try:
-            if told_at(document) < self._started:
-                return
-            keys = teach(self.engine.router, document, now)
-            say(log, logging.INFO, "knowledge_taken", keys=keys, age_ms=now - told_at(document))
-        except ValueError as problem:
-            say(log, logging.WARNING, "knowledge_unusable", text=problem)
-        self.standing.heard = True
-        seats.taken()
+        return limit if self.beside is None else self.beside.standing.descriptors(limit)
+
+    def _memory(self) -> float:
+        """How many MB are this process's."""
+        amount = self.config.memory_mb
+        return amount if self.beside is None else self.beside.standing.memory(amount)
+
+    def _others_changed(self) -> None:
+        """Another process of this router came, went, or holds something else."""
+        self._resize()
+        self._begin()
 
     def _begin(self) -> None:
         """Take clients, once that is right."""
-        if not self.listener.begun and self.standing.takes_clients():
+        waits = self.beside is not None and not self.beside.standing.takes_clients()
+        if not (self.listener.begun or self.listener.ending or waits):
             self.listener.start()
             host, port = self.listener.sock.getsockname()[:2]
             say(log, logging.INFO, "serving", name=self.config.name, listen=f"{host}:{port}")
@@ -235,14 +205,20 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
-        if self.seats is not None:
-            self._look_beside()
-        self._begin()
+        self.take_clients()
         self.loop.run()
         self._sum_up()
         self.close()
         say(log, logging.INFO, "ended", name=self.config.name)
 
+    def take_clients(self) -> None:
+        """Serve from now on, or once it is this process's turn."""
+        if self.beside is not None:
+            self.beside.follow(
+                self.engine.router, lambda: self.budget.used, self.listener.up, self._others_changed
+            )
+        self._begin()
+
     def close(self) -> None:
         """Let go of every socket."""
         self.listener.close()
@@ -252,8 +228,8 @@
         self.watch.watch(False)
         if self.ops is not None:
             self.ops.close()
-        if self.seats is not None:
-            self.seats.close()
+        if self.beside is not None:
+            self.beside.close()
         if self.capture is not None:
             self.capture.close()
         self.loop.close()
@@ -268,7 +244,8 @@
         )
         self.pool.retire(change.retired)
         self.engine.map_told(change.event)
-        self.standing.listed = True
+        if self.beside is not None:
+            self.beside.standing.listed = True
         self._begin()
 
     def _silent(self) -> None:
@@ -333,7 +310,7 @@
         """Apply the limit of descriptors, and what the operators set for connections."""
         self.budget.doors_part = 0.01 * self.operators.file.whole("doors_part")
         self.budget.resize(self._may_open())
-        self.budget.remember(self.standing.memory(self.config.memory_mb))
+        self.budget.remember(self._memory())
         self.listener.apply(door_settings(self.operators.file), self._may_open())
 
     # --------------------------------------------------------------------------------------- its end
@@ -343,7 +320,7 @@
         if self.listener.ending:
             return
         say(log, logging.INFO, "ending", owed=self.engine.owed, connections=len(self.listener.links))
-        self.listener.ending = self.standing.ending = True
+        self.listener.ending = True
         if self.listener.shared:
             self.listener.close()  # what waits there is the new process's
         self._ending_since = self.loop.now()
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -17,6 +17,7 @@
 CHUNK = 128 * 1024
 _ENDED = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT, as the kernel numbers the states of a connection
 KERNEL = 128 * 1024
+NO_PROGRESS = 10_000.0  # milliseconds without a byte: who gives or reads a body in parts has stopped
 LONG = 1024 * 1024  # bytes of a body beyond which the kernel is not left to hold as much of it as it likes
 
 
--- a/rosepick/upgrade/standing.py
+++ b/rosepick/upgrade/standing.py
@@ -22,7 +22,6 @@
         self.beside = bool(others)  # it was started beside another one: an upgrade
         self.listed = False  # discovery told a list since the start
         self.heard = False  # what the other process has learned is known here, or not to be had
-        self.ending = False
 
     def look(self, others: Sequence[int]) -> bool:
         """Others as they are now; whether anything has changed."""
@@ -34,7 +33,7 @@
         """Whether to take clients. Beside another process only with a list from discovery, and what that one
         knows: guards against an old list in place of a router that serves. If it has died there is nobody to
         wait for."""
-        return not self.ending and (not self.beside or not self.others or (self.listed and self.heard))
+        return not self.beside or not self.others or (self.listed and self.heard)
 
     def descriptors(self, limit: int) -> int:
         """How many of all descriptors this process may hold."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -109,7 +109,7 @@
         self.loop = Loop(lambda: self.now)
         self.file: dict[str, Any] = self.document()
         self.server = Server(self.read(), self.loop, self.read, self.operators())
-        self.server.listener.start()
+        self.server.take_clients()
         for listener in self.listeners.values():
             listener.setblocking(False)
 
@@ -158,6 +158,14 @@
                 else:
                     getattr(self, what.replace("-", "_"))(who, *rest)
 
+    def each(self, cases: dict[str, str]) -> None:
+        """Run scenarios, each with a router of its own; their steps are parted by `; `."""
+        for name, text in cases.items():
+            with self.subTest(name):
+                self.tearDown()
+                self.setUp()
+                self.play(text.replace("; ", "\n"))
+
     # --------------------------------------------------------------------------------------- the verbs
 
     def wait(self, span: float) -> None:
