--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -12,6 +12,7 @@
     s1 refuse                       takes no connections from here on
     router end / going / ended      is told to end; has not ended yet; has
     router reload                   is told to read its configuration file again
+    all holds engine.owed 1         that part of the router has that value
     wait 600                        so many milliseconds pass on a clock of the scenario's own
 
 Nothing sleeps: the loop is stepped until what is expected is there, a bounded number of times.
@@ -20,6 +21,7 @@
 from __future__ import annotations
 
 import json
+import operator
 import select
 import socket
 import unittest
@@ -158,6 +160,11 @@
                 else:
                     getattr(self, what.replace("-", "_"))(who, *rest)
 
+    def holds(self, who: str, text: str) -> None:
+        """Something of the router has that value."""
+        path, _, value = text.partition(" ")
+        self.assertEqual(str(operator.attrgetter(path)(self.server)), value)
+
     def each(self, cases: dict[str, str]) -> None:
         """Run scenarios, each with a router of its own; their steps are parted by `; `."""
         for name, text in cases.items():
