Never splice an answer: a fault midway, and a long answer before its request's end

Cause, found by reading the change again: an exception of the module or of a connection while a long answer was being passed on sent a 500 into its body, as its envelope was not over yet. And a long answer that began before the request's last byte was kept in parts that no budget counted, up to 36 MiB. Seen: both scenarios of test_bulk.py failed before, the first with `HTTP/1.1 500` behind 43 bytes of the answer. Ruled out: the relay's own end, which closes the connection. Change: Envelope.due() guards every final answer; a link's fault amid an answer only closes; a long answer before the request's end is spoilt, and counts as never run. Bytes that are not kept are not counted as held.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -130,6 +130,10 @@
     attempts: list[DeliveryAttempt] = field(default_factory=list)
     net: TimerHandle | None = None
 
+    def due(self) -> bool:
+        """Whether its final answer is due. Guards against a second one amid an answer that is passed on."""
+        return not (self.over or self.begun)
+
 
 @dataclass(slots=True, eq=False)
 class DeliveryAttempt:
@@ -248,7 +252,8 @@
         """A served answer has begun that is passed on as it comes. That decides the attempt: from here on it
         is the sender side's, no deadline counts, no other attempt is made. False if nobody waits for it."""
         envelope = attempt.envelope
-        if envelope.over or not holds(attempt.out, "attempt_ends_once", ref=envelope.ref, result="begun"):
+        wanted = envelope.due()
+        if not (wanted and holds(attempt.out, "attempt_ends_once", ref=envelope.ref, result="begun")):
             return False
         attempt.out, envelope.begun = False, True
         for timer in (attempt.expiry, envelope.net):
@@ -313,7 +318,7 @@
         ref = getattr(event, "ref", 0)
         fault(log, "engine_fault", problem, ref=ref, over=type(event).__name__, count=self.counts["faults"])
         envelope = self.envelopes.get(ref)
-        if envelope is not None and not envelope.over:
+        if envelope is not None and envelope.due():
             sender = self._close(envelope, End.BROKE)
             self._answer("broke", lambda: sender.broke(envelope))
             self._tell(api.ClientGone(ref))
@@ -409,7 +414,7 @@
 
     def _finish(self, ref: int, end: End, call: Callable[[Envelope, SenderSide], None]) -> None:
         envelope = self.envelopes.get(ref)
-        if envelope is None or envelope.over:
+        if envelope is None or not envelope.due():
             return
         sender = self._close(envelope, end)
         self._answer(end.value, lambda: call(envelope, sender))
--- a/rosepick/http/next_hop.py
+++ b/rosepick/http/next_hop.py
@@ -74,6 +74,8 @@
             answer = self._reader.feed(data)
         except BadAnswer:
             return self.spoilt()
+        if self._reader.begun and not self.sent():
+            return self.spoilt()  # a long answer before the request's end: there is nobody yet to pass it to
         return None if answer is None else self._judge(answer)
 
     def ended(self) -> Verdict:
--- a/rosepick/http/response.py
+++ b/rosepick/http/response.py
@@ -64,7 +64,7 @@
 
     def held(self) -> int:
         """Bytes of the body that are held here."""
-        return 0 if self.begun else self._size
+        return 0 if self.begun or not self._parts else self._size
 
     def take(self) -> list[bytes]:
         """What has come of a body that is given in parts."""
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -343,7 +343,8 @@
         self.listener.loop.faults += 1
         fault(log, "sender_fault", problem, count=self.listener.loop.faults)
         try:
-            owing, self.machine.owing = self.machine.owing, False
+            # amid an answer that is passed on the sender side can only be shown that it is not whole
+            owing, self.machine.owing = self.machine.owing and self.flow is None, False
             self.sender_left()
             if owing:
                 self._answer(500, b"fault\n")
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -141,6 +141,11 @@
         mock.patch.object(self.wire(who), "pull").start()
         self.addCleanup(mock.patch.stopall)
 
+    def faults(self, who: str) -> None:
+        """The decisions raise over each outcome from here on."""
+        mock.patch.object(self.module(), "_outcome", side_effect=KeyError).start()
+        self.addCleanup(mock.patch.stopall)
+
     def flood(self, who: str) -> None:
         sock, self.written = self.wire(who).sock, 0
         for _ in range(300):
@@ -185,6 +190,8 @@
             + "s1 breaks; c1 broken Transfer-Encoding: chunked; all free",
             "the next hop stops": self.LONG + stopped,
             "it goes on": f"{whole}{self.ASK}s1 send 200 v; c1 expect 200; all holds budget.used 2; all free",
+            "the module faults midway":
+                f"{self.ASK}module faults; {head}s1 more 100000; c1 expect 200; c1 expect nothing; all free",
             "the client does not read": self.LONG.replace("500000", "31457280")
             + f"s1 flood; all bounded 16; {stopped}",
         })
@@ -226,6 +233,8 @@
             "too slow is": f"{fresh}{'c1 more 2000; wait 250; ' * 15}c1 expect 408; all free",
             "an origin that does not read": f"{large}1f00000; origin stops; c1 flood; all bounded 20; "
                 f"wait 8000; all holds engine.owed 1; origin breaks; {gone}; all free",
+            "a long answer before its end": self.WRITE + r"origin raw HTTP/1.1 200 OK\r\nContent-Length: 5000"
+                rf"00\r\n\r\n; origin more 100000; {gone}; origin expect closed; all free",
             "wrong chunks midway": f"{large.replace('80000', '0')}186a0; c1 more 80000; c1 more 20000; "
                 r"c1 raw nonsense\r\n; c1 expect 400 Connection=close; origin expect closed; all free",
             "behind one that is in hand": f"{self.ASK}c1 begin 100000 {expects}100000; c1 expect nothing; "
