Have two tests see what they are there for: what waits at a shared socket, a client that left unread

Change: that client queues before SIGTERM; a scenario in which no flow has room brings the other back.

--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -125,6 +125,10 @@
     LONG = ASK + "c1 stops; s1 raw HTTP/1.1 200 OK\\r\\nContent-Length: 500000\\r\\n\\r\\n; s1 more 100000; "
     WRITE = "c1 begin 80000 Content-Length: 200000; "
 
+    def tearDown(self) -> None:
+        mock.patch.stopall()
+        super().tearDown()
+
     def begin(self, who: str, text: str) -> None:
         size, _, headers = text.partition(" ")
         # the clock is not the system's: nothing may wait for an acknowledgement
@@ -139,12 +143,14 @@
 
     def stops(self, who: str) -> None:
         mock.patch.object(self.wire(who), "pull").start()
-        self.addCleanup(mock.patch.stopall)
 
     def faults(self, who: str) -> None:
         """The decisions raise over each outcome from here on."""
         mock.patch.object(self.module(), "_outcome", side_effect=KeyError).start()
-        self.addCleanup(mock.patch.stopall)
+
+    def full(self, who: str) -> None:
+        """No flow has room from here on."""
+        mock.patch.object(Flow, "space", return_value=0).start()
 
     def flood(self, who: str) -> None:
         sock, self.written = self.wire(who).sock, 0
@@ -227,6 +233,8 @@
                 "origin expect nothing; s1 expect nothing; all free",
             "nobody can be reached": f"origin refuse; {self.WRITE}{gone}; all free",
             "the client leaves": f"{self.WRITE}c1 close; origin expect closed; all free",
+            "and behind bytes that wait here": f"{self.WRITE}all full; c1 more 1000; c1 close; wait 2900; "
+                "origin expect closed; all free",
             "the client stops": f"{self.WRITE}wait 3400; c1 expect 408 Connection=close; "
                 "origin expect closed; all free",
             "slow is not stopped": f"{fresh}{'c1 more 16000; wait 250; ' * 12}c1 more 8000; {stored}",
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -174,7 +174,7 @@
         head = r"s1 raw HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"
         self.each({
             "what is in hand is answered, what waits is the new one's":
-                f"other dies; {ask}{begun}; router end; c9 queues; wait 300; s1 send 200 value; "
+                f"other dies; {ask}{begun}; c9 queues; router end; wait 300; s1 send 200 value; "
                 f"c1 expect 200 Connection=close; {rest}; s1 expect GET /api/k2; s1 send 200 other; "
                 "c3 expect 200 Connection=close; c1 close; c3 close; wait 600; router ended; other accepts",
             "a long answer comes whole":
