Count each end once by class; take figures of a reload's fixed keys from one table

Cause: a review of the part in service found facts that stood twice. How envelopes ended was counted both by name and by class; what applies only at a start was listed in two places, of which one named keys by attributes that do not stand in the file; a head's and a body's unused bytes had a counter each.

Change: `Engine.totals` sums the one count by class; requests that could not be taken have their own (`unfit`), as they never were envelopes; `renewed` and `changed` read one table with the places of the file, which the log now names; one bound for whatever comes that is neither the end of a head nor a part of a body.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -162,7 +162,8 @@
         self.envelopes: dict[int, Envelope] = {}
         self.owed = 0  # envelopes without their final answer
         self.counts: Counter[str] = Counter()
-        self.ended: Counter[tuple[int, End]] = Counter()  # by class
+        self.ended: Counter[tuple[int, End]] = Counter()  # envelopes, by class
+        self.unfit: Counter[int] = Counter()  # requests that could not be taken, by class
         self.written: Counter[int] = Counter()  # delivery attempts written whole, by class
         self._last_ref = 0
         self._events: deque[api.Event | Envelope] = deque()
@@ -218,7 +219,14 @@
 
     def turned_away(self, klass: int) -> None:
         """A front could not take a request of that class."""
-        self.ended[klass, End.FAILED] += 1
+        self.unfit[klass] += 1
+
+    def totals(self) -> Counter[str]:
+        """What was counted since the start, and how envelopes ended."""
+        found = Counter(self.counts)
+        for (_, end), count in self.ended.items():
+            found[(End.FAILED if end is End.LATE else end).value] += count
+        return found
 
     def map_told(self, event: api.Members) -> None:
         """Discovery told, or failed."""
@@ -432,7 +440,6 @@
         if not envelope.begun:
             self._decided(envelope, end)
         envelope.over = True
-        self.counts[(End.FAILED if end is End.LATE else end).value] += 1
         self.ended[envelope.klass, end] += 1
         self.owed -= 1
         if envelope.net is not None:
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -117,7 +117,7 @@
         self.came = 0  # bytes of the present body
         self._coming: Envelope | None = None
         self._whole: list[tuple[Envelope, float]] = []
-        self._unused = 0  # bytes since the last that were of a body
+        self._unused = 0  # bytes since a head or a message ended, or something of a body came
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._inbox: deque[tuple[Received, bool]] = deque()
         self._version = "1.1"  # of the request read last
@@ -128,8 +128,7 @@
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
-        self._head = 0  # bytes of the head as parsed, and as fed in reads that did not end it
-        self._fed = 0
+        self._head = 0  # bytes of the head as parsed
         self._in_head = False
         self.partial = False  # a request has begun and is not whole
         self.owing = False  # a request waits for its answer
@@ -141,16 +140,12 @@
         if self._parser is None:
             return
         self._now = now
-        came = self.came
+        self._unused += len(data)
         try:
             self._parser.feed_data(data)
-            # the parser holds a header that is not whole back: guards against one that never ends
-            self._fed += len(data) if self._in_head else 0
-            if self._fed > HEAD_LIMIT:
+            # the parser holds back what is not whole: guards against a header or a trailer that never ends
+            if self.partial and self._unused > HEAD_LIMIT:
                 raise Bad(431, "headers too long")
-            self._unused = self._unused + len(data) if self.partial and self.came == came else 0
-            if self._unused > HEAD_LIMIT:  # trailers, or what frames a body, without end
-                raise Bad(431, "too much that is no body")
         except httptools.HttpParserCallbackError as problem:
             cause = problem.__context__
             if isinstance(cause, Bad):
@@ -285,7 +280,7 @@
 
     def on_message_begin(self) -> None:
         self._target, self._headers, self._body = b"", {}, bytearray()
-        self._head = self._fed = self._unused = self.came = 0
+        self._head = self.came = 0
         self._in_hand = False
         self.partial = self._in_head = True
 
@@ -308,7 +303,7 @@
             raise Bad(431, "headers too long")
 
     def on_headers_complete(self) -> None:
-        self._in_head, self._fed = False, 0
+        self._in_head, self._unused = False, 0
         length = self._headers.get(b"content-length", b"0").strip()
         if length.isdigit() and int(length) > BODY_LIMIT:
             raise Bad(413, "body too long")
@@ -327,6 +322,7 @@
         if self.done:
             return
         self.came += len(part)
+        self._unused = 0
         self.wants_continue = False  # it did not wait
         if self.came > (BODY_LIMIT if self._room is not None else WHOLE):
             raise Bad(413, "body too long")
@@ -359,6 +355,7 @@
     def on_message_complete(self) -> None:
         assert self._parser is not None
         self.partial = self.wants_continue = False
+        self._unused = 0
         if self.flow is not None and self._coming is not None:
             self._whole.append((self._coming, self._now + _wait(self._headers)))
             flow, self.flow, self._coming = self.flow, None, None
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -120,7 +120,7 @@
         down = module.avoided() if isinstance(module, Router) else 0
         names = {place: name for name, place in self.config.names.every_class().items()}
         return Figures(
-            names, engine.ended, engine.written, engine.owed, len(self.map.hops), down,
+            names, engine.ended, engine.unfit, engine.written, engine.owed, len(self.map.hops), down,
             self.reconfig_ok, self.reconfig_failed,
         )
 
@@ -358,7 +358,7 @@
     def _sum_up(self) -> None:
         """A line of counts."""
         self.loop.after(SUM_UP_EVERY, self._sum_up)
-        counts = {name: self.engine.counts[name] for name in sorted(self.engine.counts)}
+        counts = dict(sorted(self.engine.totals().items()))
         say(
             log, logging.INFO, "counts", owed=self.engine.owed, sockets=self.budget.used,
             rejected=self.listener.rejected, loop_faults=self.loop.faults,
--- a/rosepick/ops/telemetry.py
+++ b/rosepick/ops/telemetry.py
@@ -21,6 +21,7 @@
 
     classes: Mapping[int, str]
     ended: Mapping[tuple[int, End], int]
+    unfit: Mapping[int, int]  # requests that could not be taken, by class
     written: Mapping[int, int]  # attempts written whole, by class
     inflight: int
     hosts_listed: int
@@ -45,7 +46,8 @@
         return json.dumps(self.document(), separators=(",", ":"))
 
     def _calls(self, place: int) -> dict[str, int]:
-        found = {"success": 0, "busy": 0, "failure": 0, "backend_calls": self.written.get(place, 0)}
+        failed, written = self.unfit.get(place, 0), self.written.get(place, 0)
+        found = {"success": 0, "busy": 0, "failure": failed, "backend_calls": written}
         for end, figure in OUTCOMES.items():
             found[figure] += self.ended.get((place, end), 0)
         return found
--- a/rosepick/settings/config.py
+++ b/rosepick/settings/config.py
@@ -83,29 +83,36 @@
     return replace(
         told,
         settings=replace(
-            told.settings, classes=rows, tenants=shares, mode=was.mode, origin_kind=was.origin_kind,
-            zone=was.zone, subscribe=was.subscribe, sized_weights=was.sized_weights,
-            report_fields=was.report_fields,
+            told.settings, classes=rows, tenants=shares, **{key: getattr(was, key) for key in _FIXED},
         ),
         names=replace(
             before.names,
             classes=_now(classes, told.names.classes), tenants=_now(tenants, told.names.tenants),
             gone_classes=_gone(classes, told.names.classes), gone_tenants=_gone(tenants, told.names.tenants),
         ),
-        **{key: getattr(before, key) for key in _AT_START},
+        **{key: getattr(before, key) for key in (*_AT_START, "listen_fd", "known")},
     )
 
 
-_AT_START = ("name", "listen", "seed", "ops", "listen_fd", "known")
+# What counts at the start only; of the settings and their names, with their places in the file.
+_AT_START = ("name", "listen", "seed", "ops")
+_FIXED = {
+    "mode": "domain.mode", "origin_kind": "domain.origin_kind", "zone": "zone",
+    "subscribe": "membership_mode", "sized_weights": "weights", "report_fields": "report",
+}
+_FIXED_NAMES = {"zones": "failure_domains", "kinds": "machine_types"}
 
 
 def changed(before: Config, told: Config) -> tuple[str, ...]:
     """What of a new configuration cannot be applied by a running router: it needs a restart."""
-    fixed = ("mode", "origin_kind", "zone", "subscribe", "sized_weights", "report_fields")
-    found = [key for key in ("name", "listen", "seed", "ops") if getattr(before, key) != getattr(told, key)]
-    found += [key for key in fixed if getattr(before.settings, key) != getattr(told.settings, key)]
-    found += [key for key in ("zones", "kinds") if getattr(before.names, key) != getattr(told.names, key)]
-    return tuple(found)
+    parts = (
+        (before, told, dict.fromkeys(_AT_START, "")), (before.settings, told.settings, _FIXED),
+        (before.names, told.names, _FIXED_NAMES),
+    )
+    return tuple(
+        place or key for was, now, keys in parts for key, place in keys.items()
+        if getattr(was, key) != getattr(now, key)
+    )
 
 
 T = TypeVar("T")
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -194,7 +194,7 @@
         self.assertIn(text.encode(), wire.seen)
         self.assertLess(len(wire.seen), 200_000)
         self.assertFalse(wire.seen.endswith(b"0\r\n\r\n"))
-        self.assertEqual(self.server.engine.counts["failed"], 1)
+        self.assertEqual(self.server.engine.totals()["failed"], 1)
         self.assertFalse(any(other.seen for name in self.nodes for other in self.wires[name]))
 
     def test_answers(self) -> None:
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -401,7 +401,7 @@
         taken = self.server.engine.counts["envelopes"]
         self.assertGreater(taken, 0)
         self.play("b1 close\nwait 20")
-        self.assertEqual(self.server.engine.counts["gone"], taken)
+        self.assertEqual(self.server.engine.totals()["gone"], taken)
         self.assertEqual(self.server.engine.counts["envelopes"], taken)
         self.nothing_left()
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -235,7 +235,7 @@
             c1 close
             s1 expect closed
         """)
-        self.assertEqual(self.server.engine.counts["gone"], 1)
+        self.assertEqual(self.server.engine.totals()["gone"], 1)
         self.assertEqual(self.server.engine.owed, 0)
 
     def test_client_that_ends_its_sending_still_gets_a_whole_answer(self) -> None:
