--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from ..core.engine import End, Envelope
+from ..core.account import End
+from ..core.engine import Envelope
 from ..decisions import api
 from ..decisions.api import Member, Scope, State
 from ..settings.config import Names
--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -261,6 +261,32 @@
     print(f"{out}: {len(runs)} runs")
 
 
+@lab.command()
+def account(
+    logs: Annotated[list[Path], typer.Argument(help="Routers' logs, or a folder of them (*.log).")],
+    printed: Annotated[
+        Path | None, typer.Option("--printed", help="What the bench printed of the day.")
+    ] = None,
+) -> None:
+    """Say where a day's worth went: by cause, class, five seconds and router, and what is priced."""
+    with _needs_the_extra():
+        from ..lab import console
+        from ..lab.account import account as accounting
+        from ..lab.account.logs import NoLogs, read
+        from ..lab.account.printed import parse
+        from ..lab.account.tables import tables
+
+        try:
+            told = None if printed is None else parse(printed.read_text("utf-8", "replace"))
+            found = accounting.account(read(logs), told)
+        except OSError as problem:
+            stop(f"{printed}: {problem.strerror or problem}", 2)
+        except NoLogs as problem:
+            stop(problem, 2)
+        for made in tables(found):
+            console.table(made)
+
+
 def demo(
     seconds: Annotated[int, typer.Option(min=10, max=600, help="How long traffic lasts.")] = 60,
 ) -> None:
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -10,16 +10,17 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import Protocol
 
 from ..decisions import api
 from ..decisions.api import Result
 from ..decisions.decide import Router
 from ..logs import fault, say
+from .account import Account, End
 from .invariants import holds
 
 log = logging.getLogger(__name__)
+UNSERVED = (End.REFUSED, End.FAILED, End.LATE, End.BROKE)
 
 
 class Decider(Protocol):
@@ -98,17 +99,6 @@
         """An envelope has its end."""
 
 
-class End(Enum):
-    """How an envelope ended."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-    LATE = "late"  # failed, as its time was over
-    GONE = "gone"  # its sender side has left
-    BROKE = "broke"  # by a fault of this program
-
-
 @dataclass(slots=True, eq=False)
 class Envelope:
     """A request from its arrival until its final answer and the end of its last delivery attempt."""
@@ -129,6 +119,7 @@
     limits: api.Limits = field(default_factory=api.Limits)  # as it was taken with
     attempts: list[DeliveryAttempt] = field(default_factory=list)
     net: TimerHandle | None = None
+    born: float = 0.0  # when its time began
 
     def due(self) -> bool:
         """Whether its final answer is due. Guards against a second one amid an answer that is passed on."""
@@ -162,7 +153,7 @@
         self.envelopes: dict[int, Envelope] = {}
         self.owed = 0  # envelopes without their final answer
         self.counts: Counter[str] = Counter()
-        self.ended: Counter[tuple[int, End]] = Counter()  # envelopes, by class
+        self.account = Account()
         self.unfit: Counter[int] = Counter()  # requests that could not be taken, by class
         self.written: Counter[int] = Counter()  # delivery attempts written whole, by class
         self._last_ref = 0
@@ -175,7 +166,7 @@
         """Take an envelope; its final answer is owed from here on."""
         self._last_ref += 1
         envelope.ref, envelope.sender = self._last_ref, sender
-        envelope.limits = self.settings.limits
+        envelope.limits, envelope.born = self.settings.limits, self.clock.now()
         self.envelopes[envelope.ref] = envelope
         self.owed += 1
         self.counts["envelopes"] += 1
@@ -192,7 +183,7 @@
         """The last byte of an envelope that was coming is there: its time counts from here."""
         if envelope.over or not envelope.coming:
             return
-        envelope.coming, envelope.deadline = False, deadline
+        envelope.coming, envelope.deadline, envelope.born = False, deadline, self.clock.now()
         self._spread_net(envelope)
         for attempt in envelope.attempts:
             if attempt.out:
@@ -224,7 +215,7 @@
     def totals(self) -> Counter[str]:
         """What was counted since the start, and how envelopes ended."""
         found = Counter(self.counts)
-        for (_, end), count in self.ended.items():
+        for (_, end), count in self.account.by_end().items():
             found[(End.FAILED if end is End.LATE else end).value] += count
         return found
 
@@ -343,9 +334,9 @@
                 self._cancel(action)
             case api.Refuse():
                 wait = action.retry_after
-                self._finish(action.ref, End.REFUSED, lambda e, s: s.refused(e, wait))
+                self._finish(action.ref, End.REFUSED, lambda e, s: s.refused(e, wait), action.why)
             case api.Fail():
-                self._fail(action.ref)
+                self._fail(action.ref, action.why)
             case api.Watch():
                 self.map_source.watch(action.on)
             case api.Log():
@@ -415,16 +406,18 @@
 
     # ---------------------------------------------------------------------------------- final answers
 
-    def _fail(self, ref: int) -> None:
+    def _fail(self, ref: int, why: api.Why) -> None:
         envelope = self.envelopes.get(ref)
         late = envelope is not None and self.clock.now() >= envelope.deadline
-        self._finish(ref, End.LATE if late else End.FAILED, lambda e, s: s.failed(e, late))
+        self._finish(ref, End.LATE if late else End.FAILED, lambda e, s: s.failed(e, late), why)
 
-    def _finish(self, ref: int, end: End, call: Callable[[Envelope, SenderSide], None]) -> None:
+    def _finish(
+        self, ref: int, end: End, call: Callable[[Envelope, SenderSide], None], why: api.Why
+    ) -> None:
         envelope = self.envelopes.get(ref)
         if envelope is None or not envelope.due():
             return
-        sender = self._close(envelope, end)
+        sender = self._close(envelope, end, why.value)
         self._answer(end.value, lambda: call(envelope, sender))
         self._forget(envelope)
 
@@ -436,11 +429,11 @@
             self.counts["faults"] += 1
             fault(log, "answer_fault", problem, kind=kind, count=self.counts["faults"])
 
-    def _close(self, envelope: Envelope, end: End) -> SenderSide:
+    def _close(self, envelope: Envelope, end: End, cause: str = "") -> SenderSide:
         if not envelope.begun:
             self._decided(envelope, end)
         envelope.over = True
-        self.ended[envelope.klass, end] += 1
+        self._enter(envelope, end, cause)
         self.owed -= 1
         if envelope.net is not None:
             envelope.net.cancel()
@@ -449,6 +442,17 @@
         assert sender is not None
         return sender
 
+    def _enter(self, envelope: Envelope, end: End, cause: str) -> None:
+        """Enter an end into the account."""
+        took = self.clock.now() - envelope.born
+        classes = self.settings.classes
+        if end is End.SERVED and envelope.klass < len(classes) and took > classes[envelope.klass].aim:
+            cause = "late"
+        # what the platform prices: a client that waited for an answer that nobody was asked for
+        if end in UNSERVED and not envelope.attempts and 2 * took > envelope.deadline - envelope.born:
+            self.counts["late_unsent"] += 1
+        self.account.add(envelope.klass, end, cause, took)
+
     def _unanswered(self, envelope: Envelope) -> None:
         """The net under rule 1: the module answers at the deadline; if it did not, a failure goes out while
         it still counts."""
--- a/rosepick/core/transport_map.py
+++ b/rosepick/core/transport_map.py
@@ -38,6 +38,7 @@
     endpoint: tuple[str, int]
     state: api.State
     born: float
+    zone: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +97,8 @@
         born = max(1e-3, boot - self.unix_offset) if boot > 0 else 0.0
         uid = row.text("uid")
         endpoint = row.parsed("endpoint", address, ADDRESS, ("", 0))
-        return NextHop(self._number(uid), uid, endpoint, _STATES[state], born)
+        zone = self.names.zones.get(row.text("az"), len(self.names.zones))
+        return NextHop(self._number(uid), uid, endpoint, _STATES[state], born, zone)
 
     def _number(self, uid: str) -> int:
         """Its number; the next salt's where another uid has that one already."""
@@ -109,12 +111,12 @@
         return found
 
     def _member(self, hop: NextHop, row: Reader) -> api.Member:
-        zones, kinds = self.names.zones, self.names.kinds
+        kinds = self.names.kinds
         return api.Member(
             hop.server,
             hop.state,
             hop.born,
-            zones.get(row.text("az"), len(zones)),
+            hop.zone,
             row.whole("pod_group", 0),
             kinds.get(row.text("model"), len(kinds)),
             row.number("capacity_hint", 1.0),
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -68,6 +68,23 @@
     UNFIT = "unfit"  # the request itself was turned away: it would be anywhere
 
 
+class Why(Enum):
+    """Why a request was not served."""
+
+    UNTOLD = ""
+    CROWDED = "crowded"  # this router has too much in hand
+    SLOW = "slow"  # an answer in time is not expected
+    NOBODY = "nobody"  # no server can take it
+    QUEUE = "queue"  # it waited for its turn at the origin until too late
+    NO_ORIGIN = "no_origin"  # the list has none
+    RULES = "rules"  # it may not be sent (again)
+    BUDGET = "budget"  # an attempt did not serve it, and no retry is left ...
+    NO_TIME = "no_time"  # ... or no time for one
+    SPENT = "spent"  # its body cannot be sent again
+    DEADLINE = "deadline"
+    UNFIT = "unfit"  # the request itself was turned away
+
+
 NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS, Result.UNFIT})
 """Results which prove that the attempt had no effect."""
 
@@ -321,6 +338,7 @@
 
     ref: int
     retry_after: float = 0.0
+    why: Why = Why.UNTOLD
 
 
 @dataclass(frozen=True, slots=True)
@@ -328,6 +346,7 @@
     """Final answer: failed, nothing is promised."""
 
     ref: int
+    why: Why = Why.UNTOLD
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -23,7 +23,7 @@
 
 from ..waiting.waiting import Wait, Waiting
 from . import api
-from .api import NEVER_RAN, Effect, Group, Mode, Result, Scope, State
+from .api import NEVER_RAN, Effect, Group, Mode, Result, Scope, State, Why
 
 # ------------------------------------------------------------------------------------------- constants
 # Times are milliseconds. Each is a choice about behaviour in general, none a measurement of one fleet.
@@ -822,16 +822,16 @@
     def _to_cache(self, job: Job) -> None:
         """Send to the holder of the key's slot, or to the next in order that can do it in time."""
         if not job.attempts and self.pressure.full(job.value / self.top_value):
-            self._finish(job)
+            self._finish(job, Why.CROWDED)
             return
         server, wait = self._pick(job)
         if server is None:
-            self._finish(job)
+            self._finish(job, Why.NOBODY)
             return
         limit = job.klass.aim * self.pressure.part * (0.6 + 0.4 * job.value / self.top_value)
         if wait > limit and not job.attempts:
             # pressure: an answer in time is not to be had; the cheapest and the over-share feel it first
-            self._finish(job)
+            self._finish(job, Why.SLOW)
             return
         if self._may_fetch(job, server) and not (self.origin.free(self.now) or job.coming):
             # writes too: let past, they and their repeats alone can keep a failing origin down
@@ -953,7 +953,7 @@
                 job.shared = True
                 return
         if not self.pools.origins:
-            self._finish(job)
+            self._finish(job, Why.NO_ORIGIN)
             return
         if not job.event.write and key:
             self.fetching[key] = job.ref
@@ -971,7 +971,7 @@
         elif self.pools.origins:
             server = self.pools.origins[job.slot % len(self.pools.origins)]
         if server is None:
-            self._finish(job)
+            self._finish(job, Why.NOBODY)
         else:
             self._send(job, server)
 
@@ -984,7 +984,7 @@
                 continue
             job.queued = False
             if self.now + self.origin.best > job.aim_at:
-                self._finish(job)
+                self._finish(job, Why.QUEUE)
             else:
                 self._release(job)
 
@@ -1027,7 +1027,7 @@
     def _send(self, job: Job, server: Server) -> bool:
         if not self._may_send(job, server):
             if not job.outstanding():
-                self._finish(job)
+                self._finish(job, Why.RULES)
             return False
         at_origin = job.at_origin
         gated = not job.coming and (at_origin or self._may_fetch(job, server))
@@ -1057,17 +1057,17 @@
         if job.check_at < job.deadline:
             self.actions.append(api.SetTimer(CHECK | job.ref, job.check_at))
 
-    def _finish(self, job: Job, unfit: bool = False) -> None:
+    def _finish(self, job: Job, why: Why) -> None:
         """The final answer of a request that is not served: refused where that is true, else failed. One that
         is unfit fails: guards against a client that is told to ask for the same again."""
         if job.final:
             return
         risk = job.first_risk()
-        if (risk is None or job.anywhere) and self.now < job.deadline and not unfit:
+        if (risk is None or job.anywhere) and self.now < job.deadline and why is not Why.UNFIT:
             away = min(self.settings.limits.max_retry_after, job.klass.aim)
-            self.actions.append(api.Refuse(job.ref, away))
+            self.actions.append(api.Refuse(job.ref, away, why))
         else:
-            self.actions.append(api.Fail(job.ref))
+            self.actions.append(api.Fail(job.ref, why))
         self._close(job)
 
     def _close(self, job: Job, stream: Attempt | None = None) -> None:
@@ -1128,9 +1128,9 @@
             if not job.outstanding():
                 self._to_origin(job)
         elif event.spent and not job.outstanding():
-            self._finish(job)
+            self._finish(job, Why.SPENT)
         elif event.result is Result.UNFIT:
-            self._finish(job, unfit=True)  # not five attempts, each of which would end the same way
+            self._finish(job, Why.UNFIT)  # not five attempts, each of which would end the same way
         elif not job.outstanding():
             # a broken connection costs no budget, which is against storms of load
             self._again(job, free=event.result in BROKEN or attempt.wait.stopped)
@@ -1194,7 +1194,7 @@
     def _again(self, job: Job, free: bool) -> None:
         """Another attempt, if the retry budget and the time left allow it."""
         if (self.retries < 1.0 and not free) or self.now >= self._useful_until(job):
-            self._finish(job)
+            self._finish(job, Why.BUDGET if self.now < self._useful_until(job) else Why.NO_TIME)
             return
         self.retries -= not free
         last = self.settings.mode is Mode.ASIDE and len(job.attempts) == job.limits.max_attempts - 1 <= FEW
@@ -1212,7 +1212,7 @@
         if job is None or job.final:
             return
         if kind == DEADLINE and self.now >= job.deadline:
-            self._finish(job)
+            self._finish(job, Why.DEADLINE)
         elif kind == CHECK and self.now >= job.check_at and job.outstanding() == 1:
             self._overdue(job)
 
@@ -1314,7 +1314,7 @@
         stale = dict.fromkeys(entry for entry in self.origin.queue if self._stale(entry[2]))
         for job in filter(None, (self.jobs.get(ref) for _, _, ref in stale)):
             if job.queued:
-                self._finish(job)  # told at once: a client left waiting for nothing comes back all the same
+                self._finish(job, Why.QUEUE)  # told at once: a client that is left waiting comes back too
         if stale:
             self.origin.queue = [entry for entry in self.origin.queue if entry not in stale]
             heapq.heapify(self.origin.queue)
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -252,6 +252,7 @@
         self.by_age: OrderedDict[Link, None] = OrderedDict()  # the longest idle first
         self.rest_for = 0.0  # milliseconds that a connection rests before it is used again ...
         self.wary_until = 0.0  # ... up to this time
+        self.zone = config.settings.zone
         loop.after(SWEEP_EVERY, self._sweep)
 
     def apply(self, config: Config) -> None:
@@ -269,9 +270,12 @@
             self.ended(attempt, Verdict(Result.MOOT))
             return
         link = self._idle_link(attempt.server)
-        if link is None:
-            hop = self.map.hops.get(attempt.server)
-            link = self._dial(hop) if hop is not None else None
+        hop = self.map.hops.get(attempt.server)
+        if hop is not None and hop.zone != self.zone:
+            self.engine.counts["crossings"] += 1
+        if link is None and hop is not None:
+            self.engine.counts["dials"] += 1
+            link = self._dial(hop)
         if link is None:
             self.ended(attempt, Verdict(Result.CONNECT_FAILED))
             return
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -45,7 +45,7 @@
 LAST_CALL = 1_000.0  # ... but for no longer than this
 LAST_ANSWER = 100.0  # after the longest deadline from there the process ends, whoever still lingers
 END_STEP = 20.0
-SUM_UP_EVERY = 10_000.0
+SUM_UP_EVERY = 5_000.0
 
 
 class Server:
@@ -118,12 +118,15 @@
         """What the router reports of itself."""
         engine, module = self.engine, self.engine.router
         down = module.avoided() if isinstance(module, Router) else 0
-        names = {place: name for name, place in self.config.names.every_class().items()}
         return Figures(
-            names, engine.ended, engine.unfit, engine.written, engine.owed, len(self.map.hops), down,
-            self.reconfig_ok, self.reconfig_failed,
+            self._class_names(), engine.account.by_end(), engine.unfit, engine.written, engine.owed,
+            len(self.map.hops), down, self.reconfig_ok, self.reconfig_failed,
         )
 
+    def _class_names(self) -> dict[int, str]:
+        """Of every class that there is or was, by place."""
+        return {place: name for name, place in self.config.names.every_class().items()}
+
     def _may_open(self) -> int:
         """How many descriptors this process may hold: what the operators' door needs is set aside, and what
         other processes of this router hold is theirs."""
@@ -356,7 +359,7 @@
         return now - self.listener.last_came >= QUIET or spent >= LAST_CALL
 
     def _sum_up(self) -> None:
-        """A line of counts."""
+        """A line of counts, and one a class of how its envelopes ended and why."""
         self.loop.after(SUM_UP_EVERY, self._sum_up)
         counts = dict(sorted(self.engine.totals().items()))
         say(
@@ -364,6 +367,9 @@
             rejected=self.listener.rejected, loop_faults=self.loop.faults,
             callers=self.ops.came if self.ops is not None else 0, **counts,
         )
+        worths = {place: one.worth for place, one in enumerate(self.config.settings.classes)}
+        for line in self.engine.account.lines(self._class_names(), worths):
+            say(log, logging.INFO, "ends", **line)
         self.listener.sum_up()
 
 
--- a/rosepick/ops/telemetry.py
+++ b/rosepick/ops/telemetry.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ..core.engine import End
+from ..core.account import End
 
 OUTCOMES = {
     End.SERVED: "success", End.REFUSED: "busy",
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -22,7 +22,8 @@
 from rosepick.capture.recorder import Recorder
 from rosepick.capture.replay import Report, replay
 from rosepick.capture.ring import Place, Ring
-from rosepick.core.engine import End, Envelope
+from rosepick.core.account import End
+from rosepick.core.engine import Envelope
 from rosepick.decisions import api
 from rosepick.decisions.api import Member, Scope, State
 from rosepick.net.capture import Dump, Files
