Tell an origin without a place for a connection from a full queue; learn idle times

At fault: http/next_hop.py and Router._again took both for a full queue and spent a retry; net/pool.py kept every idle connection alike. Change: Result.NO_PLACE costs no retry, cuts the origin's gate and holds back this router's dials there for up to 0.2 s; connections/keeping.py says how long idle ones are kept, by what is let in and what is not.

--- a/rosepick/core/transport_map.py
+++ b/rosepick/core/transport_map.py
@@ -39,6 +39,7 @@
     state: api.State
     born: float
     zone: int = 0
+    kind: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +99,8 @@
         uid = row.text("uid")
         endpoint = row.parsed("endpoint", address, ADDRESS, ("", 0))
         zone = self.names.zones.get(row.text("az"), len(self.names.zones))
-        return NextHop(self._number(uid), uid, endpoint, _STATES[state], born, zone)
+        kind = self.names.kinds.get(row.text("model"), len(self.names.kinds))
+        return NextHop(self._number(uid), uid, endpoint, _STATES[state], born, zone, kind)
 
     def _number(self, uid: str) -> int:
         """Its number; the next salt's where another uid has that one already."""
@@ -111,13 +113,12 @@
         return found
 
     def _member(self, hop: NextHop, row: Reader) -> api.Member:
-        kinds = self.names.kinds
         return api.Member(
             hop.server,
             hop.state,
             hop.born,
             hop.zone,
             row.whole("pod_group", 0),
-            kinds.get(row.text("model"), len(kinds)),
+            hop.kind,
             row.number("capacity_hint", 1.0),
         )
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -65,6 +65,7 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
     MISS = "miss"
+    NO_PLACE = "no_place"  # a new connection was turned away: says nothing of the load
     UNFIT = "unfit"  # the request itself was turned away: it would be anywhere
 
 
@@ -85,7 +86,9 @@
     UNFIT = "unfit"  # the request itself was turned away
 
 
-NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS, Result.UNFIT})
+NEVER_RAN = frozenset({
+    Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS, Result.UNFIT, Result.NO_PLACE,
+})
 """Results which prove that the attempt had no effect."""
 
 
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -100,6 +100,7 @@
 GATE_LEAST = 0.1  # aside mode. Under 1: one fetch, then a pause; one at each of hundreds of routers is a jam
 GATE_GROW = 2.0  # growth of a limit under 1 by a good fetch
 GATE_LONGEST = 2_000.0  # no pause is longer
+PLACE_AFTER = 200.0  # at most, before another connection to an origin that has no place for one
 GATE_BUSY = 3_000.0  # the mean of fetches out is taken over about this time
 GATE_LATE = 0.6  # of the aim: a fetch out for longer says the same as a failed one
 
@@ -116,9 +117,9 @@
 CHECK, DEADLINE, TICK = 1 << 60, 2 << 60, 3 << 60  # kinds of timer; the low bits are the request
 KIND_BITS = 3 << 60
 SILENT = (Result.TIMEOUT, Result.CONNECT_FAILED)  # no sign of life
-BROKEN = (Result.CONNECT_FAILED, Result.RESET)  # the connection's end: says nothing of the load
+BROKEN = (Result.CONNECT_FAILED, Result.RESET, Result.NO_PLACE)  # says nothing of the load
 ANSWERS = (Result.OK, Result.MISS, Result.ERROR, Result.UNFIT)
-UNTOLD = (Result.MOOT, Result.CANCELLED, Result.RESET)  # say nothing of a server
+UNTOLD = (Result.MOOT, Result.CANCELLED, Result.RESET, Result.NO_PLACE)  # say nothing of a server
 
 
 def mix(value: int) -> int:
@@ -603,11 +604,8 @@
     late. Guards against a crowded fleet that serves everybody a little too late, which serves nobody."""
 
     def __init__(self) -> None:
-        self.part = 1.0
-        self.served = 0
-        self.late = 0.0
-        self.held = 0  # attempts out at cache servers
-        self.limit = HELD_START
+        self.part, self.served, self.late = 1.0, 0, 0.0
+        self.held, self.limit = 0, HELD_START  # attempts out at cache servers, and how many may be
         self.floor = 1.0
         self.cut_at = float("-inf")
 
@@ -1154,6 +1152,9 @@
             hung = result is Result.TIMEOUT and self.waiting.hangs(attempt.wait, self.origin.slow())
             if event.spoilt or (result not in (*UNTOLD, *BROKEN) and not hung):
                 self.origin.done(now, event.lag, event.spoilt or result in (Result.OK, Result.UNFIT))
+            elif result is Result.NO_PLACE:  # a storm of dials would take the places that there are
+                self.origin.cut(now)
+                self.origin.pause_until = max(self.origin.pause_until, now + self.rng.random() * PLACE_AFTER)
             return
         self.pressure.held -= 1
         missed = result is Result.MISS or event.note in (2, 3)
--- a/rosepick/lab/experiment.py
+++ b/rosepick/lab/experiment.py
@@ -76,6 +76,7 @@
     line_ms: NotNegative = 0.01  # and for each line of the list that it tells
     stale_by: NotNegative = 0.0  # the list that routers begin with is so old
     watch: bool = True
+    patience_ms: NotNegative = 0.0  # a call that would have to wait longer for its turn fails; 0: none does
 
 
 class Network(Strict):
@@ -151,12 +152,19 @@
 
     count: Count = 3
     skew: NotNegative = 0.0  # router n has traffic in proportion to (n + 1) ** -skew
+    heavy: Part = 0.0  # so many of them, spread evenly, have ...
+    heavy_by: Positive = 4.0  # ... so many times the traffic of the others
+    cores: Positive = 1.0  # of each; simulated only, like the next four
+    request_us: NotNegative = 0.0  # processor time of a request ...
+    attempt_us: NotNegative = 0.0  # ... and of the end of an attempt
+    start_ms: NotNegative = 0.0  # and of a start, before the first client is heard
     memory_mb: Count = 192  # live only
     sockets: Count = 1024  # live only
 
 
 KINDS = Literal[
-    "slow", "stop", "restart", "replace", "shrink", "grow", "cut", "silent", "stale", "discovery_down",
+    "slow", "stop", "restart", "replace", "shrink", "grow", "cut", "isolate", "silent", "stale",
+    "discovery_down",
     "origin_slow", "origin_stop", "flash", "surge", "router_kill", "router_restart", "hang", "reset",
     "garbage", "drip", "refuse", "reload",
 ]
@@ -175,7 +183,8 @@
     by: Positive = 5.0  # so many times as slow, or as much traffic; stale: so many seconds more
     share: Part = 0.2  # flash: of the reads are for one key; hang, reset, garbage, drip: of the attempts
     down: NotNegative = 1.0  # restart, router_restart: seconds until it is back
-    routers: Annotated[int, Field(ge=1)] | None = None  # router_kill, router_restart: so many
+    routers: Annotated[int, Field(ge=1)] | None = None  # router_kill, router_restart: so many,
+    # or a `part` of them; restarts go on over the time of the trouble, a tenth at a time
 
 
 FIGURES = Literal[
@@ -269,12 +278,14 @@
         place = f"troubles[{number}]"
         if trouble.at >= self.length:
             yield f"{place}.at is not within length"
+        if trouble.kind == "isolate" and not trouble.zone:
+            yield f"{place}.zone: isolate cuts off one zone"
         if trouble.kind == "cut" and trouble.zones is None:
             yield f"{place}.zones: a cut is between two zones"
         if trouble.zones is not None and not set(trouble.zones) <= known:
             yield f"{place}.zones {trouble.zones!r} are not all in zones"
-        if trouble.nodes is not None and trouble.part is not None:
-            yield f"{place}: states both `nodes` and `part`"
+        if trouble.part is not None and (trouble.nodes, trouble.routers) != (None, None):
+            yield f"{place}: states both `nodes` or `routers` and `part`"
 
 
 class ExperimentError(ValueError):
--- a/rosepick/lab/live/nodes.py
+++ b/rosepick/lab/live/nodes.py
@@ -15,7 +15,7 @@
 from ...net.loop import READ, WRITE
 from ...net.stream import Stream
 from ..world.draws import Uniform
-from ..world.fleet import HIT, Asked, Node
+from ..world.fleet import HIT, Asked, Node, Place
 from . import faults
 from .configuration import CONN_IDLE
 from .doors import Door
@@ -116,7 +116,7 @@
         self._came = 0.0  # the first byte of the present request
         self._keep = True
         self._epoch = self.node.epoch
-        self._welcome = self.node.connect()  # not if too many are open
+        self._welcome = self.node.connect() is Place.HELD  # not if too many are open
         self.stream: Stream = Stream(stand.world.loop, stand.world.budget, sock, self._ready)
 
     def idle(self) -> bool:
@@ -175,7 +175,7 @@
             self._answer(answer(400), Result.UNFIT)
         elif not self._welcome:
             self._keep = False
-            self._answer(answer(503, b"", (DECLINED,)), Result.FULL)
+            self._answer(answer(503, b"", (DECLINED, (b"Connection", b"close"))), Result.FULL)
         else:
             asked = self._asked = world.asked(self.node, message, name, self._replied)
             self._later(lambda: self._arrive(asked))
--- a/rosepick/lab/world/clients.py
+++ b/rosepick/lab/world/clients.py
@@ -105,7 +105,8 @@
         if envelope is not None and router is not None and router.alive and not envelope.over:
             assert isinstance(envelope.payload, Payload)
             envelope.payload.tried.gone = True
-            router.engine.sender_gone(envelope)
+            if envelope.ref:  # else the router has not taken it yet, and never will
+                router.engine.sender_gone(envelope)
         self._end(wish, "left")
 
     def _end(self, wish: Wish, how: str) -> None:
--- a/rosepick/lab/world/discovery.py
+++ b/rosepick/lab/world/discovery.py
@@ -45,6 +45,7 @@
         self._last_list: dict[int, Member] = {}  # ... and as routers had it before the begin
         self._changes: list[tuple[int, Member]] = []
         self._free_at = 0.0
+        self.turned_away = 0  # calls that had to wait too long
         self._last_known = 0.0
 
     def begin(self, members: list[Member]) -> None:
@@ -106,8 +107,13 @@
 
     def _call(self, watcher: Watcher, asked: bool) -> None:
         """Calls are handled one after another; one takes longer by each line that it tells."""
+        now = self.kernel.time
+        if asked and self.shape.patience_ms and self._free_at - now > self.shape.patience_ms:
+            self.turned_away += 1
+            self.kernel.after(self.shape.patience_ms, lambda: self._failed(watcher))
+            return
         cost = self.shape.call_ms + self.shape.line_ms * len(self._news(watcher))
-        self._free_at = max(self._free_at, self.kernel.time) + cost
+        self._free_at = max(self._free_at, now) + cost
         self.kernel.at(self._free_at, lambda: self._tell(watcher, asked))
 
     def _tell(self, watcher: Watcher, asked: bool) -> None:
--- a/rosepick/lab/world/fleet.py
+++ b/rosepick/lab/world/fleet.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from ...core.transport_map import uid_number
 from ...decisions.api import Member, Result, State
@@ -19,6 +20,14 @@
 STD, ORIGIN = 0, 1  # kinds of machines
 
 
+class Place(Enum):
+    """What becomes of a new connection."""
+
+    HELD = "held"
+    NONE = "none"  # there is no place for it
+    DOWN = "down"  # it is refused
+
+
 @dataclass(slots=True)
 class Asked:
     """One delivery attempt as a machine sees it."""
@@ -85,14 +94,18 @@
         """Where it draws which attempts meet a fault."""
         self._fate = draw
 
-    def connect(self) -> bool:
-        """A connection comes; False if it is refused."""
-        if not self.server.up or self.connections >= self.most_connections:
-            return False
-        self.connections += 1
+    def connect(self) -> Place:
+        """A connection comes. Beyond as many as it holds, it says so to the first request and closes."""
+        if not self.server.up:
+            return Place.DOWN
         if self.handshake:
             self.server.offer(self.handshake, _nothing)
-        return self.server.up  # else the work of it was too much
+            if not self.server.up:
+                return Place.DOWN  # the work of it was too much
+        if self.connections >= self.most_connections:
+            return Place.NONE
+        self.connections += 1
+        return Place.HELD
 
     def disconnect(self) -> None:
         """A connection is closed."""
--- a/rosepick/lab/world/ports.py
+++ b/rosepick/lab/world/ports.py
@@ -10,18 +10,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ...connections.keeping import Keeping
 from ...core.engine import Decider, DeliveryAttempt, Engine, Envelope
 from ...decisions import api
 from ...decisions.api import Result
+from ..experiment import Routers
 from .discovery import Discovery, Watcher
-from .fleet import HIT, ORIGIN, Asked, Node
+from .fleet import HIT, ORIGIN, STD, Asked, Node, Place
 from .kernel import Kernel
 from .network import Network
 from .requests import Request
 from .rules import Monitor, Sent, Try
 
 DIAL_TIMEOUT = 250.0  # milliseconds until a connection that does not come up is given up
-KEPT_FOR = 10_000.0  # that a router keeps an idle connection
+KEPT_FOR = 10_000.0  # that a router keeps an idle connection at most
+SWEEP_EVERY = 250.0
 
 
 @dataclass(slots=True)
@@ -73,11 +76,20 @@
         if not self._wanted() or not self.port.reaches(self.node):
             return
         port = self.port
-        if self.node.connect():
+        place, back = self.node.connect(), port.latency(self.node)
+        if place is Place.HELD:
+            port.keeping[self.node.kind].let_in()
             self.link = Link(self.node, port.kernel.time)
-            port.kernel.after(port.latency(self.node), self.write)
+            port.kernel.after(back, self.write)
+        elif place is Place.NONE:  # it says so to the request, a round trip later
+            port.kernel.after(3.0 * back, self._no_place)
         else:
-            port.kernel.after(port.latency(self.node), lambda: self._end(Result.CONNECT_FAILED, 0))
+            port.kernel.after(back, lambda: self._end(Result.CONNECT_FAILED, 0))
+
+    def _no_place(self) -> None:
+        if self._wanted():
+            self.port.keeping[self.node.kind].turned_away()
+            self._end(Result.NO_PLACE, 0)
 
     def _not_up(self) -> None:
         if self._wanted() and self.asked is None:
@@ -123,7 +135,11 @@
         port.kernel.after(port.latency(self.node), lambda: self._end(result, note))
 
     def _end(self, result: Result, note: int) -> None:
-        """The router hears how the attempt ended."""
+        """The end of the attempt is at the router, which hears it when it has the time."""
+        if self._wanted():
+            self.port.spend(self.port.shape.attempt_us, lambda: self._heard(result, note))
+
+    def _heard(self, result: Result, note: int) -> None:
         if not self._wanted():
             return
         port = self.port
@@ -169,7 +185,7 @@
     def __init__(
         self, name: str, zone: int, kernel: Kernel, network: Network, nodes: dict[int, Node],
         discovery: Discovery, monitor: Monitor, settings: api.Settings, seed: int,
-        decider: Decider | None,
+        decider: Decider | None, shape: Routers,
     ) -> None:
         self.name, self.zone = name, zone
         self.kernel, self.network, self.nodes, self.monitor = kernel, network, nodes, monitor
@@ -178,6 +194,11 @@
         self.out: dict[DeliveryAttempt, Exchange] = {}
         self.count: Callable[[str], None] = lambda what: None
         self._idle: dict[int, list[Link]] = {}
+        self.shape = shape
+        self._unread: dict[Envelope, Payload] = {}  # it has not had the time to take them
+        self._free_at = 0.0  # when it is through with what it has to do
+        self.keeping = {kind: Keeping(KEPT_FOR, settings.routers) for kind in (STD, ORIGIN)}
+        kernel.after(SWEEP_EVERY, self._sweep)
         self.engine = Engine(settings, seed, kernel, decider)
         self.engine.next_hops = self
         self.engine.map_source = self
@@ -230,6 +251,28 @@
         if exchange is not None:
             exchange.give_up()
 
+    def spend(self, cost: float, then: Callable[[], None]) -> None:
+        """Go on once so many microseconds of processor time are spent, behind what is in hand."""
+        now = self.kernel.time
+        if not cost:
+            then()
+            return
+        self._free_at = max(self._free_at, now) + cost / 1000.0 / self.shape.cores
+        self.kernel.at(self._free_at, lambda: then() if self.alive else None)
+
+    def _sweep(self) -> None:
+        """Close connections that were idle for as long as they are kept."""
+        if not self.alive:
+            return
+        now = self.kernel.time
+        self.kernel.after(SWEEP_EVERY, self._sweep)
+        for number, links in list(self._idle.items()):
+            kept = self.keeping[self.nodes[number].kind].time
+            for link in links:
+                if now - link.idle_since >= kept:
+                    link.close()
+            self._idle[number] = [link for link in links if link.open]
+
     def _kept(self, node: Node) -> Link | None:
         """The most recently used idle connection that is still good, as far as this side can know."""
         links, now = self._idle.get(node.number, []), self.kernel.time
@@ -282,9 +325,14 @@
             klass=request.klass, deadline=deadline, key=request.key, tenant=request.tenant, write=write,
             retry=retry, cost_hint=request.hint, payload=payload,
         )
-        self.engine.accept(envelope, self)
+        self._unread[envelope] = payload
+        self.spend(self.shape.request_us, lambda: self._take(envelope))
         return envelope
 
+    def _take(self, envelope: Envelope) -> None:
+        if not self._unread.pop(envelope).tried.gone:
+            self.engine.accept(envelope, self)
+
     def served(self, envelope: Envelope, answer: object) -> None:
         """A next hop's answer goes to the client."""
         self._final(envelope, "served", 0.0)
@@ -318,7 +366,7 @@
     def kill(self) -> list[Payload]:
         """The process is gone, with all that it had in hand: its clients see their connections break."""
         self.alive = False
-        held = []
+        held = list(self._unread.values())
         for envelope in list(self.engine.envelopes.values()):
             if not envelope.over and isinstance(envelope.payload, Payload):
                 envelope.payload.tried.gone = True
--- a/rosepick/lab/world/requests.py
+++ b/rosepick/lab/world/requests.py
@@ -11,7 +11,7 @@
 import numpy as np
 
 from ...core.transport_map import key_number
-from ..experiment import Class, Experiment, ExperimentError
+from ..experiment import Class, Experiment, ExperimentError, Routers
 from .draws import Uniform, Work, Zipf, generator
 
 HINT_SPREAD = 0.3  # of the logarithm: how rough the hint of a request's work is
@@ -53,8 +53,7 @@
         ]
         self._classes = _edges([one.share for one in experiment.classes])
         self._tenants = _edges([one.traffic or one.share for one in experiment.tenants])
-        skew = experiment.routers.skew
-        self._routers = _edges([(n + 1) ** -skew for n in range(experiment.routers.count)])
+        self._routers = _edges(_traffic(experiment.routers))
         self._drifts = generator(seed, "drift")
         self._drifted = 0.0
 
@@ -152,6 +151,15 @@
     return [int(value) or 1 for value in x]
 
 
+def _traffic(routers: Routers) -> list[float]:
+    """Of each router, in proportion."""
+    every = round(1.0 / routers.heavy) if routers.heavy else 0
+    return [
+        (n + 1) ** -routers.skew * (routers.heavy_by if every and n % every == 0 else 1.0)
+        for n in range(routers.count)
+    ]
+
+
 def _edges(shares: list[float]) -> list[float]:
     total, edges = 0.0, []
     for share in shares:
--- a/rosepick/lab/world/troubles.py
+++ b/rosepick/lab/world/troubles.py
@@ -128,6 +128,19 @@
     return f"{trouble.zones[0]} from {trouble.zones[1]}", lambda: world.network.cut(here, there, False)
 
 
+def _isolate(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    here = world.zone(trouble.zone)
+    others = [zone for zone in range(len(world.experiment.zones)) if zone != here]
+    for there in others:
+        world.network.cut(here, there, True)
+
+    def undo() -> None:
+        for there in others:
+            world.network.cut(here, there, False)
+
+    return f"{trouble.zone} from all others", undo
+
+
 def _silent(world: World, trouble: Trouble) -> tuple[str, Undo]:
     def turn(by: int) -> Callable[[CacheNode], None]:
         return lambda node: setattr(node, "silences", node.silences + by)
@@ -188,18 +201,25 @@
 
 def _routers(back: bool) -> Play:
     def begin(world: World, trouble: Trouble) -> tuple[str, Undo]:
-        places = range(min(trouble.routers or 1, len(world.routers)))
+        many = len(world.routers)
+        count = trouble.routers or (1 if trouble.part is None else round(trouble.part * many))
+        places = range(min(count, many))
         down = trouble.down if back else trouble.last or None
+        step = 100.0 * trouble.last if back else 0.0  # milliseconds between tenths
         for place in places:
-            world.kill_router(place, None if down is None else 1000.0 * down)
-        return ", ".join(f"router-{place}" for place in places), nothing
+            world.kernel.after(
+                10 * place // max(1, len(places)) * step,
+                partial(world.kill_router, place, None if down is None else 1000.0 * down),
+            )
+        named = ", ".join(f"router-{place}" for place in places[:8])
+        return named + (f" and {len(places) - 8} more" if len(places) > 8 else ""), nothing
 
     return begin
 
 
 _KINDS: dict[str, Play] = {
     "slow": _slow, "stop": _stop, "restart": _restart, "replace": _replace, "shrink": _shrink, "grow": _grow,
-    "cut": _cut, "silent": _silent, "stale": _stale, "discovery_down": _discovery_down,
+    "cut": _cut, "isolate": _isolate, "silent": _silent, "stale": _stale, "discovery_down": _discovery_down,
     "origin_slow": _origin_slow, "origin_stop": _origin_stop, "flash": _flash, "surge": _surge,
     "router_kill": _routers(False), "router_restart": _routers(True), "hang": _share("hang_shares"),
     "reset": _share("reset_shares"),
--- a/rosepick/lab/world/world.py
+++ b/rosepick/lab/world/world.py
@@ -109,7 +109,7 @@
         seed = int(generator(self.seed, f"router {place} at {self.kernel.time}").integers(1, 2**62))
         router = Router(
             f"router-{place}", zone, self.kernel, self.network, self.nodes, self.discovery, self.monitor,
-            settings, seed, self._make_decider(settings, seed, self),
+            settings, seed, self._make_decider(settings, seed, self), self.experiment.routers,
         )
         router.count = self._count
         return router
@@ -199,6 +199,8 @@
         for payload in router.kill():
             self.clients.lost(payload)
         if down is not None:
+            shape = self.experiment.routers
+            down += shape.start_ms / shape.cores
             self.kernel.after(down, lambda: self.routers.__setitem__(place, self.add_router(place)))
 
     # ------------------------------------------------------------------------------------------- its course
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -7,8 +7,10 @@
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..connections.descriptors import Use
+from ..connections.keeping import Keeping
 from ..core.engine import DeliveryAttempt, Engine
 from ..core.flow import Flow
 from ..core.transport_map import NextHop, TransportMap
@@ -24,7 +26,8 @@
 
 log = logging.getLogger(__name__)
 IDLE_PART = 0.7  # of the time after which a next hop may close an idle connection: then ours goes
-SWEEP_EVERY = 500.0
+SWEEP_EVERY = 500.0  # milliseconds between looks at idle connections; more often where they are kept shortly,
+SWEEP_LEAST = 50.0  # but no more often than this
 STALL = 0.2  # of the shortest aim: an answer that has begun and then stops for so long is spoilt
 EARLY = 100.0  # an idle connection that its next hop closes sooner than this was never meant to be kept
 WARY_FOR = 60_000.0  # after such a close
@@ -48,6 +51,8 @@
         self.server = hop.server
         self.host = f"{hop.endpoint[0]}:{hop.endpoint[1]}"
         self.endpoint = hop.endpoint
+        self.keeping = pool.keeping[hop.kind == pool.origin_kind]
+        self.used = False  # it has had an answer
         self.exchange: Exchange | None = None
         self.attempt: DeliveryAttempt | None = None
         self.idle_since = 0.0
@@ -146,7 +151,7 @@
         attempt = self.attempt
         assert attempt is not None
         self._hold(0)
-        self.stalls_at = None
+        self.stalls_at, self.used = None, True
         headers, length = exchange.head()
         self.flow = flow = Flow(self.pool.budget.flows, length)
         flow.freed = self._go_on
@@ -219,6 +224,8 @@
             self._passed(verdict or Verdict(Result.RESET))
             return
         attempt, self.attempt, self.exchange = self.attempt, None, None
+        if verdict is not None and verdict.answer is not None:
+            verdict = self._judged(verdict)
         self._hold(0)
         self.stalls_at = None
         if verdict is not None and verdict.reusable and not self.retired:
@@ -229,6 +236,17 @@
         if attempt is not None and verdict is not None:
             self.pool.ended(attempt, verdict)
 
+    def _judged(self, verdict: Verdict) -> Verdict:
+        """An answer has come. Guards against a next hop that has no place for another connection and is taken
+        for one whose queue is full: its keys would move away, and retries be spent on it."""
+        first, self.used = not self.used, True
+        if first and verdict.result is Result.FULL and not verdict.reusable:
+            self.keeping.turned_away()
+            return replace(verdict, result=Result.NO_PLACE)
+        if first:
+            self.keeping.let_in()
+        return verdict
+
     def close(self) -> None:
         """Close it; an attempt on it is given up."""
         self.attempt = self.exchange = self.flow = None
@@ -243,6 +261,12 @@
 
     def __init__(self, loop: Loop, budget: Budget, hops: TransportMap, config: Config) -> None:
         self.loop, self.budget, self.map = loop, budget, hops
+        self.origin_kind = config.settings.origin_kind
+        # the origin is another kind of machine, with limits of its own
+        self.keeping = {
+            of_origin: Keeping(config.conn_idle * IDLE_PART, config.settings.routers)
+            for of_origin in (False, True)
+        }
         self.apply(config)
         self.dials: OrderedDict[tuple[str, int], Dials] = OrderedDict()  # the most recently dialed last
         self.engine: Engine
@@ -257,7 +281,9 @@
 
     def apply(self, config: Config) -> None:
         """Other settings from now on."""
-        self.dial_timeout, self.keep_idle = config.dial_timeout, config.conn_idle * IDLE_PART
+        self.dial_timeout = config.dial_timeout
+        for keeping in self.keeping.values():
+            keeping.limit(config.conn_idle * IDLE_PART)
         self.stall = STALL * min(klass.aim for klass in config.settings.classes)
 
     # ---------------------------------------------------------------------------- the engine's calls
@@ -407,9 +433,13 @@
     def _sweep(self) -> None:
         """Close what was idle for long, well before the next hop does: a request written to a connection that
         the other side has closed is a reset."""
-        self.loop.after(SWEEP_EVERY, self._sweep)
+        shortest = min(keeping.time for keeping in self.keeping.values())
+        self.loop.after(max(SWEEP_LEAST, min(SWEEP_EVERY, 0.25 * shortest)), self._sweep)
         for passing in list(self.passing):
             passing.check(self.loop.now())
-        before = self.loop.now() - self.keep_idle
-        while self.by_age and (link := next(iter(self.by_age))).idle_since <= before:
-            link.close()
+        now = self.loop.now()
+        for link in list(self.by_age):
+            if now - link.idle_since < shortest:
+                break
+            if now - link.idle_since >= link.keeping.time:
+                link.close()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -188,7 +188,7 @@
     ]
     rows = ", ".join(
         f'{{kind = "{kind}", at = {1.0 + 0.05 * n}, for = 0.5'
-        + (', zones = ["a", "b"]}' if kind == "cut" else "}")
+        + {"cut": ', zones = ["a", "b"]}', "isolate": ', zone = "a"}'}.get(kind, "}")
         for n, kind in enumerate(kinds)
     )
     run, _ = sim.play(experiment.read(f"{SMALL}troubles = [{rows}]", "f"), 2, "rosepick", {})
