--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -49,7 +49,7 @@
 BOUND = 0.45  # of the aim: a holder expected to take longer gives the request to the next in order
 GAIN = 0.6  # a move must promise at least this much less waiting, since it may cost a fetch
 WIDEN = 1.0  # growth of the wide share in a round with a shortage ...
-NARROW = 0.005  # ... and its decay in a calm one: moving keys back costs fetches
+NARROW = 0.015  # ... and its decay in a calm one: moving keys back costs fetches
 SHORT_SHARE = 0.3  # share of reads in want of capacity that counts as a shortage
 
 HELD_START = 64.0  # requests in hand at all cache servers together: no bar until answers come slowly ...
