--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -6,7 +6,7 @@
 import unittest
 
 from rosepick.connections.keeping import LEAST, Keeping
-from rosepick.decisions.api import Result
+from rosepick.decisions.api import NEVER_RAN, Result
 from tests.scenario import Scenario
 
 NO_PLACE = "send 503 '' Srv-Declined=1 Connection=close"
@@ -36,6 +36,7 @@
             c1 expect 200 x
         """)
         self.assertEqual(self.server.engine.counts["attempt_no_place"], 1)
+        self.assertIn(Result.NO_PLACE, NEVER_RAN)
         self.assertLess(router.origin.limit, 2.0)  # type: ignore[attr-defined]
 
     def test_a_full_queue_and_a_connection_in_use_are_no_lack_of_places(self) -> None:
@@ -96,10 +97,3 @@
             idle[who] = now + kept[who].time
         self.assertTrue(0.02 < away / asked < 0.12, away / asked)
         self.assertGreater(sum(until >= now for until in idle), 0.6 * places)
-
-
-class Tells(unittest.TestCase):
-    def test_it_never_ran(self) -> None:
-        from rosepick.decisions.api import NEVER_RAN
-
-        self.assertIn(Result.NO_PLACE, NEVER_RAN)
--- /dev/null
+++ b/tests/test_lab_fleet.py
@@ -0,0 +1,114 @@
+"""The days of the fleet in the lab: little time, scarce places, callers that are turned away."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rosepick.lab import experiment, sim
+from rosepick.lab.experiment import Experiment, ExperimentError
+from rosepick.lab.measure import Measure
+from rosepick.lab.world import troubles
+from rosepick.lab.world.world import World
+
+DAYS = sorted((Path(__file__).parent.parent / "experiments").glob("fleet-*.toml"))
+SMALL = """
+name = "f"
+length = 4
+warm_up = 1
+zones = ["a", "b"]
+fleet = [{count = 4}]
+traffic = {rate = 100}
+routers = {count = 10}
+"""
+
+
+def read(changes: dict[str, Any], more: str = "") -> Experiment:
+    return experiment.read(SMALL + more, "f", changes)
+
+
+def world(given: Experiment) -> World:
+    """Played to its end."""
+    made = World(given, 1, Measure(given))
+    troubles.set_up(made)
+    made.start()
+    made.kernel.run(1000.0 * given.length + 3_000.0)
+    made.finish()
+    return made
+
+
+def figures(changes: dict[str, Any], more: str = "") -> dict[str, float]:
+    return sim.play(read(changes, more), 1, "rosepick", {})[0].totals
+
+
+def test_every_day_is_there_and_a_short_form_of_one_keeps_the_rules() -> None:
+    assert [day.stem[6:] for day in DAYS] == ["calm", "herd", "join", "roll", "split", "zone"]
+    for day in DAYS:
+        given = experiment.load(day)
+        assert (given.routers.count, given.fleet[0].count) == (200, 200)
+    short = {"routers.count": 20, "fleet.0.count": 20, "traffic.rate": 100, "origin.connections": 12}
+    run, _ = sim.play(experiment.load(DAYS[1], short), 1, "rosepick", short)
+    assert run.broken == []
+    assert run.totals["served_share"] > 0.3
+    killed = next(span for span in run.troubles if span.kind == "router_kill")
+    assert killed.what.endswith("router-7 and 6 more")
+
+
+@pytest.mark.parametrize(("changes", "least", "most"), [
+    ({}, 0.95, 1.0),
+    ({"routers.request_us": 500.0, "routers.attempt_us": 500.0}, 0.95, 1.0),  # a hundredth of its time
+    ({"routers.request_us": 50_000.0, "routers.cores": 0.25}, 0.0, 0.6),  # twice what it has
+])
+def test_a_router_that_has_no_time_serves_late(changes: dict[str, Any], least: float, most: float) -> None:
+    assert least <= figures(changes)["served_share"] <= most
+
+
+def test_places_at_the_origin_are_scarce_and_told_from_a_full_queue() -> None:
+    made = world(read({"origin.connections": 2}))
+    counts = [router.engine.counts for router in made.routers if router is not None]
+    assert sum(one["attempt_no_place"] for one in counts) > 0
+    assert sum(one["attempt_full"] + one["attempt_connect_failed"] for one in counts) == 0
+    assert made.origin.connections <= 2
+
+
+def test_discovery_turns_callers_away_that_would_wait_too_long() -> None:
+    slow = {"discovery.call_ms": 300.0}
+    assert world(read(slow)).discovery.turned_away == 0
+    made = world(read({**slow, "discovery.patience_ms": 500.0}))
+    assert made.discovery.turned_away > 0
+    assert sum(watcher.on for watcher in made.discovery.watchers) > 5  # the others came again
+
+
+def test_some_routers_have_several_times_the_traffic() -> None:
+    made = world(read({"routers.heavy": 0.1, "routers.heavy_by": 6.0}))
+    asked = [r.engine.counts["envelopes"] for r in made.routers if r is not None]
+    assert asked[0] > 3 * max(asked[1:])
+
+
+def test_restarts_go_on_by_tenths_and_a_start_takes_its_time() -> None:
+    rows = '[[troubles]]\nkind = "router_restart"\nat = 1\nfor = 2\npart = 1.0\ndown = 0.1\n'
+    given = read({"routers.start_ms": 200.0, "routers.cores": 0.5}, rows)
+    made = World(given, 1, Measure(given))
+    troubles.set_up(made)
+    made.start()
+    seen = []
+    for at in (1_050.0, 1_300.0, 1_450.0, 2_950.0, 3_400.0):
+        made.kernel.run(at)
+        seen.append([place for place, router in enumerate(made.routers) if router is None])
+    assert seen == [[0], [0, 1], [0, 1, 2], [8, 9], []]
+
+
+def test_a_zone_that_is_cut_off_and_faults_of_the_file() -> None:
+    row = '[[troubles]]\nkind = "isolate"\nat = 1\nfor = 1\nzone = "b"\n'
+    made = World(read({}, row), 1, Measure(read({}, row)))
+    troubles.set_up(made)
+    made.start()
+    for at, passes in ((500.0, True), (1_500.0, False), (2_500.0, True)):
+        made.kernel.run(at)
+        assert made.network.passes(0, 1) is passes
+    for wrong, text in ((row.replace('zone = "b"\n', ""), "isolate cuts off one zone"),
+                        (row + "part = 0.5\nrouters = 2\n", "and `part`")):
+        with pytest.raises(ExperimentError, match=text):
+            read({}, wrong)
