--- /dev/null
+++ b/rosepick/net/store.py
@@ -0,0 +1,186 @@
+"""Files of the agreement: what a witness keeps, and the highest tokens of a guard. sqlite3, each change
+synchronised.
+
+A folder belongs to one process at a time, and its file is known by its inode: a copy that was put in its
+place is another file, and does not vote as what it was.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import sqlite3
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+from ..agreement.messages import Quorum, Slot
+from ..agreement.witness import Changes, Saved
+
+T = TypeVar("T")
+FORM = 1  # of the tables
+FILE = "witness.sqlite3"
+_TABLES = """
+create table if not exists meta (name text primary key, value blob) without rowid;
+create table if not exists slots (name text primary key, slot blob) without rowid;
+create table if not exists met (storage text primary key, starts integer, run text) without rowid;
+create table if not exists tokens (task text primary key, token integer) without rowid;
+"""
+
+
+class StoreError(Exception):
+    """The folder cannot be used; the text says why."""
+
+
+def _open(path: Path) -> sqlite3.Connection:
+    db = sqlite3.connect(path, isolation_level=None, timeout=0.0)
+    db.execute("pragma journal_mode=wal")
+    db.execute("pragma synchronous=full")  # each commit is on the disk when it returns
+    db.execute("pragma wal_autocheckpoint=400")
+    db.executescript(_TABLES)
+    return db
+
+
+class Folder:
+    """A folder of one process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.path = folder
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self._lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644)
+        except OSError as problem:
+            raise StoreError(f"{folder}: {problem.strerror}") from None
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise StoreError(f"{folder}: another process uses it") from None
+
+    def close(self) -> None:
+        """Another process may use it from now on."""
+        os.close(self._lock)
+
+
+class WitnessStore:
+    """What a witness keeps. `new`: an identity for a folder that has none; drawn by the caller."""
+
+    def __init__(self, folder: Path, new: str) -> None:
+        self.folder = Folder(folder)
+        self.path = folder / FILE
+        self.copied = False  # the file is a copy: it was set aside, and the storage is a new one
+        try:
+            self._begin(new)
+        except (sqlite3.Error, msgspec.MsgspecError) as problem:
+            self.folder.close()
+            raise StoreError(f"{self.path}: {problem}") from None
+
+    def _begin(self, new: str) -> None:
+        self._db = _open(self.path)
+        if self._meta("inode", str) not in (None, self._inode()):
+            self.set_aside(new)
+            self.copied = True
+            return
+        self._take_up(new)
+
+    def _take_up(self, new: str) -> None:
+        form = self._meta("form", int)
+        if form is not None and form > FORM:
+            raise sqlite3.DatabaseError(f"its form {form} is newer than this program's {FORM}")
+        storage = self._meta("storage", str) or new
+        starts = (self._meta("starts", int) or 0) + 1
+        self._db.execute("begin immediate")
+        for name, value in (
+            ("form", FORM),
+            ("storage", storage),
+            ("starts", starts),
+            ("inode", self._inode()),
+        ):
+            self._set(name, value)
+        self._db.execute("commit")
+        slots: dict[str, Slot] = {
+            name: msgspec.msgpack.decode(blob, type=Slot)
+            for name, blob in self._db.execute("select name, slot from slots")
+        }
+        met = {storage: (starts, run) for storage, starts, run in self._db.execute("select * from met")}
+        self.saved = Saved(
+            storage, starts, self._meta("quorum", Quorum), bool(self._meta("sealed", bool)), slots, met
+        )
+
+    def set_aside(self, new: str) -> None:
+        """Begin as a new storage; the old file stays beside for whoever wants to look."""
+        self._db.close()
+        for number in range(1000):
+            aside = self.folder.path / f"aside-{number}"
+            if not aside.exists():
+                break
+        aside.mkdir()
+        for path in self.folder.path.glob(FILE + "*"):
+            path.rename(aside / path.name)
+        self._db = _open(self.path)
+        self._take_up(new)
+
+    def _inode(self) -> str:
+        return str(self.path.stat().st_ino)
+
+    def _meta(self, name: str, kind: type[T]) -> T | None:
+        row = self._db.execute("select value from meta where name = ?", (name,)).fetchone()
+        return None if row is None else msgspec.msgpack.decode(row[0], type=kind)
+
+    def _set(self, name: str, value: object) -> None:
+        self._db.execute("insert or replace into meta values (?, ?)", (name, msgspec.msgpack.encode(value)))
+
+    def keep(self, changes: Changes) -> None:
+        """Have the changes on the disk. sqlite3.Error or OSError if that cannot be: then nothing may be
+        said."""
+        self._db.execute("begin immediate")
+        if changes.epoch:
+            self._db.execute("delete from slots")
+            self._set("quorum", self.saved.quorum)
+        if changes.epoch or changes.seal:
+            self._set("sealed", self.saved.sealed)
+        slots = self.saved.slots if changes.epoch else changes.slots
+        self._db.executemany(
+            "insert or replace into slots values (?, ?)",
+            [(name, msgspec.msgpack.encode(slot)) for name, slot in slots.items()],
+        )
+        self._db.executemany(
+            "insert or replace into met values (?, ?, ?)", [(one, *met) for one, met in changes.met.items()]
+        )
+        self._db.execute("commit")
+
+    def close(self) -> None:
+        """Let go of the folder."""
+        self._db.close()
+        self.folder.close()
+
+
+class Tokens:
+    """The highest tokens of a guard, on the disk before a step is taken."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = Folder(folder)
+        try:
+            self._db = _open(folder / "guard.sqlite3")
+            self._known: dict[str, int] = dict(self._db.execute("select task, token from tokens"))
+        except sqlite3.Error as problem:
+            self._folder.close()
+            raise StoreError(f"{folder}: {problem}") from None
+
+    def highest(self, task: str) -> int:
+        """The highest token taken for a task, 0 if none was."""
+        return self._known.get(task, 0)
+
+    def keep(self, task: str, token: int) -> None:
+        """Keep a higher one."""
+        try:
+            self._db.execute("insert or replace into tokens values (?, ?)", (task, token))
+        except sqlite3.Error as problem:
+            raise OSError(f"{self._folder.path}: {problem}") from None
+        self._known[task] = token
+
+    def close(self) -> None:
+        """Let go of the folder."""
+        self._db.close()
+        self._folder.close()
--- /dev/null
+++ b/rosepick/settings/fleet_file.py
@@ -0,0 +1,91 @@
+"""The fleet's file (`deploy/fleet.toml`): its witnesses, the key between processes, how leases are held.
+
+Not read by `serve`. All faults are named at once, each with its place.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+
+NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
+LEAST_KEY = 16  # bytes
+
+
+class FleetFileError(Exception):
+    """The file cannot be used; `faults` has a line for each."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class _Table(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class Leases(_Table):
+    """How leases are held, where a command does not say otherwise. `ttl` in seconds."""
+
+    ttl: Annotated[float, Field(ge=0.5, le=3600)] = 10.0
+    drift: Annotated[float, Field(ge=0.001, le=0.2)] = (
+        0.025  # by which part a clock's rate may be off, of all clocks
+    )
+
+
+class Fleet(_Table):
+    """The whole file. `witnesses`: name to host:port. `key_file`: its bytes sign what the processes say."""
+
+    witnesses: dict[Annotated[str, Field(pattern=NAME)], str]
+    key_file: str | None = None
+    leases: Leases = Leases()
+
+    @field_validator("witnesses")
+    @classmethod
+    def _addresses(cls, value: dict[str, str]) -> dict[str, str]:
+        if not 1 <= len(value) <= 8:
+            raise ValueError("1 to 7 witnesses, and one more while one is replaced")
+        for name, text in value.items():
+            host, _, port = text.rpartition(":")
+            if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+                raise ValueError(f'{name} = "{text}" is not host:port')
+        if len(set(value.values())) < len(value):
+            raise ValueError("two witnesses have one address")
+        return value
+
+    def endpoints(self) -> dict[str, tuple[str, int]]:
+        """Name to host and port."""
+        parts = {name: text.rpartition(":") for name, text in self.witnesses.items()}
+        return {name: (host.strip("[]"), int(port)) for name, (host, _, port) in parts.items()}
+
+
+def load(path: Path) -> tuple[Fleet, bytes]:
+    """The file and its key (empty: none). FleetFileError names every fault."""
+    try:
+        document = tomllib.loads(path.read_text("utf-8"))
+    except OSError as problem:
+        raise FleetFileError([f"{path}: {problem.strerror}"]) from None
+    except ValueError as problem:
+        raise FleetFileError([f"{path}: {problem}"]) from None
+    try:
+        fleet = Fleet.model_validate(document)
+    except ValidationError as problem:
+        faults = [f"{'.'.join(map(str, one['loc'])) or 'file'}: {one['msg']}" for one in problem.errors()]
+        raise FleetFileError([f"{path}: {fault}" for fault in faults]) from None
+    return fleet, _key(path, fleet)
+
+
+def _key(path: Path, fleet: Fleet) -> bytes:
+    if fleet.key_file is None:
+        return b""
+    place = path.parent / fleet.key_file
+    try:
+        key = place.read_bytes().strip()
+    except OSError as problem:
+        raise FleetFileError([f"{path}: key_file {place}: {problem.strerror}"]) from None
+    if len(key) < LEAST_KEY:
+        raise FleetFileError([f"{path}: key_file {place} holds {len(key)} bytes; at least {LEAST_KEY}"])
+    return key
