--- a/rosepick/agreement/messages.py
+++ b/rosepick/agreement/messages.py
@@ -28,11 +28,13 @@
 
 
 class Register(msgspec.Struct, frozen=True, array_like=True):
-    """The value of a name, its version (one more at each change) and the mark of the change that made it."""
+    """The value of a name, its version (one more at each change), the mark of the change that made it, and
+    the mark of the value that it was made of: so a value names its place in the one chain."""
 
     version: int = 0
     mark: str = ""
     value: bytes = b""
+    base: str = ""
 
 
 class Slot(msgspec.Struct, frozen=True, array_like=True):
--- a/rosepick/agreement/operation.py
+++ b/rosepick/agreement/operation.py
@@ -195,7 +195,7 @@
         try:
             if self._change is None:
                 raise Declined
-            value = Register(register.version + 1, self.mark, self._change(register))
+            value = Register(register.version + 1, self.mark, self._change(register), register.mark)
         except Declined:
             return self._left(register, settled)
         self._tried = value
--- a/rosepick/agreement/witness.py
+++ b/rosepick/agreement/witness.py
@@ -100,7 +100,9 @@
         ours_too = ours is not None and ours.fleet == asked.fleet
         if asked.starts > starts and ours_too and (starts or len(self.saved.met) < MOST_MET):
             changes.met[asked.storage] = self.saved.met[asked.storage] = asked.starts, asked.run
-        if self.votes and not self.saved.sealed and ours is not None and ours_too:
+        if (
+            self.votes and ours is not None and ours_too
+        ):  # also a sealed one: else the next epoch might never come
             member = any(one.storage == asked.storage for one in ours.members)
             if member and asked.epoch < ours.epoch:
                 # as if the messages of this epoch had only now come through to the one that asks
--- /dev/null
+++ b/rosepick/lab/drill/history.py
@@ -0,0 +1,90 @@
+"""What happened in a drill, by the drill's one clock (seconds), and what each process was seen to do."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+
+class Event(msgspec.Struct, frozen=True, tag_field="event"):
+    """All of them have a process and a moment."""
+
+    process: str
+    at: float
+
+
+class Operation(Event, frozen=True, tag="operation"):
+    """A reading or change of a register: from `begin` to `at`. `mark` is its own, `seen` that of the value
+    that it ended with, `version` that value's, and `base` the mark of the value before it."""
+
+    begin: float
+    key: str
+    mark: str
+    kind: str  # as in agreement.operation.Kind; "open": it never ended
+    version: int = 0
+    seen: str = ""
+    base: str = ""
+
+
+class Yes(Event, frozen=True, tag="yes"):
+    """A holder was told that it may act: asked at `begin`, told by `at`."""
+
+    begin: float
+    task: str
+    token: int
+    who: int
+
+
+class Effect(Event, frozen=True, tag="effect"):
+    """A guarded resource took a step, or refused it."""
+
+    task: str
+    token: int
+    who: int
+    taken: bool
+
+
+class Moved(Event, frozen=True, tag="moved"):
+    """A contender has come to hold, lose or end a lease."""
+
+    task: str
+    token: int
+    who: int
+    where: str
+
+
+class Injected(Event, frozen=True, tag="fault"):
+    """A fault was put in, or taken out again."""
+
+    fault: str
+    detail: str = ""
+
+
+AnyEvent = Operation | Yes | Effect | Moved | Injected
+_decoder: msgspec.json.Decoder[AnyEvent] = msgspec.json.Decoder(AnyEvent)
+_encoder = msgspec.json.Encoder()
+
+
+def line(event: AnyEvent) -> bytes:
+    """An event as a line."""
+    return _encoder.encode(event) + b"\n"
+
+
+def read(paths: Iterable[Path]) -> list[AnyEvent]:
+    """Events of some files in order. A last line that was cut off by a kill is left out."""
+    found: list[AnyEvent] = []
+    for path in paths:
+        for text in path.read_bytes().splitlines(keepends=True):
+            if text.endswith(b"\n"):
+                found.append(_decoder.decode(text))
+    return sorted(found, key=lambda event: event.at)
+
+
+def shown(event: AnyEvent) -> str:
+    """An event for people."""
+    fields = msgspec.structs.asdict(event)
+    fields.pop("process"), fields.pop("at")
+    kind = type(event).__name__.lower()
+    return f"{event.at:10.4f} {event.process:8} {kind:9} " + " ".join(f"{k}={v}" for k, v in fields.items())
--- /dev/null
+++ b/rosepick/lab/drill/linear.py
@@ -0,0 +1,163 @@
+"""Whether operations on one register could have happened one after the other, each between its begin and its
+end.
+
+The search of Wing and Gong (1993) with the memory of Lowe (2017): go on with whatever operation may come
+next, and never come twice to the same set of operations with the same value. Registers are independent of
+each other, so each is searched alone. Versions make the search short, they do not replace it: it is the
+order in time that is judged.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from math import inf
+
+from .history import Operation
+
+Value = tuple[int, str]  # version and mark
+ANY = "any"
+
+
+@dataclass(slots=True, eq=False)
+class _Entry:
+    """The begin or the end of an operation, in a list of these by time."""
+
+    operation: int
+    end: _Entry | None = None  # of the begin's operation; None: this is an end
+    before: _Entry | None = None
+    after: _Entry | None = None
+
+
+def _known(operations: Sequence[Operation], wild: bool) -> list[tuple[Operation, Value | None, Value | None]]:
+    """Operations that say something, from which value (None: any) they go and to which (None: the next
+    version). A change whose end nobody knows has been made if anybody saw its value, or a value that was
+    made of it; else it may have been made, between two others (`wild`), or not at all."""
+    seen: dict[str, tuple[int, str | None]] = {}
+    for one in operations:
+        if one.kind in ("done", "read") and one.version:
+            seen.setdefault(one.base, (one.version - 1, None))
+            seen[one.seen] = one.version, one.base
+    found: list[tuple[Operation, Value | None, Value | None]] = []
+    for one in operations:
+        value = one.version, one.seen
+        if one.kind == "read":
+            found.append((one, value, value))
+        elif one.kind == "done":
+            found.append((one, (one.version - 1, one.base), value))
+        elif one.kind in ("unknown", "open"):
+            version, base = seen.get(one.mark, (0, None))
+            endless = Operation(one.process, inf, one.begin, one.key, one.mark, "open")
+            if one.mark in seen:
+                found.append((endless, (version - 1, ANY if base is None else base), (version, one.mark)))
+            elif wild:
+                found.append((endless, None, None))
+    return found
+
+
+def _listed(operations: Sequence[Operation]) -> _Entry:
+    moments = []
+    for number, one in enumerate(operations):
+        end = _Entry(number)
+        moments += [((one.begin, 0), _Entry(number, end)), ((one.at, 1), end)]
+    head = last = _Entry(-1)
+    for _, entry in sorted(moments, key=lambda moment: moment[0]):
+        last.after, entry.before, last = entry, last, entry
+    return head
+
+
+def _out(entry: _Entry) -> None:
+    for one in (entry, entry.end):
+        assert one is not None and one.before is not None
+        one.before.after = one.after
+        if one.after is not None:
+            one.after.before = one.before
+
+
+def _back(entry: _Entry) -> None:
+    for one in (entry.end, entry):
+        assert one is not None and one.before is not None
+        one.before.after = one
+        if one.after is not None:
+            one.after.before = one
+
+
+def possible(operations: Sequence[Operation]) -> bool:
+    """Whether there is such an order for the operations of one register."""
+    return _search(_known(operations, wild=False)) or _search(_known(operations, wild=True))
+
+
+def _step(needs: Value | None, gives: Value | None, value: Value, mark: str) -> Value | None:
+    """The value after a step from this one, if it can be taken."""
+    if gives is None:
+        return value[0] + 1, mark
+    fits = needs == value or (needs is not None and needs[1] == ANY and needs[0] == value[0])
+    return gives if fits else None
+
+
+def _search(known: Sequence[tuple[Operation, Value | None, Value | None]]) -> bool:
+    head = _listed([one for one, _, _ in known])
+    left = sum(one.at < inf for one, _, _ in known)
+    value: Value = (0, "")
+    taken = 0
+    stack: list[tuple[_Entry, Value]] = []
+    been: set[tuple[int, Value | None]] = set()
+    entry = head.after
+    while left:
+        assert entry is not None
+        if entry.end is None:  # its operation cannot have happened yet: another way
+            if not stack:
+                return False
+            entry, value = stack.pop()
+            taken &= ~(1 << entry.operation)
+            left += known[entry.operation][0].at < inf
+            _back(entry)
+            entry = entry.after
+            continue
+        one, needs, gives = known[entry.operation]
+        then = _step(needs, gives, value, one.mark)
+        now = (taken | 1 << entry.operation, then)
+        if then is None or now in been:
+            entry = entry.after
+            continue
+        been.add(now)
+        stack.append((entry, value))
+        taken, value = now[0], then
+        left -= one.at < inf
+        _out(entry)
+        entry = head.after
+    return True
+
+
+def by_key(operations: Sequence[Operation]) -> dict[str, list[Operation]]:
+    """Operations by register."""
+    found: dict[str, list[Operation]] = defaultdict(list)
+    for one in operations:
+        found[one.key].append(one)
+    return found
+
+
+def _until(operations: Sequence[Operation], moment: float) -> list[Operation]:
+    """What was known at a moment: what had not ended then is open."""
+    return [
+        one if one.at <= moment else Operation(one.process, one.begin, one.begin, one.key, one.mark, "open")
+        for one in operations
+        if one.begin <= moment
+    ]
+
+
+def shortest(operations: Sequence[Operation]) -> list[Operation]:
+    """Of operations that are not possible, a few that are not either: no reading of these can be left out."""
+    moments = sorted(one.at for one in operations)
+    low, high = 0, len(moments) - 1
+    while low < high:  # the first moment at which it was not possible any more
+        middle = (low + high) // 2
+        low, high = (low, middle) if not possible(_until(operations, moments[middle])) else (middle + 1, high)
+    kept = _until(operations, moments[high])
+    for one in list(kept):
+        if one.kind == "read" and len(kept) < 2000:
+            less = [other for other in kept if other is not one]
+            if not possible(less):
+                kept = less
+    return kept
--- a/rosepick/net/quorum.py
+++ b/rosepick/net/quorum.py
@@ -20,6 +20,7 @@
 FIRST, LONGEST = 150.0, 1_500.0  # milliseconds until an operation asks again: doubled each time, up to
 # milliseconds, doubled each time: until a beaten operation asks again, by chance up to three times it
 BEATEN = 8.0
+MOST_BACKOFF = 250.0  # who waits much longer than others finds their ballots above its own each time
 LEARN = 200.0  # between two questions who the quorum is
 Done = Callable[[Outcome], None]
 Heard = Callable[[str, m.Answer], None]
@@ -77,6 +78,8 @@
     done: Callable[[Succession], None]
     timer: Timer | None = None
     pause: float = FIRST
+    backoff: float = BEATEN
+    beaten: bool = False
 
 
 @dataclass(slots=True)
@@ -112,20 +115,23 @@
         self.two_fleets = False
         self.counts = Counts()
         self._numbers = rng.getrandbits(40) << 8
-        self._running: set[Running] = set()
+        self._running: dict[Running, None] = {}  # in the order of their begin: the same at each run
         self._following: Following | None = None
         self._asked_status = -LEARN
         self._other: dict[int, Callable[[str, m.Answer], None]] = {}
 
     # -- for callers
 
-    def run(self, key: str, change: Change | None, done: Done, timeout: float) -> None:
-        """Read a register, or change it; `done` is called once, within `timeout` milliseconds or so."""
+    def run(self, key: str, change: Change | None, done: Done, timeout: float) -> str:
+        """Read a register, or change it; `done` is called once, within `timeout` milliseconds or so. The
+        mark of the change is given back."""
         running = Running(self._operation(key, change), done)
         self.counts.operations += 1
-        self._running.add(running)
+        self._running[running] = None
         running.end = self.loop.after(timeout, lambda: self._late(running))
+        mark = running.operation.mark
         self._start(running)
+        return mark
 
     def ask_all(self, make: Callable[[int], m.Request], heard: Callable[[str, m.Answer], None]) -> None:
         """One request to each witness of the file; each answer is told."""
@@ -221,7 +227,7 @@
             self._finish(running)
 
     def _finish(self, running: Running) -> None:
-        self._running.discard(running)
+        self._running.pop(running, None)
         for timer in (running.timer, running.end):
             if timer is not None:
                 timer.cancel()
@@ -265,7 +271,7 @@
         elif operation.beaten and not was_beaten:
             self.counts.beaten += 1
             self._pause(running, running.backoff * (0.5 + 2.5 * self.rng.random()))
-            running.backoff = min(LONGEST, 2.0 * running.backoff)
+            running.backoff = min(MOST_BACKOFF, 2.0 * running.backoff)
 
     def _moved(self, elsewhere: m.Elsewhere) -> None:
         """The quorum is not what was thought: a later one, or one that is sealed and has not been
@@ -301,6 +307,7 @@
 
     def _once_more(self, following: Following) -> None:
         if following is self._following:
+            following.beaten = False
             self._send(following.succession.again())
             self._later(following)
 
@@ -312,3 +319,11 @@
                 following.timer.cancel()
             self._adopt(succession.later or (succession.next.quorum if succession.next else None))
             following.done(succession)
+        elif succession.beaten and not following.beaten:
+            following.beaten = True
+            self.counts.beaten += 1
+            if following.timer is not None:
+                following.timer.cancel()
+            pause = following.backoff * (0.5 + 2.5 * self.rng.random())
+            following.backoff = min(MOST_BACKOFF, 2.0 * following.backoff)
+            following.timer = self.loop.after(pause, lambda: self._once_more(following))
