--- /dev/null
+++ b/rosepick/lab/drill/processes.py
@@ -0,0 +1,148 @@
+"""Real processes of a drill: started, stopped, killed and started again, each with its log and its clock."""
+
+from __future__ import annotations
+
+import os
+import random
+import resource
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+PORTS = range(20_000, 32_000)  # below those that the system hands out by itself
+ROOT = Path(__file__).parents[3]
+
+
+def free_ports(count: int, rng: random.Random) -> list[int]:
+    """Ports of this machine that nobody listens on."""
+    found: list[int] = []
+    while len(found) < count:
+        port = rng.choice(PORTS)
+        if port in found:
+            continue
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as sock:
+                try:
+                    sock.bind(("127.0.0.1", port))
+                except OSError:
+                    break
+        else:
+            found.append(port)
+    return found
+
+
+def started(
+    rate: float, module: str, arguments: list[str], noted: str | bool
+) -> tuple[list[str], dict[str, str]]:
+    """The command line and the environment of a process under the starter; `noted`: the name for its
+    operations."""
+    command = [sys.executable, "-m", "rosepick.lab.drill.starter", f"{rate:.6f}", module, *arguments]
+    environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1", "USER": "drill"}
+    if noted:
+        environment |= {"DRILL_EVENTS": f"{noted}.operations.events", "DRILL_NAME": str(noted)}
+    return command, environment
+
+
+class Process:
+    """One process, in all its starts."""
+
+    def __init__(self, name: str, folder: Path, rate: float, module: str, arguments: list[str]) -> None:
+        self.name, self.folder, self.rate = name, folder, rate
+        self.module, self.arguments = module, arguments
+        self.statuses: list[int] = []  # of starts that have ended
+        self.stopped = False
+        self.noted = False  # its operations are to be noted by the starter
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def log(self) -> Path:
+        """Where its log is."""
+        return self.folder / f"{self.name}.log"
+
+    @property
+    def up(self) -> bool:
+        """Whether it runs; one that has ended by itself is noted."""
+        if self._process is None:
+            return False
+        if self._process.poll() is not None:
+            self.statuses.append(self._process.returncode)
+            self._process = None
+            return False
+        return True
+
+    def start(self) -> None:
+        """Start it, unless it runs."""
+        if self.up:
+            return
+        command, environment = started(self.rate, self.module, self.arguments, self.noted and self.name)
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                command, stdout=log, stderr=log, env=environment, cwd=self.folder, stdin=subprocess.DEVNULL
+            )
+        self.stopped = False
+
+    def kill(self) -> None:
+        """SIGKILL, and wait until it is gone."""
+        if self.up:
+            assert self._process is not None
+            self._process.kill()
+            self._process.wait()
+            self.up  # noqa: B018 - notes its status
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if it runs."""
+        if self.up:
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    def pause(self) -> None:
+        """Stop it where it is."""
+        self.signal(signal.SIGSTOP)
+        self.stopped = True
+
+    def resume(self) -> None:
+        """Let it go on."""
+        self.signal(signal.SIGCONT)
+        self.stopped = False
+
+    def full_disk(self) -> None:
+        """No file of it may grow from now on, as on a disk that is full."""
+        if self.up:
+            assert self._process is not None
+            hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)[1]
+            resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (1, hard))
+
+
+FILES = ("witness.sqlite3", "witness.sqlite3-wal", "witness.sqlite3-shm")
+
+
+def copy_storage(folder: Path, to: Path) -> None:
+    """A copy of what a witness keeps; it is not running."""
+    shutil.rmtree(to, ignore_errors=True)
+    to.mkdir()
+    for name in FILES:
+        if (folder / name).exists():
+            shutil.copyfile(folder / name, to / name)
+
+
+def put_back(old: Path, folder: Path, in_place: bool) -> None:
+    """Have an older copy be what a witness keeps. `in_place`: into the same file, so that its inode tells
+    nothing."""
+    for name in FILES:
+        if not in_place or name != FILES[0]:
+            (folder / name).unlink(missing_ok=True)
+    for name in FILES[:2]:
+        if (old / name).exists():
+            if in_place or name != FILES[0]:
+                shutil.copyfile(old / name, folder / name)
+            else:  # by way of another name, so that it is another file
+                shutil.copyfile(old / name, folder / "copy")
+                (folder / "copy").rename(folder / name)
+
+
+def empty_storage(folder: Path) -> None:
+    """Nothing is left of what a witness kept."""
+    shutil.rmtree(folder, ignore_errors=True)
--- a/rosepick/lab/drill/simulated.py
+++ b/rosepick/lab/drill/simulated.py
@@ -12,23 +12,21 @@
 from copy import deepcopy
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Any
 
 from ...agreement import messages as m
 from ...agreement.messages import Member, Quorum
-from ...agreement.operation import Change, Outcome
 from ...agreement.witness import Changes, Saved, Witness
 from ...leases import record
 from ...leases.contender import Terms, Where
 from ...leases.guard import Guard
 from ...net.leasing import Keeper
 from ...net.loop import Timer
-from ...net.quorum import QuorumClient
 from ...net.witness import MEET_EVERY, MEET_SOON, PATIENCE
 from . import claims
 from .claims import Broken, Verdict
-from .history import AnyEvent, Effect, Injected, Moved, Operation, Yes
+from .history import AnyEvent, Effect, Injected, Moved, Yes
 from .plan import Fault, Plan
+from .watched import Watched
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,32 +191,6 @@
         """Nothing is held."""
 
 
-class Watched(QuorumClient):
-    """A client whose operations are noted; one that has begun is `open` until its end is."""
-
-    def __init__(
-        self, name: str, note: Callable[[AnyEvent], None], moment: Callable[[], float], *given: Any
-    ) -> None:
-        super().__init__(*given)
-        self._name, self._note, self._moment = name, note, moment
-        self.open: dict[str, Operation] = {}
-
-    def run(self, key: str, change: Change | None, done: Callable[[Outcome], None], timeout: float) -> str:
-        begin, mark = self._moment(), ""
-
-        def noted(outcome: Outcome) -> None:
-            self.open.pop(mark, None)
-            register, kind = outcome.register, outcome.kind.value
-            end = self._moment()
-            value = register.version, register.mark, register.base
-            self._note(Operation(self._name, end, begin, key, mark, kind, *value))
-            done(outcome)
-
-        mark = super().run(key, change, noted, timeout)
-        self.open[mark] = Operation(self._name, begin, begin, key, mark, "open")
-        return mark
-
-
 class SimContender(Process):
     """A process that wants leases, works while it may, and gives them back from time to time."""
 
--- a/rosepick/leases/contender.py
+++ b/rosepick/leases/contender.py
@@ -26,7 +26,8 @@
 LOOK = 1 / 14  # likewise, between two looks at a lease that another one holds ...
 OFTEN, SELDOM = 30.0, 400.0  # ... but within these, in milliseconds
 RETRY = 1 / 12  # likewise, until a renewal that has failed is tried again
-PLACE = 600.0  # milliseconds that each one in line has for itself before the next may take a free lease
+PLACE = 150.0  # milliseconds that each one in line has for itself before the next may take a free lease ...
+FIRST = 100.0  # ... in which the first in line looks at least once
 SPARE = 0.05  # of the time to live: `may_act` says no so long before the end
 DOUBT = 0.4  # of the time to live: less than this is left, so no renewal has come through
 
@@ -230,7 +231,8 @@
 
     def _look_again(self, now: float, outcome: Outcome) -> float:
         """When to look next: soon where it is to be free, else seldom; never all at one time."""
-        usual = min(SELDOM, max(OFTEN, LOOK * self.terms.ttl)) * (0.7 + 0.6 * self._jitter())
+        most = FIRST if self._place() == 0 else SELDOM
+        usual = min(most, max(OFTEN, LOOK * self.terms.ttl)) * (0.7 + 0.6 * self._jitter())
         if self.seen is None or outcome.kind in (Kind.FAILED, Kind.UNKNOWN):
             return now + usual
         free_at = self._free_at()
