rosepick lab drill: many seeds side by side; copies told apart by a second name of the file

Cause: the file system gave the copy the inode number that the removed file had had (store.py compared the number alone). A second hard link now keeps that inode taken, and has to be of the same file. Ruled out: the judge and the drill's copying. A command under lease run dies with it also after kill -9.

--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -287,6 +287,42 @@
             console.table(made)
 
 
+@lab.command()
+def drill(
+    file: Annotated[Path, typer.Argument(help="A drill file.")],
+    seed: Seeds = "1",
+    report: Annotated[
+        Path | None, typer.Option("--report", help="Keep histories and logs in this folder.")
+    ] = None,
+    simulated: Annotated[
+        bool, typer.Option("--simulated/--real", help="On a simulated net and clock.")
+    ] = False,
+    workers: Workers = 1,
+) -> None:
+    """Play faults between processes and judge what they do. Ends with 1 if a claim is broken."""
+    import tempfile
+
+    with _needs_the_extra():
+        from ..lab.drill import files, play
+
+    try:
+        told = files.load(file)
+    except files.DrillError as problem:
+        stop("\nrosepick: ".join(problem.faults), 2)
+    total = play.Sum()
+    with tempfile.TemporaryDirectory(prefix="rosepick-drill-") as scratch:
+        folder = None if simulated else (report or Path(scratch)).absolute()
+        for result in play.many(told, _seeds(seed, 1), folder, workers, report is not None):
+            total.add(result)
+            if result.broken or result.failed or not simulated:
+                print("\n".join(play.said(result)), flush=True)
+    print("\n".join(total.lines()))
+    if report is not None:
+        report.mkdir(parents=True, exist_ok=True)
+        (report / "sum.json").write_bytes(total.json())
+    raise typer.Exit(1 if total.broken else 2 if total.failed else 0)
+
+
 def demo(
     seconds: Annotated[int, typer.Option(min=10, max=600, help="How long traffic lasts.")] = 60,
 ) -> None:
--- a/rosepick/lab/drill/plan.py
+++ b/rosepick/lab/drill/plan.py
@@ -28,7 +28,7 @@
 
     name: str
     weight: float
-    hits: str  # witness, contender, link, or all witnesses
+    hits: str  # as `_target` has them
     shortest: float
     longest: float
     amount: tuple[float, float] = (0.0, 0.0)
@@ -42,6 +42,7 @@
     Kind("pause", 2.0, "contender", 1.1, 1.8),  # and longer
     Kind("empty", 1.0, "witness", 0.1, 0.5),
     Kind("older", 1.0, "witness", 0.1, 0.5),
+    Kind("two empty", 0.6, "two", 0.1, 0.5),  # gone for good, both at once
     Kind("copied", 0.5, "witness", 0.1, 0.5),
     Kind("full", 0.7, "witness", 0.2, 0.6),
     Kind("restart all", 0.5, "witnesses", 0.05, 0.5),
@@ -49,6 +50,9 @@
     Kind("cut one way", 2.0, "link", 0.2, 2.0),
     Kind("part", 1.5, "contender", 0.4, 2.2),  # one contender from all witnesses
     Kind("part", 1.0, "witness", 0.4, 2.2),
+    Kind(
+        "split", 1.0, "split", 0.8, 4.0
+    ),  # a minority of the witnesses and half of the contenders from the rest
     Kind("deaf", 1.5, "contender", 0.4, 2.2),  # it is heard, and hears nothing
     Kind("refuse", 1.0, "link", 0.2, 1.0),
     Kind("half open", 1.0, "link", 0.2, 1.0),
@@ -59,7 +63,13 @@
     Kind("lose", 1.5, "witness", 0.3, 1.5, (0.1, 0.5)),
     Kind("force", 0.5, "task", 0.0, 0.0),
 )
-STORAGE = ("empty", "older", "copied", "full")  # these cost the quorum a witness until it is replaced
+STORAGE = (
+    "empty",
+    "two empty",
+    "older",
+    "copied",
+    "full",
+)  # these cost the quorum a witness until it is replaced
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +93,8 @@
         """Faults over `seconds`, one each `each` seconds or so. Storages are lost one after the other: as
         many as leave a majority at any time."""
         kinds = [kind for kind in KINDS if not allowed or kind.name in allowed]
+        if len(witnesses) < 5:  # two are no minority
+            kinds = [kind for kind in kinds if kind.hits != "two"]
         faults, at, storage_until = [], 0.0, 0.0
         while True:
             at += rng.expovariate(1.0 / each)
@@ -111,5 +123,10 @@
             return (rng.choice(tasks),)
         case "witnesses":
             return tuple(witnesses)
+        case "two":
+            return tuple(rng.sample(list(witnesses), 2))
+        case "split":
+            few = rng.sample(list(witnesses), (len(witnesses) - 1) // 2)
+            return (*few, *rng.sample(list(contenders), len(contenders) // 2))
     one = rng.choice([*witnesses, *contenders])
     return one, rng.choice([name for name in witnesses if name != one])
--- a/rosepick/lab/drill/simulated.py
+++ b/rosepick/lab/drill/simulated.py
@@ -25,7 +25,7 @@
 from . import claims
 from .claims import Broken, Verdict
 from .history import AnyEvent, Effect, Injected, Moved, Yes
-from .plan import Fault, Plan
+from .plan import STORAGE, Fault, Plan
 from .watched import Watched
 
 
@@ -43,6 +43,7 @@
     each: float = 0.45  # between two faults
     work: float = 0.06  # between two steps of work
     delay: tuple[float, float] = (0.0004, 0.004)
+    kinds: tuple[str, ...] = ()  # of faults; all, if none is named
 
 
 class Tokens:
@@ -300,7 +301,14 @@
         self.operator = SimContender(self, "operator", 1.0, [])
         plan_rng = random.Random(seed * 7 + 1)
         self.plan = faults or Plan.drawn(
-            plan_rng, list(self.witnesses), list(self.contenders), tasks, shape.seconds, shape.ttl, shape.each
+            plan_rng,
+            list(self.witnesses),
+            list(self.contenders),
+            tasks,
+            shape.seconds,
+            shape.ttl,
+            shape.each,
+            shape.kinds,
         )
 
     def word(self) -> str:
@@ -364,11 +372,22 @@
         storage = fault.kind in ("older", "copied")
         if not storage and self.now < self._quiet_until and fault.target[0] not in self.contenders:
             return
+        if fault.kind in STORAGE and not self._settled():
+            return  # a majority of storages has to live
         self.injected[fault.kind] = self.injected.get(fault.kind, 0) + 1
         self.note(Injected("-".join(fault.target), self.now, fault.kind, f"{fault.length:.2f} s"))
         handler = getattr(self, "_" + fault.kind.replace(" ", "_"))
         handler(number, fault)
 
+    def _settled(self) -> bool:
+        """Whether all witnesses have the storages, and the epoch, of the newest quorum there is."""
+        quorums = [one.disk.quorum for one in self.witnesses.values() if one.disk and one.disk.quorum]
+        newest = max(quorums, key=lambda one: one.epoch)
+        return len(quorums) == len(self.witnesses) and all(
+            one.disk is not None and one.disk.quorum == newest and newest.has(one.name, one.disk.storage)
+            for one in self.witnesses.values()
+        )
+
     def _heal(self, number: int, fault: Fault) -> None:
         for table in (self.net.cut, self.net.slow, self.net.lose, self.net.double, self.net.disorder):
             table.pop(number, None)
@@ -400,6 +419,10 @@
         witness.disk = None
         self._kill(number, fault)
 
+    def _two_empty(self, number: int, fault: Fault) -> None:
+        for name in fault.target:
+            self._empty(number, Fault(fault.at, "empty", (name,), fault.length))
+
     _copied = _empty  # a copy is told by its inode, and begins as an empty one does
 
     def _full(self, number: int, fault: Fault) -> None:
@@ -440,6 +463,11 @@
     def _deaf(self, number: int, fault: Fault) -> None:
         self._cut_all(number, fault, {(w, fault.target[0]) for w in self.witnesses})
 
+    def _split(self, number: int, fault: Fault) -> None:
+        side, names = set(fault.target), {*self.witnesses, *self.contenders}
+        pairs = {(one, other) for one in side for other in names - side}
+        self._cut_all(number, fault, pairs | {(other, one) for one, other in pairs})
+
     def _cut_all(self, number: int, fault: Fault, pairs: set[tuple[str, str]]) -> None:
         self.net.cut[number] = frozenset(pairs)
         self._later(fault.length, partial(self._heal, number, fault))
--- a/rosepick/net/errand.py
+++ b/rosepick/net/errand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import logging
 import os
 import signal
@@ -23,6 +24,15 @@
 LOOK = 20.0  # milliseconds between two looks at the command
 KILL_SHARE = 0.5  # of what the lease still has when it is in doubt: for the command to end by itself
 GIVE_BACK = 2_000.0
+PR_SET_PDEATHSIG = 1
+
+
+def _end_with(parent: int) -> None:
+    """In the new process, before the command: have the kernel kill it when this program dies, however it does
+    (prctl, PR_SET_PDEATHSIG). What the command itself has started is not reached by it."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, int(signal.SIGKILL), 0, 0, 0)
+    if os.getppid() != parent:
+        os._exit(CANNOT_RUN)
 
 
 class Errand:
@@ -82,7 +92,12 @@
         contender = self.keeper.contender
         environment = {**os.environ, "ROSEPICK_TOKEN": str(contender.token), "ROSEPICK_TASK": contender.task}
         try:
-            self.process = subprocess.Popen(self.command, env=environment, start_new_session=True)
+            self.process = subprocess.Popen(
+                self.command,
+                env=environment,
+                start_new_session=True,
+                preexec_fn=partial(_end_with, os.getpid()),
+            )
         except OSError as problem:
             say(log, logging.ERROR, "command_not_started", command=self.command[0], text=problem)
             return CANNOT_RUN
--- a/rosepick/net/store.py
+++ b/rosepick/net/store.py
@@ -21,6 +21,7 @@
 T = TypeVar("T")
 FORM = 1  # of the tables
 FILE = "witness.sqlite3"
+SECOND = FILE + ".same"
 _TABLES = """
 create table if not exists meta (name text primary key, value blob) without rowid;
 create table if not exists slots (name text primary key, slot blob) without rowid;
@@ -78,7 +79,7 @@
 
     def _begin(self, new: str) -> None:
         self._db = _open(self.path)
-        if self._meta("inode", str) not in (None, self._inode()):
+        if self._meta("inode", str) not in (None, self._inode()) or not self._same():
             self.set_aside(new)
             self.copied = True
             return
@@ -119,8 +120,23 @@
         for path in self.folder.path.glob(FILE + "*"):
             path.rename(aside / path.name)
         self._db = _open(self.path)
+        self._same()
         self._take_up(new)
 
+    def _same(self) -> bool:
+        """Whether the second name is of the same file; it is given one where it has none and never had."""
+        second = self.path.with_name(SECOND)
+        if second.exists():
+            return second.samefile(self.path)
+        if self._meta("inode", str) is not None and self._meta("second", bool):
+            return False
+        try:
+            second.hardlink_to(self.path)
+        except OSError:
+            return True  # a file system without them: the inode's number alone has to tell
+        self._set("second", True)
+        return True
+
     def _inode(self) -> str:
         return str(self.path.stat().st_ino)
 
