--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,16 @@
 # Two commands for a newcomer, on a machine with Python 3.11 or later and nothing else:
 #   make demo    a small fleet on this machine, with trouble, and what the router makes of it
 #   make test    style, types and tests
+# And two for whoever changes what processes agree on:
+#   make drill       faults between processes for a minute
+#   make mutations   each planted fault is found by a drill; some twenty minutes
 # Both make a virtual environment of their own, .venv-dev, from the pinned versions.
 
 PYTHON ?= python3
 ENV := .venv-dev
 BIN := $(ENV)/bin
 
-.PHONY: demo test env clean
+.PHONY: demo test drill mutations env clean
 
 demo: env
 	$(BIN)/python -m rosepick demo
@@ -15,6 +18,13 @@
 test: env
 	PATH="$(CURDIR)/$(BIN):$$PATH" PYTHONDONTWRITEBYTECODE=1 sh -c 'ruff check . && mypy && pytest'
 
+drill: env
+	$(BIN)/python -m rosepick lab drill drills/simulated.toml --simulated --seed 1..100 --workers 4
+	$(BIN)/python -m rosepick lab drill drills/short.toml --seed 1..2 --workers 2
+
+mutations: env
+	$(BIN)/python -m rosepick lab mutations tests/mutations.toml
+
 env: $(ENV)/pins.txt
 
 # The pins are copied last: an environment that was left half made is made anew.
--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -323,6 +323,29 @@
     raise typer.Exit(1 if total.broken else 2 if total.failed else 0)
 
 
+@lab.command()
+def mutations(
+    file: Annotated[Path, typer.Argument(help="Planted faults.")] = Path("tests/mutations.toml"),
+    only: Annotated[str, typer.Option(help="Only faults with this in their names.")] = "",
+    workers: Workers = 4,
+) -> None:
+    """Put each planted fault into a copy of the program and have a drill find it; 1 if one is not found."""
+    with _needs_the_extra():
+        from ..lab.drill import mutations as planted
+
+    missed = 0
+    try:
+        faults = [one for one in planted.load(file) if only in one.name]
+        for found in planted.find_all(faults, workers):
+            missed += found.seed is None
+            how = f"seed {found.seed}: {found.claim}" if found.seed else f"NOT FOUND in {found.seeds} seeds"
+            print(f"{found.planted.name}: {how} ({found.seconds:.0f} s)", flush=True)
+    except planted.MutationsError as problem:
+        stop(problem, 2)
+    print(f"{len(faults) - missed} of {len(faults)} planted faults found")
+    raise typer.Exit(1 if missed or not faults else 0)
+
+
 def demo(
     seconds: Annotated[int, typer.Option(min=10, max=600, help="How long traffic lasts.")] = 60,
 ) -> None:
--- a/rosepick/leases/contender.py
+++ b/rosepick/leases/contender.py
@@ -197,9 +197,8 @@
             self.where = Where.ENDED
         elif outcome.kind is Kind.DONE:
             self.renewed += 1
-            self._until = (
-                asked_at + self.terms.held_for
-            )  # from before it was asked: others may count from then on
+            # from before it was asked: others may count from then on
+            self._until = asked_at + self.terms.held_for
             self._next = now if self._give_back else asked_at + RENEW * ttl
         elif (
             self.seen is not None and outcome.register.version and not self.seen.held_by(self.who, self.token)
