--- a/rosepick/lab/drill/claims.py
+++ b/rosepick/lab/drill/claims.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import combinations
 
 from . import linear
 from .history import AnyEvent, Effect, Moved, Operation, Yes
@@ -57,33 +58,37 @@
     """No two are told that they may act at one time. Of each holder only that time counts in which it must
     have been so: from the end of its first question to the begin of its last one under a token."""
     spans: dict[tuple[str, int, int], tuple[Yes, Yes]] = {}
-    for event in events:
-        if isinstance(event, Yes):
-            key = event.task, event.token, event.who
-            first, last = spans.get(key, (event, event))
-            spans[key] = (
-                min(first, event, key=lambda one: one.at),
-                max(last, event, key=lambda one: one.begin),
-            )
+    asked = [event for event in events if isinstance(event, Yes)]
+    for event in asked:
+        key = event.task, event.token, event.who
+        first, last = spans.get(key, (event, event))
+        spans[key] = (event if event.at < first.at else first, event if event.begin > last.begin else last)
     by_task: dict[str, list[tuple[Yes, Yes]]] = defaultdict(list)
     for (task, _, _), span in spans.items():
         by_task[task].append(span)
     broken = []
-    for task, found in by_task.items():
+    for event in asked:
+        for first, last in by_task[event.task]:
+            # one answer amid the time of another holder, or two such times
+            if first.who != event.who and first.at <= event.begin and event.at <= last.begin:
+                broken.append(_both(first, last, event))
+                break
+    for found in by_task.values():
         found.sort(key=lambda span: span[0].at)
-        latest: tuple[Yes, Yes] | None = None
-        for span in found:
-            if latest is not None and span[0].at < latest[1].begin and span[0].at <= span[1].begin:
-                text = (
-                    f"{task}: {latest[0].process} under token {latest[0].token} and {span[0].process} under "
-                    f"{span[0].token} both may act for {latest[1].begin - span[0].at:.4f} s"
-                )
-                broken.append(Broken("overlap", text, (*latest, *span)))
-            if latest is None or span[1].begin > latest[1].begin:
-                latest = span
+        for one, other in combinations(found, 2):
+            if one[0].who != other[0].who and other[0].at < min(one[1].begin, other[1].begin):
+                broken.append(_both(*one, other[0]))
     return broken
 
 
+def _both(first: Yes, last: Yes, other: Yes) -> Broken:
+    text = (
+        f"{other.task}: {first.process} under token {first.token} and {other.process} under "
+        f"{other.token} both may act, for {last.begin - other.at:.4f} s at least"
+    )
+    return Broken("overlap", text, (first, last, other))
+
+
 def registers(events: Iterable[AnyEvent]) -> list[Broken]:
     """Operations on each register could have happened one after the other, and what failed has not
     happened."""
--- a/rosepick/lab/drill/linear.py
+++ b/rosepick/lab/drill/linear.py
@@ -85,7 +85,8 @@
 
 def possible(operations: Sequence[Operation]) -> bool:
     """Whether there is such an order for the operations of one register."""
-    return _search(_known(operations, wild=False)) or _search(_known(operations, wild=True))
+    known, more = _known(operations, wild=False), _known(operations, wild=True)
+    return _search(known) or (len(more) > len(known) and _search(more))
 
 
 def _step(needs: Value | None, gives: Value | None, value: Value, mark: str) -> Value | None:
@@ -107,12 +108,16 @@
     while left:
         assert entry is not None
         if entry.end is None:  # its operation cannot have happened yet: another way
-            if not stack:
-                return False
-            entry, value = stack.pop()
-            taken &= ~(1 << entry.operation)
-            left += known[entry.operation][0].at < inf
-            _back(entry)
+            while True:
+                if not stack:
+                    return False
+                entry, value = stack.pop()
+                taken &= ~(1 << entry.operation)
+                one, needs, gives = known[entry.operation]
+                left += one.at < inf
+                _back(entry)
+                if gives is None or needs != gives:
+                    break  # a reading that fits is best taken at once: later is no other way
             entry = entry.after
             continue
         one, needs, gives = known[entry.operation]
