--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -300,10 +300,12 @@
     workers: Workers = 1,
 ) -> None:
     """Play faults between processes and judge what they do. Ends with 1 if a claim is broken."""
+    import logging
     import tempfile
 
     with _needs_the_extra():
         from ..lab.drill import files, play
+    logging.getLogger("rosepick").setLevel(logging.ERROR)  # the processes' logs are in files of their own
 
     try:
         told = files.load(file)
@@ -323,6 +325,21 @@
     raise typer.Exit(1 if total.broken else 2 if total.failed else 0)
 
 
+@lab.command("leases")
+def lease_figures(
+    renewals: Annotated[int, typer.Option(min=100, help="For the size of a witness's storage.")] = 100_000,
+) -> None:
+    """Measure what leases cost on this machine, beside a lock file."""
+    with _needs_the_extra():
+        import logging
+
+        from ..lab.drill import measure
+
+        logging.getLogger("rosepick").setLevel(logging.ERROR)
+        for line in measure.all_of_it(renewals=renewals):
+            print(line, flush=True)
+
+
 @lab.command()
 def mutations(
     file: Annotated[Path, typer.Argument(help="Planted faults.")] = Path("tests/mutations.toml"),
--- a/rosepick/lab/drill/processes.py
+++ b/rosepick/lab/drill/processes.py
@@ -49,6 +49,12 @@
         """Where its log is."""
         return self.folder / f"{self.name}.log"
 
+    @property
+    def pid(self) -> int:
+        """Of the start that runs."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def up(self) -> bool:
         """Whether it runs; one that has ended by itself is noted."""
