--- a/rosepick/lab/drill/measure.py
+++ b/rosepick/lab/drill/measure.py
@@ -167,7 +167,8 @@
             if number in (renewals // 10, renewals):
                 sizes.append(sum(path.stat().st_size for path in Path(scratch).iterdir()))
         store.close()
-    return f"storage after {renewals // 10} and {renewals} renewals: {sizes[0] // 1024} and {sizes[1] // 1024} KiB"
+    small, large = (size // 1024 for size in sizes)
+    return f"storage after {renewals // 10} and {renewals} renewals: {small} and {large} KiB"
 
 
 def all_of_it(renewals: int, rounds: int = 300, count: int = 200, seconds: float = 15.0) -> Iterator[str]:
