Explore small worlds of leases completely; rosepick lab explore

Need: small worlds of leases shown whole, not by seeds alone. Change: two contenders on one register with time in steps, lost answers, new starts and releases in every order; a test plants a promise that is not kept and a lease held too long, and both are found.

--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -340,6 +340,22 @@
             print(line, flush=True)
 
 
+@lab.command("explore")
+def explored(
+    witnesses: Annotated[int, typer.Option(min=1, max=5)] = 3,
+    again: Annotated[int, typer.Option(min=0, help="How often each caller may ask anew.")] = 0,
+) -> None:
+    """Play two callers and a few witnesses through every order of messages. Ends with 1 if a claim breaks."""
+    with _needs_the_extra():
+        from ..lab.drill.explore import explore
+
+    found = explore(witnesses, again)
+    size = f"{found.states} states, {found.steps} steps, {found.depth} deep"
+    print(f"{size}, {found.done} of {found.ends} ends done")
+    if found.broken:
+        stop(f"broken: {found.broken[0]}")
+
+
 @lab.command()
 def mutations(
     file: Annotated[Path, typer.Argument(help="Planted faults.")] = Path("tests/mutations.toml"),
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -9,7 +9,9 @@
 
 import pytest
 
-from rosepick.lab.drill import claims, files, linear, mutations, play, simulated
+from rosepick.agreement import messages as m
+from rosepick.agreement.witness import Witness
+from rosepick.lab.drill import claims, explore, explore_leases, files, linear, mutations, play, simulated
 from rosepick.lab.drill.history import AnyEvent, Effect, Moved, Operation, Yes
 from rosepick.leases.guard import Guard
 
@@ -162,3 +164,21 @@
     result = play.play(files.load(ROOT / "drills" / "short.toml"), 1, tmp_path / "drill", keep=False)
     assert not result.failed and not result.broken, "\n".join(result.lines)
     assert result.counts["effects refused"] + result.counts["leases lost"] + result.counts["messages cut"] > 0
+
+
+def test_small_worlds_are_explored_and_a_planted_fault_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    whole = explore.explore(2)
+    assert not whole.broken and whole.ends >= whole.done >= 1 and whole.states > 300
+    small = explore_leases.Bounds(horizon=3, ttl=2, lost=0, restarts=0, releases=0)
+    leases = explore_leases.explore(small)
+    assert not leases.broken and leases.done > 100
+    monkeypatch.setattr("rosepick.leases.contender.Terms.held_for", property(lambda terms: 3 * terms.ttl))
+    larger = explore_leases.Bounds(horizon=5, ttl=2, lost=0, restarts=0, releases=0)
+    assert explore_leases.explore(larger).broken
+
+    def promises_nothing(witness: Witness, asked: m.Prepare, changes: object) -> m.Answer:
+        slot = witness.saved.slots.get(asked.key, m.Slot())
+        return m.Promised(asked.number, witness.saved.storage, slot.ballot, slot.register)
+
+    monkeypatch.setattr(Witness, "_prepare", promises_nothing)
+    assert explore.explore(3).broken
