witness found waits for witnesses that start in the same moment

Seen when the commands of docs/leases.md were tried as a new user would: found ended at once, as the witnesses were still starting. Cause: it asked once within 1.5 s.

--- a/rosepick/cli/leasing.py
+++ b/rosepick/cli/leasing.py
@@ -31,6 +31,7 @@
 Json = Annotated[bool, typer.Option("--json", help="As JSON.")]
 DEFAULT = Path("deploy/fleet.toml")
 TRIES = 4  # at a change of the quorum
+STARTING = 10_000.0  # milliseconds for witnesses to begin
 PATIENCE = 3_000.0  # milliseconds for what an operator asks
 NO_QUORUM, TAKEN, IN_DOUBT, REFUSED = 69, 75, 76, 77  # exit statuses, told apart from a command's own
 
@@ -97,8 +98,12 @@
 
 def states(client: QuorumClient, patience: float = 1_500.0) -> dict[str, m.State]:
     """What each witness of the file says of itself."""
-    client.learn()
-    until(client, lambda: len(client.told) == len(client.links), patience)
+
+    def all_told() -> bool:
+        client.learn()
+        return len(client.told) == len(client.links)
+
+    until(client, all_told, patience)
     return {name: told.state for name, told in client.told.items()}
 
 
@@ -134,7 +139,7 @@
     from ..agreement.succession import allowed
 
     client, told = client_of(fleet)
-    known = states(client)
+    known = states(client, STARTING)  # they may have been started in the same moment
     missing = sorted(set(told.witnesses) - set(known))
     if missing:
         stop(f"no answer from {', '.join(missing)}; all have to be up", NO_QUORUM)
