--- a/rosepick/lab/drill/play.py
+++ b/rosepick/lab/drill/play.py
@@ -56,8 +56,12 @@
 
 def simulate(drill: Drill, seed: int) -> Result:
     """One seed on the simulated net."""
-    logging.disable(logging.CRITICAL)
-    return _result(seed, simulated.drill(_shape(drill), seed))
+    before = logging.root.manager.disable
+    logging.disable(logging.CRITICAL)  # thousands of processes would say what they do
+    try:
+        return _result(seed, simulated.drill(_shape(drill), seed))
+    finally:
+        logging.disable(before)  # for whatever else this process does
 
 
 def play(drill: Drill, seed: int, folder: Path, keep: bool) -> Result:
