Drills of a crowd of contenders and of a long minority; bytes and cuts measured

Need: left of the leases: 200 contenders on 50 tasks and a minority that goes on trying for minutes as drills of their own, the bytes of a witness, and the time of a takeover after a cut.

--- a/rosepick/lab/drill/measure.py
+++ b/rosepick/lab/drill/measure.py
@@ -8,12 +8,13 @@
 import random
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
 
+from ...agreement import codec
 from ...agreement import messages as m
 from ...agreement.messages import Member, Quorum, Register
 from ...agreement.operation import Outcome
@@ -21,10 +22,12 @@
 from ...leases import record
 from ...leases.contender import Terms, Where
 from ...net.boottime import boottime
+from ...net.budget import Budget
 from ...net.leasing import Keeper
 from ...net.loop import Loop
-from ...net.quorum import QuorumClient, over
+from ...net.quorum import Asks, Heard, QuorumClient, over
 from ...net.store import WitnessStore
+from .forwarder import Forwarder
 from .processes import FIRST_PORT, Process, own_host
 
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -132,24 +135,107 @@
     return (int(fields[11]) + int(fields[12])) / TICKS
 
 
+class Counted:
+    """A way to a witness whose bytes are counted, both ways."""
+
+    def __init__(self, asks: Asks) -> None:
+        self._asks, self.there = asks, 0
+
+    def ask(self, request: m.Request) -> None:
+        """Send it."""
+        self.there += len(codec.framed(request))
+        self._asks.ask(request)
+
+    def close(self) -> None:
+        """Let go of it."""
+        self._asks.close()
+
+
+class Scale:
+    """Counts the bytes that a client and its witnesses say to each other."""
+
+    def __init__(self) -> None:
+        self.links: dict[str, Counted] = {}
+        self.back = 0
+
+    def over(self, links: Callable[[Heard], Mapping[str, Asks]]) -> Callable[[Heard], Mapping[str, Asks]]:
+        """The same ways, counted."""
+
+        def made(heard: Heard) -> Mapping[str, Asks]:
+            def come(name: str, answer: m.Answer) -> None:
+                self.back += len(codec.framed(answer))
+                heard(name, answer)
+
+            self.links = {name: Counted(asks) for name, asks in links(come).items()}
+            return self.links
+
+        return made
+
+    def both(self) -> float:
+        """Bytes so far of one witness, there and back."""
+        return (sum(one.there for one in self.links.values()) + self.back) / max(1, len(self.links))
+
+
+def takeover(rounds: int, ttl: float = 2_000.0) -> str:
+    """How long after its holder was cut off from all witnesses the next one may act, and until when the old
+    one still could."""
+    taken = _histogram()
+    last = _histogram()
+    with _quorum(3) as (client, loop, processes):
+        host, budget, rng = own_host(), Budget(4096), random.Random(2)
+        ways = [
+            Forwarder(loop, budget, host, FIRST_PORT + 100 + n, FIRST_PORT + n, rng) for n in range(len(processes))
+        ]
+        ends = {f"w{n}": (host, way.port) for n, way in enumerate(ways)}
+        for number in range(rounds):
+            other = QuorumClient(loop, over(loop, ends, b""), rng)
+            first = Keeper(other, f"cut {number}", "first", Terms(ttl))
+            _until(loop, first.may_act)
+            second = Keeper(client, f"cut {number}", "second", Terms(ttl))
+            _until(loop, lambda second=second: second.contender.seen is not None)  # type: ignore[misc]
+            until = loop.now() + rng.uniform(0.5, 1.2) * ttl
+            _until(loop, lambda until=until: loop.now() >= until)  # type: ignore[misc]
+            for way in ways:
+                way.harm.there = way.harm.back = True
+            began = loop.now()
+            while not second.may_act():
+                if first.may_act():
+                    said = loop.now()
+                loop.step(0.002)
+            taken.record_value(int(1000.0 * (loop.now() - began)))
+            last.record_value(max(1, int(1000.0 * (said - began))))
+            for way in ways:
+                way.harm.there = way.harm.back = False
+            second.release()
+            other.close()
+        for way in ways:
+            way.close()
+    told = f"next one acts after {_figures(taken)}, old one until {_figures(last)}"
+    return f"cut off, ttl {ttl / 1000:.0f} s: {told}"
+
+
 def holders(count: int, seconds: float, ttl: float = 10_000.0) -> str:
     """Processor time and messages of a witness while so many leases are held, each of its own task."""
-    with _quorum(3) as (client, loop, processes):
+    with _quorum(3) as (_, loop, processes):
+        scale, host = Scale(), own_host()
+        ends = {name: (host, FIRST_PORT + n) for n, name in enumerate(processes)}
+        client = QuorumClient(loop, scale.over(over(loop, ends, b"")), random.Random(3))
         keepers = [Keeper(client, f"task {n}", f"holder {n}", Terms(ttl)) for n in range(count)]
         _until(loop, lambda: all(keeper.contender.where is Where.HOLDS for keeper in keepers), 60.0)
         before, asked = (
             {name: _used(process) for name, process in processes.items()},
             client.counts.operations,
         )
-        began = time.monotonic()
+        began, said = time.monotonic(), scale.both()
         while time.monotonic() - began < seconds:
             loop.step(0.05)
         used = max(_used(process) - before[name] for name, process in processes.items()) / seconds
         rate = (client.counts.operations - asked) / seconds
+        said = (scale.both() - said) / seconds / 1024.0
         held = sum(keeper.contender.where is Where.HOLDS for keeper in keepers)
     return (
         f"{count} holders, ttl {ttl / 1000:.0f} s: {rate:.0f} renewals/s, "
-        f"{100 * used:.1f}% of a core a witness, {held} held"
+        f"{100 * used:.1f}% of a core and {said:.1f} KiB/s a witness, {held} held"
     )
 
 
@@ -177,4 +263,5 @@
     for witnesses in (1, 3, 5):
         yield times(witnesses, rounds)
     yield holders(count, seconds)
+    yield takeover(20)
     yield storage(renewals)
--- a/rosepick/lab/drill/plan.py
+++ b/rosepick/lab/drill/plan.py
@@ -32,6 +32,7 @@
     shortest: float
     longest: float
     amount: tuple[float, float] = (0.0, 0.0)
+    named: bool = False  # only where a drill names it
 
 
 KINDS = (
@@ -53,6 +54,7 @@
     Kind(
         "split", 1.0, "split", 0.8, 4.0
     ),  # a minority of the witnesses and half of the contenders from the rest
+    Kind("minority", 1.0, "split", 20.0, 60.0, named=True),  # the same for minutes
     Kind("deaf", 1.5, "contender", 0.4, 2.2),  # it is heard, and hears nothing
     Kind("refuse", 1.0, "link", 0.2, 1.0),
     Kind("half open", 1.0, "link", 0.2, 1.0),
@@ -88,7 +90,7 @@
     ) -> Plan:
         """Faults over `seconds`, one each `each` seconds or so. Storages are lost one after the other: as
         many as leave a majority at any time."""
-        kinds = [kind for kind in KINDS if not allowed or kind.name in allowed]
+        kinds = [kind for kind in KINDS if (kind.name in allowed if allowed else not kind.named)]
         if len(witnesses) < 5:  # two are no minority
             kinds = [kind for kind in kinds if kind.hits != "two"]
         faults, at, storage_until = [], 0.0, 0.0
--- a/rosepick/lab/drill/rig.py
+++ b/rosepick/lab/drill/rig.py
@@ -450,6 +450,8 @@
         links = [link for (one, to), link in self.links.items() if (one in side) != (to in side)]
         self._harm(number, fault, links, there=True, back=True)
 
+    _minority = _split
+
     def _deaf(self, number: int, fault: Fault) -> None:
         self._harm(number, fault, [link for link, calls in self._of(fault.target[0]) if calls], back=True)
 
--- a/rosepick/lab/drill/simulated.py
+++ b/rosepick/lab/drill/simulated.py
@@ -494,6 +494,8 @@
         pairs = {(one, other) for one in side for other in names - side}
         self._cut_all(number, fault, pairs | {(other, one) for one, other in pairs})
 
+    _minority = _split
+
     def _cut_all(self, number: int, fault: Fault, pairs: set[tuple[str, str]]) -> None:
         self.net.cut[number] = frozenset(pairs)
         self._later(fault.length, partial(self._heal, number, fault))
