--- a/rosepick/lab/drill/measure.py
+++ b/rosepick/lab/drill/measure.py
@@ -184,7 +184,8 @@
     with _quorum(3) as (client, loop, processes):
         host, budget, rng = own_host(), Budget(4096), random.Random(2)
         ways = [
-            Forwarder(loop, budget, host, FIRST_PORT + 100 + n, FIRST_PORT + n, rng) for n in range(len(processes))
+            Forwarder(loop, budget, host, FIRST_PORT + 100 + n, FIRST_PORT + n, rng)
+            for n in range(len(processes))
         ]
         ends = {f"w{n}": (host, way.port) for n, way in enumerate(ways)}
         for number in range(rounds):
