Simulated drills note changes that are open when the drill ends

Checked: no two values at one version, the chain of bases is whole, no reading goes back, every other version was made by a noted change; so it is not the agreement. Only a process that was killed noted its open changes (SimContender.kill); real processes write down each begin. Lines at fault: simulated.World.play, which judged without them.

Change: they are noted at the end.

--- a/rosepick/lab/drill/simulated.py
+++ b/rosepick/lab/drill/simulated.py
@@ -216,6 +216,10 @@
 
     def kill(self) -> None:
         super().kill()
+        self.note_open()
+
+    def note_open(self) -> None:
+        """Changes that have begun and whose end this process will not see."""
         if self.client is not None:
             for operation in self.client.open.values():
                 self.world.note(operation)
@@ -569,6 +573,8 @@
         self.call(calm, None, self._settle)
         end = calm + 2.0 * self.shape.ttl + 3.0
         self._run(end)
+        for process in (self.operator, *self.contenders.values()):
+            process.note_open()  # guards against a value that was read and whose change nobody knows
         verdict = claims.judge(self.events)
         verdict.broken += self._ending(calm, end)
         for kind, count in self.injected.items():
