Ledger of drains, its budget, an agent's machine, who counts; their drivers

Need: a router or a cache node goes out for many reasons, each decided alone; two crews can take half a zone away in one minute. Drivers in net/.

--- /dev/null
+++ b/rosepick/fleet/__init__.py
@@ -0,0 +1,2 @@
+"""Who of a fleet may be out: the ledger, its budget, what an agent does with its member, who counts. No
+I/O, no clock."""
--- /dev/null
+++ b/rosepick/net/tended.py
@@ -0,0 +1,303 @@
+"""A member as a process of this machine: started, asked over its operators' door, told to drain, stopped,
+and found again by an agent that was started anew.
+
+The process outlives its agent: a router serves on whatever becomes of who looks after it.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import signal
+import subprocess
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ..fleet.agent import Do, Own
+from ..fleet.ledger import Kind
+from ..fleet.warden import Report
+from ..logs import say
+from .budget import Budget
+from .links import Endpoint
+from .loop import READ, WRITE, Loop
+from .store import StoreError, Tokens
+from .stream import Stream, dial
+
+log = logging.getLogger(__name__)
+ASK_EVERY, ANSWER_IN = 300.0, 900.0  # milliseconds
+AGAIN, LONGEST_PAUSE = 500.0, 30_000.0  # between two starts of a member that ends by itself, doubled up to
+STAYS = 10_000.0  # one that ran for so long did not end at its start
+KILL_AFTER = 15_000.0  # a member that was told to end and does not
+LONGEST_ANSWER = 256 * 1024
+FEW = 30  # reads before their share says anything
+
+
+class Keep:
+    """What an agent is doing, on its disk: where its member stands, its permit, its process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.tokens = Tokens(folder)  # the folder is this agent's alone
+        self._path = folder / "agent.json"
+        try:
+            text = self._path.read_text("utf-8") if self._path.exists() else "{}"
+            self._told: dict[str, Any] = json.loads(text)
+        except (OSError, ValueError) as problem:
+            self.tokens.close()
+            raise StoreError(f"{self._path}: {problem}") from None
+
+    def load(self) -> tuple[int, int]:
+        """Where the member stands, and the permit."""
+        return int(self._told.get("at", 0)), int(self._told.get("permit", 0))
+
+    def save(self, at: int, permit: int) -> None:
+        """It is on the disk when this returns."""
+        self.put(at=at, permit=permit)
+
+    def put(self, **more: Any) -> None:
+        """Keep something: written beside, synchronised, and put in the place of the old."""
+        self._told |= more
+        beside = self._path.with_suffix(".new")
+        with beside.open("w", encoding="utf-8") as file:
+            json.dump(self._told, file)
+            file.flush()
+            os.fsync(file.fileno())
+        beside.replace(self._path)
+        folder = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def get(self, name: str) -> Any:
+        """What was kept under a name."""
+        return self._told.get(name)
+
+    def close(self) -> None:
+        """Let go of the folder."""
+        self.tokens.close()
+
+
+class Call:
+    """One question on one line to a member's door; `done` hears its answer, or None."""
+
+    def __init__(
+        self, loop: Loop, budget: Budget, door: Endpoint, line: str, done: Callable[[str | None], None]
+    ) -> None:
+        self._loop, self._line, self._done, self._got = loop, line, done, bytearray()
+        self._dialing = True
+        self._timer = loop.after(ANSWER_IN, lambda: self._end(None))
+        self._stream: Stream | None = None
+        try:
+            self._stream = Stream(loop, budget, dial(door), self._ready, WRITE)
+        except OSError:
+            self._end(None)
+
+    def _ready(self, mask: int) -> None:
+        assert self._stream is not None
+        try:
+            if self._dialing:
+                self._stream.connected()
+                self._dialing = False
+                self._stream.send(f"{self._line}\n".encode())
+                self._stream.want(READ)
+            elif mask & READ:
+                data = self._stream.read()
+                if data:
+                    self._got += data
+                if data == b"" or self._got.endswith(b"END\n") or len(self._got) > LONGEST_ANSWER:
+                    self._end(self._got.decode("utf-8", "replace"))
+        except OSError:
+            self._end(None)
+
+    def _end(self, text: str | None) -> None:
+        self._timer.cancel()
+        if self._stream is not None:
+            self._stream.close()
+        done, self._done = self._done, lambda text: None
+        done(text or None)
+
+
+def began_at(pid: int) -> str:
+    """When a process began, as the kernel has it; tells it from a later one of the same number. Empty if it
+    is gone."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text("ascii").rsplit(")", 1)[1].split()
+    except (OSError, IndexError):
+        return ""
+    return "" if fields[0] in ("Z", "X") else fields[19]
+
+
+class TendedProcess:
+    """A router, or a cache node, that is a process of this machine with an operators' door."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        kind: Kind,
+        door: Endpoint,
+        command: list[str],
+        kept: Keep,
+        log_to: Path,
+        bad_above: float,
+    ) -> None:
+        self._loop, self._kind, self._door, self._command, self._kept = loop, kind, door, command, kept
+        self._log_to, self._bad_above = log_to, bad_above
+        self._budget = Budget(64)
+        self._popen: subprocess.Popen[bytes] | None = None
+        self._pid, self._began = int(kept.get("pid") or 0), str(kept.get("began") or "")
+        self._started = loop.now()
+        self._pause, self._next_start = AGAIN, 0.0
+        self._told_to_end: float | None = None
+        self._asked = -ASK_EVERY
+        self._open = False
+        self._ready_said = False
+        self._said: dict[str, Any] = {}
+        self._said_at = -1e9
+        self._before: tuple[float, dict[str, float]] | None = None
+        self._share: dict[str, float] = {}
+        self._reads: dict[str, float] = {}
+        if self._alive():
+            say(log, logging.INFO, "member_found", pid=self._pid)
+
+    # -- the process
+
+    def _alive(self) -> bool:
+        if self._popen is not None and self._popen.poll() is not None:
+            say(log, logging.WARNING, "member_ended", status=self._popen.returncode)
+            if self._loop.now() - self._started > STAYS:
+                self._pause = AGAIN
+            self._next_start = self._loop.now() + (0.0 if self._told_to_end is not None else self._pause)
+            self._popen, self._pid, self._told_to_end = None, 0, None
+            self._ready_said = False
+        return bool(self._pid) and began_at(self._pid) == self._began
+
+    def do(self, what: Do) -> None:
+        """Start it, have it drain or not, stop it; again and again until it is so."""
+        if what is Do.START:
+            self._start()
+        elif what is Do.STOP:
+            self._stop()
+        elif what in (Do.DRAIN, Do.KEEP):
+            self._tell("drain" if what is Do.DRAIN else "undrain")
+
+    def _start(self) -> None:
+        now = self._loop.now()
+        if self._alive() or now < self._next_start:
+            return
+        self._pause = min(LONGEST_PAUSE, 2.0 * self._pause)
+        self._next_start, self._started, self._told_to_end = now + self._pause, now, None
+        self._ready_said = False
+        try:
+            with self._log_to.open("ab") as out:
+                self._popen = subprocess.Popen(
+                    self._command, stdin=subprocess.DEVNULL, stdout=out, stderr=out, start_new_session=True
+                )
+        except OSError as problem:
+            say(log, logging.ERROR, "member_not_started", command=self._command[0], text=problem)
+            return
+        self._pid, self._began = self._popen.pid, began_at(self._popen.pid)
+        self._kept.put(pid=self._pid, began=self._began)
+        say(log, logging.INFO, "member_started", pid=self._pid)
+
+    def _stop(self) -> None:
+        now = self._loop.now()
+        if not self._alive():
+            return
+        if self._told_to_end is None:
+            self._told_to_end = now
+            say(log, logging.INFO, "member_told_to_end", pid=self._pid)
+            self._signal(signal.SIGTERM)
+        elif now - self._told_to_end > KILL_AFTER:
+            self._signal(signal.SIGKILL)
+
+    def _signal(self, number: int) -> None:
+        if self._alive():
+            os.kill(self._pid, number)
+
+    # -- what it says
+
+    def _tell(self, line: str) -> None:
+        if not self._open and self._alive():
+            self._open = True
+            Call(self._loop, self._budget, self._door, line, lambda text: self._heard("", text))
+
+    def _ask(self) -> None:
+        now = self._loop.now()
+        if now - self._asked < ASK_EVERY or self._open or not self._alive():
+            return
+        self._asked, self._open = now, True
+        line = "telemetry" if self._ready_said else "readyz"
+        Call(self._loop, self._budget, self._door, line, lambda text: self._heard(line, text))
+
+    def _heard(self, line: str, text: str | None) -> None:
+        self._open = False
+        if line == "readyz":
+            self._ready_said = text is not None and text.startswith("OK")
+            if self._ready_said:
+                self._asked = -ASK_EVERY
+            else:
+                self._said_at = -1e9
+        elif line == "telemetry":
+            try:
+                self._said = json.loads((text or "").split("\n", 1)[0])
+                self._said_at = self._loop.now()
+            except ValueError:
+                self._ready_said = False
+            # the next one asks whether it is ready: what it says of itself may change
+            self._ready_said = False
+
+    def look(self) -> Own:
+        """How it is."""
+        running = self._alive()
+        self._ask()
+        fresh = running and self._loop.now() - self._said_at < 4.0 * ASK_EVERY + ANSWER_IN
+        said = self._said if fresh and self._said_at > self._started else {}
+        draining = bool(said.get("draining"))
+        return Own(
+            running,
+            bool(said) and not draining and self._told_to_end is None,
+            draining,
+            bool(said) and bool(said.get("idle")),
+            self._kind is Kind.ROUTER or bool(said.get("warm")),
+            self._hit_share(),
+            self._bad(),
+        )
+
+    def _hit_share(self) -> float | None:
+        """Of the reads since the last report; None if these were too few to say anything."""
+        asked = self._reads.get("hits", 0.0) + self._reads.get("misses", 0.0)
+        return self._reads["hits"] / asked if asked >= FEW else None
+
+    def _bad(self) -> str:
+        """A figure of the last report that breaks its line."""
+        asked = sum(self._share.get(name, 0.0) for name in ("served", "refused", "failed"))
+        lost = self._share.get("refused", 0.0) + self._share.get("failed", 0.0)
+        if asked > 5.0 and lost > self._bad_above * asked:
+            return f"{lost / asked:.0%} of its requests are refused or failed, {self._bad_above:.0%} may be"
+        return ""
+
+    def report(self, run: int, beat: int) -> Report:
+        """What is told of it, figures since the last one."""
+        own, now = self.look(), self._loop.now()
+        counts = _counts(self._said)
+        self._share = {}
+        if self._before is not None and now > self._before[0]:
+            seconds = (now - self._before[0]) / 1000.0
+            since = self._before[1]
+            news = {name: max(0.0, count - since.get(name, 0.0)) for name, count in counts.items()}
+            self._share = {name: count / seconds for name, count in news.items()}
+            self._reads = {name: news[name] for name in ("hits", "misses")}
+        self._before = now, counts
+        return Report(run, beat, own.serving, own.warm, **self._share)
+
+
+def _counts(said: dict[str, Any]) -> dict[str, float]:
+    calls = [one for one in (said.get("calls") or {}).values() if isinstance(one, dict)]
+    found = {
+        "served": sum(float(one.get("success", 0)) for one in calls),
+        "refused": sum(float(one.get("busy", 0)) for one in calls),
+        "failed": sum(float(one.get("failure", 0)) for one in calls),
+    }
+    return found | {name: float(said.get(name, 0)) for name in ("hits", "misses")}
--- a/rosepick/settings/fleet_file.py
+++ b/rosepick/settings/fleet_file.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 
 NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
 LEAST_KEY = 16  # bytes
@@ -36,12 +36,68 @@
     )
 
 
+Part = Annotated[float, Field(gt=0.0, le=1.0)]
+Count = Annotated[int, Field(ge=0, le=1_000)]
+
+
+class Out(_Table):
+    """How many members of a kind may be out, by count, share and weight (parts of 1), in all and in a zone;
+    how many must stay in a zone; what the store's room makes no limit smaller than."""
+
+    most: Annotated[int, Field(ge=1, le=1_000)] = 1_000
+    share: Part = 0.1
+    weight: Part = 1.0
+    zone_most: Annotated[int, Field(ge=1, le=1_000)] = 1_000
+    zone_share: Part = 0.2
+    zone_weight: Part = 1.0
+    stay: Count = 1
+    least: Count = 1
+
+
+class Drains(_Table):
+    """Who may be out of a fleet. `closed`: hours of the day (UTC) in which nothing goes, as "07:00-09:30";
+    `apart`: members that are not out together, by the name of what they share; `unasked`: so many more than
+    a limit may be out by themselves before there is a halt. Times are seconds: `beat` between reports,
+    `silent` without one, `lonely` without a quorum, `steady` until a member counts as back."""
+
+    group: Annotated[str, Field(pattern=NAME)] = "main"
+    routers: Out = Out()
+    caches: Out = Out()
+    closed: tuple[
+        Annotated[str, Field(pattern=r"^([01]\d|2[0-3]):[0-5]\d-([01]\d|2[0-3]):[0-5]\d$")], ...
+    ] = ()
+    apart: dict[str, tuple[str, ...]] = {}
+    unasked: Count = 0
+    halt_above: Part = 0.3  # of a router's requests refused or failed, amid a drain
+    beat: Annotated[float, Field(ge=0.2, le=60.0)] = 1.5
+    silent: Annotated[float, Field(ge=1.0, le=600.0)] = 6.0
+    lonely: Annotated[float, Field(ge=1.0, le=600.0)] = 6.0
+    steady: Annotated[float, Field(ge=0.1, le=600.0)] = 2.0
+
+    @model_validator(mode="after")
+    def _patient(self) -> Drains:
+        if self.silent < 3.0 * self.beat:
+            raise ValueError("silent is less than three beats: a report that is late would count as a loss")
+        return self
+
+    def minutes(self) -> tuple[tuple[int, int], ...]:
+        """The closed hours as minutes of the day."""
+
+        def minute(text: str) -> int:
+            return 60 * int(text[:2]) + int(text[3:])
+
+        return tuple(
+            (minute(begin), minute(end)) for begin, _, end in (one.partition("-") for one in self.closed)
+        )
+
+
 class Fleet(_Table):
     """The whole file. `witnesses`: name to host:port. `key_file`: its bytes sign what the processes say."""
 
     witnesses: dict[Annotated[str, Field(pattern=NAME)], str]
     key_file: str | None = None
     leases: Leases = Leases()
+    drains: Drains = Drains()
 
     @field_validator("witnesses")
     @classmethod
