--- a/rosepick/fleet/budget.py
+++ b/rosepick/fleet/budget.py
@@ -92,39 +92,31 @@
 
 def _floor(ledger: Ledger, budget: Budget, name: str, one: Member) -> list[str]:
     """What must stay in a zone."""
-    if one.out:
-        return []  # it is missing already
-    stay = budget.of(one.kind).stay
-    here = [other for other in ledger.of(one.kind).values() if other.zone == one.zone]
-    left = sum(not other.out for other in here) - 1
-    return (
-        [f"only {left} {KINDS[Kind(one.kind)]} would be left in {one.zone}, {stay} must stay"]
-        if left < stay
-        else []
-    )
+    stay, called = budget.of(one.kind).stay, KINDS[Kind(one.kind)]
+    here = [other for other, member in ledger.of(one.kind).items() if member.zone == one.zone]
+    left = sum(other != name and not ledger.members[other].out for other in here)
+    return [] if left >= stay else [f"only {left} {called} would be left in {one.zone}, {stay} must stay"]
 
 
 def _over(ledger: Ledger, budget: Budget, name: str, one: Member) -> list[str]:
-    """Limits that would be passed."""
-    limit, all_of = budget.of(one.kind), ledger.of(one.kind)
-    if one.out:
-        return []
+    """Limits that would be passed. Also for one that is lost: it may have come back in this moment, and
+    would be taken out then beside others."""
+    limit, all_of, called = budget.of(one.kind), ledger.of(one.kind), KINDS[Kind(one.kind)]
     here = {other: member for other, member in all_of.items() if member.zone == one.zone}
     found = []
     for place, members, most, share, weight in (
         ("in all", all_of, limit.most, limit.share, limit.weight),
         (f"in {one.zone}", here, limit.zone_most, limit.zone_share, limit.zone_weight),
     ):
-        out = [other for other, member in members.items() if member.out]
+        out = [other for other, member in members.items() if member.out and other != name]
         allowed = _most(most, share, ledger.room, limit.least, len(members))
         if len(out) + 1 > allowed:
-            found.append(f"{len(out)} of {allowed} {KINDS[Kind(one.kind)]} are out {place}: {_named(out)}")
+            found.append(f"{len(out)} of {allowed} {called} are out {place}: {_named(out)}")
         whole = sum(member.weight for member in members.values())
         gone = sum(members[other].weight for other in out) + one.weight
         if out and gone > weight * whole:
-            found.append(
-                f"{gone / whole:.0%} of the weight would be out {place}, {weight:.0%} may: {_named(out)}"
-            )
+            part = f"{gone / whole:.0%} of the weight would be out {place}"
+            found.append(f"{part}, {weight:.0%} may: {_named(out)}")
     return found
 
 
--- a/rosepick/lab/drill/files.py
+++ b/rosepick/lab/drill/files.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
@@ -61,6 +61,7 @@
     """A drill. `least` names counts that must be reached, else the drill shows nothing."""
 
     title: str = "drill"
+    plays: Literal["leases", "drains"] = "leases"
     processes: Processes = Processes()
     leases: Held = Held()
     faults: Faults = Faults()
--- a/rosepick/lab/drill/history.py
+++ b/rosepick/lab/drill/history.py
@@ -55,6 +55,24 @@
     where: str
 
 
+class Stood(Event, frozen=True, tag="stood"):
+    """A member has gone out of service or come back, as seen from outside. `by`: "program", or "fault" of
+    the drill. `free`: the budget does not bind it, as its host was said to die."""
+
+    kind: str  # "routers" or "caches"
+    zone: str
+    up: bool
+    by: str = ""
+    free: bool = False
+
+
+class Ordered(Event, frozen=True, tag="ordered"):
+    """An operator's word was taken: halt, resume, out, in, off, on."""
+
+    what: str
+    names: tuple[str, ...] = ()
+
+
 class Injected(Event, frozen=True, tag="fault"):
     """A fault was put in, or taken out again."""
 
@@ -62,7 +80,7 @@
     detail: str = ""
 
 
-AnyEvent = Operation | Yes | Effect | Moved | Injected
+AnyEvent = Operation | Yes | Effect | Moved | Stood | Ordered | Injected
 _decoder: msgspec.json.Decoder[AnyEvent] = msgspec.json.Decoder(AnyEvent)
 _encoder = msgspec.json.Encoder()
 
--- a/rosepick/lab/drill/plan.py
+++ b/rosepick/lab/drill/plan.py
@@ -64,6 +64,8 @@
     Kind("disorder", 1.5, "witness", 0.5, 2.5, (0.1, 0.3)),
     Kind("lose", 1.5, "witness", 0.3, 1.5, (0.1, 0.5)),
     Kind("force", 0.5, "task", 0.0, 0.0),
+    Kind("member", 2.0, "contender", 0.0, 0.0, named=True),  # what an agent looks after dies
+    Kind("wiped", 1.0, "contender", 0.1, 0.5, named=True),  # an agent dies, and its folder is gone
     Kind("swap", 1.0, "witness", 0.0, 0.0),  # a living witness is taken out, another one comes in
 )
 STORAGE = ("empty", "two empty", "older", "copied", "full")
--- a/rosepick/lab/drill/play.py
+++ b/rosepick/lab/drill/play.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from . import history, rig, simulated
+from . import history, rig, sim_drains, simulated
 from .claims import Verdict
 from .files import Drill
 
@@ -59,7 +59,8 @@
     before = logging.root.manager.disable
     logging.disable(logging.CRITICAL)  # thousands of processes would say what they do
     try:
-        return _result(seed, simulated.drill(_shape(drill), seed))
+        module = simulated if drill.plays == "leases" else sim_drains
+        return _result(seed, module.drill(_shape(drill), seed))
     finally:
         logging.disable(before)  # for whatever else this process does
 
--- a/rosepick/lab/drill/simulated.py
+++ b/rosepick/lab/drill/simulated.py
@@ -300,9 +300,7 @@
 
         names = [f"w{n}" for n in range(shape.witnesses + 1)]  # the last one is to come in for another
         self.witnesses = {name: SimWitness(self, name, rate()) for name in names}
-        self.contenders = {
-            f"c{n}": SimContender(self, f"c{n}", rate(), tasks) for n in range(shape.contenders)
-        }
+        self.contenders = {f"c{n}": self._contender(f"c{n}", rate()) for n in range(shape.contenders)}
         self.operator = SimContender(self, "operator", 1.0, [])
         plan_rng = random.Random(seed * 7 + 1)
         self.plan = faults or Plan.drawn(
@@ -316,6 +314,9 @@
             shape.kinds,
         )
 
+    def _contender(self, name: str, rate: float) -> SimContender:
+        return SimContender(self, name, rate, self.tasks)
+
     def word(self) -> str:
         """An identity."""
         return f"{self.rng.getrandbits(64):016x}"
--- a/rosepick/net/tended.py
+++ b/rosepick/net/tended.py
@@ -259,6 +259,7 @@
             running,
             bool(said) and not draining and self._told_to_end is None,
             draining,
+            self._told_to_end is not None,
             bool(said) and bool(said.get("idle")),
             self._kind is Kind.ROUTER or bool(said.get("warm")),
             self._hit_share(),
