--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -89,7 +89,7 @@
         self.at = At(at)
         self.ledger: Ledger | None = None
         self.unreadable = ""  # why the ledger cannot be read
-        self._heard = 0.0  # when the quorum last answered
+        self._heard: float | None = None  # when the quorum last answered, or this agent began
         self._read_at = -FRESH - 1.0  # the ledger is as it was at some time since then
         self._asked: float | None = None  # a question is open since then
         self._next = 0.0
@@ -100,13 +100,14 @@
 
     def lonely(self, now: float) -> bool:
         """Whether the quorum has not answered for long."""
-        return now - self._heard > self.terms.lonely
+        return self._heard is not None and now - self._heard > self.terms.lonely
 
     def deed(self, now: float, own: Own) -> Do:
         """What is to be done now. STOP and DRAIN are for the guard: under `permit`."""
         self._serves_since = (
             None if not own.serving else now if self._serves_since is None else self._serves_since
         )
+        self._heard = now if self._heard is None else self._heard
         if self.at in (At.LEAVING, At.OUT) and self._comes_back(now) and not self._must_stop(own):
             self._stand(At.BACK, self.permit)
         if self.at == At.LEAVING:
@@ -136,10 +137,14 @@
     def _comes_back(self, now: float) -> bool:
         """Whether what is out is to come back: not wanted out any more, a halt, or no quorum."""
         mine = self._mine()
-        if self.lonely(now) or mine is None:
+        if self.lonely(now):
             return True
-        halted = self.ledger is not None and self.ledger.halt is not None
-        return mine.want is None or mine.permit != self.permit or (halted and not mine.want.now)
+        if self.ledger is None:
+            return False  # this agent has begun just now: what it has out stays so until it knows better
+        halted = self.ledger.halt is not None
+        return (
+            mine is None or mine.want is None or mine.permit != self.permit or (halted and not mine.want.now)
+        )
 
     def proven(self, now: float, own: Own) -> bool:
         """Whether the member is back beyond doubt."""
@@ -235,7 +240,7 @@
         self._next = now + self.terms.look
         if outcome.kind is Kind.FAILED or not (outcome.register.version or outcome.kind is Kind.READ):
             return
-        if self.lonely(now):
+        if self._heard is not None and self.lonely(now):
             self._alone = now - self._heard
         self._heard = now
         try:
--- a/rosepick/lab/drill/sim_drains.py
+++ b/rosepick/lab/drill/sim_drains.py
@@ -278,7 +278,8 @@
     def _settle(self) -> None:
         super()._settle()
         self.calm = True
-        self._all_in()
+        for seconds in (0.0, 4.0, 8.0):  # an order from before may be taken after the first of these
+            self.later(seconds, self._all_in)
 
     def _all_in(self) -> None:
         """At the end all are wanted in, until that is taken; the halt stays, if there is one."""
