--- a/rosepick/fleet/budget.py
+++ b/rosepick/fleet/budget.py
@@ -34,6 +34,10 @@
     stay: int = 1  # at least so many are left in each zone
     least: int = 1  # the store's room makes no limit smaller than this
 
+    def most_here(self, many: int, room: int) -> int:
+        """How many of so many members of a zone may be out, with so much room at the store."""
+        return _most(self.zone_most, self.zone_share, room, self.least, many)
+
     def most_of(self, many: int) -> int:
         """How many of so many members in all may be out, by the stated limits."""
         return _most(self.most, self.share, 1000, self.least, many)
