Drains on real processes: routers, cache nodes, agents, clients, a look from outside

Seen in the first drills on real processes: cache nodes never came back. Cause: a node that drains says that it is not ready, and its agent asked for its figures only after a yes (TendedProcess._ask), so it never saw it idle nor took the drain back. Now both are asked in turn. Judge: the first look at a member is no loss; the client ends before its routers.

--- /dev/null
+++ b/rosepick/lab/drill/drain_rig.py
@@ -0,0 +1,401 @@
+"""Drains on real processes: routers and stand-ins of cache nodes, each with its agent, clients that ask all
+the while, and a look from outside at who serves."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import sys
+import threading
+from collections import Counter
+from functools import partial
+from pathlib import Path
+
+from ...agreement.operation import Change, Kind, Outcome
+from ...fleet import ledger as book
+from ...fleet.budget import Budget, Limit
+from ...net.boottime import boottime
+from ...net.loop import Loop
+from ...net.quorum import over
+from ..experiment import read as read_experiment
+from ..live import configuration
+from . import claims, drain_claims, history
+from .claims import Broken
+from .discovery import Discovery
+from .files import Drill
+from .history import Answered, AnyEvent, Came, Ordered, Stood, Told
+from .plan import Fault
+from .processes import FIRST_PORT
+from .rig import STAND_INS, START, DrillFailed, Played, Rig
+from .stand_ins import moment
+from .watched import Watched
+
+ZONES = ("east", "west")
+ROUTERS = Limit(most=2, zone_most=1, share=1.0, zone_share=1.0, stay=1)
+BUDGET = Budget(routers=ROUTERS, caches=ROUTERS, unasked=1)
+GROUP = "drill"
+LOOK = 0.1  # seconds between two looks at a member
+SEEN = 0.5  # a fault shows within so long
+LATE = 0.75 + 0.1  # after all have been told; the second part for this rig's own look
+BACK_IN = 35.0  # within so long, without faults, all is back
+BEAT, SILENT = 0.8, 4.0
+RATE = 60.0  # requests a second of the client
+CACHE = "rosepick.lab.drill.cache_node"
+EXPERIMENT = """
+name = "drains"
+mode = "through"
+zones = ["east", "west"]
+[[classes]]
+name = "read"
+[[tenants]]
+name = "drill"
+"""
+
+
+class Eye(threading.Thread):
+    """Looks at all members from outside, over their own doors, and writes down who goes and who comes."""
+
+    def __init__(self, rig: DrainRig) -> None:
+        super().__init__(daemon=True)
+        self.rig, self.over = rig, False
+        self.up: dict[str, bool] = {}
+        self.events: list[Stood] = []
+
+    def run(self) -> None:
+        """Look, until it is over."""
+        pause = threading.Event()
+        while not self.over:
+            for name in self.rig.members:
+                self._look(name)
+            pause.wait(LOOK / 2)
+
+    def _look(self, name: str) -> None:
+        up = self.rig.serves(name)
+        if up == self.up.get(name):
+            return
+        first = name not in self.up
+        self.up[name] = up
+        now = moment()
+        fault = now - self.rig.killed.get(name, -1e9) < SEEN + LOOK
+        by = "" if up else "start" if first else "fault" if fault else "program"
+        kind, zone = self.rig.members[name]
+        self.events.append(Stood(name, now, "routers" if kind == "router" else "caches", zone, up, by))
+
+
+class DrainRig(Rig):
+    """One drill of drains. Agents are the `workers` of the plan's faults."""
+
+    def __init__(self, drill: Drill, seed: int, folder: Path) -> None:
+        self.members: dict[str, tuple[str, str]] = {}
+        self.doors: dict[str, tuple[str, int]] = {}
+        self.listens: dict[str, tuple[str, int]] = {}
+        self.killed: dict[str, float] = {}
+        self.killed_at: dict[str, list[float]] = {}  # by a router's address
+        super().__init__(drill, seed, folder)
+        self.orders = random.Random(seed * 13 + 5)
+        self.crew = self._client_on(self.loop)
+        self.eye = Eye(self)
+        self.ordering = False
+        self._last_told: dict[str, float] = {}
+
+    # -- what there is
+
+    def _lay_out(self) -> None:
+        super()._lay_out()
+        for name in (*self.workers, "resource"):
+            del self.processes[name]
+        half = (len(self.workers) + 1) // 2
+        port = FIRST_PORT + 1000
+        for number, name in enumerate(self.workers):
+            self.members[name] = "router" if number < half else "cache", ZONES[number % len(ZONES)]
+            self.listens[name], self.doors[name] = (self.host, port), (self.host, port + 1)
+            port += 2
+        nodes = {
+            n: (f"{self.host}:{self.listens[n][1]}", zone)
+            for n, (kind, zone) in self.members.items()
+            if kind == "cache"
+        }
+        routers = [n for n, (kind, _) in self.members.items() if kind == "router"]
+        watches = {name: port + 1 + number for number, name in enumerate(routers)}
+        self.discovery = Discovery(self.loop, self.host, port, nodes, watches)
+        for number, name in enumerate(self.workers):
+            self._agent(name, number, watches.get(name, 0))
+        places = ",".join(f"{self.host}:{self.listens[n][1]}" for n in routers)
+        self._add("client", STAND_INS, ["client", "client.events", places, str(RATE), str(self.seed)])
+
+    def _agent(self, name: str, number: int, watch: int) -> None:
+        kind, zone = self.members[name]
+        folder = self.folder / f"{name}.d"
+        folder.mkdir()
+        if kind == "router":
+            self._router_file(name, number, watch)
+            command = [sys.executable, "-m", "rosepick", "serve"]
+        else:
+            ends = [
+                f"{self.host}:{port}"
+                for port in (self.listens[name][1], self.doors[name][1], self.discovery.port)
+            ]
+            command = [sys.executable, "-m", CACHE, name, *ends, f"{name}.came.events"]
+        door = f"{self.host}:{self.doors[name][1]}"
+        given = [
+            "agent",
+            "run",
+            name,
+            "--folder",
+            f"{name}.d",
+            "--zone",
+            zone,
+            "--door",
+            door,
+            "--kind",
+            kind,
+        ]
+        self._add(name, "rosepick", [*given, "--fleet", f"{name}.toml", "--", *command])
+        self.processes[name].noted = True
+        self.processes[name].more["GW_CONFIG"] = str(self.folder / f"{name}.json")
+        with (self.folder / f"{name}.toml").open("a", encoding="utf-8") as file:
+            file.write(self._drains())
+
+    def _drains(self) -> str:
+        limit = "most = 2\nzone_most = 1\nshare = 1.0\nzone_share = 1.0\nstay = 1\n"
+        times = f"beat = {BEAT}\nsilent = {SILENT}\nlonely = 5.0\nsteady = 1.0\n"
+        head = f'[drains]\ngroup = "{GROUP}"\nunasked = 1\n{times}'
+        return f"{head}[drains.routers]\n{limit}[drains.caches]\n{limit}"
+
+    def _router_file(self, name: str, number: int, watch: int) -> None:
+        experiment = read_experiment(EXPERIMENT, "drains")
+        listen = f"{self.host}:{self.listens[name][1]}"
+        known = {"rev": 0, "all": True, "targets": []}
+        told = configuration.document(
+            experiment, name, listen, f"{self.host}:{watch}", known, position=number
+        )
+        told["ops"] = f"{self.host}:{self.doors[name][1]}"
+        (self.folder / f"{name}.json").write_text(json.dumps(told), "utf-8")
+
+    def serves(self, name: str) -> bool:
+        """Whether a member serves, by asking it."""
+        kind, _ = self.members[name]
+        end, line = (
+            (self.listens[name], b"GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
+            if kind == "router"
+            else (self.doors[name], b"telemetry\n")
+        )
+        with contextlib.suppress(OSError), socket.create_connection(end, 0.3) as sock:
+            sock.settimeout(0.5)
+            sock.sendall(line)
+            first = sock.recv(4096)
+            if kind == "router":
+                return first.startswith(b"HTTP/1.1 200")
+            return b'"draining":false' in first and b'"warm":true' in first
+        return False
+
+    # -- playing
+
+    def _start(self) -> None:
+        for name in self.witnesses:
+            self.processes[name].start()
+        for name in self.witnesses:
+            if not self._until(partial(self._logged, name, "event=witness_started"), START):
+                raise DrillFailed(f"{name} did not start: see {self.processes[name].log}")
+        found = self._said("witness", "found")
+        if not self._until(lambda: found.poll() is not None, START) or found.returncode:
+            raise DrillFailed(f"the quorum was not founded: see {self.folder / 'operator.log'}")
+        shutil.copy(self.folder / "all.toml", self.folder / "operator.toml")
+        for name in self.workers:
+            self.processes[name].start()
+        self.eye.start()
+        if not self._until(
+            lambda: len(self.eye.up) == len(self.members) and all(self.eye.up.values()), 2.0 * START
+        ):
+            down = [name for name in self.members if not self.eye.up.get(name)]
+            raise DrillFailed(f"{', '.join(down)} did not come up")
+        self.processes["client"].start()
+        self._until(lambda: False, 2.0)
+
+    def play(self) -> Played:
+        """The whole drill."""
+        try:
+            self._start()
+            begin = moment()
+            plan = self._plan()
+            for number, fault in enumerate(plan.faults):
+                self.loop.after(1000.0 * fault.at, partial(self._inject, number, fault))
+            self.ordering = True
+            self._order()
+            self._note_told()
+            self._until(lambda: False, plan.until)
+            self.ordering = False
+            self._calm()
+            self._until(lambda: False, 4.0)
+            self._all_in()
+            back = self._until(self._all_are_in, BACK_IN)
+            self._until(lambda: False, 1.0)
+            last = self._ledger()
+        finally:
+            self.eye.over = True
+            self._stop()
+        return self._judged(begin, back, last)
+
+    def _judged(self, begin: float, back: bool, last: book.Ledger | None) -> Played:
+        events: list[AnyEvent] = history.read([*self.folder.glob("*.events")])
+        events = sorted([*events, *self.events, *self.eye.events], key=lambda event: event.at)
+        verdict = claims.judge(events)
+        bounds = drain_claims.Bounds(BUDGET, SILENT + 2.0 * BEAT + 4.0, 4.0 + 2.0 * LOOK)
+        for broken, counts in (drain_claims.judge(events, bounds), requests(events, self.killed_at)):
+            verdict.broken += broken
+            verdict.counts += counts
+        verdict.counts += self.counts
+        for link in self.links.values():
+            verdict.counts.update({f"messages {what}": count for what, count in link.counts.items()})
+        if not back:
+            verdict.broken.append(
+                Broken("ends", f"not all is back {BACK_IN:.0f} s after the last fault: {_left(last)}")
+            )
+        verdict.broken += self._too_little(verdict)
+        self.figures["seconds"] = moment() - begin
+        return Played(verdict, events, self.folder, self.seed, self.figures)
+
+    # -- faults and orders
+
+    def _member(self, number: int, fault: Fault) -> None:
+        name = fault.target[0]
+        with contextlib.suppress(OSError, ValueError, KeyError):
+            told = json.loads((self.folder / f"{name}.d" / "agent.json").read_text("utf-8"))
+            self.killed[name] = moment()
+            self.killed_at.setdefault(f"{self.listens[name][0]}:{self.listens[name][1]}", []).append(moment())
+            os.kill(int(told["pid"]), signal.SIGKILL)
+
+    def _client_on(self, loop: Loop) -> Watched:
+        endpoints = {name: (self.host, port) for name, port in self.ports.items()}
+        return Watched(
+            "crew", self.events.append, moment, loop, over(loop, endpoints, b""), random.Random(self.seed)
+        )
+
+    def _say(self, what: str, change: Change, names: tuple[str, ...] = ()) -> None:
+        def done(outcome: Outcome) -> None:
+            if outcome.kind is Kind.DONE or (outcome.kind is Kind.READ and what == "halt"):
+                self.events.append(Ordered("crew", moment(), what, names))
+
+        self.crew.run(book.key(GROUP), change, done, 3_000.0)
+
+    def _order(self) -> None:
+        if not self.ordering:
+            return
+        rng, now = self.orders, boottime()
+        names = rng.sample(self.workers, rng.choice((1, 1, 2, 3, len(self.workers))))
+        draw = rng.random()
+        if draw < 0.6:
+            self._say("out", book.want_out(names, rng.choice("ab"), "patch", now), tuple(names))
+        elif draw < 0.76:
+            self._say("in", book.want_in(names, rng.choice("ab"), now), tuple(names))
+        elif draw < 0.8:
+            self._say("halt", book.halt("crew", "drill", now))
+        else:
+            self.events.append(Ordered("crew", moment(), "resume"))
+            self.crew.run(book.key(GROUP), book.resume("crew", "drill", now), lambda outcome: None, 3_000.0)
+        self.loop.after(1000.0 * rng.uniform(0.3, 1.3), self._order)
+
+    def _note_told(self) -> None:
+        """When the last router that runs was told that a node drains."""
+        routers = [
+            name for name, (kind, _) in self.members.items() if kind == "router" and self.eye.up.get(name)
+        ]
+        for node, (kind, _) in self.members.items():
+            row = self.discovery.rows.get(node)
+            if kind != "cache" or row is None or row[1] != "leaving":
+                self._last_told.pop(node, None)
+                continue
+            told = [self.discovery.told.get((router, node)) for router in routers]
+            if node not in self._last_told and all(one is not None and one[1] == "leaving" for one in told):
+                self._last_told[node] = moment()
+                self.events.append(Told(node, moment()))
+        self.loop.after(30.0, self._note_told)
+
+    # -- the end
+
+    def _calm(self) -> None:
+        self._heal_all()
+        for process in self.processes.values():
+            process.resume()
+            process.start()
+
+    def _all_in(self) -> None:
+        self.crew.run(
+            book.key(GROUP), book.want_in(self.workers, "crew", boottime()), lambda outcome: None, 3_000.0
+        )
+
+    def _ledger(self) -> book.Ledger | None:
+        found: list[Outcome] = []
+        self.crew.run(book.key(GROUP), None, found.append, 3_000.0)
+        self._until(lambda: bool(found), 4.0)
+        return book.read(found[0].register) if found and found[0].kind is Kind.READ else None
+
+    def _all_are_in(self) -> bool:
+        if not all(self.eye.up.values()):
+            return False
+        ledger = self._ledger()
+        if ledger is None or any(one.at or one.permit for one in ledger.members.values()):
+            return False
+        if any(one.want for one in ledger.members.values()):
+            self._all_in()
+            return False
+        return len(ledger.members) == len(self.members)
+
+    def _stop(self) -> None:
+        self.processes["client"].kill()  # before its routers: what it asks for is to be answered
+        for name in self.members:
+            with contextlib.suppress(OSError, ValueError):
+                told = json.loads((self.folder / f"{name}.d" / "agent.json").read_text("utf-8"))
+                self.processes[name].kill()
+                os.kill(int(told["pid"]), signal.SIGKILL)
+        self.discovery.close()
+        self.crew.close()
+        super()._stop()
+
+
+def _left(ledger: book.Ledger | None) -> str:
+    if ledger is None:
+        return "the ledger cannot be read"
+    found = [
+        f"{n} {book.At(m.at).name.lower()}" for n, m in ledger.members.items() if m.at or m.want or m.lost
+    ]
+    return ", ".join(found) or "all are in by the ledger"
+
+
+def requests(events: list[AnyEvent], killed: dict[str, list[float]]) -> tuple[list[Broken], Counter[str]]:
+    """No request is lost, but those in hand of a router that the drill killed; and a cache node gets
+    nothing new later than 750 ms after all routers that run were told that it drains."""
+    counts: Counter[str] = Counter()
+    broken = []
+    told: dict[str, float] = {}
+    for event in events:
+        if isinstance(event, Answered):
+            counts[f"answers {event.status}"] += 1
+            struck = any(event.begin - 0.1 <= at <= event.at + 0.1 for at in killed.get(event.router, ()))
+            if event.status == 0 and not struck:
+                text = f"a request to {event.router} was never answered"
+                broken.append(Broken("requests", text, (event,)))
+        elif isinstance(event, Told):
+            told[event.process] = event.at
+        elif isinstance(event, Stood) and event.up:
+            told.pop(event.process, None)
+        elif isinstance(event, Came):
+            counts["sends"] += 1
+            since = told.get(event.process)
+            if event.draining and since is not None and event.at - since > LATE:
+                late = f"{event.at - since:.2f} s after all had been told that it drains"
+                text = f"{event.process} got a request {late}"
+                broken.append(Broken("sends", text, (event,)))
+    return broken, counts
+
+
+def play(drill: Drill, seed: int, folder: Path) -> Played:
+    """One seed, in a folder that is emptied first."""
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    return DrainRig(drill, seed, folder).play()
--- a/rosepick/lab/drill/history.py
+++ b/rosepick/lab/drill/history.py
@@ -73,6 +73,26 @@
     names: tuple[str, ...] = ()
 
 
+class Came(Event, frozen=True, tag="came"):
+    """A cache node got a request; `draining`: it had said that it takes nothing new."""
+
+    request: str
+    draining: bool
+
+
+class Answered(Event, frozen=True, tag="answered"):
+    """A client's request, from its last byte written at `begin`. `status` 0: its connection ended without
+    an answer, or its time and half a second more were over."""
+
+    begin: float
+    router: str
+    status: int
+
+
+class Told(Event, frozen=True, tag="told"):
+    """All routers that run have been told that a node (`process`) wants nothing new."""
+
+
 class Injected(Event, frozen=True, tag="fault"):
     """A fault was put in, or taken out again."""
 
@@ -80,7 +100,7 @@
     detail: str = ""
 
 
-AnyEvent = Operation | Yes | Effect | Moved | Stood | Ordered | Injected
+AnyEvent = Operation | Yes | Effect | Moved | Stood | Ordered | Came | Answered | Told | Injected
 _decoder: msgspec.json.Decoder[AnyEvent] = msgspec.json.Decoder(AnyEvent)
 _encoder = msgspec.json.Encoder()
 
--- a/rosepick/lab/drill/processes.py
+++ b/rosepick/lab/drill/processes.py
@@ -41,6 +41,7 @@
         self.module, self.arguments = module, arguments
         self.statuses: list[int] = []  # of starts that have ended
         self.stopped = False
+        self.more: dict[str, str] = {}  # of its environment
         self.noted = False  # its operations are to be noted by the starter
         self._process: subprocess.Popen[bytes] | None = None
 
@@ -71,6 +72,7 @@
         if self.up:
             return
         command, environment = started(self.rate, self.module, self.arguments, self.noted and self.name)
+        environment |= self.more
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
                 command, stdout=log, stderr=log, env=environment, cwd=self.folder, stdin=subprocess.DEVNULL
--- a/rosepick/lab/drill/stand_ins.py
+++ b/rosepick/lab/drill/stand_ins.py
@@ -29,7 +29,7 @@
 from ...net.quorum import over
 from ...net.store import Tokens
 from ...settings import fleet_file
-from .history import AnyEvent, Effect, Moved, Yes, line
+from .history import Answered, AnyEvent, Effect, Moved, Yes, line
 from .watched import Watched
 
 WORK = 0.015  # seconds between two steps of work
@@ -139,6 +139,50 @@
         time.sleep(WORK)
 
 
+def client(events: str, places: str, rate: str, seed: str) -> None:
+    """Asks routers at random, each request on a connection of its own, so many a second; where nobody
+    listens it asks another one."""
+    import threading
+
+    notes, ends = Notes(events), [_place(text) for text in places.split(",")]
+    threads = 6
+
+    def ask(number: int) -> None:
+        rng = random.Random(f"{seed} {number}")
+        for count in range(1_000_000):
+            time.sleep(rng.expovariate(float(rate) / threads))
+            for place in rng.sample(ends, len(ends)):
+                name, key = f"{seed}-{number}-{count}", int(200 * rng.random() ** 2)
+                status, begin = _asked(place, name, key)
+                if begin:
+                    notes.note(Answered("client", moment(), begin, f"{place[0]}:{place[1]}", status))
+                    break
+
+    for number in range(threads):
+        threading.Thread(target=ask, args=(number,), daemon=True).start()
+    while True:
+        time.sleep(1.0)
+
+
+def _asked(place: tuple[str, int], name: str, key: int) -> tuple[int, float]:
+    """The status, and when the request was written; 0 if nobody listened."""
+    text = f"GET /k/{key} HTTP/1.1\r\nHost: r\r\nReq-Id: {name}\r\nReq-Kind: read\r\nReq-Deadline: 1.2\r\n"
+    try:
+        sock = socket.create_connection(place, 1.0)
+    except OSError:
+        return 0, 0.0
+    begin = moment()
+    try:
+        sock.sendall(f"{text}Req-Owner: drill\r\nConnection: close\r\n\r\n".encode())
+        sock.settimeout(1.7)
+        first = sock.recv(65536)
+        return int(first[9:12]) if first.startswith(b"HTTP/1.1 ") else 0, begin
+    except OSError:
+        return 0, begin
+    finally:
+        sock.close()
+
+
 def resource(events: str, place: str, folder: str) -> None:
     """What is acted on: it asks its guard before each step, and keeps the highest token on its disk."""
     notes, guard = Notes(events), Guard(Tokens(Path(folder)))
@@ -165,6 +209,7 @@
         Worker(name, fleet, events, place, tasks.split(","), int(seed)).loop.run()
     kinds: dict[str, Callable[[], None]] = {
         "hand": lambda: hand(given[0], given[1], given[2]),
+        "client": lambda: client(given[0], given[1], given[2], given[3]),
         "resource": lambda: resource(given[0], given[1], given[2]),
     }
     if kind in kinds:
--- a/rosepick/net/tended.py
+++ b/rosepick/net/tended.py
@@ -26,7 +26,7 @@
 from .stream import Stream, dial
 
 log = logging.getLogger(__name__)
-ASK_EVERY, ANSWER_IN = 300.0, 900.0  # milliseconds
+ASK_EVERY, ANSWER_IN = 150.0, 900.0  # milliseconds
 AGAIN, LONGEST_PAUSE = 500.0, 30_000.0  # between two starts of a member that ends by itself, doubled up to
 STAYS = 10_000.0  # one that ran for so long did not end at its start
 KILL_AFTER = 15_000.0  # a member that was told to end and does not
@@ -153,6 +153,7 @@
         self._asked = -ASK_EVERY
         self._open = False
         self._ready_said = False
+        self._turns = 0
         self._said: dict[str, Any] = {}
         self._said_at = -1e9
         self._before: tuple[float, dict[str, float]] | None = None
@@ -228,36 +229,31 @@
         if now - self._asked < ASK_EVERY or self._open or not self._alive():
             return
         self._asked, self._open = now, True
-        line = "telemetry" if self._ready_said else "readyz"
+        self._turns += 1
+        line = "telemetry" if self._turns % 2 else "readyz"
         Call(self._loop, self._budget, self._door, line, lambda text: self._heard(line, text))
 
     def _heard(self, line: str, text: str | None) -> None:
         self._open = False
         if line == "readyz":
             self._ready_said = text is not None and text.startswith("OK")
-            if self._ready_said:
-                self._asked = -ASK_EVERY
-            else:
-                self._said_at = -1e9
         elif line == "telemetry":
             try:
                 self._said = json.loads((text or "").split("\n", 1)[0])
                 self._said_at = self._loop.now()
             except ValueError:
-                self._ready_said = False
-            # the next one asks whether it is ready: what it says of itself may change
-            self._ready_said = False
+                self._said_at = -1e9
 
     def look(self) -> Own:
         """How it is."""
         running = self._alive()
         self._ask()
-        fresh = running and self._loop.now() - self._said_at < 4.0 * ASK_EVERY + ANSWER_IN
+        fresh = running and self._loop.now() - self._said_at < 6.0 * ASK_EVERY + ANSWER_IN
         said = self._said if fresh and self._said_at > self._started else {}
         draining = bool(said.get("draining"))
         return Own(
             running,
-            bool(said) and not draining and self._told_to_end is None,
+            bool(said) and self._ready_said and not draining and self._told_to_end is None,
             draining,
             self._told_to_end is not None,
             bool(said) and bool(said.get("idle")),
