--- a/rosepick/lab/drill/drain_rig.py
+++ b/rosepick/lab/drill/drain_rig.py
@@ -289,11 +289,11 @@
         rng, now = self.orders, boottime()
         names = rng.sample(self.workers, rng.choice((1, 1, 2, 3, len(self.workers))))
         draw = rng.random()
-        if draw < 0.6:
+        if draw < 0.55:
             self._say("out", book.want_out(names, rng.choice("ab"), "patch", now), tuple(names))
-        elif draw < 0.76:
+        elif draw < 0.68:
             self._say("in", book.want_in(names, rng.choice("ab"), now), tuple(names))
-        elif draw < 0.8:
+        elif draw < 0.71:
             self._say("halt", book.halt("crew", "drill", now))
         else:
             self.events.append(Ordered("crew", moment(), "resume"))
--- a/rosepick/lab/experiment.py
+++ b/rosepick/lab/experiment.py
@@ -166,7 +166,7 @@
     "slow", "stop", "restart", "replace", "shrink", "grow", "cut", "isolate", "silent", "stale",
     "discovery_down",
     "origin_slow", "origin_stop", "flash", "surge", "router_kill", "router_restart", "hang", "reset",
-    "garbage", "drip", "refuse", "reload",
+    "garbage", "drip", "refuse", "reload", "patch",
 ]
 
 
@@ -181,8 +181,11 @@
     zone: str = ""  # only in this zone
     zones: tuple[str, str] | None = None  # cut: between these two
     by: Positive = 5.0  # so many times as slow, or as much traffic; stale: so many seconds more
-    share: Part = 0.2  # flash: of the reads are for one key; hang, reset, garbage, drip: of the attempts
+    share: Part = 0.2  # flash: of the reads are for one key; hang, reset, garbage, drip: of the attempts;
+    # patch, agreed: of the nodes may be out
     down: NotNegative = 1.0  # restart, router_restart: seconds until it is back
+    manner: Literal["alone", "one", "fixed", "agreed"] = "agreed"  # patch: who goes when
+    most: Annotated[int, Field(ge=1)] = 1  # patch, fixed: so many at a time
     routers: Annotated[int, Field(ge=1)] | None = None  # router_kill, router_restart: so many,
     # or a `part` of them; restarts go on over the time of the trouble, a tenth at a time
 
--- a/rosepick/lab/world/troubles.py
+++ b/rosepick/lab/world/troubles.py
@@ -8,6 +8,7 @@
 from ..experiment import ExperimentError, Trouble
 from ..results import Span
 from .fleet import CacheNode, Node
+from .patching import Patching
 from .world import World
 
 Undo = Callable[[], None]
@@ -217,10 +218,15 @@
     return begin
 
 
+def _patch(world: World, trouble: Trouble) -> tuple[str, Undo]:
+    Patching(world, trouble)
+    return f"every cache node, {trouble.manner}", nothing
+
+
 _KINDS: dict[str, Play] = {
     "slow": _slow, "stop": _stop, "restart": _restart, "replace": _replace, "shrink": _shrink, "grow": _grow,
     "cut": _cut, "isolate": _isolate, "silent": _silent, "stale": _stale, "discovery_down": _discovery_down,
     "origin_slow": _origin_slow, "origin_stop": _origin_stop, "flash": _flash, "surge": _surge,
     "router_kill": _routers(False), "router_restart": _routers(True), "hang": _share("hang_shares"),
-    "reset": _share("reset_shares"),
+    "reset": _share("reset_shares"), "patch": _patch,
 }
