--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -340,6 +340,23 @@
             print(line, flush=True)
 
 
+@lab.command("drains")
+def drain_figures(
+    members: Annotated[int, typer.Option(min=10, max=1_000)] = 200,
+    beat: Annotated[float, typer.Option(min=0.2, max=60, help="Seconds between reports.")] = 1.5,
+    seconds: Annotated[float, typer.Option(min=1)] = 20.0,
+) -> None:
+    """Measure what drains cost the witnesses, with so many members."""
+    with _needs_the_extra():
+        import logging
+
+        from ..lab.drill import drain_measure
+
+        logging.getLogger("rosepick").setLevel(logging.ERROR)
+        for line in drain_measure.standing(members, 1000.0 * beat, seconds):
+            print(line, flush=True)
+
+
 @lab.command("explore")
 def explored(
     witnesses: Annotated[int, typer.Option(min=1, max=5)] = 3,
--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -19,6 +19,7 @@
 NEAR = 0.8  # of its neighbours' hit share: a cache node says that it is warm, and has to be seen to
 
 
+EACH = 10.0  # milliseconds between two looks of all members together
 FRESH = 2_000.0  # milliseconds: a member is taken out by a reading of the ledger that is no older
 
 
@@ -237,7 +238,7 @@
     def answered(self, now: float, ask: Ask, outcome: Outcome) -> None:
         """What came of a question."""
         asked_at, self._asked = self._asked, None
-        self._next = now + self.terms.look
+        self._next = now + self._pause()
         if outcome.kind is Kind.FAILED or not (outcome.register.version or outcome.kind is Kind.READ):
             return
         if self._heard is not None and self.lonely(now):
@@ -253,6 +254,19 @@
         if outcome.kind is Kind.DONE:
             self._next = now
 
+    def alive(self, now: float) -> None:
+        """The quorum has answered something else of this process."""
+        if self._heard is not None and not self.lonely(now):
+            self._heard = now
+
+    def _pause(self) -> float:
+        """Until the next look: where nothing is wanted of this member, longer in a large fleet, so that all
+        looks together stay few (100 a second)."""
+        mine = self._mine()
+        busy = mine is None or self.at != At.IN or mine.want is not None
+        many = 0 if self.ledger is None else len(self.ledger.members)
+        return self.terms.look if busy else max(self.terms.look, EACH * many)
+
     def _moved(self, ask: Ask, outcome: Outcome) -> None:
         """A step that is made is kept here too."""
         mine = self._mine()
--- a/rosepick/net/agent.py
+++ b/rosepick/net/agent.py
@@ -142,6 +142,8 @@
             self._reporting = False
             if outcome.kind is not Kind.DONE:
                 self._last = (not state[0], state[1])  # tell it once more, soon
+            else:
+                self.machine.alive(self.loop.now())
 
         self.client.run(place, lambda register: value, done, PATIENCE)
 
