A permit needs a warden that counts now; a new warden does not find the dead again

Causes: (1) a warden that had just taken the lease read the last reports of the dead and marked them found (Warden._lost); (2) a permit could be taken while nobody counted, amid a change of wardens.

--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -33,6 +33,7 @@
     lonely: float = 6_000.0
     steady: float = 2_000.0
     quiet: float = 1_000.0
+    counted: float = 3_000.0  # a permit is taken only if a warden has counted in the last so long
 
 
 class Do(Enum):
@@ -95,6 +96,7 @@
         self._asked: float | None = None  # a question is open since then
         self._next = 0.0
         self._serves_since: float | None = None
+        self._sweep = (-1, 0.0)  # the last count that was seen, and when it was new
         self._alone = 0.0  # for how long there was no answer, until one came
 
     # -- what is to be done with the member
@@ -218,7 +220,8 @@
         name, permit = self.name, self.permit
         if self.at == At.IN and mine.want is not None:
             minute = int(wall // 60) % (24 * 60)
-            if self._may(minute, ledger, name):
+            fresh = mine.want.now or now - self._sweep[1] <= self.terms.counted
+            if fresh and self._may(minute, ledger, name):
                 return Ask("take", book.take(name, lambda read, who: self._may(minute, read, who), wall))
         elif self.at == At.GIVEN:
             unwanted = mine.want is None or (ledger.halt is not None and not mine.want.now)
@@ -250,6 +253,9 @@
             self.unreadable = str(problem)
             return
         self._read_at = now if asked_at is None else asked_at
+        if self.ledger.sweep != self._sweep[0]:
+            # the first one that is seen may be of any time
+            self._sweep = self.ledger.sweep, -self.terms.counted if self._sweep[0] < 0 else self._read_at
         self._moved(ask, outcome)
         if outcome.kind is Kind.DONE:
             self._next = now
--- a/rosepick/fleet/ledger.py
+++ b/rosepick/fleet/ledger.py
@@ -111,6 +111,7 @@
     members: dict[str, Member] = {}
     history: tuple[Line, ...] = ()
     usual: int = 0  # thousandths of the reads that a cache node has; 0: not known
+    sweep: int = 0  # how often a warden that knew of all has counted while somebody waited
 
     def of(self, kind: int) -> dict[str, Member]:
         """Members of a kind that are not written off."""
@@ -376,7 +377,14 @@
 
 
 def counted(
-    lost: Mapping[str, bool], room: int, usual: int, token: int, why: str, who: str, when: float
+    lost: Mapping[str, bool],
+    room: int,
+    usual: int,
+    token: int,
+    why: str,
+    who: str,
+    when: float,
+    whole: bool = True,
 ) -> Change:
     """What the warden has found: who is out unasked, what the store can bear, and a reason to halt if there
     is one. A warden under an older token moves nothing."""
@@ -395,9 +403,12 @@
             Line(when, who, f"{name} {'lost' if one.lost else 'found'}") for name, one in members.items()
         ]
         new = _with(ledger, members, *lines, room=room, usual=usual, token=token)
+        if whole and new.waiting():
+            new = msgspec.structs.replace(new, sweep=new.sweep + 1)
         if why and ledger.halt is None:
             return _halted(new, who, why, when)
         small = abs(room - ledger.room) < SMALL and abs(usual - ledger.usual) < SMALL
-        return ledger if small and not members and token == ledger.token else new
+        same = small and not members and token == ledger.token and new.sweep == ledger.sweep
+        return ledger if same else new
 
     return change(make)
--- a/rosepick/fleet/warden.py
+++ b/rosepick/fleet/warden.py
@@ -93,6 +93,7 @@
     lost: dict[str, bool]
     room: int
     usual: int  # thousandths of the reads that a cache node has
+    whole: bool  # every member has been heard of, or waited for long enough
     why: str  # for a halt; empty if there is no reason
 
 
@@ -103,27 +104,38 @@
         self._budget, self._terms = budget, terms
         self._since = now
         self._seen: dict[str, tuple[Report, float]] = {}  # and when it last changed
+        self._lives: set[str] = set()  # whose report has changed since this warden began
         self._room = Room(terms)
 
     def told(self, name: str, report: Report | None, now: float) -> None:
         """A member's report, as it is now."""
         before = self._seen.get(name)
-        if report is not None and (
-            before is None or (before[0].run, before[0].beat) != (report.run, report.beat)
-        ):
-            self._seen[name] = report, now
-
-    def _lost(self, name: str, at: int, now: float) -> bool:
+        if report is None or (before and (before[0].run, before[0].beat) == (report.run, report.beat)):
+            return
+        self._seen[name] = report, now
+        if before is not None:
+            self._lives.add(name)
+
+    def _lost(self, name: str, at: int, now: float) -> bool | None:
+        """Whether it is out unasked; None if that is not known yet. Guards against a new warden that finds
+        the dead again as it reads their last reports."""
         seen = self._seen.get(name)
         if seen is None:
-            return now - self._since > self._terms.silent
+            return True if now - self._since > self._terms.silent else None
         report, when = seen
-        silent = now - when > self._terms.silent
-        return silent or (at == At.IN and not (report.up and report.warm))
+        if now - when > self._terms.silent or (at == At.IN and not (report.up and report.warm)):
+            return True
+        return False if name in self._lives else None
+
+    def _whole(self, now: float) -> bool:
+        """Guards against a new warden's first sweep, in which the silent look as if they had just
+        reported."""
+        return now - self._since > self._terms.silent
 
     def verdict(self, ledger: Ledger, now: float) -> Verdict:
         """What there is to write down."""
-        lost = {name: self._lost(name, one.at, now) for name, one in ledger.members.items() if not one.off}
+        told = {name: self._lost(name, one.at, now) for name, one in ledger.members.items() if not one.off}
+        lost = {name: is_lost for name, is_lost in told.items() if is_lost is not None}
         reports = [
             (one.kind, self._seen[name][0])
             for name, one in ledger.members.items()
@@ -131,11 +143,11 @@
         ]
         stated = self._budget.caches.most_of(len(ledger.of(Kind.CACHE)))
         marked = {
-            name: msgspec.structs.replace(one, lost=lost.get(name, False))
+            name: msgspec.structs.replace(one, lost=lost.get(name, one.lost))
             for name, one in ledger.members.items()
         }
         why = past(msgspec.structs.replace(ledger, members=marked), self._budget)
-        return Verdict(lost, self._room.now(reports, stated), _usual(reports), why)
+        return Verdict(lost, self._room.now(reports, stated), _usual(reports), self._whole(now), why)
 
 
 def _usual(reports: list[tuple[int, Report]]) -> int:
--- a/rosepick/lab/drill/plan.py
+++ b/rosepick/lab/drill/plan.py
@@ -65,6 +65,7 @@
     Kind("lose", 1.5, "witness", 0.3, 1.5, (0.1, 0.5)),
     Kind("force", 0.5, "task", 0.0, 0.0),
     Kind("member", 2.0, "contender", 0.0, 0.0, named=True),  # what an agent looks after dies
+    Kind("host", 2.0, "contender", 6.0, 12.0, named=True),  # both are gone for long
     Kind("wiped", 1.0, "contender", 0.1, 0.5, named=True),  # an agent dies, and its folder is gone
     Kind("swap", 1.0, "witness", 0.0, 0.0),  # a living witness is taken out, another one comes in
 )
--- a/rosepick/net/agent.py
+++ b/rosepick/net/agent.py
@@ -204,9 +204,8 @@
             return
         found = warden.verdict(ledger, self.loop.now())
         token = keeper.contender.token
-        change = book.counted(
-            found.lost, found.room, found.usual, token, found.why, self.machine.name, self._wall()
-        )
+        name, wall = self.machine.name, self._wall()
+        change = book.counted(found.lost, found.room, found.usual, token, found.why, name, wall, found.whole)
         self.client.run(
             book.key(self.group), change, lambda outcome: self._counted(found.why, outcome), PATIENCE
         )
--- a/rosepick/settings/fleet_file.py
+++ b/rosepick/settings/fleet_file.py
@@ -63,10 +63,8 @@
     group: Annotated[str, Field(pattern=NAME)] = "main"
     routers: Out = Out()
     caches: Out = Out()
-    closed: tuple[
-        Annotated[str, Field(pattern=r"^([01]\d|2[0-3]):[0-5]\d-([01]\d|2[0-3]):[0-5]\d$")], ...
-    ] = ()
-    apart: dict[str, tuple[str, ...]] = {}
+    closed: list[Annotated[str, Field(pattern=r"^([01]\d|2[0-3]):[0-5]\d-([01]\d|2[0-3]):[0-5]\d$")]] = []
+    apart: dict[str, list[str]] = {}
     unasked: Count = 0
     halt_above: Part = 0.3  # of a router's requests refused or failed, amid a drain
     beat: Annotated[float, Field(ge=0.2, le=60.0)] = 1.5
