--- a/rosepick/fleet/warden.py
+++ b/rosepick/fleet/warden.py
@@ -93,7 +93,7 @@
     lost: dict[str, bool]
     room: int
     usual: int  # thousandths of the reads that a cache node has
-    whole: bool  # every member has been heard of, or waited for long enough
+    whole: bool  # of every member it is known what it is: heard of, or waited for long enough
     why: str  # for a halt; empty if there is no reason
 
 
@@ -127,11 +127,6 @@
             return True
         return False if name in self._lives else None
 
-    def _whole(self, now: float) -> bool:
-        """Guards against a new warden's first sweep, in which the silent look as if they had just
-        reported."""
-        return now - self._since > self._terms.silent
-
     def verdict(self, ledger: Ledger, now: float) -> Verdict:
         """What there is to write down."""
         told = {name: self._lost(name, one.at, now) for name, one in ledger.members.items() if not one.off}
@@ -147,7 +142,7 @@
             for name, one in ledger.members.items()
         }
         why = past(msgspec.structs.replace(ledger, members=marked), self._budget)
-        return Verdict(lost, self._room.now(reports, stated), _usual(reports), self._whole(now), why)
+        return Verdict(lost, self._room.now(reports, stated), _usual(reports), None not in told.values(), why)
 
 
 def _usual(reports: list[tuple[int, Report]]) -> int:
--- a/rosepick/lab/drill/drain_measure.py
+++ b/rosepick/lab/drill/drain_measure.py
@@ -55,6 +55,13 @@
             for number, scale in enumerate(scales)
         ]
         budget = Budget(LIMIT, LIMIT)
+        # all at once, as it is no measurement of a thousand that come in one second
+        names = [f"m{number:04}" for number in range(count)]
+        members = {name: book.Member(0, f"z{number % 4}") for number, name in enumerate(names)}
+        made = book.packed(book.Ledger(rules=budget.digest(), members=members))
+        begun: list[object] = []
+        clients[0].run(book.key("measured"), lambda register: made, begun.append, 10_000.0)
+        _until(loop, lambda: bool(begun))
         terms = Terms(10_000.0), warden.Terms(silent=4.0 * beat)
         drivers = []
         for number in range(count):
