--- a/rosepick/fleet/warden.py
+++ b/rosepick/fleet/warden.py
@@ -157,9 +157,9 @@
 
 
 def wardens(ledger: Ledger) -> list[str]:
-    """Whose agents stand ready: the first by name that are neither lost nor written off."""
-    return [
-        name
-        for name in sorted(ledger.members)
-        if not ledger.members[name].out and not ledger.members[name].off
-    ][:WARDENS]
+    """Whose agents stand ready: the first by name, those that are wanted out last, none that is lost or
+    written off. An agent counts on while its member is out."""
+    found = [
+        (one.want is not None, name) for name, one in ledger.members.items() if not (one.off or one.lost)
+    ]
+    return [name for _, name in sorted(found)[:WARDENS]]
--- a/rosepick/lab/drill/drain_measure.py
+++ b/rosepick/lab/drill/drain_measure.py
@@ -85,11 +85,11 @@
             return first.ledger is not None and len(first.ledger.members) == count
 
         _until(loop, all_in, 180.0)
-        for what in ("standing still", "amid a drain of 40"):
+        for what in ("standing still", "amid a drain"):
             if what.startswith("amid"):
-                names = [f"m{number:04}" for number in range(40)]
                 clients[0].run(
-                    book.key("measured"), book.want_out(names, "lab", "x", time.time()), lambda o: None, 5e3
+                order = book.want_out(names[:40], "lab", "x", time.time())
+                clients[0].run(book.key("measured"), order, lambda o: None, 5e3)
                 )
             used = {name: _used(one) for name, one in processes.items()}
             asked, bytes_ = (
--- a/rosepick/net/agent.py
+++ b/rosepick/net/agent.py
@@ -151,17 +151,15 @@
 
     def _stand_ready(self, now: float) -> None:
         """Stand in line for the lease of who counts, if this member is among the few that are to."""
-        ledger, keeper = self.machine.ledger, self._keeper
-        ready = ledger is not None and self.machine.name in counting.wardens(ledger) and self._own.serving
+        ledger, keeper, name = self.machine.ledger, self._keeper, self.machine.name
+        mine = None if ledger is None else ledger.members.get(name)
         if keeper is None:
-            if ready:
-                self._keeper = Keeper(
-                    self.client, TASK + self.group, self.machine.name, self._lease, self._told
-                )
+            if ledger is not None and name in counting.wardens(ledger):
+                self._keeper = Keeper(self.client, TASK + self.group, name, self._lease, self._told)
         elif keeper.contender.where in (Where.LOST, Where.ENDED):
             self._keeper = self._warden = None
-        elif not ready:
-            keeper.release()
+        elif mine is not None and (mine.off or mine.lost):
+            keeper.release()  # guards against one that counts and is taken for dead by all
 
     def _told(self, what: str) -> None:
         if what == Where.HOLDS.value and self._keeper is not None:
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -375,6 +375,8 @@
     found = warden.verdict(shelf.ledger, 1_500.0)
     assert found.lost == {"a": False, "b": True, "c": True, "d": True}
     assert not found.why and counting.wardens(shelf.ledger) == ["a", "b", "c"]
+    shelf.make(book.want_out(["a"], "op", "x", 0.0))
+    assert counting.wardens(shelf.ledger) == ["b", "c", "a"]
 
 
 def test_the_room_of_the_store_falls_at_once_and_grows_slowly() -> None:
