--- a/rosepick/lab/drill/drain_measure.py
+++ b/rosepick/lab/drill/drain_measure.py
@@ -87,10 +87,8 @@
         _until(loop, all_in, 180.0)
         for what in ("standing still", "amid a drain"):
             if what.startswith("amid"):
-                clients[0].run(
                 order = book.want_out(names[:40], "lab", "x", time.time())
                 clients[0].run(book.key("measured"), order, lambda o: None, 5e3)
-                )
             used = {name: _used(one) for name, one in processes.items()}
             asked, bytes_ = (
                 sum(one.counts.operations for one in clients),
