A fleet that starts is no failure, and somebody counts though all are lost

Seen by the commands of docs/drains.md, tried on three stand-ins: agents joined before their members were up, were marked lost, and the warden halted; then all were lost, wardens() left nobody over, and nobody ever found them again. Now a member that was never in counts as out and gives no reason for a halt (Member.met), and the lost stand ready to count last, not never.

--- a/rosepick/cli/serving.py
+++ b/rosepick/cli/serving.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -32,13 +33,23 @@
     server.run()
 
 
-def check(file: File = None) -> None:
+def check(
+    file: File = None,
+    fleet: Annotated[Path | None, typer.Option("--fleet", help="The fleet's file; then only that.")] = None,
+) -> None:
     """Name every fault of the operators' file and of GW_CONFIG, then each value in force with its source.
 
     Ends with 0 if there is no fault, else with 1. Opens no socket.
     """
     from .check import check as checked
 
+    if fleet is not None:
+        from .leasing import fleet_of
+
+        fleet_of(fleet)  # each fault is a line, and the end
+        print(f"ok: {fleet}")
+        return
+
     faults, values = checked(file, os.environ)
     print("\n".join([*faults, *([""] if faults else []), *values]))
     raise typer.Exit(1 if faults else 0)
--- a/rosepick/fleet/budget.py
+++ b/rosepick/fleet/budget.py
@@ -147,13 +147,14 @@
 
 
 def past(ledger: Ledger, budget: Budget) -> str:
-    """Why there has to be a halt: more is out by itself than the budget allows, and `unasked` beyond."""
+    """Why there has to be a halt: more is out by itself than the budget allows, and `unasked` beyond. Not
+    what was never in: a fleet that is only starting has not failed."""
     for kind, called in KINDS.items():
         limit, members = budget.of(kind), ledger.of(kind)
         for zone in (None, *sorted({one.zone for one in members.values()})):
             here = {name: one for name, one in members.items() if zone is None or one.zone == zone}
             most, share = (limit.most, limit.share) if zone is None else (limit.zone_most, limit.zone_share)
-            lost = [name for name, one in here.items() if one.lost and one.at == At.IN]
+            lost = [name for name, one in here.items() if one.lost and one.met and one.at == At.IN]
             allowed = _most(most, share, 1000, limit.least, len(here))
             if len(lost) > allowed + budget.unasked:
                 return f"{len(lost)} {called} out unasked {zone or 'in all'}: {_named(lost)}"
--- a/rosepick/fleet/ledger.py
+++ b/rosepick/fleet/ledger.py
@@ -74,6 +74,7 @@
     lost: bool = False  # out unasked: dead, silent, cold, or it says that it serves and does not
     want: Want | None = None
     off: bool = False  # written off by name: neither in nor out, and counted nowhere
+    met: bool = False  # it was in once: what never came up is no failure of the fleet
 
     @property
     def out(self) -> bool:
@@ -202,7 +203,7 @@
         before = ledger.members.get(name)
         if before is None and len(ledger.members) >= MOST_MEMBERS or rules != (ledger.rules or rules):
             raise Declined
-        new = before or Member(int(kind), zone)
+        new = before or Member(int(kind), zone, lost=True)  # until it is seen
         if new.off:
             raise Declined
         new = msgspec.structs.replace(new, kind=int(kind), zone=zone, weight=weight)
@@ -392,12 +393,13 @@
     def make(ledger: Ledger) -> Ledger:
         if token < ledger.token:
             raise Declined
+        told = {
+            name: (ledger.members[name], is_lost) for name, is_lost in lost.items() if name in ledger.members
+        }
         members = {
-            name: msgspec.structs.replace(ledger.members[name], lost=is_lost)
-            for name, is_lost in lost.items()
-            if name in ledger.members
-            and ledger.members[name].lost != is_lost
-            and not ledger.members[name].off
+            name: msgspec.structs.replace(one, lost=is_lost, met=one.met or not is_lost)
+            for name, (one, is_lost) in told.items()
+            if not one.off and (one.lost != is_lost or not (one.met or is_lost))
         }
         lines = [
             Line(when, who, f"{name} {'lost' if one.lost else 'found'}") for name, one in members.items()
--- a/rosepick/fleet/warden.py
+++ b/rosepick/fleet/warden.py
@@ -157,9 +157,8 @@
 
 
 def wardens(ledger: Ledger) -> list[str]:
-    """Whose agents stand ready: the first by name, those that are wanted out last, none that is lost or
-    written off. An agent counts on while its member is out."""
-    found = [
-        (one.want is not None, name) for name, one in ledger.members.items() if not (one.off or one.lost)
-    ]
-    return [name for _, name in sorted(found)[:WARDENS]]
+    """Whose agents stand ready: the first by name; those that are lost, or wanted out, last. An agent
+    counts on while its member is out, and never is there none that may: else all that were lost would stay
+    so."""
+    found = [(one.lost, one.want is not None, name) for name, one in ledger.members.items() if not one.off]
+    return [name for _, _, name in sorted(found)[:WARDENS]]
--- a/rosepick/net/agent.py
+++ b/rosepick/net/agent.py
@@ -158,8 +158,8 @@
                 self._keeper = Keeper(self.client, TASK + self.group, name, self._lease, self._told)
         elif keeper.contender.where in (Where.LOST, Where.ENDED):
             self._keeper = self._warden = None
-        elif mine is not None and (mine.off or mine.lost):
-            keeper.release()  # guards against one that counts and is taken for dead by all
+        elif mine is not None and mine.off:
+            keeper.release()
 
     def _told(self, what: str) -> None:
         if what == Where.HOLDS.value and self._keeper is not None:
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -34,6 +34,7 @@
         self.register = Register()
         for number, name in enumerate(names):
             self.make(book.join(name, book.Kind.ROUTER, "ew"[number % 2], 1000, BUDGET.digest(), 0.0))
+        self.make(book.counted(dict.fromkeys(names, False), 1000, 0, 0, "", "w", 0.0))  # all are up
 
     def make(self, change: Change | None) -> Outcome:
         """Read or change it."""
@@ -214,6 +215,18 @@
             book.read(Register(1, "m", bad))
 
 
+def test_what_was_never_in_is_counted_and_is_no_failure() -> None:
+    shelf = Shelf()
+    for name in "abc":
+        shelf.make(book.join(name, book.Kind.CACHE, "e", 1, BUDGET.digest(), 0.0))
+    assert all(one.out for one in shelf.ledger.members.values()) and not past(shelf.ledger, BUDGET)
+    assert counting.wardens(shelf.ledger) == ["a", "b", "c"]  # somebody has to find them
+    shelf.make(book.counted({"a": False, "b": True, "c": False}, 1000, 0, 1, "", "a", 0.0))
+    assert [one.lost for one in shelf.ledger.members.values()] == [False, True, False]
+    shelf.make(book.counted({"a": True, "c": True}, 1000, 0, 1, "", "a", 0.0))
+    assert "a, c" in past(shelf.ledger, BUDGET)
+
+
 def test_more_out_unasked_than_the_budget_is_a_halt() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
     shelf.make(book.counted({"a": True}, 1000, 0, 1, "", "w", 0.0))
@@ -334,7 +347,9 @@
     shelf = Shelf()
     for name in "abcd":
         shelf.make(book.join(name, book.Kind.CACHE, "ew"["abcd".index(name) % 2], 1, BUDGET.digest(), 0.0))
-    shelf.make(book.counted({}, 1000, 800, 1, "", "w", 0.0))  # the others hit in 80% of their reads
+    shelf.make(
+        book.counted(dict.fromkeys("abcd", False), 1000, 800, 1, "", "w", 0.0)
+    )  # the others hit in 80% of their reads
     shelf.out("a", to=At.LEAVING)
     now = 0.0
 
