--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,9 @@
 
 drill: env
 	$(BIN)/python -m rosepick lab drill drills/simulated.toml --simulated --seed 1..100 --workers 4
+	$(BIN)/python -m rosepick lab drill drills/drains-simulated.toml --simulated --seed 1..24 --workers 4
 	$(BIN)/python -m rosepick lab drill drills/short.toml --seed 1..2 --workers 2
+	$(BIN)/python -m rosepick lab drill drills/drains-short.toml --seed 1
 
 mutations: env
 	$(BIN)/python -m rosepick lab mutations tests/mutations.toml
--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -199,13 +199,15 @@
 
 
 def _say_blocked(group: Group, told: Ledger, names: list[str]) -> None:
-    from ..fleet.budget import blocked
+    from ..fleet.budget import allowed, blocked
 
     minute = int(time.time() // 60) % 1440
     if told.rules != group.budget().digest():
         print("this file's budget is not the fleet's: `fleet rules` shows and sets it")
     for name in names:
         why = blocked(told, group.budget(), name, minute) if not told.members[name].at else []
+        if not (why or told.members[name].at or allowed(group.budget(), minute, told, name)):
+            why = ["others were asked for before"]
         print(f"{name}: {'waits: ' + '; '.join(why) if why else 'goes'}")
 
 
@@ -281,7 +283,8 @@
             count = [
                 sum(one.at in at and not (one.at == At.IN and one.lost) for one in here) for at in _COLUMNS
             ]
-            most = budget.of(kind).most_here(len(here), ledger.room)
+            limit = budget.of(kind)
+            most = min(limit.most_here(len(here), ledger.room), limit.most_of(len(all_of)))
             table.add_row(zone, called, *map(str, count), str(sum(one.lost for one in here)), str(most))
     lines: list[Any] = [table]
     if ledger.halt is not None:
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -502,3 +502,9 @@
     shelf.make(book.want_out(["a"], "me", "because", 0.0))
     told = json.loads(msgspec.json.encode(msgspec.to_builtins(shelf.ledger)))
     assert isinstance(told, list) and shelf.ledger.members["a"].want == Want(1, "me", "because")
+
+
+def test_a_short_drill_of_drains_on_real_processes(tmp_path: Path) -> None:
+    result = play.play(files.load(ROOT / "drills" / "drains-short.toml"), 2, tmp_path / "drill", keep=False)
+    assert not result.failed and not result.broken, "\n".join(result.lines)
+    assert result.counts["members out by program"] > 0 and result.counts["answers 200"] > 50
