--- a/rosepick/lab/drill/cache_node.py
+++ b/rosepick/lab/drill/cache_node.py
@@ -23,7 +23,7 @@
 from ...net.stream import Stream
 from ...ops.lines import Said
 from ..live.reader import BadRequest, Message, RequestReader, answer
-from .history import Came
+from .history import Came, Injected
 from .stand_ins import Notes, moment
 
 WARM_AFTER = 25  # requests borne ...
@@ -86,6 +86,7 @@
         # the fleet of a drill is an old one: only what starts again is cold
         self._began, self._boot_ms = moment(), round(time.time() * 1000.0) - (OLD if first else 0)
         self.notes = Notes(events)
+        self.notes.note(Injected(name, self._began, "first start" if first else "cold start"))
         self._discovery = place(discovery)
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._memory: set[bytes] = set()
--- a/rosepick/lab/drill/drain_rig.py
+++ b/rosepick/lab/drill/drain_rig.py
@@ -28,7 +28,7 @@
 from .claims import Broken
 from .discovery import Discovery
 from .files import Drill
-from .history import Answered, AnyEvent, Came, Ordered, Stood, Told
+from .history import Answered, AnyEvent, Came, Injected, Ordered, Stood, Told
 from .plan import Fault
 from .processes import FIRST_PORT
 from .rig import STAND_INS, START, DrillFailed, Played, Rig
@@ -44,6 +44,10 @@
 LATE = 0.75 + 0.1  # after all have been told; the second part for this rig's own look
 BACK_IN = 35.0  # within so long, without faults, all is back
 BEAT, SILENT = 0.8, 4.0
+WARM_IN, COLD_FROM = (
+    4.0,
+    0.12,
+)  # seconds, as the routers' settings have it; the part of its capacity at a start
 RATE = 60.0  # requests a second of the client
 CACHE = "rosepick.lab.drill.cache_node"
 EXPERIMENT = """
@@ -52,6 +56,7 @@
 zones = ["east", "west"]
 [[fleet]]
 warm_after = 4
+cold_from = 0.12
 [[classes]]
 name = "read"
 [[tenants]]
@@ -248,7 +253,11 @@
         events = sorted([*events, *self.events, *self.eye.events], key=lambda event: event.at)
         verdict = claims.judge(events)
         bounds = drain_claims.Bounds(BUDGET, SILENT + BEAT + 6.5, 4.0 + 2.0 * LOOK)
-        for broken, counts in (drain_claims.judge(events, bounds), requests(events, self.killed_at)):
+        for broken, counts in (
+            drain_claims.judge(events, bounds),
+            requests(events, self.killed_at),
+            cold_starts(events),
+        ):
             verdict.broken += broken
             verdict.counts += counts
         verdict.counts += self.counts
@@ -401,6 +410,34 @@
     return broken, counts
 
 
+def cold_starts(events: list[AnyEvent]) -> tuple[list[Broken], Counter[str]]:
+    """A cache node that starts again gets, in each second, no more than N + 3 x root of N + 3 requests, N
+    being the part of its warm neighbours' mean that it may have then."""
+    came: dict[str, list[float]] = {}
+    starts: list[tuple[float, str]] = []
+    for event in events:
+        if isinstance(event, Came):
+            came.setdefault(event.process, []).append(event.at)
+        elif isinstance(event, Injected) and event.fault == "cold start":
+            starts.append((event.at, event.process))
+    broken = []
+    for at, node in starts:
+        cold = {other for when, other in starts if at - WARM_IN < when < at + WARM_IN}
+        for second in range(int(WARM_IN)):
+            got = _between(came.get(node, []), at + second)
+            others = [_between(times, at + second) for other, times in came.items() if other not in cold]
+            part = COLD_FROM + (1.0 - COLD_FROM) * (second + 1) / WARM_IN
+            allowed = part * sum(others) / max(1, len(others))
+            if got > allowed + 3.0 * allowed**0.5 + 3.0:
+                text = f"{node} got {got} requests in second {second + 1} of a start, its part is {allowed:.1f}"
+                broken.append(Broken("cold", text))
+    return broken, Counter({"cold starts": len(starts)})
+
+
+def _between(times: list[float], since: float) -> int:
+    return sum(since <= at < since + 1.0 for at in times)
+
+
 def play(drill: Drill, seed: int, folder: Path) -> Played:
     """One seed, in a folder that is emptied first."""
     shutil.rmtree(folder, ignore_errors=True)
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -18,7 +18,7 @@
 from rosepick.fleet.ledger import At, Ledger, LedgerError, Member, Want
 from rosepick.fleet.warden import Report, Room, Warden
 from rosepick.lab.drill import drain_claims, files, play, sim_drains
-from rosepick.lab.drill.history import Answered, AnyEvent, Came, Ordered, Stood, Told
+from rosepick.lab.drill.history import Answered, AnyEvent, Came, Injected, Ordered, Stood, Told
 from rosepick.net.tended import Keep, began_at
 from rosepick.settings import fleet_file
 
@@ -479,6 +479,18 @@
     assert {one.claim for one in requests([*events[2:], Came("n", 6.0, "y", True)], {})[0]} == {"sends"}
 
 
+def test_the_judge_of_cold_starts() -> None:
+    from rosepick.lab.drill.drain_rig import cold_starts
+
+    def came(node: str, each: float) -> list[AnyEvent]:
+        return [Came(node, 10.0 + n * each, f"{node}{n}", False) for n in range(int(4.0 / each))]
+
+    warm = [*came("b", 0.1), *came("c", 0.1), Injected("a", 10.0, "cold start")]
+    assert not cold_starts([*warm, *came("a", 0.2)])[0]
+    assert "second 1 of" in cold_starts([*warm, *came("a", 0.05)])[0][0].text
+    assert not cold_starts([*warm[:-1], Injected("a", 10.0, "first start"), *came("a", 0.05)])[0]
+
+
 def test_simulated_drains_show_faults_and_full_budgets() -> None:
     drill = files.load(ROOT / "drills" / "drains-simulated.toml")
     total = play.Sum()
