--- a/rosepick/lab/drill/drain_rig.py
+++ b/rosepick/lab/drill/drain_rig.py
@@ -429,7 +429,7 @@
             part = COLD_FROM + (1.0 - COLD_FROM) * (second + 1) / WARM_IN
             allowed = part * sum(others) / max(1, len(others))
             if got > allowed + 3.0 * allowed**0.5 + 3.0:
-                text = f"{node} got {got} requests, second {second + 1} of a start: {allowed:.1f} are its part"
+                text = f"{node} got {got} requests, second {second + 1} of a start; its part is {allowed:.1f}"
                 broken.append(Broken("cold", text))
     return broken, Counter({"cold starts": len(starts)})
 
