--- a/rosepick/fleet/warden.py
+++ b/rosepick/fleet/warden.py
@@ -54,8 +54,8 @@
     parts of the requests refused, below which the store has room and above which it is short."""
 
     silent: float = 6_000.0
-    calm: float = 0.01
-    short: float = 0.05
+    calm: float = 0.005
+    short: float = 0.02
 
 
 class Room:
@@ -71,7 +71,7 @@
     def now(self, reports: list[tuple[int, Report]], stated: int) -> int:
         """Thousandths of the stated limit of `stated` cache nodes."""
         asked = sum(one.served + one.refused + one.failed for kind, one in reports if kind == Kind.ROUTER)
-        refused = sum(one.refused for kind, one in reports if kind == Kind.ROUTER) / max(asked, 1e-9)
+        refused = sum(one.refused + one.failed for kind, one in reports if kind == Kind.ROUTER) / max(asked, 1e-9)
         caches = [one for kind, one in reports if kind == Kind.CACHE and one.up]
         misses = sum(one.misses for one in caches)
         if refused > self._terms.short:
