A resume that is taken after a later halt lifts it: the judge of drains knows

Checked: the ledger's history has the halt first and then the resume that was asked 1.6 s before it, whose answer was late; so nothing went out amid a halt. At fault: the judge, which took a resume for done when it was asked. It is noted at its end too, in both drills.

--- a/rosepick/lab/drill/drain_rig.py
+++ b/rosepick/lab/drill/drain_rig.py
@@ -305,7 +305,12 @@
             self._say("halt", book.halt("crew", "drill", now))
         else:
             self.events.append(Ordered("crew", moment(), "resume"))
-            self.crew.run(book.key(GROUP), book.resume("crew", "drill", now), lambda outcome: None, 3_000.0)
+
+            def done(outcome: Outcome) -> None:
+                if outcome.kind in (Kind.DONE, Kind.UNKNOWN):  # it may be taken after a later halt
+                    self.events.append(Ordered("crew", moment(), "resume"))
+
+            self.crew.run(book.key(GROUP), book.resume("crew", "drill", now), done, 3_000.0)
         self.loop.after(1000.0 * rng.uniform(0.3, 1.3), self._order)
 
     def _note_told(self) -> None:
--- a/rosepick/lab/drill/sim_drains.py
+++ b/rosepick/lab/drill/sim_drains.py
@@ -254,7 +254,12 @@
         self.note(Ordered("operator", self.now, "resume"))
         client = self.operator.client
         assert client is not None
-        client.run(book.key(GROUP), book.resume("operator", "drill", self.now), lambda outcome: None, 3_000.0)
+
+        def done(outcome: Outcome) -> None:
+            if outcome.kind in (Kind.DONE, Kind.UNKNOWN):  # it may have been taken after a halt that was asked later
+                self.note(Ordered("operator", self.now, "resume"))
+
+        client.run(book.key(GROUP), book.resume("operator", "drill", self.now), done, 3_000.0)
 
     def _dying(self, name: str) -> None:
         member = self.agents[name].member
