--- a/rosepick/lab/drill/sim_drains.py
+++ b/rosepick/lab/drill/sim_drains.py
@@ -256,7 +256,7 @@
         assert client is not None
 
         def done(outcome: Outcome) -> None:
-            if outcome.kind in (Kind.DONE, Kind.UNKNOWN):  # it may have been taken after a halt that was asked later
+            if outcome.kind in (Kind.DONE, Kind.UNKNOWN):  # taken after a later halt, maybe
                 self.note(Ordered("operator", self.now, "resume"))
 
         client.run(book.key(GROUP), book.resume("operator", "drill", self.now), done, 3_000.0)
