A missing extra is said in one line by all fleet commands; rich belongs to the extra

Seen: in an environment without the extra, drain, fleet status and lease list ended in a traceback, and with the extra fleet alone fleet status would have (rich was in the extra lab only). Cause: leasing.client_of and seven commands imported what needs msgspec before the guard, which stood in two copies (leasing.py, lab.py). Measured: all of these end with status 2 and one line; a test for four of them, which failed before.

--- a/rosepick/cli/common.py
+++ b/rosepick/cli/common.py
@@ -4,6 +4,8 @@
 
 import os
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated, NoReturn
 
@@ -21,6 +23,17 @@
     raise typer.Exit(status)
 
 
+@contextmanager
+def needs_the_extra(extra: str) -> Iterator[None]:
+    """A library of that extra that is not there is one line, and the end."""
+    try:
+        yield
+    except ModuleNotFoundError as problem:
+        if problem.name is None or problem.name.partition(".")[0] == "rosepick":
+            raise
+        stop(f"{problem.name} is missing; `pip install 'rosepick[{extra}]'` brings what this needs", 2)
+
+
 def reread() -> config.Config:
     """The configuration that GW_CONFIG names. ConfigError if it cannot be used."""
     return config.load(os.environ)
--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -14,7 +14,7 @@
 
 import typer
 
-from .common import stop
+from .common import needs_the_extra, stop
 from .leasing import DEFAULT, NO_QUORUM, REFUSED, FleetPath, Json, asked, client_of, until
 
 if TYPE_CHECKING:
@@ -44,6 +44,8 @@
         self.client: QuorumClient
         self.told: Fleet
         self.client, self.told = client_of(path)
+        with needs_the_extra("fleet"):
+            import rich  # noqa: F401 - tables and bars
         from ..fleet import ledger
 
         self._key = ledger.key(self.told.drains.group)
@@ -183,9 +185,9 @@
 ) -> None:
     """Have members go out, as soon as the budget allows it. They stay out until `undrain`, a halt, or no
     quorum."""
+    group = Group(fleet)
     from ..fleet import ledger
 
-    group = Group(fleet)
     names = _chosen(group.read(), members, zone)
     if not why:
         stop("a drain needs --why", 2)
@@ -231,9 +233,9 @@
 
 def undrain(members: Members = None, zone: Zone = "", fleet: FleetPath = DEFAULT) -> None:
     """Have members come back, or not go."""
+    group = Group(fleet)
     from ..fleet import ledger
 
-    group = Group(fleet)
     names = _chosen(group.read(), members, zone)
     group.change(ledger.want_in(names, _who(), time.time()), lambda read: "")
     print(f"wanted in: {', '.join(names)}")
@@ -306,11 +308,12 @@
 @fleet.command()
 def halt(why: Why = "", fleet: FleetPath = DEFAULT) -> None:
     """Nothing goes out any more, and what is out by permit comes back, until `resume`."""
-    from ..fleet import ledger
-
     if not why:
         stop("a halt needs --why", 2)
-    told = Group(fleet).change(ledger.halt(_who(), why, time.time()), lambda read: "")
+    group = Group(fleet)
+    from ..fleet import ledger
+
+    told = group.change(ledger.halt(_who(), why, time.time()), lambda read: "")
     assert told.halt is not None
     print(f"halted by {told.halt.who}: {told.halt.why}")
 
@@ -318,11 +321,12 @@
 @fleet.command()
 def resume(why: Why = "", fleet: FleetPath = DEFAULT) -> None:
     """Lift the halt."""
-    from ..fleet import ledger
-
     if not why:
         stop("to resume needs --why", 2)
-    Group(fleet).change(ledger.resume(_who(), why, time.time()), lambda read: "there is no halt")
+    group = Group(fleet)
+    from ..fleet import ledger
+
+    group.change(ledger.resume(_who(), why, time.time()), lambda read: "there is no halt")
     print("resumed")
 
 
@@ -334,16 +338,17 @@
     fleet: FleetPath = DEFAULT,
 ) -> None:
     """Count a member nowhere any more: its permit ends, and its loss eats no budget."""
-    from ..fleet import ledger
-
     if not (why or back):
         stop("to write off needs --why", 2)
+    group = Group(fleet)
+    from ..fleet import ledger
+
     make = (
         ledger.take_on(member, _who(), time.time())
         if back
         else ledger.write_off(member, _who(), why, time.time())
     )
-    Group(fleet).change(make, lambda read: f"{member} is not {'written off' if back else 'a member'}")
+    group.change(make, lambda read: f"{member} is not {'written off' if back else 'a member'}")
     print(f"{member}: {'taken on again' if back else 'written off'}")
 
 
@@ -363,9 +368,9 @@
 ) -> None:
     """Say whether this file's budget is the fleet's, or make it so. Agents with another one take no
     permits."""
+    group = Group(fleet)
     from ..fleet import ledger
 
-    group = Group(fleet)
     ours = group.budget().digest()
     told = (
         group.change(ledger.set_rules(ours, _who(), time.time()), lambda read: "")
--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -6,13 +6,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any, NoReturn
 
 import typer
 
-from .common import stop
+from .common import needs_the_extra, stop
 
 if TYPE_CHECKING:
     from ..lab.experiment import Experiment
@@ -29,17 +28,6 @@
 Workers = Annotated[int, typer.Option(min=1, max=256, help="Processes that play at one time.")]
 
 
-@contextmanager
-def _needs_the_extra() -> Iterator[None]:
-    """A library of the extra that is not there is one line, and the end."""
-    try:
-        yield
-    except ModuleNotFoundError as problem:
-        if problem.name is None or problem.name.partition(".")[0] == "rosepick":
-            raise
-        stop(f"{problem.name} is missing; `pip install 'rosepick[lab]'` brings what the lab needs", 2)
-
-
 def _load(files: list[Path], changes: dict[str, Any]) -> list[Experiment]:
     """All experiments; all faults of all files are named, and the end is status 2, before anything starts."""
     from ..lab import experiment
@@ -108,7 +96,7 @@
 def check(files: Files) -> None:
     """Name every fault of experiment files, each with its place. Ends with 2 if there is one. Starts
     nothing."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         for path, given in zip(files, _load(files, {}), strict=True):
             print(
                 f"ok: {path.name}: {given.name}, {sum(nodes.count for nodes in given.fleet)} cache nodes, "
@@ -126,7 +114,7 @@
     Ends with 0 if all that must hold held, with 1 if something did not, a rule was broken or a run is void,
     and with 2 if nothing could be played.
     """
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab import console, results
 
         changes = _changes(sets)
@@ -175,7 +163,7 @@
 
     Interrupted, it leaves what was done. Ends as `lab run` does.
     """
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab import results
         from ..lab.sim import play
 
@@ -203,7 +191,7 @@
 ) -> None:
     """Put policies, or values of a setting, side by side on the same days: paired differences to the
     first."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab import compare as comparing
         from ..lab import console, results
         from ..lab.sim import play
@@ -224,7 +212,7 @@
     by: Annotated[str, typer.Option(help="policy, revision, how, or the name of a setting.")] = "revision",
 ) -> None:
     """Compare results that were kept: two revisions, simulated and live runs, two values of a setting."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab import compare as comparing
         from ..lab import console
 
@@ -253,7 +241,7 @@
     title: str = "Experiments",
 ) -> None:
     """Make one HTML page with plots of results."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab.report import render
 
         runs, costs = _runs(files)
@@ -269,7 +257,7 @@
     ] = None,
 ) -> None:
     """Say where a day's worth went: by cause, class, five seconds and router, and what is priced."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab import console
         from ..lab.account import account as accounting
         from ..lab.account.logs import NoLogs, read
@@ -303,7 +291,7 @@
     import logging
     import tempfile
 
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab.drill import files, play
     logging.getLogger("rosepick").setLevel(logging.ERROR)  # the processes' logs are in files of their own
 
@@ -330,7 +318,7 @@
     renewals: Annotated[int, typer.Option(min=100, help="For the size of a witness's storage.")] = 100_000,
 ) -> None:
     """Measure what leases cost on this machine, beside a lock file."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         import logging
 
         from ..lab.drill import measure
@@ -347,7 +335,7 @@
     seconds: Annotated[float, typer.Option(min=1)] = 20.0,
 ) -> None:
     """Measure what drains cost the witnesses, with so many members."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         import logging
 
         from ..lab.drill import drain_measure
@@ -363,7 +351,7 @@
     again: Annotated[int, typer.Option(min=0, help="How often each caller may ask anew.")] = 0,
 ) -> None:
     """Play two callers and a few witnesses through every order of messages. Ends with 1 if a claim breaks."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab.drill.explore import explore
 
     found = explore(witnesses, again)
@@ -380,7 +368,7 @@
     workers: Workers = 4,
 ) -> None:
     """Put each planted fault into a copy of the program and have a drill find it; 1 if one is not found."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab.drill import mutations as planted
 
     missed = 0
@@ -401,7 +389,7 @@
 ) -> None:
     """Start a small fleet on this machine, with one router, a slow node and a restart, and show what
     happens."""
-    with _needs_the_extra():
+    with needs_the_extra("lab"):
         from ..lab.demo import demo as show
 
         raise typer.Exit(show(seconds))
--- a/rosepick/cli/leasing.py
+++ b/rosepick/cli/leasing.py
@@ -9,14 +9,13 @@
 import os
 import secrets
 import sys
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
 
 import typer
 
-from .common import stop
+from .common import needs_the_extra, stop
 
 if TYPE_CHECKING:
     from ..agreement import messages as m
@@ -36,19 +35,18 @@
 NO_QUORUM, TAKEN, IN_DOUBT, REFUSED = 69, 75, 76, 77  # exit statuses, told apart from a command's own
 
 
-@contextmanager
-def _needs_the_extra() -> Iterator[None]:
-    try:
-        yield
-    except ModuleNotFoundError as problem:
-        if problem.name is None or problem.name.partition(".")[0] == "rosepick":
-            raise
-        stop(f"{problem.name} is missing; `pip install 'rosepick[fleet]'` brings what this needs", 2)
+@witness.callback()
+@lease.callback()
+def _extra() -> None:
+    """Before any command of a group: what it imports is there, or that is said."""
+    with needs_the_extra("fleet"):
+        import msgspec  # noqa: F401
+        import pydantic  # noqa: F401
 
 
 def fleet_of(path: Path) -> tuple[Fleet, bytes]:
     """The fleet's file; each of its faults is a line, and the end."""
-    with _needs_the_extra():
+    with needs_the_extra("fleet"):
         from ..net.links import may_leave_the_machine
         from ..settings import fleet_file
     try:
@@ -65,11 +63,11 @@
     """A client of the fleet's quorum on a loop of its own."""
     import random
 
+    fleet, key = fleet_of(path)  # before all that needs the extra: says so if it is not there
     from ..net.boottime import boottime
     from ..net.loop import Loop
     from ..net.quorum import QuorumClient, over
 
-    fleet, key = fleet_of(path)
     loop = Loop(boottime)
     rng = random.Random(secrets.randbits(128))
     return QuorumClient(loop, over(loop, fleet.endpoints(), key), rng), fleet
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
@@ -520,3 +523,14 @@
     result = play.play(files.load(ROOT / "drills" / "drains-short.toml"), 2, tmp_path / "drill", keep=False)
     assert not result.failed and not result.broken, "\n".join(result.lines)
     assert result.counts["members out by program"] > 0 and result.counts["answers 200"] > 50
+
+
+@pytest.mark.parametrize("words", ["drain x --why y", "fleet status", "lease list", "check --fleet FILE"])
+def test_a_missing_extra_is_one_line(words: str, tmp_path: Path) -> None:
+    (tmp_path / "msgspec.py").write_text("raise ModuleNotFoundError('none', name='msgspec')\n")
+    fleet = str(ROOT / "deploy" / "fleet.toml")
+    given = words.replace("FILE", fleet).split()
+    environment = {**os.environ, "PYTHONPATH": f"{tmp_path}:{ROOT}", "ROSEPICK_FLEET": fleet}
+    command = [sys.executable, "-m", "rosepick", *given]
+    done = subprocess.run(command, capture_output=True, text=True, env=environment, timeout=60)
+    assert done.returncode == 2 and "rosepick[fleet]" in done.stderr and "Traceback" not in done.stderr
