--- a/rosepick/lab/drill/explore.py
+++ b/rosepick/lab/drill/explore.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import copy
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
 
 from ...agreement import messages as m
 from ...agreement.messages import NONE, Ballot, Member, Quorum
@@ -168,9 +169,24 @@
     return repr(operation._votes.get(name)), name in operation._against
 
 
-def explore(witnesses: int = 3, again: int = 0, most: int = 5_000_000) -> Explored:
-    """All states there are, depth by depth."""
-    first = World(witnesses, again)
+class Walked(Protocol):
+    """A state of a small world."""
+
+    def key(self) -> tuple[object, ...]:
+        """Tells states apart."""
+
+    def wrong(self) -> str:
+        """Why a claim does not hold in it; empty if all do."""
+
+
+W = TypeVar("W", bound=Walked)
+
+
+def walk(
+    first: W, steps: Callable[[W], Iterable[W]], look: Callable[[W, Explored], None], most: int
+) -> Explored:
+    """All states there are, depth by depth, up to the first that is wrong; `look` counts in each what is of
+    interest."""
     found = Explored()
     seen = {hash(first.key())}
     layer = [first]
@@ -181,12 +197,8 @@
             if wrong := world.wrong():
                 found.broken.append(wrong)
                 break
-            if not world.flying:
-                found.ends += 1
-                found.done += all(
-                    one.outcome is not None and one.outcome.kind is Kind.DONE for one in world.callers
-                )
-            for _, other in world.steps():
+            look(world, found)
+            for other in steps(world):
                 found.steps += 1
                 key = hash(other.key())
                 if key not in seen:
@@ -195,3 +207,15 @@
         layer = following
         found.depth += bool(layer)
     return found
+
+
+def explore(witnesses: int = 3, again: int = 0, most: int = 5_000_000) -> Explored:
+    """Two callers and their witnesses, in every order of messages."""
+
+    def look(world: World, found: Explored) -> None:
+        if not world.flying:
+            found.ends += 1
+            ends = [one.outcome for one in world.callers]
+            found.done += all(end is not None and end.kind is Kind.DONE for end in ends)
+
+    return walk(World(witnesses, again), lambda world: (other for _, other in world.steps()), look, most)
--- a/rosepick/lab/drill/explore_leases.py
+++ b/rosepick/lab/drill/explore_leases.py
@@ -15,7 +15,7 @@
 from ...agreement.messages import Register
 from ...agreement.operation import Change, Declined, Kind, Outcome
 from ...leases.contender import Contender, Terms
-from .explore import Explored
+from .explore import Explored, walk
 
 STEP = 1_000.0  # milliseconds
 
@@ -150,26 +150,10 @@
 
 
 def explore(bounds: Bounds = Bounds(), most: int = 5_000_000) -> Explored:  # noqa: B008 - it is frozen
-    """All states there are, depth by depth."""
-    first = Leases(bounds)
-    found = Explored()
-    seen = {hash(first.key())}
-    layer = [first]
-    while layer and found.states < most and not found.broken:
-        following = []
-        for world in layer:
-            found.states += 1
-            if wrong := world.wrong():
-                found.broken.append(wrong)
-                break
-            found.done += any(one.may_act(world._clock) for one in world.contenders)
-            found.ends += world.now == bounds.horizon
-            for other in world.steps():
-                found.steps += 1
-                key = hash(other.key())
-                if key not in seen:
-                    seen.add(key)
-                    following.append(other)
-        layer = following
-        found.depth += bool(layer)
-    return found
+    """Two contenders, in every order."""
+
+    def look(world: Leases, found: Explored) -> None:
+        found.done += any(one.may_act(world._clock) for one in world.contenders)
+        found.ends += world.now == bounds.horizon
+
+    return walk(Leases(bounds), Leases.steps, look, most)
