Releases as an agreed record: waves, leader, judge, and an agent that carries them out

Need: a release is the most common way in which many routers fail at once. Operators want a new build or new settings brought to all routers with one command, stopped by itself when it is worse, and taken back.

A way back passes a halt of the drains, under a wider budget if one is stated. Reports carry processor time, memory, the door's time, ends and what runs.

--- a/rosepick/cli/app.py
+++ b/rosepick/cli/app.py
@@ -8,7 +8,7 @@
 
 import typer
 
-GROUPS = ("serving", "replaying", "batches", "leasing", "fleet", "lab")
+GROUPS = ("serving", "replaying", "batches", "leasing", "fleet", "releasing", "lab")
 SERVING = ("serve", "check", "check-config", "version")
 
 
--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -87,7 +87,8 @@
 
     drains = told.drains
     routers, caches = (Limit(**one.model_dump()) for one in (drains.routers, drains.caches))
-    return Budget(routers, caches, drains.minutes(), drains.apart, drains.unasked)
+    back = None if drains.back is None else Limit(**drains.back.model_dump())
+    return Budget(routers, caches, drains.minutes(), drains.apart, drains.unasked, back)
 
 
 @agent.command("run")
@@ -101,9 +102,18 @@
     weight: Annotated[
         int, typer.Option(min=1, max=1_000_000, help="Its share beside others of its kind.")
     ] = 1000,
+    build: Annotated[
+        Path | None, typer.Option(help="The build that stands here; {build} in COMMAND is its place.")
+    ] = None,
+    config: Annotated[
+        Path | None, typer.Option(help="The member's GW_CONFIG; releases change its settings.")
+    ] = None,
+    check: Annotated[str, typer.Option(help="A command that checks a version; {build} is its place.")] = "",
     fleet: FleetPath = DEFAULT,
 ) -> None:
-    """Look after one router or cache node in the foreground until SIGTERM. The member outlives its agent."""
+    """Look after one router or cache node in the foreground until SIGTERM. The member outlives its agent.
+
+    With --build or --config it takes part in releases (docs/releases.md)."""
     import signal
 
     if kind not in ("router", "cache"):
@@ -118,9 +128,11 @@
     from ..leases.contender import Terms as LeaseTerms
     from ..leases.guard import Guard
     from ..net.agent import AgentDriver
+    from ..net.kept import Keep
     from ..net.loop import Loop
     from ..net.store import StoreError
-    from ..net.tended import Keep, TendedProcess
+    from ..net.tended import TendedProcess
+    from .releasing import carrier_of, plan_of
 
     logs.set_up()
     try:
@@ -130,11 +142,18 @@
     drains, loop = told.drains, client.loop
     assert isinstance(loop, Loop)
     a_kind = ledger.Kind.ROUTER if kind == "router" else ledger.Kind.CACHE
+    try:
+        versions, carrier = carrier_of(name, kept, folder, told.releases, (build, config, check, command))
+    except OSError as problem:
+        stop(problem, 3)
     tended = TendedProcess(
-        loop, a_kind, (host, int(port)), command, kept, folder / "member.log", drains.halt_above
+        loop, a_kind, (host, int(port)), command, kept, folder / "member.log", drains.halt_above, versions
     )
     terms = Terms(lonely=1000.0 * drains.lonely, steady=1000.0 * drains.steady)
     machine = Agent(name, a_kind, zone, weight, budget_of(told), terms, kept)
+    machine.carrier = carrier
+    if carrier is not None:
+        tended.goes_by(lambda: carrier.runs)
     lease = LeaseTerms(told.leases.ttl * 1000.0, told.leases.drift)
     counting = warden.Terms(silent=1000.0 * drains.silent)
     driver = AgentDriver(
@@ -146,6 +165,7 @@
         (lease, counting),
         time.time,
         1000.0 * drains.beat,
+        plan_of(told.releases),
     )
 
     def end() -> None:
--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -14,6 +14,7 @@
 from ..agreement.operation import Change, Kind, Outcome
 from . import ledger as book
 from .budget import Budget, allowed
+from .carrier import Carrier
 from .ledger import At, Ledger, LedgerError, Member
 
 NEAR = 0.8  # of its neighbours' hit share: a cache node says that it is warm, and has to be seen to
@@ -58,6 +59,8 @@
     warm: bool = True  # a cache node: it says so
     hit_share: float | None = None  # of a cache node's reads of late; None: too few
     bad: str = ""  # a figure breaks its stated line: why
+    wrong: bool = False  # it runs another build than it is to run
+    ends: int = 0  # how often it has ended by itself
 
 
 class Kept(Protocol):
@@ -98,6 +101,8 @@
         self._serves_since: float | None = None
         self._sweep = (-1, 0.0)  # the last count that was seen, and when it was new
         self._alone = 0.0  # for how long there was no answer, until one came
+        self.carrier: Carrier | None = None  # its part in releases, if it has one
+        self._ends = 0
 
     # -- what is to be done with the member
 
@@ -111,6 +116,9 @@
             None if not own.serving else now if self._serves_since is None else self._serves_since
         )
         self._heard = now if self._heard is None else self._heard
+        if self.carrier is not None:
+            self.carrier.step(now, self.at, own.ends > self._ends, self.proven(now, own))
+            self._ends = own.ends
         if self.at in (At.LEAVING, At.OUT) and self._comes_back(now) and not self._must_stop(own):
             self._stand(At.BACK, self.permit)
         if self.at == At.LEAVING:
@@ -119,6 +127,8 @@
             return Do.STOP if own.running else Do.NOTHING  # somebody else has started it
         if not own.running:
             return Do.START
+        if self.at == At.BACK and (own.wrong or own.ending):
+            return Do.STOP
         return Do.KEEP if own.draining and self.kind == book.Kind.CACHE else Do.NOTHING
 
     def _leave(self, now: float, own: Own) -> Do:
@@ -145,14 +155,14 @@
         if self.ledger is None:
             return False  # this agent has begun just now: what it has out stays so until it knows better
         halted = self.ledger.halt is not None
-        return (
-            mine is None or mine.want is None or mine.permit != self.permit or (halted and not mine.want.now)
-        )
+        return mine is None or mine.want is None or mine.permit != self.permit or (halted and not mine.urgent)
 
     def proven(self, now: float, own: Own) -> bool:
         """Whether the member is back beyond doubt."""
-        since = self._serves_since
-        if not own.warm or own.draining or since is None or now - since < self.terms.steady:
+        since, steady = self._serves_since, self.terms.steady
+        if self.carrier is not None and self.carrier.trial:
+            steady = max(steady, self.carrier.terms.settle)
+        if not own.warm or own.draining or own.wrong or since is None or now - since < steady:
             return False
         usual = 0.0 if self.ledger is None else self.ledger.usual / 1000.0
         return own.hit_share is None or own.hit_share >= NEAR * usual
@@ -214,17 +224,22 @@
             return ""
         if self._alone > self.terms.lonely:
             return f"no quorum for {self._alone / 1000.0:.0f} s amid a drain"
-        return f"{self.name}: {own.bad}" if own.bad else ""
+        judged = self.carrier is not None and self.carrier.judged()  # then it is for who leads the release
+        return f"{self.name}: {own.bad}" if own.bad and not judged else ""
 
     def _next_step(self, now: float, own: Own, wall: float, ledger: Ledger, mine: Member) -> Ask:
         name, permit = self.name, self.permit
+        if self.carrier is not None and mine.at == self.at:
+            wish = self.carrier.wish(now, self.at, mine, ledger, wall)
+            if wish is not None:
+                return Ask("wish", wish)
         if self.at == At.IN and mine.want is not None:
             minute = int(wall // 60) % (24 * 60)
             fresh = mine.want.now or now - self._sweep[1] <= self.terms.counted
             if fresh and self._may(minute, ledger, name):
                 return Ask("take", book.take(name, lambda read, who: self._may(minute, read, who), wall))
         elif self.at == At.GIVEN:
-            unwanted = mine.want is None or (ledger.halt is not None and not mine.want.now)
+            unwanted = mine.want is None or (ledger.halt is not None and not mine.urgent)
             make = book.withdraw if unwanted else book.begin
             return Ask("withdraw" if unwanted else "begin", make(name, permit, wall))
         elif self.at == At.OUT and mine.at == At.LEAVING:
@@ -241,7 +256,7 @@
     def answered(self, now: float, ask: Ask, outcome: Outcome) -> None:
         """What came of a question."""
         asked_at, self._asked = self._asked, None
-        self._next = now + self._pause()
+        self._next = now + self.pause()
         if outcome.kind is Kind.FAILED or not (outcome.register.version or outcome.kind is Kind.READ):
             return
         if self._heard is not None and self.lonely(now):
@@ -265,7 +280,7 @@
         if self._heard is not None and not self.lonely(now):
             self._heard = now
 
-    def _pause(self) -> float:
+    def pause(self) -> float:
         """Until the next look: where nothing is wanted of this member, longer in a large fleet, so that all
         looks together stay few (100 a second)."""
         mine = self._mine()
--- a/rosepick/fleet/budget.py
+++ b/rosepick/fleet/budget.py
@@ -53,15 +53,19 @@
     closed: tuple[tuple[int, int], ...] = ()
     apart: Mapping[str, Sequence[str]] = field(default_factory=dict)
     unasked: int = 0  # so many more than a limit may be out by themselves before there is a halt
+    back: Limit | None = None  # for routers on the way back from a release; None: as always
 
-    def of(self, kind: int) -> Limit:
-        """The limit for a kind."""
+    def of(self, kind: int, wide: bool = False) -> Limit:
+        """The limit for a kind; `wide`: for the way back from a release."""
+        if wide and kind == Kind.ROUTER and self.back is not None:
+            return self.back
         return self.routers if kind == Kind.ROUTER else self.caches
 
     def digest(self) -> str:
         """Tells two budgets apart."""
         apart = sorted((group, sorted(names)) for group, names in self.apart.items())
         told = repr((self.routers, self.caches, self.closed, apart, self.unasked))
+        told += repr(self.back) if self.back is not None else ""
         return blake2b(told.encode(), digest_size=6).hexdigest()
 
 
@@ -79,9 +83,9 @@
     found = [] if want is not None and want.below else _floor(ledger, budget, name, one)
     if now:
         return found
-    if ledger.halt is not None:
+    if ledger.halt is not None and not one.urgent:
         found.append(f"halted by {ledger.halt.who}: {ledger.halt.why}")
-    for begin, end in budget.closed:
+    for begin, end in () if one.urgent else budget.closed:
         if begin <= minute < end or (end < begin and not end <= minute < begin):
             found.append(
                 f"nothing goes from {begin // 60:02}:{begin % 60:02} to {end // 60:02}:{end % 60:02}"
@@ -96,7 +100,7 @@
 
 def _floor(ledger: Ledger, budget: Budget, name: str, one: Member) -> list[str]:
     """What must stay in a zone."""
-    stay, called = budget.of(one.kind).stay, KINDS[Kind(one.kind)]
+    stay, called = budget.of(one.kind, one.urgent).stay, KINDS[Kind(one.kind)]
     here = [other for other, member in ledger.of(one.kind).items() if member.zone == one.zone]
     left = sum(other != name and not ledger.members[other].out for other in here)
     return [] if left >= stay else [f"only {left} {called} would be left in {one.zone}, {stay} must stay"]
@@ -105,7 +109,7 @@
 def _over(ledger: Ledger, budget: Budget, name: str, one: Member) -> list[str]:
     """Limits that would be passed. Also for one that is lost: it may have come back in this moment, and
     would be taken out then beside others."""
-    limit, all_of, called = budget.of(one.kind), ledger.of(one.kind), KINDS[Kind(one.kind)]
+    limit, all_of, called = budget.of(one.kind, one.urgent), ledger.of(one.kind), KINDS[Kind(one.kind)]
     here = {other: member for other, member in all_of.items() if member.zone == one.zone}
     found = []
     for place, members, most, share, weight in (
--- a/rosepick/fleet/ledger.py
+++ b/rosepick/fleet/ledger.py
@@ -61,6 +61,7 @@
     why: str
     now: bool = False  # the host dies: at once, over the budget
     below: bool = False  # and even under what must stay
+    wide: bool = False  # on the way back from a release: by the wider budget that is stated for it
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
@@ -81,6 +82,11 @@
         """Whether it is missing to the fleet, for whatever reason: counted once."""
         return not self.off and (self.at != At.IN or self.lost)
 
+    @property
+    def urgent(self) -> bool:
+        """Whether a halt does not keep it in: its host dies, or it goes back to what it ran before."""
+        return self.want is not None and (self.want.now or self.want.wide)
+
 
 class Halt(msgspec.Struct, frozen=True, array_like=True):
     """Nothing goes out until an operator resumes."""
@@ -249,7 +255,13 @@
 
 
 def want_out(
-    names: Iterable[str], who: str, why: str, when: float, now: bool = False, below: bool = False
+    names: Iterable[str],
+    who: str,
+    why: str,
+    when: float,
+    now: bool = False,
+    below: bool = False,
+    wide: bool = False,
 ) -> Change:
     """Some are to go out, in this order; one that is wanted out already stays where it stands."""
 
@@ -261,7 +273,7 @@
                 raise Declined
             if one.want is None or (now, below) > (one.want.now, one.want.below):
                 number += 1
-                want = Want(number, who, why[:LONGEST_TEXT], now, below)
+                want = Want(number, who, why[:LONGEST_TEXT], now, below, wide)
                 members[name] = msgspec.structs.replace(one, want=want)
         if not members:
             raise Declined
@@ -271,12 +283,16 @@
     return change(make)
 
 
-def want_in(names: Iterable[str], who: str, when: float) -> Change:
-    """Some are to come back, or not to go."""
+def want_in(names: Iterable[str], who: str, when: float, only_of: str = "") -> Change:
+    """Some are to come back, or not to go. `only_of`: unless somebody else has asked for it."""
 
     def make(ledger: Ledger) -> Ledger:
         found = {name: ledger.members[name] for name in names if name in ledger.members}
-        members = {name: msgspec.structs.replace(one, want=None) for name, one in found.items() if one.want}
+        members = {
+            name: msgspec.structs.replace(one, want=None)
+            for name, one in found.items()
+            if one.want and only_of in ("", one.want.who)
+        }
         if not members:
             raise Declined
         return _with(ledger, members, Line(when, who, f"wants {', '.join(members)} in"[:LONGEST_TEXT]))
@@ -308,7 +324,7 @@
 
     def make(ledger: Ledger) -> Ledger:
         one = _member(ledger, name, permit, At.GIVEN)
-        if one.want is None or (ledger.halt is not None and not one.want.now):
+        if one.want is None or (ledger.halt is not None and not one.urgent):
             raise Declined
         said = Line(when, name, f"leaving, permit {permit}")
         return _with(ledger, {name: msgspec.structs.replace(one, at=int(At.LEAVING))}, said)
@@ -355,7 +371,7 @@
     back = {
         name: msgspec.structs.replace(one, at=int(At.IN), permit=0)
         for name, one in ledger.members.items()
-        if one.at == At.GIVEN and not (one.want and one.want.now)
+        if one.at == At.GIVEN and not one.urgent
     }
     said = Line(when, who, f"halt: {why}"[:LONGEST_TEXT])
     return _with(ledger, back, said, halt=Halt(who, why[:LONGEST_TEXT], when))
--- a/rosepick/fleet/warden.py
+++ b/rosepick/fleet/warden.py
@@ -30,6 +30,13 @@
     failed: float = 0.0
     hits: float = 0.0
     misses: float = 0.0
+    cpu: float = 0.0  # seconds a second
+    memory: float = 0.0  # KiB
+    door: float = 0.0  # milliseconds until its door answers
+    ends: int = 0  # how often it has ended by itself
+    build: str = ""  # digests of what it runs
+    settings: str = ""
+    trouble: str = ""  # why it does not run what it is to run
 
 
 _decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(Report)
--- a/rosepick/net/agent.py
+++ b/rosepick/net/agent.py
@@ -12,8 +12,10 @@
 
 from ..agreement.operation import Kind, Outcome
 from ..fleet import ledger as book
+from ..fleet import release
 from ..fleet import warden as counting
 from ..fleet.agent import Agent, Ask, Do, Own
+from ..fleet.leader import Leader, Plan
 from ..fleet.warden import Report, Warden
 from ..leases.contender import Terms as LeaseTerms
 from ..leases.contender import Where
@@ -27,6 +29,7 @@
 PATIENCE = 1_500.0  # for a question
 AT_ONCE = 32  # reports that a warden reads at one time
 TASK = "drains/"  # of the leases of those who count
+SELDOM = 2_000.0  # milliseconds between two readings of the releases, where there is nothing to do by them
 
 
 class Tended(Protocol):
@@ -55,7 +58,9 @@
         terms: tuple[LeaseTerms, counting.Terms],
         wall: Callable[[], float],
         beat: float = 1_500.0,
+        plan: Plan | None = None,
     ) -> None:
+        """`plan`: how releases are led, should this agent come to lead them."""
         self.client, self.loop, self.group = client, client.loop, group
         self.machine, self._tended, self._guard, self._wall = machine, tended, guard, wall
         self._lease, self._counting, self._beat_every = *terms, beat
@@ -65,6 +70,9 @@
         self._reporting = False
         self._keeper: Keeper | None = None
         self._warden: Warden | None = None
+        self._plan = plan
+        self._leader: Leader | None = None
+        self._read_next, self._reading = 0.0, False
         self._was = (machine.at, machine.permit)
         self._refused = 0
         self._lonely = False
@@ -78,6 +86,7 @@
             what = Do.NOTHING
         self._tended.do(what)
         self._ask(now)
+        self._read_releases(now)
         self._report(now)
         self._stand_ready(now)
         self._note(now)
@@ -135,7 +144,10 @@
             return
         self._reporting, self._reported, self._last = True, now, state
         self._beat += 1
-        value = msgspec.msgpack.encode(self._tended.report(self._run, self._beat))
+        report = self._tended.report(self._run, self._beat)
+        if self.machine.carrier is not None:
+            report = msgspec.structs.replace(report, trouble=self.machine.carrier.trouble())
+        value = msgspec.msgpack.encode(report)
         place = counting.key(self.group, self.machine.name)
 
         def done(outcome: Outcome) -> None:
@@ -147,6 +159,51 @@
 
         self.client.run(place, lambda register: value, done, PATIENCE)
 
+    # -- releases
+
+    def _read_releases(self, now: float) -> None:
+        """Look at the record of releases: often while there is something to do by it."""
+        carrier = self.machine.carrier
+        if carrier is None or self._reading or now < self._read_next:
+            return
+        self._reading = True
+
+        def done(outcome: Outcome) -> None:
+            self._reading = False
+            if outcome.kind is Kind.READ:
+                try:
+                    carrier.told(release.read(outcome.register), now)
+                except book.LedgerError as problem:
+                    say(log, logging.ERROR, "releases_unreadable", text=problem)
+            often = carrier.busy(now) or self.machine.at != book.At.IN
+            pause = self.machine.terms.look if often else max(SELDOM, self.machine.pause())
+            self._read_next = self.loop.now() + pause
+
+        self.client.run(release.key(self.group), None, done, PATIENCE)
+
+    def _lead(self) -> None:
+        """The next step of a release, if there is one and this agent still may write it."""
+
+        def read(outcome: Outcome) -> None:
+            keeper, ledger, leader = self._keeper, self.machine.ledger, self._leader
+            if outcome.kind is not Kind.READ or keeper is None or ledger is None or leader is None:
+                return
+            try:
+                record = release.read(outcome.register)
+            except book.LedgerError:
+                return
+            token, name = keeper.contender.token, self.machine.name
+            step = leader.step(record, ledger, self.loop.now(), self._wall(), name, token)
+            if step is None or not keeper.may_act():
+                return
+            if step.what not in ("note", "left"):
+                level = logging.ERROR if step.what in ("worse", "hold") else logging.INFO
+                number = record.releases
+                say(log, level, "release_step", release=number, what=step.what, why=step.why, token=token)
+            self.client.run(release.key(self.group), step.change, lambda outcome: None, PATIENCE)
+
+        self.client.run(release.key(self.group), None, read, PATIENCE)
+
     # -- counting for the group
 
     def _stand_ready(self, now: float) -> None:
@@ -157,13 +214,15 @@
             if ledger is not None and name in counting.wardens(ledger):
                 self._keeper = Keeper(self.client, TASK + self.group, name, self._lease, self._told)
         elif keeper.contender.where in (Where.LOST, Where.ENDED):
-            self._keeper = self._warden = None
+            self._keeper = self._warden = self._leader = None
         elif mine is not None and mine.off:
             keeper.release()
 
     def _told(self, what: str) -> None:
         if what == Where.HOLDS.value and self._keeper is not None:
             self._warden = Warden(self.machine.budget, self._counting, self.loop.now())
+            if self._plan is not None:
+                self._leader = Leader(self._plan, self.loop.now())
             say(log, logging.INFO, "warden", member=self.machine.name, token=self._keeper.contender.token)
             self._sweep(self._warden)
 
@@ -186,7 +245,10 @@
             nonlocal left
             left -= 1
             if outcome.kind is Kind.READ:
-                warden.told(name, counting.read(outcome.register), self.loop.now())
+                report = counting.read(outcome.register)
+                warden.told(name, report, self.loop.now())
+                if self._leader is not None:
+                    self._leader.told(name, report)
             more()
             if not left:
                 self._count(warden)
@@ -200,6 +262,8 @@
         keeper, ledger = self._keeper, self.machine.ledger
         if warden is not self._warden or keeper is None or ledger is None or not keeper.may_act():
             return
+        if self._leader is not None:
+            self._lead()
         found = warden.verdict(ledger, self.loop.now())
         token = keeper.contender.token
         name, wall = self.machine.name, self._wall()
--- a/rosepick/net/tended.py
+++ b/rosepick/net/tended.py
@@ -15,14 +15,18 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from ..fleet.agent import Do, Own
 from ..fleet.ledger import Kind
+from ..fleet.release import BUILD, SETTINGS
 from ..fleet.warden import Report
 from ..logs import say
 from .budget import Budget
+from .kept import Keep
 from .links import Endpoint
 from .loop import READ, WRITE, Loop
-from .store import StoreError, Tokens
+from .releasing import Versions, filled
 from .stream import Stream, dial
 
 log = logging.getLogger(__name__)
@@ -31,54 +35,10 @@
 STAYS = 10_000.0  # one that ran for so long did not end at its start
 KILL_AFTER = 15_000.0  # a member that was told to end and does not
 LONGEST_ANSWER = 256 * 1024
+FIGURES = ("served", "refused", "failed", "hits", "misses", "cpu", "memory", "door")
 FEW = 30  # reads before their share says anything
 
 
-class Keep:
-    """What an agent is doing, on its disk: where its member stands, its permit, its process."""
-
-    def __init__(self, folder: Path) -> None:
-        self.tokens = Tokens(folder)  # the folder is this agent's alone
-        self._path = folder / "agent.json"
-        try:
-            text = self._path.read_text("utf-8") if self._path.exists() else "{}"
-            self._told: dict[str, Any] = json.loads(text)
-        except (OSError, ValueError) as problem:
-            self.tokens.close()
-            raise StoreError(f"{self._path}: {problem}") from None
-
-    def load(self) -> tuple[int, int]:
-        """Where the member stands, and the permit."""
-        return int(self._told.get("at", 0)), int(self._told.get("permit", 0))
-
-    def save(self, at: int, permit: int) -> None:
-        """It is on the disk when this returns."""
-        self.put(at=at, permit=permit)
-
-    def put(self, **more: Any) -> None:
-        """Keep something: written beside, synchronised, and put in the place of the old."""
-        self._told |= more
-        beside = self._path.with_suffix(".new")
-        with beside.open("w", encoding="utf-8") as file:
-            json.dump(self._told, file)
-            file.flush()
-            os.fsync(file.fileno())
-        beside.replace(self._path)
-        folder = os.open(self._path.parent, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
-
-    def get(self, name: str) -> Any:
-        """What was kept under a name."""
-        return self._told.get(name)
-
-    def close(self) -> None:
-        """Let go of the folder."""
-        self.tokens.close()
-
-
 class Call:
     """One question on one line to a member's door; `done` hears its answer, or None."""
 
@@ -129,6 +89,16 @@
     return "" if fields[0] in ("Z", "X") else fields[19]
 
 
+def used_by(pid: int) -> tuple[float, float]:
+    """Seconds of processor time and KiB of memory that a process has used; zeros if it is gone."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text("ascii").rsplit(")", 1)[1].split()
+        ticks, pages = int(fields[11]) + int(fields[12]), int(fields[21])
+    except (OSError, IndexError, ValueError):
+        return 0.0, 0.0
+    return ticks / os.sysconf("SC_CLK_TCK"), pages * os.sysconf("SC_PAGE_SIZE") / 1024.0
+
+
 class TendedProcess:
     """A router, or a cache node, that is a process of this machine with an operators' door."""
 
@@ -141,7 +111,9 @@
         kept: Keep,
         log_to: Path,
         bad_above: float,
+        versions: Versions | None = None,
     ) -> None:
+        """`versions`: where a release's builds and settings are, if this member takes part in releases."""
         self._loop, self._kind, self._door, self._command, self._kept = loop, kind, door, command, kept
         self._log_to, self._bad_above = log_to, bad_above
         self._budget = Budget(64)
@@ -159,6 +131,11 @@
         self._before: tuple[float, dict[str, float]] | None = None
         self._share: dict[str, float] = {}
         self._reads: dict[str, float] = {}
+        self._versions = versions
+        self._runs: Callable[[], dict[str, str]] = dict
+        self._ends = 0
+        self._doors: list[float] = []
+        self._used = 0.0  # processor time, at the last report
         if self._alive():
             say(log, logging.INFO, "member_found", pid=self._pid)
 
@@ -170,10 +147,18 @@
             if self._loop.now() - self._started > STAYS:
                 self._pause = AGAIN
             self._next_start = self._loop.now() + (0.0 if self._told_to_end is not None else self._pause)
+            self._ends += self._told_to_end is None
             self._popen, self._pid, self._told_to_end = None, 0, None
             self._ready_said = False
         return bool(self._pid) and began_at(self._pid) == self._began
 
+    def goes_by(self, runs: Callable[[], dict[str, str]]) -> None:
+        """What this member is to run, by kind: digests."""
+        self._runs = runs
+        if self._versions is not None:
+            self._versions.runs = runs
+            self._versions.reload = lambda: self._signal(signal.SIGHUP)
+
     def do(self, what: Do) -> None:
         """Start it, have it drain or not, stop it; again and again until it is so."""
         if what is Do.START:
@@ -190,16 +175,27 @@
         self._pause = min(LONGEST_PAUSE, 2.0 * self._pause)
         self._next_start, self._started, self._told_to_end = now + self._pause, now, None
         self._ready_said = False
+        command, environment, build = self._command, dict(os.environ), self._runs().get(BUILD, "")
+        if self._versions is not None:
+            self._versions.compose()
+            command = filled(command, self._versions.place(build))
+            environment |= self._versions.environment()
         try:
             with self._log_to.open("ab") as out:
                 self._popen = subprocess.Popen(
-                    self._command, stdin=subprocess.DEVNULL, stdout=out, stderr=out, start_new_session=True
+                    command,
+                    stdin=subprocess.DEVNULL,
+                    stdout=out,
+                    stderr=out,
+                    start_new_session=True,
+                    env=environment,
                 )
         except OSError as problem:
-            say(log, logging.ERROR, "member_not_started", command=self._command[0], text=problem)
+            self._ends += 1
+            say(log, logging.ERROR, "member_not_started", command=command[0], text=problem)
             return
-        self._pid, self._began = self._popen.pid, began_at(self._popen.pid)
-        self._kept.put(pid=self._pid, began=self._began)
+        self._pid, self._began, self._used = self._popen.pid, began_at(self._popen.pid), 0.0
+        self._kept.put(pid=self._pid, began=self._began, ran=build)
         say(log, logging.INFO, "member_started", pid=self._pid)
 
     def _stop(self) -> None:
@@ -231,7 +227,13 @@
         self._asked, self._open = now, True
         self._turns += 1
         line = "telemetry" if self._turns % 2 else "readyz"
-        Call(self._loop, self._budget, self._door, line, lambda text: self._heard(line, text))
+
+        def heard(text: str | None) -> None:
+            if text is not None:
+                self._doors.append(self._loop.now() - now)
+            self._heard(line, text)
+
+        Call(self._loop, self._budget, self._door, line, heard)
 
     def _heard(self, line: str, text: str | None) -> None:
         self._open = False
@@ -260,6 +262,8 @@
             self._kind is Kind.ROUTER or bool(said.get("warm")),
             self._hit_share(),
             self._bad(),
+            running and self._kept.get("ran") not in (None, self._runs().get(BUILD, "")),
+            self._ends,
         )
 
     def _hit_share(self) -> float | None:
@@ -286,8 +290,25 @@
             news = {name: max(0.0, count - since.get(name, 0.0)) for name, count in counts.items()}
             self._share = {name: count / seconds for name, count in news.items()}
             self._reads = {name: news[name] for name in ("hits", "misses")}
+            self._share |= self._costs(seconds)
         self._before = now, counts
-        return Report(run, beat, own.serving, own.warm, **self._share)
+        runs = self._runs()
+        ran = self._kept.get("ran")
+        figures = {name: self._share.get(name, 0.0) for name in FIGURES}
+        told = Report(run, beat, own.serving, own.warm, ends=self._ends, settings=runs.get(SETTINGS, ""))
+        build = runs.get(BUILD, "") if ran is None else str(ran)
+        return msgspec.structs.replace(told, build=build, **figures)
+
+    def _costs(self, seconds: float) -> dict[str, float]:
+        """Processor time and memory of the process, as the kernel has them, and how long its door took."""
+        doors, self._doors = sorted(self._doors), []
+        used, memory = used_by(self._pid)
+        since, self._used = max(0.0, used - self._used), used
+        return {
+            "cpu": since / seconds,
+            "memory": memory,
+            "door": doors[len(doors) // 2] if doors else 0.0,
+        }
 
 
 def _counts(said: dict[str, Any]) -> dict[str, float]:
--- a/rosepick/settings/fleet_file.py
+++ b/rosepick/settings/fleet_file.py
@@ -7,11 +7,12 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 
 NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
+STEP = r"^(zone|rest|(100|[1-9][0-9]?)%)$"
 LEAST_KEY = 16  # bytes
 
 
@@ -63,6 +64,7 @@
     group: Annotated[str, Field(pattern=NAME)] = "main"
     routers: Out = Out()
     caches: Out = Out()
+    back: Out | None = None  # for routers on the way back from a release; none: as always
     closed: list[Annotated[str, Field(pattern=r"^([01]\d|2[0-3]):[0-5]\d-([01]\d|2[0-3]):[0-5]\d$")]] = []
     apart: dict[str, list[str]] = {}
     unasked: Count = 0
@@ -89,6 +91,39 @@
         )
 
 
+class Releases(_Table):
+    """How a release goes about it. `waves`: a number of routers, a part of all ("2%"), "zone" (the rest of
+    the zone that was begun), "rest" (each other zone in turn). Seconds: `watch` of a wave at least, until
+    its figures say enough, `patience` at most, then an operator is asked (or it goes on: `unsure`); `after`
+    the last wave; `settle`: a new version serves for so long before it counts as back, within `probation`;
+    `lost_for`: who is lost for so long is left behind; `pool`: figures are taken together over so long.
+    `alarm`: the chance that a version which is no worse is taken for worse."""
+
+    waves: list[Annotated[int, Field(ge=1, le=1_000)] | Annotated[str, Field(pattern=STEP)]] = [
+        1, "2%", "10%", "zone", "rest",
+    ]  # fmt: skip
+    watch: Annotated[float, Field(ge=1.0, le=86_400.0)] = 60.0
+    patience: Annotated[float, Field(ge=1.0, le=86_400.0)] = 600.0
+    after: Annotated[float, Field(ge=0.0, le=864_000.0)] = 600.0
+    settle: Annotated[float, Field(ge=0.1, le=3600.0)] = 10.0
+    probation: Annotated[float, Field(ge=0.5, le=3600.0)] = 30.0
+    lost_for: Annotated[float, Field(ge=1.0, le=3600.0)] = 20.0
+    pool: Annotated[float, Field(ge=0.5, le=600.0)] = 5.0
+    alarm: Annotated[float, Field(gt=0.0, le=0.2)] = 0.01
+    line: Part = 0.1  # so much of all requests lost, by new and old alike, is no time to judge
+    failing: Annotated[float, Field(ge=0.0, le=1.0)] = 0.05  # part of a wave that may fail to come up
+    unsure: Literal["ask", "go"] = "ask"
+    auto_back: bool = True
+
+    @model_validator(mode="after")
+    def _in_time(self) -> Releases:
+        if self.probation < 2.0 * self.settle:
+            raise ValueError("probation is less than two times settle: a start that is late would fail it")
+        if self.patience < self.watch:
+            raise ValueError("patience is less than watch")
+        return self
+
+
 class Fleet(_Table):
     """The whole file. `witnesses`: name to host:port. `key_file`: its bytes sign what the processes say."""
 
@@ -96,6 +131,7 @@
     key_file: str | None = None
     leases: Leases = Leases()
     drains: Drains = Drains()
+    releases: Releases = Releases()
 
     @field_validator("witnesses")
     @classmethod
