--- a/rosepick/fleet/carrier.py
+++ b/rosepick/fleet/carrier.py
@@ -17,7 +17,7 @@
 from ..agreement.operation import Change
 from . import ledger as book
 from .ledger import At, Ledger, Member
-from .release import BUILD, SETTINGS, WORD, Phase, Record, Thing
+from .release import BUILD, SETTINGS, WORD, Phase, Record, Release, Thing
 
 FRESH = 2_000.0  # a member goes over by a reading of the record that is no older
 KINDS = (BUILD, SETTINGS)
@@ -39,7 +39,7 @@
 
     settle: float = 10_000.0
     probation: float = 30_000.0
-    ends: int = 2
+    ends: int = 3
     again: float = 5_000.0
 
 
@@ -87,6 +87,12 @@
         self._trial_since: float | None = None
         self._ends = 0
         self._refused: dict[str, tuple[str, int, Ready, float]] = {}  # by kind: digest, release, why, when
+        told = kept.get("refused")  # what was no good here is not tried again by the agent's next start
+        if isinstance(told, dict):
+            self._refused = {
+                kind: (digest, number, Ready(False, Blame.VERSION, why), 0.0)
+                for kind, (digest, number, why) in told.items()
+            }
 
     # -- what is to be run
 
@@ -118,6 +124,13 @@
     def _refuse(self, kind: str, digest: str, ready: Ready, now: float) -> None:
         number = 0 if self.record is None else self.record.releases
         self._refused[kind] = digest, number, ready, now
+        if ready.blame is Blame.VERSION:
+            told = {
+                kind: (digest, number, found.why)
+                for kind, (digest, number, found, _) in self._refused.items()
+                if found.blame is Blame.VERSION
+            }
+            self._kept.put(refused=told)
 
     def trouble(self) -> str:
         """Why this member does not run what it is to run, for its report: `kind digest blame why`."""
@@ -171,20 +184,29 @@
             and now - self._read_at <= FRESH
             and self._prepared(BUILD, due, now)
         ):
-            self._go(BUILD, due.digest)
+            self._go(BUILD, due.digest, now)
         due = self._due(SETTINGS, now)
         fresh = now - self._read_at <= FRESH
         if at == At.IN and steady and due is not None and fresh and self._prepared(SETTINGS, due, now):
-            self._go(SETTINGS, due.digest)
+            self._go(SETTINGS, due.digest, now)
             self._host.apply(SETTINGS, due.digest)
 
-    def _go(self, kind: str, digest: str) -> None:
-        """Kept before it is run."""
+    def _go(self, kind: str, digest: str, now: float) -> None:
+        """Kept before it is run. On the way back there is no probation: what is left behind is worse, and
+        nobody goes over to it again."""
+        open_one = self._open(kind)
+        trial = "" if open_one is not None and open_one.phase == Phase.BACK else kind
         before = self.runs.get(kind, "")
-        self._kept.put(runs={**self.runs, kind: digest}, before={**self.before, kind: before}, trial=kind)
-        self.runs[kind], self.before[kind], self.trial = digest, before, kind
+        if open_one is not None and open_one.old.digest != before and self._prepared(kind, open_one.old, now):
+            before = open_one.old.digest  # guards against going back to what an earlier release has left here
+        self._kept.put(runs={**self.runs, kind: digest}, before={**self.before, kind: before}, trial=trial)
+        self.runs[kind], self.before[kind], self.trial = digest, before, trial
         self._trial_since, self._ends = None, 0
 
+    def _open(self, kind: str) -> Release | None:
+        now = None if self.record is None else self.record.now
+        return now if now is not None and now.kind == kind else None
+
     def _watch(self, now: float, at: At, ended: bool, steady: bool) -> None:
         """Probation: from when it is to run on."""
         if at in (At.LEAVING, At.OUT):
@@ -209,7 +231,9 @@
         """Back to what ran before, at once."""
         kind = self.trial
         failed, old = self.runs[kind], self.before.get(kind, "")
-        self._refuse(kind, failed, Ready(False, Blame.VERSION, why), now)
+        # what the whole fleet runs is tried again later
+        blame = Blame.HOST if self._open(kind) is None else Blame.VERSION
+        self._refuse(kind, failed, Ready(False, blame, why), now)
         self._kept.put(runs={**self.runs, kind: old}, trial="")
         self.runs[kind], self.trial = old, ""
         if kind == SETTINGS:
--- a/rosepick/fleet/leader.py
+++ b/rosepick/fleet/leader.py
@@ -39,6 +39,7 @@
     alarm: float = 0.01
     line: float = 0.1
     pool: float = 5_000.0
+    before: int = 6  # intervals that a leader has to have seen before a wave begins
     ask: bool = True
     auto_back: bool = True
 
@@ -57,7 +58,6 @@
     """The wave that is being looked at."""
 
     at: tuple[int, int, int, bool]  # release, phase, wave, held
-    before: list[dict[str, Figures]]
     watched: float
     noted: float
     judge: Judge | None = None
@@ -138,11 +138,7 @@
     def _at(self, release: Release) -> _Wave:
         at = release.number, release.phase, release.wave, release.held is not None
         if self._wave is None or self._wave.at != at:
-            begun = any(self._runs(name, release) == release.new.digest for name in release.here())
-            before = (
-                [] if begun else list(self._intervals)
-            )  # figures of a wave that has begun are none from before
-            self._wave = _Wave(at, before, release.watched, release.watched)
+            self._wave = _Wave(at, release.watched, release.watched)
             self.opinion = None
         return self._wave
 
@@ -214,10 +210,12 @@
     ) -> Step | None:
         """All that can have come: look at the figures, and go on when they say enough."""
         release = given[0]
+        if release.phase == Phase.FORWARD and release.wave < 0:
+            return self._next(given, ledger, "what is usual is known")
         if wave.judge is None:
-            wave.judge = self._judge(release, wave, ledger)
+            wave.judge = self._judge(release, release.wave, ledger, release.evidence)
         if interval is not None:
-            wave.judge.take(interval)
+            wave.judge.take(self._of_their_side(release, interval))
             self.opinion = wave.judge.opinion()
             if self.opinion.verdict is Verdict.WORSE:
                 return self._worse(given, self.opinion.why, {})
@@ -225,24 +223,49 @@
             self.waits = "requests are lost by new and old alike: no time to judge"
             return None
         wave.watched += passed
-        step = self._watched_enough(given, wave)
+        step = self._watched_enough(given, wave, ledger)
         if step is None and wave.watched - wave.noted >= NOTE_EVERY:
             wave.noted = wave.watched
-            step = Step("note", "", book.led(*given, watched=int(wave.watched)))
+            kept = wave.judge.kept() if release.phase == Phase.FORWARD else ()
+            step = Step("note", "", book.led(*given, watched=int(wave.watched), evidence=kept))
         return step
 
-    def _judge(self, release: Release, wave: _Wave, ledger: Ledger) -> Judge:
+    def _of_their_side(self, release: Release, interval: dict[str, Figures]) -> dict[str, Figures]:
+        """Figures of the wave's members that run the new version, and of others. Guards against one that was
+        left behind, comes late, and is then on the side that it is to be compared with."""
+        here, last = release.here(), release.wave + 1 == len(release.waves)
+        return {
+            name: one
+            for name, one in interval.items()
+            if (self._runs(name, release) == release.new.digest) is (name in here or last)
+        }
+
+    def _next(self, given: tuple[Release, int, str, float], ledger: Ledger, why: str) -> Step | None:
+        """The next wave, with what is usual of its members before they change: whoever leads then has it."""
+        release, evidence = given[0], tuple[float, ...]()
+        if release.wave + 1 < len(release.waves):
+            if len(self._intervals) < self.plan.before:
+                self.waits = "learning what is usual"
+                return None
+            evidence = self._judge(release, release.wave + 1, ledger, ()).kept()
+        return Step("next", why, book.led(*given, what="next", why=why, evidence=evidence))
+
+    def _judge(self, release: Release, wave: int, ledger: Ledger, evidence: tuple[float, ...]) -> Judge:
+        """Of a wave: its members beside those that come later; the last one beside the earlier ones."""
         routers = ledger.of(Kind.ROUTER)
-        new = [name for name in release.here() if name not in release.left and name in routers]
-        all_new = {name for names in release.waves[: release.wave + 1] for name in names}
+        zones = {name: one.zone for name, one in routers.items()}
+        alarm = self.plan.alarm / max(1, len(release.waves))
+        if release.phase != Phase.FORWARD:
+            return Judge(zones, alarm)
+        new = [name for name in release.waves[wave] if name in routers]
+        all_new = {name for names in release.waves[: wave + 1] for name in names}
         rest = [name for name in routers if name not in all_new] or [n for n in routers if n not in new]
         relax = min(MOST_RELAXED, max(1.0, sqrt(len(rest) / max(1, len(new)))))
-        alarm = self.plan.alarm / max(1, len(release.waves))
-        judge = Judge({name: one.zone for name, one in routers.items()}, alarm, relax)
-        for figures in wave.before:
-            judge.take(figures)
-        if release.phase == Phase.FORWARD:
-            judge.change(new, rest)
+        judge = Judge(zones, alarm, relax)
+        if not evidence:
+            for figures in self._intervals:
+                judge.take(figures)
+        judge.go_on(new, rest, evidence)
         return judge
 
     def _all_bad(self) -> bool:
@@ -251,7 +274,9 @@
         lost, served = sum(one.lost for one in last.values()), sum(one.served for one in last.values())
         return lost > self.plan.line * max(1.0, lost + served)
 
-    def _watched_enough(self, given: tuple[Release, int, str, float], wave: _Wave) -> Step | None:
+    def _watched_enough(
+        self, given: tuple[Release, int, str, float], wave: _Wave, ledger: Ledger
+    ) -> Step | None:
         release, plan = given[0], self.plan
         verdict = None if self.opinion is None else self.opinion.verdict
         self.waits = f"{book.named(release)}: watched for {wave.watched / 1000:.0f} s"
@@ -262,12 +287,14 @@
         if not [name for name in release.here() if name not in release.left]:
             why = "nobody of this wave runs it"
             return Step("hold", why, book.led(*given, what="hold", why=why))
-        if verdict is Verdict.FINE and wave.watched >= plan.watch:
-            return Step("next", "no worse", book.led(*given, what="next", why="no worse"))
+        if (verdict is Verdict.FINE or release.taken_on) and wave.watched >= plan.watch:
+            return self._next(given, ledger, "no worse")
         if wave.watched < max(plan.watch, plan.patience):
             return None
-        what, why = ("hold", "not enough to tell") if plan.ask else ("next", "nothing against it")
-        return Step(what, why, book.led(*given, what=what, why=why))
+        if not plan.ask:
+            return self._next(given, ledger, "nothing against it")
+        why = "not enough to tell"
+        return Step("hold", why, book.led(*given, what="ask", why=why))
 
 
 def _drained(want: object) -> bool:
--- a/rosepick/fleet/release.py
+++ b/rosepick/fleet/release.py
@@ -60,6 +60,9 @@
     watched: int = 0
     held: Halt | None = None  # nobody begins anything before an operator goes on
     left: dict[str, str] = {}
+    evidence: tuple[float, ...] = ()
+    asks: bool = False  # it is held as the figures do not say enough
+    taken_on: bool = False  # an operator has this wave go on without them
 
     def may_run(self, name: str) -> Thing:
         """What a member is to run."""
@@ -161,7 +164,7 @@
             raise Declined
         number = record.releases + 1
         plan = tuple(tuple(names) for names in waves if names)
-        release = Release(number, kind, new, base, plan)
+        release = Release(number, kind, new, base, plan, wave=-1)
         said = _line(when, who, f"release {number}: {kind} {new.name} for {base.name}: {why}")
         return _with(record, release, said, releases=number, base={**record.base, kind: base})
 
@@ -188,13 +191,14 @@
 
 
 def go_on(who: str, why: str, when: float) -> Change:
-    """An operator has it go on. Its wave is looked at anew."""
+    """An operator has it go on. Its wave is looked at anew, and whoever was left behind is waited for
+    again."""
 
     def make(record: Record) -> Record:
         now = _open(record)
         if now.held is None:
             raise Declined
-        on = msgspec.structs.replace(now, held=None, watched=0)
+        on = msgspec.structs.replace(now, held=None, watched=0, left={}, asks=False, taken_on=now.asks)
         return _with(record, on, _line(when, who, f"goes on: {why}"))
 
     return change(make)
@@ -202,7 +206,10 @@
 
 def _back(record: Record, now: Release, who: str, why: str, when: float) -> Record:
     last = len(now.waves) - 1 if now.phase == Phase.WATCH else now.wave
-    to = msgspec.structs.replace(now, phase=int(Phase.BACK), wave=last, watched=0, held=None, left={})
+    to = msgspec.structs.replace(
+        now, phase=int(Phase.BACK), wave=last, watched=0, held=None, left={}, evidence=(),
+        asks=False, taken_on=False,
+    )  # fmt: skip
     return _with(record, to, _line(when, who, f"goes back: {why}"))
 
 
@@ -225,8 +232,9 @@
         now = _open(record)
         if now.phase != Phase.BACK:
             raise Declined
-        wave = max(0, min(now.wave, len(now.waves) - 1))
-        to = msgspec.structs.replace(now, phase=int(Phase.FORWARD), wave=wave, watched=0, held=None, left={})
+        wave = max(-1, min(now.wave, len(now.waves) - 1))
+        phase = int(Phase.FORWARD)
+        to = msgspec.structs.replace(now, phase=phase, wave=wave, watched=0, held=None, left={}, evidence=())
         return _with(record, to, _line(when, who, f"forward again: {why}"))
 
     return change(make)
@@ -253,14 +261,19 @@
     why: str = "",
     watched: int | None = None,
     left: Mapping[str, str] | None = None,
+    evidence: tuple[float, ...] | None = None,
 ) -> Change:
-    """A leader's step. `what`: "next" wave, "worse", "hold", "close", or nothing but what it has watched and
-    whom it leaves behind."""
+    """A leader's step. `what`: "next" wave, "worse", "hold", "ask", "close", or nothing but what it has
+    watched and whom it leaves behind. `evidence`: of the present wave, or with "next" what the next one
+    begins with."""
 
     def make(record: Record) -> Record:
         now = _led(record, token, seen.number, seen.wave, seen.phase)
         now = msgspec.structs.replace(
-            now, watched=now.watched if watched is None else watched, left={**now.left, **(left or {})}
+            now,
+            watched=now.watched if watched is None else watched,
+            left={**now.left, **(left or {})},
+            evidence=now.evidence if evidence is None else evidence,
         )
         if now.held is not None:
             raise Declined
@@ -268,8 +281,9 @@
         lines = [_line(when, who, f"{name} is left behind: {text}") for name, text in (left or {}).items()]
         if what == "worse":
             return _back(_with(record, now, *lines), now, who, why, when)
-        if what == "hold":
-            held = msgspec.structs.replace(now, held=Halt(who, why[:LONGEST_TEXT], when))
+        if what in ("hold", "ask"):
+            why_held = Halt(who, why[:LONGEST_TEXT], when)
+            held = msgspec.structs.replace(now, held=why_held, asks=what == "ask")
             return _with(record, held, *lines, _line(when, who, f"held: {why}"))
         if what == "close":
             return _closed(_with(record, now, *lines), now, who, why, when)
@@ -282,11 +296,12 @@
 
 def _further(now: Release) -> Release:
     """The next wave; after the last one forward, the watch."""
+    now = msgspec.structs.replace(now, watched=0, asks=False, taken_on=False)
     if now.phase == Phase.BACK:
-        return msgspec.structs.replace(now, wave=now.wave - 1, watched=0)
+        return msgspec.structs.replace(now, wave=now.wave - 1)
     if now.wave + 1 < len(now.waves):
-        return msgspec.structs.replace(now, wave=now.wave + 1, watched=0)
-    return msgspec.structs.replace(now, phase=int(Phase.WATCH), watched=0)
+        return msgspec.structs.replace(now, wave=now.wave + 1)
+    return msgspec.structs.replace(now, phase=int(Phase.WATCH))
 
 
 def _closed(record: Record, now: Release, who: str, why: str, when: float) -> Record:
--- a/rosepick/lab/drill/files.py
+++ b/rosepick/lab/drill/files.py
@@ -61,7 +61,7 @@
     """A drill. `least` names counts that must be reached, else the drill shows nothing."""
 
     title: str = "drill"
-    plays: Literal["leases", "drains"] = "leases"
+    plays: Literal["leases", "drains", "releases"] = "leases"
     processes: Processes = Processes()
     leases: Held = Held()
     faults: Faults = Faults()
--- a/rosepick/lab/drill/history.py
+++ b/rosepick/lab/drill/history.py
@@ -93,6 +93,24 @@
     """All routers that run have been told that a node (`process`) wants nothing new."""
 
 
+class Ran(Event, frozen=True, tag="ran"):
+    """A member has begun to run a version, as seen from outside."""
+
+    version: str
+
+
+class Decided(Event, frozen=True, tag="decided"):
+    """The record of releases said something new: from `begin` (it said so by `at`) these may run `version`.
+    `back`: it is being taken back. `over`: no release is open, and all are to run `version`."""
+
+    begin: float
+    number: int
+    version: str
+    may: tuple[str, ...] = ()
+    back: bool = False
+    over: bool = False
+
+
 class Injected(Event, frozen=True, tag="fault"):
     """A fault was put in, or taken out again."""
 
@@ -100,7 +118,9 @@
     detail: str = ""
 
 
-AnyEvent = Operation | Yes | Effect | Moved | Stood | Ordered | Came | Answered | Told | Injected
+AnyEvent = (
+    Operation | Yes | Effect | Moved | Stood | Ordered | Came | Answered | Told | Ran | Decided | Injected
+)
 _decoder: msgspec.json.Decoder[AnyEvent] = msgspec.json.Decoder(AnyEvent)
 _encoder = msgspec.json.Encoder()
 
