--- a/rosepick/fleet/carrier.py
+++ b/rosepick/fleet/carrier.py
@@ -216,7 +216,7 @@
         self._ends += ended
         goal = self._goal(self.trial)
         if goal is not None and goal.digest == self.before.get(self.trial) and now - self._read_at <= FRESH:
-            self._revert(now, "it is taken back")
+            self._revert(now, "")  # it is taken back: no fault of it was found here
             return
         long = now - self._trial_since > self.terms.probation
         if self._ends >= self.terms.ends:
@@ -233,7 +233,8 @@
         failed, old = self.runs[kind], self.before.get(kind, "")
         # what the whole fleet runs is tried again later
         blame = Blame.HOST if self._open(kind) is None else Blame.VERSION
-        self._refuse(kind, failed, Ready(False, blame, why), now)
+        if why:
+            self._refuse(kind, failed, Ready(False, blame, why), now)
         self._kept.put(runs={**self.runs, kind: old}, trial="")
         self.runs[kind], self.trial = old, ""
         if kind == SETTINGS:
--- a/rosepick/fleet/leader.py
+++ b/rosepick/fleet/leader.py
@@ -73,7 +73,7 @@
         self._latest: dict[str, Report] = {}
         self._sums: dict[str, list[Report]] = {}
         self._pooled = now
-        self._intervals: list[dict[str, Figures]] = []
+        self._intervals: list[dict[str, tuple[Figures, Report]]] = []
         self._wave: _Wave | None = None
         self.opinion: Opinion | None = None
         self.waits = ""
@@ -90,8 +90,9 @@
         self._latest[name] = report
         self._sums.setdefault(name, []).append(report)
 
-    def _pool(self, ledger: Ledger, now: float) -> dict[str, Figures] | None:
-        """An interval's figures, if one is over: of routers that were in service throughout it."""
+    def _pool(self, ledger: Ledger, now: float) -> dict[str, tuple[Figures, Report]] | None:
+        """An interval's figures, if one is over: of routers that were in service throughout it and ran one
+        version; each with its last report."""
         seconds = (now - self._pooled) / 1000.0
         if now - self._pooled < self.plan.pool:
             return None
@@ -99,8 +100,9 @@
         found = {}
         for name, one in ledger.of(Kind.ROUTER).items():
             told = sums.get(name, [])
-            if told and one.at == At.IN and not one.lost and all(report.up for report in told):
-                found[name] = _figures(told, seconds)
+            same = len({(report.build, report.settings) for report in told}) == 1
+            if same and one.at == At.IN and not one.lost and all(report.up for report in told):
+                found[name] = _figures(told, seconds), told[-1]
         return found
 
     # -- a step
@@ -143,10 +145,7 @@
         return self._wave
 
     def _runs(self, name: str, release: Release) -> str:
-        report = self._latest.get(name)
-        if report is None:
-            return ""
-        return report.build if release.kind == BUILD else report.settings
+        return _run(self._latest.get(name), release)
 
     def _members(
         self, release: Release, ledger: Ledger, wave: _Wave, now: float
@@ -205,7 +204,7 @@
         given: tuple[Release, int, str, float],
         wave: _Wave,
         ledger: Ledger,
-        interval: dict[str, Figures] | None,
+        interval: dict[str, tuple[Figures, Report]] | None,
         passed: float,
     ) -> Step | None:
         """All that can have come: look at the figures, and go on when they say enough."""
@@ -230,21 +229,39 @@
             step = Step("note", "", book.led(*given, watched=int(wave.watched), evidence=kept))
         return step
 
-    def _of_their_side(self, release: Release, interval: dict[str, Figures]) -> dict[str, Figures]:
+    def _of_their_side(
+        self, release: Release, interval: dict[str, tuple[Figures, Report]]
+    ) -> dict[str, Figures]:
         """Figures of the wave's members that run the new version, and of others. Guards against one that was
         left behind, comes late, and is then on the side that it is to be compared with."""
         here, last = release.here(), release.wave + 1 == len(release.waves)
         return {
             name: one
-            for name, one in interval.items()
-            if (self._runs(name, release) == release.new.digest) is (name in here or last)
+            for name, (one, report) in interval.items()
+            if (_run(report, release) == release.new.digest) is (name in here or last)
         }
 
+    def _usual(self, release: Release, wave: int) -> list[dict[str, Figures]]:
+        """Intervals from before a wave: of its members while they ran the old version, and of those that they
+        are set beside."""
+        here, last = release.waves[wave], wave + 1 == len(release.waves)
+        found = []
+        for interval in self._intervals:
+            found.append(
+                {
+                    name: one
+                    for name, (one, report) in interval.items()
+                    if (last and name not in here) or _run(report, release) != release.new.digest
+                }
+            )
+        # where few of them are seen nothing is learned
+        return [one for one in found if 2 * sum(name in one for name in here) >= len(here)]
+
     def _next(self, given: tuple[Release, int, str, float], ledger: Ledger, why: str) -> Step | None:
         """The next wave, with what is usual of its members before they change: whoever leads then has it."""
         release, evidence = given[0], tuple[float, ...]()
         if release.wave + 1 < len(release.waves):
-            if len(self._intervals) < self.plan.before:
+            if len(self._usual(release, release.wave + 1)) < self.plan.before:
                 self.waits = "learning what is usual"
                 return None
             evidence = self._judge(release, release.wave + 1, ledger, ()).kept()
@@ -263,7 +280,7 @@
         relax = min(MOST_RELAXED, max(1.0, sqrt(len(rest) / max(1, len(new)))))
         judge = Judge(zones, alarm, relax)
         if not evidence:
-            for figures in self._intervals:
+            for figures in self._usual(release, wave):
                 judge.take(figures)
         judge.go_on(new, rest, evidence)
         return judge
@@ -271,7 +288,8 @@
     def _all_bad(self) -> bool:
         """Whether routers of either version lose more than the stated line."""
         last = self._intervals[-1] if self._intervals else {}
-        lost, served = sum(one.lost for one in last.values()), sum(one.served for one in last.values())
+        lost = sum(one.lost for one, _ in last.values())
+        served = sum(one.served for one, _ in last.values())
         return lost > self.plan.line * max(1.0, lost + served)
 
     def _watched_enough(
@@ -297,6 +315,12 @@
         return Step("hold", why, book.led(*given, what="ask", why=why))
 
 
+def _run(report: Report | None, release: Release) -> str:
+    if report is None:
+        return ""
+    return report.build if release.kind == BUILD else report.settings
+
+
 def _drained(want: object) -> bool:
     """Whether somebody else than a release wants it out."""
     return want is not None and not str(getattr(want, "who", "")).startswith(WORD)
--- a/rosepick/fleet/release.py
+++ b/rosepick/fleet/release.py
@@ -226,15 +226,18 @@
 
 
 def forward(who: str, why: str, when: float) -> Change:
-    """An operator has one that goes back go forward again: from the wave that it had come back to."""
+    """An operator has one that goes back go forward again: from the last wave that all of still run it. Who
+    has not come back yet of the others does, so that there is something to compare with."""
 
     def make(record: Record) -> Record:
         now = _open(record)
         if now.phase != Phase.BACK:
             raise Declined
-        wave = max(-1, min(now.wave, len(now.waves) - 1))
-        phase = int(Phase.FORWARD)
-        to = msgspec.structs.replace(now, phase=phase, wave=wave, watched=0, held=None, left={}, evidence=())
+        wave = max(-1, min(now.wave, len(now.waves)) - 1)
+        to = msgspec.structs.replace(
+            now, phase=int(Phase.FORWARD), wave=wave, watched=0, held=None, left={}, evidence=(),
+            asks=False, taken_on=True,
+        )  # fmt: skip
         return _with(record, to, _line(when, who, f"forward again: {why}"))
 
     return change(make)
--- a/rosepick/net/tended.py
+++ b/rosepick/net/tended.py
@@ -90,13 +90,16 @@
 
 
 def used_by(pid: int) -> tuple[float, float]:
-    """Seconds of processor time and KiB of memory that a process has used; zeros if it is gone."""
+    """Seconds of processor time and KiB of memory that a process has used; zeros if it is gone. By what the
+    scheduler has counted in nanoseconds: its ticks of 10 ms are more than a second's requests may take."""
+    folder = Path(f"/proc/{pid}")
     try:
-        fields = Path(f"/proc/{pid}/stat").read_text("ascii").rsplit(")", 1)[1].split()
-        ticks, pages = int(fields[11]) + int(fields[12]), int(fields[21])
+        tasks = [one.joinpath("schedstat").read_text("ascii") for one in folder.joinpath("task").iterdir()]
+        pages = int(folder.joinpath("statm").read_text("ascii").split()[1])
+        spent = sum(int(text.split()[0]) for text in tasks)
     except (OSError, IndexError, ValueError):
         return 0.0, 0.0
-    return ticks / os.sysconf("SC_CLK_TCK"), pages * os.sysconf("SC_PAGE_SIZE") / 1024.0
+    return spent / 1e9, pages * os.sysconf("SC_PAGE_SIZE") / 1024.0
 
 
 class TendedProcess:
