--- a/rosepick/lab/drill/release_rig.py
+++ b/rosepick/lab/drill/release_rig.py
@@ -92,7 +92,7 @@
     # -- what there is
 
     def _routers(self) -> int:
-        return 8
+        return (2 * len(self.workers) + 2) // 3
 
     def _lay_out(self) -> None:
         old = versions.build(self.builds / "old", GOOD, "old")
--- a/rosepick/lab/drill/versions.py
+++ b/rosepick/lab/drill/versions.py
@@ -9,6 +9,7 @@
 
 import os
 import random
+import runpy
 import sys
 import threading
 import time
@@ -77,7 +78,5 @@
         _each_request(_slow)
     elif bad == "leaks":
         _each_request(_leaks)
-    from ...cli.app import app
-
     sys.argv = ["rosepick", *sys.argv[1:]]
-    app()
+    runpy.run_module("rosepick", run_name="__main__", alter_sys=True)
