--- a/rosepick/fleet/carrier.py
+++ b/rosepick/fleet/carrier.py
@@ -156,6 +156,27 @@
     def wish(self, now: float, at: At, mine: Member, ledger: Ledger, wall: float) -> Change | None:
         """What the ledger is asked for: out if a build is due and is ready here, in if it is not."""
         by_release = mine.want is not None and mine.want.who.startswith(WORD)
+        due = self._due(BUILD, now)
+        if at == At.IN and mine.want is None and due is not None and self._prepared(BUILD, due, now):
+            assert self.record is not None
+            open_one = self.record.now
+            wide = open_one is not None and open_one.phase == Phase.BACK
+            why = f"to run {due.name}"
+            if ledger.halt is not None and not wide:
+                return None
+            return book.want_out([self.name], self.record.word, why, wall, wide=wide)
+        if by_release and due is None and now - self._read_at <= FRESH and at in (At.IN, At.GIVEN, At.OUT):
+            assert mine.want is not None
+            return book.want_in([self.name], self.name, wall, only_of=mine.want.who)
+        return None
+
+    def step(self, now: float, at: At, ended: bool, steady: bool) -> None:
+        """What is to be done between two looks. `ended`: the member has ended by itself since the last one;
+        `steady`: it is back beyond doubt. A build is changed while the member is out; settings while it
+        serves."""
+        if self.trial:
+            self._watch(now, at, ended, steady)
+            return
         due, fresh = self._due(BUILD, now), now - self._read_at <= FRESH
         if at == At.OUT and due is not None and fresh and self._prepared(BUILD, due, now):
             self._go(BUILD, due.digest, now)
