A member found back just as it was taken back goes out once more

Lines at fault: carrier.wish looked at what is due only, and agent.deed ends a wrong process only on its way back. Change: a wrong process in service is a reason to ask for a permit.

--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -117,7 +117,7 @@
         )
         self._heard = now if self._heard is None else self._heard
         if self.carrier is not None:
-            self.carrier.step(now, self.at, own.ends > self._ends, self.proven(now, own))
+            self.carrier.step(now, self.at, own.ends > self._ends, self.proven(now, own), own.wrong)
             self._ends = own.ends
         if self.at in (At.LEAVING, At.OUT) and self._comes_back(now) and not self._must_stop(own):
             self._stand(At.BACK, self.permit)
--- a/rosepick/fleet/carrier.py
+++ b/rosepick/fleet/carrier.py
@@ -88,6 +88,7 @@
         self.trial = str(kept.get("trial") or "")  # the kind that is on probation
         self.record: Record | None = None
         self._read_at = -FRESH - 1.0
+        self.wrong = False
         self._trial_since: float | None = None
         self._ends = 0
         self._refused: dict[str, tuple[str, int, Ready, float]] = {}  # by kind: digest, release, why, when
@@ -155,7 +156,7 @@
 
     def busy(self, now: float) -> bool:
         """Whether the record is to be read often: something is to be done by it."""
-        return bool(self.trial) or any(self._due(kind, now) is not None for kind in KINDS)
+        return bool(self.trial) or self.wrong or any(self._due(kind, now) is not None for kind in KINDS)
 
     # -- steps
 
@@ -163,23 +164,28 @@
         """What the ledger is asked for: out if a build is due and is ready here, in if it is not."""
         by_release = mine.want is not None and mine.want.who.startswith(WORD)
         due = self._due(BUILD, now)
-        if at == At.IN and mine.want is None and due is not None and self._prepared(BUILD, due, now):
+        needs = due is not None or (self.wrong and at in (At.IN, At.GIVEN))
+        prepared = due is None or self._prepared(BUILD, due, now)
+        if at == At.IN and mine.want is None and needs and prepared:
             assert self.record is not None
             open_one = self.record.now
             wide = open_one is not None and open_one.phase == Phase.BACK
-            why = f"to run {due.name}"
+            why = f"to run {due.name}" if due is not None else "to run what it is to"
             if ledger.halt is not None and not wide:
                 return None
             return book.want_out([self.name], self.record.word, why, wall, wide=wide)
-        if by_release and due is None and now - self._read_at <= FRESH and at in (At.IN, At.GIVEN, At.OUT):
+        fresh = now - self._read_at <= FRESH
+        if by_release and not needs and fresh and at in (At.IN, At.GIVEN, At.OUT):
             assert mine.want is not None
             return book.want_in([self.name], self.name, wall, only_of=mine.want.who)
         return None
 
-    def step(self, now: float, at: At, ended: bool, steady: bool) -> None:
+    def step(self, now: float, at: At, ended: bool, steady: bool, wrong: bool = False) -> None:
         """What is to be done between two looks. `ended`: the member has ended by itself since the last one;
-        `steady`: it is back beyond doubt. A build is changed while the member is out; settings while it
+        `steady`: it is back beyond doubt; `wrong`: it runs another build than it is to, as it was found to be
+        back just when it was taken back. A build is changed while the member is out; settings while it
         serves."""
+        self.wrong = wrong
         if self.trial:
             self._watch(now, at, ended, steady)
             return
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -529,3 +529,14 @@
         command = [sys.executable, "-m", "rosepick", *given]
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
         assert done.returncode == 2 and said in done.stderr, done.stderr
+
+
+def test_one_that_was_found_back_just_as_it_was_taken_back_goes_out_once_more() -> None:
+    shelf, disk, wall = Shelf(), Disk(), ledger()
+    shelf.start()
+    one, mine = carrier(disk, shelf), Member(int(Kind.ROUTER), "z0")
+    one.step(0.0, At.IN, False, True, wrong=True)
+    assert one.wish(0.0, At.IN, mine, wall, 0.0) is not None and one.busy(0.0)
+    wanted = Member(int(Kind.ROUTER), "z0", want=Want(1, "release 1", "x"))
+    assert one.wish(0.0, At.GIVEN, wanted, wall, 0.0) is None  # and is not called in before it has gone
+    assert one.wish(0.0, At.OUT, wanted, wall, 0.0) is not None
