--- a/rosepick/cli/releasing.py
+++ b/rosepick/cli/releasing.py
@@ -38,9 +38,17 @@
     from ..fleet.leader import Plan
 
     return Plan(
-        1000.0 * told.watch, 1000.0 * told.patience, 1000.0 * told.after, 1000.0 * told.lost_for,
-        told.failing, told.alarm, told.line, 1000.0 * told.pool, told.unsure == "ask", told.auto_back,
-    )  # fmt: skip
+        watch=1000.0 * told.watch,
+        patience=1000.0 * told.patience,
+        after=1000.0 * told.after,
+        lost_for=1000.0 * told.lost_for,
+        pool=1000.0 * told.pool,
+        failing=told.failing,
+        alarm=told.alarm,
+        line=told.line,
+        ask=told.unsure == "ask",
+        auto_back=told.auto_back,
+    )
 
 
 def carrier_of(
--- a/rosepick/fleet/leader.py
+++ b/rosepick/fleet/leader.py
@@ -23,7 +23,7 @@
 MOST_RELAXED = 3.0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
     """How a release goes about it; milliseconds. `watch`: a wave is looked at for so long at least, and
     until its figures say enough, `patience` at most; then `ask` an operator or go on. `after`: the last
--- a/rosepick/net/releasing.py
+++ b/rosepick/net/releasing.py
@@ -96,7 +96,8 @@
     else:
         held = told["settings"]
         _check(told, str(place), Path(held) if held else None)
-        _try(told, place)
+        if told["config"]:  # without it there is no telling it other ports than those of the running one
+            _try(told, place)
     place.with_name(f"{place.name}.ready").write_text(digest, "ascii")
 
 
