--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 #   make demo    a small fleet on this machine, with trouble, and what the router makes of it
 #   make test    style, types and tests
 # And two for whoever changes what processes agree on:
-#   make drill       faults between processes for a minute
-#   make mutations   each planted fault is found by a drill; some twenty minutes
+#   make drill       faults between processes for some minutes
+#   make mutations   each planted fault is found by a drill; an hour
 # Both make a virtual environment of their own, .venv-dev, from the pinned versions.
 
 PYTHON ?= python3
@@ -23,6 +23,8 @@
 	$(BIN)/python -m rosepick lab drill drills/drains-simulated.toml --simulated --seed 1..24 --workers 4
 	$(BIN)/python -m rosepick lab drill drills/short.toml --seed 1..2 --workers 2
 	$(BIN)/python -m rosepick lab drill drills/drains-short.toml --seed 1
+	$(BIN)/python -m rosepick lab drill drills/releases-simulated.toml --simulated --seed 1..8 --workers 4
+	$(BIN)/python -m rosepick lab drill drills/releases-short.toml --seed 2
 
 mutations: env
 	$(BIN)/python -m rosepick lab mutations tests/mutations.toml
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -544,3 +544,10 @@
     wanted = Member(int(Kind.ROUTER), "z0", want=Want(1, "release 1", "x"))
     assert one.wish(0.0, At.GIVEN, wanted, wall, 0.0) is None  # and is not called in before it has gone
     assert one.wish(0.0, At.OUT, wanted, wall, 0.0) is not None
+
+
+def test_a_short_drill_of_releases_on_real_processes(tmp_path: Path) -> None:
+    drill = files.load(ROOT / "drills" / "releases-short.toml")
+    result = play.play(drill, 2, tmp_path / "drill", keep=False)
+    assert not result.failed and not result.broken, "\n".join(result.lines)
+    assert result.counts["releases"] and result.counts["versions begun"] > 4
