A version's check and trial do not get this program by PYTHONPATH

Cause: read in a second look at the change: the process that fetches a version was started with PYTHONPATH set to this program's root, and handed it on, so that a build's own check and trial start would have imported the running version in place of their own. Lines at fault: Versions._begin. Change: the fetch finds its module by its own first argument. A test compares the check's environment with the agent's. Beside it: nothing is removed from a host while its member runs another build than it is to.

--- a/rosepick/fleet/carrier.py
+++ b/rosepick/fleet/carrier.py
@@ -103,7 +103,8 @@
 
     def told(self, record: Record, asked_at: float) -> None:
         """The record, as it was at some time since then."""
-        if self.record is not None and self.record.now is not None and record.now is None:
+        closed = self.record is not None and self.record.now is not None and record.now is None
+        if closed and not self.wrong:
             self._host.forget([*self.runs.values(), *(thing.digest for thing in record.base.values())])
         self.record, self._read_at = record, asked_at
 
--- a/rosepick/net/releasing.py
+++ b/rosepick/net/releasing.py
@@ -32,6 +32,8 @@
 ENDS_IN = 10.0  # and to end in when it is told to
 LONGEST_WHY = 120
 SKIPPED = ("__pycache__",)
+# not by PYTHONPATH, which the version's check and trial would take over, and try this program in its place
+ENTRY = "import sys; sys.path.insert(0, sys.argv.pop(1)); from rosepick.net.releasing import main; main()"
 
 
 def digest_of(path: Path) -> str:
@@ -245,10 +247,10 @@
         }
         say(log, logging.INFO, "version_fetched", name=thing.name, digest=thing.digest)
         place = str((self.folder / thing.digest).absolute())
-        command = [sys.executable, "-m", __name__, thing.source, thing.digest, place, json.dumps(told)]
+        given = [thing.source, thing.digest, place, json.dumps(told)]
         return subprocess.Popen(
-            command, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
-            env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])},
+            [sys.executable, "-c", ENTRY, str(Path(__file__).parents[2]), *given],
+            stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
         )  # fmt: skip
 
     def compose(self) -> None:
@@ -293,7 +295,3 @@
     except (OSError, subprocess.SubprocessError) as problem:
         print(problem, file=sys.stderr)
         raise SystemExit(HOST) from None
-
-
-if __name__ == "__main__":
-    main()
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 import random
 import subprocess
 import sys
@@ -431,9 +432,14 @@
 
 def test_a_version_that_is_removed_is_fetched_again_and_others_are_forgotten(tmp_path: Path) -> None:
     source = versions.build(tmp_path / "new", "good", "new")
+    seen = tmp_path / "seen"
     (source / "member.py").write_text("import time; time.sleep(60)")
+    (source / "check.py").write_text(
+        f"import os; open({str(seen)!r}, 'w').write(repr(sorted(os.environ.items())))"
+    )
     thing = Thing("new", digest_of(source), str(source))
-    host = Versions(Disk(), tmp_path, None, None, [], [sys.executable, "{build}/member.py"])  # type: ignore[arg-type]
+    check = [sys.executable, "{build}/check.py"]
+    host = Versions(Disk(), tmp_path, None, None, check, [])  # type: ignore[arg-type]
 
     def wait() -> Ready:
         while not (found := host.ready(BUILD, thing)).there and found.blame is Blame.NONE:
@@ -441,6 +447,9 @@
         return found
 
     assert wait().there
+    assert seen.read_text() == repr(
+        sorted(os.environ.items())
+    )  # nothing of this program is put before the version's
     host.forget([])
     assert not host.place(thing.digest).exists() and wait().there
     host.forget([])
