One kind of document for ledger and releases; one page and history for their commands

Cause: read once more before landing: release.py had the ledger's reading, packing and change by compare-and-set again, and release status and history the fleet's. Change: fleet/document.py, and two functions of cli/fleet.py that both use. No change of what is in a register or of a command's words.

--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -8,7 +8,7 @@
 import json
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from ..agreement.operation import Change
     from ..fleet.budget import Budget
-    from ..fleet.ledger import Ledger
+    from ..fleet.ledger import Ledger, Line
     from ..net.quorum import QuorumClient
     from ..settings.fleet_file import Fleet
 
@@ -60,7 +60,7 @@
         return self._of(asked(self.client, self._key))
 
     def _of(self, outcome: Any) -> Ledger:
-        from ..fleet.ledger import LedgerError
+        from ..fleet.document import LedgerError
 
         try:
             return self._read(outcome.register)
@@ -277,16 +277,28 @@
 
         print(msgspec.json.encode(msgspec.to_builtins(group.read())).decode())
         return
+    show(group.client, lambda: _page(group), watch)
+
+
+def show(client: QuorumClient, page: Callable[[], Any], watch: bool) -> None:
+    """Print a page, or keep it up to date until interrupted."""
     from rich.console import Console
     from rich.live import Live
 
     if not watch:
-        Console().print(_page(group))
+        Console().print(page())
         return
-    with Live(_page(group)) as live:
+    with Live(page()) as live:
         while True:
-            until(group.client, lambda: False, 1000.0 * LOOK)
-            live.update(_page(group))
+            until(client, lambda: False, 1000.0 * LOOK)
+            live.update(page())
+
+
+def say_history(lines: Iterable[Line], as_json: bool) -> None:
+    """Print lines of history."""
+    for line in lines:
+        when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(line.when))
+        print(json.dumps([when, line.who, line.what]) if as_json else f"{when}  {line.who}  {line.what}")
 
 
 def _page(group: Group) -> Any:
@@ -375,10 +387,7 @@
 @fleet.command()
 def history(fleet: FleetPath = DEFAULT, as_json: Json = False) -> None:
     """What happened last, with who and why."""
-    ledger = Group(fleet).read()
-    for line in ledger.history:
-        when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(line.when))
-        print(json.dumps([when, line.who, line.what]) if as_json else f"{when}  {line.who}  {line.what}")
+    say_history(Group(fleet).read().history, as_json)
 
 
 @fleet.command()
--- a/rosepick/cli/releasing.py
+++ b/rosepick/cli/releasing.py
@@ -15,8 +15,8 @@
 import typer
 
 from .common import stop
-from .fleet import LOOK, Group, Why, _who
-from .leasing import DEFAULT, NO_QUORUM, REFUSED, FleetPath, Json, asked, until
+from .fleet import Group, Why, _who, say_history, show
+from .leasing import DEFAULT, NO_QUORUM, REFUSED, FleetPath, Json, asked
 
 if TYPE_CHECKING:
     from ..agreement.operation import Change
@@ -88,7 +88,7 @@
         return self._record_of(asked(self.client, self._place))
 
     def _record_of(self, outcome: Any) -> Record:
-        from ..fleet.ledger import LedgerError
+        from ..fleet.document import LedgerError
 
         try:
             return self._open(outcome.register)
@@ -220,16 +220,7 @@
 
         print(msgspec.json.encode(msgspec.to_builtins(group.record())).decode())
         return
-    from rich.console import Console
-    from rich.live import Live
-
-    if not watch:
-        Console().print(_page(group))
-        return
-    with Live(_page(group)) as live:
-        while True:
-            until(group.client, lambda: False, 1000.0 * LOOK)
-            live.update(_page(group))
+    show(group.client, lambda: _page(group), watch)
 
 
 def _page(group: Releasing) -> Any:
@@ -322,9 +313,7 @@
 @release.command()
 def history(fleet: FleetPath = DEFAULT, as_json: Json = False) -> None:
     """What happened last, with who and why."""
-    for line in Releasing(fleet).record().history:
-        when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(line.when))
-        print(json.dumps([when, line.who, line.what]) if as_json else f"{when}  {line.who}  {line.what}")
+    say_history(Releasing(fleet).record().history, as_json)
 
 
 def add(app: typer.Typer) -> None:
--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -15,7 +15,8 @@
 from . import ledger as book
 from .budget import Budget, allowed
 from .carrier import Carrier
-from .ledger import At, Ledger, LedgerError, Member
+from .document import LedgerError
+from .ledger import At, Ledger, Member
 
 NEAR = 0.8  # of its neighbours' hit share: a cache node says that it is warm, and has to be seen to
 
--- a/rosepick/fleet/ledger.py
+++ b/rosepick/fleet/ledger.py
@@ -14,14 +14,13 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable, Iterable, Mapping
 from enum import IntEnum
 
 import msgspec
 
-from ..agreement.messages import Register
 from ..agreement.operation import Change, Declined
+from .document import Document
 
 START = "fleet/"  # of the names of registers
 FORM = 1  # of the document; a newer one is read by nobody older
@@ -29,11 +28,6 @@
 KEPT_LINES = 80  # of history
 LONGEST_TEXT = 160  # characters of a reason
 SMALL = 25  # thousandths: less is no news
-LARGEST = 1 << 20  # bytes of a document that is unpacked
-
-
-class LedgerError(ValueError):
-    """The register holds no ledger that this program can read."""
 
 
 class Kind(IntEnum):
@@ -134,8 +128,8 @@
         return [name for _, name in sorted(found)]
 
 
-_decoder: msgspec.msgpack.Decoder[Ledger] = msgspec.msgpack.Decoder(Ledger)
-_encoder = msgspec.msgpack.Encoder()
+_document = Document(Ledger, FORM, "ledger")
+read, packed, change = _document.read, _document.packed, _document.change
 
 
 def key(group: str) -> str:
@@ -143,39 +137,6 @@
     return f"{START}{group}/ledger"
 
 
-def read(register: Register) -> Ledger:
-    """The ledger in a register; an empty one if there is none yet. LedgerError if it cannot be read."""
-    if not register.value:
-        return Ledger()
-    try:
-        unpacker = zlib.decompressobj(-15)
-        text = unpacker.decompress(register.value[1:], LARGEST)
-        if register.value[0] > FORM:
-            raise LedgerError(f"the ledger's form {register.value[0]} is newer than this program's {FORM}")
-        return _decoder.decode(text)
-    except (zlib.error, msgspec.MsgspecError) as problem:
-        raise LedgerError(f"no ledger: {problem}") from None
-
-
-def packed(ledger: Ledger) -> bytes:
-    """A ledger as its register holds it: its form, and the rest deflated."""
-    squeeze = zlib.compressobj(6, zlib.DEFLATED, -15)
-    return bytes([FORM]) + squeeze.compress(_encoder.encode(ledger)) + squeeze.flush()
-
-
-def change(make: Callable[[Ledger], Ledger]) -> Change:
-    """A change of the ledger as a change of its register; what leaves it as it is, is declined."""
-
-    def made(register: Register) -> bytes:
-        before = read(register)
-        after = make(before)
-        if after == before:
-            raise Declined
-        return packed(after)
-
-    return made
-
-
 def _with(ledger: Ledger, members: Mapping[str, Member], *lines: Line, **more: object) -> Ledger:
     history = (ledger.history + lines)[-KEPT_LINES:]
     return msgspec.structs.replace(ledger, members={**ledger.members, **members}, history=history, **more)
--- a/rosepick/fleet/release.py
+++ b/rosepick/fleet/release.py
@@ -12,16 +12,15 @@
 
 from __future__ import annotations
 
-import zlib
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from enum import IntEnum
 from math import ceil
 
 import msgspec
 
-from ..agreement.messages import Register
 from ..agreement.operation import Change, Declined
-from .ledger import LARGEST, LONGEST_TEXT, START, Halt, Kind, Ledger, LedgerError, Line
+from .document import Document
+from .ledger import LONGEST_TEXT, START, Halt, Kind, Ledger, Line
 
 FORM = 1
 KEPT_LINES = 60
@@ -101,8 +100,8 @@
         return f"{WORD}{self.releases}"
 
 
-_decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
-_encoder = msgspec.msgpack.Encoder()
+_document = Document(Record, FORM, "record of releases")
+read, packed, change = _document.read, _document.packed, _document.change
 
 
 def key(group: str) -> str:
@@ -110,37 +109,6 @@
     return f"{START}{group}/releases"
 
 
-def read(register: Register) -> Record:
-    """The record in a register; an empty one if there is none yet. LedgerError if it cannot be read."""
-    if not register.value:
-        return Record()
-    try:
-        if register.value[0] > FORM:
-            raise LedgerError(f"the releases' form {register.value[0]} is newer than this program's {FORM}")
-        return _decoder.decode(zlib.decompressobj(-15).decompress(register.value[1:], LARGEST))
-    except (zlib.error, msgspec.MsgspecError) as problem:
-        raise LedgerError(f"no record of releases: {problem}") from None
-
-
-def packed(record: Record) -> bytes:
-    """A record as its register holds it: its form, and the rest deflated."""
-    squeeze = zlib.compressobj(6, zlib.DEFLATED, -15)
-    return bytes([FORM]) + squeeze.compress(_encoder.encode(record)) + squeeze.flush()
-
-
-def change(make: Callable[[Record], Record]) -> Change:
-    """A change of the record as a change of its register; what leaves it as it is, is declined."""
-
-    def made(register: Register) -> bytes:
-        before = read(register)
-        after = make(before)
-        if after == before:
-            raise Declined
-        return packed(after)
-
-    return made
-
-
 def _with(record: Record, now: Release | None, *lines: Line, **more: object) -> Record:
     history = (record.history + lines)[-KEPT_LINES:]
     return msgspec.structs.replace(record, now=now, history=history, **more)
--- a/rosepick/net/agent.py
+++ b/rosepick/net/agent.py
@@ -15,6 +15,7 @@
 from ..fleet import release
 from ..fleet import warden as counting
 from ..fleet.agent import Agent, Ask, Do, Own
+from ..fleet.document import LedgerError
 from ..fleet.leader import Leader, Plan
 from ..fleet.warden import Report, Warden
 from ..leases.contender import Terms as LeaseTerms
@@ -173,7 +174,7 @@
             if outcome.kind is Kind.READ:
                 try:
                     carrier.told(release.read(outcome.register), now)
-                except book.LedgerError as problem:
+                except LedgerError as problem:
                     say(log, logging.ERROR, "releases_unreadable", text=problem)
             often = carrier.busy(now) or self.machine.at != book.At.IN
             pause = self.machine.terms.look if often else max(SELDOM, self.machine.pause())
@@ -190,7 +191,7 @@
                 return
             try:
                 record = release.read(outcome.register)
-            except book.LedgerError:
+            except LedgerError:
                 return
             token, name = keeper.contender.token, self.machine.name
             step = leader.step(record, ledger, self.loop.now(), self._wall(), name, token)
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -18,7 +18,8 @@
 from rosepick.fleet import warden as counting
 from rosepick.fleet.agent import Agent, Do, Own, Terms
 from rosepick.fleet.budget import Budget, Limit, allowed, blocked, past
-from rosepick.fleet.ledger import At, Ledger, LedgerError, Member, Want
+from rosepick.fleet.document import LedgerError
+from rosepick.fleet.ledger import At, Ledger, Member, Want
 from rosepick.fleet.warden import Report, Room, Warden
 from rosepick.lab.drill import drain_claims, files, play, sim_drains
 from rosepick.lab.drill.history import Answered, AnyEvent, Came, Injected, Ordered, Stood, Told
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -23,9 +23,10 @@
 from rosepick.fleet import release
 from rosepick.fleet.budget import Budget, Limit, blocked
 from rosepick.fleet.carrier import Blame, Carrier, Ready, Terms
+from rosepick.fleet.document import LedgerError
 from rosepick.fleet.judge import Figures, Judge, Verdict
 from rosepick.fleet.leader import Leader, Plan
-from rosepick.fleet.ledger import At, Kind, Ledger, LedgerError, Member, Want
+from rosepick.fleet.ledger import At, Kind, Ledger, Member, Want
 from rosepick.fleet.release import BUILD, SETTINGS, Phase, Record, Thing
 from rosepick.fleet.warden import Report
 from rosepick.lab.drill import files, play, release_claims, release_measure, sim_releases, versions
