--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -136,6 +136,7 @@
     sent: float
     stop_at: float
     out: bool = True
+    written: bool = False  # its last byte has been written: only from here on can it run
     expiry: TimerHandle | None = None
 
 
@@ -155,7 +156,7 @@
         self.counts: Counter[str] = Counter()
         self.account = Account()
         self.unfit: Counter[int] = Counter()  # requests that could not be taken, by class
-        self.written: Counter[int] = Counter()  # delivery attempts written whole, by class
+        self.written_of: Counter[int] = Counter()  # delivery attempts written whole, by class
         self._last_ref = 0
         self._events: deque[api.Event | Envelope] = deque()
         self._busy = False
@@ -273,6 +274,11 @@
             self._close(envelope, End.SERVED if whole else End.FAILED)
             self._forget(envelope)
 
+    def attempt_written(self, attempt: DeliveryAttempt) -> None:
+        """The last byte of a delivery attempt has been written."""
+        attempt.written = True
+        self.written_of[attempt.envelope.klass] += 1
+
     def _decided(self, envelope: Envelope, end: End) -> None:
         """An envelope's final answer is given, or begins."""
 
@@ -465,10 +471,11 @@
         holds(False, "answered_at_the_deadline", ref=envelope.ref)
 
     def _forget(self, envelope: Envelope) -> None:
-        """Drop an envelope that is over, once none of its attempts is out. The rest of one that was coming
-        will not come, so nothing is waited for."""
+        """Drop an envelope that is over, once none of its attempts is out. One that is not written whole is
+        given up, whatever the module leaves out there: guards against a dial that comes up after the sender
+        side has left, whose request would then go out for nobody."""
         for attempt in envelope.attempts:
-            if envelope.over and envelope.coming and attempt.out:
+            if envelope.over and attempt.out and not attempt.written:
                 self.next_hops.give_up(attempt)
                 self.attempt_ended(attempt, Result.CANCELLED)
         if envelope.over and not any(attempt.out for attempt in envelope.attempts):
--- a/rosepick/core/flow.py
+++ b/rosepick/core/flow.py
@@ -116,7 +116,10 @@
         return self.broken and not self.held
 
     def close(self) -> None:
-        """Nobody takes any more: what is held is let go."""
+        """Nobody takes any more: what is held is let go. Guards against a body that came whole, of which a
+        part is let go here, and that then passes for taken: a next hop would be given a shorter one."""
+        if self.held:
+            self.ended, self.broken = False, True
         if self._room is not None:
             self._hold(-self.held)
             self._room.flows -= 1
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -181,6 +181,7 @@
     origin_fall_multiple: float = 0.0
     zone: int = 0
     subscribe: bool = False
+    pushed: bool = False  # subscribed to what is pushed all the same: told as soon as discovery has it
     sized_weights: bool = False
     report_fields: tuple[str, ...] = ()
     routers: int = 1
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -104,8 +104,10 @@
 GATE_BUSY = 3_000.0  # the mean of fetches out is taken over about this time
 GATE_LATE = 0.6  # of the aim: a fetch out for longer says the same as a failed one
 
-ASK_FIRST = 700.0  # spacing of repeated calls to discovery, doubled up to ...
-ASK_LAST = 6_000.0  # ... this, each with jitter
+ASK_FIRST = 450.0  # backoff of calls to discovery at most, doubled up to ...
+ASK_LAST = 1_800.0  # ... this: a list that can be had again may not be old for long
+ASK_SPREAD = 600.0  # of all routers' first calls
+ASK_PUSHED = 150.0  # where lists are pushed: what the agent has counts as told at once
 COLD_SHARE = 1.0  # of a warm neighbour's sends, times the least capacity told: a cold server's budget
 COLD_FAR = 0.7  # of that, where no neighbour in its own zone is warm
 COLD_FLOOR = 4.0  # sends in a window by which all may try any cold server; 1 each of up to twice as many
@@ -117,7 +119,7 @@
 CHECK, DEADLINE, TICK = 1 << 60, 2 << 60, 3 << 60  # kinds of timer; the low bits are the request
 KIND_BITS = 3 << 60
 SILENT = (Result.TIMEOUT, Result.CONNECT_FAILED)  # no sign of life
-BROKEN = (Result.CONNECT_FAILED, Result.RESET, Result.NO_PLACE)  # says nothing of the load
+BROKEN = (Result.CONNECT_FAILED, Result.RESET, Result.NO_PLACE, Result.MOOT)  # says nothing of the load
 ANSWERS = (Result.OK, Result.MISS, Result.ERROR, Result.UNFIT)
 UNTOLD = (Result.MOOT, Result.CANCELLED, Result.RESET, Result.NO_PLACE)  # say nothing of a server
 
@@ -324,9 +326,9 @@
     def take(self, now: float, event: api.Members) -> None:
         """Apply an event of discovery."""
         if event.scope is Scope.FAILED:
-            self.following = not self.settings.subscribe
-            self.asked = False
-            self.ask_at = now + self.wait * (0.5 + self.rng.random())
+            self.following, self.asked = not self.settings.subscribe, False
+            last = ASK_PUSHED if self.settings.pushed else ASK_LAST
+            self.ask_at = now + min(last, self.wait) * (0.5 + 0.5 * self.rng.random())
             self.wait = min(ASK_LAST, self.wait * 2.0)
             return
         if event.scope is not Scope.CACHED:  # also from a watch that began unasked, at a new address
@@ -363,8 +365,7 @@
         lost = now > self.ask_at + self.settings.rules.ask_every  # an answer that never came
         if self.following or now < self.ask_at or (self.asked and not lost):
             return False
-        self.asked = True
-        self.ask_at = now
+        self.asked, self.ask_at = True, now
         return True
 
 
@@ -738,7 +739,7 @@
         self.actions = []
         if not self.started:
             self.started = True
-            self.membership.ask_at = now + self.rng.random() * 600.0  # not all routers in one breath
+            self.membership.ask_at = now + self.rng.random() * (0.0 if self.settings.pushed else ASK_SPREAD)
             self.actions.append(api.SetTimer(TICK, now + 50.0))
         match event:
             case api.Request():
@@ -885,7 +886,7 @@
         if best is None:
             # most of the fleet silent at once is more likely our own link: all are tried
             for server in pools.order(job.slot, job.keep, True):
-                if server.id not in tried and self._cold_room(server):
+                if server.state is State.READY and server.id not in tried and self._cold_room(server):
                     return server, server.expect(self.now, self.usual)
         return best, best_wait
 
@@ -1088,10 +1089,11 @@
         self._forget(job)
 
     def _after_fetch(self, waiter: Job, leader: Job) -> None:
-        """A shared fetch is over: read the stored copy, or fetch for oneself if it failed."""
-        stored = leader.missed
-        served = leader.attempts and leader.attempts[-1].origin and leader.attempts[-1].harmless is False
-        if stored is not None and served and self._may_use(stored, waiter.slot):
+        """A shared fetch is over: read the stored copy, or fetch for oneself if it failed. If its own client
+        has left before, the first who waits takes it over, and the others go on waiting."""
+        ended, stored = [a for a in leader.attempts[-1:] if a.origin and not a.out], leader.missed
+        waiter.shared = bool(ended)
+        if ended and stored and not ended[0].harmless and self._may_use(stored, waiter.slot):
             waiter.at_origin = False
             self._send(waiter, stored)
         else:
@@ -1139,8 +1141,7 @@
         """What one result says of its server, the origin, the pools and the filter."""
         server, result, now = attempt.server, event.result, self.now
         server.out -= 1
-        if event.report:
-            self._report(server, event.report)
+        self._report(server, event.report)
         # A spoilt answer is a sign of life; a reset alone is none of death: then dials are refused.
         silent = result in SILENT
         if silent:
@@ -1358,7 +1359,6 @@
         server.probing = False
         if event.result is Result.OK:
             self._alive(server)
-            if event.report:
-                self._report(server, event.report)
+            self._report(server, event.report)
         elif event.result in SILENT:
             self._strike(server)
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -14,7 +14,7 @@
 from ..core.engine import DeliveryAttempt, Engine
 from ..core.flow import Flow
 from ..core.transport_map import NextHop, TransportMap
-from ..decisions.api import Result
+from ..decisions.api import Result, State
 from ..http.next_hop import Begun, Exchange, Verdict
 from ..http.sender_side import Letter
 from ..logs import fault, say
@@ -72,14 +72,21 @@
         if not self.dialing:
             self._guarded(self._write)
 
+    def withdraw(self, result: Result) -> None:
+        """End an attempt of which nothing is written yet."""
+        attempt = self.attempt
+        self.close()
+        if attempt is not None:
+            self.pool.ended(attempt, Verdict(result))
+
     def _body_came(self) -> None:
         """More of the request's body is there."""
         if self.exchange is not None and not self.dialing:
             self._guarded(self._write)
 
     def _connected(self) -> None:
-        super()._connected()
         self.pool.dials_to(self.endpoint).up(self.pool.loop.now() - self.dialed_at)
+        super()._connected()
 
     def _guarded(self, step: Callable[[], None]) -> None:
         try:
@@ -101,7 +108,7 @@
             try:
                 exchange.written(self.stream.write(exchange.unsent()))
                 if exchange.sent() and self.attempt is not None:
-                    self.pool.engine.written[self.attempt.envelope.klass] += 1
+                    self.pool.engine.attempt_written(self.attempt)
             except OSError:
                 self._read()  # an early answer may have come before the connection broke
                 if self.exchange is exchange:
@@ -299,6 +306,9 @@
         hop = self.map.hops.get(attempt.server)
         if hop is not None and hop.zone != self.zone:
             self.engine.counts["crossings"] += 1
+        if hop is not None and hop.state is not State.READY:
+            self.ended(attempt, Verdict(Result.MOOT))  # chosen before the drain was told
+            return
         if link is None and hop is not None:
             self.engine.counts["dials"] += 1
             link = self._dial(hop)
@@ -316,13 +326,16 @@
 
     def retire(self, servers: tuple[int, ...]) -> None:
         """Close what is idle to next hops that drain, left or restarted; what is busy closes after its
-        attempt."""
+        attempt. One of which nothing is written yet does not begin any more, and its request goes elsewhere:
+        guards against dials that come up after the drain was told. The module has to know of it already."""
         for server in servers:
             for link in list(self.idle.get(server, ())):
                 link.close()
         gone = set(servers)
-        for link in self.busy.values():
+        for link in list(self.busy.values()):
             link.retired = link.retired or link.server in gone
+            if link.retired and link.dialing and link.attempt is not None:
+                link.withdraw(Result.MOOT)
 
     def close(self) -> None:
         """Close all connections."""
@@ -420,8 +433,7 @@
             link.ready(WRITE)
         else:
             self.dials_to(link.endpoint).cut()
-            link.close()
-            self.ended(attempt, Verdict(Result.CONNECT_FAILED))
+            link.withdraw(Result.CONNECT_FAILED)
 
     def shed(self) -> bool:
         """Close the connection that was idle the longest; False if there is none."""
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -119,7 +119,7 @@
         engine, module = self.engine, self.engine.router
         down = module.avoided() if isinstance(module, Router) else 0
         return Figures(
-            self._class_names(), engine.account.by_end(), engine.unfit, engine.written, engine.owed,
+            self._class_names(), engine.account.by_end(), engine.unfit, engine.written_of, engine.owed,
             len(self.map.hops), down, self.reconfig_ok, self.reconfig_failed,
         )
 
@@ -245,8 +245,8 @@
             log, logging.INFO, "map_told", rev=change.event.version, scope=change.event.scope.value,
             entries=len(change.event.members), hops=len(self.map.hops),
         )
-        self.pool.retire(change.retired)
         self.engine.map_told(change.event)
+        self.pool.retire(change.retired)
         if self.beside is not None:
             self.beside.standing.listed = True
         self._begin()
--- a/rosepick/settings/config.py
+++ b/rosepick/settings/config.py
@@ -98,7 +98,7 @@
 _AT_START = ("name", "listen", "seed", "ops")
 _FIXED = {
     "mode": "domain.mode", "origin_kind": "domain.origin_kind", "zone": "zone",
-    "subscribe": "membership_mode", "sized_weights": "weights", "report_fields": "report",
+    "pushed": "membership_mode", "sized_weights": "weights", "report_fields": "report",
 }
 _FIXED_NAMES = {"zones": "failure_domains", "kinds": "machine_types"}
 
@@ -189,7 +189,7 @@
         seed=top.parsed("seed", lambda text: int(text, 16), "a hexadecimal number", 0),
         sockets=top.part("limits").whole("sockets", 1024),
         memory_mb=top.part("limits").number("memory_mb", 192.0),
-        settings=readers.settings_of(told),
+        settings=_heard(readers.settings_of(told)),
         names=Names(*(_places(told, key) for key in _LISTS)),
         conn_idle=limits.number("conn_idle", 15_000.0),
         dial_timeout=limits.number("dial_timeout", 250.0),
@@ -199,6 +199,12 @@
     )
 
 
+def _heard(settings: api.Settings) -> api.Settings:
+    """On sockets nothing comes by itself: guards against a router that waits for a list which is pushed to an
+    agent, and that it has to ask that agent for."""
+    return replace(settings, subscribe=True, pushed=not settings.subscribe)
+
+
 _LISTS = ("request_classes", "tenants", "failure_domains", "machine_types")
 
 
