See a client that left behind its request, or where nothing is read, within 0.1 s

Change: after a read one look at what is behind it; the listener looks every 40 ms where nothing is read. Checked: tests of scenarios, bodies, bad clients, connections, TLS and batches pass.

--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -27,6 +27,7 @@
 HELD_FOR = 5.0  # seconds
 RETRY = 50.0  # after an accept for which there was no descriptor
 SWEEP_EVERY = 250.0
+UNREAD_LOOK = 40.0  # between looks for clients that left where nothing is read: a break counts from 100
 UNHEARD = 8  # accepted beyond the doors' part, only to see from where they come
 
 LinkMaker = Callable[["Listener", socket.socket, StreamMaker], SenderLink]
@@ -63,6 +64,7 @@
         self.account = Account(loop.now())
         self.policy = Policy(self.account, budget, settings.limits, sockets, loop.now())
         self.links: dict[SenderLink, None] = {}
+        self._unread: dict[SenderLink, None] = {}  # of them: nothing is read there for the time being
         self.ours: set[tuple[str, int]] = set()  # addresses from which this router itself asks here
         self.open_ids: set[bytes] = set()
         self.ending = False
@@ -206,11 +208,29 @@
 
     def forget(self, link: SenderLink, why: Why) -> None:
         """A connection closes."""
+        self._unread.pop(link, None)
         if link in self.links:
             del self.links[link]
             self.account.close(link.conn, why, self.loop.now())
             self.policy.closed(link.conn)
 
+    def reads(self, link: SenderLink, on: bool) -> None:
+        """Whether anything is read from a connection. While it is not, no selector tells that the client has
+        left, and its request would be sent on for nobody."""
+        if on:
+            self._unread.pop(link, None)
+        elif link not in self._unread:
+            if not self._unread:
+                self.loop.after(UNREAD_LOOK, self._look_for_left)
+            self._unread[link] = None
+
+    def _look_for_left(self) -> None:
+        for link in list(self._unread):
+            if link.stream.left():
+                link.gone()
+        if self._unread:
+            self.loop.after(UNREAD_LOOK, self._look_for_left)
+
     def _sweep(self) -> None:
         self.loop.after(SWEEP_EVERY, self._sweep)
         now = self.loop.now()
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -95,6 +95,8 @@
         self.machine.feed(data, now)
         if self.machine.flow is not None:
             self.machine.flow.freed = self._settle
+        if self.stream.ended():
+            self._ended()  # first: guards against a request that is sent on for a client that has left
         self._take()
         if self.machine.partial and not self.machine.owing:
             self.listener.account.half_came(self.conn, now)
@@ -147,6 +149,10 @@
         """Hand an envelope over. Guards against an id that another client's open request has: next hops would
         take the two for one."""
         open_ids, req_id = self.listener.open_ids, _id_of(envelope)
+        if self._left:
+            drop_body(envelope)
+            self._answer(499, b"", last=True)
+            return
         if req_id in open_ids:
             drop_body(envelope)
             self._reject(409, "req-id is open already", envelope.klass)
@@ -176,7 +182,7 @@
         self.sender_left()
         if self.machine.owing:
             self._answer(499, b"", last=True)
-        if not self.stream.unwritten():
+        if not (self.stream.unwritten() or self.machine.sent_ahead()):
             self.close()
 
     def sender_left(self) -> None:
@@ -327,6 +333,7 @@
         body = self.machine.flow
         full = self.machine.crowded() or self._left or (body is not None and body.pause())
         reads = self._linger is not None or not full
+        self.listener.reads(self, reads or self._left)
         self.stream.want((READ if reads else 0) | (WRITE if unwritten else 0))
 
     def _begun(self, now: float) -> float:
@@ -364,8 +371,6 @@
             return False
         if machine.flow is not None and machine.flow.paused:
             self.stuck_since = now - self.listener.patience  # it is us who do not read
-            if self.stream.left():  # no selector tells of that while nothing is waited for
-                self.gone()
             return False
         return machine.in_head() or now - self.came >= STILL or machine.came < SLOWEST * over
 
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -92,6 +92,15 @@
             pass
         return False
 
+    def ended(self) -> bool:
+        """Whether the other side has ended or broken the connection, and all that it sent has been read."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def left(self) -> bool:
         """Whether the other side has ended or broken the connection, whatever of it is still unread."""
         option = getattr(socket, "TCP_INFO", None)
