--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,6 +7,7 @@
 from typing import Any
 from unittest import mock
 
+from rosepick.connections.descriptors import DIALS, Use
 from rosepick.core.flow import Flow, Room
 from rosepick.decisions import decide
 from rosepick.net import listener, watch
@@ -486,6 +487,36 @@
         """)
 
 
+class DescriptorsFull(Known):
+    """Idle clients hold all that the doors may have, and more wait behind them, while discovery is down."""
+
+    sockets = 128
+
+    def test_back_to_the_list_and_to_clients(self) -> None:
+        """The list is heard once discovery is back, and a request is served at the next hop that it names."""
+        self.follow()
+        self.play("d close\nd hold")
+        for n in range(90):
+            self.wire(f"h{n}")
+        self.wait(400)
+        budget = self.server.budget
+        self.assertGreaterEqual(len(self.server.listener.links), budget.doors())
+        while budget.used < budget.limit:
+            budget.take(Use.NEXT_HOPS)  # and the next hops hold all the rest
+        self.play("wait 3000\nd let")
+        since = self.now
+        for _ in range(2_000):
+            if any(b"wait_ms=0" in wire.seen for wire in self.wires["d"]):
+                break
+            self.wait(5)
+        took = (self.now - since) * 1000.0
+        self.assertLess(took, decide.ASK_LAST + watch.DIAL + STEP + 10)
+        self.play(f"{FIRST}\nd tell 42 s1=leaving s2=active")
+        self.play("c1 send GET /api/k1\ns2 expect GET /api/k1\ns2 send 200 value\nc1 expect 200 value")
+        self.assertLess((self.now - since) * 1000.0 - took, 500)
+        self.assertLessEqual(budget.used, budget.limit + DIALS)
+
+
 class ListsArePushed(Known):
     """To an agent, which has to be asked all the same: what it has counts as told at once."""
 
