--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -312,13 +312,13 @@
         if _spent(letter):
             self.ended(attempt, Verdict(Result.MOOT))
             return
-        link = self._idle_link(attempt.server)
         hop = self.map.hops.get(attempt.server)
         if hop is not None and hop.zone != self.zone:
             self.engine.counts["crossings"] += 1
         if hop is not None and hop.state is not State.READY:
             self.ended(attempt, Verdict(Result.MOOT))  # chosen before the drain was told
             return
+        link = self._idle_link(attempt.server)
         if link is None and hop is not None:
             self.engine.counts["dials"] += 1
             link = self._dial(hop)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -469,6 +469,17 @@
         self.play("d expect GET /v1/endpoints?after=42&wait_ms=2500")
         self.play("c1 send GET /api/k1\nc1 expect 503\nall holds map.revision 42")
 
+    def test_a_revision_that_goes_back(self) -> None:
+        """Discovery began anew: its whole list counts as it is, and is followed from there."""
+        self.follow()
+        self.play("""
+            d list 3 s2=active origin=active
+            d expect GET /v1/endpoints?after=3&wait_ms=2500
+            c1 send GET /api/k1
+            s2 expect GET /api/k1
+            s1 expect nothing
+        """)
+
     def test_a_move_whose_first_call_fails_asks_for_the_whole_list_again(self) -> None:
         """The revision held means something else at the new discovery."""
         self.follow()
