A shared fetch outlives its client; one that never ran is made by the first who waits

At fault: Router._close, which let those who wait for a fetch go on when its client left, and _after_fetch, which had the first of them ask the slow origin once more while the first fetch was out. Change: those who wait go on when the fetch has ended, or its own deadline has passed (_fetch_over). What was never written is told to the module as MOOT, which proves that it never ran, so the first who waits makes the fetch and the others share it. The test of a shared fetch whose client leaves wanted one more fetch; it now wants none where the first is written, one where it is not, and a third test has one that hangs.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -479,7 +479,7 @@
         for attempt in envelope.attempts:
             if envelope.over and attempt.out and not attempt.written:
                 self.next_hops.give_up(attempt)
-                self.attempt_ended(attempt, Result.CANCELLED)
+                self.attempt_ended(attempt, Result.MOOT)
         if envelope.over and not any(attempt.out for attempt in envelope.attempts):
             self.envelopes.pop(envelope.ref, None)
 
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -605,8 +605,7 @@
     def __init__(self) -> None:
         self.part, self.served, self.late = 1.0, 0, 0.0
         self.held, self.limit = 0, HELD_START  # attempts out at cache servers, and how many may be
-        self.floor = 1.0
-        self.cut_at = float("-inf")
+        self.floor, self.cut_at = 1.0, float("-inf")
 
     def full(self, dear: float) -> bool:
         """Whether a request of this worth (0 to 1) is too much beside what this router has in hand. Guards
@@ -946,7 +945,7 @@
         key = job.event.key
         if not job.event.write and key and not job.shared:
             leader = self.jobs.get(self.fetching.get(key, -1))
-            if leader is not None and not leader.final and leader is not job:
+            if leader is not None and leader is not job:
                 leader.waiters.append(job.ref)
                 job.shared = True
                 return
@@ -1073,7 +1072,7 @@
         self._close(job)
 
     def _close(self, job: Job, stream: Attempt | None = None) -> None:
-        """Nothing more is owed: free what the request holds, let those who wait for its fetch go on."""
+        """Nothing more is owed: free what the request holds. A fetch that is out goes on, and is shared."""
         if job.final:
             return
         job.final, job.queued = True, False
@@ -1081,21 +1080,23 @@
             for number, attempt in enumerate(job.attempts):
                 if attempt.out and not attempt.origin and attempt is not stream:
                     self.actions.append(api.Cancel(job.ref, number))
+        self._forget(job)
+
+    def _fetch_over(self, job: Job) -> None:
+        """Those who wait for its fetch go on; not before, though its own client may have left."""
         if self.fetching.get(job.event.key) == job.ref:
             del self.fetching[job.event.key]
-        for ref in job.waiters:
-            waiter = self.jobs.get(ref)
-            if waiter is not None and not waiter.final:
+        waiters, job.waiters = job.waiters, []
+        for waiter in filter(None, map(self.jobs.get, waiters)):
+            if not waiter.final:
                 self._after_fetch(waiter, job)
-        job.waiters.clear()
-        self._forget(job)
 
     def _after_fetch(self, waiter: Job, leader: Job) -> None:
-        """A shared fetch is over: read the stored copy, or fetch for oneself if it failed. If its own client
-        has left before, the first who waits takes it over, and the others go on waiting."""
-        ended, stored = [a for a in leader.attempts[-1:] if a.origin and not a.out], leader.missed
-        waiter.shared = bool(ended)
-        if ended and stored and not ended[0].harmless and self._may_use(stored, waiter.slot):
+        """A shared fetch is over: read the stored copy, or fetch for oneself if it failed. If it never ran,
+        as its own client left before, the first who waits makes it, and the others go on waiting."""
+        asked, stored = [a for a in leader.attempts[-1:] if a.origin], leader.missed
+        waiter.shared = not (asked and asked[0].harmless)
+        if waiter.shared and asked and stored and self._may_use(stored, waiter.slot):
             waiter.at_origin = False
             self._send(waiter, stored)
         else:
@@ -1104,6 +1105,7 @@
     def _forget(self, job: Job) -> None:
         if job.final and not job.outstanding():
             self.jobs.pop(job.ref, None)
+            self._fetch_over(job)
 
     # ------------------------------------------------------------------------------------ what comes back
 
@@ -1208,21 +1210,20 @@
             self._to_cache(job)
 
     def _timer(self, token: int) -> None:
-        kind, ref = token & KIND_BITS, token & ~KIND_BITS
+        kind, job = token & KIND_BITS, self.jobs.get(token & ~KIND_BITS)
         if kind == TICK:
             self._tick()
-            return
-        job = self.jobs.get(ref)
-        if job is None or job.final:
-            return
-        if kind == DEADLINE and self.now >= job.deadline:
+        elif job is not None and kind == DEADLINE and self.now >= job.deadline:
             self._finish(job, Why.DEADLINE)
-        elif kind == CHECK and self.now >= job.check_at and job.outstanding() == 1:
+            self._fetch_over(job)  # what hangs there is not waited for
+        elif job is not None and kind == CHECK and not job.final and self.now >= job.check_at:
             self._overdue(job)
 
     def _overdue(self, job: Job) -> None:
         """No answer for a while: the request moves on where another attempt has the better chance, or its
         server may be silent. One that answered others meanwhile is slow, and waiting is cheaper."""
+        if job.outstanding() != 1:
+            return
         number, attempt = next((n, a) for n, a in enumerate(job.attempts) if a.out)
         server, limits = attempt.server, job.limits
         if job.coming:
