Show a hanging shared fetch at the module, where nobody tells of its end

Its planted fault was not found by the scenario: on sockets the attempt's own end releases those who wait at the same moment.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -9,12 +9,13 @@
 
 from rosepick.connections.descriptors import DIALS, Use
 from rosepick.core.flow import Flow, Room
-from rosepick.decisions import decide
+from rosepick.decisions import api, decide
 from rosepick.net import listener, watch
 from rosepick.net.loop import WRITE
 from rosepick.net.sender_link import SenderLink
 from rosepick.net.stream import Stream
 
+from .driver import fleet, settings
 from .scenario import SETTINGS, Scenario, target
 
 STEP = 100.0  # milliseconds between the module's ticks
@@ -576,6 +577,28 @@
         """)
 
 
+def test_a_fetch_that_hangs_is_waited_for_until_its_own_deadline() -> None:
+    """Also where nobody tells the module of its end: on sockets the attempt's own does."""
+    classes = (api.RequestClass(aim=300, deadline=1000, worth=2),)
+    router = decide.Router(settings(classes=classes, tenants=()), 1)
+    router.handle(0.0, api.Members(api.Scope.CACHED, tuple(fleet())))
+
+    def misses(ref: int, time_left: float) -> list[api.Action]:
+        (send,) = [a for a in router.handle(1.0, api.Request(ref, 0, time_left, key=7)) if _send(a)]
+        assert isinstance(send, api.Send)
+        return router.handle(2.0, api.Outcome(ref, 0, send.server, api.Result.MISS, False, 2, 1.0))
+
+    assert any(map(_send, misses(1, 200.0)))  # the fetch
+    assert not any(map(_send, misses(2, 1000.0)))
+    assert not any(map(_send, router.handle(100.0, api.ClientGone(1))))
+    after = router.handle(201.0, api.Timer(decide.DEADLINE | 1))
+    assert [a.ref for a in after if isinstance(a, api.Send)] == [2]
+
+
+def _send(action: api.Action) -> bool:
+    return isinstance(action, api.Send)
+
+
 def test_a_body_of_which_a_part_was_let_go_is_not_whole() -> None:
     flow = Flow(Room(1_000_000), None)
     flow.put(b"part")
