--- /dev/null
+++ b/tests/test_extremes.py
@@ -0,0 +1,112 @@
+"""Settings of other customers: absent, zero, very short, very large. A router with them serves, or says what
+makes no sense and does not start."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+import pytest
+
+from rosepick.settings import config
+
+from .scenario import SETTINGS, Scenario
+
+HUGE = 1e12
+CASES: dict[str, tuple[str, Any]] = {
+    "no limits but attempts": ("limits", {"max_attempts": 1}),
+    "idle connections are not kept": ("limits.conn_idle", 0.0),
+    "idle connections are kept for ever": ("limits.conn_idle", HUGE),
+    "a dial has to be up at once": ("limits.dial_timeout", 0.0),
+    "a dial may take for ever": ("limits.dial_timeout", HUGE),
+    "many attempts": ("limits.max_attempts", 1_000_000),
+    "no time to come back is told": ("limits.retry_after", False),
+    "no rules": ("rules", {}),
+    "a drain counts at once": ("rules.stop_sending_within", 0.0),
+    "no window in which a cold node falls": ("rules.fall", 0.0),
+    "nothing warms up": ("rules.warm_within", 0.0),
+    "all warm up for ever": ("rules.warm_within", HUGE),
+    "cold nodes do nothing": ("rules.cold_from", 0.0),
+    "no multiple": ("rules.tip_multiple", 0.0),
+    "no grace": ("rules.grace_to_answer", 0.0),
+    "no tenants' shares": ("tenants", [{"name": "acme"}]),
+    "a share of all": ("tenants", [{"name": "acme", "share": 1.0}]),
+    "no zones": ("failure_domains", []),
+    "no router, which reads as one": ("balancers", 0),
+    "thousands of routers": ("balancers", 100_000),
+    "no worth": ("request_classes.worth", 0.0),
+    "an aim beyond the deadline": ("request_classes.objective", HUGE),
+    "a deadline of a year": ("request_classes.deadline", 3.2e10),
+    "no window for repeats": ("request_classes.repeat_window", 0.0),
+    "a window of a year": ("request_classes.repeat_window", 3.2e10),
+    "nothing may be repeated": ("request_classes.effect", "fragile"),
+}
+TURNED_DOWN: dict[str, tuple[str, Any]] = {
+    "no class": ("request_classes", []),
+    "no attempt": ("limits.max_attempts", 0),
+    "half an attempt": ("limits.max_attempts", 1.5),
+    "a deadline of nothing": ("request_classes.deadline", 0.0),
+    "a deadline below nothing": ("request_classes.deadline", -5.0),
+    "a share beyond all": ("tenants", [{"name": "acme", "share": 1.5}]),
+    "an effect that is none": ("request_classes.effect", "sometimes"),
+    "a window below nothing": ("request_classes.repeat_window", -1.0),
+    "a rule that is no number": ("rules.fall", "soon"),
+}
+
+
+def changed(place: str, value: Any) -> dict[str, Any]:
+    """The settings with another value at a place; of classes, of each."""
+    found = copy.deepcopy(SETTINGS)
+    part, _, key = place.partition(".")
+    if not key:
+        found[part] = value
+    elif part == "request_classes":
+        for row in found[part]:
+            row[key] = value
+    else:
+        found[part][key] = value
+    return found
+
+
+class Extremes(Scenario):
+    case = ""
+
+    def document(self) -> dict[str, Any]:
+        told = super().document()
+        return {**told, "settings": changed(*CASES[self.case])} if self.case else told
+
+    def test_a_router_serves(self) -> None:
+        for self.case in CASES:
+            with self.subTest(self.case):
+                self.tearDown()
+                self.setUp()
+                self.play("""
+                    c1 send GET /api/k1
+                    s1 expect GET /api/k1
+                    s1 send 200 value
+                    c1 expect 200 value
+                    c1 send PUT /api/k1 value
+                    origin expect PUT /api/k1
+                    origin send 200 stored
+                    c1 expect 200 stored
+                """)
+                self.assertEqual((self.server.engine.owed, self.loop.faults), (0, 0))
+                self.assertEqual(self.server.engine.counts["faults"], 0)
+
+
+class NoAim(Scenario):
+    def document(self) -> dict[str, Any]:
+        return {**super().document(), "settings": changed("request_classes.objective", 0.001)}
+
+    def test_what_cannot_be_in_time_is_refused_at_once(self) -> None:
+        self.play("c1 send GET /api/k1\nc1 expect 503\ns1 expect nothing\nall holds engine.owed 0")
+
+
+@pytest.mark.parametrize("name", TURNED_DOWN)
+def test_settings_that_make_no_sense_are_turned_down(name: str) -> None:
+    document = {
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+        "settings": changed(*TURNED_DOWN[name]),
+    }
+    with pytest.raises(ValueError, match="setting "):
+        config.read(document)
