--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -284,13 +284,13 @@
     def strike(self, now: float) -> bool:
         """A sign of silence; enough of them in a row and slots move off it. True when that begins."""
         self.strikes += 1
-        if self.strikes >= STRIKES and not self.failing:
+        begins = self.strikes >= STRIKES and not self.failing
+        if begins:
             self.failing = True
             self.failing_since = now
             self.trials = 0
             self.trial_at = now + TRIAL_FIRST
-            return True
-        return False
+        return begins
 
     def back(self, now: float, rules: api.Rules, followed: bool) -> None:
         """Any sign of life. After a trial slots grow in again, slowly if it may have restarted unheard of: a
@@ -340,8 +340,7 @@
             if event.scope is not Scope.DELTA and server.id not in named:
                 server.state = State.GONE
         self.version += 1
-        for ref in [s.id for s in self.servers.values() if s.state is State.GONE and not s.out]:
-            del self.servers[ref]
+        self.servers = {n: s for n, s in self.servers.items() if s.state is not State.GONE or s.out}
 
     def _one(self, now: float, member: api.Member) -> None:
         server = self.servers.get(member.server)
@@ -658,6 +657,7 @@
 class Job:
     """A request from its arrival until its final answer and the end of its last attempt."""
 
+    ref: int
     event: api.Request
     klass: api.RequestClass
     limits: api.Limits  # as it was taken with, like its class
@@ -679,11 +679,6 @@
     coming: bool = False
     waiters: list[int] = field(default_factory=list)
 
-    @property
-    def ref(self) -> int:
-        """Its number."""
-        return self.event.ref
-
     @property
     def aim_at(self) -> float:
         """When the full worth is lost."""
@@ -783,7 +778,7 @@
                 self.pools.count(keep)
         over = self.tenants.over(self.now, event.tenant)
         job = Job(
-            event=event, klass=klass, limits=self.settings.limits, born=self.now,
+            ref=event.ref, event=event, klass=klass, limits=self.settings.limits, born=self.now,
             deadline=self.now + max(0.0, event.time_left), coming=event.coming,
             slot=mix(event.key or event.ref) % SLOTS, keep=keep, last=last,
             spread=self.pools.holders(heat) if keep else 1,
@@ -923,11 +918,7 @@
         if self.now >= server.warm_until:
             return True
         span = max(1.0, self.settings.rules.fall)
-        warm = [
-            s for s in self.membership.servers.values()
-            if s.state is State.READY and self.now >= s.warm_until
-            and not s.failing and s.member.kind != self.settings.origin_kind
-        ]
+        warm = [s for s in self.membership.servers.values() if self._is_warm(s)]
         near = [s for s in warm if s.member.zone == server.member.zone]
         size = sum(s.member.weight for s in warm) / len(warm) if warm else 0.0
         part = 1.0 if near or size <= 0 else COLD_FAR * min(1.0, server.member.weight / size)
@@ -939,6 +930,11 @@
         budget = floor + COLD_SHARE * server.least(self.now) * usual
         return server.sent_within(self.now, span) < (budget if floor == 1.0 else int(budget + turn))
 
+    def _is_warm(self, server: Server) -> bool:
+        """Whether it is a cache server that is ready, answers and is past its warm-up."""
+        usable = server.state is State.READY and not server.failing
+        return usable and self.now >= server.warm_until and server.member.kind != self.settings.origin_kind
+
     def _to_origin(self, job: Job) -> None:
         """Aside mode: a miss or a write. Repeats of a key that is being fetched wait for that fetch."""
         job.at_origin = True
@@ -1011,24 +1007,22 @@
             return True
         here, there = server.member, risk.server.member
         near = {Group.ZONE: here.zone == there.zone, Group.CELL: here.cell == there.cell}
-        return self._may_repeat(job) and (klass.effect is Effect.RETRYABLE or near.get(klass.group, True))
-
-    def _may_repeat(self, job: Job) -> bool:
-        """Whether what may have run may be sent again at this moment."""
-        return self.now <= self._repeat_until(job)
+        in_window = self.now <= self._repeat_until(job)
+        return in_window and (klass.effect is Effect.RETRYABLE or near.get(klass.group, True))
 
     def _repeat_until(self, job: Job) -> float:
+        """The last moment at which what may have run may be sent again."""
         klass, risk = job.klass, job.first_risk()
         if risk is None or klass.effect is Effect.RETRYABLE:
             return inf
         window = klass.repeat_window * (1.0 - WINDOW_MARGIN)
         return risk.sent + window if klass.effect is Effect.DEDUP else -inf
 
-    def _send(self, job: Job, server: Server) -> bool:
+    def _send(self, job: Job, server: Server) -> None:
         if not self._may_send(job, server):
             if not job.outstanding():
                 self._finish(job, Why.RULES)
-            return False
+            return
         at_origin = job.at_origin
         gated = not job.coming and (at_origin or self._may_fetch(job, server))
         expected = (self.origin.lag if at_origin else server.expect(self.now, self.usual)) or FIRST_GUESS
@@ -1045,7 +1039,6 @@
                 self.filter.went_to(job.event.key, server.id)
         self.actions.append(api.Send(job.ref, server.id, begin_by=begin_by))
         self._arm(job)
-        return True
 
     def _arm(self, job: Job) -> None:
         fetch = 3.0 * self.origin.lag if job.at_origin else 0.0
@@ -1228,8 +1221,8 @@
         server, limits = attempt.server, job.limits
         if job.coming:
             return self._arm(job)  # the sender side is not through: nobody can have answered
-        movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1 and self._may_repeat(job)
-        movable = movable and not job.event.coming  # what came in parts is not held
+        movable = job.anywhere and len(job.attempts) < limits.max_attempts - 1 and not job.event.coming
+        movable = movable and self.now <= self._repeat_until(job)  # above: what came in parts is not held
         waited = self.now - attempt.sent
         left, short = self._useful_until(job) - self.now, self.origin_waits > 0 or bool(self.origin.queue)
         if movable and limits.cancelling and self.waiting.ripe(attempt.wait, self.now, left, short):
@@ -1303,13 +1296,12 @@
                 self._log(kind, text)
 
     def _tick(self) -> None:
-        now = self.now
-        self.actions.append(api.SetTimer(TICK, now + 100.0))
+        self.actions.append(api.SetTimer(TICK, self.now + 100.0))
         self.pressure.floor = max(1.0, HELD_EACH * self.pools.part)
-        if self.membership.call_due(now):
+        if self.membership.call_due(self.now):
             self.actions.append(api.Watch(True))
-        if now - self.loop_at >= LOOP_EVERY:
-            self.loop_at = now
+        if self.now - self.loop_at >= LOOP_EVERY:
+            self.loop_at = self.now
             self.filter.loop()
             self.pressure.loop()
             self._log_pressure()
