--- a/rosepick/capture/lines.py
+++ b/rosepick/capture/lines.py
@@ -172,15 +172,23 @@
 
 
 def arrival(
-    now: float, ref: int, req_id: str, kind: str, owner: str, key: str, wait: str, deadline: float,
-    key_number: int, write: bool, retry: bool, cost_hint: float | None,
+    now: float,
+    ref: int,
+    req_id: str,
+    kind: str,
+    owner: str,
+    key: str,
+    wait: str,
+    deadline: float,
+    key_number: int,
+    write: bool,
+    retry: bool,
+    cost_hint: float | None,
 ) -> str:
     """An `A` line."""
     cost = NONE if cost_hint is None else repr(cost_hint)
     on = ("w" if write else "") + ("r" if retry else "") or NONE
-    return (
-        f"A {now!r} {ref} {req_id} {kind} {owner} {key} {wait} {deadline!r} {key_number:x} {on} {cost}\n"
-    )
+    return f"A {now!r} {ref} {req_id} {kind} {owner} {key} {wait} {deadline!r} {key_number:x} {on} {cost}\n"
 
 
 def sent(ref: int, uid: str) -> str:
@@ -323,17 +331,25 @@
     write, retry = _on(on, "wr")
     hint = None if cost == NONE else float(cost)
     return Arrival(
-        float(now), int(ref), req_id, kind, owner, key, wait, float(deadline), int(key_number, 16), write,
-        retry, hint,
+        float(now),
+        int(ref),
+        req_id,
+        kind,
+        owner,
+        key,
+        wait,
+        float(deadline),
+        int(key_number, 16),
+        write,
+        retry,
+        hint,
     ), 0
 
 
 def _ended(words: list[str]) -> tuple[Record, int]:
     now, ref, attempt, result, note, on, lag = words
     closed, spoilt = _on(on, "cs")
-    return Ended(
-        float(now), int(ref), int(attempt), Result(result), int(note), closed, spoilt, float(lag)
-    ), 0
+    return Ended(float(now), int(ref), int(attempt), Result(result), int(note), closed, spoilt, float(lag)), 0
 
 
 def _sent(words: list[str]) -> tuple[Record, int]:
@@ -364,7 +380,14 @@
 
 
 _READERS = {
-    "H": _header, "M": _listed, "A": _arrival, "S": _sent, "O": _ended, "G": _gone, "T": _due, "C": _final,
+    "H": _header,
+    "M": _listed,
+    "A": _arrival,
+    "S": _sent,
+    "O": _ended,
+    "G": _gone,
+    "T": _due,
+    "C": _final,
     "X": _lost,
 }
 
@@ -372,6 +395,12 @@
 def request(arrival: Arrival, klass: int, tenant: int) -> api.Request:
     """The event as the module was fed it."""
     return api.Request(
-        arrival.ref, klass, max(0.0, arrival.deadline - arrival.now), arrival.key_number, tenant,
-        arrival.write, arrival.retry, arrival.cost_hint,
+        arrival.ref,
+        klass,
+        max(0.0, arrival.deadline - arrival.now),
+        arrival.key_number,
+        tenant,
+        arrival.write,
+        arrival.retry,
+        arrival.cost_hint,
     )
--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -68,18 +68,30 @@
 
     def taken(self, now: float, envelope: Envelope, actions: list[api.Action]) -> None:
         req_id, key, wait = self.words(envelope.payload)
-        self._add(now, self._arrival, (
-            now, envelope.ref, req_id, envelope.klass, envelope.tenant, key[:WORD], wait[:WORD],
-            envelope.deadline, envelope.key, envelope.write, envelope.retry, envelope.cost_hint,
-        ))
+        self._add(
+            now,
+            self._arrival,
+            (
+                now,
+                envelope.ref,
+                req_id,
+                envelope.klass,
+                envelope.tenant,
+                key[:WORD],
+                wait[:WORD],
+                envelope.deadline,
+                envelope.key,
+                envelope.write,
+                envelope.retry,
+                envelope.cost_hint,
+            ),
+        )
         self._sends(now, actions)
 
     def answered(self, now: float, envelope: Envelope, end: End) -> None:
         req_id, key, _ = self.words(envelope.payload)
         server = envelope.attempts[-1].server if envelope.attempts else None
-        self._add(now, self._final, (
-            now, req_id, envelope.klass, envelope.tenant, key[:WORD], server, end
-        ))
+        self._add(now, self._final, (now, req_id, envelope.klass, envelope.tenant, key[:WORD], server, end))
 
     def _sends(self, now: float, actions: list[api.Action]) -> None:
         for action in actions:
@@ -118,7 +130,14 @@
         self.ring.append(lines.Lost(now).text().encode("ascii"))
 
     def _arrival(
-        self, now: float, ref: int, req_id: bytes, klass: int, tenant: int, key: bytes, wait: bytes,
+        self,
+        now: float,
+        ref: int,
+        req_id: bytes,
+        klass: int,
+        tenant: int,
+        key: bytes,
+        wait: bytes,
         *rest: Any,
     ) -> str:
         word = lines.word
@@ -134,8 +153,13 @@
     ) -> str:
         uid = lines.NONE if server is None else self._uid(server)
         return lines.final(
-            int(now + self.offset), lines.word(req_id), self.kinds[klass], self._owner(tenant),
-            lines.word(key), uid, _STATUS[end],
+            int(now + self.offset),
+            lines.word(req_id),
+            self.kinds[klass],
+            self._owner(tenant),
+            lines.word(key),
+            uid,
+            _STATUS[end],
         )
 
     def _listed(self, now: float, event: api.Members) -> None:
--- a/rosepick/capture/replay.py
+++ b/rosepick/capture/replay.py
@@ -362,7 +362,11 @@
             self._at(self.now, lambda: self._outcome(request, one, Result.CANCELLED), first=True)
 
     def _outcome(
-        self, request: Request, one: Try, result: Result, recorded: Ended | None = None,
+        self,
+        request: Request,
+        one: Try,
+        result: Result,
+        recorded: Ended | None = None,
         now: float | None = None,
     ) -> None:
         """An attempt ends: at `now` as recorded, else as it has to be. One that serves ends its request."""
@@ -377,13 +381,19 @@
         # to the letter for the attempt that was recorded, else as things are now
         same = recorded is not None and now is not None and request.sends[number : number + 1] == [one.uid]
         when = self.now if now is None else now
-        self._feed(when, api.Outcome(
-            request.arrival.ref, number, one.server, result,
-            serves or (over and (recorded is None or not same or recorded.closed)),
-            0 if recorded is None else recorded.note,
-            recorded.lag if recorded is not None and same else max(0.0, when - one.sent),
-            spoilt=recorded is not None and recorded.spoilt,
-        ))
+        self._feed(
+            when,
+            api.Outcome(
+                request.arrival.ref,
+                number,
+                one.server,
+                result,
+                serves or (over and (recorded is None or not same or recorded.closed)),
+                0 if recorded is None else recorded.note,
+                recorded.lag if recorded is not None and same else max(0.0, when - one.sent),
+                spoilt=recorded is not None and recorded.spoilt,
+            ),
+        )
 
 
 def _time(record: Record) -> float:
--- a/rosepick/cli/app.py
+++ b/rosepick/cli/app.py
@@ -15,7 +15,9 @@
 def command_line(groups: Sequence[str] = GROUPS) -> typer.Typer:
     """The commands of these groups."""
     app = typer.Typer(
-        add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
+        add_completion=False,
+        no_args_is_help=True,
+        pretty_exceptions_enable=False,
         help="A client-side router for cache nodes.",
     )
     for group in groups:
--- a/rosepick/cli/batches.py
+++ b/rosepick/cli/batches.py
@@ -33,8 +33,11 @@
         if keys is None:
             keys = sys.stdin.read().split()
         body, whole = ask(
-            endpoint, keys, kind or _first(told.names.classes if told else None),
-            owner or _first(told.names.tenants if told else None), deadline,
+            endpoint,
+            keys,
+            kind or _first(told.names.classes if told else None),
+            owner or _first(told.names.tenants if told else None),
+            deadline,
         )
     except (NoAnswer, ValueError) as problem:
         stop(problem, 2)
--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -76,7 +76,10 @@
         from ..lab.live.run import play as played
 
         def play(
-            given: Experiment, seed: int, policy: str, changes: dict[str, Any],
+            given: Experiment,
+            seed: int,
+            policy: str,
+            changes: dict[str, Any],
             progress: Callable[[float], None] | None = None,
         ) -> tuple[Run, Cost]:
             if policy != "rosepick":
@@ -107,7 +110,12 @@
 
 @lab.command()
 def run(
-    files: Files, live: Live = False, seed: Seeds = "", policy: str = "", sets: Sets = None, out: Out = None,
+    files: Files,
+    live: Live = False,
+    seed: Seeds = "",
+    policy: str = "",
+    sets: Sets = None,
+    out: Out = None,
 ) -> None:
     """Play experiments and say what came of each.
 
@@ -182,12 +190,15 @@
 
 @lab.command()
 def compare(
-    files: Files, policies: Policies = "rosepick,hash-bounded,two-choices,oracle", seeds: Seeds = "1..3",
+    files: Files,
+    policies: Policies = "rosepick,hash-bounded,two-choices,oracle",
+    seeds: Seeds = "1..3",
     sets: Annotated[
         list[str] | None, typer.Option("--set", help="name=value,value: compare values of a setting.")
     ] = None,
     by: Annotated[str, typer.Option(help="What the arms differ in: policy, or a setting's name.")] = "policy",
-    workers: Workers = 1, out: Out = None,
+    workers: Workers = 1,
+    out: Out = None,
 ) -> None:
     """Put policies, or values of a setting, side by side on the same days: paired differences to the
     first."""
--- a/rosepick/connections/account.py
+++ b/rosepick/connections/account.py
@@ -58,7 +58,17 @@
     """One connection in the account. `owner` is the driver's; the account never looks at it."""
 
     __slots__ = (
-        "owner", "door", "peer", "opened", "ready", "begun", "state", "since", "asked", "statuses", "why",
+        "owner",
+        "door",
+        "peer",
+        "opened",
+        "ready",
+        "begun",
+        "state",
+        "since",
+        "asked",
+        "statuses",
+        "why",
         "sample",
     )
 
--- a/rosepick/connections/policy.py
+++ b/rosepick/connections/policy.py
@@ -172,8 +172,12 @@
         """What the decisions go by at present."""
         standing = self.account.standing
         return Figures(
-            self.may_hold(), int(self.ceiling.learned), self.rate(now), min(self.fill_time(now), 1e9),
-            standing["once"].wait(now), standing["often"].wait(now),
+            self.may_hold(),
+            int(self.ceiling.learned),
+            self.rate(now),
+            min(self.fill_time(now), 1e9),
+            standing["once"].wait(now),
+            standing["often"].wait(now),
         )
 
     # ------------------------------------------------------------------------------------- the decisions
--- a/rosepick/core/account.py
+++ b/rosepick/core/account.py
@@ -47,7 +47,8 @@
         milliseconds in all, under the name with `_ms`."""
         for place in sorted({klass for klass, _ in self.ends}):
             found: dict[str, object] = {
-                "class": names.get(place, str(place)), "worth": float(worths.get(place, 0.0)),
+                "class": names.get(place, str(place)),
+                "worth": float(worths.get(place, 0.0)),
             }
             for name in sorted(name for klass, name in self.ends if klass == place):
                 found[name] = self.ends[place, name]
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -226,8 +226,13 @@
         self._tell(event)
 
     def attempt_ended(
-        self, attempt: DeliveryAttempt, result: Result, note: int = 0, answer: object = None,
-        spoilt: bool = False, spent: bool = False,
+        self,
+        attempt: DeliveryAttempt,
+        result: Result,
+        note: int = 0,
+        answer: object = None,
+        spoilt: bool = False,
+        spent: bool = False,
     ) -> None:
         """A delivery attempt has its outcome. A served one goes to the sender side before anything else."""
         if not holds(attempt.out, "attempt_ends_once", ref=attempt.envelope.ref, result=result.value):
@@ -243,8 +248,15 @@
         lag = max(0.0, self.clock.now() - attempt.sent)
         self._tell(
             api.Outcome(
-                envelope.ref, attempt.number, attempt.server, result, envelope.over, note, lag,
-                spoilt=spoilt, spent=spent,
+                envelope.ref,
+                attempt.number,
+                attempt.server,
+                result,
+                envelope.over,
+                note,
+                lag,
+                spoilt=spoilt,
+                spent=spent,
             )
         )
         self._forget(envelope)
@@ -419,9 +431,7 @@
         late = envelope is not None and self.clock.now() >= envelope.deadline
         self._finish(ref, End.LATE if late else End.FAILED, lambda e, s: s.failed(e, late), why)
 
-    def _finish(
-        self, ref: int, end: End, call: Callable[[Envelope, SenderSide], None], why: api.Why
-    ) -> None:
+    def _finish(self, ref: int, end: End, call: Callable[[Envelope, SenderSide], None], why: api.Why) -> None:
         envelope = self.envelopes.get(ref)
         if envelope is None or not envelope.due():
             return
@@ -515,6 +525,13 @@
 
 def _request(envelope: Envelope, now: float) -> api.Request:
     return api.Request(
-        envelope.ref, envelope.klass, max(0.0, envelope.deadline - now), envelope.key, envelope.tenant,
-        envelope.write, envelope.retry, envelope.cost_hint, envelope.coming,
+        envelope.ref,
+        envelope.klass,
+        max(0.0, envelope.deadline - now),
+        envelope.key,
+        envelope.tenant,
+        envelope.write,
+        envelope.retry,
+        envelope.cost_hint,
+        envelope.coming,
     )
--- a/rosepick/core/transport_map.py
+++ b/rosepick/core/transport_map.py
@@ -84,9 +84,12 @@
 
     def _retired(self, before: dict[int, NextHop]) -> list[int]:
         return [
-            server for server, hop in before.items()
+            server
+            for server, hop in before.items()
             if (now := self.hops.get(server)) is None
-            or now.state is not api.State.READY or now.born != hop.born or now.endpoint != hop.endpoint
+            or now.state is not api.State.READY
+            or now.born != hop.born
+            or now.endpoint != hop.endpoint
         ]
 
     def _hop(self, row: Reader) -> NextHop:
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -86,9 +86,16 @@
     UNFIT = "unfit"  # the request itself was turned away
 
 
-NEVER_RAN = frozenset({
-    Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS, Result.UNFIT, Result.NO_PLACE,
-})
+NEVER_RAN = frozenset(
+    {
+        Result.FULL,
+        Result.CONNECT_FAILED,
+        Result.MOOT,
+        Result.MISS,
+        Result.UNFIT,
+        Result.NO_PLACE,
+    }
+)
 """Results which prove that the attempt had no effect."""
 
 
@@ -320,7 +327,15 @@
 
 
 Event: TypeAlias = (
-    Members | Request | Whole | FirstByte | Outcome | ClientGone | Reconfigured | Timer | ProbeResult
+    Members
+    | Request
+    | Whole
+    | FirstByte
+    | Outcome
+    | ClientGone
+    | Reconfigured
+    | Timer
+    | ProbeResult
     | PeerMessage
 )
 
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -778,9 +778,16 @@
                 self.pools.count(keep)
         over = self.tenants.over(self.now, event.tenant)
         job = Job(
-            ref=event.ref, event=event, klass=klass, limits=self.settings.limits, born=self.now,
-            deadline=self.now + max(0.0, event.time_left), coming=event.coming,
-            slot=mix(event.key or event.ref) % SLOTS, keep=keep, last=last,
+            ref=event.ref,
+            event=event,
+            klass=klass,
+            limits=self.settings.limits,
+            born=self.now,
+            deadline=self.now + max(0.0, event.time_left),
+            coming=event.coming,
+            slot=mix(event.key or event.ref) % SLOTS,
+            keep=keep,
+            last=last,
             spread=self.pools.holders(heat) if keep else 1,
             value=klass.worth * (self.settings.over_share_worth if over else 1.0),
         )
--- a/rosepick/http/discovery.py
+++ b/rosepick/http/discovery.py
@@ -18,9 +18,7 @@
     """A call for what is newer than a revision; it may wait so many milliseconds for that. Without one: for
     the whole list."""
     query = "" if after is None else f"?after={after}&wait_ms={wait:.0f}"
-    return (
-        f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
-    ).encode()
+    return (f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n").encode()
 
 
 class Told:
--- a/rosepick/http/multiget.py
+++ b/rosepick/http/multiget.py
@@ -75,11 +75,19 @@
 
 def request(batch: Batch, key: bytes, req_id: bytes, host: str, time_left: float) -> bytes:
     """The whole ordinary request of one part, with so many milliseconds left."""
-    return b"\r\n".join((
-        b"GET /api/" + key + b" HTTP/1.1", b"Host: " + host.encode(), b"Req-Id: " + req_id,
-        b"Req-Kind: " + batch.kind, b"Req-Owner: " + batch.owner,
-        b"Req-Deadline: %.3f" % (time_left / 1000.0),
-    )) + b"\r\n\r\n"
+    return (
+        b"\r\n".join(
+            (
+                b"GET /api/" + key + b" HTTP/1.1",
+                b"Host: " + host.encode(),
+                b"Req-Id: " + req_id,
+                b"Req-Kind: " + batch.kind,
+                b"Req-Owner: " + batch.owner,
+                b"Req-Deadline: %.3f" % (time_left / 1000.0),
+            )
+        )
+        + b"\r\n\r\n"
+    )
 
 
 def entry(key: bytes, req_id: bytes, status: int, body: bytes) -> tuple[bytes, bytes, bytes]:
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -20,18 +20,38 @@
 HEAD_LIMIT = 16 * 1024
 BEHIND_LIMIT = 4  # messages read ahead of the one that is being answered
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 417: b"Expectation Failed",
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    417: b"Expectation Failed",
     431: b"Request Header Fields Too Large",
     499: b"Client Closed Request",
-    500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
 }
 
 # Of these a second one would be read one way here and another way elsewhere.
-_ONCE = frozenset({
-    b"req-id", b"req-kind", b"req-owner", b"req-deadline", b"req-cost", b"req-retry", b"idempotency-key",
-    b"content-length", b"transfer-encoding", b"host", b"expect",
-})
+_ONCE = frozenset(
+    {
+        b"req-id",
+        b"req-kind",
+        b"req-owner",
+        b"req-deadline",
+        b"req-cost",
+        b"req-retry",
+        b"idempotency-key",
+        b"content-length",
+        b"transfer-encoding",
+        b"host",
+        b"expect",
+    }
+)
 _ID = re.compile(rb"[!-~]{1,128}")
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")  # not all that float() takes: 1_0, nan, 1e300
 
@@ -391,9 +411,14 @@
                 retry=headers.get(b"req-retry") == b"1",
                 cost_hint=None if cost is None else 0.001 * number_of(headers, b"req-cost"),
                 payload=Letter(
-                    method, self._target, bytes(self._body), _identity(headers),
-                    headers.get(b"idempotency-key"), headers.get(b"content-type"),
-                    headers[b"req-deadline"], self.flow,
+                    method,
+                    self._target,
+                    bytes(self._body),
+                    _identity(headers),
+                    headers.get(b"idempotency-key"),
+                    headers.get(b"content-type"),
+                    headers[b"req-deadline"],
+                    self.flow,
                 ),
             )
         )
--- a/rosepick/lab/account/account.py
+++ b/rosepick/lab/account/account.py
@@ -93,14 +93,20 @@
     """What came of a day."""
     whole = _row("all", logs.ended)
     return Account(
-        routers=len(logs.starts) or len({one.router for one in logs.ended}), starts=sum(logs.starts.values()),
-        asked=whole.asked, in_time=whole.in_time, worth=whole.worth, causes=_causes(logs.ended),
+        routers=len(logs.starts) or len({one.router for one in logs.ended}),
+        starts=sum(logs.starts.values()),
+        asked=whole.asked,
+        in_time=whole.in_time,
+        worth=whole.worth,
+        causes=_causes(logs.ended),
         classes=tuple(_row(name, group) for name, group in _grouped(logs.ended, lambda one: one.klass)),
         slices=tuple(
             _row(f"{int(SLICE * place)} s", group)
             for place, group in _grouped(logs.ended, lambda one: _slice(one.at))
         ),
-        groups=_by_traffic(logs.ended), prices=_prices(logs, whole.asked), printed=printed,
+        groups=_by_traffic(logs.ended),
+        prices=_prices(logs, whole.asked),
+        printed=printed,
     )
 
 
@@ -129,7 +135,8 @@
             classes.setdefault(name, Counter())[one.klass] += count
     found = [
         Cause(name, count, worth[name], waited[name] / count, tuple(classes[name].most_common()))
-        for name, count in counts.items() if name != IN_TIME and count
+        for name, count in counts.items()
+        if name != IN_TIME and count
     ]
     return tuple(sorted(found, key=lambda cause: (-cause.worth, cause.name)))
 
--- a/rosepick/lab/account/tables.py
+++ b/rosepick/lab/account/tables.py
@@ -51,8 +51,11 @@
 def _cause(cause: Cause, asked: int, lost: float) -> tuple[str, ...]:
     classes = ", ".join(f"{name} {count}" for name, count in cause.classes[:3])
     return (
-        f"{cause.text} ({classes})", str(cause.count), f"{cause.count / asked:.1%}",
-        f"{cause.worth / lost:.0%} of the lost", f"{cause.waited:.0f} ms",
+        f"{cause.text} ({classes})",
+        str(cause.count),
+        f"{cause.count / asked:.1%}",
+        f"{cause.worth / lost:.0%} of the lost",
+        f"{cause.waited:.0f} ms",
     )
 
 
--- a/rosepick/lab/compare.py
+++ b/rosepick/lab/compare.py
@@ -15,13 +15,47 @@
 from .results import Run
 
 MORE_IS_BETTER = {
-    "served_share": True, "worth_share": True, "p99_ms": False, "origin_share": False,
-    "attempts_per_request": False, "crossings": False, "broken_rules": False, "fell": False,
+    "served_share": True,
+    "worth_share": True,
+    "p99_ms": False,
+    "origin_share": False,
+    "attempts_per_request": False,
+    "crossings": False,
+    "broken_rules": False,
+    "fell": False,
 }
 # Student's t of 97.5 % for 1 to 30 degrees of freedom, and from a number of them on
 STUDENT = (
-    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
-    2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042,
+    12.706,
+    4.303,
+    3.182,
+    2.776,
+    2.571,
+    2.447,
+    2.365,
+    2.306,
+    2.262,
+    2.228,
+    2.201,
+    2.179,
+    2.160,
+    2.145,
+    2.131,
+    2.120,
+    2.110,
+    2.101,
+    2.093,
+    2.086,
+    2.080,
+    2.074,
+    2.069,
+    2.064,
+    2.060,
+    2.056,
+    2.052,
+    2.048,
+    2.045,
+    2.042,
 )
 STUDENT_BEYOND = ((120, 1.980), (60, 2.000), (40, 2.021), (30, 2.042))
 COLOURS = {"better": "green", "worse": "bold red", "same": "", "unknown": "yellow"}
@@ -119,7 +153,10 @@
     first, *others = paired or [""]
     more = MORE_IS_BETTER[name]
     return Figure(
-        name, more, len(whole), {arm: fmean(columns[arm]) if columns else None for arm in paired},
+        name,
+        more,
+        len(whole),
+        {arm: fmean(columns[arm]) if columns else None for arm in paired},
         {arm: _difference(columns.get(first, ()), columns.get(arm, ()), more) for arm in others},
     )
 
@@ -159,15 +196,22 @@
     """For a terminal, with what is left out below it."""
     notes = [f"paired over {len(comparison.seeds)} seeds; 95 % interval by Student's t"]
     notes += [
-        f"{figure.name}: over {figure.pairs} pairs only" for figure in comparison.figures
+        f"{figure.name}: over {figure.pairs} pairs only"
+        for figure in comparison.figures
         if figure.pairs < len(comparison.seeds)
     ]
     notes += [f"left out: {line}" for line in comparison.left_out]
     # names are no markup
     title, caption = Text(comparison.of), Text("\n".join(notes))
     made = Table(
-        title=title, title_justify="left", caption=caption, caption_justify="left", box=SIMPLE_HEAD,
-        show_edge=False, pad_edge=False, padding=(0, 1, 0, 0),
+        title=title,
+        title_justify="left",
+        caption=caption,
+        caption_justify="left",
+        box=SIMPLE_HEAD,
+        show_edge=False,
+        pad_edge=False,
+        padding=(0, 1, 0, 0),
     )
     made.add_column(Text(comparison.by), overflow="fold")
     for head in ("mean", "diff.", "± s.e.", "95 % interval"):
--- a/rosepick/lab/console.py
+++ b/rosepick/lab/console.py
@@ -28,7 +28,10 @@
     """On standard error, and only on a terminal."""
     console = Console(stderr=True)
     columns = (
-        TextColumn("{task.description}"), BarColumn(), TaskProgressColumn(), TimeElapsedColumn(),
+        TextColumn("{task.description}"),
+        BarColumn(),
+        TaskProgressColumn(),
+        TimeElapsedColumn(),
         TimeRemainingColumn(),
     )
     return Progress(*columns, console=console, disable=not console.is_terminal, transient=True)
@@ -47,15 +50,34 @@
     total = run.totals
     table = Table(title=f"{run.experiment}: {run.policy}, seed {run.seed}, {run.how}", title_justify="left")
     for name in (
-        "requests", "in time", "late", "refused", "failed", "p50", "p99", "attempts", "hits", "origin load",
+        "requests",
+        "in time",
+        "late",
+        "refused",
+        "failed",
+        "p50",
+        "p99",
+        "attempts",
+        "hits",
+        "origin load",
     ):
         table.add_column(name, justify="right")
     table.add_row(
-        f"{total['offered']:.0f}", *(f"{total[name]:.2%}" for name in (
-            "served_share", "late_share", "refused_share", "failed_share",
-        )),
-        f"{total['p50_ms']:.1f} ms", f"{total['p99_ms']:.1f} ms", f"{total['attempts_per_request']:.2f}",
-        f"{total['hit_share']:.1%}", f"{total['origin_load']:.1%}",
+        f"{total['offered']:.0f}",
+        *(
+            f"{total[name]:.2%}"
+            for name in (
+                "served_share",
+                "late_share",
+                "refused_share",
+                "failed_share",
+            )
+        ),
+        f"{total['p50_ms']:.1f} ms",
+        f"{total['p99_ms']:.1f} ms",
+        f"{total['attempts_per_request']:.2f}",
+        f"{total['hit_share']:.1%}",
+        f"{total['origin_load']:.1%}",
     )
     _OUT.print(table)
     for verdict in run.must:
--- a/rosepick/lab/experiment.py
+++ b/rosepick/lab/experiment.py
@@ -163,10 +163,30 @@
 
 
 KINDS = Literal[
-    "slow", "stop", "restart", "replace", "shrink", "grow", "cut", "isolate", "silent", "stale",
+    "slow",
+    "stop",
+    "restart",
+    "replace",
+    "shrink",
+    "grow",
+    "cut",
+    "isolate",
+    "silent",
+    "stale",
     "discovery_down",
-    "origin_slow", "origin_stop", "flash", "surge", "router_kill", "router_restart", "hang", "reset",
-    "garbage", "drip", "refuse", "reload", "patch",
+    "origin_slow",
+    "origin_stop",
+    "flash",
+    "surge",
+    "router_kill",
+    "router_restart",
+    "hang",
+    "reset",
+    "garbage",
+    "drip",
+    "refuse",
+    "reload",
+    "patch",
 ]
 
 
@@ -191,9 +211,22 @@
 
 
 FIGURES = Literal[
-    "served_share", "worth_share", "refused_share", "failed_share", "late_share", "p50_ms", "p99_ms",
-    "p999_ms", "attempts_per_request", "origin_share", "hit_share", "crossings", "fell", "broken_rules",
-    "origin_load", "node_load",
+    "served_share",
+    "worth_share",
+    "refused_share",
+    "failed_share",
+    "late_share",
+    "p50_ms",
+    "p99_ms",
+    "p999_ms",
+    "attempts_per_request",
+    "origin_share",
+    "hit_share",
+    "crossings",
+    "fell",
+    "broken_rules",
+    "origin_load",
+    "node_load",
 ]
 
 
@@ -273,7 +306,7 @@
             if len({one.name for one in names}) < len(names):
                 yield f"{name}: a name comes twice"
         if (self.traffic.arrivals == "trace") != bool(self.traffic.trace):
-            yield "traffic.trace goes with arrivals = \"trace\""
+            yield 'traffic.trace goes with arrivals = "trace"'
         if self.warm_up >= self.length:
             yield "warm_up is not shorter than length"
 
--- a/rosepick/lab/live/clients.py
+++ b/rosepick/lab/live/clients.py
@@ -29,8 +29,18 @@
     """A client's request with all its tries."""
 
     __slots__ = (
-        "clients", "request", "klass", "one_shot", "tries", "sendings", "over", "_last", "_link", "_tried",
-        "_timer", "_crossed",
+        "clients",
+        "request",
+        "klass",
+        "one_shot",
+        "tries",
+        "sendings",
+        "over",
+        "_last",
+        "_link",
+        "_tried",
+        "_timer",
+        "_crossed",
     )
 
     def __init__(self, clients: Clients, request: Request, one_shot: bool) -> None:
@@ -170,8 +180,11 @@
     def _bytes(self, name: str, left: float) -> bytes:
         request, klass = self.request, self.klass
         lines = [
-            f"{'PUT' if klass.write else 'GET'} /api/{request.key:016x} HTTP/1.1", "Host: router",
-            f"Req-Id: {name}", f"Req-Kind: {klass.name}", f"Req-Deadline: {left / 1000.0:.4f}",
+            f"{'PUT' if klass.write else 'GET'} /api/{request.key:016x} HTTP/1.1",
+            "Host: router",
+            f"Req-Id: {name}",
+            f"Req-Kind: {klass.name}",
+            f"Req-Deadline: {left / 1000.0:.4f}",
         ]
         if self.clients.tenants:
             lines.append(f"Req-Owner: {self.clients.tenants[request.tenant]}")
--- a/rosepick/lab/live/configuration.py
+++ b/rosepick/lab/live/configuration.py
@@ -16,18 +16,30 @@
 
 
 def document(
-    experiment: Experiment, name: str, listen: str, discovery: str, known: dict[str, Any], *,
-    position: int = 0, seed: int | None = None,
+    experiment: Experiment,
+    name: str,
+    listen: str,
+    discovery: str,
+    known: dict[str, Any],
+    *,
+    position: int = 0,
+    seed: int | None = None,
 ) -> dict[str, Any]:
     """The configuration of one router. `listen` and `discovery` are host:port, `known` is a list in
     discovery's form; `position` counts routers from 0 and gives its zone. Times in it are milliseconds."""
     drawn = experiment.seed if seed is None else seed
     return {
-        "name": name, "listen": listen, "discovery": discovery, "seed": f"{uid_number(f'{name} {drawn}'):x}",
+        "name": name,
+        "listen": listen,
+        "discovery": discovery,
+        "seed": f"{uid_number(f'{name} {drawn}'):x}",
         "limits": {
-            "cores": 1.0, "memory_mb": experiment.routers.memory_mb, "sockets": experiment.routers.sockets,
+            "cores": 1.0,
+            "memory_mb": experiment.routers.memory_mb,
+            "sockets": experiment.routers.sockets,
         },
-        "known": known, "settings": _settings(experiment, position),
+        "known": known,
+        "settings": _settings(experiment, position),
     }
 
 
@@ -40,15 +52,23 @@
         "failure_domains": list(experiment.zones),
         "machine_types": list(KINDS),
         "limits": {
-            "cancelling": limits.cancelling, "conn_idle": CONN_IDLE, "dial_timeout": DIAL_TIMEOUT,
-            "max_attempts": limits.max_attempts, "max_retry_after": limits.max_retry_after,
+            "cancelling": limits.cancelling,
+            "conn_idle": CONN_IDLE,
+            "dial_timeout": DIAL_TIMEOUT,
+            "max_attempts": limits.max_attempts,
+            "max_retry_after": limits.max_retry_after,
             "retry_after": True,
         },
         "membership_mode": "subscribe" if told.subscribe else "automatic",
         "request_classes": [
             {
-                "name": named.name, "deadline": one.deadline, "objective": one.aim, "worth": one.worth,
-                "effect": one.effect.value, "group": one.group.value, "repeat_window": one.repeat_window,
+                "name": named.name,
+                "deadline": one.deadline,
+                "objective": one.aim,
+                "worth": one.worth,
+                "effect": one.effect.value,
+                "group": one.group.value,
+                "repeat_window": one.repeat_window,
             }
             for named, one in zip(experiment.classes, told.classes, strict=True)
         ],
@@ -57,6 +77,9 @@
             {"name": named.name, "share": one.share}
             for named, one in zip(experiment.tenants, told.tenants, strict=True)
         ],
-        "zone": zone, "balancers": told.routers, "position": told.position,
-        "over_share_worth": told.over_share_worth, "costs": {"cross_zone": told.cross_zone_cost},
+        "zone": zone,
+        "balancers": told.routers,
+        "position": told.position,
+        "over_share_worth": told.over_share_worth,
+        "costs": {"cross_zone": told.cross_zone_cost},
     }
--- a/rosepick/lab/live/control.py
+++ b/rosepick/lab/live/control.py
@@ -51,8 +51,12 @@
         with theirs, log_file.open("wb") as log_to:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", f"{__package__}.{module}", str(theirs.fileno())],
-                pass_fds=(theirs.fileno(),), stdin=subprocess.DEVNULL, stdout=log_to, stderr=log_to,
-                env=environment(), start_new_session=True,
+                pass_fds=(theirs.fileno(),),
+                stdin=subprocess.DEVNULL,
+                stdout=log_to,
+                stderr=log_to,
+                env=environment(),
+                start_new_session=True,
             )
         self._sock, self._unread = ours, b""
         self.tell(job)
--- a/rosepick/lab/live/discovery.py
+++ b/rosepick/lab/live/discovery.py
@@ -100,9 +100,13 @@
         world = self.world
         stand = world.stands[member.server]
         return {
-            "uid": stand.node.uid, "endpoint": f"{HOST}:{stand.doors[zone].port}",
-            "az": world.experiment.zones[member.zone], "model": KINDS[member.kind],
-            "pod_group": member.cell, "state": STATES[member.state], "capacity_hint": member.weight,
+            "uid": stand.node.uid,
+            "endpoint": f"{HOST}:{stand.doors[zone].port}",
+            "az": world.experiment.zones[member.zone],
+            "model": KINDS[member.kind],
+            "pod_group": member.cell,
+            "state": STATES[member.state],
+            "capacity_hint": member.weight,
             "boot_ms": max(0, round(world.unix_begin + member.born)),
         }
 
--- a/rosepick/lab/live/faults.py
+++ b/rosepick/lab/live/faults.py
@@ -122,6 +122,8 @@
 
 
 KINDS: dict[str, Play] = {
-    "refuse": _refuse, "garbage": _share(lambda stand: stand.garbage_shares),
-    "drip": _share(lambda stand: stand.drip_shares), "reload": _reload,
+    "refuse": _refuse,
+    "garbage": _share(lambda stand: stand.garbage_shares),
+    "drip": _share(lambda stand: stand.drip_shares),
+    "reload": _reload,
 }
--- a/rosepick/lab/live/judge.py
+++ b/rosepick/lab/live/judge.py
@@ -20,8 +20,13 @@
 
 
 def judge(
-    experiment: Experiment, measure: Measure, attempts: Iterable[Attempt], tries: Iterable[Tried],
-    downs: Sequence[Down] = (), nodes_late: float = 0.0, clients_late: float = 0.0,
+    experiment: Experiment,
+    measure: Measure,
+    attempts: Iterable[Attempt],
+    tries: Iterable[Tried],
+    downs: Sequence[Down] = (),
+    nodes_late: float = 0.0,
+    clients_late: float = 0.0,
 ) -> None:
     """Note all broken rules, in the order of their times. The stand-ins and the clients may have seen what
     happened so many milliseconds late."""
@@ -99,4 +104,3 @@
         else:
             text = f"no answer by {tried.ended - tried.deadline:.0f} ms after its deadline"
         self.monitor.measure.broke("answered", tried.request, self.router, tried.ended, text)
-
--- a/rosepick/lab/live/nodes.py
+++ b/rosepick/lab/live/nodes.py
@@ -260,4 +260,3 @@
     if result is Result.FULL:
         return answer(503, b"", (DECLINED,))
     return answer(500)
-
--- a/rosepick/lab/live/reader.py
+++ b/rosepick/lab/live/reader.py
@@ -81,7 +81,10 @@
         self.begun = False
         self._found.append(
             Message(
-                self._parser.get_method(), self._target, self._headers, bytes(self._body),
+                self._parser.get_method(),
+                self._target,
+                self._headers,
+                bytes(self._body),
                 self._parser.should_keep_alive(),
             )
         )
--- a/rosepick/lab/live/routers.py
+++ b/rosepick/lab/live/routers.py
@@ -31,8 +31,12 @@
     def __init__(self, file: Path, log_file: Path) -> None:
         with log_file.open("ab") as log_to:
             self._popen = subprocess.Popen(
-                [sys.executable, "-O", "-m", "rosepick", "serve"], cwd=ROOT, stdin=subprocess.DEVNULL,
-                stdout=log_to, stderr=log_to, env={**environment(), "GW_CONFIG": str(file)},
+                [sys.executable, "-O", "-m", "rosepick", "serve"],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log_to,
+                stderr=log_to,
+                env={**environment(), "GW_CONFIG": str(file)},
                 start_new_session=True,
             )
         self.pid = self._popen.pid
@@ -88,8 +92,13 @@
     def start(self, known: dict[str, Any]) -> None:
         """Start a process, with the list as last held."""
         document = configuration.document(
-            self._experiment, self.name, f"{HOST}:{self.port}", f"{HOST}:{self._discovery}", known,
-            position=self.place, seed=self._seed,
+            self._experiment,
+            self.name,
+            f"{HOST}:{self.port}",
+            f"{HOST}:{self._discovery}",
+            known,
+            position=self.place,
+            seed=self._seed,
         )
         self._file.write_text(json.dumps(document), "utf-8")
         self.processes.append(Process(self._file, self.log_file))
--- a/rosepick/lab/live/run.py
+++ b/rosepick/lab/live/run.py
@@ -37,7 +37,9 @@
 
 
 def play(
-    experiment: Experiment, seed: int, changes: dict[str, Any],
+    experiment: Experiment,
+    seed: int,
+    changes: dict[str, Any],
     progress: Callable[[float], None] | None = None,
 ) -> tuple[Run, Cost]:
     """One run in real time. Its processes are ended whatever happens. HelperFailed if one of ours fails;
@@ -97,7 +99,8 @@
 
     def _job(self, name: str) -> dict[str, Any]:
         return {
-            "experiment": self.experiment.model_dump_json(by_alias=True), "seed": self.seed,
+            "experiment": self.experiment.model_dump_json(by_alias=True),
+            "seed": self.seed,
             "result": str(self.folder / f"{name}.result"),
         }
 
@@ -229,7 +232,9 @@
         offered = sum(window.offered for window in run.windows)
         routers = sum(router.cpu_s() for router in self.routers)
         return run, Cost(
-            requests=offered, cpu_s=routers + seen.cpu_s + asked.cpu_s, events=seen.events,
+            requests=offered,
+            cpu_s=routers + seen.cpu_s + asked.cpu_s,
+            events=seen.events,
             decide_us=1e6 * routers / max(1, offered),  # all that routers do: their CPU seen from outside
             memory_mb=max(router.memory_mb() for router in self.routers),
         )
@@ -252,16 +257,15 @@
             measure.ended(*of(ended.number), ended.how, ended.took)
         for at, name, text in self.died:
             measure.broke("answered", "", name, 1000.0 * at, text)
-        judge(
-            given, measure, seen.attempts, asked.tries, self.downs, seen.late.longest, asked.pauses.longest
-        )
+        judge(given, measure, seen.attempts, asked.tries, self.downs, seen.late.longest, asked.pauses.longest)
         return measure
 
     @staticmethod
     def _void(seen: Seen, asked: Asked) -> str:
         """Why the run counts for nothing; empty if it counts."""
         faults = [
-            asked.late.fault("requests were sent"), asked.pauses.fault("the clients' loop was"),
+            asked.late.fault("requests were sent"),
+            asked.pauses.fault("the clients' loop was"),
             seen.late.fault("the stand-ins' loop was"),
         ]
         for who, how_many in (("stand-ins", seen.faults), ("clients", asked.faults)):
--- a/rosepick/lab/live/stand_ins.py
+++ b/rosepick/lab/live/stand_ins.py
@@ -51,9 +51,15 @@
     def _seen(self) -> Seen:
         world, measure = self.world, self.world.measure
         return Seen(
-            attempts=world.attempts, seconds=measure.seconds, spans=measure.spans, broken=measure.broken,
-            fell=measure.fell, late=world.pace.pulse.lateness(), cpu_s=time.process_time() - self._cpu,
-            events=world.kernel.events, faults=self.loop.faults,
+            attempts=world.attempts,
+            seconds=measure.seconds,
+            spans=measure.spans,
+            broken=measure.broken,
+            fell=measure.fell,
+            late=world.pace.pulse.lateness(),
+            cpu_s=time.process_time() - self._cpu,
+            events=world.kernel.events,
+            faults=self.loop.faults,
         )
 
 
--- a/rosepick/lab/measure.py
+++ b/rosepick/lab/measure.py
@@ -119,13 +119,23 @@
         given = self.experiment
         windows = [_window(n, second) for n, second in enumerate(self.seconds)]
         return Run(
-            experiment=given.name, policy=policy, seed=seed, how=how, changes=changes, revision=revision(),
-            versions=versions(), length=given.length, warm_up=given.warm_up, void=void,
+            experiment=given.name,
+            policy=policy,
+            seed=seed,
+            how=how,
+            changes=changes,
+            revision=revision(),
+            versions=versions(),
+            length=given.length,
+            warm_up=given.warm_up,
+            void=void,
             totals=self.figures(given.warm_up, given.length),
             classes={name: group.part() for name, group in self.classes.items()},
             tenants={name: group.part() for name, group in self.tenants.items()},
             percentiles=[(q, _at(self.times, q)) for q in PERCENTILES],
-            windows=windows, troubles=self.spans, must=[self._verdict(must) for must in given.must],
+            windows=windows,
+            troubles=self.spans,
+            must=[self._verdict(must) for must in given.must],
             broken=self.broken,
         )
 
@@ -149,7 +159,8 @@
                 sum(second.worth_in_time for second in seconds),
                 sum(second.worth_offered for second in seconds),
             ),
-            "p50_ms": _quantile(times, 0.5), "p99_ms": _quantile(times, 0.99),
+            "p50_ms": _quantile(times, 0.5),
+            "p99_ms": _quantile(times, 0.99),
             "p999_ms": _quantile(times, 0.999),
             "attempts_per_request": _share(total["attempts"], offered),
             "origin_share": _share(total["origin_attempts"], offered),
@@ -157,7 +168,8 @@
             "crossings": _share(total["crossings"], offered),
             "origin_load": _mean([second.origin_load for second in seconds]),
             "node_load": _mean(loads),
-            "fell": float(self.fell), "broken_rules": float(len(self.broken)),
+            "fell": float(self.fell),
+            "broken_rules": float(len(self.broken)),
         }
 
     def _verdict(self, must: Must) -> Verdict:
@@ -170,14 +182,27 @@
 def _window(at: int, second: Second) -> Window:
     counts, times = second.counts, sorted(second.served)
     return Window(
-        at=at, offered=counts["offered"], in_time=counts["in_time"], late=counts["late"],
-        refused=counts["refused"], failed=counts["failed"], left=counts["left"],
-        worth_offered=round(second.worth_offered, 6), worth_in_time=round(second.worth_in_time, 6),
-        p50_ms=_quantile(times, 0.5), p99_ms=_quantile(times, 0.99), attempts=counts["attempts"],
-        hits=counts["hits"], misses=counts["misses"], origin_attempts=counts["origin_attempts"],
-        crossings=counts["crossings"], origin_load=round(second.origin_load, 4),
-        node_load_mean=_mean(second.node_loads), node_load_most=round(max(second.node_loads, default=0.0), 4),
-        cold_used=round(second.cold_used, 4), nodes_up=second.nodes_up,
+        at=at,
+        offered=counts["offered"],
+        in_time=counts["in_time"],
+        late=counts["late"],
+        refused=counts["refused"],
+        failed=counts["failed"],
+        left=counts["left"],
+        worth_offered=round(second.worth_offered, 6),
+        worth_in_time=round(second.worth_in_time, 6),
+        p50_ms=_quantile(times, 0.5),
+        p99_ms=_quantile(times, 0.99),
+        attempts=counts["attempts"],
+        hits=counts["hits"],
+        misses=counts["misses"],
+        origin_attempts=counts["origin_attempts"],
+        crossings=counts["crossings"],
+        origin_load=round(second.origin_load, 4),
+        node_load_mean=_mean(second.node_loads),
+        node_load_most=round(max(second.node_loads, default=0.0), 4),
+        cold_used=round(second.cold_used, 4),
+        nodes_up=second.nodes_up,
     )
 
 
--- a/rosepick/lab/paper.py
+++ b/rosepick/lab/paper.py
@@ -59,9 +59,7 @@
         """What an hour costs, where such parts of the requests go to the Cloud, and miss its cache."""
         cores = rate * cloud_misses * self.cloud_work / 1000.0
         sent = 3600.0 * rate * to_cloud
-        return (
-            self.compute_price * cores + self.storage_price * cloud_cache + self.network_price * sent
-        )
+        return self.compute_price * cores + self.storage_price * cloud_cache + self.network_price * sent
 
 
 PAPER = Site()
@@ -124,7 +122,8 @@
     to_fog, misses = ranks.of(kept), ranks.of(kept * (1.0 - hit))
     to_cloud, cloud_misses = 1.0 - to_fog, ranks.of((1.0 - kept) * (1.0 - cloud_hit))
     return Expected(
-        to_fog, 1.0 - misses / to_fog if to_fog else 0.0,
+        to_fog,
+        1.0 - misses / to_fog if to_fog else 0.0,
         _time(site, rate / 1000.0, to_fog, misses, to_cloud, cloud_misses),
         site.cost(rate, to_cloud, cloud_misses, setting.cloud_cache),
     )
@@ -136,12 +135,16 @@
     """Mean and one deviation. As in the paper, the deviation is within the queues only: that one way takes
     longer than another does not count."""
     lines = (  # part of all requests that come, work of each
-        (misses, site.raw_send), (misses, site.fog_work), (to_cloud, site.core_send), (1.0, site.access_send),
+        (misses, site.raw_send),
+        (misses, site.fog_work),
+        (to_cloud, site.core_send),
+        (1.0, site.access_send),
     )
     if any(rate * part * work >= 1.0 for part, work in lines):
         return inf
     mean = (
-        (to_fog + misses) * 2.0 * site.access_way + to_cloud * 2.0 * (site.access_way + site.core_way)
+        (to_fog + misses) * 2.0 * site.access_way
+        + to_cloud * 2.0 * (site.access_way + site.core_way)
         + cloud_misses * (site.database + site.cloud_work)
         + sum(part * theory.ps_sojourn(rate * part, work) for part, work in lines)
     )
@@ -171,9 +174,7 @@
 
     first = most(0)
     sizes = [0, *(int(site.keys * 10 ** (-n / 10)) for n in range(40))]
-    return most(min(
-        sizes, key=lambda size: expect(site, ranks, rate, replace(first, cloud_cache=size)).cost
-    ))
+    return most(min(sizes, key=lambda size: expect(site, ranks, rate, replace(first, cloud_cache=size)).cost))
 
 
 def _edge(most: float, good: Callable[[float], bool]) -> float:
@@ -269,12 +270,18 @@
         """The result."""
         times, site = np.array(self.times), self.site
         count = len(times)
-        cost = site.cost(
-            rate, 1.0 - self.kept / count, self.cloud_misses / count, self.setting.cloud_cache
-        )
+        cost = site.cost(rate, 1.0 - self.kept / count, self.cloud_misses / count, self.setting.cloud_cache)
         return Row(
-            self.setting.policy, rate, self.setting, self.kept / count, self.hits / max(1, self.kept), cost,
-            float(times.mean()), float(times.std()), float((times > site.target).mean()), float(times.max()),
+            self.setting.policy,
+            rate,
+            self.setting,
+            self.kept / count,
+            self.hits / max(1, self.kept),
+            cost,
+            float(times.mean()),
+            float(times.std()),
+            float((times > site.target).mean()),
+            float(times.max()),
         )
 
 
@@ -297,9 +304,7 @@
         reach = _fill(place.list, ages)
         gaps = draw.exponential(size=site.keys) / asked
         # in steps of at least the reach; so far back that no key is still at the Fog
-        horizon = 2.0 * theory.che_time(
-            ranks.popularity * ranks.kept(setting), site.fog_cache, ranks.many
-        )
+        horizon = 2.0 * theory.che_time(ranks.popularity * ranks.kept(setting), site.fog_cache, ranks.many)
         while (older := np.flatnonzero((gaps > reach) & (ages < horizon))).size:
             ages[older] += gaps[older]
             gaps[older] = draw.exponential(size=older.size) / asked[older]
@@ -322,9 +327,7 @@
     return float(ages[newest[0]])
 
 
-def play(
-    site: Site, ranks: Ranks, setting: Setting, rate: float, seed: int, requests: int
-) -> Row:
+def play(site: Site, ranks: Ranks, setting: Setting, rate: float, seed: int, requests: int) -> Row:
     """Simulate so many requests that are measured, after a warm-up of its own."""
     place = Place(site, ranks, setting, seed)
     keys, gaps = Zipf(seed, "keys", site.keys, site.skew), Work(seed, "gaps", "exponential", 0.0)
@@ -344,9 +347,7 @@
     return place.row(rate)
 
 
-def rows(
-    seed: int, requests: int, site: Site = PAPER, rates: Sequence[float] = RATES
-) -> Iterator[Row]:
+def rows(seed: int, requests: int, site: Site = PAPER, rates: Sequence[float] = RATES) -> Iterator[Row]:
     """Each policy, tuned, under each load, one after another."""
     ranks = Ranks(site)
     for rate in rates:
@@ -354,9 +355,7 @@
             yield play(site, ranks, tune(site, ranks, rate, policy), rate, seed, requests)
 
 
-def compare(
-    seed: int, requests: int, site: Site = PAPER, rates: Sequence[float] = RATES
-) -> list[Row]:
+def compare(seed: int, requests: int, site: Site = PAPER, rates: Sequence[float] = RATES) -> list[Row]:
     """The paper's main figures for each policy and load, each by so many simulated requests."""
     return list(rows(seed, requests, site, rates))
 
--- a/rosepick/lab/policies/base.py
+++ b/rosepick/lab/policies/base.py
@@ -177,7 +177,8 @@
     def _sort(self) -> None:
         # a node that left is kept while attempts are out there, as their count would be lost if it came back
         self.nodes = {
-            number: node for number, node in sorted(self.nodes.items())
+            number: node
+            for number, node in sorted(self.nodes.items())
             if node.out or (node.listed and node.member.state is not State.GONE)
         }
         ready = [node for node in self.nodes.values() if node.ready]
--- a/rosepick/lab/report/page.py
+++ b/rosepick/lab/report/page.py
@@ -23,11 +23,18 @@
 MOST_NAMED = 20  # in the head
 
 FIGURES = (
-    ("served_share", "served %", "share"), ("worth_share", "worth %", "share"),
-    ("late_share", "late %", "share"), ("refused_share", "refused %", "share"),
-    ("failed_share", "failed %", "share"), ("p50_ms", "p50 ms", "ms"), ("p99_ms", "p99 ms", "ms"),
-    ("p999_ms", "p99.9 ms", "ms"), ("attempts_per_request", "attempts", "number"),
-    ("origin_share", "origin", "number"), ("crossings", "cross", "number"), ("fell", "fell", "number"),
+    ("served_share", "served %", "share"),
+    ("worth_share", "worth %", "share"),
+    ("late_share", "late %", "share"),
+    ("refused_share", "refused %", "share"),
+    ("failed_share", "failed %", "share"),
+    ("p50_ms", "p50 ms", "ms"),
+    ("p99_ms", "p99 ms", "ms"),
+    ("p999_ms", "p99.9 ms", "ms"),
+    ("attempts_per_request", "attempts", "number"),
+    ("origin_share", "origin", "number"),
+    ("crossings", "cross", "number"),
+    ("fell", "fell", "number"),
     ("broken_rules", "broken", "number"),
 )
 
@@ -55,11 +62,22 @@
     plots = Plots()
     groups, undrawn = _groups(entries, plots)
     return _template().render(
-        title=title, head=_head(runs), alarm=_alarm(entries, verdicts, broken), figures=FIGURES,
-        cases=_ordered(entry.case for entry in entries), means=_means(entries),
-        rows=_bounded(worst_first, entries, MOST_ROWS), costs=_costs(costs), count=len(entries),
-        verdicts=verdicts[:MOST_ROWS], verdict_count=len(verdicts), broken=broken[:MOST_BROKEN],
-        broken_count=len(broken), percentiles=_percentiles(entries, plots), groups=groups, undrawn=undrawn,
+        title=title,
+        head=_head(runs),
+        alarm=_alarm(entries, verdicts, broken),
+        figures=FIGURES,
+        cases=_ordered(entry.case for entry in entries),
+        means=_means(entries),
+        rows=_bounded(worst_first, entries, MOST_ROWS),
+        costs=_costs(costs),
+        count=len(entries),
+        verdicts=verdicts[:MOST_ROWS],
+        verdict_count=len(verdicts),
+        broken=broken[:MOST_BROKEN],
+        broken_count=len(broken),
+        percentiles=_percentiles(entries, plots),
+        groups=groups,
+        undrawn=undrawn,
         styles={entry.label: entry.style for entry in entries},
     )
 
@@ -133,16 +151,20 @@
 
 
 def _alarm(
-    entries: Sequence[Entry], verdicts: Sequence[tuple[Entry, Verdict]],
+    entries: Sequence[Entry],
+    verdicts: Sequence[tuple[Entry, Verdict]],
     broken: Sequence[tuple[Entry, Broken]],
 ) -> dict[str, Any]:
     """What comes first and loudly."""
     void = [entry for entry in entries if entry.run.void]
     rules = Counter(f"{rule.rule}: {entry.name}" for entry, rule in broken)
     return {
-        "void": void[:MOST_NAMED], "void_more": max(0, len(void) - MOST_NAMED),
-        "broken": rules.most_common(MOST_NAMED), "broken_more": max(0, len(rules) - MOST_NAMED),
-        "broken_count": len(broken), "void_count": len(void),
+        "void": void[:MOST_NAMED],
+        "void_more": max(0, len(void) - MOST_NAMED),
+        "broken": rules.most_common(MOST_NAMED),
+        "broken_more": max(0, len(rules) - MOST_NAMED),
+        "broken_count": len(broken),
+        "void_count": len(void),
         "not_held": sum(not verdict.held for _, verdict in verdicts),
     }
 
@@ -181,10 +203,14 @@
         drawn = counted[:MOST_LINES]
         svg = plots.percentiles([(entry.style, entry.run.percentiles) for entry in drawn])
         if svg:
-            made.append({
-                "case": case, "svg": Markup(svg), "labels": _ordered(entry.label for entry in drawn),
-                "more": len(counted) - len(drawn),
-            })
+            made.append(
+                {
+                    "case": case,
+                    "svg": Markup(svg),
+                    "labels": _ordered(entry.label for entry in drawn),
+                    "more": len(counted) - len(drawn),
+                }
+            )
     return made
 
 
@@ -213,9 +239,14 @@
         if svg := plots.outcomes(entry.run.windows, time, float(most)):
             figures.append((f"How requests ended, a second: {entry.label}", Markup(svg), False))
     return {
-        "case": entries[0].case, "seed": runs[0].seed, "entries": entries, "more": count - len(entries),
-        "figures": figures, "empty": [panel.title for panel, svg in made if not svg],
-        "troubles": troubles[:MOST_TROUBLES], "troubles_more": max(0, len(troubles) - MOST_TROUBLES),
+        "case": entries[0].case,
+        "seed": runs[0].seed,
+        "entries": entries,
+        "more": count - len(entries),
+        "figures": figures,
+        "empty": [panel.title for panel, svg in made if not svg],
+        "troubles": troubles[:MOST_TROUBLES],
+        "troubles_more": max(0, len(troubles) - MOST_TROUBLES),
     }
 
 
--- a/rosepick/lab/report/plots.py
+++ b/rosepick/lab/report/plots.py
@@ -33,14 +33,19 @@
 INK, GRID, SHADE, EARLY = "#010203", "#040506", "#070809", "#0a0b0c"
 BLUE = "#0072b2"  # as it is on light paper
 PAGE = {
-    INK: "currentColor", GRID: "var(--grid)", SHADE: "var(--shade)", EARLY: "var(--early)",
+    INK: "currentColor",
+    GRID: "var(--grid)",
+    SHADE: "var(--shade)",
+    EARLY: "var(--early)",
     BLUE: "var(--blue)",
 }
 COLOURS = (BLUE, "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9", INK)
 DASHES = ((), (5, 2), (1.5, 1.5), (7, 2, 1.5, 2), (3, 1.2))
 ENDS = (  # hatched with lines only: dots would take most of the page
-    ("in_time", "in time", "#56b4e9", ""), ("late", "late", "#e69f00", "///"),
-    ("refused", "refused", "#cc79a7", "\\\\\\"), ("failed", "failed", "#d55e00", "xxx"),
+    ("in_time", "in time", "#56b4e9", ""),
+    ("late", "late", "#e69f00", "///"),
+    ("refused", "refused", "#cc79a7", "\\\\\\"),
+    ("failed", "failed", "#d55e00", "xxx"),
     ("left", "left", "#999999", "---"),
 )
 
@@ -48,11 +53,26 @@
 WIDE, NARROW, HIGH = 9.75, 4.8, 1.5
 LEFT, RIGHT, BELOW, ABOVE, LANE, LEGEND, LETTER = 0.5, 0.08, 0.4, 0.06, 0.16, 0.22, 0.072
 LOOK: dict[str, Any] = {
-    "svg.fonttype": "none", "svg.hashsalt": "rosepick", "text.parse_math": False, "text.color": INK,
-    "font.sans-serif": ["DejaVu Sans"], "font.size": 8.0, "axes.edgecolor": INK, "axes.labelcolor": INK,
-    "xtick.color": INK, "ytick.color": INK, "grid.color": GRID, "grid.linewidth": 0.6, "axes.grid": True,
-    "axes.axisbelow": True, "axes.spines.top": False, "axes.spines.right": False, "axes.linewidth": 0.6,
-    "hatch.linewidth": 0.3, "legend.frameon": False, "legend.fontsize": 8.0,
+    "svg.fonttype": "none",
+    "svg.hashsalt": "rosepick",
+    "text.parse_math": False,
+    "text.color": INK,
+    "font.sans-serif": ["DejaVu Sans"],
+    "font.size": 8.0,
+    "axes.edgecolor": INK,
+    "axes.labelcolor": INK,
+    "xtick.color": INK,
+    "ytick.color": INK,
+    "grid.color": GRID,
+    "grid.linewidth": 0.6,
+    "axes.grid": True,
+    "axes.axisbelow": True,
+    "axes.spines.top": False,
+    "axes.spines.right": False,
+    "axes.linewidth": 0.6,
+    "hatch.linewidth": 0.3,
+    "legend.frameon": False,
+    "legend.fontsize": 8.0,
 }
 
 
@@ -156,9 +176,13 @@
         with _look():
             figure, axes = _timed(NARROW, time, LEGEND)
             axes.stackplot(
-                ends[0][0], [values for _, values in ends], labels=[label for _, label, *_ in ENDS],
-                colors=[colour for *_, colour, _ in ENDS], hatch=[hatch for *_, hatch in ENDS],
-                edgecolor=INK, linewidth=0.2,
+                ends[0][0],
+                [values for _, values in ends],
+                labels=[label for _, label, *_ in ENDS],
+                colors=[colour for *_, colour, _ in ENDS],
+                hatch=[hatch for *_, hatch in ENDS],
+                edgecolor=INK,
+                linewidth=0.2,
             )
             axes.set_ylim(0, most * 1.05)
             figure.legend(loc="lower center", ncols=len(ENDS), handlelength=1.4, columnspacing=1.2)
@@ -177,8 +201,13 @@
             figure, axes = _framed(WIDE, HIGH + 0.5, 0, BELOW)
             for style, points in drawn:
                 axes.plot(
-                    [x for x, _, _ in points], [took for _, took, _ in points], linewidth=1.1, alpha=0.85,
-                    marker="o", markersize=2.2, **style.drawn(),
+                    [x for x, _, _ in points],
+                    [took for _, took, _ in points],
+                    linewidth=1.1,
+                    alpha=0.85,
+                    marker="o",
+                    markersize=2.2,
+                    **style.drawn(),
                 )
             axes.set_xticks(list(ticks), [f"{q:g} %" for q in ticks.values()])
             axes.set_xlabel("of the served requests took at most so long", labelpad=2)
--- a/rosepick/lab/sim.py
+++ b/rosepick/lab/sim.py
@@ -40,7 +40,10 @@
 
 
 def play(
-    experiment: Experiment, seed: int, policy: str, changes: dict[str, Any],
+    experiment: Experiment,
+    seed: int,
+    policy: str,
+    changes: dict[str, Any],
     progress: Callable[[float], None] | None = None,
 ) -> tuple[Run, Cost]:
     """One run. The same experiment, seed, policy and revision give the same result, byte for byte.
@@ -69,7 +72,9 @@
     run = measure.run(seed, "sim", policy, changes)
     offered = sum(window.offered for window in run.windows)
     cost = Cost(
-        requests=offered, cpu_s=spent, events=world.kernel.events,
+        requests=offered,
+        cpu_s=spent,
+        events=world.kernel.events,
         decide_us=sum(one.spent for one in deciders) / 1000.0 / max(1, offered),
         memory_mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0,
     )
--- a/rosepick/lab/sweep.py
+++ b/rosepick/lab/sweep.py
@@ -41,7 +41,11 @@
     """Plays one run; `progress` is called with the part done, 0 to 1."""
 
     def __call__(
-        self, experiment: Experiment, seed: int, policy: str, changes: dict[str, Any],
+        self,
+        experiment: Experiment,
+        seed: int,
+        policy: str,
+        changes: dict[str, Any],
         progress: Progress | None = None,
     ) -> Result: ...
 
@@ -164,7 +168,11 @@
 
 
 def sweep(
-    experiment_text: str, place: str, cells: Sequence[Cell], workers: int, play: Play,
+    experiment_text: str,
+    place: str,
+    cells: Sequence[Cell],
+    workers: int,
+    play: Play,
     on_progress: Progress,
 ) -> Results:
     """Play cells and yield their results in order, each as soon as it and all before it are done.
--- a/rosepick/lab/world/clients.py
+++ b/rosepick/lab/world/clients.py
@@ -36,7 +36,12 @@
     """All clients of a run. Each has a router of its own and asks no other."""
 
     def __init__(
-        self, kernel: Kernel, experiment: Experiment, seed: int, measure: Measure, settings: api.Settings,
+        self,
+        kernel: Kernel,
+        experiment: Experiment,
+        seed: int,
+        measure: Measure,
+        settings: api.Settings,
         router: Callable[[int], Router | None],
     ) -> None:
         self.kernel, self.experiment, self.measure, self.settings = kernel, experiment, measure, settings
--- a/rosepick/lab/world/draws.py
+++ b/rosepick/lab/world/draws.py
@@ -57,7 +57,7 @@
         if self._kind == "exponential":
             return self._generator.exponential(1.0, BLOCK)
         # the logarithm's mean that makes the mean of the values 1
-        return self._generator.lognormal(-self._spread**2 / 2, self._spread, BLOCK)
+        return self._generator.lognormal(-(self._spread**2) / 2, self._spread, BLOCK)
 
 
 class Zipf:
--- a/rosepick/lab/world/fleet.py
+++ b/rosepick/lab/world/fleet.py
@@ -169,8 +169,13 @@
 
     def __init__(self, kernel: Kernel, shape: Origin, zone: int) -> None:
         made = Shape(
-            cores=shape.cores, speed=shape.speed, slots=shape.slots, queue=shape.queue,
-            crowding=shape.crowding, cancels=shape.cancels, overrun_after=1000.0 * shape.falls_when,
+            cores=shape.cores,
+            speed=shape.speed,
+            slots=shape.slots,
+            queue=shape.queue,
+            crowding=shape.crowding,
+            cancels=shape.cancels,
+            overrun_after=1000.0 * shape.falls_when,
         )
         super().__init__(kernel, "origin", zone, made, -1e12, shape.connections)
         self.handshake = shape.handshake_ms
@@ -204,14 +209,27 @@
     """A cache node: it answers what it remembers, and a miss else; or fetches by itself, in through mode."""
 
     def __init__(
-        self, kernel: Kernel, uid: str, zone: int, shape: Nodes, speed: float, born: float,
+        self,
+        kernel: Kernel,
+        uid: str,
+        zone: int,
+        shape: Nodes,
+        speed: float,
+        born: float,
         fetch: Callable[[CacheNode, Asked, Callable[[bool], None]], None] | None,
     ) -> None:
         made = Shape(
-            cores=shape.cores, speed=speed, slots=shape.slots, queue=shape.queue, crowding=shape.crowding,
-            cold_from=shape.cold_from, warm_after=1000.0 * shape.warm_after,
-            warm_by_work=shape.warm_by == "work", falls_at=shape.falls_at,
-            falls_within=1000.0 * shape.falls_within, cancels=shape.cancels,
+            cores=shape.cores,
+            speed=speed,
+            slots=shape.slots,
+            queue=shape.queue,
+            crowding=shape.crowding,
+            cold_from=shape.cold_from,
+            warm_after=1000.0 * shape.warm_after,
+            warm_by_work=shape.warm_by == "work",
+            falls_at=shape.falls_at,
+            falls_within=1000.0 * shape.falls_within,
+            cancels=shape.cancels,
         )
         super().__init__(kernel, uid, zone, made, born, shape.connections)
         self.handshake, self.miss = shape.handshake_ms, shape.miss_ms
--- a/rosepick/lab/world/ports.py
+++ b/rosepick/lab/world/ports.py
@@ -109,7 +109,12 @@
         write = self.attempt.envelope.write
         self.sent = port.sending(payload.tried, self.node)
         self.asked = Asked(
-            payload.tried.name, request.key, write, request.work, request.origin_work, request.size,
+            payload.tried.name,
+            request.key,
+            write,
+            request.work,
+            request.origin_work,
+            request.size,
             self._replied,
         )
         if port.reaches(self.node):
@@ -183,9 +188,18 @@
     """One router of the world: sender side, next hops, map source and clock of its engine."""
 
     def __init__(
-        self, name: str, zone: int, kernel: Kernel, network: Network, nodes: dict[int, Node],
-        discovery: Discovery, monitor: Monitor, settings: api.Settings, seed: int,
-        decider: Decider | None, shape: Routers,
+        self,
+        name: str,
+        zone: int,
+        kernel: Kernel,
+        network: Network,
+        nodes: dict[int, Node],
+        discovery: Discovery,
+        monitor: Monitor,
+        settings: api.Settings,
+        seed: int,
+        decider: Decider | None,
+        shape: Routers,
     ) -> None:
         self.name, self.zone = name, zone
         self.kernel, self.network, self.nodes, self.monitor = kernel, network, nodes, monitor
@@ -322,8 +336,14 @@
     ) -> Envelope:
         """A client's try comes."""
         envelope = Envelope(
-            klass=request.klass, deadline=deadline, key=request.key, tenant=request.tenant, write=write,
-            retry=retry, cost_hint=request.hint, payload=payload,
+            klass=request.klass,
+            deadline=deadline,
+            key=request.key,
+            tenant=request.tenant,
+            write=write,
+            retry=retry,
+            cost_hint=request.hint,
+            payload=payload,
         )
         self._unread[envelope] = payload
         self.spend(self.shape.request_us, lambda: self._take(envelope))
--- a/rosepick/lab/world/requests.py
+++ b/rosepick/lab/world/requests.py
@@ -48,9 +48,7 @@
             Uniform(seed, name) for name in ("classes", "tenants", "routers", "flash", "leave")
         )
         self._hints = Work(seed, "hints", "lognormal", HINT_SPREAD)
-        self._works = [
-            Work(seed, f"work {one.name}", one.work, one.spread) for one in experiment.classes
-        ]
+        self._works = [Work(seed, f"work {one.name}", one.work, one.spread) for one in experiment.classes]
         self._classes = _edges([one.share for one in experiment.classes])
         self._tenants = _edges([one.traffic or one.share for one in experiment.tenants])
         self._routers = _edges(_traffic(experiment.routers))
@@ -111,8 +109,16 @@
         if self.experiment.clients.leave and self._leave() < self.experiment.clients.leave:
             leaves = 1000.0 * one.deadline * (0.1 + 0.9 * self._leave())
         return Request(
-            number, due, self._pick(self._where, self._routers), klass, tenant, key,
-            one.work_ms * amount, one.origin_ms * amount, one.work_ms * amount * self._hints(), one.size,
+            number,
+            due,
+            self._pick(self._where, self._routers),
+            klass,
+            tenant,
+            key,
+            one.work_ms * amount,
+            one.origin_ms * amount,
+            one.work_ms * amount * self._hints(),
+            one.size,
             leaves,
         )
 
--- a/rosepick/lab/world/settings.py
+++ b/rosepick/lab/world/settings.py
@@ -17,8 +17,11 @@
     return api.Settings(
         classes=tuple(
             api.RequestClass(
-                aim=1000.0 * one.aim, deadline=1000.0 * one.deadline, worth=one.worth,
-                effect=api.Effect(one.effect), group=api.Group(one.group),
+                aim=1000.0 * one.aim,
+                deadline=1000.0 * one.deadline,
+                worth=one.worth,
+                effect=api.Effect(one.effect),
+                group=api.Group(one.group),
                 repeat_window=1000.0 * one.repeat_window,
             )
             for one in experiment.classes
@@ -32,11 +35,16 @@
             fall=max((1000.0 * nodes.falls_within for nodes in cold), default=3_000.0),
         ),
         limits=api.Limits(
-            max_attempts=experiment.max_attempts, cancelling=True,
+            max_attempts=experiment.max_attempts,
+            cancelling=True,
             max_retry_after=1000.0 * experiment.max_retry_after,
         ),
         mode=api.Mode(experiment.mode),
         origin_kind=ORIGIN if experiment.mode == "aside" else -1,
-        zone=zone, subscribe=experiment.discovery.watch, routers=experiment.routers.count, position=position,
-        over_share_worth=OVER_SHARE_WORTH if experiment.tenants else 1.0, cross_zone_cost=CROSSING_COST,
+        zone=zone,
+        subscribe=experiment.discovery.watch,
+        routers=experiment.routers.count,
+        position=position,
+        over_share_worth=OVER_SHARE_WORTH if experiment.tenants else 1.0,
+        cross_zone_cost=CROSSING_COST,
     )
--- a/rosepick/lab/world/troubles.py
+++ b/rosepick/lab/world/troubles.py
@@ -22,7 +22,8 @@
     kinds = {**_KINDS, **more}
     only_live = [
         f"troubles[{place}].kind {trouble.kind!r} is played with --live only"
-        for place, trouble in enumerate(world.experiment.troubles) if trouble.kind not in kinds
+        for place, trouble in enumerate(world.experiment.troubles)
+        if trouble.kind not in kinds
     ]
     if only_live:
         raise ExperimentError(tuple(only_live))
@@ -224,9 +225,24 @@
 
 
 _KINDS: dict[str, Play] = {
-    "slow": _slow, "stop": _stop, "restart": _restart, "replace": _replace, "shrink": _shrink, "grow": _grow,
-    "cut": _cut, "isolate": _isolate, "silent": _silent, "stale": _stale, "discovery_down": _discovery_down,
-    "origin_slow": _origin_slow, "origin_stop": _origin_stop, "flash": _flash, "surge": _surge,
-    "router_kill": _routers(False), "router_restart": _routers(True), "hang": _share("hang_shares"),
-    "reset": _share("reset_shares"), "patch": _patch,
+    "slow": _slow,
+    "stop": _stop,
+    "restart": _restart,
+    "replace": _replace,
+    "shrink": _shrink,
+    "grow": _grow,
+    "cut": _cut,
+    "isolate": _isolate,
+    "silent": _silent,
+    "stale": _stale,
+    "discovery_down": _discovery_down,
+    "origin_slow": _origin_slow,
+    "origin_stop": _origin_stop,
+    "flash": _flash,
+    "surge": _surge,
+    "router_kill": _routers(False),
+    "router_restart": _routers(True),
+    "hang": _share("hang_shares"),
+    "reset": _share("reset_shares"),
+    "patch": _patch,
 }
--- a/rosepick/lab/world/world.py
+++ b/rosepick/lab/world/world.py
@@ -108,8 +108,17 @@
         settings = settings_of(self.experiment, place, zone)
         seed = int(generator(self.seed, f"router {place} at {self.kernel.time}").integers(1, 2**62))
         router = Router(
-            f"router-{place}", zone, self.kernel, self.network, self.nodes, self.discovery, self.monitor,
-            settings, seed, self._make_decider(settings, seed, self), self.experiment.routers,
+            f"router-{place}",
+            zone,
+            self.kernel,
+            self.network,
+            self.nodes,
+            self.discovery,
+            self.monitor,
+            settings,
+            seed,
+            self._make_decider(settings, seed, self),
+            self.experiment.routers,
         )
         router.count = self._count
         return router
@@ -156,7 +165,8 @@
         """Those that serve, in the order of their making."""
         wanted = self.zone(zone) if zone else None
         return [
-            node for node in self.nodes.values()
+            node
+            for node in self.nodes.values()
             if isinstance(node, CacheNode) and node.state is State.READY and wanted in (None, node.zone)
         ]
 
--- a/rosepick/logs.py
+++ b/rosepick/logs.py
@@ -46,10 +46,7 @@
     def sign(found: re.Match[str]) -> str:
         return _SIGNS.get(found[1], found[1])
 
-    return {
-        key: re.sub(r"\\(.)", sign, quoted) or plain
-        for key, quoted, plain in _PAIR.findall(line)
-    }
+    return {key: re.sub(r"\\(.)", sign, quoted) or plain for key, quoted, plain in _PAIR.findall(line)}
 
 
 class KeyValueFormatter(logging.Formatter):
--- a/rosepick/net/beside.py
+++ b/rosepick/net/beside.py
@@ -30,7 +30,10 @@
         self._started = loop.now()
 
     def follow(
-        self, module: Decider, held: Callable[[], int], serves: Callable[[], bool],
+        self,
+        module: Decider,
+        held: Callable[[], int],
+        serves: Callable[[], bool],
         changed: Callable[[], None],
     ) -> None:
         """Look at the others from now on; `held` descriptors are told to them, and `changed` is called when
--- a/rosepick/net/capture.py
+++ b/rosepick/net/capture.py
@@ -37,7 +37,12 @@
     """All parts of the capture of one router."""
 
     def __init__(
-        self, loop: Loop, operators: OperatorFile, names: Names, seed: int, offset: float,
+        self,
+        loop: Loop,
+        operators: OperatorFile,
+        names: Names,
+        seed: int,
+        offset: float,
         uid_of: Callable[[int], str | None],
     ) -> None:
         size = 1024 * operators.whole("capture_segment_kb")
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -56,8 +56,15 @@
     """Accepts the sender side's connections, at one door or more."""
 
     def __init__(
-        self, loop: Loop, budget: Budget, engine: Engine, names: Names, endpoint: tuple[str, int],
-        settings: DoorSettings, sockets: int, inherited: int | None = None,
+        self,
+        loop: Loop,
+        budget: Budget,
+        engine: Engine,
+        names: Names,
+        endpoint: tuple[str, int],
+        settings: DoorSettings,
+        sockets: int,
+        inherited: int | None = None,
     ) -> None:
         self.loop, self.budget, self.engine, self.names = loop, budget, engine, names
         self.settings = settings
@@ -244,7 +251,8 @@
         for conn, why in self.policy.look(self.loop.now()):
             self._close_idle(conn, why)
         for count, free in (
-            (self.policy.excess_at_doors(), self.shed), (self.policy.excess(), self.budget.free_one),
+            (self.policy.excess_at_doors(), self.shed),
+            (self.policy.excess(), self.budget.free_one),
         ):
             for _ in range(count):
                 if not free():
@@ -271,7 +279,7 @@
     def close(self) -> None:
         """Accept no more. What the machine has accepted already is taken: guards against its reset. But what
         waits at a socket that another process holds too is that one's; only our copy is closed."""
-        for door in self.doors[int(self.shared):]:
+        for door in self.doors[int(self.shared) :]:
             while self.open and self._accept_one(door):
                 pass
         self.pause()
@@ -288,13 +296,20 @@
         if since is not None and self._crowd_since is None:
             self._closed_before = dict(self.account.closed)
             say(
-                log, logging.INFO, "crowd_began", by=self.policy.crowded_by.value, **self.account.kinds(),
+                log,
+                logging.INFO,
+                "crowd_began",
+                by=self.policy.crowded_by.value,
+                **self.account.kinds(),
                 **asdict(self.policy.figures(self.loop.now())),
             )
         elif since is None and self._crowd_since is not None:
             closed = {why: n - self._closed_before.get(why, 0) for why, n in self.account.closed.items()}
             say(
-                log, logging.INFO, "crowd_ended", lasted_ms=self.loop.now() - self._crowd_since,
+                log,
+                logging.INFO,
+                "crowd_ended",
+                lasted_ms=self.loop.now() - self._crowd_since,
                 **{f"closed_{why.value}": closed[why] for why in Why if closed.get(why)},
             )
         self._crowd_since = since
@@ -308,9 +323,17 @@
         doors = {f"door_{name}": n for name, n in self.account.doors.items()}
         uses = {f"sockets_{use.value}": n for use, n in self.budget.uses.items()}
         say(
-            log, logging.INFO, "connections", **self.account.kinds(), may_hold=self.policy.may_hold(),
-            opened=self.account.opened, asks=self.account.asks, addresses=len(self.account.holders),
-            **dict(sorted(closed.items())), **dict(sorted(doors.items())), **uses,
+            log,
+            logging.INFO,
+            "connections",
+            **self.account.kinds(),
+            may_hold=self.policy.may_hold(),
+            opened=self.account.opened,
+            asks=self.account.asks,
+            addresses=len(self.account.holders),
+            **dict(sorted(closed.items())),
+            **dict(sorted(doors.items())),
+            **uses,
         )
         self._look_at_queues()
 
@@ -323,8 +346,13 @@
         for door in self.doors:
             queued, most = accept_queue.waiting(door.sock) or (0, 0)
             say(
-                log, logging.WARNING, "accept_queue_overflowed", door=door.name, machine=overflows - before,
-                waiting=queued, most=most,
+                log,
+                logging.WARNING,
+                "accept_queue_overflowed",
+                door=door.name,
+                machine=overflows - before,
+                waiting=queued,
+                most=most,
             )
 
 
--- a/rosepick/net/multiget.py
+++ b/rosepick/net/multiget.py
@@ -262,7 +262,11 @@
     """One connection that batches come on."""
 
     def __init__(
-        self, parts: Parts, max_keys: Callable[[], int], listener: Listener, sock: socket.socket,
+        self,
+        parts: Parts,
+        max_keys: Callable[[], int],
+        listener: Listener,
+        sock: socket.socket,
         make: StreamMaker,
     ) -> None:
         self.parts, self.max_keys = parts, max_keys
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -359,7 +359,11 @@
         """An attempt has its outcome."""
         self.busy.pop(attempt, None)
         self.engine.attempt_ended(
-            attempt, verdict.result, verdict.note, verdict.answer, verdict.spoilt,
+            attempt,
+            verdict.result,
+            verdict.note,
+            verdict.answer,
+            verdict.spoilt,
             _spent(attempt.envelope.payload),
         )
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -68,7 +68,8 @@
         self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
         known = self.map.take(config.known, cached=True)
         self.budget = Budget(
-            self._may_open(), self._memory(),
+            self._may_open(),
+            self._memory(),
             0.01 * self.operators.file.whole("doors_part"),
         )
         self.capture = self._capture() if self.operators.capture else None
@@ -80,8 +81,14 @@
         self.pool.engine = self.engine
         self.engine.next_hops, self.engine.map_source = self.pool, self.watch
         self.listener = Listener(
-            loop, self.budget, self.engine, config.names, config.listen, door_settings(self.operators.file),
-            self._may_open(), config.listen_fd,
+            loop,
+            self.budget,
+            self.engine,
+            config.names,
+            config.listen,
+            door_settings(self.operators.file),
+            self._may_open(),
+            config.listen_fd,
         )
         file = self.operators.file
         self.tls = self._tls() if file.number("tls_listen") is not None else None
@@ -119,8 +126,15 @@
         engine, module = self.engine, self.engine.router
         down = module.avoided() if isinstance(module, Router) else 0
         return Figures(
-            self._class_names(), engine.account.by_end(), engine.unfit, engine.written_of, engine.owed,
-            len(self.map.hops), down, self.reconfig_ok, self.reconfig_failed,
+            self._class_names(),
+            engine.account.by_end(),
+            engine.unfit,
+            engine.written_of,
+            engine.owed,
+            len(self.map.hops),
+            down,
+            self.reconfig_ok,
+            self.reconfig_failed,
         )
 
     def _class_names(self) -> dict[int, str]:
@@ -159,7 +173,11 @@
         from .capture import Capture
 
         return Capture(
-            self.loop, self.operators.file, self.config.names, self.config.seed, self.map.unix_offset,
+            self.loop,
+            self.operators.file,
+            self.config.names,
+            self.config.seed,
+            self.map.unix_offset,
             self.map.uid_of,
         )
 
@@ -182,7 +200,10 @@
         port = self.operators.file.number("multiget_listen")
         assert port is not None
         made = MultiGet(
-            self.loop, self.budget, self.listener, port,
+            self.loop,
+            self.budget,
+            self.listener,
+            port,
             lambda: self.operators.file.whole("multiget_max_keys"),
         )
         host, port = made.door.sock.getsockname()[:2]
@@ -198,7 +219,9 @@
     def run(self) -> None:
         """Serve until told to end and nothing is owed."""
         calls: dict[int, Callable[[], None]] = {
-            signal.SIGTERM: self.end, signal.SIGINT: self.end, signal.SIGHUP: self.reload,
+            signal.SIGTERM: self.end,
+            signal.SIGINT: self.end,
+            signal.SIGHUP: self.reload,
         }
         if self.capture is not None:
             calls[signal.SIGUSR2] = self.capture.dump
@@ -242,8 +265,13 @@
     def _told(self, told: Reader) -> None:
         change = self.map.take(told)
         say(
-            log, logging.INFO, "map_told", rev=change.event.version, scope=change.event.scope.value,
-            entries=len(change.event.members), hops=len(self.map.hops),
+            log,
+            logging.INFO,
+            "map_told",
+            rev=change.event.version,
+            scope=change.event.scope.value,
+            entries=len(change.event.members),
+            hops=len(self.map.hops),
         )
         self.engine.map_told(change.event)
         self.pool.retire(change.retired)
@@ -274,7 +302,9 @@
         before, self.operators.file = self.operators.file, found
         waiting = [s.name for s in self.started_with.differing(found) if not s.live]
         say(
-            log, logging.INFO, "operator_file_reloaded",
+            log,
+            logging.INFO,
+            "operator_file_reloaded",
             changed=",".join(s.name for s in before.differing(found)) or "nothing",
             needs_restart=",".join(waiting) or "nothing",
         )
@@ -296,8 +326,13 @@
         before, self.config = self.config, renewed
         host, port = told.discovery
         say(
-            log, logging.INFO, "reloaded", discovery=f"{host}:{port}", sockets=told.sockets,
-            classes=",".join(renewed.names.classes), max_attempts=renewed.settings.limits.max_attempts,
+            log,
+            logging.INFO,
+            "reloaded",
+            discovery=f"{host}:{port}",
+            sockets=told.sockets,
+            classes=",".join(renewed.names.classes),
+            max_attempts=renewed.settings.limits.max_attempts,
             needs_restart=",".join(config.changed(before, told)) or "nothing",
         )
         self.listener.names = renewed.names
@@ -363,9 +398,15 @@
         self.loop.after(SUM_UP_EVERY, self._sum_up)
         counts = dict(sorted(self.engine.totals().items()))
         say(
-            log, logging.INFO, "counts", owed=self.engine.owed, sockets=self.budget.used,
-            rejected=self.listener.rejected, loop_faults=self.loop.faults,
-            callers=self.ops.came if self.ops is not None else 0, **counts,
+            log,
+            logging.INFO,
+            "counts",
+            owed=self.engine.owed,
+            sockets=self.budget.used,
+            rejected=self.listener.rejected,
+            loop_faults=self.loop.faults,
+            callers=self.ops.came if self.ops is not None else 0,
+            **counts,
         )
         worths = {place: one.worth for place, one in enumerate(self.config.settings.classes)}
         for line in self.engine.account.lines(self._class_names(), worths):
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -31,12 +31,27 @@
     """One connected or connecting socket, without blocking."""
 
     __slots__ = (
-        "sock", "open", "_loop", "_budget", "_use", "_ready", "_mask", "_pending", "_urgent", "moved",
+        "sock",
+        "open",
+        "_loop",
+        "_budget",
+        "_use",
+        "_ready",
+        "_mask",
+        "_pending",
+        "_urgent",
+        "moved",
     )
 
     def __init__(
-        self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, mask: int = READ,
-        use: Use = Use.DOORS, urgent: bool = False,
+        self,
+        loop: Loop,
+        budget: Budget,
+        sock: socket.socket,
+        ready: Ready,
+        mask: int = READ,
+        use: Use = Use.DOORS,
+        urgent: bool = False,
     ) -> None:
         self.sock = sock
         self.open = True
--- a/rosepick/net/subject.py
+++ b/rosepick/net/subject.py
@@ -7,8 +7,14 @@
 Name = tuple[tuple[tuple[str, str], ...], ...]  # as the ssl module gives it: parts, each of one or more pairs
 
 _SHORT = {
-    "commonName": "CN", "localityName": "L", "stateOrProvinceName": "ST", "organizationName": "O",
-    "organizationalUnitName": "OU", "countryName": "C", "streetAddress": "STREET", "domainComponent": "DC",
+    "commonName": "CN",
+    "localityName": "L",
+    "stateOrProvinceName": "ST",
+    "organizationName": "O",
+    "organizationalUnitName": "OU",
+    "countryName": "C",
+    "streetAddress": "STREET",
+    "domainComponent": "DC",
     "userId": "UID",
 }
 _ODD = re.compile(r'[\\",;<>+]|^[ #]| $|[\x00-\x1f\x7f]')
--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -115,11 +115,25 @@
     """A stream whose bytes are encrypted on the way."""
 
     __slots__ = (
-        "_tls", "_in", "_out", "_cipher", "_framing", "_begun", "_up", "_over", "_turns", "_turn",
+        "_tls",
+        "_in",
+        "_out",
+        "_cipher",
+        "_framing",
+        "_begun",
+        "_up",
+        "_over",
+        "_turns",
+        "_turn",
     )
 
     def __init__(
-        self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready, context: ssl.SSLContext,
+        self,
+        loop: Loop,
+        budget: Budget,
+        sock: socket.socket,
+        ready: Ready,
+        context: ssl.SSLContext,
         turns: Turns,
     ) -> None:
         self._turns, self._turn = turns, Turn.NONE
--- a/rosepick/ops/telemetry.py
+++ b/rosepick/ops/telemetry.py
@@ -9,8 +9,11 @@
 from ..core.account import End
 
 OUTCOMES = {
-    End.SERVED: "success", End.REFUSED: "busy",
-    End.FAILED: "failure", End.LATE: "failure", End.BROKE: "failure",
+    End.SERVED: "success",
+    End.REFUSED: "busy",
+    End.FAILED: "failure",
+    End.LATE: "failure",
+    End.BROKE: "failure",
 }
 """The figure that each end counts to. A client that has gone was told nothing."""
 
--- a/rosepick/settings/config.py
+++ b/rosepick/settings/config.py
@@ -83,12 +83,17 @@
     return replace(
         told,
         settings=replace(
-            told.settings, classes=rows, tenants=shares, **{key: getattr(was, key) for key in _FIXED},
+            told.settings,
+            classes=rows,
+            tenants=shares,
+            **{key: getattr(was, key) for key in _FIXED},
         ),
         names=replace(
             before.names,
-            classes=_now(classes, told.names.classes), tenants=_now(tenants, told.names.tenants),
-            gone_classes=_gone(classes, told.names.classes), gone_tenants=_gone(tenants, told.names.tenants),
+            classes=_now(classes, told.names.classes),
+            tenants=_now(tenants, told.names.tenants),
+            gone_classes=_gone(classes, told.names.classes),
+            gone_tenants=_gone(tenants, told.names.tenants),
         ),
         **{key: getattr(before, key) for key in (*_AT_START, "listen_fd", "known")},
     )
@@ -97,8 +102,12 @@
 # What counts at the start only; of the settings and their names, with their places in the file.
 _AT_START = ("name", "listen", "seed", "ops")
 _FIXED = {
-    "mode": "domain.mode", "origin_kind": "domain.origin_kind", "zone": "zone",
-    "pushed": "membership_mode", "sized_weights": "weights", "report_fields": "report",
+    "mode": "domain.mode",
+    "origin_kind": "domain.origin_kind",
+    "zone": "zone",
+    "pushed": "membership_mode",
+    "sized_weights": "weights",
+    "report_fields": "report",
 }
 _FIXED_NAMES = {"zones": "failure_domains", "kinds": "machine_types"}
 
@@ -106,11 +115,14 @@
 def changed(before: Config, told: Config) -> tuple[str, ...]:
     """What of a new configuration cannot be applied by a running router: it needs a restart."""
     parts = (
-        (before, told, dict.fromkeys(_AT_START, "")), (before.settings, told.settings, _FIXED),
+        (before, told, dict.fromkeys(_AT_START, "")),
+        (before.settings, told.settings, _FIXED),
         (before.names, told.names, _FIXED_NAMES),
     )
     return tuple(
-        place or key for was, now, keys in parts for key, place in keys.items()
+        place or key
+        for was, now, keys in parts
+        for key, place in keys.items()
         if getattr(was, key) != getattr(now, key)
     )
 
--- a/rosepick/settings/operator_file.py
+++ b/rosepick/settings/operator_file.py
@@ -205,10 +205,13 @@
     count, size = found.whole("capture_segments"), found.whole("capture_segment_kb")
     if count * size > RING_KB:
         later = max(("capture_segments", "capture_segment_kb"), key=lambda name: found.lines.get(name, 0))
-        yield found.fault(later, (
-            f"capture_segments {count} of capture_segment_kb {size} make a ring of {count * size} KiB, "
-            f"more than {RING_KB}"
-        ))
+        yield found.fault(
+            later,
+            (
+                f"capture_segments {count} of capture_segment_kb {size} make a ring of {count * size} KiB, "
+                f"more than {RING_KB}"
+            ),
+        )
 
 
 def _tls(found: OperatorFile) -> Iterator[Fault]:
@@ -229,7 +232,7 @@
     if not text:
         return None
     name, _, value = text.replace("\t", " ").partition(" ")
-    value = text[len(name):].strip()
+    value = text[len(name) :].strip()
     setting = known.get(name)
     if setting is None:
         close = difflib.get_close_matches(name, known, 1, 0.5)
--- a/rosepick/settings/reader.py
+++ b/rosepick/settings/reader.py
@@ -134,8 +134,13 @@
             **{
                 name: rules.number(name, getattr(usual, name))
                 for name in (
-                    "stop_sending_within", "grace_to_answer", "ask_every", "cold_from", "warm_within",
-                    "tip_multiple", "fall",
+                    "stop_sending_within",
+                    "grace_to_answer",
+                    "ask_every",
+                    "cold_from",
+                    "warm_within",
+                    "tip_multiple",
+                    "fall",
                 )
             }
         ),
--- a/rosepick/simulator/wire.py
+++ b/rosepick/simulator/wire.py
@@ -18,9 +18,15 @@
 
 
 _RESULTS = {
-    200: api.Result.OK, 500: api.Result.ERROR, 503: api.Result.FULL, 504: api.Result.TIMEOUT,
-    502: api.Result.CONNECT_FAILED, 598: api.Result.RESET, 499: api.Result.CANCELLED,
-    410: api.Result.MOOT, 404: api.Result.MISS,
+    200: api.Result.OK,
+    500: api.Result.ERROR,
+    503: api.Result.FULL,
+    504: api.Result.TIMEOUT,
+    502: api.Result.CONNECT_FAILED,
+    598: api.Result.RESET,
+    499: api.Result.CANCELLED,
+    410: api.Result.MOOT,
+    404: api.Result.MISS,
 }
 _SCOPES = {0: api.Scope.CACHED, 1: api.Scope.FAILED, 2: api.Scope.DELTA, 4: api.Scope.FULL}
 _ROW = struct.Struct(">IfdBHHB")
--- a/rosepick/upgrade/knowledge.py
+++ b/rosepick/upgrade/knowledge.py
@@ -21,8 +21,12 @@
     """The document. Times are of the system's own clock, which both processes read."""
     known, origin, pressure = router.filter, router.origin, router.pressure
     head = {
-        "version": VERSION, "at": now, "limit": known.limit, "reads": known.reads,
-        "top": len(known.top), "tail": len(known.tail),
+        "version": VERSION,
+        "at": now,
+        "limit": known.limit,
+        "reads": known.reads,
+        "top": len(known.top),
+        "tail": len(known.tail),
         "pools": [router.pools.share, router.pools.seen, router.pools.wide_share],
         "paces": [router.usual, router.mean, router.spread],
         "origin": [origin.lag, origin.best, origin.limit, origin.seen],
--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -51,13 +51,15 @@
 def _name(subject: str) -> x509.Name:
     """A name such as /O=acme/CN=gw; parts joined by + are of one level."""
     kinds = {"CN": NameOID.COMMON_NAME, "O": NameOID.ORGANIZATION_NAME}
-    return x509.Name([
-        x509.RelativeDistinguishedName(
-            x509.NameAttribute(kinds[kind], value)
-            for kind, _, value in (pair.partition("=") for pair in level.split("+"))
-        )
-        for level in subject.strip("/").split("/")
-    ])
+    return x509.Name(
+        [
+            x509.RelativeDistinguishedName(
+                x509.NameAttribute(kinds[kind], value)
+                for kind, _, value in (pair.partition("=") for pair in level.split("+"))
+            )
+            for level in subject.strip("/").split("/")
+        ]
+    )
 
 
 def make(
@@ -73,9 +75,13 @@
         issuer = x509.load_pem_x509_certificate(signer.cert.read_bytes()).subject
         signs = signer.private()
     made = (
-        x509.CertificateBuilder().subject_name(_name(subject)).issuer_name(issuer)
-        .public_key(key.public_key()).serial_number(serial)
-        .not_valid_before(begin - DAY).not_valid_after(begin + DAY)
+        x509.CertificateBuilder()
+        .subject_name(_name(subject))
+        .issuer_name(issuer)
+        .public_key(key.public_key())
+        .serial_number(serial)
+        .not_valid_before(begin - DAY)
+        .not_valid_after(begin + DAY)
         .add_extension(x509.BasicConstraints(ca=signer is None, path_length=None), critical=True)
         .sign(signs, hashes.SHA256())
     )
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -66,8 +66,14 @@
     def _router(self, place: int) -> Router:
         settings = api.Settings(
             classes=(api.RequestClass(aim=600, deadline=1200, worth=3, effect=api.Effect.RETRYABLE),),
-            rules=RULES, limits=api.Limits(5, False, True), mode=api.Mode.ASIDE, origin_kind=1,
-            subscribe=True, sized_weights=True, routers=self.count, position=place,
+            rules=RULES,
+            limits=api.Limits(5, False, True),
+            mode=api.Mode.ASIDE,
+            origin_kind=1,
+            subscribe=True,
+            sized_weights=True,
+            routers=self.count,
+            position=place,
         )
         return Router(settings, self.rng.getrandbits(32))
 
@@ -116,9 +122,7 @@
     def _restart(self, place: int, now: float) -> None:
         """It begins from nothing, with the list of the moment."""
         self.routers[place] = self._router(place)
-        self.heap = [
-            entry for entry in self.heap if entry[2] != place or entry[3] is None
-        ]
+        self.heap = [entry for entry in self.heap if entry[2] != place or entry[3] is None]
         heapq.heapify(self.heap)
         self._feed(place, now, self._told())
 
@@ -145,7 +149,13 @@
         if action.server != ORIGIN and self.rng.random() < 0.05:
             result = api.Result.RESET  # a repeat
         outcome = api.Outcome(
-            action.ref, number, action.server, result, result is api.Result.OK, 1, lag,
+            action.ref,
+            number,
+            action.server,
+            result,
+            result is api.Result.OK,
+            1,
+            lag,
         )
         self.at(now + lag, place, outcome)
 
@@ -165,7 +175,8 @@
         worst = max(runs, key=lambda one: one.excess)
         print(
             f"routers={routers} runs={len(runs)} worst_excess={worst.excess:.2f} count={worst.count}"
-            f" budget={worst.budget:.1f} fell={sum(one.falls for one in runs)}", flush=True,
+            f" budget={worst.budget:.1f} fell={sum(one.falls for one in runs)}",
+            flush=True,
         )
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -40,14 +40,25 @@
     "failure_domains": ["east"],
     "machine_types": ["std", "origin"],
     "limits": {
-        "cancelling": True, "conn_idle": 15000.0, "dial_timeout": 250.0, "max_attempts": 5,
-        "max_retry_after": 2000.0, "retry_after": True,
+        "cancelling": True,
+        "conn_idle": 15000.0,
+        "dial_timeout": 250.0,
+        "max_attempts": 5,
+        "max_retry_after": 2000.0,
+        "retry_after": True,
     },
     "membership_mode": "subscribe",
     "request_classes": [
         {"name": "read", "deadline": 1200.0, "objective": 600.0, "effect": "retryable", "worth": 3.0},
-        {"name": "set", "deadline": 2500.0, "objective": 750.0, "effect": "dedup", "group": "all",
-         "repeat_window": 1500.0, "worth": 5.0},
+        {
+            "name": "set",
+            "deadline": 2500.0,
+            "objective": 750.0,
+            "effect": "dedup",
+            "group": "all",
+            "repeat_window": 1500.0,
+            "worth": 5.0,
+        },
     ],
     "rules": {"ask_every": 10000.0, "grace_to_answer": 20.0, "stop_sending_within": 750.0},
     "tenants": [{"name": "acme", "share": 0.5}, {"name": "beta", "share": 0.5}],
@@ -58,8 +69,14 @@
     """An entry of discovery's list."""
     kind = "origin" if name == "origin" else "std"
     return {
-        "uid": name, "endpoint": f"127.0.0.1:{port}", "az": "east", "model": kind, "pod_group": 0,
-        "state": state, "capacity_hint": 1.0, "boot_ms": 0,
+        "uid": name,
+        "endpoint": f"127.0.0.1:{port}",
+        "az": "east",
+        "model": kind,
+        "pod_group": 0,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
     }
 
 
@@ -132,9 +149,13 @@
         """The configuration."""
         targets = [target(name, self.port(name)) for name in self.nodes]
         return {
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.port('d')}", "seed": "1f",
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{self.port('d')}",
+            "seed": "1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
-            "known": {"rev": 41, "all": True, "targets": targets}, "settings": SETTINGS,
+            "known": {"rev": 41, "all": True, "targets": targets},
+            "settings": SETTINGS,
         }
 
     def read(self) -> config.Config:
@@ -212,7 +233,10 @@
             kind = "read" if first == "GET" else "set"
             self.sent += 1
             usual = {
-                "Req-Id": f"id{self.sent}", "Req-Kind": kind, "Req-Owner": "acme", "Req-Deadline": "1.000",
+                "Req-Id": f"id{self.sent}",
+                "Req-Kind": kind,
+                "Req-Owner": "acme",
+                "Req-Deadline": "1.000",
             }
             fields = {name: value for name, value in {**usual, **fields}.items() if value}
         fields["Content-Length"] = str(len(body))
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -48,13 +48,16 @@
     def test_differences_within_each_process_by_cause_slice_and_router(self) -> None:
         for stamp in (True, False):
             self.write(
-                "n0", line(0, "serving", stamp), "Traceback (most recent call last):",
+                "n0",
+                line(0, "serving", stamp),
+                "Traceback (most recent call last):",
                 ends(5, "read", stamp, worth=3.0, served=8, refused_slow=2, refused_slow_ms=20),
                 ends(10, "read", stamp, worth=3.0, served=9, refused_slow=7, refused_slow_ms=120),
                 line(10, "counts", stamp, attempts=20, crossings=4),
                 line(11, "serving", stamp),  # another process: counts begin anew
                 ends(15, "read", stamp, worth=3.0, served=1),
-                line(15, "counts", stamp, attempts=2, crossings=1), "15.001 time=2026 event=ends class",
+                line(15, "counts", stamp, attempts=2, crossings=1),
+                "15.001 time=2026 event=ends class",
             )
             self.write("n1", line(0.5, "serving", stamp), ends(5.5, "write", stamp, worth=6.0, gone=1))
             found = account(read([self.folder]), parse(PRINTED))
@@ -62,13 +65,22 @@
                 self.assertEqual((found.routers, found.starts, found.asked), (2, 3, 18))
                 self.assertAlmostEqual(found.in_time, 10 / 18)
                 self.assertAlmostEqual(found.worth, 30 / 57)
-                self.assertEqual([(c.name, c.count, c.worth) for c in found.causes], [
-                    ("refused_slow", 7, 21.0), ("gone", 1, 6.0),
-                ])
+                self.assertEqual(
+                    [(c.name, c.count, c.worth) for c in found.causes],
+                    [
+                        ("refused_slow", 7, 21.0),
+                        ("gone", 1, 6.0),
+                    ],
+                )
                 self.assertAlmostEqual(found.causes[0].waited, 120 / 7)
-                self.assertEqual([(row.name, row.asked) for row in found.slices], [
-                    ("0 s", 11), ("5 s", 6), ("10 s", 1),
-                ])
+                self.assertEqual(
+                    [(row.name, row.asked) for row in found.slices],
+                    [
+                        ("0 s", 11),
+                        ("5 s", 6),
+                        ("10 s", 1),
+                    ],
+                )
                 self.assertEqual([row.asked for row in found.groups], [18])
                 self.assertAlmostEqual(found.prices["crossings"], 5 / 18)
                 self.assertEqual(found.printed.prices, {"cross_zone": 0.0478, "handshake": 0.015})  # type: ignore[union-attr]
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -78,8 +78,10 @@
     halves = b'%x;a="b"\r\n%b\r\n0%x\r\n%b\r\n' % (half, body[:half], half, body[half:])
     single = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
     return [
-        b"Content-Length: %d \t\r\n\r\n%b" % (len(body), body), CHUNKED + halves + b"0\r\n\r\n",
-        CHUNKED + halves + b"0;x\r\nSrv-Cache: hit\r\nReq-Cost: x\r\n\r\n", CHUNKED + single + b"0\r\n\r\n",
+        b"Content-Length: %d \t\r\n\r\n%b" % (len(body), body),
+        CHUNKED + halves + b"0\r\n\r\n",
+        CHUNKED + halves + b"0;x\r\nSrv-Cache: hit\r\nReq-Cost: x\r\n\r\n",
+        CHUNKED + single + b"0\r\n\r\n",
     ]
 
 
@@ -100,19 +102,27 @@
         begun, trailers = CHUNKED + b"12C00\r\n" + BODY + b"\r\n", [b"a: " + b"x" * 1000 + b"\r\n"] * 100
         self.assertIsNone(answer(OK + CHUNKED + b"1\r\nx\r\n0\r\n", *trailers))
         for line, status in (
-            (b"Content-Length: 5\r\n" + CHUNKED, 400), (b"Content-Length: 5\r\n" * 2 + b"\r\n", 400),
+            (b"Content-Length: 5\r\n" + CHUNKED, 400),
+            (b"Content-Length: 5\r\n" * 2 + b"\r\n", 400),
             (b"Content-Length: 5\r\nContent-Length: 6\r\n\r\n", 400),
-            (b"Transfer-Encoding: gzip, chunked\r\n\r\n", 400), (b"Content-Length: -5\r\n\r\n", 400),
-            (b"Transfer-Encoding: identity\r\n\r\n", 400), (b"Content-Length: 60000000\r\n\r\n", 413),
+            (b"Transfer-Encoding: gzip, chunked\r\n\r\n", 400),
+            (b"Content-Length: -5\r\n\r\n", 400),
+            (b"Transfer-Encoding: identity\r\n\r\n", 400),
+            (b"Content-Length: 60000000\r\n\r\n", 413),
         ):
             self.assertEqual((answer(OK + line), request(PUT + line)), (None, status), line)
         for text, status in (
-            (b"Expect: a-miracle\r\nContent-Length: 3\r\n\r\n", 417), (begun + b"nonsense", 400),
-            (b"Host: a\r\nHost: b\r\n\r\n", 400), (begun + b"0\r\n" + b"a: b\r\n" * 9999, 431),
+            (b"Expect: a-miracle\r\nContent-Length: 3\r\n\r\n", 417),
+            (begun + b"nonsense", 400),
+            (b"Host: a\r\nHost: b\r\n\r\n", 400),
+            (begun + b"0\r\n" + b"a: b\r\n" * 9999, 431),
         ):
             self.assertEqual(request(PUT + text[:70_000], text[70_000:]), status, text[:60])
         for target, path in (
-            (b"/a?c", b"/a?c"), (b"http://app/a/b", b"/a/b"), (b"HTTP://x", b"/"), (b"http://x?q", b"/?q"),
+            (b"/a?c", b"/a?c"),
+            (b"http://app/a/b", b"/a/b"),
+            (b"HTTP://x", b"/"),
+            (b"http://x?q", b"/?q"),
         ):
             self.assertEqual(origin_form(target), path)
 
@@ -202,19 +212,21 @@
         stopped = "wait 9000; all holds engine.owed 1; wait 2000; s1 expect closed; all free"
         head = r"s1 raw HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n; "
         size, whole = "33554432", f"{self.ASK}{head}s1 more 100000; c1 expect 200; "
-        self.each({
-            "32 MiB": f"{self.ASK}{head.replace('100000', size)}s1 more {size}; c1 whole {size}; all free",
-            "the client leaves": self.LONG + "c1 close; s1 expect closed; all free",
-            "the next hop breaks off": self.LONG + "s1 breaks; c1 broken Content-Length: 500000; all free",
-            "and a chunked one": chunked.replace("more 100000", r"raw 30d40\r\n; s1 more 100000")
-            + "s1 breaks; c1 broken Transfer-Encoding: chunked; all free",
-            "the next hop stops": self.LONG + stopped,
-            "it goes on": f"{whole}{self.ASK}s1 send 200 v; c1 expect 200; all holds budget.used 2; all free",
-            "the module faults midway":
-                f"{self.ASK}module faults; {head}s1 more 100000; c1 expect 200; c1 expect nothing; all free",
-            "the client does not read": self.LONG.replace("500000", "31457280")
-            + f"s1 flood; all bounded 16; {stopped}",
-        })
+        self.each(
+            {
+                "32 MiB": f"{self.ASK}{head.replace('100000', size)}s1 more {size}; c1 whole {size}; all free",
+                "the client leaves": self.LONG + "c1 close; s1 expect closed; all free",
+                "the next hop breaks off": self.LONG
+                + "s1 breaks; c1 broken Content-Length: 500000; all free",
+                "and a chunked one": chunked.replace("more 100000", r"raw 30d40\r\n; s1 more 100000")
+                + "s1 breaks; c1 broken Transfer-Encoding: chunked; all free",
+                "the next hop stops": self.LONG + stopped,
+                "it goes on": f"{whole}{self.ASK}s1 send 200 v; c1 expect 200; all holds budget.used 2; all free",
+                "the module faults midway": f"{self.ASK}module faults; {head}s1 more 100000; c1 expect 200; c1 expect nothing; all free",
+                "the client does not read": self.LONG.replace("500000", "31457280")
+                + f"s1 flood; all bounded 16; {stopped}",
+            }
+        )
 
     def test_requests(self) -> None:
         stored = "origin expect PUT /api/k1; origin send 200 stored; c1 expect 200 stored; all free"
@@ -222,33 +234,34 @@
         fresh = "c1 begin 0 Content-Length: 200000; "
         large = "c1 begin 80000 Transfer-Encoding: chunked\\r\\n\\r\\n"
         expects = "Expect: 100-continue\\r\\nContent-Length: "
-        self.each({
-            "its time counts from its last byte":
-                f"{self.WRITE}{more}c1 expect nothing; wait 700; {stored}",
-            "it ends at its deadline":
-                f"{fresh}c1 more 200000; wait 900; c1 expect nothing; wait 200; c1 expect 504; all free",
-            "it is not sent to another": f"{self.WRITE}origin breaks; c1 more 20000; {gone}; "
+        self.each(
+            {
+                "its time counts from its last byte": f"{self.WRITE}{more}c1 expect nothing; wait 700; {stored}",
+                "it ends at its deadline": f"{fresh}c1 more 200000; wait 900; c1 expect nothing; wait 200; c1 expect 504; all free",
+                "it is not sent to another": f"{self.WRITE}origin breaks; c1 more 20000; {gone}; "
                 "origin expect nothing; s1 expect nothing; all free",
-            "nobody can be reached": f"origin refuse; {self.WRITE}{gone}; all free",
-            "the client leaves": f"{self.WRITE}c1 close; origin expect closed; all free",
-            "and behind bytes that wait here": f"{self.WRITE}all full; c1 more 1000; c1 close; wait 2900; "
+                "nobody can be reached": f"origin refuse; {self.WRITE}{gone}; all free",
+                "the client leaves": f"{self.WRITE}c1 close; origin expect closed; all free",
+                "and behind bytes that wait here": f"{self.WRITE}all full; c1 more 1000; c1 close; wait 2900; "
                 "origin expect closed; all free",
-            "the client stops": f"{self.WRITE}wait 3400; c1 expect 408 Connection=close; "
+                "the client stops": f"{self.WRITE}wait 3400; c1 expect 408 Connection=close; "
                 "origin expect closed; all free",
-            "slow is not stopped": f"{fresh}{'c1 more 16000; wait 250; ' * 12}c1 more 8000; {stored}",
-            "too slow is": f"{fresh}{'c1 more 2000; wait 250; ' * 15}c1 expect 408; all free",
-            "an origin that does not read": f"{large}1f00000; origin stops; c1 flood; all bounded 20; "
+                "slow is not stopped": f"{fresh}{'c1 more 16000; wait 250; ' * 12}c1 more 8000; {stored}",
+                "too slow is": f"{fresh}{'c1 more 2000; wait 250; ' * 15}c1 expect 408; all free",
+                "an origin that does not read": f"{large}1f00000; origin stops; c1 flood; all bounded 20; "
                 f"wait 8000; all holds engine.owed 1; origin breaks; {gone}; all free",
-            "a long answer before its end": self.WRITE + r"origin raw HTTP/1.1 200 OK\r\nContent-Length: 5000"
+                "a long answer before its end": self.WRITE
+                + r"origin raw HTTP/1.1 200 OK\r\nContent-Length: 5000"
                 rf"00\r\n\r\n; origin more 100000; {gone}; origin expect closed; all free",
-            "wrong chunks midway": f"{large.replace('80000', '0')}186a0; c1 more 80000; c1 more 20000; "
+                "wrong chunks midway": f"{large.replace('80000', '0')}186a0; c1 more 80000; c1 more 20000; "
                 r"c1 raw nonsense\r\n; c1 expect 400 Connection=close; origin expect closed; all free",
-            "behind one that is in hand": f"{self.ASK}c1 begin 100000 {expects}100000; c1 expect nothing; "
+                "behind one that is in hand": f"{self.ASK}c1 begin 100000 {expects}100000; c1 expect nothing; "
                 f"origin expect nothing; s1 send 200 v; c1 expect 200 v; {stored}",
-            "it is asked for": f"c1 begin 0 {expects}3; c1 expect 100; c1 more 3; {stored}",
-            "its id is open": "c2 send GET /api/k1 Req-Id=7; s1 expect GET; "
+                "it is asked for": f"c1 begin 0 {expects}3; c1 expect 100; c1 more 3; {stored}",
+                "its id is open": "c2 send GET /api/k1 Req-Id=7; s1 expect GET; "
                 "c1 begin 99000 Content-Length: 99000; c1 expect 409; s1 send 200 v; c2 expect 200; all free",
-            "it counts once": f"{self.WRITE}{more}{stored}",
-        })
+                "it counts once": f"{self.WRITE}{more}{stored}",
+            }
+        )
         told = '"set":{"success":1,"busy":0,"failure":0,"backend_calls":1}'
         self.assertIn(told, self.server.figures().line())
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -129,13 +129,19 @@
         third = 1000.0 / 3
         members = ((Member(3, State.GONE, third, 1, 2, 3, 0.1), "s-3"), (Member(4), "a%20b"))
         for record in (
-            lines.Header(1, 2, 2**63, 1.5e12 + 0.1, third, 4, members), lines.Header(0, 0, 1, 0.0, 0.0, 0),
-            lines.Listed(third, Scope.DELTA, 42, members), lines.Listed(third, Scope.FAILED, 0),
+            lines.Header(1, 2, 2**63, 1.5e12 + 0.1, third, 4, members),
+            lines.Header(0, 0, 1, 0.0, 0.0, 0),
+            lines.Listed(third, Scope.DELTA, 42, members),
+            lines.Listed(third, Scope.FAILED, 0),
             lines.Arrival(third, 1, "a", "b", "-", "k", "0.480", third, 2**64 - 1, True, False, 0.1 + 0.2),
             lines.Arrival(third, 1, "a", "b", "c", "k", "1", third, 1, False, True, None),
-            lines.Ended(third, 1, 4, api.Result.MISS, 2, True, True, 1e-9), lines.Gone(third, 9),
-            lines.Ended(third, 1, 4, api.Result.OK, 0, False, False, 1e-9), lines.Due(third, 3 << 60),
-            lines.Sent(1, "s-3"), lines.Final(1, "a", "b", "c", "d", "-", 503), lines.Lost(third),
+            lines.Ended(third, 1, 4, api.Result.MISS, 2, True, True, 1e-9),
+            lines.Gone(third, 9),
+            lines.Ended(third, 1, 4, api.Result.OK, 0, False, False, 1e-9),
+            lines.Due(third, 3 << 60),
+            lines.Sent(1, "s-3"),
+            lines.Final(1, "a", "b", "c", "d", "-", 503),
+            lines.Lost(third),
         ):
             ((_, found),) = lines.Lines(record.text().encode())
             self.assertEqual(found, record)
@@ -312,8 +318,10 @@
 
     def test_what_the_observer_breaks_on_keeps_nobody_from_an_answer(self) -> None:
         assert self.server.capture is not None
-        with mock.patch.object(self.server.capture.recorder, "fed", side_effect=KeyError("x")), \
-                self.assertLogs("rosepick", "ERROR"):
+        with (
+            mock.patch.object(self.server.capture.recorder, "fed", side_effect=KeyError("x")),
+            self.assertLogs("rosepick", "ERROR"),
+        ):
             self.hit("k1")
 
 
@@ -511,16 +519,24 @@
         self.addCleanup(self.discovery.close)
         targets = [target("s-5be2a07c", self.node.getsockname()[1])]
         self.document = {
-            "name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "limits": {"memory_mb": 192},
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "seed": "1f",
+            "limits": {"memory_mb": 192},
             "discovery": f"127.0.0.1:{self.discovery.getsockname()[1]}",
-            "known": {"rev": 41, "all": True, "targets": targets}, "settings": SETTINGS,
+            "known": {"rev": 41, "all": True, "targets": targets},
+            "settings": SETTINGS,
         }
         (self.folder / "config.json").write_text(json.dumps(self.document))
 
     def rosepick(self, *words: str) -> subprocess.Popen[str]:
         return subprocess.Popen(
-            [sys.executable, "-m", "rosepick", *words], cwd=ROOT, text=True, bufsize=1,
-            stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+            [sys.executable, "-m", "rosepick", *words],
+            cwd=ROOT,
+            text=True,
+            bufsize=1,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
             env={**os.environ, "GW_CONFIG": str(self.folder / "config.json")},
         )
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -16,8 +16,12 @@
 
 ROOT = Path(__file__).parent.parent
 GOOD: dict[str, Any] = {
-    "name": "n3", "listen": "127.0.0.1:5000", "discovery": "127.0.0.1:8500", "seed": "1f",
-    "limits": {"memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+    "name": "n3",
+    "listen": "127.0.0.1:5000",
+    "discovery": "127.0.0.1:8500",
+    "seed": "1f",
+    "limits": {"memory_mb": 192, "sockets": 1024},
+    "settings": SETTINGS,
     "known": {"rev": 41, "all": True, "targets": [target("s1", 5001), target("origin", 5002)]},
 }
 # runs the program, and ends at once with 9 if anything makes a socket
@@ -45,8 +49,12 @@
         told = self.folder / "config.json"
         told.write_text(json.dumps(self.document) if config is None else config)
         ended = subprocess.run(
-            [sys.executable, "-c", NO_SOCKETS, "check", "-f", str(path)], cwd=ROOT, capture_output=True,
-            text=True, timeout=60, env={**os.environ, "GW_CONFIG": str(told)},
+            [sys.executable, "-c", NO_SOCKETS, "check", "-f", str(path)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            env={**os.environ, "GW_CONFIG": str(told)},
         )
         self.assertEqual(ended.stderr, "")
         faults, blank, values = ended.stdout.rpartition("\n\n")
@@ -56,30 +64,46 @@
         """A typo in a name, a value out of its range, and a setting that GW_CONFIG lacks."""
         del self.document["limits"]["memory_mb"]
         status, faults, values = self.check("# ours\ncapture_segmets 4\n\ncapture_segment_kb 9000 # big\n")
-        self.assertEqual((status, faults), (1, [
-            "rosepick.conf line 2: capture_segmets is no setting; did you mean capture_segments?",
-            'rosepick.conf line 4: capture_segment_kb "9000" is not a whole number from 4 to 768',
-            "GW_CONFIG limits.memory_mb: missing",
-        ]))
+        self.assertEqual(
+            (status, faults),
+            (
+                1,
+                [
+                    "rosepick.conf line 2: capture_segmets is no setting; did you mean capture_segments?",
+                    'rosepick.conf line 4: capture_segment_kb "9000" is not a whole number from 4 to 768',
+                    "GW_CONFIG limits.memory_mb: missing",
+                ],
+            ),
+        )
         self.assertIn("capture_segments 4 (default)", values)
 
     def test_without_faults(self) -> None:
         status, faults, values = self.check("capture_segments 3")
         self.assertEqual((status, faults), (0, []))
         for value in (
-            "capture_segments 3 (rosepick.conf line 1)", "capture_segment_kb 192 (default)",
-            "capture_dir not set (default)", "listen 127.0.0.1:5000 (GW_CONFIG)",
-            "limits.memory_mb 192 (GW_CONFIG)", "settings.rules.ask_every 10000.0 (GW_CONFIG)",
-            "settings.rules.fall 3000.0 (default)", "settings.tenants acme, beta (GW_CONFIG)",
+            "capture_segments 3 (rosepick.conf line 1)",
+            "capture_segment_kb 192 (default)",
+            "capture_dir not set (default)",
+            "listen 127.0.0.1:5000 (GW_CONFIG)",
+            "limits.memory_mb 192 (GW_CONFIG)",
+            "settings.rules.ask_every 10000.0 (GW_CONFIG)",
+            "settings.rules.fall 3000.0 (default)",
+            "settings.tenants acme, beta (GW_CONFIG)",
         ):
             self.assertIn(value, values)
 
     def test_a_ring_over_768_kib(self) -> None:
         status, faults, _ = self.check("capture_segment_kb 256\ncapture_segments 4\n")
-        self.assertEqual((status, faults), (1, [
-            "rosepick.conf line 2: capture_segments 4 of capture_segment_kb 256 make a ring of 1024 KiB, "
-            "more than 768",
-        ]))
+        self.assertEqual(
+            (status, faults),
+            (
+                1,
+                [
+                    "rosepick.conf line 2: capture_segments 4 of capture_segment_kb 256 make a ring of 1024 KiB, "
+                    "more than 768",
+                ],
+            ),
+        )
 
     def test_a_name_that_comes_again_cites_both_lines(self) -> None:
         _, faults, values = self.check("capture_segments 3\ncapture_segments 2")
@@ -94,7 +118,9 @@
 
     def test_odd_files(self) -> None:
         for conf, expected in (
-            (b"", []), (b"capture_segments 3\r\n", []), (b"\xef\xbb\xbfcapture_segments 3", []),
+            (b"", []),
+            (b"capture_segments 3\r\n", []),
+            (b"\xef\xbb\xbfcapture_segments 3", []),
             (b"capture_segments \xff\n", ["rosepick.conf line 1: not UTF-8"]),
         ):
             status, faults, _ = self.check(conf)
@@ -115,8 +141,12 @@
     def test_no_config_at_all(self) -> None:
         for path in ("", "/nowhere/config.json"):
             ended = subprocess.run(
-                [sys.executable, "-m", "rosepick", "check"], cwd=ROOT, capture_output=True, text=True,
-                timeout=60, env={**os.environ, "GW_CONFIG": path},
+                [sys.executable, "-m", "rosepick", "check"],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=60,
+                env={**os.environ, "GW_CONFIG": path},
             )
             self.assertEqual(ended.returncode, 1)
             self.assertRegex(ended.stdout, r"\AGW_CONFIG: (not set|/nowhere/config.json: No such file.*)\n\n")
@@ -133,10 +163,14 @@
         status, faults, _ = self.check()
         self.assertEqual(status, 1)
         for start in (
-            "name: 7, not a text", "listen: 'here', not an address", "seed: 'xyz', not a hexadecimal number",
+            "name: 7, not a text",
+            "listen: 'here', not an address",
+            "seed: 'xyz', not a hexadecimal number",
             "settings.limits.max_attempts: 'soon', not a number",
-            "settings.rules.ask_every: 'often', not a number", "rules.fall: -1.0; it must be",
-            "rules.warm_within: -2.0; it must be", "settings.request_classes[0].deadline: missing",
+            "settings.rules.ask_every: 'often', not a number",
+            "rules.fall: -1.0; it must be",
+            "rules.warm_within: -2.0; it must be",
+            "settings.request_classes[0].deadline: missing",
             "settings.request_classes[1].effect: 'odd'; it must be one of",
             "known.targets[1].state: 'asleep', not one of active, leaving, left",
             "known.targets[0].endpoint: 'x', not an address",
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -572,7 +572,8 @@
 @given(
     st.lists(
         st.tuples(st.sampled_from((*STEPS, "wait", "needy")), st.integers(0, 200), st.integers(0, 2)),
-        min_size=30, max_size=150,
+        min_size=30,
+        max_size=150,
     ),
     st.integers(8, 24),
 )
@@ -665,9 +666,7 @@
 
 
 @given(st.lists(st.tuples(st.booleans(), USES), max_size=200), st.integers(60, 120), st.integers(50, 110))
-def test_descriptors_stay_within_their_parts(
-    steps: list[tuple[bool, Use]], limit: int, later: int
-) -> None:
+def test_descriptors_stay_within_their_parts(steps: list[tuple[bool, Use]], limit: int, later: int) -> None:
     budget = Descriptors(limit)
     for n, (opens, use) in enumerate(steps):
         if n == 100:
--- a/tests/test_extremes.py
+++ b/tests/test_extremes.py
@@ -105,7 +105,10 @@
 @pytest.mark.parametrize("name", TURNED_DOWN)
 def test_settings_that_make_no_sense_are_turned_down(name: str) -> None:
     document = {
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "1f",
         "settings": changed(*TURNED_DOWN[name]),
     }
     with pytest.raises(ValueError, match="setting "):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -114,9 +114,14 @@
 
 
 def test_requests_count_when_they_were_due_and_conditions_over_their_span() -> None:
-    given = experiment.read(SMALL, "f").model_copy(update={"must": (
-        Must(what="served_share", least=0.6, since=2.0), Must(what="p99_ms", most=50.0),
-    )})
+    given = experiment.read(SMALL, "f").model_copy(
+        update={
+            "must": (
+                Must(what="served_share", least=0.6, since=2.0),
+                Must(what="p99_ms", most=50.0),
+            )
+        }
+    )
     measure = Measure(given)
     for n in range(40):
         due = 100.0 * n
@@ -173,7 +178,10 @@
 def test_a_cold_node_that_is_pushed_over_is_a_broken_rule() -> None:
     text = SMALL + 'troubles = [{kind = "grow", at = 1, nodes = 1}]\npolicy = "random"\n'
     changes = {
-        "fleet.0.falls_at": 0.2, "fleet.0.warm_after": 60.0, "traffic.rate": 400, "classes.0.work_ms": 60,
+        "fleet.0.falls_at": 0.2,
+        "fleet.0.warm_after": 60.0,
+        "traffic.rate": 400,
+        "classes.0.work_ms": 60,
     }
     run, _ = sim.play(experiment.read(text, "f", changes), 1, "random", {})
     assert run.totals["fell"] >= 1
@@ -183,7 +191,8 @@
 
 def test_every_trouble_that_is_simulated_is_played() -> None:
     kinds = [
-        kind for kind in experiment.KINDS.__args__  # type: ignore[attr-defined]
+        kind
+        for kind in experiment.KINDS.__args__  # type: ignore[attr-defined]
         if kind not in faults.KINDS
     ]
     rows = ", ".join(
@@ -201,10 +210,14 @@
             sim.play(given, 1, "rosepick", {})
 
 
-@pytest.mark.parametrize(("given", "text"), [
-    ("since = 3.5", "from 3.5 to 4 s"), ("since = 2\nuntil = 2", "from 2 to 2 s"),
-    ("after = 1\nwithin = 3", "from 4 to 4 s"),
-])
+@pytest.mark.parametrize(
+    ("given", "text"),
+    [
+        ("since = 3.5", "from 3.5 to 4 s"),
+        ("since = 2\nuntil = 2", "from 2 to 2 s"),
+        ("after = 1\nwithin = 3", "from 4 to 4 s"),
+    ],
+)
 def test_nothing_is_held_over_no_time_at_all(given: str, text: str) -> None:
     rows = f'[[troubles]]\nkind = "slow"\nat = 0.5\nfor = 0.5\n[[must]]\nwhat = "p99_ms"\nmost = 1\n{given}'
     with pytest.raises(ExperimentError, match=f"no whole second {text}"):
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -52,11 +52,14 @@
     assert killed.what.endswith("router-7 and 6 more")
 
 
-@pytest.mark.parametrize(("changes", "least", "most"), [
-    ({}, 0.95, 1.0),
-    ({"routers.request_us": 500.0, "routers.attempt_us": 500.0}, 0.95, 1.0),  # a hundredth of its time
-    ({"routers.request_us": 50_000.0, "routers.cores": 0.25}, 0.0, 0.6),  # twice what it has
-])
+@pytest.mark.parametrize(
+    ("changes", "least", "most"),
+    [
+        ({}, 0.95, 1.0),
+        ({"routers.request_us": 500.0, "routers.attempt_us": 500.0}, 0.95, 1.0),  # a hundredth of its time
+        ({"routers.request_us": 50_000.0, "routers.cores": 0.25}, 0.0, 0.6),  # twice what it has
+    ],
+)
 def test_a_router_that_has_no_time_serves_late(changes: dict[str, Any], least: float, most: float) -> None:
     assert least <= sim.play(read(changes), 1, "rosepick", {})[0].totals["served_share"] <= most
 
@@ -64,10 +67,17 @@
 def test_places_are_scarce_callers_are_turned_away_and_some_routers_are_busy() -> None:
     slow = {"discovery.call_ms": 300.0}
     assert world(read(slow)).discovery.turned_away == 0
-    made = world(read({
-        **slow, "discovery.patience_ms": 500.0, "origin.connections": 2, "routers.heavy": 0.1,
-        "routers.heavy_by": 6.0,
-    }))
+    made = world(
+        read(
+            {
+                **slow,
+                "discovery.patience_ms": 500.0,
+                "origin.connections": 2,
+                "routers.heavy": 0.1,
+                "routers.heavy_by": 6.0,
+            }
+        )
+    )
     counts = [router.engine.counts for router in made.routers if router is not None]
     assert sum(one["attempt_no_place"] for one in counts) > 0
     assert sum(one["attempt_full"] + one["attempt_connect_failed"] for one in counts) == 0
@@ -80,12 +90,17 @@
 CUT_OFF = '[[troubles]]\nkind = "isolate"\nat = 1\nfor = 1\n'
 
 
-@pytest.mark.parametrize(("row", "seen"), [
-    # a restart takes 0.1 s and a start 0.2 s of processor time at half a core; one begins each 0.2 s
-    ('[[troubles]]\nkind = "router_restart"\nat = 1\nfor = 2\npart = 1.0\ndown = 0.1\n',
-     {1_050: ([0], True), 1_450: ([0, 1, 2], True), 2_950: ([8, 9], True), 3_400: ([], True)}),
-    (f'{CUT_OFF}zone = "b"\n', {500: ([], True), 1_500: ([], False), 2_500: ([], True)}),
-])
+@pytest.mark.parametrize(
+    ("row", "seen"),
+    [
+        # a restart takes 0.1 s and a start 0.2 s of processor time at half a core; one begins each 0.2 s
+        (
+            '[[troubles]]\nkind = "router_restart"\nat = 1\nfor = 2\npart = 1.0\ndown = 0.1\n',
+            {1_050: ([0], True), 1_450: ([0, 1, 2], True), 2_950: ([8, 9], True), 3_400: ([], True)},
+        ),
+        (f'{CUT_OFF}zone = "b"\n', {500: ([], True), 1_500: ([], False), 2_500: ([], True)}),
+    ],
+)
 def test_routers_go_by_tenths_and_a_zone_is_cut_off(row: str, seen: dict[int, object]) -> None:
     made = World(given := read({"routers.start_ms": 200.0, "routers.cores": 0.5}, row), 1, Measure(given))
     troubles.set_up(made)
@@ -96,9 +111,13 @@
         assert (gone, made.network.passes(0, 1)) == wanted
 
 
-@pytest.mark.parametrize(("more", "text"), [
-    ("", "isolate cuts off one zone"), ('zone = "b"\npart = 0.5\nrouters = 2\n', "and `part`"),
-])
+@pytest.mark.parametrize(
+    ("more", "text"),
+    [
+        ("", "isolate cuts off one zone"),
+        ('zone = "b"\npart = 0.5\nrouters = 2\n', "and `part`"),
+    ],
+)
 def test_faults_of_the_file(more: str, text: str) -> None:
     with pytest.raises(ExperimentError, match=text):
         read({}, CUT_OFF + more)
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -75,7 +75,8 @@
     for begin, end in zip(edges, edges[1:], strict=False):
         found += reader.feed(TWO[begin:end])
     assert [(one.method, one.target, one.text(b"req-id"), one.body, one.keep) for one in found] == [
-        (b"PUT", b"/api/k1", "7.1", b"hello", True), (b"GET", b"/api/k2", "8.1", b"", False),
+        (b"PUT", b"/api/k1", "7.1", b"hello", True),
+        (b"GET", b"/api/k2", "8.1", b"", False),
     ]
     assert not reader.begun
 
@@ -125,8 +126,11 @@
     "at one time": ([sent(101, 140), sent(130, 140)], tried(), "effect", "another attempt was out", 0.13),
     "too many": ([sent(101 + n, 101.5 + n) for n in range(6)], tried(), "effect", "attempt 6 of 5", 0.106),
     "window": (
-        [sent(101, 110, Result.ERROR), sent(1700, 1710, Result.OK)], tried("served", 1711, SET), "effect",
-        "1599 ms after", 1.7,
+        [sent(101, 110, Result.ERROR), sent(1700, 1710, Result.OK)],
+        tried("served", 1711, SET),
+        "effect",
+        "1599 ms after",
+        1.7,
     ),
     "drains": ([sent(901, 910, told=100.0)], tried("served", 911), "drains", "801 ms after", 0.901),
 }
@@ -163,7 +167,7 @@
         wire = here.wire()
         wire.ask()
         here.until(lambda: wire.broken)
-        broken, = here.world.measure.broken
+        (broken,) = here.world.measure.broken
         assert (broken.rule, broken.node) == ("cold", "node-1")
         assert here.refuses()
 
@@ -342,7 +346,8 @@
 def test_troubles_of_one_kind_may_overlap() -> None:
     two = "".join(
         f'[[troubles]]\nkind = "{kind}"\nat = 0.02\nfor = {last}\nshare = {share}\nnodes = 1\n'
-        for kind in ("refuse", "garbage") for last, share in ((0.1, 0.9), (0.4, 0.1))
+        for kind in ("refuse", "garbage")
+        for last, share in ((0.1, 0.9), (0.4, 0.1))
     )
     with yard(experiment(two, ONE_NODE)) as here:
         stand = here.stand()
@@ -401,8 +406,11 @@
             if len(seen) == 5:
                 break
         assert seen == {
-            (0, True, True), (-1, True, True), (0, True, False),  # before and within the answer; half a close
-            (404, True, True), (404, False, False),  # after the answer; and one that goes well
+            (0, True, True),
+            (-1, True, True),
+            (0, True, False),  # before and within the answer; half a close
+            (404, True, True),
+            (404, False, False),  # after the answer; and one that goes well
         }
 
 
@@ -473,7 +481,7 @@
         nothing = call(here, wire, f"?after={whole['rev']}&wait_ms=20")
         assert (nothing["rev"], nothing["all"], nothing["targets"]) == (whole["rev"], False, [])
         news = call(here, wire, f"?after={whole['rev']}&wait_ms=2500")
-        row, = news["targets"]
+        (row,) = news["targets"]
         node = here.stand(row["uid"]).node
         assert (row["state"], news["rev"], node.state) == ("leaving", whole["rev"] + 1, State.DRAINING)
         assert listing.told(0, node.number) is not None
@@ -563,7 +571,8 @@
 
 
 READS: dict[str, Any] = {
-    "classes": [{"name": "read", "deadline": 0.4, "aim": 0.3}], "traffic.arrivals": "regular",
+    "classes": [{"name": "read", "deadline": 0.4, "aim": 0.3}],
+    "traffic.arrivals": "regular",
 }
 REFUSED = answer(503, b"", ((b"Retry-After", b"0.050"),))
 
@@ -650,7 +659,8 @@
     run = played(experiment(more, {"length": 2.0, "routers.count": 2, "traffic.rate": 120}))
     assert run.broken == []
     assert [(span.kind, span.what) for span in run.troubles] == [
-        ("reload", "all routers"), ("router_kill", "router-0"),
+        ("reload", "all routers"),
+        ("router_kill", "router-0"),
     ]
     # half of the requests found nobody while it was down
     assert sum(window.in_time for window in run.windows) < sum(window.offered for window in run.windows)
--- a/tests/test_lab_policies.py
+++ b/tests/test_lab_policies.py
@@ -108,8 +108,13 @@
     root = Path(__file__).parent.parent
     for seed in ("1", "2"):
         done = subprocess.run(
-            [sys.executable, "-c", code], cwd=root, env={**os.environ, "PYTHONHASHSEED": seed},
-            capture_output=True, text=True, timeout=60, check=True,
+            [sys.executable, "-c", code],
+            cwd=root,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
         )
         assert done.stdout.strip() == digest()
 
@@ -119,7 +124,9 @@
 READ = api.RequestClass(aim=600, deadline=1200)
 WINDOW: dict[str, object] = {"effect": Effect.DEDUP, "repeat_window": 100.0}
 ONE_CLASS = api.Settings(
-    classes=(READ,), mode=Mode.ASIDE, origin_kind=ORIGIN_KIND,
+    classes=(READ,),
+    mode=Mode.ASIDE,
+    origin_kind=ORIGIN_KIND,
     limits=api.Limits(5, cancelling=True, max_retry_after=400),
 )
 
@@ -352,8 +359,12 @@
 @pytest.mark.parametrize(
     ("name", "holds"),
     [
-        ("random", anywhere), ("round-robin", even), ("least-outstanding", least), ("oracle", least),
-        ("two-choices", better_of_two), ("hash-bounded", bounded),
+        ("random", anywhere),
+        ("round-robin", even),
+        ("least-outstanding", least),
+        ("oracle", least),
+        ("two-choices", better_of_two),
+        ("hash-bounded", bounded),
     ],
 )
 def test_picks_as_its_name_says(name: str, holds: Callable[[Plain], None]) -> None:
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -21,22 +21,51 @@
 
 TEXT = 'name = "storm"\npolicy = "hashed"\nseed = 3\n'
 WINDOWS = [
-    Window(at=n, offered=100, in_time=95 - n, late=3, failed=2 + n, p50_ms=10.0, p99_ms=80.0 + n, crossings=n,
-           attempts=110, node_load_mean=0.5, node_load_most=0.8, origin_load=0.2, origin_attempts=12)
+    Window(
+        at=n,
+        offered=100,
+        in_time=95 - n,
+        late=3,
+        failed=2 + n,
+        p50_ms=10.0,
+        p99_ms=80.0 + n,
+        crossings=n,
+        attempts=110,
+        node_load_mean=0.5,
+        node_load_most=0.8,
+        origin_load=0.2,
+        origin_attempts=12,
+    )
     for n in range(12)
 ]
 
 
 def made(policy: str = "rosepick", seed: int = 1, void: str = "", **more: Any) -> Run:
-    given = {"experiment": "storm", "how": "sim", "changes": {}, "revision": "31bc", "versions": {},
-             "length": 12.0, "warm_up": 2.0, "totals": {"served_share": 0.9}, "classes": {}, "tenants": {},
-             "percentiles": [(50.0, 10.0), (99.9, 300.0)], "windows": WINDOWS, "troubles": [], "must": [],
-             "broken": []}
+    given = {
+        "experiment": "storm",
+        "how": "sim",
+        "changes": {},
+        "revision": "31bc",
+        "versions": {},
+        "length": 12.0,
+        "warm_up": 2.0,
+        "totals": {"served_share": 0.9},
+        "classes": {},
+        "tenants": {},
+        "percentiles": [(50.0, 10.0), (99.9, 300.0)],
+        "windows": WINDOWS,
+        "troubles": [],
+        "must": [],
+        "broken": [],
+    }
     return Run(policy=policy, seed=seed, void=void, **{**given, **more})
 
 
 def play(
-    experiment: Experiment, seed: int, policy: str, changes: dict[str, Any],
+    experiment: Experiment,
+    seed: int,
+    policy: str,
+    changes: dict[str, Any],
     progress: Callable[[float], None] | None = None,
 ) -> tuple[Run, Cost]:
     """In no time, but: seed 1 is slow, 90 takes for ever, 91 fails, and 92 takes its process with it."""
@@ -71,34 +100,53 @@
 def test_a_grid_is_every_pair_with_the_last_term_fastest() -> None:
     cells = parse_grid(["traffic.rate=100,2.5", "policy=rosepick,7", "seed=2..3,9"])
     assert [str(cell) for cell in cells[:4]] == [
-        "traffic.rate=100 policy=rosepick seed=2", "traffic.rate=100 policy=rosepick seed=3",
-        "traffic.rate=100 policy=rosepick seed=9", "traffic.rate=100 policy=7 seed=2",
+        "traffic.rate=100 policy=rosepick seed=2",
+        "traffic.rate=100 policy=rosepick seed=3",
+        "traffic.rate=100 policy=rosepick seed=9",
+        "traffic.rate=100 policy=7 seed=2",
     ]
     assert len(cells) == 12 and cells[-1].changes == {"traffic.rate": 2.5} and cells[-1].policy == "7"
     assert [str(cell) for cell in parse_grid([])] == [""]
 
 
-@pytest.mark.parametrize(("given", "values"), [
-    ("1,-2,1_000", [1, -2, 1000]), ("1e3,.5", [1000.0, ".5"]), ("true,True", [True, "True"]),
-    ('"a,b",c', ["a,b", "c"]), ("-1..1", [-1, 0, 1]), ("1..2.5", ["1..2.5"]), ("5#6", ["5#6"]),
-    ("[1],{}", ["[1]", "{}"]), ("1]\nx = [2", ["1]\nx = [2"]), ("a=b", ["a=b"]),
-])
+@pytest.mark.parametrize(
+    ("given", "values"),
+    [
+        ("1,-2,1_000", [1, -2, 1000]),
+        ("1e3,.5", [1000.0, ".5"]),
+        ("true,True", [True, "True"]),
+        ('"a,b",c', ["a,b", "c"]),
+        ("-1..1", [-1, 0, 1]),
+        ("1..2.5", ["1..2.5"]),
+        ("5#6", ["5#6"]),
+        ("[1],{}", ["[1]", "{}"]),
+        ("1]\nx = [2", ["1]\nx = [2"]),
+        ("a=b", ["a=b"]),
+    ],
+)
 def test_values_are_toml_or_text(given: str, values: list[Any]) -> None:
     found = [cell.changes["x.y"] for cell in parse_grid([f"x.y={given}"])]
     assert list(map(repr, found)) == list(map(repr, values))
 
 
-@pytest.mark.parametrize(("terms", "fault"), [
-    (["traffic.rate"], "traffic.rate: has no '='"), (["=1"], "=1: has no dotted name before '='"),
-    (["a..b=1"], "a..b=1: has no dotted name before '='"), (["a="], "a=: has an empty value"),
-    (["a=1,,2"], "a=1,,2: has an empty value"), (["a=1", "a=2"], "a=2: a comes twice"),
-    (["a=5..1"], "a=5..1: 5..1 holds nothing"), (["a=1..3,2"], "a=1..3,2: has a value twice"),
-    (["seed=1.5"], "seed=1.5: a seed is a whole number from 0 on"),
-    (["seed=true"], "seed=true: a seed is a whole number from 0 on"),
-    (["a=1..999999999999"], "a=1..999999999999: has more than 10000 values"),
-    (["a=1..101", "b=1..100"], "10100 cells are more than 10000"),
-    (["a", "b=", "c=1"], "a: has no '='\nb=: has an empty value"),
-])
+@pytest.mark.parametrize(
+    ("terms", "fault"),
+    [
+        (["traffic.rate"], "traffic.rate: has no '='"),
+        (["=1"], "=1: has no dotted name before '='"),
+        (["a..b=1"], "a..b=1: has no dotted name before '='"),
+        (["a="], "a=: has an empty value"),
+        (["a=1,,2"], "a=1,,2: has an empty value"),
+        (["a=1", "a=2"], "a=2: a comes twice"),
+        (["a=5..1"], "a=5..1: 5..1 holds nothing"),
+        (["a=1..3,2"], "a=1..3,2: has a value twice"),
+        (["seed=1.5"], "seed=1.5: a seed is a whole number from 0 on"),
+        (["seed=true"], "seed=true: a seed is a whole number from 0 on"),
+        (["a=1..999999999999"], "a=1..999999999999: has more than 10000 values"),
+        (["a=1..101", "b=1..100"], "10100 cells are more than 10000"),
+        (["a", "b=", "c=1"], "a: has no '='\nb=: has an empty value"),
+    ],
+)
 def test_bad_terms_are_named(terms: list[str], fault: str) -> None:
     with pytest.raises(GridError) as caught:
         parse_grid(terms)
@@ -142,11 +190,14 @@
     assert not (tmp_path / "runs").exists()
 
 
-@pytest.mark.parametrize(("seed", "workers", "message"), [
-    (91, 1, "s.toml with seed=91: ValueError: no such policy"),
-    (91, 2, "s.toml with seed=91: ValueError: no such policy"),
-    (92, 2, "s.toml: a worker process ended before its cell was done"),
-])
+@pytest.mark.parametrize(
+    ("seed", "workers", "message"),
+    [
+        (91, 1, "s.toml with seed=91: ValueError: no such policy"),
+        (91, 2, "s.toml with seed=91: ValueError: no such policy"),
+        (92, 2, "s.toml: a worker process ended before its cell was done"),
+    ],
+)
 def test_a_cell_that_fails_is_named(tmp_path: Path, seed: int, workers: int, message: str) -> None:
     with pytest.raises(CellFailed, match=f"^{re.escape(message)}$"):
         played(tmp_path / "runs", [f"seed={seed},90"], workers)
@@ -162,10 +213,15 @@
 
 def test_a_comparison_by_hand() -> None:
     steps = ((0.90, 0.80, 90.0, 1), (0.92, 0.86, 80.0, 2), (0.94, 0.80, 70.0, 3))
-    runs = [run for served, fewer, p99, seed in steps for run in pair(
-        seed, {"served_share": served, "p99_ms": 100.0, "crossings": 0.5, "fell": 0.0},
-        {"served_share": fewer, "p99_ms": p99, "crossings": 0.1 * p99 / 100, "fell": 0.0},
-    )]
+    runs = [
+        run
+        for served, fewer, p99, seed in steps
+        for run in pair(
+            seed,
+            {"served_share": served, "p99_ms": 100.0, "crossings": 0.5, "fell": 0.0},
+            {"served_share": fewer, "p99_ms": p99, "crossings": 0.1 * p99 / 100, "fell": 0.0},
+        )
+    ]
     (found,) = compare(runs)
     assert (found.arms, found.seeds, found.left_out) == (("rosepick", "random"), (1, 2, 3), ())
     figures = {figure.name: figure for figure in found.figures}
@@ -179,8 +235,14 @@
     assert figures["p99_ms"].differences["random"].interval == pytest.approx((-44.8434, 4.8434), abs=1e-3)
     words = {name: figure.differences["random"].word for name, figure in figures.items()}
     assert words == {
-        "served_share": "worse", "worth_share": "unknown", "p99_ms": "same", "origin_share": "unknown",
-        "attempts_per_request": "unknown", "crossings": "better", "broken_rules": "unknown", "fell": "same",
+        "served_share": "worse",
+        "worth_share": "unknown",
+        "p99_ms": "same",
+        "origin_share": "unknown",
+        "attempts_per_request": "unknown",
+        "crossings": "better",
+        "broken_rules": "unknown",
+        "fell": "same",
     }
     assert found.as_dict()["figures"][0]["differences"]["random"]["word"] == "worse"
 
@@ -196,8 +258,12 @@
     (found,) = compare(runs)
     assert found.seeds == (1,) and found.arms == ("rosepick", "[b]x")
     assert found.left_out == (
-        "rosepick, seed 3: comes twice", "[b]x, seed 2: void: it stood still", "gone, seed 1: void: why",
-        "gone: no run that counts", "rosepick, seed 2: has no partner", "rosepick, seed 3: has no partner",
+        "rosepick, seed 3: comes twice",
+        "[b]x, seed 2: void: it stood still",
+        "gone, seed 1: void: why",
+        "gone: no run that counts",
+        "rosepick, seed 2: has no partner",
+        "rosepick, seed 3: has no partner",
     )
     shown = io.StringIO()
     Console(file=shown, width=120).print(table(found))
@@ -227,23 +293,51 @@
 def page(runs: list[Run], costs: list[Cost] | None = None) -> str:
     # not at the head: worker processes import this file, and have no need of it
     from rosepick.lab.report import render
+
     return render(runs, costs or [], "Noon <b>")
 
 
 def test_the_page_tells_all_and_loads_nothing() -> None:
     runs = [
-        made("rose<b>", troubles=[Span("surge", 3, 6, "traffic <i>"), Span("slow", 4, 99, "n1")],
-             must=[Verdict("p99_ms", 432.1, None, 200.0, 2, 12, False)],
-             broken=[Broken("cold", f"q{n}.", "n<3>", n, "too much") for n in range(60)]),
+        made(
+            "rose<b>",
+            troubles=[Span("surge", 3, 6, "traffic <i>"), Span("slow", 4, 99, "n1")],
+            must=[Verdict("p99_ms", 432.1, None, 200.0, 2, 12, False)],
+            broken=[Broken("cold", f"q{n}.", "n<3>", n, "too much") for n in range(60)],
+        ),
         made("random", void="stood <still>"),
     ]
     first = page(runs, [Cost(9, 1.5, 2.5, 3, 4.0)] * 2)
-    for text in ("Noon &lt;b&gt;", "rose&lt;b&gt;", "traffic &lt;i&gt;", "stood &lt;still&gt;", "n&lt;3&gt;",
-                 ">1 surge</text>", ">2 slow</text>", ">warm-up</text>", "1 of 2 runs void", "60 times",
-                 "Did not hold: 1 of 1", "432.1", "The first 50 of 60", "q49."):
+    for text in (
+        "Noon &lt;b&gt;",
+        "rose&lt;b&gt;",
+        "traffic &lt;i&gt;",
+        "stood &lt;still&gt;",
+        "n&lt;3&gt;",
+        ">1 surge</text>",
+        ">2 slow</text>",
+        ">warm-up</text>",
+        "1 of 2 runs void",
+        "60 times",
+        "Did not hold: 1 of 1",
+        "432.1",
+        "The first 50 of 60",
+        "q49.",
+    ):
         assert text in first, text
     assert "q50." not in first and first.index("runs void") < first.index("<table>")
-    for tag in ("<b>r", "<i>", "<still>", "n<3>", "<script", "<link", "<img", "@import", "http://", "https://"):
+    for tag in (
+        "<b>r",
+        "<i>",
+        "<still>",
+        "n<3>",
+        "<script",
+        "<link",
+        "<img",
+        "@import",
+        "http://",
+        "https://",
+    ):
         assert tag not in first, tag
     assert all(found.startswith("#") for found in re.findall(r'(?:src|href)="([^"]*)"', first))
     assert all(found.startswith("#") for found in re.findall(r"url\(([^)]*)\)", first))
@@ -253,6 +347,7 @@
 
 def test_the_same_input_gives_the_same_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
     from rosepick.lab.report import plots
+
     monkeypatch.setattr("rosepick.lab.report.page.PANELS", plots.PANELS[:3])
     runs = [made(windows=WINDOWS[3:4]), made("other")]
     assert page(runs) == page(runs)
@@ -271,7 +366,11 @@
     runs = [made(f"p{n}", windows=[], totals={}) for n in range(205)]
     runs += [made("last", windows=long, length=3000.0, troubles=troubles, void="x", seed=2)]
     shown = page(runs)
-    for text in ("6 more runs are not listed", "197 more runs of this seed", "10 more are not marked",
-                 "165 more are not drawn"):
+    for text in (
+        "6 more runs are not listed",
+        "197 more runs of this seed",
+        "10 more are not marked",
+        "165 more are not drawn",
+    ):
         assert text in shown, text
     assert len(shown) < 500_000
--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -84,8 +84,13 @@
 
 @pytest.mark.parametrize(
     ("formula", "given"),
-    [(theory.mm1_wait, (1, 1)), (theory.mmc_wait, (4, 1, 4)), (theory.ps_sojourn, (2, 1)),
-     (theory.ps_deviation, (1, 1)), (theory.erlang_c, (-1, 2))],
+    [
+        (theory.mm1_wait, (1, 1)),
+        (theory.mmc_wait, (4, 1, 4)),
+        (theory.ps_sojourn, (2, 1)),
+        (theory.ps_deviation, (1, 1)),
+        (theory.erlang_c, (-1, 2)),
+    ],
 )
 def test_too_much_work_has_no_mean(formula: Callable[..., float], given: tuple[int, ...]) -> None:
     with pytest.raises(ValueError, match="no mean"):
@@ -176,10 +181,15 @@
 
 
 @pytest.mark.parametrize("by_work", [False, True])
-@pytest.mark.parametrize(("warm", "seconds"), [
-    (24.0, 12.0), (24.0, 24.0), (24.0, 30.0),
-    (5.0, 5.0),
-])
+@pytest.mark.parametrize(
+    ("warm", "seconds"),
+    [
+        (24.0, 12.0),
+        (24.0, 24.0),
+        (24.0, 30.0),
+        (5.0, 5.0),
+    ],
+)
 def test_a_cold_server_does_what_lies_under_its_ramp(by_work: bool, warm: float, seconds: float) -> None:
     """Work that is the integral of its capacity up to a time ends at that time."""
     shape = Shape(cores=1, slots=1, cold_from=0.1, warm_after=1000.0 * warm, warm_by_work=by_work)
@@ -353,10 +363,13 @@
 """
 
 
-@pytest.mark.parametrize("also", [
-    "",
-    ', {kind = "restart", at = 1.06, down = 0.2}',
-])
+@pytest.mark.parametrize(
+    "also",
+    [
+        "",
+        ', {kind = "restart", at = 1.06, down = 0.2}',
+    ],
+)
 def test_a_silent_node_is_known_by_time_outs_only(also: str) -> None:
     world, seen = played(SILENT.replace("for = 9}", "for = 9}" + also))
     node = world.cache_nodes()[0]
@@ -450,7 +463,9 @@
     given = {**os.environ, "PYTHONPATH": str(ROOT)}
     plays = [
         subprocess.Popen(
-            [sys.executable, "-c", PLAY, TROUBLED], stdout=subprocess.PIPE, cwd=ROOT,
+            [sys.executable, "-c", PLAY, TROUBLED],
+            stdout=subprocess.PIPE,
+            cwd=ROOT,
             env={**given, "PYTHONHASHSEED": seed},
         )
         for seed in ("1", "2")
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -60,19 +60,26 @@
 
     def test_what_is_none(self) -> None:
         for body, reason in (
-            (b"", "no keys"), (b"\n\r\n", "no keys"), (b"a\nb\na\n", "line 3 repeats the key of line 1"),
-            (b"a\nb\nc\nd", "more than 3 keys"), (b"a\nb/c", "line 2 is no key"),
-            *((key, "line 1 is no key") for key in (
-                b"a b", b"a?b", b"a%2", b"..", b"a\rb", b"\xc3\xa9", b"k" * 2049
-            )),
+            (b"", "no keys"),
+            (b"\n\r\n", "no keys"),
+            (b"a\nb\na\n", "line 3 repeats the key of line 1"),
+            (b"a\nb\nc\nd", "more than 3 keys"),
+            (b"a\nb/c", "line 2 is no key"),
+            *(
+                (key, "line 1 is no key")
+                for key in (b"a b", b"a?b", b"a%2", b"..", b"a\rb", b"\xc3\xa9", b"k" * 2049)
+            ),
         ):
             self.assertEqual(self.read(body), Rejected(400, reason), body)
 
     def test_headers_and_paths(self) -> None:
         for head, status in (
-            (HEAD.replace(b"Req-Kind: read\r\n", b""), 400), (HEAD.replace(b"read", b"other"), 400),
-            (HEAD.replace(b"Req-Owner: acme\r\n", b""), 400), (HEAD.replace(b"1.0", b"soon"), 400),
-            (HEAD.replace(b"Req-Deadline: 1.0\r\n", b""), 400), (HEAD + b"Req-Kind: read\r\n", 400),
+            (HEAD.replace(b"Req-Kind: read\r\n", b""), 400),
+            (HEAD.replace(b"read", b"other"), 400),
+            (HEAD.replace(b"Req-Owner: acme\r\n", b""), 400),
+            (HEAD.replace(b"1.0", b"soon"), 400),
+            (HEAD.replace(b"Req-Deadline: 1.0\r\n", b""), 400),
+            (HEAD + b"Req-Kind: read\r\n", 400),
         ):
             read = self.read(b"a", head)
             assert isinstance(read, Rejected)
@@ -126,10 +133,13 @@
     def batch(self, who: str, keys: list[str], wait: str = "3.000") -> None:
         """Send a batch."""
         body = "\n".join(keys)
-        self.put(who, (
-            f"POST /mget HTTP/1.1\r\nReq-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: {wait}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n{body}"
-        ).encode())
+        self.put(
+            who,
+            (
+                f"POST /mget HTTP/1.1\r\nReq-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: {wait}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}"
+            ).encode(),
+        )
 
     def serve(self) -> None:
         """Each next hop answers what it was asked."""
@@ -353,7 +363,6 @@
         self.assertEqual(self.server.budget.held, 0)
         self.nothing_left()
 
-
     def test_a_client_that_reads_too_slowly_for_too_long_loses_its_connection(self) -> None:
         self.batch("b1", self.keys)
         (batch,) = self.parts.batches
@@ -450,8 +459,10 @@
 
     def test_a_fault_ends_the_batch_so_that_its_client_can_tell(self) -> None:
         self.batch("b1", ["k1", "k2"])
-        with mock.patch.object(BatchLink, "_write_part", side_effect=KeyError("x")), \
-                self.assertLogs("rosepick", "ERROR"):
+        with (
+            mock.patch.object(BatchLink, "_write_part", side_effect=KeyError("x")),
+            self.assertLogs("rosepick", "ERROR"),
+        ):
             for _ in range(20):
                 self.serve()
         self.assertTrue(self.wires["b1"][0].ended)
@@ -466,10 +477,13 @@
             conf.write_text("multiget_listen 5000\nmultiget_max_keys 0\n")
             told.write_text('{"listen": "127.0.0.1:5000"}')
             faults, _ = check.check(conf, {"GW_CONFIG": str(told)})
-        self.assertEqual(faults[:2], [
-            'rosepick.conf line 2: multiget_max_keys "0" is not a whole number from 1 to 1024',
-            "rosepick.conf line 1: multiget_listen 5000 is the port of GW_CONFIG listen already",
-        ])
+        self.assertEqual(
+            faults[:2],
+            [
+                'rosepick.conf line 2: multiget_max_keys "0" is not a whole number from 1 to 1024',
+                "rosepick.conf line 1: multiget_listen 5000 is the port of GW_CONFIG listen already",
+            ],
+        )
 
 
 class Node(socketserver.ThreadingTCPServer):
@@ -516,15 +530,26 @@
             with socket.create_server(("127.0.0.1", 0)) as unused:
                 ports.append(unused.getsockname()[1])
         nodes = [("s1", self.node.server_address[1]), *zip(stopped, ports, strict=True)]
-        (self.folder / "config.json").write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "seed": "1f", "limits": {"memory_mb": 192},
-            "discovery": "127.0.0.1:1", "settings": SETTINGS,
-            "known": {"rev": 41, "all": True, "targets": [target(*node) for node in nodes]},
-        }))
+        (self.folder / "config.json").write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "seed": "1f",
+                    "limits": {"memory_mb": 192},
+                    "discovery": "127.0.0.1:1",
+                    "settings": SETTINGS,
+                    "known": {"rev": 41, "all": True, "targets": [target(*node) for node in nodes]},
+                }
+            )
+        )
         (self.folder / "rosepick.conf").write_text("multiget_listen 0\n")
         process = subprocess.Popen(
-            self.words("serve", "-f", str(self.folder / "rosepick.conf")), cwd=ROOT, text=True,
-            stderr=subprocess.PIPE, env=self.environment(),
+            self.words("serve", "-f", str(self.folder / "rosepick.conf")),
+            cwd=ROOT,
+            text=True,
+            stderr=subprocess.PIPE,
+            env=self.environment(),
         )
         assert process.stderr is not None
         self.addCleanup(process.stderr.close)
@@ -546,7 +571,12 @@
 
     def mget(self, *words: str, given: str = "") -> subprocess.CompletedProcess[str]:
         return subprocess.run(
-            self.words("mget", *words), cwd=ROOT, text=True, input=given, capture_output=True, timeout=60,
+            self.words("mget", *words),
+            cwd=ROOT,
+            text=True,
+            input=given,
+            capture_output=True,
+            timeout=60,
             env=self.environment(),
         )
 
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -35,9 +35,15 @@
 
     def test_nothing_stated_is_all_defaults(self) -> None:
         for text in ("", "\n", "# only words", "\ufeff"):
-            self.assertEqual(list(read(text).in_force()), [
-                "pigs 4 (default)", "rest 30 s (default)", "mood calm (default)", "sty not set (default)",
-            ])
+            self.assertEqual(
+                list(read(text).in_force()),
+                [
+                    "pigs 4 (default)",
+                    "rest 30 s (default)",
+                    "mood calm (default)",
+                    "sty not set (default)",
+                ],
+            )
 
     def test_values_in_force_name_their_lines(self) -> None:
         self.assertIn("rest 5 s (farm.conf line 2)", list(read("\nrest 5s").in_force()))
@@ -46,15 +52,18 @@
         return [str(fault) for fault in read(text).faults]
 
     def test_each_fault_names_its_place(self) -> None:
-        self.assertEqual(self.faults("pigs 1\npigs 3\npigs 4\nrest soon\nmood grim\npigz 3\nsty\nqqq 1"), [
-            'farm.conf line 1: pigs "1" is not a whole number from 2 to 64',
-            "farm.conf line 3: pigs is set already on line 2",
-            'farm.conf line 4: rest "soon" is not a time from 1 to 60 s',
-            'farm.conf line 5: mood "grim" is not one of calm, wild',
-            "farm.conf line 6: pigz is no setting; did you mean pigs?",
-            "farm.conf line 7: sty has no value",
-            "farm.conf line 8: qqq is no setting",
-        ])
+        self.assertEqual(
+            self.faults("pigs 1\npigs 3\npigs 4\nrest soon\nmood grim\npigz 3\nsty\nqqq 1"),
+            [
+                'farm.conf line 1: pigs "1" is not a whole number from 2 to 64',
+                "farm.conf line 3: pigs is set already on line 2",
+                'farm.conf line 4: rest "soon" is not a time from 1 to 60 s',
+                'farm.conf line 5: mood "grim" is not one of calm, wild',
+                "farm.conf line 6: pigz is no setting; did you mean pigs?",
+                "farm.conf line 7: sty has no value",
+                "farm.conf line 8: qqq is no setting",
+            ],
+        )
 
     def test_odd_numbers_are_none(self) -> None:
         for value in ("-3", "+3", "3.0", "1_0", "٣", "9" * 400, "0x10", "3 4"):
@@ -82,8 +91,12 @@
             path = Path(folder) / "rosepick.conf"
             path.write_text("colour red\nshape\n")
             ended = subprocess.run(
-                [sys.executable, "-m", "rosepick", "serve", "-f", str(path)], cwd=ROOT, text=True,
-                env={**os.environ, "GW_CONFIG": "/nowhere"}, capture_output=True, timeout=60,
+                [sys.executable, "-m", "rosepick", "serve", "-f", str(path)],
+                cwd=ROOT,
+                text=True,
+                env={**os.environ, "GW_CONFIG": "/nowhere"},
+                capture_output=True,
+                timeout=60,
             )
         self.assertEqual(ended.returncode, 1)
         self.assertIn("rosepick: rosepick.conf line 1: colour is no setting\n", ended.stderr)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -25,8 +25,13 @@
 from .scenario import SETTINGS, target
 
 DOCUMENT: dict[str, Any] = {
-    "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
-    "limits": {"sockets": 256}, "known": {"rev": 1, "all": True, "targets": []}, "settings": SETTINGS,
+    "name": "n0",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:1",
+    "seed": "1f",
+    "limits": {"sockets": 256},
+    "known": {"rev": 1, "all": True, "targets": []},
+    "settings": SETTINGS,
 }
 
 
@@ -38,8 +43,12 @@
 
     def test_what_is_wrong_is_one_plain_line(self) -> None:
         broken: tuple[tuple[str, object, str], ...] = (
-            ("listen", "nowhere", "host:port"), ("seed", "xyz", "hexadecimal"), ("name", None, "name"),
-            ("settings", [], "settings"), ("known", 3, "known"), ("known", {"targets": [{}]}, "state"),
+            ("listen", "nowhere", "host:port"),
+            ("seed", "xyz", "hexadecimal"),
+            ("name", None, "name"),
+            ("settings", [], "settings"),
+            ("known", 3, "known"),
+            ("known", {"targets": [{}]}, "state"),
         )
         for key, value, word in broken:
             status, said = self.check(json.dumps({**DOCUMENT, key: value}))
@@ -55,7 +64,10 @@
             file.flush()
             done = subprocess.run(
                 [sys.executable, "-m", "rosepick", "check-config"],
-                env={**os.environ, "GW_CONFIG": file.name}, capture_output=True, text=True, check=False,
+                env={**os.environ, "GW_CONFIG": file.name},
+                capture_output=True,
+                text=True,
+                check=False,
             )
         return done.returncode, done.stderr
 
@@ -73,7 +85,9 @@
 
     def test_retired_when_it_drains_leaves_restarts_or_moves(self) -> None:
         for row in (
-            target("s1", 1, "leaving"), target("s1", 1, "left"), target("s1", 9),
+            target("s1", 1, "leaving"),
+            target("s1", 1, "left"),
+            target("s1", 9),
             {**target("s1", 1), "boot_ms": 9},
         ):
             map_ = transport_map.TransportMap(config.read(DOCUMENT).names, 0.0)
@@ -180,7 +194,9 @@
             json.dump(DOCUMENT, file)
             file.flush()
             with subprocess.Popen(
-                [sys.executable, "-O", "-m", "rosepick", "serve"], stderr=subprocess.PIPE, text=True,
+                [sys.executable, "-O", "-m", "rosepick", "serve"],
+                stderr=subprocess.PIPE,
+                text=True,
                 env={**os.environ, "GW_CONFIG": file.name},
             ) as process:
                 assert process.stderr is not None
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -26,8 +26,10 @@
 
 def test_pins_are_what_the_extra_allows() -> None:
     pinned = {
-        line.split("==")[0] for name in ("requirements.txt", "requirements-lab.txt")
-        for line in (ROOT / name).read_text().splitlines() if "==" in line
+        line.split("==")[0]
+        for name in ("requirements.txt", "requirements-lab.txt")
+        for line in (ROOT / name).read_text().splitlines()
+        if "==" in line
     }
     stated = (ROOT / "pyproject.toml").read_text()
     assert pinned <= set(re.findall(r'"([a-z0-9]+)>=', stated))
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -24,9 +24,11 @@
 
     def hear(self, told: Callable[[Members], None]) -> Callable[[Members], None]:
         """Note what the module is told."""
+
         def hear(event: Members) -> None:
             self.told.append(event.scope)
             told(event)
+
         return hear
 
     def moves(self, to: str = "e") -> None:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -31,9 +31,7 @@
 
     def ask(self, who: str, what: str = READY, source: str = "127.0.0.1") -> None:
         """A new client asks on a connection of its own."""
-        sock = socket.create_connection(
-            self.server.listener.sock.getsockname(), source_address=(source, 0)
-        )
+        sock = socket.create_connection(self.server.listener.sock.getsockname(), source_address=(source, 0))
         self.wires[who] = [Wire(sock)]
         self.play(f"{who} send {what}")
 
@@ -91,9 +89,11 @@
             self.server.listener.sum_up()
             told = self.fields(logs, "connections")
         self.assertEqual(told["asks"], 200)
-        self.assertEqual(told["opened"], sum(told[name] for name in told if name.startswith("closed_")) + sum(
-            told[kind] for kind in ("fresh", "asking", "once", "often", "lingering")
-        ))
+        self.assertEqual(
+            told["opened"],
+            sum(told[name] for name in told if name.startswith("closed_"))
+            + sum(told[kind] for kind in ("fresh", "asking", "once", "often", "lingering")),
+        )
 
     def test_exactly_as_many_as_may_be_all_idle(self) -> None:
         """No event comes any more: a timer must act."""
@@ -361,14 +361,16 @@
         slow, goes_on = r"c1 raw GET /ready HTTP/1.1\r\n; ", r"wait 100; c1 raw X: y\r\n; "
         full, ends = "".join(crowd) + slow, r"c1 raw \r\n; "
         half = "listener.account.closed Counter"
-        self.each({
-            "a true one gets in": f"{full}{goes_on * 8}c2 send GET /ready; wait 50; c2 expect 200; {ends}"
+        self.each(
+            {
+                "a true one gets in": f"{full}{goes_on * 8}c2 send GET /ready; wait 50; c2 expect 200; {ends}"
                 f"c1 expect 200; c100 expect closed; all holds {half}({{<Why.HALF: 'half'>: 1}})",
-            "SIGTERM ends in time": f"{full}{goes_on * 4}router end; {goes_on * 14}{ends}"
+                "SIGTERM ends in time": f"{full}{goes_on * 4}router end; {goes_on * 14}{ends}"
                 "c1 expect 503 Connection=close ending; c1 close; wait 1800; router ended",
-            "not while there is room": f"{''.join(crowd[:10])}wait 1500; c2 send GET /ready; c2 expect 200; "
+                "not while there is room": f"{''.join(crowd[:10])}wait 1500; c2 send GET /ready; c2 expect 200; "
                 f"all holds {half}(); wait 1500; all holds listener.account.half OrderedDict()",
-        })
+            }
+        )
 
 
 class Accepting(Crowd):
@@ -398,8 +400,9 @@
             path = Path(folder) / "netstat"
             for text, count in (
                 ("TcpExt: A ListenOverflows B\nTcpExt: 1 17 3\nIpExt: C\nIpExt: 4\n", 17),
-                ("TcpExt: A B\nTcpExt: 1 3\n", None), ("TcpExt: ListenOverflows\nTcpExt: x\n", None), ("",
-                None),
+                ("TcpExt: A B\nTcpExt: 1 3\n", None),
+                ("TcpExt: ListenOverflows\nTcpExt: x\n", None),
+                ("", None),
             ):
                 path.write_text(text)
                 self.assertEqual(accept_queue.overflows(path), count)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -262,7 +262,6 @@
             c1 expect closed
         """)
 
-
     def test_upgrade_is_passed_over_and_answered_once(self) -> None:
         self.play(r"""
             c1 raw GET /ready HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n
@@ -415,7 +414,6 @@
             router ended
         """)
 
-
     def test_requests_sent_ahead_are_answered_before_the_connection_closes(self) -> None:
         request = r"GET /ready HTTP/1.1\r\n\r\n"
         self.play(f"""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,14 +17,30 @@
 GONE = object()
 NONE: tuple[object, ...] = (None, GONE, 0, -5.0, math.nan, math.inf, -math.inf, True, False, "5", [], {})
 NEEDED = (
-    "settings", "discovery", "name", "listen", "seed", "limits", "limits.sockets", "known", "settings.limits",
-    "settings.rules", "settings.rules.stop_sending_within", "settings.tenants", f"{CLASSES}.0.name",
-    f"{CLASSES}.0.objective", CLASSES, f"{CLASSES}.0.effect",
+    "settings",
+    "discovery",
+    "name",
+    "listen",
+    "seed",
+    "limits",
+    "limits.sockets",
+    "known",
+    "settings.limits",
+    "settings.rules",
+    "settings.rules.stop_sending_within",
+    "settings.tenants",
+    f"{CLASSES}.0.name",
+    f"{CLASSES}.0.objective",
+    CLASSES,
+    f"{CLASSES}.0.effect",
 )
 BAD = [
     *((f"{CLASSES}.1.deadline", value) for value in NONE),
-    *(("settings.limits.max_attempts", value) for value in (*NONE, 2.5)), *((path, GONE) for path in NEEDED),
-    (CLASSES, []), (CLASSES, {"read": 1}), (f"{CLASSES}.0.effect", "odd"),
+    *(("settings.limits.max_attempts", value) for value in (*NONE, 2.5)),
+    *((path, GONE) for path in NEEDED),
+    (CLASSES, []),
+    (CLASSES, {"read": 1}),
+    (f"{CLASSES}.0.effect", "odd"),
     (CLASSES, SETTINGS["request_classes"] * 2),
 ]
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -105,7 +105,8 @@
     def stated(self) -> operator_file.OperatorFile:
         return operator_file.read(
             f"tls_listen 0\ntls_cert {self.folder}/cert.pem\ntls_key {self.folder}/key.pem\n"
-            f"{self.conf}\n".encode(), "rosepick.conf",
+            f"{self.conf}\n".encode(),
+            "rosepick.conf",
         )
 
     def operators(self) -> Operators:
@@ -225,7 +226,9 @@
         host, port = self.address()
         with subprocess.Popen(
             ["openssl", "s_client", "-connect", f"{host}:{port}", "-maxfraglen", "512", "-quiet"],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
         ) as process:
             assert process.stdin is not None and process.stdout is not None
             process.stdin.write(
@@ -477,7 +480,8 @@
             logging.getLogger("rosepick").info("begin")
             self.hit()
         return [
-            vars(line)["fields"]["client_subject"] for line in said.records
+            vars(line)["fields"]["client_subject"]
+            for line in said.records
             if line.getMessage() == "client_verified"
         ]
 
@@ -519,10 +523,18 @@
     def test_rfc_4514(self) -> None:
         cases: tuple[tuple[Name, str], ...] = (
             ((), ""),
-            (((("organizationName", "tokachi-power"),), (("commonName", "meter-gw-07"),)),
-             "CN=meter-gw-07,O=tokachi-power"),
-            (((("countryName", "JP"),), (("domainComponent", "x"),), (("userId", "u"), ("commonName", "c"))),
-             "UID=u+CN=c,DC=x,C=JP"),
+            (
+                ((("organizationName", "tokachi-power"),), (("commonName", "meter-gw-07"),)),
+                "CN=meter-gw-07,O=tokachi-power",
+            ),
+            (
+                (
+                    (("countryName", "JP"),),
+                    (("domainComponent", "x"),),
+                    (("userId", "u"), ("commonName", "c")),
+                ),
+                "UID=u+CN=c,DC=x,C=JP",
+            ),
             (((("commonName", 'a,b+c"d\\e<f>g;h'),),), r"CN=a\,b\+c\"d\\e\<f\>g\;h"),
             (((("commonName", " #x "),),), r"CN=\ #x\ "),
             (((("commonName", "#x"),),), r"CN=\#x"),
@@ -568,15 +580,19 @@
 
             pair = f"tls_cert {a.cert}\ntls_key {a.key}\n"
             self.assertEqual(faults(pair + "tls_listen 5443"), [])
-            self.assertEqual(faults(pair + "tls_listen 5000"), [
-                "rosepick.conf line 3: tls_listen 5000 is the port of GW_CONFIG listen already"
-            ])
-            self.assertEqual(faults(f"tls_cert {a.cert}\ntls_key {b.key}"), [
-                f'rosepick.conf line 2: tls_key "{b.key}" does not match tls_cert "{a.cert}"'
-            ])
-            self.assertEqual(faults(f"tls_cert {folder}/none\ntls_key {b.key}"), [
-                f'rosepick.conf line 1: tls_cert "{folder}/none" cannot be read: No such file or directory'
-            ])
-            self.assertEqual(faults(pair + f"tls_client_cert required\ntls_client_ca {conf}"), [
-                f'rosepick.conf line 4: tls_client_ca "{conf}" holds no certificate that can be read'
-            ])
+            self.assertEqual(
+                faults(pair + "tls_listen 5000"),
+                ["rosepick.conf line 3: tls_listen 5000 is the port of GW_CONFIG listen already"],
+            )
+            self.assertEqual(
+                faults(f"tls_cert {a.cert}\ntls_key {b.key}"),
+                [f'rosepick.conf line 2: tls_key "{b.key}" does not match tls_cert "{a.cert}"'],
+            )
+            self.assertEqual(
+                faults(f"tls_cert {folder}/none\ntls_key {b.key}"),
+                [f'rosepick.conf line 1: tls_cert "{folder}/none" cannot be read: No such file or directory'],
+            )
+            self.assertEqual(
+                faults(pair + f"tls_client_cert required\ntls_client_ca {conf}"),
+                [f'rosepick.conf line 4: tls_client_ca "{conf}" holds no certificate that can be read'],
+            )
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -52,8 +52,11 @@
 
     def test_clients_are_taken_with_all_that_is_needed_or_when_nobody_else_is_there(self) -> None:
         for others, listed, heard, takes in (
-            ((), False, False, True), ((9,), False, False, False), ((9,), True, False, False),
-            ((9,), False, True, False), ((9,), True, True, True),
+            ((), False, False, True),
+            ((9,), False, False, False),
+            ((9,), True, False, False),
+            ((9,), False, True, False),
+            ((9,), True, True, True),
         ):
             standing = Standing(others)
             standing.listed, standing.heard = listed, heard
@@ -96,8 +99,11 @@
     def test_a_document_that_is_cut_or_changed_is_turned_down_whole(self) -> None:
         whole = gather(router(199), 5.0)
         changes = (
-            (b'"version": 1', b'"version": 2'), (b'"limit": ', b'"limit": -'), (b'"pools"', b'"pool"'),
-            (b'"reads": 1', b'"reads": NaN, "x": 1'), (b'"servers": [[', b'"servers": [["a", '),
+            (b'"version": 1', b'"version": 2'),
+            (b'"limit": ', b'"limit": -'),
+            (b'"pools"', b'"pool"'),
+            (b'"reads": 1', b'"reads": NaN, "x": 1'),
+            (b'"servers": [[', b'"servers": [["a", '),
             (b'"paces": [', b'"paces": [1e999, '),
         )
         cut = [whole[:size] for size in range(0, len(whole), 7)]
@@ -157,14 +163,15 @@
     def test_the_new_process(self) -> None:
         told = "wait 800; d expect GET /v1/endpoints?after=41&wait_ms=0; c1 send GET /ready; d tell 41; "
         ready = "c1 expect 200 ready; door says OK"
-        self.each({
-            "with a list and what the other one knows":
-                f"door says ERR; other leaves -1; {told}{ready}; it knows 50",
-            "soon after one that leaves nothing": f"{told}wait 100; c1 expect nothing; wait 200; {ready}",
-            "with nothing in place of what is old": f"other leaves 1; {told}wait 300; {ready}; it knows 0",
-            "or of what is no document": f"other leaves junk; {told}{ready}; it knows 0",
-            "at once when the other one has died": f"other dies; c1 send GET /ready; {ready}",
-        })
+        self.each(
+            {
+                "with a list and what the other one knows": f"door says ERR; other leaves -1; {told}{ready}; it knows 50",
+                "soon after one that leaves nothing": f"{told}wait 100; c1 expect nothing; wait 200; {ready}",
+                "with nothing in place of what is old": f"other leaves 1; {told}wait 300; {ready}; it knows 0",
+                "or of what is no document": f"other leaves junk; {told}{ready}; it knows 0",
+                "at once when the other one has died": f"other dies; c1 send GET /ready; {ready}",
+            }
+        )
         self.assertEqual(self.server.budget.limit, self.sockets - 48)  # all of it is its own then
 
     def test_the_old_process(self) -> None:
@@ -172,15 +179,15 @@
         begun = r"c3 raw GET /api/k2 HTTP/1.1\r\nReq-"
         rest = r"c3 raw Id: x9\r\nReq-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: 1\r\n\r\n"
         head = r"s1 raw HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"
-        self.each({
-            "what is in hand is answered, what waits is the new one's":
-                f"other dies; {ask}{begun}; c9 queues; router end; wait 300; s1 send 200 value; "
+        self.each(
+            {
+                "what is in hand is answered, what waits is the new one's": f"other dies; {ask}{begun}; c9 queues; router end; wait 300; s1 send 200 value; "
                 f"c1 expect 200 Connection=close; {rest}; s1 expect GET /api/k2; s1 send 200 other; "
                 "c3 expect 200 Connection=close; c1 close; c3 close; wait 600; router ended; other accepts",
-            "a long answer comes whole":
-                f"other dies; {ask}{head}{half}; router end; wait 700; router going; s1 raw {half}; "
+                "a long answer comes whole": f"other dies; {ask}{head}{half}; router end; wait 700; router going; s1 raw {half}; "
                 "c1 expect 200; c1 close; wait 600; router ended",
-        })
+            }
+        )
 
 
 class Processes(TestCase):
@@ -206,14 +213,28 @@
     def start(self, name: str, **changes: object) -> subprocess.Popen[str]:
         """A router process."""
         clients, discovery = (f"127.0.0.1:{s.getsockname()[1]}" for s in (self.clients, self.discovery))
-        (self.folder / name).write_text(json.dumps({
-            "name": name, "listen": clients, "discovery": discovery, "ops": "127.0.0.1:0", "seed": "1f",
-            "limits": {"memory_mb": 64, "sockets": 256}, "known": {}, "settings": SETTINGS, **changes,
-        }))
+        (self.folder / name).write_text(
+            json.dumps(
+                {
+                    "name": name,
+                    "listen": clients,
+                    "discovery": discovery,
+                    "ops": "127.0.0.1:0",
+                    "seed": "1f",
+                    "limits": {"memory_mb": 64, "sockets": 256},
+                    "known": {},
+                    "settings": SETTINGS,
+                    **changes,
+                }
+            )
+        )
         told = {"TMPDIR": str(self.folder), "GW_LISTEN_FD": str(self.clients.fileno())}
         made = subprocess.Popen(
-            [sys.executable, "-m", "rosepick", "serve"], pass_fds=[self.clients.fileno()], text=True,
-            env={**os.environ, **told, "GW_CONFIG": str(self.folder / name)}, stderr=subprocess.PIPE,
+            [sys.executable, "-m", "rosepick", "serve"],
+            pass_fds=[self.clients.fileno()],
+            text=True,
+            env={**os.environ, **told, "GW_CONFIG": str(self.folder / name)},
+            stderr=subprocess.PIPE,
         )
         for cleanup in (made.communicate, made.kill):
             self.addCleanup(cleanup)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -28,6 +28,7 @@
 
 def mixture(hung: float, spread: float = 0.6) -> Draw:
     """Most answers about as expected, and such a part that never comes."""
+
     def draw(rng: random.Random) -> float:
         return math.inf if rng.random() < hung else rng.lognormvariate(-(spread**2) / 2, spread)
 
@@ -88,7 +89,9 @@
 
 @given(
     st.lists(st.tuples(st.floats(0, 1e6), st.booleans(), st.floats(0, 1e5)), max_size=60),
-    st.floats(0, 100), st.floats(0, 100), st.floats(0, 100),
+    st.floats(0, 100),
+    st.floats(0, 100),
+    st.floats(0, 100),
 )
 def test_chances_are_chances(seen: list[tuple[float, bool, float]], a: float, b: float, c: float) -> None:
     times, now = Times(), 0.0
@@ -127,8 +130,12 @@
 
 
 def play(
-    draw: Callable[[random.Random, float], float], seconds: float = 30.0, rate: float = 80.0,
-    expected: float = 70.0, left: float = 600.0, stops: bool = True,
+    draw: Callable[[random.Random, float], float],
+    seconds: float = 30.0,
+    rate: float = 80.0,
+    expected: float = 70.0,
+    left: float = 600.0,
+    stops: bool = True,
 ) -> tuple[float, int, int]:
     """Requests of one router, each with up to five attempts, one at a time; the share that was answered in
     time, how many there were and how many restarts. `draw` gives a multiple of what is expected, at a
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -150,8 +150,11 @@
 def test_host_runs_as_a_process() -> None:
     done = subprocess.run(
         [sys.executable, "-m", "rosepick.simulator"],
-        input=batch(provision(), pool(), members(), work()), capture_output=True,
-        cwd=Path(__file__).parent.parent, timeout=60, check=False,
+        input=batch(provision(), pool(), members(), work()),
+        capture_output=True,
+        cwd=Path(__file__).parent.parent,
+        timeout=60,
+        check=False,
     )
     assert done.returncode == 0 and done.stderr == b""
     assert replies(done.stdout)
@@ -159,8 +162,14 @@
 
 def test_every_action_is_encoded_at_its_stated_length() -> None:
     actions: list[api.Action] = [
-        api.Send(1, 2), api.Refuse(1), api.Fail(1), api.Cancel(1, 0), api.SetTimer(1, 2.0), api.Probe(2),
-        api.Watch(True), api.Log("line"),
+        api.Send(1, 2),
+        api.Refuse(1),
+        api.Fail(1),
+        api.Cancel(1, 0),
+        api.SetTimer(1, 2.0),
+        api.Probe(2),
+        api.Watch(True),
+        api.Log("line"),
     ]
     for act in actions:
         raw = wire.action(3, act)
