--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(BIN)/python -m rosepick demo
 
 test: env
-	PATH="$(CURDIR)/$(BIN):$$PATH" PYTHONDONTWRITEBYTECODE=1 sh -c 'ruff check . && mypy && pytest'
+	PATH="$(CURDIR)/$(BIN):$$PATH" PYTHONDONTWRITEBYTECODE=1 sh -c 'ruff check . && ruff format --check . && mypy && pytest'
 
 drill: env
 	$(BIN)/python -m rosepick lab drill drills/simulated.toml --simulated --seed 1..100 --workers 4
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -214,15 +214,18 @@
         size, whole = "33554432", f"{self.ASK}{head}s1 more 100000; c1 expect 200; "
         self.each(
             {
-                "32 MiB": f"{self.ASK}{head.replace('100000', size)}s1 more {size}; c1 whole {size}; all free",
+                "32 MiB": f"{self.ASK}{head.replace('100000', size)}s1 more {size}; c1 whole {size}; "
+                "all free",
                 "the client leaves": self.LONG + "c1 close; s1 expect closed; all free",
                 "the next hop breaks off": self.LONG
                 + "s1 breaks; c1 broken Content-Length: 500000; all free",
                 "and a chunked one": chunked.replace("more 100000", r"raw 30d40\r\n; s1 more 100000")
                 + "s1 breaks; c1 broken Transfer-Encoding: chunked; all free",
                 "the next hop stops": self.LONG + stopped,
-                "it goes on": f"{whole}{self.ASK}s1 send 200 v; c1 expect 200; all holds budget.used 2; all free",
-                "the module faults midway": f"{self.ASK}module faults; {head}s1 more 100000; c1 expect 200; c1 expect nothing; all free",
+                "it goes on": f"{whole}{self.ASK}s1 send 200 v; c1 expect 200; all holds budget.used 2; "
+                "all free",
+                "the module faults midway": f"{self.ASK}module faults; {head}s1 more 100000; "
+                "c1 expect 200; c1 expect nothing; all free",
                 "the client does not read": self.LONG.replace("500000", "31457280")
                 + f"s1 flood; all bounded 16; {stopped}",
             }
@@ -236,13 +239,16 @@
         expects = "Expect: 100-continue\\r\\nContent-Length: "
         self.each(
             {
-                "its time counts from its last byte": f"{self.WRITE}{more}c1 expect nothing; wait 700; {stored}",
-                "it ends at its deadline": f"{fresh}c1 more 200000; wait 900; c1 expect nothing; wait 200; c1 expect 504; all free",
+                "its time counts from its last byte": f"{self.WRITE}{more}c1 expect nothing; wait 700; "
+                f"{stored}",
+                "it ends at its deadline": f"{fresh}c1 more 200000; wait 900; c1 expect nothing; wait 200; "
+                "c1 expect 504; all free",
                 "it is not sent to another": f"{self.WRITE}origin breaks; c1 more 20000; {gone}; "
                 "origin expect nothing; s1 expect nothing; all free",
                 "nobody can be reached": f"origin refuse; {self.WRITE}{gone}; all free",
                 "the client leaves": f"{self.WRITE}c1 close; origin expect closed; all free",
-                "and behind bytes that wait here": f"{self.WRITE}all full; c1 more 1000; c1 close; wait 2900; "
+                "and behind bytes that wait here": f"{self.WRITE}all full; c1 more 1000; c1 close; "
+                "wait 2900; "
                 "origin expect closed; all free",
                 "the client stops": f"{self.WRITE}wait 3400; c1 expect 408 Connection=close; "
                 "origin expect closed; all free",
@@ -255,7 +261,8 @@
                 rf"00\r\n\r\n; origin more 100000; {gone}; origin expect closed; all free",
                 "wrong chunks midway": f"{large.replace('80000', '0')}186a0; c1 more 80000; c1 more 20000; "
                 r"c1 raw nonsense\r\n; c1 expect 400 Connection=close; origin expect closed; all free",
-                "behind one that is in hand": f"{self.ASK}c1 begin 100000 {expects}100000; c1 expect nothing; "
+                "behind one that is in hand": f"{self.ASK}c1 begin 100000 {expects}100000; "
+                "c1 expect nothing; "
                 f"origin expect nothing; s1 send 200 v; c1 expect 200 v; {stored}",
                 "it is asked for": f"c1 begin 0 {expects}3; c1 expect 100; c1 more 3; {stored}",
                 "its id is open": "c2 send GET /api/k1 Req-Id=7; s1 expect GET; "
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -99,7 +99,8 @@
             (
                 1,
                 [
-                    "rosepick.conf line 2: capture_segments 4 of capture_segment_kb 256 make a ring of 1024 KiB, "
+                    "rosepick.conf line 2: capture_segments 4 of capture_segment_kb 256 make a ring of "
+                    "1024 KiB, "
                     "more than 768",
                 ],
             ),
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -21,7 +21,7 @@
     made = (ROOT / "Makefile").read_text()
     assert all(f"\n{command.split()[1]}: env\n" in made for command in commands)
     assert "make test" in (ROOT / ".ci" / "run").read_text()
-    assert "ruff check . && mypy && pytest" in made
+    assert "ruff check . && ruff format --check . && mypy && pytest" in made
 
 
 def test_pins_are_what_the_extra_allows() -> None:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -367,7 +367,8 @@
                 f"c1 expect 200; c100 expect closed; all holds {half}({{<Why.HALF: 'half'>: 1}})",
                 "SIGTERM ends in time": f"{full}{goes_on * 4}router end; {goes_on * 14}{ends}"
                 "c1 expect 503 Connection=close ending; c1 close; wait 1800; router ended",
-                "not while there is room": f"{''.join(crowd[:10])}wait 1500; c2 send GET /ready; c2 expect 200; "
+                "not while there is room": f"{''.join(crowd[:10])}wait 1500; c2 send GET /ready; "
+                "c2 expect 200; "
                 f"all holds {half}(); wait 1500; all holds listener.account.half OrderedDict()",
             }
         )
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -165,9 +165,11 @@
         ready = "c1 expect 200 ready; door says OK"
         self.each(
             {
-                "with a list and what the other one knows": f"door says ERR; other leaves -1; {told}{ready}; it knows 50",
+                "with a list and what the other one knows": f"door says ERR; other leaves -1; "
+                f"{told}{ready}; it knows 50",
                 "soon after one that leaves nothing": f"{told}wait 100; c1 expect nothing; wait 200; {ready}",
-                "with nothing in place of what is old": f"other leaves 1; {told}wait 300; {ready}; it knows 0",
+                "with nothing in place of what is old": f"other leaves 1; {told}wait 300; {ready}; "
+                "it knows 0",
                 "or of what is no document": f"other leaves junk; {told}{ready}; it knows 0",
                 "at once when the other one has died": f"other dies; c1 send GET /ready; {ready}",
             }
@@ -181,10 +183,12 @@
         head = r"s1 raw HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"
         self.each(
             {
-                "what is in hand is answered, what waits is the new one's": f"other dies; {ask}{begun}; c9 queues; router end; wait 300; s1 send 200 value; "
+                "what is in hand is answered, what waits is the new one's": f"other dies; {ask}{begun}; "
+                "c9 queues; router end; wait 300; s1 send 200 value; "
                 f"c1 expect 200 Connection=close; {rest}; s1 expect GET /api/k2; s1 send 200 other; "
                 "c3 expect 200 Connection=close; c1 close; c3 close; wait 600; router ended; other accepts",
-                "a long answer comes whole": f"other dies; {ask}{head}{half}; router end; wait 700; router going; s1 raw {half}; "
+                "a long answer comes whole": f"other dies; {ask}{head}{half}; router end; wait 700; "
+                f"router going; s1 raw {half}; "
                 "c1 expect 200; c1 close; wait 600; router ended",
             }
         )
