--- a/rosepick/agreement/messages.py
+++ b/rosepick/agreement/messages.py
@@ -29,7 +29,8 @@
 
 class Register(msgspec.Struct, frozen=True, array_like=True):
     """The value of a name, its version (one more at each change), the mark of the change that made it, and
-    the mark of the value that it was made of: so a value names its place in the one chain."""
+    the mark of the value that it was made of: so a value names its place in the one chain.
+    """
 
     version: int = 0
     mark: str = ""
@@ -105,7 +106,8 @@
 
 class Seal(Asked, frozen=True, array_like=True, tag=5):
     """Take part in nothing of this epoch any more but in the choice of what follows, and tell all you
-    keep."""
+    keep.
+    """
 
 
 class Install(Message, frozen=True, array_like=True, tag=6):
@@ -180,7 +182,8 @@
 
 class Remembered(Reply, frozen=True, array_like=True, tag=28):
     """How often the asking witness's storage had been started, as far as this one knew before it was
-    asked."""
+    asked.
+    """
 
     starts: int
     run: str
--- a/rosepick/agreement/operation.py
+++ b/rosepick/agreement/operation.py
@@ -69,7 +69,8 @@
 
 class Operation:
     """Asks the witnesses of a quorum; `heard` takes their answers, and `again` is called when these are too
-    few."""
+    few.
+    """
 
     def __init__(
         self,
@@ -174,7 +175,8 @@
 
     def _looked(self) -> Sends:
         """What a majority has accepted under one ballot is chosen, and nothing later was before this began:
-        that would have a majority too, and one of these had told of it."""
+        that would have a majority too, and one of these had told of it.
+        """
         seen = [ballot for ballot, _ in self._votes.values()]
         for ballot, register in self._votes.values():
             if seen.count(ballot) >= self.quorum.majority:
@@ -203,7 +205,8 @@
 
     def _left(self, register: Register, settled: bool) -> Sends:
         """The register stays as it is; but what is not known to be chosen is made so first, and so is all
-        after an accept of ours: guards against its being found and finished later by another."""
+        after an accept of ours: guards against its being found and finished later by another.
+        """
         if settled and self._tried is None:
             self.outcome = Outcome(Kind.READ, register)
             return []
--- a/rosepick/agreement/witness.py
+++ b/rosepick/agreement/witness.py
@@ -77,7 +77,8 @@
 
     def remembered(self, answer: m.Remembered, patient: bool) -> Changes:
         """Another one's answer to the greeting. `patient`: wait for all of them still, not for enough of
-        them."""
+        them.
+        """
         changes = Changes()
         if answer.starts > self.saved.starts or (
             answer.starts == self.saved.starts and answer.run not in ("", self.run)
@@ -228,7 +229,8 @@
 
 def merged(kept: list[dict[str, Slot]]) -> dict[str, Slot]:
     """Of what a majority keeps, the last that may have been chosen of each name; promises end with the
-    epoch."""
+    epoch.
+    """
     last: dict[str, Slot] = {}
     for slots in kept:
         for key, slot in slots.items():
--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -35,7 +35,8 @@
         uid_of: Callable[[int], str | None],
     ) -> None:
         """`offset` is Unix time less the loop's clock; `words` gives the id, key and deadline that a payload
-        states; `uid_of` knows the next hops of the list just told."""
+        states; `uid_of` knows the next hops of the list just told.
+        """
         self.seed, self.offset, self.words, self.uid_of = seed, offset, words, uid_of
         self.name(names)
         self.version = 0
--- a/rosepick/capture/replay.py
+++ b/rosepick/capture/replay.py
@@ -42,7 +42,8 @@
 
     def differs(self, ends: float) -> bool:
         """Whether the decisions are not the same, in a capture that ends at that time. Which failure is told
-        is the clock's choice. Guards against a capture that is cut between an event and what came of it."""
+        is the clock's choice. Guards against a capture that is cut between an event and what came of it.
+        """
         recorded = None if self.final is None else _ANSWERS.get(self.final.status)
         now = None if self.answer is None else _ANSWERS.get(self.answer)
         if self.final is None and self.answered_at >= ends:
@@ -146,7 +147,8 @@
 
 def replay(sources: Sequence[lines.Lines], settings: api.Settings, names: Names) -> Report:
     """Feed a capture, of one file or several that follow on one another, to the decisions under these
-    settings. BadLine or CannotReplay if it cannot be."""
+    settings. BadLine or CannotReplay if it cannot be.
+    """
     report = Report()
     for piece in pieces(chain.from_iterable(sources)):
         report.pieces += 1
--- a/rosepick/capture/ring.py
+++ b/rosepick/capture/ring.py
@@ -72,7 +72,8 @@
 
     def read(self, place: Place, until: Place, most: int) -> tuple[memoryview, Place]:
         """Whole lines from a place on, at most so many bytes, and where the next ones begin. Nothing at
-        `until` or behind it; what has given way meanwhile is passed over."""
+        `until` or behind it; what has given way meanwhile is passed over.
+        """
         place = max(place, self.begin())
         for segment in self.segments:
             if segment.number < place.segment:
--- a/rosepick/cli/app.py
+++ b/rosepick/cli/app.py
@@ -27,6 +27,7 @@
 
 def app() -> None:
     """Run the command that the arguments name. Where it is of the group that serves, the others are not even
-    loaded: routers of a whole fleet start at one time, and each has a part of a core."""
+    loaded: routers of a whole fleet start at one time, and each has a part of a core.
+    """
     serving = len(sys.argv) > 1 and sys.argv[1] in SERVING
     command_line(GROUPS[:1] if serving else GROUPS)()
--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -45,7 +45,7 @@
         self.told: Fleet
         self.client, self.told = client_of(path)
         with needs_the_extra("fleet"):
-            import rich  # noqa: F401 - tables and bars
+            import rich
         from ..fleet import ledger
 
         self._key = ledger.key(self.told.drains.group)
@@ -113,7 +113,8 @@
 ) -> None:
     """Look after one router or cache node in the foreground until SIGTERM. The member outlives its agent.
 
-    With --build or --config it takes part in releases (docs/releases.md)."""
+    With --build or --config it takes part in releases (docs/releases.md).
+    """
     import signal
 
     if kind not in ("router", "cache"):
@@ -204,7 +205,8 @@
     fleet: FleetPath = DEFAULT,
 ) -> None:
     """Have members go out, as soon as the budget allows it. They stay out until `undrain`, a halt, or no
-    quorum."""
+    quorum.
+    """
     group = Group(fleet)
     from ..fleet import ledger
 
@@ -396,7 +398,8 @@
     fleet: FleetPath = DEFAULT,
 ) -> None:
     """Say whether this file's budget is the fleet's, or make it so. Agents with another one take no
-    permits."""
+    permits.
+    """
     group = Group(fleet)
     from ..fleet import ledger
 
--- a/rosepick/cli/lab.py
+++ b/rosepick/cli/lab.py
@@ -98,7 +98,8 @@
 @lab.command()
 def check(files: Files) -> None:
     """Name every fault of experiment files, each with its place. Ends with 2 if there is one. Starts
-    nothing."""
+    nothing.
+    """
     with needs_the_extra("lab"):
         for path, given in zip(files, _load(files, {}), strict=True):
             print(
@@ -201,7 +202,8 @@
     out: Out = None,
 ) -> None:
     """Put policies, or values of a setting, side by side on the same days: paired differences to the
-    first."""
+    first.
+    """
     with needs_the_extra("lab"):
         from ..lab import compare as comparing
         from ..lab import console, results
@@ -413,7 +415,8 @@
     seconds: Annotated[int, typer.Option(min=10, max=600, help="How long traffic lasts.")] = 60,
 ) -> None:
     """Start a small fleet on this machine, with one router, a slow node and a restart, and show what
-    happens."""
+    happens.
+    """
     with needs_the_extra("lab"):
         from ..lab.demo import demo as show
 
--- a/rosepick/cli/leasing.py
+++ b/rosepick/cli/leasing.py
@@ -40,8 +40,8 @@
 def _extra() -> None:
     """Before any command of a group: what it imports is there, or that is said."""
     with needs_the_extra("fleet"):
-        import msgspec  # noqa: F401
-        import pydantic  # noqa: F401
+        import msgspec
+        import pydantic
 
 
 def fleet_of(path: Path) -> tuple[Fleet, bytes]:
@@ -242,7 +242,8 @@
 
 def _led_over(client: QuorumClient, members: tuple[m.Member, ...]) -> bool:
     """Whether these are the quorum in the end. A caller may have led over to the same ones as before
-    meanwhile, if this took long; then it is tried again."""
+    meanwhile, if this took long; then it is tried again.
+    """
     from ..agreement.succession import Succession
 
     old = client.quorum
--- a/rosepick/cli/releasing.py
+++ b/rosepick/cli/releasing.py
@@ -59,7 +59,8 @@
     given: tuple[Path | None, Path | None, str, list[str]],
 ) -> tuple[Versions | None, Carrier | None]:
     """A member's part in releases, if it is given a build or a configuration to change. OSError if what it is
-    given cannot be read."""
+    given cannot be read.
+    """
     from ..fleet.carrier import Carrier, Terms
     from ..fleet.release import BUILD, SETTINGS
     from ..net.releasing import Versions
@@ -305,7 +306,7 @@
     make = {"halt": book.hold, "resume": book.go_on, "rollback": book.back, "forward": book.forward}[what]
     reason = {"halt": _none, "resume": lambda read: _none(read) or "it is not held"}.get(what, _none)
     if what == "forward":
-        reason = lambda read: _none(read) or "it does not go back"  # noqa: E731
+        reason = lambda read: _none(read) or "it does not go back"
     told = group.move(make(_who(), why, time.time()), reason)
     print(f"release {told.releases}: {said}")
 
--- a/rosepick/connections/account.py
+++ b/rosepick/connections/account.py
@@ -58,18 +58,18 @@
     """One connection in the account. `owner` is the driver's; the account never looks at it."""
 
     __slots__ = (
-        "owner",
+        "asked",
+        "begun",
         "door",
-        "peer",
         "opened",
+        "owner",
+        "peer",
         "ready",
-        "begun",
-        "state",
+        "sample",
         "since",
-        "asked",
+        "state",
         "statuses",
         "why",
-        "sample",
     )
 
     def __init__(self, owner: object, door: str, peer: str, opened: float) -> None:
@@ -121,7 +121,8 @@
 
     def held(self) -> int:
         """How many clients hold for requests: those that ask, and those that have been answered and are
-        kept."""
+        kept.
+        """
         return self.asking + len(self.standing["once"]) + len(self.standing["often"])
 
     # -------------------------------------------------------------------------------------- what happens
@@ -144,7 +145,8 @@
 
     def ask(self, conn: Conn, now: float) -> None:
         """A request of it is taken up. One that was sent ahead follows an answer at once, and counts as
-        well."""
+        well.
+        """
         if conn.state is not State.ASKING:
             self._move(conn, State.ASKING, now, asks=True)
         conn.asked += 1
--- a/rosepick/connections/ceiling.py
+++ b/rosepick/connections/ceiling.py
@@ -91,7 +91,8 @@
 
     def suspects(self, now: float, seen: Seen) -> int:
         """How many connections that stand still are to be closed as a trial, as clients seem to stand at a
-        limit of their own that is lower than what is believed; mostly 0."""
+        limit of their own that is lower than what is believed; mostly 0.
+        """
         pinned = self._pinned(now)
         if self.told is not None or self._tried is not None or now < self._next:
             return 0
--- a/rosepick/connections/habits.py
+++ b/rosepick/connections/habits.py
@@ -11,7 +11,8 @@
 
 class Habits:
     """A score for each address: up for a connection that asked twice, down for one that ended with one
-    answer."""
+    answer.
+    """
 
     def __init__(self) -> None:
         self._scores: OrderedDict[str, int] = OrderedDict()  # the longest unseen first
--- a/rosepick/connections/holders.py
+++ b/rosepick/connections/holders.py
@@ -58,7 +58,8 @@
 
     def share(self, peer: str, room: int) -> int:
         """What an address may hold of so much room while that is short: as much as each of all addresses, or
-        what the others leave if they double. All of it if there is one address only."""
+        what the others leave if they double. All of it if there is one address only.
+        """
         count = self.addresses()
         if count < 2:
             return max(room, self._all)
--- a/rosepick/connections/intake.py
+++ b/rosepick/connections/intake.py
@@ -1,5 +1,6 @@
 """How much of a crowd is let in at one time: accepts in portions, and TLS handshakes with a part of the
-time."""
+time.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/connections/policy.py
+++ b/rosepick/connections/policy.py
@@ -150,7 +150,8 @@
 
     def rate(self, now: float) -> float:
         """Connections that clients open for a request, in a second; not counting those that they open only as
-        we closed one. Guards against closes that bring openings, which would bring closes."""
+        we closed one. Guards against closes that bring openings, which would bring closes.
+        """
         lately = self._needy - self._replaced - CHANCE
         return max(0.0, self._rate, 1000.0 * lately / max(LOOK_EVERY, now - self._looked))
 
@@ -160,7 +161,8 @@
 
     def free(self) -> int:
         """How many more connections clients can open for requests. Silent ones and those that linger do not
-        count: they give way at once when a place is needed."""
+        count: they give way at once when a place is needed.
+        """
         return self.may_hold() - self.account.held()
 
     def fill_time(self, now: float) -> float:
@@ -209,7 +211,8 @@
 
     def _sample(self, conn: Conn) -> bool:
         """Whether a connection is kept all the same. Guards against a belief that proves itself: what is
-        always closed never asks again."""
+        always closed never asks again.
+        """
         self._turn += 1
         if self._turn % SAMPLE or self._sampled >= SAMPLED_PART * self.may_hold() or conn.sample:
             return False
@@ -245,14 +248,16 @@
 
     def excess_at_doors(self) -> int:
         """How many connections of the doors are to be closed at this moment as more are open than their
-        part."""
+        part.
+        """
         return _portion(len(self.account) - self.descriptors.doors())
 
     # -------------------------------------------------------------------------- closing between requests
 
     def look(self, now: float) -> list[tuple[Conn, Why]]:
         """What is to be closed at this moment: past its time, or for room. The driver closes those of them on
-        which nothing has come that is unread."""
+        which nothing has come that is unread.
+        """
         self._step(now)
         found = dict(self._past(now))
         if self._made is None and now >= self._not_before:
@@ -315,7 +320,8 @@
 
     def _least_worth(self, now: float, count: int) -> list[Conn]:
         """The kept connections that are least likely to ask again, the longest standing first; those of an
-        address over its share before all others."""
+        address over its share before all others.
+        """
         lines = sorted(self._kept_lines(), key=lambda line: -line.wait(now))
         stood = [conn for line in lines for conn in _older(line, now - YOUNG)]
         if self.unfair():
@@ -324,7 +330,8 @@
 
     def give_way(self, now: float, at_need: bool = True) -> Iterator[tuple[Conn, Why]]:
         """Connections that may be closed for one that is needed more, the least useful first. With `at_need`
-        unset only those that would hardly be missed."""
+        unset only those that would hardly be missed.
+        """
         standing = self.account.standing
         for conn in self.account.lingering:
             if now - conn.since < LINGERED:
@@ -352,7 +359,8 @@
 
     def _half(self, now: float) -> Iterator[tuple[Conn, Why]]:
         """Half requests that do not go on. Guards against a crowd that never finishes and keeps its places
-        for all the time that a request has; who writes slowly, but goes on, is heard again before."""
+        for all the time that a request has; who writes slowly, but goes on, is heard again before.
+        """
         for conn, heard in self.account.half.items():
             if now - heard < UNHEARD:
                 return
@@ -360,7 +368,8 @@
 
     def turned_away(self, peer: str) -> bool:
         """Whether a connection that comes while every place is taken is closed unheard: its address holds its
-        share. Guards against a crowd from one address behind which all others wait."""
+        share. Guards against a crowd from one address behind which all others wait.
+        """
         return self.unfair() and self._over_share(peer)
 
     def unfair(self) -> bool:
--- a/rosepick/connections/standing.py
+++ b/rosepick/connections/standing.py
@@ -20,7 +20,7 @@
 class Standing(Generic[T]):
     """The connections of one kind, the longest standing first."""
 
-    __slots__ = ("_since", "_asks", "_stood", "_at")
+    __slots__ = ("_asks", "_at", "_since", "_stood")
 
     def __init__(self, now: float) -> None:
         self._since: OrderedDict[T, float] = OrderedDict()
--- a/rosepick/core/account.py
+++ b/rosepick/core/account.py
@@ -44,7 +44,8 @@
 
     def lines(self, names: Mapping[int, str], worths: Mapping[int, float]) -> Iterator[dict[str, object]]:
         """For each class that has ends: its name, the worth of a request, counts by name, and beside each the
-        milliseconds in all, under the name with `_ms`."""
+        milliseconds in all, under the name with `_ms`.
+        """
         for place in sorted({klass for klass, _ in self.ends}):
             found: dict[str, object] = {
                 "class": names.get(place, str(place)),
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -40,7 +40,8 @@
 
     def begins(self, envelope: Envelope, answer: object) -> None:
         """A next hop's answer has begun, to be passed on as it comes. The front says when it is at its end,
-        by `Engine.passed_on`, unless its sender side leaves."""
+        by `Engine.passed_on`, unless its sender side leaves.
+        """
 
     def refused(self, envelope: Envelope, retry_after: float) -> None:
         """Turned away; trying again is harmless, best after so many milliseconds."""
@@ -263,7 +264,8 @@
 
     def attempt_begins(self, attempt: DeliveryAttempt, note: int, answer: object) -> bool:
         """A served answer has begun that is passed on as it comes. That decides the attempt: from here on it
-        is the sender side's, no deadline counts, no other attempt is made. False if nobody waits for it."""
+        is the sender side's, no deadline counts, no other attempt is made. False if nobody waits for it.
+        """
         envelope = attempt.envelope
         wanted = envelope.due()
         if not (wanted and holds(attempt.out, "attempt_ends_once", ref=envelope.ref, result="begun")):
@@ -400,7 +402,8 @@
 
     def _allowed(self, envelope: Envelope, attempt: DeliveryAttempt) -> bool:
         """Whether an attempt may go out at all. The module keeps these rules; they are checked once more
-        where a breach would be seen by the fleet."""
+        where a breach would be seen by the fleet.
+        """
         limits = envelope.limits
         alone = limits.second_copies or not any(other.out for other in envelope.attempts)
         return (
@@ -473,7 +476,8 @@
 
     def _unanswered(self, envelope: Envelope) -> None:
         """The net under rule 1: the module answers at the deadline; if it did not, a failure goes out while
-        it still counts."""
+        it still counts.
+        """
         if envelope.over:
             return
         sender = self._close(envelope, End.LATE)
@@ -485,7 +489,8 @@
     def _forget(self, envelope: Envelope) -> None:
         """Drop an envelope that is over, once none of its attempts is out. One that is not written whole is
         given up, whatever the module leaves out there: guards against a dial that comes up after the sender
-        side has left, whose request would then go out for nobody."""
+        side has left, whose request would then go out for nobody.
+        """
         for attempt in envelope.attempts:
             if envelope.over and attempt.out and not attempt.written:
                 self.next_hops.give_up(attempt)
--- a/rosepick/core/flow.py
+++ b/rosepick/core/flow.py
@@ -35,7 +35,8 @@
 
     def __init__(self, room: Room, length: int | None, tells: bool = True) -> None:
         """`tells`: the taker is told at once; else the giver says when, by `tell`. Guards against a parser
-        that is closed by what its own call brought about."""
+        that is closed by what its own call brought about.
+        """
         self.length = length
         self._tells = tells
         self.ended = self.broken = False
@@ -117,7 +118,8 @@
 
     def close(self) -> None:
         """Nobody takes any more: what is held is let go. Guards against a body that came whole, of which a
-        part is let go here, and that then passes for taken: a next hop would be given a shorter one."""
+        part is let go here, and that then passes for taken: a next hop would be given a shorter one.
+        """
         if self.held:
             self.ended, self.broken = False, True
         if self._room is not None:
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -254,7 +254,8 @@
 @dataclass(frozen=True, slots=True)
 class Whole:
     """The last byte of a request that was coming is there; its time counts from here. An attempt under way
-    begins to run now."""
+    begins to run now.
+    """
 
     ref: int
     time_left: float
@@ -296,7 +297,8 @@
 @dataclass(frozen=True, slots=True)
 class Reconfigured:
     """New settings, for what comes from here on. Places of classes and tenants mean what they meant before;
-    mode, zone, origin and the way of discovery stay."""
+    mode, zone, origin and the way of discovery stay.
+    """
 
     settings: Settings
 
--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -29,7 +29,8 @@
 class Terms:
     """How an agent goes about it; milliseconds. `lonely`: without an answer of the quorum for so long it
     brings back what is out; `steady`: a member serves for so long before it counts as back; `quiet`: nobody
-    has sent anything to a draining member for so long."""
+    has sent anything to a draining member for so long.
+    """
 
     look: float = 500.0
     lonely: float = 6_000.0
@@ -185,7 +186,8 @@
 
     def ask(self, now: float, own: Own, wall: float) -> Ask | None:
         """A question, if it is time for one and none is open. `wall`: seconds of the wall clock, for people
-        and for hours in which nothing goes."""
+        and for hours in which nothing goes.
+        """
         if self._asked is not None or now < self._next:
             return None
         self._asked = now
@@ -209,7 +211,8 @@
 
     def _agree(self, mine: Member) -> None:
         """Bring what is kept here and what is agreed together. Where the ledger has gone on without us,
-        that counts."""
+        that counts.
+        """
         if self.at == At.IN and mine.at != At.IN:
             # our disk knew nothing of it: what had begun comes back, as nobody can tell how far it was
             self._stand(At.GIVEN if mine.at == At.GIVEN else At.BACK, mine.permit)
@@ -283,7 +286,8 @@
 
     def pause(self) -> float:
         """Until the next look: where nothing is wanted of this member, longer in a large fleet, so that all
-        looks together stay few (100 a second)."""
+        looks together stay few (100 a second).
+        """
         mine = self._mine()
         busy = mine is None or self.at != At.IN or mine.want is not None
         many = 0 if self.ledger is None else len(self.ledger.members)
--- a/rosepick/fleet/budget.py
+++ b/rosepick/fleet/budget.py
@@ -46,7 +46,8 @@
 @dataclass(frozen=True, slots=True)
 class Budget:
     """The whole. `closed`: minutes of the day (UTC) in which nothing goes, from and to. `apart`: members of
-    a group that are not out together."""
+    a group that are not out together.
+    """
 
     routers: Limit = Limit(share=0.1, zone_share=0.2)
     caches: Limit = Limit(share=0.1, zone_share=0.2)
@@ -108,7 +109,8 @@
 
 def _over(ledger: Ledger, budget: Budget, name: str, one: Member) -> list[str]:
     """Limits that would be passed. Also for one that is lost: it may have come back in this moment, and
-    would be taken out then beside others."""
+    would be taken out then beside others.
+    """
     limit, all_of, called = budget.of(one.kind, one.urgent), ledger.of(one.kind), KINDS[Kind(one.kind)]
     here = {other: member for other, member in all_of.items() if member.zone == one.zone}
     found = []
@@ -135,7 +137,8 @@
 
 def allowed(budget: Budget, minute: int, ledger: Ledger, name: str) -> bool:
     """Whether a member may take a permit now. Who has waited longer goes first: each of them that could go
-    is counted as out before the next is looked at."""
+    is counted as out before the next is looked at.
+    """
     want = ledger.members[name].want
     if want is not None and want.now:
         return not blocked(ledger, budget, name, minute)
@@ -152,7 +155,8 @@
 
 def past(ledger: Ledger, budget: Budget) -> str:
     """Why there has to be a halt: more is out by itself than the budget allows, and `unasked` beyond. Not
-    what was never in: a fleet that is only starting has not failed."""
+    what was never in: a fleet that is only starting has not failed.
+    """
     for kind, called in KINDS.items():
         limit, members = budget.of(kind), ledger.of(kind)
         for zone in (None, *sorted({one.zone for one in members.values()})):
--- a/rosepick/fleet/carrier.py
+++ b/rosepick/fleet/carrier.py
@@ -36,7 +36,8 @@
 class Terms:
     """`settle`: the new one has to serve for so long before its permit ends; `probation`: it has so long
     for that; `ends`: so often it may end by itself meanwhile; `again`: until a host tries again what it
-    could not get."""
+    could not get.
+    """
 
     settle: float = 10_000.0
     probation: float = 30_000.0
@@ -185,7 +186,8 @@
         """What is to be done between two looks. `ended`: the member has ended by itself since the last one;
         `steady`: it is back beyond doubt; `wrong`: it runs another build than it is to, as it was found to be
         back just when it was taken back. A build is changed while the member is out; settings while it
-        serves."""
+        serves.
+        """
         self.wrong = wrong
         if self.trial:
             self._watch(now, at, ended, steady)
@@ -200,7 +202,8 @@
 
     def _go(self, kind: str, digest: str, now: float) -> None:
         """Kept before it is run. On the way back there is no probation: what is left behind is worse, and
-        nobody goes over to it again."""
+        nobody goes over to it again.
+        """
         open_one = self._open(kind)
         trial = "" if open_one is not None and open_one.phase == Phase.BACK else kind
         before = self.runs.get(kind, "")
--- a/rosepick/fleet/document.py
+++ b/rosepick/fleet/document.py
@@ -1,5 +1,6 @@
 """A document in one register, changed by compare-and-set alone: a byte for its form, and the rest deflated
-(RFC 1951)."""
+(RFC 1951).
+"""
 
 from __future__ import annotations
 
--- a/rosepick/fleet/judge.py
+++ b/rosepick/fleet/judge.py
@@ -66,7 +66,8 @@
 @dataclass(frozen=True, slots=True)
 class Scale:
     """How one figure is measured. `least`: the harm worth stopping for; `floor`: a spread is no smaller;
-    `apart`: how far two members may be apart for good, in variances of an interval."""
+    `apart`: how far two members may be apart for good, in variances of an interval.
+    """
 
     name: str
     least: float
@@ -102,7 +103,8 @@
 
     def take(self, value: float, spread: float, harms: Sequence[float], clip: float) -> None:
         """One more difference. The first of the harms is the one that is to be ruled out, the others are the
-        mixture."""
+        mixture.
+        """
         scale = spread * sqrt(1.0 + self.variance)
         left = max(-clip, min(clip, (value - self.mean) / scale))
         gain = self.variance / (1.0 + self.variance)
@@ -132,7 +134,8 @@
 @dataclass(frozen=True, slots=True)
 class Opinion:
     """A verdict and its figures: by scale what changed, with an interval of 95%, and what speaks for harm (a
-    ratio's logarithm)."""
+    ratio's logarithm).
+    """
 
     verdict: Verdict
     why: str
@@ -144,7 +147,8 @@
 
     def __init__(self, zones: Mapping[str, str], alarm: float = 0.01, relax: float = 1.0) -> None:
         """`zones` of all routers. `alarm`: the chance of a false one, over all scales of this wave.
-        `relax`: so many times the least harm may stay unseen."""
+        `relax`: so many times the least harm may stay unseen.
+        """
         self._zones, self._alarm, self._relax = zones, alarm, relax
         self._before: list[dict[str, tuple[float | None, ...]]] = []
         self._new: frozenset[str] = frozenset()
@@ -188,7 +192,8 @@
         self, values: Mapping[str, tuple[float | None, ...]], n: int
     ) -> tuple[float, float, bool] | None:
         """New less old, zone by zone, weighted by the new ones; its spread in units of one member's; whether
-        zones had to be compared."""
+        zones had to be compared.
+        """
         sums: list[tuple[int, float, float]] = []
         far = False
         for zone in {self._zones.get(name, "") for name in self._new}:
--- a/rosepick/fleet/leader.py
+++ b/rosepick/fleet/leader.py
@@ -29,7 +29,8 @@
     until its figures say enough, `patience` at most; then `ask` an operator or go on. `after`: the last
     look. `lost_for`: who is lost for so long is left behind. `failing`: this part of a wave may fail to
     come up before the version is worse. `line`: so much of all requests lost, by new and old alike, is no
-    time to judge. `pool`: an interval."""
+    time to judge. `pool`: an interval.
+    """
 
     watch: float = 60_000.0
     patience: float = 600_000.0
@@ -92,7 +93,8 @@
 
     def _pool(self, ledger: Ledger, now: float) -> dict[str, tuple[Figures, Report]] | None:
         """An interval's figures, if one is over: of routers that were in service throughout it and ran one
-        version; each with its last report."""
+        version; each with its last report.
+        """
         seconds = (now - self._pooled) / 1000.0
         if now - self._pooled < self.plan.pool:
             return None
@@ -151,7 +153,8 @@
         self, release: Release, ledger: Ledger, wave: _Wave, now: float
     ) -> tuple[dict[str, str], dict[str, str], list[str]]:
         """Of the present wave, or of all that have to be back: whom the version fails, who cannot follow,
-        and who is still to come."""
+        and who is still to come.
+        """
         failed, left, pending = dict[str, str](), dict[str, str](), list[str]()
         names = release.here() if release.phase != Phase.WATCH else ()
         if release.phase == Phase.BACK:
@@ -233,7 +236,8 @@
         self, release: Release, interval: dict[str, tuple[Figures, Report]]
     ) -> dict[str, Figures]:
         """Figures of the wave's members that run the new version, and of others. Guards against one that was
-        left behind, comes late, and is then on the side that it is to be compared with."""
+        left behind, comes late, and is then on the side that it is to be compared with.
+        """
         here, last = release.here(), release.wave + 1 == len(release.waves)
         return {
             name: one
@@ -243,7 +247,8 @@
 
     def _usual(self, release: Release, wave: int) -> list[dict[str, Figures]]:
         """Intervals from before a wave: of its members while they ran the old version, and of those that they
-        are set beside."""
+        are set beside.
+        """
         here, last = release.waves[wave], wave + 1 == len(release.waves)
         found = []
         for interval in self._intervals:
--- a/rosepick/fleet/ledger.py
+++ b/rosepick/fleet/ledger.py
@@ -100,7 +100,8 @@
 
 class Ledger(msgspec.Struct, frozen=True, array_like=True):
     """The document. `rules`: the digest of the budget that all go by; `room`: thousandths of it that the
-    store can bear at present; `token`: of the warden that wrote last."""
+    store can bear at present; `token`: of the warden that wrote last.
+    """
 
     form: int = FORM
     rules: str = ""
@@ -144,7 +145,8 @@
 
 def _member(ledger: Ledger, name: str, permit: int, *at: At) -> Member:
     """A member that stands there under that permit; declined else. Guards against whoever goes on with an
-    old one."""
+    old one.
+    """
     one = ledger.members.get(name)
     if one is None or one.permit != permit or one.at not in at or one.off:
         raise Declined
@@ -168,7 +170,7 @@
 
     def make(ledger: Ledger) -> Ledger:
         before = ledger.members.get(name)
-        if before is None and len(ledger.members) >= MOST_MEMBERS or rules != (ledger.rules or rules):
+        if (before is None and len(ledger.members) >= MOST_MEMBERS) or rules != (ledger.rules or rules):
             raise Declined
         new = before or Member(int(kind), zone, lost=True)  # until it is seen
         if new.off:
@@ -281,7 +283,8 @@
 
 def begin(name: str, permit: int, when: float) -> Change:
     """It goes: from here on the permit counts until its member is proven back. Not while there is a halt,
-    and not if it is not wanted any more."""
+    and not if it is not wanted any more.
+    """
 
     def make(ledger: Ledger) -> Ledger:
         one = _member(ledger, name, permit, At.GIVEN)
@@ -365,7 +368,8 @@
     whole: bool = True,
 ) -> Change:
     """What the warden has found: who is out unasked, what the store can bear, and a reason to halt if there
-    is one. A warden under an older token moves nothing."""
+    is one. A warden under an older token moves nothing.
+    """
 
     def make(ledger: Ledger) -> Ledger:
         if token < ledger.token:
--- a/rosepick/fleet/release.py
+++ b/rosepick/fleet/release.py
@@ -47,7 +47,8 @@
 class Release(msgspec.Struct, frozen=True, array_like=True):
     """An open release. `waves`: members by wave; those up to `wave` may run the new one, on the way back
     those from `wave` on are to run the old one. `watched`: milliseconds that this wave was looked at.
-    `left`: who cannot follow, and why; they block nobody."""
+    `left`: who cannot follow, and why; they block nobody.
+    """
 
     number: int
     kind: str
@@ -79,7 +80,8 @@
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
     """The document. `base`: what members run when nothing is open, by kind; a host that was off meanwhile
-    comes to it. `token`: of the leader that wrote last."""
+    comes to it. `token`: of the leader that wrote last.
+    """
 
     form: int = FORM
     releases: int = 0  # so far: the number of the last
@@ -160,7 +162,8 @@
 
 def go_on(who: str, why: str, when: float) -> Change:
     """An operator has it go on. Its wave is looked at anew, and whoever was left behind is waited for
-    again."""
+    again.
+    """
 
     def make(record: Record) -> Record:
         now = _open(record)
@@ -195,7 +198,8 @@
 
 def forward(who: str, why: str, when: float) -> Change:
     """An operator has one that goes back go forward again: from the last wave that all of still run it. Who
-    has not come back yet of the others does, so that there is something to compare with."""
+    has not come back yet of the others does, so that there is something to compare with.
+    """
 
     def make(record: Record) -> Record:
         now = _open(record)
@@ -216,7 +220,8 @@
 
 def _led(record: Record, token: int, number: int, wave: int, phase: int) -> Release:
     """The release as the leader saw it, if the leader still may move it. Guards against one that was
-    paused."""
+    paused.
+    """
     now = _open(record)
     if token < record.token or (now.number, now.wave, now.phase) != (number, wave, phase):
         raise Declined
@@ -236,7 +241,8 @@
 ) -> Change:
     """A leader's step. `what`: "next" wave, "worse", "hold", "ask", "close", or nothing but what it has
     watched and whom it leaves behind. `evidence`: of the present wave, or with "next" what the next one
-    begins with."""
+    begins with.
+    """
 
     def make(record: Record) -> Record:
         now = _led(record, token, seen.number, seen.wave, seen.phase)
@@ -299,7 +305,8 @@
 def waves(ledger: Ledger, plan: Sequence[int | str]) -> list[list[str]]:
     """Routers by wave. A step of `plan` is a number, a part of all ("2%"), "zone": what is left of the zone
     that was begun, or "rest": each zone that is left, one after the other. The zone with fewest routers is
-    first, and zones are not mixed before it is done. Steps that find nobody are left out."""
+    first, and zones are not mixed before it is done. Steps that find nobody are left out.
+    """
     routers = ledger.of(Kind.ROUTER)
     zones: dict[str, list[str]] = {}
     for name in sorted(routers):
--- a/rosepick/fleet/warden.py
+++ b/rosepick/fleet/warden.py
@@ -58,7 +58,8 @@
 @dataclass(frozen=True, slots=True)
 class Terms:
     """`silent`: milliseconds without a new report after which a member counts as out; `calm`, `short`:
-    parts of the requests refused, below which the store has room and above which it is short."""
+    parts of the requests refused, below which the store has room and above which it is short.
+    """
 
     silent: float = 6_000.0
     calm: float = 0.005
@@ -69,7 +70,8 @@
     """What the store can bear: the misses that one more cache node out would bring, against what the store
     was seen to take. It is not known before the store was short once; then it is 0.9 of what came then, and
     grows by a hundredth each time that all is calm (additive in its logarithm: Chiu and Jain 1989 have the
-    case for falling fast and growing slowly)."""
+    case for falling fast and growing slowly).
+    """
 
     def __init__(self, terms: Terms) -> None:
         self._terms = terms
@@ -126,7 +128,8 @@
 
     def _lost(self, name: str, at: int, now: float) -> bool | None:
         """Whether it is out unasked; None if that is not known yet. Guards against a new warden that finds
-        the dead again as it reads their last reports."""
+        the dead again as it reads their last reports.
+        """
         seen = self._seen.get(name)
         if seen is None:
             return True if now - self._since > self._terms.silent else None
@@ -167,6 +170,7 @@
 def wardens(ledger: Ledger) -> list[str]:
     """Whose agents stand ready: the first by name; those that are lost, or wanted out, last. An agent
     counts on while its member is out, and never is there none that may: else all that were lost would stay
-    so."""
+    so.
+    """
     found = [(one.lost, one.want is not None, name) for name, one in ledger.members.items() if not one.off]
     return [name for _, _, name in sorted(found)[:WARDENS]]
--- a/rosepick/http/discovery.py
+++ b/rosepick/http/discovery.py
@@ -16,7 +16,8 @@
 
 def call(host: str, after: int | None, wait: float) -> bytes:
     """A call for what is newer than a revision; it may wait so many milliseconds for that. Without one: for
-    the whole list."""
+    the whole list.
+    """
     query = "" if after is None else f"?after={after}&wait_ms={wait:.0f}"
     return (f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n").encode()
 
--- a/rosepick/http/next_hop.py
+++ b/rosepick/http/next_hop.py
@@ -85,7 +85,8 @@
 
     def broke(self) -> Verdict:
         """The connection cannot go on. A next hop starts on a request when its last byte is there, so what
-        was not written whole has never run."""
+        was not written whole has never run.
+        """
         return Verdict(Result.RESET if self.sent() else Result.CONNECT_FAILED)
 
     def spoilt(self) -> Verdict:
--- a/rosepick/http/sender_side.py
+++ b/rosepick/http/sender_side.py
@@ -130,7 +130,8 @@
 
     def __init__(self, names: Callable[[], Names], room: Room | None = None) -> None:
         """`names`: those in force, asked when a request is handed over. `room`: for bodies that are handed
-        over as they come; without it none is longer than WHOLE."""
+        over as they come; without it none is longer than WHOLE.
+        """
         self._names, self._room = names, room
         self.flow: Flow | None = None  # of the body that is coming
         self.broken: Rejected | None = None  # a body that was coming came wrong: the answer to its request
@@ -249,7 +250,8 @@
 
     def answer(self, status: int, body: bytes, extra: Extra, closing: bool, last: bool = False) -> bytes:
         """The head of the answer to the request in hand; its body follows. `done` is set if the connection
-        ends with it, as it does with the `last` one, whatever came behind."""
+        ends with it, as it does with the `last` one, whatever came behind.
+        """
         self._answered(closing, last)
         return self._head_of(status, self.done, ((b"Content-Length", b"%d" % len(body)), *extra))
 
--- a/rosepick/lab/account/account.py
+++ b/rosepick/lab/account/account.py
@@ -171,7 +171,8 @@
 
 def _prices(logs: Logs, asked: int) -> dict[str, float]:
     """What the platform prices, a request: attempts, crossings of zones, connections opened, and requests
-    that were refused or failed after half of their time with nothing sent."""
+    that were refused or failed after half of their time with nothing sent.
+    """
     total: Counter[str] = Counter()
     for counts in logs.counts.values():
         total.update(counts)
--- a/rosepick/lab/drill/claims.py
+++ b/rosepick/lab/drill/claims.py
@@ -30,12 +30,13 @@
 
 def tokens(events: Sequence[AnyEvent]) -> list[Broken]:
     """Effects taken by a guarded resource never go back to a lower token, and are of the token's one
-    holder."""
+    holder.
+    """
     broken = []
     last: dict[str, Effect] = {}
     owner: dict[tuple[str, int], AnyEvent] = {}
     for event in events:
-        if isinstance(event, Moved) and event.where == "holds" or isinstance(event, Yes):
+        if (isinstance(event, Moved) and event.where == "holds") or isinstance(event, Yes):
             first = owner.setdefault((event.task, event.token), event)
             assert isinstance(first, Moved | Yes)
             if first.who != event.who:
@@ -56,7 +57,8 @@
 
 def overlaps(events: Iterable[AnyEvent]) -> list[Broken]:
     """No two are told that they may act at one time. Of each holder only that time counts in which it must
-    have been so: from the end of its first question to the begin of its last one under a token."""
+    have been so: from the end of its first question to the begin of its last one under a token.
+    """
     spans: dict[tuple[str, int, int], tuple[Yes, Yes]] = {}
     asked = [event for event in events if isinstance(event, Yes)]
     for event in asked:
@@ -91,7 +93,8 @@
 
 def registers(events: Iterable[AnyEvent]) -> list[Broken]:
     """Operations on each register could have happened one after the other, and what failed has not
-    happened."""
+    happened.
+    """
     operations = [event for event in events if isinstance(event, Operation)]
     ended = {one.mark for one in operations if one.kind != "open"}
     operations = [one for one in operations if one.kind != "open" or one.mark not in ended]
--- a/rosepick/lab/drill/discovery.py
+++ b/rosepick/lab/drill/discovery.py
@@ -1,5 +1,6 @@
 """Discovery in a drill, on the rig's own loop: nodes tell it by datagrams what they are, routers watch its
-list. It knows which router it has told what, and when."""
+list. It knows which router it has told what, and when.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/drill/drain_claims.py
+++ b/rosepick/lab/drill/drain_claims.py
@@ -14,7 +14,8 @@
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Seconds. `known`: within so long a member's failure is known to all; `stops`: so long after a halt
-    was taken nothing goes out any more."""
+    was taken nothing goes out any more.
+    """
 
     budget: Budget
     known: float
--- a/rosepick/lab/drill/drain_measure.py
+++ b/rosepick/lab/drill/drain_measure.py
@@ -1,5 +1,6 @@
 """What drains cost: messages and processor time of a witness with many members, standing still and amid a
-drain, and the time from a permit that has ended to the next one."""
+drain, and the time from a permit that has ended to the next one.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/drill/drain_rig.py
+++ b/rosepick/lab/drill/drain_rig.py
@@ -1,5 +1,6 @@
 """Drains on real processes: routers and stand-ins of cache nodes, each with its agent, clients that ask all
-the while, and a look from outside at who serves."""
+the while, and a look from outside at who serves.
+"""
 
 from __future__ import annotations
 
@@ -434,7 +435,8 @@
 
     `at_door`: routers by their addresses. A new connection that meets the very end of a router which was told
     to end, and is closed unheard, counts as refused, as on the operators' page; beyond one request in 200 it
-    is lost."""
+    is lost.
+    """
     counts: Counter[str] = Counter()
     broken, shut = list[Broken](), list[Broken]()
     told: dict[str, float] = {}
@@ -467,7 +469,8 @@
 
 def cold_starts(events: list[AnyEvent]) -> tuple[list[Broken], Counter[str]]:
     """A cache node that starts again gets, in each second, no more than N + 3 x root of N + 3 requests, N
-    being the part of its warm neighbours' mean that it may have then, as well as that is known."""
+    being the part of its warm neighbours' mean that it may have then, as well as that is known.
+    """
     came: dict[str, list[float]] = {}
     starts: list[tuple[float, str]] = []
     for event in events:
--- a/rosepick/lab/drill/explore.py
+++ b/rosepick/lab/drill/explore.py
@@ -186,7 +186,8 @@
     first: W, steps: Callable[[W], Iterable[W]], look: Callable[[W, Explored], None], most: int
 ) -> Explored:
     """All states there are, depth by depth, up to the first that is wrong; `look` counts in each what is of
-    interest."""
+    interest.
+    """
     found = Explored()
     seen = {hash(first.key())}
     layer = [first]
--- a/rosepick/lab/drill/files.py
+++ b/rosepick/lab/drill/files.py
@@ -25,7 +25,8 @@
 
 class Processes(_Table):
     """How many of each kind. `runners`: `rosepick lease run` with a command; `rate`: clocks are off by up to
-    it."""
+    it.
+    """
 
     witnesses: Annotated[int, Field(ge=1, le=7)] = 5
     workers: Annotated[int, Field(ge=0, le=64)] = 6
--- a/rosepick/lab/drill/history.py
+++ b/rosepick/lab/drill/history.py
@@ -17,7 +17,8 @@
 
 class Operation(Event, frozen=True, tag="operation"):
     """A reading or change of a register: from `begin` to `at`. `mark` is its own, `seen` that of the value
-    that it ended with, `version` that value's, and `base` the mark of the value before it."""
+    that it ended with, `version` that value's, and `base` the mark of the value before it.
+    """
 
     begin: float
     key: str
@@ -57,7 +58,8 @@
 
 class Stood(Event, frozen=True, tag="stood"):
     """A member has gone out of service or come back, as seen from outside. `by`: "program", or "fault" of
-    the drill. `free`: the budget does not bind it, as its host was said to die."""
+    the drill. `free`: the budget does not bind it, as its host was said to die.
+    """
 
     kind: str  # "routers" or "caches"
     zone: str
@@ -82,7 +84,8 @@
 
 class Answered(Event, frozen=True, tag="answered"):
     """A client's request, from its last byte written at `begin`. `status` 0: its connection ended without
-    an answer, or its time and half a second more were over."""
+    an answer, or its time and half a second more were over.
+    """
 
     begin: float
     router: str
@@ -101,7 +104,8 @@
 
 class Decided(Event, frozen=True, tag="decided"):
     """The record of releases said something new: from `begin` (it said so by `at`) these may run `version`.
-    `back`: it is being taken back. `over`: no release is open, and all are to run `version`."""
+    `back`: it is being taken back. `over`: no release is open, and all are to run `version`.
+    """
 
     begin: float
     number: int
--- a/rosepick/lab/drill/linear.py
+++ b/rosepick/lab/drill/linear.py
@@ -33,7 +33,8 @@
 def _known(operations: Sequence[Operation], wild: bool) -> list[tuple[Operation, Value | None, Value | None]]:
     """Operations that say something, from which value (None: any) they go and to which (None: the next
     version). A change whose end nobody knows has been made if anybody saw its value, or a value that was
-    made of it; else it may have been made, between two others (`wild`), or not at all."""
+    made of it; else it may have been made, between two others (`wild`), or not at all.
+    """
     seen: dict[str, tuple[int, str | None]] = {}
     for one in operations:
         if one.kind in ("done", "read") and one.version:
--- a/rosepick/lab/drill/measure.py
+++ b/rosepick/lab/drill/measure.py
@@ -1,5 +1,6 @@
 """What a lease costs: time to take and to renew, a witness under many holders, its storage after many
-renewals."""
+renewals.
+"""
 
 from __future__ import annotations
 
@@ -178,7 +179,8 @@
 
 def takeover(rounds: int, ttl: float = 2_000.0) -> str:
     """How long after its holder was cut off from all witnesses the next one may act, and until when the old
-    one still could."""
+    one still could.
+    """
     taken = _histogram()
     last = _histogram()
     with _quorum(3) as (client, loop, processes):
--- a/rosepick/lab/drill/plan.py
+++ b/rosepick/lab/drill/plan.py
@@ -92,7 +92,8 @@
         allowed: Sequence[str] = (),
     ) -> Plan:
         """Faults over `seconds`, one each `each` seconds or so. Storages are lost one after the other: as
-        many as leave a majority at any time."""
+        many as leave a majority at any time.
+        """
         kinds = [kind for kind in KINDS if (kind.name in allowed if allowed else not kind.named)]
         if len(witnesses) < 5:  # two are no minority
             kinds = [kind for kind in kinds if kind.hits != "two"]
--- a/rosepick/lab/drill/processes.py
+++ b/rosepick/lab/drill/processes.py
@@ -16,7 +16,8 @@
 
 def own_host() -> str:
     """An address of the loopback net that no other drill of this machine uses at this time: its ports are
-    all free, also from the system's own choice for connections."""
+    all free, also from the system's own choice for connections.
+    """
     pid = os.getpid()
     return f"127.{64 + (pid >> 16 & 63)}.{pid >> 8 & 255}.{pid & 255}"
 
@@ -25,7 +26,8 @@
     rate: float, module: str, arguments: list[str], noted: str | bool
 ) -> tuple[list[str], dict[str, str]]:
     """The command line and the environment of a process under the starter; `noted`: the name for its
-    operations."""
+    operations.
+    """
     command = [sys.executable, "-m", "rosepick.lab.drill.starter", f"{rate:.6f}", module, *arguments]
     environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1", "USER": "drill"}
     if noted:
@@ -85,7 +87,7 @@
             assert self._process is not None
             self._process.kill()
             self._process.wait()
-            self.up  # noqa: B018 - notes its status
+            self.up
 
     def signal(self, number: int) -> None:
         """Send a signal, if it runs."""
@@ -125,7 +127,8 @@
 
 def put_back(old: Path, folder: Path, in_place: bool) -> None:
     """Have an older copy be what a witness keeps. `in_place`: into the same file, so that its inode tells
-    nothing."""
+    nothing.
+    """
     for name in FILES:
         if not in_place or name != FILES[0]:
             (folder / name).unlink(missing_ok=True)
--- a/rosepick/lab/drill/release_claims.py
+++ b/rosepick/lab/drill/release_claims.py
@@ -1,5 +1,6 @@
 """Claims of releases (docs/releases.md), judged by what members were seen to run and when the record said
-what."""
+what.
+"""
 
 from __future__ import annotations
 
@@ -16,7 +17,8 @@
     """Seconds. `goes`: so long after the record last allowed it a member may still begin to run a version:
     its agent goes by a reading that may be so old, and the member has to be started. `bad`: versions that
     are worse, and by how many members at most each may ever be run; `members`: who is to run what at the
-    end."""
+    end.
+    """
 
     goes: float
     bad: Mapping[str, int]
@@ -25,7 +27,8 @@
 
 def judge(events: Sequence[AnyEvent], bounds: Bounds) -> tuple[list[Broken], Counter[str]]:
     """Over a history: who began to run what nobody had allowed it, how far bad versions came, what all run at
-    the end."""
+    the end.
+    """
     allowed: dict[tuple[str, str], float] = {}  # member and version: until when it may begin
     standing: dict[str, set[str]] = {}  # version: who may run it by the last word
     runs: dict[str, Ran] = {}
--- a/rosepick/lab/drill/release_measure.py
+++ b/rosepick/lab/drill/release_measure.py
@@ -57,7 +57,8 @@
 @dataclass(slots=True)
 class Run:
     """One release: how it ended, requests that met a worse version, seconds until it was stopped, until all
-    were back or through, and the most members that ran it."""
+    were back or through, and the most members that ran it.
+    """
 
     through: bool = False
     worse: bool = False
@@ -166,7 +167,8 @@
 
 def play(seed: int, way: Way, busy: bool, policy: str, routers: int = 200) -> Run:
     """One release. `policy`: "judged" (this), "clock" (the same waves, a minute each, nobody looks), "at
-    once"."""
+    once".
+    """
     model, plan = Model(seed, way, busy, routers, policy), Plan()
     leader = Leader(plan, 0.0)
     waves = release.waves(model.ledger(), [1, "2%", "10%", "zone", "rest"])
@@ -239,7 +241,8 @@
 
 def figures(identical: int, each: int, workers: int) -> Iterator[str]:
     """False alarms in so many identical releases at quiet and at busy load, and each kind of worse
-    version."""
+    version.
+    """
     with ProcessPoolExecutor(workers) as pool:
         for busy in (False, True):
             way, load = Way("no worse"), "busy" if busy else "quiet"
--- a/rosepick/lab/drill/release_rig.py
+++ b/rosepick/lab/drill/release_rig.py
@@ -1,6 +1,7 @@
 """Releases on real processes: routers with agents, builds that are worse in one way or another, settings
 that the router's check takes and that are wrong, an operator who uses the commands, and a look from outside
-at what runs."""
+at what runs.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/drill/rig.py
+++ b/rosepick/lab/drill/rig.py
@@ -1,5 +1,6 @@
 """A drill on real processes of the program, with a forwarder on every link to a witness, and its
-judgement."""
+judgement.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/drill/sim_drains.py
+++ b/rosepick/lab/drill/sim_drains.py
@@ -1,5 +1,6 @@
 """Drains on the simulated net: the agents' very driver and machine, members that are modelled, two crews
-that order what they like, and the faults of every drill."""
+that order what they like, and the faults of every drill.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/drill/sim_releases.py
+++ b/rosepick/lab/drill/sim_releases.py
@@ -1,5 +1,6 @@
 """Releases on the simulated net: the agents' very driver and machines, versions that are good or bad in one
-way or another, an operator who starts, halts and takes back."""
+way or another, an operator who starts, halts and takes back.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/drill/stand_ins.py
+++ b/rosepick/lab/drill/stand_ins.py
@@ -127,7 +127,8 @@
 
 def hand(name: str, events: str, place: str) -> None:
     """A command under `rosepick lease run`: it knows the token, and trusts the one that started it to end
-    it."""
+    it.
+    """
     notes, deeds = Notes(events), Deeds(name, place)
     task, token, who = os.environ["ROSEPICK_TASK"], int(os.environ["ROSEPICK_TOKEN"]), os.getpid()
     rng = random.Random(who)
@@ -141,7 +142,8 @@
 
 def client(events: str, places: str, rate: str, seed: str) -> None:
     """Asks routers at random, each request on a connection of its own, so many a second; where nobody
-    listens it asks another one."""
+    listens it asks another one.
+    """
     import threading
 
     notes, ends = Notes(events), [_place(text) for text in places.split(",")]
--- a/rosepick/lab/drill/watched.py
+++ b/rosepick/lab/drill/watched.py
@@ -12,7 +12,8 @@
 
 class Watched(QuorumClient):
     """A client whose operations are noted; a change that has begun is `open` until its end is.
-    `note_begins`: write that down too, as a process that is killed cannot do it later."""
+    `note_begins`: write that down too, as a process that is killed cannot do it later.
+    """
 
     note_begins = False
 
--- a/rosepick/lab/experiment.py
+++ b/rosepick/lab/experiment.py
@@ -334,7 +334,8 @@
 
 def read(text: str, place: str, changes: dict[str, Any] | None = None) -> Experiment:
     """An experiment from the text of a file, with `changes` by dotted name. ExperimentError names all
-    faults."""
+    faults.
+    """
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as problem:
--- a/rosepick/lab/live/clients.py
+++ b/rosepick/lab/live/clients.py
@@ -1,5 +1,6 @@
 """Clients on sockets: each asks when its request is due, whatever else goes on, and comes back in its own
-manner, as those of the model do."""
+manner, as those of the model do.
+"""
 
 from __future__ import annotations
 
@@ -29,18 +30,18 @@
     """A client's request with all its tries."""
 
     __slots__ = (
+        "_crossed",
+        "_last",
+        "_link",
+        "_timer",
+        "_tried",
         "clients",
-        "request",
         "klass",
         "one_shot",
-        "tries",
-        "sendings",
         "over",
-        "_last",
-        "_link",
-        "_tried",
-        "_timer",
-        "_crossed",
+        "request",
+        "sendings",
+        "tries",
     )
 
     def __init__(self, clients: Clients, request: Request, one_shot: bool) -> None:
@@ -116,7 +117,8 @@
 
     def crossed(self) -> bool:
         """A kept connection ended with nothing of an answer: its end may have crossed the request, which the
-        protocol lets a client send once more. Whether that is so; then it is the same try."""
+        protocol lets a client send once more. Whether that is so; then it is the same try.
+        """
         if self._crossed or self._tried is None:
             return False
         self._crossed = True
--- a/rosepick/lab/live/configuration.py
+++ b/rosepick/lab/live/configuration.py
@@ -1,5 +1,6 @@
 """What GW_CONFIG says to the routers of an experiment: the same settings as `world.settings` gives the
-simulated ones."""
+simulated ones.
+"""
 
 from __future__ import annotations
 
@@ -26,7 +27,8 @@
     seed: int | None = None,
 ) -> dict[str, Any]:
     """The configuration of one router. `listen` and `discovery` are host:port, `known` is a list in
-    discovery's form; `position` counts routers from 0 and gives its zone. Times in it are milliseconds."""
+    discovery's form; `position` counts routers from 0 and gives its zone. Times in it are milliseconds.
+    """
     drawn = experiment.seed if seed is None else seed
     return {
         "name": name,
--- a/rosepick/lab/live/control.py
+++ b/rosepick/lab/live/control.py
@@ -1,5 +1,6 @@
 """How who plays a run speaks with the processes that it started: JSON lines on a pair of sockets. A process
-whose peer has gone ends."""
+whose peer has gone ends.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/live/discovery.py
+++ b/rosepick/lab/live/discovery.py
@@ -1,5 +1,6 @@
 """The stand-in of discovery: the model's list on a socket for each router, so that it is known who was told
-what."""
+what.
+"""
 
 from __future__ import annotations
 
@@ -30,7 +31,8 @@
 
 class Listing(Discovery):
     """What discovery knows, and to whom it told it. Changes reach it as in simulated time; calls are answered
-    in real time, one after another."""
+    in real time, one after another.
+    """
 
     def __init__(self, world: LiveWorld, shape: Shape, seed: int) -> None:
         super().__init__(world.kernel, shape, seed, lambda zone: 0.0)
--- a/rosepick/lab/live/doors.py
+++ b/rosepick/lab/live/doors.py
@@ -17,7 +17,8 @@
 
 def hold() -> socket.socket:
     """A port that stays ours until this socket is closed. Nobody listens there, so connections are refused;
-    another socket with SO_REUSEADDR may listen there meanwhile."""
+    another socket with SO_REUSEADDR may listen there meanwhile.
+    """
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((HOST, 0))
@@ -66,7 +67,8 @@
 
     def _mute(self, sock: socket.socket, before: State) -> None:
         """Fill the kernel's queue by a connection of our own: further ones get no answer from it, as from a
-        machine that hangs."""
+        machine that hangs.
+        """
         if before == "open":
             self._take(sock)
             self._loop.unwatch(sock)
--- a/rosepick/lab/live/faults.py
+++ b/rosepick/lab/live/faults.py
@@ -1,5 +1,6 @@
 """Faults of an answer's way that only sockets have: resets, half closes, garbage, drops of bytes, doors that
-refuse."""
+refuse.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/live/judge.py
+++ b/rosepick/lab/live/judge.py
@@ -29,7 +29,8 @@
     clients_late: float = 0.0,
 ) -> None:
     """Note all broken rules, in the order of their times. The stand-ins and the clients may have seen what
-    happened so many milliseconds late."""
+    happened so many milliseconds late.
+    """
     stop_within = 1000.0 * experiment.stop_sending_within + GRACE + nodes_late
     monitor = Monitor(measure, experiment.max_attempts, stop_within)
     classes = settings_of(experiment).classes
@@ -45,7 +46,8 @@
 
 def _is_owed(tried: Tried, downs: Sequence[Down]) -> bool:
     """Whether its router owed it an answer: it was sent whole, its client stayed, and the router was not
-    killed meanwhile."""
+    killed meanwhile.
+    """
     if tried.how in ("left", "crossed") or tried.sent > tried.ended:
         return False
     return not any(
--- a/rosepick/lab/live/nodes.py
+++ b/rosepick/lab/live/nodes.py
@@ -32,7 +32,8 @@
 
 class Stand:
     """One cache node, or the origin. It has a door for each zone that routers are in, so that a cut is one
-    for new connections too."""
+    for new connections too.
+    """
 
     def __init__(self, world: LiveWorld, node: Node) -> None:
         self.world, self.node = world, node
--- a/rosepick/lab/live/origin.py
+++ b/rosepick/lab/live/origin.py
@@ -1,5 +1,6 @@
 """What all stand-ins share besides the model: values that the origin's answers leave at nodes, and repeats
-of writes that are dropped."""
+of writes that are dropped.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/live/plan.py
+++ b/rosepick/lab/live/plan.py
@@ -1,5 +1,6 @@
 """All requests of a run, drawn ahead: the same ones that a simulated run meets, in each process of a live
-one."""
+one.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/live/routers.py
+++ b/rosepick/lab/live/routers.py
@@ -77,7 +77,8 @@
 
 class RealRouter:
     """One router, by one process after another. While one ends, its successor may start and wait for the
-    port."""
+    port.
+    """
 
     def __init__(self, experiment: Experiment, place: int, seed: int, folder: Path, discovery: int) -> None:
         self.name, self.place = f"router-{place}", place
--- a/rosepick/lab/live/run.py
+++ b/rosepick/lab/live/run.py
@@ -43,7 +43,8 @@
     progress: Callable[[float], None] | None = None,
 ) -> tuple[Run, Cost]:
     """One run in real time. Its processes are ended whatever happens. HelperFailed if one of ours fails;
-    ExperimentError if a trace cannot be used."""
+    ExperimentError if a trace cannot be used.
+    """
     with staged(experiment, seed) as stage:
         stage.set_up()
         stage.go_on(progress or (lambda part: None))
--- a/rosepick/lab/measure.py
+++ b/rosepick/lab/measure.py
@@ -141,7 +141,8 @@
 
     def figures(self, since: float, until: float) -> dict[str, float]:
         """All figures over a span, in seconds from the begin; a second counts from the first that begins in
-        it to the last that does."""
+        it to the last that does.
+        """
         seconds = self.seconds[ceil(since) : ceil(until)]
         total: Counter[str] = Counter()
         for second in seconds:
--- a/rosepick/lab/paper.py
+++ b/rosepick/lab/paper.py
@@ -89,7 +89,8 @@
 
 class Ranks:
     """Keys by popularity, those of nearly the same counted together: the first rank of each group, how many
-    there are, and what one is asked for."""
+    there are, and what one is asked for.
+    """
 
     def __init__(self, site: Site) -> None:
         edges, edge = [0], 1.0
@@ -133,7 +134,8 @@
     site: Site, rate: float, to_fog: float, misses: float, to_cloud: float, cloud_misses: float
 ) -> float:
     """Mean and one deviation. As in the paper, the deviation is within the queues only: that one way takes
-    longer than another does not count."""
+    longer than another does not count.
+    """
     lines = (  # part of all requests that come, work of each
         (misses, site.raw_send),
         (misses, site.fog_work),
@@ -156,7 +158,8 @@
 
 def tune(site: Site, ranks: Ranks, rate: float, policy: str) -> Setting:
     """The cheapest setting that keeps the target, as the paper's optimisation looks for; `ROOMY` has an LRU
-    list that is shorter than need be, for so much more money."""
+    list that is shorter than need be, for so much more money.
+    """
     if policy == ROOMY:
         best = tune(site, ranks, rate, LRU)
         budget = ROOMY_COST * expect(site, ranks, rate, best).cost
--- a/rosepick/lab/policies/base.py
+++ b/rosepick/lab/policies/base.py
@@ -202,7 +202,8 @@
 
     def pick(self, now: float, job: Job, candidates: Sequence[Node]) -> Node:
         """The node for the next attempt of a request. The candidates, at least one, are ready and in the
-        order of their numbers; none was tried before if there are such."""
+        order of their numbers; none was tried before if there are such.
+        """
         raise NotImplementedError
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -229,7 +230,8 @@
 
     def origins_for(self, job: Job) -> Sequence[Node]:
         """The origins where a request may go now, those not tried before if there are such. None in through
-        mode."""
+        mode.
+        """
         allowed = job.grouped(self.membership.origins)
         return job.untried(allowed) or allowed
 
@@ -338,7 +340,8 @@
 
     def _elsewhere(self, job: Job) -> bool:
         """Whether there is a server left to try. Guards against fetches that a slow origin is asked for again
-        and again: each one called off is lost to the cache, and may cost the origin its work all the same."""
+        and again: each one called off is lost to the cache, and may cost the origin its work all the same.
+        """
         members = self.membership
         places = (members.origins,) if job.at_origin else (members.caches, members.origins)
         return any(job.untried(job.grouped(nodes)) for nodes in places)
--- a/rosepick/lab/policies/hashed.py
+++ b/rosepick/lab/policies/hashed.py
@@ -15,7 +15,8 @@
 
 class HashBounded(Plain):
     """The first cache node on the ring after the key's place that is under the bound. All routers have the
-    same ring. Zone-blind: one ring for all zones."""
+    same ring. Zone-blind: one ring for all zones.
+    """
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(settings, seed)
--- a/rosepick/lab/policies/oracle.py
+++ b/rosepick/lab/policies/oracle.py
@@ -37,7 +37,8 @@
 
     def pick(self, now: float, job: Job, candidates: Sequence[Node]) -> Node:
         """Where a key is not held it is sent to a home of its own, so that it lives at few nodes: each copy
-        more is a fetch more. Where no node may take it, all are looked at: someone has to answer."""
+        more is a fetch more. Where no node may take it, all are looked at: someone has to answer.
+        """
         truth, key = self.truth, job.event.key
         if truth is None:
             return super().pick(now, job, candidates)
--- a/rosepick/lab/report/page.py
+++ b/rosepick/lab/report/page.py
@@ -53,7 +53,8 @@
 
 def render(runs: list[Run], costs: list[Cost], title: str) -> str:
     """One HTML page that needs nothing else; the same input gives the same bytes. The costs are told run by
-    run if there are as many of them as runs, else together."""
+    run if there are as many of them as runs, else together.
+    """
     entries = _entries(runs, costs)
     worst_first = sorted(entries, key=lambda entry: entry.run.good())
     verdicts = [(entry, verdict) for entry in entries if not entry.run.void for verdict in entry.run.must]
@@ -216,7 +217,8 @@
 
 def _groups(entries: Sequence[Entry], plots: Plots) -> tuple[list[dict[str, Any]], int]:
     """Runs of the same experiment, settings and seed, drawn together; and how many such groups are not drawn.
-    Those with a run that is not good go before others, all in order."""
+    Those with a run that is not good go before others, all in order.
+    """
     kinds: dict[tuple[str, int], list[Entry]] = {}
     for entry in entries:
         kinds.setdefault((entry.case, entry.run.seed), []).append(entry)
--- a/rosepick/lab/results.py
+++ b/rosepick/lab/results.py
@@ -134,7 +134,8 @@
 
 def read(path: Path) -> Iterator[Line]:
     """The lines of a file. BadResults if one cannot be read; a last one that is cut short is passed over, as
-    a run that was interrupted leaves it."""
+    a run that was interrupted leaves it.
+    """
     try:
         data = path.read_bytes()
     except OSError as problem:
--- a/rosepick/lab/sim.py
+++ b/rosepick/lab/sim.py
@@ -47,7 +47,8 @@
     progress: Callable[[float], None] | None = None,
 ) -> tuple[Run, Cost]:
     """One run. The same experiment, seed, policy and revision give the same result, byte for byte.
-    ExperimentError if it has troubles that are played on sockets only; ValueError for an unknown policy."""
+    ExperimentError if it has troubles that are played on sockets only; ValueError for an unknown policy.
+    """
     measure = Measure(experiment)
     deciders: list[Timed] = []
 
--- a/rosepick/lab/sweep.py
+++ b/rosepick/lab/sweep.py
@@ -80,7 +80,8 @@
 
 def parse_grid(terms: Iterable[str]) -> list[Cell]:
     """The cells of terms such as `traffic.rate=100,200`, `policy=rosepick,random` and `seed=1..5`; the last
-    one changes fastest. GridError names all bad terms."""
+    one changes fastest. GridError names all bad terms.
+    """
     axes: dict[str, list[Any]] = {}
     faults: list[str] = []
     for term in terms:
--- a/rosepick/lab/theory.py
+++ b/rosepick/lab/theory.py
@@ -109,7 +109,8 @@
 
 def che_hits(popularity: Floats, size: float, many: Floats | None = None) -> Floats:
     """For each key, the chance that an LRU cache of `size` values holds it when it is asked for. Source: Che,
-    Tung, Wang 2002, see `che_time`."""
+    Tung, Wang 2002, see `che_time`.
+    """
     time = che_time(popularity, size, many)
     if np.isinf(time):
         return np.where(popularity > 0, 1.0, 0.0)
@@ -118,5 +119,6 @@
 
 def che_hit_ratio(popularity: Floats, size: float) -> float:
     """The part of all requests that an LRU cache of `size` values can answer, in the long run. Source: Che,
-    Tung, Wang 2002, see `che_time`."""
+    Tung, Wang 2002, see `che_time`.
+    """
     return float((popularity * che_hits(popularity, size)).sum() / popularity.sum())
--- a/rosepick/lab/world/discovery.py
+++ b/rosepick/lab/world/discovery.py
@@ -50,7 +50,8 @@
 
     def begin(self, members: list[Member]) -> None:
         """The list at the begin. What routers had last is older by `stale_by`: nodes that started since then
-        are not in it."""
+        are not in it.
+        """
         self._list = {member.server: member for member in members}
         since = -1000.0 * self.shape.stale_by
         self._last_list = {m.server: m for m in members if m.born <= 0 or m.born <= since + self.kernel.time}
--- a/rosepick/lab/world/draws.py
+++ b/rosepick/lab/world/draws.py
@@ -22,7 +22,7 @@
 class Uniform:
     """Numbers from 0 to 1, one at a time at little cost."""
 
-    __slots__ = ("_generator", "_block")
+    __slots__ = ("_block", "_generator")
 
     def __init__(self, seed: int, name: str) -> None:
         self._generator = generator(seed, name)
@@ -38,7 +38,7 @@
 class Work:
     """Amounts of work with a mean of 1, one at a time: `fixed`, `exponential` or `lognormal`."""
 
-    __slots__ = ("_generator", "_kind", "_spread", "_block")
+    __slots__ = ("_block", "_generator", "_kind", "_spread")
 
     def __init__(self, seed: int, name: str, kind: str, spread: float) -> None:
         self._generator = generator(seed, name)
@@ -63,7 +63,7 @@
 class Zipf:
     """Ranks from 0 on, asked for in proportion to (rank + 1) ** -exponent; by inversion, in blocks."""
 
-    __slots__ = ("_generator", "_edges", "_block")
+    __slots__ = ("_block", "_edges", "_generator")
 
     def __init__(self, seed: int, name: str, count: int, exponent: float) -> None:
         self._generator = generator(seed, name)
--- a/rosepick/lab/world/fleet.py
+++ b/rosepick/lab/world/fleet.py
@@ -1,5 +1,6 @@
 """Cache nodes and the origin: a machine each, with what it remembers, who is connected, and how it
-misbehaves."""
+misbehaves.
+"""
 
 from __future__ import annotations
 
@@ -45,7 +46,8 @@
 
 class Node:
     """What is common to all: it can be reached or not, it has work, it may leave attempts without an
-    answer."""
+    answer.
+    """
 
     def __init__(
         self, kernel: Kernel, uid: str, zone: int, shape: Shape, born: float, connections: int
--- a/rosepick/lab/world/manners.py
+++ b/rosepick/lab/world/manners.py
@@ -1,5 +1,6 @@
 """How clients behave on their answers: the same for those in simulated time and those on sockets, so that
-runs of both kinds can be laid side by side."""
+runs of both kinds can be laid side by side.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +9,8 @@
 
 def end_of(clients: Clients, klass: Class, tries: int, how: str, took: float) -> str | None:
     """The end of a request after so many tries, of which the last one was served, refused or failed, `took`
-    milliseconds after the request was due; None if its client comes back."""
+    milliseconds after the request was due; None if its client comes back.
+    """
     if how == "served":
         return "in_time" if took <= 1000.0 * klass.aim else "late"
     harmless = how == "refused" or klass.effect == "retryable"
@@ -17,7 +19,8 @@
 
 def pause(clients: Clients, told: float, now: float, drawn: float) -> float:
     """How long a client waits before it comes back, in milliseconds: `told` by the router, or by its own
-    manner; `drawn` from 0 to 1."""
+    manner; `drawn` from 0 to 1.
+    """
     if clients.manner == "at once":
         return 0.0
     if clients.manner == "in step":
--- a/rosepick/lab/world/memory.py
+++ b/rosepick/lab/world/memory.py
@@ -9,7 +9,7 @@
 class Memory:
     """LRU or FIFO by bytes; a value may be forgotten after a while."""
 
-    __slots__ = ("size", "used", "_lru", "_keep", "_held")
+    __slots__ = ("_held", "_keep", "_lru", "size", "used")
 
     def __init__(self, size: int, eviction: str = "lru", keep: float = 0.0) -> None:
         """So many bytes; `keep` in milliseconds, 0 for ever."""
--- a/rosepick/lab/world/network.py
+++ b/rosepick/lab/world/network.py
@@ -26,7 +26,8 @@
 
     def cut(self, here: int, there: int, on: bool) -> None:
         """Nothing passes between two zones from now on, or everything again. Cuts may lie over one
-        another."""
+        another.
+        """
         pair = frozenset((here, there))
         left = self._cuts.get(pair, 0) + (1 if on else -1)
         if left > 0:
--- a/rosepick/lab/world/ports.py
+++ b/rosepick/lab/world/ports.py
@@ -40,7 +40,7 @@
 class Link:
     """One connection of a router to a node."""
 
-    __slots__ = ("node", "epoch", "idle_since", "open")
+    __slots__ = ("epoch", "idle_since", "node", "open")
 
     def __init__(self, node: Node, now: float) -> None:
         self.node, self.epoch, self.idle_since, self.open = node, node.epoch, now, True
@@ -56,7 +56,7 @@
 class Exchange:
     """One delivery attempt on its way."""
 
-    __slots__ = ("port", "attempt", "node", "link", "asked", "sent")
+    __slots__ = ("asked", "attempt", "link", "node", "port", "sent")
 
     def __init__(self, port: Router, attempt: DeliveryAttempt, node: Node) -> None:
         self.port, self.attempt, self.node = port, attempt, node
--- a/rosepick/lab/world/requests.py
+++ b/rosepick/lab/world/requests.py
@@ -1,5 +1,6 @@
 """What clients ask: arrivals, classes, tenants, keys and work, drawn from one seed whatever policy serves
-them."""
+them.
+"""
 
 from __future__ import annotations
 
@@ -176,7 +177,8 @@
 
 def trace(experiment: Experiment) -> list[tuple[float, int, int, int]]:
     """The requests of a trace file: when due (ms), class, tenant, key. ExperimentError names each bad
-    line."""
+    line.
+    """
     path = Path(experiment.traffic.trace)
     classes = {one.name: place for place, one in enumerate(experiment.classes)}
     tenants = {one.name: place for place, one in enumerate(experiment.tenants)}
--- a/rosepick/lab/world/rules.py
+++ b/rosepick/lab/world/rules.py
@@ -1,5 +1,6 @@
 """The four rules, watched from the nodes' and the clients' side; what a router says of itself counts for
-nothing."""
+nothing.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/lab/world/server.py
+++ b/rosepick/lab/world/server.py
@@ -40,7 +40,7 @@
 class Job:
     """One piece of work."""
 
-    __slots__ = ("work", "done", "state", "finish")
+    __slots__ = ("done", "finish", "state", "work")
 
     def __init__(self, work: float, done: Done) -> None:
         self.work, self.done = work, done
@@ -130,7 +130,8 @@
 
     def cancel(self, job: Job) -> None:
         """Nobody waits for a piece of work any more: what waits is dropped, what is in work only where
-        cancelled work stops."""
+        cancelled work stops.
+        """
         if job.state == "waiting":
             job.state = "over"
             self._waiting.remove(job)
--- a/rosepick/lab/world/troubles.py
+++ b/rosepick/lab/world/troubles.py
@@ -18,7 +18,8 @@
 
 def set_up(world: World, more: Mapping[str, Play] = NO_MORE) -> None:
     """Set all troubles of a world's experiment; `more` are kinds that only this world can play.
-    ExperimentError if one of them can be played on sockets only."""
+    ExperimentError if one of them can be played on sockets only.
+    """
     kinds = {**_KINDS, **more}
     only_live = [
         f"troubles[{place}].kind {trouble.kind!r} is played with --live only"
--- a/rosepick/lab/world/world.py
+++ b/rosepick/lab/world/world.py
@@ -1,5 +1,6 @@
 """A whole world: the fleet, its routers and clients, put together from an experiment; a truth that an oracle
-may see."""
+may see.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/leases/contender.py
+++ b/rosepick/leases/contender.py
@@ -35,7 +35,8 @@
 @dataclass(frozen=True, slots=True)
 class Terms:
     """How a lease is held. `drift`: by which part of it a clock's rate may be off, for all clocks there
-    are."""
+    are.
+    """
 
     ttl: float = 10_000.0
     drift: float = 0.025
@@ -96,7 +97,8 @@
 
     def left(self, now: float) -> float:
         """Milliseconds until nobody may act under this lease any more, should no renewal come through; also
-        after it was taken away, as who comes next waits for that."""
+        after it was taken away, as who comes next waits for that.
+        """
         return max(0.0, self._until - SPARE * self.terms.ttl - now)
 
     def in_doubt(self, now: float) -> bool:
@@ -164,7 +166,8 @@
 
     def _free_at(self) -> float:
         """From when on, on this clock, nobody can hold it; each one before this one in line has its time
-        then."""
+        then.
+        """
         assert self.seen is not None
         place = self._place()
         before = len(self.seen.line) if place is None else place
--- a/rosepick/leases/record.py
+++ b/rosepick/leases/record.py
@@ -58,7 +58,8 @@
 
 def take(seen: Record, who: int, name: str, ttl: float) -> Change:
     """The lease goes to this one, if nothing has happened since the record was seen. Those that stood before
-    it in line are dropped: they had their time."""
+    it in line are dropped: they had their time.
+    """
 
     def make(now: Record) -> Record:
         if (now.token, now.held, now.beat) != (seen.token, seen.held, seen.beat):
@@ -118,7 +119,8 @@
 
 def force(by: str, why: str) -> Change:
     """Nobody's renewal counts any more: the token goes on. The holder may act until its time is over, so who
-    comes next still waits for that: the task stays held, by nobody."""
+    comes next still waits for that: the task stays held, by nobody.
+    """
 
     def make(now: Record) -> Record:
         if not now.held:
--- a/rosepick/net/accept_queue.py
+++ b/rosepick/net/accept_queue.py
@@ -15,7 +15,8 @@
 
 def waiting(sock: socket.socket) -> tuple[int, int] | None:
     """How many connections wait at a listening socket, and how many may; None where the system does not
-    tell."""
+    tell.
+    """
     option = getattr(socket, "TCP_INFO", None)
     if option is None:
         return None
@@ -27,7 +28,8 @@
 
 def overflows(path: Path = _NETSTAT) -> int | None:
     """How often a connection found a full queue, at all listening sockets of this machine since its start;
-    None where the system does not tell."""
+    None where the system does not tell.
+    """
     with contextlib.suppress(OSError, ValueError):
         lines = [line.split() for line in path.read_text("ascii").splitlines()]
         for names, values in zip(lines, lines[1:], strict=False):
--- a/rosepick/net/agent.py
+++ b/rosepick/net/agent.py
@@ -1,5 +1,6 @@
 """Driver of an agent: asks the quorum what its machine wants to know, does with the member what it says,
-reports, and counts for the group while it holds that lease."""
+reports, and counts for the group while it holds that lease.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/net/beside.py
+++ b/rosepick/net/beside.py
@@ -1,5 +1,6 @@
 """This process beside others of the same router, as at an upgrade: it follows them, and learns from the one
-whose place it takes."""
+whose place it takes.
+"""
 
 from __future__ import annotations
 
@@ -37,7 +38,8 @@
         changed: Callable[[], None],
     ) -> None:
         """Look at the others from now on; `held` descriptors are told to them, and `changed` is called when
-        something of them, or of what follows from it, has changed."""
+        something of them, or of what follows from it, has changed.
+        """
         if self.seats is None:
             return
         self.loop.after(LOOK_EVERY, lambda: self.follow(module, held, serves, changed))
@@ -56,7 +58,8 @@
 
     def _hear(self, module: Decider) -> bool:
         """Learn what the process that is to be replaced knows; whether that is settled. One that leaves
-        nothing is not waited for long; what was left for another one counts as nothing."""
+        nothing is not waited for long; what was left for another one counts as nothing.
+        """
         assert self.seats is not None
         now, document = self.loop.now(), self.seats.found()
         self.standing.heard = now - self._started >= HEAR_FOR
--- a/rosepick/net/capture.py
+++ b/rosepick/net/capture.py
@@ -73,7 +73,8 @@
 class Dump:
     """One writing of the ring, as it stood at the begin, while it goes on turning. Guards against a reader of
     standard error that stalls the loop: a piece is written only when the descriptor takes it at once, and
-    while little is unread there, so that log lines find room too."""
+    while little is unread there, so that log lines find room too.
+    """
 
     def __init__(self, loop: Loop, ring: Ring, fd: int) -> None:
         self.loop, self.ring, self.fd = loop, ring, fd
@@ -137,7 +138,8 @@
 
 class Files:
     """The segments as a ring of files: a file a segment, the oldest removed. A restart goes on from the
-    highest number. What cannot be written is logged; the next segment tries again."""
+    highest number. What cannot be written is logged; the next segment tries again.
+    """
 
     def __init__(self, loop: Loop, recorder: Recorder, folder: Path, keep: int) -> None:
         self.loop, self.recorder, self.folder, self.keep = loop, recorder, folder, keep
--- a/rosepick/net/errand.py
+++ b/rosepick/net/errand.py
@@ -29,7 +29,8 @@
 
 def _end_with(parent: int) -> None:
     """In the new process, before the command: have the kernel kill it when this program dies, however it does
-    (prctl, PR_SET_PDEATHSIG). What the command itself has started is not reached by it."""
+    (prctl, PR_SET_PDEATHSIG). What the command itself has started is not reached by it.
+    """
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, int(signal.SIGKILL), 0, 0, 0)
     if os.getppid() != parent:
         os._exit(CANNOT_RUN)
--- a/rosepick/net/leasing.py
+++ b/rosepick/net/leasing.py
@@ -1,5 +1,6 @@
 """Driver of contenders: asks the quorum what they want to know, and tells who uses them what has become of
-it."""
+it.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/net/links.py
+++ b/rosepick/net/links.py
@@ -1,5 +1,6 @@
 """A connection to one witness: dialed when there is something to ask, and anew when it breaks or stays
-silent."""
+silent.
+"""
 
 from __future__ import annotations
 
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -152,7 +152,8 @@
 
     def _room(self) -> bool:
         """Whether one more may be accepted. Guards against crowds that take the next hops' descriptors, so
-        that each attempt needs a new connection."""
+        that each attempt needs a new connection.
+        """
         if self._full() and (self.policy.unfair() or not self.shed()):
             return False  # where an address holds too much it must first be seen who comes
         return self.budget.room(Use.DOORS)
@@ -223,7 +224,8 @@
 
     def reads(self, link: SenderLink, on: bool) -> None:
         """Whether anything is read from a connection. While it is not, no selector tells that the client has
-        left, and its request would be sent on for nobody."""
+        left, and its request would be sent on for nobody.
+        """
         if on:
             self._unread.pop(link, None)
         elif link not in self._unread:
@@ -246,7 +248,8 @@
 
     def _look(self) -> None:
         """Close what has stood too long, or whose place is needed. By a timer: when all that clients may hold
-        stands idle, nothing comes any more that could set it off."""
+        stands idle, nothing comes any more that could set it off.
+        """
         self.loop.after(LOOK_EVERY, self._look)
         for conn, why in self.policy.look(self.loop.now()):
             self._close_idle(conn, why)
@@ -278,7 +281,8 @@
 
     def close(self) -> None:
         """Accept no more. What the machine has accepted already is taken: guards against its reset. But what
-        waits at a socket that another process holds too is that one's; only our copy is closed."""
+        waits at a socket that another process holds too is that one's; only our copy is closed.
+        """
         for door in self.doors[int(self.shared) :]:
             while self.open and self._accept_one(door):
                 pass
@@ -358,7 +362,8 @@
 
 def listen(endpoint: tuple[str, int], queue: int) -> socket.socket:
     """A listening socket. The address may still be held by a predecessor that answers what it owes: guards
-    against a restart that fails for that."""
+    against a restart that fails for that.
+    """
     until = time.monotonic() + HELD_FOR
     while True:
         try:
@@ -373,7 +378,8 @@
 
 def _inherited(descriptor: int, queue: int) -> socket.socket:
     """A listening socket that the platform holds, and other processes too: nothing of it is changed but what
-    they all want alike."""
+    they all want alike.
+    """
     sock = socket.socket(fileno=descriptor)
     if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
         raise OSError(f"descriptor {descriptor} is no listening socket")
--- a/rosepick/net/multiget.py
+++ b/rosepick/net/multiget.py
@@ -123,7 +123,8 @@
 
     def _broke(self) -> None:
         """The connection is of no more use. A part that the router cannot have read is asked for once more,
-        as the protocol wants it: the router may close a connection between requests."""
+        as the protocol wants it: the router may close a connection between requests.
+        """
         part, self.part = self.part, None
         unread = self.used and not self._came
         self.close()
@@ -185,7 +186,8 @@
 
     def go_on(self) -> None:
         """Send parts while there is room for them, those of the batch first that has the fewest out. With
-        others in hand no batch takes more than half: guards against one whose client does not read."""
+        others in hand no batch takes more than half: guards against one whose client does not read.
+        """
         if self._going_on:  # guards against a stack as deep as a batch is long, when parts end at once
             return
         self._going_on = True
--- a/rosepick/net/pool.py
+++ b/rosepick/net/pool.py
@@ -221,7 +221,8 @@
 
     def _look(self, exchange: Exchange) -> None:
         """Guards against answers that stop short on a connection that stays open: the attempt would last to
-        its deadline, while another might still be in time."""
+        its deadline, while another might still be in time.
+        """
         if self.exchange is not exchange or self.stalls_at is None:
             return
         now = self.pool.loop.now()
@@ -255,7 +256,8 @@
 
     def _judged(self, verdict: Verdict) -> Verdict:
         """An answer has come. Guards against a next hop that has no place for another connection and is taken
-        for one whose queue is full: its keys would move away, and retries be spent on it."""
+        for one whose queue is full: its keys would move away, and retries be spent on it.
+        """
         first, self.used = not self.used, True
         if first and verdict.result is Result.FULL and not verdict.reusable:
             self.keeping.turned_away()
@@ -337,7 +339,8 @@
     def retire(self, servers: tuple[int, ...]) -> None:
         """Close what is idle to next hops that drain, left or restarted; what is busy closes after its
         attempt. One of which nothing is written yet does not begin any more, and its request goes elsewhere:
-        guards against dials that come up after the drain was told. The module has to know of it already."""
+        guards against dials that come up after the drain was told. The module has to know of it already.
+        """
         for server in servers:
             for link in list(self.idle.get(server, ())):
                 link.close()
@@ -375,7 +378,8 @@
 
     def closed_early(self, link: Link) -> None:
         """A next hop ended an idle connection. Guards against requests written to connections that close
-        right after an answer, which end as resets: while that happens, connections rest before use."""
+        right after an answer, which end as resets: while that happens, connections rest before use.
+        """
         rested = self.loop.now() - link.idle_since
         if rested < EARLY:
             self.rest_for = max(self.rest_for, 1.2 * rested)
@@ -449,7 +453,8 @@
 
     def _sweep(self) -> None:
         """Close what was idle for long, well before the next hop does: a request written to a connection that
-        the other side has closed is a reset."""
+        the other side has closed is a reset.
+        """
         shortest = min(keeping.time for keeping in self.keeping.values())
         self.loop.after(max(SWEEP_LEAST, min(SWEEP_EVERY, 0.25 * shortest)), self._sweep)
         for passing in list(self.passing):
--- a/rosepick/net/quorum.py
+++ b/rosepick/net/quorum.py
@@ -129,7 +129,8 @@
 
     def run(self, key: str, change: Change | None, done: Done, timeout: float) -> str:
         """Read a register, or change it; `done` is called once, within `timeout` milliseconds or so. The
-        mark of the change is given back."""
+        mark of the change is given back.
+        """
         running = Running(self._operation(key, change), done)
         self.counts.operations += 1
         self._running[running] = None
@@ -280,7 +281,8 @@
 
     def _moved(self, elsewhere: m.Elsewhere) -> None:
         """The quorum is not what was thought: a later one, or one that is sealed and has not been
-        followed."""
+        followed.
+        """
         known = self.quorum
         self._adopt(elsewhere.quorum)
         if self.quorum is not known or known is None or not elsewhere.sealed or elsewhere.quorum != known:
--- a/rosepick/net/releasing.py
+++ b/rosepick/net/releasing.py
@@ -38,7 +38,8 @@
 
 def digest_of(path: Path) -> str:
     """Of a file, or of all files below a folder: their places, whether they can be run, and what they hold.
-    OSError if it cannot be read."""
+    OSError if it cannot be read.
+    """
     found = blake2b(digest_size=8)
     if path.is_file():
         found.update(path.read_bytes())
@@ -87,7 +88,8 @@
     """Have a version in its place on this host, checked and tried. Failed if it is not to be had.
 
     `told`: `config` (the router's own file), `check` and `command` (words, `{build}` in them), `settings` (a
-    file of settings that a build is tried with, or none)."""
+    file of settings that a build is tried with, or none).
+    """
     try:
         if not (place.exists() and digest_of(place) == digest):
             _copy(source, digest, place)
@@ -255,7 +257,8 @@
 
     def compose(self) -> None:
         """Write what the member is started with: its own file and the settings that are in force. One that
-        cannot be read leaves what is there."""
+        cannot be read leaves what is there.
+        """
         if self._config is None:
             return
         digest = self.runs().get(SETTINGS, "")
--- a/rosepick/net/sender_link.py
+++ b/rosepick/net/sender_link.py
@@ -147,7 +147,8 @@
 
     def _accept(self, envelope: Envelope) -> None:
         """Hand an envelope over. Guards against an id that another client's open request has: next hops would
-        take the two for one."""
+        take the two for one.
+        """
         open_ids, req_id = self.listener.open_ids, _id_of(envelope)
         if self._left:
             drop_body(envelope)
@@ -166,7 +167,8 @@
 
     def _reject(self, status: int, reason: str, klass: int | None = None, last: bool = False) -> None:
         """A request that cannot be taken. One that came with others close behind ends the connection: guards
-        against hundreds of them sent ahead, each of which would cost an answer."""
+        against hundreds of them sent ahead, each of which would cost an answer.
+        """
         self.listener.rejected += 1
         if klass is not None:
             self.listener.engine.turned_away(klass)
@@ -175,7 +177,8 @@
 
     def _ended(self) -> None:
         """The sender side has ended its sending: it has gone. Should it have closed only that half, it still
-        gets a whole answer."""
+        gets a whole answer.
+        """
         self._left = True
         if self.flow is not None:
             return  # if it has gone altogether, what is written next breaks
@@ -294,7 +297,8 @@
 
     def ends(self) -> bool:
         """Whether the connection is to end with the answer that is due: the router ends, or its place is
-        needed before it is expected to ask again."""
+        needed before it is expected to ask again.
+        """
         return self.listener.ending or self.listener.policy.last(self.conn, self.listener.loop.now())
 
     def answered(self, status: int) -> None:
@@ -339,7 +343,8 @@
     def _begun(self, now: float) -> float:
         """Since when the request counts that has begun; bytes that trickle in never set it back. The first
         one counts from the connection's begin, as who says nothing may not stay much longer either, but it
-        has half a second in any case."""
+        has half a second in any case.
+        """
         settings = self.listener.settings
         if self.conn.state is not State.FRESH or settings.limits.silent_for > 2 * settings.patience:
             return now
@@ -406,7 +411,8 @@
     def rest(self, why: Why) -> None:
         """Between requests: nothing more is answered here. What crosses this is read and dropped, and its
         client asks once more elsewhere. Guards against a close over unread bytes: that is a reset, which can
-        take the last answer with it."""
+        take the last answer with it.
+        """
         self.conn.why = why
         self.machine.end()
         self._settle()
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -143,7 +143,8 @@
 
     def _may_open(self) -> int:
         """How many descriptors this process may hold: what the operators' door needs is set aside, and what
-        other processes of this router hold is theirs."""
+        other processes of this router hold is theirs.
+        """
         limit = _descriptors(self.config)
         if self.config.ops is not None:
             from .ops import DESCRIPTORS
@@ -313,7 +314,8 @@
 
     def _reload_config(self) -> None:
         """Read the configuration again and apply what a running router can. All of it is checked first;
-        guards against a half-written file that takes a serving router down."""
+        guards against a half-written file that takes a serving router down.
+        """
         try:
             told = self._reread()
             TransportMap(told.names, 0.0).take(told.known, cached=True)
@@ -381,12 +383,14 @@
     @staticmethod
     def _unheard(link: SenderLink, now: float) -> bool:
         """Whether a connection has come just now and its request may be on the way. Guards against a request
-        that is lost as it was written while its connection was closed."""
+        that is lost as it was written while its connection was closed.
+        """
         return link.conn.state is State.FRESH and now - link.conn.ready < SLOW_START
 
     def _no_more_come(self, now: float, longest: float) -> bool:
         """Whether to stop accepting. Not before batches have their parts, which come over this door too; they
-        must be through when any request must."""
+        must be through when any request must.
+        """
         spent = now - self._ending_since
         if self.multiget is not None and self.multiget.in_hand() and spent < longest:
             self.multiget.hurry(self._ending_since + longest)
--- a/rosepick/net/store.py
+++ b/rosepick/net/store.py
@@ -149,7 +149,8 @@
 
     def keep(self, changes: Changes) -> None:
         """Have the changes on the disk. sqlite3.Error or OSError if that cannot be: then nothing may be
-        said."""
+        said.
+        """
         self._db.execute("begin immediate")
         if changes.epoch:
             self._db.execute("delete from slots")
--- a/rosepick/net/stream.py
+++ b/rosepick/net/stream.py
@@ -31,16 +31,16 @@
     """One connected or connecting socket, without blocking."""
 
     __slots__ = (
-        "sock",
-        "open",
-        "_loop",
         "_budget",
-        "_use",
-        "_ready",
+        "_loop",
         "_mask",
         "_pending",
+        "_ready",
         "_urgent",
+        "_use",
         "moved",
+        "open",
+        "sock",
     )
 
     def __init__(
@@ -93,7 +93,8 @@
 
     def read(self, most: int = CHUNK) -> bytes | None:
         """What has come, so much at the most; empty at the end; None if there is nothing. OSError if it
-        broke."""
+        broke.
+        """
         try:
             return self.sock.recv(most)
         except (BlockingIOError, InterruptedError):
@@ -170,7 +171,8 @@
 
     def keep_small(self, direction: int) -> None:
         """Have the kernel hold little in that direction (SO_SNDBUF or SO_RCVBUF): what waits there is seen
-        neither as memory nor as the progress of a slow peer."""
+        neither as memory nor as the progress of a slow peer.
+        """
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, direction, KERNEL)
 
@@ -243,7 +245,8 @@
 
 def dial(endpoint: tuple[str, int], free: Callable[[], bool] = lambda: False) -> socket.socket:
     """A socket that is connecting; it can be written once it is up. OSError if it failed at once. `free`: has
-    another descriptor closed, where there is none for this one; says whether there was any to close."""
+    another descriptor closed, where there is none for this one; says whether there was any to close.
+    """
     try:
         sock = socket.socket(family(endpoint), socket.SOCK_STREAM)
     except OSError as problem:
--- a/rosepick/net/tended.py
+++ b/rosepick/net/tended.py
@@ -81,7 +81,8 @@
 
 def began_at(pid: int) -> str:
     """When a process began, as the kernel has it; tells it from a later one of the same number. Empty if it
-    is gone."""
+    is gone.
+    """
     try:
         fields = Path(f"/proc/{pid}/stat").read_text("ascii").rsplit(")", 1)[1].split()
     except (OSError, IndexError):
@@ -91,7 +92,8 @@
 
 def used_by(pid: int) -> tuple[float, float]:
     """Seconds of processor time and KiB of memory that a process has used; zeros if it is gone. By what the
-    scheduler has counted in nanoseconds: its ticks of 10 ms are more than a second's requests may take."""
+    scheduler has counted in nanoseconds: its ticks of 10 ms are more than a second's requests may take.
+    """
     folder = Path(f"/proc/{pid}")
     try:
         tasks = [one.joinpath("schedstat").read_text("ascii") for one in folder.joinpath("task").iterdir()]
--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -38,7 +38,8 @@
 
 class Framing:
     """Counts TLS records as they come in. Guards against connections held for ever by half a record: the
-    library takes its bytes, and tells nobody."""
+    library takes its bytes, and tells nobody.
+    """
 
     __slots__ = ("_head", "_left")
 
@@ -115,16 +116,16 @@
     """A stream whose bytes are encrypted on the way."""
 
     __slots__ = (
-        "_tls",
-        "_in",
-        "_out",
+        "_begun",
         "_cipher",
         "_framing",
-        "_begun",
-        "_up",
+        "_in",
+        "_out",
         "_over",
-        "_turns",
+        "_tls",
         "_turn",
+        "_turns",
+        "_up",
     )
 
     def __init__(
@@ -387,7 +388,8 @@
 
     def _refresh(self, file: OperatorFile, held: dict[str, bytes]) -> None:
         """Take what the files hold now, if that is something else and a whole. Guards against a pair of which
-        one file is new and the other not yet: the old pair stays."""
+        one file is new and the other not yet: the old pair stays.
+        """
         try:
             contents = self._contents(file)
             if contents == held:
--- a/rosepick/net/watch.py
+++ b/rosepick/net/watch.py
@@ -30,7 +30,8 @@
 def oldest(first: float, last: float, step: float) -> float:
     """The longest from a change that discovery has, and can be reached for, to the call that tells of it, in
     milliseconds. `first`, `last`: what the module lets pass before it calls again, after one failed call and
-    at most; `step`: of its timer. The call itself has the rest."""
+    at most; `step`: of its timer. The call itself has the rest.
+    """
     silent = WAIT + LATE + first  # a long poll that fell silent as it was made
     back = TURN + last  # discovery is back just after a call was made, which is never answered
     return max(silent, back) + step + DIAL
@@ -69,7 +70,8 @@
 
     def move(self, endpoint: tuple[str, int]) -> None:
         """Follow another discovery from now on. Its whole list is asked for: guards against a revision held
-        that means something else there. The held list stands until then, and nothing has failed."""
+        that means something else there. The held list stands until then, and nothing has failed.
+        """
         self._stop()
         self.endpoint, self.on, self._anew = endpoint, True, True
         self._call(FIRST_WAIT)
--- a/rosepick/settings/config.py
+++ b/rosepick/settings/config.py
@@ -69,7 +69,8 @@
 
 def renewed(before: Config, told: Config) -> Config:
     """The configuration in force once a running router has taken a new file. A class or a tenant keeps its
-    place, also one that has vanished: open requests go by places. What needs a restart stays as it was."""
+    place, also one that has vanished: open requests go by places. What needs a restart stays as it was.
+    """
     lacking = sorted(before.keys - told.keys)
     if lacking:  # guards against rules that fall back to defaults as a file was cut or a line of it lost
         raise ValueError(f"setting {lacking[0]} is missing; the file in force has it")
@@ -213,7 +214,8 @@
 
 def _heard(settings: api.Settings) -> api.Settings:
     """On sockets nothing comes by itself: guards against a router that waits for a list which is pushed to an
-    agent, and that it has to ask that agent for."""
+    agent, and that it has to ask that agent for.
+    """
     return replace(settings, subscribe=True, pushed=not settings.subscribe)
 
 
--- a/rosepick/settings/fleet_file.py
+++ b/rosepick/settings/fleet_file.py
@@ -43,7 +43,8 @@
 
 class Out(_Table):
     """How many members of a kind may be out, by count, share and weight (parts of 1), in all and in a zone;
-    how many must stay in a zone; what the store's room makes no limit smaller than."""
+    how many must stay in a zone; what the store's room makes no limit smaller than.
+    """
 
     most: Annotated[int, Field(ge=1, le=1_000)] = 1_000
     share: Part = 0.1
@@ -59,7 +60,8 @@
     """Who may be out of a fleet. `closed`: hours of the day (UTC) in which nothing goes, as "07:00-09:30";
     `apart`: members that are not out together, by the name of what they share; `unasked`: so many more than
     a limit may be out by themselves before there is a halt. Times are seconds: `beat` between reports,
-    `silent` without one, `lonely` without a quorum, `steady` until a member counts as back."""
+    `silent` without one, `lonely` without a quorum, `steady` until a member counts as back.
+    """
 
     group: Annotated[str, Field(pattern=NAME)] = "main"
     routers: Out = Out()
@@ -97,7 +99,8 @@
     its figures say enough, `patience` at most, then an operator is asked (or it goes on: `unsure`); `after`
     the last wave; `settle`: a new version serves for so long before it counts as back, within `probation`;
     `lost_for`: who is lost for so long is left behind; `pool`: figures are taken together over so long.
-    `alarm`: the chance that a version which is no worse is taken for worse."""
+    `alarm`: the chance that a version which is no worse is taken for worse.
+    """
 
     waves: list[Annotated[int, Field(ge=1, le=1_000)] | Annotated[str, Field(pattern=STEP)]] = [
         1, "2%", "10%", "zone", "rest",
--- a/rosepick/upgrade/knowledge.py
+++ b/rosepick/upgrade/knowledge.py
@@ -46,7 +46,8 @@
 
 def teach(router: Router, document: bytes, now: float) -> int:
     """Have a router that has served nobody know what the document holds; how many keys. ValueError, and
-    nothing learned, if any of it is not as it should be."""
+    nothing learned, if any of it is not as it should be.
+    """
     head, rest = _head(document)
     top, tail = (int(_number(head.get(name), 0.0, LIST_SIZE)) for name in ("top", "tail"))
     keys, servers, heats = _columns(rest, top + tail)
--- a/rosepick/upgrade/standing.py
+++ b/rosepick/upgrade/standing.py
@@ -32,7 +32,8 @@
     def takes_clients(self) -> bool:
         """Whether to take clients. Beside another process only with a list from discovery, and what that one
         knows: guards against an old list in place of a router that serves. If it has died there is nobody to
-        wait for."""
+        wait for.
+        """
         return not self.beside or not self.others or (self.listed and self.heard)
 
     def descriptors(self, limit: int) -> int:
--- a/rosepick/waiting/account.py
+++ b/rosepick/waiting/account.py
@@ -9,7 +9,8 @@
 
 class Account:
     """Restarts of one router. Guards against a slow fleet that is answered with restarts: where none is won
-    they soon end, and where they help they pay for themselves."""
+    they soon end, and where they help they pay for themselves.
+    """
 
     def __init__(self) -> None:
         self.left = MOST
--- a/rosepick/waiting/times.py
+++ b/rosepick/waiting/times.py
@@ -107,7 +107,8 @@
         """The wait at which to begin again, so that an answer takes least time on the whole, if each new
         begin costs so much; all as such multiples. It is the wait w with the least (time spent by w + cost) /
         (answered by w), by which attempts that are cut at w and repeated end (Luby, Sinclair, Zuckerman
-        1993)."""
+        1993).
+        """
         left = self._look(now)
         spent, begin, best, found = 0.0, 0.0, float("inf"), float("inf")
         for b in range(COUNT - 1):
--- a/rosepick/waiting/waiting.py
+++ b/rosepick/waiting/waiting.py
@@ -69,7 +69,8 @@
 
     def begin(self, now: float, fetch: bool, expected: float, hint: float | None = None) -> Wait:
         """An attempt is sent; an ordinary one would have its answer after `expected`. `hint` is of its
-        work, in any unit."""
+        work, in any unit.
+        """
         kind = self._kind(fetch)
         dear = self._dearness(hint)
         wait = Wait(fetch, now, max(EXPECTED_LEAST, expected * dear), kind.sent, dear)
@@ -78,7 +79,8 @@
 
     def _dearness(self, hint: float | None) -> float:
         """Its work by the hint, as a multiple of the usual. Half of it counts: hints are rough, and an
-        answer's time is not work alone. Guards against heavy requests taken for hung ones."""
+        answer's time is not work alone. Guards against heavy requests taken for hung ones.
+        """
         if not hint or hint <= 0:
             return 1.0
         self._hints += (hint - self._hints) * (HINTS if self._hints else 1.0)
@@ -100,14 +102,16 @@
 
     def _hung(self, wait: Wait, now: float, left: float) -> bool:
         """It takes many times what is expected, everything that was answered of late was sent after it, and
-        there is hardly a chance left."""
+        there is hardly a chance left.
+        """
         late = now - wait.sent >= HUNG * wait.expected and self.passed(wait) == LATEST
         return late and self.stay(wait, now, left) <= HARDLY
 
     def hangs(self, wait: Wait, slow: bool) -> bool:
         """Whether it says nothing of load: enough that were sent later were answered before it, and those of
         its kind that are answered are not `slow`. Guards the origin's gate against closing for answers that
-        never come."""
+        never come.
+        """
         return not slow and self.passed(wait) >= PASSED
 
     def stay(self, wait: Wait, now: float, left: float) -> float:
@@ -123,7 +127,8 @@
     def elsewhere(self, now: float, left: float, cache: float | None, fetch: float | None) -> float:
         """The chance of another attempt within `left`: at the origin, where a fetch is expected to take
         `fetch`, or else at another cache node, where a hit would take `cache`. Most reads that move miss
-        there and go on; no `fetch` where nodes fetch for themselves, so that their answers tell of it."""
+        there and go on; no `fetch` where nodes fetch for themselves, so that their answers tell of it.
+        """
         if fetch is None:
             return 0.0 if cache is None else self.fresh(False, cache, now, left)
         fetched = self.fresh(True, fetch, now, left)
@@ -134,14 +139,16 @@
     def ripe(self, wait: Wait, now: float, left: float, short: bool = False) -> bool:
         """Whether it may be given up at all, by what is quick to tell. While the origin is `short` a fetch
         more is what it lacks, and a read that moves mostly needs one: then only what looks hung by all signs
-        is given up."""
+        is given up.
+        """
         if now - wait.sent < self._least(wait) or not self.account.may() or self.passed(wait) < PASSED:
             return False
         return not short or self._hung(wait, now, left)
 
     def stop(self, wait: Wait, now: float, left: float, cache: float | None, fetch: float | None) -> bool:
         """Whether to give one that is ripe up for another one; counts it. `cache` and `fetch` are of an
-        ordinary request, see `elsewhere`."""
+        ordinary request, see `elsewhere`.
+        """
         cache = None if cache is None else cache * wait.dear
         fetch = None if fetch is None else fetch * wait.dear
         if self.elsewhere(now, left, cache, fetch) - PRICE <= self.stay(wait, now, left):
@@ -160,7 +167,8 @@
 
     def _cost(self, wait: Wait, cache: float | None, fetch: float | None) -> float:
         """What a new begin costs beside the time that it takes, as a multiple of what this one was expected
-        to take: work that is done twice, and a fetch where the read misses."""
+        to take: work that is done twice, and a fetch where the read misses.
+        """
         if cache is None or fetch is None:
             return COST
         missed = (1.0 - self.moved_hits) * min(fetch, FETCH_MOST)
@@ -168,13 +176,15 @@
 
     def won(self, waits: Iterable[Wait]) -> None:
         """A request was answered in time, by the last of these attempts: a restart among them pays for
-        itself."""
+        itself.
+        """
         if any(wait.stopped for wait in waits):
             self.account.won()
 
     def next_look(self, wait: Wait, now: float) -> float:
         """When to look at it for the next time; never, while no restart is left. Ever less often: guards
-        a router that is short of CPU, where many wait, against spending it on looks."""
+        a router that is short of CPU, where many wait, against spending it on looks.
+        """
         if not self.account.may():
             return float("inf")
         pause = max(LOOK_EACH, AGAIN * wait.expected, AGAIN * (now - wait.sent))
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -129,7 +129,8 @@
 
 class Bulk(Scenario):
     """Verbs for bodies in parts. `more N`: so many bytes; `begin N HEADERS`: a write that has come so far;
-    `stops`: reads no more; `flood`: writes all that is taken; `breaks`: its connection is closed."""
+    `stops`: reads no more; `flood`: writes all that is taken; `breaks`: its connection is closed.
+    """
 
     nodes = ("s1", "origin")
     ASK = "c1 send GET /api/k1; s1 expect GET /api/k1; "
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -93,7 +93,8 @@
 
 def crowd(world: World, count: int, every: float, peer: Callable[[int], str] = lambda n: f"h{n}") -> int:
     """So many requests, each on a connection of its own that its client would hold for ever; returns how many
-    found no room. A request takes 20 ms."""
+    found no room. A request takes 20 ms.
+    """
     missed, due = 0, list[tuple[float, Conn]]()
     for n in range(count):
         for when, conn in due[:]:
@@ -443,7 +444,8 @@
 
 def periodic(world: World, clients: int, every: float, span: float) -> tuple[int, int]:
     """Clients that keep a connection each and ask on it every so often; returns how many requests there were,
-    and how many of them needed a new connection, in the last quarter of the time."""
+    and how many of them needed a new connection, in the last quarter of the time.
+    """
     conns = dict[int, Conn]()
     asked = opened = 0
     due = [(every * n / clients, n) for n in range(clients)]
@@ -581,7 +583,8 @@
     steps: list[tuple[str, int, int]], most: int
 ) -> None:
     """Whatever came before. The bound where room that was made was taken is ROOM_WITHIN; after room that
-    nobody took it is as much longer as closing rests."""
+    nobody took it is as much longer as closing rests.
+    """
     world = World(told=most, most=most)
     for step, which, peer in steps:
         _play(world, step, which, f"p{peer}")
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -1,5 +1,6 @@
 """The drills' own parts: the checker and the judge have to turn down wrong histories; seeds give the same
-verdict."""
+verdict.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,5 +1,6 @@
 """What ends something at the wrong instant; docs/endings.md has the table. Each crossing is forced: a party
-holds back, writes or closes at a named step, and nothing waits for luck."""
+holds back, writes or closes at a named step, and nothing waits for luck.
+"""
 
 from __future__ import annotations
 
@@ -404,7 +405,8 @@
 
 class ListFallsSilent(Known):
     """How long a list may be out of date, for each way in which a call can end. `oldest` is the sum; the rest
-    up to `TOLD_BY` is the call's own."""
+    up to `TOLD_BY` is the call's own.
+    """
 
     def test_the_sum_of_its_terms(self) -> None:
         oldest = watch.oldest(decide.ASK_FIRST, decide.ASK_LAST, STEP)
--- a/tests/test_extremes.py
+++ b/tests/test_extremes.py
@@ -1,5 +1,6 @@
 """Settings of other customers: absent, zero, very short, very large. A router with them serves, or says what
-makes no sense and does not start."""
+makes no sense and does not start.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -26,7 +26,7 @@
 
 
 def outcome(folder: Path, test: str) -> tuple[int, str]:
-    """pytest's exit and its words over one test of the copy."""
+    """Pytest's exit and its words over one test of the copy."""
     environment = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1", "PYTHONPATH": str(folder)}
     command = [sys.executable, "-m", "pytest", "-q", f"tests/test_endings.py::{test}"]
     done = subprocess.run(command, cwd=folder, capture_output=True, text=True, env=environment, check=False)
--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -55,7 +55,8 @@
 
 def served(shape: Shape, seed: int, gap: float, count: int) -> Floats:
     """Each one's time in a server, work and all, with draws of mean `gap` between arrivals and works of mean
-    1."""
+    1.
+    """
     kernel, times = Kernel(), np.zeros(count)
     server = Server(kernel, shape)
     gaps, works = (Work(seed, name, "exponential", 0.0) for name in ("gaps", "works"))
@@ -127,7 +128,8 @@
 @pytest.mark.parametrize("load", [0.5, 0.8])
 def test_shared_cores(load: float) -> None:
     """The mean time of processor sharing is that of a queue in order: what the latter is off by chance, with
-    the same draws, is taken from what the former is off."""
+    the same draws, is taken from what the former is off.
+    """
     count, told = 30_000, theory.ps_sojourn(load, 1.0)
     shared = served(Shape(cores=1, slots=UNBOUNDED, queue=0), 2, 1.0 / load, count)
     works = exponential(2, "works", 1.0, count)
@@ -203,7 +205,8 @@
 
 def cold(falls: list[float]) -> tuple[Kernel, Server, list[float]]:
     """A server that can do 0.25 of work in a millisecond for ever: its budget is 2250 in 3 s, and used
-    up."""
+    up.
+    """
     kernel, ends = Kernel(), list[float]()
     shape = Shape(cores=2, slots=4, cold_from=0.125, warm_after=1e15, falls_at=3.0, falls_within=3_000.0)
     server = Server(kernel, shape, 0.0)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,5 +1,6 @@
 """Leases: the contender's machine, the record, the guard, the file; and three witnesses with commands, as a
-user has them."""
+user has them.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -1,5 +1,6 @@
 """Crowds on the sender side, on loopback: room for the next client, whoever holds connections, and whatever
-for."""
+for.
+"""
 
 from __future__ import annotations
 
@@ -39,7 +40,7 @@
         """Whether a client has its answer; upon `Connection: close`, or its end, it closes."""
         wire = self.wires[who][0]
         message = wire.message()
-        if message is not None and "Connection: close" in message or wire.ended:
+        if (message is not None and "Connection: close" in message) or wire.ended:
             wire.sock.close()
             self.wires[who].remove(wire)
         return message is not None
@@ -420,7 +421,8 @@
 
     def test_a_closed_connection_leaves_no_cycle(self) -> None:
         """Guards against closed connections that only a full collection frees: on a day with a new connection
-        for each request they are most of what grows."""
+        for each request they are most of what grows.
+        """
         self.play("c1 send GET /ready\nc1 expect 200")
         (link,) = self.server.listener.links
         watched: list[weakref.ref[Any]] = [weakref.ref(link), weakref.ref(link.machine)]
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,5 +1,6 @@
 """When to stop waiting: what is measured, against known distributions; when to stop, against the best by
-search."""
+search.
+"""
 
 from __future__ import annotations
 
@@ -139,7 +140,8 @@
 ) -> tuple[float, int, int]:
     """Requests of one router, each with up to five attempts, one at a time; the share that was answered in
     time, how many there were and how many restarts. `draw` gives a multiple of what is expected, at a
-    time."""
+    time.
+    """
     waiting, rng = Waiting(), random.Random(3)
     events: list[tuple[float, int, str, list[Wait], float]] = []
     count = good = restarts = 0
