Take the names of drill events from their tags, and type the test for an operator's drain

Cause: counts of the drills were named after classes, and a drain's author was read by a string, so that a rename of either would have changed results without a sign. Change: kind_of() reads the tag; _drained() takes the drain itself; the marks are back.

--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -45,7 +45,7 @@
         self.told: Fleet
         self.client, self.told = client_of(path)
         with needs_the_extra("fleet"):
-            import rich
+            import rich  # noqa: F401 - tables and bars
         from ..fleet import ledger
 
         self._key = ledger.key(self.told.drains.group)
--- a/rosepick/cli/leasing.py
+++ b/rosepick/cli/leasing.py
@@ -40,8 +40,8 @@
 def _extra() -> None:
     """Before any command of a group: what it imports is there, or that is said."""
     with needs_the_extra("fleet"):
-        import msgspec
-        import pydantic
+        import msgspec  # noqa: F401
+        import pydantic  # noqa: F401
 
 
 def fleet_of(path: Path) -> tuple[Fleet, bytes]:
--- a/rosepick/cli/releasing.py
+++ b/rosepick/cli/releasing.py
@@ -306,7 +306,7 @@
     make = {"halt": book.hold, "resume": book.go_on, "rollback": book.back, "forward": book.forward}[what]
     reason = {"halt": _none, "resume": lambda read: _none(read) or "it is not held"}.get(what, _none)
     if what == "forward":
-        reason = lambda read: _none(read) or "it does not go back"
+        reason = lambda read: _none(read) or "it does not go back"  # noqa: E731
     told = group.move(make(_who(), why, time.time()), reason)
     print(f"release {told.releases}: {said}")
 
--- a/rosepick/fleet/leader.py
+++ b/rosepick/fleet/leader.py
@@ -14,7 +14,7 @@
 from ..agreement.operation import Change
 from . import release as book
 from .judge import KEPT, Figures, Judge, Opinion, Verdict
-from .ledger import At, Kind, Ledger
+from .ledger import At, Kind, Ledger, Want
 from .release import BUILD, WORD, Phase, Record, Release
 from .warden import Report
 
@@ -326,9 +326,9 @@
     return report.build if release.kind == BUILD else report.settings
 
 
-def _drained(want: object) -> bool:
+def _drained(want: Want | None) -> bool:
     """Whether somebody else than a release wants it out."""
-    return want is not None and not str(getattr(want, "who", "")).startswith(WORD)
+    return want is not None and not want.who.startswith(WORD)
 
 
 def _figures(told: list[Report], seconds: float) -> Figures:
--- a/rosepick/lab/drill/claims.py
+++ b/rosepick/lab/drill/claims.py
@@ -8,7 +8,7 @@
 from itertools import combinations
 
 from . import linear
-from .history import AnyEvent, Effect, Moved, Operation, Yes
+from .history import AnyEvent, Effect, Moved, Operation, Yes, kind_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +134,7 @@
     verdict = Verdict(tokens(events) + overlaps(events) + registers(events))
     counts = verdict.counts
     for event in events:
-        counts[type(event).__name__.lower()] += 1
+        counts[kind_of(event)] += 1
         if isinstance(event, Effect):
             counts["effects taken" if event.taken else "effects refused"] += 1
         elif isinstance(event, Operation):
--- a/rosepick/lab/drill/explore_leases.py
+++ b/rosepick/lab/drill/explore_leases.py
@@ -149,7 +149,7 @@
         return ""
 
 
-def explore(bounds: Bounds = Bounds(), most: int = 5_000_000) -> Explored:
+def explore(bounds: Bounds = Bounds(), most: int = 5_000_000) -> Explored:  # noqa: B008
     """Two contenders, in every order."""
 
     def look(world: Leases, found: Explored) -> None:
--- a/rosepick/lab/drill/history.py
+++ b/rosepick/lab/drill/history.py
@@ -144,9 +144,15 @@
     return sorted(found, key=lambda event: event.at)
 
 
+def kind_of(event: AnyEvent) -> str:
+    """The kind under which an event is printed and counted: its tag, but "injected" for a fault."""
+    tag = str(event.__struct_config__.tag)
+    return "injected" if tag == "fault" else tag
+
+
 def shown(event: AnyEvent) -> str:
     """An event for people."""
     fields = msgspec.structs.asdict(event)
     fields.pop("process"), fields.pop("at")
-    kind = type(event).__name__.lower()
+    kind = kind_of(event)
     return f"{event.at:10.4f} {event.process:8} {kind:9} " + " ".join(f"{k}={v}" for k, v in fields.items())
--- a/rosepick/lab/drill/processes.py
+++ b/rosepick/lab/drill/processes.py
@@ -87,7 +87,7 @@
             assert self._process is not None
             self._process.kill()
             self._process.wait()
-            self.up
+            self.up  # noqa: B018
 
     def signal(self, number: int) -> None:
         """Send a signal, if it runs."""
