Golden files of captures, the upgrade, the simulator, doors, settings, results

A router's own forms were pinned by no file: a test that builds and reads a form by the same code does not see both change together.

Golden files now hold every record of a capture, a recorded capture with its replay under two settings, the hand-over and seats at an upgrade, batches of the simulator with replies, telemetry, discovery, requests and batches over HTTP, the settings of every file with defaults, and results of experiments and drills. Program names are imported in golden_*_forms alone.

--- /dev/null
+++ b/tests/golden_capture_forms.py
@@ -0,0 +1,245 @@
+"""Representative values of the forms of captures and of what two processes of a router hand over.
+
+A part of golden_forms, with the same rules: program names are imported here only, values are built by
+position, and enumerations by value.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from typing import Any
+
+from rosepick.capture import lines
+from rosepick.capture.recorder import Recorder
+from rosepick.capture.replay import replay
+from rosepick.core.account import End
+from rosepick.core.engine import DeliveryAttempt, Envelope
+from rosepick.decisions import api
+from rosepick.decisions.decide import Router
+from rosepick.net.seats import Seats
+from rosepick.settings import config
+from rosepick.settings.config import Names
+from rosepick.upgrade.knowledge import gather, teach, told_at
+
+from .golden_support import GOLDEN, Form, as_given, as_json, constant, temporary_folder
+from .scenario import SETTINGS, target
+
+NAMES = Names({"read": 0, "set": 1}, {"acme": 0, "beta": 1}, {"east": 0, "west": 1}, {"std": 0, "origin": 1})
+THIRD = 1000.0 / 3
+MEMBERS = (
+    (api.Member(3, api.State(0), THIRD, 1, 2, 3, 0.1), "s-3"),
+    (api.Member(4, api.State(1)), "a%20b"),
+    (api.Member(5, api.State(2), 12.5, 0, 0, 1, 2.0), "origin"),
+)
+
+
+# ------------------------------------------------------------------------------------ captures
+
+
+def capture_records() -> list[lines.Record]:
+    """Return a record of every kind, each in its variants."""
+    outcomes = [api.Result(value) for value in RESULTS]
+    return [
+        lines.Header(1, 2, 2**63, 1.5e12 + 0.1, THIRD, 4, MEMBERS),
+        lines.Header(0, 0, 1, 0.0, 0.0, 0),
+        *(lines.Listed(THIRD, api.Scope(scope), 42, MEMBERS) for scope in ("cached", "full", "delta")),
+        lines.Listed(THIRD, api.Scope("failed"), 0),
+        lines.Arrival(THIRD, 1, "a", "b", "-", "k", "0.480", THIRD, 2**64 - 1, True, False, 0.1 + 0.2),
+        lines.Arrival(THIRD, 2, "a", "b", "c", "k", "1", THIRD, 1, False, True, None),
+        lines.Arrival(THIRD, 3, "a", "b", "c", "k", "1", THIRD, 1, True, True, None),
+        lines.Sent(1, "s-3"),
+        *(
+            lines.Ended(THIRD, 1, n, result, n % 4, n % 2 > 0, n % 3 > 0, 1e-9)
+            for n, result in enumerate(outcomes)
+        ),
+        lines.Gone(THIRD, 9),
+        lines.Due(THIRD, 3 << 60),
+        *(lines.Final(1_718_000_000_123, "9b", "read", "acme", "m-1", uid, status) for uid, status in FINALS),
+        lines.Lost(THIRD),
+    ]
+
+
+RESULTS = (
+    "ok",
+    "error",
+    "full",
+    "timeout",
+    "connect_failed",
+    "reset",
+    "cancelled",
+    "moot",
+    "miss",
+    "no_place",
+    "unfit",
+)
+FINALS = (("s-3", 200), ("-", 503), ("s-3", 502), ("origin", 504), ("-", 499), ("-", 500))
+
+
+def write_records(records: list[lines.Record]) -> bytes:
+    """Write records as lines."""
+    return "".join(record.text() for record in records).encode("ascii")
+
+
+def read_records(data: bytes) -> list[lines.Record]:
+    """Read a capture's records; log lines between them are passed over."""
+    log_line = b"time=2026-01-01T00:00:00.000Z level=info part=net.server event=serving\n"
+    return [record for _, record in lines.Lines(log_line + data)]
+
+
+def rewritten(data: bytes) -> bytes:
+    """Read a capture's records and write them again."""
+    return write_records(read_records(data))
+
+
+def capture_words() -> object:
+    """Return clients' words as a capture writes them."""
+    words = (b"a b", b"a\nC 1", b"%41", b"-", b"", b"\xff\x00", b"#7", b"x" * 500, b"\xff" * 200, b"m-1:2,3")
+    return [[data.hex(), lines.word(data)] for data in words]
+
+
+def recorded_by_observer() -> bytes:
+    """Return what the recorder writes of one request of every end, in several segments."""
+
+    def words(payload: object) -> tuple[bytes, bytes, bytes]:
+        return b"id %d" % (payload if isinstance(payload, int) else 0), b"key", b"0.500"
+
+    recorder = Recorder(3, 2048, 7, 1_700_000_000_000.0, NAMES, words, lambda server: f"s-{server}")
+    for number in range(3):
+        for scope in ("full", "delta", "failed"):
+            recorder.fed(
+                number + THIRD, api.Members(api.Scope(scope), tuple(m for m, _ in MEMBERS), number), []
+            )
+            recorder.fed(
+                number + THIRD, api.Members(api.Scope("full"), (api.Member(4), api.Member(5)), 9), []
+            )
+        for place, end in enumerate(("served", "refused", "failed", "late", "gone", "broke")):
+            ref, now = 10 * number + place, 1000.0 * number + THIRD * place
+            envelope = Envelope(
+                place % 2, now + 500.0, 2**40 + ref, place % 2, ref % 2 > 0, False, None, ref, ref
+            )
+            recorder.taken(now, envelope, [api.Send(ref, 4, now + 250.0)])
+            if place:
+                envelope.attempts.append(DeliveryAttempt(envelope, 0, 4 + place % 2, now, now + 250.0, now))
+            result = api.Result(RESULTS[place])
+            recorder.fed(
+                now, api.Outcome(ref, 0, 4, result, True, 2, 1.5, (), place == 2), [api.Send(ref, 5)]
+            )
+            recorder.fed(now, api.Timer(3 << 60), [api.SetTimer(1, 2.0)])
+            recorder.fed(now, api.ClientGone(ref), [])
+            recorder.answered(now, envelope, End(end))
+    recorder.flush()
+    return b"".join(bytes(segment.data[: segment.fill]) for segment in recorder.ring.segments)
+
+
+def replayed(capture: bytes) -> object:
+    """Replay a recorded capture: as it was decided, and with settings that decide otherwise."""
+    found = {}
+    for name, limits in (("unchanged", {}), ("one attempt", {"max_attempts": 1})):
+        document = router_document({**SETTINGS, "limits": {**SETTINGS["limits"], **limits}})
+        told = config.read(document)
+        found[name] = list(replay([lines.Lines(capture)], told.settings, told.names).lines())
+    return found
+
+
+def router_document(settings: dict[str, Any]) -> dict[str, Any]:
+    """Return what GW_CONFIG holds for a router."""
+    return {
+        "name": "n3",
+        "listen": "127.0.0.1:5000",
+        "discovery": "127.0.0.1:8500",
+        "seed": "1f",
+        "limits": {"memory_mb": 192, "sockets": 1024},
+        "settings": settings,
+        "known": {"rev": 41, "all": True, "targets": [target("s1", 5001), target("origin", 5002)]},
+    }
+
+
+# ------------------------------------------------------------------------------------ upgrade
+
+
+def router(served: int) -> Router:
+    """Return a module that knows three nodes and has served so many requests."""
+    made = Router(api.Settings((api.RequestClass(600, 1200),)), 1)
+    made.handle(0.0, api.Members(api.Scope("cached"), tuple(api.Member(n) for n in (7, 8, 9))))
+    for ref in range(1, served + 1):
+        for action in made.handle(10.0 * ref, api.Request(ref, 0, 1200, 1 + ref % 50)):
+            if isinstance(action, api.Send):
+                done = api.Outcome(ref, 0, action.server, api.Result("ok"), True, 0, 20.0)
+                made.handle(10.0 * ref + 5.0, done)
+    return made
+
+
+def upgrade_document() -> bytes:
+    """Return what a router hands over to the process that takes its place."""
+    return gather(router(199), 5.0)
+
+
+def taught(document: bytes) -> tuple[int, float, bytes]:
+    """Teach a new router; return the keys' number, the document's time, and what it would hand over."""
+    pupil = router(0)
+    keys = teach(pupil, document, 9.0)
+    return keys, told_at(document), gather(pupil, 5.0)
+
+
+def seat_files() -> dict[str, str]:
+    """Return the files by which processes of one router find each other."""
+    with temporary_folder() as folder:
+        seats = Seats(folder, ("127.0.0.1", 5000))
+        seats.tell(300)
+        other = Seats(folder, ("127.0.0.1", 5000))
+        other.tell(70)
+        other.leave(b"what is known")
+        assert (seats.others(), seats.found()) == ((70,), b"what is known")
+        found = {path.name: path.read_bytes().hex() for path in sorted(folder.iterdir())}
+        seats.close()
+        other.close()
+        return found
+
+
+def seats_beside(files: dict[str, str]) -> tuple[tuple[int, ...], bytes | None]:
+    """Take a seat beside a process that holds the recorded files; return what is found of it."""
+    with temporary_folder() as folder:
+        held = []
+        for name, content in files.items():
+            path = folder / name
+            path.write_bytes(bytes.fromhex(content))
+            if name.endswith(".seat"):
+                held.append(os.open(path, os.O_RDWR))
+                fcntl.flock(held[-1], fcntl.LOCK_EX | fcntl.LOCK_NB)
+        seats = Seats(folder, ("127.0.0.1", 5000))
+        found = seats.others(), seats.found()
+        seats.close()
+        for file in held:
+            os.close(file)
+        return found
+
+
+def around_environment() -> object:
+    """Return what a router takes from its environment."""
+    told = config.read(router_document(SETTINGS))
+    told = config.around(told, {"GW_LISTEN_FD": "7", "GW_OPS": "127.0.0.1:6000"})
+    return [told.listen_fd, told.ops]
+
+
+def read_taught(document: bytes) -> object:
+    """Return how many keys a new router learns of a document, and whether it would hand over the same."""
+    keys, when, again = taught(document)
+    return (keys, when) if again == document else again
+
+
+def replayed_recording() -> object:
+    """Replay the recorded capture of a router that met hits, misses, a reset, refusals and a changed list."""
+    return replayed((GOLDEN / "capture-recorded.txt").read_bytes())
+
+
+CAPTURE_FORMS: dict[str, Form] = {
+    "capture-recorded.txt": Form(lambda: (GOLDEN / "capture-recorded.txt").read_bytes(), rewritten),
+    "capture-replay.json": Form(replayed_recording, as_json),
+    "capture-records.txt": Form(capture_records, write_records, read_records),
+    "capture-words.json": Form(capture_words, as_json),
+    "capture-recorder.txt": Form(recorded_by_observer, as_given),
+    "upgrade-document.bin": Form(constant((50, 5.0)), lambda _: upgrade_document(), read_taught),
+    "upgrade-seats.json": Form(seat_files, as_json),
+    "upgrade-environment.json": Form(around_environment, as_json),
+}
--- /dev/null
+++ b/tests/golden_http_forms.py
@@ -0,0 +1,171 @@
+"""Representative dialogues at a router's doors: operators, discovery, clients, next hops, batches.
+
+A part of golden_forms, with the same rules: program names are imported here only, values are built by
+position, and enumerations by value.
+"""
+
+from __future__ import annotations
+
+from rosepick.core.account import End
+from rosepick.core.transport_map import TransportMap, key_number, uid_number
+from rosepick.http import discovery, multiget
+from rosepick.http.next_hop import Exchange
+from rosepick.http.sender_side import Delivered, Letter, Rejected, SenderConnection
+from rosepick.ops.lines import OpsConnection, Said
+from rosepick.ops.telemetry import Figures
+from rosepick.settings.config import Names
+
+from .golden_support import Form, as_given, as_json
+
+NAMES = Names({"read": 0, "set": 1}, {"acme": 0, "beta": 1}, {"east": 0, "west": 1}, {"std": 0, "origin": 1})
+
+
+# ------------------------------------------------------------------------------------ doors
+
+
+def door_dialogue() -> object:
+    """Return what is said at the operators' door: call and answer."""
+    calls = {
+        "readyz": lambda: Said(True, "ready"),
+        "plain": lambda: Said(True, "{}", ("END",), True),
+        "no": lambda: Said(False, "ending"),
+    }
+    asked = (b"readyz\n", b"readyz\r\nmore", b"plain\n", b"no\n", b"nonsense\n", b"\n", b"\xff\n", b"x" * 300)
+    return [[call.hex(), OpsConnection(calls).feed(call).decode()] for call in asked] + [
+        ["", OpsConnection(calls).ended().decode()]
+    ]
+
+
+def telemetry() -> bytes:
+    """Return the telemetry document."""
+    ends = ("served", "refused", "failed", "late", "gone", "broke")
+    ended = {(place, End(end)): 10 * place + n for place in (0, 1) for n, end in enumerate(ends)}
+    figures = Figures({0: "read", 1: "set", 2: "new"}, ended, {0: 3}, {0: 40, 1: 2}, 5, 12, 1, 2, 3)
+    return figures.line().encode() + b"\n"
+
+
+# ------------------------------------------------------------------------------------ HTTP
+
+LIST = (
+    b'{"rev": 42, "all": true, "targets": ['
+    b'{"uid": "s-1", "endpoint": "10.0.0.1:5001", "az": "east", "model": "std", "pod_group": 2, '
+    b'"state": "active", "capacity_hint": 1.5, "boot_ms": 5000},'
+    b'{"uid": "s-2", "endpoint": "[::1]:5002", "az": "west", "model": "origin", "state": "leaving"},'
+    b'{"uid": "s-3", "endpoint": "10.0.0.3:5003", "az": "other", "model": "other", "state": "left"}]}'
+)
+
+
+def discovery_dialogue() -> object:
+    """Return the calls, and what is read from a recorded list."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LIST) + LIST
+    found = discovery.Told().feed(answer)
+    assert found is not None
+    told, reusable = found
+    known = TransportMap(NAMES, 1000.0)
+    change = known.take(told)
+    members = [
+        [m.server, int(m.state), m.born, m.zone, m.cell, m.kind, m.weight] for m in change.event.members
+    ]
+    hops = [[hop.server, hop.uid, list(hop.endpoint), int(hop.state)] for hop in known.hops.values()]
+    calls = [discovery.call("d:80", None, 0.0).decode(), discovery.call("d:80", 41, 2500.0).decode()]
+    return [calls, reusable, change.event.scope.value, change.event.version, members, hops]
+
+
+def numbers_of_names() -> object:
+    """Return the numbers that all routers give to keys and next hops."""
+    return [[key_number(key) for key in (b"", b"k1", b"m-004211")], [uid_number("s-1"), uid_number("s-1", 2)]]
+
+
+def client_dialogue() -> object:
+    """Return how requests are read and answered, and how they are passed on to a next hop."""
+    head = "Req-Id: x9\r\nReq-Kind: %s\r\nReq-Owner: acme\r\nReq-Deadline: 0.480\r\n"
+    requests = [
+        f"GET /api/m-1?x=1 HTTP/1.1\r\n{head % 'read'}Req-Cost: 12.5\r\nReq-Retry: 1\r\n\r\n",
+        f"PUT /api/m-1 HTTP/1.1\r\n{head % 'set'}Idempotency-Key: 7\r\nContent-Type: text/plain\r\n"
+        "Content-Length: 5\r\n\r\nvalue",
+        f"PUT http://n3/api/m-1 HTTP/1.1\r\n{head % 'set'}Connection: close\r\nContent-Length: 0\r\n\r\n",
+    ]
+    found: list[object] = []
+    for text in requests:
+        connection = SenderConnection(lambda: NAMES)
+        connection.feed(text.encode(), 1000.0)
+        received = connection.next()
+        assert isinstance(received, Delivered)
+        envelope = received.envelope
+        letter = envelope.payload
+        assert isinstance(letter, Letter)
+        passed_on = bytes(Exchange(letter, "s-1:5001", 240.0).unsent()).decode()
+        read: list[object] = [
+            envelope.klass,
+            envelope.deadline,
+            envelope.key,
+            envelope.tenant,
+            envelope.write,
+        ]
+        read += [envelope.retry, envelope.cost_hint, letter.wait.decode()]
+        answer = connection.answer(503, b"busy", ((b"Retry-After", b"1"),), False).decode()
+        found.append([text, read, passed_on, answer])
+    return found
+
+
+def rejected_requests() -> object:
+    """Return the statuses of requests that are turned away."""
+    head = "Req-Id: x9\r\nReq-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: 0.480\r\n"
+    requests = (
+        f"POST /api/m-1 HTTP/1.1\r\n{head}\r\n",
+        f"GET /api/m-1 HTTP/1.1\r\n{head.replace('read', 'other')}\r\n",
+        f"GET /api/m-1 HTTP/1.1\r\n{head.replace('0.480', 'nan')}\r\n",
+        f"GET /api/m-1 HTTP/1.1\r\n{head}Req-Id: twice\r\n\r\n",
+        f"GET /api/m-1 HTTP/1.1\r\n{head}X: {'x' * 20_000}\r\n\r\n",
+        "nonsense\r\n\r\n",
+    )
+    found = []
+    for text in requests:
+        connection = SenderConnection(lambda: NAMES)
+        connection.feed(text.encode(), 1000.0)
+        received = connection.next()
+        assert isinstance(received, Rejected)
+        found.append([text[:60], received.status])
+    return found
+
+
+def batch_dialogue() -> object:
+    """Return a batch as it is read, its parts, and its answer."""
+    body = b"m-1\r\na%20b\n\nc\n"
+    head = b"Req-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: 1.0\r\n"
+    text = b"POST /mget HTTP/1.1\r\n%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
+    connection = multiget.BatchConnection(lambda: NAMES, lambda: 3)
+    connection.feed(text, 500.0)
+    batch = connection.next()
+    assert isinstance(batch, multiget.Batch)
+    parts = [
+        multiget.request(batch, key, b"id.%d" % place, "n3:5000", 250.5).decode()
+        for place, key in enumerate(batch.keys)
+    ]
+    answer = b"".join(b"".join(multiget.entry(key, b"id", 200, b"value\n")) for key in batch.keys[:2])
+    answer += b"".join(multiget.entry(batch.keys[2], b"id", 503, b"")) + multiget.ending(1, 3)
+    read = [
+        [key.decode(), uid.decode(), status, data.decode()]
+        for key, uid, status, data in multiget.entries(answer)
+    ]
+    begun = connection.start(False).decode()
+    return [
+        text.decode(),
+        [k.decode() for k in batch.keys],
+        batch.deadline,
+        parts,
+        begun,
+        answer.decode(),
+        read,
+    ]
+
+
+HTTP_FORMS: dict[str, Form] = {
+    "ops-door.json": Form(door_dialogue, as_json),
+    "ops-telemetry.json": Form(telemetry, as_given),
+    "discovery.json": Form(discovery_dialogue, as_json),
+    "numbers-of-names.json": Form(numbers_of_names, as_json),
+    "http-requests.json": Form(client_dialogue, as_json),
+    "http-rejected.json": Form(rejected_requests, as_json),
+    "http-batch.json": Form(batch_dialogue, as_json),
+}
--- /dev/null
+++ b/tests/golden_lab_forms.py
@@ -0,0 +1,87 @@
+"""Representative results of experiments and histories of drills.
+
+A part of golden_forms, with the same rules: program names are imported here only, values are built by
+position, and enumerations by value.
+"""
+
+from __future__ import annotations
+
+from rosepick.lab import results
+from rosepick.lab.drill import history
+
+from .golden_support import Form, temporary_folder
+
+WINDOW = results.Window(
+    1, 10, 8, 1, 1, 0, 0, 30.0, 24.0, 12.5, 99.5, 11, 6, 2, 3, 4, 0.5, 0.25, 0.75, 0.125, 12
+)
+RUN = results.Run(
+    "calm",
+    "rosepick",
+    3,
+    "sim",
+    {"routers.count": 2},
+    "a8254ac",
+    {"numpy": "2.0"},
+    60.0,
+    5.0,
+    "",
+    {"served_share": 0.99},
+    {"read": results.Part(10, 0.9, 12.5, 99.5)},
+    {"acme": results.Part(10, 0.9, 12.5, 99.5)},
+    [(50.0, 12.5), (99.0, 99.5)],
+    [results.Window(0), WINDOW],
+    [results.Span("slow", 1.0, 2.0, "n1")],
+    [results.Verdict("served_share", 0.99, 0.95, None, 0.0, 60.0, True)],
+    [results.Broken("answered", "1.1", "n1", 2.5, "two answers")],
+)
+COST = results.Cost(1000, 1.25, 42.5, 5000, 64.5)
+
+
+def write_results(found: list[results.Line]) -> bytes:
+    """Write lines of results."""
+    return b"".join(map(results.write, found))
+
+
+def read_results(data: bytes) -> list[results.Line]:
+    """Read lines of results."""
+    with temporary_folder() as folder:
+        path = folder / "results.jsonl"
+        path.write_bytes(data)
+        return list(results.read(path))
+
+
+def drill_events() -> list[history.AnyEvent]:
+    """Return an event of every kind, in order."""
+    return [
+        history.Operation("w1", 1.0, 0.5, "lease/job", "a1", "done", 3, "a1", "a0"),
+        history.Yes("w1", 2.0, 1.5, "job", 3, 7),
+        history.Effect("w1", 3.0, "job", 3, 7, True),
+        history.Moved("w1", 4.0, "job", 3, 7, "holds"),
+        history.Stood("r1", 5.0, "routers", "e", True, "program", False),
+        history.Ordered("me", 6.0, "out", ("r1", "r2")),
+        history.Came("c1", 7.0, "x1", True),
+        history.Answered("x1", 8.0, 7.5, "r1", 200),
+        history.Told("c1", 9.0),
+        history.Ran("r1", 10.0, "new"),
+        history.Decided("record", 11.0, 10.5, 1, "new", ("r1",), False, False),
+        history.Injected("net", 12.0, "cut", "w1 w2"),
+    ]
+
+
+def write_history(events: list[history.AnyEvent]) -> bytes:
+    """Write a drill's events."""
+    return b"".join(map(history.line, events))
+
+
+def read_history(data: bytes) -> list[history.AnyEvent]:
+    """Read a drill's events."""
+    with temporary_folder() as folder:
+        path = folder / "history.jsonl"
+        path.write_bytes(data)
+        return history.read([path])
+
+
+LAB_FORMS: dict[str, Form] = {
+    "lab-results.jsonl": Form(lambda: [RUN, COST], write_results, read_results),
+    "drill-history.jsonl": Form(drill_events, write_history, read_history),
+}
--- /dev/null
+++ b/tests/golden_settings_forms.py
@@ -0,0 +1,175 @@
+"""Settings of every file, with their names, defaults and what they accept.
+
+A part of golden_forms, with the same rules: program names are imported here only, values are built by
+position, and enumerations by value.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from rosepick.decisions import api
+from rosepick.lab import experiment
+from rosepick.lab.live import configuration
+from rosepick.settings import fleet_file, operator_file, reader
+
+from .golden_support import Form, as_json
+from .scenario import SETTINGS
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def operator_settings() -> object:
+    """Return every setting of the operators' file: its default, whether it is live, and what it accepts."""
+    probes = (
+        "-1",
+        "0",
+        "1",
+        "4",
+        "10",
+        "50",
+        "100",
+        "768",
+        "1024",
+        "65535",
+        "1000000",
+        "2147483648",
+        "0.05",
+        "1.5",
+        "1.5 s",
+        "60 s",
+        "3600",
+        "86400",
+        "on",
+        "off",
+        "optional",
+        "required",
+        "1.2",
+        "1.3",
+        "1.4",
+        "/some/path",
+    )
+    found = {}
+    for setting in operator_file.TABLE:
+        accepted = {}
+        for text in probes:
+            try:
+                accepted[text] = setting.read(text)
+            except ValueError:
+                continue
+        found[setting.name] = [setting.default, setting.show(setting.default), setting.live, accepted]
+    return found
+
+
+def router_settings() -> object:
+    """Return a router's settings as they are read: of a document with all of them, and of a short one."""
+    full = {
+        **SETTINGS,
+        "zone": 1,
+        "balancers": 3,
+        "position": 2,
+        "over_share_worth": 0.5,
+        "weights": "nominal",
+        "costs": {"probe": 0.25, "cross_zone": 0.125},
+        "report": {"fields": ["load", "heat"], "source": "header"},
+        "domain": {"mode": "through", "origin_kind": 1, "origin_fall_multiple": 2.5},
+        "rules": {
+            "stop_sending_within": 1,
+            "grace_to_answer": 2,
+            "ask_every": 3,
+            "cold_from": 0.5,
+            "warm_within": 4,
+            "tip_multiple": 5,
+            "fall": 6,
+        },
+        "limits": {
+            "max_attempts": 4,
+            "second_copies": True,
+            "cancelling": True,
+            "probes": True,
+            "peers": True,
+            "retry_after": True,
+            "max_retry_after": 7,
+        },
+    }
+    short = {"request_classes": [{"deadline": 1000.0}]}
+    return [_plain(reader.settings(json.dumps(env).encode())) for env in (full, short)]
+
+
+def _plain(told: api.Settings) -> object:
+    """Return settings as plain values in their order."""
+    classes = [
+        [
+            c.aim,
+            c.deadline,
+            c.worth,
+            c.late_share,
+            c.effect.value,
+            c.group.value,
+            c.repeat_window,
+            c.streaming,
+        ]
+        for c in told.classes
+    ]
+    rules, limits = told.rules, told.limits
+    return {
+        "classes": classes,
+        "tenants": [[tenant.share, tenant.quota_per_s] for tenant in told.tenants],
+        "rules": [
+            rules.stop_sending_within,
+            rules.grace_to_answer,
+            rules.ask_every,
+            rules.cold_from,
+            rules.warm_within,
+            rules.tip_multiple,
+            rules.fall,
+        ],
+        "limits": [
+            limits.max_attempts,
+            limits.second_copies,
+            limits.cancelling,
+            limits.probes,
+            limits.peers,
+            limits.max_retry_after,
+        ],
+        "rest": [
+            told.mode.value,
+            told.origin_kind,
+            told.origin_fall_multiple,
+            told.zone,
+            told.subscribe,
+            told.pushed,
+            told.sized_weights,
+            list(told.report_fields),
+            told.routers,
+            told.position,
+            told.over_share_worth,
+            told.probe_cost,
+            told.cross_zone_cost,
+        ],
+    }
+
+
+def fleet_settings() -> object:
+    """Return every setting of the fleet's file with its default; and the file of the repository."""
+    least = fleet_file.Fleet.model_validate({"witnesses": {"w1": "h:1"}, "drains": {"back": {}}})
+    return [
+        least.model_dump(mode="json"),
+        fleet_file.load(ROOT / "deploy" / "fleet.toml")[0].model_dump(mode="json"),
+    ]
+
+
+def lab_configuration() -> object:
+    """Return the GW_CONFIG that the lab writes for a router, and what its experiment holds."""
+    calm = experiment.load(ROOT / "experiments" / "calm.toml")
+    document = configuration.document(calm, "n1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1}, position=1)
+    return [document, calm.model_dump(mode="json")]
+
+
+SETTINGS_FORMS: dict[str, Form] = {
+    "settings-operators.json": Form(operator_settings, as_json),
+    "settings-router.json": Form(router_settings, as_json),
+    "settings-fleet.json": Form(fleet_settings, as_json),
+    "lab-configuration.json": Form(lab_configuration, as_json),
+}
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -5,8 +5,10 @@
 import json
 from collections.abc import Iterator
 
-from . import golden_forms
-from .golden_forms import GOLDEN
+from . import golden_capture_forms as router
+from . import golden_fleet_forms as fleet
+from . import golden_quorum_forms as quorum
+from .golden_support import GOLDEN
 
 
 def recorded_session() -> dict[str, list[list[str]]]:
@@ -16,19 +18,19 @@
 
 
 def test_a_new_replica_answers_the_requests_of_an_old_client() -> None:
-    requests = golden_forms.split_frames((GOLDEN / "replica-requests.bin").read_bytes())
-    answers = golden_forms.split_frames((GOLDEN / "replica-answers.bin").read_bytes())
-    replica = golden_forms.replica("w1")
+    requests = quorum.split_frames((GOLDEN / "replica-requests.bin").read_bytes())
+    answers = quorum.split_frames((GOLDEN / "replica-answers.bin").read_bytes())
+    replica = quorum.replica("w1")
     assert len(requests) == len(answers) > 25
     for request, answer in zip(requests, answers, strict=True):
-        assert golden_forms.answer_of(replica, request) == answer
+        assert quorum.answer_of(replica, request) == answer
 
 
 def test_new_replicas_answer_an_old_client_through_a_change_of_the_quorum() -> None:
-    replicas: dict[str, golden_forms.Replica] = {}
+    replicas: dict[str, quorum.Replica] = {}
     for name, request, answer in recorded_session()["frames"]:
-        replica = replicas.setdefault(name, golden_forms.replica(name))
-        assert golden_forms.answer_of(replica, bytes.fromhex(request)).hex() == answer
+        replica = replicas.setdefault(name, quorum.replica(name))
+        assert quorum.answer_of(replica, bytes.fromhex(request)).hex() == answer
     assert len(replicas) == 4
 
 
@@ -41,20 +43,33 @@
         assert [name, frame.hex()] == [to, request]
         return bytes.fromhex(answer)
 
-    assert golden_forms.client_session(exchange) == session["ended"]
+    assert quorum.client_session(exchange) == session["ended"]
     assert not list(frames)
 
 
 def test_a_new_replica_goes_on_with_the_store_of_an_old_one() -> None:
     """It votes as the old one would: nothing below its promise, and what it had accepted is told."""
     stored = (GOLDEN / "replica-store.json").read_bytes()
-    assert golden_forms.answers_from_store(stored) == golden_forms.answers_expected_from_store()
+    assert quorum.answers_from_store(stored) == quorum.answers_expected_from_store()
 
 
 def test_old_and_new_clients_change_one_lease() -> None:
     """Each change is made of the value that the program of a8254ac has left."""
     values = [bytes.fromhex(text) for text in json.loads((GOLDEN / "lease-history.json").read_text())]
-    changes = golden_forms.lease_changes()
+    changes = fleet.lease_changes()
     assert len(values) == len(changes)
     for before, change, after in zip([b"", *values], changes, values, strict=False):
-        assert golden_forms.changed(before, change) == after
+        assert fleet.changed(before, change) == after
+
+
+def test_a_new_router_learns_what_an_old_one_hands_over() -> None:
+    document = (GOLDEN / "upgrade-document.bin").read_bytes()
+    assert router.taught(document) == (50, 5.0, document)
+    assert router.upgrade_document() == document
+
+
+def test_a_new_router_takes_its_place_beside_an_old_one() -> None:
+    """It finds the seats that two old processes hold, what each holds, and the document left for it."""
+    files: dict[str, str] = json.loads((GOLDEN / "upgrade-seats.json").read_text("utf-8"))
+    assert router.seats_beside(files) == ((300, 70), b"what is known")
+    assert router.seat_files() == files
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from . import golden_forms
-from .golden_forms import FORMS, GOLDEN
+from . import golden_quorum_forms as quorum
+from .golden_forms import FORMS
+from .golden_support import GOLDEN
 
 READ = [name for name, form in FORMS.items() if form.read is not None]
 
@@ -30,4 +31,4 @@
 
 def test_every_message_of_the_quorum_has_a_golden_frame() -> None:
     recorded = {int(name[7:9]) for name in FORMS if name[7:9].isdecimal()}
-    assert recorded == golden_forms.tags_of_program()
+    assert recorded == quorum.tags_of_program()
