Golden files of the command line: names, output, exit codes

command-names.json holds every command with its options, arguments, defaults and variables of the environment; names may be added, none may go. Commands that read run in process on replicas in memory that hold the golden registers: 18 with their whole output, 37 with their exit code.

--- /dev/null
+++ b/tests/golden_command_forms.py
@@ -0,0 +1,221 @@
+"""The command line: names of commands and options, what commands print, and how they end.
+
+A part of golden_forms, with the same rules: program names are imported here only. Commands run in this
+process; those of the fleet ask replicas in memory in place of the connections to witnesses.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import shlex
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import typer
+from typer.testing import CliRunner
+
+from rosepick.agreement import messages
+from rosepick.agreement.messages import Register, Slot
+from rosepick.agreement.witness import Witness
+from rosepick.cli.app import command_line
+from rosepick.fleet import ledger, release
+from rosepick.leases import record
+from rosepick.net import quorum as quorum_client
+
+from .golden_capture_forms import router_document
+from .golden_fleet_forms import LEASE, ledger_value, release_value, write_register
+from .golden_quorum_forms import QUORUM, replica
+from .golden_support import GOLDEN, Form, as_json, temporary_folder
+from .scenario import SETTINGS
+
+ROOT = Path(__file__).resolve().parent.parent
+OVER = f"{quorum_client.__name__}.{quorum_client.over.__name__}"
+FLEET_FILE = '[witnesses]\nw1 = "127.0.0.1:7901"\nw2 = "127.0.0.1:7902"\nw3 = "127.0.0.1:7903"\n'
+BROKEN_FLEET_FILE = '[witnesses]\nw1 = "nowhere"\n'
+OPERATORS_FILE = "# ours\ncapture_segments 3\nidle_timeout 1.5 s\nmultiget_listen 5003\n"
+BROKEN_OPERATORS_FILE = "capture_segmets 4\ncapture_segment_kb 9000\n"
+
+OUTPUT = (
+    "check-config",
+    "check",
+    "check -f rosepick.conf",
+    "check --fleet fleet.toml",
+    "replay capture.txt",
+    "witness status --json",
+    "lease list --json",
+    "lease list",
+    "lease show job --json",
+    "lease show none --json",
+    "lease show job",
+    "fleet status --json",
+    "fleet history --json",
+    "fleet history",
+    "fleet rules",
+    "release status --json",
+    "release history --json",
+    "release history",
+)
+"""Commands of which the exit status and all that they print are recorded."""
+
+OUTPUT_WHEN_CHANGED = ("check-config", "replay capture.txt")
+"""The same, with settings under which the router decides otherwise."""
+
+STATUS = (
+    "nonsense",
+    "version",
+    "check -f broken.conf",
+    "check --fleet broken.toml",
+    "replay none.txt",
+    "replay --nonsense",
+    "mget --to nowhere k1",
+    "lease show job --fleet none.toml",
+    "lease show job --fleet broken.toml",
+    "lease release job",
+    "lease release none --force --why x",
+    "lease run '' -- true",
+    "witness run w9 --folder w9",
+    "witness found",
+    "witness remove w9",
+    "agent run r1 --folder r1 --zone e --door nowhere -- true",
+    "agent run r1 --folder r1 --zone e --door 127.0.0.1:1 --kind odd -- true",
+    "drain",
+    "drain r1",
+    "drain r9 --why x",
+    "drain r2 --why x --even-below r2",
+    "undrain r9",
+    "fleet halt",
+    "fleet resume",
+    "fleet write-off r1",
+    "fleet write-off r9 --why x",
+    "fleet write-off r1 --back",
+    "release start",
+    "release start build --settings x",
+    "release halt",
+    "release rollback",
+    "release rollback --forward --why x",
+    "lab check none.toml",
+    "lab report none.jsonl",
+    "lab account none.log",
+    "lab drill none.toml",
+    "lab mutations none.toml",
+)
+"""Commands of which the exit status alone is recorded: their words may become better ones."""
+
+
+# ------------------------------------------------------------------------------------ names
+
+
+def command_names() -> dict[str, Any]:
+    """Return every command with its options, and its arguments by place."""
+    found: dict[str, Any] = {}
+
+    def walk(command: Any, path: tuple[str, ...]) -> None:
+        found[" ".join(path)] = {
+            "arguments": [_parameter(one) for one in command.params if one.param_type_name == "argument"],
+            "options": {
+                name: _parameter(one)
+                for one in command.params
+                if one.param_type_name == "option"
+                for name in (*one.opts, *one.secondary_opts)
+            },
+        }
+        for name, part in getattr(command, "commands", {}).items():
+            walk(part, (*path, name))
+
+    walk(typer.main.get_command(command_line()), ())
+    return found
+
+
+def _parameter(one: Any) -> dict[str, object]:
+    """Return what is promised of a parameter, without its name in the program."""
+    default = one.default if isinstance(one.default, bool | int | float | str | None) else str(one.default)
+    return {
+        "kind": one.type.name,
+        "range": [getattr(one.type, "min", None), getattr(one.type, "max", None)],
+        "required": one.required,
+        "nargs": one.nargs,
+        "multiple": bool(getattr(one, "multiple", False)),
+        "flag": bool(getattr(one, "is_flag", False)),
+        "default": default,
+        "environment": one.envvar,
+    }
+
+
+# ------------------------------------------------------------------------------------ output
+
+
+class _Memory:
+    """A way to one replica in memory."""
+
+    def __init__(self, loop: Any, name: str, witness: Witness, heard: Callable[..., None]) -> None:
+        self._loop, self._name, self._witness, self._heard = loop, name, witness, heard
+
+    def ask(self, request: messages.Request) -> None:
+        """Answer at the loop's next turn."""
+        answer, _ = self._witness.handle(request)
+        self._loop.after(0.0, lambda: self._heard(self._name, answer))
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def _registers() -> dict[str, Slot]:
+    values = {
+        record.key("job"): write_register(LEASE),
+        ledger.key("main"): ledger.packed(ledger_value()),
+        release.key("main"): release.packed(release_value()),
+    }
+    return {name: Slot((1, 7), (1, 7), Register(1, "a1", value)) for name, value in values.items()}
+
+
+def in_memory(loop: Any, witnesses: Mapping[str, object], key: bytes) -> Callable[..., Mapping[str, Any]]:
+    """Stand in for the connections to witnesses: three replicas that hold the golden registers."""
+    replicas = {one.name: replica(one.name) for one in QUORUM.members}
+    for one in replicas.values():
+        one.handle(messages.Install(1, QUORUM, _registers()))
+    return lambda heard: {name: _Memory(loop, name, one, heard) for name, one in replicas.items()}
+
+
+def _run(app: typer.Typer, command: str) -> tuple[int, str]:
+    ended = CliRunner().invoke(app, shlex.split(command), env={"USER": "somebody"})
+    assert ended.exception is None or isinstance(ended.exception, SystemExit), command
+    return ended.exit_code, ended.stdout
+
+
+def run_commands() -> dict[str, object]:
+    """Run all commands in a folder with their files."""
+    limits = {**SETTINGS["limits"], "max_attempts": 1}
+    files = {
+        "changed.json": json.dumps(router_document({**SETTINGS, "limits": limits})).encode(),
+        "config.json": json.dumps(router_document(SETTINGS)).encode(),
+        "fleet.toml": FLEET_FILE.encode(),
+        "broken.toml": BROKEN_FLEET_FILE.encode(),
+        "rosepick.conf": OPERATORS_FILE.encode(),
+        "broken.conf": BROKEN_OPERATORS_FILE.encode(),
+        "capture.txt": (GOLDEN / "capture-recorded.txt").read_bytes(),
+    }
+    environment = {"GW_CONFIG": "config.json", "ROSEPICK_FLEET": "fleet.toml"}
+    with (
+        temporary_folder() as folder,
+        contextlib.chdir(folder),
+        mock.patch.dict(os.environ, environment),
+        mock.patch(OVER, in_memory),
+    ):
+        for name, data in files.items():
+            (folder / name).write_bytes(data)
+        app = command_line()
+        output = {command: list(_run(app, command)) for command in OUTPUT}
+        status = {command: _run(app, command)[0] for command in STATUS}
+        with mock.patch.dict(os.environ, {"GW_CONFIG": "changed.json"}):
+            changed = {command: list(_run(app, command)) for command in OUTPUT_WHEN_CHANGED}
+    return {"output": output, "status": status, "changed": changed}
+
+
+COMMAND_FORMS: dict[str, Form] = {
+    "command-names.json": Form(command_names, as_json, grows=True),
+    "commands.json": Form(run_commands, as_json),
+}
--- a/tests/golden_forms.py
+++ b/tests/golden_forms.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from .golden_capture_forms import CAPTURE_FORMS
+from .golden_command_forms import COMMAND_FORMS
 from .golden_fleet_forms import FLEET_FORMS
 from .golden_http_forms import HTTP_FORMS
 from .golden_lab_forms import LAB_FORMS
@@ -24,6 +25,7 @@
     **QUORUM_FORMS,
     **FLEET_FORMS,
     **CAPTURE_FORMS,
+    **COMMAND_FORMS,
     **HTTP_FORMS,
     **LAB_FORMS,
     **SETTINGS_FORMS,
--- a/tests/golden_support.py
+++ b/tests/golden_support.py
@@ -22,12 +22,29 @@
     """One form: a representative value, and how the program writes and reads it.
 
     `comparable` turns the bytes into those that have to be equal, where the form itself is not exact.
+    `grows`: it is a JSON document of names that others may be added to; what is recorded stays as it is.
     """
 
     value: Callable[[], Any]
     write: Callable[[Any], bytes]
     read: Callable[[bytes], Any] | None = None
     comparable: Callable[[bytes], bytes] = SAME
+    grows: bool = False
+
+    def holds(self, written: bytes, recorded: bytes) -> bool:
+        """Whether what the program writes now is what was recorded."""
+        if self.grows:
+            return _includes(json.loads(written), json.loads(recorded))
+        return self.comparable(written) == self.comparable(recorded)
+
+
+def _includes(value: object, recorded: object) -> bool:
+    """Whether a JSON value is the recorded one, with more names in its objects at most."""
+    if isinstance(value, dict) and isinstance(recorded, dict):
+        return all(name in value and _includes(value[name], part) for name, part in recorded.items())
+    if isinstance(value, list) and isinstance(recorded, list):
+        return len(value) == len(recorded) and all(map(_includes, value, recorded))
+    return value == recorded
 
 
 def constant(value: object) -> Callable[[], object]:
