Golden files of a router's log, drill counts, drill and deploy settings

The sum of a drill counts events by the names of their classes, so these names are stored; the file pins them. Keys of the deploy file are pinned too.

--- a/tests/golden_lab_forms.py
+++ b/tests/golden_lab_forms.py
@@ -6,10 +6,17 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 from rosepick.lab import results
-from rosepick.lab.drill import history
+from rosepick.lab.account import logs
+from rosepick.lab.account.account import account
+from rosepick.lab.drill import claims, files, history
+from rosepick.logs import fields_of
+
+from .golden_support import GOLDEN, Form, as_given, as_json, temporary_folder
 
-from .golden_support import Form, temporary_folder
+ROOT = Path(__file__).resolve().parent.parent
 
 WINDOW = results.Window(
     1, 10, 8, 1, 1, 0, 0, 30.0, 24.0, 12.5, 99.5, 11, 6, 2, 3, 4, 0.5, 0.25, 0.75, 0.125, 12
@@ -81,7 +88,53 @@
         return history.read([path])
 
 
+def account_of_log(data: bytes) -> object:
+    """Return the figures of the account that is read out of a router's log.
+
+    Causes and prices stand without their names, as these are log fields, which may get other names as long as
+    the old ones are read too.
+    """
+    with temporary_folder() as folder:
+        (folder / "router.log").write_bytes(data)
+        found = account(logs.read([folder]))
+    rows = [
+        [[row.name, row.asked, row.in_time, row.worth, [share for _, share in row.causes]] for row in part]
+        for part in (found.classes, found.slices, found.groups)
+    ]
+    causes = [[one.count, one.worth, one.waited, one.classes] for one in found.causes]
+    prices = sorted(found.prices.values())
+    return [found.routers, found.starts, found.asked, found.in_time, found.worth, causes, rows, prices]
+
+
+def fields_of_log(data: bytes) -> object:
+    """Return the fields of each line of a log."""
+    return [fields_of(line) for line in data.decode().splitlines()]
+
+
+def drill_counts() -> object:
+    """Return how a drill's events are counted in its sum."""
+    return dict(claims.judge(drill_events()).counts)
+
+
+def drill_settings() -> object:
+    """Return what drill files hold: one with nothing stated, and one of the repository."""
+    with temporary_folder() as folder:
+        (folder / "least.toml").write_text("", "utf-8")
+        paths = (folder / "least.toml", ROOT / "drills" / "releases-short.toml")
+        return [files.load(path).model_dump(mode="json") for path in paths]
+
+
+def recorded_log() -> bytes:
+    """Return the log that a router of a8254ac wrote while it met hits, misses, a reset and a late answer."""
+    return (GOLDEN / "router.log").read_bytes()
+
+
 LAB_FORMS: dict[str, Form] = {
     "lab-results.jsonl": Form(lambda: [RUN, COST], write_results, read_results),
+    "router.log": Form(recorded_log, as_given),
+    "router-log-fields.json": Form(lambda: fields_of_log(recorded_log()), as_json),
+    "router-log-account.json": Form(lambda: account_of_log(recorded_log()), as_json),
+    "drill-counts.json": Form(drill_counts, as_json),
+    "drill-settings.json": Form(drill_settings, as_json, grows=True),
     "drill-history.jsonl": Form(drill_events, write_history, read_history),
 }
--- a/tests/golden_settings_forms.py
+++ b/tests/golden_settings_forms.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from pathlib import Path
 
 from rosepick.decisions import api
@@ -167,9 +168,16 @@
     return [document, calm.model_dump(mode="json")]
 
 
+def deploy_keys() -> object:
+    """Return the keys of the deploy file, by table."""
+    document = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text("utf-8"))
+    return {name: sorted(part) if isinstance(part, dict) else None for name, part in document.items()}
+
+
 SETTINGS_FORMS: dict[str, Form] = {
     "settings-operators.json": Form(operator_settings, as_json, grows=True),
     "settings-router.json": Form(router_settings, as_json),
     "settings-fleet.json": Form(fleet_settings, as_json, grows=True),
+    "deploy-keys.json": Form(deploy_keys, as_json),
     "lab-configuration.json": Form(lab_configuration, as_json),
 }
