Golden fields by name: two of one type may not change places

Golden values are built by position, so two fields of one type that change places in an array would be written and read alike, and no file would differ. The quorum's messages and the registers of leases and the fleet are now read from their golden files field by field, too.

--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -23,7 +23,7 @@
 from rosepick.net.kept import Keep
 from rosepick.net.releasing import digest_of
 
-from .golden_support import Form, as_json, temporary_folder, text_of
+from .golden_support import GOLDEN, Form, as_json, temporary_folder, text_of
 
 NOON = 1_700_000_000.25  # seconds of the wall clock
 
@@ -298,6 +298,61 @@
         return [BUDGET.digest(), Budget().digest(), digest_of(settings), digest_of(build)]
 
 
+def fields_of_registers() -> object:
+    """Return what the golden registers of leases and the fleet hold, by the names of their fields.
+
+    Values are built by position elsewhere, which does not show two fields of one type that change places.
+    """
+    lease = record.read(Register(1, "", (GOLDEN / "lease.bin").read_bytes()))
+    book = ledger.read(Register(1, "", (GOLDEN / "ledger.bin").read_bytes()))
+    history = release.read(Register(1, "", (GOLDEN / "release.bin").read_bytes()))
+    report = warden.read(Register(1, "", (GOLDEN / "report.bin").read_bytes()))
+    open_one = history.now
+    assert book.halt is not None and open_one is not None and open_one.held is not None and report is not None
+    thing = open_one.new
+    return {
+        "lease": [lease.token, lease.held, lease.who, lease.name, lease.beat, lease.ttl, lease.note],
+        "line": [[waiter.who, waiter.name] for waiter in lease.line],
+        "ledger": [
+            book.form,
+            book.rules,
+            book.permits,
+            book.wants,
+            book.token,
+            book.room,
+            book.usual,
+            book.sweep,
+        ],
+        "halt": [book.halt.who, book.halt.why, book.halt.when],
+        "members": {
+            name: [one.kind, one.zone, one.weight, one.at, one.permit, one.lost, one.off, one.met]
+            for name, one in book.members.items()
+        },
+        "wants": {
+            name: [one.want.number, one.want.who, one.want.why, one.want.now, one.want.below, one.want.wide]
+            for name, one in book.members.items()
+            if one.want is not None
+        },
+        "history": [[line.when, line.who, line.what] for line in (*book.history[:2], *history.history[:2])],
+        "record": [history.form, history.releases, history.token, sorted(history.base)],
+        "release": [open_one.number, open_one.kind, open_one.new.name, open_one.old.name, open_one.waves],
+        "stands": [open_one.phase, open_one.wave, open_one.watched, open_one.asks, open_one.taken_on],
+        "watched": [open_one.held.why, open_one.left, len(open_one.evidence)],
+        "thing": [thing.name, thing.digest, thing.source],
+        "report": [
+            report.run,
+            report.beat,
+            report.up,
+            report.warm,
+            report.served,
+            report.refused,
+            report.failed,
+        ],
+        "figures": [report.hits, report.misses, report.cpu, report.memory, report.door, report.ends],
+        "runs": [report.build, report.settings, report.trouble],
+    }
+
+
 FLEET_FORMS: dict[str, Form] = {
     "lease.bin": Form(lambda: LEASE, write_register, read_lease),
     "lease-history.json": Form(lambda: [value.hex() for value in lease_history()], as_json),
@@ -305,6 +360,7 @@
     "release.bin": Form(release_value, release.packed, read_release, inflated),
     "release-goals.json": Form(goals_of_release, as_json),
     "report.bin": Form(lambda: REPORT, write_register, read_report),
+    "register-fields.json": Form(fields_of_registers, as_json),
     "register-names.json": Form(register_names, as_json),
     "digests.json": Form(digests, as_json),
     "agent.json": Form(agent_holds, lambda _: agent_file(), read_agent_file),
--- a/tests/golden_quorum_forms.py
+++ b/tests/golden_quorum_forms.py
@@ -10,7 +10,7 @@
 import sqlite3
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, get_args
+from typing import Any, TypeVar, get_args
 
 from rosepick.agreement import codec, messages
 from rosepick.agreement.messages import Member, Quorum, Register, Slot
@@ -21,7 +21,7 @@
 from rosepick.leases.guard import Guard
 from rosepick.net.store import Tokens, WitnessStore
 
-from .golden_support import Form, as_given, as_json, constant, temporary_folder
+from .golden_support import GOLDEN, Form, as_given, as_json, constant, temporary_folder
 
 KEY = b"a key of the golden files"
 NAMES = ("w1", "w2", "w3")
@@ -338,8 +338,61 @@
         return found
 
 
+T = TypeVar("T")
+
+
+def recorded(kind: type[T], tag: int) -> T:
+    """Read a golden message of that kind."""
+    frame = (GOLDEN / f"quorum-{tag:02}.frame").read_bytes()
+    message = read_request(frame) if tag in REQUESTS else read_answer(frame)
+    assert isinstance(message, kind)
+    return message
+
+
+def fields_of_messages() -> object:
+    """Return what the golden messages hold, by the names of their fields.
+
+    Values are built by position elsewhere, which does not show two fields of one type that change places.
+    """
+    m = messages
+    prepare, accept, look = recorded(m.Prepare, 1), recorded(m.Accept, 2), recorded(m.Look, 3)
+    names, seal, install = recorded(m.Names, 4), recorded(m.Seal, 5), recorded(m.Install, 6)
+    met, status = recorded(m.Met, 7), recorded(m.Status, 8)
+    promised, accepted, seen = recorded(m.Promised, 21), recorded(m.Accepted, 22), recorded(m.Seen, 23)
+    named, sealed, beaten = recorded(m.Named, 24), recorded(m.Sealed, 25), recorded(m.Beaten, 26)
+    elsewhere, known, state = recorded(m.Elsewhere, 27), recorded(m.Remembered, 28), recorded(m.State, 29)
+    refused = recorded(m.NotNow, 30)
+    assert elsewhere.quorum is not None and known.quorum is not None and state.quorum is not None
+    slot = install.slots["lease/job"]
+    return [
+        [prepare.number, prepare.fleet, prepare.epoch, prepare.key, prepare.ballot],
+        [accept.number, accept.fleet, accept.epoch, accept.key, accept.ballot],
+        [look.number, look.fleet, look.epoch, look.key],
+        [names.number, names.fleet, names.epoch, names.start],
+        [seal.number, seal.fleet, seal.epoch],
+        [install.number, install.quorum.fleet, install.quorum.epoch],
+        [[member.name, member.storage] for member in install.quorum.members],
+        [slot.promised, slot.ballot, sorted(install.slots)],
+        [slot.register.version, slot.register.mark, slot.register.value.hex(), slot.register.base],
+        [met.number, met.fleet, met.storage, met.starts, met.run, met.epoch],
+        [status.number],
+        [promised.number, promised.storage, promised.ballot, promised.register.version],
+        [accepted.number, accepted.storage],
+        [seen.number, seen.storage, seen.ballot, seen.register.version],
+        [named.number, named.storage, named.names],
+        [sealed.number, sealed.storage, sorted(sealed.slots)],
+        [beaten.number, beaten.storage, beaten.ballot],
+        [elsewhere.number, elsewhere.storage, elsewhere.quorum.epoch, elsewhere.sealed],
+        [known.number, known.storage, known.starts, known.run, known.quorum.epoch, sorted(known.slots)],
+        [state.number, state.storage, state.name, state.starts, state.votes, state.sealed],
+        [state.quorum.epoch, state.registers, state.up],
+        [refused.number, refused.storage, refused.why],
+    ]
+
+
 QUORUM_FORMS: dict[str, Form] = {
     **_message_forms(),
+    "quorum-fields.json": Form(fields_of_messages, as_json),
     "replica-requests.bin": Form(lambda: replica_session()[0], as_given),
     "replica-answers.bin": Form(lambda: replica_session()[1], as_given),
     "replica-store.json": Form(replica_holds, lambda _: replica_session()[2], stored_by_replica),
