--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -6,219 +6,280 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from ..core.account import End
-from ..core.engine import Envelope
+from ..core.engine import RequestContext
+from ..core.request_counters import RequestOutcome
 from ..decisions import api
-from ..decisions.api import Member, Scope, State
-from ..settings.config import Names
-from . import lines
-from .ring import Ring
-
-TOGETHER = 64  # records that are written at once
-WORD = lines.WORD_LIMIT + 1  # bytes of a word that are kept until then: enough to show that it was longer
-PIECE = 4096  # bytes that go into the ring at once, unless one line is longer, or a quarter of a segment
-LEFT_MOST = 256  # next hops that have left, whose uids are kept for the answers still to come
-_STATUS = {End.SERVED: 200, End.REFUSED: 503, End.FAILED: 502, End.LATE: 504, End.GONE: 499, End.BROKE: 500}
-
-
-class Recorder:
+from ..decisions.api import Endpoint, Status, UpdateScope
+from ..settings.config import NameIndexes
+from . import record_format
+from .ring_buffer import LineRing
+
+MAX_PENDING_RECORDS = 64  # records that are written at once
+MAX_KEPT_WORD_BYTES = (
+    record_format.MAX_WORD_CHARS + 1
+)  # bytes of a word that are kept until then: enough to show that it was longer
+# bytes that go into the ring at once, unless one line is longer, or a quarter of a segment
+CHUNK_BYTES = 4096
+MAX_DEPARTED = 256  # next hops that have left, whose uids are kept for the answers still to come
+_STATUS_BY_END = {
+    RequestOutcome.SERVED: 200,
+    RequestOutcome.REFUSED: 503,
+    RequestOutcome.FAILED: 502,
+    RequestOutcome.TIMED_OUT: 504,
+    RequestOutcome.CLIENT_GONE: 499,
+    RequestOutcome.INTERNAL_ERROR: 500,
+}
+
+
+class CaptureRecorder:
     """Turns what the engine shows into lines, in order."""
 
     def __init__(
         self,
         segments: int,
-        size: int,
+        segment_bytes: int,
         seed: int,
-        offset: float,
-        names: Names,
-        words: Callable[[object], tuple[bytes, bytes, bytes]],
+        unix_offset_ms: float,
+        names: NameIndexes,
+        client_fields: Callable[[object], tuple[bytes, bytes, bytes]],
         uid_of: Callable[[int], str | None],
     ) -> None:
-        """`offset` is Unix time less the loop's clock; `words` gives the id, key and deadline that a payload
-        states; `uid_of` knows the next hops of the list just told.
+        """`unix_offset_ms` is Unix time less the loop's clock; `client_fields` gives the id, key and deadline
+        that a payload states; `uid_of` knows the next hops of the list just told.
         """
-        self.seed, self.offset, self.words, self.uid_of = seed, offset, words, uid_of
-        self.name(names)
+        self.seed, self.unix_offset_ms, self.client_fields, self.uid_of = (
+            seed,
+            unix_offset_ms,
+            client_fields,
+            uid_of,
+        )
+        self.set_names(names)
         self.version = 0
-        self.members: dict[int, tuple[Member, str]] = {}
-        self.left: OrderedDict[int, str] = OrderedDict()
-        self.ring = Ring(segments, size, self._header)
-        self._piece = min(PIECE, size // 4)
-        self.since = 0.0  # when the oldest record was fed that is not in the ring
+        self.members: dict[int, tuple[Endpoint, str]] = {}
+        self.departed: OrderedDict[int, str] = OrderedDict()
+        self.ring = LineRing(segments, segment_bytes, self._make_header)
+        self._chunk_bytes = min(CHUNK_BYTES, segment_bytes // 4)
+        self.pending_since = 0.0  # when the oldest record was fed that is not in the ring
         # Records wait for others: written one by one, each would find the processor's caches cold.
-        self._waiting: list[tuple[Callable[..., str], tuple[object, ...]]] = []
+        self._pending: list[tuple[Callable[..., str], tuple[object, ...]]] = []
 
-    def name(self, names: Names) -> None:
+    def set_names(self, names: NameIndexes) -> None:
         """Classes and tenants have these names from now on; places mean what they meant before."""
-        self.kinds, self.owners = _written(names.every_class()), _written(names.every_tenant())
+        self.class_names, self.tenant_names = (
+            _encoded_names(names.all_classes()),
+            _encoded_names(names.all_tenants()),
+        )
 
     # ---------------------------------------------------------------------------- the engine's observer
 
-    def fed(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
+    def on_event(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
         match event:
-            case api.Timer(token):
-                self._add(now, lines.due, (now, token))
-            case api.Outcome():
-                self._add(now, _ended, (now, event))
-            case api.Members():
+            case api.TimerFired(token):
+                self._add_record(now, record_format.format_timer, (now, token))
+            case api.AttemptEnded():
+                self._add_record(now, _format_outcome, (now, event))
+            case api.EndpointUpdate():
                 self.flush()
-                self._listed(now, event)
-            case api.ClientGone(ref):
-                self._add(now, lines.gone, (now, ref))
-        self._sends(now, actions)
-
-    def taken(self, now: float, envelope: Envelope, actions: list[api.Action]) -> None:
-        req_id, key, wait = self.words(envelope.payload)
-        self._add(
+                self._append_endpoint_list(now, event)
+            case api.ClientDisconnected(ref):
+                self._add_record(now, record_format.format_client_gone, (now, ref))
+        self._record_sends(now, actions)
+
+    def on_request(self, now: float, request: RequestContext, actions: list[api.Action]) -> None:
+        req_id, key, wait = self.client_fields(request.payload)
+        self._add_record(
             now,
-            self._arrival,
+            self._format_arrival,
             (
                 now,
-                envelope.ref,
+                request.ref,
                 req_id,
-                envelope.klass,
-                envelope.tenant,
-                key[:WORD],
-                wait[:WORD],
-                envelope.deadline,
-                envelope.key,
-                envelope.write,
-                envelope.retry,
-                envelope.cost_hint,
+                request.class_index,
+                request.tenant_index,
+                key[:MAX_KEPT_WORD_BYTES],
+                wait[:MAX_KEPT_WORD_BYTES],
+                request.deadline,
+                request.key,
+                request.is_write,
+                request.is_retry,
+                request.cost_hint,
             ),
         )
-        self._sends(now, actions)
+        self._record_sends(now, actions)
 
-    def answered(self, now: float, envelope: Envelope, end: End) -> None:
-        req_id, key, _ = self.words(envelope.payload)
-        server = envelope.attempts[-1].server if envelope.attempts else None
-        self._add(now, self._final, (now, req_id, envelope.klass, envelope.tenant, key[:WORD], server, end))
+    def on_outcome(self, now: float, request: RequestContext, outcome: RequestOutcome) -> None:
+        req_id, key, _ = self.client_fields(request.payload)
+        server = request.attempts[-1].endpoint_id if request.attempts else None
+        self._add_record(
+            now,
+            self._format_final_answer,
+            (
+                now,
+                req_id,
+                request.class_index,
+                request.tenant_index,
+                key[:MAX_KEPT_WORD_BYTES],
+                server,
+                outcome,
+            ),
+        )
 
-    def _sends(self, now: float, actions: list[api.Action]) -> None:
+    def _record_sends(self, now: float, actions: list[api.Action]) -> None:
         for action in actions:
             if isinstance(action, api.Send):
-                self._add(now, self._sent, (action.ref, action.server))
+                self._add_record(now, self._format_attempt_sent, (action.ref, action.endpoint_id))
 
-    def _add(self, now: float, write: Callable[..., str], given: tuple[object, ...]) -> None:
-        if len(self._waiting) >= TOGETHER:
+    def _add_record(self, now: float, format_record: Callable[..., str], args: tuple[object, ...]) -> None:
+        if len(self._pending) >= MAX_PENDING_RECORDS:
             self.flush()
-        if not self._waiting:
-            self.since = now
-        self._waiting.append((write, given))
+        if not self._pending:
+            self.pending_since = now
+        self._pending.append((format_record, args))
 
     # ------------------------------------------------------------------------------------------ writing
 
     def flush(self) -> None:
         """Put what waits into the ring."""
-        waiting, self._waiting = self._waiting, []
+        waiting, self._pending = self._pending, []
         part: list[str] = []
         size = 0
         for write, given in waiting:
             text = write(*given)
-            if size + len(text) > self._piece:
-                self._put(part)
+            if size + len(text) > self._chunk_bytes:
+                self._append_chunk(part)
                 part, size = [], 0
             part.append(text)
             size += len(text)
-        self._put(part)
+        self._append_chunk(part)
 
-    def _put(self, part: list[str]) -> None:
+    def _append_chunk(self, part: list[str]) -> None:
         if part and not self.ring.append("".join(part).encode("ascii"), len(part)):
-            self._lost(self.since)
+            self._append_lost(self.pending_since)
 
-    def _lost(self, now: float) -> None:
+    def _append_lost(self, now: float) -> None:
         """No segment can hold what came."""
-        self.ring.append(lines.Lost(now).text().encode("ascii"))
+        self.ring.append(record_format.LostRecord(now).text().encode("ascii"))
 
-    def _arrival(
+    def _format_arrival(
         self,
         now: float,
         ref: int,
         req_id: bytes,
-        klass: int,
-        tenant: int,
+        class_index: int,
+        tenant_index: int,
         key: bytes,
-        wait: bytes,
+        deadline_header: bytes,
         *rest: Any,
     ) -> str:
-        word = lines.word
-        return lines.arrival(
-            now, ref, word(req_id), self.kinds[klass], self._owner(tenant), word(key), word(wait), *rest
+        word = record_format.encode_word
+        return record_format.format_arrival(
+            now,
+            ref,
+            word(req_id),
+            self.class_names[class_index],
+            self._tenant_name(tenant_index),
+            word(key),
+            word(deadline_header),
+            *rest,
         )
 
-    def _sent(self, ref: int, server: int) -> str:
-        return lines.sent(ref, self._uid(server))
+    def _format_attempt_sent(self, ref: int, endpoint_id: int) -> str:
+        return record_format.format_attempt_sent(ref, self._uid(endpoint_id))
 
-    def _final(
-        self, now: float, req_id: bytes, klass: int, tenant: int, key: bytes, server: int | None, end: End
+    def _format_final_answer(
+        self,
+        now: float,
+        req_id: bytes,
+        class_index: int,
+        tenant_index: int,
+        key: bytes,
+        endpoint_id: int | None,
+        outcome: RequestOutcome,
     ) -> str:
-        uid = lines.NONE if server is None else self._uid(server)
-        return lines.final(
-            int(now + self.offset),
-            lines.word(req_id),
-            self.kinds[klass],
-            self._owner(tenant),
-            lines.word(key),
+        uid = record_format.NONE if endpoint_id is None else self._uid(endpoint_id)
+        return record_format.format_final_answer(
+            int(now + self.unix_offset_ms),
+            record_format.encode_word(req_id),
+            self.class_names[class_index],
+            self._tenant_name(tenant_index),
+            record_format.encode_word(key),
             uid,
-            _STATUS[end],
+            _STATUS_BY_END[outcome],
         )
 
-    def _listed(self, now: float, event: api.Members) -> None:
+    def _append_endpoint_list(self, now: float, event: api.EndpointUpdate) -> None:
         """A list, with the uids; then it is what the next segment's header holds."""
-        told = tuple((member, self._uid_told(member.server)) for member in event.members)
-        self.since = now
-        text = lines.Listed(now, event.scope, event.version, told).text()
+        told = tuple((member, self._uid_of_listed(member.endpoint_id)) for member in event.endpoints)
+        self.pending_since = now
+        text = record_format.EndpointListRecord(now, event.scope, event.version, told).text()
         if not self.ring.append(text.encode("ascii"), 1 + len(told)):
-            self._lost(now)
-        if event.scope is Scope.FAILED:
+            self._append_lost(now)
+        if event.scope is UpdateScope.FAILED:
             return
         self.version = event.version
-        if event.scope is not Scope.DELTA:
-            self._forget([server for server in self.members if server not in {m.server for m, _ in told}])
+        if event.scope is not UpdateScope.DELTA:
+            self._mark_departed(
+                [server for server in self.members if server not in {m.endpoint_id for m, _ in told}]
+            )
         for member, uid in told:
-            self.members[member.server] = member, uid
-        self._forget([member.server for member, _ in told if member.state is State.GONE])
+            self.members[member.endpoint_id] = member, uid
+        self._mark_departed([member.endpoint_id for member, _ in told if member.status is Status.REMOVED])
 
-    def _forget(self, servers: list[int]) -> None:
-        for server in servers:
+    def _mark_departed(self, endpoint_ids: list[int]) -> None:
+        for server in endpoint_ids:
             _, uid = self.members.pop(server)
-            self.left[server] = uid
-        while len(self.left) > LEFT_MOST:
-            self.left.popitem(last=False)
+            self.departed[server] = uid
+        while len(self.departed) > MAX_DEPARTED:
+            self.departed.popitem(last=False)
 
-    def _header(self, ring: Ring, most: int) -> bytes:
+    def _make_header(self, ring: LineRing, max_bytes: int) -> bytes:
         """What a segment begins with. A transport map that does not fit is cut."""
         members = tuple(self.members.values())
         while True:
-            head = lines.Header(
-                ring.number, ring.lines, self.seed, self.offset, self.since, self.version, members
+            head = record_format.SegmentHeader(
+                ring.next_segment,
+                ring.line_count,
+                self.seed,
+                self.unix_offset_ms,
+                self.pending_since,
+                self.version,
+                members,
             )
             text = head.text().encode("ascii")
-            if len(text) <= most:
+            if len(text) <= max_bytes:
                 return text
-            members = members[: len(members) * most // len(text)]
+            members = members[: len(members) * max_bytes // len(text)]
 
     # -------------------------------------------------------------------------------------------- words
 
-    def _uid(self, server: int) -> str:
-        known = self.members.get(server)
-        return known[1] if known is not None else self.left.get(server, f"#{server}")
+    def _uid(self, endpoint_id: int) -> str:
+        known = self.members.get(endpoint_id)
+        return known[1] if known is not None else self.departed.get(endpoint_id, f"#{endpoint_id}")
 
-    def _uid_told(self, server: int) -> str:
+    def _uid_of_listed(self, endpoint_id: int) -> str:
         """The uid of a member just told; one that has left is known from before."""
-        uid = self.uid_of(server)
-        return self._uid(server) if uid is None else lines.word(uid.encode())
-
-    def _owner(self, tenant: int) -> str:
-        return self.owners[tenant] if self.owners else lines.NONE
-
-
-def _ended(now: float, event: api.Outcome) -> str:
-    return lines.ended(
-        now, event.ref, event.attempt, event.result, event.note, event.closed, event.spoilt, event.lag
+        uid = self.uid_of(endpoint_id)
+        return self._uid(endpoint_id) if uid is None else record_format.encode_word(uid.encode())
+
+    def _tenant_name(self, tenant_index: int) -> str:
+        return self.tenant_names[tenant_index] if self.tenant_names else record_format.NONE
+
+
+def _format_outcome(now: float, event: api.AttemptEnded) -> str:
+    return record_format.format_attempt_outcome(
+        now,
+        event.ref,
+        event.attempt,
+        event.result,
+        event.cache_status,
+        event.closes_request,
+        event.malformed,
+        event.latency_ms,
     )
 
 
-def _written(places: Mapping[str, int]) -> list[str]:
+def _encoded_names(indexes: Mapping[str, int]) -> list[str]:
     """Names in the order of their places, as a line holds them."""
-    return [lines.word(name.encode()) for name in sorted(places, key=lambda name: places[name])]
+    return [
+        record_format.encode_word(name.encode()) for name in sorted(indexes, key=lambda name: indexes[name])
+    ]
--- a/rosepick/cli/app.py
+++ b/rosepick/cli/app.py
@@ -8,8 +8,8 @@
 
 import typer
 
-GROUPS = ("serving", "replaying", "batches", "leasing", "fleet", "releasing", "lab")
-SERVING = ("serve", "check", "check-config", "version")
+GROUPS = ("serve", "replay", "mget", "lease", "fleet", "release", "lab")
+SERVE_COMMANDS = ("serve", "check", "check-config", "version")
 
 
 def command_line(groups: Sequence[str] = GROUPS) -> typer.Typer:
@@ -29,5 +29,5 @@
     """Run the command that the arguments name. Where it is of the group that serves, the others are not even
     loaded: routers of a whole fleet start at one time, and each has a part of a core.
     """
-    serving = len(sys.argv) > 1 and sys.argv[1] in SERVING
+    serving = len(sys.argv) > 1 and sys.argv[1] in SERVE_COMMANDS
     command_line(GROUPS[:1] if serving else GROUPS)()
--- a/rosepick/cli/common.py
+++ b/rosepick/cli/common.py
@@ -14,42 +14,44 @@
 from ..settings import config, operator_file
 from ..settings.operator_file import OperatorFile, OperatorFileError
 
-File = Annotated[Path | None, typer.Option("-f", "--file", help="The operators' file.")]
+OperatorFileOption = Annotated[Path | None, typer.Option("-f", "--file", help="The operators' file.")]
 
 
-def stop(line: object, status: int = 1) -> NoReturn:
+def exit_with_error(line: object, status: int = 1) -> NoReturn:
     """End with one line on standard error."""
     print(f"rosepick: {line}", file=sys.stderr)
     raise typer.Exit(status)
 
 
 @contextmanager
-def needs_the_extra(extra: str) -> Iterator[None]:
+def require_extra(extra: str) -> Iterator[None]:
     """A library of that extra that is not there is one line, and the end."""
     try:
         yield
     except ModuleNotFoundError as problem:
         if problem.name is None or problem.name.partition(".")[0] == "rosepick":
             raise
-        stop(f"{problem.name} is missing; `pip install 'rosepick[{extra}]'` brings what this needs", 2)
+        exit_with_error(
+            f"{problem.name} is missing; `pip install 'rosepick[{extra}]'` brings what this needs", 2
+        )
 
 
-def reread() -> config.Config:
+def load_config() -> config.Config:
     """The configuration that GW_CONFIG names. ConfigError if it cannot be used."""
     return config.load(os.environ)
 
 
-def configuration() -> config.Config:
+def load_config_or_exit() -> config.Config:
     """The same; a fault is the end."""
     try:
-        return reread()
+        return load_config()
     except config.ConfigError as problem:
-        stop(problem)
+        exit_with_error(problem)
 
 
-def operators_of(path: Path | None) -> OperatorFile:
+def load_operator_file_or_exit(path: Path | None) -> OperatorFile:
     """What the operators' file says; each of its faults is a line, and the end."""
     try:
         return operator_file.load(path)
     except OperatorFileError as problem:
-        stop("\nrosepick: ".join(map(str, problem.faults)))
+        exit_with_error("\nrosepick: ".join(map(str, problem.faults)))
--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -14,85 +14,94 @@
 
 import typer
 
-from .common import needs_the_extra, stop
-from .leasing import DEFAULT, NO_QUORUM, REFUSED, FleetPath, Json, asked, client_of, until
+from .common import exit_with_error, require_extra
+from .lease import (
+    DEFAULT_FLEET_FILE,
+    EXIT_NO_QUORUM,
+    EXIT_REFUSED,
+    FleetFileOption,
+    JsonOption,
+    connect_quorum,
+    run_operation,
+    run_until,
+)
 
 if TYPE_CHECKING:
-    from ..agreement.operation import Change
-    from ..fleet.budget import Budget
-    from ..fleet.ledger import Ledger, Line
-    from ..net.quorum import QuorumClient
-    from ..settings.fleet_file import Fleet
+    from ..consensus.proposer import RegisterChange
+    from ..coordination.quorum_client import QuorumClient
+    from ..fleet.disruption_budget import DisruptionBudget
+    from ..fleet.fleet_state import AuditEntry, FleetState
+    from ..settings.fleet_file import FleetFile
 
 agent = typer.Typer(no_args_is_help=True, help="Agents: one a machine, beside its router or cache node.")
 fleet = typer.Typer(no_args_is_help=True, help="Who of the fleet is in, out, lost; the halt; history.")
 
-Members = Annotated[list[str] | None, typer.Argument(help="Members by name.")]
-Zone = Annotated[str, typer.Option(help="All members of a zone.")]
-Why = Annotated[str, typer.Option("--why", help="For the history and for whoever looks later.")]
-LOOK = 0.5  # seconds between two looks of --wait and --watch
+MembersArgument = Annotated[list[str] | None, typer.Argument(help="Members by name.")]
+ZoneOption = Annotated[str, typer.Option(help="All members of a zone.")]
+ReasonOption = Annotated[str, typer.Option("--why", help="For the history and for whoever looks later.")]
+POLL_INTERVAL_S = 0.5  # seconds between two looks of --wait and --watch
 
 
-def _who() -> str:
+def current_actor() -> str:
     return f"{os.environ.get('USER', 'somebody')}@{os.uname().nodename}"
 
 
-class Group:
+class FleetSession:
     """The ledger of the file's group, as these commands use it."""
 
     def __init__(self, path: Path) -> None:
         self.client: QuorumClient
-        self.told: Fleet
-        self.client, self.told = client_of(path)
-        with needs_the_extra("fleet"):
+        self.fleet_file: FleetFile
+        self.client, self.fleet_file = connect_quorum(path)
+        with require_extra("fleet"):
             import rich  # noqa: F401 - tables and bars
-        from ..fleet import ledger
+        from ..fleet import fleet_state
 
-        self._key = ledger.key(self.told.drains.group)
-        self._read = ledger.read
+        self._key = fleet_state.fleet_state_key(self.fleet_file.drains.group)
+        self._read_register = fleet_state.decode_fleet_state
 
-    def budget(self) -> Budget:
+    def disruption_budget(self) -> DisruptionBudget:
         """What the file says."""
-        return budget_of(self.told)
+        return disruption_budget_of(self.fleet_file)
 
-    def read(self) -> Ledger:
+    def read_state(self) -> FleetState:
         """The ledger as it is."""
-        return self._of(asked(self.client, self._key))
+        return self._decode(run_operation(self.client, self._key))
 
-    def _of(self, outcome: Any) -> Ledger:
-        from ..fleet.document import LedgerError
+    def _decode(self, outcome: Any) -> FleetState:
+        from ..fleet.versioned_document import DocumentDecodeError
 
         try:
-            return self._read(outcome.register)
-        except LedgerError as problem:
-            stop(problem, REFUSED)
-
-    def change(self, make: Change, declined: Callable[[Ledger], str]) -> Ledger:
-        """Change it; `declined` says why it was not, empty if it was so already."""
-        from ..agreement.operation import Kind
-
-        outcome = asked(self.client, self._key, make)
-        if outcome.kind is Kind.UNKNOWN:
-            stop("the answer was lost: look with `fleet status`", NO_QUORUM)
-        ledger = self._of(outcome)
-        why = declined(ledger) if outcome.kind is Kind.READ else ""
+            return self._read_register(outcome.register)
+        except DocumentDecodeError as problem:
+            exit_with_error(problem, EXIT_REFUSED)
+
+    def change(self, make: RegisterChange, rejection_reason: Callable[[FleetState], str]) -> FleetState:
+        """Change it; `rejection_reason` says why it was not, empty if it was so already."""
+        from ..consensus.proposer import OutcomeKind
+
+        outcome = run_operation(self.client, self._key, make)
+        if outcome.kind is OutcomeKind.UNKNOWN:
+            exit_with_error("the answer was lost: look with `fleet status`", EXIT_NO_QUORUM)
+        ledger = self._decode(outcome)
+        why = rejection_reason(ledger) if outcome.kind is OutcomeKind.UNCHANGED else ""
         if why:
-            stop(why, REFUSED)
+            exit_with_error(why, EXIT_REFUSED)
         return ledger
 
 
-def budget_of(told: Fleet) -> Budget:
+def disruption_budget_of(fleet_file: FleetFile) -> DisruptionBudget:
     """The budget that a fleet's file states."""
-    from ..fleet.budget import Budget, Limit
+    from ..fleet.disruption_budget import DisruptionBudget, Limit
 
-    drains = told.drains
+    drains = fleet_file.drains
     routers, caches = (Limit(**one.model_dump()) for one in (drains.routers, drains.caches))
     back = None if drains.back is None else Limit(**drains.back.model_dump())
-    return Budget(routers, caches, drains.minutes(), drains.apart, drains.unasked, back)
+    return DisruptionBudget(routers, caches, drains.closed_minutes(), drains.apart, drains.unasked, back)
 
 
 @agent.command("run")
-def agent_run(
+def run_agent(
     name: Annotated[str, typer.Argument(help="The member's name.")],
     command: Annotated[list[str], typer.Argument(help="After --: what starts the member.")],
     folder: Annotated[Path, typer.Option(help="What the agent keeps; its alone.")],
@@ -109,7 +118,7 @@
         Path | None, typer.Option(help="The member's GW_CONFIG; releases change its settings.")
     ] = None,
     check: Annotated[str, typer.Option(help="A command that checks a version; {build} is its place.")] = "",
-    fleet: FleetPath = DEFAULT,
+    fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
     """Look after one router or cache node in the foreground until SIGTERM. The member outlives its agent.
 
@@ -118,62 +127,62 @@
     import signal
 
     if kind not in ("router", "cache"):
-        stop(f"--kind {kind}: router or cache", 2)
+        exit_with_error(f"--kind {kind}: router or cache", 2)
     host, _, port = door.rpartition(":")
     if not host or not port.isdecimal():
-        stop(f"--door {door} is not host:port", 2)
-    client, told = client_of(fleet)
+        exit_with_error(f"--door {door} is not host:port", 2)
+    client, told = connect_quorum(fleet)
     from .. import logs
-    from ..fleet import ledger, warden
-    from ..fleet.agent import Agent, Terms
-    from ..leases.contender import Terms as LeaseTerms
-    from ..leases.guard import Guard
-    from ..net.agent import AgentDriver
-    from ..net.kept import Keep
-    from ..net.loop import Loop
-    from ..net.store import StoreError
-    from ..net.tended import TendedProcess
-    from .releasing import carrier_of, plan_of
-
-    logs.set_up()
+    from ..coordination.acceptor_store import StoreError
+    from ..coordination.agent_driver import AgentDriver
+    from ..coordination.agent_state_file import AgentStateFile
+    from ..coordination.supervised_process import SupervisedProcess
+    from ..fleet import failure_detector, fleet_state
+    from ..fleet.agent import Agent, AgentPolicy
+    from ..leases.fencing import FencingGuard
+    from ..leases.lease_client import LeaseConfig as LeaseTerms
+    from ..net.event_loop import EventLoop
+    from .release import make_deployer, rollout_plan_of
+
+    logs.configure_logging()
     try:
-        kept = Keep(folder)
+        kept = AgentStateFile(folder)
     except (StoreError, OSError) as problem:
-        stop(problem, 3)
+        exit_with_error(problem, 3)
     drains, loop = told.drains, client.loop
-    assert isinstance(loop, Loop)
-    a_kind = ledger.Kind.ROUTER if kind == "router" else ledger.Kind.CACHE
+    assert isinstance(loop, EventLoop)
+    a_kind = fleet_state.MemberKind.ROUTER if kind == "router" else fleet_state.MemberKind.CACHE
     try:
-        versions, carrier = carrier_of(name, kept, folder, told.releases, (build, config, check, command))
+        versions, carrier = make_deployer(name, kept, folder, told.releases, (build, config, check, command))
     except OSError as problem:
-        stop(problem, 3)
-    tended = TendedProcess(
+        exit_with_error(problem, 3)
+    tended = SupervisedProcess(
         loop, a_kind, (host, int(port)), command, kept, folder / "member.log", drains.halt_above, versions
     )
-    terms = Terms(lonely=1000.0 * drains.lonely, steady=1000.0 * drains.steady)
-    machine = Agent(name, a_kind, zone, weight, budget_of(told), terms, kept)
-    machine.carrier = carrier
+    terms = AgentPolicy(partition_timeout_ms=1000.0 * drains.lonely, min_serving_ms=1000.0 * drains.steady)
+    machine = Agent(name, a_kind, zone, weight, disruption_budget_of(told), terms, kept)
+    machine.deployer = carrier
     if carrier is not None:
-        tended.goes_by(lambda: carrier.runs)
+        tended.set_active_digests(lambda: carrier.active_digests)
     lease = LeaseTerms(told.leases.ttl * 1000.0, told.leases.drift)
-    counting = warden.Terms(silent=1000.0 * drains.silent)
+    counting = failure_detector.FailureDetectorPolicy(report_timeout_ms=1000.0 * drains.silent)
     driver = AgentDriver(
         client,
         drains.group,
         machine,
         tended,
-        Guard(kept.tokens),
+        FencingGuard(kept.tokens),
         (lease, counting),
         time.time,
         1000.0 * drains.beat,
-        plan_of(told.releases),
+        rollout_plan_of(told.releases),
     )
 
     def end() -> None:
-        driver.release()
-        loop.after(300.0, loop.stop)
+        driver.release_lease()
+        loop.call_after(300.0, loop.stop)
 
-    loop.on_signals({signal.SIGTERM: end, signal.SIGINT: end})
+    loop.add_signal_handlers({signal.SIGTERM: end, signal.SIGINT: end})
     loop.run()
     kept.close()
 
@@ -181,85 +190,95 @@
 # ---------------------------------------------------------------------------- out and in
 
 
-def _chosen(ledger: Ledger, members: list[str] | None, zone: str) -> list[str]:
+def _select_members(ledger: FleetState, members: list[str] | None, zone: str) -> list[str]:
     names = list(members or ())
     if bool(names) == bool(zone):
-        stop("name members, or a zone", 2)
+        exit_with_error("name members, or a zone", 2)
     if zone:
-        names = [name for name, one in ledger.members.items() if one.zone == zone and not one.off]
-    unknown = [name for name in names if name not in ledger.members or ledger.members[name].off]
+        names = [name for name, one in ledger.members.items() if one.zone == zone and not one.evicted]
+    unknown = [name for name in names if name not in ledger.members or ledger.members[name].evicted]
     if unknown or not names:
-        stop(f"no such members: {', '.join(unknown) or zone}", REFUSED)
+        exit_with_error(f"no such members: {', '.join(unknown) or zone}", EXIT_REFUSED)
     return names
 
 
 def drain(
-    members: Members = None,
-    zone: Zone = "",
-    why: Why = "",
+    members: MembersArgument = None,
+    zone: ZoneOption = "",
+    why: ReasonOption = "",
     now: Annotated[bool, typer.Option("--now", help="A dying host: at once, over the budget.")] = False,
     below: Annotated[
         str, typer.Option("--even-below", help="Its name once more: even under what must stay.")
     ] = "",
     wait: Annotated[bool, typer.Option("--wait", help="Until all are out.")] = False,
-    fleet: FleetPath = DEFAULT,
+    fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
     """Have members go out, as soon as the budget allows it. They stay out until `undrain`, a halt, or no
     quorum.
     """
-    group = Group(fleet)
-    from ..fleet import ledger
+    group = FleetSession(fleet)
+    from ..fleet import fleet_state
 
-    names = _chosen(group.read(), members, zone)
+    names = _select_members(group.read_state(), members, zone)
     if not why:
-        stop("a drain needs --why", 2)
+        exit_with_error("a drain needs --why", 2)
     if below and (not now or names != [below]):
-        stop("--even-below goes with --now and one member, named twice", 2)
-    change = ledger.want_out(names, _who(), why, time.time(), now, bool(below))
+        exit_with_error("--even-below goes with --now and one member, named twice", 2)
+    change = fleet_state.request_drain(names, current_actor(), why, time.time(), now, bool(below))
     told = group.change(change, lambda read: "")
-    _say_blocked(group, told, names)
+    _print_blocked(group, told, names)
     if wait:
-        _progress(group, names)
+        _show_progress(group, names)
 
 
-def _say_blocked(group: Group, told: Ledger, names: list[str]) -> None:
-    from ..fleet.budget import allowed, blocked
+def _print_blocked(group: FleetSession, state: FleetState, names: list[str]) -> None:
+    from ..fleet.disruption_budget import blocking_reasons, may_take_permit
 
     minute = int(time.time() // 60) % 1440
-    if told.rules != group.budget().digest():
+    if state.budget_digest != group.disruption_budget().digest():
         print("this file's budget is not the fleet's: `fleet rules` shows and sets it")
     for name in names:
-        why = blocked(told, group.budget(), name, minute) if not told.members[name].at else []
-        if not (why or told.members[name].at or allowed(group.budget(), minute, told, name)):
+        why = (
+            blocking_reasons(state, group.disruption_budget(), name, minute)
+            if not state.members[name].phase
+            else []
+        )
+        if not (
+            why
+            or state.members[name].phase
+            or may_take_permit(group.disruption_budget(), minute, state, name)
+        ):
             why = ["others were asked for before"]
         print(f"{name}: {'waits: ' + '; '.join(why) if why else 'goes'}")
 
 
-def _progress(group: Group, names: list[str]) -> None:
+def _show_progress(group: FleetSession, names: list[str]) -> None:
     """A bar until all are out."""
     from rich.progress import Progress
 
-    from ..fleet.ledger import At
+    from ..fleet.fleet_state import MemberPhase
 
     with Progress() as bar:
         task = bar.add_task("out", total=len(names))
         while True:
-            told = group.read()
-            out = sum(told.members[name].at == At.OUT for name in names)
-            halted = f" halted: {told.halt.why}" if told.halt else ""
+            told = group.read_state()
+            out = sum(told.members[name].phase == MemberPhase.OUT for name in names)
+            halted = f" halted: {told.halt.reason}" if told.halt else ""
             bar.update(task, completed=out, description=f"{out} of {len(names)} out{halted}")
-            if out == len(names) or all(told.members[name].want is None for name in names):
+            if out == len(names) or all(told.members[name].drain_request is None for name in names):
                 return
-            until(group.client, lambda: False, 1000.0 * LOOK)
+            run_until(group.client, lambda: False, 1000.0 * POLL_INTERVAL_S)
 
 
-def undrain(members: Members = None, zone: Zone = "", fleet: FleetPath = DEFAULT) -> None:
+def undrain(
+    members: MembersArgument = None, zone: ZoneOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE
+) -> None:
     """Have members come back, or not go."""
-    group = Group(fleet)
-    from ..fleet import ledger
+    group = FleetSession(fleet)
+    from ..fleet import fleet_state
 
-    names = _chosen(group.read(), members, zone)
-    group.change(ledger.want_in(names, _who(), time.time()), lambda read: "")
+    names = _select_members(group.read_state(), members, zone)
+    group.change(fleet_state.cancel_drain(names, current_actor(), time.time()), lambda read: "")
     print(f"wanted in: {', '.join(names)}")
 
 
@@ -268,149 +287,159 @@
 
 @fleet.command()
 def status(
-    fleet: FleetPath = DEFAULT,
-    as_json: Json = False,
+    fleet: FleetFileOption = DEFAULT_FLEET_FILE,
+    as_json: JsonOption = False,
     watch: Annotated[bool, typer.Option("--watch", help="Again and again.")] = False,
 ) -> None:
     """Say by zone who is in, out, lost, what budget is left, and who waits for whom."""
-    group = Group(fleet)
+    group = FleetSession(fleet)
     if as_json:
         import msgspec
 
-        print(msgspec.json.encode(msgspec.to_builtins(group.read())).decode())
+        print(msgspec.json.encode(msgspec.to_builtins(group.read_state())).decode())
         return
-    show(group.client, lambda: _page(group), watch)
+    show_page(group.client, lambda: _status_page(group), watch)
 
 
-def show(client: QuorumClient, page: Callable[[], Any], watch: bool) -> None:
+def show_page(client: QuorumClient, make_page: Callable[[], Any], watch: bool) -> None:
     """Print a page, or keep it up to date until interrupted."""
     from rich.console import Console
     from rich.live import Live
 
     if not watch:
-        Console().print(page())
+        Console().print(make_page())
         return
-    with Live(page()) as live:
+    with Live(make_page()) as live:
         while True:
-            until(client, lambda: False, 1000.0 * LOOK)
-            live.update(page())
+            run_until(client, lambda: False, 1000.0 * POLL_INTERVAL_S)
+            live.update(make_page())
 
 
-def say_history(lines: Iterable[Line], as_json: bool) -> None:
+def print_history(lines: Iterable[AuditEntry], as_json: bool) -> None:
     """Print lines of history."""
     for line in lines:
-        when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(line.when))
-        print(json.dumps([when, line.who, line.what]) if as_json else f"{when}  {line.who}  {line.what}")
+        when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(line.timestamp_s))
+        print(
+            json.dumps([when, line.actor, line.message])
+            if as_json
+            else f"{when}  {line.actor}  {line.message}"
+        )
 
 
-def _page(group: Group) -> Any:
+def _status_page(group: FleetSession) -> Any:
     from rich.console import Group as Rows
     from rich.table import Table
 
-    from ..fleet.budget import KINDS, blocked
-    from ..fleet.ledger import At
+    from ..fleet.disruption_budget import KIND_LABELS, blocking_reasons
+    from ..fleet.fleet_state import MemberPhase
 
-    ledger, budget, minute = group.read(), group.budget(), int(time.time() // 60) % 1440
+    ledger, budget, minute = group.read_state(), group.disruption_budget(), int(time.time() // 60) % 1440
     table = Table("zone", "kind", "in", "going", "out", "coming", "lost", "may be out")
-    for kind, called in KINDS.items():
-        all_of = ledger.of(kind)
+    for kind, called in KIND_LABELS.items():
+        all_of = ledger.members_of(kind)
         for zone in sorted({one.zone for one in all_of.values()}):
             here = [one for one in all_of.values() if one.zone == zone]
             count = [
-                sum(one.at in at and not (one.at == At.IN and one.lost) for one in here) for at in _COLUMNS
+                sum(one.phase in at and not (one.phase == MemberPhase.IN and one.lost) for one in here)
+                for at in _COLUMN_PHASES
             ]
-            limit = budget.of(kind)
-            most = min(limit.most_here(len(here), ledger.room), limit.most_of(len(all_of)))
+            limit = budget.limit_for(kind)
+            most = min(
+                limit.max_out_in_zone(len(here), ledger.capacity_permille), limit.max_out_overall(len(all_of))
+            )
             table.add_row(zone, called, *map(str, count), str(sum(one.lost for one in here)), str(most))
     lines: list[Any] = [table]
     if ledger.halt is not None:
-        lines.append(f"HALTED by {ledger.halt.who}: {ledger.halt.why}")
+        lines.append(f"HALTED by {ledger.halt.actor}: {ledger.halt.reason}")
     lines += [
-        f"{name} waits: {'; '.join(blocked(ledger, budget, name, minute))}" for name in ledger.waiting()
+        f"{name} waits: {'; '.join(blocking_reasons(ledger, budget, name, minute))}"
+        for name in ledger.pending_drains()
     ]
-    off = [name for name, one in ledger.members.items() if one.off]
+    off = [name for name, one in ledger.members.items() if one.evicted]
     if off:
         lines.append(f"written off: {', '.join(off)}")
-    if ledger.room < 1000:
-        lines.append(f"the store has room for {ledger.room / 10:.0f}% of the budget")
+    if ledger.capacity_permille < 1000:
+        lines.append(f"the store has room for {ledger.capacity_permille / 10:.0f}% of the budget")
     return Rows(*lines)
 
 
-_COLUMNS = ((0,), (1, 2), (3,), (4,))  # of `At`
+_COLUMN_PHASES = ((0,), (1, 2), (3,), (4,))  # of `At`
 
 
 @fleet.command()
-def halt(why: Why = "", fleet: FleetPath = DEFAULT) -> None:
+def halt(why: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Nothing goes out any more, and what is out by permit comes back, until `resume`."""
     if not why:
-        stop("a halt needs --why", 2)
-    group = Group(fleet)
-    from ..fleet import ledger
+        exit_with_error("a halt needs --why", 2)
+    group = FleetSession(fleet)
+    from ..fleet import fleet_state
 
-    told = group.change(ledger.halt(_who(), why, time.time()), lambda read: "")
+    told = group.change(fleet_state.halt_drains(current_actor(), why, time.time()), lambda read: "")
     assert told.halt is not None
-    print(f"halted by {told.halt.who}: {told.halt.why}")
+    print(f"halted by {told.halt.actor}: {told.halt.reason}")
 
 
 @fleet.command()
-def resume(why: Why = "", fleet: FleetPath = DEFAULT) -> None:
+def resume(why: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Lift the halt."""
     if not why:
-        stop("to resume needs --why", 2)
-    group = Group(fleet)
-    from ..fleet import ledger
+        exit_with_error("to resume needs --why", 2)
+    group = FleetSession(fleet)
+    from ..fleet import fleet_state
 
-    group.change(ledger.resume(_who(), why, time.time()), lambda read: "there is no halt")
+    group.change(
+        fleet_state.resume_drains(current_actor(), why, time.time()), lambda read: "there is no halt"
+    )
     print("resumed")
 
 
 @fleet.command("write-off")
-def write_off(
+def evict_member(
     member: Annotated[str, typer.Argument()],
-    why: Why = "",
+    why: ReasonOption = "",
     back: Annotated[bool, typer.Option("--back", help="Take it on again instead.")] = False,
-    fleet: FleetPath = DEFAULT,
+    fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
     """Count a member nowhere any more: its permit ends, and its loss eats no budget."""
     if not (why or back):
-        stop("to write off needs --why", 2)
-    group = Group(fleet)
-    from ..fleet import ledger
+        exit_with_error("to write off needs --why", 2)
+    group = FleetSession(fleet)
+    from ..fleet import fleet_state
 
     make = (
-        ledger.take_on(member, _who(), time.time())
+        fleet_state.reinstate_member(member, current_actor(), time.time())
         if back
-        else ledger.write_off(member, _who(), why, time.time())
+        else fleet_state.evict_member(member, current_actor(), why, time.time())
     )
     group.change(make, lambda read: f"{member} is not {'written off' if back else 'a member'}")
     print(f"{member}: {'taken on again' if back else 'written off'}")
 
 
 @fleet.command()
-def history(fleet: FleetPath = DEFAULT, as_json: Json = False) -> None:
+def history(fleet: FleetFileOption = DEFAULT_FLEET_FILE, as_json: JsonOption = False) -> None:
     """What happened last, with who and why."""
-    say_history(Group(fleet).read().history, as_json)
+    print_history(FleetSession(fleet).read_state().history, as_json)
 
 
 @fleet.command()
 def rules(
     set_them: Annotated[bool, typer.Option("--set", help="Have the fleet go by this file's budget.")] = False,
-    fleet: FleetPath = DEFAULT,
+    fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
     """Say whether this file's budget is the fleet's, or make it so. Agents with another one take no
     permits.
     """
-    group = Group(fleet)
-    from ..fleet import ledger
+    group = FleetSession(fleet)
+    from ..fleet import fleet_state
 
-    ours = group.budget().digest()
+    ours = group.disruption_budget().digest()
     told = (
-        group.change(ledger.set_rules(ours, _who(), time.time()), lambda read: "")
+        group.change(fleet_state.set_budget_digest(ours, current_actor(), time.time()), lambda read: "")
         if set_them
-        else group.read()
+        else group.read_state()
     )
-    print(f"the fleet's: {told.rules or 'none'}, this file's: {ours}")
-    raise typer.Exit(0 if told.rules == ours else REFUSED)
+    print(f"the fleet's: {told.budget_digest or 'none'}, this file's: {ours}")
+    raise typer.Exit(0 if told.budget_digest == ours else EXIT_REFUSED)
 
 
 def add(app: typer.Typer) -> None:
--- a/rosepick/cli/batches.py
+++ b/rosepick/cli/mget.py
@@ -10,12 +10,12 @@
 
 from ..settings import config
 from ..settings.operator_file import OperatorFile
-from .common import File, configuration, operators_of, stop
+from .common import OperatorFileOption, exit_with_error, load_config_or_exit, load_operator_file_or_exit
 
 
 def mget(
     keys: Annotated[list[str] | None, typer.Argument(help="Without any: one a line, standard input.")] = None,
-    file: File = None,
+    file: OperatorFileOption = None,
     to: Annotated[str | None, typer.Option(help="host:port; else as the files tell.")] = None,
     kind: Annotated[str | None, typer.Option(help="Req-Kind; else GW_CONFIG's first class.")] = None,
     owner: Annotated[str | None, typer.Option(help="Req-Owner; else GW_CONFIG's first tenant.")] = None,
@@ -25,35 +25,39 @@
 
     Ends with 0 if all was served, with 1 if a part was not, and with 2 if there is no answer.
     """
-    from .batch import NoAnswer, ask
+    from .batch_client import BatchError, send_batch
 
-    told = configuration() if to is None or kind is None or owner is None else None
+    told = load_config_or_exit() if to is None or kind is None or owner is None else None
     try:
-        endpoint = config.address(to) if to is not None else _batches(told, operators_of(file))
+        endpoint = (
+            config.parse_address(to)
+            if to is not None
+            else _batch_endpoint(told, load_operator_file_or_exit(file))
+        )
         if keys is None:
             keys = sys.stdin.read().split()
-        body, whole = ask(
+        body, whole = send_batch(
             endpoint,
             keys,
-            kind or _first(told.names.classes if told else None),
-            owner or _first(told.names.tenants if told else None),
+            kind or _first_name(told.names.classes if told else None),
+            owner or _first_name(told.names.tenants if told else None),
             deadline,
         )
-    except (NoAnswer, ValueError) as problem:
-        stop(problem, 2)
+    except (BatchError, ValueError) as problem:
+        exit_with_error(problem, 2)
     sys.stdout.buffer.write(body)
     raise typer.Exit(0 if whole else 1)
 
 
-def _batches(told: config.Config | None, operators: OperatorFile) -> tuple[str, int]:
+def _batch_endpoint(loaded: config.Config | None, operators: OperatorFile) -> tuple[str, int]:
     """Where batches go by the files."""
-    port = operators.number("multiget_listen")
-    if told is None or not port:
+    port = operators.optional_integer("multiget_listen")
+    if loaded is None or not port:
         raise ValueError("no door for batches: name one by --to, or by -f a file that sets multiget_listen")
-    return told.listen[0], port
+    return loaded.listen[0], port
 
 
-def _first(names: Mapping[str, int] | None) -> str:
+def _first_name(names: Mapping[str, int] | None) -> str:
     return next(iter(names), "-") if names else "-"
 
 
--- a/rosepick/cli/replaying.py
+++ b/rosepick/cli/replay.py
@@ -8,7 +8,7 @@
 import typer
 
 from ..settings import config
-from .common import reread, stop
+from .common import exit_with_error, load_config
 
 
 def replay(
@@ -18,17 +18,17 @@
 
     Ends with 0 if nothing differs, with 1 if something does, and with 2 if the capture cannot be replayed.
     """
-    from ..capture.lines import BadLine, Lines
-    from ..capture.replay import CannotReplay, replay
+    from ..capture.record_format import MalformedLineError, RecordReader
+    from ..capture.replay import ReplayError, replay
 
     try:
-        told = reread()
-        sources = [Lines(path.read_bytes(), f"{path.name} ") for path in files]
+        told = load_config()
+        sources = [RecordReader(path.read_bytes(), f"{path.name} ") for path in files]
         report = replay(sources, told.settings, told.names)
     except OSError as problem:
-        stop(f"{problem.filename}: {problem.strerror}", 2)
-    except (config.ConfigError, BadLine, CannotReplay) as problem:
-        stop(problem, 2)
+        exit_with_error(f"{problem.filename}: {problem.strerror}", 2)
+    except (config.ConfigError, MalformedLineError, ReplayError) as problem:
+        exit_with_error(problem, 2)
     for line in report.lines():
         print(line)
     raise typer.Exit(1 if report.differing else 0)
--- a/rosepick/cli/serving.py
+++ b/rosepick/cli/serve.py
@@ -10,43 +10,49 @@
 import typer
 
 from .. import __version__, logs
-from ..core.transport_map import TransportMap
+from ..core.endpoint_directory import EndpointDirectory
 from ..settings import operator_file
-from ..settings.operator_file import Operators
-from .common import File, configuration, operators_of, reread, stop
+from ..settings.operator_file import OperatorOptions
+from .common import (
+    OperatorFileOption,
+    exit_with_error,
+    load_config,
+    load_config_or_exit,
+    load_operator_file_or_exit,
+)
 
 
 def serve(
-    file: File = None,
+    file: OperatorFileOption = None,
     capture: Annotated[bool, typer.Option("--capture", help="Keep a capture; SIGUSR2 writes it.")] = False,
 ) -> None:
     """Run one router, configured by the file that GW_CONFIG names and by the operators' file."""
-    from ..net.server import Server
+    from ..net.server import RouterServer
 
     again = None if file is None else lambda: operator_file.load(file)
-    operators, told = Operators(operators_of(file), again, capture), configuration()
-    logs.set_up()
+    operators, told = OperatorOptions(load_operator_file_or_exit(file), again, capture), load_config_or_exit()
+    logs.configure_logging()
     try:
-        server = Server(told, None, reread, operators)
+        server = RouterServer(told, None, load_config, operators)
     except (OSError, ValueError) as problem:
-        stop(problem)
+        exit_with_error(problem)
     server.run()
 
 
 def check(
-    file: File = None,
+    file: OperatorFileOption = None,
     fleet: Annotated[Path | None, typer.Option("--fleet", help="The fleet's file; then only that.")] = None,
 ) -> None:
     """Name every fault of the operators' file and of GW_CONFIG, then each value in force with its source.
 
     Ends with 0 if there is no fault, else with 1. Opens no socket.
     """
-    from .check import check as checked
+    from .check import check_settings as checked
 
     if fleet is not None:
-        from .leasing import fleet_of
+        from .lease import load_fleet_or_exit
 
-        fleet_of(fleet)  # each fault is a line, and the end
+        load_fleet_or_exit(fleet)  # each fault is a line, and the end
         print(f"ok: {fleet}")
         return
 
@@ -57,11 +63,11 @@
 
 def check_config() -> None:
     """Read the configuration as `serve` would and say what it holds."""
-    told = configuration()
+    told = load_config_or_exit()
     try:
-        hops = TransportMap(told.names, 0.0).take(told.known, cached=True).event.members
+        hops = EndpointDirectory(told.names, 0.0).apply_update(told.known, is_cached=True).event.endpoints
     except ValueError as problem:
-        stop(f"known: {problem}")
+        exit_with_error(f"known: {problem}")
     print(
         f"ok: {told.name} listens on {told.listen[0]}:{told.listen[1]}, "
         f"{len(told.settings.classes)} classes, {len(hops)} known next hops"
--- a/rosepick/connections/habits.py
+++ b/rosepick/connections/reuse_history.py
@@ -4,12 +4,12 @@
 
 from collections import OrderedDict
 
-REMEMBERED = 1024  # addresses
-SURE = 2  # so many more connections were used again than were not ...
-MOST = 4  # ... and no more than this counts, so that another habit shows soon
+MAX_REMEMBERED_ADDRESSES = 1024  # addresses
+REUSE_THRESHOLD = 2  # so many more connections were used again than were not ...
+MAX_SCORE = 4  # ... and no more than this counts, so that another habit shows soon
 
 
-class Habits:
+class AddressReuseHistory:
     """A score for each address: up for a connection that asked twice, down for one that ended with one
     answer.
     """
@@ -20,13 +20,13 @@
     def __len__(self) -> int:
         return len(self._scores)
 
-    def seen(self, peer: str, again: bool) -> None:
+    def record_use(self, peer: str, was_reused: bool) -> None:
         """A connection of that address asked a second time, or was left by its client after one answer."""
-        score = self._scores.pop(peer, 0) + (1 if again else -1)
-        self._scores[peer] = max(-MOST, min(MOST, score))
-        if len(self._scores) > REMEMBERED:
+        score = self._scores.pop(peer, 0) + (1 if was_reused else -1)
+        self._scores[peer] = max(-MAX_SCORE, min(MAX_SCORE, score))
+        if len(self._scores) > MAX_REMEMBERED_ADDRESSES:
             self._scores.popitem(last=False)
 
-    def reuses(self, peer: str) -> bool:
+    def is_likely_to_reuse(self, peer: str) -> bool:
         """Whether its connections are worth keeping."""
-        return self._scores.get(peer, 0) >= SURE
+        return self._scores.get(peer, 0) >= REUSE_THRESHOLD
--- /dev/null
+++ b/rosepick/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers of the control plane: quorum connections, replicas, leases, agents and artifacts."""
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -15,15 +15,20 @@
 from ..decisions import api
 from ..decisions.api import Result
 from ..decisions.decide import Router
-from ..logs import fault, say
-from .account import Account, End
-from .invariants import holds
+from ..logs import log_event, log_exception
+from .invariants import check_invariant
+from .request_counters import RequestCounters, RequestOutcome
 
-log = logging.getLogger(__name__)
-UNSERVED = (End.REFUSED, End.FAILED, End.LATE, End.BROKE)
+logger = logging.getLogger(__name__)
+UNSERVED_OUTCOMES = (
+    RequestOutcome.REFUSED,
+    RequestOutcome.FAILED,
+    RequestOutcome.TIMED_OUT,
+    RequestOutcome.INTERNAL_ERROR,
+)
 
 
-class Decider(Protocol):
+class DecisionModule(Protocol):
     """What decides: the module, or another policy with the same interface."""
 
     actions: list[api.Action]  # of the present call, also if it ended in an exception
@@ -32,41 +37,41 @@
         """Decide on an event."""
 
 
-class SenderSide(Protocol):
+class DownstreamPort(Protocol):
     """Who handed an envelope in; it gets exactly one of these calls, unless it has gone."""
 
-    def served(self, envelope: Envelope, answer: object) -> None:
+    def send_response(self, request: RequestContext, response: object) -> None:
         """A next hop's answer, to be passed on as it is."""
 
-    def begins(self, envelope: Envelope, answer: object) -> None:
+    def start_response_stream(self, request: RequestContext, response: object) -> None:
         """A next hop's answer has begun, to be passed on as it comes. The front says when it is at its end,
         by `Engine.passed_on`, unless its sender side leaves.
         """
 
-    def refused(self, envelope: Envelope, retry_after: float) -> None:
+    def send_refusal(self, request: RequestContext, retry_after_ms: float) -> None:
         """Turned away; trying again is harmless, best after so many milliseconds."""
 
-    def failed(self, envelope: Envelope, late: bool) -> None:
+    def send_failure(self, request: RequestContext, timed_out: bool) -> None:
         """Failed, because its time was over or otherwise."""
 
-    def broke(self, envelope: Envelope) -> None:
+    def send_internal_error(self, request: RequestContext) -> None:
         """Failed by a fault of this program."""
 
 
-class NextHops(Protocol):
+class UpstreamPort(Protocol):
     """What carries delivery attempts out; it tells each one's end once, by `Engine.attempt_ended`."""
 
-    def deliver(self, attempt: DeliveryAttempt) -> None:
+    def start_attempt(self, attempt: UpstreamAttempt) -> None:
         """Start a delivery attempt."""
 
-    def give_up(self, attempt: DeliveryAttempt) -> None:
+    def cancel_attempt(self, attempt: UpstreamAttempt) -> None:
         """Stop an attempt; its end is not told."""
 
 
-class MapSource(Protocol):
+class EndpointSource(Protocol):
     """Where the transport map comes from."""
 
-    def watch(self, on: bool) -> None:
+    def set_watching(self, enabled: bool) -> None:
         """Follow changes from now on, or no more."""
 
 
@@ -83,426 +88,472 @@
     def now(self) -> float:
         """Milliseconds, forward only."""
 
-    def at(self, when: float, call: Callable[[], None], first: bool = False) -> TimerHandle:
-        """Call at that time or soon after; `first`: before the others of the same time."""
+    def call_at(self, at_ms: float, callback: Callable[[], None], run_first: bool = False) -> TimerHandle:
+        """Call at that time or soon after; `run_first`: before the others of the same time."""
 
 
-class Observer(Protocol):
+class EngineObserver(Protocol):
     """Who is shown all that the module is fed and decides, in order. It changes nothing."""
 
-    def taken(self, now: float, envelope: Envelope, actions: list[api.Action]) -> None:
+    def on_request(self, now: float, request: RequestContext, actions: list[api.Action]) -> None:
         """The module was fed a request, and decided so."""
 
-    def fed(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
+    def on_event(self, now: float, event: api.Event, actions: list[api.Action]) -> None:
         """The module was fed another event, and decided so."""
 
-    def answered(self, now: float, envelope: Envelope, end: End) -> None:
+    def on_outcome(self, now: float, request: RequestContext, outcome: RequestOutcome) -> None:
         """An envelope has its end."""
 
 
 @dataclass(slots=True, eq=False)
-class Envelope:
+class RequestContext:
     """A request from its arrival until its final answer and the end of its last delivery attempt."""
 
-    klass: int
+    class_index: int
     deadline: float
     key: int = 0
-    tenant: int = 0
-    write: bool = False
-    retry: bool = False
+    tenant_index: int = 0
+    is_write: bool = False
+    is_retry: bool = False
     cost_hint: float | None = None
     payload: object = None  # the front's own form, for its next hops
     ref: int = 0
-    sender: SenderSide | None = None
-    over: bool = False
-    coming: bool = False  # its last byte has not come; the deadline is provisional
-    begun: bool = False  # an answer is being passed on
-    limits: api.Limits = field(default_factory=api.Limits)  # as it was taken with
-    attempts: list[DeliveryAttempt] = field(default_factory=list)
-    net: TimerHandle | None = None
-    born: float = 0.0  # when its time began
-
-    def due(self) -> bool:
+    downstream: DownstreamPort | None = None
+    is_finished: bool = False
+    is_partial: bool = False  # its last byte has not come; the deadline is provisional
+    response_started: bool = False  # an answer is being passed on
+    limits: api.RouterLimits = field(default_factory=api.RouterLimits)  # as it was taken with
+    attempts: list[UpstreamAttempt] = field(default_factory=list)
+    watchdog_timer: TimerHandle | None = None
+    started_at: float = 0.0  # when its time began
+
+    def awaits_response(self) -> bool:
         """Whether its final answer is due. Guards against a second one amid an answer that is passed on."""
-        return not (self.over or self.begun)
+        return not (self.is_finished or self.response_started)
 
 
 @dataclass(slots=True, eq=False)
-class DeliveryAttempt:
+class UpstreamAttempt:
     """One sending of an envelope to a next hop."""
 
-    envelope: Envelope
+    request: RequestContext
     number: int
-    server: int
-    sent: float
+    endpoint_id: int
+    sent_at: float
     stop_at: float
     begin_by: float  # its first byte is not to be written later
-    out: bool = True
-    written: bool = False  # its last byte has been written: only from here on can it run
-    expiry: TimerHandle | None = None
+    is_in_flight: bool = True
+    is_fully_written: bool = False  # its last byte has been written: only from here on can it run
+    timeout_timer: TimerHandle | None = None
 
 
 class Engine:
     """Owns one router instance and all that it has in hand."""
 
     def __init__(
-        self, settings: api.Settings, seed: int, clock: Clock, decider: Decider | None = None
+        self,
+        settings: api.RouterSettings,
+        seed: int,
+        clock: Clock,
+        decision_module: DecisionModule | None = None,
     ) -> None:
         self.settings = settings
-        self.router: Decider = decider or Router(settings, seed)
+        self.router: DecisionModule = decision_module or Router(settings, seed)
         self.clock = clock
-        self.next_hops: NextHops
-        self.map_source: MapSource
-        self.envelopes: dict[int, Envelope] = {}
-        self.owed = 0  # envelopes without their final answer
+        self.upstream: UpstreamPort
+        self.endpoint_source: EndpointSource
+        self.requests: dict[int, RequestContext] = {}
+        self.pending_count = 0  # envelopes without their final answer
         self.counts: Counter[str] = Counter()
-        self.account = Account()
-        self.unfit: Counter[int] = Counter()  # requests that could not be taken, by class
-        self.written_of: Counter[int] = Counter()  # delivery attempts written whole, by class
+        self.request_counters = RequestCounters()
+        self.rejected_by_class: Counter[int] = Counter()  # requests that could not be taken, by class
+        self.written_attempts_by_class: Counter[int] = Counter()  # delivery attempts written whole, by class
         self._last_ref = 0
-        self._events: deque[api.Event | Envelope] = deque()
-        self._busy = False
+        self._events: deque[api.Event | RequestContext] = deque()
+        self._is_dispatching = False
 
     # ------------------------------------------------------------------------------------ what happens
 
-    def accept(self, envelope: Envelope, sender: SenderSide) -> None:
+    def accept(self, request: RequestContext, downstream: DownstreamPort) -> None:
         """Take an envelope; its final answer is owed from here on."""
         self._last_ref += 1
-        envelope.ref, envelope.sender = self._last_ref, sender
-        envelope.limits, envelope.born = self.settings.limits, self.clock.now()
-        self.envelopes[envelope.ref] = envelope
-        self.owed += 1
+        request.ref, request.downstream = self._last_ref, downstream
+        request.limits, request.started_at = self.settings.limits, self.clock.now()
+        self.requests[request.ref] = request
+        self.pending_count += 1
         self.counts["envelopes"] += 1
-        self._spread_net(envelope)
-        self._tell(envelope)
+        self._arm_watchdog(request)
+        self._dispatch(request)
 
-    def _spread_net(self, envelope: Envelope) -> None:
-        if envelope.net is not None:
-            envelope.net.cancel()
+    def _arm_watchdog(self, request: RequestContext) -> None:
+        if request.watchdog_timer is not None:
+            request.watchdog_timer.cancel()
         grace = 0.5 * self.settings.rules.grace_to_answer
-        envelope.net = self.clock.at(envelope.deadline + grace, lambda: self._unanswered(envelope))
+        request.watchdog_timer = self.clock.call_at(
+            request.deadline + grace, lambda: self._expire_unanswered_request(request)
+        )
 
-    def whole(self, envelope: Envelope, deadline: float) -> None:
+    def complete_upload(self, request: RequestContext, deadline: float) -> None:
         """The last byte of an envelope that was coming is there: its time counts from here."""
-        if envelope.over or not envelope.coming:
+        if request.is_finished or not request.is_partial:
             return
-        envelope.coming, envelope.deadline, envelope.born = False, deadline, self.clock.now()
-        self._spread_net(envelope)
-        for attempt in envelope.attempts:
-            if attempt.out:
-                attempt.sent = self.clock.now()
-                self._until(attempt, deadline)
-        self._tell(api.Whole(envelope.ref, max(0.0, deadline - self.clock.now())))
-
-    def sender_gone(self, envelope: Envelope) -> None:
+        request.is_partial, request.deadline, request.started_at = False, deadline, self.clock.now()
+        self._arm_watchdog(request)
+        for attempt in request.attempts:
+            if attempt.is_in_flight:
+                attempt.sent_at = self.clock.now()
+                self._set_attempt_timeout(attempt, deadline)
+        self._dispatch(api.RequestCompleted(request.ref, max(0.0, deadline - self.clock.now())))
+
+    def handle_disconnect(self, request: RequestContext) -> None:
         """The sender side has left; nothing more is owed."""
-        if envelope.over:
+        if request.is_finished:
             return
-        self._close(envelope, End.GONE)
-        if envelope.begun:
-            self.next_hops.give_up(envelope.attempts[-1])  # the module is through with it
-            self._forget(envelope)
+        self._close_request(request, RequestOutcome.CLIENT_GONE)
+        if request.response_started:
+            self.upstream.cancel_attempt(request.attempts[-1])  # the module is through with it
+            self._release_if_finished(request)
             return
-        self._tell(api.ClientGone(envelope.ref))
-        self._forget(envelope)
+        self._dispatch(api.ClientDisconnected(request.ref))
+        self._release_if_finished(request)
 
-    def reconfigure(self, settings: api.Settings) -> None:
+    def reconfigure(self, settings: api.RouterSettings) -> None:
         """Other settings, for envelopes that come from here on."""
         self.settings = settings
-        self._tell(api.Reconfigured(settings))
+        self._dispatch(api.Reconfigured(settings))
 
-    def turned_away(self, klass: int) -> None:
+    def record_rejected_request(self, class_index: int) -> None:
         """A front could not take a request of that class."""
-        self.unfit[klass] += 1
+        self.rejected_by_class[class_index] += 1
 
     def totals(self) -> Counter[str]:
         """What was counted since the start, and how envelopes ended."""
         found = Counter(self.counts)
-        for (_, end), count in self.account.by_end().items():
-            found[(End.FAILED if end is End.LATE else end).value] += count
+        for (_, end), count in self.request_counters.counts_by_outcome().items():
+            found[(RequestOutcome.FAILED if end is RequestOutcome.TIMED_OUT else end).value] += count
         return found
 
-    def map_told(self, event: api.Members) -> None:
+    def update_endpoints(self, event: api.EndpointUpdate) -> None:
         """Discovery told, or failed."""
-        self._tell(event)
+        self._dispatch(event)
 
-    def attempt_ended(
+    def finish_attempt(
         self,
-        attempt: DeliveryAttempt,
+        attempt: UpstreamAttempt,
         result: Result,
-        note: int = 0,
-        answer: object = None,
-        spoilt: bool = False,
-        spent: bool = False,
+        cache_status: int = 0,
+        response: object = None,
+        malformed: bool = False,
+        body_consumed: bool = False,
     ) -> None:
         """A delivery attempt has its outcome. A served one goes to the sender side before anything else."""
-        if not holds(attempt.out, "attempt_ends_once", ref=attempt.envelope.ref, result=result.value):
+        if not check_invariant(
+            attempt.is_in_flight, "attempt_ends_once", ref=attempt.request.ref, result=result.value
+        ):
             return
-        attempt.out = False
-        if attempt.expiry is not None:
-            attempt.expiry.cancel()
-        envelope = attempt.envelope
-        self.counts["attempt_spoilt" if spoilt else f"attempt_{result.value}"] += 1
-        if result is Result.OK and not envelope.over:
-            sender = self._close(envelope, End.SERVED)
-            self._answer("served", lambda: sender.served(envelope, answer))
-        lag = max(0.0, self.clock.now() - attempt.sent)
-        self._tell(
-            api.Outcome(
+        attempt.is_in_flight = False
+        if attempt.timeout_timer is not None:
+            attempt.timeout_timer.cancel()
+        envelope = attempt.request
+        self.counts["attempt_spoilt" if malformed else f"attempt_{result.value}"] += 1
+        if result is Result.OK and not envelope.is_finished:
+            sender = self._close_request(envelope, RequestOutcome.SERVED)
+            self._deliver_response("served", lambda: sender.send_response(envelope, response))
+        lag = max(0.0, self.clock.now() - attempt.sent_at)
+        self._dispatch(
+            api.AttemptEnded(
                 envelope.ref,
                 attempt.number,
-                attempt.server,
+                attempt.endpoint_id,
                 result,
-                envelope.over,
-                note,
+                envelope.is_finished,
+                cache_status,
                 lag,
-                spoilt=spoilt,
-                spent=spent,
+                malformed=malformed,
+                body_consumed=body_consumed,
             )
         )
-        self._forget(envelope)
+        self._release_if_finished(envelope)
 
-    def attempt_begins(self, attempt: DeliveryAttempt, note: int, answer: object) -> bool:
+    def begin_response_stream(self, attempt: UpstreamAttempt, cache_status: int, response: object) -> bool:
         """A served answer has begun that is passed on as it comes. That decides the attempt: from here on it
         is the sender side's, no deadline counts, no other attempt is made. False if nobody waits for it.
         """
-        envelope = attempt.envelope
-        wanted = envelope.due()
-        if not (wanted and holds(attempt.out, "attempt_ends_once", ref=envelope.ref, result="begun")):
+        envelope = attempt.request
+        wanted = envelope.awaits_response()
+        if not (
+            wanted
+            and check_invariant(attempt.is_in_flight, "attempt_ends_once", ref=envelope.ref, result="begun")
+        ):
             return False
-        attempt.out, envelope.begun = False, True
-        for timer in (attempt.expiry, envelope.net):
+        attempt.is_in_flight, envelope.response_started = False, True
+        for timer in (attempt.timeout_timer, envelope.watchdog_timer):
             if timer is not None:
                 timer.cancel()
         self.counts[f"attempt_{Result.OK.value}"] += 1
-        lag = max(0.0, self.clock.now() - attempt.sent)
-        sender = envelope.sender
+        lag = max(0.0, self.clock.now() - attempt.sent_at)
+        sender = envelope.downstream
         assert sender is not None
-        self._decided(envelope, End.SERVED)
-        self._answer("begins", lambda: sender.begins(envelope, answer))
-        self._tell(api.Outcome(envelope.ref, attempt.number, attempt.server, Result.OK, True, note, lag))
-        return not envelope.over
+        self._observe_outcome(envelope, RequestOutcome.SERVED)
+        self._deliver_response("begins", lambda: sender.start_response_stream(envelope, response))
+        self._dispatch(
+            api.AttemptEnded(
+                envelope.ref, attempt.number, attempt.endpoint_id, Result.OK, True, cache_status, lag
+            )
+        )
+        return not envelope.is_finished
 
-    def passed_on(self, envelope: Envelope, whole: bool) -> None:
+    def end_response_stream(self, request: RequestContext, is_complete: bool) -> None:
         """An answer that had begun is at its end, whole or not."""
-        if not envelope.over:
-            self._close(envelope, End.SERVED if whole else End.FAILED)
-            self._forget(envelope)
+        if not request.is_finished:
+            self._close_request(request, RequestOutcome.SERVED if is_complete else RequestOutcome.FAILED)
+            self._release_if_finished(request)
 
-    def attempt_written(self, attempt: DeliveryAttempt) -> None:
+    def mark_attempt_written(self, attempt: UpstreamAttempt) -> None:
         """The last byte of a delivery attempt has been written."""
-        attempt.written = True
-        self.written_of[attempt.envelope.klass] += 1
+        attempt.is_fully_written = True
+        self.written_attempts_by_class[attempt.request.class_index] += 1
 
-    def _decided(self, envelope: Envelope, end: End) -> None:
+    def _observe_outcome(self, request: RequestContext, outcome: RequestOutcome) -> None:
         """An envelope's final answer is given, or begins."""
 
     # ----------------------------------------------------------------------------- events and decisions
 
-    def _tell(self, happened: api.Event | Envelope) -> None:
+    def _dispatch(self, occurrence: api.Event | RequestContext) -> None:
         """Events are decided on one after another, also those that actions bring about at once."""
-        self._events.append(happened)
-        if self._busy:
+        self._events.append(occurrence)
+        if self._is_dispatching:
             return
-        self._busy = True
+        self._is_dispatching = True
         try:
             while self._events:
                 self._decide(self._events.popleft())
         finally:
-            self._busy = False
+            self._is_dispatching = False
 
-    def _decide(self, happened: api.Event | Envelope) -> None:
+    def _decide(self, occurrence: api.Event | RequestContext) -> None:
         now = self.clock.now()
         # The time left is taken at the very moment the module counts it from. Guards against a deadline of
         # its own that differs a little: a time-out just before it would be refused, not failed.
-        event = _request(happened, now) if isinstance(happened, Envelope) else happened
+        event = _to_request_event(occurrence, now) if isinstance(occurrence, RequestContext) else occurrence
         try:
             actions = self._handle(now, event)
         except Exception as problem:
-            self._fault(event, problem)
+            self._handle_fault(event, problem)
             # What was decided before the fault stands: the module counts those attempts as out, and its
             # tick sets the next one first.
             actions = self.router.actions
         for action in actions:
             try:
-                self._carry_out(action)
+                self._execute(action)
             except Exception as problem:
-                self._fault(event, problem)
+                self._handle_fault(event, problem)
 
     def _handle(self, now: float, event: api.Event) -> list[api.Action]:
         return self.router.handle(now, event)
 
-    def _fault(self, event: api.Event, problem: Exception) -> None:
+    def _handle_fault(self, event: api.Event, error: Exception) -> None:
         """An exception over one envelope: it fails, the process goes on."""
         self.counts["faults"] += 1
         ref = getattr(event, "ref", 0)
-        fault(log, "engine_fault", problem, ref=ref, over=type(event).__name__, count=self.counts["faults"])
-        envelope = self.envelopes.get(ref)
-        if envelope is not None and envelope.due():
-            sender = self._close(envelope, End.BROKE)
-            self._answer("broke", lambda: sender.broke(envelope))
-            self._tell(api.ClientGone(ref))
-            self._forget(envelope)
-
-    def _carry_out(self, action: api.Action) -> None:
+        log_exception(
+            logger, "engine_fault", error, ref=ref, over=type(event).__name__, count=self.counts["faults"]
+        )
+        envelope = self.requests.get(ref)
+        if envelope is not None and envelope.awaits_response():
+            sender = self._close_request(envelope, RequestOutcome.INTERNAL_ERROR)
+            self._deliver_response("broke", lambda: sender.send_internal_error(envelope))
+            self._dispatch(api.ClientDisconnected(ref))
+            self._release_if_finished(envelope)
+
+    def _execute(self, action: api.Action) -> None:
         match action:
             case api.Send():
-                self._send(action)
+                self._send_attempt(action)
             case api.SetTimer():
                 token = action.token
-                self.clock.at(action.at, lambda: self._tell(api.Timer(token)))
+                self.clock.call_at(action.due_at, lambda: self._dispatch(api.TimerFired(token)))
             case api.Cancel():
-                self._cancel(action)
+                self._cancel_attempt(action)
             case api.Refuse():
-                wait = action.retry_after
-                self._finish(action.ref, End.REFUSED, lambda e, s: s.refused(e, wait), action.why)
+                wait = action.retry_after_ms
+                self._finish_request(
+                    action.ref, RequestOutcome.REFUSED, lambda e, s: s.send_refusal(e, wait), action.reason
+                )
             case api.Fail():
-                self._fail(action.ref, action.why)
+                self._fail_request(action.ref, action.reason)
             case api.Watch():
-                self.map_source.watch(action.on)
+                self.endpoint_source.set_watching(action.enabled)
             case api.Log():
-                say(log, logging.INFO, "module", text=action.text)
+                log_event(logger, logging.INFO, "module", text=action.text)
             case api.Probe():
-                holds(False, "no_probes", server=action.server)
+                check_invariant(False, "no_probes", server=action.endpoint_id)
 
     # ------------------------------------------------------------------------------- delivery attempts
 
-    def _send(self, action: api.Send) -> None:
-        envelope = self.envelopes.get(action.ref)
+    def _send_attempt(self, action: api.Send) -> None:
+        envelope = self.requests.get(action.ref)
         if envelope is None:
-            holds(False, "send_of_open_envelope", ref=action.ref)
+            check_invariant(False, "send_of_open_envelope", ref=action.ref)
             return
         now = self.clock.now()
         stop_at = min(envelope.deadline, action.stop_at or envelope.deadline)
         number, begin_by = len(envelope.attempts), action.begin_by
-        attempt = DeliveryAttempt(envelope, number, action.server, now, stop_at, begin_by)
-        allowed = self._allowed(envelope, attempt)
+        attempt = UpstreamAttempt(envelope, number, action.endpoint_id, now, stop_at, begin_by)
+        allowed = self._may_send(envelope, attempt)
         envelope.attempts.append(attempt)
         if not allowed:
-            self.attempt_ended(attempt, Result.MOOT)
+            self.finish_attempt(attempt, Result.NEVER_SENT)
             return
         self.counts["attempts"] += 1
         # before the module's own deadline timer: a time-out says something of its next hop, a cancelled
         # attempt does not
-        self._until(attempt, stop_at)
+        self._set_attempt_timeout(attempt, stop_at)
         try:
-            self.next_hops.deliver(attempt)
+            self.upstream.start_attempt(attempt)
         except Exception as problem:
             self.counts["faults"] += 1
-            fault(log, "delivery_fault", problem, ref=envelope.ref, count=self.counts["faults"])
-            if attempt.out:
-                self.next_hops.give_up(attempt)
-                self.attempt_ended(attempt, Result.RESET)  # it may have run
-
-    def _until(self, attempt: DeliveryAttempt, stop_at: float) -> None:
-        if attempt.expiry is not None:
-            attempt.expiry.cancel()
+            log_exception(logger, "delivery_fault", problem, ref=envelope.ref, count=self.counts["faults"])
+            if attempt.is_in_flight:
+                self.upstream.cancel_attempt(attempt)
+                self.finish_attempt(attempt, Result.RESET)  # it may have run
+
+    def _set_attempt_timeout(self, attempt: UpstreamAttempt, stop_at: float) -> None:
+        if attempt.timeout_timer is not None:
+            attempt.timeout_timer.cancel()
         attempt.stop_at = stop_at
-        attempt.expiry = self.clock.at(stop_at, lambda: self._expire(attempt), first=True)
+        attempt.timeout_timer = self.clock.call_at(
+            stop_at, lambda: self._expire_attempt(attempt), run_first=True
+        )
 
-    def _allowed(self, envelope: Envelope, attempt: DeliveryAttempt) -> bool:
+    def _may_send(self, request: RequestContext, attempt: UpstreamAttempt) -> bool:
         """Whether an attempt may go out at all. The module keeps these rules; they are checked once more
         where a breach would be seen by the fleet.
         """
-        limits = envelope.limits
-        alone = limits.second_copies or not any(other.out for other in envelope.attempts)
+        limits = request.limits
+        alone = limits.allow_hedging or not any(other.is_in_flight for other in request.attempts)
         return (
-            holds(not envelope.over, "no_send_after_the_answer", ref=envelope.ref)
-            and holds(attempt.number < limits.max_attempts, "attempts_within_limit", ref=envelope.ref)
-            and holds(alone, "one_attempt_at_a_time", ref=envelope.ref)
-            and attempt.sent < envelope.deadline
+            check_invariant(not request.is_finished, "no_send_after_the_answer", ref=request.ref)
+            and check_invariant(
+                attempt.number < limits.max_attempts, "attempts_within_limit", ref=request.ref
+            )
+            and check_invariant(alone, "one_attempt_at_a_time", ref=request.ref)
+            and attempt.sent_at < request.deadline
         )
 
-    def _expire(self, attempt: DeliveryAttempt) -> None:
-        if attempt.out:
-            self.next_hops.give_up(attempt)
-            self.attempt_ended(attempt, Result.TIMEOUT)
+    def _expire_attempt(self, attempt: UpstreamAttempt) -> None:
+        if attempt.is_in_flight:
+            self.upstream.cancel_attempt(attempt)
+            self.finish_attempt(attempt, Result.TIMEOUT)
 
-    def _cancel(self, action: api.Cancel) -> None:
-        envelope = self.envelopes.get(action.ref)
+    def _cancel_attempt(self, action: api.Cancel) -> None:
+        envelope = self.requests.get(action.ref)
         if envelope is None or action.attempt >= len(envelope.attempts):
             return
         attempt = envelope.attempts[action.attempt]
-        if attempt.out:
-            self.next_hops.give_up(attempt)
-            self.attempt_ended(attempt, Result.CANCELLED)
+        if attempt.is_in_flight:
+            self.upstream.cancel_attempt(attempt)
+            self.finish_attempt(attempt, Result.CANCELLED)
 
     # ---------------------------------------------------------------------------------- final answers
 
-    def _fail(self, ref: int, why: api.Why) -> None:
-        envelope = self.envelopes.get(ref)
+    def _fail_request(self, ref: int, reason: api.EndReason) -> None:
+        envelope = self.requests.get(ref)
         late = envelope is not None and self.clock.now() >= envelope.deadline
-        self._finish(ref, End.LATE if late else End.FAILED, lambda e, s: s.failed(e, late), why)
+        self._finish_request(
+            ref,
+            RequestOutcome.TIMED_OUT if late else RequestOutcome.FAILED,
+            lambda e, s: s.send_failure(e, late),
+            reason,
+        )
 
-    def _finish(self, ref: int, end: End, call: Callable[[Envelope, SenderSide], None], why: api.Why) -> None:
-        envelope = self.envelopes.get(ref)
-        if envelope is None or not envelope.due():
+    def _finish_request(
+        self,
+        ref: int,
+        outcome: RequestOutcome,
+        respond: Callable[[RequestContext, DownstreamPort], None],
+        reason: api.EndReason,
+    ) -> None:
+        envelope = self.requests.get(ref)
+        if envelope is None or not envelope.awaits_response():
             return
-        sender = self._close(envelope, end, why.value)
-        self._answer(end.value, lambda: call(envelope, sender))
-        self._forget(envelope)
+        sender = self._close_request(envelope, outcome, reason.value)
+        self._deliver_response(outcome.value, lambda: respond(envelope, sender))
+        self._release_if_finished(envelope)
 
-    def _answer(self, kind: str, call: Callable[[], None]) -> None:
+    def _deliver_response(self, kind: str, respond: Callable[[], None]) -> None:
         """Hand a final answer over; a front that breaks over it must not keep the module from hearing."""
         try:
-            call()
+            respond()
         except Exception as problem:
             self.counts["faults"] += 1
-            fault(log, "answer_fault", problem, kind=kind, count=self.counts["faults"])
-
-    def _close(self, envelope: Envelope, end: End, cause: str = "") -> SenderSide:
-        if not envelope.begun:
-            self._decided(envelope, end)
-        envelope.over = True
-        self._enter(envelope, end, cause)
-        self.owed -= 1
-        if envelope.net is not None:
-            envelope.net.cancel()
-            envelope.net = None
-        sender, envelope.sender = envelope.sender, None
+            log_exception(logger, "answer_fault", problem, kind=kind, count=self.counts["faults"])
+
+    def _close_request(
+        self, request: RequestContext, outcome: RequestOutcome, cause: str = ""
+    ) -> DownstreamPort:
+        if not request.response_started:
+            self._observe_outcome(request, outcome)
+        request.is_finished = True
+        self._record_outcome(request, outcome, cause)
+        self.pending_count -= 1
+        if request.watchdog_timer is not None:
+            request.watchdog_timer.cancel()
+            request.watchdog_timer = None
+        sender, request.downstream = request.downstream, None
         assert sender is not None
         return sender
 
-    def _enter(self, envelope: Envelope, end: End, cause: str) -> None:
+    def _record_outcome(self, request: RequestContext, outcome: RequestOutcome, cause: str) -> None:
         """Enter an end into the account."""
-        took = self.clock.now() - envelope.born
+        took = self.clock.now() - request.started_at
         classes = self.settings.classes
-        if end is End.SERVED and envelope.klass < len(classes) and took > classes[envelope.klass].aim:
+        if (
+            outcome is RequestOutcome.SERVED
+            and request.class_index < len(classes)
+            and took > classes[request.class_index].objective_ms
+        ):
             cause = "late"
         # what the platform prices: a client that waited for an answer that nobody was asked for
-        if end in UNSERVED and not envelope.attempts and 2 * took > envelope.deadline - envelope.born:
+        if (
+            outcome in UNSERVED_OUTCOMES
+            and not request.attempts
+            and 2 * took > request.deadline - request.started_at
+        ):
             self.counts["late_unsent"] += 1
-        self.account.add(envelope.klass, end, cause, took)
+        self.request_counters.record(request.class_index, outcome, cause, took)
 
-    def _unanswered(self, envelope: Envelope) -> None:
+    def _expire_unanswered_request(self, request: RequestContext) -> None:
         """The net under rule 1: the module answers at the deadline; if it did not, a failure goes out while
         it still counts.
         """
-        if envelope.over:
+        if request.is_finished:
             return
-        sender = self._close(envelope, End.LATE)
-        self._answer("failed", lambda: sender.failed(envelope, True))
-        self._tell(api.ClientGone(envelope.ref))
-        self._forget(envelope)
-        holds(False, "answered_at_the_deadline", ref=envelope.ref)
+        sender = self._close_request(request, RequestOutcome.TIMED_OUT)
+        self._deliver_response("failed", lambda: sender.send_failure(request, True))
+        self._dispatch(api.ClientDisconnected(request.ref))
+        self._release_if_finished(request)
+        check_invariant(False, "answered_at_the_deadline", ref=request.ref)
 
-    def _forget(self, envelope: Envelope) -> None:
+    def _release_if_finished(self, request: RequestContext) -> None:
         """Drop an envelope that is over, once none of its attempts is out. One that is not written whole is
         given up, whatever the module leaves out there: guards against a dial that comes up after the sender
         side has left, whose request would then go out for nobody.
         """
-        for attempt in envelope.attempts:
-            if envelope.over and attempt.out and not attempt.written:
-                self.next_hops.give_up(attempt)
-                self.attempt_ended(attempt, Result.MOOT)
-        if envelope.over and not any(attempt.out for attempt in envelope.attempts):
-            self.envelopes.pop(envelope.ref, None)
+        for attempt in request.attempts:
+            if request.is_finished and attempt.is_in_flight and not attempt.is_fully_written:
+                self.upstream.cancel_attempt(attempt)
+                self.finish_attempt(attempt, Result.NEVER_SENT)
+        if request.is_finished and not any(attempt.is_in_flight for attempt in request.attempts):
+            self.requests.pop(request.ref, None)
 
 
 class ObservedEngine(Engine):
     """The same engine, with an observer of what goes into the module and comes out."""
 
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock, observer: Observer) -> None:
+    def __init__(
+        self, settings: api.RouterSettings, seed: int, clock: Clock, observer: EngineObserver
+    ) -> None:
         super().__init__(settings, seed, clock)
         self.observer = observer
 
@@ -511,32 +562,32 @@
             return self.router.handle(now, event)
         finally:
             actions = self.router.actions
-            if isinstance(event, api.Request):
-                self._show(self.observer.taken, now, self.envelopes[event.ref], actions)
+            if isinstance(event, api.RequestArrived):
+                self._notify_observer(self.observer.on_request, now, self.requests[event.ref], actions)
             else:
-                self._show(self.observer.fed, now, event, actions)
+                self._notify_observer(self.observer.on_event, now, event, actions)
 
-    def _decided(self, envelope: Envelope, end: End) -> None:
-        self._show(self.observer.answered, self.clock.now(), envelope, end)
+    def _observe_outcome(self, request: RequestContext, outcome: RequestOutcome) -> None:
+        self._notify_observer(self.observer.on_outcome, self.clock.now(), request, outcome)
 
-    def _show(self, call: Callable[..., None], *given: object) -> None:
+    def _notify_observer(self, call: Callable[..., None], *given: object) -> None:
         """An observer that breaks must not keep a request from its answer."""
         try:
             call(*given)
         except Exception as problem:
             self.counts["faults"] += 1
-            fault(log, "observer_fault", problem, count=self.counts["faults"])
-
-
-def _request(envelope: Envelope, now: float) -> api.Request:
-    return api.Request(
-        envelope.ref,
-        envelope.klass,
-        max(0.0, envelope.deadline - now),
-        envelope.key,
-        envelope.tenant,
-        envelope.write,
-        envelope.retry,
-        envelope.cost_hint,
-        envelope.coming,
+            log_exception(logger, "observer_fault", problem, count=self.counts["faults"])
+
+
+def _to_request_event(request: RequestContext, now: float) -> api.RequestArrived:
+    return api.RequestArrived(
+        request.ref,
+        request.class_index,
+        max(0.0, request.deadline - now),
+        request.key,
+        request.tenant_index,
+        request.is_write,
+        request.is_retry,
+        request.cost_hint,
+        request.is_partial,
     )
--- a/rosepick/core/invariants.py
+++ b/rosepick/core/invariants.py
@@ -5,19 +5,19 @@
 import logging
 from collections import Counter
 
-from ..logs import say
+from ..logs import log_event
 
-log = logging.getLogger(__name__)
-broken: Counter[str] = Counter()
+logger = logging.getLogger(__name__)
+violation_counts: Counter[str] = Counter()
 """How often each invariant was found broken since the start."""
 
 
-def holds(condition: bool, name: str, **facts: object) -> bool:
+def check_invariant(condition: bool, name: str, **context: object) -> bool:
     """Whether an invariant holds. The caller must cope with a False: release builds go on."""
     if condition:
         return True
-    broken[name] += 1
-    say(log, logging.ERROR, "invariant_broken", name=name, count=broken[name], **facts)
+    violation_counts[name] += 1
+    log_event(logger, logging.ERROR, "invariant_broken", name=name, count=violation_counts[name], **context)
     if __debug__:
-        raise AssertionError(f"{name} {facts}")
+        raise AssertionError(f"{name} {context}")
     return False
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -36,15 +36,15 @@
     THROUGH = "through"  # the cache server itself
 
 
-class State(IntEnum):
+class Status(IntEnum):
     """State of a member as the server list tells it."""
 
-    GONE = 0
+    REMOVED = 0
     READY = 1
     DRAINING = 2
 
 
-class Scope(Enum):
+class UpdateScope(Enum):
     """What a `Members` event carries."""
 
     CACHED = "cached"  # the whole list as last held, perhaps old
@@ -58,48 +58,48 @@
 
     OK = "ok"
     ERROR = "error"
-    FULL = "full"
+    BUSY = "full"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    MOOT = "moot"
+    NEVER_SENT = "moot"
     MISS = "miss"
-    NO_PLACE = "no_place"  # a new connection was turned away: says nothing of the load
-    UNFIT = "unfit"  # the request itself was turned away: it would be anywhere
+    CONNECTION_LIMIT = "no_place"  # a new connection was turned away: says nothing of the load
+    INVALID = "unfit"  # the request itself was turned away: it would be anywhere
 
 
-class Why(Enum):
+class EndReason(Enum):
     """Why a request was not served."""
 
-    UNTOLD = ""
-    CROWDED = "crowded"  # this router has too much in hand
-    SLOW = "slow"  # an answer in time is not expected
-    NOBODY = "nobody"  # no server can take it
-    QUEUE = "queue"  # it waited for its turn at the origin until too late
+    UNSPECIFIED = ""
+    OVERLOADED = "crowded"  # this router has too much in hand
+    TOO_SLOW = "slow"  # an answer in time is not expected
+    NO_ENDPOINT = "nobody"  # no server can take it
+    QUEUE_TIMEOUT = "queue"  # it waited for its turn at the origin until too late
     NO_ORIGIN = "no_origin"  # the list has none
-    RULES = "rules"  # it may not be sent (again)
+    NOT_PERMITTED = "rules"  # it may not be sent (again)
     BUDGET = "budget"  # an attempt did not serve it, and no retry is left ...
     NO_TIME = "no_time"  # ... or no time for one
-    SPENT = "spent"  # its body cannot be sent again
+    BODY_CONSUMED = "spent"  # its body cannot be sent again
     DEADLINE = "deadline"
-    UNFIT = "unfit"  # the request itself was turned away
+    INVALID = "unfit"  # the request itself was turned away
 
 
 NEVER_RAN = frozenset(
     {
-        Result.FULL,
+        Result.BUSY,
         Result.CONNECT_FAILED,
-        Result.MOOT,
+        Result.NEVER_SENT,
         Result.MISS,
-        Result.UNFIT,
-        Result.NO_PLACE,
+        Result.INVALID,
+        Result.CONNECTION_LIMIT,
     }
 )
 """Results which prove that the attempt had no effect."""
 
 
-def _check(name: str, value: float, low: float, high: float = float("inf")) -> None:
+def _require_in_range(name: str, value: float, low: float, high: float = float("inf")) -> None:
     if not isfinite(value) or not low <= value <= high:
         raise ValueError(f"setting {name} is {value!r}; it must be a number from {low:g} to {high:g}")
 
@@ -108,21 +108,21 @@
 class RequestClass:
     """What is known of a class of requests."""
 
-    aim: float
-    deadline: float
+    objective_ms: float
+    deadline_ms: float
     worth: float = 1.0
     late_share: float = 0.0
     effect: Effect = Effect.RETRYABLE
     group: Group = Group.ALL
-    repeat_window: float = 0.0
+    repeat_window_ms: float = 0.0
     streaming: bool = False
 
     def __post_init__(self) -> None:
-        _check("request_classes[].objective", self.aim, 0.001)
-        _check("request_classes[].deadline", self.deadline, 0.001)
-        _check("request_classes[].worth", self.worth, 0.0)
-        _check("request_classes[].late_share", self.late_share, 0.0, 1.0)
-        _check("request_classes[].repeat_window", self.repeat_window, 0.0)
+        _require_in_range("request_classes[].objective", self.objective_ms, 0.001)
+        _require_in_range("request_classes[].deadline", self.deadline_ms, 0.001)
+        _require_in_range("request_classes[].worth", self.worth, 0.0)
+        _require_in_range("request_classes[].late_share", self.late_share, 0.0, 1.0)
+        _require_in_range("request_classes[].repeat_window", self.repeat_window_ms, 0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,12 +133,12 @@
     quota_per_s: float = 0.0
 
     def __post_init__(self) -> None:
-        _check("tenants[].share", self.share, 0.0, 1.0)
-        _check("tenants[].quota_per_s", self.quota_per_s, 0.0)
+        _require_in_range("tenants[].share", self.share, 0.0, 1.0)
+        _require_in_range("tenants[].quota_per_s", self.quota_per_s, 0.0)
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
+class RoutingRules:
     """Figures of the rules every decision keeps."""
 
     stop_sending_within: float = 1000.0
@@ -150,39 +150,39 @@
     fall: float = 3000.0
 
     def __post_init__(self) -> None:
-        _check("rules.stop_sending_within", self.stop_sending_within, 0.0)
-        _check("rules.grace_to_answer", self.grace_to_answer, 0.0)
-        _check("rules.ask_every", self.ask_every, 1.0)
-        _check("rules.cold_from", self.cold_from, 0.0, 1.0)
-        _check("rules.warm_within", self.warm_within, 0.0)
-        _check("rules.tip_multiple", self.tip_multiple, 0.0)
-        _check("rules.fall", self.fall, 0.0)
+        _require_in_range("rules.stop_sending_within", self.stop_sending_within, 0.0)
+        _require_in_range("rules.grace_to_answer", self.grace_to_answer, 0.0)
+        _require_in_range("rules.ask_every", self.ask_every, 1.0)
+        _require_in_range("rules.cold_from", self.cold_from, 0.0, 1.0)
+        _require_in_range("rules.warm_within", self.warm_within, 0.0)
+        _require_in_range("rules.tip_multiple", self.tip_multiple, 0.0)
+        _require_in_range("rules.fall", self.fall, 0.0)
 
 
 @dataclass(frozen=True, slots=True)
-class Limits:
+class RouterLimits:
     """What the site allows a router to do."""
 
     max_attempts: int = 3
-    second_copies: bool = False
-    cancelling: bool = False
-    probes: bool = False
-    peers: bool = False
-    max_retry_after: float = 0.0
+    allow_hedging: bool = False
+    allow_cancel: bool = False
+    allow_probes: bool = False
+    allow_peer_messages: bool = False
+    max_retry_after_ms: float = 0.0
 
     def __post_init__(self) -> None:
-        _check("limits.max_attempts", self.max_attempts, 1)
-        _check("limits.max_retry_after", self.max_retry_after, 0.0)
+        _require_in_range("limits.max_attempts", self.max_attempts, 1)
+        _require_in_range("limits.max_retry_after", self.max_retry_after_ms, 0.0)
 
 
 @dataclass(frozen=True, slots=True)
-class Settings:
+class RouterSettings:
     """All that a router is given at its start."""
 
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...] = ()
-    rules: Rules = field(default_factory=Rules)
-    limits: Limits = field(default_factory=Limits)
+    rules: RoutingRules = field(default_factory=RoutingRules)
+    limits: RouterLimits = field(default_factory=RouterLimits)
     mode: Mode = Mode.THROUGH
     origin_kind: int = -1
     origin_fall_multiple: float = 0.0
@@ -202,25 +202,25 @@
             raise ValueError("setting request_classes is empty; a router needs at least one class")
         if len(self.report_fields) > 4:
             raise ValueError("setting report.fields names more than four values")
-        _check("zone", self.zone, 0)
-        _check("balancers", self.routers, 1)
-        _check("position", self.position, 0)
-        _check("over_share_worth", self.over_share_worth, 0.0)
-        _check("domain.origin_fall_multiple", self.origin_fall_multiple, 0.0)
-        _check("costs.probe", self.probe_cost, 0.0)
-        _check("costs.cross_zone", self.cross_zone_cost, 0.0)
+        _require_in_range("zone", self.zone, 0)
+        _require_in_range("balancers", self.routers, 1)
+        _require_in_range("position", self.position, 0)
+        _require_in_range("over_share_worth", self.over_share_worth, 0.0)
+        _require_in_range("domain.origin_fall_multiple", self.origin_fall_multiple, 0.0)
+        _require_in_range("costs.probe", self.probe_cost, 0.0)
+        _require_in_range("costs.cross_zone", self.cross_zone_cost, 0.0)
 
 
 # ---------------------------------------------------------------------------------------------- events
 
 
 @dataclass(frozen=True, slots=True)
-class Member:
+class Endpoint:
     """One entry of the server list."""
 
-    server: int
-    state: State = State.READY
-    born: float = 0.0
+    endpoint_id: int
+    status: Status = Status.READY
+    started_at: float = 0.0
     zone: int = 0
     cell: int = 0
     kind: int = 0
@@ -228,37 +228,37 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Members:
+class EndpointUpdate:
     """What discovery tells about the servers."""
 
-    scope: Scope
-    members: tuple[Member, ...] = ()
+    scope: UpdateScope
+    endpoints: tuple[Endpoint, ...] = ()
     version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Request:
-    """A client's request; the router now owes one final answer within `time_left`."""
+class RequestArrived:
+    """A client's request; the router now owes one final answer within `time_left_ms`."""
 
     ref: int
-    klass: int
-    time_left: float
+    class_index: int
+    time_left_ms: float
     key: int = 0
-    tenant: int = 0
-    write: bool = False
-    retry: bool = False
+    tenant_index: int = 0
+    is_write: bool = False
+    is_retry: bool = False
     cost_hint: float | None = None
-    coming: bool = False  # its last byte has not come: `time_left` is provisional, `Whole` tells it
+    is_partial: bool = False  # its last byte has not come: `time_left` is provisional, `Whole` tells it
 
 
 @dataclass(frozen=True, slots=True)
-class Whole:
+class RequestCompleted:
     """The last byte of a request that was coming is there; its time counts from here. An attempt under way
     begins to run now.
     """
 
     ref: int
-    time_left: float
+    time_left_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -267,28 +267,28 @@
 
     ref: int
     attempt: int
-    server: int
-    lag: float = 0.0
+    endpoint_id: int
+    latency_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class Outcome:
+class AttemptEnded:
     """The one result of an attempt."""
 
     ref: int
     attempt: int
-    server: int
+    endpoint_id: int
     result: Result
-    closed: bool = False
-    note: int = 0
-    lag: float = 0.0
-    report: tuple[float, ...] = ()
-    spoilt: bool = False  # with RESET: an answer came, so the server lives, but it was of no use
-    spent: bool = False  # what was sent is not held any more: it cannot be sent again
+    closes_request: bool = False
+    cache_status: int = 0
+    latency_ms: float = 0.0
+    load_report: tuple[float, ...] = ()
+    malformed: bool = False  # with RESET: an answer came, so the server lives, but it was of no use
+    body_consumed: bool = False  # what was sent is not held any more: it cannot be sent again
 
 
 @dataclass(frozen=True, slots=True)
-class ClientGone:
+class ClientDisconnected:
     """The client has left; nothing more is owed."""
 
     ref: int
@@ -300,11 +300,11 @@
     mode, zone, origin and the way of discovery stay.
     """
 
-    settings: Settings
+    settings: RouterSettings
 
 
 @dataclass(frozen=True, slots=True)
-class Timer:
+class TimerFired:
     """A timer set earlier has fallen due."""
 
     token: int
@@ -314,29 +314,29 @@
 class ProbeResult:
     """The result of one probe."""
 
-    server: int
+    endpoint_id: int
     result: Result
-    lag: float = 0.0
-    report: tuple[float, ...] = ()
+    latency_ms: float = 0.0
+    load_report: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """A message from another router of the tier."""
 
-    peer: int
+    peer_id: int
     payload: bytes = b""
 
 
 Event: TypeAlias = (
-    Members
-    | Request
-    | Whole
+    EndpointUpdate
+    | RequestArrived
+    | RequestCompleted
     | FirstByte
-    | Outcome
-    | ClientGone
+    | AttemptEnded
+    | ClientDisconnected
     | Reconfigured
-    | Timer
+    | TimerFired
     | ProbeResult
     | PeerMessage
 )
@@ -349,7 +349,7 @@
     """Start an attempt; attempts of a request count up from 0."""
 
     ref: int
-    server: int
+    endpoint_id: int
     stop_at: float = 0.0
     begin_by: float = float("inf")  # not to be begun later, as when its connection was long in coming up
 
@@ -359,8 +359,8 @@
     """Final answer: turned away, trying again is harmless."""
 
     ref: int
-    retry_after: float = 0.0
-    why: Why = Why.UNTOLD
+    retry_after_ms: float = 0.0
+    reason: EndReason = EndReason.UNSPECIFIED
 
 
 @dataclass(frozen=True, slots=True)
@@ -368,7 +368,7 @@
     """Final answer: failed, nothing is promised."""
 
     ref: int
-    why: Why = Why.UNTOLD
+    reason: EndReason = EndReason.UNSPECIFIED
 
 
 @dataclass(frozen=True, slots=True)
@@ -384,21 +384,21 @@
     """Ask for a `Timer` event at or after a time."""
 
     token: int
-    at: float
+    due_at: float
 
 
 @dataclass(frozen=True, slots=True)
 class Probe:
     """Query a server's health."""
 
-    server: int
+    endpoint_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class Watch:
     """Subscribe to changes of the server list."""
 
-    on: bool = True
+    enabled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/lab/account/printed.py
+++ b/rosepick/lab/account/day_report.py
@@ -5,15 +5,15 @@
 import re
 from dataclasses import dataclass, field
 
-_G = re.compile(r"^G (-?[\d.]+)", re.M)
-_PRICES = re.compile(r"^prices: (.*)$", re.M)
-_PRICE = re.compile(r"(\w+) (-?[\d.]+)")
-_CLASS = re.compile(r"^class (\S+)\s+served ([\d.]+)", re.M)
-_TOP = re.compile(r"floor (-?[\d.]+)\s+top (-?[\d.]+)")
+_WORTH_LINE = re.compile(r"^G (-?[\d.]+)", re.M)
+_PRICES_LINE = re.compile(r"^prices: (.*)$", re.M)
+_PRICE_ITEM = re.compile(r"(\w+) (-?[\d.]+)")
+_CLASS_LINE = re.compile(r"^class (\S+)\s+served ([\d.]+)", re.M)
+_BOUNDS_LINE = re.compile(r"floor (-?[\d.]+)\s+top (-?[\d.]+)")
 
 
 @dataclass(frozen=True, slots=True)
-class Printed:
+class DayReport:
     """One day's report."""
 
     worth: float | None = None  # G: after prices, the worst seconds, classes and tenants
@@ -23,13 +23,13 @@
     classes: dict[str, float] = field(default_factory=dict)  # served shares, as clients saw them
 
 
-def parse(text: str) -> Printed:
+def parse_day_report(text: str) -> DayReport:
     """The figures of the first day in a report; what is not there is left out."""
-    worth, prices, top = _G.search(text), _PRICES.search(text), _TOP.search(text)
-    return Printed(
+    worth, prices, top = _WORTH_LINE.search(text), _PRICES_LINE.search(text), _BOUNDS_LINE.search(text)
+    return DayReport(
         worth=float(worth[1]) if worth else None,
         floor=float(top[1]) if top else None,
         top=float(top[2]) if top else None,
-        prices={name: float(value) for name, value in _PRICE.findall(prices[1])} if prices else {},
-        classes={name: float(value) for name, value in _CLASS.findall(text)},
+        prices={name: float(value) for name, value in _PRICE_ITEM.findall(prices[1])} if prices else {},
+        classes={name: float(value) for name, value in _CLASS_LINE.findall(text)},
     )
--- a/rosepick/lab/account/logs.py
+++ b/rosepick/lab/account/log_reader.py
@@ -13,19 +13,19 @@
 from datetime import datetime
 from pathlib import Path
 
-from ...logs import fields_of
+from ...logs import parse_log_fields
 
-STAMP = re.compile(r"(\d+(?:\.\d+)?) (?=time=)")  # a bench may put its own seconds in front of a line
-_ANY = {"time", "level", "part", "event", "class", "owed", "sockets"}
-TOLD = {"ends", "counts", "serving"}
+STAMP_PATTERN = re.compile(r"(\d+(?:\.\d+)?) (?=time=)")  # a bench may put its own seconds in front of a line
+_COMMON_FIELDS = {"time", "level", "part", "event", "class", "owed", "sockets"}
+READ_EVENTS = {"ends", "counts", "serving"}
 
 
-class NoLogs(ValueError):
+class NoLogsError(ValueError):
     """There is nothing to read; the message is one plain line."""
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
+class LogRecord:
     """What one router told at one moment."""
 
     at: float  # seconds; by the bench's stamp, else since the first line of all routers
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class Ended:
+class EndedRequests:
     """Envelopes of a class that ended at a router between two of its lines."""
 
     at: float  # of the later line, seconds
@@ -51,76 +51,76 @@
 
 
 @dataclass(slots=True)
-class Logs:
+class RouterLogs:
     """All that was read."""
 
-    ended: list[Ended] = field(default_factory=list)
+    ended: list[EndedRequests] = field(default_factory=list)
     counts: dict[str, Counter[str]] = field(default_factory=dict)  # by router: attempts, crossings, dials ...
     starts: Counter[str] = field(default_factory=Counter)  # processes, by router
 
 
-def read(paths: Iterable[Path]) -> Logs:
+def read_logs(paths: Iterable[Path]) -> RouterLogs:
     """The logs of a folder, or of some files. NoLogs if none of them holds a line of a router."""
     files = [file for path in paths for file in (sorted(path.glob("*.log")) if path.is_dir() else [path])]
-    found, told = Logs(), []
+    found, told = RouterLogs(), []
     for file in files:
         try:
-            told.append(list(_lines(file)))
+            told.append(list(_read_records(file)))
         except OSError as problem:
-            raise NoLogs(f"{file}: {problem.strerror or problem}") from None
+            raise NoLogsError(f"{file}: {problem.strerror or problem}") from None
     first = min((line.at for lines in told for line in lines[:1]), default=None)
     if first is None:
-        raise NoLogs("no line of a router in " + (", ".join(map(str, files[:3])) or "an empty folder"))
+        raise NoLogsError("no line of a router in " + (", ".join(map(str, files[:3])) or "an empty folder"))
     for lines in told:
-        _follow(found, lines, 0.0 if first < 1e6 else first)
+        _read_process_log(found, lines, 0.0 if first < 1e6 else first)
     return found
 
 
-def _lines(file: Path) -> Iterator[Told]:
+def _read_records(file: Path) -> Iterator[LogRecord]:
     """The lines that count, in order. What is none of ours, or was cut, is passed over."""
     for line in file.read_text("utf-8", "replace").splitlines():
         if " event=" not in line:
             continue
-        stamp = STAMP.match(line)
-        fields = fields_of(line)
-        if fields.get("event") not in TOLD:
+        stamp = STAMP_PATTERN.match(line)
+        fields = parse_log_fields(line)
+        if fields.get("event") not in READ_EVENTS:
             continue
         try:
             at = float(stamp[1]) if stamp else datetime.fromisoformat(fields["time"]).timestamp()
         except (KeyError, ValueError):
             continue
-        yield Told(at, file.stem, fields)
+        yield LogRecord(at, file.stem, fields)
 
 
-def _follow(found: Logs, lines: list[Told], first: float) -> None:
+def _read_process_log(logs: RouterLogs, lines: list[LogRecord], first: float) -> None:
     """Take up one router's lines: differences within each of its processes."""
     before: dict[str, dict[str, float]] = {}
     for line in lines:
         if line.event == "serving":
-            found.starts[line.router] += 1
+            logs.starts[line.router] += 1
             before.clear()
             continue
         name = line.fields.get("class", "") if line.event == "ends" else "counts"
-        figures = _figures(line.fields)
+        figures = _parse_counts(line.fields)
         grown = {key: value - before.get(name, {}).get(key, 0.0) for key, value in figures.items()}
         before[name] = figures
         if line.event == "counts":
-            found.counts.setdefault(line.router, Counter()).update({key: int(n) for key, n in grown.items()})
+            logs.counts.setdefault(line.router, Counter()).update({key: int(n) for key, n in grown.items()})
             continue
-        one = Ended(line.at - first, line.router, name, figures.get("worth", 1.0))
+        one = EndedRequests(line.at - first, line.router, name, figures.get("worth", 1.0))
         for key, value in grown.items():
             if key.endswith("_ms"):
                 one.waited[key.removesuffix("_ms")] += value  # type: ignore[assignment]
             elif key != "worth" and value:
                 one.counts[key] += int(value)
-        found.ended.append(one)
+        logs.ended.append(one)
 
 
-def _figures(fields: dict[str, str]) -> dict[str, float]:
+def _parse_counts(fields: dict[str, str]) -> dict[str, float]:
     """The fields of a line that are numbers, but for those that any line has."""
     found = {}
     for key, text in fields.items():
-        if key in _ANY:
+        if key in _COMMON_FIELDS:
             continue
         try:
             found[key] = float(text)
--- a/rosepick/lab/account/account.py
+++ b/rosepick/lab/account/loss_account.py
@@ -11,14 +11,14 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-from .logs import Ended, Logs
-from .printed import Printed
-
-K = TypeVar("K", str, int)
-IN_TIME = "served"
-SLICE = 5.0  # seconds of a row
-BUSY = 3.0  # times the mean traffic of a router: those are looked at apart
-TEXTS = {
+from .day_report import DayReport
+from .log_reader import EndedRequests, RouterLogs
+
+KeyT = TypeVar("KeyT", str, int)
+IN_TIME_OUTCOME = "served"
+SLICE_S = 5.0  # seconds of a row
+BUSY_TRAFFIC_FACTOR = 3.0  # times the mean traffic of a router: those are looked at apart
+OUTCOME_TEXTS = {
     "served_late": "served after its aim",
     "refused_crowded": "refused at once: this router has too much in hand",
     "refused_slow": "refused at once: expected to be too late",
@@ -40,13 +40,13 @@
 }
 
 
-def text_of(name: str) -> str:
+def describe_outcome(name: str) -> str:
     """An end and its cause in words."""
-    return TEXTS.get(name, name.replace("_", " "))
+    return OUTCOME_TEXTS.get(name, name.replace("_", " "))
 
 
 @dataclass(frozen=True, slots=True)
-class Cause:
+class LossCause:
     """What one cause took."""
 
     name: str
@@ -58,11 +58,11 @@
     @property
     def text(self) -> str:
         """In words."""
-        return text_of(self.name)
+        return describe_outcome(self.name)
 
 
 @dataclass(frozen=True, slots=True)
-class Row:
+class AccountRow:
     """A part of the day, or of the routers."""
 
     name: str
@@ -73,7 +73,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Account:
+class LossAccount:
     """All of a day."""
 
     routers: int
@@ -81,48 +81,52 @@
     asked: int
     in_time: float
     worth: float
-    causes: tuple[Cause, ...]  # dearest first
-    classes: tuple[Row, ...]
-    slices: tuple[Row, ...]
-    groups: tuple[Row, ...]  # routers with several times the mean traffic, and the others
+    causes: tuple[LossCause, ...]  # dearest first
+    classes: tuple[AccountRow, ...]
+    slices: tuple[AccountRow, ...]
+    groups: tuple[AccountRow, ...]  # routers with several times the mean traffic, and the others
     prices: dict[str, float] = field(default_factory=dict)  # each as a count for each request asked
-    printed: Printed | None = None
+    printed: DayReport | None = None
 
 
-def account(logs: Logs, printed: Printed | None = None) -> Account:
+def build_account(logs: RouterLogs, printed: DayReport | None = None) -> LossAccount:
     """What came of a day."""
-    whole = _row("all", logs.ended)
-    return Account(
+    whole = _to_row("all", logs.ended)
+    return LossAccount(
         routers=len(logs.starts) or len({one.router for one in logs.ended}),
         starts=sum(logs.starts.values()),
         asked=whole.asked,
         in_time=whole.in_time,
         worth=whole.worth,
-        causes=_causes(logs.ended),
-        classes=tuple(_row(name, group) for name, group in _grouped(logs.ended, lambda one: one.klass)),
+        causes=_loss_causes(logs.ended),
+        classes=tuple(
+            _to_row(name, group) for name, group in _group_ended(logs.ended, lambda one: one.klass)
+        ),
         slices=tuple(
-            _row(f"{int(SLICE * place)} s", group)
-            for place, group in _grouped(logs.ended, lambda one: _slice(one.at))
+            _to_row(f"{int(SLICE_S * place)} s", group)
+            for place, group in _group_ended(logs.ended, lambda one: _slice_of(one.at))
         ),
-        groups=_by_traffic(logs.ended),
-        prices=_prices(logs, whole.asked),
+        groups=_rows_by_traffic(logs.ended),
+        prices=_request_prices(logs, whole.asked),
         printed=printed,
     )
 
 
-def _slice(at: float) -> int:
+def _slice_of(at: float) -> int:
     """Of a line: what it tells is of the time before it."""
-    return max(0, int((at - SLICE / 2) // SLICE))
+    return max(0, int((at - SLICE_S / 2) // SLICE_S))
 
 
-def _grouped(ended: Iterable[Ended], by: Callable[[Ended], K]) -> list[tuple[K, list[Ended]]]:
-    groups: dict[K, list[Ended]] = {}
+def _group_ended(
+    ended: Iterable[EndedRequests], by: Callable[[EndedRequests], KeyT]
+) -> list[tuple[KeyT, list[EndedRequests]]]:
+    groups: dict[KeyT, list[EndedRequests]] = {}
     for one in ended:
         groups.setdefault(by(one), []).append(one)
     return sorted(groups.items(), key=lambda group: group[0])
 
 
-def _causes(ended: list[Ended]) -> tuple[Cause, ...]:
+def _loss_causes(ended: list[EndedRequests]) -> tuple[LossCause, ...]:
     counts: Counter[str] = Counter()
     worth: Counter[str] = Counter()
     waited: Counter[str] = Counter()
@@ -134,42 +138,48 @@
             waited[name] += one.waited[name]
             classes.setdefault(name, Counter())[one.klass] += count
     found = [
-        Cause(name, count, worth[name], waited[name] / count, tuple(classes[name].most_common()))
+        LossCause(name, count, worth[name], waited[name] / count, tuple(classes[name].most_common()))
         for name, count in counts.items()
-        if name != IN_TIME and count
+        if name != IN_TIME_OUTCOME and count
     ]
     return tuple(sorted(found, key=lambda cause: (-cause.worth, cause.name)))
 
 
-def _row(name: str, ended: Iterable[Ended]) -> Row:
+def _to_row(name: str, ended: Iterable[EndedRequests]) -> AccountRow:
     counts: Counter[str] = Counter()
     asked = got = 0.0
     for one in ended:
         counts.update(one.counts)
         asked += one.worth * sum(one.counts.values())
-        got += one.worth * one.counts[IN_TIME]
+        got += one.worth * one.counts[IN_TIME_OUTCOME]
     total = sum(counts.values())
-    lost = [(cause, count / total) for cause, count in counts.most_common() if cause != IN_TIME and count]
-    return Row(
-        name, total, counts[IN_TIME] / total if total else 0.0, got / asked if asked else 0.0, tuple(lost[:3])
+    lost = [
+        (cause, count / total) for cause, count in counts.most_common() if cause != IN_TIME_OUTCOME and count
+    ]
+    return AccountRow(
+        name,
+        total,
+        counts[IN_TIME_OUTCOME] / total if total else 0.0,
+        got / asked if asked else 0.0,
+        tuple(lost[:3]),
     )
 
 
-def _by_traffic(ended: list[Ended]) -> tuple[Row, ...]:
+def _rows_by_traffic(ended: list[EndedRequests]) -> tuple[AccountRow, ...]:
     """Routers with at least `BUSY` times the mean traffic, and the others."""
     asked: Counter[str] = Counter()
     for one in ended:
         asked[one.router] += sum(one.counts.values())
     mean = sum(asked.values()) / len(asked) if asked else 0.0
-    busy = {router for router, count in asked.items() if count >= BUSY * mean}
-    found = [_row(f"{len(asked) - len(busy)} others", [one for one in ended if one.router not in busy])]
+    busy = {router for router, count in asked.items() if count >= BUSY_TRAFFIC_FACTOR * mean}
+    found = [_to_row(f"{len(asked) - len(busy)} others", [one for one in ended if one.router not in busy])]
     if busy:
-        name = f"{len(busy)} with {BUSY:g} times the mean or more"
-        found.insert(0, _row(name, [one for one in ended if one.router in busy]))
+        name = f"{len(busy)} with {BUSY_TRAFFIC_FACTOR:g} times the mean or more"
+        found.insert(0, _to_row(name, [one for one in ended if one.router in busy]))
     return tuple(found)
 
 
-def _prices(logs: Logs, asked: int) -> dict[str, float]:
+def _request_prices(logs: RouterLogs, asked: int) -> dict[str, float]:
     """What the platform prices, a request: attempts, crossings of zones, connections opened, and requests
     that were refused or failed after half of their time with nothing sent.
     """
--- a/rosepick/lab/compare.py
+++ b/rosepick/lab/compare.py
@@ -12,7 +12,7 @@
 from rich.table import Table
 from rich.text import Text
 
-from .results import Run
+from .results import RunResult
 
 MORE_IS_BETTER = {
     "served_share": True,
@@ -25,7 +25,7 @@
     "fell": False,
 }
 # Student's t of 97.5 % for 1 to 30 degrees of freedom, and from a number of them on
-STUDENT = (
+STUDENT_QUANTILES = (
     12.706,
     4.303,
     3.182,
@@ -57,12 +57,12 @@
     2.045,
     2.042,
 )
-STUDENT_BEYOND = ((120, 1.980), (60, 2.000), (40, 2.021), (30, 2.042))
+STUDENT_QUANTILES_LARGE = ((120, 1.980), (60, 2.000), (40, 2.021), (30, 2.042))
 COLOURS = {"better": "green", "worse": "bold red", "same": "", "unknown": "yellow"}
 
 
 @dataclass(frozen=True, slots=True)
-class Difference:
+class FigureDifference:
     """Of a figure, to the first arm, over pairs. None is what is not known."""
 
     mean: float | None
@@ -72,14 +72,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Figure:
+class FigureComparison:
     """One figure of all arms."""
 
     name: str
     more_is_better: bool
     pairs: int  # seeds at which every arm has it; all that stands here is over these
     means: dict[str, float | None]  # by arm
-    differences: dict[str, Difference]  # by arm, without the first
+    differences: dict[str, FigureDifference]  # by arm, without the first
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +90,7 @@
     by: str
     arms: tuple[str, ...]
     seeds: tuple[int, ...]
-    figures: tuple[Figure, ...]
+    figures: tuple[FigureComparison, ...]
     left_out: tuple[str, ...]  # a line for each run that counts for nothing here, with why
 
     def as_dict(self) -> dict[str, Any]:
@@ -98,7 +98,7 @@
         return asdict(self)
 
 
-def compare(runs: Iterable[Run], by: str = "policy") -> list[Comparison]:
+def compare_runs(runs: Iterable[RunResult], by: str = "policy") -> list[Comparison]:
     """Arms by `policy`, `revision`, `how` or the dotted name of a setting; one comparison for each set of
     runs that are alike in all else but the seed. The first arm is that of the first run.
 
@@ -107,29 +107,29 @@
     generator, so the figures follow from the runs alone. Beyond 30 degrees of freedom the table's next lower
     row is taken, which errs towards wide.
     """
-    alike: dict[str, list[Run]] = {}
+    alike: dict[str, list[RunResult]] = {}
     for run in runs:
-        alike.setdefault(_title(run, by), []).append(run)
-    return [_compared(title, by, group) for title, group in alike.items()]
+        alike.setdefault(_comparison_title(run, by), []).append(run)
+    return [_compare_arms(title, by, group) for title, group in alike.items()]
 
 
-def _title(run: Run, by: str) -> str:
+def _comparison_title(run: RunResult, by: str) -> str:
     """All that a run's partners have too, but the seed."""
     fixed = {"policy": run.policy, "how": run.how, "revision": run.revision, **run.changes}
     return " ".join([run.experiment, *(f"{name}={value}" for name, value in fixed.items() if name != by)])
 
 
-def _arm(run: Run, by: str) -> str:
+def _arm_of(run: RunResult, by: str) -> str:
     if by in ("policy", "how", "revision"):
         return str(getattr(run, by))
     return f"{by}={run.changes[by]}" if by in run.changes else f"{by} as in the file"
 
 
-def _compared(title: str, by: str, runs: Sequence[Run]) -> Comparison:
-    arms: dict[str, dict[int, Run]] = {_arm(run, by): {} for run in runs}
+def _compare_arms(title: str, by: str, runs: Sequence[RunResult]) -> Comparison:
+    arms: dict[str, dict[int, RunResult]] = {_arm_of(run, by): {} for run in runs}
     left_out: list[str] = []
     for run in runs:
-        arm = _arm(run, by)
+        arm = _arm_of(run, by)
         if run.void:
             left_out.append(f"{arm}, seed {run.seed}: void: {run.void}")
         elif run.seed in arms[arm]:
@@ -142,57 +142,59 @@
     for arm, held in counted.items():
         left_out += [f"{arm}, seed {seed}: has no partner" for seed in sorted(set(held) - set(seeds))]
     paired = {arm: [held[seed] for seed in seeds] for arm, held in counted.items()}
-    figures = tuple(_figure(name, paired) for name in MORE_IS_BETTER)
+    figures = tuple(_compare_figure(name, paired) for name in MORE_IS_BETTER)
     return Comparison(title, by, tuple(paired), tuple(seeds), figures, tuple(left_out))
 
 
-def _figure(name: str, paired: dict[str, list[Run]]) -> Figure:
-    rows = zip(*([_value(run, name) for run in runs] for runs in paired.values()), strict=True)
+def _compare_figure(name: str, paired: dict[str, list[RunResult]]) -> FigureComparison:
+    rows = zip(*([_figure_value(run, name) for run in runs] for runs in paired.values()), strict=True)
     whole = [row for row in rows if None not in row]
     columns = dict(zip(paired, zip(*whole, strict=True), strict=True)) if whole else {}
     first, *others = paired or [""]
     more = MORE_IS_BETTER[name]
-    return Figure(
+    return FigureComparison(
         name,
         more,
         len(whole),
         {arm: fmean(columns[arm]) if columns else None for arm in paired},
-        {arm: _difference(columns.get(first, ()), columns.get(arm, ()), more) for arm in others},
+        {arm: _paired_difference(columns.get(first, ()), columns.get(arm, ()), more) for arm in others},
     )
 
 
-def _value(run: Run, name: str) -> float | None:
+def _figure_value(run: RunResult, name: str) -> float | None:
     # a latency of 0 where nothing was served would be the best of all
     if name == "p99_ms" and not run.totals.get("served_share", 0) + run.totals.get("late_share", 0):
         return None
     return run.totals.get(name)
 
 
-def _difference(first: Sequence[float], other: Sequence[float], more_is_better: bool) -> Difference:
+def _paired_difference(
+    first: Sequence[float], other: Sequence[float], more_is_better: bool
+) -> FigureDifference:
     steps = [there - here for here, there in zip(first, other, strict=True)]
     if not steps:
-        return Difference(None, None, None, "unknown")
+        return FigureDifference(None, None, None, "unknown")
     mean = fmean(steps)
     if len(steps) == 1:
-        return Difference(mean, None, None, "unknown")
+        return FigureDifference(mean, None, None, "unknown")
     error = stdev(steps) / math.sqrt(len(steps))
-    reach = _student(len(steps) - 1) * error
+    reach = _student_quantile(len(steps) - 1) * error
     low, high = mean - reach, mean + reach
     word = "same" if low <= 0 <= high else "better" if (mean > 0) == more_is_better else "worse"
-    return Difference(mean, error, (low, high), word)
+    return FigureDifference(mean, error, (low, high), word)
 
 
-def _student(freedom: int) -> float:
+def _student_quantile(freedom: int) -> float:
     """For 95 % on both sides together."""
-    if freedom <= len(STUDENT):
-        return STUDENT[freedom - 1]
-    return next(t for least, t in STUDENT_BEYOND if freedom >= least)
+    if freedom <= len(STUDENT_QUANTILES):
+        return STUDENT_QUANTILES[freedom - 1]
+    return next(t for least, t in STUDENT_QUANTILES_LARGE if freedom >= least)
 
 
 # ------------------------------------------------------------------------------------------------ as a table
 
 
-def table(comparison: Comparison) -> Table:
+def comparison_table(comparison: Comparison) -> Table:
     """For a terminal, with what is left out below it."""
     notes = [f"paired over {len(comparison.seeds)} seeds; 95 % interval by Student's t"]
     notes += [
@@ -220,21 +222,21 @@
     for figure in comparison.figures:
         made.add_row(Text(figure.name, style="bold"))
         for arm in comparison.arms:
-            made.add_row(*_cells(figure, arm))
+            made.add_row(*_format_cells(figure, arm))
     return made
 
 
-def _cells(figure: Figure, arm: str) -> list[Text]:
+def _format_cells(figure: FigureComparison, arm: str) -> list[Text]:
     """A row: of the first arm its mean only."""
-    row = [Text(f"  {arm}"), Text(_number(figure.means[arm], ".4g"))]
+    row = [Text(f"  {arm}"), Text(_format_number(figure.means[arm], ".4g"))]
     held = figure.differences.get(arm)
     if held is None:
         return row
     low, high = held.interval or (None, None)
-    interval = "unknown" if low is None else f"{_number(low)} to {_number(high)}"
-    row += [Text(_number(held.mean)), Text(_number(held.error, ".2g")), Text(interval)]
+    interval = "unknown" if low is None else f"{_format_number(low)} to {_format_number(high)}"
+    row += [Text(_format_number(held.mean)), Text(_format_number(held.error, ".2g")), Text(interval)]
     return [*row, Text(held.word, style=COLOURS[held.word])]
 
 
-def _number(value: float | None, how: str = "+.3g") -> str:
+def _format_number(value: float | None, how: str = "+.3g") -> str:
     return "unknown" if value is None else f"{value:{how}}"
--- a/rosepick/lab/console.py
+++ b/rosepick/lab/console.py
@@ -17,14 +17,14 @@
 )
 from rich.table import Table
 
-from .results import Cost, Run
+from .results import RunCost, RunResult
 
-_WIDE = 120  # columns where nobody looks at a terminal
-_OUT = Console(highlight=False, width=None if sys.stdout.isatty() else _WIDE)
-_SHOWN = 5  # broken rules that are named
+_WIDTH = 120  # columns where nobody looks at a terminal
+_CONSOLE = Console(highlight=False, width=None if sys.stdout.isatty() else _WIDTH)
+_MAX_SHOWN = 5  # broken rules that are named
 
 
-def _bar() -> Progress:
+def _create_progress_bar() -> Progress:
     """On standard error, and only on a terminal."""
     console = Console(stderr=True)
     columns = (
@@ -38,14 +38,14 @@
 
 
 @contextmanager
-def progress(name: str) -> Iterator[Callable[[float], None]]:
+def progress_bar(name: str) -> Iterator[Callable[[float], None]]:
     """Show the part that is done, 0 to 1."""
-    with _bar() as bar:
+    with _create_progress_bar() as bar:
         task = bar.add_task(name, total=1.0)
         yield lambda done: bar.update(task, completed=done)
 
 
-def show(run: Run, cost: Cost) -> None:
+def print_run(run: RunResult, cost: RunCost) -> None:
     """A run in a few lines."""
     total = run.totals
     table = Table(title=f"{run.experiment}: {run.policy}, seed {run.seed}, {run.how}", title_justify="left")
@@ -79,7 +79,7 @@
         f"{total['hit_share']:.1%}",
         f"{total['origin_load']:.1%}",
     )
-    _OUT.print(table)
+    _CONSOLE.print(table)
     for verdict in run.must:
         bounds = [f"at least {verdict.least:g}"] if verdict.least is not None else []
         bounds += [f"at most {verdict.most:g}"] if verdict.most is not None else []
@@ -88,17 +88,17 @@
             f"  {word}: {verdict.what} {verdict.value:g}, {' and '.join(bounds)}, "
             f"from {verdict.since:g} to {verdict.until:g} s"
         )
-    for broken in run.broken[:_SHOWN]:
+    for broken in run.broken[:_MAX_SHOWN]:
         where = f" at {broken.node}" if broken.node else ""
         who = f", request {broken.request}" if broken.request else ""
         print(f"  BROKEN RULE {broken.rule}: {broken.text}{who}{where}, {broken.at:.3f} s")
-    if len(run.broken) > _SHOWN:
-        print(f"  ... and {len(run.broken) - _SHOWN} more")
+    if len(run.broken) > _MAX_SHOWN:
+        print(f"  ... and {len(run.broken) - _MAX_SHOWN} more")
     if run.void:
         print(f"  VOID: {run.void}")
     print(f"  {cost.requests} requests, {cost.cpu_s:.1f} s of CPU, {cost.memory_mb:.0f} MB")
 
 
-def table(made: RenderableType) -> None:
+def print_comparison(comparison: RenderableType) -> None:
     """Show a table."""
-    _OUT.print(made)
+    _CONSOLE.print(comparison)
--- a/rosepick/lab/demo.py
+++ b/rosepick/lab/demo.py
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ..logs import fields_of
+from ..logs import parse_log_fields
 from . import console
-from .experiment import Experiment, Trouble, read
-from .live.run import Stage, staged
-from .results import Run, Window
+from .experiment import Experiment, FaultConfig, parse_experiment
+from .live.live_run import LiveRun, open_live_run
+from .results import RunResult, Window
 
 SEED = 1
-STEP = 5  # seconds of a row of the table
+STEP_S = 5  # seconds of a row of the table
 EXPERIMENT = """
 name = "demo"
 length = {seconds}
@@ -68,7 +68,7 @@
 down = 2
 """
 # what of the router's log is shown, and in which words
-EVENTS = {
+EVENT_TEXTS = {
     "serving": "the router serves on {listen}",
     "module": "the decisions say: {text}",
     "crowd_began": "room is made at the doors ({by})",
@@ -78,67 +78,69 @@
 }
 
 
-def demo(seconds: int) -> int:
+def run_demo(seconds: int) -> int:
     """Play it and show it; the exit status. Ends with 1 if a rule was broken."""
-    given = experiment(seconds)
+    given = demo_experiment(seconds)
     nodes = sum(group.count for group in given.fleet)
     print(
         f"{nodes} cache nodes, an origin and one router on this machine, {given.traffic.rate:g} requests a "
         f"second for {seconds} seconds.\n"
     )
-    with staged(given, SEED) as stage:
+    with open_live_run(given, SEED) as stage:
         stage.set_up()
-        stage.go_on(Teller(stage, given).told)
+        stage.run_to_end(Narrator(stage, given).on_progress)
         run, cost = stage.result({})
     print()
-    _table(run)
-    console.show(run, cost)
+    _print_table(run)
+    console.print_run(run, cost)
     print("\nMore: docs/lab.md; `rosepick lab run experiments/slow-node.toml` simulates such a day.")
     return 1 if run.broken else 0
 
 
-def experiment(seconds: int) -> Experiment:
+def demo_experiment(seconds: int) -> Experiment:
     """What is played; the troubles keep their places in it, however long it lasts."""
     times = {"slow_at": 0.25 * seconds, "slow_for": 0.2 * seconds, "restart_at": 0.65 * seconds}
-    return read(EXPERIMENT.format(seconds=seconds, **times), "demo")
+    return parse_experiment(EXPERIMENT.format(seconds=seconds, **times), "demo")
 
 
-class Teller:
+class Narrator:
     """Says what happens, as it happens: troubles when they begin and end, and lines of the router's log."""
 
-    def __init__(self, stage: Stage, given: Experiment, say: Callable[[str], None] = print) -> None:
-        self._stage, self._say = stage, say
-        self._length = given.length + max(one.deadline for one in given.classes)
-        self._read = 0
-        self._due = sorted(_moments(given.troubles))
+    def __init__(
+        self, stage: LiveRun, experiment: Experiment, print_line: Callable[[str], None] = print
+    ) -> None:
+        self._stage, self._print_line = stage, print_line
+        self._run_length_s = experiment.length + max(one.deadline for one in experiment.classes)
+        self._read_offset = 0
+        self._pending_messages = sorted(_fault_messages(experiment.troubles))
 
-    def told(self, part: float) -> None:
+    def on_progress(self, progress: float) -> None:
         """Such a part of the run is over, 0 to 1."""
-        now = part * self._length
-        while self._due and self._due[0][0] <= now:
-            at, text = self._due.pop(0)
-            self._say(f"{at:5.1f} s  {text}")
+        now = progress * self._run_length_s
+        while self._pending_messages and self._pending_messages[0][0] <= now:
+            at, text = self._pending_messages.pop(0)
+            self._print_line(f"{at:5.1f} s  {text}")
         for line in self._lines(self._stage.routers[0].log_file):
-            text = _in_words(line)
+            text = _describe_event(line)
             if text:
-                self._say(f"{now:5.1f} s    {text}")
+                self._print_line(f"{now:5.1f} s    {text}")
 
     def _lines(self, path: Path) -> list[str]:
         """Whole lines that are new in a log."""
         try:
             with path.open("rb") as file:
-                file.seek(self._read)
+                file.seek(self._read_offset)
                 data = file.read()
         except OSError:
             return []
         whole = data[: data.rfind(b"\n") + 1]
-        self._read += len(whole)
+        self._read_offset += len(whole)
         return whole.decode("utf-8", "replace").splitlines()
 
 
-def _moments(troubles: tuple[Trouble, ...]) -> list[tuple[float, str]]:
+def _fault_messages(faults: tuple[FaultConfig, ...]) -> list[tuple[float, str]]:
     found = []
-    for trouble in troubles:
+    for trouble in faults:
         if trouble.kind == "restart":
             back = f"it is back after {trouble.down:g} s, and cold"
             found.append((trouble.at, f"a cache node is restarted; {back}"))
@@ -148,30 +150,30 @@
     return found
 
 
-def _in_words(line: str) -> str:
+def _describe_event(line: str) -> str:
     """A line of the log as it is shown; empty if it is not."""
-    fields = fields_of(line)
-    words = EVENTS.get(fields.get("event", ""))
+    fields = parse_log_fields(line)
+    words = EVENT_TEXTS.get(fields.get("event", ""))
     return words.format_map({"listen": "", "text": "", "by": "", **fields}) if words else ""
 
 
-def _table(run: Run) -> None:
+def _print_table(run: RunResult) -> None:
     """What clients got, a row for some seconds."""
     print("  seconds  requests  in time    p99   origin   nodes up")
-    for begin in range(0, len(run.windows), STEP):
-        windows = run.windows[begin : begin + STEP]
+    for begin in range(0, len(run.windows), STEP_S):
+        windows = run.windows[begin : begin + STEP_S]
         offered = sum(window.offered for window in windows)
         if not offered:
             continue
         in_time = sum(window.in_time for window in windows) / offered
         print(
             f"  {begin:3}-{begin + len(windows):<3}  {offered:8}  {in_time:7.1%}  "
-            f"{max(window.p99_ms for window in windows):4.0f} ms  {_mean(windows):6.1%}  "
+            f"{max(window.p99_ms for window in windows):4.0f} ms  {_mean_of(windows):6.1%}  "
             f"{min(window.nodes_up for window in windows):9}"
         )
     print()
     sys.stdout.flush()
 
 
-def _mean(windows: list[Window]) -> float:
+def _mean_of(windows: list[Window]) -> float:
     return sum(window.origin_load for window in windows) / len(windows)
--- a/rosepick/lab/drill/cache_node.py
+++ b/rosepick/lab/drill/cache_node.py
@@ -17,101 +17,113 @@
 import msgspec
 
 from ... import logs
-from ...net.budget import Budget
-from ...net.loop import READ, Loop
-from ...net.ops import OpsDoor
-from ...ops.lines import Said
-from ..live.reader import Message, answer
-from .door import Guest
-from .history import Came, Injected
-from .stand_ins import Notes, moment
-
-WARM_AFTER = 25  # requests borne ...
-WARM_IN = 3.0  # ... or seconds
-FETCH, HIT = 8.0, 1.0  # milliseconds
-TELL_EVERY = 200.0
-OLD = 3_600_000  # milliseconds
-QUIET = 1.0  # seconds without a request while it drains: nobody sends any more
-
-
-def place(text: str) -> tuple[str, int]:
+from ...net.admin_listener import AdminListener
+from ...net.event_loop import READ, EventLoop
+from ...net.resource_budget import ResourceBudget
+from ...ops.line_protocol import AdminReply
+from ..live.request_reader import HttpRequest, encode_response
+from .history import FaultInjected, NodeRequestReceived
+from .stand_in_connection import StandInConnection
+from .stand_ins import EventLog, drill_clock
+
+WARM_AFTER_REQUESTS = 25  # requests borne ...
+WARM_AFTER_S = 3.0  # ... or seconds
+FETCH_TIME_MS, HIT_TIME_MS = 8.0, 1.0  # milliseconds
+REPORT_INTERVAL_MS = 200.0
+ESTABLISHED_AGE_MS = 3_600_000  # milliseconds
+IDLE_AFTER_S = 1.0  # seconds without a request while it drains: nobody sends any more
+
+
+def parse_address(text: str) -> tuple[str, int]:
     """host:port."""
     host, _, port = text.rpartition(":")
     return host, int(port)
 
 
-class Link(Guest):
+class CacheNodeConnection(StandInConnection):
     """One connection of a router: a request at a time."""
 
-    def __init__(self, node: CacheNode, sock: socket.socket) -> None:
+    def __init__(self, node: CacheNodeStandIn, sock: socket.socket) -> None:
         self._node = node
         super().__init__(node.loop, node.budget, sock)
 
-    def came(self, message: Message) -> None:
-        self._node.came(self, message)
+    def handle_request(self, message: HttpRequest) -> None:
+        self._node.handle_request(self, message)
 
 
-class CacheNode:
+class CacheNodeStandIn:
     """The whole process."""
 
-    def __init__(self, name: str, listen: str, door: str, discovery: str, events: str) -> None:
-        self.name, self.loop, self.budget = name, Loop(), Budget(4096)
+    def __init__(self, name: str, listen: str, admin_address: str, discovery: str, events: str) -> None:
+        self.name, self.loop, self.budget = name, EventLoop(), ResourceBudget(4096)
         first = not os.path.exists(events) or not os.path.getsize(events)
         # the fleet of a drill is an old one: only what starts again is cold
-        self._began, self._boot_ms = moment(), round(time.time() * 1000.0) - (OLD if first else 0)
-        self.notes = Notes(events)
-        self.notes.note(Injected(name, self._began, "first start" if first else "cold start"))
-        self._discovery = place(discovery)
+        self._started_at, self._boot_ms = (
+            drill_clock(),
+            round(time.time() * 1000.0) - (ESTABLISHED_AGE_MS if first else 0),
+        )
+        self.event_log = EventLog(events)
+        self.event_log.append(FaultInjected(name, self._started_at, "first start" if first else "cold start"))
+        self._discovery = parse_address(discovery)
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._memory: set[bytes] = set()
-        self._hits = self._misses = self._in_hand = 0
-        self._last = moment()
+        self._hits = self._misses = self._in_flight = 0
+        self._last_request_at = drill_clock()
         self.draining = False
-        self._sock = socket.create_server(place(listen), backlog=512)
+        self._sock = socket.create_server(parse_address(listen), backlog=512)
         self._sock.setblocking(False)
-        self.loop.watch(self._sock, READ, self._accept)
+        self.loop.register(self._sock, READ, self._accept)
         calls = {
             "readyz": self._readyz,
             "telemetry": self._telemetry,
             "drain": self._drain,
             "undrain": self._undrain,
         }
-        self.door = OpsDoor(self.loop, place(door), calls)
-        self._tell()
+        self.admin_listener = AdminListener(self.loop, parse_address(admin_address), calls)
+        self._report_periodically()
 
     def _accept(self, mask: int) -> None:
         try:
-            Link(self, self._sock.accept()[0])
+            CacheNodeConnection(self, self._sock.accept()[0])
         except OSError:
             return
 
-    def came(self, link: Link, message: Message) -> None:
+    def handle_request(self, connection: CacheNodeConnection, message: HttpRequest) -> None:
         """A request is here, whole."""
-        self._last = moment()
-        self.notes.note(Came(self.name, self._last, message.text(b"req-id"), self.draining))
+        self._last_request_at = drill_clock()
+        self.event_log.append(
+            NodeRequestReceived(
+                self.name, self._last_request_at, message.header_text(b"req-id"), self.draining
+            )
+        )
         if message.target in self._memory:
             self._hits += 1
-            wait, found = HIT, b"hit"
+            wait, found = HIT_TIME_MS, b"hit"
         else:
             self._misses += 1
             self._memory.add(message.target)
-            wait, found = FETCH, b"miss"
-        self._in_hand += 1
+            wait, found = FETCH_TIME_MS, b"miss"
+        self._in_flight += 1
 
         def done() -> None:
-            self._in_hand -= 1
-            link.say(answer(200, b"v" * 200, ((b"Srv-Cache", found),)), message.keep)
+            self._in_flight -= 1
+            connection.send_response(
+                encode_response(200, b"v" * 200, ((b"Srv-Cache", found),)), message.keep_alive
+            )
 
-        self.loop.after(wait, done)
+        self.loop.call_after(wait, done)
 
     # -- the door
 
-    def _readyz(self) -> Said:
-        return Said(not self.draining, "draining" if self.draining else "ready")
+    def _readyz(self) -> AdminReply:
+        return AdminReply(not self.draining, "draining" if self.draining else "ready")
 
-    def _telemetry(self) -> Said:
-        idle = self.draining and not self._in_hand and moment() - self._last > QUIET
-        warm = self._hits + self._misses >= WARM_AFTER or moment() - self._began > WARM_IN
+    def _telemetry(self) -> AdminReply:
+        idle = self.draining and not self._in_flight and drill_clock() - self._last_request_at > IDLE_AFTER_S
+        warm = (
+            self._hits + self._misses >= WARM_AFTER_REQUESTS
+            or drill_clock() - self._started_at > WARM_AFTER_S
+        )
         told = {
             "draining": self.draining,
             "idle": idle,
@@ -119,38 +131,38 @@
             "hits": self._hits,
             "misses": self._misses,
         }
-        return Said(True, msgspec.json.encode(told).decode(), ("END",), plain=True)
+        return AdminReply(True, msgspec.json.encode(told).decode(), ("END",), is_document=True)
 
-    def _drain(self) -> Said:
+    def _drain(self) -> AdminReply:
         if not self.draining:
-            self.draining, self._last = True, moment()
-            self._tell_once()
-        return Said(True, "draining")
+            self.draining, self._last_request_at = True, drill_clock()
+            self._report_state()
+        return AdminReply(True, "draining")
 
-    def _undrain(self) -> Said:
+    def _undrain(self) -> AdminReply:
         self.draining = False
-        self._tell_once()
-        return Said(True, "taking")
+        self._report_state()
+        return AdminReply(True, "taking")
 
-    def _tell(self) -> None:
-        self._tell_once()
-        self.loop.after(TELL_EVERY, self._tell)
+    def _report_periodically(self) -> None:
+        self._report_state()
+        self.loop.call_after(REPORT_INTERVAL_MS, self._report_periodically)
 
-    def _tell_once(self, state: str = "") -> None:
+    def _report_state(self, state: str = "") -> None:
         state = state or ("leaving" if self.draining else "active")
         self._udp.sendto(msgspec.json.encode((self.name, state, self._boot_ms)), self._discovery)
 
-    def end(self) -> None:
+    def stop(self) -> None:
         """SIGTERM."""
-        self._tell_once("left")
+        self._report_state("left")
         self.loop.stop()
 
 
 def main() -> None:
     """Serve until told to end."""
-    logs.set_up()
-    node = CacheNode(*sys.argv[1:6])
-    node.loop.on_signals({signal.SIGTERM: node.end})
+    logs.configure_logging()
+    node = CacheNodeStandIn(*sys.argv[1:6])
+    node.loop.add_signal_handlers({signal.SIGTERM: node.stop})
     node.loop.run()
 
 
--- a/rosepick/lab/drill/files.py
+++ b/rosepick/lab/drill/drill_file.py
@@ -8,22 +8,22 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-from .plan import KINDS
+from .fault_plan import FAULT_KINDS
 
 
 class DrillError(Exception):
-    """The file cannot be used; `faults` has a line for each."""
+    """The file cannot be used; `errors` has a line for each."""
 
-    def __init__(self, faults: list[str]) -> None:
-        super().__init__("\n".join(faults))
-        self.faults = faults
+    def __init__(self, errors: list[str]) -> None:
+        super().__init__("\n".join(errors))
+        self.errors = errors
 
 
 class _Table(BaseModel):
     model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
 
 
-class Processes(_Table):
+class ProcessSettings(_Table):
     """How many of each kind. `runners`: `rosepick lease run` with a command; `rate`: clocks are off by up to
     it.
     """
@@ -35,14 +35,14 @@
     rate: Annotated[float, Field(ge=0.0, le=0.2)] = 0.02
 
 
-class Held(_Table):
+class DrillLeaseSettings(_Table):
     """How leases are held; seconds."""
 
     ttl: Annotated[float, Field(ge=0.5, le=60.0)] = 2.0
     drift: Annotated[float, Field(ge=0.001, le=0.2)] = 0.025
 
 
-class Faults(_Table):
+class FaultSettings(_Table):
     """For how long there are faults, how often, and which kinds: all, if none is named. Seconds."""
 
     seconds: Annotated[float, Field(ge=0.0, le=3600.0)] = 20.0
@@ -51,8 +51,8 @@
     quiet: Annotated[float, Field(ge=0.0, le=120.0)] = 4.0  # after them
 
     @model_validator(mode="after")
-    def _known(self) -> Faults:
-        unknown = sorted(set(self.kinds) - {kind.name for kind in KINDS})
+    def _known(self) -> FaultSettings:
+        unknown = sorted(set(self.kinds) - {kind.name for kind in FAULT_KINDS})
         if unknown:
             raise ValueError(f"no such faults: {', '.join(unknown)}")
         return self
@@ -63,13 +63,13 @@
 
     title: str = "drill"
     plays: Literal["leases", "drains", "releases"] = "leases"
-    processes: Processes = Processes()
-    leases: Held = Held()
-    faults: Faults = Faults()
+    processes: ProcessSettings = ProcessSettings()
+    leases: DrillLeaseSettings = DrillLeaseSettings()
+    faults: FaultSettings = FaultSettings()
     least: dict[str, int] = {}
 
 
-def load(path: Path) -> Drill:
+def load_drill(path: Path) -> Drill:
     """The file. DrillError names every fault."""
     try:
         return Drill.model_validate(tomllib.loads(path.read_text("utf-8")))
--- a/rosepick/lab/drill/forwarder.py
+++ b/rosepick/lab/drill/forwarder.py
@@ -12,16 +12,16 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from ...agreement.codec import Frames, Unreadable
-from ...net.budget import Budget
-from ...net.loop import READ, WRITE, Loop
-from ...net.stream import Stream, dial
+from ...consensus.codec import DecodeError, FrameDecoder
+from ...net.event_loop import READ, WRITE, EventLoop
+from ...net.resource_budget import ResourceBudget
+from ...net.tcp_stream import TcpStream, dial
 
-TICK = 10.0  # milliseconds between two slices where bytes go slowly
+TRICKLE_INTERVAL_MS = 10.0  # milliseconds between two slices where bytes go slowly
 
 
 @dataclass(slots=True)
-class Harm:
+class LinkFaults:
     """What is done to the messages of a link. Times in milliseconds, parts from 0 to 1."""
 
     there: bool = False  # nothing gets there
@@ -35,34 +35,34 @@
     trickle: float = 0.0  # bytes a second; 0: as fast as they go
 
 
-class Side:
+class ForwardedSocket:
     """One socket of a connection through the forwarder."""
 
-    def __init__(self, pipe: Pipe, sock: socket.socket, dialing: bool) -> None:
-        self.pipe, self.dialing = pipe, dialing
-        self.frames = Frames()
-        self.out: deque[bytes] = deque()
+    def __init__(self, connection: ForwardedConnection, sock: socket.socket, connecting: bool) -> None:
+        self.connection, self.connecting = connection, connecting
+        self.frames = FrameDecoder()
+        self.outgoing: deque[bytes] = deque()
         self._draining = False
-        link = pipe.link
-        self.stream = Stream(link.loop, link.budget, sock, self._ready, WRITE if dialing else READ)
+        link = connection.link
+        self.stream = TcpStream(link.loop, link.budget, sock, self._on_ready, WRITE if connecting else READ)
 
-    def _ready(self, mask: int) -> None:
+    def _on_ready(self, mask: int) -> None:
         try:
-            if self.dialing:
-                self.stream.connected()
-                self.dialing = False
-                self._drain()
+            if self.connecting:
+                self.stream.finish_connect()
+                self.connecting = False
+                self._send_outgoing()
                 return
             if mask & WRITE:
                 self.stream.flush()
             if mask & READ:
                 self._read()
-            self._settle()
-        except (OSError, Unreadable):
-            if self.pipe.frozen:
-                self.stream.want(0)  # its end is not told to the other side
+            self._update_interest()
+        except (OSError, DecodeError):
+            if self.connection.frozen:
+                self.stream.set_events(0)  # its end is not told to the other side
             else:
-                self.pipe.close()
+                self.connection.close()
 
     def _read(self) -> None:
         data = self.stream.read()
@@ -71,56 +71,56 @@
         if not data:
             raise OSError("closed")
         for frame in self.frames.feed(data):
-            self.pipe.carry(self, frame)
+            self.connection.forward(self, frame)
 
-    def _settle(self) -> None:
-        if self.stream.open:
-            self.stream.want(READ | (WRITE if self.stream.unwritten() else 0))
+    def _update_interest(self) -> None:
+        if self.stream.is_open:
+            self.stream.set_events(READ | (WRITE if self.stream.has_unwritten() else 0))
 
-    def give(self, frame: bytes) -> None:
+    def send(self, frame: bytes) -> None:
         """Send a message on from here."""
-        if not self.stream.open:
+        if not self.stream.is_open:
             return
-        self.out.append(frame)
-        if not self._draining and not self.dialing:
-            self._drain()
+        self.outgoing.append(frame)
+        if not self._draining and not self.connecting:
+            self._send_outgoing()
 
-    def _drain(self) -> None:
+    def _send_outgoing(self) -> None:
         self._draining = False
-        if not self.stream.open:
+        if not self.stream.is_open:
             return
-        rate = self.pipe.link.harm.trickle
-        left = max(1, int(rate * TICK / 1000.0)) if rate else 1 << 30
+        rate = self.connection.link.faults.trickle
+        left = max(1, int(rate * TRICKLE_INTERVAL_MS / 1000.0)) if rate else 1 << 30
         try:
-            while self.out and left > 0:
-                frame = self.out.popleft()
+            while self.outgoing and left > 0:
+                frame = self.outgoing.popleft()
                 self.stream.send(frame[:left])
                 if len(frame) > left:
-                    self.out.appendleft(frame[left:])
+                    self.outgoing.appendleft(frame[left:])
                 left -= len(frame)
-            self._settle()
+            self._update_interest()
         except OSError:
-            self.pipe.close()
+            self.connection.close()
             return
-        if self.out:
+        if self.outgoing:
             self._draining = True
-            self.pipe.link.loop.after(TICK, self._drain)
+            self.connection.link.loop.call_after(TRICKLE_INTERVAL_MS, self._send_outgoing)
 
 
-class Pipe:
+class ForwardedConnection:
     """A connection through the forwarder."""
 
     def __init__(self, link: Forwarder, sock: socket.socket) -> None:
         self.link = link
         self.frozen = False  # left open, and nothing goes through any more
-        self.near = Side(self, sock, dialing=False)
-        self.far = Side(self, dial((link.host, link.to)), dialing=True)
+        self.client_side = ForwardedSocket(self, sock, connecting=False)
+        self.server_side = ForwardedSocket(self, dial((link.host, link.target_port)), connecting=True)
 
-    def carry(self, side: Side, frame: bytes) -> None:
+    def forward(self, side: ForwardedSocket, frame: bytes) -> None:
         """A message has come from one side."""
-        link, harm = self.link, self.link.harm
-        there = side is self.near
-        other = self.far if there else self.near
+        link, harm = self.link, self.link.faults
+        there = side is self.client_side
+        other = self.server_side if there else self.client_side
         if self.frozen or (harm.there if there else harm.back):
             link.counts["cut"] += 1
             return
@@ -131,36 +131,49 @@
         if harm.disorder and link.rng.random() < harm.disorder:
             link.counts["out of order"] += 1
             delay += link.rng.uniform(0.0, harm.late)
-        self._give(other, frame, delay)
+        self._send_after(other, frame, delay)
         if harm.double and link.rng.random() < harm.double:
             link.counts["doubled"] += 1
-            self._give(other, frame, delay + link.rng.uniform(0.0, harm.late))
+            self._send_after(other, frame, delay + link.rng.uniform(0.0, harm.late))
 
-    def _give(self, other: Side, frame: bytes, delay: float) -> None:
+    def _send_after(self, other: ForwardedSocket, frame: bytes, delay: float) -> None:
         if delay:
             self.link.counts["delayed"] += 1
-            self.link.loop.after(delay, lambda: other.give(frame))
+            self.link.loop.call_after(delay, lambda: other.send(frame))
         else:
-            other.give(frame)
+            other.send(frame)
 
     def close(self) -> None:
         """One side has ended: so does the other, unless it is left open."""
         if self.frozen:
             return
-        for side in (self.near, self.far):
+        for side in (self.client_side, self.server_side):
             side.stream.close()
-        self.link.pipes.pop(self, None)
+        self.link.connections.pop(self, None)
 
 
 class Forwarder:
     """One link: a port to listen on, and a port to go on to."""
 
     def __init__(
-        self, loop: Loop, budget: Budget, host: str, listen: int, to: int, rng: random.Random
+        self,
+        loop: EventLoop,
+        budget: ResourceBudget,
+        host: str,
+        listen: int,
+        target_port: int,
+        rng: random.Random,
     ) -> None:
-        self.loop, self.budget, self.host, self.port, self.to, self.rng = loop, budget, host, listen, to, rng
-        self.harm = Harm()
-        self.pipes: dict[Pipe, None] = {}
+        self.loop, self.budget, self.host, self.port, self.target_port, self.rng = (
+            loop,
+            budget,
+            host,
+            listen,
+            target_port,
+            rng,
+        )
+        self.faults = LinkFaults()
+        self.connections: dict[ForwardedConnection, None] = {}
         self.counts: Counter[str] = Counter()
         self._sock: socket.socket | None = None
         self.open()
@@ -170,21 +183,21 @@
         if self._sock is None:
             self._sock = socket.create_server((self.host, self.port), backlog=64)
             self._sock.setblocking(False)
-            self.loop.watch(self._sock, READ, self._accept)
+            self.loop.register(self._sock, READ, self._accept)
 
     def refuse(self) -> None:
         """Connections are refused from now on, and those there are break."""
         if self._sock is not None:
-            self.loop.unwatch(self._sock)
+            self.loop.unregister(self._sock)
             self._sock.close()
             self._sock = None
-        for pipe in list(self.pipes):
-            pipe.near.stream.abort()
+        for pipe in list(self.connections):
+            pipe.client_side.stream.reset_on_close()
             pipe.close()
 
     def freeze(self) -> None:
         """Connections that there are stay open, and carry nothing."""
-        for pipe in self.pipes:
+        for pipe in self.connections:
             pipe.frozen = True
 
     def _accept(self, mask: int) -> None:
@@ -192,13 +205,13 @@
         with contextlib.suppress(OSError):
             sock, _ = self._sock.accept()
             try:
-                self.pipes[Pipe(self, sock)] = None
+                self.connections[ForwardedConnection(self, sock)] = None
             except OSError:
                 sock.close()
 
     def close(self) -> None:
         """Let go of every socket."""
         self.refuse()
-        for pipe in list(self.pipes):
+        for pipe in list(self.connections):
             pipe.frozen = False
             pipe.close()
--- a/rosepick/lab/drill/history.py
+++ b/rosepick/lab/drill/history.py
@@ -15,7 +15,7 @@
     at: float
 
 
-class Operation(Event, frozen=True, tag="operation"):
+class RegisterOperation(Event, frozen=True, tag="operation"):
     """A reading or change of a register: from `begin` to `at`. `mark` is its own, `seen` that of the value
     that it ended with, `version` that value's, and `base` the mark of the value before it.
     """
@@ -29,7 +29,7 @@
     base: str = ""
 
 
-class Yes(Event, frozen=True, tag="yes"):
+class LeaseCheckPassed(Event, frozen=True, tag="yes"):
     """A holder was told that it may act: asked at `begin`, told by `at`."""
 
     begin: float
@@ -38,7 +38,7 @@
     who: int
 
 
-class Effect(Event, frozen=True, tag="effect"):
+class GuardedEffect(Event, frozen=True, tag="effect"):
     """A guarded resource took a step, or refused it."""
 
     task: str
@@ -47,7 +47,7 @@
     taken: bool
 
 
-class Moved(Event, frozen=True, tag="moved"):
+class LeaseStateChanged(Event, frozen=True, tag="moved"):
     """A contender has come to hold, lose or end a lease."""
 
     task: str
@@ -56,7 +56,7 @@
     where: str
 
 
-class Stood(Event, frozen=True, tag="stood"):
+class AvailabilityChanged(Event, frozen=True, tag="stood"):
     """A member has gone out of service or come back, as seen from outside. `by`: "program", or "fault" of
     the drill. `free`: the budget does not bind it, as its host was said to die.
     """
@@ -68,21 +68,21 @@
     free: bool = False
 
 
-class Ordered(Event, frozen=True, tag="ordered"):
+class OperatorOrderAccepted(Event, frozen=True, tag="ordered"):
     """An operator's word was taken: halt, resume, out, in, off, on."""
 
     what: str
     names: tuple[str, ...] = ()
 
 
-class Came(Event, frozen=True, tag="came"):
+class NodeRequestReceived(Event, frozen=True, tag="came"):
     """A cache node got a request; `draining`: it had said that it takes nothing new."""
 
     request: str
     draining: bool
 
 
-class Answered(Event, frozen=True, tag="answered"):
+class ClientRequestCompleted(Event, frozen=True, tag="answered"):
     """A client's request, from its last byte written at `begin`. `status` 0: its connection ended without
     an answer, or its time and half a second more were over.
     """
@@ -92,17 +92,17 @@
     status: int
 
 
-class Told(Event, frozen=True, tag="told"):
+class DrainAnnounced(Event, frozen=True, tag="told"):
     """All routers that run have been told that a node (`process`) wants nothing new."""
 
 
-class Ran(Event, frozen=True, tag="ran"):
+class VersionStarted(Event, frozen=True, tag="ran"):
     """A member has begun to run a version, as seen from outside."""
 
     version: str
 
 
-class Decided(Event, frozen=True, tag="decided"):
+class ReleaseDecided(Event, frozen=True, tag="decided"):
     """The record of releases said something new: from `begin` (it said so by `at`) these may run `version`.
     `back`: it is being taken back. `over`: no release is open, and all are to run `version`.
     """
@@ -115,7 +115,7 @@
     over: bool = False
 
 
-class Injected(Event, frozen=True, tag="fault"):
+class FaultInjected(Event, frozen=True, tag="fault"):
     """A fault was put in, or taken out again."""
 
     fault: str
@@ -123,18 +123,29 @@
 
 
 AnyEvent = (
-    Operation | Yes | Effect | Moved | Stood | Ordered | Came | Answered | Told | Ran | Decided | Injected
+    RegisterOperation
+    | LeaseCheckPassed
+    | GuardedEffect
+    | LeaseStateChanged
+    | AvailabilityChanged
+    | OperatorOrderAccepted
+    | NodeRequestReceived
+    | ClientRequestCompleted
+    | DrainAnnounced
+    | VersionStarted
+    | ReleaseDecided
+    | FaultInjected
 )
 _decoder: msgspec.json.Decoder[AnyEvent] = msgspec.json.Decoder(AnyEvent)
 _encoder = msgspec.json.Encoder()
 
 
-def line(event: AnyEvent) -> bytes:
+def encode_line(event: AnyEvent) -> bytes:
     """An event as a line."""
     return _encoder.encode(event) + b"\n"
 
 
-def read(paths: Iterable[Path]) -> list[AnyEvent]:
+def read_events(paths: Iterable[Path]) -> list[AnyEvent]:
     """Events of some files in order. A last line that was cut off by a kill is left out."""
     found: list[AnyEvent] = []
     for path in paths:
@@ -150,7 +161,7 @@
     return "injected" if tag == "fault" else tag
 
 
-def shown(event: AnyEvent) -> str:
+def format_event(event: AnyEvent) -> str:
     """An event for people."""
     fields = msgspec.structs.asdict(event)
     fields.pop("process"), fields.pop("at")
--- a/rosepick/lab/drill/mutations.py
+++ b/rosepick/lab/drill/mutations.py
@@ -24,11 +24,11 @@
 
 from .processes import ROOT
 
-LEFT_OUT = ("journal", ".git", ".venv", ".venv-dev", "__pycache__", "experiments", "tests")
-BATCH = 8  # seeds in one call of a drill
-_BROKEN = re.compile(r"^seed (\d+): \d+ claims broken$", re.M)
-_SUM = re.compile(r"^\d+ seeds, ", re.M)
-_CLAIM = re.compile(r"^claim broken: (.*)$", re.M)
+IGNORED_PATHS = ("journal", ".git", ".venv", ".venv-dev", "__pycache__", "experiments", "tests")
+SEEDS_PER_BATCH = 8  # seeds in one call of a drill
+_VIOLATION_LINE = re.compile(r"^seed (\d+): \d+ claims broken$", re.M)
+_SUMMARY_LINE = re.compile(r"^\d+ seeds, ", re.M)
+_INVARIANT_LINE = re.compile(r"^claim broken: (.*)$", re.M)
 
 
 class MutationsError(Exception):
@@ -39,7 +39,7 @@
     model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
 
 
-class Edit(_Table):
+class SourceEdit(_Table):
     """One place: text that stands in a file exactly once, and what is to stand there."""
 
     file: str
@@ -47,7 +47,7 @@
     new: str
 
 
-class Planted(_Table):
+class PlantedFault(_Table):
     """A fault, the claim that it breaks, and the drill that shows it within so many seeds."""
 
     name: str
@@ -55,25 +55,25 @@
     drill: str = "drills/simulated.toml"
     real: bool = False
     seeds: Annotated[int, Field(ge=1, le=2000)] = 200
-    edits: list[Edit]
+    edits: list[SourceEdit]
 
 
 class _File(_Table):
-    fault: list[Planted]
+    fault: list[PlantedFault]
 
 
 @dataclass(frozen=True, slots=True)
-class Found:
+class MutationResult:
     """What came of a planted fault: the seed that showed it, the claim, and the time it took."""
 
-    planted: Planted
+    planted: PlantedFault
     seeds: int  # that were played
     seed: int | None
     claim: str
     seconds: float
 
 
-def load(path: Path) -> list[Planted]:
+def load_mutations(path: Path) -> list[PlantedFault]:
     """The faults of a file, all of which fit the program as it is."""
     try:
         faults = _File.model_validate(tomllib.loads(path.read_text("utf-8"))).fault
@@ -87,14 +87,16 @@
     return faults
 
 
-def _copy(planted: Planted, folder: Path) -> None:
-    shutil.copytree(ROOT, folder, ignore=shutil.ignore_patterns(*LEFT_OUT))
+def _copy_program(planted: PlantedFault, folder: Path) -> None:
+    shutil.copytree(ROOT, folder, ignore=shutil.ignore_patterns(*IGNORED_PATHS))
     for edit in planted.edits:
         path = folder / edit.file
         path.write_text(path.read_text("utf-8").replace(edit.old, edit.new), "utf-8")
 
 
-def _play(planted: Planted, folder: Path, first: int, last: int) -> subprocess.CompletedProcess[str]:
+def _run_drill(
+    planted: PlantedFault, folder: Path, first: int, last: int
+) -> subprocess.CompletedProcess[str]:
     kind = "--real" if planted.real else "--simulated"
     command = [
         sys.executable,
@@ -111,29 +113,29 @@
     return subprocess.run(command, cwd=folder, capture_output=True, text=True, env=environment, check=False)
 
 
-def find(planted: Planted) -> Found:
+def find_fault(planted: PlantedFault) -> MutationResult:
     """Play seeds on a copy with the fault until one breaks a claim."""
     began = time.monotonic()
-    batch = 1 if planted.real else BATCH
+    batch = 1 if planted.real else SEEDS_PER_BATCH
     with tempfile.TemporaryDirectory(prefix="rosepick-planted-") as scratch:
         folder = Path(scratch) / "copy"
-        _copy(planted, folder)
+        _copy_program(planted, folder)
         for first in range(1, planted.seeds + 1, batch):
-            done = _play(planted, folder, first, min(planted.seeds, first + batch - 1))
-            seed, claims = _BROKEN.search(done.stdout), _CLAIM.findall(done.stdout)
+            done = _run_drill(planted, folder, first, min(planted.seeds, first + batch - 1))
+            seed, claims = _VIOLATION_LINE.search(done.stdout), _INVARIANT_LINE.findall(done.stdout)
             if seed is not None and any(claim.startswith(planted.breaks) for claim in claims):
                 claim = next(claim for claim in claims if claim.startswith(planted.breaks))
-                return Found(planted, int(seed[1]), int(seed[1]), claim, time.monotonic() - began)
-            if not _SUM.search(
+                return MutationResult(planted, int(seed[1]), int(seed[1]), claim, time.monotonic() - began)
+            if not _SUMMARY_LINE.search(
                 done.stdout
             ):  # guards against taking a drill that crashes for one that finds nothing
                 raise MutationsError(
                     f"{planted.name}: the drill ended with {done.returncode}: {done.stderr[-400:]}"
                 )
-    return Found(planted, planted.seeds, None, "", time.monotonic() - began)
+    return MutationResult(planted, planted.seeds, None, "", time.monotonic() - began)
 
 
-def find_all(faults: Sequence[Planted], workers: int) -> Iterator[Found]:
+def find_all_faults(faults: Sequence[PlantedFault], workers: int) -> Iterator[MutationResult]:
     """All of them, so many at a time."""
     with ThreadPoolExecutor(workers) as pool:
-        yield from pool.map(find, faults)
+        yield from pool.map(find_fault, faults)
--- a/rosepick/lab/drill/processes.py
+++ b/rosepick/lab/drill/processes.py
@@ -14,7 +14,7 @@
 ROOT = Path(__file__).parents[3]
 
 
-def own_host() -> str:
+def unique_loopback_address() -> str:
     """An address of the loopback net that no other drill of this machine uses at this time: its ports are
     all free, also from the system's own choice for connections.
     """
@@ -22,33 +22,36 @@
     return f"127.{64 + (pid >> 16 & 63)}.{pid >> 8 & 255}.{pid & 255}"
 
 
-def started(
-    rate: float, module: str, arguments: list[str], noted: str | bool
+def starter_command(
+    rate: float, module: str, arguments: list[str], recorded_name: str | bool
 ) -> tuple[list[str], dict[str, str]]:
-    """The command line and the environment of a process under the starter; `noted`: the name for its
+    """The command line and the environment of a process under the starter; `recorded_name`: the name for its
     operations.
     """
     command = [sys.executable, "-m", "rosepick.lab.drill.starter", f"{rate:.6f}", module, *arguments]
     environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1", "USER": "drill"}
-    if noted:
-        environment |= {"DRILL_EVENTS": f"{noted}.operations.events", "DRILL_NAME": str(noted)}
+    if recorded_name:
+        environment |= {
+            "DRILL_EVENTS": f"{recorded_name}.operations.events",
+            "DRILL_NAME": str(recorded_name),
+        }
     return command, environment
 
 
-class Process:
+class ManagedProcess:
     """One process, in all its starts."""
 
     def __init__(self, name: str, folder: Path, rate: float, module: str, arguments: list[str]) -> None:
         self.name, self.folder, self.rate = name, folder, rate
         self.module, self.arguments = module, arguments
-        self.statuses: list[int] = []  # of starts that have ended
+        self.exit_statuses: list[int] = []  # of starts that have ended
         self.stopped = False
-        self.more: dict[str, str] = {}  # of its environment
-        self.noted = False  # its operations are to be noted by the starter
+        self.extra_environment: dict[str, str] = {}  # of its environment
+        self.records_operations = False  # its operations are to be noted by the starter
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
-    def log(self) -> Path:
+    def log_path(self) -> Path:
         """Where its log is."""
         return self.folder / f"{self.name}.log"
 
@@ -59,23 +62,25 @@
         return self._process.pid
 
     @property
-    def up(self) -> bool:
+    def running(self) -> bool:
         """Whether it runs; one that has ended by itself is noted."""
         if self._process is None:
             return False
         if self._process.poll() is not None:
-            self.statuses.append(self._process.returncode)
+            self.exit_statuses.append(self._process.returncode)
             self._process = None
             return False
         return True
 
     def start(self) -> None:
         """Start it, unless it runs."""
-        if self.up:
+        if self.running:
             return
-        command, environment = started(self.rate, self.module, self.arguments, self.noted and self.name)
-        environment |= self.more
-        with self.log.open("ab") as log:
+        command, environment = starter_command(
+            self.rate, self.module, self.arguments, self.records_operations and self.name
+        )
+        environment |= self.extra_environment
+        with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 command, stdout=log, stderr=log, env=environment, cwd=self.folder, stdin=subprocess.DEVNULL
             )
@@ -83,15 +88,15 @@
 
     def kill(self) -> None:
         """SIGKILL, and wait until it is gone."""
-        if self.up:
+        if self.running:
             assert self._process is not None
             self._process.kill()
             self._process.wait()
-            self.up  # noqa: B018
+            self.running  # noqa: B018
 
     def signal(self, number: int) -> None:
         """Send a signal, if it runs."""
-        if self.up:
+        if self.running:
             assert self._process is not None
             self._process.send_signal(number)
 
@@ -105,36 +110,36 @@
         self.signal(signal.SIGCONT)
         self.stopped = False
 
-    def full_disk(self) -> None:
+    def simulate_full_disk(self) -> None:
         """No file of it may grow from now on, as on a disk that is full."""
-        if self.up:
+        if self.running:
             assert self._process is not None
             hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)[1]
             resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (1, hard))
 
 
-FILES = ("witness.sqlite3", "witness.sqlite3-wal", "witness.sqlite3-shm")
+STORAGE_FILES = ("witness.sqlite3", "witness.sqlite3-wal", "witness.sqlite3-shm")
 
 
 def copy_storage(folder: Path, to: Path) -> None:
     """A copy of what a witness keeps; it is not running."""
     shutil.rmtree(to, ignore_errors=True)
     to.mkdir()
-    for name in FILES:
+    for name in STORAGE_FILES:
         if (folder / name).exists():
             shutil.copyfile(folder / name, to / name)
 
 
-def put_back(old: Path, folder: Path, in_place: bool) -> None:
+def restore_storage(old: Path, folder: Path, in_place: bool) -> None:
     """Have an older copy be what a witness keeps. `in_place`: into the same file, so that its inode tells
     nothing.
     """
-    for name in FILES:
-        if not in_place or name != FILES[0]:
+    for name in STORAGE_FILES:
+        if not in_place or name != STORAGE_FILES[0]:
             (folder / name).unlink(missing_ok=True)
-    for name in FILES[:2]:
+    for name in STORAGE_FILES[:2]:
         if (old / name).exists():
-            if in_place or name != FILES[0]:
+            if in_place or name != STORAGE_FILES[0]:
                 shutil.copyfile(old / name, folder / name)
             else:  # by way of another name, so that it is another file
                 shutil.copyfile(old / name, folder / "copy")
--- a/rosepick/lab/drill/release_claims.py
+++ b/rosepick/lab/drill/release_invariants.py
@@ -8,40 +8,42 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from .claims import Broken
-from .history import AnyEvent, Decided, Ran
+from .history import AnyEvent, ReleaseDecided, VersionStarted
+from .invariants import Violation
 
 
 @dataclass(frozen=True, slots=True)
-class Bounds:
-    """Seconds. `goes`: so long after the record last allowed it a member may still begin to run a version:
-    its agent goes by a reading that may be so old, and the member has to be started. `bad`: versions that
-    are worse, and by how many members at most each may ever be run; `members`: who is to run what at the
-    end.
+class ReleaseBounds:
+    """Seconds. `permission_grace_s`: so long after the record last allowed it a member may still begin to run
+    a version: its agent goes by a reading that may be so old, and the member has to be started.
+    `max_members_by_bad_version`: versions that are worse, and by how many members at most each may ever be
+    run; `members`: who is to run what at the end.
     """
 
-    goes: float
-    bad: Mapping[str, int]
+    permission_grace_s: float
+    max_members_by_bad_version: Mapping[str, int]
     members: Sequence[str]
 
 
-def judge(events: Sequence[AnyEvent], bounds: Bounds) -> tuple[list[Broken], Counter[str]]:
+def check_invariants(
+    events: Sequence[AnyEvent], bounds: ReleaseBounds
+) -> tuple[list[Violation], Counter[str]]:
     """Over a history: who began to run what nobody had allowed it, how far bad versions came, what all run at
     the end.
     """
     allowed: dict[tuple[str, str], float] = {}  # member and version: until when it may begin
     standing: dict[str, set[str]] = {}  # version: who may run it by the last word
-    runs: dict[str, Ran] = {}
+    runs: dict[str, VersionStarted] = {}
     ever: dict[str, set[str]] = {}
-    broken, counts = list[Broken](), Counter[str]()
-    last: Decided | None = None
+    broken, counts = list[Violation](), Counter[str]()
+    last: ReleaseDecided | None = None
     for event in events:
-        if isinstance(event, Decided):
+        if isinstance(event, ReleaseDecided):
             counts["decisions"] += 1
             counts["releases taken back"] += event.back and not (last is not None and last.back)
             for version, names in standing.items():
                 for name in names:
-                    allowed[name, version] = event.at + bounds.goes
+                    allowed[name, version] = event.at + bounds.permission_grace_s
             if event.over:
                 standing = {event.version: set(bounds.members)}
             else:
@@ -50,7 +52,7 @@
                 # what it replaces may be run by anybody at any time: it is the way back
                 standing = {event.version: set(event.may)} | ({old: set(bounds.members)} if old else {})
             last = event
-        elif isinstance(event, Ran):
+        elif isinstance(event, VersionStarted):
             counts["versions begun"] += 1
             first = event.process not in runs
             runs[event.process] = event
@@ -59,28 +61,30 @@
             may = may or event.at <= allowed.get((event.process, event.version), -1.0)
             if not first and not may:
                 text = f"{event.process} began to run {event.version}, which nobody had allowed it"
-                broken.append(Broken("reach", text, tuple(e for e in (last, event) if e is not None)))
-    for version, most in bounds.bad.items():
+                broken.append(Violation("reach", text, tuple(e for e in (last, event) if e is not None)))
+    for version, most in bounds.max_members_by_bad_version.items():
         reached = len(ever.get(version, ()))
         counts["bad versions begun"] += reached > 0
         counts[f"members that ran {version.partition('-')[0]}"] += reached
         if reached > most:
             text = f"{version} was run by {reached} members, {most} at most were to see that it is worse"
-            broken.append(Broken("stopped", text))
-    return broken + _at_the_end(runs, last, bounds), counts
+            broken.append(Violation("stopped", text))
+    return broken + _check_final_versions(runs, last, bounds), counts
 
 
-def _at_the_end(runs: Mapping[str, Ran], last: Decided | None, bounds: Bounds) -> list[Broken]:
+def _check_final_versions(
+    runs: Mapping[str, VersionStarted], last: ReleaseDecided | None, bounds: ReleaseBounds
+) -> list[Violation]:
     """All run one version, and the record says which; none that is worse."""
     if last is None:
         return []
     if not last.over:
-        return [Broken("one version", f"release {last.number} is not over", (last,))]
+        return [Violation("one version", f"release {last.number} is not over", (last,))]
     other = [one for name, one in runs.items() if name in bounds.members and one.version != last.version]
     found = []
     if other:
         text = f"{', '.join(one.process for one in other)}: not {last.version}, as the record says"
-        found.append(Broken("one version", text, (last, *other)))
-    if last.version in bounds.bad:
-        found.append(Broken("taken back", f"all are to run {last.version}, which is worse", (last,)))
+        found.append(Violation("one version", text, (last, *other)))
+    if last.version in bounds.max_members_by_bad_version:
+        found.append(Violation("taken back", f"all are to run {last.version}, which is worse", (last,)))
     return found
--- /dev/null
+++ b/rosepick/lab/drill/stand_in_connection.py
@@ -0,0 +1,56 @@
+"""A connection to a stand-in of a drill: requests as they become whole, answers as they can be written."""
+
+from __future__ import annotations
+
+import socket
+from abc import ABC, abstractmethod
+
+from ...net.event_loop import READ, WRITE, EventLoop
+from ...net.resource_budget import ResourceBudget
+from ...net.tcp_stream import TcpStream
+from ..live.request_reader import HttpRequest, MalformedRequestError, RequestReader
+
+
+class StandInConnection(ABC):
+    """Who has connected."""
+
+    def __init__(self, loop: EventLoop, budget: ResourceBudget, sock: socket.socket) -> None:
+        self._reader = RequestReader()
+        self.stream = TcpStream(loop, budget, sock, self._on_ready)
+
+    @abstractmethod
+    def handle_request(self, message: HttpRequest) -> None:
+        """A request is here, whole."""
+
+    def _on_ready(self, mask: int) -> None:
+        try:
+            if mask & WRITE:
+                self.stream.flush()
+            data = self.stream.read() if mask & READ else None
+            if data == b"":
+                raise OSError("closed")
+            for message in self._reader.feed(data or b""):
+                self.handle_request(message)
+            self._update_interest()
+        except (OSError, MalformedRequestError):
+            self.close()
+
+    def _update_interest(self) -> None:
+        if self.stream.is_open:
+            self.stream.set_events(READ | (WRITE if self.stream.has_unwritten() else 0))
+
+    def send_response(self, data: bytes, keep_alive: bool = True) -> None:
+        """An answer; the connection ends with it unless it is kept."""
+        if not self.stream.is_open:
+            return
+        try:
+            self.stream.send(data)
+            self._update_interest()
+            if not keep_alive and not self.stream.has_unwritten():
+                self.stream.shutdown_write()
+        except OSError:
+            self.close()
+
+    def close(self) -> None:
+        """Let go of it."""
+        self.stream.close()
--- a/rosepick/lab/drill/starter.py
+++ b/rosepick/lab/drill/starter.py
@@ -15,12 +15,11 @@
 import time
 from functools import partial
 
-STOPPED = (
-    0.25  # seconds between two looks: longer than any wait of the loop in a drill, it was stopped meanwhile
-)
+# seconds between two looks: longer than any wait of the loop in a drill, it was stopped meanwhile
+PAUSE_THRESHOLD_S = 0.25
 
 
-def _boottime(rate: float) -> None:
+def _skew_boottime(rate: float) -> None:
     real = time.clock_gettime
     begin = real(time.CLOCK_BOOTTIME)
 
@@ -31,14 +30,14 @@
     time.clock_gettime = clock_gettime
 
 
-def _monotonic(rate: float) -> None:
+def _skew_monotonic(rate: float) -> None:
     real = time.monotonic
     seen, slept = real(), 0.0
 
     def monotonic() -> float:
         nonlocal seen, slept
         now = real()
-        if now - seen > STOPPED:
+        if now - seen > PAUSE_THRESHOLD_S:
             slept += now - seen
         seen = now
         return (now - slept) * rate
@@ -46,22 +45,22 @@
     time.monotonic = monotonic
 
 
-def _noted(name: str, events: str) -> None:
-    from ...net import quorum
-    from .stand_ins import Notes, moment
-    from .watched import Watched
+def _record_operations(name: str, events: str) -> None:
+    from ...coordination import quorum_client
+    from .instrumented_client import InstrumentedQuorumClient
+    from .stand_ins import EventLog, drill_clock
 
-    Watched.note_begins = True
-    quorum.QuorumClient = partial(Watched, name, Notes(events).note, moment)  # type: ignore[misc, assignment]
+    InstrumentedQuorumClient.records_operation_start = True
+    quorum_client.QuorumClient = partial(InstrumentedQuorumClient, name, EventLog(events).append, drill_clock)  # type: ignore[misc, assignment]
 
 
 def main() -> None:
     """Start it."""
     rate, module = float(sys.argv[1]), sys.argv[2]
-    _boottime(rate)
-    _monotonic(rate)
+    _skew_boottime(rate)
+    _skew_monotonic(rate)
     if "DRILL_EVENTS" in os.environ:
-        _noted(os.environ["DRILL_NAME"], os.environ["DRILL_EVENTS"])
+        _record_operations(os.environ["DRILL_NAME"], os.environ["DRILL_EVENTS"])
     sys.argv = [module, *sys.argv[3:]]
     runpy.run_module(module, run_name="__main__", alter_sys=True)
 
