--- a/rosepick/lab/experiment.py
+++ b/rosepick/lab/experiment.py
@@ -13,156 +13,157 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-Positive = Annotated[float, Field(gt=0)]
-NotNegative = Annotated[float, Field(ge=0)]
-Part = Annotated[float, Field(ge=0, le=1)]
-Count = Annotated[int, Field(ge=1)]
+PositiveFloat = Annotated[float, Field(gt=0)]
+NonNegativeFloat = Annotated[float, Field(ge=0)]
+Share = Annotated[float, Field(ge=0, le=1)]
+PositiveInt = Annotated[int, Field(ge=1)]
 
 
-class Strict(BaseModel):
+class StrictModel(BaseModel):
     """A part of the file: names that are not known are faults, and numbers must be finite."""
 
     model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
-class Nodes(Strict):
+class NodeGroupConfig(StrictModel):
     """A group of cache nodes that are alike."""
 
-    count: Count = 12
+    count: PositiveInt = 12
     zone: str = ""  # empty: spread evenly over all zones
-    cores: Count = 2
-    speed: Positive = 1.0  # of each core; 1 does a millisecond of work in a millisecond
-    speed_spread: Part = 0.0  # each node's speed is drawn from speed * (1 - spread) to speed * (1 + spread)
-    slots: Count = 16  # requests in work at one time; they share the cores
+    cores: PositiveInt = 2
+    speed: PositiveFloat = 1.0  # of each core; 1 does a millisecond of work in a millisecond
+    speed_spread: Share = 0.0  # each node's speed is drawn from speed * (1 - spread) to speed * (1 + spread)
+    slots: PositiveInt = 16  # requests in work at one time; they share the cores
     queue: Annotated[int, Field(ge=0)] = 32  # requests that wait for a slot; beyond that they are turned away
-    crowding: NotNegative = 0.0  # each request in work beyond the cores makes all work so much longer
-    memory: Count = 2_000_000  # bytes of values
+    crowding: NonNegativeFloat = 0.0  # each request in work beyond the cores makes all work so much longer
+    memory: PositiveInt = 2_000_000  # bytes of values
     eviction: Literal["lru", "fifo"] = "lru"
-    keep: NotNegative = 0.0  # a value is forgotten after so long; 0: never
-    connections: Count = 1024  # that are open at one time; beyond that they are refused
-    handshake_ms: NotNegative = 0.5  # of work, for a new connection
-    miss_ms: NotNegative = 0.2  # of work, to find that a key is not there
+    keep: NonNegativeFloat = 0.0  # a value is forgotten after so long; 0: never
+    connections: PositiveInt = 1024  # that are open at one time; beyond that they are refused
+    handshake_ms: NonNegativeFloat = 0.5  # of work, for a new connection
+    miss_ms: NonNegativeFloat = 0.2  # of work, to find that a key is not there
     cold_from: Annotated[float, Field(gt=0, le=1)] = 0.12  # of its capacity, when it starts
-    warm_after: NotNegative = 24.0  # seconds, or seconds of work of one core, until it has all of it
+    warm_after: NonNegativeFloat = 24.0  # seconds, or seconds of work of one core, until it has all of it
     warm_by: Literal["time", "work"] = "time"
-    falls_at: Positive = 3.0  # work sent to a cold node, over what it can do, at which it falls over ...
-    falls_within: Positive = 3.0  # ... within so long
+    falls_at: PositiveFloat = 3.0  # work sent to a cold node, over what it can do, at which it falls over ...
+    falls_within: PositiveFloat = 3.0  # ... within so long
     born: float = -1000.0  # when it started; after -warm_after it is cold at the begin
     cancels: bool = True  # whether work that nobody waits for any more stops
 
 
-class Origin(Strict):
+class OriginConfig(StrictModel):
     """What holds every value: finite, slower under load."""
 
-    cores: Count = 8
-    speed: Positive = 1.0
-    slots: Count = 16
+    cores: PositiveInt = 8
+    speed: PositiveFloat = 1.0
+    slots: PositiveInt = 16
     queue: Annotated[int, Field(ge=0)] = 200
-    crowding: NotNegative = 0.01
-    connections: Count = 4096
-    handshake_ms: NotNegative = 0.5
+    crowding: NonNegativeFloat = 0.01
+    connections: PositiveInt = 4096
+    handshake_ms: NonNegativeFloat = 0.5
     zone: str = ""  # empty: the first one
     cancels: bool = False  # it works on for nobody
-    falls_when: NotNegative = 0.0  # seconds with a full queue after which it falls over; 0: never
-    down_for: Positive = 5.0  # seconds that it then needs to come back
+    falls_when: NonNegativeFloat = 0.0  # seconds with a full queue after which it falls over; 0: never
+    down_for: PositiveFloat = 5.0  # seconds that it then needs to come back
 
 
-class Discovery(Strict):
+class DiscoveryConfig(StrictModel):
     """Who tells the routers which nodes there are."""
 
-    delay: NotNegative = 0.5  # until a change is known to it
-    delay_spread: Part = 0.5
-    call_ms: NotNegative = 2.0  # of its time for a call
-    line_ms: NotNegative = 0.01  # and for each line of the list that it tells
-    stale_by: NotNegative = 0.0  # the list that routers begin with is so old
+    delay: NonNegativeFloat = 0.5  # until a change is known to it
+    delay_spread: Share = 0.5
+    call_ms: NonNegativeFloat = 2.0  # of its time for a call
+    line_ms: NonNegativeFloat = 0.01  # and for each line of the list that it tells
+    stale_by: NonNegativeFloat = 0.0  # the list that routers begin with is so old
     watch: bool = True
-    patience_ms: NotNegative = 0.0  # a call that would have to wait longer for its turn fails; 0: none does
+    # a call that would have to wait longer for its turn fails; 0: none does
+    patience_ms: NonNegativeFloat = 0.0
 
 
-class Network(Strict):
+class NetworkConfig(StrictModel):
     """Latencies, one way."""
 
-    within_ms: NotNegative = 0.2
-    across_ms: NotNegative = 1.0
-    jitter: Part = 0.2  # of the latency, drawn for each message
-    breaks: Part = 0.0  # of all attempts lose their connection after they were sent
+    within_ms: NonNegativeFloat = 0.2
+    across_ms: NonNegativeFloat = 1.0
+    jitter: Share = 0.2  # of the latency, drawn for each message
+    breaks: Share = 0.0  # of all attempts lose their connection after they were sent
 
 
-class Class(Strict):
+class RequestClassConfig(StrictModel):
     """A class of requests."""
 
     name: str
-    share: Positive = 1.0
+    share: PositiveFloat = 1.0
     write: bool = False
-    work_ms: Positive = 10.0  # mean at a cache node, on a core of speed 1
-    origin_ms: Positive = 40.0  # mean at the origin
+    work_ms: PositiveFloat = 10.0  # mean at a cache node, on a core of speed 1
+    origin_ms: PositiveFloat = 40.0  # mean at the origin
     work: Literal["fixed", "exponential", "lognormal"] = "lognormal"
-    spread: NotNegative = 0.5  # of the logarithm, where lognormal
-    size: Count = 512  # bytes of a value, mean
-    aim: Positive = 0.6
-    deadline: Positive = 1.2
-    worth: NotNegative = 1.0
+    spread: NonNegativeFloat = 0.5  # of the logarithm, where lognormal
+    size: PositiveInt = 512  # bytes of a value, mean
+    aim: PositiveFloat = 0.6
+    deadline: PositiveFloat = 1.2
+    worth: NonNegativeFloat = 1.0
     effect: Literal["retryable", "dedup", "fragile"] = "retryable"
     group: Literal["all", "zone", "cell"] = "all"
-    repeat_window: NotNegative = 0.0
+    repeat_window: NonNegativeFloat = 0.0
 
 
-class Tenant(Strict):
+class TenantConfig(StrictModel):
     """Who shares the service."""
 
     name: str
-    share: Positive = 1.0  # of the service, as agreed
-    traffic: Positive | None = None  # of the requests; the same if it is not stated
+    share: PositiveFloat = 1.0  # of the service, as agreed
+    traffic: PositiveFloat | None = None  # of the requests; the same if it is not stated
 
 
-class Keys(Strict):
+class KeysConfig(StrictModel):
     """What requests are about."""
 
-    count: Count = 10_000
-    zipf: NotNegative = 0.9  # the key of rank r is asked for in proportion to r ** -zipf
-    drift: NotNegative = 0.0  # so many ranks change places in a second
+    count: PositiveInt = 10_000
+    zipf: NonNegativeFloat = 0.9  # the key of rank r is asked for in proportion to r ** -zipf
+    drift: NonNegativeFloat = 0.0  # so many ranks change places in a second
 
 
-class Clients(Strict):
+class ClientsConfig(StrictModel):
     """How clients behave on an answer that they did not want."""
 
     retries: Annotated[int, Field(ge=0, le=10)] = 1
     manner: Literal["obey", "ignore", "at once", "in step"] = "obey"
     # obey: after Retry-After, if there is one, else like ignore; ignore: after `pause`, drawn; at once; in
     # step: at the next whole second
-    pause: NotNegative = 0.3
-    leave: Part = 0.0  # of the requests are given up by their client before their time is over
+    pause: NonNegativeFloat = 0.3
+    leave: Share = 0.0  # of the requests are given up by their client before their time is over
     marked: bool = False  # repeats say that they are
-    one_shot: Part = 0.0  # live only: such a part comes on a new connection that is held and not used again
+    one_shot: Share = 0.0  # live only: such a part comes on a new connection that is held and not used again
 
 
-class Traffic(Strict):
+class TrafficConfig(StrictModel):
     """Requests of all routers together."""
 
-    rate: Positive = 250.0  # a second
+    rate: PositiveFloat = 250.0  # a second
     arrivals: Literal["poisson", "regular", "bursts", "daily", "trace"] = "poisson"
     burst: Annotated[int, Field(ge=1)] = 20  # requests that come together, where bursts
-    period: Positive = 60.0  # seconds of a day, where daily ...
+    period: PositiveFloat = 60.0  # seconds of a day, where daily ...
     swing: Annotated[float, Field(ge=0, lt=1)] = 0.5  # ... in which the rate goes up and down by this part
     trace: str = ""  # a file with a line a request: seconds, class, key, and a tenant if there are any
 
 
-class Routers(Strict):
+class RoutersConfig(StrictModel):
     """The routers, spread evenly over the zones."""
 
-    count: Count = 3
-    skew: NotNegative = 0.0  # router n has traffic in proportion to (n + 1) ** -skew
-    heavy: Part = 0.0  # so many of them, spread evenly, have ...
-    heavy_by: Positive = 4.0  # ... so many times the traffic of the others
-    cores: Positive = 1.0  # of each; simulated only, like the next four
-    request_us: NotNegative = 0.0  # processor time of a request ...
-    attempt_us: NotNegative = 0.0  # ... and of the end of an attempt
-    start_ms: NotNegative = 0.0  # and of a start, before the first client is heard
-    memory_mb: Count = 192  # live only
-    sockets: Count = 1024  # live only
+    count: PositiveInt = 3
+    skew: NonNegativeFloat = 0.0  # router n has traffic in proportion to (n + 1) ** -skew
+    heavy: Share = 0.0  # so many of them, spread evenly, have ...
+    heavy_by: PositiveFloat = 4.0  # ... so many times the traffic of the others
+    cores: PositiveFloat = 1.0  # of each; simulated only, like the next four
+    request_us: NonNegativeFloat = 0.0  # processor time of a request ...
+    attempt_us: NonNegativeFloat = 0.0  # ... and of the end of an attempt
+    start_ms: NonNegativeFloat = 0.0  # and of a start, before the first client is heard
+    memory_mb: PositiveInt = 192  # live only
+    sockets: PositiveInt = 1024  # live only
 
 
-KINDS = Literal[
+FaultKind = Literal[
     "slow",
     "stop",
     "restart",
@@ -190,27 +191,27 @@
 ]
 
 
-class Trouble(Strict):
+class FaultConfig(StrictModel):
     """Something that goes wrong, or changes, from `at` for so long."""
 
-    kind: KINDS
-    at: NotNegative
-    last: Annotated[NotNegative, Field(alias="for")] = 0.0
+    kind: FaultKind
+    at: NonNegativeFloat
+    last: Annotated[NonNegativeFloat, Field(alias="for")] = 0.0
     nodes: Annotated[int, Field(ge=1)] | None = None  # so many cache nodes, drawn ...
-    part: Part | None = None  # ... or such a part of them
+    part: Share | None = None  # ... or such a part of them
     zone: str = ""  # only in this zone
     zones: tuple[str, str] | None = None  # cut: between these two
-    by: Positive = 5.0  # so many times as slow, or as much traffic; stale: so many seconds more
-    share: Part = 0.2  # flash: of the reads are for one key; hang, reset, garbage, drip: of the attempts;
+    by: PositiveFloat = 5.0  # so many times as slow, or as much traffic; stale: so many seconds more
+    share: Share = 0.2  # flash: of the reads are for one key; hang, reset, garbage, drip: of the attempts;
     # patch, agreed: of the nodes may be out
-    down: NotNegative = 1.0  # restart, router_restart: seconds until it is back
+    down: NonNegativeFloat = 1.0  # restart, router_restart: seconds until it is back
     manner: Literal["alone", "one", "fixed", "agreed"] = "agreed"  # patch: who goes when
     most: Annotated[int, Field(ge=1)] = 1  # patch, fixed: so many at a time
     routers: Annotated[int, Field(ge=1)] | None = None  # router_kill, router_restart: so many,
     # or a `part` of them; restarts go on over the time of the trouble, a tenth at a time
 
 
-FIGURES = Literal[
+FigureName = Literal[
     "served_share",
     "worth_share",
     "refused_share",
@@ -230,19 +231,19 @@
 ]
 
 
-class Must(Strict):
+class RequirementConfig(StrictModel):
     """Something that must hold over a span of the run."""
 
-    what: FIGURES
+    what: FigureName
     least: float | None = None
     most: float | None = None
     after: Annotated[int, Field(ge=1)] | None = None  # number of a trouble, from 1: from its end on ...
-    within: NotNegative = 0.0  # ... and so long after that
-    since: NotNegative | None = None
-    until: NotNegative | None = None
+    within: NonNegativeFloat = 0.0  # ... and so long after that
+    since: NonNegativeFloat | None = None
+    until: NonNegativeFloat | None = None
 
     @model_validator(mode="after")
-    def _bounded(self) -> Must:
+    def _bounded(self) -> RequirementConfig:
         if self.least is None and self.most is None:
             raise ValueError("states neither `least` nor `most`")
         if self.after is not None and self.since is not None:
@@ -250,33 +251,36 @@
         return self
 
 
-class Experiment(Strict):
+class Experiment(StrictModel):
     """All of one file."""
 
     name: str
     seed: Annotated[int, Field(ge=0)] = 1
-    length: Positive = 60.0  # seconds in which requests come
-    warm_up: NotNegative = 5.0  # seconds at the begin that are not measured
+    length: PositiveFloat = 60.0  # seconds in which requests come
+    warm_up: NonNegativeFloat = 5.0  # seconds at the begin that are not measured
     mode: Literal["aside", "through"] = "aside"
     zones: Annotated[tuple[str, ...], Field(min_length=1)] = ("east",)
-    fleet: Annotated[tuple[Nodes, ...], Field(min_length=1)] = (Nodes(),)
-    origin: Origin = Origin()
-    discovery: Discovery = Discovery()
-    network: Network = Network()
-    classes: Annotated[tuple[Class, ...], Field(min_length=1)] = (Class(name="read"),)
-    tenants: tuple[Tenant, ...] = ()
-    keys: Keys = Keys()
-    clients: Clients = Clients()
-    traffic: Traffic = Traffic()
-    routers: Routers = Routers()
+    fleet: Annotated[tuple[NodeGroupConfig, ...], Field(min_length=1)] = (NodeGroupConfig(),)
+    origin: OriginConfig = OriginConfig()
+    discovery: DiscoveryConfig = DiscoveryConfig()
+    network: NetworkConfig = NetworkConfig()
+    classes: Annotated[tuple[RequestClassConfig, ...], Field(min_length=1)] = (
+        RequestClassConfig(name="read"),
+    )
+    tenants: tuple[TenantConfig, ...] = ()
+    keys: KeysConfig = KeysConfig()
+    clients: ClientsConfig = ClientsConfig()
+    traffic: TrafficConfig = TrafficConfig()
+    routers: RoutersConfig = RoutersConfig()
     policy: str = "rosepick"
-    troubles: tuple[Trouble, ...] = ()
-    must: tuple[Must, ...] = ()
+    troubles: tuple[FaultConfig, ...] = ()
+    must: tuple[RequirementConfig, ...] = ()
     max_attempts: Annotated[int, Field(ge=1, le=5)] = 5
-    max_retry_after: NotNegative = 2.0
-    stop_sending_within: NotNegative = 0.75  # of a node, after a router was told that it drains or is gone
+    max_retry_after: NonNegativeFloat = 2.0
+    # of a node, after a router was told that it drains or is gone
+    stop_sending_within: NonNegativeFloat = 0.75
 
-    def span(self, must: Must) -> tuple[float, float]:
+    def requirement_span(self, must: RequirementConfig) -> tuple[float, float]:
         """From when to when something must hold, in seconds from the begin."""
         since = self.warm_up if must.since is None else must.since
         if must.after is not None:
@@ -284,7 +288,7 @@
             since = trouble.at + trouble.last + must.within
         return since, self.length if must.until is None else must.until
 
-    def faults(self) -> Iterator[str]:
+    def find_errors(self) -> Iterator[str]:
         """What is wrong between parts that are right by themselves."""
         known = set(self.zones)
         zoned = [(f"fleet[{n}]", nodes.zone) for n, nodes in enumerate(self.fleet)]
@@ -293,12 +297,12 @@
             if zone and zone not in known:
                 yield f"{place}.zone {zone!r} is not one of zones"
         for number, trouble in enumerate(self.troubles):
-            yield from self._trouble_faults(number, trouble, known)
+            yield from self._find_fault_errors(number, trouble, known)
         for number, must in enumerate(self.must):
             if must.after is not None and must.after > len(self.troubles):
                 yield f"must[{number}].after: there is no trouble {must.after}"
                 continue
-            since, until = self.span(must)
+            since, until = self.requirement_span(must)
             until = min(until, self.length)
             if ceil(since) >= until:
                 yield f"must[{number}]: no whole second from {since:g} to {until:g} s to judge"
@@ -310,38 +314,38 @@
         if self.warm_up >= self.length:
             yield "warm_up is not shorter than length"
 
-    def _trouble_faults(self, number: int, trouble: Trouble, known: set[str]) -> Iterator[str]:
+    def _find_fault_errors(self, number: int, fault: FaultConfig, known: set[str]) -> Iterator[str]:
         place = f"troubles[{number}]"
-        if trouble.at >= self.length:
+        if fault.at >= self.length:
             yield f"{place}.at is not within length"
-        if trouble.kind == "isolate" and not trouble.zone:
+        if fault.kind == "isolate" and not fault.zone:
             yield f"{place}.zone: isolate cuts off one zone"
-        if trouble.kind == "cut" and trouble.zones is None:
+        if fault.kind == "cut" and fault.zones is None:
             yield f"{place}.zones: a cut is between two zones"
-        if trouble.zones is not None and not set(trouble.zones) <= known:
-            yield f"{place}.zones {trouble.zones!r} are not all in zones"
-        if trouble.part is not None and (trouble.nodes, trouble.routers) != (None, None):
+        if fault.zones is not None and not set(fault.zones) <= known:
+            yield f"{place}.zones {fault.zones!r} are not all in zones"
+        if fault.part is not None and (fault.nodes, fault.routers) != (None, None):
             yield f"{place}: states both `nodes` or `routers` and `part`"
 
 
 class ExperimentError(ValueError):
     """A file that cannot be used; one line a fault, each with its place."""
 
-    def __init__(self, faults: tuple[str, ...]) -> None:
-        super().__init__("\n".join(faults))
-        self.faults = faults
+    def __init__(self, errors: tuple[str, ...]) -> None:
+        super().__init__("\n".join(errors))
+        self.errors = errors
 
 
-def read(text: str, place: str, changes: dict[str, Any] | None = None) -> Experiment:
+def parse_experiment(text: str, source_name: str, changes: dict[str, Any] | None = None) -> Experiment:
     """An experiment from the text of a file, with `changes` by dotted name. ExperimentError names all
     faults.
     """
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as problem:
-        raise ExperimentError((f"{place}: {problem}",)) from None
+        raise ExperimentError((f"{source_name}: {problem}",)) from None
     for name, value in (changes or {}).items():
-        _change(document, name, value, place)
+        _apply_change(document, name, value, source_name)
     faults: list[str] = []
     taken_out: set[tuple[int | str, ...]] = set()
     while True:
@@ -352,23 +356,25 @@
             errors = [error for error in problem.errors() if error["loc"] not in taken_out]
         wheres = {error["loc"] for error in errors}
         # a list that is too short as its parts are wrong is no fault of its own
-        errors = [error for error in errors if not any(_is_below(where, error["loc"]) for where in wheres)]
-        faults += [_fault(place, error) for error in errors]
+        errors = [
+            error for error in errors if not any(_is_nested_in(where, error["loc"]) for where in wheres)
+        ]
+        faults += [_format_error(source_name, error) for error in errors]
         # go on without what is wrong, so that faults between the other parts show too
-        if not any([_without(document, error["loc"]) for error in errors]):
+        if not any([_remove_paths(document, error["loc"]) for error in errors]):
             raise ExperimentError(tuple(faults))
         taken_out |= wheres
-    faults += [f"{place}: {fault}" for fault in found.faults()]
+    faults += [f"{source_name}: {fault}" for fault in found.find_errors()]
     if faults:
         raise ExperimentError(tuple(faults))
     return found
 
 
-def _is_below(where: tuple[int | str, ...], above: tuple[int | str, ...]) -> bool:
+def _is_nested_in(where: tuple[int | str, ...], above: tuple[int | str, ...]) -> bool:
     return len(where) > len(above) and where[: len(above)] == above
 
 
-def _without(document: dict[str, Any], where: tuple[int | str, ...]) -> bool:
+def _remove_paths(document: dict[str, Any], where: tuple[int | str, ...]) -> bool:
     """Take a value out of a document; whether it was there."""
     at: Any = document
     try:
@@ -380,17 +386,17 @@
     return True
 
 
-def load(path: Path, changes: dict[str, Any] | None = None) -> Experiment:
+def load_experiment(path: Path, changes: dict[str, Any] | None = None) -> Experiment:
     """An experiment from a file. ExperimentError if it cannot be used."""
     try:
-        return read(path.read_text("utf-8"), path.name, changes)
+        return parse_experiment(path.read_text("utf-8"), path.name, changes)
     except OSError as problem:
         raise ExperimentError((f"{path}: {problem.strerror or problem}",)) from None
     except UnicodeDecodeError:
         raise ExperimentError((f"{path.name}: not UTF-8",)) from None
 
 
-def _change(document: dict[str, Any], name: str, value: Any, place: str) -> None:
+def _apply_change(document: dict[str, Any], name: str, value: Any, source_name: str) -> None:
     """Set one value by its dotted name, such as `traffic.rate` or `troubles.0.by`."""
     *way, last = name.split(".")
     at: Any = document
@@ -402,12 +408,12 @@
         else:
             at[last] = value
     except (ValueError, IndexError, TypeError, AttributeError):
-        raise ExperimentError((f"{place}: {name} names nothing that can be set",)) from None
+        raise ExperimentError((f"{source_name}: {name} names nothing that can be set",)) from None
 
 
-def _fault(place: str, error: Any) -> str:
+def _format_error(source_name: str, error: Any) -> str:
     where = ""
     for step in error["loc"]:
         where += f"[{step}]" if isinstance(step, int) else f".{step}" if where else str(step)
     message = str(error["msg"]).removeprefix("Value error, ")
-    return f"{place}: {where}: {message}" if where else f"{place}: {message}"
+    return f"{source_name}: {where}: {message}" if where else f"{source_name}: {message}"
--- a/rosepick/lab/live/generator.py
+++ b/rosepick/lab/live/generator.py
@@ -10,75 +10,88 @@
 import time
 
 from ... import logs
-from ...net.loop import Loop
+from ...net.event_loop import EventLoop
 from ..experiment import Experiment
-from ..world.requests import Request
-from .clients import Clients
-from .control import Peer, Words, hand_over, many_sockets, settle
-from .pace import Pulse
-from .plan import requests
-from .records import Lateness
+from ..model.workload import ScheduledRequest
+from .clients import LiveClients
+from .helper_process import (
+    ControlMessage,
+    ParentChannel,
+    freeze_garbage_collector,
+    raise_descriptor_limit,
+    write_result,
+)
+from .real_time_kernel import LatenessProbe
+from .request_schedule import schedule_requests
+from .run_records import Lateness
 
 
-class Generator:
+class LoadGenerator:
     """The load of one run."""
 
     def __init__(self) -> None:
-        self.loop = Loop()
-        self.pulse = Pulse(self.loop)
-        self.clients: Clients
-        self._plan: list[Request] = []
-        self._next = 0
-        self._late: list[float] = []
-        self._result = ""
-        self._cpu = 0.0
-        self.peer = Peer(self.loop, self._heard)
+        self.loop = EventLoop()
+        self.lateness_probe = LatenessProbe(self.loop)
+        self.clients: LiveClients
+        self._scheduled_requests: list[ScheduledRequest] = []
+        self._next_index = 0
+        self._lateness_ms: list[float] = []
+        self._result_path = ""
+        self._cpu_at_start_s = 0.0
+        self.parent = ParentChannel(self.loop, self._on_message)
 
-    def _heard(self, words: Words) -> None:
-        if "experiment" in words:
-            experiment = Experiment.model_validate_json(words["experiment"])
-            self._result = words["result"]
-            self._plan = requests(experiment, words["seed"])
-            self.clients = Clients(self.loop, experiment, words["seed"], words["ports"], self._done)
-            settle()
-            self.peer.tell({"requests": len(self._plan)})
-        elif "begin" in words:
-            self._cpu = time.process_time()
-            self.clients.begin_at = words["begin"]
-            self.pulse.start(words["begin"])
-            self._set()
+    def _on_message(self, message: ControlMessage) -> None:
+        if "experiment" in message:
+            experiment = Experiment.model_validate_json(message["experiment"])
+            self._result_path = message["result"]
+            self._scheduled_requests = schedule_requests(experiment, message["seed"])
+            self.clients = LiveClients(
+                self.loop, experiment, message["seed"], message["ports"], self._on_done
+            )
+            freeze_garbage_collector()
+            self.parent.send({"requests": len(self._scheduled_requests)})
+        elif "begin" in message:
+            self._cpu_at_start_s = time.process_time()
+            self.clients.started_at_ms = message["begin"]
+            self.lateness_probe.start(message["begin"])
+            self._schedule_next()
 
-    def _set(self) -> None:
-        if self._next < len(self._plan):
-            self.clients.at(self._plan[self._next].due, self._come)
+    def _schedule_next(self) -> None:
+        if self._next_index < len(self._scheduled_requests):
+            self.clients.call_at(self._scheduled_requests[self._next_index].due_ms, self._send_due_requests)
         else:
-            self.clients.no_more()
+            self.clients.finish_arrivals()
 
-    def _come(self) -> None:
+    def _send_due_requests(self) -> None:
         """Take up all that is due."""
         clients = self.clients
-        while self._next < len(self._plan) and self._plan[self._next].due <= (now := clients.now()):
-            request = self._plan[self._next]
-            self._next += 1
-            self._late.append(now - request.due)
-            clients.come(request)
-        self._set()
+        while self._next_index < len(self._scheduled_requests) and self._scheduled_requests[
+            self._next_index
+        ].due_ms <= (now := clients.now()):
+            request = self._scheduled_requests[self._next_index]
+            self._next_index += 1
+            self._lateness_ms.append(now - request.due_ms)
+            clients.on_request_due(request)
+        self._schedule_next()
 
-    def _done(self) -> None:
-        clients, found = self.clients, self.clients.found
+    def _on_done(self) -> None:
+        clients, found = self.clients, self.clients.records
         clients.close()
-        found.late, found.pauses = Lateness.of(self._late), self.pulse.lateness()
-        found.waited = sum(pool.waited for pool in clients.pools)
-        found.cpu_s, found.faults = time.process_time() - self._cpu, self.loop.faults
-        hand_over(self._result, found)
-        self.peer.tell({"done": True})
+        found.send_lateness, found.loop_lateness = (
+            Lateness.from_samples(self._lateness_ms),
+            self.lateness_probe.lateness(),
+        )
+        found.pool_waits = sum(pool.wait_count for pool in clients.pools)
+        found.cpu_s, found.faults = time.process_time() - self._cpu_at_start_s, self.loop.fault_count
+        write_result(self._result_path, found)
+        self.parent.send({"done": True})
 
 
 def main() -> None:
     """Send until all is over and who started us has gone."""
-    logs.set_up()
-    many_sockets()
-    Generator().loop.run()
+    logs.configure_logging()
+    raise_descriptor_limit()
+    LoadGenerator().loop.run()
 
 
 if __name__ == "__main__":
--- a/rosepick/lab/live/reader.py
+++ b/rosepick/lab/live/request_reader.py
@@ -6,28 +6,28 @@
 
 import httptools
 
-from ...http.sender_side import REASONS
+from ...http.server_protocol import REASON_PHRASES
 
-BODY_LIMIT = 1024 * 1024
-HEAD_LIMIT = 64 * 1024
-Extra = tuple[tuple[bytes, bytes], ...]
+MAX_BODY_BYTES = 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+ResponseHeaders = tuple[tuple[bytes, bytes], ...]
 
 
-class BadRequest(Exception):
+class MalformedRequestError(Exception):
     """The bytes are no request that can be taken."""
 
 
 @dataclass(frozen=True, slots=True)
-class Message:
+class HttpRequest:
     """A whole request; names of headers are in lower case."""
 
     method: bytes
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
-    keep: bool  # whether the connection can carry another one
+    keep_alive: bool  # whether the connection can carry another one
 
-    def text(self, name: bytes) -> str:
+    def header_text(self, name: bytes) -> str:
         """A header's value; empty if it is not there."""
         return self.headers.get(name, b"").decode("latin-1")
 
@@ -36,51 +36,51 @@
     """Reads one request after another."""
 
     def __init__(self) -> None:
-        self.begun = False  # a request has begun and is not whole
+        self.is_in_request = False  # a request has begun and is not whole
         self._parser = httptools.HttpRequestParser(self)
-        self._found: list[Message] = []
+        self._complete: list[HttpRequest] = []
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
-        self._head = 0
+        self._header_bytes = 0
 
-    def feed(self, data: bytes) -> list[Message]:
+    def feed(self, data: bytes) -> list[HttpRequest]:
         """Take in bytes; the requests that they made whole. Raises BadRequest."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
-            raise BadRequest(str(problem) or type(problem).__name__) from None
-        found, self._found = self._found, []
+            raise MalformedRequestError(str(problem) or type(problem).__name__) from None
+        found, self._complete = self._complete, []
         return found
 
     # ------------------------------------------------------------------------------ the parser's calls
 
     def on_message_begin(self) -> None:
-        self._target, self._headers, self._body, self._head = b"", {}, bytearray(), 0
-        self.begun = True
+        self._target, self._headers, self._body, self._header_bytes = b"", {}, bytearray(), 0
+        self.is_in_request = True
 
     def on_url(self, part: bytes) -> None:
         self._target += part
-        self._grow(len(part))
+        self._count_header_bytes(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.setdefault(name.lower(), value)
-        self._grow(len(name) + len(value))
+        self._count_header_bytes(len(name) + len(value))
 
-    def _grow(self, size: int) -> None:
-        self._head += size
-        if self._head > HEAD_LIMIT:
-            raise BadRequest("headers too long")
+    def _count_header_bytes(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > MAX_HEADER_BYTES:
+            raise MalformedRequestError("headers too long")
 
     def on_body(self, part: bytes) -> None:
         self._body += part
-        if len(self._body) > BODY_LIMIT:
-            raise BadRequest("body too long")
+        if len(self._body) > MAX_BODY_BYTES:
+            raise MalformedRequestError("body too long")
 
     def on_message_complete(self) -> None:
-        self.begun = False
-        self._found.append(
-            Message(
+        self.is_in_request = False
+        self._complete.append(
+            HttpRequest(
                 self._parser.get_method(),
                 self._target,
                 self._headers,
@@ -90,8 +90,8 @@
         )
 
 
-def answer(status: int, body: bytes = b"", extra: Extra = ()) -> bytes:
+def encode_response(status: int, body: bytes = b"", extra_headers: ResponseHeaders = ()) -> bytes:
     """A whole answer."""
-    lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
-    lines += [name + b": " + value for name, value in extra]
+    lines = [b"HTTP/1.1 %d %s" % (status, REASON_PHRASES[status]), b"Content-Length: %d" % len(body)]
+    lines += [name + b": " + value for name, value in extra_headers]
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/rosepick/lab/live/configuration.py
+++ b/rosepick/lab/live/router_config.py
@@ -7,16 +7,16 @@
 from dataclasses import asdict
 from typing import Any
 
-from ...core.transport_map import uid_number
+from ...core.endpoint_directory import hash_uid
 from ..experiment import Experiment
-from ..world.ports import DIAL_TIMEOUT
-from ..world.settings import settings_of
+from ..model.router_settings import router_settings_for
+from ..model.simulated_router import CONNECT_TIMEOUT_MS
 
-KINDS = ("std", "origin")  # of machines, by the numbers that the model gives them
-CONN_IDLE = 15_000.0  # milliseconds after which a node closes an idle connection
+MACHINE_TYPES = ("std", "origin")  # of machines, by the numbers that the model gives them
+CONNECTION_IDLE_MS = 15_000.0  # milliseconds after which a node closes an idle connection
 
 
-def document(
+def router_config_document(
     experiment: Experiment,
     name: str,
     listen: str,
@@ -34,7 +34,7 @@
         "name": name,
         "listen": listen,
         "discovery": discovery,
-        "seed": f"{uid_number(f'{name} {drawn}'):x}",
+        "seed": f"{hash_uid(f'{name} {drawn}'):x}",
         "limits": {
             "cores": 1.0,
             "memory_mb": experiment.routers.memory_mb,
@@ -47,30 +47,30 @@
 
 def _settings(experiment: Experiment, position: int) -> dict[str, Any]:
     zone = position % len(experiment.zones)
-    told = settings_of(experiment, position, zone)
+    told = router_settings_for(experiment, position, zone)
     limits = told.limits
     return {
         "domain": {"mode": told.mode.value, "origin_kind": told.origin_kind},
         "failure_domains": list(experiment.zones),
-        "machine_types": list(KINDS),
+        "machine_types": list(MACHINE_TYPES),
         "limits": {
-            "cancelling": limits.cancelling,
-            "conn_idle": CONN_IDLE,
-            "dial_timeout": DIAL_TIMEOUT,
+            "cancelling": limits.allow_cancel,
+            "conn_idle": CONNECTION_IDLE_MS,
+            "dial_timeout": CONNECT_TIMEOUT_MS,
             "max_attempts": limits.max_attempts,
-            "max_retry_after": limits.max_retry_after,
+            "max_retry_after": limits.max_retry_after_ms,
             "retry_after": True,
         },
         "membership_mode": "subscribe" if told.subscribe else "automatic",
         "request_classes": [
             {
                 "name": named.name,
-                "deadline": one.deadline,
-                "objective": one.aim,
+                "deadline": one.deadline_ms,
+                "objective": one.objective_ms,
                 "worth": one.worth,
                 "effect": one.effect.value,
                 "group": one.group.value,
-                "repeat_window": one.repeat_window,
+                "repeat_window": one.repeat_window_ms,
             }
             for named, one in zip(experiment.classes, told.classes, strict=True)
         ],
--- a/rosepick/lab/live/stand_ins.py
+++ b/rosepick/lab/live/stand_ins.py
@@ -10,63 +10,71 @@
 import time
 
 from ... import logs
-from ...net.loop import Loop
+from ...net.event_loop import EventLoop
 from ..experiment import Experiment
 from ..measure import Measure
-from .control import Peer, Words, hand_over, many_sockets, settle
-from .records import Seen
-from .world import LiveWorld
+from .helper_process import (
+    ControlMessage,
+    ParentChannel,
+    freeze_garbage_collector,
+    raise_descriptor_limit,
+    write_result,
+)
+from .live_simulation import LiveSimulation
+from .run_records import StandInResults
 
 
 class StandIns:
     """One run's stand-ins."""
 
     def __init__(self) -> None:
-        self.loop = Loop()
-        self.world: LiveWorld
-        self._result = ""
-        self._cpu = 0.0
-        self.peer = Peer(self.loop, self._heard)
+        self.loop = EventLoop()
+        self.simulation: LiveSimulation
+        self._result_path = ""
+        self._cpu_at_start_s = 0.0
+        self.parent = ParentChannel(self.loop, self._on_message)
 
-    def _heard(self, words: Words) -> None:
-        if "experiment" in words:
-            self._set_up(words)
-        elif "begin" in words:
-            self._cpu = time.process_time()
-            self.world.begin(words["begin"])
-        elif "end" in words:
-            hand_over(self._result, self._seen())
-            self.peer.tell({"done": True})
+    def _on_message(self, message: ControlMessage) -> None:
+        if "experiment" in message:
+            self._set_up(message)
+        elif "begin" in message:
+            self._cpu_at_start_s = time.process_time()
+            self.simulation.start_at(message["begin"])
+        elif "end" in message:
+            write_result(self._result_path, self._collect_results())
+            self.parent.send({"done": True})
 
-    def _set_up(self, words: Words) -> None:
-        experiment = Experiment.model_validate_json(words["experiment"])
-        self._result = words["result"]
-        self.world = world = LiveWorld(self.loop, experiment, words["seed"], Measure(experiment))
+    def _set_up(self, message: ControlMessage) -> None:
+        experiment = Experiment.model_validate_json(message["experiment"])
+        self._result_path = message["result"]
+        self.simulation = world = LiveSimulation(self.loop, experiment, message["seed"], Measure(experiment))
         world.open()
-        settle()
-        known = [world.listing.held(zone) for zone in range(world.listing.zones)]
-        doors = [door.port for door in world.listing.doors]
-        self.peer.tell({"discovery": doors, "known": known})
+        freeze_garbage_collector()
+        known = [
+            world.discovery_server.initial_document(zone) for zone in range(world.discovery_server.zones)
+        ]
+        doors = [door.port for door in world.discovery_server.listeners]
+        self.parent.send({"discovery": doors, "known": known})
 
-    def _seen(self) -> Seen:
-        world, measure = self.world, self.world.measure
-        return Seen(
+    def _collect_results(self) -> StandInResults:
+        world, measure = self.simulation, self.simulation.measure
+        return StandInResults(
             attempts=world.attempts,
             seconds=measure.seconds,
             spans=measure.spans,
-            broken=measure.broken,
-            fell=measure.fell,
-            late=world.pace.pulse.lateness(),
-            cpu_s=time.process_time() - self._cpu,
-            events=world.kernel.events,
-            faults=self.loop.faults,
+            violations=measure.violations,
+            cold_overloads=measure.cold_overloads,
+            loop_lateness=world.real_time_kernel.lateness_probe.lateness(),
+            cpu_s=time.process_time() - self._cpu_at_start_s,
+            events=world.kernel.events_run,
+            faults=self.loop.fault_count,
         )
 
 
 def main() -> None:
     """Serve until who started us has gone."""
-    logs.set_up()
-    many_sockets()
+    logs.configure_logging()
+    raise_descriptor_limit()
     StandIns().loop.run()
 
 
--- a/rosepick/lab/measure.py
+++ b/rosepick/lab/measure.py
@@ -13,22 +13,31 @@
 
 from hdrh.histogram import HdrHistogram
 
-from .experiment import Experiment, Must
-from .results import Broken, Part, Run, Span, Verdict, Window, revision, versions
-
-LONGEST = 600_000  # hundredths of a millisecond are counted up to ten minutes
+from .experiment import Experiment, RequirementConfig
+from .results import (
+    FaultSpan,
+    GroupSummary,
+    RequirementResult,
+    RuleViolation,
+    RunResult,
+    Window,
+    library_versions,
+    source_revision,
+)
+
+MAX_LATENCY_MS = 600_000  # hundredths of a millisecond are counted up to ten minutes
 PERCENTILES = (50.0, 75.0, 90.0, 95.0, 99.0, 99.5, 99.9, 99.99)
-ENDS = ("in_time", "late", "refused", "failed", "left")
-STEP = 1_000.0  # of the windows
+OUTCOMES = ("in_time", "late", "refused", "failed", "left")
+SECOND_MS = 1_000.0  # of the windows
 
 
 def _histogram() -> HdrHistogram:
     """Of hundredths of a millisecond, with two digits."""
-    return HdrHistogram(1, LONGEST * 100, 2)
+    return HdrHistogram(1, MAX_LATENCY_MS * 100, 2)
 
 
 @dataclass(slots=True)
-class Second:
+class SecondCounts:
     """What is counted in one second."""
 
     counts: Counter[str] = field(default_factory=Counter)
@@ -41,16 +50,16 @@
     nodes_up: int = 0
 
 
-class Group:
+class GroupMeasure:
     """What a class or a tenant got."""
 
     def __init__(self) -> None:
         self.offered = self.in_time = 0
         self.times = _histogram()
 
-    def part(self) -> Part:
+    def summarize(self) -> GroupSummary:
         """As a result."""
-        return Part(
+        return GroupSummary(
             self.offered, _share(self.in_time, self.offered), _at(self.times, 50.0), _at(self.times, 99.0)
         )
 
@@ -60,83 +69,87 @@
 
     def __init__(self, experiment: Experiment) -> None:
         self.experiment = experiment
-        self.seconds = [Second() for _ in range(int(-(-experiment.length // 1)))]
+        self.seconds = [SecondCounts() for _ in range(int(-(-experiment.length // 1)))]
         self.times = _histogram()
-        self.classes = {one.name: Group() for one in experiment.classes}
-        self.tenants = {one.name: Group() for one in experiment.tenants}
-        self.broken: list[Broken] = []
-        self.spans: list[Span] = []
-        self.fell = 0
+        self.classes = {one.name: GroupMeasure() for one in experiment.classes}
+        self.tenants = {one.name: GroupMeasure() for one in experiment.tenants}
+        self.violations: list[RuleViolation] = []
+        self.spans: list[FaultSpan] = []
+        self.cold_overloads = 0
 
-    def second(self, now: float) -> Second:
+    def second_at(self, now: float) -> SecondCounts:
         """The one that a time is in; the last one for what comes after the end."""
-        return self.seconds[max(0, min(len(self.seconds) - 1, int(now // STEP)))]
+        return self.seconds[max(0, min(len(self.seconds) - 1, int(now // SECOND_MS)))]
 
-    def count(self, now: float, what: str) -> None:
+    def count_event(self, now: float, event: str) -> None:
         """Count an attempt, a hit, a miss, a crossing and the like."""
-        self.second(now).counts[what] += 1
+        self.second_at(now).counts[event] += 1
 
-    def offered(self, due: float, klass: str, tenant: str, worth: float) -> None:
+    def record_offered(self, due: float, klass: str, tenant: str, worth: float) -> None:
         """A request was due."""
-        second = self.second(due)
+        second = self.second_at(due)
         second.counts["offered"] += 1
         second.worth_offered += worth
-        if self._measured(due):
+        if self._is_measured(due):
             self.classes[klass].offered += 1
             if tenant:
                 self.tenants[tenant].offered += 1
 
-    def ended(self, due: float, klass: str, tenant: str, worth: float, end: str, took: float) -> None:
-        """A request has its end, one of `ENDS`; `took` counts from when it was due."""
-        second = self.second(due)
-        second.counts[end] += 1
-        if end == "in_time":
+    def record_ended(
+        self, due: float, klass: str, tenant: str, worth: float, outcome: str, elapsed_ms: float
+    ) -> None:
+        """A request has its end, one of `ENDS`; `elapsed_ms` counts from when it was due."""
+        second = self.second_at(due)
+        second.counts[outcome] += 1
+        if outcome == "in_time":
             second.worth_in_time += worth
-        if end in ("in_time", "late"):
-            second.served.append(took)
-        if not self._measured(due):
+        if outcome in ("in_time", "late"):
+            second.served.append(elapsed_ms)
+        if not self._is_measured(due):
             return
         groups = [self.classes[klass], *([self.tenants[tenant]] if tenant else [])]
         for group in groups:
-            group.in_time += end == "in_time"
-        if end in ("in_time", "late"):
-            hundredths = max(1, min(LONGEST * 100, int(took * 100)))
+            group.in_time += outcome == "in_time"
+        if outcome in ("in_time", "late"):
+            hundredths = max(1, min(MAX_LATENCY_MS * 100, int(elapsed_ms * 100)))
             self.times.record_value(hundredths)
             for group in groups:
                 group.times.record_value(hundredths)
 
-    def broke(self, rule: str, request: str, node: str, now: float, text: str) -> None:
+    def record_violation(self, rule: str, request: str, node: str, now: float, text: str) -> None:
         """A rule was broken."""
-        self.broken.append(Broken(rule, request, node, now / 1000.0, text))
+        self.violations.append(RuleViolation(rule, request, node, now / 1000.0, text))
 
-    def _measured(self, due: float) -> bool:
+    def _is_measured(self, due: float) -> bool:
         return self.experiment.warm_up * 1000.0 <= due < self.experiment.length * 1000.0
 
     # ---------------------------------------------------------------------------------------- its result
 
-    def run(self, seed: int, how: str, policy: str, changes: dict[str, object], void: str = "") -> Run:
+    def build_result(
+        self, seed: int, mode: str, policy: str, changes: dict[str, object], void: str = ""
+    ) -> RunResult:
         """The result of all that was collected."""
         given = self.experiment
         windows = [_window(n, second) for n, second in enumerate(self.seconds)]
-        return Run(
+        return RunResult(
             experiment=given.name,
             policy=policy,
             seed=seed,
-            how=how,
+            how=mode,
             changes=changes,
-            revision=revision(),
-            versions=versions(),
+            revision=source_revision(),
+            versions=library_versions(),
             length=given.length,
             warm_up=given.warm_up,
             void=void,
             totals=self.figures(given.warm_up, given.length),
-            classes={name: group.part() for name, group in self.classes.items()},
-            tenants={name: group.part() for name, group in self.tenants.items()},
+            classes={name: group.summarize() for name, group in self.classes.items()},
+            tenants={name: group.summarize() for name, group in self.tenants.items()},
             percentiles=[(q, _at(self.times, q)) for q in PERCENTILES],
             windows=windows,
             troubles=self.spans,
-            must=[self._verdict(must) for must in given.must],
-            broken=self.broken,
+            must=[self._check_requirement(must) for must in given.must],
+            broken=self.violations,
         )
 
     def figures(self, since: float, until: float) -> dict[str, float]:
@@ -169,18 +182,22 @@
             "crossings": _share(total["crossings"], offered),
             "origin_load": _mean([second.origin_load for second in seconds]),
             "node_load": _mean(loads),
-            "fell": float(self.fell),
-            "broken_rules": float(len(self.broken)),
+            "fell": float(self.cold_overloads),
+            "broken_rules": float(len(self.violations)),
         }
 
-    def _verdict(self, must: Must) -> Verdict:
-        since, until = self.experiment.span(must)
-        value = self.figures(since, until)[must.what]
-        held = (must.least is None or value >= must.least) and (must.most is None or value <= must.most)
-        return Verdict(must.what, value, must.least, must.most, since, until, held)
+    def _check_requirement(self, requirement: RequirementConfig) -> RequirementResult:
+        since, until = self.experiment.requirement_span(requirement)
+        value = self.figures(since, until)[requirement.what]
+        held = (requirement.least is None or value >= requirement.least) and (
+            requirement.most is None or value <= requirement.most
+        )
+        return RequirementResult(
+            requirement.what, value, requirement.least, requirement.most, since, until, held
+        )
 
 
-def _window(at: int, second: Second) -> Window:
+def _window(at: int, second: SecondCounts) -> Window:
     counts, times = second.counts, sorted(second.served)
     return Window(
         at=at,
--- a/rosepick/lab/world/kernel.py
+++ b/rosepick/lab/model/kernel.py
@@ -9,16 +9,16 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 
-Call = Callable[[], None]
+Callback = Callable[[], None]
 
 
-class Handle:
+class ScheduledEvent:
     """An event that was set."""
 
     __slots__ = ("call",)
 
-    def __init__(self, call: Call) -> None:
-        self.call: Call | None = call
+    def __init__(self, call: Callback) -> None:
+        self.call: Callback | None = call
 
     def cancel(self) -> None:
         """It is not wanted any more."""
@@ -30,24 +30,24 @@
 
     def __init__(self) -> None:
         self.time = 0.0
-        self.events = 0  # so many were called
-        self._heap: list[tuple[float, int, int, Handle]] = []
-        self._count = 0
+        self.events_run = 0  # so many were called
+        self._heap: list[tuple[float, int, int, ScheduledEvent]] = []
+        self._sequence_number = 0
 
     def now(self) -> float:
         """The present time."""
         return self.time
 
-    def at(self, when: float, call: Call, first: bool = False) -> Handle:
-        """Call at that time, or now if it has passed; `first`: before the others of the same time."""
-        handle = Handle(call)
-        self._count += 1
-        heappush(self._heap, (when, 0 if first else 1, self._count, handle))
+    def call_at(self, at_ms: float, callback: Callback, run_first: bool = False) -> ScheduledEvent:
+        """Call at that time, or now if it has passed; `run_first`: before the others of the same time."""
+        handle = ScheduledEvent(callback)
+        self._sequence_number += 1
+        heappush(self._heap, (at_ms, 0 if run_first else 1, self._sequence_number, handle))
         return handle
 
-    def after(self, delay: float, call: Call) -> Handle:
+    def call_after(self, delay_ms: float, callback: Callback) -> ScheduledEvent:
         """Call after so many milliseconds."""
-        return self.at(self.time + delay, call)
+        return self.call_at(self.time + delay_ms, callback)
 
     def run(self, until: float) -> None:
         """Call all that is due up to a time, which is then the present one."""
@@ -58,6 +58,6 @@
             if call is not None:
                 if when > self.time:
                     self.time = when
-                self.events += 1
+                self.events_run += 1
                 call()
         self.time = max(self.time, until)
--- a/rosepick/lab/world/draws.py
+++ b/rosepick/lab/model/random_streams.py
@@ -11,62 +11,62 @@
 
 import numpy as np
 
-BLOCK = 4096
+BLOCK_SIZE = 4096
 
 
-def generator(seed: int, name: str) -> np.random.Generator:
+def create_generator(seed: int, name: str) -> np.random.Generator:
     """The generator of one use."""
     return np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, crc32(name.encode())])))
 
 
-class Uniform:
+class UniformStream:
     """Numbers from 0 to 1, one at a time at little cost."""
 
     __slots__ = ("_block", "_generator")
 
     def __init__(self, seed: int, name: str) -> None:
-        self._generator = generator(seed, name)
+        self._generator = create_generator(seed, name)
         self._block: Iterator[float] = iter(())
 
     def __call__(self) -> float:
         for value in self._block:
             return value
-        self._block = iter(self._generator.random(BLOCK).tolist())
+        self._block = iter(self._generator.random(BLOCK_SIZE).tolist())
         return next(self._block)
 
 
-class Work:
+class WorkStream:
     """Amounts of work with a mean of 1, one at a time: `fixed`, `exponential` or `lognormal`."""
 
     __slots__ = ("_block", "_generator", "_kind", "_spread")
 
     def __init__(self, seed: int, name: str, kind: str, spread: float) -> None:
-        self._generator = generator(seed, name)
+        self._generator = create_generator(seed, name)
         self._kind, self._spread = kind, spread
         self._block: Iterator[float] = iter(())
 
     def __call__(self) -> float:
         for value in self._block:
             return value
-        self._block = iter(self._drawn().tolist())
+        self._block = iter(self._draw_block().tolist())
         return next(self._block)
 
-    def _drawn(self) -> np.ndarray:
+    def _draw_block(self) -> np.ndarray:
         if self._kind == "fixed":
-            return np.ones(BLOCK)
+            return np.ones(BLOCK_SIZE)
         if self._kind == "exponential":
-            return self._generator.exponential(1.0, BLOCK)
+            return self._generator.exponential(1.0, BLOCK_SIZE)
         # the logarithm's mean that makes the mean of the values 1
-        return self._generator.lognormal(-(self._spread**2) / 2, self._spread, BLOCK)
+        return self._generator.lognormal(-(self._spread**2) / 2, self._spread, BLOCK_SIZE)
 
 
-class Zipf:
+class ZipfStream:
     """Ranks from 0 on, asked for in proportion to (rank + 1) ** -exponent; by inversion, in blocks."""
 
     __slots__ = ("_block", "_edges", "_generator")
 
     def __init__(self, seed: int, name: str, count: int, exponent: float) -> None:
-        self._generator = generator(seed, name)
+        self._generator = create_generator(seed, name)
         weights = np.arange(1, count + 1, dtype=float) ** -exponent
         self._edges = np.cumsum(weights) / weights.sum()
         self._block: Iterator[int] = iter(())
@@ -74,6 +74,6 @@
     def __call__(self) -> int:
         for value in self._block:
             return value
-        drawn = np.searchsorted(self._edges, self._generator.random(BLOCK), side="right")
+        drawn = np.searchsorted(self._edges, self._generator.random(BLOCK_SIZE), side="right")
         self._block = iter(np.minimum(drawn, len(self._edges) - 1).tolist())
         return next(self._block)
--- a/rosepick/lab/world/requests.py
+++ b/rosepick/lab/model/workload.py
@@ -11,61 +11,67 @@
 
 import numpy as np
 
-from ...core.transport_map import key_number
-from ..experiment import Class, Experiment, ExperimentError, Routers
-from .draws import Uniform, Work, Zipf, generator
+from ...core.endpoint_directory import hash_key
+from ..experiment import Experiment, ExperimentError, RequestClassConfig, RoutersConfig
+from .random_streams import UniformStream, WorkStream, ZipfStream, create_generator
 
-HINT_SPREAD = 0.3  # of the logarithm: how rough the hint of a request's work is
+COST_HINT_SPREAD = 0.3  # of the logarithm: how rough the hint of a request's work is
 
 
 @dataclass(frozen=True, slots=True)
-class Request:
+class ScheduledRequest:
     """What one client wants, once."""
 
     number: int
-    due: float  # milliseconds
+    due_ms: float  # milliseconds
     router: int
     klass: int
     tenant: int
     key: int
-    work: float  # at a cache node, milliseconds on a core of speed 1
-    origin_work: float
-    hint: float
+    work_ms: float  # at a cache node, milliseconds on a core of speed 1
+    origin_work_ms: float
+    cost_hint: float
     size: int
-    leaves: float  # so many milliseconds after it was due its client leaves; inf: never early
+    abandon_after_ms: float  # so many milliseconds after it was due its client leaves; inf: never early
 
 
-class Requests:
+class Workload:
     """All requests of a run, in the order in which they are due."""
 
     def __init__(self, experiment: Experiment, seed: int) -> None:
         self.experiment, self.seed = experiment, seed
-        self.surges: list[float] = []  # so many times the traffic, by each trouble that is on
-        self.flashes: list[float] = []  # of the reads are for one key
-        self.numbers = _numbers(experiment.keys.count)
-        self._ranks = Zipf(seed, "keys", experiment.keys.count, experiment.keys.zipf)
-        self._gaps = generator(seed, "arrivals")
-        self._kind, self._who, self._where, self._odd, self._leave = (
-            Uniform(seed, name) for name in ("classes", "tenants", "routers", "flash", "leave")
-        )
-        self._hints = Work(seed, "hints", "lognormal", HINT_SPREAD)
-        self._works = [Work(seed, f"work {one.name}", one.work, one.spread) for one in experiment.classes]
-        self._classes = _edges([one.share for one in experiment.classes])
-        self._tenants = _edges([one.traffic or one.share for one in experiment.tenants])
-        self._routers = _edges(_traffic(experiment.routers))
-        self._drifts = generator(seed, "drift")
-        self._drifted = 0.0
-
-    def __iter__(self) -> Iterator[Request]:
+        self.surge_factors: list[float] = []  # so many times the traffic, by each trouble that is on
+        self.flash_shares: list[float] = []  # of the reads are for one key
+        self.key_by_rank = _key_numbers(experiment.keys.count)
+        self._ranks = ZipfStream(seed, "keys", experiment.keys.count, experiment.keys.zipf)
+        self._gaps = create_generator(seed, "arrivals")
+        (
+            self._class_stream,
+            self._tenant_stream,
+            self._router_stream,
+            self._flash_stream,
+            self._abandon_stream,
+        ) = (UniformStream(seed, name) for name in ("classes", "tenants", "routers", "flash", "leave"))
+        self._hints = WorkStream(seed, "hints", "lognormal", COST_HINT_SPREAD)
+        self._works = [
+            WorkStream(seed, f"work {one.name}", one.work, one.spread) for one in experiment.classes
+        ]
+        self._classes = _cumulative_shares([one.share for one in experiment.classes])
+        self._tenants = _cumulative_shares([one.traffic or one.share for one in experiment.tenants])
+        self._routers = _cumulative_shares(_router_shares(experiment.routers))
+        self._drifts = create_generator(seed, "drift")
+        self._last_drift_at = 0.0
+
+    def __iter__(self) -> Iterator[ScheduledRequest]:
         length = 1000.0 * self.experiment.length
         if self.experiment.traffic.arrivals == "trace":
-            yield from self._traced(length)
+            yield from self._traced_requests(length)
             return
         for number, due in enumerate(self._arrivals()):
             if due >= length:
                 return
-            self._drift(due)
-            yield self._request(number, due, self._pick(self._kind, self._classes))
+            self._apply_drift(due)
+            yield self._create_request(number, due, self._draw_index(self._class_stream, self._classes))
 
     # ------------------------------------------------------------------------------------------- when
 
@@ -75,44 +81,44 @@
         together = traffic.burst if traffic.arrivals == "bursts" else 1
         most = 1.0 + (traffic.swing if traffic.arrivals == "daily" else 0.0)
         while True:
-            rate = most * traffic.rate * math.prod(self.surges) / together / 1000.0
+            rate = most * traffic.rate * math.prod(self.surge_factors) / together / 1000.0
             gap = 1.0 if traffic.arrivals == "regular" else float(self._gaps.exponential())
             now += gap / rate
             # by thinning: arrivals at the highest rate, of which such a part counts as the present one is
             # lower
-            if most > 1.0 and self._gaps.random() * most > self._of_day(now):
+            if most > 1.0 and self._gaps.random() * most > self._daily_factor(now):
                 continue
             for _ in range(together):
                 yield now
 
-    def _of_day(self, now: float) -> float:
+    def _daily_factor(self, now: float) -> float:
         traffic = self.experiment.traffic
         return 1.0 + traffic.swing * math.sin(2 * math.pi * now / (1000.0 * traffic.period))
 
-    def _traced(self, length: float) -> Iterator[Request]:
-        for number, (due, klass, tenant, key) in enumerate(trace(self.experiment)):
+    def _traced_requests(self, length: float) -> Iterator[ScheduledRequest]:
+        for number, (due, klass, tenant, key) in enumerate(read_trace(self.experiment)):
             if due >= length:
                 return
-            yield self._request(number, due, klass, key, tenant)
+            yield self._create_request(number, due, klass, key, tenant)
 
     # ------------------------------------------------------------------------------------------- what
 
-    def _request(
+    def _create_request(
         self, number: int, due: float, klass: int, key: int | None = None, tenant: int | None = None
-    ) -> Request:
+    ) -> ScheduledRequest:
         one = self.experiment.classes[klass]
         amount = self._works[klass]()
         if key is None:
-            key = self._key(one)
+            key = self._draw_key(one)
         if tenant is None:
-            tenant = self._pick(self._who, self._tenants) if self._tenants else 0
+            tenant = self._draw_index(self._tenant_stream, self._tenants) if self._tenants else 0
         leaves = math.inf
-        if self.experiment.clients.leave and self._leave() < self.experiment.clients.leave:
-            leaves = 1000.0 * one.deadline * (0.1 + 0.9 * self._leave())
-        return Request(
+        if self.experiment.clients.leave and self._abandon_stream() < self.experiment.clients.leave:
+            leaves = 1000.0 * one.deadline * (0.1 + 0.9 * self._abandon_stream())
+        return ScheduledRequest(
             number,
             due,
-            self._pick(self._where, self._routers),
+            self._draw_index(self._router_stream, self._routers),
             klass,
             tenant,
             key,
@@ -123,14 +129,14 @@
             leaves,
         )
 
-    def _key(self, one: Class) -> int:
+    def _draw_key(self, request_class: RequestClassConfig) -> int:
         rank = self._ranks()
-        if self.flashes and not one.write and self._odd() < max(self.flashes):
-            rank = len(self.numbers) // 2
-        return self.numbers[rank]
+        if self.flash_shares and not request_class.write and self._flash_stream() < max(self.flash_shares):
+            rank = len(self.key_by_rank) // 2
+        return self.key_by_rank[rank]
 
     @staticmethod
-    def _pick(draw: Uniform, edges: list[float]) -> int:
+    def _draw_index(draw: UniformStream, edges: list[float]) -> int:
         """One of several, by their shares. There are few, so that looking through them costs least."""
         drawn = draw()
         for place, edge in enumerate(edges):
@@ -138,16 +144,16 @@
                 return place
         return len(edges) - 1
 
-    def _drift(self, now: float) -> None:
+    def _apply_drift(self, now: float) -> None:
         """Keys change places in their popularity."""
         drift = self.experiment.keys.drift
-        while drift and now - self._drifted >= 1000.0 / drift:
-            self._drifted += 1000.0 / drift
-            one, other = self._drifts.integers(0, len(self.numbers), 2)
-            self.numbers[one], self.numbers[other] = self.numbers[other], self.numbers[one]
+        while drift and now - self._last_drift_at >= 1000.0 / drift:
+            self._last_drift_at += 1000.0 / drift
+            one, other = self._drifts.integers(0, len(self.key_by_rank), 2)
+            self.key_by_rank[one], self.key_by_rank[other] = self.key_by_rank[other], self.key_by_rank[one]
 
 
-def _numbers(count: int) -> list[int]:
+def _key_numbers(count: int) -> list[int]:
     """A number for each rank, that tells nothing of it: a 64-bit mix (splitmix64's finalizer), never 0."""
     x = np.arange(1, count + 1, dtype=np.uint64) * np.uint64(0x9E3779B97F4A7C15)
     x ^= x >> np.uint64(30)
@@ -158,7 +164,7 @@
     return [int(value) or 1 for value in x]
 
 
-def _traffic(routers: Routers) -> list[float]:
+def _router_shares(routers: RoutersConfig) -> list[float]:
     """Of each router, in proportion."""
     every = round(1.0 / routers.heavy) if routers.heavy else 0
     return [
@@ -167,7 +173,7 @@
     ]
 
 
-def _edges(shares: list[float]) -> list[float]:
+def _cumulative_shares(shares: list[float]) -> list[float]:
     total, edges = 0.0, []
     for share in shares:
         total += share
@@ -175,7 +181,7 @@
     return [edge / total for edge in edges]
 
 
-def trace(experiment: Experiment) -> list[tuple[float, int, int, int]]:
+def read_trace(experiment: Experiment) -> list[tuple[float, int, int, int]]:
     """The requests of a trace file: when due (ms), class, tenant, key. ExperimentError names each bad
     line.
     """
@@ -199,7 +205,7 @@
         except (ValueError, KeyError, IndexError):
             faults.append(f"{path.name} line {number}: not `seconds,class,key[,tenant]` in the order of time")
             continue
-        found.append((due, klass, tenant, key_number(key.encode())))
+        found.append((due, klass, tenant, hash_key(key.encode())))
     if faults or not found:
         raise ExperimentError(tuple(faults) or (f"{path.name}: holds no request",))
     return found
--- a/rosepick/lab/policies/__init__.py
+++ b/rosepick/lab/policies/__init__.py
@@ -4,31 +4,31 @@
 
 from collections.abc import Callable
 
-from ...core.engine import Decider
+from ...core.engine import DecisionModule
 from ...decisions import api
 from ...decisions.decide import Router
-from .base import Plain
+from .base import BaselinePolicy
+from .bounded_hash import BoundedHash
 from .choices import LeastOutstanding, RandomChoice, RoundRobin, TwoChoices
-from .hashed import HashBounded
-from .oracle import Oracle, Truth
+from .oracle import GroundTruth, Oracle
 
-__all__ = ["POLICIES", "REAL", "Oracle", "Plain", "Truth", "decider"]
+__all__ = ["POLICIES", "REAL_POLICY", "Oracle", "BaselinePolicy", "GroundTruth", "create_decider"]
 
-REAL = "rosepick"
-POLICIES: dict[str, Callable[[api.Settings, int], Plain]] = {
+REAL_POLICY = "rosepick"
+POLICIES: dict[str, Callable[[api.RouterSettings, int], BaselinePolicy]] = {
     "random": RandomChoice,
     "round-robin": RoundRobin,
     "least-outstanding": LeastOutstanding,
     "two-choices": TwoChoices,
-    "hash-bounded": HashBounded,
+    "hash-bounded": BoundedHash,
     "oracle": Oracle,
 }
 
 
-def decider(name: str, settings: api.Settings, seed: int) -> Decider:
+def create_decider(name: str, settings: api.RouterSettings, seed: int) -> DecisionModule:
     """A router instance by the name of its policy. ValueError if there is no such policy."""
-    if name == REAL:
+    if name == REAL_POLICY:
         return Router(settings, seed)
     if name not in POLICIES:
-        raise ValueError(f"policy {name!r} is not known; known are {', '.join((REAL, *POLICIES))}")
+        raise ValueError(f"policy {name!r} is not known; known are {', '.join((REAL_POLICY, *POLICIES))}")
     return POLICIES[name](settings, seed)
--- a/rosepick/lab/results.py
+++ b/rosepick/lab/results.py
@@ -43,7 +43,7 @@
     nodes_up: int = 0
 
 
-class Span(msgspec.Struct, frozen=True):
+class FaultSpan(msgspec.Struct, frozen=True):
     """A trouble as it was played."""
 
     kind: str
@@ -52,7 +52,7 @@
     what: str  # whom it met
 
 
-class Verdict(msgspec.Struct, frozen=True):
+class RequirementResult(msgspec.Struct, frozen=True):
     """Whether something held that must."""
 
     what: str
@@ -64,7 +64,7 @@
     held: bool
 
 
-class Broken(msgspec.Struct, frozen=True):
+class RuleViolation(msgspec.Struct, frozen=True):
     """A broken rule, as it was seen from the nodes' and the clients' side."""
 
     rule: str  # answered, effect, drains or cold
@@ -74,7 +74,7 @@
     text: str
 
 
-class Part(msgspec.Struct, frozen=True):
+class GroupSummary(msgspec.Struct, frozen=True):
     """What a class or a tenant got."""
 
     offered: int
@@ -83,7 +83,7 @@
     p99_ms: float
 
 
-class Run(msgspec.Struct, frozen=True, tag="run", tag_field="kind"):
+class RunResult(msgspec.Struct, frozen=True, tag="run", tag_field="kind"):
     """One run."""
 
     experiment: str
@@ -97,20 +97,20 @@
     warm_up: float
     void: str  # why the run counts for nothing; mostly empty
     totals: dict[str, float]  # by figure, over what is measured
-    classes: dict[str, Part]
-    tenants: dict[str, Part]
+    classes: dict[str, GroupSummary]
+    tenants: dict[str, GroupSummary]
     percentiles: list[tuple[float, float]]  # of served requests: per cent, milliseconds
     windows: list[Window]
-    troubles: list[Span]
-    must: list[Verdict]
-    broken: list[Broken]
+    troubles: list[FaultSpan]
+    must: list[RequirementResult]
+    broken: list[RuleViolation]
 
     def good(self) -> bool:
         """Whether it counts, no rule was broken, and all held that must."""
         return not self.void and not self.broken and all(verdict.held for verdict in self.must)
 
 
-class Cost(msgspec.Struct, frozen=True, tag="cost", tag_field="kind"):
+class RunCost(msgspec.Struct, frozen=True, tag="cost", tag_field="kind"):
     """What a run cost."""
 
     requests: int
@@ -120,40 +120,40 @@
     memory_mb: float
 
 
-Line = Run | Cost
+ResultLine = RunResult | RunCost
 
 
-def write(line: Line) -> bytes:
+def encode_result(line: ResultLine) -> bytes:
     """A line with its end."""
     return msgspec.json.encode(line) + b"\n"
 
 
-class BadResults(ValueError):
+class ResultsError(ValueError):
     """A file holds what is no result; the message is one line with its place."""
 
 
-def read(path: Path) -> Iterator[Line]:
+def read_results(path: Path) -> Iterator[ResultLine]:
     """The lines of a file. BadResults if one cannot be read; a last one that is cut short is passed over, as
     a run that was interrupted leaves it.
     """
     try:
         data = path.read_bytes()
     except OSError as problem:
-        raise BadResults(f"{path}: {problem.strerror or problem}") from None
+        raise ResultsError(f"{path}: {problem.strerror or problem}") from None
     lines = data.split(b"\n")
     for number, line in enumerate(lines[:-1], 1):
         try:
-            yield msgspec.json.decode(line, type=Run | Cost)
+            yield msgspec.json.decode(line, type=RunResult | RunCost)
         except msgspec.MsgspecError as problem:
-            raise BadResults(f"{path.name} line {number}: {problem}") from None
+            raise ResultsError(f"{path.name} line {number}: {problem}") from None
 
 
-def versions() -> dict[str, str]:
+def library_versions() -> dict[str, str]:
     """The libraries that a result depends on."""
     return {name: metadata.version(name) for name in LIBRARIES}
 
 
-def revision() -> str:
+def source_revision() -> str:
     """The revision of this program's sources, with + if they were changed; empty where that is not known."""
     folder = Path(__file__).parent
 
--- a/rosepick/lab/sweep.py
+++ b/rosepick/lab/sweep.py
@@ -20,24 +20,24 @@
 from multiprocessing.connection import Connection
 from typing import Any, Protocol
 
-from .experiment import Experiment, ExperimentError, read
-from .results import Cost, Run
+from .experiment import Experiment, ExperimentError, parse_experiment
+from .results import RunCost, RunResult
 
-MOST_CELLS = 10_000
-MOST_FAULTS = 20  # that are named one by one
-AHEAD = 4  # cells for each worker that may be in work or done beyond the first that is not
-GLANCE = 0.2  # seconds between two looks at how far the workers are
+MAX_CELLS = 10_000
+MAX_ERRORS = 20  # that are named one by one
+CELLS_AHEAD = 4  # cells for each worker that may be in work or done beyond the first that is not
+PROGRESS_INTERVAL_S = 0.2  # seconds between two looks at how far the workers are
 
-Progress = Callable[[float], None]
-Result = tuple[Run, Cost]
-Results = Generator[Result, None, None]
+ProgressCallback = Callable[[float], None]
+CellResult = tuple[RunResult, RunCost]
+CellResults = Generator[CellResult, None, None]
 
 _RANGE = re.compile(r"(-?\d{1,15})\.\.(-?\d{1,15})")
 _COMMA = re.compile(r',(?=(?:[^"]*"[^"]*")*[^"]*$)')  # not between double quotes
 _NAME = re.compile(r"[^.\s]+(\.[^.\s]+)*")
 
 
-class Play(Protocol):
+class RunExperiment(Protocol):
     """Plays one run; `progress` is called with the part done, 0 to 1."""
 
     def __call__(
@@ -46,24 +46,24 @@
         seed: int,
         policy: str,
         changes: dict[str, Any],
-        progress: Progress | None = None,
-    ) -> Result: ...
+        progress: ProgressCallback | None = None,
+    ) -> CellResult: ...
 
 
 class GridError(ValueError):
     """Terms that make no grid; one line a fault."""
 
-    def __init__(self, faults: tuple[str, ...]) -> None:
-        super().__init__("\n".join(faults))
-        self.faults = faults
+    def __init__(self, errors: tuple[str, ...]) -> None:
+        super().__init__("\n".join(errors))
+        self.errors = errors
 
 
-class CellFailed(Exception):
+class CellError(Exception):
     """A cell could not be played; one line that names it."""
 
 
 @dataclass(frozen=True, slots=True)
-class Cell:
+class GridCell:
     """One run of a grid; the experiment's own policy or seed where it is None."""
 
     changes: dict[str, Any]
@@ -78,7 +78,7 @@
 # ------------------------------------------------------------------------------------------------- the grid
 
 
-def parse_grid(terms: Iterable[str]) -> list[Cell]:
+def parse_grid(terms: Iterable[str]) -> list[GridCell]:
     """The cells of terms such as `traffic.rate=100,200`, `policy=rosepick,random` and `seed=1..5`; the last
     one changes fastest. GridError names all bad terms.
     """
@@ -86,21 +86,21 @@
     faults: list[str] = []
     for term in terms:
         try:
-            name, values = _term(term)
+            name, values = _parse_term(term)
             if name in axes:
                 raise ValueError(f"{name} comes twice")
             axes[name] = values
         except ValueError as problem:
             faults.append(f"{term}: {problem}")
     count = math.prod(len(values) for values in axes.values())
-    if count > MOST_CELLS:
-        faults.append(f"{count} cells are more than {MOST_CELLS}")
+    if count > MAX_CELLS:
+        faults.append(f"{count} cells are more than {MAX_CELLS}")
     if faults:
         raise GridError(tuple(faults))
-    return [_cell(dict(zip(axes, values, strict=True))) for values in product(*axes.values())]
+    return [_to_cell(dict(zip(axes, values, strict=True))) for values in product(*axes.values())]
 
 
-def _term(term: str) -> tuple[str, list[Any]]:
+def _parse_term(term: str) -> tuple[str, list[Any]]:
     """Name and values of a term. ValueError if it is a bad one."""
     name, sign, given = (part.strip() for part in term.partition("="))
     if not sign:
@@ -110,10 +110,10 @@
     texts = [text.strip() for text in _COMMA.split(given)]
     if not all(texts):
         raise ValueError("has an empty value")
-    pieces = [_piece(text) for text in texts]
+    pieces = [_parse_value(text) for text in texts]
     # counted before a range is written out
-    if sum(len(piece) for piece in pieces) > MOST_CELLS:
-        raise ValueError(f"has more than {MOST_CELLS} values")
+    if sum(len(piece) for piece in pieces) > MAX_CELLS:
+        raise ValueError(f"has more than {MAX_CELLS} values")
     values = list(chain.from_iterable(pieces))
     if name == "policy":
         values = [value if isinstance(value, str) else texts[n] for n, value in enumerate(values)]
@@ -124,7 +124,7 @@
     return name, values
 
 
-def _piece(text: str) -> Sequence[Any]:
+def _parse_value(text: str) -> Sequence[Any]:
     """A range, or the one value that a text is as TOML, or the text."""
     if found := _RANGE.fullmatch(text):
         first, last = (int(end) for end in found.groups())
@@ -141,57 +141,63 @@
     return [text]
 
 
-def _cell(given: dict[str, Any]) -> Cell:
+def _to_cell(given: dict[str, Any]) -> GridCell:
     policy, seed = given.pop("policy", None), given.pop("seed", None)
-    return Cell(given, policy, seed)
+    return GridCell(given, policy, seed)
 
 
 # ------------------------------------------------------------------------------------------------- the runs
 
 
 @dataclass(frozen=True, slots=True)
-class _Job:
+class _SweepJob:
     """What a worker needs to know, besides the cell."""
 
-    text: str
-    place: str
-    play: Play
+    experiment_text: str
+    source_name: str
+    run_experiment: RunExperiment
 
-    def run(self, cell: Cell, progress: Progress) -> Result:
+    def run(self, cell: GridCell, progress: ProgressCallback) -> CellResult:
         """The result of a cell. CellFailed if there is none."""
         try:
-            found = read(self.text, self.place, cell.changes)
+            found = parse_experiment(self.experiment_text, self.source_name, cell.changes)
             seed = found.seed if cell.seed is None else cell.seed
             policy = found.policy if cell.policy is None else cell.policy
-            return self.play(found, seed, policy, cell.changes, progress)
+            return self.run_experiment(found, seed, policy, cell.changes, progress)
         except Exception as problem:
-            raise CellFailed(f"{_named(self.place, cell)}: {type(problem).__name__}: {problem}") from problem
+            raise CellError(
+                f"{_cell_name(self.source_name, cell)}: {type(problem).__name__}: {problem}"
+            ) from problem
 
 
-def sweep(
+def run_sweep(
     experiment_text: str,
-    place: str,
-    cells: Sequence[Cell],
+    source_name: str,
+    cells: Sequence[GridCell],
     workers: int,
-    play: Play,
-    on_progress: Progress,
-) -> Results:
+    run_experiment: RunExperiment,
+    on_progress: ProgressCallback,
+) -> CellResults:
     """Play cells and yield their results in order, each as soon as it and all before it are done.
 
-    `on_progress` is given the part of the whole that is done, 0 to 1. More than one worker needs a `play`
-    that can be pickled. When the caller stops or is interrupted, the workers end at once. ExperimentError
-    before anything starts, if a cell is a faulty experiment; CellFailed at the first cell, in order, that
-    could not be played.
+    `on_progress` is given the part of the whole that is done, 0 to 1. More than one worker needs a
+    `run_experiment` that can be pickled. When the caller stops or is interrupted, the workers end at once.
+    ExperimentError before anything starts, if a cell is a faulty experiment; CellFailed at the first cell, in
+    order, that could not be played.
     """
     if workers < 1:
         raise ValueError("there must be a worker at least")
-    _check(experiment_text, place, cells)
-    job = _Job(experiment_text, place, play)
+    _check(experiment_text, source_name, cells)
+    job = _SweepJob(experiment_text, source_name, run_experiment)
     alone = workers == 1 or len(cells) < 2
-    return _here(job, cells, on_progress) if alone else _spread(job, cells, workers, on_progress)
+    return (
+        _run_in_process(job, cells, on_progress)
+        if alone
+        else _run_in_workers(job, cells, workers, on_progress)
+    )
 
 
-def _check(text: str, place: str, cells: Sequence[Cell]) -> None:
+def _check(text: str, source_name: str, cells: Sequence[GridCell]) -> None:
     """ExperimentError names the cells that are faulty experiments, with their changes."""
     faults: list[str] = []
     seen: set[str] = set()
@@ -200,55 +206,57 @@
             continue
         seen.add(repr(cell.changes))
         try:
-            read(text, _named(place, Cell(cell.changes)), cell.changes)
+            parse_experiment(text, _cell_name(source_name, GridCell(cell.changes)), cell.changes)
         except ExperimentError as problem:
-            faults += problem.faults
-    if len(faults) > MOST_FAULTS:
-        faults[MOST_FAULTS:] = [f"{place}: {len(faults) - MOST_FAULTS} faults more"]
+            faults += problem.errors
+    if len(faults) > MAX_ERRORS:
+        faults[MAX_ERRORS:] = [f"{source_name}: {len(faults) - MAX_ERRORS} faults more"]
     if faults:
         raise ExperimentError(tuple(faults))
 
 
-def _named(place: str, cell: Cell) -> str:
-    return f"{place} with {cell}" if str(cell) else place
+def _cell_name(source_name: str, cell: GridCell) -> str:
+    return f"{source_name} with {cell}" if str(cell) else source_name
 
 
-def _here(job: _Job, cells: Sequence[Cell], on_progress: Progress) -> Results:
+def _run_in_process(job: _SweepJob, cells: Sequence[GridCell], on_progress: ProgressCallback) -> CellResults:
     """In this process."""
     for number, cell in enumerate(cells):
-        result = job.run(cell, partial(_part_done, on_progress, number, len(cells)))
+        result = job.run(cell, partial(_report_progress, on_progress, number, len(cells)))
         on_progress((number + 1) / len(cells))
         yield result
 
 
-def _part_done(on_progress: Progress, number: int, count: int, part: float) -> None:
+def _report_progress(on_progress: ProgressCallback, number: int, count: int, part: float) -> None:
     on_progress((number + part) / count)
 
 
-def _spread(job: _Job, cells: Sequence[Cell], workers: int, on_progress: Progress) -> Results:
+def _run_in_workers(
+    job: _SweepJob, cells: Sequence[GridCell], workers: int, on_progress: ProgressCallback
+) -> CellResults:
     """Over processes of their own."""
     context = get_context("spawn")
     parts = context.RawArray("d", len(cells))
     theirs, ours = context.Pipe(duplex=False)
-    pool = ProcessPoolExecutor(min(workers, len(cells)), context, _begin, (job, parts, theirs))
-    waiting: deque[Future[Result]] = deque()
+    pool = ProcessPoolExecutor(min(workers, len(cells)), context, _init_worker, (job, parts, theirs))
+    waiting: deque[Future[CellResult]] = deque()
     rest = iter(enumerate(cells))
     try:
         for _ in cells:
             # a slow cell must not make all that come after it pile up
-            for number, cell in islice(rest, workers * AHEAD - len(waiting)):
-                waiting.append(pool.submit(_work, number, cell))
+            for number, cell in islice(rest, workers * CELLS_AHEAD - len(waiting)):
+                waiting.append(pool.submit(_run_cell, number, cell))
             # a pool does not see the end of the process that it started last before it is called again
             pool.submit(int)
             first = waiting.popleft()
             while not first.done():
-                wait([first], GLANCE)
+                wait([first], PROGRESS_INTERVAL_S)
                 on_progress(math.fsum(parts) / len(cells))
             result = first.result()
             on_progress(math.fsum(parts) / len(cells))
             yield result
     except BrokenExecutor as problem:
-        raise CellFailed(f"{job.place}: a worker process ended before its cell was done") from problem
+        raise CellError(f"{job.source_name}: a worker process ended before its cell was done") from problem
     finally:
         ours.close()
         pool.shutdown(cancel_futures=True)
@@ -257,18 +265,18 @@
 
 # --------------------------------------------------------------------------------------- in a worker process
 
-_given: tuple[_Job, Any] | None = None
+_worker_state: tuple[_SweepJob, Any] | None = None
 
 
-def _begin(job: _Job, parts: Any, alive: Connection) -> None:
+def _init_worker(job: _SweepJob, parts: Any, alive: Connection) -> None:
     """Make a process ready for its cells."""
-    global _given
-    _given = job, parts
+    global _worker_state
+    _worker_state = job, parts
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # the sweep's own process says when it is over
-    threading.Thread(target=_end_with, args=(alive,), daemon=True).start()
+    threading.Thread(target=_exit_with_parent, args=(alive,), daemon=True).start()
 
 
-def _end_with(alive: Connection) -> None:
+def _exit_with_parent(alive: Connection) -> None:
     """End this process as soon as the other end of the pipe is closed, which also a kill does."""
     try:
         alive.recv_bytes()
@@ -276,9 +284,9 @@
         os._exit(1)
 
 
-def _work(number: int, cell: Cell) -> Result:
-    assert _given is not None
-    job, parts = _given
+def _run_cell(number: int, cell: GridCell) -> CellResult:
+    assert _worker_state is not None
+    job, parts = _worker_state
     result = job.run(cell, partial(parts.__setitem__, number))
     parts[number] = 1.0
     return result
--- a/rosepick/leases/guard.py
+++ b/rosepick/leases/fencing.py
@@ -8,32 +8,32 @@
 
 from typing import Protocol
 
-LONGEST_TASK = 150  # characters, so that the register's name is short enough
+MAX_TASK_LENGTH = 150  # characters, so that the register's name is short enough
 
 
-class Kept(Protocol):
+class FencingTokenStore(Protocol):
     """Where the highest tokens are kept, durably."""
 
-    def highest(self, task: str) -> int:
+    def highest_token(self, task: str) -> int:
         """The highest token taken for a task, 0 if none was."""
 
-    def keep(self, task: str, token: int) -> None:
+    def save_token(self, task: str, token: int) -> None:
         """Keep a higher one; it is on the disk when this returns. OSError if it cannot be."""
 
 
-class Guard:
+class FencingGuard:
     """Says whether a step under a token may be taken. Not for several processes on one store."""
 
-    def __init__(self, kept: Kept) -> None:
-        self._kept = kept
-        self.refused = 0  # steps under a lower token
+    def __init__(self, tokens: FencingTokenStore) -> None:
+        self._tokens = tokens
+        self.rejected_count = 0  # steps under a lower token
 
-    def takes(self, task: str, token: int) -> bool:
+    def accepts(self, task: str, token: int) -> bool:
         """Whether the step may be taken. OSError if the token cannot be kept: then it may not."""
-        highest = self._kept.highest(task)
+        highest = self._tokens.highest_token(task)
         if token < highest or token <= 0:
-            self.refused += 1
+            self.rejected_count += 1
             return False
         if token > highest:
-            self._kept.keep(task, token)
+            self._tokens.save_token(task, token)
         return True
--- a/rosepick/logs.py
+++ b/rosepick/logs.py
@@ -10,25 +10,27 @@
 from collections.abc import Callable
 from typing import TextIO
 
-STORM_LINES = 20  # lines of one kind that pass in ...
-STORM_SPAN = 10.0  # ... this many seconds; the rest are counted
-KEPT = frozenset({"client_verified"})  # lines that are proof of who came: each of them passes
+MAX_LINES_PER_EVENT = 20  # lines of one kind that pass in ...
+RATE_LIMIT_WINDOW_S = 10.0  # ... this many seconds; the rest are counted
+UNLIMITED_EVENTS = frozenset({"client_verified"})  # lines that are proof of who came: each of them passes
 
 
-def say(log: logging.Logger, level: int, event: str, **fields: object) -> None:
+def log_event(logger: logging.Logger, level: int, event: str, **fields: object) -> None:
     """Log an event with its fields."""
-    if log.isEnabledFor(level):
-        log.log(level, event, extra={"fields": fields})
+    if logger.isEnabledFor(level):
+        logger.log(level, event, extra={"fields": fields})
 
 
-def fault(log: logging.Logger, event: str, problem: BaseException, **fields: object) -> None:
+def log_exception(logger: logging.Logger, event: str, exception: BaseException, **fields: object) -> None:
     """Log an exception with the place that raised it."""
-    frames = traceback.extract_tb(problem.__traceback__)
+    frames = traceback.extract_tb(exception.__traceback__)
     place = f"{frames[-1].filename.rsplit('/', 1)[-1]}:{frames[-1].lineno}" if frames else "unknown"
-    say(log, logging.ERROR, event, error=type(problem).__name__, text=problem, place=place, **fields)
+    log_event(
+        logger, logging.ERROR, event, error=type(exception).__name__, text=exception, place=place, **fields
+    )
 
 
-def _quoted(value: object) -> str:
+def _format_value(value: object) -> str:
     text = f"{value:.1f}" if isinstance(value, float) else str(value)
     if text and not any(sign in text for sign in ' ="\n\r\t'):
         return text
@@ -36,17 +38,19 @@
     return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
 
 
-_PAIR = re.compile(r'(\w+)=(?:"((?:\\.|[^"\\])*)"|(\S*))')
-_SIGNS = {"n": "\n", "r": "\r", "t": "\t"}
+_FIELD_PATTERN = re.compile(r'(\w+)=(?:"((?:\\.|[^"\\])*)"|(\S*))')
+_ESCAPES = {"n": "\n", "r": "\r", "t": "\t"}
 
 
-def fields_of(line: str) -> dict[str, str]:
+def parse_log_fields(line: str) -> dict[str, str]:
     """The fields of a line as `KeyValueFormatter` writes it."""
 
     def sign(found: re.Match[str]) -> str:
-        return _SIGNS.get(found[1], found[1])
+        return _ESCAPES.get(found[1], found[1])
 
-    return {key: re.sub(r"\\(.)", sign, quoted) or plain for key, quoted, plain in _PAIR.findall(line)}
+    return {
+        key: re.sub(r"\\(.)", sign, quoted) or plain for key, quoted, plain in _FIELD_PATTERN.findall(line)
+    }
 
 
 class KeyValueFormatter(logging.Formatter):
@@ -60,36 +64,36 @@
         pairs["part"] = record.name.removeprefix("rosepick.")
         pairs["event"] = record.getMessage()
         pairs.update(getattr(record, "fields", {}))
-        return " ".join(f"{key}={_quoted(value)}" for key, value in pairs.items())
+        return " ".join(f"{key}={_format_value(value)}" for key, value in pairs.items())
 
 
-class StormFilter(logging.Filter):
+class LogRateLimiter(logging.Filter):
     """Lets a few lines of a kind through in a span; the first of the next tells how many were held back."""
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         super().__init__()
         self.clock = clock
-        self.seen: dict[tuple[str, str], tuple[float, int]] = {}
+        self.windows: dict[tuple[str, str], tuple[float, int]] = {}
 
     def filter(self, record: logging.LogRecord) -> bool:
-        if record.msg in KEPT:
+        if record.msg in UNLIMITED_EVENTS:
             return True
         key = record.name, str(record.msg)
         now = self.clock()
-        since, count = self.seen.get(key, (now, 0))
-        if now - since >= STORM_SPAN:
-            if count > STORM_LINES:
-                record.fields = {**getattr(record, "fields", {}), "held_back": count - STORM_LINES}
+        since, count = self.windows.get(key, (now, 0))
+        if now - since >= RATE_LIMIT_WINDOW_S:
+            if count > MAX_LINES_PER_EVENT:
+                record.fields = {**getattr(record, "fields", {}), "held_back": count - MAX_LINES_PER_EVENT}
             since, count = now, 0
-        self.seen[key] = since, count + 1
-        return count < STORM_LINES
+        self.windows[key] = since, count + 1
+        return count < MAX_LINES_PER_EVENT
 
 
-def set_up(stream: TextIO | None = None) -> None:
+def configure_logging(stream: TextIO | None = None) -> None:
     """Send the package's log to a stream, standard error unless told otherwise."""
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(KeyValueFormatter())
-    handler.addFilter(StormFilter())
+    handler.addFilter(LogRateLimiter())
     root = logging.getLogger("rosepick")
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
--- a/rosepick/net/accept_queue.py
+++ b/rosepick/net/accept_queue.py
@@ -9,11 +9,11 @@
 
 # struct tcp_info: eight bytes, then 32-bit counts. Of a listening socket the fifth is how many wait
 # (tcpi_unacked) and the sixth how many may (tcpi_sacked); see tcp_get_info() in the kernel.
-_INFO = struct.Struct("=8x4x4x4x4xII")
+_TCP_INFO = struct.Struct("=8x4x4x4x4xII")
 _NETSTAT = Path("/proc/net/netstat")
 
 
-def waiting(sock: socket.socket) -> tuple[int, int] | None:
+def queue_length(sock: socket.socket) -> tuple[int, int] | None:
     """How many connections wait at a listening socket, and how many may; None where the system does not
     tell.
     """
@@ -21,7 +21,7 @@
     if option is None:
         return None
     with contextlib.suppress(OSError, struct.error):
-        queued, most = _INFO.unpack(sock.getsockopt(socket.IPPROTO_TCP, option, _INFO.size))
+        queued, most = _TCP_INFO.unpack(sock.getsockopt(socket.IPPROTO_TCP, option, _TCP_INFO.size))
         return queued, most
     return None
 
--- /dev/null
+++ b/rosepick/net/admin_listener.py
@@ -0,0 +1,101 @@
+"""The operators' door: a listener of its own, with descriptors and loop time that no crowd can take."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections import OrderedDict
+
+from ..logs import log_event
+from ..ops.line_protocol import AdminCommands, AdminProtocol
+from .event_loop import READ, WRITE, EventLoop, ScheduledCall
+from .listener import listen
+from .resource_budget import ResourceBudget
+from .tcp_stream import TcpStream
+
+logger = logging.getLogger(__name__)
+MAX_CONNECTIONS = 12  # at one time; the one that came first gives way to another
+RESERVED_DESCRIPTORS = MAX_CONNECTIONS + 4  # set aside for the door: its callers, the listener, its selector
+# milliseconds that a caller may take, for its call and for reading the answer
+CONNECTION_TIMEOUT_MS = 5_000.0
+BACKLOG = 64
+
+
+class AdminConnection:
+    """One connection of the operators' door."""
+
+    def __init__(self, listener: AdminListener, sock: socket.socket) -> None:
+        self.listener = listener
+        self.protocol = AdminProtocol(listener.commands)
+        self.timeout_timer: ScheduledCall = listener.loop.call_after(CONNECTION_TIMEOUT_MS, self.close)
+        self.stream = TcpStream(listener.loop, listener.budget, sock, self._on_ready, urgent=True)
+
+    def _on_ready(self, events: int) -> None:
+        try:
+            if events & WRITE:
+                self.stream.flush()
+            if events & READ:
+                self._read()
+            self._update_events()
+        except OSError:
+            self.close()
+
+    def _read(self) -> None:
+        data = self.stream.read()
+        if data is None:
+            return
+        if self.protocol.is_done:
+            if not data:
+                self.close()
+            return
+        self.stream.send(self.protocol.feed(data) if data else self.protocol.feed_eof())
+
+    def _update_events(self) -> None:
+        if not self.stream.is_open:
+            return
+        if self.stream.has_unwritten():
+            self.stream.set_events(WRITE)
+        elif self.protocol.is_done:
+            # read on up to the caller's own close: guards against a reset that overtakes the answer
+            self.stream.shutdown_write()
+            self.stream.set_events(READ)
+
+    def close(self) -> None:
+        """Close it, answered or not."""
+        self.timeout_timer.cancel()
+        self.listener.connections.pop(self, None)
+        self.stream.close()
+
+
+class AdminListener:
+    """Answers operators' calls."""
+
+    def __init__(self, loop: EventLoop, address: tuple[str, int], commands: AdminCommands) -> None:
+        self.loop, self.commands = loop, commands
+        self.budget = ResourceBudget(
+            1024
+        )  # apart from the one for clients: guards the door against their crowd
+        self.connections: OrderedDict[AdminConnection, None] = OrderedDict()
+        self.connection_count = 0  # callers since the start
+        self.sock = listen(address, BACKLOG)
+        loop.register(self.sock, READ, self._accept, urgent=True)
+        host, port = self.sock.getsockname()[:2]
+        log_event(logger, logging.INFO, "ops_serving", listen=f"{host}:{port}")
+
+    def _accept(self, events: int) -> None:
+        for _ in range(MAX_CONNECTIONS):
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            if len(self.connections) >= MAX_CONNECTIONS:
+                next(iter(self.connections)).close()
+            self.connection_count += 1
+            self.connections[AdminConnection(self, sock)] = None
+
+    def close(self) -> None:
+        """Let go of every socket."""
+        for caller in list(self.connections):
+            caller.close()
+        self.loop.unregister(self.sock, urgent=True)
+        self.sock.close()
--- a/rosepick/net/boottime.py
+++ b/rosepick/net/boot_clock.py
@@ -5,6 +5,6 @@
 import time
 
 
-def boottime() -> float:
+def boottime_s() -> float:
     """Seconds since the machine started, its sleep included (CLOCK_BOOTTIME)."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/rosepick/net/seats.py
+++ b/rosepick/net/process_registry.py
@@ -14,30 +14,31 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from ..logs import say
+from ..logs import log_event
 
-log = logging.getLogger(__name__)
-SEATS = 4  # more processes of one router at a time than an upgrade, and one that was given up, ever have
-KNOWLEDGE_MOST = 2 * 1024 * 1024  # bytes
-_HELD = struct.Struct("<I")
+logger = logging.getLogger(__name__)
+# more processes of one router at a time than an upgrade, and one that was given up, ever have
+MAX_PROCESSES = 4
+MAX_STATE_BYTES = 2 * 1024 * 1024  # bytes
+_DESCRIPTOR_COUNT = struct.Struct("<I")
 
 
-class Seats:
+class ProcessRegistry:
     """This process's seat, and a look at the others'."""
 
     def __init__(self, folder: Path, listen: tuple[str, int]) -> None:
         host = "".join(c if c.isalnum() else "-" for c in listen[0])
-        self._paths = [folder / f"rosepick-{host}-{listen[1]}-{n}.seat" for n in range(SEATS)]
-        self._knowledge = folder / f"rosepick-{host}-{listen[1]}.knowledge"
-        self._file = -1
-        self._mine: Path | None = None
+        self._paths = [folder / f"rosepick-{host}-{listen[1]}-{n}.seat" for n in range(MAX_PROCESSES)]
+        self._state_path = folder / f"rosepick-{host}-{listen[1]}.knowledge"
+        self._lock_fd = -1
+        self._own_path: Path | None = None
         for path in self._paths:
-            if self._take(path):
+            if self._try_lock(path):
                 break
         else:
-            say(log, logging.WARNING, "no_seat", folder=folder)
+            log_event(logger, logging.WARNING, "no_seat", folder=folder)
 
-    def _take(self, path: Path) -> bool:
+    def _try_lock(self, path: Path) -> bool:
         try:
             file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         except OSError:
@@ -47,25 +48,25 @@
         except OSError:
             os.close(file)
             return False
-        self._file, self._mine = file, path
-        self.tell(0)
+        self._lock_fd, self._own_path = file, path
+        self.publish_descriptor_count(0)
         return True
 
-    def tell(self, held: int) -> None:
+    def publish_descriptor_count(self, descriptor_count: int) -> None:
         """Tell the others how many descriptors are held here."""
-        if self._file >= 0:
+        if self._lock_fd >= 0:
             try:
-                os.pwrite(self._file, _HELD.pack(held), 0)
+                os.pwrite(self._lock_fd, _DESCRIPTOR_COUNT.pack(descriptor_count), 0)
             except OSError:  # no room: they know of this process all the same
-                say(log, logging.WARNING, "seat_not_written", path=self._mine)
+                log_event(logger, logging.WARNING, "seat_not_written", path=self._own_path)
 
-    def others(self) -> tuple[int, ...]:
+    def other_descriptor_counts(self) -> tuple[int, ...]:
         """What each other process that lives holds."""
-        found = (self._held(path) for path in self._paths if path != self._mine)
+        found = (self._read_descriptor_count(path) for path in self._paths if path != self._own_path)
         return tuple(held for held in found if held is not None)
 
     @staticmethod
-    def _held(path: Path) -> int | None:
+    def _read_descriptor_count(path: Path) -> int | None:
         """What the holder of a seat holds; None if it is empty."""
         try:
             file = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
@@ -75,43 +76,45 @@
             # shared: two that look at one time do not take each other for a holder
             fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
         except OSError:
-            data = os.pread(file, _HELD.size, 0)
-            return int(_HELD.unpack(data)[0]) if len(data) == _HELD.size else 0
+            data = os.pread(file, _DESCRIPTOR_COUNT.size, 0)
+            return int(_DESCRIPTOR_COUNT.unpack(data)[0]) if len(data) == _DESCRIPTOR_COUNT.size else 0
         finally:
             os.close(file)
         return None
 
-    def leave(self, document: bytes) -> None:
+    def write_state(self, document: bytes) -> None:
         """Leave what this process has learned for one that was started beside it."""
-        part = self._knowledge.with_suffix(f".{os.getpid()}")
+        part = self._state_path.with_suffix(f".{os.getpid()}")
         try:
             part.write_bytes(document)
-            part.replace(self._knowledge)  # at once: guards against a part of it that is read
+            part.replace(self._state_path)  # at once: guards against a part of it that is read
         except OSError as problem:
-            say(log, logging.WARNING, "knowledge_not_left", text=problem)
+            log_event(logger, logging.WARNING, "knowledge_not_left", text=problem)
             with contextlib.suppress(OSError):
                 part.unlink()
 
-    def found(self) -> bytes | None:
+    def read_state(self) -> bytes | None:
         """What a process has left, if any."""
         try:
-            return self._knowledge.read_bytes() if self._knowledge.stat().st_size <= KNOWLEDGE_MOST else None
+            return (
+                self._state_path.read_bytes() if self._state_path.stat().st_size <= MAX_STATE_BYTES else None
+            )
         except OSError:
             return None
 
-    def taken(self) -> None:
+    def delete_state(self) -> None:
         """It has been read, and counts as memory."""
         with contextlib.suppress(OSError):
-            self._knowledge.unlink()
+            self._state_path.unlink()
 
     def close(self) -> None:
         """Leave the seat."""
-        if self._file >= 0:
-            os.close(self._file)
-            self._file = -1
+        if self._lock_fd >= 0:
+            os.close(self._lock_fd)
+            self._lock_fd = -1
 
 
-def seats_in(environment: Mapping[str, str], listen: tuple[str, int]) -> Seats | None:
+def open_registry(environment: Mapping[str, str], listen: tuple[str, int]) -> ProcessRegistry | None:
     """Seats in $TMPDIR, if there is such a folder."""
     folder = environment.get("TMPDIR")
-    return Seats(Path(folder), listen) if folder and os.path.isdir(folder) else None
+    return ProcessRegistry(Path(folder), listen) if folder and os.path.isdir(folder) else None
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -11,207 +11,226 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from ..connections.account import State, Why
-from ..connections.policy import SLOW_START
+from ..connections.connection_table import CloseReason, ConnectionState
+from ..connections.policy import NEW_CONNECTION_GRACE_MS
+from ..core.endpoint_directory import EndpointDirectory
 from ..core.engine import Engine, ObservedEngine
-from ..core.transport_map import TransportMap
 from ..decisions import api
 from ..decisions.decide import Router
-from ..logs import say
-from ..ops.lines import Said
-from ..ops.telemetry import Figures
+from ..logs import log_event
+from ..ops.line_protocol import AdminReply
+from ..ops.telemetry import TelemetrySnapshot
 from ..settings import config
 from ..settings.config import Config, ConfigError
-from ..settings.operator_file import OperatorFile, OperatorFileError, Operators
-from ..settings.reader import Reader
-from .budget import Budget
-from .doors import door_settings
+from ..settings.operator_file import OperatorFile, OperatorFileError, OperatorOptions
+from ..settings.reader import SettingsReader
+from .downstream_connection import DownstreamConnection
+from .endpoint_watch import EndpointWatch
+from .event_loop import EventLoop
 from .listener import Listener
-from .loop import Loop
-from .pool import NextHopPool
-from .sender_link import SenderLink
-from .watch import DiscoveryWatch
+from .listener_config import listener_config
+from .resource_budget import ResourceBudget
+from .upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:
-    from .beside import Beside  # each is loaded only where it is on
-    from .capture import Capture
-    from .multiget import MultiGet
-    from .ops import OpsDoor
-    from .tls import Tls
-
-log = logging.getLogger(__name__)
-STILL_ARRIVING = 600.0  # after SIGTERM new connections are taken for at least so long ...
-QUIET = 150.0  # ... and until none came for so long
-LAST_CALL = 1_000.0  # ... but for no longer than this
-LAST_ANSWER = 100.0  # after the longest deadline from there the process ends, whoever still lingers
-END_STEP = 20.0
-SUM_UP_EVERY = 5_000.0
-
-
-class Server:
+    from .admin_listener import AdminListener
+    from .batch_listener import BatchListener
+    from .capture_output import CaptureOutput
+    from .process_handover import ProcessHandover  # each is loaded only where it is on
+    from .tls import TlsServer
+
+logger = logging.getLogger(__name__)
+MIN_ACCEPT_AFTER_SIGTERM_MS = 600.0  # after SIGTERM new connections are taken for at least so long ...
+QUIET_BEFORE_CLOSE_MS = 150.0  # ... and until none came for so long
+MAX_ACCEPT_AFTER_SIGTERM_MS = 1_000.0  # ... but for no longer than this
+SHUTDOWN_GRACE_MS = 100.0  # after the longest deadline from there the process ends, whoever still lingers
+SHUTDOWN_POLL_INTERVAL_MS = 20.0
+SUMMARY_INTERVAL_MS = 5_000.0
+
+
+class RouterServer:
     """The parts of one router."""
 
     def __init__(
         self,
         config: Config,
-        loop: Loop | None = None,
-        reread: Callable[[], Config] | None = None,
-        operators: Operators | None = None,
+        loop: EventLoop | None = None,
+        reload_config: Callable[[], Config] | None = None,
+        operator_settings: OperatorOptions | None = None,
     ) -> None:
         self.config = config
-        self._reread = reread or (lambda: config)
-        self.operators = operators or Operators()
-        self.started_with = self.operators.file
-        self.loop = loop = loop or Loop()
-        self.reconfig_ok = self.reconfig_failed = 0
-        self.beside = self._beside() if config.listen_fd is not None else None
-        self.map = TransportMap(config.names, time.time() * 1000.0 - loop.now())
-        known = self.map.take(config.known, cached=True)
-        self.budget = Budget(
-            self._may_open(),
-            self._memory(),
-            0.01 * self.operators.file.whole("doors_part"),
+        self._read_config = reload_config or (lambda: config)
+        self.operator_settings = operator_settings or OperatorOptions()
+        self.initial_operator_file = self.operator_settings.file
+        self.loop = loop = loop or EventLoop()
+        self.reloads_succeeded = self.reloads_failed = 0
+        self.handover = self._make_handover() if config.listen_fd is not None else None
+        self.endpoint_directory = EndpointDirectory(config.names, time.time() * 1000.0 - loop.now())
+        known = self.endpoint_directory.apply_update(config.known, is_cached=True)
+        self.budget = ResourceBudget(
+            self._descriptor_limit(),
+            self._memory_mb(),
+            0.01 * self.operator_settings.file.integer("doors_part"),
         )
-        self.capture = self._capture() if self.operators.capture else None
-        self.engine = self._engine()
-        self.pool = NextHopPool(loop, self.budget, self.map, config)
-        self.watch = DiscoveryWatch(
-            loop, self.budget, config.discovery, lambda: self.map.revision, self._told, self._silent
+        self.capture = self._make_capture() if self.operator_settings.capture_enabled else None
+        self.engine = self._make_engine()
+        self.pool = UpstreamPool(loop, self.budget, self.endpoint_directory, config)
+        self.endpoint_watch = EndpointWatch(
+            loop,
+            self.budget,
+            config.discovery,
+            lambda: self.endpoint_directory.revision,
+            self._apply_endpoint_list,
+            self._on_discovery_failed,
         )
         self.pool.engine = self.engine
-        self.engine.next_hops, self.engine.map_source = self.pool, self.watch
+        self.engine.upstream, self.engine.endpoint_source = self.pool, self.endpoint_watch
         self.listener = Listener(
             loop,
             self.budget,
             self.engine,
             config.names,
             config.listen,
-            door_settings(self.operators.file),
-            self._may_open(),
+            listener_config(self.operator_settings.file),
+            self._descriptor_limit(),
             config.listen_fd,
         )
-        file = self.operators.file
-        self.tls = self._tls() if file.number("tls_listen") is not None else None
-        self.multiget = self._multiget() if file.number("multiget_listen") is not None else None
+        file = self.operator_settings.file
+        self.tls = self._make_tls() if file.optional_integer("tls_listen") is not None else None
+        self.batch_listener = (
+            self._make_batch_listener() if file.optional_integer("multiget_listen") is not None else None
+        )
         # Connections to next hops cost work to open again, so the sender side's go first that are hardly
         # missed.
-        self.budget.givers = [partial(self.listener.shed, False), self.pool.shed, self.listener.shed]
-        self.budget.freed = self.listener.freed
-        self.engine.map_told(known.event)
-        self.ops = self._ops(config.ops) if config.ops is not None else None
-        self._ending_since = 0.0
-
-    def _beside(self) -> Beside:
+        self.budget.reclaimers = [
+            partial(self.listener.evict_one, False),
+            self.pool.close_oldest_idle,
+            self.listener.evict_one,
+        ]
+        self.budget.on_release = self.listener.resume_after_free
+        self.engine.update_endpoints(known.event)
+        self.admin_listener = self._make_admin_listener(config.ops) if config.ops is not None else None
+        self._shutdown_started_at = 0.0
+
+    def _make_handover(self) -> ProcessHandover:
         """What goes on beside this process, where the platform holds the clients' socket."""
-        from .beside import Beside
+        from .process_handover import ProcessHandover
 
-        return Beside(self.loop, self.config.listen)
+        return ProcessHandover(self.loop, self.config.listen)
 
-    def _ops(self, endpoint: tuple[str, int]) -> OpsDoor:
+    def _make_admin_listener(self, address: tuple[str, int]) -> AdminListener:
         """The operators' door."""
-        from .ops import OpsDoor
+        from .admin_listener import AdminListener
 
-        return OpsDoor(self.loop, endpoint, {"readyz": self._readyz, "telemetry": self._telemetry})
+        return AdminListener(
+            self.loop, address, {"readyz": self._answer_readyz, "telemetry": self._answer_telemetry}
+        )
 
-    def _readyz(self) -> Said:
-        if self.listener.up():
-            return Said(True, "ready")
-        return Said(False, "ending" if self.listener.ending else "no list from discovery yet")
+    def _answer_readyz(self) -> AdminReply:
+        if self.listener.is_serving():
+            return AdminReply(True, "ready")
+        return AdminReply(False, "ending" if self.listener.is_shutting_down else "no list from discovery yet")
 
-    def _telemetry(self) -> Said:
-        return Said(True, self.figures().line(), ("END",), plain=True)
+    def _answer_telemetry(self) -> AdminReply:
+        return AdminReply(True, self.telemetry().line(), ("END",), is_document=True)
 
-    def figures(self) -> Figures:
+    def telemetry(self) -> TelemetrySnapshot:
         """What the router reports of itself."""
         engine, module = self.engine, self.engine.router
-        down = module.avoided() if isinstance(module, Router) else 0
-        return Figures(
+        down = module.count_avoided() if isinstance(module, Router) else 0
+        return TelemetrySnapshot(
             self._class_names(),
-            engine.account.by_end(),
-            engine.unfit,
-            engine.written_of,
-            engine.owed,
-            len(self.map.hops),
+            engine.request_counters.counts_by_outcome(),
+            engine.rejected_by_class,
+            engine.written_attempts_by_class,
+            engine.pending_count,
+            len(self.endpoint_directory.endpoints),
             down,
-            self.reconfig_ok,
-            self.reconfig_failed,
+            self.reloads_succeeded,
+            self.reloads_failed,
         )
 
     def _class_names(self) -> dict[int, str]:
         """Of every class that there is or was, by place."""
-        return {place: name for name, place in self.config.names.every_class().items()}
+        return {place: name for name, place in self.config.names.all_classes().items()}
 
-    def _may_open(self) -> int:
+    def _descriptor_limit(self) -> int:
         """How many descriptors this process may hold: what the operators' door needs is set aside, and what
         other processes of this router hold is theirs.
         """
-        limit = _descriptors(self.config)
+        limit = _max_descriptors(self.config)
         if self.config.ops is not None:
-            from .ops import DESCRIPTORS
+            from .admin_listener import RESERVED_DESCRIPTORS
 
-            limit -= DESCRIPTORS
-        return limit if self.beside is None else self.beside.standing.descriptors(limit)
+            limit -= RESERVED_DESCRIPTORS
+        return limit if self.handover is None else self.handover.process_share.descriptor_share(limit)
 
-    def _memory(self) -> float:
+    def _memory_mb(self) -> float:
         """How many MB are this process's."""
         amount = self.config.memory_mb
-        return amount if self.beside is None else self.beside.standing.memory(amount)
+        return amount if self.handover is None else self.handover.process_share.memory_share(amount)
 
-    def _others_changed(self) -> None:
+    def _on_processes_changed(self) -> None:
         """Another process of this router came, went, or holds something else."""
-        self._resize()
-        self._begin()
+        self._apply_limits()
+        self._start_if_due()
 
-    def _begin(self) -> None:
+    def _start_if_due(self) -> None:
         """Take clients, once that is right."""
-        waits = self.beside is not None and not self.beside.standing.takes_clients()
-        if not (self.listener.begun or self.listener.ending or waits):
+        waits = self.handover is not None and not self.handover.process_share.may_accept_clients()
+        if not (self.listener.has_started or self.listener.is_shutting_down or waits):
             self.listener.start()
             host, port = self.listener.sock.getsockname()[:2]
-            say(log, logging.INFO, "serving", name=self.config.name, listen=f"{host}:{port}")
+            log_event(logger, logging.INFO, "serving", name=self.config.name, listen=f"{host}:{port}")
 
-    def _capture(self) -> Capture:
-        from .capture import Capture
+    def _make_capture(self) -> CaptureOutput:
+        from .capture_output import CaptureOutput
 
-        return Capture(
+        return CaptureOutput(
             self.loop,
-            self.operators.file,
+            self.operator_settings.file,
             self.config.names,
             self.config.seed,
-            self.map.unix_offset,
-            self.map.uid_of,
+            self.endpoint_directory.unix_offset_ms,
+            self.endpoint_directory.uid_of,
         )
 
-    def _tls(self) -> Tls:
+    def _make_tls(self) -> TlsServer:
         """The second door, for those who come by TLS."""
-        from .tls import Tls
+        from .tls import TlsServer
 
-        port = self.operators.file.number("tls_listen")
+        port = self.operator_settings.file.optional_integer("tls_listen")
         assert port is not None
-        tls = Tls(self.loop, self.operators.file)
-        door = self.listener.add_door("tls", (self.config.listen[0], port), tls.stream)
+        tls = TlsServer(self.loop, self.operator_settings.file)
+        door = self.listener.add_listen_socket("tls", (self.config.listen[0], port), tls.make_stream)
         host, port = door.sock.getsockname()[:2]
-        say(log, logging.INFO, "tls_serving", listen=f"{host}:{port}", certificate=tls.certificate())
+        log_event(
+            logger,
+            logging.INFO,
+            "tls_serving",
+            listen=f"{host}:{port}",
+            certificate=tls.certificate_fingerprint(),
+        )
         return tls
 
-    def _multiget(self) -> MultiGet:
+    def _make_batch_listener(self) -> BatchListener:
         """The door for batches."""
-        from .multiget import MultiGet
+        from .batch_listener import BatchListener
 
-        port = self.operators.file.number("multiget_listen")
+        port = self.operator_settings.file.optional_integer("multiget_listen")
         assert port is not None
-        made = MultiGet(
+        made = BatchListener(
             self.loop,
             self.budget,
             self.listener,
             port,
-            lambda: self.operators.file.whole("multiget_max_keys"),
+            lambda: self.operator_settings.file.integer("multiget_max_keys"),
         )
-        host, port = made.door.sock.getsockname()[:2]
-        say(log, logging.INFO, "multiget_serving", listen=f"{host}:{port}")
+        host, port = made.listen_socket.sock.getsockname()[:2]
+        log_event(logger, logging.INFO, "multiget_serving", listen=f"{host}:{port}")
         return made
 
-    def _engine(self) -> Engine:
+    def _make_engine(self) -> Engine:
         settings, seed = self.config.settings, self.config.seed
         if self.capture is None:
             return Engine(settings, seed, self.loop)
@@ -226,71 +245,74 @@
         }
         if self.capture is not None:
             calls[signal.SIGUSR2] = self.capture.dump
-        self.loop.on_signals(calls)
-        self.loop.after(SUM_UP_EVERY, self._sum_up)
+        self.loop.add_signal_handlers(calls)
+        self.loop.call_after(SUMMARY_INTERVAL_MS, self._log_summary)
         # what was made up to here stays: collections look at what is new only, and seldom
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
-        self.take_clients()
+        self.start_serving()
         self.loop.run()
-        self._sum_up()
+        self._log_summary()
         self.close()
-        say(log, logging.INFO, "ended", name=self.config.name)
+        log_event(logger, logging.INFO, "ended", name=self.config.name)
 
-    def take_clients(self) -> None:
+    def start_serving(self) -> None:
         """Serve from now on, or once it is this process's turn."""
-        if self.beside is not None:
-            self.beside.follow(
-                self.engine.router, lambda: self.budget.used, self.listener.up, self._others_changed
+        if self.handover is not None:
+            self.handover.follow(
+                self.engine.router,
+                lambda: self.budget.used,
+                self.listener.is_serving,
+                self._on_processes_changed,
             )
-        self._begin()
+        self._start_if_due()
 
     def close(self) -> None:
         """Let go of every socket."""
         self.listener.close()
-        for link in list(self.listener.links):
-            link.close(Why.ENDING)
+        for link in list(self.listener.connections):
+            link.close(CloseReason.SHUTDOWN)
         self.pool.close()
-        self.watch.watch(False)
-        if self.ops is not None:
-            self.ops.close()
-        if self.beside is not None:
-            self.beside.close()
+        self.endpoint_watch.set_watching(False)
+        if self.admin_listener is not None:
+            self.admin_listener.close()
+        if self.handover is not None:
+            self.handover.close()
         if self.capture is not None:
             self.capture.close()
         self.loop.close()
 
     # ------------------------------------------------------------------------------------- discovery
 
-    def _told(self, told: Reader) -> None:
-        change = self.map.take(told)
-        say(
-            log,
+    def _apply_endpoint_list(self, document: SettingsReader) -> None:
+        change = self.endpoint_directory.apply_update(document)
+        log_event(
+            logger,
             logging.INFO,
             "map_told",
             rev=change.event.version,
             scope=change.event.scope.value,
-            entries=len(change.event.members),
-            hops=len(self.map.hops),
+            entries=len(change.event.endpoints),
+            hops=len(self.endpoint_directory.endpoints),
         )
-        self.engine.map_told(change.event)
-        self.pool.retire(change.retired)
-        if self.beside is not None:
-            self.beside.standing.listed = True
-        self._begin()
+        self.engine.update_endpoints(change.event)
+        self.pool.retire_endpoints(change.retired_endpoint_ids)
+        if self.handover is not None:
+            self.handover.process_share.endpoint_list_received = True
+        self._start_if_due()
 
-    def _silent(self) -> None:
-        self.engine.map_told(api.Members(api.Scope.FAILED))
+    def _on_discovery_failed(self) -> None:
+        self.engine.update_endpoints(api.EndpointUpdate(api.UpdateScope.FAILED))
 
     # ------------------------------------------------------------------------------ a new configuration
 
     def reload(self) -> None:
         """SIGHUP: read both files again; a fault in one does not hold up the other."""
         self._reload_config()
-        if self.operators.reread is not None:
-            self._reload_operators(self.operators.reread)
-        self._resize()
+        if self.operator_settings.reload is not None:
+            self._reload_operators(self.operator_settings.reload)
+        self._apply_limits()
 
     def _reload_operators(self, reread: Callable[[], OperatorFile]) -> None:
         """Apply what a running router can of the operators' file."""
@@ -298,15 +320,15 @@
             found = reread()
         except OperatorFileError as problem:
             for fault in problem.faults:
-                say(log, logging.ERROR, "operator_file_failed", text=fault)
+                log_event(logger, logging.ERROR, "operator_file_failed", text=fault)
             return
-        before, self.operators.file = self.operators.file, found
-        waiting = [s.name for s in self.started_with.differing(found) if not s.live]
-        say(
-            log,
+        before, self.operator_settings.file = self.operator_settings.file, found
+        waiting = [s.name for s in self.initial_operator_file.changed_settings(found) if not s.is_reloadable]
+        log_event(
+            logger,
             logging.INFO,
             "operator_file_reloaded",
-            changed=",".join(s.name for s in before.differing(found)) or "nothing",
+            changed=",".join(s.name for s in before.changed_settings(found)) or "nothing",
             needs_restart=",".join(waiting) or "nothing",
         )
         if self.tls is not None and found.text("tls_cert") is not None:
@@ -317,107 +339,123 @@
         guards against a half-written file that takes a serving router down.
         """
         try:
-            told = self._reread()
-            TransportMap(told.names, 0.0).take(told.known, cached=True)
-            renewed = config.renewed(self.config, told)
+            told = self._read_config()
+            EndpointDirectory(told.names, 0.0).apply_update(told.known, is_cached=True)
+            renewed = config.merge_reload(self.config, told)
         except (ConfigError, ValueError) as problem:
-            self.reconfig_failed += 1
-            say(log, logging.ERROR, "reload_failed", text=problem)
+            self.reloads_failed += 1
+            log_event(logger, logging.ERROR, "reload_failed", text=problem)
             return
-        self.reconfig_ok += 1
+        self.reloads_succeeded += 1
         before, self.config = self.config, renewed
         host, port = told.discovery
-        say(
-            log,
+        log_event(
+            logger,
             logging.INFO,
             "reloaded",
             discovery=f"{host}:{port}",
-            sockets=told.sockets,
+            sockets=told.max_descriptors,
             classes=",".join(renewed.names.classes),
             max_attempts=renewed.settings.limits.max_attempts,
-            needs_restart=",".join(config.changed(before, told)) or "nothing",
+            needs_restart=",".join(config.settings_needing_restart(before, told)) or "nothing",
         )
         self.listener.names = renewed.names
         self.pool.apply(renewed)
         if self.capture is not None:
-            self.capture.recorder.name(renewed.names)
+            self.capture.recorder.set_names(renewed.names)
         if renewed.settings != before.settings:
             self.engine.reconfigure(renewed.settings)
         if told.discovery != before.discovery:
-            self.watch.move(told.discovery)
+            self.endpoint_watch.switch_discovery(told.discovery)
 
-    def _resize(self) -> None:
+    def _apply_limits(self) -> None:
         """Apply the limit of descriptors, and what the operators set for connections."""
-        self.budget.doors_part = 0.01 * self.operators.file.whole("doors_part")
-        self.budget.resize(self._may_open())
-        self.budget.remember(self._memory())
-        self.listener.apply(door_settings(self.operators.file), self._may_open())
+        self.budget.downstream_fraction = 0.01 * self.operator_settings.file.integer("doors_part")
+        self.budget.resize(self._descriptor_limit())
+        self.budget.set_memory(self._memory_mb())
+        self.listener.apply(listener_config(self.operator_settings.file), self._descriptor_limit())
 
     # --------------------------------------------------------------------------------------- its end
 
     def end(self) -> None:
         """SIGTERM: go on accepting and answering while connections still arrive, end when nothing is owed."""
-        if self.listener.ending:
+        if self.listener.is_shutting_down:
             return
-        say(log, logging.INFO, "ending", owed=self.engine.owed, connections=len(self.listener.links))
-        self.listener.ending = True
-        if self.listener.shared:
+        log_event(
+            logger,
+            logging.INFO,
+            "ending",
+            owed=self.engine.pending_count,
+            connections=len(self.listener.connections),
+        )
+        self.listener.is_shutting_down = True
+        if self.listener.shares_inherited_socket:
             self.listener.close()  # what waits there is the new process's
-        self._ending_since = self.loop.now()
-        self.loop.after(STILL_ARRIVING, self._end_if_quiet)
+        self._shutdown_started_at = self.loop.now()
+        self.loop.call_after(MIN_ACCEPT_AFTER_SIGTERM_MS, self._continue_shutdown)
 
-    def _end_if_quiet(self) -> None:
+    def _continue_shutdown(self) -> None:
         now = self.loop.now()
-        for link in [link for link in self.listener.links if link.idle() and not self._unheard(link, now)]:
-            link.rest(Why.ENDING)
-        longest = max(klass.deadline for klass in self.config.settings.classes)
-        if self.listener.open and self._no_more_come(now, longest):
+        for link in [
+            link
+            for link in self.listener.connections
+            if link.is_idle() and not self._may_have_request_coming(link, now)
+        ]:
+            link.close_gracefully(CloseReason.SHUTDOWN)
+        longest = max(klass.deadline_ms for klass in self.config.settings.classes)
+        if self.listener.is_open and self._may_stop_accepting(now, longest):
             self.listener.close()
-        over = now - self._ending_since >= LAST_CALL + longest + LAST_ANSWER
-        if over or not (self.listener.open or self.engine.owed or self.listener.links):
+        over = now - self._shutdown_started_at >= MAX_ACCEPT_AFTER_SIGTERM_MS + longest + SHUTDOWN_GRACE_MS
+        if over or not (self.listener.is_open or self.engine.pending_count or self.listener.connections):
             self.listener.close()
             self.loop.stop()
         else:
-            self.loop.after(END_STEP, self._end_if_quiet)
+            self.loop.call_after(SHUTDOWN_POLL_INTERVAL_MS, self._continue_shutdown)
 
     @staticmethod
-    def _unheard(link: SenderLink, now: float) -> bool:
+    def _may_have_request_coming(connection: DownstreamConnection, now: float) -> bool:
         """Whether a connection has come just now and its request may be on the way. Guards against a request
         that is lost as it was written while its connection was closed.
         """
-        return link.conn.state is State.FRESH and now - link.conn.ready < SLOW_START
+        return (
+            connection.record.state is ConnectionState.NEW
+            and now - connection.record.ready_at < NEW_CONNECTION_GRACE_MS
+        )
 
-    def _no_more_come(self, now: float, longest: float) -> bool:
+    def _may_stop_accepting(self, now: float, longest: float) -> bool:
         """Whether to stop accepting. Not before batches have their parts, which come over this door too; they
         must be through when any request must.
         """
-        spent = now - self._ending_since
-        if self.multiget is not None and self.multiget.in_hand() and spent < longest:
-            self.multiget.hurry(self._ending_since + longest)
+        spent = now - self._shutdown_started_at
+        if self.batch_listener is not None and self.batch_listener.is_active() and spent < longest:
+            self.batch_listener.shorten_deadlines(self._shutdown_started_at + longest)
             return False
-        return now - self.listener.last_came >= QUIET or spent >= LAST_CALL
+        return (
+            now - self.listener.last_accepted_at >= QUIET_BEFORE_CLOSE_MS
+            or spent >= MAX_ACCEPT_AFTER_SIGTERM_MS
+        )
 
-    def _sum_up(self) -> None:
+    def _log_summary(self) -> None:
         """A line of counts, and one a class of how its envelopes ended and why."""
-        self.loop.after(SUM_UP_EVERY, self._sum_up)
+        self.loop.call_after(SUMMARY_INTERVAL_MS, self._log_summary)
         counts = dict(sorted(self.engine.totals().items()))
-        say(
-            log,
+        log_event(
+            logger,
             logging.INFO,
             "counts",
-            owed=self.engine.owed,
+            owed=self.engine.pending_count,
             sockets=self.budget.used,
-            rejected=self.listener.rejected,
-            loop_faults=self.loop.faults,
-            callers=self.ops.came if self.ops is not None else 0,
+            rejected=self.listener.rejected_count,
+            loop_faults=self.loop.fault_count,
+            callers=self.admin_listener.connection_count if self.admin_listener is not None else 0,
             **counts,
         )
         worths = {place: one.worth for place, one in enumerate(self.config.settings.classes)}
-        for line in self.engine.account.lines(self._class_names(), worths):
-            say(log, logging.INFO, "ends", **line)
-        self.listener.sum_up()
+        for line in self.engine.request_counters.iter_log_fields(self._class_names(), worths):
+            log_event(logger, logging.INFO, "ends", **line)
+        self.listener.log_summary()
 
 
-def _descriptors(config: Config) -> int:
+def _max_descriptors(config: Config) -> int:
     """How many descriptors there are: by the configuration, and by the process's own limit."""
-    return min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    return min(config.max_descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
--- a/rosepick/net/stream.py
+++ b/rosepick/net/tcp_stream.py
@@ -11,67 +11,76 @@
 from collections import deque
 from collections.abc import Callable
 
-from ..connections.descriptors import Use
-from .budget import Budget
-from .loop import READ, WRITE, Loop, Ready
-
-CHUNK = 128 * 1024
-OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
-_ENDED = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT, as the kernel numbers the states of a connection
-KERNEL = 128 * 1024
-NO_PROGRESS = 10_000.0  # milliseconds without a byte: who gives or reads a body in parts has stopped
-LONG = 1024 * 1024  # bytes of a body beyond which the kernel is not left to hold as much of it as it likes
-
-
-def _closed(mask: int) -> None:
+from ..connections.descriptor_budget import DescriptorUse
+from .event_loop import READ, WRITE, EventLoop, ReadyCallback
+from .resource_budget import ResourceBudget
+
+READ_CHUNK_BYTES = 128 * 1024
+OUT_OF_DESCRIPTORS_ERRNOS = (errno.EMFILE, errno.ENFILE)
+_CLOSED_TCP_STATES = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT, as the kernel numbers the states of a connection
+KERNEL_BUFFER_BYTES = 128 * 1024
+# milliseconds without a byte: who gives or reads a body in parts has stopped
+NO_PROGRESS_TIMEOUT_MS = 10_000.0
+LONG_BODY_BYTES = (
+    1024 * 1024
+)  # bytes of a body beyond which the kernel is not left to hold as much of it as it likes
+
+
+def _ignore_ready(events: int) -> None:
     """Nobody is called for a stream that is closed."""
 
 
-class Stream:
+class TcpStream:
     """One connected or connecting socket, without blocking."""
 
     __slots__ = (
         "_budget",
         "_loop",
-        "_mask",
+        "_events",
         "_pending",
-        "_ready",
+        "_on_ready",
         "_urgent",
         "_use",
-        "moved",
-        "open",
+        "last_write_at",
+        "is_open",
         "sock",
     )
 
     def __init__(
         self,
-        loop: Loop,
-        budget: Budget,
+        loop: EventLoop,
+        budget: ResourceBudget,
         sock: socket.socket,
-        ready: Ready,
-        mask: int = READ,
-        use: Use = Use.DOORS,
+        on_ready: ReadyCallback,
+        events: int = READ,
+        use: DescriptorUse = DescriptorUse.DOWNSTREAM,
         urgent: bool = False,
     ) -> None:
         self.sock = sock
-        self.open = True
-        self.moved = loop.now()  # when something was last written
+        self.is_open = True
+        self.last_write_at = loop.now()  # when something was last written
         self._urgent = urgent
-        self._loop, self._budget, self._use, self._ready, self._mask = loop, budget, use, ready, mask
+        self._loop, self._budget, self._use, self._on_ready, self._events = (
+            loop,
+            budget,
+            use,
+            on_ready,
+            events,
+        )
         self._pending: deque[memoryview] = deque()
-        budget.take(use)
+        budget.acquire(use)
         sock.setblocking(False)
         with contextlib.suppress(OSError):  # a peer that has left already
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        loop.watch(sock, mask, ready, urgent)
+        loop.register(sock, events, on_ready, urgent)
 
-    def connected(self) -> None:
+    def finish_connect(self) -> None:
         """A dial has come to its end. OSError if it failed."""
         problem = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if problem:
             raise OSError(problem, os.strerror(problem))
 
-    def up(self) -> bool:
+    def is_connected(self) -> bool:
         """Whether a dial has come up, also where the loop has not said so yet."""
         try:
             self.sock.getpeername()
@@ -79,28 +88,28 @@
             return False
         return True
 
-    def want(self, mask: int) -> None:
+    def set_events(self, events: int) -> None:
         """What to wait for, if anything."""
-        if not self.open or mask == self._mask:
+        if not self.is_open or events == self._events:
             return
-        if not self._mask:
-            self._loop.watch(self.sock, mask, self._ready, self._urgent)
-        elif not mask:
-            self._loop.unwatch(self.sock, self._urgent)
+        if not self._events:
+            self._loop.register(self.sock, events, self._on_ready, self._urgent)
+        elif not events:
+            self._loop.unregister(self.sock, self._urgent)
         else:
-            self._loop.rewatch(self.sock, mask, self._ready, self._urgent)
-        self._mask = mask
+            self._loop.modify(self.sock, events, self._on_ready, self._urgent)
+        self._events = events
 
-    def read(self, most: int = CHUNK) -> bytes | None:
+    def read(self, max_bytes: int = READ_CHUNK_BYTES) -> bytes | None:
         """What has come, so much at the most; empty at the end; None if there is nothing. OSError if it
         broke.
         """
         try:
-            return self.sock.recv(most)
+            return self.sock.recv(max_bytes)
         except (BlockingIOError, InterruptedError):
             return None
 
-    def quiet(self) -> bool:
+    def has_nothing_to_read(self) -> bool:
         """Whether the other side has neither ended nor sent anything that is unread."""
         try:
             self.sock.recv(1, socket.MSG_PEEK)
@@ -110,7 +119,7 @@
             pass
         return False
 
-    def ended(self) -> bool:
+    def is_at_end(self) -> bool:
         """Whether the other side has ended or broken the connection, and all that it sent has been read."""
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
@@ -119,20 +128,20 @@
         except OSError:
             return True
 
-    def left(self) -> bool:
+    def peer_has_closed(self) -> bool:
         """Whether the other side has ended or broken the connection, whatever of it is still unread."""
         option = getattr(socket, "TCP_INFO", None)
         if option is None:
             return False
         with contextlib.suppress(OSError):
-            return self.sock.getsockopt(socket.IPPROTO_TCP, option, 1)[0] in _ENDED
+            return self.sock.getsockopt(socket.IPPROTO_TCP, option, 1)[0] in _CLOSED_TCP_STATES
         return True
 
-    def partial(self) -> bool:
+    def has_partial_record(self) -> bool:
         """Whether a part of something has come that is of no use without the rest."""
         return False
 
-    def established(self) -> bool:
+    def is_established(self) -> bool:
         """Whether anything can be sent yet."""
         return True
 
@@ -147,7 +156,7 @@
         """Write now what can be, keep the rest for `flush`. Nothing is copied: answers can be large."""
         for part in filter(None, parts):
             self._pending.append(memoryview(part))
-            self._budget.held += len(part)
+            self._budget.buffered_bytes += len(part)
         self.flush()
 
     def flush(self) -> None:
@@ -158,72 +167,73 @@
             count = self.sock.sendmsg(self._pending)
         except (BlockingIOError, InterruptedError):
             return
-        self._budget.held -= count
-        self.moved = self._loop.now()
+        self._budget.buffered_bytes -= count
+        self.last_write_at = self._loop.now()
         while self._pending and count >= len(self._pending[0]):
             count -= len(self._pending.popleft())
         if count:
             self._pending[0] = self._pending[0][count:]
 
-    def unwritten(self) -> bool:
+    def has_unwritten(self) -> bool:
         """Whether something is kept."""
         return bool(self._pending)
 
-    def keep_small(self, direction: int) -> None:
+    def limit_kernel_buffer(self, buffer_option: int) -> None:
         """Have the kernel hold little in that direction (SO_SNDBUF or SO_RCVBUF): what waits there is seen
         neither as memory nor as the progress of a slow peer.
         """
         with contextlib.suppress(OSError):
-            self.sock.setsockopt(socket.SOL_SOCKET, direction, KERNEL)
+            self.sock.setsockopt(socket.SOL_SOCKET, buffer_option, KERNEL_BUFFER_BYTES)
 
-    def abort(self) -> None:
+    def reset_on_close(self) -> None:
         """Have the close be a reset."""
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
-    def end_sending(self) -> None:
+    def shutdown_write(self) -> None:
         """Tell the other side that nothing more comes."""
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
         """Close it, whatever is in flight."""
-        if self.open:
-            self.open = False
-            if self._mask:
-                self._loop.unwatch(self.sock, self._urgent)
+        if self.is_open:
+            self.is_open = False
+            if self._events:
+                self._loop.unregister(self.sock, self._urgent)
             self.sock.close()
-            self._budget.held -= sum(map(len, self._pending))
+            self._budget.buffered_bytes -= sum(map(len, self._pending))
             self._pending.clear()
-            self._ready = _closed  # guards against a cycle with its owner, which only a collection would free
-            self._budget.give(self._use)
+            # guards against a cycle with its owner, which only a collection would free
+            self._on_ready = _ignore_ready
+            self._budget.release(self._use)
 
 
-class Dialed(ABC):
+class OutboundConnection(ABC):
     """One connection of our own making: it comes up, and is then written and read."""
 
-    stream: Stream
+    stream: TcpStream
 
     def __init__(self) -> None:
-        self.dialing = True
+        self.is_connecting = True
 
-    def ready(self, mask: int) -> None:
+    def on_ready(self, events: int) -> None:
         """The socket is ready."""
-        if self.dialing:
-            self._guarded(self._connected)
+        if self.is_connecting:
+            self._run_guarded(self._on_connected)
             return
-        if mask & WRITE:
-            self._guarded(self._write)
-        if mask & READ and self.stream.open:
-            self._guarded(self._read)
-
-    def _connected(self) -> None:
-        self.stream.connected()
-        self.dialing = False
+        if events & WRITE:
+            self._run_guarded(self._write)
+        if events & READ and self.stream.is_open:
+            self._run_guarded(self._read)
+
+    def _on_connected(self) -> None:
+        self.stream.finish_connect()
+        self.is_connecting = False
         self._write()
 
     @abstractmethod
-    def _guarded(self, step: Callable[[], None]) -> None:
+    def _run_guarded(self, step: Callable[[], None]) -> None:
         """Take a step, and cope with what it raises."""
 
     @abstractmethod
@@ -235,27 +245,28 @@
         """Read what has come."""
 
 
-StreamMaker = Callable[[Loop, Budget, socket.socket, Ready], Stream]
+StreamFactory = Callable[[EventLoop, ResourceBudget, socket.socket, ReadyCallback], TcpStream]
 
 
-def family(endpoint: tuple[str, int]) -> socket.AddressFamily:
+def address_family(address: tuple[str, int]) -> socket.AddressFamily:
     """Which kind of address it is."""
-    return socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
 
-def dial(endpoint: tuple[str, int], free: Callable[[], bool] = lambda: False) -> socket.socket:
-    """A socket that is connecting; it can be written once it is up. OSError if it failed at once. `free`: has
-    another descriptor closed, where there is none for this one; says whether there was any to close.
+def dial(address: tuple[str, int], free_descriptor: Callable[[], bool] = lambda: False) -> socket.socket:
+    """A socket that is connecting; it can be written once it is up. OSError if it failed at once.
+    `free_descriptor`: has another descriptor closed, where there is none for this one; says whether there was
+    any to close.
     """
     try:
-        sock = socket.socket(family(endpoint), socket.SOCK_STREAM)
+        sock = socket.socket(address_family(address), socket.SOCK_STREAM)
     except OSError as problem:
-        if problem.errno not in OUT_OF_DESCRIPTORS or not free():
+        if problem.errno not in OUT_OF_DESCRIPTORS_ERRNOS or not free_descriptor():
             raise
-        sock = socket.socket(family(endpoint), socket.SOCK_STREAM)
+        sock = socket.socket(address_family(address), socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
-        sock.connect(endpoint)
+        sock.connect(address)
     except (BlockingIOError, InterruptedError):
         pass
     except OSError:
--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -12,20 +12,20 @@
 from enum import Enum
 from pathlib import Path
 
-from ..connections.intake import Handshakes
-from ..logs import say
+from ..connections.accept_throttle import HandshakeThrottle
+from ..logs import log_event
 from ..settings.operator_file import OperatorFile
-from .budget import Budget
-from .loop import READ, Loop, Ready, Timer
-from .stream import CHUNK, Stream
-from .subject import rfc4514
-
-log = logging.getLogger(__name__)
-UNREAD = 64 * 1024  # bytes that a client may send ahead while its handshake waits for its turn
-PIECE = 16 * 1024  # what is read and encrypted at once: the library keeps buffers of that size
-FILES = ("tls_cert", "tls_key", "tls_client_ca")
+from .event_loop import READ, EventLoop, ReadyCallback, ScheduledCall
+from .peer_certificate import format_rfc4514
+from .resource_budget import ResourceBudget
+from .tcp_stream import READ_CHUNK_BYTES, TcpStream
+
+logger = logging.getLogger(__name__)
+MAX_EARLY_BYTES = 64 * 1024  # bytes that a client may send ahead while its handshake waits for its turn
+RECORD_BYTES = 16 * 1024  # what is read and encrypted at once: the library keeps buffers of that size
+FILE_SETTINGS = ("tls_cert", "tls_key", "tls_client_ca")
 _VERSIONS = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
-_MODES = {"off": ssl.CERT_NONE, "optional": ssl.CERT_OPTIONAL, "required": ssl.CERT_REQUIRED}
+_VERIFY_MODES = {"off": ssl.CERT_NONE, "optional": ssl.CERT_OPTIONAL, "required": ssl.CERT_REQUIRED}
 
 
 class TlsError(ValueError):
@@ -36,207 +36,214 @@
         self.name = name
 
 
-class Framing:
+class RecordFraming:
     """Counts TLS records as they come in. Guards against connections held for ever by half a record: the
     library takes its bytes, and tells nobody.
     """
 
-    __slots__ = ("_head", "_left")
+    __slots__ = ("_partial_header", "_remaining_bytes")
 
     def __init__(self) -> None:
-        self._head = b""
-        self._left = 0  # bytes of the present record that are still to come
+        self._partial_header = b""
+        self._remaining_bytes = 0  # bytes of the present record that are still to come
 
     def feed(self, data: bytes) -> None:
         """Take in bytes."""
         at = 0
         while at < len(data):
-            if self._left:
-                step = min(self._left, len(data) - at)
-                self._left -= step
+            if self._remaining_bytes:
+                step = min(self._remaining_bytes, len(data) - at)
+                self._remaining_bytes -= step
             else:
-                step = min(5 - len(self._head), len(data) - at)
-                self._head += data[at : at + step]
-                if len(self._head) == 5:
-                    self._left = int.from_bytes(self._head[3:], "big")
-                    self._head = b""
+                step = min(5 - len(self._partial_header), len(data) - at)
+                self._partial_header += data[at : at + step]
+                if len(self._partial_header) == 5:
+                    self._remaining_bytes = int.from_bytes(self._partial_header[3:], "big")
+                    self._partial_header = b""
             at += step
 
-    def partial(self) -> bool:
+    def has_partial_record(self) -> bool:
         """Whether a record has begun that is not whole."""
-        return bool(self._head or self._left)
+        return bool(self._partial_header or self._remaining_bytes)
 
 
-class Turn(Enum):
+class HandshakeTurn(Enum):
     """Whether a handshake has had its turn to begin."""
 
-    NONE = 0
-    AWAITED = 1
-    HAD = 2
+    NOT_REQUESTED = 0
+    WAITING = 1
+    GRANTED = 2
 
 
-class Turns:
+class HandshakeScheduler:
     """Handshakes take their turn: they have a part of the time, as a crowd of them would hold answers up."""
 
-    def __init__(self, loop: Loop, part: float, cpu: Callable[[], float] = time.thread_time) -> None:
-        self.loop, self._cpu = loop, cpu
-        self.queue = Handshakes(part, loop.now())
-        self._timer: Timer | None = None
+    def __init__(
+        self, loop: EventLoop, cpu_fraction: float, cpu_clock: Callable[[], float] = time.thread_time
+    ) -> None:
+        self.loop, self._cpu_clock = loop, cpu_clock
+        self.queue = HandshakeThrottle(cpu_fraction, loop.now())
+        self._timer: ScheduledCall | None = None
 
-    def granted(self, resume: Callable[[], None]) -> bool:
+    def try_begin(self, resume: Callable[[], None]) -> bool:
         """Whether a handshake may begin now; else `resume` is called when it may."""
-        if self.queue.may(self.loop.now()):
+        if self.queue.may_proceed(self.loop.now()):
             return True
-        self.queue.wait(resume)
-        self._wake()
+        self.queue.enqueue(resume)
+        self._schedule_next()
         return False
 
     @contextlib.contextmanager
-    def measured(self) -> Iterator[None]:
+    def measure_cpu(self) -> Iterator[None]:
         """Count the CPU time of what is done within."""
-        begin = self._cpu()
+        begin = self._cpu_clock()
         try:
             yield
         finally:
-            self.queue.spent(1000.0 * (self._cpu() - begin))
+            self.queue.charge_cpu(1000.0 * (self._cpu_clock() - begin))
 
-    def _wake(self) -> None:
-        due = self.queue.due_in()
+    def _schedule_next(self) -> None:
+        due = self.queue.next_delay_ms()
         if due is not None and self._timer is None:
-            self._timer = self.loop.after(due, self._go_on)
+            self._timer = self.loop.call_after(due, self._resume_waiting)
 
-    def _go_on(self) -> None:
+    def _resume_waiting(self) -> None:
         self._timer = None
-        while (resume := self.queue.next(self.loop.now())) is not None:
+        while (resume := self.queue.pop_ready(self.loop.now())) is not None:
             resume()
-        self._wake()
+        self._schedule_next()
 
 
-class TlsStream(Stream):
+class TlsStream(TcpStream):
     """A stream whose bytes are encrypted on the way."""
 
     __slots__ = (
-        "_begun",
-        "_cipher",
+        "_handshake_begun",
+        "_encrypted",
         "_framing",
-        "_in",
-        "_out",
-        "_over",
-        "_tls",
-        "_turn",
-        "_turns",
+        "_incoming",
+        "_outgoing",
+        "_peer_closed",
+        "_ssl",
+        "_handshake_turn",
+        "_handshakes",
         "_up",
     )
 
     def __init__(
         self,
-        loop: Loop,
-        budget: Budget,
+        loop: EventLoop,
+        budget: ResourceBudget,
         sock: socket.socket,
-        ready: Ready,
+        on_ready: ReadyCallback,
         context: ssl.SSLContext,
-        turns: Turns,
+        handshakes: HandshakeScheduler,
     ) -> None:
-        self._turns, self._turn = turns, Turn.NONE
-        self._in, self._out = ssl.MemoryBIO(), ssl.MemoryBIO()
-        self._tls = context.wrap_bio(self._in, self._out, server_side=True)
-        self._cipher = memoryview(b"")  # encrypted, not yet written
-        self._framing = Framing()
-        self._begun = self._up = self._over = False  # the handshake, the same, the other side's sending
-        super().__init__(loop, budget, sock, ready)
+        self._handshakes, self._handshake_turn = handshakes, HandshakeTurn.NOT_REQUESTED
+        self._incoming, self._outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        self._ssl = context.wrap_bio(self._incoming, self._outgoing, server_side=True)
+        self._encrypted = memoryview(b"")  # encrypted, not yet written
+        self._framing = RecordFraming()
+        # the handshake, the same, the other side's sending
+        self._handshake_begun = self._up = self._peer_closed = False
+        super().__init__(loop, budget, sock, on_ready)
 
     # ------------------------------------------------------------------------------------------ reading
 
-    def read(self, most: int = CHUNK) -> bytes | None:
+    def read(self, max_bytes: int = READ_CHUNK_BYTES) -> bytes | None:
         """All that has come is decrypted at once, so that nothing is left where no selector sees it."""
-        if self._over:
+        if self._peer_closed:
             return b""
         try:
-            data = self.sock.recv(PIECE)
+            data = self.sock.recv(RECORD_BYTES)
         except (BlockingIOError, InterruptedError):
-            return self._go_on() if self._in.pending and not self._up else None
+            return self._process_input() if self._incoming.pending and not self._up else None
         if not data:
             return b""
-        self._begun = True
+        self._handshake_begun = True
         self._framing.feed(data)
-        self._in.write(data)
-        return self._go_on()
+        self._incoming.write(data)
+        return self._process_input()
 
-    def _go_on(self) -> bytes | None:
+    def _process_input(self) -> bytes | None:
         """Take in what has come so far."""
         try:
-            return self._decrypted() if self._up or self._shake_hands() else None
+            return self._decrypt() if self._up or self._step_handshake() else None
         except ssl.SSLError as problem:
-            self._refuse(problem)
+            self._log_refusal(problem)
             raise
 
-    def _shake_hands(self) -> bool:
+    def _step_handshake(self) -> bool:
         """A step of the handshake; whether it is over."""
-        if self._turn is not Turn.HAD and not self._has_turn():
+        if self._handshake_turn is not HandshakeTurn.GRANTED and not self._may_begin_handshake():
             return False
         try:
-            with self._turns.measured():
-                self._tls.do_handshake()
+            with self._handshakes.measure_cpu():
+                self._ssl.do_handshake()
         except ssl.SSLWantReadError:
             self.flush()
             return False
         self._up = True
         self.flush()
-        certificate = self._tls.getpeercert()
+        certificate = self._ssl.getpeercert()
         if certificate:
-            subject = rfc4514(certificate["subject"])  # type: ignore[arg-type]
-            say(log, logging.INFO, "client_verified", client_subject=subject)
+            subject = format_rfc4514(certificate["subject"])  # type: ignore[arg-type]
+            log_event(logger, logging.INFO, "client_verified", client_subject=subject)
         return True
 
-    def _has_turn(self) -> bool:
+    def _may_begin_handshake(self) -> bool:
         """Whether the handshake may begin. Guards against one that fills the memory while it waits."""
-        if self._in.pending > UNREAD:
+        if self._incoming.pending > MAX_EARLY_BYTES:
             raise OSError("too much was sent before the handshake")
-        if self._turn is Turn.NONE:
-            self._turn = Turn.HAD if self._turns.granted(self._resume) else Turn.AWAITED
-        return self._turn is Turn.HAD
-
-    def _resume(self) -> None:
-        self._turn = Turn.HAD
-        self._read_on()
-
-    def _decrypted(self) -> bytes | None:
+        if self._handshake_turn is HandshakeTurn.NOT_REQUESTED:
+            self._handshake_turn = (
+                HandshakeTurn.GRANTED
+                if self._handshakes.try_begin(self._resume_handshake)
+                else HandshakeTurn.WAITING
+            )
+        return self._handshake_turn is HandshakeTurn.GRANTED
+
+    def _resume_handshake(self) -> None:
+        self._handshake_turn = HandshakeTurn.GRANTED
+        self._trigger_read()
+
+    def _decrypt(self) -> bytes | None:
         parts = []
-        while not self._over:
+        while not self._peer_closed:
             try:
-                part = self._tls.read(PIECE)
+                part = self._ssl.read(RECORD_BYTES)
             except ssl.SSLWantReadError:
                 break
             except ssl.SSLZeroReturnError:
                 part = b""
-            self._over = not part
+            self._peer_closed = not part
             parts.append(part)
         self.flush()
         data = b"".join(parts)
-        if data and self._over:
+        if data and self._peer_closed:
             # its end came with its last bytes: no selector will tell of it
-            self._loop.after(0.0, self._read_on)
-        return data if data or self._over else None
+            self._loop.call_after(0.0, self._trigger_read)
+        return data if data or self._peer_closed else None
 
-    def _read_on(self) -> None:
-        if self.open:
-            self._ready(READ)
+    def _trigger_read(self) -> None:
+        if self.is_open:
+            self._on_ready(READ)
 
-    def _refuse(self, problem: ssl.SSLError) -> None:
+    def _log_refusal(self, problem: ssl.SSLError) -> None:
         """The other side cannot go on: it is told why as far as it takes that."""
         with contextlib.suppress(OSError):
             self.flush()
         if not self._up:
-            self._begun = False  # it has been told
-            say(log, logging.WARNING, "tls_refused", reason=(problem.reason or str(problem)).lower())
+            self._handshake_begun = False  # it has been told
+            log_event(logger, logging.WARNING, "tls_refused", reason=(problem.reason or str(problem)).lower())
 
-    def quiet(self) -> bool:
-        return not self._over and super().quiet()
+    def has_nothing_to_read(self) -> bool:
+        return not self._peer_closed and super().has_nothing_to_read()
 
-    def partial(self) -> bool:
-        return (self._begun and not self._up) or self._framing.partial()
+    def has_partial_record(self) -> bool:
+        return (self._handshake_begun and not self._up) or self._framing.has_partial_record()
 
-    def established(self) -> bool:
+    def is_established(self) -> bool:
         return self._up
 
     # ------------------------------------------------------------------------------------------ writing
@@ -244,22 +251,22 @@
     def flush(self) -> None:
         """Encrypt a piece whenever the last one is written: only one of them is held twice."""
         while True:
-            if not self._cipher:
-                self._cipher = memoryview(self._next())
-            if not self._cipher:
+            if not self._encrypted:
+                self._encrypted = memoryview(self._next_encrypted())
+            if not self._encrypted:
                 return
             try:
-                count = self.sock.send(self._cipher)
+                count = self.sock.send(self._encrypted)
             except (BlockingIOError, InterruptedError):
                 return
-            self._budget.held -= count
-            self._cipher = self._cipher[count:]
+            self._budget.buffered_bytes -= count
+            self._encrypted = self._encrypted[count:]
 
-    def _next(self) -> bytes:
+    def _next_encrypted(self) -> bytes:
         """What the library has to say, else the next piece, of as many parts as it holds."""
-        if not self._out.pending and self._pending and self._up:
+        if not self._outgoing.pending and self._pending and self._up:
             parts: list[memoryview] = []
-            left = PIECE
+            left = RECORD_BYTES
             while self._pending and left:
                 part = self._pending.popleft()
                 parts.append(part[:left])
@@ -267,45 +274,45 @@
                     self._pending.appendleft(part[left:])
                 left -= len(parts[-1])
             piece = memoryview(b"".join(parts))
-            self._budget.held -= len(piece)
+            self._budget.buffered_bytes -= len(piece)
             while piece:  # guards against a library that takes a part, as it may
-                piece = piece[self._tls.write(piece) :]
-        data = self._out.read()
-        self._budget.held += len(data)
+                piece = piece[self._ssl.write(piece) :]
+        data = self._outgoing.read()
+        self._budget.buffered_bytes += len(data)
         return data
 
-    def unwritten(self) -> bool:
-        return bool(self._pending or self._cipher or self._out.pending)
+    def has_unwritten(self) -> bool:
+        return bool(self._pending or self._encrypted or self._outgoing.pending)
 
-    def end_sending(self) -> None:
-        self._say_goodbye()
-        super().end_sending()
+    def shutdown_write(self) -> None:
+        self._send_close_notify()
+        super().shutdown_write()
 
-    def _say_goodbye(self) -> None:
+    def _send_close_notify(self) -> None:
         """The end is told, unless an answer is cut short by it: then the other side must see that."""
-        if self._up and not self.unwritten():
+        if self._up and not self.has_unwritten():
             with contextlib.suppress(OSError):
-                self._tls.unwrap()
+                self._ssl.unwrap()
             with contextlib.suppress(OSError):
                 self.flush()
 
     def close(self) -> None:
-        if self.open:
-            self._say_goodbye()
-            if self._begun and not self._up:
-                say(log, logging.WARNING, "tls_refused", reason="the handshake was not completed")
-            self._budget.held -= len(self._cipher)
-            self._cipher = memoryview(b"")
+        if self.is_open:
+            self._send_close_notify()
+            if self._handshake_begun and not self._up:
+                log_event(logger, logging.WARNING, "tls_refused", reason="the handshake was not completed")
+            self._budget.buffered_bytes -= len(self._encrypted)
+            self._encrypted = memoryview(b"")
         super().close()
 
 
 # -------------------------------------------------------------------------------------- the certificate
 
 
-def context_of(file: OperatorFile) -> ssl.SSLContext:
+def make_context(file: OperatorFile) -> ssl.SSLContext:
     """A server by the settings of the operators' file. TlsError if they do not make one."""
-    paths = {name: path for name in FILES if (path := file.text(name)) is not None}
-    held = {name: _content(name, path) for name, path in paths.items()}
+    paths = {name: path for name in FILE_SETTINGS if (path := file.text(name)) is not None}
+    held = {name: _read_file(name, path) for name, path in paths.items()}
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = _VERSIONS[str(file.text("tls_min_version"))]
     context.options |= ssl.OP_NO_RENEGOTIATION
@@ -314,97 +321,107 @@
         # an encrypted key must not ask at the terminal
         context.load_cert_chain(paths["tls_cert"], paths["tls_key"], password=lambda: "")
     except (ssl.SSLError, ValueError) as problem:
-        raise _pair_problem(paths, held, problem) from None
-    mode = _MODES[str(file.text("tls_client_cert"))]
+        raise _key_pair_error(paths, held, problem) from None
+    mode = _VERIFY_MODES[str(file.text("tls_client_cert"))]
     if mode is not ssl.CERT_NONE:
         try:
             context.load_verify_locations(paths["tls_client_ca"])
         except ssl.SSLError:
-            raise _unusable("tls_client_ca", paths, "holds no certificate that can be read") from None
+            raise _unusable_file_error(
+                "tls_client_ca", paths, "holds no certificate that can be read"
+            ) from None
         context.verify_mode = mode
     return context
 
 
-def _content(name: str, path: str) -> bytes:
+def _read_file(name: str, path: str) -> bytes:
     try:
         return Path(path).read_bytes()
     except OSError as problem:
         raise TlsError(name, f'{name} "{path}" cannot be read: {problem.strerror}') from None
 
 
-def _pair_problem(paths: dict[str, str], held: dict[str, bytes], problem: Exception) -> TlsError:
+def _key_pair_error(paths: dict[str, str], contents: dict[str, bytes], problem: Exception) -> TlsError:
     """Which of the pair is at fault."""
     if getattr(problem, "reason", None) == "KEY_VALUES_MISMATCH":
-        return _unusable("tls_key", paths, f'does not match tls_cert "{paths["tls_cert"]}"')
+        return _unusable_file_error("tls_key", paths, f'does not match tls_cert "{paths["tls_cert"]}"')
     try:
-        ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT).load_verify_locations(cadata=held["tls_cert"].decode("ascii"))
+        ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT).load_verify_locations(
+            cadata=contents["tls_cert"].decode("ascii")
+        )
     except (ssl.SSLError, ValueError):
-        return _unusable("tls_cert", paths, "holds no certificate that can be read")
-    if b"ENCRYPTED" in held["tls_key"]:
-        return _unusable("tls_key", paths, "is encrypted")
-    return _unusable("tls_key", paths, "holds no key that can be used with tls_cert")
+        return _unusable_file_error("tls_cert", paths, "holds no certificate that can be read")
+    if b"ENCRYPTED" in contents["tls_key"]:
+        return _unusable_file_error("tls_key", paths, "is encrypted")
+    return _unusable_file_error("tls_key", paths, "holds no key that can be used with tls_cert")
 
 
-def _unusable(name: str, paths: dict[str, str], text: str) -> TlsError:
+def _unusable_file_error(name: str, paths: dict[str, str], text: str) -> TlsError:
     return TlsError(name, f'{name} "{paths[name]}" {text}')
 
 
-class Tls:
+class TlsServer:
     """The server's side of TLS as it is at present. Connections keep what they were made with."""
 
-    def __init__(self, loop: Loop, file: OperatorFile) -> None:
+    def __init__(self, loop: EventLoop, file: OperatorFile) -> None:
         self.loop, self.file = loop, file
-        self.turns = Turns(loop, 0.01 * file.whole("tls_handshake_part"))
-        self._held = self._contents(file)
-        self.context = context_of(file)
-        self._timer: Timer
-        self._again()
-
-    def stream(self, loop: Loop, budget: Budget, sock: socket.socket, ready: Ready) -> TlsStream:
+        self.handshakes = HandshakeScheduler(loop, 0.01 * file.integer("tls_handshake_part"))
+        self._current_contents = self._read_contents(file)
+        self.context = make_context(file)
+        self._reload_timer: ScheduledCall
+        self._schedule_reload()
+
+    def make_stream(
+        self, loop: EventLoop, budget: ResourceBudget, sock: socket.socket, ready: ReadyCallback
+    ) -> TlsStream:
         """A connection's stream, with the present certificate."""
-        return TlsStream(loop, budget, sock, ready, self.context, self.turns)
+        return TlsStream(loop, budget, sock, ready, self.context, self.handshakes)
 
-    def certificate(self) -> str:
+    def certificate_fingerprint(self) -> str:
         """What tells the present certificate from others: the begin of its SHA-256."""
-        pem = self._held.get("tls_cert", b"").decode("ascii", "replace")
+        pem = self._current_contents.get("tls_cert", b"").decode("ascii", "replace")
         begin, end = pem.find(ssl.PEM_HEADER), pem.find(ssl.PEM_FOOTER)
         whole = ssl.PEM_cert_to_DER_cert(pem[begin : end + len(ssl.PEM_FOOTER)])
         return hashlib.sha256(whole).hexdigest()[:16]
 
     def reload(self, file: OperatorFile) -> None:
         """SIGHUP: other settings, perhaps, and the pair is read again in any case."""
-        self.turns.queue.part = 0.01 * file.whole("tls_handshake_part")
-        self._refresh(file, {})
-        self._again()
-
-    def _again(self) -> None:
-        if hasattr(self, "_timer"):
-            self._timer.cancel()
-        self._timer = self.loop.after(1000.0 * self.file.seconds("tls_reload_interval"), self._turn)
-
-    def _turn(self) -> None:
-        self._refresh(self.file, self._held)
-        self._again()
-
-    def _refresh(self, file: OperatorFile, held: dict[str, bytes]) -> None:
+        self.handshakes.queue.cpu_fraction = 0.01 * file.integer("tls_handshake_part")
+        self._reload_if_changed(file, {})
+        self._schedule_reload()
+
+    def _schedule_reload(self) -> None:
+        if hasattr(self, "_reload_timer"):
+            self._reload_timer.cancel()
+        self._reload_timer = self.loop.call_after(
+            1000.0 * self.file.seconds("tls_reload_interval"), self._reload_periodically
+        )
+
+    def _reload_periodically(self) -> None:
+        self._reload_if_changed(self.file, self._current_contents)
+        self._schedule_reload()
+
+    def _reload_if_changed(self, file: OperatorFile, current_contents: dict[str, bytes]) -> None:
         """Take what the files hold now, if that is something else and a whole. Guards against a pair of which
         one file is new and the other not yet: the old pair stays.
         """
         try:
-            contents = self._contents(file)
-            if contents == held:
+            contents = self._read_contents(file)
+            if contents == current_contents:
                 return
-            self._held = contents  # said once, not at each look
-            context = context_of(file)
-            if self._contents(file) != contents:
-                self._held = {}  # it changes at this moment: look again the next time
+            self._current_contents = contents  # said once, not at each look
+            context = make_context(file)
+            if self._read_contents(file) != contents:
+                self._current_contents = {}  # it changes at this moment: look again the next time
                 return
         except TlsError as problem:
-            say(log, logging.ERROR, "tls_reload_failed", text=problem)
+            log_event(logger, logging.ERROR, "tls_reload_failed", text=problem)
             return
         self.file, self.context = file, context
-        say(log, logging.INFO, "tls_reloaded", certificate=self.certificate())
+        log_event(logger, logging.INFO, "tls_reloaded", certificate=self.certificate_fingerprint())
 
     @staticmethod
-    def _contents(file: OperatorFile) -> dict[str, bytes]:
-        return {name: _content(name, path) for name in FILES if (path := file.text(name)) is not None}
+    def _read_contents(file: OperatorFile) -> dict[str, bytes]:
+        return {
+            name: _read_file(name, path) for name in FILE_SETTINGS if (path := file.text(name)) is not None
+        }
--- a/rosepick/ops/telemetry.py
+++ b/rosepick/ops/telemetry.py
@@ -6,26 +6,26 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ..core.account import End
-
-OUTCOMES = {
-    End.SERVED: "success",
-    End.REFUSED: "busy",
-    End.FAILED: "failure",
-    End.LATE: "failure",
-    End.BROKE: "failure",
+from ..core.request_counters import RequestOutcome
+
+COUNTER_BY_END = {
+    RequestOutcome.SERVED: "success",
+    RequestOutcome.REFUSED: "busy",
+    RequestOutcome.FAILED: "failure",
+    RequestOutcome.TIMED_OUT: "failure",
+    RequestOutcome.INTERNAL_ERROR: "failure",
 }
 """The figure that each end counts to. A client that has gone was told nothing."""
 
 
 @dataclass(frozen=True, slots=True)
-class Figures:
+class TelemetrySnapshot:
     """The figures at one moment. Classes are named by place; ones that vanished keep theirs."""
 
-    classes: Mapping[int, str]
-    ended: Mapping[tuple[int, End], int]
-    unfit: Mapping[int, int]  # requests that could not be taken, by class
-    written: Mapping[int, int]  # attempts written whole, by class
+    class_names: Mapping[int, str]
+    ended_counts: Mapping[tuple[int, RequestOutcome], int]
+    rejected_counts: Mapping[int, int]  # requests that could not be taken, by class
+    written_counts: Mapping[int, int]  # attempts written whole, by class
     inflight: int
     hosts_listed: int
     hosts_down: int
@@ -35,8 +35,8 @@
     def document(self) -> dict[str, object]:
         """As a JSON object."""
         return {
-            "calls": {name: self._calls(place) for place, name in self.classes.items()},
-            "backend_calls": sum(self.written.values()),
+            "calls": {name: self._class_counters(place) for place, name in self.class_names.items()},
+            "backend_calls": sum(self.written_counts.values()),
             "inflight": self.inflight,
             "hosts_listed": self.hosts_listed,
             "hosts_down": self.hosts_down,
@@ -48,9 +48,9 @@
         """As one line of text."""
         return json.dumps(self.document(), separators=(",", ":"))
 
-    def _calls(self, place: int) -> dict[str, int]:
-        failed, written = self.unfit.get(place, 0), self.written.get(place, 0)
+    def _class_counters(self, class_index: int) -> dict[str, int]:
+        failed, written = self.rejected_counts.get(class_index, 0), self.written_counts.get(class_index, 0)
         found = {"success": 0, "busy": 0, "failure": failed, "backend_calls": written}
-        for end, figure in OUTCOMES.items():
-            found[figure] += self.ended.get((place, end), 0)
+        for end, figure in COUNTER_BY_END.items():
+            found[figure] += self.ended_counts.get((class_index, end), 0)
         return found
--- a/rosepick/settings/config.py
+++ b/rosepick/settings/config.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Names:
+class NameIndexes:
     """Positions of the settings' names, by which the wire tells them."""
 
     classes: Mapping[str, int]
@@ -27,11 +27,11 @@
     gone_classes: Mapping[str, int] = field(default_factory=dict)  # that vanished: their places stay theirs
     gone_tenants: Mapping[str, int] = field(default_factory=dict)
 
-    def every_class(self) -> dict[str, int]:
+    def all_classes(self) -> dict[str, int]:
         """Classes that are or were."""
         return {**self.gone_classes, **self.classes}
 
-    def every_tenant(self) -> dict[str, int]:
+    def all_tenants(self) -> dict[str, int]:
         """Tenants that are or were."""
         return {**self.gone_tenants, **self.tenants}
 
@@ -44,65 +44,67 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: int
-    sockets: int
+    max_descriptors: int
     memory_mb: float
-    settings: api.Settings
-    names: Names
-    conn_idle: float
-    dial_timeout: float
-    known: readers.Reader
+    settings: api.RouterSettings
+    names: NameIndexes
+    idle_timeout_ms: float
+    connect_timeout_ms: float
+    known: readers.SettingsReader
     ops: tuple[str, int] | None = None  # where operators ask
     listen_fd: int | None = None  # a listening socket that is inherited
-    keys: frozenset[str] = frozenset()  # that the file holds, by their places; of classes those of every one
+    key_paths: frozenset[str] = (
+        frozenset()
+    )  # that the file holds, by their places; of classes those of every one
 
 
-ADDRESS = "an address of the form host:port"
+ADDRESS_FORMAT = "an address of the form host:port"
 
 
-def address(text: str) -> tuple[str, int]:
+def parse_address(text: str) -> tuple[str, int]:
     """Host and port of `host:port`."""
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ValueError(f"{text!r} is not {ADDRESS}")
+        raise ValueError(f"{text!r} is not {ADDRESS_FORMAT}")
     return host.strip("[]"), int(port)
 
 
-def renewed(before: Config, told: Config) -> Config:
+def merge_reload(current: Config, new: Config) -> Config:
     """The configuration in force once a running router has taken a new file. A class or a tenant keeps its
     place, also one that has vanished: open requests go by places. What needs a restart stays as it was.
     """
-    lacking = sorted(before.keys - told.keys)
+    lacking = sorted(current.key_paths - new.key_paths)
     if lacking:  # guards against rules that fall back to defaults as a file was cut or a line of it lost
         raise ValueError(f"setting {lacking[0]} is missing; the file in force has it")
-    classes, rows = _placed(
-        before.names.every_class(), before.settings.classes, told.names.classes, told.settings.classes
+    classes, rows = _merge_indexes(
+        current.names.all_classes(), current.settings.classes, new.names.classes, new.settings.classes
     )
-    tenants, shares = _placed(
-        before.names.every_tenant(), before.settings.tenants, told.names.tenants, told.settings.tenants
+    tenants, shares = _merge_indexes(
+        current.names.all_tenants(), current.settings.tenants, new.names.tenants, new.settings.tenants
     )
-    was = before.settings
+    was = current.settings
     return replace(
-        told,
+        new,
         settings=replace(
-            told.settings,
+            new.settings,
             classes=rows,
             tenants=shares,
-            **{key: getattr(was, key) for key in _FIXED},
+            **{key: getattr(was, key) for key in _FIXED_SETTINGS},
         ),
         names=replace(
-            before.names,
-            classes=_now(classes, told.names.classes),
-            tenants=_now(tenants, told.names.tenants),
-            gone_classes=_gone(classes, told.names.classes),
-            gone_tenants=_gone(tenants, told.names.tenants),
+            current.names,
+            classes=_present(classes, new.names.classes),
+            tenants=_present(tenants, new.names.tenants),
+            gone_classes=_removed(classes, new.names.classes),
+            gone_tenants=_removed(tenants, new.names.tenants),
         ),
-        **{key: getattr(before, key) for key in (*_AT_START, "listen_fd", "known")},
+        **{key: getattr(current, key) for key in (*_START_ONLY_KEYS, "listen_fd", "known")},
     )
 
 
 # What counts at the start only; of the settings and their names, with their places in the file.
-_AT_START = ("name", "listen", "seed", "ops")
-_FIXED = {
+_START_ONLY_KEYS = ("name", "listen", "seed", "ops")
+_FIXED_SETTINGS = {
     "mode": "domain.mode",
     "origin_kind": "domain.origin_kind",
     "zone": "zone",
@@ -113,12 +115,12 @@
 _FIXED_NAMES = {"zones": "failure_domains", "kinds": "machine_types"}
 
 
-def changed(before: Config, told: Config) -> tuple[str, ...]:
+def settings_needing_restart(current: Config, new: Config) -> tuple[str, ...]:
     """What of a new configuration cannot be applied by a running router: it needs a restart."""
     parts = (
-        (before, told, dict.fromkeys(_AT_START, "")),
-        (before.settings, told.settings, _FIXED),
-        (before.names, told.names, _FIXED_NAMES),
+        (current, new, dict.fromkeys(_START_ONLY_KEYS, "")),
+        (current.settings, new.settings, _FIXED_SETTINGS),
+        (current.names, new.names, _FIXED_NAMES),
     )
     return tuple(
         place or key
@@ -131,23 +133,23 @@
 T = TypeVar("T")
 
 
-def _placed(
-    places: Mapping[str, int], rows: Sequence[T], now: Mapping[str, int], told: Sequence[T]
+def _merge_indexes(
+    indexes: Mapping[str, int], rows: Sequence[T], now: Mapping[str, int], new_rows: Sequence[T]
 ) -> tuple[dict[str, int], tuple[T, ...]]:
     """Every name with its place, old places first, and the row at each place."""
-    every = {**places}
+    every = {**indexes}
     for name in now:
         every.setdefault(name, len(every))
-    found = dict(enumerate(rows)) | {every[name]: told[place] for name, place in now.items()}
+    found = dict(enumerate(rows)) | {every[name]: new_rows[place] for name, place in now.items()}
     return every, tuple(found[place] for place in range(len(every)))
 
 
-def _now(every: Mapping[str, int], told: Mapping[str, int]) -> dict[str, int]:
-    return {name: place for name, place in every.items() if name in told}
+def _present(indexes: Mapping[str, int], present: Mapping[str, int]) -> dict[str, int]:
+    return {name: place for name, place in indexes.items() if name in present}
 
 
-def _gone(every: Mapping[str, int], told: Mapping[str, int]) -> dict[str, int]:
-    return {name: place for name, place in every.items() if name not in told}
+def _removed(indexes: Mapping[str, int], present: Mapping[str, int]) -> dict[str, int]:
+    return {name: place for name, place in indexes.items() if name not in present}
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -156,14 +158,14 @@
     if not path:
         raise ConfigError("GW_CONFIG is not set; it must name the configuration file")
     try:
-        return around(read(parse(Path(path).read_bytes())), environment)
+        return apply_environment(read(parse_json(Path(path).read_bytes())), environment)
     except OSError as problem:
         raise ConfigError(f"{path}: {problem.strerror or problem}") from None
     except ValueError as problem:
         raise ConfigError(f"{path}: {problem}") from None
 
 
-def parse(data: bytes) -> object:
+def parse_json(data: bytes) -> object:
     """The JSON of a file; ValueError names the place where it ends being that."""
     try:
         return json.loads(data)
@@ -176,76 +178,80 @@
         raise ValueError("not valid JSON: too deep") from None
 
 
-def around(told: Config, environment: Mapping[str, str]) -> Config:
+def apply_environment(config: Config, environment: Mapping[str, str]) -> Config:
     """What the environment tells beside the file, which comes first."""
     ops, descriptor = environment.get("GW_OPS"), environment.get("GW_LISTEN_FD")
-    if ops and told.ops is None:
-        told = replace(told, ops=address(ops))
+    if ops and config.ops is None:
+        config = replace(config, ops=parse_address(ops))
     if not descriptor:
-        return told
+        return config
     if not descriptor.isdecimal():
         raise ValueError(f"GW_LISTEN_FD is {descriptor!r}, not the number of a descriptor")
-    return replace(told, listen_fd=int(descriptor))
+    return replace(config, listen_fd=int(descriptor))
 
 
-def read(document: object, reader: Callable[[Any, str], readers.Reader] = readers.Reader) -> Config:
+def read(
+    document: object, reader: Callable[[Any, str], readers.SettingsReader] = readers.SettingsReader
+) -> Config:
     """The configuration from JSON that was read; ValueError names what is wrong."""
     if not isinstance(document, dict):
         raise ValueError("the document is not an object")
     top = reader(document, "")
     told = reader(top.data.get("settings"), "settings")
-    limits = told.part("limits")
+    limits = told.section("limits")
     return Config(
         name=top.text("name"),
-        listen=top.parsed("listen", address, ADDRESS, ("", 0)),
-        discovery=top.parsed("discovery", address, ADDRESS, ("", 0)),
+        listen=top.parsed("listen", parse_address, ADDRESS_FORMAT, ("", 0)),
+        discovery=top.parsed("discovery", parse_address, ADDRESS_FORMAT, ("", 0)),
         seed=top.parsed("seed", lambda text: int(text, 16), "a hexadecimal number", 0),
-        sockets=top.part("limits").whole("sockets", 1024),
-        memory_mb=top.part("limits").number("memory_mb", 192.0),
-        settings=_heard(readers.settings_of(told)),
-        names=Names(*(_places(told, key) for key in _LISTS)),
-        conn_idle=limits.number("conn_idle", 15_000.0),
-        dial_timeout=limits.number("dial_timeout", 250.0),
-        known=top.part("known"),
-        keys=frozenset(_keys(document, "")),
-        ops=None if top.data.get("ops") is None else top.parsed("ops", address, ADDRESS, ("", 0)),
+        max_descriptors=top.section("limits").integer("sockets", 1024),
+        memory_mb=top.section("limits").number("memory_mb", 192.0),
+        settings=_with_polled_membership(readers.read_settings(told)),
+        names=NameIndexes(*(_read_indexes(told, key) for key in _NAME_LISTS)),
+        idle_timeout_ms=limits.number("conn_idle", 15_000.0),
+        connect_timeout_ms=limits.number("dial_timeout", 250.0),
+        known=top.section("known"),
+        key_paths=frozenset(_key_paths(document, "")),
+        ops=None
+        if top.data.get("ops") is None
+        else top.parsed("ops", parse_address, ADDRESS_FORMAT, ("", 0)),
     )
 
 
-def _heard(settings: api.Settings) -> api.Settings:
+def _with_polled_membership(settings: api.RouterSettings) -> api.RouterSettings:
     """On sockets nothing comes by itself: guards against a router that waits for a list which is pushed to an
     agent, and that it has to ask that agent for.
     """
     return replace(settings, subscribe=True, pushed=not settings.subscribe)
 
 
-_LISTS = ("request_classes", "tenants", "failure_domains", "machine_types")
+_NAME_LISTS = ("request_classes", "tenants", "failure_domains", "machine_types")
 
 
-def _places(told: readers.Reader, key: str) -> dict[str, int]:
-    names = told.names(key)
+def _read_indexes(reader: readers.SettingsReader, key: str) -> dict[str, int]:
+    names = reader.names(key)
     twice = next((name for place, name in enumerate(names) if name in names[:place]), None)
     if twice is not None:
-        raise ValueError(f"setting {told.name(key)} names {twice!r} twice")
+        raise ValueError(f"setting {reader.path_of(key)} names {twice!r} twice")
     return {name: place for place, name in enumerate(names)}
 
 
-def _keys(found: object, where: str) -> Iterator[str]:
+def _key_paths(node: object, path: str) -> Iterator[str]:
     """The places of all keys, but what only some classes have; not the list of next hops."""
-    if not isinstance(found, dict):
+    if not isinstance(node, dict):
         return
-    for key, value in found.items():
+    for key, value in node.items():
         if value is None:
             continue  # as good as missing: it would read as the default
-        place = f"{where}.{key}" if where else key
+        place = f"{path}.{key}" if path else key
         yield place
-        if place == _CLASSES and isinstance(value, list):
+        if place == _CLASSES_PATH and isinstance(value, list):
             rows = [row for row in value if isinstance(row, dict)]
-            told = (name for name in _OF_CLASS if all(row.get(name) is not None for row in rows))
+            told = (name for name in _CLASS_KEYS if all(row.get(name) is not None for row in rows))
             yield from (f"{place}[].{name}" for name in told)
         elif place != "known":
-            yield from _keys(value, place)
+            yield from _key_paths(value, place)
 
 
-_CLASSES = "settings.request_classes"
-_OF_CLASS = ("name", "deadline", "objective", "effect", "worth")
+_CLASSES_PATH = "settings.request_classes"
+_CLASS_KEYS = ("name", "deadline", "objective", "effect", "worth")
