--- a/rosepick/settings/operator_file.py
+++ b/rosepick/settings/operator_file.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
-Value = int | float | str | None
+SettingValue = int | float | str | None
 _COMMENT = re.compile(r"(?:^|(?<=\s))#.*")
 
 
@@ -21,104 +21,104 @@
     """One setting: its name, what its values are, and the one in force where the file says nothing."""
 
     name: str
-    default: Value = None
-    live: bool = False  # whether a running router applies a new value after SIGHUP
+    default: SettingValue = None
+    is_reloadable: bool = False  # whether a running router applies a new value after SIGHUP
 
-    def read(self, text: str) -> Value:
+    def parse(self, text: str) -> SettingValue:
         """The value that a text states; ValueError says what is wrong with it."""
         return text
 
-    def show(self, value: Value) -> str:
+    def format_value(self, value: SettingValue) -> str:
         """A value as the file would state it."""
         return "not set" if value is None else str(value)
 
 
 @dataclass(frozen=True, slots=True)
-class Whole(Setting):
+class IntegerSetting(Setting):
     """A whole number of a range."""
 
-    low: int = 0
-    high: int = 2**31
+    minimum: int = 0
+    maximum: int = 2**31
 
-    def read(self, text: str) -> Value:
-        if not (text.isascii() and text.isdigit()) or not self.low <= int(text[:12]) <= self.high:
-            raise ValueError(f"is not a whole number from {self.low} to {self.high}")
+    def parse(self, text: str) -> SettingValue:
+        if not (text.isascii() and text.isdigit()) or not self.minimum <= int(text[:12]) <= self.maximum:
+            raise ValueError(f"is not a whole number from {self.minimum} to {self.maximum}")
         return int(text)
 
 
 @dataclass(frozen=True, slots=True)
-class Seconds(Setting):
+class DurationSetting(Setting):
     """A span of time in seconds; the unit may be written."""
 
-    low: float = 0.0
-    high: float = 86_400.0
+    minimum: float = 0.0
+    maximum: float = 86_400.0
 
-    def read(self, text: str) -> Value:
+    def parse(self, text: str) -> SettingValue:
         found = re.fullmatch(r"([0-9]{1,9}(?:\.[0-9]{1,6})?) ?s?", text)
-        if found is None or not self.low <= float(found[1]) <= self.high:
-            raise ValueError(f"is not a time from {self.low:g} to {self.high:g} s")
+        if found is None or not self.minimum <= float(found[1]) <= self.maximum:
+            raise ValueError(f"is not a time from {self.minimum:g} to {self.maximum:g} s")
         return float(found[1])
 
-    def show(self, value: Value) -> str:
+    def format_value(self, value: SettingValue) -> str:
         return f"{value:g} s"
 
 
 @dataclass(frozen=True, slots=True)
-class Choice(Setting):
+class ChoiceSetting(Setting):
     """One of a few words."""
 
-    words: tuple[str, ...] = ()
+    choices: tuple[str, ...] = ()
 
-    def read(self, text: str) -> Value:
-        if text not in self.words:
-            raise ValueError(f"is not one of {', '.join(self.words)}")
+    def parse(self, text: str) -> SettingValue:
+        if text not in self.choices:
+            raise ValueError(f"is not one of {', '.join(self.choices)}")
         return text
 
 
-TABLE: tuple[Setting, ...] = (
-    Whole("capture_segments", 4, low=1, high=192),
-    Whole("capture_segment_kb", 192, low=4, high=768),
+SETTINGS: tuple[Setting, ...] = (
+    IntegerSetting("capture_segments", 4, minimum=1, maximum=192),
+    IntegerSetting("capture_segment_kb", 192, minimum=4, maximum=768),
     Setting("capture_dir"),
-    Whole("tls_listen", low=0, high=65_535),
-    Setting("tls_cert", live=True),
-    Setting("tls_key", live=True),
-    Choice("tls_min_version", "1.2", live=True, words=("1.2", "1.3")),
-    Choice("tls_client_cert", "off", live=True, words=("off", "optional", "required")),
-    Setting("tls_client_ca", live=True),
-    Seconds("tls_reload_interval", 30.0, live=True, low=1.0),
-    Whole("multiget_listen", low=0, high=65_535),
-    Whole("multiget_max_keys", 64, live=True, low=1, high=1024),
-    Whole("clients_hold", live=True, low=2, high=1_000_000),
-    Whole("doors_part", 50, live=True, low=10, high=90),
-    Choice("address_shares", "on", live=True, words=("on", "off")),
-    Seconds("silent_timeout", 2.2, live=True, low=0.2, high=3600.0),
-    Seconds("idle_timeout", 8.0, live=True, low=0.5, high=3600.0),
-    Seconds("request_timeout", 2.5, live=True, low=0.1, high=60.0),
-    Whole("accept_queue", 1024, live=True, low=1, high=65_535),
-    Whole("tls_handshake_part", 25, live=True, low=1, high=100),
+    IntegerSetting("tls_listen", minimum=0, maximum=65_535),
+    Setting("tls_cert", is_reloadable=True),
+    Setting("tls_key", is_reloadable=True),
+    ChoiceSetting("tls_min_version", "1.2", is_reloadable=True, choices=("1.2", "1.3")),
+    ChoiceSetting("tls_client_cert", "off", is_reloadable=True, choices=("off", "optional", "required")),
+    Setting("tls_client_ca", is_reloadable=True),
+    DurationSetting("tls_reload_interval", 30.0, is_reloadable=True, minimum=1.0),
+    IntegerSetting("multiget_listen", minimum=0, maximum=65_535),
+    IntegerSetting("multiget_max_keys", 64, is_reloadable=True, minimum=1, maximum=1024),
+    IntegerSetting("clients_hold", is_reloadable=True, minimum=2, maximum=1_000_000),
+    IntegerSetting("doors_part", 50, is_reloadable=True, minimum=10, maximum=90),
+    ChoiceSetting("address_shares", "on", is_reloadable=True, choices=("on", "off")),
+    DurationSetting("silent_timeout", 2.2, is_reloadable=True, minimum=0.2, maximum=3600.0),
+    DurationSetting("idle_timeout", 8.0, is_reloadable=True, minimum=0.5, maximum=3600.0),
+    DurationSetting("request_timeout", 2.5, is_reloadable=True, minimum=0.1, maximum=60.0),
+    IntegerSetting("accept_queue", 1024, is_reloadable=True, minimum=1, maximum=65_535),
+    IntegerSetting("tls_handshake_part", 25, is_reloadable=True, minimum=1, maximum=100),
 )
 """Every setting there is, by feature."""
 
-RING_KB = 768  # the most that all segments of the capture may hold
+MAX_CAPTURE_KIB = 768  # the most that all segments of the capture may hold
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class SettingFault:
     """Something wrong, and where: a line of the file, or the file as a whole."""
 
-    place: str
+    source: str
     line: int | None
     text: str
 
     def __str__(self) -> str:
         where = f" line {self.line}:" if self.line is not None else ":"
-        return f"{self.place}{where} {self.text}"
+        return f"{self.source}{where} {self.text}"
 
 
 class OperatorFileError(Exception):
     """The operators' file cannot be used; one line a fault."""
 
-    def __init__(self, faults: tuple[Fault, ...]) -> None:
+    def __init__(self, faults: tuple[SettingFault, ...]) -> None:
         super().__init__("; ".join(map(str, faults)))
         self.faults = faults
 
@@ -127,13 +127,13 @@
 class OperatorFile:
     """The values in force, the lines that state them, and what is wrong."""
 
-    table: tuple[Setting, ...]
-    values: Mapping[str, Value]
+    settings: tuple[Setting, ...]
+    values: Mapping[str, SettingValue]
     lines: Mapping[str, int]
-    faults: tuple[Fault, ...] = ()
-    place: str = ""
+    faults: tuple[SettingFault, ...] = ()
+    source: str = ""
 
-    def whole(self, name: str) -> int:
+    def integer(self, name: str) -> int:
         """The value of a setting that is a whole number."""
         value = self.values[name]
         assert isinstance(value, int)
@@ -151,82 +151,84 @@
         assert value is None or isinstance(value, str)
         return value
 
-    def number(self, name: str) -> int | None:
+    def optional_integer(self, name: str) -> int | None:
         """The value of a setting that is a whole number, if it is set."""
         value = self.values[name]
         assert value is None or isinstance(value, int)
         return value
 
-    def fault(self, name: str, text: str) -> Fault:
+    def make_fault(self, name: str, text: str) -> SettingFault:
         """A fault with the place of a setting."""
-        return Fault(self.place, self.lines.get(name), text)
+        return SettingFault(self.source, self.lines.get(name), text)
 
-    def differing(self, other: OperatorFile) -> list[Setting]:
+    def changed_settings(self, other: OperatorFile) -> list[Setting]:
         """The settings that have other values there."""
-        return [s for s in self.table if self.values[s.name] != other.values.get(s.name)]
+        return [s for s in self.settings if self.values[s.name] != other.values.get(s.name)]
 
-    def in_force(self) -> Iterator[str]:
+    def effective_lines(self) -> Iterator[str]:
         """Each value in force with its source."""
-        for setting in self.table:
+        for setting in self.settings:
             line = self.lines.get(setting.name)
-            source = "default" if line is None else f"{self.place} line {line}"
-            yield f"{setting.name} {setting.show(self.values[setting.name])} ({source})"
+            source = "default" if line is None else f"{self.source} line {line}"
+            yield f"{setting.name} {setting.format_value(self.values[setting.name])} ({source})"
 
 
-def read(data: bytes, place: str, table: tuple[Setting, ...] = TABLE) -> OperatorFile:
+def read(data: bytes, source: str, table: tuple[Setting, ...] = SETTINGS) -> OperatorFile:
     """A file's content, with all that is wrong with it by itself."""
     values = {setting.name: setting.default for setting in table}
     lines: dict[str, int] = {}
-    faults: list[Fault] = []
+    faults: list[SettingFault] = []
     known = {setting.name: setting for setting in table}
     for number, raw in enumerate(data.removeprefix(b"\xef\xbb\xbf").split(b"\n"), 1):
         try:
-            stated = _line(raw, known, lines)
+            stated = _parse_line(raw, known, lines)
             if stated is not None:
                 name, value = stated
                 values[name], lines[name] = value, number
         except UnicodeDecodeError:
-            faults.append(Fault(place, number, "not UTF-8"))
+            faults.append(SettingFault(source, number, "not UTF-8"))
         except ValueError as problem:
-            faults.append(Fault(place, number, str(problem)))
-    found = OperatorFile(table, values, lines, tuple(faults), place)
-    faults += _between(found)
+            faults.append(SettingFault(source, number, str(problem)))
+    found = OperatorFile(table, values, lines, tuple(faults), source)
+    faults += _cross_check(found)
     return replace(found, faults=tuple(sorted(faults, key=lambda fault: fault.line or 0)))
 
 
-def _between(found: OperatorFile) -> Iterator[Fault]:
+def _cross_check(found: OperatorFile) -> Iterator[SettingFault]:
     """What is wrong between settings that are right by themselves."""
-    if found.table is TABLE:
-        yield from _ring(found)
-        yield from _tls(found)
+    if found.settings is SETTINGS:
+        yield from _check_capture_size(found)
+        yield from _check_tls(found)
 
 
-def _ring(found: OperatorFile) -> Iterator[Fault]:
-    count, size = found.whole("capture_segments"), found.whole("capture_segment_kb")
-    if count * size > RING_KB:
+def _check_capture_size(found: OperatorFile) -> Iterator[SettingFault]:
+    count, size = found.integer("capture_segments"), found.integer("capture_segment_kb")
+    if count * size > MAX_CAPTURE_KIB:
         later = max(("capture_segments", "capture_segment_kb"), key=lambda name: found.lines.get(name, 0))
-        yield found.fault(
+        yield found.make_fault(
             later,
             (
                 f"capture_segments {count} of capture_segment_kb {size} make a ring of {count * size} KiB, "
-                f"more than {RING_KB}"
+                f"more than {MAX_CAPTURE_KIB}"
             ),
         )
 
 
-def _tls(found: OperatorFile) -> Iterator[Fault]:
+def _check_tls(found: OperatorFile) -> Iterator[SettingFault]:
     missing = [name for name in ("tls_cert", "tls_key") if found.text(name) is None]
     if len(missing) == 1:
         stated = "tls_key" if missing == ["tls_cert"] else "tls_cert"
-        yield found.fault(stated, f"{stated} is set without {missing[0]}")
-    elif missing and found.number("tls_listen") is not None:
-        yield found.fault("tls_listen", "tls_listen needs tls_cert and tls_key")
+        yield found.make_fault(stated, f"{stated} is set without {missing[0]}")
+    elif missing and found.optional_integer("tls_listen") is not None:
+        yield found.make_fault("tls_listen", "tls_listen needs tls_cert and tls_key")
     mode = found.text("tls_client_cert")
     if mode != "off" and found.text("tls_client_ca") is None:
-        yield found.fault("tls_client_cert", f"tls_client_cert {mode} needs tls_client_ca")
+        yield found.make_fault("tls_client_cert", f"tls_client_cert {mode} needs tls_client_ca")
 
 
-def _line(raw: bytes, known: Mapping[str, Setting], lines: Mapping[str, int]) -> tuple[str, Value] | None:
+def _parse_line(
+    raw: bytes, known: Mapping[str, Setting], lines: Mapping[str, int]
+) -> tuple[str, SettingValue] | None:
     """What one line states, if anything; ValueError if it cannot be used."""
     text = _COMMENT.sub("", raw.decode()).strip()
     if not text:
@@ -243,33 +245,33 @@
     if not value:
         raise ValueError(f"{name} has no value")
     try:
-        return name, setting.read(value)
+        return name, setting.parse(value)
     except ValueError as problem:
         raise ValueError(f'{name} "{value}" {problem}') from None
 
 
-def defaults(table: tuple[Setting, ...] = TABLE) -> OperatorFile:
+def defaults(table: tuple[Setting, ...] = SETTINGS) -> OperatorFile:
     """What is in force without a file."""
     return read(b"", "", table)
 
 
-def look(path: str | Path, table: tuple[Setting, ...] = TABLE) -> OperatorFile:
+def read_file(path: str | Path, table: tuple[Setting, ...] = SETTINGS) -> OperatorFile:
     """A file with its faults; one that cannot be read is a fault."""
     place = Path(path).name
     try:
         return read(Path(path).read_bytes(), place, table)
     except OSError as problem:
-        fault = Fault(place, None, problem.strerror or str(problem))
+        fault = SettingFault(place, None, problem.strerror or str(problem))
         nothing = defaults(table)
         return OperatorFile(table, nothing.values, {}, (fault,), place)
 
 
-def load(path: str | Path | None, table: tuple[Setting, ...] = TABLE) -> OperatorFile:
+def load(path: str | Path | None, table: tuple[Setting, ...] = SETTINGS) -> OperatorFile:
     """A file that can be used, or what is in force without one. OperatorFileError if it has a fault."""
-    return usable(defaults(table) if path is None else look(path, table))
+    return require_valid(defaults(table) if path is None else read_file(path, table))
 
 
-def usable(found: OperatorFile) -> OperatorFile:
+def require_valid(found: OperatorFile) -> OperatorFile:
     """The same, if it has no fault; else OperatorFileError."""
     if found.faults:
         raise OperatorFileError(found.faults)
@@ -277,9 +279,9 @@
 
 
 @dataclass(slots=True)
-class Operators:
+class OperatorOptions:
     """What the operators tell a router: their file, how to read it again, and the command line's switches."""
 
     file: OperatorFile = field(default_factory=defaults)
-    reread: Callable[[], OperatorFile] | None = None
-    capture: bool = False
+    reload: Callable[[], OperatorFile] | None = None
+    capture_enabled: bool = False
--- a/rosepick/simulator/host.py
+++ b/rosepick/simulator/host.py
@@ -17,69 +17,69 @@
 from . import wire
 
 
-class Broken(Exception):
+class InstanceError(Exception):
     """An instance cannot go on; carries the records to send."""
 
-    def __init__(self, who: int, line: str) -> None:
+    def __init__(self, instance_id: int, line: str) -> None:
         super().__init__(line)
-        self.who = who
+        self.instance_id = instance_id
 
 
-class Host:
+class SimulatorHost:
     """All instances of one process."""
 
     def __init__(self) -> None:
         self.routers: dict[int, Router] = {}
-        self.pools: dict[int, tuple[api.Member, ...]] = {}
+        self.endpoint_lists: dict[int, tuple[api.Endpoint, ...]] = {}
 
-    def batch(self, body: bytes) -> bytes:
+    def handle_batch(self, body: bytes) -> bytes:
         """Answer one batch."""
-        count, now, number = wire.batches_header(body)
+        count, now, number = wire.decode_batch_header(body)
         out: list[bytes] = []
         try:
-            for code, fields in wire.records(body, count):
-                self.record(now, code, fields, out)
-        except Broken as problem:
-            out.append(wire.text(25, problem.who, str(problem)))
-            raise Stop(str(problem), wire.reply(number, out)) from None
-        return wire.reply(number, out)
-
-    def record(self, now: float, code: int, fields: bytes, out: list[bytes]) -> None:
+            for code, fields in wire.split_records(body, count):
+                self.handle_record(now, code, fields, out)
+        except InstanceError as problem:
+            out.append(wire.encode_text(25, problem.instance_id, str(problem)))
+            raise HostStoppedError(str(problem), wire.encode_reply(number, out)) from None
+        return wire.encode_reply(number, out)
+
+    def handle_record(self, now: float, code: int, fields: bytes, replies: list[bytes]) -> None:
         """Hand one record to the instance it concerns."""
-        if code == wire.POOL:
-            number, members = wire.pool(fields)
-            self.pools[number] = members
+        if code == wire.ENDPOINT_LIST:
+            number, members = wire.decode_endpoint_list(fields)
+            self.endpoint_lists[number] = members
             return
-        who = wire.instance(fields)
+        who = wire.decode_instance_id(fields)
         try:
             if code == wire.PROVISION:
-                seed, env = wire.provision(fields)
-                self.routers[who] = Router(reader.settings(env), seed)
+                seed, env = wire.decode_provision(fields)
+                self.routers[who] = Router(reader.parse_settings(env), seed)
                 return
             if code == wire.SHUTDOWN:
                 self.routers.pop(who, None)
                 return
-            happened = wire.event(code, fields, self.pools)
+            happened = wire.decode_event(code, fields, self.endpoint_lists)
         except (wire.WireError, ValueError) as problem:
-            raise Broken(who, str(problem)) from None
+            raise InstanceError(who, str(problem)) from None
         router = self.routers.get(who)
         if router is None:
-            raise Broken(who, f"record with code {code} for an instance that was never started")
+            raise InstanceError(who, f"record with code {code} for an instance that was never started")
         try:
             actions = router.handle(now, happened)
         except Exception as problem:
             last = traceback.extract_tb(problem.__traceback__)[-1]
             place = f"{last.filename.rsplit('/', 1)[-1]}:{last.lineno}"
-            raise Broken(who, f"{type(problem).__name__}: {problem} at {place}") from None
-        out.extend([wire.action(who, act) for act in actions])
+            raise InstanceError(who, f"{type(problem).__name__}: {problem} at {place}") from None
+        replies.extend([wire.encode_action(who, act) for act in actions])
 
 
-class Stop(Exception):
+class HostStoppedError(Exception):
     """The process must end after a last reply."""
 
-    def __init__(self, line: str, last: bytes) -> None:
+    def __init__(self, line: str, last_reply: bytes) -> None:
         super().__init__(line)
-        self.last = last
+        self.last_reply = last_reply
 
 
 def read_exactly(source: BinaryIO, size: int) -> bytes:
@@ -95,7 +95,7 @@
 
 def serve(source: BinaryIO, sink: BinaryIO) -> int:
     """Answer batches until the end of input; the exit status."""
-    host = Host()
+    host = SimulatorHost()
     try:
         while head := read_exactly(source, 4):
             if len(head) < 4:
@@ -106,10 +106,10 @@
             body = read_exactly(source, size)
             if len(body) < size:
                 raise wire.WireError("input ends within a batch")
-            sink.write(host.batch(body))
+            sink.write(host.handle_batch(body))
             sink.flush()
-    except Stop as stop:
-        sink.write(stop.last)
+    except HostStoppedError as stop:
+        sink.write(stop.last_reply)
         sink.flush()
         print(f"rosepick: {stop}", file=sys.stderr)
         return 1
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -18,18 +18,18 @@
 from math import exp, sqrt
 
 from rosepick.decisions import api
-from rosepick.decisions.decide import CHECK, TICK, Router
+from rosepick.decisions.decide import CHECK_TIMER, TICK_TIMER, Router
 
-FLEETS = (3, 20, 30, 200)
-NODES = 10
-ORIGIN = 9000
-PACE = 28.0  # requests a second of one warm node, of mean work
-RULES = api.Rules(cold_from=0.12, warm_within=12_000.0, fall=3_000.0, tip_multiple=3.0)
-STARTED, LENGTH, TOLD_WITHIN = 6_000.0, 16_000.0, 1_000.0  # milliseconds
+FLEET_SIZES = (3, 20, 30, 200)
+NODE_COUNT = 10
+ORIGIN_NUMBER = 9000
+NODE_REQUESTS_PER_S = 28.0  # requests a second of one warm node, of mean work
+RULES = api.RoutingRules(cold_from=0.12, warm_within=12_000.0, fall=3_000.0, tip_multiple=3.0)
+COLD_START_MS, RUN_LENGTH_MS, DISCOVERY_DELAY_MS = 6_000.0, 16_000.0, 1_000.0  # milliseconds
 
 
 @dataclass(frozen=True, slots=True)
-class Worst:
+class FullestWindow:
     """The fullest window of a run."""
 
     count: int
@@ -41,19 +41,19 @@
         return (self.count - self.budget) / sqrt(self.budget)
 
     @property
-    def falls(self) -> bool:
+    def overloads_node(self) -> bool:
         """Whether the node would have fallen."""
         return self.count > self.budget + 2.0 * sqrt(self.budget) + 2.0
 
 
-class Fleet:
+class ColdStartFleet:
     """One run."""
 
     def __init__(self, routers: int, seed: int, load: float = 0.6) -> None:
         self.rng = random.Random(seed)
         self.count, self.load = routers, load
-        self.sizes = [1.0, *(self.rng.uniform(0.7, 1.4) for _ in range(NODES - 1))]
-        self.cold = 100
+        self.sizes = [1.0, *(self.rng.uniform(0.7, 1.4) for _ in range(NODE_COUNT - 1))]
+        self.cold_number = 100
         self.routers = [self._router(n) for n in range(routers)]
         traffic = [exp(self.rng.gauss(0.0, 0.8)) for _ in range(routers)]
         self.traffic = [part / sum(traffic) for part in traffic]
@@ -61,52 +61,56 @@
         self.order = self.ref = 0
         self.attempts: dict[tuple[int, int], int] = {}
         self.sent: deque[float] = deque()
-        self.worst = Worst(0, self._budget(STARTED))
+        self.worst = FullestWindow(0, self._budget(COLD_START_MS))
 
-    def _router(self, place: int) -> Router:
-        settings = api.Settings(
-            classes=(api.RequestClass(aim=600, deadline=1200, worth=3, effect=api.Effect.RETRYABLE),),
+    def _router(self, router_index: int) -> Router:
+        settings = api.RouterSettings(
+            classes=(
+                api.RequestClass(objective_ms=600, deadline_ms=1200, worth=3, effect=api.Effect.RETRYABLE),
+            ),
             rules=RULES,
-            limits=api.Limits(5, False, True),
+            limits=api.RouterLimits(5, False, True),
             mode=api.Mode.ASIDE,
             origin_kind=1,
             subscribe=True,
             sized_weights=True,
             routers=self.count,
-            position=place,
+            position=router_index,
         )
         return Router(settings, self.rng.getrandbits(32))
 
-    def _list(self, born: float) -> tuple[api.Member, ...]:
-        nodes = [api.Member(100 + n, weight=size) for n, size in enumerate(self.sizes)]
-        if born:
-            nodes[0] = api.Member(self.cold, born=born, weight=self.sizes[0])
-        return (*nodes, api.Member(ORIGIN, kind=1))
+    def _members(self, cold_started_at: float) -> tuple[api.Endpoint, ...]:
+        nodes = [api.Endpoint(100 + n, weight=size) for n, size in enumerate(self.sizes)]
+        if cold_started_at:
+            nodes[0] = api.Endpoint(self.cold_number, started_at=cold_started_at, weight=self.sizes[0])
+        return (*nodes, api.Endpoint(ORIGIN_NUMBER, kind=1))
 
     def _budget(self, at: float) -> float:
-        share = RULES.cold_from + (1.0 - RULES.cold_from) * max(0.0, at - STARTED) / RULES.warm_within
-        return RULES.tip_multiple * min(1.0, share) * PACE * RULES.fall / 1000.0
+        share = RULES.cold_from + (1.0 - RULES.cold_from) * max(0.0, at - COLD_START_MS) / RULES.warm_within
+        return RULES.tip_multiple * min(1.0, share) * NODE_REQUESTS_PER_S * RULES.fall / 1000.0
 
-    def at(self, when: float, place: int, event: api.Event | None) -> None:
+    def schedule(self, when: float, router_index: int, event: api.Event | None) -> None:
         """Plan an event of a router; None: its next request."""
         self.order += 1
-        heapq.heappush(self.heap, (when, self.order, place, event))
+        heapq.heappush(self.heap, (when, self.order, router_index, event))
 
-    def _next_request(self, place: int, now: float) -> None:
-        rate = self.load * PACE * sum(self.sizes) * self.traffic[place] / 1000.0
-        self.at(now + self.rng.expovariate(rate), place, None)
+    def _next_request(self, router_index: int, now: float) -> None:
+        rate = self.load * NODE_REQUESTS_PER_S * sum(self.sizes) * self.traffic[router_index] / 1000.0
+        self.schedule(now + self.rng.expovariate(rate), router_index, None)
 
-    def play(self) -> Worst:
+    def run(self) -> FullestWindow:
         """The fullest window."""
         for place in range(self.count):
-            self.at(0.0, place, api.Members(api.Scope.CACHED, self._list(0.0)))
-            self.at(STARTED + self.rng.uniform(0, TOLD_WITHIN), place, self._told())
+            self.schedule(0.0, place, api.EndpointUpdate(api.UpdateScope.CACHED, self._members(0.0)))
+            self.schedule(
+                COLD_START_MS + self.rng.uniform(0, DISCOVERY_DELAY_MS), place, self._full_member_list()
+            )
             self._next_request(place, 1.0)
         restarted = self.rng.sample(range(self.count), max(1, self.count // 5))
-        restarts = sorted((STARTED + self.rng.uniform(0, 4_000.0), place) for place in restarted)
+        restarts = sorted((COLD_START_MS + self.rng.uniform(0, 4_000.0), place) for place in restarted)
         while self.heap:
             now, _, place, event = heapq.heappop(self.heap)
-            if now > LENGTH:
+            if now > RUN_LENGTH_MS:
                 break
             while restarts and restarts[0][0] <= now:
                 self._restart(restarts.pop(0)[1], now)
@@ -116,66 +120,66 @@
             self._feed(place, now, event)
         return self.worst
 
-    def _told(self) -> api.Members:
-        return api.Members(api.Scope.FULL, self._list(STARTED), 1)
+    def _full_member_list(self) -> api.EndpointUpdate:
+        return api.EndpointUpdate(api.UpdateScope.FULL, self._members(COLD_START_MS), 1)
 
-    def _restart(self, place: int, now: float) -> None:
+    def _restart(self, router_index: int, now: float) -> None:
         """It begins from nothing, with the list of the moment."""
-        self.routers[place] = self._router(place)
-        self.heap = [entry for entry in self.heap if entry[2] != place or entry[3] is None]
+        self.routers[router_index] = self._router(router_index)
+        self.heap = [entry for entry in self.heap if entry[2] != router_index or entry[3] is None]
         heapq.heapify(self.heap)
-        self._feed(place, now, self._told())
+        self._feed(router_index, now, self._full_member_list())
 
-    def _request(self) -> api.Request:
+    def _request(self) -> api.RequestArrived:
         self.ref += 1
-        return api.Request(self.ref, 0, 1200.0, key=1 + int(2_000 * self.rng.random() ** 3))
+        return api.RequestArrived(self.ref, 0, 1200.0, key=1 + int(2_000 * self.rng.random() ** 3))
 
-    def _feed(self, place: int, now: float, event: api.Event) -> None:
-        for action in self.routers[place].handle(now, event):
+    def _feed(self, router_index: int, now: float, event: api.Event) -> None:
+        for action in self.routers[router_index].handle(now, event):
             if isinstance(action, api.SetTimer):
-                if action.token == TICK or action.token & CHECK:
-                    self.at(action.at, place, api.Timer(action.token))
+                if action.token == TICK_TIMER or action.token & CHECK_TIMER:
+                    self.schedule(action.due_at, router_index, api.TimerFired(action.token))
             elif isinstance(action, api.Send):
-                self._send(place, now, action)
+                self._send(router_index, now, action)
 
-    def _send(self, place: int, now: float, action: api.Send) -> None:
-        number = self.attempts.get((place, action.ref), 0)
-        self.attempts[place, action.ref] = number + 1
+    def _send(self, router_index: int, now: float, action: api.Send) -> None:
+        number = self.attempts.get((router_index, action.ref), 0)
+        self.attempts[router_index, action.ref] = number + 1
         lag = self.rng.expovariate(1.0 / 60.0) + 20.0
         result = api.Result.OK
-        if action.server == self.cold and now >= STARTED:
+        if action.endpoint_id == self.cold_number and now >= COLD_START_MS:
             self._count(now)
             lag *= 2.0
-        if action.server != ORIGIN and self.rng.random() < 0.05:
+        if action.endpoint_id != ORIGIN_NUMBER and self.rng.random() < 0.05:
             result = api.Result.RESET  # a repeat
-        outcome = api.Outcome(
+        outcome = api.AttemptEnded(
             action.ref,
             number,
-            action.server,
+            action.endpoint_id,
             result,
             result is api.Result.OK,
             1,
             lag,
         )
-        self.at(now + lag, place, outcome)
+        self.schedule(now + lag, router_index, outcome)
 
     def _count(self, now: float) -> None:
         self.sent.append(now)
         while self.sent[0] <= now - RULES.fall:
             self.sent.popleft()
-        found = Worst(len(self.sent), self._budget(now - RULES.fall))
+        found = FullestWindow(len(self.sent), self._budget(now - RULES.fall))
         self.worst = max(self.worst, found, key=lambda one: one.excess)
 
 
 def main(seeds: str) -> None:
     """Print the worst of many runs, by size of the fleet."""
     first, _, last = seeds.partition("..")
-    for routers in FLEETS:
-        runs = [Fleet(routers, seed).play() for seed in range(int(first), int(last or first) + 1)]
+    for routers in FLEET_SIZES:
+        runs = [ColdStartFleet(routers, seed).run() for seed in range(int(first), int(last or first) + 1)]
         worst = max(runs, key=lambda one: one.excess)
         print(
             f"routers={routers} runs={len(runs)} worst_excess={worst.excess:.2f} count={worst.count}"
-            f" budget={worst.budget:.1f} fell={sum(one.falls for one in runs)}",
+            f" budget={worst.budget:.1f} fell={sum(one.overloads_node for one in runs)}",
             flush=True,
         )
 
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -11,26 +11,30 @@
 from dataclasses import dataclass, field, replace
 
 from rosepick.decisions import api
-from rosepick.decisions.api import Effect, Group, Mode, Result, Scope, State
-from rosepick.decisions.decide import COLD_FAR, Router
+from rosepick.decisions.api import Effect, Group, Mode, Result, Status, UpdateScope
+from rosepick.decisions.decide import COLD_REMOTE_FACTOR, Router
 
 ORIGIN_KIND = 2
 
 
-def settings(**changes: object) -> api.Settings:
+def settings(**changes: object) -> api.RouterSettings:
     """Settings with all effects, groups and a stream."""
-    base = api.Settings(
+    base = api.RouterSettings(
         classes=(
-            api.RequestClass(aim=300, deadline=1000, worth=2),
-            api.RequestClass(aim=300, deadline=1200, worth=5, effect=Effect.DEDUP, repeat_window=700),
-            api.RequestClass(300, 1200, 5, effect=Effect.DEDUP, group=Group.ZONE, repeat_window=700),
-            api.RequestClass(300, 1200, 5, effect=Effect.DEDUP, group=Group.CELL, repeat_window=700),
-            api.RequestClass(aim=300, deadline=900, worth=9, effect=Effect.FRAGILE),
-            api.RequestClass(aim=300, deadline=900, worth=1, late_share=0.3, streaming=True),
+            api.RequestClass(objective_ms=300, deadline_ms=1000, worth=2),
+            api.RequestClass(
+                objective_ms=300, deadline_ms=1200, worth=5, effect=Effect.DEDUP, repeat_window_ms=700
+            ),
+            api.RequestClass(300, 1200, 5, effect=Effect.DEDUP, group=Group.ZONE, repeat_window_ms=700),
+            api.RequestClass(300, 1200, 5, effect=Effect.DEDUP, group=Group.CELL, repeat_window_ms=700),
+            api.RequestClass(objective_ms=300, deadline_ms=900, worth=9, effect=Effect.FRAGILE),
+            api.RequestClass(objective_ms=300, deadline_ms=900, worth=1, late_share=0.3, streaming=True),
         ),
         tenants=(api.Tenant(0.5, 50), api.Tenant(0.5, 50)),
-        rules=api.Rules(cold_from=0.2, warm_within=8000, fall=2000),
-        limits=api.Limits(4, True, True, probes=True, peers=True, max_retry_after=500),
+        rules=api.RoutingRules(cold_from=0.2, warm_within=8000, fall=2000),
+        limits=api.RouterLimits(
+            4, True, True, allow_probes=True, allow_peer_messages=True, max_retry_after_ms=500
+        ),
         mode=Mode.ASIDE,
         origin_kind=ORIGIN_KIND,
         subscribe=True,
@@ -41,19 +45,19 @@
     return replace(base, **changes)  # type: ignore[arg-type]
 
 
-def fleet(count: int = 9, zones: int = 3, origin: bool = True) -> list[api.Member]:
+def fleet(count: int = 9, zones: int = 3, origin: bool = True) -> list[api.Endpoint]:
     """A list of servers, with an origin as its last entry."""
-    members = [api.Member(100 + 7 * n, zone=n % zones, cell=n % 4, kind=n % 2) for n in range(count)]
+    members = [api.Endpoint(100 + 7 * n, zone=n % zones, cell=n % 4, kind=n % 2) for n in range(count)]
     if origin:
-        members.append(api.Member(9000, zone=0, cell=0, kind=ORIGIN_KIND))
+        members.append(api.Endpoint(9000, zone=0, cell=0, kind=ORIGIN_KIND))
     return members
 
 
 @dataclass
-class Tracked:
+class TrackedRequest:
     """What the checker knows of a request."""
 
-    event: api.Request
+    event: api.RequestArrived
     klass: api.RequestClass
     deadline: float
     sends: list[tuple[float, int]] = field(default_factory=list)
@@ -62,50 +66,52 @@
     answers: int = 0
 
 
-class Driver:
+class RandomEventDriver:
     """Random events in, actions checked."""
 
-    def __init__(self, given: api.Settings, members: list[api.Member], seed: int, keys: int = 40) -> None:
+    def __init__(
+        self, given: api.RouterSettings, members: list[api.Endpoint], seed: int, keys: int = 40
+    ) -> None:
         self.given = given
         self.rng = random.Random(seed)
         self.router = Router(given, seed)
         self.now = 1000.0
         self.heap: list[tuple[float, int, api.Event]] = []
         self.count = 0
-        self.members = {m.server: m for m in members}
-        self.listed = {m.server: m for m in members}
+        self.members = {m.endpoint_id: m for m in members}
+        self.listed = {m.endpoint_id: m for m in members}
         self.stopped: dict[int, float] = {}
-        self.requests: dict[int, Tracked] = {}
+        self.requests: dict[int, TrackedRequest] = {}
         self.keys = keys
         self.trace: list[tuple[float, api.Action]] = []
         self.sent: dict[int, list[float]] = {}
-        self.mood = "mixed"
+        self.outcome_mix = "mixed"
 
-    def at(self, when: float, event: api.Event) -> None:
+    def schedule(self, when: float, event: api.Event) -> None:
         """Plan an event."""
         self.count += 1
         heapq.heappush(self.heap, (max(when, self.now), self.count, event))
 
     def feed(self, event: api.Event) -> None:
         """Give one event and check what comes out."""
-        if isinstance(event, api.Outcome):
+        if isinstance(event, api.AttemptEnded):
             tracked = self.requests[event.ref]
             tracked.results[event.attempt] = event.result
             if event.result is Result.OK and not tracked.closed:
                 tracked.answers += 1
                 tracked.closed = True
-                event = replace(event, closed=True)
+                event = replace(event, closes_request=True)
             else:
-                event = replace(event, closed=tracked.closed)
-        elif isinstance(event, api.ClientGone):
+                event = replace(event, closes_request=tracked.closed)
+        elif isinstance(event, api.ClientDisconnected):
             tracked = self.requests[event.ref]
             if tracked.closed:
                 return
             tracked.closed = True
             tracked.answers += 1
-        elif isinstance(event, api.Request):
-            klass = self.given.classes[event.klass]
-            self.requests[event.ref] = Tracked(event, klass, self.now + event.time_left)
+        elif isinstance(event, api.RequestArrived):
+            klass = self.given.classes[event.class_index]
+            self.requests[event.ref] = TrackedRequest(event, klass, self.now + event.time_left_ms)
         for action in self.router.handle(self.now, event):
             self.trace.append((self.now, action))
             self.check(action)
@@ -126,58 +132,60 @@
             tracked.closed = True
             tracked.answers += 1
         elif isinstance(action, api.Cancel):
-            assert self.given.limits.cancelling
+            assert self.given.limits.allow_cancel
             assert action.attempt < len(self.requests[action.ref].sends), "cancels what was never sent"
             if self.rng.random() < 0.9:
                 attempt = action.attempt
                 server = self.requests[action.ref].sends[attempt][1]
-                self.at(self.now, api.Outcome(action.ref, attempt, server, Result.CANCELLED))
+                self.schedule(self.now, api.AttemptEnded(action.ref, attempt, server, Result.CANCELLED))
         elif isinstance(action, api.SetTimer):
-            self.at(action.at, api.Timer(action.token))
+            self.schedule(action.due_at, api.TimerFired(action.token))
         elif isinstance(action, api.Probe):
-            assert self.given.limits.probes
-            assert action.server in self.listed
+            assert self.given.limits.allow_probes
+            assert action.endpoint_id in self.listed
             result = self.rng.choice([Result.OK, Result.OK, Result.TIMEOUT, Result.CONNECT_FAILED])
             report = tuple(self.rng.random() * 9 for _ in self.given.report_fields)
-            self.at(self.now + self.rng.random() * 200, api.ProbeResult(action.server, result, 5.0, report))
+            self.schedule(
+                self.now + self.rng.random() * 200, api.ProbeResult(action.endpoint_id, result, 5.0, report)
+            )
         elif isinstance(action, api.Watch):
-            event = api.Members(Scope.FULL, tuple(self.members.values()))
+            event = api.EndpointUpdate(UpdateScope.FULL, tuple(self.members.values()))
             if self.rng.random() < 0.4:
-                event = api.Members(Scope.FAILED)
-            self.at(self.now + self.rng.random() * 1500, event)
+                event = api.EndpointUpdate(UpdateScope.FAILED)
+            self.schedule(self.now + self.rng.random() * 1500, event)
 
     def check_send(self, action: api.Send) -> None:
         tracked = self.requests[action.ref]
         assert not tracked.closed, "sent after the final answer"
-        assert action.server in self.listed, "sent to a server that no list named"
+        assert action.endpoint_id in self.listed, "sent to a server that no list named"
         assert len(tracked.sends) < self.given.limits.max_attempts
-        stopped = self.stopped.get(action.server)
+        stopped = self.stopped.get(action.endpoint_id)
         assert stopped is None or self.now <= stopped + self.given.rules.stop_sending_within, "drain not kept"
         out = [n for n in range(len(tracked.sends)) if n not in tracked.results]
-        assert len(out) < (2 if self.given.limits.second_copies else 1), "too many attempts out"
+        assert len(out) < (2 if self.given.limits.allow_hedging else 1), "too many attempts out"
         risky = [n for n in range(len(tracked.sends)) if tracked.results.get(n) not in api.NEVER_RAN]
         if risky and tracked.klass.effect is Effect.FRAGILE:
             raise AssertionError("fragile request sent again")
         if risky and tracked.klass.effect is Effect.DEDUP:
             since, server = tracked.sends[risky[0]]
-            assert self.now < since + tracked.klass.repeat_window, "repeat outside the window"
-            before, here = self.listed[server], self.listed[action.server]
+            assert self.now < since + tracked.klass.repeat_window_ms, "repeat outside the window"
+            before, here = self.listed[server], self.listed[action.endpoint_id]
             if tracked.klass.group is Group.ZONE:
                 assert before.zone == here.zone
             elif tracked.klass.group is Group.CELL:
                 assert before.cell == here.cell
         attempt = len(tracked.sends)
-        tracked.sends.append((self.now, action.server))
-        self.check_cold(action.server)
-        self.sent.setdefault(action.server, []).append(self.now)
-        self.plan(action, attempt)
+        tracked.sends.append((self.now, action.endpoint_id))
+        self.check_cold(action.endpoint_id)
+        self.sent.setdefault(action.endpoint_id, []).append(self.now)
+        self.schedule_outcome(action, attempt)
 
     def check_cold(self, server: int) -> None:
         """Rule 4: a budget over every window, by the least capacity that a cold server can have."""
         rules, member = self.given.rules, self.listed[server]
 
-        def warm(other: api.Member) -> bool:
-            return other.born <= 0 or self.now >= other.born + rules.warm_within
+        def warm(other: api.Endpoint) -> bool:
+            return other.started_at <= 0 or self.now >= other.started_at + rules.warm_within
 
         def recent(number: int, since: float = 0.0) -> int:
             since = max(since, self.now - rules.fall)
@@ -186,55 +194,57 @@
         if warm(member) or member.kind == self.given.origin_kind:  # it is about cache servers
             return
         every = [m for m in self.listed.values() if m.kind != self.given.origin_kind and warm(m)]
-        near = [recent(m.server) for m in every if m.zone == member.zone]
+        near = [recent(m.endpoint_id) for m in every if m.zone == member.zone]
         # where no neighbour is usable, which the driver cannot know, all warm ones are the measure
-        beside = [*near, *(COLD_FAR * recent(m.server) for m in every)]
-        grown = min(1.0, (self.now - member.born) / rules.warm_within)
+        beside = [*near, *(COLD_REMOTE_FACTOR * recent(m.endpoint_id) for m in every)]
+        grown = min(1.0, (self.now - member.started_at) / rules.warm_within)
         least = rules.cold_from + (1.0 - rules.cold_from) * grown
         budget = 1 + least * max(beside, default=0)
-        assert recent(server, member.born) <= budget, "cold server over its budget"
+        assert recent(server, member.started_at) <= budget, "cold server over its budget"
 
-    def plan(self, action: api.Send, attempt: int) -> None:
+    def schedule_outcome(self, action: api.Send, attempt: int) -> None:
         """Draw the outcome of an attempt."""
         roll, rng = self.rng.random(), self.rng
         tracked = self.requests[action.ref]
-        good = {"calm": 0.97, "mixed": 0.6, "storm": 0.1}[self.mood]
+        good = {"calm": 0.97, "mixed": 0.6, "storm": 0.1}[self.outcome_mix]
         lag = rng.random() * 120
         if roll < good:
-            origin = self.listed[action.server].kind == ORIGIN_KIND
+            origin = self.listed[action.endpoint_id].kind == ORIGIN_KIND
             miss = self.given.mode is Mode.ASIDE and not origin and rng.random() < 0.4
             result = Result.MISS if miss else Result.OK
         else:
-            result = rng.choice([r for r in Result if r not in (Result.OK, Result.MISS, Result.MOOT)])
+            result = rng.choice([r for r in Result if r not in (Result.OK, Result.MISS, Result.NEVER_SENT)])
             if result is Result.TIMEOUT:
                 lag = tracked.deadline - self.now
         report = tuple(rng.random() * 9 for _ in self.given.report_fields) if rng.random() < 0.5 else ()
         if tracked.klass.streaming and result is Result.OK and rng.random() < 0.5:
             tracked.closed = True  # bound to the client from here on
             tracked.answers += 1
-            self.at(self.now, api.FirstByte(action.ref, attempt, action.server, 1.0))
-        event = api.Outcome(action.ref, attempt, action.server, result, False, rng.randint(0, 2), lag, report)
-        self.at(self.now + lag, event)
+            self.schedule(self.now, api.FirstByte(action.ref, attempt, action.endpoint_id, 1.0))
+        event = api.AttemptEnded(
+            action.ref, attempt, action.endpoint_id, result, False, rng.randint(0, 2), lag, report
+        )
+        self.schedule(self.now + lag, event)
 
     def run(self, requests: int = 300, rate: float = 12.0, churn: float = 0.05) -> None:
         """Offer requests and shake the list."""
-        self.feed(api.Members(Scope.CACHED, tuple(self.members.values())))
+        self.feed(api.EndpointUpdate(UpdateScope.CACHED, tuple(self.members.values())))
         rng = self.rng
         for ref in range(1, requests + 1):
             self.advance(self.now + rng.expovariate(1.0) * rate)
             klass = rng.randrange(len(self.given.classes))
-            left = self.given.classes[klass].deadline * rng.uniform(0.3, 1.0)
+            left = self.given.classes[klass].deadline_ms * rng.uniform(0.3, 1.0)
             key = rng.randrange(self.keys) + 1 if self.keys else 0
             tenant = rng.randrange(max(1, len(self.given.tenants)))
-            self.feed(api.Request(ref, klass, left, key, tenant, write=rng.random() < 0.2))
+            self.feed(api.RequestArrived(ref, klass, left, key, tenant, is_write=rng.random() < 0.2))
             if rng.random() < 0.02:
-                self.feed(api.ClientGone(ref))
+                self.feed(api.ClientDisconnected(ref))
             if rng.random() < churn:
-                self.shake()
+                self.disturb_members()
             if rng.random() < 0.02:
-                self.mood = rng.choice(["calm", "mixed", "storm"])
+                self.outcome_mix = rng.choice(["calm", "mixed", "storm"])
             if rng.random() < 0.05:
-                self.feed(api.Timer(rng.randrange(1 << 62)))
+                self.feed(api.TimerFired(rng.randrange(1 << 62)))
                 self.feed(api.PeerMessage(rng.randrange(5), bytes(rng.randrange(256) for _ in range(9))))
         self.advance(self.now + 20_000)
         for tracked in self.requests.values():
@@ -244,38 +254,38 @@
         """Play planned events up to a time."""
         while self.heap and self.heap[0][0] <= until:
             self.now, _, event = heapq.heappop(self.heap)
-            if isinstance(event, api.Outcome) and event.attempt in self.requests[event.ref].results:
+            if isinstance(event, api.AttemptEnded) and event.attempt in self.requests[event.ref].results:
                 continue
-            if isinstance(event, api.Members):
-                self.told(event)
+            if isinstance(event, api.EndpointUpdate):
+                self.on_members(event)
             self.feed(event)
         self.now = until
 
-    def told(self, event: api.Members) -> None:
+    def on_members(self, event: api.EndpointUpdate) -> None:
         """Keep what the router has been told."""
-        if event.scope is Scope.FAILED:
+        if event.scope is UpdateScope.FAILED:
             return
-        named = {m.server for m in event.members}
-        for member in event.members:
-            self.listed[member.server] = member
-            if member.state is State.READY:
-                self.stopped.pop(member.server, None)
+        named = {m.endpoint_id for m in event.endpoints}
+        for member in event.endpoints:
+            self.listed[member.endpoint_id] = member
+            if member.status is Status.READY:
+                self.stopped.pop(member.endpoint_id, None)
             else:
-                self.stopped.setdefault(member.server, self.now)
-        if event.scope is Scope.FULL:
+                self.stopped.setdefault(member.endpoint_id, self.now)
+        if event.scope is UpdateScope.FULL:
             for server in self.listed:
                 if server not in named:
                     self.stopped.setdefault(server, self.now)
 
-    def shake(self) -> None:
+    def disturb_members(self) -> None:
         """Change one entry of the list and tell it."""
         server = self.rng.choice(sorted(self.members))
         member = self.members[server]
-        state = self.rng.choice([State.READY, State.READY, State.DRAINING, State.GONE])
-        born = self.now if state is State.READY and self.rng.random() < 0.5 else member.born
-        self.members[server] = replace(member, state=state, born=born)
-        event = api.Members(Scope.DELTA, (self.members[server],))
-        self.told(event)
+        state = self.rng.choice([Status.READY, Status.READY, Status.DRAINING, Status.REMOVED])
+        born = self.now if state is Status.READY and self.rng.random() < 0.5 else member.started_at
+        self.members[server] = replace(member, status=state, started_at=born)
+        event = api.EndpointUpdate(UpdateScope.DELTA, (self.members[server],))
+        self.on_members(event)
         self.feed(event)
-        if state is State.GONE:
-            self.members[server] = replace(member, state=State.READY, born=self.now)
+        if state is Status.REMOVED:
+            self.members[server] = replace(member, status=Status.READY, started_at=self.now)
--- a/tests/golden_capture_forms.py
+++ b/tests/golden_capture_forms.py
@@ -10,53 +10,63 @@
 import os
 from typing import Any
 
-from rosepick.capture import lines
-from rosepick.capture.recorder import Recorder
+from rosepick.capture import record_format
+from rosepick.capture.recorder import CaptureRecorder
 from rosepick.capture.replay import replay
-from rosepick.core.account import End
-from rosepick.core.engine import DeliveryAttempt, Envelope
+from rosepick.core.engine import RequestContext, UpstreamAttempt
+from rosepick.core.request_counters import RequestOutcome
 from rosepick.decisions import api
 from rosepick.decisions.decide import Router
-from rosepick.net.seats import Seats
+from rosepick.net.process_registry import ProcessRegistry
 from rosepick.settings import config
-from rosepick.settings.config import Names
-from rosepick.upgrade.knowledge import gather, teach, told_at
+from rosepick.settings.config import NameIndexes
+from rosepick.upgrade.state_transfer import export_state, exported_at, import_state
 
 from .golden_support import GOLDEN, Form, as_given, as_json, constant, temporary_folder
 from .scenario import SETTINGS, target
 
-NAMES = Names({"read": 0, "set": 1}, {"acme": 0, "beta": 1}, {"east": 0, "west": 1}, {"std": 0, "origin": 1})
+NAMES = NameIndexes(
+    {"read": 0, "set": 1}, {"acme": 0, "beta": 1}, {"east": 0, "west": 1}, {"std": 0, "origin": 1}
+)
 THIRD = 1000.0 / 3
 MEMBERS = (
-    (api.Member(3, api.State(0), THIRD, 1, 2, 3, 0.1), "s-3"),
-    (api.Member(4, api.State(1)), "a%20b"),
-    (api.Member(5, api.State(2), 12.5, 0, 0, 1, 2.0), "origin"),
+    (api.Endpoint(3, api.Status(0), THIRD, 1, 2, 3, 0.1), "s-3"),
+    (api.Endpoint(4, api.Status(1)), "a%20b"),
+    (api.Endpoint(5, api.Status(2), 12.5, 0, 0, 1, 2.0), "origin"),
 )
 
 
 # ------------------------------------------------------------------------------------ captures
 
 
-def capture_records() -> list[lines.Record]:
+def capture_records() -> list[record_format.Record]:
     """Return a record of every kind, each in its variants."""
     outcomes = [api.Result(value) for value in RESULTS]
     return [
-        lines.Header(1, 2, 2**63, 1.5e12 + 0.1, THIRD, 4, MEMBERS),
-        lines.Header(0, 0, 1, 0.0, 0.0, 0),
-        *(lines.Listed(THIRD, api.Scope(scope), 42, MEMBERS) for scope in ("cached", "full", "delta")),
-        lines.Listed(THIRD, api.Scope("failed"), 0),
-        lines.Arrival(THIRD, 1, "a", "b", "-", "k", "0.480", THIRD, 2**64 - 1, True, False, 0.1 + 0.2),
-        lines.Arrival(THIRD, 2, "a", "b", "c", "k", "1", THIRD, 1, False, True, None),
-        lines.Arrival(THIRD, 3, "a", "b", "c", "k", "1", THIRD, 1, True, True, None),
-        lines.Sent(1, "s-3"),
+        record_format.SegmentHeader(1, 2, 2**63, 1.5e12 + 0.1, THIRD, 4, MEMBERS),
+        record_format.SegmentHeader(0, 0, 1, 0.0, 0.0, 0),
+        *(
+            record_format.EndpointListRecord(THIRD, api.UpdateScope(scope), 42, MEMBERS)
+            for scope in ("cached", "full", "delta")
+        ),
+        record_format.EndpointListRecord(THIRD, api.UpdateScope("failed"), 0),
+        record_format.ArrivalRecord(
+            THIRD, 1, "a", "b", "-", "k", "0.480", THIRD, 2**64 - 1, True, False, 0.1 + 0.2
+        ),
+        record_format.ArrivalRecord(THIRD, 2, "a", "b", "c", "k", "1", THIRD, 1, False, True, None),
+        record_format.ArrivalRecord(THIRD, 3, "a", "b", "c", "k", "1", THIRD, 1, True, True, None),
+        record_format.AttemptSentRecord(1, "s-3"),
         *(
-            lines.Ended(THIRD, 1, n, result, n % 4, n % 2 > 0, n % 3 > 0, 1e-9)
+            record_format.AttemptOutcomeRecord(THIRD, 1, n, result, n % 4, n % 2 > 0, n % 3 > 0, 1e-9)
             for n, result in enumerate(outcomes)
         ),
-        lines.Gone(THIRD, 9),
-        lines.Due(THIRD, 3 << 60),
-        *(lines.Final(1_718_000_000_123, "9b", "read", "acme", "m-1", uid, status) for uid, status in FINALS),
-        lines.Lost(THIRD),
+        record_format.ClientGoneRecord(THIRD, 9),
+        record_format.TimerRecord(THIRD, 3 << 60),
+        *(
+            record_format.FinalAnswerRecord(1_718_000_000_123, "9b", "read", "acme", "m-1", uid, status)
+            for uid, status in FINALS
+        ),
+        record_format.LostRecord(THIRD),
     ]
 
 
@@ -76,15 +86,15 @@
 FINALS = (("s-3", 200), ("-", 503), ("s-3", 502), ("origin", 504), ("-", 499), ("-", 500))
 
 
-def write_records(records: list[lines.Record]) -> bytes:
+def write_records(records: list[record_format.Record]) -> bytes:
     """Write records as lines."""
     return "".join(record.text() for record in records).encode("ascii")
 
 
-def read_records(data: bytes) -> list[lines.Record]:
+def read_records(data: bytes) -> list[record_format.Record]:
     """Read a capture's records; log lines between them are passed over."""
     log_line = b"time=2026-01-01T00:00:00.000Z level=info part=net.server event=serving\n"
-    return [record for _, record in lines.Lines(log_line + data)]
+    return [record for _, record in record_format.RecordReader(log_line + data)]
 
 
 def rewritten(data: bytes) -> bytes:
@@ -95,7 +105,7 @@
 def capture_words() -> object:
     """Return clients' words as a capture writes them."""
     words = (b"a b", b"a\nC 1", b"%41", b"-", b"", b"\xff\x00", b"#7", b"x" * 500, b"\xff" * 200, b"m-1:2,3")
-    return [[data.hex(), lines.word(data)] for data in words]
+    return [[data.hex(), record_format.encode_word(data)] for data in words]
 
 
 def recorded_by_observer() -> bytes:
@@ -104,32 +114,36 @@
     def words(payload: object) -> tuple[bytes, bytes, bytes]:
         return b"id %d" % (payload if isinstance(payload, int) else 0), b"key", b"0.500"
 
-    recorder = Recorder(3, 2048, 7, 1_700_000_000_000.0, NAMES, words, lambda server: f"s-{server}")
+    recorder = CaptureRecorder(3, 2048, 7, 1_700_000_000_000.0, NAMES, words, lambda server: f"s-{server}")
     for number in range(3):
         for scope in ("full", "delta", "failed"):
-            recorder.fed(
-                number + THIRD, api.Members(api.Scope(scope), tuple(m for m, _ in MEMBERS), number), []
+            recorder.on_event(
+                number + THIRD,
+                api.EndpointUpdate(api.UpdateScope(scope), tuple(m for m, _ in MEMBERS), number),
+                [],
             )
-            recorder.fed(
-                number + THIRD, api.Members(api.Scope("full"), (api.Member(4), api.Member(5)), 9), []
+            recorder.on_event(
+                number + THIRD,
+                api.EndpointUpdate(api.UpdateScope("full"), (api.Endpoint(4), api.Endpoint(5)), 9),
+                [],
             )
         for place, end in enumerate(("served", "refused", "failed", "late", "gone", "broke")):
             ref, now = 10 * number + place, 1000.0 * number + THIRD * place
-            envelope = Envelope(
+            envelope = RequestContext(
                 place % 2, now + 500.0, 2**40 + ref, place % 2, ref % 2 > 0, False, None, ref, ref
             )
-            recorder.taken(now, envelope, [api.Send(ref, 4, now + 250.0)])
+            recorder.on_request(now, envelope, [api.Send(ref, 4, now + 250.0)])
             if place:
-                envelope.attempts.append(DeliveryAttempt(envelope, 0, 4 + place % 2, now, now + 250.0, now))
+                envelope.attempts.append(UpstreamAttempt(envelope, 0, 4 + place % 2, now, now + 250.0, now))
             result = api.Result(RESULTS[place])
-            recorder.fed(
-                now, api.Outcome(ref, 0, 4, result, True, 2, 1.5, (), place == 2), [api.Send(ref, 5)]
+            recorder.on_event(
+                now, api.AttemptEnded(ref, 0, 4, result, True, 2, 1.5, (), place == 2), [api.Send(ref, 5)]
             )
-            recorder.fed(now, api.Timer(3 << 60), [api.SetTimer(1, 2.0)])
-            recorder.fed(now, api.ClientGone(ref), [])
-            recorder.answered(now, envelope, End(end))
+            recorder.on_event(now, api.TimerFired(3 << 60), [api.SetTimer(1, 2.0)])
+            recorder.on_event(now, api.ClientDisconnected(ref), [])
+            recorder.on_outcome(now, envelope, RequestOutcome(end))
     recorder.flush()
-    return b"".join(bytes(segment.data[: segment.fill]) for segment in recorder.ring.segments)
+    return b"".join(bytes(segment.data[: segment.length]) for segment in recorder.ring.segments)
 
 
 def replayed(capture: bytes) -> object:
@@ -138,7 +152,7 @@
     for name, limits in (("unchanged", {}), ("one attempt", {"max_attempts": 1})):
         document = router_document({**SETTINGS, "limits": {**SETTINGS["limits"], **limits}})
         told = config.read(document)
-        found[name] = list(replay([lines.Lines(capture)], told.settings, told.names).lines())
+        found[name] = list(replay([record_format.RecordReader(capture)], told.settings, told.names).lines())
     return found
 
 
@@ -160,37 +174,37 @@
 
 def router(served: int) -> Router:
     """Return a module that knows three nodes and has served so many requests."""
-    made = Router(api.Settings((api.RequestClass(600, 1200),)), 1)
-    made.handle(0.0, api.Members(api.Scope("cached"), tuple(api.Member(n) for n in (7, 8, 9))))
+    made = Router(api.RouterSettings((api.RequestClass(600, 1200),)), 1)
+    made.handle(0.0, api.EndpointUpdate(api.UpdateScope("cached"), tuple(api.Endpoint(n) for n in (7, 8, 9))))
     for ref in range(1, served + 1):
-        for action in made.handle(10.0 * ref, api.Request(ref, 0, 1200, 1 + ref % 50)):
+        for action in made.handle(10.0 * ref, api.RequestArrived(ref, 0, 1200, 1 + ref % 50)):
             if isinstance(action, api.Send):
-                done = api.Outcome(ref, 0, action.server, api.Result("ok"), True, 0, 20.0)
+                done = api.AttemptEnded(ref, 0, action.endpoint_id, api.Result("ok"), True, 0, 20.0)
                 made.handle(10.0 * ref + 5.0, done)
     return made
 
 
 def upgrade_document() -> bytes:
     """Return what a router hands over to the process that takes its place."""
-    return gather(router(199), 5.0)
+    return export_state(router(199), 5.0)
 
 
 def taught(document: bytes) -> tuple[int, float, bytes]:
     """Teach a new router; return the keys' number, the document's time, and what it would hand over."""
     pupil = router(0)
-    keys = teach(pupil, document, 9.0)
-    return keys, told_at(document), gather(pupil, 5.0)
+    keys = import_state(pupil, document, 9.0)
+    return keys, exported_at(document), export_state(pupil, 5.0)
 
 
 def seat_files() -> dict[str, str]:
     """Return the files by which processes of one router find each other."""
     with temporary_folder() as folder:
-        seats = Seats(folder, ("127.0.0.1", 5000))
-        seats.tell(300)
-        other = Seats(folder, ("127.0.0.1", 5000))
-        other.tell(70)
-        other.leave(b"what is known")
-        assert (seats.others(), seats.found()) == ((70,), b"what is known")
+        seats = ProcessRegistry(folder, ("127.0.0.1", 5000))
+        seats.publish_descriptor_count(300)
+        other = ProcessRegistry(folder, ("127.0.0.1", 5000))
+        other.publish_descriptor_count(70)
+        other.write_state(b"what is known")
+        assert (seats.other_descriptor_counts(), seats.read_state()) == ((70,), b"what is known")
         found = {path.name: path.read_bytes().hex() for path in sorted(folder.iterdir())}
         seats.close()
         other.close()
@@ -207,8 +221,8 @@
             if name.endswith(".seat"):
                 held.append(os.open(path, os.O_RDWR))
                 fcntl.flock(held[-1], fcntl.LOCK_EX | fcntl.LOCK_NB)
-        seats = Seats(folder, ("127.0.0.1", 5000))
-        found = seats.others(), seats.found()
+        seats = ProcessRegistry(folder, ("127.0.0.1", 5000))
+        found = seats.other_descriptor_counts(), seats.read_state()
         seats.close()
         for file in held:
             os.close(file)
@@ -218,7 +232,7 @@
 def around_environment() -> object:
     """Return what a router takes from its environment."""
     told = config.read(router_document(SETTINGS))
-    told = config.around(told, {"GW_LISTEN_FD": "7", "GW_OPS": "127.0.0.1:6000"})
+    told = config.apply_environment(told, {"GW_LISTEN_FD": "7", "GW_OPS": "127.0.0.1:6000"})
     return [told.listen_fd, told.ops]
 
 
--- a/tests/golden_command_forms.py
+++ b/tests/golden_command_forms.py
@@ -18,13 +18,13 @@
 import typer
 from typer.testing import CliRunner
 
-from rosepick.agreement import messages
-from rosepick.agreement.messages import Register, Slot
-from rosepick.agreement.witness import Witness
 from rosepick.cli.app import command_line
-from rosepick.fleet import ledger, release
-from rosepick.leases import record
-from rosepick.net import quorum as quorum_client
+from rosepick.consensus import messages
+from rosepick.consensus.acceptor import Acceptor
+from rosepick.consensus.messages import Register, RegisterState
+from rosepick.coordination import quorum_client
+from rosepick.fleet import fleet_state, rollout_state
+from rosepick.leases import lease_record
 
 from .golden_capture_forms import router_document
 from .golden_fleet_forms import LEASE, ledger_value, release_value, write_register
@@ -33,7 +33,7 @@
 from .scenario import SETTINGS
 
 ROOT = Path(__file__).resolve().parent.parent
-OVER = f"{quorum_client.__name__}.{quorum_client.over.__name__}"
+OVER = f"{quorum_client.__name__}.{quorum_client.tcp_connections.__name__}"
 FLEET_FILE = '[witnesses]\nw1 = "127.0.0.1:7901"\nw2 = "127.0.0.1:7902"\nw3 = "127.0.0.1:7903"\n'
 BROKEN_FLEET_FILE = '[witnesses]\nw1 = "nowhere"\n'
 OPERATORS_FILE = "# ours\ncapture_segments 3\nidle_timeout 1.5 s\nmultiget_listen 5003\n"
@@ -151,32 +151,32 @@
 class _Memory:
     """A way to one replica in memory."""
 
-    def __init__(self, loop: Any, name: str, witness: Witness, heard: Callable[..., None]) -> None:
+    def __init__(self, loop: Any, name: str, witness: Acceptor, heard: Callable[..., None]) -> None:
         self._loop, self._name, self._witness, self._heard = loop, name, witness, heard
 
-    def ask(self, request: messages.Request) -> None:
+    def send(self, request: messages.QuorumRequest) -> None:
         """Answer at the loop's next turn."""
         answer, _ = self._witness.handle(request)
-        self._loop.after(0.0, lambda: self._heard(self._name, answer))
+        self._loop.call_after(0.0, lambda: self._heard(self._name, answer))
 
     def close(self) -> None:
         """Do nothing."""
 
 
-def _registers() -> dict[str, Slot]:
+def _registers() -> dict[str, RegisterState]:
     values = {
-        record.key("job"): write_register(LEASE),
-        ledger.key("main"): ledger.packed(ledger_value()),
-        release.key("main"): release.packed(release_value()),
+        lease_record.register_key("job"): write_register(LEASE),
+        fleet_state.fleet_state_key("main"): fleet_state.encode_fleet_state(ledger_value()),
+        rollout_state.rollout_state_key("main"): rollout_state.encode_rollout_state(release_value()),
     }
-    return {name: Slot((1, 7), (1, 7), Register(1, "a1", value)) for name, value in values.items()}
+    return {name: RegisterState((1, 7), (1, 7), Register(1, "a1", value)) for name, value in values.items()}
 
 
 def in_memory(loop: Any, witnesses: Mapping[str, object], key: bytes) -> Callable[..., Mapping[str, Any]]:
     """Stand in for the connections to witnesses: three replicas that hold the golden registers."""
     replicas = {one.name: replica(one.name) for one in QUORUM.members}
     for one in replicas.values():
-        one.handle(messages.Install(1, QUORUM, _registers()))
+        one.handle(messages.InstallEpochRequest(1, QUORUM, _registers()))
     return lambda heard: {name: _Memory(loop, name, one, heard) for name, one in replicas.items()}
 
 
--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -11,17 +11,17 @@
 
 import msgspec
 
-from rosepick.agreement import messages
-from rosepick.agreement.messages import Register
-from rosepick.agreement.operation import Change
-from rosepick.fleet import ledger, release, warden
-from rosepick.fleet.budget import Budget, Limit
-from rosepick.fleet.carrier import Carrier, Ready
-from rosepick.fleet.carrier import Terms as CarrierTerms
-from rosepick.fleet.judge import Figures, Judge
-from rosepick.leases import record
-from rosepick.net.kept import Keep
-from rosepick.net.releasing import digest_of
+from rosepick.consensus import messages
+from rosepick.consensus.messages import Register
+from rosepick.consensus.proposer import RegisterChange
+from rosepick.coordination.agent_state_file import AgentStateFile
+from rosepick.coordination.artifact_store import digest_of
+from rosepick.fleet import failure_detector, fleet_state, rollout_state
+from rosepick.fleet.canary_analysis import CanaryAnalysis, HealthMetrics
+from rosepick.fleet.deployer import ArtifactStatus, Deployer
+from rosepick.fleet.deployer import DeployPolicy as CarrierTerms
+from rosepick.fleet.disruption_budget import DisruptionBudget, Limit
+from rosepick.leases import lease_record
 
 from .golden_support import GOLDEN, Form, as_json, temporary_folder, text_of
 
@@ -31,31 +31,38 @@
 # ------------------------------------------------------------------------------------ leases
 
 
-def register_after(changes: list[Change]) -> Register:
+def register_after(changes: list[RegisterChange]) -> Register:
     """Apply changes to an empty register, one after the other."""
     register = Register()
     for number, change in enumerate(changes, 1):
-        register = Register(number, f"{number:016x}", change(register), register.mark)
+        register = Register(number, f"{number:016x}", change(register), register.change_id)
     return register
 
 
-LEASE = record.Record(
-    3, True, 2**61 + 1, "one", 2, 10_000.0, (record.Waiter(0, "two"), record.Waiter(9, "three")), "a note"
+LEASE = lease_record.LeaseRecord(
+    3,
+    True,
+    2**61 + 1,
+    "one",
+    2,
+    10_000.0,
+    (lease_record.LeaseWaiter(0, "two"), lease_record.LeaseWaiter(9, "three")),
+    "a note",
 )
 
 
-def lease_changes() -> list[Change]:
+def lease_changes() -> list[RegisterChange]:
     """Return the changes of a lease's life."""
     one, two = 2**61 + 1, 9
     return [
-        record.take(record.Record(), one, "one", 10_000.0),
-        record.stand_in_line(two, "two"),
-        record.stand_in_line(12, "three"),
-        record.renew(one, 1, 12_000.0),
-        record.leave_line(12),
-        record.give_back(one, 1, "four"),
-        record.take(record.Record(1, False, one, "one", 1), two, "two", 10_000.0),
-        record.force("somebody@host", "a test"),
+        lease_record.acquire(lease_record.LeaseRecord(), one, "one", 10_000.0),
+        lease_record.join_queue(two, "two"),
+        lease_record.join_queue(12, "three"),
+        lease_record.renew(one, 1, 12_000.0),
+        lease_record.leave_queue(12),
+        lease_record.release(one, 1, "four"),
+        lease_record.acquire(lease_record.LeaseRecord(1, False, one, "one", 1), two, "two", 10_000.0),
+        lease_record.force_release("somebody@host", "a test"),
     ]
 
 
@@ -65,7 +72,7 @@
     return [register_after(changes[:count]).value for count in range(1, len(changes) + 1)]
 
 
-def changed(value: bytes, change: Change) -> bytes:
+def changed(value: bytes, change: RegisterChange) -> bytes:
     """Return what a change makes of a register's value."""
     return change(Register(1, "", value))
 
@@ -77,54 +84,54 @@
 
 def read_lease(data: bytes) -> object:
     """Decode a lease."""
-    return record.read(Register(1, "", data))
+    return lease_record.decode_record(Register(1, "", data))
 
 
 # ------------------------------------------------------------------------------------ fleet
 
-BUDGET = Budget(
+BUDGET = DisruptionBudget(
     Limit(2, 0.25, 0.5, 1, 0.5, 0.75, 2, 1), Limit(), ((420, 570),), {"switch-1": ["r1", "r2"]}, 1, Limit(4)
 )
 
 
-def ledger_changes() -> list[Change]:
+def ledger_changes() -> list[RegisterChange]:
     """Changes that fill a ledger with members in every state."""
     names = ("r1", "r2", "r3", "r4", "r5", "r6")
     rules = BUDGET.digest()
     found = [
-        ledger.join(name, ledger.Kind(0), "e" if n % 2 else "w", 1000 + n, rules, NOON)
+        fleet_state.join_member(name, fleet_state.MemberKind(0), "e" if n % 2 else "w", 1000 + n, rules, NOON)
         for n, name in enumerate(names)
     ]
-    found += [ledger.join("c1", ledger.Kind(1), "e", 500, rules, NOON + 1)]
+    found += [fleet_state.join_member("c1", fleet_state.MemberKind(1), "e", 500, rules, NOON + 1)]
     seen = dict.fromkeys((*names, "c1"), False)
-    found += [ledger.counted(seen, 1000, 930, 1, "", "warden", NOON + 2)]
-    found += [ledger.want_out(names[:5], "me@host", "new kernels", NOON + 3)]
-    found += [ledger.want_out(["c1"], "me@host", "its host dies", NOON + 3, True, True)]
-    found += [ledger.want_out(["r6"], "release 3", "to run new", NOON + 3, False, False, True)]
+    found += [fleet_state.apply_health_summary(seen, 1000, 930, 1, "", "warden", NOON + 2)]
+    found += [fleet_state.request_drain(names[:5], "me@host", "new kernels", NOON + 3)]
+    found += [fleet_state.request_drain(["c1"], "me@host", "its host dies", NOON + 3, True, True)]
+    found += [fleet_state.request_drain(["r6"], "release 3", "to run new", NOON + 3, False, False, True)]
 
-    def allow(seen: ledger.Ledger, name: str) -> bool:
+    def allow(seen: fleet_state.FleetState, name: str) -> bool:
         return True
 
-    found += [ledger.take(name, allow, NOON + 4) for name in (*names[:4], "c1")]
+    found += [fleet_state.acquire_permit(name, allow, NOON + 4) for name in (*names[:4], "c1")]
     for permit, name in enumerate(names[1:4], 2):
-        found += [ledger.begin(name, permit, NOON + 5)]
-    found += [ledger.gone("r3", 3, NOON + 6), ledger.gone("r4", 4, NOON + 6)]
-    found += [ledger.coming("r4", 4, NOON + 7), ledger.withdraw("r1", 1, NOON + 7)]
-    found += [ledger.want_in(["r5"], "me@host", NOON + 8)]
-    found += [ledger.write_off("r5", "me@host", "sold", NOON + 8)]
-    found += [ledger.counted({"r6": True}, 800, 900, 2, "", "warden", NOON + 9)]
-    found += [ledger.halt("me@host", "a storm", NOON + 10)]
+        found += [fleet_state.begin_drain(name, permit, NOON + 5)]
+    found += [fleet_state.mark_out("r3", 3, NOON + 6), fleet_state.mark_out("r4", 4, NOON + 6)]
+    found += [fleet_state.mark_rejoining("r4", 4, NOON + 7), fleet_state.withdraw_permit("r1", 1, NOON + 7)]
+    found += [fleet_state.cancel_drain(["r5"], "me@host", NOON + 8)]
+    found += [fleet_state.evict_member("r5", "me@host", "sold", NOON + 8)]
+    found += [fleet_state.apply_health_summary({"r6": True}, 800, 900, 2, "", "warden", NOON + 9)]
+    found += [fleet_state.halt_drains("me@host", "a storm", NOON + 10)]
     return found
 
 
-def ledger_value() -> ledger.Ledger:
+def ledger_value() -> fleet_state.FleetState:
     """Return a ledger with members in every state."""
-    return ledger.read(register_after(ledger_changes()))
+    return fleet_state.decode_fleet_state(register_after(ledger_changes()))
 
 
 def read_ledger(data: bytes) -> object:
     """Decode a ledger."""
-    return ledger.read(Register(1, "", data))
+    return fleet_state.decode_fleet_state(Register(1, "", data))
 
 
 def inflated(data: bytes) -> bytes:
@@ -134,78 +141,92 @@
 
 def evidence() -> tuple[float, ...]:
     """Return what a judge stores of a wave that is being watched."""
-    judge = Judge({name: f"z{n % 2}" for n, name in enumerate(("r1", "r2", "r3", "r4"))}, 0.01, 2.0)
+    judge = CanaryAnalysis({name: f"z{n % 2}" for n, name in enumerate(("r1", "r2", "r3", "r4"))}, 0.01, 2.0)
     for turn in range(40):
         if turn == 20:
-            judge.change(["r1"], ["r2", "r3", "r4"])
-        judge.take(
+            judge.begin_comparison(["r1"], ["r2", "r3", "r4"])
+        judge.add_interval(
             {
-                f"r{n}": Figures(
+                f"r{n}": HealthMetrics(
                     50.0 + (n * turn) % 7, n / 8 + turn % 3, 0.125 + n / 64, 40_000.0 + n, 1.0 + n / 4
                 )
                 for n in (1, 2, 3, 4)
             }
         )
-    return judge.kept()
+    return judge.export_state()
 
 
-OLD, NEW = release.Thing("old", "0a0a", "/builds/old"), release.Thing("new", "1b1b", "/builds/new")
+OLD, NEW = (
+    rollout_state.Artifact("old", "0a0a", "/builds/old"),
+    rollout_state.Artifact("new", "1b1b", "/builds/new"),
+)
 
 
-def release_changes() -> list[Change]:
+def release_changes() -> list[RegisterChange]:
     """Changes of a record of releases: one closed, one open that is held."""
     told = [("r1",), ("r2", "r3"), ("r4",)]
 
     def led(register: Register, *rest: Any) -> bytes:
-        now = release.read(register).now
+        now = rollout_state.decode_rollout_state(register).open_rollout
         assert now is not None
-        return release.led(now, *rest)(register)
+        return rollout_state.advance_rollout(now, *rest)(register)
 
-    def step(*rest: Any) -> Change:
+    def step(*rest: Any) -> RegisterChange:
         return lambda register: led(register, *rest)
 
-    settings = release.Thing("as installed", "", ""), release.Thing("wide", "2c2c", "/etc/wide.json")
-    found = [release.start("settings", settings[1], settings[0], [("r1", "r2")], "me", "wider", NOON)]
+    settings = (
+        rollout_state.Artifact("as installed", "", ""),
+        rollout_state.Artifact("wide", "2c2c", "/etc/wide.json"),
+    )
+    found = [
+        rollout_state.start_rollout("settings", settings[1], settings[0], [("r1", "r2")], "me", "wider", NOON)
+    ]
     found += [step(1, "leader", NOON + n, "next", "usual is known") for n in (1, 2)]
     found += [step(1, "leader", NOON + 3, "close", "nothing came up")]
-    found += [release.start("build", NEW, OLD, told, "me", "faster", NOON + 4)]
+    found += [rollout_state.start_rollout("build", NEW, OLD, told, "me", "faster", NOON + 4)]
     found += [step(2, "leader", NOON + 5, "next", "usual is known", None, None, evidence())]
     found += [step(2, "leader", NOON + 6, "", "", 2000, {"r1": "it is lost"})]
-    found += [release.hold("me", "wait", NOON + 7), release.go_on("me", "go", NOON + 8)]
-    found += [step(2, "leader", NOON + 9, "worse", "memory: +40%"), release.forward("me", "no", NOON + 10)]
+    found += [
+        rollout_state.pause_rollout("me", "wait", NOON + 7),
+        rollout_state.resume_rollout("me", "go", NOON + 8),
+    ]
+    found += [
+        step(2, "leader", NOON + 9, "worse", "memory: +40%"),
+        rollout_state.roll_forward("me", "no", NOON + 10),
+    ]
     found += [step(3, "leader", NOON + 11, "", "", 4000, {"r2": "no room"}, evidence())]
     found += [step(3, "leader", NOON + 12, "ask", "not enough to tell")]
     return found
 
 
-def release_value() -> release.Record:
+def release_value() -> rollout_state.RolloutState:
     """Return a record with a release that is held."""
-    return release.read(register_after(release_changes()))
+    return rollout_state.decode_rollout_state(register_after(release_changes()))
 
 
 def read_release(data: bytes) -> object:
     """Decode a record of releases."""
-    return release.read(Register(1, "", data))
+    return rollout_state.decode_rollout_state(Register(1, "", data))
 
 
 def goals_of_release() -> object:
     """Return what routers are told to run by the record, and how it is said."""
     value = release_value()
-    assert value.now is not None
+    assert value.open_rollout is not None
     goals = {}
     for name in ("r1", "r2", "r4", "r9"):
         for kind in ("build", "settings"):
-            thing = value.goal(name, kind)
+            thing = value.artifact_for(name, kind)
             goals[f"{name} {kind}"] = None if thing is None else thing.digest
     return [
         goals,
-        value.word,
-        release.named(value.now),
-        release.waves(ledger_value(), [1, "25%", "zone", "rest"]),
+        value.drain_actor,
+        rollout_state.describe(value.open_rollout),
+        rollout_state.plan_waves(ledger_value(), [1, "25%", "zone", "rest"]),
     ]
 
 
-REPORT = warden.Report(
+REPORT = failure_detector.HealthReport(
     7,
     3,
     True,
@@ -227,41 +248,46 @@
 
 def read_report(data: bytes) -> object:
     """Decode a member's report."""
-    return warden.read(Register(1, "", data))
+    return failure_detector.decode_health_report(Register(1, "", data))
 
 
 def register_names() -> object:
     """Return the names of registers."""
-    group = [ledger.key("main"), release.key("main"), warden.key("main", "r1"), record.key("job")]
-    return [*group, messages.SUCCESSOR]
+    group = [
+        fleet_state.fleet_state_key("main"),
+        rollout_state.rollout_state_key("main"),
+        failure_detector.health_report_key("main", "r1"),
+        lease_record.register_key("job"),
+    ]
+    return [*group, messages.SUCCESSOR_KEY]
 
 
 class _Host:
     """A host on which every version is ready."""
 
-    def ready(self, kind: str, thing: Any) -> Ready:
-        return Ready(True)
+    def prepare(self, kind: str, thing: Any) -> ArtifactStatus:
+        return ArtifactStatus(True)
 
-    def apply(self, kind: str, digest: str) -> None:
+    def apply_settings(self, kind: str, digest: str) -> None:
         """Do nothing."""
 
-    def forget(self, needed: Any) -> None:
+    def remove_except(self, needed: Any) -> None:
         """Do nothing."""
 
 
 def agent_file() -> bytes:
     """Write an agent's file: its permit, its process, and a version on probation that is given up."""
     with temporary_folder() as folder:
-        kept = Keep(folder)
+        kept = AgentStateFile(folder)
         kept.save(3, 17)
         kept.put(pid=4711, began="1234567", ran="0a0a")
         kept.put(first=["0a0a", "/builds/old"])
-        carrier = Carrier("r1", kept, _Host(), CarrierTerms(), {"build": "0a0a", "settings": ""})
+        carrier = Deployer("r1", kept, _Host(), CarrierTerms(), {"build": "0a0a", "settings": ""})
         value = register_after(release_changes()[:6])
-        carrier.told(release.read(value), 0.0)
-        carrier.step(0.0, ledger.At(3), False, False)
-        carrier.step(1.0, ledger.At(4), False, False)
-        carrier.step(40_000.0, ledger.At(4), False, False)
+        carrier.update_state(rollout_state.decode_rollout_state(value), 0.0)
+        carrier.advance(0.0, fleet_state.MemberPhase(3), False, False)
+        carrier.advance(1.0, fleet_state.MemberPhase(4), False, False)
+        carrier.advance(40_000.0, fleet_state.MemberPhase(4), False, False)
         kept.close()
         return (folder / "agent.json").read_bytes()
 
@@ -270,10 +296,16 @@
     """Return what an agent and its part in releases find in a file."""
     with temporary_folder() as folder:
         (folder / "agent.json").write_bytes(data)
-        kept = Keep(folder)
-        carrier = Carrier("r1", kept, _Host(), CarrierTerms(), {})
-        carrier.told(release.read(register_after(release_changes()[:6])), 0.0)
-        found = [kept.load(), carrier.runs, carrier.before, carrier.trial, carrier.trouble()]
+        kept = AgentStateFile(folder)
+        carrier = Deployer("r1", kept, _Host(), CarrierTerms(), {})
+        carrier.update_state(rollout_state.decode_rollout_state(register_after(release_changes()[:6])), 0.0)
+        found = [
+            kept.load(),
+            carrier.active_digests,
+            carrier.previous_digests,
+            carrier.probation_kind,
+            carrier.describe_failure(),
+        ]
         found += [kept.get(name) for name in ("pid", "began", "ran", "first")]
         kept.close()
         return found
@@ -295,7 +327,7 @@
         text_of(build, "bin/router", b"#!/bin/sh\n").chmod(0o755)
         text_of(build, "notes", b"notes\n").chmod(0o644)
         settings.chmod(0o644)
-        return [BUDGET.digest(), Budget().digest(), digest_of(settings), digest_of(build)]
+        return [BUDGET.digest(), DisruptionBudget().digest(), digest_of(settings), digest_of(build)]
 
 
 def fields_of_registers() -> object:
@@ -303,61 +335,87 @@
 
     Values are built by position elsewhere, which does not show two fields of one type that change places.
     """
-    lease = record.read(Register(1, "", (GOLDEN / "lease.bin").read_bytes()))
-    book = ledger.read(Register(1, "", (GOLDEN / "ledger.bin").read_bytes()))
-    history = release.read(Register(1, "", (GOLDEN / "release.bin").read_bytes()))
-    report = warden.read(Register(1, "", (GOLDEN / "report.bin").read_bytes()))
-    open_one = history.now
-    assert book.halt is not None and open_one is not None and open_one.held is not None and report is not None
+    lease = lease_record.decode_record(Register(1, "", (GOLDEN / "lease.bin").read_bytes()))
+    book = fleet_state.decode_fleet_state(Register(1, "", (GOLDEN / "ledger.bin").read_bytes()))
+    history = rollout_state.decode_rollout_state(Register(1, "", (GOLDEN / "release.bin").read_bytes()))
+    report = failure_detector.decode_health_report(Register(1, "", (GOLDEN / "report.bin").read_bytes()))
+    open_one = history.open_rollout
+    assert (
+        book.halt is not None and open_one is not None and open_one.pause is not None and report is not None
+    )
     thing = open_one.new
     return {
         "lease": [lease.token, lease.held, lease.who, lease.name, lease.beat, lease.ttl, lease.note],
-        "line": [[waiter.who, waiter.name] for waiter in lease.line],
+        "line": [[waiter.owner_id, waiter.name] for waiter in lease.line],
         "ledger": [
-            book.form,
-            book.rules,
-            book.permits,
-            book.wants,
+            book.format_version,
+            book.budget_digest,
+            book.last_permit_number,
+            book.last_request_number,
             book.token,
-            book.room,
-            book.usual,
-            book.sweep,
+            book.capacity_permille,
+            book.typical_hit_permille,
+            book.sweep_count,
         ],
-        "halt": [book.halt.who, book.halt.why, book.halt.when],
+        "halt": [book.halt.actor, book.halt.reason, book.halt.timestamp_s],
         "members": {
-            name: [one.kind, one.zone, one.weight, one.at, one.permit, one.lost, one.off, one.met]
+            name: [
+                one.kind,
+                one.zone,
+                one.weight,
+                one.phase,
+                one.permit,
+                one.lost,
+                one.evicted,
+                one.was_healthy,
+            ]
             for name, one in book.members.items()
         },
         "wants": {
-            name: [one.want.number, one.want.who, one.want.why, one.want.now, one.want.below, one.want.wide]
+            name: [
+                one.drain_request.number,
+                one.drain_request.actor,
+                one.drain_request.reason,
+                one.drain_request.immediate,
+                one.drain_request.ignores_minimum,
+                one.drain_request.uses_rollback_limit,
+            ]
             for name, one in book.members.items()
-            if one.want is not None
+            if one.drain_request is not None
         },
-        "history": [[line.when, line.who, line.what] for line in (*book.history[:2], *history.history[:2])],
-        "record": [history.form, history.releases, history.token, sorted(history.base)],
+        "history": [
+            [line.timestamp_s, line.actor, line.message] for line in (*book.history[:2], *history.history[:2])
+        ],
+        "record": [history.format_version, history.last_number, history.token, sorted(history.baseline)],
         "release": [open_one.number, open_one.kind, open_one.new.name, open_one.old.name, open_one.waves],
-        "stands": [open_one.phase, open_one.wave, open_one.watched, open_one.asks, open_one.taken_on],
-        "watched": [open_one.held.why, open_one.left, len(open_one.evidence)],
+        "stands": [
+            open_one.phase,
+            open_one.wave,
+            open_one.watched_ms,
+            open_one.awaits_operator,
+            open_one.operator_accepted,
+        ],
+        "watched": [open_one.pause.reason, open_one.left_behind, len(open_one.evidence)],
         "thing": [thing.name, thing.digest, thing.source],
         "report": [
-            report.run,
-            report.beat,
-            report.up,
+            report.run_id,
+            report.sequence,
+            report.serving,
             report.warm,
             report.served,
             report.refused,
             report.failed,
         ],
-        "figures": [report.hits, report.misses, report.cpu, report.memory, report.door, report.ends],
-        "runs": [report.build, report.settings, report.trouble],
+        "figures": [report.hits, report.misses, report.cpu, report.memory, report.door, report.exit_count],
+        "runs": [report.build, report.settings, report.deploy_error],
     }
 
 
 FLEET_FORMS: dict[str, Form] = {
     "lease.bin": Form(lambda: LEASE, write_register, read_lease),
     "lease-history.json": Form(lambda: [value.hex() for value in lease_history()], as_json),
-    "ledger.bin": Form(ledger_value, ledger.packed, read_ledger, inflated),
-    "release.bin": Form(release_value, release.packed, read_release, inflated),
+    "ledger.bin": Form(ledger_value, fleet_state.encode_fleet_state, read_ledger, inflated),
+    "release.bin": Form(release_value, rollout_state.encode_rollout_state, read_release, inflated),
     "release-goals.json": Form(goals_of_release, as_json),
     "report.bin": Form(lambda: REPORT, write_register, read_report),
     "register-fields.json": Form(fields_of_registers, as_json),
--- a/tests/golden_http_forms.py
+++ b/tests/golden_http_forms.py
@@ -6,18 +6,20 @@
 
 from __future__ import annotations
 
-from rosepick.core.account import End
-from rosepick.core.transport_map import TransportMap, key_number, uid_number
-from rosepick.http import discovery, multiget
-from rosepick.http.next_hop import Exchange
-from rosepick.http.sender_side import Delivered, Letter, Rejected, SenderConnection
-from rosepick.ops.lines import OpsConnection, Said
-from rosepick.ops.telemetry import Figures
-from rosepick.settings.config import Names
+from rosepick.core.endpoint_directory import EndpointDirectory, hash_key, hash_uid
+from rosepick.core.request_counters import RequestOutcome
+from rosepick.http import batch_protocol, discovery
+from rosepick.http.client_protocol import HttpExchange
+from rosepick.http.server_protocol import ForwardedRequest, RequestReceived, RequestRejected, ServerProtocol
+from rosepick.ops.line_protocol import AdminProtocol, AdminReply
+from rosepick.ops.telemetry import TelemetrySnapshot
+from rosepick.settings.config import NameIndexes
 
 from .golden_support import Form, as_given, as_json
 
-NAMES = Names({"read": 0, "set": 1}, {"acme": 0, "beta": 1}, {"east": 0, "west": 1}, {"std": 0, "origin": 1})
+NAMES = NameIndexes(
+    {"read": 0, "set": 1}, {"acme": 0, "beta": 1}, {"east": 0, "west": 1}, {"std": 0, "origin": 1}
+)
 
 
 # ------------------------------------------------------------------------------------ doors
@@ -26,21 +28,21 @@
 def door_dialogue() -> object:
     """Return what is said at the operators' door: call and answer."""
     calls = {
-        "readyz": lambda: Said(True, "ready"),
-        "plain": lambda: Said(True, "{}", ("END",), True),
-        "no": lambda: Said(False, "ending"),
+        "readyz": lambda: AdminReply(True, "ready"),
+        "plain": lambda: AdminReply(True, "{}", ("END",), True),
+        "no": lambda: AdminReply(False, "ending"),
     }
     asked = (b"readyz\n", b"readyz\r\nmore", b"plain\n", b"no\n", b"nonsense\n", b"\n", b"\xff\n", b"x" * 300)
-    return [[call.hex(), OpsConnection(calls).feed(call).decode()] for call in asked] + [
-        ["", OpsConnection(calls).ended().decode()]
+    return [[call.hex(), AdminProtocol(calls).feed(call).decode()] for call in asked] + [
+        ["", AdminProtocol(calls).feed_eof().decode()]
     ]
 
 
 def telemetry() -> bytes:
     """Return the telemetry document."""
     ends = ("served", "refused", "failed", "late", "gone", "broke")
-    ended = {(place, End(end)): 10 * place + n for place in (0, 1) for n, end in enumerate(ends)}
-    figures = Figures({0: "read", 1: "set", 2: "new"}, ended, {0: 3}, {0: 40, 1: 2}, 5, 12, 1, 2, 3)
+    ended = {(place, RequestOutcome(end)): 10 * place + n for place in (0, 1) for n, end in enumerate(ends)}
+    figures = TelemetrySnapshot({0: "read", 1: "set", 2: "new"}, ended, {0: 3}, {0: 40, 1: 2}, 5, 12, 1, 2, 3)
     return figures.line().encode() + b"\n"
 
 
@@ -58,22 +60,28 @@
 def discovery_dialogue() -> object:
     """Return the calls, and what is read from a recorded list."""
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LIST) + LIST
-    found = discovery.Told().feed(answer)
+    found = discovery.EndpointListReader().feed(answer)
     assert found is not None
     told, reusable = found
-    known = TransportMap(NAMES, 1000.0)
-    change = known.take(told)
+    known = EndpointDirectory(NAMES, 1000.0)
+    change = known.apply_update(told)
     members = [
-        [m.server, int(m.state), m.born, m.zone, m.cell, m.kind, m.weight] for m in change.event.members
+        [m.endpoint_id, int(m.status), m.started_at, m.zone, m.cell, m.kind, m.weight]
+        for m in change.event.endpoints
+    ]
+    hops = [
+        [hop.endpoint_id, hop.uid, list(hop.address), int(hop.status)] for hop in known.endpoints.values()
+    ]
+    calls = [
+        discovery.encode_list_request("d:80", None, 0.0).decode(),
+        discovery.encode_list_request("d:80", 41, 2500.0).decode(),
     ]
-    hops = [[hop.server, hop.uid, list(hop.endpoint), int(hop.state)] for hop in known.hops.values()]
-    calls = [discovery.call("d:80", None, 0.0).decode(), discovery.call("d:80", 41, 2500.0).decode()]
     return [calls, reusable, change.event.scope.value, change.event.version, members, hops]
 
 
 def numbers_of_names() -> object:
     """Return the numbers that all routers give to keys and next hops."""
-    return [[key_number(key) for key in (b"", b"k1", b"m-004211")], [uid_number("s-1"), uid_number("s-1", 2)]]
+    return [[hash_key(key) for key in (b"", b"k1", b"m-004211")], [hash_uid("s-1"), hash_uid("s-1", 2)]]
 
 
 def client_dialogue() -> object:
@@ -87,23 +95,23 @@
     ]
     found: list[object] = []
     for text in requests:
-        connection = SenderConnection(lambda: NAMES)
+        connection = ServerProtocol(lambda: NAMES)
         connection.feed(text.encode(), 1000.0)
-        received = connection.next()
-        assert isinstance(received, Delivered)
-        envelope = received.envelope
+        received = connection.next_message()
+        assert isinstance(received, RequestReceived)
+        envelope = received.request
         letter = envelope.payload
-        assert isinstance(letter, Letter)
-        passed_on = bytes(Exchange(letter, "s-1:5001", 240.0).unsent()).decode()
+        assert isinstance(letter, ForwardedRequest)
+        passed_on = bytes(HttpExchange(letter, "s-1:5001", 240.0).next_unsent()).decode()
         read: list[object] = [
-            envelope.klass,
+            envelope.class_index,
             envelope.deadline,
             envelope.key,
-            envelope.tenant,
-            envelope.write,
+            envelope.tenant_index,
+            envelope.is_write,
         ]
-        read += [envelope.retry, envelope.cost_hint, letter.wait.decode()]
-        answer = connection.answer(503, b"busy", ((b"Retry-After", b"1"),), False).decode()
+        read += [envelope.is_retry, envelope.cost_hint, letter.deadline_header.decode()]
+        answer = connection.encode_response_head(503, b"busy", ((b"Retry-After", b"1"),), False).decode()
         found.append([text, read, passed_on, answer])
     return found
 
@@ -121,10 +129,10 @@
     )
     found = []
     for text in requests:
-        connection = SenderConnection(lambda: NAMES)
+        connection = ServerProtocol(lambda: NAMES)
         connection.feed(text.encode(), 1000.0)
-        received = connection.next()
-        assert isinstance(received, Rejected)
+        received = connection.next_message()
+        assert isinstance(received, RequestRejected)
         found.append([text[:60], received.status])
     return found
 
@@ -134,21 +142,25 @@
     body = b"m-1\r\na%20b\n\nc\n"
     head = b"Req-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: 1.0\r\n"
     text = b"POST /mget HTTP/1.1\r\n%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
-    connection = multiget.BatchConnection(lambda: NAMES, lambda: 3)
+    connection = batch_protocol.BatchServerProtocol(lambda: NAMES, lambda: 3)
     connection.feed(text, 500.0)
-    batch = connection.next()
-    assert isinstance(batch, multiget.Batch)
+    batch = connection.next_message()
+    assert isinstance(batch, batch_protocol.BatchRequest)
     parts = [
-        multiget.request(batch, key, b"id.%d" % place, "n3:5000", 250.5).decode()
+        batch_protocol.encode_item_request(batch, key, b"id.%d" % place, "n3:5000", 250.5).decode()
         for place, key in enumerate(batch.keys)
     ]
-    answer = b"".join(b"".join(multiget.entry(key, b"id", 200, b"value\n")) for key in batch.keys[:2])
-    answer += b"".join(multiget.entry(batch.keys[2], b"id", 503, b"")) + multiget.ending(1, 3)
+    answer = b"".join(
+        b"".join(batch_protocol.encode_entry(key, b"id", 200, b"value\n")) for key in batch.keys[:2]
+    )
+    answer += b"".join(
+        batch_protocol.encode_entry(batch.keys[2], b"id", 503, b"")
+    ) + batch_protocol.encode_trailer(1, 3)
     read = [
         [key.decode(), uid.decode(), status, data.decode()]
-        for key, uid, status, data in multiget.entries(answer)
+        for key, uid, status, data in batch_protocol.parse_entries(answer)
     ]
-    begun = connection.start(False).decode()
+    begun = connection.encode_batch_head(False).decode()
     return [
         text.decode(),
         [k.decode() for k in batch.keys],
--- a/tests/golden_lab_forms.py
+++ b/tests/golden_lab_forms.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 
 from rosepick.lab import results
-from rosepick.lab.account import logs
-from rosepick.lab.account.account import account
-from rosepick.lab.drill import claims, files, history
-from rosepick.logs import fields_of
+from rosepick.lab.account import log_reader
+from rosepick.lab.account.loss_account import build_account
+from rosepick.lab.drill import drill_file, history, invariants
+from rosepick.logs import parse_log_fields
 
 from .golden_support import GOLDEN, Form, as_given, as_json, temporary_folder
 
@@ -21,7 +21,7 @@
 WINDOW = results.Window(
     1, 10, 8, 1, 1, 0, 0, 30.0, 24.0, 12.5, 99.5, 11, 6, 2, 3, 4, 0.5, 0.25, 0.75, 0.125, 12
 )
-RUN = results.Run(
+RUN = results.RunResult(
     "calm",
     "rosepick",
     3,
@@ -33,51 +33,51 @@
     5.0,
     "",
     {"served_share": 0.99},
-    {"read": results.Part(10, 0.9, 12.5, 99.5)},
-    {"acme": results.Part(10, 0.9, 12.5, 99.5)},
+    {"read": results.GroupSummary(10, 0.9, 12.5, 99.5)},
+    {"acme": results.GroupSummary(10, 0.9, 12.5, 99.5)},
     [(50.0, 12.5), (99.0, 99.5)],
     [results.Window(0), WINDOW],
-    [results.Span("slow", 1.0, 2.0, "n1")],
-    [results.Verdict("served_share", 0.99, 0.95, None, 0.0, 60.0, True)],
-    [results.Broken("answered", "1.1", "n1", 2.5, "two answers")],
+    [results.FaultSpan("slow", 1.0, 2.0, "n1")],
+    [results.RequirementResult("served_share", 0.99, 0.95, None, 0.0, 60.0, True)],
+    [results.RuleViolation("answered", "1.1", "n1", 2.5, "two answers")],
 )
-COST = results.Cost(1000, 1.25, 42.5, 5000, 64.5)
+COST = results.RunCost(1000, 1.25, 42.5, 5000, 64.5)
 
 
-def write_results(found: list[results.Line]) -> bytes:
+def write_results(found: list[results.ResultLine]) -> bytes:
     """Write lines of results."""
-    return b"".join(map(results.write, found))
+    return b"".join(map(results.encode_result, found))
 
 
-def read_results(data: bytes) -> list[results.Line]:
+def read_results(data: bytes) -> list[results.ResultLine]:
     """Read lines of results."""
     with temporary_folder() as folder:
         path = folder / "results.jsonl"
         path.write_bytes(data)
-        return list(results.read(path))
+        return list(results.read_results(path))
 
 
 def drill_events() -> list[history.AnyEvent]:
     """Return an event of every kind, in order."""
     return [
-        history.Operation("w1", 1.0, 0.5, "lease/job", "a1", "done", 3, "a1", "a0"),
-        history.Yes("w1", 2.0, 1.5, "job", 3, 7),
-        history.Effect("w1", 3.0, "job", 3, 7, True),
-        history.Moved("w1", 4.0, "job", 3, 7, "holds"),
-        history.Stood("r1", 5.0, "routers", "e", True, "program", False),
-        history.Ordered("me", 6.0, "out", ("r1", "r2")),
-        history.Came("c1", 7.0, "x1", True),
-        history.Answered("x1", 8.0, 7.5, "r1", 200),
-        history.Told("c1", 9.0),
-        history.Ran("r1", 10.0, "new"),
-        history.Decided("record", 11.0, 10.5, 1, "new", ("r1",), False, False),
-        history.Injected("net", 12.0, "cut", "w1 w2"),
+        history.RegisterOperation("w1", 1.0, 0.5, "lease/job", "a1", "done", 3, "a1", "a0"),
+        history.LeaseCheckPassed("w1", 2.0, 1.5, "job", 3, 7),
+        history.GuardedEffect("w1", 3.0, "job", 3, 7, True),
+        history.LeaseStateChanged("w1", 4.0, "job", 3, 7, "holds"),
+        history.AvailabilityChanged("r1", 5.0, "routers", "e", True, "program", False),
+        history.OperatorOrderAccepted("me", 6.0, "out", ("r1", "r2")),
+        history.NodeRequestReceived("c1", 7.0, "x1", True),
+        history.ClientRequestCompleted("x1", 8.0, 7.5, "r1", 200),
+        history.DrainAnnounced("c1", 9.0),
+        history.VersionStarted("r1", 10.0, "new"),
+        history.ReleaseDecided("record", 11.0, 10.5, 1, "new", ("r1",), False, False),
+        history.FaultInjected("net", 12.0, "cut", "w1 w2"),
     ]
 
 
 def write_history(events: list[history.AnyEvent]) -> bytes:
     """Write a drill's events."""
-    return b"".join(map(history.line, events))
+    return b"".join(map(history.encode_line, events))
 
 
 def read_history(data: bytes) -> list[history.AnyEvent]:
@@ -85,7 +85,7 @@
     with temporary_folder() as folder:
         path = folder / "history.jsonl"
         path.write_bytes(data)
-        return history.read([path])
+        return history.read_events([path])
 
 
 def account_of_log(data: bytes) -> object:
@@ -96,7 +96,7 @@
     """
     with temporary_folder() as folder:
         (folder / "router.log").write_bytes(data)
-        found = account(logs.read([folder]))
+        found = build_account(log_reader.read_logs([folder]))
     rows = [
         [[row.name, row.asked, row.in_time, row.worth, [share for _, share in row.causes]] for row in part]
         for part in (found.classes, found.slices, found.groups)
@@ -108,12 +108,12 @@
 
 def fields_of_log(data: bytes) -> object:
     """Return the fields of each line of a log."""
-    return [fields_of(line) for line in data.decode().splitlines()]
+    return [parse_log_fields(line) for line in data.decode().splitlines()]
 
 
 def drill_counts() -> object:
     """Return how a drill's events are counted in its sum."""
-    return dict(claims.judge(drill_events()).counts)
+    return dict(invariants.check_invariants(drill_events()).counts)
 
 
 def drill_settings() -> object:
@@ -121,7 +121,7 @@
     with temporary_folder() as folder:
         (folder / "least.toml").write_text("", "utf-8")
         paths = (folder / "least.toml", ROOT / "drills" / "releases-short.toml")
-        return [files.load(path).model_dump(mode="json") for path in paths]
+        return [drill_file.load_drill(path).model_dump(mode="json") for path in paths]
 
 
 def recorded_log() -> bytes:
--- a/tests/golden_quorum_forms.py
+++ b/tests/golden_quorum_forms.py
@@ -12,79 +12,79 @@
 from pathlib import Path
 from typing import Any, TypeVar, get_args
 
-from rosepick.agreement import codec, messages
-from rosepick.agreement.messages import Member, Quorum, Register, Slot
-from rosepick.agreement.operation import Operation, Rounds
-from rosepick.agreement.succession import Succession
-from rosepick.agreement.witness import Witness
-from rosepick.leases import record
-from rosepick.leases.guard import Guard
-from rosepick.net.store import Tokens, WitnessStore
+from rosepick.consensus import codec, messages
+from rosepick.consensus.acceptor import Acceptor
+from rosepick.consensus.messages import Quorum, QuorumMember, Register, RegisterState
+from rosepick.consensus.proposer import BallotGenerator, Proposer
+from rosepick.consensus.reconfiguration import QuorumReconfiguration
+from rosepick.coordination.acceptor_store import AcceptorStore, SqliteFencingTokenStore
+from rosepick.leases import lease_record
+from rosepick.leases.fencing import FencingGuard
 
 from .golden_support import GOLDEN, Form, as_given, as_json, constant, temporary_folder
 
 KEY = b"a key of the golden files"
 NAMES = ("w1", "w2", "w3")
-Replica = Witness
+Replica = Acceptor
 
 
 # ------------------------------------------------------------------------------------ quorum messages
 
-QUORUM = Quorum("f1ee7", 1, tuple(Member(name, f"storage-{name}") for name in NAMES))
-NEXT_QUORUM = Quorum("f1ee7", 2, (*QUORUM.members[:2], Member("w4", "storage-w4")))
+QUORUM = Quorum("f1ee7", 1, tuple(QuorumMember(name, f"storage-{name}") for name in NAMES))
+NEXT_QUORUM = Quorum("f1ee7", 2, (*QUORUM.members[:2], QuorumMember("w4", "storage-w4")))
 REGISTER = Register(3, "00000000000000ab", b"\x00value\xff", "00000000000000aa")
-SLOT = Slot((5, 7), (4, 9), REGISTER)
+SLOT = RegisterState((5, 7), (4, 9), REGISTER)
 NUMBER = 2**40 + 1
 STORAGE = "storage-w1"
 
 REQUESTS = {
-    1: messages.Prepare(NUMBER, "f1ee7", 1, "lease/job", (5, 7)),
-    2: messages.Accept(NUMBER, "f1ee7", 1, "lease/job", (5, 7), REGISTER),
-    3: messages.Look(NUMBER, "f1ee7", 1, "lease/job"),
-    4: messages.Names(NUMBER, "f1ee7", 1, "lease/"),
-    5: messages.Seal(NUMBER, "f1ee7", 1),
-    6: messages.Install(NUMBER, NEXT_QUORUM, {"lease/job": SLOT, "lease/new": Slot()}),
-    7: messages.Met(NUMBER, "f1ee7", STORAGE, 4, "run-1", 1),
-    8: messages.Status(NUMBER),
+    1: messages.PrepareRequest(NUMBER, "f1ee7", 1, "lease/job", (5, 7)),
+    2: messages.AcceptRequest(NUMBER, "f1ee7", 1, "lease/job", (5, 7), REGISTER),
+    3: messages.ReadRequest(NUMBER, "f1ee7", 1, "lease/job"),
+    4: messages.ListKeysRequest(NUMBER, "f1ee7", 1, "lease/"),
+    5: messages.SealEpochRequest(NUMBER, "f1ee7", 1),
+    6: messages.InstallEpochRequest(NUMBER, NEXT_QUORUM, {"lease/job": SLOT, "lease/new": RegisterState()}),
+    7: messages.RestartCheckRequest(NUMBER, "f1ee7", STORAGE, 4, "run-1", 1),
+    8: messages.StatusRequest(NUMBER),
 }
 ANSWERS = {
-    21: messages.Promised(NUMBER, STORAGE, (4, 9), REGISTER),
-    22: messages.Accepted(NUMBER, STORAGE),
-    23: messages.Seen(NUMBER, STORAGE, (4, 9), REGISTER),
-    24: messages.Named(NUMBER, STORAGE, ("lease/job", "lease/new")),
-    25: messages.Sealed(NUMBER, STORAGE, {"lease/job": SLOT}),
-    26: messages.Beaten(NUMBER, STORAGE, (6, 11)),
-    27: messages.Elsewhere(NUMBER, STORAGE, NEXT_QUORUM, True),
-    28: messages.Remembered(NUMBER, STORAGE, 4, "run-1", NEXT_QUORUM, {"lease/job": SLOT}),
-    29: messages.State(NUMBER, STORAGE, "w1", 4, True, False, QUORUM, 2, 12.5),
-    30: messages.NotNow(NUMBER, STORAGE, "not met"),
+    21: messages.PromiseReply(NUMBER, STORAGE, (4, 9), REGISTER),
+    22: messages.AcceptReply(NUMBER, STORAGE),
+    23: messages.ReadReply(NUMBER, STORAGE, (4, 9), REGISTER),
+    24: messages.ListKeysReply(NUMBER, STORAGE, ("lease/job", "lease/new")),
+    25: messages.SealEpochReply(NUMBER, STORAGE, {"lease/job": SLOT}),
+    26: messages.BallotConflictReply(NUMBER, STORAGE, (6, 11)),
+    27: messages.WrongEpochReply(NUMBER, STORAGE, NEXT_QUORUM, True),
+    28: messages.RestartCheckReply(NUMBER, STORAGE, 4, "run-1", NEXT_QUORUM, {"lease/job": SLOT}),
+    29: messages.StatusReply(NUMBER, STORAGE, "w1", 4, True, False, QUORUM, 2, 12.5),
+    30: messages.UnavailableReply(NUMBER, STORAGE, "not met"),
 }
 
 
 def tags_of_program() -> set[int]:
     """Return the tags of all messages that the program knows."""
-    kinds = (*get_args(messages.Request), *get_args(messages.Answer))
+    kinds = (*get_args(messages.QuorumRequest), *get_args(messages.QuorumReply))
     return {int(kind.__struct_config__.tag) for kind in kinds}
 
 
 def write_frame(message: Any) -> bytes:
     """Encode a message with the key."""
-    return codec.framed(message, KEY)
+    return codec.encode_frame(message, KEY)
 
 
 def read_request(frame: bytes) -> Any:
     """Decode a request with the key."""
-    return codec.request(frame, KEY)
+    return codec.decode_request(frame, KEY)
 
 
 def read_answer(frame: bytes) -> Any:
     """Decode an answer with the key."""
-    return codec.answer(frame, KEY)
+    return codec.decode_reply(frame, KEY)
 
 
 def split_frames(data: bytes) -> list[bytes]:
     """Split a stream into whole frames."""
-    return codec.Frames().feed(data)
+    return codec.FrameDecoder().feed(data)
 
 
 def _message_forms() -> dict[str, Form]:
@@ -93,29 +93,29 @@
         forms[f"quorum-{tag:02}.frame"] = Form(constant(request), write_frame, read_request)
     for tag, answer in ANSWERS.items():
         forms[f"quorum-{tag:02}.frame"] = Form(constant(answer), write_frame, read_answer)
-    forms["quorum-without-key.frame"] = Form(lambda: REQUESTS[2], codec.framed, codec.request)
+    forms["quorum-without-key.frame"] = Form(lambda: REQUESTS[2], codec.encode_frame, codec.decode_request)
     return forms
 
 
 # ------------------------------------------------------------------------------------ quorum sessions
 
 
-def replica(name: str, store: WitnessStore | None = None) -> Witness:
+def replica(name: str, store: AcceptorStore | None = None) -> Acceptor:
     """Make a replica with an empty storage, or on that of a store."""
     if store is not None:
-        return Witness(name, store.saved, f"run-{name}")
+        return Acceptor(name, store.state, f"run-{name}")
     with temporary_folder() as folder:
-        fresh = WitnessStore(folder, f"storage-{name}")
+        fresh = AcceptorStore(folder, f"storage-{name}")
         fresh.close()
-        return Witness(name, fresh.saved, f"run-{name}")
+        return Acceptor(name, fresh.state, f"run-{name}")
 
 
-def answer_of(witness: Witness, frame: bytes, store: WitnessStore | None = None) -> bytes:
+def answer_of(witness: Acceptor, frame: bytes, store: AcceptorStore | None = None) -> bytes:
     """Answer a request as a replica's process does: what it rests on is stored first."""
-    answer, changes = witness.handle(codec.request(frame, KEY), 12.5)
+    answer, changes = witness.handle(codec.decode_request(frame, KEY), 12.5)
     if store is not None and changes:
-        store.keep(changes)
-    return codec.framed(answer, KEY)
+        store.save(changes)
+    return codec.encode_frame(answer, KEY)
 
 
 def replica_requests() -> list[bytes]:
@@ -125,44 +125,44 @@
     later = Register(4, "00000000000000ac", b"later", "00000000000000ab")
 
     def ask(kind: Callable[..., Any], *rest: object) -> bytes:
-        return codec.framed(kind(next(numbers), *rest), KEY)
+        return codec.encode_frame(kind(next(numbers), *rest), KEY)
 
     m = messages
     return [
-        ask(m.Status),
-        ask(m.Prepare, fleet, 1, name, (1, 7)),
-        ask(m.Install, QUORUM, {}),
-        ask(m.Install, Quorum("other", 1, QUORUM.members), {}),
-        ask(m.Prepare, fleet, 1, name, (5, 7)),
-        ask(m.Accept, fleet, 1, name, (5, 7), REGISTER),
-        ask(m.Accept, fleet, 1, name, (5, 7), later),
-        ask(m.Look, fleet, 1, name),
-        ask(m.Look, fleet, 1, "lease/none"),
-        ask(m.Prepare, fleet, 1, name, (4, 9)),
-        ask(m.Accept, fleet, 1, name, (4, 9), later),
-        ask(m.Prepare, fleet, 1, name, (6, 9)),
-        ask(m.Accept, fleet, 1, "k" * 201, (6, 9), later),
-        ask(m.Names, fleet, 1, "lease/"),
-        ask(m.Prepare, "other", 1, name, (9, 9)),
-        ask(m.Prepare, fleet, 9, name, (9, 9)),
-        ask(m.Met, fleet, "storage-w2", 3, "run-2", 1),
-        ask(m.Met, fleet, "storage-w2", 4, "run-3", 0),
-        ask(m.Seal, fleet, 1),
-        ask(m.Look, fleet, 1, name),
-        ask(m.Prepare, fleet, 1, m.SUCCESSOR, (7, 7)),
-        ask(m.Status),
-        ask(m.Install, NEXT_QUORUM, {name: SLOT}),
-        ask(m.Look, fleet, 2, name),
-        ask(m.Accept, fleet, 2, "lease/two", (1, 7), later),
-        ask(m.Prepare, fleet, 2, "lease/two", (2, 9)),
-        ask(m.Status),
+        ask(m.StatusRequest),
+        ask(m.PrepareRequest, fleet, 1, name, (1, 7)),
+        ask(m.InstallEpochRequest, QUORUM, {}),
+        ask(m.InstallEpochRequest, Quorum("other", 1, QUORUM.members), {}),
+        ask(m.PrepareRequest, fleet, 1, name, (5, 7)),
+        ask(m.AcceptRequest, fleet, 1, name, (5, 7), REGISTER),
+        ask(m.AcceptRequest, fleet, 1, name, (5, 7), later),
+        ask(m.ReadRequest, fleet, 1, name),
+        ask(m.ReadRequest, fleet, 1, "lease/none"),
+        ask(m.PrepareRequest, fleet, 1, name, (4, 9)),
+        ask(m.AcceptRequest, fleet, 1, name, (4, 9), later),
+        ask(m.PrepareRequest, fleet, 1, name, (6, 9)),
+        ask(m.AcceptRequest, fleet, 1, "k" * 201, (6, 9), later),
+        ask(m.ListKeysRequest, fleet, 1, "lease/"),
+        ask(m.PrepareRequest, "other", 1, name, (9, 9)),
+        ask(m.PrepareRequest, fleet, 9, name, (9, 9)),
+        ask(m.RestartCheckRequest, fleet, "storage-w2", 3, "run-2", 1),
+        ask(m.RestartCheckRequest, fleet, "storage-w2", 4, "run-3", 0),
+        ask(m.SealEpochRequest, fleet, 1),
+        ask(m.ReadRequest, fleet, 1, name),
+        ask(m.PrepareRequest, fleet, 1, m.SUCCESSOR_KEY, (7, 7)),
+        ask(m.StatusRequest),
+        ask(m.InstallEpochRequest, NEXT_QUORUM, {name: SLOT}),
+        ask(m.ReadRequest, fleet, 2, name),
+        ask(m.AcceptRequest, fleet, 2, "lease/two", (1, 7), later),
+        ask(m.PrepareRequest, fleet, 2, "lease/two", (2, 9)),
+        ask(m.StatusRequest),
     ]
 
 
 def replica_session() -> tuple[bytes, bytes, bytes]:
     """Return the requests, the answers, and what the replica has stored in the end."""
     with temporary_folder() as folder:
-        store = WitnessStore(folder, STORAGE)
+        store = AcceptorStore(folder, STORAGE)
         witness = replica("w1", store)
         requests = replica_requests()
         answers = [answer_of(witness, frame, store) for frame in requests]
@@ -187,36 +187,44 @@
     for name in (*NAMES, "w4"):
         members = QUORUM if name != "w4" else None
         if members is not None:
-            exchange(name, codec.framed(messages.Install(number(), members, {}), KEY))
-    rounds, others = Rounds(7), Rounds(11)
-    others.heard((4, 7))
+            exchange(name, codec.encode_frame(messages.InstallEpochRequest(number(), members, {}), KEY))
+    rounds, others = BallotGenerator(7), BallotGenerator(11)
+    others.observe((4, 7))
     for change, by, mark in (
-        (record.take(record.Record(), 7, "one", 10_000.0), rounds, "a1"),
+        (lease_record.acquire(lease_record.LeaseRecord(), 7, "one", 10_000.0), rounds, "a1"),
         (None, rounds, "a2"),
-        (record.stand_in_line(11, "two"), others, "a3"),
-        (record.renew(7, 1, 10_000.0), rounds, "a4"),
-        (record.renew(8, 1, 10_000.0), rounds, "a5"),
+        (lease_record.join_queue(11, "two"), others, "a3"),
+        (lease_record.renew(7, 1, 10_000.0), rounds, "a4"),
+        (lease_record.renew(8, 1, 10_000.0), rounds, "a5"),
     ):
-        operation = Operation(QUORUM, "lease/job", change, by, mark, number)
-        _run(operation, operation.begin(), exchange)
+        operation = Proposer(QUORUM, "lease/job", change, by, mark, number)
+        _run(operation, operation.start(), exchange)
         if operation.outcome is None:
-            _run(operation, operation.again(), exchange)
+            _run(operation, operation.retry(), exchange)
         assert operation.outcome is not None
         found = operation.outcome.register
-        ended.append([operation.outcome.kind.value, found.version, found.mark, found.value.hex(), found.base])
-    succession = Succession(QUORUM, NEXT_QUORUM.members, rounds, "a6", number)
-    _run(succession, succession.begin(), exchange)
-    assert succession.next is not None
-    ended.append([succession.step.value, succession.next.quorum.epoch])
+        ended.append(
+            [
+                operation.outcome.kind.value,
+                found.version,
+                found.change_id,
+                found.value.hex(),
+                found.parent_change_id,
+            ]
+        )
+    succession = QuorumReconfiguration(QUORUM, NEXT_QUORUM.members, rounds, "a6", number)
+    _run(succession, succession.start(), exchange)
+    assert succession.successor is not None
+    ended.append([succession.phase.value, succession.successor.quorum.epoch])
     return ended
 
 
-def _run(asking: Operation | Succession, sends: Any, exchange: Exchange) -> None:
+def _run(asking: Proposer | QuorumReconfiguration, sends: Any, exchange: Exchange) -> None:
     waiting = list(sends)
     while waiting:
         name, request = waiting.pop(0)
-        answer = codec.answer(exchange(name, codec.framed(request, KEY)), KEY)
-        waiting += asking.heard(name, answer)
+        answer = codec.decode_reply(exchange(name, codec.encode_frame(request, KEY)), KEY)
+        waiting += asking.handle_reply(name, answer)
 
 
 def client_transcript() -> bytes:
@@ -267,25 +275,35 @@
     """Open a replica's store and return what it holds."""
     with temporary_folder() as folder:
         database_of(dump, folder / "witness.sqlite3")
-        store = WitnessStore(folder, "not used")
+        store = AcceptorStore(folder, "not used")
         store.close()
-        saved = store.saved
-        return [saved.storage, saved.starts, saved.quorum, saved.sealed, saved.slots, saved.met, store.copied]
+        saved = store.state
+        return [
+            saved.storage_id,
+            saved.start_count,
+            saved.quorum,
+            saved.is_sealed,
+            saved.register_states,
+            saved.known_starts,
+            store.was_copied,
+        ]
 
 
 def answers_from_store(dump: bytes) -> list[object]:
     """Ask a replica that was started on a stored state; before that, two others have heard of its start."""
     with temporary_folder() as folder:
         database_of(dump, folder / "witness.sqlite3")
-        store = WitnessStore(folder, "not used")
+        store = AcceptorStore(folder, "not used")
         witness = replica("w1", store)
         for other in ("storage-w2", "storage-w4"):
-            witness.remembered(messages.Remembered(1, other, 1, "run-before", None, {}), True)
-        requests: list[messages.Request] = [
-            messages.Look(1, "f1ee7", 2, "lease/job"),
-            messages.Prepare(2, "f1ee7", 2, "lease/two", (2, 8)),
-            messages.Prepare(3, "f1ee7", 2, "lease/two", (2, 10)),
-            messages.Met(4, "f1ee7", "storage-w2", 4, "run-3", 2),
+            witness.handle_restart_check_reply(
+                messages.RestartCheckReply(1, other, 1, "run-before", None, {}), True
+            )
+        requests: list[messages.QuorumRequest] = [
+            messages.ReadRequest(1, "f1ee7", 2, "lease/job"),
+            messages.PrepareRequest(2, "f1ee7", 2, "lease/two", (2, 8)),
+            messages.PrepareRequest(3, "f1ee7", 2, "lease/two", (2, 10)),
+            messages.RestartCheckRequest(4, "f1ee7", "storage-w2", 4, "run-3", 2),
         ]
         found: list[object] = [witness.handle(request)[0] for request in requests]
         store.close()
@@ -296,16 +314,16 @@
     """Return what `answers_from_store` is to give for the store of `replica_session`."""
     two = Register(4, "00000000000000ac", b"later", "00000000000000ab")
     return [
-        messages.Seen(1, STORAGE, (4, 9), REGISTER),
-        messages.Beaten(2, STORAGE, (2, 9)),
-        messages.Promised(3, STORAGE, (1, 7), two),
-        messages.Remembered(4, STORAGE, 4, "run-3", None, {}),
+        messages.ReadReply(1, STORAGE, (4, 9), REGISTER),
+        messages.BallotConflictReply(2, STORAGE, (2, 9)),
+        messages.PromiseReply(3, STORAGE, (1, 7), two),
+        messages.RestartCheckReply(4, STORAGE, 4, "run-3", None, {}),
     ]
 
 
 def replica_holds() -> list[object]:
     """Return what the store of `replica_session` holds when it is opened for the second time."""
-    two = Slot((2, 9), (1, 7), Register(4, "00000000000000ac", b"later", "00000000000000ab"))
+    two = RegisterState((2, 9), (1, 7), Register(4, "00000000000000ac", b"later", "00000000000000ab"))
     slots = {"lease/job": SLOT, "lease/two": two}
     return [STORAGE, 2, NEXT_QUORUM, False, slots, {"storage-w2": (4, "run-3")}, False]
 
@@ -316,10 +334,10 @@
 def write_tokens(tokens: dict[str, int]) -> bytes:
     """Take steps under fencing tokens and return what the guard has stored."""
     with temporary_folder() as folder:
-        kept = Tokens(folder)
-        guard = Guard(kept)
+        kept = SqliteFencingTokenStore(folder)
+        guard = FencingGuard(kept)
         assert all(
-            guard.takes(task, token - 1) and guard.takes(task, token) for task, token in tokens.items()
+            guard.accepts(task, token - 1) and guard.accepts(task, token) for task, token in tokens.items()
         )
         kept.close()
         return dump_of(folder / "guard.sqlite3")
@@ -329,11 +347,11 @@
     """Open a guard's store and return the highest tokens; a lower one is refused."""
     with temporary_folder() as folder:
         database_of(dump, folder / "guard.sqlite3")
-        kept = Tokens(folder)
-        guard = Guard(kept)
-        assert not any(guard.takes(task, token - 1) for task, token in TOKENS.items())
-        assert all(guard.takes(task, token) for task, token in TOKENS.items())
-        found = {task: kept.highest(task) for task in TOKENS}
+        kept = SqliteFencingTokenStore(folder)
+        guard = FencingGuard(kept)
+        assert not any(guard.accepts(task, token - 1) for task, token in TOKENS.items())
+        assert all(guard.accepts(task, token) for task, token in TOKENS.items())
+        found = {task: kept.highest_token(task) for task in TOKENS}
         kept.close()
         return found
 
@@ -355,38 +373,70 @@
     Values are built by position elsewhere, which does not show two fields of one type that change places.
     """
     m = messages
-    prepare, accept, look = recorded(m.Prepare, 1), recorded(m.Accept, 2), recorded(m.Look, 3)
-    names, seal, install = recorded(m.Names, 4), recorded(m.Seal, 5), recorded(m.Install, 6)
-    met, status = recorded(m.Met, 7), recorded(m.Status, 8)
-    promised, accepted, seen = recorded(m.Promised, 21), recorded(m.Accepted, 22), recorded(m.Seen, 23)
-    named, sealed, beaten = recorded(m.Named, 24), recorded(m.Sealed, 25), recorded(m.Beaten, 26)
-    elsewhere, known, state = recorded(m.Elsewhere, 27), recorded(m.Remembered, 28), recorded(m.State, 29)
-    refused = recorded(m.NotNow, 30)
+    prepare, accept, look = (
+        recorded(m.PrepareRequest, 1),
+        recorded(m.AcceptRequest, 2),
+        recorded(m.ReadRequest, 3),
+    )
+    names, seal, install = (
+        recorded(m.ListKeysRequest, 4),
+        recorded(m.SealEpochRequest, 5),
+        recorded(m.InstallEpochRequest, 6),
+    )
+    met, status = recorded(m.RestartCheckRequest, 7), recorded(m.StatusRequest, 8)
+    promised, accepted, seen = (
+        recorded(m.PromiseReply, 21),
+        recorded(m.AcceptReply, 22),
+        recorded(m.ReadReply, 23),
+    )
+    named, sealed, beaten = (
+        recorded(m.ListKeysReply, 24),
+        recorded(m.SealEpochReply, 25),
+        recorded(m.BallotConflictReply, 26),
+    )
+    elsewhere, known, state = (
+        recorded(m.WrongEpochReply, 27),
+        recorded(m.RestartCheckReply, 28),
+        recorded(m.StatusReply, 29),
+    )
+    refused = recorded(m.UnavailableReply, 30)
     assert elsewhere.quorum is not None and known.quorum is not None and state.quorum is not None
-    slot = install.slots["lease/job"]
+    slot = install.register_states["lease/job"]
     return [
-        [prepare.number, prepare.fleet, prepare.epoch, prepare.key, prepare.ballot],
-        [accept.number, accept.fleet, accept.epoch, accept.key, accept.ballot],
-        [look.number, look.fleet, look.epoch, look.key],
-        [names.number, names.fleet, names.epoch, names.start],
-        [seal.number, seal.fleet, seal.epoch],
-        [install.number, install.quorum.fleet, install.quorum.epoch],
-        [[member.name, member.storage] for member in install.quorum.members],
-        [slot.promised, slot.ballot, sorted(install.slots)],
-        [slot.register.version, slot.register.mark, slot.register.value.hex(), slot.register.base],
-        [met.number, met.fleet, met.storage, met.starts, met.run, met.epoch],
-        [status.number],
-        [promised.number, promised.storage, promised.ballot, promised.register.version],
-        [accepted.number, accepted.storage],
-        [seen.number, seen.storage, seen.ballot, seen.register.version],
-        [named.number, named.storage, named.names],
-        [sealed.number, sealed.storage, sorted(sealed.slots)],
-        [beaten.number, beaten.storage, beaten.ballot],
-        [elsewhere.number, elsewhere.storage, elsewhere.quorum.epoch, elsewhere.sealed],
-        [known.number, known.storage, known.starts, known.run, known.quorum.epoch, sorted(known.slots)],
-        [state.number, state.storage, state.name, state.starts, state.votes, state.sealed],
-        [state.quorum.epoch, state.registers, state.up],
-        [refused.number, refused.storage, refused.why],
+        [prepare.request_id, prepare.fleet_id, prepare.epoch, prepare.key, prepare.ballot],
+        [accept.request_id, accept.fleet_id, accept.epoch, accept.key, accept.ballot],
+        [look.request_id, look.fleet_id, look.epoch, look.key],
+        [names.request_id, names.fleet_id, names.epoch, names.key_prefix],
+        [seal.request_id, seal.fleet_id, seal.epoch],
+        [install.request_id, install.quorum.fleet_id, install.quorum.epoch],
+        [[member.name, member.storage_id] for member in install.quorum.members],
+        [slot.promised_ballot, slot.accepted_ballot, sorted(install.register_states)],
+        [
+            slot.register.version,
+            slot.register.change_id,
+            slot.register.value.hex(),
+            slot.register.parent_change_id,
+        ],
+        [met.request_id, met.fleet_id, met.storage_id, met.start_count, met.run_id, met.epoch],
+        [status.request_id],
+        [promised.request_id, promised.storage_id, promised.accepted_ballot, promised.register.version],
+        [accepted.request_id, accepted.storage_id],
+        [seen.request_id, seen.storage_id, seen.accepted_ballot, seen.register.version],
+        [named.request_id, named.storage_id, named.keys],
+        [sealed.request_id, sealed.storage_id, sorted(sealed.register_states)],
+        [beaten.request_id, beaten.storage_id, beaten.promised_ballot],
+        [elsewhere.request_id, elsewhere.storage_id, elsewhere.quorum.epoch, elsewhere.is_sealed],
+        [
+            known.request_id,
+            known.storage_id,
+            known.start_count,
+            known.run_id,
+            known.quorum.epoch,
+            sorted(known.register_states),
+        ],
+        [state.request_id, state.storage_id, state.name, state.start_count, state.is_voting, state.is_sealed],
+        [state.quorum.epoch, state.register_count, state.uptime_s],
+        [refused.request_id, refused.storage_id, refused.reason],
     ]
 
 
--- a/tests/golden_settings_forms.py
+++ b/tests/golden_settings_forms.py
@@ -12,7 +12,7 @@
 
 from rosepick.decisions import api
 from rosepick.lab import experiment
-from rosepick.lab.live import configuration
+from rosepick.lab.live import router_config
 from rosepick.settings import fleet_file, operator_file, reader
 
 from .golden_support import Form, as_json
@@ -52,14 +52,19 @@
         "/some/path",
     )
     found = {}
-    for setting in operator_file.TABLE:
+    for setting in operator_file.SETTINGS:
         accepted = {}
         for text in probes:
             try:
-                accepted[text] = setting.read(text)
+                accepted[text] = setting.parse(text)
             except ValueError:
                 continue
-        found[setting.name] = [setting.default, setting.show(setting.default), setting.live, accepted]
+        found[setting.name] = [
+            setting.default,
+            setting.format_value(setting.default),
+            setting.is_reloadable,
+            accepted,
+        ]
     return found
 
 
@@ -95,20 +100,20 @@
         },
     }
     short = {"request_classes": [{"deadline": 1000.0}]}
-    return [_plain(reader.settings(json.dumps(env).encode())) for env in (full, short)]
+    return [_plain(reader.parse_settings(json.dumps(env).encode())) for env in (full, short)]
 
 
-def _plain(told: api.Settings) -> object:
+def _plain(told: api.RouterSettings) -> object:
     """Return settings as plain values in their order."""
     classes = [
         [
-            c.aim,
-            c.deadline,
+            c.objective_ms,
+            c.deadline_ms,
             c.worth,
             c.late_share,
             c.effect.value,
             c.group.value,
-            c.repeat_window,
+            c.repeat_window_ms,
             c.streaming,
         ]
         for c in told.classes
@@ -128,11 +133,11 @@
         ],
         "limits": [
             limits.max_attempts,
-            limits.second_copies,
-            limits.cancelling,
-            limits.probes,
-            limits.peers,
-            limits.max_retry_after,
+            limits.allow_hedging,
+            limits.allow_cancel,
+            limits.allow_probes,
+            limits.allow_peer_messages,
+            limits.max_retry_after_ms,
         ],
         "rest": [
             told.mode.value,
@@ -154,7 +159,7 @@
 
 def fleet_settings() -> object:
     """Return every setting of the fleet's file with its default; and the file of the repository."""
-    least = fleet_file.Fleet.model_validate({"witnesses": {"w1": "h:1"}, "drains": {"back": {}}})
+    least = fleet_file.FleetFile.model_validate({"witnesses": {"w1": "h:1"}, "drains": {"back": {}}})
     return [
         least.model_dump(mode="json"),
         fleet_file.load(ROOT / "deploy" / "fleet.toml")[0].model_dump(mode="json"),
@@ -163,8 +168,10 @@
 
 def lab_configuration() -> object:
     """Return the GW_CONFIG that the lab writes for a router, and what its experiment holds."""
-    calm = experiment.load(ROOT / "experiments" / "calm.toml")
-    document = configuration.document(calm, "n1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1}, position=1)
+    calm = experiment.load_experiment(ROOT / "experiments" / "calm.toml")
+    document = router_config.router_config_document(
+        calm, "n1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1}, position=1
+    )
     return [document, calm.model_dump(mode="json")]
 
 
--- a/tests/golden_simulator_forms.py
+++ b/tests/golden_simulator_forms.py
@@ -43,38 +43,38 @@
         (
             18,
             pack(">IQIdQBHfd", 3, 77, 1, 12.0, 99, 1, 0, 0.0, 900.0),
-            api.Request(77, 0, 900.0, 99, 1, False, False, 12.0),
+            api.RequestArrived(77, 0, 900.0, 99, 1, False, False, 12.0),
         ),
         (
             18,
             pack(">IQIdQBHfd", 3, 78, 0, 0.0, 98, 6, 1, 0.0, 90.5),
-            api.Request(78, 1, 90.5, 98, 0, True, True, None),
+            api.RequestArrived(78, 1, 90.5, 98, 0, True, True, None),
         ),
-        (22, pack(">IQ", 3, 5), api.Timer(5)),
+        (22, pack(">IQ", 3, 5), api.TimerFired(5)),
         (
             23,
             pack(">IdHIB2f", 3, 1.5, 200, 6, 2, 0.5, 0.25),
             api.ProbeResult(6, api.Result("ok"), 1.5, (0.5, 0.25)),
         ),
-        (21, pack(">IQ", 3, 77), api.ClientGone(77)),
+        (21, pack(">IQ", 3, 77), api.ClientDisconnected(77)),
         (19, pack(">IQBId", 3, 77, 1, 5, 2.5), api.FirstByte(77, 1, 5, 2.5)),
         (24, pack(">IIH", 3, 9, 4) + b"peer", api.PeerMessage(9, b"peer")),
-        (17, pack(">IHQB", 3, 0, 41, 2), api.Members(api.Scope("delta"), POOL, 41)),
-        (17, pack(">IHQB", 3, 0, 41, 4), api.Members(api.Scope("full"), POOL, 41)),
-        (17, pack(">IHQB", 3, 0, 41, 0), api.Members(api.Scope("cached"), POOL, 41)),
-        (17, pack(">IHQB", 3, 9, 41, 1), api.Members(api.Scope("failed"), (), 41)),
+        (17, pack(">IHQB", 3, 0, 41, 2), api.EndpointUpdate(api.UpdateScope("delta"), POOL, 41)),
+        (17, pack(">IHQB", 3, 0, 41, 4), api.EndpointUpdate(api.UpdateScope("full"), POOL, 41)),
+        (17, pack(">IHQB", 3, 0, 41, 0), api.EndpointUpdate(api.UpdateScope("cached"), POOL, 41)),
+        (17, pack(">IHQB", 3, 9, 41, 1), api.EndpointUpdate(api.UpdateScope("failed"), (), 41)),
     ]
     for code, place in CODES.items():
         data = pack(">IQIBBBHdB1f", 3, 77, 5, 2, place % 2, 1, code, 3.5, 1, 0.5)
-        event = api.Outcome(77, 1, 5, api.Result(RESULTS[place]), place % 2 > 0, 2, 3.5, (0.5,))
+        event = api.AttemptEnded(77, 1, 5, api.Result(RESULTS[place]), place % 2 > 0, 2, 3.5, (0.5,))
         found.append((20, data, event))
     return found
 
 
 POOL = (
-    api.Member(5, api.State(1)),
-    api.Member(6, api.State(2), 1.5, 1, 2, 2, 0.5),
-    api.Member(7, api.State(0)),
+    api.Endpoint(5, api.Status(1)),
+    api.Endpoint(6, api.Status(2), 1.5, 1, 2, 2, 0.5),
+    api.Endpoint(7, api.Status(0)),
 )
 POOL_FIELDS = struct.pack(">HI", 0, 3) + b"".join(
     struct.pack(">IfdBHHB", *row)
@@ -84,8 +84,10 @@
 
 def decoded_events(data: bytes) -> list[object]:
     """Decode the recorded records."""
-    number, members = wire.pool(POOL_FIELDS)
-    return [wire.event(code, bytes.fromhex(text), {number: members}) for code, text in json.loads(data)]
+    number, members = wire.decode_endpoint_list(POOL_FIELDS)
+    return [
+        wire.decode_event(code, bytes.fromhex(text), {number: members}) for code, text in json.loads(data)
+    ]
 
 
 def record(code: int, fields: bytes) -> bytes:
@@ -148,13 +150,13 @@
         [record(17, struct.pack(">IHQB", 3, 9, 0, 1)), work(14, 900.0)],
     ]
     closing = [record(20, struct.pack(">IQIBBBHdB", 3, 99, 5, 0, 1, 0, 200, 3.5, 0)), record(25, b"\0\0\0\3")]
-    played, found, shots = host.Host(), b"", dict[int, int]()
+    played, found, shots = host.SimulatorHost(), b"", dict[int, int]()
     waiting: list[bytes] = []
     for turn in range(20):
         records = opening[turn] if turn < len(opening) else waiting
         waiting = [] if turn >= len(opening) else waiting
         made = batch(10.0 + 40.0 * turn, turn, records)
-        waiting += answers_to(played.batch(made[4:]), turn, shots)
+        waiting += answers_to(played.handle_batch(made[4:]), turn, shots)
         found += made
     return found + batch(2000.0, 20, closing) + batch(2001.0, 21, [work(15, 900.0)])
 
@@ -180,8 +182,8 @@
         api.Watch(False),
         api.Log("a line \u00e9"),
     ]
-    out = [wire.action(3, action) for action in actions] + [wire.text(25, 3, "broken")]
-    return wire.reply(7, out)
+    out = [wire.encode_action(3, action) for action in actions] + [wire.encode_text(25, 3, "broken")]
+    return wire.encode_reply(7, out)
 
 
 SIMULATOR_FORMS: dict[str, Form] = {
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -13,7 +13,7 @@
     s1 hold / let                   new connections there do not come up; those that wait may, from here on
     router end / going / ended      is told to end; has not ended yet; has
     router reload                   is told to read its configuration file again
-    all holds engine.owed 1         that part of the router has that value
+    all holds engine.pending_count 1         that part of the router has that value
     wait 600                        so many milliseconds pass on a clock of the scenario's own
 
 Nothing sleeps: the loop is stepped until what is expected is there, a bounded number of times.
@@ -29,10 +29,10 @@
 from typing import Any
 
 from rosepick.decisions.decide import Router
-from rosepick.net.loop import Loop
-from rosepick.net.server import Server
+from rosepick.net.event_loop import EventLoop
+from rosepick.net.server import RouterServer
 from rosepick.settings import config
-from rosepick.settings.operator_file import Operators
+from rosepick.settings.operator_file import OperatorOptions
 
 STEPS = 200
 SETTINGS: dict[str, Any] = {
@@ -80,7 +80,7 @@
     }
 
 
-class Wire:
+class ScenarioConnection:
     """One connection as the scenario holds it."""
 
     def __init__(self, sock: socket.socket) -> None:
@@ -125,12 +125,12 @@
         self.sent = 0
         parties = (*self.nodes, *self.discoveries)
         self.listeners = {name: socket.create_server(("127.0.0.1", 0)) for name in parties}
-        self.wires: dict[str, list[Wire]] = {name: [] for name in self.listeners}
+        self.wires: dict[str, list[ScenarioConnection]] = {name: [] for name in self.listeners}
         self.fillers: dict[str, list[socket.socket]] = {}  # of a party's queue that is held full
-        self.loop = Loop(lambda: self.now)
+        self.loop = EventLoop(lambda: self.now)
         self.file: dict[str, Any] = self.document()
-        self.server = Server(self.read(), self.loop, self.read, self.operators())
-        self.server.take_clients()
+        self.server = RouterServer(self.read(), self.loop, self.read, self.operators())
+        self.server.start_serving()
         for listener in self.listeners.values():
             listener.setblocking(False)
 
@@ -162,9 +162,9 @@
         """What the configuration file says at present."""
         return config.read(json.loads(json.dumps(self.file)))
 
-    def operators(self) -> Operators:
+    def operators(self) -> OperatorOptions:
         """What the operators tell: nothing, unless a scenario says otherwise."""
-        return Operators()
+        return OperatorOptions()
 
     def module(self) -> Router:
         """The router's decisions."""
@@ -216,10 +216,12 @@
         else:
             self.assertEqual(self.loop.stopped, what == "ended")
 
-    def wire(self, who: str) -> Wire:
+    def wire(self, who: str) -> ScenarioConnection:
         """A party's present connection; a sender side opens its own."""
         if not self.wires.get(who):
-            self.wires[who] = [Wire(socket.create_connection(self.server.listener.sock.getsockname()))]
+            self.wires[who] = [
+                ScenarioConnection(socket.create_connection(self.server.listener.sock.getsockname()))
+            ]
         return self.wires[who][-1]
 
     def send(self, who: str, text: str) -> None:
@@ -336,7 +338,7 @@
             for name, listener in self.listeners.items():
                 open_ = listener.fileno() >= 0 and name not in self.fillers
                 while open_ and select.select([listener], [], [], 0)[0]:
-                    self.wires[name].append(Wire(listener.accept()[0]))
+                    self.wires[name].append(ScenarioConnection(listener.accept()[0]))
             for wires in self.wires.values():
                 for wire in wires:
                     wire.pull()
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -9,10 +9,10 @@
 
 from rich.console import Console
 
-from rosepick.lab.account.account import account
-from rosepick.lab.account.logs import NoLogs, read
-from rosepick.lab.account.printed import parse
-from rosepick.lab.account.tables import tables
+from rosepick.lab.account.day_report import parse_day_report
+from rosepick.lab.account.log_reader import NoLogsError, read_logs
+from rosepick.lab.account.loss_account import build_account
+from rosepick.lab.account.tables import format_tables
 from tests.scenario import Scenario
 
 BEGIN = "time=2026-01-02T03:04:{:06.3f}Z level=info part=net.server event="
@@ -60,7 +60,7 @@
                 "15.001 time=2026 event=ends class",
             )
             self.write("n1", line(0.5, "serving", stamp), ends(5.5, "write", stamp, worth=6.0, gone=1))
-            found = account(read([self.folder]), parse(PRINTED))
+            found = build_account(read_logs([self.folder]), parse_day_report(PRINTED))
             with self.subTest(stamp=stamp):
                 self.assertEqual((found.routers, found.starts, found.asked), (2, 3, 18))
                 self.assertAlmostEqual(found.in_time, 10 / 18)
@@ -85,7 +85,7 @@
                 self.assertAlmostEqual(found.prices["crossings"], 5 / 18)
                 self.assertEqual(found.printed.prices, {"cross_zone": 0.0478, "handshake": 0.015})  # type: ignore[union-attr]
         console = Console(width=200, file=StringIO())
-        for made in tables(found):
+        for made in format_tables(found):
             console.print(made)
         for text in ("expected to be too late (read 7)", "55.6% in time", "price: handshake", "0.4790"):
             self.assertIn(text, console.file.getvalue())  # type: ignore[attr-defined]
@@ -93,15 +93,15 @@
     def test_busy_routers_stand_apart_and_nothing_to_read_is_one_plain_line(self) -> None:
         for place in range(10):
             self.write(f"n{place}", ends(5, "read", served=90 if place == 3 else 1, refused_queue=1))
-        rows = [(row.name, row.asked) for row in account(read([self.folder])).groups]
+        rows = [(row.name, row.asked) for row in build_account(read_logs([self.folder])).groups]
         self.assertEqual(rows, [("1 with 3 times the mean or more", 91), ("9 others", 18)])
         for place in range(10):
             self.write(f"n{place}")
         self.write("n0", "no line of ours")
         for paths in ([self.folder], [self.folder / "none.log"], []):
-            with self.subTest(paths=paths), self.assertRaises(NoLogs):
-                read(paths)
-        self.assertEqual(parse("nothing of a day"), parse(""))
+            with self.subTest(paths=paths), self.assertRaises(NoLogsError):
+                read_logs(paths)
+        self.assertEqual(parse_day_report("nothing of a day"), parse_day_report(""))
 
 
 class Enters(Scenario):
@@ -119,8 +119,8 @@
             wait 1001
             c1 expect 504
         """)
-        told = next(self.server.engine.account.lines({0: "read"}, {0: 3.0}))
+        told = next(self.server.engine.request_counters.iter_log_fields({0: "read"}, {0: 3.0}))
         self.assertEqual((told["class"], told["worth"], told["served_late"]), ("read", 3.0, 1))
         self.assertTrue(700 <= int(str(told["served_late_ms"])) < 750)
         self.assertEqual([told[name] for name in told if name[:5] == "late_" and name[-3:] != "_ms"], [1])
-        self.assertEqual(next(self.server.engine.account.lines({}, {}))["class"], "0")
+        self.assertEqual(next(self.server.engine.request_counters.iter_log_fields({}, {}))["class"], "0")
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -56,7 +56,7 @@
             s1 expect GET /api/k1
         """
         self.play(read + "s1 send 200 value\nc1 expect 200" + read + "c1 close\ns1 expect closed")
-        self.assertEqual(self.server.listener.open_ids, set())
+        self.assertEqual(self.server.listener.open_request_ids, set())
 
 
 class Time(Scenario):
@@ -95,7 +95,7 @@
             c1 expect closed
         """)
         listener = self.server.listener
-        self.assertFalse(listener.links or len(listener.account))
+        self.assertFalse(listener.connections or len(listener.connection_table))
 
     def connect(self, who: str) -> None:
         self.wire(who)
@@ -115,7 +115,7 @@
         for n in range(100, 190):
             self.wire(f"c{n}")
             self.play("wait 10")
-        self.assertLessEqual(len(self.server.listener.links), 40)
+        self.assertLessEqual(len(self.server.listener.connections), 40)
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -131,4 +131,4 @@
     def test_hundreds_sent_ahead_that_cannot_be_taken_cost_one_answer(self) -> None:
         self.play("c1 raw " + ONE.replace("read", "none") * 100)
         self.play("c1 expect 400 Connection=close\nwait 600\nc1 expect closed")
-        self.assertEqual(self.server.listener.rejected, 1)
+        self.assertEqual(self.server.listener.rejected_count, 1)
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -7,10 +7,21 @@
 import unittest
 from unittest import mock
 
-from rosepick.core.flow import LEAST, MOST, Flow, Room
-from rosepick.http.response import AnswerReader, BadAnswer
-from rosepick.http.sender_side import Delivered, Letter, Rejected, SenderConnection, origin_form
-from rosepick.settings.config import Names
+from rosepick.core.body_stream import (
+    MAX_STREAM_BUFFER_BYTES,
+    MIN_STREAM_BUFFER_BYTES,
+    BodyStream,
+    BufferBudget,
+)
+from rosepick.http.response import MalformedResponseError, ResponseReader
+from rosepick.http.server_protocol import (
+    ForwardedRequest,
+    RequestReceived,
+    RequestRejected,
+    ServerProtocol,
+    to_origin_form,
+)
+from rosepick.settings.config import NameIndexes
 
 from .scenario import Scenario
 
@@ -18,58 +29,61 @@
 PUT = b"PUT /api/k1 HTTP/1.1\r\nReq-Id: 7 \t\r\nReq-Kind: set\r\nReq-Owner: acme\r\nReq-Deadline: 1\r\n"
 SHORT, BODY = bytes(range(256)) * 2, bytes(range(256)) * 300
 CHUNKED = b"Transfer-Encoding: Chunked\r\n\r\n"
-NAMES = Names({"set": 0}, {"acme": 0}, {}, {})
+NAMES = NameIndexes({"set": 0}, {"acme": 0}, {}, {})
 MIB = 1 << 20
 COUNTED = b"".join(b"%07d\n" % n for n in range(4 * MIB))  # shows where a part of it belongs
 
 
 class Flows(unittest.TestCase):
     def test_portions_are_even_and_what_was_put_is_taken_in_order(self) -> None:
-        room, told, found = Room(4 * MOST), [], b""
-        flows = [Flow(room, None) for _ in range(64)]
+        room, told, found = BufferBudget(4 * MAX_STREAM_BUFFER_BYTES), [], b""
+        flows = [BodyStream(room, None) for _ in range(64)]
         for flow in flows:
-            while flow.space():
-                flow.put(BODY[flow.came : flow.came + min(1000, flow.space())])
-        self.assertEqual(room.held, 64 * LEAST)
-        flows[0].freed = lambda: told.append(1)
-        self.assertTrue(flows[0].pause())
+            while flow.writable_bytes():
+                flow.write(BODY[flow.received_bytes : flow.received_bytes + min(1000, flow.writable_bytes())])
+        self.assertEqual(room.buffered_bytes, 64 * MIN_STREAM_BUFFER_BYTES)
+        flows[0].on_writable = lambda: told.append(1)
+        self.assertTrue(flows[0].pause_if_full())
         for flow in flows[1:]:
             flow.close()
-        self.assertEqual((room.held, flows[0].space()), (LEAST, MOST - LEAST))
-        found += b"".join(flows[0].take(1))  # a giver that waits is told although its portion grew meanwhile
+        self.assertEqual(
+            (room.buffered_bytes, flows[0].writable_bytes()),
+            (MIN_STREAM_BUFFER_BYTES, MAX_STREAM_BUFFER_BYTES - MIN_STREAM_BUFFER_BYTES),
+        )
+        found += b"".join(flows[0].read(1))  # a giver that waits is told although its portion grew meanwhile
         self.assertEqual(told, [1])
-        flows[0].end()
-        while not flows[0].over():
-            found += b"".join(flows[0].take(777))
-        self.assertEqual(found, BODY[:LEAST])
+        flows[0].finish()
+        while not flows[0].is_drained():
+            found += b"".join(flows[0].read(777))
+        self.assertEqual(found, BODY[:MIN_STREAM_BUFFER_BYTES])
 
 
 def answer(*parts: bytes) -> bytes | None:
     """The body of a long answer that comes in these parts; None if it is none."""
-    reader, found, whole = AnswerReader(1000, 100), b"", None
+    reader, found, whole = ResponseReader(1000, 100), b"", None
     try:
         for part in parts:
             whole = reader.feed(part) if part else None
-            found += b"".join(reader.take())
-    except BadAnswer:
+            found += b"".join(reader.take_body())
+    except MalformedResponseError:
         return None
-    whole = whole or reader.ended()
-    return found if whole is not None and reader.begun and not whole.body else None
+    whole = whole or reader.feed_eof()
+    return found if whole is not None and reader.is_streaming and not whole.body else None
 
 
 def request(*parts: bytes) -> bytes | int:
     """The body of a request that comes in these parts, or the status that turns it away."""
-    machine, found = SenderConnection(lambda: NAMES, Room(MOST)), b""
+    machine, found = ServerProtocol(lambda: NAMES, BufferBudget(MAX_STREAM_BUFFER_BYTES)), b""
     received: object = None
     for part in parts:
         machine.feed(part, 0.0)
-        received = received or machine.next()
-        if isinstance(received, Delivered):
-            assert isinstance(received.envelope.payload, Letter)
-            flow = received.envelope.payload.flow
-            found += received.envelope.payload.body if flow is None else b"".join(flow.take(MIB))
-    received = machine.broken or received
-    return received.status if isinstance(received, Rejected) else found
+        received = received or machine.next_message()
+        if isinstance(received, RequestReceived):
+            assert isinstance(received.request.payload, ForwardedRequest)
+            flow = received.request.payload.body_stream
+            found += received.request.payload.body if flow is None else b"".join(flow.read(MIB))
+    received = machine.body_rejection or received
+    return received.status if isinstance(received, RequestRejected) else found
 
 
 def forms(body: bytes) -> list[bytes]:
@@ -124,7 +138,7 @@
             (b"HTTP://x", b"/"),
             (b"http://x?q", b"/?q"),
         ):
-            self.assertEqual(origin_form(target), path)
+            self.assertEqual(to_origin_form(target), path)
 
 
 class Bulk(Scenario):
@@ -158,11 +172,11 @@
 
     def faults(self, who: str) -> None:
         """The decisions raise over each outcome from here on."""
-        mock.patch.object(self.module(), "_outcome", side_effect=KeyError).start()
+        mock.patch.object(self.module(), "_handle_outcome", side_effect=KeyError).start()
 
     def step(self) -> None:
         super().step()
-        self.assertLessEqual(self.server.budget.flows.held, 2 * MOST)
+        self.assertLessEqual(self.server.budget.body_buffers.buffered_bytes, 2 * MAX_STREAM_BUFFER_BYTES)
 
     def whole(self, who: str, size: str) -> None:
         """An answer of that size has come as it was written."""
@@ -175,7 +189,7 @@
 
     def full(self, who: str) -> None:
         """No flow has room from here on."""
-        mock.patch.object(Flow, "space", return_value=0).start()
+        mock.patch.object(BodyStream, "writable_bytes", return_value=0).start()
 
     def flood(self, who: str) -> None:
         sock, self.written = self.wire(who).sock, 0
@@ -189,13 +203,19 @@
 
     def free(self, who: str) -> None:
         budget, engine = self.server.budget, self.server.engine
-        held = engine.owed, budget.flows.flows, budget.flows.held, budget.held, len(self.server.pool.busy)
+        held = (
+            engine.pending_count,
+            budget.body_buffers.stream_count,
+            budget.body_buffers.buffered_bytes,
+            budget.buffered_bytes,
+            len(self.server.pool.busy),
+        )
         self.assertEqual(held, (0, 0, 0, 0, 0))
 
     def bounded(self, who: str, most: str) -> None:
         """Who floods was held back, and little is held here."""
         self.assertLess(self.written, int(most) * MIB)
-        self.assertLessEqual(self.server.budget.held, 300_000)
+        self.assertLessEqual(self.server.budget.buffered_bytes, 300_000)
 
     def broken(self, who: str, text: str) -> None:
         """The answer was cut off, and nobody else was asked."""
@@ -210,7 +230,7 @@
 
     def test_answers(self) -> None:
         chunked = self.LONG.replace("Content-Length: 500000", "Transfer-Encoding: chunked")
-        stopped = "wait 9000; all holds engine.owed 1; wait 2000; s1 expect closed; all free"
+        stopped = "wait 9000; all holds engine.pending_count 1; wait 2000; s1 expect closed; all free"
         head = r"s1 raw HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n; "
         size, whole = "33554432", f"{self.ASK}{head}s1 more 100000; c1 expect 200; "
         self.each(
@@ -256,7 +276,7 @@
                 "slow is not stopped": f"{fresh}{'c1 more 16000; wait 250; ' * 12}c1 more 8000; {stored}",
                 "too slow is": f"{fresh}{'c1 more 2000; wait 250; ' * 15}c1 expect 408; all free",
                 "an origin that does not read": f"{large}1f00000; origin stops; c1 flood; all bounded 20; "
-                f"wait 8000; all holds engine.owed 1; origin breaks; {gone}; all free",
+                f"wait 8000; all holds engine.pending_count 1; origin breaks; {gone}; all free",
                 "a long answer before its end": self.WRITE
                 + r"origin raw HTTP/1.1 200 OK\r\nContent-Length: 5000"
                 rf"00\r\n\r\n; origin more 100000; {gone}; origin expect closed; all free",
@@ -272,4 +292,4 @@
             }
         )
         told = '"set":{"success":1,"busy":0,"failure":0,"backend_calls":1}'
-        self.assertIn(told, self.server.figures().line())
+        self.assertIn(told, self.server.telemetry().line())
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -18,30 +18,30 @@
 from pathlib import Path
 from unittest import mock
 
-from rosepick.capture import lines
-from rosepick.capture.recorder import Recorder
-from rosepick.capture.replay import Report, replay
-from rosepick.capture.ring import Place, Ring
-from rosepick.core.account import End
-from rosepick.core.engine import Envelope
+from rosepick.capture import record_format
+from rosepick.capture.recorder import CaptureRecorder
+from rosepick.capture.replay import ReplayReport, replay
+from rosepick.capture.ring_buffer import LineRing, Position
+from rosepick.core.engine import RequestContext
+from rosepick.core.request_counters import RequestOutcome
 from rosepick.decisions import api
-from rosepick.decisions.api import Member, Scope, State
-from rosepick.net.capture import Dump, Files
-from rosepick.net.loop import Loop
+from rosepick.decisions.api import Endpoint, Status, UpdateScope
+from rosepick.net.capture_output import CaptureDump, CaptureFiles
+from rosepick.net.event_loop import EventLoop
 from rosepick.settings import config, operator_file
-from rosepick.settings.config import Names
-from rosepick.settings.operator_file import Operators
+from rosepick.settings.config import NameIndexes
+from rosepick.settings.operator_file import OperatorOptions
 
 from .scenario import SETTINGS, Scenario, target
 
 ROOT = Path(__file__).parent.parent
-NAMES = Names({"read": 0}, {"acme": 0}, {"east": 0}, {"std": 0})
+NAMES = NameIndexes({"read": 0}, {"acme": 0}, {"east": 0}, {"std": 0})
 
 
-def whole(ring: Ring) -> bytes:
+def whole(ring: LineRing) -> bytes:
     """All that a ring holds."""
     parts: list[bytes] = []
-    place, until = ring.begin(), ring.end()
+    place, until = ring.start_position(), ring.end_position()
     while True:
         piece, place = ring.read(place, until, select.PIPE_BUF)
         if not piece:
@@ -49,42 +49,44 @@
         parts.append(bytes(piece))
 
 
-def recorder(segments: int = 4, kb: int = 192) -> Recorder:
-    return Recorder(
+def recorder(segments: int = 4, kb: int = 192) -> CaptureRecorder:
+    return CaptureRecorder(
         segments, 1024 * kb, 7, 0.0, NAMES, lambda payload: (b"id", b"k" * 40, b"0.5"), lambda n: f"s-{n}"
     )
 
 
-def fill(told: Recorder, count: int) -> None:
+def fill(told: CaptureRecorder, count: int) -> None:
     for ref in range(1, count + 1):
-        envelope = Envelope(0, 1000.5 + ref / 3, key=ref, ref=ref)
-        told.taken(1000.5 + ref / 3, envelope, [])
-        told.fed(1000.5 + ref / 3, api.Timer(7), [])
-        told.answered(1000.5 + ref / 3, envelope, End.REFUSED)
+        envelope = RequestContext(0, 1000.5 + ref / 3, key=ref, ref=ref)
+        told.on_request(1000.5 + ref / 3, envelope, [])
+        told.on_event(1000.5 + ref / 3, api.TimerFired(7), [])
+        told.on_outcome(1000.5 + ref / 3, envelope, RequestOutcome.REFUSED)
     told.flush()
 
 
 class Rings(unittest.TestCase):
     def test_the_oldest_segment_gives_way_and_each_begins_with_the_whole_map(self) -> None:
         told = recorder(3, 16)
-        members = tuple(Member(n, State.READY, 0.5, 0, 0, 0, 1.0) for n in range(1, 20))
-        told.fed(1.0, api.Members(Scope.FULL, members, 41), [])
+        members = tuple(Endpoint(n, Status.READY, 0.5, 0, 0, 0, 1.0) for n in range(1, 20))
+        told.on_event(1.0, api.EndpointUpdate(UpdateScope.FULL, members, 41), [])
         fill(told, 1000)
-        self.assertEqual([s.number for s in told.ring.segments], [told.ring.number - n for n in (3, 2, 1)])
+        self.assertEqual(
+            [s.number for s in told.ring.segments], [told.ring.next_segment - n for n in (3, 2, 1)]
+        )
         for segment in told.ring.segments:
-            (_, header), *rest = list(lines.Lines(bytes(segment.data[: segment.fill])))
-            assert isinstance(header, lines.Header)
+            (_, header), *rest = list(record_format.RecordReader(bytes(segment.data[: segment.length])))
+            assert isinstance(header, record_format.SegmentHeader)
             self.assertEqual((header.segment, header.version, header.seed), (segment.number, 41, 7))
-            self.assertEqual(header.members, tuple((m, f"s-{m.server}") for m in members))
+            self.assertEqual(header.members, tuple((m, f"s-{m.endpoint_id}") for m in members))
             self.assertGreater(len(rest), 50)
 
     def test_all_that_it_holds_stays_under_1_mb(self) -> None:
         for segments, kb in ((4, 192), (1, 768), (48, 16), (192, 4)):
             tracemalloc.start()
             told = recorder(segments, kb)
-            members = tuple(Member(n, State.READY, 0.5, 0, 0, 0, 1.0) for n in range(1, 60))
+            members = tuple(Endpoint(n, Status.READY, 0.5, 0, 0, 0, 1.0) for n in range(1, 60))
             for version in range(20):
-                told.fed(1.0, api.Members(Scope.FULL, members, version), [])
+                told.on_event(1.0, api.EndpointUpdate(UpdateScope.FULL, members, version), [])
             fill(told, 8000)
             used = tracemalloc.get_traced_memory()[1]
             tracemalloc.stop()
@@ -93,31 +95,31 @@
 
     def test_a_list_that_no_segment_holds_is_counted_and_the_map_is_cut(self) -> None:
         told = recorder(2, 16)
-        members = tuple(Member(n, State.READY, 0.5, 0, 0, 0, 1.0) for n in range(1, 900))
-        told.fed(1.0, api.Members(Scope.FULL, members, 1), [])
+        members = tuple(Endpoint(n, Status.READY, 0.5, 0, 0, 0, 1.0) for n in range(1, 900))
+        told.on_event(1.0, api.EndpointUpdate(UpdateScope.FULL, members, 1), [])
         self.assertIn(b"\nX 1.0\n", whole(told.ring))
         fill(told, 200)
         self.assertEqual(len(told.ring.segments), 2)
         self.assertLess(max(map(len, whole(told.ring).split(b"\n"))), select.PIPE_BUF)
 
     def test_reading_goes_on_from_the_oldest_that_is_left(self) -> None:
-        ring = Ring(2, 64, lambda ring, most: b"H\n")
+        ring = LineRing(2, 64, lambda ring, most: b"H\n")
         for n in range(40):
             ring.append(b"record %02d\n" % n)
-        piece, place = ring.read(Place(0, 0), ring.end(), 1000)
+        piece, place = ring.read(Position(0, 0), ring.end_position(), 1000)
         self.assertTrue(bytes(piece).startswith(b"H\nrecord"))
-        self.assertEqual(place.segment, ring.begin().segment)
+        self.assertEqual(place.segment, ring.start_position().segment)
 
     def test_uids_of_those_that_left_are_bounded(self) -> None:
         told = recorder()
         for n in range(1, 2000):
-            told.fed(1.0, api.Members(Scope.FULL, (Member(n),), n), [])
-        self.assertEqual((len(told.members), len(told.left)), (1, 256))
+            told.on_event(1.0, api.EndpointUpdate(UpdateScope.FULL, (Endpoint(n),), n), [])
+        self.assertEqual((len(told.members), len(told.departed)), (1, 256))
 
 
 class Format(unittest.TestCase):
     def test_the_final_answer_reads_as_the_operators_asked(self) -> None:
-        final = lines.Final(
+        final = record_format.FinalAnswerRecord(
             1718000000123, "9b1f03aa5c7e2d41", "read-usage", "kita-denryoku", "m-004211", "s-5be2a07c", 200
         )
         self.assertEqual(
@@ -127,50 +129,57 @@
 
     def test_every_record_reads_back_as_it_was(self) -> None:
         third = 1000.0 / 3
-        members = ((Member(3, State.GONE, third, 1, 2, 3, 0.1), "s-3"), (Member(4), "a%20b"))
+        members = ((Endpoint(3, Status.REMOVED, third, 1, 2, 3, 0.1), "s-3"), (Endpoint(4), "a%20b"))
         for record in (
-            lines.Header(1, 2, 2**63, 1.5e12 + 0.1, third, 4, members),
-            lines.Header(0, 0, 1, 0.0, 0.0, 0),
-            lines.Listed(third, Scope.DELTA, 42, members),
-            lines.Listed(third, Scope.FAILED, 0),
-            lines.Arrival(third, 1, "a", "b", "-", "k", "0.480", third, 2**64 - 1, True, False, 0.1 + 0.2),
-            lines.Arrival(third, 1, "a", "b", "c", "k", "1", third, 1, False, True, None),
-            lines.Ended(third, 1, 4, api.Result.MISS, 2, True, True, 1e-9),
-            lines.Gone(third, 9),
-            lines.Ended(third, 1, 4, api.Result.OK, 0, False, False, 1e-9),
-            lines.Due(third, 3 << 60),
-            lines.Sent(1, "s-3"),
-            lines.Final(1, "a", "b", "c", "d", "-", 503),
-            lines.Lost(third),
+            record_format.SegmentHeader(1, 2, 2**63, 1.5e12 + 0.1, third, 4, members),
+            record_format.SegmentHeader(0, 0, 1, 0.0, 0.0, 0),
+            record_format.EndpointListRecord(third, UpdateScope.DELTA, 42, members),
+            record_format.EndpointListRecord(third, UpdateScope.FAILED, 0),
+            record_format.ArrivalRecord(
+                third, 1, "a", "b", "-", "k", "0.480", third, 2**64 - 1, True, False, 0.1 + 0.2
+            ),
+            record_format.ArrivalRecord(third, 1, "a", "b", "c", "k", "1", third, 1, False, True, None),
+            record_format.AttemptOutcomeRecord(third, 1, 4, api.Result.MISS, 2, True, True, 1e-9),
+            record_format.ClientGoneRecord(third, 9),
+            record_format.AttemptOutcomeRecord(third, 1, 4, api.Result.OK, 0, False, False, 1e-9),
+            record_format.TimerRecord(third, 3 << 60),
+            record_format.AttemptSentRecord(1, "s-3"),
+            record_format.FinalAnswerRecord(1, "a", "b", "c", "d", "-", 503),
+            record_format.LostRecord(third),
         ):
-            ((_, found),) = lines.Lines(record.text().encode())
+            ((_, found),) = record_format.RecordReader(record.text().encode())
             self.assertEqual(found, record)
 
     def test_clients_words_cannot_break_a_line(self) -> None:
         for data in (b"a b", b"a\nC 1", b"%41", b"-", b"", b"\xff\x00", b"#7", b"x" * 9000, b"\xff" * 9000):
-            word = lines.word(data)
+            word = record_format.encode_word(data)
             self.assertRegex(word, r"\A[!-~]{1,384}\Z")
-            self.assertTrue(data.startswith(lines.plain(word)))
-        self.assertEqual(lines.plain(lines.word(b"a b%41-")), b"a b%41-")
+            self.assertTrue(data.startswith(record_format.decode_word(word)))
+        self.assertEqual(record_format.decode_word(record_format.encode_word(b"a b%41-")), b"a b%41-")
 
     def test_log_lines_are_passed_over_and_a_cut_last_line_is_counted(self) -> None:
-        head = lines.Header(0, 0, 1, 0.0, 0.0, 0).text().encode()
-        found = lines.Lines(head + b"time=2026 level=info\nT 1.0 5\nT 2.0 ")
+        head = record_format.SegmentHeader(0, 0, 1, 0.0, 0.0, 0).text().encode()
+        found = record_format.RecordReader(head + b"time=2026 level=info\nT 1.0 5\nT 2.0 ")
         self.assertEqual([number for number, _ in found], [1, 3])
-        self.assertEqual(found.truncated, 1)
+        self.assertEqual(found.truncated_count, 1)
 
     def test_a_list_that_a_dump_lost_the_end_of_is_counted(self) -> None:
-        head = lines.Header(0, 0, 1, 0.0, 0.0, 0).text().encode()
-        found = lines.Lines(head + b"M 1.0 full 1 2\nm a 1 active 0.0 0 0 0 1.0\n" + head + b"T 1.0 5\n")
-        self.assertEqual([type(record) for _, record in found], [lines.Header, lines.Header, lines.Due])
-        self.assertEqual(found.truncated, 1)
+        head = record_format.SegmentHeader(0, 0, 1, 0.0, 0.0, 0).text().encode()
+        found = record_format.RecordReader(
+            head + b"M 1.0 full 1 2\nm a 1 active 0.0 0 0 0 1.0\n" + head + b"T 1.0 5\n"
+        )
+        self.assertEqual(
+            [type(record) for _, record in found],
+            [record_format.SegmentHeader, record_format.SegmentHeader, record_format.TimerRecord],
+        )
+        self.assertEqual(found.truncated_count, 1)
 
     def test_a_malformed_line_before_the_last_is_an_error_with_its_number(self) -> None:
-        head = lines.Header(0, 0, 1, 0.0, 0.0, 0).text().encode()
+        head = record_format.SegmentHeader(0, 0, 1, 0.0, 0.0, 0).text().encode()
         entry = b"m a 1 active 0.0 0 0 0 1.0"
         for bad in (b"T", b"Q 1", b"T 1.0 zz", entry, b"\xff", b"", b"M 1.0 full 1 1"):
-            with self.assertRaisesRegex(lines.BadLine, "line [23] is malformed"):
-                list(lines.Lines(head + bad + b"\nT 1.0 5\nT 2.0 5\n"))
+            with self.assertRaisesRegex(record_format.MalformedLineError, "line [23] is malformed"):
+                list(record_format.RecordReader(head + bad + b"\nT 1.0 5\nT 2.0 5\n"))
 
 
 class Captured(Scenario):
@@ -179,17 +188,19 @@
     nodes = ("s1", "s2", "origin")
     conf = ""
 
-    def operators(self) -> Operators:
-        return Operators(operator_file.read(self.conf.encode(), "rosepick.conf"), None, True)
+    def operators(self) -> OperatorOptions:
+        return OperatorOptions(operator_file.read(self.conf.encode(), "rosepick.conf"), None, True)
 
     def captured(self) -> bytes:
         assert self.server.capture is not None
         self.server.capture.recorder.flush()
         return whole(self.server.capture.ring)
 
-    def replayed(self, data: bytes | None = None, **changed: object) -> Report:
+    def replayed(self, data: bytes | None = None, **changed: object) -> ReplayReport:
         told = config.read({**self.document(), **changed})
-        return replay([lines.Lines(self.captured() if data is None else data)], told.settings, told.names)
+        return replay(
+            [record_format.RecordReader(self.captured() if data is None else data)], told.settings, told.names
+        )
 
     def node(self) -> str:
         """The cache node that was sent something."""
@@ -251,9 +262,12 @@
             self.assertIn(sign, data)
         self.assertRegex(data, r"\nC [0-9]{13} miss read acme m-004211 -> origin 200\n")
         report = self.replayed()
-        self.assertEqual((report.compared, report.differing, report.pieces), (12, [], 1))
-        self.assertEqual((report.before, report.open, report.lost, report.truncated), (0, 0, 0, 0))
-        self.assertEqual(report.headless, 0)
+        self.assertEqual((report.compared_count, report.differing, report.section_count), (12, [], 1))
+        self.assertEqual(
+            (report.begun_before_count, report.open_count, report.lost_count, report.truncated_count),
+            (0, 0, 0, 0),
+        )
+        self.assertEqual(report.headless_count, 0)
 
     def test_a_changed_setting_shows_what_differs(self) -> None:
         """With one attempt allowed, what was sent again fails at once; nothing else is decided otherwise."""
@@ -278,30 +292,34 @@
         for part in (0.02 * n for n in range(10, 50)):  # also between an event and what was decided on it
             cut = data[: data.index(b"\n", int(part * len(data))) - 1]
             report = self.replayed(cut)
-            self.assertEqual((report.differing, report.truncated), ([], 1), part)
+            self.assertEqual((report.differing, report.truncated_count), ([], 1), part)
 
     def test_segments_in_files_of_their_own_are_one_capture(self) -> None:
         self.busy()
         data, told = self.captured(), config.read(self.document())
         half = data.index(b"\n", len(data) // 2) + 1
-        report = replay([lines.Lines(data[:half]), lines.Lines(data[half:])], told.settings, told.names)
-        self.assertEqual((report.compared, report.differing, report.pieces), (12, [], 1))
+        report = replay(
+            [record_format.RecordReader(data[:half]), record_format.RecordReader(data[half:])],
+            told.settings,
+            told.names,
+        )
+        self.assertEqual((report.compared_count, report.differing, report.section_count), (12, [], 1))
 
     def test_each_dump_of_a_log_is_a_piece_of_its_own(self) -> None:
         self.busy()
         data = self.captured()
         report = self.replayed(data + b"time=now event=counts\n" + data)
-        self.assertEqual((report.pieces, report.compared, report.differing), (2, 24, []))
+        self.assertEqual((report.section_count, report.compared_count, report.differing), (2, 24, []))
 
     def test_an_attempt_still_out_at_the_end_differs_in_nothing(self) -> None:
         self.play("c1 send GET /api/k1\nwait 400")
         report = self.replayed()
-        self.assertEqual((report.compared, report.open, report.differing), (1, 1, []))
+        self.assertEqual((report.compared_count, report.open_count, report.differing), (1, 1, []))
 
     def test_a_time_out_and_a_deadline_replay_the_same(self) -> None:
         self.play("c1 send GET /api/k1 Req-Deadline=0.3\nwait 400\nc1 expect 504\nwait 1500")
         report = self.replayed()
-        self.assertEqual((report.compared, report.open, report.differing), (1, 0, []))
+        self.assertEqual((report.compared_count, report.open_count, report.differing), (1, 0, []))
 
     def test_a_signal_during_a_dump_is_counted_and_starts_none(self) -> None:
         self.busy()
@@ -319,7 +337,7 @@
     def test_what_the_observer_breaks_on_keeps_nobody_from_an_answer(self) -> None:
         assert self.server.capture is not None
         with (
-            mock.patch.object(self.server.capture.recorder, "fed", side_effect=KeyError("x")),
+            mock.patch.object(self.server.capture.recorder, "on_event", side_effect=KeyError("x")),
             self.assertLogs("rosepick", "ERROR"),
         ):
             self.hit("k1")
@@ -335,25 +353,25 @@
         data = self.captured()
         self.assertNotIn(b"H 1 0 ", data)
         report = self.replayed(data)
-        self.assertEqual((report.pieces, report.headless), (1, 1))
-        self.assertLess(report.compared, 150)
-        self.assertGreater(report.compared, 20)
+        self.assertEqual((report.section_count, report.headless_count), (1, 1))
+        self.assertLess(report.compared_count, 150)
+        self.assertGreater(report.compared_count, 20)
 
     def test_the_map_is_known_after_the_oldest_has_given_way(self) -> None:
         for n in range(150):
             self.hit(f"k{n}")
             self.play("wait 10")
-        ((_, header), *_) = list(lines.Lines(self.captured()))
-        assert isinstance(header, lines.Header)
+        ((_, header), *_) = list(record_format.RecordReader(self.captured()))
+        assert isinstance(header, record_format.SegmentHeader)
         self.assertEqual([uid for _, uid in header.members], ["s1", "s2", "origin"])
 
 
 class Dumps(unittest.TestCase):
     def setUp(self) -> None:
         self.now = 0.0
-        self.loop = Loop(lambda: self.now)
+        self.loop = EventLoop(lambda: self.now)
         self.addCleanup(self.loop.close)
-        self.ring = Ring(3, 16_384, lambda ring, most: b"H %d\n" % ring.number)
+        self.ring = LineRing(3, 16_384, lambda ring, most: b"H %d\n" % ring.next_segment)
         for n in range(4000):
             self.ring.append(b"record %08d\n" % n)
         self.out, self.into = os.pipe()
@@ -377,7 +395,7 @@
     def test_a_blocked_reader_stalls_nothing_and_gets_whole_lines(self) -> None:
         flags = os.get_blocking(self.into)
         held = whole(self.ring)
-        dump = Dump(self.loop, self.ring, self.into)
+        dump = CaptureDump(self.loop, self.ring, self.into)
         with mock.patch("os.write", side_effect=os.write) as written:
             self.step(2000)  # the pipe holds 64 KiB; a write that blocked would hang here
             self.assertTrue(all(len(call.args[1]) <= select.PIPE_BUF for call in written.call_args_list))
@@ -389,10 +407,10 @@
             self.step(250)
         os.close(self.into)
         self.assertEqual(found, held)
-        self.assertFalse(dump.going)
+        self.assertFalse(dump.is_running)
 
     def test_log_lines_find_room_beside_a_dump_that_nobody_reads(self) -> None:
-        Dump(self.loop, self.ring, self.into)
+        CaptureDump(self.loop, self.ring, self.into)
         self.step(2000)
         os.set_blocking(self.into, False)  # so that the test fails, where the router would hang
         for _ in range(100):
@@ -400,27 +418,27 @@
         os.close(self.into)
 
     def test_what_gives_way_meanwhile_is_passed_over(self) -> None:
-        dump = Dump(self.loop, self.ring, self.into)
+        dump = CaptureDump(self.loop, self.ring, self.into)
         self.step(1)
         for n in range(4000, 12_000):
             self.ring.append(b"record %08d\n" % n)
         self.step(500)
         os.close(self.into)
-        self.assertFalse(dump.going)
+        self.assertFalse(dump.is_running)
         self.assertTrue(self.drain().endswith(b"\n"))
 
     def test_a_reader_that_has_gone_ends_it(self) -> None:
         out, into = os.pipe()
         os.close(out)
-        dump = Dump(self.loop, self.ring, into)
+        dump = CaptureDump(self.loop, self.ring, into)
         with self.assertLogs("rosepick", "WARNING"):
             self.step(3)
         os.close(into)
-        self.assertFalse(dump.going)
+        self.assertFalse(dump.is_running)
 
     def test_a_file_takes_all(self) -> None:
         with tempfile.TemporaryFile() as file:
-            Dump(self.loop, self.ring, file.fileno())
+            CaptureDump(self.loop, self.ring, file.fileno())
             self.step(200)
             file.seek(0)
             self.assertEqual(file.read(), whole(self.ring))
@@ -428,7 +446,7 @@
     def test_a_socket_takes_all(self) -> None:
         ours, theirs = socket.socketpair()
         with ours, theirs:
-            Dump(self.loop, self.ring, ours.fileno())
+            CaptureDump(self.loop, self.ring, ours.fileno())
             found = b""
             for _ in range(200):
                 self.step(1)
@@ -439,21 +457,21 @@
 
 class FilesRing(unittest.TestCase):
     def setUp(self) -> None:
-        self.loop = Loop(lambda: 0.0)
+        self.loop = EventLoop(lambda: 0.0)
         self.addCleanup(self.loop.close)
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
 
-    def ring(self) -> Ring:
-        return Ring(3, 1024, lambda ring, most: b"H %d\n" % ring.number)
+    def ring(self) -> LineRing:
+        return LineRing(3, 1024, lambda ring, most: b"H %d\n" % ring.next_segment)
 
-    def files(self, ring: Ring, folder: Path | None = None) -> Files:
+    def files(self, ring: LineRing, folder: Path | None = None) -> CaptureFiles:
         told = recorder()
         told.ring = ring
-        return Files(self.loop, told, folder or self.folder, 3)
+        return CaptureFiles(self.loop, told, folder or self.folder, 3)
 
-    def write(self, ring: Ring, count: int) -> None:
+    def write(self, ring: LineRing, count: int) -> None:
         for n in range(count):
             ring.append(b"record %08d\n" % n)
 
@@ -465,9 +483,9 @@
         files = self.files(ring)
         self.write(ring, 400)
         files.close()
-        self.assertEqual(self.names(), [f"capture-{ring.number - n:08d}.log" for n in (3, 2, 1)])
+        self.assertEqual(self.names(), [f"capture-{ring.next_segment - n:08d}.log" for n in (3, 2, 1)])
         for name, segment in zip(self.names(), ring.segments, strict=True):
-            self.assertEqual((self.folder / name).read_bytes(), bytes(segment.data[: segment.fill]))
+            self.assertEqual((self.folder / name).read_bytes(), bytes(segment.data[: segment.length]))
             self.assertEqual((self.folder / name).stat().st_mode & 0o777, 0o600)
 
     def test_a_restart_goes_on_with_the_next_number(self) -> None:
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -4,19 +4,19 @@
 
 import pytest
 
-from .cold_fleet import FLEETS, Fleet
+from .cold_fleet import FLEET_SIZES, ColdStartFleet
 
 
-@pytest.mark.parametrize("routers", FLEETS)
+@pytest.mark.parametrize("routers", FLEET_SIZES)
 def test_a_cold_node_bears_what_all_routers_send(routers: int) -> None:
-    runs = [Fleet(routers, seed).play() for seed in (1, 2, 3)]
+    runs = [ColdStartFleet(routers, seed).run() for seed in (1, 2, 3)]
     assert max(run.count for run in runs) > 3  # it is tried at all
-    assert not any(run.falls for run in runs), runs
+    assert not any(run.overloads_node for run in runs), runs
 
 
-@pytest.mark.parametrize("routers", FLEETS)
+@pytest.mark.parametrize("routers", FLEET_SIZES)
 def test_without_a_budget_it_falls(routers: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a model that shows nothing."""
-    monkeypatch.setattr("rosepick.decisions.decide.Router._cold_room", lambda router, server: True)
-    monkeypatch.setattr("rosepick.decisions.decide.Server.least", lambda server, now: 1.0)
-    assert any(Fleet(routers, seed, load=0.9).play().falls for seed in (1, 2, 3))
+    monkeypatch.setattr("rosepick.decisions.decide.Router._has_cold_budget", lambda router, server: True)
+    monkeypatch.setattr("rosepick.decisions.decide.EndpointState.min_warm_share", lambda server, now: 1.0)
+    assert any(ColdStartFleet(routers, seed, load=0.9).run().overloads_node for seed in (1, 2, 3))
