--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -12,24 +12,38 @@
 import msgspec
 import pytest
 
-from rosepick.agreement.messages import Register
-from rosepick.agreement.operation import Change, Declined, Kind, Outcome
-from rosepick.fleet import ledger as book
-from rosepick.fleet import warden as counting
-from rosepick.fleet.agent import Agent, Do, Own, Terms
-from rosepick.fleet.budget import Budget, Limit, allowed, blocked, past
-from rosepick.fleet.document import LedgerError
-from rosepick.fleet.ledger import At, Ledger, Member, Want
-from rosepick.fleet.warden import Report, Room, Warden
-from rosepick.lab.drill import drain_claims, files, play, sim_drains
-from rosepick.lab.drill.history import Answered, AnyEvent, Came, Injected, Ordered, Stood, Told
-from rosepick.net.kept import Keep
-from rosepick.net.tended import began_at
+from rosepick.consensus.messages import Register
+from rosepick.consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind, RegisterChange
+from rosepick.coordination.agent_state_file import AgentStateFile
+from rosepick.coordination.supervised_process import process_start_time
+from rosepick.fleet import failure_detector as counting
+from rosepick.fleet import fleet_state as book
+from rosepick.fleet.agent import Agent, AgentPolicy, MemberAction, MemberStatus
+from rosepick.fleet.disruption_budget import (
+    DisruptionBudget,
+    Limit,
+    blocking_reasons,
+    may_take_permit,
+    unplanned_halt_reason,
+)
+from rosepick.fleet.failure_detector import FailureDetector, HealthReport, StoreCapacityEstimator
+from rosepick.fleet.fleet_state import DrainRequest, FleetMember, FleetState, MemberPhase
+from rosepick.fleet.versioned_document import DocumentDecodeError
+from rosepick.lab.drill import drain_invariants, drill_file, runner, simulated_drains
+from rosepick.lab.drill.history import (
+    AnyEvent,
+    AvailabilityChanged,
+    ClientRequestCompleted,
+    DrainAnnounced,
+    FaultInjected,
+    NodeRequestReceived,
+    OperatorOrderAccepted,
+)
 from rosepick.settings import fleet_file
 
 ROOT = Path(__file__).parent.parent
 TWO = Limit(most=2, zone_most=1, share=1.0, zone_share=1.0, stay=1)
-BUDGET = Budget(TWO, TWO)
+BUDGET = DisruptionBudget(TWO, TWO)
 
 
 class Shelf:
@@ -38,55 +52,65 @@
     def __init__(self, *names: str) -> None:
         self.register = Register()
         for number, name in enumerate(names):
-            self.make(book.join(name, book.Kind.ROUTER, "ew"[number % 2], 1000, BUDGET.digest(), 0.0))
-        self.make(book.counted(dict.fromkeys(names, False), 1000, 0, 0, "", "w", 0.0))  # all are up
-
-    def make(self, change: Change | None) -> Outcome:
+            self.make(
+                book.join_member(name, book.MemberKind.ROUTER, "ew"[number % 2], 1000, BUDGET.digest(), 0.0)
+            )
+        self.make(
+            book.apply_health_summary(dict.fromkeys(names, False), 1000, 0, 0, "", "w", 0.0)
+        )  # all are up
+
+    def make(self, change: RegisterChange | None) -> OperationOutcome:
         """Read or change it."""
         try:
             value = None if change is None else change(self.register)
-        except Declined:
+        except ChangeRejectedError:
             value = None
         if value is None:
-            return Outcome(Kind.READ, self.register)
+            return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
         self.register = Register(self.register.version + 1, "m", value)
-        return Outcome(Kind.DONE, self.register)
+        return OperationOutcome(OutcomeKind.COMMITTED, self.register)
 
-    def done(self, change: Change) -> bool:
+    def done(self, change: RegisterChange) -> bool:
         """Whether a change is made."""
-        return self.make(change).kind is Kind.DONE
+        return self.make(change).kind is OutcomeKind.COMMITTED
 
     @property
-    def ledger(self) -> Ledger:
+    def ledger(self) -> FleetState:
         """What it says."""
-        return book.read(self.register)
+        return book.decode_fleet_state(self.register)
 
-    def out(self, *names: str, to: At = At.OUT) -> None:
+    def out(self, *names: str, to: MemberPhase = MemberPhase.OUT) -> None:
         """Have members go out by permits, whatever the budget says."""
         for name in names:
-            self.make(book.want_out([name], "a", "x", 0.0))
-            self.make(book.take(name, lambda ledger, who: True, 0.0))
+            self.make(book.request_drain([name], "a", "x", 0.0))
+            self.make(book.acquire_permit(name, lambda ledger, who: True, 0.0))
             permit = self.ledger.members[name].permit
-            for at, step in ((At.LEAVING, book.begin), (At.OUT, book.gone), (At.BACK, book.coming)):
+            for at, step in (
+                (MemberPhase.LEAVING, book.begin_drain),
+                (MemberPhase.OUT, book.mark_out),
+                (MemberPhase.BACK, book.mark_rejoining),
+            ):
                 if at <= to:
                     self.make(step(name, permit, 0.0))
 
 
-def may(ledger: Ledger, name: str, budget: Budget = BUDGET, minute: int = 600) -> bool:
-    return not blocked(ledger, budget, name, minute)
+def may(ledger: FleetState, name: str, budget: DisruptionBudget = BUDGET, minute: int = 600) -> bool:
+    return not blocking_reasons(ledger, budget, name, minute)
 
 
 def test_the_last_permit_is_given_once_however_old_the_copies_were() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
-    shelf.make(book.want_out(["a", "b", "c", "d"], "crew", "patch", 0.0))
+    shelf.make(book.request_drain(["a", "b", "c", "d"], "crew", "patch", 0.0))
     old = shelf.register  # all have read this
 
     def takes(name: str) -> bool:
-        assert may(book.read(old), name)  # by the old copy each of them may
-        return shelf.done(book.take(name, lambda ledger, who: allowed(BUDGET, 0, ledger, who), 0.0))
+        assert may(book.decode_fleet_state(old), name)  # by the old copy each of them may
+        return shelf.done(
+            book.acquire_permit(name, lambda ledger, who: may_take_permit(BUDGET, 0, ledger, who), 0.0)
+        )
 
     assert [takes(name) for name in "abcd"] == [True, True, False, False]
-    assert shelf.ledger.permits == 2 and shelf.ledger.waiting() == ["c", "d"]
+    assert shelf.ledger.last_permit_number == 2 and shelf.ledger.pending_drains() == ["c", "d"]
 
 
 @pytest.mark.parametrize(
@@ -96,95 +120,111 @@
         (lambda s: s.out("c"), "a", False),  # of one zone
         (lambda s: s.out("b"), "a", True),
         (lambda s: s.out("b", "c"), "e", False),
-        (lambda s: s.make(book.counted({"c": True}, 1000, 0, 1, "", "w", 0.0)), "a", False),
+        (lambda s: s.make(book.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0)), "a", False),
         (
-            lambda s: s.make(book.counted({"a": True, "b": True, "d": True}, 1000, 0, 1, "", "w", 0.0)),
+            lambda s: s.make(
+                book.apply_health_summary({"a": True, "b": True, "d": True}, 1000, 0, 1, "", "w", 0.0)
+            ),
             "a",
             False,
         ),
         (
-            lambda s: s.make(book.counted({"a": True}, 1000, 0, 1, "", "w", 0.0)),
+            lambda s: s.make(book.apply_health_summary({"a": True}, 1000, 0, 1, "", "w", 0.0)),
             "a",
             True,
         ),  # it is missing already
         (
-            lambda s: (s.make(book.counted({}, 400, 0, 1, "", "w", 0.0)), s.out("b")),
+            lambda s: (s.make(book.apply_health_summary({}, 400, 0, 1, "", "w", 0.0)), s.out("b")),
             "a",
             False,
         ),  # room for one
-        (lambda s: (s.out("c"), s.make(book.write_off("c", "op", "gone", 0.0))), "a", True),
-        (lambda s: s.make(book.halt("op", "stop", 0.0)), "a", False),
+        (lambda s: (s.out("c"), s.make(book.evict_member("c", "op", "gone", 0.0))), "a", True),
+        (lambda s: s.make(book.halt_drains("op", "stop", 0.0)), "a", False),
     ],
 )
 def test_what_blocks_a_drain(setting: Callable[[Shelf], object], name: str, free: bool) -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
     setting(shelf)
-    shelf.make(book.want_out([name], "crew", "patch", 0.0))
-    why = blocked(shelf.ledger, BUDGET, name, 600)
+    shelf.make(book.request_drain([name], "crew", "patch", 0.0))
+    why = blocking_reasons(shelf.ledger, BUDGET, name, 600)
     assert (not why) is free, why
-    assert allowed(BUDGET, 600, shelf.ledger, name) is free
+    assert may_take_permit(BUDGET, 600, shelf.ledger, name) is free
 
 
 def test_limits_of_weight_hours_and_groups() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
-    shelf.make(book.join("b", book.Kind.ROUTER, "w", 4000, BUDGET.digest(), 0.0))
+    shelf.make(book.join_member("b", book.MemberKind.ROUTER, "w", 4000, BUDGET.digest(), 0.0))
     shelf.out("b")
     wide = Limit(most=4, share=1.0, zone_most=4, zone_share=1.0)
-    assert may(shelf.ledger, "a", Budget(wide, wide))
-    assert not may(shelf.ledger, "a", Budget(Limit(4, 1.0, 0.5, 4, 1.0), wide))
-    assert not may(shelf.ledger, "a", Budget(wide, wide, apart={"rack": ("a", "b")}))
-    night = Budget(wide, wide, closed=((22 * 60, 6 * 60),))
+    assert may(shelf.ledger, "a", DisruptionBudget(wide, wide))
+    assert not may(shelf.ledger, "a", DisruptionBudget(Limit(4, 1.0, 0.5, 4, 1.0), wide))
+    assert not may(shelf.ledger, "a", DisruptionBudget(wide, wide, anti_affinity_groups={"rack": ("a", "b")}))
+    night = DisruptionBudget(wide, wide, closed_minutes=((22 * 60, 6 * 60),))
     assert [may(shelf.ledger, "a", night, minute) for minute in (0, 359, 360, 1319, 1320)] == [
-        False, False, True, True, False,
-    ]  # fmt: skip
+        False,
+        False,
+        True,
+        True,
+        False,
+    ]
     few = Limit(most=4, share=1.0, zone_most=4, zone_share=1.0, stay=3)
-    assert "must stay" in blocked(shelf.ledger, Budget(few, few), "a", 0)[0]
+    assert "must stay" in blocking_reasons(shelf.ledger, DisruptionBudget(few, few), "a", 0)[0]
 
 
 def test_a_dying_host_goes_over_the_budget_and_not_under_the_floor() -> None:
     shelf = Shelf("a", "b", "c", "d")
     shelf.out("c", "b")
-    shelf.make(book.want_out(["d"], "op", "smoke", 0.0, now=True))
-    assert "must stay" in blocked(shelf.ledger, BUDGET, "d", 0)[0]  # b and d are all of the west
-    shelf.make(book.want_out(["d"], "op", "smoke", 0.0, now=True, below=True))
+    shelf.make(book.request_drain(["d"], "op", "smoke", 0.0, immediate=True))
+    assert "must stay" in blocking_reasons(shelf.ledger, BUDGET, "d", 0)[0]  # b and d are all of the west
+    shelf.make(book.request_drain(["d"], "op", "smoke", 0.0, immediate=True, ignores_minimum=True))
     assert may(shelf.ledger, "d")
-    shelf.make(book.halt("op", "stop", 0.0))
+    shelf.make(book.halt_drains("op", "stop", 0.0))
     assert may(shelf.ledger, "d")
 
 
 def test_who_waited_longer_goes_first_but_not_who_cannot_go() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
     shelf.out("b")
-    shelf.make(book.want_out(["d"], "one", "x", 0.0))  # cannot: b of its zone is out
-    shelf.make(book.want_out(["c"], "one", "x", 0.0))
-    shelf.make(book.want_out(["a"], "two", "x", 0.0))
-    assert [allowed(BUDGET, 0, shelf.ledger, name) for name in "dca"] == [False, True, False]
+    shelf.make(book.request_drain(["d"], "one", "x", 0.0))  # cannot: b of its zone is out
+    shelf.make(book.request_drain(["c"], "one", "x", 0.0))
+    shelf.make(book.request_drain(["a"], "two", "x", 0.0))
+    assert [may_take_permit(BUDGET, 0, shelf.ledger, name) for name in "dca"] == [False, True, False]
     shelf.make(
-        book.counted({"c": True}, 1000, 0, 1, "", "w", 0.0)
+        book.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0)
     )  # c is dead: it does not hold a up, its loss does
-    assert not allowed(BUDGET, 0, shelf.ledger, "a")
+    assert not may_take_permit(BUDGET, 0, shelf.ledger, "a")
 
 
 @pytest.mark.parametrize(
     ("before", "step", "made"),
     [
-        (At.GIVEN, lambda s, p: book.begin("a", p, 0.0), True),
-        (At.GIVEN, lambda s, p: book.begin("a", p + 1, 0.0), False),
-        (At.GIVEN, lambda s, p: book.gone("a", p, 0.0), False),
-        (At.GIVEN, lambda s, p: (s.make(book.halt("op", "x", 0.0)), book.begin("a", p, 0.0))[1], False),
-        (At.GIVEN, lambda s, p: (s.make(book.want_in(["a"], "op", 0.0)), book.begin("a", p, 0.0))[1], False),
-        (At.LEAVING, lambda s, p: book.withdraw("a", p, 0.0), False),
-        (At.LEAVING, lambda s, p: book.coming("a", p, 0.0), True),
-        (At.OUT, lambda s, p: book.proven("a", p, 0.0), False),  # it was not even started
-        (At.BACK, lambda s, p: book.proven("a", p, 0.0), True),
+        (MemberPhase.GIVEN, lambda s, p: book.begin_drain("a", p, 0.0), True),
+        (MemberPhase.GIVEN, lambda s, p: book.begin_drain("a", p + 1, 0.0), False),
+        (MemberPhase.GIVEN, lambda s, p: book.mark_out("a", p, 0.0), False),
+        (
+            MemberPhase.GIVEN,
+            lambda s, p: (s.make(book.halt_drains("op", "x", 0.0)), book.begin_drain("a", p, 0.0))[1],
+            False,
+        ),
         (
-            At.BACK,
-            lambda s, p: (s.make(book.write_off("a", "op", "x", 0.0)), book.proven("a", p, 0.0))[1],
+            MemberPhase.GIVEN,
+            lambda s, p: (s.make(book.cancel_drain(["a"], "op", 0.0)), book.begin_drain("a", p, 0.0))[1],
+            False,
+        ),
+        (MemberPhase.LEAVING, lambda s, p: book.withdraw_permit("a", p, 0.0), False),
+        (MemberPhase.LEAVING, lambda s, p: book.mark_rejoining("a", p, 0.0), True),
+        (MemberPhase.OUT, lambda s, p: book.mark_healthy("a", p, 0.0), False),  # it was not even started
+        (MemberPhase.BACK, lambda s, p: book.mark_healthy("a", p, 0.0), True),
+        (
+            MemberPhase.BACK,
+            lambda s, p: (s.make(book.evict_member("a", "op", "x", 0.0)), book.mark_healthy("a", p, 0.0))[1],
             False,
         ),
     ],
 )
-def test_steps_of_a_permit(before: At, step: Callable[[Shelf, int], Change], made: bool) -> None:
+def test_steps_of_a_permit(
+    before: MemberPhase, step: Callable[[Shelf, int], RegisterChange], made: bool
+) -> None:
     shelf = Shelf("a", "b", "c", "d")
     shelf.out("a", to=before)
     permit = shelf.ledger.members["a"].permit
@@ -193,51 +233,57 @@
 
 def test_a_halt_stays_and_withdraws_only_what_has_not_begun() -> None:
     shelf = Shelf("a", "b", "c", "d")
-    shelf.out("a", to=At.GIVEN)
-    shelf.out("b", to=At.LEAVING)
-    assert shelf.done(book.halt("one", "first", 1.0)) and not shelf.done(book.halt("two", "second", 2.0))
-    assert shelf.ledger.halt == book.Halt("one", "first", 1.0)
-    assert [shelf.ledger.members[n].at for n in "ab"] == [At.IN, At.LEAVING]
-    assert shelf.done(book.resume("op", "fine", 3.0)) and shelf.ledger.halt is None
+    shelf.out("a", to=MemberPhase.GIVEN)
+    shelf.out("b", to=MemberPhase.LEAVING)
+    assert shelf.done(book.halt_drains("one", "first", 1.0)) and not shelf.done(
+        book.halt_drains("two", "second", 2.0)
+    )
+    assert shelf.ledger.halt == book.HaltState("one", "first", 1.0)
+    assert [shelf.ledger.members[n].phase for n in "ab"] == [MemberPhase.IN, MemberPhase.LEAVING]
+    assert shelf.done(book.resume_drains("op", "fine", 3.0)) and shelf.ledger.halt is None
 
 
 def test_a_warden_with_an_old_token_moves_nothing() -> None:
     shelf = Shelf("a", "b")
-    assert shelf.done(book.counted({"a": True}, 1000, 0, 7, "", "new", 0.0))
-    assert not shelf.done(book.counted({"a": False}, 0, 0, 6, "panic", "old", 0.0))
+    assert shelf.done(book.apply_health_summary({"a": True}, 1000, 0, 7, "", "new", 0.0))
+    assert not shelf.done(book.apply_health_summary({"a": False}, 0, 0, 6, "panic", "old", 0.0))
     assert shelf.ledger.members["a"].lost and shelf.ledger.halt is None
 
 
 def test_a_ledger_of_a_thousand_is_small_and_damage_is_told() -> None:
-    members = {f"cache-node-{n:04}": Member(1, f"zone-{n % 6}", 900 + n % 300) for n in range(1_000)}
-    value = book.packed(Ledger(rules="abc", members=members))
-    assert len(value) < 24_000 and book.read(Register(1, "m", value)).members == members
+    members = {f"cache-node-{n:04}": FleetMember(1, f"zone-{n % 6}", 900 + n % 300) for n in range(1_000)}
+    value = book.encode_fleet_state(FleetState(budget_digest="abc", members=members))
+    assert len(value) < 24_000 and book.decode_fleet_state(Register(1, "m", value)).members == members
     full = Shelf()
     full.register = Register(1, "m", value)
-    assert not full.done(book.join("one-more", book.Kind.CACHE, "z", 1, "abc", 0.0))
+    assert not full.done(book.join_member("one-more", book.MemberKind.CACHE, "z", 1, "abc", 0.0))
     for bad in (b"\x01nonsense", b"\x02" + value[1:], b"\x01"):
-        with pytest.raises(LedgerError):
-            book.read(Register(1, "m", bad))
+        with pytest.raises(DocumentDecodeError):
+            book.decode_fleet_state(Register(1, "m", bad))
 
 
 def test_what_was_never_in_is_counted_and_is_no_failure() -> None:
     shelf = Shelf()
     for name in "abc":
-        shelf.make(book.join(name, book.Kind.CACHE, "e", 1, BUDGET.digest(), 0.0))
-    assert all(one.out for one in shelf.ledger.members.values()) and not past(shelf.ledger, BUDGET)
-    assert counting.wardens(shelf.ledger) == ["a", "b", "c"]  # somebody has to find them
-    shelf.make(book.counted({"a": False, "b": True, "c": False}, 1000, 0, 1, "", "a", 0.0))
+        shelf.make(book.join_member(name, book.MemberKind.CACHE, "e", 1, BUDGET.digest(), 0.0))
+    assert all(one.is_out for one in shelf.ledger.members.values()) and not unplanned_halt_reason(
+        shelf.ledger, BUDGET
+    )
+    assert counting.detector_candidates(shelf.ledger) == ["a", "b", "c"]  # somebody has to find them
+    shelf.make(book.apply_health_summary({"a": False, "b": True, "c": False}, 1000, 0, 1, "", "a", 0.0))
     assert [one.lost for one in shelf.ledger.members.values()] == [False, True, False]
-    shelf.make(book.counted({"a": True, "c": True}, 1000, 0, 1, "", "a", 0.0))
-    assert "a, c" in past(shelf.ledger, BUDGET)
+    shelf.make(book.apply_health_summary({"a": True, "c": True}, 1000, 0, 1, "", "a", 0.0))
+    assert "a, c" in unplanned_halt_reason(shelf.ledger, BUDGET)
 
 
 def test_more_out_unasked_than_the_budget_is_a_halt() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
-    shelf.make(book.counted({"a": True}, 1000, 0, 1, "", "w", 0.0))
-    assert not past(shelf.ledger, BUDGET)
-    shelf.make(book.counted({"c": True}, 1000, 0, 1, "", "w", 0.0))
-    assert "a, c" in past(shelf.ledger, BUDGET) and not past(shelf.ledger, Budget(TWO, TWO, unasked=1))
+    shelf.make(book.apply_health_summary({"a": True}, 1000, 0, 1, "", "w", 0.0))
+    assert not unplanned_halt_reason(shelf.ledger, BUDGET)
+    shelf.make(book.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0))
+    assert "a, c" in unplanned_halt_reason(shelf.ledger, BUDGET) and not unplanned_halt_reason(
+        shelf.ledger, DisruptionBudget(TWO, TWO, unplanned_allowance=1)
+    )
 
 
 # ---------------------------------------------------------------------------- agent and warden
@@ -252,11 +298,11 @@
     def load(self) -> tuple[int, int]:
         return self.at
 
-    def save(self, at: int, permit: int) -> None:
-        self.at = at, permit
+    def save(self, phase: int, permit: int) -> None:
+        self.at = phase, permit
 
 
-UP, DOWN = Own(True, True), Own()
+UP, DOWN = MemberStatus(True, True), MemberStatus()
 
 
 class Rig:
@@ -268,39 +314,45 @@
 
     def begin(self) -> None:
         """The agent starts."""
-        self.agent = Agent("a", book.Kind.ROUTER, "e", 1000, BUDGET, Terms(look=100.0), self.kept)
+        self.agent = Agent(
+            "a", book.MemberKind.ROUTER, "e", 1000, BUDGET, AgentPolicy(poll_interval_ms=100.0), self.kept
+        )
 
-    def turn(self, own: Own, times: int = 1, lost: bool = False) -> Do:
+    def turn(self, own: MemberStatus, times: int = 1, lost: bool = False) -> MemberAction:
         """Look at the member, ask the quorum; what is to be done at last."""
         for _ in range(times):
             self.now += 100.0
             if self.counts:
-                self.shelf.make(book.counted({}, 1000, 0, 1, "", "w", 0.0))
-            what = self.agent.deed(self.now, own)
-            ask = self.agent.ask(self.now, own, 0.0)
+                self.shelf.make(book.apply_health_summary({}, 1000, 0, 1, "", "w", 0.0))
+            what = self.agent.next_action(self.now, own)
+            ask = self.agent.next_operation(self.now, own, 0.0)
             if ask is not None:
-                self.agent.answered(
-                    self.now, ask, Outcome(Kind.FAILED) if lost else self.shelf.make(ask.change)
+                self.agent.handle_outcome(
+                    self.now,
+                    ask,
+                    OperationOutcome(OutcomeKind.FAILED) if lost else self.shelf.make(ask.change),
                 )
         return what
 
     def stands(self) -> str:
         """Where the ledger has it."""
-        return At(self.shelf.ledger.members["a"].at).name
+        return MemberPhase(self.shelf.ledger.members["a"].phase).name
 
 
 def test_a_drain_from_permit_to_proof() -> None:
     rig = Rig("b", "c", "d")
-    assert rig.turn(UP, 4) is Do.NOTHING and rig.turn(DOWN) is Do.START  # dead by itself: it is started
-    rig.shelf.make(book.want_out(["a"], "op", "patch", 0.0))
+    assert (
+        rig.turn(UP, 4) is MemberAction.NONE and rig.turn(DOWN) is MemberAction.START
+    )  # dead by itself: it is started
+    rig.shelf.make(book.request_drain(["a"], "op", "patch", 0.0))
     rig.counts = False
-    assert rig.turn(UP, 9) is Do.NOTHING and rig.stands() == "IN"  # nobody counts: no permit
+    assert rig.turn(UP, 9) is MemberAction.NONE and rig.stands() == "IN"  # nobody counts: no permit
     rig.counts = True
-    assert rig.turn(UP, 5) is Do.STOP and rig.stands() == "LEAVING"
-    assert rig.turn(DOWN, 4) is Do.NOTHING and rig.stands() == "OUT"
-    rig.shelf.make(book.want_in(["a"], "op", 0.0))
-    assert rig.turn(DOWN, 3) is Do.START
-    rig.turn(Own(True, False), 40)
+    assert rig.turn(UP, 5) is MemberAction.STOP and rig.stands() == "LEAVING"
+    assert rig.turn(DOWN, 4) is MemberAction.NONE and rig.stands() == "OUT"
+    rig.shelf.make(book.cancel_drain(["a"], "op", 0.0))
+    assert rig.turn(DOWN, 3) is MemberAction.START
+    rig.turn(MemberStatus(True, False), 40)
     assert rig.stands() == "BACK"  # it runs, and does not serve
     rig.turn(UP, 5)
     assert rig.stands() == "BACK"  # not for long enough
@@ -308,108 +360,112 @@
     assert rig.stands() == "IN" and rig.kept.at == (0, 0)
 
 
-@pytest.mark.parametrize("at", [At.GIVEN, At.LEAVING, At.OUT, At.BACK])
+@pytest.mark.parametrize("at", [MemberPhase.GIVEN, MemberPhase.LEAVING, MemberPhase.OUT, MemberPhase.BACK])
 @pytest.mark.parametrize("wiped", [False, True])
-def test_an_agent_that_dies_anywhere_ends_its_permit(at: At, wiped: bool) -> None:
+def test_an_agent_that_dies_anywhere_ends_its_permit(at: MemberPhase, wiped: bool) -> None:
     rig = Rig("b", "c", "d")
     rig.shelf.out("a", to=at)
     rig.kept.at = (0, 0) if wiped else (int(at), rig.shelf.ledger.members["a"].permit)
     rig.begin()
-    up = at in (At.GIVEN, At.LEAVING)
+    up = at in (MemberPhase.GIVEN, MemberPhase.LEAVING)
     for _ in range(6):
-        up = {Do.STOP: False, Do.START: True}.get(rig.turn(UP if up else DOWN), up)
-    rig.shelf.make(book.want_in(["a"], "op", 0.0))
+        up = {MemberAction.STOP: False, MemberAction.START: True}.get(rig.turn(UP if up else DOWN), up)
+    rig.shelf.make(book.cancel_drain(["a"], "op", 0.0))
     for _ in range(60):
-        up = {Do.STOP: False, Do.START: True}.get(rig.turn(UP if up else DOWN), up)
+        up = {MemberAction.STOP: False, MemberAction.START: True}.get(rig.turn(UP if up else DOWN), up)
     assert rig.stands() == "IN" and not rig.shelf.ledger.members["a"].permit and rig.kept.at == (0, 0)
 
 
 def test_without_the_quorum_nothing_begins_and_what_is_out_comes_back() -> None:
     rig = Rig("b", "c", "d")
     rig.turn(UP, 2)
-    rig.shelf.make(book.want_out(["a"], "op", "patch", 0.0))
+    rig.shelf.make(book.request_drain(["a"], "op", "patch", 0.0))
     rig.turn(UP, 3)
     assert rig.stands() == "LEAVING"
     # the permit has begun, and then this process stood still: it does not go out by what it read before
     rig.now += 5_000.0
-    assert rig.agent.deed(rig.now, UP) is Do.NOTHING
+    assert rig.agent.next_action(rig.now, UP) is MemberAction.NONE
     rig = Rig("b", "c", "d")
-    rig.shelf.out("a", to=At.OUT)
-    rig.kept.at = (int(At.OUT), rig.shelf.ledger.members["a"].permit)
+    rig.shelf.out("a", to=MemberPhase.OUT)
+    rig.kept.at = (int(MemberPhase.OUT), rig.shelf.ledger.members["a"].permit)
     rig.begin()
     rig.turn(DOWN, 4)
-    assert rig.turn(DOWN, 30, lost=True) is Do.NOTHING
-    assert rig.turn(DOWN, 40, lost=True) is Do.START
-    assert rig.turn(UP, 80, lost=True) is Do.NOTHING
+    assert rig.turn(DOWN, 30, lost=True) is MemberAction.NONE
+    assert rig.turn(DOWN, 40, lost=True) is MemberAction.START
+    assert rig.turn(UP, 80, lost=True) is MemberAction.NONE
     rig.turn(UP, 8)
-    assert rig.shelf.ledger.halt is not None and "no quorum" in rig.shelf.ledger.halt.why
+    assert rig.shelf.ledger.halt is not None and "no quorum" in rig.shelf.ledger.halt.reason
     rig.turn(UP, 40)
     assert rig.stands() == "IN"
 
 
 def test_a_cache_node_drains_until_nobody_sends_and_is_back_when_it_is_warm() -> None:
-    agent = Agent("a", book.Kind.CACHE, "e", 1, BUDGET, Terms(look=100.0), Kept())
+    agent = Agent("a", book.MemberKind.CACHE, "e", 1, BUDGET, AgentPolicy(poll_interval_ms=100.0), Kept())
     shelf = Shelf()
     for name in "abcd":
-        shelf.make(book.join(name, book.Kind.CACHE, "ew"["abcd".index(name) % 2], 1, BUDGET.digest(), 0.0))
+        shelf.make(
+            book.join_member(
+                name, book.MemberKind.CACHE, "ew"["abcd".index(name) % 2], 1, BUDGET.digest(), 0.0
+            )
+        )
     shelf.make(
-        book.counted(dict.fromkeys("abcd", False), 1000, 800, 1, "", "w", 0.0)
+        book.apply_health_summary(dict.fromkeys("abcd", False), 1000, 800, 1, "", "w", 0.0)
     )  # the others hit in 80% of their reads
-    shelf.out("a", to=At.LEAVING)
+    shelf.out("a", to=MemberPhase.LEAVING)
     now = 0.0
 
-    def turn(own: Own, times: int = 3) -> Do:
+    def turn(own: MemberStatus, times: int = 3) -> MemberAction:
         nonlocal now
         for _ in range(times):
             now += 100.0
-            what = agent.deed(now, own)
-            ask = agent.ask(now, own, 0.0)
+            what = agent.next_action(now, own)
+            ask = agent.next_operation(now, own, 0.0)
             if ask is not None:
-                agent.answered(now, ask, shelf.make(ask.change))
+                agent.handle_outcome(now, ask, shelf.make(ask.change))
         return what
 
-    agent._kept.save(int(At.LEAVING), 1)
-    agent.at, agent.permit = At.LEAVING, 1
-    assert turn(Own(True, True)) is Do.DRAIN
-    assert turn(Own(True, False, draining=True, idle=True)) is Do.STOP
+    agent._store.save(int(MemberPhase.LEAVING), 1)
+    agent.phase, agent.permit = MemberPhase.LEAVING, 1
+    assert turn(MemberStatus(True, True)) is MemberAction.DRAIN
+    assert turn(MemberStatus(True, False, draining=True, idle=True)) is MemberAction.STOP
     turn(DOWN, 5)
-    shelf.make(book.want_in(["a"], "op", 0.0))
-    assert turn(DOWN, 6) is Do.START
-    for own in (Own(True, True, warm=False), Own(True, True, hit_share=0.3)):
+    shelf.make(book.cancel_drain(["a"], "op", 0.0))
+    assert turn(DOWN, 6) is MemberAction.START
+    for own in (MemberStatus(True, True, warm=False), MemberStatus(True, True, hit_ratio=0.3)):
         turn(own, 60)
-        assert At(shelf.ledger.members["a"].at) is At.BACK
-    turn(Own(True, True, hit_share=0.7), 60)
-    assert At(shelf.ledger.members["a"].at) is At.IN
+        assert MemberPhase(shelf.ledger.members["a"].phase) is MemberPhase.BACK
+    turn(MemberStatus(True, True, hit_ratio=0.7), 60)
+    assert MemberPhase(shelf.ledger.members["a"].phase) is MemberPhase.IN
 
 
 def test_the_warden_counts_the_silent_and_the_worse_word() -> None:
     shelf = Shelf("a", "b", "c", "d")
     shelf.out("d")
-    warden = Warden(BUDGET, counting.Terms(silent=1_000.0), 0.0)
-    warden.told("a", Report(1, 1, True), 0.0)
-    warden.told("b", Report(1, 1, up=False), 0.0)
-    warden.told("c", Report(1, 1, True), 0.0)
-    assert warden.verdict(shelf.ledger, 100.0).lost == {"b": True}  # of the others nothing is known yet
-    warden.told("a", Report(1, 2, True), 900.0)
-    warden.told("c", Report(1, 1, True), 900.0)  # the same again
-    found = warden.verdict(shelf.ledger, 1_500.0)
+    warden = FailureDetector(BUDGET, counting.FailureDetectorPolicy(report_timeout_ms=1_000.0), 0.0)
+    warden.add_report("a", HealthReport(1, 1, True), 0.0)
+    warden.add_report("b", HealthReport(1, 1, serving=False), 0.0)
+    warden.add_report("c", HealthReport(1, 1, True), 0.0)
+    assert warden.summarize(shelf.ledger, 100.0).lost == {"b": True}  # of the others nothing is known yet
+    warden.add_report("a", HealthReport(1, 2, True), 900.0)
+    warden.add_report("c", HealthReport(1, 1, True), 900.0)  # the same again
+    found = warden.summarize(shelf.ledger, 1_500.0)
     assert found.lost == {"a": False, "b": True, "c": True, "d": True}
-    assert not found.why and counting.wardens(shelf.ledger) == ["a", "b", "c"]
-    shelf.make(book.want_out(["a"], "op", "x", 0.0))
-    assert counting.wardens(shelf.ledger) == ["b", "c", "a"]
+    assert not found.halt_reason and counting.detector_candidates(shelf.ledger) == ["a", "b", "c"]
+    shelf.make(book.request_drain(["a"], "op", "x", 0.0))
+    assert counting.detector_candidates(shelf.ledger) == ["b", "c", "a"]
 
 
 def test_the_room_of_the_store_falls_at_once_and_grows_slowly() -> None:
-    room = Room(counting.Terms())
+    room = StoreCapacityEstimator(counting.FailureDetectorPolicy())
 
-    def reports(refused: float, misses: float) -> list[tuple[int, Report]]:
-        caches = [(1, Report(1, 1, True, hits=20.0, misses=misses / 10)) for _ in range(10)]
-        return [(0, Report(1, 1, True, served=100.0 - refused, refused=refused)), *caches]
+    def reports(refused: float, misses: float) -> list[tuple[int, HealthReport]]:
+        caches = [(1, HealthReport(1, 1, True, hits=20.0, misses=misses / 10)) for _ in range(10)]
+        return [(0, HealthReport(1, 1, True, served=100.0 - refused, refused=refused)), *caches]
 
-    assert room.now(reports(0.0, 100.0), 2) == 1000  # nothing is known of the store
-    assert room.now(reports(10.0, 100.0), 2) == 0 and room.takes == 90.0
-    assert room.now(reports(2.0, 80.0), 2) == 250
-    grown = [room.now(reports(0.0, 80.0), 2) for _ in range(30)]
+    assert room.capacity_permille(reports(0.0, 100.0), 2) == 1000  # nothing is known of the store
+    assert room.capacity_permille(reports(10.0, 100.0), 2) == 0 and room.sustained_misses_per_s == 90.0
+    assert room.capacity_permille(reports(2.0, 80.0), 2) == 250
+    grown = [room.capacity_permille(reports(0.0, 80.0), 2) for _ in range(30)]
     assert grown == sorted(grown) and grown[0] < 300 and grown[-1] > 900
 
 
@@ -417,12 +473,17 @@
 
 
 def test_what_an_agent_keeps_is_found_again(tmp_path: Path) -> None:
-    kept = Keep(tmp_path / "a")
+    kept = AgentStateFile(tmp_path / "a")
     kept.save(3, 17)
     kept.put(pid=1)
     kept.close()
-    again = Keep(tmp_path / "a")
-    assert again.load() == (3, 17) and again.get("pid") == 1 and began_at(1) and not began_at(2**22 - 1)
+    again = AgentStateFile(tmp_path / "a")
+    assert (
+        again.load() == (3, 17)
+        and again.get("pid") == 1
+        and process_start_time(1)
+        and not process_start_time(2**22 - 1)
+    )
     again.close()
 
 
@@ -443,8 +504,10 @@
     assert fleet_file.load(ROOT / "deploy" / "fleet.toml")[0].drains.caches.stay == 2
 
 
-def stood(name: str, at: float, up: bool, by: str = "program", zone: str = "e", free: bool = False) -> Stood:
-    return Stood(name, at, "routers", zone, up, by, free)
+def stood(
+    name: str, at: float, up: bool, by: str = "program", zone: str = "e", free: bool = False
+) -> AvailabilityChanged:
+    return AvailabilityChanged(name, at, "routers", zone, up, by, free)
 
 
 FIRST = [stood(name, 0.0, True, "", "ew"[n % 2]) for n, name in enumerate("abcdef")]
@@ -460,73 +523,99 @@
         ([stood("a", 1, False, "fault"), stood("c", 9, False)], "budget"),
         ([stood("a", 1, False), stood("c", 2, False, free=True)], ""),
         ([stood("a", 1, False), stood("c", 2, False, free=True), stood("e", 3, False, free=True)], "floor"),
-        ([Ordered("o", 1, "halt"), stood("a", 2, False)], ""),  # it had begun
-        ([Ordered("o", 1, "halt"), stood("a", 9, False)], "halt"),
-        ([Ordered("o", 1, "halt"), Ordered("o", 2, "resume"), stood("a", 9, False)], ""),
+        ([OperatorOrderAccepted("o", 1, "halt"), stood("a", 2, False)], ""),  # it had begun
+        ([OperatorOrderAccepted("o", 1, "halt"), stood("a", 9, False)], "halt"),
+        (
+            [
+                OperatorOrderAccepted("o", 1, "halt"),
+                OperatorOrderAccepted("o", 2, "resume"),
+                stood("a", 9, False),
+            ],
+            "",
+        ),
     ],
 )
 def test_the_judge_of_drains(events: list[AnyEvent], claim: str) -> None:
-    broken, _ = drain_claims.judge([*FIRST, *events], drain_claims.Bounds(BUDGET, 5.0, 3.0))
-    assert {one.claim for one in broken} == ({claim} if claim else set())
+    broken, _ = drain_invariants.check_invariants(
+        [*FIRST, *events], drain_invariants.DrainBounds(BUDGET, 5.0, 3.0)
+    )
+    assert {one.invariant for one in broken} == ({claim} if claim else set())
 
 
 def test_the_judge_of_requests() -> None:
-    from rosepick.lab.drill.drain_rig import requests
+    from rosepick.lab.drill.drain_harness import check_requests
 
     events: list[AnyEvent] = [
-        Answered("client", 2, 1, "r1", 200),
-        Answered("client", 4, 3, "r1", 0),
-        Told("n", 5),
-        Came("n", 5.5, "x", True),
+        ClientRequestCompleted("client", 2, 1, "r1", 200),
+        ClientRequestCompleted("client", 4, 3, "r1", 0),
+        DrainAnnounced("n", 5),
+        NodeRequestReceived("n", 5.5, "x", True),
     ]
-    assert {one.claim for one in requests(events, {})[0]} == {"requests"}
-    assert not requests(events, {"r1": [3.5]})[0]  # killed by the drill
-    assert {one.claim for one in requests([*events[2:], Came("n", 6.0, "y", True)], {})[0]} == {"sends"}
+    assert {one.invariant for one in check_requests(events, {})[0]} == {"requests"}
+    assert not check_requests(events, {"r1": [3.5]})[0]  # killed by the drill
+    assert {
+        one.invariant
+        for one in check_requests([*events[2:], NodeRequestReceived("n", 6.0, "y", True)], {})[0]
+    } == {"sends"}
 
 
 def test_the_judge_of_cold_starts() -> None:
-    from rosepick.lab.drill.drain_rig import cold_starts
+    from rosepick.lab.drill.drain_harness import check_cold_starts
 
     def came(node: str, each: float) -> list[AnyEvent]:
         begin, length = (10.0, 4.0) if node == "a" else (8.0, 8.0)
-        return [Came(node, begin + n * each, f"{node}{n}", False) for n in range(int(length / each))]
-
-    warm = [*came("b", 0.1), *came("c", 0.1), Injected("a", 10.0, "cold start")]
-    assert not cold_starts([*warm, *came("a", 0.2)])[0]
-    assert "second 1 of" in cold_starts([*warm, *came("a", 0.05)])[0][0].text
-    assert not cold_starts([*warm[:-1], Injected("a", 10.0, "first start"), *came("a", 0.05)])[0]
-    out = [Came("d", 2.0, "d0", False), Came("e", 3.0, "e0", False)]  # they were in once, and say nothing now
-    assert not cold_starts([*out, *warm, *came("a", 0.12)])[0]
+        return [
+            NodeRequestReceived(node, begin + n * each, f"{node}{n}", False)
+            for n in range(int(length / each))
+        ]
+
+    warm = [*came("b", 0.1), *came("c", 0.1), FaultInjected("a", 10.0, "cold start")]
+    assert not check_cold_starts([*warm, *came("a", 0.2)])[0]
+    assert "second 1 of" in check_cold_starts([*warm, *came("a", 0.05)])[0][0].text
+    assert not check_cold_starts([*warm[:-1], FaultInjected("a", 10.0, "first start"), *came("a", 0.05)])[0]
+    out = [
+        NodeRequestReceived("d", 2.0, "d0", False),
+        NodeRequestReceived("e", 3.0, "e0", False),
+    ]  # they were in once, and say nothing now
+    assert not check_cold_starts([*out, *warm, *came("a", 0.12)])[0]
 
 
 def test_simulated_drains_show_faults_and_full_budgets() -> None:
-    drill = files.load(ROOT / "drills" / "drains-simulated.toml")
-    total = play.Sum()
+    drill = drill_file.load_drill(ROOT / "drills" / "drains-simulated.toml")
+    total = runner.DrillSummary()
     for seed in range(1, 7):
-        total.add(play.simulate(drill, seed))
+        total.add(runner.run_simulated(drill, seed))
     assert not total.broken
     assert total.counts["budget full"] > 10 and total.counts["members out by program"] > 30
-    again = play.simulate(drill, 3)
-    assert again.counts == play.simulate(drill, 3).counts
+    again = runner.run_simulated(drill, 3)
+    assert again.counts == runner.run_simulated(drill, 3).counts
 
 
 def test_a_permit_by_an_old_reading_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("rosepick.fleet.budget._over", lambda ledger, budget, name, one: [])
-    shape = play._shape(files.load(ROOT / "drills" / "drains-simulated.toml"))
-    found = {one.claim for seed in range(1, 4) for one in sim_drains.drill(shape, seed).broken}
+    monkeypatch.setattr(
+        "rosepick.fleet.disruption_budget._limit_violations", lambda ledger, budget, name, one: []
+    )
+    shape = runner._simulation_config(drill_file.load_drill(ROOT / "drills" / "drains-simulated.toml"))
+    found = {
+        one.invariant for seed in range(1, 4) for one in simulated_drains.run_drill(shape, seed).violations
+    }
     assert "budget" in found
 
 
 def test_wants_are_shown_as_json() -> None:
     shelf = Shelf("a")
-    shelf.make(book.want_out(["a"], "me", "because", 0.0))
+    shelf.make(book.request_drain(["a"], "me", "because", 0.0))
     told = json.loads(msgspec.json.encode(msgspec.to_builtins(shelf.ledger)))
-    assert isinstance(told, list) and shelf.ledger.members["a"].want == Want(1, "me", "because")
+    assert isinstance(told, list) and shelf.ledger.members["a"].drain_request == DrainRequest(
+        1, "me", "because"
+    )
 
 
 def test_a_short_drill_of_drains_on_real_processes(tmp_path: Path) -> None:
-    result = play.play(files.load(ROOT / "drills" / "drains-short.toml"), 2, tmp_path / "drill", keep=False)
-    assert not result.failed and not result.broken, "\n".join(result.lines)
+    result = runner.run_real(
+        drill_file.load_drill(ROOT / "drills" / "drains-short.toml"), 2, tmp_path / "drill", keep_folder=False
+    )
+    assert not result.failure_reason and not result.violations, "\n".join(result.lines)
     assert result.counts["members out by program"] > 0 and result.counts["answers 200"] > 50
 
 
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -10,28 +10,43 @@
 
 import pytest
 
-from rosepick.agreement import messages as m
-from rosepick.agreement.witness import Witness
-from rosepick.lab.drill import claims, explore, explore_leases, files, linear, mutations, play, simulated
-from rosepick.lab.drill.history import AnyEvent, Effect, Moved, Operation, Yes
-from rosepick.leases.guard import Guard
+from rosepick.consensus import messages as m
+from rosepick.consensus.acceptor import Acceptor
+from rosepick.lab.drill import (
+    drill_file,
+    invariants,
+    lease_model_checker,
+    linearizability,
+    model_checker,
+    mutations,
+    runner,
+    simulated_leases,
+)
+from rosepick.lab.drill.history import (
+    AnyEvent,
+    GuardedEffect,
+    LeaseCheckPassed,
+    LeaseStateChanged,
+    RegisterOperation,
+)
+from rosepick.leases.fencing import FencingGuard
 
 ROOT = Path(__file__).parents[1]
 
 
 def op(
     begin: float, end: float, kind: str, version: int, mark: str, base: str = "", own: str = ""
-) -> Operation:
+) -> RegisterOperation:
     """An operation that ended with this value; `own`: its own mark, if that is another."""
     seen = mark if version else ""
-    return Operation(
+    return RegisterOperation(
         "p", end, begin, "k", own or (mark if kind != "read" else f"r{begin}"), kind, version, seen, base
     )
 
 
-def lost(begin: float, mark: str, kind: str = "unknown") -> Operation:
+def lost(begin: float, mark: str, kind: str = "unknown") -> RegisterOperation:
     """A change whose end nobody knows."""
-    return Operation("p", begin + 1.0, begin, "k", mark, kind)
+    return RegisterOperation("p", begin + 1.0, begin, "k", mark, kind)
 
 
 @pytest.mark.parametrize(
@@ -53,12 +68,12 @@
     ],
 )
 def test_orders_that_are_possible_are_told_from_those_that_are_not(
-    operations: list[Operation], possible: bool
+    operations: list[RegisterOperation], possible: bool
 ) -> None:
-    assert linear.possible(operations) is possible
+    assert linearizability.is_linearizable(operations) is possible
     if not possible:
-        cut = linear.shortest(operations)
-        assert cut and not linear.possible(cut) and len(cut) <= len(operations)
+        cut = linearizability.minimal_counterexample(operations)
+        assert cut and not linearizability.is_linearizable(cut) and len(cut) <= len(operations)
 
 
 def test_two_thousand_operations_take_seconds_and_one_wrong_one_is_found() -> None:
@@ -68,18 +83,18 @@
         operations += [op(n + k / 4, n + 3.6, "read", n, f"m{n}") for k in range(1, 4)]
         base = f"m{n}"
     began = time.process_time()
-    assert len(operations) == 2000 and linear.possible(operations)
+    assert len(operations) == 2000 and linearizability.is_linearizable(operations)
     wrong = [*operations, op(400.0, 401.0, "read", 200, "m200")]
-    assert not linear.possible(wrong)
+    assert not linearizability.is_linearizable(wrong)
     assert time.process_time() - began < 10.0
 
 
-def yes(process: str, begin: float, end: float, token: int, who: int) -> Yes:
-    return Yes(process, end, begin, "t", token, who)
+def yes(process: str, begin: float, end: float, token: int, who: int) -> LeaseCheckPassed:
+    return LeaseCheckPassed(process, end, begin, "t", token, who)
 
 
-def effect(at: float, token: int, who: int) -> Effect:
-    return Effect("p", at, "t", token, who, True)
+def effect(at: float, token: int, who: int) -> GuardedEffect:
+    return GuardedEffect("p", at, "t", token, who, True)
 
 
 @pytest.mark.parametrize(
@@ -94,29 +109,39 @@
         ([yes("a", 1, 9.0, 1, 1), yes("b", 3, 3.1, 2, 2), yes("b", 5, 5.1, 2, 2)], ""),
         ([effect(1, 1, 1), effect(2, 2, 2), effect(3, 1, 1)], "tokens"),
         ([effect(1, 1, 1), effect(2, 1, 1), effect(3, 4, 2)], ""),
-        ([Moved("a", 1, "t", 3, 1, "holds"), Moved("b", 2, "t", 3, 2, "holds")], "tokens"),
-        ([Moved("a", 1, "t", 3, 1, "holds"), effect(2, 3, 9)], "tokens"),
+        (
+            [LeaseStateChanged("a", 1, "t", 3, 1, "holds"), LeaseStateChanged("b", 2, "t", 3, 2, "holds")],
+            "tokens",
+        ),
+        ([LeaseStateChanged("a", 1, "t", 3, 1, "holds"), effect(2, 3, 9)], "tokens"),
         ([lost(0, "a", "failed"), op(2, 3, "read", 1, "a")], "registers"),
     ],
 )
 def test_the_judge_breaks_the_claim_that_is_broken(events: list[AnyEvent], claim: str) -> None:
-    found = {broken.claim for broken in claims.judge(sorted(events, key=lambda event: event.at)).broken}
+    found = {
+        broken.invariant
+        for broken in invariants.check_invariants(sorted(events, key=lambda event: event.at)).violations
+    }
     assert (claim in found) if claim else not found
 
 
 def test_a_task_that_nobody_takes_up_is_found() -> None:
     events: list[AnyEvent] = [yes("a", 1, 1.1, 1, 1), yes("b", 9, 9.1, 2, 2)]
-    assert claims.taken_up(events, "t", 2.0, 5.0) and not claims.taken_up(events, "t", 2.0, 7.5)
-    assert claims.taken_up(events, "t", 0.0, 5.0, who=1) and claims.taken_up(events, "other", 0.0, 5.0)
+    assert invariants.check_takeover(events, "t", 2.0, 5.0) and not invariants.check_takeover(
+        events, "t", 2.0, 7.5
+    )
+    assert invariants.check_takeover(events, "t", 0.0, 5.0, excluded_owner=1) and invariants.check_takeover(
+        events, "other", 0.0, 5.0
+    )
 
 
 def test_a_seed_is_a_history_and_shows_faults_and_refusals() -> None:
-    drill = files.load(ROOT / "drills" / "simulated.toml")
-    first, again = (play.simulate(drill, 3) for _ in range(2))
-    assert first.counts == again.counts and not first.broken
-    total = play.Sum()
+    drill = drill_file.load_drill(ROOT / "drills" / "simulated.toml")
+    first, again = (runner.run_simulated(drill, 3) for _ in range(2))
+    assert first.counts == again.counts and not first.violations
+    total = runner.DrillSummary()
     for seed in range(1, 9):
-        total.add(play.simulate(drill, seed))
+        total.add(runner.run_simulated(drill, seed))
     assert not total.broken
     assert total.counts["effects refused"] > 0 and total.counts["leases holds"] > 30
     assert sum(count > 0 for name, count in total.counts.items() if name.startswith("fault ")) > 12
@@ -125,14 +150,14 @@
 @pytest.mark.parametrize(
     ("plant", "claim"),
     [
-        (lambda patch: patch.setattr(Guard, "takes", lambda self, task, token: True), "tokens"),
+        (lambda patch: patch.setattr(FencingGuard, "accepts", lambda self, task, token: True), "tokens"),
         (
-            lambda patch: patch.setattr("rosepick.agreement.messages.Quorum.majority", property(lambda q: 2)),
+            lambda patch: patch.setattr("rosepick.consensus.messages.Quorum.majority", property(lambda q: 2)),
             "registers",
         ),
         (
             lambda patch: patch.setattr(
-                "rosepick.leases.contender.Terms.held_for", property(lambda t: 3 * t.ttl)
+                "rosepick.leases.lease_client.LeaseConfig.holder_timeout_ms", property(lambda t: 3 * t.ttl_ms)
             ),
             "overlap",
         ),
@@ -141,15 +166,19 @@
 def test_a_guard_that_is_out_is_found(
     plant: Callable[[pytest.MonkeyPatch], None], claim: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    drill = files.load(ROOT / "drills" / "simulated.toml")
-    shape = play._shape(drill)
+    drill = drill_file.load_drill(ROOT / "drills" / "simulated.toml")
+    shape = runner._simulation_config(drill)
     plant(monkeypatch)
-    found = {broken.claim for seed in range(1, 9) for broken in simulated.drill(shape, seed).broken}
+    found = {
+        broken.invariant
+        for seed in range(1, 9)
+        for broken in simulated_leases.run_drill(shape, seed).violations
+    }
     assert claim in found
 
 
 def test_planted_faults_fit_the_program_and_there_are_enough() -> None:
-    faults = mutations.load(ROOT / "tests" / "mutations.toml")
+    faults = mutations.load_mutations(ROOT / "tests" / "mutations.toml")
     assert len(faults) >= 20 and len({one.name for one in faults}) == len(faults)
 
 
@@ -157,29 +186,36 @@
 def test_faults_of_drill_files_are_named(tmp_path: Path, text: str) -> None:
     path = tmp_path / "drill.toml"
     path.write_text(text)
-    with pytest.raises(files.DrillError, match="drill.toml"):
-        files.load(path)
+    with pytest.raises(drill_file.DrillError, match="drill.toml"):
+        drill_file.load_drill(path)
 
 
 def test_a_short_drill_on_real_processes(tmp_path: Path) -> None:
-    result = play.play(files.load(ROOT / "drills" / "short.toml"), 1, tmp_path / "drill", keep=False)
-    assert not result.failed and not result.broken, "\n".join(result.lines)
+    result = runner.run_real(
+        drill_file.load_drill(ROOT / "drills" / "short.toml"), 1, tmp_path / "drill", keep_folder=False
+    )
+    assert not result.failure_reason and not result.violations, "\n".join(result.lines)
     assert result.counts["effects refused"] + result.counts["leases lost"] + result.counts["messages cut"] > 0
 
 
 def test_small_worlds_are_explored_and_a_planted_fault_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    whole = explore.explore(2)
-    assert not whole.broken and whole.ends >= whole.done >= 1 and whole.states > 300
-    small = explore_leases.Bounds(horizon=3, ttl=2, lost=0, restarts=0, releases=0)
-    leases = explore_leases.explore(small)
-    assert not leases.broken and leases.done > 100
-    monkeypatch.setattr("rosepick.leases.contender.Terms.held_for", property(lambda terms: 3 * terms.ttl))
-    larger = explore_leases.Bounds(horizon=5, ttl=2, lost=0, restarts=0, releases=0)
-    assert explore_leases.explore(larger).broken
-
-    def promises_nothing(witness: Witness, asked: m.Prepare, changes: object) -> m.Answer:
-        slot = witness.saved.slots.get(asked.key, m.Slot())
-        return m.Promised(asked.number, witness.saved.storage, slot.ballot, slot.register)
-
-    monkeypatch.setattr(Witness, "_prepare", promises_nothing)
-    assert explore.explore(3).broken
+    whole = model_checker.explore_register(2)
+    assert (
+        not whole.violations and whole.terminal_states >= whole.completed_states >= 1 and whole.states > 300
+    )
+    small = lease_model_checker.ModelBounds(horizon=3, ttl=2, lost_replies=0, restarts=0, releases=0)
+    leases = lease_model_checker.explore_leases(small)
+    assert not leases.violations and leases.completed_states > 100
+    monkeypatch.setattr(
+        "rosepick.leases.lease_client.LeaseConfig.holder_timeout_ms",
+        property(lambda config: 3 * config.ttl_ms),
+    )
+    larger = lease_model_checker.ModelBounds(horizon=5, ttl=2, lost_replies=0, restarts=0, releases=0)
+    assert lease_model_checker.explore_leases(larger).violations
+
+    def promises_nothing(witness: Acceptor, asked: m.PrepareRequest, changes: object) -> m.QuorumReply:
+        slot = witness.state.register_states.get(asked.key, m.RegisterState())
+        return m.PromiseReply(asked.request_id, witness.state.storage_id, slot.accepted_ballot, slot.register)
+
+    monkeypatch.setattr(Acceptor, "_prepare", promises_nothing)
+    assert model_checker.explore_register(3).violations
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,13 +8,13 @@
 from typing import Any
 from unittest import mock
 
-from rosepick.connections.descriptors import DIALS, Use
-from rosepick.core.flow import Flow, Room
+from rosepick.connections.descriptor_budget import RESERVED_FOR_CONNECTS, DescriptorUse
+from rosepick.core.body_stream import BodyStream, BufferBudget
 from rosepick.decisions import api, decide
-from rosepick.net import listener, watch
-from rosepick.net.loop import WRITE
-from rosepick.net.sender_link import SenderLink
-from rosepick.net.stream import Stream
+from rosepick.net import endpoint_watch, listener
+from rosepick.net.downstream_connection import DownstreamConnection
+from rosepick.net.event_loop import WRITE
+from rosepick.net.tcp_stream import TcpStream
 
 from .driver import fleet, settings
 from .scenario import SETTINGS, Scenario, target
@@ -49,10 +49,10 @@
     def freed(self) -> None:
         """Nothing is left of a request: no attempt, no connection on its way, no place in a count."""
         pool, module = self.server.pool, self.module()
-        self.assertEqual((self.server.engine.owed, len(self.server.engine.envelopes)), (0, 0))
-        self.assertEqual((len(pool.busy), module.origin.out, module.pressure.held), (0, 0, 0))
-        self.assertEqual([s.out for s in module.membership.servers.values() if s.out], [])
-        self.assertEqual(module.jobs, {})
+        self.assertEqual((self.server.engine.pending_count, len(self.server.engine.requests)), (0, 0))
+        self.assertEqual((len(pool.busy), module.origin.in_flight, module.shedder.in_flight), (0, 0, 0))
+        self.assertEqual([s.in_flight for s in module.endpoints.states.values() if s.in_flight], [])
+        self.assertEqual(module.pending, {})
 
 
 class ClientLeaves(Known):
@@ -69,20 +69,22 @@
             c1 send GET /api/k1
             s1 expect GET /api/k1
             s1 send 404 none
-            all holds engine.owed 1
+            all holds engine.pending_count 1
             c1 close
         """)
         self.freed()
         self.play("origin let\nwait 100\norigin expect nothing")
 
     def test_a_write_while_its_dial_is_coming_up(self) -> None:
-        self.play("origin hold\nc1 send PUT /api/k1 value\nall holds engine.owed 1\nc1 close")
+        self.play("origin hold\nc1 send PUT /api/k1 value\nall holds engine.pending_count 1\nc1 close")
         self.freed()
         self.play("origin let\norigin expect nothing")
 
     def test_a_long_body_that_is_whole_while_its_dial_is_coming_up(self) -> None:
         body = "x" * 100_000
-        self.play(f"origin hold\nc1 send PUT /api/k1 {body}\nall holds engine.owed 1\nc1 close\norigin let")
+        self.play(
+            f"origin hold\nc1 send PUT /api/k1 {body}\nall holds engine.pending_count 1\nc1 close\norigin let"
+        )
         self.freed()
         self.play("origin expect nothing")
 
@@ -150,7 +152,9 @@
         self.play("s1 expect GET /api/k1")
         for request in others:
             self.put("c1", request)
-        self.play(f"all holds engine.owed 1\nc1 close\nwait {listener.UNREAD_LOOK + 10}")
+        self.play(
+            f"all holds engine.pending_count 1\nc1 close\nwait {listener.CLOSED_PEER_CHECK_INTERVAL_MS + 10}"
+        )
         self.freed()
         self.play("s1 expect closed\ns1 expect nothing")
 
@@ -159,7 +163,9 @@
         self.play("origin hold")
         self.put("c1", self.request("/api/k1", method="PUT", length=3_000_000))
         self.put("c1", b"x" * 300_000)
-        self.play(f"all holds engine.owed 1\nc1 close\nwait {listener.UNREAD_LOOK + 10}")
+        self.play(
+            f"all holds engine.pending_count 1\nc1 close\nwait {listener.CLOSED_PEER_CHECK_INTERVAL_MS + 10}"
+        )
         self.freed()
 
 
@@ -167,18 +173,18 @@
     def test_while_its_dial_is_coming_up(self) -> None:
         """The request goes elsewhere at once, and no retry is spent on it."""
         self.follow()
-        retries = self.module().retries
+        retries = self.module().retry_budget
         self.play("""
             s1 hold
             c1 send GET /api/k1
-            all holds engine.owed 1
+            all holds engine.pending_count 1
             d tell 42 s1=leaving s2=active
             s2 expect GET /api/k1
             s2 send 200 value
             c1 expect 200 value
         """)
         self.freed()
-        self.assertEqual(self.module().retries, retries)
+        self.assertEqual(self.module().retry_budget, retries)
         self.play("s1 let\nwait 100\ns1 expect nothing")
 
     def test_while_the_dial_to_the_only_one_is_coming_up(self) -> None:
@@ -278,12 +284,12 @@
     def late(self, after: float) -> None:
         """A write whose answer is spoilt is repeated on a dial that comes up so long after."""
         self.play("c1 send PUT /api/k1 value\norigin expect PUT /api/k1\norigin hold")
-        self.play("origin raw HTTP/1.1 nonsense\\r\\n\\r\\n\nall holds engine.owed 1")
+        self.play("origin raw HTTP/1.1 nonsense\\r\\n\\r\\n\nall holds engine.pending_count 1")
         (link,) = self.server.pool.busy.values()
-        assert link.dialing
+        assert link.is_connecting
         self.wait(after)
-        with mock.patch.object(Stream, "connected"), mock.patch.object(link, "_write") as write:
-            link.ready(WRITE)
+        with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(link, "_write") as write:
+            link.on_ready(WRITE)
         self.written = write.called
 
     def test_a_repeat_within_its_window(self) -> None:
@@ -301,9 +307,9 @@
         """Not from when the dial began."""
         self.play("s1 hold\nc1 send GET /api/k1 Req-Deadline=0.500\nwait 200")
         (link,) = self.server.pool.busy.values()
-        with mock.patch.object(Stream, "connected"), mock.patch.object(Stream, "write") as write:
+        with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(TcpStream, "write") as write:
             write.side_effect = len
-            link.ready(WRITE)
+            link.on_ready(WRITE)
         (said,) = (bytes(call.args[0]) for call in write.call_args_list)
         self.assertIn(b"Req-Deadline: 0.3", said)
 
@@ -392,7 +398,7 @@
         """It is not read, and the connection is no reset, which would take the last answer with it."""
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1\ns1 send 200 value\nrouter end\nwait 590")
         wire = self.wires["c1"][-1]
-        with mock.patch.object(SenderLink, "idle", lambda link: link.machine.idle()):
+        with mock.patch.object(DownstreamConnection, "is_idle", lambda link: link.protocol.is_idle()):
             self.now += 0.02
             wire.sock.send(self.request("/api/k2"))
             self.loop.step(0)  # its timer first: the look was just before the request
@@ -409,9 +415,11 @@
     """
 
     def test_the_sum_of_its_terms(self) -> None:
-        oldest = watch.oldest(decide.ASK_FIRST, decide.ASK_LAST, STEP)
+        oldest = endpoint_watch.max_notification_delay_ms(
+            decide.FIRST_BACKOFF_MS, decide.MAX_BACKOFF_MS, STEP
+        )
         self.assertEqual(oldest, max(2500 + 1500 + 450, 3000 + 1800) + 100 + 1000)
-        self.assertLess(oldest, watch.TOLD_BY)
+        self.assertLess(oldest, endpoint_watch.MAX_NOTIFICATION_DELAY_MS)
 
     def until_asked(self, text: str) -> float:
         """The time until discovery has a call, which then tells of a drain that is kept to at once."""
@@ -423,7 +431,7 @@
         self.play(text)
         took = (self.now - since) * 1000.0
         self.play("c1 send GET /api/k1\nc1 expect 503\ns1 expect nothing")
-        self.assertLess(took, watch.TOLD_BY)
+        self.assertLess(took, endpoint_watch.MAX_NOTIFICATION_DELAY_MS)
         return took
 
     def silent(self) -> None:
@@ -468,7 +476,7 @@
         self.follow()
         self.play("d close\nd hold\nwait 8000\nd let")
         took = self.until_asked(self.AGAIN)
-        self.assertLess(took, watch.DIAL + decide.ASK_LAST + STEP + 10)
+        self.assertLess(took, endpoint_watch.CONNECT_TIMEOUT_MS + decide.MAX_BACKOFF_MS + STEP + 10)
 
     def test_as_each_call_is_refused_for_long(self) -> None:
         self.follow()
@@ -494,7 +502,7 @@
         self.play(f"d send 200 {body.replace(chr(10), ' ')}")
         self.play("d expect GET /v1/endpoints?after=42&wait_ms=2500\nd tell 42 s1=leaving")
         self.play("d expect GET /v1/endpoints?after=42&wait_ms=2500")
-        self.play("c1 send GET /api/k1\nc1 expect 503\nall holds map.revision 42")
+        self.play("c1 send GET /api/k1\nc1 expect 503\nall holds endpoint_directory.revision 42")
 
     def test_a_revision_that_goes_back(self) -> None:
         """Discovery began anew: its whole list counts as it is, and is followed from there."""
@@ -511,7 +519,7 @@
         """The revision held means something else at the new discovery."""
         self.follow()
         self.file["discovery"] = f"127.0.0.1:{self.port('d')}"
-        self.server.watch.move(self.server.config.discovery)
+        self.server.endpoint_watch.switch_discovery(self.server.config.discovery)
         self.play("""
             d expect closed
             d expect GET /v1/endpoints HTTP/1.1
@@ -538,9 +546,9 @@
             self.wire(f"h{n}")
         self.wait(400)
         budget = self.server.budget
-        self.assertGreaterEqual(len(self.server.listener.links), budget.doors())
+        self.assertGreaterEqual(len(self.server.listener.connections), budget.downstream_limit())
         while budget.used < budget.limit:
-            budget.take(Use.NEXT_HOPS)  # and the next hops hold all the rest
+            budget.acquire(DescriptorUse.UPSTREAM)  # and the next hops hold all the rest
         self.play("wait 3000\nd let")
         since = self.now
         for _ in range(2_000):
@@ -548,11 +556,11 @@
                 break
             self.wait(5)
         took = (self.now - since) * 1000.0
-        self.assertLess(took, decide.ASK_LAST + watch.DIAL + STEP + 10)
+        self.assertLess(took, decide.MAX_BACKOFF_MS + endpoint_watch.CONNECT_TIMEOUT_MS + STEP + 10)
         self.play(f"{FIRST}\nd tell 42 s1=leaving s2=active")
         self.play("c1 send GET /api/k1\ns2 expect GET /api/k1\ns2 send 200 value\nc1 expect 200 value")
         self.assertLess((self.now - since) * 1000.0 - took, 500)
-        self.assertLessEqual(budget.used, budget.limit + DIALS)
+        self.assertLessEqual(budget.used, budget.limit + RESERVED_FOR_CONNECTS)
 
 
 class ListsArePushed(Known):
@@ -568,10 +576,10 @@
             d tell 41
             {POLL}
             d close
-            wait {decide.ASK_PUSHED + STEP}
+            wait {decide.PUSHED_BACKOFF_MS + STEP}
             {FIRST}
             d send 503 no
-            wait {decide.ASK_PUSHED + STEP}
+            wait {decide.PUSHED_BACKOFF_MS + STEP}
             {FIRST}
             d tell 42 s1=leaving
             c1 send GET /api/k1
@@ -581,19 +589,19 @@
 
 def test_a_fetch_that_hangs_is_waited_for_until_its_own_deadline() -> None:
     """Also where nobody tells the module of its end: on sockets the attempt's own does."""
-    classes = (api.RequestClass(aim=300, deadline=1000, worth=2),)
+    classes = (api.RequestClass(objective_ms=300, deadline_ms=1000, worth=2),)
     router = decide.Router(settings(classes=classes, tenants=()), 1)
-    router.handle(0.0, api.Members(api.Scope.CACHED, tuple(fleet())))
+    router.handle(0.0, api.EndpointUpdate(api.UpdateScope.CACHED, tuple(fleet())))
 
     def misses(ref: int, time_left: float) -> list[api.Action]:
-        (send,) = [a for a in router.handle(1.0, api.Request(ref, 0, time_left, key=7)) if _send(a)]
+        (send,) = [a for a in router.handle(1.0, api.RequestArrived(ref, 0, time_left, key=7)) if _send(a)]
         assert isinstance(send, api.Send)
-        return router.handle(2.0, api.Outcome(ref, 0, send.server, api.Result.MISS, False, 2, 1.0))
+        return router.handle(2.0, api.AttemptEnded(ref, 0, send.endpoint_id, api.Result.MISS, False, 2, 1.0))
 
     assert any(map(_send, misses(1, 200.0)))  # the fetch
     assert not any(map(_send, misses(2, 1000.0)))
-    assert not any(map(_send, router.handle(100.0, api.ClientGone(1))))
-    after = router.handle(201.0, api.Timer(decide.DEADLINE | 1))
+    assert not any(map(_send, router.handle(100.0, api.ClientDisconnected(1))))
+    after = router.handle(201.0, api.TimerFired(decide.DEADLINE_TIMER | 1))
     assert [a.ref for a in after if isinstance(a, api.Send)] == [2]
 
 
@@ -602,17 +610,17 @@
 
 
 def test_a_body_of_which_a_part_was_let_go_is_not_whole() -> None:
-    flow = Flow(Room(1_000_000), None)
-    flow.put(b"part")
-    flow.end()
+    flow = BodyStream(BufferBudget(1_000_000), None)
+    flow.write(b"part")
+    flow.finish()
     flow.close()
-    assert not flow.over() and flow.cut()
+    assert not flow.is_drained() and flow.is_truncated()
 
 
 def test_a_body_that_was_taken_whole_stays_so() -> None:
-    flow = Flow(Room(1_000_000), None)
-    flow.put(b"part")
-    flow.end()
-    assert flow.take(100) == [b"part"]
+    flow = BodyStream(BufferBudget(1_000_000), None)
+    flow.write(b"part")
+    flow.finish()
+    assert flow.read(100) == [b"part"]
     flow.close()
-    assert flow.over() and not flow.cut()
+    assert flow.is_drained() and not flow.is_truncated()
--- a/tests/test_extremes.py
+++ b/tests/test_extremes.py
@@ -91,7 +91,7 @@
                     origin send 200 stored
                     c1 expect 200 stored
                 """)
-                self.assertEqual((self.server.engine.owed, self.loop.faults), (0, 0))
+                self.assertEqual((self.server.engine.pending_count, self.loop.fault_count), (0, 0))
                 self.assertEqual(self.server.engine.counts["faults"], 0)
 
 
@@ -100,7 +100,7 @@
         return {**super().document(), "settings": changed("request_classes.objective", 0.001)}
 
     def test_what_cannot_be_in_time_is_refused_at_once(self) -> None:
-        self.play("c1 send GET /api/k1\nc1 expect 503\ns1 expect nothing\nall holds engine.owed 0")
+        self.play("c1 send GET /api/k1\nc1 expect 503\ns1 expect nothing\nall holds engine.pending_count 0")
 
 
 @pytest.mark.parametrize("name", TURNED_DOWN)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -5,7 +5,7 @@
 import unittest
 
 from rosepick.decisions import api
-from rosepick.decisions.decide import Origin
+from rosepick.decisions.decide import OriginAdmission
 
 from .driver import settings
 
@@ -13,16 +13,16 @@
 class Gate(unittest.TestCase):
     def test_regrows_from_every_limit(self) -> None:
         for tenths in range(10, 60):
-            origin = Origin(settings(mode=api.Mode.ASIDE))
+            origin = OriginAdmission(settings(mode=api.Mode.ASIDE))
             origin.limit = start = tenths / 10
             now = 0.0
             for _ in range(4):  # good fetches, as many at once as the limit lets out
                 now += 100.0
                 out = 0
-                while origin.free(now):
-                    origin.take(now, 1)
+                while origin.admits(now):
+                    origin.add_in_flight(now, 1)
                     out += 1
                 for _ in range(out):
-                    origin.take(now, -1)
-                    origin.done(now, 20.0, True)
+                    origin.add_in_flight(now, -1)
+                    origin.record_fetch(now, 20.0, True)
             self.assertGreater(origin.limit, start)
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from rosepick.connections.keeping import LEAST, Keeping
+from rosepick.connections.keep_alive import MIN_KEEP_ALIVE_MS, KeepAliveController
 from rosepick.decisions.api import NEVER_RAN, Result
 from tests.scenario import Scenario
 
@@ -36,7 +36,7 @@
             c1 expect 200 x
         """)
         self.assertEqual(self.server.engine.counts["attempt_no_place"], 1)
-        self.assertIn(Result.NO_PLACE, NEVER_RAN)
+        self.assertIn(Result.CONNECTION_LIMIT, NEVER_RAN)
         self.assertLess(router.origin.limit, 2.0)  # type: ignore[attr-defined]
 
     def test_a_full_queue_and_a_connection_in_use_are_no_lack_of_places(self) -> None:
@@ -56,10 +56,10 @@
     def test_idle_connections_go_as_soon_as_they_are_not_kept_any_longer(self) -> None:
         self.miss("send 200 x")
         self.play("c1 expect 200 x\nwait 1000\norigin expect nothing")
-        of_origin = self.server.pool.keeping[True]
+        of_origin = self.server.pool.keep_alive[True]
         for _ in range(20):
-            of_origin.turned_away()
-        self.assertEqual(of_origin.time, LEAST)
+            of_origin.record_rejected()
+        self.assertEqual(of_origin.keep_alive_ms, MIN_KEEP_ALIVE_MS)
         self.play("wait 700\norigin expect closed\ns1 expect nothing")
 
 
@@ -67,21 +67,21 @@
     """The time by itself."""
 
     def test_begins_by_the_number_of_routers_and_keeps_its_bounds(self) -> None:
-        for routers, begin in ((3, 10_000.0), (16, 10_000.0), (200, 800.0), (100_000, LEAST)):
+        for routers, begin in ((3, 10_000.0), (16, 10_000.0), (200, 800.0), (100_000, MIN_KEEP_ALIVE_MS)):
             with self.subTest(routers=routers):
-                one = Keeping(10_000.0, routers)
-                self.assertAlmostEqual(one.time, begin)
+                one = KeepAliveController(10_000.0, routers)
+                self.assertAlmostEqual(one.keep_alive_ms, begin)
                 for _ in range(300):
-                    one.let_in()
-                self.assertEqual(one.time, 10_000.0)
-                one.limit(2_000.0)
-                self.assertEqual(one.time, 2_000.0)
+                    one.record_accepted()
+                self.assertEqual(one.keep_alive_ms, 10_000.0)
+                one.set_max_keep_alive(2_000.0)
+                self.assertEqual(one.keep_alive_ms, 2_000.0)
 
     def test_many_routers_come_to_rest_within_what_is_there(self) -> None:
         """Places at one next hop, routers that ask now and then: most are let in, few places are empty."""
         draw = random.Random(7)
         routers, places = 200, 64
-        kept = [Keeping(10_000.0, routers) for _ in range(routers)]
+        kept = [KeepAliveController(10_000.0, routers) for _ in range(routers)]
         idle = [-1.0] * routers  # until when a router's connection is kept
         asked = away = 0
         for step in range(120_000):
@@ -90,10 +90,10 @@
                 held = sum(until >= now for until in idle)
                 asked += now > 60_000
                 if held >= places:
-                    kept[who].turned_away()
+                    kept[who].record_rejected()
                     away += now > 60_000
                     continue
-                kept[who].let_in()
-            idle[who] = now + kept[who].time
+                kept[who].record_accepted()
+            idle[who] = now + kept[who].keep_alive_ms
         self.assertTrue(0.02 < away / asked < 0.12, away / asked)
         self.assertGreater(sum(until >= now for until in idle), 0.6 * places)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,15 +10,15 @@
 import pytest
 
 from rosepick.decisions import api
-from rosepick.decisions.api import State
+from rosepick.decisions.api import Status
 from rosepick.lab import experiment, results, sim
-from rosepick.lab.experiment import ExperimentError, Must
-from rosepick.lab.live import faults
+from rosepick.lab.experiment import ExperimentError, RequirementConfig
+from rosepick.lab.live import response_faults
 from rosepick.lab.measure import Measure
-from rosepick.lab.world import troubles
-from rosepick.lab.world.requests import Requests
-from rosepick.lab.world.rules import Try
-from rosepick.lab.world.world import World
+from rosepick.lab.model import fault_schedule
+from rosepick.lab.model.rule_monitor import ClientTry
+from rosepick.lab.model.simulation import Simulation
+from rosepick.lab.model.workload import Workload
 
 ROOT = Path(__file__).parent.parent
 SMALL = """
@@ -47,7 +47,7 @@
     files = sorted((ROOT / "experiments").glob("*.toml"))
     assert len(files) >= 8
     for path in files:
-        assert experiment.load(path).name == path.stem
+        assert experiment.load_experiment(path).name == path.stem
 
 
 @pytest.mark.parametrize(
@@ -69,39 +69,41 @@
 )
 def test_every_fault_of_a_file_is_named_with_its_place(text: str, faults: list[str]) -> None:
     with pytest.raises(ExperimentError) as raised:
-        experiment.read(text, "f.toml")
-    told = raised.value.faults
+        experiment.parse_experiment(text, "f.toml")
+    told = raised.value.errors
     assert all(line.startswith("f.toml: ") and "\n" not in line for line in told)
     for fault in faults:
         assert sum(fault in line for line in told) == 1, (fault, told)
 
 
 def test_values_are_set_by_dotted_names() -> None:
-    found = experiment.read(SMALL, "f", {"traffic.rate": 80, "fleet.0.count": 7, "clients.retries": 0})
+    found = experiment.parse_experiment(
+        SMALL, "f", {"traffic.rate": 80, "fleet.0.count": 7, "clients.retries": 0}
+    )
     assert (found.traffic.rate, found.fleet[0].count, found.clients.retries) == (80, 7, 0)
     for name in ("fleet.9.count", "name.first", "fleet.x.count"):
         with pytest.raises(ExperimentError, match="names nothing that can be set"):
-            experiment.read(SMALL, "f", {name: 1})
+            experiment.parse_experiment(SMALL, "f", {name: 1})
 
 
 def test_a_trace_is_played_as_it_stands_and_its_bad_lines_are_named(tmp_path: Path) -> None:
     trace = tmp_path / "day.csv"
     trace.write_text("# seconds,class,key\n0.5,read,k1\n0.75,read,k2\n\n0.75,read,k1\n")
     changes = {"traffic.arrivals": "trace", "traffic.trace": str(trace)}
-    found = list(Requests(experiment.read(SMALL, "f", changes), 1))
-    assert [one.due for one in found] == [500.0, 750.0, 750.0]
+    found = list(Workload(experiment.parse_experiment(SMALL, "f", changes), 1))
+    assert [one.due_ms for one in found] == [500.0, 750.0, 750.0]
     assert found[0].key == found[2].key != found[1].key
     trace.write_text("0.5,read,k1\n0.1,read,k2\n1,write,k3\nx\n")
     with pytest.raises(ExperimentError) as raised:
-        list(Requests(experiment.read(SMALL, "f", changes), 1))
-    assert [fault.split(":")[0] for fault in raised.value.faults] == [f"day.csv line {n}" for n in (2, 3, 4)]
+        list(Workload(experiment.parse_experiment(SMALL, "f", changes), 1))
+    assert [fault.split(":")[0] for fault in raised.value.errors] == [f"day.csv line {n}" for n in (2, 3, 4)]
 
 
 def test_arrivals_keep_their_rate_and_what_one_part_draws_changes_nothing_for_another() -> None:
     def dues(**changes: object) -> list[tuple[float, int]]:
         return [
-            (one.due, one.key)
-            for one in Requests(experiment.read(SMALL, "f", {"length": 200.0, **changes}), 3)
+            (one.due_ms, one.key)
+            for one in Workload(experiment.parse_experiment(SMALL, "f", {"length": 200.0, **changes}), 3)
         ]
 
     for arrivals in ("poisson", "bursts", "daily", "regular"):
@@ -114,61 +116,63 @@
 
 
 def test_requests_count_when_they_were_due_and_conditions_over_their_span() -> None:
-    given = experiment.read(SMALL, "f").model_copy(
+    given = experiment.parse_experiment(SMALL, "f").model_copy(
         update={
             "must": (
-                Must(what="served_share", least=0.6, since=2.0),
-                Must(what="p99_ms", most=50.0),
+                RequirementConfig(what="served_share", least=0.6, since=2.0),
+                RequirementConfig(what="p99_ms", most=50.0),
             )
         }
     )
     measure = Measure(given)
     for n in range(40):
         due = 100.0 * n
-        measure.offered(due, "read", "", 1.0)
+        measure.record_offered(due, "read", "", 1.0)
         good = n < 20 or n % 2 == 0
-        measure.ended(due, "read", "", 1.0, "in_time" if good else "refused", 30.0 + n)
-    run = measure.run(1, "sim", "rosepick", {})
+        measure.record_ended(due, "read", "", 1.0, "in_time" if good else "refused", 30.0 + n)
+    run = measure.build_result(1, "sim", "rosepick", {})
     assert [window.in_time for window in run.windows] == [10, 10, 5, 5]
     assert run.totals["offered"] == 30  # the first second is no part of it
     assert run.classes["read"].served_share == pytest.approx(20 / 30, abs=1e-6)
     assert [(verdict.value, verdict.held) for verdict in run.must] == [(0.5, False), (68.0, False)]
     assert not run.good()
-    line = results.write(run)
+    line = results.encode_result(run)
     assert json.loads(line)["kind"] == "run"
 
 
 def test_results_are_read_back_and_a_cut_line_is_passed_over(tmp_path: Path) -> None:
-    run, cost = sim.play(experiment.read(SMALL, "f"), 1, "rosepick", {})
+    run, cost = sim.run_simulated(experiment.parse_experiment(SMALL, "f"), 1, "rosepick", {})
     path = tmp_path / "r.jsonl"
-    path.write_bytes(results.write(run) + results.write(cost) + results.write(run)[:100])
-    assert list(results.read(path)) == [run, cost]
-    path.write_bytes(b"{}\n" + results.write(run))
-    with pytest.raises(results.BadResults, match="r.jsonl line 1: "):
-        list(results.read(path))
+    path.write_bytes(
+        results.encode_result(run) + results.encode_result(cost) + results.encode_result(run)[:100]
+    )
+    assert list(results.read_results(path)) == [run, cost]
+    path.write_bytes(b"{}\n" + results.encode_result(run))
+    with pytest.raises(results.ResultsError, match="r.jsonl line 1: "):
+        list(results.read_results(path))
 
 
 # ------------------------------------------------------------------------------------- what is watched
 
 
 def test_a_broken_rule_is_named_with_request_node_and_time() -> None:
-    given = experiment.read(SMALL, "f")
+    given = experiment.parse_experiment(SMALL, "f")
     measure = Measure(given)
-    world = World(given, 1, measure)
+    world = Simulation(given, 1, measure)
     node = world.cache_nodes()[0]
     router = world.routers[0]
     assert router is not None
-    router.watcher.told[node.number] = 0.0
-    one = Try("7.1", router.engine.settings.classes[0], 1_000.0)
+    router.subscription.drain_known_since[node.number] = 0.0
+    one = ClientTry("7.1", router.engine.settings.classes[0], 1_000.0)
     world.kernel.run(749.0)
-    world.monitor.outcome(router.sending(one, node), api.Result.MISS)
-    assert measure.broken == []
+    world.monitor.record_outcome(router.record_send(one, node), api.Result.MISS)
+    assert measure.violations == []
     world.kernel.run(800.0)
-    router.sending(one, node)
-    router.sending(one, node)
-    world.monitor.answered(one, 1_060.0, False, "router-0")
-    world.monitor.answered(one, 1_070.0, False, "router-0")
-    said = [(broken.rule, broken.request, broken.node, broken.at) for broken in measure.broken]
+    router.record_send(one, node)
+    router.record_send(one, node)
+    world.monitor.record_answer(one, 1_060.0, False, "router-0")
+    world.monitor.record_answer(one, 1_070.0, False, "router-0")
+    said = [(broken.rule, broken.request, broken.node, broken.at) for broken in measure.violations]
     assert said[0] == ("drains", "7.1", node.uid, 0.8)
     assert ("effect", "7.1", node.uid, 0.8) in said  # one while another was out
     assert ("answered", "7.1", "router-0", 1.06) in said  # late, and then once more
@@ -183,7 +187,7 @@
         "traffic.rate": 400,
         "classes.0.work_ms": 60,
     }
-    run, _ = sim.play(experiment.read(text, "f", changes), 1, "random", {})
+    run, _ = sim.run_simulated(experiment.parse_experiment(text, "f", changes), 1, "random", {})
     assert run.totals["fell"] >= 1
     assert {broken.rule for broken in run.broken} == {"cold"}
     assert not run.good()
@@ -192,22 +196,24 @@
 def test_every_trouble_that_is_simulated_is_played() -> None:
     kinds = [
         kind
-        for kind in experiment.KINDS.__args__  # type: ignore[attr-defined]
-        if kind not in faults.KINDS
+        for kind in experiment.FaultKind.__args__  # type: ignore[attr-defined]
+        if kind not in response_faults.LIVE_FAULT_INJECTORS
     ]
     rows = ", ".join(
         f'{{kind = "{kind}", at = {1.0 + 0.05 * n}, for = 0.5'
         + {"cut": ', zones = ["a", "b"]}', "isolate": ', zone = "a"}'}.get(kind, "}")
         for n, kind in enumerate(kinds)
     )
-    run, _ = sim.play(experiment.read(f"{SMALL}troubles = [{rows}]", "f"), 2, "rosepick", {})
+    run, _ = sim.run_simulated(
+        experiment.parse_experiment(f"{SMALL}troubles = [{rows}]", "f"), 2, "rosepick", {}
+    )
     assert [span.kind for span in run.troubles] == kinds
     assert all(span.what for span in run.troubles)
     assert run.broken == []
-    for kind in faults.KINDS:
-        given = experiment.read(f'{SMALL}troubles = [{{kind = "{kind}", at = 1}}]', "f")
+    for kind in response_faults.LIVE_FAULT_INJECTORS:
+        given = experiment.parse_experiment(f'{SMALL}troubles = [{{kind = "{kind}", at = 1}}]', "f")
         with pytest.raises(ExperimentError, match=f"kind '{kind}' is played with --live only"):
-            sim.play(given, 1, "rosepick", {})
+            sim.run_simulated(given, 1, "rosepick", {})
 
 
 @pytest.mark.parametrize(
@@ -221,13 +227,13 @@
 def test_nothing_is_held_over_no_time_at_all(given: str, text: str) -> None:
     rows = f'[[troubles]]\nkind = "slow"\nat = 0.5\nfor = 0.5\n[[must]]\nwhat = "p99_ms"\nmost = 1\n{given}'
     with pytest.raises(ExperimentError, match=f"no whole second {text}"):
-        experiment.read(SMALL + rows, "f", {"length": 4.0})
+        experiment.parse_experiment(SMALL + rows, "f", {"length": 4.0})
 
 
 def test_a_second_that_a_trouble_ends_in_does_not_count_as_after_it() -> None:
-    measure = Measure(experiment.read(SMALL, "f", {"length": 4.0}))
+    measure = Measure(experiment.parse_experiment(SMALL, "f", {"length": 4.0}))
     for second in range(4):
-        measure.offered(1000.0 * second, "read", "", 1.0)
+        measure.record_offered(1000.0 * second, "read", "", 1.0)
     assert measure.figures(1.7, 4.0)["offered"] == 2.0
     assert measure.figures(1.0, 2.5)["offered"] == 2.0
 
@@ -235,14 +241,16 @@
 def test_a_call_to_discovery_takes_longer_by_each_line_that_it_tells() -> None:
     def heard(line_ms: float) -> tuple[float, int]:
         """When a router that knows nothing is told, and how many lines."""
-        given = experiment.read(SMALL, "f", {"discovery.line_ms": line_ms, "discovery.call_ms": 1.0})
-        world = World(given, 1, Measure(given))
+        given = experiment.parse_experiment(
+            SMALL, "f", {"discovery.line_ms": line_ms, "discovery.call_ms": 1.0}
+        )
+        world = Simulation(given, 1, Measure(given))
         told: list[float] = []
-        watcher = world.discovery.join(lambda event: told.append(world.kernel.time), 0)
+        watcher = world.discovery.subscribe(lambda event: told.append(world.kernel.time), 0)
         watcher.revision = 0  # it knows nothing
-        world.discovery.watch(watcher, True)
+        world.discovery.set_subscribed(watcher, True)
         world.kernel.run(1_000.0)
-        return told[0], len(world.discovery._list)
+        return told[0], len(world.discovery._members)
 
     (quick, _), (slow, lines) = heard(0.0), heard(10.0)
     assert slow - quick == pytest.approx(10.0 * lines)
@@ -250,17 +258,17 @@
 
 def test_drained_nodes_get_nothing_and_replaced_ones_are_cold_and_known() -> None:
     text = SMALL + 'troubles = [{kind = "replace", at = 1, for = 1, nodes = 2}]'
-    given = experiment.read(text, "f", {"length": 10.0})
+    given = experiment.parse_experiment(text, "f", {"length": 10.0})
     measure = Measure(given)
-    world = World(given, 1, measure)
-    troubles.set_up(world)
+    world = Simulation(given, 1, measure)
+    fault_schedule.schedule_faults(world)
     world.start()
     world.kernel.run(9_000.0)
     states = [node.state for node in world.nodes.values() if node is not world.origin]
-    assert states.count(State.GONE) == 2 and states.count(State.READY) == 4
-    new = [node for node in world.cache_nodes() if node.server.born > 0]
-    assert len(new) == 2 and all(node.server.busy > 0 for node in new)
-    assert measure.broken == []
+    assert states.count(Status.REMOVED) == 2 and states.count(Status.READY) == 4
+    new = [node for node in world.cache_nodes() if node.machine.started_at > 0]
+    assert len(new) == 2 and all(node.machine.busy_ms > 0 for node in new)
+    assert measure.violations == []
 
 
 # ----------------------------------------------------------------------------------------- its commands
@@ -277,7 +285,7 @@
     for words, status in (((), 0), (("--set", "must.0.least=1.1"), 1), (("--policy", "best"), 2)):
         done = rosepick("lab", "run", good, "--out", out, *words)
         assert done.returncode == status, done.stderr
-    assert len(list(results.read(out))) == 4
+    assert len(list(results.read_results(out))) == 4
     assert rosepick("lab", "run", good, "--set", "rate").returncode == 2
     shown = rosepick("lab", "diff", out, "--by", "must.0.least")
     assert (shown.returncode, "must.0.least=1.1" in shown.stdout) == (0, True)
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -10,8 +10,8 @@
 from rosepick.lab import experiment, sim
 from rosepick.lab.experiment import Experiment, ExperimentError
 from rosepick.lab.measure import Measure
-from rosepick.lab.world import troubles
-from rosepick.lab.world.world import World
+from rosepick.lab.model import fault_schedule
+from rosepick.lab.model.simulation import Simulation
 
 DAYS = sorted((Path(__file__).parent.parent / "experiments").glob("fleet-*.toml"))
 SMALL = """
@@ -26,13 +26,13 @@
 
 
 def read(changes: dict[str, Any], more: str = "") -> Experiment:
-    return experiment.read(SMALL + more, "f", changes)
+    return experiment.parse_experiment(SMALL + more, "f", changes)
 
 
-def world(given: Experiment) -> World:
+def world(given: Experiment) -> Simulation:
     """Played to its end."""
-    made = World(given, 1, Measure(given))
-    troubles.set_up(made)
+    made = Simulation(given, 1, Measure(given))
+    fault_schedule.schedule_faults(made)
     made.start()
     made.kernel.run(1000.0 * given.length + 3_000.0)
     made.finish()
@@ -42,10 +42,10 @@
 def test_every_day_is_there_and_a_short_form_of_one_keeps_the_rules() -> None:
     assert [day.stem[6:] for day in DAYS] == ["calm", "herd", "join", "roll", "split", "zone"]
     for day in DAYS:
-        given = experiment.load(day)
+        given = experiment.load_experiment(day)
         assert (given.routers.count, given.fleet[0].count) == (200, 200)
     short = {"routers.count": 20, "fleet.0.count": 20, "traffic.rate": 100, "origin.connections": 12}
-    run, _ = sim.play(experiment.load(DAYS[1], short), 1, "rosepick", short)
+    run, _ = sim.run_simulated(experiment.load_experiment(DAYS[1], short), 1, "rosepick", short)
     assert run.broken == []
     assert run.totals["served_share"] > 0.3
     killed = next(span for span in run.troubles if span.kind == "router_kill")
@@ -61,12 +61,12 @@
     ],
 )
 def test_a_router_that_has_no_time_serves_late(changes: dict[str, Any], least: float, most: float) -> None:
-    assert least <= sim.play(read(changes), 1, "rosepick", {})[0].totals["served_share"] <= most
+    assert least <= sim.run_simulated(read(changes), 1, "rosepick", {})[0].totals["served_share"] <= most
 
 
 def test_places_are_scarce_callers_are_turned_away_and_some_routers_are_busy() -> None:
     slow = {"discovery.call_ms": 300.0}
-    assert world(read(slow)).discovery.turned_away == 0
+    assert world(read(slow)).discovery.rejected_calls == 0
     made = world(
         read(
             {
@@ -82,8 +82,8 @@
     assert sum(one["attempt_no_place"] for one in counts) > 0
     assert sum(one["attempt_full"] + one["attempt_connect_failed"] for one in counts) == 0
     assert made.origin.connections <= 2
-    assert made.discovery.turned_away > 0
-    assert sum(watcher.on for watcher in made.discovery.watchers) > 5  # the others came again
+    assert made.discovery.rejected_calls > 0
+    assert sum(watcher.subscribed for watcher in made.discovery.subscribers) > 5  # the others came again
     assert counts[0]["envelopes"] > 3 * max(one["envelopes"] for one in counts[1:])
 
 
@@ -102,13 +102,15 @@
     ],
 )
 def test_routers_go_by_tenths_and_a_zone_is_cut_off(row: str, seen: dict[int, object]) -> None:
-    made = World(given := read({"routers.start_ms": 200.0, "routers.cores": 0.5}, row), 1, Measure(given))
-    troubles.set_up(made)
+    made = Simulation(
+        given := read({"routers.start_ms": 200.0, "routers.cores": 0.5}, row), 1, Measure(given)
+    )
+    fault_schedule.schedule_faults(made)
     made.start()
     for at, wanted in seen.items():
         made.kernel.run(float(at))
         gone = [place for place, router in enumerate(made.routers) if router is None]
-        assert (gone, made.network.passes(0, 1)) == wanted
+        assert (gone, made.network.is_connected(0, 1)) == wanted
 
 
 @pytest.mark.parametrize(
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -15,27 +15,27 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rosepick.decisions.api import Result, State
-from rosepick.http.response import Answer, AnswerReader, BadAnswer
-from rosepick.lab.experiment import Experiment, read
-from rosepick.lab.live.clients import Clients
-from rosepick.lab.live.configuration import document
-from rosepick.lab.live.control import Helper, HelperFailed
-from rosepick.lab.live.doors import Door
-from rosepick.lab.live.judge import judge
-from rosepick.lab.live.nodes import Stand
-from rosepick.lab.live.origin import Repeats
-from rosepick.lab.live.plan import requests
-from rosepick.lab.live.reader import Message, RequestReader, answer
-from rosepick.lab.live.records import Attempt, Down, Lateness, Tried
-from rosepick.lab.live.run import play
-from rosepick.lab.live.world import LiveWorld
+from rosepick.decisions.api import Result, Status
+from rosepick.http.response import MalformedResponseError, Response, ResponseReader
+from rosepick.lab.experiment import Experiment, parse_experiment
+from rosepick.lab.live.clients import LiveClients
+from rosepick.lab.live.controllable_listener import ControllableListener
+from rosepick.lab.live.helper_process import HelperProcess, HelperProcessError
+from rosepick.lab.live.live_run import run_live
+from rosepick.lab.live.live_simulation import LiveSimulation
+from rosepick.lab.live.node_server import NodeServer
+from rosepick.lab.live.origin_state import WriteDeduplicator
+from rosepick.lab.live.request_reader import HttpRequest, RequestReader, encode_response
+from rosepick.lab.live.request_schedule import schedule_requests
+from rosepick.lab.live.router_config import router_config_document
+from rosepick.lab.live.rule_check import check_rules
+from rosepick.lab.live.run_records import Lateness, NodeAttemptRecord, RouterDowntime, TryRecord
 from rosepick.lab.measure import Measure
-from rosepick.lab.results import Run
-from rosepick.lab.world.settings import settings_of
-from rosepick.net.budget import Budget
-from rosepick.net.loop import READ, Loop
-from rosepick.net.stream import Stream
+from rosepick.lab.model.router_settings import router_settings_for
+from rosepick.lab.results import RunResult
+from rosepick.net.event_loop import READ, EventLoop
+from rosepick.net.resource_budget import ResourceBudget
+from rosepick.net.tcp_stream import TcpStream
 from rosepick.settings import config
 
 BASE = """
@@ -57,7 +57,7 @@
 
 def experiment(more: str = "", changes: dict[str, Any] | None = None) -> Experiment:
     """A small experiment."""
-    return read(BASE + more, "test", changes)
+    return parse_experiment(BASE + more, "test", changes)
 
 
 # ------------------------------------------------------------------------------------------------- its parts
@@ -70,54 +70,60 @@
 
 @given(st.lists(st.integers(0, len(TWO)), max_size=6))
 def test_requests_are_read_at_any_split(cuts: list[int]) -> None:
-    reader, found = RequestReader(), list[Message]()
+    reader, found = RequestReader(), list[HttpRequest]()
     edges = [0, *sorted(cuts), len(TWO)]
     for begin, end in zip(edges, edges[1:], strict=False):
         found += reader.feed(TWO[begin:end])
-    assert [(one.method, one.target, one.text(b"req-id"), one.body, one.keep) for one in found] == [
+    assert [
+        (one.method, one.target, one.header_text(b"req-id"), one.body, one.keep_alive) for one in found
+    ] == [
         (b"PUT", b"/api/k1", "7.1", b"hello", True),
         (b"GET", b"/api/k2", "8.1", b"", False),
     ]
-    assert not reader.begun
+    assert not reader.is_in_request
 
 
 def test_routers_are_told_what_simulated_ones_are() -> None:
     given = experiment('tenants = [{name = "acme", share = 3}, {name = "beta"}]\nzones = ["a", "b"]')
-    told = document(given, "router-1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1, "all": True}, position=1)
+    told = router_config_document(
+        given, "router-1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1, "all": True}, position=1
+    )
     found = config.read(json.loads(json.dumps(told)))
-    assert found.settings == settings_of(given, 1, 1)
+    assert found.settings == router_settings_for(given, 1, 1)
     assert list(found.names.classes) == ["read", "set"] and list(found.names.tenants) == ["acme", "beta"]
 
 
 def test_traffic_troubles_count_in_requests_drawn_ahead() -> None:
-    usual = requests(experiment(), 1)
-    surged = requests(experiment('[[troubles]]\nkind = "surge"\nat = 1\nfor = 1\nby = 10'), 1)
-    assert [one for one in usual if one.due < 950] == [one for one in surged if one.due < 950]
-    count = sum(1000 <= one.due < 2000 for one in surged)
-    assert count > 5 * sum(1000 <= one.due < 2000 for one in usual)
+    usual = schedule_requests(experiment(), 1)
+    surged = schedule_requests(experiment('[[troubles]]\nkind = "surge"\nat = 1\nfor = 1\nby = 10'), 1)
+    assert [one for one in usual if one.due_ms < 950] == [one for one in surged if one.due_ms < 950]
+    count = sum(1000 <= one.due_ms < 2000 for one in surged)
+    assert count > 5 * sum(1000 <= one.due_ms < 2000 for one in usual)
 
 
 def test_a_late_run_says_by_how_much() -> None:
-    assert Lateness.of([1.0] * 100).fault("it was") == ""
-    assert "p99 30.0 ms" in Lateness.of([30.0] * 100).fault("it was")
-    assert "longest 300 ms" in Lateness.of([1.0] * 200 + [300.0]).fault("it was")
+    assert Lateness.from_samples([1.0] * 100).void_reason("it was") == ""
+    assert "p99 30.0 ms" in Lateness.from_samples([30.0] * 100).void_reason("it was")
+    assert "longest 300 ms" in Lateness.from_samples([1.0] * 200 + [300.0]).void_reason("it was")
 
 
 # -------------------------------------------------------------------------------------------------- the rules
 
 
-def sent(begin: float, end: float, result: Result = Result.MISS, told: float | None = None) -> Attempt:
+def sent(
+    begin: float, end: float, result: Result = Result.MISS, told: float | None = None
+) -> NodeAttemptRecord:
     """An attempt of the request 5.1."""
-    return Attempt("5.1", 7, "node-1", 0, 0, begin, told, end, result)
+    return NodeAttemptRecord("5.1", 7, "node-1", 0, 0, begin, told, end, result)
 
 
-def tried(how: str = "served", ended: float = 150.0, klass: int = 0, again: bool = False) -> Tried:
+def tried(how: str = "served", ended: float = 150.0, klass: int = 0, again: bool = False) -> TryRecord:
     """The try 5.1, sent at 100."""
-    return Tried("5.1", 0, klass, 2600.0 if klass else 1300.0, 100.0, ended, how, again)
+    return TryRecord("5.1", 0, klass, 2600.0 if klass else 1300.0, 100.0, ended, how, again)
 
 
 SET = 1  # place of a class that is dropped for 1.5 s
-BREACHES: dict[str, tuple[list[Attempt], Tried, str, str, float]] = {
+BREACHES: dict[str, tuple[list[NodeAttemptRecord], TryRecord, str, str, float]] = {
     "never": ([], tried("none", 2300.0), "answered", "no answer by 1000 ms", 2.3),
     "late": ([sent(101, 1355)], tried("served", 1360.0), "answered", "60 ms late", 1.36),
     "twice": ([], tried("failed", again=True), "answered", "twice", 0.15),
@@ -140,9 +146,9 @@
 def test_each_breach_is_named(name: str) -> None:
     attempts, one, rule, text, at = BREACHES[name]
     measure = Measure(experiment())
-    judge(measure.experiment, measure, attempts, [one])
-    assert [(broken.rule, broken.request) for broken in measure.broken] == [(rule, "5.1")]
-    broken = measure.broken[0]
+    check_rules(measure.experiment, measure, attempts, [one])
+    assert [(broken.rule, broken.request) for broken in measure.violations] == [(rule, "5.1")]
+    broken = measure.violations[0]
     assert broken.at == pytest.approx(at) and text in broken.text
     assert broken.node == ("router-0" if rule == "answered" else "node-1")
 
@@ -150,14 +156,16 @@
 def test_what_is_right_breaks_nothing() -> None:
     measure = Measure(experiment())
     right = [sent(101, 120), sent(121, 149, Result.OK), sent(140.0, 141.0)]
-    right[-1].request = "6.1"
-    judge(measure.experiment, measure, right, [tried(), tried("left"), tried("crossed"), tried("refused")])
-    judge(measure.experiment, measure, [sent(849, 860, told=100.0)], [tried("served", 870.0)])
-    held_at_its_death = Down(0, 140.0, 151.0)
-    judge(measure.experiment, measure, [], [tried("broke")], [held_at_its_death])
-    assert measure.broken == []
-    judge(measure.experiment, measure, [], [tried("broke")], [Down(1, 140.0, 151.0)])
-    assert len(measure.broken) == 1
+    right[-1].request_id = "6.1"
+    check_rules(
+        measure.experiment, measure, right, [tried(), tried("left"), tried("crossed"), tried("refused")]
+    )
+    check_rules(measure.experiment, measure, [sent(849, 860, told=100.0)], [tried("served", 870.0)])
+    held_at_its_death = RouterDowntime(0, 140.0, 151.0)
+    check_rules(measure.experiment, measure, [], [tried("broke")], [held_at_its_death])
+    assert measure.violations == []
+    check_rules(measure.experiment, measure, [], [tried("broke")], [RouterDowntime(1, 140.0, 151.0)])
+    assert len(measure.violations) == 1
 
 
 @pytest.mark.parametrize("falls_at", [0.0005, 0.0008])  # by the connection, or by the request on it
@@ -167,7 +175,7 @@
         wire = here.wire()
         wire.ask()
         here.until(lambda: wire.broken)
-        (broken,) = here.world.measure.broken
+        (broken,) = here.world.measure.violations
         assert (broken.rule, broken.node) == ("cold", "node-1")
         assert here.refuses()
 
@@ -200,30 +208,30 @@
             except ConnectionError:
                 self.ended = self.broken = True
 
-    def answer(self) -> Answer | None:
+    def answer(self) -> Response | None:
         """The whole answer, if it is one. Raises BadAnswer."""
-        return AnswerReader(1 << 20).feed(self.seen) if self.seen else None
+        return ResponseReader(1 << 20).feed(self.seen) if self.seen else None
 
 
 class Yard:
     """Stand-ins in this process, and plain clients."""
 
     def __init__(self, given: Experiment) -> None:
-        self.loop = Loop()
-        self.world = LiveWorld(self.loop, given, 1, Measure(given))
+        self.loop = EventLoop()
+        self.world = LiveSimulation(self.loop, given, 1, Measure(given))
         self.wires: list[Wire] = []
         self.world.open()
         self.begin = self.loop.now()
-        self.world.begin(self.begin)
+        self.world.start_at(self.begin)
         self.for_ms(5)
 
-    def stand(self, kind: str = "node-1") -> Stand:
+    def stand(self, kind: str = "node-1") -> NodeServer:
         """One of the stand-ins."""
-        return next(one for one in self.world.stands.values() if one.node.uid == kind)
+        return next(one for one in self.world.node_servers.values() if one.node.uid == kind)
 
     def wire(self, port: int | None = None) -> Wire:
         """A connection to a node, or elsewhere."""
-        self.wires.append(Wire(port or self.stand().doors[0].port))
+        self.wires.append(Wire(port or self.stand().listeners[0].port))
         return self.wires[-1]
 
     def refuses(self) -> bool:
@@ -249,7 +257,7 @@
             assert self.loop.now() < until
             self.step()
 
-    def answered(self, wire: Wire) -> Answer:
+    def answered(self, wire: Wire) -> Response:
         """Wait for a whole answer."""
         self.until(lambda: wire.answer() is not None)
         found = wire.answer()
@@ -268,7 +276,7 @@
         made.world.close()
         for wire in made.wires:
             wire.sock.close()
-    assert made.loop.faults == 0
+    assert made.loop.fault_count == 0
 
 
 def with_trouble(kind: str, more: str = "") -> Experiment:
@@ -278,7 +286,7 @@
 
 def test_a_node_misses_until_the_origin_has_answered() -> None:
     with yard(experiment("", ONE_NODE)) as here:
-        node, origin = here.wire(), here.wire(here.stand("origin").doors[0].port)
+        node, origin = here.wire(), here.wire(here.stand("origin").listeners[0].port)
         node.ask()
         missed = here.answered(node)
         assert (missed.status, missed.headers[b"srv-cache"]) == (404, b"miss")
@@ -296,10 +304,10 @@
         wire = here.wire()
         wire.ask()
         here.answered(wire)
-        here.stand().sweep(here.world.pace.now() + 14_000.0)
+        here.stand().close_idle(here.world.real_time_kernel.now() + 14_000.0)
         here.for_ms(10)
         assert not wire.ended
-        here.stand().sweep(here.world.pace.now() + 15_000.0)
+        here.stand().close_idle(here.world.real_time_kernel.now() + 15_000.0)
         here.until(lambda: wire.ended)
         assert not wire.broken
 
@@ -308,12 +316,12 @@
     with yard(experiment("", {"zones": ["a", "b"]})) as here:
         one, other = here.stand("node-1").node, here.stand("node-2").node
         klass = here.world.experiment.classes[SET].model_copy(update={"group": "zone"})
-        repeats = Repeats()
-        assert not repeats.is_one("k", klass, one, 0.0)
-        assert repeats.is_one("k", klass, one, 1_499.0)
-        assert not repeats.is_one("k", klass, other, 100.0)  # of another zone
-        assert not repeats.is_one("k", klass, one, 1_700.0)
-        assert not repeats.is_one("", klass, one, 1_700.0)
+        repeats = WriteDeduplicator()
+        assert not repeats.is_repeat("k", klass, one, 0.0)
+        assert repeats.is_repeat("k", klass, one, 1_499.0)
+        assert not repeats.is_repeat("k", klass, other, 100.0)  # of another zone
+        assert not repeats.is_repeat("k", klass, one, 1_700.0)
+        assert not repeats.is_repeat("", klass, one, 1_700.0)
 
 
 def test_too_many_connections_are_declined() -> None:
@@ -325,7 +333,7 @@
         answers = {here.answered(wire).status: wire for wire in (one, other)}
         assert set(answers) == {404, 503}
         answers[503].sock.close()
-        here.until(lambda: len(here.stand().links) == 1)
+        here.until(lambda: len(here.stand().connections) == 1)
         another = here.wire()  # one that was declined frees no place as it ends
         another.ask()
         assert here.answered(another).status == 503
@@ -337,7 +345,7 @@
         wire = here.wire()
         here.until(lambda: wire.broken)
         assert here.refuses()
-        here.until(lambda: here.stand().doors[0].state == "open")
+        here.until(lambda: here.stand().listeners[0].state == "open")
         again = here.wire()
         again.ask()
         assert here.answered(again).status == 404
@@ -351,11 +359,11 @@
     )
     with yard(experiment(two, ONE_NODE)) as here:
         stand = here.stand()
-        here.until(lambda: stand.refusals == 2)
+        here.until(lambda: stand.refusal_count == 2)
         assert max(stand.garbage_shares) == 0.9
-        here.until(lambda: stand.refusals == 1)
+        here.until(lambda: stand.refusal_count == 1)
         assert stand.garbage_shares == [0.1] and here.refuses()
-        here.until(lambda: stand.refusals == 0)
+        here.until(lambda: stand.refusal_count == 0)
         assert stand.garbage_shares == []
 
 
@@ -365,19 +373,19 @@
         here.until(here.refuses)
         wire.ask()
         assert here.answered(wire).status == 404
-        here.until(lambda: here.stand().doors[0].state == "open")
+        here.until(lambda: here.stand().listeners[0].state == "open")
 
 
 def test_a_silent_node_neither_accepts_nor_answers() -> None:
     with yard(with_trouble("silent", "for = 0.4")) as here:
         wire = here.wire()
-        here.until(lambda: here.stand().doors[0].state == "mute")
+        here.until(lambda: here.stand().listeners[0].state == "mute")
         wire.ask()
         with pytest.raises(TimeoutError):
-            socket.create_connection(("127.0.0.1", here.stand().doors[0].port), timeout=0.1)
+            socket.create_connection(("127.0.0.1", here.stand().listeners[0].port), timeout=0.1)
         here.for_ms(30)
         assert not wire.seen and not wire.ended
-        here.until(lambda: here.stand().doors[0].state == "open")
+        here.until(lambda: here.stand().listeners[0].state == "open")
         again = here.wire()
         again.ask()
         assert here.answered(again).status == 404
@@ -418,7 +426,7 @@
     """Of a whole answer; 0 if nothing came, -1 if a part did, or no answer."""
     try:
         found = wire.answer()
-    except BadAnswer:
+    except MalformedResponseError:
         return -1
     return found.status if found is not None else -1 if wire.seen else 0
 
@@ -473,8 +481,8 @@
 def test_discovery_tells_changes_and_knows_whom() -> None:
     given = experiment('[[troubles]]\nkind = "shrink"\nat = 0.3\n', {"discovery.delay": 0.05})
     with yard(given) as here:
-        listing = here.world.listing
-        wire = here.wire(listing.doors[0].port)
+        listing = here.world.discovery_server
+        wire = here.wire(listing.listeners[0].port)
         whole = call(here, wire, "")
         assert whole["all"] and [row["uid"] for row in whole["targets"]] == ["origin", "node-1", "node-2"]
         assert [row["model"] for row in whole["targets"]] == ["origin", "std", "std"]
@@ -483,33 +491,33 @@
         news = call(here, wire, f"?after={whole['rev']}&wait_ms=2500")
         (row,) = news["targets"]
         node = here.stand(row["uid"]).node
-        assert (row["state"], news["rev"], node.state) == ("leaving", whole["rev"] + 1, State.DRAINING)
-        assert listing.told(0, node.number) is not None
+        assert (row["state"], news["rev"], node.state) == ("leaving", whole["rev"] + 1, Status.DRAINING)
+        assert listing.drain_known_at(0, node.number) is not None
         call(here, wire, f"?after={whole['rev']}&wait_ms=0")
-        assert listing.told(0, node.number) is not None
-        listing.asked(0, whole["rev"])  # as by a router that started anew, with the old list
-        assert listing.told(0, node.number) is None
+        assert listing.drain_known_at(0, node.number) is not None
+        listing.record_poll(0, whole["rev"])  # as by a router that started anew, with the old list
+        assert listing.drain_known_at(0, node.number) is None
 
 
 def test_a_stale_list_lacks_what_is_young() -> None:
     fleet = [{"count": 1}, {"count": 1, "born": -2.0}]
     with yard(experiment("", {"fleet": fleet, "discovery.stale_by": 5.0})) as here:
-        listing = here.world.listing
-        held = listing.held(0)
+        listing = here.world.discovery_server
+        held = listing.initial_document(0)
         assert [row["uid"] for row in held["targets"]] == ["origin", "node-1"]
-        news = call(here, here.wire(listing.doors[0].port), f"?after={held['rev']}&wait_ms=1000")
+        news = call(here, here.wire(listing.listeners[0].port), f"?after={held['rev']}&wait_ms=1000")
         assert [row["uid"] for row in news["targets"]] == ["node-2"]
         assert 0 <= time.time() - news["targets"][0]["boot_ms"] / 1000.0 - 2.0 < 60.0
 
 
 def test_discovery_goes_down() -> None:
     with yard(with_trouble("discovery_down", "for = 0.2")) as here:
-        port = here.world.listing.doors[0].port
+        port = here.world.discovery_server.listeners[0].port
         wire = here.wire(port)
         here.until(lambda: wire.ended)
         with pytest.raises(ConnectionRefusedError):
             here.wire(port)
-        here.until(lambda: here.world.listing.doors[0].state == "open")
+        here.until(lambda: here.world.discovery_server.listeners[0].state == "open")
         assert call(here, here.wire(port), "")["all"]
 
 
@@ -519,13 +527,13 @@
 class Router:
     """A router that says what a test wants."""
 
-    def __init__(self, loop: Loop, says: list[bytes]) -> None:
+    def __init__(self, loop: EventLoop, says: list[bytes]) -> None:
         self.loop, self.says = loop, says
-        self.heard: list[Message] = []
+        self.heard: list[HttpRequest] = []
         self.when: list[float] = []
-        self.streams: list[Stream] = []
-        self.door = Door(loop, self._accepted)
-        self.door.turn("open")
+        self.streams: list[TcpStream] = []
+        self.door = ControllableListener(loop, self._accepted)
+        self.door.set_state("open")
 
     def _accepted(self, sock: socket.socket) -> None:
         reader = RequestReader()
@@ -540,7 +548,7 @@
                 if self.says:
                     stream.send(self.says.pop(0))
 
-        stream = Stream(self.loop, Budget(100), sock, ready, READ)
+        stream = TcpStream(self.loop, ResourceBudget(100), sock, ready, READ)
         self.streams.append(stream)
 
     def close(self) -> None:
@@ -550,23 +558,23 @@
             stream.close()
 
 
-def clients_of(given: Experiment, says: list[bytes], count: int) -> tuple[Router, Clients]:
+def clients_of(given: Experiment, says: list[bytes], count: int) -> tuple[Router, LiveClients]:
     """Let so many requests come at once, and play until they have their ends."""
-    loop = Loop()
+    loop = EventLoop()
     router = Router(loop, says)
     ends = list[bool]()
-    clients = Clients(loop, given, 1, [router.door.port], lambda: ends.append(True))
-    clients.begin_at = loop.now()
-    for request in requests(given, 1)[:count]:
-        clients.come(request)
-    clients.no_more()
+    clients = LiveClients(loop, given, 1, [router.door.port], lambda: ends.append(True))
+    clients.started_at_ms = loop.now()
+    for request in schedule_requests(given, 1)[:count]:
+        clients.on_request_due(request)
+    clients.finish_arrivals()
     until = loop.now() + 6_000.0
     while not ends:
         assert loop.now() < until
         loop.step(0.01)
     clients.close()
     router.close()
-    assert loop.faults == 0
+    assert loop.fault_count == 0
     return router, clients
 
 
@@ -574,35 +582,35 @@
     "classes": [{"name": "read", "deadline": 0.4, "aim": 0.3}],
     "traffic.arrivals": "regular",
 }
-REFUSED = answer(503, b"", ((b"Retry-After", b"0.050"),))
+REFUSED = encode_response(503, b"", ((b"Retry-After", b"0.050"),))
 
 
 def test_a_client_comes_back_when_it_was_told_to() -> None:
-    router, clients = clients_of(experiment("", READS), [REFUSED, answer(200)], 1)
-    assert [one.text(b"req-id") for one in router.heard] == ["0.1", "0.2"]
+    router, clients = clients_of(experiment("", READS), [REFUSED, encode_response(200)], 1)
+    assert [one.header_text(b"req-id") for one in router.heard] == ["0.1", "0.2"]
     assert router.when[1] - router.when[0] >= 50.0
-    assert [one.how for one in clients.found.tries] == ["refused", "served"]
-    assert [one.how for one in clients.found.ends] == ["in_time"]
+    assert [one.outcome for one in clients.records.tries] == ["refused", "served"]
+    assert [one.outcome for one in clients.records.request_ends] == ["in_time"]
     assert len(router.streams) == 1
 
 
 def test_a_client_without_an_answer_says_so() -> None:
     _, clients = clients_of(experiment("", READS), [], 1)
-    assert [one.how for one in clients.found.tries] == ["none"]
-    assert [one.how for one in clients.found.ends] == ["failed"]
+    assert [one.outcome for one in clients.records.tries] == ["none"]
+    assert [one.outcome for one in clients.records.request_ends] == ["failed"]
 
 
 def test_clients_leave_and_hold_connections() -> None:
     router, clients = clients_of(experiment("", {**READS, "clients.leave": 1.0}), [], 2)
-    assert [one.how for one in clients.found.ends] == ["left", "left"]
-    says = [answer(200)] * 3
+    assert [one.outcome for one in clients.records.request_ends] == ["left", "left"]
+    says = [encode_response(200)] * 3
     router, clients = clients_of(experiment("", {**READS, "clients.one_shot": 1.0}), says, 3)
     assert len(router.streams) == 3
 
 
 def test_an_answer_too_many_is_noticed() -> None:
-    _, clients = clients_of(experiment("", READS), [answer(200) * 2], 1)
-    assert [one.again for one in clients.found.tries] == [True]
+    _, clients = clients_of(experiment("", READS), [encode_response(200) * 2], 1)
+    assert [one.surplus for one in clients.records.tries] == [True]
 
 
 # --------------------------------------------------------------------------------------------------- whole
@@ -626,10 +634,10 @@
         return [pid for pid in self.pids if Path(f"/proc/{pid}").exists()]
 
 
-def played(given: Experiment) -> Run:
+def played(given: Experiment) -> RunResult:
     """Play it; nothing may be left running."""
     children = Children()
-    run, cost = play(given, 1, {}, children)
+    run, cost = run_live(given, 1, {}, children)
     assert len(children.pids) >= 2 + given.routers.count
     assert children.left() == []
     assert cost.requests == sum(window.offered for window in run.windows) > 0
@@ -675,7 +683,7 @@
 
     killed = list[int]()
     children = Children(kill)
-    run, _ = play(experiment("", {**READS, "length": 0.6, "traffic.rate": 20}), 1, {}, children)
+    run, _ = run_live(experiment("", {**READS, "length": 0.6, "traffic.rate": 20}), 1, {}, children)
     assert [(one.node, one.text) for one in run.broken if not one.request] == [
         ("router-0", "ended unasked with status -9")
     ]
@@ -690,15 +698,15 @@
     children = Children(stop)
     begin = time.monotonic()
     with pytest.raises(KeyboardInterrupt):
-        play(experiment("", {"length": 60.0}), 1, {}, children)
+        run_live(experiment("", {"length": 60.0}), 1, {}, children)
     assert children.pids and children.left() == []
     assert time.monotonic() - begin < 30.0
 
 
 def test_a_helper_that_fails_shows_its_log(tmp_path: Path) -> None:
-    helper = Helper("stand_ins", tmp_path / "log", {})
+    helper = HelperProcess("stand_ins", tmp_path / "log", {})
     helper.process.kill()
     (tmp_path / "log").write_text("event=last_words\n")
-    with pytest.raises(HelperFailed, match="(?s)stand_ins.*last_words"):
-        helper.hear(5.0)
-    helper.end()
+    with pytest.raises(HelperProcessError, match="(?s)stand_ins.*last_words"):
+        helper.receive(5.0)
+    helper.stop()
--- a/tests/test_lab_policies.py
+++ b/tests/test_lab_policies.py
@@ -15,19 +15,19 @@
 import pytest
 
 from rosepick.decisions import api
-from rosepick.decisions.api import Effect, Group, Mode, Result, Scope
+from rosepick.decisions.api import Effect, Group, Mode, Result, UpdateScope
 from rosepick.decisions.decide import Router
-from rosepick.lab.policies import POLICIES, Oracle, Plain, decider
+from rosepick.lab.policies import POLICIES, BaselinePolicy, Oracle, create_decider
 
-from .driver import ORIGIN_KIND, Driver, fleet, settings
+from .driver import ORIGIN_KIND, RandomEventDriver, fleet, settings
 
 USUAL = settings()
-PLAIN_LIMITS = api.Limits(3, max_retry_after=500)
-WORLDS: dict[str, tuple[api.Settings, list[api.Member], int]] = {
+PLAIN_LIMITS = api.RouterLimits(3, max_retry_after_ms=500)
+WORLDS: dict[str, tuple[api.RouterSettings, list[api.Endpoint], int]] = {
     "aside": (USUAL, fleet(), 40),
     "through": (settings(mode=Mode.THROUGH, origin_kind=-1), fleet(origin=False), 40),
     "stop times": (settings(limits=PLAIN_LIMITS), fleet(), 0),
-    "one attempt": (settings(limits=api.Limits(1)), fleet(), 40),
+    "one attempt": (settings(limits=api.RouterLimits(1)), fleet(), 40),
     "one server": (settings(), fleet(count=1), 40),
     "nothing but the origin": (settings(), fleet(count=0), 40),
     "no origin listed": (settings(), fleet(origin=False), 40),
@@ -35,25 +35,27 @@
 }
 
 
-class PlainDriver(Driver):
+class PlainDriver(RandomEventDriver):
     """The checker, with a plain policy; it ends attempts at their stop times, as the engine does."""
 
     def __init__(self, name: str, world: str, seed: int) -> None:
         super().__init__(*WORLDS[world][:2], seed, WORLDS[world][2])
         # one attempt at a time, whatever the site allows: the checker reads the limits from here
-        self.given = replace(self.given, limits=replace(self.given.limits, second_copies=False))
+        self.given = replace(self.given, limits=replace(self.given.limits, allow_hedging=False))
         self.plain = POLICIES[name](self.given, seed)
         self.router = self.plain  # type: ignore[assignment]
         if isinstance(self.plain, Oracle):
-            self.plain.truth = Told({})
+            self.plain.ground_truth = Told({})
 
     def check_cold(self, server: int) -> None:
         """Left out: plain policies do not know of warm-up, so none can keep a cold node's budget."""
 
-    def plan(self, action: api.Send, attempt: int) -> None:
-        super().plan(action, attempt)
+    def schedule_outcome(self, action: api.Send, attempt: int) -> None:
+        super().schedule_outcome(action, attempt)
         if action.stop_at:
-            self.at(action.stop_at, api.Outcome(action.ref, attempt, action.server, Result.TIMEOUT))
+            self.schedule(
+                action.stop_at, api.AttemptEnded(action.ref, attempt, action.endpoint_id, Result.TIMEOUT)
+            )
 
 
 class Told:
@@ -62,13 +64,13 @@
     def __init__(self, times: Mapping[int, float], held_by: Sequence[int] = (), cold: int = 0) -> None:
         self.times, self.held_by, self.cold = times, held_by, cold
 
-    def expected(self, server: int, key: int, now: float) -> float:
+    def expected_latency_ms(self, server: int, key: int, now: float) -> float:
         return self.times.get(server, float(server * key % 7))
 
-    def holds(self, server: int, key: int) -> bool:
+    def holds_key(self, server: int, key: int) -> bool:
         return server in self.held_by
 
-    def may_take(self, server: int, now: float) -> bool:
+    def accepts_cold_request(self, server: int, now: float) -> bool:
         return server != self.cold
 
 
@@ -79,8 +81,8 @@
     for seed in range(4):
         driver = PlainDriver(name, world, seed)
         driver.run(requests=200)
-        assert not driver.plain.jobs
-        assert all(node.out == 0 for node in driver.plain.membership.nodes.values())
+        assert not driver.plain.requests
+        assert all(node.in_flight == 0 for node in driver.plain.membership.nodes.values())
 
 
 def test_random_streams_reach_every_kind_of_action() -> None:
@@ -121,41 +123,45 @@
 
 # -------------------------------------------------------------------------------------------- what is shared
 
-READ = api.RequestClass(aim=600, deadline=1200)
-WINDOW: dict[str, object] = {"effect": Effect.DEDUP, "repeat_window": 100.0}
-ONE_CLASS = api.Settings(
+READ = api.RequestClass(objective_ms=600, deadline_ms=1200)
+WINDOW: dict[str, object] = {"effect": Effect.DEDUP, "repeat_window_ms": 100.0}
+ONE_CLASS = api.RouterSettings(
     classes=(READ,),
     mode=Mode.ASIDE,
     origin_kind=ORIGIN_KIND,
-    limits=api.Limits(5, cancelling=True, max_retry_after=400),
+    limits=api.RouterLimits(5, allow_cancel=True, max_retry_after_ms=400),
 )
 
 
-def started(name: str, nodes: int, given: api.Settings = ONE_CLASS, origin: bool = True) -> Plain:
+def started(
+    name: str, nodes: int, given: api.RouterSettings = ONE_CLASS, origin: bool = True
+) -> BaselinePolicy:
     """A policy that knows cache nodes 1 to `nodes`, and the origin 9000."""
     plain = POLICIES[name](given, 3)
-    members = [api.Member(number, zone=number % 2, cell=number % 3) for number in range(1, nodes + 1)]
+    members = [api.Endpoint(number, zone=number % 2, cell=number % 3) for number in range(1, nodes + 1)]
     if origin:
-        members.append(api.Member(9000, kind=ORIGIN_KIND))
-    plain.handle(0.0, api.Members(Scope.FULL, tuple(members)))
+        members.append(api.Endpoint(9000, kind=ORIGIN_KIND))
+    plain.handle(0.0, api.EndpointUpdate(UpdateScope.FULL, tuple(members)))
     return plain
 
 
 def sent(actions: Sequence[api.Action]) -> int | None:
     """Where the one attempt among the actions goes, if there is one."""
-    servers = [action.server for action in actions if isinstance(action, api.Send)]
+    servers = [action.endpoint_id for action in actions if isinstance(action, api.Send)]
     assert len(servers) < 2
     return servers[0] if servers else None
 
 
-def ask(plain: Plain, ref: int, key: int = 7, now: float = 1.0, write: bool = False) -> int | None:
-    return sent(plain.handle(now, api.Request(ref, 0, 1200.0, key, write=write)))
+def ask(plain: BaselinePolicy, ref: int, key: int = 7, now: float = 1.0, write: bool = False) -> int | None:
+    return sent(plain.handle(now, api.RequestArrived(ref, 0, 1200.0, key, is_write=write)))
 
 
-def end(plain: Plain, result: Result, server: int, attempt: int = 0, now: float = 5.0) -> list[api.Action]:
+def end(
+    plain: BaselinePolicy, result: Result, server: int, attempt: int = 0, now: float = 5.0
+) -> list[api.Action]:
     """Request 1 has this outcome."""
     closed = result is Result.OK
-    return plain.handle(now, api.Outcome(1, attempt, server, result, closed))
+    return plain.handle(now, api.AttemptEnded(1, attempt, server, result, closed))
 
 
 @pytest.mark.parametrize("name", POLICIES)
@@ -164,7 +170,7 @@
     assert ask(plain, 2, write=True) == 9000
     first = ask(plain, 1)
     assert first in range(1, 5)
-    plain.retries = 0.0
+    plain.retry_credit = 0.0
     assert sent(end(plain, Result.MISS, first or 0)) == 9000
     assert end(plain, Result.MISS, 9000, 1) == [api.Refuse(1, 400)], "no retry left in the budget"
 
@@ -177,18 +183,18 @@
         went.append(sent(end(plain, Result.RESET, went[-1] or 0, attempt)))
     assert sorted(went[:3], key=str) == [1, 2, 3] and went[3:] == [9000, 9000]
     assert end(plain, Result.RESET, 9000, 4) == [api.Refuse(1, 400)], "attempts are used up"
-    assert not plain.jobs
+    assert not plain.requests
 
 
 @pytest.mark.parametrize(
     ("changes", "result", "now", "expected"),
     [
         ({"effect": Effect.FRAGILE}, Result.RESET, 5.0, api.Fail),
-        ({"effect": Effect.FRAGILE}, Result.FULL, 5.0, api.Send),
+        ({"effect": Effect.FRAGILE}, Result.BUSY, 5.0, api.Send),
         (WINDOW, Result.RESET, 80.0, api.Send),
         (WINDOW, Result.RESET, 101.0, api.Refuse),
         ({**WINDOW, "group": Group.ZONE}, Result.RESET, 101.0, api.Fail),
-        ({}, Result.UNFIT, 5.0, api.Fail),
+        ({}, Result.INVALID, 5.0, api.Fail),
         ({}, Result.TIMEOUT, 1201.0, api.Fail),
         ({}, Result.TIMEOUT, 1200.9999999, api.Fail),
         ({}, Result.ERROR, 1199.0, api.Send),
@@ -204,11 +210,11 @@
 
 
 def test_repeats_stay_in_their_group() -> None:
-    klass = replace(READ, effect=Effect.DEDUP, repeat_window=1000.0, group=Group.CELL)
+    klass = replace(READ, effect=Effect.DEDUP, repeat_window_ms=1000.0, group=Group.CELL)
     for seed in range(20):
         plain = POLICIES["random"](replace(ONE_CLASS, classes=(klass,)), seed)
-        members = [api.Member(number, cell=number % 3) for number in range(1, 7)]
-        plain.handle(0.0, api.Members(Scope.FULL, tuple(members)))
+        members = [api.Endpoint(number, cell=number % 3) for number in range(1, 7)]
+        plain.handle(0.0, api.EndpointUpdate(UpdateScope.FULL, tuple(members)))
         first = ask(plain, 1) or 0
         second = sent(end(plain, Result.RESET, first)) or 0
         assert second != first and second % 3 == first % 3
@@ -216,18 +222,20 @@
 
 def test_an_attempt_that_has_had_its_time_is_called_off() -> None:
     plain = started("random", 3)
-    timers = [a for a in plain.handle(1.0, api.Request(1, 0, 1200.0, 7)) if isinstance(a, api.SetTimer)]
-    check = min(timers, key=lambda timer: timer.at)
-    assert check.at == 301.0, "half of the aim"
-    first = plain.jobs[1].attempts[0].node.server
-    assert plain.handle(300.0, api.Timer(check.token)) == []
-    assert plain.handle(301.0, api.Timer(check.token)) == [api.Cancel(1, 0)]
-    assert plain.handle(301.0, api.Timer(check.token)) == []
+    timers = [
+        a for a in plain.handle(1.0, api.RequestArrived(1, 0, 1200.0, 7)) if isinstance(a, api.SetTimer)
+    ]
+    check = min(timers, key=lambda timer: timer.due_at)
+    assert check.due_at == 301.0, "half of the aim"
+    first = plain.requests[1].attempts[0].node.server
+    assert plain.handle(300.0, api.TimerFired(check.token)) == []
+    assert plain.handle(301.0, api.TimerFired(check.token)) == [api.Cancel(1, 0)]
+    assert plain.handle(301.0, api.TimerFired(check.token)) == []
     assert sent(end(plain, Result.CANCELLED, first, now=301.0)) not in (None, first)
-    plain.retries = 0.0
-    assert plain.handle(700.0, api.Timer(check.token)) == [], "without a retry it is better to wait"
+    plain.retry_credit = 0.0
+    assert plain.handle(700.0, api.TimerFired(check.token)) == [], "without a retry it is better to wait"
     ask(plain, 2, write=True)
-    assert plain.jobs[2].check_at == inf, "nor is it of use to ask the only origin again"
+    assert plain.requests[2].check_at == inf, "nor is it of use to ask the only origin again"
 
 
 @pytest.mark.parametrize(
@@ -239,16 +247,16 @@
         (3, 1.0, {"streaming": True}, 0.0),
         (3, 1.0, {"effect": Effect.FRAGILE}, 0.0),
         (3, 1.0, WINDOW, 0.0),
-        (3, 1.0, {**WINDOW, "repeat_window": 400.0}, 301.0),
+        (3, 1.0, {**WINDOW, "repeat_window_ms": 400.0}, 301.0),
     ],
 )
 def test_stop_time_only_where_another_attempt_may_follow(
     attempts: int, retries: float, changes: dict[str, object], stop_at: float
 ) -> None:
     klass = replace(READ, **changes)  # type: ignore[arg-type]
-    plain = started("random", 3, replace(ONE_CLASS, classes=(klass,), limits=api.Limits(attempts)))
-    plain.retries = retries - 0.2  # a request earns that
-    actions = plain.handle(1.0, api.Request(1, 0, 1200.0, 7))
+    plain = started("random", 3, replace(ONE_CLASS, classes=(klass,), limits=api.RouterLimits(attempts)))
+    plain.retry_credit = retries - 0.2  # a request earns that
+    actions = plain.handle(1.0, api.RequestArrived(1, 0, 1200.0, 7))
     assert [action.stop_at for action in actions if isinstance(action, api.Send)] == [stop_at]
 
 
@@ -256,8 +264,8 @@
     plain = started("random", 3)
     for ref, write in ((1, False), (2, True), (3, False)):
         ask(plain, ref, write=write)
-    assert plain.handle(2.0, api.ClientGone(1)) == [api.Cancel(1, 0)]
-    assert plain.handle(2.0, api.ClientGone(2)) == [], "the origin goes on"
+    assert plain.handle(2.0, api.ClientDisconnected(1)) == [api.Cancel(1, 0)]
+    assert plain.handle(2.0, api.ClientDisconnected(2)) == [], "the origin goes on"
     assert plain.handle(2.0, api.FirstByte(3, 0, 1)) == [], "the stream is the answer"
 
 
@@ -266,90 +274,90 @@
     for ref in range(160):
         server = ask(plain, ref) or 0
         if ref >= 100:
-            plain.handle(1.0, api.Outcome(ref, 0, server, Result.FULL))
-    assert sum(len(job.attempts) > 1 for job in plain.jobs.values()) == 23  # 12, and of 59 a fifth
+            plain.handle(1.0, api.AttemptEnded(ref, 0, server, Result.BUSY))
+    assert sum(len(job.attempts) > 1 for job in plain.requests.values()) == 23  # 12, and of 59 a fifth
 
 
 def test_which_members_are_origins() -> None:
     assert ask(started("random", 0), 1) is None, "a read asks a cache node first"
     assert ask(started("random", 0, replace(ONE_CLASS, mode=Mode.THROUGH)), 1) == 9000, "a node like another"
     plain = started("random", 0)
-    plain.handle(1.0, api.Members(Scope.DELTA, (api.Member(9001, kind=ORIGIN_KIND),)))
+    plain.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(9001, kind=ORIGIN_KIND),)))
     first = ask(plain, 1, write=True) or 0
     assert sent(end(plain, Result.RESET, first)) == 18001 - first
 
 
 def test_a_node_that_drains_or_left_gets_nothing() -> None:
-    for state in (api.State.DRAINING, api.State.GONE):
+    for state in (api.Status.DRAINING, api.Status.REMOVED):
         plain = started("random", 2)
-        plain.handle(1.0, api.Members(Scope.DELTA, (api.Member(1, state),)))
+        plain.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(1, state),)))
         assert {ask(plain, ref) for ref in range(9)} == {2}
-        plain.handle(1.0, api.Members(Scope.DELTA, (api.Member(2, state),)))
-        plain.handle(1.0, api.Members(Scope.DELTA, (api.Member(2),)))
-        assert plain.membership.nodes[2].out == 9, "what is out there still counts"
-    plain.handle(2.0, api.Members(Scope.CACHED, (api.Member(5),)))
+        plain.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(2, state),)))
+        plain.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(2),)))
+        assert plain.membership.nodes[2].in_flight == 9, "what is out there still counts"
+    plain.handle(2.0, api.EndpointUpdate(UpdateScope.CACHED, (api.Endpoint(5),)))
     assert {ask(plain, ref) for ref in range(10, 19)} == {5}
 
 
 def test_discovery_is_asked_again_later_each_time() -> None:
     plain = POLICIES["random"](replace(ONE_CLASS, subscribe=True), 1)
-    assert plain.handle(0.0, api.Members(Scope.CACHED))[0] == api.Watch(True)
-    waits, now, again = [], 0.0, api.Timer(0)
+    assert plain.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED))[0] == api.Watch(True)
+    waits, now, again = [], 0.0, api.TimerFired(0)
     for _ in range(6):
-        timer = plain.handle(now, api.Members(Scope.FAILED))[0]
+        timer = plain.handle(now, api.EndpointUpdate(UpdateScope.FAILED))[0]
         assert isinstance(timer, api.SetTimer)
-        waits.append(timer.at - now)
-        now, again = timer.at, api.Timer(timer.token)
+        waits.append(timer.due_at - now)
+        now, again = timer.due_at, api.TimerFired(timer.token)
         assert plain.handle(now - 1.0, again) == []
         assert plain.handle(now, again)[0] == api.Watch(True)
     assert waits[0] < 1100.0 < 3000.0 <= waits[-1] <= 9000.0
     lost = now + 10_000.0
     assert plain.handle(lost, again)[0] == api.Watch(True), "an answer that never came"
-    plain.handle(lost, api.Members(Scope.DELTA))
+    plain.handle(lost, api.EndpointUpdate(UpdateScope.DELTA))
     assert plain.handle(lost + 20_000.0, again) == []
-    plain.handle(lost + 20_000.0, api.Members(Scope.FAILED))
+    plain.handle(lost + 20_000.0, api.EndpointUpdate(UpdateScope.FAILED))
     assert plain.handle(lost + 22_000.0, again)[0] == api.Watch(True)
 
 
 # -------------------------------------------------------------------------------------------- what each picks
 
 
-def outstanding(plain: Plain) -> list[int]:
-    return [node.out for node in plain.membership.caches]
+def outstanding(plain: BaselinePolicy) -> list[int]:
+    return [node.in_flight for node in plain.membership.caches]
 
 
-def even(plain: Plain) -> None:
+def even(plain: BaselinePolicy) -> None:
     """Round robin: so many to each, and one that left does not bring it out of step."""
     assert set(Counter(ask(plain, ref) for ref in range(60)).values()) == {6}
 
 
-def least(plain: Plain) -> None:
+def least(plain: BaselinePolicy) -> None:
     for ref in range(200):
         lowest = min(outstanding(plain))
         server = ask(plain, ref)
-        assert plain.membership.nodes[server or 0].out == lowest + 1
+        assert plain.membership.nodes[server or 0].in_flight == lowest + 1
     assert max(outstanding(plain)) == 20
 
 
-def better_of_two(plain: Plain) -> None:
+def better_of_two(plain: BaselinePolicy) -> None:
     """Two choices: the single most loaded node is never taken, and the draws are of two."""
     for number, node in plain.membership.nodes.items():
-        node.out = number
+        node.in_flight = number
     taken: Counter[int] = Counter()
     for ref in range(300):
         server = ask(plain, ref) or 0
         taken[server] += 1
-        plain.membership.nodes[server].out -= 1
+        plain.membership.nodes[server].in_flight -= 1
     assert 10 not in taken and taken[1] > taken[5] > taken[9] > 0
 
 
-def anywhere(plain: Plain) -> None:
+def anywhere(plain: BaselinePolicy) -> None:
     """Random: every node has its part."""
     counts = Counter(ask(plain, ref) for ref in range(1000))
     assert len(counts) == 10 and max(counts.values()) < 140
 
 
-def bounded(plain: Plain) -> None:
+def bounded(plain: BaselinePolicy) -> None:
     """Hashing: one hot key spreads no further than the bound makes it, and never over it."""
     for ref in range(200):
         ask(plain, ref)
@@ -367,23 +375,23 @@
         ("hash-bounded", bounded),
     ],
 )
-def test_picks_as_its_name_says(name: str, holds: Callable[[Plain], None]) -> None:
+def test_picks_as_its_name_says(name: str, holds: Callable[[BaselinePolicy], None]) -> None:
     holds(started(name, 10))
 
 
 def test_hashing_moves_only_the_keys_of_the_node_that_left() -> None:
-    def places(plain: Plain) -> list[int | None]:
+    def places(plain: BaselinePolicy) -> list[int | None]:
         found = []
         for key in range(1, 301):
             found.append(ask(plain, key, key))
-            plain.handle(1.0, api.Outcome(key, 0, found[-1] or 0, Result.OK, True))
+            plain.handle(1.0, api.AttemptEnded(key, 0, found[-1] or 0, Result.OK, True))
         return found
 
     before, moved = places(started("hash-bounded", 20)), 0
     for left in range(1, 21):
         plain = started("hash-bounded", 20)
         places(plain)
-        plain.handle(2.0, api.Members(Scope.DELTA, (api.Member(left, api.State.GONE),)))
+        plain.handle(2.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(left, api.Status.REMOVED),)))
         after = places(plain)
         assert all(new == old or old == left for old, new in zip(before, after, strict=True))
         moved += sum(new != old for old, new in zip(before, after, strict=True))
@@ -403,20 +411,20 @@
 def test_oracle_follows_the_truth(truth: Told, expected: int) -> None:
     plain = started("oracle", 3)
     assert isinstance(plain, Oracle)
-    plain.truth = truth
+    plain.ground_truth = truth
     assert ask(plain, 1) == expected
 
 
 def test_oracle_parts_ties_by_key() -> None:
     plain = started("oracle", 3)
     assert isinstance(plain, Oracle)
-    plain.truth = Told(dict.fromkeys((1, 2, 3), 4.0))
+    plain.ground_truth = Told(dict.fromkeys((1, 2, 3), 4.0))
     once = [ask(plain, key, key) for key in range(1, 50)]
     assert set(once) == {1, 2, 3} and once == [ask(plain, 100 + key, key) for key in range(1, 50)]
 
 
 def test_deciders_by_name() -> None:
-    assert isinstance(decider("rosepick", USUAL, 1), Router)
-    assert type(decider("hash-bounded", USUAL, 1)) is POLICIES["hash-bounded"]
+    assert isinstance(create_decider("rosepick", USUAL, 1), Router)
+    assert type(create_decider("hash-bounded", USUAL, 1)) is POLICIES["hash-bounded"]
     with pytest.raises(ValueError, match="^policy 'best' is not known; known are rosepick, random, [^\n]*$"):
-        decider("best", USUAL, 1)
+        create_decider("best", USUAL, 1)
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -14,10 +14,19 @@
 import pytest
 from rich.console import Console
 
-from rosepick.lab.compare import Difference, compare, table
+from rosepick.lab.compare import FigureDifference, compare_runs, comparison_table
 from rosepick.lab.experiment import Experiment, ExperimentError
-from rosepick.lab.results import Broken, Cost, Run, Span, Verdict, Window, read, write
-from rosepick.lab.sweep import CellFailed, GridError, parse_grid, sweep
+from rosepick.lab.results import (
+    FaultSpan,
+    RequirementResult,
+    RuleViolation,
+    RunCost,
+    RunResult,
+    Window,
+    encode_result,
+    read_results,
+)
+from rosepick.lab.sweep import CellError, GridError, parse_grid, run_sweep
 
 TEXT = 'name = "storm"\npolicy = "hashed"\nseed = 3\n'
 WINDOWS = [
@@ -40,7 +49,7 @@
 ]
 
 
-def made(policy: str = "rosepick", seed: int = 1, void: str = "", **more: Any) -> Run:
+def made(policy: str = "rosepick", seed: int = 1, void: str = "", **more: Any) -> RunResult:
     given = {
         "experiment": "storm",
         "how": "sim",
@@ -58,7 +67,7 @@
         "must": [],
         "broken": [],
     }
-    return Run(policy=policy, seed=seed, void=void, **{**given, **more})
+    return RunResult(policy=policy, seed=seed, void=void, **{**given, **more})
 
 
 def play(
@@ -67,7 +76,7 @@
     policy: str,
     changes: dict[str, Any],
     progress: Callable[[float], None] | None = None,
-) -> tuple[Run, Cost]:
+) -> tuple[RunResult, RunCost]:
     """In no time, but: seed 1 is slow, 90 takes for ever, 91 fails, and 92 takes its process with it."""
     time.sleep({1: 0.3, 90: 60.0}.get(seed, 0.0))
     if seed == 91:
@@ -77,17 +86,17 @@
     assert progress is not None
     progress(0.5)
     rate = experiment.traffic.rate
-    return made(policy, seed, changes=changes, totals={"served_share": rate}), Cost(1, 2.0, 3.0, 4, 5.0)
+    return made(policy, seed, changes=changes, totals={"served_share": rate}), RunCost(1, 2.0, 3.0, 4, 5.0)
 
 
 def played(path: Path, terms: list[str], workers: int, stop_at: int = 99) -> list[float]:
     """Sweep into a file, interrupted after so many lines; how far it said that it was."""
     parts: list[float] = []
     written = 0
-    for result in sweep(TEXT, "s.toml", parse_grid(terms), workers, play, parts.append):
+    for result in run_sweep(TEXT, "s.toml", parse_grid(terms), workers, play, parts.append):
         for line in result:
             with path.open("ab") as file:
-                file.write(write(line))
+                file.write(encode_result(line))
             written += 1
             if written == stop_at:
                 raise KeyboardInterrupt
@@ -162,7 +171,7 @@
         parts = played(tmp_path / f"{workers}", terms, workers)
         assert parts == sorted(parts) and parts[-1] == 1
     assert (tmp_path / "1").read_bytes() == (tmp_path / "3").read_bytes()
-    runs = [line for line in read(tmp_path / "3") if isinstance(line, Run)]
+    runs = [line for line in read_results(tmp_path / "3") if isinstance(line, RunResult)]
     assert [(run.totals["served_share"], run.seed) for run in runs] == [
         (rate, seed) for rate in (100, 200) for seed in range(1, 7)
     ]
@@ -174,19 +183,24 @@
     began = time.monotonic()
     with pytest.raises(KeyboardInterrupt):
         played(tmp_path / "runs", ["seed=5,6,90,7"], workers, stop_at=4)
-    assert [type(line) for line in read(tmp_path / "runs")] == [Run, Cost, Run, Cost]
+    assert [type(line) for line in read_results(tmp_path / "runs")] == [
+        RunResult,
+        RunCost,
+        RunResult,
+        RunCost,
+    ]
     assert time.monotonic() - began < 30 and not active_children()
 
 
 def test_faulty_cells_are_named_before_anything_starts(tmp_path: Path) -> None:
     with pytest.raises(ExperimentError) as caught:
         played(tmp_path / "runs", ["traffic.rate=100,0", "policy=a,b", "keys.count=1"], 1)
-    assert caught.value.faults == (
+    assert caught.value.errors == (
         "s.toml with traffic.rate=0 keys.count=1: traffic.rate: Input should be greater than 0",
     )
     with pytest.raises(ExperimentError) as caught:
         played(tmp_path / "runs", ["length=1..4", "warm_up=5..14"], 1)
-    assert len(caught.value.faults) == 21 and caught.value.faults[-1] == "s.toml: 20 faults more"
+    assert len(caught.value.errors) == 21 and caught.value.errors[-1] == "s.toml: 20 faults more"
     assert not (tmp_path / "runs").exists()
 
 
@@ -199,7 +213,7 @@
     ],
 )
 def test_a_cell_that_fails_is_named(tmp_path: Path, seed: int, workers: int, message: str) -> None:
-    with pytest.raises(CellFailed, match=f"^{re.escape(message)}$"):
+    with pytest.raises(CellError, match=f"^{re.escape(message)}$"):
         played(tmp_path / "runs", [f"seed={seed},90"], workers)
     assert not active_children()
 
@@ -207,7 +221,7 @@
 # ------------------------------------------------------------------------------------------- the comparison
 
 
-def pair(seed: int, first: dict[str, float], other: dict[str, float]) -> list[Run]:
+def pair(seed: int, first: dict[str, float], other: dict[str, float]) -> list[RunResult]:
     return [made("rosepick", seed, totals=first), made("random", seed, totals=other)]
 
 
@@ -222,7 +236,7 @@
             {"served_share": fewer, "p99_ms": p99, "crossings": 0.1 * p99 / 100, "fell": 0.0},
         )
     ]
-    (found,) = compare(runs)
+    (found,) = compare_runs(runs)
     assert (found.arms, found.seeds, found.left_out) == (("rosepick", "random"), (1, 2, 3), ())
     figures = {figure.name: figure for figure in found.figures}
     # served: -0.10, -0.06, -0.14, of which the deviation is 0.04; 4.303 * 0.04 / sqrt(3) is 0.09937
@@ -248,14 +262,14 @@
 
 
 def test_one_seed_tells_no_spread() -> None:
-    (found,) = compare(pair(1, {"served_share": 0.75}, {"served_share": 0.5}))
-    assert found.figures[0].differences["random"] == Difference(-0.25, None, None, "unknown")
+    (found,) = compare_runs(pair(1, {"served_share": 0.75}, {"served_share": 0.5}))
+    assert found.figures[0].differences["random"] == FigureDifference(-0.25, None, None, "unknown")
 
 
 def test_what_has_no_partner_is_left_out_and_named() -> None:
     runs = [made("rosepick", n) for n in (1, 2, 3, 3)] + [made("[b]x", 1)]
     runs += [made("[b]x", 2, void="it stood still"), made("gone", 1, void="why")]
-    (found,) = compare(runs)
+    (found,) = compare_runs(runs)
     assert found.seeds == (1,) and found.arms == ("rosepick", "[b]x")
     assert found.left_out == (
         "rosepick, seed 3: comes twice",
@@ -266,31 +280,33 @@
         "rosepick, seed 3: has no partner",
     )
     shown = io.StringIO()
-    Console(file=shown, width=120).print(table(found))
+    Console(file=shown, width=120).print(comparison_table(found))
     assert all(text in shown.getvalue() for text in ("[b]x", "left out: gone: no run", "unknown"))
-    assert compare([]) == [] and compare([made(void="x")])[0].arms == ()
+    assert compare_runs([]) == [] and compare_runs([made(void="x")])[0].arms == ()
 
 
 def test_by_a_setting_and_apart_by_what_else_differs() -> None:
     runs = [made(policy, 1, changes=changes) for policy in "ab" for changes in ({}, {"traffic.rate": 9})]
-    assert [one.arms for one in compare(runs, "traffic.rate")] == [
+    assert [one.arms for one in compare_runs(runs, "traffic.rate")] == [
         ("traffic.rate as in the file", "traffic.rate=9"),
     ] * 2
-    assert [(one.of, one.arms) for one in compare(runs)] == [
+    assert [(one.of, one.arms) for one in compare_runs(runs)] == [
         ("storm how=sim revision=31bc", ("a", "b")),
         ("storm how=sim revision=31bc traffic.rate=9", ("a", "b")),
     ]
 
 
 def test_no_latency_is_not_the_best_one() -> None:
-    (found,) = compare(pair(1, {"served_share": 0.9, "p99_ms": 80.0}, {"served_share": 0.0, "p99_ms": 0.0}))
+    (found,) = compare_runs(
+        pair(1, {"served_share": 0.9, "p99_ms": 80.0}, {"served_share": 0.0, "p99_ms": 0.0})
+    )
     assert {figure.name: figure.pairs for figure in found.figures}["p99_ms"] == 0
 
 
 # ------------------------------------------------------------------------------------------------- the page
 
 
-def page(runs: list[Run], costs: list[Cost] | None = None) -> str:
+def page(runs: list[RunResult], costs: list[RunCost] | None = None) -> str:
     # not at the head: worker processes import this file, and have no need of it
     from rosepick.lab.report import render
 
@@ -301,13 +317,13 @@
     runs = [
         made(
             "rose<b>",
-            troubles=[Span("surge", 3, 6, "traffic <i>"), Span("slow", 4, 99, "n1")],
-            must=[Verdict("p99_ms", 432.1, None, 200.0, 2, 12, False)],
-            broken=[Broken("cold", f"q{n}.", "n<3>", n, "too much") for n in range(60)],
+            troubles=[FaultSpan("surge", 3, 6, "traffic <i>"), FaultSpan("slow", 4, 99, "n1")],
+            must=[RequirementResult("p99_ms", 432.1, None, 200.0, 2, 12, False)],
+            broken=[RuleViolation("cold", f"q{n}.", "n<3>", n, "too much") for n in range(60)],
         ),
         made("random", void="stood <still>"),
     ]
-    first = page(runs, [Cost(9, 1.5, 2.5, 3, 4.0)] * 2)
+    first = page(runs, [RunCost(9, 1.5, 2.5, 3, 4.0)] * 2)
     for text in (
         "Noon &lt;b&gt;",
         "rose&lt;b&gt;",
@@ -362,7 +378,7 @@
 
 def test_long_lists_are_bounded() -> None:
     long = [Window(at=n, offered=5, in_time=5) for n in range(3000)]
-    troubles = [Span("slow", n % 11, n % 11 + 1, f"n{n}") for n in range(40)]
+    troubles = [FaultSpan("slow", n % 11, n % 11 + 1, f"n{n}") for n in range(40)]
     runs = [made(f"p{n}", windows=[], totals={}) for n in range(205)]
     runs += [made("last", windows=long, length=3000.0, troubles=troubles, void="x", seed=2)]
     shown = page(runs)
--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -14,32 +14,32 @@
 import numpy as np
 import pytest
 
-from rosepick.core.engine import DeliveryAttempt
+from rosepick.core.engine import UpstreamAttempt
 from rosepick.decisions.api import Result
 from rosepick.lab import experiment, paper, sim, theory
 from rosepick.lab.measure import Measure
-from rosepick.lab.policies import decider
-from rosepick.lab.theory import Floats
-from rosepick.lab.world import troubles
-from rosepick.lab.world.draws import Work, Zipf, generator
-from rosepick.lab.world.kernel import Kernel
-from rosepick.lab.world.memory import Memory
-from rosepick.lab.world.ports import DIAL_TIMEOUT
-from rosepick.lab.world.requests import Requests
-from rosepick.lab.world.server import Server, Shape
-from rosepick.lab.world.world import World
+from rosepick.lab.model import fault_schedule
+from rosepick.lab.model.cache_store import CacheStore
+from rosepick.lab.model.kernel import Kernel
+from rosepick.lab.model.machine import Machine, MachineConfig
+from rosepick.lab.model.random_streams import WorkStream, ZipfStream, create_generator
+from rosepick.lab.model.simulated_router import CONNECT_TIMEOUT_MS
+from rosepick.lab.model.simulation import Simulation
+from rosepick.lab.model.workload import Workload
+from rosepick.lab.policies import create_decider
+from rosepick.lab.theory import FloatArray
 
 ROOT = Path(__file__).parent.parent
 LONG = 1_000_000  # requests of a recursion, whose statistical error is then 1 % at load 0.8
 UNBOUNDED = 1_000_000_000
 
 
-def exponential(seed: int, name: str, mean: float, count: int) -> Floats:
+def exponential(seed: int, name: str, mean: float, count: int) -> FloatArray:
     """Draws of the world's own kind, all at once."""
-    return mean * generator(seed, name).exponential(size=count)
+    return mean * create_generator(seed, name).exponential(size=count)
 
 
-def recursion(gaps: Floats, works: Floats, cores: int) -> Floats:
+def recursion(gaps: FloatArray, works: FloatArray, cores: int) -> FloatArray:
     """Each one's time in the queue, first come first served, without any events."""
     if cores == 1:
         total = np.cumsum(np.concatenate(([0.0], works[:-1] - gaps[1:])))
@@ -53,21 +53,21 @@
     return np.array(waits)
 
 
-def served(shape: Shape, seed: int, gap: float, count: int) -> Floats:
+def served(shape: MachineConfig, seed: int, gap: float, count: int) -> FloatArray:
     """Each one's time in a server, work and all, with draws of mean `gap` between arrivals and works of mean
     1.
     """
     kernel, times = Kernel(), np.zeros(count)
-    server = Server(kernel, shape)
-    gaps, works = (Work(seed, name, "exponential", 0.0) for name in ("gaps", "works"))
+    server = Machine(kernel, shape)
+    gaps, works = (WorkStream(seed, name, "exponential", 0.0) for name in ("gaps", "works"))
 
     def come(number: int) -> None:
         came = kernel.time
-        assert server.offer(works(), lambda: times.__setitem__(number, kernel.time - came))
+        assert server.submit(works(), lambda: times.__setitem__(number, kernel.time - came))
         if number + 1 < count:
-            kernel.after(gap * gaps(), lambda: come(number + 1))
+            kernel.call_after(gap * gaps(), lambda: come(number + 1))
 
-    kernel.after(gap * gaps(), lambda: come(0))
+    kernel.call_after(gap * gaps(), lambda: come(0))
     kernel.run(10.0 * (count + 1_000) * gap)
     return times
 
@@ -79,8 +79,8 @@
     assert theory.erlang_c(8.0, 10) == pytest.approx(0.409, abs=5e-4)  # as printed in tables of Erlang's C
     assert theory.erlang_c(0.7, 1) == pytest.approx(0.7)
     assert theory.mm1_wait(0.8, 1.0) == pytest.approx(4.0)
-    assert theory.ps_sojourn(0.8, 1.0) == pytest.approx(theory.mm1_wait(0.8, 1.0) + 1.0)
-    assert theory.ps_deviation(1e-9, 2.0) == pytest.approx(2.0)  # alone: that of the work
+    assert theory.processor_sharing_sojourn(0.8, 1.0) == pytest.approx(theory.mm1_wait(0.8, 1.0) + 1.0)
+    assert theory.processor_sharing_deviation(1e-9, 2.0) == pytest.approx(2.0)  # alone: that of the work
 
 
 @pytest.mark.parametrize(
@@ -88,8 +88,8 @@
     [
         (theory.mm1_wait, (1, 1)),
         (theory.mmc_wait, (4, 1, 4)),
-        (theory.ps_sojourn, (2, 1)),
-        (theory.ps_deviation, (1, 1)),
+        (theory.processor_sharing_sojourn, (2, 1)),
+        (theory.processor_sharing_deviation, (1, 1)),
         (theory.erlang_c, (-1, 2)),
     ],
 )
@@ -99,15 +99,15 @@
 
 
 def test_che_solves_its_equation() -> None:
-    asked = theory.zipf(500, 0.9)
-    time = theory.che_time(asked, 100)
+    asked = theory.zipf_popularity(500, 0.9)
+    time = theory.che_characteristic_time(asked, 100)
     assert sum(1.0 - exp(-one * time) for one in asked.tolist()) == pytest.approx(100)
     grouped = theory.che_hits(np.array([0.3, 0.1]), 3.0, np.array([2.0, 4.0]))
     assert grouped.tolist() == pytest.approx(
         theory.che_hits(np.array([0.3] * 2 + [0.1] * 4), 3.0)[[0, 5]].tolist()
     )
-    assert theory.che_time(asked, 500) == inf and theory.che_hit_ratio(asked, 500) == 1.0
-    assert theory.che_time(asked, 0) == 0.0 and theory.che_hit_ratio(asked, 0) == 0.0
+    assert theory.che_characteristic_time(asked, 500) == inf and theory.che_hit_ratio(asked, 500) == 1.0
+    assert theory.che_characteristic_time(asked, 0) == 0.0 and theory.che_hit_ratio(asked, 0) == 0.0
     assert theory.che_hits(np.array([0.5, 0.0]), 1).tolist() == [1.0, 0.0]
 
 
@@ -120,7 +120,7 @@
     gap, short = 1.0 / (load * cores), 10_000
     works = exponential(1, "works", 1.0, LONG)
     waits = recursion(exponential(1, "gaps", gap, LONG), works, cores)
-    model = served(Shape(cores=cores, slots=cores, queue=UNBOUNDED), 1, gap, short)
+    model = served(MachineConfig(cores=cores, slots=cores, queue=UNBOUNDED), 1, gap, short)
     assert np.allclose(model - works[:short], waits[:short], atol=1e-6)
     assert waits.mean() == pytest.approx(theory.mmc_wait(load * cores, 1.0, cores), rel=0.03)
 
@@ -130,25 +130,25 @@
     """The mean time of processor sharing is that of a queue in order: what the latter is off by chance, with
     the same draws, is taken from what the former is off.
     """
-    count, told = 30_000, theory.ps_sojourn(load, 1.0)
-    shared = served(Shape(cores=1, slots=UNBOUNDED, queue=0), 2, 1.0 / load, count)
+    count, told = 30_000, theory.processor_sharing_sojourn(load, 1.0)
+    shared = served(MachineConfig(cores=1, slots=UNBOUNDED, queue=0), 2, 1.0 / load, count)
     works = exponential(2, "works", 1.0, count)
     queued = recursion(exponential(2, "gaps", 1.0 / load, count), works, 1) + works
     assert shared.mean() - (queued.mean() - told) == pytest.approx(told, rel=0.03)
-    assert shared.std() == pytest.approx(theory.ps_deviation(load, 1.0), rel=0.15)
+    assert shared.std() == pytest.approx(theory.processor_sharing_deviation(load, 1.0), rel=0.15)
 
 
 @pytest.mark.parametrize("part", [0.05, 0.2])
 @pytest.mark.parametrize("exponent", [0.8, 1.0])
 def test_lru_hits(exponent: float, part: float) -> None:
-    keys, memory, hits = Zipf(3, "keys", 2_000, exponent), Memory(int(2_000 * part)), 0
+    keys, memory, hits = ZipfStream(3, "keys", 2_000, exponent), CacheStore(int(2_000 * part)), 0
     for number in range(-20_000, 150_000):  # those below 0 fill it
         key = keys()
         if memory.get(key, 0.0):
             hits += number >= 0
         else:
             memory.put(key, 1, 0.0)
-    told = theory.che_hit_ratio(theory.zipf(2_000, exponent), memory.size)
+    told = theory.che_hit_ratio(theory.zipf_popularity(2_000, exponent), memory.capacity_bytes)
     assert hits / 150_000 == pytest.approx(told, rel=0.02)
 
 
@@ -156,27 +156,27 @@
 
 
 def finished(
-    shape: Shape, works: list[float], born: float = -inf
-) -> tuple[Kernel, Server, dict[float, float]]:
+    shape: MachineConfig, works: list[float], born: float = -inf
+) -> tuple[Kernel, Machine, dict[float, float]]:
     """A server with works that came at 0; when each has ended, by its amount."""
     kernel, ends = Kernel(), dict[float, float]()
-    server = Server(kernel, shape, born)
+    server = Machine(kernel, shape, born)
     for work in works:
-        server.offer(work, lambda work=work: ends.__setitem__(work, kernel.time))  # type: ignore[misc]
+        server.submit(work, lambda work=work: ends.__setitem__(work, kernel.time))  # type: ignore[misc]
     return kernel, server, ends
 
 
 def test_a_slowed_server_does_less_from_then_on() -> None:
-    kernel, server, ends = finished(Shape(cores=1, slots=1), [10.0, 5.0])
-    kernel.at(4.0, lambda: server.change(5.0))
-    kernel.at(14.0, lambda: server.change(1.0))
+    kernel, server, ends = finished(MachineConfig(cores=1, slots=1), [10.0, 5.0])
+    kernel.call_at(4.0, lambda: server.set_slowdown(5.0))
+    kernel.call_at(14.0, lambda: server.set_slowdown(1.0))
     kernel.run(100.0)
     assert ends == {10.0: pytest.approx(18.0), 5.0: pytest.approx(23.0)}
-    assert server.busy == pytest.approx(23.0)
+    assert server.busy_ms == pytest.approx(23.0)
 
 
 def test_crowding_and_sharing() -> None:
-    kernel, _, ends = finished(Shape(cores=2, slots=4, crowding=0.5), [1.0, 2.0, 3.0])
+    kernel, _, ends = finished(MachineConfig(cores=2, slots=4, contention=0.5), [1.0, 2.0, 3.0])
     kernel.run(100.0)
     # three on two cores, one beyond them: each at 2/3 / 1.5; then each on a core of its own
     assert ends == {1.0: pytest.approx(2.25), 2.0: pytest.approx(3.25), 3.0: pytest.approx(4.25)}
@@ -194,66 +194,75 @@
 )
 def test_a_cold_server_does_what_lies_under_its_ramp(by_work: bool, warm: float, seconds: float) -> None:
     """Work that is the integral of its capacity up to a time ends at that time."""
-    shape = Shape(cores=1, slots=1, cold_from=0.1, warm_after=1000.0 * warm, warm_by_work=by_work)
+    shape = MachineConfig(
+        cores=1, slots=1, cold_capacity_share=0.1, warm_up_ms=1000.0 * warm, warm_by_work=by_work
+    )
     ramp = min(seconds, warm)
     work = 1000.0 * (0.1 * ramp + 0.9 * ramp**2 / (2.0 * warm) + seconds - ramp)
     kernel, server, ends = finished(shape, [work], 0.0)
     kernel.run(100_000.0)
     assert ends[work] == pytest.approx(1000.0 * seconds, rel=0.01)
-    assert server.cold(kernel.time) is (by_work and seconds < warm)
+    assert server.is_cold(kernel.time) is (by_work and seconds < warm)
 
 
-def cold(falls: list[float]) -> tuple[Kernel, Server, list[float]]:
+def cold(falls: list[float]) -> tuple[Kernel, Machine, list[float]]:
     """A server that can do 0.25 of work in a millisecond for ever: its budget is 2250 in 3 s, and used
     up.
     """
     kernel, ends = Kernel(), list[float]()
-    shape = Shape(cores=2, slots=4, cold_from=0.125, warm_after=1e15, falls_at=3.0, falls_within=3_000.0)
-    server = Server(kernel, shape, 0.0)
-    server.fell = lambda: falls.append(kernel.time)
+    shape = MachineConfig(
+        cores=2,
+        slots=4,
+        cold_capacity_share=0.125,
+        warm_up_ms=1e15,
+        overload_multiple=3.0,
+        overload_window_ms=3_000.0,
+    )
+    server = Machine(kernel, shape, 0.0)
+    server.on_overload = lambda: falls.append(kernel.time)
     for _ in range(3):
-        assert server.offer(750.0, lambda: ends.append(kernel.time))
+        assert server.submit(750.0, lambda: ends.append(kernel.time))
     return kernel, server, ends
 
 
 def test_a_cold_server_falls_when_its_budget_is_passed() -> None:
     falls: list[float] = []
     kernel, server, ends = cold(falls)
-    assert server.budget(0.0) == 0.0 and not falls
+    assert server.cold_budget_ms(0.0) == 0.0 and not falls
     kernel.run(2_999.0)
-    assert server.offer(0.01, lambda: None) is None
-    assert falls == [2_999.0] and not server.up and server.in_hand() == 0
-    assert server.offer(0.01, lambda: None) is None and falls == [2_999.0]
+    assert server.submit(0.01, lambda: None) is None
+    assert falls == [2_999.0] and not server.up and server.queue_length() == 0
+    assert server.submit(0.01, lambda: None) is None and falls == [2_999.0]
     kernel.run(100_000.0)
     assert not ends  # all that it had is lost
     server.start()
-    assert server.up and server.budget(kernel.time) == 2_250.0
+    assert server.up and server.cold_budget_ms(kernel.time) == 2_250.0
 
 
 def test_what_was_sent_before_its_window_does_not_count() -> None:
     falls: list[float] = []
     kernel, server, _ = cold(falls)
     kernel.run(3_000.1)
-    assert server.offer(2_249.0, lambda: None) and not falls
-    assert server.offer(2.0, lambda: None) is None and falls
+    assert server.submit(2_249.0, lambda: None) and not falls
+    assert server.submit(2.0, lambda: None) is None and falls
 
 
 @pytest.mark.parametrize("cancels", [False, True])
 def test_cancelled_work(cancels: bool) -> None:
     """What waits is dropped in any case; what is in work goes on where cancelled work does not stop."""
     kernel, ends = Kernel(), dict[str, float]()
-    server = Server(kernel, Shape(cores=1, slots=1, queue=2, cancels=cancels))
-    jobs = [server.offer(10.0, lambda name=name: ends.__setitem__(name, kernel.time)) for name in "abc"]  # type: ignore[misc]
-    assert server.offer(1.0, lambda: None) is None  # a full waiting room turns away
+    server = Machine(kernel, MachineConfig(cores=1, slots=1, queue=2, stops_cancelled_work=cancels))
+    jobs = [server.submit(10.0, lambda name=name: ends.__setitem__(name, kernel.time)) for name in "abc"]  # type: ignore[misc]
+    assert server.submit(1.0, lambda: None) is None  # a full waiting room turns away
     for place in (1, 0):
         job = jobs[place]
         assert job is not None
-        kernel.at(4.0, lambda job=job: server.cancel(job))  # type: ignore[misc]
+        kernel.call_at(4.0, lambda job=job: server.cancel(job))  # type: ignore[misc]
     kernel.run(4.0)
-    assert server.in_hand() == (1 if cancels else 2)
+    assert server.queue_length() == (1 if cancels else 2)
     kernel.run(100.0)
     assert ends == ({"c": 14.0} if cancels else {"a": 10.0, "c": 20.0})
-    assert server.busy == pytest.approx(14.0 if cancels else 20.0)
+    assert server.busy_ms == pytest.approx(14.0 if cancels else 20.0)
 
 
 # ----------------------------------------------------------------------------------------- order of events
@@ -263,14 +272,14 @@
     kernel, seen = Kernel(), list[str]()
 
     def more() -> None:
-        kernel.after(0.0, lambda: seen.append("later"))
-        kernel.at(1.0, lambda: seen.append("past"))  # its time has passed
+        kernel.call_after(0.0, lambda: seen.append("later"))
+        kernel.call_at(1.0, lambda: seen.append("past"))  # its time has passed
 
     for name in "abc":
-        kernel.at(5.0, lambda name=name: seen.append(name))  # type: ignore[misc]
-    kernel.at(5.0, lambda: seen.append("first"), first=True)
-    kernel.at(5.0, more)
-    kernel.at(5.0, lambda: seen.append("cancelled")).cancel()
+        kernel.call_at(5.0, lambda name=name: seen.append(name))  # type: ignore[misc]
+    kernel.call_at(5.0, lambda: seen.append("first"), run_first=True)
+    kernel.call_at(5.0, more)
+    kernel.call_at(5.0, lambda: seen.append("cancelled")).cancel()
     kernel.run(5.0)
     assert seen == ["first", "a", "b", "c", "past", "later"] and kernel.time == 5.0
 
@@ -279,12 +288,12 @@
 def test_coming_at_the_moment_of_an_end(before: bool) -> None:
     """Whichever was made first is first: the place is taken still, or free already."""
     kernel, got = Kernel(), list[bool]()
-    server = Server(kernel, Shape(cores=1, slots=1, queue=0))
+    server = Machine(kernel, MachineConfig(cores=1, slots=1, queue=0))
     if before:
-        kernel.at(10.0, lambda: got.append(server.offer(1.0, lambda: None) is not None))
-    server.offer(10.0, lambda: None)
+        kernel.call_at(10.0, lambda: got.append(server.submit(1.0, lambda: None) is not None))
+    server.submit(10.0, lambda: None)
     if not before:
-        kernel.at(10.0, lambda: got.append(server.offer(1.0, lambda: None) is not None))
+        kernel.call_at(10.0, lambda: got.append(server.submit(1.0, lambda: None) is not None))
     kernel.run(20.0)
     assert got == [not before]
 
@@ -314,11 +323,11 @@
             kept.append(self)
 
     monkeypatch.setattr(sim, "Measure", Kept)
-    given = experiment.read(ONE_QUEUE, "one queue")
-    run, _ = sim.play(given, 1, "round-robin", {})
-    asked = list(Requests(given, 1))
-    works = np.array([0.0, *(one.work for one in asked[1:])])  # the first one misses
-    gaps = np.diff([0.0, *(one.due for one in asked)])
+    given = experiment.parse_experiment(ONE_QUEUE, "one queue")
+    run, _ = sim.run_simulated(given, 1, "round-robin", {})
+    asked = list(Workload(given, 1))
+    works = np.array([0.0, *(one.work_ms for one in asked[1:])])  # the first one misses
+    gaps = np.diff([0.0, *(one.due_ms for one in asked)])
     measured = [took for second in kept[0].seconds for took in second.served]
     waited, expected = np.mean(measured) - works.mean(), recursion(gaps, works, 1).mean()
     assert len(measured) == len(asked) and run.totals["served_share"] == 1.0 and not run.broken
@@ -329,24 +338,26 @@
     assert run.totals["node_load"] == pytest.approx(works.sum() / 60_000.0, abs=0.01)
 
 
-Ended = tuple[DeliveryAttempt, float, Result]  # and when
+Ended = tuple[UpstreamAttempt, float, Result]  # and when
 
 
-def played(text: str) -> tuple[World, list[Ended]]:
+def played(text: str) -> tuple[Simulation, list[Ended]]:
     """A world of an experiment, to be run, and the outcomes of its first router's attempts as they come."""
-    given = experiment.read(text, "test")
-    world = World(given, 1, Measure(given), lambda given, seed, _: decider("round-robin", given, seed))
-    troubles.set_up(world)
+    given = experiment.parse_experiment(text, "test")
+    world = Simulation(
+        given, 1, Measure(given), lambda given, seed, _: create_decider("round-robin", given, seed)
+    )
+    fault_schedule.schedule_faults(world)
     router = world.routers[0]
     assert router is not None
     engine, seen = router.engine, list[Ended]()
-    ended = engine.attempt_ended
+    ended = engine.finish_attempt
 
-    def note(attempt: DeliveryAttempt, result: Result, *more: object, **named: object) -> None:
+    def note(attempt: UpstreamAttempt, result: Result, *more: object, **named: object) -> None:
         seen.append((attempt, world.kernel.time, result))
         ended(attempt, result, *more, **named)  # type: ignore[arg-type]
 
-    engine.attempt_ended = note  # type: ignore[method-assign]
+    engine.finish_attempt = note  # type: ignore[method-assign]
     world.start()
     return world, seen
 
@@ -376,20 +387,20 @@
 def test_a_silent_node_is_known_by_time_outs_only(also: str) -> None:
     world, seen = played(SILENT.replace("for = 9}", "for = 9}" + also))
     node = world.cache_nodes()[0]
-    node.memory.put(world.requests.numbers[0], 1, 0.0)
+    node.memory.put(world.requests.key_by_rank[0], 1, 0.0)
     world.kernel.run(6_000.0)
-    ends = {attempt.sent: (result, at - attempt.sent) for attempt, at, result in seen}
+    ends = {attempt.sent_at: (result, at - attempt.sent_at) for attempt, at, result in seen}
     assert {result for sent, (result, _) in ends.items() if sent < 1_000.0} == {Result.OK}
     # in hand when it fell silent: nothing until the router's own time-out, which is the deadline
     assert ends.pop(1_000.0) == (Result.TIMEOUT, 600.0)
     later = [end for sent, end in ends.items() if sent > 1_000.0]
-    assert len(later) == 7 and set(later) == {(Result.CONNECT_FAILED, DIAL_TIMEOUT)}
+    assert len(later) == 7 and set(later) == {(Result.CONNECT_FAILED, CONNECT_TIMEOUT_MS)}
 
 
 def test_fetching_through_nodes_routers_know_no_origin() -> None:
     world, seen = played(SILENT.split("troubles")[0] + 'mode = "through"')
     world.kernel.run(4_000.0)
-    assert seen and all(attempt.server != world.origin.number for attempt, _, _ in seen)
+    assert seen and all(attempt.endpoint_id != world.origin.number for attempt, _, _ in seen)
 
 
 KILLED = """
@@ -409,10 +420,12 @@
 def test_clients_of_a_killed_router_see_a_failure_and_come_back() -> None:
     world, _ = played(KILLED)
     world.kernel.run(999.999)
-    held = sum(router.engine.owed for router in world.routers if router is not None)
+    held = sum(router.engine.pending_count for router in world.routers if router is not None)
     assert held > 2
     for retries, failed in ((0, held), (1, 0)):
-        run, _ = sim.play(experiment.read(KILLED, "", {"clients.retries": retries}), 1, "round-robin", {})
+        run, _ = sim.run_simulated(
+            experiment.parse_experiment(KILLED, "", {"clients.retries": retries}), 1, "round-robin", {}
+        )
         assert sum(window.failed for window in run.windows) == failed and not run.broken
         assert sum(window.in_time + window.failed for window in run.windows) == run.totals["offered"]
 
@@ -422,7 +435,7 @@
     dead, sent = world.routers[0], list[str]()
     assert dead is not None
     world.kernel.run(1_000.0)
-    dead.count = sent.append  # it is told "attempts" at each
+    dead.count_event = sent.append  # it is told "attempts" at each
     world.kernel.run(9_000.0)
     assert not dead.alive and not sent
 
@@ -430,7 +443,7 @@
 def test_more_routers_than_requests() -> None:
     text = KILLED.split("troubles")[0].replace("rate = 50", "rate = 1").replace("count = 2}", "count = 30}")
     for policy in ("rosepick", "round-robin"):
-        run, _ = sim.play(experiment.read(text, ""), 1, policy, {})
+        run, _ = sim.run_simulated(experiment.parse_experiment(text, ""), 1, policy, {})
         assert 0 < run.totals["offered"] < 30 and run.totals["served_share"] == 1.0 and not run.broken
 
 
@@ -455,9 +468,9 @@
 PLAY = """
 import sys
 from rosepick.lab import experiment, results, sim
-given = experiment.read(sys.argv[1], "troubled")
+given = experiment.parse_experiment(sys.argv[1], "troubled")
 for policy in ("rosepick", "two-choices"):
-    sys.stdout.buffer.write(results.write(sim.play(given, 3, policy, {})[0]))
+    sys.stdout.buffer.write(results.encode_result(sim.run_simulated(given, 3, policy, {})[0]))
 """
 
 
@@ -481,7 +494,7 @@
 
 
 def test_the_papers_figures_come_out_of_its_formulas() -> None:
-    lines = list(paper.formulas(paper.PAPER))[2:]
+    lines = list(paper.format_predictions(paper.PAPER_SITE))[2:]
     assert len(lines) == len(paper.POLICIES)
     for line in lines:
         figures = line[16:].replace("%", "").split()
@@ -491,15 +504,15 @@
 
 def test_the_papers_order_of_policies_comes_out() -> None:
     """On a hundredth of its keys and memories, and with few requests."""
-    small = replace(paper.PAPER, keys=100_000, fog_cache=1_000)
-    found, ranks = paper.compare(1, 6_000, small, (2_000.0,)), paper.Ranks(small)
+    small = replace(paper.PAPER_SITE, keys=100_000, fog_cache=1_000)
+    found, ranks = paper.run_comparison(1, 6_000, small, (2_000.0,)), paper.RankGroups(small)
     assert [row.policy for row in found] == list(paper.POLICIES)
     blind, lfu, lru, roomy = found
     assert lfu.cost < lru.cost < roomy.cost < 0.6 * blind.cost and lru.cost < 1.1 * lfu.cost
     assert lfu.fog_share > lru.fog_share > roomy.fog_share > 2.0 * blind.fog_share
     assert roomy.hit_share > lru.hit_share > blind.hit_share
     assert roomy.over_share < 0.1 * lru.over_share and roomy.longest_ms < lru.longest_ms
-    for row, line in zip(found, list(paper.table(iter(found)))[1:], strict=True):
-        expected = paper.expect(small, ranks, row.rate, row.setting)
-        assert expected.time <= small.target and f"{row.cost:.2f}" in line
+    for row, line in zip(found, list(paper.format_table(iter(found)))[1:], strict=True):
+        expected = paper.predict(small, ranks, row.rate, row.setting)
+        assert expected.time_ms <= small.target_ms and f"{row.cost:.2f}" in line
         assert (row.fog_share, row.cost) == pytest.approx((expected.fog_share, expected.cost), rel=0.06)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -15,17 +15,23 @@
 
 import pytest
 
-from rosepick.agreement.messages import Register
-from rosepick.agreement.operation import Declined, Kind, Outcome
-from rosepick.lab.drill.processes import own_host
-from rosepick.leases import record
-from rosepick.leases.contender import SPARE, Ask, Contender, Terms, Where
-from rosepick.leases.guard import Guard
-from rosepick.leases.record import Record
-from rosepick.net.store import StoreError, Tokens, WitnessStore
+from rosepick.consensus.messages import Register
+from rosepick.consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind
+from rosepick.coordination.acceptor_store import AcceptorStore, SqliteFencingTokenStore, StoreError
+from rosepick.lab.drill.processes import unique_loopback_address
+from rosepick.leases import lease_record
+from rosepick.leases.fencing import FencingGuard
+from rosepick.leases.lease_client import (
+    SAFETY_MARGIN_SHARE,
+    LeaseClient,
+    LeaseConfig,
+    LeaseOperation,
+    LeaseState,
+)
+from rosepick.leases.lease_record import LeaseRecord
 from rosepick.settings import fleet_file
 
-TERMS = Terms(ttl=10_000.0, drift=0.025)
+TERMS = LeaseConfig(ttl_ms=10_000.0, max_clock_drift=0.025)
 
 
 class Shelf:
@@ -34,42 +40,42 @@
     def __init__(self) -> None:
         self.register = Register()
 
-    def make(self, ask: Ask) -> Outcome:
+    def make(self, ask: LeaseOperation) -> OperationOutcome:
         """Read or change it."""
         if ask.change is not None:
             try:
                 value = ask.change(self.register)
-            except Declined:
-                return Outcome(Kind.READ, self.register)
+            except ChangeRejectedError:
+                return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
             self.register = Register(self.register.version + 1, "m", value)
-            return Outcome(Kind.DONE, self.register)
-        return Outcome(Kind.READ, self.register)
+            return OperationOutcome(OutcomeKind.COMMITTED, self.register)
+        return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
 
     @property
-    def record(self) -> Record:
+    def record(self) -> LeaseRecord:
         """What it says."""
-        return record.read(self.register)
+        return lease_record.decode_record(self.register)
 
 
-def contender(name: str, who: int, terms: Terms = TERMS) -> Contender:
+def contender(name: str, who: int, terms: LeaseConfig = TERMS) -> LeaseClient:
     """One that looks at middling times."""
-    return Contender("task", name, who, terms, lambda: 0.5)
+    return LeaseClient("task", name, who, terms, lambda: 0.5)
 
 
-def step(one: Contender, shelf: Shelf, now: float, takes: float = 1.0, lost: bool = False) -> None:
+def step(one: LeaseClient, shelf: Shelf, now: float, takes: float = 1.0, lost: bool = False) -> None:
     """One question, if there is one, and its answer after so many milliseconds."""
-    ask = one.ask(now)
+    ask = one.next_operation(now)
     if ask is not None:
         outcome = shelf.make(ask)
-        one.answered(now + takes, Outcome(Kind.UNKNOWN) if lost else outcome)
+        one.handle_outcome(now + takes, OperationOutcome(OutcomeKind.UNKNOWN) if lost else outcome)
 
 
-def until(one: Contender, shelf: Shelf, now: float, where: Where, end: float) -> float:
+def until(one: LeaseClient, shelf: Shelf, now: float, where: LeaseState, end: float) -> float:
     """Go on in steps of 10 ms until it is there; when that was."""
-    while one.where is not where and now < end:
+    while one.state is not where and now < end:
         step(one, shelf, now)
         now += 10.0
-    assert one.where is where
+    assert one.state is where
     return now
 
 
@@ -77,47 +83,51 @@
     shelf, first, second = Shelf(), contender("a", 1), contender("b", 2)
     step(first, shelf, 0.0)
     step(first, shelf, 500.0, takes=400.0)  # asked at 500, granted somewhere on the way, told at 900
-    assert first.where is Where.HOLDS and first.token == 1
-    end = 500.0 + TERMS.held_for - SPARE * TERMS.ttl
+    assert first.state is LeaseState.HELD and first.token == 1
+    end = 500.0 + TERMS.holder_timeout_ms - SAFETY_MARGIN_SHARE * TERMS.ttl_ms
     assert first.may_act(end - 1.0) and not first.may_act(end)
     step(second, shelf, 600.0)
-    taken = until(second, shelf, 700.0, Where.HOLDS, 30_000.0)
-    assert taken >= 601.0 + TERMS.gone_after(TERMS.ttl) and second.token == 2
-    assert not first.may_act(taken) and first.where is Where.HOLDS
-    first.ask(taken)
-    assert not first.in_doubt(taken)  # it is lost, not in doubt
+    taken = until(second, shelf, 700.0, LeaseState.HELD, 30_000.0)
+    assert taken >= 601.0 + TERMS.takeover_timeout_ms(TERMS.ttl_ms) and second.token == 2
+    assert not first.may_act(taken) and first.state is LeaseState.HELD
+    first.next_operation(taken)
+    assert not first.is_in_doubt(taken)  # it is lost, not in doubt
 
 
 def test_a_renewal_that_fails_is_tried_again_and_told_as_doubt() -> None:
     shelf, one = Shelf(), contender("a", 1)
-    until(one, shelf, 0.0, Where.HOLDS, 1_000.0)
+    until(one, shelf, 0.0, LeaseState.HELD, 1_000.0)
     for now in range(1_000, 6_600, 100):
-        ask = one.ask(float(now))
+        ask = one.next_operation(float(now))
         if ask is not None:
-            one.answered(now + 50.0, Outcome(Kind.FAILED))
-    assert one.in_doubt(6_600.0) and one.may_act(6_600.0)
+            one.handle_outcome(now + 50.0, OperationOutcome(OutcomeKind.FAILED))
+    assert one.is_in_doubt(6_600.0) and one.may_act(6_600.0)
     step(one, shelf, 8_000.0)
-    assert not one.in_doubt(8_100.0) and one.renewed == 1 and one.may_act(17_000.0)
+    assert not one.is_in_doubt(8_100.0) and one.renewal_count == 1 and one.may_act(17_000.0)
 
 
 @pytest.mark.parametrize("lost_by", ["force", "another"])
 def test_a_lease_that_is_gone_stays_gone(lost_by: str) -> None:
     shelf, one = Shelf(), contender("a", 1)
-    until(one, shelf, 0.0, Where.HOLDS, 1_000.0)
+    until(one, shelf, 0.0, LeaseState.HELD, 1_000.0)
     if lost_by == "force":
-        shelf.make(Ask("k", record.force("me", "it hangs")))
+        shelf.make(LeaseOperation("k", lease_record.force_release("me", "it hangs")))
     else:
-        shelf.make(Ask("k", record.take(shelf.record, 7, "b", 10_000.0)))
-    until(one, shelf, 1_000.0, Where.LOST, 9_000.0)
-    assert not one.may_act(5_000.0) and one.left(4_000.0) > 3_000.0  # what it has started still has that long
+        shelf.make(LeaseOperation("k", lease_record.acquire(shelf.record, 7, "b", 10_000.0)))
+    until(one, shelf, 1_000.0, LeaseState.LOST, 9_000.0)
+    assert (
+        not one.may_act(5_000.0) and one.remaining_ms(4_000.0) > 3_000.0
+    )  # what it has started still has that long
     assert shelf.record.token == 2 and shelf.record.held
 
 
 def test_who_takes_after_force_still_waits_for_the_old_holder() -> None:
     shelf, one, other = Shelf(), contender("a", 1), contender("b", 2)
-    until(one, shelf, 0.0, Where.HOLDS, 1_000.0)
-    shelf.make(Ask("k", record.force("me", "it hangs")))
-    assert until(other, shelf, 2_000.0, Where.HOLDS, 30_000.0) >= 2_000.0 + TERMS.gone_after(TERMS.ttl)
+    until(one, shelf, 0.0, LeaseState.HELD, 1_000.0)
+    shelf.make(LeaseOperation("k", lease_record.force_release("me", "it hangs")))
+    assert until(other, shelf, 2_000.0, LeaseState.HELD, 30_000.0) >= 2_000.0 + TERMS.takeover_timeout_ms(
+        TERMS.ttl_ms
+    )
     assert other.token == 3
 
 
@@ -128,15 +138,15 @@
     step(one, shelf, 1_000.0)  # it is found ...
     for now in (1_001.0, 2_000.0, 3_000.0):  # ... and answers of renewals are late or lost, for long
         step(one, shelf, now, lost=True)
-        assert one.where is Where.WAITS and not one.may_act(now)
+        assert one.state is LeaseState.WAITING and not one.may_act(now)
     assert shelf.record.beat == 3
-    until(one, shelf, 4_000.0, Where.HOLDS, 5_000.0)
-    assert one.token == 1 and one.renewed == 1 and one.may_act(5_000.0)
+    until(one, shelf, 4_000.0, LeaseState.HELD, 5_000.0)
+    assert one.token == 1 and one.renewal_count == 1 and one.may_act(5_000.0)
 
 
 def test_a_line_is_served_in_order_and_the_dead_in_it_are_passed_over() -> None:
     shelf, holder = Shelf(), contender("a", 1)
-    until(holder, shelf, 0.0, Where.HOLDS, 1_000.0)
+    until(holder, shelf, 0.0, LeaseState.HELD, 1_000.0)
     waiting = [contender(name, who) for name, who in (("b", 2), ("c", 3), ("d", 4))]
     for number, one in enumerate(waiting):
         for now in (1_000.0, 1_600.0):
@@ -144,39 +154,41 @@
     assert [waiter.name for waiter in shelf.record.line] == ["b", "c", "d"]
     holder.release(successor="d")
     step(holder, shelf, 2_000.0)
-    assert holder.where is Where.ENDED and not shelf.record.held
+    assert holder.state is LeaseState.ENDED and not shelf.record.held
     assert [waiter.name for waiter in shelf.record.line] == ["d", "b", "c"]
-    until(waiting[2], shelf, 2_100.0, Where.HOLDS, 4_000.0)
+    until(waiting[2], shelf, 2_100.0, LeaseState.HELD, 4_000.0)
     assert [waiter.name for waiter in shelf.record.line] == ["b", "c"]
     waiting[2].release()
     step(waiting[2], shelf, 4_000.0)
     began = 4_100.0  # b has died: c takes it, somewhat later
-    assert until(waiting[1], shelf, began, Where.HOLDS, 6_000.0) <= began + 1_000.0
+    assert until(waiting[1], shelf, began, LeaseState.HELD, 6_000.0) <= began + 1_000.0
     assert shelf.record.line == () and shelf.record.token == 3
 
 
 def test_one_who_waits_no_more_leaves_the_line_and_a_restart_is_another_one() -> None:
     shelf, holder, one = Shelf(), contender("a", 1), contender("b", 2)
-    until(holder, shelf, 0.0, Where.HOLDS, 1_000.0)
+    until(holder, shelf, 0.0, LeaseState.HELD, 1_000.0)
     step(one, shelf, 1_000.0)
     step(one, shelf, 1_600.0)
     one.release()
-    until(one, shelf, 2_000.0, Where.ENDED, 4_000.0)
+    until(one, shelf, 2_000.0, LeaseState.ENDED, 4_000.0)
     assert shelf.record.line == ()
     again = contender("a", 9)  # the holder's name, started anew within its lease
-    assert until(again, shelf, 2_000.0, Where.HOLDS, 30_000.0) >= 2_000.0 + TERMS.gone_after(TERMS.ttl)
+    assert until(again, shelf, 2_000.0, LeaseState.HELD, 30_000.0) >= 2_000.0 + TERMS.takeover_timeout_ms(
+        TERMS.ttl_ms
+    )
 
 
 def test_after_an_hours_sleep_a_holder_says_no_and_one_who_waited_finds_out_what_is() -> None:
     shelf, holder, other = Shelf(), contender("a", 1), contender("b", 2)
-    until(holder, shelf, 0.0, Where.HOLDS, 1_000.0)
+    until(holder, shelf, 0.0, LeaseState.HELD, 1_000.0)
     step(other, shelf, 1_000.0)
-    shelf.make(Ask("k", record.renew(1, 1, TERMS.ttl)))  # renewed while the other slept
+    shelf.make(LeaseOperation("k", lease_record.renew(1, 1, TERMS.ttl_ms)))  # renewed while the other slept
     hour = 3_600_000.0
     assert not holder.may_act(hour)
     step(other, shelf, hour)
-    assert other.where is Where.WAITS  # what it had seen was old: it takes nothing by it
-    assert until(other, shelf, hour + 10.0, Where.HOLDS, hour + 30_000.0) >= hour + TERMS.ttl
+    assert other.state is LeaseState.WAITING  # what it had seen was old: it takes nothing by it
+    assert until(other, shelf, hour + 10.0, LeaseState.HELD, hour + 30_000.0) >= hour + TERMS.ttl_ms
 
 
 class Kept:
@@ -186,46 +198,46 @@
         self.tokens: dict[str, int] = {}
         self.full = full
 
-    def highest(self, task: str) -> int:
+    def highest_token(self, task: str) -> int:
         return self.tokens.get(task, 0)
 
-    def keep(self, task: str, token: int) -> None:
+    def save_token(self, task: str, token: int) -> None:
         if self.full:
             raise OSError("full")
         self.tokens[task] = token
 
 
 def test_a_guard_takes_no_lower_token_whatever_the_time() -> None:
-    guard = Guard(Kept())
+    guard = FencingGuard(Kept())
     steps = [("a", 1), ("a", 1), ("a", 3), ("a", 2), ("b", 1), ("a", 0), ("a", 3)]
-    assert [guard.takes(*one) for one in steps] == [True, True, True, False, True, False, True]
-    assert guard.refused == 2
+    assert [guard.accepts(*one) for one in steps] == [True, True, True, False, True, False, True]
+    assert guard.rejected_count == 2
     with pytest.raises(OSError):
-        Guard(Kept(full=True)).takes("a", 1)
+        FencingGuard(Kept(full=True)).accepts("a", 1)
 
 
 def test_tokens_and_witnesses_outlive_their_process_and_a_folder_has_one(tmp_path: Path) -> None:
-    tokens = Tokens(tmp_path / "guard")
-    tokens.keep("task", 7)
+    tokens = SqliteFencingTokenStore(tmp_path / "guard")
+    tokens.save_token("task", 7)
     with pytest.raises(StoreError, match="another process"):
-        Tokens(tmp_path / "guard")
+        SqliteFencingTokenStore(tmp_path / "guard")
     tokens.close()
-    assert Tokens(tmp_path / "guard").highest("task") == 7
-    store = WitnessStore(tmp_path / "w", "first")
+    assert SqliteFencingTokenStore(tmp_path / "guard").highest_token("task") == 7
+    store = AcceptorStore(tmp_path / "w", "first")
     store.close()
-    store = WitnessStore(tmp_path / "w", "second")
-    assert (store.saved.storage, store.saved.starts, store.copied) == ("first", 2, False)
+    store = AcceptorStore(tmp_path / "w", "second")
+    assert (store.state.storage_id, store.state.start_count, store.was_copied) == ("first", 2, False)
     store.close()
     file = tmp_path / "w" / "witness.sqlite3"
     data = file.read_bytes()
     file.unlink()
     file.write_bytes(data)
-    store = WitnessStore(tmp_path / "w", "third")
-    assert (store.saved.storage, store.saved.starts, store.copied) == ("third", 1, True)
+    store = AcceptorStore(tmp_path / "w", "third")
+    assert (store.state.storage_id, store.state.start_count, store.was_copied) == ("third", 1, True)
     store.close()
     file.write_bytes(b"no database" * 100)
     with pytest.raises(StoreError, match="witness.sqlite3"):
-        WitnessStore(tmp_path / "w", "fourth")
+        AcceptorStore(tmp_path / "w", "fourth")
 
 
 @pytest.mark.parametrize(
@@ -257,7 +269,7 @@
             "ROSEPICK_FLEET": "fleet.toml",
             "PYTHONPATH": str(Path(__file__).parents[1]),
         }
-        lines = [f'w{n} = "{own_host()}:{7900 + n}"' for n in (1, 2, 3)]
+        lines = [f'w{n} = "{unique_loopback_address()}:{7900 + n}"' for n in (1, 2, 3)]
         (folder / "fleet.toml").write_text("\n".join(["[witnesses]", *lines, "[leases]", "ttl = 2.0"]))
         self.processes = {f"w{n}": self.start(f"w{n}") for n in (1, 2, 3)}
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -26,7 +26,7 @@
     imported = {name.name for node in nodes if isinstance(node, ast.Import) for name in node.names}
     imported |= {node.module for node in nodes if isinstance(node, ast.ImportFrom) and node.module}
     allowed = {"__future__", "bisect", "collections", "collections.abc", "dataclasses", "heapq", "itertools"}
-    assert imported <= allowed | {"api", "array", "math", "random", "waiting.waiting"}
+    assert imported <= allowed | {"api", "array", "math", "random", "attempt_timeouts.adaptive_timeout"}
     called = {node.func for node in nodes if isinstance(node, ast.Call)}
     names = {func.id for func in called if isinstance(func, ast.Name)}
     assert not names & {"hash", "print", "open", "id", "input"}
