--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -17,18 +17,25 @@
 from unittest import mock
 
 from rosepick.cli import check
-from rosepick.http.multiget import BadBatchAnswer, Batch, BatchConnection, ending, entries, entry
-from rosepick.http.sender_side import Rejected
-from rosepick.net.multiget import BatchLink, Parts
+from rosepick.http.batch_protocol import (
+    BatchRequest,
+    BatchResponseError,
+    BatchServerProtocol,
+    encode_entry,
+    encode_trailer,
+    parse_entries,
+)
+from rosepick.http.server_protocol import RequestRejected
+from rosepick.net.batch_listener import BatchDownstreamConnection, BatchItemScheduler
 from rosepick.settings import operator_file
-from rosepick.settings.config import Names
-from rosepick.settings.operator_file import Operators
+from rosepick.settings.config import NameIndexes
+from rosepick.settings.operator_file import OperatorOptions
 
-from .scenario import SETTINGS, Scenario, Wire, target
+from .scenario import SETTINGS, Scenario, ScenarioConnection, target
 
 ROOT = Path(__file__).parent.parent
 MIB = 1024 * 1024
-NAMES = Names({"read": 0}, {"acme": 0}, {}, {})
+NAMES = NameIndexes({"read": 0}, {"acme": 0}, {}, {})
 HEAD = b"Req-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline: 1.0\r\n"
 
 
@@ -50,12 +57,12 @@
 
 class Reading(unittest.TestCase):
     def read(self, body: bytes, head: bytes = HEAD, first: bytes = b"POST /mget HTTP/1.1") -> object:
-        machine = BatchConnection(lambda: NAMES, lambda: 3)
+        machine = BatchServerProtocol(lambda: NAMES, lambda: 3)
         machine.feed(b"%b\r\n%bContent-Length: %d\r\n\r\n%b" % (first, head, len(body), body), 500.0)
-        return machine.next()
+        return machine.next_message()
 
     def test_a_batch(self) -> None:
-        batch = Batch((b"m-1", b"a%20b", b"c"), b"read", b"acme", 1500.0)
+        batch = BatchRequest((b"m-1", b"a%20b", b"c"), b"read", b"acme", 1500.0)
         self.assertEqual(self.read(b"m-1\na%20b\r\n\nc"), batch)
 
     def test_what_is_none(self) -> None:
@@ -70,7 +77,7 @@
                 for key in (b"a b", b"a?b", b"a%2", b"..", b"a\rb", b"\xc3\xa9", b"k" * 2049)
             ),
         ):
-            self.assertEqual(self.read(body), Rejected(400, reason), body)
+            self.assertEqual(self.read(body), RequestRejected(400, reason), body)
 
     def test_headers_and_paths(self) -> None:
         for head, status in (
@@ -82,26 +89,26 @@
             (HEAD + b"Req-Kind: read\r\n", 400),
         ):
             read = self.read(b"a", head)
-            assert isinstance(read, Rejected)
+            assert isinstance(read, RequestRejected)
             self.assertEqual(read.status, status, head)
         for first, status in ((b"POST /api/k HTTP/1.1", 404), (b"PUT /mget HTTP/1.1", 405)):
             read = self.read(b"a", HEAD, first)
-            assert isinstance(read, Rejected)
+            assert isinstance(read, RequestRejected)
             self.assertEqual(read.status, status)
 
     def test_a_body_that_is_too_long(self) -> None:
         read = self.read(b"k" * 70_000)
-        assert isinstance(read, Rejected)
+        assert isinstance(read, RequestRejected)
         self.assertEqual(read.status, 413)
 
     def test_answers_read_back(self) -> None:
         parts = [(b"a", b"1", 200, b"x\ny"), (b"partial:", b"2", 504, b""), (b"c", b"3", 200, b"partial: 1")]
-        data = b"".join(b"".join(entry(*part)) for part in parts) + ending(1, 3)
+        data = b"".join(b"".join(encode_entry(*part)) for part in parts) + encode_trailer(1, 3)
         self.assertTrue(data.startswith(b"a 1 200 3\nx\ny\npartial: 2 504 0\n\nc 3 200 10\n"))
-        self.assertEqual(list(entries(data)), parts)
+        self.assertEqual(list(parse_entries(data)), parts)
         for cut in range(len(data)):
-            with self.subTest(cut), contextlib.suppress(BadBatchAnswer):
-                self.assertLess(len(list(entries(data[:cut]))), 2)  # whole, but not of all keys
+            with self.subTest(cut), contextlib.suppress(BatchResponseError):
+                self.assertLess(len(list(parse_entries(data[:cut]))), 2)  # whole, but not of all keys
 
 
 class Batches(Scenario):
@@ -115,18 +122,24 @@
         self.asked: list[tuple[str, str, str]] = []  # node, key, id
         self.sizes: dict[str, int] = {}
 
-    def operators(self) -> Operators:
-        return Operators(operator_file.read(f"multiget_listen 0\n{self.conf}\n".encode(), "rosepick.conf"))
+    def operators(self) -> OperatorOptions:
+        return OperatorOptions(
+            operator_file.read(f"multiget_listen 0\n{self.conf}\n".encode(), "rosepick.conf")
+        )
 
     @property
-    def parts(self) -> Parts:
-        assert self.server.multiget is not None
-        return self.server.multiget.parts
+    def parts(self) -> BatchItemScheduler:
+        assert self.server.batch_listener is not None
+        return self.server.batch_listener.scheduler
 
-    def wire(self, who: str) -> Wire:
+    def wire(self, who: str) -> ScenarioConnection:
         if not self.wires.get(who) and who.startswith("b"):
-            assert self.server.multiget is not None
-            self.wires[who] = [Wire(socket.create_connection(self.server.multiget.door.sock.getsockname()))]
+            assert self.server.batch_listener is not None
+            self.wires[who] = [
+                ScenarioConnection(
+                    socket.create_connection(self.server.batch_listener.listen_socket.sock.getsockname())
+                )
+            ]
             self.wires[who][0].seen = bytearray()  # answers can be large
         return super().wire(who)
 
@@ -169,12 +182,14 @@
             if wire.seen.endswith(b"0\r\n\r\n") and (body := unchunked(wire.seen)) is not None:
                 wire.seen = bytearray()
                 self.body = body
-                return [(k.decode(), i.decode(), s, len(b)) for k, i, s, b in entries(body)]
+                return [(k.decode(), i.decode(), s, len(b)) for k, i, s, b in parse_entries(body)]
         self.fail(f"no whole answer, but {self.wires[who][-1].seen[:500]!r}")
 
     def nothing_left(self) -> None:
-        self.assertEqual((self.server.budget.held, self.parts.batches, self.parts.idle), (0, {}, []))
-        self.assertEqual(self.server.listener.open_ids, set())
+        self.assertEqual(
+            (self.server.budget.buffered_bytes, self.parts.batches, self.parts.idle), (0, {}, [])
+        )
+        self.assertEqual(self.server.listener.open_request_ids, set())
 
 
 class Serves(Batches):
@@ -214,9 +229,9 @@
         most = 0
         for _ in range(400):
             self.serve()
-            most = max(most, len(self.server.listener.links))
+            most = max(most, len(self.server.listener.connections))
         self.assertLessEqual(most, 1 + 8)
-        self.assertEqual(len(self.server.listener.links), 1)
+        self.assertEqual(len(self.server.listener.connections), 1)
 
     def test_batches_on_one_connection_are_answered_in_turn(self) -> None:
         self.batch("b1", ["a", "b"])
@@ -229,7 +244,7 @@
 
     def test_an_answer_that_says_it_is_the_last_is(self) -> None:
         """In a crowd an answer ends its connection, unless another batch was sent ahead."""
-        with mock.patch.object(self.server.listener.policy, "last", return_value=True):
+        with mock.patch.object(self.server.listener.policy, "should_close_after_response", return_value=True):
             with mock.patch.object(self, "put") as put:
                 self.batch("b1", ["k1"])
                 self.batch("b1", ["k2"])
@@ -246,13 +261,15 @@
 
     def test_parts_are_no_clients_of_an_address(self) -> None:
         """Guards against a crowd whose shares turn the router's own parts away."""
-        with mock.patch.object(self.server.listener.policy, "turned_away", side_effect=bool):
-            with mock.patch.object(self.server.budget, "doors", return_value=1):
+        with mock.patch.object(self.server.listener.policy, "should_reject_address", side_effect=bool):
+            with mock.patch.object(self.server.budget, "downstream_limit", return_value=1):
                 self.batch("b1", ["k1", "k2", "k3"])
                 self.assertEqual([status for _, _, status, _ in self.answer("b1")], [200] * 3)
-            self.assertEqual(len(self.server.listener.account.holders), 1)  # the batch's client
+            self.assertEqual(
+                len(self.server.listener.connection_table.address_quota), 1
+            )  # the batch's client
         self.play("b1 close")
-        self.assertEqual(self.server.listener.ours, set())
+        self.assertEqual(self.server.listener.own_addresses, set())
 
     def test_http_1_0_gets_its_answer_without_chunks(self) -> None:
         self.put("b1", b"POST /mget HTTP/1.0\r\n" + HEAD + b"Content-Length: 1\r\n\r\nk")
@@ -263,7 +280,7 @@
         self.assertTrue(wire.ended)
         head, _, body = wire.seen.partition(b"\r\n\r\n")
         self.assertIn(b"Connection: close", head)
-        self.assertEqual([row[:1] + row[2:] for row in entries(body)], [(b"k", 200, b"vvvvv")])
+        self.assertEqual([row[:1] + row[2:] for row in parse_entries(body)], [(b"k", 200, b"vvvvv")])
 
     def test_what_is_no_batch_is_turned_away_before_any_part(self) -> None:
         self.batch("b1", ["a", "a"])
@@ -275,7 +292,7 @@
 
     def test_another_limit_of_keys_applies_after_sighup(self) -> None:
         changed = operator_file.read(b"multiget_listen 0\nmultiget_max_keys 1", "rosepick.conf")
-        self.server.operators.reread = lambda: changed
+        self.server.operator_settings.reload = lambda: changed
         with self.assertLogs("rosepick", "INFO") as said:
             self.play("router reload")
         told = {line.getMessage(): vars(line)["fields"] for line in said.records}
@@ -295,18 +312,18 @@
     sockets = 256
 
     def test_parts_out_are_few_and_batches_share_them(self) -> None:
-        self.parts.expected = 100.0
+        self.parts.expected_response_bytes = 100.0
         for n in range(3):
             self.batch(f"b{n}", [f"k{n}{m}" for m in range(64)])
         for _ in range(5):
             self.step()
-        self.assertEqual(self.parts.allowed(), 8)
-        out = [batch.out for batch in self.parts.batches]
+        self.assertEqual(self.parts.max_in_flight(), 8)
+        out = [batch.in_flight for batch in self.parts.batches]
         self.assertLessEqual(sum(out), 8)
         self.assertEqual(out, [6, 2, 0])
         self.serve()
         self.serve()
-        self.assertGreater(min(batch.out for batch in self.parts.batches), 0)
+        self.assertGreater(min(batch.in_flight for batch in self.parts.batches), 0)
         for n in range(3):
             self.assertEqual(len(self.answer(f"b{n}")), 64)
         self.nothing_left()
@@ -319,9 +336,9 @@
         self.answer("b5")
 
     def test_all_descriptors_in_use_is_502(self) -> None:
-        with mock.patch.object(self.server.budget, "room", return_value=False):
+        with mock.patch.object(self.server.budget, "ensure_available", return_value=False):
             self.wire("b1").sock.send(b"")
-            link_made = mock.patch.object(self.server.listener, "_room", return_value=True)
+            link_made = mock.patch.object(self.server.listener, "_can_accept", return_value=True)
             with link_made:
                 self.batch("b1", ["k1"])
                 self.assertEqual([row[2] for row in self.answer("b1")], [502])
@@ -339,13 +356,13 @@
 
     def step(self) -> None:
         super().step()
-        self.most = max(self.most, self.server.budget.held)
+        self.most = max(self.most, self.server.budget.buffered_bytes)
 
     def test_64_answers_of_1_mib_fit_32_mb(self) -> None:
         self.batch("b1", self.keys)
         found = self.answer("b1")
         self.assertEqual([row[2:] for row in found], [(200, MIB)] * 64)
-        self.assertLess(self.most, self.server.budget.most_held)
+        self.assertLess(self.most, self.server.budget.max_buffered_bytes)
         self.nothing_left()
 
     def test_also_if_the_client_does_not_read(self) -> None:
@@ -354,13 +371,13 @@
             for _ in range(300):
                 self.serve()
             self.assertLess(len(self.asked), 20)
-            self.assertLess(self.most, self.server.budget.most_held)
-            self.assertGreater(self.server.budget.held, 0)
+            self.assertLess(self.most, self.server.budget.max_buffered_bytes)
+            self.assertGreater(self.server.budget.buffered_bytes, 0)
             self.sizes = {}
             self.batch("b2", ["x1", "x2"])
             self.play("wait 2500")  # then the one that does not read gives way
             self.assertEqual([row[2] for row in self.answer("b2")], [200, 200])
-        self.assertEqual(self.server.budget.held, 0)
+        self.assertEqual(self.server.budget.buffered_bytes, 0)
         self.nothing_left()
 
     def test_a_client_that_reads_too_slowly_for_too_long_loses_its_connection(self) -> None:
@@ -371,9 +388,11 @@
         with mock.patch.object(self.wire("b1"), "pull"):
             for _ in range(5):
                 self.serve()
-            self.assertGreater(self.server.budget.held, 0)
+            self.assertGreater(self.server.budget.buffered_bytes, 0)
             self.play("wait 600")
-        self.assertFalse(any(isinstance(link, BatchLink) for link in self.server.listener.links))
+        self.assertFalse(
+            any(isinstance(link, BatchDownstreamConnection) for link in self.server.listener.connections)
+        )
         self.nothing_left()
 
 
@@ -424,21 +443,29 @@
         self.batch("b1", ["k1"])
         for _ in range(3):
             self.step()
-        (kept,) = [link for link in self.server.listener.links if not isinstance(link, BatchLink)]
-        part = next(iter(self.parts.batches)).all[0]
-        assert part.link is not None
-        part.link.used = True  # as if it had carried one before
+        (kept,) = [
+            link
+            for link in self.server.listener.connections
+            if not isinstance(link, BatchDownstreamConnection)
+        ]
+        part = next(iter(self.parts.batches)).unwritten_items[0]
+        assert part.connection is not None
+        part.connection.used = True  # as if it had carried one before
         kept.close()
         self.serve()
         found = self.answer("b1")
         self.assertEqual([row[2] for row in found], [200])
-        self.assertTrue(part.again)
+        self.assertTrue(part.was_resent)
 
     def test_a_new_connection_that_breaks_is_502(self) -> None:
         self.batch("b1", ["k1"])
         for _ in range(3):
             self.step()
-        (made,) = [link for link in self.server.listener.links if not isinstance(link, BatchLink)]
+        (made,) = [
+            link
+            for link in self.server.listener.connections
+            if not isinstance(link, BatchDownstreamConnection)
+        ]
         made.close()
         self.assertEqual([row[2] for row in self.answer("b1", serving=False)], [502])
 
@@ -460,7 +487,7 @@
     def test_a_fault_ends_the_batch_so_that_its_client_can_tell(self) -> None:
         self.batch("b1", ["k1", "k2"])
         with (
-            mock.patch.object(BatchLink, "_write_part", side_effect=KeyError("x")),
+            mock.patch.object(BatchDownstreamConnection, "_write_item", side_effect=KeyError("x")),
             self.assertLogs("rosepick", "ERROR"),
         ):
             for _ in range(20):
@@ -476,7 +503,7 @@
             conf, told = Path(name) / "rosepick.conf", Path(name) / "config.json"
             conf.write_text("multiget_listen 5000\nmultiget_max_keys 0\n")
             told.write_text('{"listen": "127.0.0.1:5000"}')
-            faults, _ = check.check(conf, {"GW_CONFIG": str(told)})
+            faults, _ = check.check_settings(conf, {"GW_CONFIG": str(told)})
         self.assertEqual(
             faults[:2],
             [
@@ -598,7 +625,7 @@
         door = f"127.0.0.1:{self.start('s2', 'origin')}"
         keys = [f"m-{n:04d}" for n in range(40)]
         ended = self.mget("--to", door, "--deadline", "2", *keys)
-        found = list(entries(ended.stdout.encode()))
+        found = list(parse_entries(ended.stdout.encode()))
         self.assertEqual([row[0].decode() for row in found], keys)
         failed = sum(row[2] != 200 for row in found)
         self.assertEqual(ended.returncode, 1 if failed else 0)
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -10,15 +10,21 @@
 from pathlib import Path
 
 from rosepick.settings import operator_file
-from rosepick.settings.operator_file import Choice, OperatorFile, Seconds, Setting, Whole
+from rosepick.settings.operator_file import (
+    ChoiceSetting,
+    DurationSetting,
+    IntegerSetting,
+    OperatorFile,
+    Setting,
+)
 
 from .scenario import Scenario
 
 ROOT = Path(__file__).parent.parent
 TABLE: tuple[Setting, ...] = (
-    Whole("pigs", 4, low=2, high=64),
-    Seconds("rest", 30.0, live=True, low=1.0, high=60.0),
-    Choice("mood", "calm", words=("calm", "wild")),
+    IntegerSetting("pigs", 4, minimum=2, maximum=64),
+    DurationSetting("rest", 30.0, is_reloadable=True, minimum=1.0, maximum=60.0),
+    ChoiceSetting("mood", "calm", choices=("calm", "wild")),
     Setting("sty"),
 )
 
@@ -36,7 +42,7 @@
     def test_nothing_stated_is_all_defaults(self) -> None:
         for text in ("", "\n", "# only words", "\ufeff"):
             self.assertEqual(
-                list(read(text).in_force()),
+                list(read(text).effective_lines()),
                 [
                     "pigs 4 (default)",
                     "rest 30 s (default)",
@@ -46,7 +52,7 @@
             )
 
     def test_values_in_force_name_their_lines(self) -> None:
-        self.assertIn("rest 5 s (farm.conf line 2)", list(read("\nrest 5s").in_force()))
+        self.assertIn("rest 5 s (farm.conf line 2)", list(read("\nrest 5s").effective_lines()))
 
     def faults(self, text: str) -> list[str]:
         return [str(fault) for fault in read(text).faults]
@@ -77,12 +83,12 @@
     def test_a_file_that_cannot_be_read_is_one_fault(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             for path in (Path(folder) / "none.conf", Path(folder)):
-                found = operator_file.look(path, TABLE)
+                found = operator_file.read_file(path, TABLE)
                 self.assertEqual(len(found.faults), 1)
                 self.assertTrue(str(found.faults[0]).startswith(f"{path.name}: "))
 
     def test_the_projects_own_file_has_no_fault(self) -> None:
-        self.assertEqual(operator_file.look(ROOT / "deploy" / "rosepick.conf").faults, ())
+        self.assertEqual(operator_file.read_file(ROOT / "deploy" / "rosepick.conf").faults, ())
 
 
 class CommandLine(unittest.TestCase):
@@ -107,9 +113,9 @@
     discoveries = ("d", "e")
 
     def test_a_fault_in_one_file_does_not_hold_up_the_other(self) -> None:
-        table = (*operator_file.TABLE, *TABLE)
+        table = (*operator_file.SETTINGS, *TABLE)
         good, bad = read("pigs 7\nrest 5", table), read("pigs 7\npigs 9", table)
-        self.server.operators.file = self.server.started_with = read("", table)
+        self.server.operator_settings.file = self.server.initial_operator_file = read("", table)
         self.says(bad)
         self.file["discovery"] = f"127.0.0.1:{self.port('e')}"
         with self.assertLogs("rosepick", "INFO") as said:
@@ -118,7 +124,7 @@
         self.assertEqual(
             str(events["operator_file_failed"]["text"]), "farm.conf line 2: pigs is set already on line 1"
         )
-        self.assertEqual(self.server.operators.file.values["pigs"], 4)
+        self.assertEqual(self.server.operator_settings.file.values["pigs"], 4)
         self.says(good)
         self.file["listen"] = "here"
         with self.assertLogs("rosepick", "INFO") as said:
@@ -127,8 +133,8 @@
         self.assertEqual(set(events), {"reload_failed", "operator_file_reloaded"})
         told = events["operator_file_reloaded"]
         self.assertEqual((told["changed"], told["needs_restart"]), ("pigs,rest", "pigs"))
-        self.assertEqual(self.server.operators.file.values["pigs"], 7)
+        self.assertEqual(self.server.operator_settings.file.values["pigs"], 7)
 
     def says(self, found: OperatorFile) -> None:
         """What the operators' file says from here on."""
-        self.server.operators.reread = lambda: operator_file.usable(found)
+        self.server.operator_settings.reload = lambda: operator_file.require_valid(found)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -7,7 +7,7 @@
 import unittest
 from typing import Any
 
-from rosepick.ops.lines import LINE_LIMIT, OpsConnection, Said
+from rosepick.ops.line_protocol import MAX_LINE_BYTES, AdminProtocol, AdminReply
 
 from .scenario import Scenario
 
@@ -17,13 +17,13 @@
         junk = (b"\n", b"nonsense\n", b"\xff\xfe\n", b"readyz", b"", b"READYZ\n", b"\x00readyz\n")
         whole = b"readyz\r\nreadyz\n"
         calls = [(whole[:cut], whole[cut:]) for cut in range(len(whole))]
-        for parts in (*calls, *((one,) for one in junk), (b"x" * LINE_LIMIT, b"x" * 100_000, b"x\n")):
-            machine = OpsConnection({"readyz": lambda: Said(True, "ready", ("x", "END"))})
-            said = b"".join(map(machine.feed, parts)) or machine.ended()
+        for parts in (*calls, *((one,) for one in junk), (b"x" * MAX_LINE_BYTES, b"x" * 100_000, b"x\n")):
+            machine = AdminProtocol({"readyz": lambda: AdminReply(True, "ready", ("x", "END"))})
+            said = b"".join(map(machine.feed, parts)) or machine.feed_eof()
             with self.subTest(parts):
                 self.assertEqual(said == b"OK ready\nx\nEND\n", parts in calls)
                 self.assertTrue(parts in calls or (said.startswith(b"ERR ") and said.count(b"\n") == 1), said)
-        self.assertEqual(OpsConnection({}).feed(b"x" * LINE_LIMIT), b"")
+        self.assertEqual(AdminProtocol({}).feed(b"x" * MAX_LINE_BYTES), b"")
 
 
 class Door(Scenario):
@@ -33,8 +33,8 @@
         return {**super().document(), "ops": "127.0.0.1:0"}
 
     def dial(self, call: bytes = b"") -> socket.socket:
-        assert self.server.ops is not None
-        sock = socket.create_connection(self.server.ops.sock.getsockname(), 5.0)
+        assert self.server.admin_listener is not None
+        sock = socket.create_connection(self.server.admin_listener.sock.getsockname(), 5.0)
         self.addCleanup(sock.close)
         sock.sendall(call)
         return sock
@@ -81,9 +81,9 @@
             self.addCleanup(sock.close)
             sock.send(b"GET /api/k1 HTTP/1.1\r\n")
         self.assertEqual(self.says("readyz"), "OK ready\n")
-        assert self.server.ops is not None
-        self.assertLessEqual(len(self.server.ops.callers), 12)
+        assert self.server.admin_listener is not None
+        self.assertLessEqual(len(self.server.admin_listener.connections), 12)
         self.wait(5_100)
-        self.assertEqual(len(self.server.ops.callers), 0)
+        self.assertEqual(len(self.server.admin_listener.connections), 0)
         self.play("router end")
         self.assertTrue(self.says("readyz").startswith("ERR ending"))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,11 +16,11 @@
 from unittest import mock
 
 from rosepick import logs
-from rosepick.core import transport_map
+from rosepick.core import endpoint_directory
 from rosepick.decisions import api
-from rosepick.net.loop import READ, Loop
+from rosepick.net.event_loop import READ, EventLoop
 from rosepick.settings import config
-from rosepick.settings.reader import Reader
+from rosepick.settings.reader import SettingsReader
 
 from .scenario import SETTINGS, target
 
@@ -38,7 +38,7 @@
 class Configuration(unittest.TestCase):
     def test_values(self) -> None:
         told = config.read(DOCUMENT)
-        self.assertEqual((told.seed, told.sockets, told.dial_timeout), (31, 256, 250.0))
+        self.assertEqual((told.seed, told.max_descriptors, told.connect_timeout_ms), (31, 256, 250.0))
         self.assertEqual(told.names.classes, {"read": 0, "set": 1})
 
     def test_what_is_wrong_is_one_plain_line(self) -> None:
@@ -73,15 +73,17 @@
 
 
 class Map(unittest.TestCase):
-    def take(self, map_: transport_map.TransportMap, whole: bool, *rows: object) -> transport_map.Change:
-        return map_.take(Reader({"rev": 2, "all": whole, "targets": list(rows)}, ""))
+    def take(
+        self, map_: endpoint_directory.EndpointDirectory, whole: bool, *rows: object
+    ) -> endpoint_directory.DirectoryUpdate:
+        return map_.apply_update(SettingsReader({"rev": 2, "all": whole, "targets": list(rows)}, ""))
 
     def test_members(self) -> None:
-        map_ = transport_map.TransportMap(config.read(DOCUMENT).names, unix_offset=5000.0)
+        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, unix_offset_ms=5000.0)
         change = self.take(map_, True, target("s1", 1), {**target("origin", 2), "boot_ms": 7000})
-        first, second = change.event.members
-        self.assertEqual((first.born, first.kind, second.born, second.kind), (0.0, 0, 2000.0, 1))
-        self.assertEqual(map_.hops[second.server].endpoint, ("127.0.0.1", 2))
+        first, second = change.event.endpoints
+        self.assertEqual((first.started_at, first.kind, second.started_at, second.kind), (0.0, 0, 2000.0, 1))
+        self.assertEqual(map_.endpoints[second.endpoint_id].address, ("127.0.0.1", 2))
 
     def test_retired_when_it_drains_leaves_restarts_or_moves(self) -> None:
         for row in (
@@ -90,64 +92,66 @@
             target("s1", 9),
             {**target("s1", 1), "boot_ms": 9},
         ):
-            map_ = transport_map.TransportMap(config.read(DOCUMENT).names, 0.0)
-            (member,) = self.take(map_, True, target("s1", 1)).event.members
-            self.assertEqual(self.take(map_, False, target("s1", 1)).retired, ())
-            self.assertEqual(self.take(map_, False, row).retired, (member.server,))
+            map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
+            (member,) = self.take(map_, True, target("s1", 1)).event.endpoints
+            self.assertEqual(self.take(map_, False, target("s1", 1)).retired_endpoint_ids, ())
+            self.assertEqual(self.take(map_, False, row).retired_endpoint_ids, (member.endpoint_id,))
 
     def test_numbers_that_collide(self) -> None:
-        map_ = transport_map.TransportMap(config.read(DOCUMENT).names, 0.0)
-        taken = transport_map.uid_number("s2")
-        map_.numbers["another"] = taken
-        (member,) = self.take(map_, False, target("s2", 1)).event.members
-        self.assertNotIn(member.server, (0, taken))
+        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
+        taken = endpoint_directory.hash_uid("s2")
+        map_.numbers_by_uid["another"] = taken
+        (member,) = self.take(map_, False, target("s2", 1)).event.endpoints
+        self.assertNotIn(member.endpoint_id, (0, taken))
 
     def test_number_is_never_the_one_for_none(self) -> None:
         """The module takes 0 for 'no server'; a crafted hash of 0 must not come through."""
-        with mock.patch.object(transport_map, "blake2b") as hashed:
+        with mock.patch.object(endpoint_directory, "blake2b") as hashed:
             hashed.return_value.digest.return_value = bytes(4)
-            self.assertEqual((transport_map.uid_number("a"), transport_map.key_number(b"a")), (1, 1))
+            self.assertEqual((endpoint_directory.hash_uid("a"), endpoint_directory.hash_key(b"a")), (1, 1))
 
     def test_malformed_list_changes_nothing(self) -> None:
-        map_ = transport_map.TransportMap(config.read(DOCUMENT).names, 0.0)
+        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
         self.take(map_, True, target("s1", 1))
         for row in ({}, target("s1", 1, "odd"), {**target("s2", 1), "endpoint": "x"}):
             with self.assertRaises(ValueError):
                 self.take(map_, True, row)
-        self.assertEqual([hop.uid for hop in map_.hops.values()], ["s1"])
-        self.assertIs(self.take(map_, False, target("s1", 1)).event.scope, api.Scope.DELTA)
+        self.assertEqual([hop.uid for hop in map_.endpoints.values()], ["s1"])
+        self.assertIs(self.take(map_, False, target("s1", 1)).event.scope, api.UpdateScope.DELTA)
 
 
 class Log(unittest.TestCase):
     def test_line(self) -> None:
-        record = logging.LogRecord("rosepick.net.pool", logging.INFO, "", 1, "closed", None, None)
+        record = logging.LogRecord("rosepick.net.upstream_pool", logging.INFO, "", 1, "closed", None, None)
         record.fields = {"ms": 1.25, "text": 'a "b"\n'}
         line = logs.KeyValueFormatter().format(record)
-        self.assertTrue(line.endswith(r'level=info part=net.pool event=closed ms=1.2 text="a \"b\"\n"'), line)
-        read = logs.fields_of(line)
-        self.assertEqual((read["part"], read["ms"], read["text"]), ("net.pool", "1.2", 'a "b"\n'))
+        self.assertTrue(
+            line.endswith(r'level=info part=net.upstream_pool event=closed ms=1.2 text="a \"b\"\n"'), line
+        )
+        read = logs.parse_log_fields(line)
+        self.assertEqual((read["part"], read["ms"], read["text"]), ("net.upstream_pool", "1.2", 'a "b"\n'))
 
     def test_storm(self) -> None:
         now = [0.0]
         stream = io.StringIO()
         handler = logging.StreamHandler(stream)
         handler.setFormatter(logs.KeyValueFormatter())
-        handler.addFilter(logs.StormFilter(lambda: now[0]))
+        handler.addFilter(logs.LogRateLimiter(lambda: now[0]))
         log = logging.Logger("rosepick.storm")
         log.addHandler(handler)
         for _ in range(50):
-            logs.say(log, logging.INFO, "same")
+            logs.log_event(log, logging.INFO, "same")
         now[0] = 11.0
-        logs.say(log, logging.INFO, "same")
+        logs.log_event(log, logging.INFO, "same")
         lines = stream.getvalue().splitlines()
-        self.assertEqual(len(lines), logs.STORM_LINES + 1)
+        self.assertEqual(len(lines), logs.MAX_LINES_PER_EVENT + 1)
         self.assertIn("held_back=30", lines[-1])
 
 
 class Loops(unittest.TestCase):
     def test_timer_does_not_wait_behind_a_batch_of_reads(self) -> None:
         now, said = [1.0], list[str]()
-        loop = Loop(lambda: now[0])
+        loop = EventLoop(lambda: now[0])
         pairs = [socket.socketpair() for _ in range(3)]
 
         def ready(mask: int) -> None:
@@ -156,8 +160,8 @@
 
         for near, far in pairs:
             far.send(b"x")
-            loop.watch(near, READ, ready)
-        loop.at(1015.0, lambda: said.append("timer"))
+            loop.register(near, READ, ready)
+        loop.call_at(1015.0, lambda: said.append("timer"))
         loop.step(0)
         self.assertEqual(said, ["read", "read", "timer", "read"])
         for pair in pairs:
@@ -166,10 +170,10 @@
 
     def test_order_at_one_time_and_cancelled(self) -> None:
         now, said = [1.0], list[str]()
-        loop = Loop(lambda: now[0])
-        loop.at(900.0, lambda: said.append("later"))
-        loop.at(900.0, lambda: said.append("first"), first=True)
-        loop.at(900.0, lambda: said.append("never")).cancel()
+        loop = EventLoop(lambda: now[0])
+        loop.call_at(900.0, lambda: said.append("later"))
+        loop.call_at(900.0, lambda: said.append("first"), run_first=True)
+        loop.call_at(900.0, lambda: said.append("never")).cancel()
         loop.step(0)
         self.assertEqual(said, ["first", "later"])
 
@@ -182,7 +186,10 @@
         self.assertEqual(done.returncode, 0, done.stderr)
 
     def test_invariants_are_counted_in_release_and_asserted_in_debug_builds(self) -> None:
-        code = "from rosepick.core.invariants import *; holds(False, 'x'); print(broken['x'])"
+        code = (
+            "from rosepick.core.invariants import *; "
+            "check_invariant(False, 'x'); print(violation_counts['x'])"
+        )
         self.assertEqual(self.python("-O", "-c", code).stdout, "1\n")
         self.assertIn("AssertionError: x", self.python("-c", code).stderr)
 
@@ -202,7 +209,7 @@
                 assert process.stderr is not None
                 line = process.stderr.readline()
                 self.assertIn("event=serving", line)
-                host, port = config.address(line.split("listen=")[1].strip())
+                host, port = config.parse_address(line.split("listen=")[1].strip())
                 try:
                     with socket.create_connection((host, port)) as sock:
                         sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from unittest import mock
 
-from rosepick.decisions.api import Members, Scope
+from rosepick.decisions.api import EndpointUpdate, UpdateScope
 
 from .scenario import Scenario
 
@@ -16,16 +16,16 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.told: list[Scope] = []
+        self.told: list[UpdateScope] = []
         engine = self.server.engine
-        patch = mock.patch.object(engine, "map_told", side_effect=self.hear(engine.map_told))
+        patch = mock.patch.object(engine, "update_endpoints", side_effect=self.hear(engine.update_endpoints))
         patch.start()
         self.addCleanup(patch.stop)
 
-    def hear(self, told: Callable[[Members], None]) -> Callable[[Members], None]:
+    def hear(self, told: Callable[[EndpointUpdate], None]) -> Callable[[EndpointUpdate], None]:
         """Note what the module is told."""
 
-        def hear(event: Members) -> None:
+        def hear(event: EndpointUpdate) -> None:
             self.told.append(event.scope)
             told(event)
 
@@ -59,7 +59,7 @@
             e tell 8 s2=leaving
             e expect GET /v1/endpoints?after=8&wait_ms=2500
         """)
-        self.assertEqual(self.told, [Scope.DELTA, Scope.FULL, Scope.DELTA])
+        self.assertEqual(self.told, [UpdateScope.DELTA, UpdateScope.FULL, UpdateScope.DELTA])
 
     def test_the_held_list_and_what_is_in_hand_are_kept(self) -> None:
         self.following()
@@ -73,8 +73,8 @@
             {node} send 200 value
             c1 expect 200 value
         """)
-        self.assertEqual(len(self.server.map.hops), 3)
-        self.assertNotIn(Scope.FAILED, self.told)
+        self.assertEqual(len(self.server.endpoint_directory.endpoints), 3)
+        self.assertNotIn(UpdateScope.FAILED, self.told)
 
     def test_a_reload_before_the_first_call_and_another_at_once(self) -> None:
         self.moves()
@@ -87,14 +87,14 @@
             wait 1200
             e expect nothing
         """)
-        self.assertTrue(self.module().membership.following)
+        self.assertTrue(self.module().endpoints.is_subscribed)
 
     def test_a_new_discovery_that_refuses_has_failed_and_is_asked_again(self) -> None:
         self.following()
         self.play("e refuse")
         self.file["discovery"] = "127.0.0.1:1"
         self.play("router reload\nwait 20")
-        self.assertEqual(self.told[1:], [Scope.FAILED])
+        self.assertEqual(self.told[1:], [UpdateScope.FAILED])
 
     def test_the_same_discovery_is_followed_on(self) -> None:
         self.following()
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -12,12 +12,12 @@
 from typing import Any
 from unittest import mock
 
-from rosepick.connections.account import Why
+from rosepick.connections.connection_table import CloseReason
 from rosepick.net import accept_queue
 from rosepick.settings import operator_file
-from rosepick.settings.operator_file import Operators
+from rosepick.settings.operator_file import OperatorOptions
 
-from .scenario import Scenario, Wire
+from .scenario import Scenario, ScenarioConnection
 
 READY = "GET /ready"
 
@@ -27,13 +27,13 @@
 
     sockets = 128
 
-    def operators(self) -> Operators:
-        return Operators(operator_file.read(b"clients_hold 40", "rosepick.conf"))
+    def operators(self) -> OperatorOptions:
+        return OperatorOptions(operator_file.read(b"clients_hold 40", "rosepick.conf"))
 
     def ask(self, who: str, what: str = READY, source: str = "127.0.0.1") -> None:
         """A new client asks on a connection of its own."""
         sock = socket.create_connection(self.server.listener.sock.getsockname(), source_address=(source, 0))
-        self.wires[who] = [Wire(sock)]
+        self.wires[who] = [ScenarioConnection(sock)]
         self.play(f"{who} send {what}")
 
     def answered(self, who: str) -> bool:
@@ -47,7 +47,7 @@
 
     def keep_in_hand(self) -> None:
         """Requests get no answer from here on."""
-        for name in ("accept", "sender_gone"):
+        for name in ("accept", "handle_disconnect"):
             patch = mock.patch.object(self.server.engine, name)
             patch.start()
             self.addCleanup(patch.stop)
@@ -87,7 +87,7 @@
             self.assertEqual((began["may_hold"], began["by"]), (40, "answered"))
             self.play("wait 6000")
             self.assertGreater(self.fields(logs, "crowd_ended")["closed_answered"], 100)
-            self.server.listener.sum_up()
+            self.server.listener.log_summary()
             told = self.fields(logs, "connections")
         self.assertEqual(told["asks"], 200)
         self.assertEqual(
@@ -98,7 +98,9 @@
 
     def test_exactly_as_many_as_may_be_all_idle(self) -> None:
         """No event comes any more: a timer must act."""
-        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+        with mock.patch.object(
+            self.server.listener.policy, "should_close_after_response", return_value=False
+        ):
             self.assertEqual(self.fill(40, every=1.0), 40)
         self.assertEqual(self.held(), 40)
         self.play("wait 700")
@@ -108,14 +110,16 @@
 
     def test_one_with_unread_bytes_is_not_closed_and_is_answered(self) -> None:
         """A close for room must not cross a request that came already."""
-        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+        with mock.patch.object(
+            self.server.listener.policy, "should_close_after_response", return_value=False
+        ):
             self.fill(40, every=1.0)
         self.now += 0.15  # they have stood for a while; nothing ran meanwhile
         for wires in self.wires.values():
             for wire in wires:
                 wire.sock.send(b"GET /ready HTTP/1.1\r\nReq-Id: x\r\n\r\n")
-        self.server.listener._look()
-        self.assertEqual(self.server.listener.account.closed[Why.ROOM], 0)
+        self.server.listener._evict_connections()
+        self.assertEqual(self.server.listener.connection_table.closed_by_reason[CloseReason.CAPACITY], 0)
         self.step()
         self.assertEqual(sum(self.answered(name) for name in self.wires if name.startswith("h")), 40)
 
@@ -124,8 +128,8 @@
             c1 send GET /ready
             c1 expect 200
         """)
-        (link,) = self.server.listener.links
-        link.close(Why.ROOM)
+        (link,) = self.server.listener.connections
+        link.close(CloseReason.CAPACITY)
         with self.assertRaises(AssertionError):
             self.play("c1 send GET /api/k1 Req-Id=77\nc1 expect 200")
         self.wires["c1"].clear()
@@ -141,7 +145,7 @@
     def test_a_large_answer_that_ends_its_connection_is_read_slowly_and_whole(self) -> None:
         self.fill(100)
         size = 1024 * 1024
-        wire = Wire(socket.socket())
+        wire = ScenarioConnection(socket.socket())
         wire.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
         wire.sock.setblocking(True)
         wire.sock.connect(self.server.listener.sock.getsockname())
@@ -149,12 +153,14 @@
         self.wires["c1"] = [wire]
         with mock.patch.object(wire, "pull"):  # it reads nothing yet
             self.play("c1 send GET /api/big Req-Deadline=4.000\ns1 expect GET /api/big")
-            link = list(self.server.listener.links)[-1]
+            link = list(self.server.listener.connections)[-1]
             link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
-            with mock.patch.object(self.server.listener.policy, "last", return_value=True):
+            with mock.patch.object(
+                self.server.listener.policy, "should_close_after_response", return_value=True
+            ):
                 self.play("s1 send 200 " + "x" * size)
                 self.play("wait 300")
-        self.assertGreater(self.server.budget.held, 0)
+        self.assertGreater(self.server.budget.buffered_bytes, 0)
         for _ in range(2_000):
             self.step()
             if wire.ended:
@@ -183,24 +189,26 @@
                 self.wires[f"c{n}"].clear()
 
     def test_a_pool_that_reopens_at_once_is_left_alone(self) -> None:
-        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+        with mock.patch.object(
+            self.server.listener.policy, "should_close_after_response", return_value=False
+        ):
             self.assertEqual(self.fill(40, every=1.0), 40)
-        opened = self.server.listener.account.opened
+        opened = self.server.listener.connection_table.opened_total
         with self.assertLogs("rosepick", "INFO") as logs:
             for _ in range(30):
                 while self.held() < 40:
-                    self.wire(f"h-{self.server.listener.account.opened}")
+                    self.wire(f"h-{self.server.listener.connection_table.opened_total}")
                     self.step()
                 self.play("wait 100")
             self.fields(logs, "room_made_in_vain")
-        self.assertLess(self.server.listener.account.opened - opened, 40)
+        self.assertLess(self.server.listener.connection_table.opened_total - opened, 40)
 
 
 class Addresses(Crowd):
     sockets = 48 + 152
 
-    def operators(self) -> Operators:
-        return Operators(operator_file.read(b"clients_hold 38\ndoors_part 25", "rosepick.conf"))
+    def operators(self) -> OperatorOptions:
+        return OperatorOptions(operator_file.read(b"clients_hold 38\ndoors_part 25", "rosepick.conf"))
 
     def setUp(self) -> None:
         super().setUp()
@@ -210,19 +218,19 @@
         """All places are taken by requests in hand, so none can give way."""
         for n in range(38):
             self.ask(f"h{n}", f"GET /api/k{n} Req-Deadline=9.000", "127.0.0.2")
-        self.assertEqual(len(self.server.listener.links), 38)
+        self.assertEqual(len(self.server.listener.connections), 38)
         self.ask("c1", READY, "127.0.0.3")
         self.play("wait 60\nc1 expect 200")
         self.ask("h99", READY, "127.0.0.2")
         self.play("wait 60\nh99 expect closed")
-        self.assertEqual(self.server.listener.account.closed[Why.ADDRESS], 1)
+        self.assertEqual(self.server.listener.connection_table.closed_by_reason[CloseReason.ADDRESS_QUOTA], 1)
 
     def test_where_there_is_one_address_it_may_take_all(self) -> None:
         for n in range(60):
             self.ask(f"h{n}", f"GET /api/k{n} Req-Deadline=9.000")
         self.play("wait 200")
-        self.assertIn(len(self.server.listener.links), range(38, 38 + 9))
-        self.assertEqual(self.server.listener.account.closed, {})
+        self.assertIn(len(self.server.listener.connections), range(38, 38 + 9))
+        self.assertEqual(self.server.listener.connection_table.closed_by_reason, {})
 
 
 class Greedy(Crowd):
@@ -230,79 +238,85 @@
         self.ask("c1", READY, "127.0.0.3")
         self.play("c1 expect 200")
         self.keep_in_hand()
-        with mock.patch.object(self.server.listener, "_full", return_value=False):
+        with mock.patch.object(self.server.listener, "_is_at_limit", return_value=False):
             for n in range(39):
                 self.ask(f"h{n}", f"GET /api/k{n} Req-Deadline=9.000", "127.0.0.2")
         for n in range(50, 56):
             self.ask(f"h{n}", READY, "127.0.0.2")
             self.play("wait 60")
-        self.assertGreaterEqual(self.server.listener.account.closed[Why.ADDRESS], 5)
-        self.assertEqual(self.server.listener.account.closed[Why.NEED], 0)
+        self.assertGreaterEqual(
+            self.server.listener.connection_table.closed_by_reason[CloseReason.ADDRESS_QUOTA], 5
+        )
+        self.assertEqual(self.server.listener.connection_table.closed_by_reason[CloseReason.DESCRIPTORS], 0)
 
 
 class Budgets(Crowd):
     sockets = 400
 
-    def operators(self) -> Operators:
-        return Operators(operator_file.read(b"", "rosepick.conf"))
+    def operators(self) -> OperatorOptions:
+        return OperatorOptions(operator_file.read(b"", "rosepick.conf"))
 
     def test_descriptors_cut_under_load_and_given_back(self) -> None:
-        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+        with mock.patch.object(
+            self.server.listener.policy, "should_close_after_response", return_value=False
+        ):
             for n in range(100):
                 self.ask(f"h{n}")
                 self.answered(f"h{n}")
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
         self.file["limits"]["sockets"] = 100
         self.play("router reload")
-        self.assertGreater(len(self.server.listener.links), 90)  # no storm of closes
+        self.assertGreater(len(self.server.listener.connections), 90)  # no storm of closes
         self.play("wait 200\ns1 send 200 value\nc1 expect 200 value")  # what was in hand has its answer
         self.play("wait 3000")
-        self.assertEqual(self.server.budget.over(), 0)
+        self.assertEqual(self.server.budget.excess(), 0)
         self.keep_in_hand()
         for n in range(60):
             self.ask(f"n{n}", f"GET /api/n{n} Req-Deadline=20.000")
-        self.assertFalse(self.server.listener.watching)
-        taken = len(self.server.listener.links)
+        self.assertFalse(self.server.listener.is_accepting)
+        taken = len(self.server.listener.connections)
         self.file["limits"]["sockets"] = 400
         self.play("router reload")
         self.step()
-        self.assertGreater(len(self.server.listener.links), taken)  # at once
+        self.assertGreater(len(self.server.listener.connections), taken)  # at once
 
     def test_a_smaller_part_for_the_doors_applies_soon(self) -> None:
-        with mock.patch.object(self.server.listener.policy, "last", return_value=False):
+        with mock.patch.object(
+            self.server.listener.policy, "should_close_after_response", return_value=False
+        ):
             for n in range(150):
                 self.ask(f"h{n}")
                 self.answered(f"h{n}")
-        self.server.operators.reread = lambda: operator_file.read(b"doors_part 10", "rosepick.conf")
+        self.server.operator_settings.reload = lambda: operator_file.read(b"doors_part 10", "rosepick.conf")
         self.play("router reload")
-        self.assertGreater(len(self.server.listener.links), 140)
+        self.assertGreater(len(self.server.listener.connections), 140)
         self.ask("c1")
         self.play("wait 2000\nc1 expect 200")
-        self.assertLessEqual(len(self.server.listener.links), 36)
+        self.assertLessEqual(len(self.server.listener.connections), 36)
 
     def test_what_is_over_a_lowered_limit_is_freed_by_whoever_can(self) -> None:
         with (
-            mock.patch.object(self.server.listener.policy, "excess", return_value=3),
-            mock.patch.object(self.server.budget, "free_one", side_effect=[True, True, False]) as freed,
+            mock.patch.object(self.server.listener.policy, "excess_descriptors", return_value=3),
+            mock.patch.object(self.server.budget, "reclaim_one", side_effect=[True, True, False]) as freed,
         ):
-            self.server.listener._look()
+            self.server.listener._evict_connections()
         self.assertEqual(freed.call_count, 3)
 
     def test_settings_of_connections_apply_on_sighup(self) -> None:
         lines = b"idle_timeout 1\nsilent_timeout 0.5\naccept_queue 7\nclients_hold 30"
         found = operator_file.read(lines, "rosepick.conf")
-        self.server.operators.reread = lambda: found
+        self.server.operator_settings.reload = lambda: found
         self.play("c1 send GET /ready\nc1 expect 200\nrouter reload")
         self.wire("c2")
         self.step()
         self.play("wait 700\nc2 expect closed\nwait 600\nc1 expect closed")
-        self.assertEqual(self.server.listener.policy.may_hold(), 30)
-        self.assertEqual(accept_queue.waiting(self.server.listener.sock), (0, 7))
+        self.assertEqual(self.server.listener.policy.capacity(), 30)
+        self.assertEqual(accept_queue.queue_length(self.server.listener.sock), (0, 7))
 
 
 class Slow(Crowd):
-    def operators(self) -> Operators:
-        return Operators(operator_file.read(b"silent_timeout 60", "rosepick.conf"))
+    def operators(self) -> OperatorOptions:
+        return OperatorOptions(operator_file.read(b"silent_timeout 60", "rosepick.conf"))
 
     def test_a_first_request_in_pieces_on_a_connection_that_was_opened_ahead(self) -> None:
         self.wire("c1")
@@ -316,7 +330,7 @@
         """)
 
     def test_one_that_has_ended_its_sending_does_not_keep_the_loop_awake(self) -> None:
-        wire = Wire(socket.socket())
+        wire = ScenarioConnection(socket.socket())
         wire.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
         wire.sock.setblocking(True)
         wire.sock.connect(self.server.listener.sock.getsockname())
@@ -324,13 +338,13 @@
         self.wires["c1"] = [wire]
         with mock.patch.object(wire, "pull"):
             self.play("c1 send GET /api/big Req-Deadline=4.000\ns1 expect GET /api/big")
-            (link,) = self.server.listener.links
+            (link,) = self.server.listener.connections
             link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
             self.play("s1 send 200 " + "x" * 1024 * 1024)
-            while not link.stream.unwritten():
+            while not link.stream.has_unwritten():
                 self.loop.step(0)
             self.play("c1 half-close")
-            with mock.patch.object(link, "_ended") as ended:
+            with mock.patch.object(link, "_on_end_of_input") as ended:
                 for _ in range(20):
                     self.loop.step(0)
         self.assertEqual(ended.call_count, 0)
@@ -339,7 +353,7 @@
             if wire.ended:
                 break
         self.assertEqual(len(wire.seen.partition(b"\r\n\r\n")[2]), 1024 * 1024)
-        self.assertEqual(len(self.server.listener.links), 0)
+        self.assertEqual(len(self.server.listener.connections), 0)
 
     def test_reasons_of_ends(self) -> None:
         self.play(r"""
@@ -351,7 +365,10 @@
             c2 expect 499
             wait 600
         """)
-        self.assertEqual(self.server.listener.account.closed, {Why.SLOW: 1, Why.CLIENT: 1})
+        self.assertEqual(
+            self.server.listener.connection_table.closed_by_reason,
+            {CloseReason.SLOW_CLIENT: 1, CloseReason.CLIENT_CLOSED: 1},
+        )
 
 
 class HalfRequests(Crowd):
@@ -361,16 +378,18 @@
         crowd = [f"c{n} raw GET /re; wait 5; " for n in range(100, 139)]
         slow, goes_on = r"c1 raw GET /ready HTTP/1.1\r\n; ", r"wait 100; c1 raw X: y\r\n; "
         full, ends = "".join(crowd) + slow, r"c1 raw \r\n; "
-        half = "listener.account.closed Counter"
+        half = "listener.connection_table.closed_by_reason Counter"
         self.each(
             {
                 "a true one gets in": f"{full}{goes_on * 8}c2 send GET /ready; wait 50; c2 expect 200; {ends}"
-                f"c1 expect 200; c100 expect closed; all holds {half}({{<Why.HALF: 'half'>: 1}})",
+                f"c1 expect 200; c100 expect closed; "
+                f"all holds {half}({{<CloseReason.STALLED_REQUEST: 'half'>: 1}})",
                 "SIGTERM ends in time": f"{full}{goes_on * 4}router end; {goes_on * 14}{ends}"
                 "c1 expect 503 Connection=close ending; c1 close; wait 1800; router ended",
                 "not while there is room": f"{''.join(crowd[:10])}wait 1500; c2 send GET /ready; "
                 "c2 expect 200; "
-                f"all holds {half}(); wait 1500; all holds listener.account.half OrderedDict()",
+                f"all holds {half}(); wait 1500; "
+                "all holds listener.connection_table.partial_requests OrderedDict()",
             }
         )
 
@@ -379,10 +398,12 @@
     def test_a_crowd_is_let_in_by_portions_between_which_timers_run(self) -> None:
         self.server.listener.pause()
         waiting = [socket.create_connection(self.server.listener.sock.getsockname()) for _ in range(39)]
-        self.assertEqual(accept_queue.waiting(self.server.listener.sock), (39, 1024))
+        self.assertEqual(accept_queue.queue_length(self.server.listener.sock), (39, 1024))
         seen: list[int] = []
         for n in range(5):
-            self.loop.at(self.now * 1000.0 + n, lambda: seen.append(len(self.server.listener.links)))
+            self.loop.call_at(
+                self.now * 1000.0 + n, lambda: seen.append(len(self.server.listener.connections))
+            )
         tick = iter(range(100_000))
 
         def clock() -> float:  # each look at the clock takes a tenth of a millisecond
@@ -390,7 +411,7 @@
 
         with mock.patch.object(self.loop, "_clock", clock):
             self.server.listener.start()
-            while len(self.server.listener.links) < 39:
+            while len(self.server.listener.connections) < 39:
                 self.loop.step(0)
         self.assertGreater(len([count for count in seen if 0 < count < 39]), 0)
         self.now += 1.0
@@ -410,11 +431,11 @@
                 self.assertEqual(accept_queue.overflows(path), count)
             self.assertIsNone(accept_queue.overflows(Path(folder) / "none"))
         with mock.patch.object(accept_queue, "overflows", side_effect=[1, 3, 3]):
-            self.server.listener._overflows = 1
+            self.server.listener._overflow_count = 1
             with self.assertLogs("rosepick", "INFO") as logs:
-                self.server.listener.sum_up()
-                self.server.listener.sum_up()
-                self.server.listener.sum_up()
+                self.server.listener.log_summary()
+                self.server.listener.log_summary()
+                self.server.listener.log_summary()
         told = [vars(r)["fields"] for r in logs.records if r.getMessage() == "accept_queue_overflowed"]
         said = [(line["machine"], line["door"], line["most"]) for line in told]
         self.assertEqual(said, [(2, "http", 1024)])
@@ -424,11 +445,11 @@
         for each request they are most of what grows.
         """
         self.play("c1 send GET /ready\nc1 expect 200")
-        (link,) = self.server.listener.links
-        watched: list[weakref.ref[Any]] = [weakref.ref(link), weakref.ref(link.machine)]
+        (link,) = self.server.listener.connections
+        watched: list[weakref.ref[Any]] = [weakref.ref(link), weakref.ref(link.protocol)]
         gc.disable()
         try:
-            link.close(Why.ROOM)
+            link.close(CloseReason.CAPACITY)
             del link
             self.play("wait 10")
             self.assertEqual([ref() for ref in watched], [None, None])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,15 +9,15 @@
 from rosepick.decisions import api
 from rosepick.decisions.api import Mode
 
-from .driver import Driver, fleet, settings
+from .driver import RandomEventDriver, fleet, settings
 
 USUAL = settings()
-NO_EXTRAS = api.Limits(3)
+NO_EXTRAS = api.RouterLimits(3)
 
-WORLDS: dict[str, tuple[api.Settings, list[api.Member], int]] = {
+WORLDS: dict[str, tuple[api.RouterSettings, list[api.Endpoint], int]] = {
     "aside": (USUAL, fleet(), 40),
     "through": (settings(mode=Mode.THROUGH, origin_kind=-1), fleet(origin=False), 40),
-    "one copy": (settings(limits=replace(USUAL.limits, second_copies=False)), fleet(), 40),
+    "one copy": (settings(limits=replace(USUAL.limits, allow_hedging=False)), fleet(), 40),
     "no tenants": (settings(tenants=()), fleet(), 40),
     "no keys": (settings(), fleet(), 0),
     "one zone": (settings(), fleet(zones=1), 40),
@@ -26,7 +26,7 @@
     "no origin listed": (settings(), fleet(origin=False), 40),
     "foreign zone": (settings(zone=17), fleet(), 40),
     "no probes, no peers, no cancel": (settings(limits=NO_EXTRAS, report_fields=()), fleet(), 40),
-    "one attempt": (settings(limits=api.Limits(1)), fleet(), 40),
+    "one attempt": (settings(limits=api.RouterLimits(1)), fleet(), 40),
     "automatic list": (settings(subscribe=False), fleet(), 40),
     "ordinary sizes": (settings(sized_weights=True), fleet(), 40),
     "zero worth": (settings(classes=(api.RequestClass(100, 400, worth=0.0),)), fleet(), 40),
@@ -37,17 +37,17 @@
 @pytest.mark.parametrize("world", WORLDS)
 def test_rules_hold_on_random_streams(world: str, seed: int) -> None:
     given, members, keys = WORLDS[world]
-    Driver(given, members, seed, keys).run()
+    RandomEventDriver(given, members, seed, keys).run()
 
 
 @pytest.mark.parametrize("world", ["aside", "through"])
 def test_rules_hold_under_a_flood(world: str) -> None:
     given, members, keys = WORLDS[world]
-    Driver(given, members, 99, keys).run(requests=1500, rate=1.0, churn=0.01)
+    RandomEventDriver(given, members, 99, keys).run(requests=1500, rate=1.0, churn=0.01)
 
 
 def test_same_events_same_actions() -> None:
-    first, second = Driver(USUAL, fleet(), 5), Driver(USUAL, fleet(), 5)
+    first, second = RandomEventDriver(USUAL, fleet(), 5), RandomEventDriver(USUAL, fleet(), 5)
     first.run()
     second.run()
     assert first.trace == second.trace
@@ -55,9 +55,9 @@
 
 def test_other_instances_change_nothing() -> None:
     """Instances share no state: one among others acts as one alone."""
-    alone = Driver(USUAL, fleet(), 5)
+    alone = RandomEventDriver(USUAL, fleet(), 5)
     alone.run()
-    crowd = [Driver(USUAL, fleet(), seed) for seed in (5, 6, 7)]
+    crowd = [RandomEventDriver(USUAL, fleet(), seed) for seed in (5, 6, 7)]
     for driver in crowd:
         driver.run()
     assert crowd[0].trace == alone.trace
@@ -65,9 +65,9 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_nothing_is_held_once_all_is_answered(seed: int) -> None:
-    driver = Driver(USUAL, fleet(), seed)
+    driver = RandomEventDriver(USUAL, fleet(), seed)
     driver.run()
-    assert not driver.router.jobs
-    assert not driver.router.fetching
-    assert all(server.out == 0 for server in driver.router.membership.servers.values())
-    assert driver.router.origin.out == 0
+    assert not driver.router.pending
+    assert not driver.router.fetch_leaders
+    assert all(server.in_flight == 0 for server in driver.router.endpoints.states.values())
+    assert driver.router.origin.in_flight == 0
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -9,8 +9,8 @@
 from unittest import mock
 
 from rosepick.decisions.api import Result
-from rosepick.http.next_hop import Exchange
-from rosepick.http.sender_side import Letter
+from rosepick.http.client_protocol import HttpExchange
+from rosepick.http.server_protocol import ForwardedRequest
 
 from .scenario import Scenario
 
@@ -140,7 +140,9 @@
         self.ends("close", "reset")
 
     def test_early_answer_to_a_request_not_yet_written(self) -> None:
-        exchange = Exchange(Letter(b"PUT", b"/api/k1", b"v", b"7", None, None), "origin", 1000.0)
+        exchange = HttpExchange(
+            ForwardedRequest(b"PUT", b"/api/k1", b"v", b"7", None, None), "origin", 1000.0
+        )
         verdict = exchange.feed(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
         assert verdict is not None
         self.assertEqual((verdict.result, verdict.reusable), (Result.CONNECT_FAILED, False))
@@ -159,7 +161,7 @@
             c1 expect nothing
         """)
         attempt = next(iter(self.server.pool.busy))
-        job = self.module().jobs[attempt.envelope.ref]
+        job = self.module().pending[attempt.request.ref]
         self.assertEqual(job.deadline, attempt.stop_at)
         self.play("""
             wait 60
@@ -236,7 +238,7 @@
             s1 expect closed
         """)
         self.assertEqual(self.server.engine.totals()["gone"], 1)
-        self.assertEqual(self.server.engine.owed, 0)
+        self.assertEqual(self.server.engine.pending_count, 0)
 
     def test_client_that_ends_its_sending_still_gets_a_whole_answer(self) -> None:
         self.play("""
@@ -280,8 +282,8 @@
             c1 raw {request * 3}
             c1 expect nothing
         """)
-        (link,) = self.server.listener.links
-        self.assertLess(len(link.machine._inbox), 9)
+        (link,) = self.server.listener.connections
+        self.assertLess(len(link.protocol._inbox), 9)
         self.play("s1 send 200 value\nc1 expect 200 value" + "\nc1 expect 200 ready" * 9)
 
     def test_continue_is_said_before_a_body_comes(self) -> None:
@@ -296,15 +298,15 @@
 
 class Faults(Scenario):
     def test_fault_of_the_module_over_a_request(self) -> None:
-        self.breaks(self.server.engine.router, "_request")
+        self.breaks(self.server.engine.router, "_accept_request")
         self.play("""
             c1 send GET /api/k1
             c1 expect 500
         """)
-        self.assertEqual((self.server.engine.counts["faults"], self.server.engine.owed), (1, 0))
+        self.assertEqual((self.server.engine.counts["faults"], self.server.engine.pending_count), (1, 0))
 
     def test_fault_over_a_delivery(self) -> None:
-        self.breaks(self.server.pool, "_idle_link")
+        self.breaks(self.server.pool, "_take_idle")
         self.play("""
             c1 send GET /api/k1
             c1 expect 503
@@ -323,7 +325,7 @@
             c1 expect 503
             s1 expect closed
         """)
-        self.assertEqual(self.loop.faults, 1)
+        self.assertEqual(self.loop.fault_count, 1)
 
     def test_module_that_forgets_a_request(self) -> None:
         patch = mock.patch.object(self.server.engine.router, "_finish")
@@ -472,7 +474,7 @@
     none = OSError(errno.EMFILE, "Too many open files")
 
     def test_accepting_goes_on_after_a_pause(self) -> None:
-        (door,) = self.server.listener.doors
+        (door,) = self.server.listener.listen_sockets
         door.sock = mock.Mock(wraps=door.sock)
         door.sock.accept.side_effect = chain([self.none], repeat(mock.DEFAULT))
         self.play("""
@@ -483,8 +485,8 @@
         """)
 
     def test_dial_without_a_descriptor_did_not_connect(self) -> None:
-        with mock.patch("rosepick.net.stream.socket.socket", side_effect=self.none):
-            self.server.pool._dial(next(iter(self.server.map.hops.values())))
+        with mock.patch("rosepick.net.tcp_stream.socket.socket", side_effect=self.none):
+            self.server.pool._dial(next(iter(self.server.endpoint_directory.endpoints.values())))
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -492,18 +494,18 @@
 
     def test_a_dial_that_came_up_while_the_loop_was_busy_is_used(self) -> None:
         pool = self.server.pool
-        hop = next(iter(self.server.map.hops.values()))
+        hop = next(iter(self.server.endpoint_directory.endpoints.values()))
         link = pool._dial(hop)
         assert link is not None
         link.attempt = mock.Mock(begin_by=float("inf"))
         for _ in range(200):
-            if link.stream.up():
+            if link.stream.is_connected():
                 break
             time.sleep(0.005)
-        with mock.patch.object(pool, "ended") as ended:
-            pool._dial_over(link)  # its time is over before the loop has looked at sockets
+        with mock.patch.object(pool, "finish_attempt") as ended:
+            pool._expire_connect(link)  # its time is over before the loop has looked at sockets
         ended.assert_not_called()
-        self.assertTrue(link.stream.open and not link.dialing)
+        self.assertTrue(link.stream.is_open and not link.is_connecting)
         link.attempt = None
         link.close()
 
@@ -514,9 +516,9 @@
             s1 send 404 ''
             origin expect GET /api/k1
         """)
-        hops = {hop.uid: hop for hop in self.server.map.hops.values()}
+        hops = {hop.uid: hop for hop in self.server.endpoint_directory.endpoints.values()}
         sock = socket.socket()
-        with mock.patch("rosepick.net.stream.socket.socket", side_effect=[self.none, sock]):
+        with mock.patch("rosepick.net.tcp_stream.socket.socket", side_effect=[self.none, sock]):
             link = self.server.pool._dial(hops["origin"])
         assert link is not None
         self.assertIs(link.stream.sock, sock)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -62,7 +62,7 @@
     nodes = ("s1", "origin")
 
     def read(self) -> config.Config:
-        return config.read(config.parse(json.dumps(self.file).encode()))
+        return config.read(config.parse_json(json.dumps(self.file).encode()))
 
     def told(self, *rows: dict[str, Any]) -> None:
         """A file with these classes comes."""
@@ -78,11 +78,11 @@
             "c2 send GET /api/k2 Req-Kind=log; s1 expect GET /api/k2; s1 send 200 new; c2 expect 200 new; "
             "c3 send GET /api/k3 Req-Kind=read; c3 expect 400"
         )
-        (open_one,) = self.module().jobs.values()
-        self.assertEqual(open_one.klass.aim, 600.0)
+        (open_one,) = self.module().pending.values()
+        self.assertEqual(open_one.klass.objective_ms, 600.0)
         self.wires["s1"][0].sock.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nv")
         self.play("c1 expect 200 v")
-        calls: Any = self.server.figures().document()["calls"]
+        calls: Any = self.server.telemetry().document()["calls"]
         served = {name: row["success"] for name, row in calls.items()}
         self.assertEqual(served, {"read": 1, "set": 0, "log": 1})
         self.assertEqual(self.server.config.names.classes, {"set": 1, "log": 2})
@@ -93,7 +93,7 @@
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
         self.file = put(self.file, "settings.limits.max_attempts", 1)
         self.told(*({**row, "effect": "fragile"} for row in SETTINGS["request_classes"]))
-        (open_one,) = self.module().jobs.values()
+        (open_one,) = self.module().pending.values()
         self.assertIs(open_one.klass.effect, Effect.RETRYABLE)
         ask = "c2 send GET /api/k9\ns1 expect GET /api/k9\ns1 send "
         self.play("s1 send 404 ''\norigin expect GET /api/k1\norigin send 200 value\nc1 expect 200 value")
@@ -101,7 +101,7 @@
 
     def test_each_bad_file_is_turned_down_whole_counted_and_named(self) -> None:
         usual, before = self.file, self.server.config
-        self.assertIsNone(self.server.ops)  # neither the file nor the environment names a door
+        self.assertIsNone(self.server.admin_listener)  # neither the file nor the environment names a door
         for number, (path, value) in enumerate(BAD, 1):
             self.file = put({**usual, "discovery": "127.0.0.1:1"}, path, value)
             with self.subTest(path, value=value), self.assertLogs("rosepick", "ERROR") as said:
@@ -111,13 +111,13 @@
             place = re.sub(r"\.\d", "", path.removeprefix("settings."))
             self.assertIn(place, re.sub(r"\[\d?\]", "", str(vars(line)["fields"]["text"])))
             self.assertIs(self.server.config, before)
-            self.assertEqual((self.server.reconfig_ok, self.server.reconfig_failed), (0, number))
+            self.assertEqual((self.server.reloads_succeeded, self.server.reloads_failed), (0, number))
         self.file = usual
         self.play("router reload\nrouter reload")
-        self.assertEqual(self.server.reconfig_ok, 2)
+        self.assertEqual(self.server.reloads_succeeded, 2)
 
     def test_a_file_that_is_cut_anywhere_is_none(self) -> None:
         whole = json.dumps(self.file).encode()
         for cut in range(len(whole)):
             with self.assertRaises(ValueError):
-                config.read(config.parse(whole[:cut]))
+                config.read(config.parse_json(whole[:cut]))
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -50,7 +50,7 @@
                 c{n} expect 200
                 wait 200
             """)
-        self.assertFalse(any(s.failing or s.out for s in router.membership.servers.values()))
+        self.assertFalse(any(s.ejected or s.in_flight for s in router.endpoints.states.values()))
         self.assertGreaterEqual(router.origin.limit, limit)
 
     def test_a_request_that_is_unfit_is_not_sent_again(self) -> None:
@@ -62,7 +62,7 @@
             origin expect nothing
         """)
         self.assertEqual(self.server.engine.counts["attempts"], 1)
-        self.assertIn(api.Result.UNFIT, api.NEVER_RAN)
+        self.assertIn(api.Result.INVALID, api.NEVER_RAN)
 
 
 class Good(Scenario):
@@ -110,7 +110,7 @@
                 wait 150
             """)
         self.assertGreaterEqual(router.origin.limit, limit)
-        self.assertFalse(any(s.failing for s in router.membership.servers.values()))
+        self.assertFalse(any(s.ejected for s in router.endpoints.states.values()))
 
     def test_connections_rest_while_next_hops_close_them_right_after_an_answer(self) -> None:
         read = """
@@ -152,10 +152,10 @@
             s1 send 200 {"x" * 400_000}
             c1 expect 200 {"x" * 400_000}
         """)
-        self.assertEqual(self.server.budget.held, 0)
+        self.assertEqual(self.server.budget.buffered_bytes, 0)
 
     def test_memory_for_them_is_bounded(self) -> None:
-        self.server.budget.most_held = 20_000
+        self.server.budget.max_buffered_bytes = 20_000
         self.play(rf"""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -163,7 +163,7 @@
             c1 expect 503
             s1 expect closed
         """)
-        self.assertEqual(self.server.budget.held, 0)
+        self.assertEqual(self.server.budget.buffered_bytes, 0)
 
     def test_nobody_waits_for_an_answer_that_is_not_read_after_its_deadline(self) -> None:
         with socket.socket() as sock:
@@ -171,7 +171,7 @@
             sock.connect(self.server.listener.sock.getsockname())
             head = "Req-Id: 7\r\nReq-Kind: read\r\nReq-Owner: beta\r\nReq-Deadline: 1\r\n"
             self.step()
-            (link,) = self.server.listener.links
+            (link,) = self.server.listener.connections
             link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             sock.sendall(f"GET /api/k1 HTTP/1.1\r\n{head}\r\n".encode())
             self.play(f"""
@@ -179,6 +179,8 @@
                 s1 send 200 {"x" * 1_000_000}
                 wait 9000
             """)
-            self.assertGreater(self.server.budget.held, 0)
+            self.assertGreater(self.server.budget.buffered_bytes, 0)
             self.play("wait 2000")
-            self.assertEqual((self.server.budget.held, len(self.server.listener.links)), (0, 0))
+            self.assertEqual(
+                (self.server.budget.buffered_bytes, len(self.server.listener.connections)), (0, 0)
+            )
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -15,15 +15,15 @@
 from unittest import mock
 
 from rosepick.cli import check
-from rosepick.logs import StormFilter
+from rosepick.logs import LogRateLimiter
 from rosepick.net.listener import Listener
-from rosepick.net.subject import Name, rfc4514
-from rosepick.net.tls import Framing
+from rosepick.net.peer_certificate import DistinguishedName, format_rfc4514
+from rosepick.net.tls import RecordFraming
 from rosepick.settings import operator_file
-from rosepick.settings.operator_file import Operators
+from rosepick.settings.operator_file import OperatorOptions
 
 from .certificates import Pair, make, serial_of
-from .scenario import Scenario, Wire
+from .scenario import Scenario, ScenarioConnection
 
 MIB = 1024 * 1024
 
@@ -93,7 +93,7 @@
         assert self.server.tls is not None
         # handshakes take no time here, unless a test says otherwise: the clock is the scenario's
         self.cpu = iter(lambda: 0.0, 1.0)
-        patch = mock.patch.object(self.server.tls.turns, "_cpu", lambda: next(self.cpu))
+        patch = mock.patch.object(self.server.tls.handshakes, "_cpu_clock", lambda: next(self.cpu))
         patch.start()
         self.addCleanup(patch.stop)
 
@@ -109,8 +109,8 @@
             "rosepick.conf",
         )
 
-    def operators(self) -> Operators:
-        return Operators(self.stated(), lambda: operator_file.usable(self.stated()))
+    def operators(self) -> OperatorOptions:
+        return OperatorOptions(self.stated(), lambda: operator_file.require_valid(self.stated()))
 
     def client(self, pair: Pair | None = None) -> ssl.SSLContext:
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
@@ -119,15 +119,15 @@
             context.load_cert_chain(pair.cert, pair.key)
         return context
 
-    def wire(self, who: str) -> Wire:
+    def wire(self, who: str) -> ScenarioConnection:
         if not self.wires.get(who) and who.startswith("c"):
             sock = socket.create_connection(self.address())
-            self.wires[who] = [Wire(TlsSock(sock, self.context))]  # type: ignore[arg-type]
+            self.wires[who] = [ScenarioConnection(TlsSock(sock, self.context))]  # type: ignore[arg-type]
         return super().wire(who)
 
     def address(self) -> tuple[str, int]:
         """The second door's."""
-        host, port = self.server.listener.doors[1].sock.getsockname()
+        host, port = self.server.listener.listen_sockets[1].sock.getsockname()
         return host, port
 
     def serial(self, who: str) -> str:
@@ -149,7 +149,7 @@
         self.hit()
         self.hit()
         self.play("c1 send GET /ready\nc1 expect 200 ready")
-        self.assertEqual(len(self.server.listener.links), 1)
+        self.assertEqual(len(self.server.listener.connections), 1)
 
     def test_both_doors_serve_and_share_open_ids(self) -> None:
         self.play("""
@@ -164,16 +164,16 @@
     def test_an_answer_of_1_mib_to_a_reader_that_is_slow(self) -> None:
         body = "x" * 60_000
         self.unread(body)
-        held = self.server.budget.held
+        held = self.server.budget.buffered_bytes
         self.assertGreater(held, 30_000)
         self.assertLess(held, 100_000)  # one piece is held twice, not the answer
         self.takes(MIB)
         self.play(f"c1 expect 200 {body}")
-        self.assertEqual(self.server.budget.held, 0)
+        self.assertEqual(self.server.budget.buffered_bytes, 0)
 
     def takes(self, size: int) -> None:
         """So much the system takes of the router before it is read."""
-        (link,) = self.server.listener.links
+        (link,) = self.server.listener.connections
         link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
     def unread(self, body: str) -> None:
@@ -189,8 +189,8 @@
         self.unread("x" * MIB)
         with mock.patch.object(self.wire("c1"), "pull"):
             self.play("wait 11000")
-        self.assertEqual(self.server.budget.held, 0)
-        self.assertFalse(self.server.listener.links)
+        self.assertEqual(self.server.budget.buffered_bytes, 0)
+        self.assertFalse(self.server.listener.connections)
 
     def test_requests_sent_ahead_in_one_record_are_all_answered(self) -> None:
         one = r"GET /ready HTTP/1.1\r\n\r\n"
@@ -275,7 +275,7 @@
         self.play("c1 send GET /ready\nc1 expect 200")
         self.wire("p999")
         self.step()
-        self.assertLessEqual(len(self.server.listener.links), cap)
+        self.assertLessEqual(len(self.server.listener.connections), cap)
         self.assertEqual(len(plain), cap - 1)
 
     def test_accepting_pauses_and_resumes_at_both_doors(self) -> None:
@@ -284,10 +284,10 @@
         self.wire("p1")
         self.wire("c1")
         self.step()
-        self.assertFalse(listener.links)
+        self.assertFalse(listener.connections)
         listener.start()
         self.step()
-        self.assertEqual(len(listener.links), 2)
+        self.assertEqual(len(listener.connections), 2)
 
 
 class Stalls(Encrypted):
@@ -295,7 +295,9 @@
 
     def raw(self, who: str, data: str) -> None:
         """Bytes as they are, not encrypted."""
-        self.wires[who] = self.wires.get(who) or [Wire(socket.create_connection(self.address()))]
+        self.wires[who] = self.wires.get(who) or [
+            ScenarioConnection(socket.create_connection(self.address()))
+        ]
         self.wires[who][0].sock.sendall(data.encode().decode("unicode_escape").encode("latin-1"))
         self.step()
 
@@ -326,12 +328,12 @@
     def test_frames_are_counted_however_they_are_cut(self) -> None:
         data = (b"\x17\x03\x03\x00\x03abc" + b"\x17\x03\x03\x00\x00") * 3
         for size in range(1, len(data)):
-            framing = Framing()
+            framing = RecordFraming()
             for at in range(0, len(data), size):
                 framing.feed(data[at : at + size])
-            self.assertFalse(framing.partial())
+            self.assertFalse(framing.has_partial_record())
             framing.feed(b"\x17")
-            self.assertTrue(framing.partial())
+            self.assertTrue(framing.has_partial_record())
 
 
 class Turns(Encrypted):
@@ -360,7 +362,7 @@
         for _ in range(10):
             self.step()
         assert self.server.tls is not None
-        queue = self.server.tls.turns.queue
+        queue = self.server.tls.handshakes.queue
         self.assertEqual(len(queue), 2)
         self.play("c2 close\nwait 200")
         self.assertEqual((len(queue), self.up()), (0, 3))
@@ -370,19 +372,19 @@
         self.wire("c1")
         self.step()
         sock = socket.create_connection(self.address())
-        self.wires["x1"] = [Wire(sock)]
+        self.wires["x1"] = [ScenarioConnection(sock)]
         sock.setblocking(True)
         sock.settimeout(0.2)
         with self.assertRaises(OSError):  # it is closed, or no more is read
             for _ in range(100):
                 sock.sendall(b"\x16\x03\x01\x40\x00" + b"x" * 16_384)
                 self.loop.step(0)
-        held = [link for link in self.server.listener.links if not link.stream.established()]
+        held = [link for link in self.server.listener.connections if not link.stream.is_established()]
         self.assertEqual(held, [])
 
     def up(self) -> int:
         """How many have shaken hands."""
-        return sum(getattr(link.stream, "_up", False) for link in self.server.listener.links)
+        return sum(getattr(link.stream, "_up", False) for link in self.server.listener.connections)
 
 
 class Certificates(Encrypted):
@@ -412,7 +414,7 @@
         with self.assertNoLogs("rosepick", "INFO"):
             tls = self.server.tls
             assert tls is not None
-            tls._turn()
+            tls._reload_periodically()
 
     def test_what_cannot_be_used_is_not_taken_and_the_old_pair_stays(self) -> None:
         cert, key = self.folder / "cert.pem", self.folder / "key.pem"
@@ -513,7 +515,7 @@
         self.is_refused(self.foreign, "certificate_verify_failed")
 
     def test_a_storm_keeps_every_subject(self) -> None:
-        storm = StormFilter(lambda: 0.0)
+        storm = LogRateLimiter(lambda: 0.0)
         for event, kept in (("client_verified", 100), ("rejected", 20)):
             record = logging.LogRecord("rosepick.net.tls", logging.INFO, "", 0, event, (), None)
             self.assertEqual(sum(storm.filter(record) for _ in range(100)), kept)
@@ -521,7 +523,7 @@
 
 class Subjects(unittest.TestCase):
     def test_rfc_4514(self) -> None:
-        cases: tuple[tuple[Name, str], ...] = (
+        cases: tuple[tuple[DistinguishedName, str], ...] = (
             ((), ""),
             (
                 ((("organizationName", "tokachi-power"),), (("commonName", "meter-gw-07"),)),
@@ -544,7 +546,7 @@
             (((("1.2.3", "x" * 200),),), "1.2.3=#0c81c8" + "78" * 200),
         )
         for name, text in cases:
-            self.assertEqual(rfc4514(name), text)
+            self.assertEqual(format_rfc4514(name), text)
 
 
 class Settings(unittest.TestCase):
@@ -575,7 +577,7 @@
 
             def faults(text: str) -> list[str]:
                 conf.write_text(text)
-                found, _ = check.check(conf, {"GW_CONFIG": str(config)})
+                found, _ = check.check_settings(conf, {"GW_CONFIG": str(config)})
                 return [line for line in found if not line.startswith("GW_CONFIG")]
 
             pair = f"tls_cert {a.cert}\ntls_key {a.key}\n"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,10 +16,10 @@
 
 from rosepick.decisions import api
 from rosepick.decisions.decide import Router
-from rosepick.net.seats import Seats, seats_in
+from rosepick.net.process_registry import ProcessRegistry, open_registry
 from rosepick.settings import config
-from rosepick.upgrade.knowledge import gather, teach
-from rosepick.upgrade.standing import Standing
+from rosepick.upgrade.process_share import ProcessShare
+from rosepick.upgrade.state_transfer import export_state, import_state
 
 from .scenario import SETTINGS, Scenario
 
@@ -29,13 +29,17 @@
 
 def router(served: int = 0) -> Router:
     """A module that knows three nodes and has served so many requests."""
-    made = Router(api.Settings(classes=(api.RequestClass(aim=600, deadline=1200),)), seed=1)
-    made.handle(0.0, api.Members(api.Scope.CACHED, tuple(api.Member(server=n) for n in (7, 8, 9))))
+    made = Router(api.RouterSettings(classes=(api.RequestClass(objective_ms=600, deadline_ms=1200),)), seed=1)
+    made.handle(
+        0.0, api.EndpointUpdate(api.UpdateScope.CACHED, tuple(api.Endpoint(endpoint_id=n) for n in (7, 8, 9)))
+    )
     for ref in range(1, served + 1):
-        request = api.Request(ref=ref, klass=0, time_left=1200, key=1 + ref % 50)
+        request = api.RequestArrived(ref=ref, class_index=0, time_left_ms=1200, key=1 + ref % 50)
         for action in made.handle(10.0 * ref, request):
             if isinstance(action, api.Send):
-                ok = api.Outcome(ref, 0, action.server, api.Result.OK, closed=True, lag=20.0)
+                ok = api.AttemptEnded(
+                    ref, 0, action.endpoint_id, api.Result.OK, closes_request=True, latency_ms=20.0
+                )
                 made.handle(10.0 * ref + 5.0, ok)
     return made
 
@@ -43,11 +47,13 @@
 class Parts(TestCase):
     def test_shares_of_descriptors_and_memory(self) -> None:
         for others, descriptors, memory in (((), 384, 80.0), ((10,), 350, 40.0), ((300,), 192, 40.0)):
-            standing = Standing(others)
-            self.assertEqual((standing.descriptors(384), standing.memory(80.0)), (descriptors, memory))
+            standing = ProcessShare(others)
+            self.assertEqual(
+                (standing.descriptor_share(384), standing.memory_share(80.0)), (descriptors, memory)
+            )
         for limit in (64, 256, 1024):
             for held in range(0, limit, 7):  # both hold to the limit, whatever each holds
-                other = Standing((held,)).descriptors(limit)
+                other = ProcessShare((held,)).descriptor_share(limit)
                 self.assertLessEqual(min(other, limit) + min(held, limit // 2), limit)
 
     def test_clients_are_taken_with_all_that_is_needed_or_when_nobody_else_is_there(self) -> None:
@@ -58,46 +64,48 @@
             ((9,), False, True, False),
             ((9,), True, True, True),
         ):
-            standing = Standing(others)
-            standing.listed, standing.heard = listed, heard
-            self.assertIs(standing.takes_clients(), takes)
-            self.assertEqual(standing.look(()), bool(others))
-            self.assertTrue(standing.takes_clients())
+            standing = ProcessShare(others)
+            standing.endpoint_list_received, standing.state_transfer_settled = listed, heard
+            self.assertIs(standing.may_accept_clients(), takes)
+            self.assertEqual(standing.update_others(()), bool(others))
+            self.assertTrue(standing.may_accept_clients())
 
     def test_seats_of_those_that_live_whatever_is_left_in_the_folder(self) -> None:
         code = (
-            "import sys; from pathlib import Path; from rosepick.net.seats import Seats; "
-            f"Seats(Path(sys.argv[1]), {LISTEN}).tell(9); print('x', flush=True); sys.stdin.read()"
+            "import sys; from pathlib import Path; "
+            "from rosepick.net.process_registry import ProcessRegistry; "
+            f"ProcessRegistry(Path(sys.argv[1]), {LISTEN}).publish_descriptor_count(9); "
+            "print('x', flush=True); sys.stdin.read()"
         )
         with tempfile.TemporaryDirectory() as name:
             for number, content in enumerate((b"", b"\xff", b"junk" * 1000)):
                 (Path(name) / f"rosepick-127-0-0-1-5000-{number}.seat").write_bytes(content)
             (Path(name) / "rosepick-127-0-0-1-5000-3.seat").mkdir()
-            one, two = Seats(Path(name), LISTEN), Seats(Path(name), LISTEN)
-            two.tell(70)
-            self.assertEqual((one.others(), two.others()), ((70,), (0,)))
+            one, two = ProcessRegistry(Path(name), LISTEN), ProcessRegistry(Path(name), LISTEN)
+            two.publish_descriptor_count(70)
+            self.assertEqual((one.other_descriptor_counts(), two.other_descriptor_counts()), ((70,), (0,)))
             two.close()
-            self.assertEqual(one.others(), ())
+            self.assertEqual(one.other_descriptor_counts(), ())
             with subprocess.Popen([sys.executable, "-c", code, name], stdin=-1, stdout=-1) as other:
                 assert other.stdout is not None
                 other.stdout.read(1)
-                self.assertEqual(one.others(), (9,))
+                self.assertEqual(one.other_descriptor_counts(), (9,))
                 other.kill()
-            self.assertEqual(one.others(), ())
+            self.assertEqual(one.other_descriptor_counts(), ())
             one.close()
-        self.assertEqual((seats_in({"TMPDIR": name}, LISTEN), seats_in({}, LISTEN)), (None, None))
+        self.assertEqual((open_registry({"TMPDIR": name}, LISTEN), open_registry({}, LISTEN)), (None, None))
 
     def test_a_router_that_was_taught_decides_as_its_teacher(self) -> None:
         teacher, pupil = router(199), router()
-        self.assertEqual(teach(pupil, gather(teacher, 5.0), 9.0), 50)
+        self.assertEqual(import_state(pupil, export_state(teacher, 5.0), 9.0), 50)
         for key in range(1, 60):
-            (one, _, heat), (two, _, other) = teacher.filter.touch(key), pupil.filter.touch(key)
+            (one, _, heat), (two, _, other) = teacher.popularity.touch(key), pupil.popularity.touch(key)
             self.assertEqual((one, round(heat, 4)), (two, round(other, 4)), key)
-        lags = [[server.lag for server in one.membership.servers.values()] for one in (teacher, pupil)]
+        lags = [[server.latency_ewma for server in one.endpoints.states.values()] for one in (teacher, pupil)]
         self.assertEqual(*lags)
 
     def test_a_document_that_is_cut_or_changed_is_turned_down_whole(self) -> None:
-        whole = gather(router(199), 5.0)
+        whole = export_state(router(199), 5.0)
         changes = (
             (b'"version": 1', b'"version": 2'),
             (b'"limit": ', b'"limit": -'),
@@ -110,8 +118,10 @@
         for document in (*cut, whole + b"x", *(whole.replace(old, new, 1) for old, new in changes)):
             pupil = router()
             with self.assertRaises(ValueError):
-                teach(pupil, document, 9.0)
-            self.assertEqual((len(pupil.filter.top), pupil.filter.reads, pupil.usual), (0, 0, 40.0))
+                import_state(pupil, document, 9.0)
+            self.assertEqual(
+                (len(pupil.popularity.top), pupil.popularity.reads, pupil.service_time), (0, 0, 40.0)
+            )
 
 
 class Shared(Scenario):
@@ -120,7 +130,7 @@
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.held = socket.create_server(("127.0.0.1", 0))
-        self.other = Seats(Path(folder.name), LISTEN)
+        self.other = ProcessRegistry(Path(folder.name), LISTEN)
         for cleanup in (folder.cleanup, self.held.close, self.other.close):
             self.addCleanup(cleanup)
         with mock.patch.dict(os.environ, {"TMPDIR": folder.name}):
@@ -130,12 +140,14 @@
         return {**super().document(), "listen": "127.0.0.1:5000"}
 
     def read(self) -> config.Config:
-        return config.around(super().read(), {"GW_LISTEN_FD": str(os.dup(self.held.fileno()))})
+        return config.apply_environment(super().read(), {"GW_LISTEN_FD": str(os.dup(self.held.fileno()))})
 
     def leaves(self, who: str, what: str) -> None:
         """A document of some age in milliseconds, or bytes that are none."""
         good = what != "junk"
-        self.other.leave(gather(router(199), 1000.0 * self.now - int(what)) if good else b"junk\n" * 9)
+        self.other.write_state(
+            export_state(router(199), 1000.0 * self.now - int(what)) if good else b"junk\n" * 9
+        )
         self.wait(60)
 
     def dies(self, who: str) -> None:
@@ -143,10 +155,10 @@
         self.wait(60)
 
     def says(self, who: str, word: str) -> None:
-        self.assertTrue(self.server._readyz().encode().startswith(word.encode()))
+        self.assertTrue(self.server._answer_readyz().encode().startswith(word.encode()))
 
     def knows(self, who: str, count: str) -> None:
-        self.assertEqual(list(self.module().filter.top), list(router(199).filter.top)[: int(count)])
+        self.assertEqual(list(self.module().popularity.top), list(router(199).popularity.top)[: int(count)])
 
     def queues(self, who: str) -> None:
         """A client connects and asks, and nobody accepts it."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -82,9 +82,9 @@
 
 
 def test_settings_are_read() -> None:
-    got = reader.settings(json.dumps(ENV).encode())
+    got = reader.parse_settings(json.dumps(ENV).encode())
     assert got.mode is api.Mode.ASIDE and got.origin_kind == 2 and got.subscribe
-    assert got.classes[0].aim == 300.0
+    assert got.classes[0].objective_ms == 300.0
 
 
 def test_shutdown_forgets_the_instance() -> None:
@@ -141,7 +141,7 @@
     def boom(self: object, event: object) -> None:
         raise KeyError("lost")
 
-    monkeypatch.setattr("rosepick.decisions.decide.Router._request", boom)
+    monkeypatch.setattr("rosepick.decisions.decide.Router._accept_request", boom)
     status, out = serve(batch(provision(), pool(), members(), work()))
     assert status == 1
     assert b"KeyError" in out and b"lost" in out and b".py:" in out
@@ -172,7 +172,7 @@
         api.Log("line"),
     ]
     for act in actions:
-        raw = wire.action(3, act)
+        raw = wire.encode_action(3, act)
         assert len(raw) == 5 + struct.unpack_from(">I", raw, 1)[0]
 
 
@@ -193,4 +193,4 @@
 )
 def test_invalid_setting_is_named(change: dict[str, object], name: str) -> None:
     with pytest.raises(ValueError, match=name.replace("[", r"\[").replace("]", r"\]")):
-        reader.settings(json.dumps(ENV | change).encode())
+        reader.parse_settings(json.dumps(ENV | change).encode())
