--- a/rosepick/connections/connection_table.py
+++ b/rosepick/connections/connection_table.py
@@ -64,18 +64,18 @@
     """One connection in the account. `driver` is the driver's; the account never looks at it."""
 
     __slots__ = (
-        "request_count",
-        "request_started_at",
+        "close_reason",
+        "driver",
+        "is_reuse_sample",
         "listener_name",
         "opened_at",
-        "driver",
         "peer",
         "ready_at",
-        "is_reuse_sample",
-        "state_since",
-        "state",
         "recent_statuses",
-        "close_reason",
+        "request_count",
+        "request_started_at",
+        "state",
+        "state_since",
     )
 
     def __init__(self, driver: object, listener_name: str, peer: str, opened_at: float) -> None:
--- a/rosepick/connections/idle_queue.py
+++ b/rosepick/connections/idle_queue.py
@@ -20,7 +20,7 @@
 class IdleQueue(Generic[T]):
     """The connections of one kind, the longest standing first."""
 
-    __slots__ = ("_requests", "_accrued_until", "_since", "_idle_ms")
+    __slots__ = ("_accrued_until", "_idle_ms", "_requests", "_since")
 
     def __init__(self, now: float) -> None:
         self._since: OrderedDict[T, float] = OrderedDict()
--- a/rosepick/lab/live/clients.py
+++ b/rosepick/lab/live/clients.py
@@ -30,18 +30,18 @@
     """A client's request with all its tries."""
 
     __slots__ = (
-        "_was_resent",
-        "_last_outcome",
         "_connection",
-        "_timer",
         "_current_try",
+        "_last_outcome",
+        "_timer",
+        "_was_resent",
+        "attempts_made",
         "clients",
+        "finished",
         "klass",
         "one_shot",
-        "finished",
         "request",
         "send_count",
-        "attempts_made",
     )
 
     def __init__(self, clients: LiveClients, request: ScheduledRequest, one_shot: bool) -> None:
--- a/rosepick/lab/model/cache_store.py
+++ b/rosepick/lab/model/cache_store.py
@@ -9,7 +9,7 @@
 class CacheStore:
     """LRU or FIFO by bytes; a value may be forgotten after a while."""
 
-    __slots__ = ("_entries", "_ttl_ms", "_is_lru", "capacity_bytes", "used_bytes")
+    __slots__ = ("_entries", "_is_lru", "_ttl_ms", "capacity_bytes", "used_bytes")
 
     def __init__(self, capacity_bytes: int, eviction: str = "lru", ttl_ms: float = 0.0) -> None:
         """So many bytes; `ttl_ms` in milliseconds, 0 for ever."""
--- a/rosepick/lab/model/machine.py
+++ b/rosepick/lab/model/machine.py
@@ -40,7 +40,7 @@
 class WorkItem:
     """One piece of work."""
 
-    __slots__ = ("done", "virtual_finish", "state", "work")
+    __slots__ = ("done", "state", "virtual_finish", "work")
 
     def __init__(self, work: float, done: WorkCallback) -> None:
         self.work, self.done = work, done
--- a/rosepick/lab/model/simulated_router.py
+++ b/rosepick/lab/model/simulated_router.py
@@ -56,7 +56,7 @@
 class SimulatedExchange:
     """One delivery attempt on its way."""
 
-    __slots__ = ("node_request", "attempt", "connection", "node", "router", "sent")
+    __slots__ = ("attempt", "connection", "node", "node_request", "router", "sent")
 
     def __init__(self, router: SimulatedRouter, attempt: UpstreamAttempt, node: SimulatedNode) -> None:
         self.router, self.attempt, self.node = router, attempt, node
--- a/rosepick/lab/policies/__init__.py
+++ b/rosepick/lab/policies/__init__.py
@@ -12,7 +12,7 @@
 from .choices import LeastOutstanding, RandomChoice, RoundRobin, TwoChoices
 from .oracle import GroundTruth, Oracle
 
-__all__ = ["POLICIES", "REAL_POLICY", "Oracle", "BaselinePolicy", "GroundTruth", "create_decider"]
+__all__ = ["POLICIES", "REAL_POLICY", "BaselinePolicy", "GroundTruth", "Oracle", "create_decider"]
 
 REAL_POLICY = "rosepick"
 POLICIES: dict[str, Callable[[api.RouterSettings, int], BaselinePolicy]] = {
--- a/rosepick/net/tcp_stream.py
+++ b/rosepick/net/tcp_stream.py
@@ -35,14 +35,14 @@
 
     __slots__ = (
         "_budget",
-        "_loop",
         "_events",
-        "_pending",
+        "_loop",
         "_on_ready",
+        "_pending",
         "_urgent",
         "_use",
-        "last_write_at",
         "is_open",
+        "last_write_at",
         "sock",
     )
 
--- a/rosepick/net/tls.py
+++ b/rosepick/net/tls.py
@@ -118,15 +118,15 @@
     """A stream whose bytes are encrypted on the way."""
 
     __slots__ = (
-        "_handshake_begun",
         "_encrypted",
         "_framing",
+        "_handshake_begun",
+        "_handshake_turn",
+        "_handshakes",
         "_incoming",
         "_outgoing",
         "_peer_closed",
         "_ssl",
-        "_handshake_turn",
-        "_handshakes",
         "_up",
     )
 
