Decode the simulator's records by a table, and document the interface of decisions

Cause: decode_event was of complexity 13, record codes and flags stood as bare numbers, struct formats were written at each use, and docstrings of the events named things that no longer exist.

Change: each record has its decoder, codes are enumerations, forms are named; the host reads a frame in one function and asks the router in another; errors and docstrings in ordinary words. Messages to the simulator are as they were. In decisions/api.py docstrings only.

--- a/rosepick/decisions/__init__.py
+++ b/rosepick/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Every decision, and the events and actions it speaks in. No I/O, no clock; standard library only."""
+"""All routing decisions, with their events and actions. No I/O, no clock; standard library only."""
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -1,8 +1,8 @@
-"""The interface of rosepick: settings and events in, actions out.
+"""The interface of the decision module: settings and events in, actions out.
 
-A program that embeds the library makes one `rosepick.decide.Router` per router instance and calls
-`router.handle(now, event)` for everything that happens. Each call returns the actions to carry out, in order.
-Times are milliseconds on one clock that only goes forward. Nothing here knows a wire format.
+A program that embeds the library makes one `rosepick.decisions.decide.Router` per router instance and calls
+`router.handle(now, event)` for every event. Each call returns the actions to carry out, in order. Times are
+milliseconds on one monotonic clock. Nothing here depends on a wire format.
 """
 
 from __future__ import annotations
@@ -14,15 +14,15 @@
 
 
 class Effect(Enum):
-    """What a second execution of a request would do."""
+    """What a second execution of a request does."""
 
-    RETRYABLE = "retryable"  # harmless
-    DEDUP = "dedup"  # dropped by a group of servers for a window
-    FRAGILE = "fragile"  # a second effect: never repeat what may have run
+    RETRYABLE = "retryable"  # nothing: a retry is harmless
+    DEDUP = "dedup"  # dropped by a group of endpoints for `repeat_window_ms`
+    FRAGILE = "fragile"  # a second effect: never retry what may have run
 
 
 class Group(Enum):
-    """Which cache servers drop repeats of a `dedup` request."""
+    """The group of endpoints that drops repeats of a `DEDUP` request."""
 
     ALL = "all"
     ZONE = "zone"
@@ -30,14 +30,14 @@
 
 
 class Mode(Enum):
-    """Who fetches what a cache server lacks."""
+    """Who fetches from the origin on a cache miss."""
 
-    ASIDE = "aside"  # the router, from the origin member
-    THROUGH = "through"  # the cache server itself
+    ASIDE = "aside"  # the router
+    THROUGH = "through"  # the cache node itself
 
 
 class Status(IntEnum):
-    """State of a member as the server list tells it."""
+    """State of an endpoint by the endpoint list."""
 
     REMOVED = 0
     READY = 1
@@ -45,12 +45,12 @@
 
 
 class UpdateScope(Enum):
-    """What a `Members` event carries."""
+    """What an `EndpointUpdate` carries."""
 
-    CACHED = "cached"  # the whole list as last held, perhaps old
+    CACHED = "cached"  # the whole list as last known, perhaps old
     FULL = "full"  # the whole list
     DELTA = "delta"  # changed entries only
-    FAILED = "failed"  # a call failed or the subscription broke; the held list stands
+    FAILED = "failed"  # a call failed or the subscription broke; the last list stays valid
 
 
 class Result(Enum):
@@ -65,25 +65,25 @@
     CANCELLED = "cancelled"
     NEVER_SENT = "moot"
     MISS = "miss"
-    CONNECTION_LIMIT = "no_place"  # a new connection was turned away: says nothing of the load
-    INVALID = "unfit"  # the request itself was turned away: it would be anywhere
+    CONNECTION_LIMIT = "no_place"  # a new connection was refused; says nothing of the load
+    INVALID = "unfit"  # the request itself was rejected, as it would be by any endpoint
 
 
 class EndReason(Enum):
     """Why a request was not served."""
 
     UNSPECIFIED = ""
-    OVERLOADED = "crowded"  # this router has too much in hand
-    TOO_SLOW = "slow"  # an answer in time is not expected
-    NO_ENDPOINT = "nobody"  # no server can take it
-    QUEUE_TIMEOUT = "queue"  # it waited for its turn at the origin until too late
-    NO_ORIGIN = "no_origin"  # the list has none
+    OVERLOADED = "crowded"  # this router has too much in flight
+    TOO_SLOW = "slow"  # a response in time is not expected
+    NO_ENDPOINT = "nobody"  # no endpoint can take it
+    QUEUE_TIMEOUT = "queue"  # it was queued for the origin until too late
+    NO_ORIGIN = "no_origin"  # the endpoint list has none
     NOT_PERMITTED = "rules"  # it may not be sent (again)
-    BUDGET = "budget"  # an attempt did not serve it, and no retry is left ...
-    NO_TIME = "no_time"  # ... or no time for one
-    BODY_CONSUMED = "spent"  # its body cannot be sent again
+    BUDGET = "budget"  # an attempt failed, and the retry budget is spent
+    NO_TIME = "no_time"  # an attempt failed, and no time is left for another
+    BODY_CONSUMED = "spent"  # an attempt failed, and its body is no longer held
     DEADLINE = "deadline"
-    INVALID = "unfit"  # the request itself was turned away
+    INVALID = "unfit"  # the request itself was rejected
 
 
 NEVER_RAN = frozenset(
@@ -96,7 +96,7 @@
         Result.CONNECTION_LIMIT,
     }
 )
-"""Results which prove that the attempt had no effect."""
+"""Results that prove that the attempt had no effect."""
 
 
 def _require_in_range(name: str, value: float, low: float, high: float = float("inf")) -> None:
@@ -106,7 +106,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """What is known of a class of requests."""
+    """A class of requests: objective, deadline, worth and effect.
+
+    `late_share` is the share of the worth that is left between objective and deadline.
+
+    Raises:
+        ValueError: a value is out of range; the message names the setting.
+    """
 
     objective_ms: float
     deadline_ms: float
@@ -127,7 +133,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """A tenant's part of the service."""
+    """A tenant's share of the traffic, from 0 to 1, and quota."""
 
     share: float = 0.0
     quota_per_s: float = 0.0
@@ -139,7 +145,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingRules:
-    """Figures of the rules every decision keeps."""
+    """Parameters of the rules that every decision keeps; times in ms.
+
+    Raises:
+        ValueError: a value is out of range; the message names the setting.
+    """
 
     stop_sending_within: float = 1000.0
     grace_to_answer: float = 20.0
@@ -161,7 +171,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterLimits:
-    """What the site allows a router to do."""
+    """What a router is allowed to do.
+
+    Raises:
+        ValueError: a value is out of range; the message names the setting.
+    """
 
     max_attempts: int = 3
     allow_hedging: bool = False
@@ -177,7 +191,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterSettings:
-    """All that a router is given at its start."""
+    """The configuration of a router.
+
+    Raises:
+        ValueError: a value is missing or out of range; the message names the setting.
+    """
 
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...] = ()
@@ -188,7 +206,7 @@
     origin_fall_multiple: float = 0.0
     zone: int = 0
     subscribe: bool = False
-    pushed: bool = False  # subscribed to what is pushed all the same: told as soon as discovery has it
+    pushed: bool = False  # lists are pushed as soon as discovery has them, also where `subscribe` is set
     sized_weights: bool = False
     report_fields: tuple[str, ...] = ()
     routers: int = 1
@@ -216,7 +234,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """One entry of the server list."""
+    """One entry of the endpoint list; `started_at` is on the router's clock."""
 
     endpoint_id: int
     status: Status = Status.READY
@@ -229,7 +247,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointUpdate:
-    """What discovery tells about the servers."""
+    """An update of the endpoint list from discovery."""
 
     scope: UpdateScope
     endpoints: tuple[Endpoint, ...] = ()
@@ -238,7 +256,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A client's request; the router now owes one final answer within `time_left_ms`."""
+    """A request has arrived; the router owes one final answer within `time_left_ms`."""
 
     ref: int
     class_index: int
@@ -248,13 +266,14 @@
     is_write: bool = False
     is_retry: bool = False
     cost_hint: float | None = None
-    is_partial: bool = False  # its last byte has not come: `time_left` is provisional, `Whole` tells it
+    is_partial: bool = False  # the last byte is not there: `RequestCompleted` brings the real `time_left_ms`
 
 
 @dataclass(frozen=True, slots=True)
 class RequestCompleted:
-    """The last byte of a request that was coming is there; its time counts from here. An attempt under way
-    begins to run now.
+    """The last byte of a partial request has arrived.
+
+    Its time counts from here, and an attempt in flight begins to run now.
     """
 
     ref: int
@@ -263,7 +282,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FirstByte:
-    """A streamed answer has begun; the request belongs to the client from here on."""
+    """A streamed response has begun, which is the final answer of its request."""
 
     ref: int
     attempt: int
@@ -273,7 +292,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """The one result of an attempt."""
+    """The result of an attempt, reported once."""
 
     ref: int
     attempt: int
@@ -283,21 +302,22 @@
     cache_status: int = 0
     latency_ms: float = 0.0
     load_report: tuple[float, ...] = ()
-    malformed: bool = False  # with RESET: an answer came, so the server lives, but it was of no use
-    body_consumed: bool = False  # what was sent is not held any more: it cannot be sent again
+    malformed: bool = False  # with RESET: the response could not be read; a liveness signal all the same
+    body_consumed: bool = False  # the request body is no longer held: no retry
 
 
 @dataclass(frozen=True, slots=True)
 class ClientDisconnected:
-    """The client has left; nothing more is owed."""
+    """The client has disconnected; no final answer is owed."""
 
     ref: int
 
 
 @dataclass(frozen=True, slots=True)
 class Reconfigured:
-    """New settings, for what comes from here on. Places of classes and tenants mean what they meant before;
-    mode, zone, origin and the way of discovery stay.
+    """New settings, for requests that arrive from now on.
+
+    Indexes of classes and tenants keep their meaning; mode, zone, origin and kind of discovery stay.
     """
 
     settings: RouterSettings
@@ -305,14 +325,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
-    """A timer set earlier has fallen due."""
+    """A timer set by `SetTimer` is due."""
 
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeResult:
-    """The result of one probe."""
+    """The result of a probe."""
 
     endpoint_id: int
     result: Result
@@ -322,7 +342,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
-    """A message from another router of the tier."""
+    """A message from another router of the fleet."""
 
     peer_id: int
     payload: bytes = b""
@@ -346,17 +366,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; attempts of a request count up from 0."""
+    """Start an attempt; the attempts of a request are numbered from 0."""
 
     ref: int
     endpoint_id: int
     stop_at: float = 0.0
-    begin_by: float = float("inf")  # not to be begun later, as when its connection was long in coming up
+    begin_by: float = float("inf")  # not to be started later, as after a slow connect
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Final answer: turned away, trying again is harmless."""
+    """Final answer: refused; retrying is harmless."""
 
     ref: int
     retry_after_ms: float = 0.0
@@ -365,7 +385,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Final answer: failed, nothing is promised."""
+    """Final answer: failed; the request may have had an effect."""
 
     ref: int
     reason: EndReason = EndReason.UNSPECIFIED
@@ -373,7 +393,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """Stop waiting for one attempt."""
+    """Cancel one attempt."""
 
     ref: int
     attempt: int
@@ -381,7 +401,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Ask for a `Timer` event at or after a time."""
+    """Request a `TimerFired` event at or after a time."""
 
     token: int
     due_at: float
@@ -389,21 +409,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Query a server's health."""
+    """Probe the health of an endpoint."""
 
     endpoint_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class Watch:
-    """Subscribe to changes of the server list."""
+    """Subscribe to changes of the endpoint list, or unsubscribe."""
 
     enabled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class Log:
-    """A line for staff."""
+    """Write a line to the log for operators."""
 
     text: str
 
--- a/rosepick/simulator/__init__.py
+++ b/rosepick/simulator/__init__.py
@@ -1,1 +1,1 @@
-"""The decisions on the simulator's wire. Standard library only."""
+"""The decision module on the simulator's protocol. Standard library only."""
--- a/rosepick/simulator/host.py
+++ b/rosepick/simulator/host.py
@@ -1,7 +1,7 @@
-"""Hosts router instances on the simulator's wire: standard input in, standard output out.
+"""Hosts router instances on the simulator's protocol: standard input in, standard output out.
 
-No decisions are made here. Bad input ends the process with one plain line: as BROKEN where the instance
-is known, else on standard error; the exit status is then 1.
+No decisions are made here. Malformed input ends the process with exit status 1 and a message of one line: in
+a BROKEN record and on standard error where the instance is known, else on standard error only.
 """
 
 from __future__ import annotations
@@ -15,106 +15,139 @@
 from ..decisions.decide import Router
 from ..settings import reader
 from . import wire
+from .wire import InputCode, OutputCode
+
+_FRAME_LENGTH = struct.Struct(">I")
+MIN_BATCH_BYTES = 16  # the header of a batch
 
 
 class InstanceError(Exception):
-    """An instance cannot go on; carries the records to send."""
+    """An instance cannot continue; the message says why, in one line."""
 
-    def __init__(self, instance_id: int, line: str) -> None:
-        super().__init__(line)
+    def __init__(self, instance_id: int, reason: str) -> None:
+        super().__init__(reason)
         self.instance_id = instance_id
 
 
+class HostStoppedError(Exception):
+    """The process must end, after it has sent `last_reply`."""
+
+    def __init__(self, reason: str, last_reply: bytes) -> None:
+        super().__init__(reason)
+        self.last_reply = last_reply
+
+
 class SimulatorHost:
-    """All instances of one process."""
+    """All router instances of one process, and the endpoint lists that their events refer to."""
 
     def __init__(self) -> None:
         self.routers: dict[int, Router] = {}
-        self.endpoint_lists: dict[int, tuple[api.Endpoint, ...]] = {}
+        self.endpoint_lists: dict[int, wire.Endpoints] = {}
 
     def handle_batch(self, body: bytes) -> bytes:
-        """Answer one batch."""
-        count, now, number = wire.decode_batch_header(body)
-        out: list[bytes] = []
+        """Return the reply to one batch.
+
+        Raises:
+            HostStoppedError: an instance cannot continue.
+            wire.WireError: the batch is malformed and no instance is known.
+        """
+        header = wire.decode_batch_header(body)
+        replies: list[bytes] = []
         try:
-            for code, fields in wire.split_records(body, count):
-                self.handle_record(now, code, fields, out)
-        except InstanceError as problem:
-            out.append(wire.encode_text(25, problem.instance_id, str(problem)))
-            raise HostStoppedError(str(problem), wire.encode_reply(number, out)) from None
-        return wire.encode_reply(number, out)
+            for code, fields in wire.split_records(body, header.record_count):
+                self.handle_record(header.clock, code, fields, replies)
+        except InstanceError as error:
+            replies.append(wire.encode_text(OutputCode.BROKEN, error.instance_id, str(error)))
+            last_reply = wire.encode_reply(header.batch_number, replies)
+            raise HostStoppedError(str(error), last_reply) from None
+        return wire.encode_reply(header.batch_number, replies)
 
     def handle_record(self, now: float, code: int, fields: bytes, replies: list[bytes]) -> None:
-        """Hand one record to the instance it concerns."""
-        if code == wire.ENDPOINT_LIST:
-            number, members = wire.decode_endpoint_list(fields)
-            self.endpoint_lists[number] = members
+        """Apply one record, and append the records that answer it to `replies`.
+
+        Raises:
+            InstanceError: the record is not valid for its instance, or the decision module failed.
+            wire.WireError: the record is malformed and its instance is not known.
+        """
+        if code == InputCode.ENDPOINT_LIST:
+            list_number, endpoints = wire.decode_endpoint_list(fields)
+            self.endpoint_lists[list_number] = endpoints
             return
-        who = wire.decode_instance_id(fields)
+        instance_id = wire.decode_instance_id(fields)
         try:
-            if code == wire.PROVISION:
-                seed, env = wire.decode_provision(fields)
-                self.routers[who] = Router(reader.parse_settings(env), seed)
+            if code == InputCode.PROVISION:
+                seed, settings = wire.decode_provision(fields)
+                self.routers[instance_id] = Router(reader.parse_settings(settings), seed)
                 return
-            if code == wire.SHUTDOWN:
-                self.routers.pop(who, None)
+            if code == InputCode.SHUTDOWN:
+                self.routers.pop(instance_id, None)
                 return
-            happened = wire.decode_event(code, fields, self.endpoint_lists)
-        except (wire.WireError, ValueError) as problem:
-            raise InstanceError(who, str(problem)) from None
-        router = self.routers.get(who)
+            event = wire.decode_event(code, fields, self.endpoint_lists)
+        except (wire.WireError, ValueError) as error:
+            raise InstanceError(instance_id, str(error)) from None
+        router = self.routers.get(instance_id)
         if router is None:
-            raise InstanceError(who, f"record with code {code} for an instance that was never started")
-        try:
-            actions = router.handle(now, happened)
-        except Exception as problem:
-            last = traceback.extract_tb(problem.__traceback__)[-1]
-            place = f"{last.filename.rsplit('/', 1)[-1]}:{last.lineno}"
-            raise InstanceError(who, f"{type(problem).__name__}: {problem} at {place}") from None
-        replies.extend([wire.encode_action(who, act) for act in actions])
-
+            reason = f"record with code {code} for an instance that was never started"
+            raise InstanceError(instance_id, reason)
+        actions = _decide(instance_id, router, now, event)
+        replies.extend([wire.encode_action(instance_id, action) for action in actions])
 
-class HostStoppedError(Exception):
-    """The process must end after a last reply."""
 
-    def __init__(self, line: str, last_reply: bytes) -> None:
-        super().__init__(line)
-        self.last_reply = last_reply
+def _decide(instance_id: int, router: Router, now: float, event: api.Event) -> list[api.Action]:
+    """Pass one event to a router; a failure is reported with the place where it was raised."""
+    try:
+        return router.handle(now, event)
+    except Exception as error:
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        place = f"{frame.filename.rsplit('/', 1)[-1]}:{frame.lineno}"
+        raise InstanceError(instance_id, f"{type(error).__name__}: {error} at {place}") from None
 
 
 def read_exactly(source: BinaryIO, size: int) -> bytes:
-    """Read so many bytes, or fewer at the end of input."""
-    parts = bytearray()
-    while len(parts) < size:
-        part = source.read(size - len(parts))
+    """Read `size` bytes, or fewer at the end of input."""
+    received = bytearray()
+    while len(received) < size:
+        part = source.read(size - len(received))
         if not part:
             break
-        parts += part
-    return bytes(parts)
+        received += part
+    return bytes(received)
+
+
+def read_batch(source: BinaryIO) -> bytes | None:
+    """Read the batch of one frame; None at the end of input.
+
+    Raises:
+        wire.WireError: the input ends within a frame, or the batch is shorter than its header.
+    """
+    length = read_exactly(source, _FRAME_LENGTH.size)
+    if not length:
+        return None
+    if len(length) < _FRAME_LENGTH.size:
+        raise wire.WireError("input ends within the length of a batch")
+    (size,) = _FRAME_LENGTH.unpack(length)
+    if size < MIN_BATCH_BYTES:
+        raise wire.WireError(f"batch of {size} bytes is shorter than its header")
+    body = read_exactly(source, size)
+    if len(body) < size:
+        raise wire.WireError("input ends within a batch")
+    return body
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> int:
-    """Answer batches until the end of input; the exit status."""
+    """Answer batches until the end of input, and return the exit status."""
     host = SimulatorHost()
     try:
-        while head := read_exactly(source, 4):
-            if len(head) < 4:
-                raise wire.WireError("input ends within the length of a batch")
-            (size,) = struct.unpack(">I", head)
-            if size < 16:
-                raise wire.WireError(f"batch of {size} bytes is shorter than its header")
-            body = read_exactly(source, size)
-            if len(body) < size:
-                raise wire.WireError("input ends within a batch")
+        while (body := read_batch(source)) is not None:
             sink.write(host.handle_batch(body))
             sink.flush()
-    except HostStoppedError as stop:
-        sink.write(stop.last_reply)
+    except HostStoppedError as error:
+        sink.write(error.last_reply)
         sink.flush()
-        print(f"rosepick: {stop}", file=sys.stderr)
+        print(f"rosepick: {error}", file=sys.stderr)
         return 1
-    except wire.WireError as problem:
-        print(f"rosepick: {problem}", file=sys.stderr)
+    except wire.WireError as error:
+        print(f"rosepick: {error}", file=sys.stderr)
         return 1
     except BrokenPipeError:
         return 1
--- a/rosepick/simulator/wire.py
+++ b/rosepick/simulator/wire.py
@@ -1,22 +1,73 @@
-"""Codec of the simulator's wire: frames of binary records to `api` events, and actions to records.
+"""Codec of the simulator's protocol: binary records to `api` events, and `api` actions to records.
 
-Nothing is decided here. Everything malformed raises `WireError` with a message of one line.
+A frame is its length (4 bytes) and a batch: a header (number of records, clock in ms, number of the batch)
+and the records. A record is a code (1 byte), the length of its fields (4 bytes) and the fields. All numbers
+are big-endian. No decisions are made here.
 """
 
 from __future__ import annotations
 
 import math
 import struct
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Callable, Iterator, Mapping
+from enum import IntEnum
+from typing import Any, NamedTuple, TypeAlias
 
 from ..decisions import api
 
 
 class WireError(Exception):
-    """The input is not what the wire allows."""
+    """The input violates the protocol; the message says how, in one line."""
 
 
+class InputCode(IntEnum):
+    """Codes of the records that the simulator sends."""
+
+    PROVISION = 16
+    MEMBERS = 17
+    WORK_ITEM = 18
+    FIRST_BYTE = 19
+    ATTEMPT_ENDED = 20
+    CLIENT_GONE = 21
+    TIMER_DUE = 22
+    PROBE_RESULT = 23
+    PEER_MESSAGE = 24
+    SHUTDOWN = 25
+    ENDPOINT_LIST = 26
+
+
+class OutputCode(IntEnum):
+    """Codes of the records that the host sends."""
+
+    SEND = 16
+    REFUSE = 17
+    FAIL = 18
+    CANCEL = 19
+    SET_TIMER = 20
+    PROBE = 21
+    LOG = 24
+    BROKEN = 25
+    WATCH = 26
+
+
+class BatchHeader(NamedTuple):
+    """Header of a batch; `clock` in ms."""
+
+    record_count: int
+    clock: float
+    batch_number: int
+
+
+Endpoints: TypeAlias = tuple[api.Endpoint, ...]
+EndpointLists: TypeAlias = Mapping[int, Endpoints]
+
+MAX_TEXT_BYTES = 2_000
+
+# flags of a work item; plain numbers, as operations on `IntFlag` are slow
+_HAS_COST_HINT = 1
+_IS_RETRY = 2
+_IS_WRITE = 4
+
 _RESULTS = {
     200: api.Result.OK,
     500: api.Result.ERROR,
@@ -34,75 +85,195 @@
     2: api.UpdateScope.DELTA,
     4: api.UpdateScope.FULL,
 }
-_MEMBER_ROW = struct.Struct(">IfdBHHB")
+_STATUS_VALUES = frozenset(api.Status)
 _BATCH_HEADER = struct.Struct(">IdI")
 _RECORD_HEADER = struct.Struct(">BI")
-
-PROVISION, MEMBERS, WORK_ITEM, FIRST_BYTE, ATTEMPT_ENDED, CLIENT_GONE = 16, 17, 18, 19, 20, 21
-TIMER_DUE, PROBE_RESULT, PEER_MESSAGE, SHUTDOWN, ENDPOINT_LIST = 22, 23, 24, 25, 26
-
-
-def _unpack(fmt: str, body: bytes, at: int = 0) -> tuple[Any, ...]:
+_REPLY_HEADER = struct.Struct(">III")
+_INSTANCE_ID = struct.Struct(">I")
+_ENDPOINT_LIST_HEADER = struct.Struct(">HI")
+_ENDPOINT_ROW = struct.Struct(">IfdBHHB")
+_PROVISION_HEADER = struct.Struct(">IQI")
+_WORK_ITEM = struct.Struct(">IQIdQBHfd")
+_ATTEMPT_ENDED = struct.Struct(">IQIBBBHd")
+_TIMER_DUE = struct.Struct(">IQ")
+_PROBE_RESULT = struct.Struct(">IdHI")
+_MEMBERS = struct.Struct(">IHQB")
+_CLIENT_GONE = struct.Struct(">IQ")
+_FIRST_BYTE = struct.Struct(">IQBId")
+_LOAD_REPORT_HEADER = struct.Struct(">B")
+_PEER_MESSAGE_HEADER = struct.Struct(">IIH")
+
+
+def _unpack(form: struct.Struct, fields: bytes, offset: int = 0) -> tuple[Any, ...]:
     try:
-        return struct.unpack_from(fmt, body, at)
+        return form.unpack_from(fields, offset)
     except struct.error:
         raise WireError("record is shorter than its fields") from None
 
 
-def decode_batch_header(body: bytes) -> tuple[int, float, int]:
-    """Record count, clock and number of a batch."""
-    count, clock, number = _BATCH_HEADER.unpack_from(body)
-    if not math.isfinite(clock):
+# ----------------------------------------------------------------------------------------------- input
+
+
+def decode_batch_header(body: bytes) -> BatchHeader:
+    """Decode the header of a batch, which has at least 16 bytes.
+
+    Raises:
+        WireError: the clock is not a finite number.
+    """
+    header = BatchHeader(*_BATCH_HEADER.unpack_from(body))
+    if not math.isfinite(header.clock):
         raise WireError("clock of a batch is not a number")
-    return count, clock, number
+    return header
 
 
 def split_records(body: bytes, count: int) -> Iterator[tuple[int, bytes]]:
-    """Split a batch into (code, fields)."""
-    at = _BATCH_HEADER.size
+    """Yield the code and fields of each record of a batch.
+
+    Raises:
+        WireError: the batch and its number of records disagree.
+    """
+    offset = _BATCH_HEADER.size
     for _ in range(count):
-        if at + _RECORD_HEADER.size > len(body):
+        if offset + _RECORD_HEADER.size > len(body):
             raise WireError("batch ends within a record")
-        code, size = _RECORD_HEADER.unpack_from(body, at)
-        at += _RECORD_HEADER.size
-        if at + size > len(body):
+        code, size = _RECORD_HEADER.unpack_from(body, offset)
+        offset += _RECORD_HEADER.size
+        if offset + size > len(body):
             raise WireError("batch ends within a record")
-        yield code, body[at : at + size]
-        at += size
-    if at != len(body):
+        yield code, body[offset : offset + size]
+        offset += size
+    if offset != len(body):
         raise WireError("batch holds more bytes than its records")
 
 
-def decode_endpoint_list(fields: bytes) -> tuple[int, tuple[api.Endpoint, ...]]:
-    """Number and entries of a POOL record."""
-    number, size = _unpack(">HI", fields)
-    if len(fields) != 6 + size * _MEMBER_ROW.size:
+def decode_endpoint_list(fields: bytes) -> tuple[int, Endpoints]:
+    """Decode a POOL record: the number of an endpoint list, and its entries.
+
+    Raises:
+        WireError: the record is malformed or holds an unknown status.
+    """
+    list_number, count = _unpack(_ENDPOINT_LIST_HEADER, fields)
+    if len(fields) != _ENDPOINT_LIST_HEADER.size + count * _ENDPOINT_ROW.size:
         raise WireError("list record and its number of entries disagree")
-    out = []
-    for at in range(6, len(fields), _MEMBER_ROW.size):
-        server, weight, born, state, zone, cell, kind = _MEMBER_ROW.unpack_from(fields, at)
-        if state not in (0, 1, 2):
-            raise WireError(f"list entry has unknown state {state}")
-        out.append(api.Endpoint(server, api.Status(state), born, zone, cell, kind, weight))
-    return number, tuple(out)
+    endpoints = []
+    for row in _ENDPOINT_ROW.iter_unpack(fields[_ENDPOINT_LIST_HEADER.size :]):
+        endpoint_id, weight, started_at, status, zone, cell, kind = row
+        if status not in _STATUS_VALUES:
+            raise WireError(f"list entry has unknown state {status}")
+        endpoints.append(api.Endpoint(endpoint_id, api.Status(status), started_at, zone, cell, kind, weight))
+    return list_number, tuple(endpoints)
 
 
 def decode_instance_id(fields: bytes) -> int:
-    """The instance that a record concerns."""
-    return int(_unpack(">I", fields)[0])
+    """Decode the id of the instance that a record is for.
 
+    Raises:
+        WireError: the record is too short.
+    """
+    return int(_unpack(_INSTANCE_ID, fields)[0])
 
-def decode_provision(fields: bytes) -> tuple[int, bytes]:
-    """Seed and settings text of a PROVISION record."""
-    _, seed, size = _unpack(">IQI", fields)
-    if len(fields) != 16 + size:
-        raise WireError("PROVISION record and the length of its settings disagree")
-    return seed, fields[16:]
 
+def decode_provision(fields: bytes) -> tuple[int, bytes]:
+    """Decode a PROVISION record: the random seed and the settings in JSON.
 
-def _decode_report(fields: bytes, at: int) -> tuple[float, ...]:
-    (n,) = _unpack(">B", fields, at)
-    return _unpack(f">{n}f", fields, at + 1)
+    Raises:
+        WireError: the record and the length of its settings disagree.
+    """
+    _, seed, size = _unpack(_PROVISION_HEADER, fields)
+    if len(fields) != _PROVISION_HEADER.size + size:
+        raise WireError("PROVISION record and the length of its settings disagree")
+    return seed, fields[_PROVISION_HEADER.size :]
+
+
+def decode_event(code: int, fields: bytes, endpoint_lists: EndpointLists) -> api.Event:
+    """Decode the event of one instance; `endpoint_lists` are those defined so far, by number.
+
+    Raises:
+        WireError: the code is unknown, the record malformed, or it names an undefined list.
+    """
+    if code == InputCode.MEMBERS:
+        return _decode_members(fields, endpoint_lists)
+    decode = _EVENT_DECODERS.get(code)
+    if decode is None:
+        raise WireError(f"unknown record code {code}")
+    return decode(fields)
+
+
+def _decode_members(fields: bytes, endpoint_lists: EndpointLists) -> api.EndpointUpdate:
+    _, list_number, version, scope_code = _unpack(_MEMBERS, fields)
+    scope = _SCOPES.get(scope_code)
+    if scope is None:
+        raise WireError(f"MEMBERS record has unknown scope {scope_code}")
+    if scope is api.UpdateScope.FAILED:
+        return api.EndpointUpdate(scope, (), version)
+    if list_number not in endpoint_lists:
+        raise WireError(f"MEMBERS record points at list {list_number}, which was never defined")
+    return api.EndpointUpdate(scope, endpoint_lists[list_number], version)
+
+
+def _decode_work_item(fields: bytes) -> api.RequestArrived:
+    _, ref, tenant, hint, key, flags, klass, _size, time_left_ms = _unpack(_WORK_ITEM, fields)
+    return api.RequestArrived(
+        ref,
+        klass,
+        time_left_ms,
+        key,
+        tenant,
+        is_write=bool(flags & _IS_WRITE),
+        is_retry=bool(flags & _IS_RETRY),
+        cost_hint=hint if flags & _HAS_COST_HINT else None,
+    )
+
+
+def _decode_first_byte(fields: bytes) -> api.FirstByte:
+    _, ref, attempt, endpoint_id, latency_ms = _unpack(_FIRST_BYTE, fields)
+    return api.FirstByte(ref, attempt, endpoint_id, latency_ms)
+
+
+def _decode_attempt_ended(fields: bytes) -> api.AttemptEnded:
+    row = _unpack(_ATTEMPT_ENDED, fields)
+    _, ref, endpoint_id, cache_status, closes_request, attempt, result_code, latency_ms = row
+    return api.AttemptEnded(
+        ref,
+        attempt,
+        endpoint_id,
+        _decode_result(result_code),
+        bool(closes_request),
+        cache_status,
+        latency_ms,
+        _decode_load_report(fields, _ATTEMPT_ENDED.size),
+    )
+
+
+def _decode_client_gone(fields: bytes) -> api.ClientDisconnected:
+    _, ref = _unpack(_CLIENT_GONE, fields)
+    return api.ClientDisconnected(ref)
+
+
+def _decode_timer_due(fields: bytes) -> api.TimerFired:
+    _, token = _unpack(_TIMER_DUE, fields)
+    return api.TimerFired(token)
+
+
+def _decode_probe_result(fields: bytes) -> api.ProbeResult:
+    _, latency_ms, result_code, endpoint_id = _unpack(_PROBE_RESULT, fields)
+    result = _decode_result(result_code)
+    return api.ProbeResult(endpoint_id, result, latency_ms, _decode_load_report(fields, _PROBE_RESULT.size))
+
+
+def _decode_peer_message(fields: bytes) -> api.PeerMessage:
+    _, peer_id, size = _unpack(_PEER_MESSAGE_HEADER, fields)
+    if len(fields) != _PEER_MESSAGE_HEADER.size + size:
+        raise WireError("NOTE_FROM record and the length of its payload disagree")
+    return api.PeerMessage(peer_id, fields[_PEER_MESSAGE_HEADER.size :])
+
+
+def _decode_load_report(fields: bytes, offset: int) -> tuple[float, ...]:
+    (count,) = _unpack(_LOAD_REPORT_HEADER, fields, offset)
+    try:
+        return struct.unpack_from(f">{count}f", fields, offset + _LOAD_REPORT_HEADER.size)
+    except struct.error:
+        raise WireError("record is shorter than its fields") from None
 
 
 def _decode_result(code: int) -> api.Result:
@@ -112,73 +283,53 @@
         raise WireError(f"unknown outcome {code}") from None
 
 
-def decode_event(code: int, fields: bytes, endpoint_lists: dict[int, tuple[api.Endpoint, ...]]) -> api.Event:
-    """Decode the event of one instance."""
-    if code == WORK_ITEM:
-        _, ref, tenant, hint, key, bits, klass, _size, left = _unpack(">IQIdQBHfd", fields)
-        return api.RequestArrived(
-            ref, klass, left, key, tenant, bool(bits & 4), bool(bits & 2), hint if bits & 1 else None
-        )
-    if code == ATTEMPT_ENDED:
-        _, ref, server, note, closed, shot, ending, lag = _unpack(">IQIBBBHd", fields)
-        return api.AttemptEnded(
-            ref, shot, server, _decode_result(ending), bool(closed), note, lag, _decode_report(fields, 29)
-        )
-    if code == TIMER_DUE:
-        return api.TimerFired(_unpack(">IQ", fields)[1])
-    if code == PROBE_RESULT:
-        _, lag, ending, server = _unpack(">IdHI", fields)
-        return api.ProbeResult(server, _decode_result(ending), lag, _decode_report(fields, 18))
-    if code == MEMBERS:
-        _, number, version, scope = _unpack(">IHQB", fields)
-        if scope not in _SCOPES:
-            raise WireError(f"MEMBERS record has unknown scope {scope}")
-        if _SCOPES[scope] is api.UpdateScope.FAILED:
-            return api.EndpointUpdate(api.UpdateScope.FAILED, (), version)
-        if number not in endpoint_lists:
-            raise WireError(f"MEMBERS record points at list {number}, which was never defined")
-        return api.EndpointUpdate(_SCOPES[scope], endpoint_lists[number], version)
-    if code == CLIENT_GONE:
-        return api.ClientDisconnected(_unpack(">IQ", fields)[1])
-    if code == FIRST_BYTE:
-        _, ref, shot, server, lag = _unpack(">IQBId", fields)
-        return api.FirstByte(ref, shot, server, lag)
-    if code == PEER_MESSAGE:
-        _, peer, size = _unpack(">IIH", fields)
-        if len(fields) != 10 + size:
-            raise WireError("NOTE_FROM record and the length of its payload disagree")
-        return api.PeerMessage(peer, fields[10:])
-    raise WireError(f"unknown record code {code}")
-
-
-def encode_action(instance_id: int, action_event: api.Action) -> bytes:
-    """Encode one action of an instance."""
-    if isinstance(action_event, api.Send):
-        return struct.pack(
-            ">BIIQId", 16, 24, instance_id, action_event.ref, action_event.endpoint_id, action_event.stop_at
-        )
-    if isinstance(action_event, api.SetTimer):
-        return struct.pack(">BIIQd", 20, 20, instance_id, action_event.token, action_event.due_at)
-    if isinstance(action_event, api.Refuse):
-        return struct.pack(">BIIQd", 17, 20, instance_id, action_event.ref, action_event.retry_after_ms)
-    if isinstance(action_event, api.Fail):
-        return struct.pack(">BIIQ", 18, 12, instance_id, action_event.ref)
-    if isinstance(action_event, api.Cancel):
-        return struct.pack(">BIIQB", 19, 13, instance_id, action_event.ref, action_event.attempt)
-    if isinstance(action_event, api.Probe):
-        return struct.pack(">BIII", 21, 8, instance_id, action_event.endpoint_id)
-    if isinstance(action_event, api.Watch):
-        return struct.pack(">BIIB", 26, 5, instance_id, action_event.enabled)
-    return encode_text(24, instance_id, action_event.text)
-
-
-def encode_text(code: int, instance_id: int, line: str) -> bytes:
-    """A LOG (24) or BROKEN (25) record."""
-    body = line.encode("utf-8", "replace")[:2000]
-    return struct.pack(">BIIH", code, 6 + len(body), instance_id, len(body)) + body
+_EVENT_DECODERS: dict[int, Callable[[bytes], api.Event]] = {
+    InputCode.WORK_ITEM: _decode_work_item,
+    InputCode.FIRST_BYTE: _decode_first_byte,
+    InputCode.ATTEMPT_ENDED: _decode_attempt_ended,
+    InputCode.CLIENT_GONE: _decode_client_gone,
+    InputCode.TIMER_DUE: _decode_timer_due,
+    InputCode.PROBE_RESULT: _decode_probe_result,
+    InputCode.PEER_MESSAGE: _decode_peer_message,
+}
+
+# ---------------------------------------------------------------------------------------------- output
+
+
+def encode_action(instance_id: int, action: api.Action) -> bytes:
+    """Encode one action of an instance as a record."""
+    match action:
+        case api.Send(ref, endpoint_id, stop_at):
+            return _encode_record(OutputCode.SEND, ">IQId", instance_id, ref, endpoint_id, stop_at)
+        case api.SetTimer(token, due_at):
+            return _encode_record(OutputCode.SET_TIMER, ">IQd", instance_id, token, due_at)
+        case api.Refuse(ref, retry_after_ms):
+            return _encode_record(OutputCode.REFUSE, ">IQd", instance_id, ref, retry_after_ms)
+        case api.Fail(ref):
+            return _encode_record(OutputCode.FAIL, ">IQ", instance_id, ref)
+        case api.Cancel(ref, attempt):
+            return _encode_record(OutputCode.CANCEL, ">IQB", instance_id, ref, attempt)
+        case api.Probe(endpoint_id):
+            return _encode_record(OutputCode.PROBE, ">II", instance_id, endpoint_id)
+        case api.Watch(enabled):
+            return _encode_record(OutputCode.WATCH, ">IB", instance_id, enabled)
+        case api.Log(text):
+            return encode_text(OutputCode.LOG, instance_id, text)
+
+
+def encode_text(code: int, instance_id: int, text: str) -> bytes:
+    """Encode a record of text (`OutputCode.LOG` or `BROKEN`), cut at `MAX_TEXT_BYTES`."""
+    body = text.encode("utf-8", "replace")[:MAX_TEXT_BYTES]
+    return _encode_record(code, f">IH{len(body)}s", instance_id, len(body), body)
 
 
 def encode_reply(batch_number: int, records: list[bytes]) -> bytes:
-    """The frame that answers a batch."""
+    """Encode the frame that answers a batch."""
     body = b"".join(records)
-    return struct.pack(">III", 8 + len(body), len(records), batch_number) + body
+    # the length of a frame does not count its own four bytes
+    return _REPLY_HEADER.pack(_REPLY_HEADER.size - 4 + len(body), len(records), batch_number) + body
+
+
+def _encode_record(code: int, form: str, *values: float | bytes) -> bytes:
+    fields = struct.pack(form, *values)
+    return _RECORD_HEADER.pack(code, len(fields)) + fields
