--- a/tests/driver.py
+++ b/tests/driver.py
@@ -1,7 +1,7 @@
 """Drives a router with seeded random events and checks the four rules on every action.
 
-It is no model of a fleet: outcomes are drawn at random, including the rarest, so that every path of the
-decision code meets every result.
+It is not a model of a fleet: outcomes are drawn at random, including the rarest, so that every path of the
+decision module meets every result.
 """
 
 from __future__ import annotations
@@ -15,10 +15,15 @@
 from rosepick.decisions.decide import COLD_REMOTE_FACTOR, Router
 
 ORIGIN_KIND = 2
+ORIGIN_ID = 9000
+READ = api.RequestClass(objective_ms=300, deadline_ms=1000, worth=2)
+WRITE = api.RequestClass(
+    objective_ms=300, deadline_ms=1000, worth=5, effect=Effect.DEDUP, repeat_window_ms=900
+)
 
 
 def settings(**changes: object) -> api.RouterSettings:
-    """Settings with all effects, groups and a stream."""
+    """Return settings with all effects, groups and a streaming class."""
     base = api.RouterSettings(
         classes=(
             api.RequestClass(objective_ms=300, deadline_ms=1000, worth=2),
@@ -46,16 +51,30 @@
 
 
 def fleet(count: int = 9, zones: int = 3, origin: bool = True) -> list[api.Endpoint]:
-    """A list of servers, with an origin as its last entry."""
+    """Return an endpoint list, with an origin as its last entry."""
     members = [api.Endpoint(100 + 7 * n, zone=n % zones, cell=n % 4, kind=n % 2) for n in range(count)]
     if origin:
-        members.append(api.Endpoint(9000, zone=0, cell=0, kind=ORIGIN_KIND))
+        members.append(api.Endpoint(ORIGIN_ID, zone=0, cell=0, kind=ORIGIN_KIND))
     return members
 
 
+def create_router(**changes: object) -> Router:
+    """Return a router with classes `READ` and `WRITE` that has an endpoint list."""
+    config = settings(classes=(READ, WRITE), tenants=(), **changes)
+    router = Router(config, 1)
+    endpoints = tuple(fleet(origin=config.mode is Mode.ASIDE))
+    router.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED, endpoints))
+    return router
+
+
+def sends(actions: list[api.Action]) -> list[api.Send]:
+    """Return the sends among actions."""
+    return [action for action in actions if isinstance(action, api.Send)]
+
+
 @dataclass
 class TrackedRequest:
-    """What the checker knows of a request."""
+    """The history of a request, for the checks."""
 
     event: api.RequestArrived
     klass: api.RequestClass
@@ -67,19 +86,19 @@
 
 
 class RandomEventDriver:
-    """Random events in, actions checked."""
+    """Feeds a router with random events, and checks its actions."""
 
     def __init__(
-        self, given: api.RouterSettings, members: list[api.Endpoint], seed: int, keys: int = 40
+        self, config: api.RouterSettings, endpoints: list[api.Endpoint], seed: int, keys: int = 40
     ) -> None:
-        self.given = given
+        self.given = config
         self.rng = random.Random(seed)
-        self.router = Router(given, seed)
+        self.router = Router(config, seed)
         self.now = 1000.0
         self.heap: list[tuple[float, int, api.Event]] = []
         self.count = 0
-        self.members = {m.endpoint_id: m for m in members}
-        self.listed = {m.endpoint_id: m for m in members}
+        self.members = {m.endpoint_id: m for m in endpoints}
+        self.listed = {m.endpoint_id: m for m in endpoints}
         self.stopped: dict[int, float] = {}
         self.requests: dict[int, TrackedRequest] = {}
         self.keys = keys
@@ -88,12 +107,12 @@
         self.outcome_mix = "mixed"
 
     def schedule(self, when: float, event: api.Event) -> None:
-        """Plan an event."""
+        """Schedule an event."""
         self.count += 1
         heapq.heappush(self.heap, (max(when, self.now), self.count, event))
 
     def feed(self, event: api.Event) -> None:
-        """Give one event and check what comes out."""
+        """Feed one event to the router, and check the actions."""
         if isinstance(event, api.AttemptEnded):
             tracked = self.requests[event.ref]
             tracked.results[event.attempt] = event.result
@@ -117,7 +136,7 @@
             self.check(action)
 
     def check(self, action: api.Action) -> None:
-        """The four rules."""
+        """Check the four rules on one action."""
         if isinstance(action, api.Send):
             self.check_send(action)
         elif isinstance(action, api.Refuse | api.Fail):
@@ -195,7 +214,7 @@
             return
         every = [m for m in self.listed.values() if m.kind != self.given.origin_kind and warm(m)]
         near = [recent(m.endpoint_id) for m in every if m.zone == member.zone]
-        # where no neighbour is usable, which the driver cannot know, all warm ones are the measure
+        # where no neighbour is usable, which the driver cannot know, all warm endpoints count
         beside = [*near, *(COLD_REMOTE_FACTOR * recent(m.endpoint_id) for m in every)]
         grown = min(1.0, (self.now - member.started_at) / rules.warm_within)
         least = rules.cold_from + (1.0 - rules.cold_from) * grown
@@ -207,7 +226,7 @@
         roll, rng = self.rng.random(), self.rng
         tracked = self.requests[action.ref]
         good = {"calm": 0.97, "mixed": 0.6, "storm": 0.1}[self.outcome_mix]
-        lag = rng.random() * 120
+        latency_ms = rng.random() * 120
         if roll < good:
             origin = self.listed[action.endpoint_id].kind == ORIGIN_KIND
             miss = self.given.mode is Mode.ASIDE and not origin and rng.random() < 0.4
@@ -215,19 +234,19 @@
         else:
             result = rng.choice([r for r in Result if r not in (Result.OK, Result.MISS, Result.NEVER_SENT)])
             if result is Result.TIMEOUT:
-                lag = tracked.deadline - self.now
+                latency_ms = tracked.deadline - self.now
         report = tuple(rng.random() * 9 for _ in self.given.report_fields) if rng.random() < 0.5 else ()
         if tracked.klass.streaming and result is Result.OK and rng.random() < 0.5:
             tracked.closed = True  # bound to the client from here on
             tracked.answers += 1
             self.schedule(self.now, api.FirstByte(action.ref, attempt, action.endpoint_id, 1.0))
         event = api.AttemptEnded(
-            action.ref, attempt, action.endpoint_id, result, False, rng.randint(0, 2), lag, report
+            action.ref, attempt, action.endpoint_id, result, False, rng.randint(0, 2), latency_ms, report
         )
-        self.schedule(self.now + lag, event)
+        self.schedule(self.now + latency_ms, event)
 
     def run(self, requests: int = 300, rate: float = 12.0, churn: float = 0.05) -> None:
-        """Offer requests and shake the list."""
+        """Feed requests, and change the endpoint list at random."""
         self.feed(api.EndpointUpdate(UpdateScope.CACHED, tuple(self.members.values())))
         rng = self.rng
         for ref in range(1, requests + 1):
@@ -251,18 +270,18 @@
             assert tracked.answers == 1, f"request {tracked.event.ref} has {tracked.answers} final answers"
 
     def advance(self, until: float) -> None:
-        """Play planned events up to a time."""
+        """Feed scheduled events up to a time."""
         while self.heap and self.heap[0][0] <= until:
             self.now, _, event = heapq.heappop(self.heap)
             if isinstance(event, api.AttemptEnded) and event.attempt in self.requests[event.ref].results:
                 continue
             if isinstance(event, api.EndpointUpdate):
-                self.on_members(event)
+                self.record_update(event)
             self.feed(event)
         self.now = until
 
-    def on_members(self, event: api.EndpointUpdate) -> None:
-        """Keep what the router has been told."""
+    def record_update(self, event: api.EndpointUpdate) -> None:
+        """Record an endpoint list that the router has been sent."""
         if event.scope is UpdateScope.FAILED:
             return
         named = {m.endpoint_id for m in event.endpoints}
@@ -278,14 +297,14 @@
                     self.stopped.setdefault(server, self.now)
 
     def disturb_members(self) -> None:
-        """Change one entry of the list and tell it."""
+        """Change one entry of the list, and send the update."""
         server = self.rng.choice(sorted(self.members))
         member = self.members[server]
         state = self.rng.choice([Status.READY, Status.READY, Status.DRAINING, Status.REMOVED])
         born = self.now if state is Status.READY and self.rng.random() < 0.5 else member.started_at
         self.members[server] = replace(member, status=state, started_at=born)
         event = api.EndpointUpdate(UpdateScope.DELTA, (self.members[server],))
-        self.on_members(event)
+        self.record_update(event)
         self.feed(event)
         if state is Status.REMOVED:
             self.members[server] = replace(member, status=Status.READY, started_at=self.now)
--- /dev/null
+++ b/tests/test_endpoint_health.py
@@ -0,0 +1,260 @@
+"""Load, latency, ejection, probes and warm-up of endpoints, the endpoint list, and overdue attempts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from rosepick.decisions import api, decide
+from rosepick.decisions.api import Result, UpdateScope
+from rosepick.decisions.decide import Router
+
+from .driver import ORIGIN_ID, READ, WRITE, create_router, fleet, sends, settings
+
+
+def test_the_initial_limit_is_divided_among_the_routers() -> None:
+    few, many = create_router(routers=2), create_router(routers=20)
+    limits = [next(iter(r.endpoints.states.values())).concurrency_limit for r in (few, many)]
+    assert limits[0] > limits[1] >= decide.MIN_START_CONCURRENCY
+
+
+def test_one_load_report_does_not_scatter_keys() -> None:
+    server = decide.EndpointState(api.Endpoint(1), 0.0)
+    server.record_load_report(10.0, 20.0)
+    assert server.load(10.0) < 8
+    for n in range(20):
+        server.record_load_report(20.0 + n, 20.0)
+    assert server.load(40.0) > 15
+
+
+def test_expected_latency_is_not_dominated_by_idle_responses() -> None:
+    server = decide.EndpointState(api.Endpoint(1), 0.0)
+    for n in range(200):
+        busy = n % 2
+        server.record_latency(float(n), 400.0 if busy else 100.0, 9.0 if busy else 0.0)
+    server.in_flight = 9
+    assert server.expected_latency(200.0, 40.0) == pytest.approx(450.0, rel=0.3)
+
+
+def test_load_reports_alone_do_not_refuse() -> None:
+    server = decide.EndpointState(api.Endpoint(1), 0.0)
+    for n in range(50):
+        server.record_latency(float(n), 60.0, 0.0)
+    for n in range(50):
+        server.record_load_report(50.0 + n, 12.0)
+    assert server.expected_latency(100.0, 60.0) < 100.0
+    server.in_flight = 3
+    assert server.expected_latency(100.0, 60.0) > 300.0
+
+
+def test_a_slow_endpoint_is_not_taken_for_a_silent_one() -> None:
+    router = create_router()
+    router.popularity.touch(5)
+    server = sends(router.handle(10.0, api.RequestArrived(1, 0, 900.0, key=5)))[0].endpoint_id
+    router.handle(100.0, api.ProbeResult(server, Result.OK, 5.0))
+    job = router.pending[1]
+    assert not sends(router.handle(job.check_at, api.TimerFired(decide.CHECK_TIMER | 1)))
+    assert job.in_flight_count() == 1
+
+
+def test_an_overdue_request_moves_only_once_its_endpoint_is_ejected() -> None:
+    router = create_router()
+    router.popularity.touch(5)
+    first = sends(router.handle(10.0, api.RequestArrived(1, 0, 900.0, key=5)))[0].endpoint_id
+    job = router.pending[1]
+    assert not sends(
+        router.handle(job.overdue_at, api.TimerFired(decide.CHECK_TIMER | 1))
+    )  # one long wait proves nothing
+    server = router.endpoints.states[first]
+    while not server.ejected:
+        server.record_silence(job.overdue_at)
+    moved = sends(router.handle(job.overdue_at, api.TimerFired(decide.CHECK_TIMER | 1)))
+    assert len(moved) == 1 and moved[0].endpoint_id != first
+
+
+@pytest.mark.parametrize("write", [False, True])
+def test_an_attempt_that_many_later_ones_passed_is_abandoned(write: bool) -> None:
+    router, now = create_router(), 1000.0
+
+    def serve(ref: int, event: api.RequestArrived) -> None:
+        for action in sends(router.handle(now, event)):
+            router.handle(now + 1.0, api.AttemptEnded(ref, 0, action.endpoint_id, Result.OK, True, 1, 5.0))
+
+    hung = replace(api.RequestArrived(999, 0, 900.0, key=5), is_write=write)
+    for ref in range(1, 60):  # the usual latency is learned first
+        now += 5.0
+        serve(ref, replace(hung, ref=ref))
+    (first,) = sends(router.handle(now, hung))
+    for ref in range(100, 104):
+        now += 1.0
+        serve(ref, replace(hung, ref=ref))
+    cancels: list[api.Cancel] = []
+
+    def check_attempt(ref: int) -> None:
+        actions = router.handle(now, api.TimerFired(decide.CHECK_TIMER | ref))
+        cancels.extend(action for action in actions if isinstance(action, api.Cancel))
+
+    now += 90.0
+    check_attempt(999)
+    assert not cancels  # a few passed: it may be a long one
+    for ref in range(110, 117):
+        now += 1.0
+        serve(ref, replace(hung, ref=ref))
+    now += 90.0
+    check_attempt(999)
+    assert [cancel.ref for cancel in cancels] == [999]
+    router.handle(now, api.AttemptEnded(999, 0, first.endpoint_id, Result.CANCELLED))
+    assert len(router.pending[999].attempts) == 2
+
+
+def test_a_write_is_not_abandoned_where_it_could_not_be_retried() -> None:
+    """Outside its repeat window no attempt may follow: the one in flight is waited for."""
+    for window, is_abandoned in ((900.0, True), (120.0, False)):
+        config = settings(classes=(READ, replace(WRITE, repeat_window_ms=window)), tenants=())
+        router, now = Router(config, 1), 1000.0
+        router.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED, tuple(fleet())))
+        for ref in range(1, 60):
+            now += 5.0
+            for action in sends(router.handle(now, api.RequestArrived(ref, 1, 900.0, key=5, is_write=True))):
+                router.handle(
+                    now + 1.0, api.AttemptEnded(ref, 0, action.endpoint_id, Result.OK, True, 1, 5.0)
+                )
+        router.handle(now, api.RequestArrived(999, 1, 900.0, key=5, is_write=True))
+        for ref in range(100, 112):
+            now += 1.0
+            for action in sends(router.handle(now, api.RequestArrived(ref, 1, 900.0, key=5, is_write=True))):
+                router.handle(
+                    now + 1.0, api.AttemptEnded(ref, 0, action.endpoint_id, Result.OK, True, 1, 5.0)
+                )
+        actions = router.handle(now + 130.0, api.TimerFired(decide.CHECK_TIMER | 999))
+        assert (api.Cancel(999, 0) in actions) == is_abandoned
+
+
+@pytest.mark.parametrize("is_subscribed", [False, True])
+def test_a_silent_endpoint_is_ejected_and_probed(is_subscribed: bool) -> None:
+    router = create_router()
+    server = router.endpoints.states[100]
+    for n in range(decide.EJECT_AFTER_FAILURES):
+        server.record_silence(1000.0 + n)
+    assert server.ejected
+    actions = router.handle(2000.0, api.TimerFired(decide.TICK_TIMER))
+    assert api.Probe(100) in actions
+    router.endpoints.is_subscribed = is_subscribed
+    router.handle(5500.0, api.ProbeResult(100, Result.OK, 2.0))
+    assert not server.ejected
+    # without a subscription it may have restarted meanwhile: slots return slowly
+    assert (server.min_warm_share(5500.0) == 1.0) == is_subscribed
+
+
+def test_a_request_is_sent_although_all_endpoints_are_ejected() -> None:
+    router = create_router()
+    for server in router.endpoints.states.values():
+        for _ in range(decide.EJECT_AFTER_FAILURES):
+            server.record_silence(5.0)
+    assert len(sends(router.handle(10.0, api.RequestArrived(1, 0, 900.0, key=5)))) == 1
+
+
+def test_log_lines_are_few() -> None:
+    router = create_router()
+    lines: list[api.Action] = []
+    for n in range(40):
+        for server in router.endpoints.states.values():
+            server.ejected = False
+            router.actions = []
+            router.now = n * 100.0
+            for _ in range(decide.EJECT_AFTER_FAILURES):
+                router._record_silence(server)
+            lines += [action for action in router.actions if isinstance(action, api.Log)]
+    assert len(lines) == 1
+
+
+def test_a_cold_endpoint_gets_its_budget_and_no_more() -> None:
+    router = create_router()
+    cold = api.Endpoint(777, started_at=1000.0)
+    router.handle(1000.0, api.EndpointUpdate(UpdateScope.DELTA, (cold,)))
+    sent, now = 0, 1000.0
+    for ref in range(1, 400):
+        now += 4.0
+        for action in sends(router.handle(now, api.RequestArrived(ref, 0, 900.0, key=ref))):
+            sent += action.endpoint_id == 777
+            router.handle(now, api.AttemptEnded(action.ref, 0, action.endpoint_id, Result.OK, True, 1, 3.0))
+    warm = max(len(s.send_times) for s in router.endpoints.states.values() if s.id != 777)
+    assert sent <= 1 + warm * router.endpoints.states[777].min_warm_share(now) + 1
+
+
+def test_many_routers_take_turns_at_a_cold_endpoint() -> None:
+    sent_count = 0
+    for position in range(200):
+        router = create_router(routers=200, position=position)
+        router.handle(1000.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(777, started_at=1000.0),)))
+        server = router.endpoints.states[777]
+        router.endpoints.states[100].send_times.append(1000.0)  # little traffic, but some
+        for step in range(40):
+            router.now = 1000.0 + 50.0 * step
+            if router._has_cold_budget(server):
+                server.send_times.append(router.now)
+        sent_count += len(server.send_times)
+    warm = 200 / 3  # sends of all routers to a warm neighbour
+    # two draws lie within a span, each with its own
+    assert 0.2 * warm <= sent_count <= 2 * (decide.MIN_COLD_SENDS + 0.4 * warm)
+
+
+def test_a_zone_that_is_cold_as_a_whole_is_measured_by_all_warm_endpoints() -> None:
+    router = create_router(zone=0, cross_zone_cost=0.0)
+    endpoints = [replace(m, started_at=1000.0 if m.zone == 1 else 0.0) for m in fleet()]
+    router.handle(1000.0, api.EndpointUpdate(UpdateScope.FULL, tuple(endpoints)))
+    cold = [s for s in router.endpoints.states.values() if s.endpoint.zone == 1]
+    warm = [s for s in router.endpoints.states.values() if s.endpoint.zone != 1 and s.id != ORIGIN_ID]
+    for server in warm:
+        server.send_times.extend(1000.0 + n for n in range(100))
+    router.now = 1900.0
+    part = decide.COLD_REMOTE_FACTOR * cold[0].min_warm_share(router.now)
+    for server in cold:
+        sent_count = 0
+        while router._has_cold_budget(server):
+            server.send_times.append(router.now)
+            sent_count += 1
+        assert 100 * part <= sent_count <= 100 * part + 2
+    small = replace(cold[0].endpoint, weight=0.1)
+    cold[0].endpoint = small
+    cold[0].send_times.clear()
+    cold[0].send_times.extend([router.now] * int(20 * part + 2))
+    assert not router._has_cold_budget(cold[0])
+
+
+def test_calls_to_discovery_back_off_with_jitter() -> None:
+    times = []
+    for seed in (1, 2):
+        router = Router(replace(settings(), classes=(READ,)), seed)
+        router.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED, tuple(fleet())))
+        calls, now = [], 0.0
+        while now < 30_000:
+            now += 100.0
+            if any(isinstance(a, api.Watch) for a in router.handle(now, api.TimerFired(decide.TICK_TIMER))):
+                calls.append(now)
+                router.handle(now, api.EndpointUpdate(UpdateScope.FAILED))
+        gaps = [b - a for a, b in zip(calls, calls[1:], strict=False)]
+        assert all(0.5 * decide.FIRST_BACKOFF_MS <= gap <= decide.MAX_BACKOFF_MS + 100 for gap in gaps)
+        assert all(gap >= 0.5 * decide.MAX_BACKOFF_MS for gap in gaps[3:])
+        times.append(calls)
+    assert times[0] != times[1]
+
+
+def test_a_lost_response_of_discovery_is_requested_again() -> None:
+    router = create_router()
+    calls, now = 0, 0.0
+    while now < 25_000:
+        now += 100.0
+        calls += sum(isinstance(a, api.Watch) for a in router.handle(now, api.TimerFired(decide.TICK_TIMER)))
+    assert calls == 3
+
+
+def test_state_of_removed_endpoints_is_dropped() -> None:
+    router = create_router()
+    for n in range(200):
+        router.handle(10.0 * n, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(5000 + n),)))
+        router.handle(
+            10.0 * n + 5, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(5000 + n, api.Status.REMOVED),))
+        )
+    assert len(router.endpoints.states) <= len(fleet()) + 1
--- a/tests/test_spoilt.py
+++ b/tests/test_malformed_responses.py
@@ -1,4 +1,4 @@
-"""Next hops whose answers are spoilt, or bring more than is theirs."""
+"""Endpoints whose responses are malformed, cut short, large, or followed by surplus bytes."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from .scenario import Scenario
 
 OK = r"HTTP/1.1 200 OK\r\n"
-SPOILT = (
+MALFORMED_RESPONSES = (
     r"\x00\x01\x02noise\r\n\r\n",
     OK + r"Content-Length: -1\r\nContent-Length: 4\r\n\r\nabcd",
     OK + r"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nabcd",
@@ -21,30 +21,30 @@
 )
 
 
-class Spoilt(Scenario):
-    def test_is_a_failed_attempt_that_may_have_run_on_a_connection_of_no_more_use(self) -> None:
-        for n, answer in enumerate(SPOILT):
+class MalformedResponses(Scenario):
+    def test_fail_an_attempt_that_may_have_run_and_close_its_connection(self) -> None:
+        for n, response in enumerate(MALFORMED_RESPONSES):
             self.play(f"""
                 c{n} send GET /api/k1
                 s1 expect GET /api/k1
-                s1 raw {answer}
+                s1 raw {response}
                 c{n} expect 503
                 s1 expect closed
             """)
-        self.assertEqual(self.server.engine.counts["attempt_spoilt"], len(SPOILT))
+        self.assertEqual(self.server.engine.counts["attempt_spoilt"], len(MALFORMED_RESPONSES))
 
-    def test_says_nothing_against_a_healthy_next_hop_nor_the_origin(self) -> None:
+    def test_count_neither_against_an_endpoint_nor_the_origin(self) -> None:
         router = self.module()
         limit = router.origin.limit
         for n in range(4):
             self.play(f"""
                 c{n} send GET /api/k1
                 s1 expect GET /api/k1
-                s1 raw {SPOILT[0]}
+                s1 raw {MALFORMED_RESPONSES[0]}
                 c{n} expect 503
                 c{n} send PUT /api/k1 value Idempotency-Key=i{n}
                 origin expect PUT /api/k1
-                origin raw {SPOILT[0]}
+                origin raw {MALFORMED_RESPONSES[0]}
                 origin expect PUT /api/k1
                 origin send 200 done
                 c{n} expect 200
@@ -53,7 +53,7 @@
         self.assertFalse(any(s.ejected or s.in_flight for s in router.endpoints.states.values()))
         self.assertGreaterEqual(router.origin.limit, limit)
 
-    def test_a_request_that_is_unfit_is_not_sent_again(self) -> None:
+    def test_an_invalid_request_is_not_retried(self) -> None:
         self.play("""
             c1 send PUT /api/k1 value Idempotency-Key=i1
             origin expect PUT /api/k1
@@ -65,12 +65,12 @@
         self.assertIn(api.Result.INVALID, api.NEVER_RAN)
 
 
-class Good(Scenario):
-    def serves(self, answer: str, then: str = "") -> None:
+class ValidResponses(Scenario):
+    def check_served(self, response: str, then: str = "") -> None:
         self.play(f"""
             c1 send GET /api/k1
             s1 expect GET /api/k1
-            s1 raw {answer}
+            s1 raw {response}
             c1 expect 200 abcd
             {then}
             c1 send GET /api/k1
@@ -79,24 +79,24 @@
             c1 expect 200 value
         """)
 
-    def test_interim_answers_in_front(self) -> None:
+    def test_interim_responses_before(self) -> None:
         early = r"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-        self.serves(early + OK + r"Content-Length: 4\r\n\r\nabcd")
+        self.check_served(early + OK + r"Content-Length: 4\r\n\r\nabcd")
 
-    def test_a_second_copy_or_noise_behind_ends_the_connection(self) -> None:
+    def test_surplus_bytes_after_a_response_close_the_connection(self) -> None:
         good = OK + r"Content-Length: 4\r\n\r\nabcd"
         for surplus in (good, r"\x00noise"):
-            self.serves(good + surplus, "s1 expect closed")
+            self.check_served(good + surplus, "s1 expect closed")
 
-    def test_surplus_that_comes_once_the_connection_is_idle(self) -> None:
-        self.serves(OK + r"Content-Length: 4\r\n\r\nabcd", r"s1 raw \x00noise" + "\ns1 expect closed")
+    def test_surplus_bytes_on_an_idle_connection(self) -> None:
+        self.check_served(OK + r"Content-Length: 4\r\n\r\nabcd", r"s1 raw \x00noise" + "\ns1 expect closed")
 
-    def test_a_load_report_that_cannot_be_read(self) -> None:
-        self.serves(OK + r"Srv-Cache: \xff\xfe ??\r\nContent-Length: 4\r\n\r\nabcd")
+    def test_a_malformed_load_report(self) -> None:
+        self.check_served(OK + r"Srv-Cache: \xff\xfe ??\r\nContent-Length: 4\r\n\r\nabcd")
 
 
-class Broken(Scenario):
-    def test_resets_are_no_load_and_no_silence(self) -> None:
+class BrokenConnections(Scenario):
+    def test_resets_count_neither_as_overload_nor_as_silence(self) -> None:
         router = self.module()
         limit = router.origin.limit
         for n in range(40):
@@ -112,7 +112,7 @@
         self.assertGreaterEqual(router.origin.limit, limit)
         self.assertFalse(any(s.ejected for s in router.endpoints.states.values()))
 
-    def test_connections_rest_while_next_hops_close_them_right_after_an_answer(self) -> None:
+    def test_connections_are_not_reused_while_endpoints_close_them_after_a_response(self) -> None:
         read = """
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -127,8 +127,8 @@
         self.assertEqual(len(self.wires["s1"]), 1)
 
 
-class Stalled(Scenario):
-    def test_answer_that_stops_short_ends_its_attempt_in_time_for_another(self) -> None:
+class StalledResponses(Scenario):
+    def test_a_response_that_stalls_ends_its_attempt_in_time_for_another(self) -> None:
         self.play(rf"""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -144,8 +144,8 @@
         self.assertEqual(self.server.engine.counts["attempt_spoilt"], 1)
 
 
-class Large(Scenario):
-    def test_answers_beyond_the_usual_size_are_passed_on(self) -> None:
+class LargeResponses(Scenario):
+    def test_large_responses_are_passed_on(self) -> None:
         self.play(f"""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -154,7 +154,7 @@
         """)
         self.assertEqual(self.server.budget.buffered_bytes, 0)
 
-    def test_memory_for_them_is_bounded(self) -> None:
+    def test_their_memory_is_bounded(self) -> None:
         self.server.budget.max_buffered_bytes = 20_000
         self.play(rf"""
             c1 send GET /api/k1
@@ -165,7 +165,7 @@
         """)
         self.assertEqual(self.server.budget.buffered_bytes, 0)
 
-    def test_nobody_waits_for_an_answer_that_is_not_read_after_its_deadline(self) -> None:
+    def test_a_response_that_the_client_does_not_read_ends_after_its_deadline(self) -> None:
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             sock.connect(self.server.listener.sock.getsockname())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -36,14 +36,14 @@
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("world", WORLDS)
 def test_rules_hold_on_random_streams(world: str, seed: int) -> None:
-    given, members, keys = WORLDS[world]
-    RandomEventDriver(given, members, seed, keys).run()
+    config, endpoints, keys = WORLDS[world]
+    RandomEventDriver(config, endpoints, seed, keys).run()
 
 
 @pytest.mark.parametrize("world", ["aside", "through"])
-def test_rules_hold_under_a_flood(world: str) -> None:
-    given, members, keys = WORLDS[world]
-    RandomEventDriver(given, members, 99, keys).run(requests=1500, rate=1.0, churn=0.01)
+def test_rules_hold_under_overload(world: str) -> None:
+    config, endpoints, keys = WORLDS[world]
+    RandomEventDriver(config, endpoints, 99, keys).run(requests=1500, rate=1.0, churn=0.01)
 
 
 def test_same_events_same_actions() -> None:
@@ -57,14 +57,14 @@
     """Instances share no state: one among others acts as one alone."""
     alone = RandomEventDriver(USUAL, fleet(), 5)
     alone.run()
-    crowd = [RandomEventDriver(USUAL, fleet(), seed) for seed in (5, 6, 7)]
-    for driver in crowd:
+    drivers = [RandomEventDriver(USUAL, fleet(), seed) for seed in (5, 6, 7)]
+    for driver in drivers:
         driver.run()
-    assert crowd[0].trace == alone.trace
+    assert drivers[0].trace == alone.trace
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_nothing_is_held_once_all_is_answered(seed: int) -> None:
+def test_no_state_is_held_once_all_requests_are_answered(seed: int) -> None:
     driver = RandomEventDriver(USUAL, fleet(), seed)
     driver.run()
     assert not driver.router.pending
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,4 @@
-"""Codec and host: round trips, and one plain line for whatever is malformed."""
+"""Codec and host of the simulator: round trips, and a message of one line for malformed input."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from rosepick.settings import reader
 from rosepick.simulator import host, wire
 
-ENV = {
+SETTINGS = {
     "request_classes": [{"deadline": 1000.0, "objective": 300.0, "effect": "retryable", "worth": 2.0}],
     "domain": {"mode": "aside", "origin_kind": 2},
     "limits": {"max_attempts": 3, "probes": True},
@@ -33,8 +33,8 @@
     return struct.pack(">I", len(body)) + body
 
 
-def provision(env: object = ENV, raw: bytes | None = None) -> bytes:
-    text = json.dumps(env).encode() if raw is None else raw
+def provision(config: object = SETTINGS, raw: bytes | None = None) -> bytes:
+    text = json.dumps(config).encode() if raw is None else raw
     return record(16, struct.pack(">IQI", 3, 7, len(text)) + text)
 
 
@@ -82,12 +82,12 @@
 
 
 def test_settings_are_read() -> None:
-    got = reader.parse_settings(json.dumps(ENV).encode())
+    got = reader.parse_settings(json.dumps(SETTINGS).encode())
     assert got.mode is api.Mode.ASIDE and got.origin_kind == 2 and got.subscribe
     assert got.classes[0].objective_ms == 300.0
 
 
-def test_shutdown_forgets_the_instance() -> None:
+def test_shutdown_removes_the_instance() -> None:
     gone = record(25, struct.pack(">I", 3))
     status, out = serve(batch(provision(), gone) + batch(provision(), pool(), members(), work(), number=2))
     assert status == 0
@@ -118,8 +118,8 @@
     ("records", "words"),
     [
         ([provision(raw=b"{nope")], "not valid JSON"),
-        ([provision(env={})], "request_classes"),
-        ([provision(env={"request_classes": [{"worth": 1}]})], "deadline"),
+        ([provision(config={})], "request_classes"),
+        ([provision(config={"request_classes": [{"worth": 1}]})], "deadline"),
         ([provision(), members(slot=9)], "list 9"),
         ([provision(), record(99, struct.pack(">I", 3))], "unknown record code 99"),
         ([provision(), record(18, struct.pack(">IQ", 3, 1))], "shorter"),
@@ -137,11 +137,11 @@
     assert err.count("\n") == 1
 
 
-def test_decision_exception_is_told_with_place(monkeypatch: pytest.MonkeyPatch) -> None:
-    def boom(self: object, event: object) -> None:
+def test_decision_exception_is_reported_with_place(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(self: object, event: object) -> None:
         raise KeyError("lost")
 
-    monkeypatch.setattr("rosepick.decisions.decide.Router._accept_request", boom)
+    monkeypatch.setattr("rosepick.decisions.decide.Router._accept_request", fail)
     status, out = serve(batch(provision(), pool(), members(), work()))
     assert status == 1
     assert b"KeyError" in out and b"lost" in out and b".py:" in out
@@ -171,8 +171,8 @@
         api.Watch(True),
         api.Log("line"),
     ]
-    for act in actions:
-        raw = wire.encode_action(3, act)
+    for action in actions:
+        raw = wire.encode_action(3, action)
         assert len(raw) == 5 + struct.unpack_from(">I", raw, 1)[0]
 
 
@@ -193,4 +193,4 @@
 )
 def test_invalid_setting_is_named(change: dict[str, object], name: str) -> None:
     with pytest.raises(ValueError, match=name.replace("[", r"\[").replace("]", r"\]")):
-        reader.parse_settings(json.dumps(ENV | change).encode())
+        reader.parse_settings(json.dumps(SETTINGS | change).encode())
