--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -25,7 +25,7 @@
     RequestOutcome.SERVED: 200,
     RequestOutcome.REFUSED: 503,
     RequestOutcome.FAILED: 502,
-    RequestOutcome.TIMED_OUT: 504,
+    RequestOutcome.DEADLINE_EXCEEDED: 504,
     RequestOutcome.CLIENT_GONE: 499,
     RequestOutcome.INTERNAL_ERROR: 500,
 }
--- a/rosepick/connections/policy.py
+++ b/rosepick/connections/policy.py
@@ -74,12 +74,12 @@
 class PressureSnapshot:
     """Why a crowd is on, as it is logged."""
 
-    may_hold: int
-    learned: int  # 1 if where clients stop has shown it
-    opening_per_s: float
-    fill_ms: float
-    wait_once_ms: float
-    wait_often_ms: float
+    capacity: int
+    capacity_learned: int  # 1 if where clients stop has shown it
+    open_rate_per_s: float
+    time_until_full_ms: float
+    idle_used_once_ms: float
+    idle_reused_ms: float
 
 
 class ConnectionPolicy:
--- a/rosepick/coordination/acceptor_server.py
+++ b/rosepick/coordination/acceptor_server.py
@@ -110,7 +110,7 @@
         self.budget = ResourceBudget(MAX_CLIENT_CONNECTIONS + 64)
         self.clients: dict[IncomingConnection, None] = {}
         self.exit_status = 0
-        self.counts = dict.fromkeys(("requests", "commits", "unreadable", "beaten"), 0)
+        self.counts = dict.fromkeys(("requests", "commits", "decode_errors", "ballot_conflicts"), 0)
         self._started_at = loop.now()
         self._last_request_id = 0
         self._pending_changes, self._pending_replies = (
@@ -134,18 +134,22 @@
         saved = self.store.state
         if self.store.was_copied:
             log_event(
-                logger, logging.ERROR, "witness_copied", folder=self.store.folder.path, now=saved.storage_id
+                logger,
+                logging.ERROR,
+                "replica_storage_copied",
+                folder=self.store.folder.path,
+                storage_id=saved.storage_id,
             )
         log_event(
             logger,
             logging.INFO,
-            "witness_started",
+            "replica_started",
             name=self.name,
-            storage=saved.storage_id,
-            starts=saved.start_count,
+            storage_id=saved.storage_id,
+            start_count=saved.start_count,
             epoch=saved.quorum.epoch if saved.quorum else 0,
             registers=len(saved.register_states),
-            votes=self.acceptor.is_voting,
+            is_voting=self.acceptor.is_voting,
         )
 
     # -- callers
@@ -162,8 +166,14 @@
 
     def record_decode_error(self, reason: str) -> None:
         """A caller sent what is no message of ours; nothing has changed by it."""
-        self.counts["unreadable"] += 1
-        log_event(logger, logging.WARNING, "witness_unreadable", why=reason, count=self.counts["unreadable"])
+        self.counts["decode_errors"] += 1
+        log_event(
+            logger,
+            logging.WARNING,
+            "request_decode_failed",
+            reason=reason,
+            count=self.counts["decode_errors"],
+        )
 
     def handle_request(self, client: IncomingConnection, request: m.QuorumRequest) -> None:
         """A request has come."""
@@ -171,7 +181,7 @@
             return
         answer, changes = self.acceptor.handle(request, (self.loop.now() - self._started_at) / 1000.0)
         self.counts["requests"] += 1
-        self.counts["beaten"] += isinstance(answer, m.BallotConflictReply)
+        self.counts["ballot_conflicts"] += isinstance(answer, m.BallotConflictReply)
         self._merge_changes(changes)
         if not self._pending_replies:
             self.loop.call_at(self.loop.now(), self._commit)
@@ -205,7 +215,11 @@
             self.store.save(changes)
         except (sqlite3.Error, OSError) as problem:
             log_event(
-                logger, logging.CRITICAL, "witness_disk_failed", folder=self.store.folder.path, text=problem
+                logger,
+                logging.CRITICAL,
+                "replica_storage_failed",
+                folder=self.store.folder.path,
+                text=problem,
             )
             self.exit_status = EXIT_DISK_FAILED
             self.loop.stop()
@@ -214,14 +228,18 @@
         if changes.epoch_installed and self.store.state.quorum is not None:
             quorum = self.store.state.quorum
             members = ",".join(one.name for one in quorum.members)
-            log_event(logger, logging.INFO, "witness_epoch", epoch=quorum.epoch, members=members)
+            log_event(logger, logging.INFO, "replica_epoch_installed", epoch=quorum.epoch, members=members)
         return True
 
     def _announce_voting(self) -> None:
         if self.acceptor.is_voting and not self._voting_announced:
             self._voting_announced = True
             log_event(
-                logger, logging.INFO, "witness_votes", name=self.name, starts=self.store.state.start_count
+                logger,
+                logging.INFO,
+                "replica_voting",
+                name=self.name,
+                start_count=self.store.state.start_count,
             )
 
     # -- the others
@@ -265,15 +283,15 @@
         log_event(
             logger,
             logging.ERROR,
-            "witness_older",
+            "replica_storage_outdated",
             name=self.name,
-            was=old.storage_id,
-            starts=old.start_count,
-            now=self.store.state.storage_id,
+            previous_storage_id=old.storage_id,
+            start_count=old.start_count,
+            storage_id=self.store.state.storage_id,
         )
 
     def _log_summary(self) -> None:
-        log_event(logger, logging.INFO, "witness_counts", callers=len(self.clients), **self.counts)
+        log_event(logger, logging.INFO, "replica_counters", clients=len(self.clients), **self.counts)
         self.loop.call_after(SUMMARY_INTERVAL_MS, self._log_summary)
 
     def stop(self) -> None:
--- a/rosepick/coordination/agent_driver.py
+++ b/rosepick/coordination/agent_driver.py
@@ -130,16 +130,16 @@
             log_event(
                 logger,
                 logging.INFO,
-                "member",
-                name=machine.name,
-                at=machine.phase.name.lower(),
+                "member_phase_changed",
+                member=machine.name,
+                phase=machine.phase.name.lower(),
                 permit=machine.permit,
             )
         lonely = machine.is_partitioned(now)
         if lonely != self._was_partitioned:
             self._was_partitioned = lonely
             log_event(
-                logger, logging.WARNING, "quorum_lost" if lonely else "quorum_found", member=machine.name
+                logger, logging.WARNING, "quorum_lost" if lonely else "quorum_recovered", member=machine.name
             )
 
     # -- reports
@@ -184,7 +184,7 @@
                 try:
                     carrier.update_state(rollout_state.decode_rollout_state(outcome.register), now)
                 except DocumentDecodeError as problem:
-                    log_event(logger, logging.ERROR, "releases_unreadable", text=problem)
+                    log_event(logger, logging.ERROR, "rollout_state_decode_failed", text=problem)
             often = carrier.has_pending_work(now) or self.agent.phase != book.MemberPhase.IN
             pause = (
                 self.agent.policy.poll_interval_ms
@@ -223,10 +223,10 @@
                 log_event(
                     logger,
                     level,
-                    "release_step",
+                    "rollout_step",
                     release=number,
-                    what=step.action,
-                    why=step.reason,
+                    action=step.action,
+                    reason=step.reason,
                     token=token,
                 )
             self.client.execute(
@@ -268,7 +268,7 @@
             log_event(
                 logger,
                 logging.INFO,
-                "warden",
+                "failure_detector_elected",
                 member=self.agent.name,
                 token=self._lease_holder.lease_client.token,
             )
@@ -337,7 +337,7 @@
 
     def _handle_publish_outcome(self, halt_reason: str, outcome: OperationOutcome) -> None:
         if outcome.kind is OutcomeKind.COMMITTED and halt_reason:
-            log_event(logger, logging.ERROR, "drains_halted", member=self.agent.name, why=halt_reason)
+            log_event(logger, logging.ERROR, "drains_halted", member=self.agent.name, reason=halt_reason)
 
     def release_lease(self) -> None:
         """The agent ends: another one counts from now on. The member goes on as it is."""
--- a/rosepick/coordination/artifact_store.py
+++ b/rosepick/coordination/artifact_store.py
@@ -258,11 +258,11 @@
         log_event(
             logger,
             logging.WARNING,
-            "version_refused",
+            "artifact_rejected",
             name=artifact.name,
             digest=digest,
-            blame=blame.value,
-            why=why,
+            cause=blame.value,
+            reason=why,
         )
         return ArtifactStatus(False, blame, why or f"the fetch ended with {process.returncode}")
 
@@ -277,7 +277,7 @@
             "settings": str(self.path_of(settings).absolute()) if settings else "",
             "scratch": str((self.folder / "trial").absolute()),
         }
-        log_event(logger, logging.INFO, "version_fetched", name=artifact.name, digest=artifact.digest)
+        log_event(logger, logging.INFO, "artifact_fetched", name=artifact.name, digest=artifact.digest)
         place = str((self.folder / artifact.digest).absolute())
         given = [artifact.source, artifact.digest, place, json.dumps(told)]
         return subprocess.Popen(
@@ -300,7 +300,7 @@
             beside.write_text(text, "utf-8")
             beside.replace(self.live_config)
         except (OSError, ValueError) as problem:
-            log_event(logger, logging.ERROR, "settings_not_written", digest=digest, text=problem)
+            log_event(logger, logging.ERROR, "settings_write_failed", digest=digest, text=problem)
 
     def apply_settings(self, kind: str, digest: str) -> None:
         """Have the member run these settings from now on."""
--- a/rosepick/coordination/lease_holder.py
+++ b/rosepick/coordination/lease_holder.py
@@ -75,7 +75,7 @@
             log_event(
                 logger,
                 level,
-                f"lease_{contender.state.value}",
+                f"lease_{contender.state.name.lower()}",
                 task=contender.task,
                 name=contender.name,
                 token=contender.token,
@@ -88,7 +88,7 @@
                 logging.WARNING,
                 "lease_in_doubt",
                 task=contender.task,
-                left_ms=contender.remaining_ms(now),
+                remaining_ms=contender.remaining_ms(now),
             )
             self._on_change("doubt")
         self._doubt_reported = doubt
--- a/rosepick/coordination/leased_command.py
+++ b/rosepick/coordination/leased_command.py
@@ -83,9 +83,9 @@
                 log_event(
                     logger,
                     logging.WARNING,
-                    "lease_not_had",
+                    "lease_wait_timed_out",
                     task=contender.task,
-                    known=contender.known_record is not None,
+                    quorum_responded=contender.known_record is not None,
                 )
                 return EXIT_NO_QUORUM if contender.known_record is None else EXIT_LEASE_HELD
         return None
@@ -101,7 +101,7 @@
                 preexec_fn=partial(_die_with_parent, os.getpid()),
             )
         except OSError as problem:
-            log_event(logger, logging.ERROR, "command_not_started", command=self.command[0], text=problem)
+            log_event(logger, logging.ERROR, "command_start_failed", command=self.command[0], text=problem)
             return EXIT_COMMAND_NOT_STARTED
         log_event(
             logger,
@@ -128,7 +128,12 @@
         contender, now = self.holder.lease_client, self.loop.now()
         left = contender.remaining_ms(now)
         log_event(
-            logger, logging.WARNING, "command_ended", task=contender.task, token=contender.token, left_ms=left
+            logger,
+            logging.WARNING,
+            "command_terminated",
+            task=contender.task,
+            token=contender.token,
+            remaining_ms=left,
         )
         self._signal_command(signal.SIGTERM)
         until = now + TERMINATION_GRACE_SHARE * left
--- a/rosepick/coordination/quorum_client.py
+++ b/rosepick/coordination/quorum_client.py
@@ -323,7 +323,13 @@
             return
         if known is not None and quorum.fleet_id != known.fleet_id:
             if not self.found_two_fleets:
-                log_event(logger, logging.ERROR, "two_fleets", ours=known.fleet_id, theirs=quorum.fleet_id)
+                log_event(
+                    logger,
+                    logging.ERROR,
+                    "fleet_id_mismatch",
+                    fleet_id=known.fleet_id,
+                    other_fleet_id=quorum.fleet_id,
+                )
             self.found_two_fleets = True
             return
         if known is None or quorum.epoch > known.epoch:
--- a/rosepick/coordination/quorum_connection.py
+++ b/rosepick/coordination/quorum_connection.py
@@ -90,7 +90,9 @@
         except OSError:
             self.close()
         except DecodeError as problem:
-            log_event(logger, logging.WARNING, "answer_unreadable", witness=self.replica, why=problem.reason)
+            log_event(
+                logger, logging.WARNING, "reply_decode_failed", replica=self.replica, reason=problem.reason
+            )
             self.close()
 
     def _write(self) -> None:
--- a/rosepick/coordination/supervised_process.py
+++ b/rosepick/coordination/supervised_process.py
@@ -156,13 +156,13 @@
         self._admin_latencies_ms: list[float] = []
         self._cpu_used_s = 0.0  # processor time, at the last report
         if self._is_alive():
-            log_event(logger, logging.INFO, "member_found", pid=self._pid)
+            log_event(logger, logging.INFO, "member_adopted", pid=self._pid)
 
     # -- the process
 
     def _is_alive(self) -> bool:
         if self._process is not None and self._process.poll() is not None:
-            log_event(logger, logging.WARNING, "member_ended", status=self._process.returncode)
+            log_event(logger, logging.WARNING, "member_exited", status=self._process.returncode)
             if self._loop.now() - self._started_at > MIN_STABLE_RUN_MS:
                 self._restart_pause_ms = MIN_RESTART_PAUSE_MS
             self._next_start_at = self._loop.now() + (
@@ -217,7 +217,7 @@
                 )
         except OSError as problem:
             self._exit_count += 1
-            log_event(logger, logging.ERROR, "member_not_started", command=command[0], text=problem)
+            log_event(logger, logging.ERROR, "member_start_failed", command=command[0], text=problem)
             return
         self._pid, self._process_started, self._cpu_used_s = (
             self._process.pid,
@@ -233,7 +233,7 @@
             return
         if self._stop_requested_at is None:
             self._stop_requested_at = now
-            log_event(logger, logging.INFO, "member_told_to_end", pid=self._pid)
+            log_event(logger, logging.INFO, "member_terminating", pid=self._pid)
             self._signal(signal.SIGTERM)
         elif now - self._stop_requested_at > STOP_TIMEOUT_MS:
             self._signal(signal.SIGKILL)
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -23,7 +23,7 @@
 UNSERVED_OUTCOMES = (
     RequestOutcome.REFUSED,
     RequestOutcome.FAILED,
-    RequestOutcome.TIMED_OUT,
+    RequestOutcome.DEADLINE_EXCEEDED,
     RequestOutcome.INTERNAL_ERROR,
 )
 
@@ -181,7 +181,7 @@
         request.limits, request.started_at = self.settings.limits, self.clock.now()
         self.requests[request.ref] = request
         self.pending_count += 1
-        self.counts["envelopes"] += 1
+        self.counts["requests"] += 1
         self._arm_watchdog(request)
         self._dispatch(request)
 
@@ -227,10 +227,11 @@
         self.rejected_by_class[class_index] += 1
 
     def totals(self) -> Counter[str]:
-        """What was counted since the start, and how envelopes ended."""
+        """Return what was counted since the start, with the outcomes of requests."""
         found = Counter(self.counts)
-        for (_, end), count in self.request_counters.counts_by_outcome().items():
-            found[(RequestOutcome.FAILED if end is RequestOutcome.TIMED_OUT else end).value] += count
+        for (_, outcome), count in self.request_counters.counts_by_outcome().items():
+            counted_as = RequestOutcome.FAILED if outcome is RequestOutcome.DEADLINE_EXCEEDED else outcome
+            found[counted_as.name.lower()] += count
         return found
 
     def update_endpoints(self, event: api.EndpointUpdate) -> None:
@@ -255,7 +256,7 @@
         if attempt.timeout_timer is not None:
             attempt.timeout_timer.cancel()
         envelope = attempt.request
-        self.counts["attempt_spoilt" if malformed else f"attempt_{result.value}"] += 1
+        self.counts["attempt_malformed" if malformed else f"attempt_{result.name.lower()}"] += 1
         if result is Result.OK and not envelope.is_finished:
             sender = self._close_request(envelope, RequestOutcome.SERVED)
             self._deliver_response("served", lambda: sender.send_response(envelope, response))
@@ -290,12 +291,12 @@
         for timer in (attempt.timeout_timer, envelope.watchdog_timer):
             if timer is not None:
                 timer.cancel()
-        self.counts[f"attempt_{Result.OK.value}"] += 1
+        self.counts[f"attempt_{Result.OK.name.lower()}"] += 1
         lag = max(0.0, self.clock.now() - attempt.sent_at)
         sender = envelope.downstream
         assert sender is not None
         self._observe_outcome(envelope, RequestOutcome.SERVED)
-        self._deliver_response("begins", lambda: sender.start_response_stream(envelope, response))
+        self._deliver_response("started", lambda: sender.start_response_stream(envelope, response))
         self._dispatch(
             api.AttemptEnded(
                 envelope.ref, attempt.number, attempt.endpoint_id, Result.OK, True, cache_status, lag
@@ -357,12 +358,17 @@
         self.counts["faults"] += 1
         ref = getattr(event, "ref", 0)
         log_exception(
-            logger, "engine_fault", error, ref=ref, over=type(event).__name__, count=self.counts["faults"]
+            logger,
+            "engine_fault",
+            error,
+            ref=ref,
+            module_event=type(event).__name__,
+            count=self.counts["faults"],
         )
         envelope = self.requests.get(ref)
         if envelope is not None and envelope.awaits_response():
             sender = self._close_request(envelope, RequestOutcome.INTERNAL_ERROR)
-            self._deliver_response("broke", lambda: sender.send_internal_error(envelope))
+            self._deliver_response("internal_error", lambda: sender.send_internal_error(envelope))
             self._dispatch(api.ClientDisconnected(ref))
             self._release_if_finished(envelope)
 
@@ -385,16 +391,16 @@
             case api.Watch():
                 self.endpoint_source.set_watching(action.enabled)
             case api.Log():
-                log_event(logger, logging.INFO, "module", text=action.text)
+                log_event(logger, logging.INFO, "decision_message", text=action.text)
             case api.Probe():
-                check_invariant(False, "no_probes", server=action.endpoint_id)
+                check_invariant(False, "no_probes", endpoint=action.endpoint_id)
 
     # ------------------------------------------------------------------------------- delivery attempts
 
     def _send_attempt(self, action: api.Send) -> None:
         envelope = self.requests.get(action.ref)
         if envelope is None:
-            check_invariant(False, "send_of_open_envelope", ref=action.ref)
+            check_invariant(False, "send_for_open_request", ref=action.ref)
             return
         now = self.clock.now()
         stop_at = min(envelope.deadline, action.stop_at or envelope.deadline)
@@ -413,7 +419,7 @@
             self.upstream.start_attempt(attempt)
         except Exception as problem:
             self.counts["faults"] += 1
-            log_exception(logger, "delivery_fault", problem, ref=envelope.ref, count=self.counts["faults"])
+            log_exception(logger, "attempt_fault", problem, ref=envelope.ref, count=self.counts["faults"])
             if attempt.is_in_flight:
                 self.upstream.cancel_attempt(attempt)
                 self.finish_attempt(attempt, Result.RESET)  # it may have run
@@ -462,7 +468,7 @@
         late = envelope is not None and self.clock.now() >= envelope.deadline
         self._finish_request(
             ref,
-            RequestOutcome.TIMED_OUT if late else RequestOutcome.FAILED,
+            RequestOutcome.DEADLINE_EXCEEDED if late else RequestOutcome.FAILED,
             lambda e, s: s.send_failure(e, late),
             reason,
         )
@@ -477,8 +483,8 @@
         envelope = self.requests.get(ref)
         if envelope is None or not envelope.awaits_response():
             return
-        sender = self._close_request(envelope, outcome, reason.value)
-        self._deliver_response(outcome.value, lambda: respond(envelope, sender))
+        sender = self._close_request(envelope, outcome, reason)
+        self._deliver_response(outcome.name.lower(), lambda: respond(envelope, sender))
         self._release_if_finished(envelope)
 
     def _deliver_response(self, kind: str, respond: Callable[[], None]) -> None:
@@ -487,15 +493,18 @@
             respond()
         except Exception as problem:
             self.counts["faults"] += 1
-            log_exception(logger, "answer_fault", problem, kind=kind, count=self.counts["faults"])
+            log_exception(logger, "response_fault", problem, response=kind, count=self.counts["faults"])
 
     def _close_request(
-        self, request: RequestContext, outcome: RequestOutcome, cause: str = ""
+        self,
+        request: RequestContext,
+        outcome: RequestOutcome,
+        reason: api.EndReason = api.EndReason.UNSPECIFIED,
     ) -> DownstreamPort:
         if not request.response_started:
             self._observe_outcome(request, outcome)
         request.is_finished = True
-        self._record_outcome(request, outcome, cause)
+        self._record_outcome(request, outcome, reason)
         self.pending_count -= 1
         if request.watchdog_timer is not None:
             request.watchdog_timer.cancel()
@@ -504,8 +513,11 @@
         assert sender is not None
         return sender
 
-    def _record_outcome(self, request: RequestContext, outcome: RequestOutcome, cause: str) -> None:
-        """Enter an end into the account."""
+    def _record_outcome(
+        self, request: RequestContext, outcome: RequestOutcome, reason: api.EndReason
+    ) -> None:
+        """Count an outcome with its reason, or that its objective was missed."""
+        cause = "" if reason is api.EndReason.UNSPECIFIED else reason.name.lower()
         took = self.clock.now() - request.started_at
         classes = self.settings.classes
         if (
@@ -520,7 +532,7 @@
             and not request.attempts
             and 2 * took > request.deadline - request.started_at
         ):
-            self.counts["late_unsent"] += 1
+            self.counts["late_without_attempt"] += 1
         self.request_counters.record(request.class_index, outcome, cause, took)
 
     def _expire_unanswered_request(self, request: RequestContext) -> None:
@@ -529,7 +541,7 @@
         """
         if request.is_finished:
             return
-        sender = self._close_request(request, RequestOutcome.TIMED_OUT)
+        sender = self._close_request(request, RequestOutcome.DEADLINE_EXCEEDED)
         self._deliver_response("failed", lambda: sender.send_failure(request, True))
         self._dispatch(api.ClientDisconnected(request.ref))
         self._release_if_finished(request)
--- a/rosepick/core/invariants.py
+++ b/rosepick/core/invariants.py
@@ -17,7 +17,7 @@
     if condition:
         return True
     violation_counts[name] += 1
-    log_event(logger, logging.ERROR, "invariant_broken", name=name, count=violation_counts[name], **context)
+    log_event(logger, logging.ERROR, "invariant_violated", name=name, count=violation_counts[name], **context)
     if __debug__:
         raise AssertionError(f"{name} {context}")
     return False
--- a/rosepick/core/request_counters.py
+++ b/rosepick/core/request_counters.py
@@ -1,7 +1,7 @@
-"""How envelopes ended and to what they were lost: an account by class, end and cause, in counts and in time.
+"""Counters of request outcomes by class, outcome and cause, with the time until then.
 
-It holds two numbers for each of them, whatever the traffic, and goes into the log as figures since the start,
-so that whoever reads two lines has what lay between them.
+There are two numbers for each of them, whatever the traffic. The log has them as totals since the start, so
+that the difference of two lines is what happened between them.
 """
 
 from __future__ import annotations
@@ -17,43 +17,52 @@
     SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
-    TIMED_OUT = "late"  # failed, as its time was over
+    DEADLINE_EXCEEDED = "late"  # failed, as its time was over
     CLIENT_GONE = "gone"  # its sender side has left
     INTERNAL_ERROR = "broke"  # by a fault of this program
 
 
 class RequestCounters:
-    """Ends by class and name; a name is the end's, and the cause's behind a `_` where there is one."""
+    """Requests that have ended, by class, outcome and cause; the cause is empty where there is none."""
 
     def __init__(self) -> None:
-        self.counts: Counter[tuple[int, str]] = Counter()
-        self.total_ms: Counter[tuple[int, str]] = Counter()  # milliseconds until then, in all
+        self.counts: Counter[tuple[int, RequestOutcome, str]] = Counter()
+        self.total_ms: Counter[tuple[int, RequestOutcome, str]] = Counter()  # time until the outcome, summed
 
     def record(self, class_index: int, outcome: RequestOutcome, cause: str, elapsed_ms: float) -> None:
-        """An envelope has its end, so many milliseconds after it came."""
-        key = class_index, f"{outcome.value}_{cause}" if cause else outcome.value
+        """Count a request that ended so many milliseconds after it arrived."""
+        key = class_index, outcome, cause
         self.counts[key] += 1
         self.total_ms[key] += elapsed_ms  # type: ignore[assignment]
 
     def counts_by_outcome(self) -> Counter[tuple[int, RequestOutcome]]:
-        """Ends by class, whatever their causes."""
+        """Return the counts by class and outcome, whatever their causes."""
         found: Counter[tuple[int, RequestOutcome]] = Counter()
-        for (klass, name), count in self.counts.items():
-            found[klass, RequestOutcome(name.partition("_")[0])] += count
+        for (class_index, outcome, _), count in self.counts.items():
+            found[class_index, outcome] += count
         return found
 
     def iter_log_fields(
         self, names: Mapping[int, str], worths: Mapping[int, float]
     ) -> Iterator[dict[str, object]]:
-        """For each class that has ends: its name, the worth of a request, counts by name, and beside each the
-        milliseconds in all, under the name with `_ms`.
+        """Yield the log fields of each class that has outcomes.
+
+        They are the name of the class, the worth of a request, the counts by outcome and cause, and beside
+        each count the summed milliseconds, under the same name with `_ms`.
         """
-        for place in sorted({klass for klass, _ in self.counts}):
-            found: dict[str, object] = {
+        for place in sorted({class_index for class_index, _, _ in self.counts}):
+            fields: dict[str, object] = {
                 "class": names.get(place, str(place)),
                 "worth": float(worths.get(place, 0.0)),
             }
-            for name in sorted(name for klass, name in self.counts if klass == place):
-                found[name] = self.counts[place, name]
-                found[f"{name}_ms"] = int(self.total_ms[place, name])
-            yield found
+            keys = [key for key in self.counts if key[0] == place]
+            for key in sorted(keys, key=_field_name):
+                fields[_field_name(key)] = self.counts[key]
+                fields[f"{_field_name(key)}_ms"] = int(self.total_ms[key])
+            yield fields
+
+
+def _field_name(key: tuple[int, RequestOutcome, str]) -> str:
+    _, outcome, cause = key
+    name = outcome.name.lower()
+    return f"{name}_{cause}" if cause else name
--- a/rosepick/lab/account/log_reader.py
+++ b/rosepick/lab/account/log_reader.py
@@ -1,4 +1,4 @@
-"""What routers' logs say of their envelopes: a file a router, the `ends` and `counts` lines of its processes.
+"""Reads the `request_outcomes` and `counters` lines of routers' logs, one file for each router.
 
 Figures in a line count from the start of its process, so that a line that is lost loses nothing but its place
 in time. A process that starts anew begins at zero.
@@ -13,11 +13,11 @@
 from datetime import datetime
 from pathlib import Path
 
-from ...logs import parse_log_fields
+from ..log_terms import parse_record
 
 STAMP_PATTERN = re.compile(r"(\d+(?:\.\d+)?) (?=time=)")  # a bench may put its own seconds in front of a line
-_COMMON_FIELDS = {"time", "level", "part", "event", "class", "owed", "sockets"}
-READ_EVENTS = {"ends", "counts", "serving"}
+_COMMON_FIELDS = {"time", "level", "part", "event", "class", "pending_requests", "open_descriptors"}
+READ_EVENTS = {"request_outcomes", "counters", "serving"}
 
 
 class NoLogsError(ValueError):
@@ -82,7 +82,7 @@
         if " event=" not in line:
             continue
         stamp = STAMP_PATTERN.match(line)
-        fields = parse_log_fields(line)
+        fields = parse_record(line)
         if fields.get("event") not in READ_EVENTS:
             continue
         try:
@@ -100,11 +100,11 @@
             logs.starts[line.router] += 1
             before.clear()
             continue
-        name = line.fields.get("class", "") if line.event == "ends" else "counts"
+        name = line.fields.get("class", "") if line.event == "request_outcomes" else "counters"
         figures = _parse_counts(line.fields)
         grown = {key: value - before.get(name, {}).get(key, 0.0) for key, value in figures.items()}
         before[name] = figures
-        if line.event == "counts":
+        if line.event == "counters":
             logs.counts.setdefault(line.router, Counter()).update({key: int(n) for key, n in grown.items()})
             continue
         one = EndedRequests(line.at - first, line.router, name, figures.get("worth", 1.0))
--- a/rosepick/lab/account/loss_account.py
+++ b/rosepick/lab/account/loss_account.py
@@ -20,23 +20,23 @@
 BUSY_TRAFFIC_FACTOR = 3.0  # times the mean traffic of a router: those are looked at apart
 OUTCOME_TEXTS = {
     "served_late": "served after its aim",
-    "refused_crowded": "refused at once: this router has too much in hand",
-    "refused_slow": "refused at once: expected to be too late",
-    "refused_nobody": "refused: no cache node can take it",
-    "refused_queue": "refused: waited at the origin's gate until too late",
+    "refused_overloaded": "refused at once: this router has too much in hand",
+    "refused_too_slow": "refused at once: expected to be too late",
+    "refused_no_endpoint": "refused: no cache node can take it",
+    "refused_queue_timeout": "refused: waited at the origin's gate until too late",
     "refused_no_origin": "refused: no origin in the list",
     "refused_budget": "refused after an attempt: no retry left",
     "refused_no_time": "refused after an attempt: no time for another",
-    "refused_rules": "refused after an attempt: may not be sent again",
+    "refused_not_permitted": "refused after an attempt: may not be sent again",
     "refused_deadline": "refused at its deadline",
     "failed_budget": "failed after an attempt: no retry left",
     "failed_no_time": "failed after an attempt: no time for another",
-    "failed_rules": "failed after an attempt: may not be sent again",
-    "late_deadline": "failed: its deadline passed",
-    "late_no_time": "failed at its deadline: an attempt took all of its time",
-    "late_queue": "failed at its deadline: waited at the origin's gate",
-    "late_rules": "failed at its deadline: may not be sent again",
-    "gone": "its client left first",
+    "failed_not_permitted": "failed after an attempt: may not be sent again",
+    "deadline_exceeded_deadline": "failed: its deadline passed",
+    "deadline_exceeded_no_time": "failed at its deadline: an attempt took all of its time",
+    "deadline_exceeded_queue_timeout": "failed at its deadline: waited at the origin's gate",
+    "deadline_exceeded_not_permitted": "failed at its deadline: may not be sent again",
+    "client_gone": "its client left first",
 }
 
 
@@ -186,5 +186,12 @@
     total: Counter[str] = Counter()
     for counts in logs.counts.values():
         total.update(counts)
-    names = ("attempts", "crossings", "dials", "late_unsent", "attempt_miss", "attempt_ok")
+    names = (
+        "attempts",
+        "cross_zone_attempts",
+        "upstream_connects",
+        "late_without_attempt",
+        "attempt_miss",
+        "attempt_ok",
+    )
     return {name: total[name] / asked for name in names if asked and name in total}
--- a/rosepick/lab/demo.py
+++ b/rosepick/lab/demo.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ..logs import parse_log_fields
 from . import console
 from .experiment import Experiment, FaultConfig, parse_experiment
 from .live.live_run import LiveRun, open_live_run
+from .log_terms import parse_record
 from .results import RunResult, Window
 
 SEED = 1
@@ -70,11 +70,11 @@
 # what of the router's log is shown, and in which words
 EVENT_TEXTS = {
     "serving": "the router serves on {listen}",
-    "module": "the decisions say: {text}",
-    "crowd_began": "room is made at the doors ({by})",
-    "crowd_ended": "no more room is made at the doors",
-    "ending": "the router is told to end",
-    "ended": "the router has ended",
+    "decision_message": "the decisions say: {text}",
+    "connection_pressure_started": "connections are scarce, some are closed ({reason})",
+    "connection_pressure_ended": "connections are no longer scarce",
+    "shutdown_started": "the router is told to end",
+    "shutdown_completed": "the router has ended",
 }
 
 
@@ -152,9 +152,9 @@
 
 def _describe_event(line: str) -> str:
     """A line of the log as it is shown; empty if it is not."""
-    fields = parse_log_fields(line)
+    fields = parse_record(line)
     words = EVENT_TEXTS.get(fields.get("event", ""))
-    return words.format_map({"listen": "", "text": "", "by": "", **fields}) if words else ""
+    return words.format_map({"listen": "", "text": "", "reason": "", **fields}) if words else ""
 
 
 def _print_table(run: RunResult) -> None:
--- a/rosepick/lab/drill/harness.py
+++ b/rosepick/lab/drill/harness.py
@@ -22,6 +22,7 @@
 from ...net.boot_clock import boottime_s
 from ...net.event_loop import EventLoop
 from ...net.resource_budget import ResourceBudget
+from ..log_terms import line_has_event
 from . import history, invariants
 from .drill_file import Drill
 from .fault_plan import QUORUM_CHANGING_FAULTS, Fault, FaultPlan
@@ -216,9 +217,7 @@
         for name in self.witnesses:
             self.processes[name].start()
         for name in self.witnesses:
-            if not self._run_until(
-                partial(self._log_contains, name, "event=witness_started"), START_TIMEOUT_S
-            ):
+            if not self._run_until(partial(self._has_logged, name, "replica_started"), START_TIMEOUT_S):
                 raise DrillRunError(f"{name} did not start: see {self.processes[name].log_path}")
         found = self._start_operator_command("witness", "found")
         if not self._run_until(lambda: found.poll() is not None, START_TIMEOUT_S) or found.returncode:
@@ -231,13 +230,17 @@
         for name in [*self.workers, *self.runners]:
             self.processes[name].start()
         if not self._run_until(
-            lambda: any(self._log_contains(name, "lease_holds") for name in self.workers), START_TIMEOUT_S
+            lambda: any(self._has_logged(name, "lease_held") for name in self.workers), START_TIMEOUT_S
         ):
             raise DrillRunError("nobody took a lease")
 
-    def _log_contains(self, name: str, text: str, offset: int = 0) -> bool:
+    def _has_logged(self, name: str, event: str, offset: int = 0) -> bool:
+        """Whether a process has logged an event, behind so many bytes of its log."""
         path = self.processes[name].log_path
-        return path.exists() and text.encode() in path.read_bytes()[offset:]
+        if not path.exists():
+            return False
+        lines = path.read_bytes()[offset:].decode("utf-8", "replace").splitlines()
+        return any(line_has_event(line, event) for line in lines)
 
     def _restart_ended_runners(self) -> None:
         """A command that has ended is started again after a while."""
@@ -287,13 +290,12 @@
         """Whether a witness runs with a storage that has never been in the quorum, by its log."""
         path = self.processes[name].log_path
         lines = path.read_text("utf-8", "replace").splitlines() if path.exists() else []
-        told = [line for line in lines if "event=witness_" in line]
-        for line in reversed(told):
-            if "event=witness_votes" in line or "event=witness_epoch" in line:
+        for line in reversed(lines):
+            if line_has_event(line, "replica_voting") or line_has_event(line, "replica_epoch_installed"):
                 return False
-            if "event=witness_older" in line:
+            if line_has_event(line, "replica_storage_outdated"):
                 return self.processes[name].running
-            if "event=witness_started" in line:
+            if line_has_event(line, "replica_started"):
                 return " epoch=0 " in line and self.processes[name].running
         return False
 
@@ -357,7 +359,9 @@
         copy_storage(folder, old)
         restore_storage(old, folder, in_place=False)
         self.loop.call_after(1000.0 * fault.length, self.processes[name].start)
-        self._expect_log_line(name, "event=witness_copied", "a copied folder was taken for the witness's own")
+        self._expect_log_line(
+            name, "replica_storage_copied", "a copied folder was taken for the witness's own"
+        )
 
     def _older(self, number: int, fault: Fault) -> None:
         """An older copy is put back into the very file, after a start that the others have heard of."""
@@ -383,7 +387,7 @@
             self._isolate_replicas(fault, others[half:], 3000.0)
             self.processes[name].start()
             self._expect_log_line(
-                name, "event=witness_older", "an older copy of a folder was taken for the witness's own"
+                name, "replica_storage_outdated", "an older copy of a folder was taken for the witness's own"
             )
             self.loop.call_after(4000.0, self._finish_storage_fault)
 
@@ -397,7 +401,7 @@
         self._apply_link_faults(0, replace(fault, length=length / 1000.0), links, there=True, back=True)
 
     def _has_voted_since(self, name: str, offset: int) -> bool:
-        return self._log_contains(name, "event=witness_votes", offset)
+        return self._has_logged(name, "replica_voting", offset)
 
     def _run_once_true(
         self, condition: Callable[[], bool], callback: Callable[[], None], attempts_left: int = 100
@@ -413,12 +417,12 @@
     def _finish_storage_fault(self) -> None:
         self._storage_fault_replica = None
 
-    def _expect_log_line(self, name: str, text: str, violation: str) -> None:
+    def _expect_log_line(self, name: str, event: str, violation: str) -> None:
         """Something has to be in a log in time; a broken claim, if it is not."""
         since = self.processes[name].log_path.stat().st_size
 
         def look() -> None:
-            if not self._log_contains(name, text, since):
+            if not self._has_logged(name, event, since):
                 self.broken.append(Violation("storage", f"{name}: {violation}"))
 
         self._deferred_checks.append(look)
--- a/rosepick/lab/live/discovery_server.py
+++ b/rosepick/lab/live/discovery_server.py
@@ -178,7 +178,7 @@
             self.close()
         except Exception as problem:
             self.server.simulation.loop.fault_count += 1
-            log_exception(logger, "discovery_stand_in_fault", problem)
+            log_exception(logger, "discovery_server_fault", problem)
             self.close()
 
     def _update_interest(self) -> None:
--- a/rosepick/lab/live/node_server.py
+++ b/rosepick/lab/live/node_server.py
@@ -152,7 +152,7 @@
         except Exception as problem:
             # guards against a socket that stays ready and raises the same again at once, without end
             self.server.simulation.loop.fault_count += 1
-            log_exception(logger, "stand_in_fault", problem, node=self.node.uid)
+            log_exception(logger, "node_server_fault", problem, node=self.node.uid)
             self._on_peer_closed()
 
     def _handle_io(self, mask: int) -> None:
--- a/rosepick/logs.py
+++ b/rosepick/logs.py
@@ -83,7 +83,7 @@
         since, count = self.windows.get(key, (now, 0))
         if now - since >= RATE_LIMIT_WINDOW_S:
             if count > MAX_LINES_PER_EVENT:
-                record.fields = {**getattr(record, "fields", {}), "held_back": count - MAX_LINES_PER_EVENT}
+                record.fields = {**getattr(record, "fields", {}), "suppressed": count - MAX_LINES_PER_EVENT}
             since, count = now, 0
         self.windows[key] = since, count + 1
         return count < MAX_LINES_PER_EVENT
--- a/rosepick/net/admin_listener.py
+++ b/rosepick/net/admin_listener.py
@@ -80,7 +80,7 @@
         self.sock = listen(address, BACKLOG)
         loop.register(self.sock, READ, self._accept, urgent=True)
         host, port = self.sock.getsockname()[:2]
-        log_event(logger, logging.INFO, "ops_serving", listen=f"{host}:{port}")
+        log_event(logger, logging.INFO, "admin_serving", listen=f"{host}:{port}")
 
     def _accept(self, events: int) -> None:
         for _ in range(MAX_CONNECTIONS):
--- a/rosepick/net/batch_listener.py
+++ b/rosepick/net/batch_listener.py
@@ -88,7 +88,7 @@
             self._handle_break()
         except Exception as problem:
             self.scheduler.loop.fault_count += 1
-            log_exception(logger, "part_fault", problem, count=self.scheduler.loop.fault_count)
+            log_exception(logger, "batch_part_fault", problem, count=self.scheduler.loop.fault_count)
             self._handle_break()
 
     def _write(self) -> None:
@@ -233,7 +233,7 @@
             if link is None:
                 link = self._dial()
         except OSError as problem:
-            log_event(logger, logging.WARNING, "part_not_sent", text=problem)
+            log_event(logger, logging.WARNING, "batch_part_not_sent", text=problem)
             self.finish_item(item, 502)
             return
         host, port = self.address
@@ -319,7 +319,7 @@
     def _begin_batch(self, batch: BatchRequest) -> None:
         if not self.scheduler.has_capacity():
             self.listener.rejected_count += 1
-            log_event(logger, logging.WARNING, "batch_refused", in_hand=len(self.scheduler.batches))
+            log_event(logger, logging.WARNING, "batch_refused", active_batches=len(self.scheduler.batches))
             self._send_response(503, b"refused\n", ((b"Retry-After", b"%.3f" % RETRY_AFTER_S),))
             return
         self.batch, self.deadline = batch, batch.deadline
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -183,7 +183,7 @@
         self.listener.rejected_count += 1
         if class_index is not None:
             self.listener.engine.record_rejected_request(class_index)
-        log_event(logger, logging.WARNING, "rejected", status=status, reason=reason)
+        log_event(logger, logging.WARNING, "request_rejected", status=status, reason=reason)
         self._send_response(status, reason.encode() + b"\n", last=last or self.protocol.has_pipelined())
 
     def _on_end_of_input(self) -> None:
@@ -384,7 +384,7 @@
     def _handle_fault(self, problem: Exception) -> None:
         """An exception over one request: it is answered 500, the process goes on."""
         self.listener.loop.fault_count += 1
-        log_exception(logger, "sender_fault", problem, count=self.listener.loop.fault_count)
+        log_exception(logger, "downstream_fault", problem, count=self.listener.loop.fault_count)
         try:
             # amid an answer that is passed on the sender side can only be shown that it is not whole
             owing, self.protocol.response_pending = (
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -148,7 +148,7 @@
             call = timer.callback
             if call is not None:
                 if self.now() - when > LATE_TIMER_WARNING_MS:
-                    log_event(logger, logging.WARNING, "timer_late", by_ms=self.now() - when)
+                    log_event(logger, logging.WARNING, "timer_late", delay_ms=self.now() - when)
                 self._run_callback(call)
 
     def _run_callback(self, callback: Callable[..., None], *args: int) -> None:
@@ -157,4 +157,4 @@
             callback(*args)
         except Exception as problem:
             self.fault_count += 1
-            log_exception(logger, "loop_fault", problem, count=self.fault_count)
+            log_exception(logger, "event_loop_fault", problem, count=self.fault_count)
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -29,6 +29,14 @@
 SWEEP_INTERVAL_MS = 250.0
 # between looks for clients that left where nothing is read: a break counts from 100
 CLOSED_PEER_CHECK_INTERVAL_MS = 40.0
+CONNECTION_LOG_FIELDS = {
+    "asking": "active",
+    "fresh": "unused",
+    "once": "used_once",
+    "often": "reused",
+    "half": "partial_requests",
+}
+"""The log fields of the kinds of connections that have another name there."""
 MAX_ACCEPTED_OVER_LIMIT = 8  # accepted beyond the doors' part, only to see from where they come
 
 ConnectionFactory = Callable[["Listener", socket.socket, StreamFactory], DownstreamConnection]
@@ -193,7 +201,7 @@
         if self._is_at_limit() and (accept_queue.queue_length(listen_socket.sock) or (1, 0))[0] == 0:
             return False  # guards against making room for nobody
         if not (self._can_accept() or self._may_accept_over_limit()):
-            log_event(logger, logging.WARNING, "accept_paused", used=self.budget.used)
+            log_event(logger, logging.WARNING, "accept_paused", open_descriptors=self.budget.used)
             self._pause_accepting()
             return False
         try:
@@ -202,7 +210,9 @@
             return False
         except OSError as problem:
             # out of descriptors or memory: the same connection would wake the loop again at once
-            log_event(logger, logging.WARNING, "accept_failed", text=problem, used=self.budget.used)
+            log_event(
+                logger, logging.WARNING, "accept_failed", text=problem, open_descriptors=self.budget.used
+            )
             self.budget.reclaim_one()
             self._pause_accepting()
             return False
@@ -326,9 +336,9 @@
             log_event(
                 logger,
                 logging.INFO,
-                "crowd_began",
-                by=self.policy.pressure_reason.value,
-                **self.connection_table.counts_by_kind(),
+                "connection_pressure_started",
+                reason=self.policy.pressure_reason.name.lower(),
+                **self._counts_by_kind(),
                 **asdict(self.policy.pressure_snapshot(self.loop.now())),
             )
         elif since is None and self._pressure_since is not None:
@@ -339,9 +349,9 @@
             log_event(
                 logger,
                 logging.INFO,
-                "crowd_ended",
-                lasted_ms=self.loop.now() - self._pressure_since,
-                **{f"closed_{why.value}": closed[why] for why in CloseReason if closed.get(why)},
+                "connection_pressure_ended",
+                duration_ms=self.loop.now() - self._pressure_since,
+                **{f"closed_{why.name.lower()}": closed[why] for why in CloseReason if closed.get(why)},
             )
         self._pressure_since = since
         if self.policy.unclaimed_evictions > self._futile_evictions:
@@ -349,27 +359,34 @@
             log_event(
                 logger,
                 logging.INFO,
-                "room_made_in_vain",
-                times=self._futile_evictions,
-                **self.connection_table.counts_by_kind(),
+                "evictions_unclaimed",
+                count=self._futile_evictions,
+                **self._counts_by_kind(),
             )
 
+    def _counts_by_kind(self) -> dict[str, int]:
+        """Return the open connections by kind, under their log field names."""
+        counts = self.connection_table.counts_by_kind()
+        return {CONNECTION_LOG_FIELDS.get(kind, kind): count for kind, count in counts.items()}
+
     def log_summary(self) -> None:
         """A line of counts by kind, and by who closed what and why."""
-        closed = {f"closed_{why.value}": n for why, n in self.connection_table.closed_by_reason.items()}
-        doors = {f"door_{name}": n for name, n in self.connection_table.open_by_listener.items()}
-        uses = {f"sockets_{use.value}": n for use, n in self.budget.used_by_purpose.items()}
+        closed = {
+            f"closed_{why.name.lower()}": n for why, n in self.connection_table.closed_by_reason.items()
+        }
+        listeners = {f"listener_{name}": n for name, n in self.connection_table.open_by_listener.items()}
+        uses = {f"descriptors_{use.name.lower()}": n for use, n in self.budget.used_by_purpose.items()}
         log_event(
             logger,
             logging.INFO,
             "connections",
-            **self.connection_table.counts_by_kind(),
-            may_hold=self.policy.capacity(),
+            **self._counts_by_kind(),
+            capacity=self.policy.capacity(),
             opened=self.connection_table.opened_total,
-            asks=self.connection_table.request_total,
+            requests=self.connection_table.request_total,
             addresses=len(self.connection_table.address_quota),
             **dict(sorted(closed.items())),
-            **dict(sorted(doors.items())),
+            **dict(sorted(listeners.items())),
             **uses,
         )
         self._log_queue_overflows()
@@ -386,10 +403,10 @@
                 logger,
                 logging.WARNING,
                 "accept_queue_overflowed",
-                door=door.name,
-                machine=overflows - before,
-                waiting=queued,
-                most=most,
+                listener=door.name,
+                host_overflows=overflows - before,
+                queue_length=queued,
+                queue_limit=most,
             )
 
 
--- a/rosepick/net/process_handover.py
+++ b/rosepick/net/process_handover.py
@@ -52,7 +52,7 @@
         news = self.process_share.update_others(self.registry.other_descriptor_counts())
         now = len(self.process_share.other_descriptor_counts)
         if now != before:
-            log_event(logger, logging.INFO, "beside", others=now)
+            log_event(logger, logging.INFO, "peer_processes_changed", peers=now)
         if now > before and is_serving() and isinstance(module, Router):
             self.registry.write_state(export_state(module, self.loop.now()))
         if not (self.process_share.state_transfer_settled or is_serving()):
@@ -73,9 +73,9 @@
             if exported_at(document) < self._started:
                 return self.process_share.state_transfer_settled
             keys = import_state(module, document, now)
-            log_event(logger, logging.INFO, "knowledge_taken", keys=keys, age_ms=now - exported_at(document))
+            log_event(logger, logging.INFO, "state_imported", keys=keys, age_ms=now - exported_at(document))
         except ValueError as problem:
-            log_event(logger, logging.WARNING, "knowledge_unusable", text=problem)
+            log_event(logger, logging.WARNING, "state_import_failed", text=problem)
         self.registry.delete_state()
         self.process_share.state_transfer_settled = True
         return True
--- a/rosepick/net/process_registry.py
+++ b/rosepick/net/process_registry.py
@@ -36,7 +36,7 @@
             if self._try_lock(path):
                 break
         else:
-            log_event(logger, logging.WARNING, "no_seat", folder=folder)
+            log_event(logger, logging.WARNING, "process_registration_failed", folder=folder)
 
     def _try_lock(self, path: Path) -> bool:
         try:
@@ -58,7 +58,7 @@
             try:
                 os.pwrite(self._lock_fd, _DESCRIPTOR_COUNT.pack(descriptor_count), 0)
             except OSError:  # no room: they know of this process all the same
-                log_event(logger, logging.WARNING, "seat_not_written", path=self._own_path)
+                log_event(logger, logging.WARNING, "process_entry_write_failed", path=self._own_path)
 
     def other_descriptor_counts(self) -> tuple[int, ...]:
         """What each other process that lives holds."""
@@ -89,7 +89,7 @@
             part.write_bytes(document)
             part.replace(self._state_path)  # at once: guards against a part of it that is read
         except OSError as problem:
-            log_event(logger, logging.WARNING, "knowledge_not_left", text=problem)
+            log_event(logger, logging.WARNING, "state_export_failed", text=problem)
             with contextlib.suppress(OSError):
                 part.unlink()
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -227,7 +227,7 @@
             lambda: self.operator_settings.file.integer("multiget_max_keys"),
         )
         host, port = made.listen_socket.sock.getsockname()[:2]
-        log_event(logger, logging.INFO, "multiget_serving", listen=f"{host}:{port}")
+        log_event(logger, logging.INFO, "batch_serving", listen=f"{host}:{port}")
         return made
 
     def _make_engine(self) -> Engine:
@@ -255,7 +255,7 @@
         self.loop.run()
         self._log_summary()
         self.close()
-        log_event(logger, logging.INFO, "ended", name=self.config.name)
+        log_event(logger, logging.INFO, "shutdown_completed", name=self.config.name)
 
     def start_serving(self) -> None:
         """Serve from now on, or once it is this process's turn."""
@@ -290,11 +290,11 @@
         log_event(
             logger,
             logging.INFO,
-            "map_told",
-            rev=change.event.version,
+            "endpoints_updated",
+            revision=change.event.version,
             scope=change.event.scope.value,
             entries=len(change.event.endpoints),
-            hops=len(self.endpoint_directory.endpoints),
+            endpoints=len(self.endpoint_directory.endpoints),
         )
         self.engine.update_endpoints(change.event)
         self.pool.retire_endpoints(change.retired_endpoint_ids)
@@ -344,7 +344,7 @@
             renewed = config.merge_reload(self.config, told)
         except (ConfigError, ValueError) as problem:
             self.reloads_failed += 1
-            log_event(logger, logging.ERROR, "reload_failed", text=problem)
+            log_event(logger, logging.ERROR, "config_reload_failed", text=problem)
             return
         self.reloads_succeeded += 1
         before, self.config = self.config, renewed
@@ -352,9 +352,9 @@
         log_event(
             logger,
             logging.INFO,
-            "reloaded",
+            "config_reloaded",
             discovery=f"{host}:{port}",
-            sockets=told.max_descriptors,
+            max_descriptors=told.max_descriptors,
             classes=",".join(renewed.names.classes),
             max_attempts=renewed.settings.limits.max_attempts,
             needs_restart=",".join(config.settings_needing_restart(before, told)) or "nothing",
@@ -384,8 +384,8 @@
         log_event(
             logger,
             logging.INFO,
-            "ending",
-            owed=self.engine.pending_count,
+            "shutdown_started",
+            pending_requests=self.engine.pending_count,
             connections=len(self.listener.connections),
         )
         self.listener.is_shutting_down = True
@@ -442,17 +442,17 @@
         log_event(
             logger,
             logging.INFO,
-            "counts",
-            owed=self.engine.pending_count,
-            sockets=self.budget.used,
-            rejected=self.listener.rejected_count,
-            loop_faults=self.loop.fault_count,
-            callers=self.admin_listener.connection_count if self.admin_listener is not None else 0,
+            "counters",
+            pending_requests=self.engine.pending_count,
+            open_descriptors=self.budget.used,
+            rejected_requests=self.listener.rejected_count,
+            event_loop_faults=self.loop.fault_count,
+            admin_clients=self.admin_listener.connection_count if self.admin_listener is not None else 0,
             **counts,
         )
         worths = {place: one.worth for place, one in enumerate(self.config.settings.classes)}
         for line in self.engine.request_counters.iter_log_fields(self._class_names(), worths):
-            log_event(logger, logging.INFO, "ends", **line)
+            log_event(logger, logging.INFO, "request_outcomes", **line)
         self.listener.log_summary()
 
 
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -114,13 +114,15 @@
         try:
             step()
         except OSError as problem:
-            log_event(logger, logging.DEBUG, "next_hop_broke", server=self.endpoint_id, text=problem)
+            log_event(
+                logger, logging.DEBUG, "upstream_connection_failed", endpoint=self.endpoint_id, text=problem
+            )
             self._finish(self.exchange.broken_result() if self.exchange is not None else None)
         except Exception as problem:
             # Guards against a socket that stays ready and raises the same again at once, without end.
             self.pool.loop.fault_count += 1
             log_exception(
-                logger, "next_hop_fault", problem, server=self.endpoint_id, count=self.pool.loop.fault_count
+                logger, "upstream_fault", problem, endpoint=self.endpoint_id, count=self.pool.loop.fault_count
             )
             self._finish(self.exchange.broken_result() if self.exchange is not None else None)
 
@@ -228,10 +230,10 @@
             log_event(
                 logger,
                 logging.WARNING,
-                "answer_cut",
-                server=self.endpoint_id,
-                came=flow.received_bytes,
-                length=flow.content_length,
+                "response_truncated",
+                endpoint=self.endpoint_id,
+                received_bytes=flow.received_bytes,
+                content_length=flow.content_length,
             )
             flow.abort()
 
@@ -361,13 +363,13 @@
             return
         hop = self.endpoint_directory.endpoints.get(attempt.endpoint_id)
         if hop is not None and hop.zone != self.zone:
-            self.engine.counts["crossings"] += 1
+            self.engine.counts["cross_zone_attempts"] += 1
         if hop is not None and hop.status is not Status.READY:
             self.finish_attempt(attempt, AttemptResult(Result.NEVER_SENT))  # chosen before the drain was told
             return
         link = self._take_idle(attempt.endpoint_id)
         if link is None and hop is not None:
-            self.engine.counts["dials"] += 1
+            self.engine.counts["upstream_connects"] += 1
             link = self._dial(hop)
         if link is None:
             self.finish_attempt(attempt, AttemptResult(Result.CONNECT_FAILED))
@@ -458,7 +460,11 @@
     def _dial(self, entry: EndpointEntry) -> UpstreamConnection | None:
         if not self.budget.ensure_available(DescriptorUse.UPSTREAM):
             log_event(
-                logger, logging.WARNING, "no_socket_for_dial", server=entry.endpoint_id, used=self.budget.used
+                logger,
+                logging.WARNING,
+                "connect_without_descriptor",
+                endpoint=entry.endpoint_id,
+                open_descriptors=self.budget.used,
             )
             return None
         try:
@@ -468,9 +474,9 @@
                 log_event(
                     logger,
                     logging.WARNING,
-                    "no_socket_for_dial",
-                    server=entry.endpoint_id,
-                    used=self.budget.used,
+                    "connect_without_descriptor",
+                    endpoint=entry.endpoint_id,
+                    open_descriptors=self.budget.used,
                 )
             return None
         link = UpstreamConnection(self, entry, sock)
--- a/rosepick/ops/telemetry.py
+++ b/rosepick/ops/telemetry.py
@@ -12,7 +12,7 @@
     RequestOutcome.SERVED: "success",
     RequestOutcome.REFUSED: "busy",
     RequestOutcome.FAILED: "failure",
-    RequestOutcome.TIMED_OUT: "failure",
+    RequestOutcome.DEADLINE_EXCEEDED: "failure",
     RequestOutcome.INTERNAL_ERROR: "failure",
 }
 """The figure that each end counts to. A client that has gone was told nothing."""
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import unittest
 from io import StringIO
 from pathlib import Path
@@ -9,12 +10,20 @@
 
 from rich.console import Console
 
+from rosepick.connections.connection_table import CloseReason
+from rosepick.connections.descriptor_budget import DescriptorUse
+from rosepick.core.request_counters import RequestOutcome
+from rosepick.decisions.api import EndReason, Result
 from rosepick.lab.account.day_report import parse_day_report
 from rosepick.lab.account.log_reader import NoLogsError, read_logs
-from rosepick.lab.account.loss_account import build_account
+from rosepick.lab.account.loss_account import LossAccount, build_account
 from rosepick.lab.account.tables import format_tables
+from rosepick.lab.log_terms import EVENTS, FIELDS, line_has_event, parse_record
+from rosepick.leases.lease_client import LeaseState
 from tests.scenario import Scenario
 
+ROOT = Path(__file__).parent.parent
+RECORDED_LOG = ROOT / "tests" / "golden" / "router.log"
 BEGIN = "time=2026-01-02T03:04:{:06.3f}Z level=info part=net.server event="
 PRINTED = """site a  family cache  requests 30
 G 0.6703   whole day 0.7924   worst 10 s 0.7373 (from 9 s)
@@ -30,8 +39,8 @@
     return (f"{at:.3f} " if stamp else "") + BEGIN.format(at) + event + (f" {told}" if told else "")
 
 
-def ends(at: float, klass: str, stamp: bool = True, **figures: object) -> str:
-    return line(at, "ends", stamp, **{"class": klass}, **figures)
+def outcomes(at: float, klass: str, stamp: bool = True, **figures: object) -> str:
+    return line(at, "request_outcomes", stamp, **{"class": klass}, **figures)
 
 
 class Reads(unittest.TestCase):
@@ -51,15 +60,17 @@
                 "n0",
                 line(0, "serving", stamp),
                 "Traceback (most recent call last):",
-                ends(5, "read", stamp, worth=3.0, served=8, refused_slow=2, refused_slow_ms=20),
-                ends(10, "read", stamp, worth=3.0, served=9, refused_slow=7, refused_slow_ms=120),
-                line(10, "counts", stamp, attempts=20, crossings=4),
+                outcomes(5, "read", stamp, worth=3.0, served=8, refused_too_slow=2, refused_too_slow_ms=20),
+                outcomes(10, "read", stamp, worth=3.0, served=9, refused_too_slow=7, refused_too_slow_ms=120),
+                line(10, "counters", stamp, attempts=20, cross_zone_attempts=4),
                 line(11, "serving", stamp),  # another process: counts begin anew
-                ends(15, "read", stamp, worth=3.0, served=1),
-                line(15, "counts", stamp, attempts=2, crossings=1),
-                "15.001 time=2026 event=ends class",
+                outcomes(15, "read", stamp, worth=3.0, served=1),
+                line(15, "counters", stamp, attempts=2, cross_zone_attempts=1),
+                "15.001 time=2026 event=request_outcomes class",
+            )
+            self.write(
+                "n1", line(0.5, "serving", stamp), outcomes(5.5, "write", stamp, worth=6.0, client_gone=1)
             )
-            self.write("n1", line(0.5, "serving", stamp), ends(5.5, "write", stamp, worth=6.0, gone=1))
             found = build_account(read_logs([self.folder]), parse_day_report(PRINTED))
             with self.subTest(stamp=stamp):
                 self.assertEqual((found.routers, found.starts, found.asked), (2, 3, 18))
@@ -68,8 +79,8 @@
                 self.assertEqual(
                     [(c.name, c.count, c.worth) for c in found.causes],
                     [
-                        ("refused_slow", 7, 21.0),
-                        ("gone", 1, 6.0),
+                        ("refused_too_slow", 7, 21.0),
+                        ("client_gone", 1, 6.0),
                     ],
                 )
                 self.assertAlmostEqual(found.causes[0].waited, 120 / 7)
@@ -82,7 +93,7 @@
                     ],
                 )
                 self.assertEqual([row.asked for row in found.groups], [18])
-                self.assertAlmostEqual(found.prices["crossings"], 5 / 18)
+                self.assertAlmostEqual(found.prices["cross_zone_attempts"], 5 / 18)
                 self.assertEqual(found.printed.prices, {"cross_zone": 0.0478, "handshake": 0.015})  # type: ignore[union-attr]
         console = Console(width=200, file=StringIO())
         for made in format_tables(found):
@@ -92,7 +103,9 @@
 
     def test_busy_routers_stand_apart_and_nothing_to_read_is_one_plain_line(self) -> None:
         for place in range(10):
-            self.write(f"n{place}", ends(5, "read", served=90 if place == 3 else 1, refused_queue=1))
+            self.write(
+                f"n{place}", outcomes(5, "read", served=90 if place == 3 else 1, refused_queue_timeout=1)
+            )
         rows = [(row.name, row.asked) for row in build_account(read_logs([self.folder])).groups]
         self.assertEqual(rows, [("1 with 3 times the mean or more", 91), ("9 others", 18)])
         for place in range(10):
@@ -104,6 +117,78 @@
         self.assertEqual(parse_day_report("nothing of a day"), parse_day_report(""))
 
 
+class OldLogs(unittest.TestCase):
+    """Logs in the words of before 0.3.0 are read like those of today."""
+
+    def account(self, text: str) -> LossAccount:
+        with TemporaryDirectory() as folder:
+            (Path(folder) / "n0.log").write_text(text, "utf-8")
+            return build_account(read_logs([Path(folder)]))
+
+    def test_an_old_log_and_a_new_one_give_the_same_account(self) -> None:
+        old = RECORDED_LOG.read_text("utf-8")
+        lines = [parse_record(line) for line in old.splitlines()]
+        new = "".join(" ".join(f"{key}={value}" for key, value in one.items()) + "\n" for one in lines)
+        self.assertNotIn("event=ends", new)
+        self.assertEqual(new.count("event=request_outcomes"), 6)
+        found = self.account(old)
+        self.assertEqual(self.account(new), found)
+        self.assertEqual(found.asked, 13)
+        self.assertEqual(
+            sorted(cause.name for cause in found.causes),
+            ["client_gone", "deadline_exceeded_no_time", "refused_no_endpoint"],
+        )
+        self.assertEqual(found.prices["upstream_connects"], 5 / 13)
+
+    def test_no_line_of_the_recorded_log_keeps_an_old_name(self) -> None:
+        old_words = {"envelopes", "owed", "sockets", "dials", "gone", "hops", "asks", "door_http", "half"}
+        for line in RECORDED_LOG.read_text("utf-8").splitlines():
+            with self.subTest(line=line):
+                record = parse_record(line)
+                self.assertNotIn(record["event"], EVENTS)
+                self.assertFalse(old_words & set(record))
+                self.assertEqual(len(record), line.count("="))
+                self.assertEqual(parse_record(" ".join(f"{k}={v}" for k, v in record.items())), record)
+
+    def test_each_old_value_has_the_name_that_is_logged_today(self) -> None:
+        """Guards against a member of an enum that is renamed, and with it, unseen, a field of the log."""
+        cases = [("counts", f"attempt_{one.value}", f"attempt_{one.name.lower()}") for one in Result]
+        cases += [("ends", one.value, one.name.lower()) for one in RequestOutcome]
+        cases += [
+            ("ends", f"late_{one.value}_ms", f"deadline_exceeded_{one.name.lower()}_ms")
+            for one in EndReason
+            if one is not EndReason.UNSPECIFIED
+        ]
+        cases += [("connections", f"closed_{one.value}", f"closed_{one.name.lower()}") for one in CloseReason]
+        cases += [
+            ("connections", f"sockets_{one.value}", f"descriptors_{one.name.lower()}")
+            for one in DescriptorUse
+        ]
+        for event, old, new in cases:
+            with self.subTest(old=old):
+                self.assertEqual(parse_record(f"event={event} {old}=3").get(new), "3")
+
+    def test_the_table_has_what_is_logged_and_nothing_old_is_logged(self) -> None:
+        logged = {
+            node.value
+            for path in (ROOT / "rosepick").rglob("*.py")
+            for call in ast.walk(ast.parse(path.read_text("utf-8")))
+            if isinstance(call, ast.Call) and ast.unparse(call.func) in ("log_event", "log_exception")
+            for argument in call.args
+            for node in ast.walk(argument)
+            if isinstance(node, ast.Constant)
+        }
+        made = {f"lease_{state.name.lower()}" for state in LeaseState}
+        self.assertEqual({*EVENTS.values(), *FIELDS} - logged - made, set())
+        self.assertEqual(logged & set(EVENTS), set())
+
+    def test_lines_are_found_by_event_in_both_words(self) -> None:
+        for text in ("event=witness_votes name=w1", "event=replica_voting name=w1"):
+            self.assertTrue(line_has_event(f"time=x {text}", "replica_voting"))
+            self.assertFalse(line_has_event(f"time=x {text}", "replica_started"))
+        self.assertFalse(line_has_event("replica_voting", "replica_voting"))
+
+
 class Enters(Scenario):
     """What the engine enters while it serves."""
 
@@ -122,5 +207,7 @@
         told = next(self.server.engine.request_counters.iter_log_fields({0: "read"}, {0: 3.0}))
         self.assertEqual((told["class"], told["worth"], told["served_late"]), ("read", 3.0, 1))
         self.assertTrue(700 <= int(str(told["served_late_ms"])) < 750)
-        self.assertEqual([told[name] for name in told if name[:5] == "late_" and name[-3:] != "_ms"], [1])
+        self.assertEqual(
+            [told[name] for name in told if name[:18] == "deadline_exceeded_" and name[-3:] != "_ms"], [1]
+        )
         self.assertEqual(next(self.server.engine.request_counters.iter_log_fields({}, {}))["class"], "0")
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -18,7 +18,7 @@
             s1 expect nothing
             origin expect nothing
         """)
-        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+        self.assertEqual(self.server.engine.counts["requests"], 0)
 
     def test_lengths_that_hide_another_request(self) -> None:
         hidden = rf"0\r\n\r\n{ONE}"
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -35,7 +35,7 @@
             origin send 200 x
             c1 expect 200 x
         """)
-        self.assertEqual(self.server.engine.counts["attempt_no_place"], 1)
+        self.assertEqual(self.server.engine.counts["attempt_connection_limit"], 1)
         self.assertIn(Result.CONNECTION_LIMIT, NEVER_RAN)
         self.assertLess(router.origin.limit, 2.0)  # type: ignore[attr-defined]
 
@@ -51,7 +51,7 @@
             wait 300
         """)  # the last is not the first answer of its connection: that had its place
         counts = self.server.engine.counts
-        self.assertEqual((counts["attempt_no_place"], counts["attempt_full"]), (0, 2))
+        self.assertEqual((counts["attempt_connection_limit"], counts["attempt_busy"]), (0, 2))
 
     def test_idle_connections_go_as_soon_as_they_are_not_kept_any_longer(self) -> None:
         self.miss("send 200 x")
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -79,12 +79,12 @@
         )
     )
     counts = [router.engine.counts for router in made.routers if router is not None]
-    assert sum(one["attempt_no_place"] for one in counts) > 0
-    assert sum(one["attempt_full"] + one["attempt_connect_failed"] for one in counts) == 0
+    assert sum(one["attempt_connection_limit"] for one in counts) > 0
+    assert sum(one["attempt_busy"] + one["attempt_connect_failed"] for one in counts) == 0
     assert made.origin.connections <= 2
     assert made.discovery.rejected_calls > 0
     assert sum(watcher.subscribed for watcher in made.discovery.subscribers) > 5  # the others came again
-    assert counts[0]["envelopes"] > 3 * max(one["envelopes"] for one in counts[1:])
+    assert counts[0]["requests"] > 3 * max(one["requests"] for one in counts[1:])
 
 
 CUT_OFF = '[[troubles]]\nkind = "isolate"\nat = 1\nfor = 1\n'
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -202,7 +202,7 @@
         self.assertEqual(len({req_id for _, req_id, *_ in found}), 40)
         self.assertEqual({(key, req_id) for _, key, req_id in self.asked}, {row[:2] for row in found})
         self.assertNotIn(b"partial", self.body)
-        self.assertEqual(self.server.engine.counts["envelopes"], 40)
+        self.assertEqual(self.server.engine.counts["requests"], 40)
         self.nothing_left()
 
     def test_one_stopped_node_and_nobody_answers_400(self) -> None:
@@ -217,7 +217,7 @@
         self.assertEqual([key for key, *_ in found], keys)
         self.assertLess(len(failed), 30)
         self.assertGreater(self.server.engine.counts["attempt_connect_failed"], 0)
-        self.assertEqual(self.server.engine.counts["attempt_unfit"], 0)
+        self.assertEqual(self.server.engine.counts["attempt_invalid"], 0)
         written = {first, *(req_id for _, req_id, *_ in found)}
         self.assertTrue({req_id for _, _, req_id in self.asked} <= written)
         last = f"partial: {len(failed)} of 30 not served\n".encode() if failed else b"\n"
@@ -288,7 +288,7 @@
         self.batch("b1", [f"k{n}" for n in range(65)])
         self.play("b1 expect 400 more than 64 keys")
         self.play("b1 send GET /mget\nb1 expect 405\nb1 send GET /api/k1\nb1 expect 404")
-        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+        self.assertEqual(self.server.engine.counts["requests"], 0)
 
     def test_another_limit_of_keys_applies_after_sighup(self) -> None:
         changed = operator_file.read(b"multiget_listen 0\nmultiget_max_keys 1", "rosepick.conf")
@@ -415,7 +415,7 @@
     def test_a_deadline_that_is_over_already_sends_nothing(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)], "0")
         self.assertEqual({row[2] for row in self.answer("b1")}, {504})
-        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+        self.assertEqual(self.server.engine.counts["requests"], 0)
 
     def test_what_is_left_of_the_time_goes_with_each_part(self) -> None:
         self.batch("b1", ["k1"], "0.800")
@@ -426,11 +426,11 @@
     def test_a_client_that_goes_away_cancels_the_rest(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)])
         self.step()
-        taken = self.server.engine.counts["envelopes"]
+        taken = self.server.engine.counts["requests"]
         self.assertGreater(taken, 0)
         self.play("b1 close\nwait 20")
-        self.assertEqual(self.server.engine.totals()["gone"], taken)
-        self.assertEqual(self.server.engine.counts["envelopes"], taken)
+        self.assertEqual(self.server.engine.totals()["client_gone"], taken)
+        self.assertEqual(self.server.engine.counts["requests"], taken)
         self.nothing_left()
 
     def test_the_routers_own_status_is_passed_on(self) -> None:
@@ -584,7 +584,7 @@
         self.addCleanup(process.terminate)
         port = 0
         for line in process.stderr:
-            if found := re.search(r"event=multiget_serving listen=127.0.0.1:(\d+)", line):
+            if found := re.search(r"event=batch_serving listen=127.0.0.1:(\d+)", line):
                 port = int(found[1])
             if "event=serving" in line:
                 return port
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -130,7 +130,7 @@
         with self.assertLogs("rosepick", "INFO") as said:
             self.play("router reload")
         events = {line.getMessage(): vars(line)["fields"] for line in said.records}
-        self.assertEqual(set(events), {"reload_failed", "operator_file_reloaded"})
+        self.assertEqual(set(events), {"config_reload_failed", "operator_file_reloaded"})
         told = events["operator_file_reloaded"]
         self.assertEqual((told["changed"], told["needs_restart"]), ("pigs,rest", "pigs"))
         self.assertEqual(self.server.operator_settings.file.values["pigs"], 7)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -145,7 +145,7 @@
         logs.log_event(log, logging.INFO, "same")
         lines = stream.getvalue().splitlines()
         self.assertEqual(len(lines), logs.MAX_LINES_PER_EVENT + 1)
-        self.assertIn("held_back=30", lines[-1])
+        self.assertIn("suppressed=30", lines[-1])
 
 
 class Loops(unittest.TestCase):
@@ -216,10 +216,10 @@
                         self.assertTrue(sock.recv(100).startswith(b"HTTP/1.1 200 "))
                     # guards against a signal that ends a router as it does any program without a handler
                     process.send_signal(signal.SIGHUP)
-                    self.assertIn("event=reloaded", process.stderr.readline())
+                    self.assertIn("event=config_reloaded", process.stderr.readline())
                 finally:  # whatever went wrong: the test must not wait for it without end
                     process.terminate()
-                self.assertIn("event=ended", process.stderr.read())
+                self.assertIn("event=shutdown_completed", process.stderr.read())
             self.assertEqual(process.returncode, 0)
 
     def python(self, *words: str) -> subprocess.CompletedProcess[str]:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -112,7 +112,7 @@
             self.file = {**usual, "discovery": "127.0.0.1:1", **broken}
             with self.subTest(broken), self.assertLogs("rosepick", "ERROR") as said:
                 self.play("router reload")
-            self.assertEqual([line.getMessage() for line in said.records], ["reload_failed"])
+            self.assertEqual([line.getMessage() for line in said.records], ["config_reload_failed"])
             self.file = usual
         self.play("""
             d tell 42 s1=leaving
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -83,17 +83,19 @@
     def test_those_that_ask_once_and_hold_leave_room(self) -> None:
         with self.assertLogs("rosepick", "INFO") as logs:
             self.assertEqual(self.fill(200), 200)
-            began = self.fields(logs, "crowd_began")
-            self.assertEqual((began["may_hold"], began["by"]), (40, "answered"))
+            began = self.fields(logs, "connection_pressure_started")
+            self.assertEqual((began["capacity"], began["reason"]), (40, "not_worth_keeping"))
             self.play("wait 6000")
-            self.assertGreater(self.fields(logs, "crowd_ended")["closed_answered"], 100)
+            self.assertGreater(
+                self.fields(logs, "connection_pressure_ended")["closed_not_worth_keeping"], 100
+            )
             self.server.listener.log_summary()
             told = self.fields(logs, "connections")
-        self.assertEqual(told["asks"], 200)
+        self.assertEqual(told["requests"], 200)
         self.assertEqual(
             told["opened"],
             sum(told[name] for name in told if name.startswith("closed_"))
-            + sum(told[kind] for kind in ("fresh", "asking", "once", "often", "lingering")),
+            + sum(told[kind] for kind in ("unused", "active", "used_once", "reused", "lingering")),
         )
 
     def test_exactly_as_many_as_may_be_all_idle(self) -> None:
@@ -200,7 +202,7 @@
                     self.wire(f"h-{self.server.listener.connection_table.opened_total}")
                     self.step()
                 self.play("wait 100")
-            self.fields(logs, "room_made_in_vain")
+            self.fields(logs, "evictions_unclaimed")
         self.assertLess(self.server.listener.connection_table.opened_total - opened, 40)
 
 
@@ -437,7 +439,7 @@
                 self.server.listener.log_summary()
                 self.server.listener.log_summary()
         told = [vars(r)["fields"] for r in logs.records if r.getMessage() == "accept_queue_overflowed"]
-        said = [(line["machine"], line["door"], line["most"]) for line in told]
+        said = [(line["host_overflows"], line["listener"], line["queue_limit"]) for line in told]
         self.assertEqual(said, [(2, "http", 1024)])
 
     def test_a_closed_connection_leaves_no_cycle(self) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -128,13 +128,13 @@
         self.assertEqual(self.server.engine.counts[f"attempt_{outcome}"], 1)
 
     def test_declined(self) -> None:
-        self.ends("send 503 '' Srv-Declined=1", "full")
+        self.ends("send 503 '' Srv-Declined=1", "busy")
 
     def test_not_declined(self) -> None:
         self.ends("send 503 ''", "error")
 
     def test_malformed_answer(self) -> None:
-        self.ends(r"raw HELO\r\n\r\n", "spoilt")
+        self.ends(r"raw HELO\r\n\r\n", "malformed")
 
     def test_connection_that_breaks(self) -> None:
         self.ends("close", "reset")
@@ -221,7 +221,7 @@
             (r"c3 raw GET nonsense\r\n\r\n", 400),
         ):
             self.play(f"{text}\n{text[:2]} expect {status}")
-        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+        self.assertEqual(self.server.engine.counts["requests"], 0)
 
     def test_header_without_end(self) -> None:
         self.play(rf"""
@@ -237,7 +237,7 @@
             c1 close
             s1 expect closed
         """)
-        self.assertEqual(self.server.engine.totals()["gone"], 1)
+        self.assertEqual(self.server.engine.totals()["client_gone"], 1)
         self.assertEqual(self.server.engine.pending_count, 0)
 
     def test_client_that_ends_its_sending_still_gets_a_whole_answer(self) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -107,7 +107,7 @@
             with self.subTest(path, value=value), self.assertLogs("rosepick", "ERROR") as said:
                 self.play("router reload")
             (line,) = said.records
-            self.assertEqual(line.getMessage(), "reload_failed")
+            self.assertEqual(line.getMessage(), "config_reload_failed")
             place = re.sub(r"\.\d", "", path.removeprefix("settings."))
             self.assertIn(place, re.sub(r"\[\d?\]", "", str(vars(line)["fields"]["text"])))
             self.assertIs(self.server.config, before)
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -31,7 +31,7 @@
                 c{n} expect 503
                 s1 expect closed
             """)
-        self.assertEqual(self.server.engine.counts["attempt_spoilt"], len(SPOILT))
+        self.assertEqual(self.server.engine.counts["attempt_malformed"], len(SPOILT))
 
     def test_says_nothing_against_a_healthy_next_hop_nor_the_origin(self) -> None:
         router = self.module()
@@ -141,7 +141,7 @@
             c1 expect 503
             s1 expect closed
         """)
-        self.assertEqual(self.server.engine.counts["attempt_spoilt"], 1)
+        self.assertEqual(self.server.engine.counts["attempt_malformed"], 1)
 
 
 class Large(Scenario):
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -207,7 +207,7 @@
         with self.assertRaises(ssl.SSLWantReadError):
             self.wire("c1").sock.unwrap()  # type: ignore[attr-defined]
         self.play("wait 10\ns1 expect closed")
-        self.assertEqual(self.server.engine.totals()["gone"], 1)
+        self.assertEqual(self.server.engine.totals()["client_gone"], 1)
 
     def test_an_end_in_the_same_read_as_a_request_counts_too(self) -> None:
         self.play("c1 send GET /ready\nc1 expect 200")
@@ -219,7 +219,7 @@
         with self.assertRaises(ssl.SSLWantReadError):
             sock.unwrap()  # type: ignore[attr-defined]
         self.play("wait 10")
-        self.assertEqual(self.server.engine.totals()["gone"], 1)
+        self.assertEqual(self.server.engine.totals()["client_gone"], 1)
 
     @unittest.skipUnless(shutil.which("openssl"), "Python's own client cannot ask for small records")
     def test_a_client_that_asks_for_small_records_gets_all(self) -> None:
@@ -516,7 +516,7 @@
 
     def test_a_storm_keeps_every_subject(self) -> None:
         storm = LogRateLimiter(lambda: 0.0)
-        for event, kept in (("client_verified", 100), ("rejected", 20)):
+        for event, kept in (("client_verified", 100), ("request_rejected", 20)):
             record = logging.LogRecord("rosepick.net.tls", logging.INFO, "", 0, event, (), None)
             self.assertEqual(sum(storm.filter(record) for _ in range(100)), kept)
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -275,7 +275,7 @@
         self.serving(old)
         self.assertNotEqual(self.start("broken", discovery="nowhere").wait(20), 0)  # the old one goes on
         new = self.start("new")
-        door = int(self.serving(new).partition("event=ops_serving listen=127.0.0.1:")[2].split()[0])
+        door = int(self.serving(new).partition("event=admin_serving listen=127.0.0.1:")[2].split()[0])
         self.assertEqual(self.ask(door, b"readyz\n"), b"OK ready\n")
         answers = {self.ask(port)}
         old.terminate()
