Break the import circle of the live lab with a protocol of what its servers need

Cause: discovery server, response faults, node server and the live simulation imported one another, three of them only for types. Change: live_context.py says what the servers need of a run; response_faults.py keeps what happens to a connection, and live_faults.py holds the injectors that an experiment names.

--- a/rosepick/lab/live/discovery_server.py
+++ b/rosepick/lab/live/discovery_server.py
@@ -8,7 +8,7 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from ...decisions.api import Endpoint, Status
@@ -18,12 +18,10 @@
 from ..experiment import DiscoveryConfig as Shape
 from ..model.discovery import SimulatedDiscovery
 from .controllable_listener import HOST, ControllableListener
+from .live_context import LiveContext
 from .request_reader import HttpRequest, MalformedRequestError, RequestReader, encode_response
 from .router_config import MACHINE_TYPES
 
-if TYPE_CHECKING:
-    from .live_simulation import LiveSimulation
-
 logger = logging.getLogger(__name__)
 WIRE_STATES = {Status.READY: "active", Status.DRAINING: "leaving", Status.REMOVED: "left"}
 EndpointRows = dict[str, Any]
@@ -34,7 +32,7 @@
     in real time, one after another.
     """
 
-    def __init__(self, simulation: LiveSimulation, shape: Shape, seed: int) -> None:
+    def __init__(self, simulation: LiveContext, shape: Shape, seed: int) -> None:
         super().__init__(simulation.kernel, shape, seed, lambda zone: 0.0)
         self.simulation = simulation
         self.connections: dict[DiscoveryConnection, None] = {}
--- /dev/null
+++ b/rosepick/lab/live/live_faults.py
@@ -0,0 +1,74 @@
+"""Injectors of the faults that only sockets have, by their names in an experiment's file."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol, cast
+
+from ..experiment import FaultConfig
+from ..model.fault_schedule import (
+    InjectFault,
+    RevertFault,
+    choose_cache_nodes,
+    choose_nodes_or_all,
+    format_node_names,
+    no_revert,
+)
+from ..model.nodes import SimulatedNode
+from ..model.simulation import Simulation
+from .node_server import NodeServer
+
+
+class HasNodeServers(Protocol):
+    """A simulation whose nodes have servers."""
+
+    @property
+    def node_servers(self) -> Mapping[int, NodeServer]:
+        """The node servers by the number of their node."""
+
+
+def _refuse_connections(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+    servers = _node_servers_of(simulation, choose_cache_nodes(simulation, fault))
+
+    def change_refusals(by: int) -> None:
+        for server in servers:
+            server.refusal_count += by
+            server.update_listeners()
+
+    change_refusals(1)
+    return format_node_names([server.node for server in servers]), lambda: change_refusals(-1)
+
+
+def _response_share_fault(shares_of: Callable[[NodeServer], list[float]]) -> InjectFault:
+    """Affect a share of the responses of some nodes; of all nodes and the origin if none is named."""
+
+    def inject(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+        servers = _node_servers_of(simulation, choose_nodes_or_all(simulation, fault))
+        for server in servers:
+            shares_of(server).append(fault.share)
+
+        def revert() -> None:
+            for server in servers:
+                shares_of(server).remove(fault.share)
+
+        return format_node_names([server.node for server in servers]), revert
+
+    return inject
+
+
+def _reload_routers(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+    """Nothing to inject here: the process that started the routers signals them."""
+    return f"{fault.routers or 'all'} routers", no_revert
+
+
+def _node_servers_of(simulation: Simulation, nodes: Sequence[SimulatedNode]) -> list[NodeServer]:
+    servers = cast(HasNodeServers, simulation).node_servers
+    return [servers[node.number] for node in nodes]
+
+
+LIVE_FAULT_INJECTORS: dict[str, InjectFault] = {
+    "refuse": _refuse_connections,
+    "garbage": _response_share_fault(lambda server: server.garbage_shares),
+    "drip": _response_share_fault(lambda server: server.drip_shares),
+    "reload": _reload_routers,
+}
--- a/rosepick/lab/live/live_simulation.py
+++ b/rosepick/lab/live/live_simulation.py
@@ -24,8 +24,8 @@
 )
 from ..model.simulated_router import SimulatedRouter
 from ..model.simulation import Simulation
-from . import response_faults
 from .discovery_server import DiscoveryServer
+from .live_faults import LIVE_FAULT_INJECTORS
 from .node_server import NodeServer
 from .origin_state import DEDUPLICATION_WORK_MS, OriginFetches, WriteDeduplicator
 from .real_time_kernel import RealTimeKernel
@@ -63,7 +63,7 @@
     def start_at(self, at: float) -> None:
         """The run begins at that time of the loop."""
         self.unix_start_ms = 1000.0 * time.time() + at - self.loop.now()
-        fault_schedule.schedule_faults(self, response_faults.LIVE_FAULT_INJECTORS)
+        fault_schedule.schedule_faults(self, LIVE_FAULT_INJECTORS)
         self.kernel.call_after(1_000.0, self._sample_load)
         self.real_time_kernel.start(at)
 
--- a/rosepick/lab/live/node_server.py
+++ b/rosepick/lab/live/node_server.py
@@ -8,7 +8,6 @@
 import struct
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from ...decisions.api import Result, Status
 from ...logs import log_exception
@@ -18,13 +17,11 @@
 from ..model.random_streams import UniformStream
 from . import response_faults
 from .controllable_listener import ControllableListener
+from .live_context import LiveContext
 from .request_reader import HttpRequest, MalformedRequestError, RequestReader, encode_response
 from .router_config import CONNECTION_IDLE_MS
 from .run_records import NodeAttemptRecord
 
-if TYPE_CHECKING:
-    from .live_simulation import LiveSimulation
-
 logger = logging.getLogger(__name__)
 DECLINED = (b"Srv-Declined", b"1")
 _LINGER_RESET = struct.pack("ii", 1, 0)  # of SO_LINGER: closing resets
@@ -35,7 +32,7 @@
     for new connections too.
     """
 
-    def __init__(self, simulation: LiveSimulation, node: SimulatedNode) -> None:
+    def __init__(self, simulation: LiveContext, node: SimulatedNode) -> None:
         self.simulation, self.node = simulation, node
         self.refusal_count = 0  # troubles that are on
         self.garbage_shares: list[float] = []  # of the answers, by each trouble that is on ...
@@ -132,6 +129,10 @@
             server.simulation.loop, server.simulation.budget, sock, self._on_ready
         )
 
+    def call_after(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        """Call after so many milliseconds of the run."""
+        self.server.simulation.call_after(delay_ms, callback)
+
     def is_idle(self) -> bool:
         """Between requests."""
         return self.attempt is None and not self._reader.is_in_request
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,7 +13,7 @@
 from rosepick.decisions.api import Status
 from rosepick.lab import experiment, results, sim
 from rosepick.lab.experiment import ExperimentError, RequirementConfig
-from rosepick.lab.live import response_faults
+from rosepick.lab.live import live_faults
 from rosepick.lab.measure import Measure
 from rosepick.lab.model import fault_schedule
 from rosepick.lab.model.rule_monitor import ClientTry
@@ -197,7 +197,7 @@
     kinds = [
         kind
         for kind in experiment.FaultKind.__args__  # type: ignore[attr-defined]
-        if kind not in response_faults.LIVE_FAULT_INJECTORS
+        if kind not in live_faults.LIVE_FAULT_INJECTORS
     ]
     rows = ", ".join(
         f'{{kind = "{kind}", at = {1.0 + 0.05 * n}, for = 0.5'
@@ -210,7 +210,7 @@
     assert [span.kind for span in run.troubles] == kinds
     assert all(span.what for span in run.troubles)
     assert run.broken == []
-    for kind in response_faults.LIVE_FAULT_INJECTORS:
+    for kind in live_faults.LIVE_FAULT_INJECTORS:
         given = experiment.parse_experiment(f'{SMALL}troubles = [{{kind = "{kind}", at = 1}}]', "f")
         with pytest.raises(ExperimentError, match=f"kind '{kind}' is played with --live only"):
             sim.run_simulated(given, 1, "rosepick", {})
