--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -31,7 +31,7 @@
                 c{n} expect 503
                 s1 expect closed
             """)
-        self.assertEqual(self.server.engine.counts["attempt_spoilt"], len(MALFORMED_RESPONSES))
+        self.assertEqual(self.server.engine.counts["attempt_malformed"], len(MALFORMED_RESPONSES))
 
     def test_count_neither_against_an_endpoint_nor_the_origin(self) -> None:
         router = self.module()
@@ -141,7 +141,7 @@
             c1 expect 503
             s1 expect closed
         """)
-        self.assertEqual(self.server.engine.counts["attempt_spoilt"], 1)
+        self.assertEqual(self.server.engine.counts["attempt_malformed"], 1)
 
 
 class LargeResponses(Scenario):
