Name the locals of the decision module after what they hold

Cause: locals such as pace, held, asked, stays, risk, away, many and dear, and a few comments, still spoke in the old wording.

--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -30,7 +30,7 @@
 
 
 class Mode(Enum):
-    """Who fetches from the origin on a cache miss."""
+    """Which side fetches from the origin on a cache miss."""
 
     ASIDE = "aside"  # the router
     THROUGH = "through"  # the cache node itself
@@ -70,7 +70,7 @@
 
 
 class EndReason(Enum):
-    """Why a request was not served."""
+    """The reason that a request was not served."""
 
     UNSPECIFIED = ""
     OVERLOADED = "crowded"  # this router has too much in flight
@@ -308,7 +308,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientDisconnected:
-    """The client has disconnected; no final answer is owed."""
+    """The client has disconnected; no final answer is sent."""
 
     ref: int
 
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -27,8 +27,8 @@
 
 FILTER_CAPACITY = 20_000  # key names held: far more than one router meets while an object stays cached
 INITIAL_TOP_SIZE = 4_000  # k' at the start: a key met twice is kept until errors or latency say otherwise
-MIN_TOP_SIZE = 8  # k' never falls under this, so that the hottest keys keep their place
-TOP_CUT_FACTOR = 0.8  # k' after a round with too much trouble ...
+MIN_TOP_SIZE = 8  # k' never falls below this, so that the most popular keys stay in the keep pool
+TOP_CUT_FACTOR = 0.8  # k' after a round with too many bad attempts ...
 TOP_GROWTH_FACTOR = 1.05  # ... and after a calm one: down fast, up slowly
 MAX_BAD_SHARE = 0.12  # share of keep-pool attempts that may end badly or slowly
 CONTROL_INTERVAL_MS = 500.0  # how often control loops run; long enough for a few dozen responses
@@ -41,7 +41,7 @@
 HOT_KEY_SHARE = 0.25  # of a home endpoint's even share of the reads: a key with more gets more holders
 HEAT_MEMORY_READS = 500.0  # reads over which a key's share of this router's reads is learned ...
 HEAT_PRIOR_READS = 30.0  # ... and how many it takes before a repeat says much
-MAX_CANDIDATES = 4  # candidates looked at in a pool: more would scatter a key's copies
+MAX_CANDIDATES = 4  # candidates considered in a pool: more would scatter a key's copies
 
 WAIT_BOUND_SHARE = 0.45  # of the objective: a holder expected to take longer passes the request to the next
 MOVE_WAIT_FACTOR = 0.6  # a move must promise at least this much less waiting, since it may cost a fetch
@@ -84,7 +84,7 @@
 
 THROUGH_FETCHES = 24.0  # through mode: initial limit of fetches in flight
 ASIDE_FETCHES = 96.0  # aside mode: initial fetches in flight, divided among all routers, each at least
-MIN_ASIDE_FETCHES = 2.0  # this: no limit until the origin shows trouble, then it adapts
+MIN_ASIDE_FETCHES = 2.0  # this: no limit until the origin fails or slows down, then it adapts
 MAX_FETCHES = 64.0
 OVERLOAD_RATIO = 2.0  # times the least smoothed latency: the origin is overloaded ...
 OVERLOAD_SHARE = 0.5  # ... never below this share of the shortest objective, always above that of the longest
@@ -145,14 +145,14 @@
     def touch(self, key: int) -> tuple[bool, int, float]:
         """Make a key the youngest; return (was in the top k', endpoint last used, share of the reads)."""
         self.reads += 1
-        found = self.top.get(key)
-        last, heat, at = found or self.tail.pop(key, (0, 0.0, self.reads))
-        heat *= exp((at - self.reads) / HEAT_MEMORY_READS)
-        self.top[key] = last, heat + 1.0, self.reads
+        entry = self.top.get(key)
+        last_id, reads, read_number = entry or self.tail.pop(key, (0, 0.0, self.reads))
+        reads *= exp((read_number - self.reads) / HEAT_MEMORY_READS)
+        self.top[key] = last_id, reads + 1.0, self.reads
         self.top.move_to_end(key)
-        if found is None:
+        if entry is None:
             self._rebalance()
-        return found is not None, last, heat / (min(self.reads, HEAT_MEMORY_READS) + HEAT_PRIOR_READS)
+        return entry is not None, last_id, reads / (min(self.reads, HEAT_MEMORY_READS) + HEAT_PRIOR_READS)
 
     def _rebalance(self) -> None:
         """Move keys over the border k'; a few steps a touch keep the work bounded."""
@@ -179,7 +179,7 @@
         if self.attempts < MIN_SAMPLES:
             return
         if self.bad_attempts > MAX_BAD_SHARE * self.attempts:
-            # from where the list stands: an unfilled top segment would hide the first cuts
+            # from the present length: an unfilled top segment would hide the first cuts
             self.top_limit = max(MIN_TOP_SIZE, int(min(self.top_limit, len(self.top)) * TOP_CUT_FACTOR))
         else:
             self.top_limit = min(FILTER_CAPACITY, int(self.top_limit * TOP_GROWTH_FACTOR) + 1)
@@ -220,9 +220,9 @@
 
     def record_load_report(self, now: float, in_flight: float) -> None:
         """Smooth a load report, which is old when it comes: only what lasts over several counts."""
-        seen = max(0.0, in_flight - self.in_flight)
-        before = self.other_load * exp((self.other_load_at - now) / REPORT_MEMORY_MS)
-        self.other_load = before + (seen - before) * REPORT_WEIGHT
+        reported = max(0.0, in_flight - self.in_flight)
+        previous = self.other_load * exp((self.other_load_at - now) / REPORT_MEMORY_MS)
+        self.other_load = previous + (reported - previous) * REPORT_WEIGHT
         self.other_load_at = now
 
     def record_latency(self, now: float, sample_ms: float, load: float) -> None:
@@ -245,21 +245,21 @@
     def expected_latency(self, now: float, service_time: float) -> float:
         """Return the expected latency, in ms, of an attempt sent now."""
         # a ratio of two means: a mean of ratios would be dominated by responses under little load
-        pace = self.latency_ewma / (1.0 + self.load_ewma) if self.latency_ewma else service_time
-        if pace > service_time:
-            pace = service_time + (pace - service_time) * exp((self.latency_at - now) / LATENCY_MEMORY_MS)
-        wait = pace * (1.0 + self.load(now))
+        own_ms = self.latency_ewma / (1.0 + self.load_ewma) if self.latency_ewma else service_time
+        if own_ms > service_time:
+            own_ms = service_time + (own_ms - service_time) * exp((self.latency_at - now) / LATENCY_MEMORY_MS)
+        expected_ms = own_ms * (1.0 + self.load(now))
         if not self.in_flight and self.latency_ewma:
             # otherwise routers may refuse by reports of others' load alone, while endpoints idle
-            wait = min(wait, MAX_REPORT_FACTOR * pace * (1.0 + self.load_ewma))
-        return wait / self.min_warm_share(now)
+            expected_ms = min(expected_ms, MAX_REPORT_FACTOR * own_ms * (1.0 + self.load_ewma))
+        return expected_ms / self.min_warm_share(now)
 
     def min_warm_share(self, now: float) -> float:
         """Return the least share of its capacity that it has now, by the rules' warm-up."""
         if now >= self.warmup_end:
             return 1.0
-        done = max(0.0, (now - self.warmup_start) / max(1e-9, self.warmup_end - self.warmup_start))
-        return max(0.05, self.cold_capacity + (1.0 - self.cold_capacity) * done)
+        progress = max(0.0, (now - self.warmup_start) / max(1e-9, self.warmup_end - self.warmup_start))
+        return max(0.05, self.cold_capacity + (1.0 - self.cold_capacity) * progress)
 
     def start_warmup(self, started_at: float, rules: api.RoutingRules) -> None:
         """Begin a warm-up as of `started_at` (ms)."""
@@ -270,13 +270,13 @@
     def record_silence(self, now: float) -> bool:
         """Count a consecutive failure; return whether it ejects the endpoint."""
         self.consecutive_failures += 1
-        begins = self.consecutive_failures >= EJECT_AFTER_FAILURES and not self.ejected
-        if begins:
+        is_ejecting = self.consecutive_failures >= EJECT_AFTER_FAILURES and not self.ejected
+        if is_ejecting:
             self.ejected = True
             self.ejected_at = now
             self.probes = 0
             self.probe_at = now + PROBE_DELAY_MS
-        return begins
+        return is_ejecting
 
     def record_success(self, now: float, rules: api.RoutingRules, is_subscribed: bool) -> None:
         """Record a liveness signal: an ejected endpoint gets slots again, slowly if it may have restarted."""
@@ -309,25 +309,25 @@
         """Apply an update from discovery."""
         if update.scope is UpdateScope.FAILED:
             self.is_subscribed, self.called = not self.settings.subscribe, False
-            last = PUSHED_BACKOFF_MS if self.settings.pushed else MAX_BACKOFF_MS
-            self.call_at = now + min(last, self.wait_ms) * (0.5 + 0.5 * self.rng.random())
+            max_wait_ms = PUSHED_BACKOFF_MS if self.settings.pushed else MAX_BACKOFF_MS
+            self.call_at = now + min(max_wait_ms, self.wait_ms) * (0.5 + 0.5 * self.rng.random())
             self.wait_ms = min(MAX_BACKOFF_MS, self.wait_ms * 2.0)
             return
         if update.scope is not UpdateScope.CACHED:  # also from a watch not begun here, at a new address
             self.is_subscribed, self.called, self.wait_ms = True, False, FIRST_BACKOFF_MS
-        for member in update.endpoints:
-            self._apply_endpoint(now, member)
-        named = {member.endpoint_id for member in update.endpoints}
+        for entry in update.endpoints:
+            self._apply_endpoint(now, entry)
+        listed_ids = {entry.endpoint_id for entry in update.endpoints}
         for server in self.states.values():
-            if update.scope is not UpdateScope.DELTA and server.id not in named:
+            if update.scope is not UpdateScope.DELTA and server.id not in listed_ids:
                 server.status = Status.REMOVED
         self.states = {n: s for n, s in self.states.items() if s.status is not Status.REMOVED or s.in_flight}
 
     def _apply_endpoint(self, now: float, endpoint: api.Endpoint) -> None:
         server = self.states.get(endpoint.endpoint_id)
         if server is None:
-            room = max(MIN_START_CONCURRENCY, START_CONCURRENCY / self.settings.routers)
-            server = self.states[endpoint.endpoint_id] = EndpointState(endpoint, now, room)
+            limit = max(MIN_START_CONCURRENCY, START_CONCURRENCY / self.settings.routers)
+            server = self.states[endpoint.endpoint_id] = EndpointState(endpoint, now, limit)
             if endpoint.started_at > 0 and now - endpoint.started_at < self.settings.rules.warm_within:
                 server.start_warmup(endpoint.started_at, self.settings.rules)
             return
@@ -342,8 +342,8 @@
 
     def begin_due_call(self, now: float) -> bool:
         """Return whether to subscribe now; repeats back off to spare a failing discovery."""
-        lost = now > self.call_at + self.settings.rules.ask_every  # a response that never came
-        if self.is_subscribed or now < self.call_at or (self.called and not lost):
+        is_lost = now > self.call_at + self.settings.rules.ask_every  # a response that never came
+        if self.is_subscribed or now < self.call_at or (self.called and not is_lost):
             return False
         self.called, self.call_at = True, now
         return True
@@ -376,11 +376,11 @@
 
     def order_for(self, slot: int) -> list[EndpointState]:
         """Return all endpoints for a slot, its holder first."""
-        found = self.orders.get(slot)
-        if found is None:
-            held = sorted((self._distance(s, slot), n, s) for n, (s, _) in self.entries.items())
-            found = self.orders[slot] = array("d", [entry[0] for entry in held]), [entry[2] for entry in held]
-        return found[1]
+        order = self.orders.get(slot)
+        if order is None:
+            rows = sorted((self._distance(s, slot), n, s) for n, (s, _) in self.entries.items())
+            order = self.orders[slot] = array("d", [entry[0] for entry in rows]), [entry[2] for entry in rows]
+        return order[1]
 
     def _distance(self, server: EndpointState, slot: int) -> float:
         size = max(1e-3, server.endpoint.weight) if self.weighted else 1.0
@@ -514,8 +514,8 @@
         if self.total >= FETCH_SAMPLES:
             self.best = min(self.best * BEST_DRIFT, self.latency_ewma) if self.best else self.latency_ewma
         # A quick fetch is no sign of overload, though timeouts may have raised the mean.
-        bar = max(self.slow_ms, min(self.max_slow_ms, OVERLOAD_RATIO * self.best))
-        if not succeeded or (self.total >= FETCH_SAMPLES and min(sample_ms, self.latency_ewma) > bar):
+        max_ms = max(self.slow_ms, min(self.max_slow_ms, OVERLOAD_RATIO * self.best))
+        if not succeeded or (self.total >= FETCH_SAMPLES and min(sample_ms, self.latency_ewma) > max_ms):
             self.reduce_limit(now)
         elif self.limit < 1.0:
             self.limit *= FETCH_GROWTH_FACTOR
@@ -737,13 +737,13 @@
             return
         klass = classes[event.class_index] if event.class_index < len(classes) else classes[0]
         aside_write = event.is_write and self.settings.mode is Mode.ASIDE
-        keep, last, heat = False, 0, 0.0
+        in_keep_pool, last_endpoint_id, read_share = False, 0, 0.0
         if not event.key:
-            keep = hash_to_unit(event.ref) < self.pools.keep_share  # no rank
+            in_keep_pool = hash_to_unit(event.ref) < self.pools.keep_share  # no rank
         elif not aside_write:
-            keep, last, heat = self.popularity.touch(event.key)
-            self.pools.record_read(keep)
-        over = self.tenants.is_over_share(self.now, event.tenant_index)
+            in_keep_pool, last_endpoint_id, read_share = self.popularity.touch(event.key)
+            self.pools.record_read(in_keep_pool)
+        is_over_share = self.tenants.is_over_share(self.now, event.tenant_index)
         job = PendingRequest(
             ref=event.ref,
             event=event,
@@ -753,10 +753,10 @@
             deadline=self.now + max(0.0, event.time_left_ms),
             is_partial=event.is_partial,
             slot=hash64(event.key or event.ref) % SLOT_COUNT,
-            in_keep_pool=keep,
-            last_endpoint_id=last,
-            holders=self.pools.holder_count(heat) if keep else 1,
-            worth=klass.worth * (self.settings.over_share_worth if over else 1.0),
+            in_keep_pool=in_keep_pool,
+            last_endpoint_id=last_endpoint_id,
+            holders=self.pools.holder_count(read_share) if in_keep_pool else 1,
+            worth=klass.worth * (self.settings.over_share_worth if is_over_share else 1.0),
         )
         self.pending[event.ref] = job
         self.actions.append(api.SetTimer(DEADLINE_TIMER | event.ref, job.deadline))
@@ -815,14 +815,14 @@
         """Choose the cache node for a request's next attempt, if any; with its expected latency in ms."""
         bound = WAIT_BOUND_SHARE * job.klass.objective_ms
         tried = {a.server.id for a in job.attempts}
-        stays = job.in_keep_pool and self.pools.wide_share > 0 and job.holders == 1
-        stay = self.endpoints.states.get(job.last_endpoint_id) if stays else None
-        if stay is not None and stay.id not in tried and self._is_usable(stay, job.slot):
+        may_stay = job.in_keep_pool and self.pools.wide_share > 0 and job.holders == 1
+        current = self.endpoints.states.get(job.last_endpoint_id) if may_stay else None
+        if current is not None and current.id not in tried and self._is_usable(current, job.slot):
             # While short, a key that hits where it is does not change its pool: that would cost a fetch.
-            wait = self._expected_wait(job, stay)
+            wait = self._expected_wait(job, current)
             if wait <= bound:
                 self._record_shortage(job, False)
-                return stay, wait
+                return current, wait
         best, best_wait = self._search_pools(job, tried, bound)
         if best is None:
             # most of the fleet silent at once is more likely our own network: all are tried
@@ -844,7 +844,7 @@
         best_wait = inf
         # The pool first; if all its candidates are past the bound or unusable, the fleet's order.
         for order in (home, None):
-            looked = 0
+            considered = 0
             for server in order or pools.fleet_table.order_for(job.slot):
                 if server.id in tried or not self._is_usable(server, job.slot):
                     continue
@@ -856,8 +856,8 @@
                     wait += self._fetch_penalty(job, server)
                 if wait < best_wait * (MOVE_WAIT_FACTOR if best is not None else 1.0):
                     best, best_wait = server, wait
-                looked += 1
-                if looked >= MAX_CANDIDATES or wait <= bound:
+                considered += 1
+                if considered >= MAX_CANDIDATES or wait <= bound:
                     break
             if best_wait <= bound:
                 break
@@ -873,8 +873,8 @@
 
     def _fetch_penalty(self, job: PendingRequest, server: EndpointState) -> float:
         """Return the cost (ms) of a move while the origin is short: it likely takes a fetch (aside mode)."""
-        dear = self.origin_waits > 0 and self.settings.mode is Mode.ASIDE and not self._is_cached(job, server)
-        return self.origin.latency_ewma if dear else 0.0
+        is_short = self.origin_waits > 0 and self.settings.mode is Mode.ASIDE
+        return self.origin.latency_ewma if is_short and not self._is_cached(job, server) else 0.0
 
     def _expected_wait(self, job: PendingRequest, server: EndpointState) -> float:
         """Return the expected latency (ms); beyond the objective where the limit is reached."""
@@ -900,15 +900,15 @@
         span = max(1.0, self.settings.rules.fall)
         warm = [s for s in self.endpoints.states.values() if self._is_warm(s)]
         near = [s for s in warm if s.endpoint.zone == server.endpoint.zone]
-        size = sum(s.endpoint.weight for s in warm) / len(warm) if warm else 0.0
-        part = 1.0 if near or size <= 0 else COLD_REMOTE_FACTOR * min(1.0, server.endpoint.weight / size)
+        mean = sum(s.endpoint.weight for s in warm) / len(warm) if warm else 0.0
+        part = 1.0 if near or mean <= 0 else COLD_REMOTE_FACTOR * min(1.0, server.endpoint.weight / mean)
         warm = near or warm  # none is warm in a zone that started as a whole: then all warm ones count
-        usual = part * sum(s.count_sends(self.now, span) for s in warm) / len(warm) if warm else 0.0
-        many = self.settings.routers  # hundreds of them would push it over by one send each: they draw
-        turn = hash_to_unit(hash64(server.id) ^ hash64(self.settings.position << 32 | int(self.now / span)))
-        floor = 1.0 if many <= 2 * MIN_COLD_SENDS else MIN_COLD_SENDS / many
-        budget = floor + server.min_warm_share(self.now) * usual
-        return server.count_sends(self.now, span) < (budget if floor == 1.0 else int(budget + turn))
+        sends = part * sum(s.count_sends(self.now, span) for s in warm) / len(warm) if warm else 0.0
+        routers = self.settings.routers  # hundreds of them would push it over by one send each: they draw
+        draw = hash_to_unit(hash64(server.id) ^ hash64(self.settings.position << 32 | int(self.now / span)))
+        floor = 1.0 if routers <= 2 * MIN_COLD_SENDS else MIN_COLD_SENDS / routers
+        budget = floor + server.min_warm_share(self.now) * sends
+        return server.count_sends(self.now, span) < (budget if floor == 1.0 else int(budget + draw))
 
     def _is_warm(self, server: EndpointState) -> bool:
         """Whether it is a ready cache node, not ejected and past its warm-up."""
@@ -977,21 +977,21 @@
             return False  # rule 3: at once, not at the end of the grace; rule 4, whatever path led here
         if job.in_flight_count() > (1 if limits.allow_hedging else 0):
             return False
-        risk = job.first_unsafe_attempt()
-        if risk is None:
+        unsafe = job.first_unsafe_attempt()
+        if unsafe is None:
             return True
-        here, there = server.endpoint, risk.server.endpoint
+        here, there = server.endpoint, unsafe.server.endpoint
         near = {Group.ZONE: here.zone == there.zone, Group.CELL: here.cell == there.cell}
         in_window = self.now <= self._repeat_until(job)
         return in_window and (klass.effect is Effect.RETRYABLE or near.get(klass.group, True))
 
     def _repeat_until(self, job: PendingRequest) -> float:
         """Return until when (ms) a request that may have run may be sent again."""
-        klass, risk = job.klass, job.first_unsafe_attempt()
-        if risk is None or klass.effect is Effect.RETRYABLE:
+        klass, unsafe = job.klass, job.first_unsafe_attempt()
+        if unsafe is None or klass.effect is Effect.RETRYABLE:
             return inf
         window = klass.repeat_window_ms * (1.0 - DEDUP_WINDOW_MARGIN)
-        return risk.sent + window if klass.effect is Effect.DEDUP else -inf
+        return unsafe.sent + window if klass.effect is Effect.DEDUP else -inf
 
     def _send(self, job: PendingRequest, server: EndpointState) -> None:
         if not self._may_send(job, server):
@@ -1030,10 +1030,10 @@
         """End a request unserved: refuse it where retrying is harmless, else, or if invalid, fail it."""
         if job.is_final:
             return
-        risk = job.first_unsafe_attempt()
-        if (risk is None or job.repeatable) and self.now < job.deadline and reason is not EndReason.INVALID:
-            away = min(self.settings.limits.max_retry_after_ms, job.klass.objective_ms)
-            self.actions.append(api.Refuse(job.ref, away, reason))
+        unsafe = job.first_unsafe_attempt()
+        if (unsafe is None or job.repeatable) and self.now < job.deadline and reason is not EndReason.INVALID:
+            retry_after_ms = min(self.settings.limits.max_retry_after_ms, job.klass.objective_ms)
+            self.actions.append(api.Refuse(job.ref, retry_after_ms, reason))
         else:
             self.actions.append(api.Fail(job.ref, reason))
         self._close(job)
@@ -1061,9 +1061,9 @@
     def _resume_waiter(self, waiter: PendingRequest, leader: PendingRequest) -> None:
         """Continue after a shared fetch: read the stored copy, or fetch again if the fetch failed."""
         # If it never ran, as its own client left before, the first waiter fetches, and the others wait on.
-        asked, stored = [a for a in leader.attempts[-1:] if a.to_origin], leader.missed_endpoint
-        waiter.shares_fetch = not (asked and asked[0].never_ran)
-        if waiter.shares_fetch and asked and stored and self._is_usable(stored, waiter.slot):
+        fetches, stored = [a for a in leader.attempts[-1:] if a.to_origin], leader.missed_endpoint
+        waiter.shares_fetch = not (fetches and fetches[0].never_ran)
+        if waiter.shares_fetch and fetches and stored and self._is_usable(stored, waiter.slot):
             waiter.to_origin = False
             self._send(waiter, stored)
         else:
@@ -1128,8 +1128,8 @@
 
     def _learn_from_origin(self, attempt: AttemptRecord, event: api.AttemptEnded) -> None:
         result, now = event.result, self.now
-        hung = result is Result.TIMEOUT and self.timeouts.is_hung(attempt.wait, self.origin.is_strained())
-        if event.malformed or (result not in (*NO_HEALTH_SIGNAL, *NO_LOAD_SIGNAL) and not hung):
+        is_hung = result is Result.TIMEOUT and self.timeouts.is_hung(attempt.wait, self.origin.is_strained())
+        if event.malformed or (result not in (*NO_HEALTH_SIGNAL, *NO_LOAD_SIGNAL) and not is_hung):
             succeeded = event.malformed or result in (Result.OK, Result.INVALID)
             self.origin.record_fetch(now, event.latency_ms, succeeded)
         elif result is Result.CONNECTION_LIMIT:  # more connects would take all the slots there are
@@ -1142,18 +1142,18 @@
         self.shedder.in_flight -= 1
         missed = result is Result.MISS or event.cache_status in (2, 3)
         # timeouts of an endpoint with no liveness signal since are its own, not the origin's overload
-        lively = server.last_response_at > attempt.sent
-        failed = attempt.gated and (result is Result.ERROR or (result is Result.TIMEOUT and lively))
+        is_alive = server.last_response_at > attempt.sent
+        failed = attempt.gated and (result is Result.ERROR or (result is Result.TIMEOUT and is_alive))
         if self.settings.mode is Mode.THROUGH and (missed or failed):
             self.origin.record_fetch(now, event.latency_ms, result is Result.OK)
         if job.event.key and (silent or result in (Result.RESET, Result.ERROR)):
             self.popularity.record_endpoint(job.event.key, 0)
         if not missed and result in (Result.OK, Result.TIMEOUT, Result.BUSY):
-            slow = result is not Result.OK or event.latency_ms > SLOW_SHARE * job.klass.objective_ms
-            server.adjust_concurrency_limit(now, event.latency_ms, slow)
+            is_slow = result is not Result.OK or event.latency_ms > SLOW_SHARE * job.klass.objective_ms
+            server.adjust_concurrency_limit(now, event.latency_ms, is_slow)
             # not in through mode, where fetches slow responses, nor without a liveness signal
-            if self.settings.mode is Mode.ASIDE and (not slow or lively or result is not Result.TIMEOUT):
-                self.shedder.adjust_limit(now, event.latency_ms, slow)
+            if self.settings.mode is Mode.ASIDE and (not is_slow or is_alive or result is not Result.TIMEOUT):
+                self.shedder.adjust_limit(now, event.latency_ms, is_slow)
         if result is Result.OK and not missed:
             server.record_latency(now, event.latency_ms, attempt.load_at_send)
             self.service_time += (event.latency_ms / (1.0 + attempt.load_at_send) - self.service_time) * 0.02
@@ -1164,16 +1164,16 @@
         if job.in_keep_pool and result not in (*NO_HEALTH_SIGNAL, Result.INVALID):
             bad = silent or result in (Result.ERROR, Result.BUSY) or event.latency_ms > job.klass.objective_ms
             # A keep-pool miss is bad while the origin is short, not while nodes are: k' would fall to 0.
-            dear = self.pools.wide_share > 0 and self.origin_waits > 0
-            self.popularity.record_attempt(bad or (missed and dear))
+            is_short = self.pools.wide_share > 0 and self.origin_waits > 0
+            self.popularity.record_attempt(bad or (missed and is_short))
 
     def _record_load_report(self, server: EndpointState, load_report: tuple[float, ...]) -> None:
         fields = dict(zip(self.settings.report_fields, load_report, strict=False))
-        held = fields.get("active")
-        if held is None and "waiting" in fields:
-            held = fields["waiting"] + min(server.in_flight, 1)  # what runs is not reported
-        if held is not None and held == held:
-            server.record_load_report(self.now, held)
+        active = fields.get("active")
+        if active is None and "waiting" in fields:
+            active = fields["waiting"] + min(server.in_flight, 1)  # what runs is not reported
+        if active is not None and active == active:
+            server.record_load_report(self.now, active)
 
     def _retry(self, job: PendingRequest, is_free: bool) -> None:
         """Start another attempt if the retry budget and the time left allow it."""
@@ -1181,8 +1181,8 @@
             self._finish(job, EndReason.BUDGET if self.now < self._useful_until(job) else EndReason.NO_TIME)
             return
         self.retry_budget -= not is_free
-        last = self.settings.mode is Mode.ASIDE and len(job.attempts) == job.limits.max_attempts - 1 <= FEW
-        if job.to_origin or last:  # after a miss no attempt would be left for the fetch
+        is_last = self.settings.mode is Mode.ASIDE and len(job.attempts) == job.limits.max_attempts - 1 <= FEW
+        if job.to_origin or is_last:  # after a miss no attempt would be left for the fetch
             self._fetch_from_origin(job)
         else:
             self._send_to_cache(job)
@@ -1235,8 +1235,8 @@
         waited = self.now - attempt.sent
         # not for a single long fetch: one outlier must not shut a healthy origin, nor must those that hang
         hung = attempt.to_origin and self.timeouts.is_hung(attempt.wait, self.origin.is_strained())
-        sign = attempt.gated and not hung and (attempt.to_origin or server.last_response_at > attempt.sent)
-        if sign and waited > max(LATE_FETCH_SHARE * job.klass.objective_ms, 3.0 * self.origin.latency_ewma):
+        fetch = attempt.gated and not hung and (attempt.to_origin or server.last_response_at > attempt.sent)
+        if fetch and waited > max(LATE_FETCH_SHARE * job.klass.objective_ms, 3.0 * self.origin.latency_ewma):
             self.origin.reduce_limit(self.now)  # no need to wait for the failure
         if not attempt.to_origin:
             server.record_latency(self.now, waited, attempt.load_at_send)
