--- a/rosepick/cli/lease.py
+++ b/rosepick/cli/lease.py
@@ -330,6 +330,7 @@
     """
     client, told = connect_quorum(fleet)
     from .. import logs
+    from ..coordination.lease_holder import LeaseHolder
     from ..coordination.leased_command import LeasedCommand
     from ..leases.fencing import MAX_TASK_LENGTH
     from ..leases.lease_client import LeaseConfig
@@ -338,10 +339,9 @@
         exit_with_error(f"the task's name has 1 to {MAX_TASK_LENGTH} characters", 2)
     logs.configure_logging()
     terms = LeaseConfig((ttl or told.leases.ttl) * 1000.0, told.leases.drift)
-    errand = LeasedCommand(
-        client, task, name or f"{os.uname().nodename}-{os.getpid()}", terms, command, successor
-    )
-    raise typer.Exit(errand.run(None if wait is None else wait * 1000.0))
+    holder = LeaseHolder(client, task, name or f"{os.uname().nodename}-{os.getpid()}", terms)
+    leased_command = LeasedCommand(holder, command, successor)
+    raise typer.Exit(leased_command.run(None if wait is None else wait * 1000.0))
 
 
 @lease.command("list")
--- a/rosepick/coordination/acceptor_server.py
+++ b/rosepick/coordination/acceptor_server.py
@@ -1,7 +1,7 @@
-"""Driver of a witness: a listener, its folder, and the links to the others.
+"""The process of a replica: a listener, the acceptor with its store, and connections to the other replicas.
 
-An answer is said only after what it rests on is on the disk. A disk that fails ends the process, without a
-reply.
+A reply is sent only after the state that it depends on is on the disk. A disk failure ends the process
+without a reply.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import socket
 import sqlite3
 from collections.abc import Mapping
+from dataclasses import dataclass
 from pathlib import Path
 
 from ..connections.descriptor_budget import DescriptorUse
@@ -26,20 +27,22 @@
 from ..net.resource_budget import ResourceBudget
 from ..net.tcp_stream import TcpStream
 from .acceptor_store import AcceptorStore
-from .quorum_connection import QuorumConnection, SocketAddress
+from .quorum_connection import QuorumConnection, ReplicaEndpoint, SocketAddress
 
 logger = logging.getLogger(__name__)
-MAX_CLIENT_CONNECTIONS = 2_000  # at one time; the one that was silent longest gives way
+MAX_CLIENT_CONNECTIONS = 2_000  # the one that was silent longest is closed for another
+RESERVED_DESCRIPTORS = 64  # beside those of the clients: listener, peers, store
+ACCEPT_BATCH = 64  # connections accepted in one turn of the loop
+BACKLOG = 512
 RESTART_CHECK_INTERVAL_MS = 1_000.0
-INITIAL_RESTART_CHECK_INTERVAL_MS = 100.0  # until the witness votes
-RESTART_CHECK_GRACE_MS = 2_000.0  # at a start: wait for all others so long, then for enough of them
+INITIAL_RESTART_CHECK_INTERVAL_MS = 100.0  # until the acceptor votes
+RESTART_CHECK_GRACE_MS = 2_000.0  # after a start: wait for all peers so long, then for enough of them
 SUMMARY_INTERVAL_MS = 60_000.0
-MAX_UNREAD_REPLY_BYTES = 32 * 1024 * 1024  # bytes of answers that a caller leaves unread
-EXIT_DISK_FAILED = 3  # exit status
+EXIT_DISK_FAILED = 3
 
 
 class IncomingConnection:
-    """One connection to the witness."""
+    """A connection that a client or another replica has opened."""
 
     def __init__(self, server: AcceptorServer, sock: socket.socket) -> None:
         self.server = server
@@ -48,17 +51,17 @@
             server.loop, server.budget, sock, self._on_ready, READ, DescriptorUse.DOWNSTREAM
         )
 
-    def _on_ready(self, mask: int) -> None:
+    def _on_ready(self, events: int) -> None:
         try:
-            if mask & WRITE:
+            if events & WRITE:
                 self.stream.flush()
-            if mask & READ:
+            if events & READ:
                 self._read()
             self.update_interest()
         except OSError:
             self.close()
-        except DecodeError as problem:
-            self.server.record_decode_error(problem.reason)
+        except DecodeError as error:
+            self.server.record_decode_error(error.reason)
             self.close()
 
     def _read(self) -> None:
@@ -67,12 +70,12 @@
             return
         if not data:
             raise OSError("closed")
-        self.server.clients[self] = self.server.clients.pop(self)  # the last that was heard
+        self.server.clients[self] = self.server.clients.pop(self)  # moved to the end: the most recent
         for frame in self.frame_decoder.feed(data):
             self.server.handle_request(self, codec.decode_request(frame, self.server.key))
 
     def send(self, frame: bytes) -> None:
-        """Send an answer; a caller that is gone or reads nothing does not get it."""
+        """Send a reply; it is dropped if the client has gone."""
         if not self.stream.is_open:
             return
         try:
@@ -82,48 +85,61 @@
             self.close()
 
     def update_interest(self) -> None:
-        """Wait for what is next."""
+        """Wait for input, and for output while something is unwritten."""
         if self.stream.is_open:
             self.stream.set_events(READ | (WRITE if self.stream.has_unwritten() else 0))
 
     def close(self) -> None:
-        """Let go of it."""
+        """Close the connection."""
         self.server.clients.pop(self, None)
         self.stream.close()
 
 
+@dataclass(frozen=True, slots=True)
+class PendingReply:
+    """A reply that waits until the state it depends on is on the disk."""
+
+    client: IncomingConnection
+    reply: m.QuorumReply
+
+
 class AcceptorServer:
-    """One witness process."""
+    """Serves one acceptor of the quorum (the command `rosepick witness`).
+
+    Raises:
+        StoreError: the folder cannot be used.
+    """
 
     def __init__(
         self,
         name: str,
-        witnesses: Mapping[str, SocketAddress],
+        replicas: Mapping[str, SocketAddress],
         key: bytes,
         folder: Path,
         loop: EventLoop | None = None,
     ) -> None:
         self.loop = loop = loop or EventLoop(boottime_s)
-        self.name, self.key = name, key
+        self.name = name
+        self.key = key
         self.store = AcceptorStore(folder, secrets.token_hex(8))
         self.acceptor = Acceptor(name, self.store.state, secrets.token_hex(8))
-        self.budget = ResourceBudget(MAX_CLIENT_CONNECTIONS + 64)
+        self.budget = ResourceBudget(MAX_CLIENT_CONNECTIONS + RESERVED_DESCRIPTORS)
         self.clients: dict[IncomingConnection, None] = {}
         self.exit_status = 0
         self.counts = dict.fromkeys(("requests", "commits", "unreadable", "beaten"), 0)
         self._started_at = loop.now()
         self._last_request_id = 0
-        self._pending_changes, self._pending_replies = (
-            StateChanges(),
-            list[tuple[IncomingConnection, m.QuorumReply]](),
-        )
+        self._pending_changes = StateChanges()
+        self._pending_replies: list[PendingReply] = []
         self._voting_announced = False
         self.peers = {
-            other: QuorumConnection(loop, self.budget, other, endpoint, key, self._handle_peer_reply)
-            for other, endpoint in witnesses.items()
-            if other != name
+            peer: QuorumConnection(
+                loop, self.budget, ReplicaEndpoint(peer, address, key), self._handle_peer_reply
+            )
+            for peer, address in replicas.items()
+            if peer != name
         }
-        self.listening_socket = listen(witnesses[name], 512)
+        self.listening_socket = listen(replicas[name], BACKLOG)
         loop.register(self.listening_socket, READ, self._accept_clients)
         self._log_start()
         self._send_restart_checks()
@@ -131,27 +147,27 @@
         loop.call_after(SUMMARY_INTERVAL_MS, self._log_summary)
 
     def _log_start(self) -> None:
-        saved = self.store.state
+        state = self.store.state
         if self.store.was_copied:
             log_event(
-                logger, logging.ERROR, "witness_copied", folder=self.store.folder.path, now=saved.storage_id
+                logger, logging.ERROR, "witness_copied", folder=self.store.folder.path, now=state.storage_id
             )
         log_event(
             logger,
             logging.INFO,
             "witness_started",
             name=self.name,
-            storage=saved.storage_id,
-            starts=saved.start_count,
-            epoch=saved.quorum.epoch if saved.quorum else 0,
-            registers=len(saved.register_states),
+            storage=state.storage_id,
+            starts=state.start_count,
+            epoch=state.quorum.epoch if state.quorum else 0,
+            registers=len(state.register_states),
             votes=self.acceptor.is_voting,
         )
 
-    # -- callers
+    # -- clients
 
-    def _accept_clients(self, mask: int) -> None:
-        for _ in range(64):
+    def _accept_clients(self, _events: int) -> None:
+        for _ in range(ACCEPT_BATCH):
             try:
                 sock, _ = self.listening_socket.accept()
             except OSError:
@@ -161,51 +177,54 @@
             self.clients[IncomingConnection(self, sock)] = None
 
     def record_decode_error(self, reason: str) -> None:
-        """A caller sent what is no message of ours; nothing has changed by it."""
+        """Count and log a message that could not be decoded; it has changed nothing."""
         self.counts["unreadable"] += 1
         log_event(logger, logging.WARNING, "witness_unreadable", why=reason, count=self.counts["unreadable"])
 
     def handle_request(self, client: IncomingConnection, request: m.QuorumRequest) -> None:
-        """A request has come."""
+        """Have the acceptor handle a request; the reply is sent after the commit."""
         if self.exit_status:
             return
-        answer, changes = self.acceptor.handle(request, (self.loop.now() - self._started_at) / 1000.0)
+        reply, changes = self.acceptor.handle(request, (self.loop.now() - self._started_at) / 1000.0)
         self.counts["requests"] += 1
-        self.counts["beaten"] += isinstance(answer, m.BallotConflictReply)
+        self.counts["beaten"] += isinstance(reply, m.BallotConflictReply)
         self._merge_changes(changes)
         if not self._pending_replies:
             self.loop.call_at(self.loop.now(), self._commit)
-        # also one that changes nothing waits: it may rest on what is not on the disk yet
-        self._pending_replies.append((client, answer))
+        # a reply without changes waits as well: it may depend on state that is not on the disk yet
+        self._pending_replies.append(PendingReply(client, reply))
 
     def _merge_changes(self, changes: StateChanges) -> None:
-        kept = self._pending_changes
+        pending = self._pending_changes
         if changes.epoch_installed:
-            kept.register_states.clear()
-        kept.register_states |= changes.register_states
-        kept.known_starts |= changes.known_starts
-        kept.epoch_installed, kept.epoch_sealed = (
-            kept.epoch_installed or changes.epoch_installed,
-            kept.epoch_sealed or changes.epoch_sealed,
-        )
+            pending.register_states.clear()
+        pending.register_states |= changes.register_states
+        pending.known_starts |= changes.known_starts
+        pending.epoch_installed = pending.epoch_installed or changes.epoch_installed
+        pending.epoch_sealed = pending.epoch_sealed or changes.epoch_sealed
 
     def _commit(self) -> None:
         if self.exit_status:
             return
-        changes, answers = self._pending_changes, self._pending_replies
-        self._pending_changes, self._pending_replies = StateChanges(), []
+        changes = self._pending_changes
+        replies = self._pending_replies
+        self._clear_pending()
         if changes and not self._save_changes(changes):
             return
-        for caller, answer in answers:
-            caller.send(codec.encode_frame(answer, self.key))
+        for pending in replies:
+            pending.client.send(codec.encode_frame(pending.reply, self.key))
         self._announce_voting()
 
+    def _clear_pending(self) -> None:
+        self._pending_changes = StateChanges()
+        self._pending_replies = []
+
     def _save_changes(self, changes: StateChanges) -> bool:
         try:
             self.store.save(changes)
-        except (sqlite3.Error, OSError) as problem:
+        except (sqlite3.Error, OSError) as error:
             log_event(
-                logger, logging.CRITICAL, "witness_disk_failed", folder=self.store.folder.path, text=problem
+                logger, logging.CRITICAL, "witness_disk_failed", folder=self.store.folder.path, text=error
             )
             self.exit_status = EXIT_DISK_FAILED
             self.loop.stop()
@@ -213,7 +232,7 @@
         self.counts["commits"] += 1
         if changes.epoch_installed and self.store.state.quorum is not None:
             quorum = self.store.state.quorum
-            members = ",".join(one.name for one in quorum.members)
+            members = ",".join(member.name for member in quorum.members)
             log_event(logger, logging.INFO, "witness_epoch", epoch=quorum.epoch, members=members)
         return True
 
@@ -224,14 +243,14 @@
                 logger, logging.INFO, "witness_votes", name=self.name, starts=self.store.state.start_count
             )
 
-    # -- the others
+    # -- other replicas
 
     def _send_restart_checks(self) -> None:
         self._last_request_id += 1
-        greeting = self.acceptor.make_restart_check(self._last_request_id)
-        if greeting is not None:
-            for link in self.peers.values():
-                link.send(greeting)
+        request = self.acceptor.make_restart_check(self._last_request_id)
+        if request is not None:
+            for peer in self.peers.values():
+                peer.send(request)
         self.loop.call_after(
             RESTART_CHECK_INTERVAL_MS if self.acceptor.is_voting else INITIAL_RESTART_CHECK_INTERVAL_MS,
             self._send_restart_checks,
@@ -244,7 +263,7 @@
         self.acceptor.update_voting(wait_for_all)
         self._announce_voting()
 
-    def _handle_peer_reply(self, replica: str, reply: m.QuorumReply) -> None:
+    def _handle_peer_reply(self, _replica: str, reply: m.QuorumReply) -> None:
         if not isinstance(reply, m.RestartCheckReply) or self.exit_status:
             return
         changes = self.acceptor.handle_restart_check_reply(reply, self._is_in_grace_period())
@@ -256,12 +275,12 @@
         self._announce_voting()
 
     def _reset_storage(self) -> None:
-        """The folder is older than what the others remember: it may not vote as what it was."""
+        """Begin a new storage: the folder is older than the other replicas remember, and may not vote."""
         old = self.store.state
         self.store.set_aside(secrets.token_hex(8))
         self.acceptor = Acceptor(self.name, self.store.state, secrets.token_hex(8))
         self._voting_announced = False
-        self._pending_changes, self._pending_replies = StateChanges(), []
+        self._clear_pending()
         log_event(
             logger,
             logging.ERROR,
@@ -277,22 +296,22 @@
         self.loop.call_after(SUMMARY_INTERVAL_MS, self._log_summary)
 
     def stop(self) -> None:
-        """End at the next moment; nothing is owed, as callers ask again elsewhere."""
+        """Stop soon; pending replies are dropped, as clients retry with other replicas."""
         self.loop.stop()
 
     def run(self) -> int:
-        """Serve until told to end; the exit status."""
+        """Serve until SIGTERM, SIGINT or a disk failure; return the exit status."""
         self.loop.add_signal_handlers({signal.SIGTERM: self.stop, signal.SIGINT: self.stop})
         self.loop.run()
         self._log_summary()
         return self.exit_status
 
     def close(self) -> None:
-        """Let go of sockets and folder."""
-        for caller in list(self.clients):
-            caller.close()
-        for link in self.peers.values():
-            link.close()
+        """Close all sockets and the store."""
+        for client in list(self.clients):
+            client.close()
+        for peer in self.peers.values():
+            peer.close()
         self.loop.unregister(self.listening_socket)
         self.listening_socket.close()
         self.store.close()
--- a/rosepick/coordination/acceptor_store.py
+++ b/rosepick/coordination/acceptor_store.py
@@ -1,8 +1,7 @@
-"""Files of the agreement: what a witness keeps, and the highest tokens of a guard. sqlite3, each change
-synchronised.
+"""Durable state in sqlite3: that of an acceptor, and the highest fencing tokens of a guard.
 
-A folder belongs to one process at a time, and its file is known by its inode: a copy that was put in its
-place is another file, and does not vote as what it was.
+Each commit is synchronised. A folder is locked by one process at a time. The database is known by its inode
+and by a hard link: a copy that was put in its place is another file, and starts as a new storage.
 """
 
 from __future__ import annotations
@@ -19,8 +18,9 @@
 from ..consensus.messages import Quorum, RegisterState
 
 T = TypeVar("T")
-SCHEMA_VERSION = 1  # of the tables
+SCHEMA_VERSION = 1  # stored; a newer one is refused
 DATABASE_NAME = "witness.sqlite3"
+MAX_SET_ASIDE_FOLDERS = 1_000
 HARD_LINK_NAME = DATABASE_NAME + ".same"
 _SCHEMA = """
 create table if not exists meta (name text primary key, value blob) without rowid;
@@ -31,28 +31,32 @@
 
 
 class StoreError(Exception):
-    """The folder cannot be used; the text says why."""
+    """A folder cannot be used: it is locked, cannot be read or has a newer schema; the text says which."""
 
 
 def _open_database(path: Path) -> sqlite3.Connection:
     db = sqlite3.connect(path, isolation_level=None, timeout=0.0)
     db.execute("pragma journal_mode=wal")
-    db.execute("pragma synchronous=full")  # each commit is on the disk when it returns
+    db.execute("pragma synchronous=full")  # a commit is on the disk when it returns
     db.execute("pragma wal_autocheckpoint=400")
     db.executescript(_SCHEMA)
     return db
 
 
 class LockedFolder:
-    """A folder of one process."""
+    """A folder that is locked by this process.
+
+    Raises:
+        StoreError: the folder cannot be made or is locked by another process.
+    """
 
     def __init__(self, folder: Path) -> None:
         self.path = folder
         try:
             folder.mkdir(parents=True, exist_ok=True)
             self._lock_descriptor = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644)
-        except OSError as problem:
-            raise StoreError(f"{folder}: {problem.strerror}") from None
+        except OSError as error:
+            raise StoreError(f"{folder}: {error.strerror}") from None
         try:
             fcntl.flock(self._lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
@@ -60,22 +64,28 @@
             raise StoreError(f"{folder}: another process uses it") from None
 
     def close(self) -> None:
-        """Another process may use it from now on."""
+        """Unlock the folder."""
         os.close(self._lock_descriptor)
 
 
 class AcceptorStore:
-    """What a witness keeps. `new`: an identity for a folder that has none; drawn by the caller."""
+    """The durable state of an acceptor.
+
+    `new_storage_id` becomes the identity of a folder that has none; the caller draws it.
+
+    Raises:
+        StoreError: the folder cannot be used.
+    """
 
     def __init__(self, folder: Path, new_storage_id: str) -> None:
         self.folder = LockedFolder(folder)
         self.path = folder / DATABASE_NAME
-        self.was_copied = False  # the file is a copy: it was set aside, and the storage is a new one
+        self.was_copied = False  # the database was a copy: it was set aside and a new storage begun
         try:
             self._open_storage(new_storage_id)
-        except (sqlite3.Error, msgspec.MsgspecError) as problem:
+        except (sqlite3.Error, msgspec.MsgspecError) as error:
             self.folder.close()
-            raise StoreError(f"{self.path}: {problem}") from None
+            raise StoreError(f"{self.path}: {error}") from None
 
     def _open_storage(self, new_storage_id: str) -> None:
         self._db = _open_database(self.path)
@@ -86,38 +96,40 @@
         self._load_state(new_storage_id)
 
     def _load_state(self, new_storage_id: str) -> None:
-        form = self._read_meta("form", int)
-        if form is not None and form > SCHEMA_VERSION:
-            raise sqlite3.DatabaseError(f"its form {form} is newer than this program's {SCHEMA_VERSION}")
-        storage = self._read_meta("storage", str) or new_storage_id
-        starts = (self._read_meta("starts", int) or 0) + 1
+        version = self._read_meta("form", int)
+        if version is not None and version > SCHEMA_VERSION:
+            raise sqlite3.DatabaseError(f"its form {version} is newer than this program's {SCHEMA_VERSION}")
+        storage_id = self._read_meta("storage", str) or new_storage_id
+        start_count = (self._read_meta("starts", int) or 0) + 1
         self._db.execute("begin immediate")
         for name, value in (
             ("form", SCHEMA_VERSION),
-            ("storage", storage),
-            ("starts", starts),
+            ("storage", storage_id),
+            ("starts", start_count),
             ("inode", self._inode()),
         ):
             self._write_meta(name, value)
         self._db.execute("commit")
-        slots: dict[str, RegisterState] = {
+        register_states: dict[str, RegisterState] = {
             name: msgspec.msgpack.decode(blob, type=RegisterState)
             for name, blob in self._db.execute("select name, slot from slots")
         }
-        met = {storage: (starts, run) for storage, starts, run in self._db.execute("select * from met")}
+        known_starts = {
+            storage: (starts, run) for storage, starts, run in self._db.execute("select * from met")
+        }
         self.state = AcceptorState(
-            storage,
-            starts,
+            storage_id,
+            start_count,
             self._read_meta("quorum", Quorum),
             bool(self._read_meta("sealed", bool)),
-            slots,
-            met,
+            register_states,
+            known_starts,
         )
 
     def set_aside(self, new_storage_id: str) -> None:
-        """Begin as a new storage; the old file stays beside for whoever wants to look."""
+        """Begin a new storage; the old files are moved to a folder `aside-N` beside it."""
         self._db.close()
-        for number in range(1000):
+        for number in range(MAX_SET_ASIDE_FOLDERS):
             aside = self.folder.path / f"aside-{number}"
             if not aside.exists():
                 break
@@ -129,32 +141,34 @@
         self._load_state(new_storage_id)
 
     def _hard_link_matches(self) -> bool:
-        """Whether the second name is of the same file; it is given one where it has none and never had."""
-        second = self.path.with_name(HARD_LINK_NAME)
-        if second.exists():
-            return second.samefile(self.path)
+        """Return whether the hard link is of the same file; it is made where there never was one."""
+        link = self.path.with_name(HARD_LINK_NAME)
+        if link.exists():
+            return link.samefile(self.path)
         if self._read_meta("inode", str) is not None and self._read_meta("second", bool):
             return False
         try:
-            second.hardlink_to(self.path)
+            link.hardlink_to(self.path)
         except OSError:
-            return True  # a file system without them: the inode's number alone has to tell
+            return True  # a file system without hard links: the inode number alone is compared
         self._write_meta("second", True)
         return True
 
     def _inode(self) -> str:
         return str(self.path.stat().st_ino)
 
-    def _read_meta(self, name: str, kind: type[T]) -> T | None:
+    def _read_meta(self, name: str, value_type: type[T]) -> T | None:
         row = self._db.execute("select value from meta where name = ?", (name,)).fetchone()
-        return None if row is None else msgspec.msgpack.decode(row[0], type=kind)
+        return None if row is None else msgspec.msgpack.decode(row[0], type=value_type)
 
     def _write_meta(self, name: str, value: object) -> None:
         self._db.execute("insert or replace into meta values (?, ?)", (name, msgspec.msgpack.encode(value)))
 
     def save(self, changes: StateChanges) -> None:
-        """Have the changes on the disk. sqlite3.Error or OSError if that cannot be: then nothing may be
-        said.
+        """Commit changes to the disk.
+
+        Raises:
+            sqlite3.Error, OSError: the changes may not be on the disk; no reply may be sent.
         """
         self._db.execute("begin immediate")
         if changes.epoch_installed:
@@ -162,48 +176,56 @@
             self._write_meta("quorum", self.state.quorum)
         if changes.epoch_installed or changes.epoch_sealed:
             self._write_meta("sealed", self.state.is_sealed)
-        slots = self.state.register_states if changes.epoch_installed else changes.register_states
+        register_states = self.state.register_states if changes.epoch_installed else changes.register_states
         self._db.executemany(
             "insert or replace into slots values (?, ?)",
-            [(name, msgspec.msgpack.encode(slot)) for name, slot in slots.items()],
+            [(name, msgspec.msgpack.encode(state)) for name, state in register_states.items()],
         )
         self._db.executemany(
             "insert or replace into met values (?, ?, ?)",
-            [(one, *met) for one, met in changes.known_starts.items()],
+            [(storage_id, *start) for storage_id, start in changes.known_starts.items()],
         )
         self._db.execute("commit")
 
     def close(self) -> None:
-        """Let go of the folder."""
+        """Close the database and unlock the folder."""
         self._db.close()
         self.folder.close()
 
 
 class SqliteFencingTokenStore:
-    """The highest tokens of a guard, on the disk before a step is taken."""
+    """The highest fencing token of each task, on the disk before a step is taken.
+
+    Raises:
+        StoreError: the folder cannot be used.
+    """
 
     def __init__(self, folder: Path) -> None:
         self._folder = LockedFolder(folder)
         try:
             self._db = _open_database(folder / "guard.sqlite3")
             self._highest_tokens: dict[str, int] = dict(self._db.execute("select task, token from tokens"))
-        except sqlite3.Error as problem:
+        except sqlite3.Error as error:
             self._folder.close()
-            raise StoreError(f"{folder}: {problem}") from None
+            raise StoreError(f"{folder}: {error}") from None
 
     def highest_token(self, task: str) -> int:
-        """The highest token taken for a task, 0 if none was."""
+        """Return the highest token accepted for a task; 0 if there is none."""
         return self._highest_tokens.get(task, 0)
 
     def save_token(self, task: str, token: int) -> None:
-        """Keep a higher one."""
+        """Persist a higher token.
+
+        Raises:
+            OSError: the token cannot be stored.
+        """
         try:
             self._db.execute("insert or replace into tokens values (?, ?)", (task, token))
-        except sqlite3.Error as problem:
-            raise OSError(f"{self._folder.path}: {problem}") from None
+        except sqlite3.Error as error:
+            raise OSError(f"{self._folder.path}: {error}") from None
         self._highest_tokens[task] = token
 
     def close(self) -> None:
-        """Let go of the folder."""
+        """Close the database and unlock the folder."""
         self._db.close()
         self._folder.close()
--- a/rosepick/coordination/agent_state_file.py
+++ b/rosepick/coordination/agent_state_file.py
@@ -1,4 +1,4 @@
-"""What an agent is doing, on its disk."""
+"""The durable state of an agent, in a JSON file of its folder."""
 
 from __future__ import annotations
 
@@ -11,45 +11,55 @@
 
 
 class AgentStateFile:
-    """What an agent is doing, on its disk: where its member stands, its permit, its process."""
+    """The durable state of an agent: its member's phase, permit, process and versions, by name.
+
+    `tokens` stores the fencing tokens of the same folder, which it locks for this agent.
+
+    Raises:
+        StoreError: the folder or the file cannot be used.
+    """
 
     def __init__(self, folder: Path) -> None:
-        self.tokens = SqliteFencingTokenStore(folder)  # the folder is this agent's alone
+        self.tokens = SqliteFencingTokenStore(folder)
         self._path = folder / "agent.json"
         try:
             text = self._path.read_text("utf-8") if self._path.exists() else "{}"
             self._values: dict[str, Any] = json.loads(text)
-        except (OSError, ValueError) as problem:
+        except (OSError, ValueError) as error:
             self.tokens.close()
-            raise StoreError(f"{self._path}: {problem}") from None
+            raise StoreError(f"{self._path}: {error}") from None
 
     def load(self) -> tuple[int, int]:
-        """Where the member stands, and the permit."""
+        """Return the stored phase of the member and its permit; zeros if there is nothing."""
         return int(self._values.get("at", 0)), int(self._values.get("permit", 0))
 
     def save(self, phase: int, permit: int) -> None:
-        """It is on the disk when this returns."""
+        """Store phase and permit; they are on the disk when this returns."""
         self.put(at=phase, permit=permit)
 
-    def put(self, **more: Any) -> None:
-        """Keep something: written beside, synchronised, and put in the place of the old."""
-        self._values |= more
-        beside = self._path.with_suffix(".new")
-        with beside.open("w", encoding="utf-8") as file:
+    def put(self, **values: Any) -> None:
+        """Store values by name; the file is replaced as a whole, and synchronised.
+
+        Raises:
+            OSError: the file cannot be written.
+        """
+        self._values |= values
+        new_file = self._path.with_suffix(".new")
+        with new_file.open("w", encoding="utf-8") as file:
             json.dump(self._values, file)
             file.flush()
             os.fsync(file.fileno())
-        beside.replace(self._path)
-        folder = os.open(self._path.parent, os.O_RDONLY)
+        new_file.replace(self._path)
+        folder_descriptor = os.open(self._path.parent, os.O_RDONLY)
         try:
-            os.fsync(folder)
+            os.fsync(folder_descriptor)
         finally:
-            os.close(folder)
+            os.close(folder_descriptor)
 
     def get(self, name: str) -> Any:
-        """What was kept under a name."""
+        """Return the stored value of a name; None if there is none."""
         return self._values.get(name)
 
     def close(self) -> None:
-        """Let go of the folder."""
+        """Unlock the folder."""
         self.tokens.close()
--- a/rosepick/coordination/lease_holder.py
+++ b/rosepick/coordination/lease_holder.py
@@ -1,6 +1,4 @@
-"""Driver of contenders: asks the quorum what they want to know, and tells who uses them what has become of
-it.
-"""
+"""Holds a lease: runs the operations of a `LeaseClient` against the quorum, and reports its state changes."""
 
 from __future__ import annotations
 
@@ -14,11 +12,20 @@
 from .quorum_client import QuorumClient
 
 logger = logging.getLogger(__name__)
-OPERATION_TIMEOUT_SHARE = 0.25  # of the time to live: so long a question to the quorum may take
+OPERATION_TIMEOUT_SHARE = 0.25  # of the lease's time to live
+MIN_OPERATION_TIMEOUT_MS = 300.0
+MAX_WAKEUP_INTERVAL_MS = 100.0
+MIN_WAKEUP_INTERVAL_MS = 1.0
+RELEASE_LOOP_STEP_S = 0.05
+FINAL_STATES = (LeaseState.LOST, LeaseState.ENDED)
 
 
 class LeaseHolder:
-    """Holds or waits for one lease. `told` is called when it is taken, in doubt, lost or ended."""
+    """Waits for one lease and renews it.
+
+    `on_change` is called with the value of each new `LeaseState`, and with "doubt" when a held lease may
+    expire.
+    """
 
     def __init__(
         self,
@@ -26,9 +33,10 @@
         task: str,
         name: str,
         config: LeaseConfig,
-        on_change: Callable[[str], None] = lambda what: None,
+        on_change: Callable[[str], None] = lambda _event: None,
     ) -> None:
-        self.quorum_client, self.loop = quorum_client, quorum_client.loop
+        self.quorum_client = quorum_client
+        self.loop = quorum_client.loop
         self.lease_client = LeaseClient(task, name, quorum_client.client_id, config, quorum_client.rng.random)
         self._on_change = on_change
         self._timer: ScheduledCall | None = None
@@ -37,69 +45,72 @@
         self._advance()
 
     def may_act(self) -> bool:
-        """Whether a step may be taken now. To be asked before each."""
+        """Return whether a step may be taken now; to be called before each step."""
         return self.lease_client.may_act(self.loop.now())
 
     def release(self, successor: str = "") -> None:
-        """The work has stopped."""
+        """Release the lease, to `successor` if it waits; the holder's work has stopped."""
         self.lease_client.release(successor)
         self._advance()
 
     def _advance(self) -> None:
-        """Ask what is to be asked, and come back when there is more."""
+        """Run the next operation, if there is one, and schedule the next call."""
         if self._timer is not None:
             self._timer.cancel()
         now = self.loop.now()
-        ask = self.lease_client.next_operation(now)
-        if ask is not None:
+        operation = self.lease_client.next_operation(now)
+        if operation is not None:
             self.quorum_client.execute(
-                ask.key,
-                ask.change,
+                operation.key,
+                operation.change,
                 self._handle_outcome,
-                max(300.0, OPERATION_TIMEOUT_SHARE * self.lease_client.config.ttl_ms),
+                max(MIN_OPERATION_TIMEOUT_MS, OPERATION_TIMEOUT_SHARE * self.lease_client.config.ttl_ms),
             )
         self._report_changes()
-        if self.lease_client.state not in (LeaseState.LOST, LeaseState.ENDED):
-            wake = self.lease_client.next_wakeup(now) if ask is None else now + 100.0
-            self._timer = self.loop.call_at(max(now + 1.0, min(wake, now + 100.0)), self._advance)
+        if self.lease_client.state not in FINAL_STATES:
+            latest = now + MAX_WAKEUP_INTERVAL_MS
+            wakeup = self.lease_client.next_wakeup(now) if operation is None else latest
+            self._timer = self.loop.call_at(
+                max(now + MIN_WAKEUP_INTERVAL_MS, min(wakeup, latest)), self._advance
+            )
 
     def _handle_outcome(self, outcome: OperationOutcome) -> None:
         self.lease_client.handle_outcome(self.loop.now(), outcome)
         self._advance()
 
     def _report_changes(self) -> None:
-        contender, now = self.lease_client, self.loop.now()
-        if contender.state is not self._reported_state:
-            self._reported_state, self._doubt_reported = contender.state, False
-            level = logging.WARNING if contender.state is LeaseState.LOST else logging.INFO
+        lease_client = self.lease_client
+        now = self.loop.now()
+        if lease_client.state is not self._reported_state:
+            self._reported_state = lease_client.state
+            self._doubt_reported = False
+            level = logging.WARNING if lease_client.state is LeaseState.LOST else logging.INFO
             log_event(
                 logger,
                 level,
-                f"lease_{contender.state.value}",
-                task=contender.task,
-                name=contender.name,
-                token=contender.token,
+                f"lease_{lease_client.state.value}",
+                task=lease_client.task,
+                name=lease_client.name,
+                token=lease_client.token,
             )
-            self._on_change(contender.state.value)
-        doubt = contender.is_in_doubt(now)
-        if doubt and not self._doubt_reported:
+            self._on_change(lease_client.state.value)
+        in_doubt = lease_client.is_in_doubt(now)
+        if in_doubt and not self._doubt_reported:
             log_event(
                 logger,
                 logging.WARNING,
                 "lease_in_doubt",
-                task=contender.task,
-                left_ms=contender.remaining_ms(now),
+                task=lease_client.task,
+                left_ms=lease_client.remaining_ms(now),
             )
             self._on_change("doubt")
-        self._doubt_reported = doubt
+        self._doubt_reported = in_doubt
 
 
 def release_leases(loop: EventLoop, holders: list[LeaseHolder], timeout_ms: float) -> None:
-    """Give leases back and let the loop go on until they are, or for so long."""
-    for keeper in holders:
-        keeper.release()
-    until = loop.now() + timeout_ms
-    while loop.now() < until and any(
-        k.lease_client.state not in (LeaseState.LOST, LeaseState.ENDED) for k in holders
-    ):
-        loop.step(0.05)
+    """Release all leases and run the loop until they are released, or for `timeout_ms` milliseconds."""
+    for holder in holders:
+        holder.release()
+    deadline = loop.now() + timeout_ms
+    while loop.now() < deadline and any(holder.lease_client.state not in FINAL_STATES for holder in holders):
+        loop.step(RELEASE_LOOP_STEP_S)
--- a/rosepick/coordination/quorum_client.py
+++ b/rosepick/coordination/quorum_client.py
@@ -1,4 +1,8 @@
-"""Driver of operations: sends what they ask, tells them what is heard, and has them ask again."""
+"""Client of the quorum: runs reads, changes and reconfigurations against the replicas.
+
+It performs the I/O and the retries for the proposers of `consensus`, which have neither sockets nor clocks.
+Times are milliseconds of the loop's clock unless a name says otherwise.
+"""
 
 from __future__ import annotations
 
@@ -9,91 +13,77 @@
 from typing import Protocol
 
 from ..consensus import messages as m
-from ..consensus.proposer import BallotGenerator, OperationOutcome, OutgoingRequests, Proposer, RegisterChange
+from ..consensus.proposer import BallotGenerator, OutgoingRequests, Proposer, RegisterChange
 from ..consensus.reconfiguration import QuorumReconfiguration, ReconfigurationPhase
 from ..logs import log_event
 from ..net.event_loop import EventLoop, ScheduledCall
 from ..net.resource_budget import ResourceBudget
-from .quorum_connection import QuorumConnection, SocketAddress
+from .quorum_connection import QuorumConnection, ReplicaEndpoint, SocketAddress
+from .running_operations import (
+    MAX_RETRY_DELAY_MS,
+    OutcomeCallback,
+    RunningOperation,
+    RunningReconfiguration,
+)
 
 logger = logging.getLogger(__name__)
-INITIAL_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS = (
-    150.0,
-    1_500.0,
-)  # milliseconds until an operation asks again: doubled each time, up to
-# milliseconds, doubled each time: until a beaten operation asks again, by chance up to three times it
-INITIAL_CONFLICT_BACKOFF_MS = 8.0
-# who waits much longer than others finds their ballots above its own each time
-MAX_CONFLICT_BACKOFF_MS = 250.0
-# milliseconds for whoever has sealed an epoch to lead over to the next: after that each caller tries itself
+# How long a client leaves a sealed epoch to the one who sealed it, before it completes the step itself.
 SEALED_EPOCH_GRACE_MS = 1_000.0
-STATUS_POLL_INTERVAL_MS = 200.0  # between two questions who the quorum is
-OutcomeCallback = Callable[[OperationOutcome], None]
+STATUS_POLL_INTERVAL_MS = 200.0  # the shortest time between two reads of the replicas' status
+MAX_REPLY_CALLBACKS = 64  # the oldest callback of `send_to_all` is dropped beyond that
+MAX_QUORUM_CONNECTION_DESCRIPTORS = 1024
 QuorumReplyCallback = Callable[[str, m.QuorumReply], None]
 
 
 class TimerScheduler(Protocol):
-    """What is used of the loop; the lab has another one."""
+    """The part of an event loop that the client needs; simulations have another implementation."""
 
     def now(self) -> float:
-        """Milliseconds, forward only."""
+        """Return the time in milliseconds; it never goes backwards."""
 
     def call_at(self, at_ms: float, callback: Callable[[], None]) -> ScheduledCall:
-        """Call at that time or soon after."""
+        """Call `callback` at that time or soon after."""
 
     def call_after(self, delay_ms: float, callback: Callable[[], None]) -> ScheduledCall:
-        """Call after so many milliseconds."""
+        """Call `callback` after that many milliseconds."""
 
 
 class ReplicaConnection(Protocol):
-    """A way to one witness; requests and answers may get lost."""
+    """A connection to one replica; requests and replies may be lost."""
 
     def send(self, request: m.QuorumRequest) -> None:
-        """Send it."""
+        """Send a request."""
 
     def close(self) -> None:
-        """Let go of it."""
+        """Close the connection."""
 
 
 def tcp_connections(
     loop: EventLoop, endpoints: Mapping[str, SocketAddress], key: bytes
 ) -> Callable[[QuorumReplyCallback], Mapping[str, ReplicaConnection]]:
-    """Ways over TCP to the witnesses of a file."""
-    budget = ResourceBudget(1024)
-    return lambda heard: {
-        name: QuorumConnection(loop, budget, name, endpoint, key, heard)
-        for name, endpoint in endpoints.items()
-    }
-
+    """Return a factory of TCP connections to the replicas at `endpoints`, authenticated with `key`."""
+    budget = ResourceBudget(MAX_QUORUM_CONNECTION_DESCRIPTORS)
 
-@dataclass(slots=True, eq=False)
-class RunningOperation:
-    """An operation under way."""
+    def connect(on_reply: QuorumReplyCallback) -> Mapping[str, ReplicaConnection]:
+        return {
+            name: QuorumConnection(loop, budget, ReplicaEndpoint(name, address, key), on_reply)
+            for name, address in endpoints.items()
+        }
 
-    proposer: Proposer
-    on_outcome: OutcomeCallback
-    retry_delay_ms: float = INITIAL_RETRY_DELAY_MS
-    conflict_backoff_ms: float = INITIAL_CONFLICT_BACKOFF_MS
-    retry_timer: ScheduledCall | None = None
-    deadline_timer: ScheduledCall | None = None
-    is_started: bool = False
+    return connect
 
 
-@dataclass(slots=True, eq=False)
-class RunningReconfiguration:
-    """A succession under way."""
+@dataclass(frozen=True, slots=True)
+class SealedEpoch:
+    """An epoch that was found sealed, and until when it is left to the one who sealed it."""
 
-    reconfiguration: QuorumReconfiguration
-    on_finished: Callable[[QuorumReconfiguration], None]
-    retry_timer: ScheduledCall | None = None
-    retry_delay_ms: float = INITIAL_RETRY_DELAY_MS
-    conflict_backoff_ms: float = INITIAL_CONFLICT_BACKOFF_MS
-    is_preempted: bool = False
+    epoch: int
+    grace_ends_at: float
 
 
 @dataclass(slots=True)
 class ReplicaStatus:
-    """What one witness said of itself last."""
+    """The last status that one replica reported."""
 
     status: m.StatusReply
     received_at: float = 0.0
@@ -101,7 +91,7 @@
 
 @dataclass(slots=True)
 class QuorumClientCounters:
-    """What an operator or a measurement asks for."""
+    """Counters for operators and benchmarks."""
 
     operations: int = 0
     conflicts: int = 0
@@ -110,7 +100,10 @@
 
 
 class QuorumClient:
-    """Asks the witnesses of a quorum. `rng` for the marks of operations and for back-off."""
+    """Runs operations against a quorum of replicas.
+
+    `rng` draws the client id, change ids and backoff delays.
+    """
 
     def __init__(
         self,
@@ -118,7 +111,8 @@
         connect: Callable[[QuorumReplyCallback], Mapping[str, ReplicaConnection]],
         rng: random.Random,
     ) -> None:
-        self.loop, self.rng = loop, rng
+        self.loop = loop
+        self.rng = rng
         self.client_id = rng.getrandbits(62) | 1
         self._ballots = BallotGenerator(self.client_id)
         self.connections = connect(self._on_reply)
@@ -127,86 +121,89 @@
         self.found_two_fleets = False
         self.counters = QuorumClientCounters()
         self._last_request_id = rng.getrandbits(40) << 8
-        self._operations: dict[
-            RunningOperation, None
-        ] = {}  # in the order of their begin: the same at each run
+        # an ordered set: iteration in order of start makes runs reproducible
+        self._operations: dict[RunningOperation, None] = {}
         self._reconfiguration: RunningReconfiguration | None = None
         self._status_polled_at = -STATUS_POLL_INTERVAL_MS
-        # an epoch that was found sealed, and until when to leave it so
-        self._sealed_epoch: tuple[int, float] | None = None
-        self._reply_callbacks: dict[int, Callable[[str, m.QuorumReply], None]] = {}
+        self._sealed_epoch: SealedEpoch | None = None
+        self._reply_callbacks: dict[int, QuorumReplyCallback] = {}
 
     # -- for callers
 
     def execute(
         self, key: str, change: RegisterChange | None, on_outcome: OutcomeCallback, timeout_ms: float
     ) -> str:
-        """Read a register, or change it; `on_outcome` is called once, within `timeout_ms` milliseconds or so.
-        The mark of the change is given back.
+        """Read a register (`change` is None) or change it, and return the change id.
+
+        `on_outcome` is called once, after about `timeout_ms` milliseconds at the latest.
         """
         running = RunningOperation(self._new_proposer(key, change), on_outcome)
         self.counters.operations += 1
         self._operations[running] = None
         running.deadline_timer = self.loop.call_after(timeout_ms, lambda: self._expire_operation(running))
-        mark = running.proposer.change_id
+        change_id = running.proposer.change_id
         self._start_operation(running)
-        return mark
+        return change_id
 
     def send_to_all(
-        self, make_request: Callable[[int], m.QuorumRequest], on_reply: Callable[[str, m.QuorumReply], None]
+        self, make_request: Callable[[int], m.QuorumRequest], on_reply: QuorumReplyCallback
     ) -> None:
-        """One request to each witness of the file; each answer is told."""
-        number = self.next_request_id()
-        self._reply_callbacks[number] = on_reply
-        while len(self._reply_callbacks) > 64:
+        """Send one request to each configured replica; `on_reply` is called for each reply.
+
+        `make_request` gets the request id.
+        """
+        request_id = self.next_request_id()
+        self._reply_callbacks[request_id] = on_reply
+        while len(self._reply_callbacks) > MAX_REPLY_CALLBACKS:
             self._reply_callbacks.pop(next(iter(self._reply_callbacks)))
-        for link in self.connections.values():
-            link.send(make_request(number))
+        for connection in self.connections.values():
+            connection.send(make_request(request_id))
 
     def send_to_one(
         self,
         replica: str,
         make_request: Callable[[int], m.QuorumRequest],
-        on_reply: Callable[[str, m.QuorumReply], None],
+        on_reply: QuorumReplyCallback,
     ) -> None:
-        """One request to one witness."""
-        number = self.next_request_id()
-        self._reply_callbacks[number] = on_reply
-        self.connections[replica].send(make_request(number))
+        """Send one request to one replica; `make_request` gets the request id."""
+        request_id = self.next_request_id()
+        self._reply_callbacks[request_id] = on_reply
+        self.connections[replica].send(make_request(request_id))
 
     def reconfigure(
         self, members: tuple[m.QuorumMember, ...] | None, on_finished: Callable[[QuorumReconfiguration], None]
     ) -> bool:
-        """Lead over to another quorum; False if one is under way already or the present one is not known."""
+        """Start to replace the quorum by `members`; None completes what another client has sealed.
+
+        Returns False if a reconfiguration is running already, or if the present quorum is not known.
+        """
         if self._reconfiguration is not None or self.quorum is None:
             return False
-        succession = QuorumReconfiguration(
+        reconfiguration = QuorumReconfiguration(
             self.quorum, members, self._ballots, self._new_change_id(), self.next_request_id
         )
-        self._reconfiguration = RunningReconfiguration(succession, on_finished)
-        self._send_requests(succession.start())
+        self._reconfiguration = RunningReconfiguration(reconfiguration, on_finished)
+        self._send_requests(reconfiguration.start())
         self._schedule_reconfiguration_retry(self._reconfiguration)
         return True
 
     def poll_status(self) -> None:
-        """Ask the witnesses who the quorum is."""
+        """Ask all replicas for their status, and so for the present quorum."""
         if self.loop.now() - self._status_polled_at >= STATUS_POLL_INTERVAL_MS:
             self._status_polled_at = self.loop.now()
-            self.send_to_all(m.StatusRequest, lambda name, answer: None)
+            self.send_to_all(m.StatusRequest, lambda _replica, _reply: None)
 
     def close(self) -> None:
-        """Let go of every connection; what runs is not finished."""
-        for link in self.connections.values():
-            link.close()
+        """Close all connections and drop what is running, without outcomes."""
+        for connection in self.connections.values():
+            connection.close()
         for running in self._operations:
-            for timer in (running.retry_timer, running.deadline_timer):
-                if timer is not None:
-                    timer.cancel()
-        if self._reconfiguration is not None and self._reconfiguration.retry_timer is not None:
-            self._reconfiguration.retry_timer.cancel()
+            running.cancel_timers()
+        if self._reconfiguration is not None:
+            self._reconfiguration.cancel_retry()
 
     def next_request_id(self) -> int:
-        """A number for a request: no other one of this process has it."""
+        """Return a request id that is unique within this client."""
         self._last_request_id += 1
         return self._last_request_id
 
@@ -227,20 +224,18 @@
             )
             return
         if running.is_started:
-            sends = running.proposer.retry()
-        elif running.proposer.quorum.epoch != self.quorum.epoch:
-            running.proposer.quorum = self.quorum
-            sends = running.proposer.start()
+            requests = running.proposer.retry()
         else:
-            sends = running.proposer.start()
+            if running.proposer.quorum.epoch != self.quorum.epoch:
+                running.proposer.quorum = self.quorum
+            requests = running.proposer.start()
         running.is_started = True
-        self._send_requests(sends)
+        self._send_requests(requests)
         self._schedule_retry(running, running.retry_delay_ms * (0.8 + 0.4 * self.rng.random()))
         running.retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2.0 * running.retry_delay_ms)
 
     def _schedule_retry(self, running: RunningOperation, delay_ms: float) -> None:
-        if running.retry_timer is not None:
-            running.retry_timer.cancel()
+        running.cancel_retry()
         running.retry_timer = self.loop.call_after(delay_ms, lambda: self._retry_operation(running))
 
     def _retry_operation(self, running: RunningOperation) -> None:
@@ -250,17 +245,20 @@
 
     def _expire_operation(self, running: RunningOperation) -> None:
         if running in self._operations:
-            why = "the witnesses are of two fleets" if self.found_two_fleets else ""
-            if self.quorum is None and not why:
-                why = "no quorum is founded" if self.replica_statuses else "no witness answers"
-            running.proposer.give_up(why)
+            running.proposer.give_up(self._unavailability_reason())
             self._finish_operation(running)
 
+    def _unavailability_reason(self) -> str:
+        """Return why an operation has no outcome; empty if the quorum merely did not reply in time."""
+        if self.found_two_fleets:
+            return "the witnesses are of two fleets"
+        if self.quorum is not None:
+            return ""
+        return "no quorum is founded" if self.replica_statuses else "no witness answers"
+
     def _finish_operation(self, running: RunningOperation) -> None:
         self._operations.pop(running, None)
-        for timer in (running.retry_timer, running.deadline_timer):
-            if timer is not None:
-                timer.cancel()
+        running.cancel_timers()
         outcome = running.proposer.outcome
         assert outcome is not None
         kind = outcome.kind.value
@@ -272,50 +270,49 @@
             if name in self.connections:
                 self.connections[name].send(request)
 
-    # -- answers
+    # -- replies
 
     def _on_reply(self, replica: str, reply: m.QuorumReply) -> None:
         if isinstance(reply, m.StatusReply):
             self.replica_statuses[replica] = ReplicaStatus(reply, self.loop.now())
             self._adopt_quorum(reply.quorum)
-        heard = self._reply_callbacks.get(reply.request_id)
-        if heard is not None:
-            heard(replica, reply)
+        on_reply = self._reply_callbacks.get(reply.request_id)
+        if on_reply is not None:
+            on_reply(replica, reply)
         for running in list(self._operations):
             if running in self._operations and running.is_started:
                 self._deliver_reply(running, replica, reply)
-        following = self._reconfiguration
-        if following is not None:
-            self._send_requests(following.reconfiguration.handle_reply(replica, reply))
-            self._advance_reconfiguration(following)
+        reconfiguration = self._reconfiguration
+        if reconfiguration is not None:
+            self._send_requests(reconfiguration.reconfiguration.handle_reply(replica, reply))
+            self._advance_reconfiguration(reconfiguration)
 
     def _deliver_reply(self, running: RunningOperation, replica: str, reply: m.QuorumReply) -> None:
-        operation = running.proposer
-        was_beaten = operation.is_preempted
-        self._send_requests(operation.handle_reply(replica, reply))
-        if operation.outcome is not None:
+        proposer = running.proposer
+        was_preempted = proposer.is_preempted
+        self._send_requests(proposer.handle_reply(replica, reply))
+        if proposer.outcome is not None:
             self._finish_operation(running)
-        elif operation.wrong_epoch_reply is not None:
-            elsewhere, operation.wrong_epoch_reply = operation.wrong_epoch_reply, None
-            self._handle_wrong_epoch(elsewhere)
-        elif operation.is_preempted and not was_beaten:
+        elif proposer.wrong_epoch_reply is not None:
+            wrong_epoch = proposer.wrong_epoch_reply
+            proposer.wrong_epoch_reply = None
+            self._handle_wrong_epoch(wrong_epoch)
+        elif proposer.is_preempted and not was_preempted:
             self.counters.conflicts += 1
-            self._schedule_retry(running, running.conflict_backoff_ms * (0.5 + 2.5 * self.rng.random()))
-            running.conflict_backoff_ms = min(MAX_CONFLICT_BACKOFF_MS, 2.0 * running.conflict_backoff_ms)
+            self._schedule_retry(running, running.next_conflict_delay(self.rng))
 
     def _handle_wrong_epoch(self, reply: m.WrongEpochReply) -> None:
-        """The quorum is not what was thought: a later one, or one that is sealed and has not been
-        followed.
-        """
+        """Adopt the later quorum of a reply, or reconfigure if the present epoch stays sealed."""
         known = self.quorum
         self._adopt_quorum(reply.quorum)
         if self.quorum is not known or known is None or not reply.is_sealed or reply.quorum != known:
             return
         now = self.loop.now()
-        if self._sealed_epoch is None or self._sealed_epoch[0] != known.epoch:
-            self._sealed_epoch = known.epoch, now + SEALED_EPOCH_GRACE_MS * (0.7 + 0.6 * self.rng.random())
-        elif now >= self._sealed_epoch[1]:
-            self.reconfigure(None, lambda succession: None)
+        if self._sealed_epoch is None or self._sealed_epoch.epoch != known.epoch:
+            grace_ms = SEALED_EPOCH_GRACE_MS * (0.7 + 0.6 * self.rng.random())
+            self._sealed_epoch = SealedEpoch(known.epoch, now + grace_ms)
+        elif now >= self._sealed_epoch.grace_ends_at:
+            self.reconfigure(None, lambda _reconfiguration: None)
 
     def _adopt_quorum(self, quorum: m.Quorum | None) -> None:
         known = self.quorum
@@ -334,11 +331,11 @@
                 else:
                     self._schedule_retry(running, 0.0)
 
-    # -- successions
+    # -- reconfigurations
 
     def _schedule_reconfiguration_retry(self, running: RunningReconfiguration) -> None:
-        pause = running.retry_delay_ms * (0.8 + 0.9 * self.rng.random())
-        running.retry_timer = self.loop.call_after(pause, lambda: self._retry_reconfiguration(running))
+        delay_ms = running.retry_delay_ms * (0.8 + 0.9 * self.rng.random())
+        running.retry_timer = self.loop.call_after(delay_ms, lambda: self._retry_reconfiguration(running))
         running.retry_delay_ms = min(MAX_RETRY_DELAY_MS, 1.5 * running.retry_delay_ms)
 
     def _retry_reconfiguration(self, running: RunningReconfiguration) -> None:
@@ -348,20 +345,16 @@
             self._schedule_reconfiguration_retry(running)
 
     def _advance_reconfiguration(self, running: RunningReconfiguration) -> None:
-        succession = running.reconfiguration
-        if succession.later_quorum is not None or succession.phase is ReconfigurationPhase.DONE:
+        reconfiguration = running.reconfiguration
+        if reconfiguration.later_quorum is not None or reconfiguration.phase is ReconfigurationPhase.DONE:
             self._reconfiguration = None
-            if running.retry_timer is not None:
-                running.retry_timer.cancel()
-            self._adopt_quorum(
-                succession.later_quorum or (succession.successor.quorum if succession.successor else None)
-            )
-            running.on_finished(succession)
-        elif succession.is_preempted and not running.is_preempted:
+            running.cancel_retry()
+            successor = reconfiguration.successor
+            self._adopt_quorum(reconfiguration.later_quorum or (successor.quorum if successor else None))
+            running.on_finished(reconfiguration)
+        elif reconfiguration.is_preempted and not running.is_preempted:
             running.is_preempted = True
             self.counters.conflicts += 1
-            if running.retry_timer is not None:
-                running.retry_timer.cancel()
-            pause = running.conflict_backoff_ms * (0.5 + 2.5 * self.rng.random())
-            running.conflict_backoff_ms = min(MAX_CONFLICT_BACKOFF_MS, 2.0 * running.conflict_backoff_ms)
-            running.retry_timer = self.loop.call_after(pause, lambda: self._retry_reconfiguration(running))
+            running.cancel_retry()
+            delay_ms = running.next_conflict_delay(self.rng)
+            running.retry_timer = self.loop.call_after(delay_ms, lambda: self._retry_reconfiguration(running))
--- a/rosepick/coordination/quorum_connection.py
+++ b/rosepick/coordination/quorum_connection.py
@@ -1,5 +1,6 @@
-"""A connection to one witness: dialed when there is something to ask, and anew when it breaks or stays
-silent.
+"""A TCP connection to one replica of the quorum.
+
+It is dialed when there is something to send, and again after it broke or stayed silent.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ..connections.descriptor_budget import DescriptorUse
 from ..consensus import codec
@@ -21,41 +23,46 @@
 
 logger = logging.getLogger(__name__)
 SocketAddress = tuple[str, int]
-# milliseconds without an answer to something: guards against a connection that is open on one side
+# A connection without a reply for so long is closed: the other side may not know it any more.
 SILENCE_TIMEOUT_MS = 1_500.0
-REDIAL_INTERVAL_MS = 60.0  # between two dials
-MAX_PENDING_REQUESTS = 256  # requests that wait for a dial; an older one will have been asked anew
+REDIAL_INTERVAL_MS = 60.0  # the shortest time between two dials
+MAX_PENDING_REQUESTS = 256  # that wait for the dial; older ones are dropped, as their senders retry
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaEndpoint:
+    """Where a replica listens, and the key that authenticates messages (empty: none)."""
+
+    name: str
+    address: SocketAddress
+    key: bytes
 
 
 class QuorumConnection(OutboundConnection):
-    """Requests to a witness and its answers, in whatever order they come."""
+    """Sends requests to one replica and hands over its replies, in whatever order they come."""
 
     def __init__(
         self,
         loop: EventLoop,
         budget: ResourceBudget,
-        replica: str,
-        endpoint: SocketAddress,
-        key: bytes,
+        replica: ReplicaEndpoint,
         on_reply: Callable[[str, QuorumReply], None],
     ) -> None:
         super().__init__()
-        self.replica = replica
-        self._loop, self._budget, self._endpoint, self._key, self._on_reply = (
-            loop,
-            budget,
-            endpoint,
-            key,
-            on_reply,
-        )
+        self.replica = replica.name
+        self._loop = loop
+        self._budget = budget
+        self._address = replica.address
+        self._key = replica.key
+        self._on_reply = on_reply
         self._pending_frames: deque[bytes] = deque(maxlen=MAX_PENDING_REQUESTS)
         self._is_open = False
         self._dialed_at = -REDIAL_INTERVAL_MS
-        self._silent_since: float | None = None  # something was asked then, and nothing has come since
+        self._silent_since: float | None = None  # a request was sent then, and nothing received since
         self._frame_decoder = FrameDecoder()
 
     def send(self, request: QuorumRequest) -> None:
-        """Send it, as soon as can be; it may get lost."""
+        """Send a request as soon as possible; it may be lost."""
         now = self._loop.now()
         if self._is_open and self._silent_since is not None and now - self._silent_since > SILENCE_TIMEOUT_MS:
             self.close()
@@ -70,15 +77,13 @@
     def _dial(self) -> None:
         now = self._loop.now()
         if now - self._dialed_at < REDIAL_INTERVAL_MS:
-            return  # what waits goes out with the next request
-        self._dialed_at, self._silent_since, self._frame_decoder, self.is_connecting = (
-            now,
-            now,
-            FrameDecoder(),
-            True,
-        )
+            return  # the pending frames are sent with the next request
+        self._dialed_at = now
+        self._silent_since = now
+        self._frame_decoder = FrameDecoder()
+        self.is_connecting = True
         try:
-            sock = dial(self._endpoint)
+            sock = dial(self._address)
         except OSError:
             return
         self._is_open = True
@@ -89,8 +94,8 @@
             step()
         except OSError:
             self.close()
-        except DecodeError as problem:
-            log_event(logger, logging.WARNING, "answer_unreadable", witness=self.replica, why=problem.reason)
+        except DecodeError as error:
+            log_event(logger, logging.WARNING, "answer_unreadable", witness=self.replica, why=error.reason)
             self.close()
 
     def _write(self) -> None:
@@ -109,12 +114,12 @@
             if not data:
                 raise OSError("closed")
             for frame in self._frame_decoder.feed(data):
-                answer = codec.decode_reply(frame, self._key)
+                reply = codec.decode_reply(frame, self._key)
                 self._silent_since = None
-                self._on_reply(self.replica, answer)
+                self._on_reply(self.replica, reply)
 
     def close(self) -> None:
-        """Let go of it; a later request dials anew."""
+        """Close the connection; a later request dials again."""
         if self._is_open:
             self._is_open = False
             self.stream.close()
@@ -123,7 +128,10 @@
 
 
 def check_key_present(endpoints: list[SocketAddress], key: bytes) -> str:
-    """Why these addresses may not be used, if so: without a key, this machine's own only."""
+    """Return why these addresses may not be used; empty if they may.
+
+    Without a key, only addresses of this machine are allowed.
+    """
     for host, port in endpoints:
         with contextlib.suppress(OSError):
             if not key and not socket.gethostbyname(host).startswith("127."):
