--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -135,6 +135,7 @@
     from .. import logs
     from ..coordination.acceptor_store import StoreError
     from ..coordination.agent_driver import AgentDriver
+    from ..coordination.agent_driver_config import AgentDriverConfig
     from ..coordination.agent_state_file import AgentStateFile
     from ..coordination.supervised_process import SupervisedProcess
     from ..fleet import failure_detector, fleet_state
@@ -168,14 +169,12 @@
     counting = failure_detector.FailureDetectorPolicy(report_timeout_ms=1000.0 * drains.silent)
     driver = AgentDriver(
         client,
-        drains.group,
         machine,
         tended,
         FencingGuard(kept.tokens),
-        (lease, counting),
-        time.time,
-        1000.0 * drains.beat,
-        rollout_plan_of(told.releases),
+        AgentDriverConfig(
+            drains.group, lease, counting, 1000.0 * drains.beat, rollout_plan_of(told.releases)
+        ),
     )
 
     def end() -> None:
--- a/rosepick/lab/drill/drain_benchmark.py
+++ b/rosepick/lab/drill/drain_benchmark.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 
 from ...coordination.agent_driver import AgentDriver
+from ...coordination.agent_driver_config import AgentDriverConfig
 from ...coordination.quorum_client import QuorumClient, tcp_connections
 from ...fleet import failure_detector
 from ...fleet import fleet_state as book
@@ -63,9 +64,11 @@
         begun: list[object] = []
         clients[0].execute(book.fleet_state_key("measured"), lambda register: made, begun.append, 10_000.0)
         _run_until(loop, lambda: bool(begun))
-        terms = (
+        config = AgentDriverConfig(
+            "measured",
             LeaseConfig(10_000.0),
             failure_detector.FailureDetectorPolicy(report_timeout_ms=4.0 * heartbeat_ms),
+            heartbeat_ms,
         )
         drivers = []
         for number in range(count):
@@ -80,11 +83,7 @@
             )
             guard = FencingGuard(InMemoryAgentState().tokens)
             client = clients[number % CLIENT_COUNT]
-            drivers.append(
-                AgentDriver(
-                    client, "measured", machine, InstantMember(), guard, terms, time.time, heartbeat_ms
-                )
-            )
+            drivers.append(AgentDriver(client, machine, InstantMember(), guard, config))
         first = drivers[0].agent
 
         lines = set[book.AuditEntry]()
--- a/rosepick/lab/drill/simulated_drains.py
+++ b/rosepick/lab/drill/simulated_drains.py
@@ -10,7 +10,8 @@
 from functools import partial
 
 from ...consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
-from ...coordination.agent_driver import AGENT_OPERATION_TIMEOUT_MS, AgentDriver
+from ...coordination.agent_driver import AgentDriver
+from ...coordination.agent_driver_config import AGENT_OPERATION_TIMEOUT_MS, AgentDriverConfig
 from ...fleet import failure_detector as counting
 from ...fleet import fleet_state as book
 from ...fleet.agent import Agent, MemberAction, MemberStatus
@@ -211,14 +212,10 @@
         wall = partial(getattr, self.cluster, "now")
         self.driver = AgentDriver(
             self.client,
-            GROUP,
             machine,
             eyes,
             guard,
-            (terms, FAILURE_DETECTOR_CONFIG),
-            wall,
-            HEARTBEAT_INTERVAL_MS,
-            plan,
+            AgentDriverConfig(GROUP, terms, FAILURE_DETECTOR_CONFIG, HEARTBEAT_INTERVAL_MS, plan, wall),
         )
 
     def _create_observer(self, machine: Agent) -> tuple[MemberObserver, RolloutPolicy | None]:
