Split artifacts and supervised processes by concern, with typed options

Cause: artifact_store.py and supervised_process.py had two jobs each, passed an untyped map and tuples, and took six and eight parameters. Change: artifact_fetch.py is what the fetching process runs (FetchOptions, the same JSON in the same order); artifact_store.py keeps what is on the host (MemberProgram, InstalledBuild, RunningFetch). admin_call.py and process_stats.py come out of supervised_process.py; MemberProcessConfig holds what a process is run with.

--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import shlex
 import time
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -137,7 +138,8 @@
     from ..coordination.agent_driver import AgentDriver
     from ..coordination.agent_driver_config import AgentDriverConfig
     from ..coordination.agent_state_file import AgentStateFile
-    from ..coordination.supervised_process import SupervisedProcess
+    from ..coordination.artifact_store import MemberProgram
+    from ..coordination.supervised_process import MemberProcessConfig, SupervisedProcess
     from ..fleet import failure_detector, fleet_state
     from ..fleet.agent import Agent, AgentPolicy
     from ..leases.fencing import FencingGuard
@@ -153,12 +155,17 @@
     drains, loop = told.drains, client.loop
     assert isinstance(loop, EventLoop)
     a_kind = fleet_state.MemberKind.ROUTER if kind == "router" else fleet_state.MemberKind.CACHE
+    takes_part = build is not None or config is not None
     try:
-        versions, carrier = make_deployer(name, kept, folder, told.releases, (build, config, check, command))
+        program = MemberProgram(build, config, shlex.split(check), command) if takes_part else None
+        versions, carrier = make_deployer(name, kept, folder, told.releases, program)
     except OSError as problem:
         exit_with_error(problem, 3)
     tended = SupervisedProcess(
-        loop, a_kind, (host, int(port)), command, kept, folder / "member.log", drains.halt_above, versions
+        loop,
+        MemberProcessConfig(a_kind, (host, int(port)), command, folder / "member.log", drains.halt_above),
+        kept,
+        versions,
     )
     terms = AgentPolicy(partition_timeout_ms=1000.0 * drains.lonely, min_serving_ms=1000.0 * drains.steady)
     machine = Agent(name, a_kind, zone, weight, disruption_budget_of(told), terms, kept)
--- a/rosepick/cli/release.py
+++ b/rosepick/cli/release.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import json
-import shlex
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -28,7 +27,7 @@
 if TYPE_CHECKING:
     from ..consensus.proposer import RegisterChange
     from ..coordination.agent_state_file import AgentStateFile
-    from ..coordination.artifact_store import LocalArtifactStore
+    from ..coordination.artifact_store import LocalArtifactStore, MemberProgram
     from ..fleet.deployer import Deployer
     from ..fleet.fleet_state import FleetState
     from ..fleet.rollout_leader import RolloutPolicy
@@ -63,23 +62,24 @@
     state_file: AgentStateFile,
     folder: Path,
     release_settings: ReleaseSettings,
-    options: tuple[Path | None, Path | None, str, list[str]],
-) -> tuple[LocalArtifactStore | None, Deployer | None]:
-    """A member's part in releases, if it is given a build or a configuration to change. OSError if what it is
-    given cannot be read.
+    program: MemberProgram | None,
+) -> tuple[LocalArtifactStore, Deployer] | tuple[None, None]:
+    """Return a member's artifact store and deployer; None for both if it takes no part in releases.
+
+    Raises:
+        OSError: the build or a folder cannot be read or made.
     """
     from ..coordination.artifact_store import LocalArtifactStore
     from ..fleet.deployer import Deployer, DeployPolicy
     from ..fleet.rollout_state import BUILD, SETTINGS
 
-    build, config, check, command = options
-    if build is None and config is None:
+    if program is None:
         return None, None
-    versions = LocalArtifactStore(state_file, folder, build, config, shlex.split(check), command)
-    runs = {BUILD: versions.installed[0]} if build is not None else {}
-    runs |= {SETTINGS: ""} if config is not None else {}
-    terms = DeployPolicy(1000.0 * release_settings.settle, 1000.0 * release_settings.probation)
-    return versions, Deployer(name, state_file, versions, terms, runs)
+    artifacts = LocalArtifactStore(state_file, folder, program)
+    digests = {BUILD: artifacts.installed.digest} if program.build is not None else {}
+    digests |= {SETTINGS: ""} if program.config is not None else {}
+    policy = DeployPolicy(1000.0 * release_settings.settle, 1000.0 * release_settings.probation)
+    return artifacts, Deployer(name, state_file, artifacts, policy, digests)
 
 
 class ReleaseSession(FleetSession):
@@ -123,7 +123,7 @@
 
 
 def _read_artifact(path: Path, name: str) -> Artifact:
-    from ..coordination.artifact_store import digest_of
+    from ..coordination.artifact_fetch import digest_of
     from ..fleet.rollout_state import Artifact
 
     try:
--- a/rosepick/lab/drill/release_harness.py
+++ b/rosepick/lab/drill/release_harness.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from ...consensus.proposer import OperationOutcome, OutcomeKind
-from ...coordination.artifact_store import digest_of
+from ...coordination.artifact_fetch import digest_of
 from ...fleet import fleet_state as book
 from ...fleet import rollout_state
 from ...fleet.disruption_budget import DisruptionBudget, Limit
--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -15,7 +15,7 @@
 from rosepick.consensus.messages import Register
 from rosepick.consensus.proposer import RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
-from rosepick.coordination.artifact_store import digest_of
+from rosepick.coordination.artifact_fetch import digest_of
 from rosepick.fleet import failure_detector, fleet_state, rollout_state
 from rosepick.fleet.canary_analysis import CanaryAnalysis, HealthMetrics
 from rosepick.fleet.deployer import ArtifactStatus, Deployer
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -15,7 +15,7 @@
 from rosepick.consensus.messages import Register
 from rosepick.consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind, RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
-from rosepick.coordination.supervised_process import process_start_time
+from rosepick.coordination.process_stats import process_start_time
 from rosepick.fleet import failure_detector as counting
 from rosepick.fleet import fleet_state as book
 from rosepick.fleet.agent import Agent, AgentPolicy, MemberAction, MemberStatus
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -19,13 +19,14 @@
 from rosepick.cli.release import rollout_plan_of
 from rosepick.consensus.messages import Register
 from rosepick.consensus.proposer import ChangeRejectedError, RegisterChange
-from rosepick.coordination.artifact_store import (
+from rosepick.coordination.artifact_fetch import (
     FetchError,
-    LocalArtifactStore,
+    FetchOptions,
     compose_config,
     digest_of,
     fetch_artifact,
 )
+from rosepick.coordination.artifact_store import LocalArtifactStore, MemberProgram
 from rosepick.fleet import fleet_state as book
 from rosepick.fleet import rollout_state
 from rosepick.fleet.canary_analysis import CanaryAnalysis, CanaryStatus, HealthMetrics
@@ -438,10 +439,10 @@
 # ---------------------------------------------------------------------------- versions on a host
 
 
-def told(tmp_path: Path, **more: Any) -> dict[str, Any]:
+def fetch_options(tmp_path: Path, **changed: Any) -> FetchOptions:
     base = tmp_path / "own.json"
     base.write_text(json.dumps({"listen": "127.0.0.1:1", "ops": "127.0.0.1:2", "settings": {"a": 1}}))
-    usual = {
+    options: dict[str, Any] = {
         "kind": BUILD,
         "config": str(base),
         "check": [],
@@ -450,7 +451,7 @@
         "settings": "",
         "scratch": str(tmp_path / "trial"),
     }
-    return usual | more
+    return FetchOptions(**(options | changed))
 
 
 @pytest.mark.parametrize(
@@ -474,15 +475,16 @@
     source = tmp_path / "source"
     source.mkdir()
     (source / "run.py").write_text(run)
-    digest, place = digest_of(source), tmp_path / "place"
+    digest = digest_of(source)
+    target = tmp_path / "place"
     try:
-        given = tmp_path / more.pop("source", "source")
-        fetch_artifact(given, more.pop("digest", digest), place, told(tmp_path, **more))
-        assert not why and place.with_name("place.ready").exists() and digest_of(place) == digest
+        given_source = tmp_path / more.pop("source", "source")
+        fetch_artifact(given_source, more.pop("digest", digest), target, fetch_options(tmp_path, **more))
+        assert not why and target.with_name("place.ready").exists() and digest_of(target) == digest
         assert json.loads((tmp_path / ".trial.json").read_text())["listen"] == "127.0.0.1:0"
-    except FetchError as problem:
-        assert why and f"{problem.status}: {problem}".startswith(why)
-        assert not place.with_name("place.ready").exists()
+    except FetchError as error:
+        assert why and f"{error.status}: {error}".startswith(why)
+        assert not target.with_name("place.ready").exists()
 
 
 def test_digests_tell_builds_apart_and_settings_are_put_into_a_routers_own_file(tmp_path: Path) -> None:
@@ -496,7 +498,7 @@
     assert len(digests) == 4
     settings = tmp_path / "s.json"
     settings.write_text('{"b": 2}')
-    base = Path(told(tmp_path)["config"])
+    base = Path(fetch_options(tmp_path).config)
     assert json.loads(compose_config(base, settings))["settings"] == {"b": 2}
     assert json.loads(compose_config(base, None))["settings"] == {"a": 1}
 
@@ -508,23 +510,23 @@
     (source / "check.py").write_text(
         f"import os; open({str(seen)!r}, 'w').write(repr(sorted(os.environ.items())))"
     )
-    thing = Artifact("new", digest_of(source), str(source))
+    artifact = Artifact("new", digest_of(source), str(source))
     check = [sys.executable, "{build}/check.py"]
-    host = LocalArtifactStore(Disk(), tmp_path, None, None, check, [])  # type: ignore[arg-type]
+    store = LocalArtifactStore(Disk(), tmp_path, MemberProgram(None, None, check, []))  # type: ignore[arg-type]
 
     def wait() -> ArtifactStatus:
-        while not (found := host.prepare(BUILD, thing)).is_ready and found.cause is FailureCause.NONE:
+        while not (status := store.prepare(BUILD, artifact)).is_ready and status.cause is FailureCause.NONE:
             pass
-        return found
+        return status
 
     assert wait().is_ready
     assert seen.read_text() == repr(
         sorted(os.environ.items())
     )  # nothing of this program is put before the version's
-    host.remove_except([])
-    assert not host.path_of(thing.digest).exists() and wait().is_ready
-    host.remove_except([])
-    thing = Artifact("new", thing.digest, str(tmp_path / "gone"))
+    store.remove_except([])
+    assert not store.path_of(artifact.digest).exists() and wait().is_ready
+    store.remove_except([])
+    artifact = Artifact("new", artifact.digest, str(tmp_path / "gone"))
     assert wait().cause is FailureCause.HOST
 
 
