Describe the fleet's file in the field's terms

Cause: docstrings used the withdrawn wording and did not say which setting is what; limits were bare numbers. Change: each section documents its settings with units; limits are named. Keys, defaults and texts of faults stay.

--- a/rosepick/settings/fleet_file.py
+++ b/rosepick/settings/fleet_file.py
@@ -1,6 +1,6 @@
-"""The fleet's file (`deploy/fleet.toml`): its witnesses, the key between processes, how leases are held.
+"""The fleet's file (`deploy/fleet.toml`): replicas and key of the quorum, leases, drains and rollouts.
 
-Not read by `serve`. All faults are named at once, each with its place.
+`serve` does not read it. All faults are reported at once, each with its place.
 """
 
 from __future__ import annotations
@@ -13,11 +13,16 @@
 
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
 WAVE_PATTERN = r"^(zone|rest|(100|[1-9][0-9]?)%)$"
-MIN_KEY_BYTES = 16  # bytes
+MIN_KEY_BYTES = 16
+MAX_REPLICAS = 8  # a quorum has 7 at most, and one more while one is replaced
+MINUTES_PER_HOUR = 60
+MIN_BEATS_OF_SILENCE = 3.0
+MIN_PROBATION_OF_SETTLE = 2.0
+MAX_PORT = 65_535
 
 
 class FleetFileError(Exception):
-    """The file cannot be used; `faults` has a line for each."""
+    """The file cannot be used; `faults` has one line for each fault, with its place."""
 
     def __init__(self, faults: list[str]) -> None:
         super().__init__("\n".join(faults))
@@ -29,10 +34,12 @@
 
 
 class LeaseSettings(_Section):
-    """How leases are held, where a command does not say otherwise. `ttl` in seconds."""
+    """How leases are held, unless a command says otherwise.
+
+    `ttl` is the time to live in seconds; `drift` is the largest share by which the rate of any clock is off.
+    """
 
     ttl: Annotated[float, Field(ge=0.5, le=3600)] = 10.0
-    # by which part a clock's rate may be off, of all clocks
     drift: Annotated[float, Field(ge=0.001, le=0.2)] = 0.025
 
 
@@ -41,8 +48,11 @@
 
 
 class OutLimits(_Section):
-    """How many members of a kind may be out, by count, share and weight (parts of 1), in all and in a zone;
-    how many must stay in a zone; what the store's room makes no limit smaller than.
+    """How many members of a kind may be out at one time, in all and in one zone.
+
+    `most` limits their count, `share` and `weight` their part of all members and of all weight (0 to 1); the
+    fields with `zone_` do so within a zone. `stay` members of each zone stay in. `least` may be out however
+    little capacity the store has.
     """
 
     most: Annotated[int, Field(ge=1, le=1_000)] = 1_000
@@ -56,20 +66,27 @@
 
 
 class DrainSettings(_Section):
-    """Who may be out of a fleet. `closed`: hours of the day (UTC) in which nothing goes, as "07:00-09:30";
-    `apart`: members that are not out together, by the name of what they share; `unasked`: so many more than
-    a limit may be out by themselves before there is a halt. Times are seconds: `beat` between reports,
-    `silent` without one, `lonely` without a quorum, `steady` until a member counts as back.
+    """The disruption budget of a fleet, and the timeouts of its agents (seconds).
+
+    `group` names the members that are counted together. `closed` has hours of the day (UTC) in which no drain
+    begins, as "07:00-09:30"; `apart` has members that may not be out together, by what they share; `unasked`
+    is how many more than the limit may be lost before drains are halted. `back` limits routers that return
+    from a rollout (None: as `routers`). `halt_above` is the share of a router's requests refused or failed,
+    during a drain, that halts all drains.
+
+    `beat` is the interval of health reports, and `silent` the time without one until a member counts as lost;
+    `lonely` is the time without a quorum until a member that is out returns; `steady` is how long a member
+    has to serve until it counts as back.
     """
 
     group: Annotated[str, Field(pattern=NAME_PATTERN)] = "main"
     routers: OutLimits = OutLimits()
     caches: OutLimits = OutLimits()
-    back: OutLimits | None = None  # for routers on the way back from a release; none: as always
+    back: OutLimits | None = None
     closed: list[Annotated[str, Field(pattern=r"^([01]\d|2[0-3]):[0-5]\d-([01]\d|2[0-3]):[0-5]\d$")]] = []
     apart: dict[str, list[str]] = {}
     unasked: MemberCount = 0
-    halt_above: Fraction = 0.3  # of a router's requests refused or failed, amid a drain
+    halt_above: Fraction = 0.3
     beat: Annotated[float, Field(ge=0.2, le=60.0)] = 1.5
     silent: Annotated[float, Field(ge=1.0, le=600.0)] = 6.0
     lonely: Annotated[float, Field(ge=1.0, le=600.0)] = 6.0
@@ -77,28 +94,36 @@
 
     @model_validator(mode="after")
     def _check_silence(self) -> DrainSettings:
-        if self.silent < 3.0 * self.beat:
+        if self.silent < MIN_BEATS_OF_SILENCE * self.beat:
             raise ValueError("silent is less than three beats: a report that is late would count as a loss")
         return self
 
     def closed_minutes(self) -> tuple[tuple[int, int], ...]:
-        """The closed hours as minutes of the day."""
-
-        def minute(text: str) -> int:
-            return 60 * int(text[:2]) + int(text[3:])
-
+        """Return the closed hours as minutes of the day: begin and end of each."""
         return tuple(
-            (minute(begin), minute(end)) for begin, _, end in (one.partition("-") for one in self.closed)
+            (_minute_of_day(begin), _minute_of_day(end))
+            for begin, _, end in (hours.partition("-") for hours in self.closed)
         )
 
 
+def _minute_of_day(text: str) -> int:
+    """Return the minute of the day of a time as "07:30"."""
+    return MINUTES_PER_HOUR * int(text[:2]) + int(text[3:])
+
+
 class ReleaseSettings(_Section):
-    """How a release goes about it. `waves`: a number of routers, a part of all ("2%"), "zone" (the rest of
-    the zone that was begun), "rest" (each other zone in turn). Seconds: `watch` of a wave at least, until
-    its figures say enough, `patience` at most, then an operator is asked (or it goes on: `unsure`); `after`
-    the last wave; `settle`: a new version serves for so long before it counts as back, within `probation`;
-    `lost_for`: who is lost for so long is left behind; `pool`: figures are taken together over so long.
-    `alarm`: the chance that a version which is no worse is taken for worse.
+    """How rollouts are led (times in seconds).
+
+    `waves` has the steps of a rollout: a number of routers, a share of all ("2%"), "zone" (the rest of the
+    zone that was begun), or "rest" (each other zone in turn). `watch` is the shortest observation of a wave,
+    and `patience` the longest; if its figures are still undecided then, `unsure` says whether an operator is
+    asked or the rollout goes on. `after` is the observation after the last wave.
+
+    A new version counts as back once it has served for `settle`, within `probation`. A member that is lost
+    for `lost_for` is left behind, and `failing` is the share of a wave that may fail to start. Figures are
+    pooled over intervals of `pool`. `alarm` is the probability that a version which is no worse is taken for
+    worse. While more than `line` of all requests is lost, by the old version as well, nothing is concluded.
+    `auto_back` rolls a worse version back without being asked.
     """
 
     waves: list[Annotated[int, Field(ge=1, le=1_000)] | Annotated[str, Field(pattern=WAVE_PATTERN)]] = [
@@ -116,14 +141,14 @@
     lost_for: Annotated[float, Field(ge=1.0, le=3600.0)] = 20.0
     pool: Annotated[float, Field(ge=0.5, le=600.0)] = 5.0
     alarm: Annotated[float, Field(gt=0.0, le=0.2)] = 0.01
-    line: Fraction = 0.1  # so much of all requests lost, by new and old alike, is no time to judge
-    failing: Annotated[float, Field(ge=0.0, le=1.0)] = 0.05  # part of a wave that may fail to come up
+    line: Fraction = 0.1
+    failing: Annotated[float, Field(ge=0.0, le=1.0)] = 0.05
     unsure: Literal["ask", "go"] = "ask"
     auto_back: bool = True
 
     @model_validator(mode="after")
     def _check_times(self) -> ReleaseSettings:
-        if self.probation < 2.0 * self.settle:
+        if self.probation < MIN_PROBATION_OF_SETTLE * self.settle:
             raise ValueError("probation is less than two times settle: a start that is late would fail it")
         if self.patience < self.watch:
             raise ValueError("patience is less than watch")
@@ -131,7 +156,11 @@
 
 
 class FleetFile(_Section):
-    """The whole file. `witnesses`: name to host:port. `key_file`: its bytes sign what the processes say."""
+    """The whole file.
+
+    `witnesses` has the replicas of the quorum, as name and host:port. The bytes of `key_file` (a path beside
+    this file) authenticate the messages between processes.
+    """
 
     witnesses: dict[Annotated[str, Field(pattern=NAME_PATTERN)], str]
     key_file: str | None = None
@@ -142,34 +171,40 @@
     @field_validator("witnesses")
     @classmethod
     def _check_addresses(cls, value: dict[str, str]) -> dict[str, str]:
-        if not 1 <= len(value) <= 8:
+        if not 1 <= len(value) <= MAX_REPLICAS:
             raise ValueError("1 to 7 witnesses, and one more while one is replaced")
         for name, text in value.items():
             host, _, port = text.rpartition(":")
-            if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+            if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
                 raise ValueError(f'{name} = "{text}" is not host:port')
         if len(set(value.values())) < len(value):
             raise ValueError("two witnesses have one address")
         return value
 
     def endpoints(self) -> dict[str, tuple[str, int]]:
-        """Name to host and port."""
+        """Return the host and port of each replica, by its name."""
         parts = {name: text.rpartition(":") for name, text in self.witnesses.items()}
         return {name: (host.strip("[]"), int(port)) for name, (host, _, port) in parts.items()}
 
 
 def load(path: Path) -> tuple[FleetFile, bytes]:
-    """The file and its key (empty: none). FleetFileError names every fault."""
+    """Read the fleet's file and its key (empty: none).
+
+    Raises:
+        FleetFileError: the file or its key cannot be read, or a value is invalid; it has all faults.
+    """
     try:
         document = tomllib.loads(path.read_text("utf-8"))
-    except OSError as problem:
-        raise FleetFileError([f"{path}: {problem.strerror}"]) from None
-    except ValueError as problem:
-        raise FleetFileError([f"{path}: {problem}"]) from None
+    except OSError as error:
+        raise FleetFileError([f"{path}: {error.strerror}"]) from None
+    except ValueError as error:
+        raise FleetFileError([f"{path}: {error}"]) from None
     try:
         fleet = FleetFile.model_validate(document)
-    except ValidationError as problem:
-        faults = [f"{'.'.join(map(str, one['loc'])) or 'file'}: {one['msg']}" for one in problem.errors()]
+    except ValidationError as error:
+        faults = [
+            f"{'.'.join(map(str, detail['loc'])) or 'file'}: {detail['msg']}" for detail in error.errors()
+        ]
         raise FleetFileError([f"{path}: {fault}" for fault in faults]) from None
     return fleet, _read_key(path, fleet)
 
@@ -177,11 +212,12 @@
 def _read_key(path: Path, fleet: FleetFile) -> bytes:
     if fleet.key_file is None:
         return b""
-    place = path.parent / fleet.key_file
+    key_path = path.parent / fleet.key_file
     try:
-        key = place.read_bytes().strip()
-    except OSError as problem:
-        raise FleetFileError([f"{path}: key_file {place}: {problem.strerror}"]) from None
+        key = key_path.read_bytes().strip()
+    except OSError as error:
+        raise FleetFileError([f"{path}: key_file {key_path}: {error.strerror}"]) from None
     if len(key) < MIN_KEY_BYTES:
-        raise FleetFileError([f"{path}: key_file {place} holds {len(key)} bytes; at least {MIN_KEY_BYTES}"])
+        fault = f"key_file {key_path} holds {len(key)} bytes; at least {MIN_KEY_BYTES}"
+        raise FleetFileError([f"{path}: {fault}"])
     return key
