--- a/rosepick/cli/app.py
+++ b/rosepick/cli/app.py
@@ -1,4 +1,4 @@
-"""The command line, put together from its groups. Each group is a module with a function `add` to it."""
+"""The command line: groups of commands, each a module with a function `add`."""
 
 from __future__ import annotations
 
@@ -8,12 +8,13 @@
 
 import typer
 
-GROUPS = ("serve", "replay", "mget", "lease", "fleet", "release", "lab")
+GROUPS = ("serve", "replay", "mget", "witness", "lease", "agent", "drain", "fleet", "release", "lab")
+SERVE_GROUPS = ("serve",)
 SERVE_COMMANDS = ("serve", "check", "check-config", "version")
 
 
 def command_line(groups: Sequence[str] = GROUPS) -> typer.Typer:
-    """The commands of these groups."""
+    """Return an application with the commands of these groups."""
     app = typer.Typer(
         add_completion=False,
         no_args_is_help=True,
@@ -26,8 +27,10 @@
 
 
 def app() -> None:
-    """Run the command that the arguments name. Where it is of the group that serves, the others are not even
-    loaded: routers of a whole fleet start at one time, and each has a part of a core.
+    """Run the command that the arguments name.
+
+    For a command of the group that serves, no other group is loaded: the routers of a whole fleet may start
+    at one time, and each has a part of a core.
     """
-    serving = len(sys.argv) > 1 and sys.argv[1] in SERVE_COMMANDS
-    command_line(GROUPS[:1] if serving else GROUPS)()
+    is_serve_command = len(sys.argv) > 1 and sys.argv[1] in SERVE_COMMANDS
+    command_line(SERVE_GROUPS if is_serve_command else GROUPS)()
--- a/rosepick/cli/common.py
+++ b/rosepick/cli/common.py
@@ -1,4 +1,4 @@
-"""What several commands need: how they end on a fault, and the files that they read."""
+"""What several commands need: how they end on an error, and the files that they read."""
 
 from __future__ import annotations
 
@@ -18,40 +18,44 @@
 
 
 def exit_with_error(line: object, status: int = 1) -> NoReturn:
-    """End with one line on standard error."""
+    """Print one line to standard error and end with an exit status."""
     print(f"rosepick: {line}", file=sys.stderr)
     raise typer.Exit(status)
 
 
 @contextmanager
 def require_extra(extra: str) -> Iterator[None]:
-    """A library of that extra that is not there is one line, and the end."""
+    """End with an error that names the extra, if the block imports a library that is not installed."""
     try:
         yield
-    except ModuleNotFoundError as problem:
-        if problem.name is None or problem.name.partition(".")[0] == "rosepick":
+    except ModuleNotFoundError as error:
+        if error.name is None or error.name.partition(".")[0] == "rosepick":
             raise
         exit_with_error(
-            f"{problem.name} is missing; `pip install 'rosepick[{extra}]'` brings what this needs", 2
+            f"{error.name} is missing; `pip install 'rosepick[{extra}]'` brings what this needs", 2
         )
 
 
 def load_config() -> config.Config:
-    """The configuration that GW_CONFIG names. ConfigError if it cannot be used."""
+    """Return the configuration that GW_CONFIG names.
+
+    Raises:
+        ConfigError: it cannot be used.
+    """
     return config.load(os.environ)
 
 
 def load_config_or_exit() -> config.Config:
-    """The same; a fault is the end."""
+    """Return the configuration that GW_CONFIG names; end with an error if it cannot be used."""
     try:
         return load_config()
-    except config.ConfigError as problem:
-        exit_with_error(problem)
+    except config.ConfigError as error:
+        exit_with_error(error)
 
 
 def load_operator_file_or_exit(path: Path | None) -> OperatorFile:
-    """What the operators' file says; each of its faults is a line, and the end."""
+    """Return the operators' file; end with a line for each of its faults."""
     try:
         return operator_file.load(path)
-    except OperatorFileError as problem:
-        exit_with_error("\nrosepick: ".join(map(str, problem.faults)))
+    except OperatorFileError as error:
+        exit_with_error("\nrosepick: ".join(map(str, error.faults)))
--- /dev/null
+++ b/rosepick/cli/fleet_session.py
@@ -0,0 +1,153 @@
+"""What the commands of drains and releases share: the fleet's documents, pages that refresh, and history.
+
+Nothing of the extra `fleet` is imported before one of its commands runs.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from .common import exit_with_error, require_extra
+from .quorum_session import EXIT_NO_QUORUM, EXIT_REFUSED, connect_quorum, run_operation, run_until
+
+if TYPE_CHECKING:
+    from rich.console import RenderableType
+
+    from ..consensus.messages import Register
+    from ..consensus.proposer import OperationOutcome, RegisterChange
+    from ..coordination.quorum_client import QuorumClient
+    from ..fleet.disruption_budget import DisruptionBudget
+    from ..fleet.fleet_state import AuditEntry, FleetState
+    from ..fleet.rollout_state import RolloutState
+    from ..settings.fleet_file import FleetFile
+
+REFRESH_INTERVAL_MS = 500.0  # of pages and progress bars
+Document = TypeVar("Document")
+
+
+class DocumentSession(Generic[Document]):
+    """Reads and changes one document of the quorum; every failure ends the command with an error.
+
+    `status_command` is what shows the document, for the message after an unknown outcome.
+    """
+
+    def __init__(
+        self, client: QuorumClient, key: str, decode: Callable[[Register], Document], status_command: str
+    ) -> None:
+        self._client = client
+        self._key = key
+        self._decode_register = decode
+        self._status_command = status_command
+
+    def read(self) -> Document:
+        """Return the document as it is."""
+        return self._decode(run_operation(self._client, self._key))
+
+    def change(self, change: RegisterChange, rejection_reason: Callable[[Document], str]) -> Document:
+        """Change the document and return it as it is then.
+
+        `rejection_reason` gets the document if the change left it as it was; it says why, or returns an empty
+        text if that is no error.
+        """
+        from ..consensus.proposer import OutcomeKind
+
+        outcome = run_operation(self._client, self._key, change)
+        if outcome.kind is OutcomeKind.UNKNOWN:
+            exit_with_error(f"the answer was lost: look with `{self._status_command}`", EXIT_NO_QUORUM)
+        document = self._decode(outcome)
+        reason = rejection_reason(document) if outcome.kind is OutcomeKind.UNCHANGED else ""
+        if reason:
+            exit_with_error(reason, EXIT_REFUSED)
+        return document
+
+    def _decode(self, outcome: OperationOutcome) -> Document:
+        from ..fleet.versioned_document import DocumentDecodeError
+
+        try:
+            return self._decode_register(outcome.register)
+        except DocumentDecodeError as error:
+            exit_with_error(error, EXIT_REFUSED)
+
+
+class FleetSession:
+    """The state of the fleet and its rollouts, for the group that the fleet's file names."""
+
+    def __init__(self, path: Path) -> None:
+        self.client: QuorumClient
+        self.fleet_file: FleetFile
+        self.client, self.fleet_file = connect_quorum(path)
+        with require_extra("fleet"):
+            import rich  # noqa: F401 - tables and progress bars
+        from ..fleet import fleet_state, rollout_state
+
+        group = self.fleet_file.drains.group
+        self.fleet_state: DocumentSession[FleetState] = DocumentSession(
+            self.client,
+            fleet_state.fleet_state_key(group),
+            fleet_state.decode_fleet_state,
+            "fleet status",
+        )
+        self.rollout_state: DocumentSession[RolloutState] = DocumentSession(
+            self.client,
+            rollout_state.rollout_state_key(group),
+            rollout_state.decode_rollout_state,
+            "release status",
+        )
+
+    def disruption_budget(self) -> DisruptionBudget:
+        """Return the budget that the fleet's file states."""
+        return disruption_budget_of(self.fleet_file)
+
+
+def disruption_budget_of(fleet_file: FleetFile) -> DisruptionBudget:
+    """Return the disruption budget that a fleet's file states."""
+    from ..fleet.disruption_budget import DisruptionBudget, Limit
+
+    drains = fleet_file.drains
+    routers = Limit(**drains.routers.model_dump())
+    caches = Limit(**drains.caches.model_dump())
+    returning = None if drains.back is None else Limit(**drains.back.model_dump())
+    return DisruptionBudget(routers, caches, drains.closed_minutes(), drains.apart, drains.unasked, returning)
+
+
+def accept_unchanged(_document: object) -> str:
+    """Take it as no error that a change left a document as it was."""
+    return ""
+
+
+def current_minute() -> int:
+    """Return the minute of the day (UTC)."""
+    return int(time.time() // 60) % 1440
+
+
+def show_page(client: QuorumClient, make_page: Callable[[], RenderableType], watch: bool) -> None:
+    """Print a page; with `watch`, refresh it until interrupted."""
+    from rich.console import Console
+    from rich.live import Live
+
+    if not watch:
+        Console().print(make_page())
+        return
+    with Live(make_page()) as live:
+        while True:
+            pause(client)
+            live.update(make_page())
+
+
+def pause(client: QuorumClient) -> None:
+    """Run the client's event loop for the refresh interval."""
+    run_until(client, lambda: False, REFRESH_INTERVAL_MS)
+
+
+def print_history(entries: Iterable[AuditEntry], as_json: bool) -> None:
+    """Print audit entries, one a line."""
+    for entry in entries:
+        timestamp = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(entry.timestamp_s))
+        if as_json:
+            print(json.dumps([timestamp, entry.actor, entry.message]))
+        else:
+            print(f"{timestamp}  {entry.actor}  {entry.message}")
--- /dev/null
+++ b/rosepick/cli/lab_drills.py
@@ -0,0 +1,143 @@
+"""Commands of the lab for fault injection: drills, their benchmarks, and mutation tests. See docs/lab.md."""
+
+from __future__ import annotations
+
+import logging
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from .common import exit_with_error, require_extra
+from .lab_options import SeedsOption, WorkersOption, parse_seeds
+
+SUMMARY_NAME = "sum.json"  # in the folder of a report
+
+
+def drill(
+    file: Annotated[Path, typer.Argument(help="A drill file.")],
+    seed: SeedsOption = "1",
+    report: Annotated[
+        Path | None, typer.Option("--report", help="Keep histories and logs in this folder.")
+    ] = None,
+    simulated: Annotated[
+        bool, typer.Option("--simulated/--real", help="On a simulated net and clock.")
+    ] = False,
+    workers: WorkersOption = 1,
+) -> None:
+    """Play faults between processes and judge what they do. Ends with 1 if a claim is broken."""
+    import tempfile
+
+    with require_extra("lab"):
+        from ..lab.drill import drill_file, runner
+    _log_errors_only()  # the processes' logs are in files of their own
+
+    try:
+        plan = drill_file.load_drill(file)
+    except drill_file.DrillError as error:
+        exit_with_error("\nrosepick: ".join(error.errors), 2)
+    summary = runner.DrillSummary()
+    with tempfile.TemporaryDirectory(prefix="rosepick-drill-") as scratch:
+        folder = None if simulated else (report or Path(scratch)).absolute()
+        for result in runner.run_seeds(plan, parse_seeds(seed, 1), folder, workers, report is not None):
+            summary.add(result)
+            if result.violations or result.failure_reason or not simulated:
+                print("\n".join(runner.format_result(result)), flush=True)
+    print("\n".join(summary.lines()))
+    if report is not None:
+        report.mkdir(parents=True, exist_ok=True)
+        (report / SUMMARY_NAME).write_bytes(summary.json())
+    raise typer.Exit(1 if summary.broken else 2 if summary.failed else 0)
+
+
+def measure_leases(
+    renewals: Annotated[int, typer.Option(min=100, help="For the size of a witness's storage.")] = 100_000,
+) -> None:
+    """Measure what leases cost on this machine, beside a lock file."""
+    with require_extra("lab"):
+        from ..lab.drill import lease_benchmark
+
+        _log_errors_only()
+        for line in lease_benchmark.run_benchmarks(renewals=renewals):
+            print(line, flush=True)
+
+
+def measure_drains(
+    members: Annotated[int, typer.Option(min=10, max=1_000)] = 200,
+    beat: Annotated[float, typer.Option(min=0.2, max=60, help="Seconds between reports.")] = 1.5,
+    seconds: Annotated[float, typer.Option(min=1)] = 20.0,
+) -> None:
+    """Measure what drains cost the witnesses, with so many members."""
+    with require_extra("lab"):
+        from ..lab.drill import drain_benchmark
+
+        _log_errors_only()
+        for line in drain_benchmark.measure_drains(members, 1000.0 * beat, seconds):
+            print(line, flush=True)
+
+
+def measure_releases(
+    identical: Annotated[int, typer.Option(min=1, help="Releases of a version that is no worse.")] = 500,
+    each: Annotated[int, typer.Option(min=1, help="Releases of each that is.")] = 20,
+    workers: WorkersOption = 4,
+) -> None:
+    """Measure false alarms and what each kind of worse version costs, on a model of 200 routers."""
+    with require_extra("lab"):
+        from ..lab.drill import release_benchmark
+
+        for line in release_benchmark.run_benchmark(identical, each, workers):
+            print(line, flush=True)
+
+
+def explore_leases(
+    witnesses: Annotated[int, typer.Option(min=1, max=5)] = 3,
+    again: Annotated[int, typer.Option(min=0, help="How often each caller may ask anew.")] = 0,
+) -> None:
+    """Play two callers and a few witnesses through every order of messages. Ends with 1 if a claim breaks."""
+    with require_extra("lab"):
+        from ..lab.drill.model_checker import explore_register
+
+    result = explore_register(witnesses, again)
+    size = f"{result.states} states, {result.steps} steps, {result.depth} deep"
+    print(f"{size}, {result.completed_states} of {result.terminal_states} ends done")
+    if result.violations:
+        exit_with_error(f"broken: {result.violations[0]}")
+
+
+def mutations(
+    file: Annotated[Path, typer.Argument(help="Planted faults.")] = Path("tests/mutations.toml"),
+    only: Annotated[str, typer.Option(help="Only faults with this in their names.")] = "",
+    workers: WorkersOption = 4,
+) -> None:
+    """Put each planted fault into a copy of the program and have a drill find it; 1 if one is not found."""
+    with require_extra("lab"):
+        from ..lab.drill import mutations as mutation_tests
+
+    missed = 0
+    try:
+        faults = [fault for fault in mutation_tests.load_mutations(file) if only in fault.name]
+        for result in mutation_tests.find_all_faults(faults, workers):
+            missed += result.seed is None
+            if result.seed:
+                outcome = f"seed {result.seed}: {result.claim}"
+            else:
+                outcome = f"NOT FOUND in {result.seeds} seeds"
+            print(f"{result.planted.name}: {outcome} ({result.seconds:.0f} s)", flush=True)
+    except mutation_tests.MutationsError as error:
+        exit_with_error(error, 2)
+    print(f"{len(faults) - missed} of {len(faults)} planted faults found")
+    raise typer.Exit(1 if missed or not faults else 0)
+
+
+def _log_errors_only() -> None:
+    logging.getLogger("rosepick").setLevel(logging.ERROR)
+
+
+def add(lab: typer.Typer) -> None:
+    """Add these commands to the lab's."""
+    lab.command()(drill)
+    lab.command("leases")(measure_leases)
+    lab.command("drains")(measure_drains)
+    lab.command("releases")(measure_releases)
+    lab.command("explore")(explore_leases)
+    lab.command()(mutations)
--- /dev/null
+++ b/rosepick/cli/lab_options.py
@@ -0,0 +1,31 @@
+"""What the commands of the lab share: options, and how faults of files and options are reported."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+import typer
+
+from .common import exit_with_error
+
+ExperimentsArgument = Annotated[list[Path], typer.Argument(help="Experiment files.")]
+OutOption = Annotated[Path | None, typer.Option("--out", help="Append results to this file, as JSON lines.")]
+SeedsOption = Annotated[str, typer.Option(help="A seed, several by commas, or a range as 1..5.")]
+WorkersOption = Annotated[int, typer.Option(min=1, max=256, help="Processes that play at one time.")]
+
+
+def parse_seeds(text: str, default: int) -> list[int]:
+    """Return the seeds that an option states; the default alone if it is empty."""
+    from ..lab.sweep import parse_grid
+
+    try:
+        cells = parse_grid([f"seed={text}"] if text else ())
+    except ValueError as error:
+        exit_with_faults(error)
+    return [default if cell.seed is None else cell.seed for cell in cells]
+
+
+def exit_with_faults(error: Exception) -> NoReturn:
+    """End with status 2 and a line for each line of the error."""
+    exit_with_error(str(error).replace("\n", "\nrosepick: "), 2)
--- a/rosepick/cli/mget.py
+++ b/rosepick/cli/mget.py
@@ -1,4 +1,4 @@
-"""Commands that ask as a client does: mget."""
+"""The command `rosepick mget`: one batch of reads, sent as a client would."""
 
 from __future__ import annotations
 
@@ -27,30 +27,30 @@
     """
     from .batch_client import BatchError, send_batch
 
-    told = load_config_or_exit() if to is None or kind is None or owner is None else None
+    loaded = load_config_or_exit() if to is None or kind is None or owner is None else None
     try:
         endpoint = (
             config.parse_address(to)
             if to is not None
-            else _batch_endpoint(told, load_operator_file_or_exit(file))
+            else _batch_endpoint(loaded, load_operator_file_or_exit(file))
         )
         if keys is None:
             keys = sys.stdin.read().split()
-        body, whole = send_batch(
+        response = send_batch(
             endpoint,
             keys,
-            kind or _first_name(told.names.classes if told else None),
-            owner or _first_name(told.names.tenants if told else None),
+            kind or _first_name(loaded.names.classes if loaded else None),
+            owner or _first_name(loaded.names.tenants if loaded else None),
             deadline,
         )
-    except (BatchError, ValueError) as problem:
-        exit_with_error(problem, 2)
-    sys.stdout.buffer.write(body)
-    raise typer.Exit(0 if whole else 1)
+    except (BatchError, ValueError) as error:
+        exit_with_error(error, 2)
+    sys.stdout.buffer.write(response.body)
+    raise typer.Exit(0 if response.all_served else 1)
 
 
 def _batch_endpoint(loaded: config.Config | None, operators: OperatorFile) -> tuple[str, int]:
-    """Where batches go by the files."""
+    """Return the batch listener's address, as the files state it."""
     port = operators.optional_integer("multiget_listen")
     if loaded is None or not port:
         raise ValueError("no door for batches: name one by --to, or by -f a file that sets multiget_listen")
--- /dev/null
+++ b/rosepick/cli/quorum_session.py
@@ -0,0 +1,114 @@
+"""What the commands of a fleet share: their options, the fleet's file, and operations on the quorum.
+
+Nothing of the extra `fleet` is imported before one of its commands runs.
+"""
+
+from __future__ import annotations
+
+import os
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+import typer
+
+from .common import exit_with_error, require_extra
+
+if TYPE_CHECKING:
+    from ..consensus import messages as m
+    from ..consensus.proposer import OperationOutcome, RegisterChange
+    from ..coordination.quorum_client import QuorumClient
+    from ..settings.fleet_file import FleetFile
+
+FleetFileOption = Annotated[Path, typer.Option("--fleet", envvar="ROSEPICK_FLEET", help="The fleet's file.")]
+JsonOption = Annotated[bool, typer.Option("--json", help="As JSON.")]
+ReasonOption = Annotated[str, typer.Option("--why", help="For the history and for whoever looks later.")]
+WatchOption = Annotated[bool, typer.Option("--watch", help="Again and again.")]
+DEFAULT_FLEET_FILE = Path("deploy/fleet.toml")
+
+OPERATION_TIMEOUT_MS = 3_000.0
+STATUS_TIMEOUT_MS = 1_500.0  # of a read of all replicas' status
+LOOP_STEP_S = 0.02
+CLIENT_ID_BITS = 128
+# exit statuses, apart from those that a command under a lease is likely to have
+EXIT_NO_QUORUM = 69
+EXIT_REFUSED = 77
+
+
+def require_fleet_extra() -> None:
+    """End with an error if a library of the extra `fleet` is missing; runs before each command of a group."""
+    with require_extra("fleet"):
+        import msgspec  # noqa: F401 - only whether it is there
+        import pydantic  # noqa: F401 - only whether it is there
+
+
+def current_actor() -> str:
+    """Return who runs this command, as user@host, for the history."""
+    return f"{os.environ.get('USER', 'somebody')}@{os.uname().nodename}"
+
+
+def load_fleet_or_exit(path: Path) -> tuple[FleetFile, bytes]:
+    """Return the fleet's file and its key; end with a line for each fault if it cannot be used."""
+    with require_extra("fleet"):
+        from ..coordination.quorum_connection import check_key_present
+        from ..settings import fleet_file
+    try:
+        fleet, key = fleet_file.load(path)
+    except fleet_file.FleetFileError as error:
+        exit_with_error("\nrosepick: ".join(error.faults), 2)
+    reason = check_key_present(list(fleet.endpoints().values()), key)
+    if reason:
+        exit_with_error(reason, 2)
+    return fleet, key
+
+
+def connect_quorum(path: Path) -> tuple[QuorumClient, FleetFile]:
+    """Return a client of the fleet's quorum, on an event loop of its own, and the fleet's file."""
+    import random
+
+    fleet, key = load_fleet_or_exit(path)  # first: it reports a missing extra, which the imports below need
+    from ..coordination.quorum_client import QuorumClient, tcp_connections
+    from ..net.boot_clock import boottime_s
+    from ..net.event_loop import EventLoop
+
+    loop = EventLoop(boottime_s)
+    rng = random.Random(secrets.randbits(CLIENT_ID_BITS))
+    return QuorumClient(loop, tcp_connections(loop, fleet.endpoints(), key), rng), fleet
+
+
+def run_until(
+    client: QuorumClient, condition: Callable[[], bool], timeout_ms: float = OPERATION_TIMEOUT_MS
+) -> bool:
+    """Run the client's event loop until a condition holds, or for `timeout_ms`; return whether it holds."""
+    loop: Any = client.loop
+    deadline = loop.now() + timeout_ms
+    while not condition() and loop.now() < deadline:
+        loop.step(LOOP_STEP_S)
+    return condition()
+
+
+def run_operation(client: QuorumClient, key: str, change: RegisterChange | None = None) -> OperationOutcome:
+    """Read or change a register and return the outcome; end with an error if no majority answers."""
+    from ..consensus.proposer import OutcomeKind
+
+    outcomes: list[OperationOutcome] = []
+    client.execute(key, change, outcomes.append, OPERATION_TIMEOUT_MS)
+    run_until(client, lambda: bool(outcomes), 2.0 * OPERATION_TIMEOUT_MS)
+    if not outcomes or outcomes[0].kind is OutcomeKind.FAILED:
+        reason = outcomes[0].reason if outcomes else "too late"
+        exit_with_error(f"no answer from a majority: {reason}", EXIT_NO_QUORUM)
+    return outcomes[0]
+
+
+def read_replica_states(
+    client: QuorumClient, timeout_ms: float = STATUS_TIMEOUT_MS
+) -> dict[str, m.StatusReply]:
+    """Return the status of each replica that replies in time, by its name."""
+
+    def all_replied() -> bool:
+        client.poll_status()
+        return len(client.replica_statuses) == len(client.connections)
+
+    run_until(client, all_replied, timeout_ms)
+    return {name: replica.status for name, replica in client.replica_statuses.items()}
--- a/rosepick/cli/release.py
+++ b/rosepick/cli/release.py
@@ -1,164 +1,77 @@
 """Commands of releases: `rosepick release` and what is under it. See docs/releases.md.
 
-Nothing of it is imported before one of its commands runs: it needs the extra `fleet`.
+In code a release is called a rollout. Nothing of the extra `fleet` is imported before a command runs.
 """
 
 from __future__ import annotations
 
 import json
 import time
-from collections.abc import Callable
+from enum import Enum
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
 from .common import exit_with_error
-from .fleet import FleetSession, ReasonOption, current_actor, print_history, show_page
-from .lease import (
+from .fleet_session import FleetSession, print_history, show_page
+from .quorum_session import (
     DEFAULT_FLEET_FILE,
-    EXIT_NO_QUORUM,
     EXIT_REFUSED,
     FleetFileOption,
     JsonOption,
+    ReasonOption,
+    WatchOption,
+    current_actor,
     run_operation,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from rich.console import RenderableType
+    from rich.table import Table
+
     from ..consensus.proposer import RegisterChange
-    from ..coordination.agent_state_file import AgentStateFile
-    from ..coordination.artifact_store import LocalArtifactStore, MemberProgram
-    from ..fleet.deployer import Deployer
+    from ..fleet.failure_detector import HealthReport
     from ..fleet.fleet_state import FleetState
-    from ..fleet.rollout_leader import RolloutPolicy
-    from ..fleet.rollout_state import Artifact, RolloutState
-    from ..settings.fleet_file import ReleaseSettings
+    from ..fleet.rollout_state import Artifact, Rollout, RolloutState
 
 release = typer.Typer(
     no_args_is_help=True, help="A new version or new settings for all routers, wave by wave."
 )
 
+BuildArgument = Annotated[Path | None, typer.Argument(help="The new build's folder, as each host finds it.")]
+SettingsOption = Annotated[
+    Path | None, typer.Option(help="New settings (GW_CONFIG's `settings`) in place of a build.")
+]
+MAX_NAMES_SHOWN = 6  # of a wave
 
-def rollout_plan_of(release_settings: ReleaseSettings) -> RolloutPolicy:
-    """How the file says that releases are led."""
-    from ..fleet.rollout_leader import RolloutPolicy
-
-    return RolloutPolicy(
-        min_watch_ms=1000.0 * release_settings.watch,
-        max_watch_ms=1000.0 * release_settings.patience,
-        final_watch_ms=1000.0 * release_settings.after,
-        lost_timeout_ms=1000.0 * release_settings.lost_for,
-        interval_ms=1000.0 * release_settings.pool,
-        max_failed_share=release_settings.failing,
-        false_alarm_probability=release_settings.alarm,
-        max_loss_share=release_settings.line,
-        asks_operator=release_settings.unsure == "ask",
-        rolls_back_automatically=release_settings.auto_back,
-    )
 
+class ReleaseAction(Enum):
+    """What an operator does with the open release; the value is the command's name in errors."""
 
-def make_deployer(
-    name: str,
-    state_file: AgentStateFile,
-    folder: Path,
-    release_settings: ReleaseSettings,
-    program: MemberProgram | None,
-) -> tuple[LocalArtifactStore, Deployer] | tuple[None, None]:
-    """Return a member's artifact store and deployer; None for both if it takes no part in releases.
-
-    Raises:
-        OSError: the build or a folder cannot be read or made.
-    """
-    from ..coordination.artifact_store import LocalArtifactStore
-    from ..fleet.deployer import Deployer, DeployPolicy
-    from ..fleet.rollout_state import BUILD, SETTINGS
-
-    if program is None:
-        return None, None
-    artifacts = LocalArtifactStore(state_file, folder, program)
-    digests = {BUILD: artifacts.installed.digest} if program.build is not None else {}
-    digests |= {SETTINGS: ""} if program.config is not None else {}
-    policy = DeployPolicy(1000.0 * release_settings.settle, 1000.0 * release_settings.probation)
-    return artifacts, Deployer(name, state_file, artifacts, policy, digests)
-
-
-class ReleaseSession(FleetSession):
-    """The group's record of releases, as these commands use it."""
-
-    def __init__(self, path: Path) -> None:
-        super().__init__(path)
-        from ..fleet import rollout_state as book
-
-        self._record_key, self._read_record = (
-            book.rollout_state_key(self.fleet_file.drains.group),
-            book.decode_rollout_state,
-        )
+    HALT = "halt"
+    RESUME = "resume"
+    ROLLBACK = "rollback"
+    FORWARD = "forward"
 
-    def record(self) -> RolloutState:
-        """The record as it is."""
-        return self._decode_record(run_operation(self.client, self._record_key))
 
-    def _decode_record(self, outcome: Any) -> RolloutState:
-        from ..fleet.versioned_document import DocumentDecodeError
+ACTION_RESULTS = {
+    ReleaseAction.HALT: "halted",
+    ReleaseAction.RESUME: "goes on",
+    ReleaseAction.ROLLBACK: "goes back",
+    ReleaseAction.FORWARD: "goes forward",
+}
 
-        try:
-            return self._read_record(outcome.register)
-        except DocumentDecodeError as problem:
-            exit_with_error(problem, EXIT_REFUSED)
 
-    def change_record(
-        self, make: RegisterChange, rejection_reason: Callable[[RolloutState], str]
-    ) -> RolloutState:
-        """Change it; `rejection_reason` says why it was not, empty if it was so already."""
-        from ..consensus.proposer import OutcomeKind
-
-        outcome = run_operation(self.client, self._record_key, make)
-        if outcome.kind is OutcomeKind.UNKNOWN:
-            exit_with_error("the answer was lost: look with `release status`", EXIT_NO_QUORUM)
-        record = self._decode_record(outcome)
-        why = rejection_reason(record) if outcome.kind is OutcomeKind.UNCHANGED else ""
-        if why:
-            exit_with_error(why, EXIT_REFUSED)
-        return record
-
-
-def _read_artifact(path: Path, name: str) -> Artifact:
-    from ..coordination.artifact_fetch import digest_of
-    from ..fleet.rollout_state import Artifact
-
-    try:
-        return Artifact(name or path.name, digest_of(path), str(path.absolute()))
-    except OSError as problem:
-        exit_with_error(f"{path}: {problem.strerror}", 2)
-
-
-def _format_waves(waves: list[list[str]]) -> list[str]:
-    return [
-        f"wave {number}: {len(names)}: {', '.join(names[:6])}{' ...' if len(names) > 6 else ''}"
-        for number, names in enumerate(waves, 1)
-    ]
-
-
-def _current_artifact(record: RolloutState, kind: str, old: Path | None) -> Artifact:
-    from ..fleet.rollout_state import SETTINGS, Artifact
-
-    if old is not None:
-        return _read_artifact(old, "")
-    if kind in record.baseline:
-        return record.baseline[kind]
-    if kind == SETTINGS:
-        return Artifact("as installed", "", "")
-    exit_with_error("the first release of a build needs --from: the build that all run now", 2)
+# ---------------------------------------------------------------------------- a new release
 
 
 @release.command()
 def start(
-    build: Annotated[
-        Path | None, typer.Argument(help="The new build's folder, as each host finds it.")
-    ] = None,
-    settings: Annotated[
-        Path | None, typer.Option(help="New settings (GW_CONFIG's `settings`) in place of a build.")
-    ] = None,
+    build: BuildArgument = None,
+    settings: SettingsOption = None,
     old: Annotated[Path | None, typer.Option("--from", help="The build that all run now.")] = None,
     name: Annotated[str, typer.Option(help="What people call it; else the last part of its path.")] = "",
     why: ReasonOption = "",
@@ -168,141 +81,202 @@
     """Bring a new version to all routers, wave by wave; back by itself if it is worse."""
     if (build is None) == (settings is None):
         exit_with_error("name a build, or --settings", 2)
-    group = ReleaseSession(fleet)
-    from ..fleet import rollout_state as book
+    session = FleetSession(fleet)
+    from ..fleet import rollout_state
 
-    kind = book.BUILD if build is not None else book.SETTINGS
+    kind = rollout_state.BUILD if build is not None else rollout_state.SETTINGS
     path = build or settings
     assert path is not None
-    record, ledger = group.record(), group.read_state()
-    new, before = _read_artifact(path, name), _current_artifact(record, kind, old)
+    rollouts = session.rollout_state.read()
+    state = session.fleet_state.read()
+    new = _read_artifact(path, name)
+    previous = _current_artifact(rollouts, kind, old)
     if settings is not None:
         _require_json(settings)
-    waves = book.plan_waves(ledger, group.fleet_file.releases.waves)
+    waves = rollout_state.plan_waves(state, session.fleet_file.releases.waves)
     if not waves:
         exit_with_error("no routers belong to the group", EXIT_REFUSED)
-    for line in [
-        f"{kind} {new.name} ({new.digest}) for {before.name} ({before.digest or '-'})"
-    ] + _format_waves(waves):
-        print(line)
+    _print_plan(kind, new, previous, waves)
     if plan:
         return
     if not why:
         exit_with_error("a release needs --why", 2)
-    _print_warnings(ledger)
-    change = book.start_rollout(kind, new, before, waves, current_actor(), why, time.time())
-    told = group.change_record(change, lambda read: _start_rejection(read, kind, new, before))
-    print(f"release {told.last_number} has begun")
+    _print_warnings(state)
+    change = rollout_state.start_rollout(kind, new, previous, waves, current_actor(), why, time.time())
+    rollouts = session.rollout_state.change(
+        change, lambda latest: _start_rejection(latest, kind, new, previous)
+    )
+    print(f"release {rollouts.last_number} has begun")
+
+
+def _read_artifact(path: Path, name: str) -> Artifact:
+    from ..coordination.artifact_fetch import digest_of
+    from ..fleet.rollout_state import Artifact
+
+    try:
+        return Artifact(name or path.name, digest_of(path), str(path.absolute()))
+    except OSError as error:
+        exit_with_error(f"{path}: {error.strerror}", 2)
+
+
+def _current_artifact(rollouts: RolloutState, kind: str, old: Path | None) -> Artifact:
+    """Return what all routers run now: as the option says, else as the last release left it."""
+    from ..fleet.rollout_state import SETTINGS, Artifact
+
+    if old is not None:
+        return _read_artifact(old, "")
+    if kind in rollouts.baseline:
+        return rollouts.baseline[kind]
+    if kind != SETTINGS:
+        exit_with_error("the first release of a build needs --from: the build that all run now", 2)
+    return Artifact("as installed", "", "")
 
 
 def _require_json(path: Path) -> None:
     try:
         json.loads(path.read_text("utf-8"))
-    except (OSError, ValueError) as problem:
-        exit_with_error(f"{path}: {problem}", 2)
+    except (OSError, ValueError) as error:
+        exit_with_error(f"{path}: {error}", 2)
+
+
+def _print_plan(kind: str, new: Artifact, previous: Artifact, waves: list[list[str]]) -> None:
+    print(f"{kind} {new.name} ({new.digest}) for {previous.name} ({previous.digest or '-'})")
+    for number, names in enumerate(waves, 1):
+        more = " ..." if len(names) > MAX_NAMES_SHOWN else ""
+        print(f"wave {number}: {len(names)}: {', '.join(names[:MAX_NAMES_SHOWN])}{more}")
 
 
-def _print_warnings(ledger: FleetState) -> None:
-    """What will keep it, said before."""
-    out = [name for name, one in ledger.members_of(0).items() if one.is_out]
+def _print_warnings(state: FleetState) -> None:
+    """Say what will delay the release."""
+    from ..fleet.fleet_state import MemberKind
+
+    out = [name for name, member in state.members_of(MemberKind.ROUTER).items() if member.is_out]
     if out:
         print(f"out at present, and to follow when they are back: {', '.join(out)}")
-    if ledger.halt is not None:
-        print(f"drains are halted by {ledger.halt.actor}: nobody goes before `fleet resume`")
+    if state.halt is not None:
+        print(f"drains are halted by {state.halt.actor}: nobody goes before `fleet resume`")
 
 
-def _start_rejection(record: RolloutState, kind: str, new: Artifact, previous: Artifact) -> str:
-    if record.open_rollout is not None:
-        rollout = record.open_rollout
+def _start_rejection(rollouts: RolloutState, kind: str, new: Artifact, previous: Artifact) -> str:
+    if rollouts.open_rollout is not None:
+        rollout = rollouts.open_rollout
         return f"release {rollout.number} ({rollout.new.name}) is open: two at a time there are not"
-    base = record.baseline.get(kind, previous)
-    if new.digest == base.digest:
+    baseline = rollouts.baseline.get(kind, previous)
+    if new.digest == baseline.digest:
         return f"{new.name} is what all run already"
-    return f"the fleet runs {base.name} ({base.digest}), not {previous.name} ({previous.digest})"
+    return f"the fleet runs {baseline.name} ({baseline.digest}), not {previous.name} ({previous.digest})"
+
+
+# ---------------------------------------------------------------------------- how it goes
 
 
 @release.command()
 def status(
-    fleet: FleetFileOption = DEFAULT_FLEET_FILE,
-    as_json: JsonOption = False,
-    watch: Annotated[bool, typer.Option("--watch", help="Again and again.")] = False,
+    fleet: FleetFileOption = DEFAULT_FLEET_FILE, as_json: JsonOption = False, watch: WatchOption = False
 ) -> None:
     """Say where the release stands, who runs what, and what it waits for."""
-    group = ReleaseSession(fleet)
+    session = FleetSession(fleet)
     if as_json:
         import msgspec
 
-        print(msgspec.json.encode(msgspec.to_builtins(group.record())).decode())
+        print(msgspec.json.encode(msgspec.to_builtins(session.rollout_state.read())).decode())
         return
-    show_page(group.client, lambda: _status_page(group), watch)
+    show_page(session.client, lambda: _status_page(session), watch)
+
+
+def _status_page(session: FleetSession) -> RenderableType:
+    from rich.console import Group
+
+    from ..fleet import rollout_state
+
+    rollouts = session.rollout_state.read()
+    rollout = rollouts.open_rollout
+    if rollout is None:
+        baseline = [
+            f"{kind}: {artifact.name} ({artifact.digest or '-'})"
+            for kind, artifact in rollouts.baseline.items()
+        ]
+        return Group("no release is open", *baseline)
+    reports = _read_reports(session, [name for names in rollout.waves for name in names])
+    lines = [
+        f"release {rollout.number}: {rollout.kind} {rollout.new.name} for {rollout.old.name}; "
+        f"{rollout_state.describe(rollout)}",
+        f"watched for {rollout.watched_ms / 1000:.0f} s",
+    ]
+    if rollout.pause is not None:
+        lines.append(f"HELD by {rollout.pause.actor}: {rollout.pause.reason}")
+    lines += [f"{name}: {reason}" for name, reason in rollout.left_behind.items()]
+    return Group(_wave_table(rollout, reports), *lines)
 
 
-def _status_page(group: ReleaseSession) -> Any:
-    from rich.console import Group as Rows
+def _wave_table(rollout: Rollout, reports: Mapping[str, HealthReport]) -> Table:
     from rich.table import Table
 
-    from ..fleet import rollout_state as book
+    from ..fleet.rollout_state import RolloutPhase
 
-    record = group.record()
-    now = record.open_rollout
-    if now is None:
-        runs = [f"{kind}: {thing.name} ({thing.digest or '-'})" for kind, thing in record.baseline.items()]
-        return Rows("no release is open", *runs)
-    reports = _read_reports(group, [name for names in now.waves for name in names])
     table = Table(
         "wave", "routers", "run the new one", "lost a request in", "cpu ms a request", "left behind"
     )
-    for number, names in enumerate(now.waves):
-        here = [reports[name] for name in names if name in reports]
-        digest = [one.build if now.kind == book.BUILD else one.settings for one in here]
-        asked, lost = sum(one.served for one in here), sum(one.refused + one.failed for one in here)
-        cpu = sum(one.cpu for one in here)
-        mark = " <" if number == now.wave and now.phase != book.RolloutPhase.OBSERVE else ""
+    for number, names in enumerate(rollout.waves):
+        is_current = number == rollout.wave and rollout.phase != RolloutPhase.OBSERVE
+        wave_reports = [reports[name] for name in names if name in reports]
         table.add_row(
-            f"{number + 1}{mark}",
+            f"{number + 1}{' <' if is_current else ''}",
             str(len(names)),
-            str(digest.count(now.new.digest)),
-            f"{(asked + lost) / lost:.0f}" if lost else "-",
-            f"{1000 * cpu / asked:.2f}" if asked else "-",
-            ", ".join(name for name in names if name in now.left_behind),
+            *_wave_figures(rollout, wave_reports),
+            ", ".join(name for name in names if name in rollout.left_behind),
         )
-    lines = [f"release {now.number}: {now.kind} {now.new.name} for {now.old.name}; {book.describe(now)}"]
-    lines.append(f"watched for {now.watched_ms / 1000:.0f} s")
-    if now.pause is not None:
-        lines.append(f"HELD by {now.pause.actor}: {now.pause.reason}")
-    lines += [f"{name}: {why}" for name, why in now.left_behind.items()]
-    return Rows(table, *lines)
+    return table
+
+
+def _wave_figures(rollout: Rollout, reports: list[HealthReport]) -> list[str]:
+    """Return the columns of a wave's routers: run the new version, requests for each lost one, CPU time."""
+    from ..fleet.rollout_state import BUILD
+
+    digests = [report.build if rollout.kind == BUILD else report.settings for report in reports]
+    served = sum(report.served for report in reports)
+    lost = sum(report.refused + report.failed for report in reports)
+    cpu = sum(report.cpu for report in reports)
+    return [
+        str(digests.count(rollout.new.digest)),
+        f"{(served + lost) / lost:.0f}" if lost else "-",
+        f"{1000 * cpu / served:.2f}" if served else "-",
+    ]
 
 
-def _read_reports(group: ReleaseSession, names: list[str]) -> dict[str, Any]:
-    from ..fleet import failure_detector
+def _read_reports(session: FleetSession, names: list[str]) -> dict[str, HealthReport]:
+    """Return the last health reports of members, by name."""
+    from ..fleet.failure_detector import decode_health_report, health_report_key
 
-    found: dict[str, Any] = {}
+    group = session.fleet_file.drains.group
+    reports: dict[str, HealthReport] = {}
     for name in names:
-        report = failure_detector.decode_health_report(
-            run_operation(
-                group.client, failure_detector.health_report_key(group.fleet_file.drains.group, name)
-            ).register
-        )
+        outcome = run_operation(session.client, health_report_key(group, name))
+        report = decode_health_report(outcome.register)
         if report is not None:
-            found[name] = report
-    return found
+            reports[name] = report
+    return reports
+
+
+@release.command()
+def history(fleet: FleetFileOption = DEFAULT_FLEET_FILE, as_json: JsonOption = False) -> None:
+    """What happened last, with who and why."""
+    print_history(FleetSession(fleet).rollout_state.read().history, as_json)
 
 
-def _no_release_reason(record: RolloutState) -> str:
-    return "no release is open" if record.open_rollout is None else ""
+# ---------------------------------------------------------------------------- what operators do with it
 
 
 @release.command()
 def halt(why: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Nobody begins anything, forward or back, until `resume` or `rollback`."""
-    _change_release("halt", why, fleet, "halted")
+    _act_on_release(ReleaseAction.HALT, why, fleet)
 
 
 @release.command()
 def resume(why: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Have a release that is held go on; its wave is looked at anew."""
-    _change_release("resume", why, fleet, "goes on")
+    _act_on_release(ReleaseAction.RESUME, why, fleet)
 
 
 @release.command()
@@ -314,37 +288,40 @@
     fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
     """Take the open release back; one that is held too."""
-    _change_release(
-        "forward" if forward else "rollback", why, fleet, "goes forward" if forward else "goes back"
-    )
+    _act_on_release(ReleaseAction.FORWARD if forward else ReleaseAction.ROLLBACK, why, fleet)
 
 
-def _change_release(action: str, why: str, fleet: Path, message: str) -> None:
+def _act_on_release(action: ReleaseAction, why: str, fleet: Path) -> None:
     if not why:
-        exit_with_error(f"release {action} needs --why", 2)
-    group = ReleaseSession(fleet)
-    from ..fleet import rollout_state as book
-
-    make = {
-        "halt": book.pause_rollout,
-        "resume": book.resume_rollout,
-        "rollback": book.roll_back,
-        "forward": book.roll_forward,
-    }[action]
-    reason = {
-        "halt": _no_release_reason,
-        "resume": lambda read: _no_release_reason(read) or "it is not held",
-    }.get(action, _no_release_reason)
-    if action == "forward":
-        reason = lambda read: _no_release_reason(read) or "it does not go back"  # noqa: E731
-    told = group.change_record(make(current_actor(), why, time.time()), reason)
-    print(f"release {told.last_number}: {message}")
+        exit_with_error(f"release {action.value} needs --why", 2)
+    session = FleetSession(fleet)
+    rollouts = session.rollout_state.change(
+        _action_change(action, why), lambda latest: _action_rejection(action, latest)
+    )
+    print(f"release {rollouts.last_number}: {ACTION_RESULTS[action]}")
 
 
-@release.command()
-def history(fleet: FleetFileOption = DEFAULT_FLEET_FILE, as_json: JsonOption = False) -> None:
-    """What happened last, with who and why."""
-    print_history(ReleaseSession(fleet).record().history, as_json)
+def _action_change(action: ReleaseAction, why: str) -> RegisterChange:
+    from ..fleet import rollout_state
+
+    make_change = {
+        ReleaseAction.HALT: rollout_state.pause_rollout,
+        ReleaseAction.RESUME: rollout_state.resume_rollout,
+        ReleaseAction.ROLLBACK: rollout_state.roll_back,
+        ReleaseAction.FORWARD: rollout_state.roll_forward,
+    }[action]
+    return make_change(current_actor(), why, time.time())
+
+
+def _action_rejection(action: ReleaseAction, rollouts: RolloutState) -> str:
+    """Return why an action has changed nothing; empty if that is no error."""
+    if rollouts.open_rollout is None:
+        return "no release is open"
+    if action is ReleaseAction.RESUME:
+        return "it is not held"
+    if action is ReleaseAction.FORWARD:
+        return "it does not go back"
+    return ""
 
 
 def add(app: typer.Typer) -> None:
--- a/rosepick/cli/replay.py
+++ b/rosepick/cli/replay.py
@@ -1,4 +1,4 @@
-"""Commands that look back: replay."""
+"""The command `rosepick replay`: what other settings would have decided."""
 
 from __future__ import annotations
 
@@ -22,13 +22,13 @@
     from ..capture.replay import ReplayError, replay
 
     try:
-        told = load_config()
+        loaded = load_config()
         sources = [RecordReader(path.read_bytes(), f"{path.name} ") for path in files]
-        report = replay(sources, told.settings, told.names)
-    except OSError as problem:
-        exit_with_error(f"{problem.filename}: {problem.strerror}", 2)
-    except (config.ConfigError, MalformedLineError, ReplayError) as problem:
-        exit_with_error(problem, 2)
+        report = replay(sources, loaded.settings, loaded.names)
+    except OSError as error:
+        exit_with_error(f"{error.filename}: {error.strerror}", 2)
+    except (config.ConfigError, MalformedLineError, ReplayError) as error:
+        exit_with_error(error, 2)
     for line in report.lines():
         print(line)
     raise typer.Exit(1 if report.differing else 0)
--- a/rosepick/cli/serve.py
+++ b/rosepick/cli/serve.py
@@ -1,4 +1,4 @@
-"""Commands that serve, and that look at what serving would read: serve, check, check-config, version."""
+"""Commands that serve, and that check what serving would read: serve, check, check-config, version."""
 
 from __future__ import annotations
 
@@ -29,13 +29,14 @@
     """Run one router, configured by the file that GW_CONFIG names and by the operators' file."""
     from ..net.server import RouterServer
 
-    again = None if file is None else lambda: operator_file.load(file)
-    operators, told = OperatorOptions(load_operator_file_or_exit(file), again, capture), load_config_or_exit()
+    reload_file = None if file is None else lambda: operator_file.load(file)
+    operators = OperatorOptions(load_operator_file_or_exit(file), reload_file, capture)
+    loaded = load_config_or_exit()
     logs.configure_logging()
     try:
-        server = RouterServer(told, None, load_config, operators)
-    except (OSError, ValueError) as problem:
-        exit_with_error(problem)
+        server = RouterServer(loaded, None, load_config, operators)
+    except (OSError, ValueError) as error:
+        exit_with_error(error)
     server.run()
 
 
@@ -47,30 +48,31 @@
 
     Ends with 0 if there is no fault, else with 1. Opens no socket.
     """
-    from .check import check_settings as checked
+    from .check import check_settings
 
     if fleet is not None:
-        from .lease import load_fleet_or_exit
+        from .quorum_session import load_fleet_or_exit
 
-        load_fleet_or_exit(fleet)  # each fault is a line, and the end
+        load_fleet_or_exit(fleet)
         print(f"ok: {fleet}")
         return
 
-    faults, values = checked(file, os.environ)
+    faults, values = check_settings(file, os.environ)
     print("\n".join([*faults, *([""] if faults else []), *values]))
     raise typer.Exit(1 if faults else 0)
 
 
 def check_config() -> None:
     """Read the configuration as `serve` would and say what it holds."""
-    told = load_config_or_exit()
+    loaded = load_config_or_exit()
+    directory = EndpointDirectory(loaded.names, 0.0)
     try:
-        hops = EndpointDirectory(told.names, 0.0).apply_update(told.known, is_cached=True).event.endpoints
-    except ValueError as problem:
-        exit_with_error(f"known: {problem}")
+        endpoints = directory.apply_update(loaded.known, is_cached=True).event.endpoints
+    except ValueError as error:
+        exit_with_error(f"known: {error}")
     print(
-        f"ok: {told.name} listens on {told.listen[0]}:{told.listen[1]}, "
-        f"{len(told.settings.classes)} classes, {len(hops)} known next hops"
+        f"ok: {loaded.name} listens on {loaded.listen[0]}:{loaded.listen[1]}, "
+        f"{len(loaded.settings.classes)} classes, {len(endpoints)} known next hops"
     )
 
 
--- /dev/null
+++ b/rosepick/cli/witness.py
@@ -0,0 +1,245 @@
+"""Commands of the quorum's replicas: `rosepick witness` and what is under it. See docs/leases.md."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+import typer
+
+from .common import exit_with_error
+from .quorum_session import (
+    DEFAULT_FLEET_FILE,
+    EXIT_NO_QUORUM,
+    EXIT_REFUSED,
+    OPERATION_TIMEOUT_MS,
+    FleetFileOption,
+    JsonOption,
+    connect_quorum,
+    load_fleet_or_exit,
+    read_replica_states,
+    require_fleet_extra,
+    run_until,
+)
+
+if TYPE_CHECKING:
+    from ..consensus import messages as m
+    from ..coordination.quorum_client import QuorumClient
+
+witness = typer.Typer(no_args_is_help=True, help="Witnesses: the processes that keep what a fleet agrees on.")
+witness.callback()(require_fleet_extra)
+
+MAX_RECONFIGURATION_TRIES = 4
+RECONFIGURATION_TIMEOUT_MS = 4.0 * OPERATION_TIMEOUT_MS
+REPLICA_START_TIMEOUT_MS = 10_000.0
+FLEET_ID_BYTES = 8
+EXIT_UNUSABLE_FOLDER = 3  # also the status of a replica whose disk fails
+COLUMN_WIDTHS = (8, 26, 8, 8, 8, 10)
+
+Members = tuple["m.QuorumMember", ...]
+MemberChange = Callable[[Members, dict[str, "m.StatusReply"]], Members]
+
+
+@witness.command("run")
+def run_replica(
+    name: Annotated[str, typer.Argument(help="Its name in the fleet's file.")],
+    folder: Annotated[Path, typer.Option("--folder", help="What it keeps; its alone.")],
+    fleet: FleetFileOption = DEFAULT_FLEET_FILE,
+) -> None:
+    """Run one witness in the foreground until SIGTERM. Ends with 3 if its disk fails."""
+    fleet_file, key = load_fleet_or_exit(fleet)
+    if name not in fleet_file.witnesses:
+        exit_with_error(f"{fleet} has no witness {name}", 2)
+    from .. import logs
+    from ..coordination.acceptor_server import AcceptorServer
+    from ..coordination.acceptor_store import StoreError
+
+    logs.configure_logging()
+    try:
+        server = AcceptorServer(name, fleet_file.endpoints(), key, folder)
+    except (StoreError, OSError) as error:
+        exit_with_error(error, EXIT_UNUSABLE_FOLDER)
+    raise typer.Exit(server.run())
+
+
+@witness.command("found")
+def found_quorum(fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
+    """Make the witnesses of the file a quorum, once: all are up, and none has ever been in one."""
+    from ..consensus import messages as m
+
+    client, fleet_file = connect_quorum(fleet)
+    replicas = read_replica_states(client, REPLICA_START_TIMEOUT_MS)  # they may be starting at this moment
+    missing = sorted(set(fleet_file.witnesses) - set(replicas))
+    if missing:
+        exit_with_error(f"no answer from {', '.join(missing)}; all have to be up", EXIT_NO_QUORUM)
+    members_already = [name for name, state in replicas.items() if state.quorum is not None]
+    if members_already:
+        exit_with_error(f"{', '.join(sorted(members_already))} is in a quorum already", EXIT_REFUSED)
+    members = tuple(m.QuorumMember(name, replicas[name].storage_id) for name in fleet_file.witnesses)
+    quorum = m.Quorum(secrets.token_hex(FLEET_ID_BYTES), 1, members)
+    _check_new_quorum(quorum)
+    _install_quorum(client, quorum)
+    print(f"founded: fleet {quorum.fleet_id}, {len(members)} witnesses, {quorum.majority} decide")
+
+
+def _check_new_quorum(quorum: m.Quorum) -> None:
+    from ..consensus import messages as m
+    from ..consensus.reconfiguration import check_member_change
+
+    reason = check_member_change(quorum, quorum.members)
+    count = len(quorum.members)
+    if not reason and count not in m.QUORUM_SIZES:
+        reason = f"{count} witnesses; a quorum has {', '.join(map(str, m.QUORUM_SIZES))}"
+    if reason:
+        exit_with_error(reason, 2)
+
+
+def _install_quorum(client: QuorumClient, quorum: m.Quorum) -> None:
+    from ..consensus import messages as m
+
+    installed: set[str] = set()
+
+    def handle_reply(name: str, reply: m.QuorumReply) -> None:
+        if isinstance(reply, m.AcceptReply):
+            installed.add(name)
+
+    client.send_to_all(lambda request_id: m.InstallEpochRequest(request_id, quorum, {}), handle_reply)
+    if not run_until(client, lambda: len(installed) == len(quorum.members)):
+        missing = {member.name for member in quorum.members} - installed
+        exit_with_error(
+            f"{', '.join(sorted(missing))} did not take part: empty all folders and try again", EXIT_NO_QUORUM
+        )
+
+
+@witness.command("status")
+def replica_status(fleet: FleetFileOption = DEFAULT_FLEET_FILE, as_json: JsonOption = False) -> None:
+    """Say who is up, who votes, who lags, and what quorum there is. Ends with 69 if no majority votes."""
+    client, fleet_file = connect_quorum(fleet)
+    replicas = read_replica_states(client)
+    quorums = [state.quorum for state in replicas.values() if state.quorum is not None]
+    quorum = max(quorums, key=lambda quorum: quorum.epoch, default=None)
+    rows = [_replica_row(name, replicas.get(name), quorum) for name in fleet_file.witnesses]
+    votes = sum(row["is"] == "votes" for row in rows)
+    majority = quorum.majority if quorum else 0
+    if as_json:
+        print(json.dumps({"witnesses": rows, "votes": votes, "majority": majority}))
+    else:
+        _print_rows(rows)
+        if quorum is None:
+            print("no quorum is founded")
+        else:
+            print(f"{votes} vote, {majority} decide, epoch {quorum.epoch}")
+    raise typer.Exit(0 if quorum and votes >= majority else EXIT_NO_QUORUM)
+
+
+def _print_rows(rows: list[dict[str, Any]]) -> None:
+    for row in rows:
+        cells = zip(row.values(), COLUMN_WIDTHS, strict=True)
+        print("  ".join(str(value).ljust(width) for value, width in cells))
+
+
+def _replica_row(name: str, state: m.StatusReply | None, quorum: m.Quorum | None) -> dict[str, Any]:
+    """Return what is known of one replica; the keys are those of `--json`."""
+    row: dict[str, Any] = {
+        "name": name,
+        "is": "silent",
+        "starts": "",
+        "epoch": "",
+        "registers": "",
+        "up_s": "",
+    }
+    if state is None:
+        return row
+    row |= {"starts": state.start_count, "registers": state.register_count, "up_s": round(state.uptime_s)}
+    row["epoch"] = state.quorum.epoch if state.quorum else 0
+    row["is"] = _replica_state(name, state, quorum)
+    return row
+
+
+def _replica_state(name: str, state: m.StatusReply, quorum: m.Quorum | None) -> str:
+    if quorum is None or not quorum.has_member(name, state.storage_id):
+        return "not of the quorum: new storage" if state.quorum is None else "not of the quorum"
+    if state.quorum is None or state.quorum.epoch < quorum.epoch:
+        return "lags"
+    if state.is_sealed:
+        return "sealed"
+    return "votes" if state.is_voting else "meets the others"
+
+
+def _change_members(fleet: Path, change: MemberChange) -> None:
+    """Reconfigure the quorum to other members, by a decision of the present ones."""
+    from ..consensus.reconfiguration import check_member_change
+
+    client, _ = connect_quorum(fleet)
+    replicas = read_replica_states(client)
+    quorum = client.quorum
+    if quorum is None:
+        exit_with_error("no quorum answers", EXIT_NO_QUORUM)
+    members = change(quorum.members, replicas)
+    reason = check_member_change(quorum, members)
+    if reason:
+        exit_with_error(reason, EXIT_REFUSED)
+    if not _reconfigure(client, members):
+        exit_with_error("another change of the quorum came first: look with `witness status`", EXIT_REFUSED)
+    successor = client.quorum
+    assert successor is not None
+    names = ", ".join(member.name for member in successor.members)
+    print(f"epoch {successor.epoch}: {names}; {successor.majority} decide")
+
+
+def _reconfigure(client: QuorumClient, members: Members) -> bool:
+    """Return whether the quorum has these members in the end.
+
+    Another client may have completed a reconfiguration to the old members meanwhile; then it is tried again.
+    """
+    from ..consensus.reconfiguration import QuorumReconfiguration
+
+    previous = client.quorum
+    for _ in range(MAX_RECONFIGURATION_TRIES):
+        finished: list[QuorumReconfiguration] = []
+        client.reconfigure(members, finished.append)
+        if not run_until(client, partial(bool, finished), RECONFIGURATION_TIMEOUT_MS):
+            exit_with_error("not finished: the same command goes on with it", EXIT_NO_QUORUM)
+        quorum = client.quorum
+        if quorum is not None and quorum.members == members:
+            return True
+        if previous is None or quorum is None or quorum.members != previous.members:
+            break
+    return False
+
+
+@witness.command()
+def replace(name: Annotated[str, typer.Argument()], fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
+    """Take a witness's new storage into the quorum in place of its old one, or a new witness into it."""
+    from ..consensus import messages as m
+
+    def change(members: Members, replicas: dict[str, m.StatusReply]) -> Members:
+        if name not in replicas:
+            exit_with_error(f"{name} does not answer: start it first", EXIT_NO_QUORUM)
+        new = m.QuorumMember(name, replicas[name].storage_id)
+        if new in members:
+            exit_with_error(f"{name} is in the quorum with that storage", EXIT_REFUSED)
+        return (*(member for member in members if member.name != name), new)
+
+    _change_members(fleet, change)
+
+
+@witness.command()
+def remove(name: Annotated[str, typer.Argument()], fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
+    """Take a witness out of the quorum."""
+
+    def change(members: Members, _replicas: dict[str, m.StatusReply]) -> Members:
+        if all(member.name != name for member in members):
+            exit_with_error(f"{name} is not in the quorum", EXIT_REFUSED)
+        return tuple(member for member in members if member.name != name)
+
+    _change_members(fleet, change)
+
+
+def add(app: typer.Typer) -> None:
+    """Add the commands of this group."""
+    app.add_typer(witness, name="witness")
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from rosepick.cli.release import rollout_plan_of
+from rosepick.cli.agent import rollout_policy_of
 from rosepick.consensus.messages import Register
 from rosepick.consensus.proposer import ChangeRejectedError, RegisterChange
 from rosepick.coordination.artifact_fetch import (
@@ -613,9 +613,9 @@
     with pytest.raises(fleet_file.FleetFileError, match=fault):
         fleet_file.load(path)
     told = fleet_file.load(ROOT / "deploy" / "fleet.toml")[0].releases
-    assert rollout_plan_of(told) == RolloutPolicy()  # the file states the defaults
+    assert rollout_policy_of(told) == RolloutPolicy()  # the file states the defaults
     other = told.model_copy(update={"unsure": "go", "auto_back": False, "pool": 2.0, "line": 0.3})
-    assert rollout_plan_of(other) == RolloutPolicy(
+    assert rollout_policy_of(other) == RolloutPolicy(
         asks_operator=False, rolls_back_automatically=False, interval_ms=2_000.0, max_loss_share=0.3
     )
 
