--- a/rosepick/coordination/agent_driver.py
+++ b/rosepick/coordination/agent_driver.py
@@ -133,15 +133,15 @@
             log_event(
                 logger,
                 logging.INFO,
-                "member",
-                name=agent.name,
-                at=agent.phase.name.lower(),
+                "member_phase_changed",
+                member=agent.name,
+                phase=agent.phase.name.lower(),
                 permit=agent.permit,
             )
         is_partitioned = agent.is_partitioned(now)
         if is_partitioned != self._was_partitioned:
             self._was_partitioned = is_partitioned
-            event = "quorum_lost" if is_partitioned else "quorum_found"
+            event = "quorum_lost" if is_partitioned else "quorum_recovered"
             log_event(logger, logging.WARNING, event, member=agent.name)
 
     # -- reports
@@ -203,7 +203,7 @@
             try:
                 deployer.update_state(rollout_state.decode_rollout_state(outcome.register), read_at)
             except DocumentDecodeError as error:
-                log_event(logger, logging.ERROR, "releases_unreadable", text=error)
+                log_event(logger, logging.ERROR, "rollout_state_decode_failed", text=error)
         if deployer.has_pending_work(read_at) or self.agent.phase != fleet_state.MemberPhase.IN:
             interval_ms = self.agent.policy.poll_interval_ms
         else:
--- a/rosepick/coordination/artifact_store.py
+++ b/rosepick/coordination/artifact_store.py
@@ -118,7 +118,7 @@
             settings=str(self.path_of(settings).absolute()) if settings else "",
             scratch=str((self.folder / SCRATCH_NAME).absolute()),
         )
-        log_event(logger, logging.INFO, "version_fetched", name=artifact.name, digest=artifact.digest)
+        log_event(logger, logging.INFO, "artifact_fetched", name=artifact.name, digest=artifact.digest)
         target = str((self.folder / artifact.digest).absolute())
         arguments = [artifact.source, artifact.digest, target, json.dumps(msgspec.structs.asdict(options))]
         return subprocess.Popen(
@@ -142,7 +142,7 @@
             new_file.write_text(text, "utf-8")
             new_file.replace(self.live_config)
         except (OSError, ValueError) as error:
-            log_event(logger, logging.ERROR, "settings_not_written", digest=digest, text=error)
+            log_event(logger, logging.ERROR, "settings_write_failed", digest=digest, text=error)
 
     def apply_settings(self, _kind: str, _digest: str) -> None:
         """Have the running member read the active settings."""
@@ -180,10 +180,10 @@
     log_event(
         logger,
         logging.WARNING,
-        "version_refused",
+        "artifact_rejected",
         name=artifact.name,
         digest=artifact.digest,
-        blame=cause.value,
-        why=reason,
+        cause=cause.value,
+        reason=reason,
     )
     return ArtifactStatus(False, cause, reason or f"the fetch ended with {process.returncode}")
--- a/rosepick/coordination/detector_driver.py
+++ b/rosepick/coordination/detector_driver.py
@@ -72,7 +72,7 @@
         if self._config.rollout is not None:
             self._leader = RolloutLeader(self._config.rollout, self._loop.now())
         token = self._lease_holder.lease_client.token
-        log_event(logger, logging.INFO, "warden", member=self._agent.name, token=token)
+        log_event(logger, logging.INFO, "failure_detector_elected", member=self._agent.name, token=token)
         self._read_reports(self._detector)
 
     def release_lease(self) -> None:
@@ -147,7 +147,7 @@
 
     def _handle_publish_outcome(self, halt_reason: str, outcome: OperationOutcome) -> None:
         if outcome.kind is OutcomeKind.COMMITTED and halt_reason:
-            log_event(logger, logging.ERROR, "drains_halted", member=self._agent.name, why=halt_reason)
+            log_event(logger, logging.ERROR, "drains_halted", member=self._agent.name, reason=halt_reason)
 
     # -- rollouts
 
@@ -191,9 +191,9 @@
     log_event(
         logger,
         logging.ERROR if step.action in FAILED_STEPS else logging.INFO,
-        "release_step",
+        "rollout_step",
         release=rollout_number,
-        what=step.action,
-        why=step.reason,
+        action=step.action,
+        reason=step.reason,
         token=token,
     )
--- a/rosepick/coordination/lease_holder.py
+++ b/rosepick/coordination/lease_holder.py
@@ -88,7 +88,7 @@
             log_event(
                 logger,
                 level,
-                f"lease_{lease_client.state.value}",
+                f"lease_{lease_client.state.name.lower()}",
                 task=lease_client.task,
                 name=lease_client.name,
                 token=lease_client.token,
@@ -101,7 +101,7 @@
                 logging.WARNING,
                 "lease_in_doubt",
                 task=lease_client.task,
-                left_ms=lease_client.remaining_ms(now),
+                remaining_ms=lease_client.remaining_ms(now),
             )
             self._on_change("doubt")
         self._doubt_reported = in_doubt
--- a/rosepick/coordination/leased_command.py
+++ b/rosepick/coordination/leased_command.py
@@ -84,9 +84,9 @@
                 log_event(
                     logger,
                     logging.WARNING,
-                    "lease_not_had",
+                    "lease_wait_timed_out",
                     task=lease_client.task,
-                    known=lease_client.known_record is not None,
+                    quorum_responded=lease_client.known_record is not None,
                 )
                 return EXIT_NO_QUORUM if lease_client.known_record is None else EXIT_LEASE_HELD
         return None
@@ -106,7 +106,7 @@
                 preexec_fn=partial(_die_with_parent, os.getpid()),
             )
         except OSError as error:
-            log_event(logger, logging.ERROR, "command_not_started", command=self.command[0], text=error)
+            log_event(logger, logging.ERROR, "command_start_failed", command=self.command[0], text=error)
             return EXIT_COMMAND_NOT_STARTED
         log_event(
             logger,
@@ -136,10 +136,10 @@
         log_event(
             logger,
             logging.WARNING,
-            "command_ended",
+            "command_terminated",
             task=lease_client.task,
             token=lease_client.token,
-            left_ms=remaining_ms,
+            remaining_ms=remaining_ms,
         )
         self._signal_command(signal.SIGTERM)
         deadline = now + TERMINATION_GRACE_SHARE * remaining_ms
--- a/rosepick/coordination/quorum_connection.py
+++ b/rosepick/coordination/quorum_connection.py
@@ -95,7 +95,9 @@
         except OSError:
             self.close()
         except DecodeError as error:
-            log_event(logger, logging.WARNING, "answer_unreadable", witness=self.replica, why=error.reason)
+            log_event(
+                logger, logging.WARNING, "reply_decode_failed", replica=self.replica, reason=error.reason
+            )
             self.close()
 
     def _write(self) -> None:
--- a/rosepick/coordination/supervised_process.py
+++ b/rosepick/coordination/supervised_process.py
@@ -108,7 +108,7 @@
         self._admin_latencies_ms: list[float] = []
         self._cpu_used_s = 0.0  # at the last report
         if self._is_alive():
-            log_event(logger, logging.INFO, "member_found", pid=self._pid)
+            log_event(logger, logging.INFO, "member_adopted", pid=self._pid)
 
     # -- the process
 
@@ -118,7 +118,7 @@
         return bool(self._pid) and process_start_time(self._pid) == self._process_started
 
     def _record_exit(self, status: int) -> None:
-        log_event(logger, logging.WARNING, "member_ended", status=status)
+        log_event(logger, logging.WARNING, "member_exited", status=status)
         now = self._loop.now()
         was_stopped = self._stop_requested_at is not None
         if now - self._started_at > MIN_STABLE_RUN_MS:
@@ -186,7 +186,7 @@
                 )
         except OSError as error:
             self._exit_count += 1
-            log_event(logger, logging.ERROR, "member_not_started", command=command[0], text=error)
+            log_event(logger, logging.ERROR, "member_start_failed", command=command[0], text=error)
             return None
 
     def _stop(self) -> None:
@@ -195,7 +195,7 @@
             return
         if self._stop_requested_at is None:
             self._stop_requested_at = now
-            log_event(logger, logging.INFO, "member_told_to_end", pid=self._pid)
+            log_event(logger, logging.INFO, "member_terminating", pid=self._pid)
             self._signal(signal.SIGTERM)
         elif now - self._stop_requested_at > STOP_TIMEOUT_MS:
             self._signal(signal.SIGKILL)
