Merge the two status commands' code, and type the rows of witness status

Cause: fleet status and release status had the same body; rows of witness status were bare maps. After the merge, the name of an event stood in a variable, where the test of the table of events can't read it. Change: show_document serves both commands; ReplicaRow takes the place of the map, with the same JSON.

--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -8,7 +8,14 @@
 import typer
 
 from .common import exit_with_error
-from .fleet_session import FleetSession, accept_unchanged, current_minute, print_history, show_page
+from .fleet_session import (
+    FleetSession,
+    StatusOptions,
+    accept_unchanged,
+    current_minute,
+    print_history,
+    show_document,
+)
 from .quorum_session import (
     DEFAULT_FLEET_FILE,
     EXIT_REFUSED,
@@ -37,12 +44,7 @@
 ) -> None:
     """Say by zone who is in, out, lost, what budget is left, and who waits for whom."""
     session = FleetSession(fleet)
-    if as_json:
-        import msgspec
-
-        print(msgspec.json.encode(msgspec.to_builtins(session.fleet_state.read())).decode())
-        return
-    show_page(session.client, lambda: _status_page(session), watch)
+    show_document(session, session.fleet_state, _status_page, StatusOptions(as_json, watch))
 
 
 def _status_page(session: FleetSession) -> RenderableType:
--- a/rosepick/cli/fleet_session.py
+++ b/rosepick/cli/fleet_session.py
@@ -8,8 +8,9 @@
 import json
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import TYPE_CHECKING, Any, Generic, TypeVar
 
 from .common import exit_with_error, require_extra
 from .quorum_session import EXIT_NO_QUORUM, EXIT_REFUSED, connect_quorum, run_operation, run_until
@@ -103,6 +104,14 @@
         return disruption_budget_of(self.fleet_file)
 
 
+@dataclass(frozen=True, slots=True)
+class StatusOptions:
+    """How a status is shown: as JSON, or as a page that may be refreshed."""
+
+    as_json: bool
+    watch: bool
+
+
 def disruption_budget_of(fleet_file: FleetFile) -> DisruptionBudget:
     """Return the disruption budget that a fleet's file states."""
     from ..fleet.disruption_budget import DisruptionBudget, Limit
@@ -124,6 +133,21 @@
     return int(time.time() // 60) % 1440
 
 
+def show_document(
+    session: FleetSession,
+    document: DocumentSession[Any],
+    make_page: Callable[[FleetSession], RenderableType],
+    options: StatusOptions,
+) -> None:
+    """Print a document as JSON, or the page that is made of it."""
+    if options.as_json:
+        import msgspec
+
+        print(msgspec.json.encode(msgspec.to_builtins(document.read())).decode())
+        return
+    show_page(session.client, lambda: make_page(session), options.watch)
+
+
 def show_page(client: QuorumClient, make_page: Callable[[], RenderableType], watch: bool) -> None:
     """Print a page; with `watch`, refresh it until interrupted."""
     from rich.console import Console
--- a/rosepick/cli/release.py
+++ b/rosepick/cli/release.py
@@ -14,7 +14,7 @@
 import typer
 
 from .common import exit_with_error
-from .fleet_session import FleetSession, print_history, show_page
+from .fleet_session import FleetSession, StatusOptions, print_history, show_document
 from .quorum_session import (
     DEFAULT_FLEET_FILE,
     EXIT_REFUSED,
@@ -176,12 +176,7 @@
 ) -> None:
     """Say where the release stands, who runs what, and what it waits for."""
     session = FleetSession(fleet)
-    if as_json:
-        import msgspec
-
-        print(msgspec.json.encode(msgspec.to_builtins(session.rollout_state.read())).decode())
-        return
-    show_page(session.client, lambda: _status_page(session), watch)
+    show_document(session, session.rollout_state, _status_page, StatusOptions(as_json, watch))
 
 
 def _status_page(session: FleetSession) -> RenderableType:
--- a/rosepick/cli/witness.py
+++ b/rosepick/cli/witness.py
@@ -5,9 +5,10 @@
 import json
 import secrets
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
@@ -38,6 +39,9 @@
 REPLICA_START_TIMEOUT_MS = 10_000.0
 FLEET_ID_BYTES = 8
 EXIT_UNUSABLE_FOLDER = 3  # also the status of a replica whose disk fails
+# printed states of a replica that the commands compare
+SILENT = "silent"
+VOTES = "votes"
 COLUMN_WIDTHS = (8, 26, 8, 8, 8, 10)
 
 Members = tuple["m.QuorumMember", ...]
@@ -123,10 +127,12 @@
     quorums = [state.quorum for state in replicas.values() if state.quorum is not None]
     quorum = max(quorums, key=lambda quorum: quorum.epoch, default=None)
     rows = [_replica_row(name, replicas.get(name), quorum) for name in fleet_file.witnesses]
-    votes = sum(row["is"] == "votes" for row in rows)
+    votes = sum(row.state == VOTES for row in rows)
     majority = quorum.majority if quorum else 0
     if as_json:
-        print(json.dumps({"witnesses": rows, "votes": votes, "majority": majority}))
+        print(
+            json.dumps({"witnesses": [row.as_json() for row in rows], "votes": votes, "majority": majority})
+        )
     else:
         _print_rows(rows)
         if quorum is None:
@@ -136,28 +142,46 @@
     raise typer.Exit(0 if quorum and votes >= majority else EXIT_NO_QUORUM)
 
 
-def _print_rows(rows: list[dict[str, Any]]) -> None:
+@dataclass(frozen=True, slots=True)
+class ReplicaRow:
+    """What is known of one replica; a figure is empty if the replica is silent."""
+
+    name: str
+    state: str
+    starts: int | str = ""
+    epoch: int | str = ""
+    registers: int | str = ""
+    up_s: int | str = ""
+
+    def as_json(self) -> dict[str, int | str]:
+        """Return the row as `--json` has it."""
+        return {
+            "name": self.name,
+            "is": self.state,
+            "starts": self.starts,
+            "epoch": self.epoch,
+            "registers": self.registers,
+            "up_s": self.up_s,
+        }
+
+
+def _print_rows(rows: list[ReplicaRow]) -> None:
     for row in rows:
-        cells = zip(row.values(), COLUMN_WIDTHS, strict=True)
+        cells = zip(row.as_json().values(), COLUMN_WIDTHS, strict=True)
         print("  ".join(str(value).ljust(width) for value, width in cells))
 
 
-def _replica_row(name: str, state: m.StatusReply | None, quorum: m.Quorum | None) -> dict[str, Any]:
-    """Return what is known of one replica; the keys are those of `--json`."""
-    row: dict[str, Any] = {
-        "name": name,
-        "is": "silent",
-        "starts": "",
-        "epoch": "",
-        "registers": "",
-        "up_s": "",
-    }
-    if state is None:
-        return row
-    row |= {"starts": state.start_count, "registers": state.register_count, "up_s": round(state.uptime_s)}
-    row["epoch"] = state.quorum.epoch if state.quorum else 0
-    row["is"] = _replica_state(name, state, quorum)
-    return row
+def _replica_row(name: str, status: m.StatusReply | None, quorum: m.Quorum | None) -> ReplicaRow:
+    if status is None:
+        return ReplicaRow(name, SILENT)
+    return ReplicaRow(
+        name,
+        _replica_state(name, status, quorum),
+        status.start_count,
+        status.quorum.epoch if status.quorum else 0,
+        status.register_count,
+        round(status.uptime_s),
+    )
 
 
 def _replica_state(name: str, state: m.StatusReply, quorum: m.Quorum | None) -> str:
@@ -167,7 +191,7 @@
         return "lags"
     if state.is_sealed:
         return "sealed"
-    return "votes" if state.is_voting else "meets the others"
+    return VOTES if state.is_voting else "meets the others"
 
 
 def _change_members(fleet: Path, change: MemberChange) -> None:
--- a/rosepick/coordination/agent_driver.py
+++ b/rosepick/coordination/agent_driver.py
@@ -141,8 +141,12 @@
         is_partitioned = agent.is_partitioned(now)
         if is_partitioned != self._was_partitioned:
             self._was_partitioned = is_partitioned
-            event = "quorum_lost" if is_partitioned else "quorum_recovered"
-            log_event(logger, logging.WARNING, event, member=agent.name)
+            log_event(
+                logger,
+                logging.WARNING,
+                "quorum_lost" if is_partitioned else "quorum_recovered",
+                member=agent.name,
+            )
 
     # -- reports
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -24,7 +24,7 @@
     "settings": SETTINGS,
     "known": {"rev": 41, "all": True, "targets": [target("s1", 5001), target("origin", 5002)]},
 }
-# runs the program, and ends at once with 9 if anything makes a socket
+# runs the program, and exits at once with 9 if anything opens a socket
 NO_SOCKETS = """
 import os, runpy, sys
 sys.addaudithook(lambda event, given: os._exit(9) if event == "socket.__new__" else None)
@@ -32,7 +32,7 @@
 """
 
 
-class Checked(unittest.TestCase):
+class CheckCommandTests(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -42,23 +42,23 @@
     def check(
         self, conf: str | bytes | None = "", config: str | None = None
     ) -> tuple[int, list[str], list[str]]:
-        """The status, the faults and the values in force."""
+        """Return the exit status, the faults and the values in force."""
         path = self.folder / "rosepick.conf"
         if conf is not None:
             path.write_bytes(conf if isinstance(conf, bytes) else conf.encode())
-        told = self.folder / "config.json"
-        told.write_text(json.dumps(self.document) if config is None else config)
-        ended = subprocess.run(
+        config_path = self.folder / "config.json"
+        config_path.write_text(json.dumps(self.document) if config is None else config)
+        completed = subprocess.run(
             [sys.executable, "-c", NO_SOCKETS, "check", "-f", str(path)],
             cwd=ROOT,
             capture_output=True,
             text=True,
             timeout=60,
-            env={**os.environ, "GW_CONFIG": str(told)},
+            env={**os.environ, "GW_CONFIG": str(config_path)},
         )
-        self.assertEqual(ended.stderr, "")
-        faults, blank, values = ended.stdout.rpartition("\n\n")
-        return ended.returncode, faults.splitlines(), values.splitlines()
+        self.assertEqual(completed.stderr, "")
+        faults, blank, values = completed.stdout.rpartition("\n\n")
+        return completed.returncode, faults.splitlines(), values.splitlines()
 
     def test_three_planted_faults(self) -> None:
         """A typo in a name, a value out of its range, and a setting that GW_CONFIG lacks."""
@@ -141,7 +141,7 @@
 
     def test_no_config_at_all(self) -> None:
         for path in ("", "/nowhere/config.json"):
-            ended = subprocess.run(
+            completed = subprocess.run(
                 [sys.executable, "-m", "rosepick", "check"],
                 cwd=ROOT,
                 capture_output=True,
@@ -149,8 +149,10 @@
                 timeout=60,
                 env={**os.environ, "GW_CONFIG": path},
             )
-            self.assertEqual(ended.returncode, 1)
-            self.assertRegex(ended.stdout, r"\AGW_CONFIG: (not set|/nowhere/config.json: No such file.*)\n\n")
+            self.assertEqual(completed.returncode, 1)
+            self.assertRegex(
+                completed.stdout, r"\AGW_CONFIG: (not set|/nowhere/config.json: No such file.*)\n\n"
+            )
 
     def test_all_faults_of_the_config_at_once(self) -> None:
         self.document.update(listen="here", seed="xyz", name=7)
