Name options' parameters and module aliases of the control plane by the glossary

Cause: parameters were called why, door and witnesses as their options are, and the messages of the quorum m. Change: the parameters have the glossary's words, the options keep theirs; messages is imported by its name.

--- a/rosepick/cli/agent.py
+++ b/rosepick/cli/agent.py
@@ -63,7 +63,7 @@
     command: Annotated[list[str], typer.Argument(help="After --: what starts the member.")],
     folder: Annotated[Path, typer.Option(help="What the agent keeps; its alone.")],
     zone: Annotated[str, typer.Option(help="The member's zone.")],
-    door: Annotated[str, typer.Option(help="host:port of the member's operators' door.")],
+    endpoint: Annotated[str, typer.Option("--door", help="host:port of the member's operators' door.")],
     kind: Annotated[str, typer.Option(help="router or cache.")] = "router",
     weight: WeightOption = 1000,
     build: BuildOption = None,
@@ -77,7 +77,7 @@
     """
     if kind not in ("router", "cache"):
         exit_with_error(f"--kind {kind}: router or cache", 2)
-    admin_endpoint = _parse_endpoint(door)
+    admin_endpoint = _parse_endpoint(endpoint)
     client, fleet_file = connect_quorum(fleet)
     from .. import logs
     from ..coordination.artifact_store import MemberProgram
@@ -98,10 +98,10 @@
     _run_until_signal(options, client, fleet_file)
 
 
-def _parse_endpoint(door: str) -> SocketAddress:
-    host, _, port = door.rpartition(":")
+def _parse_endpoint(endpoint: str) -> SocketAddress:
+    host, _, port = endpoint.rpartition(":")
     if not host or not port.isdecimal():
-        exit_with_error(f"--door {door} is not host:port", 2)
+        exit_with_error(f"--door {endpoint} is not host:port", 2)
     return host, int(port)
 
 
--- a/rosepick/cli/drain.py
+++ b/rosepick/cli/drain.py
@@ -21,7 +21,7 @@
 def drain(
     members: MembersArgument = None,
     zone: ZoneOption = "",
-    why: ReasonOption = "",
+    reason: ReasonOption = "",
     now: Annotated[bool, typer.Option("--now", help="A dying host: at once, over the budget.")] = False,
     below: Annotated[
         str, typer.Option("--even-below", help="Its name once more: even under what must stay.")
@@ -37,11 +37,11 @@
     from ..fleet import fleet_state
 
     names = _select_members(session.fleet_state.read(), members, zone)
-    if not why:
+    if not reason:
         exit_with_error("a drain needs --why", 2)
     if below and (not now or names != [below]):
         exit_with_error("--even-below goes with --now and one member, named twice", 2)
-    change = fleet_state.request_drain(names, current_actor(), why, time.time(), now, bool(below))
+    change = fleet_state.request_drain(names, current_actor(), reason, time.time(), now, bool(below))
     state = session.fleet_state.change(change, accept_unchanged)
     _print_blocked(session, state, names)
     if wait:
--- a/rosepick/cli/fleet.py
+++ b/rosepick/cli/fleet.py
@@ -111,28 +111,28 @@
 
 
 @fleet.command()
-def halt(why: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
+def halt(reason: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Nothing goes out any more, and what is out by permit comes back, until `resume`."""
-    if not why:
+    if not reason:
         exit_with_error("a halt needs --why", 2)
     session = FleetSession(fleet)
     from ..fleet import fleet_state
 
-    change = fleet_state.halt_drains(current_actor(), why, time.time())
+    change = fleet_state.halt_drains(current_actor(), reason, time.time())
     state = session.fleet_state.change(change, accept_unchanged)
     assert state.halt is not None
     print(f"halted by {state.halt.actor}: {state.halt.reason}")
 
 
 @fleet.command()
-def resume(why: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
+def resume(reason: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Lift the halt."""
-    if not why:
+    if not reason:
         exit_with_error("to resume needs --why", 2)
     session = FleetSession(fleet)
     from ..fleet import fleet_state
 
-    change = fleet_state.resume_drains(current_actor(), why, time.time())
+    change = fleet_state.resume_drains(current_actor(), reason, time.time())
     session.fleet_state.change(change, lambda _state: "there is no halt")
     print("resumed")
 
@@ -140,12 +140,12 @@
 @fleet.command("write-off")
 def evict_member(
     member: Annotated[str, typer.Argument()],
-    why: ReasonOption = "",
+    reason: ReasonOption = "",
     back: Annotated[bool, typer.Option("--back", help="Take it on again instead.")] = False,
     fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
     """Count a member nowhere any more: its permit ends, and its loss eats no budget."""
-    if not (why or back):
+    if not (reason or back):
         exit_with_error("to write off needs --why", 2)
     session = FleetSession(fleet)
     from ..fleet import fleet_state
@@ -154,7 +154,7 @@
         change = fleet_state.reinstate_member(member, current_actor(), time.time())
         rejection = f"{member} is not written off"
     else:
-        change = fleet_state.evict_member(member, current_actor(), why, time.time())
+        change = fleet_state.evict_member(member, current_actor(), reason, time.time())
         rejection = f"{member} is not a member"
     session.fleet_state.change(change, lambda _state: rejection)
     print(f"{member}: {'taken on again' if back else 'written off'}")
--- a/rosepick/cli/lab_drills.py
+++ b/rosepick/cli/lab_drills.py
@@ -90,14 +90,14 @@
 
 
 def explore_leases(
-    witnesses: Annotated[int, typer.Option(min=1, max=5)] = 3,
+    replica_count: Annotated[int, typer.Option("--witnesses", min=1, max=5)] = 3,
     again: Annotated[int, typer.Option(min=0, help="How often each caller may ask anew.")] = 0,
 ) -> None:
     """Play two callers and a few witnesses through every order of messages. Ends with 1 if a claim breaks."""
     with require_extra("lab"):
         from ..lab.drill.model_checker import explore_register
 
-    result = explore_register(witnesses, again)
+    result = explore_register(replica_count, again)
     size = f"{result.states} states, {result.steps} steps, {result.depth} deep"
     print(f"{size}, {result.completed_states} of {result.terminal_states} ends done")
     if result.violations:
--- a/rosepick/cli/lease.py
+++ b/rosepick/cli/lease.py
@@ -24,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from ..consensus import messages as m
+    from ..consensus import messages
     from ..coordination.quorum_client import QuorumClient
     from ..leases.lease_record import LeaseRecord
 
@@ -77,19 +77,19 @@
 
 def _list_tasks(client: QuorumClient) -> list[str]:
     """Return all tasks of which a majority of replicas knows a lease."""
-    from ..consensus import messages as m
+    from ..consensus import messages
     from ..leases import lease_record
 
     keys_by_replica: dict[str, set[str]] = {}
 
-    def handle_reply(name: str, reply: m.QuorumReply) -> None:
-        if isinstance(reply, m.ListKeysReply):
+    def handle_reply(name: str, reply: messages.QuorumReply) -> None:
+        if isinstance(reply, messages.ListKeysReply):
             keys_by_replica[name] = set(reply.keys)
 
     quorum = client.quorum
     assert quorum is not None
     client.send_to_all(
-        lambda request_id: m.ListKeysRequest(
+        lambda request_id: messages.ListKeysRequest(
             request_id, quorum.fleet_id, quorum.epoch, lease_record.KEY_PREFIX
         ),
         handle_reply,
@@ -137,17 +137,17 @@
 def release(
     task: Annotated[str, typer.Argument()],
     force: Annotated[bool, typer.Option("--force", help="Take it from whoever holds it.")] = False,
-    why: Annotated[str, typer.Option("--why", help="For the log and for who looks later.")] = "",
+    reason: Annotated[str, typer.Option("--why", help="For the log and for who looks later.")] = "",
     fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
     """Take a task from its holder: no renewal of it counts, and the next one comes when its time is over."""
     from ..consensus.proposer import OutcomeKind
     from ..leases import lease_record
 
-    if not force or not why:
+    if not force or not reason:
         exit_with_error("a lease is its holder's: taking it away needs --force and --why", 2)
     client, _ = connect_quorum(fleet)
-    change = lease_record.force_release(current_actor(), why)
+    change = lease_record.force_release(current_actor(), reason)
     outcome = run_operation(client, lease_record.register_key(task), change)
     if outcome.kind is OutcomeKind.UNKNOWN:
         exit_with_error("the answer was lost: look with `lease show`", EXIT_NO_QUORUM)
--- a/rosepick/cli/quorum_session.py
+++ b/rosepick/cli/quorum_session.py
@@ -16,7 +16,7 @@
 from .common import exit_with_error, require_extra
 
 if TYPE_CHECKING:
-    from ..consensus import messages as m
+    from ..consensus import messages
     from ..consensus.proposer import OperationOutcome, RegisterChange
     from ..coordination.quorum_client import QuorumClient
     from ..settings.fleet_file import FleetFile
@@ -103,7 +103,7 @@
 
 def read_replica_states(
     client: QuorumClient, timeout_ms: float = STATUS_TIMEOUT_MS
-) -> dict[str, m.StatusReply]:
+) -> dict[str, messages.StatusReply]:
     """Return the status of each replica that replies in time, by its name."""
 
     def all_replied() -> bool:
--- a/rosepick/cli/release.py
+++ b/rosepick/cli/release.py
@@ -74,7 +74,7 @@
     settings: SettingsOption = None,
     old: Annotated[Path | None, typer.Option("--from", help="The build that all run now.")] = None,
     name: Annotated[str, typer.Option(help="What people call it; else the last part of its path.")] = "",
-    why: ReasonOption = "",
+    reason: ReasonOption = "",
     plan: Annotated[bool, typer.Option("--plan", "--dry-run", help="Say the waves, and do nothing.")] = False,
     fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
@@ -99,10 +99,10 @@
     _print_plan(kind, new, previous, waves)
     if plan:
         return
-    if not why:
+    if not reason:
         exit_with_error("a release needs --why", 2)
     _print_warnings(state)
-    change = rollout_state.start_rollout(kind, new, previous, waves, current_actor(), why, time.time())
+    change = rollout_state.start_rollout(kind, new, previous, waves, current_actor(), reason, time.time())
     rollouts = session.rollout_state.change(
         change, lambda latest: _start_rejection(latest, kind, new, previous)
     )
@@ -263,40 +263,40 @@
 
 
 @release.command()
-def halt(why: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
+def halt(reason: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Nobody begins anything, forward or back, until `resume` or `rollback`."""
-    _act_on_release(ReleaseAction.HALT, why, fleet)
+    _act_on_release(ReleaseAction.HALT, reason, fleet)
 
 
 @release.command()
-def resume(why: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
+def resume(reason: ReasonOption = "", fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Have a release that is held go on; its wave is looked at anew."""
-    _act_on_release(ReleaseAction.RESUME, why, fleet)
+    _act_on_release(ReleaseAction.RESUME, reason, fleet)
 
 
 @release.command()
 def rollback(
-    why: ReasonOption = "",
+    reason: ReasonOption = "",
     forward: Annotated[
         bool, typer.Option("--forward", help="Have one that goes back go forward again.")
     ] = False,
     fleet: FleetFileOption = DEFAULT_FLEET_FILE,
 ) -> None:
     """Take the open release back; one that is held too."""
-    _act_on_release(ReleaseAction.FORWARD if forward else ReleaseAction.ROLLBACK, why, fleet)
+    _act_on_release(ReleaseAction.FORWARD if forward else ReleaseAction.ROLLBACK, reason, fleet)
 
 
-def _act_on_release(action: ReleaseAction, why: str, fleet: Path) -> None:
-    if not why:
+def _act_on_release(action: ReleaseAction, reason: str, fleet: Path) -> None:
+    if not reason:
         exit_with_error(f"release {action.value} needs --why", 2)
     session = FleetSession(fleet)
     rollouts = session.rollout_state.change(
-        _action_change(action, why), lambda latest: _action_rejection(action, latest)
+        _action_change(action, reason), lambda latest: _action_rejection(action, latest)
     )
     print(f"release {rollouts.last_number}: {ACTION_RESULTS[action]}")
 
 
-def _action_change(action: ReleaseAction, why: str) -> RegisterChange:
+def _action_change(action: ReleaseAction, reason: str) -> RegisterChange:
     from ..fleet import rollout_state
 
     make_change = {
@@ -305,7 +305,7 @@
         ReleaseAction.ROLLBACK: rollout_state.roll_back,
         ReleaseAction.FORWARD: rollout_state.roll_forward,
     }[action]
-    return make_change(current_actor(), why, time.time())
+    return make_change(current_actor(), reason, time.time())
 
 
 def _action_rejection(action: ReleaseAction, rollouts: RolloutState) -> str:
--- a/rosepick/cli/witness.py
+++ b/rosepick/cli/witness.py
@@ -28,11 +28,13 @@
 )
 
 if TYPE_CHECKING:
-    from ..consensus import messages as m
+    from ..consensus import messages
     from ..coordination.quorum_client import QuorumClient
 
-witness = typer.Typer(no_args_is_help=True, help="Witnesses: the processes that keep what a fleet agrees on.")
-witness.callback()(require_fleet_extra)
+commands = typer.Typer(
+    no_args_is_help=True, help="Witnesses: the processes that keep what a fleet agrees on."
+)
+commands.callback()(require_fleet_extra)
 
 MAX_RECONFIGURATION_TRIES = 4
 RECONFIGURATION_TIMEOUT_MS = 4.0 * OPERATION_TIMEOUT_MS
@@ -44,11 +46,11 @@
 VOTES = "votes"
 COLUMN_WIDTHS = (8, 26, 8, 8, 8, 10)
 
-Members = tuple["m.QuorumMember", ...]
-MemberChange = Callable[[Members, dict[str, "m.StatusReply"]], Members]
+Members = tuple["messages.QuorumMember", ...]
+MemberChange = Callable[[Members, dict[str, "messages.StatusReply"]], Members]
 
 
-@witness.command("run")
+@commands.command("run")
 def run_replica(
     name: Annotated[str, typer.Argument(help="Its name in the fleet's file.")],
     folder: Annotated[Path, typer.Option("--folder", help="What it keeps; its alone.")],
@@ -70,10 +72,10 @@
     raise typer.Exit(server.run())
 
 
-@witness.command("found")
+@commands.command("found")
 def found_quorum(fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Make the witnesses of the file a quorum, once: all are up, and none has ever been in one."""
-    from ..consensus import messages as m
+    from ..consensus import messages
 
     client, fleet_file = connect_quorum(fleet)
     replicas = read_replica_states(client, REPLICA_START_TIMEOUT_MS)  # they may be starting at this moment
@@ -83,35 +85,35 @@
     members_already = [name for name, state in replicas.items() if state.quorum is not None]
     if members_already:
         exit_with_error(f"{', '.join(sorted(members_already))} is in a quorum already", EXIT_REFUSED)
-    members = tuple(m.QuorumMember(name, replicas[name].storage_id) for name in fleet_file.witnesses)
-    quorum = m.Quorum(secrets.token_hex(FLEET_ID_BYTES), 1, members)
+    members = tuple(messages.QuorumMember(name, replicas[name].storage_id) for name in fleet_file.witnesses)
+    quorum = messages.Quorum(secrets.token_hex(FLEET_ID_BYTES), 1, members)
     _check_new_quorum(quorum)
     _install_quorum(client, quorum)
     print(f"founded: fleet {quorum.fleet_id}, {len(members)} witnesses, {quorum.majority} decide")
 
 
-def _check_new_quorum(quorum: m.Quorum) -> None:
-    from ..consensus import messages as m
+def _check_new_quorum(quorum: messages.Quorum) -> None:
+    from ..consensus import messages
     from ..consensus.reconfiguration import check_member_change
 
     reason = check_member_change(quorum, quorum.members)
     count = len(quorum.members)
-    if not reason and count not in m.QUORUM_SIZES:
-        reason = f"{count} witnesses; a quorum has {', '.join(map(str, m.QUORUM_SIZES))}"
+    if not reason and count not in messages.QUORUM_SIZES:
+        reason = f"{count} witnesses; a quorum has {', '.join(map(str, messages.QUORUM_SIZES))}"
     if reason:
         exit_with_error(reason, 2)
 
 
-def _install_quorum(client: QuorumClient, quorum: m.Quorum) -> None:
-    from ..consensus import messages as m
+def _install_quorum(client: QuorumClient, quorum: messages.Quorum) -> None:
+    from ..consensus import messages
 
     installed: set[str] = set()
 
-    def handle_reply(name: str, reply: m.QuorumReply) -> None:
-        if isinstance(reply, m.AcceptReply):
+    def handle_reply(name: str, reply: messages.QuorumReply) -> None:
+        if isinstance(reply, messages.AcceptReply):
             installed.add(name)
 
-    client.send_to_all(lambda request_id: m.InstallEpochRequest(request_id, quorum, {}), handle_reply)
+    client.send_to_all(lambda request_id: messages.InstallEpochRequest(request_id, quorum, {}), handle_reply)
     if not run_until(client, lambda: len(installed) == len(quorum.members)):
         missing = {member.name for member in quorum.members} - installed
         exit_with_error(
@@ -119,7 +121,7 @@
         )
 
 
-@witness.command("status")
+@commands.command("status")
 def replica_status(fleet: FleetFileOption = DEFAULT_FLEET_FILE, as_json: JsonOption = False) -> None:
     """Say who is up, who votes, who lags, and what quorum there is. Ends with 69 if no majority votes."""
     client, fleet_file = connect_quorum(fleet)
@@ -171,7 +173,9 @@
         print("  ".join(str(value).ljust(width) for value, width in cells))
 
 
-def _replica_row(name: str, status: m.StatusReply | None, quorum: m.Quorum | None) -> ReplicaRow:
+def _replica_row(
+    name: str, status: messages.StatusReply | None, quorum: messages.Quorum | None
+) -> ReplicaRow:
     if status is None:
         return ReplicaRow(name, SILENT)
     return ReplicaRow(
@@ -184,7 +188,7 @@
     )
 
 
-def _replica_state(name: str, state: m.StatusReply, quorum: m.Quorum | None) -> str:
+def _replica_state(name: str, state: messages.StatusReply, quorum: messages.Quorum | None) -> str:
     if quorum is None or not quorum.has_member(name, state.storage_id):
         return "not of the quorum: new storage" if state.quorum is None else "not of the quorum"
     if state.quorum is None or state.quorum.epoch < quorum.epoch:
@@ -236,15 +240,15 @@
     return False
 
 
-@witness.command()
+@commands.command()
 def replace(name: Annotated[str, typer.Argument()], fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Take a witness's new storage into the quorum in place of its old one, or a new witness into it."""
-    from ..consensus import messages as m
+    from ..consensus import messages
 
-    def change(members: Members, replicas: dict[str, m.StatusReply]) -> Members:
+    def change(members: Members, replicas: dict[str, messages.StatusReply]) -> Members:
         if name not in replicas:
             exit_with_error(f"{name} does not answer: start it first", EXIT_NO_QUORUM)
-        new = m.QuorumMember(name, replicas[name].storage_id)
+        new = messages.QuorumMember(name, replicas[name].storage_id)
         if new in members:
             exit_with_error(f"{name} is in the quorum with that storage", EXIT_REFUSED)
         return (*(member for member in members if member.name != name), new)
@@ -252,11 +256,11 @@
     _change_members(fleet, change)
 
 
-@witness.command()
+@commands.command()
 def remove(name: Annotated[str, typer.Argument()], fleet: FleetFileOption = DEFAULT_FLEET_FILE) -> None:
     """Take a witness out of the quorum."""
 
-    def change(members: Members, _replicas: dict[str, m.StatusReply]) -> Members:
+    def change(members: Members, _replicas: dict[str, messages.StatusReply]) -> Members:
         if all(member.name != name for member in members):
             exit_with_error(f"{name} is not in the quorum", EXIT_REFUSED)
         return tuple(member for member in members if member.name != name)
@@ -266,4 +270,4 @@
 
 def add(app: typer.Typer) -> None:
     """Add the commands of this group."""
-    app.add_typer(witness, name="witness")
+    app.add_typer(commands, name="witness")
--- a/rosepick/coordination/acceptor_server.py
+++ b/rosepick/coordination/acceptor_server.py
@@ -16,8 +16,7 @@
 from pathlib import Path
 
 from ..connections.descriptor_budget import DescriptorUse
-from ..consensus import codec
-from ..consensus import messages as m
+from ..consensus import codec, messages
 from ..consensus.acceptor import Acceptor, StateChanges
 from ..consensus.codec import DecodeError, FrameDecoder
 from ..logs import log_event
@@ -100,7 +99,7 @@
     """A reply that waits until the state it depends on is on the disk."""
 
     client: IncomingConnection
-    reply: m.QuorumReply
+    reply: messages.QuorumReply
 
 
 class AcceptorServer:
@@ -191,13 +190,13 @@
             count=self.counts["decode_errors"],
         )
 
-    def handle_request(self, client: IncomingConnection, request: m.QuorumRequest) -> None:
+    def handle_request(self, client: IncomingConnection, request: messages.QuorumRequest) -> None:
         """Have the acceptor handle a request; the reply is sent after the commit."""
         if self.exit_status:
             return
         reply, changes = self.acceptor.handle(request, (self.loop.now() - self._started_at) / 1000.0)
         self.counts["requests"] += 1
-        self.counts["ballot_conflicts"] += isinstance(reply, m.BallotConflictReply)
+        self.counts["ballot_conflicts"] += isinstance(reply, messages.BallotConflictReply)
         self._merge_changes(changes)
         if not self._pending_replies:
             self.loop.call_at(self.loop.now(), self._commit)
@@ -277,8 +276,8 @@
         self.acceptor.update_voting(wait_for_all)
         self._announce_voting()
 
-    def _handle_peer_reply(self, _replica: str, reply: m.QuorumReply) -> None:
-        if not isinstance(reply, m.RestartCheckReply) or self.exit_status:
+    def _handle_peer_reply(self, _replica: str, reply: messages.QuorumReply) -> None:
+        if not isinstance(reply, messages.RestartCheckReply) or self.exit_status:
             return
         changes = self.acceptor.handle_restart_check_reply(reply, self._is_in_grace_period())
         if changes:
--- a/rosepick/coordination/artifact_store.py
+++ b/rosepick/coordination/artifact_store.py
@@ -155,10 +155,10 @@
 
     def remove_except(self, needed: Iterable[str]) -> None:
         """Remove all artifacts but those with the given digests; nothing while a fetch runs."""
-        kept_names = {*needed, SCRATCH_NAME}
+        needed_names = {*needed, SCRATCH_NAME}
         for path in self.folder.iterdir():
-            is_kept = path.name.split(".")[0] in kept_names or path.name.startswith(".")
-            if not is_kept and not self._fetches:
+            is_needed = path.name.split(".")[0] in needed_names or path.name.startswith(".")
+            if not is_needed and not self._fetches:
                 remove_path(path, ignore_errors=True)
 
 
--- a/rosepick/coordination/quorum_client.py
+++ b/rosepick/coordination/quorum_client.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..consensus import messages as m
+from ..consensus import messages
 from ..consensus.proposer import BallotGenerator, OutgoingRequests, Proposer, RegisterChange
 from ..consensus.reconfiguration import QuorumReconfiguration, ReconfigurationPhase
 from ..logs import log_event
@@ -32,7 +32,7 @@
 STATUS_POLL_INTERVAL_MS = 200.0  # the shortest time between two reads of the replicas' status
 MAX_REPLY_CALLBACKS = 64  # the oldest callback of `send_to_all` is dropped beyond that
 MAX_QUORUM_CONNECTION_DESCRIPTORS = 1024
-QuorumReplyCallback = Callable[[str, m.QuorumReply], None]
+QuorumReplyCallback = Callable[[str, messages.QuorumReply], None]
 
 
 class TimerScheduler(Protocol):
@@ -51,7 +51,7 @@
 class ReplicaConnection(Protocol):
     """A connection to one replica; requests and replies may be lost."""
 
-    def send(self, request: m.QuorumRequest) -> None:
+    def send(self, request: messages.QuorumRequest) -> None:
         """Send a request."""
 
     def close(self) -> None:
@@ -85,7 +85,7 @@
 class ReplicaStatus:
     """The last status that one replica reported."""
 
-    status: m.StatusReply
+    status: messages.StatusReply
     received_at: float = 0.0
 
 
@@ -116,7 +116,7 @@
         self.client_id = rng.getrandbits(62) | 1
         self._ballots = BallotGenerator(self.client_id)
         self.connections = connect(self._on_reply)
-        self.quorum: m.Quorum | None = None
+        self.quorum: messages.Quorum | None = None
         self.replica_statuses: dict[str, ReplicaStatus] = {}
         self.found_two_fleets = False
         self.counters = QuorumClientCounters()
@@ -146,7 +146,7 @@
         return change_id
 
     def send_to_all(
-        self, make_request: Callable[[int], m.QuorumRequest], on_reply: QuorumReplyCallback
+        self, make_request: Callable[[int], messages.QuorumRequest], on_reply: QuorumReplyCallback
     ) -> None:
         """Send one request to each configured replica; `on_reply` is called for each reply.
 
@@ -162,7 +162,7 @@
     def send_to_one(
         self,
         replica: str,
-        make_request: Callable[[int], m.QuorumRequest],
+        make_request: Callable[[int], messages.QuorumRequest],
         on_reply: QuorumReplyCallback,
     ) -> None:
         """Send one request to one replica; `make_request` gets the request id."""
@@ -171,7 +171,9 @@
         self.connections[replica].send(make_request(request_id))
 
     def reconfigure(
-        self, members: tuple[m.QuorumMember, ...] | None, on_finished: Callable[[QuorumReconfiguration], None]
+        self,
+        members: tuple[messages.QuorumMember, ...] | None,
+        on_finished: Callable[[QuorumReconfiguration], None],
     ) -> bool:
         """Start to replace the quorum by `members`; None completes what another client has sealed.
 
@@ -191,7 +193,7 @@
         """Ask all replicas for their status, and so for the present quorum."""
         if self.loop.now() - self._status_polled_at >= STATUS_POLL_INTERVAL_MS:
             self._status_polled_at = self.loop.now()
-            self.send_to_all(m.StatusRequest, lambda _replica, _reply: None)
+            self.send_to_all(messages.StatusRequest, lambda _replica, _reply: None)
 
     def close(self) -> None:
         """Close all connections and drop what is running, without outcomes."""
@@ -211,7 +213,7 @@
         return f"{self.rng.getrandbits(64):016x}"
 
     def _new_proposer(self, key: str, change: RegisterChange | None) -> Proposer:
-        quorum = self.quorum or m.Quorum("", 0, ())
+        quorum = self.quorum or messages.Quorum("", 0, ())
         return Proposer(quorum, key, change, self._ballots, self._new_change_id(), self.next_request_id)
 
     # -- operations
@@ -272,8 +274,8 @@
 
     # -- replies
 
-    def _on_reply(self, replica: str, reply: m.QuorumReply) -> None:
-        if isinstance(reply, m.StatusReply):
+    def _on_reply(self, replica: str, reply: messages.QuorumReply) -> None:
+        if isinstance(reply, messages.StatusReply):
             self.replica_statuses[replica] = ReplicaStatus(reply, self.loop.now())
             self._adopt_quorum(reply.quorum)
         on_reply = self._reply_callbacks.get(reply.request_id)
@@ -287,7 +289,7 @@
             self._send_requests(reconfiguration.reconfiguration.handle_reply(replica, reply))
             self._advance_reconfiguration(reconfiguration)
 
-    def _deliver_reply(self, running: RunningOperation, replica: str, reply: m.QuorumReply) -> None:
+    def _deliver_reply(self, running: RunningOperation, replica: str, reply: messages.QuorumReply) -> None:
         proposer = running.proposer
         was_preempted = proposer.is_preempted
         self._send_requests(proposer.handle_reply(replica, reply))
@@ -301,7 +303,7 @@
             self.counters.conflicts += 1
             self._schedule_retry(running, running.next_conflict_delay(self.rng))
 
-    def _handle_wrong_epoch(self, reply: m.WrongEpochReply) -> None:
+    def _handle_wrong_epoch(self, reply: messages.WrongEpochReply) -> None:
         """Adopt the later quorum of a reply, or reconfigure if the present epoch stays sealed."""
         known = self.quorum
         self._adopt_quorum(reply.quorum)
@@ -314,7 +316,7 @@
         elif now >= self._sealed_epoch.grace_ends_at:
             self.reconfigure(None, lambda _reconfiguration: None)
 
-    def _adopt_quorum(self, quorum: m.Quorum | None) -> None:
+    def _adopt_quorum(self, quorum: messages.Quorum | None) -> None:
         known = self.quorum
         if quorum is None:
             return
