--- a/rosepick/ops/line_protocol.py
+++ b/rosepick/ops/line_protocol.py
@@ -1,35 +1,36 @@
-"""The operators' door: one call to a connection, one line each way, as a state machine that is fed bytes."""
+"""The protocol of the admin listener, as a state machine without I/O: one command line, one reply."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-MAX_LINE_BYTES = 256  # bytes: no call is longer, with its line's end
-MAX_ECHOED_CHARS = 40  # characters of an unknown call that are said back
+MAX_LINE_BYTES = 256  # of a command, with its end of line
+MAX_ECHOED_CHARS = 40  # of an unknown command that are repeated in the reply
 
 
 @dataclass(frozen=True, slots=True)
 class AdminReply:
-    """The answer to a call."""
+    """The reply to a command."""
 
     ok: bool
     text: str = ""
-    extra_lines: tuple[str, ...] = ()  # lines that follow
-    is_document: bool = False  # nothing before the text: a document, which ends with a line of its own
+    extra_lines: tuple[str, ...] = ()  # lines after the first
+    is_document: bool = False  # the text is sent without `OK` in front; the last extra line marks its end
 
     def encode(self) -> bytes:
-        """As it is written."""
-        word = "OK" if self.ok else "ERR"
-        first = self.text if self.is_document else f"{word} {self.text}".rstrip()
-        return "".join(f"{line}\n" for line in (first, *self.extra_lines)).encode()
+        """Return the bytes of the reply."""
+        status = "OK" if self.ok else "ERR"
+        first_line = self.text if self.is_document else f"{status} {self.text}".rstrip()
+        return "".join(f"{line}\n" for line in (first_line, *self.extra_lines)).encode()
 
 
 AdminCommands = Mapping[str, Callable[[], AdminReply]]
+"""What runs each command, by its name."""
 
 
 class AdminProtocol:
-    """One connection. It reads up to the first line's end and answers once; what comes after is not read."""
+    """One connection. It reads up to the first end of line and replies once; what follows is ignored."""
 
     def __init__(self, commands: AdminCommands) -> None:
         self._commands = commands
@@ -37,10 +38,10 @@
         self.is_done = False
 
     def feed(self, data: bytes) -> bytes:
-        """Take in bytes; the answer, once there is one."""
+        """Accept received bytes, and return the reply, or nothing while the line is not complete."""
         if self.is_done:
             return b""
-        # no more than a line is ever held: guards against one without an end
+        # no more than a line is ever buffered: guards against one without an end
         self._line += data[: MAX_LINE_BYTES + 1 - len(self._line)]
         line, end, _ = self._line.partition(b"\n")
         if end:
@@ -48,7 +49,7 @@
         return self._fail("the call is too long") if len(self._line) > MAX_LINE_BYTES else b""
 
     def feed_eof(self) -> bytes:
-        """The caller has ended its sending: what came without a line's end is no call."""
+        """Accept the end of the client's stream. A line without an end is an error, not a command."""
         return b"" if self.is_done else self._fail("the call has no end")
 
     def _run_command(self, line: bytes) -> bytes:
@@ -56,12 +57,16 @@
             name = line.decode("ascii").strip()
         except UnicodeDecodeError:
             return self._fail("the call is no plain text")
-        call = self._commands.get(name)
-        if call is None:
-            known = ", ".join(self._commands)
-            shown = "".join(c for c in name[:MAX_ECHOED_CHARS] if c.isprintable())
-            return self._fail(f"unknown call {shown!r}; known are {known}" if shown else "an empty call")
-        return self._finish(call())
+        command = self._commands.get(name)
+        if command is None:
+            return self._fail(self._describe_unknown(name))
+        return self._finish(command())
+
+    def _describe_unknown(self, name: str) -> str:
+        shown_name = "".join(char for char in name[:MAX_ECHOED_CHARS] if char.isprintable())
+        if not shown_name:
+            return "an empty call"
+        return f"unknown call {shown_name!r}; known are {', '.join(self._commands)}"
 
     def _fail(self, text: str) -> bytes:
         return self._finish(AdminReply(False, text))
--- a/rosepick/ops/telemetry.py
+++ b/rosepick/ops/telemetry.py
@@ -1,4 +1,4 @@
-"""The telemetry document: what the router reports of itself, as JSON on one line."""
+"""The telemetry document: the router's counters as JSON on one line."""
 
 from __future__ import annotations
 
@@ -8,23 +8,26 @@
 
 from ..core.request_counters import RequestOutcome
 
-COUNTER_BY_END = {
+COUNTER_BY_OUTCOME = {
     RequestOutcome.SERVED: "success",
     RequestOutcome.REFUSED: "busy",
     RequestOutcome.FAILED: "failure",
     RequestOutcome.DEADLINE_EXCEEDED: "failure",
     RequestOutcome.INTERNAL_ERROR: "failure",
 }
-"""The figure that each end counts to. A client that has gone was told nothing."""
+"""The counter of a class that each outcome counts in. Requests whose client has gone count in none."""
 
 
 @dataclass(frozen=True, slots=True)
 class TelemetrySnapshot:
-    """The figures at one moment. Classes are named by place; ones that vanished keep theirs."""
+    """The counters at one moment. Classes are identified by index; removed ones keep theirs.
+
+    Fields are named as in the document.
+    """
 
     class_names: Mapping[int, str]
-    ended_counts: Mapping[tuple[int, RequestOutcome], int]
-    rejected_counts: Mapping[int, int]  # requests that could not be taken, by class
+    ended_counts: Mapping[tuple[int, RequestOutcome], int]  # ended requests by class and outcome
+    rejected_counts: Mapping[int, int]  # requests that could not be accepted, by class
     written_counts: Mapping[int, int]  # attempts written whole, by class
     inflight: int
     hosts_listed: int
@@ -33,9 +36,9 @@
     reconfig_failed: int
 
     def document(self) -> dict[str, object]:
-        """As a JSON object."""
+        """Return the document as a JSON object."""
         return {
-            "calls": {name: self._class_counters(place) for place, name in self.class_names.items()},
+            "calls": {name: self._class_counters(index) for index, name in self.class_names.items()},
             "backend_calls": sum(self.written_counts.values()),
             "inflight": self.inflight,
             "hosts_listed": self.hosts_listed,
@@ -45,12 +48,16 @@
         }
 
     def line(self) -> str:
-        """As one line of text."""
+        """Return the document as one line of text."""
         return json.dumps(self.document(), separators=(",", ":"))
 
     def _class_counters(self, class_index: int) -> dict[str, int]:
-        failed, written = self.rejected_counts.get(class_index, 0), self.written_counts.get(class_index, 0)
-        found = {"success": 0, "busy": 0, "failure": failed, "backend_calls": written}
-        for end, figure in COUNTER_BY_END.items():
-            found[figure] += self.ended_counts.get((class_index, end), 0)
-        return found
+        counters = {
+            "success": 0,
+            "busy": 0,
+            "failure": self.rejected_counts.get(class_index, 0),
+            "backend_calls": self.written_counts.get(class_index, 0),
+        }
+        for outcome, counter in COUNTER_BY_OUTCOME.items():
+            counters[counter] += self.ended_counts.get((class_index, outcome), 0)
+        return counters
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -1,4 +1,4 @@
-"""The operators' door: its lines, its figures, and that no crowd keeps it from answering."""
+"""The admin listener: its commands, its counters, and that it replies under any load."""
 
 from __future__ import annotations
 
@@ -12,48 +12,53 @@
 from .scenario import Scenario
 
 
-class Lines(unittest.TestCase):
-    def test_a_call_cut_anywhere_has_one_answer_and_what_is_none_an_error(self) -> None:
+class LineProtocolTest(unittest.TestCase):
+    def test_a_command_split_anywhere_gets_one_reply_and_anything_else_an_error(self) -> None:
         junk = (b"\n", b"nonsense\n", b"\xff\xfe\n", b"readyz", b"", b"READYZ\n", b"\x00readyz\n")
         whole = b"readyz\r\nreadyz\n"
-        calls = [(whole[:cut], whole[cut:]) for cut in range(len(whole))]
-        for parts in (*calls, *((one,) for one in junk), (b"x" * MAX_LINE_BYTES, b"x" * 100_000, b"x\n")):
-            machine = AdminProtocol({"readyz": lambda: AdminReply(True, "ready", ("x", "END"))})
-            said = b"".join(map(machine.feed, parts)) or machine.feed_eof()
+        split_commands = [(whole[:cut], whole[cut:]) for cut in range(len(whole))]
+        for parts in (
+            *split_commands,
+            *((line,) for line in junk),
+            (b"x" * MAX_LINE_BYTES, b"x" * 100_000, b"x\n"),
+        ):
+            protocol = AdminProtocol({"readyz": lambda: AdminReply(True, "ready", ("x", "END"))})
+            reply = b"".join(map(protocol.feed, parts)) or protocol.feed_eof()
             with self.subTest(parts):
-                self.assertEqual(said == b"OK ready\nx\nEND\n", parts in calls)
-                self.assertTrue(parts in calls or (said.startswith(b"ERR ") and said.count(b"\n") == 1), said)
+                self.assertEqual(reply == b"OK ready\nx\nEND\n", parts in split_commands)
+                is_error = reply.startswith(b"ERR ") and reply.count(b"\n") == 1
+                self.assertTrue(parts in split_commands or is_error, reply)
         self.assertEqual(AdminProtocol({}).feed(b"x" * MAX_LINE_BYTES), b"")
 
 
-class Door(Scenario):
+class AdminListenerTest(Scenario):
     nodes = ("s1", "origin")
 
     def document(self) -> dict[str, Any]:
         return {**super().document(), "ops": "127.0.0.1:0"}
 
-    def dial(self, call: bytes = b"") -> socket.socket:
+    def connect(self, command: bytes = b"") -> socket.socket:
         assert self.server.admin_listener is not None
         sock = socket.create_connection(self.server.admin_listener.sock.getsockname(), 5.0)
         self.addCleanup(sock.close)
-        sock.sendall(call)
+        sock.sendall(command)
         return sock
 
-    def says(self, call: str) -> str:
-        with self.dial(call.encode() + b"\n").makefile() as answer:
+    def run_command(self, command: str) -> str:
+        with self.connect(command.encode() + b"\n").makefile() as reply:
             for _ in range(20):
                 self.step()
-            return answer.read()
+            return reply.read()
 
-    def figures(self, **wanted: object) -> None:
-        document, *rest = self.says("telemetry").splitlines()
+    def check_counters(self, **expected: object) -> None:
+        line, *rest = self.run_command("telemetry").splitlines()
         self.assertEqual(rest, ["END"])
-        told = json.loads(document)
-        self.assertEqual({name: told[name] for name in wanted}, wanted)
+        document = json.loads(line)
+        self.assertEqual({name: document[name] for name in expected}, expected)
 
-    def test_figures_agree_with_what_clients_and_nodes_saw(self) -> None:
+    def test_counters_agree_with_what_clients_and_nodes_saw(self) -> None:
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
-        self.figures(inflight=1)
+        self.check_counters(inflight=1)
         self.steps(
             "s1 send 404 ''; origin expect GET /api/k1; origin send 200 value; c1 expect 200 value; "
             "c1 send PUT /api/k1 v; origin expect PUT; c1 close; c2 send PUT /api/k1 v Req-Deadline=0.1; "
@@ -64,26 +69,26 @@
             "read": {"success": 1, "busy": 0, "failure": 1, "backend_calls": 2},
             "set": {"success": 0, "busy": 0, "failure": 1, "backend_calls": 2},
         }
-        self.figures(calls=calls, backend_calls=4, inflight=0, hosts_listed=2, hosts_down=0)
+        self.check_counters(calls=calls, backend_calls=4, inflight=0, hosts_listed=2, hosts_down=0)
         self.play("wait 800\nd expect GET /v1/endpoints\nd tell 42 s1=leaving\nd expect GET /v1/endpoints")
-        self.figures(hosts_listed=2, hosts_down=1)
+        self.check_counters(hosts_listed=2, hosts_down=1)
         self.play("router reload")
         self.file["discovery"] = 7
         with self.assertLogs("rosepick", "ERROR"):
             self.play("router reload")
-        self.figures(reconfig_ok=1, reconfig_failed=1)
+        self.check_counters(reconfig_ok=1, reconfig_failed=1)
 
-    def test_silent_callers_give_way_and_a_crowd_of_clients_takes_none_of_its_room(self) -> None:
+    def test_silent_admin_clients_are_closed_and_other_clients_take_none_of_its_descriptors(self) -> None:
         for number in range(40):
-            self.dial(b"tele" if number % 2 else b"")
+            self.connect(b"tele" if number % 2 else b"")
         for _ in range(200):
             sock = socket.create_connection(self.server.listener.sock.getsockname())
             self.addCleanup(sock.close)
             sock.send(b"GET /api/k1 HTTP/1.1\r\n")
-        self.assertEqual(self.says("readyz"), "OK ready\n")
+        self.assertEqual(self.run_command("readyz"), "OK ready\n")
         assert self.server.admin_listener is not None
         self.assertLessEqual(len(self.server.admin_listener.connections), 12)
         self.wait(5_100)
         self.assertEqual(len(self.server.admin_listener.connections), 0)
         self.play("router end")
-        self.assertTrue(self.says("readyz").startswith("ERR ending"))
+        self.assertTrue(self.run_command("readyz").startswith("ERR ending"))
