--- a/rosepick/ops/__init__.py
+++ b/rosepick/ops/__init__.py
@@ -1,1 +1,1 @@
-"""What operators ask a running router: the line protocol and the telemetry document. No I/O."""
+"""What operators ask a running router: the admin protocol and the telemetry document. No I/O."""
--- a/rosepick/settings/__init__.py
+++ b/rosepick/settings/__init__.py
@@ -1,1 +1,1 @@
-"""What the platform and what the operators tell: read, typed, checked."""
+"""Settings of the platform and of the operators: read, typed and checked."""
--- a/rosepick/settings/operator_file.py
+++ b/rosepick/settings/operator_file.py
@@ -1,7 +1,6 @@
-"""The operators' file: `name value` a line, `#` for comments, in the style of the classic daemons.
+"""The operators' file: one `name value` a line, and `#` for comments.
 
-One table of settings says what there is; whoever reads a file reads it by that, and all faults are found at
-once.
+A table declares the settings. A file is checked as a whole, and all its errors are reported at once.
 """
 
 from __future__ import annotations
@@ -13,63 +12,74 @@
 from pathlib import Path
 
 SettingValue = int | float | str | None
+MAX_CAPTURE_KIB = 768  # of all segments of the capture together
+
 _COMMENT = re.compile(r"(?:^|(?<=\s))#.*")
+_DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,6})?) ?s?")
+_UTF8_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+_MAX_INTEGER_DIGITS = 12  # that are converted; more are out of any range
+_MIN_SUGGESTION_SIMILARITY = 0.5  # of a known name to an unknown one, 0 to 1
 
 
 @dataclass(frozen=True, slots=True)
 class Setting:
-    """One setting: its name, what its values are, and the one in force where the file says nothing."""
+    """A text setting: its name and its default."""
 
     name: str
     default: SettingValue = None
     is_reloadable: bool = False  # whether a running router applies a new value after SIGHUP
 
     def parse(self, text: str) -> SettingValue:
-        """The value that a text states; ValueError says what is wrong with it."""
+        """Return the value of a text. Raises ValueError, whose message ends a sentence about the text."""
         return text
 
     def format_value(self, value: SettingValue) -> str:
-        """A value as the file would state it."""
+        """Return a value as the file has it."""
         return "not set" if value is None else str(value)
 
 
 @dataclass(frozen=True, slots=True)
 class IntegerSetting(Setting):
-    """A whole number of a range."""
+    """A whole number from `minimum` to `maximum`."""
 
     minimum: int = 0
     maximum: int = 2**31
 
     def parse(self, text: str) -> SettingValue:
-        if not (text.isascii() and text.isdigit()) or not self.minimum <= int(text[:12]) <= self.maximum:
+        """Return the number."""
+        is_number = text.isascii() and text.isdigit()
+        if not is_number or not self.minimum <= int(text[:_MAX_INTEGER_DIGITS]) <= self.maximum:
             raise ValueError(f"is not a whole number from {self.minimum} to {self.maximum}")
         return int(text)
 
 
 @dataclass(frozen=True, slots=True)
 class DurationSetting(Setting):
-    """A span of time in seconds; the unit may be written."""
+    """A time in seconds from `minimum` to `maximum`, with or without its unit `s`."""
 
     minimum: float = 0.0
     maximum: float = 86_400.0
 
     def parse(self, text: str) -> SettingValue:
-        found = re.fullmatch(r"([0-9]{1,9}(?:\.[0-9]{1,6})?) ?s?", text)
-        if found is None or not self.minimum <= float(found[1]) <= self.maximum:
+        """Return the seconds."""
+        match = _DURATION.fullmatch(text)
+        if match is None or not self.minimum <= float(match[1]) <= self.maximum:
             raise ValueError(f"is not a time from {self.minimum:g} to {self.maximum:g} s")
-        return float(found[1])
+        return float(match[1])
 
     def format_value(self, value: SettingValue) -> str:
+        """Return the seconds with their unit."""
         return f"{value:g} s"
 
 
 @dataclass(frozen=True, slots=True)
 class ChoiceSetting(Setting):
-    """One of a few words."""
+    """One of a few texts."""
 
     choices: tuple[str, ...] = ()
 
     def parse(self, text: str) -> SettingValue:
+        """Return the text."""
         if text not in self.choices:
             raise ValueError(f"is not one of {', '.join(self.choices)}")
         return text
@@ -97,26 +107,24 @@
     IntegerSetting("accept_queue", 1024, is_reloadable=True, minimum=1, maximum=65_535),
     IntegerSetting("tls_handshake_part", 25, is_reloadable=True, minimum=1, maximum=100),
 )
-"""Every setting there is, by feature."""
-
-MAX_CAPTURE_KIB = 768  # the most that all segments of the capture may hold
+"""All settings of a router, by feature."""
 
 
 @dataclass(frozen=True, slots=True)
 class SettingFault:
-    """Something wrong, and where: a line of the file, or the file as a whole."""
+    """An error in the file, with its line; None if it is the file as a whole."""
 
     source: str
     line: int | None
     text: str
 
     def __str__(self) -> str:
-        where = f" line {self.line}:" if self.line is not None else ":"
-        return f"{self.source}{where} {self.text}"
+        position = f" line {self.line}:" if self.line is not None else ":"
+        return f"{self.source}{position} {self.text}"
 
 
 class OperatorFileError(Exception):
-    """The operators' file cannot be used; one line a fault."""
+    """The operators' file cannot be used. `faults` has all errors of the file."""
 
     def __init__(self, faults: tuple[SettingFault, ...]) -> None:
         super().__init__("; ".join(map(str, faults)))
@@ -125,7 +133,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OperatorFile:
-    """The values in force, the lines that state them, and what is wrong."""
+    """The values in force, the lines of the file that set them, and the errors of the file."""
 
     settings: tuple[Setting, ...]
     values: Mapping[str, SettingValue]
@@ -134,39 +142,39 @@
     source: str = ""
 
     def integer(self, name: str) -> int:
-        """The value of a setting that is a whole number."""
+        """Return the value of a whole number."""
         value = self.values[name]
         assert isinstance(value, int)
         return value
 
     def seconds(self, name: str) -> float:
-        """The value of a setting that is a time."""
+        """Return the value of a time, in seconds."""
         value = self.values[name]
         assert isinstance(value, float)
         return value
 
     def text(self, name: str) -> str | None:
-        """The value of a setting that is a text, if it is set."""
+        """Return the value of a text; None if it is not set."""
         value = self.values[name]
         assert value is None or isinstance(value, str)
         return value
 
     def optional_integer(self, name: str) -> int | None:
-        """The value of a setting that is a whole number, if it is set."""
+        """Return the value of a whole number; None if it is not set."""
         value = self.values[name]
         assert value is None or isinstance(value, int)
         return value
 
     def make_fault(self, name: str, text: str) -> SettingFault:
-        """A fault with the place of a setting."""
+        """Return an error with the line of a setting."""
         return SettingFault(self.source, self.lines.get(name), text)
 
     def changed_settings(self, other: OperatorFile) -> list[Setting]:
-        """The settings that have other values there."""
-        return [s for s in self.settings if self.values[s.name] != other.values.get(s.name)]
+        """Return the settings that have another value in the other file."""
+        return [one for one in self.settings if self.values[one.name] != other.values.get(one.name)]
 
     def effective_lines(self) -> Iterator[str]:
-        """Each value in force with its source."""
+        """Yield a line for each value in force, with its source."""
         for setting in self.settings:
             line = self.lines.get(setting.name)
             source = "default" if line is None else f"{self.source} line {line}"
@@ -174,113 +182,129 @@
 
 
 def read(data: bytes, source: str, table: tuple[Setting, ...] = SETTINGS) -> OperatorFile:
-    """A file's content, with all that is wrong with it by itself."""
+    """Return the settings in the content of a file, with its errors; `source` names the file in them."""
     values = {setting.name: setting.default for setting in table}
     lines: dict[str, int] = {}
     faults: list[SettingFault] = []
-    known = {setting.name: setting for setting in table}
-    for number, raw in enumerate(data.removeprefix(b"\xef\xbb\xbf").split(b"\n"), 1):
+    settings = {setting.name: setting for setting in table}
+    for number, raw_line in enumerate(data.removeprefix(_UTF8_BYTE_ORDER_MARK).split(b"\n"), 1):
         try:
-            stated = _parse_line(raw, known, lines)
-            if stated is not None:
-                name, value = stated
-                values[name], lines[name] = value, number
+            assignment = _parse_line(raw_line, settings, lines)
+            if assignment is not None:
+                values[assignment.name] = assignment.value
+                lines[assignment.name] = number
         except UnicodeDecodeError:
             faults.append(SettingFault(source, number, "not UTF-8"))
-        except ValueError as problem:
-            faults.append(SettingFault(source, number, str(problem)))
-    found = OperatorFile(table, values, lines, tuple(faults), source)
-    faults += _cross_check(found)
-    return replace(found, faults=tuple(sorted(faults, key=lambda fault: fault.line or 0)))
-
-
-def _cross_check(found: OperatorFile) -> Iterator[SettingFault]:
-    """What is wrong between settings that are right by themselves."""
-    if found.settings is SETTINGS:
-        yield from _check_capture_size(found)
-        yield from _check_tls(found)
-
-
-def _check_capture_size(found: OperatorFile) -> Iterator[SettingFault]:
-    count, size = found.integer("capture_segments"), found.integer("capture_segment_kb")
-    if count * size > MAX_CAPTURE_KIB:
-        later = max(("capture_segments", "capture_segment_kb"), key=lambda name: found.lines.get(name, 0))
-        yield found.make_fault(
-            later,
-            (
-                f"capture_segments {count} of capture_segment_kb {size} make a ring of {count * size} KiB, "
-                f"more than {MAX_CAPTURE_KIB}"
-            ),
-        )
-
-
-def _check_tls(found: OperatorFile) -> Iterator[SettingFault]:
-    missing = [name for name in ("tls_cert", "tls_key") if found.text(name) is None]
+        except ValueError as error:
+            faults.append(SettingFault(source, number, str(error)))
+    file = OperatorFile(table, values, lines, tuple(faults), source)
+    faults += _check_combinations(file)
+    return replace(file, faults=tuple(sorted(faults, key=lambda fault: fault.line or 0)))
+
+
+def _check_combinations(file: OperatorFile) -> Iterator[SettingFault]:
+    """Yield the errors of settings that are each valid alone, but not together."""
+    if file.settings is SETTINGS:
+        yield from _check_capture_size(file)
+        yield from _check_tls(file)
+
+
+def _check_capture_size(file: OperatorFile) -> Iterator[SettingFault]:
+    segment_count = file.integer("capture_segments")
+    segment_kib = file.integer("capture_segment_kb")
+    total_kib = segment_count * segment_kib
+    if total_kib <= MAX_CAPTURE_KIB:
+        return
+    last_set = max(("capture_segments", "capture_segment_kb"), key=lambda name: file.lines.get(name, 0))
+    yield file.make_fault(
+        last_set,
+        f"capture_segments {segment_count} of capture_segment_kb {segment_kib} "
+        f"make a ring of {total_kib} KiB, more than {MAX_CAPTURE_KIB}",
+    )
+
+
+def _check_tls(file: OperatorFile) -> Iterator[SettingFault]:
+    missing = [name for name in ("tls_cert", "tls_key") if file.text(name) is None]
     if len(missing) == 1:
-        stated = "tls_key" if missing == ["tls_cert"] else "tls_cert"
-        yield found.make_fault(stated, f"{stated} is set without {missing[0]}")
-    elif missing and found.optional_integer("tls_listen") is not None:
-        yield found.make_fault("tls_listen", "tls_listen needs tls_cert and tls_key")
-    mode = found.text("tls_client_cert")
-    if mode != "off" and found.text("tls_client_ca") is None:
-        yield found.make_fault("tls_client_cert", f"tls_client_cert {mode} needs tls_client_ca")
+        present = "tls_key" if missing == ["tls_cert"] else "tls_cert"
+        yield file.make_fault(present, f"{present} is set without {missing[0]}")
+    elif missing and file.optional_integer("tls_listen") is not None:
+        yield file.make_fault("tls_listen", "tls_listen needs tls_cert and tls_key")
+    client_cert_mode = file.text("tls_client_cert")
+    if client_cert_mode != "off" and file.text("tls_client_ca") is None:
+        yield file.make_fault("tls_client_cert", f"tls_client_cert {client_cert_mode} needs tls_client_ca")
+
+
+@dataclass(frozen=True, slots=True)
+class _Assignment:
+    """A line of the file: a setting and its value."""
+
+    name: str
+    value: SettingValue
 
 
 def _parse_line(
-    raw: bytes, known: Mapping[str, Setting], lines: Mapping[str, int]
-) -> tuple[str, SettingValue] | None:
-    """What one line states, if anything; ValueError if it cannot be used."""
-    text = _COMMENT.sub("", raw.decode()).strip()
+    raw_line: bytes, settings: Mapping[str, Setting], lines: Mapping[str, int]
+) -> _Assignment | None:
+    """Return what a line sets; None for a blank one or a comment.
+
+    Raises:
+        ValueError: The line cannot be used. UnicodeDecodeError, which is one, if it is not UTF-8.
+    """
+    text = _COMMENT.sub("", raw_line.decode()).strip()
     if not text:
         return None
-    name, _, value = text.replace("\t", " ").partition(" ")
+    name = text.replace("\t", " ").partition(" ")[0]
     value = text[len(name) :].strip()
-    setting = known.get(name)
+    setting = settings.get(name)
     if setting is None:
-        close = difflib.get_close_matches(name, known, 1, 0.5)
-        hint = f"; did you mean {close[0]}?" if close else ""
+        suggestions = difflib.get_close_matches(name, settings, 1, _MIN_SUGGESTION_SIMILARITY)
+        hint = f"; did you mean {suggestions[0]}?" if suggestions else ""
         raise ValueError(f"{name} is no setting{hint}")
     if name in lines:
         raise ValueError(f"{name} is set already on line {lines[name]}")
     if not value:
         raise ValueError(f"{name} has no value")
     try:
-        return name, setting.parse(value)
-    except ValueError as problem:
-        raise ValueError(f'{name} "{value}" {problem}') from None
+        return _Assignment(name, setting.parse(value))
+    except ValueError as error:
+        raise ValueError(f'{name} "{value}" {error}') from None
 
 
 def defaults(table: tuple[Setting, ...] = SETTINGS) -> OperatorFile:
-    """What is in force without a file."""
+    """Return the settings in force without a file."""
     return read(b"", "", table)
 
 
 def read_file(path: str | Path, table: tuple[Setting, ...] = SETTINGS) -> OperatorFile:
-    """A file with its faults; one that cannot be read is a fault."""
-    place = Path(path).name
+    """Return the settings in a file, with its errors; that it cannot be read is one of them."""
+    source = Path(path).name
     try:
-        return read(Path(path).read_bytes(), place, table)
-    except OSError as problem:
-        fault = SettingFault(place, None, problem.strerror or str(problem))
-        nothing = defaults(table)
-        return OperatorFile(table, nothing.values, {}, (fault,), place)
+        return read(Path(path).read_bytes(), source, table)
+    except OSError as error:
+        fault = SettingFault(source, None, error.strerror or str(error))
+        return OperatorFile(table, defaults(table).values, {}, (fault,), source)
 
 
 def load(path: str | Path | None, table: tuple[Setting, ...] = SETTINGS) -> OperatorFile:
-    """A file that can be used, or what is in force without one. OperatorFileError if it has a fault."""
+    """Return the settings in a file, or the defaults without one.
+
+    Raises:
+        OperatorFileError: The file has errors, or cannot be read.
+    """
     return require_valid(defaults(table) if path is None else read_file(path, table))
 
 
-def require_valid(found: OperatorFile) -> OperatorFile:
-    """The same, if it has no fault; else OperatorFileError."""
-    if found.faults:
-        raise OperatorFileError(found.faults)
-    return found
+def require_valid(file: OperatorFile) -> OperatorFile:
+    """Return the file itself. Raises OperatorFileError if it has errors."""
+    if file.faults:
+        raise OperatorFileError(file.faults)
+    return file
 
 
 @dataclass(slots=True)
 class OperatorOptions:
-    """What the operators tell a router: their file, how to read it again, and the command line's switches."""
+    """What operators set for a router: their file, how to read it again, and the command line's switches."""
 
     file: OperatorFile = field(default_factory=defaults)
     reload: Callable[[], OperatorFile] | None = None
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -1,4 +1,4 @@
-"""The operators' file: its form, its faults, and how `serve` and SIGHUP take it."""
+"""The operators' file: its form, its errors, and how `serve` and SIGHUP apply it."""
 
 from __future__ import annotations
 
@@ -33,13 +33,13 @@
     return operator_file.read(text.encode(), "farm.conf", table)
 
 
-class Form(unittest.TestCase):
+class FormTest(unittest.TestCase):
     def test_values_comments_and_blanks(self) -> None:
         found = read("# a farm\n\n  pigs\t 7   # seven\nsty /srv/a b#c\r\nrest 2.5 s\n")
         self.assertEqual(found.faults, ())
         self.assertEqual(dict(found.values), {"pigs": 7, "rest": 2.5, "mood": "calm", "sty": "/srv/a b#c"})
 
-    def test_nothing_stated_is_all_defaults(self) -> None:
+    def test_an_empty_file_has_all_defaults(self) -> None:
         for text in ("", "\n", "# only words", "\ufeff"):
             self.assertEqual(
                 list(read(text).effective_lines()),
@@ -51,15 +51,15 @@
                 ],
             )
 
-    def test_values_in_force_name_their_lines(self) -> None:
+    def test_values_in_force_have_their_lines(self) -> None:
         self.assertIn("rest 5 s (farm.conf line 2)", list(read("\nrest 5s").effective_lines()))
 
-    def faults(self, text: str) -> list[str]:
+    def read_errors(self, text: str) -> list[str]:
         return [str(fault) for fault in read(text).faults]
 
-    def test_each_fault_names_its_place(self) -> None:
+    def test_each_error_has_its_line(self) -> None:
         self.assertEqual(
-            self.faults("pigs 1\npigs 3\npigs 4\nrest soon\nmood grim\npigz 3\nsty\nqqq 1"),
+            self.read_errors("pigs 1\npigs 3\npigs 4\nrest soon\nmood grim\npigz 3\nsty\nqqq 1"),
             [
                 'farm.conf line 1: pigs "1" is not a whole number from 2 to 64',
                 "farm.conf line 3: pigs is set already on line 2",
@@ -71,32 +71,32 @@
             ],
         )
 
-    def test_odd_numbers_are_none(self) -> None:
+    def test_odd_numbers_are_errors(self) -> None:
         for value in ("-3", "+3", "3.0", "1_0", "٣", "9" * 400, "0x10", "3 4"):
-            self.assertEqual(len(self.faults(f"pigs {value}")), 1, value)
+            self.assertEqual(len(self.read_errors(f"pigs {value}")), 1, value)
 
     def test_a_line_that_is_not_utf_8_leaves_the_others(self) -> None:
         found = operator_file.read(b"sty \xff\xfe\npigs 5\n", "farm.conf", TABLE)
         self.assertEqual([str(fault) for fault in found.faults], ["farm.conf line 1: not UTF-8"])
         self.assertEqual(found.values["pigs"], 5)
 
-    def test_a_file_that_cannot_be_read_is_one_fault(self) -> None:
+    def test_a_file_that_cannot_be_read_is_one_error(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             for path in (Path(folder) / "none.conf", Path(folder)):
                 found = operator_file.read_file(path, TABLE)
                 self.assertEqual(len(found.faults), 1)
                 self.assertTrue(str(found.faults[0]).startswith(f"{path.name}: "))
 
-    def test_the_projects_own_file_has_no_fault(self) -> None:
+    def test_the_deployed_file_has_no_error(self) -> None:
         self.assertEqual(operator_file.read_file(ROOT / "deploy" / "rosepick.conf").faults, ())
 
 
-class CommandLine(unittest.TestCase):
-    def test_serve_does_not_start_on_a_fault(self) -> None:
+class CommandLineTest(unittest.TestCase):
+    def test_serve_does_not_start_with_an_error(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "rosepick.conf"
             path.write_text("colour red\nshape\n")
-            ended = subprocess.run(
+            process = subprocess.run(
                 [sys.executable, "-m", "rosepick", "serve", "-f", str(path)],
                 cwd=ROOT,
                 text=True,
@@ -104,37 +104,38 @@
                 capture_output=True,
                 timeout=60,
             )
-        self.assertEqual(ended.returncode, 1)
-        self.assertIn("rosepick: rosepick.conf line 1: colour is no setting\n", ended.stderr)
-        self.assertIn("rosepick: rosepick.conf line 2: shape is no setting\n", ended.stderr)
+        self.assertEqual(process.returncode, 1)
+        self.assertIn("rosepick: rosepick.conf line 1: colour is no setting\n", process.stderr)
+        self.assertIn("rosepick: rosepick.conf line 2: shape is no setting\n", process.stderr)
 
 
-class Reload(Scenario):
+class ReloadTest(Scenario):
     discoveries = ("d", "e")
 
-    def test_a_fault_in_one_file_does_not_hold_up_the_other(self) -> None:
+    def test_an_error_in_one_file_does_not_keep_the_other_from_being_applied(self) -> None:
         table = (*operator_file.SETTINGS, *TABLE)
-        good, bad = read("pigs 7\nrest 5", table), read("pigs 7\npigs 9", table)
+        valid = read("pigs 7\nrest 5", table)
+        invalid = read("pigs 7\npigs 9", table)
         self.server.operator_settings.file = self.server.initial_operator_file = read("", table)
-        self.says(bad)
+        self.set_file(invalid)
         self.file["discovery"] = f"127.0.0.1:{self.port('e')}"
-        with self.assertLogs("rosepick", "INFO") as said:
+        with self.assertLogs("rosepick", "INFO") as logs:
             self.play("router reload\ne expect GET /v1/endpoints HTTP/1.1")
-        events = {line.getMessage(): vars(line)["fields"] for line in said.records}
+        events = {line.getMessage(): vars(line)["fields"] for line in logs.records}
         self.assertEqual(
             str(events["operator_file_failed"]["text"]), "farm.conf line 2: pigs is set already on line 1"
         )
         self.assertEqual(self.server.operator_settings.file.values["pigs"], 4)
-        self.says(good)
+        self.set_file(valid)
         self.file["listen"] = "here"
-        with self.assertLogs("rosepick", "INFO") as said:
+        with self.assertLogs("rosepick", "INFO") as logs:
             self.play("router reload")
-        events = {line.getMessage(): vars(line)["fields"] for line in said.records}
+        events = {line.getMessage(): vars(line)["fields"] for line in logs.records}
         self.assertEqual(set(events), {"config_reload_failed", "operator_file_reloaded"})
-        told = events["operator_file_reloaded"]
-        self.assertEqual((told["changed"], told["needs_restart"]), ("pigs,rest", "pigs"))
+        reloaded = events["operator_file_reloaded"]
+        self.assertEqual((reloaded["changed"], reloaded["needs_restart"]), ("pigs,rest", "pigs"))
         self.assertEqual(self.server.operator_settings.file.values["pigs"], 7)
 
-    def says(self, found: OperatorFile) -> None:
-        """What the operators' file says from here on."""
-        self.server.operator_settings.reload = lambda: operator_file.require_valid(found)
+    def set_file(self, file: OperatorFile) -> None:
+        """Have the next reload read this file."""
+        self.server.operator_settings.reload = lambda: operator_file.require_valid(file)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""New settings at SIGHUP: taken whole or turned down whole, while requests under way keep what they had."""
+"""New settings at SIGHUP: applied whole or rejected whole, while pending requests keep what they had."""
 
 from __future__ import annotations
 
@@ -14,9 +14,22 @@
 from .scenario import SETTINGS, Scenario
 
 CLASSES = "settings.request_classes"
-GONE = object()
-NONE: tuple[object, ...] = (None, GONE, 0, -5.0, math.nan, math.inf, -math.inf, True, False, "5", [], {})
-NEEDED = (
+REMOVED = object()
+INVALID_NUMBERS: tuple[object, ...] = (
+    None,
+    REMOVED,
+    0,
+    -5.0,
+    math.nan,
+    math.inf,
+    -math.inf,
+    True,
+    False,
+    "5",
+    [],
+    {},
+)
+REQUIRED_PATHS = (
     "settings",
     "discovery",
     "name",
@@ -34,10 +47,10 @@
     CLASSES,
     f"{CLASSES}.0.effect",
 )
-BAD = [
-    *((f"{CLASSES}.1.deadline", value) for value in NONE),
-    *(("settings.limits.max_attempts", value) for value in (*NONE, 2.5)),
-    *((path, GONE) for path in NEEDED),
+INVALID_VALUES = [
+    *((f"{CLASSES}.1.deadline", value) for value in INVALID_NUMBERS),
+    *(("settings.limits.max_attempts", value) for value in (*INVALID_NUMBERS, 2.5)),
+    *((path, REMOVED) for path in REQUIRED_PATHS),
     (CLASSES, []),
     (CLASSES, {"read": 1}),
     (f"{CLASSES}.0.effect", "odd"),
@@ -45,78 +58,83 @@
 ]
 
 
-def put(document: Any, path: str, value: object) -> Any:
-    """The document with something else, or nothing, at that place."""
-    made = found = copy.deepcopy(document)
-    *steps, last = (int(step) if step.isdigit() else step for step in path.split("."))
-    for step in steps:
-        found = found[step]
-    if value is GONE:
-        del found[last]
+def replace_value(document: Any, path: str, value: object) -> Any:
+    """Return the document with another value, or none, at a path."""
+    changed = copy.deepcopy(document)
+    parent = changed
+    *parent_keys, last_key = (int(key) if key.isdigit() else key for key in path.split("."))
+    for key in parent_keys:
+        parent = parent[key]
+    if value is REMOVED:
+        del parent[last_key]
     else:
-        found[last] = value
-    return made
+        parent[last_key] = value
+    return changed
 
 
-class NewSettings(Scenario):
+class ReloadedSettingsTest(Scenario):
     nodes = ("s1", "origin")
 
     def read(self) -> config.Config:
         return config.read(config.parse_json(json.dumps(self.file).encode()))
 
-    def told(self, *rows: dict[str, Any]) -> None:
-        """A file with these classes comes."""
-        self.file = put(self.file, CLASSES, list(rows))
+    def reload_classes(self, *rows: dict[str, Any]) -> None:
+        """Reload a file with these request classes."""
+        self.file = replace_value(self.file, CLASSES, list(rows))
         self.play("router reload")
 
-    def test_classes_appear_vanish_and_come_back_and_those_in_hand_stay_what_they_were(self) -> None:
+    def test_classes_are_added_removed_and_restored_and_pending_requests_keep_theirs(self) -> None:
         read, write = SETTINGS["request_classes"]
         before = self.server.config.names.classes
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
-        self.told({**write, "name": "log", "effect": "fragile"}, write)
+        self.reload_classes({**write, "name": "log", "effect": "fragile"}, write)
         self.steps(
             "c2 send GET /api/k2 Req-Kind=log; s1 expect GET /api/k2; s1 send 200 new; c2 expect 200 new; "
             "c3 send GET /api/k3 Req-Kind=read; c3 expect 400"
         )
-        (open_one,) = self.module().pending.values()
-        self.assertEqual(open_one.klass.objective_ms, 600.0)
+        (pending,) = self.module().pending.values()
+        self.assertEqual(pending.klass.objective_ms, 600.0)
         self.wires["s1"][0].sock.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nv")
         self.play("c1 expect 200 v")
         calls: Any = self.server.telemetry().document()["calls"]
         served = {name: row["success"] for name, row in calls.items()}
         self.assertEqual(served, {"read": 1, "set": 0, "log": 1})
         self.assertEqual(self.server.config.names.classes, {"set": 1, "log": 2})
-        self.told(write, read)  # in another order
+        self.reload_classes(write, read)  # in another order
         self.assertEqual(self.server.config.names.classes, before)
 
-    def test_a_stricter_effect_and_fewer_attempts_count_for_new_requests_only(self) -> None:
+    def test_a_stricter_effect_and_fewer_attempts_apply_to_new_requests_only(self) -> None:
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
-        self.file = put(self.file, "settings.limits.max_attempts", 1)
-        self.told(*({**row, "effect": "fragile"} for row in SETTINGS["request_classes"]))
-        (open_one,) = self.module().pending.values()
-        self.assertIs(open_one.klass.effect, Effect.RETRYABLE)
-        ask = "c2 send GET /api/k9\ns1 expect GET /api/k9\ns1 send "
+        self.file = replace_value(self.file, "settings.limits.max_attempts", 1)
+        self.reload_classes(*({**row, "effect": "fragile"} for row in SETTINGS["request_classes"]))
+        (pending,) = self.module().pending.values()
+        self.assertIs(pending.klass.effect, Effect.RETRYABLE)
+        request = "c2 send GET /api/k9\ns1 expect GET /api/k9\ns1 send "
         self.play("s1 send 404 ''\norigin expect GET /api/k1\norigin send 200 value\nc1 expect 200 value")
-        self.play(f"{ask}404 ''\nc2 expect 503\n{ask}500 ''\nc2 expect 502")
+        self.play(f"{request}404 ''\nc2 expect 503\n{request}500 ''\nc2 expect 502")
 
-    def test_each_bad_file_is_turned_down_whole_counted_and_named(self) -> None:
-        usual, before = self.file, self.server.config
-        self.assertIsNone(self.server.admin_listener)  # neither the file nor the environment names a door
-        for number, (path, value) in enumerate(BAD, 1):
-            self.file = put({**usual, "discovery": "127.0.0.1:1"}, path, value)
-            with self.subTest(path, value=value), self.assertLogs("rosepick", "ERROR") as said:
+    def test_each_invalid_file_is_rejected_whole_counted_and_named(self) -> None:
+        valid_file = self.file
+        config_before = self.server.config
+        self.assertIsNone(
+            self.server.admin_listener
+        )  # neither the file nor the environment has an address for it
+        for number, (path, value) in enumerate(INVALID_VALUES, 1):
+            self.file = replace_value({**valid_file, "discovery": "127.0.0.1:1"}, path, value)
+            with self.subTest(path, value=value), self.assertLogs("rosepick", "ERROR") as logs:
                 self.play("router reload")
-            (line,) = said.records
-            self.assertEqual(line.getMessage(), "config_reload_failed")
-            place = re.sub(r"\.\d", "", path.removeprefix("settings."))
-            self.assertIn(place, re.sub(r"\[\d?\]", "", str(vars(line)["fields"]["text"])))
-            self.assertIs(self.server.config, before)
+            (record,) = logs.records
+            self.assertEqual(record.getMessage(), "config_reload_failed")
+            location = re.sub(r"\.\d", "", path.removeprefix("settings."))
+            message = str(vars(record)["fields"]["text"])
+            self.assertIn(location, re.sub(r"\[\d?\]", "", message))
+            self.assertIs(self.server.config, config_before)
             self.assertEqual((self.server.reloads_succeeded, self.server.reloads_failed), (0, number))
-        self.file = usual
+        self.file = valid_file
         self.play("router reload\nrouter reload")
         self.assertEqual(self.server.reloads_succeeded, 2)
 
-    def test_a_file_that_is_cut_anywhere_is_none(self) -> None:
+    def test_a_file_truncated_anywhere_is_rejected(self) -> None:
         whole = json.dumps(self.file).encode()
         for cut in range(len(whole)):
             with self.assertRaises(ValueError):
