Capture: records written by one function each, replay and reading in modules of their own

Cause: each record could be written in two ways (a function of up to twelve arguments, and the record's method), the module of the format also read it, and the replay's module held the report and the sections too. Change: the recorder makes the records and their text() writes them; record_reader.py, replay_report.py and sections.py are new; CaptureConfig in place of four arguments. The functions format_arrival and its kin are removed: nothing else called them (searched by name in the program and its tests). Tests renamed.

--- a/rosepick/capture/__init__.py
+++ b/rosepick/capture/__init__.py
@@ -1,1 +1,1 @@
-"""The capture: what the module was fed and what it decided, as lines in a ring of bytes, and their replay."""
+"""The capture: a ring of what the decision module was fed and what it decided, and its replay."""
--- a/rosepick/capture/ring_buffer.py
+++ b/rosepick/capture/ring_buffer.py
@@ -1,4 +1,4 @@
-"""A ring of fixed segments that hold lines; the oldest gives way. It knows no file and no line's meaning."""
+"""A ring buffer of lines in segments of fixed size. It knows neither files nor what lines mean."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-MAX_HEADER_FRACTION = 0.5  # of a segment: what its header may take at most
+MAX_HEADER_FRACTION = 0.5  # of a segment, that its header may take
 
 
 class Position(NamedTuple):
-    """A place in all that was ever appended: the segment's number and the bytes before it there."""
+    """A position in all that was ever appended: the number of the segment, and the offset in bytes there."""
 
     segment: int
     offset: int
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True)
 class Segment:
-    """One segment; its bytes are made once and used again."""
+    """One segment; its bytes are allocated once and reused."""
 
     number: int
     data: bytearray
@@ -27,20 +27,28 @@
 
 
 class LineRing:
-    """Lines, the newest last. Each segment begins with a header, so that each can be read by itself."""
+    """Lines, the newest last; the oldest segment is evicted for a new one.
+
+    Each segment begins with a header, so that it can be read alone.
+    """
 
     def __init__(
         self, max_segments: int, segment_bytes: int, make_header: Callable[[LineRing, int], bytes]
     ) -> None:
-        """The header is asked for as a segment begins, and is told how many bytes it may take."""
-        self.max_segments, self.segment_bytes, self.make_header = max_segments, segment_bytes, make_header
+        """`make_header` returns the header of a segment that begins, of at most so many bytes."""
+        self.max_segments = max_segments
+        self.segment_bytes = segment_bytes
+        self._make_header = make_header
         self.segments: deque[Segment] = deque()
-        self.next_segment = 0  # of the segments that have begun
+        self.next_segment = 0  # its number; also how many have begun
         self.line_count = 0  # appended since the start, headers not among them
-        self.before_eviction: Callable[[], None] | None = None  # called before the oldest segment gives way
+        self.before_eviction: Callable[[], None] | None = None  # called before a segment begins
 
     def append(self, data: bytes, line_count: int = 1) -> bool:
-        """Take in whole lines that belong together; False, and nothing taken, if no segment can hold them."""
+        """Append whole lines that belong together.
+
+        Returns False, with nothing appended, if no segment can hold them.
+        """
         last = self.segments[-1] if self.segments else None
         if last is None or last.length + len(data) > self.segment_bytes:
             if len(data) > (1.0 - MAX_HEADER_FRACTION) * self.segment_bytes:
@@ -54,9 +62,9 @@
     def _begin_segment(self) -> Segment:
         if self.before_eviction is not None:
             self.before_eviction()
-        full = len(self.segments) == self.max_segments
-        data = self.segments.popleft().data if full else bytearray(self.segment_bytes)
-        header = self.make_header(self, int(MAX_HEADER_FRACTION * self.segment_bytes))
+        is_full = len(self.segments) == self.max_segments
+        data = self.segments.popleft().data if is_full else bytearray(self.segment_bytes)
+        header = self._make_header(self, int(MAX_HEADER_FRACTION * self.segment_bytes))
         segment = Segment(self.next_segment, data, len(header))
         data[: len(header)] = header
         self.next_segment += 1
@@ -64,30 +72,31 @@
         return segment
 
     def start_position(self) -> Position:
-        """Where the oldest line that is held begins."""
+        """Return the position of the oldest line."""
         return Position(self.segments[0].number, 0) if self.segments else Position(self.next_segment, 0)
 
     def end_position(self) -> Position:
-        """Behind the newest line."""
+        """Return the position behind the newest line."""
         last = self.segments[-1] if self.segments else Segment(self.next_segment, bytearray())
         return Position(last.number, last.length)
 
     def read(self, position: Position, limit: Position, max_bytes: int) -> tuple[memoryview, Position]:
-        """Whole lines from a place on, at most so many bytes, and where the next ones begin. Nothing at
-        `limit` or behind it; what has given way meanwhile is passed over.
+        """Return whole lines from a position on, and the position behind them.
+
+        At most `max_bytes` are returned, and nothing at `limit` or behind it. Evicted lines are skipped.
         """
         position = max(position, self.start_position())
         for segment in self.segments:
             if segment.number < position.segment:
                 continue
-            at = position.offset if segment.number == position.segment else 0
+            start = position.offset if segment.number == position.segment else 0
             end = limit.offset if segment.number == limit.segment else segment.length
             if segment.number > limit.segment:
                 break
-            if at >= end:
+            if start >= end:
                 continue
-            cut = min(end, at + max_bytes)
+            cut = min(end, start + max_bytes)
             if cut < end:
-                cut = segment.data.rfind(b"\n", at, cut) + 1
-            return memoryview(segment.data)[at:cut], Position(segment.number, cut)
+                cut = segment.data.rfind(b"\n", start, cut) + 1
+            return memoryview(segment.data)[start:cut], Position(segment.number, cut)
         return memoryview(b""), limit
--- a/rosepick/cli/replay.py
+++ b/rosepick/cli/replay.py
@@ -18,7 +18,7 @@
 
     Ends with 0 if nothing differs, with 1 if something does, and with 2 if the capture cannot be replayed.
     """
-    from ..capture.record_format import MalformedLineError, RecordReader
+    from ..capture.record_reader import MalformedLineError, RecordReader
     from ..capture.replay import ReplayError, replay
 
     try:
--- a/rosepick/net/capture_output.py
+++ b/rosepick/net/capture_output.py
@@ -15,7 +15,7 @@
 from functools import partial
 from pathlib import Path
 
-from ..capture.recorder import CaptureRecorder
+from ..capture.recorder import CaptureConfig, CaptureRecorder
 from ..capture.ring_buffer import LineRing, Position
 from ..http.server_protocol import client_fields
 from ..logs import log_event
@@ -51,7 +51,8 @@
     ) -> None:
         size = 1024 * operators.integer("capture_segment_kb")
         segments = operators.integer("capture_segments")
-        self.recorder = CaptureRecorder(segments, size, seed, unix_offset_ms, names, client_fields, uid_of)
+        capture_config = CaptureConfig(segments, size, seed, unix_offset_ms)
+        self.recorder = CaptureRecorder(capture_config, names, client_fields, uid_of)
         self.ring = self.recorder.ring
         self._loop = loop
         self._dump: CaptureDump | None = None
--- a/tests/golden_capture_forms.py
+++ b/tests/golden_capture_forms.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from rosepick.capture import record_format
-from rosepick.capture.recorder import CaptureRecorder
+from rosepick.capture.record_reader import RecordReader
+from rosepick.capture.recorder import CaptureConfig, CaptureRecorder
 from rosepick.capture.replay import replay
 from rosepick.core.engine import RequestContext, UpstreamAttempt
 from rosepick.core.request_counters import RequestOutcome
@@ -94,7 +95,7 @@
 def read_records(data: bytes) -> list[record_format.Record]:
     """Read a capture's records; log lines between them are passed over."""
     log_line = b"time=2026-01-01T00:00:00.000Z level=info part=net.server event=serving\n"
-    return [record for _, record in record_format.RecordReader(log_line + data)]
+    return [record for _, record in RecordReader(log_line + data)]
 
 
 def rewritten(data: bytes) -> bytes:
@@ -114,7 +115,9 @@
     def words(payload: object) -> tuple[bytes, bytes, bytes]:
         return b"id %d" % (payload if isinstance(payload, int) else 0), b"key", b"0.500"
 
-    recorder = CaptureRecorder(3, 2048, 7, 1_700_000_000_000.0, NAMES, words, lambda server: f"s-{server}")
+    recorder = CaptureRecorder(
+        CaptureConfig(3, 2048, 7, 1_700_000_000_000.0), NAMES, words, lambda server: f"s-{server}"
+    )
     for number in range(3):
         for scope in ("full", "delta", "failed"):
             recorder.on_event(
@@ -152,7 +155,7 @@
     for name, limits in (("unchanged", {}), ("one attempt", {"max_attempts": 1})):
         document = router_document({**SETTINGS, "limits": {**SETTINGS["limits"], **limits}})
         told = config.read(document)
-        found[name] = list(replay([record_format.RecordReader(capture)], told.settings, told.names).lines())
+        found[name] = list(replay([RecordReader(capture)], told.settings, told.names).lines())
     return found
 
 
