--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -1,4 +1,4 @@
-"""The account of a day: what the engine enters, what is read out of logs, what is shown."""
+"""The account of a day: what the engine counts, what is read from logs, and what is shown."""
 
 from __future__ import annotations
 
@@ -35,15 +35,15 @@
 
 def line(at: float, event: str, stamp: bool = True, **figures: object) -> str:
     """A router's line, with the bench's stamp in front or without."""
-    told = " ".join(f"{name}={value}" for name, value in figures.items())
-    return (f"{at:.3f} " if stamp else "") + BEGIN.format(at) + event + (f" {told}" if told else "")
+    fields = " ".join(f"{name}={value}" for name, value in figures.items())
+    return (f"{at:.3f} " if stamp else "") + BEGIN.format(at) + event + (f" {fields}" if fields else "")
 
 
 def outcomes(at: float, klass: str, stamp: bool = True, **figures: object) -> str:
     return line(at, "request_outcomes", stamp, **{"class": klass}, **figures)
 
 
-class Reads(unittest.TestCase):
+class ReadLogsTest(unittest.TestCase):
     """Logs of several routers, in part damaged."""
 
     def setUp(self) -> None:
@@ -71,37 +71,37 @@
             self.write(
                 "n1", line(0.5, "serving", stamp), outcomes(5.5, "write", stamp, worth=6.0, client_gone=1)
             )
-            found = build_account(read_logs([self.folder]), parse_day_report(PRINTED))
+            account = build_account(read_logs([self.folder]), parse_day_report(PRINTED))
             with self.subTest(stamp=stamp):
-                self.assertEqual((found.routers, found.starts, found.asked), (2, 3, 18))
-                self.assertAlmostEqual(found.in_time, 10 / 18)
-                self.assertAlmostEqual(found.worth, 30 / 57)
+                self.assertEqual((account.routers, account.starts, account.asked), (2, 3, 18))
+                self.assertAlmostEqual(account.in_time, 10 / 18)
+                self.assertAlmostEqual(account.worth, 30 / 57)
                 self.assertEqual(
-                    [(c.name, c.count, c.worth) for c in found.causes],
+                    [(c.name, c.count, c.worth) for c in account.causes],
                     [
                         ("refused_too_slow", 7, 21.0),
                         ("client_gone", 1, 6.0),
                     ],
                 )
-                self.assertAlmostEqual(found.causes[0].waited, 120 / 7)
+                self.assertAlmostEqual(account.causes[0].waited, 120 / 7)
                 self.assertEqual(
-                    [(row.name, row.asked) for row in found.slices],
+                    [(row.name, row.asked) for row in account.slices],
                     [
                         ("0 s", 11),
                         ("5 s", 6),
                         ("10 s", 1),
                     ],
                 )
-                self.assertEqual([row.asked for row in found.groups], [18])
-                self.assertAlmostEqual(found.prices["cross_zone_attempts"], 5 / 18)
-                self.assertEqual(found.printed.prices, {"cross_zone": 0.0478, "handshake": 0.015})  # type: ignore[union-attr]
+                self.assertEqual([row.asked for row in account.groups], [18])
+                self.assertAlmostEqual(account.prices["cross_zone_attempts"], 5 / 18)
+                self.assertEqual(account.printed.prices, {"cross_zone": 0.0478, "handshake": 0.015})  # type: ignore[union-attr]
         console = Console(width=200, file=StringIO())
-        for made in format_tables(found):
-            console.print(made)
+        for table in format_tables(account):
+            console.print(table)
         for text in ("expected to be too late (read 7)", "55.6% in time", "price: handshake", "0.4790"):
             self.assertIn(text, console.file.getvalue())  # type: ignore[attr-defined]
 
-    def test_busy_routers_stand_apart_and_nothing_to_read_is_one_plain_line(self) -> None:
+    def test_busy_routers_are_a_group_and_no_logs_are_an_error(self) -> None:
         for place in range(10):
             self.write(
                 f"n{place}", outcomes(5, "read", served=90 if place == 3 else 1, refused_queue_timeout=1)
@@ -117,7 +117,7 @@
         self.assertEqual(parse_day_report("nothing of a day"), parse_day_report(""))
 
 
-class OldLogs(unittest.TestCase):
+class OldLogsTest(unittest.TestCase):
     """Logs in the words of before 0.3.0 are read like those of today."""
 
     def account(self, text: str) -> LossAccount:
@@ -189,10 +189,10 @@
         self.assertFalse(line_has_event("replica_voting", "replica_voting"))
 
 
-class Enters(Scenario):
-    """What the engine enters while it serves."""
+class RequestCountersTest(Scenario):
+    """What the engine counts while it serves."""
 
-    def test_ends_have_their_cause_and_the_time_until_then(self) -> None:
+    def test_outcomes_have_their_cause_and_the_time_until_then(self) -> None:
         self.play("""
             c1 send GET /api/a Req-Deadline=1.000
             s1 expect GET /api/a
@@ -204,10 +204,10 @@
             wait 1001
             c1 expect 504
         """)
-        told = next(self.server.engine.request_counters.iter_log_fields({0: "read"}, {0: 3.0}))
-        self.assertEqual((told["class"], told["worth"], told["served_late"]), ("read", 3.0, 1))
-        self.assertTrue(700 <= int(str(told["served_late_ms"])) < 750)
+        fields = next(self.server.engine.request_counters.iter_log_fields({0: "read"}, {0: 3.0}))
+        self.assertEqual((fields["class"], fields["worth"], fields["served_late"]), ("read", 3.0, 1))
+        self.assertTrue(700 <= int(str(fields["served_late_ms"])) < 750)
         self.assertEqual(
-            [told[name] for name in told if name[:18] == "deadline_exceeded_" and name[-3:] != "_ms"], [1]
+            [fields[name] for name in fields if name[:18] == "deadline_exceeded_" and name[-3:] != "_ms"], [1]
         )
         self.assertEqual(next(self.server.engine.request_counters.iter_log_fields({}, {}))["class"], "0")
