Replay: one look-up of an attempt in flight

Cause: the same look-up stood twice, for a recorded outcome and for a cancel. Change: ReplayedRequest.attempt_in_flight.

--- a/rosepick/capture/replay.py
+++ b/rosepick/capture/replay.py
@@ -183,10 +183,8 @@
         """End the attempt of that number with the recorded outcome, if it is in flight now."""
         self._ended_attempts.add((record.ref, record.attempt))
         request = self._requests.get(record.ref)
-        if request is None or record.attempt >= len(request.attempts):
-            return
-        attempt = request.attempts[record.attempt]
-        if not attempt.in_flight:
+        attempt = None if request is None else request.attempt_in_flight(record.attempt)
+        if request is None or attempt is None:
             return
         if record.result in _ROUTER_RESULTS and not attempt.is_cancelled:
             self._schedule_timeout(request, attempt)
@@ -299,10 +297,8 @@
 
     def _cancel(self, action: api.Cancel) -> None:
         request = self._requests.get(action.ref)
-        if request is None or action.attempt >= len(request.attempts):
-            return
-        attempt = request.attempts[action.attempt]
-        if not attempt.in_flight:
+        attempt = None if request is None else request.attempt_in_flight(action.attempt)
+        if request is None or attempt is None:
             return
         attempt.is_cancelled = True
         if not self._is_cancel_recorded(action):
--- a/rosepick/capture/replay_report.py
+++ b/rosepick/capture/replay_report.py
@@ -36,6 +36,12 @@
     status: int | None = None  # of the answer in the replay
     answered_at: float = 0.0
 
+    def attempt_in_flight(self, number: int) -> ReplayedAttempt | None:
+        """Return the attempt of that number, if it has been sent and has not ended."""
+        if number >= len(self.attempts) or not self.attempts[number].in_flight:
+            return None
+        return self.attempts[number]
+
     def is_different(self, capture_end: float) -> bool:
         """Whether the decisions differ, in a capture that ends at that time.
 
