Rewrite the core package: requests, ports, clock and observed engine in modules of their own

Change: `RequestContext`, `UpstreamAttempt` and `DownstreamPort` are in core/request_context.py, the other interfaces in core/ports.py and core/clock.py, `ObservedEngine` in core/observed_engine.py (with the engine's logger, so its log lines are the same). Docstrings and locals use the glossary's terms; one step a line. `EndpointDirectory.numbers_by_uid` is `ids_by_uid`. No step was added per request: `finish_attempt` keeps six parameters, as a parameter object would cost each attempt an allocation.

--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from ..core.engine import RequestContext
+from ..core.request_context import RequestContext
 from ..core.request_counters import RequestOutcome
 from ..decisions import api
 from ..decisions.api import Endpoint, Status, UpdateScope
--- a/rosepick/core/__init__.py
+++ b/rosepick/core/__init__.py
@@ -1,1 +1,1 @@
-"""What every front goes through: envelopes, delivery attempts, the transport map, what must hold. No I/O."""
+"""The protocol-neutral core: requests, attempts, the endpoint list, body streams and invariants. No I/O."""
--- a/rosepick/core/endpoint_directory.py
+++ b/rosepick/core/endpoint_directory.py
@@ -1,6 +1,6 @@
-"""The transport map: discovery's list, turned into the module's members and the next hops' addresses.
+"""The endpoint directory: discovery's list, turned into the module's endpoints and their addresses.
 
-Numbers come from a stable hash, so that all routers rank the same next hops alike.
+Endpoint ids come from a stable hash, so that all routers rank the same endpoints alike.
 """
 
 from __future__ import annotations
@@ -14,14 +14,17 @@
 
 _STATUS_BY_NAME = {"active": api.Status.READY, "leaving": api.Status.DRAINING, "left": api.Status.REMOVED}
 
+# The start time of an endpoint that started before the clock's zero: not 0, which reads as "long ago".
+_MIN_START_MS = 1e-3
+
 
 def hash_key(key: bytes) -> int:
-    """A path's key as a non-zero u64; 0 stands for no key."""
+    """Return the hash of a path's key: a non-zero u64, or 0 for an empty key."""
     return _nonzero_digest(blake2b(key, digest_size=8)) if key else 0
 
 
 def hash_uid(uid: str, salt: int = 0) -> int:
-    """A next hop's uid as a non-zero u32: the module takes 0 for none."""
+    """Return the hash of an endpoint's uid: a non-zero u32, as the module takes 0 for none."""
     return _nonzero_digest(blake2b(uid.encode(), digest_size=4, key=salt.to_bytes(4, "big")))
 
 
@@ -31,69 +34,84 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
-    """Where a next hop is, as last told."""
+    """An endpoint as last notified by discovery."""
 
     endpoint_id: int
     uid: str
     address: tuple[str, int]
     status: api.Status
-    started_at: float
+    started_at: float  # milliseconds of the event loop's clock; 0 if long ago
     zone: int = 0
     kind: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class DirectoryUpdate:
-    """What a list told: the module's event, and the next hops whose idle connections are of no more use."""
+    """An applied update: the module's event, and the endpoints whose idle connections are to be closed."""
 
     event: api.EndpointUpdate
     retired_endpoint_ids: tuple[int, ...]
 
 
 class EndpointDirectory:
-    """The next hops as told so far."""
+    """The endpoints as notified by discovery so far.
+
+    Args:
+        names: the indexes of zones and endpoint kinds by name.
+        unix_offset_ms: Unix time less the event loop's clock, milliseconds.
+    """
 
     def __init__(self, names: NameIndexes, unix_offset_ms: float) -> None:
         self.names = names
-        self.unix_offset_ms = unix_offset_ms  # Unix time less the loop's clock, milliseconds
+        self.unix_offset_ms = unix_offset_ms
         self.endpoints: dict[int, EndpointEntry] = {}
-        self.numbers_by_uid: dict[str, int] = {}
+        self.ids_by_uid: dict[str, int] = {}
         self.revision = 0
 
     def uid_of(self, endpoint_id: int) -> str | None:
-        """The uid of a next hop that is known now."""
-        hop = self.endpoints.get(endpoint_id)
-        return None if hop is None else hop.uid
+        """Return the uid of an endpoint, or None if the id is not known."""
+        entry = self.endpoints.get(endpoint_id)
+        return None if entry is None else entry.uid
 
     def apply_update(self, update: SettingsReader, is_cached: bool = False) -> DirectoryUpdate:
-        """Apply a list or its changes. ValueError, and nothing applied, if it is malformed."""
-        revision, whole = update.integer("rev", 0), update.boolean("all")
+        """Apply a full list or a change of it.
+
+        Args:
+            update: the document of discovery.
+            is_cached: whether it comes from the settings file rather than from discovery.
+
+        Raises:
+            ValueError: the document is malformed; nothing was applied.
+        """
+        revision = update.integer("rev", 0)
+        is_full = update.boolean("all")
         rows = [(self._parse_endpoint(row), row) for row in update.rows("targets")]
-        members = tuple(self._to_api_endpoint(hop, row) for hop, row in rows)
-        before = dict(self.endpoints)
-        if whole:
+        api_endpoints = tuple(self._to_api_endpoint(entry, row) for entry, row in rows)
+        previous = dict(self.endpoints)
+        if is_full:
             self.endpoints = {}
-        for hop, _ in rows:
-            self.endpoints[hop.endpoint_id] = hop
-            if hop.status is api.Status.REMOVED:
-                del self.endpoints[hop.endpoint_id]
-        self.numbers_by_uid = {hop.uid: hop.endpoint_id for hop in self.endpoints.values()}
+        for entry, _ in rows:
+            self.endpoints[entry.endpoint_id] = entry
+            if entry.status is api.Status.REMOVED:
+                del self.endpoints[entry.endpoint_id]
+        self.ids_by_uid = {entry.uid: entry.endpoint_id for entry in self.endpoints.values()}
         self.revision = revision
-        scope = (
-            api.UpdateScope.CACHED if is_cached else api.UpdateScope.FULL if whole else api.UpdateScope.DELTA
-        )
-        return DirectoryUpdate(
-            api.EndpointUpdate(scope, members, revision), tuple(self._find_retired(before))
-        )
+        if is_cached:
+            scope = api.UpdateScope.CACHED
+        else:
+            scope = api.UpdateScope.FULL if is_full else api.UpdateScope.DELTA
+        event = api.EndpointUpdate(scope, api_endpoints, revision)
+        return DirectoryUpdate(event, tuple(self._find_retired(previous)))
 
     def _find_retired(self, previous: dict[int, EndpointEntry]) -> list[int]:
+        """Return the ids of endpoints that are gone, not ready, restarted or at another address."""
         return [
-            server
-            for server, hop in previous.items()
-            if (now := self.endpoints.get(server)) is None
-            or now.status is not api.Status.READY
-            or now.started_at != hop.started_at
-            or now.address != hop.address
+            endpoint_id
+            for endpoint_id, entry in previous.items()
+            if (current := self.endpoints.get(endpoint_id)) is None
+            or current.status is not api.Status.READY
+            or current.started_at != entry.started_at
+            or current.address != entry.address
         ]
 
     def _parse_endpoint(self, row: SettingsReader) -> EndpointEntry:
@@ -102,26 +120,26 @@
             raise ValueError(
                 f"setting {row.path_of('state')} is {state!r}, not one of {', '.join(_STATUS_BY_NAME)}"
             )
-        boot = row.number("boot_ms", 0.0)
-        # never 0 for a start that was told, which would read as 'long ago', nor less
-        born = max(1e-3, boot - self.unix_offset_ms) if boot > 0 else 0.0
+        boot_unix_ms = row.number("boot_ms", 0.0)
+        started_at = max(_MIN_START_MS, boot_unix_ms - self.unix_offset_ms) if boot_unix_ms > 0 else 0.0
         uid = row.text("uid")
-        endpoint = row.parsed("endpoint", parse_address, ADDRESS_FORMAT, ("", 0))
+        address = row.parsed("endpoint", parse_address, ADDRESS_FORMAT, ("", 0))
         zone = self.names.zones.get(row.text("az"), len(self.names.zones))
         kind = self.names.kinds.get(row.text("model"), len(self.names.kinds))
+        # assigned last: a malformed row must not take an id
         return EndpointEntry(
-            self._assign_number(uid), uid, endpoint, _STATUS_BY_NAME[state], born, zone, kind
+            self._assign_id(uid), uid, address, _STATUS_BY_NAME[state], started_at, zone, kind
         )
 
-    def _assign_number(self, uid: str) -> int:
-        """Its number; the next salt's where another uid has that one already."""
+    def _assign_id(self, uid: str) -> int:
+        """Return the endpoint's id: its hash, with the next salt while another uid has that id."""
         salt = 0
-        while (found := self.numbers_by_uid.get(uid)) is None:
-            number = hash_uid(uid, salt)
-            if number not in self.numbers_by_uid.values():
-                self.numbers_by_uid[uid] = number
+        while (assigned := self.ids_by_uid.get(uid)) is None:
+            endpoint_id = hash_uid(uid, salt)
+            if endpoint_id not in self.ids_by_uid.values():
+                self.ids_by_uid[uid] = endpoint_id
             salt += 1
-        return found
+        return assigned
 
     def _to_api_endpoint(self, entry: EndpointEntry, row: SettingsReader) -> api.Endpoint:
         return api.Endpoint(
--- a/rosepick/core/invariants.py
+++ b/rosepick/core/invariants.py
@@ -1,4 +1,4 @@
-"""What must hold: asserted in debug builds, counted and logged under `python -O`."""
+"""Invariants: asserted in debug builds, counted and logged under `python -O`."""
 
 from __future__ import annotations
 
@@ -9,11 +9,22 @@
 
 logger = logging.getLogger(__name__)
 violation_counts: Counter[str] = Counter()
-"""How often each invariant was found broken since the start."""
+"""How often each invariant was violated since the start, by its name."""
 
 
 def check_invariant(condition: bool, name: str, **context: object) -> bool:
-    """Whether an invariant holds. The caller must cope with a False: release builds go on."""
+    """Return whether an invariant holds; count and log a violation.
+
+    The caller must cope with False, as release builds go on.
+
+    Args:
+        condition: whether the invariant holds.
+        name: the name of the invariant.
+        **context: further fields of the log line.
+
+    Raises:
+        AssertionError: the invariant is violated, and this is a debug build.
+    """
     if condition:
         return True
     violation_counts[name] += 1
--- /dev/null
+++ b/rosepick/core/request_context.py
@@ -0,0 +1,79 @@
+"""Requests that are in progress, their attempts, and the interface of who handed them in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..decisions import api
+from .clock import TimerHandle
+
+
+class DownstreamPort(Protocol):
+    """Who handed a request in. It gets exactly one of these calls, unless it has disconnected."""
+
+    def send_response(self, request: RequestContext, response: object) -> None:
+        """Forward an upstream's response as it is."""
+
+    def start_response_stream(self, request: RequestContext, response: object) -> None:
+        """Begin to forward an upstream's response as it arrives.
+
+        The port reports the end of it by `Engine.end_response_stream`, unless its client disconnects.
+        """
+
+    def send_refusal(self, request: RequestContext, retry_after_ms: float) -> None:
+        """Refuse the request; a retry is harmless, best after `retry_after_ms` milliseconds."""
+
+    def send_failure(self, request: RequestContext, timed_out: bool) -> None:
+        """Fail the request, because its deadline passed or for another reason."""
+
+    def send_internal_error(self, request: RequestContext) -> None:
+        """Fail the request because of a fault of this program."""
+
+
+@dataclass(slots=True, eq=False)
+class RequestContext:
+    """A request from its arrival until its final answer and the end of its last attempt.
+
+    Times are milliseconds of the event loop's clock.
+    """
+
+    class_index: int
+    deadline: float
+    key: int = 0
+    tenant_index: int = 0
+    is_write: bool = False
+    is_retry: bool = False
+    cost_hint: float | None = None
+    payload: object = None  # the protocol adapter's own form of the request, for its upstreams
+    ref: int = 0  # the engine's number of the request
+    downstream: DownstreamPort | None = None
+    is_finished: bool = False
+    is_partial: bool = False  # its last byte has not arrived; the deadline is provisional
+    response_started: bool = False  # a response is being forwarded
+    limits: api.RouterLimits = field(default_factory=api.RouterLimits)  # as of its arrival
+    attempts: list[UpstreamAttempt] = field(default_factory=list)
+    watchdog_timer: TimerHandle | None = None
+    started_at: float = 0.0  # when its time began to count
+
+    def awaits_response(self) -> bool:
+        """Return whether its final answer is due.
+
+        Guards against a second answer while a response is being forwarded.
+        """
+        return not (self.is_finished or self.response_started)
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamAttempt:
+    """One sending of a request to one endpoint. Times are milliseconds of the event loop's clock."""
+
+    request: RequestContext
+    number: int  # its position among the attempts of the request
+    endpoint_id: int
+    sent_at: float
+    stop_at: float  # when it times out
+    begin_by: float  # its first byte is not to be written later than this
+    is_in_flight: bool = True
+    is_fully_written: bool = False  # its last byte was written: only from then on can it be executed
+    timeout_timer: TimerHandle | None = None
--- a/rosepick/core/request_counters.py
+++ b/rosepick/core/request_counters.py
@@ -1,7 +1,7 @@
-"""How envelopes ended and to what they were lost: an account by class, end and cause, in counts and in time.
+"""Counters of finished requests by class, outcome and cause, with the time that they took.
 
-It holds two numbers for each of them, whatever the traffic, and goes into the log as figures since the start,
-so that whoever reads two lines has what lay between them.
+There are two numbers for each combination, whatever the traffic. They are logged as totals since the start,
+so that the difference of two log lines is what happened between them.
 """
 
 from __future__ import annotations
@@ -12,48 +12,61 @@
 
 
 class RequestOutcome(Enum):
-    """How an envelope ended."""
+    """How a request ended."""
 
     SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
-    TIMED_OUT = "late"  # failed, as its time was over
-    CLIENT_GONE = "gone"  # its sender side has left
-    INTERNAL_ERROR = "broke"  # by a fault of this program
+    TIMED_OUT = "late"  # failed at its deadline
+    CLIENT_GONE = "gone"  # the client disconnected first
+    INTERNAL_ERROR = "broke"  # failed by a fault of this program
 
 
 class RequestCounters:
-    """Ends by class and name; a name is the end's, and the cause's behind a `_` where there is one."""
+    """Totals by class index and label: the outcome's value, followed by `_` and the cause if there is one."""
 
     def __init__(self) -> None:
         self.counts: Counter[tuple[int, str]] = Counter()
-        self.total_ms: Counter[tuple[int, str]] = Counter()  # milliseconds until then, in all
+        self.total_ms: Counter[tuple[int, str]] = Counter()  # sum of the requests' durations, milliseconds
 
     def record(self, class_index: int, outcome: RequestOutcome, cause: str, elapsed_ms: float) -> None:
-        """An envelope has its end, so many milliseconds after it came."""
+        """Count a finished request.
+
+        Args:
+            class_index: the index of its request class.
+            outcome: how it ended.
+            cause: why it ended so, or "".
+            elapsed_ms: milliseconds from its arrival to its end.
+        """
         key = class_index, f"{outcome.value}_{cause}" if cause else outcome.value
         self.counts[key] += 1
         self.total_ms[key] += elapsed_ms  # type: ignore[assignment]
 
     def counts_by_outcome(self) -> Counter[tuple[int, RequestOutcome]]:
-        """Ends by class, whatever their causes."""
-        found: Counter[tuple[int, RequestOutcome]] = Counter()
-        for (klass, name), count in self.counts.items():
-            found[klass, RequestOutcome(name.partition("_")[0])] += count
-        return found
+        """Return the counts by class index and outcome, whatever the causes."""
+        totals: Counter[tuple[int, RequestOutcome]] = Counter()
+        for (class_index, label), count in self.counts.items():
+            totals[class_index, RequestOutcome(label.partition("_")[0])] += count
+        return totals
 
     def iter_log_fields(
         self, names: Mapping[int, str], worths: Mapping[int, float]
     ) -> Iterator[dict[str, object]]:
-        """For each class that has ends: its name, the worth of a request, counts by name, and beside each the
-        milliseconds in all, under the name with `_ms`.
+        """Yield the log fields of each class that has finished requests.
+
+        These are its name, the worth of a request, the count of each label and, under the label with `_ms`
+        appended, the milliseconds in all.
+
+        Args:
+            names: the names of classes by index.
+            worths: the worth of a request by class index.
         """
-        for place in sorted({klass for klass, _ in self.counts}):
-            found: dict[str, object] = {
-                "class": names.get(place, str(place)),
-                "worth": float(worths.get(place, 0.0)),
+        for class_index in sorted({index for index, _ in self.counts}):
+            fields: dict[str, object] = {
+                "class": names.get(class_index, str(class_index)),
+                "worth": float(worths.get(class_index, 0.0)),
             }
-            for name in sorted(name for klass, name in self.counts if klass == place):
-                found[name] = self.counts[place, name]
-                found[f"{name}_ms"] = int(self.total_ms[place, name])
-            yield found
+            for label in sorted(label for index, label in self.counts if index == class_index):
+                fields[label] = self.counts[class_index, label]
+                fields[f"{label}_ms"] = int(self.total_ms[class_index, label])
+            yield fields
--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -11,7 +11,7 @@
 
 from ..core.body_stream import BodyStream, BufferBudget
 from ..core.endpoint_directory import hash_key
-from ..core.engine import RequestContext
+from ..core.request_context import RequestContext
 from ..settings.config import NameIndexes
 
 MAX_BODY_BYTES = 36 * 1024 * 1024
--- a/rosepick/lab/model/clients.py
+++ b/rosepick/lab/model/clients.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ...core.engine import RequestContext
+from ...core.request_context import RequestContext
 from ...decisions import api
 from ..experiment import Experiment
 from ..measure import Measure
--- a/rosepick/lab/model/simulated_router.py
+++ b/rosepick/lab/model/simulated_router.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass, field
 
 from ...connections.keep_alive import KeepAliveController
-from ...core.engine import DecisionModule, Engine, RequestContext, UpstreamAttempt
+from ...core.engine import Engine
+from ...core.ports import DecisionModule
+from ...core.request_context import RequestContext, UpstreamAttempt
 from ...decisions import api
 from ...decisions.api import Result
 from ..experiment import RoutersConfig
--- a/rosepick/lab/model/simulation.py
+++ b/rosepick/lab/model/simulation.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from math import inf
 
-from ...core.engine import DecisionModule
+from ...core.ports import DecisionModule
 from ...decisions import api
 from ...decisions.api import Result, Status
 from ..experiment import Experiment, NodeGroupConfig
--- a/rosepick/lab/policies/__init__.py
+++ b/rosepick/lab/policies/__init__.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from ...core.engine import DecisionModule
+from ...core.ports import DecisionModule
 from ...decisions import api
 from ...decisions.decide import Router
 from .base import BaselinePolicy
--- a/rosepick/lab/sim.py
+++ b/rosepick/lab/sim.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..core.engine import DecisionModule
+from ..core.ports import DecisionModule
 from ..decisions import api
 from .experiment import Experiment
 from .measure import Measure
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -8,7 +8,7 @@
 
 from ..connections.connection_table import CloseReason, ConnectionRecord, ConnectionState
 from ..core.body_stream import BodyStream
-from ..core.engine import RequestContext
+from ..core.request_context import RequestContext
 from ..http.client_protocol import StreamedResponse
 from ..http.response import Response
 from ..http.server_protocol import (
--- a/rosepick/net/process_handover.py
+++ b/rosepick/net/process_handover.py
@@ -8,7 +8,7 @@
 import os
 from collections.abc import Callable
 
-from ..core.engine import DecisionModule
+from ..core.ports import DecisionModule
 from ..decisions.decide import Router
 from ..logs import log_event
 from ..upgrade.process_share import ProcessShare
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -14,7 +14,8 @@
 from ..connections.connection_table import CloseReason, ConnectionState
 from ..connections.policy import NEW_CONNECTION_GRACE_MS
 from ..core.endpoint_directory import EndpointDirectory
-from ..core.engine import Engine, ObservedEngine
+from ..core.engine import Engine
+from ..core.observed_engine import ObservedEngine
 from ..decisions import api
 from ..decisions.decide import Router
 from ..logs import log_event
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -13,7 +13,8 @@
 from ..connections.keep_alive import KeepAliveController
 from ..core.body_stream import BodyStream
 from ..core.endpoint_directory import EndpointDirectory, EndpointEntry
-from ..core.engine import Engine, UpstreamAttempt
+from ..core.engine import Engine
+from ..core.request_context import UpstreamAttempt
 from ..decisions.api import Result, Status
 from ..http.client_protocol import AttemptResult, HttpExchange, StreamedResponse
 from ..http.server_protocol import ForwardedRequest
--- a/tests/golden_capture_forms.py
+++ b/tests/golden_capture_forms.py
@@ -13,7 +13,7 @@
 from rosepick.capture import record_format
 from rosepick.capture.recorder import CaptureRecorder
 from rosepick.capture.replay import replay
-from rosepick.core.engine import RequestContext, UpstreamAttempt
+from rosepick.core.request_context import RequestContext, UpstreamAttempt
 from rosepick.core.request_counters import RequestOutcome
 from rosepick.decisions import api
 from rosepick.decisions.decide import Router
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -22,7 +22,7 @@
 from rosepick.capture.recorder import CaptureRecorder
 from rosepick.capture.replay import ReplayReport, replay
 from rosepick.capture.ring_buffer import LineRing, Position
-from rosepick.core.engine import RequestContext
+from rosepick.core.request_context import RequestContext
 from rosepick.core.request_counters import RequestOutcome
 from rosepick.decisions import api
 from rosepick.decisions.api import Endpoint, Status, UpdateScope
--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -14,7 +14,7 @@
 import numpy as np
 import pytest
 
-from rosepick.core.engine import UpstreamAttempt
+from rosepick.core.request_context import UpstreamAttempt
 from rosepick.decisions.api import Result
 from rosepick.lab import experiment, paper, sim, theory
 from rosepick.lab.measure import Measure
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -100,7 +100,7 @@
     def test_numbers_that_collide(self) -> None:
         map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
         taken = endpoint_directory.hash_uid("s2")
-        map_.numbers_by_uid["another"] = taken
+        map_.ids_by_uid["another"] = taken
         (member,) = self.take(map_, False, target("s2", 1)).event.endpoints
         self.assertNotIn(member.endpoint_id, (0, taken))
 
