--- a/rosepick/attempt_timeouts/__init__.py
+++ b/rosepick/attempt_timeouts/__init__.py
@@ -1,1 +1,1 @@
-"""When to stop waiting for an attempt. No I/O, no clock, no randomness; standard library only."""
+"""Adaptive timeouts of attempts and connects. No I/O, no clock, no randomness; standard library only."""
--- a/rosepick/attempt_timeouts/connect_timeout.py
+++ b/rosepick/attempt_timeouts/connect_timeout.py
@@ -1,36 +1,39 @@
-"""How long to wait for a connection to come up: some times what is usual, long before the platform's limit.
+"""How long to wait for a connect: a multiple of what is usual, long before the platform's limit.
 
-Most connections come up within a round trip or two. One that does not has met a machine that says nothing,
-and the system sends its first packet again only after a second: waiting on is waiting for nothing. One that
-was given up says only that it would have taken longer: what is waited for doubles with each, up to the
-platform's limit, or else a hop that became slower would be cut each time and nobody would ever know.
+Most connects succeed within a round trip or two. One that does not was sent to a machine that is silent, and
+the system repeats its first packet only after a second, so waiting longer gains nothing. An abandoned connect
+shows only that it would have taken longer: the timeout doubles with each, up to the platform's limit. Without
+that, an endpoint that became slower would be cut off each time and its new pace would never be measured.
 """
 
 from __future__ import annotations
 
-TIMEOUT_FACTOR = 8.0  # what a slow one of those that came up took ...
-# ... and never less than this, in milliseconds: a loop that is busy is late itself
-MIN_CONNECT_TIMEOUT_MS = 60.0
-SLOWEST_DECAY = 0.98  # what a slow one took, with each that came up after it
+TIMEOUT_FACTOR = 8.0  # the timeout as a multiple of the slowest recent connect
+MIN_CONNECT_TIMEOUT_MS = 60.0  # a busy event loop is late itself
+SLOWEST_DECAY = 0.98  # factor on the slowest recent connect with each further one
 
 
 class ConnectTimeout:
-    """The patience towards one next hop. Times are milliseconds."""
+    """The connect timeout of one endpoint. Times are milliseconds.
+
+    Args:
+        max_timeout_ms: the platform's limit.
+    """
 
     def __init__(self, max_timeout_ms: float) -> None:
         self.max_timeout_ms = max_timeout_ms
-        self._slowest_recent_ms = 0.0  # the longest of late; 0 before any came up
+        self._slowest_recent_ms = 0.0  # 0 before any connect succeeded
 
     def record_connected(self, elapsed_ms: float) -> None:
-        """A connection came up."""
+        """Learn from a connect that succeeded."""
         self._slowest_recent_ms = max(elapsed_ms, SLOWEST_DECAY * self._slowest_recent_ms)
 
     def record_timeout(self) -> None:
-        """One was given up."""
+        """Learn from a connect that was abandoned: the next timeout is twice as long."""
         self._slowest_recent_ms = 2.0 * self.timeout_ms() / TIMEOUT_FACTOR
 
     def timeout_ms(self) -> float:
-        """How long to wait for one that is begun now."""
+        """Return the timeout of a connect that starts now."""
         if not self._slowest_recent_ms:
             return self.max_timeout_ms
         return min(self.max_timeout_ms, max(MIN_CONNECT_TIMEOUT_MS, TIMEOUT_FACTOR * self._slowest_recent_ms))
--- a/rosepick/attempt_timeouts/timeout_budget.py
+++ b/rosepick/attempt_timeouts/timeout_budget.py
@@ -1,33 +1,35 @@
-"""What restarts may cost: a part of the traffic, and what those brought that were won."""
+"""The budget of abandoned attempts: earned by requests, and refunded by abandonments that paid off."""
 
 from __future__ import annotations
 
-# restarts earned by a request: without any that is won they stay a tenth of the traffic
+# Tokens that a request earns. If no abandonment pays off, a tenth of the traffic at most is abandoned.
 TOKENS_PER_REQUEST = 0.1
 MAX_TOKENS = 8.0
-TOKENS_PER_SUCCESS = 1.0  # a restart that was answered in time gives back what it took
+TOKENS_PER_SUCCESS = 1.0  # refunded for a request that was answered in time after an abandoned attempt
 
 
 class TimeoutBudget:
-    """Restarts of one router. Guards against a slow fleet that is answered with restarts: where none is won
-    they soon end, and where they help they pay for themselves.
+    """A token bucket: abandoning an attempt for another one costs a token.
+
+    Guards against answering a slow fleet with more attempts. Where none of them succeeds the tokens run out
+    soon, and where they help they pay for themselves.
     """
 
     def __init__(self) -> None:
         self.tokens = MAX_TOKENS
 
     def record_request(self) -> None:
-        """A request came."""
+        """Add what a request earns."""
         self.tokens = min(MAX_TOKENS, self.tokens + TOKENS_PER_REQUEST)
 
     def has_token(self) -> bool:
-        """Whether there is one left."""
+        """Return whether an attempt may be abandoned."""
         return self.tokens >= 1.0
 
     def spend(self) -> None:
-        """One was made."""
+        """Take a token for an abandoned attempt."""
         self.tokens -= 1.0
 
     def record_success(self) -> None:
-        """One was answered in time."""
+        """Refund a token: a request was answered in time after an abandoned attempt."""
         self.tokens = min(MAX_TOKENS, self.tokens + TOKENS_PER_SUCCESS)
