--- a/rosepick/net/process_handover.py
+++ b/rosepick/net/process_handover.py
@@ -12,7 +12,8 @@
 from ..decisions.decide import Router
 from ..logs import log_event
 from ..upgrade.process_share import ProcessShare
-from ..upgrade.state_transfer import export_state, exported_at, import_state
+from ..upgrade.state_document import exported_at
+from ..upgrade.state_transfer import export_state, import_state
 from .event_loop import EventLoop
 from .process_registry import open_registry
 
--- a/rosepick/upgrade/__init__.py
+++ b/rosepick/upgrade/__init__.py
@@ -1,1 +1,1 @@
-"""Two processes of one router during an upgrade: when to take clients, and which share to hold. No I/O."""
+"""Two processes of one router during an upgrade: readiness, shares of limits, transfer of state. No I/O."""
--- a/rosepick/upgrade/process_share.py
+++ b/rosepick/upgrade/process_share.py
@@ -1,41 +1,43 @@
-"""How one process stands beside others of the same router, and what follows from it.
+"""The share of one process in the limits while other processes of the same router run beside it.
 
-Each process tells the others how many descriptors it holds. What one may hold is its even part, or what the
-others leave, whichever is more: after SIGTERM the old process's connections move to the new one within a
-second, so an even part alone would keep clients out while there is room.
+Each process publishes how many descriptors it holds. One may hold an equal part, or what the others leave,
+whichever is more: after SIGTERM the old process's connections move to the new one within a second, so an
+equal part alone would turn clients away while there is capacity.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
-DESCRIPTOR_MARGIN = 24  # descriptors that others may have opened since they last told
-MAX_MARGIN_FRACTION = 1 / 16  # of all, at the most
+DESCRIPTOR_MARGIN = 24  # descriptors that other processes may have opened since they last published
+MAX_MARGIN_FRACTION = 1 / 16  # of the limit
 
 
 class ProcessShare:
-    """What one process knows of the others."""
+    """What one process knows of the others, and its share of the limits.
+
+    Args:
+        other_descriptor_counts: how many descriptors each other process holds.
+    """
 
     def __init__(self, other_descriptor_counts: Sequence[int] = ()) -> None:
-        """`other_descriptor_counts`: the descriptors that each other process holds."""
         self.other_descriptor_counts = tuple(other_descriptor_counts)
-        self.started_during_upgrade = bool(
-            other_descriptor_counts
-        )  # it was started beside another one: an upgrade
-        self.endpoint_list_received = False  # discovery told a list since the start
-        # what the other process has learned is known here, or not to be had
-        self.state_transfer_settled = False
+        self.started_during_upgrade = bool(other_descriptor_counts)
+        self.endpoint_list_received = False  # from discovery, since the start
+        self.state_transfer_settled = False  # the other process's state was imported, or is not to be had
 
     def update_others(self, other_descriptor_counts: Sequence[int]) -> bool:
-        """Others as they are now; whether anything has changed."""
-        changed = tuple(other_descriptor_counts) != self.other_descriptor_counts
+        """Record the present counts of the others, and return whether they have changed."""
+        has_changed = tuple(other_descriptor_counts) != self.other_descriptor_counts
         self.other_descriptor_counts = tuple(other_descriptor_counts)
-        return changed
+        return has_changed
 
     def may_accept_clients(self) -> bool:
-        """Whether to take clients. Beside another process only with a list from discovery, and what that one
-        knows: guards against an old list in place of a router that serves. If it has died there is nobody to
-        wait for.
+        """Return whether this process may accept clients.
+
+        A process that started beside another one needs discovery's endpoint list and the other's state first.
+        Guards against serving from an old list in place of a router that works. If the other one has ended,
+        there is nothing to wait for.
         """
         return (
             not self.started_during_upgrade
@@ -44,16 +46,13 @@
         )
 
     def descriptor_share(self, limit: int) -> int:
-        """How many of all descriptors this process may hold."""
+        """Return how many of `limit` descriptors this process may hold."""
         if not self.other_descriptor_counts:
             return limit
-        left = (
-            limit
-            - sum(self.other_descriptor_counts)
-            - min(DESCRIPTOR_MARGIN, int(MAX_MARGIN_FRACTION * limit))
-        )
-        return max(limit // (1 + len(self.other_descriptor_counts)), left)
+        margin = min(DESCRIPTOR_MARGIN, int(MAX_MARGIN_FRACTION * limit))
+        remaining = limit - sum(self.other_descriptor_counts) - margin
+        return max(limit // (1 + len(self.other_descriptor_counts)), remaining)
 
     def memory_share(self, amount: float) -> float:
-        """How much of all memory this process may use."""
+        """Return how much of an amount of memory this process may use, in the same unit."""
         return amount / (1 + len(self.other_descriptor_counts))
--- a/tests/golden_capture_forms.py
+++ b/tests/golden_capture_forms.py
@@ -20,7 +20,8 @@
 from rosepick.net.process_registry import ProcessRegistry
 from rosepick.settings import config
 from rosepick.settings.config import NameIndexes
-from rosepick.upgrade.state_transfer import export_state, exported_at, import_state
+from rosepick.upgrade.state_document import exported_at
+from rosepick.upgrade.state_transfer import export_state, import_state
 
 from .golden_support import GOLDEN, Form, as_given, as_json, constant, temporary_folder
 from .scenario import SETTINGS, target
