--- a/rosepick/connections/__init__.py
+++ b/rosepick/connections/__init__.py
@@ -1,1 +1,1 @@
-"""Limits on connections: who holds them, which are worth a place, how many may be. No I/O, no clock."""
+"""Client connections: their records, the limits on them, and which ones are closed. No I/O, no clock."""
--- a/rosepick/connections/address_quota.py
+++ b/rosepick/connections/address_quota.py
@@ -1,38 +1,38 @@
-"""How many connections each address holds, and who holds the most; each step costs the same."""
+"""How many connections each address holds, and its quota; every operation takes constant time."""
 
 from __future__ import annotations
 
 from collections import OrderedDict
 
 MIN_QUOTA = 4  # connections that every address may hold
-MAX_RECENT_ADDRESSES = 1024  # addresses that hold none at present
+MAX_RECENT_ADDRESSES = 1024  # addresses remembered although they hold no connection
 
 
 class AddressQuota:
-    """Counts by address, and the addresses by count."""
+    """Connection counts by address, and the addresses by count."""
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
-        self._by_count: dict[int, OrderedDict[str, None]] = {}
+        self._addresses_by_count: dict[int, OrderedDict[str, None]] = {}
         self._max_count = 0
         self._total = 0
-        self._previous_window: set[str] = set()  # addresses that came lately: in the last span, and ...
-        self._current_window: set[str] = set()  # ... in this one
+        self._previous_window: set[str] = set()  # addresses that were seen in the previous time window
+        self._current_window: set[str] = set()  # addresses that were seen in the present one
 
     def __len__(self) -> int:
-        """How many addresses hold any."""
+        """Return how many addresses hold a connection."""
         return len(self._counts)
 
     def count_for(self, peer: str) -> int:
-        """How many an address holds."""
+        """Return how many connections an address holds."""
         return self._counts.get(peer, 0)
 
     def max_count(self) -> int:
-        """What the address that holds the most holds."""
+        """Return how many connections the address with the most of them holds."""
         return self._max_count
 
     def add(self, peer: str) -> None:
-        """An address opened one."""
+        """Count a connection that an address opened."""
         count = self._counts.get(peer, 0)
         self._update_count(peer, count, count + 1)
         if len(self._current_window) < MAX_RECENT_ADDRESSES:
@@ -41,44 +41,51 @@
         self._max_count = max(self._max_count, count + 1)
 
     def remove(self, peer: str) -> None:
-        """One of an address was closed."""
+        """Subtract a connection of an address that was closed."""
         count = self._counts[peer]
         self._update_count(peer, count, count - 1)
         self._total -= 1
-        if self._max_count not in self._by_count:  # it was the only one with that many, and has one less now
-            self._max_count = count - 1
+        if self._max_count not in self._addresses_by_count:
+            self._max_count = count - 1  # it was the only address with that many, and has one less now
 
     def rotate_window(self) -> None:
-        """A span of time is over: addresses that came before it, and hold none, are forgotten."""
-        self._previous_window, self._current_window = self._current_window, set(self._counts)
+        """Begin a time window, and forget addresses that hold nothing and were last seen two windows ago."""
+        self._previous_window = self._current_window
+        self._current_window = set(self._counts)
 
     def address_count(self) -> int:
-        """How many addresses there are: those that hold any, or came lately."""
+        """Return how many addresses hold a connection or were seen recently."""
         return max(len(self._counts), len(self._current_window), len(self._previous_window))
 
     def quota_for(self, peer: str, capacity: int) -> int:
-        """What an address may hold of so much room while that is short: as much as each of all addresses, or
-        what the others leave if they double. All of it if there is one address only.
+        """Return how many connections an address may hold while capacity is short.
+
+        It is an equal part of the capacity, or what the others leave if they double their connections. With a
+        single address it is all of the capacity.
+
+        Args:
+            peer: the address.
+            capacity: how many connections all addresses may hold.
         """
-        count = self.address_count()
-        if count < 2:
+        address_count = self.address_count()
+        if address_count < 2:
             return max(capacity, self._total)
-        others = self._total - self.count_for(peer)
-        return max(MIN_QUOTA, capacity // count, capacity - 2 * others - MIN_QUOTA)
+        held_by_others = self._total - self.count_for(peer)
+        return max(MIN_QUOTA, capacity // address_count, capacity - 2 * held_by_others - MIN_QUOTA)
 
     def has_address_over_quota(self, capacity: int) -> bool:
-        """Whether any address holds more than its share."""
-        peers = self._by_count.get(self._max_count)
+        """Return whether any address holds more than its quota."""
+        peers = self._addresses_by_count.get(self._max_count)
         return peers is not None and self._max_count > self.quota_for(next(iter(peers)), capacity)
 
     def _update_count(self, peer: str, before: int, after: int) -> None:
         if before:
-            peers = self._by_count[before]
+            peers = self._addresses_by_count[before]
             del peers[peer]
             if not peers:
-                del self._by_count[before]
+                del self._addresses_by_count[before]
         if after:
             self._counts[peer] = after
-            self._by_count.setdefault(after, OrderedDict())[peer] = None
+            self._addresses_by_count.setdefault(after, OrderedDict())[peer] = None
         else:
             del self._counts[peer]
--- /dev/null
+++ b/rosepick/connections/eviction.py
@@ -0,0 +1,143 @@
+"""Which connections are closed between requests: expired ones, those of least value, and on demand."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import islice
+
+from .connection_table import CloseReason, ConnectionRecord, ConnectionTable
+from .headroom import ConnectionHeadroom
+from .idle_queue import IdleQueue
+from .limit_estimator import ClientActivity
+
+# connections used once that are not expected to be reused within this time count as inactive
+UNLIKELY_REUSE_AFTER_MS = 1_000.0
+MIN_IDLE_AGE_MS = 100.0  # nothing that has been idle for less is closed between requests
+MIN_REUSED_IDLE_AGE_MS = 2_000.0  # the same, for one that was reused and is closed on demand
+NEW_CONNECTION_GRACE_MS = 200.0  # a new connection is given so long to send a request
+MIN_LINGER_MS = 50.0  # a connection that has been lingering for so long may be closed on demand
+STALLED_REQUEST_MS = 600.0  # without progress of a request, after which it may be closed on demand
+MAX_QUOTA_CANDIDATES = 64  # connections of each kind that are searched for those of addresses over quota
+MAX_CLOSES_PER_REVIEW = 32  # closed for capacity at one review
+
+Candidate = tuple[ConnectionRecord, CloseReason]
+"""A connection that may be closed, and the reason."""
+
+
+class EvictionSelector:
+    """Selects the connections to close. Times are milliseconds.
+
+    Args:
+        connection_table: the open connections.
+        headroom: the capacity for client connections.
+    """
+
+    def __init__(self, connection_table: ConnectionTable, headroom: ConnectionHeadroom) -> None:
+        self.connection_table = connection_table
+        self.headroom = headroom
+
+    def select_expired(self, now: float) -> Iterator[Candidate]:
+        """Yield the connections that have been idle for longer than they may."""
+        idle = self.connection_table.idle
+        limits = self.headroom.limits
+        for queue, timeout_ms, reason in (
+            (idle.new, limits.silent_timeout_ms, CloseReason.NO_REQUEST),
+            (idle.used_once, limits.idle_timeout_ms, CloseReason.IDLE_TIMEOUT),
+            (idle.reused, limits.idle_timeout_ms, CloseReason.IDLE_TIMEOUT),
+        ):
+            for record in queue.idle_since(now - timeout_ms):
+                yield record, reason
+
+    def select_for_capacity(self, now: float) -> list[ConnectionRecord]:
+        """Return the connections to close so that clients can open others, or as a probe of their limit."""
+        missing = self.headroom.target_free_slots(now) - self.headroom.free_slots()
+        if missing > 0:
+            return self._select_least_valuable(now, min(MAX_CLOSES_PER_REVIEW, missing))
+        used_once = self.connection_table.idle.used_once
+        inactive = (
+            list(used_once.idle_since(now - MIN_IDLE_AGE_MS))
+            if used_once.expected_idle_ms(now) > UNLIKELY_REUSE_AFTER_MS
+            else []
+        )
+        opening_rate = self.headroom.opening_rate
+        activity = ClientActivity(
+            self.connection_table.client_held_count(),
+            len(inactive),
+            opening_rate.rate_at_last_opening,
+            opening_rate.last_opened_at,
+        )
+        count = self.headroom.limit_estimator.start_probe(now, activity)
+        # The youngest ones: connections that are reused from time to time, the oldest of which is due next,
+        # are left out as far as possible.
+        return inactive[len(inactive) - count :]
+
+    def _select_least_valuable(self, now: float, count: int) -> list[ConnectionRecord]:
+        """Return the answered connections that are least likely to be reused soon, the longest idle first.
+
+        Those of an address over its quota come before all others.
+        """
+        idle = self.connection_table.idle
+        queues = sorted((idle.used_once, idle.reused), key=lambda queue: -queue.expected_idle_ms(now))
+        records = [record for queue in queues for record in queue.idle_since(now - MIN_IDLE_AGE_MS)]
+        if self.headroom.has_address_over_quota():
+            records.sort(key=lambda record: not self.headroom.exceeds_quota(record.peer))
+        return records[:count]
+
+    def select_on_demand(self, now: float, is_urgent: bool = True) -> Iterator[Candidate]:
+        """Yield connections that may be closed for one that is needed more, the least useful first.
+
+        Args:
+            now: the present time.
+            is_urgent: whether to go on to connections that are likely to be missed.
+        """
+        yield from self._select_lingering(now)
+        if self.headroom.has_address_over_quota():
+            yield from self._select_over_quota()
+        yield from self._select_idle(now)
+        if is_urgent:
+            yield from self._select_all_answered()
+
+    def _select_lingering(self, now: float) -> Iterator[Candidate]:
+        for record in self.connection_table.lingering:
+            if now - record.state_since < MIN_LINGER_MS:
+                break
+            yield record, CloseReason.DESCRIPTORS
+
+    def _select_over_quota(self) -> Iterator[Candidate]:
+        for queue in self.connection_table.idle.all():
+            for record in islice(queue, MAX_QUOTA_CANDIDATES):
+                if self.headroom.exceeds_quota(record.peer):
+                    yield record, CloseReason.ADDRESS_QUOTA
+
+    def _select_idle(self, now: float) -> Iterator[Candidate]:
+        """Yield idle connections, the kind that is expected to stay idle the longest first."""
+        idle = self.connection_table.idle
+        kinds: list[tuple[IdleQueue[ConnectionRecord], float]] = [
+            (idle.new, NEW_CONNECTION_GRACE_MS),
+            (idle.used_once, MIN_IDLE_AGE_MS),
+            (idle.reused, MIN_REUSED_IDLE_AGE_MS),
+        ]
+        kinds.sort(key=lambda kind: -kind[0].expected_idle_ms(now))
+        for queue, min_age_ms in kinds:
+            for record in queue.idle_since(now - min_age_ms):
+                if record not in self.connection_table.partial_requests:
+                    yield record, CloseReason.DESCRIPTORS
+            if queue is idle.new:
+                yield from self._select_stalled_requests(now)
+
+    def _select_stalled_requests(self, now: float) -> Iterator[Candidate]:
+        """Yield connections with an incomplete request that makes no progress, the longest stalled first.
+
+        Guards against many clients that never complete a request and keep their slots for as long as a
+        request may take. A client that writes slowly, but goes on, makes progress before.
+        """
+        for record, last_received_at in self.connection_table.partial_requests.items():
+            if now - last_received_at < STALLED_REQUEST_MS:
+                return
+            yield record, CloseReason.STALLED_REQUEST
+
+    def _select_all_answered(self) -> Iterator[Candidate]:
+        idle = self.connection_table.idle
+        for queue in (idle.used_once, idle.reused, self.connection_table.lingering):
+            for record in queue:
+                yield record, CloseReason.DESCRIPTORS
--- /dev/null
+++ b/rosepick/connections/opening_rate.py
@@ -0,0 +1,71 @@
+"""The rate at which clients open connections for requests."""
+
+from __future__ import annotations
+
+from .limit_estimator import MIN_CONNECTION_LIMIT
+
+REVIEW_INTERVAL_MS = 100.0  # how often the rate is updated
+INSIGNIFICANT_OPENINGS = 4  # so many openings between two updates are no rate yet
+RATE_SMOOTHING = 0.8  # weight of the previous rate at an update
+MS_PER_S = 1000.0
+
+
+class OpeningRateEstimator:
+    """Connections opened for a request, each second. Times are milliseconds.
+
+    The net rate leaves out the openings in place of connections that the router has closed. Guards against
+    closes that cause openings, which would cause closes.
+
+    Args:
+        now: the present time.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.rate_at_last_opening = 0.0  # the gross rate, each second
+        self.last_opened_at = now
+        self.expected_reopenings = (
+            0.0  # openings to be expected for the router's closes since the last update
+        )
+        self.reopen_probability = 0.0  # that a connection closed after one request is opened again
+        self._openings = 0  # since the last update
+        self._gross_rate = 0.0  # smoothed
+        self._net_rate = 0.0  # smoothed
+        self._updated_at = now
+
+    def record_opening(self, now: float) -> None:
+        """Record that a client opened a connection because it had a request."""
+        self._openings += 1
+        # a single opening is no rate, however short the time since the last update
+        recent_rate = (
+            MS_PER_S * self._openings / max(REVIEW_INTERVAL_MS, now - self._updated_at)
+            if self._openings >= MIN_CONNECTION_LIMIT
+            else 0.0
+        )
+        self.rate_at_last_opening = max(recent_rate, self._gross_rate)
+        self.last_opened_at = now
+
+    def net_rate(self, now: float) -> float:
+        """Return the connections opened each second, less those in place of connections closed here."""
+        recent_openings = self._openings - self.expected_reopenings - INSIGNIFICANT_OPENINGS
+        return max(
+            0.0,
+            self._net_rate,
+            MS_PER_S * recent_openings / max(REVIEW_INTERVAL_MS, now - self._updated_at),
+        )
+
+    def update(self, now: float) -> float:
+        """Take the openings since the last update into the rates, and return the time since it."""
+        elapsed_ms = now - self._updated_at
+        if elapsed_ms <= 0:
+            return elapsed_ms
+        net_openings = self._openings - self.expected_reopenings
+        self._net_rate = (
+            RATE_SMOOTHING * self._net_rate + (1 - RATE_SMOOTHING) * MS_PER_S * net_openings / elapsed_ms
+        )
+        self._gross_rate = (
+            RATE_SMOOTHING * self._gross_rate + (1 - RATE_SMOOTHING) * MS_PER_S * self._openings / elapsed_ms
+        )
+        self._openings = 0
+        self.expected_reopenings = 0.0
+        self._updated_at = now
+        return elapsed_ms
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -13,7 +13,9 @@
 from ..connections.accept_throttle import AcceptThrottle
 from ..connections.connection_table import CloseReason, ConnectionRecord, ConnectionState, ConnectionTable
 from ..connections.descriptor_budget import DescriptorUse
-from ..connections.policy import REVIEW_INTERVAL_MS, ConnectionLimits, ConnectionPolicy
+from ..connections.headroom import ConnectionLimits
+from ..connections.opening_rate import REVIEW_INTERVAL_MS
+from ..connections.policy import ConnectionPolicy
 from ..core.engine import Engine
 from ..logs import log_event
 from ..settings.config import NameIndexes
--- a/rosepick/net/listener_config.py
+++ b/rosepick/net/listener_config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..connections.policy import ConnectionLimits
+from ..connections.headroom import ConnectionLimits
 from ..settings.operator_file import OperatorFile
 from .listener import ListenerConfig
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from ..connections.connection_table import CloseReason, ConnectionState
-from ..connections.policy import NEW_CONNECTION_GRACE_MS
+from ..connections.eviction import NEW_CONNECTION_GRACE_MS
 from ..core.endpoint_directory import EndpointDirectory
 from ..core.engine import Engine
 from ..core.observed_engine import ObservedEngine
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,4 +1,4 @@
-"""Limits on connections by themselves: the account, what it measures, what the policy makes of it."""
+"""Limits on client connections: the connection table, its estimates and the decisions of the policy."""
 
 from __future__ import annotations
 
@@ -25,686 +25,740 @@
     DescriptorBudget,
     DescriptorUse,
 )
+from rosepick.connections.headroom import ConnectionLimits
 from rosepick.connections.idle_queue import IdleQueue
 from rosepick.connections.limit_estimator import ClientActivity, ConnectionLimitEstimator
+from rosepick.connections.opening_rate import REVIEW_INTERVAL_MS
 from rosepick.connections.policy import (
     MAX_EVICTION_BACKOFF_MS,
     MAX_TIME_WITHOUT_CAPACITY_MS,
-    REVIEW_INTERVAL_MS,
-    ConnectionLimits,
     ConnectionPolicy,
 )
 from rosepick.connections.reuse_history import MAX_REMEMBERED_ADDRESSES, AddressReuseHistory
 
 
-class World:
-    """An account and a policy on a clock, driven as the listener does; clients hold `most` at the most."""
+class ListenerSimulation:
+    """A connection table and a policy on a clock, driven as the listener does it. Times are milliseconds.
 
-    def __init__(self, sockets: int = 384, told: int | None = None, most: int = 128) -> None:
+    Args:
+        descriptors: how many descriptors the process may hold.
+        configured_limit: the operators' limit of what clients may hold.
+        client_limit: how many connections the clients hold at most.
+    """
+
+    def __init__(
+        self, descriptors: int = 384, configured_limit: int | None = None, client_limit: int = 128
+    ) -> None:
         self.now = 0.0
-        self.account = ConnectionTable(0.0)
-        self.budget = DescriptorBudget(sockets)
-        self.policy = ConnectionPolicy(
-            self.account, self.budget, ConnectionLimits(client_connection_limit=told), sockets, 0.0
-        )
-        self.most = most
+        self.table = ConnectionTable(0.0)
+        self.budget = DescriptorBudget(descriptors)
+        limits = ConnectionLimits(client_connection_limit=configured_limit)
+        self.policy = ConnectionPolicy(self.table, self.budget, limits, descriptors, 0.0)
+        self.client_limit = client_limit
         self.open: list[ConnectionRecord] = []
         self.closed: Counter[CloseReason] = Counter()
-        self.on_close: Callable[[ConnectionRecord], None] = lambda conn: None
-        self._next_look = REVIEW_INTERVAL_MS
-
-    def held(self) -> int:
-        """What clients hold for requests."""
-        return sum(conn.state is not ConnectionState.NEW for conn in self.open)
-
-    def pass_time(self, span: float) -> None:
-        """Time passes, and the look comes when it is due."""
-        until = self.now + span
-        while self._next_look <= until:
-            self.now = self._next_look
-            self._next_look += REVIEW_INTERVAL_MS
-            for conn, why in self.policy.review(self.now):
-                self.close(conn, why)
+        self.on_close: Callable[[ConnectionRecord], None] = lambda _: None
+        self._next_review_at = REVIEW_INTERVAL_MS
+
+    def held_count(self) -> int:
+        """Return how many connections clients hold for requests."""
+        return sum(record.state is not ConnectionState.NEW for record in self.open)
+
+    def pass_time(self, elapsed_ms: float) -> None:
+        """Let time pass, with the reviews that are due in it."""
+        until = self.now + elapsed_ms
+        while self._next_review_at <= until:
+            self.now = self._next_review_at
+            self._next_review_at += REVIEW_INTERVAL_MS
+            for record, reason in self.policy.review(self.now):
+                self.close(record, reason)
         self.now = until
 
     def connect(self, peer: str = "p") -> ConnectionRecord:
         """A client opens a connection."""
-        conn = self.account.add_connection(None, "http", peer, self.now)
-        self.open.append(conn)
+        record = self.table.add_connection(None, "http", peer, self.now)
+        self.open.append(record)
         self.budget.acquire(DescriptorUse.DOWNSTREAM)
-        return conn
-
-    def ask(self, conn: ConnectionRecord) -> None:
-        """A request comes."""
-        conn.mark_bytes_received(self.now)
-        self.account.begin_request(conn, self.now)
-        self.policy.record_request(conn, self.now)
-
-    def answer(self, conn: ConnectionRecord) -> bool:
-        """Its answer is written; False if the connection ends with it, upon which its client closes."""
-        last = self.policy.should_close_after_response(conn, self.now)
-        self.account.record_response(conn, 200)
-        if last:
-            self.account.mark_lingering(conn, self.now)
-            self.close(conn, CloseReason.CLIENT_CLOSED)
+        return record
+
+    def begin_request(self, record: ConnectionRecord) -> None:
+        """A request arrives on a connection."""
+        record.mark_bytes_received(self.now)
+        self.table.begin_request(record, self.now)
+        self.policy.record_request(record, self.now)
+
+    def respond(self, record: ConnectionRecord) -> bool:
+        """Write the response; return False if it ends the connection, upon which its client closes."""
+        is_last = self.policy.should_close_after_response(record, self.now)
+        self.table.record_response(record, 200)
+        if is_last:
+            self.table.mark_lingering(record, self.now)
+            self.close(record, CloseReason.CLIENT_CLOSED)
         else:
-            self.account.mark_idle(conn, self.now)
-        return not last
+            self.table.mark_idle(record, self.now)
+        return not is_last
 
-    def request(self, peer: str = "p", takes: float = 20.0) -> ConnectionRecord | None:
-        """A client asks once on a new connection, if it may open one, and then holds it."""
-        if self.held() >= self.most:
+    def request_once(self, peer: str = "p", duration_ms: float = 20.0) -> ConnectionRecord | None:
+        """A client sends one request on a new connection, if it may open one, and then holds it."""
+        if self.held_count() >= self.client_limit:
             return None
-        conn = self.connect(peer)
-        self.ask(conn)
-        self.pass_time(takes)
-        return conn if self.answer(conn) else None
+        record = self.connect(peer)
+        self.begin_request(record)
+        self.pass_time(duration_ms)
+        return record if self.respond(record) else None
 
-    def close(self, conn: ConnectionRecord, why: CloseReason) -> None:
+    def close(self, record: ConnectionRecord, reason: CloseReason) -> None:
         """A connection is closed."""
-        self.account.mark_closed(conn, why, self.now)
-        self.policy.record_close(conn)
-        self.open.remove(conn)
+        self.table.mark_closed(record, reason, self.now)
+        self.policy.record_close(record)
+        self.open.remove(record)
         self.budget.release(DescriptorUse.DOWNSTREAM)
-        assert conn.close_reason is not None
-        self.closed[conn.close_reason] += 1
-        self.on_close(conn)
+        assert record.close_reason is not None
+        self.closed[record.close_reason] += 1
+        self.on_close(record)
 
 
-def crowd(world: World, count: int, every: float, peer: Callable[[int], str] = lambda n: f"h{n}") -> int:
-    """So many requests, each on a connection of its own that its client would hold for ever; returns how many
-    found no room. A request takes 20 ms.
+def send_one_shot_requests(
+    simulation: ListenerSimulation,
+    count: int,
+    interval_ms: float,
+    peer: Callable[[int], str] = lambda n: f"h{n}",
+) -> int:
+    """Send requests of 20 ms, each on a connection of its own that its client would hold for ever.
+
+    Returns how many of them found no free slot.
     """
-    missed, due = 0, list[tuple[float, ConnectionRecord]]()
+    missed = 0
+    in_progress: list[tuple[float, ConnectionRecord]] = []
     for n in range(count):
-        for when, conn in due[:]:
-            if when <= world.now:
-                due.remove((when, conn))
-                world.answer(conn)
-        if world.held() >= world.most:
+        for ends_at, record in in_progress[:]:
+            if ends_at <= simulation.now:
+                in_progress.remove((ends_at, record))
+                simulation.respond(record)
+        if simulation.held_count() >= simulation.client_limit:
             missed += 1
         else:
-            conn = world.connect(peer(n))
-            world.ask(conn)
-            due.append((world.now + 20.0, conn))
-        world.pass_time(every)
-    for _, conn in due:
-        world.answer(conn)
+            record = simulation.connect(peer(n))
+            simulation.begin_request(record)
+            in_progress.append((simulation.now + 20.0, record))
+        simulation.pass_time(interval_ms)
+    for _, record in in_progress:
+        simulation.respond(record)
     return missed
 
 
-# ------------------------------------------------------------------------------------------- the account
+def kind_of(record: ConnectionRecord) -> str:
+    """The kind under which `ConnectionTable.counts_by_kind` counts an open connection."""
+    if record.state is ConnectionState.NEW:
+        return "fresh"
+    if record.state is ConnectionState.IDLE:
+        return "once" if record.request_count == 1 else "often"
+    return str(record.state.value)
+
+
+# ---------------------------------------------------------------------------------- the connection table
 
 
-def test_every_move_is_allowed_or_an_error() -> None:
-    def reach(state: ConnectionState) -> tuple[ConnectionTable, ConnectionRecord]:
-        account = ConnectionTable(0.0)
-        conn = account.add_connection(None, "http", "p", 0.0)
+def test_every_transition_is_allowed_or_an_error() -> None:
+    def make_record_in(state: ConnectionState) -> tuple[ConnectionTable, ConnectionRecord]:
+        table = ConnectionTable(0.0)
+        record = table.add_connection(None, "http", "p", 0.0)
         if state is not ConnectionState.NEW:
-            account.begin_request(conn, 1.0)
+            table.begin_request(record, 1.0)
         if state is ConnectionState.IDLE:
-            account.mark_idle(conn, 2.0)
+            table.mark_idle(record, 2.0)
         if state is ConnectionState.LINGERING:
-            account.mark_lingering(conn, 2.0)
+            table.mark_lingering(record, 2.0)
         if state is ConnectionState.CLOSED:
-            account.mark_closed(conn, CloseReason.CLIENT_CLOSED, 2.0)
-        return account, conn
-
-    steps: dict[ConnectionState, Callable[[ConnectionTable, ConnectionRecord], None]] = {
-        ConnectionState.ACTIVE: lambda account, conn: account.begin_request(conn, 3.0),
-        ConnectionState.IDLE: lambda account, conn: account.mark_idle(conn, 3.0),
-        ConnectionState.LINGERING: lambda account, conn: account.mark_lingering(conn, 3.0),
-        ConnectionState.CLOSED: lambda account, conn: account.mark_closed(
-            conn, CloseReason.CLIENT_CLOSED, 3.0
+            table.mark_closed(record, CloseReason.CLIENT_CLOSED, 2.0)
+        return table, record
+
+    transitions: dict[ConnectionState, Callable[[ConnectionTable, ConnectionRecord], None]] = {
+        ConnectionState.ACTIVE: lambda table, record: table.begin_request(record, 3.0),
+        ConnectionState.IDLE: lambda table, record: table.mark_idle(record, 3.0),
+        ConnectionState.LINGERING: lambda table, record: table.mark_lingering(record, 3.0),
+        ConnectionState.CLOSED: lambda table, record: table.mark_closed(
+            record, CloseReason.CLIENT_CLOSED, 3.0
         ),
     }
     for state in ConnectionState:
-        for to, step in steps.items():
-            account, conn = reach(state)
-            if to in ALLOWED_TRANSITIONS[state] or state is to is ConnectionState.ACTIVE:
-                step(account, conn)
-                assert conn.state is to
+        for next_state, transition in transitions.items():
+            table, record = make_record_in(state)
+            if next_state in ALLOWED_TRANSITIONS[state] or state is next_state is ConnectionState.ACTIVE:
+                transition(table, record)
+                assert record.state is next_state
             else:
                 with pytest.raises(ValueError, match="cannot become"):
-                    step(account, conn)
+                    transition(table, record)
 
 
-STEPS = ("open", "ask", "answer", "linger", "close")
+STEPS = ("open", "request", "respond", "linger", "close")
 
 
 @given(st.lists(st.tuples(st.sampled_from(STEPS), st.integers(0, 30), st.integers(0, 3)), max_size=120))
-def test_the_account_never_differs_from_what_is_open(steps: list[tuple[str, int, int]]) -> None:
-    account, states = ConnectionTable(0.0), dict[ConnectionRecord, ConnectionState]()
+def test_table_always_agrees_with_the_open_connections(steps: list[tuple[str, int, int]]) -> None:
+    table = ConnectionTable(0.0)
+    states: dict[ConnectionRecord, ConnectionState] = {}
     for now, (step, which, peer) in enumerate(steps):
         if step == "open":
-            states[account.add_connection(None, f"door{peer % 2}", f"p{peer}", now)] = ConnectionState.NEW
+            states[table.add_connection(None, f"listener{peer % 2}", f"p{peer}", now)] = ConnectionState.NEW
         elif states:
-            conn = list(states)[which % len(states)]
-            _take(account, conn, step, float(now))
-            if conn.state is ConnectionState.CLOSED:
-                del states[conn]
+            record = list(states)[which % len(states)]
+            _apply_step(table, record, step, float(now))
+            if record.state is ConnectionState.CLOSED:
+                del states[record]
             else:
-                states[conn] = conn.state
-        assert len(account) == len(states)
-        counts = Counter(conn.idle_kind() or conn.state.value for conn in states)
-        assert {kind: n for kind, n in account.counts_by_kind().items() if n} == counts
-        assert account.client_held_count() == sum(
-            s in (ConnectionState.ACTIVE, ConnectionState.IDLE) for s in states.values()
+                states[record] = record.state
+        assert len(table) == len(states)
+        counts = Counter(kind_of(record) for record in states)
+        assert {kind: n for kind, n in table.counts_by_kind().items() if n} == counts
+        assert table.client_held_count() == sum(
+            state in (ConnectionState.ACTIVE, ConnectionState.IDLE) for state in states.values()
         )
-        peers, doors = Counter(conn.peer for conn in states), Counter(conn.listener_name for conn in states)
-        assert {peer: account.address_quota.count_for(peer) for peer in peers} == peers
-        assert (len(account.address_quota), account.open_by_listener) == (len(peers), doors)
-        assert account.address_quota.max_count() == max(peers.values(), default=0)
-
-
-def _take(account: ConnectionTable, conn: ConnectionRecord, step: str, now: float) -> None:
-    """A step, if it may follow."""
-    if step == "ask" and conn.state in (ConnectionState.NEW, ConnectionState.IDLE, ConnectionState.ACTIVE):
-        account.begin_request(conn, now)
-    elif step == "answer" and conn.state is ConnectionState.ACTIVE:
-        account.record_response(conn, 200)
-        account.mark_idle(conn, now)
-    elif step == "linger" and conn.state is ConnectionState.ACTIVE:
-        account.mark_lingering(conn, now)
+        peers = Counter(record.peer for record in states)
+        listeners = Counter(record.listener_name for record in states)
+        assert {peer: table.address_quota.count_for(peer) for peer in peers} == peers
+        assert (len(table.address_quota), table.open_by_listener) == (len(peers), listeners)
+        assert table.address_quota.max_count() == max(peers.values(), default=0)
+
+
+def _apply_step(table: ConnectionTable, record: ConnectionRecord, step: str, now: float) -> None:
+    """Apply a step, if the state of the connection allows it."""
+    if step == "request" and record.state in (
+        ConnectionState.NEW,
+        ConnectionState.IDLE,
+        ConnectionState.ACTIVE,
+    ):
+        table.begin_request(record, now)
+    elif step == "respond" and record.state is ConnectionState.ACTIVE:
+        table.record_response(record, 200)
+        table.mark_idle(record, now)
+    elif step == "linger" and record.state is ConnectionState.ACTIVE:
+        table.mark_lingering(record, now)
     elif step == "close":
-        account.mark_closed(conn, CloseReason.CLIENT_CLOSED, now)
+        table.mark_closed(record, CloseReason.CLIENT_CLOSED, now)
 
 
-def test_an_account_remembers_the_last_answers_and_the_reason_that_was_decided() -> None:
-    account = ConnectionTable(0.0)
-    conn = account.add_connection(None, "http", "p", 0.0)
+def test_table_remembers_the_last_statuses_and_the_reason_that_was_decided() -> None:
+    table = ConnectionTable(0.0)
+    record = table.add_connection(None, "http", "p", 0.0)
     for now, status in enumerate((200, 503, 504, 200, 400)):
-        account.begin_request(conn, now)
-        account.record_response(conn, status)
-        account.mark_idle(conn, now)
-    assert (conn.request_count, conn.recent_statuses) == (5, "5524")
-    conn.close_reason = CloseReason.NOT_WORTH_KEEPING
-    account.mark_closed(conn, CloseReason.CLIENT_CLOSED, 9.0)
-    assert account.closed_by_reason == {CloseReason.NOT_WORTH_KEEPING: 1}
+        table.begin_request(record, now)
+        table.record_response(record, status)
+        table.mark_idle(record, now)
+    assert (record.request_count, record.recent_statuses) == (5, "5524")
+    record.close_reason = CloseReason.NOT_WORTH_KEEPING
+    table.mark_closed(record, CloseReason.CLIENT_CLOSED, 9.0)
+    assert table.closed_by_reason == {CloseReason.NOT_WORTH_KEEPING: 1}
 
 
-# ------------------------------------------------------------------------------------ what is measured
+# ------------------------------------------------------------------------------------ estimates
 
 
-def test_the_wait_is_measured_also_where_nobody_asks() -> None:
-    line: IdleQueue[int] = IdleQueue(0.0)
-    assert line.expected_idle_ms(0.0) == 500.0  # before anything was seen
+def test_expected_idle_time_is_estimated_also_without_any_request() -> None:
+    queue: IdleQueue[int] = IdleQueue(0.0)
+    assert queue.expected_idle_ms(0.0) == 500.0  # the prior
     for n in range(50):
-        line.add(n, 0.0)
-    assert line.expected_idle_ms(100.0) == 5500.0  # fifty stood for 100 ms, and none asked
+        queue.add(n, 0.0)
+    assert queue.expected_idle_ms(100.0) == 5500.0  # fifty were idle for 100 ms without a request
     for n in range(50):
-        line.remove(n, 100.0, True)
-    assert line.expected_idle_ms(200.0) == pytest.approx(108, abs=1)
-
-
-def test_closing_tells_nothing_of_asking() -> None:
-    waits = []
-    for closes in (False, True):
-        line: IdleQueue[int] = IdleQueue(0.0)
-        for n in range(200):  # each asks after 80 ms, unless it was closed before
-            line.add(n, 100.0 * n)
-            cut = closes and n % 2 == 0
-            line.remove(n, 100.0 * n + (40.0 if cut else 80.0), not cut)
-        waits.append(line.expected_idle_ms(20_000.0))
-    assert waits[0] == pytest.approx(80, rel=0.05)
-    assert waits[1] == pytest.approx(120, rel=0.05)  # half of the time was seen twice as seldom, not never
-
-
-def test_what_was_seen_is_forgotten() -> None:
-    line: IdleQueue[int] = IdleQueue(0.0)
-    line.add(1, 0.0)
-    line.remove(1, 60_000.0, True)
+        queue.remove(n, 100.0, True)
+    assert queue.expected_idle_ms(200.0) == pytest.approx(108, abs=1)
+
+
+def test_closes_do_not_distort_the_expected_idle_time() -> None:
+    expected = []
+    for closes_half in (False, True):
+        queue: IdleQueue[int] = IdleQueue(0.0)
+        for n in range(200):  # each sends a request after 80 ms, unless it was closed before
+            queue.add(n, 100.0 * n)
+            is_closed = closes_half and n % 2 == 0
+            queue.remove(n, 100.0 * n + (40.0 if is_closed else 80.0), not is_closed)
+        expected.append(queue.expected_idle_ms(20_000.0))
+    assert expected[0] == pytest.approx(80, rel=0.05)
+    assert expected[1] == pytest.approx(
+        120, rel=0.05
+    )  # the idle time of closed ones counts, their requests are missing
+
+
+def test_observations_decay() -> None:
+    queue: IdleQueue[int] = IdleQueue(0.0)
+    queue.add(1, 0.0)
+    queue.remove(1, 60_000.0, True)
     for _ in range(200):
-        line.decay(100.0)
-    assert line.expected_idle_ms(60_000.0) == pytest.approx(500, rel=0.01)
+        queue.decay(100.0)
+    assert queue.expected_idle_ms(60_000.0) == pytest.approx(500, rel=0.01)
 
 
-def test_habits_are_sure_after_two_and_change_soon() -> None:
-    habits = AddressReuseHistory()
-    for again, sure in ((True, False), (True, True), (True, True), (False, True), (False, False)):
-        habits.record_use("p", again)
-        assert habits.is_likely_to_reuse("p") == sure
+def test_reuse_is_likely_after_two_reuses_and_changes_soon() -> None:
+    history = AddressReuseHistory()
+    for was_reused, is_likely in ((True, False), (True, True), (True, True), (False, True), (False, False)):
+        history.record_use("p", was_reused)
+        assert history.is_likely_to_reuse("p") == is_likely
     for n in range(2 * MAX_REMEMBERED_ADDRESSES):
-        habits.record_use(f"q{n}", True)
-    assert len(habits) == MAX_REMEMBERED_ADDRESSES
+        history.record_use(f"q{n}", True)
+    assert len(history) == MAX_REMEMBERED_ADDRESSES
 
 
 @given(st.lists(st.integers(0, 5), max_size=60), st.integers(8, 200))
-def test_shares_leave_every_address_its_part(peers: list[int], room: int) -> None:
-    holders = AddressQuota()
+def test_quota_leaves_every_address_its_part(peers: list[int], capacity: int) -> None:
+    quota = AddressQuota()
     for peer in peers:
-        holders.add(str(peer))
+        quota.add(str(peer))
     for peer in set(peers):
-        share = holders.quota_for(str(peer), room)
-        assert share >= min(room, 4)
-        if len(holders) == 1:
-            assert share >= max(room, len(peers))
+        address_quota = quota.quota_for(str(peer), capacity)
+        assert address_quota >= min(capacity, 4)
+        if len(quota) == 1:
+            assert address_quota >= max(capacity, len(peers))
 
 
-# --------------------------------------------------------------------------------- what clients may hold
+# --------------------------------------------------------------------------------- the limit of clients
 
 
-def seen(held: int = 50, still: int = 40, rate: float = 200.0, opened: float = 0.0) -> ClientActivity:
-    """Clients have stopped, as it seems."""
-    return ClientActivity(held, still, rate, opened)
+def stopped_clients(
+    held: int = 50, inactive: int = 40, rate: float = 200.0, last_opened_at: float = 0.0
+) -> ClientActivity:
+    """The activity of clients that seem to have stopped opening connections."""
+    return ClientActivity(held, inactive, rate, last_opened_at)
 
 
-def test_a_limit_that_is_told_is_not_learned() -> None:
-    ceiling = ConnectionLimitEstimator(384, 50)
-    ceiling.record_held(60)
-    assert ceiling.limit == 50
-    assert not ceiling.start_probe(10_000.0, seen(held=40))
+def test_configured_limit_is_not_learned() -> None:
+    estimator = ConnectionLimitEstimator(384, 50)
+    estimator.record_held(60)
+    assert estimator.limit == 50
+    assert not estimator.start_probe(10_000.0, stopped_clients(held=40))
 
 
-def test_where_more_is_held_than_was_believed_nothing_is_known_but_that() -> None:
-    ceiling = ConnectionLimitEstimator(384)
-    assert ceiling.limit == 128
-    ceiling.record_held(140)
-    assert ceiling.limit > 140 * 1.2
+def test_limit_rises_where_more_connections_are_held() -> None:
+    estimator = ConnectionLimitEstimator(384)
+    assert estimator.limit == 128
+    estimator.record_held(140)
+    assert estimator.limit > 140 * 1.2
 
 
-def test_a_stop_is_tried_and_confirmed_or_taken_for_a_lull() -> None:
-    ceiling = ConnectionLimitEstimator(384)
-    assert not ceiling.start_probe(100.0, seen())  # too soon to be no chance
-    assert not ceiling.start_probe(400.0, seen(still=0))  # nothing that could give way
-    assert not ceiling.start_probe(400.0, seen(rate=5.0))  # hardly anybody came before
-    assert not ceiling.start_probe(400.0, seen(held=7))  # too few to be a limit
-    assert ceiling.start_probe(400.0, seen()) == 5
+def test_stop_is_probed_and_confirmed_or_taken_for_a_lull() -> None:
+    estimator = ConnectionLimitEstimator(384)
+    assert not estimator.start_probe(100.0, stopped_clients())  # so soon it may be chance
+    assert not estimator.start_probe(400.0, stopped_clients(inactive=0))  # nothing that could be closed
+    assert not estimator.start_probe(400.0, stopped_clients(rate=5.0))  # too few openings before
+    assert not estimator.start_probe(400.0, stopped_clients(held=7))  # too few connections to be a limit
+    assert estimator.start_probe(400.0, stopped_clients()) == 5
     for _ in range(3):
-        ceiling.record_opening(450.0, 50)  # fewer than there was room for ...
-    ceiling.advance_time(900.0)  # ... so it was a lull: a pause of a second
-    assert not ceiling.start_probe(1_000.0, seen())
-    assert ceiling.start_probe(2_100.0, seen()) == 5
+        estimator.record_opening(450.0, 50)  # fewer than were closed ...
+    estimator.advance_time(900.0)  # ... so it was a lull: the next probe is a second later
+    assert not estimator.start_probe(1_000.0, stopped_clients())
+    assert estimator.start_probe(2_100.0, stopped_clients()) == 5
     for _ in range(4):
-        ceiling.record_opening(2_150.0, 50)
-    assert (ceiling.limit, ceiling.is_learned) == (50, True)
-    ceiling.advance_time(12_000.0)
-    assert ceiling.is_learned
-    ceiling.advance_time(12_200.0)  # after ten seconds it lapses: it may have been chance
-    assert (ceiling.limit, ceiling.is_learned) == (128, False)
-    ceiling.reconfigure(200, None)
-    assert ceiling.limit == 66
-
-
-def test_nothing_is_tried_with_more_than_there_is_to_close() -> None:
-    ceiling = ConnectionLimitEstimator(384)
-    assert ceiling.start_probe(400.0, seen(still=1)) == 1
-    world, stood = World(most=1_000), list[int]()
-
-    def suspects(now: float, activity: ClientActivity) -> int:
-        stood.append(activity.inactive_count)
+        estimator.record_opening(2_150.0, 50)
+    assert (estimator.limit, estimator.is_learned) == (50, True)
+    estimator.advance_time(12_000.0)
+    assert estimator.is_learned
+    estimator.advance_time(12_200.0)  # after ten seconds the estimate expires: it may have been chance
+    assert (estimator.limit, estimator.is_learned) == (128, False)
+    estimator.reconfigure(200, None)
+    assert estimator.limit == 66
+
+
+def test_probe_closes_no_more_than_the_inactive_connections() -> None:
+    estimator = ConnectionLimitEstimator(384)
+    assert estimator.start_probe(400.0, stopped_clients(inactive=1)) == 1
+    simulation = ListenerSimulation(client_limit=1_000)
+    inactive_counts: list[int] = []
+
+    def record_activity(now: float, activity: ClientActivity) -> int:
+        inactive_counts.append(activity.inactive_count)
         return 0
 
-    world.policy.limit_estimator.start_probe = suspects  # type: ignore[method-assign]
-    world.pass_time(990.0)
+    simulation.policy.headroom.limit_estimator.start_probe = record_activity  # type: ignore[method-assign]
+    simulation.pass_time(990.0)
     for _ in range(20):
-        conn = world.connect()
-        world.ask(conn)
-        world.account.record_response(conn, 200)
-        world.account.mark_idle(conn, world.now)
-    world.pass_time(10.0)
-    assert stood[-1] == 0  # all stand still, and are too young to go
-    world.pass_time(3_000.0)
-    assert stood[-1] == 20
-
-
-def test_a_flood_that_is_turned_away_unheard_says_nothing_of_the_others_need() -> None:
-    """Ten connections a look are opened for requests; beside them fifty are turned away, or none."""
+        record = simulation.connect()
+        simulation.begin_request(record)
+        simulation.table.record_response(record, 200)
+        simulation.table.mark_idle(record, simulation.now)
+    simulation.pass_time(10.0)
+    assert inactive_counts[-1] == 0  # all are idle, but not for long enough
+    simulation.pass_time(3_000.0)
+    assert inactive_counts[-1] == 20
+
+
+def test_rejected_connections_do_not_change_the_opening_rate_of_the_others() -> None:
+    """Ten connections are opened for requests in each interval; beside them fifty are rejected, or none."""
     rates = []
-    for flood in (0, 50):
-        world = World(most=1_000)
+    for rejected_count in (0, 50):
+        simulation = ListenerSimulation(client_limit=1_000)
         for _ in range(10):
-            for _ in range(flood):
-                world.close(world.connect("flood"), CloseReason.ADDRESS_QUOTA)
+            for _ in range(rejected_count):
+                simulation.close(simulation.connect("rejected"), CloseReason.ADDRESS_QUOTA)
             for _ in range(10):
-                world.request(takes=1.0)
-            world.pass_time(REVIEW_INTERVAL_MS)
-        rates.append(world.policy.opening_rate(world.now))
+                simulation.request_once(duration_ms=1.0)
+            simulation.pass_time(REVIEW_INTERVAL_MS)
+        rates.append(simulation.policy.headroom.opening_rate.net_rate(simulation.now))
     assert rates[0] == pytest.approx(rates[1])
     assert rates[0] > 20.0
 
 
 @pytest.mark.parametrize(
-    ("heights", "still", "tried"),
+    ("held_counts", "inactive", "is_probed"),
     [
-        ([40, 39, 40, 40] * 10, 30, True),  # openings go on, but what is held is pinned
-        ([40, 39, 40, 40] * 10, 10, False),  # few of these stand still: they are in use
-        ([30 + n % 12 for n in range(40)], 30, False),  # it comes and goes
-        ([40] * 9, 30, False),  # too few to say
+        ([40, 39, 40, 40] * 10, 30, True),  # openings go on, but what is held stays the same
+        ([40, 39, 40, 40] * 10, 10, False),  # few of these are inactive
+        ([30 + n % 12 for n in range(40)], 30, False),  # what is held changes
+        ([40] * 9, 30, False),  # too few openings
     ],
 )
-def test_a_height_that_never_moves_is_tried_too(heights: list[int], still: int, tried: bool) -> None:
-    ceiling = ConnectionLimitEstimator(384)
-    for height in heights:
-        ceiling.record_opening(400.0, height)
-    assert bool(ceiling.start_probe(600.0, seen(40, still, 100.0, 590.0))) == tried
-    if tried:
+def test_plateau_is_probed_too(held_counts: list[int], inactive: int, is_probed: bool) -> None:
+    estimator = ConnectionLimitEstimator(384)
+    for held_count in held_counts:
+        estimator.record_opening(400.0, held_count)
+    assert bool(estimator.start_probe(600.0, stopped_clients(40, inactive, 100.0, 590.0))) == is_probed
+    if is_probed:
         for _ in range(40):  # thirty would be usual
-            ceiling.record_opening(700.0, 40)
-        assert not ceiling.is_learned
+            estimator.record_opening(700.0, 40)
+        assert not estimator.is_learned
         for _ in range(2):
-            ceiling.record_opening(700.0, 40)
-        assert (ceiling.limit, ceiling.is_learned) == (40, True)
+            estimator.record_opening(700.0, 40)
+        assert (estimator.limit, estimator.is_learned) == (40, True)
 
 
 # --------------------------------------------------------------------------------------- the policy
 
 
-def test_a_crowd_that_asks_once_finds_room_from_the_first_second() -> None:
-    """Hundreds that hold for ever, within the start itself, when nothing is learned yet."""
-    for most, told in ((128, None), (85, 85)):
-        world = World(384 if told is None else 256, told, most)
-        assert crowd(world, 2_000, 4.0) == 0
-        assert world.closed[CloseReason.NOT_WORTH_KEEPING] > 1_500
+def test_one_shot_clients_find_free_slots_from_the_first_second() -> None:
+    """Clients that hold their connections for ever, right from the start, when nothing is learned yet."""
+    for client_limit, configured_limit in ((128, None), (85, 85)):
+        descriptors = 384 if configured_limit is None else 256
+        simulation = ListenerSimulation(descriptors, configured_limit, client_limit)
+        assert send_one_shot_requests(simulation, 2_000, 4.0) == 0
+        assert simulation.closed[CloseReason.NOT_WORTH_KEEPING] > 1_500
 
 
-@pytest.mark.parametrize("most", [10, 12, 25, 40, 80])
-def test_clients_with_a_lower_limit_than_believed_are_found_out(most: int) -> None:
-    world = World(most=most)
-    missed, believed = 0, 128
+@pytest.mark.parametrize("client_limit", [10, 12, 25, 40, 80])
+def test_limit_of_clients_below_the_default_is_learned(client_limit: int) -> None:
+    simulation = ListenerSimulation(client_limit=client_limit)
+    missed = 0
+    least_capacity = 128
     for _ in range(50):
-        missed += crowd(world, 100, 4.0)
-        believed = min(believed, world.policy.capacity())
-    assert believed <= 1.1 * most or not missed
+        missed += send_one_shot_requests(simulation, 100, 4.0)
+        least_capacity = min(least_capacity, simulation.policy.capacity())
+    assert least_capacity <= 1.1 * client_limit or not missed
     assert missed < 0.08 * 5_000
 
 
-def test_usual_ones_keep_theirs_beside_a_crowd() -> None:
-    """Twenty that ask on and on, beside a crowd: they are not made to open connections for each request."""
-    world = World()
-    usual = [world.connect(f"u{n}") for n in range(20)]
+def test_reusing_clients_keep_their_connections_beside_one_shot_clients() -> None:
+    """Twenty clients that send requests all the time need not open a connection for each of them."""
+    simulation = ListenerSimulation()
+    records = [simulation.connect(f"u{n}") for n in range(20)]
     reopened = 0
     for turn in range(1_000):
         n = turn % 20
-        if usual[n] not in world.open:
-            usual[n], reopened = world.connect(f"u{n}"), reopened + 1
-        world.ask(usual[n])
-        world.pass_time(3.0)
-        world.answer(usual[n])
+        if records[n] not in simulation.open:
+            records[n] = simulation.connect(f"u{n}")
+            reopened += 1
+        simulation.begin_request(records[n])
+        simulation.pass_time(3.0)
+        simulation.respond(records[n])
         if turn > 100:
-            world.request(f"h{turn}", takes=3.0)
+            simulation.request_once(f"h{turn}", duration_ms=3.0)
     assert reopened < 40
-    assert world.closed[CloseReason.NOT_WORTH_KEEPING] > 700
+    assert simulation.closed[CloseReason.NOT_WORTH_KEEPING] > 700
 
 
-def test_an_address_that_reuses_is_kept_at_its_first_answer() -> None:
-    world = World()
+def test_connection_of_a_reusing_address_is_kept_after_its_first_response() -> None:
+    simulation = ListenerSimulation()
     for _ in range(2):
-        conn = world.connect("good")
+        record = simulation.connect("good")
         for _ in range(3):
-            world.ask(conn)
-            world.answer(conn)
-    crowd(world, 500, 4.0)
-    for peer, kept in (("good", True), ("new", False)):
-        ended = 0
+            simulation.begin_request(record)
+            simulation.respond(record)
+    send_one_shot_requests(simulation, 500, 4.0)
+    for peer, is_kept in (("good", True), ("new", False)):
+        closed_count = 0
         for _ in range(8):  # one in eight is kept as a sample
-            conn = world.connect(peer)
-            world.ask(conn)
-            ended += not world.answer(conn)
-            if conn in world.open:
-                world.close(conn, CloseReason.CONNECTION_LOST)
-        assert (ended == 0) == kept
-
-
-def test_a_belief_does_not_prove_itself() -> None:
-    """After a crowd that never asked again come clients that would, if only they were let."""
-    world = World()
-    crowd(world, 1_000, 3.0)
-    for holder in world.open[:]:
-        world.close(holder, CloseReason.CLIENT_CLOSED)
-    usual, opened = dict[int, ConnectionRecord](), list[int]()
+            record = simulation.connect(peer)
+            simulation.begin_request(record)
+            closed_count += not simulation.respond(record)
+            if record in simulation.open:
+                simulation.close(record, CloseReason.CONNECTION_LOST)
+        assert (closed_count == 0) == is_kept
+
+
+def test_assumption_of_no_reuse_does_not_confirm_itself() -> None:
+    """After clients that never reused a connection come others that would, if theirs were kept open."""
+    simulation = ListenerSimulation()
+    send_one_shot_requests(simulation, 1_000, 3.0)
+    for open_record in simulation.open[:]:
+        simulation.close(open_record, CloseReason.CLIENT_CLOSED)
+    records: dict[int, ConnectionRecord] = {}
+    opened: list[int] = []
     for turn in range(4_000):
-        conn = usual.get(turn % 20)
-        if conn is None or conn not in world.open:
-            conn = world.connect(f"u{turn}")
-            usual[turn % 20] = conn
+        record = records.get(turn % 20)
+        if record is None or record not in simulation.open:
+            record = simulation.connect(f"u{turn}")
+            records[turn % 20] = record
             opened.append(turn)
-        world.ask(conn)
-        world.pass_time(3.0)
-        world.answer(conn)
+        simulation.begin_request(record)
+        simulation.pass_time(3.0)
+        simulation.respond(record)
     assert len(opened) < 1_000
     assert not [turn for turn in opened if turn > 2_000]
 
 
-def periodic(world: World, clients: int, every: float, span: float) -> tuple[int, int]:
-    """Clients that keep a connection each and ask on it every so often; returns how many requests there were,
-    and how many of them needed a new connection, in the last quarter of the time.
+def send_periodic_requests(
+    simulation: ListenerSimulation, client_count: int, interval_ms: float, duration_ms: float
+) -> tuple[int, int]:
+    """Send requests of clients that keep a connection each.
+
+    Returns how many requests there were in the last quarter of the time, and how many of them needed a new
+    connection.
     """
-    conns = dict[int, ConnectionRecord]()
-    asked = opened = 0
-    due = [(every * n / clients, n) for n in range(clients)]
-    while due:
-        when, n = due.pop(0)
-        if when > span:
+    records: dict[int, ConnectionRecord] = {}
+    request_count = 0
+    opened_count = 0
+    schedule = [(interval_ms * n / client_count, n) for n in range(client_count)]
+    while schedule:
+        at, n = schedule.pop(0)
+        if at > duration_ms:
             continue
-        world.pass_time(max(0.0, when - world.now))
-        late = when > 0.75 * span
-        asked += late
-        conn = conns.get(n)
-        if conn is None or conn not in world.open:
-            opened += late
-            conn = conns[n] = world.connect("front")
-        world.ask(conn)
-        world.answer(conn)
-        due.append((when + every, n))
-    return asked, opened
+        simulation.pass_time(max(0.0, at - simulation.now))
+        is_counted = at > 0.75 * duration_ms
+        request_count += is_counted
+        record = records.get(n)
+        if record is None or record not in simulation.open:
+            opened_count += is_counted
+            record = records[n] = simulation.connect("front")
+        simulation.begin_request(record)
+        simulation.respond(record)
+        schedule.append((at + interval_ms, n))
+    return request_count, opened_count
 
 
 @pytest.mark.parametrize(
-    ("told", "clients", "every"),
+    ("configured_limit", "client_count", "interval_ms"),
     [(None, 20, 3_000.0), (None, 60, 300.0), (None, 100, 3_000.0), (None, 140, 300.0), (128, 128, 300.0)],
 )
-def test_usual_clients_keep_their_connections(told: int | None, clients: int, every: float) -> None:
-    """Nobody is at any limit, or just at it: closing must neither begin for nothing nor keep itself going."""
-    asked, opened = periodic(World(told=told), clients, every, 40_000.0)
-    assert asked > 60
-    assert opened <= 0.1 * asked
+def test_periodic_clients_keep_their_connections(
+    configured_limit: int | None, client_count: int, interval_ms: float
+) -> None:
+    """No client is above any limit: closing must neither begin without need nor keep itself going."""
+    simulation = ListenerSimulation(configured_limit=configured_limit)
+    request_count, opened_count = send_periodic_requests(simulation, client_count, interval_ms, 40_000.0)
+    assert request_count > 60
+    assert opened_count <= 0.1 * request_count
 
 
-def test_a_handshake_is_no_delay_of_the_client() -> None:
-    """By TLS the first bytes of a request come late, if the handshake has to wait for its turn."""
-    world = World()
+def test_handshake_does_not_count_as_delay_of_the_client() -> None:
+    """With TLS the first bytes of a request arrive late, if the handshake has to wait for its turn."""
+    simulation = ListenerSimulation()
     for n in range(300):
-        conn = world.connect(f"h{n}")
-        conn.ready_at = world.now + 500.0
-        conn.request_started_at = world.now + 510.0
-        world.account.begin_request(conn, world.now)
-        world.policy.record_request(conn, world.now)
-        world.answer(conn)
-        world.pass_time(4.0)
-    assert world.closed[CloseReason.NOT_WORTH_KEEPING] > 200
-
-
-def test_one_that_is_past_its_time_is_not_closed_twice() -> None:
-    world = World(told=40)
+        record = simulation.connect(f"h{n}")
+        record.ready_at = simulation.now + 500.0
+        record.request_started_at = simulation.now + 510.0
+        simulation.table.begin_request(record, simulation.now)
+        simulation.policy.record_request(record, simulation.now)
+        simulation.respond(record)
+        simulation.pass_time(4.0)
+    assert simulation.closed[CloseReason.NOT_WORTH_KEEPING] > 200
+
+
+def test_expired_connection_is_not_closed_twice() -> None:
+    simulation = ListenerSimulation(configured_limit=40)
     for n in range(38):
-        conn = world.connect(f"p{n}")
-        world.ask(conn)
-        world.account.mark_idle(conn, world.now)
-    world.policy._next_eviction_at = 7_900.0  # nothing was closed for room so far
-    world.pass_time(7_950.0)
+        record = simulation.connect(f"p{n}")
+        simulation.begin_request(record)
+        simulation.table.mark_idle(record, simulation.now)
+    simulation.policy._next_eviction_at = 7_900.0  # nothing was closed for capacity so far
+    simulation.pass_time(7_950.0)
     for _ in range(2):
-        conn = world.connect("q")
-        world.ask(conn)
-        world.account.mark_idle(conn, world.now)
-    world.pass_time(100.0)  # World raises on a second close
-    assert world.closed[CloseReason.IDLE_TIMEOUT] == 38
+        record = simulation.connect("q")
+        simulation.begin_request(record)
+        simulation.table.mark_idle(record, simulation.now)
+    simulation.pass_time(100.0)  # the simulation raises on a second close
+    assert simulation.closed[CloseReason.IDLE_TIMEOUT] == 38
 
 
-def test_a_small_holder_is_not_made_to_pay_for_a_big_one() -> None:
-    world = World(told=100, most=100)
+def test_address_within_its_quota_does_not_pay_for_one_that_exceeds_it() -> None:
+    simulation = ListenerSimulation(configured_limit=100, client_limit=100)
     for peer, count in (("big", 66), ("small", 15), *((f"p{n}", 1) for n in range(8))):
         for _ in range(count):
-            world.ask(world.connect(peer))
-    small = next(conn for conn in world.open if conn.peer == "small")
-    world.policy.should_close_after_response(small, world.now)
+            simulation.begin_request(simulation.connect(peer))
+    small = next(record for record in simulation.open if record.peer == "small")
+    simulation.policy.should_close_after_response(small, simulation.now)
     assert small.close_reason is not CloseReason.ADDRESS_QUOTA
 
 
-def test_all_that_clients_may_hold_stands_idle_and_nothing_happens() -> None:
-    world = World(told=128)
-    conns = [world.connect(f"p{n}") for n in range(128)]
-    for conn in conns:
-        world.ask(conn)
-        conn.close_reason = None
-    for conn in conns:
-        world.account.mark_idle(conn, world.now)  # a front that reads answers ahead: none of them ended it
-    assert world.policy.free_slots() == 0
-    world.pass_time(MAX_TIME_WITHOUT_CAPACITY_MS)
-    assert world.policy.free_slots() > 0
-    assert world.closed[CloseReason.CAPACITY] >= 2
-
-
-def test_a_pool_that_opens_at_once_what_is_closed_is_left_alone() -> None:
-    world = World(told=100, most=100)
-
-    def again(conn: ConnectionRecord) -> None:
-        fresh = world.connect(conn.peer)
-        fresh.request_started_at = (
-            fresh.opened_at + 1_000.0
-        )  # it asks at some time, not for a request that waits
-        world.account.begin_request(fresh, world.now)
-        world.account.mark_idle(fresh, world.now)
+def test_slots_are_freed_while_all_connections_are_idle() -> None:
+    simulation = ListenerSimulation(configured_limit=128)
+    records = [simulation.connect(f"p{n}") for n in range(128)]
+    for record in records:
+        simulation.begin_request(record)
+        record.close_reason = None
+    for record in records:
+        simulation.table.mark_idle(
+            record, simulation.now
+        )  # a proxy that reads responses ahead: none of them ended it
+    assert simulation.policy.free_slots() == 0
+    simulation.pass_time(MAX_TIME_WITHOUT_CAPACITY_MS)
+    assert simulation.policy.free_slots() > 0
+    assert simulation.closed[CloseReason.CAPACITY] >= 2
+
+
+def test_pool_that_reopens_closed_connections_at_once_is_left_alone() -> None:
+    simulation = ListenerSimulation(configured_limit=100, client_limit=100)
+
+    def reopen(record: ConnectionRecord) -> None:
+        reopened = simulation.connect(record.peer)
+        # it sends a request at some time, so it was not opened for one
+        reopened.request_started_at = reopened.opened_at + 1_000.0
+        simulation.table.begin_request(reopened, simulation.now)
+        simulation.table.mark_idle(reopened, simulation.now)
 
     for n in range(100):
-        conn = world.connect(f"p{n % 3}")
-        world.ask(conn)
-        world.account.mark_idle(conn, world.now)
-    world.on_close = again
-    world.policy.limits.idle_timeout_ms = 1e9
-    world.pass_time(30_000.0)
-    closed = world.closed[CloseReason.CAPACITY]
-    world.pass_time(60_000.0)
-    assert world.policy.unclaimed_evictions >= 4
-    assert (
-        world.closed[CloseReason.CAPACITY] - closed <= 2 * 60_000 / MAX_EVICTION_BACKOFF_MS + 2
-    )  # of 100, two in eight seconds
-    assert closed < 50
-
-
-def test_room_that_nobody_took_does_not_keep_the_next_crowd_waiting() -> None:
-    world = World(told=40, most=40)
+        record = simulation.connect(f"p{n % 3}")
+        simulation.begin_request(record)
+        simulation.table.mark_idle(record, simulation.now)
+    simulation.on_close = reopen
+    simulation.policy.limits.idle_timeout_ms = 1e9
+    simulation.pass_time(30_000.0)
+    closed_before = simulation.closed[CloseReason.CAPACITY]
+    simulation.pass_time(60_000.0)
+    assert simulation.policy.unclaimed_evictions >= 4
+    # of 100, two in eight seconds
+    closed_later = simulation.closed[CloseReason.CAPACITY] - closed_before
+    assert closed_later <= 2 * 60_000 / MAX_EVICTION_BACKOFF_MS + 2
+    assert closed_before < 50
+
+
+def test_unclaimed_slots_do_not_delay_the_next_clients() -> None:
+    simulation = ListenerSimulation(configured_limit=40, client_limit=40)
 
     def fill() -> None:
-        while world.held() < 40:
-            conn = world.connect()
-            world.ask(conn)
-            world.account.mark_idle(conn, world.now)
+        while simulation.held_count() < 40:
+            record = simulation.connect()
+            simulation.begin_request(record)
+            simulation.table.mark_idle(record, simulation.now)
 
-    for _ in range(4):  # each time nobody comes for a while: closing rests longer and longer
+    for _ in range(4):  # each time no client uses the slots for a while: the backoff grows
         fill()
-        world.policy._eviction_backoff_ms = 4_000.0
-        world.pass_time(MAX_TIME_WITHOUT_CAPACITY_MS)
-        assert world.policy.free_slots() > 0
-        world.pass_time(400.0)
+        simulation.policy._eviction_backoff_ms = 4_000.0
+        simulation.pass_time(MAX_TIME_WITHOUT_CAPACITY_MS)
+        assert simulation.policy.free_slots() > 0
+        simulation.pass_time(400.0)
 
 
 @given(
     st.lists(
-        st.tuples(st.sampled_from((*STEPS, "wait", "needy")), st.integers(0, 200), st.integers(0, 2)),
+        st.tuples(st.sampled_from((*STEPS, "wait", "request_once")), st.integers(0, 200), st.integers(0, 2)),
         min_size=30,
         max_size=150,
     ),
     st.integers(8, 24),
 )
-def test_clients_are_never_long_without_room_while_one_stands_idle(
-    steps: list[tuple[str, int, int]], most: int
+def test_clients_are_never_long_without_a_free_slot_while_a_connection_is_idle(
+    steps: list[tuple[str, int, int]], client_limit: int
 ) -> None:
-    """Whatever came before. The bound where room that was made was taken is ROOM_WITHIN; after room that
-    nobody took it is as much longer as closing rests.
-    """
-    world = World(told=most, most=most)
+    """Whatever came before, within `MAX_TIME_WITHOUT_CAPACITY_MS`."""
+    simulation = ListenerSimulation(configured_limit=client_limit, client_limit=client_limit)
     for step, which, peer in steps:
-        _play(world, step, which, f"p{peer}")
-        assert world.account.client_held_count() == world.held() <= most
-    while world.held() < most:  # now they fill it, and hold
-        conn = world.connect("last")
-        world.ask(conn)
-        world.account.mark_idle(conn, world.now)
-    for conn in world.open[::2]:  # some of them are asking, and stay so
-        if conn.state is ConnectionState.IDLE:
-            world.ask(conn)
-    if world.held() == world.account.active_count:
-        return  # nobody stands idle
-    world.pass_time(MAX_TIME_WITHOUT_CAPACITY_MS)
-    assert world.policy.free_slots() > 0
-
-
-def _play(world: World, step: str, which: int, peer: str) -> None:
+        _simulate_step(simulation, step, which, f"p{peer}")
+        assert simulation.table.client_held_count() == simulation.held_count() <= client_limit
+    while simulation.held_count() < client_limit:  # the clients take all slots, and hold them
+        record = simulation.connect("last")
+        simulation.begin_request(record)
+        simulation.table.mark_idle(record, simulation.now)
+    for record in simulation.open[::2]:  # some of them are active, and stay so
+        if record.state is ConnectionState.IDLE:
+            simulation.begin_request(record)
+    if simulation.held_count() == simulation.table.active_count:
+        return  # no connection is idle
+    simulation.pass_time(MAX_TIME_WITHOUT_CAPACITY_MS)
+    assert simulation.policy.free_slots() > 0
+
+
+def _simulate_step(simulation: ListenerSimulation, step: str, which: int, peer: str) -> None:
     if step == "wait":
-        world.pass_time(5.0 * which)
+        simulation.pass_time(5.0 * which)
     elif step == "open":
-        if len(world.open) < world.budget.downstream_limit() and world.held() < world.most:
-            world.connect(peer)
-    elif step == "needy":
-        world.request(peer)
-    elif world.open:
-        conn = world.open[which % len(world.open)]
-        if step == "ask" and (conn.state is ConnectionState.IDLE or world.held() < world.most):
-            if conn.state is not ConnectionState.ACTIVE:
-                world.ask(conn)
-        elif step == "answer" and conn.state is ConnectionState.ACTIVE:
-            world.answer(conn)
+        if (
+            len(simulation.open) < simulation.budget.downstream_limit()
+            and simulation.held_count() < simulation.client_limit
+        ):
+            simulation.connect(peer)
+    elif step == "request_once":
+        simulation.request_once(peer)
+    elif simulation.open:
+        record = simulation.open[which % len(simulation.open)]
+        if step == "request" and (
+            record.state is ConnectionState.IDLE or simulation.held_count() < simulation.client_limit
+        ):
+            if record.state is not ConnectionState.ACTIVE:
+                simulation.begin_request(record)
+        elif step == "respond" and record.state is ConnectionState.ACTIVE:
+            simulation.respond(record)
         elif step == "close":
-            world.close(conn, CloseReason.CLIENT_CLOSED)
-
-
-def test_silent_ones_and_those_that_linger_give_way_first_and_the_young_last() -> None:
-    world = World()
-    often, silent, lingering, once, *others = (world.connect(p) for p in "abcdefgh")
-    for conn in (often, often, once, *others):
-        world.ask(conn)
-        world.account.mark_idle(conn, world.now)
-    world.ask(lingering)
-    world.account.mark_lingering(lingering, world.now)
-    world.pass_time(3_000.0)
-    young = world.connect("i")
-    order = [conn for conn, _ in world.policy.select_for_eviction(world.now)]
+            simulation.close(record, CloseReason.CLIENT_CLOSED)
+
+
+def test_eviction_order_is_lingering_then_idle_and_spares_the_new() -> None:
+    simulation = ListenerSimulation()
+    reused, silent, lingering, used_once, *others = (simulation.connect(peer) for peer in "abcdefgh")
+    for record in (reused, reused, used_once, *others):
+        simulation.begin_request(record)
+        simulation.table.mark_idle(record, simulation.now)
+    simulation.begin_request(lingering)
+    simulation.table.mark_lingering(lingering, simulation.now)
+    simulation.pass_time(3_000.0)
+    new = simulation.connect("i")
+    order = [record for record, _ in simulation.policy.select_for_eviction(simulation.now)]
     assert order[0] is lingering
-    assert young not in order
-    assert order.index(once) < order.index(often)
-    assert silent not in world.open  # closed by the look: 2.2 s
-    hardly = [conn for conn, _ in world.policy.select_for_eviction(world.now, is_urgent=False)]
-    assert often in hardly  # it has stood for three seconds
-    world.ask(often)
-    world.account.mark_idle(often, world.now)
-    assert often not in [conn for conn, _ in world.policy.select_for_eviction(world.now, is_urgent=False)]
-
-
-def test_an_address_over_its_share_gives_way_and_is_turned_away() -> None:
-    world = World(sockets=128)  # 40 places at the doors
+    assert new not in order
+    assert order.index(used_once) < order.index(reused)
+    assert silent not in simulation.open  # closed by the review: 2.2 s
+    not_urgent = [
+        record for record, _ in simulation.policy.select_for_eviction(simulation.now, is_urgent=False)
+    ]
+    assert reused in not_urgent  # it has been idle for three seconds
+    simulation.begin_request(reused)
+    simulation.table.mark_idle(reused, simulation.now)
+    assert reused not in [
+        record for record, _ in simulation.policy.select_for_eviction(simulation.now, is_urgent=False)
+    ]
+
+
+def test_address_over_its_quota_is_evicted_and_rejected() -> None:
+    simulation = ListenerSimulation(descriptors=128)  # 40 slots for client connections
     for _ in range(36):
-        world.request("greedy", takes=0.0)
-    crowded = [world.connect("greedy") for _ in range(39 - len(world.open))]
-    for conn in crowded:
-        world.ask(conn)
-    other = world.connect("other")
-    world.ask(other)
-    assert world.policy.should_reject_address("greedy")
-    assert not world.policy.should_reject_address("other")
-    assert world.policy.should_close_after_response(crowded[0], world.now)
-    assert crowded[0].close_reason is CloseReason.ADDRESS_QUOTA
-    world.policy.should_close_after_response(other, world.now)
+        simulation.request_once("greedy", duration_ms=0.0)
+    greedy = [simulation.connect("greedy") for _ in range(39 - len(simulation.open))]
+    for record in greedy:
+        simulation.begin_request(record)
+    other = simulation.connect("other")
+    simulation.begin_request(other)
+    assert simulation.policy.should_reject_address("greedy")
+    assert not simulation.policy.should_reject_address("other")
+    assert simulation.policy.should_close_after_response(greedy[0], simulation.now)
+    assert greedy[0].close_reason is CloseReason.ADDRESS_QUOTA
+    simulation.policy.should_close_after_response(other, simulation.now)
     assert other.close_reason is not CloseReason.ADDRESS_QUOTA
-    world.policy.limits.enforce_address_quota = False
-    assert not world.policy.should_reject_address("greedy")
+    simulation.policy.limits.enforce_address_quota = False
+    assert not simulation.policy.should_reject_address("greedy")
 
 
-# ---------------------------------------------------------------------------- descriptors and the intake
+# ---------------------------------------------------------------------------- descriptors and accepts
 
 
 USES = st.sampled_from(list(DescriptorUse))
 
 
 @given(st.lists(st.tuples(st.booleans(), USES), max_size=200), st.integers(60, 120), st.integers(50, 110))
-def test_descriptors_stay_within_their_parts(
-    steps: list[tuple[bool, DescriptorUse]], limit: int, later: int
+def test_descriptors_stay_within_their_budget(
+    steps: list[tuple[bool, DescriptorUse]], limit: int, later_limit: int
 ) -> None:
     budget = DescriptorBudget(limit)
-    for n, (opens, use) in enumerate(steps):
+    for n, (is_open, use) in enumerate(steps):
         if n == 100:
-            budget.resize(later)
-        if opens and budget.ensure_available(use):
+            budget.resize(later_limit)
+        if is_open and budget.ensure_available(use):
             assert budget.used < budget.limit + (
                 RESERVED_FOR_CONNECTS if use is DescriptorUse.UPSTREAM else 0
             )
@@ -713,13 +767,13 @@
                 use is not DescriptorUse.DOWNSTREAM
                 or budget.used_by_purpose[use] <= budget.downstream_limit()
             )
-        elif not opens and budget.used_by_purpose[use]:
+        elif not is_open and budget.used_by_purpose[use]:
             budget.release(use)
         assert budget.used == sum(budget.used_by_purpose.values())
         assert budget.excess() == max(0, budget.used - budget.limit)
 
 
-def test_the_doors_keep_to_their_part_and_take_nothing_new_over_a_lowered_limit() -> None:
+def test_downstream_keeps_to_its_fraction_and_accepts_nothing_above_a_lowered_limit() -> None:
     budget = DescriptorBudget(RESERVED_FOR_PROGRAM + RESERVED_FOR_FILES + RESERVED_FOR_CONNECTS + 40)
     budget.reclaimers = [lambda: True]
     for _ in range(20):
@@ -732,86 +786,88 @@
     assert not budget.ensure_available(DescriptorUse.DOWNSTREAM)
 
 
-def test_over_a_lowered_limit_connections_end_with_their_answers() -> None:
-    world = World(sockets=200)
-    conns = [world.connect(f"p{n}") for n in range(20)]
-    for conn in conns:
-        world.ask(conn)
-    world.budget.resize(60)
-    assert not world.answer(conns[0])
-    assert conns[0].close_reason is CloseReason.DESCRIPTORS
+def test_connections_end_with_their_responses_above_a_lowered_limit() -> None:
+    simulation = ListenerSimulation(descriptors=200)
+    records = [simulation.connect(f"p{n}") for n in range(20)]
+    for record in records:
+        simulation.begin_request(record)
+    simulation.budget.resize(60)
+    assert not simulation.respond(records[0])
+    assert records[0].close_reason is CloseReason.DESCRIPTORS
 
 
-def test_others_give_way_in_order() -> None:
+def test_reclaimers_are_tried_in_order() -> None:
     budget = DescriptorBudget(RESERVED_FOR_PROGRAM + RESERVED_FOR_FILES + RESERVED_FOR_CONNECTS + 8)
     for _ in range(8):
         budget.acquire(DescriptorUse.DOWNSTREAM)
-    given_way: list[str] = []
+    reclaimed: list[str] = []
 
-    def giver(name: str, count: int) -> Callable[[], bool]:
-        left: Iterator[int] = iter(range(count))
+    def make_reclaimer(name: str, count: int) -> Callable[[], bool]:
+        remaining: Iterator[int] = iter(range(count))
 
-        def give() -> bool:
-            if next(left, None) is None:
+        def reclaim() -> bool:
+            if next(remaining, None) is None:
                 return False
-            given_way.append(name)
+            reclaimed.append(name)
             budget.release(DescriptorUse.DOWNSTREAM)
             return True
 
-        return give
+        return reclaim
 
-    budget.reclaimers = [giver("first", 1), giver("second", 1)]
+    budget.reclaimers = [make_reclaimer("first", 1), make_reclaimer("second", 1)]
     assert budget.ensure_available(DescriptorUse.BATCH)
     budget.acquire(DescriptorUse.BATCH)
     assert budget.ensure_available(DescriptorUse.BATCH)
     budget.acquire(DescriptorUse.BATCH)
     assert not budget.ensure_available(DescriptorUse.BATCH)
-    assert budget.ensure_available(DescriptorUse.UPSTREAM)  # what was taken must get its answer
-    assert given_way == ["first", "second"]
+    assert budget.ensure_available(DescriptorUse.UPSTREAM)  # an accepted request must get its answer
+    assert reclaimed == ["first", "second"]
 
 
-def test_a_lower_limit_is_reached_in_portions() -> None:
-    world = World(sockets=1024)
+def test_lowered_limit_is_reached_in_batches() -> None:
+    simulation = ListenerSimulation(descriptors=1024)
     for _ in range(400):
-        world.budget.acquire(DescriptorUse.DOWNSTREAM)
-    world.budget.resize(248)
-    portions = []
-    while world.budget.excess():
-        portions.append(world.policy.excess_descriptors())
-        for _ in range(portions[-1]):
-            world.budget.release(DescriptorUse.DOWNSTREAM)
-    assert max(portions) <= 200 / 8
-    assert len(portions) < 30  # looks: under three seconds
+        simulation.budget.acquire(DescriptorUse.DOWNSTREAM)
+    simulation.budget.resize(248)
+    batches = []
+    while simulation.budget.excess():
+        batches.append(simulation.policy.excess_descriptors())
+        for _ in range(batches[-1]):
+            simulation.budget.release(DescriptorUse.DOWNSTREAM)
+    assert max(batches) <= 200 / 8
+    assert len(batches) < 30  # reviews: under three seconds
 
 
-def test_portions_end_by_number_and_by_time() -> None:
-    portion = AcceptThrottle(0.0)
-    assert sum(portion.try_accept(0.0) for _ in range(100)) == 32
-    portion = AcceptThrottle(0.0)
-    assert [portion.try_accept(now) for now in (0.0, 1.0, 2.9, 3.0)] == [True, True, True, False]
+def test_accept_batch_ends_by_number_and_by_time() -> None:
+    throttle = AcceptThrottle(0.0)
+    assert sum(throttle.try_accept(0.0) for _ in range(100)) == 32
+    throttle = AcceptThrottle(0.0)
+    assert [throttle.try_accept(now) for now in (0.0, 1.0, 2.9, 3.0)] == [True, True, True, False]
 
 
-def test_handshakes_have_their_part_of_the_time_and_go_in_order() -> None:
-    queue, begun, now = HandshakeThrottle(0.25, 0.0), list[tuple[float, int]](), 0.0
+def test_handshakes_keep_to_their_fraction_of_the_time_and_to_their_order() -> None:
+    throttle = HandshakeThrottle(0.25, 0.0)
+    begun: list[tuple[float, int]] = []
+    now = 0.0
 
     def begin(n: int) -> None:
         begun.append((now, n))
-        queue.charge_cpu(2.0)
+        throttle.charge_cpu(2.0)
 
     for n in range(200):
-        if queue.may_proceed(now):
+        if throttle.may_proceed(now):
             begin(n)
         else:
-            queue.enqueue(lambda n=n: begin(n))  # type: ignore[misc]
-    at_once = len(begun)
-    assert at_once == MAX_BURST_CPU_MS / 2.0
-    while len(queue):
-        due = queue.next_delay_ms()
-        assert due is not None
-        now += due
-        while (resume := queue.pop_ready(now)) is not None:
+            throttle.enqueue(lambda n=n: begin(n))  # type: ignore[misc]
+    begun_at_once = len(begun)
+    assert begun_at_once == MAX_BURST_CPU_MS / 2.0
+    while len(throttle):
+        delay_ms = throttle.next_delay_ms()
+        assert delay_ms is not None
+        now += delay_ms
+        while (resume := throttle.pop_ready(now)) is not None:
             resume()
     assert [n for _, n in begun] == list(range(200))
-    spent = 2.0 * (200 - at_once)
-    assert now == pytest.approx(spent / 0.25, rel=0.05)
-    assert queue.next_delay_ms() is None
+    cpu_ms = 2.0 * (200 - begun_at_once)
+    assert now == pytest.approx(cpu_ms / 0.25, rel=0.05)
+    assert throttle.next_delay_ms() is None
