--- a/rosepick/connections/headroom.py
+++ b/rosepick/connections/headroom.py
@@ -29,12 +29,12 @@
 class PressureSnapshot:
     """Why there is connection pressure, under the names of log fields."""
 
-    may_hold: int  # the capacity
-    learned: int  # 1 if the limit of clients was learned from a probe
-    opening_per_s: float
-    fill_ms: float
-    wait_once_ms: float
-    wait_often_ms: float
+    capacity: int
+    capacity_learned: int  # 1 if the limit of clients was learned from a probe
+    open_rate_per_s: float
+    time_until_full_ms: float
+    idle_used_once_ms: float
+    idle_reused_ms: float
 
 
 class ConnectionHeadroom:
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -24,7 +24,7 @@
 UNSERVED_OUTCOMES = (
     RequestOutcome.REFUSED,
     RequestOutcome.FAILED,
-    RequestOutcome.TIMED_OUT,
+    RequestOutcome.DEADLINE_EXCEEDED,
     RequestOutcome.INTERNAL_ERROR,
 )
 
@@ -73,7 +73,7 @@
         request.started_at = self.clock.now()
         self.requests[request.ref] = request
         self.pending_count += 1
-        self.counts["envelopes"] += 1
+        self.counts["requests"] += 1
         self._arm_watchdog(request)
         self._dispatch(request)
 
@@ -124,8 +124,8 @@
         """Return all counts since the start, with the outcomes of requests."""
         totals = Counter(self.counts)
         for (_, outcome), count in self.request_counters.counts_by_outcome().items():
-            is_timeout = outcome is RequestOutcome.TIMED_OUT
-            totals[(RequestOutcome.FAILED if is_timeout else outcome).value] += count
+            counted_as = RequestOutcome.FAILED if outcome is RequestOutcome.DEADLINE_EXCEEDED else outcome
+            totals[counted_as.name.lower()] += count
         return totals
 
     def update_endpoints(self, event: api.EndpointUpdate) -> None:
@@ -153,7 +153,7 @@
         attempt.is_in_flight = False
         if attempt.timeout_timer is not None:
             attempt.timeout_timer.cancel()
-        self.counts["attempt_spoilt" if malformed else f"attempt_{result.value}"] += 1
+        self.counts["attempt_malformed" if malformed else f"attempt_{result.name.lower()}"] += 1
         if result is Result.OK and not request.is_finished:
             downstream = self._close_request(request, RequestOutcome.SERVED)
             self._deliver_response("served", lambda: downstream.send_response(request, response))
@@ -191,12 +191,12 @@
         for timer in (attempt.timeout_timer, request.watchdog_timer):
             if timer is not None:
                 timer.cancel()
-        self.counts[f"attempt_{Result.OK.value}"] += 1
+        self.counts[f"attempt_{Result.OK.name.lower()}"] += 1
         latency_ms = max(0.0, self.clock.now() - attempt.sent_at)
         downstream = request.downstream
         assert downstream is not None
         self._observe_outcome(request, RequestOutcome.SERVED)
-        self._deliver_response("begins", lambda: downstream.start_response_stream(request, response))
+        self._deliver_response("started", lambda: downstream.start_response_stream(request, response))
         self._dispatch(
             api.AttemptEnded(
                 request.ref, attempt.number, attempt.endpoint_id, Result.OK, True, cache_status, latency_ms
@@ -258,12 +258,17 @@
         self.counts["faults"] += 1
         ref = getattr(event, "ref", 0)
         log_exception(
-            logger, "engine_fault", error, ref=ref, over=type(event).__name__, count=self.counts["faults"]
+            logger,
+            "engine_fault",
+            error,
+            ref=ref,
+            module_event=type(event).__name__,
+            count=self.counts["faults"],
         )
         request = self.requests.get(ref)
         if request is not None and request.awaits_response():
             downstream = self._close_request(request, RequestOutcome.INTERNAL_ERROR)
-            self._deliver_response("broke", lambda: downstream.send_internal_error(request))
+            self._deliver_response("internal_error", lambda: downstream.send_internal_error(request))
             self._dispatch(api.ClientDisconnected(ref))
             self._release_if_finished(request)
 
@@ -289,16 +294,16 @@
             case api.Watch():
                 self.endpoint_source.set_watching(action.enabled)
             case api.Log():
-                log_event(logger, logging.INFO, "module", text=action.text)
+                log_event(logger, logging.INFO, "decision_message", text=action.text)
             case api.Probe():
-                check_invariant(False, "no_probes", server=action.endpoint_id)
+                check_invariant(False, "no_probes", endpoint=action.endpoint_id)
 
     # ------------------------------------------------------------------------------------------ attempts
 
     def _send_attempt(self, action: api.Send) -> None:
         request = self.requests.get(action.ref)
         if request is None:
-            check_invariant(False, "send_of_open_envelope", ref=action.ref)
+            check_invariant(False, "send_for_open_request", ref=action.ref)
             return
         now = self.clock.now()
         stop_at = min(request.deadline, action.stop_at or request.deadline)
@@ -317,7 +322,7 @@
             self.upstream.start_attempt(attempt)
         except Exception as error:
             self.counts["faults"] += 1
-            log_exception(logger, "delivery_fault", error, ref=request.ref, count=self.counts["faults"])
+            log_exception(logger, "attempt_fault", error, ref=request.ref, count=self.counts["faults"])
             if attempt.is_in_flight:
                 self.upstream.cancel_attempt(attempt)
                 self.finish_attempt(attempt, Result.RESET)  # it may have been executed
@@ -367,7 +372,7 @@
         timed_out = request is not None and self.clock.now() >= request.deadline
         self._finish_request(
             ref,
-            RequestOutcome.TIMED_OUT if timed_out else RequestOutcome.FAILED,
+            RequestOutcome.DEADLINE_EXCEEDED if timed_out else RequestOutcome.FAILED,
             lambda request, downstream: downstream.send_failure(request, timed_out),
             reason,
         )
@@ -382,8 +387,8 @@
         request = self.requests.get(ref)
         if request is None or not request.awaits_response():
             return
-        downstream = self._close_request(request, outcome, reason.value)
-        self._deliver_response(outcome.value, lambda: respond(request, downstream))
+        downstream = self._close_request(request, outcome, reason)
+        self._deliver_response(outcome.name.lower(), lambda: respond(request, downstream))
         self._release_if_finished(request)
 
     def _deliver_response(self, kind: str, respond: Callable[[], None]) -> None:
@@ -392,16 +397,19 @@
             respond()
         except Exception as error:
             self.counts["faults"] += 1
-            log_exception(logger, "answer_fault", error, kind=kind, count=self.counts["faults"])
+            log_exception(logger, "response_fault", error, response=kind, count=self.counts["faults"])
 
     def _close_request(
-        self, request: RequestContext, outcome: RequestOutcome, cause: str = ""
+        self,
+        request: RequestContext,
+        outcome: RequestOutcome,
+        reason: api.EndReason = api.EndReason.UNSPECIFIED,
     ) -> DownstreamPort:
         """Mark a request as finished, and return who is due the answer."""
         if not request.response_started:
             self._observe_outcome(request, outcome)
         request.is_finished = True
-        self._record_outcome(request, outcome, cause)
+        self._record_outcome(request, outcome, reason)
         self.pending_count -= 1
         if request.watchdog_timer is not None:
             request.watchdog_timer.cancel()
@@ -411,8 +419,11 @@
         assert downstream is not None
         return downstream
 
-    def _record_outcome(self, request: RequestContext, outcome: RequestOutcome, cause: str) -> None:
-        """Count an outcome; a served request that missed its objective counts as late."""
+    def _record_outcome(
+        self, request: RequestContext, outcome: RequestOutcome, reason: api.EndReason
+    ) -> None:
+        """Count an outcome with its reason; a served request that missed its objective counts as late."""
+        cause = "" if reason is api.EndReason.UNSPECIFIED else reason.name.lower()
         elapsed_ms = self.clock.now() - request.started_at
         classes = self.settings.classes
         if (
@@ -427,14 +438,14 @@
             and not request.attempts
             and 2 * elapsed_ms > request.deadline - request.started_at
         ):
-            self.counts["late_unsent"] += 1
+            self.counts["late_without_attempt"] += 1
         self.request_counters.record(request.class_index, outcome, cause, elapsed_ms)
 
     def _expire_unanswered_request(self, request: RequestContext) -> None:
         """Fail a request that the module did not answer by its deadline, while an answer still counts."""
         if request.is_finished:
             return
-        downstream = self._close_request(request, RequestOutcome.TIMED_OUT)
+        downstream = self._close_request(request, RequestOutcome.DEADLINE_EXCEEDED)
         self._deliver_response("failed", lambda: downstream.send_failure(request, True))
         self._dispatch(api.ClientDisconnected(request.ref))
         self._release_if_finished(request)
--- a/rosepick/core/request_counters.py
+++ b/rosepick/core/request_counters.py
@@ -17,17 +17,17 @@
     SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
-    TIMED_OUT = "late"  # failed at its deadline
+    DEADLINE_EXCEEDED = "late"  # failed at its deadline
     CLIENT_GONE = "gone"  # the client disconnected first
     INTERNAL_ERROR = "broke"  # failed by a fault of this program
 
 
 class RequestCounters:
-    """Totals by class index and label: the outcome's value, followed by `_` and the cause if there is one."""
+    """Totals of finished requests by class index, outcome and cause; the cause is "" where there is none."""
 
     def __init__(self) -> None:
-        self.counts: Counter[tuple[int, str]] = Counter()
-        self.total_ms: Counter[tuple[int, str]] = Counter()  # sum of the requests' durations, milliseconds
+        self.counts: Counter[tuple[int, RequestOutcome, str]] = Counter()
+        self.total_ms: Counter[tuple[int, RequestOutcome, str]] = Counter()  # sum of durations
 
     def record(self, class_index: int, outcome: RequestOutcome, cause: str, elapsed_ms: float) -> None:
         """Count a finished request.
@@ -38,15 +38,15 @@
             cause: why it ended so, or "".
             elapsed_ms: milliseconds from its arrival to its end.
         """
-        key = class_index, f"{outcome.value}_{cause}" if cause else outcome.value
+        key = class_index, outcome, cause
         self.counts[key] += 1
         self.total_ms[key] += elapsed_ms  # type: ignore[assignment]
 
     def counts_by_outcome(self) -> Counter[tuple[int, RequestOutcome]]:
-        """Return the counts by class index and outcome, whatever the causes."""
+        """Return the counts by class index and outcome, whatever their causes."""
         totals: Counter[tuple[int, RequestOutcome]] = Counter()
-        for (class_index, label), count in self.counts.items():
-            totals[class_index, RequestOutcome(label.partition("_")[0])] += count
+        for (class_index, outcome, _), count in self.counts.items():
+            totals[class_index, outcome] += count
         return totals
 
     def iter_log_fields(
@@ -54,19 +54,26 @@
     ) -> Iterator[dict[str, object]]:
         """Yield the log fields of each class that has finished requests.
 
-        These are its name, the worth of a request, the count of each label and, under the label with `_ms`
-        appended, the milliseconds in all.
+        They are the name of the class, the worth of a request, the counts by outcome and cause, and beside
+        each count the summed milliseconds, under the same name with `_ms`.
 
         Args:
             names: the names of classes by index.
             worths: the worth of a request by class index.
         """
-        for class_index in sorted({index for index, _ in self.counts}):
+        for class_index in sorted({index for index, _, _ in self.counts}):
             fields: dict[str, object] = {
                 "class": names.get(class_index, str(class_index)),
                 "worth": float(worths.get(class_index, 0.0)),
             }
-            for label in sorted(label for index, label in self.counts if index == class_index):
-                fields[label] = self.counts[class_index, label]
-                fields[f"{label}_ms"] = int(self.total_ms[class_index, label])
+            keys = [key for key in self.counts if key[0] == class_index]
+            for key in sorted(keys, key=_field_name):
+                fields[_field_name(key)] = self.counts[key]
+                fields[f"{_field_name(key)}_ms"] = int(self.total_ms[key])
             yield fields
+
+
+def _field_name(key: tuple[int, RequestOutcome, str]) -> str:
+    _, outcome, cause = key
+    name = outcome.name.lower()
+    return f"{name}_{cause}" if cause else name
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -317,7 +317,7 @@
         )  # the old one goes on serving
         new = self.start("new")
         admin_port = int(
-            self.read_log_until_serving(new).partition("event=ops_serving listen=127.0.0.1:")[2].split()[0]
+            self.read_log_until_serving(new).partition("event=admin_serving listen=127.0.0.1:")[2].split()[0]
         )
         self.assertEqual(self.send(admin_port, b"readyz\n"), b"OK ready\n")
         statuses = {self.send(port)}
