--- a/rosepick/connections/connection_table.py
+++ b/rosepick/connections/connection_table.py
@@ -110,21 +110,21 @@
 class IdleQueues:
     """The connections without a request, by kind."""
 
-    __slots__ = ("new", "reused", "used_once")
+    __slots__ = ("reused", "unused", "used_once")
 
     def __init__(self, now: float) -> None:
-        self.new: IdleQueue[ConnectionRecord] = IdleQueue(now)  # no request so far
+        self.unused: IdleQueue[ConnectionRecord] = IdleQueue(now)  # no request so far
         self.used_once: IdleQueue[ConnectionRecord] = IdleQueue(now)
         self.reused: IdleQueue[ConnectionRecord] = IdleQueue(now)  # more than one request so far
 
     def all(self) -> tuple[IdleQueue[ConnectionRecord], ...]:
         """Return the queues of all kinds."""
-        return self.new, self.used_once, self.reused
+        return self.unused, self.used_once, self.reused
 
     def queue_of(self, record: ConnectionRecord) -> IdleQueue[ConnectionRecord] | None:
         """Return the queue of a connection's kind, or None if it is not idle."""
         if record.state is ConnectionState.NEW:
-            return self.new
+            return self.unused
         if record.state is ConnectionState.IDLE:
             return self.used_once if record.request_count == 1 else self.reused
         return None
@@ -152,7 +152,7 @@
     def __len__(self) -> int:
         """Return how many connections are open."""
         idle = self.idle
-        idle_count = len(idle.new) + len(idle.used_once) + len(idle.reused)
+        idle_count = len(idle.unused) + len(idle.used_once) + len(idle.reused)
         return self.active_count + len(self.lingering) + idle_count
 
     def __iter__(self) -> Iterator[ConnectionRecord]:
@@ -168,11 +168,11 @@
     def counts_by_kind(self) -> dict[str, int]:
         """Return how many connections there are of each kind, under the names of log fields."""
         return {
-            "asking": self.active_count,
-            "fresh": len(self.idle.new),
-            "once": len(self.idle.used_once),
-            "often": len(self.idle.reused),
-            "half": len(self.partial_requests),
+            "active": self.active_count,
+            "unused": len(self.idle.unused),
+            "used_once": len(self.idle.used_once),
+            "reused": len(self.idle.reused),
+            "partial_requests": len(self.partial_requests),
             "lingering": len(self.lingering),
         }
 
@@ -185,7 +185,7 @@
         self.open_by_listener[listener_name] += 1
         if peer:
             self.address_quota.add(peer)
-        self.idle.new.add(record, now)
+        self.idle.unused.add(record, now)
         return record
 
     def record_partial_request(self, record: ConnectionRecord, now: float) -> None:
--- a/rosepick/connections/eviction.py
+++ b/rosepick/connections/eviction.py
@@ -41,7 +41,7 @@
         idle = self.connection_table.idle
         limits = self.headroom.limits
         for queue, timeout_ms, reason in (
-            (idle.new, limits.silent_timeout_ms, CloseReason.NO_REQUEST),
+            (idle.unused, limits.silent_timeout_ms, CloseReason.NO_REQUEST),
             (idle.used_once, limits.idle_timeout_ms, CloseReason.IDLE_TIMEOUT),
             (idle.reused, limits.idle_timeout_ms, CloseReason.IDLE_TIMEOUT),
         ):
@@ -113,7 +113,7 @@
         """Yield idle connections, the kind that is expected to stay idle the longest first."""
         idle = self.connection_table.idle
         kinds: list[tuple[IdleQueue[ConnectionRecord], float]] = [
-            (idle.new, NEW_CONNECTION_GRACE_MS),
+            (idle.unused, NEW_CONNECTION_GRACE_MS),
             (idle.used_once, MIN_IDLE_AGE_MS),
             (idle.reused, MIN_REUSED_IDLE_AGE_MS),
         ]
@@ -122,7 +122,7 @@
             for record in queue.idle_since(now - min_age_ms):
                 if record not in self.connection_table.partial_requests:
                     yield record, CloseReason.DESCRIPTORS
-            if queue is idle.new:
+            if queue is idle.unused:
                 yield from self._select_stalled_requests(now)
 
     def _select_stalled_requests(self, now: float) -> Iterator[Candidate]:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -150,10 +150,10 @@
 def kind_of(record: ConnectionRecord) -> str:
     """The kind under which `ConnectionTable.counts_by_kind` counts an open connection."""
     if record.state is ConnectionState.NEW:
-        return "fresh"
+        return "unused"
     if record.state is ConnectionState.IDLE:
-        return "once" if record.request_count == 1 else "often"
-    return str(record.state.value)
+        return "used_once" if record.request_count == 1 else "reused"
+    return "lingering" if record.state is ConnectionState.LINGERING else "active"
 
 
 # ---------------------------------------------------------------------------------- the connection table
