Type what the eviction selector yields; a request makes its own event

Change: `EvictionCandidate` is a named tuple, `RequestContext.to_event` replaces a function of the engine (one call, as before), `IdleQueue.items` is removed.

--- a/rosepick/connections/eviction.py
+++ b/rosepick/connections/eviction.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from itertools import islice
+from typing import NamedTuple
 
 from .connection_table import CloseReason, ConnectionRecord, ConnectionTable
 from .headroom import ConnectionHeadroom
@@ -20,8 +21,12 @@
 MAX_QUOTA_CANDIDATES = 64  # connections of each kind that are searched for those of addresses over quota
 MAX_CLOSES_PER_REVIEW = 32  # closed for capacity at one review
 
-Candidate = tuple[ConnectionRecord, CloseReason]
-"""A connection that may be closed, and the reason."""
+
+class EvictionCandidate(NamedTuple):
+    """A connection that may be closed, and the reason."""
+
+    record: ConnectionRecord
+    reason: CloseReason
 
 
 class EvictionSelector:
@@ -36,7 +41,7 @@
         self.connection_table = connection_table
         self.headroom = headroom
 
-    def select_expired(self, now: float) -> Iterator[Candidate]:
+    def select_expired(self, now: float) -> Iterator[EvictionCandidate]:
         """Yield the connections that have been idle for longer than they may."""
         idle = self.connection_table.idle
         limits = self.headroom.limits
@@ -46,7 +51,7 @@
             (idle.reused, limits.idle_timeout_ms, CloseReason.IDLE_TIMEOUT),
         ):
             for record in queue.idle_since(now - timeout_ms):
-                yield record, reason
+                yield EvictionCandidate(record, reason)
 
     def select_for_capacity(self, now: float) -> list[ConnectionRecord]:
         """Return the connections to close so that clients can open others, or as a probe of their limit."""
@@ -83,7 +88,7 @@
             records.sort(key=lambda record: not self.headroom.exceeds_quota(record.peer))
         return records[:count]
 
-    def select_on_demand(self, now: float, is_urgent: bool = True) -> Iterator[Candidate]:
+    def select_on_demand(self, now: float, is_urgent: bool = True) -> Iterator[EvictionCandidate]:
         """Yield connections that may be closed for one that is needed more, the least useful first.
 
         Args:
@@ -97,19 +102,19 @@
         if is_urgent:
             yield from self._select_all_answered()
 
-    def _select_lingering(self, now: float) -> Iterator[Candidate]:
+    def _select_lingering(self, now: float) -> Iterator[EvictionCandidate]:
         for record in self.connection_table.lingering:
             if now - record.state_since < MIN_LINGER_MS:
                 break
-            yield record, CloseReason.DESCRIPTORS
+            yield EvictionCandidate(record, CloseReason.DESCRIPTORS)
 
-    def _select_over_quota(self) -> Iterator[Candidate]:
+    def _select_over_quota(self) -> Iterator[EvictionCandidate]:
         for queue in self.connection_table.idle.all():
             for record in islice(queue, MAX_QUOTA_CANDIDATES):
                 if self.headroom.exceeds_quota(record.peer):
-                    yield record, CloseReason.ADDRESS_QUOTA
+                    yield EvictionCandidate(record, CloseReason.ADDRESS_QUOTA)
 
-    def _select_idle(self, now: float) -> Iterator[Candidate]:
+    def _select_idle(self, now: float) -> Iterator[EvictionCandidate]:
         """Yield idle connections, the kind that is expected to stay idle the longest first."""
         idle = self.connection_table.idle
         kinds: list[tuple[IdleQueue[ConnectionRecord], float]] = [
@@ -121,11 +126,11 @@
         for queue, min_age_ms in kinds:
             for record in queue.idle_since(now - min_age_ms):
                 if record not in self.connection_table.partial_requests:
-                    yield record, CloseReason.DESCRIPTORS
+                    yield EvictionCandidate(record, CloseReason.DESCRIPTORS)
             if queue is idle.unused:
                 yield from self._select_stalled_requests(now)
 
-    def _select_stalled_requests(self, now: float) -> Iterator[Candidate]:
+    def _select_stalled_requests(self, now: float) -> Iterator[EvictionCandidate]:
         """Yield connections with an incomplete request that makes no progress, the longest stalled first.
 
         Guards against many clients that never complete a request and keep their slots for as long as a
@@ -134,10 +139,10 @@
         for record, last_received_at in self.connection_table.partial_requests.items():
             if now - last_received_at < STALLED_REQUEST_MS:
                 return
-            yield record, CloseReason.STALLED_REQUEST
+            yield EvictionCandidate(record, CloseReason.STALLED_REQUEST)
 
-    def _select_all_answered(self) -> Iterator[Candidate]:
+    def _select_all_answered(self) -> Iterator[EvictionCandidate]:
         idle = self.connection_table.idle
         for queue in (idle.used_once, idle.reused, self.connection_table.lingering):
             for record in queue:
-                yield record, CloseReason.DESCRIPTORS
+                yield EvictionCandidate(record, CloseReason.DESCRIPTORS)
--- a/rosepick/connections/idle_queue.py
+++ b/rosepick/connections/idle_queue.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -53,10 +53,6 @@
         self._accrue_idle_time(now)
         return (PRIOR_REQUESTS * PRIOR_IDLE_MS + self._idle_ms) / (PRIOR_REQUESTS + self._requests)
 
-    def items(self) -> Iterable[tuple[T, float]]:
-        """Return each connection and since when it is idle, the longest idle first."""
-        return self._since.items()
-
     def idle_since(self, before: float) -> Iterator[T]:
         """Yield the connections that are idle since `before` or longer, the longest idle first."""
         for connection, since in self._since.items():
--- a/rosepick/connections/policy.py
+++ b/rosepick/connections/policy.py
@@ -16,7 +16,7 @@
 
 from .connection_table import CloseReason, ConnectionRecord, ConnectionTable
 from .descriptor_budget import DescriptorBudget
-from .eviction import MIN_IDLE_AGE_MS, Candidate, EvictionSelector
+from .eviction import MIN_IDLE_AGE_MS, EvictionCandidate, EvictionSelector
 from .headroom import ConnectionHeadroom, ConnectionLimits, PressureSnapshot
 from .opening_rate import REVIEW_INTERVAL_MS
 from .reuse_history import AddressReuseHistory
@@ -226,7 +226,7 @@
 
     # -------------------------------------------------------------------------- closing between requests
 
-    def review(self, now: float) -> list[Candidate]:
+    def review(self, now: float) -> list[EvictionCandidate]:
         """Return the connections to close now, because they expired or for capacity.
 
         The caller closes those of them on which no unread bytes have arrived.
@@ -241,7 +241,7 @@
             reasons |= {record: CloseReason.CAPACITY for record in selected if record not in reasons}
         if self.pressure_since is not None and now - self._last_eviction_at >= PRESSURE_OVER_AFTER_MS:
             self.pressure_since = None
-        return list(reasons.items())
+        return [EvictionCandidate(record, reason) for record, reason in reasons.items()]
 
     def _update_estimates(self, now: float) -> None:
         """Advance the estimates to the present time."""
@@ -276,7 +276,7 @@
         self._next_eviction_at = now + self._eviction_backoff_ms
         self._unclaimed_since = None
 
-    def select_for_eviction(self, now: float, is_urgent: bool = True) -> Iterator[Candidate]:
+    def select_for_eviction(self, now: float, is_urgent: bool = True) -> Iterator[EvictionCandidate]:
         """Return connections that may be closed for one that is needed more, the least useful first.
 
         Unless `is_urgent`, only those that would hardly be missed.
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -236,7 +236,7 @@
         now = self.clock.now()
         # The time left is taken at the very moment the module counts it from. Guards against a deadline of
         # its own that differs a little: a timeout just before it would be refused, not failed.
-        event = _to_request_event(queued, now) if isinstance(queued, RequestContext) else queued
+        event = queued.to_event(now) if isinstance(queued, RequestContext) else queued
         try:
             actions = self._handle(now, event)
         except Exception as error:
@@ -463,17 +463,3 @@
                 self.finish_attempt(attempt, Result.NEVER_SENT)
         if request.is_finished and not any(attempt.is_in_flight for attempt in request.attempts):
             self.requests.pop(request.ref, None)
-
-
-def _to_request_event(request: RequestContext, now: float) -> api.RequestArrived:
-    return api.RequestArrived(
-        request.ref,
-        request.class_index,
-        max(0.0, request.deadline - now),
-        request.key,
-        request.tenant_index,
-        request.is_write,
-        request.is_retry,
-        request.cost_hint,
-        request.is_partial,
-    )
--- a/rosepick/core/request_context.py
+++ b/rosepick/core/request_context.py
@@ -63,6 +63,20 @@
         """
         return not (self.is_finished or self.response_started)
 
+    def to_event(self, now: float) -> api.RequestArrived:
+        """Return the decision module's event for the request's arrival at `now`."""
+        return api.RequestArrived(
+            self.ref,
+            self.class_index,
+            max(0.0, self.deadline - now),
+            self.key,
+            self.tenant_index,
+            self.is_write,
+            self.is_retry,
+            self.cost_hint,
+            self.is_partial,
+        )
+
 
 @dataclass(slots=True, eq=False)
 class UpstreamAttempt:
