--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from ..core.engine import RequestContext
+from ..core.request_context import RequestContext
 from ..core.request_counters import RequestOutcome
 from ..decisions import api
 from ..decisions.api import Endpoint, Status, UpdateScope
--- a/tests/golden_capture_forms.py
+++ b/tests/golden_capture_forms.py
@@ -14,14 +14,15 @@
 from rosepick.capture.record_reader import RecordReader
 from rosepick.capture.recorder import CaptureConfig, CaptureRecorder
 from rosepick.capture.replay import replay
-from rosepick.core.engine import RequestContext, UpstreamAttempt
+from rosepick.core.request_context import RequestContext, UpstreamAttempt
 from rosepick.core.request_counters import RequestOutcome
 from rosepick.decisions import api
 from rosepick.decisions.decide import Router
 from rosepick.net.process_registry import ProcessRegistry
 from rosepick.settings import config
 from rosepick.settings.config import NameIndexes
-from rosepick.upgrade.state_transfer import export_state, exported_at, import_state
+from rosepick.upgrade.state_document import exported_at
+from rosepick.upgrade.state_transfer import export_state, import_state
 
 from .golden_support import GOLDEN, Form, as_given, as_json, constant, temporary_folder
 from .scenario import SETTINGS, target
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -24,7 +24,7 @@
 from rosepick.capture.replay import replay
 from rosepick.capture.replay_report import ReplayReport
 from rosepick.capture.ring_buffer import LineRing, Position
-from rosepick.core.engine import RequestContext
+from rosepick.core.request_context import RequestContext
 from rosepick.core.request_counters import RequestOutcome
 from rosepick.decisions import api
 from rosepick.decisions.api import Endpoint, Status, UpdateScope
