Keep the former module of the artifact fetch for agents that run while they are replaced

Cause: an agent of whose files are replaced under it starts rosepick.net.releasing, which has moved.

--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -5,6 +5,8 @@
 import json
 from collections.abc import Iterator
 
+from rosepick.coordination import artifact_fetch
+
 from . import golden_capture_forms as router
 from . import golden_fleet_forms as fleet
 from . import golden_quorum_forms as quorum
@@ -73,3 +75,11 @@
     files: dict[str, str] = json.loads((GOLDEN / "upgrade-seats.json").read_text("utf-8"))
     assert router.seats_beside(files) == ((300, 70), b"what is known")
     assert router.seat_files() == files
+
+
+def test_an_old_agent_finds_the_artifact_fetch_of_a_program_that_was_replaced_under_it() -> None:
+    """Its entry point, as the program of a8254ac has it, names the former module."""
+    old_entry_point = "from rosepick.net.releasing import main"
+    names: dict[str, object] = {}
+    exec(old_entry_point, names)
+    assert names["main"] is artifact_fetch.main
