--- a/rosepick/core/request_counters.py
+++ b/rosepick/core/request_counters.py
@@ -1,7 +1,7 @@
-"""Counters of request outcomes by class, outcome and cause, with the time until then.
+"""Counters of finished requests by class, outcome and cause, with the time that they took.
 
-There are two numbers for each of them, whatever the traffic. The log has them as totals since the start, so
-that the difference of two lines is what happened between them.
+There are two numbers for each combination, whatever the traffic. They are logged as totals since the start,
+so that the difference of two log lines is what happened between them.
 """
 
 from __future__ import annotations
@@ -12,50 +12,61 @@
 
 
 class RequestOutcome(Enum):
-    """How an envelope ended."""
+    """How a request ended."""
 
     SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
-    DEADLINE_EXCEEDED = "late"  # failed, as its time was over
-    CLIENT_GONE = "gone"  # its sender side has left
-    INTERNAL_ERROR = "broke"  # by a fault of this program
+    DEADLINE_EXCEEDED = "late"  # failed at its deadline
+    CLIENT_GONE = "gone"  # the client disconnected first
+    INTERNAL_ERROR = "broke"  # failed by a fault of this program
 
 
 class RequestCounters:
-    """Requests that have ended, by class, outcome and cause; the cause is empty where there is none."""
+    """Totals of finished requests by class index, outcome and cause; the cause is "" where there is none."""
 
     def __init__(self) -> None:
         self.counts: Counter[tuple[int, RequestOutcome, str]] = Counter()
-        self.total_ms: Counter[tuple[int, RequestOutcome, str]] = Counter()  # time until the outcome, summed
+        self.total_ms: Counter[tuple[int, RequestOutcome, str]] = Counter()  # sum of durations
 
     def record(self, class_index: int, outcome: RequestOutcome, cause: str, elapsed_ms: float) -> None:
-        """Count a request that ended so many milliseconds after it arrived."""
+        """Count a finished request.
+
+        Args:
+            class_index: the index of its request class.
+            outcome: how it ended.
+            cause: why it ended so, or "".
+            elapsed_ms: milliseconds from its arrival to its end.
+        """
         key = class_index, outcome, cause
         self.counts[key] += 1
         self.total_ms[key] += elapsed_ms  # type: ignore[assignment]
 
     def counts_by_outcome(self) -> Counter[tuple[int, RequestOutcome]]:
-        """Return the counts by class and outcome, whatever their causes."""
-        found: Counter[tuple[int, RequestOutcome]] = Counter()
+        """Return the counts by class index and outcome, whatever their causes."""
+        totals: Counter[tuple[int, RequestOutcome]] = Counter()
         for (class_index, outcome, _), count in self.counts.items():
-            found[class_index, outcome] += count
-        return found
+            totals[class_index, outcome] += count
+        return totals
 
     def iter_log_fields(
         self, names: Mapping[int, str], worths: Mapping[int, float]
     ) -> Iterator[dict[str, object]]:
-        """Yield the log fields of each class that has outcomes.
+        """Yield the log fields of each class that has finished requests.
 
         They are the name of the class, the worth of a request, the counts by outcome and cause, and beside
         each count the summed milliseconds, under the same name with `_ms`.
+
+        Args:
+            names: the names of classes by index.
+            worths: the worth of a request by class index.
         """
-        for place in sorted({class_index for class_index, _, _ in self.counts}):
+        for class_index in sorted({index for index, _, _ in self.counts}):
             fields: dict[str, object] = {
-                "class": names.get(place, str(place)),
-                "worth": float(worths.get(place, 0.0)),
+                "class": names.get(class_index, str(class_index)),
+                "worth": float(worths.get(class_index, 0.0)),
             }
-            keys = [key for key in self.counts if key[0] == place]
+            keys = [key for key in self.counts if key[0] == class_index]
             for key in sorted(keys, key=_field_name):
                 fields[_field_name(key)] = self.counts[key]
                 fields[f"{_field_name(key)}_ms"] = int(self.total_ms[key])
--- a/tests/golden_capture_forms.py
+++ b/tests/golden_capture_forms.py
@@ -11,16 +11,18 @@
 from typing import Any
 
 from rosepick.capture import record_format
-from rosepick.capture.recorder import CaptureRecorder
+from rosepick.capture.record_reader import RecordReader
+from rosepick.capture.recorder import CaptureConfig, CaptureRecorder
 from rosepick.capture.replay import replay
-from rosepick.core.engine import RequestContext, UpstreamAttempt
+from rosepick.core.request_context import RequestContext, UpstreamAttempt
 from rosepick.core.request_counters import RequestOutcome
 from rosepick.decisions import api
 from rosepick.decisions.decide import Router
 from rosepick.net.process_registry import ProcessRegistry
 from rosepick.settings import config
 from rosepick.settings.config import NameIndexes
-from rosepick.upgrade.state_transfer import export_state, exported_at, import_state
+from rosepick.upgrade.state_document import exported_at
+from rosepick.upgrade.state_transfer import export_state, import_state
 
 from .golden_support import GOLDEN, Form, as_given, as_json, constant, temporary_folder
 from .scenario import SETTINGS, target
@@ -94,7 +96,7 @@
 def read_records(data: bytes) -> list[record_format.Record]:
     """Read a capture's records; log lines between them are passed over."""
     log_line = b"time=2026-01-01T00:00:00.000Z level=info part=net.server event=serving\n"
-    return [record for _, record in record_format.RecordReader(log_line + data)]
+    return [record for _, record in RecordReader(log_line + data)]
 
 
 def rewritten(data: bytes) -> bytes:
@@ -114,7 +116,9 @@
     def words(payload: object) -> tuple[bytes, bytes, bytes]:
         return b"id %d" % (payload if isinstance(payload, int) else 0), b"key", b"0.500"
 
-    recorder = CaptureRecorder(3, 2048, 7, 1_700_000_000_000.0, NAMES, words, lambda server: f"s-{server}")
+    recorder = CaptureRecorder(
+        CaptureConfig(3, 2048, 7, 1_700_000_000_000.0), NAMES, words, lambda server: f"s-{server}"
+    )
     for number in range(3):
         for scope in ("full", "delta", "failed"):
             recorder.on_event(
@@ -152,7 +156,7 @@
     for name, limits in (("unchanged", {}), ("one attempt", {"max_attempts": 1})):
         document = router_document({**SETTINGS, "limits": {**SETTINGS["limits"], **limits}})
         told = config.read(document)
-        found[name] = list(replay([record_format.RecordReader(capture)], told.settings, told.names).lines())
+        found[name] = list(replay([RecordReader(capture)], told.settings, told.names).lines())
     return found
 
 
