--- a/rosepick/fleet/__init__.py
+++ b/rosepick/fleet/__init__.py
@@ -1,3 +1,4 @@
-"""Who of a fleet may be out: the ledger, its budget, what an agent does with its member, who counts. No
-I/O, no clock.
+"""Drains and rollouts of a fleet: fleet state, disruption budget, agents, failure detector, rollouts.
+
+Everything here is a state machine or a pure function: no I/O, no clock. Drivers are in `coordination`.
 """
--- /dev/null
+++ b/rosepick/fleet/drain_permits.py
@@ -0,0 +1,113 @@
+"""Changes of a drain permit: from the moment it is granted until its member is healthy again.
+
+Each change names the permit that it is made under. It is rejected if the member holds another permit by now
+or is in another phase, so that an agent which was paused cannot go on with an old permit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..consensus.proposer import ChangeRejectedError, RegisterChange
+from .fleet_state import AuditEntry, FleetMember, FleetState, MemberPhase, update_fleet_state, with_changes
+
+NO_PERMIT = 0
+
+
+def _require_member(state: FleetState, name: str, permit: int, *phases: MemberPhase) -> FleetMember:
+    """Return a member that holds this permit and is in one of these phases.
+
+    Raises:
+        ChangeRejectedError: it holds another permit, is in another phase, is unknown or evicted.
+    """
+    member = state.members.get(name)
+    if member is None or member.permit != permit or member.phase not in phases or member.evicted:
+        raise ChangeRejectedError
+    return member
+
+
+def _move_member(
+    name: str, permit: int, timestamp_s: float, target: MemberPhase, *sources: MemberPhase
+) -> RegisterChange:
+    def update(state: FleetState) -> FleetState:
+        member = _require_member(state, name, permit, *sources)
+        entry = AuditEntry(timestamp_s, name, f"{target.name.lower()}, permit {permit}")
+        return with_changes(state, {name: msgspec.structs.replace(member, phase=int(target))}, entry)
+
+    return update_fleet_state(update)
+
+
+def acquire_permit(
+    name: str, is_allowed: Callable[[FleetState, str], bool], timestamp_s: float
+) -> RegisterChange:
+    """Grant a permit if `is_allowed` says so of the very state that is replaced.
+
+    Rejected without a drain request, and if the member already holds a permit.
+    """
+
+    def update(state: FleetState) -> FleetState:
+        member = _require_member(state, name, NO_PERMIT, MemberPhase.IN)
+        if member.drain_request is None or not is_allowed(state, name):
+            raise ChangeRejectedError
+        number = state.last_permit_number + 1
+        granted = msgspec.structs.replace(member, phase=int(MemberPhase.GIVEN), permit=number)
+        text = f"permit {number}{', over the budget' if member.drain_request.immediate else ''}"
+        entry = AuditEntry(timestamp_s, name, text)
+        return with_changes(state, {name: granted}, entry, last_permit_number=number)
+
+    return update_fleet_state(update)
+
+
+def begin_drain(name: str, permit: int, timestamp_s: float) -> RegisterChange:
+    """Begin a drain: from here on the permit ends only when its member is healthy again.
+
+    Rejected during a halt, and if the drain request was cancelled.
+    """
+
+    def update(state: FleetState) -> FleetState:
+        member = _require_member(state, name, permit, MemberPhase.GIVEN)
+        if member.drain_request is None or (state.halt is not None and not member.bypasses_halt):
+            raise ChangeRejectedError
+        entry = AuditEntry(timestamp_s, name, f"leaving, permit {permit}")
+        leaving = msgspec.structs.replace(member, phase=int(MemberPhase.LEAVING))
+        return with_changes(state, {name: leaving}, entry)
+
+    return update_fleet_state(update)
+
+
+def withdraw_permit(name: str, permit: int, timestamp_s: float) -> RegisterChange:
+    """End a permit under which nothing has begun."""
+
+    def update(state: FleetState) -> FleetState:
+        member = _require_member(state, name, permit, MemberPhase.GIVEN)
+        withdrawn = msgspec.structs.replace(member, phase=int(MemberPhase.IN), permit=NO_PERMIT)
+        entry = AuditEntry(timestamp_s, name, f"permit {permit} given back")
+        return with_changes(state, {name: withdrawn}, entry)
+
+    return update_fleet_state(update)
+
+
+def mark_out(name: str, permit: int, timestamp_s: float) -> RegisterChange:
+    """Record that a leaving member has stopped."""
+    return _move_member(name, permit, timestamp_s, MemberPhase.OUT, MemberPhase.LEAVING)
+
+
+def mark_rejoining(name: str, permit: int, timestamp_s: float) -> RegisterChange:
+    """Record that a member which was leaving or out is being started again."""
+    return _move_member(name, permit, timestamp_s, MemberPhase.BACK, MemberPhase.LEAVING, MemberPhase.OUT)
+
+
+def mark_healthy(name: str, permit: int, timestamp_s: float) -> RegisterChange:
+    """Record that a member is healthy again: its permit and its drain request end."""
+
+    def update(state: FleetState) -> FleetState:
+        member = _require_member(state, name, permit, MemberPhase.BACK)
+        healthy = msgspec.structs.replace(
+            member, phase=int(MemberPhase.IN), permit=NO_PERMIT, drain_request=None
+        )
+        entry = AuditEntry(timestamp_s, name, f"in, permit {permit} ended")
+        return with_changes(state, {name: healthy}, entry)
+
+    return update_fleet_state(update)
--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -16,7 +16,7 @@
 from rosepick.consensus.proposer import RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
 from rosepick.coordination.artifact_store import digest_of
-from rosepick.fleet import failure_detector, fleet_state, rollout_state
+from rosepick.fleet import drain_permits, failure_detector, fleet_state, rollout_state
 from rosepick.fleet.canary_analysis import CanaryAnalysis, HealthMetrics
 from rosepick.fleet.deployer import ArtifactStatus, Deployer
 from rosepick.fleet.deployer import DeployPolicy as CarrierTerms
@@ -112,11 +112,14 @@
     def allow(seen: fleet_state.FleetState, name: str) -> bool:
         return True
 
-    found += [fleet_state.acquire_permit(name, allow, NOON + 4) for name in (*names[:4], "c1")]
+    found += [drain_permits.acquire_permit(name, allow, NOON + 4) for name in (*names[:4], "c1")]
     for permit, name in enumerate(names[1:4], 2):
-        found += [fleet_state.begin_drain(name, permit, NOON + 5)]
-    found += [fleet_state.mark_out("r3", 3, NOON + 6), fleet_state.mark_out("r4", 4, NOON + 6)]
-    found += [fleet_state.mark_rejoining("r4", 4, NOON + 7), fleet_state.withdraw_permit("r1", 1, NOON + 7)]
+        found += [drain_permits.begin_drain(name, permit, NOON + 5)]
+    found += [drain_permits.mark_out("r3", 3, NOON + 6), drain_permits.mark_out("r4", 4, NOON + 6)]
+    found += [
+        drain_permits.mark_rejoining("r4", 4, NOON + 7),
+        drain_permits.withdraw_permit("r1", 1, NOON + 7),
+    ]
     found += [fleet_state.cancel_drain(["r5"], "me@host", NOON + 8)]
     found += [fleet_state.evict_member("r5", "me@host", "sold", NOON + 8)]
     found += [fleet_state.apply_health_summary({"r6": True}, 800, 900, 2, "", "warden", NOON + 9)]
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -16,8 +16,7 @@
 from rosepick.consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind, RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
 from rosepick.coordination.supervised_process import process_start_time
-from rosepick.fleet import failure_detector as counting
-from rosepick.fleet import fleet_state as book
+from rosepick.fleet import drain_permits, failure_detector, fleet_state
 from rosepick.fleet.agent import Agent, AgentPolicy, MemberAction, MemberStatus
 from rosepick.fleet.disruption_budget import (
     DisruptionBudget,
@@ -53,10 +52,12 @@
         self.register = Register()
         for number, name in enumerate(names):
             self.make(
-                book.join_member(name, book.MemberKind.ROUTER, "ew"[number % 2], 1000, BUDGET.digest(), 0.0)
+                fleet_state.join_member(
+                    name, fleet_state.MemberKind.ROUTER, "ew"[number % 2], 1000, BUDGET.digest(), 0.0
+                )
             )
         self.make(
-            book.apply_health_summary(dict.fromkeys(names, False), 1000, 0, 0, "", "w", 0.0)
+            fleet_state.apply_health_summary(dict.fromkeys(names, False), 1000, 0, 0, "", "w", 0.0)
         )  # all are up
 
     def make(self, change: RegisterChange | None) -> OperationOutcome:
@@ -77,18 +78,18 @@
     @property
     def ledger(self) -> FleetState:
         """What it says."""
-        return book.decode_fleet_state(self.register)
+        return fleet_state.decode_fleet_state(self.register)
 
     def out(self, *names: str, to: MemberPhase = MemberPhase.OUT) -> None:
         """Have members go out by permits, whatever the budget says."""
         for name in names:
-            self.make(book.request_drain([name], "a", "x", 0.0))
-            self.make(book.acquire_permit(name, lambda ledger, who: True, 0.0))
+            self.make(fleet_state.request_drain([name], "a", "x", 0.0))
+            self.make(drain_permits.acquire_permit(name, lambda ledger, who: True, 0.0))
             permit = self.ledger.members[name].permit
             for at, step in (
-                (MemberPhase.LEAVING, book.begin_drain),
-                (MemberPhase.OUT, book.mark_out),
-                (MemberPhase.BACK, book.mark_rejoining),
+                (MemberPhase.LEAVING, drain_permits.begin_drain),
+                (MemberPhase.OUT, drain_permits.mark_out),
+                (MemberPhase.BACK, drain_permits.mark_rejoining),
             ):
                 if at <= to:
                     self.make(step(name, permit, 0.0))
@@ -100,13 +101,15 @@
 
 def test_the_last_permit_is_given_once_however_old_the_copies_were() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
-    shelf.make(book.request_drain(["a", "b", "c", "d"], "crew", "patch", 0.0))
+    shelf.make(fleet_state.request_drain(["a", "b", "c", "d"], "crew", "patch", 0.0))
     old = shelf.register  # all have read this
 
     def takes(name: str) -> bool:
-        assert may(book.decode_fleet_state(old), name)  # by the old copy each of them may
+        assert may(fleet_state.decode_fleet_state(old), name)  # by the old copy each of them may
         return shelf.done(
-            book.acquire_permit(name, lambda ledger, who: may_take_permit(BUDGET, 0, ledger, who), 0.0)
+            drain_permits.acquire_permit(
+                name, lambda ledger, who: may_take_permit(BUDGET, 0, ledger, who), 0.0
+            )
         )
 
     assert [takes(name) for name in "abcd"] == [True, True, False, False]
@@ -120,32 +123,36 @@
         (lambda s: s.out("c"), "a", False),  # of one zone
         (lambda s: s.out("b"), "a", True),
         (lambda s: s.out("b", "c"), "e", False),
-        (lambda s: s.make(book.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0)), "a", False),
+        (
+            lambda s: s.make(fleet_state.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0)),
+            "a",
+            False,
+        ),
         (
             lambda s: s.make(
-                book.apply_health_summary({"a": True, "b": True, "d": True}, 1000, 0, 1, "", "w", 0.0)
+                fleet_state.apply_health_summary({"a": True, "b": True, "d": True}, 1000, 0, 1, "", "w", 0.0)
             ),
             "a",
             False,
         ),
         (
-            lambda s: s.make(book.apply_health_summary({"a": True}, 1000, 0, 1, "", "w", 0.0)),
+            lambda s: s.make(fleet_state.apply_health_summary({"a": True}, 1000, 0, 1, "", "w", 0.0)),
             "a",
             True,
         ),  # it is missing already
         (
-            lambda s: (s.make(book.apply_health_summary({}, 400, 0, 1, "", "w", 0.0)), s.out("b")),
+            lambda s: (s.make(fleet_state.apply_health_summary({}, 400, 0, 1, "", "w", 0.0)), s.out("b")),
             "a",
             False,
         ),  # room for one
-        (lambda s: (s.out("c"), s.make(book.evict_member("c", "op", "gone", 0.0))), "a", True),
-        (lambda s: s.make(book.halt_drains("op", "stop", 0.0)), "a", False),
+        (lambda s: (s.out("c"), s.make(fleet_state.evict_member("c", "op", "gone", 0.0))), "a", True),
+        (lambda s: s.make(fleet_state.halt_drains("op", "stop", 0.0)), "a", False),
     ],
 )
 def test_what_blocks_a_drain(setting: Callable[[Shelf], object], name: str, free: bool) -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
     setting(shelf)
-    shelf.make(book.request_drain([name], "crew", "patch", 0.0))
+    shelf.make(fleet_state.request_drain([name], "crew", "patch", 0.0))
     why = blocking_reasons(shelf.ledger, BUDGET, name, 600)
     assert (not why) is free, why
     assert may_take_permit(BUDGET, 600, shelf.ledger, name) is free
@@ -153,7 +160,7 @@
 
 def test_limits_of_weight_hours_and_groups() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
-    shelf.make(book.join_member("b", book.MemberKind.ROUTER, "w", 4000, BUDGET.digest(), 0.0))
+    shelf.make(fleet_state.join_member("b", fleet_state.MemberKind.ROUTER, "w", 4000, BUDGET.digest(), 0.0))
     shelf.out("b")
     wide = Limit(most=4, share=1.0, zone_most=4, zone_share=1.0)
     assert may(shelf.ledger, "a", DisruptionBudget(wide, wide))
@@ -174,23 +181,23 @@
 def test_a_dying_host_goes_over_the_budget_and_not_under_the_floor() -> None:
     shelf = Shelf("a", "b", "c", "d")
     shelf.out("c", "b")
-    shelf.make(book.request_drain(["d"], "op", "smoke", 0.0, immediate=True))
+    shelf.make(fleet_state.request_drain(["d"], "op", "smoke", 0.0, immediate=True))
     assert "must stay" in blocking_reasons(shelf.ledger, BUDGET, "d", 0)[0]  # b and d are all of the west
-    shelf.make(book.request_drain(["d"], "op", "smoke", 0.0, immediate=True, ignores_minimum=True))
+    shelf.make(fleet_state.request_drain(["d"], "op", "smoke", 0.0, immediate=True, ignores_minimum=True))
     assert may(shelf.ledger, "d")
-    shelf.make(book.halt_drains("op", "stop", 0.0))
+    shelf.make(fleet_state.halt_drains("op", "stop", 0.0))
     assert may(shelf.ledger, "d")
 
 
 def test_who_waited_longer_goes_first_but_not_who_cannot_go() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
     shelf.out("b")
-    shelf.make(book.request_drain(["d"], "one", "x", 0.0))  # cannot: b of its zone is out
-    shelf.make(book.request_drain(["c"], "one", "x", 0.0))
-    shelf.make(book.request_drain(["a"], "two", "x", 0.0))
+    shelf.make(fleet_state.request_drain(["d"], "one", "x", 0.0))  # cannot: b of its zone is out
+    shelf.make(fleet_state.request_drain(["c"], "one", "x", 0.0))
+    shelf.make(fleet_state.request_drain(["a"], "two", "x", 0.0))
     assert [may_take_permit(BUDGET, 0, shelf.ledger, name) for name in "dca"] == [False, True, False]
     shelf.make(
-        book.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0)
+        fleet_state.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0)
     )  # c is dead: it does not hold a up, its loss does
     assert not may_take_permit(BUDGET, 0, shelf.ledger, "a")
 
@@ -198,26 +205,39 @@
 @pytest.mark.parametrize(
     ("before", "step", "made"),
     [
-        (MemberPhase.GIVEN, lambda s, p: book.begin_drain("a", p, 0.0), True),
-        (MemberPhase.GIVEN, lambda s, p: book.begin_drain("a", p + 1, 0.0), False),
-        (MemberPhase.GIVEN, lambda s, p: book.mark_out("a", p, 0.0), False),
+        (MemberPhase.GIVEN, lambda s, p: drain_permits.begin_drain("a", p, 0.0), True),
+        (MemberPhase.GIVEN, lambda s, p: drain_permits.begin_drain("a", p + 1, 0.0), False),
+        (MemberPhase.GIVEN, lambda s, p: drain_permits.mark_out("a", p, 0.0), False),
         (
             MemberPhase.GIVEN,
-            lambda s, p: (s.make(book.halt_drains("op", "x", 0.0)), book.begin_drain("a", p, 0.0))[1],
+            lambda s, p: (
+                s.make(fleet_state.halt_drains("op", "x", 0.0)),
+                drain_permits.begin_drain("a", p, 0.0),
+            )[1],
             False,
         ),
         (
             MemberPhase.GIVEN,
-            lambda s, p: (s.make(book.cancel_drain(["a"], "op", 0.0)), book.begin_drain("a", p, 0.0))[1],
+            lambda s, p: (
+                s.make(fleet_state.cancel_drain(["a"], "op", 0.0)),
+                drain_permits.begin_drain("a", p, 0.0),
+            )[1],
             False,
         ),
-        (MemberPhase.LEAVING, lambda s, p: book.withdraw_permit("a", p, 0.0), False),
-        (MemberPhase.LEAVING, lambda s, p: book.mark_rejoining("a", p, 0.0), True),
-        (MemberPhase.OUT, lambda s, p: book.mark_healthy("a", p, 0.0), False),  # it was not even started
-        (MemberPhase.BACK, lambda s, p: book.mark_healthy("a", p, 0.0), True),
+        (MemberPhase.LEAVING, lambda s, p: drain_permits.withdraw_permit("a", p, 0.0), False),
+        (MemberPhase.LEAVING, lambda s, p: drain_permits.mark_rejoining("a", p, 0.0), True),
+        (
+            MemberPhase.OUT,
+            lambda s, p: drain_permits.mark_healthy("a", p, 0.0),
+            False,
+        ),  # it was not even started
+        (MemberPhase.BACK, lambda s, p: drain_permits.mark_healthy("a", p, 0.0), True),
         (
             MemberPhase.BACK,
-            lambda s, p: (s.make(book.evict_member("a", "op", "x", 0.0)), book.mark_healthy("a", p, 0.0))[1],
+            lambda s, p: (
+                s.make(fleet_state.evict_member("a", "op", "x", 0.0)),
+                drain_permits.mark_healthy("a", p, 0.0),
+            )[1],
             False,
         ),
     ],
@@ -235,52 +255,56 @@
     shelf = Shelf("a", "b", "c", "d")
     shelf.out("a", to=MemberPhase.GIVEN)
     shelf.out("b", to=MemberPhase.LEAVING)
-    assert shelf.done(book.halt_drains("one", "first", 1.0)) and not shelf.done(
-        book.halt_drains("two", "second", 2.0)
+    assert shelf.done(fleet_state.halt_drains("one", "first", 1.0)) and not shelf.done(
+        fleet_state.halt_drains("two", "second", 2.0)
     )
-    assert shelf.ledger.halt == book.HaltState("one", "first", 1.0)
+    assert shelf.ledger.halt == fleet_state.HaltState("one", "first", 1.0)
     assert [shelf.ledger.members[n].phase for n in "ab"] == [MemberPhase.IN, MemberPhase.LEAVING]
-    assert shelf.done(book.resume_drains("op", "fine", 3.0)) and shelf.ledger.halt is None
+    assert shelf.done(fleet_state.resume_drains("op", "fine", 3.0)) and shelf.ledger.halt is None
 
 
 def test_a_warden_with_an_old_token_moves_nothing() -> None:
     shelf = Shelf("a", "b")
-    assert shelf.done(book.apply_health_summary({"a": True}, 1000, 0, 7, "", "new", 0.0))
-    assert not shelf.done(book.apply_health_summary({"a": False}, 0, 0, 6, "panic", "old", 0.0))
+    assert shelf.done(fleet_state.apply_health_summary({"a": True}, 1000, 0, 7, "", "new", 0.0))
+    assert not shelf.done(fleet_state.apply_health_summary({"a": False}, 0, 0, 6, "panic", "old", 0.0))
     assert shelf.ledger.members["a"].lost and shelf.ledger.halt is None
 
 
 def test_a_ledger_of_a_thousand_is_small_and_damage_is_told() -> None:
     members = {f"cache-node-{n:04}": FleetMember(1, f"zone-{n % 6}", 900 + n % 300) for n in range(1_000)}
-    value = book.encode_fleet_state(FleetState(budget_digest="abc", members=members))
-    assert len(value) < 24_000 and book.decode_fleet_state(Register(1, "m", value)).members == members
+    value = fleet_state.encode_fleet_state(FleetState(budget_digest="abc", members=members))
+    assert len(value) < 24_000 and fleet_state.decode_fleet_state(Register(1, "m", value)).members == members
     full = Shelf()
     full.register = Register(1, "m", value)
-    assert not full.done(book.join_member("one-more", book.MemberKind.CACHE, "z", 1, "abc", 0.0))
+    assert not full.done(
+        fleet_state.join_member("one-more", fleet_state.MemberKind.CACHE, "z", 1, "abc", 0.0)
+    )
     for bad in (b"\x01nonsense", b"\x02" + value[1:], b"\x01"):
         with pytest.raises(DocumentDecodeError):
-            book.decode_fleet_state(Register(1, "m", bad))
+            fleet_state.decode_fleet_state(Register(1, "m", bad))
 
 
 def test_what_was_never_in_is_counted_and_is_no_failure() -> None:
     shelf = Shelf()
     for name in "abc":
-        shelf.make(book.join_member(name, book.MemberKind.CACHE, "e", 1, BUDGET.digest(), 0.0))
+        shelf.make(fleet_state.join_member(name, fleet_state.MemberKind.CACHE, "e", 1, BUDGET.digest(), 0.0))
     assert all(one.is_out for one in shelf.ledger.members.values()) and not unplanned_halt_reason(
         shelf.ledger, BUDGET
     )
-    assert counting.detector_candidates(shelf.ledger) == ["a", "b", "c"]  # somebody has to find them
-    shelf.make(book.apply_health_summary({"a": False, "b": True, "c": False}, 1000, 0, 1, "", "a", 0.0))
+    assert failure_detector.detector_candidates(shelf.ledger) == ["a", "b", "c"]  # somebody has to find them
+    shelf.make(
+        fleet_state.apply_health_summary({"a": False, "b": True, "c": False}, 1000, 0, 1, "", "a", 0.0)
+    )
     assert [one.lost for one in shelf.ledger.members.values()] == [False, True, False]
-    shelf.make(book.apply_health_summary({"a": True, "c": True}, 1000, 0, 1, "", "a", 0.0))
+    shelf.make(fleet_state.apply_health_summary({"a": True, "c": True}, 1000, 0, 1, "", "a", 0.0))
     assert "a, c" in unplanned_halt_reason(shelf.ledger, BUDGET)
 
 
 def test_more_out_unasked_than_the_budget_is_a_halt() -> None:
     shelf = Shelf("a", "b", "c", "d", "e", "f")
-    shelf.make(book.apply_health_summary({"a": True}, 1000, 0, 1, "", "w", 0.0))
+    shelf.make(fleet_state.apply_health_summary({"a": True}, 1000, 0, 1, "", "w", 0.0))
     assert not unplanned_halt_reason(shelf.ledger, BUDGET)
-    shelf.make(book.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0))
+    shelf.make(fleet_state.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0))
     assert "a, c" in unplanned_halt_reason(shelf.ledger, BUDGET) and not unplanned_halt_reason(
         shelf.ledger, DisruptionBudget(TWO, TWO, unplanned_allowance=1)
     )
@@ -315,7 +339,13 @@
     def begin(self) -> None:
         """The agent starts."""
         self.agent = Agent(
-            "a", book.MemberKind.ROUTER, "e", 1000, BUDGET, AgentPolicy(poll_interval_ms=100.0), self.kept
+            "a",
+            fleet_state.MemberKind.ROUTER,
+            "e",
+            1000,
+            BUDGET,
+            AgentPolicy(poll_interval_ms=100.0),
+            self.kept,
         )
 
     def turn(self, own: MemberStatus, times: int = 1, lost: bool = False) -> MemberAction:
@@ -323,7 +353,7 @@
         for _ in range(times):
             self.now += 100.0
             if self.counts:
-                self.shelf.make(book.apply_health_summary({}, 1000, 0, 1, "", "w", 0.0))
+                self.shelf.make(fleet_state.apply_health_summary({}, 1000, 0, 1, "", "w", 0.0))
             what = self.agent.next_action(self.now, own)
             ask = self.agent.next_operation(self.now, own, 0.0)
             if ask is not None:
@@ -344,13 +374,13 @@
     assert (
         rig.turn(UP, 4) is MemberAction.NONE and rig.turn(DOWN) is MemberAction.START
     )  # dead by itself: it is started
-    rig.shelf.make(book.request_drain(["a"], "op", "patch", 0.0))
+    rig.shelf.make(fleet_state.request_drain(["a"], "op", "patch", 0.0))
     rig.counts = False
     assert rig.turn(UP, 9) is MemberAction.NONE and rig.stands() == "IN"  # nobody counts: no permit
     rig.counts = True
     assert rig.turn(UP, 5) is MemberAction.STOP and rig.stands() == "LEAVING"
     assert rig.turn(DOWN, 4) is MemberAction.NONE and rig.stands() == "OUT"
-    rig.shelf.make(book.cancel_drain(["a"], "op", 0.0))
+    rig.shelf.make(fleet_state.cancel_drain(["a"], "op", 0.0))
     assert rig.turn(DOWN, 3) is MemberAction.START
     rig.turn(MemberStatus(True, False), 40)
     assert rig.stands() == "BACK"  # it runs, and does not serve
@@ -370,7 +400,7 @@
     up = at in (MemberPhase.GIVEN, MemberPhase.LEAVING)
     for _ in range(6):
         up = {MemberAction.STOP: False, MemberAction.START: True}.get(rig.turn(UP if up else DOWN), up)
-    rig.shelf.make(book.cancel_drain(["a"], "op", 0.0))
+    rig.shelf.make(fleet_state.cancel_drain(["a"], "op", 0.0))
     for _ in range(60):
         up = {MemberAction.STOP: False, MemberAction.START: True}.get(rig.turn(UP if up else DOWN), up)
     assert rig.stands() == "IN" and not rig.shelf.ledger.members["a"].permit and rig.kept.at == (0, 0)
@@ -379,7 +409,7 @@
 def test_without_the_quorum_nothing_begins_and_what_is_out_comes_back() -> None:
     rig = Rig("b", "c", "d")
     rig.turn(UP, 2)
-    rig.shelf.make(book.request_drain(["a"], "op", "patch", 0.0))
+    rig.shelf.make(fleet_state.request_drain(["a"], "op", "patch", 0.0))
     rig.turn(UP, 3)
     assert rig.stands() == "LEAVING"
     # the permit has begun, and then this process stood still: it does not go out by what it read before
@@ -400,16 +430,18 @@
 
 
 def test_a_cache_node_drains_until_nobody_sends_and_is_back_when_it_is_warm() -> None:
-    agent = Agent("a", book.MemberKind.CACHE, "e", 1, BUDGET, AgentPolicy(poll_interval_ms=100.0), Kept())
+    agent = Agent(
+        "a", fleet_state.MemberKind.CACHE, "e", 1, BUDGET, AgentPolicy(poll_interval_ms=100.0), Kept()
+    )
     shelf = Shelf()
     for name in "abcd":
         shelf.make(
-            book.join_member(
-                name, book.MemberKind.CACHE, "ew"["abcd".index(name) % 2], 1, BUDGET.digest(), 0.0
+            fleet_state.join_member(
+                name, fleet_state.MemberKind.CACHE, "ew"["abcd".index(name) % 2], 1, BUDGET.digest(), 0.0
             )
         )
     shelf.make(
-        book.apply_health_summary(dict.fromkeys("abcd", False), 1000, 800, 1, "", "w", 0.0)
+        fleet_state.apply_health_summary(dict.fromkeys("abcd", False), 1000, 800, 1, "", "w", 0.0)
     )  # the others hit in 80% of their reads
     shelf.out("a", to=MemberPhase.LEAVING)
     now = 0.0
@@ -429,7 +461,7 @@
     assert turn(MemberStatus(True, True)) is MemberAction.DRAIN
     assert turn(MemberStatus(True, False, draining=True, idle=True)) is MemberAction.STOP
     turn(DOWN, 5)
-    shelf.make(book.cancel_drain(["a"], "op", 0.0))
+    shelf.make(fleet_state.cancel_drain(["a"], "op", 0.0))
     assert turn(DOWN, 6) is MemberAction.START
     for own in (MemberStatus(True, True, warm=False), MemberStatus(True, True, hit_ratio=0.3)):
         turn(own, 60)
@@ -441,7 +473,7 @@
 def test_the_warden_counts_the_silent_and_the_worse_word() -> None:
     shelf = Shelf("a", "b", "c", "d")
     shelf.out("d")
-    warden = FailureDetector(BUDGET, counting.FailureDetectorPolicy(report_timeout_ms=1_000.0), 0.0)
+    warden = FailureDetector(BUDGET, failure_detector.FailureDetectorPolicy(report_timeout_ms=1_000.0), 0.0)
     warden.add_report("a", HealthReport(1, 1, True), 0.0)
     warden.add_report("b", HealthReport(1, 1, serving=False), 0.0)
     warden.add_report("c", HealthReport(1, 1, True), 0.0)
@@ -450,13 +482,13 @@
     warden.add_report("c", HealthReport(1, 1, True), 900.0)  # the same again
     found = warden.summarize(shelf.ledger, 1_500.0)
     assert found.lost == {"a": False, "b": True, "c": True, "d": True}
-    assert not found.halt_reason and counting.detector_candidates(shelf.ledger) == ["a", "b", "c"]
-    shelf.make(book.request_drain(["a"], "op", "x", 0.0))
-    assert counting.detector_candidates(shelf.ledger) == ["b", "c", "a"]
+    assert not found.halt_reason and failure_detector.detector_candidates(shelf.ledger) == ["a", "b", "c"]
+    shelf.make(fleet_state.request_drain(["a"], "op", "x", 0.0))
+    assert failure_detector.detector_candidates(shelf.ledger) == ["b", "c", "a"]
 
 
 def test_the_room_of_the_store_falls_at_once_and_grows_slowly() -> None:
-    room = StoreCapacityEstimator(counting.FailureDetectorPolicy())
+    room = StoreCapacityEstimator(failure_detector.FailureDetectorPolicy())
 
     def reports(refused: float, misses: float) -> list[tuple[int, HealthReport]]:
         caches = [(1, HealthReport(1, 1, True, hits=20.0, misses=misses / 10)) for _ in range(10)]
@@ -604,7 +636,7 @@
 
 def test_wants_are_shown_as_json() -> None:
     shelf = Shelf("a")
-    shelf.make(book.request_drain(["a"], "me", "because", 0.0))
+    shelf.make(fleet_state.request_drain(["a"], "me", "because", 0.0))
     told = json.loads(msgspec.json.encode(msgspec.to_builtins(shelf.ledger)))
     assert isinstance(told, list) and shelf.ledger.members["a"].drain_request == DrainRequest(
         1, "me", "because"
