Disruption budget and failure detector: one rule a function, named limits and thresholds

Hours, groups, minimum and limits are a function each; scopes of a limit are a typed tuple instead of bare ones, and both uses of the limits share it. Printed reasons, digests and figures stay.

--- a/rosepick/fleet/disruption_budget.py
+++ b/rosepick/fleet/disruption_budget.py
@@ -1,9 +1,9 @@
-"""How much may be out: limits by count, share and weight, in all and in a zone, what must stay, hours,
-groups.
+"""The disruption budget: how many members may be out, and who may leave next.
 
-A limit is what may be missing for any reason. What failed by itself counts first, so it can use the whole
-budget up; then nothing is taken out. The store's room makes limits smaller between a floor and what is
-stated, never larger.
+Limits are by count, by share and by weight, in all and in each zone. Besides there is a minimum that stays in
+a zone, hours without drains, and groups whose members are never out together. A limit covers members that are
+out for any reason: what failed by itself counts first and can use up the whole budget. Short capacity of the
+origin makes the limits of cache nodes smaller, down to a floor, never larger.
 """
 
 from __future__ import annotations
@@ -12,18 +12,26 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import floor
+from typing import NamedTuple
 
 from msgspec.structs import replace
 
 from .fleet_state import FleetMember, FleetState, MemberKind, MemberPhase
 
-MINUTES_PER_DAY = 24 * 60  # minutes
+MINUTES_PER_DAY = 24 * 60
+FULL_CAPACITY_PERMILLE = 1000
+MAX_NAMES_LISTED = 4
+DIGEST_BYTES = 6
+SHARE_TOLERANCE = 1e-9  # a share that is meant to be whole is not rounded down
 KIND_LABELS = {MemberKind.ROUTER: "routers", MemberKind.CACHE: "cache nodes"}
 
 
 @dataclass(frozen=True, slots=True)
 class Limit:
-    """For members of a kind. Shares and weights are parts from 0 to 1; counts are whole."""
+    """Limits for members of one kind; shares and weights are from 0 to 1.
+
+    The names and the order of the fields are part of the budget's digest, and so of the stored fleet state.
+    """
 
     most: int = 1_000
     share: float = 1.0
@@ -31,160 +39,203 @@
     zone_most: int = 1_000
     zone_share: float = 1.0
     zone_weight: float = 1.0
-    stay: int = 1  # at least so many are left in each zone
-    least: int = 1  # the store's room makes no limit smaller than this
+    stay: int = 1  # so many members stay in each zone
+    least: int = 1  # short capacity makes no limit smaller than this
 
     def max_out_in_zone(self, member_count: int, capacity_permille: int) -> int:
-        """How many of so many members of a zone may be out, with so much room at the store."""
+        """Return how many of a zone's members may be out at the origin's present capacity."""
         return _max_out(self.zone_most, self.zone_share, capacity_permille, self.least, member_count)
 
     def max_out_overall(self, member_count: int) -> int:
-        """How many of so many members in all may be out, by the stated limits."""
-        return _max_out(self.most, self.share, 1000, self.least, member_count)
+        """Return how many of all members may be out at full capacity of the origin."""
+        return _max_out(self.most, self.share, FULL_CAPACITY_PERMILLE, self.least, member_count)
+
+
+DEFAULT_LIMIT = Limit(share=0.1, zone_share=0.2)
 
 
 @dataclass(frozen=True, slots=True)
 class DisruptionBudget:
-    """The whole. `closed_minutes`: minutes of the day (UTC) in which nothing goes, from and to.
-    `anti_affinity_groups`: members of a group that are not out together.
+    """The limits for all kinds of members, and what else keeps members in.
+
+    `closed_minutes`: intervals of minutes of the day (UTC), from and to, in which no member leaves; one may
+    pass midnight. `anti_affinity_groups`: names by group; members of a group are not out together.
     """
 
-    routers: Limit = Limit(share=0.1, zone_share=0.2)
-    caches: Limit = Limit(share=0.1, zone_share=0.2)
+    routers: Limit = DEFAULT_LIMIT
+    caches: Limit = DEFAULT_LIMIT
     closed_minutes: tuple[tuple[int, int], ...] = ()
     anti_affinity_groups: Mapping[str, Sequence[str]] = field(default_factory=dict)
-    unplanned_allowance: int = 0  # so many more than a limit may be out by themselves before there is a halt
-    rollback_routers: Limit | None = None  # for routers on the way back from a release; None: as always
+    unplanned_allowance: int = 0  # so many more than a limit may be lost before drains are halted
+    rollback_routers: Limit | None = None  # for routers in a rollback; None: as for other drains
 
     def limit_for(self, kind: int, uses_rollback_limit: bool = False) -> Limit:
-        """The limit for a kind; `uses_rollback_limit`: for the way back from a release."""
+        """Return the limit for a kind of members, in a rollback or in other drains."""
         if uses_rollback_limit and kind == MemberKind.ROUTER and self.rollback_routers is not None:
             return self.rollback_routers
         return self.routers if kind == MemberKind.ROUTER else self.caches
 
     def digest(self) -> str:
-        """Tells two budgets apart."""
-        apart = sorted((group, sorted(names)) for group, names in self.anti_affinity_groups.items())
-        told = repr((self.routers, self.caches, self.closed_minutes, apart, self.unplanned_allowance))
-        told += repr(self.rollback_routers) if self.rollback_routers is not None else ""
-        return blake2b(told.encode(), digest_size=6).hexdigest()
+        """Return a digest by which agents see whether they use the same budget."""
+        groups = sorted((group, sorted(names)) for group, names in self.anti_affinity_groups.items())
+        text = repr((self.routers, self.caches, self.closed_minutes, groups, self.unplanned_allowance))
+        if self.rollback_routers is not None:
+            text += repr(self.rollback_routers)
+        return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+class _Scope(NamedTuple):
+    """Members that a limit counts together, and the limit."""
+
+    label: str
+    members: Mapping[str, FleetMember]
+    max_count: int
+    max_share: float
+    max_weight_share: float
 
 
 def _max_out(limit: int, share: float, capacity_permille: int, minimum: int, member_count: int) -> int:
-    """How many of so many may be out. A share of a few is one at least, else nothing could ever go."""
-    stated = min(limit, max(1, floor(share * member_count + 1e-9)))
-    return min(stated, max(minimum, stated * capacity_permille // 1000))
+    """Return how many of `member_count` may be out; a share allows one at least, else none could leave."""
+    stated = min(limit, max(1, floor(share * member_count + SHARE_TOLERANCE)))
+    return min(stated, max(minimum, stated * capacity_permille // FULL_CAPACITY_PERMILLE))
 
 
 def blocking_reasons(fleet_state: FleetState, budget: DisruptionBudget, name: str, minute: int) -> list[str]:
-    """Why a member may not go out now, and by whom it is kept; empty if it may. `minute` of the day, UTC."""
-    one = fleet_state.members[name]
-    want = one.drain_request
-    now = want is not None and want.immediate
-    found = (
-        []
-        if want is not None and want.ignores_minimum
-        else _minimum_violations(fleet_state, budget, name, one)
-    )
-    if now:
-        return found
-    if fleet_state.halt is not None and not one.bypasses_halt:
-        found.append(f"halted by {fleet_state.halt.actor}: {fleet_state.halt.reason}")
-    for begin, end in () if one.bypasses_halt else budget.closed_minutes:
-        if begin <= minute < end or (end < begin and not end <= minute < begin):
-            found.append(
-                f"nothing goes from {begin // 60:02}:{begin % 60:02} to {end // 60:02}:{end % 60:02}"
-            )
+    """Return why a member may not leave now; empty if it may. `minute` is the minute of the day, UTC."""
+    member = fleet_state.members[name]
+    request = member.drain_request
+    reasons: list[str] = []
+    if request is None or not request.ignores_minimum:
+        reasons += _minimum_violations(fleet_state, budget, name, member)
+    if request is not None and request.immediate:
+        return reasons
+    if fleet_state.halt is not None and not member.bypasses_halt:
+        reasons.append(f"halted by {fleet_state.halt.actor}: {fleet_state.halt.reason}")
+    if not member.bypasses_halt:
+        reasons += _closed_hours(budget, minute)
+    reasons += _anti_affinity_violations(fleet_state, budget, name)
+    return reasons + _limit_violations(fleet_state, budget, name, member)
+
+
+def _closed_hours(budget: DisruptionBudget, minute: int) -> list[str]:
+    """Return the intervals without drains that a minute of the day is in."""
+    return [
+        f"nothing goes from {begin // 60:02}:{begin % 60:02} to {end // 60:02}:{end % 60:02}"
+        for begin, end in budget.closed_minutes
+        if begin <= minute < end or (end < begin and not end <= minute < begin)
+    ]
+
+
+def _anti_affinity_violations(fleet_state: FleetState, budget: DisruptionBudget, name: str) -> list[str]:
+    """Return the groups of a member from which others are out."""
+    reasons = []
     for group, names in budget.anti_affinity_groups.items():
         others = [other for other in names if other != name and other in fleet_state.members]
         out = [other for other in others if fleet_state.members[other].is_out]
         if name in names and out:
-            found.append(f"not together with {', '.join(out)} ({group})")
-    return found + _limit_violations(fleet_state, budget, name, one)
+            reasons.append(f"not together with {', '.join(out)} ({group})")
+    return reasons
+
+
+def _members_in_zone(members: Mapping[str, FleetMember], zone: str) -> dict[str, FleetMember]:
+    return {name: member for name, member in members.items() if member.zone == zone}
 
 
 def _minimum_violations(
     fleet_state: FleetState, budget: DisruptionBudget, name: str, candidate: FleetMember
 ) -> list[str]:
-    """What must stay in a zone."""
+    """Return whether too few members would stay in the candidate's zone, in words."""
     stay = budget.limit_for(candidate.kind, candidate.bypasses_halt).stay
-    called = KIND_LABELS[MemberKind(candidate.kind)]
-    here = [
-        other
-        for other, member in fleet_state.members_of(candidate.kind).items()
-        if member.zone == candidate.zone
-    ]
-    left = sum(other != name and not fleet_state.members[other].is_out for other in here)
+    label = KIND_LABELS[MemberKind(candidate.kind)]
+    in_zone = _members_in_zone(fleet_state.members_of(candidate.kind), candidate.zone)
+    left = sum(other != name and not member.is_out for other, member in in_zone.items())
     if left >= stay:
         return []
-    return [f"only {left} {called} would be left in {candidate.zone}, {stay} must stay"]
+    return [f"only {left} {label} would be left in {candidate.zone}, {stay} must stay"]
 
 
 def _limit_violations(
     fleet_state: FleetState, budget: DisruptionBudget, name: str, candidate: FleetMember
 ) -> list[str]:
-    """Limits that would be passed. Also for one that is lost: it may have come back in this moment, and
-    would be taken out then beside others.
+    """Return the limits that would be exceeded, in words.
+
+    This holds for a lost candidate too: it may be healthy again at this very moment, and would then be taken
+    out beside others.
     """
     limit = budget.limit_for(candidate.kind, candidate.bypasses_halt)
-    all_of = fleet_state.members_of(candidate.kind)
-    called = KIND_LABELS[MemberKind(candidate.kind)]
-    here = {other: member for other, member in all_of.items() if member.zone == candidate.zone}
-    found = []
-    for place, members, most, share, weight in (
-        ("in all", all_of, limit.most, limit.share, limit.weight),
-        (f"in {candidate.zone}", here, limit.zone_most, limit.zone_share, limit.zone_weight),
-    ):
+    all_members = fleet_state.members_of(candidate.kind)
+    in_zone = _members_in_zone(all_members, candidate.zone)
+    label = KIND_LABELS[MemberKind(candidate.kind)]
+    scopes = (
+        _Scope("in all", all_members, limit.most, limit.share, limit.weight),
+        _Scope(f"in {candidate.zone}", in_zone, limit.zone_most, limit.zone_share, limit.zone_weight),
+    )
+    reasons = []
+    for scope in scopes:
+        members = scope.members
         out = [other for other, member in members.items() if member.is_out and other != name]
-        allowed = _max_out(most, share, fleet_state.capacity_permille, limit.least, len(members))
+        allowed = _max_out(
+            scope.max_count, scope.max_share, fleet_state.capacity_permille, limit.least, len(members)
+        )
         if len(out) + 1 > allowed:
-            found.append(f"{len(out)} of {allowed} {called} are out {place}: {_list_names(out)}")
-        whole = sum(member.weight for member in members.values())
-        gone = sum(members[other].weight for other in out) + candidate.weight
-        if out and gone > weight * whole:
-            part = f"{gone / whole:.0%} of the weight would be out {place}"
-            found.append(f"{part}, {weight:.0%} may: {_list_names(out)}")
-    return found
+            reasons.append(f"{len(out)} of {allowed} {label} are out {scope.label}: {_list_names(out)}")
+        total_weight = sum(member.weight for member in members.values())
+        weight_out = sum(members[other].weight for other in out) + candidate.weight
+        if out and weight_out > scope.max_weight_share * total_weight:
+            text = f"{weight_out / total_weight:.0%} of the weight would be out {scope.label}"
+            reasons.append(f"{text}, {scope.max_weight_share:.0%} may: {_list_names(out)}")
+    return reasons
 
 
 def _list_names(names: Sequence[str]) -> str:
-    more = f" and {len(names) - 4} more" if len(names) > 4 else ""
-    return (", ".join(names[:4]) or "none") + more
+    more = f" and {len(names) - MAX_NAMES_LISTED} more" if len(names) > MAX_NAMES_LISTED else ""
+    return (", ".join(names[:MAX_NAMES_LISTED]) or "none") + more
 
 
 def may_take_permit(budget: DisruptionBudget, minute: int, fleet_state: FleetState, name: str) -> bool:
-    """Whether a member may take a permit now. Who has waited longer goes first: each of them that could go
-    is counted as out before the next is looked at.
+    """Return whether a member may take a permit now.
+
+    Earlier drain requests come first: each of them that could be granted counts as out before the next one
+    is considered.
     """
-    want = fleet_state.members[name].drain_request
-    if want is not None and want.immediate:
+    request = fleet_state.members[name].drain_request
+    if request is not None and request.immediate:
         return not blocking_reasons(fleet_state, budget, name, minute)
     for other in fleet_state.pending_drains():
-        may = not blocking_reasons(fleet_state, budget, other, minute)
+        may_leave = not blocking_reasons(fleet_state, budget, other, minute)
         if other == name:
-            return may
-        one = fleet_state.members[other]
-        if may and not one.lost and one.kind == fleet_state.members[name].kind:
-            members = {**fleet_state.members, other: replace(one, phase=int(MemberPhase.GIVEN))}
+            return may_leave
+        member = fleet_state.members[other]
+        if may_leave and not member.lost and member.kind == fleet_state.members[name].kind:
+            members = {**fleet_state.members, other: replace(member, phase=int(MemberPhase.GIVEN))}
             fleet_state = replace(fleet_state, members=members)
     return False
 
 
 def unplanned_halt_reason(fleet_state: FleetState, budget: DisruptionBudget) -> str:
-    """Why there has to be a halt: more is out by itself than the budget allows, and `unasked` beyond. Not
-    what was never in: a fleet that is only starting has not failed.
+    """Return why drains have to be halted; empty if they need not.
+
+    They are halted if more members are lost than a limit and `unplanned_allowance` permit. Members that were
+    never healthy do not count: a fleet that is only starting has not failed.
     """
-    for kind, called in KIND_LABELS.items():
-        limit, members = budget.limit_for(kind), fleet_state.members_of(kind)
-        for zone in (None, *sorted({one.zone for one in members.values()})):
-            here = {name: one for name, one in members.items() if zone is None or one.zone == zone}
-            most, share = (limit.most, limit.share) if zone is None else (limit.zone_most, limit.zone_share)
+    for kind, label in KIND_LABELS.items():
+        limit = budget.limit_for(kind)
+        members = fleet_state.members_of(kind)
+        scopes = [_Scope("in all", members, limit.most, limit.share, limit.weight)]
+        for zone in sorted({member.zone for member in members.values()}):
+            in_zone = _members_in_zone(members, zone)
+            scopes.append(
+                _Scope(zone or "in all", in_zone, limit.zone_most, limit.zone_share, limit.zone_weight)
+            )
+        for scope in scopes:
             lost = [
                 name
-                for name, one in here.items()
-                if one.lost and one.was_healthy and one.phase == MemberPhase.IN
+                for name, member in scope.members.items()
+                if member.lost and member.was_healthy and member.phase == MemberPhase.IN
             ]
-            allowed = _max_out(most, share, 1000, limit.least, len(here))
+            allowed = _max_out(
+                scope.max_count, scope.max_share, FULL_CAPACITY_PERMILLE, limit.least, len(scope.members)
+            )
             if len(lost) > allowed + budget.unplanned_allowance:
-                return f"{len(lost)} {called} out unasked {zone or 'in all'}: {_list_names(lost)}"
+                return f"{len(lost)} {label} out unasked {scope.label}: {_list_names(lost)}"
     return ""
--- a/rosepick/fleet/failure_detector.py
+++ b/rosepick/fleet/failure_detector.py
@@ -1,8 +1,9 @@
-"""Who counts: the holder of the group's lease looks at what every agent reports, and writes down who is out
-unasked, what the store can bear, and whether there has to be a halt. A machine without I/O and clock.
+"""The failure detector: which members are lost, what the origin can bear, and whether to halt drains.
 
-What a member says of itself and what its agent sees are both in its report; the worse one counts. A report
-that does not change any more is a silent member. Times are milliseconds of the warden's own clock.
+It runs in the agent that holds the group's lease and reads the health reports of all agents. A report is the
+worse of what the member says and what its agent observes; a report that no longer changes is a silent member.
+
+A state machine without I/O and clock; times are milliseconds of the detector's own clock.
 """
 
 from __future__ import annotations
@@ -12,43 +13,45 @@
 import msgspec
 
 from ..consensus.messages import Register
-from .disruption_budget import DisruptionBudget, unplanned_halt_reason
-from .fleet_state import REGISTER_PREFIX, FleetState, MemberKind, MemberPhase
+from .disruption_budget import FULL_CAPACITY_PERMILLE, DisruptionBudget, unplanned_halt_reason
+from .fleet_state import REGISTER_PREFIX, FleetMember, FleetState, MemberKind, MemberPhase
 
-MAX_CANDIDATES = 3  # members whose agents stand ready to count
+MAX_CANDIDATES = 3  # members whose agents compete for the lease
+SUSTAINED_LOAD_FACTOR = 0.9  # of the misses at which the origin was short
+SUSTAINED_LOAD_GROWTH = 1.01  # each time that few requests are refused
 
 
 class HealthReport(msgspec.Struct, frozen=True, array_like=True):
-    """What an agent tells of its member. Figures are of the time since the last report, per second."""
+    """An agent's report on its member; figures are per second since the report before."""
 
-    run_id: int  # drawn at the agent's start
-    sequence: int  # one more each time
-    serving: bool  # it serves, as it says and as it was seen to
+    run_id: int  # random, chosen when the agent starts
+    sequence: int  # grows by one with each report
+    serving: bool
     warm: bool = True
     served: float = 0.0
     refused: float = 0.0
     failed: float = 0.0
     hits: float = 0.0
     misses: float = 0.0
-    cpu: float = 0.0  # seconds a second
+    cpu: float = 0.0  # CPU seconds per second
     memory: float = 0.0  # KiB
-    door: float = 0.0  # milliseconds until its door answers
-    exit_count: int = 0  # how often it has ended by itself
-    build: str = ""  # digests of what it runs
-    settings: str = ""
-    deploy_error: str = ""  # why it does not run what it is to run
+    door: float = 0.0  # milliseconds until the member's admin listener answers
+    exit_count: int = 0  # how often the member has exited by itself
+    build: str = ""  # digest of the build that it runs
+    settings: str = ""  # digest of its settings
+    deploy_error: str = ""  # why it does not run what it is meant to run
 
 
 _decoder: msgspec.msgpack.Decoder[HealthReport] = msgspec.msgpack.Decoder(HealthReport)
 
 
 def health_report_key(group: str, name: str) -> str:
-    """The register of a member's report."""
+    """Return the name of the register that holds a member's report."""
     return f"{REGISTER_PREFIX}{group}/at/{name}"
 
 
 def decode_health_report(register: Register) -> HealthReport | None:
-    """A report; None if there is none, or none that this program can read."""
+    """Return the report in a register; None if there is none that this program can read."""
     try:
         return _decoder.decode(register.value) if register.value else None
     except msgspec.MsgspecError:
@@ -57,9 +60,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FailureDetectorPolicy:
-    """`report_timeout_ms`: milliseconds without a new report after which a member counts as out;
-    `low_refusal_share`, `high_refusal_share`: parts of the requests refused, below which the store has room
-    and above which it is short.
+    """Thresholds of a failure detector.
+
+    `report_timeout_ms`: a member whose report does not change for so many milliseconds is lost. Below a share
+    of `low_refusal_share` of refused requests the origin has capacity left; above `high_refusal_share` it is
+    overloaded.
     """
 
     report_timeout_ms: float = 6_000.0
@@ -68,128 +73,142 @@
 
 
 class StoreCapacityEstimator:
-    """What the store can bear: the misses that one more cache node out would bring, against what the store
-    was seen to take. It is not known before the store was short once; then it is 0.9 of what came then, and
-    grows by a hundredth each time that all is calm (additive in its logarithm: Chiu and Jain 1989 have the
-    case for falling fast and growing slowly).
+    """Estimate of how many cache nodes the origin can do without.
+
+    The misses that one more absent cache node would cause are compared with the misses that the origin has
+    sustained. Nothing is known of these before the origin was overloaded once; then they are 0.9 of what it
+    had at that time, and grow by a hundredth whenever few requests are refused (decrease fast, increase
+    slowly: Chiu and Jain 1989).
     """
 
     def __init__(self, policy: FailureDetectorPolicy) -> None:
         self._policy = policy
-        self.sustained_misses_per_s: float | None = None  # misses a second
+        self.sustained_misses_per_s: float | None = None  # None: not known yet
 
     def capacity_permille(self, reports: list[tuple[int, HealthReport]], max_out: int) -> int:
-        """Thousandths of the stated limit of `max_out` cache nodes."""
-        routers = [one for kind, one in reports if kind == MemberKind.ROUTER]
-        lost = sum(one.refused + one.failed for one in routers)
-        refused = lost / max(lost + sum(one.served for one in routers), 1e-9)
-        caches = [one for kind, one in reports if kind == MemberKind.CACHE and one.serving]
-        misses = sum(one.misses for one in caches)
-        if refused > self._policy.high_refusal_share:
-            self.sustained_misses_per_s = min(0.9 * misses, self.sustained_misses_per_s or misses)
+        """Return the capacity in thousandths of the stated limit of `max_out` cache nodes.
+
+        `reports` are the kinds and the last reports of the members that are not lost.
+        """
+        routers = [report for kind, report in reports if kind == MemberKind.ROUTER]
+        lost = sum(report.refused + report.failed for report in routers)
+        refusal_share = lost / max(lost + sum(report.served for report in routers), 1e-9)
+        caches = [report for kind, report in reports if kind == MemberKind.CACHE and report.serving]
+        misses = sum(report.misses for report in caches)
+        if refusal_share > self._policy.high_refusal_share:
+            self.sustained_misses_per_s = min(
+                SUSTAINED_LOAD_FACTOR * misses, self.sustained_misses_per_s or misses
+            )
             return 0
         if self.sustained_misses_per_s is None or not caches:
-            return 1000
-        if refused < self._policy.low_refusal_share:
-            self.sustained_misses_per_s *= 1.01
-        each = sum(one.hits for one in caches) / len(caches)
-        bears = (self.sustained_misses_per_s - misses) / max(each * max_out, 1e-9)
-        return max(0, min(1000, int(1000.0 * bears)))
+            return FULL_CAPACITY_PERMILLE
+        if refusal_share < self._policy.low_refusal_share:
+            self.sustained_misses_per_s *= SUSTAINED_LOAD_GROWTH
+        hits_per_node = sum(report.hits for report in caches) / len(caches)
+        share = (self.sustained_misses_per_s - misses) / max(hits_per_node * max_out, 1e-9)
+        return max(0, min(FULL_CAPACITY_PERMILLE, int(1000.0 * share)))
 
 
 @dataclass(frozen=True, slots=True)
 class HealthSummary:
-    """What is to be written down."""
+    """What a failure detector has to write into the fleet state."""
 
-    lost: dict[str, bool]
+    lost: dict[str, bool]  # members whose state is known
     capacity_permille: int
-    typical_hit_permille: int  # thousandths of the reads that a cache node has
-    is_complete: bool  # of every member it is known what it is: heard of, or waited for long enough
-    halt_reason: str  # for a halt; empty if there is no reason
+    typical_hit_permille: int  # hits in thousandths of a cache node's reads
+    is_complete: bool  # the state of every member is known
+    halt_reason: str  # empty: no halt is needed
 
 
 class FailureDetector:
-    """Counts, as long as its process holds the lease."""
+    """Collects health reports for as long as its process holds the lease."""
 
     def __init__(self, budget: DisruptionBudget, policy: FailureDetectorPolicy, now: float) -> None:
-        self._budget, self._policy = budget, policy
+        self._budget = budget
+        self._policy = policy
         self._started_at = now
-        self._reports: dict[str, tuple[HealthReport, float]] = {}  # and when it last changed
-        self._live_members: set[str] = set()  # whose report has changed since this warden began
+        self._reports: dict[str, tuple[HealthReport, float]] = {}  # the last one, and when it changed
+        self._live_members: set[str] = set()  # those whose report has changed since this detector started
         self._capacity = StoreCapacityEstimator(policy)
 
     def add_report(self, name: str, report: HealthReport | None, now: float) -> None:
-        """A member's report, as it is now."""
+        """Take the present report of a member; None if it has none."""
+        if report is None:
+            return
         before = self._reports.get(name)
-        if report is None or (
-            before and (before[0].run_id, before[0].sequence) == (report.run_id, report.sequence)
-        ):
+        if before and (before[0].run_id, before[0].sequence) == (report.run_id, report.sequence):
             return
         self._reports[name] = report, now
         if before is not None:
             self._live_members.add(name)
 
     def _is_lost(self, name: str, phase: int, now: float) -> bool | None:
-        """Whether it is out unasked; None if that is not known yet. Guards against a new warden that finds
-        the dead again as it reads their last reports.
+        """Return whether a member is lost; None if that is not known yet.
+
+        A new detector reads the last reports of dead members too, so it knows a member to be alive only once
+        its report has changed.
         """
-        seen = self._reports.get(name)
-        if seen is None:
+        known = self._reports.get(name)
+        if known is None:
             return True if now - self._started_at > self._policy.report_timeout_ms else None
-        report, when = seen
-        if now - when > self._policy.report_timeout_ms or (
+        report, changed_at = known
+        if now - changed_at > self._policy.report_timeout_ms or (
             phase == MemberPhase.IN and not (report.serving and report.warm)
         ):
             return True
         return False if name in self._live_members else None
 
     def summarize(self, fleet_state: FleetState, now: float) -> HealthSummary:
-        """What there is to write down."""
-        told = {
-            name: self._is_lost(name, one.phase, now)
-            for name, one in fleet_state.members.items()
-            if not one.evicted
-        }
-        lost = {name: is_lost for name, is_lost in told.items() if is_lost is not None}
+        """Return what is to be written into the fleet state."""
+        counted = {name: member for name, member in fleet_state.members.items() if not member.evicted}
+        verdicts = {name: self._is_lost(name, member.phase, now) for name, member in counted.items()}
+        lost = {name: is_lost for name, is_lost in verdicts.items() if is_lost is not None}
         reports = [
-            (one.kind, self._reports[name][0])
-            for name, one in fleet_state.members.items()
+            (member.kind, self._reports[name][0])
+            for name, member in fleet_state.members.items()
             if name in self._reports and not lost.get(name)
         ]
-        stated = self._budget.caches.max_out_overall(len(fleet_state.members_of(MemberKind.CACHE)))
-        marked = {
-            name: msgspec.structs.replace(one, lost=lost.get(name, one.lost))
-            for name, one in fleet_state.members.items()
-        }
-        why = unplanned_halt_reason(msgspec.structs.replace(fleet_state, members=marked), self._budget)
+        max_out = self._budget.caches.max_out_overall(len(fleet_state.members_of(MemberKind.CACHE)))
         return HealthSummary(
-            lost,
-            self._capacity.capacity_permille(reports, stated),
-            _typical_hit_permille(reports),
-            None not in told.values(),
-            why,
+            lost=lost,
+            capacity_permille=self._capacity.capacity_permille(reports, max_out),
+            typical_hit_permille=_typical_hit_permille(reports),
+            is_complete=None not in verdicts.values(),
+            halt_reason=unplanned_halt_reason(_with_lost(fleet_state, lost), self._budget),
         )
 
 
+def _with_lost(fleet_state: FleetState, lost: dict[str, bool]) -> FleetState:
+    """Return the fleet state with the members marked as lost or found."""
+
+    def marked(name: str, member: FleetMember) -> FleetMember:
+        return msgspec.structs.replace(member, lost=lost.get(name, member.lost))
+
+    members = {name: marked(name, member) for name, member in fleet_state.members.items()}
+    return msgspec.structs.replace(fleet_state, members=members)
+
+
 def _typical_hit_permille(reports: list[tuple[int, HealthReport]]) -> int:
-    """The middle one of the hit shares of warm cache nodes."""
+    """Return the median hit ratio of warm cache nodes in thousandths; 0 if there is none."""
     warm = [
-        one
-        for kind, one in reports
-        if kind == MemberKind.CACHE and one.serving and one.warm and one.hits + one.misses > 0
+        report
+        for kind, report in reports
+        if kind == MemberKind.CACHE and report.serving and report.warm and report.hits + report.misses > 0
     ]
-    shares = sorted(one.hits / (one.hits + one.misses) for one in warm)
-    return int(1000.0 * shares[len(shares) // 2]) if shares else 0
+    ratios = sorted(report.hits / (report.hits + report.misses) for report in warm)
+    return int(1000.0 * ratios[len(ratios) // 2]) if ratios else 0
 
 
 def detector_candidates(fleet_state: FleetState) -> list[str]:
-    """Whose agents stand ready: the first by name; those that are lost, or wanted out, last. An agent
-    counts on while its member is out, and never is there none that may: else all that were lost would stay
-    so.
+    """Return the members whose agents compete for the lease.
+
+    They are the first by name; lost members and those that are to leave come last. They are never excluded:
+    an agent can detect failures while its member is out, and if all members are lost somebody has to find
+    them again.
     """
-    found = [
-        (one.lost, one.drain_request is not None, name)
-        for name, one in fleet_state.members.items()
-        if not one.evicted
+    candidates = [
+        (member.lost, member.drain_request is not None, name)
+        for name, member in fleet_state.members.items()
+        if not member.evicted
     ]
-    return [name for _, _, name in sorted(found)[:MAX_CANDIDATES]]
+    return [name for _, _, name in sorted(candidates)[:MAX_CANDIDATES]]
