--- a/rosepick/fleet/deployer.py
+++ b/rosepick/fleet/deployer.py
@@ -1,11 +1,11 @@
-"""What an agent does for a release: a machine without I/O and clock, beside that of the drains.
+"""One member's part in rollouts, as a state machine without I/O and clock beside that of its agent.
 
-It has the new version made ready on its host before anything is taken down, goes out by a permit like
-anybody, has the new one started, and goes back to what ran before if that does not prove itself: at once,
-by itself, without asking anyone. What it is doing is on its disk first. Settings go without a permit: they
-are taken in place.
+A new build is prepared on the host while the member serves. The member then leaves under a drain permit like
+any other, is started with the new build, and goes back to the one before if that does not become healthy: at
+once and without asking anyone. Each step is on the disk before it is taken. Settings are changed in place,
+without a permit.
 
-Times are milliseconds of the agent's own clock.
+Times are milliseconds of the agent's own clock, unless their name ends in `_s`.
 """
 
 from __future__ import annotations
@@ -13,10 +13,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..consensus.proposer import RegisterChange
-from . import fleet_state as book
+from . import fleet_state
 from .fleet_state import FleetMember, FleetState, MemberPhase
 from .rollout_state import (
     BUILD,
@@ -28,23 +28,25 @@
     RolloutState,
 )
 
-MAX_ROLLOUT_STATE_AGE_MS = 2_000.0  # a member goes over by a reading of the record that is no older
+MAX_ROLLOUT_STATE_AGE_MS = 2_000.0  # a member changes its version only by a rollout state that is no older
 ARTIFACT_KINDS = (BUILD, SETTINGS)
 
 
 class FailureCause(Enum):
-    """Why a version is not run here."""
+    """Why an artifact is not in use on this host."""
 
     NONE = ""
-    ARTIFACT = "version"  # it is not what it should be, does not start, or does not prove itself
-    HOST = "host"  # it could not be brought here: no room, no source
+    ARTIFACT = "version"  # it is damaged, does not start, or does not become healthy
+    HOST = "host"  # it could not be fetched: no space, no source
 
 
 @dataclass(frozen=True, slots=True)
 class DeployPolicy:
-    """`min_healthy_ms`: the new one has to serve for so long before its permit ends; `probation_ms`: it has
-    so long for that; `max_exits`: so often it may end by itself meanwhile; `retry_interval_ms`: until a host
-    tries again what it could not get.
+    """Durations and limits of a deployment; times in milliseconds.
+
+    `min_healthy_ms`: a new build serves for so long before its permit ends. `probation_ms`: it has so long to
+    become healthy. `max_exits`: after so many exits by itself in that time it is rolled back.
+    `retry_interval_ms`: how long a host waits until it tries to fetch an artifact again.
     """
 
     min_healthy_ms: float = 10_000.0
@@ -55,39 +57,74 @@
 
 @dataclass(frozen=True, slots=True)
 class ArtifactStatus:
-    """How far a version is on this host."""
+    """How far an artifact is prepared on this host."""
 
     is_ready: bool = False
     cause: FailureCause = FailureCause.NONE
     reason: str = ""
 
 
+class DeployFailure(NamedTuple):
+    """Why a member does not run an artifact, as its health report says it in one line of text."""
+
+    kind: str
+    digest: str
+    cause: str  # value of a `FailureCause`
+    reason: str
+
+    def format(self) -> str:
+        """Return the text of a health report."""
+        return f"{self.kind} {self.digest} {self.cause} {self.reason}"
+
+    @classmethod
+    def parse(cls, text: str) -> DeployFailure:
+        """Return the failure in a health report; all fields are empty if there is none."""
+        kind, digest, cause, reason = (text + "   ").split(" ", 3)
+        return cls(kind, digest, cause, reason.strip())
+
+
 class StateStore(Protocol):
-    """Where an agent keeps what it is doing."""
+    """Durable storage of what an agent is doing, by name."""
 
     def get(self, name: str) -> object:
-        """What was kept under a name."""
+        """Return what was stored under a name; None if nothing was."""
 
     def put(self, **more: object) -> None:
-        """It is on the disk when this returns. OSError if it cannot be."""
+        """Store values under their names.
+
+        Raises:
+            OSError: they could not be written; on return they are on the disk.
+        """
 
 
 class ArtifactStore(Protocol):
-    """The host's store of versions."""
+    """The artifacts on this host."""
 
     def prepare(self, kind: str, artifact: Artifact) -> ArtifactStatus:
-        """How far it is; whatever is missing is begun."""
+        """Return how far an artifact is; begin whatever is missing."""
 
     def apply_settings(self, kind: str, digest: str) -> None:
-        """Have the member run these settings from now on."""
+        """Have the member use these settings from now on."""
 
     def remove_except(self, needed: Iterable[str]) -> None:
-        """Remove versions that nobody goes back to: a release is closed."""
+        """Remove the artifacts whose digests are not needed any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class _FailedDeployment:
+    """The last failure with an artifact of one kind."""
+
+    digest: str
+    rollout_number: int
+    status: ArtifactStatus
+    failed_at: float
 
 
 class Deployer:
-    """One member's part in releases. `active_digests`: digests of what it runs, by kind; what is on the disk
-    counts.
+    """One member's part in rollouts.
+
+    `active_digests` are the digests of what the member runs, by kind; those that are stored take precedence
+    over those that are given.
     """
 
     def __init__(
@@ -98,96 +135,102 @@
         policy: DeployPolicy,
         active_digests: dict[str, str],
     ) -> None:
-        self.name, self._store, self._artifacts, self.policy = name, store, artifacts, policy
-        told = store.get("runs")
-        self.active_digests: dict[str, str] = dict(told) if isinstance(told, dict) else dict(active_digests)
-        told = store.get("before")
-        self.previous_digests: dict[str, str] = dict(told) if isinstance(told, dict) else {}
-        self.probation_kind = str(store.get("trial") or "")  # the kind that is on probation
+        self.name = name
+        self.policy = policy
+        self._store = store
+        self._artifacts = artifacts
+        stored = store.get("runs")
+        self.active_digests: dict[str, str] = dict(stored if isinstance(stored, dict) else active_digests)
+        stored = store.get("before")
+        self.previous_digests: dict[str, str] = dict(stored) if isinstance(stored, dict) else {}
+        self.probation_kind = str(store.get("trial") or "")  # the kind of artifact that is on probation
         self.rollout_state: RolloutState | None = None
-        self._state_read_at = -MAX_ROLLOUT_STATE_AGE_MS - 1.0
         self.runs_wrong_build = False
+        self._state_read_at = -MAX_ROLLOUT_STATE_AGE_MS - 1.0
         self._probation_since: float | None = None
         self._exit_count = 0
-        self._failures: dict[
-            str, tuple[str, int, ArtifactStatus, float]
-        ] = {}  # by kind: digest, release, why, when
-        told = store.get("refused")  # what was no good here is not tried again by the agent's next start
-        if isinstance(told, dict):
-            self._failures = {
-                kind: (digest, number, ArtifactStatus(False, FailureCause.ARTIFACT, why), 0.0)
-                for kind, (digest, number, why) in told.items()
-            }
+        self._failures = _load_failures(store)  # by kind; not tried again after a restart of the agent
 
     # -- what is to be run
 
     def update_state(self, rollout_state: RolloutState, asked_at: float) -> None:
-        """The record, as it was at some time since then."""
-        closed = (
+        """Take the rollout state, as it was at some time since `asked_at`."""
+        is_closed = (
             self.rollout_state is not None
             and self.rollout_state.open_rollout is not None
             and rollout_state.open_rollout is None
         )
-        if closed and not self.runs_wrong_build:
-            self._artifacts.remove_except(
-                [*self.active_digests.values(), *(thing.digest for thing in rollout_state.baseline.values())]
-            )
-        self.rollout_state, self._state_read_at = rollout_state, asked_at
+        if is_closed and not self.runs_wrong_build:
+            baseline = (artifact.digest for artifact in rollout_state.baseline.values())
+            self._artifacts.remove_except([*self.active_digests.values(), *baseline])
+        self.rollout_state = rollout_state
+        self._state_read_at = asked_at
+
+    def _is_state_fresh(self, now: float) -> bool:
+        return now - self._state_read_at <= MAX_ROLLOUT_STATE_AGE_MS
 
     def _target(self, kind: str) -> Artifact | None:
         return None if self.rollout_state is None else self.rollout_state.artifact_for(self.name, kind)
 
     def _pending_artifact(self, kind: str, now: float) -> Artifact | None:
-        """What this member is to run and does not; None while it may not or cannot."""
-        goal, record = self._target(kind), self.rollout_state
-        if goal is None or record is None or goal.digest == self.active_digests.get(kind, goal.digest):
+        """Return what this member is to run and does not; None while it may not or cannot."""
+        target = self._target(kind)
+        state = self.rollout_state
+        if target is None or state is None:
             return None
-        held = record.open_rollout is not None and record.open_rollout.pause is not None
-        digest, number, found, when = self._failures.get(kind, ("", 0, ArtifactStatus(), 0.0))
-        refused = (digest, number) == (goal.digest, record.last_number) and (
-            found.cause is FailureCause.ARTIFACT or now - when < self.policy.retry_interval_ms
-        )
-        return None if held or refused or self.probation_kind else goal
+        if target.digest == self.active_digests.get(kind, target.digest) or self.probation_kind:
+            return None
+        is_paused = state.open_rollout is not None and state.open_rollout.pause is not None
+        if is_paused or self._has_failed(kind, target, state.last_number, now):
+            return None
+        return target
+
+    def _has_failed(self, kind: str, target: Artifact, rollout_number: int, now: float) -> bool:
+        """Return whether an artifact has failed here in this rollout and is not due to be tried again."""
+        failure = self._failures.get(kind)
+        if failure is None or (failure.digest, failure.rollout_number) != (target.digest, rollout_number):
+            return False
+        is_artifact_at_fault = failure.status.cause is FailureCause.ARTIFACT
+        return is_artifact_at_fault or now - failure.failed_at < self.policy.retry_interval_ms
 
     def _is_prepared(self, kind: str, artifact: Artifact, now: float) -> bool:
-        ready = self._artifacts.prepare(kind, artifact)
-        if ready.cause is not FailureCause.NONE:
-            self._record_failure(kind, artifact.digest, ready, now)
-        return ready.is_ready
+        status = self._artifacts.prepare(kind, artifact)
+        if status.cause is not FailureCause.NONE:
+            self._record_failure(kind, artifact.digest, status, now)
+        return status.is_ready
 
     def _record_failure(self, kind: str, digest: str, status: ArtifactStatus, now: float) -> None:
         number = 0 if self.rollout_state is None else self.rollout_state.last_number
-        self._failures[kind] = digest, number, status, now
+        self._failures[kind] = _FailedDeployment(digest, number, status, now)
         if status.cause is FailureCause.ARTIFACT:
-            told = {
-                kind: (digest, number, found.reason)
-                for kind, (digest, number, found, _) in self._failures.items()
-                if found.cause is FailureCause.ARTIFACT
+            stored = {
+                kind: (failure.digest, failure.rollout_number, failure.status.reason)
+                for kind, failure in self._failures.items()
+                if failure.status.cause is FailureCause.ARTIFACT
             }
-            self._store.put(refused=told)
+            self._store.put(refused=stored)
 
     def describe_failure(self) -> str:
-        """Why this member does not run what it is to run, for its report: `kind digest blame why`."""
+        """Return why this member does not run what it is to run, for its health report; empty if it does."""
         for kind in ARTIFACT_KINDS:
-            goal, record = self._target(kind), self.rollout_state
-            digest, number, found, _ = self._failures.get(kind, ("", 0, ArtifactStatus(), 0.0))
-            current = record is not None and record.last_number == number
-            if (
-                goal is not None
-                and current
-                and goal.digest == digest
-                and digest != self.active_digests.get(kind)
-            ):
-                return f"{kind} {digest} {found.cause.value} {found.reason}"
+            failure = self._failures.get(kind)
+            target = self._target(kind)
+            if failure is None or target is None or self.rollout_state is None:
+                continue
+            is_current = self.rollout_state.last_number == failure.rollout_number
+            is_target = target.digest == failure.digest != self.active_digests.get(kind)
+            if is_current and is_target:
+                status = failure.status
+                return DeployFailure(kind, failure.digest, status.cause.value, status.reason).format()
         return ""
 
     def is_under_analysis(self) -> bool:
-        """Whether its figures are a release's to judge: it runs the new one of one that is open."""
-        open_one = None if self.rollout_state is None else self.rollout_state.open_rollout
-        return open_one is not None and self.active_digests.get(open_one.kind) == open_one.new.digest
+        """Return whether the member runs the new artifact of an open rollout, whose leader judges it."""
+        rollout = None if self.rollout_state is None else self.rollout_state.open_rollout
+        return rollout is not None and self.active_digests.get(rollout.kind) == rollout.new.digest
 
     def has_pending_work(self, now: float) -> bool:
-        """Whether the record is to be read often: something is to be done by it."""
+        """Return whether the rollout state is to be read often, as something has to be done by it."""
         return (
             bool(self.probation_kind)
             or self.runs_wrong_build
@@ -201,39 +244,44 @@
         now: float,
         phase: MemberPhase,
         own_member: FleetMember,
-        fleet_state: FleetState,
+        state: FleetState,
         wall_time_s: float,
     ) -> RegisterChange | None:
-        """What the ledger is asked for: out if a build is due and is ready here, in if it is not."""
-        by_release = own_member.drain_request is not None and own_member.drain_request.actor.startswith(
-            ROLLOUT_ACTOR_PREFIX
-        )
+        """Return the change of the fleet state that is due, if any.
+
+        A drain is requested if a build is due and prepared here, and cancelled if none is due any more.
+        """
         due = self._pending_artifact(BUILD, now)
         needs = due is not None or (self.runs_wrong_build and phase in (MemberPhase.IN, MemberPhase.GIVEN))
-        prepared = due is None or self._is_prepared(BUILD, due, now)
-        if phase == MemberPhase.IN and own_member.drain_request is None and needs and prepared:
-            assert self.rollout_state is not None
-            open_one = self.rollout_state.open_rollout
-            wide = open_one is not None and open_one.phase == RolloutPhase.ROLLBACK
-            why = f"to run {due.name}" if due is not None else "to run what it is to"
-            if fleet_state.halt is not None and not wide:
-                return None
-            return book.request_drain(
-                [self.name], self.rollout_state.drain_actor, why, wall_time_s, uses_rollback_limit=wide
-            )
-        fresh = now - self._state_read_at <= MAX_ROLLOUT_STATE_AGE_MS
+        is_prepared = due is None or self._is_prepared(BUILD, due, now)
+        request = own_member.drain_request
+        if phase == MemberPhase.IN and request is None and needs and is_prepared:
+            return self._request_drain(due, state, wall_time_s)
+        fresh = self._is_state_fresh(now)
         if (
-            by_release
+            request is not None
+            and request.actor.startswith(ROLLOUT_ACTOR_PREFIX)
             and not needs
             and fresh
             and phase in (MemberPhase.IN, MemberPhase.GIVEN, MemberPhase.OUT)
         ):
-            assert own_member.drain_request is not None
-            return book.cancel_drain(
-                [self.name], self.name, wall_time_s, requested_by=own_member.drain_request.actor
-            )
+            return fleet_state.cancel_drain([self.name], self.name, wall_time_s, requested_by=request.actor)
         return None
 
+    def _request_drain(
+        self, due: Artifact | None, state: FleetState, wall_time_s: float
+    ) -> RegisterChange | None:
+        """Return the request to leave for a build; None during a halt, unless it is a rollback."""
+        assert self.rollout_state is not None
+        rollout = self.rollout_state.open_rollout
+        is_rollback = rollout is not None and rollout.phase == RolloutPhase.ROLLBACK
+        if state.halt is not None and not is_rollback:
+            return None
+        reason = f"to run {due.name}" if due is not None else "to run what it is to"
+        return fleet_state.request_drain(
+            [self.name], self.rollout_state.drain_actor, reason, wall_time_s, uses_rollback_limit=is_rollback
+        )
+
     def advance(
         self,
         now: float,
@@ -242,32 +290,29 @@
         is_healthy: bool,
         runs_wrong_build: bool = False,
     ) -> None:
-        """What is to be done between two looks. `has_exited`: the member has ended by itself since the last
-        one; `is_healthy`: it is back beyond doubt; `runs_wrong_build`: it runs another build than it is to,
-        as it was found to be back just when it was taken back. A build is changed while the member is out;
-        settings while it serves.
+        """Take the steps that are due: probation, a build while the member is out, settings while it is in.
+
+        `has_exited`: the member has exited by itself since the last call. `runs_wrong_build`: it runs another
+        build than it is meant to, as it was healthy again at the very moment of its rollback.
         """
         self.runs_wrong_build = runs_wrong_build
         if self.probation_kind:
             self._check_probation(now, phase, has_exited, is_healthy)
             return
-        due, fresh = self._pending_artifact(BUILD, now), now - self._state_read_at <= MAX_ROLLOUT_STATE_AGE_MS
+        due = self._pending_artifact(BUILD, now)
+        fresh = self._is_state_fresh(now)
         if phase == MemberPhase.OUT and due is not None and fresh and self._is_prepared(BUILD, due, now):
             self._activate(BUILD, due.digest, now)
         due = self._pending_artifact(SETTINGS, now)
-        if (
-            phase == MemberPhase.IN
-            and is_healthy
-            and due is not None
-            and fresh
-            and self._is_prepared(SETTINGS, due, now)
-        ):
+        may_change = phase == MemberPhase.IN and is_healthy and fresh
+        if may_change and due is not None and self._is_prepared(SETTINGS, due, now):
             self._activate(SETTINGS, due.digest, now)
             self._artifacts.apply_settings(SETTINGS, due.digest)
 
     def _activate(self, kind: str, digest: str, now: float) -> None:
-        """Kept before it is run. On the way back there is no probation: what is left behind is worse, and
-        nobody goes over to it again.
+        """Store what is to be run from now on.
+
+        There is no probation in a rollback: what the member would go back to is the worse artifact.
         """
         open_one = self._open_rollout(kind)
         trial = "" if open_one is not None and open_one.phase == RolloutPhase.ROLLBACK else kind
@@ -277,54 +322,66 @@
             and open_one.old.digest != before
             and self._is_prepared(kind, open_one.old, now)
         ):
-            before = open_one.old.digest  # guards against going back to what an earlier release has left here
+            before = open_one.old.digest  # not what an earlier rollout may have left here
         self._store.put(
             runs={**self.active_digests, kind: digest},
             before={**self.previous_digests, kind: before},
             trial=trial,
         )
-        self.active_digests[kind], self.previous_digests[kind], self.probation_kind = digest, before, trial
-        self._probation_since, self._exit_count = None, 0
+        self.active_digests[kind] = digest
+        self.previous_digests[kind] = before
+        self.probation_kind = trial
+        self._probation_since = None
+        self._exit_count = 0
 
     def _open_rollout(self, kind: str) -> Rollout | None:
-        now = None if self.rollout_state is None else self.rollout_state.open_rollout
-        return now if now is not None and now.kind == kind else None
+        rollout = None if self.rollout_state is None else self.rollout_state.open_rollout
+        return rollout if rollout is not None and rollout.kind == kind else None
 
     def _check_probation(self, now: float, phase: MemberPhase, has_exited: bool, is_healthy: bool) -> None:
-        """Probation: from when it is to run on."""
+        """End the probation, or roll back; probation begins when the member is to run again."""
         if phase in (MemberPhase.LEAVING, MemberPhase.OUT):
             return
         if self._probation_since is None:
             self._probation_since = now
         self._exit_count += has_exited
-        goal = self._target(self.probation_kind)
-        if (
-            goal is not None
-            and goal.digest == self.previous_digests.get(self.probation_kind)
-            and now - self._state_read_at <= MAX_ROLLOUT_STATE_AGE_MS
-        ):
-            self._roll_back(now, "")  # it is taken back: no fault of it was found here
+        target = self._target(self.probation_kind)
+        previous_digest = self.previous_digests.get(self.probation_kind)
+        if target is not None and target.digest == previous_digest and self._is_state_fresh(now):
+            self._roll_back(now, "")  # the rollout goes back; the artifact has not failed here
             return
-        long = now - self._probation_since > self.policy.probation_ms
+        elapsed_ms = now - self._probation_since
+        needs_no_more_time = self.probation_kind == BUILD or elapsed_ms > self.policy.min_healthy_ms
         if self._exit_count >= self.policy.max_exits:
             self._roll_back(now, f"it ended by itself {self._exit_count} times")
-        elif is_healthy and (
-            self.probation_kind == BUILD or now - self._probation_since > self.policy.min_healthy_ms
-        ):
+        elif is_healthy and needs_no_more_time:
             self._store.put(trial="")
             self.probation_kind = ""
-        elif long and not is_healthy:
+        elif elapsed_ms > self.policy.probation_ms and not is_healthy:
             self._roll_back(now, f"it does not serve after {self.policy.probation_ms / 1000:.0f} s")
 
     def _roll_back(self, now: float, reason: str) -> None:
-        """Back to what ran before, at once."""
+        """Go back to the artifact before; with a reason, record that this one has failed."""
         kind = self.probation_kind
-        failed, old = self.active_digests[kind], self.previous_digests.get(kind, "")
-        # what the whole fleet runs is tried again later
-        blame = FailureCause.HOST if self._open_rollout(kind) is None else FailureCause.ARTIFACT
+        failed_digest = self.active_digests[kind]
+        previous_digest = self.previous_digests.get(kind, "")
+        # outside a rollout it is the baseline of the whole fleet, which is tried again later
+        cause = FailureCause.HOST if self._open_rollout(kind) is None else FailureCause.ARTIFACT
         if reason:
-            self._record_failure(kind, failed, ArtifactStatus(False, blame, reason), now)
-        self._store.put(runs={**self.active_digests, kind: old}, trial="")
-        self.active_digests[kind], self.probation_kind = old, ""
+            self._record_failure(kind, failed_digest, ArtifactStatus(False, cause, reason), now)
+        self._store.put(runs={**self.active_digests, kind: previous_digest}, trial="")
+        self.active_digests[kind] = previous_digest
+        self.probation_kind = ""
         if kind == SETTINGS:
-            self._artifacts.apply_settings(SETTINGS, old)
+            self._artifacts.apply_settings(SETTINGS, previous_digest)
+
+
+def _load_failures(store: StateStore) -> dict[str, _FailedDeployment]:
+    """Return the artifacts that were stored as failed on this host, by kind."""
+    stored = store.get("refused")
+    if not isinstance(stored, dict):
+        return {}
+    return {
+        kind: _FailedDeployment(digest, number, ArtifactStatus(False, FailureCause.ARTIFACT, reason), 0.0)
+        for kind, (digest, number, reason) in stored.items()
+    }
--- a/rosepick/fleet/fleet_state.py
+++ b/rosepick/fleet/fleet_state.py
@@ -338,6 +338,17 @@
     return changed
 
 
+def _is_worth_writing(before: FleetState, after: FleetState) -> bool:
+    """Return whether health figures have changed by more than noise, or another detector writes."""
+    capacity_change = abs(after.capacity_permille - before.capacity_permille)
+    hit_change = abs(after.typical_hit_permille - before.typical_hit_permille)
+    return (
+        max(capacity_change, hit_change) >= MIN_REPORTED_CHANGE_PERMILLE
+        or after.token != before.token
+        or after.sweep_count != before.sweep_count
+    )
+
+
 def apply_health_summary(
     lost: Mapping[str, bool],
     capacity_permille: int,
@@ -373,11 +384,6 @@
             summarized = msgspec.structs.replace(summarized, sweep_count=summarized.sweep_count + 1)
         if halt_reason and state.halt is None:
             return _apply_halt(summarized, actor, halt_reason, timestamp_s)
-        is_small = (
-            abs(capacity_permille - state.capacity_permille) < MIN_REPORTED_CHANGE_PERMILLE
-            and abs(typical_hit_permille - state.typical_hit_permille) < MIN_REPORTED_CHANGE_PERMILLE
-        )
-        is_same = token == state.token and summarized.sweep_count == state.sweep_count
-        return state if is_small and is_same and not members else summarized
+        return summarized if members or _is_worth_writing(state, summarized) else state
 
     return update_fleet_state(update)
--- a/rosepick/lab/drill/release_benchmark.py
+++ b/rosepick/lab/drill/release_benchmark.py
@@ -18,6 +18,7 @@
 from ...fleet import rollout_state
 from ...fleet.failure_detector import HealthReport
 from ...fleet.fleet_state import FleetMember, FleetState, MemberKind, MemberPhase
+from ...fleet.leader_steps import LeaderAction, LeaderContext, LeaderUpdate, apply_leader_update
 from ...fleet.rollout_leader import RolloutLeader, RolloutPolicy
 from ...fleet.rollout_state import BUILD, Artifact, RolloutPhase, RolloutState
 
@@ -223,8 +224,9 @@
         elif model.time - wave_at >= FIXED_WAVE_S or now.wave < 0:
             wave_at = model.time
             model.apply_change(
-                rollout_state.advance_rollout(
-                    now, 1, "l", model.time, _fixed_wave_step(model, now, begin), "the clock"
+                apply_leader_update(
+                    LeaderContext(now, 1, "l", model.time),
+                    LeaderUpdate(LeaderAction(_fixed_wave_step(model, now, begin)), "the clock"),
                 )
             )
         model._move_members(routers if policy == "at once" else routers // 10)
@@ -241,7 +243,7 @@
         return "worse"
     if now.phase == RolloutPhase.OBSERVE or (now.phase == RolloutPhase.ROLLBACK and now.wave <= 0):
         late = model.time - started_at >= OPERATOR_NOTICE_S or model.regression.name == "no worse"
-        return "close" if late else ""
+        return "close" if late else "note"
     return "next"
 
 
--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -16,7 +16,7 @@
 from rosepick.consensus.proposer import RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
 from rosepick.coordination.artifact_store import digest_of
-from rosepick.fleet import drain_permits, failure_detector, fleet_state, rollout_state
+from rosepick.fleet import drain_permits, failure_detector, fleet_state, leader_steps, rollout_state
 from rosepick.fleet.canary_analysis import CanaryAnalysis, HealthMetrics
 from rosepick.fleet.deployer import ArtifactStatus, Deployer
 from rosepick.fleet.deployer import DeployPolicy as CarrierTerms
@@ -169,10 +169,12 @@
     """Changes of a record of releases: one closed, one open that is held."""
     told = [("r1",), ("r2", "r3"), ("r4",)]
 
-    def led(register: Register, *rest: Any) -> bytes:
-        now = rollout_state.decode_rollout_state(register).open_rollout
-        assert now is not None
-        return rollout_state.advance_rollout(now, *rest)(register)
+    def led(register: Register, token: int, actor: str, timestamp_s: float, action: str, *rest: Any) -> bytes:
+        rollout = rollout_state.decode_rollout_state(register).open_rollout
+        assert rollout is not None
+        context = leader_steps.LeaderContext(rollout, token, actor, timestamp_s)
+        update = leader_steps.LeaderUpdate(leader_steps.LeaderAction(action), *rest)
+        return leader_steps.apply_leader_update(context, update)(register)
 
     def step(*rest: Any) -> RegisterChange:
         return lambda register: led(register, *rest)
@@ -188,7 +190,7 @@
     found += [step(1, "leader", NOON + 3, "close", "nothing came up")]
     found += [rollout_state.start_rollout("build", NEW, OLD, told, "me", "faster", NOON + 4)]
     found += [step(2, "leader", NOON + 5, "next", "usual is known", None, None, evidence())]
-    found += [step(2, "leader", NOON + 6, "", "", 2000, {"r1": "it is lost"})]
+    found += [step(2, "leader", NOON + 6, "left", "", 2000, {"r1": "it is lost"})]
     found += [
         rollout_state.pause_rollout("me", "wait", NOON + 7),
         rollout_state.resume_rollout("me", "go", NOON + 8),
@@ -197,7 +199,7 @@
         step(2, "leader", NOON + 9, "worse", "memory: +40%"),
         rollout_state.roll_forward("me", "no", NOON + 10),
     ]
-    found += [step(3, "leader", NOON + 11, "", "", 4000, {"r2": "no room"}, evidence())]
+    found += [step(3, "leader", NOON + 11, "left", "", 4000, {"r2": "no room"}, evidence())]
     found += [step(3, "leader", NOON + 12, "ask", "not enough to tell")]
     return found
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -27,7 +27,7 @@
     fetch_artifact,
 )
 from rosepick.fleet import fleet_state as book
-from rosepick.fleet import rollout_state
+from rosepick.fleet import leader_steps, rollout_state
 from rosepick.fleet.canary_analysis import CanaryAnalysis, CanaryStatus, HealthMetrics
 from rosepick.fleet.deployer import ArtifactStatus, Deployer, DeployPolicy, FailureCause
 from rosepick.fleet.disruption_budget import DisruptionBudget, Limit, blocking_reasons
@@ -85,9 +85,9 @@
 
     def led(self, what: str, token: int = 1, seen: rollout_state.Rollout | None = None, **more: Any) -> bool:
         """A leader's step."""
-        return self.make(
-            rollout_state.advance_rollout(seen or self.now, token, "l", 0.0, what, "why", **more)
-        )
+        context = leader_steps.LeaderContext(seen or self.now, token, "l", 0.0)
+        update = leader_steps.LeaderUpdate(leader_steps.LeaderAction(what), "why", **more)
+        return self.make(leader_steps.apply_leader_update(context, update))
 
 
 def ledger(zones: int = 2, **more: FleetMember) -> FleetState:
