--- a/rosepick/coordination/agent_driver.py
+++ b/rosepick/coordination/agent_driver.py
@@ -15,8 +15,9 @@
 from ..fleet import failure_detector as counting
 from ..fleet import fleet_state as book
 from ..fleet import rollout_state
-from ..fleet.agent import Agent, FleetOperation, MemberAction, MemberStatus
+from ..fleet.agent import Agent, MemberAction, MemberStatus
 from ..fleet.failure_detector import FailureDetector, HealthReport
+from ..fleet.fleet_operation import FleetOperation
 from ..fleet.rollout_leader import RolloutLeader, RolloutPolicy
 from ..fleet.versioned_document import DocumentDecodeError
 from ..leases.fencing import FencingGuard
--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -10,14 +10,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum, StrEnum
+from enum import Enum
 from typing import Protocol
 
-from ..consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
+from ..consensus.proposer import OperationOutcome, OutcomeKind
 from . import drain_permits, fleet_state
 from .deployer import Deployer
 from .disruption_budget import MINUTES_PER_DAY, DisruptionBudget, may_take_permit
+from .fleet_operation import FleetOperation, OperationKind
 from .fleet_state import FleetMember, FleetState, MemberKind, MemberPhase
+from .partition_detector import PartitionDetector
 from .versioned_document import DocumentDecodeError
 
 MIN_RELATIVE_HIT_RATIO = 0.8  # a cache node is warm at this part of the typical hit ratio
@@ -80,29 +82,6 @@
         """
 
 
-class OperationKind(StrEnum):
-    """What an operation on the fleet state is for."""
-
-    READ = "look"
-    JOIN = "join"
-    HALT = "halt"
-    DEPLOY = "wish"  # request or cancel a drain on behalf of a rollout
-    ACQUIRE_PERMIT = "take"
-    WITHDRAW_PERMIT = "withdraw"
-    BEGIN_DRAIN = "begin"
-    MARK_OUT = "gone"
-    MARK_REJOINING = "coming"
-    MARK_HEALTHY = "proven"
-
-
-@dataclass(frozen=True, slots=True)
-class FleetOperation:
-    """A read of the fleet state (`change` is None) or a change of it."""
-
-    action: OperationKind
-    change: RegisterChange | None
-
-
 class Agent:
     """State machine of one agent.
 
@@ -135,22 +114,18 @@
         self.deployer: Deployer | None = None  # None: the member takes no part in rollouts
         self._exit_count = 0
         self._serving_since: float | None = None
-        self._last_response_at: float | None = None  # of the quorum; first when this agent began
+        self._partitions = PartitionDetector(policy.partition_timeout_ms)
         self._state_read_at = -MAX_STATE_AGE_MS - 1.0  # the fleet state is at least as recent as this
         self._operation_started_at: float | None = None  # None: no operation is open
         self._next_operation_at = 0.0
         self._last_sweep_count = -1
         self._last_sweep_at = 0.0  # when that count was new
-        self._partition_ms = 0.0  # length of the last partition that has ended
 
     # -- what is to be done with the member
 
     def is_partitioned(self, now: float) -> bool:
         """Return whether the quorum has not answered for too long."""
-        return (
-            self._last_response_at is not None
-            and now - self._last_response_at > self.policy.partition_timeout_ms
-        )
+        return self._partitions.is_partitioned(now)
 
     def next_action(self, now: float, status: MemberStatus) -> MemberAction:
         """Return what to do with the member now; the fencing guard has to accept STOP and DRAIN first."""
@@ -158,8 +133,7 @@
             self._serving_since = None
         elif self._serving_since is None:
             self._serving_since = now
-        if self._last_response_at is None:
-            self._last_response_at = now
+        self._partitions.begin(now)
         self._advance_deployer(now, status)
         is_leaving_or_out = self.phase in (MemberPhase.LEAVING, MemberPhase.OUT)
         if is_leaving_or_out and self._should_return(now) and not self._must_stop(status):
@@ -272,7 +246,7 @@
         self._reconcile(member)
         reason = self._halt_reason(state, status)
         if reason:
-            self._partition_ms = 0.0
+            self._partitions.clear_partition()
             return FleetOperation(OperationKind.HALT, fleet_state.halt_drains(self.name, reason, wall_time_s))
         operation = self._deploy_operation(now, wall_time_s, state, member)
         if operation is None:
@@ -294,10 +268,11 @@
         """Return why this agent has to halt all drains; empty if it does not."""
         no_drain = all(member.phase == MemberPhase.IN for member in state.members.values())
         if state.halt is not None or no_drain:
-            self._partition_ms = 0.0
+            self._partitions.clear_partition()
             return ""
-        if self._partition_ms > self.policy.partition_timeout_ms:
-            return f"no quorum for {self._partition_ms / 1000.0:.0f} s amid a drain"
+        partition_ms = self._partitions.unreported_partition_ms()
+        if partition_ms:
+            return f"no quorum for {partition_ms / 1000.0:.0f} s amid a drain"
         # figures of a version under analysis are for the rollout leader to judge
         is_analyzed = self.deployer is not None and self.deployer.is_under_analysis()
         return f"{self.name}: {status.limit_violation}" if status.limit_violation and not is_analyzed else ""
@@ -370,9 +345,7 @@
             outcome.register.version or outcome.kind is OutcomeKind.UNCHANGED
         ):
             return
-        if self._last_response_at is not None and self.is_partitioned(now):
-            self._partition_ms = now - self._last_response_at
-        self._last_response_at = now
+        self._partitions.record_response(now)
         try:
             self.fleet_state = fleet_state.decode_fleet_state(outcome.register)
         except DocumentDecodeError as problem:
@@ -395,8 +368,7 @@
 
     def record_quorum_response(self, now: float) -> None:
         """Note that the quorum has answered another request of this process."""
-        if self._last_response_at is not None and not self.is_partitioned(now):
-            self._last_response_at = now
+        self._partitions.record_other_response(now)
 
     def poll_interval_ms(self) -> float:
         """Return the time until the next read of the fleet state.
