--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -59,7 +59,7 @@
     running: bool = False
     serving: bool = False
     draining: bool = False
-    stopping: bool = False  # it was told to stop
+    stopping: bool = False  # it has been asked to stop
     idle: bool = False  # nothing is in flight, and nothing has arrived for a while
     warm: bool = True  # cache nodes only, as reported
     hit_ratio: float | None = None  # recent hits of a cache node; None: too few reads
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -457,6 +457,19 @@
     assert harness.phase_name() == "IN"
 
 
+def register_of_caches() -> FleetRegister:
+    """Return the register of four healthy cache nodes with a typical hit ratio of 80%."""
+    register = FleetRegister()
+    for name in "abcd":
+        register.apply(
+            fleet_state.join_member(
+                name, fleet_state.MemberKind.CACHE, "ew"["abcd".index(name) % 2], 1, BUDGET.digest(), 0.0
+            )
+        )
+    register.apply(fleet_state.apply_health_summary(dict.fromkeys("abcd", False), 1000, 800, 1, "", "w", 0.0))
+    return register
+
+
 def test_cache_node_drains_until_idle_and_is_healthy_when_warm() -> None:
     agent = Agent(
         "a",
@@ -467,16 +480,7 @@
         AgentPolicy(poll_interval_ms=100.0),
         MemoryStateStore(),
     )
-    register = FleetRegister()
-    for name in "abcd":
-        register.apply(
-            fleet_state.join_member(
-                name, fleet_state.MemberKind.CACHE, "ew"["abcd".index(name) % 2], 1, BUDGET.digest(), 0.0
-            )
-        )
-    register.apply(
-        fleet_state.apply_health_summary(dict.fromkeys("abcd", False), 1000, 800, 1, "", "w", 0.0)
-    )  # the typical hit ratio is 80%
+    register = register_of_caches()
     register.take_out("a", to=MemberPhase.LEAVING)
     now = 0.0
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -220,7 +220,7 @@
     ],
 )
 @pytest.mark.parametrize("is_common", [False, True])
-def test_analysis_tells_a_worse_version_from_a_common_cause(
+def test_analysis_distinguishes_a_worse_version_from_a_common_cause(
     harm: dict[str, float], status: CanaryStatus, metric: str, is_common: bool
 ) -> None:
     for seed in range(6):
@@ -465,10 +465,10 @@
 # ---------------------------------------------------------------------------- artifacts on a host
 
 
-def fetch_request(tmp_path: Path, **more: Any) -> dict[str, Any]:
+def told(tmp_path: Path, **more: Any) -> dict[str, Any]:
     base = tmp_path / "own.json"
     base.write_text(json.dumps({"listen": "127.0.0.1:1", "ops": "127.0.0.1:2", "settings": {"a": 1}}))
-    defaults = {
+    usual = {
         "kind": BUILD,
         "config": str(base),
         "check": [],
@@ -477,11 +477,11 @@
         "settings": "",
         "scratch": str(tmp_path / "trial"),
     }
-    return defaults | more
+    return usual | more
 
 
 @pytest.mark.parametrize(
-    ("program", "more", "error"),
+    ("run", "more", "why"),
     [
         ("import time; time.sleep(60)", {}, ""),
         ("raise SystemExit(3)", {}, "5: a trial start ends with 3"),
@@ -495,24 +495,24 @@
         ),
     ],
 )
-def test_artifact_is_fetched_checked_and_tried(
-    tmp_path: Path, program: str, more: dict[str, Any], error: str
+def test_a_version_is_fetched_checked_and_tried(
+    tmp_path: Path, run: str, more: dict[str, Any], why: str
 ) -> None:
     source = tmp_path / "source"
     source.mkdir()
-    (source / "run.py").write_text(program)
+    (source / "run.py").write_text(run)
     digest, place = digest_of(source), tmp_path / "place"
     try:
         given = tmp_path / more.pop("source", "source")
-        fetch_artifact(given, more.pop("digest", digest), place, fetch_request(tmp_path, **more))
-        assert not error and place.with_name("place.ready").exists() and digest_of(place) == digest
+        fetch_artifact(given, more.pop("digest", digest), place, told(tmp_path, **more))
+        assert not why and place.with_name("place.ready").exists() and digest_of(place) == digest
         assert json.loads((tmp_path / ".trial.json").read_text())["listen"] == "127.0.0.1:0"
     except FetchError as problem:
-        assert error and f"{problem.status}: {problem}".startswith(error)
+        assert why and f"{problem.status}: {problem}".startswith(why)
         assert not place.with_name("place.ready").exists()
 
 
-def test_digests_differ_by_build_and_settings_go_into_a_routers_own_file(tmp_path: Path) -> None:
+def test_digests_tell_builds_apart_and_settings_are_put_into_a_routers_own_file(tmp_path: Path) -> None:
     digests = set[str]()
     for name, text, mode in (("a", "x", 0o644), ("a", "y", 0o644), ("b", "x", 0o644), ("a", "x", 0o755)):
         folder = tmp_path / str(len(digests))
@@ -523,45 +523,46 @@
     assert len(digests) == 4
     settings = tmp_path / "s.json"
     settings.write_text('{"b": 2}')
-    base = Path(fetch_request(tmp_path)["config"])
+    base = Path(told(tmp_path)["config"])
     assert json.loads(compose_config(base, settings))["settings"] == {"b": 2}
     assert json.loads(compose_config(base, None))["settings"] == {"a": 1}
 
 
-def test_removed_artifact_is_fetched_again(tmp_path: Path) -> None:
+def test_a_version_that_is_removed_is_fetched_again_and_others_are_forgotten(tmp_path: Path) -> None:
     source = versions.write_build(tmp_path / "new", "good", "new")
-    environment_file = tmp_path / "environment_file"
+    seen = tmp_path / "seen"
     (source / "member.py").write_text("import time; time.sleep(60)")
     (source / "check.py").write_text(
-        f"import os; open({str(environment_file)!r}, 'w').write(repr(sorted(os.environ.items())))"
+        f"import os; open({str(seen)!r}, 'w').write(repr(sorted(os.environ.items())))"
     )
-    artifact = Artifact("new", digest_of(source), str(source))
+    thing = Artifact("new", digest_of(source), str(source))
     check = [sys.executable, "{build}/check.py"]
-    store = LocalArtifactStore(MemoryHost(), tmp_path, None, None, check, [])  # type: ignore[arg-type]
+    host = LocalArtifactStore(MemoryHost(), tmp_path, None, None, check, [])  # type: ignore[arg-type]
 
     def wait() -> ArtifactStatus:
-        while not (status := store.prepare(BUILD, artifact)).is_ready and status.cause is FailureCause.NONE:
+        while not (found := host.prepare(BUILD, thing)).is_ready and found.cause is FailureCause.NONE:
             pass
-        return status
+        return found
 
     assert wait().is_ready
-    assert environment_file.read_text() == repr(
+    assert seen.read_text() == repr(
         sorted(os.environ.items())
-    )  # the version's own environment, with nothing of this program
-    store.remove_except([])
-    assert not store.path_of(artifact.digest).exists() and wait().is_ready
-    store.remove_except([])
-    artifact = Artifact("new", artifact.digest, str(tmp_path / "gone"))
+    )  # nothing of this program is put before the version's
+    host.remove_except([])
+    assert not host.path_of(thing.digest).exists() and wait().is_ready
+    host.remove_except([])
+    thing = Artifact("new", thing.digest, str(tmp_path / "gone"))
     assert wait().cause is FailureCause.HOST
 
 
 # ---------------------------------------------------------------------------- the drills
 
 
-def test_invariants_of_releases_reject_wrong_histories() -> None:
-    def decided(at: float, *allowed: str, back: bool = False, over: str = "") -> ReleaseDecided:
-        return ReleaseDecided("record", at, at, 1, over or "bad-1", allowed, back, bool(over))
+def decided(at: float, *allowed: str, back: bool = False, over: str = "") -> ReleaseDecided:
+    return ReleaseDecided("record", at, at, 1, over or "bad-1", allowed, back, bool(over))
+
 
+def test_invariants_of_releases_reject_wrong_histories() -> None:
     begin: list[AnyEvent] = [VersionStarted(name, 0.0, "old") for name in "abc"]
     begin.append(ReleaseDecided("record", 0.5, 0.5, 0, "old", over=True))
     bounds = release_invariants.ReleaseBounds(2.0, {"bad-1": 1}, ["a", "b", "c"])
