Fleet state: a member joins with a profile

join_member had six parameters; kind, zone and weight are a MemberProfile now, and the golden forms' two calls follow.

--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -18,7 +18,7 @@
 from .deployer import Deployer
 from .disruption_budget import MINUTES_PER_DAY, DisruptionBudget, may_take_permit
 from .fleet_operation import FleetOperation, OperationKind
-from .fleet_state import FleetMember, FleetState, MemberKind, MemberPhase
+from .fleet_state import FleetMember, FleetState, MemberKind, MemberPhase, MemberProfile
 from .partition_detector import PartitionDetector
 from .versioned_document import DocumentDecodeError
 
@@ -237,9 +237,9 @@
         self, now: float, status: MemberStatus, wall_time_s: float, state: FleetState
     ) -> FleetOperation:
         member = state.members.get(self.name)
-        identity = self.kind, self.zone, self.weight
-        if member is None or (not member.evicted and (member.kind, member.zone, member.weight) != identity):
-            change = fleet_state.join_member(self.name, *identity, self.budget_digest, wall_time_s)
+        profile = MemberProfile(self.kind, self.zone, self.weight)
+        if member is None or (not member.evicted and (member.kind, member.zone, member.weight) != profile):
+            change = fleet_state.join_member(self.name, profile, self.budget_digest, wall_time_s)
             return FleetOperation(OperationKind.JOIN, change)
         if member.evicted:
             return FleetOperation(OperationKind.READ, None)
--- a/rosepick/fleet/fleet_state.py
+++ b/rosepick/fleet/fleet_state.py
@@ -17,6 +17,7 @@
 
 from collections.abc import Iterable, Mapping
 from enum import IntEnum
+from typing import NamedTuple
 
 import msgspec
 
@@ -48,6 +49,14 @@
     BACK = 4  # started again and not yet known to be healthy
 
 
+class MemberProfile(NamedTuple):
+    """What an agent says of its member when it joins; `weight` as in `FleetMember`."""
+
+    kind: MemberKind
+    zone: str
+    weight: int
+
+
 class DrainRequest(msgspec.Struct, frozen=True, array_like=True):
     """A request to take a member out; requests are served in the order of `number`."""
 
@@ -164,10 +173,8 @@
 # ---------------------------------------------------------------------------- membership
 
 
-def join_member(
-    name: str, kind: MemberKind, zone: str, weight: int, budget_digest: str, timestamp_s: float
-) -> RegisterChange:
-    """Add a member, or change its kind, zone or weight; its phase stays as it is.
+def join_member(name: str, profile: MemberProfile, budget_digest: str, timestamp_s: float) -> RegisterChange:
+    """Add a member, or change its profile; its phase stays as it is.
 
     A new member counts as lost until it was seen. Rejected if the fleet is full, the member is evicted, or
     the fleet uses another budget.
@@ -179,10 +186,11 @@
             state.budget_digest or budget_digest
         ):
             raise ChangeRejectedError
-        member = before or FleetMember(int(kind), zone, lost=True)
+        kind = int(profile.kind)
+        member = before or FleetMember(kind, profile.zone, lost=True)
         if member.evicted:
             raise ChangeRejectedError
-        member = msgspec.structs.replace(member, kind=int(kind), zone=zone, weight=weight)
+        member = msgspec.structs.replace(member, kind=kind, zone=profile.zone, weight=profile.weight)
         if member == before:
             return state
         entry = AuditEntry(timestamp_s, name, "joined")
--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -99,10 +99,16 @@
     names = ("r1", "r2", "r3", "r4", "r5", "r6")
     rules = BUDGET.digest()
     found = [
-        fleet_state.join_member(name, fleet_state.MemberKind(0), "e" if n % 2 else "w", 1000 + n, rules, NOON)
+        fleet_state.join_member(
+            name,
+            fleet_state.MemberProfile(fleet_state.MemberKind(0), "e" if n % 2 else "w", 1000 + n),
+            rules,
+            NOON,
+        )
         for n, name in enumerate(names)
     ]
-    found += [fleet_state.join_member("c1", fleet_state.MemberKind(1), "e", 500, rules, NOON + 1)]
+    cache = fleet_state.MemberProfile(fleet_state.MemberKind(1), "e", 500)
+    found += [fleet_state.join_member("c1", cache, rules, NOON + 1)]
     seen = dict.fromkeys((*names, "c1"), False)
     found += [fleet_state.apply_health_summary(seen, 1000, 930, 1, "", "warden", NOON + 2)]
     found += [fleet_state.request_drain(names[:5], "me@host", "new kernels", NOON + 3)]
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -26,7 +26,7 @@
     unplanned_halt_reason,
 )
 from rosepick.fleet.failure_detector import FailureDetector, HealthReport, StoreCapacityEstimator
-from rosepick.fleet.fleet_state import DrainRequest, FleetMember, FleetState, MemberPhase
+from rosepick.fleet.fleet_state import DrainRequest, FleetMember, FleetState, MemberPhase, MemberProfile
 from rosepick.fleet.versioned_document import DocumentDecodeError
 from rosepick.lab.drill import drain_invariants, drill_file, runner, simulated_drains
 from rosepick.lab.drill.history import (
@@ -53,7 +53,10 @@
         for number, name in enumerate(names):
             self.apply(
                 fleet_state.join_member(
-                    name, fleet_state.MemberKind.ROUTER, "ew"[number % 2], 1000, BUDGET.digest(), 0.0
+                    name,
+                    MemberProfile(fleet_state.MemberKind.ROUTER, "ew"[number % 2], 1000),
+                    BUDGET.digest(),
+                    0.0,
                 )
             )
         self.apply(
@@ -166,7 +169,9 @@
 def test_limits_by_weight_hours_and_groups() -> None:
     register = FleetRegister("a", "b", "c", "d", "e", "f")
     register.apply(
-        fleet_state.join_member("b", fleet_state.MemberKind.ROUTER, "w", 4000, BUDGET.digest(), 0.0)
+        fleet_state.join_member(
+            "b", MemberProfile(fleet_state.MemberKind.ROUTER, "w", 4000), BUDGET.digest(), 0.0
+        )
     )
     register.take_out("b")
     wide = Limit(most=4, share=1.0, zone_most=4, zone_share=1.0)
@@ -288,7 +293,7 @@
     full = FleetRegister()
     full.content = Register(1, "m", value)
     assert not full.commits(
-        fleet_state.join_member("one-more", fleet_state.MemberKind.CACHE, "z", 1, "abc", 0.0)
+        fleet_state.join_member("one-more", MemberProfile(fleet_state.MemberKind.CACHE, "z", 1), "abc", 0.0)
     )
     for bad in (b"\x01nonsense", b"\x02" + value[1:], b"\x01"):
         with pytest.raises(DocumentDecodeError):
@@ -299,7 +304,9 @@
     register = FleetRegister()
     for name in "abc":
         register.apply(
-            fleet_state.join_member(name, fleet_state.MemberKind.CACHE, "e", 1, BUDGET.digest(), 0.0)
+            fleet_state.join_member(
+                name, MemberProfile(fleet_state.MemberKind.CACHE, "e", 1), BUDGET.digest(), 0.0
+            )
         )
     assert all(one.is_out for one in register.state.members.values()) and not unplanned_halt_reason(
         register.state, BUDGET
@@ -463,7 +470,10 @@
     for name in "abcd":
         register.apply(
             fleet_state.join_member(
-                name, fleet_state.MemberKind.CACHE, "ew"["abcd".index(name) % 2], 1, BUDGET.digest(), 0.0
+                name,
+                MemberProfile(fleet_state.MemberKind.CACHE, "ew"["abcd".index(name) % 2], 1),
+                BUDGET.digest(),
+                0.0,
             )
         )
     register.apply(fleet_state.apply_health_summary(dict.fromkeys("abcd", False), 1000, 800, 1, "", "w", 0.0))
