--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -15,7 +15,7 @@
 from rosepick.consensus.messages import Register
 from rosepick.consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind, RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
-from rosepick.coordination.supervised_process import process_start_time
+from rosepick.coordination.process_stats import process_start_time
 from rosepick.fleet import drain_permits, failure_detector, fleet_state
 from rosepick.fleet.agent import Agent, AgentPolicy, MemberAction, MemberStatus
 from rosepick.fleet.disruption_budget import (
