--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -485,7 +485,7 @@
 
 
 @pytest.mark.parametrize(
-    ("run", "more", "why"),
+    ("run", "more", "error_text"),
     [
         ("import time; time.sleep(60)", {}, ""),
         ("raise SystemExit(3)", {}, "5: a trial start ends with 3"),
@@ -499,8 +499,8 @@
         ),
     ],
 )
-def test_a_version_is_fetched_checked_and_tried(
-    tmp_path: Path, run: str, more: dict[str, Any], why: str
+def test_artifact_is_fetched_checked_and_tried(
+    tmp_path: Path, run: str, more: dict[str, Any], error_text: str
 ) -> None:
     source = tmp_path / "source"
     source.mkdir()
@@ -510,14 +510,14 @@
     try:
         given_source = tmp_path / more.pop("source", "source")
         fetch_artifact(given_source, more.pop("digest", digest), target, fetch_options(tmp_path, **more))
-        assert not why and target.with_name("place.ready").exists() and digest_of(target) == digest
+        assert not error_text and target.with_name("place.ready").exists() and digest_of(target) == digest
         assert json.loads((tmp_path / ".trial.json").read_text())["listen"] == "127.0.0.1:0"
     except FetchError as error:
-        assert why and f"{error.status}: {error}".startswith(why)
+        assert error_text and f"{error.status}: {error}".startswith(error_text)
         assert not target.with_name("place.ready").exists()
 
 
-def test_digests_tell_builds_apart_and_settings_are_put_into_a_routers_own_file(tmp_path: Path) -> None:
+def test_digests_differ_by_build_and_settings_go_into_a_routers_own_file(tmp_path: Path) -> None:
     digests = set[str]()
     for name, text, mode in (("a", "x", 0o644), ("a", "y", 0o644), ("b", "x", 0o644), ("a", "x", 0o755)):
         folder = tmp_path / str(len(digests))
@@ -533,7 +533,7 @@
     assert json.loads(compose_config(base, None))["settings"] == {"a": 1}
 
 
-def test_a_version_that_is_removed_is_fetched_again_and_others_are_forgotten(tmp_path: Path) -> None:
+def test_removed_artifact_is_fetched_again(tmp_path: Path) -> None:
     source = versions.write_build(tmp_path / "new", "good", "new")
     seen = tmp_path / "seen"
     (source / "member.py").write_text("import time; time.sleep(60)")
