--- a/rosepick/coordination/agent_driver.py
+++ b/rosepick/coordination/agent_driver.py
@@ -14,9 +14,10 @@
 from ..consensus.messages import Register
 from ..consensus.proposer import OperationOutcome, OutcomeKind
 from ..fleet import failure_detector, fleet_state, rollout_state
-from ..fleet.agent import Agent, FleetOperation, MemberAction, MemberStatus
+from ..fleet.agent import Agent, MemberAction, MemberStatus
 from ..fleet.deployer import Deployer
 from ..fleet.failure_detector import HealthReport
+from ..fleet.fleet_operation import FleetOperation
 from ..fleet.versioned_document import DocumentDecodeError
 from ..leases.fencing import FencingGuard
 from ..logs import log_event
--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -16,7 +16,7 @@
 from rosepick.consensus.proposer import RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
 from rosepick.coordination.artifact_fetch import digest_of
-from rosepick.fleet import failure_detector, fleet_state, rollout_state
+from rosepick.fleet import drain_permits, failure_detector, fleet_state, leader_steps, rollout_state
 from rosepick.fleet.canary_analysis import CanaryAnalysis, HealthMetrics
 from rosepick.fleet.deployer import ArtifactStatus, Deployer
 from rosepick.fleet.deployer import DeployPolicy as CarrierTerms
@@ -99,10 +99,16 @@
     names = ("r1", "r2", "r3", "r4", "r5", "r6")
     rules = BUDGET.digest()
     found = [
-        fleet_state.join_member(name, fleet_state.MemberKind(0), "e" if n % 2 else "w", 1000 + n, rules, NOON)
+        fleet_state.join_member(
+            name,
+            fleet_state.MemberProfile(fleet_state.MemberKind(0), "e" if n % 2 else "w", 1000 + n),
+            rules,
+            NOON,
+        )
         for n, name in enumerate(names)
     ]
-    found += [fleet_state.join_member("c1", fleet_state.MemberKind(1), "e", 500, rules, NOON + 1)]
+    cache = fleet_state.MemberProfile(fleet_state.MemberKind(1), "e", 500)
+    found += [fleet_state.join_member("c1", cache, rules, NOON + 1)]
     seen = dict.fromkeys((*names, "c1"), False)
     found += [fleet_state.apply_health_summary(seen, 1000, 930, 1, "", "warden", NOON + 2)]
     found += [fleet_state.request_drain(names[:5], "me@host", "new kernels", NOON + 3)]
@@ -112,11 +118,14 @@
     def allow(seen: fleet_state.FleetState, name: str) -> bool:
         return True
 
-    found += [fleet_state.acquire_permit(name, allow, NOON + 4) for name in (*names[:4], "c1")]
+    found += [drain_permits.acquire_permit(name, allow, NOON + 4) for name in (*names[:4], "c1")]
     for permit, name in enumerate(names[1:4], 2):
-        found += [fleet_state.begin_drain(name, permit, NOON + 5)]
-    found += [fleet_state.mark_out("r3", 3, NOON + 6), fleet_state.mark_out("r4", 4, NOON + 6)]
-    found += [fleet_state.mark_rejoining("r4", 4, NOON + 7), fleet_state.withdraw_permit("r1", 1, NOON + 7)]
+        found += [drain_permits.begin_drain(name, permit, NOON + 5)]
+    found += [drain_permits.mark_out("r3", 3, NOON + 6), drain_permits.mark_out("r4", 4, NOON + 6)]
+    found += [
+        drain_permits.mark_rejoining("r4", 4, NOON + 7),
+        drain_permits.withdraw_permit("r1", 1, NOON + 7),
+    ]
     found += [fleet_state.cancel_drain(["r5"], "me@host", NOON + 8)]
     found += [fleet_state.evict_member("r5", "me@host", "sold", NOON + 8)]
     found += [fleet_state.apply_health_summary({"r6": True}, 800, 900, 2, "", "warden", NOON + 9)]
@@ -166,10 +175,12 @@
     """Changes of a record of releases: one closed, one open that is held."""
     told = [("r1",), ("r2", "r3"), ("r4",)]
 
-    def led(register: Register, *rest: Any) -> bytes:
-        now = rollout_state.decode_rollout_state(register).open_rollout
-        assert now is not None
-        return rollout_state.advance_rollout(now, *rest)(register)
+    def led(register: Register, token: int, actor: str, timestamp_s: float, action: str, *rest: Any) -> bytes:
+        rollout = rollout_state.decode_rollout_state(register).open_rollout
+        assert rollout is not None
+        context = leader_steps.LeaderContext(rollout, token, actor, timestamp_s)
+        update = leader_steps.LeaderUpdate(leader_steps.LeaderAction(action), *rest)
+        return leader_steps.apply_leader_update(context, update)(register)
 
     def step(*rest: Any) -> RegisterChange:
         return lambda register: led(register, *rest)
@@ -185,7 +196,7 @@
     found += [step(1, "leader", NOON + 3, "close", "nothing came up")]
     found += [rollout_state.start_rollout("build", NEW, OLD, told, "me", "faster", NOON + 4)]
     found += [step(2, "leader", NOON + 5, "next", "usual is known", None, None, evidence())]
-    found += [step(2, "leader", NOON + 6, "", "", 2000, {"r1": "it is lost"})]
+    found += [step(2, "leader", NOON + 6, "left", "", 2000, {"r1": "it is lost"})]
     found += [
         rollout_state.pause_rollout("me", "wait", NOON + 7),
         rollout_state.resume_rollout("me", "go", NOON + 8),
@@ -194,7 +205,7 @@
         step(2, "leader", NOON + 9, "worse", "memory: +40%"),
         rollout_state.roll_forward("me", "no", NOON + 10),
     ]
-    found += [step(3, "leader", NOON + 11, "", "", 4000, {"r2": "no room"}, evidence())]
+    found += [step(3, "leader", NOON + 11, "left", "", 4000, {"r2": "no room"}, evidence())]
     found += [step(3, "leader", NOON + 12, "ask", "not enough to tell")]
     return found
 
