--- a/rosepick/lab/drill/simulated_releases.py
+++ b/rosepick/lab/drill/simulated_releases.py
@@ -88,7 +88,7 @@
         life, rng = self.incarnation, self.cluster.rng
         bad = fault_kind_of(version)
         if bad == "dead" and self.running:
-            self.world.later(rng.uniform(0.05, 0.3), partial(self._end, life, "fault"))
+            self.cluster.schedule_in(rng.uniform(0.05, 0.3), partial(self._exit, life, "fault"))
         elif bad == "short":
             self.cluster.schedule_in(rng.uniform(1.2, 2.2), partial(self._exit, life, "fault"))
 
