--- a/rosepick/consensus/__init__.py
+++ b/rosepick/consensus/__init__.py
@@ -1,3 +1,4 @@
-"""Named registers kept by a quorum of witnesses: what they say, and the machines on both sides. No I/O, no
-clock.
+"""Named registers replicated by a quorum of acceptors (CASPaxos): messages and state machines on both sides.
+
+Nothing in this package does I/O or reads a clock; `rosepick.coordination` drives it.
 """
--- a/rosepick/consensus/acceptor.py
+++ b/rosepick/consensus/acceptor.py
@@ -1,79 +1,96 @@
-"""One witness as a machine: an acceptor of CASPaxos (Rystsov 2018) for each name, and the epochs of its
-quorum.
+"""The acceptor of one replica: CASPaxos (Rystsov 2018) for each register, and the epochs of its quorum.
 
-`handle` gives an answer and what has to be on the disk before that answer is said. The machine itself keeps
-no file and knows no clock.
+`Acceptor.handle` returns a reply, and what has to be stored durably before that reply is sent. The
+acceptor itself does no I/O and reads no clock.
 
-What keeps a storage from voting twice as one: its identity is in the quorum, so an emptied folder (a new
-identity) does not vote at all; and it has to tell others its count of starts before it votes, who know of a
-later one if the folder is an older copy.
+Two guards keep a storage from voting twice. Its identity is part of the quorum, so an emptied folder,
+which has a new identity, does not vote at all. And it has to announce its count of starts to other
+replicas before it votes: they know of a later start if the folder was rolled back to an older copy (the
+restart check).
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from . import messages as m
-from .messages import NO_BALLOT, SUCCESSOR_KEY, Quorum, RegisterState
+from .messages import NO_BALLOT, SUCCESSOR_KEY, Quorum, RefusalReason, RegisterState
 
-MAX_KNOWN_STORAGES = 256  # storages whose starts are remembered: each replaced witness leaves one
+MAX_KNOWN_STORAGES = 256  # storages whose starts are remembered: each replaced replica leaves one
+
+
+class StorageStart(NamedTuple):
+    """The latest start of a storage that another replica has announced."""
+
+    start_count: int
+    run_id: str
+
+
+_NEVER_STARTED = StorageStart(0, "")
 
 
 @dataclass(slots=True)
 class AcceptorState:
-    """What a witness keeps; `start_count` counts the present one."""
+    """The durable state of an acceptor; `start_count` includes the present start."""
 
     storage_id: str
     start_count: int = 1
     quorum: Quorum | None = None
     is_sealed: bool = False
     register_states: dict[str, RegisterState] = field(default_factory=dict)
-    known_starts: dict[str, tuple[int, str]] = field(
-        default_factory=dict
-    )  # storage: highest count of starts, and its run
+    known_starts: dict[str, StorageStart] = field(default_factory=dict)  # by storage id
 
 
 @dataclass(slots=True)
 class StateChanges:
-    """What has to be on the disk before the answer is said."""
+    """The part of the state that has to be stored before a reply is sent; false if there is none."""
 
     register_states: dict[str, RegisterState] = field(default_factory=dict)
-    known_starts: dict[str, tuple[int, str]] = field(default_factory=dict)
-    epoch_installed: bool = False  # quorum, seal and all slots anew
+    known_starts: dict[str, StorageStart] = field(default_factory=dict)
+    epoch_installed: bool = False  # quorum, seal and all registers are replaced
     epoch_sealed: bool = False
 
     def __bool__(self) -> bool:
         return bool(self.register_states or self.known_starts or self.epoch_installed or self.epoch_sealed)
 
 
+class AcceptorResult(NamedTuple):
+    """The reply to a request, and what has to be stored before the reply is sent."""
+
+    reply: m.QuorumReply
+    changes: StateChanges
+
+
 class Acceptor:
-    """Answers requests from what it keeps."""
+    """Answers the requests of one replica from its durable state. `run_id` is drawn anew at each start."""
 
     def __init__(self, name: str, state: AcceptorState, run_id: str) -> None:
-        self.name, self.state, self.run_id = name, state, run_id
-        self.is_stale_copy = False  # others know of later starts of this storage: it is an older copy
-        self._acknowledged_by: set[str] = set()  # storages that have heard of this start before any later one
+        self.name = name
+        self.state = state
+        self.run_id = run_id
+        self.is_stale_copy = False  # others know of a later start: this storage was rolled back
+        self._acknowledged_by: set[str] = set()  # storages that know of this start, and of no later one
         self.is_voting = self._has_enough_acknowledgements()
 
-    # -- meeting the others
+    # -- restart check
 
     def _other_members(self) -> list[m.QuorumMember]:
-        quorum = self.state.quorum
-        return (
-            []
-            if quorum is None
-            else [one for one in quorum.members if one.storage_id != self.state.storage_id]
-        )
+        if self.state.quorum is None:
+            return []
+        return [member for member in self.state.quorum.members if member.storage_id != self.state.storage_id]
 
     def _has_enough_acknowledgements(self, wait_for_all: bool = False) -> bool:
-        """Whether this start is known to so many others that they make a majority with this witness."""
+        """Whether the members that know of this start make a majority together with this replica."""
         if self.state.quorum is None or self.is_stale_copy:
             return False
-        known = {one.storage_id for one in self._other_members()} & self._acknowledged_by
-        return len(known) >= (len(self._other_members()) if wait_for_all else self.state.quorum.majority - 1)
+        others = self._other_members()
+        acknowledged = self._acknowledged_by & {member.storage_id for member in others}
+        required = len(others) if wait_for_all else self.state.quorum.majority - 1
+        return len(acknowledged) >= required
 
     def make_restart_check(self, request_id: int) -> m.RestartCheckRequest | None:
-        """What the others are to be told, at the start and from time to time."""
+        """The announcement of this start, for all other members; None before the first epoch."""
         quorum = self.state.quorum
         if quorum is None:
             return None
@@ -87,14 +104,21 @@
         )
 
     def handle_restart_check_reply(self, reply: m.RestartCheckReply, wait_for_all: bool) -> StateChanges:
-        """Another one's answer to the greeting. `wait_for_all`: wait for all of them still, not for enough of
-        them.
+        """Take another replica's reply to the announcement.
+
+        Args:
+            reply: The reply.
+            wait_for_all: Vote only when all other members have replied, not just enough for a majority.
+
+        Returns:
+            What has to be stored before this replica votes in an epoch that the reply has brought.
         """
         changes = StateChanges()
         if reply.start_count > self.state.start_count or (
             reply.start_count == self.state.start_count and reply.run_id not in ("", self.run_id)
         ):
-            self.is_stale_copy, self.is_voting = True, False
+            self.is_stale_copy = True
+            self.is_voting = False
             return changes
         self._acknowledged_by.add(reply.storage_id)
         self.update_voting(wait_for_all)
@@ -103,177 +127,222 @@
         return changes
 
     def update_voting(self, wait_for_all: bool) -> None:
-        """Vote from now on, if enough others know of this start."""
+        """Start to vote if enough other members know of this start; a replica that votes goes on voting."""
         self.is_voting = self.is_voting or self._has_enough_acknowledgements(wait_for_all)
 
     def _handle_restart_check(self, request: m.RestartCheckRequest, changes: StateChanges) -> m.QuorumReply:
-        starts, run = self.state.known_starts.get(request.storage_id, (0, ""))
-        ours, missed, slots = self.state.quorum, None, dict[str, RegisterState]()
-        ours_too = ours is not None and ours.fleet_id == request.fleet_id
-        if (
-            request.start_count > starts
-            and ours_too
-            and (starts or len(self.state.known_starts) < MAX_KNOWN_STORAGES)
-        ):
-            changes.known_starts[request.storage_id] = self.state.known_starts[request.storage_id] = (
-                request.start_count,
-                request.run_id,
-            )
-        if (
-            self.is_voting and ours is not None and ours_too
-        ):  # also a sealed one: else the next epoch might never come
-            member = any(one.storage_id == request.storage_id for one in ours.members)
-            if member and request.epoch < ours.epoch:
-                # as if the messages of this epoch had only now come through to the one that asks
-                missed, slots = ours, dict(self.state.register_states)
-        return m.RestartCheckReply(request.request_id, self.state.storage_id, starts, run, missed, slots)
+        known = self.state.known_starts.get(request.storage_id, _NEVER_STARTED)
+        quorum = self.state.quorum
+        missed_quorum: Quorum | None = None
+        missed_states: dict[str, RegisterState] = {}
+        if quorum is not None and quorum.fleet_id == request.fleet_id:
+            self._record_start(request, known, changes)
+            # a sealed replica helps too: otherwise the sender might never come to the next epoch
+            if self.is_voting and request.epoch < quorum.epoch and quorum.has_storage(request.storage_id):
+                # as if the messages of this epoch had only now come through to the sender
+                missed_quorum = quorum
+                missed_states = dict(self.state.register_states)
+        return m.RestartCheckReply(
+            request.request_id,
+            self.state.storage_id,
+            known.start_count,
+            known.run_id,
+            missed_quorum,
+            missed_states,
+        )
+
+    def _record_start(
+        self, request: m.RestartCheckRequest, known: StorageStart, changes: StateChanges
+    ) -> None:
+        """Remember an announced start if it is later than the known one; of a new storage up to the limit."""
+        is_known_storage = known.start_count > 0
+        if not is_known_storage and len(self.state.known_starts) >= MAX_KNOWN_STORAGES:
+            return
+        if request.start_count > known.start_count:
+            start = StorageStart(request.start_count, request.run_id)
+            self.state.known_starts[request.storage_id] = start
+            changes.known_starts[request.storage_id] = start
 
     # -- requests
 
-    def handle(self, request: m.QuorumRequest, uptime_s: float = 0.0) -> tuple[m.QuorumReply, StateChanges]:
-        """The answer, and what has to be on the disk before it is said."""
+    def handle(self, request: m.QuorumRequest, uptime_s: float = 0.0) -> AcceptorResult:
+        """Answer a request; the changes have to be stored before the reply is sent."""
         changes = StateChanges()
         match request:
             case m.StatusRequest():
-                return self._status_reply(request.request_id, uptime_s), changes
+                return AcceptorResult(self._status_reply(request.request_id, uptime_s), changes)
             case m.RestartCheckRequest():
-                return self._handle_restart_check(request, changes), changes
+                return AcceptorResult(self._handle_restart_check(request, changes), changes)
             case m.InstallEpochRequest():
-                return self._handle_install(request, changes), changes
-        refused = self._refusal(request)
-        return refused or self._handle_epoch_request(request, changes), changes
+                return AcceptorResult(self._handle_install(request, changes), changes)
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return AcceptorResult(refusal, changes)
+        return AcceptorResult(self._handle_epoch_request(request, changes), changes)
+
+    def _refuse(self, request: m.QuorumMessage, reason: RefusalReason) -> m.UnavailableReply:
+        return m.UnavailableReply(request.request_id, self.state.storage_id, reason.value)
+
+    def _wrong_epoch(self, request: m.QuorumMessage) -> m.WrongEpochReply:
+        return m.WrongEpochReply(
+            request.request_id, self.state.storage_id, self.state.quorum, self.state.is_sealed
+        )
 
     def _refusal(self, request: m.EpochRequest) -> m.QuorumReply | None:
-        ours = self.state.quorum
-        if ours is not None and request.fleet_id != ours.fleet_id:
-            return m.UnavailableReply(request.request_id, self.state.storage_id, "another fleet")
+        """The reply to a request that this replica may not vote on; None if it may."""
+        quorum = self.state.quorum
+        if quorum is not None and request.fleet_id != quorum.fleet_id:
+            return self._refuse(request, RefusalReason.OTHER_FLEET)
         if not self.is_voting:
-            why = "an older copy" if self.is_stale_copy else "no quorum" if ours is None else "not met"
-            return m.UnavailableReply(request.request_id, self.state.storage_id, why)
-        if ours is None or request.epoch != ours.epoch:
-            return m.WrongEpochReply(request.request_id, self.state.storage_id, ours, self.state.is_sealed)
-        successor = (
+            return self._refuse(request, self._not_voting_reason())
+        if quorum is None or request.epoch != quorum.epoch:
+            return self._wrong_epoch(request)
+        is_for_successor = (
             isinstance(request, m.PrepareRequest | m.AcceptRequest | m.ReadRequest)
             and request.key == SUCCESSOR_KEY
         )
-        if successor != self.state.is_sealed and not isinstance(request, m.SealEpochRequest):
-            return m.WrongEpochReply(request.request_id, self.state.storage_id, ours, self.state.is_sealed)
+        if is_for_successor != self.state.is_sealed and not isinstance(request, m.SealEpochRequest):
+            return self._wrong_epoch(request)
         return None
 
+    def _not_voting_reason(self) -> RefusalReason:
+        if self.is_stale_copy:
+            return RefusalReason.STALE_COPY
+        if self.state.quorum is None:
+            return RefusalReason.NO_QUORUM
+        return RefusalReason.RESTART_NOT_CHECKED
+
     def _handle_epoch_request(self, request: m.EpochRequest, changes: StateChanges) -> m.QuorumReply:
-        number, storage = request.request_id, self.state.storage_id
         match request:
             case m.PrepareRequest():
                 return self._prepare(request, changes)
             case m.AcceptRequest():
                 return self._accept(request, changes)
             case m.ReadRequest():
-                slot = self.state.register_states.get(request.key, RegisterState())
-                return m.ReadReply(number, storage, slot.accepted_ballot, slot.register)
-            case m.ListKeysRequest():
-                names = tuple(
-                    key
-                    for key in self.state.register_states
-                    if key.startswith(request.key_prefix) and key != SUCCESSOR_KEY
+                register_state = self._register_state(request.key)
+                return m.ReadReply(
+                    request.request_id,
+                    self.state.storage_id,
+                    register_state.accepted_ballot,
+                    register_state.register,
                 )
-                return m.ListKeysReply(number, storage, names)
+            case m.ListKeysRequest():
+                return self._list_keys(request)
             case m.SealEpochRequest():
-                changes.epoch_sealed = not self.state.is_sealed
-                self.state.is_sealed = True
-                slots = {
-                    key: slot for key, slot in self.state.register_states.items() if key != SUCCESSOR_KEY
-                }
-                return m.SealEpochReply(number, storage, slots)
-        return m.UnavailableReply(number, storage, "not known")
+                return self._seal(request, changes)
+        return self._refuse(request, RefusalReason.UNKNOWN_REQUEST)
+
+    # -- registers
+
+    def _register_state(self, key: str) -> RegisterState:
+        return self.state.register_states.get(key, RegisterState())
+
+    def _store_register(self, key: str, register_state: RegisterState, changes: StateChanges) -> None:
+        self.state.register_states[key] = register_state
+        changes.register_states[key] = register_state
 
     def _prepare(self, request: m.PrepareRequest, changes: StateChanges) -> m.QuorumReply:
-        slot = self.state.register_states.get(request.key, RegisterState())
-        if request.ballot < slot.promised_ballot:
-            return m.BallotConflictReply(request.request_id, self.state.storage_id, slot.promised_ballot)
-        if (
-            request.key not in self.state.register_states
-            and len(self.state.register_states) >= m.MAX_REGISTERS
-        ):
-            return m.UnavailableReply(request.request_id, self.state.storage_id, "too many registers")
-        if request.ballot > slot.promised_ballot:
-            self._store_register(
-                request.key, RegisterState(request.ballot, slot.accepted_ballot, slot.register), changes
-            )
-        return m.PromiseReply(request.request_id, self.state.storage_id, slot.accepted_ballot, slot.register)
+        current = self._register_state(request.key)
+        if request.ballot < current.promised_ballot:
+            return m.BallotConflictReply(request.request_id, self.state.storage_id, current.promised_ballot)
+        is_new = request.key not in self.state.register_states
+        if is_new and len(self.state.register_states) >= m.MAX_REGISTERS:
+            return self._refuse(request, RefusalReason.TOO_MANY_REGISTERS)
+        if request.ballot > current.promised_ballot:
+            promised = RegisterState(request.ballot, current.accepted_ballot, current.register)
+            self._store_register(request.key, promised, changes)
+        return m.PromiseReply(
+            request.request_id, self.state.storage_id, current.accepted_ballot, current.register
+        )
 
     def _accept(self, request: m.AcceptRequest, changes: StateChanges) -> m.QuorumReply:
-        slot = self.state.register_states.get(request.key, RegisterState())
-        if request.ballot < slot.promised_ballot:
-            return m.BallotConflictReply(request.request_id, self.state.storage_id, slot.promised_ballot)
-        # the choice of a quorum holds all registers, so it is bounded by the frame alone
-        if len(request.key) > m.MAX_KEY_LENGTH or (
-            len(request.register.value) > m.MAX_VALUE_BYTES and request.key != SUCCESSOR_KEY
-        ):
-            return m.UnavailableReply(request.request_id, self.state.storage_id, "too large")
-        if request.ballot == slot.accepted_ballot and request.register != slot.register:
-            # guards against a caller that uses a ballot for two values: neither is to be chosen by it
-            return m.UnavailableReply(request.request_id, self.state.storage_id, "ballot used twice")
-        if request.ballot > slot.accepted_ballot:
-            self._store_register(
-                request.key, RegisterState(request.ballot, request.ballot, request.register), changes
-            )
+        current = self._register_state(request.key)
+        if request.ballot < current.promised_ballot:
+            return m.BallotConflictReply(request.request_id, self.state.storage_id, current.promised_ballot)
+        # the successor's value holds all registers: only the size of a frame limits it
+        is_too_large = len(request.register.value) > m.MAX_VALUE_BYTES and request.key != SUCCESSOR_KEY
+        if len(request.key) > m.MAX_KEY_LENGTH or is_too_large:
+            return self._refuse(request, RefusalReason.TOO_LARGE)
+        if request.ballot == current.accepted_ballot and request.register != current.register:
+            # guards against a proposer that uses a ballot for two values: neither may be chosen by it
+            return self._refuse(request, RefusalReason.BALLOT_REUSED)
+        if request.ballot > current.accepted_ballot:
+            accepted = RegisterState(request.ballot, request.ballot, request.register)
+            self._store_register(request.key, accepted, changes)
         return m.AcceptReply(request.request_id, self.state.storage_id)
 
-    def _store_register(self, key: str, register_state: RegisterState, changes: StateChanges) -> None:
-        self.state.register_states[key] = changes.register_states[key] = register_state
+    def _list_keys(self, request: m.ListKeysRequest) -> m.ListKeysReply:
+        keys = tuple(
+            key
+            for key in self.state.register_states
+            if key.startswith(request.key_prefix) and key != SUCCESSOR_KEY
+        )
+        return m.ListKeysReply(request.request_id, self.state.storage_id, keys)
 
     # -- epochs
 
+    def _seal(self, request: m.SealEpochRequest, changes: StateChanges) -> m.SealEpochReply:
+        changes.epoch_sealed = not self.state.is_sealed
+        self.state.is_sealed = True
+        sealed_states = _without_successor(self.state.register_states)
+        return m.SealEpochReply(request.request_id, self.state.storage_id, sealed_states)
+
     def _handle_install(self, request: m.InstallEpochRequest, changes: StateChanges) -> m.QuorumReply:
-        ours, storage = self.state.quorum, self.state.storage_id
-        if ours is not None and (request.quorum.fleet_id != ours.fleet_id or not self.is_voting):
-            return m.UnavailableReply(
-                request.request_id, storage, "another fleet" if self.is_voting else "not met"
-            )
-        if not request.quorum.has_member(self.name, storage):
-            return m.UnavailableReply(request.request_id, storage, "not a member")
-        if ours is not None and request.quorum.epoch < ours.epoch:
-            return m.WrongEpochReply(request.request_id, storage, ours, self.state.is_sealed)
-        if ours is None:
-            self.is_voting = True  # nobody has counted on this storage yet
+        current = self.state.quorum
+        if current is not None and not self.is_voting:
+            return self._refuse(request, RefusalReason.RESTART_NOT_CHECKED)
+        if current is not None and request.quorum.fleet_id != current.fleet_id:
+            return self._refuse(request, RefusalReason.OTHER_FLEET)
+        if not request.quorum.has_member(self.name, self.state.storage_id):
+            return self._refuse(request, RefusalReason.NOT_A_MEMBER)
+        if current is not None and request.quorum.epoch < current.epoch:
+            return self._wrong_epoch(request)
+        if current is None:
+            self.is_voting = True  # nobody has relied on this storage yet
         self._install_epoch(request.quorum, request.register_states, changes)
-        return m.AcceptReply(request.request_id, storage)
+        return m.AcceptReply(request.request_id, self.state.storage_id)
 
     def _install_epoch(
         self, quorum: Quorum, register_states: dict[str, RegisterState], changes: StateChanges
     ) -> None:
-        ours = self.state.quorum
-        if ours is None or quorum.epoch > ours.epoch:
-            self.state.quorum, self.state.is_sealed = quorum, False
-            carried_over = {key: slot for key, slot in register_states.items() if key != SUCCESSOR_KEY}
-            self.state.register_states = carried_over
+        """Replace quorum and registers by those of a later epoch; nothing happens if it is not later."""
+        current = self.state.quorum
+        if current is None or quorum.epoch > current.epoch:
+            self.state.quorum = quorum
+            self.state.is_sealed = False
+            self.state.register_states = _without_successor(register_states)
             changes.epoch_installed = True
 
+    # -- status
+
     def _status_reply(self, request_id: int, uptime_s: float) -> m.StatusReply:
-        saved = self.state
         return m.StatusReply(
             request_id,
-            saved.storage_id,
+            self.state.storage_id,
             self.name,
-            saved.start_count,
+            self.state.start_count,
             self.is_voting,
-            saved.is_sealed,
-            saved.quorum,
-            len(saved.register_states),
+            self.state.is_sealed,
+            self.state.quorum,
+            len(self.state.register_states),
             uptime_s,
         )
 
 
+def _without_successor(register_states: dict[str, RegisterState]) -> dict[str, RegisterState]:
+    return {key: state for key, state in register_states.items() if key != SUCCESSOR_KEY}
+
+
 def merge_register_states(sealed_states: list[dict[str, RegisterState]]) -> dict[str, RegisterState]:
-    """Of what a majority keeps, the last that may have been chosen of each name; promises end with the
-    epoch.
+    """Merge what a majority has stored into what may have been chosen: the highest ballot of each register.
+
+    Promises end with the epoch, so each register starts with the ballot that its value was accepted under.
     """
-    last: dict[str, RegisterState] = {}
-    for slots in sealed_states:
-        for key, slot in slots.items():
-            if (
-                slot.accepted_ballot != NO_BALLOT
-                and slot.accepted_ballot > last.get(key, RegisterState()).accepted_ballot
-            ):
-                last[key] = RegisterState(slot.accepted_ballot, slot.accepted_ballot, slot.register)
-    return last
+    merged: dict[str, RegisterState] = {}
+    for register_states in sealed_states:
+        for key, state in register_states.items():
+            if state.accepted_ballot == NO_BALLOT:
+                continue
+            if state.accepted_ballot > merged.get(key, RegisterState()).accepted_ballot:
+                merged[key] = RegisterState(state.accepted_ballot, state.accepted_ballot, state.register)
+    return merged
--- a/rosepick/consensus/codec.py
+++ b/rosepick/consensus/codec.py
@@ -1,94 +1,131 @@
-"""Frames on the wire: two signs, a version, a length, a keyed digest (HMAC, RFC 2104) and one message.
+"""Frames of the quorum protocol: magic bytes, version, length, keyed digest (HMAC, RFC 2104), one message.
 
-Whoever sends a frame that is damaged, too large, of another key or of a newer version is not read any
-further.
+A peer that sends a frame that is damaged, too large, signed with another key or of a newer version is not
+read any further.
 """
 
 from __future__ import annotations
 
 import hmac
 import struct
+from enum import StrEnum
 
 import msgspec
 
 from .messages import QuorumReply, QuorumRequest
 
 WIRE_VERSION = 1
-MAX_MESSAGE_BYTES = 8 * 1024 * 1024  # bytes of a message
-FRAME_HEADER = struct.Struct(">2sBxI16s")
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+DIGEST_BYTES = 16
+FRAME_HEADER = struct.Struct(f">2sBxI{DIGEST_BYTES}s")
 _MAGIC = b"rq"
-_KEYLESS_DIGEST_KEY = b"rosepick without a key"  # then the digest finds damage, and keeps nobody out
+_KEYLESS_DIGEST_KEY = b"rosepick without a key"  # the digest then detects damage, and authenticates nobody
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder: msgspec.msgpack.Decoder[QuorumRequest] = msgspec.msgpack.Decoder(QuorumRequest)
 _reply_decoder: msgspec.msgpack.Decoder[QuorumReply] = msgspec.msgpack.Decoder(QuorumReply)
 
 
+class DecodeFailure(StrEnum):
+    """What is wrong with a frame."""
+
+    FOREIGN = "foreign"  # it does not start with the magic bytes
+    NEWER_VERSION = "newer"
+    OVERSIZED = "oversized"
+    DAMAGED = "damaged"  # the digest does not match: changed on the way, or signed with another key
+    MALFORMED = "malformed"  # the frame is whole, and holds no message that is expected there
+
+
 class DecodeError(ValueError):
-    """What came is no message of ours; `reason` is one word."""
+    """A frame cannot be decoded. `reason` is the one word of the `DecodeFailure`."""
 
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
+    def __init__(self, failure: DecodeFailure, detail: str) -> None:
+        super().__init__(f"{failure.value} frame: {detail}")
+        self.reason: str = failure.value
 
 
 def _digest(key: bytes, body: bytes | memoryview) -> bytes:
-    return hmac.digest(key or _KEYLESS_DIGEST_KEY, body, "sha256")[:16]
+    return hmac.digest(key or _KEYLESS_DIGEST_KEY, body, "sha256")[:DIGEST_BYTES]
 
 
 def encode_frame(message: QuorumRequest | QuorumReply, key: bytes = b"") -> bytes:
-    """A message as it goes over the wire."""
+    """Encode a message as a frame, signed with the key."""
     body = _encoder.encode(message)
     return FRAME_HEADER.pack(_MAGIC, WIRE_VERSION, len(body), _digest(key, body)) + body
 
 
 class FrameDecoder:
-    """Takes bytes as they come and gives whole frames; raises Unreadable at the first that is none."""
+    """Splits a byte stream into frames. After a `DecodeError` the stream cannot be read any further."""
 
     def __init__(self, max_message_bytes: int = MAX_MESSAGE_BYTES) -> None:
         self._buffer = bytearray()
         self._max_message_bytes = max_message_bytes
 
     def feed(self, data: bytes) -> list[bytes]:
-        """The frames that are whole now, with their heads."""
+        """Add received bytes and return the frames that are complete now, with their headers.
+
+        Raises:
+            DecodeError: A header is not one of this protocol, of a newer version, or announces too many
+            bytes.
+        """
         self._buffer += data
-        found = []
+        frames = []
         while len(self._buffer) >= FRAME_HEADER.size:
-            signs, version, length, _ = FRAME_HEADER.unpack_from(self._buffer)
-            if signs != _MAGIC:
-                raise DecodeError("foreign")
-            if version > WIRE_VERSION:
-                raise DecodeError("newer")
-            if length > self._max_message_bytes:
-                raise DecodeError("oversized")
-            if len(self._buffer) < FRAME_HEADER.size + length:
+            frame_size = self._read_frame_size()
+            if len(self._buffer) < frame_size:
                 break
-            found.append(bytes(self._buffer[: FRAME_HEADER.size + length]))
-            del self._buffer[: FRAME_HEADER.size + length]
-        return found
+            frames.append(bytes(self._buffer[:frame_size]))
+            del self._buffer[:frame_size]
+        return frames
+
+    def _read_frame_size(self) -> int:
+        """The size in bytes of the frame that the buffer starts with, header included."""
+        magic, version, length, _ = FRAME_HEADER.unpack_from(self._buffer)
+        if magic != _MAGIC:
+            raise DecodeError(DecodeFailure.FOREIGN, "the peer does not speak the quorum protocol")
+        if version > WIRE_VERSION:
+            raise DecodeError(
+                DecodeFailure.NEWER_VERSION,
+                f"wire version {version}, and {WIRE_VERSION} is the latest known here: upgrade this process",
+            )
+        if length > self._max_message_bytes:
+            raise DecodeError(
+                DecodeFailure.OVERSIZED, f"{length} bytes announced, {self._max_message_bytes} allowed"
+            )
+        return FRAME_HEADER.size + int(length)
 
     def has_partial_frame(self) -> bool:
-        """Whether a frame has begun and is not whole."""
+        """Whether the stream so far ends within a frame."""
         return bool(self._buffer)
 
 
 def _verified_body(frame: bytes, key: bytes) -> memoryview:
     body = memoryview(frame)[FRAME_HEADER.size :]
     if not hmac.compare_digest(FRAME_HEADER.unpack_from(frame)[3], _digest(key, body)):
-        raise DecodeError("damaged")
+        raise DecodeError(
+            DecodeFailure.DAMAGED, "its digest does not match; compare the key files of both processes"
+        )
     return body
 
 
 def decode_request(frame: bytes, key: bytes = b"") -> QuorumRequest:
-    """The request in a frame. Unreadable if it is none, or was made with another key."""
+    """Decode the request in a frame.
+
+    Raises:
+        DecodeError: The frame is damaged, was signed with another key, or holds no request.
+    """
     try:
         return _request_decoder.decode(_verified_body(frame, key))
-    except msgspec.MsgspecError as problem:
-        raise DecodeError("malformed") from problem
+    except msgspec.MsgspecError as error:
+        raise DecodeError(DecodeFailure.MALFORMED, f"no request: {error}") from error
 
 
 def decode_reply(frame: bytes, key: bytes = b"") -> QuorumReply:
-    """The answer in a frame; likewise."""
+    """Decode the reply in a frame.
+
+    Raises:
+        DecodeError: The frame is damaged, was signed with another key, or holds no reply.
+    """
     try:
         return _reply_decoder.decode(_verified_body(frame, key))
-    except msgspec.MsgspecError as problem:
-        raise DecodeError("malformed") from problem
+    except msgspec.MsgspecError as error:
+        raise DecodeError(DecodeFailure.MALFORMED, f"no reply: {error}") from error
--- a/rosepick/consensus/proposer.py
+++ b/rosepick/consensus/proposer.py
@@ -1,10 +1,10 @@
-"""One reading or one change of a register, as its caller sees it: a proposer of CASPaxos.
+"""The proposer of CASPaxos (Rystsov 2018): one read or one change of a register.
 
-A change is a function of the register's present value. It gives the next value, or raises `Declined`. Each
-value has a version, one more than that which it was made of, and the mark of its change: there is one chain
-of versions. So a caller that asks again, after an answer was lost, sees whether its change has been made:
-its own mark stands there; or that it never will be: another mark stands at that version. Where the chain has
-gone further on it cannot be told.
+A change is a function of the register's present value. It returns the next value, or raises
+`ChangeRejectedError`. Each value has a version, one above that of the value it was made from, and the id
+of its change: there is one chain of versions. So a client that retries after a reply was lost can tell
+whether its change was made: the register holds its change id; or that it never will be: another change
+has taken that version. Where the chain has moved on further, the outcome is unknown.
 """
 
 from __future__ import annotations
@@ -12,156 +12,204 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from . import messages as m
 from .messages import NO_BALLOT, Ballot, Quorum, Register
 
 RegisterChange = Callable[[Register], bytes]
-OutgoingRequests = list[tuple[str, m.QuorumRequest]]  # to the witness of that name
+EMPTY_REGISTER = Register()
+
+
+class OutgoingRequest(NamedTuple):
+    """A request, and the name of the replica that it goes to."""
+
+    replica: str
+    request: m.QuorumRequest
+
+
+OutgoingRequests = list[OutgoingRequest]
 
 
 class BallotGenerator:
-    """The rounds of one caller's ballots: none is used twice, whatever operation it is for."""
+    """Generates the ballots of one client: none is used twice, whatever the operation."""
 
     def __init__(self, proposer_id: int) -> None:
         self.proposer_id = proposer_id
         self.last_round = 0
 
     def next_ballot(self) -> Ballot:
-        """A ballot that this caller has not used."""
+        """A ballot that this client has not used."""
         self.last_round += 1
-        return self.last_round, self.proposer_id
+        return Ballot(self.last_round, self.proposer_id)
 
     def observe(self, ballot: Ballot) -> None:
-        """Another one's ballot: the next is above it."""
-        self.last_round = max(self.last_round, ballot[0])
+        """Take note of another client's ballot: the next one will be above it."""
+        self.last_round = max(self.last_round, ballot.round)
 
 
 class ChangeRejectedError(Exception):
-    """A change that is not made of this value; the register stays as it is."""
+    """A change does not apply to the present value; the register stays as it is."""
 
 
 class OutcomeKind(Enum):
     """How an operation has ended."""
 
-    COMMITTED = "done"  # the register holds what the change made
-    UNCHANGED = "read"  # it was read, or the change was declined
+    COMMITTED = "done"  # the register holds the value of the change
+    UNCHANGED = "read"  # the register was read, or the change was rejected
     UNKNOWN = "unknown"  # the change may have been made, and others after it
-    FAILED = "failed"  # nobody could be asked, and nothing has changed
+    FAILED = "failed"  # no majority was reached, and nothing has changed
 
 
 @dataclass(frozen=True, slots=True)
 class OperationOutcome:
-    """How an operation has ended, and the register as it is then."""
+    """How an operation has ended, with the register as it is then; `reason` tells why one has failed."""
 
     kind: OutcomeKind
-    register: Register = Register()
+    register: Register = EMPTY_REGISTER
     reason: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RegisterCommand:
+    """What a proposer has to do: change the register of a key, or read it if `change` is None."""
+
+    key: str
+    change: RegisterChange | None
+    change_id: str
+
+
 class ProposerPhase(Enum):
-    """What the operation waits for."""
+    """The replies that a proposer waits for."""
 
     READ = "look"
     PREPARE = "prepare"
     ACCEPT = "accept"
 
 
+class Vote(NamedTuple):
+    """What a replica has accepted, as it said in the present phase."""
+
+    accepted_ballot: Ballot
+    register: Register
+
+
 class Proposer:
-    """Asks the witnesses of a quorum; `handle_reply` takes their answers, and `retry` is called when these
-    are too few.
+    """Runs a command on a quorum until `outcome` is set.
+
+    The driver sends what `start` returns, passes replies to `handle_reply` and sends what that returns.
+    It calls `retry` when replies are missing or another proposer has come first, and `give_up` when it
+    waits no longer.
     """
 
     def __init__(
         self,
         quorum: Quorum,
-        key: str,
-        change: RegisterChange | None,
+        command: RegisterCommand,
         ballots: BallotGenerator,
-        change_id: str,
         next_request_id: Callable[[], int],
     ) -> None:
-        self.quorum, self.key, self.change_id = quorum, key, change_id
-        self._change, self._ballots, self._next_request_id = change, ballots, next_request_id
+        self.quorum = quorum
+        self.key = command.key
+        self.change_id = command.change_id
+        self._change = command.change
+        self._ballots = ballots
+        self._next_request_id = next_request_id
         self.outcome: OperationOutcome | None = None
-        self.is_preempted = False  # another ballot came before: wait a little, then `again`
-        self.wrong_epoch_reply: m.WrongEpochReply | None = None  # the quorum is another one by now
-        self.refusal_reasons: set[str] = set()  # why witnesses did not answer
+        self.is_preempted = False  # a majority is no longer possible in this round: back off, then `retry`
+        self.wrong_epoch_reply: m.WrongEpochReply | None = None  # set if the quorum is another one by now
+        self.refusal_reasons: set[str] = set()  # why replicas did not vote
         self._current_ballot = NO_BALLOT
-        self._last_proposed: Register | None = None  # what was last sent to be accepted
-        self._phase = ProposerPhase.READ if change is None else ProposerPhase.PREPARE
-        self._request_id = 0  # the number of this phase's requests
-        self._votes: dict[str, tuple[Ballot, Register]] = {}
-        self._opponents: set[str] = set()
-        self._accept_register = Register()
+        self._last_proposed: Register | None = None  # the value of the last accept requests for this change
+        self._phase = ProposerPhase.READ if command.change is None else ProposerPhase.PREPARE
+        self._request_id = 0  # of all requests of the present phase
+        self._votes: dict[str, Vote] = {}  # of the present phase, by replica
+        self._opponents: set[str] = set()  # replicas that do not vote for the present round
+        self._accept_register = EMPTY_REGISTER
 
-    # -- asking
+    # -- requests
 
     def start(self) -> OutgoingRequests:
         """The first requests."""
-        return self._send_reads() if self._phase is ProposerPhase.READ else self._send_prepares()
+        if self._phase is ProposerPhase.READ:
+            return self._send_reads()
+        return self._send_prepares()
 
     def retry(self) -> OutgoingRequests:
-        """The answers were too few, or another ballot came first: ask with a higher one."""
+        """The requests of a new round with a higher ballot."""
         return self._send_prepares()
 
     def switch_quorum(self, quorum: Quorum) -> OutgoingRequests:
-        """The same with another quorum, into which all that was chosen has gone over."""
-        self.quorum, self.wrong_epoch_reply = quorum, None
+        """Continue with a later quorum, to which all chosen values were carried over."""
+        self.quorum = quorum
+        self.wrong_epoch_reply = None
         return self._send_prepares()
 
     def give_up(self, reason: str = "") -> None:
-        """No more answers will come."""
+        """Set the outcome, as no more replies will be waited for; an outcome that is set stays."""
         if self.outcome is None:
             kind = OutcomeKind.FAILED if self._last_proposed is None else OutcomeKind.UNKNOWN
-            self.outcome = OperationOutcome(
-                kind, reason=reason or ", ".join(sorted(self.refusal_reasons)) or "no majority answers"
-            )
+            reasons = reason or ", ".join(sorted(self.refusal_reasons)) or "no majority answers"
+            self.outcome = OperationOutcome(kind, reason=reasons)
 
     def _broadcast(self, make_request: Callable[[int], m.QuorumRequest]) -> OutgoingRequests:
         self._request_id = self._next_request_id()
         self._votes.clear()
         self._opponents.clear()
         self.is_preempted = False
-        return [(one.name, make_request(self._request_id)) for one in self.quorum.members]
+        return [
+            OutgoingRequest(member.name, make_request(self._request_id)) for member in self.quorum.members
+        ]
 
     def _send_reads(self) -> OutgoingRequests:
-        fleet, epoch = self.quorum.fleet_id, self.quorum.epoch
-        return self._broadcast(lambda number: m.ReadRequest(number, fleet, epoch, self.key))
+        quorum = self.quorum
+        return self._broadcast(
+            lambda request_id: m.ReadRequest(request_id, quorum.fleet_id, quorum.epoch, self.key)
+        )
 
     def _send_prepares(self) -> OutgoingRequests:
-        self._phase, self._current_ballot = ProposerPhase.PREPARE, self._ballots.next_ballot()
-        fleet, epoch, ballot = self.quorum.fleet_id, self.quorum.epoch, self._current_ballot
-        return self._broadcast(lambda number: m.PrepareRequest(number, fleet, epoch, self.key, ballot))
+        quorum = self.quorum
+        ballot = self._ballots.next_ballot()
+        self._phase = ProposerPhase.PREPARE
+        self._current_ballot = ballot
+        return self._broadcast(
+            lambda request_id: m.PrepareRequest(request_id, quorum.fleet_id, quorum.epoch, self.key, ballot)
+        )
 
     def _send_accepts(self, register: Register) -> OutgoingRequests:
-        self._phase, self._accept_register = ProposerPhase.ACCEPT, register
-        fleet, epoch, ballot = self.quorum.fleet_id, self.quorum.epoch, self._current_ballot
+        quorum = self.quorum
+        ballot = self._current_ballot
+        self._phase = ProposerPhase.ACCEPT
+        self._accept_register = register
         return self._broadcast(
-            lambda number: m.AcceptRequest(number, fleet, epoch, self.key, ballot, register)
+            lambda request_id: m.AcceptRequest(
+                request_id, quorum.fleet_id, quorum.epoch, self.key, ballot, register
+            )
         )
 
-    # -- hearing
+    # -- replies
 
     def handle_reply(self, replica: str, reply: m.QuorumReply) -> OutgoingRequests:
-        """What follows from one witness's answer."""
-        if (
-            self.outcome is not None
-            or reply.request_id != self._request_id
-            or not self.quorum.has_member(replica, reply.storage_id)
-        ):
-            if reply.request_id == self._request_id:
-                self.refusal_reasons.add(f"{replica} has another storage")
+        """Take a replica's reply, and return the requests that follow from it.
+
+        Replies to earlier phases, and those that come after the outcome, change nothing.
+        """
+        if reply.request_id != self._request_id:
+            return []
+        if not self.quorum.has_member(replica, reply.storage_id):
+            self.refusal_reasons.add(f"{replica} has another storage")
+            return []
+        if self.outcome is not None:
             return []
         match reply:
             case m.ReadReply() if self._phase is ProposerPhase.READ:
-                self._votes[replica] = reply.accepted_ballot, reply.register
+                self._votes[replica] = Vote(reply.accepted_ballot, reply.register)
                 return self._finish_read()
             case m.PromiseReply() if self._phase is ProposerPhase.PREPARE:
-                self._votes[replica] = reply.accepted_ballot, reply.register
+                self._votes[replica] = Vote(reply.accepted_ballot, reply.register)
                 return self._finish_prepare()
             case m.AcceptReply() if self._phase is ProposerPhase.ACCEPT:
-                self._votes[replica] = NO_BALLOT, self._accept_register
+                self._votes[replica] = Vote(NO_BALLOT, self._accept_register)
                 self._finish_accept()
             case m.BallotConflictReply():
                 self._ballots.observe(reply.promised_ballot)
@@ -178,38 +226,51 @@
         self.is_preempted = len(self.quorum.members) - len(self._opponents) < self.quorum.majority
 
     def _finish_read(self) -> OutgoingRequests:
-        """What a majority has accepted under one ballot is chosen, and nothing later was before this began:
-        that would have a majority too, and one of these had told of it.
+        """Finish if a majority has accepted one ballot, or start a round if all replies disagree.
+
+        Such a value is chosen, and no later one was chosen before the read began: that would have a
+        majority too, and one of its replicas would have reported it.
         """
-        seen = [ballot for ballot, _ in self._votes.values()]
-        for ballot, register in self._votes.values():
-            if seen.count(ballot) >= self.quorum.majority:
-                self.outcome = OperationOutcome(OutcomeKind.UNCHANGED, register)
+        ballots = [vote.accepted_ballot for vote in self._votes.values()]
+        for vote in self._votes.values():
+            if ballots.count(vote.accepted_ballot) >= self.quorum.majority:
+                self.outcome = OperationOutcome(OutcomeKind.UNCHANGED, vote.register)
                 return []
-        return self._send_prepares() if len(seen) == len(self.quorum.members) else []
+        if len(ballots) < len(self.quorum.members):
+            return []
+        return self._send_prepares()
 
     def _finish_prepare(self) -> OutgoingRequests:
+        """Propose the next value once a majority has promised."""
         if len(self._votes) < self.quorum.majority:
             return []
-        last, register = max(self._votes.values(), key=lambda vote: vote[0])
-        settled = all(ballot == last for ballot, _ in self._votes.values())
+        latest = max(self._votes.values(), key=lambda vote: vote.accepted_ballot)
+        register = latest.register
         if register.change_id == self.change_id:
-            return self._send_accepts(register)  # our own change, half made: finish it
+            return self._send_accepts(register)  # our own change, accepted by too few: finish it
         if self._last_proposed is not None and register.version > self._last_proposed.version:
             self.outcome = OperationOutcome(OutcomeKind.UNKNOWN, register)
             return []
         try:
-            if self._change is None:
-                raise ChangeRejectedError
-            value = Register(register.version + 1, self.change_id, self._change(register), register.change_id)
+            next_register = self._next_register(register)
         except ChangeRejectedError:
-            return self._leave_unchanged(register, settled)
-        self._last_proposed = value
-        return self._send_accepts(value)
+            is_chosen = all(vote.accepted_ballot == latest.accepted_ballot for vote in self._votes.values())
+            return self._leave_unchanged(register, is_chosen)
+        self._last_proposed = next_register
+        return self._send_accepts(next_register)
+
+    def _next_register(self, register: Register) -> Register:
+        """The register after the change; raises `ChangeRejectedError` for a read too."""
+        if self._change is None:
+            raise ChangeRejectedError
+        value = self._change(register)
+        return Register(register.version + 1, self.change_id, value, register.change_id)
 
     def _leave_unchanged(self, register: Register, is_chosen: bool) -> OutgoingRequests:
-        """The register stays as it is; but what is not known to be chosen is made so first, and so is all
-        after an accept of ours: guards against its being found and finished later by another.
+        """Finish without a change, after having the present value chosen where that is in doubt.
+
+        That is also done after any accept request of this change: otherwise another proposer could find
+        that value later, and finish it.
         """
         if is_chosen and self._last_proposed is None:
             self.outcome = OperationOutcome(OutcomeKind.UNCHANGED, register)
@@ -217,9 +278,9 @@
         return self._send_accepts(register)
 
     def _finish_accept(self) -> None:
+        """Finish once a majority has accepted."""
         if len(self._votes) < self.quorum.majority:
             return
-        made = self._accept_register.change_id == self.change_id
-        self.outcome = OperationOutcome(
-            OutcomeKind.COMMITTED if made else OutcomeKind.UNCHANGED, self._accept_register
-        )
+        is_own_change = self._accept_register.change_id == self.change_id
+        kind = OutcomeKind.COMMITTED if is_own_change else OutcomeKind.UNCHANGED
+        self.outcome = OperationOutcome(kind, self._accept_register)
--- a/rosepick/consensus/reconfiguration.py
+++ b/rosepick/consensus/reconfiguration.py
@@ -1,10 +1,11 @@
-"""One quorum follows another: sealed, chosen, installed.
-
-Seal: a majority of the old witnesses takes part in nothing of the old epoch any more, so nothing new can be
-chosen in it, and all that was is among what they keep. Choose: the next quorum and the very registers that
-it begins with are one value, chosen by the sealed ones as any register is; whoever else tries comes to the
-same. Install: each new witness begins with these. It is the stopping of a replicated machine by an agreed
-last command (Lamport, Malkhi and Zhou 2010), with registers in place of a log.
+"""Reconfiguration: the step from a quorum to that of the next epoch, in the phases seal, choose and install.
+
+Seal: a majority of the old replicas stops voting in the old epoch, so nothing new can be chosen in it,
+and all that was chosen is among what they have stored. Choose: the new quorum and the registers that it
+starts with are one value, which the sealed replicas choose like that of any register; concurrent
+reconfigurations come to the same one. Install: each new replica starts with these registers. It is the
+stopping of a replicated state machine by an agreed last command (Lamport, Malkhi and Zhou 2010), with
+registers in place of a log.
 """
 
 from __future__ import annotations
@@ -17,18 +18,26 @@
 from . import messages as m
 from .acceptor import merge_register_states
 from .messages import SUCCESSOR_KEY, Quorum, QuorumMember, Register, RegisterState
-from .proposer import BallotGenerator, ChangeRejectedError, OutcomeKind, OutgoingRequests, Proposer
+from .proposer import (
+    BallotGenerator,
+    ChangeRejectedError,
+    OutcomeKind,
+    OutgoingRequest,
+    OutgoingRequests,
+    Proposer,
+    RegisterCommand,
+)
 
 
 class SuccessorQuorum(msgspec.Struct, frozen=True, array_like=True):
-    """What is chosen: who follows, and with what."""
+    """The value that is chosen: the next quorum, and the registers that it starts with."""
 
     quorum: Quorum
     register_states: dict[str, RegisterState]
 
 
 class ReconfigurationPhase(Enum):
-    """How far it has come."""
+    """The replies that a reconfiguration waits for."""
 
     SEAL = "seal"
     CHOOSE = "choose"
@@ -37,19 +46,32 @@
 
 
 def check_member_change(old_quorum: Quorum, members: tuple[QuorumMember, ...]) -> str:
-    """Why these may not follow, if so: one witness goes or comes at a time, a replaced one being both."""
-    names = [one.name for one in members]
-    if len(set(names)) < len(names) or len({one.storage_id for one in members}) < len(members):
+    """Check whether these members may follow a quorum.
+
+    One replica may join or leave at a time; one whose storage was replaced does both.
+
+    Returns:
+        Why they may not, for the operator; an empty text if they may.
+    """
+    names = {member.name for member in members}
+    storages = {member.storage_id for member in members}
+    if len(names) < len(members) or len(storages) < len(members):
         return "a witness would vote twice"
     if not members or len(members) > max(m.QUORUM_SIZES):
         return f"{len(members)} witnesses; 1 to {max(m.QUORUM_SIZES)} make a quorum"
-    if len(set(members) - set(old_quorum.members)) > 1 or len(set(old_quorum.members) - set(members)) > 1:
+    joining = set(members) - set(old_quorum.members)
+    leaving = set(old_quorum.members) - set(members)
+    if len(joining) > 1 or len(leaving) > 1:
         return "one witness at a time"
     return ""
 
 
 class QuorumReconfiguration:
-    """Leads from a quorum to the next; `members` None: whoever was chosen already, else the same ones."""
+    """Leads from a quorum to the next one; driven like a `Proposer`, until `phase` is DONE.
+
+    `members` is None to finish a reconfiguration that another client may have begun: it installs what was
+    chosen already, or else the same members again.
+    """
 
     def __init__(
         self,
@@ -59,99 +81,102 @@
         change_id: str,
         next_request_id: Callable[[], int],
     ) -> None:
-        self.old_quorum, self.new_quorum = (
-            old_quorum,
-            None if members is None else Quorum(old_quorum.fleet_id, old_quorum.epoch + 1, members),
-        )
-        self._ballots, self._change_id, self._next_request_id = ballots, change_id, next_request_id
+        self.old_quorum = old_quorum
+        self.new_quorum = None if members is None else old_quorum.next_epoch(members)
+        self._ballots = ballots
+        self._change_id = change_id
+        self._next_request_id = next_request_id
         self.phase = ReconfigurationPhase.SEAL
-        self.successor: SuccessorQuorum | None = None
-        self.later_quorum: Quorum | None = None  # a quorum of a later epoch is there already
-        self._request_id = 0
-        self._sealed_states: dict[str, dict[str, RegisterState]] = {}
-        self._proposer: Proposer | None = None
+        self.successor: SuccessorQuorum | None = None  # set once it is chosen
+        self.later_quorum: Quorum | None = None  # set if a quorum of a later epoch is installed already
+        self._request_id = 0  # of all requests of the present phase
+        self._sealed_states: dict[str, dict[str, RegisterState]] = {}  # by replica
+        self._proposer: Proposer | None = None  # from the phase CHOOSE on
         self._installed_replicas: set[str] = set()
 
     @property
     def is_preempted(self) -> bool:
-        """Whether another one chooses at the same time: wait a little, then `again`."""
+        """Whether another client chooses the successor at the same time: back off, then `retry`."""
         return self._proposer is not None and self._proposer.is_preempted
 
+    # -- requests
+
     def start(self) -> OutgoingRequests:
         """The first requests."""
         return self._send_seals()
 
     def retry(self) -> OutgoingRequests:
-        """The answers were too few: ask once more."""
-        if self.phase is ReconfigurationPhase.SEAL:
-            return self._send_seals()
-        if self.phase is ReconfigurationPhase.CHOOSE and self._proposer is not None:
-            return self._proposer.retry()
-        return self._send_installs() if self.phase is ReconfigurationPhase.INSTALL else []
+        """The requests of the present phase once more, as replies are missing."""
+        match self.phase:
+            case ReconfigurationPhase.SEAL:
+                return self._send_seals()
+            case ReconfigurationPhase.CHOOSE if self._proposer is not None:
+                return self._proposer.retry()
+            case ReconfigurationPhase.INSTALL:
+                return self._send_installs()
+        return []
 
     def _send_seals(self) -> OutgoingRequests:
-        self._request_id, self._sealed_states = self._next_request_id(), {}
-        return [
-            (one.name, m.SealEpochRequest(self._request_id, self.old_quorum.fleet_id, self.old_quorum.epoch))
-            for one in self.old_quorum.members
-        ]
+        quorum = self.old_quorum
+        self._request_id = self._next_request_id()
+        self._sealed_states = {}
+        request = m.SealEpochRequest(self._request_id, quorum.fleet_id, quorum.epoch)
+        return [OutgoingRequest(member.name, request) for member in quorum.members]
 
     def _send_installs(self) -> OutgoingRequests:
         assert self.successor is not None
+        quorum = self.successor.quorum
         self._request_id = self._next_request_id()
-        return [
-            (
-                one.name,
-                m.InstallEpochRequest(
-                    self._request_id, self.successor.quorum, self.successor.register_states
-                ),
-            )
-            for one in self.successor.quorum.members
-        ]
+        request = m.InstallEpochRequest(self._request_id, quorum, self.successor.register_states)
+        return [OutgoingRequest(member.name, request) for member in quorum.members]
+
+    # -- replies
 
     def handle_reply(self, replica: str, reply: m.QuorumReply) -> OutgoingRequests:
-        """What follows from one witness's answer."""
+        """Take a replica's reply, and return the requests that follow from it."""
         if isinstance(reply, m.WrongEpochReply) and reply.quorum is not None:
-            if (
-                reply.quorum.epoch > self.old_quorum.epoch
-                and reply.quorum.fleet_id == self.old_quorum.fleet_id
-            ):
-                self.later_quorum = reply.quorum
+            self._observe_quorum(reply.quorum)
             return []
         if self.phase is ReconfigurationPhase.SEAL and isinstance(reply, m.SealEpochReply):
             return self._handle_seal_reply(replica, reply)
         if self.phase is ReconfigurationPhase.CHOOSE and self._proposer is not None:
-            return self._finish_choice(self._proposer.handle_reply(replica, reply))
+            requests = self._proposer.handle_reply(replica, reply)
+            return self._finish_choice(self._proposer, requests)
         if self.phase is ReconfigurationPhase.INSTALL and isinstance(reply, m.AcceptReply):
             self._handle_install_reply(replica, reply)
         return []
 
+    def _observe_quorum(self, quorum: Quorum) -> None:
+        if quorum.epoch > self.old_quorum.epoch and quorum.fleet_id == self.old_quorum.fleet_id:
+            self.later_quorum = quorum
+
     def _handle_seal_reply(self, replica: str, reply: m.SealEpochReply) -> OutgoingRequests:
         if reply.request_id != self._request_id or not self.old_quorum.has_member(replica, reply.storage_id):
             return []
         self._sealed_states[replica] = reply.register_states
         if len(self._sealed_states) < self.old_quorum.majority:
             return []
-        new = self.new_quorum or Quorum(
-            self.old_quorum.fleet_id, self.old_quorum.epoch + 1, self.old_quorum.members
-        )
-        value = msgspec.msgpack.encode(
-            SuccessorQuorum(new, merge_register_states(list(self._sealed_states.values())))
-        )
-
-        def first(register: Register) -> bytes:
+        self.phase = ReconfigurationPhase.CHOOSE
+        self._proposer = self._successor_proposer()
+        return self._proposer.start()
+
+    def _successor_proposer(self) -> Proposer:
+        """The proposer that has the successor chosen, from the registers of a sealed majority."""
+        quorum = self.new_quorum or self.old_quorum.next_epoch(self.old_quorum.members)
+        register_states = merge_register_states(list(self._sealed_states.values()))
+        value = msgspec.msgpack.encode(SuccessorQuorum(quorum, register_states))
+
+        def choose_first(register: Register) -> bytes:
             if register.version:
-                raise ChangeRejectedError  # another has chosen: theirs it is
+                raise ChangeRejectedError  # another client's successor was chosen: it is installed
             return value
 
-        self.phase = ReconfigurationPhase.CHOOSE
-        self._proposer = Proposer(
-            self.old_quorum, SUCCESSOR_KEY, first, self._ballots, self._change_id, self._next_request_id
-        )
-        return self._proposer.start()
+        command = RegisterCommand(SUCCESSOR_KEY, choose_first, self._change_id)
+        return Proposer(self.old_quorum, command, self._ballots, self._next_request_id)
 
-    def _finish_choice(self, requests: OutgoingRequests) -> OutgoingRequests:
-        outcome = self._proposer.outcome if self._proposer else None
+    def _finish_choice(self, proposer: Proposer, requests: OutgoingRequests) -> OutgoingRequests:
+        """Go on to the phase INSTALL if the successor is chosen; else return the proposer's next requests."""
+        outcome = proposer.outcome
         if outcome is None or outcome.kind not in (OutcomeKind.COMMITTED, OutcomeKind.UNCHANGED):
             return requests
         self.successor = msgspec.msgpack.decode(outcome.register.value, type=SuccessorQuorum)
@@ -160,9 +185,8 @@
 
     def _handle_install_reply(self, replica: str, reply: m.AcceptReply) -> None:
         assert self.successor is not None
-        if reply.request_id == self._request_id and self.successor.quorum.has_member(
-            replica, reply.storage_id
-        ):
+        quorum = self.successor.quorum
+        if reply.request_id == self._request_id and quorum.has_member(replica, reply.storage_id):
             self._installed_replicas.add(replica)
-            if len(self._installed_replicas) >= self.successor.quorum.majority:
+            if len(self._installed_replicas) >= quorum.majority:
                 self.phase = ReconfigurationPhase.DONE
--- a/rosepick/coordination/acceptor_store.py
+++ b/rosepick/coordination/acceptor_store.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from ..consensus.acceptor import AcceptorState, StateChanges
+from ..consensus.acceptor import AcceptorState, StateChanges, StorageStart
 from ..consensus.messages import Quorum, RegisterState
 
 T = TypeVar("T")
@@ -104,7 +104,10 @@
             name: msgspec.msgpack.decode(blob, type=RegisterState)
             for name, blob in self._db.execute("select name, slot from slots")
         }
-        met = {storage: (starts, run) for storage, starts, run in self._db.execute("select * from met")}
+        met = {
+            storage: StorageStart(starts, run)
+            for storage, starts, run in self._db.execute("select * from met")
+        }
         self.state = AcceptorState(
             storage,
             starts,
--- a/rosepick/coordination/quorum_client.py
+++ b/rosepick/coordination/quorum_client.py
@@ -9,7 +9,14 @@
 from typing import Protocol
 
 from ..consensus import messages as m
-from ..consensus.proposer import BallotGenerator, OperationOutcome, OutgoingRequests, Proposer, RegisterChange
+from ..consensus.proposer import (
+    BallotGenerator,
+    OperationOutcome,
+    OutgoingRequests,
+    Proposer,
+    RegisterChange,
+    RegisterCommand,
+)
 from ..consensus.reconfiguration import QuorumReconfiguration, ReconfigurationPhase
 from ..logs import log_event
 from ..net.event_loop import EventLoop, ScheduledCall
@@ -215,7 +222,8 @@
 
     def _new_proposer(self, key: str, change: RegisterChange | None) -> Proposer:
         quorum = self.quorum or m.Quorum("", 0, ())
-        return Proposer(quorum, key, change, self._ballots, self._new_change_id(), self.next_request_id)
+        command = RegisterCommand(key, change, self._new_change_id())
+        return Proposer(quorum, command, self._ballots, self.next_request_id)
 
     # -- operations
 
--- a/rosepick/lab/drill/lease_benchmark.py
+++ b/rosepick/lab/drill/lease_benchmark.py
@@ -266,7 +266,7 @@
         sizes = []
         for number in range(1, renewals + 1):
             value = Register(number, f"{number:016x}", bytes(80))
-            _, changes = witness.handle(m.AcceptRequest(number, "f", 1, "k", (number, 1), value))
+            _, changes = witness.handle(m.AcceptRequest(number, "f", 1, "k", m.Ballot(number, 1), value))
             store.save(changes)
             if number in (renewals // 10, renewals):
                 sizes.append(sum(path.stat().st_size for path in Path(scratch).iterdir()))
--- a/rosepick/lab/drill/model_checker.py
+++ b/rosepick/lab/drill/model_checker.py
@@ -16,7 +16,7 @@
 from ...consensus import messages as m
 from ...consensus.acceptor import Acceptor, AcceptorState
 from ...consensus.messages import NO_BALLOT, Ballot, Quorum, QuorumMember
-from ...consensus.proposer import BallotGenerator, OutcomeKind, Proposer
+from ...consensus.proposer import BallotGenerator, OutcomeKind, OutgoingRequests, Proposer, RegisterCommand
 
 InFlightMessage = tuple[int, int, bool, m.QuorumMessage]  # caller, witness, to the witness, and what
 
@@ -53,7 +53,10 @@
         for who in (1, 2):
             mark = "ab"[who - 1]
             operation = Proposer(
-                quorum, "k", lambda register: b"", BallotGenerator(who), mark, self._next_request_number
+                quorum,
+                RegisterCommand("k", lambda register: b"", mark),
+                BallotGenerator(who),
+                self._next_request_number,
             )
             self.proposers.append(operation)
             self._send(who - 1, operation.start())
@@ -62,7 +65,7 @@
         self.numbers[0] += 1
         return self.numbers[0]
 
-    def _send(self, caller: int, sends: list[tuple[str, m.QuorumRequest]]) -> None:
+    def _send(self, caller: int, sends: OutgoingRequests) -> None:
         self.in_flight += [(caller, int(name), True, request) for name, request in sends]
 
     def clone(self) -> RegisterModel:
--- a/tests/golden_command_forms.py
+++ b/tests/golden_command_forms.py
@@ -21,7 +21,7 @@
 from rosepick.cli.app import command_line
 from rosepick.consensus import messages
 from rosepick.consensus.acceptor import Acceptor
-from rosepick.consensus.messages import Register, RegisterState
+from rosepick.consensus.messages import Ballot, Register, RegisterState
 from rosepick.coordination import quorum_client
 from rosepick.fleet import fleet_state, rollout_state
 from rosepick.leases import lease_record
@@ -169,7 +169,10 @@
         fleet_state.fleet_state_key("main"): fleet_state.encode_fleet_state(ledger_value()),
         rollout_state.rollout_state_key("main"): rollout_state.encode_rollout_state(release_value()),
     }
-    return {name: RegisterState((1, 7), (1, 7), Register(1, "a1", value)) for name, value in values.items()}
+    return {
+        name: RegisterState(Ballot(1, 7), Ballot(1, 7), Register(1, "a1", value))
+        for name, value in values.items()
+    }
 
 
 def in_memory(loop: Any, witnesses: Mapping[str, object], key: bytes) -> Callable[..., Mapping[str, Any]]:
--- a/tests/golden_quorum_forms.py
+++ b/tests/golden_quorum_forms.py
@@ -14,8 +14,8 @@
 
 from rosepick.consensus import codec, messages
 from rosepick.consensus.acceptor import Acceptor
-from rosepick.consensus.messages import Quorum, QuorumMember, Register, RegisterState
-from rosepick.consensus.proposer import BallotGenerator, Proposer
+from rosepick.consensus.messages import Ballot, Quorum, QuorumMember, Register, RegisterState
+from rosepick.consensus.proposer import BallotGenerator, Proposer, RegisterCommand
 from rosepick.consensus.reconfiguration import QuorumReconfiguration
 from rosepick.coordination.acceptor_store import AcceptorStore, SqliteFencingTokenStore
 from rosepick.leases import lease_record
@@ -33,13 +33,13 @@
 QUORUM = Quorum("f1ee7", 1, tuple(QuorumMember(name, f"storage-{name}") for name in NAMES))
 NEXT_QUORUM = Quorum("f1ee7", 2, (*QUORUM.members[:2], QuorumMember("w4", "storage-w4")))
 REGISTER = Register(3, "00000000000000ab", b"\x00value\xff", "00000000000000aa")
-SLOT = RegisterState((5, 7), (4, 9), REGISTER)
+SLOT = RegisterState(Ballot(5, 7), Ballot(4, 9), REGISTER)
 NUMBER = 2**40 + 1
 STORAGE = "storage-w1"
 
 REQUESTS = {
-    1: messages.PrepareRequest(NUMBER, "f1ee7", 1, "lease/job", (5, 7)),
-    2: messages.AcceptRequest(NUMBER, "f1ee7", 1, "lease/job", (5, 7), REGISTER),
+    1: messages.PrepareRequest(NUMBER, "f1ee7", 1, "lease/job", Ballot(5, 7)),
+    2: messages.AcceptRequest(NUMBER, "f1ee7", 1, "lease/job", Ballot(5, 7), REGISTER),
     3: messages.ReadRequest(NUMBER, "f1ee7", 1, "lease/job"),
     4: messages.ListKeysRequest(NUMBER, "f1ee7", 1, "lease/"),
     5: messages.SealEpochRequest(NUMBER, "f1ee7", 1),
@@ -48,12 +48,12 @@
     8: messages.StatusRequest(NUMBER),
 }
 ANSWERS = {
-    21: messages.PromiseReply(NUMBER, STORAGE, (4, 9), REGISTER),
+    21: messages.PromiseReply(NUMBER, STORAGE, Ballot(4, 9), REGISTER),
     22: messages.AcceptReply(NUMBER, STORAGE),
-    23: messages.ReadReply(NUMBER, STORAGE, (4, 9), REGISTER),
+    23: messages.ReadReply(NUMBER, STORAGE, Ballot(4, 9), REGISTER),
     24: messages.ListKeysReply(NUMBER, STORAGE, ("lease/job", "lease/new")),
     25: messages.SealEpochReply(NUMBER, STORAGE, {"lease/job": SLOT}),
-    26: messages.BallotConflictReply(NUMBER, STORAGE, (6, 11)),
+    26: messages.BallotConflictReply(NUMBER, STORAGE, Ballot(6, 11)),
     27: messages.WrongEpochReply(NUMBER, STORAGE, NEXT_QUORUM, True),
     28: messages.RestartCheckReply(NUMBER, STORAGE, 4, "run-1", NEXT_QUORUM, {"lease/job": SLOT}),
     29: messages.StatusReply(NUMBER, STORAGE, "w1", 4, True, False, QUORUM, 2, 12.5),
@@ -130,31 +130,31 @@
     m = messages
     return [
         ask(m.StatusRequest),
-        ask(m.PrepareRequest, fleet, 1, name, (1, 7)),
+        ask(m.PrepareRequest, fleet, 1, name, Ballot(1, 7)),
         ask(m.InstallEpochRequest, QUORUM, {}),
         ask(m.InstallEpochRequest, Quorum("other", 1, QUORUM.members), {}),
-        ask(m.PrepareRequest, fleet, 1, name, (5, 7)),
-        ask(m.AcceptRequest, fleet, 1, name, (5, 7), REGISTER),
-        ask(m.AcceptRequest, fleet, 1, name, (5, 7), later),
+        ask(m.PrepareRequest, fleet, 1, name, Ballot(5, 7)),
+        ask(m.AcceptRequest, fleet, 1, name, Ballot(5, 7), REGISTER),
+        ask(m.AcceptRequest, fleet, 1, name, Ballot(5, 7), later),
         ask(m.ReadRequest, fleet, 1, name),
         ask(m.ReadRequest, fleet, 1, "lease/none"),
-        ask(m.PrepareRequest, fleet, 1, name, (4, 9)),
-        ask(m.AcceptRequest, fleet, 1, name, (4, 9), later),
-        ask(m.PrepareRequest, fleet, 1, name, (6, 9)),
-        ask(m.AcceptRequest, fleet, 1, "k" * 201, (6, 9), later),
+        ask(m.PrepareRequest, fleet, 1, name, Ballot(4, 9)),
+        ask(m.AcceptRequest, fleet, 1, name, Ballot(4, 9), later),
+        ask(m.PrepareRequest, fleet, 1, name, Ballot(6, 9)),
+        ask(m.AcceptRequest, fleet, 1, "k" * 201, Ballot(6, 9), later),
         ask(m.ListKeysRequest, fleet, 1, "lease/"),
-        ask(m.PrepareRequest, "other", 1, name, (9, 9)),
-        ask(m.PrepareRequest, fleet, 9, name, (9, 9)),
+        ask(m.PrepareRequest, "other", 1, name, Ballot(9, 9)),
+        ask(m.PrepareRequest, fleet, 9, name, Ballot(9, 9)),
         ask(m.RestartCheckRequest, fleet, "storage-w2", 3, "run-2", 1),
         ask(m.RestartCheckRequest, fleet, "storage-w2", 4, "run-3", 0),
         ask(m.SealEpochRequest, fleet, 1),
         ask(m.ReadRequest, fleet, 1, name),
-        ask(m.PrepareRequest, fleet, 1, m.SUCCESSOR_KEY, (7, 7)),
+        ask(m.PrepareRequest, fleet, 1, m.SUCCESSOR_KEY, Ballot(7, 7)),
         ask(m.StatusRequest),
         ask(m.InstallEpochRequest, NEXT_QUORUM, {name: SLOT}),
         ask(m.ReadRequest, fleet, 2, name),
-        ask(m.AcceptRequest, fleet, 2, "lease/two", (1, 7), later),
-        ask(m.PrepareRequest, fleet, 2, "lease/two", (2, 9)),
+        ask(m.AcceptRequest, fleet, 2, "lease/two", Ballot(1, 7), later),
+        ask(m.PrepareRequest, fleet, 2, "lease/two", Ballot(2, 9)),
         ask(m.StatusRequest),
     ]
 
@@ -189,7 +189,7 @@
         if members is not None:
             exchange(name, codec.encode_frame(messages.InstallEpochRequest(number(), members, {}), KEY))
     rounds, others = BallotGenerator(7), BallotGenerator(11)
-    others.observe((4, 7))
+    others.observe(Ballot(4, 7))
     for change, by, mark in (
         (lease_record.acquire(lease_record.LeaseRecord(), 7, "one", 10_000.0), rounds, "a1"),
         (None, rounds, "a2"),
@@ -197,7 +197,7 @@
         (lease_record.renew(7, 1, 10_000.0), rounds, "a4"),
         (lease_record.renew(8, 1, 10_000.0), rounds, "a5"),
     ):
-        operation = Proposer(QUORUM, "lease/job", change, by, mark, number)
+        operation = Proposer(QUORUM, RegisterCommand("lease/job", change, mark), by, number)
         _run(operation, operation.start(), exchange)
         if operation.outcome is None:
             _run(operation, operation.retry(), exchange)
@@ -301,8 +301,8 @@
             )
         requests: list[messages.QuorumRequest] = [
             messages.ReadRequest(1, "f1ee7", 2, "lease/job"),
-            messages.PrepareRequest(2, "f1ee7", 2, "lease/two", (2, 8)),
-            messages.PrepareRequest(3, "f1ee7", 2, "lease/two", (2, 10)),
+            messages.PrepareRequest(2, "f1ee7", 2, "lease/two", Ballot(2, 8)),
+            messages.PrepareRequest(3, "f1ee7", 2, "lease/two", Ballot(2, 10)),
             messages.RestartCheckRequest(4, "f1ee7", "storage-w2", 4, "run-3", 2),
         ]
         found: list[object] = [witness.handle(request)[0] for request in requests]
@@ -314,16 +314,18 @@
     """Return what `answers_from_store` is to give for the store of `replica_session`."""
     two = Register(4, "00000000000000ac", b"later", "00000000000000ab")
     return [
-        messages.ReadReply(1, STORAGE, (4, 9), REGISTER),
-        messages.BallotConflictReply(2, STORAGE, (2, 9)),
-        messages.PromiseReply(3, STORAGE, (1, 7), two),
+        messages.ReadReply(1, STORAGE, Ballot(4, 9), REGISTER),
+        messages.BallotConflictReply(2, STORAGE, Ballot(2, 9)),
+        messages.PromiseReply(3, STORAGE, Ballot(1, 7), two),
         messages.RestartCheckReply(4, STORAGE, 4, "run-3", None, {}),
     ]
 
 
 def replica_holds() -> list[object]:
     """Return what the store of `replica_session` holds when it is opened for the second time."""
-    two = RegisterState((2, 9), (1, 7), Register(4, "00000000000000ac", b"later", "00000000000000ab"))
+    two = RegisterState(
+        Ballot(2, 9), Ballot(1, 7), Register(4, "00000000000000ac", b"later", "00000000000000ab")
+    )
     slots = {"lease/job": SLOT, "lease/two": two}
     return [STORAGE, 2, NEXT_QUORUM, False, slots, {"storage-w2": (4, "run-3")}, False]
 
