--- a/rosepick/cli/lease.py
+++ b/rosepick/cli/lease.py
@@ -21,6 +21,7 @@
     from ..consensus import messages as m
     from ..consensus.proposer import OperationOutcome
     from ..coordination.quorum_client import QuorumClient
+    from ..leases.lease_record import LeaseRecord
     from ..settings.fleet_file import FleetFile
 
 witness = typer.Typer(no_args_is_help=True, help="Witnesses: the processes that keep what a fleet agrees on.")
@@ -390,24 +391,32 @@
     )
 
 
-def _print_leases(leases: dict[str, Any], as_json: bool) -> None:
-    import msgspec
+def _lease_as_json(record: LeaseRecord) -> dict[str, object]:
+    """The document of `--json`; its keys are an interface, whatever the fields are called."""
+    return {
+        "token": record.token,
+        "held": record.is_held,
+        "who": record.owner_id,
+        "name": record.owner_name,
+        "beat": record.renewal_count,
+        "ttl": record.ttl_ms,
+        "line": [waiter.name for waiter in record.queue],
+        "note": record.note,
+    }
+
 
+def _print_leases(leases: dict[str, LeaseRecord], as_json: bool) -> None:
     if as_json:
-        print(
-            json.dumps(
-                {
-                    task: msgspec.structs.asdict(one) | {"line": [w.name for w in one.line]}
-                    for task, one in leases.items()
-                }
-            )
-        )
+        print(json.dumps({task: _lease_as_json(record) for task, record in leases.items()}))
         return
-    for task, one in leases.items():
-        holder = (one.name or "nobody, until its last holder's time is over") if one.held else "free"
-        line = f", in line: {', '.join(waiter.name for waiter in one.line)}" if one.line else ""
-        note = f" ({one.note})" if one.note else ""
-        print(f"{task}: {holder}, token {one.token}, renewed {one.beat} times{line}{note}")
+    for task, record in leases.items():
+        holder = "free"
+        if record.is_held:
+            holder = record.owner_name or "nobody, until its last holder's time is over"
+        names = ", ".join(waiter.name for waiter in record.queue)
+        queue = f", in line: {names}" if record.queue else ""
+        note = f" ({record.note})" if record.note else ""
+        print(f"{task}: {holder}, token {record.token}, renewed {record.renewal_count} times{queue}{note}")
 
 
 @lease.command()
--- a/rosepick/lab/drill/harness.py
+++ b/rosepick/lab/drill/harness.py
@@ -562,15 +562,15 @@
         client = self._create_client()
         for task in self.tasks:
             now = self._read_lease_record(client, task)
-            if now.held and now.name in self.workers:
-                self.processes[now.name].kill()
+            if now.is_held and now.owner_name in self.workers:
+                self.processes[now.owner_name].kill()
                 self._takeover = (
                     task,
                     drill_clock(),
-                    now.who,
-                    1.1 * self.drill.leases.ttl + 1.0 + 0.15 * len(now.line),
+                    now.owner_id,
+                    1.1 * self.drill.leases.ttl + 1.0 + 0.15 * len(now.queue),
                 )
-                self._record_fault("kill", now.name, "for good")
+                self._record_fault("kill", now.owner_name, "for good")
                 break
         client.close()
         if self._takeover is not None:
--- a/rosepick/leases/__init__.py
+++ b/rosepick/leases/__init__.py
@@ -1,3 +1,4 @@
-"""Who does a task of the whole fleet: leases, their tokens, and the guard of what is acted on. No I/O, no
-clock.
+"""Leases on tasks of the whole fleet: the record, the client, fencing tokens and the guard that checks them.
+
+Nothing in this package does I/O or reads a clock; `rosepick.coordination` drives it.
 """
--- a/rosepick/leases/lease_client.py
+++ b/rosepick/leases/lease_client.py
@@ -1,15 +1,15 @@
-"""One process that wants a task's lease, holds it, or waits for it: a machine without clock and I/O.
-
-    WAITS     another holds it, or others stand before this one
-    HOLDS     the lease is this one's; `may_act` says yes until a good time before its end
-    LOST      it was this one's and is no more; `may_act` never says yes again under that token
-    ENDED     given back, or not wanted any more
-
-Times are milliseconds of this process's own clock, one that goes on while the machine sleeps. No two clocks
-are compared: the holder counts from before it asked, and takes its clock for the slowest there may be; who
-waits counts from when it saw the record change last, and takes its own for the fastest. So the holder's time
-is over before the other's, whatever the two clocks show (Gray and Cheriton 1989 give the rule for leases;
-drift as a bound on the rate).
+"""The client side of one task's lease: a state machine that waits for the lease, holds it and renews it.
+
+    WAITING   another client holds the lease, or others are before this one in the queue
+    HELD      this client holds the lease; `may_act` is true until a safety margin before its end
+    LOST      this client held the lease and does not any more; `may_act` is false from now on
+    ENDED     the lease was released, or is not wanted any more
+
+Times are milliseconds of this process's own clock, which goes on while the machine sleeps. No two clocks
+are compared: the holder counts from before it sent its request, as if its clock were the slowest there
+may be; a client that waits counts from when it last saw the record change, as if its clock were the
+fastest. So the holder's time is over before the other's, whatever the two clocks show (Gray and Cheriton
+1989 give the rule for leases; drift is a bound on the rates of clocks).
 """
 
 from __future__ import annotations
@@ -17,26 +17,36 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from ..consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
 from . import lease_record
 from .lease_record import LeaseRecord
 
-RENEW_INTERVAL_SHARE = 1 / 3  # of the time to live, between renewals
-POLL_INTERVAL_SHARE = 1 / 14  # likewise, between two looks at a lease that another one holds ...
-MIN_POLL_INTERVAL_MS, MAX_POLL_INTERVAL_MS = 30.0, 400.0  # ... but within these, in milliseconds
-RETRY_DELAY_SHARE = 1 / 12  # likewise, until a renewal that has failed is tried again
-# milliseconds that each one in line has for itself before the next may take a free lease ...
+# shares of the time to live
+RENEW_INTERVAL_SHARE = 1 / 3  # between renewals
+POLL_INTERVAL_SHARE = 1 / 14  # between reads of a lease that another client holds, within the limits below
+RETRY_DELAY_SHARE = 1 / 12  # until a renewal that has failed is tried again, on average
+SAFETY_MARGIN_SHARE = 0.05  # `may_act` is false this long before the lease's end
+DOUBT_THRESHOLD_SHARE = 0.4  # a lease with less time left is in doubt: renewals do not come through
+
+MIN_POLL_INTERVAL_MS = 30.0
+MAX_POLL_INTERVAL_MS = 400.0
+# each client in the queue has a free lease to itself for so long before the next one may take it
 QUEUE_TURN_MS = 150.0
-FIRST_IN_QUEUE_POLL_INTERVAL_MS = 100.0  # ... in which the first in line looks at least once
-SAFETY_MARGIN_SHARE = 0.05  # of the time to live: `may_act` says no so long before the end
-DOUBT_THRESHOLD_SHARE = 0.4  # of the time to live: less than this is left, so no renewal has come through
+FIRST_IN_QUEUE_POLL_INTERVAL_MS = 100.0  # shorter than a turn, so that the first does not miss its own
+
+# polls are spread over 0.7 to 1.3 times the interval, and retries over 0.5 to 1.5 times the delay
+MIN_POLL_JITTER = 0.7
+POLL_JITTER_RANGE = 0.6
+MIN_RETRY_JITTER = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseConfig:
-    """How a lease is held. `max_clock_drift`: by which part of it a clock's rate may be off, for all clocks
-    there are.
+    """How a lease is held.
+
+    `max_clock_drift` is the share by which the rate of any clock in the fleet may be off.
     """
 
     ttl_ms: float = 10_000.0
@@ -45,16 +55,16 @@
 
     @property
     def holder_timeout_ms(self) -> float:
-        """What a holder's own clock may show until it may not act any more."""
+        """How long a holder may act, by its own clock."""
         return self.ttl_ms * (1.0 - self.max_clock_drift)
 
     def takeover_timeout_ms(self, ttl_ms: float) -> float:
-        """What another one's clock must show until the holder's time is over."""
+        """How long another client waits, by its own clock, until a holder's time to live is over."""
         return ttl_ms * (1.0 + self.max_clock_drift)
 
 
 class LeaseState(Enum):
-    """What a contender is."""
+    """The state of a lease client; see the module's description."""
 
     WAITING = "waits"
     HELD = "holds"
@@ -64,200 +74,243 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseOperation:
-    """A register is to be read, or changed."""
+    """An operation that the driver has to run on the quorum: a change, or a read if `change` is None."""
 
     key: str
     change: RegisterChange | None
 
 
+class _OperationKind(Enum):
+    """What a pending operation is for."""
+
+    READ = "read"
+    ACQUIRE = "acquire"
+    RENEW = "renew"
+    RELEASE = "release"
+    JOIN_QUEUE = "join queue"
+    LEAVE_QUEUE = "leave queue"
+
+
+class _PlannedOperation(NamedTuple):
+    kind: _OperationKind
+    change: RegisterChange | None
+
+
 class LeaseClient:
-    """Asks for one task's lease. One question is open at a time: `next_operation`, then `handle_outcome`."""
+    """Acquires, renews and releases one task's lease.
+
+    The driver calls `next_operation`, runs what it returns and passes the outcome to `handle_outcome`;
+    one operation is pending at a time. `owner_id` is drawn at each start of the process, and `jitter`
+    returns random numbers from 0 to 1.
+    """
 
     def __init__(
         self, task: str, name: str, owner_id: int, config: LeaseConfig, jitter: Callable[[], float]
     ) -> None:
-        self.task, self.name, self.owner_id, self.config = task, name, owner_id, config
-        self._jitter = jitter  # from 0 to 1, drawn by the driver
+        self.task = task
+        self.name = name
+        self.owner_id = owner_id
+        self.config = config
+        self._jitter = jitter
         self.state = LeaseState.WAITING
         self.token = 0  # of the lease that is or was held
-        self.renewal_count = 0  # how often
-        self.known_record: LeaseRecord | None = None
-        self._expires_at = 0.0  # the lease's end, on this clock
-        self._record_changed_at = 0.0  # when the record was last seen to change
-        self._operation_started_at: float | None = None  # a question is open since then
-        self._operation_kind: str = ""
-        self._next_operation_at = 0.0  # when to ask again
+        self.renewal_count = 0
+        self.known_record: LeaseRecord | None = None  # as it was last read
+        self._expires_at = 0.0  # end of the lease
+        self._record_changed_at = 0.0  # when the record was last seen to have changed
+        self._operation_started_at: float | None = None  # None if no operation is pending
+        self._operation_kind: _OperationKind | None = None
+        self._next_operation_at = 0.0
         self._release_requested = False
         self._successor = ""
 
-    # -- what the work asks
+    # -- for the holder's work
 
     def may_act(self, now: float) -> bool:
-        """Whether a step of work may be taken now. To be asked before each."""
-        return (
-            self.state is LeaseState.HELD
-            and not self._release_requested
-            and now < self._expires_at - SAFETY_MARGIN_SHARE * self.config.ttl_ms
-        )
+        """Whether a step of work may be taken now; to be checked before each step."""
+        if self.state is not LeaseState.HELD or self._release_requested:
+            return False
+        return now < self._acting_ends_at()
 
     def remaining_ms(self, now: float) -> float:
-        """Milliseconds until nobody may act under this lease any more, should no renewal come through; also
-        after it was taken away, as who comes next waits for that.
+        """Milliseconds until nobody may act under this lease any more, should no renewal come through.
+
+        That also holds after the lease was taken away, as the next holder waits for it.
         """
-        return max(0.0, self._expires_at - SAFETY_MARGIN_SHARE * self.config.ttl_ms - now)
+        return max(0.0, self._acting_ends_at() - now)
+
+    def _acting_ends_at(self) -> float:
+        return self._expires_at - SAFETY_MARGIN_SHARE * self.config.ttl_ms
 
     def is_in_doubt(self, now: float) -> bool:
-        """Whether the lease is held and has not been renewed for long."""
-        return (
-            self.state is LeaseState.HELD
-            and self._expires_at - now < DOUBT_THRESHOLD_SHARE * self.config.ttl_ms
-        )
+        """Whether the lease is held and was not renewed for long."""
+        remaining = self._expires_at - now
+        return self.state is LeaseState.HELD and remaining < DOUBT_THRESHOLD_SHARE * self.config.ttl_ms
 
     def release(self, successor: str = "") -> None:
-        """The work has stopped, or is not to be begun. From now on `may_act` says no."""
-        self._release_requested, self._successor, self._next_operation_at = True, successor, 0.0
+        """Release the lease, or stop waiting for it; `may_act` is false from now on.
+
+        To be called when the work has stopped. A successor is put first in the queue, by its name.
+        """
+        self._release_requested = True
+        self._successor = successor
+        self._next_operation_at = 0.0
         if self.state in (LeaseState.LOST, LeaseState.ENDED):
             self.state = LeaseState.ENDED
 
-    # -- what the driver asks
+    # -- for the driver
 
     def next_wakeup(self, now: float) -> float:
-        """When `ask` has something next, should nothing be answered before."""
+        """When to call `next_operation` again, if no outcome comes before."""
         if self.state is LeaseState.HELD:
             return min(self._next_operation_at, max(now, self._expires_at))
         return self._next_operation_at
 
     def next_operation(self, now: float) -> LeaseOperation | None:
-        """A question, if it is time for one and none is open."""
+        """The next operation, if it is time for one and none is pending."""
         self._check_expiry(now)
-        if (
-            self._operation_started_at is not None
-            or now < self._next_operation_at
-            or self.state in (LeaseState.LOST, LeaseState.ENDED)
-        ):
+        if self._operation_started_at is not None or now < self._next_operation_at:
+            return None
+        if self.state in (LeaseState.LOST, LeaseState.ENDED):
             return None
-        self._operation_kind, change = self._choose_operation(now)
-        if self._operation_kind == "end":
+        operation = self._plan_operation(now)
+        if operation is None:
+            self._operation_kind = None
             self.state = LeaseState.ENDED
             return None
+        self._operation_kind = operation.kind
         self._operation_started_at = now
-        return LeaseOperation(lease_record.register_key(self.task), change)
+        return LeaseOperation(lease_record.register_key(self.task), operation.change)
 
     def _check_expiry(self, now: float) -> None:
         if self.state is LeaseState.HELD and now >= self._expires_at:
-            self.state = LeaseState.ENDED if self._release_requested else LeaseState.LOST
+            self._end_holding()
 
-    def _choose_operation(self, now: float) -> tuple[str, RegisterChange | None]:
+    def _end_holding(self) -> None:
+        self.state = LeaseState.ENDED if self._release_requested else LeaseState.LOST
+
+    def _plan_operation(self, now: float) -> _PlannedOperation | None:
+        """Choose the next operation; None if there is nothing left to do."""
         if self.state is LeaseState.HELD:
-            if self._release_requested:
-                return "give back", lease_record.release(self.owner_id, self.token, self._successor)
-            return "renew", lease_record.renew(self.owner_id, self.token, self.config.ttl_ms)
+            return self._plan_as_owner(self.token)
         if self.known_record is not None and self._owns_record():
-            # of when it was granted nothing is known: it is held from a renewal on, and not before
-            if self._release_requested:
-                return "give back", lease_record.release(
-                    self.owner_id, self.known_record.token, self._successor
-                )
-            return "renew", lease_record.renew(self.owner_id, self.known_record.token, self.config.ttl_ms)
+            # it is not known when the lease was granted: it is held from a renewal on, and not before
+            return self._plan_as_owner(self.known_record.token)
+        if self._release_requested:
+            return self._plan_leaving()
+        return self._plan_waiting(now)
+
+    def _plan_as_owner(self, token: int) -> _PlannedOperation:
         if self._release_requested:
-            in_line = self.known_record is not None and any(
-                one.owner_id == self.owner_id for one in self.known_record.line
-            )
-            return ("leave", lease_record.leave_queue(self.owner_id)) if in_line else ("end", None)
+            change = lease_record.release(self.owner_id, token, self._successor)
+            return _PlannedOperation(_OperationKind.RELEASE, change)
+        change = lease_record.renew(self.owner_id, token, self.config.ttl_ms)
+        return _PlannedOperation(_OperationKind.RENEW, change)
+
+    def _plan_leaving(self) -> _PlannedOperation | None:
+        queue = self.known_record.queue if self.known_record is not None else ()
+        if any(waiter.owner_id == self.owner_id for waiter in queue):
+            return _PlannedOperation(_OperationKind.LEAVE_QUEUE, lease_record.leave_queue(self.owner_id))
+        return None
+
+    def _plan_waiting(self, now: float) -> _PlannedOperation:
         if self.known_record is None:
-            return "look", None
+            return _PlannedOperation(_OperationKind.READ, None)
         if self._may_acquire(now):
-            return "take", lease_record.acquire(
-                self.known_record, self.owner_id, self.name, self.config.ttl_ms
-            )
-        if (
-            self._queue_position() is None
-            and self.config.joins_queue
-            and len(self.known_record.line) < lease_record.MAX_QUEUE_LENGTH
-        ):
-            return "line", lease_record.join_queue(self.owner_id, self.name)
-        return "look", None
+            change = lease_record.acquire(self.known_record, self.owner_id, self.name, self.config.ttl_ms)
+            return _PlannedOperation(_OperationKind.ACQUIRE, change)
+        if self._wants_to_join(self.known_record):
+            change = lease_record.join_queue(self.owner_id, self.name)
+            return _PlannedOperation(_OperationKind.JOIN_QUEUE, change)
+        return _PlannedOperation(_OperationKind.READ, None)
 
     def _owns_record(self) -> bool:
-        """An answer was lost, and the lease is this one's."""
+        """Whether the record names this client as the owner; without the state HELD, a reply was lost."""
+        record = self.known_record
+        return record is not None and record.is_held and record.owner_id == self.owner_id
+
+    def _wants_to_join(self, record: LeaseRecord) -> bool:
         return (
-            self.known_record is not None
-            and self.known_record.held
-            and self.known_record.who == self.owner_id
+            self._queue_position() is None
+            and self.config.joins_queue
+            and len(record.queue) < lease_record.MAX_QUEUE_LENGTH
         )
 
     def _queue_position(self) -> int | None:
-        line = self.known_record.line if self.known_record is not None else ()
-        return next((n for n, one in enumerate(line) if one.matches(self.owner_id, self.name)), None)
+        if self.known_record is None:
+            return None
+        return self.known_record.queue_position(self.owner_id, self.name)
 
     def _free_at(self) -> float:
-        """From when on, on this clock, nobody can hold it; each one before this one in line has its time
-        then.
-        """
+        """When this client may acquire the lease: nobody can hold it any more, and earlier turns are over."""
         assert self.known_record is not None
-        place = self._queue_position()
-        before = len(self.known_record.line) if place is None else place
-        gone = self.config.takeover_timeout_ms(self.known_record.ttl) if self.known_record.held else 0.0
-        return self._record_changed_at + gone + before * QUEUE_TURN_MS
+        record = self.known_record
+        position = self._queue_position()
+        turns_before = len(record.queue) if position is None else position
+        takeover_timeout_ms = self.config.takeover_timeout_ms(record.ttl_ms) if record.is_held else 0.0
+        return self._record_changed_at + takeover_timeout_ms + turns_before * QUEUE_TURN_MS
 
     def _may_acquire(self, now: float) -> bool:
         return now >= self._free_at()
 
-    # -- what comes of a question
+    # -- outcomes
 
     def handle_outcome(self, now: float, outcome: OperationOutcome) -> None:
-        """The question's outcome."""
-        asked_at, self._operation_started_at = self._operation_started_at, None
-        if asked_at is None:
+        """Take the outcome of the pending operation."""
+        started_at = self._operation_started_at
+        self._operation_started_at = None
+        if started_at is None:
             return
         self._check_expiry(now)
         if outcome.kind in (OutcomeKind.COMMITTED, OutcomeKind.UNCHANGED) or outcome.register.version:
             self._update_record(now, lease_record.decode_record(outcome.register))
         if self.state is LeaseState.HELD:
-            self._handle_outcome_while_held(now, asked_at, outcome)
+            self._handle_outcome_while_held(now, started_at, outcome)
         elif self.state is LeaseState.WAITING:
-            self._handle_outcome_while_waiting(now, asked_at, outcome)
+            self._handle_outcome_while_waiting(now, started_at, outcome)
 
     def _update_record(self, now: float, latest: LeaseRecord) -> None:
-        before = self.known_record
-        if before is None or (before.token, before.held, before.beat, before.who) != (
-            latest.token,
-            latest.held,
-            latest.beat,
-            latest.who,
-        ):
+        if self.known_record is None or latest.has_changed_since(self.known_record):
             self._record_changed_at = now
         self.known_record = latest
 
+    def _extend_lease(self, now: float, started_at: float) -> None:
+        """Hold the lease for another time to live, counted from the start of the operation.
+
+        Other clients may count from any moment after that start.
+        """
+        self._expires_at = started_at + self.config.holder_timeout_ms
+        if self._release_requested:
+            self._next_operation_at = now
+        else:
+            self._next_operation_at = started_at + RENEW_INTERVAL_SHARE * self.config.ttl_ms
+
     def _handle_outcome_while_held(self, now: float, started_at: float, outcome: OperationOutcome) -> None:
-        ttl = self.config.ttl_ms
-        if outcome.kind is OutcomeKind.COMMITTED and self._operation_kind == "give back":
+        is_committed = outcome.kind is OutcomeKind.COMMITTED
+        if is_committed and self._operation_kind is _OperationKind.RELEASE:
             self.state = LeaseState.ENDED
-        elif outcome.kind is OutcomeKind.COMMITTED:
+        elif is_committed:
             self.renewal_count += 1
-            # from before it was asked: others may count from then on
-            self._expires_at = started_at + self.config.holder_timeout_ms
-            self._next_operation_at = (
-                now if self._release_requested else started_at + RENEW_INTERVAL_SHARE * ttl
-            )
+            self._extend_lease(now, started_at)
         elif (
             self.known_record is not None
             and outcome.register.version
             and not self.known_record.is_held_by(self.owner_id, self.token)
         ):
-            self.state = LeaseState.ENDED if self._release_requested else LeaseState.LOST
+            self._end_holding()
         else:
-            self._next_operation_at = now + RETRY_DELAY_SHARE * ttl * (0.5 + self._jitter())
+            retry_delay_ms = RETRY_DELAY_SHARE * self.config.ttl_ms * (MIN_RETRY_JITTER + self._jitter())
+            self._next_operation_at = now + retry_delay_ms
 
     def _handle_outcome_while_waiting(self, now: float, started_at: float, outcome: OperationOutcome) -> None:
-        if outcome.kind is OutcomeKind.COMMITTED and self._operation_kind in ("take", "renew"):
+        is_committed = outcome.kind is OutcomeKind.COMMITTED
+        if is_committed and self._operation_kind in (_OperationKind.ACQUIRE, _OperationKind.RENEW):
             assert self.known_record is not None
-            self.state, self.token = LeaseState.HELD, self.known_record.token
-            self.renewal_count += self._operation_kind == "renew"
-            self._expires_at = started_at + self.config.holder_timeout_ms
-            self._next_operation_at = (
-                now if self._release_requested else started_at + RENEW_INTERVAL_SHARE * self.config.ttl_ms
-            )
+            self.state = LeaseState.HELD
+            self.token = self.known_record.token
+            if self._operation_kind is _OperationKind.RENEW:
+                self.renewal_count += 1
+            self._extend_lease(now, started_at)
         elif self._release_requested:
             self._handle_release_outcome(now, outcome)
         elif self._owns_record() and outcome.kind is not OutcomeKind.FAILED:
@@ -266,26 +319,23 @@
             self._next_operation_at = self._next_poll_at(now, outcome)
 
     def _handle_release_outcome(self, now: float, outcome: OperationOutcome) -> None:
-        if self._operation_kind in ("leave", "give back") and outcome.kind in (
-            OutcomeKind.COMMITTED,
-            OutcomeKind.UNCHANGED,
-        ):
+        is_final = self._operation_kind in (_OperationKind.LEAVE_QUEUE, _OperationKind.RELEASE)
+        if is_final and outcome.kind in (OutcomeKind.COMMITTED, OutcomeKind.UNCHANGED):
             self.state = LeaseState.ENDED
         self._next_operation_at = now
 
     def _next_poll_at(self, now: float, outcome: OperationOutcome) -> float:
-        """When to look next: soon where it is to be free, else seldom; never all at one time."""
-        most = FIRST_IN_QUEUE_POLL_INTERVAL_MS if self._queue_position() == 0 else MAX_POLL_INTERVAL_MS
-        usual = min(most, max(MIN_POLL_INTERVAL_MS, POLL_INTERVAL_SHARE * self.config.ttl_ms)) * (
-            0.7 + 0.6 * self._jitter()
-        )
+        """When to run the next operation: soon if the lease is about to be free, else rarely; with jitter."""
+        is_first = self._queue_position() == 0
+        max_interval_ms = FIRST_IN_QUEUE_POLL_INTERVAL_MS if is_first else MAX_POLL_INTERVAL_MS
+        ttl_interval_ms = max(MIN_POLL_INTERVAL_MS, POLL_INTERVAL_SHARE * self.config.ttl_ms)
+        jitter = MIN_POLL_JITTER + POLL_JITTER_RANGE * self._jitter()
+        poll_interval_ms = min(max_interval_ms, ttl_interval_ms) * jitter
         if self.known_record is None or outcome.kind in (OutcomeKind.FAILED, OutcomeKind.UNKNOWN):
-            return now + usual
-        free_at = self._free_at()
-        if (
-            self._queue_position() is None
-            and self.config.joins_queue
-            and len(self.known_record.line) < lease_record.MAX_QUEUE_LENGTH
-        ):
+            return now + poll_interval_ms
+        if self._wants_to_join(self.known_record):
             return now + MIN_POLL_INTERVAL_MS * self._jitter()
-        return max(now, min(now + usual, free_at)) if free_at > now else now
+        free_at = self._free_at()
+        if free_at <= now:
+            return now
+        return max(now, min(now + poll_interval_ms, free_at))
--- a/rosepick/leases/lease_record.py
+++ b/rosepick/leases/lease_record.py
@@ -1,4 +1,8 @@
-"""What is agreed about a task: who holds it, under which token, and who waits in line."""
+"""The replicated record of a task's lease: its owner, the fencing token and the queue; and all changes of it.
+
+A change is a function for the register that holds the record. It raises `ChangeRejectedError` if the
+record has changed in a way that rules it out; the register then stays as it is.
+"""
 
 from __future__ import annotations
 
@@ -9,123 +13,155 @@
 from ..consensus.messages import Register
 from ..consensus.proposer import ChangeRejectedError, RegisterChange
 
-KEY_PREFIX = "lease/"  # of the names of registers
-MAX_QUEUE_LENGTH = 256  # who comes later asks without a place
+KEY_PREFIX = "lease/"  # of the keys of all lease registers
+MAX_QUEUE_LENGTH = 256  # clients that come later poll without a place in the queue
+MAX_NOTE_LENGTH = 400  # characters
 
 
 class LeaseWaiter(msgspec.Struct, frozen=True, array_like=True):
-    """One in line. `owner_id` is drawn at each start, 0 for whoever of that name comes."""
+    """A client in the queue.
+
+    `owner_id` is drawn at each start of a client; 0 stands for any client of that name.
+    """
 
     owner_id: int
     name: str
 
     def matches(self, owner_id: int, name: str) -> bool:
-        """Whether a contender may take this place."""
+        """Whether a client may use this place in the queue."""
         return self.name == name and self.owner_id in (0, owner_id)
 
 
 class LeaseRecord(msgspec.Struct, frozen=True, array_like=True):
-    """A task. The token grows at each grant and never goes back; `beat` grows at each renewal."""
+    """The state of a task's lease, stored as an array in this order.
+
+    The token grows with each grant and each forced release, and never decreases. A lease that was
+    released by force stays held, by nobody, until its last owner's time is over.
+    """
 
     token: int = 0
-    held: bool = False
-    who: int = 0
-    name: str = ""
-    beat: int = 0
-    ttl: float = 0.0  # milliseconds
-    line: tuple[LeaseWaiter, ...] = ()
-    note: str = ""  # who took it away, and why
+    is_held: bool = False
+    owner_id: int = 0
+    owner_name: str = ""
+    renewal_count: int = 0  # since the grant
+    ttl_ms: float = 0.0
+    queue: tuple[LeaseWaiter, ...] = ()
+    note: str = ""  # who released it by force, and why
 
     def is_held_by(self, owner_id: int, token: int) -> bool:
-        """Whether this start of a holder has it under that token."""
-        return self.held and self.who == owner_id and self.token == token
+        """Whether the client with this id, which is drawn at each start, holds it under that token."""
+        return self.is_held and self.owner_id == owner_id and self.token == token
+
+    def queue_position(self, owner_id: int, name: str) -> int | None:
+        """The place of a client in the queue, from 0; None if it has none."""
+        for position, waiter in enumerate(self.queue):
+            if waiter.matches(owner_id, name):
+                return position
+        return None
+
+    def has_changed_since(self, earlier: LeaseRecord) -> bool:
+        """Whether it was granted, renewed or released since; changes of the queue alone do not count."""
+        now = (self.token, self.is_held, self.renewal_count, self.owner_id)
+        return now != (earlier.token, earlier.is_held, earlier.renewal_count, earlier.owner_id)
 
 
 def decode_record(register: Register) -> LeaseRecord:
-    """The task that a register holds; a new one if it holds nothing."""
+    """Decode the record that a register holds; a new one if the register is empty.
+
+    Raises:
+        msgspec.MsgspecError: The register holds something else.
+    """
     return msgspec.msgpack.decode(register.value, type=LeaseRecord) if register.value else LeaseRecord()
 
 
 def register_key(task: str) -> str:
-    """The name of a task's register."""
+    """The key of a task's register."""
     return KEY_PREFIX + task
 
 
 def _record_change(update: Callable[[LeaseRecord], LeaseRecord]) -> RegisterChange:
-    """A change of the record as a change of its register."""
+    """Make a change of the register from a change of the record."""
     return lambda register: msgspec.msgpack.encode(update(decode_record(register)))
 
 
 def acquire(expected: LeaseRecord, owner_id: int, name: str, ttl_ms: float) -> RegisterChange:
-    """The lease goes to this one, if nothing has happened since the record was seen. Those that stood before
-    it in line are dropped: they had their time.
+    """Grant the lease to a client, unless it was granted, renewed or released since `expected` was read.
+
+    Clients before it in the queue are dropped: they have let their turn pass.
     """
 
-    def make(now: LeaseRecord) -> LeaseRecord:
-        if (now.token, now.held, now.beat) != (expected.token, expected.held, expected.beat):
+    def update(record: LeaseRecord) -> LeaseRecord:
+        if record.has_changed_since(expected):
             raise ChangeRejectedError
-        place = next((n for n, one in enumerate(now.line) if one.matches(owner_id, name)), -1)
-        return LeaseRecord(now.token + 1, True, owner_id, name, 0, ttl_ms, now.line[place + 1 :])
+        position = record.queue_position(owner_id, name)
+        queue = record.queue if position is None else record.queue[position + 1 :]
+        return LeaseRecord(record.token + 1, True, owner_id, name, 0, ttl_ms, queue)
 
-    return _record_change(make)
+    return _record_change(update)
 
 
 def renew(owner_id: int, token: int, ttl_ms: float) -> RegisterChange:
-    """The holder goes on."""
+    """Extend the lease of its owner."""
 
-    def make(now: LeaseRecord) -> LeaseRecord:
-        if not now.is_held_by(owner_id, token):
+    def update(record: LeaseRecord) -> LeaseRecord:
+        if not record.is_held_by(owner_id, token):
             raise ChangeRejectedError
-        return msgspec.structs.replace(now, beat=now.beat + 1, ttl=ttl_ms)
+        return msgspec.structs.replace(record, renewal_count=record.renewal_count + 1, ttl_ms=ttl_ms)
 
-    return _record_change(make)
+    return _record_change(update)
 
 
 def release(owner_id: int, token: int, successor: str = "") -> RegisterChange:
-    """The holder has stopped and lets go; a successor named stands first in line."""
+    """Release the lease of its owner; a client named as successor becomes the first in the queue."""
 
-    def make(now: LeaseRecord) -> LeaseRecord:
-        if not now.is_held_by(owner_id, token):
+    def update(record: LeaseRecord) -> LeaseRecord:
+        if not record.is_held_by(owner_id, token):
             raise ChangeRejectedError
-        line = tuple(one for one in now.line if one.name != successor)
-        first = (LeaseWaiter(0, successor),) if successor else ()
-        return msgspec.structs.replace(now, held=False, line=(first + line)[:MAX_QUEUE_LENGTH], note="")
+        queue = tuple(waiter for waiter in record.queue if waiter.name != successor)
+        if successor:
+            queue = (LeaseWaiter(0, successor), *queue)
+        return msgspec.structs.replace(record, is_held=False, queue=queue[:MAX_QUEUE_LENGTH], note="")
 
-    return _record_change(make)
+    return _record_change(update)
 
 
 def join_queue(owner_id: int, name: str) -> RegisterChange:
-    """A contender waits its turn."""
+    """Append a client to the queue, unless it is in it or the queue is full."""
 
-    def make(now: LeaseRecord) -> LeaseRecord:
-        if any(one.matches(owner_id, name) for one in now.line) or len(now.line) >= MAX_QUEUE_LENGTH:
+    def update(record: LeaseRecord) -> LeaseRecord:
+        is_queued = record.queue_position(owner_id, name) is not None
+        if is_queued or len(record.queue) >= MAX_QUEUE_LENGTH:
             raise ChangeRejectedError
-        return msgspec.structs.replace(now, line=(*now.line, LeaseWaiter(owner_id, name)))
+        return msgspec.structs.replace(record, queue=(*record.queue, LeaseWaiter(owner_id, name)))
 
-    return _record_change(make)
+    return _record_change(update)
 
 
 def leave_queue(owner_id: int) -> RegisterChange:
-    """A contender does not wait any more."""
+    """Remove a client from the queue."""
 
-    def make(now: LeaseRecord) -> LeaseRecord:
-        line = tuple(one for one in now.line if one.owner_id != owner_id)
-        if line == now.line:
+    def update(record: LeaseRecord) -> LeaseRecord:
+        queue = tuple(waiter for waiter in record.queue if waiter.owner_id != owner_id)
+        if queue == record.queue:
             raise ChangeRejectedError
-        return msgspec.structs.replace(now, line=line)
+        return msgspec.structs.replace(record, queue=queue)
 
-    return _record_change(make)
+    return _record_change(update)
 
 
 def force_release(actor: str, reason: str) -> RegisterChange:
-    """Nobody's renewal counts any more: the token goes on. The holder may act until its time is over, so who
-    comes next still waits for that: the task stays held, by nobody.
+    """Take the lease from its owner: the token grows, so that no renewal succeeds any more.
+
+    The owner may act until its time is over, and the next one still waits for that: the lease stays held,
+    by nobody.
     """
 
-    def make(now: LeaseRecord) -> LeaseRecord:
-        if not now.held:
+    def update(record: LeaseRecord) -> LeaseRecord:
+        if not record.is_held:
             raise ChangeRejectedError
-        note = f"taken from {now.name} by {actor}: {reason}"[:400]
-        return msgspec.structs.replace(now, token=now.token + 1, who=0, name="", beat=0, note=note)
+        note = f"taken from {record.owner_name} by {actor}: {reason}"[:MAX_NOTE_LENGTH]
+        return msgspec.structs.replace(
+            record, token=record.token + 1, owner_id=0, owner_name="", renewal_count=0, note=note
+        )
 
-    return _record_change(make)
+    return _record_change(update)
--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -345,8 +345,16 @@
     )
     thing = open_one.new
     return {
-        "lease": [lease.token, lease.held, lease.who, lease.name, lease.beat, lease.ttl, lease.note],
-        "line": [[waiter.owner_id, waiter.name] for waiter in lease.line],
+        "lease": [
+            lease.token,
+            lease.is_held,
+            lease.owner_id,
+            lease.owner_name,
+            lease.renewal_count,
+            lease.ttl_ms,
+            lease.note,
+        ],
+        "line": [[waiter.owner_id, waiter.name] for waiter in lease.queue],
         "ledger": [
             book.format_version,
             book.budget_digest,
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,6 +1,4 @@
-"""Leases: the contender's machine, the record, the guard, the file; and three witnesses with commands, as a
-user has them.
-"""
+"""Leases: client, record, fencing guard, stores and the fleet's file; and commands on real processes."""
 
 from __future__ import annotations
 
@@ -16,7 +14,7 @@
 import pytest
 
 from rosepick.consensus.messages import Register
-from rosepick.consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind
+from rosepick.consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind, RegisterChange
 from rosepick.coordination.acceptor_store import AcceptorStore, SqliteFencingTokenStore, StoreError
 from rosepick.lab.drill.processes import unique_loopback_address
 from rosepick.leases import lease_record
@@ -31,192 +29,208 @@
 from rosepick.leases.lease_record import LeaseRecord
 from rosepick.settings import fleet_file
 
-TERMS = LeaseConfig(ttl_ms=10_000.0, max_clock_drift=0.025)
+CONFIG = LeaseConfig(ttl_ms=10_000.0, max_clock_drift=0.025)
 
 
-class Shelf:
+class InMemoryRegister:
     """One register, as a quorum would keep it."""
 
     def __init__(self) -> None:
         self.register = Register()
 
-    def make(self, ask: LeaseOperation) -> OperationOutcome:
+    def run(self, operation: LeaseOperation) -> OperationOutcome:
         """Read or change it."""
-        if ask.change is not None:
+        if operation.change is not None:
             try:
-                value = ask.change(self.register)
+                value = operation.change(self.register)
             except ChangeRejectedError:
                 return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
             self.register = Register(self.register.version + 1, "m", value)
             return OperationOutcome(OutcomeKind.COMMITTED, self.register)
         return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
 
+    def change(self, change: RegisterChange) -> None:
+        """Apply the change of somebody else."""
+        self.run(LeaseOperation("k", change))
+
     @property
     def record(self) -> LeaseRecord:
-        """What it says."""
+        """The lease that it holds."""
         return lease_record.decode_record(self.register)
 
 
-def contender(name: str, who: int, terms: LeaseConfig = TERMS) -> LeaseClient:
-    """One that looks at middling times."""
-    return LeaseClient("task", name, who, terms, lambda: 0.5)
+def make_client(name: str, owner_id: int) -> LeaseClient:
+    """A client whose random numbers are all 0.5."""
+    return LeaseClient("task", name, owner_id, CONFIG, lambda: 0.5)
 
 
-def step(one: LeaseClient, shelf: Shelf, now: float, takes: float = 1.0, lost: bool = False) -> None:
-    """One question, if there is one, and its answer after so many milliseconds."""
-    ask = one.next_operation(now)
-    if ask is not None:
-        outcome = shelf.make(ask)
-        one.handle_outcome(now + takes, OperationOutcome(OutcomeKind.UNKNOWN) if lost else outcome)
+def step(
+    client: LeaseClient, register: InMemoryRegister, now: float, takes: float = 1.0, is_lost: bool = False
+) -> None:
+    """Run the client's next operation, if there is one; the outcome comes after `takes` milliseconds."""
+    operation = client.next_operation(now)
+    if operation is not None:
+        outcome = register.run(operation)
+        if is_lost:
+            outcome = OperationOutcome(OutcomeKind.UNKNOWN)
+        client.handle_outcome(now + takes, outcome)
 
 
-def until(one: LeaseClient, shelf: Shelf, now: float, where: LeaseState, end: float) -> float:
-    """Go on in steps of 10 ms until it is there; when that was."""
-    while one.state is not where and now < end:
-        step(one, shelf, now)
+def run_until(
+    client: LeaseClient, register: InMemoryRegister, now: float, state: LeaseState, end: float
+) -> float:
+    """Run the client in steps of 10 ms until it is in a state, and return when that was."""
+    while client.state is not state and now < end:
+        step(client, register, now)
         now += 10.0
-    assert one.state is where
+    assert client.state is state
     return now
 
 
-def test_a_holder_counts_from_before_it_asked_and_its_end_comes_before_anybody_elses_count() -> None:
-    shelf, first, second = Shelf(), contender("a", 1), contender("b", 2)
-    step(first, shelf, 0.0)
-    step(first, shelf, 500.0, takes=400.0)  # asked at 500, granted somewhere on the way, told at 900
+def test_a_lease_counts_from_the_request_and_ends_before_another_client_may_acquire_it() -> None:
+    register, first, second = InMemoryRegister(), make_client("a", 1), make_client("b", 2)
+    step(first, register, 0.0)
+    step(first, register, 500.0, takes=400.0)  # requested at 500, granted in between, known at 900
     assert first.state is LeaseState.HELD and first.token == 1
-    end = 500.0 + TERMS.holder_timeout_ms - SAFETY_MARGIN_SHARE * TERMS.ttl_ms
+    end = 500.0 + CONFIG.holder_timeout_ms - SAFETY_MARGIN_SHARE * CONFIG.ttl_ms
     assert first.may_act(end - 1.0) and not first.may_act(end)
-    step(second, shelf, 600.0)
-    taken = until(second, shelf, 700.0, LeaseState.HELD, 30_000.0)
-    assert taken >= 601.0 + TERMS.takeover_timeout_ms(TERMS.ttl_ms) and second.token == 2
-    assert not first.may_act(taken) and first.state is LeaseState.HELD
-    first.next_operation(taken)
-    assert not first.is_in_doubt(taken)  # it is lost, not in doubt
+    step(second, register, 600.0)
+    acquired_at = run_until(second, register, 700.0, LeaseState.HELD, 30_000.0)
+    assert acquired_at >= 601.0 + CONFIG.takeover_timeout_ms(CONFIG.ttl_ms) and second.token == 2
+    assert not first.may_act(acquired_at) and first.state is LeaseState.HELD
+    first.next_operation(acquired_at)
+    assert not first.is_in_doubt(acquired_at)  # it is lost, not in doubt
 
 
-def test_a_renewal_that_fails_is_tried_again_and_told_as_doubt() -> None:
-    shelf, one = Shelf(), contender("a", 1)
-    until(one, shelf, 0.0, LeaseState.HELD, 1_000.0)
+def test_a_failed_renewal_is_retried_and_puts_the_lease_in_doubt() -> None:
+    register, client = InMemoryRegister(), make_client("a", 1)
+    run_until(client, register, 0.0, LeaseState.HELD, 1_000.0)
     for now in range(1_000, 6_600, 100):
-        ask = one.next_operation(float(now))
-        if ask is not None:
-            one.handle_outcome(now + 50.0, OperationOutcome(OutcomeKind.FAILED))
-    assert one.is_in_doubt(6_600.0) and one.may_act(6_600.0)
-    step(one, shelf, 8_000.0)
-    assert not one.is_in_doubt(8_100.0) and one.renewal_count == 1 and one.may_act(17_000.0)
+        operation = client.next_operation(float(now))
+        if operation is not None:
+            client.handle_outcome(now + 50.0, OperationOutcome(OutcomeKind.FAILED))
+    assert client.is_in_doubt(6_600.0) and client.may_act(6_600.0)
+    step(client, register, 8_000.0)
+    assert not client.is_in_doubt(8_100.0) and client.renewal_count == 1 and client.may_act(17_000.0)
 
 
 @pytest.mark.parametrize("lost_by", ["force", "another"])
-def test_a_lease_that_is_gone_stays_gone(lost_by: str) -> None:
-    shelf, one = Shelf(), contender("a", 1)
-    until(one, shelf, 0.0, LeaseState.HELD, 1_000.0)
+def test_a_lost_lease_stays_lost(lost_by: str) -> None:
+    register, client = InMemoryRegister(), make_client("a", 1)
+    run_until(client, register, 0.0, LeaseState.HELD, 1_000.0)
     if lost_by == "force":
-        shelf.make(LeaseOperation("k", lease_record.force_release("me", "it hangs")))
+        register.change(lease_record.force_release("me", "it hangs"))
     else:
-        shelf.make(LeaseOperation("k", lease_record.acquire(shelf.record, 7, "b", 10_000.0)))
-    until(one, shelf, 1_000.0, LeaseState.LOST, 9_000.0)
-    assert (
-        not one.may_act(5_000.0) and one.remaining_ms(4_000.0) > 3_000.0
-    )  # what it has started still has that long
-    assert shelf.record.token == 2 and shelf.record.held
-
-
-def test_who_takes_after_force_still_waits_for_the_old_holder() -> None:
-    shelf, one, other = Shelf(), contender("a", 1), contender("b", 2)
-    until(one, shelf, 0.0, LeaseState.HELD, 1_000.0)
-    shelf.make(LeaseOperation("k", lease_record.force_release("me", "it hangs")))
-    assert until(other, shelf, 2_000.0, LeaseState.HELD, 30_000.0) >= 2_000.0 + TERMS.takeover_timeout_ms(
-        TERMS.ttl_ms
-    )
+        register.change(lease_record.acquire(register.record, 7, "b", 10_000.0))
+    run_until(client, register, 1_000.0, LeaseState.LOST, 9_000.0)
+    # what it has started still has that long
+    assert not client.may_act(5_000.0) and client.remaining_ms(4_000.0) > 3_000.0
+    assert register.record.token == 2 and register.record.is_held
+
+
+def test_after_a_forced_release_the_next_client_still_waits_for_the_old_holder() -> None:
+    register, holder, other = InMemoryRegister(), make_client("a", 1), make_client("b", 2)
+    run_until(holder, register, 0.0, LeaseState.HELD, 1_000.0)
+    register.change(lease_record.force_release("me", "it hangs"))
+    acquired_at = run_until(other, register, 2_000.0, LeaseState.HELD, 30_000.0)
+    assert acquired_at >= 2_000.0 + CONFIG.takeover_timeout_ms(CONFIG.ttl_ms)
     assert other.token == 3
 
 
-def test_an_answer_that_is_lost_does_not_make_a_holder_of_no_time() -> None:
-    shelf, one = Shelf(), contender("a", 1)
-    step(one, shelf, 0.0)
-    step(one, shelf, 100.0, lost=True)  # granted, and nobody knows when
-    step(one, shelf, 1_000.0)  # it is found ...
-    for now in (1_001.0, 2_000.0, 3_000.0):  # ... and answers of renewals are late or lost, for long
-        step(one, shelf, now, lost=True)
-        assert one.state is LeaseState.WAITING and not one.may_act(now)
-    assert shelf.record.beat == 3
-    until(one, shelf, 4_000.0, LeaseState.HELD, 5_000.0)
-    assert one.token == 1 and one.renewal_count == 1 and one.may_act(5_000.0)
-
-
-def test_a_line_is_served_in_order_and_the_dead_in_it_are_passed_over() -> None:
-    shelf, holder = Shelf(), contender("a", 1)
-    until(holder, shelf, 0.0, LeaseState.HELD, 1_000.0)
-    waiting = [contender(name, who) for name, who in (("b", 2), ("c", 3), ("d", 4))]
-    for number, one in enumerate(waiting):
+def test_a_grant_whose_reply_was_lost_is_held_from_a_renewal_on() -> None:
+    register, client = InMemoryRegister(), make_client("a", 1)
+    step(client, register, 0.0)
+    step(client, register, 100.0, is_lost=True)  # granted, and nobody knows when
+    step(client, register, 1_000.0)  # the grant is found ...
+    for now in (1_001.0, 2_000.0, 3_000.0):  # ... and replies to renewals are lost for long
+        step(client, register, now, is_lost=True)
+        assert client.state is LeaseState.WAITING and not client.may_act(now)
+    assert register.record.renewal_count == 3
+    run_until(client, register, 4_000.0, LeaseState.HELD, 5_000.0)
+    assert client.token == 1 and client.renewal_count == 1 and client.may_act(5_000.0)
+
+
+def test_the_queue_is_served_in_order_and_dead_clients_are_passed_over() -> None:
+    register, holder = InMemoryRegister(), make_client("a", 1)
+    run_until(holder, register, 0.0, LeaseState.HELD, 1_000.0)
+    waiting = [make_client(name, owner_id) for name, owner_id in (("b", 2), ("c", 3), ("d", 4))]
+    for number, client in enumerate(waiting):
         for now in (1_000.0, 1_600.0):
-            step(one, shelf, now + number)
-    assert [waiter.name for waiter in shelf.record.line] == ["b", "c", "d"]
+            step(client, register, now + number)
+    assert [waiter.name for waiter in register.record.queue] == ["b", "c", "d"]
     holder.release(successor="d")
-    step(holder, shelf, 2_000.0)
-    assert holder.state is LeaseState.ENDED and not shelf.record.held
-    assert [waiter.name for waiter in shelf.record.line] == ["d", "b", "c"]
-    until(waiting[2], shelf, 2_100.0, LeaseState.HELD, 4_000.0)
-    assert [waiter.name for waiter in shelf.record.line] == ["b", "c"]
+    step(holder, register, 2_000.0)
+    assert holder.state is LeaseState.ENDED and not register.record.is_held
+    assert [waiter.name for waiter in register.record.queue] == ["d", "b", "c"]
+    run_until(waiting[2], register, 2_100.0, LeaseState.HELD, 4_000.0)
+    assert [waiter.name for waiter in register.record.queue] == ["b", "c"]
     waiting[2].release()
-    step(waiting[2], shelf, 4_000.0)
-    began = 4_100.0  # b has died: c takes it, somewhat later
-    assert until(waiting[1], shelf, began, LeaseState.HELD, 6_000.0) <= began + 1_000.0
-    assert shelf.record.line == () and shelf.record.token == 3
-
-
-def test_one_who_waits_no_more_leaves_the_line_and_a_restart_is_another_one() -> None:
-    shelf, holder, one = Shelf(), contender("a", 1), contender("b", 2)
-    until(holder, shelf, 0.0, LeaseState.HELD, 1_000.0)
-    step(one, shelf, 1_000.0)
-    step(one, shelf, 1_600.0)
-    one.release()
-    until(one, shelf, 2_000.0, LeaseState.ENDED, 4_000.0)
-    assert shelf.record.line == ()
-    again = contender("a", 9)  # the holder's name, started anew within its lease
-    assert until(again, shelf, 2_000.0, LeaseState.HELD, 30_000.0) >= 2_000.0 + TERMS.takeover_timeout_ms(
-        TERMS.ttl_ms
-    )
-
-
-def test_after_an_hours_sleep_a_holder_says_no_and_one_who_waited_finds_out_what_is() -> None:
-    shelf, holder, other = Shelf(), contender("a", 1), contender("b", 2)
-    until(holder, shelf, 0.0, LeaseState.HELD, 1_000.0)
-    step(other, shelf, 1_000.0)
-    shelf.make(LeaseOperation("k", lease_record.renew(1, 1, TERMS.ttl_ms)))  # renewed while the other slept
+    step(waiting[2], register, 4_000.0)
+    started_at = 4_100.0  # b has died: c acquires the lease, somewhat later
+    assert run_until(waiting[1], register, started_at, LeaseState.HELD, 6_000.0) <= started_at + 1_000.0
+    assert register.record.queue == () and register.record.token == 3
+
+
+def test_a_client_that_stops_waiting_leaves_the_queue_and_a_restarted_holder_is_another_client() -> None:
+    register, holder, client = InMemoryRegister(), make_client("a", 1), make_client("b", 2)
+    run_until(holder, register, 0.0, LeaseState.HELD, 1_000.0)
+    step(client, register, 1_000.0)
+    step(client, register, 1_600.0)
+    client.release()
+    run_until(client, register, 2_000.0, LeaseState.ENDED, 4_000.0)
+    assert register.record.queue == ()
+    restarted = make_client("a", 9)  # the holder's name, started anew within its lease
+    acquired_at = run_until(restarted, register, 2_000.0, LeaseState.HELD, 30_000.0)
+    assert acquired_at >= 2_000.0 + CONFIG.takeover_timeout_ms(CONFIG.ttl_ms)
+
+
+def test_after_an_hours_sleep_a_holder_may_not_act_and_a_waiting_client_reads_the_record_anew() -> None:
+    register, holder, other = InMemoryRegister(), make_client("a", 1), make_client("b", 2)
+    run_until(holder, register, 0.0, LeaseState.HELD, 1_000.0)
+    step(other, register, 1_000.0)
+    register.change(lease_record.renew(1, 1, CONFIG.ttl_ms))  # renewed while the other slept
     hour = 3_600_000.0
     assert not holder.may_act(hour)
-    step(other, shelf, hour)
-    assert other.state is LeaseState.WAITING  # what it had seen was old: it takes nothing by it
-    assert until(other, shelf, hour + 10.0, LeaseState.HELD, hour + 30_000.0) >= hour + TERMS.ttl_ms
+    step(other, register, hour)
+    assert other.state is LeaseState.WAITING  # what it had read was old: it may not acquire the lease by it
+    acquired_at = run_until(other, register, hour + 10.0, LeaseState.HELD, hour + 30_000.0)
+    assert acquired_at >= hour + CONFIG.ttl_ms
 
 
-class Kept:
-    """Tokens in memory; or a disk that is full."""
+class InMemoryTokenStore:
+    """Fencing tokens in memory; `is_full` makes every save fail like a full disk."""
 
-    def __init__(self, full: bool = False) -> None:
+    def __init__(self, is_full: bool = False) -> None:
         self.tokens: dict[str, int] = {}
-        self.full = full
+        self.is_full = is_full
 
     def highest_token(self, task: str) -> int:
         return self.tokens.get(task, 0)
 
     def save_token(self, task: str, token: int) -> None:
-        if self.full:
+        if self.is_full:
             raise OSError("full")
         self.tokens[task] = token
 
 
-def test_a_guard_takes_no_lower_token_whatever_the_time() -> None:
-    guard = FencingGuard(Kept())
+def test_a_guard_accepts_no_lower_token() -> None:
+    guard = FencingGuard(InMemoryTokenStore())
     steps = [("a", 1), ("a", 1), ("a", 3), ("a", 2), ("b", 1), ("a", 0), ("a", 3)]
-    assert [guard.accepts(*one) for one in steps] == [True, True, True, False, True, False, True]
+    assert [guard.accepts(task, token) for task, token in steps] == [
+        True,
+        True,
+        True,
+        False,
+        True,
+        False,
+        True,
+    ]
     assert guard.rejected_count == 2
     with pytest.raises(OSError):
-        FencingGuard(Kept(full=True)).accepts("a", 1)
+        FencingGuard(InMemoryTokenStore(is_full=True)).accepts("a", 1)
 
 
-def test_tokens_and_witnesses_outlive_their_process_and_a_folder_has_one(tmp_path: Path) -> None:
+def test_stores_outlive_their_process_and_a_folder_belongs_to_one_process(tmp_path: Path) -> None:
     tokens = SqliteFencingTokenStore(tmp_path / "guard")
     tokens.save_token("task", 7)
     with pytest.raises(StoreError, match="another process"):
@@ -252,15 +266,15 @@
         ("witnesses = [\n", "fleet.toml"),
     ],
 )
-def test_faults_of_the_fleets_file_are_named(tmp_path: Path, text: str, fault: str) -> None:
+def test_errors_in_the_fleet_file_are_named(tmp_path: Path, text: str, fault: str) -> None:
     path = tmp_path / "fleet.toml"
     path.write_text(text)
     with pytest.raises(fleet_file.FleetFileError, match=fault):
         fleet_file.load(path)
 
 
-class Fleet:
-    """Three witnesses as processes, and commands on them."""
+class FleetProcesses:
+    """Three replicas as processes, and commands on them."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -271,12 +285,12 @@
         }
         lines = [f'w{n} = "{unique_loopback_address()}:{7900 + n}"' for n in (1, 2, 3)]
         (folder / "fleet.toml").write_text("\n".join(["[witnesses]", *lines, "[leases]", "ttl = 2.0"]))
-        self.processes = {f"w{n}": self.start(f"w{n}") for n in (1, 2, 3)}
+        self.replicas = {f"w{n}": self.start_replica(f"w{n}") for n in (1, 2, 3)}
 
-    def start(self, name: str) -> subprocess.Popen[bytes]:
-        return self.begin("witness", "run", name, "--folder", name, log=name)
+    def start_replica(self, name: str) -> subprocess.Popen[bytes]:
+        return self.start("witness", "run", name, "--folder", name, log=name)
 
-    def begin(self, *arguments: str, log: str = "log") -> subprocess.Popen[bytes]:
+    def start(self, *arguments: str, log: str = "log") -> subprocess.Popen[bytes]:
         with (self.folder / f"{log}.log").open("ab") as out:
             return subprocess.Popen(
                 [sys.executable, "-m", "rosepick", *arguments],
@@ -286,8 +300,8 @@
                 stderr=out,
             )
 
-    def say(self, *arguments: str) -> tuple[int, str]:
-        done = subprocess.run(
+    def run(self, *arguments: str) -> tuple[int, str]:
+        process = subprocess.run(
             [sys.executable, "-m", "rosepick", *arguments],
             cwd=self.folder,
             env=self.environment,
@@ -295,53 +309,55 @@
             text=True,
             timeout=60,
         )
-        return done.returncode, done.stdout + done.stderr
+        return process.returncode, process.stdout + process.stderr
 
-    def until(self, status: int, *arguments: str) -> str:
-        """Say it until it ends with that status."""
+    def run_until(self, status: int, *arguments: str) -> str:
+        """Repeat a command until it ends with that status, and return its output."""
         for _ in range(60):
-            found, text = self.say(*arguments)
-            if found == status:
+            last_status, text = self.run(*arguments)
+            if last_status == status:
                 return text
             time.sleep(0.2)
         raise AssertionError(text)
 
 
 @pytest.fixture(scope="module")
-def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
-    fleet = Fleet(tmp_path_factory.mktemp("fleet"))
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[FleetProcesses]:
+    fleet = FleetProcesses(tmp_path_factory.mktemp("fleet"))
     yield fleet
-    for process in fleet.processes.values():
+    for process in fleet.replicas.values():
         process.kill()
         process.wait()
 
 
-def test_a_fleet_from_its_first_command_to_a_lost_folder(fleet: Fleet) -> None:
-    assert "no quorum" in fleet.until(69, "witness", "status")
-    fleet.until(0, "witness", "found")
-    assert fleet.say("witness", "found")[0] == 77  # once only
-    status, text = fleet.say("lease", "run", "job", "--", "sh", "-c", "echo token $ROSEPICK_TOKEN; exit 7")
+def test_leases_on_real_processes_from_founding_a_quorum_to_losing_it(fleet: FleetProcesses) -> None:
+    assert "no quorum" in fleet.run_until(69, "witness", "status")
+    fleet.run_until(0, "witness", "found")
+    assert fleet.run("witness", "found")[0] == 77  # once only
+    status, text = fleet.run("lease", "run", "job", "--", "sh", "-c", "echo token $ROSEPICK_TOKEN; exit 7")
     assert status == 7 and "token 1" in text
-    holder = fleet.begin("lease", "run", "job", "--", "sleep", "60", log="holder")
+    holder = fleet.start("lease", "run", "job", "--", "sleep", "60", log="holder")
     for _ in range(100):
-        shown = json.loads(fleet.say("lease", "show", "job", "--json")[1])["job"]
-        if shown["held"]:
+        record = json.loads(fleet.run("lease", "show", "job", "--json")[1])["job"]
+        if record["held"]:
             break
-    assert shown["token"] == 2
-    assert fleet.say("lease", "run", "job", "--wait", "0.3", "--", "true")[0] == 75
-    assert fleet.say("lease", "release", "job")[0] == 2  # not without a reason
-    assert fleet.say("lease", "release", "job", "--force", "--why", "a test")[0] == 0
+    assert record["token"] == 2
+    assert fleet.run("lease", "run", "job", "--wait", "0.3", "--", "true")[0] == 75
+    assert fleet.run("lease", "release", "job")[0] == 2  # not without a reason
+    assert fleet.run("lease", "release", "job", "--force", "--why", "a test")[0] == 0
     assert holder.wait(30) == 76  # its command was ended
-    assert "job" in fleet.say("lease", "list")[1]
-    # one folder is gone for good: its witness has a new storage, and comes in by a change of the quorum
-    fleet.processes["w3"].send_signal(signal.SIGKILL)
-    fleet.processes["w3"].wait()
+    assert "job" in fleet.run("lease", "list")[1]
+    # a folder is lost: its replica has a new storage, which a reconfiguration takes into the quorum
+    fleet.replicas["w3"].send_signal(signal.SIGKILL)
+    fleet.replicas["w3"].wait()
     (fleet.folder / "w3").rename(fleet.folder / "gone")
-    fleet.processes["w3"] = fleet.start("w3")
-    assert "epoch 2" in fleet.until(0, "witness", "replace", "w3")
-    fleet.processes["w1"].kill()
-    fleet.processes["w1"].wait()
-    assert "token 4" in fleet.until(0, "lease", "run", "job", "--", "sh", "-c", "echo token $ROSEPICK_TOKEN")
-    fleet.processes["w2"].kill()
-    fleet.processes["w2"].wait()
-    assert fleet.say("lease", "run", "job", "--wait", "1", "--", "true")[0] == 69
+    fleet.replicas["w3"] = fleet.start_replica("w3")
+    assert "epoch 2" in fleet.run_until(0, "witness", "replace", "w3")
+    fleet.replicas["w1"].kill()
+    fleet.replicas["w1"].wait()
+    assert "token 4" in fleet.run_until(
+        0, "lease", "run", "job", "--", "sh", "-c", "echo token $ROSEPICK_TOKEN"
+    )
+    fleet.replicas["w2"].kill()
+    fleet.replicas["w2"].wait()
+    assert fleet.run("lease", "run", "job", "--wait", "1", "--", "true")[0] == 69
