--- a/rosepick/consensus/codec.py
+++ b/rosepick/consensus/codec.py
@@ -9,6 +9,7 @@
 import hmac
 import struct
 from enum import StrEnum
+from typing import TypeVar
 
 import msgspec
 
@@ -20,6 +21,7 @@
 FRAME_HEADER = struct.Struct(f">2sBxI{DIGEST_BYTES}s")
 _MAGIC = b"rq"
 _KEYLESS_DIGEST_KEY = b"rosepick without a key"  # the digest then detects damage, and authenticates nobody
+MessageT = TypeVar("MessageT")
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder: msgspec.msgpack.Decoder[QuorumRequest] = msgspec.msgpack.Decoder(QuorumRequest)
 _reply_decoder: msgspec.msgpack.Decoder[QuorumReply] = msgspec.msgpack.Decoder(QuorumReply)
@@ -107,16 +109,23 @@
     return body
 
 
+def _decode(decoder: msgspec.msgpack.Decoder[MessageT], frame: bytes, key: bytes) -> MessageT:
+    body = _verified_body(frame, key)
+    try:
+        return decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise DecodeError(
+            DecodeFailure.MALFORMED, f"it holds no message that is expected here: {error}"
+        ) from error
+
+
 def decode_request(frame: bytes, key: bytes = b"") -> QuorumRequest:
     """Decode the request in a frame.
 
     Raises:
         DecodeError: The frame is damaged, was signed with another key, or holds no request.
     """
-    try:
-        return _request_decoder.decode(_verified_body(frame, key))
-    except msgspec.MsgspecError as error:
-        raise DecodeError(DecodeFailure.MALFORMED, f"no request: {error}") from error
+    return _decode(_request_decoder, frame, key)
 
 
 def decode_reply(frame: bytes, key: bytes = b"") -> QuorumReply:
@@ -125,7 +134,4 @@
     Raises:
         DecodeError: The frame is damaged, was signed with another key, or holds no reply.
     """
-    try:
-        return _reply_decoder.decode(_verified_body(frame, key))
-    except msgspec.MsgspecError as error:
-        raise DecodeError(DecodeFailure.MALFORMED, f"no reply: {error}") from error
+    return _decode(_reply_decoder, frame, key)
