--- a/rosepick/cli/lease.py
+++ b/rosepick/cli/lease.py
@@ -116,21 +116,32 @@
     _print_leases({task: _read_lease(client, task)}, as_json)
 
 
-def _print_leases(leases: dict[str, LeaseRecord], as_json: bool) -> None:
-    import msgspec
+def _lease_as_json(record: LeaseRecord) -> dict[str, object]:
+    """The document of `--json`; its keys are an interface, whatever the fields are called."""
+    return {
+        "token": record.token,
+        "held": record.is_held,
+        "who": record.owner_id,
+        "name": record.owner_name,
+        "beat": record.renewal_count,
+        "ttl": record.ttl_ms,
+        "line": [waiter.name for waiter in record.queue],
+        "note": record.note,
+    }
+
 
+def _print_leases(leases: dict[str, LeaseRecord], as_json: bool) -> None:
     if as_json:
-        records = {
-            task: msgspec.structs.asdict(record) | {"line": [waiter.name for waiter in record.line]}
-            for task, record in leases.items()
-        }
-        print(json.dumps(records))
+        print(json.dumps({task: _lease_as_json(record) for task, record in leases.items()}))
         return
     for task, record in leases.items():
-        holder = (record.name or "nobody, until its last holder's time is over") if record.held else "free"
-        queue = f", in line: {', '.join(waiter.name for waiter in record.line)}" if record.line else ""
+        holder = "free"
+        if record.is_held:
+            holder = record.owner_name or "nobody, until its last holder's time is over"
+        names = ", ".join(waiter.name for waiter in record.queue)
+        queue = f", in line: {names}" if record.queue else ""
         note = f" ({record.note})" if record.note else ""
-        print(f"{task}: {holder}, token {record.token}, renewed {record.beat} times{queue}{note}")
+        print(f"{task}: {holder}, token {record.token}, renewed {record.renewal_count} times{queue}{note}")
 
 
 @lease.command()
