Split the server protocol by concern, and document http in the field's terms

Tuples that crossed a border have names (CompletedUpload, ResponseHead, EndpointListReply, BatchEntry; all tuples still, so that callers unpack them as before). No message, status or byte changes.

--- a/rosepick/http/__init__.py
+++ b/rosepick/http/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP/1.1 as state machines: fed bytes, returning events and bytes; they know no socket and no clock."""
+"""HTTP/1.1 protocol adapters as state machines: bytes in, messages and bytes out; no sockets, no clock."""
--- a/rosepick/http/batch_protocol.py
+++ b/rosepick/http/batch_protocol.py
@@ -1,42 +1,36 @@
-"""Batches of reads: read from bytes, their parts as a client's requests, their answers as one answer."""
+"""Protocol of batches: parses a batch, encodes a request for each of its items and the joint response."""
 
 from __future__ import annotations
 
 import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ..settings.config import NameIndexes
-from .server_protocol import (
-    BadRequestError,
-    ParsedMessage,
-    ProtocolMessage,
-    RequestRejected,
-    ServerProtocol,
-    index_header,
-    number_header,
-    text_header,
-)
+from .request_headers import index_header, number_header, text_header
+from .request_messages import BadRequestError, ParsedMessage, ProtocolMessage, RequestRejected
+from .server_protocol import ServerProtocol
 
 PATH = b"/mget"
 MAX_KEY_BYTES = 2048
-MAX_ITEM_RESPONSE_BYTES = 1024 * 1024  # of a part's answer: what the router passes on
-_SEGMENT = re.compile(rb"(?:[A-Za-z0-9\-._~!$&'()*+,;=:@]|%[0-9A-Fa-f]{2})+")  # of a path, by RFC 3986
-_ENTRY = re.compile(rb"(\S+) (\S+) ([0-9]{3}) ([0-9]+)")
+MAX_ITEM_RESPONSE_BYTES = 1024 * 1024  # longest body of an item that the router forwards
+_SEGMENT = re.compile(rb"(?:[A-Za-z0-9\-._~!$&'()*+,;=:@]|%[0-9A-Fa-f]{2})+")  # of a path (RFC 3986, 3.3)
+_ENTRY_HEAD = re.compile(rb"(\S+) (\S+) ([0-9]{3}) ([0-9]+)")
 
 
 @dataclass(frozen=True, slots=True)
 class BatchRequest(ProtocolMessage):
-    """A batch has come in whole."""
+    """A batch was received completely."""
 
     keys: tuple[bytes, ...]
     kind: bytes
     owner: bytes
-    deadline: float  # of all its parts, on the clock that it was fed with
+    deadline: float  # of all items; milliseconds on the clock of `ServerProtocol.feed`
 
 
 class BatchServerProtocol(ServerProtocol):
-    """One connection that batches come on: one is answered at a time, in order, as its parts come."""
+    """One client connection of the batch listener: a batch is answered while its items are served."""
 
     def __init__(self, get_names: Callable[[], NameIndexes], max_keys: Callable[[], int]) -> None:
         super().__init__(get_names)
@@ -47,7 +41,8 @@
             raise BadRequestError(404, "only /mget is known here")
         if method != b"POST":
             raise BadRequestError(405, "only POST is known here")
-        headers, names = self._headers, self._get_names()
+        headers = self._headers
+        names = self._get_names()
         index_header(headers, b"req-kind", names.classes)
         if names.tenants:
             index_header(headers, b"req-owner", names.tenants)
@@ -57,37 +52,37 @@
             keys, text_header(headers, b"req-kind"), text_header(headers, b"req-owner"), deadline
         )
 
-    def _make_rejection(self, problem: BadRequestError) -> RequestRejected:
-        return RequestRejected(problem.status, str(problem))  # a batch is no request of its class
+    def _make_rejection(self, error: BadRequestError) -> RequestRejected:
+        return RequestRejected(error.status, str(error))  # a batch does not count as a request of its class
 
     def encode_batch_head(self, closing: bool) -> bytes:
-        """The head of a batch's answer, whose length is not known yet."""
+        """Return the head of the response to a batch, whose length is not known yet."""
         return self.begin_streamed_response(None, ((b"Content-Type", b"application/octet-stream"),), closing)
 
 
 def _parse_keys(body: bytes, max_keys: int) -> tuple[bytes, ...]:
-    """The keys of a batch, one a line; blank lines are none."""
-    lines: dict[bytes, int] = {}
+    """Return the keys of a batch body: one a line, blank lines are skipped."""
+    line_numbers: dict[bytes, int] = {}
     for number, line in enumerate(body.split(b"\n"), 1):
         key = line.rstrip(b"\r")
         if not key:
             continue
         if not _SEGMENT.fullmatch(key) or key in (b".", b"..") or len(key) > MAX_KEY_BYTES:
             raise BadRequestError(400, f"line {number} is no key")
-        if key in lines:
-            raise BadRequestError(400, f"line {number} repeats the key of line {lines[key]}")
-        lines[key] = number
-        if len(lines) > max_keys:
+        if key in line_numbers:
+            raise BadRequestError(400, f"line {number} repeats the key of line {line_numbers[key]}")
+        line_numbers[key] = number
+        if len(line_numbers) > max_keys:
             raise BadRequestError(400, f"more than {max_keys} keys")
-    if not lines:
+    if not line_numbers:
         raise BadRequestError(400, "no keys")
-    return tuple(lines)
+    return tuple(line_numbers)
 
 
 def encode_item_request(
     batch: BatchRequest, key: bytes, req_id: bytes, host: str, time_left_ms: float
 ) -> bytes:
-    """The whole ordinary request of one part, with so many milliseconds left."""
+    """Return the ordinary request for one item, with `time_left_ms` milliseconds to its deadline."""
     return (
         b"\r\n".join(
             (
@@ -104,33 +99,46 @@
 
 
 def encode_entry(key: bytes, req_id: bytes, status: int, body: bytes) -> tuple[bytes, bytes, bytes]:
-    """A part's answer, as it stands in the batch's."""
+    """Return the chunks of one item's entry in the response to a batch."""
     return b"%b %b %d %d\n" % (key, req_id, status, len(body)), body, b"\n"
 
 
 def encode_trailer(unserved: int, count: int) -> bytes:
-    """What stands behind the last part."""
+    """Return the line behind the last entry; empty if all items were served."""
     return b"partial: %d of %d not served\n" % (unserved, count) if unserved else b""
 
 
-# -------------------------------------------------------------------------------------- a client's side
+# ------------------------------------------------------------------------------------ the client's side
 
 
 class BatchResponseError(Exception):
-    """The bytes are no whole answer to a batch."""
+    """The response to a batch is incomplete or malformed."""
 
 
-def parse_entries(data: bytes) -> Iterator[tuple[bytes, bytes, int, bytes]]:
-    """Key, id, status and body of each part of a batch's answer. BadBatchAnswer if it is not whole."""
-    at = failed = count = 0
-    while found := _ENTRY.fullmatch(data, at, max(at, end := data.find(b"\n", at))):
+class BatchEntry(NamedTuple):
+    """The response to one item of a batch."""
+
+    key: bytes
+    req_id: bytes
+    status: int
+    body: bytes
+
+
+def parse_entries(data: bytes) -> Iterator[BatchEntry]:
+    """Yield the entries of a response to a batch.
+
+    Raises:
+        BatchResponseError: the response is incomplete, after the entries that are complete.
+    """
+    offset = failed_count = count = 0
+    while found := _ENTRY_HEAD.fullmatch(data, offset, max(offset, end := data.find(b"\n", offset))):
         size = int(found[4])
         body = data[end + 1 : end + 1 + size]
-        at = end + 1 + size + 1
-        if at > len(data) or data[at - 1 : at] != b"\n":
+        offset = end + 1 + size + 1
+        if offset > len(data) or data[offset - 1 : offset] != b"\n":
             raise BatchResponseError(f"the entry of {found[1].decode()} is not whole")
         count += 1
-        failed += found[3] != b"200"
-        yield found[1], found[2], int(found[3]), body
-    if not count or data[at:] != encode_trailer(failed, count):
+        failed_count += found[3] != b"200"
+        yield BatchEntry(found[1], found[2], int(found[3]), body)
+    if not count or data[offset:] != encode_trailer(failed_count, count):
         raise BatchResponseError("it does not end as it should")
--- a/rosepick/http/client_protocol.py
+++ b/rosepick/http/client_protocol.py
@@ -1,56 +1,59 @@
-"""The next hop's side: one delivery attempt on a connection, as bytes out and an outcome back."""
+"""The client side of HTTP/1.1: one attempt at an upstream, from the request's bytes to its result."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from typing import NamedTuple
 
 from ..core.body_stream import BodyStream
 from ..decisions.api import Result
+from .request_messages import ForwardedRequest
 from .response import MalformedResponseError, Response, ResponseReader
-from .server_protocol import ForwardedRequest
 
-MAX_BODY_BYTES = 36 * 1024 * 1024  # of an answer; what is longer is taken for spoilt
-MAX_BUFFERED_RESPONSE_BYTES = (
-    64 * 1024
-)  # an answer up to this is held until it is whole, so that another attempt is possible
+MAX_BODY_BYTES = 36 * 1024 * 1024  # of a response; a longer one counts as malformed
+# A longer response is streamed. A buffered one that breaks off can still be fetched by another attempt.
+MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
+UPLOAD_CHUNK_BYTES = 64 * 1024  # of a streamed request body that are encoded at once
 _CACHE_STATUSES = {b"hit": 1, b"miss": 2, b"pending": 3}
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
-    """How a delivery attempt ended."""
+    """How an attempt ended."""
 
     result: Result
     cache_status: int = 0
     response: Response | None = None
     reusable: bool = False
-    malformed: bool = False  # an answer came that is of no use
+    malformed: bool = False  # a response was received that cannot be used
 
 
 @dataclass(frozen=True, slots=True)
 class StreamedResponse:
-    """A long answer has begun and is passed on from here as it comes."""
+    """A long response, forwarded while it is received."""
 
     headers: dict[bytes, bytes]
     body_stream: BodyStream
 
 
-UPLOAD_CHUNK_BYTES = 64 * 1024  # of a body that is coming which is taken at once
+class ResponseHead(NamedTuple):
+    """The head of a response whose body is still being received."""
+
+    headers: dict[bytes, bytes]
+    body_length: int | None  # bytes; None if the head does not state it
 
 
 class HttpExchange:
-    """One delivery attempt: its request's bytes, and what comes back."""
+    """One attempt: encodes its request and parses the response."""
 
     def __init__(self, request: ForwardedRequest, host: str, time_left_ms: float) -> None:
         self._unsent = memoryview(_encode_request(request, host, time_left_ms))
-        self._body_stream = (
-            request.body_stream
-        )  # of a body that is coming, until its last byte has been taken
+        self._body_stream = request.body_stream  # None once its last byte is encoded
         self._chunked = request.body_stream is not None and request.body_stream.content_length is None
         self._reader = ResponseReader(MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES)
 
     def next_unsent(self) -> memoryview:
-        """What can be written now."""
+        """Return the bytes that can be written now."""
         if not self._unsent and self._body_stream is not None:
             self._encode_body(self._body_stream)
         return self._unsent
@@ -65,65 +68,67 @@
         self._unsent = memoryview(b"".join(parts))
 
     def is_sent(self) -> bool:
-        """Whether the request has been written whole."""
+        """Whether the request has been written completely."""
         return not self._unsent and self._body_stream is None
 
     def mark_written(self, count: int) -> None:
-        """So many of the unsent bytes were written."""
+        """Record that `count` of the unsent bytes were written."""
         self._unsent = self._unsent[count:]
 
     def feed(self, data: bytes) -> AttemptResult | None:
-        """Take in bytes of the answer; a verdict once there is one."""
+        """Parse received bytes; return the result once the response is complete or malformed."""
         try:
-            answer = self._reader.feed(data)
+            response = self._reader.feed(data)
         except MalformedResponseError:
             return self.malformed_result()
         if self._reader.is_streaming and not self.is_sent():
-            return (
-                self.malformed_result()
-            )  # a long answer before the request's end: there is nobody yet to pass it to
-        return None if answer is None else self._make_result(answer)
+            # a long response before the end of the request: nobody can receive its stream yet
+            return self.malformed_result()
+        return None if response is None else self._make_result(response)
 
     def feed_eof(self) -> AttemptResult:
-        """The next hop has ended its sending."""
-        answer = self._reader.feed_eof()
-        return self.broken_result() if answer is None else self._make_result(answer)
+        """Return the result of an attempt whose upstream has ended its side of the connection."""
+        response = self._reader.feed_eof()
+        return self.broken_result() if response is None else self._make_result(response)
 
     def broken_result(self) -> AttemptResult:
-        """The connection cannot go on. A next hop starts on a request when its last byte is there, so what
-        was not written whole has never run.
+        """Return the result of an attempt whose connection broke.
+
+        An upstream starts on a request when it has the last byte, so one that was not written completely
+        was never executed.
         """
         return AttemptResult(Result.RESET if self.is_sent() else Result.CONNECT_FAILED)
 
     def malformed_result(self) -> AttemptResult:
-        """An answer came that is of no use."""
+        """Return the result of an attempt whose response cannot be used."""
         return replace(self.broken_result(), malformed=self.is_sent())
 
     def buffered_bytes(self) -> int:
-        """Bytes of an answer that is not whole."""
+        """Return the bytes held of an incomplete response."""
         return self._reader.buffered_bytes()
 
     def is_streaming(self) -> bool:
-        """Whether an answer has begun that is given in parts; not before the request is there whole."""
+        """Whether a response is being streamed; never before the request was written completely."""
         return self._reader.is_streaming and self.is_sent()
 
-    def response_head(self) -> tuple[dict[bytes, bytes], int | None]:
-        """Headers and length of the answer that has begun."""
-        return self._reader.headers(), self._reader.body_length()
+    def response_head(self) -> ResponseHead:
+        """Return the head of the response that has begun."""
+        return ResponseHead(self._reader.headers(), self._reader.body_length())
 
     def cache_status(self) -> int:
-        """What it says of the read."""
+        """Return the cache status that the response states: 0 none, 1 hit, 2 miss, 3 pending."""
         return _CACHE_STATUSES.get(self._reader.headers().get(b"srv-cache", b"").strip().lower(), 0)
 
     def take_body(self) -> list[bytes]:
-        """What has come of it."""
+        """Return the parts of the body that were received since the last call."""
         return self._reader.take_body()
 
     def _make_result(self, response: Response) -> AttemptResult:
-        note, result = self.cache_status(), _classify_response(response)
+        cache_status = self.cache_status()
+        result = _classify_response(response)
         if result is Result.ERROR and not self.is_sent():
-            result = Result.CONNECT_FAILED  # an early answer: it never had the whole request
-        return AttemptResult(result, note, response, response.reusable and self.is_sent())
+            result = Result.CONNECT_FAILED  # an early response: the upstream never had the whole request
+        return AttemptResult(result, cache_status, response, response.reusable and self.is_sent())
 
 
 def _classify_response(response: Response) -> Result:
@@ -135,7 +140,7 @@
         return Result.BUSY
     if response.status == 400:
         return Result.INVALID
-    return Result.ERROR  # it may have run
+    return Result.ERROR  # the request may have been executed
 
 
 def _encode_request(request: ForwardedRequest, host: str, time_left_ms: float) -> bytes:
@@ -143,7 +148,7 @@
         request.method + b" " + request.target + b" HTTP/1.1",
         b"Host: " + host.encode(),
         b"Req-Id: " + request.req_id,
-        # of a body that is coming, the time counts from its last byte
+        # the time of a streamed body counts from its last byte: forwarded as received
         b"Req-Deadline: "
         + (request.deadline_header if request.body_stream else b"%.3f" % (max(0.0, time_left_ms) / 1000.0)),
     ]
--- a/rosepick/http/discovery.py
+++ b/rosepick/http/discovery.py
@@ -1,8 +1,9 @@
-"""Discovery's side: one call for the transport map, as bytes out and a list back."""
+"""Protocol of the discovery service: encodes a poll for endpoints and parses the list."""
 
 from __future__ import annotations
 
 import json
+from typing import NamedTuple
 
 from ..settings.reader import SettingsReader
 from .response import MalformedResponseError, Response, ResponseReader
@@ -11,42 +12,61 @@
 
 
 class DiscoveryError(Exception):
-    """Discovery did not answer with a list."""
+    """The response of the discovery service is not an endpoint list."""
 
 
 def encode_list_request(host: str, after_revision: int | None, wait_ms: float) -> bytes:
-    """A call for what is newer than a revision; it may wait so many milliseconds for that. Without one: for
-    the whole list.
+    """Encode a long poll for lists newer than a revision; without one, a request for the current list.
+
+    Args:
+        host: value of the Host header.
+        after_revision: the revision known already.
+        wait_ms: how long the service may wait for a newer revision, in milliseconds.
     """
     query = "" if after_revision is None else f"?after={after_revision}&wait_ms={wait_ms:.0f}"
     return (f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n").encode()
 
 
+class EndpointListReply(NamedTuple):
+    """An endpoint list as received, before it is validated."""
+
+    document: SettingsReader
+    reusable: bool  # the connection can carry another poll
+
+
 class EndpointListReader:
-    """The answer to one call."""
+    """Parses the response to one poll."""
 
     def __init__(self) -> None:
         self._reader = ResponseReader(MAX_LIST_BYTES)
 
-    def feed(self, data: bytes) -> tuple[SettingsReader, bool] | None:
-        """Take in bytes; the list once whole, and whether the connection can be kept. Raises CallFailed."""
+    def feed(self, data: bytes) -> EndpointListReply | None:
+        """Parse received bytes; return the list once it is complete.
+
+        Raises:
+            DiscoveryError: the response is malformed, not a 200 or not a JSON object.
+        """
         try:
-            answer = self._reader.feed(data)
-        except MalformedResponseError as problem:
-            raise DiscoveryError(str(problem)) from None
-        return None if answer is None else self._parse_list(answer)
-
-    def feed_eof(self) -> tuple[SettingsReader, bool]:
-        """Discovery has ended its sending."""
-        answer = self._reader.feed_eof()
-        if answer is None:
+            response = self._reader.feed(data)
+        except MalformedResponseError as error:
+            raise DiscoveryError(str(error)) from None
+        return None if response is None else self._parse_list(response)
+
+    def feed_eof(self) -> EndpointListReply:
+        """Return the list if the end of the connection delimits it.
+
+        Raises:
+            DiscoveryError: as `feed`, or the response is incomplete.
+        """
+        response = self._reader.feed_eof()
+        if response is None:
             raise DiscoveryError("the connection ended before the answer did")
-        return self._parse_list(answer)
+        return self._parse_list(response)
 
-    def _parse_list(self, response: Response) -> tuple[SettingsReader, bool]:
+    def _parse_list(self, response: Response) -> EndpointListReply:
         if response.status != 200:
             raise DiscoveryError(f"status {response.status}")
         try:
-            return SettingsReader(json.loads(response.body), ""), response.reusable
+            return EndpointListReply(SettingsReader(json.loads(response.body), ""), response.reusable)
         except (ValueError, RecursionError):
             raise DiscoveryError("not a JSON object") from None
--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -1,11 +1,10 @@
-"""The sender side: requests read from bytes into envelopes, final answers written as bytes."""
+"""The server side of HTTP/1.1: parses a client's requests and encodes their responses."""
 
 from __future__ import annotations
 
-import re
 from collections import deque
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable
+from typing import NamedTuple
 
 import httptools
 
@@ -13,30 +12,32 @@
 from ..core.endpoint_directory import hash_key
 from ..core.engine import RequestContext
 from ..settings.config import NameIndexes
+from .request_headers import (
+    index_header,
+    number_header,
+    request_id_header,
+    time_to_deadline_ms,
+    to_origin_form,
+)
+from .request_messages import (
+    BadRequestError,
+    ForwardedRequest,
+    ParsedMessage,
+    ReadinessProbe,
+    RequestReceived,
+    RequestRejected,
+    discard_body,
+    key_of_target,
+)
+from .response_encoding import ExtraHeaders, encode_head
 
 MAX_BODY_BYTES = 36 * 1024 * 1024
-MAX_BUFFERED_BODY_BYTES = 64 * 1024  # a body up to this is handed over whole, a longer one as it comes
-BODY_TIMEOUT_MS = 600_000.0  # milliseconds that a body may take to come
+MAX_BUFFERED_BODY_BYTES = 64 * 1024  # a longer body is streamed
+BODY_TIMEOUT_MS = 600_000.0  # for receiving a whole streamed body
 MAX_HEAD_BYTES = 16 * 1024
-MAX_PIPELINED_REQUESTS = 4  # messages read ahead of the one that is being answered
-REASON_PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    417: b"Expectation Failed",
-    431: b"Request Header Fields Too Large",
-    499: b"Client Closed Request",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
-# Of these a second one would be read one way here and another way elsewhere.
+MAX_PIPELINED_REQUESTS = 4  # requests that are read ahead of the one in hand
+
+# A repeated header of these could be read one way here and another way by an upstream or a proxy.
 _SINGLE_VALUE_HEADERS = frozenset(
     {
         b"req-id",
@@ -52,252 +53,193 @@
         b"expect",
     }
 )
-_REQUEST_ID = re.compile(rb"[!-~]{1,128}")
-_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")  # not all that float() takes: 1_0, nan, 1e300
-
-
-@dataclass(frozen=True, slots=True)
-class ForwardedRequest:
-    """What of a request is passed on to a next hop unchanged."""
-
-    method: bytes
-    target: bytes
-    body: bytes
-    req_id: bytes
-    idempotency_key: bytes | None
-    content_type: bytes | None
-    deadline_header: bytes = b""  # Req-Deadline as it came: not passed on, but kept for the record
-    body_stream: BodyStream | None = None  # in place of the body: it is still coming
-
+_READINESS_PATHS = (b"/ready", b"/health")
 
-def discard_body(request: RequestContext) -> None:
-    """What has come of its body is of no use."""
-    assert isinstance(request.payload, ForwardedRequest)
-    if request.payload.body_stream is not None:
-        request.payload.body_stream.close()
 
-
-def client_fields(payload: object) -> tuple[bytes, bytes, bytes]:
-    """What the sender side wrote that an envelope does not hold: id, key and deadline."""
-    assert isinstance(payload, ForwardedRequest)
-    return payload.req_id, key_of_target(payload.target), payload.deadline_header
-
-
-def key_of_target(target: bytes) -> bytes:
-    """The key that a request's target names: the last part of its path."""
-    return target.partition(b"?")[0].rpartition(b"/")[2]
-
-
-@dataclass(frozen=True, slots=True)
-class RequestReceived:
-    """An envelope has come in whole."""
+class CompletedUpload(NamedTuple):
+    """A request whose streamed body has been received completely."""
 
     request: RequestContext
-
-
-@dataclass(frozen=True, slots=True)
-class ReadinessProbe:
-    """The question whether the router serves."""
-
-
-@dataclass(frozen=True, slots=True)
-class RequestRejected:
-    """A request that cannot be taken, with the status that says so."""
-
-    status: int
-    reason: str
-    class_index: int | None = None  # where it stated a class that is known
-
-
-class ProtocolMessage:
-    """What a machine of another front has read."""
-
-
-ParsedMessage = RequestReceived | ReadinessProbe | RequestRejected | ProtocolMessage
-ExtraHeaders = tuple[tuple[bytes, bytes], ...]  # further headers of an answer
-
-
-class BadRequestError(Exception):
-    """A request cannot be taken."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
+    deadline: float  # milliseconds, on the clock of `ServerProtocol.feed`
 
 
 class ServerProtocol:
-    """One connection of the sender side: one request is answered at a time, in order."""
+    """One connection to a client: requests are answered one at a time, in order."""
 
     def __init__(self, get_names: Callable[[], NameIndexes], body_budget: BufferBudget | None = None) -> None:
-        """`get_names`: those in force, asked when a request is handed over. `body_budget`: for bodies that
-        are handed over as they come; without it none is longer than WHOLE.
+        """Create the state of a new connection.
+
+        Args:
+            get_names: returns the names in force; called whenever a request is handed over.
+            body_budget: for streamed bodies; without it a body may have `MAX_BUFFERED_BODY_BYTES` at most.
         """
-        self._get_names, self._body_budget = get_names, body_budget
-        self.body_stream: BodyStream | None = None  # of the body that is coming
-        # a body that was coming came wrong: the answer to its request
-        self.body_rejection: RequestRejected | None = None
-        self.body_bytes = 0  # bytes of the present body
+        self._get_names = get_names
+        self._body_budget = body_budget
+        self.body_stream: BodyStream | None = None  # of the body that is being received
+        self.body_rejection: RequestRejected | None = None  # response for a malformed streamed body
+        self.body_bytes = 0  # received of the current body
         self._streaming_request: RequestContext | None = None
-        self._completed_requests: list[tuple[RequestContext, float]] = []
-        self._unframed_bytes = 0  # bytes since a head or a message ended, or something of a body came
+        self._completed_requests: list[CompletedUpload] = []
+        self._unframed_bytes = 0  # received since the last end of a head or message, or body data
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._inbox: deque[tuple[ParsedMessage, bool]] = deque()
-        self._version = "1.1"  # of the request read last
-        self._keep_alive = True  # after the request that is being answered
-        # the body that is coming is of the request that is being answered
-        self._streams_current_request = False
-        # the answer that comes in parts, and the connection after it
-        self._chunked = self._closes_after_response = False
+        self._version = "1.1"  # HTTP version of the last request that was parsed
+        self._keep_alive = True  # whether the connection persists after the request in hand
+        self._streams_current_request = False  # `body_stream` belongs to the request in hand
+        self._chunked = False  # the streamed response has chunked encoding
+        self._closes_after_response = False
         self._now = 0.0
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
-        self._head_bytes = 0  # bytes of the head as parsed
+        self._head_bytes = 0  # of the current head, as parsed
         self._in_head = False
-        self.has_partial_request = False  # a request has begun and is not whole
-        self.response_pending = False  # a request waits for its answer
+        self.has_partial_request = False  # a request has begun and is incomplete
+        self.response_pending = False  # a request is in hand: its response is due
         self.is_done = False  # nothing more will be read or answered
         self.wants_continue = False
 
     def feed(self, data: bytes, now: float) -> None:
-        """Take in bytes that came at that time; deadlines count from there."""
+        """Parse received bytes; `now` in milliseconds, from which deadlines count."""
         if self._parser is None:
             return
         self._now = now
         self._unframed_bytes += len(data)
         try:
             self._parser.feed_data(data)
-            # the parser holds back what is not whole: guards against a header or a trailer that never ends
+            # The parser buffers incomplete fields: guards against endless headers or trailers.
             if self.has_partial_request and self._unframed_bytes > MAX_HEAD_BYTES:
                 raise BadRequestError(431, "headers too long")
-        except httptools.HttpParserCallbackError as problem:
-            cause = problem.__context__
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
             if isinstance(cause, BadRequestError):
                 self._reject(cause)
             else:
                 self._reject(BadRequestError(400, "malformed request"))
         except httptools.HttpParserUpgrade:
-            # The request itself is whole and in the inbox. Guards against a second answer to it; what follows
-            # would be of another protocol.
+            # The request itself is complete and in the inbox, and is answered once. Bytes after it would
+            # belong to another protocol.
             self._parser = None
             self._inbox.append((self._inbox.pop()[0], False))
         except httptools.HttpParserError:
             self._reject(BadRequestError(400, "malformed request"))
-        except BadRequestError as problem:
-            self._reject(problem)
+        except BadRequestError as error:
+            self._reject(error)
 
-    def _reject(self, problem: BadRequestError) -> None:
-        """Refuse what came; where it ends is not known, so nothing after it is read."""
+    def _reject(self, error: BadRequestError) -> None:
+        """Reject the request being received; its end is unknown, so nothing after it is read."""
         self._parser = None
         self.has_partial_request = False
-        flow, self.body_stream, self._streaming_request = self.body_stream, None, None
-        if flow is not None:
-            flow.abort()
-            if self._streams_current_request:  # the answer is due to that request
-                self.body_rejection = self._make_rejection(problem)
+        body, self.body_stream = self.body_stream, None
+        self._streaming_request = None
+        if body is not None:
+            body.abort()
+            if self._streams_current_request:  # the rejection is the response to the request in hand
+                self.body_rejection = self._make_rejection(error)
                 return
             self._inbox.pop()
-            flow.close()
-        self._inbox.append((self._make_rejection(problem), False))
+            body.close()
+        self._inbox.append((self._make_rejection(error), False))
 
-    def _make_rejection(self, problem: BadRequestError) -> RequestRejected:
-        """The refusal, with the class that the request states: it is the request's final answer."""
+    def _make_rejection(self, error: BadRequestError) -> RequestRejected:
+        """Return the rejection with the request class of the headers, for which it counts."""
         name = self._headers.get(b"req-kind", b"").decode("latin-1")
-        return RequestRejected(problem.status, str(problem), self._get_names().classes.get(name))
+        return RequestRejected(error.status, str(error), self._get_names().classes.get(name))
 
     def next_message(self) -> ParsedMessage | None:
-        """The next request to answer, unless one is being answered."""
+        """Take up and return the next message; None while a response is pending or there is no message."""
         if self.response_pending or self.is_done or not self._inbox:
             return None
-        received, self._keep_alive = self._inbox.popleft()
+        message, self._keep_alive = self._inbox.popleft()
         self.response_pending = True
         self._streams_current_request = self.body_stream is not None and not self._inbox
-        return received
+        return message
 
-    def take_completed(self) -> list[tuple[RequestContext, float]]:
-        """Envelopes that were coming and are whole now, with their deadlines."""
-        found, self._completed_requests = self._completed_requests, []
-        return found
+    def take_completed(self) -> list[CompletedUpload]:
+        """Return the streamed uploads that were completed since the last call."""
+        completed, self._completed_requests = self._completed_requests, []
+        return completed
 
     def has_pipelined(self) -> bool:
-        """Whether more came before the request in hand was answered."""
+        """Whether further messages wait behind the request in hand."""
         return bool(self._inbox)
 
     def pipeline_is_full(self) -> bool:
-        """Whether enough was read ahead."""
+        """Whether `MAX_PIPELINED_REQUESTS` were read ahead."""
         return len(self._inbox) >= MAX_PIPELINED_REQUESTS
 
     def is_idle(self) -> bool:
-        """Between requests."""
+        """Whether the connection is between requests."""
         return not (self.response_pending or self.has_partial_request or self._inbox)
 
     def reject_timeout(self) -> None:
-        """The rest of a request did not come."""
+        """Reject a request that was not received completely in time."""
         self._reject(BadRequestError(408, "the request did not come whole"))
 
     def close(self) -> None:
-        """The connection is closed. The parser refers back to this machine: leave no cycle to collect."""
-        self._parser, self.is_done = None, True
+        """Release everything: the connection was closed."""
+        self._parser = None  # it refers back to this object: leave no reference cycle
+        self.is_done = True
         self._discard_pending()
 
     def _discard_pending(self) -> None:
-        """Nothing more is read, and nothing of what was sent ahead is taken up."""
-        for received, _ in self._inbox:
-            if isinstance(received, RequestReceived):
-                discard_body(received.request)
+        """Drop requests that were pipelined or are being received."""
+        for message, _ in self._inbox:
+            if isinstance(message, RequestReceived):
+                discard_body(message.request)
         self._inbox.clear()
         if self.body_stream is not None:
             self.body_stream.abort()
             self.body_stream.close()
-        self.body_stream = self._streaming_request = None
+        self.body_stream = None
+        self._streaming_request = None
 
     def encode_response_head(
         self, status: int, body: bytes, extra_headers: ExtraHeaders, closing: bool, last: bool = False
     ) -> bytes:
-        """The head of the answer to the request in hand; its body follows. `done` is set if the connection
-        ends with it, as it does with the `last` one, whatever came behind.
+        """Return the head of the response to the request in hand; its body follows.
+
+        Sets `is_done` if the connection closes after this response. With `closing` it does unless pipelined
+        requests still wait; with `last` it does in any case.
         """
         self._finish_response(closing, last)
-        return self._encode_head(
-            status, self.is_done, ((b"Content-Length", b"%d" % len(body)), *extra_headers)
-        )
+        return encode_head(status, self.is_done, ((b"Content-Length", b"%d" % len(body)), *extra_headers))
 
     def begin_streamed_response(
         self, length: int | None, extra_headers: ExtraHeaders, closing: bool
     ) -> bytes:
-        """The head of an answer whose body comes in parts."""
+        """Return the head of a 200 response whose body is streamed; without a length, chunked encoding."""
         self._chunked = length is None and self._version != "1.0"
         if length is None and not self._chunked:
-            self._keep_alive = False  # without chunks, the connection's end is the answer's
+            self._keep_alive = False  # HTTP/1.0: the end of the connection delimits the body
         self._closes_after_response = not self._keep_alive or (
             closing and not self._inbox and not self.has_partial_request
         )
         framing: ExtraHeaders = ((b"Transfer-Encoding", b"chunked"),) if self._chunked else ()
         if length is not None:
             framing = ((b"Content-Length", b"%d" % length),)
-        return self._encode_head(200, self._closes_after_response, framing + extra_headers)
+        return encode_head(200, self._closes_after_response, framing + extra_headers)
 
     def encode_chunk(self, *parts: bytes) -> tuple[bytes, ...]:
-        """Some of its body."""
+        """Return parts of a streamed body as they are to be written."""
         size = sum(map(len, parts))
         return (b"%x\r\n" % size, *parts, b"\r\n") if self._chunked and size else parts
 
     def finish_streamed_response(self, closing: bool = False) -> bytes:
-        """Its end; the connection's too, if the head said so."""
+        """Return the end of a streamed body; `is_done` is set if the head announced a close."""
         self._finish_response(closing or self._closes_after_response, self._closes_after_response)
         return b"0\r\n\r\n" if self._chunked else b""
 
     def ends_with_connection(self) -> bool:
-        """Whether only the connection's end tells where the answer in hand ends."""
+        """Whether the end of the connection delimits the streamed response."""
         return not self._chunked and not self._keep_alive and self._version == "1.0"
 
     def _finish_response(self, closing: bool, last: bool = False) -> None:
-        """The request in hand has its answer."""
+        """Record that the request in hand is answered, and whether the connection persists."""
         self.response_pending = False
-        last = last or (
-            self._streams_current_request and self.body_stream is not None
-        )  # the rest of its body is not read
-        # what was sent ahead has been taken: it is answered before the connection may close
+        # a streamed request body that is not complete yet will not be read to its end
+        last = last or (self._streams_current_request and self.body_stream is not None)
+        # pipelined requests were accepted: they are answered before the connection may close
         self.is_done = (
             last or not self._keep_alive or (closing and not self._inbox and not self.has_partial_request)
         )
@@ -305,33 +247,33 @@
             self._parser = None
             self._discard_pending()
 
-    @staticmethod
-    def _encode_head(status: int, closes: bool, extra_headers: ExtraHeaders) -> bytes:
-        lines = [b"HTTP/1.1 %d %s" % (status, REASON_PHRASES[status])]
-        lines += [name + b": " + value for name, value in extra_headers]
-        if closes:
-            lines.append(b"Connection: close")
-        return b"\r\n".join(lines) + b"\r\n\r\n"
-
-    # ------------------------------------------------------------------------------ the parser's calls
+    # ------------------------------------------------------------------------------ parser callbacks
 
     def on_message_begin(self) -> None:
-        self._target, self._headers, self._body = b"", {}, bytearray()
-        self._head_bytes = self.body_bytes = 0
+        """Parser callback: a request begins."""
+        self._target = b""
+        self._headers = {}
+        self._body = bytearray()
+        self._head_bytes = 0
+        self.body_bytes = 0
         self._streams_current_request = False
-        self.has_partial_request = self._in_head = True
+        self.has_partial_request = True
+        self._in_head = True
 
     def on_url(self, part: bytes) -> None:
+        """Parser callback: a part of the request target."""
         self._target += part
         self._count_head_bytes(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback: a header of the head, or a trailer."""
         self._count_head_bytes(len(name) + len(value) + 4)
         if not self._in_head:
-            return  # a trailer: it may not say what the head did not
-        low, value = name.lower(), value.strip(b" \t")  # the parser leaves blanks behind a value
-        # guards against a request that is one thing here and another at a next hop or a proxy before us
-        if self._headers.setdefault(low, value) is not value and low in _SINGLE_VALUE_HEADERS:
+            return  # trailers are ignored
+        name = name.lower()
+        value = value.strip(b" \t")  # the parser keeps trailing blanks
+        # Guards against request smuggling: an upstream or a proxy might use the other value.
+        if self._headers.setdefault(name, value) is not value and name in _SINGLE_VALUE_HEADERS:
             raise BadRequestError(400, "a header that may come once came again")
 
     def _count_head_bytes(self, size: int) -> None:
@@ -340,7 +282,9 @@
             raise BadRequestError(431, "headers too long")
 
     def on_headers_complete(self) -> None:
-        self._in_head, self._unframed_bytes = False, 0
+        """Parser callback: the head is complete."""
+        self._in_head = False
+        self._unframed_bytes = 0
         length = self._headers.get(b"content-length", b"0").strip()
         if length.isdigit() and int(length) > MAX_BODY_BYTES:
             raise BadRequestError(413, "body too long")
@@ -352,15 +296,16 @@
         self.wants_continue = b"expect" in self._headers
 
     def is_in_head(self) -> bool:
-        """Whether what has begun to come is still in its head."""
+        """Whether the head of the request being received is incomplete."""
         return self._in_head
 
     def on_body(self, part: bytes) -> None:
+        """Parser callback: a part of the body."""
         if self.is_done:
             return
         self.body_bytes += len(part)
         self._unframed_bytes = 0
-        self.wants_continue = False  # it did not wait
+        self.wants_continue = False  # the client sends without waiting for 100 Continue
         if self.body_bytes > (MAX_BODY_BYTES if self._body_budget is not None else MAX_BUFFERED_BODY_BYTES):
             raise BadRequestError(413, "body too long")
         if self.body_stream is not None:
@@ -371,8 +316,9 @@
             self._start_streaming_body()
 
     def _start_streaming_body(self) -> None:
-        """A body is too long to be held: its request goes on before it is whole."""
-        assert self._parser is not None and self._body_budget is not None
+        """Hand the request over before its body, which is too long to be buffered, is complete."""
+        assert self._parser is not None
+        assert self._body_budget is not None
         length = self._headers.get(b"content-length", b"").strip()
         self.body_stream = BodyStream(
             self._body_budget, int(length) if length.isdigit() else None, notifies_reader=False
@@ -381,53 +327,57 @@
         self._body = bytearray()
         self._version = self._parser.get_http_version()
         try:
-            delivered = self._parse_request(self._parser.get_method())
+            message = self._parse_request(self._parser.get_method())
         except BadRequestError:
             self.body_stream.close()
             self.body_stream = None
             raise
-        if not isinstance(delivered, RequestReceived):
+        if not isinstance(message, RequestReceived):
             raise BadRequestError(413, "body too long")
-        self._streaming_request = delivered.request
-        self._inbox.append((delivered, self._parser.should_keep_alive()))
+        self._streaming_request = message.request
+        self._inbox.append((message, self._parser.should_keep_alive()))
 
     def on_message_complete(self) -> None:
+        """Parser callback: the request is complete."""
         assert self._parser is not None
-        self.has_partial_request = self.wants_continue = False
+        self.has_partial_request = False
+        self.wants_continue = False
         self._unframed_bytes = 0
         if self.body_stream is not None and self._streaming_request is not None:
-            self._completed_requests.append(
-                (self._streaming_request, self._now + _time_to_deadline_ms(self._headers))
-            )
-            flow, self.body_stream, self._streaming_request = self.body_stream, None, None
-            flow.finish()
+            body = self.body_stream
+            deadline = self._now + time_to_deadline_ms(self._headers)
+            self._completed_requests.append(CompletedUpload(self._streaming_request, deadline))
+            self.body_stream = None
+            self._streaming_request = None
+            body.finish()
             return
         method = self._parser.get_method()
         self._version = self._parser.get_http_version()
         try:
-            received = self._parse_request(method)
-        except BadRequestError as problem:
-            received = self._make_rejection(problem)
-        self._inbox.append((received, self._parser.should_keep_alive()))
+            message = self._parse_request(method)
+        except BadRequestError as error:
+            message = self._make_rejection(error)
+        self._inbox.append((message, self._parser.should_keep_alive()))
 
-    # --------------------------------------------------------------------------------- what they say
+    # ----------------------------------------------------------------------------- a request's contents
 
     def _parse_request(self, method: bytes) -> ParsedMessage:
         self._target = to_origin_form(self._target)
         path = self._target.partition(b"?")[0]
-        if path in (b"/ready", b"/health"):
+        if path in _READINESS_PATHS:
             return ReadinessProbe()
         if method not in (b"GET", b"PUT"):
             raise BadRequestError(405, "only GET and PUT are known here")
-        headers, names = self._headers, self._get_names()
+        headers = self._headers
+        names = self._get_names()
         cost = headers.get(b"req-cost")
+        is_partial = self.body_stream is not None
         return RequestReceived(
             RequestContext(
                 class_index=index_header(headers, b"req-kind", names.classes),
                 tenant_index=index_header(headers, b"req-owner", names.tenants) if names.tenants else 0,
-                deadline=self._now
-                + (BODY_TIMEOUT_MS if self.body_stream is not None else _time_to_deadline_ms(headers)),
-                is_partial=self.body_stream is not None,
+                deadline=self._now + (BODY_TIMEOUT_MS if is_partial else time_to_deadline_ms(headers)),
+                is_partial=is_partial,
                 key=hash_key(key_of_target(path)),
                 is_write=method == b"PUT",
                 is_retry=headers.get(b"req-retry") == b"1",
@@ -436,7 +386,7 @@
                     method,
                     self._target,
                     bytes(self._body),
-                    _request_id(headers),
+                    request_id_header(headers),
                     headers.get(b"idempotency-key"),
                     headers.get(b"content-type"),
                     headers[b"req-deadline"],
@@ -444,46 +394,3 @@
                 ),
             )
         )
-
-
-def to_origin_form(target: bytes) -> bytes:
-    """A request's target without scheme and authority, which every server must take."""
-    if target[:7].lower() != b"http://":
-        return target
-    authority, slash, rest = target[7:].partition(b"/")
-    return slash + rest if slash else b"/" + authority[len(authority.partition(b"?")[0]) :]
-
-
-def _time_to_deadline_ms(headers: dict[bytes, bytes]) -> float:
-    return 1000.0 * number_header(headers, b"req-deadline")
-
-
-def text_header(headers: dict[bytes, bytes], name: bytes) -> bytes:
-    """A header that must be there."""
-    value = headers.get(name)
-    if not value:
-        raise BadRequestError(400, f"{name.decode()} is missing")
-    return value
-
-
-def _request_id(headers: dict[bytes, bytes]) -> bytes:
-    value = text_header(headers, b"req-id")
-    if not _REQUEST_ID.fullmatch(value):
-        raise BadRequestError(400, "req-id is no plain text of at most 128 characters")
-    return value
-
-
-def index_header(headers: dict[bytes, bytes], name: bytes, indexes: Mapping[str, int]) -> int:
-    """The place of the name that a header states."""
-    place = indexes.get(text_header(headers, name).decode("latin-1"))
-    if place is None:
-        raise BadRequestError(400, f"{name.decode()} is not known here")
-    return place
-
-
-def number_header(headers: dict[bytes, bytes], name: bytes) -> float:
-    """The number that a header states."""
-    value = text_header(headers, name)
-    if not _DECIMAL.fullmatch(value):
-        raise BadRequestError(400, f"{name.decode()} is not a plain number of 0 or more")
-    return float(value)
--- a/rosepick/lab/live/live_simulation.py
+++ b/rosepick/lab/live/live_simulation.py
@@ -8,7 +8,7 @@
 
 from ...core.endpoint_directory import hash_key
 from ...decisions.api import Result
-from ...http.server_protocol import key_of_target
+from ...http.request_messages import key_of_target
 from ...net.event_loop import EventLoop
 from ...net.resource_budget import ResourceBudget
 from ..experiment import Experiment
--- a/rosepick/lab/live/request_reader.py
+++ b/rosepick/lab/live/request_reader.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from ...http.server_protocol import REASON_PHRASES
+from ...http.response_encoding import REASON_PHRASES
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
--- a/rosepick/net/batch_listener.py
+++ b/rosepick/net/batch_listener.py
@@ -16,8 +16,8 @@
 from ..connections.descriptor_budget import DescriptorUse
 from ..http import batch_protocol
 from ..http.batch_protocol import BatchRequest, BatchServerProtocol
+from ..http.request_messages import ParsedMessage
 from ..http.response import MalformedResponseError, Response, ResponseReader
-from ..http.server_protocol import ParsedMessage
 from ..logs import log_event, log_exception
 from .downstream_connection import DownstreamConnection
 from .event_loop import READ, WRITE, EventLoop, ScheduledCall
--- a/rosepick/net/capture_output.py
+++ b/rosepick/net/capture_output.py
@@ -17,7 +17,7 @@
 
 from ..capture.recorder import CaptureRecorder
 from ..capture.ring_buffer import LineRing, Position
-from ..http.server_protocol import client_fields
+from ..http.request_messages import client_fields
 from ..logs import log_event
 from ..settings.config import NameIndexes
 from ..settings.operator_file import OperatorFile
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -10,17 +10,17 @@
 from ..core.body_stream import BodyStream
 from ..core.engine import RequestContext
 from ..http.client_protocol import StreamedResponse
-from ..http.response import Response
-from ..http.server_protocol import (
-    ExtraHeaders,
+from ..http.request_messages import (
     ForwardedRequest,
     ParsedMessage,
     ReadinessProbe,
     RequestReceived,
     RequestRejected,
-    ServerProtocol,
     discard_body,
 )
+from ..http.response import Response
+from ..http.response_encoding import ExtraHeaders
+from ..http.server_protocol import ServerProtocol
 from ..logs import log_event, log_exception
 from .event_loop import READ, WRITE, ScheduledCall
 from .tcp_stream import LONG_BODY_BYTES, NO_PROGRESS_TIMEOUT_MS, READ_CHUNK_BYTES, StreamFactory
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -16,7 +16,7 @@
 from ..core.engine import Engine, UpstreamAttempt
 from ..decisions.api import Result, Status
 from ..http.client_protocol import AttemptResult, HttpExchange, StreamedResponse
-from ..http.server_protocol import ForwardedRequest
+from ..http.request_messages import ForwardedRequest
 from ..logs import log_event, log_exception
 from ..settings.config import Config
 from .event_loop import READ, WRITE, EventLoop
--- a/tests/golden_http_forms.py
+++ b/tests/golden_http_forms.py
@@ -10,7 +10,8 @@
 from rosepick.core.request_counters import RequestOutcome
 from rosepick.http import batch_protocol, discovery
 from rosepick.http.client_protocol import HttpExchange
-from rosepick.http.server_protocol import ForwardedRequest, RequestReceived, RequestRejected, ServerProtocol
+from rosepick.http.request_messages import ForwardedRequest, RequestReceived, RequestRejected
+from rosepick.http.server_protocol import ServerProtocol
 from rosepick.ops.line_protocol import AdminProtocol, AdminReply
 from rosepick.ops.telemetry import TelemetrySnapshot
 from rosepick.settings.config import NameIndexes
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -13,14 +13,10 @@
     BodyStream,
     BufferBudget,
 )
+from rosepick.http.request_headers import to_origin_form
+from rosepick.http.request_messages import ForwardedRequest, RequestReceived, RequestRejected
 from rosepick.http.response import MalformedResponseError, ResponseReader
-from rosepick.http.server_protocol import (
-    ForwardedRequest,
-    RequestReceived,
-    RequestRejected,
-    ServerProtocol,
-    to_origin_form,
-)
+from rosepick.http.server_protocol import ServerProtocol
 from rosepick.settings.config import NameIndexes
 
 from .scenario import Scenario
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -25,7 +25,7 @@
     encode_trailer,
     parse_entries,
 )
-from rosepick.http.server_protocol import RequestRejected
+from rosepick.http.request_messages import RequestRejected
 from rosepick.net.batch_listener import BatchDownstreamConnection, BatchItemScheduler
 from rosepick.settings import operator_file
 from rosepick.settings.config import NameIndexes
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,7 +10,7 @@
 
 from rosepick.decisions.api import Result
 from rosepick.http.client_protocol import HttpExchange
-from rosepick.http.server_protocol import ForwardedRequest
+from rosepick.http.request_messages import ForwardedRequest
 
 from .scenario import Scenario
 
