--- a/rosepick/coordination/acceptor_server.py
+++ b/rosepick/coordination/acceptor_server.py
@@ -22,7 +22,7 @@
 from ..logs import log_event
 from ..net.boot_clock import boottime_s
 from ..net.event_loop import READ, WRITE, EventLoop
-from ..net.listener import listen
+from ..net.listen_socket import listen
 from ..net.resource_budget import ResourceBudget
 from ..net.tcp_stream import TcpStream
 from .acceptor_store import AcceptorStore
--- a/rosepick/net/__init__.py
+++ b/rosepick/net/__init__.py
@@ -1,1 +1,1 @@
-"""The loop, and thin drivers that read and write sockets for the state machines."""
+"""The event loop, and drivers that connect sockets with the protocol state machines."""
--- a/rosepick/net/admin_listener.py
+++ b/rosepick/net/admin_listener.py
@@ -1,4 +1,4 @@
-"""The operators' door: a listener of its own, with descriptors and loop time that no crowd can take."""
+"""The admin listener: answers operators, with descriptors and loop time that clients cannot exhaust."""
 
 from __future__ import annotations
 
@@ -9,20 +9,20 @@
 from ..logs import log_event
 from ..ops.line_protocol import AdminCommands, AdminProtocol
 from .event_loop import READ, WRITE, EventLoop, ScheduledCall
-from .listener import listen
+from .listen_socket import listen
 from .resource_budget import ResourceBudget
 from .tcp_stream import TcpStream
 
 logger = logging.getLogger(__name__)
-MAX_CONNECTIONS = 12  # at one time; the one that came first gives way to another
-RESERVED_DESCRIPTORS = MAX_CONNECTIONS + 4  # set aside for the door: its callers, the listener, its selector
-# milliseconds that a caller may take, for its call and for reading the answer
-CONNECTION_TIMEOUT_MS = 5_000.0
+MAX_CONNECTIONS = 12  # at one time; another one closes the oldest
+RESERVED_DESCRIPTORS = MAX_CONNECTIONS + 4  # its connections, the listening socket, the urgent selector
+CONNECTION_TIMEOUT_MS = 5_000.0  # for sending a command and reading the reply
+DESCRIPTOR_LIMIT = 1024  # of its own budget; connections are limited by `MAX_CONNECTIONS`
 BACKLOG = 64
 
 
 class AdminConnection:
-    """One connection of the operators' door."""
+    """One connection of an operator."""
 
     def __init__(self, listener: AdminListener, sock: socket.socket) -> None:
         self.listener = listener
@@ -56,33 +56,33 @@
         if self.stream.has_unwritten():
             self.stream.set_events(WRITE)
         elif self.protocol.is_done:
-            # read on up to the caller's own close: guards against a reset that overtakes the answer
+            # Keep reading until the operator closes: guards against a reset that overtakes the reply.
             self.stream.shutdown_write()
             self.stream.set_events(READ)
 
     def close(self) -> None:
-        """Close it, answered or not."""
+        """Close the connection, answered or not."""
         self.timeout_timer.cancel()
         self.listener.connections.pop(self, None)
         self.stream.close()
 
 
 class AdminListener:
-    """Answers operators' calls."""
+    """Accepts the connections of operators."""
 
     def __init__(self, loop: EventLoop, address: tuple[str, int], commands: AdminCommands) -> None:
-        self.loop, self.commands = loop, commands
-        self.budget = ResourceBudget(
-            1024
-        )  # apart from the one for clients: guards the door against their crowd
+        self.loop = loop
+        self.commands = commands
+        # apart from the budget for clients: guards against connection pressure
+        self.budget = ResourceBudget(DESCRIPTOR_LIMIT)
         self.connections: OrderedDict[AdminConnection, None] = OrderedDict()
-        self.connection_count = 0  # callers since the start
+        self.connection_count = 0  # accepted since the start
         self.sock = listen(address, BACKLOG)
         loop.register(self.sock, READ, self._accept, urgent=True)
         host, port = self.sock.getsockname()[:2]
         log_event(logger, logging.INFO, "ops_serving", listen=f"{host}:{port}")
 
-    def _accept(self, events: int) -> None:
+    def _accept(self, _events: int) -> None:
         for _ in range(MAX_CONNECTIONS):
             try:
                 sock, _ = self.sock.accept()
@@ -94,8 +94,8 @@
             self.connections[AdminConnection(self, sock)] = None
 
     def close(self) -> None:
-        """Let go of every socket."""
-        for caller in list(self.connections):
-            caller.close()
+        """Close all sockets."""
+        for connection in list(self.connections):
+            connection.close()
         self.loop.unregister(self.sock, urgent=True)
         self.sock.close()
--- a/rosepick/net/boot_clock.py
+++ b/rosepick/net/boot_clock.py
@@ -1,4 +1,4 @@
-"""The clock of what waits for others over minutes: one that goes on while the machine sleeps."""
+"""A clock for waits of minutes between processes: it also counts while the machine is suspended."""
 
 from __future__ import annotations
 
@@ -6,5 +6,5 @@
 
 
 def boottime_s() -> float:
-    """Seconds since the machine started, its sleep included (CLOCK_BOOTTIME)."""
+    """Return the seconds since the machine started, including suspension (CLOCK_BOOTTIME)."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/rosepick/net/capture_output.py
+++ b/rosepick/net/capture_output.py
@@ -1,4 +1,4 @@
-"""The capture in service: its ring, the dump to standard error, and the ring of files."""
+"""Output of a router's capture: the dump to standard error, and the rotating files."""
 
 from __future__ import annotations
 
@@ -24,21 +24,17 @@
 from .event_loop import EventLoop
 
 logger = logging.getLogger(__name__)
-MAX_PIPE_WRITE_BYTES = (
-    select.PIPE_BUF
-)  # bytes: a pipe that is ready takes so many without blocking, and as one piece
-WRITES_PER_STEP = 4  # that go out in one step
-MAX_UNREAD_BYTES = (
-    4 * MAX_PIPE_WRITE_BYTES
-)  # a pipe holds four times as much, by default: the rest is for log lines
+MAX_PIPE_WRITE_BYTES = select.PIPE_BUF  # a pipe that is ready takes so much atomically, without blocking
+WRITES_PER_STEP = 4
+MAX_UNREAD_BYTES = 4 * MAX_PIPE_WRITE_BYTES  # a quarter of a pipe's default size: the rest is for log lines
 MIN_PAUSE_MS = 1.0  # between steps, doubled up to ...
-MAX_PAUSE_MS = 250.0  # ... this while nothing is taken
+MAX_PAUSE_MS = 250.0  # ... this while nothing can be written
 FLUSH_INTERVAL_MS = 250.0
 _FILE_NAME = re.compile(r"capture-([0-9]{8})\.log")
 
 
 class CaptureOutput:
-    """All parts of the capture of one router."""
+    """The capture of one router: its recorder and its outputs."""
 
     def __init__(
         self,
@@ -49,9 +45,11 @@
         unix_offset_ms: float,
         uid_of: Callable[[int], str | None],
     ) -> None:
-        size = 1024 * operators.integer("capture_segment_kb")
+        segment_bytes = 1024 * operators.integer("capture_segment_kb")
         segments = operators.integer("capture_segments")
-        self.recorder = CaptureRecorder(segments, size, seed, unix_offset_ms, names, client_fields, uid_of)
+        self.recorder = CaptureRecorder(
+            segments, segment_bytes, seed, unix_offset_ms, names, client_fields, uid_of
+        )
         self.ring = self.recorder.ring
         self._loop = loop
         self._dump: CaptureDump | None = None
@@ -59,15 +57,15 @@
         self._files = None if folder is None else CaptureFiles(loop, self.recorder, Path(folder), segments)
 
     def dump(self, fd: int = 2) -> None:
-        """SIGUSR2: write all that is held to standard error, a piece whenever that takes one."""
+        """Dump the ring to standard error (SIGUSR2), a chunk whenever it can be written."""
         if self._dump is not None and self._dump.is_running:
-            self._dump.ignored_signals += 1  # said at the end: a line now might block
+            self._dump.ignored_signals += 1  # logged at the end: a log line now might block
             return
         self.recorder.flush()
         self._dump = CaptureDump(self._loop, self.ring, fd)
 
     def close(self) -> None:
-        """The router ends."""
+        """Stop a dump, and write and close the files."""
         if self._dump is not None:
             self._dump.is_running = False
         if self._files is not None:
@@ -75,43 +73,48 @@
 
 
 class CaptureDump:
-    """One writing of the ring, as it stood at the begin, while it goes on turning. Guards against a reader of
-    standard error that stalls the loop: a piece is written only when the descriptor takes it at once, and
-    while little is unread there, so that log lines find room too.
+    """One dump of the ring, as it was at the begin, while recording continues.
+
+    Guards against a reader of standard error that blocks the loop: a chunk is written only when the
+    descriptor takes it at once, and while little is unread there, so that log lines can be written too.
     """
 
     def __init__(self, loop: EventLoop, ring: LineRing, fd: int) -> None:
-        self.loop, self.ring, self.fd = loop, ring, fd
-        self.position, self.end = ring.start_position(), ring.end_position()
+        self.loop = loop
+        self.ring = ring
+        self.fd = fd
+        self.position = ring.start_position()
+        self.end = ring.end_position()
         self.is_running = True
-        self.written_bytes = self.ignored_signals = 0
+        self.written_bytes = 0
+        self.ignored_signals = 0
         self._pause_ms = MIN_PAUSE_MS
-        self._unwritten = b""  # of a piece that was taken in part
+        self._unwritten = b""  # of a chunk that was written in part
         loop.call_after(0.0, self._step)
 
     def _step(self) -> None:
-        """Some pieces, if they are taken; then again, later and later while none is."""
-        pieces = 0
+        """Write up to `WRITES_PER_STEP` chunks; the pause grows while none can be written."""
+        written_chunks = 0
         try:
-            while self.is_running and pieces < WRITES_PER_STEP and accepts_write(self.fd):
+            while self.is_running and written_chunks < WRITES_PER_STEP and accepts_write(self.fd):
                 self._write_chunk()
-                pieces += 1
+                written_chunks += 1
         except (BlockingIOError, InterruptedError):
             pass
-        except OSError as problem:
+        except OSError as error:
             self.is_running = False
-            log_event(logger, logging.WARNING, "capture_dump_failed", text=problem)
+            log_event(logger, logging.WARNING, "capture_dump_failed", text=error)
         if self.is_running:
-            self._pause_ms = MIN_PAUSE_MS if pieces else min(MAX_PAUSE_MS, 2.0 * self._pause_ms)
+            self._pause_ms = MIN_PAUSE_MS if written_chunks else min(MAX_PAUSE_MS, 2.0 * self._pause_ms)
             self.loop.call_after(self._pause_ms, self._step)
 
     def _write_chunk(self) -> None:
-        """One piece of whole lines, or the end."""
+        """Write one chunk of complete lines, or finish the dump."""
         if self._unwritten:
             self._unwritten = self._unwritten[os.write(self.fd, self._unwritten) :]
             return
-        piece, behind = self.ring.read(self.position, self.end, MAX_PIPE_WRITE_BYTES)
-        if not piece:
+        chunk, next_position = self.ring.read(self.position, self.end, MAX_PIPE_WRITE_BYTES)
+        if not chunk:
             self.is_running = False
             log_event(
                 logger,
@@ -121,42 +124,46 @@
                 signals_ignored=self.ignored_signals,
             )
             return
-        count = os.write(self.fd, piece)
-        self._unwritten = bytes(piece[count:])  # a descriptor that does not block may take a part
-        self.written_bytes += len(piece)
-        self.position = behind
+        count = os.write(self.fd, chunk)
+        self._unwritten = bytes(chunk[count:])  # a non-blocking descriptor may take a part
+        self.written_bytes += len(chunk)
+        self.position = next_position
 
 
 def accepts_write(fd: int) -> bool:
-    """Whether a descriptor takes a piece without blocking, and little that was written there is unread."""
+    """Whether a chunk can be written to a descriptor without blocking, and little is unread there."""
     poll = select.poll()
     poll.register(fd, select.POLLOUT)
-    found = poll.poll(0)
-    return bool(found) and (found[0][1] != select.POLLOUT or _unread_bytes(fd) <= MAX_UNREAD_BYTES)
+    ready = poll.poll(0)
+    return bool(ready) and (ready[0][1] != select.POLLOUT or _unread_bytes(fd) <= MAX_UNREAD_BYTES)
 
 
 def _unread_bytes(fd: int) -> int:
-    """Bytes that were written and not yet read, where the system tells."""
+    """Return the bytes that were written and not yet read; 0 where the system does not provide it."""
     count = array("i", [0])
-    pipe = stat.S_ISFIFO(os.fstat(fd).st_mode)
+    is_pipe = stat.S_ISFIFO(os.fstat(fd).st_mode)
     try:
-        fcntl.ioctl(fd, termios.FIONREAD if pipe else termios.TIOCOUTQ, count)
-    except OSError:  # a file, in which nothing waits
+        fcntl.ioctl(fd, termios.FIONREAD if is_pipe else termios.TIOCOUTQ, count)
+    except OSError:  # a regular file
         return 0
     return count[0]
 
 
 class CaptureFiles:
-    """The segments as a ring of files: a file a segment, the oldest removed. A restart goes on from the
-    highest number. What cannot be written is logged; the next segment tries again.
+    """Rotating files: one for each segment of the ring, of which the oldest is removed.
+
+    Numbering continues after a restart. A write that fails is logged; the next segment tries again.
     """
 
     def __init__(self, loop: EventLoop, recorder: CaptureRecorder, folder: Path, max_files: int) -> None:
-        self.loop, self.recorder, self.folder, self.max_files = loop, recorder, folder, max_files
+        self.loop = loop
+        self.recorder = recorder
+        self.folder = folder
+        self.max_files = max_files
         self.ring = recorder.ring
         self.position = Position(0, 0)
         self._fd: int | None = None
-        self._segment = -1  # the one that the open file holds, or that could not be written
+        self._segment = -1  # of the open file, or whose file could not be written
         self.ring.before_eviction = self._write_new_records
         loop.call_after(FLUSH_INTERVAL_MS, self._flush_periodically)
 
@@ -165,44 +172,44 @@
         self.flush()
 
     def flush(self) -> None:
-        """Write what has come since the last time."""
+        """Write the records that were made since the last flush."""
         self.recorder.flush()
         self._write_new_records()
 
     def _write_new_records(self) -> None:
-        until = self.ring.end_position()
-        while self.position < until:
-            piece, behind = self.ring.read(self.position, until, self.ring.segment_bytes)
-            if not piece:
+        end = self.ring.end_position()
+        while self.position < end:
+            chunk, next_position = self.ring.read(self.position, end, self.ring.segment_bytes)
+            if not chunk:
                 break
-            if behind.segment != self._segment:
-                self._segment = behind.segment
+            if next_position.segment != self._segment:
+                self._segment = next_position.segment
                 self._run_guarded(self._open_next_file)
             if self._fd is not None:
-                self._run_guarded(partial(self._append, piece))
-            self.position = behind
+                self._run_guarded(partial(self._append, chunk))
+            self.position = next_position
 
     def _run_guarded(self, step: Callable[[], None]) -> None:
         try:
             step()
-        except OSError as problem:
-            log_event(logger, logging.ERROR, "capture_file_failed", text=problem, folder=self.folder)
+        except OSError as error:
+            log_event(logger, logging.ERROR, "capture_file_failed", text=error, folder=self.folder)
             self._close_file()
 
-    def _append(self, piece: memoryview) -> None:
+    def _append(self, chunk: memoryview) -> None:
         assert self._fd is not None
-        whole = os.fstat(self._fd).st_size
+        size_before = os.fstat(self._fd).st_size
         written = 0
         try:
-            while written < len(piece):
-                written += os.write(self._fd, piece[written:])
+            while written < len(chunk):
+                written += os.write(self._fd, chunk[written:])
         except OSError:
-            with contextlib.suppress(OSError):  # no half lines
-                os.ftruncate(self._fd, whole)
+            with contextlib.suppress(OSError):  # leave no partial line
+                os.ftruncate(self._fd, size_before)
             raise
 
     def _open_next_file(self) -> None:
-        """The next file; the oldest gives way first, so that a full disk has room for it."""
+        """Open the next file; the oldest is removed first, so that a full disk has space for it."""
         self._close_file()
         names = sorted(name for name in os.listdir(self.folder) if _FILE_NAME.fullmatch(name))
         for name in names[: max(0, len(names) - self.max_files + 1)]:
@@ -217,7 +224,7 @@
             os.close(fd)
 
     def close(self) -> None:
-        """Write the rest and let go."""
+        """Write the remaining records and close the file."""
         self.flush()
         self.ring.before_eviction = None
         self._close_file()
--- /dev/null
+++ b/rosepick/net/connection_report.py
@@ -0,0 +1,113 @@
+"""Log lines about the client connections of a router: counts, connection pressure, accept queues."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections.abc import Iterable
+from dataclasses import asdict
+
+from ..connections.connection_table import CloseReason, ConnectionTable
+from ..connections.descriptor_budget import DescriptorBudget
+from ..connections.policy import ConnectionPolicy
+from ..logs import log_event
+from . import accept_queue
+
+# its lines belong to the listener, also where log lines are rate limited
+logger = logging.getLogger(f"{__package__}.listener")
+
+
+class ConnectionReport:
+    """Logs what happens to client connections."""
+
+    def __init__(self, table: ConnectionTable, policy: ConnectionPolicy, budget: DescriptorBudget) -> None:
+        self._table = table
+        self._policy = policy
+        self._budget = budget
+        self._pressure_since: float | None = None  # of the pressure whose begin was logged
+        self._closed_counts_before: dict[CloseReason, int] = {}
+        self._unclaimed_evictions = 0
+        self._overflow_count = accept_queue.overflows()
+
+    def log_pressure(self, now: float) -> None:
+        """Log when connection pressure begins and ends, and evictions that turned out to be needless."""
+        since = self._policy.pressure_since
+        if since is not None and self._pressure_since is None:
+            self._log_pressure_begin(now)
+        elif since is None and self._pressure_since is not None:
+            self._log_pressure_end(now - self._pressure_since)
+        self._pressure_since = since
+        if self._policy.unclaimed_evictions > self._unclaimed_evictions:
+            self._unclaimed_evictions = self._policy.unclaimed_evictions
+            log_event(
+                logger,
+                logging.INFO,
+                "room_made_in_vain",
+                times=self._unclaimed_evictions,
+                **self._table.counts_by_kind(),
+            )
+
+    def _log_pressure_begin(self, now: float) -> None:
+        self._closed_counts_before = dict(self._table.closed_by_reason)
+        log_event(
+            logger,
+            logging.INFO,
+            "crowd_began",
+            by=self._policy.pressure_reason.value,
+            **self._table.counts_by_kind(),
+            **asdict(self._policy.pressure_snapshot(now)),
+        )
+
+    def _log_pressure_end(self, duration_ms: float) -> None:
+        closed = {
+            reason: count - self._closed_counts_before.get(reason, 0)
+            for reason, count in self._table.closed_by_reason.items()
+        }
+        log_event(
+            logger,
+            logging.INFO,
+            "crowd_ended",
+            lasted_ms=duration_ms,
+            **{f"closed_{reason.value}": closed[reason] for reason in CloseReason if closed.get(reason)},
+        )
+
+    def log_summary(self) -> None:
+        """Log the counts of connections by kind, close reason, listener and purpose."""
+        closed = {f"closed_{reason.value}": n for reason, n in self._table.closed_by_reason.items()}
+        listeners = {f"door_{name}": n for name, n in self._table.open_by_listener.items()}
+        purposes = {f"sockets_{purpose.value}": n for purpose, n in self._budget.used_by_purpose.items()}
+        log_event(
+            logger,
+            logging.INFO,
+            "connections",
+            **self._table.counts_by_kind(),
+            may_hold=self._policy.capacity(),
+            opened=self._table.opened_total,
+            asks=self._table.request_total,
+            addresses=len(self._table.address_quota),
+            **dict(sorted(closed.items())),
+            **dict(sorted(listeners.items())),
+            **purposes,
+        )
+
+    def log_queue_overflows(self, sockets: Iterable[tuple[str, socket.socket]]) -> None:
+        """Log if connections found a full accept queue: their clients wait a second or more.
+
+        Args:
+            sockets: names and listening sockets of this router; none once they are closed.
+        """
+        overflows = accept_queue.overflows()
+        before, self._overflow_count = self._overflow_count, overflows
+        if overflows is None or before is None or overflows <= before:
+            return
+        for name, sock in sockets:
+            queued, backlog = accept_queue.queue_length(sock) or (0, 0)
+            log_event(
+                logger,
+                logging.WARNING,
+                "accept_queue_overflowed",
+                door=name,
+                machine=overflows - before,
+                waiting=queued,
+                most=backlog,
+            )
--- a/rosepick/net/endpoint_watch.py
+++ b/rosepick/net/endpoint_watch.py
@@ -1,7 +1,7 @@
-"""The discovery watch: one long poll after another on a connection that is kept.
+"""Watch of the discovery service: one long poll after another on a persistent connection.
 
-A watch may fall silent without a word, and what it misses then counts as told all the same, `TOLD_BY` after
-discovery had it and could be reached. `oldest` is how long that may take here, as the sum of its terms.
+A watch can fall silent without an error. A change counts as notified `MAX_NOTIFICATION_DELAY_MS` after the
+service had it and was reachable; `max_notification_delay_ms` is the sum of the terms of that bound.
 """
 
 from __future__ import annotations
@@ -19,32 +19,34 @@
 from .tcp_stream import TcpStream, dial
 
 logger = logging.getLogger(__name__)
-FIRST_POLL_WAIT_MS = 0.0  # a new watch first asks what it has missed, without waiting
-LONG_POLL_WAIT_MS = 2_500.0  # of a long poll: that a watch is silent is seen only after it
-RESPONSE_GRACE_MS = 1_500.0  # beyond that wait, on a connection that answered before
-# for the first answer of a new watch: all routers may ask anew, and calls take turns
+FIRST_POLL_WAIT_MS = 0.0  # a new watch first polls, without waiting, for what it has missed
+LONG_POLL_WAIT_MS = 2_500.0  # a watch that fell silent is noticed only after it
+RESPONSE_GRACE_MS = 1_500.0  # beyond that wait, on a connection that has responded before
+# for the first response of a new watch: all routers may poll anew, and the service answers in turn
 FIRST_RESPONSE_TIMEOUT_MS = 3_000.0
-# for the connection to come up: the system sends its first packet again after a second
-CONNECT_TIMEOUT_MS = 1_000.0
-MAX_NOTIFICATION_DELAY_MS = 6_000.0  # after which a change counts as told, whatever became of the calls
+CONNECT_TIMEOUT_MS = 1_000.0  # the kernel retransmits a SYN after a second
+MAX_NOTIFICATION_DELAY_MS = 6_000.0  # after which a change counts as notified, whatever became of the polls
 
 
 def max_notification_delay_ms(first_retry_ms: float, max_retry_ms: float, timer_step_ms: float) -> float:
-    """The longest from a change that discovery has, and can be reached for, to the call that tells of it, in
-    milliseconds. `first_retry_ms`, `max_retry_ms`: what the module lets pass before it calls again, after one
-    failed call and at most; `timer_step_ms`: of its timer. The call itself has the rest.
+    """Return the longest time, in milliseconds, from a change to the poll that delivers it.
+
+    The time counts from when the service has the change and is reachable. The poll itself has the rest of
+    `MAX_NOTIFICATION_DELAY_MS`.
+
+    Args:
+        first_retry_ms: delay of the decision module before it polls again after one failure.
+        max_retry_ms: the longest such delay.
+        timer_step_ms: interval of the decision module's timer.
     """
-    silent = (
-        LONG_POLL_WAIT_MS + RESPONSE_GRACE_MS + first_retry_ms
-    )  # a long poll that fell silent as it was made
-    back = (
-        FIRST_RESPONSE_TIMEOUT_MS + max_retry_ms
-    )  # discovery is back just after a call was made, which is never answered
-    return max(silent, back) + timer_step_ms + CONNECT_TIMEOUT_MS
+    silent_poll = LONG_POLL_WAIT_MS + RESPONSE_GRACE_MS + first_retry_ms  # it fell silent right at its begin
+    # the service is back just after a poll was sent that is never answered
+    unanswered_poll = FIRST_RESPONSE_TIMEOUT_MS + max_retry_ms
+    return max(silent_poll, unanswered_poll) + timer_step_ms + CONNECT_TIMEOUT_MS
 
 
 class EndpointWatch:
-    """Follows the transport map once it is told to; a failure ends the watch."""
+    """Follows the endpoint list while watching; a failure ends the watch."""
 
     def __init__(
         self,
@@ -55,19 +57,23 @@
         on_list: Callable[[SettingsReader], None],
         on_failure: Callable[[], None],
     ) -> None:
-        self.loop, self.budget, self.address = loop, budget, address
-        self.revision, self.on_list, self.on_failure = revision, on_list, on_failure
+        self.loop = loop
+        self.budget = budget
+        self.address = address
+        self.revision = revision
+        self.on_list = on_list
+        self.on_failure = on_failure
         self.is_active = False
         self._stream: TcpStream | None = None
         self._connecting = False
         self._unsent = b""
         self._response = EndpointListReader()
         self._timeout_timer: ScheduledCall | None = None
-        self._response_timeout_ms = 0.0  # for the answer, once the call can be written
-        self._needs_full_list = False  # the whole list is asked for until one has come
+        self._response_timeout_ms = 0.0  # once the poll can be written
+        self._needs_full_list = False  # after a switch, until a list was received
 
     def set_watching(self, enabled: bool) -> None:
-        """Follow changes from now on, or no more. A watch that runs goes on as it is."""
+        """Start or stop the watch; one that is active continues as it is."""
         if enabled and not self.is_active:
             self.is_active = True
             self._poll(FIRST_POLL_WAIT_MS)
@@ -75,17 +81,22 @@
             self._stop()
 
     def switch_discovery(self, address: tuple[str, int]) -> None:
-        """Follow another discovery from now on. Its whole list is asked for: guards against a revision held
-        that means something else there. The held list stands until then, and nothing has failed.
+        """Follow another discovery service, beginning with its full list.
+
+        Guards against the revision held, which means something else there. The held list stays in force, and
+        no failure is reported.
         """
         self._stop()
-        self.address, self.is_active, self._needs_full_list = address, True, True
+        self.address = address
+        self.is_active = True
+        self._needs_full_list = True
         self._poll(FIRST_POLL_WAIT_MS)
 
     def _poll(self, wait_ms: float) -> None:
-        """The next call, from the revision held unless it is to be for the whole list."""
+        """Poll for lists newer than the revision held, or for the full list if that is needed."""
         host = f"{self.address[0]}:{self.address[1]}"
-        self._unsent = encode_list_request(host, None if self._needs_full_list else self.revision(), wait_ms)
+        after_revision = None if self._needs_full_list else self.revision()
+        self._unsent = encode_list_request(host, after_revision, wait_ms)
         self._response = EndpointListReader()
         self._response_timeout_ms = wait_ms + RESPONSE_GRACE_MS if wait_ms else FIRST_RESPONSE_TIMEOUT_MS
         try:
@@ -94,17 +105,17 @@
             else:
                 self._set_timeout(self._response_timeout_ms, "silent")
                 self._write()
-        except OSError as problem:
-            self._fail(str(problem))
+        except OSError as error:
+            self._fail(str(error))
 
     def _set_timeout(self, timeout_ms: float, reason: str) -> None:
-        """The call fails after so many milliseconds without its next step."""
+        """Fail the poll if its next step takes longer than `timeout_ms`."""
         if self._timeout_timer is not None:
             self._timeout_timer.cancel()
         self._timeout_timer = self.loop.call_after(timeout_ms, lambda: self._fail(reason))
 
     def _dial(self) -> None:
-        """Clients that hold all descriptors give one up for this: without a list there is no next hop."""
+        """Connect; a client's descriptor is reclaimed if needed, as there is no upstream without a list."""
         if not self.budget.ensure_available(DescriptorUse.DISCOVERY):
             raise OSError(errno.EMFILE, "no descriptor for discovery")
         self._set_timeout(CONNECT_TIMEOUT_MS, "no connection")
@@ -127,11 +138,11 @@
                 self._read(stream)
             else:
                 self._write()
-        except (OSError, DiscoveryError, ValueError) as problem:
-            self._fail(str(problem))
-        except Exception as problem:
+        except (OSError, DiscoveryError, ValueError) as error:
+            self._fail(str(error))
+        except Exception as error:
             self.loop.fault_count += 1
-            log_exception(logger, "discovery_fault", problem, count=self.loop.fault_count)
+            log_exception(logger, "discovery_fault", error, count=self.loop.fault_count)
             self._fail("fault")
 
     def _write(self) -> None:
@@ -144,15 +155,14 @@
         data = stream.read()
         if data is None:
             return
-        told = self._response.feed(data) if data else self._response.feed_eof()
-        if told is None:
+        reply = self._response.feed(data) if data else self._response.feed_eof()
+        if reply is None:
             return
-        listed, reusable = told
         if self._timeout_timer is not None:
-            self._timeout_timer.cancel()  # before the list is applied, which may take its time
-        if not reusable or not data:
+            self._timeout_timer.cancel()  # before the list is applied, which may take long
+        if not reply.reusable or not data:
             self._close()
-        self.on_list(listed)  # ValueError if it is malformed
+        self.on_list(reply.document)  # ValueError if it is malformed
         self._needs_full_list = False
         if self.is_active:
             self._poll(LONG_POLL_WAIT_MS)
--- /dev/null
+++ b/rosepick/net/listen_socket.py
@@ -0,0 +1,50 @@
+"""Listening sockets: opened here, or inherited from the platform."""
+
+from __future__ import annotations
+
+import errno
+import socket
+import time
+
+from .tcp_stream import address_family
+
+ADDRESS_IN_USE_TIMEOUT_S = 5.0
+ADDRESS_IN_USE_RETRY_S = 0.05
+
+
+def listen(address: tuple[str, int], backlog: int) -> socket.socket:
+    """Open a non-blocking listening socket.
+
+    Retries while the address is in use: guards against a restart that fails because the predecessor still
+    serves its last requests.
+
+    Raises:
+        OSError: the address cannot be used, or was in use for `ADDRESS_IN_USE_TIMEOUT_S`.
+    """
+    retry_until = time.monotonic() + ADDRESS_IN_USE_TIMEOUT_S
+    while True:
+        try:
+            sock = socket.create_server(address, family=address_family(address), backlog=backlog)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or time.monotonic() >= retry_until:
+                raise
+        else:
+            sock.setblocking(False)
+            return sock
+        time.sleep(ADDRESS_IN_USE_RETRY_S)
+
+
+def inherit_listen_socket(descriptor: int, backlog: int) -> socket.socket:
+    """Return a listening socket that the platform and other processes hold as well.
+
+    Only what all processes configure alike is changed.
+
+    Raises:
+        OSError: the descriptor is not a listening socket.
+    """
+    sock = socket.socket(fileno=descriptor)
+    if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise OSError(f"descriptor {descriptor} is no listening socket")
+    sock.setblocking(False)
+    sock.listen(backlog)
+    return sock
--- a/rosepick/net/listener_config.py
+++ b/rosepick/net/listener_config.py
@@ -1,14 +1,24 @@
-"""The operators' settings of connections, in the units that the parts use."""
+"""Configuration of the listeners, from the operator file, in the units that the program uses."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from ..connections.policy import ConnectionLimits
 from ..settings.operator_file import OperatorFile
-from .listener import ListenerConfig
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerConfig:
+    """What operators configure for all listeners."""
+
+    limits: ConnectionLimits
+    request_timeout_ms: float = 2_500.0  # for a request head; counts from its begin or the connection's
+    backlog: int = 1024  # length of the accept queue of each listening socket, in connections
 
 
 def listener_config(file: OperatorFile) -> ListenerConfig:
-    """What the operators' file says of the doors."""
+    """Return the listener settings of an operator file."""
     return ListenerConfig(
         limits=ConnectionLimits(
             client_connection_limit=file.optional_integer("clients_hold"),
--- a/rosepick/net/peer_certificate.py
+++ b/rosepick/net/peer_certificate.py
@@ -1,12 +1,11 @@
-"""A certificate's subject as RFC 4514 writes it: the last part first, and what could be mistaken escaped."""
+"""The subject of a peer's certificate as a string (RFC 4514): last part first, special characters escaped."""
 
 from __future__ import annotations
 
 import re
 
-DistinguishedName = tuple[
-    tuple[tuple[str, str], ...], ...
-]  # as the ssl module gives it: parts, each of one or more pairs
+# as the ssl module returns it: relative distinguished names, each of one or more attribute-value pairs
+DistinguishedName = tuple[tuple[tuple[str, str], ...], ...]
 
 _ATTRIBUTE_SHORT_NAMES = {
     "commonName": "CN",
@@ -20,25 +19,26 @@
     "userId": "UID",
 }
 _NEEDS_ESCAPE = re.compile(r'[\\",;<>+]|^[ #]| $|[\x00-\x1f\x7f]')
-_UTF8_STRING = 0x0C  # the tag of the type that text is encoded as
+_UTF8_STRING = 0x0C  # ASN.1 tag of the type
 
 
 def format_rfc4514(name: DistinguishedName) -> str:
-    """The text of a name."""
+    """Return the string form of a distinguished name."""
     return ",".join(
         "+".join(_format_attribute(kind, value) for kind, value in part) for part in reversed(name)
     )
 
 
 def _format_attribute(attribute_type: str, value: str) -> str:
-    if attribute_type[:1].isdigit():  # a type without a name: its value is given as encoded
+    if attribute_type[:1].isdigit():  # a type without a short name: its value in BER, hexadecimal
         return f"{attribute_type}=#{_encode_der(value.encode()).hex()}"
     return f"{_ATTRIBUTE_SHORT_NAMES.get(attribute_type, attribute_type)}={_NEEDS_ESCAPE.sub(_escape, value)}"
 
 
 def _escape(match: re.Match[str]) -> str:
-    sign = match[0]
-    return f"\\{ord(sign):02x}" if ord(sign) < 32 or ord(sign) == 127 else "\\" + sign
+    character = match[0]
+    is_control = ord(character) < 32 or ord(character) == 127
+    return f"\\{ord(character):02x}" if is_control else "\\" + character
 
 
 def _encode_der(data: bytes) -> bytes:
--- a/rosepick/net/process_handover.py
+++ b/rosepick/net/process_handover.py
@@ -1,5 +1,6 @@
-"""This process beside others of the same router, as at an upgrade: it follows them, and learns from the one
-whose place it takes.
+"""Handover between processes of one router, as at an upgrade.
+
+A process follows the others that hold the same listening socket, and imports the state of its predecessor.
 """
 
 from __future__ import annotations
@@ -17,12 +18,12 @@
 from .process_registry import open_registry
 
 logger = logging.getLogger(__name__)
-STATE_WAIT_MS = 1_000.0  # how long a new process waits for what the old one has learned
+STATE_WAIT_MS = 1_000.0  # how long a new process waits for the state of its predecessor
 POLL_INTERVAL_MS = 50.0
 
 
 class ProcessHandover:
-    """The driver of a `Standing`."""
+    """Drives a `ProcessShare`: reads and writes the registry of processes."""
 
     def __init__(self, loop: EventLoop, listen: tuple[str, int]) -> None:
         self.loop = loop
@@ -39,8 +40,13 @@
         is_serving: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
-        """Look at the others from now on; `descriptor_count` descriptors are told to them, and `on_change` is
-        called when something of them, or of what follows from it, has changed.
+        """Poll the other processes from now on.
+
+        Args:
+            module: whose state is exported and imported.
+            descriptor_count: returns how many descriptors this process uses; published to the others.
+            is_serving: whether this process accepts clients.
+            on_change: called when the other processes, or this one's share because of them, have changed.
         """
         if self.registry is None:
             return
@@ -48,24 +54,27 @@
             POLL_INTERVAL_MS, lambda: self.follow(module, descriptor_count, is_serving, on_change)
         )
         self.registry.publish_descriptor_count(descriptor_count())
-        before = len(self.process_share.other_descriptor_counts)
-        news = self.process_share.update_others(self.registry.other_descriptor_counts())
-        now = len(self.process_share.other_descriptor_counts)
-        if now != before:
-            log_event(logger, logging.INFO, "beside", others=now)
-        if now > before and is_serving() and isinstance(module, Router):
+        count_before = len(self.process_share.other_descriptor_counts)
+        changed = self.process_share.update_others(self.registry.other_descriptor_counts())
+        count = len(self.process_share.other_descriptor_counts)
+        if count != count_before:
+            log_event(logger, logging.INFO, "beside", others=count)
+        if count > count_before and is_serving() and isinstance(module, Router):
             self.registry.write_state(export_state(module, self.loop.now()))
         if not (self.process_share.state_transfer_settled or is_serving()):
-            news = self._import_state(module) or news
-        if news:
+            changed = self._import_state(module) or changed
+        if changed:
             on_change()
 
     def _import_state(self, module: DecisionModule) -> bool:
-        """Learn what the process that is to be replaced knows; whether that is settled. One that leaves
-        nothing is not waited for long; what was left for another one counts as nothing.
+        """Import the predecessor's state; return whether the state transfer is settled.
+
+        A predecessor that exports nothing is waited for `STATE_WAIT_MS`. State that was exported before this
+        process started was meant for another one, and is not used.
         """
         assert self.registry is not None
-        now, document = self.loop.now(), self.registry.read_state()
+        now = self.loop.now()
+        document = self.registry.read_state()
         self.process_share.state_transfer_settled = now - self._started >= STATE_WAIT_MS
         if document is None or not isinstance(module, Router):
             return self.process_share.state_transfer_settled
@@ -74,13 +83,13 @@
                 return self.process_share.state_transfer_settled
             keys = import_state(module, document, now)
             log_event(logger, logging.INFO, "knowledge_taken", keys=keys, age_ms=now - exported_at(document))
-        except ValueError as problem:
-            log_event(logger, logging.WARNING, "knowledge_unusable", text=problem)
+        except ValueError as error:
+            log_event(logger, logging.WARNING, "knowledge_unusable", text=error)
         self.registry.delete_state()
         self.process_share.state_transfer_settled = True
         return True
 
     def close(self) -> None:
-        """Leave the seat."""
+        """Release this process's entry in the registry."""
         if self.registry is not None:
             self.registry.close()
--- a/rosepick/net/process_registry.py
+++ b/rosepick/net/process_registry.py
@@ -1,7 +1,7 @@
-"""Seats: one lock for each process of a router, in the folder that those processes share.
+"""Registry of the processes of one router: a locked file for each, in a folder that they share.
 
-The kernel frees a lock at its holder's death, so that a file which was left behind is an empty seat. The file
-holds how many descriptors its holder has.
+The kernel releases a lock when its holder dies, so a file that was left behind counts as free. A file holds
+the number of descriptors that its process uses.
 """
 
 from __future__ import annotations
@@ -17,14 +17,13 @@
 from ..logs import log_event
 
 logger = logging.getLogger(__name__)
-# more processes of one router at a time than an upgrade, and one that was given up, ever have
-MAX_PROCESSES = 4
-MAX_STATE_BYTES = 2 * 1024 * 1024  # bytes
+MAX_PROCESSES = 4  # of one router at a time: more than an upgrade and an abandoned one ever need
+MAX_STATE_BYTES = 2 * 1024 * 1024  # of exported state that is read
 _DESCRIPTOR_COUNT = struct.Struct("<I")
 
 
 class ProcessRegistry:
-    """This process's seat, and a look at the others'."""
+    """This process's entry in the registry, and reading those of the others."""
 
     def __init__(self, folder: Path, listen: tuple[str, int]) -> None:
         host = "".join(c if c.isalnum() else "-" for c in listen[0])
@@ -53,27 +52,27 @@
         return True
 
     def publish_descriptor_count(self, descriptor_count: int) -> None:
-        """Tell the others how many descriptors are held here."""
+        """Publish how many descriptors this process uses."""
         if self._lock_fd >= 0:
             try:
                 os.pwrite(self._lock_fd, _DESCRIPTOR_COUNT.pack(descriptor_count), 0)
-            except OSError:  # no room: they know of this process all the same
+            except OSError:  # disk full: the lock alone shows that this process exists
                 log_event(logger, logging.WARNING, "seat_not_written", path=self._own_path)
 
     def other_descriptor_counts(self) -> tuple[int, ...]:
-        """What each other process that lives holds."""
-        found = (self._read_descriptor_count(path) for path in self._paths if path != self._own_path)
-        return tuple(held for held in found if held is not None)
+        """Return the number of descriptors that each other live process uses."""
+        counts = (self._read_descriptor_count(path) for path in self._paths if path != self._own_path)
+        return tuple(count for count in counts if count is not None)
 
     @staticmethod
     def _read_descriptor_count(path: Path) -> int | None:
-        """What the holder of a seat holds; None if it is empty."""
+        """Return the descriptor count of an entry; None if no process holds it."""
         try:
             file = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
         except OSError:
             return None
         try:
-            # shared: two that look at one time do not take each other for a holder
+            # shared: two readers at one time do not take each other for the holder
             fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
         except OSError:
             data = os.pread(file, _DESCRIPTOR_COUNT.size, 0)
@@ -83,38 +82,38 @@
         return None
 
     def write_state(self, document: bytes) -> None:
-        """Leave what this process has learned for one that was started beside it."""
-        part = self._state_path.with_suffix(f".{os.getpid()}")
+        """Write this process's exported state for its successor."""
+        temporary = self._state_path.with_suffix(f".{os.getpid()}")
         try:
-            part.write_bytes(document)
-            part.replace(self._state_path)  # at once: guards against a part of it that is read
-        except OSError as problem:
-            log_event(logger, logging.WARNING, "knowledge_not_left", text=problem)
+            temporary.write_bytes(document)
+            temporary.replace(self._state_path)  # atomic: guards against reading a partial document
+        except OSError as error:
+            log_event(logger, logging.WARNING, "knowledge_not_left", text=error)
             with contextlib.suppress(OSError):
-                part.unlink()
+                temporary.unlink()
 
     def read_state(self) -> bytes | None:
-        """What a process has left, if any."""
+        """Return the state that another process has written, if any."""
         try:
-            return (
-                self._state_path.read_bytes() if self._state_path.stat().st_size <= MAX_STATE_BYTES else None
-            )
+            if self._state_path.stat().st_size > MAX_STATE_BYTES:
+                return None
+            return self._state_path.read_bytes()
         except OSError:
             return None
 
     def delete_state(self) -> None:
-        """It has been read, and counts as memory."""
+        """Delete the state, which counts as memory, once it was read."""
         with contextlib.suppress(OSError):
             self._state_path.unlink()
 
     def close(self) -> None:
-        """Leave the seat."""
+        """Release this process's entry."""
         if self._lock_fd >= 0:
             os.close(self._lock_fd)
             self._lock_fd = -1
 
 
 def open_registry(environment: Mapping[str, str], listen: tuple[str, int]) -> ProcessRegistry | None:
-    """Seats in $TMPDIR, if there is such a folder."""
+    """Open the registry in $TMPDIR, if there is such a folder."""
     folder = environment.get("TMPDIR")
     return ProcessRegistry(Path(folder), listen) if folder and os.path.isdir(folder) else None
--- a/rosepick/net/resource_budget.py
+++ b/rosepick/net/resource_budget.py
@@ -1,19 +1,18 @@
-"""The budget of one router: its descriptors, and the bytes of answers that it holds."""
+"""Resource budget of one router: descriptors, and memory for responses and streamed bodies."""
 
 from __future__ import annotations
 
 from ..connections.descriptor_budget import DescriptorBudget
 from ..core.body_stream import BufferBudget
 
-STREAMED_BODIES_FRACTION = (
-    1 / 16
-)  # of the memory that the router is given: for bodies on their way; as much is in writing
-# of the memory that the router is given: for answers that are read or not yet written
-RESPONSES_FRACTION = 0.25
+# Fractions of the router's memory:
+STREAMED_BODIES_FRACTION = 1 / 16  # buffers of streamed bodies; as much again is being written
+RESPONSES_FRACTION = 0.25  # responses that are being read or not yet written
+BYTES_PER_MB = 1024 * 1024
 
 
 class ResourceBudget(DescriptorBudget):
-    """Counts descriptors by part, and the bytes of answers that are held."""
+    """Counts descriptors by purpose, and the bytes of buffered responses."""
 
     def __init__(self, limit: int, memory_mb: float = 192.0, downstream_fraction: float = 0.5) -> None:
         super().__init__(limit, downstream_fraction)
@@ -22,6 +21,6 @@
         self.set_memory(memory_mb)
 
     def set_memory(self, memory_mb: float) -> None:
-        """So much memory is the router's from now on."""
-        self.max_buffered_bytes = int(RESPONSES_FRACTION * memory_mb * 1024 * 1024)
-        self.body_buffers.total_bytes = int(STREAMED_BODIES_FRACTION * memory_mb * 1024 * 1024)
+        """Set the memory of the router, in MB."""
+        self.max_buffered_bytes = int(RESPONSES_FRACTION * memory_mb * BYTES_PER_MB)
+        self.body_buffers.total_bytes = int(STREAMED_BODIES_FRACTION * memory_mb * BYTES_PER_MB)
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -24,7 +24,7 @@
 from ..settings.config import Config, ConfigError
 from ..settings.operator_file import OperatorFile, OperatorFileError, OperatorOptions
 from ..settings.reader import SettingsReader
-from .downstream_connection import DownstreamConnection
+from .client_connection import ClientConnection
 from .endpoint_watch import EndpointWatch
 from .event_loop import EventLoop
 from .listener import Listener
@@ -413,7 +413,7 @@
             self.loop.call_after(SHUTDOWN_POLL_INTERVAL_MS, self._continue_shutdown)
 
     @staticmethod
-    def _may_have_request_coming(connection: DownstreamConnection, now: float) -> bool:
+    def _may_have_request_coming(connection: ClientConnection, now: float) -> bool:
         """Whether a connection has come just now and its request may be on the way. Guards against a request
         that is lost as it was written while its connection was closed.
         """
--- a/rosepick/net/tcp_stream.py
+++ b/rosepick/net/tcp_stream.py
@@ -1,4 +1,4 @@
-"""A watched TCP connection with a buffer for what could not be written yet."""
+"""A non-blocking TCP connection on the event loop, with a buffer for unwritten data."""
 
 from __future__ import annotations
 
@@ -17,21 +17,20 @@
 
 READ_CHUNK_BYTES = 128 * 1024
 OUT_OF_DESCRIPTORS_ERRNOS = (errno.EMFILE, errno.ENFILE)
-_CLOSED_TCP_STATES = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT, as the kernel numbers the states of a connection
+_CLOSED_TCP_STATES = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT in the kernel
 KERNEL_BUFFER_BYTES = 128 * 1024
-# milliseconds without a byte: who gives or reads a body in parts has stopped
-NO_PROGRESS_TIMEOUT_MS = 10_000.0
-LONG_BODY_BYTES = (
-    1024 * 1024
-)  # bytes of a body beyond which the kernel is not left to hold as much of it as it likes
+NO_PROGRESS_TIMEOUT_MS = (
+    10_000.0  # a peer has stopped that sends or reads no byte of a streamed body for so long
+)
+LONG_BODY_BYTES = 1024 * 1024  # for a longer body the kernel's buffers are limited
 
 
-def _ignore_ready(events: int) -> None:
-    """Nobody is called for a stream that is closed."""
+def _ignore_ready(_events: int) -> None:
+    """Ready callback of a closed stream."""
 
 
 class TcpStream:
-    """One connected or connecting socket, without blocking."""
+    """One connected or connecting socket."""
 
     __slots__ = (
         "_budget",
@@ -58,30 +57,32 @@
     ) -> None:
         self.sock = sock
         self.is_open = True
-        self.last_write_at = loop.now()  # when something was last written
+        self.last_write_at = loop.now()  # milliseconds, on the loop's clock
         self._urgent = urgent
-        self._loop, self._budget, self._use, self._on_ready, self._events = (
-            loop,
-            budget,
-            use,
-            on_ready,
-            events,
-        )
+        self._loop = loop
+        self._budget = budget
+        self._use = use
+        self._on_ready = on_ready
+        self._events = events
         self._pending: deque[memoryview] = deque()
         budget.acquire(use)
         sock.setblocking(False)
-        with contextlib.suppress(OSError):  # a peer that has left already
+        with contextlib.suppress(OSError):  # the peer may have closed already
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.register(sock, events, on_ready, urgent)
 
     def finish_connect(self) -> None:
-        """A dial has come to its end. OSError if it failed."""
-        problem = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if problem:
-            raise OSError(problem, os.strerror(problem))
+        """Check the result of a connect.
+
+        Raises:
+            OSError: the connect failed.
+        """
+        error_number = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error_number:
+            raise OSError(error_number, os.strerror(error_number))
 
     def is_connected(self) -> bool:
-        """Whether a dial has come up, also where the loop has not said so yet."""
+        """Whether a connect has succeeded, even if the loop has not reported it yet."""
         try:
             self.sock.getpeername()
         except OSError:
@@ -89,7 +90,7 @@
         return True
 
     def set_events(self, events: int) -> None:
-        """What to wait for, if anything."""
+        """Set the events to wait for; 0 for none."""
         if not self.is_open or events == self._events:
             return
         if not self._events:
@@ -101,8 +102,10 @@
         self._events = events
 
     def read(self, max_bytes: int = READ_CHUNK_BYTES) -> bytes | None:
-        """What has come, so much at the most; empty at the end; None if there is nothing. OSError if it
-        broke.
+        """Return received data; empty at the end of input, None if there is none.
+
+        Raises:
+            OSError: the connection broke.
         """
         try:
             return self.sock.recv(max_bytes)
@@ -110,7 +113,7 @@
             return None
 
     def has_nothing_to_read(self) -> bool:
-        """Whether the other side has neither ended nor sent anything that is unread."""
+        """Whether there is neither unread data nor an end of input."""
         try:
             self.sock.recv(1, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
@@ -120,7 +123,7 @@
         return False
 
     def is_at_end(self) -> bool:
-        """Whether the other side has ended or broken the connection, and all that it sent has been read."""
+        """Whether the peer has closed or reset the connection, and all its data was read."""
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
@@ -129,7 +132,7 @@
             return True
 
     def peer_has_closed(self) -> bool:
-        """Whether the other side has ended or broken the connection, whatever of it is still unread."""
+        """Whether the peer has closed or reset the connection, even if its data is unread."""
         option = getattr(socket, "TCP_INFO", None)
         if option is None:
             return False
@@ -138,29 +141,33 @@
         return True
 
     def has_partial_record(self) -> bool:
-        """Whether a part of something has come that is of no use without the rest."""
+        """Whether an incomplete TLS record was received; never over plain TCP."""
         return False
 
     def is_established(self) -> bool:
-        """Whether anything can be sent yet."""
+        """Whether the TLS handshake is complete; always over plain TCP."""
         return True
 
     def write(self, data: bytes | memoryview) -> int:
-        """How much was written at once. OSError if it broke."""
+        """Write without buffering; return the number of bytes that were written.
+
+        Raises:
+            OSError: the connection broke.
+        """
         try:
             return self.sock.send(data)
         except (BlockingIOError, InterruptedError):
             return 0
 
     def send(self, *parts: bytes) -> None:
-        """Write now what can be, keep the rest for `flush`. Nothing is copied: answers can be large."""
+        """Write what can be written now, and buffer the rest without copying it."""
         for part in filter(None, parts):
             self._pending.append(memoryview(part))
             self._budget.buffered_bytes += len(part)
         self.flush()
 
     def flush(self) -> None:
-        """Go on with what was kept."""
+        """Continue writing buffered data."""
         if not self._pending:
             return
         try:
@@ -175,28 +182,29 @@
             self._pending[0] = self._pending[0][count:]
 
     def has_unwritten(self) -> bool:
-        """Whether something is kept."""
+        """Whether data is buffered."""
         return bool(self._pending)
 
     def limit_kernel_buffer(self, buffer_option: int) -> None:
-        """Have the kernel hold little in that direction (SO_SNDBUF or SO_RCVBUF): what waits there is seen
-        neither as memory nor as the progress of a slow peer.
+        """Limit the kernel's buffer in one direction (SO_SNDBUF or SO_RCVBUF).
+
+        Data there is seen neither in the memory budget nor as progress of a slow peer.
         """
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, buffer_option, KERNEL_BUFFER_BYTES)
 
     def reset_on_close(self) -> None:
-        """Have the close be a reset."""
+        """Have `close` reset the connection."""
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
     def shutdown_write(self) -> None:
-        """Tell the other side that nothing more comes."""
+        """Send the end of output."""
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
-        """Close it, whatever is in flight."""
+        """Close the socket and drop unwritten data."""
         if self.is_open:
             self.is_open = False
             if self._events:
@@ -204,13 +212,13 @@
             self.sock.close()
             self._budget.buffered_bytes -= sum(map(len, self._pending))
             self._pending.clear()
-            # guards against a cycle with its owner, which only a collection would free
+            # guards against a reference cycle with the owner
             self._on_ready = _ignore_ready
             self._budget.release(self._use)
 
 
 class OutboundConnection(ABC):
-    """One connection of our own making: it comes up, and is then written and read."""
+    """A connection that this process opens: it connects, and is then written and read."""
 
     stream: TcpStream
 
@@ -234,34 +242,39 @@
 
     @abstractmethod
     def _run_guarded(self, step: Callable[[], None]) -> None:
-        """Take a step, and cope with what it raises."""
+        """Run a step, and handle the exceptions it raises."""
 
     @abstractmethod
     def _write(self) -> None:
-        """Write what is to be written, if anything."""
+        """Write pending data, if any."""
 
     @abstractmethod
     def _read(self) -> None:
-        """Read what has come."""
+        """Read and process received data."""
 
 
 StreamFactory = Callable[[EventLoop, ResourceBudget, socket.socket, ReadyCallback], TcpStream]
 
 
 def address_family(address: tuple[str, int]) -> socket.AddressFamily:
-    """Which kind of address it is."""
+    """Return the address family of a host and port."""
     return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
 
 def dial(address: tuple[str, int], free_descriptor: Callable[[], bool] = lambda: False) -> socket.socket:
-    """A socket that is connecting; it can be written once it is up. OSError if it failed at once.
-    `free_descriptor`: has another descriptor closed, where there is none for this one; says whether there was
-    any to close.
+    """Begin to connect; the returned socket becomes writable once it is connected.
+
+    Args:
+        address: host, as an IP address, and port.
+        free_descriptor: closes another descriptor if there is none left; returns whether it closed one.
+
+    Raises:
+        OSError: the connect failed at once.
     """
     try:
         sock = socket.socket(address_family(address), socket.SOCK_STREAM)
-    except OSError as problem:
-        if problem.errno not in OUT_OF_DESCRIPTORS_ERRNOS or not free_descriptor():
+    except OSError as error:
+        if error.errno not in OUT_OF_DESCRIPTORS_ERRNOS or not free_descriptor():
             raise
         sock = socket.socket(address_family(address), socket.SOCK_STREAM)
     try:
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -26,7 +26,8 @@
     parse_entries,
 )
 from rosepick.http.request_messages import RequestRejected
-from rosepick.net.batch_listener import BatchDownstreamConnection, BatchItemScheduler
+from rosepick.net.batch_connection import BatchDownstreamConnection
+from rosepick.net.batch_scheduler import BatchItemScheduler
 from rosepick.settings import operator_file
 from rosepick.settings.config import NameIndexes
 from rosepick.settings.operator_file import OperatorOptions
@@ -383,6 +384,7 @@
     def test_a_client_that_reads_too_slowly_for_too_long_loses_its_connection(self) -> None:
         self.batch("b1", self.keys)
         (batch,) = self.parts.batches
+        assert isinstance(batch, BatchDownstreamConnection)
         batch.deadline -= 12_500.0
         batch.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         with mock.patch.object(self.wire("b1"), "pull"):
@@ -448,7 +450,9 @@
             for link in self.server.listener.connections
             if not isinstance(link, BatchDownstreamConnection)
         ]
-        part = next(iter(self.parts.batches)).unwritten_items[0]
+        batch = next(iter(self.parts.batches))
+        assert isinstance(batch, BatchDownstreamConnection)
+        part = batch.unwritten_items[0]
         assert part.connection is not None
         part.connection.used = True  # as if it had carried one before
         kept.close()
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -431,7 +431,7 @@
                 self.assertEqual(accept_queue.overflows(path), count)
             self.assertIsNone(accept_queue.overflows(Path(folder) / "none"))
         with mock.patch.object(accept_queue, "overflows", side_effect=[1, 3, 3]):
-            self.server.listener._overflow_count = 1
+            self.server.listener._report._overflow_count = 1
             with self.assertLogs("rosepick", "INFO") as logs:
                 self.server.listener.log_summary()
                 self.server.listener.log_summary()
