Split TLS into handshakes, stream and server, and document it in the field's terms

They are tls_handshakes.py, tls_stream.py and tls.py; all log under the name of the last. Numbers of the record layer have names.

--- /dev/null
+++ b/rosepick/net/tls_stream.py
@@ -0,0 +1,270 @@
+"""A TLS stream of one client connection."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+import ssl
+from enum import Enum
+
+from ..logs import log_event
+from .event_loop import READ, EventLoop, ReadyCallback
+from .peer_certificate import format_rfc4514
+from .resource_budget import ResourceBudget
+from .tcp_stream import READ_CHUNK_BYTES, TcpStream
+from .tls_handshakes import HandshakeScheduler
+
+# its lines belong to TLS as a whole, also where log lines are rate limited
+logger = logging.getLogger(f"{__package__}.tls")
+
+MAX_EARLY_BYTES = 64 * 1024  # that a client may send while its handshake waits for its turn
+RECORD_BYTES = 16 * 1024  # read and encrypted at once: the library has buffers of that size
+RECORD_HEADER_BYTES = 5  # type, version and length (RFC 8446, 5.1)
+LENGTH_OFFSET = 3  # of the length in a record header
+
+
+class RecordFraming:
+    """Tracks the boundaries of received TLS records.
+
+    Guards against connections that are held for ever by a partial record: the library buffers its bytes
+    without reporting it.
+    """
+
+    __slots__ = ("_partial_header", "_remaining_bytes")
+
+    def __init__(self) -> None:
+        self._partial_header = b""
+        self._remaining_bytes = 0  # of the current record, not yet received
+
+    def feed(self, data: bytes) -> None:
+        """Track received bytes."""
+        offset = 0
+        while offset < len(data):
+            if self._remaining_bytes:
+                step = min(self._remaining_bytes, len(data) - offset)
+                self._remaining_bytes -= step
+            else:
+                step = min(RECORD_HEADER_BYTES - len(self._partial_header), len(data) - offset)
+                self._partial_header += data[offset : offset + step]
+                if len(self._partial_header) == RECORD_HEADER_BYTES:
+                    self._remaining_bytes = int.from_bytes(self._partial_header[LENGTH_OFFSET:], "big")
+                    self._partial_header = b""
+            offset += step
+
+    def has_partial_record(self) -> bool:
+        """Whether the last record is incomplete."""
+        return bool(self._partial_header or self._remaining_bytes)
+
+
+class HandshakeTurn(Enum):
+    """Whether the scheduler has allowed a handshake to begin."""
+
+    NOT_REQUESTED = 0
+    WAITING = 1
+    GRANTED = 2
+
+
+class TlsStream(TcpStream):
+    """A TCP stream that encrypts and decrypts, on the server side."""
+
+    __slots__ = (
+        "_encrypted",
+        "_framing",
+        "_handshake_begun",
+        "_handshake_turn",
+        "_handshakes",
+        "_incoming",
+        "_outgoing",
+        "_peer_closed",
+        "_ssl",
+        "_up",
+    )
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        budget: ResourceBudget,
+        sock: socket.socket,
+        on_ready: ReadyCallback,
+        context: ssl.SSLContext,
+        handshakes: HandshakeScheduler,
+    ) -> None:
+        self._handshakes = handshakes
+        self._handshake_turn = HandshakeTurn.NOT_REQUESTED
+        self._incoming = ssl.MemoryBIO()
+        self._outgoing = ssl.MemoryBIO()
+        self._ssl = context.wrap_bio(self._incoming, self._outgoing, server_side=True)
+        self._encrypted = memoryview(b"")  # encrypted, not yet written
+        self._framing = RecordFraming()
+        self._handshake_begun = False
+        self._up = False  # the handshake is complete
+        self._peer_closed = False  # the client has ended its side of the connection
+        super().__init__(loop, budget, sock, on_ready)
+
+    # ------------------------------------------------------------------------------------------ reading
+
+    def read(self, _max_bytes: int = READ_CHUNK_BYTES) -> bytes | None:
+        """Return decrypted data, whatever its length: what the library buffered would wake no selector."""
+        if self._peer_closed:
+            return b""
+        try:
+            data = self.sock.recv(RECORD_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return self._process_input() if self._incoming.pending and not self._up else None
+        if not data:
+            return b""
+        self._handshake_begun = True
+        self._framing.feed(data)
+        self._incoming.write(data)
+        return self._process_input()
+
+    def _process_input(self) -> bytes | None:
+        """Continue the handshake, or decrypt; an error is logged and raised."""
+        try:
+            return self._decrypt() if self._up or self._step_handshake() else None
+        except ssl.SSLError as error:
+            self._log_refusal(error)
+            raise
+
+    def _step_handshake(self) -> bool:
+        """Continue the handshake; return whether it is complete."""
+        if self._handshake_turn is not HandshakeTurn.GRANTED and not self._may_begin_handshake():
+            return False
+        try:
+            with self._handshakes.measure_cpu():
+                self._ssl.do_handshake()
+        except ssl.SSLWantReadError:
+            self.flush()
+            return False
+        self._up = True
+        self.flush()
+        certificate = self._ssl.getpeercert()
+        if certificate:
+            subject = format_rfc4514(certificate["subject"])  # type: ignore[arg-type]
+            log_event(logger, logging.INFO, "client_verified", client_subject=subject)
+        return True
+
+    def _may_begin_handshake(self) -> bool:
+        """Return whether the handshake may begin.
+
+        Raises:
+            OSError: the client has sent too much meanwhile: guards against filling the memory.
+        """
+        if self._incoming.pending > MAX_EARLY_BYTES:
+            raise OSError("too much was sent before the handshake")
+        if self._handshake_turn is HandshakeTurn.NOT_REQUESTED:
+            self._handshake_turn = (
+                HandshakeTurn.GRANTED
+                if self._handshakes.try_begin(self._resume_handshake)
+                else HandshakeTurn.WAITING
+            )
+        return self._handshake_turn is HandshakeTurn.GRANTED
+
+    def _resume_handshake(self) -> None:
+        self._handshake_turn = HandshakeTurn.GRANTED
+        self._trigger_read()
+
+    def _decrypt(self) -> bytes | None:
+        parts = []
+        while not self._peer_closed:
+            try:
+                part = self._ssl.read(RECORD_BYTES)
+            except ssl.SSLWantReadError:
+                break
+            except ssl.SSLZeroReturnError:
+                part = b""
+            self._peer_closed = not part
+            parts.append(part)
+        self.flush()
+        data = b"".join(parts)
+        if data and self._peer_closed:
+            # the end was received with the last data: no selector will report it
+            self._loop.call_after(0.0, self._trigger_read)
+        return data if data or self._peer_closed else None
+
+    def _trigger_read(self) -> None:
+        if self.is_open:
+            self._on_ready(READ)
+
+    def _log_refusal(self, error: ssl.SSLError) -> None:
+        """Send the alert to the client, if it can be written, and log a failed handshake."""
+        with contextlib.suppress(OSError):
+            self.flush()
+        if not self._up:
+            self._handshake_begun = False  # it is logged here, not at the close
+            log_event(logger, logging.WARNING, "tls_refused", reason=(error.reason or str(error)).lower())
+
+    def has_nothing_to_read(self) -> bool:
+        """Whether there is neither unread data nor an end of input."""
+        return not self._peer_closed and super().has_nothing_to_read()
+
+    def has_partial_record(self) -> bool:
+        """Whether a handshake or a record is incomplete."""
+        return (self._handshake_begun and not self._up) or self._framing.has_partial_record()
+
+    def is_established(self) -> bool:
+        """Whether the handshake is complete."""
+        return self._up
+
+    # ------------------------------------------------------------------------------------------ writing
+
+    def flush(self) -> None:
+        """Write buffered data; only one chunk at a time is buffered both plain and encrypted."""
+        while True:
+            if not self._encrypted:
+                self._encrypted = memoryview(self._next_encrypted())
+            if not self._encrypted:
+                return
+            try:
+                count = self.sock.send(self._encrypted)
+            except (BlockingIOError, InterruptedError):
+                return
+            self._budget.buffered_bytes -= count
+            self._encrypted = self._encrypted[count:]
+
+    def _next_encrypted(self) -> bytes:
+        """Return what the library has to send, else the next chunk of data, encrypted."""
+        if not self._outgoing.pending and self._pending and self._up:
+            parts: list[memoryview] = []
+            space = RECORD_BYTES
+            while self._pending and space:
+                part = self._pending.popleft()
+                parts.append(part[:space])
+                if len(part) > space:
+                    self._pending.appendleft(part[space:])
+                space -= len(parts[-1])
+            chunk = memoryview(b"".join(parts))
+            self._budget.buffered_bytes -= len(chunk)
+            while chunk:  # the library may take a part only
+                chunk = chunk[self._ssl.write(chunk) :]
+        data = self._outgoing.read()
+        self._budget.buffered_bytes += len(data)
+        return data
+
+    def has_unwritten(self) -> bool:
+        """Whether data is buffered, plain or encrypted."""
+        return bool(self._pending or self._encrypted or self._outgoing.pending)
+
+    def shutdown_write(self) -> None:
+        """Send the end of output: close_notify, then that of TCP."""
+        self._send_close_notify()
+        super().shutdown_write()
+
+    def _send_close_notify(self) -> None:
+        """Send close_notify, unless a response is cut off: the client must notice that."""
+        if self._up and not self.has_unwritten():
+            with contextlib.suppress(OSError):
+                self._ssl.unwrap()
+            with contextlib.suppress(OSError):
+                self.flush()
+
+    def close(self) -> None:
+        """Close the connection and drop unwritten data; an incomplete handshake is logged."""
+        if self.is_open:
+            self._send_close_notify()
+            if self._handshake_begun and not self._up:
+                log_event(logger, logging.WARNING, "tls_refused", reason="the handshake was not completed")
+            self._budget.buffered_bytes -= len(self._encrypted)
+            self._encrypted = memoryview(b"")
+        super().close()
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -18,7 +18,7 @@
 from rosepick.logs import LogRateLimiter
 from rosepick.net.listener import Listener
 from rosepick.net.peer_certificate import DistinguishedName, format_rfc4514
-from rosepick.net.tls import RecordFraming
+from rosepick.net.tls_stream import RecordFraming
 from rosepick.settings import operator_file
 from rosepick.settings.operator_file import OperatorOptions
 
