--- a/rosepick/net/tls_stream.py
+++ b/rosepick/net/tls_stream.py
@@ -72,13 +72,13 @@
         "_encrypted",
         "_framing",
         "_handshake_begun",
+        "_handshake_complete",
         "_handshake_turn",
         "_handshakes",
         "_incoming",
         "_outgoing",
         "_peer_closed",
         "_ssl",
-        "_up",
     )
 
     def __init__(
@@ -98,7 +98,7 @@
         self._encrypted = memoryview(b"")  # encrypted, not yet written
         self._framing = RecordFraming()
         self._handshake_begun = False
-        self._up = False  # the handshake is complete
+        self._handshake_complete = False  # the handshake is complete
         self._peer_closed = False  # the client has ended its side of the connection
         super().__init__(loop, budget, sock, on_ready)
 
@@ -111,7 +111,7 @@
         try:
             data = self.sock.recv(RECORD_BYTES)
         except (BlockingIOError, InterruptedError):
-            return self._process_input() if self._incoming.pending and not self._up else None
+            return self._process_input() if self._incoming.pending and not self._handshake_complete else None
         if not data:
             return b""
         self._handshake_begun = True
@@ -122,7 +122,7 @@
     def _process_input(self) -> bytes | None:
         """Continue the handshake, or decrypt; an error is logged and raised."""
         try:
-            return self._decrypt() if self._up or self._step_handshake() else None
+            return self._decrypt() if self._handshake_complete or self._step_handshake() else None
         except ssl.SSLError as error:
             self._log_refusal(error)
             raise
@@ -137,7 +137,7 @@
         except ssl.SSLWantReadError:
             self.flush()
             return False
-        self._up = True
+        self._handshake_complete = True
         self.flush()
         certificate = self._ssl.getpeercert()
         if certificate:
@@ -191,7 +191,7 @@
         """Send the alert to the client, if it can be written, and log a failed handshake."""
         with contextlib.suppress(OSError):
             self.flush()
-        if not self._up:
+        if not self._handshake_complete:
             self._handshake_begun = False  # it is logged here, not at the close
             log_event(logger, logging.WARNING, "tls_refused", reason=(error.reason or str(error)).lower())
 
@@ -201,11 +201,11 @@
 
     def has_partial_record(self) -> bool:
         """Whether a handshake or a record is incomplete."""
-        return (self._handshake_begun and not self._up) or self._framing.has_partial_record()
+        return (self._handshake_begun and not self._handshake_complete) or self._framing.has_partial_record()
 
     def is_established(self) -> bool:
         """Whether the handshake is complete."""
-        return self._up
+        return self._handshake_complete
 
     # ------------------------------------------------------------------------------------------ writing
 
@@ -225,7 +225,7 @@
 
     def _next_encrypted(self) -> bytes:
         """Return what the library has to send, else the next chunk of data, encrypted."""
-        if not self._outgoing.pending and self._pending and self._up:
+        if not self._outgoing.pending and self._pending and self._handshake_complete:
             parts: list[memoryview] = []
             space = RECORD_BYTES
             while self._pending and space:
@@ -253,7 +253,7 @@
 
     def _send_close_notify(self) -> None:
         """Send close_notify, unless a response is cut off: the client must notice that."""
-        if self._up and not self.has_unwritten():
+        if self._handshake_complete and not self.has_unwritten():
             with contextlib.suppress(OSError):
                 self._ssl.unwrap()
             with contextlib.suppress(OSError):
@@ -263,7 +263,7 @@
         """Close the connection and drop unwritten data; an incomplete handshake is logged."""
         if self.is_open:
             self._send_close_notify()
-            if self._handshake_begun and not self._up:
+            if self._handshake_begun and not self._handshake_complete:
                 log_event(logger, logging.WARNING, "tls_refused", reason="the handshake was not completed")
             self._budget.buffered_bytes -= len(self._encrypted)
             self._encrypted = memoryview(b"")
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -168,9 +168,9 @@
 
     def module(self) -> Router:
         """The router's decisions."""
-        made = self.server.engine.router
-        assert isinstance(made, Router)
-        return made
+        router = self.server.engine.router
+        assert isinstance(router, Router)
+        return router
 
     def play(self, text: str) -> None:
         """Run a scenario."""
@@ -234,13 +234,13 @@
             head = f"{first} {second} HTTP/1.1"
             kind = "read" if first == "GET" else "set"
             self.sent += 1
-            usual = {
+            default_headers = {
                 "Req-Id": f"id{self.sent}",
                 "Req-Kind": kind,
                 "Req-Owner": "acme",
                 "Req-Deadline": "1.000",
             }
-            fields = {name: value for name, value in {**usual, **fields}.items() if value}
+            fields = {name: value for name, value in {**default_headers, **fields}.items() if value}
         fields["Content-Length"] = str(len(body))
         lines = [head, *(f"{name}: {value}" for name, value in fields.items())]
         self.put(who, ("\r\n".join(lines) + "\r\n\r\n" + body).encode())
@@ -260,13 +260,13 @@
         self.step()
 
     def list(self, who: str, text: str) -> None:
-        self.tell(who, text, whole=True)
+        self.tell(who, text, is_full=True)
 
-    def tell(self, who: str, text: str, whole: bool = False) -> None:
+    def tell(self, who: str, text: str, is_full: bool = False) -> None:
         rev, *changes = text.split(" ")
         pairs = [change.split("=") for change in changes]
         rows = [target(name, self.port(name), state) for name, state in pairs]
-        body = json.dumps({"rev": int(rev), "all": whole, "targets": rows})
+        body = json.dumps({"rev": int(rev), "all": is_full, "targets": rows})
         self.put(who, f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
     def close(self, who: str) -> None:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -30,8 +30,8 @@
             self.rejects(f"Content-Length: {length}", "abcd")
 
     def test_headers_that_come_twice(self) -> None:
-        for again in ("req-id: 8", "Req-Kind: read", "Req-Owner: acme", "Req-Deadline: 2"):
-            self.rejects(again)
+        for repeated in ("req-id: 8", "Req-Kind: read", "Req-Owner: acme", "Req-Deadline: 2"):
+            self.rejects(repeated)
 
     def test_identity_that_is_no_plain_text(self) -> None:
         self.play(f"c1 send GET /api/k1 Req-Id={'x' * 129}\nc1 expect 400")
@@ -50,7 +50,7 @@
             c1 expect 200 value
         """)
 
-    def test_is_free_again_after_the_answer_or_a_close(self) -> None:
+    def test_is_free_again_after_the_response_or_a_close(self) -> None:
         read = """
             c1 send GET /api/k1 Req-Id=77
             s1 expect GET /api/k1
@@ -102,10 +102,10 @@
         self.step()
 
 
-class Crowds(Scenario):
+class ConnectionPressure(Scenario):
     sockets = 128  # 80 for connections, 40 of them the sender side's
 
-    def test_silent_ones_leave_the_next_hops_and_the_usual_ones_theirs(self) -> None:
+    def test_silent_clients_leave_upstreams_and_ordinary_clients_their_connections(self) -> None:
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -122,13 +122,13 @@
         """)
         self.assertEqual([len(self.wires[name]) for name in ("c1", "s1")], [1, 1])
 
-    def test_accepting_goes_on_soon_after_a_crowd_took_all_places_at_once(self) -> None:
+    def test_accepting_resumes_soon_after_a_burst_took_all_slots_at_once(self) -> None:
         for n in range(100, 160):
             self.wire(f"c{n}")
         self.play("wait 5")
         self.play("c1 send GET /ready\nc1 expect nothing\nwait 300\nc1 expect 200 ready")
 
-    def test_hundreds_sent_ahead_that_cannot_be_taken_cost_one_answer(self) -> None:
+    def test_hundreds_of_pipelined_bad_requests_cost_one_response(self) -> None:
         self.play("c1 raw " + ONE.replace("read", "none") * 100)
         self.play("c1 expect 400 Connection=close\nwait 600\nc1 expect closed")
         self.assertEqual(self.server.listener.rejected_count, 1)
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -30,56 +30,61 @@
 COUNTED = b"".join(b"%07d\n" % n for n in range(4 * MIB))  # shows where a part of it belongs
 
 
-class Flows(unittest.TestCase):
-    def test_portions_are_even_and_what_was_put_is_taken_in_order(self) -> None:
-        room, told, found = BufferBudget(4 * MAX_STREAM_BUFFER_BYTES), [], b""
-        flows = [BodyStream(room, None) for _ in range(64)]
-        for flow in flows:
-            while flow.writable_bytes():
-                flow.write(BODY[flow.received_bytes : flow.received_bytes + min(1000, flow.writable_bytes())])
-        self.assertEqual(room.buffered_bytes, 64 * MIN_STREAM_BUFFER_BYTES)
-        flows[0].on_writable = lambda: told.append(1)
-        self.assertTrue(flows[0].pause_if_full())
-        for flow in flows[1:]:
-            flow.close()
+class BodyStreams(unittest.TestCase):
+    def test_shares_are_even_and_data_is_read_in_order(self) -> None:
+        budget, notified, received = BufferBudget(4 * MAX_STREAM_BUFFER_BYTES), [], b""
+        streams = [BodyStream(budget, None) for _ in range(64)]
+        for stream in streams:
+            while stream.writable_bytes():
+                stream.write(
+                    BODY[stream.received_bytes : stream.received_bytes + min(1000, stream.writable_bytes())]
+                )
+        self.assertEqual(budget.buffered_bytes, 64 * MIN_STREAM_BUFFER_BYTES)
+        streams[0].on_writable = lambda: notified.append(1)
+        self.assertTrue(streams[0].pause_if_full())
+        for stream in streams[1:]:
+            stream.close()
         self.assertEqual(
-            (room.buffered_bytes, flows[0].writable_bytes()),
+            (budget.buffered_bytes, streams[0].writable_bytes()),
             (MIN_STREAM_BUFFER_BYTES, MAX_STREAM_BUFFER_BYTES - MIN_STREAM_BUFFER_BYTES),
         )
-        found += b"".join(flows[0].read(1))  # a giver that waits is told although its portion grew meanwhile
-        self.assertEqual(told, [1])
-        flows[0].finish()
-        while not flows[0].is_drained():
-            found += b"".join(flows[0].read(777))
-        self.assertEqual(found, BODY[:MIN_STREAM_BUFFER_BYTES])
+        received += b"".join(
+            streams[0].read(1)
+        )  # a giver that waits is told although its portion grew meanwhile
+        self.assertEqual(notified, [1])
+        streams[0].finish()
+        while not streams[0].is_drained():
+            received += b"".join(streams[0].read(777))
+        self.assertEqual(received, BODY[:MIN_STREAM_BUFFER_BYTES])
 
 
-def answer(*parts: bytes) -> bytes | None:
+def parse_response(*parts: bytes) -> bytes | None:
     """The body of a long answer that comes in these parts; None if it is none."""
-    reader, found, whole = ResponseReader(1000, 100), b"", None
+    reader, received, response = ResponseReader(1000, 100), b"", None
     try:
         for part in parts:
-            whole = reader.feed(part) if part else None
-            found += b"".join(reader.take_body())
+            response = reader.feed(part) if part else None
+            received += b"".join(reader.take_body())
     except MalformedResponseError:
         return None
-    whole = whole or reader.feed_eof()
-    return found if whole is not None and reader.is_streaming and not whole.body else None
+    response = response or reader.feed_eof()
+    return received if response is not None and reader.is_streaming and not response.body else None
 
 
 def request(*parts: bytes) -> bytes | int:
-    """The body of a request that comes in these parts, or the status that turns it away."""
-    machine, found = ServerProtocol(lambda: NAMES, BufferBudget(MAX_STREAM_BUFFER_BYTES)), b""
-    received: object = None
+    """The body of a request that is received in these parts, or the status that rejects it."""
+    protocol = ServerProtocol(lambda: NAMES, BufferBudget(MAX_STREAM_BUFFER_BYTES))
+    body = b""
+    message: object = None
     for part in parts:
-        machine.feed(part, 0.0)
-        received = received or machine.next_message()
-        if isinstance(received, RequestReceived):
-            assert isinstance(received.request.payload, ForwardedRequest)
-            flow = received.request.payload.body_stream
-            found += received.request.payload.body if flow is None else b"".join(flow.read(MIB))
-    received = machine.body_rejection or received
-    return received.status if isinstance(received, RequestRejected) else found
+        protocol.feed(part, 0.0)
+        message = message or protocol.next_message()
+        if isinstance(message, RequestReceived):
+            assert isinstance(message.request.payload, ForwardedRequest)
+            stream = message.request.payload.body_stream
+            body += message.request.payload.body if stream is None else b"".join(stream.read(MIB))
+    message = protocol.body_rejection or message
+    return message.status if isinstance(message, RequestRejected) else body
 
 
 def forms(body: bytes) -> list[bytes]:
@@ -100,17 +105,17 @@
         interim = b"HTTP/1.1 103 Early\r\nA: b\r\n\r\n" + OK
         answers = [*(OK + form for form in forms(SHORT)), interim + forms(SHORT)[0], OK + b"\r\n" + SHORT]
         for form in answers:
-            self.assertEqual(answer(*(form[n : n + 1] for n in range(len(form)))), SHORT, form[:60])
+            self.assertEqual(parse_response(*(form[n : n + 1] for n in range(len(form)))), SHORT, form[:60])
             for cut in range(len(form)):
-                self.assertEqual(answer(form[:cut], form[cut:]), SHORT, (form[:60], cut))
+                self.assertEqual(parse_response(form[:cut], form[cut:]), SHORT, (form[:60], cut))
         for form in (PUT + form for form in forms(BODY)):
             head, size = form.index(b"\r\n\r\n") + 4, len(form)
             for cut in (*range(head + 40), *range(head + 65_500, head + 65_560), *range(size - 40, size)):
                 self.assertEqual(request(form[:cut], form[cut:]), BODY, (form[100:160], cut))
 
-    def test_what_is_wrong_or_ambiguous_is_none(self) -> None:
+    def test_malformed_and_ambiguous_forms_are_refused(self) -> None:
         begun, trailers = CHUNKED + b"12C00\r\n" + BODY + b"\r\n", [b"a: " + b"x" * 1000 + b"\r\n"] * 100
-        self.assertIsNone(answer(OK + CHUNKED + b"1\r\nx\r\n0\r\n", *trailers))
+        self.assertIsNone(parse_response(OK + CHUNKED + b"1\r\nx\r\n0\r\n", *trailers))
         for line, status in (
             (b"Content-Length: 5\r\n" + CHUNKED, 400),
             (b"Content-Length: 5\r\n" * 2 + b"\r\n", 400),
@@ -120,7 +125,7 @@
             (b"Transfer-Encoding: identity\r\n\r\n", 400),
             (b"Content-Length: 60000000\r\n\r\n", 413),
         ):
-            self.assertEqual((answer(OK + line), request(PUT + line)), (None, status), line)
+            self.assertEqual((parse_response(OK + line), request(PUT + line)), (None, status), line)
         for text, status in (
             (b"Expect: a-miracle\r\nContent-Length: 3\r\n\r\n", 417),
             (begun + b"nonsense", 400),
@@ -199,14 +204,14 @@
 
     def free(self, who: str) -> None:
         budget, engine = self.server.budget, self.server.engine
-        held = (
+        buffered = (
             engine.pending_count,
             budget.body_buffers.stream_count,
             budget.body_buffers.buffered_bytes,
             budget.buffered_bytes,
             len(self.server.pool.busy),
         )
-        self.assertEqual(held, (0, 0, 0, 0, 0))
+        self.assertEqual(buffered, (0, 0, 0, 0, 0))
 
     def bounded(self, who: str, most: str) -> None:
         """Who floods was held back, and little is held here."""
@@ -228,7 +233,7 @@
         chunked = self.LONG.replace("Content-Length: 500000", "Transfer-Encoding: chunked")
         stopped = "wait 9000; all holds engine.pending_count 1; wait 2000; s1 expect closed; all free"
         head = r"s1 raw HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n; "
-        size, whole = "33554432", f"{self.ASK}{head}s1 more 100000; c1 expect 200; "
+        size, response = "33554432", f"{self.ASK}{head}s1 more 100000; c1 expect 200; "
         self.each(
             {
                 "32 MiB": f"{self.ASK}{head.replace('100000', size)}s1 more {size}; c1 whole {size}; "
@@ -239,7 +244,7 @@
                 "and a chunked one": chunked.replace("more 100000", r"raw 30d40\r\n; s1 more 100000")
                 + "s1 breaks; c1 broken Transfer-Encoding: chunked; all free",
                 "the next hop stops": self.LONG + stopped,
-                "it goes on": f"{whole}{self.ASK}s1 send 200 v; c1 expect 200; all holds budget.used 2; "
+                "it goes on": f"{response}{self.ASK}s1 send 200 v; c1 expect 200; all holds budget.used 2; "
                 "all free",
                 "the module faults midway": f"{self.ASK}module faults; {head}s1 more 100000; "
                 "c1 expect 200; c1 expect nothing; all free",
@@ -250,7 +255,7 @@
 
     def test_requests(self) -> None:
         stored = "origin expect PUT /api/k1; origin send 200 stored; c1 expect 200 stored; all free"
-        more, gone = "c1 more 10000; wait 200; " * 12, "c1 expect 503 Connection=close"
+        more, rejected = "c1 more 10000; wait 200; " * 12, "c1 expect 503 Connection=close"
         fresh = "c1 begin 0 Content-Length: 200000; "
         large = "c1 begin 80000 Transfer-Encoding: chunked\\r\\n\\r\\n"
         expects = "Expect: 100-continue\\r\\nContent-Length: "
@@ -260,9 +265,9 @@
                 f"{stored}",
                 "it ends at its deadline": f"{fresh}c1 more 200000; wait 900; c1 expect nothing; wait 200; "
                 "c1 expect 504; all free",
-                "it is not sent to another": f"{self.WRITE}origin breaks; c1 more 20000; {gone}; "
+                "it is not sent to another": f"{self.WRITE}origin breaks; c1 more 20000; {rejected}; "
                 "origin expect nothing; s1 expect nothing; all free",
-                "nobody can be reached": f"origin refuse; {self.WRITE}{gone}; all free",
+                "nobody can be reached": f"origin refuse; {self.WRITE}{rejected}; all free",
                 "the client leaves": f"{self.WRITE}c1 close; origin expect closed; all free",
                 "and behind bytes that wait here": f"{self.WRITE}all full; c1 more 1000; c1 close; "
                 "wait 2900; "
@@ -272,10 +277,10 @@
                 "slow is not stopped": f"{fresh}{'c1 more 16000; wait 250; ' * 12}c1 more 8000; {stored}",
                 "too slow is": f"{fresh}{'c1 more 2000; wait 250; ' * 15}c1 expect 408; all free",
                 "an origin that does not read": f"{large}1f00000; origin stops; c1 flood; all bounded 20; "
-                f"wait 8000; all holds engine.pending_count 1; origin breaks; {gone}; all free",
+                f"wait 8000; all holds engine.pending_count 1; origin breaks; {rejected}; all free",
                 "a long answer before its end": self.WRITE
                 + r"origin raw HTTP/1.1 200 OK\r\nContent-Length: 5000"
-                rf"00\r\n\r\n; origin more 100000; {gone}; origin expect closed; all free",
+                rf"00\r\n\r\n; origin more 100000; {rejected}; origin expect closed; all free",
                 "wrong chunks midway": f"{large.replace('80000', '0')}186a0; c1 more 80000; c1 more 20000; "
                 r"c1 raw nonsense\r\n; c1 expect 400 Connection=close; origin expect closed; all free",
                 "behind one that is in hand": f"{self.ASK}c1 begin 100000 {expects}100000; "
@@ -287,5 +292,5 @@
                 "it counts once": f"{self.WRITE}{more}{stored}",
             }
         )
-        told = '"set":{"success":1,"busy":0,"failure":0,"backend_calls":1}'
-        self.assertIn(told, self.server.telemetry().line())
+        notified = '"set":{"success":1,"busy":0,"failure":0,"backend_calls":1}'
+        self.assertIn(notified, self.server.telemetry().line())
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -30,9 +30,9 @@
     nodes = ("s1", "s2", "origin")
 
     def document(self) -> dict[str, Any]:
-        told = super().document()
-        told["known"]["targets"] = [target(name, self.port(name)) for name in ("s1", "origin")]
-        return told
+        document = super().document()
+        document["known"]["targets"] = [target(name, self.port(name)) for name in ("s1", "origin")]
+        return document
 
     def follow(self) -> None:
         """Discovery is asked, and polled."""
@@ -58,11 +58,11 @@
 class ClientLeaves(Known):
     WANTS = "send GET /api/k1\ns1 expect GET /api/k1\ns1 send 404 none"
 
-    def test_while_a_dial_to_a_cache_node_is_coming_up(self) -> None:
+    def test_while_connecting_to_a_cache_node(self) -> None:
         self.play("s1 hold\nc1 send GET /api/k1\nc1 close")
         self.freed()
 
-    def test_while_a_dial_to_the_origin_is_coming_up(self) -> None:
+    def test_while_connecting_to_the_origin(self) -> None:
         """A fetch that is out is left to be stored; one that is not written has nothing to be stored."""
         self.play("""
             origin hold
@@ -75,12 +75,12 @@
         self.freed()
         self.play("origin let\nwait 100\norigin expect nothing")
 
-    def test_a_write_while_its_dial_is_coming_up(self) -> None:
+    def test_a_write_while_connecting(self) -> None:
         self.play("origin hold\nc1 send PUT /api/k1 value\nall holds engine.pending_count 1\nc1 close")
         self.freed()
         self.play("origin let\norigin expect nothing")
 
-    def test_a_long_body_that_is_whole_while_its_dial_is_coming_up(self) -> None:
+    def test_a_long_body_that_is_complete_while_connecting(self) -> None:
         body = "x" * 100_000
         self.play(
             f"origin hold\nc1 send PUT /api/k1 {body}\nall holds engine.pending_count 1\nc1 close\norigin let"
@@ -169,8 +169,8 @@
         self.freed()
 
 
-class NextHopDrains(Known):
-    def test_while_its_dial_is_coming_up(self) -> None:
+class EndpointDrains(Known):
+    def test_while_connecting_to_it(self) -> None:
         """The request goes elsewhere at once, and no retry is spent on it."""
         self.follow()
         retries = self.module().retry_budget
@@ -187,12 +187,12 @@
         self.assertEqual(self.module().retry_budget, retries)
         self.play("s1 let\nwait 100\ns1 expect nothing")
 
-    def test_while_the_dial_to_the_only_one_is_coming_up(self) -> None:
+    def test_while_connecting_to_the_only_one(self) -> None:
         self.follow()
         self.play("s1 hold\nc1 send GET /api/k1\nd tell 42 s1=leaving\nc1 expect 503")
         self.freed()
 
-    def test_while_a_dial_to_the_origin_is_coming_up(self) -> None:
+    def test_while_connecting_to_the_origin(self) -> None:
         self.follow()
         self.play("origin hold\nc1 send PUT /api/k1 value\nd tell 42 origin=leaving\nc1 expect 503")
         self.freed()
@@ -262,7 +262,7 @@
         """)
         self.freed()
 
-    def test_a_drain_that_is_told_while_all_others_are_silent(self) -> None:
+    def test_a_drain_that_is_announced_while_all_others_are_silent(self) -> None:
         """When nobody seems alive all are tried, but none that is leaving."""
         self.follow()
         self.play("d tell 42 s1=leaving")
@@ -275,45 +275,45 @@
     """What ends between the choice and the first byte, while a dial is coming up."""
 
     def document(self) -> dict[str, Any]:
-        told = super().document()
+        document = super().document()
         classes = [{**one} for one in SETTINGS["request_classes"]]
         classes[1]["repeat_window"] = 200.0
-        told["settings"] = {**SETTINGS, "request_classes": classes}
-        return told
+        document["settings"] = {**SETTINGS, "request_classes": classes}
+        return document
 
     def late(self, after: float) -> None:
         """A write whose answer is spoilt is repeated on a dial that comes up so long after."""
         self.play("c1 send PUT /api/k1 value\norigin expect PUT /api/k1\norigin hold")
         self.play("origin raw HTTP/1.1 nonsense\\r\\n\\r\\n\nall holds engine.pending_count 1")
-        (link,) = self.server.pool.busy.values()
-        assert link.is_connecting
+        (connection,) = self.server.pool.busy.values()
+        assert connection.is_connecting
         self.wait(after)
-        with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(link, "_write") as write:
-            link.on_ready(WRITE)
+        with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(connection, "_write") as write:
+            connection.on_ready(WRITE)
         self.written = write.called
 
     def test_a_repeat_within_its_window(self) -> None:
         self.late(100)
         self.assertTrue(self.written)
 
-    def test_a_repeat_whose_window_ends_while_its_dial_is_coming_up(self) -> None:
+    def test_a_repeat_whose_window_ends_while_connecting(self) -> None:
         """A next hop may have forgotten the first by then, and would run it twice."""
         self.late(190)
         self.assertFalse(self.written)
         self.play("c1 expect 503")
         self.freed()
 
-    def test_the_time_that_is_told_counts_from_the_write(self) -> None:
+    def test_the_time_left_counts_from_the_write(self) -> None:
         """Not from when the dial began."""
         self.play("s1 hold\nc1 send GET /api/k1 Req-Deadline=0.500\nwait 200")
-        (link,) = self.server.pool.busy.values()
+        (connection,) = self.server.pool.busy.values()
         with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(TcpStream, "write") as write:
             write.side_effect = len
-            link.on_ready(WRITE)
-        (said,) = (bytes(call.args[0]) for call in write.call_args_list)
-        self.assertIn(b"Req-Deadline: 0.3", said)
+            connection.on_ready(WRITE)
+        (request,) = (bytes(call.args[0]) for call in write.call_args_list)
+        self.assertIn(b"Req-Deadline: 0.3", request)
 
-    def test_a_deadline_that_passes_while_its_dial_is_coming_up(self) -> None:
+    def test_a_deadline_that_passes_while_connecting(self) -> None:
         self.play("s1 hold\nc1 send GET /api/k1 Req-Deadline=0.100\nwait 100\nc1 expect 504")
         self.freed()
 
@@ -330,14 +330,14 @@
         self.play(f"{text}\nc1 expect 200 Connection=close value\nc1 expect closed\nwait 1000\nrouter ended")
         self.freed()
 
-    def test_while_half_a_head_has_come(self) -> None:
+    def test_while_a_head_is_incomplete(self) -> None:
         head, rest = self.request("/api/k1")[:40], self.request("/api/k1")[40:]
         self.put("c1", head)
         self.play("router end")
         self.put("c1", rest.replace(b"own2", b"own1"))
         self.ends("s1 expect GET /api/k1\ns1 send 200 value")
 
-    def test_while_a_dial_is_coming_up(self) -> None:
+    def test_while_connecting(self) -> None:
         self.play("s1 hold\nc1 send GET /api/k1\nrouter end\ns1 let")
         self.play("wait 250\nc1 expect 503 Connection=close\nc1 expect closed\nwait 1000\nrouter ended")
         self.freed()
@@ -345,7 +345,7 @@
     def test_while_it_is_written(self) -> None:
         self.ends("c1 send GET /api/k1\ns1 expect GET /api/k1\nrouter end\ns1 send 200 value")
 
-    def test_while_the_origin_is_asked(self) -> None:
+    def test_while_fetching_from_the_origin(self) -> None:
         self.ends("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -372,7 +372,7 @@
             s1 send 200 value
         """)
 
-    def test_while_half_of_its_answer_is_passed_on(self) -> None:
+    def test_while_its_response_is_streamed(self) -> None:
         half = "x" * 70_000
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
         self.put("s1", f"HTTP/1.1 200 OK\r\nContent-Length: 140000\r\n\r\n{half}".encode())
@@ -398,7 +398,9 @@
         """It is not read, and the connection is no reset, which would take the last answer with it."""
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1\ns1 send 200 value\nrouter end\nwait 590")
         wire = self.wires["c1"][-1]
-        with mock.patch.object(DownstreamConnection, "is_idle", lambda link: link.protocol.is_idle()):
+        with mock.patch.object(
+            DownstreamConnection, "is_idle", lambda connection: connection.protocol.is_idle()
+        ):
             self.now += 0.02
             wire.sock.send(self.request("/api/k2"))
             self.loop.step(0)  # its timer first: the look was just before the request
@@ -441,7 +443,7 @@
 
     AGAIN = f"{FIRST}\nd tell 42 s1=leaving"
 
-    def test_from_its_first_call(self) -> None:
+    def test_from_its_first_poll(self) -> None:
         self.wait(700)
         self.silent()
         self.until_asked(self.AGAIN)
@@ -451,7 +453,7 @@
         took = self.until_asked(self.AGAIN)
         self.assertGreater(took, 4000)
 
-    def test_amid_an_answer(self) -> None:
+    def test_amid_a_response(self) -> None:
         self.follow()
         self.play('d raw HTTP/1.1 200 OK\\r\\nContent-Length: 500\\r\\n\\r\\n{"rev":42,')
         self.until_asked(self.AGAIN)
@@ -471,21 +473,21 @@
         self.play('d send 200 {"rev":42,"all":false,"targets":[{"uid":7}]}')
         self.assertLess(self.until_asked(self.AGAIN), 700)
 
-    def test_as_dials_do_not_come_up(self) -> None:
+    def test_as_connects_do_not_succeed(self) -> None:
         """Discovery is cut off for 8 s, after which a backoff is at its longest."""
         self.follow()
         self.play("d close\nd hold\nwait 8000\nd let")
         took = self.until_asked(self.AGAIN)
         self.assertLess(took, endpoint_watch.CONNECT_TIMEOUT_MS + decide.MAX_BACKOFF_MS + STEP + 10)
 
-    def test_as_each_call_is_refused_for_long(self) -> None:
+    def test_as_each_poll_is_refused_for_long(self) -> None:
         self.follow()
         for _ in range(8):
             self.play(f"d send 503 no\nwait 1900\n{FIRST}")
         self.play("d send 503 no")
         self.assertLess(self.until_asked(self.AGAIN), 1_910)
 
-    def test_a_change_between_two_polls_is_in_the_next_answer(self) -> None:
+    def test_a_change_between_two_polls_is_in_the_next_response(self) -> None:
         self.follow()
         self.play("""
             d tell 41
@@ -495,7 +497,7 @@
             c1 expect 503
         """)
 
-    def test_told_twice_and_indented(self) -> None:
+    def test_announced_twice_and_indented(self) -> None:
         self.follow()
         rows = [target("s1", self.port("s1"), "leaving")]
         body = json.dumps({"rev": 42, "all": False, "targets": rows}, indent=4)
@@ -515,7 +517,7 @@
             s1 expect nothing
         """)
 
-    def test_a_move_whose_first_call_fails_asks_for_the_whole_list_again(self) -> None:
+    def test_a_switch_whose_first_poll_fails_requests_the_full_list_again(self) -> None:
         """The revision held means something else at the new discovery."""
         self.follow()
         self.file["discovery"] = f"127.0.0.1:{self.port('d')}"
@@ -569,7 +571,7 @@
     def document(self) -> dict[str, Any]:
         return {**super().document(), "settings": {**SETTINGS, "membership_mode": "automatic"}}
 
-    def test_it_is_asked_at_once_and_again_soon(self) -> None:
+    def test_it_is_polled_at_once_and_again_soon(self) -> None:
         self.play(f"""
             wait {STEP}
             {FIRST}
@@ -609,18 +611,18 @@
     return isinstance(action, api.Send)
 
 
-def test_a_body_of_which_a_part_was_let_go_is_not_whole() -> None:
-    flow = BodyStream(BufferBudget(1_000_000), None)
-    flow.write(b"part")
-    flow.finish()
-    flow.close()
-    assert not flow.is_drained() and flow.is_truncated()
+def test_a_body_of_which_a_part_was_dropped_is_incomplete() -> None:
+    body = BodyStream(BufferBudget(1_000_000), None)
+    body.write(b"part")
+    body.finish()
+    body.close()
+    assert not body.is_drained() and body.is_truncated()
 
 
-def test_a_body_that_was_taken_whole_stays_so() -> None:
-    flow = BodyStream(BufferBudget(1_000_000), None)
-    flow.write(b"part")
-    flow.finish()
-    assert flow.read(100) == [b"part"]
-    flow.close()
-    assert flow.is_drained() and not flow.is_truncated()
+def test_a_body_that_was_read_completely_stays_complete() -> None:
+    body = BodyStream(BufferBudget(1_000_000), None)
+    body.write(b"part")
+    body.finish()
+    assert body.read(100) == [b"part"]
+    body.close()
+    assert body.is_drained() and not body.is_truncated()
--- a/tests/test_extremes.py
+++ b/tests/test_extremes.py
@@ -55,26 +55,26 @@
 }
 
 
-def changed(place: str, value: Any) -> dict[str, Any]:
+def changed(path: str, value: Any) -> dict[str, Any]:
     """The settings with another value at a place; of classes, of each."""
-    found = copy.deepcopy(SETTINGS)
-    part, _, key = place.partition(".")
+    settings = copy.deepcopy(SETTINGS)
+    part, _, key = path.partition(".")
     if not key:
-        found[part] = value
+        settings[part] = value
     elif part == "request_classes":
-        for row in found[part]:
+        for row in settings[part]:
             row[key] = value
     else:
-        found[part][key] = value
-    return found
+        settings[part][key] = value
+    return settings
 
 
 class Extremes(Scenario):
     case = ""
 
     def document(self) -> dict[str, Any]:
-        told = super().document()
-        return {**told, "settings": changed(*CASES[self.case])} if self.case else told
+        document = super().document()
+        return {**document, "settings": changed(*CASES[self.case])} if self.case else document
 
     def test_a_router_serves(self) -> None:
         for self.case in CASES:
@@ -95,7 +95,7 @@
                 self.assertEqual(self.server.engine.counts["faults"], 0)
 
 
-class NoAim(Scenario):
+class ShortObjective(Scenario):
     def document(self) -> dict[str, Any]:
         return {**super().document(), "settings": changed("request_classes.objective", 0.001)}
 
@@ -104,7 +104,7 @@
 
 
 @pytest.mark.parametrize("name", TURNED_DOWN)
-def test_settings_that_make_no_sense_are_turned_down(name: str) -> None:
+def test_settings_that_make_no_sense_are_rejected(name: str) -> None:
     document = {
         "name": "n0",
         "listen": "127.0.0.1:0",
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -46,13 +46,13 @@
     if b"Transfer-Encoding: chunked" not in head:
         raise AssertionError(data[:500])
     body = b""
-    while (at := rest.find(b"\r\n")) >= 0:
-        size = int(rest[:at], 16)
-        if len(rest) < at + 2 + size + 2:
+    while (offset := rest.find(b"\r\n")) >= 0:
+        size = int(rest[:offset], 16)
+        if len(rest) < offset + 2 + size + 2:
             return None
         if not size:
             return body
-        body, rest = body + rest[at + 2 : at + 2 + size], rest[at + 2 + size + 2 :]
+        body, rest = body + rest[offset + 2 : offset + 2 + size], rest[offset + 2 + size + 2 :]
     return None
 
 
@@ -102,7 +102,7 @@
         assert isinstance(read, RequestRejected)
         self.assertEqual(read.status, 413)
 
-    def test_answers_read_back(self) -> None:
+    def test_responses_parse_back(self) -> None:
         parts = [(b"a", b"1", 200, b"x\ny"), (b"partial:", b"2", 504, b""), (b"c", b"3", 200, b"partial: 1")]
         data = b"".join(b"".join(encode_entry(*part)) for part in parts) + encode_trailer(1, 3)
         self.assertTrue(data.startswith(b"a 1 200 3\nx\ny\npartial: 2 504 0\n\nc 3 200 10\n"))
@@ -120,7 +120,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.asked: list[tuple[str, str, str]] = []  # node, key, id
+        self.requests: list[tuple[str, str, str]] = []  # node, key, id
         self.sizes: dict[str, int] = {}
 
     def operators(self) -> OperatorOptions:
@@ -161,10 +161,10 @@
         for name in self.nodes:
             for wire in self.wires[name]:
                 while (message := wire.message()) is not None:
-                    found = re.match(r"GET /api/(\S+) .*Req-Id: (\S+)\r\n", message, re.S)
-                    assert found is not None, message
-                    self.asked.append((name, found[1], found[2]))
-                    body = "v" * self.sizes.get(found[1], 5)
+                    match = re.match(r"GET /api/(\S+) .*Req-Id: (\S+)\r\n", message, re.S)
+                    assert match is not None, message
+                    self.requests.append((name, match[1], match[2]))
+                    body = "v" * self.sizes.get(match[1], 5)
                     data = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
                     while data:
                         try:
@@ -172,7 +172,7 @@
                         except BlockingIOError:
                             self.loop.step(0)
 
-    def answer(self, who: str, serving: bool = True) -> list[tuple[str, str, int, int]]:
+    def read_entries(self, who: str, serving: bool = True) -> list[tuple[str, str, int, int]]:
         """The parts of a batch's answer: key, id, status, length."""
         for _ in range(3000):
             if serving:
@@ -194,38 +194,38 @@
 
 
 class Serves(Batches):
-    def test_parts_in_the_order_of_the_batch_each_by_a_get_of_its_own(self) -> None:
+    def test_items_in_the_order_of_the_batch_each_by_a_get_of_its_own(self) -> None:
         keys = [f"m-{n:06d}" for n in range(40)]
         self.batch("b1", keys)
-        found = self.answer("b1")
-        self.assertEqual([key for key, *_ in found], keys)
-        self.assertEqual({status for _, _, status, _ in found}, {200})
-        self.assertEqual(len({req_id for _, req_id, *_ in found}), 40)
-        self.assertEqual({(key, req_id) for _, key, req_id in self.asked}, {row[:2] for row in found})
+        entries = self.read_entries("b1")
+        self.assertEqual([key for key, *_ in entries], keys)
+        self.assertEqual({status for _, _, status, _ in entries}, {200})
+        self.assertEqual(len({req_id for _, req_id, *_ in entries}), 40)
+        self.assertEqual({(key, req_id) for _, key, req_id in self.requests}, {row[:2] for row in entries})
         self.assertNotIn(b"partial", self.body)
         self.assertEqual(self.server.engine.counts["envelopes"], 40)
         self.nothing_left()
 
     def test_one_stopped_node_and_nobody_answers_400(self) -> None:
         self.batch("b1", ["first"])
-        self.answer("b1")
-        ((stopped, _, first),) = self.asked
+        self.read_entries("b1")
+        ((stopped, _, first),) = self.requests
         self.play(f"{stopped} refuse\n{stopped} close")
         keys = [f"m-{n}" for n in range(30)]
         self.batch("b1", keys)
-        found = self.answer("b1")
-        failed = [row for row in found if row[2] != 200]
-        self.assertEqual([key for key, *_ in found], keys)
+        entries = self.read_entries("b1")
+        failed = [row for row in entries if row[2] != 200]
+        self.assertEqual([key for key, *_ in entries], keys)
         self.assertLess(len(failed), 30)
         self.assertGreater(self.server.engine.counts["attempt_connect_failed"], 0)
         self.assertEqual(self.server.engine.counts["attempt_unfit"], 0)
-        written = {first, *(req_id for _, req_id, *_ in found)}
-        self.assertTrue({req_id for _, _, req_id in self.asked} <= written)
+        written = {first, *(req_id for _, req_id, *_ in entries)}
+        self.assertTrue({req_id for _, _, req_id in self.requests} <= written)
         last = f"partial: {len(failed)} of 30 not served\n".encode() if failed else b"\n"
         self.assertTrue(self.body.endswith(last))
         self.nothing_left()
 
-    def test_connections_are_kept_within_a_batch_and_let_go_after_it(self) -> None:
+    def test_connections_are_reused_within_a_batch_and_closed_after_it(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(60)])
         most = 0
         for _ in range(400):
@@ -243,7 +243,7 @@
         self.assertIn(b"b ", unchunked(first) or b"")
         self.assertTrue((unchunked(second) or b"").startswith(b"c "))
 
-    def test_an_answer_that_says_it_is_the_last_is(self) -> None:
+    def test_a_response_that_announces_a_close_is_the_last(self) -> None:
         """In a crowd an answer ends its connection, unless another batch was sent ahead."""
         with mock.patch.object(self.server.listener.policy, "should_close_after_response", return_value=True):
             with mock.patch.object(self, "put") as put:
@@ -258,21 +258,21 @@
                     break
         first, _, second = seen.partition(b"0\r\n\r\n")
         self.assertEqual([b"Connection: close" in part for part in (first, second)], [False, True])
-        self.assertEqual([key for _, key, _ in self.asked], ["k1", "k2"])
+        self.assertEqual([key for _, key, _ in self.requests], ["k1", "k2"])
 
-    def test_parts_are_no_clients_of_an_address(self) -> None:
+    def test_items_are_no_clients_of_an_address(self) -> None:
         """Guards against a crowd whose shares turn the router's own parts away."""
         with mock.patch.object(self.server.listener.policy, "should_reject_address", side_effect=bool):
             with mock.patch.object(self.server.budget, "downstream_limit", return_value=1):
                 self.batch("b1", ["k1", "k2", "k3"])
-                self.assertEqual([status for _, _, status, _ in self.answer("b1")], [200] * 3)
+                self.assertEqual([status for _, _, status, _ in self.read_entries("b1")], [200] * 3)
             self.assertEqual(
                 len(self.server.listener.connection_table.address_quota), 1
             )  # the batch's client
         self.play("b1 close")
         self.assertEqual(self.server.listener.own_addresses, set())
 
-    def test_http_1_0_gets_its_answer_without_chunks(self) -> None:
+    def test_http_1_0_gets_its_response_without_chunks(self) -> None:
         self.put("b1", b"POST /mget HTTP/1.0\r\n" + HEAD + b"Content-Length: 1\r\n\r\nk")
         for _ in range(20):
             self.serve()
@@ -283,7 +283,7 @@
         self.assertIn(b"Connection: close", head)
         self.assertEqual([row[:1] + row[2:] for row in parse_entries(body)], [(b"k", 200, b"vvvvv")])
 
-    def test_what_is_no_batch_is_turned_away_before_any_part(self) -> None:
+    def test_a_malformed_batch_is_rejected_before_any_item(self) -> None:
         self.batch("b1", ["a", "a"])
         self.play("b1 expect 400 line 2 repeats the key of line 1")
         self.batch("b1", [f"k{n}" for n in range(65)])
@@ -294,25 +294,25 @@
     def test_another_limit_of_keys_applies_after_sighup(self) -> None:
         changed = operator_file.read(b"multiget_listen 0\nmultiget_max_keys 1", "rosepick.conf")
         self.server.operator_settings.reload = lambda: changed
-        with self.assertLogs("rosepick", "INFO") as said:
+        with self.assertLogs("rosepick", "INFO") as logs:
             self.play("router reload")
-        told = {line.getMessage(): vars(line)["fields"] for line in said.records}
+        fields_by_event = {line.getMessage(): vars(line)["fields"] for line in logs.records}
         expected = {"changed": "multiget_max_keys", "needs_restart": "nothing"}
-        self.assertEqual(told["operator_file_reloaded"], expected)
+        self.assertEqual(fields_by_event["operator_file_reloaded"], expected)
         self.batch("b1", ["k1", "k2"])
         self.play("b1 expect 400 more than 1 keys")
 
-    def test_usual_clients_are_served_beside_a_batch(self) -> None:
+    def test_ordinary_clients_are_served_beside_a_batch(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)])
         self.play("c1 send GET /api/mine")
-        self.answer("b1")
+        self.read_entries("b1")
         self.play("c1 expect 200")
 
 
 class Bounds(Batches):
     sockets = 256
 
-    def test_parts_out_are_few_and_batches_share_them(self) -> None:
+    def test_items_in_flight_are_few_and_batches_share_them(self) -> None:
         self.parts.expected_response_bytes = 100.0
         for n in range(3):
             self.batch(f"b{n}", [f"k{n}{m}" for m in range(64)])
@@ -326,15 +326,15 @@
         self.serve()
         self.assertGreater(min(batch.in_flight for batch in self.parts.batches), 0)
         for n in range(3):
-            self.assertEqual(len(self.answer(f"b{n}")), 64)
+            self.assertEqual(len(self.read_entries(f"b{n}")), 64)
         self.nothing_left()
 
-    def test_more_batches_than_there_is_room_for_are_refused(self) -> None:
+    def test_more_batches_than_the_capacity_are_refused(self) -> None:
         for n in range(13):
             self.batch(f"b{n}", [f"k{n}"])
         self.batch("b99", ["k"])
         self.play("b99 expect 503 Retry-After")
-        self.answer("b5")
+        self.read_entries("b5")
 
     def test_all_descriptors_in_use_is_502(self) -> None:
         with mock.patch.object(self.server.budget, "ensure_available", return_value=False):
@@ -342,7 +342,7 @@
             link_made = mock.patch.object(self.server.listener, "_can_accept", return_value=True)
             with link_made:
                 self.batch("b1", ["k1"])
-                self.assertEqual([row[2] for row in self.answer("b1")], [502])
+                self.assertEqual([row[2] for row in self.read_entries("b1")], [502])
 
 
 class Memory(Batches):
@@ -359,10 +359,10 @@
         super().step()
         self.most = max(self.most, self.server.budget.buffered_bytes)
 
-    def test_64_answers_of_1_mib_fit_32_mb(self) -> None:
+    def test_64_responses_of_1_mib_fit_32_mb(self) -> None:
         self.batch("b1", self.keys)
-        found = self.answer("b1")
-        self.assertEqual([row[2:] for row in found], [(200, MIB)] * 64)
+        entries = self.read_entries("b1")
+        self.assertEqual([row[2:] for row in entries], [(200, MIB)] * 64)
         self.assertLess(self.most, self.server.budget.max_buffered_bytes)
         self.nothing_left()
 
@@ -371,13 +371,13 @@
         with mock.patch.object(self.wire("b1"), "pull"):
             for _ in range(300):
                 self.serve()
-            self.assertLess(len(self.asked), 20)
+            self.assertLess(len(self.requests), 20)
             self.assertLess(self.most, self.server.budget.max_buffered_bytes)
             self.assertGreater(self.server.budget.buffered_bytes, 0)
             self.sizes = {}
             self.batch("b2", ["x1", "x2"])
             self.play("wait 2500")  # then the one that does not read gives way
-            self.assertEqual([row[2] for row in self.answer("b2")], [200, 200])
+            self.assertEqual([row[2] for row in self.read_entries("b2")], [200, 200])
         self.assertEqual(self.server.budget.buffered_bytes, 0)
         self.nothing_left()
 
@@ -393,17 +393,20 @@
             self.assertGreater(self.server.budget.buffered_bytes, 0)
             self.play("wait 600")
         self.assertFalse(
-            any(isinstance(link, BatchDownstreamConnection) for link in self.server.listener.connections)
+            any(
+                isinstance(connection, BatchDownstreamConnection)
+                for connection in self.server.listener.connections
+            )
         )
         self.nothing_left()
 
 
 class Ends(Batches):
-    def test_parts_past_the_deadline_are_504_and_the_answer_is_whole(self) -> None:
+    def test_items_past_the_deadline_are_504_and_the_response_is_complete(self) -> None:
         self.batch("b1", ["k1", "k2", "k3"], "0.300")
         self.play("wait 400")
-        found = self.answer("b1", serving=False)
-        self.assertEqual([row[2] for row in found], [504, 504, 504])
+        entries = self.read_entries("b1", serving=False)
+        self.assertEqual([row[2] for row in entries], [504, 504, 504])
         self.assertTrue(self.body.endswith(b"partial: 3 of 3 not served\n"))
         self.nothing_left()
 
@@ -411,15 +414,15 @@
         with mock.patch.object(self.server.engine, "accept"):
             self.batch("b1", ["k1"], "0.300")
             self.play("wait 400")
-        self.assertEqual([row[2:] for row in self.answer("b1", serving=False)], [(504, 0)])
+        self.assertEqual([row[2:] for row in self.read_entries("b1", serving=False)], [(504, 0)])
         self.nothing_left()
 
     def test_a_deadline_that_is_over_already_sends_nothing(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)], "0")
-        self.assertEqual({row[2] for row in self.answer("b1")}, {504})
+        self.assertEqual({row[2] for row in self.read_entries("b1")}, {504})
         self.assertEqual(self.server.engine.counts["envelopes"], 0)
 
-    def test_what_is_left_of_the_time_goes_with_each_part(self) -> None:
+    def test_each_item_states_the_time_left(self) -> None:
         self.batch("b1", ["k1"], "0.800")
         self.step()
         seen = b"".join(wire.seen for name in self.nodes for wire in self.wires[name])
@@ -428,67 +431,67 @@
     def test_a_client_that_goes_away_cancels_the_rest(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)])
         self.step()
-        taken = self.server.engine.counts["envelopes"]
-        self.assertGreater(taken, 0)
+        accepted = self.server.engine.counts["envelopes"]
+        self.assertGreater(accepted, 0)
         self.play("b1 close\nwait 20")
-        self.assertEqual(self.server.engine.totals()["gone"], taken)
-        self.assertEqual(self.server.engine.counts["envelopes"], taken)
+        self.assertEqual(self.server.engine.totals()["gone"], accepted)
+        self.assertEqual(self.server.engine.counts["envelopes"], accepted)
         self.nothing_left()
 
-    def test_the_routers_own_status_is_passed_on(self) -> None:
+    def test_the_routers_own_status_is_forwarded(self) -> None:
         self.play("s1 refuse\ns2 refuse\norigin refuse")
         self.batch("b1", ["k1"])
-        self.assertEqual([row[2] for row in self.answer("b1")], [503])
+        self.assertEqual([row[2] for row in self.read_entries("b1")], [503])
         self.assertIn(b"refused\n", self.body)
 
-    def test_a_kept_connection_that_closes_under_an_unread_part_is_made_good_once(self) -> None:
+    def test_an_item_is_repeated_once_if_its_idle_connection_closes_unread(self) -> None:
         self.batch("b1", ["k1"])
         for _ in range(3):
             self.step()
-        (kept,) = [
-            link
-            for link in self.server.listener.connections
-            if not isinstance(link, BatchDownstreamConnection)
+        (idle_connection,) = [
+            connection
+            for connection in self.server.listener.connections
+            if not isinstance(connection, BatchDownstreamConnection)
         ]
         batch = next(iter(self.parts.batches))
         assert isinstance(batch, BatchDownstreamConnection)
         part = batch.unwritten_items[0]
         assert part.connection is not None
         part.connection.used = True  # as if it had carried one before
-        kept.close()
+        idle_connection.close()
         self.serve()
-        found = self.answer("b1")
-        self.assertEqual([row[2] for row in found], [200])
+        entries = self.read_entries("b1")
+        self.assertEqual([row[2] for row in entries], [200])
         self.assertTrue(part.was_resent)
 
     def test_a_new_connection_that_breaks_is_502(self) -> None:
         self.batch("b1", ["k1"])
         for _ in range(3):
             self.step()
-        (made,) = [
-            link
-            for link in self.server.listener.connections
-            if not isinstance(link, BatchDownstreamConnection)
+        (new_connection,) = [
+            connection
+            for connection in self.server.listener.connections
+            if not isinstance(connection, BatchDownstreamConnection)
         ]
-        made.close()
-        self.assertEqual([row[2] for row in self.answer("b1", serving=False)], [502])
+        new_connection.close()
+        self.assertEqual([row[2] for row in self.read_entries("b1", serving=False)], [502])
 
-    def test_sigterm_lets_batches_in_hand_end_whole(self) -> None:
+    def test_sigterm_lets_batches_in_progress_complete(self) -> None:
         keys = [f"k{n}" for n in range(64)]
         self.batch("b1", keys, "2.000")
         self.play("router end\nwait 1300\nrouter going")
-        found = self.answer("b1")
-        self.assertEqual([row[0] for row in found], keys)
-        self.assertIn(200, {row[2] for row in found})
+        entries = self.read_entries("b1")
+        self.assertEqual([row[0] for row in entries], keys)
+        self.assertIn(200, {row[2] for row in entries})
         self.play("wait 1200\nrouter ended")
 
     def test_sigterm_bounds_the_deadline_of_a_batch(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)], "3600")
         self.play("router end\nwait 2600")
-        self.assertIn(504, {row[2] for row in self.answer("b1", serving=False)})
+        self.assertIn(504, {row[2] for row in self.read_entries("b1", serving=False)})
         self.play("wait 1100\nrouter ended")
 
-    def test_a_fault_ends_the_batch_so_that_its_client_can_tell(self) -> None:
+    def test_a_fault_ends_the_batch_so_that_its_client_notices(self) -> None:
         self.batch("b1", ["k1", "k2"])
         with (
             mock.patch.object(BatchDownstreamConnection, "_write_item", side_effect=KeyError("x")),
@@ -504,10 +507,10 @@
 class Settings(unittest.TestCase):
     def test_ports_that_collide(self) -> None:
         with tempfile.TemporaryDirectory() as name:
-            conf, told = Path(name) / "rosepick.conf", Path(name) / "config.json"
+            conf, config_file = Path(name) / "rosepick.conf", Path(name) / "config.json"
             conf.write_text("multiget_listen 5000\nmultiget_max_keys 0\n")
-            told.write_text('{"listen": "127.0.0.1:5000"}')
-            faults, _ = check.check_settings(conf, {"GW_CONFIG": str(told)})
+            config_file.write_text('{"listen": "127.0.0.1:5000"}')
+            faults, _ = check.check_settings(conf, {"GW_CONFIG": str(config_file)})
         self.assertEqual(
             faults[:2],
             [
@@ -588,8 +591,8 @@
         self.addCleanup(process.terminate)
         port = 0
         for line in process.stderr:
-            if found := re.search(r"event=multiget_serving listen=127.0.0.1:(\d+)", line):
-                port = int(found[1])
+            if match := re.search(r"event=multiget_serving listen=127.0.0.1:(\d+)", line):
+                port = int(match[1])
             if "event=serving" in line:
                 return port
         self.fail("it does not serve")
@@ -612,27 +615,27 @@
         )
 
     def test_a_batch_by_arguments_and_by_standard_input(self) -> None:
-        door = f"127.0.0.1:{self.start()}"
+        address = f"127.0.0.1:{self.start()}"
         for words, given in ((("m-1", "m-2"), ""), ((), "m-1\nm-2\n")):
-            ended = self.mget("--to", door, *words, given=given)
+            ended = self.mget("--to", address, *words, given=given)
             self.assertEqual((ended.returncode, ended.stderr), (0, ""))
             self.assertRegex(
                 ended.stdout, r"\Am-1 [0-9a-f]{16} 200 5\nvalue\nm-2 [0-9a-f]{16} 200 5\nvalue\n\Z"
             )
-        ended = self.mget("--to", door, "m-1", "m-1")
+        ended = self.mget("--to", address, "m-1", "m-1")
         self.assertEqual((ended.returncode, ended.stdout), (2, ""))
         self.assertEqual(ended.stderr, "rosepick: status 400: line 2 repeats the key of line 1\n")
         ended = self.mget("--to", "127.0.0.1:1", "m-1")
         self.assertEqual((ended.returncode, ended.stdout), (2, ""))
 
     def test_two_nodes_of_which_one_is_stopped(self) -> None:
-        door = f"127.0.0.1:{self.start('s2', 'origin')}"
+        address = f"127.0.0.1:{self.start('s2', 'origin')}"
         keys = [f"m-{n:04d}" for n in range(40)]
-        ended = self.mget("--to", door, "--deadline", "2", *keys)
-        found = list(parse_entries(ended.stdout.encode()))
-        self.assertEqual([row[0].decode() for row in found], keys)
-        failed = sum(row[2] != 200 for row in found)
+        ended = self.mget("--to", address, "--deadline", "2", *keys)
+        entries = list(parse_entries(ended.stdout.encode()))
+        self.assertEqual([row[0].decode() for row in entries], keys)
+        failed = sum(row[2] != 200 for row in entries)
         self.assertEqual(ended.returncode, 1 if failed else 0)
         self.assertLess(failed, 40)
         self.assertEqual(set(self.node.statuses), {200})
-        self.assertTrue(self.node.ids <= {row[1] for row in found})
+        self.assertTrue(self.node.ids <= {row[1] for row in entries})
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -37,11 +37,11 @@
 
 class Configuration(unittest.TestCase):
     def test_values(self) -> None:
-        told = config.read(DOCUMENT)
-        self.assertEqual((told.seed, told.max_descriptors, told.connect_timeout_ms), (31, 256, 250.0))
-        self.assertEqual(told.names.classes, {"read": 0, "set": 1})
+        loaded = config.read(DOCUMENT)
+        self.assertEqual((loaded.seed, loaded.max_descriptors, loaded.connect_timeout_ms), (31, 256, 250.0))
+        self.assertEqual(loaded.names.classes, {"read": 0, "set": 1})
 
-    def test_what_is_wrong_is_one_plain_line(self) -> None:
+    def test_an_error_is_one_plain_line(self) -> None:
         broken: tuple[tuple[str, object, str], ...] = (
             ("listen", "nowhere", "host:port"),
             ("seed", "xyz", "hexadecimal"),
@@ -51,12 +51,12 @@
             ("known", {"targets": [{}]}, "state"),
         )
         for key, value, word in broken:
-            status, said = self.check(json.dumps({**DOCUMENT, key: value}))
-            self.assertEqual((status, said.count("\n")), (1, 1), said)
-            self.assertIn(word, said)
+            status, output = self.check(json.dumps({**DOCUMENT, key: value}))
+            self.assertEqual((status, output.count("\n")), (1, 1), output)
+            self.assertIn(word, output)
         for text in ("{", "[]"):
-            status, said = self.check(text)
-            self.assertEqual((status, said.count("\n")), (1, 1), said)
+            status, output = self.check(text)
+            self.assertEqual((status, output.count("\n")), (1, 1), output)
 
     def check(self, text: str) -> tuple[int, str]:
         with tempfile.NamedTemporaryFile("w") as file:
@@ -74,9 +74,9 @@
 
 class Map(unittest.TestCase):
     def take(
-        self, map_: endpoint_directory.EndpointDirectory, whole: bool, *rows: object
+        self, map_: endpoint_directory.EndpointDirectory, is_full: bool, *rows: object
     ) -> endpoint_directory.DirectoryUpdate:
-        return map_.apply_update(SettingsReader({"rev": 2, "all": whole, "targets": list(rows)}, ""))
+        return map_.apply_update(SettingsReader({"rev": 2, "all": is_full, "targets": list(rows)}, ""))
 
     def test_members(self) -> None:
         map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, unix_offset_ms=5000.0)
@@ -99,10 +99,10 @@
 
     def test_numbers_that_collide(self) -> None:
         map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
-        taken = endpoint_directory.hash_uid("s2")
-        map_.numbers_by_uid["another"] = taken
+        taken_id = endpoint_directory.hash_uid("s2")
+        map_.numbers_by_uid["another"] = taken_id
         (member,) = self.take(map_, False, target("s2", 1)).event.endpoints
-        self.assertNotIn(member.endpoint_id, (0, taken))
+        self.assertNotIn(member.endpoint_id, (0, taken_id))
 
     def test_number_is_never_the_one_for_none(self) -> None:
         """The module takes 0 for 'no server'; a crafted hash of 0 must not come through."""
@@ -116,7 +116,7 @@
         for row in ({}, target("s1", 1, "odd"), {**target("s2", 1), "endpoint": "x"}):
             with self.assertRaises(ValueError):
                 self.take(map_, True, row)
-        self.assertEqual([hop.uid for hop in map_.endpoints.values()], ["s1"])
+        self.assertEqual([endpoint.uid for endpoint in map_.endpoints.values()], ["s1"])
         self.assertIs(self.take(map_, False, target("s1", 1)).event.scope, api.UpdateScope.DELTA)
 
 
@@ -150,32 +150,32 @@
 
 class Loops(unittest.TestCase):
     def test_timer_does_not_wait_behind_a_batch_of_reads(self) -> None:
-        now, said = [1.0], list[str]()
+        now, output = [1.0], list[str]()
         loop = EventLoop(lambda: now[0])
         pairs = [socket.socketpair() for _ in range(3)]
 
         def ready(mask: int) -> None:
             now[0] += 0.010
-            said.append("read")
+            output.append("read")
 
         for near, far in pairs:
             far.send(b"x")
             loop.register(near, READ, ready)
-        loop.call_at(1015.0, lambda: said.append("timer"))
+        loop.call_at(1015.0, lambda: output.append("timer"))
         loop.step(0)
-        self.assertEqual(said, ["read", "read", "timer", "read"])
+        self.assertEqual(output, ["read", "read", "timer", "read"])
         for pair in pairs:
             for sock in pair:
                 sock.close()
 
     def test_order_at_one_time_and_cancelled(self) -> None:
-        now, said = [1.0], list[str]()
+        now, output = [1.0], list[str]()
         loop = EventLoop(lambda: now[0])
-        loop.call_at(900.0, lambda: said.append("later"))
-        loop.call_at(900.0, lambda: said.append("first"), run_first=True)
-        loop.call_at(900.0, lambda: said.append("never")).cancel()
+        loop.call_at(900.0, lambda: output.append("later"))
+        loop.call_at(900.0, lambda: output.append("first"), run_first=True)
+        loop.call_at(900.0, lambda: output.append("never")).cancel()
         loop.step(0)
-        self.assertEqual(said, ["first", "later"])
+        self.assertEqual(output, ["first", "later"])
 
 
 class Process(unittest.TestCase):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,20 +16,22 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.told: list[UpdateScope] = []
+        self.scopes: list[UpdateScope] = []
         engine = self.server.engine
-        patch = mock.patch.object(engine, "update_endpoints", side_effect=self.hear(engine.update_endpoints))
+        patch = mock.patch.object(
+            engine, "update_endpoints", side_effect=self.recorded(engine.update_endpoints)
+        )
         patch.start()
         self.addCleanup(patch.stop)
 
-    def hear(self, told: Callable[[EndpointUpdate], None]) -> Callable[[EndpointUpdate], None]:
-        """Note what the module is told."""
+    def recorded(self, update: Callable[[EndpointUpdate], None]) -> Callable[[EndpointUpdate], None]:
+        """Record the scopes of the updates that the engine gets."""
 
-        def hear(event: EndpointUpdate) -> None:
-            self.told.append(event.scope)
-            told(event)
+        def record(event: EndpointUpdate) -> None:
+            self.scopes.append(event.scope)
+            update(event)
 
-        return hear
+        return record
 
     def moves(self, to: str = "e") -> None:
         """The file names another discovery, and the router is told."""
@@ -44,7 +46,7 @@
             d expect GET /v1/endpoints?after=41&wait_ms=2500
         """)
 
-    def test_the_new_discovery_is_followed_at_once_from_its_whole_list(self) -> None:
+    def test_the_new_discovery_is_followed_at_once_from_its_full_list(self) -> None:
         self.following()
         self.moves()
         self.play("""
@@ -59,9 +61,9 @@
             e tell 8 s2=leaving
             e expect GET /v1/endpoints?after=8&wait_ms=2500
         """)
-        self.assertEqual(self.told, [UpdateScope.DELTA, UpdateScope.FULL, UpdateScope.DELTA])
+        self.assertEqual(self.scopes, [UpdateScope.DELTA, UpdateScope.FULL, UpdateScope.DELTA])
 
-    def test_the_held_list_and_what_is_in_hand_are_kept(self) -> None:
+    def test_the_held_list_and_pending_requests_stay(self) -> None:
         self.following()
         self.play("""
             c1 send GET /api/k1
@@ -74,9 +76,9 @@
             c1 expect 200 value
         """)
         self.assertEqual(len(self.server.endpoint_directory.endpoints), 3)
-        self.assertNotIn(UpdateScope.FAILED, self.told)
+        self.assertNotIn(UpdateScope.FAILED, self.scopes)
 
-    def test_a_reload_before_the_first_call_and_another_at_once(self) -> None:
+    def test_a_reload_before_the_first_poll_and_another_at_once(self) -> None:
         self.moves()
         self.moves("d")
         self.moves()
@@ -89,12 +91,12 @@
         """)
         self.assertTrue(self.module().endpoints.is_subscribed)
 
-    def test_a_new_discovery_that_refuses_has_failed_and_is_asked_again(self) -> None:
+    def test_a_new_discovery_that_refuses_has_failed_and_is_polled_again(self) -> None:
         self.following()
         self.play("e refuse")
         self.file["discovery"] = "127.0.0.1:1"
         self.play("router reload\nwait 20")
-        self.assertEqual(self.told[1:], [UpdateScope.FAILED])
+        self.assertEqual(self.scopes[1:], [UpdateScope.FAILED])
 
     def test_the_same_discovery_is_followed_on(self) -> None:
         self.following()
@@ -105,15 +107,15 @@
         """)
         self.assertEqual(len(self.wires["d"]), 1)
 
-    def test_a_bad_file_changes_nothing_and_is_said_in_one_line(self) -> None:
+    def test_a_bad_file_changes_nothing_and_is_logged_in_one_line(self) -> None:
         self.following()
         for broken in ({"settings": 1}, {"listen": "here"}, {"known": {"targets": [{"uid": "x"}]}}):
-            usual = self.file
-            self.file = {**usual, "discovery": "127.0.0.1:1", **broken}
-            with self.subTest(broken), self.assertLogs("rosepick", "ERROR") as said:
+            valid = self.file
+            self.file = {**valid, "discovery": "127.0.0.1:1", **broken}
+            with self.subTest(broken), self.assertLogs("rosepick", "ERROR") as logs:
                 self.play("router reload")
-            self.assertEqual([line.getMessage() for line in said.records], ["reload_failed"])
-            self.file = usual
+            self.assertEqual([line.getMessage() for line in logs.records], ["reload_failed"])
+            self.file = valid
         self.play("""
             d tell 42 s1=leaving
             d expect GET /v1/endpoints?after=42&wait_ms=2500
@@ -122,8 +124,8 @@
     def test_what_needs_a_restart_is_named_and_descriptors_are_applied(self) -> None:
         self.file["limits"] = {**self.file["limits"], "sockets": 300}
         self.file["listen"] = "127.0.0.1:2"
-        with self.assertLogs("rosepick", "INFO") as said:
+        with self.assertLogs("rosepick", "INFO") as logs:
             self.play("router reload")
-        fields = vars(said.records[0])["fields"]
+        fields = vars(logs.records[0])["fields"]
         self.assertEqual(fields["needs_restart"], "listen")
         self.assertLess(self.server.budget.limit, 300)
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -1,6 +1,4 @@
-"""Crowds on the sender side, on loopback: room for the next client, whoever holds connections, and whatever
-for.
-"""
+"""Connection pressure on loopback: capacity for the next client, whoever holds connections, and for what."""
 
 from __future__ import annotations
 
@@ -22,7 +20,7 @@
 READY = "GET /ready"
 
 
-class Crowd(Scenario):
+class PressureScenario(Scenario):
     """A router with 80 descriptors for connections; 40 are the doors', and clients may hold so many."""
 
     sockets = 128
@@ -52,7 +50,7 @@
             patch.start()
             self.addCleanup(patch.stop)
 
-    def held(self) -> int:
+    def connection_count(self) -> int:
         """How many connections clients hold."""
         self.step()
         for name, wires in self.wires.items():
@@ -63,10 +61,10 @@
         return sum(len(wires) for name, wires in self.wires.items() if name.startswith("h"))
 
     def fill(self, count: int, every: float = 10.0) -> int:
-        """Holders come; each asks once and keeps its connection. Returns how many were answered."""
+        """Connect clients that each send one request and stay; return how many were answered."""
         good = 0
         for n in range(count):
-            if self.held() < 40:
+            if self.connection_count() < 40:
                 self.ask(f"h{n}")
                 good += self.answered(f"h{n}")
             self.play(f"wait {every}")
@@ -74,13 +72,13 @@
 
     def fields(self, logs: Any, event: str) -> dict[str, Any]:
         """The fields of the last log line of that event."""
-        found = [vars(record)["fields"] for record in logs.records if record.getMessage() == event]
-        self.assertTrue(found, event)
-        return dict(found[-1])
+        matching = [vars(record)["fields"] for record in logs.records if record.getMessage() == event]
+        self.assertTrue(matching, event)
+        return dict(matching[-1])
 
 
-class Holders(Crowd):
-    def test_those_that_ask_once_and_hold_leave_room(self) -> None:
+class IdleClients(PressureScenario):
+    def test_idle_clients_after_one_request_are_evicted(self) -> None:
         with self.assertLogs("rosepick", "INFO") as logs:
             self.assertEqual(self.fill(200), 200)
             began = self.fields(logs, "crowd_began")
@@ -88,23 +86,23 @@
             self.play("wait 6000")
             self.assertGreater(self.fields(logs, "crowd_ended")["closed_answered"], 100)
             self.server.listener.log_summary()
-            told = self.fields(logs, "connections")
-        self.assertEqual(told["asks"], 200)
+            fields = self.fields(logs, "connections")
+        self.assertEqual(fields["asks"], 200)
         self.assertEqual(
-            told["opened"],
-            sum(told[name] for name in told if name.startswith("closed_"))
-            + sum(told[kind] for kind in ("fresh", "asking", "once", "often", "lingering")),
+            fields["opened"],
+            sum(fields[name] for name in fields if name.startswith("closed_"))
+            + sum(fields[kind] for kind in ("fresh", "asking", "once", "often", "lingering")),
         )
 
-    def test_exactly_as_many_as_may_be_all_idle(self) -> None:
+    def test_exactly_as_many_as_the_limit_all_idle(self) -> None:
         """No event comes any more: a timer must act."""
         with mock.patch.object(
             self.server.listener.policy, "should_close_after_response", return_value=False
         ):
             self.assertEqual(self.fill(40, every=1.0), 40)
-        self.assertEqual(self.held(), 40)
+        self.assertEqual(self.connection_count(), 40)
         self.play("wait 700")
-        self.assertLess(self.held(), 40)
+        self.assertLess(self.connection_count(), 40)
         self.ask("n1")
         self.assertTrue(self.answered("n1"))
 
@@ -128,8 +126,8 @@
             c1 send GET /ready
             c1 expect 200
         """)
-        (link,) = self.server.listener.connections
-        link.close(CloseReason.CAPACITY)
+        (connection,) = self.server.listener.connections
+        connection.close(CloseReason.CAPACITY)
         with self.assertRaises(AssertionError):
             self.play("c1 send GET /api/k1 Req-Id=77\nc1 expect 200")
         self.wires["c1"].clear()
@@ -142,7 +140,7 @@
         """)
         self.assertEqual(self.server.engine.counts["attempts"], 1)
 
-    def test_a_large_answer_that_ends_its_connection_is_read_slowly_and_whole(self) -> None:
+    def test_a_large_last_response_is_read_slowly_and_completely(self) -> None:
         self.fill(100)
         size = 1024 * 1024
         wire = ScenarioConnection(socket.socket())
@@ -153,8 +151,8 @@
         self.wires["c1"] = [wire]
         with mock.patch.object(wire, "pull"):  # it reads nothing yet
             self.play("c1 send GET /api/big Req-Deadline=4.000\ns1 expect GET /api/big")
-            link = list(self.server.listener.connections)[-1]
-            link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+            connection = list(self.server.listener.connections)[-1]
+            connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
             with mock.patch.object(
                 self.server.listener.policy, "should_close_after_response", return_value=True
             ):
@@ -170,8 +168,8 @@
         self.assertEqual(len(body), size)
 
 
-class Silent(Crowd):
-    def test_hundreds_that_say_nothing_beside_one_that_reconnects_for_each_request(self) -> None:
+class Silent(PressureScenario):
+    def test_hundreds_of_silent_clients_beside_one_that_reconnects_for_each_request(self) -> None:
         for n in range(150):
             self.wire(f"x{n}")
             self.play("wait 10")
@@ -196,7 +194,7 @@
         opened = self.server.listener.connection_table.opened_total
         with self.assertLogs("rosepick", "INFO") as logs:
             for _ in range(30):
-                while self.held() < 40:
+                while self.connection_count() < 40:
                     self.wire(f"h-{self.server.listener.connection_table.opened_total}")
                     self.step()
                 self.play("wait 100")
@@ -204,7 +202,7 @@
         self.assertLess(self.server.listener.connection_table.opened_total - opened, 40)
 
 
-class Addresses(Crowd):
+class Addresses(PressureScenario):
     sockets = 48 + 152
 
     def operators(self) -> OperatorOptions:
@@ -214,7 +212,7 @@
         super().setUp()
         self.keep_in_hand()
 
-    def test_a_crowd_from_one_address_does_not_take_the_others_room(self) -> None:
+    def test_many_clients_from_one_address_leave_others_their_capacity(self) -> None:
         """All places are taken by requests in hand, so none can give way."""
         for n in range(38):
             self.ask(f"h{n}", f"GET /api/k{n} Req-Deadline=9.000", "127.0.0.2")
@@ -225,7 +223,7 @@
         self.play("wait 60\nh99 expect closed")
         self.assertEqual(self.server.listener.connection_table.closed_by_reason[CloseReason.ADDRESS_QUOTA], 1)
 
-    def test_where_there_is_one_address_it_may_take_all(self) -> None:
+    def test_a_single_address_may_use_the_whole_capacity(self) -> None:
         for n in range(60):
             self.ask(f"h{n}", f"GET /api/k{n} Req-Deadline=9.000")
         self.play("wait 200")
@@ -233,8 +231,8 @@
         self.assertEqual(self.server.listener.connection_table.closed_by_reason, {})
 
 
-class Greedy(Crowd):
-    def test_who_holds_too_much_does_not_take_the_others_idle_ones(self) -> None:
+class AddressOverQuota(PressureScenario):
+    def test_an_address_over_quota_does_not_evict_idle_connections_of_others(self) -> None:
         self.ask("c1", READY, "127.0.0.3")
         self.play("c1 expect 200")
         self.keep_in_hand()
@@ -250,7 +248,7 @@
         self.assertEqual(self.server.listener.connection_table.closed_by_reason[CloseReason.DESCRIPTORS], 0)
 
 
-class Budgets(Crowd):
+class Budgets(PressureScenario):
     sockets = 400
 
     def operators(self) -> OperatorOptions:
@@ -274,13 +272,13 @@
         for n in range(60):
             self.ask(f"n{n}", f"GET /api/n{n} Req-Deadline=20.000")
         self.assertFalse(self.server.listener.is_accepting)
-        taken = len(self.server.listener.connections)
+        count_before = len(self.server.listener.connections)
         self.file["limits"]["sockets"] = 400
         self.play("router reload")
         self.step()
-        self.assertGreater(len(self.server.listener.connections), taken)  # at once
+        self.assertGreater(len(self.server.listener.connections), count_before)  # at once
 
-    def test_a_smaller_part_for_the_doors_applies_soon(self) -> None:
+    def test_a_smaller_share_for_clients_applies_soon(self) -> None:
         with mock.patch.object(
             self.server.listener.policy, "should_close_after_response", return_value=False
         ):
@@ -294,7 +292,7 @@
         self.play("wait 2000\nc1 expect 200")
         self.assertLessEqual(len(self.server.listener.connections), 36)
 
-    def test_what_is_over_a_lowered_limit_is_freed_by_whoever_can(self) -> None:
+    def test_descriptors_over_a_lowered_limit_are_reclaimed(self) -> None:
         with (
             mock.patch.object(self.server.listener.policy, "excess_descriptors", return_value=3),
             mock.patch.object(self.server.budget, "reclaim_one", side_effect=[True, True, False]) as freed,
@@ -304,8 +302,8 @@
 
     def test_settings_of_connections_apply_on_sighup(self) -> None:
         lines = b"idle_timeout 1\nsilent_timeout 0.5\naccept_queue 7\nclients_hold 30"
-        found = operator_file.read(lines, "rosepick.conf")
-        self.server.operator_settings.reload = lambda: found
+        file = operator_file.read(lines, "rosepick.conf")
+        self.server.operator_settings.reload = lambda: file
         self.play("c1 send GET /ready\nc1 expect 200\nrouter reload")
         self.wire("c2")
         self.step()
@@ -314,7 +312,7 @@
         self.assertEqual(accept_queue.queue_length(self.server.listener.sock), (0, 7))
 
 
-class Slow(Crowd):
+class Slow(PressureScenario):
     def operators(self) -> OperatorOptions:
         return OperatorOptions(operator_file.read(b"silent_timeout 60", "rosepick.conf"))
 
@@ -329,7 +327,7 @@
             c1 expect 200
         """)
 
-    def test_one_that_has_ended_its_sending_does_not_keep_the_loop_awake(self) -> None:
+    def test_a_half_closed_connection_does_not_keep_the_loop_awake(self) -> None:
         wire = ScenarioConnection(socket.socket())
         wire.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
         wire.sock.setblocking(True)
@@ -338,13 +336,13 @@
         self.wires["c1"] = [wire]
         with mock.patch.object(wire, "pull"):
             self.play("c1 send GET /api/big Req-Deadline=4.000\ns1 expect GET /api/big")
-            (link,) = self.server.listener.connections
-            link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+            (connection,) = self.server.listener.connections
+            connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
             self.play("s1 send 200 " + "x" * 1024 * 1024)
-            while not link.stream.has_unwritten():
+            while not connection.stream.has_unwritten():
                 self.loop.step(0)
             self.play("c1 half-close")
-            with mock.patch.object(link, "_on_end_of_input") as ended:
+            with mock.patch.object(connection, "_on_end_of_input") as ended:
                 for _ in range(20):
                     self.loop.step(0)
         self.assertEqual(ended.call_count, 0)
@@ -355,7 +353,7 @@
         self.assertEqual(len(wire.seen.partition(b"\r\n\r\n")[2]), 1024 * 1024)
         self.assertEqual(len(self.server.listener.connections), 0)
 
-    def test_reasons_of_ends(self) -> None:
+    def test_close_reasons(self) -> None:
         self.play(r"""
             c1 raw GET /re
             wait 2600
@@ -371,13 +369,13 @@
         )
 
 
-class HalfRequests(Crowd):
+class PartialRequests(PressureScenario):
     """A crowd that begins requests and never finishes them, and one that is slow but goes on."""
 
-    def test_they_give_way_where_places_are_short_the_longest_unheard_first(self) -> None:
-        crowd = [f"c{n} raw GET /re; wait 5; " for n in range(100, 139)]
+    def test_they_are_evicted_where_slots_are_short_the_longest_silent_first(self) -> None:
+        partial_requests = [f"c{n} raw GET /re; wait 5; " for n in range(100, 139)]
         slow, goes_on = r"c1 raw GET /ready HTTP/1.1\r\n; ", r"wait 100; c1 raw X: y\r\n; "
-        full, ends = "".join(crowd) + slow, r"c1 raw \r\n; "
+        full, ends = "".join(partial_requests) + slow, r"c1 raw \r\n; "
         half = "listener.connection_table.closed_by_reason Counter"
         self.each(
             {
@@ -386,7 +384,7 @@
                 f"all holds {half}({{<CloseReason.STALLED_REQUEST: 'half'>: 1}})",
                 "SIGTERM ends in time": f"{full}{goes_on * 4}router end; {goes_on * 14}{ends}"
                 "c1 expect 503 Connection=close ending; c1 close; wait 1800; router ended",
-                "not while there is room": f"{''.join(crowd[:10])}wait 1500; c2 send GET /ready; "
+                "not while there is room": f"{''.join(partial_requests[:10])}wait 1500; c2 send GET /ready; "
                 "c2 expect 200; "
                 f"all holds {half}(); wait 1500; "
                 "all holds listener.connection_table.partial_requests OrderedDict()",
@@ -394,8 +392,8 @@
         )
 
 
-class Accepting(Crowd):
-    def test_a_crowd_is_let_in_by_portions_between_which_timers_run(self) -> None:
+class Accepting(PressureScenario):
+    def test_a_burst_is_accepted_in_portions_between_which_timers_run(self) -> None:
         self.server.listener.pause()
         waiting = [socket.create_connection(self.server.listener.sock.getsockname()) for _ in range(39)]
         self.assertEqual(accept_queue.queue_length(self.server.listener.sock), (39, 1024))
@@ -418,7 +416,7 @@
         for sock in waiting:
             sock.close()
 
-    def test_the_kernels_queue_is_watched(self) -> None:
+    def test_the_accept_queue_is_watched(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "netstat"
             for text, count in (
@@ -436,21 +434,21 @@
                 self.server.listener.log_summary()
                 self.server.listener.log_summary()
                 self.server.listener.log_summary()
-        told = [vars(r)["fields"] for r in logs.records if r.getMessage() == "accept_queue_overflowed"]
-        said = [(line["machine"], line["door"], line["most"]) for line in told]
-        self.assertEqual(said, [(2, "http", 1024)])
+        fields = [vars(r)["fields"] for r in logs.records if r.getMessage() == "accept_queue_overflowed"]
+        reported = [(line["machine"], line["door"], line["most"]) for line in fields]
+        self.assertEqual(reported, [(2, "http", 1024)])
 
     def test_a_closed_connection_leaves_no_cycle(self) -> None:
         """Guards against closed connections that only a full collection frees: on a day with a new connection
         for each request they are most of what grows.
         """
         self.play("c1 send GET /ready\nc1 expect 200")
-        (link,) = self.server.listener.connections
-        watched: list[weakref.ref[Any]] = [weakref.ref(link), weakref.ref(link.protocol)]
+        (connection,) = self.server.listener.connections
+        watched: list[weakref.ref[Any]] = [weakref.ref(connection), weakref.ref(connection.protocol)]
         gc.disable()
         try:
-            link.close(CloseReason.CAPACITY)
-            del link
+            connection.close(CloseReason.CAPACITY)
+            del connection
             self.play("wait 10")
             self.assertEqual([ref() for ref in watched], [None, None])
         finally:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -44,7 +44,7 @@
         self.play(read + read)
         self.assertEqual([len(self.wires[name]) for name in ("c1", "s1")], [1, 1])
 
-    def test_chunked_answer_in_pieces(self) -> None:
+    def test_chunked_response_in_pieces(self) -> None:
         self.play(r"""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -56,7 +56,7 @@
             c1 expect 200 Content-Length=5 value
         """)
 
-    def test_answer_that_ends_with_its_connection(self) -> None:
+    def test_response_that_ends_with_its_connection(self) -> None:
         self.play(r"""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -91,7 +91,7 @@
 
 
 class Writes(Scenario):
-    def test_passed_on_unchanged(self) -> None:
+    def test_forwarded_unchanged(self) -> None:
         self.play("""
             c1 send PUT /api/k1 some value Idempotency-Key=i-1
             origin expect PUT /api/k1 Idempotency-Key: i-1 some value
@@ -118,11 +118,11 @@
         """)
         self.assertEqual(self.server.engine.counts["attempt_connect_failed"], 1)
 
-    def ends(self, answer: str, outcome: str) -> None:
+    def ends(self, response: str, outcome: str) -> None:
         self.play(f"""
             c1 send GET /api/k1
             s1 expect GET /api/k1
-            s1 {answer}
+            s1 {response}
             c1 expect 503 Retry-After
         """)
         self.assertEqual(self.server.engine.counts[f"attempt_{outcome}"], 1)
@@ -133,19 +133,19 @@
     def test_not_declined(self) -> None:
         self.ends("send 503 ''", "error")
 
-    def test_malformed_answer(self) -> None:
+    def test_malformed_response(self) -> None:
         self.ends(r"raw HELO\r\n\r\n", "spoilt")
 
     def test_connection_that_breaks(self) -> None:
         self.ends("close", "reset")
 
-    def test_early_answer_to_a_request_not_yet_written(self) -> None:
+    def test_early_response_to_a_request_not_yet_written(self) -> None:
         exchange = HttpExchange(
             ForwardedRequest(b"PUT", b"/api/k1", b"v", b"7", None, None), "origin", 1000.0
         )
-        verdict = exchange.feed(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
-        assert verdict is not None
-        self.assertEqual((verdict.result, verdict.reusable), (Result.CONNECT_FAILED, False))
+        result = exchange.feed(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+        assert result is not None
+        self.assertEqual((result.result, result.reusable), (Result.CONNECT_FAILED, False))
 
     def test_read_that_times_out_fails_at_the_deadline(self) -> None:
         """Not refused, which a decision a few microseconds before the deadline would be."""
@@ -193,7 +193,7 @@
             c1 expect 200 again
         """)
 
-    def test_idle_connections_close_before_the_next_hop_does_it(self) -> None:
+    def test_idle_connections_close_before_the_upstream_does_it(self) -> None:
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -204,7 +204,7 @@
         """)
 
 
-class SenderSide(Scenario):
+class ClientSide(Scenario):
     def test_bad_requests(self) -> None:
         for text, status in (
             ("c1 send GET /api/k1 Req-Id=", 400),
@@ -240,7 +240,7 @@
         self.assertEqual(self.server.engine.totals()["gone"], 1)
         self.assertEqual(self.server.engine.pending_count, 0)
 
-    def test_client_that_ends_its_sending_still_gets_a_whole_answer(self) -> None:
+    def test_client_that_half_closes_still_gets_a_complete_response(self) -> None:
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -256,7 +256,7 @@
             c1 expect closed
         """)
 
-    def test_half_a_request_is_not_waited_for_without_end(self) -> None:
+    def test_a_partial_request_times_out(self) -> None:
         self.play(r"""
             c1 raw GET /api/k1 HTTP/1.1\r\nReq-
             wait 12000
@@ -264,7 +264,7 @@
             c1 expect closed
         """)
 
-    def test_upgrade_is_passed_over_and_answered_once(self) -> None:
+    def test_upgrade_is_ignored_and_answered_once(self) -> None:
         self.play(r"""
             c1 raw GET /ready HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n
             c1 expect 200 Connection=close ready
@@ -282,11 +282,11 @@
             c1 raw {request * 3}
             c1 expect nothing
         """)
-        (link,) = self.server.listener.connections
-        self.assertLess(len(link.protocol._inbox), 9)
+        (connection,) = self.server.listener.connections
+        self.assertLess(len(connection.protocol._inbox), 9)
         self.play("s1 send 200 value\nc1 expect 200 value" + "\nc1 expect 200 ready" * 9)
 
-    def test_continue_is_said_before_a_body_comes(self) -> None:
+    def test_continue_is_sent_before_a_body(self) -> None:
         self.play(r"""
             c1 raw PUT /api/k1 HTTP/1.1\r\nReq-Id: 7\r\nReq-Kind: set\r\nReq-Owner: beta\r\nReq-Deadline: 1
             c1 raw \r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n
@@ -305,7 +305,7 @@
         """)
         self.assertEqual((self.server.engine.counts["faults"], self.server.engine.pending_count), (1, 0))
 
-    def test_fault_over_a_delivery(self) -> None:
+    def test_fault_over_an_attempt(self) -> None:
         self.breaks(self.server.pool, "_take_idle")
         self.play("""
             c1 send GET /api/k1
@@ -313,13 +313,13 @@
         """)
         self.assertEqual(self.server.engine.counts["faults"], 1)
 
-    def test_fault_over_an_answer_ends_the_attempt_and_not_the_loop(self) -> None:
+    def test_fault_over_a_response_ends_the_attempt_and_not_the_loop(self) -> None:
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
         """)
-        (link,) = self.server.pool.busy.values()
-        self.breaks(link, "_read")
+        (connection,) = self.server.pool.busy.values()
+        self.breaks(connection, "_read")
         self.play("""
             s1 send 200 value
             c1 expect 503
@@ -358,7 +358,7 @@
         """)
         self.assertEqual(len(self.wires["d"]), 1)
 
-    def test_idle_connections_to_a_next_hop_that_leaves_close_at_once(self) -> None:
+    def test_idle_connections_to_an_upstream_that_leaves_close_at_once(self) -> None:
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -399,7 +399,7 @@
 
 
 class Ending(Scenario):
-    def test_what_is_owed_is_answered_and_connections_still_come(self) -> None:
+    def test_pending_requests_are_answered_and_connections_still_accepted(self) -> None:
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -416,7 +416,7 @@
             router ended
         """)
 
-    def test_requests_sent_ahead_are_answered_before_the_connection_closes(self) -> None:
+    def test_pipelined_requests_are_answered_before_the_connection_closes(self) -> None:
         request = r"GET /ready HTTP/1.1\r\n\r\n"
         self.play(f"""
             c1 send GET /api/k1
@@ -429,7 +429,7 @@
             c1 expect closed
         """)
 
-    def test_one_that_came_just_now_is_heard_before_idle_ones_close(self) -> None:
+    def test_a_new_connection_is_served_before_idle_ones_close(self) -> None:
         """Its request may be on the way: closing it then would lose what was written meanwhile."""
         self.play("router end\nwait 590")
         self.wire("c1")
@@ -458,7 +458,7 @@
             router ended
         """)
 
-    def test_stalled_sender_does_not_hold_the_end_up_for_ever(self) -> None:
+    def test_stalled_client_does_not_delay_the_shutdown_for_ever(self) -> None:
         self.play("""
             c1 send PUT /api/k1 value Req-Deadline=9.000
             origin expect PUT /api/k1
@@ -474,9 +474,9 @@
     none = OSError(errno.EMFILE, "Too many open files")
 
     def test_accepting_goes_on_after_a_pause(self) -> None:
-        (door,) = self.server.listener.listen_sockets
-        door.sock = mock.Mock(wraps=door.sock)
-        door.sock.accept.side_effect = chain([self.none], repeat(mock.DEFAULT))
+        (listen_socket,) = self.server.listener.listen_sockets
+        listen_socket.sock = mock.Mock(wraps=listen_socket.sock)
+        listen_socket.sock.accept.side_effect = chain([self.none], repeat(mock.DEFAULT))
         self.play("""
             c1 send GET /ready
             c1 expect nothing
@@ -484,7 +484,7 @@
             c1 expect 200 ready
         """)
 
-    def test_dial_without_a_descriptor_did_not_connect(self) -> None:
+    def test_connect_without_a_descriptor_fails(self) -> None:
         with mock.patch("rosepick.net.tcp_stream.socket.socket", side_effect=self.none):
             self.server.pool._dial(next(iter(self.server.endpoint_directory.endpoints.values())))
         self.play("""
@@ -492,44 +492,44 @@
             s1 expect GET /api/k1
         """)
 
-    def test_a_dial_that_came_up_while_the_loop_was_busy_is_used(self) -> None:
+    def test_a_connect_that_succeeded_while_the_loop_was_busy_is_used(self) -> None:
         pool = self.server.pool
-        hop = next(iter(self.server.endpoint_directory.endpoints.values()))
-        link = pool._dial(hop)
-        assert link is not None
-        link.attempt = mock.Mock(begin_by=float("inf"))
+        endpoint = next(iter(self.server.endpoint_directory.endpoints.values()))
+        connection = pool._dial(endpoint)
+        assert connection is not None
+        connection.attempt = mock.Mock(begin_by=float("inf"))
         for _ in range(200):
-            if link.stream.is_connected():
+            if connection.stream.is_connected():
                 break
             time.sleep(0.005)
         with mock.patch.object(pool, "finish_attempt") as ended:
-            pool._expire_connect(link)  # its time is over before the loop has looked at sockets
+            pool._expire_connect(connection)  # its time is over before the loop has looked at sockets
         ended.assert_not_called()
-        self.assertTrue(link.stream.is_open and not link.is_connecting)
-        link.attempt = None
-        link.close()
+        self.assertTrue(connection.stream.is_open and not connection.is_connecting)
+        connection.attempt = None
+        connection.close()
 
-    def test_idle_connection_gives_way_to_a_dial(self) -> None:
+    def test_idle_connection_is_evicted_for_a_connect(self) -> None:
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
             s1 send 404 ''
             origin expect GET /api/k1
         """)
-        hops = {hop.uid: hop for hop in self.server.endpoint_directory.endpoints.values()}
+        endpoints = {endpoint.uid: endpoint for endpoint in self.server.endpoint_directory.endpoints.values()}
         sock = socket.socket()
         with mock.patch("rosepick.net.tcp_stream.socket.socket", side_effect=[self.none, sock]):
-            link = self.server.pool._dial(hops["origin"])
-        assert link is not None
-        self.assertIs(link.stream.sock, sock)
-        link.close()
+            connection = self.server.pool._dial(endpoints["origin"])
+        assert connection is not None
+        self.assertIs(connection.stream.sock, sock)
+        connection.close()
         self.play("s1 expect closed")
 
 
 class FewSockets(Scenario):
     sockets = 48 + 9
 
-    def test_idle_connections_give_way_and_accepting_pauses(self) -> None:
+    def test_idle_connections_are_evicted_and_accepting_pauses(self) -> None:
         for n in range(14):
             self.play(f"c{n} send GET /ready\nc{n} expect 200 ready")
         self.play("""
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -52,8 +52,8 @@
             return self.tls.recv(size)
         except ssl.SSLWantReadError:
             raise BlockingIOError from None
-        except ssl.SSLError as problem:
-            self.refused = problem.reason or str(problem)
+        except ssl.SSLError as error:
+            self.refused = error.reason or str(error)
             return b""
 
     def send(self, data: bytes) -> int:
@@ -151,7 +151,7 @@
         self.play("c1 send GET /ready\nc1 expect 200 ready")
         self.assertEqual(len(self.server.listener.connections), 1)
 
-    def test_both_doors_serve_and_share_open_ids(self) -> None:
+    def test_both_listeners_serve_and_share_open_ids(self) -> None:
         self.play("""
             p1 send GET /api/k1 Req-Id=77
             s1 expect GET /api/k1
@@ -161,20 +161,20 @@
             p1 expect 200 value
         """)
 
-    def test_an_answer_of_1_mib_to_a_reader_that_is_slow(self) -> None:
+    def test_a_response_of_1_mib_to_a_slow_reader(self) -> None:
         body = "x" * 60_000
         self.unread(body)
-        held = self.server.budget.buffered_bytes
-        self.assertGreater(held, 30_000)
-        self.assertLess(held, 100_000)  # one piece is held twice, not the answer
+        buffered = self.server.budget.buffered_bytes
+        self.assertGreater(buffered, 30_000)
+        self.assertLess(buffered, 100_000)  # one piece is held twice, not the answer
         self.takes(MIB)
         self.play(f"c1 expect 200 {body}")
         self.assertEqual(self.server.budget.buffered_bytes, 0)
 
     def takes(self, size: int) -> None:
         """So much the system takes of the router before it is read."""
-        (link,) = self.server.listener.connections
-        link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        (connection,) = self.server.listener.connections
+        connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
     def unread(self, body: str) -> None:
         """An answer comes, and its client does not read it yet."""
@@ -185,14 +185,14 @@
             for _ in range(20):
                 self.step()
 
-    def test_what_nobody_reads_is_let_go_with_its_connection(self) -> None:
+    def test_an_unread_response_is_dropped_with_its_connection(self) -> None:
         self.unread("x" * MIB)
         with mock.patch.object(self.wire("c1"), "pull"):
             self.play("wait 11000")
         self.assertEqual(self.server.budget.buffered_bytes, 0)
         self.assertFalse(self.server.listener.connections)
 
-    def test_requests_sent_ahead_in_one_record_are_all_answered(self) -> None:
+    def test_pipelined_requests_in_one_record_are_all_answered(self) -> None:
         one = r"GET /ready HTTP/1.1\r\n\r\n"
         self.play(f"c1 raw {one * 3}")
         self.play("c1 expect 200\nc1 expect 200\nc1 expect 200")
@@ -202,7 +202,7 @@
         self.play(f"c1 send PUT /api/k1 {value}\norigin expect PUT /api/k1 {value}\norigin send 200 done")
         self.play("c1 expect 200 done")
 
-    def test_the_end_is_told_and_counts_as_gone(self) -> None:
+    def test_the_end_is_noticed_and_counts_as_gone(self) -> None:
         self.play("c1 send GET /api/k1\ns1 expect GET")
         with self.assertRaises(ssl.SSLWantReadError):
             self.wire("c1").sock.unwrap()  # type: ignore[attr-defined]
@@ -222,7 +222,7 @@
         self.assertEqual(self.server.engine.totals()["gone"], 1)
 
     @unittest.skipUnless(shutil.which("openssl"), "Python's own client cannot ask for small records")
-    def test_a_client_that_asks_for_small_records_gets_all(self) -> None:
+    def test_a_client_that_requests_small_records_gets_all(self) -> None:
         host, port = self.address()
         with subprocess.Popen(
             ["openssl", "s_client", "-connect", f"{host}:{port}", "-maxfraglen", "512", "-quiet"],
@@ -246,14 +246,14 @@
             shown = process.stdout.read()
         self.assertEqual(shown.count(b"y"), 40_000)
 
-    def test_closing_says_goodbye(self) -> None:
+    def test_closing_sends_close_notify(self) -> None:
         self.play("c1 send GET /ready Connection=close\nc1 expect 200 Connection=close\nwait 10")
         wire = self.wire("c1")
         wire.pull()
         self.assertTrue(wire.ended)
         self.assertEqual(wire.sock.refused, "")  # type: ignore[attr-defined]
 
-    def test_the_ending_waits_for_what_is_owed(self) -> None:
+    def test_the_shutdown_waits_for_pending_requests(self) -> None:
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -268,7 +268,7 @@
             router ended
         """)
 
-    def test_the_sender_sides_cap_counts_both_doors(self) -> None:
+    def test_the_limit_of_clients_counts_both_listeners(self) -> None:
         cap = int(0.5 * self.server.budget.limit)
         plain = [self.wire(f"p{n}") for n in range(cap - 1)]
         self.step()
@@ -278,7 +278,7 @@
         self.assertLessEqual(len(self.server.listener.connections), cap)
         self.assertEqual(len(plain), cap - 1)
 
-    def test_accepting_pauses_and_resumes_at_both_doors(self) -> None:
+    def test_accepting_pauses_and_resumes_on_both_listeners(self) -> None:
         listener: Listener = self.server.listener
         listener.pause()
         self.wire("p1")
@@ -301,25 +301,25 @@
         self.wires[who][0].sock.sendall(data.encode().decode("unicode_escape").encode("latin-1"))
         self.step()
 
-    def test_nothing_ever_said(self) -> None:
+    def test_no_data_ever_sent(self) -> None:
         self.raw("x1", "")
         self.play("wait 2900\nx1 expect closed")
 
-    def test_half_a_handshake(self) -> None:
+    def test_a_partial_handshake(self) -> None:
         self.raw("x1", r"\x16\x03\x01\x02\x00\x01")
-        with self.assertLogs("rosepick", "WARNING") as said:
+        with self.assertLogs("rosepick", "WARNING") as logs:
             self.play("wait 1000")
             self.raw("x1", r"\x00")
             self.play("wait 1900\nx1 expect closed")
-        self.assertEqual(vars(said.records[0])["fields"]["reason"], "the handshake was not completed")
+        self.assertEqual(vars(logs.records[0])["fields"]["reason"], "the handshake was not completed")
 
     def test_what_is_no_tls(self) -> None:
-        with self.assertLogs("rosepick", "WARNING") as said:
+        with self.assertLogs("rosepick", "WARNING") as logs:
             self.raw("x1", r"GET /ready HTTP/1.1\r\n\r\n")
             self.play("x1 expect closed")
-        self.assertEqual([line.getMessage() for line in said.records], ["tls_refused"])
+        self.assertEqual([line.getMessage() for line in logs.records], ["tls_refused"])
 
-    def test_half_a_record_ends_the_connection(self) -> None:
+    def test_a_partial_record_ends_the_connection(self) -> None:
         self.play("c1 send GET /ready\nc1 expect 200")
         sock = self.wire("c1").sock
         os.write(sock.fileno(), b"\x17\x03\x03\x01\x00abc")
@@ -329,17 +329,17 @@
         data = (b"\x17\x03\x03\x00\x03abc" + b"\x17\x03\x03\x00\x00") * 3
         for size in range(1, len(data)):
             framing = RecordFraming()
-            for at in range(0, len(data), size):
-                framing.feed(data[at : at + size])
+            for offset in range(0, len(data), size):
+                framing.feed(data[offset : offset + size])
             self.assertFalse(framing.has_partial_record())
             framing.feed(b"\x17")
             self.assertTrue(framing.has_partial_record())
 
 
-class Turns(Encrypted):
+class HandshakeTurns(Encrypted):
     conf = "tls_handshake_part 50"
 
-    def test_a_crowds_handshakes_have_their_part_of_the_time(self) -> None:
+    def test_many_handshakes_have_their_share_of_the_time(self) -> None:
         """Each step of one takes 11 ms here: two may begin at once, then one in some 40 ms."""
         self.cpu = (0.011 * n for n in range(100_000))
         for n in range(12):
@@ -379,23 +379,30 @@
             for _ in range(100):
                 sock.sendall(b"\x16\x03\x01\x40\x00" + b"x" * 16_384)
                 self.loop.step(0)
-        held = [link for link in self.server.listener.connections if not link.stream.is_established()]
-        self.assertEqual(held, [])
+        unfinished = [
+            connection
+            for connection in self.server.listener.connections
+            if not connection.stream.is_established()
+        ]
+        self.assertEqual(unfinished, [])
 
     def up(self) -> int:
         """How many have shaken hands."""
-        return sum(getattr(link.stream, "_up", False) for link in self.server.listener.connections)
+        return sum(
+            getattr(connection.stream, "_handshake_complete", False)
+            for connection in self.server.listener.connections
+        )
 
 
 class Certificates(Encrypted):
     conf = "tls_reload_interval 5"
 
     def events(self, text: str) -> dict[str, Any]:
-        with self.assertLogs("rosepick", "INFO") as said:
+        with self.assertLogs("rosepick", "INFO") as logs:
             self.play(text)
-        return {line.getMessage(): vars(line).get("fields", {}) for line in said.records}
+        return {line.getMessage(): vars(line).get("fields", {}) for line in logs.records}
 
-    def test_a_new_pair_is_taken_at_the_interval_and_open_connections_keep_theirs(self) -> None:
+    def test_a_new_pair_is_applied_at_the_interval_and_open_connections_keep_theirs(self) -> None:
         self.hit("c1")
         self.assertEqual(self.serial("c1"), "1111")
         self.use(self.second)
@@ -404,19 +411,19 @@
         self.hit("c2")
         self.assertEqual((self.serial("c1"), self.serial("c2")), ("1111", "2222"))
 
-    def test_a_new_pair_is_taken_at_sighup(self) -> None:
+    def test_a_new_pair_is_applied_at_sighup(self) -> None:
         self.use(self.second)
         self.assertIn("tls_reloaded", self.events("router reload"))
         self.hit()
         self.assertEqual(self.serial("c1"), "2222")
 
-    def test_what_is_unchanged_is_not_taken_again(self) -> None:
+    def test_an_unchanged_pair_is_not_applied_again(self) -> None:
         with self.assertNoLogs("rosepick", "INFO"):
             tls = self.server.tls
             assert tls is not None
             tls._reload_periodically()
 
-    def test_what_cannot_be_used_is_not_taken_and_the_old_pair_stays(self) -> None:
+    def test_an_unusable_pair_is_not_applied_and_the_old_one_stays(self) -> None:
         cert, key = self.folder / "cert.pem", self.folder / "key.pem"
         encrypted = self.first.encrypted(b"secret")
         for spoil, text in (
@@ -437,7 +444,7 @@
         self.hit()
         self.assertEqual(self.serial("c1"), "1111")
 
-    def test_a_pair_that_comes_in_two_steps_is_taken_once_it_is_whole(self) -> None:
+    def test_a_pair_replaced_in_two_steps_is_applied_once_it_is_complete(self) -> None:
         shutil.copy(self.second.cert, self.folder / "cert.pem")
         self.assertIn("tls_reload_failed", self.events("wait 5100"))
         shutil.copy(self.second.key, self.folder / "key.pem")
@@ -459,11 +466,11 @@
 
     def test_a_handshake_below_it_is_refused_and_logged(self) -> None:
         self.context.maximum_version = ssl.TLSVersion.TLSv1_2
-        with self.assertLogs("rosepick", "WARNING") as said:
+        with self.assertLogs("rosepick", "WARNING") as logs:
             self.wire("c1").pull()
             self.play("c1 expect closed")
-        self.assertEqual(said.records[0].getMessage(), "tls_refused")
-        self.assertEqual(vars(said.records[0])["fields"]["reason"], "unsupported_protocol")
+        self.assertEqual(logs.records[0].getMessage(), "tls_refused")
+        self.assertEqual(vars(logs.records[0])["fields"]["reason"], "unsupported_protocol")
 
     def test_one_at_it_is_served(self) -> None:
         self.hit()
@@ -478,25 +485,25 @@
     def shows(self, pair: Pair | None) -> list[str]:
         """A client that shows that certificate is served; the subjects that were logged."""
         self.context = self.client(pair)
-        with self.assertLogs("rosepick", "INFO") as said:
+        with self.assertLogs("rosepick", "INFO") as logs:
             logging.getLogger("rosepick").info("begin")
             self.hit()
         return [
             vars(line)["fields"]["client_subject"]
-            for line in said.records
+            for line in logs.records
             if line.getMessage() == "client_verified"
         ]
 
     def is_refused(self, pair: Pair | None, reason: str) -> None:
         self.context = self.client(pair)
-        with self.assertLogs("rosepick", "WARNING") as said:
+        with self.assertLogs("rosepick", "WARNING") as logs:
             self.wire("c1").pull()
             for _ in range(10):
                 self.step()
             self.play("c1 expect closed")
-        self.assertEqual(vars(said.records[0])["fields"]["reason"], reason)
+        self.assertEqual(vars(logs.records[0])["fields"]["reason"], reason)
 
-    def test_off_asks_nobody(self) -> None:
+    def test_off_requests_no_certificate(self) -> None:
         self.assertEqual(self.shows(self.good), [])
 
     def test_optional(self) -> None:
@@ -516,9 +523,9 @@
 
     def test_a_storm_keeps_every_subject(self) -> None:
         storm = LogRateLimiter(lambda: 0.0)
-        for event, kept in (("client_verified", 100), ("rejected", 20)):
+        for event, passed in (("client_verified", 100), ("rejected", 20)):
             record = logging.LogRecord("rosepick.net.tls", logging.INFO, "", 0, event, (), None)
-            self.assertEqual(sum(storm.filter(record) for _ in range(100)), kept)
+            self.assertEqual(sum(storm.filter(record) for _ in range(100)), passed)
 
 
 class Subjects(unittest.TestCase):
@@ -577,8 +584,8 @@
 
             def faults(text: str) -> list[str]:
                 conf.write_text(text)
-                found, _ = check.check_settings(conf, {"GW_CONFIG": str(config)})
-                return [line for line in found if not line.startswith("GW_CONFIG")]
+                faults, _ = check.check_settings(conf, {"GW_CONFIG": str(config)})
+                return [line for line in faults if not line.startswith("GW_CONFIG")]
 
             pair = f"tls_cert {a.cert}\ntls_key {a.key}\n"
             self.assertEqual(faults(pair + "tls_listen 5443"), [])
