--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,7 +1,7 @@
 """A small scenario language for a whole router on loopback: who, what, and the rest of the line.
 
-    c1 send GET /api/k1 a=b         a sender side (c...) sends a request: headers as name=value, else its body
-    s1 expect GET /api/k1           a next hop (s1, s2, origin) or discovery (d) gets one that begins so
+    c1 send GET /api/k1 a=b         a client (c...) sends a request: headers as name=value, else its body
+    s1 expect GET /api/k1           an upstream (s1, s2, origin) or discovery (d) gets one that begins so
     s1 send 404                     ... and answers: status, body, headers as name=value
     c1 expect 503 Retry-After       an answer with that status comes; all further words are in it
     d tell 42 s1=leaving            discovery answers with changed entries
@@ -100,7 +100,7 @@
             self.ended = True
 
     def message(self) -> str | None:
-        """The next whole message, taken off."""
+        """Return the next complete message, and remove it."""
         head, gap, rest = self.seen.partition(b"\r\n\r\n")
         if not gap:
             return None
@@ -159,11 +159,11 @@
         }
 
     def read(self) -> config.Config:
-        """What the configuration file says at present."""
+        """Return the current configuration file as parsed."""
         return config.read(json.loads(json.dumps(self.file)))
 
     def operators(self) -> OperatorOptions:
-        """What the operators tell: nothing, unless a scenario says otherwise."""
+        """Return the operator options; empty unless a scenario overrides this."""
         return OperatorOptions()
 
     def module(self) -> Router:
@@ -217,7 +217,7 @@
             self.assertEqual(self.loop.stopped, what == "ended")
 
     def wire(self, who: str) -> ScenarioConnection:
-        """A party's present connection; a sender side opens its own."""
+        """Return a party's current connection; a client opens its own."""
         if not self.wires.get(who):
             self.wires[who] = [
                 ScenarioConnection(socket.create_connection(self.server.listener.sock.getsockname()))
@@ -282,7 +282,7 @@
         self.listeners[who].close()
 
     def hold(self, who: str) -> None:
-        """Its queue is filled, so that the kernel answers no dial more: like a machine that is cut off."""
+        """Fill its accept queue, so that no connect succeeds any more, as with a host that is cut off."""
         self.listeners[who].listen(0)
         self.fillers[who] = []
         for _ in range(8):
@@ -326,7 +326,7 @@
         first, *words = text.split(" ")
         start = f"HTTP/1.1 {first} " if first.isdigit() else first + " "
         if text.endswith(" HTTP/1.1"):
-            start = text  # a request line, whole: nothing may stand behind its path
+            start = text  # a complete request line: nothing may follow its path
         self.assertTrue(message.startswith(start), f"{message!r} does not begin with {start!r}")
         for word in words:
             self.assertIn(word.replace("=", ": ", 1) if first.isdigit() else word, message)
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -1,4 +1,4 @@
-"""Sender sides that send what cannot be used, too much, or nothing at all."""
+"""Clients that send malformed requests, too much, or nothing at all."""
 
 from __future__ import annotations
 
@@ -103,7 +103,7 @@
 
 
 class ConnectionPressure(Scenario):
-    sockets = 128  # 80 for connections, 40 of them the sender side's
+    sockets = 128  # 80 for connections, 40 of them clients'
 
     def test_silent_clients_leave_upstreams_and_ordinary_clients_their_connections(self) -> None:
         self.play("""
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -27,7 +27,7 @@
 CHUNKED = b"Transfer-Encoding: Chunked\r\n\r\n"
 NAMES = NameIndexes({"set": 0}, {"acme": 0}, {}, {})
 MIB = 1 << 20
-COUNTED = b"".join(b"%07d\n" % n for n in range(4 * MIB))  # shows where a part of it belongs
+COUNTED = b"".join(b"%07d\n" % n for n in range(4 * MIB))  # shows the position of each part
 
 
 class BodyStreams(unittest.TestCase):
@@ -50,7 +50,7 @@
         )
         received += b"".join(
             streams[0].read(1)
-        )  # a giver that waits is told although its portion grew meanwhile
+        )  # a paused writer is notified although its share grew meanwhile
         self.assertEqual(notified, [1])
         streams[0].finish()
         while not streams[0].is_drained():
@@ -59,7 +59,7 @@
 
 
 def parse_response(*parts: bytes) -> bytes | None:
-    """The body of a long answer that comes in these parts; None if it is none."""
+    """Return the body of a streamed response received in these parts; None if it is not one."""
     reader, received, response = ResponseReader(1000, 100), b"", None
     try:
         for part in parts:
@@ -180,7 +180,7 @@
         self.assertLessEqual(self.server.budget.body_buffers.buffered_bytes, 2 * MAX_STREAM_BUFFER_BYTES)
 
     def whole(self, who: str, size: str) -> None:
-        """An answer of that size has come as it was written."""
+        """Expect a response of that size, with the body as written."""
         for _ in range(2_000):
             self.step()
             if len(self.wire(who).seen) > int(size):
@@ -189,7 +189,7 @@
         self.assertTrue(body == COUNTED[: int(size)])
 
     def full(self, who: str) -> None:
-        """No flow has room from here on."""
+        """Let no body stream be writable from here on."""
         mock.patch.object(BodyStream, "writable_bytes", return_value=0).start()
 
     def flood(self, who: str) -> None:
@@ -219,7 +219,7 @@
         self.assertLessEqual(self.server.budget.buffered_bytes, 300_000)
 
     def broken(self, who: str, text: str) -> None:
-        """The answer was cut off, and nobody else was asked."""
+        """Expect a response that was cut off, and no other attempt."""
         mock.patch.stopall()
         wire = self.wire(who)
         self.expect(who, "closed")
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -35,7 +35,7 @@
         return document
 
     def follow(self) -> None:
-        """Discovery is asked, and polled."""
+        """Let discovery be polled."""
         self.play(f"wait 700\n{FIRST}\nd tell 41\n{POLL}")
 
     def request(self, path: str, method: str = "GET", length: int = 0) -> bytes:
@@ -47,7 +47,7 @@
         ).encode()
 
     def freed(self) -> None:
-        """Nothing is left of a request: no attempt, no connection on its way, no place in a count."""
+        """Expect nothing left of a request: no attempt, no connecting connection, no count."""
         pool, module = self.server.pool, self.module()
         self.assertEqual((self.server.engine.pending_count, len(self.server.engine.requests)), (0, 0))
         self.assertEqual((len(pool.busy), module.origin.in_flight, module.shedder.in_flight), (0, 0, 0))
@@ -89,7 +89,7 @@
         self.play("origin expect nothing")
 
     def test_in_a_fetch_that_others_share(self) -> None:
-        """It is written, so it goes on: the others get theirs by it, and one who comes later, too."""
+        """It was written, so it continues: waiting and later requests share its response."""
         self.play(f"""
             c1 {self.WANTS}
             origin expect GET /api/k1
@@ -106,7 +106,7 @@
         self.freed()
 
     def test_in_a_fetch_that_others_share_and_that_never_ran(self) -> None:
-        """The others get their answers from one fetch, and not from one each."""
+        """The others get their responses from one fetch, not from one each."""
         self.play(f"origin hold\nc1 {self.WANTS}\nc2 {self.WANTS}\nc3 {self.WANTS}\norigin let")
         self.play("""
             c1 close
@@ -122,7 +122,7 @@
         self.freed()
 
     def test_in_a_fetch_that_others_share_and_that_hangs(self) -> None:
-        """It is waited for until the deadline of who asked first, and not beyond."""
+        """It is waited for until the deadline of the first request, and not beyond."""
         self.play("c1 send GET /api/k1 Req-Deadline=0.200\ns1 expect GET /api/k1\ns1 send 404 none")
         self.play(f"origin expect GET /api/k1\nc2 {self.WANTS}\nc1 close\nwait 190\norigin expect nothing")
         self.play("wait 20\ns1 expect GET /api/k1\ns1 send 404 none\nwait 150\norigin expect GET /api/k1")
@@ -146,7 +146,7 @@
         self.freed()
 
     def test_behind_requests_that_are_not_read(self) -> None:
-        """Four are read ahead and the rest stays in the socket, so that no selector tells of the end."""
+        """Four are read ahead and the rest stays in the socket, so that no selector reports the end."""
         first, others = self.request("/api/k1"), [self.request(f"/api/k{n}") for n in range(2, 9)]
         self.put("c1", first)
         self.play("s1 expect GET /api/k1")
@@ -159,7 +159,7 @@
         self.play("s1 expect closed\ns1 expect nothing")
 
     def test_behind_a_body_that_waits_for_room(self) -> None:
-        """The dial is coming up, so nothing of the body goes on and nothing more of it is read."""
+        """While connecting, nothing of the body is forwarded and nothing more of it is read."""
         self.play("origin hold")
         self.put("c1", self.request("/api/k1", method="PUT", length=3_000_000))
         self.put("c1", b"x" * 300_000)
@@ -211,7 +211,7 @@
         self.freed()
 
     def test_while_a_request_stands_behind_a_shared_fetch(self) -> None:
-        """The copy is stored at a node that has been told to leave meanwhile: it is not read there."""
+        """The copy is stored at a node that drains meanwhile: it is not read there."""
         self.follow()
         self.play("""
             c1 send GET /api/k1
@@ -249,7 +249,7 @@
         self.freed()
 
     def test_before_a_repeat(self) -> None:
-        """The first attempt broke while the list came; the repeat is made by the new one."""
+        """The first attempt broke while the list was received; the repeat follows the new list."""
         self.follow()
         self.play("""
             c1 send GET /api/k1
@@ -272,7 +272,7 @@
 
 
 class TimeRunsOut(Known):
-    """What ends between the choice and the first byte, while a dial is coming up."""
+    """What ends between the choice and the first byte, while connecting."""
 
     def document(self) -> dict[str, Any]:
         document = super().document()
@@ -282,7 +282,7 @@
         return document
 
     def late(self, after: float) -> None:
-        """A write whose answer is spoilt is repeated on a dial that comes up so long after."""
+        """Repeat a write whose response is malformed, on a connection that takes this long."""
         self.play("c1 send PUT /api/k1 value\norigin expect PUT /api/k1\norigin hold")
         self.play("origin raw HTTP/1.1 nonsense\\r\\n\\r\\n\nall holds engine.pending_count 1")
         (connection,) = self.server.pool.busy.values()
@@ -297,14 +297,14 @@
         self.assertTrue(self.written)
 
     def test_a_repeat_whose_window_ends_while_connecting(self) -> None:
-        """A next hop may have forgotten the first by then, and would run it twice."""
+        """An upstream may have forgotten the first by then, and would execute it twice."""
         self.late(190)
         self.assertFalse(self.written)
         self.play("c1 expect 503")
         self.freed()
 
     def test_the_time_left_counts_from_the_write(self) -> None:
-        """Not from when the dial began."""
+        """Not from the begin of the connect."""
         self.play("s1 hold\nc1 send GET /api/k1 Req-Deadline=0.500\nwait 200")
         (connection,) = self.server.pool.busy.values()
         with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(TcpStream, "write") as write:
@@ -326,7 +326,7 @@
     """SIGTERM, whatever requests are doing."""
 
     def ends(self, text: str) -> None:
-        """All that was taken is answered, and the router ends."""
+        """Expect every accepted request answered, and the router ended."""
         self.play(f"{text}\nc1 expect 200 Connection=close value\nc1 expect closed\nwait 1000\nrouter ended")
         self.freed()
 
@@ -395,7 +395,7 @@
         """)
 
     def test_a_request_that_crosses_the_close_of_its_connection(self) -> None:
-        """It is not read, and the connection is no reset, which would take the last answer with it."""
+        """It is not read, and the connection is not reset, which could destroy the last response."""
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1\ns1 send 200 value\nrouter end\nwait 590")
         wire = self.wires["c1"][-1]
         with mock.patch.object(
@@ -424,7 +424,7 @@
         self.assertLess(oldest, endpoint_watch.MAX_NOTIFICATION_DELAY_MS)
 
     def until_asked(self, text: str) -> float:
-        """The time until discovery has a call, which then tells of a drain that is kept to at once."""
+        """Return the time until discovery has a poll, whose list announces a drain that applies at once."""
         since = self.now
         for _ in range(2_000):
             self.wait(5)
@@ -437,7 +437,7 @@
         return took
 
     def silent(self) -> None:
-        """The call that discovery has is never answered."""
+        """The poll that discovery has is never answered."""
         for wire in self.wires["d"]:
             wire.seen = b""
 
@@ -507,7 +507,7 @@
         self.play("c1 send GET /api/k1\nc1 expect 503\nall holds endpoint_directory.revision 42")
 
     def test_a_revision_that_goes_back(self) -> None:
-        """Discovery began anew: its whole list counts as it is, and is followed from there."""
+        """Discovery was reset: its full list counts, and is followed from there."""
         self.follow()
         self.play("""
             d list 3 s2=active origin=active
@@ -536,12 +536,12 @@
 
 
 class DescriptorsFull(Known):
-    """Idle clients hold all that the doors may have, and more wait behind them, while discovery is down."""
+    """Idle clients hold all their descriptors, and more wait behind them, while discovery is down."""
 
     sockets = 128
 
     def test_back_to_the_list_and_to_clients(self) -> None:
-        """The list is heard once discovery is back, and a request is served at the next hop that it names."""
+        """The list is received once discovery is back, and a request is served by the upstream it names."""
         self.follow()
         self.play("d close\nd hold")
         for n in range(90):
@@ -550,7 +550,7 @@
         budget = self.server.budget
         self.assertGreaterEqual(len(self.server.listener.connections), budget.downstream_limit())
         while budget.used < budget.limit:
-            budget.acquire(DescriptorUse.UPSTREAM)  # and the next hops hold all the rest
+            budget.acquire(DescriptorUse.UPSTREAM)  # and upstreams hold all the rest
         self.play("wait 3000\nd let")
         since = self.now
         for _ in range(2_000):
@@ -566,7 +566,7 @@
 
 
 class ListsArePushed(Known):
-    """To an agent, which has to be asked all the same: what it has counts as told at once."""
+    """Lists are pushed to an agent, which still has to be polled: what it has counts as announced."""
 
     def document(self) -> dict[str, Any]:
         return {**super().document(), "settings": {**SETTINGS, "membership_mode": "automatic"}}
@@ -590,7 +590,7 @@
 
 
 def test_a_fetch_that_hangs_is_waited_for_until_its_own_deadline() -> None:
-    """Also where nobody tells the module of its end: on sockets the attempt's own does."""
+    """Also if the module is not notified of its end: on sockets that of the attempt does it."""
     classes = (api.RequestClass(objective_ms=300, deadline_ms=1000, worth=2),)
     router = decide.Router(settings(classes=classes, tenants=()), 1)
     router.handle(0.0, api.EndpointUpdate(api.UpdateScope.CACHED, tuple(fleet())))
--- a/tests/test_extremes.py
+++ b/tests/test_extremes.py
@@ -56,7 +56,7 @@
 
 
 def changed(path: str, value: Any) -> dict[str, Any]:
-    """The settings with another value at a place; of classes, of each."""
+    """Return the settings with another value at a path; of all request classes where it names them."""
     settings = copy.deepcopy(SETTINGS)
     part, _, key = path.partition(".")
     if not key:
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -1,4 +1,4 @@
-"""Batches of reads: what is a batch, its parts, their order and bounds, and what ends them."""
+"""Batches of reads: their form, items, order, limits and ends."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 
 def unchunked(data: bytes) -> bytes | None:
-    """The body of a chunked answer, once it is whole."""
+    """Return the body of a chunked response, once it is complete."""
     head, _, rest = data.partition(b"\r\n\r\n")
     if b"Transfer-Encoding: chunked" not in head:
         raise AssertionError(data[:500])
@@ -109,11 +109,11 @@
         self.assertEqual(list(parse_entries(data)), parts)
         for cut in range(len(data)):
             with self.subTest(cut), contextlib.suppress(BatchResponseError):
-                self.assertLess(len(list(parse_entries(data[:cut]))), 2)  # whole, but not of all keys
+                self.assertLess(len(list(parse_entries(data[:cut]))), 2)  # complete, but not of all keys
 
 
 class Batches(Scenario):
-    """A router with a door for batches; b... come there. Next hops answer by themselves once told to."""
+    """A router with a batch listener, for b...; upstreams respond by themselves in `serve`."""
 
     nodes = ("s1", "s2", "origin")
     conf = ""
@@ -141,7 +141,7 @@
                     socket.create_connection(self.server.batch_listener.listen_socket.sock.getsockname())
                 )
             ]
-            self.wires[who][0].seen = bytearray()  # answers can be large
+            self.wires[who][0].seen = bytearray()  # responses can be large
         return super().wire(who)
 
     def batch(self, who: str, keys: list[str], wait: str = "3.000") -> None:
@@ -156,7 +156,7 @@
         )
 
     def serve(self) -> None:
-        """Each next hop answers what it was asked."""
+        """Let each upstream answer its requests."""
         self.step()
         for name in self.nodes:
             for wire in self.wires[name]:
@@ -173,7 +173,7 @@
                             self.loop.step(0)
 
     def read_entries(self, who: str, serving: bool = True) -> list[tuple[str, str, int, int]]:
-        """The parts of a batch's answer: key, id, status, length."""
+        """Return the entries of the response to a batch: key, id, status, length."""
         for _ in range(3000):
             if serving:
                 self.serve()
@@ -244,7 +244,7 @@
         self.assertTrue((unchunked(second) or b"").startswith(b"c "))
 
     def test_a_response_that_announces_a_close_is_the_last(self) -> None:
-        """In a crowd an answer ends its connection, unless another batch was sent ahead."""
+        """Under pressure a response ends its connection, unless another batch was pipelined."""
         with mock.patch.object(self.server.listener.policy, "should_close_after_response", return_value=True):
             with mock.patch.object(self, "put") as put:
                 self.batch("b1", ["k1"])
@@ -261,7 +261,7 @@
         self.assertEqual([key for _, key, _ in self.requests], ["k1", "k2"])
 
     def test_items_are_no_clients_of_an_address(self) -> None:
-        """Guards against a crowd whose shares turn the router's own parts away."""
+        """Guards against address quotas that reject the router's own items."""
         with mock.patch.object(self.server.listener.policy, "should_reject_address", side_effect=bool):
             with mock.patch.object(self.server.budget, "downstream_limit", return_value=1):
                 self.batch("b1", ["k1", "k2", "k3"])
@@ -457,7 +457,7 @@
         assert isinstance(batch, BatchDownstreamConnection)
         part = batch.unwritten_items[0]
         assert part.connection is not None
-        part.connection.used = True  # as if it had carried one before
+        part.connection.used = True  # as if it had carried an item before
         idle_connection.close()
         self.serve()
         entries = self.read_entries("b1")
@@ -558,7 +558,7 @@
         self.addCleanup(self.node.shutdown)
 
     def start(self, *stopped: str) -> int:
-        """Start a router with one cache node at work and some stopped; the port of its door for batches."""
+        """Start a router with one live cache node and some stopped; return the port of its batch listener."""
         ports = []
         for _ in stopped:
             with socket.create_server(("127.0.0.1", 0)) as unused:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -34,7 +34,7 @@
         return record
 
     def moves(self, to: str = "e") -> None:
-        """The file names another discovery, and the router is told."""
+        """Name another discovery in the file, and reload."""
         self.file["discovery"] = f"127.0.0.1:{self.port(to)}"
         self.play("router reload")
 
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -21,7 +21,7 @@
 
 
 class PressureScenario(Scenario):
-    """A router with 80 descriptors for connections; 40 are the doors', and clients may hold so many."""
+    """A router with 80 descriptors for connections, of which clients may hold 40."""
 
     sockets = 128
 
@@ -29,13 +29,13 @@
         return OperatorOptions(operator_file.read(b"clients_hold 40", "rosepick.conf"))
 
     def ask(self, who: str, what: str = READY, source: str = "127.0.0.1") -> None:
-        """A new client asks on a connection of its own."""
+        """Send a request of a new client on a connection of its own."""
         sock = socket.create_connection(self.server.listener.sock.getsockname(), source_address=(source, 0))
         self.wires[who] = [ScenarioConnection(sock)]
         self.play(f"{who} send {what}")
 
     def answered(self, who: str) -> bool:
-        """Whether a client has its answer; upon `Connection: close`, or its end, it closes."""
+        """Whether a client has its response; upon `Connection: close`, or the end, it closes."""
         wire = self.wires[who][0]
         message = wire.message()
         if (message is not None and "Connection: close" in message) or wire.ended:
@@ -44,7 +44,7 @@
         return message is not None
 
     def keep_in_hand(self) -> None:
-        """Requests get no answer from here on."""
+        """Leave requests unanswered from here on."""
         for name in ("accept", "handle_disconnect"):
             patch = mock.patch.object(self.server.engine, name)
             patch.start()
@@ -95,7 +95,7 @@
         )
 
     def test_exactly_as_many_as_the_limit_all_idle(self) -> None:
-        """No event comes any more: a timer must act."""
+        """There are no further events: a timer must act."""
         with mock.patch.object(
             self.server.listener.policy, "should_close_after_response", return_value=False
         ):
@@ -107,7 +107,7 @@
         self.assertTrue(self.answered("n1"))
 
     def test_one_with_unread_bytes_is_not_closed_and_is_answered(self) -> None:
-        """A close for room must not cross a request that came already."""
+        """An eviction must not cross a request that was received already."""
         with mock.patch.object(
             self.server.listener.policy, "should_close_after_response", return_value=False
         ):
@@ -213,7 +213,7 @@
         self.keep_in_hand()
 
     def test_many_clients_from_one_address_leave_others_their_capacity(self) -> None:
-        """All places are taken by requests in hand, so none can give way."""
+        """All slots are taken by pending requests, so none can be evicted."""
         for n in range(38):
             self.ask(f"h{n}", f"GET /api/k{n} Req-Deadline=9.000", "127.0.0.2")
         self.assertEqual(len(self.server.listener.connections), 38)
@@ -265,7 +265,7 @@
         self.file["limits"]["sockets"] = 100
         self.play("router reload")
         self.assertGreater(len(self.server.listener.connections), 90)  # no storm of closes
-        self.play("wait 200\ns1 send 200 value\nc1 expect 200 value")  # what was in hand has its answer
+        self.play("wait 200\ns1 send 200 value\nc1 expect 200 value")  # the pending request has its response
         self.play("wait 3000")
         self.assertEqual(self.server.budget.excess(), 0)
         self.keep_in_hand()
@@ -370,7 +370,7 @@
 
 
 class PartialRequests(PressureScenario):
-    """A crowd that begins requests and never finishes them, and one that is slow but goes on."""
+    """Many clients that begin requests and never finish them, and one that is slow but continues."""
 
     def test_they_are_evicted_where_slots_are_short_the_longest_silent_first(self) -> None:
         partial_requests = [f"c{n} raw GET /re; wait 5; " for n in range(100, 139)]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,4 +1,4 @@
-"""Whole scenarios: what the sender side, next hops and discovery do and what the router makes of it."""
+"""Scenarios with clients, upstreams and discovery on loopback, and how the router responds."""
 
 from __future__ import annotations
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,4 +1,4 @@
-"""TLS on the sender side: whole scenarios over it, certificates that change, clients that show theirs."""
+"""TLS for clients: scenarios over it, reloaded certificates, client certificates."""
 
 from __future__ import annotations
 
@@ -65,7 +65,7 @@
 
 
 class Encrypted(Scenario):
-    """A router with a second door; c... come by TLS, p... without."""
+    """A router with a TLS listener; c... use TLS, p... do not."""
 
     conf = ""
     folder: Path
@@ -126,7 +126,7 @@
         return super().wire(who)
 
     def address(self) -> tuple[str, int]:
-        """The second door's."""
+        """Return the address of the TLS listener."""
         host, port = self.server.listener.listen_sockets[1].sock.getsockname()
         return host, port
 
@@ -166,7 +166,7 @@
         self.unread(body)
         buffered = self.server.budget.buffered_bytes
         self.assertGreater(buffered, 30_000)
-        self.assertLess(buffered, 100_000)  # one piece is held twice, not the answer
+        self.assertLess(buffered, 100_000)  # one chunk is buffered twice, not the response
         self.takes(MIB)
         self.play(f"c1 expect 200 {body}")
         self.assertEqual(self.server.budget.buffered_bytes, 0)
@@ -177,7 +177,7 @@
         connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
     def unread(self, body: str) -> None:
-        """An answer comes, and its client does not read it yet."""
+        """Let a response be sent that its client does not read yet."""
         self.play("c1 send GET /api/k1\ns1 expect GET")
         self.takes(4096)
         with mock.patch.object(self.wire("c1"), "pull"):
@@ -347,7 +347,7 @@
         for _ in range(10):
             self.step()
         self.assertLessEqual(self.up(), 2)
-        self.play("p1 send GET /ready\np1 expect 200")  # the other door waits for none of them
+        self.play("p1 send GET /ready\np1 expect 200")  # the plain listener waits for none of them
         counts = []
         for _ in range(15):
             self.play("wait 40")
@@ -430,7 +430,7 @@
             (lambda: shutil.copy(self.second.cert, cert), 'does not match tls_cert "'),
             (lambda: cert.write_text("-----BEGIN CERTIFICATE-----\nx\n"), "holds no certificate that can be"),
             (lambda: key.write_bytes(b"\x00\xff"), "holds no key"),
-            (lambda: key.write_bytes(encrypted), "is encrypted"),  # and nobody is asked for its password
+            (lambda: key.write_bytes(encrypted), "is encrypted"),  # and there is no prompt for its password
             (lambda: key.unlink(), "cannot be read: No such file"),
         ):
             self.use(self.first)
@@ -478,7 +478,7 @@
 
 class ClientCertificates(Encrypted):
     def asks(self, mode: str) -> None:
-        """From here on clients are asked for their certificate."""
+        """Request certificates of clients from here on."""
         self.conf = f"tls_client_cert {mode}\ntls_client_ca {self.ca.cert}"
         self.play("router reload")
 
