--- a/rosepick/net/batch_connection.py
+++ b/rosepick/net/batch_connection.py
@@ -68,7 +68,7 @@
     def _begin_batch(self, batch: BatchRequest) -> None:
         if not self.scheduler.has_capacity():
             self.listener.rejected_count += 1
-            log_event(logger, logging.WARNING, "batch_refused", in_hand=len(self.scheduler.batches))
+            log_event(logger, logging.WARNING, "batch_refused", active_batches=len(self.scheduler.batches))
             retry_after = (b"Retry-After", b"%.3f" % RETRY_AFTER_S)
             self._send_response(503, b"refused\n", (retry_after,))
             return
--- a/rosepick/net/batch_scheduler.py
+++ b/rosepick/net/batch_scheduler.py
@@ -102,7 +102,7 @@
             self._handle_break()
         except Exception as error:
             self.scheduler.loop.fault_count += 1
-            log_exception(logger, "part_fault", error, count=self.scheduler.loop.fault_count)
+            log_exception(logger, "batch_part_fault", error, count=self.scheduler.loop.fault_count)
             self._handle_break()
 
     def _write(self) -> None:
@@ -256,7 +256,7 @@
             if connection is None:
                 connection = self._dial()
         except OSError as error:
-            log_event(logger, logging.WARNING, "part_not_sent", text=error)
+            log_event(logger, logging.WARNING, "batch_part_not_sent", text=error)
             self.finish_item(item, 502)
             return
         host, port = self.address
--- a/rosepick/net/connection_report.py
+++ b/rosepick/net/connection_report.py
@@ -16,6 +16,15 @@
 # its lines belong to the listener, also where log lines are rate limited
 logger = logging.getLogger(f"{__package__}.listener")
 
+# log fields of the kinds of connections that have another name there
+LOG_FIELD_BY_KIND = {
+    "asking": "active",
+    "fresh": "unused",
+    "once": "used_once",
+    "often": "reused",
+    "half": "partial_requests",
+}
+
 
 class ConnectionReport:
     """Logs what happens to client connections."""
@@ -42,9 +51,9 @@
             log_event(
                 logger,
                 logging.INFO,
-                "room_made_in_vain",
-                times=self._unclaimed_evictions,
-                **self._table.counts_by_kind(),
+                "evictions_unclaimed",
+                count=self._unclaimed_evictions,
+                **self._counts_by_kind(),
             )
 
     def _log_pressure_begin(self, now: float) -> None:
@@ -52,9 +61,9 @@
         log_event(
             logger,
             logging.INFO,
-            "crowd_began",
-            by=self._policy.pressure_reason.value,
-            **self._table.counts_by_kind(),
+            "connection_pressure_started",
+            reason=self._policy.pressure_reason.name.lower(),
+            **self._counts_by_kind(),
             **asdict(self._policy.pressure_snapshot(now)),
         )
 
@@ -66,24 +75,35 @@
         log_event(
             logger,
             logging.INFO,
-            "crowd_ended",
-            lasted_ms=duration_ms,
-            **{f"closed_{reason.value}": closed[reason] for reason in CloseReason if closed.get(reason)},
+            "connection_pressure_ended",
+            duration_ms=duration_ms,
+            **{
+                f"closed_{reason.name.lower()}": closed[reason]
+                for reason in CloseReason
+                if closed.get(reason)
+            },
         )
 
+    def _counts_by_kind(self) -> dict[str, int]:
+        """Return the open connections by kind, under their log field names."""
+        counts = self._table.counts_by_kind()
+        return {LOG_FIELD_BY_KIND.get(kind, kind): count for kind, count in counts.items()}
+
     def log_summary(self) -> None:
         """Log the counts of connections by kind, close reason, listener and purpose."""
-        closed = {f"closed_{reason.value}": n for reason, n in self._table.closed_by_reason.items()}
-        listeners = {f"door_{name}": n for name, n in self._table.open_by_listener.items()}
-        purposes = {f"sockets_{purpose.value}": n for purpose, n in self._budget.used_by_purpose.items()}
+        closed = {f"closed_{reason.name.lower()}": n for reason, n in self._table.closed_by_reason.items()}
+        listeners = {f"listener_{name}": n for name, n in self._table.open_by_listener.items()}
+        purposes = {
+            f"descriptors_{purpose.name.lower()}": n for purpose, n in self._budget.used_by_purpose.items()
+        }
         log_event(
             logger,
             logging.INFO,
             "connections",
-            **self._table.counts_by_kind(),
-            may_hold=self._policy.capacity(),
+            **self._counts_by_kind(),
+            capacity=self._policy.capacity(),
             opened=self._table.opened_total,
-            asks=self._table.request_total,
+            requests=self._table.request_total,
             addresses=len(self._table.address_quota),
             **dict(sorted(closed.items())),
             **dict(sorted(listeners.items())),
@@ -106,8 +126,8 @@
                 logger,
                 logging.WARNING,
                 "accept_queue_overflowed",
-                door=name,
-                machine=overflows - before,
-                waiting=queued,
-                most=backlog,
+                listener=name,
+                host_overflows=overflows - before,
+                queue_length=queued,
+                queue_limit=backlog,
             )
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -143,7 +143,7 @@
         self.listener.rejected_count += 1
         if class_index is not None:
             self.listener.engine.record_rejected_request(class_index)
-        log_event(logger, logging.WARNING, "rejected", status=status, reason=reason)
+        log_event(logger, logging.WARNING, "request_rejected", status=status, reason=reason)
         self._send_response(status, reason.encode() + b"\n", last=last or self.protocol.has_pipelined())
 
     def _on_end_of_input(self) -> None:
@@ -305,7 +305,7 @@
     def _handle_fault(self, error: Exception) -> None:
         """Answer 500 after an exception, and close the connection; the process continues."""
         self.listener.loop.fault_count += 1
-        log_exception(logger, "sender_fault", error, count=self.listener.loop.fault_count)
+        log_exception(logger, "downstream_fault", error, count=self.listener.loop.fault_count)
         try:
             # a streamed response that has begun can only be cut off
             is_due = self.protocol.response_pending and self.response_body is None
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -149,7 +149,7 @@
             callback = scheduled.callback
             if callback is not None:
                 if self.now() - due_at > LATE_TIMER_WARNING_MS:
-                    log_event(logger, logging.WARNING, "timer_late", by_ms=self.now() - due_at)
+                    log_event(logger, logging.WARNING, "timer_late", delay_ms=self.now() - due_at)
                 self._run_callback(callback)
 
     def _run_callback(self, callback: Callable[..., None], *args: int) -> None:
@@ -158,4 +158,4 @@
             callback(*args)
         except Exception as error:
             self.fault_count += 1
-            log_exception(logger, "loop_fault", error, count=self.fault_count)
+            log_exception(logger, "event_loop_fault", error, count=self.fault_count)
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -186,7 +186,7 @@
             if queue is not None and queue.queued == 0:
                 return False  # guards against evicting a connection for nobody
         if not (self._can_accept() or self._may_accept_over_limit()):
-            log_event(logger, logging.WARNING, "accept_paused", used=self.budget.used)
+            log_event(logger, logging.WARNING, "accept_paused", open_descriptors=self.budget.used)
             self._pause_accepting()
             return False
         try:
@@ -195,7 +195,7 @@
             return False
         except OSError as error:
             # out of descriptors or memory: the loop would be woken again at once
-            log_event(logger, logging.WARNING, "accept_failed", text=error, used=self.budget.used)
+            log_event(logger, logging.WARNING, "accept_failed", text=error, open_descriptors=self.budget.used)
             self.budget.reclaim_one()
             self._pause_accepting()
             return False
--- a/rosepick/net/optional_parts.py
+++ b/rosepick/net/optional_parts.py
@@ -85,7 +85,7 @@
         loop, budget, listener, port, lambda: options.file.integer("multiget_max_keys")
     )
     host, port = batch_listener.listen_socket.sock.getsockname()[:2]
-    log_event(logger, logging.INFO, "multiget_serving", listen=f"{host}:{port}")
+    log_event(logger, logging.INFO, "batch_serving", listen=f"{host}:{port}")
     return batch_listener
 
 
--- a/rosepick/net/process_handover.py
+++ b/rosepick/net/process_handover.py
@@ -58,7 +58,7 @@
         changed = self.process_share.update_others(self.registry.other_descriptor_counts())
         count = len(self.process_share.other_descriptor_counts)
         if count != count_before:
-            log_event(logger, logging.INFO, "beside", others=count)
+            log_event(logger, logging.INFO, "peer_processes_changed", peers=count)
         if count > count_before and is_serving() and isinstance(module, Router):
             self.registry.write_state(export_state(module, self.loop.now()))
         if not (self.process_share.state_transfer_settled or is_serving()):
@@ -82,9 +82,9 @@
             if exported_at(document) < self._started:
                 return self.process_share.state_transfer_settled
             keys = import_state(module, document, now)
-            log_event(logger, logging.INFO, "knowledge_taken", keys=keys, age_ms=now - exported_at(document))
+            log_event(logger, logging.INFO, "state_imported", keys=keys, age_ms=now - exported_at(document))
         except ValueError as error:
-            log_event(logger, logging.WARNING, "knowledge_unusable", text=error)
+            log_event(logger, logging.WARNING, "state_import_failed", text=error)
         self.registry.delete_state()
         self.process_share.state_transfer_settled = True
         return True
--- a/rosepick/net/process_registry.py
+++ b/rosepick/net/process_registry.py
@@ -35,7 +35,7 @@
             if self._try_lock(path):
                 break
         else:
-            log_event(logger, logging.WARNING, "no_seat", folder=folder)
+            log_event(logger, logging.WARNING, "process_registration_failed", folder=folder)
 
     def _try_lock(self, path: Path) -> bool:
         try:
@@ -57,7 +57,7 @@
             try:
                 os.pwrite(self._lock_fd, _DESCRIPTOR_COUNT.pack(descriptor_count), 0)
             except OSError:  # disk full: the lock alone shows that this process exists
-                log_event(logger, logging.WARNING, "seat_not_written", path=self._own_path)
+                log_event(logger, logging.WARNING, "process_entry_write_failed", path=self._own_path)
 
     def other_descriptor_counts(self) -> tuple[int, ...]:
         """Return the number of descriptors that each other live process uses."""
@@ -88,7 +88,7 @@
             temporary.write_bytes(document)
             temporary.replace(self._state_path)  # atomic: guards against reading a partial document
         except OSError as error:
-            log_event(logger, logging.WARNING, "knowledge_not_left", text=error)
+            log_event(logger, logging.WARNING, "state_export_failed", text=error)
             with contextlib.suppress(OSError):
                 temporary.unlink()
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -218,7 +218,7 @@
         self.loop.run()
         self._log_summary()
         self.close()
-        log_event(logger, logging.INFO, "ended", name=self.config.name)
+        log_event(logger, logging.INFO, "shutdown_completed", name=self.config.name)
 
     def start_serving(self) -> None:
         """Accept clients from now on, or once other processes allow it."""
@@ -253,11 +253,11 @@
         log_event(
             logger,
             logging.INFO,
-            "map_told",
-            rev=change.event.version,
+            "endpoints_updated",
+            revision=change.event.version,
             scope=change.event.scope.value,
             entries=len(change.event.endpoints),
-            hops=len(self.endpoint_directory.endpoints),
+            endpoints=len(self.endpoint_directory.endpoints),
         )
         self.engine.update_endpoints(change.event)
         self.pool.retire_endpoints(change.retired_endpoint_ids)
@@ -308,7 +308,7 @@
             merged = merge_reload(self.config, new_config)
         except (ConfigError, ValueError) as error:
             self.reloads_failed += 1
-            log_event(logger, logging.ERROR, "reload_failed", text=error)
+            log_event(logger, logging.ERROR, "config_reload_failed", text=error)
             return
         self.reloads_succeeded += 1
         before, self.config = self.config, merged
@@ -316,9 +316,9 @@
         log_event(
             logger,
             logging.INFO,
-            "reloaded",
+            "config_reloaded",
             discovery=f"{host}:{port}",
-            sockets=new_config.max_descriptors,
+            max_descriptors=new_config.max_descriptors,
             classes=",".join(merged.names.classes),
             max_attempts=merged.settings.limits.max_attempts,
             needs_restart=",".join(settings_needing_restart(before, new_config)) or "nothing",
@@ -348,8 +348,8 @@
         log_event(
             logger,
             logging.INFO,
-            "ending",
-            owed=self.engine.pending_count,
+            "shutdown_started",
+            pending_requests=self.engine.pending_count,
             connections=len(self.listener.connections),
         )
         self._shutdown.begin()
@@ -361,17 +361,17 @@
         log_event(
             logger,
             logging.INFO,
-            "counts",
-            owed=self.engine.pending_count,
-            sockets=self.budget.used,
-            rejected=self.listener.rejected_count,
-            loop_faults=self.loop.fault_count,
-            callers=self.admin_listener.connection_count if self.admin_listener is not None else 0,
+            "counters",
+            pending_requests=self.engine.pending_count,
+            open_descriptors=self.budget.used,
+            rejected_requests=self.listener.rejected_count,
+            event_loop_faults=self.loop.fault_count,
+            admin_clients=self.admin_listener.connection_count if self.admin_listener is not None else 0,
             **counts,
         )
         worths = {index: entry.worth for index, entry in enumerate(self.config.settings.classes)}
         for fields in self.engine.request_counters.iter_log_fields(self._class_names(), worths):
-            log_event(logger, logging.INFO, "ends", **fields)
+            log_event(logger, logging.INFO, "request_outcomes", **fields)
         self.listener.log_summary()
 
 
--- a/rosepick/net/upstream_connection.py
+++ b/rosepick/net/upstream_connection.py
@@ -125,13 +125,15 @@
         try:
             step()
         except OSError as error:
-            log_event(logger, logging.DEBUG, "next_hop_broke", server=self.endpoint_id, text=error)
+            log_event(
+                logger, logging.DEBUG, "upstream_connection_failed", endpoint=self.endpoint_id, text=error
+            )
             self._finish(self.exchange.broken_result() if self.exchange is not None else None)
         except Exception as error:
             # Guards against a socket that stays ready and raises the same again at once, without end.
             self.pool.loop.fault_count += 1
             log_exception(
-                logger, "next_hop_fault", error, server=self.endpoint_id, count=self.pool.loop.fault_count
+                logger, "upstream_fault", error, endpoint=self.endpoint_id, count=self.pool.loop.fault_count
             )
             self._finish(self.exchange.broken_result() if self.exchange is not None else None)
 
@@ -241,10 +243,10 @@
             log_event(
                 logger,
                 logging.WARNING,
-                "answer_cut",
-                server=self.endpoint_id,
-                came=body.received_bytes,
-                length=body.content_length,
+                "response_truncated",
+                endpoint=self.endpoint_id,
+                received_bytes=body.received_bytes,
+                content_length=body.content_length,
             )
             body.abort()
 
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -87,14 +87,14 @@
             return
         endpoint = self.endpoint_directory.endpoints.get(attempt.endpoint_id)
         if endpoint is not None and endpoint.zone != self.zone:
-            self.engine.counts["crossings"] += 1
+            self.engine.counts["cross_zone_attempts"] += 1
         if endpoint is not None and endpoint.status is not Status.READY:
             # it was chosen before the decision module was notified of the drain
             self.finish_attempt(attempt, AttemptResult(Result.NEVER_SENT))
             return
         connection = self._take_idle(attempt.endpoint_id)
         if connection is None and endpoint is not None:
-            self.engine.counts["dials"] += 1
+            self.engine.counts["upstream_connects"] += 1
             connection = self._dial(endpoint)
         if connection is None:
             self.finish_attempt(attempt, AttemptResult(Result.CONNECT_FAILED))
@@ -203,7 +203,11 @@
 
     def _log_no_descriptor(self, entry: EndpointEntry) -> None:
         log_event(
-            logger, logging.WARNING, "no_socket_for_dial", server=entry.endpoint_id, used=self.budget.used
+            logger,
+            logging.WARNING,
+            "connect_without_descriptor",
+            endpoint=entry.endpoint_id,
+            open_descriptors=self.budget.used,
         )
 
     def connect_timeout_for(self, address: tuple[str, int]) -> ConnectTimeout:
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -203,7 +203,7 @@
         self.assertEqual(len({req_id for _, req_id, *_ in entries}), 40)
         self.assertEqual({(key, req_id) for _, key, req_id in self.requests}, {row[:2] for row in entries})
         self.assertNotIn(b"partial", self.body)
-        self.assertEqual(self.server.engine.counts["envelopes"], 40)
+        self.assertEqual(self.server.engine.counts["requests"], 40)
         self.nothing_left()
 
     def test_one_stopped_node_and_nobody_answers_400(self) -> None:
@@ -218,7 +218,7 @@
         self.assertEqual([key for key, *_ in entries], keys)
         self.assertLess(len(failed), 30)
         self.assertGreater(self.server.engine.counts["attempt_connect_failed"], 0)
-        self.assertEqual(self.server.engine.counts["attempt_unfit"], 0)
+        self.assertEqual(self.server.engine.counts["attempt_invalid"], 0)
         written = {first, *(req_id for _, req_id, *_ in entries)}
         self.assertTrue({req_id for _, _, req_id in self.requests} <= written)
         last = f"partial: {len(failed)} of 30 not served\n".encode() if failed else b"\n"
@@ -289,7 +289,7 @@
         self.batch("b1", [f"k{n}" for n in range(65)])
         self.play("b1 expect 400 more than 64 keys")
         self.play("b1 send GET /mget\nb1 expect 405\nb1 send GET /api/k1\nb1 expect 404")
-        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+        self.assertEqual(self.server.engine.counts["requests"], 0)
 
     def test_another_limit_of_keys_applies_after_sighup(self) -> None:
         changed = operator_file.read(b"multiget_listen 0\nmultiget_max_keys 1", "rosepick.conf")
@@ -420,7 +420,7 @@
     def test_a_deadline_that_is_over_already_sends_nothing(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)], "0")
         self.assertEqual({row[2] for row in self.read_entries("b1")}, {504})
-        self.assertEqual(self.server.engine.counts["envelopes"], 0)
+        self.assertEqual(self.server.engine.counts["requests"], 0)
 
     def test_each_item_states_the_time_left(self) -> None:
         self.batch("b1", ["k1"], "0.800")
@@ -431,11 +431,11 @@
     def test_a_client_that_goes_away_cancels_the_rest(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(64)])
         self.step()
-        accepted = self.server.engine.counts["envelopes"]
+        accepted = self.server.engine.counts["requests"]
         self.assertGreater(accepted, 0)
         self.play("b1 close\nwait 20")
-        self.assertEqual(self.server.engine.totals()["gone"], accepted)
-        self.assertEqual(self.server.engine.counts["envelopes"], accepted)
+        self.assertEqual(self.server.engine.totals()["client_gone"], accepted)
+        self.assertEqual(self.server.engine.counts["requests"], accepted)
         self.nothing_left()
 
     def test_the_routers_own_status_is_forwarded(self) -> None:
@@ -591,7 +591,7 @@
         self.addCleanup(process.terminate)
         port = 0
         for line in process.stderr:
-            if match := re.search(r"event=multiget_serving listen=127.0.0.1:(\d+)", line):
+            if match := re.search(r"event=batch_serving listen=127.0.0.1:(\d+)", line):
                 port = int(match[1])
             if "event=serving" in line:
                 return port
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -114,7 +114,7 @@
             self.file = {**valid, "discovery": "127.0.0.1:1", **broken}
             with self.subTest(broken), self.assertLogs("rosepick", "ERROR") as logs:
                 self.play("router reload")
-            self.assertEqual([line.getMessage() for line in logs.records], ["reload_failed"])
+            self.assertEqual([line.getMessage() for line in logs.records], ["config_reload_failed"])
             self.file = valid
         self.play("""
             d tell 42 s1=leaving
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -81,17 +81,19 @@
     def test_idle_clients_after_one_request_are_evicted(self) -> None:
         with self.assertLogs("rosepick", "INFO") as logs:
             self.assertEqual(self.fill(200), 200)
-            began = self.fields(logs, "crowd_began")
-            self.assertEqual((began["may_hold"], began["by"]), (40, "answered"))
+            began = self.fields(logs, "connection_pressure_started")
+            self.assertEqual((began["capacity"], began["reason"]), (40, "not_worth_keeping"))
             self.play("wait 6000")
-            self.assertGreater(self.fields(logs, "crowd_ended")["closed_answered"], 100)
+            self.assertGreater(
+                self.fields(logs, "connection_pressure_ended")["closed_not_worth_keeping"], 100
+            )
             self.server.listener.log_summary()
             fields = self.fields(logs, "connections")
-        self.assertEqual(fields["asks"], 200)
+        self.assertEqual(fields["requests"], 200)
         self.assertEqual(
             fields["opened"],
             sum(fields[name] for name in fields if name.startswith("closed_"))
-            + sum(fields[kind] for kind in ("fresh", "asking", "once", "often", "lingering")),
+            + sum(fields[kind] for kind in ("unused", "active", "used_once", "reused", "lingering")),
         )
 
     def test_exactly_as_many_as_the_limit_all_idle(self) -> None:
@@ -198,7 +200,7 @@
                     self.wire(f"h-{self.server.listener.connection_table.opened_total}")
                     self.step()
                 self.play("wait 100")
-            self.fields(logs, "room_made_in_vain")
+            self.fields(logs, "evictions_unclaimed")
         self.assertLess(self.server.listener.connection_table.opened_total - opened, 40)
 
 
@@ -435,7 +437,7 @@
                 self.server.listener.log_summary()
                 self.server.listener.log_summary()
         fields = [vars(r)["fields"] for r in logs.records if r.getMessage() == "accept_queue_overflowed"]
-        reported = [(line["machine"], line["door"], line["most"]) for line in fields]
+        reported = [(line["host_overflows"], line["listener"], line["queue_limit"]) for line in fields]
         self.assertEqual(reported, [(2, "http", 1024)])
 
     def test_a_closed_connection_leaves_no_cycle(self) -> None:
