--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -203,9 +203,9 @@
 
     # --------------------------------------------------------------------------------------- the verbs
 
-    def wait(self, span: float) -> None:
+    def wait(self, duration_ms: float) -> None:
         """Time passes, a few milliseconds at a time."""
-        until = self.now + span / 1000.0
+        until = self.now + duration_ms / 1000.0
         while self.now < until:
             self.now = min(until, self.now + 0.005)
             self.step()
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -213,9 +213,9 @@
         )
         self.assertEqual(buffered, (0, 0, 0, 0, 0))
 
-    def bounded(self, who: str, most: str) -> None:
+    def bounded(self, who: str, limit_mb: str) -> None:
         """Who floods was held back, and little is held here."""
-        self.assertLess(self.written, int(most) * MIB)
+        self.assertLess(self.written, int(limit_mb) * MIB)
         self.assertLessEqual(self.server.budget.buffered_bytes, 300_000)
 
     def broken(self, who: str, text: str) -> None:
--- a/tests/test_multiget.py
+++ b/tests/test_multiget.py
@@ -58,9 +58,9 @@
 
 class Reading(unittest.TestCase):
     def read(self, body: bytes, head: bytes = HEAD, first: bytes = b"POST /mget HTTP/1.1") -> object:
-        machine = BatchServerProtocol(lambda: NAMES, lambda: 3)
-        machine.feed(b"%b\r\n%bContent-Length: %d\r\n\r\n%b" % (first, head, len(body), body), 500.0)
-        return machine.next_message()
+        protocol = BatchServerProtocol(lambda: NAMES, lambda: 3)
+        protocol.feed(b"%b\r\n%bContent-Length: %d\r\n\r\n%b" % (first, head, len(body), body), 500.0)
+        return protocol.next_message()
 
     def test_a_batch(self) -> None:
         batch = BatchRequest((b"m-1", b"a%20b", b"c"), b"read", b"acme", 1500.0)
@@ -103,10 +103,14 @@
         self.assertEqual(read.status, 413)
 
     def test_responses_parse_back(self) -> None:
-        parts = [(b"a", b"1", 200, b"x\ny"), (b"partial:", b"2", 504, b""), (b"c", b"3", 200, b"partial: 1")]
-        data = b"".join(b"".join(encode_entry(*part)) for part in parts) + encode_trailer(1, 3)
+        entries = [
+            (b"a", b"1", 200, b"x\ny"),
+            (b"partial:", b"2", 504, b""),
+            (b"c", b"3", 200, b"partial: 1"),
+        ]
+        data = b"".join(b"".join(encode_entry(*entry)) for entry in entries) + encode_trailer(1, 3)
         self.assertTrue(data.startswith(b"a 1 200 3\nx\ny\npartial: 2 504 0\n\nc 3 200 10\n"))
-        self.assertEqual(list(parse_entries(data)), parts)
+        self.assertEqual(list(parse_entries(data)), entries)
         for cut in range(len(data)):
             with self.subTest(cut), contextlib.suppress(BatchResponseError):
                 self.assertLess(len(list(parse_entries(data[:cut]))), 2)  # complete, but not of all keys
@@ -129,7 +133,7 @@
         )
 
     @property
-    def parts(self) -> BatchItemScheduler:
+    def scheduler(self) -> BatchItemScheduler:
         assert self.server.batch_listener is not None
         return self.server.batch_listener.scheduler
 
@@ -188,7 +192,7 @@
 
     def nothing_left(self) -> None:
         self.assertEqual(
-            (self.server.budget.buffered_bytes, self.parts.batches, self.parts.idle), (0, {}, [])
+            (self.server.budget.buffered_bytes, self.scheduler.batches, self.scheduler.idle), (0, {}, [])
         )
         self.assertEqual(self.server.listener.open_request_ids, set())
 
@@ -227,11 +231,11 @@
 
     def test_connections_are_reused_within_a_batch_and_closed_after_it(self) -> None:
         self.batch("b1", [f"k{n}" for n in range(60)])
-        most = 0
+        max_connections = 0
         for _ in range(400):
             self.serve()
-            most = max(most, len(self.server.listener.connections))
-        self.assertLessEqual(most, 1 + 8)
+            max_connections = max(max_connections, len(self.server.listener.connections))
+        self.assertLessEqual(max_connections, 1 + 8)
         self.assertEqual(len(self.server.listener.connections), 1)
 
     def test_batches_on_one_connection_are_answered_in_turn(self) -> None:
@@ -257,7 +261,7 @@
                 if seen.count(b"0\r\n\r\n") == 2:
                     break
         first, _, second = seen.partition(b"0\r\n\r\n")
-        self.assertEqual([b"Connection: close" in part for part in (first, second)], [False, True])
+        self.assertEqual([b"Connection: close" in response for response in (first, second)], [False, True])
         self.assertEqual([key for _, key, _ in self.requests], ["k1", "k2"])
 
     def test_items_are_no_clients_of_an_address(self) -> None:
@@ -313,18 +317,18 @@
     sockets = 256
 
     def test_items_in_flight_are_few_and_batches_share_them(self) -> None:
-        self.parts.expected_response_bytes = 100.0
+        self.scheduler.expected_response_bytes = 100.0
         for n in range(3):
             self.batch(f"b{n}", [f"k{n}{m}" for m in range(64)])
         for _ in range(5):
             self.step()
-        self.assertEqual(self.parts.max_in_flight(), 8)
-        out = [batch.in_flight for batch in self.parts.batches]
+        self.assertEqual(self.scheduler.max_in_flight(), 8)
+        out = [batch.in_flight for batch in self.scheduler.batches]
         self.assertLessEqual(sum(out), 8)
         self.assertEqual(out, [6, 2, 0])
         self.serve()
         self.serve()
-        self.assertGreater(min(batch.in_flight for batch in self.parts.batches), 0)
+        self.assertGreater(min(batch.in_flight for batch in self.scheduler.batches), 0)
         for n in range(3):
             self.assertEqual(len(self.read_entries(f"b{n}")), 64)
         self.nothing_left()
@@ -339,8 +343,8 @@
     def test_all_descriptors_in_use_is_502(self) -> None:
         with mock.patch.object(self.server.budget, "ensure_available", return_value=False):
             self.wire("b1").sock.send(b"")
-            link_made = mock.patch.object(self.server.listener, "_can_accept", return_value=True)
-            with link_made:
+            accepting = mock.patch.object(self.server.listener, "_can_accept", return_value=True)
+            with accepting:
                 self.batch("b1", ["k1"])
                 self.assertEqual([row[2] for row in self.read_entries("b1")], [502])
 
@@ -353,17 +357,17 @@
         super().setUp()
         self.keys = [f"k{n}" for n in range(64)]
         self.sizes = dict.fromkeys(self.keys, MIB)
-        self.most = 0
+        self.peak_buffered_bytes = 0
 
     def step(self) -> None:
         super().step()
-        self.most = max(self.most, self.server.budget.buffered_bytes)
+        self.peak_buffered_bytes = max(self.peak_buffered_bytes, self.server.budget.buffered_bytes)
 
     def test_64_responses_of_1_mib_fit_32_mb(self) -> None:
         self.batch("b1", self.keys)
         entries = self.read_entries("b1")
         self.assertEqual([row[2:] for row in entries], [(200, MIB)] * 64)
-        self.assertLess(self.most, self.server.budget.max_buffered_bytes)
+        self.assertLess(self.peak_buffered_bytes, self.server.budget.max_buffered_bytes)
         self.nothing_left()
 
     def test_also_if_the_client_does_not_read(self) -> None:
@@ -372,7 +376,7 @@
             for _ in range(300):
                 self.serve()
             self.assertLess(len(self.requests), 20)
-            self.assertLess(self.most, self.server.budget.max_buffered_bytes)
+            self.assertLess(self.peak_buffered_bytes, self.server.budget.max_buffered_bytes)
             self.assertGreater(self.server.budget.buffered_bytes, 0)
             self.sizes = {}
             self.batch("b2", ["x1", "x2"])
@@ -383,7 +387,7 @@
 
     def test_a_client_that_reads_too_slowly_for_too_long_loses_its_connection(self) -> None:
         self.batch("b1", self.keys)
-        (batch,) = self.parts.batches
+        (batch,) = self.scheduler.batches
         assert isinstance(batch, BatchDownstreamConnection)
         batch.deadline -= 12_500.0
         batch.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -453,16 +457,16 @@
             for connection in self.server.listener.connections
             if not isinstance(connection, BatchDownstreamConnection)
         ]
-        batch = next(iter(self.parts.batches))
+        batch = next(iter(self.scheduler.batches))
         assert isinstance(batch, BatchDownstreamConnection)
-        part = batch.unwritten_items[0]
-        assert part.connection is not None
-        part.connection.used = True  # as if it had carried an item before
+        item = batch.unwritten_items[0]
+        assert item.connection is not None
+        item.connection.used = True  # as if it had carried an item before
         idle_connection.close()
         self.serve()
         entries = self.read_entries("b1")
         self.assertEqual([row[2] for row in entries], [200])
-        self.assertTrue(part.was_resent)
+        self.assertTrue(item.was_resent)
 
     def test_a_new_connection_that_breaks_is_502(self) -> None:
         self.batch("b1", ["k1"])
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -72,18 +72,18 @@
         return done.returncode, done.stderr
 
 
-class Map(unittest.TestCase):
-    def take(
-        self, map_: endpoint_directory.EndpointDirectory, is_full: bool, *rows: object
+class EndpointLists(unittest.TestCase):
+    def apply(
+        self, directory: endpoint_directory.EndpointDirectory, is_full: bool, *rows: object
     ) -> endpoint_directory.DirectoryUpdate:
-        return map_.apply_update(SettingsReader({"rev": 2, "all": is_full, "targets": list(rows)}, ""))
+        return directory.apply_update(SettingsReader({"rev": 2, "all": is_full, "targets": list(rows)}, ""))
 
     def test_members(self) -> None:
-        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, unix_offset_ms=5000.0)
-        change = self.take(map_, True, target("s1", 1), {**target("origin", 2), "boot_ms": 7000})
+        directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, unix_offset_ms=5000.0)
+        change = self.apply(directory, True, target("s1", 1), {**target("origin", 2), "boot_ms": 7000})
         first, second = change.event.endpoints
         self.assertEqual((first.started_at, first.kind, second.started_at, second.kind), (0.0, 0, 2000.0, 1))
-        self.assertEqual(map_.endpoints[second.endpoint_id].address, ("127.0.0.1", 2))
+        self.assertEqual(directory.endpoints[second.endpoint_id].address, ("127.0.0.1", 2))
 
     def test_retired_when_it_drains_leaves_restarts_or_moves(self) -> None:
         for row in (
@@ -92,16 +92,16 @@
             target("s1", 9),
             {**target("s1", 1), "boot_ms": 9},
         ):
-            map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
-            (member,) = self.take(map_, True, target("s1", 1)).event.endpoints
-            self.assertEqual(self.take(map_, False, target("s1", 1)).retired_endpoint_ids, ())
-            self.assertEqual(self.take(map_, False, row).retired_endpoint_ids, (member.endpoint_id,))
+            directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
+            (member,) = self.apply(directory, True, target("s1", 1)).event.endpoints
+            self.assertEqual(self.apply(directory, False, target("s1", 1)).retired_endpoint_ids, ())
+            self.assertEqual(self.apply(directory, False, row).retired_endpoint_ids, (member.endpoint_id,))
 
     def test_numbers_that_collide(self) -> None:
-        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
+        directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
         taken_id = endpoint_directory.hash_uid("s2")
-        map_.numbers_by_uid["another"] = taken_id
-        (member,) = self.take(map_, False, target("s2", 1)).event.endpoints
+        directory.numbers_by_uid["another"] = taken_id
+        (member,) = self.apply(directory, False, target("s2", 1)).event.endpoints
         self.assertNotIn(member.endpoint_id, (0, taken_id))
 
     def test_number_is_never_the_one_for_none(self) -> None:
@@ -111,13 +111,13 @@
             self.assertEqual((endpoint_directory.hash_uid("a"), endpoint_directory.hash_key(b"a")), (1, 1))
 
     def test_malformed_list_changes_nothing(self) -> None:
-        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
-        self.take(map_, True, target("s1", 1))
+        directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
+        self.apply(directory, True, target("s1", 1))
         for row in ({}, target("s1", 1, "odd"), {**target("s2", 1), "endpoint": "x"}):
             with self.assertRaises(ValueError):
-                self.take(map_, True, row)
-        self.assertEqual([endpoint.uid for endpoint in map_.endpoints.values()], ["s1"])
-        self.assertIs(self.take(map_, False, target("s1", 1)).event.scope, api.UpdateScope.DELTA)
+                self.apply(directory, True, row)
+        self.assertEqual([endpoint.uid for endpoint in directory.endpoints.values()], ["s1"])
+        self.assertIs(self.apply(directory, False, target("s1", 1)).event.scope, api.UpdateScope.DELTA)
 
 
 class Log(unittest.TestCase):
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -62,13 +62,13 @@
 
     def fill(self, count: int, every: float = 10.0) -> int:
         """Connect clients that each send one request and stay; return how many were answered."""
-        good = 0
+        answered_count = 0
         for n in range(count):
             if self.connection_count() < 40:
                 self.ask(f"h{n}")
-                good += self.answered(f"h{n}")
+                answered_count += self.answered(f"h{n}")
             self.play(f"wait {every}")
-        return good
+        return answered_count
 
     def fields(self, logs: Any, event: str) -> dict[str, Any]:
         """The fields of the last log line of that event."""
