--- a/rosepick/http/request_messages.py
+++ b/rosepick/http/request_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ..core.body_stream import BodyStream
-from ..core.engine import RequestContext
+from ..core.request_context import RequestContext
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -10,7 +10,7 @@
 
 from ..core.body_stream import BodyStream, BufferBudget
 from ..core.endpoint_directory import hash_key
-from ..core.engine import RequestContext
+from ..core.request_context import RequestContext
 from ..settings.config import NameIndexes
 from .request_headers import (
     index_header,
--- a/rosepick/net/connection_report.py
+++ b/rosepick/net/connection_report.py
@@ -16,15 +16,6 @@
 # its lines belong to the listener, also where log lines are rate limited
 logger = logging.getLogger(f"{__package__}.listener")
 
-# log fields of the kinds of connections that have another name there
-LOG_FIELD_BY_KIND = {
-    "asking": "active",
-    "fresh": "unused",
-    "once": "used_once",
-    "often": "reused",
-    "half": "partial_requests",
-}
-
 
 class ConnectionReport:
     """Logs what happens to client connections."""
@@ -53,7 +44,7 @@
                 logging.INFO,
                 "evictions_unclaimed",
                 count=self._unclaimed_evictions,
-                **self._counts_by_kind(),
+                **self._table.counts_by_kind(),
             )
 
     def _log_pressure_begin(self, now: float) -> None:
@@ -63,7 +54,7 @@
             logging.INFO,
             "connection_pressure_started",
             reason=self._policy.pressure_reason.name.lower(),
-            **self._counts_by_kind(),
+            **self._table.counts_by_kind(),
             **asdict(self._policy.pressure_snapshot(now)),
         )
 
@@ -84,11 +75,6 @@
             },
         )
 
-    def _counts_by_kind(self) -> dict[str, int]:
-        """Return the open connections by kind, under their log field names."""
-        counts = self._table.counts_by_kind()
-        return {LOG_FIELD_BY_KIND.get(kind, kind): count for kind, count in counts.items()}
-
     def log_summary(self) -> None:
         """Log the counts of connections by kind, close reason, listener and purpose."""
         closed = {f"closed_{reason.name.lower()}": n for reason, n in self._table.closed_by_reason.items()}
@@ -100,7 +86,7 @@
             logger,
             logging.INFO,
             "connections",
-            **self._counts_by_kind(),
+            **self._table.counts_by_kind(),
             capacity=self._policy.capacity(),
             opened=self._table.opened_total,
             requests=self._table.request_total,
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -7,7 +7,7 @@
 
 from ..connections.connection_table import CloseReason
 from ..core.body_stream import BodyStream
-from ..core.engine import RequestContext
+from ..core.request_context import RequestContext
 from ..http.client_protocol import StreamedResponse
 from ..http.request_messages import (
     ForwardedRequest,
--- a/rosepick/net/graceful_shutdown.py
+++ b/rosepick/net/graceful_shutdown.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..connections.connection_table import CloseReason, ConnectionState
-from ..connections.policy import NEW_CONNECTION_GRACE_MS
+from ..connections.eviction import NEW_CONNECTION_GRACE_MS
 from ..core.engine import Engine
 from .client_connection import ClientConnection
 from .event_loop import EventLoop
--- a/rosepick/net/listener_config.py
+++ b/rosepick/net/listener_config.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from ..connections.policy import ConnectionLimits
+from ..connections.headroom import ConnectionLimits
 from ..settings.operator_file import OperatorFile
 
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -12,7 +12,8 @@
 
 from ..connections.connection_table import CloseReason
 from ..core.endpoint_directory import EndpointDirectory
-from ..core.engine import Engine, ObservedEngine
+from ..core.engine import Engine
+from ..core.observed_engine import ObservedEngine
 from ..decisions import api
 from ..decisions.decide import Router
 from ..logs import log_event
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -9,7 +9,8 @@
 from ..connections.descriptor_budget import DescriptorUse
 from ..connections.keep_alive import KeepAliveController
 from ..core.endpoint_directory import EndpointDirectory, EndpointEntry
-from ..core.engine import Engine, UpstreamAttempt
+from ..core.engine import Engine
+from ..core.request_context import UpstreamAttempt
 from ..decisions.api import Result, Status
 from ..http.client_protocol import AttemptResult
 from ..http.request_messages import ForwardedRequest
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -100,7 +100,7 @@
     def test_numbers_that_collide(self) -> None:
         directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
         taken_id = endpoint_directory.hash_uid("s2")
-        directory.numbers_by_uid["another"] = taken_id
+        directory.ids_by_uid["another"] = taken_id
         (member,) = self.apply(directory, False, target("s2", 1)).event.endpoints
         self.assertNotIn(member.endpoint_id, (0, taken_id))
 
