--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -30,12 +30,12 @@
     nodes = ("s1", "s2", "origin")
 
     def document(self) -> dict[str, Any]:
-        told = super().document()
-        told["known"]["targets"] = [target(name, self.port(name)) for name in ("s1", "origin")]
-        return told
+        document = super().document()
+        document["known"]["targets"] = [target(name, self.port(name)) for name in ("s1", "origin")]
+        return document
 
     def follow(self) -> None:
-        """Discovery is asked, and polled."""
+        """Let discovery be polled."""
         self.play(f"wait 700\n{FIRST}\nd tell 41\n{POLL}")
 
     def request(self, path: str, method: str = "GET", length: int = 0) -> bytes:
@@ -47,7 +47,7 @@
         ).encode()
 
     def freed(self) -> None:
-        """Nothing is left of a request: no attempt, no connection on its way, no place in a count."""
+        """Expect nothing left of a request: no attempt, no connecting connection, no count."""
         pool, module = self.server.pool, self.module()
         self.assertEqual((self.server.engine.pending_count, len(self.server.engine.requests)), (0, 0))
         self.assertEqual((len(pool.busy), module.origin.in_flight, module.shedder.in_flight), (0, 0, 0))
@@ -58,11 +58,11 @@
 class ClientLeaves(Known):
     WANTS = "send GET /api/k1\ns1 expect GET /api/k1\ns1 send 404 none"
 
-    def test_while_a_dial_to_a_cache_node_is_coming_up(self) -> None:
+    def test_while_connecting_to_a_cache_node(self) -> None:
         self.play("s1 hold\nc1 send GET /api/k1\nc1 close")
         self.freed()
 
-    def test_while_a_dial_to_the_origin_is_coming_up(self) -> None:
+    def test_while_connecting_to_the_origin(self) -> None:
         """A fetch that is out is left to be stored; one that is not written has nothing to be stored."""
         self.play("""
             origin hold
@@ -75,12 +75,12 @@
         self.freed()
         self.play("origin let\nwait 100\norigin expect nothing")
 
-    def test_a_write_while_its_dial_is_coming_up(self) -> None:
+    def test_a_write_while_connecting(self) -> None:
         self.play("origin hold\nc1 send PUT /api/k1 value\nall holds engine.pending_count 1\nc1 close")
         self.freed()
         self.play("origin let\norigin expect nothing")
 
-    def test_a_long_body_that_is_whole_while_its_dial_is_coming_up(self) -> None:
+    def test_a_long_body_that_is_complete_while_connecting(self) -> None:
         body = "x" * 100_000
         self.play(
             f"origin hold\nc1 send PUT /api/k1 {body}\nall holds engine.pending_count 1\nc1 close\norigin let"
@@ -89,7 +89,7 @@
         self.play("origin expect nothing")
 
     def test_in_a_fetch_that_others_share(self) -> None:
-        """It is written, so it goes on: the others get theirs by it, and one who comes later, too."""
+        """It was written, so it continues: waiting and later requests share its response."""
         self.play(f"""
             c1 {self.WANTS}
             origin expect GET /api/k1
@@ -106,7 +106,7 @@
         self.freed()
 
     def test_in_a_fetch_that_others_share_and_that_never_ran(self) -> None:
-        """The others get their answers from one fetch, and not from one each."""
+        """The others get their responses from one fetch, not from one each."""
         self.play(f"origin hold\nc1 {self.WANTS}\nc2 {self.WANTS}\nc3 {self.WANTS}\norigin let")
         self.play("""
             c1 close
@@ -122,7 +122,7 @@
         self.freed()
 
     def test_in_a_fetch_that_others_share_and_that_hangs(self) -> None:
-        """It is waited for until the deadline of who asked first, and not beyond."""
+        """It is waited for until the deadline of the first request, and not beyond."""
         self.play("c1 send GET /api/k1 Req-Deadline=0.200\ns1 expect GET /api/k1\ns1 send 404 none")
         self.play(f"origin expect GET /api/k1\nc2 {self.WANTS}\nc1 close\nwait 190\norigin expect nothing")
         self.play("wait 20\ns1 expect GET /api/k1\ns1 send 404 none\nwait 150\norigin expect GET /api/k1")
@@ -146,7 +146,7 @@
         self.freed()
 
     def test_behind_requests_that_are_not_read(self) -> None:
-        """Four are read ahead and the rest stays in the socket, so that no selector tells of the end."""
+        """Four are read ahead and the rest stays in the socket, so that no selector reports the end."""
         first, others = self.request("/api/k1"), [self.request(f"/api/k{n}") for n in range(2, 9)]
         self.put("c1", first)
         self.play("s1 expect GET /api/k1")
@@ -159,7 +159,7 @@
         self.play("s1 expect closed\ns1 expect nothing")
 
     def test_behind_a_body_that_waits_for_room(self) -> None:
-        """The dial is coming up, so nothing of the body goes on and nothing more of it is read."""
+        """While connecting, nothing of the body is forwarded and nothing more of it is read."""
         self.play("origin hold")
         self.put("c1", self.request("/api/k1", method="PUT", length=3_000_000))
         self.put("c1", b"x" * 300_000)
@@ -169,8 +169,8 @@
         self.freed()
 
 
-class NextHopDrains(Known):
-    def test_while_its_dial_is_coming_up(self) -> None:
+class EndpointDrains(Known):
+    def test_while_connecting_to_it(self) -> None:
         """The request goes elsewhere at once, and no retry is spent on it."""
         self.follow()
         retries = self.module().retry_budget
@@ -187,12 +187,12 @@
         self.assertEqual(self.module().retry_budget, retries)
         self.play("s1 let\nwait 100\ns1 expect nothing")
 
-    def test_while_the_dial_to_the_only_one_is_coming_up(self) -> None:
+    def test_while_connecting_to_the_only_one(self) -> None:
         self.follow()
         self.play("s1 hold\nc1 send GET /api/k1\nd tell 42 s1=leaving\nc1 expect 503")
         self.freed()
 
-    def test_while_a_dial_to_the_origin_is_coming_up(self) -> None:
+    def test_while_connecting_to_the_origin(self) -> None:
         self.follow()
         self.play("origin hold\nc1 send PUT /api/k1 value\nd tell 42 origin=leaving\nc1 expect 503")
         self.freed()
@@ -211,7 +211,7 @@
         self.freed()
 
     def test_while_a_request_stands_behind_a_shared_fetch(self) -> None:
-        """The copy is stored at a node that has been told to leave meanwhile: it is not read there."""
+        """The copy is stored at a node that drains meanwhile: it is not read there."""
         self.follow()
         self.play("""
             c1 send GET /api/k1
@@ -249,7 +249,7 @@
         self.freed()
 
     def test_before_a_repeat(self) -> None:
-        """The first attempt broke while the list came; the repeat is made by the new one."""
+        """The first attempt broke while the list was received; the repeat follows the new list."""
         self.follow()
         self.play("""
             c1 send GET /api/k1
@@ -262,7 +262,7 @@
         """)
         self.freed()
 
-    def test_a_drain_that_is_told_while_all_others_are_silent(self) -> None:
+    def test_a_drain_that_is_announced_while_all_others_are_silent(self) -> None:
         """When nobody seems alive all are tried, but none that is leaving."""
         self.follow()
         self.play("d tell 42 s1=leaving")
@@ -272,48 +272,48 @@
 
 
 class TimeRunsOut(Known):
-    """What ends between the choice and the first byte, while a dial is coming up."""
+    """What ends between the choice and the first byte, while connecting."""
 
     def document(self) -> dict[str, Any]:
-        told = super().document()
+        document = super().document()
         classes = [{**one} for one in SETTINGS["request_classes"]]
         classes[1]["repeat_window"] = 200.0
-        told["settings"] = {**SETTINGS, "request_classes": classes}
-        return told
+        document["settings"] = {**SETTINGS, "request_classes": classes}
+        return document
 
     def late(self, after: float) -> None:
-        """A write whose answer is spoilt is repeated on a dial that comes up so long after."""
+        """Repeat a write whose response is malformed, on a connection that takes this long."""
         self.play("c1 send PUT /api/k1 value\norigin expect PUT /api/k1\norigin hold")
         self.play("origin raw HTTP/1.1 nonsense\\r\\n\\r\\n\nall holds engine.pending_count 1")
-        (link,) = self.server.pool.busy.values()
-        assert link.is_connecting
+        (connection,) = self.server.pool.busy.values()
+        assert connection.is_connecting
         self.wait(after)
-        with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(link, "_write") as write:
-            link.on_ready(WRITE)
+        with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(connection, "_write") as write:
+            connection.on_ready(WRITE)
         self.written = write.called
 
     def test_a_repeat_within_its_window(self) -> None:
         self.late(100)
         self.assertTrue(self.written)
 
-    def test_a_repeat_whose_window_ends_while_its_dial_is_coming_up(self) -> None:
-        """A next hop may have forgotten the first by then, and would run it twice."""
+    def test_a_repeat_whose_window_ends_while_connecting(self) -> None:
+        """An upstream may have forgotten the first by then, and would execute it twice."""
         self.late(190)
         self.assertFalse(self.written)
         self.play("c1 expect 503")
         self.freed()
 
-    def test_the_time_that_is_told_counts_from_the_write(self) -> None:
-        """Not from when the dial began."""
+    def test_the_time_left_counts_from_the_write(self) -> None:
+        """Not from the begin of the connect."""
         self.play("s1 hold\nc1 send GET /api/k1 Req-Deadline=0.500\nwait 200")
-        (link,) = self.server.pool.busy.values()
+        (connection,) = self.server.pool.busy.values()
         with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(TcpStream, "write") as write:
             write.side_effect = len
-            link.on_ready(WRITE)
-        (said,) = (bytes(call.args[0]) for call in write.call_args_list)
-        self.assertIn(b"Req-Deadline: 0.3", said)
+            connection.on_ready(WRITE)
+        (request,) = (bytes(call.args[0]) for call in write.call_args_list)
+        self.assertIn(b"Req-Deadline: 0.3", request)
 
-    def test_a_deadline_that_passes_while_its_dial_is_coming_up(self) -> None:
+    def test_a_deadline_that_passes_while_connecting(self) -> None:
         self.play("s1 hold\nc1 send GET /api/k1 Req-Deadline=0.100\nwait 100\nc1 expect 504")
         self.freed()
 
@@ -326,18 +326,18 @@
     """SIGTERM, whatever requests are doing."""
 
     def ends(self, text: str) -> None:
-        """All that was taken is answered, and the router ends."""
+        """Expect every accepted request answered, and the router ended."""
         self.play(f"{text}\nc1 expect 200 Connection=close value\nc1 expect closed\nwait 1000\nrouter ended")
         self.freed()
 
-    def test_while_half_a_head_has_come(self) -> None:
+    def test_while_a_head_is_incomplete(self) -> None:
         head, rest = self.request("/api/k1")[:40], self.request("/api/k1")[40:]
         self.put("c1", head)
         self.play("router end")
         self.put("c1", rest.replace(b"own2", b"own1"))
         self.ends("s1 expect GET /api/k1\ns1 send 200 value")
 
-    def test_while_a_dial_is_coming_up(self) -> None:
+    def test_while_connecting(self) -> None:
         self.play("s1 hold\nc1 send GET /api/k1\nrouter end\ns1 let")
         self.play("wait 250\nc1 expect 503 Connection=close\nc1 expect closed\nwait 1000\nrouter ended")
         self.freed()
@@ -345,7 +345,7 @@
     def test_while_it_is_written(self) -> None:
         self.ends("c1 send GET /api/k1\ns1 expect GET /api/k1\nrouter end\ns1 send 200 value")
 
-    def test_while_the_origin_is_asked(self) -> None:
+    def test_while_fetching_from_the_origin(self) -> None:
         self.ends("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
@@ -372,7 +372,7 @@
             s1 send 200 value
         """)
 
-    def test_while_half_of_its_answer_is_passed_on(self) -> None:
+    def test_while_its_response_is_streamed(self) -> None:
         half = "x" * 70_000
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
         self.put("s1", f"HTTP/1.1 200 OK\r\nContent-Length: 140000\r\n\r\n{half}".encode())
@@ -395,10 +395,12 @@
         """)
 
     def test_a_request_that_crosses_the_close_of_its_connection(self) -> None:
-        """It is not read, and the connection is no reset, which would take the last answer with it."""
+        """It is not read, and the connection is not reset, which could destroy the last response."""
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1\ns1 send 200 value\nrouter end\nwait 590")
         wire = self.wires["c1"][-1]
-        with mock.patch.object(DownstreamConnection, "is_idle", lambda link: link.protocol.is_idle()):
+        with mock.patch.object(
+            DownstreamConnection, "is_idle", lambda connection: connection.protocol.is_idle()
+        ):
             self.now += 0.02
             wire.sock.send(self.request("/api/k2"))
             self.loop.step(0)  # its timer first: the look was just before the request
@@ -422,7 +424,7 @@
         self.assertLess(oldest, endpoint_watch.MAX_NOTIFICATION_DELAY_MS)
 
     def until_asked(self, text: str) -> float:
-        """The time until discovery has a call, which then tells of a drain that is kept to at once."""
+        """Return the time until discovery has a poll, whose list announces a drain that applies at once."""
         since = self.now
         for _ in range(2_000):
             self.wait(5)
@@ -435,13 +437,13 @@
         return took
 
     def silent(self) -> None:
-        """The call that discovery has is never answered."""
+        """The poll that discovery has is never answered."""
         for wire in self.wires["d"]:
             wire.seen = b""
 
     AGAIN = f"{FIRST}\nd tell 42 s1=leaving"
 
-    def test_from_its_first_call(self) -> None:
+    def test_from_its_first_poll(self) -> None:
         self.wait(700)
         self.silent()
         self.until_asked(self.AGAIN)
@@ -451,7 +453,7 @@
         took = self.until_asked(self.AGAIN)
         self.assertGreater(took, 4000)
 
-    def test_amid_an_answer(self) -> None:
+    def test_amid_a_response(self) -> None:
         self.follow()
         self.play('d raw HTTP/1.1 200 OK\\r\\nContent-Length: 500\\r\\n\\r\\n{"rev":42,')
         self.until_asked(self.AGAIN)
@@ -471,21 +473,21 @@
         self.play('d send 200 {"rev":42,"all":false,"targets":[{"uid":7}]}')
         self.assertLess(self.until_asked(self.AGAIN), 700)
 
-    def test_as_dials_do_not_come_up(self) -> None:
+    def test_as_connects_do_not_succeed(self) -> None:
         """Discovery is cut off for 8 s, after which a backoff is at its longest."""
         self.follow()
         self.play("d close\nd hold\nwait 8000\nd let")
         took = self.until_asked(self.AGAIN)
         self.assertLess(took, endpoint_watch.CONNECT_TIMEOUT_MS + decide.MAX_BACKOFF_MS + STEP + 10)
 
-    def test_as_each_call_is_refused_for_long(self) -> None:
+    def test_as_each_poll_is_refused_for_long(self) -> None:
         self.follow()
         for _ in range(8):
             self.play(f"d send 503 no\nwait 1900\n{FIRST}")
         self.play("d send 503 no")
         self.assertLess(self.until_asked(self.AGAIN), 1_910)
 
-    def test_a_change_between_two_polls_is_in_the_next_answer(self) -> None:
+    def test_a_change_between_two_polls_is_in_the_next_response(self) -> None:
         self.follow()
         self.play("""
             d tell 41
@@ -495,7 +497,7 @@
             c1 expect 503
         """)
 
-    def test_told_twice_and_indented(self) -> None:
+    def test_announced_twice_and_indented(self) -> None:
         self.follow()
         rows = [target("s1", self.port("s1"), "leaving")]
         body = json.dumps({"rev": 42, "all": False, "targets": rows}, indent=4)
@@ -505,7 +507,7 @@
         self.play("c1 send GET /api/k1\nc1 expect 503\nall holds endpoint_directory.revision 42")
 
     def test_a_revision_that_goes_back(self) -> None:
-        """Discovery began anew: its whole list counts as it is, and is followed from there."""
+        """Discovery was reset: its full list counts, and is followed from there."""
         self.follow()
         self.play("""
             d list 3 s2=active origin=active
@@ -515,7 +517,7 @@
             s1 expect nothing
         """)
 
-    def test_a_move_whose_first_call_fails_asks_for_the_whole_list_again(self) -> None:
+    def test_a_switch_whose_first_poll_fails_requests_the_full_list_again(self) -> None:
         """The revision held means something else at the new discovery."""
         self.follow()
         self.file["discovery"] = f"127.0.0.1:{self.port('d')}"
@@ -534,12 +536,12 @@
 
 
 class DescriptorsFull(Known):
-    """Idle clients hold all that the doors may have, and more wait behind them, while discovery is down."""
+    """Idle clients hold all their descriptors, and more wait behind them, while discovery is down."""
 
     sockets = 128
 
     def test_back_to_the_list_and_to_clients(self) -> None:
-        """The list is heard once discovery is back, and a request is served at the next hop that it names."""
+        """The list is received once discovery is back, and a request is served by the upstream it names."""
         self.follow()
         self.play("d close\nd hold")
         for n in range(90):
@@ -548,7 +550,7 @@
         budget = self.server.budget
         self.assertGreaterEqual(len(self.server.listener.connections), budget.downstream_limit())
         while budget.used < budget.limit:
-            budget.acquire(DescriptorUse.UPSTREAM)  # and the next hops hold all the rest
+            budget.acquire(DescriptorUse.UPSTREAM)  # and upstreams hold all the rest
         self.play("wait 3000\nd let")
         since = self.now
         for _ in range(2_000):
@@ -564,12 +566,12 @@
 
 
 class ListsArePushed(Known):
-    """To an agent, which has to be asked all the same: what it has counts as told at once."""
+    """Lists are pushed to an agent, which still has to be polled: what it has counts as announced."""
 
     def document(self) -> dict[str, Any]:
         return {**super().document(), "settings": {**SETTINGS, "membership_mode": "automatic"}}
 
-    def test_it_is_asked_at_once_and_again_soon(self) -> None:
+    def test_it_is_polled_at_once_and_again_soon(self) -> None:
         self.play(f"""
             wait {STEP}
             {FIRST}
@@ -588,7 +590,7 @@
 
 
 def test_a_fetch_that_hangs_is_waited_for_until_its_own_deadline() -> None:
-    """Also where nobody tells the module of its end: on sockets the attempt's own does."""
+    """Also if the module is not notified of its end: on sockets that of the attempt does it."""
     classes = (api.RequestClass(objective_ms=300, deadline_ms=1000, worth=2),)
     router = decide.Router(settings(classes=classes, tenants=()), 1)
     router.handle(0.0, api.EndpointUpdate(api.UpdateScope.CACHED, tuple(fleet())))
@@ -609,18 +611,18 @@
     return isinstance(action, api.Send)
 
 
-def test_a_body_of_which_a_part_was_let_go_is_not_whole() -> None:
-    flow = BodyStream(BufferBudget(1_000_000), None)
-    flow.write(b"part")
-    flow.finish()
-    flow.close()
-    assert not flow.is_drained() and flow.is_truncated()
+def test_a_body_of_which_a_part_was_dropped_is_incomplete() -> None:
+    body = BodyStream(BufferBudget(1_000_000), None)
+    body.write(b"part")
+    body.finish()
+    body.close()
+    assert not body.is_drained() and body.is_truncated()
 
 
-def test_a_body_that_was_taken_whole_stays_so() -> None:
-    flow = BodyStream(BufferBudget(1_000_000), None)
-    flow.write(b"part")
-    flow.finish()
-    assert flow.read(100) == [b"part"]
-    flow.close()
-    assert flow.is_drained() and not flow.is_truncated()
+def test_a_body_that_was_read_completely_stays_complete() -> None:
+    body = BodyStream(BufferBudget(1_000_000), None)
+    body.write(b"part")
+    body.finish()
+    assert body.read(100) == [b"part"]
+    body.close()
+    assert body.is_drained() and not body.is_truncated()
