Rewrite the history, invariants and linearizability check of fault-injection tests

Change: _Step, _Value and _HoldingPeriod name what was a tuple; the search and the check of fencing tokens are classes with one step a method; names of invariants are an enum. Tags, field names and texts are as they were.

--- a/rosepick/lab/drill/history.py
+++ b/rosepick/lab/drill/history.py
@@ -1,4 +1,8 @@
-"""What happened in a drill, by the drill's one clock (seconds), and what each process was seen to do."""
+"""The history of a fault-injection test: typed events with their times, and their form in files.
+
+Times are seconds of the test's own clock, whichever process an event is about. Class names are free; tags and
+field names are the stored form.
+"""
 
 from __future__ import annotations
 
@@ -9,28 +13,30 @@
 
 
 class Event(msgspec.Struct, frozen=True, tag_field="event"):
-    """All of them have a process and a moment."""
+    """An event of the history: the process that it is about, and its time."""
 
     process: str
     at: float
 
 
 class RegisterOperation(Event, frozen=True, tag="operation"):
-    """A reading or change of a register: from `begin` to `at`. `mark` is its own, `seen` that of the value
-    that it ended with, `version` that value's, and `base` the mark of the value before it.
+    """A read or change of a register, from `begin` to `at`.
+
+    `mark` is the operation's own change id. `seen`, `version` and `base` are the change id, the version and
+    the parent change id of the value that it ended with.
     """
 
     begin: float
     key: str
     mark: str
-    kind: str  # as in agreement.operation.Kind; "open": it never ended
+    kind: str  # a value of `consensus.proposer.OutcomeKind`, or "open" while no outcome is known
     version: int = 0
     seen: str = ""
     base: str = ""
 
 
 class LeaseCheckPassed(Event, frozen=True, tag="yes"):
-    """A holder was told that it may act: asked at `begin`, told by `at`."""
+    """A lease holder checked that it may act: the check began at `begin` and passed by `at`."""
 
     begin: float
     task: str
@@ -39,7 +45,7 @@
 
 
 class GuardedEffect(Event, frozen=True, tag="effect"):
-    """A guarded resource took a step, or refused it."""
+    """A resource behind a fencing guard accepted (`taken`) or rejected an effect."""
 
     task: str
     token: int
@@ -48,7 +54,7 @@
 
 
 class LeaseStateChanged(Event, frozen=True, tag="moved"):
-    """A contender has come to hold, lose or end a lease."""
+    """A lease client acquired, lost or ended a lease; `where` is its new state."""
 
     task: str
     token: int
@@ -57,8 +63,10 @@
 
 
 class AvailabilityChanged(Event, frozen=True, tag="stood"):
-    """A member has gone out of service or come back, as seen from outside. `by`: "program", or "fault" of
-    the drill. `free`: the budget does not bind it, as its host was said to die.
+    """A member went out of service or came back, as observed from outside.
+
+    `by` is the cause: "program", or "fault" for an injected one. `free` means that the disruption budget does
+    not apply, since an operator ordered the member out at once.
     """
 
     kind: str  # "routers" or "caches"
@@ -69,22 +77,24 @@
 
 
 class OperatorOrderAccepted(Event, frozen=True, tag="ordered"):
-    """An operator's word was taken: halt, resume, out, in, off, on."""
+    """An operator's order was accepted: halt, resume, out, in, off or on."""
 
     what: str
     names: tuple[str, ...] = ()
 
 
 class NodeRequestReceived(Event, frozen=True, tag="came"):
-    """A cache node got a request; `draining`: it had said that it takes nothing new."""
+    """A cache node received a request; `draining` tells whether it had announced a drain before."""
 
     request: str
     draining: bool
 
 
 class ClientRequestCompleted(Event, frozen=True, tag="answered"):
-    """A client's request, from its last byte written at `begin`. `status` 0: its connection ended without
-    an answer, or its time and half a second more were over.
+    """A client's request ended; `begin` is the time at which its last byte was written.
+
+    `status` is 0 if the connection closed without a response, or none came within half a second after the
+    deadline.
     """
 
     begin: float
@@ -93,18 +103,20 @@
 
 
 class DrainAnnounced(Event, frozen=True, tag="told"):
-    """All routers that run have been told that a node (`process`) wants nothing new."""
+    """All running routers have been notified that a node (`process`) is draining."""
 
 
 class VersionStarted(Event, frozen=True, tag="ran"):
-    """A member has begun to run a version, as seen from outside."""
+    """A member began to run a version, as observed from outside."""
 
     version: str
 
 
 class ReleaseDecided(Event, frozen=True, tag="decided"):
-    """The record of releases said something new: from `begin` (it said so by `at`) these may run `version`.
-    `back`: it is being taken back. `over`: no release is open, and all are to run `version`.
+    """The rollout record changed: members in `may` are allowed to run `version`.
+
+    The read that showed it ran from `begin` to `at`. `back` means that the rollout is being rolled back;
+    `over` that none is open and all members should run `version`.
     """
 
     begin: float
@@ -116,7 +128,7 @@
 
 
 class FaultInjected(Event, frozen=True, tag="fault"):
-    """A fault was put in, or taken out again."""
+    """A fault was injected or removed."""
 
     fault: str
     detail: str = ""
@@ -141,29 +153,32 @@
 
 
 def encode_line(event: AnyEvent) -> bytes:
-    """An event as a line."""
+    """Encode an event as one line of JSON."""
     return _encoder.encode(event) + b"\n"
 
 
 def read_events(paths: Iterable[Path]) -> list[AnyEvent]:
-    """Events of some files in order. A last line that was cut off by a kill is left out."""
-    found: list[AnyEvent] = []
+    """Read the events of some files, in order of time.
+
+    A last line without its newline, cut off when a process was killed, is skipped.
+    """
+    events: list[AnyEvent] = []
     for path in paths:
-        for text in path.read_bytes().splitlines(keepends=True):
-            if text.endswith(b"\n"):
-                found.append(_decoder.decode(text))
-    return sorted(found, key=lambda event: event.at)
+        lines = path.read_bytes().splitlines(keepends=True)
+        events.extend(_decoder.decode(line) for line in lines if line.endswith(b"\n"))
+    return sorted(events, key=lambda event: event.at)
 
 
 def kind_of(event: AnyEvent) -> str:
-    """The kind under which an event is printed and counted: its tag, but "injected" for a fault."""
+    """Return the kind under which an event is printed and counted: its tag, but "injected" for a fault."""
     tag = str(event.__struct_config__.tag)
     return "injected" if tag == "fault" else tag
 
 
 def format_event(event: AnyEvent) -> str:
-    """An event for people."""
+    """Format an event as a line of text."""
     fields = msgspec.structs.asdict(event)
-    fields.pop("process"), fields.pop("at")
-    kind = kind_of(event)
-    return f"{event.at:10.4f} {event.process:8} {kind:9} " + " ".join(f"{k}={v}" for k, v in fields.items())
+    fields.pop("process")
+    fields.pop("at")
+    details = " ".join(f"{name}={value}" for name, value in fields.items())
+    return f"{event.at:10.4f} {event.process:8} {kind_of(event):9} {details}"
--- a/rosepick/lab/drill/instrumented_client.py
+++ b/rosepick/lab/drill/instrumented_client.py
@@ -1,4 +1,4 @@
-"""A client of the quorum whose operations are noted."""
+"""A client of the quorum that records its operations in a history."""
 
 from __future__ import annotations
 
@@ -11,17 +11,25 @@
 
 
 class InstrumentedQuorumClient(QuorumClient):
-    """A client whose operations are noted; a change that has begun is `open_operations` until its end is.
-    `records_operation_start`: write that down too, as a process that is killed cannot do it later.
+    """A client that records each operation when it ends, by the clock of the test.
+
+    `open_operations` has those that have not ended, by their change ids. With `records_operation_start`
+    changes are recorded when they begin, too, for a process that may be killed.
     """
 
     records_operation_start = False
 
     def __init__(
-        self, name: str, record_event: Callable[[AnyEvent], None], clock: Callable[[], float], *given: Any
+        self,
+        name: str,
+        record_event: Callable[[AnyEvent], None],
+        clock: Callable[[], float],
+        *client_arguments: Any,
     ) -> None:
-        super().__init__(*given)
-        self._name, self._record_event, self._clock = name, record_event, clock
+        super().__init__(*client_arguments)
+        self._name = name
+        self._record_event = record_event
+        self._clock = clock
         self.open_operations: dict[str, RegisterOperation] = {}
 
     def execute(
@@ -31,18 +39,31 @@
         on_outcome: Callable[[OperationOutcome], None],
         timeout_ms: float,
     ) -> str:
-        begin, mark = self._clock(), ""
-
-        def noted(outcome: OperationOutcome) -> None:
-            self.open_operations.pop(mark, None)
-            register, kind = outcome.register, outcome.kind.value
-            end = self._clock()
-            value = register.version, register.change_id, register.parent_change_id
-            self._record_event(RegisterOperation(self._name, end, begin, key, mark, kind, *value))
+        """Begin an operation as `QuorumClient.execute` does, and record it."""
+        begin = self._clock()
+        change_id = ""
+
+        def record_and_pass_on(outcome: OperationOutcome) -> None:
+            self.open_operations.pop(change_id, None)
+            register = outcome.register
+            self._record_event(
+                RegisterOperation(
+                    self._name,
+                    self._clock(),
+                    begin,
+                    key,
+                    change_id,
+                    outcome.kind.value,
+                    register.version,
+                    register.change_id,
+                    register.parent_change_id,
+                )
+            )
             on_outcome(outcome)
 
-        mark = super().execute(key, change, noted, timeout_ms)
-        self.open_operations[mark] = RegisterOperation(self._name, begin, begin, key, mark, "open")
+        change_id = super().execute(key, change, record_and_pass_on, timeout_ms)
+        operation = RegisterOperation(self._name, begin, begin, key, change_id, "open")
+        self.open_operations[change_id] = operation
         if change is not None and self.records_operation_start:
-            self._record_event(self.open_operations[mark])
-        return mark
+            self._record_event(operation)
+        return change_id
--- a/rosepick/lab/drill/invariants.py
+++ b/rosepick/lab/drill/invariants.py
@@ -1,19 +1,32 @@
-"""The written claims (docs/leases.md), judged from what processes were seen to do."""
+"""Safety and liveness properties of leases (docs/leases.md), checked on a recorded history."""
 
 from __future__ import annotations
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from enum import StrEnum
 from itertools import combinations
+from typing import NamedTuple
 
 from . import linearizability
 from .history import AnyEvent, GuardedEffect, LeaseCheckPassed, LeaseStateChanged, RegisterOperation, kind_of
 
 
+class LeaseInvariant(StrEnum):
+    """Names of the properties of leases, as reports and mutations.toml have them."""
+
+    FENCING_TOKENS = "tokens"
+    MUTUAL_EXCLUSION = "overlap"
+    LINEARIZABILITY = "registers"
+    TAKEOVER = "taken up"
+    STORAGE = "storage"
+    MINIMUM_COUNTS = "shows nothing"
+
+
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """A claim that does not hold, and the shortest cut of the history that shows it."""
+    """An invariant that does not hold, with a short part of the history that shows it."""
 
     invariant: str
     text: str
@@ -22,67 +35,109 @@
 
 @dataclass(slots=True)
 class InvariantReport:
-    """What was found, and how much there was to judge."""
+    """The violations found, and counts of the events that were checked."""
 
     violations: list[Violation] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
 
 
-def check_fencing_tokens(events: Sequence[AnyEvent]) -> list[Violation]:
-    """Effects taken by a guarded resource never go back to a lower token, and are of the token's one
-    holder.
+LeaseEvidence = LeaseStateChanged | LeaseCheckPassed  # shows who holds a token
+
+
+class _FencingChecker:
+    """Checks tokens event by event: one holder for each token, and effects in order of their tokens."""
+
+    def __init__(self) -> None:
+        self.violations: list[Violation] = []
+        self._last_effect_by_task: dict[str, GuardedEffect] = {}
+        self._holder_by_token: dict[tuple[str, int], LeaseEvidence] = {}
+
+    def add(self, event: AnyEvent) -> None:
+        if isinstance(event, LeaseCheckPassed) or (
+            isinstance(event, LeaseStateChanged) and event.where == "holds"
+        ):
+            self._add_holder(event)
+        elif isinstance(event, GuardedEffect) and event.taken:
+            self._add_effect(event)
+
+    def _add_holder(self, event: LeaseEvidence) -> None:
+        first = self._holder_by_token.setdefault((event.task, event.token), event)
+        if first.who != event.who:
+            self._report(f"token {event.token} of {event.task} has two holders", first, event)
+
+    def _add_effect(self, effect: GuardedEffect) -> None:
+        previous = self._last_effect_by_task.get(effect.task)
+        if previous is not None and effect.token < previous.token:
+            text = f"{effect.task}: token {effect.token} taken after {previous.token}"
+            self._report(text, previous, effect)
+        self._last_effect_by_task[effect.task] = effect
+        holder = self._holder_by_token.get((effect.task, effect.token))
+        if holder is not None and holder.who != effect.who:
+            text = f"{effect.task}: an effect under token {effect.token} by another than its holder"
+            self._report(text, holder, effect)
+
+    def _report(self, text: str, *events: AnyEvent) -> None:
+        self.violations.append(Violation(LeaseInvariant.FENCING_TOKENS.value, text, events))
+
+
+def check_fencing_tokens(events: Iterable[AnyEvent]) -> list[Violation]:
+    """Check that a token has one holder, and that a guarded resource never goes back to a lower token.
+
+    Accepted effects must also come from the holder of their token.
     """
-    broken = []
-    last: dict[str, GuardedEffect] = {}
-    owner: dict[tuple[str, int], AnyEvent] = {}
+    checker = _FencingChecker()
     for event in events:
-        if (isinstance(event, LeaseStateChanged) and event.where == "holds") or isinstance(
-            event, LeaseCheckPassed
-        ):
-            first = owner.setdefault((event.task, event.token), event)
-            assert isinstance(first, LeaseStateChanged | LeaseCheckPassed)
-            if first.who != event.who:
-                text = f"token {event.token} of {event.task} has two holders"
-                broken.append(Violation("tokens", text, (first, event)))
-        if isinstance(event, GuardedEffect) and event.taken:
-            before = last.get(event.task)
-            if before is not None and event.token < before.token:
-                text = f"{event.task}: token {event.token} taken after {before.token}"
-                broken.append(Violation("tokens", text, (before, event)))
-            last[event.task] = event
-            holder = owner.get((event.task, event.token))
-            if isinstance(holder, LeaseStateChanged | LeaseCheckPassed) and holder.who != event.who:
-                text = f"{event.task}: an effect under token {event.token} by another than its holder"
-                broken.append(Violation("tokens", text, (holder, event)))
-    return broken
+        checker.add(event)
+    return checker.violations
+
+
+class _HoldingPeriod(NamedTuple):
+    """The time in which a holder was certainly allowed to act under a token.
+
+    It lasts from the end of its first passed check to the begin of its last one.
+    """
+
+    first: LeaseCheckPassed
+    last: LeaseCheckPassed
+
+
+def _holding_periods(checks: Iterable[LeaseCheckPassed]) -> dict[str, list[_HoldingPeriod]]:
+    """Return the holding periods of each task."""
+    periods: dict[tuple[str, int, int], _HoldingPeriod] = {}
+    for check in checks:
+        key = check.task, check.token, check.who
+        first, last = periods.get(key, (check, check))
+        periods[key] = _HoldingPeriod(
+            check if check.at < first.at else first, check if check.begin > last.begin else last
+        )
+    by_task: dict[str, list[_HoldingPeriod]] = defaultdict(list)
+    for (task, _, _), period in periods.items():
+        by_task[task].append(period)
+    return by_task
 
 
 def check_mutual_exclusion(events: Iterable[AnyEvent]) -> list[Violation]:
-    """No two are told that they may act at one time. Of each holder only that time counts in which it must
-    have been so: from the end of its first question to the begin of its last one under a token.
+    """Check that no two holders of a task are allowed to act at the same time.
+
+    A violation is a passed check within another holder's period, or two periods that overlap.
     """
-    spans: dict[tuple[str, int, int], tuple[LeaseCheckPassed, LeaseCheckPassed]] = {}
-    asked = [event for event in events if isinstance(event, LeaseCheckPassed)]
-    for event in asked:
-        key = event.task, event.token, event.who
-        first, last = spans.get(key, (event, event))
-        spans[key] = (event if event.at < first.at else first, event if event.begin > last.begin else last)
-    by_task: dict[str, list[tuple[LeaseCheckPassed, LeaseCheckPassed]]] = defaultdict(list)
-    for (task, _, _), span in spans.items():
-        by_task[task].append(span)
-    broken = []
-    for event in asked:
-        for first, last in by_task[event.task]:
-            # one answer amid the time of another holder, or two such times
-            if first.who != event.who and first.at <= event.begin and event.at <= last.begin:
-                broken.append(_overlap_violation(first, last, event))
+    checks = [event for event in events if isinstance(event, LeaseCheckPassed)]
+    by_task = _holding_periods(checks)
+    violations = []
+    for check in checks:
+        for first, last in by_task[check.task]:
+            if first.who != check.who and first.at <= check.begin and check.at <= last.begin:
+                violations.append(_overlap_violation(first, last, check))
                 break
-    for found in by_task.values():
-        found.sort(key=lambda span: span[0].at)
-        for one, other in combinations(found, 2):
-            if one[0].who != other[0].who and other[0].at < min(one[1].begin, other[1].begin):
-                broken.append(_overlap_violation(*one, other[0]))
-    return broken
+    for periods in by_task.values():
+        periods.sort(key=lambda period: period.first.at)
+        violations += [
+            _overlap_violation(earlier.first, earlier.last, later.first)
+            for earlier, later in combinations(periods, 2)
+            if earlier.first.who != later.first.who
+            and later.first.at < min(earlier.last.begin, later.last.begin)
+        ]
+    return violations
 
 
 def _overlap_violation(first: LeaseCheckPassed, last: LeaseCheckPassed, other: LeaseCheckPassed) -> Violation:
@@ -90,35 +145,44 @@
         f"{other.task}: {first.process} under token {first.token} and {other.process} under "
         f"{other.token} both may act, for {last.begin - other.at:.4f} s at least"
     )
-    return Violation("overlap", text, (first, last, other))
+    return Violation(LeaseInvariant.MUTUAL_EXCLUSION.value, text, (first, last, other))
 
 
 def check_linearizability(events: Iterable[AnyEvent]) -> list[Violation]:
-    """Operations on each register could have happened one after the other, and what failed has not
-    happened.
-    """
-    operations = [event for event in events if isinstance(event, RegisterOperation)]
-    ended = {one.mark for one in operations if one.kind != "open"}
-    operations = [one for one in operations if one.kind != "open" or one.mark not in ended]
-    broken = []
-    for key, found in linearizability.group_by_key(operations).items():
-        failed = {one.mark: one for one in found if one.kind == "failed"}
-        seen = [one for one in found if one.seen in failed]
-        if seen:
+    """Check that the operations on each register are linearizable, and that no failed change took effect."""
+    recorded = [event for event in events if isinstance(event, RegisterOperation)]
+    ended = {operation.mark for operation in recorded if operation.kind != "open"}
+    operations = [
+        operation for operation in recorded if operation.kind != "open" or operation.mark not in ended
+    ]
+    violations = []
+    for key, of_register in linearizability.group_by_key(operations).items():
+        failed = {operation.mark: operation for operation in of_register if operation.kind == "failed"}
+        observer = next((operation for operation in of_register if operation.seen in failed), None)
+        if observer is not None:
             text = f"{key}: a change that was said to have failed stands"
-            broken.append(Violation("registers", text, (failed[seen[0].seen], seen[0])))
-        if not linearizability.is_linearizable(found):
-            cut = tuple(linearizability.minimal_counterexample(found))
-            broken.append(
-                Violation("registers", f"{key}: no order of {len(cut)} operations is possible", cut)
+            violations.append(
+                Violation(LeaseInvariant.LINEARIZABILITY.value, text, (failed[observer.seen], observer))
             )
-    return broken
+        if not linearizability.is_linearizable(of_register):
+            cut = tuple(linearizability.minimal_counterexample(of_register))
+            text = f"{key}: no order of {len(cut)} operations is possible"
+            violations.append(Violation(LeaseInvariant.LINEARIZABILITY.value, text, cut))
+    return violations
 
 
 def check_takeover(
     events: Sequence[AnyEvent], task: str, since: float, deadline_s: float, excluded_owner: int | None = None
 ) -> list[Violation]:
-    """After a moment somebody (not `excluded_owner`) may act on a task within so long."""
+    """Check that some client other than `excluded_owner` may act on a task soon after a time.
+
+    Args:
+        events: the history, in order of time.
+        task: the task whose lease has to be acquired.
+        since: the time from which on it has to be acquired, in seconds of the history.
+        deadline_s: how long that may take.
+        excluded_owner: an owner id that does not count.
+    """
     first = next(
         (
             event
@@ -132,16 +196,17 @@
     )
     if first is not None and first.begin - since <= deadline_s:
         return []
-    took = "nobody" if first is None else f"{first.process} after {first.begin - since:.2f} s"
-    return [Violation("taken up", f"{task}: {took}, {deadline_s:.2f} s are claimed, from {since:.2f} s on")]
+    successor = "nobody" if first is None else f"{first.process} after {first.begin - since:.2f} s"
+    text = f"{task}: {successor}, {deadline_s:.2f} s are claimed, from {since:.2f} s on"
+    return [Violation(LeaseInvariant.TAKEOVER.value, text)]
 
 
 def check_invariants(events: Sequence[AnyEvent]) -> InvariantReport:
-    """All claims that need nothing but the events."""
-    verdict = InvariantReport(
+    """Check all invariants that need nothing but the history, and count its events."""
+    report = InvariantReport(
         check_fencing_tokens(events) + check_mutual_exclusion(events) + check_linearizability(events)
     )
-    counts = verdict.counts
+    counts = report.counts
     for event in events:
         counts[kind_of(event)] += 1
         if isinstance(event, GuardedEffect):
@@ -150,4 +215,4 @@
             counts[f"operations {event.kind}"] += 1
         elif isinstance(event, LeaseStateChanged):
             counts[f"leases {event.where}"] += 1
-    return verdict
+    return report
--- a/rosepick/lab/drill/linearizability.py
+++ b/rosepick/lab/drill/linearizability.py
@@ -1,10 +1,9 @@
-"""Whether operations on one register could have happened one after the other, each between its begin and its
-end.
+"""Whether the operations on one register are linearizable, each taking effect between its begin and its end.
 
-The search of Wing and Gong (1993) with the memory of Lowe (2017): go on with whatever operation may come
-next, and never come twice to the same set of operations with the same value. Registers are independent of
-each other, so each is searched alone. Versions make the search short, they do not replace it: it is the
-order in time that is judged.
+The search is that of Wing and Gong (1993) with the memoization of Lowe (2017): extend the order by any
+operation that may come next, and never visit the same set of operations with the same value twice. Registers
+are independent of each other, so each is checked alone. Version numbers make the search short, they do not
+replace it: the order in time is what is checked.
 """
 
 from __future__ import annotations
@@ -13,168 +12,244 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import inf
+from typing import NamedTuple
 
 from .history import RegisterOperation
 
-Value = tuple[int, str]  # version and mark
-ANY = "any"
+MAX_OPERATIONS_TO_MINIMIZE = 2_000  # above it a counterexample keeps its reads, as leaving out is quadratic
+ANY_CHANGE_ID = "any"
+
+
+class _Value(NamedTuple):
+    """What identifies a register's value."""
+
+    version: int
+    change_id: str
+
+
+INITIAL_VALUE = _Value(0, "")
+
+
+class _Step(NamedTuple):
+    """An operation with the value that it needs and the one that it leaves.
+
+    `before` is None if any value will do, `after` is None if it is the next version, whichever that is.
+    """
+
+    operation: RegisterOperation
+    before: _Value | None
+    after: _Value | None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether its end is known, so that it has to be part of the order."""
+        return self.operation.at < inf
+
+    @property
+    def is_read(self) -> bool:
+        """Whether it leaves the value that it needs."""
+        return self.after is not None and self.before == self.after
+
+    def apply(self, value: _Value) -> _Value | None:
+        """Return the value after this step, or None if it cannot be taken from `value`."""
+        if self.after is None:
+            return _Value(value.version + 1, self.operation.mark)
+        fits = self.before == value or (
+            self.before is not None
+            and self.before.change_id == ANY_CHANGE_ID
+            and self.before.version == value.version
+        )
+        return self.after if fits else None
 
 
 @dataclass(slots=True, eq=False)
 class _Entry:
-    """The begin or the end of an operation, in a list of these by time."""
+    """The begin or the end of an operation, in a doubly linked list ordered by time."""
 
-    operation: int
-    end: _Entry | None = None  # of the begin's operation; None: this is an end
+    step_index: int
+    end: _Entry | None = None  # the end that belongs to this begin; None: this is an end
     previous: _Entry | None = None
     next: _Entry | None = None
 
-
-def _constrained_operations(
-    operations: Sequence[RegisterOperation], include_unseen: bool
-) -> list[tuple[RegisterOperation, Value | None, Value | None]]:
-    """Operations that say something, from which value (None: any) they go and to which (None: the next
-    version). A change whose end nobody knows has been made if anybody saw its value, or a value that was
-    made of it; else it may have been made, between two others (`include_unseen`), or not at all.
+    def insert_links(self) -> None:
+        """Link the neighbours to this entry."""
+        assert self.previous is not None
+        self.previous.next = self
+        if self.next is not None:
+            self.next.previous = self
+
+    def remove_links(self) -> None:
+        """Link the neighbours to each other; this entry still knows them."""
+        assert self.previous is not None
+        self.previous.next = self.next
+        if self.next is not None:
+            self.next.previous = self.previous
+
+    def unlink(self) -> None:
+        """Take a begin and its end out of the list."""
+        assert self.end is not None
+        self.remove_links()
+        self.end.remove_links()
+
+    def relink(self) -> None:
+        """Undo the last `unlink`."""
+        assert self.end is not None
+        self.end.insert_links()
+        self.insert_links()
+
+
+def _constrained_steps(operations: Sequence[RegisterOperation], include_unseen: bool) -> list[_Step]:
+    """Return the steps that constrain the order.
+
+    A change whose outcome is unknown took effect if its value was seen, or a value made from it. Any other
+    one may have taken effect between two others (`include_unseen`) or not at all.
     """
-    seen: dict[str, tuple[int, str | None]] = {}
-    for one in operations:
-        if one.kind in ("done", "read") and one.version:
-            seen.setdefault(one.base, (one.version - 1, None))
-            seen[one.seen] = one.version, one.base
-    found: list[tuple[RegisterOperation, Value | None, Value | None]] = []
-    for one in operations:
-        value = one.version, one.seen
-        if one.kind == "read":
-            found.append((one, value, value))
-        elif one.kind == "done":
-            found.append((one, (one.version - 1, one.base), value))
-        elif one.kind in ("unknown", "open"):
-            version, base = seen.get(one.mark, (0, None))
-            endless = RegisterOperation(one.process, inf, one.begin, one.key, one.mark, "open")
-            if one.mark in seen:
-                found.append((endless, (version - 1, ANY if base is None else base), (version, one.mark)))
+    parent_of: dict[str, tuple[int, str | None]] = {}  # by change id: version, and parent if it is known
+    for operation in operations:
+        if operation.kind in ("done", "read") and operation.version:
+            parent_of.setdefault(operation.base, (operation.version - 1, None))
+            parent_of[operation.seen] = operation.version, operation.base
+    steps: list[_Step] = []
+    for operation in operations:
+        value = _Value(operation.version, operation.seen)
+        if operation.kind == "read":
+            steps.append(_Step(operation, value, value))
+        elif operation.kind == "done":
+            steps.append(_Step(operation, _Value(operation.version - 1, operation.base), value))
+        elif operation.kind in ("unknown", "open"):
+            version, parent = parent_of.get(operation.mark, (0, None))
+            endless = RegisterOperation(
+                operation.process, inf, operation.begin, operation.key, operation.mark, "open"
+            )
+            if operation.mark in parent_of:
+                before = _Value(version - 1, ANY_CHANGE_ID if parent is None else parent)
+                steps.append(_Step(endless, before, _Value(version, operation.mark)))
             elif include_unseen:
-                found.append((endless, None, None))
-    return found
-
-
-def _build_entry_list(operations: Sequence[RegisterOperation]) -> _Entry:
-    moments = []
-    for number, one in enumerate(operations):
-        end = _Entry(number)
-        moments += [((one.begin, 0), _Entry(number, end)), ((one.at, 1), end)]
-    head = last = _Entry(-1)
-    for _, entry in sorted(moments, key=lambda moment: moment[0]):
-        last.next, entry.previous, last = entry, last, entry
+                steps.append(_Step(endless, None, None))
+    return steps
+
+
+def _build_entry_list(steps: Sequence[_Step]) -> _Entry:
+    """Return the head of the list of begins and ends by time; of equal times, begins come first."""
+    timed_entries = []
+    for index, step in enumerate(steps):
+        end = _Entry(index)
+        timed_entries.append(((step.operation.begin, 0), _Entry(index, end)))
+        timed_entries.append(((step.operation.at, 1), end))
+    head = _Entry(-1)
+    last = head
+    for _, entry in sorted(timed_entries, key=lambda timed: timed[0]):
+        last.next = entry
+        entry.previous = last
+        last = entry
     return head
 
 
-def _unlink(entry: _Entry) -> None:
-    for one in (entry, entry.end):
-        assert one is not None and one.previous is not None
-        one.previous.next = one.next
-        if one.next is not None:
-            one.next.previous = one.previous
-
-
-def _relink(entry: _Entry) -> None:
-    for one in (entry.end, entry):
-        assert one is not None and one.previous is not None
-        one.previous.next = one
-        if one.next is not None:
-            one.next.previous = one
-
-
 def is_linearizable(operations: Sequence[RegisterOperation]) -> bool:
-    """Whether there is such an order for the operations of one register."""
-    known, more = (
-        _constrained_operations(operations, include_unseen=False),
-        _constrained_operations(operations, include_unseen=True),
-    )
-    return _search(known) or (len(more) > len(known) and _search(more))
-
-
-def _apply(needs: Value | None, gives: Value | None, value: Value, mark: str) -> Value | None:
-    """The value after a step from this one, if it can be taken."""
-    if gives is None:
-        return value[0] + 1, mark
-    fits = needs == value or (needs is not None and needs[1] == ANY and needs[0] == value[0])
-    return gives if fits else None
-
-
-def _search(known: Sequence[tuple[RegisterOperation, Value | None, Value | None]]) -> bool:
-    head = _build_entry_list([one for one, _, _ in known])
-    left = sum(one.at < inf for one, _, _ in known)
-    value: Value = (0, "")
-    taken = 0
-    stack: list[tuple[_Entry, Value]] = []
-    been: set[tuple[int, Value | None]] = set()
-    entry = head.next
-    while left:
-        assert entry is not None
-        if entry.end is None:  # its operation cannot have happened yet: another way
-            while True:
-                if not stack:
+    """Return whether there is a valid order for the operations of one register."""
+    seen_only = _constrained_steps(operations, include_unseen=False)
+    with_unseen = _constrained_steps(operations, include_unseen=True)
+    return _Search(seen_only).run() or (len(with_unseen) > len(seen_only) and _Search(with_unseen).run())
+
+
+class _Search:
+    """A depth-first search for a valid order of steps."""
+
+    def __init__(self, steps: Sequence[_Step]) -> None:
+        self._steps = steps
+        self._head = _build_entry_list(steps)
+        self._missing = sum(step.is_complete for step in steps)
+        self._value = INITIAL_VALUE
+        self._taken = 0  # bit set of the steps that are in the order
+        self._stack: list[tuple[_Entry, _Value]] = []
+        self._visited: set[tuple[int, _Value]] = set()
+
+    def run(self) -> bool:
+        """Return whether a valid order exists."""
+        entry = self._head.next
+        while self._missing:
+            assert entry is not None
+            if entry.end is None:  # an operation that ended is not in the order yet
+                last_tried = self._backtrack()
+                if last_tried is None:
                     return False
-                entry, value = stack.pop()
-                taken &= ~(1 << entry.operation)
-                one, needs, gives = known[entry.operation]
-                left += one.at < inf
-                _relink(entry)
-                if gives is None or needs != gives:
-                    break  # a reading that fits is best taken at once: later is no other way
-            entry = entry.next
-            continue
-        one, needs, gives = known[entry.operation]
-        then = _apply(needs, gives, value, one.mark)
-        now = (taken | 1 << entry.operation, then)
-        if then is None or now in been:
-            entry = entry.next
-            continue
-        been.add(now)
-        stack.append((entry, value))
-        taken, value = now[0], then
-        left -= one.at < inf
-        _unlink(entry)
-        entry = head.next
-    return True
+                entry = last_tried.next
+            elif self._take(entry):
+                entry = self._head.next
+            else:
+                entry = entry.next
+        return True
+
+    def _take(self, entry: _Entry) -> bool:
+        """Append a step to the order; return False if it does not fit, or leads where the search has been."""
+        step = self._steps[entry.step_index]
+        value = step.apply(self._value)
+        taken = self._taken | 1 << entry.step_index
+        if value is None or (taken, value) in self._visited:
+            return False
+        self._visited.add((taken, value))
+        self._stack.append((entry, self._value))
+        self._taken = taken
+        self._value = value
+        self._missing -= step.is_complete
+        entry.unlink()
+        return True
+
+    def _backtrack(self) -> _Entry | None:
+        """Remove the last step that could also come later, and return its entry; None if there is none.
+
+        A read that fits is best taken at once: taking it later opens no other order, so it is removed too.
+        """
+        while self._stack:
+            entry, self._value = self._stack.pop()
+            step = self._steps[entry.step_index]
+            self._taken &= ~(1 << entry.step_index)
+            self._missing += step.is_complete
+            entry.relink()
+            if not step.is_read:
+                return entry
+        return None
 
 
 def group_by_key(operations: Sequence[RegisterOperation]) -> dict[str, list[RegisterOperation]]:
-    """Operations by register."""
-    found: dict[str, list[RegisterOperation]] = defaultdict(list)
-    for one in operations:
-        found[one.key].append(one)
-    return found
+    """Group operations by the key of their register."""
+    groups: dict[str, list[RegisterOperation]] = defaultdict(list)
+    for operation in operations:
+        groups[operation.key].append(operation)
+    return groups
 
 
-def _truncate_at(operations: Sequence[RegisterOperation], at: float) -> list[RegisterOperation]:
-    """What was known at a moment: what had not ended then is open."""
+def _truncate_at(operations: Sequence[RegisterOperation], time: float) -> list[RegisterOperation]:
+    """Return what was known at a time: operations that had not ended by then are open."""
     return [
-        one
-        if one.at <= at
-        else RegisterOperation(one.process, one.begin, one.begin, one.key, one.mark, "open")
-        for one in operations
-        if one.begin <= at
+        operation
+        if operation.at <= time
+        else RegisterOperation(
+            operation.process, operation.begin, operation.begin, operation.key, operation.mark, "open"
+        )
+        for operation in operations
+        if operation.begin <= time
     ]
 
 
 def minimal_counterexample(operations: Sequence[RegisterOperation]) -> list[RegisterOperation]:
-    """Of operations that are not possible, a few that are not either: no reading of these can be left out."""
-    moments = sorted(one.at for one in operations)
-    low, high = 0, len(moments) - 1
-    while low < high:  # the first moment at which it was not possible any more
+    """Return a small part of a history that is not linearizable, which is not linearizable either.
+
+    It ends at the first time at which no order was valid any more, and no single read of it can be left out.
+    """
+    end_times = sorted(operation.at for operation in operations)
+    low = 0
+    high = len(end_times) - 1
+    while low < high:
         middle = (low + high) // 2
-        low, high = (
-            (low, middle)
-            if not is_linearizable(_truncate_at(operations, moments[middle]))
-            else (middle + 1, high)
-        )
-    kept = _truncate_at(operations, moments[high])
-    for one in list(kept):
-        if one.kind == "read" and len(kept) < 2000:
-            less = [other for other in kept if other is not one]
-            if not is_linearizable(less):
-                kept = less
-    return kept
+        if is_linearizable(_truncate_at(operations, end_times[middle])):
+            low = middle + 1
+        else:
+            high = middle
+    counterexample = _truncate_at(operations, end_times[high])
+    for operation in list(counterexample):
+        if operation.kind == "read" and len(counterexample) < MAX_OPERATIONS_TO_MINIMIZE:
+            shorter = [other for other in counterexample if other is not operation]
+            if not is_linearizable(shorter):
+                counterexample = shorter
+    return counterexample
