Split the simulated fault-injection test of leases by concern

Cause: simulated_leases.py was 684 lines with processes, network, replicas, clients and faults in one; handlers of faults were found by getattr of "_" + kind; plans were drawn by a function of eight parameters.

Change: simulation.py (event queue, clocks), simulated_network.py, simulated_replica.py, simulated_lease_client.py, simulated_faults.py and simulated_leases.py (the cluster). Kinds of faults and of targets are enums, handlers are in a typed registry (fault_handlers.py); a fault that a test cannot inject is an UnsupportedFaultError in place of an AttributeError. The twin _Table classes of drill_file.py and mutations.py are one, strict_model.py.

--- a/rosepick/lab/drill/drill_file.py
+++ b/rosepick/lab/drill/drill_file.py
@@ -1,4 +1,4 @@
-"""Drill files (`drills/*.toml`): which processes, how leases are held, which faults."""
+"""Files of fault-injection tests (`drills/*.toml`): which processes, how leases are held, which faults."""
 
 from __future__ import annotations
 
@@ -6,26 +6,25 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import Field, ValidationError, model_validator
 
-from .fault_plan import FAULT_KINDS
+from .fault_plan import FaultName
+from .strict_model import StrictModel
 
 
 class DrillError(Exception):
-    """The file cannot be used; `errors` has a line for each."""
+    """The file cannot be used; `errors` has a line for each reason, with the file and the key."""
 
     def __init__(self, errors: list[str]) -> None:
         super().__init__("\n".join(errors))
         self.errors = errors
 
 
-class _Table(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+class ProcessSettings(StrictModel):
+    """How many processes of each kind there are.
 
-
-class ProcessSettings(_Table):
-    """How many of each kind. `runners`: `rosepick lease run` with a command; `rate`: clocks are off by up to
-    it.
+    `runners` are processes of `rosepick lease run` with a command. Clocks run faster or slower by up to
+    `rate`, a fraction.
     """
 
     witnesses: Annotated[int, Field(ge=1, le=7)] = 5
@@ -35,48 +34,55 @@
     rate: Annotated[float, Field(ge=0.0, le=0.2)] = 0.02
 
 
-class DrillLeaseSettings(_Table):
-    """How leases are held; seconds."""
+class DrillLeaseSettings(StrictModel):
+    """How leases are held: their time to live in seconds, and the clock drift allowed for, a fraction."""
 
     ttl: Annotated[float, Field(ge=0.5, le=60.0)] = 2.0
     drift: Annotated[float, Field(ge=0.001, le=0.2)] = 0.025
 
 
-class FaultSettings(_Table):
-    """For how long there are faults, how often, and which kinds: all, if none is named. Seconds."""
+class FaultSettings(StrictModel):
+    """For how long faults are injected, how often, and of which kinds: all, if none is named. Seconds."""
 
     seconds: Annotated[float, Field(ge=0.0, le=3600.0)] = 20.0
     each: Annotated[float, Field(gt=0.0)] = 0.8
-    kinds: list[str] = []
-    quiet: Annotated[float, Field(ge=0.0, le=120.0)] = 4.0  # after them
+    kinds: list[str] = Field(default_factory=list)
+    quiet: Annotated[float, Field(ge=0.0, le=120.0)] = 4.0  # after the last fault
 
     @model_validator(mode="after")
-    def _known(self) -> FaultSettings:
-        unknown = sorted(set(self.kinds) - {kind.name for kind in FAULT_KINDS})
+    def _check_kinds(self) -> FaultSettings:
+        unknown = sorted(set(self.kinds) - set(FaultName))
         if unknown:
             raise ValueError(f"no such faults: {', '.join(unknown)}")
         return self
 
 
-class Drill(_Table):
-    """A drill. `least` names counts that must be reached, else the drill shows nothing."""
+class Drill(StrictModel):
+    """A fault-injection test. `least` has counts that must be reached for it to show anything."""
 
     title: str = "drill"
     plays: Literal["leases", "drains", "releases"] = "leases"
     processes: ProcessSettings = ProcessSettings()
     leases: DrillLeaseSettings = DrillLeaseSettings()
     faults: FaultSettings = FaultSettings()
-    least: dict[str, int] = {}
+    least: dict[str, int] = Field(default_factory=dict)
 
 
 def load_drill(path: Path) -> Drill:
-    """The file. DrillError names every fault."""
+    """Read a file.
+
+    Raises:
+        DrillError: the file cannot be read or is not valid; it names every fault.
+    """
     try:
         return Drill.model_validate(tomllib.loads(path.read_text("utf-8")))
-    except OSError as problem:
-        raise DrillError([f"{path}: {problem.strerror}"]) from None
-    except ValidationError as problem:
-        faults = [f"{'.'.join(map(str, one['loc'])) or 'file'}: {one['msg']}" for one in problem.errors()]
-        raise DrillError([f"{path}: {fault}" for fault in faults]) from None
-    except ValueError as problem:
-        raise DrillError([f"{path}: {problem}"]) from None
+    except OSError as error:
+        raise DrillError([f"{path}: {error.strerror}"]) from None
+    except ValidationError as error:
+        lines = [
+            f"{path}: {'.'.join(map(str, detail['loc'])) or 'file'}: {detail['msg']}"
+            for detail in error.errors()
+        ]
+        raise DrillError(lines) from None
+    except ValueError as error:
+        raise DrillError([f"{path}: {error}"]) from None
--- /dev/null
+++ b/rosepick/lab/drill/fault_handlers.py
@@ -0,0 +1,39 @@
+"""The registry of handlers that inject faults, by their kinds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from .fault_plan import Fault, FaultName
+
+FaultHandler = Callable[[int, Fault], None]  # the number of a fault in its plan, and the fault
+
+
+class UnsupportedFaultError(Exception):
+    """A plan has a fault that this kind of test cannot inject."""
+
+    def __init__(self, kind: FaultName) -> None:
+        super().__init__(f"the fault {kind.value!r} cannot be injected here: take it out of `faults.kinds`")
+        self.kind = kind
+
+
+class FaultHandlers:
+    """The handlers of a test: those of its base and those that it adds."""
+
+    def __init__(self, handlers: Mapping[FaultName, FaultHandler]) -> None:
+        self._handlers = dict(handlers)
+
+    def register(self, kind: FaultName, handler: FaultHandler) -> None:
+        """Add the handler of a kind of fault."""
+        self._handlers[kind] = handler
+
+    def inject(self, number: int, fault: Fault) -> None:
+        """Call the handler of a fault.
+
+        Raises:
+            UnsupportedFaultError: there is no handler for its kind.
+        """
+        handler = self._handlers.get(fault.kind)
+        if handler is None:
+            raise UnsupportedFaultError(fault.kind)
+        handler(number, fault)
--- a/rosepick/lab/drill/fault_plan.py
+++ b/rosepick/lab/drill/fault_plan.py
@@ -1,18 +1,55 @@
-"""Plans of faults: drawn from a seed, the same for the simulated net and for real processes."""
+"""Plans of faults, drawn from a seed: the same for simulated and for real processes."""
 
 from __future__ import annotations
 
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import Enum, StrEnum, auto
+
+
+class FaultName(StrEnum):
+    """Kinds of faults, by the names that files of fault-injection tests and reports have for them."""
+
+    KILL = "kill"
+    PAUSE = "pause"
+    EMPTY_STORAGE = "empty"  # a replica starts with an empty folder
+    TWO_EMPTY_STORAGES = "two empty"
+    OLDER_STORAGE = "older"  # an older copy of a replica's storage is put back
+    COPIED_STORAGE = "copied"  # a copy takes the place of the storage's file
+    FULL_DISK = "full"
+    RESTART_ALL = "restart all"
+    CUT = "cut"
+    CUT_ONE_WAY = "cut one way"
+    ISOLATE = "part"  # one process from all replicas
+    SPLIT = "split"  # a minority of the replicas and half of the clients from the rest
+    MINORITY = "minority"  # the same for minutes
+    DEAF = "deaf"  # a process sends, and receives nothing
+    REFUSE = "refuse"  # connections are refused
+    HALF_OPEN = "half open"  # connections stay open, and nothing passes
+    SLOW = "slow"
+    TRICKLE = "trickle"  # few bytes per second
+    DUPLICATE = "double"
+    REORDER = "disorder"
+    LOSE = "lose"
+    FORCE_RELEASE = "force"  # an operator ends a lease
+    MEMBER_CRASH = "member"  # the process that an agent supervises dies
+    HOST_LOSS = "host"  # an agent and its member die for long
+    WIPED_AGENT = "wiped"  # an agent dies, and its folder is lost
+    SWAP_REPLICA = "swap"  # a running replica is replaced by the spare one
 
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """One fault: from `at` on, for `length` seconds. `target` is a process, or a link as two names."""
+    """One fault of a plan.
+
+    It begins at `at` and lasts for `length`, in seconds. `target` has the names of the processes that it
+    hits, or the two ends of a link. What `amount` means depends on `kind`: a probability, seconds or bytes
+    per second.
+    """
 
     at: float
-    kind: str
+    kind: FaultName
     target: tuple[str, ...]
     length: float = 0.0
     amount: float = 0.0
@@ -22,117 +59,160 @@
         return f"{self.at:.2f} s {self.kind} {'-'.join(self.target)} for {self.length:.2f} s{amount}"
 
 
+class TargetKind(Enum):
+    """What a fault hits."""
+
+    REPLICA = auto()
+    TWO_REPLICAS = auto()
+    ALL_REPLICAS = auto()
+    CLIENT = auto()
+    LINK = auto()  # between a replica and another process
+    SPLIT = auto()  # a minority of the replicas and half of the clients
+    TASK = auto()
+
+
 @dataclass(frozen=True, slots=True)
-class FaultKind:
-    """A kind of fault: how often beside others, what it hits, how long it lasts (times of a lease's life)."""
+class FaultTemplate:
+    """How faults of a kind are drawn: their weight among all, what they hit, and how long they last.
 
-    name: str
+    Lengths are in multiples of the lease's time to live. A template that is `only_if_named` is used only
+    where a file names its kind.
+    """
+
+    name: FaultName
     weight: float
-    target_kind: str  # as `_target` has them
+    target_kind: TargetKind
     min_length_ttls: float
     max_length_ttls: float
     amount: tuple[float, float] = (0.0, 0.0)
-    only_if_named: bool = False  # only where a drill names it
-
-
-FAULT_KINDS = (
-    FaultKind("kill", 3.0, "witness", 0.05, 1.0),
-    FaultKind("kill", 2.0, "contender", 0.05, 0.6),
-    FaultKind("pause", 2.0, "witness", 0.05, 0.6),
-    FaultKind("pause", 2.0, "contender", 0.1, 0.8),  # shorter than the lease
-    FaultKind("pause", 2.0, "contender", 1.1, 1.8),  # and longer
-    FaultKind("empty", 1.0, "witness", 0.1, 0.5),
-    FaultKind("older", 1.0, "witness", 0.1, 0.5),
-    FaultKind("two empty", 0.6, "two", 0.1, 0.5),  # gone for good, both at once
-    FaultKind("copied", 0.5, "witness", 0.1, 0.5),
-    FaultKind("full", 0.7, "witness", 0.2, 0.6),
-    FaultKind("restart all", 0.5, "witnesses", 0.05, 0.5),
-    FaultKind("cut", 2.0, "link", 0.2, 2.0),
-    FaultKind("cut one way", 2.0, "link", 0.2, 2.0),
-    FaultKind("part", 1.5, "contender", 0.4, 2.2),  # one contender from all witnesses
-    FaultKind("part", 1.0, "witness", 0.4, 2.2),
-    FaultKind(
-        "split", 1.0, "split", 0.8, 4.0
-    ),  # a minority of the witnesses and half of the contenders from the rest
-    FaultKind("minority", 1.0, "split", 20.0, 60.0, only_if_named=True),  # the same for minutes
-    FaultKind("deaf", 1.5, "contender", 0.4, 2.2),  # it is heard, and hears nothing
-    FaultKind("refuse", 1.0, "link", 0.2, 1.0),
-    FaultKind("half open", 1.0, "link", 0.2, 1.0),
-    FaultKind("slow", 1.5, "link", 0.2, 2.0, (0.02, 0.4)),
-    FaultKind("trickle", 1.0, "link", 0.2, 1.0, (200.0, 4000.0)),
-    FaultKind("double", 1.5, "witness", 0.5, 2.5, (0.1, 0.3)),
-    FaultKind("disorder", 1.5, "witness", 0.5, 2.5, (0.1, 0.3)),
-    FaultKind("lose", 1.5, "witness", 0.3, 1.5, (0.1, 0.5)),
-    FaultKind("force", 0.5, "task", 0.0, 0.0),
-    FaultKind("member", 2.0, "contender", 0.0, 0.0, only_if_named=True),  # what an agent looks after dies
-    FaultKind("host", 2.0, "contender", 6.0, 12.0, only_if_named=True),  # both are gone for long
-    FaultKind(
-        "wiped", 1.0, "contender", 0.1, 0.5, only_if_named=True
-    ),  # an agent dies, and its folder is gone
-    FaultKind("swap", 1.0, "witness", 0.0, 0.0),  # a living witness is taken out, another one comes in
+    only_if_named: bool = False
+
+
+FAULT_TEMPLATES = (
+    FaultTemplate(FaultName.KILL, 3.0, TargetKind.REPLICA, 0.05, 1.0),
+    FaultTemplate(FaultName.KILL, 2.0, TargetKind.CLIENT, 0.05, 0.6),
+    FaultTemplate(FaultName.PAUSE, 2.0, TargetKind.REPLICA, 0.05, 0.6),
+    FaultTemplate(FaultName.PAUSE, 2.0, TargetKind.CLIENT, 0.1, 0.8),  # shorter than the lease
+    FaultTemplate(FaultName.PAUSE, 2.0, TargetKind.CLIENT, 1.1, 1.8),  # longer than the lease
+    FaultTemplate(FaultName.EMPTY_STORAGE, 1.0, TargetKind.REPLICA, 0.1, 0.5),
+    FaultTemplate(FaultName.OLDER_STORAGE, 1.0, TargetKind.REPLICA, 0.1, 0.5),
+    FaultTemplate(FaultName.TWO_EMPTY_STORAGES, 0.6, TargetKind.TWO_REPLICAS, 0.1, 0.5),
+    FaultTemplate(FaultName.COPIED_STORAGE, 0.5, TargetKind.REPLICA, 0.1, 0.5),
+    FaultTemplate(FaultName.FULL_DISK, 0.7, TargetKind.REPLICA, 0.2, 0.6),
+    FaultTemplate(FaultName.RESTART_ALL, 0.5, TargetKind.ALL_REPLICAS, 0.05, 0.5),
+    FaultTemplate(FaultName.CUT, 2.0, TargetKind.LINK, 0.2, 2.0),
+    FaultTemplate(FaultName.CUT_ONE_WAY, 2.0, TargetKind.LINK, 0.2, 2.0),
+    FaultTemplate(FaultName.ISOLATE, 1.5, TargetKind.CLIENT, 0.4, 2.2),
+    FaultTemplate(FaultName.ISOLATE, 1.0, TargetKind.REPLICA, 0.4, 2.2),
+    FaultTemplate(FaultName.SPLIT, 1.0, TargetKind.SPLIT, 0.8, 4.0),
+    FaultTemplate(FaultName.MINORITY, 1.0, TargetKind.SPLIT, 20.0, 60.0, only_if_named=True),
+    FaultTemplate(FaultName.DEAF, 1.5, TargetKind.CLIENT, 0.4, 2.2),
+    FaultTemplate(FaultName.REFUSE, 1.0, TargetKind.LINK, 0.2, 1.0),
+    FaultTemplate(FaultName.HALF_OPEN, 1.0, TargetKind.LINK, 0.2, 1.0),
+    FaultTemplate(FaultName.SLOW, 1.5, TargetKind.LINK, 0.2, 2.0, amount=(0.02, 0.4)),  # seconds
+    FaultTemplate(
+        FaultName.TRICKLE, 1.0, TargetKind.LINK, 0.2, 1.0, amount=(200.0, 4000.0)
+    ),  # bytes per second
+    FaultTemplate(FaultName.DUPLICATE, 1.5, TargetKind.REPLICA, 0.5, 2.5, amount=(0.1, 0.3)),
+    FaultTemplate(FaultName.REORDER, 1.5, TargetKind.REPLICA, 0.5, 2.5, amount=(0.1, 0.3)),
+    FaultTemplate(FaultName.LOSE, 1.5, TargetKind.REPLICA, 0.3, 1.5, amount=(0.1, 0.5)),
+    FaultTemplate(FaultName.FORCE_RELEASE, 0.5, TargetKind.TASK, 0.0, 0.0),
+    FaultTemplate(FaultName.MEMBER_CRASH, 2.0, TargetKind.CLIENT, 0.0, 0.0, only_if_named=True),
+    FaultTemplate(FaultName.HOST_LOSS, 2.0, TargetKind.CLIENT, 6.0, 12.0, only_if_named=True),
+    FaultTemplate(FaultName.WIPED_AGENT, 1.0, TargetKind.CLIENT, 0.1, 0.5, only_if_named=True),
+    FaultTemplate(FaultName.SWAP_REPLICA, 1.0, TargetKind.REPLICA, 0.0, 0.0),
+)
+STORAGE_FAULTS = frozenset(
+    {
+        FaultName.EMPTY_STORAGE,
+        FaultName.TWO_EMPTY_STORAGES,
+        FaultName.OLDER_STORAGE,
+        FaultName.COPIED_STORAGE,
+        FaultName.FULL_DISK,
+    }
 )
-STORAGE_FAULTS = ("empty", "two empty", "older", "copied", "full")
-QUORUM_CHANGING_FAULTS = ("swap", *STORAGE_FAULTS)  # of the quorum: one after the other
+QUORUM_CHANGING_FAULTS = STORAGE_FAULTS | {FaultName.SWAP_REPLICA}  # one at a time
+MIN_REPLICAS_TO_LOSE_TWO = 5  # two of fewer are no minority
+RECOVERY_TTLS = 3.0  # between two faults that change the quorum, in multiples of the lease's time to live
+
+
+@dataclass(frozen=True, slots=True)
+class FaultTargets:
+    """The names from which the targets of faults are drawn."""
+
+    replicas: Sequence[str]
+    clients: Sequence[str]
+    tasks: Sequence[str]
+
+    def draw(self, rng: random.Random, kind: TargetKind) -> tuple[str, ...]:
+        """Draw the target of one fault."""
+        match kind:
+            case TargetKind.REPLICA:
+                return (rng.choice(self.replicas),)
+            case TargetKind.CLIENT:
+                return (rng.choice(self.clients),)
+            case TargetKind.TASK:
+                return (rng.choice(self.tasks),)
+            case TargetKind.ALL_REPLICAS:
+                return tuple(self.replicas)
+            case TargetKind.TWO_REPLICAS:
+                return tuple(rng.sample(list(self.replicas), 2))
+            case TargetKind.SPLIT:
+                minority = rng.sample(list(self.replicas), (len(self.replicas) - 1) // 2)
+                return (*minority, *rng.sample(list(self.clients), len(self.clients) // 2))
+            case TargetKind.LINK:
+                end = rng.choice([*self.replicas, *self.clients])
+                return end, rng.choice([name for name in self.replicas if name != end])
+
+
+@dataclass(frozen=True, slots=True)
+class FaultSchedule:
+    """When faults come: for `duration_s`, one each `interval_s` on average; `ttl_s` scales their lengths."""
+
+    duration_s: float
+    interval_s: float
+    ttl_s: float
 
 
 @dataclass(frozen=True, slots=True)
 class FaultPlan:
-    """The faults of a drill, by time, and when the last of them is over."""
+    """The faults of a test, by time, and the time at which the last of them is over; seconds."""
 
     faults: list[Fault] = field(default_factory=list)
     ends_at: float = 0.0
 
     @staticmethod
     def draw(
-        rng: random.Random,
-        witnesses: Sequence[str],
-        contenders: Sequence[str],
-        tasks: Sequence[str],
-        duration_s: float,
-        ttl_s: float,
-        interval_s: float,
-        allowed: Sequence[str] = (),
+        rng: random.Random, targets: FaultTargets, schedule: FaultSchedule, allowed: Sequence[str] = ()
     ) -> FaultPlan:
-        """Faults over `duration_s`, one each `interval_s` seconds or so. Storages are lost one after the
-        other: as many as leave a majority at any time.
+        """Draw a plan with faults of the `allowed` names, or of all that need not be named.
+
+        Faults that change the quorum come one after the other, so that a majority of the storages lives at
+        any time.
         """
-        kinds = [
-            kind for kind in FAULT_KINDS if (kind.name in allowed if allowed else not kind.only_if_named)
-        ]
-        if len(witnesses) < 5:  # two are no minority
-            kinds = [kind for kind in kinds if kind.target_kind != "two"]
-        faults, at, storage_until = [], 0.0, 0.0
+        templates = _usable_templates(allowed, len(targets.replicas))
+        faults: list[Fault] = []
+        at = 0.0
+        quorum_changes_until = 0.0
         while True:
-            at += rng.expovariate(1.0 / interval_s)
-            if at >= duration_s:
+            at += rng.expovariate(1.0 / schedule.interval_s)
+            if at >= schedule.duration_s:
                 break
-            kind = rng.choices(kinds, [one.weight for one in kinds])[0]
-            length = ttl_s * rng.uniform(kind.min_length_ttls, kind.max_length_ttls)
-            if kind.name in QUORUM_CHANGING_FAULTS:
-                if at < storage_until:
+            template = rng.choices(templates, [template.weight for template in templates])[0]
+            length = schedule.ttl_s * rng.uniform(template.min_length_ttls, template.max_length_ttls)
+            if template.name in QUORUM_CHANGING_FAULTS:
+                if at < quorum_changes_until:
                     continue
-                storage_until = at + length + 3.0 * ttl_s
-            target = _draw_target(rng, kind.target_kind, witnesses, contenders, tasks)
-            faults.append(Fault(at, kind.name, target, length, rng.uniform(*kind.amount)))
-        return FaultPlan(faults, max([duration_s, *(fault.at + fault.length for fault in faults)]))
-
-
-def _draw_target(
-    rng: random.Random, hits: str, witnesses: Sequence[str], contenders: Sequence[str], tasks: Sequence[str]
-) -> tuple[str, ...]:
-    match hits:
-        case "witness":
-            return (rng.choice(witnesses),)
-        case "contender":
-            return (rng.choice(contenders),)
-        case "task":
-            return (rng.choice(tasks),)
-        case "witnesses":
-            return tuple(witnesses)
-        case "two":
-            return tuple(rng.sample(list(witnesses), 2))
-        case "split":
-            few = rng.sample(list(witnesses), (len(witnesses) - 1) // 2)
-            return (*few, *rng.sample(list(contenders), len(contenders) // 2))
-    one = rng.choice([*witnesses, *contenders])
-    return one, rng.choice([name for name in witnesses if name != one])
+                quorum_changes_until = at + length + RECOVERY_TTLS * schedule.ttl_s
+            target = targets.draw(rng, template.target_kind)
+            faults.append(Fault(at, template.name, target, length, rng.uniform(*template.amount)))
+        return FaultPlan(faults, max([schedule.duration_s, *(fault.at + fault.length for fault in faults)]))
+
+
+def _usable_templates(allowed: Sequence[str], replica_count: int) -> list[FaultTemplate]:
+    return [
+        template
+        for template in FAULT_TEMPLATES
+        if (template.name in allowed if allowed else not template.only_if_named)
+        and (template.target_kind is not TargetKind.TWO_REPLICAS or replica_count >= MIN_REPLICAS_TO_LOSE_TWO)
+    ]
--- a/rosepick/lab/drill/harness.py
+++ b/rosepick/lab/drill/harness.py
@@ -25,7 +25,7 @@
 from ..log_terms import line_has_event
 from . import history, invariants
 from .drill_file import Drill
-from .fault_plan import QUORUM_CHANGING_FAULTS, Fault, FaultPlan
+from .fault_plan import QUORUM_CHANGING_FAULTS, Fault, FaultPlan, FaultSchedule, FaultTargets
 from .forwarder import Forwarder, LinkFaults
 from .history import AnyEvent, FaultInjected
 from .instrumented_client import InstrumentedQuorumClient
@@ -199,12 +199,8 @@
         rng = random.Random(self.seed * 7 + 1)
         plan = FaultPlan.draw(
             rng,
-            self.witnesses,
-            [*self.workers, *self.runners],
-            self.tasks,
-            faults.seconds,
-            leases.ttl,
-            faults.each,
+            FaultTargets(self.witnesses, [*self.workers, *self.runners], self.tasks),
+            FaultSchedule(faults.seconds, faults.each, leases.ttl),
             faults.kinds,
         )
         # a command under `lease run` goes on while the one that would end it stands still: only the guard is
--- a/rosepick/lab/drill/mutations.py
+++ b/rosepick/lab/drill/mutations.py
@@ -1,7 +1,7 @@
-"""Planted faults: each is put into a copy of the program, and a drill has to find it.
+"""Mutation testing: each planted fault is put into a copy of the program, and a test has to find it.
 
-A claim that is never broken says little by itself. Here its guard is taken out, and the same drill with the
-same judge has to break it; so each claim is shown to rest on the lines that are said to keep it.
+An invariant that is never violated says little by itself. Here the lines that uphold it are taken out, and
+the same fault-injection test with the same checks has to report a violation.
 """
 
 from __future__ import annotations
@@ -20,12 +20,14 @@
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field, ValidationError
 
 from .processes import ROOT
+from .strict_model import StrictModel
 
 IGNORED_PATHS = ("journal", ".git", ".venv", ".venv-dev", "__pycache__", "experiments", "tests")
-SEEDS_PER_BATCH = 8  # seeds in one call of a drill
+SEEDS_PER_BATCH = 8  # played by one process
+MAX_ERROR_OUTPUT_CHARS = 400
 _VIOLATION_LINE = re.compile(r"^seed (\d+): \d+ claims broken$", re.M)
 _SUMMARY_LINE = re.compile(r"^\d+ seeds, ", re.M)
 _INVARIANT_LINE = re.compile(r"^claim broken: (.*)$", re.M)
@@ -35,20 +37,16 @@
     """The file cannot be used, or does not fit the program; the text says where."""
 
 
-class _Table(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
-
-
-class SourceEdit(_Table):
-    """One place: text that stands in a file exactly once, and what is to stand there."""
+class SourceEdit(StrictModel):
+    """One edit: a text that a file contains exactly once, and its replacement."""
 
     file: str
     old: str
     new: str
 
 
-class PlantedFault(_Table):
-    """A fault, the claim that it breaks, and the drill that shows it within so many seeds."""
+class PlantedFault(StrictModel):
+    """A fault, the invariant that it `breaks`, and the test that shows it within so many seeds."""
 
     name: str
     breaks: str
@@ -58,27 +56,31 @@
     edits: list[SourceEdit]
 
 
-class _File(_Table):
+class _MutationsFile(StrictModel):
     fault: list[PlantedFault]
 
 
 @dataclass(frozen=True, slots=True)
 class MutationResult:
-    """What came of a planted fault: the seed that showed it, the claim, and the time it took."""
+    """The outcome for a planted fault: the seed that showed it, if any, and the violation as printed."""
 
     planted: PlantedFault
-    seeds: int  # that were played
+    seeds: int  # how many were played
     seed: int | None
     claim: str
     seconds: float
 
 
 def load_mutations(path: Path) -> list[PlantedFault]:
-    """The faults of a file, all of which fit the program as it is."""
+    """Read the planted faults of a file.
+
+    Raises:
+        MutationsError: the file cannot be read or is not valid, or an edit does not fit the program.
+    """
     try:
-        faults = _File.model_validate(tomllib.loads(path.read_text("utf-8"))).fault
-    except (OSError, ValueError, ValidationError) as problem:
-        raise MutationsError(f"{path}: {problem}") from None
+        faults = _MutationsFile.model_validate(tomllib.loads(path.read_text("utf-8"))).fault
+    except (OSError, ValueError, ValidationError) as error:
+        raise MutationsError(f"{path}: {error}") from None
     for planted in faults:
         for edit in planted.edits:
             count = (ROOT / edit.file).read_text("utf-8").count(edit.old)
@@ -95,47 +97,41 @@
 
 
 def _run_drill(
-    planted: PlantedFault, folder: Path, first: int, last: int
+    planted: PlantedFault, folder: Path, first_seed: int, last_seed: int
 ) -> subprocess.CompletedProcess[str]:
-    kind = "--real" if planted.real else "--simulated"
-    command = [
-        sys.executable,
-        "-m",
-        "rosepick",
-        "lab",
-        "drill",
-        planted.drill,
-        kind,
-        "--seed",
-        f"{first}..{last}",
-    ]
+    mode = "--real" if planted.real else "--simulated"
+    options = [planted.drill, mode, "--seed", f"{first_seed}..{last_seed}"]
+    command = [sys.executable, "-m", "rosepick", "lab", "drill", *options]
     environment = {**os.environ, "PYTHONPATH": str(folder), "PYTHONDONTWRITEBYTECODE": "1"}
     return subprocess.run(command, cwd=folder, capture_output=True, text=True, env=environment, check=False)
 
 
 def find_fault(planted: PlantedFault) -> MutationResult:
-    """Play seeds on a copy with the fault until one breaks a claim."""
-    began = time.monotonic()
+    """Play seeds on a copy of the program with the fault, until one violates the invariant.
+
+    Raises:
+        MutationsError: the test itself ended without a summary.
+    """
+    started_at = time.monotonic()
     batch = 1 if planted.real else SEEDS_PER_BATCH
     with tempfile.TemporaryDirectory(prefix="rosepick-planted-") as scratch:
         folder = Path(scratch) / "copy"
         _copy_program(planted, folder)
         for first in range(1, planted.seeds + 1, batch):
             done = _run_drill(planted, folder, first, min(planted.seeds, first + batch - 1))
-            seed, claims = _VIOLATION_LINE.search(done.stdout), _INVARIANT_LINE.findall(done.stdout)
-            if seed is not None and any(claim.startswith(planted.breaks) for claim in claims):
-                claim = next(claim for claim in claims if claim.startswith(planted.breaks))
-                return MutationResult(planted, int(seed[1]), int(seed[1]), claim, time.monotonic() - began)
-            if not _SUMMARY_LINE.search(
-                done.stdout
-            ):  # guards against taking a drill that crashes for one that finds nothing
-                raise MutationsError(
-                    f"{planted.name}: the drill ended with {done.returncode}: {done.stderr[-400:]}"
-                )
-    return MutationResult(planted, planted.seeds, None, "", time.monotonic() - began)
+            match = _VIOLATION_LINE.search(done.stdout)
+            violations = _INVARIANT_LINE.findall(done.stdout)
+            expected = next((line for line in violations if line.startswith(planted.breaks)), None)
+            if match is not None and expected is not None:
+                seed = int(match[1])
+                return MutationResult(planted, seed, seed, expected, time.monotonic() - started_at)
+            if not _SUMMARY_LINE.search(done.stdout):  # it crashed, which does not mean that it found nothing
+                output = done.stderr[-MAX_ERROR_OUTPUT_CHARS:]
+                raise MutationsError(f"{planted.name}: the drill ended with {done.returncode}: {output}")
+    return MutationResult(planted, planted.seeds, None, "", time.monotonic() - started_at)
 
 
 def find_all_faults(faults: Sequence[PlantedFault], workers: int) -> Iterator[MutationResult]:
-    """All of them, so many at a time."""
+    """Find all faults, `workers` at a time; results come in the order of the faults."""
     with ThreadPoolExecutor(workers) as pool:
         yield from pool.map(find_fault, faults)
--- a/rosepick/lab/drill/runner.py
+++ b/rosepick/lab/drill/runner.py
@@ -23,6 +23,7 @@
 )
 from .drill_file import Drill
 from .invariants import InvariantReport
+from .simulation import SimulationConfig
 
 MAX_EVENTS_SHOWN = 12  # events of a cut
 SIMULATED_DRILLS = {
@@ -48,9 +49,9 @@
     failure_reason: str = ""  # the drill itself could not be played
 
 
-def _simulation_config(drill: Drill) -> simulated_leases.SimulationConfig:
+def _simulation_config(drill: Drill) -> SimulationConfig:
     many, faults, leases = drill.processes, drill.faults, drill.leases
-    return simulated_leases.SimulationConfig(
+    return SimulationConfig(
         many.witnesses,
         many.workers,
         many.tasks,
--- a/rosepick/lab/drill/simulated_drains.py
+++ b/rosepick/lab/drill/simulated_drains.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from functools import partial
 
 from ...consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
@@ -22,10 +22,12 @@
 from ...leases.fencing import FencingGuard
 from ...leases.lease_client import LeaseConfig
 from . import drain_invariants, invariants
-from .fault_plan import Fault
+from .fault_plan import Fault, FaultName
 from .history import AvailabilityChanged, OperatorOrderAccepted
 from .invariants import InvariantReport, Violation
-from .simulated_leases import InMemoryTokenStore, SimulatedCluster, SimulatedLeaseClient, SimulationConfig
+from .simulated_lease_client import InMemoryTokenStore, SimulatedLeaseClient
+from .simulated_leases import SimulatedCluster
+from .simulation import SimulationConfig
 
 GROUP = "drill"
 ZONES = ("east", "west")
@@ -198,17 +200,17 @@
 
     def start(self) -> None:
         super().start()
-        if self.cluster.now < 1.0:
+        if self.drain_cluster.now < 1.0:
             self.member.start()
         assert self.client is not None
         member, disk = self.member, self.disk
         machine = Agent(
             member.name, member.kind, member.zone, 1000, self.drain_cluster.budget, AGENT_CONFIG, disk
         )
-        terms = LeaseConfig(self.cluster.config.lease_ttl_s * 1000.0, self.cluster.config.drift)
+        terms = LeaseConfig(self.drain_cluster.config.lease_ttl_s * 1000.0, self.drain_cluster.config.drift)
         guard = FencingGuard(disk.tokens)
         eyes, plan = self._create_observer(machine)
-        wall = partial(getattr, self.cluster, "now")
+        wall = partial(getattr, self.drain_cluster, "now")
         self.driver = AgentDriver(
             self.client,
             GROUP,
@@ -237,6 +239,9 @@
         self.orders = random.Random(seed * 13 + 5)
         self.faults_stopped = False
         self.operations: Counter[str] = Counter()
+        self.fault_injector.handlers.register(FaultName.MEMBER_CRASH, self._crash_member)
+        self.fault_injector.handlers.register(FaultName.HOST_LOSS, self._lose_host)
+        self.fault_injector.handlers.register(FaultName.WIPED_AGENT, self._wipe_agent)
 
     def _create_client(self, name: str, rate: float) -> SimulatedLeaseClient:
         return SimulatedAgent(self, name, rate)
@@ -246,22 +251,18 @@
         """By name."""
         return {name: one for name, one in self.clients.items() if isinstance(one, SimulatedAgent)}
 
-    def schedule_in(self, delay_s: float, callback: Callable[[], None]) -> None:
-        """Call after so many seconds, whatever process lives."""
-        self.schedule(self.now + delay_s, None, callback)
-
     # -- faults
 
-    def _member(self, number: int, fault: Fault) -> None:
+    def _crash_member(self, _number: int, fault: Fault) -> None:
         self.agents[fault.target[0]].member.crash()
 
-    def _host(self, number: int, fault: Fault) -> None:
+    def _lose_host(self, number: int, fault: Fault) -> None:
         self.agents[fault.target[0]].member.crash()
-        self._kill(number, fault)
+        self.fault_injector.kill(number, fault)
 
-    def _wiped(self, number: int, fault: Fault) -> None:
+    def _wipe_agent(self, number: int, fault: Fault) -> None:
         self.agents[fault.target[0]].disk = InMemoryAgentState()
-        self._kill(number, fault)
+        self.fault_injector.kill(number, fault)
 
     # -- orders
 
@@ -368,13 +369,11 @@
     def run(self) -> InvariantReport:
         self._bootstrap_quorum()
         self.schedule(0.1, None, self._start_clients)
-        for number, fault in enumerate(self.plan.faults):
-            self.schedule(1.5 + fault.at, None, partial(self._inject, number, fault))
+        self._schedule_faults(1.5)
         calm = 1.5 + self.plan.ends_at
         self.schedule(calm, None, self._stop_faults)
-        self._run_until(calm + self.rejoin_deadline_s)
-        for process in (self.operator, *self.clients.values()):
-            process.record_open_operations()
+        self.run_until(calm + self.rejoin_deadline_s)
+        self._record_open_operations()
         verdict = invariants.check_invariants(self.events)
         known = (
             (
@@ -391,8 +390,7 @@
         broken, counts = drain_invariants.check_invariants(self.events, bounds)
         verdict.violations += [*broken, *self._check_members_rejoined()]
         verdict.counts += counts
-        for kind, count in self.injected_counts.items():
-            verdict.counts[f"fault {kind}"] += count
+        self._count_injected_faults(verdict)
         return verdict
 
     def _check_members_rejoined(self) -> list[Violation]:
--- a/rosepick/lab/drill/simulated_releases.py
+++ b/rosepick/lab/drill/simulated_releases.py
@@ -22,7 +22,7 @@
 from .history import ReleaseDecided, VersionStarted
 from .invariants import InvariantReport
 from .simulated_drains import GROUP, MemberObserver, SimulatedAgent, SimulatedDrainCluster, SimulatedMember
-from .simulated_leases import SimulationConfig
+from .simulation import SimulationConfig
 
 WAVES_TO_DETECT = {  # in which way a version is worse, and how many waves may see it
     "dead": 1,  # it ends at its start
