Split the fault-injection test of leases on real processes by concern

Cause: LeaseHarness was a class of 519 lines: topology, files, faults of links and storages, the operator and the last checks in one; handlers of faults were found by getattr of "_" + kind.

Change: process_cluster.py (processes, links, files), link_fault_injector.py, storage_fault_injector.py, quorum_operator.py, takeover_check.py, drill_run.py (outcome and logs) and harness.py (the run, 230 lines). Kinds of faults have their handlers in the same typed registry as in simulated tests. The takeover that is expected is a record in place of a tuple of four. Arguments of processes and the order of random draws are as they were.

tests/test_drills.py: names follow; new tests show that each kind of fault has a handler in both kinds of tests, that a fault without one is named, and which links each fault of links hits for how long.

--- a/rosepick/lab/drill/drain_harness.py
+++ b/rosepick/lab/drill/drain_harness.py
@@ -14,22 +14,20 @@
 import sys
 import threading
 from collections import Counter
-from functools import partial
 from pathlib import Path
 
 from ...consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
-from ...coordination.quorum_client import tcp_connections
 from ...fleet import fleet_state as book
 from ...fleet.disruption_budget import DisruptionBudget, Limit
 from ...net.boot_clock import boottime_s
-from ...net.event_loop import EventLoop
 from ..experiment import parse_experiment as read_experiment
 from ..live import router_config
-from . import drain_invariants, history, invariants
+from . import drain_invariants, invariants
 from .discovery_stand_in import DiscoveryStandIn
 from .drill_file import Drill
-from .fault_plan import Fault
-from .harness import STAND_INS_MODULE, START_TIMEOUT_S, DrillRun, DrillRunError, LeaseHarness
+from .drill_run import DrillRun, DrillRunError
+from .fault_plan import Fault, FaultName
+from .harness import LeaseHarness
 from .history import (
     AnyEvent,
     AvailabilityChanged,
@@ -39,9 +37,10 @@
     NodeRequestReceived,
     OperatorOrderAccepted,
 )
-from .instrumented_client import InstrumentedQuorumClient
 from .invariants import Violation
+from .process_cluster import STAND_INS_MODULE
 from .processes import FIRST_PORT
+from .quorum_operator import START_TIMEOUT_S
 from .stand_ins import drill_clock
 
 ZONES = ("east", "west")
@@ -123,7 +122,9 @@
         self.forced_drain_until: dict[str, float] = {}  # members that go out over the budget, until when
         super().__init__(drill, seed, folder)
         self.orders = random.Random(seed * 13 + 5)
-        self.operator_client = self._create_client_on(self.loop)
+        self.fault_handlers.register(FaultName.MEMBER_CRASH, self._crash_member)
+        self.fault_handlers.register(FaultName.HOST_LOSS, self._lose_host)
+        self.operator_client = self.create_client("crew", self.loop, random.Random(seed))
         self.availability_probe = AvailabilityProbe(self)
         self.issues_orders = False
         self._drain_announced_at: dict[str, float] = {}
@@ -233,11 +234,11 @@
     # -- playing
 
     def _start_processes(self) -> None:
-        self._bootstrap_quorum()
+        self.quorum_operator.bootstrap_quorum()
         for name in self.workers:
             self.processes[name].start()
         self.availability_probe.start()
-        if not self._run_until(
+        if not self.run_until(
             lambda: len(self.availability_probe.serving) == len(self.members)
             and all(self.availability_probe.serving.values()),
             2.0 * START_TIMEOUT_S,
@@ -245,7 +246,7 @@
             down = [name for name in self.members if not self.availability_probe.serving.get(name)]
             raise DrillRunError(f"{', '.join(down)} did not come up")
         self.processes["client"].start()
-        self._run_until(lambda: False, 2.0)
+        self.run_for(2.0)
 
     def run(self) -> DrillRun:
         """The whole drill."""
@@ -253,18 +254,17 @@
             self._start_processes()
             begin = drill_clock()
             plan = self._draw_fault_plan()
-            for number, fault in enumerate(plan.faults):
-                self.loop.call_after(1000.0 * fault.at, partial(self._inject, number, fault))
+            self._schedule_faults(plan)
             self.issues_orders = True
             self._issue_next_order()
             self._record_drain_announcements()
-            self._run_until(lambda: False, plan.ends_at)
+            self.run_for(plan.ends_at)
             self.issues_orders = False
             self._stop_faults()
-            self._run_until(lambda: False, 4.0)
+            self.run_for(4.0)
             self._cancel_all_drains()
-            back = self._run_until(self._are_all_members_in, REJOIN_DEADLINE_S)
-            self._run_until(lambda: False, 1.0)
+            back = self.run_until(self._are_all_members_in, REJOIN_DEADLINE_S)
+            self.run_for(1.0)
             last = self._read_fleet_state()
         finally:
             self.availability_probe.stopped = True
@@ -274,8 +274,7 @@
     def _judge_run(
         self, started_at: float, all_rejoined: bool, final_state: book.FleetState | None
     ) -> DrillRun:
-        events: list[AnyEvent] = history.read_events([*self.folder.glob("*.events")])
-        events = sorted([*events, *self.events, *self.availability_probe.events], key=lambda event: event.at)
+        events = self._read_history(self.availability_probe.events)
         verdict = invariants.check_invariants(events)
         bounds = drain_invariants.DrainBounds(
             self.budget_limits, HEARTBEAT_TIMEOUT_S + HEARTBEAT_INTERVAL_S + 6.5, 4.0 + 2.0 * PROBE_INTERVAL_S
@@ -289,9 +288,6 @@
         ):
             verdict.violations += broken
             verdict.counts += counts
-        verdict.counts += self.counts
-        for link in self.links.values():
-            verdict.counts.update({f"messages {what}": count for what, count in link.counts.items()})
         if not all_rejoined:
             verdict.violations.append(
                 Violation(
@@ -300,7 +296,7 @@
                     f"{_describe_missing_members(final_state)}",
                 )
             )
-        verdict.violations += self._check_minimum_counts(verdict)
+        self._finish_report(verdict)
         self.figures["seconds"] = drill_clock() - started_at
         return DrillRun(verdict, events, self.folder, self.seed, self.figures)
 
@@ -310,7 +306,7 @@
 
     # -- faults and orders
 
-    def _member(self, number: int, fault: Fault) -> None:
+    def _crash_member(self, _number: int, fault: Fault) -> None:
         name = fault.target[0]
         with contextlib.suppress(OSError, ValueError, KeyError):
             told = json.loads((self.folder / f"{name}.d" / "agent.json").read_text("utf-8"))
@@ -320,21 +316,10 @@
             ).append(drill_clock())
             os.kill(int(told["pid"]), signal.SIGKILL)
 
-    def _host(self, number: int, fault: Fault) -> None:
+    def _lose_host(self, number: int, fault: Fault) -> None:
         """Its agent is killed first, so that nobody starts it."""
         self._kill(number, fault)
-        self._member(number, fault)
-
-    def _create_client_on(self, loop: EventLoop) -> InstrumentedQuorumClient:
-        endpoints = {name: (self.host, port) for name, port in self.ports.items()}
-        return InstrumentedQuorumClient(
-            "crew",
-            self.events.append,
-            drill_clock,
-            loop,
-            tcp_connections(loop, endpoints, b""),
-            random.Random(self.seed),
-        )
+        self._crash_member(number, fault)
 
     def _send_order(self, order: str, change: RegisterChange, names: tuple[str, ...] = ()) -> None:
         def done(outcome: OperationOutcome) -> None:
@@ -423,7 +408,7 @@
     # -- the end
 
     def _stop_faults(self) -> None:
-        self._heal_all()
+        self.link_faults.heal_all()
         for process in self.processes.values():
             process.resume()
             process.start()
@@ -439,7 +424,7 @@
     def _read_fleet_state(self) -> book.FleetState | None:
         found: list[OperationOutcome] = []
         self.operator_client.execute(book.fleet_state_key(GROUP), None, found.append, 3_000.0)
-        self._run_until(lambda: bool(found), 4.0)
+        self.run_until(lambda: bool(found), 4.0)
         return (
             book.decode_fleet_state(found[0].register)
             if found and found[0].kind is OutcomeKind.UNCHANGED
--- /dev/null
+++ b/rosepick/lab/drill/drill_run.py
@@ -0,0 +1,54 @@
+"""What a fault-injection test on real processes leaves: its report, its history and its logs."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from .history import AnyEvent
+from .invariants import InvariantReport
+from .stand_ins import drill_clock
+
+LOG_CONTEXT_S = 1.0  # of logs around an event of a violation
+SECONDS_DIGITS = 19  # of a log line's time, up to its seconds; a point and milliseconds follow
+MILLISECONDS_DIGITS = 23
+
+
+class DrillRunError(Exception):
+    """The test could not be run; it says nothing about the program."""
+
+
+@dataclass(slots=True)
+class DrillRun:
+    """The outcome of a test on real processes, and the folder with its files."""
+
+    verdict: InvariantReport
+    events: list[AnyEvent]
+    folder: Path
+    seed: int
+    figures: dict[str, float] = field(default_factory=dict)
+
+
+def log_lines_around(run: DrillRun, times: Sequence[float]) -> list[str]:
+    """Return the lines of all logs around some times of the test's clock, in order of time."""
+    clock_offset_s = time.time() - drill_clock()
+    return sorted(
+        f"{at:10.4f} {path.stem:8} {line}"
+        for path in sorted(run.folder.glob("*.log"))
+        for at, line in _timed_lines(path, clock_offset_s)
+        if any(abs(at - other) <= LOG_CONTEXT_S for other in times)
+    )
+
+
+def _timed_lines(path: Path, clock_offset_s: float) -> Iterator[tuple[float, str]]:
+    """Yield the lines of a log with their times by the test's clock; lines without a time are left out."""
+    for line in path.read_text("utf-8", "replace").splitlines():
+        stamp = line.split(" ", 1)[0].removeprefix("time=")
+        with contextlib.suppress(ValueError):
+            parsed = time.strptime(stamp[:SECONDS_DIGITS], "%Y-%m-%dT%H:%M:%S")
+            at = time.mktime(parsed) - time.timezone
+            at += float(stamp[SECONDS_DIGITS:MILLISECONDS_DIGITS]) - clock_offset_s
+            yield at, line
--- a/rosepick/lab/drill/fault_handlers.py
+++ b/rosepick/lab/drill/fault_handlers.py
@@ -23,6 +23,11 @@
     def __init__(self, handlers: Mapping[FaultName, FaultHandler]) -> None:
         self._handlers = dict(handlers)
 
+    @property
+    def kinds(self) -> frozenset[FaultName]:
+        """The kinds of faults that can be injected."""
+        return frozenset(self._handlers)
+
     def register(self, kind: FaultName, handler: FaultHandler) -> None:
         """Add the handler of a kind of fault."""
         self._handlers[kind] = handler
--- a/rosepick/lab/drill/release_harness.py
+++ b/rosepick/lab/drill/release_harness.py
@@ -23,7 +23,7 @@
 from . import drain_harness, release_invariants, versions
 from .drain_harness import GROUP, AvailabilityProbe, DrainHarness
 from .drill_file import Drill
-from .harness import DrillRun
+from .drill_run import DrillRun
 from .history import AnyEvent, AvailabilityChanged, ReleaseDecided, VersionStarted
 from .invariants import Violation
 from .simulated_releases import (
@@ -195,7 +195,7 @@
 
     def _run_release_command(self, command: str) -> None:
         self.counts[f"release {command}"] += 1
-        self.release_command = self._start_operator_command("release", command, "--why", "drill")
+        self.release_command = self.start_operator_command("release", command, "--why", "drill")
 
     def _order_random_drain(self) -> None:
         name = self.orders.choice(self.workers)
@@ -220,7 +220,7 @@
                 given = given[:-2]
             given.append(str(path))
         self.counts[f"release start {kind}"] += 1
-        self.release_command = self._start_operator_command(*given)
+        self.release_command = self.start_operator_command(*given)
 
     def _write_new_settings(self) -> Path:
         """New settings, good or wrong: the router takes either."""
@@ -265,9 +265,7 @@
     def _cancel_all_drains(self) -> None:
         """The halt is lifted, what is open comes to its end, and what crews wanted out is wanted in."""
         self._resume_drains()
-        self._run_until(
-            lambda: self.record is not None and self.record.open_rollout is None, FINISH_TIMEOUT_S
-        )
+        self.run_until(lambda: self.record is not None and self.record.open_rollout is None, FINISH_TIMEOUT_S)
         super()._cancel_all_drains()
 
     def _judge_run(
--- a/rosepick/lab/drill/runner.py
+++ b/rosepick/lab/drill/runner.py
@@ -22,6 +22,7 @@
     simulated_releases,
 )
 from .drill_file import Drill
+from .drill_run import DrillRunError, log_lines_around
 from .invariants import InvariantReport
 from .simulation import SimulationConfig
 
@@ -87,16 +88,14 @@
     """One seed on real processes. Its folder stays if a claim is broken, or if it is to be kept."""
     try:
         played = REAL_DRILLS[drill.plays](drill, seed, folder)
-    except harness.DrillRunError as problem:
+    except DrillRunError as problem:
         return SeedResult(seed, failure_reason=str(problem))
     result = _to_seed_result(seed, played.verdict)
     moments = sorted(
         {event.at for broken in played.verdict.violations for event in broken.events[:MAX_EVENTS_SHOWN]}
     )
     if moments:
-        result.lines += [
-            f"    {line}" for line in harness.log_lines_around(played, moments[:1] + moments[-1:])
-        ]
+        result.lines += [f"    {line}" for line in log_lines_around(played, moments[:1] + moments[-1:])]
     (folder / "history.jsonl").write_bytes(b"".join(map(history.encode_line, played.events)))
     (folder / "verdict.txt").write_text("\n".join(format_result(result)) + "\n", "utf-8")
     if not keep_folder and not result.violations:
