Rewrite the invariants of drains and the runner of seeds

Change: a checker with one method for each kind of event; names of the invariants are an enum; the configuration of a simulation is filled by keyword.

--- a/rosepick/lab/drill/drain_invariants.py
+++ b/rosepick/lab/drill/drain_invariants.py
@@ -1,20 +1,34 @@
-"""Claims of drains (docs/drains.md), judged by what members were seen to do, not by what the ledger says."""
+"""Invariants of drains (docs/drains.md), checked on the observed availability of members.
+
+What the fleet state says does not count, only what was seen from outside.
+"""
 
 from __future__ import annotations
 
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 
 from ...fleet.disruption_budget import DisruptionBudget, Limit
 from .history import AnyEvent, AvailabilityChanged, OperatorOrderAccepted, ReleaseDecided
 from .invariants import Violation
 
 
+class DrainInvariant(StrEnum):
+    """Names of the properties of drains, as reports and mutations.toml have them."""
+
+    BUDGET = "budget"
+    FLOOR = "floor"
+    HALT = "halt"
+
+
 @dataclass(frozen=True, slots=True)
 class DrainBounds:
-    """Seconds. `failure_known_s`: within so long a member's failure is known to all; `halt_effective_s`: so
-    long after a halt was taken nothing goes out any more.
+    """The disruption budget, and delays that the invariants allow for, in seconds.
+
+    A member's failure is known to all within `failure_known_s`. No member goes out later than
+    `halt_effective_s` after a halt was accepted.
     """
 
     budget: DisruptionBudget
@@ -23,113 +37,158 @@
 
 
 class OutageTracker:
-    """Who is out at a moment, since when, and by whom."""
+    """Tracks which members are out and checks each new outage against the limits.
+
+    `limit_reached_count` tells how often a limit was exactly reached; `rolling_back` that a rollout is rolled
+    back, for which the budget is wider and a halt of drains does not hold.
+    """
 
-    def __init__(self, bounds: DrainBounds, first: Sequence[AvailabilityChanged]) -> None:
+    def __init__(self, bounds: DrainBounds, first_states: Sequence[AvailabilityChanged]) -> None:
         self._bounds = bounds
-        self.members = {event.process: event for event in first}
-        self.out: dict[str, AvailabilityChanged] = {}
-        self.limit_reached_count = 0  # how often a limit was reached
+        self.members = {event.process: event for event in first_states}
+        self.outages: dict[str, AvailabilityChanged] = {}
+        self.limit_reached_count = 0
         self.evicted: set[str] = set()
-        self.rolling_back = False  # a release is being taken back: the wider budget, and no halt of drains
+        self.rolling_back = False
 
     def _limit(self, kind: str) -> Limit:
         budget = self._bounds.budget
-        if kind == "routers":
-            return (
-                budget.rollback_routers
-                if self.rolling_back and budget.rollback_routers is not None
-                else budget.routers
-            )
-        return budget.caches
+        if kind != "routers":
+            return budget.caches
+        if self.rolling_back and budget.rollback_routers is not None:
+            return budget.rollback_routers
+        return budget.routers
+
+    def is_out_by_program(self, name: str) -> bool:
+        """Return whether a member is out, and not because of a fault."""
+        outage = self.outages.get(name)
+        return outage is not None and outage.by == "program"
 
     def apply_event(self, event: AvailabilityChanged) -> list[Violation]:
-        """A member went or came: what is broken by that."""
-        before = self.out.get(event.process)
+        """Apply a change of a member's availability and return what it violates."""
+        previous = self.outages.get(event.process)
         if event.up:
-            self.out.pop(event.process, None)
+            self.outages.pop(event.process, None)
             return []
-        if before is not None:
-            if before.by == "fault" and event.by == "program":
-                self.out[event.process] = event
+        if previous is not None:
+            if previous.by == "fault" and event.by == "program":
+                self.outages[event.process] = event
             return []
-        self.out[event.process] = event
+        self.outages[event.process] = event
         if event.by != "program" or event.process in self.evicted:
             return []
-        return (
-            self._check_floor(event)
-            if event.free
-            else [*self._check_floor(event), *self._check_budget(event)]
-        )
+        violations = self._check_floor(event)
+        if not event.free:
+            violations += self._check_budget(event)
+        return violations
+
+    def _is_failure_known(self, outage: AvailabilityChanged, now: float) -> bool:
+        return now - outage.at > self._bounds.failure_known_s
+
+    def _is_counted(self, outage: AvailabilityChanged, now: float) -> bool:
+        """Return whether an outage counts against the budget.
+
+        One that the budget does not bind counts only later, as others that had begun before go on.
+        """
+        return (outage.by == "program" and not outage.free) or self._is_failure_known(outage, now)
 
     def _counted_outages(self, event: AvailabilityChanged, zone: str) -> list[AvailabilityChanged]:
-        """Who is out beside it: by the program, or by a fault that must be known."""
+        """Return the outages of members of the same kind that count, in a zone or (empty) in all."""
         return [
-            one
-            for one in self.out.values()
-            if one.kind == event.kind
-            and (not zone or one.zone == zone)
-            and one.process not in self.evicted
-            and self._is_counted(one, event.at)
+            outage
+            for outage in self.outages.values()
+            if outage.kind == event.kind
+            and (not zone or outage.zone == zone)
+            and outage.process not in self.evicted
+            and self._is_counted(outage, event.at)
         ]
 
-    def _is_counted(self, outage: AvailabilityChanged, now: float) -> bool:
-        # who was said to die goes over the budget, and others that had begun before go on
-        return (outage.by == "program" and not outage.free) or now - outage.at > self._bounds.failure_known_s
-
     def _check_budget(self, event: AvailabilityChanged) -> list[Violation]:
-        found, limit = [], self._limit(event.kind)
+        violations = []
+        limit = self._limit(event.kind)
         for zone, most in (("", limit.most), (event.zone, limit.zone_most)):
-            here = self._counted_outages(event, zone)
-            # those that were taken out over the budget do not make the others wrong, but they count
-            if len(here) > most:
-                names = ", ".join(one.process for one in here)
-                text = f"{len(here)} {event.kind} are out {zone or 'in all'}, {most} may be: {names}"
-                found.append(Violation("budget", text, tuple(here)))
-            self.limit_reached_count += len(here) == most
-        return found
+            outages = self._counted_outages(event, zone)
+            if len(outages) > most:
+                names = ", ".join(outage.process for outage in outages)
+                text = f"{len(outages)} {event.kind} are out {zone or 'in all'}, {most} may be: {names}"
+                violations.append(Violation(DrainInvariant.BUDGET.value, text, tuple(outages)))
+            self.limit_reached_count += len(outages) == most
+        return violations
 
     def _check_floor(self, event: AvailabilityChanged) -> list[Violation]:
-        """Written off or not: what serves, serves."""
-        zone = [one for one in self.members.values() if (one.kind, one.zone) == (event.kind, event.zone)]
-        gone = [self.out[one.process] for one in zone if one.process in self.out]
-        here = [
-            one for one in gone if one.by == "program" or event.at - one.at > self._bounds.failure_known_s
+        """Check that enough members of a zone serve; evicted ones that serve count too."""
+        in_zone = [
+            member.process
+            for member in self.members.values()
+            if (member.kind, member.zone) == (event.kind, event.zone)
         ]
-        left = len(zone) - len(here)
+        outages = [self.outages[name] for name in in_zone if name in self.outages]
+        out = [
+            outage for outage in outages if outage.by == "program" or self._is_failure_known(outage, event.at)
+        ]
+        left = len(in_zone) - len(out)
         if left >= self._limit(event.kind).stay:
             return []
-        return [Violation("floor", f"{left} {event.kind} are left in {event.zone}", (event,))]
+        text = f"{left} {event.kind} are left in {event.zone}"
+        return [Violation(DrainInvariant.FLOOR.value, text, (event,))]
+
+
+class _DrainChecker:
+    """Checks a history of drains event by event."""
+
+    def __init__(self, bounds: DrainBounds, first_states: Sequence[AvailabilityChanged]) -> None:
+        self.violations: list[Violation] = []
+        self.counts: Counter[str] = Counter()
+        self.tracker = OutageTracker(bounds, first_states)
+        self._halt_effective_s = bounds.halt_effective_s
+        self._halt: OperatorOrderAccepted | None = None
+
+    def add(self, event: AnyEvent) -> None:
+        if isinstance(event, ReleaseDecided):
+            self.tracker.rolling_back = self.tracker.rolling_back or event.back
+        elif isinstance(event, OperatorOrderAccepted):
+            self._add_order(event)
+        elif isinstance(event, AvailabilityChanged):
+            self._add_availability(event)
+
+    def _add_order(self, order: OperatorOrderAccepted) -> None:
+        self.counts[f"orders {order.what}"] += 1
+        match order.what:
+            case "off":
+                self.tracker.evicted.update(order.names)
+            case "on":
+                self.tracker.evicted.difference_update(order.names)
+            case "halt":
+                self._halt = order
+            case "resume":
+                self._halt = None
+
+    def _add_availability(self, event: AvailabilityChanged) -> None:
+        self.counts[f"members {'up' if event.up else 'out by ' + event.by}"] += 1
+        was_out = self.tracker.is_out_by_program(event.process)
+        self.violations += self.tracker.apply_event(event)
+        is_bound_by_halt = not (event.up or was_out or self.tracker.rolling_back or event.free)
+        if is_bound_by_halt and event.by == "program":
+            self._check_halt(event)
+
+    def _check_halt(self, event: AvailabilityChanged) -> None:
+        halt = self._halt
+        if halt is not None and event.at - halt.at > self._halt_effective_s:
+            text = f"{event.process} went out {event.at - halt.at:.2f} s after a halt"
+            self.violations.append(Violation(DrainInvariant.HALT.value, text, (halt, event)))
 
 
 def check_invariants(events: Sequence[AnyEvent], bounds: DrainBounds) -> tuple[list[Violation], Counter[str]]:
-    """Budget, floor and halt over a history. The first state of each member has to be in it."""
-    firsts: dict[str, AvailabilityChanged] = {}
+    """Check budget, floor and halt over a history, which has the first state of each member.
+
+    Returns the violations and counts of what was checked.
+    """
+    first_states: dict[str, AvailabilityChanged] = {}
     for event in events:
         if isinstance(event, AvailabilityChanged):
-            firsts.setdefault(event.process, event)
-    out, broken = OutageTracker(bounds, list(firsts.values())), list[Violation]()
-    halted: OperatorOrderAccepted | None = None
-    counts: Counter[str] = Counter()
+            first_states.setdefault(event.process, event)
+    checker = _DrainChecker(bounds, list(first_states.values()))
     for event in events:
-        if isinstance(event, ReleaseDecided):
-            out.rolling_back = out.rolling_back or event.back
-        elif isinstance(event, OperatorOrderAccepted):
-            counts[f"orders {event.what}"] += 1
-            if event.what == "off":
-                out.evicted.update(event.names)
-            elif event.what == "on":
-                out.evicted.difference_update(event.names)
-            elif event.what in ("halt", "resume"):
-                halted = event if event.what == "halt" else None
-        elif isinstance(event, AvailabilityChanged):
-            counts[f"members {'up' if event.up else 'out by ' + event.by}"] += 1
-            was = out.out.get(event.process)
-            gone = was is not None and was.by == "program"  # one that is out does not go out once more
-            broken += out.apply_event(event)
-            goes = not (event.up or gone or out.rolling_back or event.free) and event.by == "program"
-            if goes and halted is not None and event.at - halted.at > bounds.halt_effective_s:
-                text = f"{event.process} went out {event.at - halted.at:.2f} s after a halt"
-                broken.append(Violation("halt", text, (halted, event)))
-    counts["budget full"] += out.limit_reached_count
-    return broken, counts
+        checker.add(event)
+    checker.counts["budget full"] += checker.tracker.limit_reached_count
+    return checker.violations, checker.counts
--- a/rosepick/lab/drill/runner.py
+++ b/rosepick/lab/drill/runner.py
@@ -1,4 +1,4 @@
-"""Many seeds of a drill, side by side, and what is said of them."""
+"""Runs many seeds of a fault-injection test in parallel, and reports their results."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 from .invariants import InvariantReport
 from .simulation import SimulationConfig
 
-MAX_EVENTS_SHOWN = 12  # events of a cut
+MAX_EVENTS_SHOWN = 12  # of a violation
 SIMULATED_DRILLS = {
     "leases": simulated_leases.run_drill,
     "drains": simulated_drains.run_drill,
@@ -41,61 +41,63 @@
 
 @dataclass(slots=True)
 class SeedResult:
-    """One seed: what was found, and lines that show it."""
+    """The result of one seed: violations, counts, and lines that show them."""
 
     seed: int
     violations: list[str] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
     lines: list[str] = field(default_factory=list)
-    failure_reason: str = ""  # the drill itself could not be played
+    failure_reason: str = ""  # why the test itself could not be run
 
 
 def _simulation_config(drill: Drill) -> SimulationConfig:
-    many, faults, leases = drill.processes, drill.faults, drill.leases
     return SimulationConfig(
-        many.witnesses,
-        many.workers,
-        many.tasks,
-        faults.seconds,
-        leases.ttl,
-        leases.drift,
-        many.rate,
-        faults.each,
-        fault_kinds=tuple(faults.kinds),
+        replicas=drill.processes.witnesses,
+        clients=drill.processes.workers,
+        tasks=drill.processes.tasks,
+        duration_s=drill.faults.seconds,
+        lease_ttl_s=drill.leases.ttl,
+        drift=drill.leases.drift,
+        max_clock_skew=drill.processes.rate,
+        fault_interval_s=drill.faults.each,
+        fault_kinds=tuple(drill.faults.kinds),
     )
 
 
-def _to_seed_result(seed: int, verdict: InvariantReport) -> SeedResult:
-    result = SeedResult(seed, counts=verdict.counts)
-    for broken in verdict.violations:
-        result.violations.append(f"{broken.invariant}: {broken.text}")
-        result.lines += [f"claim broken: {broken.invariant}: {broken.text}"]
-        result.lines += [f"    {history.format_event(event)}" for event in broken.events[:MAX_EVENTS_SHOWN]]
+def _to_seed_result(seed: int, report: InvariantReport) -> SeedResult:
+    result = SeedResult(seed, counts=report.counts)
+    for violation in report.violations:
+        text = f"{violation.invariant}: {violation.text}"
+        result.violations.append(text)
+        result.lines.append(f"claim broken: {text}")
+        result.lines += [
+            f"    {history.format_event(event)}" for event in violation.events[:MAX_EVENTS_SHOWN]
+        ]
     return result
 
 
 def run_simulated(drill: Drill, seed: int) -> SeedResult:
-    """One seed on the simulated net."""
-    before = logging.root.manager.disable
-    logging.disable(logging.CRITICAL)  # thousands of processes would say what they do
+    """Run one seed on simulated processes, without their logs."""
+    disabled_before = logging.root.manager.disable
+    logging.disable(logging.CRITICAL)
     try:
         return _to_seed_result(seed, SIMULATED_DRILLS[drill.plays](_simulation_config(drill), seed))
     finally:
-        logging.disable(before)  # for whatever else this process does
+        logging.disable(disabled_before)
 
 
 def run_real(drill: Drill, seed: int, folder: Path, keep_folder: bool) -> SeedResult:
-    """One seed on real processes. Its folder stays if a claim is broken, or if it is to be kept."""
+    """Run one seed on real processes; its folder stays if there is a violation, or with `keep_folder`."""
     try:
         played = REAL_DRILLS[drill.plays](drill, seed, folder)
-    except DrillRunError as problem:
-        return SeedResult(seed, failure_reason=str(problem))
+    except DrillRunError as error:
+        return SeedResult(seed, failure_reason=str(error))
     result = _to_seed_result(seed, played.verdict)
-    moments = sorted(
-        {event.at for broken in played.verdict.violations for event in broken.events[:MAX_EVENTS_SHOWN]}
+    times = sorted(
+        {event.at for violation in played.verdict.violations for event in violation.events[:MAX_EVENTS_SHOWN]}
     )
-    if moments:
-        result.lines += [f"    {line}" for line in log_lines_around(played, moments[:1] + moments[-1:])]
+    if times:
+        result.lines += [f"    {line}" for line in log_lines_around(played, times[:1] + times[-1:])]
     (folder / "history.jsonl").write_bytes(b"".join(map(history.encode_line, played.events)))
     (folder / "verdict.txt").write_text("\n".join(format_result(result)) + "\n", "utf-8")
     if not keep_folder and not result.violations:
@@ -106,7 +108,7 @@
 def run_seeds(
     drill: Drill, seeds: Sequence[int], folder: Path | None, workers: int, keep_folder: bool
 ) -> Iterator[SeedResult]:
-    """Seeds as they end; on the simulated net if there is no folder."""
+    """Run seeds on `workers` processes and yield their results; without a folder, simulated."""
     if workers == 1 or len(seeds) == 1:
         for seed in seeds:
             yield (
@@ -127,7 +129,7 @@
 
 
 def format_result(result: SeedResult) -> list[str]:
-    """What is to be said of one seed."""
+    """Format the result of one seed as lines of text."""
     if result.failure_reason:
         return [f"seed {result.seed}: not played: {result.failure_reason}"]
     verdict = f"{len(result.violations)} claims broken" if result.violations else "no claim broken"
@@ -136,7 +138,7 @@
 
 @dataclass(slots=True)
 class DrillSummary:
-    """All seeds together."""
+    """The sum of the results of all seeds."""
 
     seeds: int = 0
     broken: list[int] = field(default_factory=list)
@@ -144,7 +146,7 @@
     counts: Counter[str] = field(default_factory=Counter)
 
     def add(self, result: SeedResult) -> None:
-        """One more."""
+        """Add the result of a seed."""
         self.seeds += 1
         if result.violations:
             self.broken.append(result.seed)
@@ -153,12 +155,12 @@
         self.counts.update(result.counts)
 
     def lines(self) -> list[str]:
-        """The sum for people."""
-        found = [f"{self.seeds} seeds, {len(self.broken)} with a broken claim, {len(self.failed)} not played"]
-        return found + [f"  {name:28} {count}" for name, count in sorted(self.counts.items())]
+        """Format the sum as lines of text."""
+        lines = [f"{self.seeds} seeds, {len(self.broken)} with a broken claim, {len(self.failed)} not played"]
+        return lines + [f"  {name:28} {count}" for name, count in sorted(self.counts.items())]
 
     def json(self) -> bytes:
-        """The sum as JSON."""
+        """Encode the sum as JSON."""
         return msgspec.json.format(
             msgspec.json.encode(
                 {
