Let a router with a dead version exit again in simulated releases

Change: the branch is a method of its own, where mypy checks it, and a test starts versions that exit.

Measured: the new test fails for "dead" without the change and passes with it.

--- a/rosepick/lab/drill/simulated_releases.py
+++ b/rosepick/lab/drill/simulated_releases.py
@@ -85,12 +85,16 @@
             self.cluster.record_event(VersionStarted(self.name, self.cluster.now, version))
         self.version = version
         super().start()
-        life, rng = self.incarnation, self.cluster.rng
-        bad = fault_kind_of(version)
+        self._schedule_exit_of_bad_version()
+
+    def _schedule_exit_of_bad_version(self) -> None:
+        rng = self.cluster.rng
+        bad = fault_kind_of(self.version)
+        exit_now = partial(self._exit, self.incarnation, "fault")
         if bad == "dead" and self.running:
-            self.world.later(rng.uniform(0.05, 0.3), partial(self._end, life, "fault"))
+            self.cluster.schedule_in(rng.uniform(0.05, 0.3), exit_now)
         elif bad == "short":
-            self.cluster.schedule_in(rng.uniform(1.2, 2.2), partial(self._exit, life, "fault"))
+            self.cluster.schedule_in(rng.uniform(1.2, 2.2), exit_now)
 
     def _serve(self, life: int) -> None:
         if fault_kind_of(self.version) != "mute":
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -21,6 +21,7 @@
     runner,
     simulated_drains,
     simulated_leases,
+    simulated_releases,
 )
 from rosepick.lab.drill.fault_handlers import UnsupportedFaultError
 from rosepick.lab.drill.fault_plan import Fault, FaultName
@@ -318,6 +319,19 @@
     assert all(link.faults == LinkFaults() for link in links.values())
 
 
+@pytest.mark.parametrize("kind", ["dead", "short"])
+def test_a_router_with_a_version_that_exits_goes_down(kind: str) -> None:
+    drill = drill_file.load_drill(ROOT / "drills" / "releases-simulated.toml")
+    cluster = simulated_releases.SimulatedReleaseCluster(runner._simulation_config(drill), 1)
+    member = next(iter(cluster.routers.values())).member
+    assert isinstance(member, simulated_releases.SimulatedVersionedMember)
+    member.version = f"{kind}-1"
+    member.start()
+    assert member.running
+    cluster.run_until(2.5)
+    assert not member.running and member.exit_count == 1
+
+
 def test_a_split_cuts_all_links_between_its_sides(lease_harness: harness.LeaseHarness) -> None:
     side = ("w1", "w2", "c0", "c1")
     lease_harness.fault_handlers.inject(0, Fault(0.0, FaultName.SPLIT, side, length=60.0))
