Divide the simulated test of drains into members, agents and the run

Change: simulated_member.py has the member, its observer and the agent's state; numbers are named constants with their units; a counter that nothing read (operations of the cluster; no other name in the program or its tests refers to it) is gone.

--- a/rosepick/lab/drill/drain_benchmark.py
+++ b/rosepick/lab/drill/drain_benchmark.py
@@ -21,7 +21,7 @@
 from ...leases.lease_client import LeaseConfig
 from .lease_benchmark import TrafficCounter, _cpu_seconds, _run_until, _running_quorum
 from .processes import FIRST_PORT, unique_loopback_address
-from .simulated_drains import InMemoryAgentState
+from .simulated_member import InMemoryAgentState
 
 CLIENT_COUNT = 10  # connections that all agents of the measurement share
 MEMBER_LIMIT = Limit(most=5, share=1.0, zone_share=1.0)
--- a/rosepick/lab/drill/simulated_drains.py
+++ b/rosepick/lab/drill/simulated_drains.py
@@ -1,33 +1,31 @@
-"""Drains on the simulated net: the agents' very driver and machine, members that are modelled, two crews
-that order what they like, and the faults of every drill.
+"""Fault-injection test of drains on simulated processes.
+
+Agents and their drivers are those of the program; members are simulated, and operators give random orders.
 """
 
 from __future__ import annotations
 
 import random
-from collections import Counter
 from collections.abc import Mapping
-from functools import partial
 
 from ...consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
 from ...coordination.agent_driver import AgentDriver
 from ...coordination.agent_driver_config import AGENT_OPERATION_TIMEOUT_MS, AgentDriverConfig
-from ...fleet import failure_detector as counting
-from ...fleet import fleet_state as book
-from ...fleet.agent import Agent, MemberAction, MemberStatus
-from ...fleet.agent import AgentPolicy as AgentTerms
+from ...fleet import fleet_state
+from ...fleet.agent import Agent, AgentPolicy
 from ...fleet.disruption_budget import DisruptionBudget, Limit
-from ...fleet.failure_detector import HealthReport
-from ...fleet.fleet_state import MemberPhase
+from ...fleet.failure_detector import FailureDetectorPolicy
+from ...fleet.fleet_state import MemberKind, MemberPhase
 from ...fleet.rollout_leader import RolloutPolicy
 from ...leases.fencing import FencingGuard
 from ...leases.lease_client import LeaseConfig
 from . import drain_invariants, invariants
 from .fault_plan import Fault, FaultName
-from .history import AvailabilityChanged, OperatorOrderAccepted
+from .history import OperatorOrderAccepted
 from .invariants import InvariantReport, Violation
-from .simulated_lease_client import InMemoryTokenStore, SimulatedLeaseClient
-from .simulated_leases import SimulatedCluster
+from .simulated_lease_client import SimulatedLeaseClient
+from .simulated_leases import CLIENTS_START_AT_S, SimulatedCluster
+from .simulated_member import INITIAL_STARTS_UNTIL_S, InMemoryAgentState, MemberObserver, SimulatedMember
 from .simulation import SimulationConfig
 
 GROUP = "drill"
@@ -39,194 +37,64 @@
     anti_affinity_groups={"rack": ("c0", "c5")},
     unplanned_allowance=1,
 )
-AGENT_CONFIG = AgentTerms(poll_interval_ms=400.0, partition_timeout_ms=5_000.0, min_serving_ms=600.0)
-FAILURE_DETECTOR_CONFIG = counting.FailureDetectorPolicy(report_timeout_ms=5_000.0)
+AGENT_CONFIG = AgentPolicy(poll_interval_ms=400.0, partition_timeout_ms=5_000.0, min_serving_ms=600.0)
+FAILURE_DETECTOR_CONFIG = FailureDetectorPolicy(report_timeout_ms=5_000.0)
 HEARTBEAT_INTERVAL_MS = 1_200.0
-ORDER_INTERVAL_S = 1.3  # seconds between two orders
-REJOIN_DEADLINE_S = 30.0  # seconds within which all that is wanted in is in, without faults
-SHUTDOWN_TIME_S, START_TIME_S = (
-    (0.2, 1.2),
-    (0.2, 0.8),
-)  # seconds until a member that was told to end has, and until it serves
-WARM_UP_TIME_S = (0.5, 2.5)  # seconds until a cache node is warm
-START_FAILURE_PROBABILITY = 0.15  # of the starts end at once
-
-
-class SimulatedMember:
-    """What an agent looks after. It lives on when its agent dies."""
-
-    def __init__(self, cluster: SimulatedDrainCluster, name: str, kind: book.MemberKind, zone: str) -> None:
-        self.cluster, self.name, self.kind, self.zone = cluster, name, kind, zone
-        self.incarnation = 0
-        self.running = self.serving = self.draining = self.ending = False
-        self.warm = True
-        self.phase_started_at = 0.0  # of its draining, or of its last start
-        self._reported_up: bool | None = None
-        self.free = False
-
-    def record_availability(self, cause: str) -> None:
-        """Note it if it has gone out of service or come back."""
-        up = self.running and self.serving and not self.draining and not self.ending and self.warm
-        if up != self._reported_up or (not up and cause == "program"):
-            self._reported_up = up
-            kind = "routers" if self.kind is book.MemberKind.ROUTER else "caches"
-            self.cluster.record_event(
-                AvailabilityChanged(self.name, self.cluster.now, kind, self.zone, up, cause, self.free)
-            )
-
-    def start(self) -> None:
-        """Start it, if it does not run."""
-        if self.running:
-            return
-        self.incarnation += 1
-        self.running, self.serving, self.draining, self.ending = True, False, False, False
-        self.warm = self.kind is book.MemberKind.ROUTER or self.cluster.now < 1.0
-        life, rng = self.incarnation, self.cluster.rng
-        if rng.random() < START_FAILURE_PROBABILITY and self.cluster.now > 1.0:
-            self.cluster.schedule_in(rng.uniform(*START_TIME_S), partial(self._exit, life, "fault"))
-            return
-        self.cluster.schedule_in(
-            0.0 if self.cluster.now < 1.0 else rng.uniform(*START_TIME_S), partial(self._serve, life)
-        )
-        self.cluster.schedule_in(
-            rng.uniform(*WARM_UP_TIME_S) + START_TIME_S[1], partial(self._finish_warm_up, life)
-        )
-
-    def _serve(self, life: int) -> None:
-        if life == self.incarnation:
-            self.serving = True
-            self.record_availability("")
-
-    def _finish_warm_up(self, life: int) -> None:
-        if life == self.incarnation:
-            self.warm = True
-            self.record_availability("")
-
-    def stop(self) -> None:
-        """SIGTERM."""
-        if self.running and not self.ending:
-            self.ending = True
-            self.record_availability("program")
-            self.cluster.schedule_in(
-                self.cluster.rng.uniform(*SHUTDOWN_TIME_S), partial(self._exit, self.incarnation, "program")
-            )
-
-    def _exit(self, life: int, cause: str) -> None:
-        if life == self.incarnation:
-            self.running = self.serving = self.draining = self.ending = False
-            self.incarnation += 1
-            self.record_availability(cause)
-
-    def crash(self) -> None:
-        """A fault ends it."""
-        if self.running:
-            self._exit(self.incarnation, "fault")
-
-    def set_draining(self, draining: bool) -> None:
-        """Take nothing new, or take it again."""
-        if self.running and self.draining is not draining:
-            self.draining, self.phase_started_at = draining, self.cluster.now
-            self.record_availability("program" if draining else "")
-
-
-class MemberObserver:
-    """A member as one start of its agent sees it: a little late, as over a door."""
-
-    def __init__(self, member: SimulatedMember) -> None:
-        self._member = member
-
-    def read_status(self) -> MemberStatus:
-        """How it is."""
-        one = self._member
-        idle = one.draining and one.cluster.now - one.phase_started_at > 1.0
-        up = one.running and one.serving and not one.draining and not one.ending
-        return MemberStatus(one.running, up, one.draining, one.ending, idle, one.warm)
-
-    def apply_action(self, action: MemberAction) -> None:
-        """Start it, have it drain or not, stop it."""
-        if action is MemberAction.START:
-            self._member.start()
-        elif action is MemberAction.STOP:
-            self._member.stop()
-        elif action in (MemberAction.DRAIN, MemberAction.UNDRAIN):
-            self._member.set_draining(action is MemberAction.DRAIN)
-
-    def make_report(self, run_id: int, sequence: int) -> HealthReport:
-        """What is told of it."""
-        own = self.read_status()
-        return HealthReport(run_id, sequence, own.serving, own.warm, served=10.0 * own.serving)
-
-
-class InMemoryAgentState:
-    """What an agent keeps, in all its starts."""
-
-    def __init__(self) -> None:
-        self.at = (0, 0)
-        self.tokens = InMemoryTokenStore()
-        self._extra: dict[str, object] = {}
-
-    def load(self) -> tuple[int, int]:
-        """Where its member stands, and the permit."""
-        return self.at
-
-    def save(self, phase: int, permit: int) -> None:
-        """Keep it."""
-        self.at = phase, permit
-
-    def get(self, name: str) -> object:
-        """What was kept under a name."""
-        return self._extra.get(name)
-
-    def put(self, **more: object) -> None:
-        """Keep it."""
-        self._extra |= more
+ORDER_INTERVAL_S = 1.3  # on average
+REJOIN_DEADLINE_S = 30.0  # within which all members are in after the last fault
+OPERATION_TIMEOUT_MS = 3_000.0
+FORCED_DRAIN_WINDOW_S = 20.0  # in which a member that was ordered out at once may exceed the budget
+EVICTION_TIME_MS = 4_000.0
+REINSTATEMENT_DELAY_S = 6.0  # until a reinstated member is known to be counted again
+FIRST_FAULT_AT_S = 1.5
+FINAL_DRAIN_CANCELS_S = (0.0, 4.0, 8.0)  # an earlier order may be accepted after the first of these
+HALT_EFFECTIVE_S = 2.6  # by the slowest clock
 
 
 class SimulatedAgent(SimulatedLeaseClient):
     """An agent and its member."""
 
-    def __init__(self, cluster: SimulatedDrainCluster, name: str, rate: float) -> None:
-        super().__init__(cluster, name, rate, [])
+    def __init__(self, cluster: SimulatedDrainCluster, name: str, clock_rate: float) -> None:
+        super().__init__(cluster, name, clock_rate, [])
         number = int(name[1:])
         self.drain_cluster = cluster
-        kind = book.MemberKind.ROUTER if number < (cluster.config.clients + 1) // 2 else book.MemberKind.CACHE
+        kind = MemberKind.ROUTER if number < (cluster.config.clients + 1) // 2 else MemberKind.CACHE
         self.member = self._create_member(cluster, name, kind, ZONES[number % len(ZONES)])
-        self.disk = InMemoryAgentState()  # its member's agent's
+        self.disk = InMemoryAgentState()
         self.driver: AgentDriver | None = None
 
     def _create_member(
-        self, cluster: SimulatedDrainCluster, name: str, kind: book.MemberKind, zone: str
+        self, cluster: SimulatedDrainCluster, name: str, kind: MemberKind, zone: str
     ) -> SimulatedMember:
         return SimulatedMember(cluster, name, kind, zone)
 
     def start(self) -> None:
+        """Start the agent; its member too at the begin of the test."""
         super().start()
-        if self.drain_cluster.now < 1.0:
+        if self.drain_cluster.now < INITIAL_STARTS_UNTIL_S:
             self.member.start()
         assert self.client is not None
-        member, disk = self.member, self.disk
-        machine = Agent(
-            member.name, member.kind, member.zone, 1000, self.drain_cluster.budget, AGENT_CONFIG, disk
-        )
-        terms = LeaseConfig(self.drain_cluster.config.lease_ttl_s * 1000.0, self.drain_cluster.config.drift)
-        guard = FencingGuard(disk.tokens)
-        eyes, plan = self._create_observer(machine)
-        wall = partial(getattr, self.drain_cluster, "now")
-        self.driver = AgentDriver(
-            self.client,
-            machine,
-            eyes,
-            guard,
-            AgentDriverConfig(GROUP, terms, FAILURE_DETECTOR_CONFIG, HEARTBEAT_INTERVAL_MS, plan, wall),
+        cluster = self.drain_cluster
+        member = self.member
+        agent = Agent(member.name, member.kind, member.zone, 1000, cluster.budget, AGENT_CONFIG, self.disk)
+        observer, rollout_policy = self._create_observer(agent)
+        config = AgentDriverConfig(
+            GROUP,
+            LeaseConfig(cluster.config.lease_ttl_s * 1000.0, cluster.config.drift),
+            FAILURE_DETECTOR_CONFIG,
+            HEARTBEAT_INTERVAL_MS,
+            rollout_policy,
+            lambda: cluster.now,
         )
+        self.driver = AgentDriver(self.client, agent, observer, FencingGuard(self.disk.tokens), config)
 
-    def _create_observer(self, machine: Agent) -> tuple[MemberObserver, RolloutPolicy | None]:
-        """How it sees its member, and how it would lead releases."""
+    def _create_observer(self, _agent: Agent) -> tuple[MemberObserver, RolloutPolicy | None]:
+        """Return the observer of its member, and the policy by which it would lead rollouts."""
         return MemberObserver(self.member), None
 
 
 class SimulatedDrainCluster(SimulatedCluster):
-    """Agents in the place of contenders, and an operator who orders."""
+    """Agents in the place of lease clients, and an operator with random orders."""
 
     budget = BUDGET
     rejoin_deadline_s = REJOIN_DEADLINE_S
@@ -235,18 +103,17 @@
         super().__init__(config, seed)
         self.orders = random.Random(seed * 13 + 5)
         self.faults_stopped = False
-        self.operations: Counter[str] = Counter()
         self.fault_injector.handlers.register(FaultName.MEMBER_CRASH, self._crash_member)
         self.fault_injector.handlers.register(FaultName.HOST_LOSS, self._lose_host)
         self.fault_injector.handlers.register(FaultName.WIPED_AGENT, self._wipe_agent)
 
-    def _create_client(self, name: str, rate: float) -> SimulatedLeaseClient:
-        return SimulatedAgent(self, name, rate)
+    def _create_client(self, name: str, clock_rate: float) -> SimulatedLeaseClient:
+        return SimulatedAgent(self, name, clock_rate)
 
     @property
     def agents(self) -> Mapping[str, SimulatedAgent]:
-        """By name."""
-        return {name: one for name, one in self.clients.items() if isinstance(one, SimulatedAgent)}
+        """The agents by name."""
+        return {name: client for name, client in self.clients.items() if isinstance(client, SimulatedAgent)}
 
     # -- faults
 
@@ -268,30 +135,33 @@
         self._issue_random_order()
 
     def _send_order(self, order: str, change: RegisterChange, names: tuple[str, ...] = ()) -> None:
-        """An operator's order; what is not known to be taken is not noted."""
+        """Send an operator's order, and record it if it is known to be accepted."""
         client = self.operator.client
         assert client is not None
 
-        def done(outcome: OperationOutcome) -> None:
+        def on_outcome(outcome: OperationOutcome) -> None:
             if outcome.kind is OutcomeKind.COMMITTED or (
                 outcome.kind is OutcomeKind.UNCHANGED and order == "halt"
             ):
                 self.record_event(OperatorOrderAccepted("operator", self.now, order, names))
 
-        client.execute(book.fleet_state_key(GROUP), change, done, 3_000.0)
+        client.execute(fleet_state.fleet_state_key(GROUP), change, on_outcome, OPERATION_TIMEOUT_MS)
 
     def _issue_random_order(self) -> None:
         if self.faults_stopped:
             return
-        rng, now = self.orders, self.now
+        rng = self.orders
+        now = self.now
         names = rng.sample(list(self.agents), rng.choice((1, 1, 2, 3, len(self.agents) // 2)))
         draw = rng.random()
         if draw < 0.5:
-            self._send_order("out", book.request_drain(names, rng.choice("ab"), "patch", now), tuple(names))
+            self._send_order(
+                "out", fleet_state.request_drain(names, rng.choice("ab"), "patch", now), tuple(names)
+            )
         elif draw < 0.8:
-            self._send_order("in", book.cancel_drain(names, rng.choice("ab"), now), tuple(names))
+            self._send_order("in", fleet_state.cancel_drain(names, rng.choice("ab"), now), tuple(names))
         elif draw < 0.85:
-            self._send_order("halt", book.halt_drains("operator", "drill", now))
+            self._send_order("halt", fleet_state.halt_drains("operator", "drill", now))
         elif draw < 0.95:
             self._resume_drains()
         elif draw < 0.97:
@@ -301,117 +171,125 @@
         self.operator.call_after(1000.0 * ORDER_INTERVAL_S * rng.uniform(0.3, 1.7), self._issue_random_order)
 
     def _resume_drains(self) -> None:
-        # from the asking on things may go out again
+        """Resume drains; recorded before and after, as it may be accepted at any time between."""
         self.record_event(OperatorOrderAccepted("operator", self.now, "resume"))
         client = self.operator.client
         assert client is not None
 
-        def done(outcome: OperationOutcome) -> None:
-            if outcome.kind in (
-                OutcomeKind.COMMITTED,
-                OutcomeKind.UNKNOWN,
-            ):  # taken after a later halt, maybe
+        def on_outcome(outcome: OperationOutcome) -> None:
+            if outcome.kind in (OutcomeKind.COMMITTED, OutcomeKind.UNKNOWN):
                 self.record_event(OperatorOrderAccepted("operator", self.now, "resume"))
 
         client.execute(
-            book.fleet_state_key(GROUP), book.resume_drains("operator", "drill", self.now), done, 3_000.0
+            fleet_state.fleet_state_key(GROUP),
+            fleet_state.resume_drains("operator", "drill", self.now),
+            on_outcome,
+            OPERATION_TIMEOUT_MS,
         )
 
     def _order_forced_drain(self, name: str) -> None:
         member = self.agents[name].member
         member.free = True
-        self.schedule_in(20.0, lambda: setattr(member, "free", False))
-        self._send_order("now", book.request_drain([name], "a", "it dies", self.now, immediate=True), (name,))
+        self.schedule_in(FORCED_DRAIN_WINDOW_S, lambda: setattr(member, "free", False))
+        self._send_order(
+            "now", fleet_state.request_drain([name], "a", "it dies", self.now, immediate=True), (name,)
+        )
 
     def _evict_member(self, name: str) -> None:
         self.record_event(OperatorOrderAccepted("operator", self.now, "off", (name,)))
-        self._send_order("written off", book.evict_member(name, "a", "drill", self.now), (name,))
-        self.operator.call_after(4_000.0, lambda: self._reinstate_member(name))
+        self._send_order("written off", fleet_state.evict_member(name, "a", "drill", self.now), (name,))
+        self.operator.call_after(EVICTION_TIME_MS, lambda: self._reinstate_member(name))
 
     def _reinstate_member(self, name: str) -> None:
         client = self.operator.client
         assert client is not None
 
-        def done(outcome: OperationOutcome) -> None:
+        def on_outcome(outcome: OperationOutcome) -> None:
             if outcome.kind in (OutcomeKind.FAILED, OutcomeKind.UNKNOWN):
                 self._reinstate_member(name)
             else:
                 self.schedule_in(
-                    6.0, lambda: self.record_event(OperatorOrderAccepted("operator", self.now, "on", (name,)))
+                    REINSTATEMENT_DELAY_S,
+                    lambda: self.record_event(OperatorOrderAccepted("operator", self.now, "on", (name,))),
                 )
 
-        client.execute(book.fleet_state_key(GROUP), book.reinstate_member(name, "a", self.now), done, 3_000.0)
+        client.execute(
+            fleet_state.fleet_state_key(GROUP),
+            fleet_state.reinstate_member(name, "a", self.now),
+            on_outcome,
+            OPERATION_TIMEOUT_MS,
+        )
 
     def _stop_faults(self) -> None:
         super()._stop_faults()
         self.faults_stopped = True
-        for seconds in (0.0, 4.0, 8.0):  # an order from before may be taken after the first of these
-            self.schedule_in(seconds, self._cancel_all_drains)
+        for delay_s in FINAL_DRAIN_CANCELS_S:
+            self.schedule_in(delay_s, self._cancel_all_drains)
 
     def _cancel_all_drains(self) -> None:
-        """At the end all are wanted in, until that is taken; the halt stays, if there is one."""
+        """Cancel all drains, until that is accepted; a halt stays."""
         client = self.operator.client
         assert client is not None
 
-        def done(outcome: OperationOutcome) -> None:
+        def on_outcome(outcome: OperationOutcome) -> None:
             if outcome.kind in (OutcomeKind.FAILED, OutcomeKind.UNKNOWN):
                 self._cancel_all_drains()
 
         client.execute(
-            book.fleet_state_key(GROUP), book.cancel_drain(list(self.agents), "a", self.now), done, 3_000.0
+            fleet_state.fleet_state_key(GROUP),
+            fleet_state.cancel_drain(list(self.agents), "a", self.now),
+            on_outcome,
+            OPERATION_TIMEOUT_MS,
         )
 
     # -- the end
 
     def run(self) -> InvariantReport:
+        """Run the whole test and check its history."""
         self._bootstrap_quorum()
-        self.schedule(0.1, None, self._start_clients)
-        self._schedule_faults(1.5)
-        calm = 1.5 + self.plan.ends_at
-        self.schedule(calm, None, self._stop_faults)
-        self.run_until(calm + self.rejoin_deadline_s)
+        self.schedule(CLIENTS_START_AT_S, None, self._start_clients)
+        self._schedule_faults(FIRST_FAULT_AT_S)
+        faults_stop_at = FIRST_FAULT_AT_S + self.plan.ends_at
+        self.schedule(faults_stop_at, None, self._stop_faults)
+        self.run_until(faults_stop_at + self.rejoin_deadline_s)
         self._record_open_operations()
-        verdict = invariants.check_invariants(self.events)
-        known = (
-            (
-                FAILURE_DETECTOR_CONFIG.report_timeout_ms
-                + HEARTBEAT_INTERVAL_MS
-                + AGENT_OPERATION_TIMEOUT_MS
-                + AGENT_CONFIG.max_sweep_age_ms
-                + AGENT_OPERATION_TIMEOUT_MS
-            )
-            / 1000.0
-            / (1.0 - self.config.max_clock_skew)
+        report = invariants.check_invariants(self.events)
+        violations, counts = drain_invariants.check_invariants(self.events, self._bounds())
+        report.violations += [*violations, *self._check_members_rejoined()]
+        report.counts += counts
+        self._count_injected_faults(report)
+        return report
+
+    def _bounds(self) -> drain_invariants.DrainBounds:
+        """Return the budget, and the delays for a process with the slowest clock."""
+        slowest_clock = 1.0 - self.config.max_clock_skew
+        failure_known_ms = (
+            FAILURE_DETECTOR_CONFIG.report_timeout_ms
+            + HEARTBEAT_INTERVAL_MS
+            + AGENT_OPERATION_TIMEOUT_MS
+            + AGENT_CONFIG.max_sweep_age_ms
+            + AGENT_OPERATION_TIMEOUT_MS
         )
-        bounds = drain_invariants.DrainBounds(self.budget, known, 2.6 / (1.0 - self.config.max_clock_skew))
-        broken, counts = drain_invariants.check_invariants(self.events, bounds)
-        verdict.violations += [*broken, *self._check_members_rejoined()]
-        verdict.counts += counts
-        self._count_injected_faults(verdict)
-        return verdict
+        failure_known_s = failure_known_ms / 1000.0 / slowest_clock
+        return drain_invariants.DrainBounds(self.budget, failure_known_s, HALT_EFFECTIVE_S / slowest_clock)
 
     def _check_members_rejoined(self) -> list[Violation]:
-        """Every permit has ended, and every member is in service."""
-        found = []
-        for name, one in self.agents.items():
-            member, driver = one.member, one.driver
-            ledger = None if driver is None else driver.agent.fleet_state
-            mine = None if ledger is None else ledger.members.get(name)
-            up = member.running and member.serving and not member.draining and not member.ending
-            if mine is None or mine.phase != MemberPhase.IN or mine.permit or not up:
-                stood = (
-                    "unknown"
-                    if mine is None
-                    else f"{MemberPhase(mine.phase).name.lower()}, permit {mine.permit}"
-                )
-                found.append(
-                    Violation(
-                        "ends", f"{name} is {stood}, {'up' if up else 'down'}, long after the last fault"
-                    )
-                )
-        return found
-
-
-def run_drill(shape: SimulationConfig, seed: int) -> InvariantReport:
-    """One seed."""
-    return SimulatedDrainCluster(shape, seed).run()
+        """Check that every permit has ended, and that every member serves."""
+        violations = []
+        for name, agent in self.agents.items():
+            state = None if agent.driver is None else agent.driver.agent.fleet_state
+            member = None if state is None else state.members.get(name)
+            up = agent.member.is_serving
+            if member is not None and member.phase == MemberPhase.IN and not member.permit and up:
+                continue
+            phase = "unknown"
+            if member is not None:
+                phase = f"{MemberPhase(member.phase).name.lower()}, permit {member.permit}"
+            text = f"{name} is {phase}, {'up' if up else 'down'}, long after the last fault"
+            violations.append(Violation("ends", text))
+        return violations
+
+
+def run_drill(config: SimulationConfig, seed: int) -> InvariantReport:
+    """Run the test with one seed."""
+    return SimulatedDrainCluster(config, seed).run()
--- /dev/null
+++ b/rosepick/lab/drill/simulated_member.py
@@ -0,0 +1,173 @@
+"""A simulated router or cache node, as its agent and the clients see it."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from ...fleet.agent import MemberAction, MemberStatus
+from ...fleet.failure_detector import HealthReport
+from ...fleet.fleet_state import MemberKind
+from .history import AvailabilityChanged
+from .simulated_lease_client import InMemoryTokenStore
+from .simulation import Simulation
+
+INITIAL_STARTS_UNTIL_S = 1.0  # starts before it succeed at once, and warm
+SHUTDOWN_TIME_S = (0.2, 1.2)  # until a member that was told to stop has ended
+START_TIME_S = (0.2, 0.8)  # until a member serves
+WARM_UP_TIME_S = (0.5, 2.5)  # until a cache node is warm, after the longest start
+START_FAILURE_PROBABILITY = 0.15
+IDLE_AFTER_S = 1.0  # a draining member has no requests any more
+SERVED_PER_REPORT = 10.0
+
+
+class SimulatedMember:
+    """A member's process. It lives on when its agent dies.
+
+    `free` tells that the disruption budget does not apply to it, since it was ordered out at once.
+    """
+
+    def __init__(self, simulation: Simulation, name: str, kind: MemberKind, zone: str) -> None:
+        self.simulation = simulation
+        self.name = name
+        self.kind = kind
+        self.zone = zone
+        self.incarnation = 0
+        self.running = False
+        self.serving = False
+        self.draining = False
+        self.ending = False
+        self.warm = True
+        self.free = False
+        self.phase_started_at = 0.0  # when it last began or ended draining
+        self._reported_up: bool | None = None
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether it takes new requests, warm or not."""
+        return self.running and self.serving and not self.draining and not self.ending
+
+    def record_availability(self, cause: str) -> None:
+        """Record that it went out of service or came back, if it did."""
+        up = self.is_serving and self.warm
+        if up != self._reported_up or (not up and cause == "program"):
+            self._reported_up = up
+            kind = "routers" if self.kind is MemberKind.ROUTER else "caches"
+            self.simulation.record_event(
+                AvailabilityChanged(self.name, self.simulation.now, kind, self.zone, up, cause, self.free)
+            )
+
+    def start(self) -> None:
+        """Start it unless it runs; some starts fail."""
+        if self.running:
+            return
+        simulation = self.simulation
+        rng = simulation.rng
+        is_initial = simulation.now < INITIAL_STARTS_UNTIL_S
+        self.incarnation += 1
+        self.running = True
+        self.serving = False
+        self.draining = False
+        self.ending = False
+        self.warm = self.kind is MemberKind.ROUTER or is_initial
+        incarnation = self.incarnation
+        if rng.random() < START_FAILURE_PROBABILITY and simulation.now > INITIAL_STARTS_UNTIL_S:
+            simulation.schedule_in(rng.uniform(*START_TIME_S), partial(self._exit, incarnation, "fault"))
+            return
+        start_time_s = 0.0 if is_initial else rng.uniform(*START_TIME_S)
+        simulation.schedule_in(start_time_s, partial(self._serve, incarnation))
+        warm_up_time_s = rng.uniform(*WARM_UP_TIME_S) + START_TIME_S[1]
+        simulation.schedule_in(warm_up_time_s, partial(self._finish_warm_up, incarnation))
+
+    def _serve(self, incarnation: int) -> None:
+        if incarnation == self.incarnation:
+            self.serving = True
+            self.record_availability("")
+
+    def _finish_warm_up(self, incarnation: int) -> None:
+        if incarnation == self.incarnation:
+            self.warm = True
+            self.record_availability("")
+
+    def stop(self) -> None:
+        """Have it shut down, as by SIGTERM."""
+        if self.running and not self.ending:
+            self.ending = True
+            self.record_availability("program")
+            shutdown_time_s = self.simulation.rng.uniform(*SHUTDOWN_TIME_S)
+            self.simulation.schedule_in(shutdown_time_s, partial(self._exit, self.incarnation, "program"))
+
+    def _exit(self, incarnation: int, cause: str) -> None:
+        if incarnation == self.incarnation:
+            self.running = False
+            self.serving = False
+            self.draining = False
+            self.ending = False
+            self.incarnation += 1
+            self.record_availability(cause)
+
+    def crash(self) -> None:
+        """End it at once, by a fault."""
+        if self.running:
+            self._exit(self.incarnation, "fault")
+
+    def set_draining(self, draining: bool) -> None:
+        """Begin or end draining."""
+        if self.running and self.draining is not draining:
+            self.draining = draining
+            self.phase_started_at = self.simulation.now
+            self.record_availability("program" if draining else "")
+
+
+class MemberObserver:
+    """A member as its agent sees and controls it."""
+
+    def __init__(self, member: SimulatedMember) -> None:
+        self._member = member
+
+    def read_status(self) -> MemberStatus:
+        """Return the member's status."""
+        member = self._member
+        idle = member.draining and member.simulation.now - member.phase_started_at > IDLE_AFTER_S
+        return MemberStatus(
+            member.running, member.is_serving, member.draining, member.ending, idle, member.warm
+        )
+
+    def apply_action(self, action: MemberAction) -> None:
+        """Start, stop, drain or undrain the member."""
+        if action is MemberAction.START:
+            self._member.start()
+        elif action is MemberAction.STOP:
+            self._member.stop()
+        elif action in (MemberAction.DRAIN, MemberAction.UNDRAIN):
+            self._member.set_draining(action is MemberAction.DRAIN)
+
+    def make_report(self, run_id: int, sequence: int) -> HealthReport:
+        """Return the member's health report."""
+        status = self.read_status()
+        served = SERVED_PER_REPORT * status.serving
+        return HealthReport(run_id, sequence, status.serving, status.warm, served=served)
+
+
+class InMemoryAgentState:
+    """The state of an agent in memory, which outlives its starts."""
+
+    def __init__(self) -> None:
+        self.tokens = InMemoryTokenStore()
+        self._phase_and_permit = (0, 0)
+        self._values: dict[str, object] = {}
+
+    def load(self) -> tuple[int, int]:
+        """Return the stored phase and permit."""
+        return self._phase_and_permit
+
+    def save(self, phase: int, permit: int) -> None:
+        """Store phase and permit."""
+        self._phase_and_permit = phase, permit
+
+    def get(self, name: str) -> object:
+        """Return the value stored under a name, None if there is none."""
+        return self._values.get(name)
+
+    def put(self, **values: object) -> None:
+        """Store values under names."""
+        self._values |= values
--- a/rosepick/lab/drill/simulated_releases.py
+++ b/rosepick/lab/drill/simulated_releases.py
@@ -21,7 +21,8 @@
 from . import release_invariants
 from .history import ReleaseDecided, VersionStarted
 from .invariants import InvariantReport
-from .simulated_drains import GROUP, MemberObserver, SimulatedAgent, SimulatedDrainCluster, SimulatedMember
+from .simulated_drains import GROUP, SimulatedAgent, SimulatedDrainCluster
+from .simulated_member import MemberObserver, SimulatedMember
 from .simulation import SimulationConfig
 
 WAVES_TO_DETECT = {  # in which way a version is worse, and how many waves may see it
@@ -81,20 +82,20 @@
             return
         carrier = None if self.agent is None else self.agent.deployer
         version = self.version if carrier is None else carrier.active_digests[BUILD]
-        if self.kind is book.MemberKind.ROUTER and (version != self.version or self.cluster.now < 1.0):
-            self.cluster.record_event(VersionStarted(self.name, self.cluster.now, version))
+        if self.kind is book.MemberKind.ROUTER and (version != self.version or self.simulation.now < 1.0):
+            self.simulation.record_event(VersionStarted(self.name, self.simulation.now, version))
         self.version = version
         super().start()
         self._schedule_exit_of_bad_version()
 
     def _schedule_exit_of_bad_version(self) -> None:
-        rng = self.cluster.rng
+        rng = self.simulation.rng
         bad = fault_kind_of(self.version)
         exit_now = partial(self._exit, self.incarnation, "fault")
         if bad == "dead" and self.running:
-            self.cluster.schedule_in(rng.uniform(0.05, 0.3), exit_now)
+            self.simulation.schedule_in(rng.uniform(0.05, 0.3), exit_now)
         elif bad == "short":
-            self.cluster.schedule_in(rng.uniform(1.2, 2.2), exit_now)
+            self.simulation.schedule_in(rng.uniform(1.2, 2.2), exit_now)
 
     def _serve(self, life: int) -> None:
         if fault_kind_of(self.version) != "mute":
@@ -119,13 +120,13 @@
         return replace(super().read_status(), runs_wrong_build=wrong, exit_count=one.exit_count)
 
     def make_report(self, run_id: int, sequence: int) -> HealthReport:
-        one, rng = self._router, self._router.cluster.rng
+        one, rng = self._router, self._router.simulation.rng
         up, bad = self.read_status().serving, fault_kind_of(one.version)
         asked = max(0.0, rng.gauss(12.0, 3.0)) * up
         fails = bad == "fails" or (bad == "west" and one.zone == "west")
         lost = asked * (0.3 * rng.uniform(0.6, 1.4) if fails else rng.choice((0.0, 0.0, 0.0, 0.02)))
         cpu = asked * 0.002 * rng.uniform(0.85, 1.15) * (1.5 if bad == "slow" else 1.0)
-        age = one.cluster.now - one.phase_started_at if bad == "leaks" else 0.0
+        age = one.simulation.now - one.phase_started_at if bad == "leaks" else 0.0
         memory = 40_000.0 * rng.uniform(0.99, 1.01) * (1.0 + 0.25 * age)
         return HealthReport(
             run_id,
@@ -153,7 +154,7 @@
 
     def prepare(self, kind: str, artifact: Artifact) -> ArtifactStatus:
         """How far it is."""
-        world = self._member.cluster
+        world = self._member.simulation
         since = self._requested_at.setdefault(artifact.digest, world.now)
         if artifact.digest in self._available:
             return ArtifactStatus(True)
