Rewrite the invariants of releases as a checker of single events

Cause: check_invariants was a function of 45 lines with seven tables of its own, in words of the old style.

Change: one method for each kind of event and for the end; names of the invariants are an enum.

--- a/rosepick/lab/drill/release_invariants.py
+++ b/rosepick/lab/drill/release_invariants.py
@@ -1,23 +1,33 @@
-"""Claims of releases (docs/releases.md), judged by what members were seen to run and when the record said
-what.
-"""
+"""Invariants of releases (docs/releases.md), checked on the versions that members were seen to run."""
 
 from __future__ import annotations
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 
 from .history import AnyEvent, ReleaseDecided, VersionStarted
 from .invariants import Violation
 
 
+class ReleaseInvariant(StrEnum):
+    """Names of the properties of releases, as reports and mutations.toml have them."""
+
+    PERMISSION = "reach"  # a member runs only what the rollout record allows it
+    EXPOSURE = "stopped"  # a bad version reaches few members
+    CONVERGENCE = "one version"  # at the end all run what the record says
+    ROLLBACK = "taken back"  # no bad version is left at the end
+
+
 @dataclass(frozen=True, slots=True)
 class ReleaseBounds:
-    """Seconds. `permission_grace_s`: so long after the record last allowed it a member may still begin to run
-    a version: its agent goes by a reading that may be so old, and the member has to be started.
-    `max_members_by_bad_version`: versions that are worse, and by how many members at most each may ever be
-    run; `members`: who is to run what at the end.
+    """What the invariants allow for.
+
+    A member may begin to run a version until `permission_grace_s` seconds after the record last allowed it:
+    its agent acts on a read that may be so old, and the member has to start. `max_members_by_bad_version` has
+    the versions that are worse, and how many members may ever run each; `members` are all that are released
+    to.
     """
 
     permission_grace_s: float
@@ -25,66 +35,100 @@
     members: Sequence[str]
 
 
+class _ReleaseChecker:
+    """Checks a history of releases event by event."""
+
+    def __init__(self, bounds: ReleaseBounds) -> None:
+        self.violations: list[Violation] = []
+        self.counts: Counter[str] = Counter()
+        self._bounds = bounds
+        self._allowed_until: dict[tuple[str, str], float] = {}  # by member and version
+        self._allowed_members: dict[str, set[str]] = {}  # by version, as the last decision has it
+        self._running: dict[str, VersionStarted] = {}  # by member
+        self._members_by_version: dict[str, set[str]] = {}  # which ever ran it
+        self._last_decision: ReleaseDecided | None = None
+
+    def add(self, event: AnyEvent) -> None:
+        if isinstance(event, ReleaseDecided):
+            self._add_decision(event)
+        elif isinstance(event, VersionStarted):
+            self._add_start(event)
+
+    def _add_decision(self, decision: ReleaseDecided) -> None:
+        was_rolling_back = self._last_decision is not None and self._last_decision.back
+        self.counts["decisions"] += 1
+        self.counts["releases taken back"] += decision.back and not was_rolling_back
+        for version, names in self._allowed_members.items():
+            for name in names:
+                self._allowed_until[name, version] = decision.at + self._bounds.permission_grace_s
+        self._allowed_members = self._members_allowed_by(decision)
+        self._last_decision = decision
+
+    def _members_allowed_by(self, decision: ReleaseDecided) -> dict[str, set[str]]:
+        """Return who may run each version; all may run the replaced one, for a rollback."""
+        members = set(self._bounds.members)
+        if decision.over:
+            return {decision.version: members}
+        allowed = {decision.version: set(decision.may)}
+        replaced = next((version for version in self._allowed_members if version != decision.version), "")
+        return allowed | ({replaced: members} if replaced else {})
+
+    def _add_start(self, start: VersionStarted) -> None:
+        self.counts["versions begun"] += 1
+        is_first = start.process not in self._running
+        self._running[start.process] = start
+        self._members_by_version.setdefault(start.version, set()).add(start.process)
+        if not is_first and not self._is_allowed(start):
+            text = f"{start.process} began to run {start.version}, which nobody had allowed it"
+            events = (start,) if self._last_decision is None else (self._last_decision, start)
+            self.violations.append(Violation(ReleaseInvariant.PERMISSION.value, text, events))
+
+    def _is_allowed(self, start: VersionStarted) -> bool:
+        if start.process in self._allowed_members.get(start.version, set()):
+            return True
+        return start.at <= self._allowed_until.get((start.process, start.version), -1.0)
+
+    def finish(self) -> None:
+        """Check what holds for the whole history and for its end."""
+        for version, most in self._bounds.max_members_by_bad_version.items():
+            reached = len(self._members_by_version.get(version, ()))
+            self.counts["bad versions begun"] += reached > 0
+            self.counts[f"members that ran {version.partition('-')[0]}"] += reached
+            if reached > most:
+                text = f"{version} was run by {reached} members, {most} at most were to see that it is worse"
+                self.violations.append(Violation(ReleaseInvariant.EXPOSURE.value, text))
+        if self._last_decision is not None:
+            self._check_final_versions(self._last_decision)
+
+    def _check_final_versions(self, last: ReleaseDecided) -> None:
+        """Check that all members run the version that the record says, and that it is no bad one."""
+        if not last.over:
+            text = f"release {last.number} is not over"
+            self.violations.append(Violation(ReleaseInvariant.CONVERGENCE.value, text, (last,)))
+            return
+        others = [
+            start
+            for name, start in self._running.items()
+            if name in self._bounds.members and start.version != last.version
+        ]
+        if others:
+            names = ", ".join(start.process for start in others)
+            text = f"{names}: not {last.version}, as the record says"
+            self.violations.append(Violation(ReleaseInvariant.CONVERGENCE.value, text, (last, *others)))
+        if last.version in self._bounds.max_members_by_bad_version:
+            text = f"all are to run {last.version}, which is worse"
+            self.violations.append(Violation(ReleaseInvariant.ROLLBACK.value, text, (last,)))
+
+
 def check_invariants(
     events: Sequence[AnyEvent], bounds: ReleaseBounds
 ) -> tuple[list[Violation], Counter[str]]:
-    """Over a history: who began to run what nobody had allowed it, how far bad versions came, what all run at
-    the end.
+    """Check a history for versions that were not allowed, that spread too far or that stay at the end.
+
+    Returns the violations and counts of what was checked.
     """
-    allowed: dict[tuple[str, str], float] = {}  # member and version: until when it may begin
-    standing: dict[str, set[str]] = {}  # version: who may run it by the last word
-    runs: dict[str, VersionStarted] = {}
-    ever: dict[str, set[str]] = {}
-    broken, counts = list[Violation](), Counter[str]()
-    last: ReleaseDecided | None = None
+    checker = _ReleaseChecker(bounds)
     for event in events:
-        if isinstance(event, ReleaseDecided):
-            counts["decisions"] += 1
-            counts["releases taken back"] += event.back and not (last is not None and last.back)
-            for version, names in standing.items():
-                for name in names:
-                    allowed[name, version] = event.at + bounds.permission_grace_s
-            if event.over:
-                standing = {event.version: set(bounds.members)}
-            else:
-                held = {version: names for version, names in standing.items() if version != event.version}
-                old = next(iter(held), "")
-                # what it replaces may be run by anybody at any time: it is the way back
-                standing = {event.version: set(event.may)} | ({old: set(bounds.members)} if old else {})
-            last = event
-        elif isinstance(event, VersionStarted):
-            counts["versions begun"] += 1
-            first = event.process not in runs
-            runs[event.process] = event
-            ever.setdefault(event.version, set()).add(event.process)
-            may = event.process in standing.get(event.version, set())
-            may = may or event.at <= allowed.get((event.process, event.version), -1.0)
-            if not first and not may:
-                text = f"{event.process} began to run {event.version}, which nobody had allowed it"
-                broken.append(Violation("reach", text, tuple(e for e in (last, event) if e is not None)))
-    for version, most in bounds.max_members_by_bad_version.items():
-        reached = len(ever.get(version, ()))
-        counts["bad versions begun"] += reached > 0
-        counts[f"members that ran {version.partition('-')[0]}"] += reached
-        if reached > most:
-            text = f"{version} was run by {reached} members, {most} at most were to see that it is worse"
-            broken.append(Violation("stopped", text))
-    return broken + _check_final_versions(runs, last, bounds), counts
-
-
-def _check_final_versions(
-    runs: Mapping[str, VersionStarted], last: ReleaseDecided | None, bounds: ReleaseBounds
-) -> list[Violation]:
-    """All run one version, and the record says which; none that is worse."""
-    if last is None:
-        return []
-    if not last.over:
-        return [Violation("one version", f"release {last.number} is not over", (last,))]
-    other = [one for name, one in runs.items() if name in bounds.members and one.version != last.version]
-    found = []
-    if other:
-        text = f"{', '.join(one.process for one in other)}: not {last.version}, as the record says"
-        found.append(Violation("one version", text, (last, *other)))
-    if last.version in bounds.max_members_by_bad_version:
-        found.append(Violation("taken back", f"all are to run {last.version}, which is worse", (last,)))
-    return found
+        checker.add(event)
+    checker.finish()
+    return checker.violations, checker.counts
