Document the real processes of fault-injection tests

Cause: docstrings of processes.py were fragments, and assignments stood two in a line.

Change: docstrings say what each function does; nothing else changes.

--- a/rosepick/lab/drill/processes.py
+++ b/rosepick/lab/drill/processes.py
@@ -1,4 +1,4 @@
-"""Real processes of a drill: started, stopped, killed and started again, each with its log and its clock."""
+"""Real processes of a fault-injection test, each with its log and its clock, and the storages of replicas."""
 
 from __future__ import annotations
 
@@ -15,8 +15,9 @@
 
 
 def unique_loopback_address() -> str:
-    """An address of the loopback net that no other drill of this machine uses at this time: its ports are
-    all free, also from the system's own choice for connections.
+    """Return a loopback address that no other test on this machine uses at this time.
+
+    All its ports are free, also from those that the system chooses for connections.
     """
     pid = os.getpid()
     return f"127.{64 + (pid >> 16 & 63)}.{pid >> 8 & 255}.{pid & 255}"
@@ -25,8 +26,13 @@
 def starter_command(
     rate: float, module: str, arguments: list[str], recorded_name: str | bool
 ) -> tuple[list[str], dict[str, str]]:
-    """The command line and the environment of a process under the starter; `recorded_name`: the name for its
-    operations.
+    """Return the command line and the environment of a process under `starter`.
+
+    Args:
+        rate: the rate of its clock, 1.0 for a right one.
+        module: the module that is run.
+        arguments: the arguments of the module.
+        recorded_name: the name under which its operations are recorded; empty or False if they are not.
     """
     command = [sys.executable, "-m", "rosepick.lab.drill.starter", f"{rate:.6f}", module, *arguments]
     environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1", "USER": "drill"}
@@ -39,31 +45,38 @@
 
 
 class ManagedProcess:
-    """One process, in all its starts."""
+    """A process that can be started again and again, with one log.
+
+    `exit_statuses` are those of starts that have ended; `stopped` tells that it is paused. With
+    `records_operations` the starter records its operations.
+    """
 
     def __init__(self, name: str, folder: Path, rate: float, module: str, arguments: list[str]) -> None:
-        self.name, self.folder, self.rate = name, folder, rate
-        self.module, self.arguments = module, arguments
-        self.exit_statuses: list[int] = []  # of starts that have ended
+        self.name = name
+        self.folder = folder
+        self.rate = rate
+        self.module = module
+        self.arguments = arguments
+        self.exit_statuses: list[int] = []
         self.stopped = False
-        self.extra_environment: dict[str, str] = {}  # of its environment
-        self.records_operations = False  # its operations are to be noted by the starter
+        self.extra_environment: dict[str, str] = {}
+        self.records_operations = False
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
     def log_path(self) -> Path:
-        """Where its log is."""
+        """The path of its log."""
         return self.folder / f"{self.name}.log"
 
     @property
     def pid(self) -> int:
-        """Of the start that runs."""
+        """The process id of the start that runs."""
         assert self._process is not None
         return self._process.pid
 
     @property
     def running(self) -> bool:
-        """Whether it runs; one that has ended by itself is noted."""
+        """Whether it runs; the exit status of one that has ended is recorded."""
         if self._process is None:
             return False
         if self._process.poll() is not None:
@@ -87,12 +100,12 @@
         self.stopped = False
 
     def kill(self) -> None:
-        """SIGKILL, and wait until it is gone."""
+        """Send SIGKILL and wait until it has ended."""
         if self.running:
             assert self._process is not None
             self._process.kill()
             self._process.wait()
-            self.running  # noqa: B018
+            self.running  # noqa: B018 -- reading it records the exit status
 
     def signal(self, number: int) -> None:
         """Send a signal, if it runs."""
@@ -101,17 +114,17 @@
             self._process.send_signal(number)
 
     def pause(self) -> None:
-        """Stop it where it is."""
+        """Pause it by SIGSTOP."""
         self.signal(signal.SIGSTOP)
         self.stopped = True
 
     def resume(self) -> None:
-        """Let it go on."""
+        """Resume it by SIGCONT."""
         self.signal(signal.SIGCONT)
         self.stopped = False
 
     def simulate_full_disk(self) -> None:
-        """No file of it may grow from now on, as on a disk that is full."""
+        """Let none of its files grow from now on, as on a full disk."""
         if self.running:
             assert self._process is not None
             hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)[1]
@@ -122,7 +135,7 @@
 
 
 def copy_storage(folder: Path, to: Path) -> None:
-    """A copy of what a witness keeps; it is not running."""
+    """Copy the storage of a replica that does not run."""
     shutil.rmtree(to, ignore_errors=True)
     to.mkdir()
     for name in STORAGE_FILES:
@@ -131,8 +144,9 @@
 
 
 def restore_storage(old: Path, folder: Path, in_place: bool) -> None:
-    """Have an older copy be what a witness keeps. `in_place`: into the same file, so that its inode tells
-    nothing.
+    """Restore the storage of a replica from an older copy.
+
+    With `in_place` it is written into the same file, so that the inode does not show the change.
     """
     for name in STORAGE_FILES:
         if not in_place or name != STORAGE_FILES[0]:
@@ -141,11 +155,11 @@
         if (old / name).exists():
             if in_place or name != STORAGE_FILES[0]:
                 shutil.copyfile(old / name, folder / name)
-            else:  # by way of another name, so that it is another file
+            else:  # under another name first, so that it is another file
                 shutil.copyfile(old / name, folder / "copy")
                 (folder / "copy").rename(folder / name)
 
 
 def empty_storage(folder: Path) -> None:
-    """Nothing is left of what a witness kept."""
+    """Remove the storage of a replica."""
     shutil.rmtree(folder, ignore_errors=True)
