--- a/rosepick/lab/drill/takeover_check.py
+++ b/rosepick/lab/drill/takeover_check.py
@@ -49,11 +49,11 @@
         client = self._create_client()
         for task in cluster.tasks:
             record = self._read_lease_record(client, task)
-            if record.held and record.name in cluster.workers:
-                cluster.processes[record.name].kill()
-                deadline_s = self._deadline_s(len(record.line))
-                self._expected = _ExpectedTakeover(task, drill_clock(), record.who, deadline_s)
-                cluster.events.append(FaultInjected(record.name, drill_clock(), "kill", "for good"))
+            if record.is_held and record.owner_name in cluster.workers:
+                cluster.processes[record.owner_name].kill()
+                deadline_s = self._deadline_s(len(record.queue))
+                self._expected = _ExpectedTakeover(task, drill_clock(), record.owner_id, deadline_s)
+                cluster.events.append(FaultInjected(record.owner_name, drill_clock(), "kill", "for good"))
                 break
         client.close()
         if self._expected is not None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,7 +1,7 @@
 """A small scenario language for a whole router on loopback: who, what, and the rest of the line.
 
-    c1 send GET /api/k1 a=b         a sender side (c...) sends a request: headers as name=value, else its body
-    s1 expect GET /api/k1           a next hop (s1, s2, origin) or discovery (d) gets one that begins so
+    c1 send GET /api/k1 a=b         a client (c...) sends a request: headers as name=value, else its body
+    s1 expect GET /api/k1           an upstream (s1, s2, origin) or discovery (d) gets one that begins so
     s1 send 404                     ... and answers: status, body, headers as name=value
     c1 expect 503 Retry-After       an answer with that status comes; all further words are in it
     d tell 42 s1=leaving            discovery answers with changed entries
@@ -100,7 +100,7 @@
             self.ended = True
 
     def message(self) -> str | None:
-        """The next whole message, taken off."""
+        """Return the next complete message, and remove it."""
         head, gap, rest = self.seen.partition(b"\r\n\r\n")
         if not gap:
             return None
@@ -159,18 +159,18 @@
         }
 
     def read(self) -> config.Config:
-        """What the configuration file says at present."""
+        """Return the current configuration file as parsed."""
         return config.read(json.loads(json.dumps(self.file)))
 
     def operators(self) -> OperatorOptions:
-        """What the operators tell: nothing, unless a scenario says otherwise."""
+        """Return the operator options; empty unless a scenario overrides this."""
         return OperatorOptions()
 
     def module(self) -> Router:
         """The router's decisions."""
-        made = self.server.engine.router
-        assert isinstance(made, Router)
-        return made
+        router = self.server.engine.router
+        assert isinstance(router, Router)
+        return router
 
     def play(self, text: str) -> None:
         """Run a scenario."""
@@ -203,9 +203,9 @@
 
     # --------------------------------------------------------------------------------------- the verbs
 
-    def wait(self, span: float) -> None:
+    def wait(self, duration_ms: float) -> None:
         """Time passes, a few milliseconds at a time."""
-        until = self.now + span / 1000.0
+        until = self.now + duration_ms / 1000.0
         while self.now < until:
             self.now = min(until, self.now + 0.005)
             self.step()
@@ -217,7 +217,7 @@
             self.assertEqual(self.loop.stopped, what == "ended")
 
     def wire(self, who: str) -> ScenarioConnection:
-        """A party's present connection; a sender side opens its own."""
+        """Return a party's current connection; a client opens its own."""
         if not self.wires.get(who):
             self.wires[who] = [
                 ScenarioConnection(socket.create_connection(self.server.listener.sock.getsockname()))
@@ -234,13 +234,13 @@
             head = f"{first} {second} HTTP/1.1"
             kind = "read" if first == "GET" else "set"
             self.sent += 1
-            usual = {
+            default_headers = {
                 "Req-Id": f"id{self.sent}",
                 "Req-Kind": kind,
                 "Req-Owner": "acme",
                 "Req-Deadline": "1.000",
             }
-            fields = {name: value for name, value in {**usual, **fields}.items() if value}
+            fields = {name: value for name, value in {**default_headers, **fields}.items() if value}
         fields["Content-Length"] = str(len(body))
         lines = [head, *(f"{name}: {value}" for name, value in fields.items())]
         self.put(who, ("\r\n".join(lines) + "\r\n\r\n" + body).encode())
@@ -260,13 +260,13 @@
         self.step()
 
     def list(self, who: str, text: str) -> None:
-        self.tell(who, text, whole=True)
+        self.tell(who, text, is_full=True)
 
-    def tell(self, who: str, text: str, whole: bool = False) -> None:
+    def tell(self, who: str, text: str, is_full: bool = False) -> None:
         rev, *changes = text.split(" ")
         pairs = [change.split("=") for change in changes]
         rows = [target(name, self.port(name), state) for name, state in pairs]
-        body = json.dumps({"rev": int(rev), "all": whole, "targets": rows})
+        body = json.dumps({"rev": int(rev), "all": is_full, "targets": rows})
         self.put(who, f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
     def close(self, who: str) -> None:
@@ -282,7 +282,7 @@
         self.listeners[who].close()
 
     def hold(self, who: str) -> None:
-        """Its queue is filled, so that the kernel answers no dial more: like a machine that is cut off."""
+        """Fill its accept queue, so that no connect succeeds any more, as with a host that is cut off."""
         self.listeners[who].listen(0)
         self.fillers[who] = []
         for _ in range(8):
@@ -326,7 +326,7 @@
         first, *words = text.split(" ")
         start = f"HTTP/1.1 {first} " if first.isdigit() else first + " "
         if text.endswith(" HTTP/1.1"):
-            start = text  # a request line, whole: nothing may stand behind its path
+            start = text  # a complete request line: nothing may follow its path
         self.assertTrue(message.startswith(start), f"{message!r} does not begin with {start!r}")
         for word in words:
             self.assertIn(word.replace("=", ": ", 1) if first.isdigit() else word, message)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -37,11 +37,11 @@
 
 class Configuration(unittest.TestCase):
     def test_values(self) -> None:
-        told = config.read(DOCUMENT)
-        self.assertEqual((told.seed, told.max_descriptors, told.connect_timeout_ms), (31, 256, 250.0))
-        self.assertEqual(told.names.classes, {"read": 0, "set": 1})
+        loaded = config.read(DOCUMENT)
+        self.assertEqual((loaded.seed, loaded.max_descriptors, loaded.connect_timeout_ms), (31, 256, 250.0))
+        self.assertEqual(loaded.names.classes, {"read": 0, "set": 1})
 
-    def test_what_is_wrong_is_one_plain_line(self) -> None:
+    def test_an_error_is_one_plain_line(self) -> None:
         broken: tuple[tuple[str, object, str], ...] = (
             ("listen", "nowhere", "host:port"),
             ("seed", "xyz", "hexadecimal"),
@@ -51,12 +51,12 @@
             ("known", {"targets": [{}]}, "state"),
         )
         for key, value, word in broken:
-            status, said = self.check(json.dumps({**DOCUMENT, key: value}))
-            self.assertEqual((status, said.count("\n")), (1, 1), said)
-            self.assertIn(word, said)
+            status, output = self.check(json.dumps({**DOCUMENT, key: value}))
+            self.assertEqual((status, output.count("\n")), (1, 1), output)
+            self.assertIn(word, output)
         for text in ("{", "[]"):
-            status, said = self.check(text)
-            self.assertEqual((status, said.count("\n")), (1, 1), said)
+            status, output = self.check(text)
+            self.assertEqual((status, output.count("\n")), (1, 1), output)
 
     def check(self, text: str) -> tuple[int, str]:
         with tempfile.NamedTemporaryFile("w") as file:
@@ -72,18 +72,18 @@
         return done.returncode, done.stderr
 
 
-class Map(unittest.TestCase):
-    def take(
-        self, map_: endpoint_directory.EndpointDirectory, whole: bool, *rows: object
+class EndpointLists(unittest.TestCase):
+    def apply(
+        self, directory: endpoint_directory.EndpointDirectory, is_full: bool, *rows: object
     ) -> endpoint_directory.DirectoryUpdate:
-        return map_.apply_update(SettingsReader({"rev": 2, "all": whole, "targets": list(rows)}, ""))
+        return directory.apply_update(SettingsReader({"rev": 2, "all": is_full, "targets": list(rows)}, ""))
 
     def test_members(self) -> None:
-        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, unix_offset_ms=5000.0)
-        change = self.take(map_, True, target("s1", 1), {**target("origin", 2), "boot_ms": 7000})
+        directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, unix_offset_ms=5000.0)
+        change = self.apply(directory, True, target("s1", 1), {**target("origin", 2), "boot_ms": 7000})
         first, second = change.event.endpoints
         self.assertEqual((first.started_at, first.kind, second.started_at, second.kind), (0.0, 0, 2000.0, 1))
-        self.assertEqual(map_.endpoints[second.endpoint_id].address, ("127.0.0.1", 2))
+        self.assertEqual(directory.endpoints[second.endpoint_id].address, ("127.0.0.1", 2))
 
     def test_retired_when_it_drains_leaves_restarts_or_moves(self) -> None:
         for row in (
@@ -92,17 +92,17 @@
             target("s1", 9),
             {**target("s1", 1), "boot_ms": 9},
         ):
-            map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
-            (member,) = self.take(map_, True, target("s1", 1)).event.endpoints
-            self.assertEqual(self.take(map_, False, target("s1", 1)).retired_endpoint_ids, ())
-            self.assertEqual(self.take(map_, False, row).retired_endpoint_ids, (member.endpoint_id,))
+            directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
+            (member,) = self.apply(directory, True, target("s1", 1)).event.endpoints
+            self.assertEqual(self.apply(directory, False, target("s1", 1)).retired_endpoint_ids, ())
+            self.assertEqual(self.apply(directory, False, row).retired_endpoint_ids, (member.endpoint_id,))
 
     def test_numbers_that_collide(self) -> None:
-        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
-        taken = endpoint_directory.hash_uid("s2")
-        map_.ids_by_uid["another"] = taken
-        (member,) = self.take(map_, False, target("s2", 1)).event.endpoints
-        self.assertNotIn(member.endpoint_id, (0, taken))
+        directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
+        taken_id = endpoint_directory.hash_uid("s2")
+        directory.ids_by_uid["another"] = taken_id
+        (member,) = self.apply(directory, False, target("s2", 1)).event.endpoints
+        self.assertNotIn(member.endpoint_id, (0, taken_id))
 
     def test_number_is_never_the_one_for_none(self) -> None:
         """The module takes 0 for 'no server'; a crafted hash of 0 must not come through."""
@@ -111,13 +111,13 @@
             self.assertEqual((endpoint_directory.hash_uid("a"), endpoint_directory.hash_key(b"a")), (1, 1))
 
     def test_malformed_list_changes_nothing(self) -> None:
-        map_ = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
-        self.take(map_, True, target("s1", 1))
+        directory = endpoint_directory.EndpointDirectory(config.read(DOCUMENT).names, 0.0)
+        self.apply(directory, True, target("s1", 1))
         for row in ({}, target("s1", 1, "odd"), {**target("s2", 1), "endpoint": "x"}):
             with self.assertRaises(ValueError):
-                self.take(map_, True, row)
-        self.assertEqual([hop.uid for hop in map_.endpoints.values()], ["s1"])
-        self.assertIs(self.take(map_, False, target("s1", 1)).event.scope, api.UpdateScope.DELTA)
+                self.apply(directory, True, row)
+        self.assertEqual([endpoint.uid for endpoint in directory.endpoints.values()], ["s1"])
+        self.assertIs(self.apply(directory, False, target("s1", 1)).event.scope, api.UpdateScope.DELTA)
 
 
 class Log(unittest.TestCase):
@@ -150,32 +150,32 @@
 
 class Loops(unittest.TestCase):
     def test_timer_does_not_wait_behind_a_batch_of_reads(self) -> None:
-        now, said = [1.0], list[str]()
+        now, output = [1.0], list[str]()
         loop = EventLoop(lambda: now[0])
         pairs = [socket.socketpair() for _ in range(3)]
 
         def ready(mask: int) -> None:
             now[0] += 0.010
-            said.append("read")
+            output.append("read")
 
         for near, far in pairs:
             far.send(b"x")
             loop.register(near, READ, ready)
-        loop.call_at(1015.0, lambda: said.append("timer"))
+        loop.call_at(1015.0, lambda: output.append("timer"))
         loop.step(0)
-        self.assertEqual(said, ["read", "read", "timer", "read"])
+        self.assertEqual(output, ["read", "read", "timer", "read"])
         for pair in pairs:
             for sock in pair:
                 sock.close()
 
     def test_order_at_one_time_and_cancelled(self) -> None:
-        now, said = [1.0], list[str]()
+        now, output = [1.0], list[str]()
         loop = EventLoop(lambda: now[0])
-        loop.call_at(900.0, lambda: said.append("later"))
-        loop.call_at(900.0, lambda: said.append("first"), run_first=True)
-        loop.call_at(900.0, lambda: said.append("never")).cancel()
+        loop.call_at(900.0, lambda: output.append("later"))
+        loop.call_at(900.0, lambda: output.append("first"), run_first=True)
+        loop.call_at(900.0, lambda: output.append("never")).cancel()
         loop.step(0)
-        self.assertEqual(said, ["first", "later"])
+        self.assertEqual(output, ["first", "later"])
 
 
 class Process(unittest.TestCase):
