--- a/rosepick/lab/live/clients.py
+++ b/rosepick/lab/live/clients.py
@@ -12,7 +12,13 @@
 from ...net.event_loop import EventLoop, ScheduledCall
 from ...net.resource_budget import ResourceBudget
 from ..experiment import Experiment
-from ..model.client_behaviour import final_outcome, retry_pause_ms
+from ..model.client_behaviour import (
+    CLIENT_OUTCOME_BY_TRY,
+    ClientOutcome,
+    TryOutcome,
+    final_outcome,
+    retry_pause_ms,
+)
 from ..model.clients import RECONNECT_DELAY_MS
 from ..model.random_streams import UniformStream
 from ..model.workload import ScheduledRequest
@@ -22,7 +28,7 @@
 
 LATE_ANSWER_WAIT_MS = 1_000.0  # milliseconds after its deadline: to tell a late answer from none
 MAX_BODY_BYTES = 64 * 1024  # of what routers take
-OUTCOME_BY_STATUS = {200: "served", 429: "refused", 503: "refused"}
+OUTCOME_BY_STATUS = {200: TryOutcome.SERVED, 429: TryOutcome.REFUSED, 503: TryOutcome.REFUSED}
 _SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 
 
@@ -50,7 +56,7 @@
         self.attempts_made = 0
         self.send_count = 0  # tries, and those that were sent once more
         self.finished = False
-        self._last_outcome = "failed"
+        self._last_outcome = TryOutcome.FAILED
         self._was_resent = False  # a try was sent once more, as a close had crossed it
         self._connection: ClientConnection | None = None
         self._current_try: TryRecord | None = None  # the try that is out
@@ -73,7 +79,7 @@
         if self.finished:
             return
         if self.clients.now() >= self.deadline_ms():
-            self._finish(self._last_outcome)
+            self._finish(CLIENT_OUTCOME_BY_TRY[self._last_outcome])
         else:
             self.clients.pools[self.request.router].acquire(self)
 
@@ -89,7 +95,7 @@
         if left <= 0.0:
             link.waiter = None
             link.pool.release(link)
-            self._finish(self._last_outcome)
+            self._finish(CLIENT_OUTCOME_BY_TRY[self._last_outcome])
             return
         self.attempts_made += 1
         self.send_count += 1
@@ -110,10 +116,10 @@
             self._current_try.sent_at = self.clients.now()
 
     def on_answer(self, answer: Response, surplus: bool) -> None:
-        how = OUTCOME_BY_STATUS.get(answer.status, "failed")
+        how = OUTCOME_BY_STATUS.get(answer.status, TryOutcome.FAILED)
         if self._current_try is not None:
             self._current_try.surplus = surplus
-        self._finish_try(how)
+        self._finish_try(how.value)
         wait = answer.headers.get(b"retry-after", b"")
         self._on_try_ended(how, 1000.0 * float(wait) if _SECONDS.fullmatch(wait) else 0.0)
 
@@ -130,7 +136,7 @@
 
     def on_broken(self) -> None:
         self._finish_try("broke")
-        self._on_try_ended("failed", 0.0)
+        self._on_try_ended(TryOutcome.FAILED, 0.0)
 
     # ------------------------------------------------------------------------------------------- its course
 
@@ -139,7 +145,7 @@
         if tried is not None:
             tried.outcome, tried.ended_at = outcome, self.clients.now()
 
-    def _on_try_ended(self, outcome: str, retry_after_ms: float) -> None:
+    def _on_try_ended(self, outcome: TryOutcome, retry_after_ms: float) -> None:
         """A try has its end."""
         if self.finished:
             return
@@ -161,13 +167,13 @@
             self._timer = self.clients.call_at(self.deadline_ms() + LATE_ANSWER_WAIT_MS, self._on_deadline)
             return
         self._drop_connection("none")
-        self._finish(self._last_outcome)
+        self._finish(CLIENT_OUTCOME_BY_TRY[self._last_outcome])
 
     def _abandon(self) -> None:
         """The client leaves before its time is up."""
         if not self.finished:
             self._drop_connection("left")
-            self._finish("left")
+            self._finish(ClientOutcome.LEFT)
 
     def _drop_connection(self, outcome: str) -> None:
         link = self._connection
@@ -175,14 +181,14 @@
         if link is not None:
             link.close()
 
-    def _finish(self, outcome: str) -> None:
+    def _finish(self, outcome: ClientOutcome) -> None:
         if self.finished:
             return
         self.finished = True
         if self._timer is not None:
             self._timer.cancel()
         self.clients.on_request_ended(
-            RequestEndRecord(self.request.number, outcome, self.clients.now() - self.request.due_ms)
+            RequestEndRecord(self.request.number, outcome.value, self.clients.now() - self.request.due_ms)
         )
 
     def _encode_request(self, name: str, left: float) -> bytes:
--- a/rosepick/lab/live/discovery_server.py
+++ b/rosepick/lab/live/discovery_server.py
@@ -16,7 +16,7 @@
 from ...net.event_loop import READ, WRITE, ScheduledCall
 from ...net.tcp_stream import TcpStream
 from ..experiment import DiscoveryConfig as Shape
-from ..model.discovery import SimulatedDiscovery
+from ..model.discovery import MemberChange, SimulatedDiscovery
 from .controllable_listener import HOST, ControllableListener
 from .live_context import LiveContext
 from .request_reader import HttpRequest, MalformedRequestError, RequestReader, encode_response
@@ -49,7 +49,7 @@
         """The list at the begin. Nodes that started since `stale_by` are news to routers that hold it."""
         super().load_members(members)
         young = [member for member in members if member.started_at > -1000.0 * self.config.stale_by]
-        self._changes = [(1, member) for member in young]
+        self._changes = [MemberChange(1, member) for member in young]
 
     def open(self) -> None:
         """Take calls from now on."""
@@ -89,7 +89,7 @@
 
     def initial_document(self, zone: int) -> EndpointRows:
         """The list as routers in a zone hold it that start with the run: `stale_by` old."""
-        news = {member.endpoint_id for _, member in self._changes}
+        news = {change.member.endpoint_id for change in self._changes}
         rows = [
             self._endpoint_row(member, zone)
             for member in self._members.values()
@@ -99,7 +99,9 @@
 
     def changes_since(self, after: int) -> list[Endpoint]:
         """What changed after a revision; of several changes of a node the last."""
-        found = {member.endpoint_id: member for revision, member in self._changes if revision > after}
+        found = {
+            change.member.endpoint_id: change.member for change in self._changes if change.revision > after
+        }
         return list(found.values())
 
     def _endpoint_row(self, member: Endpoint, zone: int) -> EndpointRows:
--- a/rosepick/lab/live/live_faults.py
+++ b/rosepick/lab/live/live_faults.py
@@ -7,8 +7,8 @@
 
 from ..experiment import FaultConfig
 from ..model.fault_schedule import (
+    InjectedFault,
     InjectFault,
-    RevertFault,
     choose_cache_nodes,
     choose_nodes_or_all,
     format_node_names,
@@ -27,7 +27,7 @@
         """The node servers by the number of their node."""
 
 
-def _refuse_connections(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _refuse_connections(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     servers = _node_servers_of(simulation, choose_cache_nodes(simulation, fault))
 
     def change_refusals(by: int) -> None:
@@ -36,13 +36,13 @@
             server.update_listeners()
 
     change_refusals(1)
-    return format_node_names([server.node for server in servers]), lambda: change_refusals(-1)
+    return InjectedFault(format_node_names([server.node for server in servers]), lambda: change_refusals(-1))
 
 
 def _response_share_fault(shares_of: Callable[[NodeServer], list[float]]) -> InjectFault:
     """Affect a share of the responses of some nodes; of all nodes and the origin if none is named."""
 
-    def inject(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+    def inject(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
         servers = _node_servers_of(simulation, choose_nodes_or_all(simulation, fault))
         for server in servers:
             shares_of(server).append(fault.share)
@@ -51,14 +51,14 @@
             for server in servers:
                 shares_of(server).remove(fault.share)
 
-        return format_node_names([server.node for server in servers]), revert
+        return InjectedFault(format_node_names([server.node for server in servers]), revert)
 
     return inject
 
 
-def _reload_routers(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _reload_routers(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     """Nothing to inject here: the process that started the routers signals them."""
-    return f"{fault.routers or 'all'} routers", no_revert
+    return InjectedFault(f"{fault.routers or 'all'} routers", no_revert)
 
 
 def _node_servers_of(simulation: Simulation, nodes: Sequence[SimulatedNode]) -> list[NodeServer]:
--- a/rosepick/lab/live/real_time_kernel.py
+++ b/rosepick/lab/live/real_time_kernel.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from heapq import heappop
 from math import inf
 
 from ...net.event_loop import EventLoop, ScheduledCall
@@ -76,10 +75,8 @@
         self._schedule_next()
 
     def _schedule_next(self) -> None:
-        heap = self.kernel._heap
-        while heap and heap[0][3].call is None:
-            heappop(heap)
-        due = self.started_at_ms + heap[0][0] - EARLY_CALL_MS if heap else inf
+        next_event_at = self.kernel.next_event_at()
+        due = inf if next_event_at is None else self.started_at_ms + next_event_at - EARLY_CALL_MS
         if due < self._scheduled_for:
             self._set_timer(due)
 
--- a/rosepick/lab/live/rule_check.py
+++ b/rosepick/lab/live/rule_check.py
@@ -80,15 +80,15 @@
             ):
                 self._record_answer()
             self._record_ended_by(attempt.started_at)
-            sent = self.monitor.record_send(
-                self.client_try,
-                attempt.started_at,
-                attempt.node,
-                attempt.node_name,
-                attempt.zone,
-                attempt.cell,
-                attempt.drain_known_since,
+            sent = SentAttempt(
+                sent_at=attempt.started_at,
+                node=attempt.node,
+                node_name=attempt.node_name,
+                zone=attempt.zone,
+                cell=attempt.cell,
+                drain_known_since=attempt.drain_known_since,
             )
+            self.monitor.record_send(self.client_try, sent)
             self._in_flight.append((attempt, sent))
         self._record_ended_by(self.record.ended_at + self.skew)
         if self.record.outcome in ANSWERED_OUTCOMES:
--- a/rosepick/lab/model/__init__.py
+++ b/rosepick/lab/model/__init__.py
@@ -1,3 +1,4 @@
-"""What routers serve, as a model: nodes, origin, discovery, network, clients. No I/O; time is what it is
-told.
+"""A deterministic model of what routers serve: nodes, origin, discovery, network and clients.
+
+It does no I/O and reads no clock: all time is simulated, in milliseconds.
 """
--- a/rosepick/lab/model/cache_store.py
+++ b/rosepick/lab/model/cache_store.py
@@ -1,22 +1,32 @@
-"""The memory of a cache node: values by key, of a bounded number of bytes, the least worth out first."""
+"""The memory of a cache node: values by key, limited in bytes, with LRU or FIFO eviction."""
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import dataclass
 from math import inf
 
 
+@dataclass(slots=True)
+class _Entry:
+    """A stored value."""
+
+    size: int  # bytes
+    expires_at: float  # milliseconds
+
+
 class CacheStore:
-    """LRU or FIFO by bytes; a value may be forgotten after a while."""
+    """A store with LRU or FIFO eviction and an optional time to live."""
 
     __slots__ = ("_entries", "_is_lru", "_ttl_ms", "capacity_bytes", "used_bytes")
 
     def __init__(self, capacity_bytes: int, eviction: str = "lru", ttl_ms: float = 0.0) -> None:
-        """So many bytes; `ttl_ms` in milliseconds, 0 for ever."""
-        self.capacity_bytes, self.used_bytes = capacity_bytes, 0
+        """Create an empty store; `ttl_ms` 0 means that values never expire."""
+        self.capacity_bytes = capacity_bytes
+        self.used_bytes = 0
         self._is_lru = eviction == "lru"
         self._ttl_ms = ttl_ms or inf
-        self._entries: OrderedDict[int, tuple[int, float]] = OrderedDict()  # size and until when, by key
+        self._entries: OrderedDict[int, _Entry] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -25,11 +35,11 @@
         return key in self._entries
 
     def get(self, key: int, now: float) -> bool:
-        """Whether a value is there; that counts as a use of it."""
-        found = self._entries.get(key)
-        if found is None:
+        """Return whether a key is stored, and count that as a use of it. An expired value is removed."""
+        entry = self._entries.get(key)
+        if entry is None:
             return False
-        if now >= found[1]:
+        if now >= entry.expires_at:
             self.invalidate(key)
             return False
         if self._is_lru:
@@ -37,28 +47,28 @@
         return True
 
     def holds(self, key: int, now: float) -> bool:
-        """The same, but it is no use."""
-        found = self._entries.get(key)
-        return found is not None and now < found[1]
+        """Return whether a key is stored, without counting that as a use of it."""
+        entry = self._entries.get(key)
+        return entry is not None and now < entry.expires_at
 
     def put(self, key: int, size: int, now: float) -> None:
-        """Store a value; others give way. One that is larger than the whole memory is not stored."""
+        """Store a value and evict others as needed. A value larger than the whole store is not stored."""
         self.invalidate(key)
         if size > self.capacity_bytes:
             return
         while self.used_bytes + size > self.capacity_bytes:
-            _, (freed, _) = self._entries.popitem(last=False)
-            self.used_bytes -= freed
-        self._entries[key] = (size, now + self._ttl_ms)
+            _, evicted = self._entries.popitem(last=False)
+            self.used_bytes -= evicted.size
+        self._entries[key] = _Entry(size, now + self._ttl_ms)
         self.used_bytes += size
 
     def invalidate(self, key: int) -> None:
-        """The value of a key is not good any more."""
-        found = self._entries.pop(key, None)
-        if found is not None:
-            self.used_bytes -= found[0]
+        """Remove the value of a key, if there is one."""
+        entry = self._entries.pop(key, None)
+        if entry is not None:
+            self.used_bytes -= entry.size
 
     def clear(self) -> None:
-        """Everything is forgotten, as at a restart."""
+        """Remove all values, as a restart does."""
         self._entries.clear()
         self.used_bytes = 0
--- a/rosepick/lab/model/client_behaviour.py
+++ b/rosepick/lab/model/client_behaviour.py
@@ -1,31 +1,70 @@
-"""How clients behave on their answers: the same for those in simulated time and those on sockets, so that
-runs of both kinds can be laid side by side.
+"""How clients react to responses.
+
+Clients in simulated time and clients on sockets share it, so that runs of both kinds can be compared.
 """
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 from ..experiment import ClientsConfig, RequestClassConfig
 
+SECOND_MS = 1000.0
+
+
+class TryOutcome(StrEnum):
+    """How one try of a request ended."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class ClientOutcome(StrEnum):
+    """How a request ended for its client, after all of its tries. The values are names in results."""
+
+    IN_TIME = "in_time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LEFT = "left"
+
+
+CLIENT_OUTCOME_BY_TRY = {
+    TryOutcome.REFUSED: ClientOutcome.REFUSED,
+    TryOutcome.FAILED: ClientOutcome.FAILED,
+}
+"""How a request ends whose last try was not served."""
+
 
 def final_outcome(
-    clients: ClientsConfig, klass: RequestClassConfig, tries: int, outcome: str, elapsed_ms: float
-) -> str | None:
-    """The end of a request after so many tries, of which the last one was served, refused or failed,
-    `elapsed_ms` milliseconds after the request was due; None if its client comes back.
+    clients: ClientsConfig,
+    request_class: RequestClassConfig,
+    tries: int,
+    last_outcome: TryOutcome,
+    elapsed_ms: float,
+) -> ClientOutcome | None:
+    """Return how a request ends after its last try, or None if its client tries again.
+
+    `elapsed_ms` is the time since the request was due.
     """
-    if outcome == "served":
-        return "in_time" if elapsed_ms <= 1000.0 * klass.aim else "late"
-    harmless = outcome == "refused" or klass.effect == "retryable"
-    return None if harmless and tries <= clients.retries else outcome
+    if last_outcome is TryOutcome.SERVED:
+        in_time = elapsed_ms <= SECOND_MS * request_class.aim
+        return ClientOutcome.IN_TIME if in_time else ClientOutcome.LATE
+    may_retry = last_outcome is TryOutcome.REFUSED or request_class.effect == "retryable"
+    if may_retry and tries <= clients.retries:
+        return None
+    return CLIENT_OUTCOME_BY_TRY[last_outcome]
 
 
 def retry_pause_ms(clients: ClientsConfig, retry_after_ms: float, now: float, draw: float) -> float:
-    """How long a client waits before it comes back, in milliseconds: `retry_after_ms` by the router, or by
-    its own manner; `draw` from 0 to 1.
+    """Return how long a client waits before it tries again, in milliseconds.
+
+    `retry_after_ms` is what the router asked for, 0 if nothing; `draw` is a random number from 0 to 1.
     """
     if clients.manner == "at once":
         return 0.0
     if clients.manner == "in step":
-        return 1000.0 - now % 1000.0
+        return SECOND_MS - now % SECOND_MS
     obeys = clients.manner == "obey" and retry_after_ms > 0
-    return retry_after_ms if obeys else 1000.0 * clients.pause * (0.5 + draw)
+    return retry_after_ms if obeys else SECOND_MS * clients.pause * (0.5 + draw)
--- a/rosepick/lab/model/clients.py
+++ b/rosepick/lab/model/clients.py
@@ -1,4 +1,4 @@
-"""Clients: each asks when its request is due, whatever else goes on, and comes back in its own manner."""
+"""Simulated clients: each sends its request when it is due, whatever the fleet's state, and may retry."""
 
 from __future__ import annotations
 
@@ -7,17 +7,18 @@
 from dataclasses import dataclass
 
 from ...core.request_context import RequestContext
-from ...decisions import api
-from ..experiment import Experiment
+from ..experiment import Experiment, RequestClassConfig
 from ..measure import Measure
-from .client_behaviour import final_outcome, retry_pause_ms
+from .client_behaviour import CLIENT_OUTCOME_BY_TRY, ClientOutcome, TryOutcome, final_outcome, retry_pause_ms
 from .kernel import Kernel
 from .random_streams import UniformStream
+from .request_payload import RequestPayload
+from .router_settings import router_settings_for
 from .rule_monitor import ClientTry
-from .simulated_router import RequestPayload, SimulatedRouter
+from .simulated_router import SimulatedRouter, payload_of
 from .workload import ScheduledRequest
 
-RECONNECT_DELAY_MS = 50.0  # milliseconds until a client whose router is down tries again
+RECONNECT_DELAY_MS = 50.0  # until a client whose router is down connects again
 
 
 @dataclass(slots=True)
@@ -25,15 +26,22 @@
     """A client's request with all its tries."""
 
     request: ScheduledRequest
+    request_class: RequestClassConfig
+    tenant: str  # empty if the experiment has no tenants
     attempts_made: int = 0
     finished: bool = False
-    router_request: RequestContext | None = None
+    router_request: RequestContext | None = None  # of the last try
     router: SimulatedRouter | None = None
-    last_outcome: str = "failed"
+    last_outcome: TryOutcome = TryOutcome.FAILED
+
+    @property
+    def deadline(self) -> float:
+        """When the client stops trying, in milliseconds."""
+        return self.request.due_ms + 1000.0 * self.request_class.deadline
 
 
 class Clients:
-    """All clients of a run. Each has a router of its own and asks no other."""
+    """All clients of a run. Each has one router and uses no other."""
 
     def __init__(
         self,
@@ -41,97 +49,105 @@
         experiment: Experiment,
         seed: int,
         measure: Measure,
-        settings: api.RouterSettings,
         find_router: Callable[[int], SimulatedRouter | None],
     ) -> None:
-        self.kernel, self.experiment, self.measure, self.settings = kernel, experiment, measure, settings
+        """Create the clients.
+
+        `find_router` returns a router by its index, or None while it is down.
+        """
+        self.kernel = kernel
+        self.experiment = experiment
+        self.measure = measure
         self.find_router = find_router
+        self.router_classes = router_settings_for(experiment).classes
         self._pause_stream = UniformStream(seed, "pauses")
-        self._names = [one.name for one in experiment.classes]
-        self._tenants = [one.name for one in experiment.tenants]
 
     def on_request_due(self, request: ScheduledRequest) -> None:
-        """A request is due."""
-        one = self.experiment.classes[request.klass]
-        self.measure.record_offered(request.due_ms, one.name, self._tenant_name(request), one.worth)
-        wish = ClientRequest(request)
+        """Handle that a request is due."""
+        request_class = self.experiment.classes[request.klass]
+        tenants = self.experiment.tenants
+        tenant = tenants[request.tenant].name if tenants else ""
+        client_request = ClientRequest(request, request_class, tenant)
+        self.measure.record_offered(request.due_ms, request_class.name, tenant, request_class.worth)
         if request.abandon_after_ms < math.inf:
-            self.kernel.call_at(request.due_ms + request.abandon_after_ms, lambda: self._abandon(wish))
-        self._send_try(wish)
-
-    def _tenant_name(self, request: ScheduledRequest) -> str:
-        return self._tenants[request.tenant] if self._tenants else ""
+            abandon_at = request.due_ms + request.abandon_after_ms
+            self.kernel.call_at(abandon_at, lambda: self._abandon(client_request))
+        self._send_try(client_request)
 
     def _send_try(self, client_request: ClientRequest) -> None:
         if client_request.finished:
             return
-        request, now = client_request.request, self.kernel.time
-        one = self.experiment.classes[request.klass]
-        left = request.due_ms + 1000.0 * one.deadline - now
-        if left <= 0:
-            self._finish(client_request, client_request.last_outcome)
+        now = self.kernel.time
+        remaining_ms = client_request.deadline - now
+        if remaining_ms <= 0:
+            self._finish(client_request, CLIENT_OUTCOME_BY_TRY[client_request.last_outcome])
             return
+        request = client_request.request
         router = self.find_router(request.router)
-        if router is None:  # nobody listens there
+        if router is None:
             self.kernel.call_after(RECONNECT_DELAY_MS, lambda: self._send_try(client_request))
             return
         client_request.attempts_made += 1
-        tried = ClientTry(
-            f"{request.number}.{client_request.attempts_made}",
-            self.settings.classes[request.klass],
-            now + left,
+        client_try = ClientTry(
+            name=f"{request.number}.{client_request.attempts_made}",
+            request_class=self.router_classes[request.klass],
+            deadline=now + remaining_ms,
         )
         payload = RequestPayload(
-            request, tried, lambda how, wait: self._on_try_ended(client_request, how, wait)
+            request,
+            client_try,
+            lambda outcome, retry_after_ms: self._on_try_ended(client_request, outcome, retry_after_ms),
         )
-        again = client_request.attempts_made > 1 and self.experiment.clients.marked
+        is_retry = client_request.attempts_made > 1 and self.experiment.clients.marked
         client_request.router = router
-        client_request.router_request = router.accept(request, payload, now + left, one.write, again)
+        client_request.router_request = router.accept(payload, client_request.request_class.write, is_retry)
 
-    def _on_try_ended(self, client_request: ClientRequest, outcome: str, retry_after_ms: float) -> None:
-        """A try has its final answer."""
+    def _on_try_ended(
+        self, client_request: ClientRequest, outcome: TryOutcome, retry_after_ms: float
+    ) -> None:
         if client_request.finished:
             return
-        request = client_request.request
-        one = self.experiment.classes[request.klass]
         client_request.last_outcome = outcome
-        took = self.kernel.time - request.due_ms
-        end = final_outcome(self.experiment.clients, one, client_request.attempts_made, outcome, took)
-        if end is not None:
-            self._finish(client_request, end)
-            return
-        # drawn each time, whatever the manner: what follows is then the same for all of them
-        retry_after_ms = retry_pause_ms(
-            self.experiment.clients, retry_after_ms, self.kernel.time, self._pause_stream()
+        final = final_outcome(
+            self.experiment.clients,
+            client_request.request_class,
+            client_request.attempts_made,
+            outcome,
+            self.kernel.time - client_request.request.due_ms,
         )
-        self.kernel.call_after(retry_after_ms, lambda: self._send_try(client_request))
+        if final is not None:
+            self._finish(client_request, final)
+            return
+        # drawn whatever the clients' manner, so that later draws are the same for all manners
+        draw = self._pause_stream()
+        pause_ms = retry_pause_ms(self.experiment.clients, retry_after_ms, self.kernel.time, draw)
+        self.kernel.call_after(pause_ms, lambda: self._send_try(client_request))
 
     def on_router_killed(self, payload: RequestPayload) -> None:
-        """The router of a try was killed: its client sees the connection break."""
-        payload.on_ended("failed", 0.0)
+        """Handle that the router of a try was killed and the client's connection broke."""
+        payload.on_ended(TryOutcome.FAILED, 0.0)
 
     def _abandon(self, client_request: ClientRequest) -> None:
-        """The client leaves before its time is up."""
+        """Disconnect the client before its deadline."""
         if client_request.finished:
             return
-        envelope, router = client_request.router_request, client_request.router
-        if envelope is not None and router is not None and router.alive and not envelope.is_finished:
-            assert isinstance(envelope.payload, RequestPayload)
-            envelope.payload.client_try.client_gone = True
-            if envelope.ref:  # else the router has not taken it yet, and never will
-                router.engine.handle_disconnect(envelope)
-        self._finish(client_request, "left")
-
-    def _finish(self, client_request: ClientRequest, outcome: str) -> None:
+        context = client_request.router_request
+        router = client_request.router
+        if context is not None and router is not None and router.alive and not context.is_finished:
+            payload_of(context).client_try.client_gone = True
+            if context.ref:  # else the router has not read the request yet, and never will
+                router.engine.handle_disconnect(context)
+        self._finish(client_request, ClientOutcome.LEFT)
+
+    def _finish(self, client_request: ClientRequest, outcome: ClientOutcome) -> None:
         client_request.finished = True
         client_request.router_request = None
         request = client_request.request
-        one = self.experiment.classes[request.klass]
         self.measure.record_ended(
             request.due_ms,
-            one.name,
-            self._tenant_name(request),
-            one.worth,
-            outcome,
+            client_request.request_class.name,
+            client_request.tenant,
+            client_request.request_class.worth,
+            outcome.value,
             self.kernel.time - request.due_ms,
         )
--- a/rosepick/lab/model/discovery.py
+++ b/rosepick/lab/model/discovery.py
@@ -1,7 +1,7 @@
-"""Discovery: who tells routers of the nodes, late, one call after another; and when each was told what.
+"""The discovery service: it sends the endpoint list to routers, late and one call after another.
 
-It goes by what it knows: a change reaches it after a delay. A router that watches is told each change in a
-call of its own; one that begins to watch is told what it missed.
+A change reaches it after a delay. A subscribed router gets each change in a call of its own; a router that
+subscribes gets what it missed. For the rules it records when each router knew that a node drains.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 
 from ...decisions import api
 from ...decisions.api import Endpoint, Status, UpdateScope
-from ..experiment import DiscoveryConfig as Shape
+from ..experiment import DiscoveryConfig
 from .kernel import Kernel
 from .random_streams import UniformStream
 
@@ -22,58 +22,73 @@
 
 @dataclass(slots=True, eq=False)
 class DiscoverySubscriber:
-    """One router, as discovery sees it."""
+    """One router as discovery sees it. Times are milliseconds."""
 
     notify: MembersListener
     zone: int
     subscribed: bool = False
     revision: int = 0
-    last_delivery_at: float = 0.0  # when it was told the last time
-    drain_known_since: dict[int, float] = field(
-        default_factory=dict
-    )  # since when a node is known to want nothing new
+    last_delivery_at: float = 0.0
+    # since when the router knows that a node drains or is gone, by the node's number
+    drain_known_since: dict[int, float] = field(default_factory=dict)
 
 
-class SimulatedDiscovery:
-    """The one service that all routers ask."""
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """A change of the endpoint list."""
+
+    revision: int
+    member: Endpoint
+
 
-    def __init__(self, kernel: Kernel, config: Shape, seed: int, latency: Callable[[int], float]) -> None:
-        self.kernel, self.config, self.latency = kernel, config, latency
+class SimulatedDiscovery:
+    """The discovery service of all routers."""
+
+    def __init__(
+        self, kernel: Kernel, config: DiscoveryConfig, seed: int, latency: Callable[[int], float]
+    ) -> None:
+        """Create an empty list; `latency` draws the milliseconds of one message to a zone."""
+        self.kernel = kernel
+        self.config = config
+        self.latency = latency
         self.up = True
-        self.extra_delay_ms = 0.0  # milliseconds, by a trouble
+        self.extra_delay_ms = 0.0  # by a fault
         self.revision = 1
         self.subscribers: list[DiscoverySubscriber] = []
         self._delay_stream = UniformStream(seed, "discovery")
-        self._members: dict[int, Endpoint] = {}  # as it knows it ...
-        self._stale_members: dict[int, Endpoint] = {}  # ... and as routers had it before the begin
-        self._changes: list[tuple[int, Endpoint]] = []
+        self._members: dict[int, Endpoint] = {}  # as discovery knows them
+        self._stale_members: dict[int, Endpoint] = {}  # as routers knew them before the run
+        self._changes: list[MemberChange] = []
         self._busy_until = 0.0
-        self.rejected_calls = 0  # calls that had to wait too long
+        self.rejected_calls = 0  # subscriptions that would have waited too long
         self._last_visible_at = 0.0
 
     def load_members(self, members: list[Endpoint]) -> None:
-        """The list at the begin. What routers had last is older by `stale_by`: nodes that started since then
-        are not in it.
+        """Set the list at the start of the run.
+
+        Routers start with a list that is older by `DiscoveryConfig.stale_by`: without younger nodes.
         """
         self._members = {member.endpoint_id: member for member in members}
-        since = -1000.0 * self.config.stale_by
+        stale_since = self.kernel.time - 1000.0 * self.config.stale_by
         self._stale_members = {
-            m.endpoint_id: m for m in members if m.started_at <= 0 or m.started_at <= since + self.kernel.time
+            member.endpoint_id: member
+            for member in members
+            if member.started_at <= 0 or member.started_at <= stale_since
         }
 
     def initial_members(self, subscriber: DiscoverySubscriber) -> api.EndpointUpdate:
-        """The list as a router that starts now had it last, and from which version on it is to be told."""
-        old = self._stale_members if self.kernel.time <= 0 else self._members
-        subscriber.revision = self.revision if old.keys() == self._members.keys() else 0
-        return api.EndpointUpdate(UpdateScope.CACHED, tuple(old.values()), subscriber.revision)
+        """Return the list that a starting router has cached, and set the revision that it knows."""
+        cached = self._stale_members if self.kernel.time <= 0 else self._members
+        subscriber.revision = self.revision if cached.keys() == self._members.keys() else 0
+        return api.EndpointUpdate(UpdateScope.CACHED, tuple(cached.values()), subscriber.revision)
 
     def report_change(self, member: Endpoint) -> None:
-        """A node starts, drains or goes: it will be known after a while, in the order of what happened."""
+        """Handle that a node starts, drains or ends. Discovery knows it later, in the order of events."""
         spread = self.config.delay_spread * (2.0 * self._delay_stream() - 1.0)
         delay = 1000.0 * self.config.delay * (1.0 + spread) + self.extra_delay_ms
-        known = max(self.kernel.time + delay, self._last_visible_at)
-        self._last_visible_at = known
-        self.kernel.call_at(known, lambda: self._apply_change(member))
+        visible_at = max(self.kernel.time + delay, self._last_visible_at)
+        self._last_visible_at = visible_at
+        self.kernel.call_at(visible_at, lambda: self._apply_change(member))
 
     def _apply_change(self, member: Endpoint) -> None:
         self.revision += 1
@@ -81,27 +96,27 @@
             self._members.pop(member.endpoint_id, None)
         else:
             self._members[member.endpoint_id] = member
-        self._changes.append((self.revision, member))
+        self._changes.append(MemberChange(self.revision, member))
         if self.up:
-            for watcher in self.subscribers:
-                if watcher.subscribed:
-                    self._schedule_call(watcher, False)
+            for subscriber in self.subscribers:
+                if subscriber.subscribed:
+                    self._schedule_call(subscriber, False)
 
     # -------------------------------------------------------------------------------------------- calls
 
     def subscribe(self, notify: MembersListener, zone: int) -> DiscoverySubscriber:
-        """A router is there; it is told what it watches by `notify`."""
-        watcher = DiscoverySubscriber(notify, zone, revision=self.revision)
-        self.subscribers.append(watcher)
-        return watcher
+        """Register a router, which gets updates by `notify` once it watches."""
+        subscriber = DiscoverySubscriber(notify, zone, revision=self.revision)
+        self.subscribers.append(subscriber)
+        return subscriber
 
     def unsubscribe(self, subscriber: DiscoverySubscriber) -> None:
-        """A router is gone."""
+        """Remove a router."""
         subscriber.subscribed = False
         self.subscribers.remove(subscriber)
 
     def set_subscribed(self, subscriber: DiscoverySubscriber, subscribed: bool) -> None:
-        """A router watches from now on, or no more."""
+        """Start or stop to send updates to a router."""
         if subscribed and not subscriber.subscribed:
             if not self.up:
                 self.kernel.call_after(
@@ -114,7 +129,7 @@
             subscriber.subscribed = False
 
     def _schedule_call(self, subscriber: DiscoverySubscriber, is_initial: bool) -> None:
-        """Calls are handled one after another; one takes longer by each line that it tells."""
+        """Schedule a call. Calls are handled one after another, and each endpoint in it takes time."""
         now = self.kernel.time
         if is_initial and self.config.patience_ms and self._busy_until - now > self.config.patience_ms:
             self.rejected_calls += 1
@@ -125,7 +140,7 @@
         self.kernel.call_at(self._busy_until, lambda: self._answer_call(subscriber, is_initial))
 
     def _answer_call(self, subscriber: DiscoverySubscriber, is_initial: bool) -> None:
-        """What is new to a router; if it asked, also that nothing is."""
+        """Send a router what is new to it; an initial call is answered even if nothing is."""
         if not (subscriber.subscribed and self.up) or (
             subscriber.revision == self.revision and not is_initial
         ):
@@ -134,11 +149,11 @@
         self._deliver(subscriber, api.EndpointUpdate(scope, self._pending_changes(subscriber), self.revision))
 
     def _pending_changes(self, subscriber: DiscoverySubscriber) -> tuple[Endpoint, ...]:
-        """What a router does not know yet: the whole list, or what changed since it was told."""
+        """Return what a router does not know yet: the whole list, or the changes since its revision."""
         if not subscriber.revision:
             return tuple(self._members.values())
-        newer = takewhile(lambda change: change[0] > subscriber.revision, reversed(self._changes))
-        return tuple(member for _, member in newer)[::-1]
+        newer = takewhile(lambda change: change.revision > subscriber.revision, reversed(self._changes))
+        return tuple(change.member for change in newer)[::-1]
 
     def _deliver(self, subscriber: DiscoverySubscriber, event: api.EndpointUpdate) -> None:
         subscriber.revision = self.revision
@@ -147,7 +162,7 @@
                 subscriber.drain_known_since.pop(member.endpoint_id, None)
             else:
                 subscriber.drain_known_since.setdefault(member.endpoint_id, self.kernel.time)
-        # one connection: what is told later does not overtake what was told before
+        # there is one connection, on which messages do not overtake each other
         subscriber.last_delivery_at = max(
             subscriber.last_delivery_at, self.kernel.time + self.latency(subscriber.zone)
         )
@@ -158,11 +173,11 @@
         subscriber.notify(api.EndpointUpdate(UpdateScope.FAILED))
 
     def set_available(self, available: bool) -> None:
-        """It goes down, and all watches end; or it comes back."""
+        """Take the service down, which ends all subscriptions, or bring it back."""
         self.up = available
         if not available:
-            for watcher in self.subscribers:
-                if watcher.subscribed:
-                    watcher.subscribed = False
-                    notify = partial(self._notify_failure, watcher)
-                    self.kernel.call_after(self.latency(watcher.zone), notify)
+            for subscriber in self.subscribers:
+                if subscriber.subscribed:
+                    subscriber.subscribed = False
+                    notify = partial(self._notify_failure, subscriber)
+                    self.kernel.call_after(self.latency(subscriber.zone), notify)
--- a/rosepick/lab/model/fault_schedule.py
+++ b/rosepick/lab/model/fault_schedule.py
@@ -1,8 +1,9 @@
-"""The timeline of troubles: each begins and ends at its times, and says whom it met."""
+"""Injects an experiment's faults at their times, and records what each one affected."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from functools import partial
 
 from ..experiment import ExperimentError, FaultConfig
@@ -11,59 +12,80 @@
 from .patch_campaign import PatchCampaign
 from .simulation import Simulation
 
+MAX_NAMES = 8  # that a description lists
+
 RevertFault = Callable[[], None]
-InjectFault = Callable[
-    [Simulation, FaultConfig], tuple[str, RevertFault]
-]  # begins a trouble: whom it met, and how it ends
-NO_EXTRA_KINDS: Mapping[str, InjectFault] = {}
 
 
-def schedule_faults(simulation: Simulation, extra_kinds: Mapping[str, InjectFault] = NO_EXTRA_KINDS) -> None:
-    """Set all troubles of a world's experiment; `extra_kinds` are kinds that only this world can play.
-    ExperimentError if one of them can be played on sockets only.
+@dataclass(frozen=True, slots=True)
+class InjectedFault:
+    """A fault that is active."""
+
+    description: str  # of what it affects
+    revert: RevertFault
+
+
+InjectFault = Callable[[Simulation, FaultConfig], InjectedFault]
+NO_EXTRA_INJECTORS: Mapping[str, InjectFault] = {}
+
+
+def schedule_faults(
+    simulation: Simulation, extra_injectors: Mapping[str, InjectFault] = NO_EXTRA_INJECTORS
+) -> None:
+    """Schedule all faults of a simulation's experiment.
+
+    `extra_injectors` are for kinds that only this simulation can inject, by kind.
+
+    Raises:
+        ExperimentError: a fault can be injected on sockets only.
     """
-    kinds = {**_INJECTORS, **extra_kinds}
-    only_live = [
-        f"troubles[{place}].kind {trouble.kind!r} is played with --live only"
-        for place, trouble in enumerate(simulation.experiment.troubles)
-        if trouble.kind not in kinds
+    injectors = {**_INJECTORS, **extra_injectors}
+    faults = simulation.experiment.troubles
+    errors = [
+        f"troubles[{index}].kind {fault.kind!r} is played with --live only"
+        for index, fault in enumerate(faults)
+        if fault.kind not in injectors
     ]
-    if only_live:
-        raise ExperimentError(tuple(only_live))
-    for trouble in simulation.experiment.troubles:
+    if errors:
+        raise ExperimentError(tuple(errors))
+    for fault in faults:
         simulation.kernel.call_at(
-            1000.0 * trouble.at, partial(_begin_fault, simulation, trouble, kinds[trouble.kind])
+            1000.0 * fault.at, partial(_begin_fault, simulation, fault, injectors[fault.kind])
         )
 
 
-def _begin_fault(simulation: Simulation, fault: FaultConfig, play: InjectFault) -> None:
-    what, undo = play(simulation, fault)
+def _begin_fault(simulation: Simulation, fault: FaultConfig, inject: InjectFault) -> None:
+    injected = inject(simulation, fault)
     until = fault.at + fault.last
-    simulation.measure.spans.append(FaultSpan(fault.kind, fault.at, until, what))
+    simulation.measure.spans.append(FaultSpan(fault.kind, fault.at, until, injected.description))
     if fault.last:
-        simulation.kernel.call_at(1000.0 * until, undo)
+        simulation.kernel.call_at(1000.0 * until, injected.revert)
 
 
 def no_revert() -> None:
-    """What happened cannot be taken back."""
+    """Do nothing: the fault cannot be reverted, or ends by itself."""
 
 
 def choose_cache_nodes(simulation: Simulation, fault: FaultConfig) -> list[SimulatedCacheNode]:
-    """The cache nodes that a trouble meets."""
+    """Draw the cache nodes that a fault affects."""
     return simulation.choose_nodes(simulation.cache_nodes(fault.zone), fault.nodes, fault.part)
 
 
 def choose_nodes_or_all(simulation: Simulation, fault: FaultConfig) -> list[SimulatedNode]:
-    """The cache nodes that a trouble meets; all of them and the origin if none is named."""
+    """Draw the cache nodes that a fault affects; if it names none, return all nodes and the origin."""
     if fault.nodes is not None or fault.part is not None or fault.zone:
         return list(choose_cache_nodes(simulation, fault))
     return [*simulation.cache_nodes(), simulation.origin]
 
 
 def format_node_names(nodes: Sequence[SimulatedNode]) -> str:
-    """The names of some nodes, for who reads."""
-    more = f" and {len(nodes) - 8} more" if len(nodes) > 8 else ""
-    return ", ".join(node.uid for node in nodes[:8]) + more
+    """Format the names of some nodes for a description."""
+    return _format_names([node.uid for node in nodes])
+
+
+def _format_names(names: Sequence[str]) -> str:
+    more = f" and {len(names) - MAX_NAMES} more" if len(names) > MAX_NAMES else ""
+    return ", ".join(names[:MAX_NAMES]) + more
 
 
 def _inject_into_each(
@@ -71,19 +93,30 @@
     fault: FaultConfig,
     inject: Callable[[SimulatedCacheNode], None],
     revert: Callable[[SimulatedCacheNode], None],
-) -> tuple[str, RevertFault]:
+) -> InjectedFault:
     nodes = choose_cache_nodes(simulation, fault)
     for node in nodes:
         inject(node)
 
-    def undo() -> None:
+    def revert_all() -> None:
         for node in nodes:
             revert(node)
 
-    return format_node_names(nodes), undo
+    return InjectedFault(format_node_names(nodes), revert_all)
 
 
-def _slow(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _inject_one_by_one(
+    simulation: Simulation, fault: FaultConfig, inject: Callable[[SimulatedCacheNode], None]
+) -> InjectedFault:
+    """Inject a fault into one node after another, spread evenly over the fault's time."""
+    nodes = choose_cache_nodes(simulation, fault)
+    step_ms = 1000.0 * fault.last / max(1, len(nodes))
+    for index, node in enumerate(nodes):
+        simulation.kernel.call_after(index * step_ms, partial(inject, node))
+    return InjectedFault(format_node_names(nodes), no_revert)
+
+
+def _inject_slow(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     return _inject_into_each(
         simulation,
         fault,
@@ -92,170 +125,179 @@
     )
 
 
-def _stop(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
-    def back(node: SimulatedCacheNode) -> None:
+def _inject_stop(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    def restart(node: SimulatedCacheNode) -> None:
         if not node.machine.up:
             simulation.restart_node(node, 0.0)
 
-    return _inject_into_each(simulation, fault, SimulatedCacheNode.stop, back)
+    return _inject_into_each(simulation, fault, SimulatedCacheNode.stop, restart)
 
 
-def _restart(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _inject_restart(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    down_ms = 1000.0 * fault.down
     return _inject_into_each(
-        simulation, fault, lambda node: simulation.restart_node(node, 1000.0 * fault.down), lambda node: None
+        simulation, fault, lambda node: simulation.restart_node(node, down_ms), lambda _node: None
     )
 
 
-def _replace(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
-    """Each is replaced by a new one, one after another over the time of the trouble."""
-    nodes = choose_cache_nodes(simulation, fault)
-    step = 1000.0 * fault.last / max(1, len(nodes))
-
+def _inject_replace(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     def replace(node: SimulatedCacheNode) -> None:
-        simulation.add_node(node.group, node.zone, simulation.kernel.time).zone = node.zone
+        replacement = simulation.add_node(node.group, node.zone, simulation.kernel.time)
+        replacement.zone = node.zone
         simulation.drain_node(node)
 
-    for place, node in enumerate(nodes):
-        simulation.kernel.call_after(place * step, lambda node=node: replace(node))  # type: ignore[misc]
-    return format_node_names(nodes), no_revert
+    return _inject_one_by_one(simulation, fault, replace)
 
 
-def _shrink(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
-    nodes = choose_cache_nodes(simulation, fault)
-    step = 1000.0 * fault.last / max(1, len(nodes))
-    for place, node in enumerate(nodes):
-        simulation.kernel.call_after(place * step, lambda node=node: simulation.drain_node(node))  # type: ignore[misc]
-    return format_node_names(nodes), no_revert
+def _inject_shrink(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    return _inject_one_by_one(simulation, fault, simulation.drain_node)
 
 
-def _grow(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
-    among = simulation.cache_nodes(fault.zone)
-    count = (fault.nodes or max(1, round((fault.part or 0.0) * len(among)))) if among else 0
-    alike = [among[place % len(among)] for place in range(count)]
-    made = [simulation.add_node(node.group, node.zone, simulation.kernel.time) for node in alike]
-    return format_node_names(made), no_revert
+def _inject_grow(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    models = simulation.cache_nodes(fault.zone)
+    count = 0
+    if models:
+        count = fault.nodes or max(1, round((fault.part or 0.0) * len(models)))
+    added: list[SimulatedNode] = []
+    for index in range(count):
+        model = models[index % len(models)]
+        added.append(simulation.add_node(model.group, model.zone, simulation.kernel.time))
+    return InjectedFault(format_node_names(added), no_revert)
 
 
-def _cut(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _inject_cut(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     assert fault.zones is not None
-    here, there = (simulation.zone_number(zone) for zone in fault.zones)
-    simulation.network.set_cut(here, there, True)
-    return f"{fault.zones[0]} from {fault.zones[1]}", lambda: simulation.network.set_cut(here, there, False)
+    first_name, second_name = fault.zones
+    first = simulation.zone_number(first_name)
+    second = simulation.zone_number(second_name)
+    simulation.network.set_cut(first, second, True)
+    return InjectedFault(
+        f"{first_name} from {second_name}", lambda: simulation.network.set_cut(first, second, False)
+    )
+
 
+def _inject_isolate(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    isolated = simulation.zone_number(fault.zone)
+    others = [zone for zone in range(len(simulation.experiment.zones)) if zone != isolated]
 
-def _isolate(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
-    here = simulation.zone_number(fault.zone)
-    others = [zone for zone in range(len(simulation.experiment.zones)) if zone != here]
-    for there in others:
-        simulation.network.set_cut(here, there, True)
+    def set_cuts(active: bool) -> None:
+        for other in others:
+            simulation.network.set_cut(isolated, other, active)
 
-    def undo() -> None:
-        for there in others:
-            simulation.network.set_cut(here, there, False)
+    set_cuts(True)
+    return InjectedFault(f"{fault.zone} from all others", lambda: set_cuts(False))
 
-    return f"{fault.zone} from all others", undo
 
+def _inject_silent(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    def silence(node: SimulatedCacheNode) -> None:
+        node.silence_count += 1
 
-def _silent(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
-    def turn(by: int) -> Callable[[SimulatedCacheNode], None]:
-        return lambda node: setattr(node, "silences", node.silences + by)
+    def unsilence(node: SimulatedCacheNode) -> None:
+        node.silence_count -= 1
 
-    return _inject_into_each(simulation, fault, turn(1), turn(-1))
+    return _inject_into_each(simulation, fault, silence, unsilence)
 
 
-def _share_fault(name: str) -> InjectFault:
-    """Such a part of the attempts at some nodes, or at all of them and the origin if none is named."""
+def _share_injector(shares_of: Callable[[SimulatedNode], list[float]]) -> InjectFault:
+    """Return an injector that affects a share of the attempts at some nodes."""
 
-    def begin(world: Simulation, trouble: FaultConfig) -> tuple[str, RevertFault]:
-        nodes = choose_nodes_or_all(world, trouble)
+    def inject(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+        nodes = choose_nodes_or_all(simulation, fault)
         for node in nodes:
-            getattr(node, name).append(trouble.share)
+            shares_of(node).append(fault.share)
 
-        def undo() -> None:
+        def revert() -> None:
             for node in nodes:
-                getattr(node, name).remove(trouble.share)
+                shares_of(node).remove(fault.share)
 
-        return f"{trouble.share:.0%} of the attempts at {len(nodes)}", undo
+        return InjectedFault(f"{fault.share:.0%} of the attempts at {len(nodes)}", revert)
 
-    return begin
+    return inject
 
 
-def _stale(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _inject_stale(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     simulation.discovery.extra_delay_ms += 1000.0 * fault.by
 
-    def undo() -> None:
+    def revert() -> None:
         simulation.discovery.extra_delay_ms -= 1000.0 * fault.by
 
-    return f"by {fault.by:g} s", undo
+    return InjectedFault(f"by {fault.by:g} s", revert)
 
 
-def _discovery_down(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _inject_discovery_down(simulation: Simulation, _fault: FaultConfig) -> InjectedFault:
     simulation.discovery.set_available(False)
-    return "discovery", lambda: simulation.discovery.set_available(True)
+    return InjectedFault("discovery", lambda: simulation.discovery.set_available(True))
 
 
-def _origin_slow(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _inject_origin_slow(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     simulation.origin.set_slowdown(fault.by, True)
-    return f"{fault.by:g} times", lambda: simulation.origin.set_slowdown(fault.by, False)
+    return InjectedFault(f"{fault.by:g} times", lambda: simulation.origin.set_slowdown(fault.by, False))
 
 
-def _origin_stop(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _inject_origin_stop(simulation: Simulation, _fault: FaultConfig) -> InjectedFault:
     simulation.origin.stop()
-    return "origin", simulation.origin.start
+    return InjectedFault("origin", simulation.origin.start)
+
+
+def _inject_flash(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    shares = simulation.workload.flash_shares
+    shares.append(fault.share)
+    return InjectedFault(f"{fault.share:.0%} of the reads", lambda: shares.remove(fault.share))
+
 
+def _inject_surge(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    factors = simulation.workload.surge_factors
+    factors.append(fault.by)
+    return InjectedFault(f"{fault.by:g} times", lambda: factors.remove(fault.by))
 
-def _flash(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
-    simulation.requests.flash_shares.append(fault.share)
-    return f"{fault.share:.0%} of the reads", lambda: simulation.requests.flash_shares.remove(fault.share)
 
+def _inject_router_kill(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    down_ms = 1000.0 * fault.last if fault.last else None
+    return _kill_routers(simulation, fault, down_ms, 0.0)
 
-def _surge(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
-    simulation.requests.surge_factors.append(fault.by)
-    return f"{fault.by:g} times", lambda: simulation.requests.surge_factors.remove(fault.by)
 
+def _inject_router_restart(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    tenth_ms = 100.0 * fault.last
+    return _kill_routers(simulation, fault, 1000.0 * fault.down, tenth_ms)
 
-def _router_fault(restarts: bool) -> InjectFault:
-    def begin(world: Simulation, trouble: FaultConfig) -> tuple[str, RevertFault]:
-        many = len(world.routers)
-        count = trouble.routers or (1 if trouble.part is None else round(trouble.part * many))
-        places = range(min(count, many))
-        down = trouble.down if restarts else trouble.last or None
-        step = 100.0 * trouble.last if restarts else 0.0  # milliseconds between tenths
-        for place in places:
-            world.kernel.call_after(
-                10 * place // max(1, len(places)) * step,
-                partial(world.kill_router, place, None if down is None else 1000.0 * down),
-            )
-        named = ", ".join(f"router-{place}" for place in places[:8])
-        return named + (f" and {len(places) - 8} more" if len(places) > 8 else ""), no_revert
 
-    return begin
+def _kill_routers(
+    simulation: Simulation, fault: FaultConfig, down_ms: float | None, tenth_ms: float
+) -> InjectedFault:
+    """Kill some routers, a tenth of them at a time, `tenth_ms` milliseconds apart."""
+    router_count = len(simulation.routers)
+    count = fault.routers or (1 if fault.part is None else round(fault.part * router_count))
+    indexes = range(min(count, router_count))
+    for index in indexes:
+        tenth = 10 * index // max(1, len(indexes))
+        simulation.kernel.call_after(tenth * tenth_ms, partial(simulation.kill_router, index, down_ms))
+    return InjectedFault(_format_names([f"router-{index}" for index in indexes]), no_revert)
 
 
-def _patch(simulation: Simulation, fault: FaultConfig) -> tuple[str, RevertFault]:
+def _inject_patch(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     PatchCampaign(simulation, fault)
-    return f"every cache node, {fault.manner}", no_revert
+    return InjectedFault(f"every cache node, {fault.manner}", no_revert)
 
 
 _INJECTORS: dict[str, InjectFault] = {
-    "slow": _slow,
-    "stop": _stop,
-    "restart": _restart,
-    "replace": _replace,
-    "shrink": _shrink,
-    "grow": _grow,
-    "cut": _cut,
-    "isolate": _isolate,
-    "silent": _silent,
-    "stale": _stale,
-    "discovery_down": _discovery_down,
-    "origin_slow": _origin_slow,
-    "origin_stop": _origin_stop,
-    "flash": _flash,
-    "surge": _surge,
-    "router_kill": _router_fault(False),
-    "router_restart": _router_fault(True),
-    "hang": _share_fault("hang_shares"),
-    "reset": _share_fault("reset_shares"),
-    "patch": _patch,
+    "slow": _inject_slow,
+    "stop": _inject_stop,
+    "restart": _inject_restart,
+    "replace": _inject_replace,
+    "shrink": _inject_shrink,
+    "grow": _inject_grow,
+    "cut": _inject_cut,
+    "isolate": _inject_isolate,
+    "silent": _inject_silent,
+    "stale": _inject_stale,
+    "discovery_down": _inject_discovery_down,
+    "origin_slow": _inject_origin_slow,
+    "origin_stop": _inject_origin_stop,
+    "flash": _inject_flash,
+    "surge": _inject_surge,
+    "router_kill": _inject_router_kill,
+    "router_restart": _inject_router_restart,
+    "hang": _share_injector(lambda node: node.hang_shares),
+    "reset": _share_injector(lambda node: node.reset_shares),
+    "patch": _inject_patch,
 }
--- a/rosepick/lab/model/kernel.py
+++ b/rosepick/lab/model/kernel.py
@@ -1,7 +1,8 @@
-"""Simulated time: events in the order of their times, and of their making where times are the same.
+"""The event queue of simulated time.
 
-A heap of our own and not simpy: routers ask for callbacks at a time, some before others of the same time, and
-take many of them back (`engine.Clock`), as they do of the real loop. It costs the same (docs/lab.md).
+Events run in the order of their times, and events of the same time in the order in which they were scheduled.
+It is not simpy's: routers schedule and cancel many callbacks at absolute times, some of which run before
+others of the same time, as they do on the real event loop (`docs/lab.md` compares the costs).
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 
 
 class ScheduledEvent:
-    """An event that was set."""
+    """A scheduled callback."""
 
     __slots__ = ("call",)
 
@@ -21,43 +22,53 @@
         self.call: Callback | None = call
 
     def cancel(self) -> None:
-        """It is not wanted any more."""
+        """Keep the callback from being called."""
         self.call = None
 
 
 class Kernel:
-    """The clock of one world, in milliseconds. It is a `Clock` for engines."""
+    """The clock and event queue of one simulation, in milliseconds. Engines use it as their clock."""
 
     def __init__(self) -> None:
         self.time = 0.0
-        self.events_run = 0  # so many were called
+        self.events_run = 0
         self._heap: list[tuple[float, int, int, ScheduledEvent]] = []
         self._sequence_number = 0
 
     def now(self) -> float:
-        """The present time."""
+        """Return the simulated time."""
         return self.time
 
     def call_at(self, at_ms: float, callback: Callback, run_first: bool = False) -> ScheduledEvent:
-        """Call at that time, or now if it has passed; `run_first`: before the others of the same time."""
-        handle = ScheduledEvent(callback)
+        """Schedule a callback, at once if the time has passed.
+
+        With `run_first` it runs before the other events of the same time.
+        """
+        event = ScheduledEvent(callback)
         self._sequence_number += 1
-        heappush(self._heap, (at_ms, 0 if run_first else 1, self._sequence_number, handle))
-        return handle
+        heappush(self._heap, (at_ms, 0 if run_first else 1, self._sequence_number, event))
+        return event
 
     def call_after(self, delay_ms: float, callback: Callback) -> ScheduledEvent:
-        """Call after so many milliseconds."""
+        """Schedule a callback after a delay in milliseconds."""
         return self.call_at(self.time + delay_ms, callback)
 
+    def next_event_at(self) -> float | None:
+        """Return the time of the next event that was not cancelled, or None if there is none."""
+        heap = self._heap
+        while heap and heap[0][3].call is None:
+            heappop(heap)
+        return heap[0][0] if heap else None
+
     def run(self, until: float) -> None:
-        """Call all that is due up to a time, which is then the present one."""
+        """Run all events up to a time, and advance the clock to it."""
         heap = self._heap
         while heap and heap[0][0] <= until:
-            when, _, _, handle = heappop(heap)
-            call = handle.call
+            at_ms, _, _, event = heappop(heap)
+            call = event.call
             if call is not None:
-                if when > self.time:
-                    self.time = when
+                if at_ms > self.time:
+                    self.time = at_ms
                 self.events_run += 1
                 call()
         self.time = max(self.time, until)
--- a/rosepick/lab/model/machine.py
+++ b/rosepick/lab/model/machine.py
@@ -1,8 +1,8 @@
-"""A machine that does work: cores that requests share, slots, a waiting room, a cold start, a fall.
+"""A machine that does work: cores that requests share, slots, a queue, a cold start and overload.
 
 Requests in slots share the cores evenly (processor sharing): with as many slots as cores each has one of its
-own, and the rest waits in the order of its coming. By virtual time an arrival or an end costs the logarithm
-of what is in work.
+own. The others queue in the order of their arrival. Finish times are kept in virtual time, so that an arrival
+or an end costs the logarithm of the number of running items.
 """
 
 from __future__ import annotations
@@ -10,31 +10,41 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from heapq import heappop, heappush
 from math import inf
 
 from .kernel import Kernel, ScheduledEvent
 
 WorkCallback = Callable[[], None]
-WARM_UP_STEP_MS = 50.0  # while it is cold, its speed is looked at so often; milliseconds
+WARM_UP_STEP_MS = 50.0  # how often the speed of a cold machine is updated
+VIRTUAL_TIME_TOLERANCE = 1e-9  # items that finish within it are finished
 
 
 @dataclass(frozen=True, slots=True)
 class MachineConfig:
-    """What a machine is. Times are milliseconds, work is milliseconds on a core of speed 1."""
+    """The size and behaviour of a machine. Work is in milliseconds on a core of speed 1."""
 
     cores: int = 2
     speed: float = 1.0
-    slots: int = 16
-    queue: int = 32
-    contention: float = 0.0
-    cold_capacity_share: float = 1.0
-    warm_up_ms: float = 0.0
+    slots: int = 16  # items that run at one time
+    queue: int = 32  # items that wait for a slot
+    contention: float = 0.0  # how much longer all work takes for each running item beyond the cores
+    cold_capacity_share: float = 1.0  # of its capacity, at the start
+    warm_up_ms: float = 0.0  # time, or core-milliseconds of work, until the machine is warm
     warm_by_work: bool = False
-    overload_multiple: float = inf
+    overload_multiple: float = inf  # work in a window, over capacity, at which a cold machine crashes
     overload_window_ms: float = 3_000.0
     stops_cancelled_work: bool = True
-    overrun_after_ms: float = 0.0  # with a full waiting room for so long it falls over; 0: never
+    overrun_after_ms: float = 0.0  # how long the queue may be full before the machine crashes; 0: for ever
+
+
+class WorkState(Enum):
+    """Where a piece of work is."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    FINISHED = "finished"  # done, cancelled or lost
 
 
 class WorkItem:
@@ -43,75 +53,79 @@
     __slots__ = ("done", "state", "virtual_finish", "work")
 
     def __init__(self, work: float, done: WorkCallback) -> None:
-        self.work, self.done = work, done
-        self.state = "waiting"  # then "running", at last "over"
-        self.virtual_finish = 0.0  # in virtual time
+        self.work = work
+        self.done = done
+        self.state = WorkState.WAITING
+        self.virtual_finish = 0.0
 
 
 class Machine:
-    """One machine. `on_overload` is called when it falls over: all that it had is lost."""
+    """One machine. `on_overload` is called when it crashes by overload, and all of its work is lost."""
 
     def __init__(self, kernel: Kernel, config: MachineConfig, started_at: float = -inf) -> None:
-        self.kernel, self.config = kernel, config
+        self.kernel = kernel
+        self.config = config
         self.started_at = started_at
         self.up = True
-        self.slowdown = 1.0  # so many times, by a trouble
+        self.slowdown = 1.0  # the factor by which faults slow it down
         self.on_overload: Callable[[], None] = lambda: None
-        self.busy_ms = 0.0  # core-milliseconds of work that were done, up to the last step
-        self.work_since_start_ms = 0.0  # core-milliseconds since it started
+        self.busy_ms = 0.0  # core-milliseconds in use, up to the last update
+        self.work_since_start_ms = 0.0  # core-milliseconds
         self._waiting: deque[WorkItem] = deque()
-        self._running: list[tuple[float, int, WorkItem]] = []  # by virtual finish
-        self._count = self._running_count = 0
+        self._running: list[tuple[float, int, WorkItem]] = []  # a heap by virtual finish time
+        self._start_count = 0
+        self._running_count = 0
         self._virtual_time = 0.0
         self._updated_at = kernel.now()
         self._next_event: ScheduledEvent | None = None
-        self._cold_window: deque[tuple[float, float]] = deque()  # while cold: when, and how much work
+        self._cold_window: deque[tuple[float, float]] = deque()  # while cold: time and work of each arrival
         self._cold_window_work = 0.0
         self._full_since: float | None = None
 
-    # ------------------------------------------------------------------------------------------ its speed
+    # ------------------------------------------------------------------------------------------ speed
 
     def warmth(self, now: float) -> float:
-        """The part of its capacity that it has, 0 to 1."""
-        shape = self.config
-        if shape.warm_up_ms <= 0 or shape.cold_capacity_share >= 1:
+        """Return the share of its capacity that the machine has reached, 0 to 1."""
+        config = self.config
+        if config.warm_up_ms <= 0 or config.cold_capacity_share >= 1:
             return 1.0
-        so_far = self.work_since_start_ms if shape.warm_by_work else now - self.started_at
+        progress_ms = self.work_since_start_ms if config.warm_by_work else now - self.started_at
         return min(
             1.0,
-            shape.cold_capacity_share + (1 - shape.cold_capacity_share) * max(0.0, so_far) / shape.warm_up_ms,
+            config.cold_capacity_share
+            + (1 - config.cold_capacity_share) * max(0.0, progress_ms) / config.warm_up_ms,
         )
 
     def capacity(self, now: float) -> float:
-        """Work that it can do in a millisecond at this moment."""
+        """Return the work that the machine can do in a millisecond."""
         return self.config.cores * self.config.speed * self.warmth(now) / self.slowdown
 
-    def queue_length(self) -> int:
-        """Requests in work or waiting."""
+    def item_count(self) -> int:
+        """Return the number of items that run or wait."""
         return self._running_count + len(self._waiting)
 
     def expected_ms(self, work: float, now: float) -> float:
-        """About how long a piece of work would take if it came now, in milliseconds; inf if it cannot."""
+        """Estimate the milliseconds that an item would take if it came now; inf if it would be rejected."""
         if not self.up or self._is_full():
             return inf
-        ahead = self.queue_length()
+        ahead = self.item_count()
         rate = self._rate(min(ahead + 1, self.config.slots), now)
         return (work / rate) * max(1.0, (ahead + 1) / self.config.slots)
 
     def _rate(self, running: int, now: float) -> float:
-        """Work that each of so many requests in work gets done in a millisecond."""
-        shape = self.config
-        over = max(0, running - shape.cores)
-        each = shape.speed * min(1.0, shape.cores / running) / (1.0 + shape.contention * over)
-        return each * self.warmth(now) / self.slowdown
+        """Return the work that each of so many running items gets done in a millisecond."""
+        config = self.config
+        excess = max(0, running - config.cores)
+        full_rate = config.speed * min(1.0, config.cores / running) / (1.0 + config.contention * excess)
+        return full_rate * self.warmth(now) / self.slowdown
 
-    # ------------------------------------------------------------------------------------------ its work
+    # ------------------------------------------------------------------------------------------ work
 
     def _is_full(self) -> bool:
         return self._running_count >= self.config.slots and len(self._waiting) >= self.config.queue
 
     def submit(self, work: float, done: WorkCallback) -> WorkItem | None:
-        """A piece of work comes; None if it is turned away, or the machine is down or falls over by it."""
+        """Submit work. Return None if it is rejected, or if the machine is down or crashes by it."""
         now = self.kernel.time
         if not self.up:
             return None
@@ -122,47 +136,48 @@
             self._on_queue_full(now)
             return None
         self._full_since = None
-        job = WorkItem(work, done)
+        item = WorkItem(work, done)
         self._advance_to(now)
         if self._running_count < self.config.slots:
-            self._start_item(job)
+            self._start_item(item)
         else:
-            self._waiting.append(job)
+            self._waiting.append(item)
         self._schedule_next_event(now)
-        return job
+        return item
+
+    def cancel(self, item: WorkItem) -> None:
+        """Cancel an item.
 
-    def cancel(self, job: WorkItem) -> None:
-        """Nobody waits for a piece of work any more: what waits is dropped, what is in work only where
-        cancelled work stops.
+        A waiting item is dropped, a running one only if `MachineConfig.stops_cancelled_work` is set.
         """
-        if job.state == "waiting":
-            job.state = "over"
-            self._waiting.remove(job)
-        elif job.state == "running" and self.config.stops_cancelled_work:
+        if item.state is WorkState.WAITING:
+            item.state = WorkState.FINISHED
+            self._waiting.remove(item)
+        elif item.state is WorkState.RUNNING and self.config.stops_cancelled_work:
             now = self.kernel.time
             self._advance_to(now)
-            job.state = "over"  # its entry in the heap is passed over
+            item.state = WorkState.FINISHED  # its entry in the heap is skipped later
             self._running_count -= 1
             self._start_waiting()
             self._schedule_next_event(now)
 
-    def _start_item(self, job: WorkItem) -> None:
-        self._count += 1
+    def _start_item(self, item: WorkItem) -> None:
+        self._start_count += 1
         self._running_count += 1
-        job.state = "running"
-        job.virtual_finish = self._virtual_time + job.work
-        heappush(self._running, (job.virtual_finish, self._count, job))
+        item.state = WorkState.RUNNING
+        item.virtual_finish = self._virtual_time + item.work
+        heappush(self._running, (item.virtual_finish, self._start_count, item))
 
     def _start_waiting(self) -> None:
         while self._waiting and self._running_count < self.config.slots:
             self._start_item(self._waiting.popleft())
 
     def _advance_to(self, now: float) -> None:
-        """Work up to now."""
+        """Account for the work that was done up to now."""
         if self._running_count:
             span = now - self._updated_at
             used = span * min(self._running_count, self.config.cores)
-            # by the speed at the middle of the step: exact where it grows evenly
+            # the speed at the middle of the step is exact where the speed grows linearly
             if self.config.warm_by_work:
                 self.work_since_start_ms += used / 2
             self._virtual_time += span * self._rate(self._running_count, self._updated_at + span / 2)
@@ -172,16 +187,16 @@
         self._updated_at = now
 
     def _schedule_next_event(self, now: float) -> None:
-        """Set the next end, or the next look at a speed that changes."""
+        """Schedule the next finish, or the next update of a speed that changes."""
         if self._next_event is not None:
             self._next_event.cancel()
             self._next_event = None
-        while self._running and self._running[0][2].state == "over":
+        while self._running and self._running[0][2].state is WorkState.FINISHED:
             heappop(self._running)
         if not self._running:
             return
-        left = max(0.0, self._running[0][0] - self._virtual_time)
-        delay = left / self._rate(self._running_count, now)
+        remaining = max(0.0, self._running[0][0] - self._virtual_time)
+        delay = remaining / self._rate(self._running_count, now)
         steady = self.warmth(now) >= 1.0
         if not steady:
             delay = min(delay, WARM_UP_STEP_MS)
@@ -191,39 +206,39 @@
         now = self.kernel.time
         self._next_event = None
         self._advance_to(now)
-        if has_finished_item:  # guards against a clock too coarse to tell the rest of the work
+        if has_finished_item:  # the clock may be too coarse for the rest of the work
             self._virtual_time = max(self._virtual_time, self._running[0][0])
-        ended = []
-        while self._running and self._running[0][0] <= self._virtual_time + 1e-9:
-            _, _, job = heappop(self._running)
-            if job.state == "running":
-                job.state = "over"
+        finished = []
+        while self._running and self._running[0][0] <= self._virtual_time + VIRTUAL_TIME_TOLERANCE:
+            _, _, item = heappop(self._running)
+            if item.state is WorkState.RUNNING:
+                item.state = WorkState.FINISHED
                 self._running_count -= 1
-                ended.append(job)
+                finished.append(item)
         self._start_waiting()
         self._schedule_next_event(now)
-        for job in ended:
-            job.done()
+        for item in finished:
+            item.done()
 
     def update_busy(self) -> None:
-        """Bring `busy` up to now."""
+        """Bring `busy_ms` up to now."""
         self._advance_to(self.kernel.time)
 
-    # --------------------------------------------------------------------------------------- its troubles
+    # --------------------------------------------------------------------------------------- faults
 
     def set_slowdown(self, slow: float) -> None:
-        """It is slower from now on, or as fast as ever by 1."""
+        """Slow the machine down by a factor from now on; 1 is full speed."""
         now = self.kernel.time
         self._advance_to(now)
         self.slowdown = slow
         self._schedule_next_event(now)
 
     def is_cold(self, now: float) -> bool:
-        """Whether it is not warm yet."""
+        """Return whether the machine is not warm yet."""
         return self.warmth(now) < 1.0
 
     def cold_budget_ms(self, now: float) -> float:
-        """Work that may still be sent to it within its window before it falls over; inf once it is warm."""
+        """Return the work that a cold machine may still get in this window; inf if it is warm."""
         if not self.is_cold(now) or self.config.overload_multiple == inf:
             return inf
         self._trim_cold_window(now)
@@ -233,35 +248,35 @@
         )
 
     def _is_overloaded_by(self, work: float, now: float) -> bool:
-        left = self.cold_budget_ms(now)
-        if left == inf:
+        budget_ms = self.cold_budget_ms(now)
+        if budget_ms == inf:
             return False
         self._cold_window.append((now, work))
         self._cold_window_work += work
-        return work > left
+        return work > budget_ms
 
     def _trim_cold_window(self, now: float) -> None:
         while self._cold_window and self._cold_window[0][0] < now - self.config.overload_window_ms:
             self._cold_window_work -= self._cold_window.popleft()[1]
 
     def _on_queue_full(self, now: float) -> None:
-        """The waiting room is full."""
+        """Crash if the queue has been full for too long."""
         if self._full_since is None:
             self._full_since = now
         elif self.config.overrun_after_ms and now - self._full_since >= self.config.overrun_after_ms:
             self.overload()
 
     def overload(self) -> None:
-        """It falls over: all that it had in hand is lost."""
+        """Crash by overload: all work is lost."""
         self.stop()
         self.on_overload()
 
     def stop(self) -> None:
-        """It is down, and whatever it had in hand is gone."""
+        """Take the machine down, with the loss of all work."""
         self._advance_to(self.kernel.time)
         self.up = False
-        for job in (*self._waiting, *(job for _, _, job in self._running)):
-            job.state = "over"
+        for item in (*self._waiting, *(item for _, _, item in self._running)):
+            item.state = WorkState.FINISHED
         self._waiting.clear()
         self._running.clear()
         self._running_count = 0
@@ -271,8 +286,10 @@
             self._next_event = None
 
     def start(self) -> None:
-        """It is up again, and cold."""
-        self.up, self.started_at, self.work_since_start_ms = True, self.kernel.time, 0.0
+        """Start the machine, cold."""
+        self.up = True
+        self.started_at = self.kernel.time
+        self.work_since_start_ms = 0.0
         self._cold_window.clear()
         self._cold_window_work = 0.0
         self._updated_at = self.kernel.time
--- a/rosepick/lab/model/nodes.py
+++ b/rosepick/lab/model/nodes.py
@@ -1,6 +1,4 @@
-"""Cache nodes and the origin: a machine each, with what it remembers, who is connected, and how it
-misbehaves.
-"""
+"""Cache nodes and the origin: a machine each, with its store, its connections and its faults."""
 
 from __future__ import annotations
 
@@ -16,119 +14,134 @@
 from .machine import Machine, MachineConfig, WorkItem
 from .random_streams import UniformStream
 
-CACHE_HIT, CACHE_MISS = 1, 2  # what an answer says of a read
-ReplyCallback = Callable[[Result, int], None]
-CACHE_KIND, ORIGIN_KIND = 0, 1  # kinds of machines
+CACHE_HIT = 1  # the cache status of a reply to a read; 0 if it has none
+CACHE_MISS = 2
+CACHE_KIND = 0  # the kind of an endpoint
+ORIGIN_KIND = 1
+ORIGIN_STARTED_AT = -1e12  # milliseconds: long before any run
+RESET_DELAY_MS = 1.0  # until a node resets the connection of an attempt that meets a fault
+
+ReplyCallback = Callable[[Result, int], None]  # called with the result and the cache status
+FetchResultCallback = Callable[[bool], None]  # called with whether a fetch from the origin succeeded
+OriginFetch = Callable[["SimulatedCacheNode", "NodeRequest", FetchResultCallback], None]
 
 
 class ConnectOutcome(Enum):
     """What becomes of a new connection."""
 
-    ACCEPTED = "held"
-    NO_SLOT = "none"  # there is no place for it
-    REFUSED = "down"  # it is refused
+    ACCEPTED = "accepted"
+    NO_SLOT = "no slot"  # the node has too many connections, and says so to the first request
+    REFUSED = "refused"
 
 
 @dataclass(slots=True)
 class NodeRequest:
-    """One delivery attempt as a machine sees it."""
+    """One attempt as a node receives it. Work is in milliseconds on a core of speed 1."""
 
     request: str
     key: int
     write: bool
-    work: float  # milliseconds at a cache node, on a core of speed 1
-    origin_work: float
-    size: int
+    work: float  # at a cache node
+    origin_work: float  # at the origin
+    size: int  # bytes
     reply: ReplyCallback
-    job: WorkItem | None = None
+    work_item: WorkItem | None = None
     finished: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class NodePlacement:
+    """Where and how one node runs."""
+
+    uid: str
+    zone: int
+    speed: float  # of each core
+    started_at: float  # milliseconds
+
+
 class SimulatedNode:
-    """What is common to all: it can be reached or not, it has work, it may leave attempts without an
-    answer.
-    """
+    """What all nodes have in common: connections, work, and faults by which attempts get no reply."""
 
     def __init__(
-        self,
-        kernel: Kernel,
-        uid: str,
-        zone: int,
-        shape: MachineConfig,
-        started_at: float,
-        max_connections: int,
+        self, kernel: Kernel, placement: NodePlacement, config: MachineConfig, max_connections: int
     ) -> None:
-        self.kernel, self.uid, self.zone = kernel, uid, zone
-        self.number = hash_uid(uid)
-        self.machine = Machine(kernel, shape, started_at)
+        self.kernel = kernel
+        self.uid = placement.uid
+        self.zone = placement.zone
+        self.number = hash_uid(placement.uid)
+        self.machine = Machine(kernel, config, placement.started_at)
         self.state = Status.READY
-        self.silences = 0  # troubles that keep it from saying anything; connections neither come up nor break
-        self.hang_shares: list[float] = []  # of its attempts, by each trouble that is on: never answered ...
-        self.reset_shares: list[float] = []  # ... or lose their connection
-        self.slow_factors: list[float] = []  # it is so many times as slow, by each trouble that is on
+        # one entry for each active fault
+        self.silence_count = 0  # while silent, connections neither open nor break
+        self.hang_shares: list[float] = []  # shares of attempts that are never answered
+        self.reset_shares: list[float] = []  # shares of attempts that lose their connection
+        self.slow_factors: list[float] = []
         self.connections = 0
         self.max_connections = max_connections
         self.handshake_ms = 0.0
-        self.epoch = 0  # counts its starts: connections of an earlier one are gone
-        self.kind, self.cell = CACHE_KIND, 0
-        self.on_connections_lost: Callable[[SimulatedNode], None] = (
-            lambda node: None
-        )  # all connections to it broke
+        self.epoch = 0  # the number of stops: connections of an earlier epoch are closed
+        self.kind = CACHE_KIND
+        self.cell = 0
+        self.on_connections_lost: Callable[[SimulatedNode], None] = _ignore_node
         self._fate_stream: UniformStream
 
     def member(self, started_at: float) -> Endpoint:
-        """Its entry in the list; `started_at` on the clock of the routers."""
+        """Return the node's entry in the endpoint list; `started_at` is on the routers' clock."""
         return Endpoint(self.number, self.state, started_at, self.zone, self.cell, self.kind)
 
     @property
     def silent(self) -> bool:
-        """Whether it says nothing."""
-        return self.silences > 0
+        """Whether the node sends nothing at all."""
+        return self.silence_count > 0
 
     @property
     def hang_share(self) -> float:
-        """The part of its attempts that is never answered."""
+        """The share of attempts that are never answered."""
         return max(self.hang_shares, default=0.0)
 
     @property
     def reset_share(self) -> float:
-        """The part of its attempts that loses its connection."""
+        """The share of attempts that lose their connection."""
         return max(self.reset_shares, default=0.0)
 
     def set_slowdown(self, factor: float, active: bool) -> None:
-        """It is so many times as slow by one more trouble, or by one less; the worst one counts."""
-        (self.slow_factors.append if active else self.slow_factors.remove)(factor)
+        """Add or remove a fault that slows the node down; the worst active fault counts."""
+        if active:
+            self.slow_factors.append(factor)
+        else:
+            self.slow_factors.remove(factor)
         self.machine.set_slowdown(max(self.slow_factors, default=1.0))
 
     def set_fate_stream(self, stream: UniformStream) -> None:
-        """Where it draws which attempts meet a fault."""
+        """Set the stream that decides which attempts meet a fault."""
         self._fate_stream = stream
 
     def connect(self) -> ConnectOutcome:
-        """A connection comes. Beyond as many as it holds, it says so to the first request and closes."""
+        """Handle a new connection. One beyond the limit is rejected at its first request."""
         if not self.machine.up:
             return ConnectOutcome.REFUSED
         if self.handshake_ms:
             self.machine.submit(self.handshake_ms, _ignore_completion)
             if not self.machine.up:
-                return ConnectOutcome.REFUSED  # the work of it was too much
+                return ConnectOutcome.REFUSED  # the machine crashed by this work
         if self.connections >= self.max_connections:
             return ConnectOutcome.NO_SLOT
         self.connections += 1
         return ConnectOutcome.ACCEPTED
 
     def disconnect(self) -> None:
-        """A connection is closed."""
+        """Handle the close of a connection."""
         self.connections = max(0, self.connections - 1)
 
     def on_request(self, request: NodeRequest) -> None:
-        """The last byte of an attempt is here."""
-        hangs, resets = self.hang_share, self.reset_share
-        fate = self._fate_stream() if hangs or resets else 1.0
-        if fate < hangs:
-            return  # it is never answered
-        if fate < hangs + resets:
-            self.kernel.call_after(1.0, lambda: self._send_reply(request, Result.RESET, 0))
+        """Handle an attempt whose last byte has arrived."""
+        hang_share = self.hang_share
+        reset_share = self.reset_share
+        draw = self._fate_stream() if hang_share or reset_share else 1.0
+        if draw < hang_share:
+            return
+        if draw < hang_share + reset_share:
+            self.kernel.call_after(RESET_DELAY_MS, lambda: self._send_reply(request, Result.RESET, 0))
             return
         if self.state is not Status.READY and not self.machine.up:
             self._send_reply(request, Result.RESET, 0)
@@ -136,62 +149,71 @@
         self.handle_request(request)
 
     def handle_request(self, request: NodeRequest) -> None:
-        """Work on an attempt."""
+        """Do the work of an attempt and reply."""
         raise NotImplementedError
 
     def submit_work(self, request: NodeRequest, work: float, done: Callable[[], None]) -> None:
-        """Have work done for an attempt, or turn it away."""
-        job = self.machine.submit(work, done)
-        if job is None:
+        """Submit work for an attempt, and reject the attempt if the machine does."""
+        item = self.machine.submit(work, done)
+        if item is None:
             self._send_reply(request, Result.BUSY if self.machine.up else Result.RESET, 0)
         else:
-            request.job = job
+            request.work_item = item
 
-    def _send_reply(self, request: NodeRequest, result: Result, note: int) -> None:
+    def _send_reply(self, request: NodeRequest, result: Result, cache_status: int) -> None:
         if not request.finished:
             request.finished = True
-            request.reply(result, note)
+            request.reply(result, cache_status)
 
     def on_cancelled(self, request: NodeRequest) -> None:
-        """The router has closed the attempt's connection."""
+        """Handle that the router closed the attempt's connection."""
         request.finished = True
-        if request.job is not None:
-            self.machine.cancel(request.job)
+        if request.work_item is not None:
+            self.machine.cancel(request.work_item)
 
     def stop(self) -> None:
-        """The process ends: connections are reset, new ones refused."""
+        """End the process: connections are reset, and new ones refused."""
         self.machine.stop()
         self.connections = 0
         self.epoch += 1
         self.on_connections_lost(self)
 
     def start(self) -> None:
-        """It starts anew, cold and empty."""
+        """Start the process, cold and empty."""
         self.machine.start()
 
 
+def _ignore_node(_node: SimulatedNode) -> None:
+    """Ignore that a node lost its connections."""
+
+
+def _ignore_key(_key: int) -> None:
+    """Ignore that a key was written."""
+
+
 def _ignore_completion() -> None:
-    """Nobody waits for the end of a handshake's work."""
+    """Ignore that the work of a handshake is done."""
 
 
 class SimulatedOrigin(SimulatedNode):
-    """What holds every value."""
-
-    def __init__(self, kernel: Kernel, shape: OriginConfig, zone: int) -> None:
-        made = MachineConfig(
-            cores=shape.cores,
-            speed=shape.speed,
-            slots=shape.slots,
-            queue=shape.queue,
-            contention=shape.crowding,
-            stops_cancelled_work=shape.cancels,
-            overrun_after_ms=1000.0 * shape.falls_when,
+    """The origin, which holds every value."""
+
+    def __init__(self, kernel: Kernel, config: OriginConfig, zone: int) -> None:
+        machine_config = MachineConfig(
+            cores=config.cores,
+            speed=config.speed,
+            slots=config.slots,
+            queue=config.queue,
+            contention=config.crowding,
+            stops_cancelled_work=config.cancels,
+            overrun_after_ms=1000.0 * config.falls_when,
         )
-        super().__init__(kernel, "origin", zone, made, -1e12, shape.connections)
-        self.handshake_ms = shape.handshake_ms
+        placement = NodePlacement("origin", zone, config.speed, ORIGIN_STARTED_AT)
+        super().__init__(kernel, placement, machine_config, config.connections)
+        self.handshake_ms = config.handshake_ms
         self.kind = ORIGIN_KIND
-        self.down_for = 1000.0 * shape.down_for
-        self.on_key_written: Callable[[int], None] = lambda key: None  # a key has another value
+        self.recovery_ms = 1000.0 * config.down_for
+        self.on_key_written: Callable[[int], None] = _ignore_key
         self.machine.on_overload = self._on_overload
 
     def _on_overload(self) -> None:
@@ -200,13 +222,15 @@
         self.on_connections_lost(self)
         epoch = self.epoch
 
-        def back() -> None:
-            if self.epoch == epoch:  # else it was stopped meanwhile, and comes back when that ends
+        def recover() -> None:
+            if self.epoch == epoch:  # else a fault stopped it meanwhile, and starts it again
                 self.start()
 
-        self.kernel.call_after(self.down_for, back)
+        self.kernel.call_after(self.recovery_ms, recover)
 
     def handle_request(self, request: NodeRequest) -> None:
+        """Read or write a value, which always succeeds."""
+
         def done() -> None:
             if request.write:
                 self.on_key_written(request.key)
@@ -216,40 +240,36 @@
 
 
 class SimulatedCacheNode(SimulatedNode):
-    """A cache node: it answers what it remembers, and a miss else; or fetches by itself, in through mode."""
+    """A cache node. On a miss it says so or, in through mode, fetches the value itself."""
 
     def __init__(
-        self,
-        kernel: Kernel,
-        uid: str,
-        zone: int,
-        shape: NodeGroupConfig,
-        speed: float,
-        started_at: float,
-        fetch: Callable[[SimulatedCacheNode, NodeRequest, Callable[[bool], None]], None] | None,
+        self, kernel: Kernel, placement: NodePlacement, group: NodeGroupConfig, fetch: OriginFetch | None
     ) -> None:
-        made = MachineConfig(
-            cores=shape.cores,
-            speed=speed,
-            slots=shape.slots,
-            queue=shape.queue,
-            contention=shape.crowding,
-            cold_capacity_share=shape.cold_from,
-            warm_up_ms=1000.0 * shape.warm_after,
-            warm_by_work=shape.warm_by == "work",
-            overload_multiple=shape.falls_at,
-            overload_window_ms=1000.0 * shape.falls_within,
-            stops_cancelled_work=shape.cancels,
+        """Create a node of a group; `fetch` is None unless in through mode."""
+        machine_config = MachineConfig(
+            cores=group.cores,
+            speed=placement.speed,
+            slots=group.slots,
+            queue=group.queue,
+            contention=group.crowding,
+            cold_capacity_share=group.cold_from,
+            warm_up_ms=1000.0 * group.warm_after,
+            warm_by_work=group.warm_by == "work",
+            overload_multiple=group.falls_at,
+            overload_window_ms=1000.0 * group.falls_within,
+            stops_cancelled_work=group.cancels,
         )
-        super().__init__(kernel, uid, zone, made, started_at, shape.connections)
-        self.handshake_ms, self.miss_work_ms = shape.handshake_ms, shape.miss_ms
-        self.group = shape
-        self.memory = CacheStore(shape.memory, shape.eviction, 1000.0 * shape.keep)
+        super().__init__(kernel, placement, machine_config, group.connections)
+        self.handshake_ms = group.handshake_ms
+        self.miss_work_ms = group.miss_ms
+        self.group = group
+        self.memory = CacheStore(group.memory, group.eviction, 1000.0 * group.keep)
         self._fetch = fetch
 
     def handle_request(self, request: NodeRequest) -> None:
+        """Reply from the store, fetch the value from the origin, or reply with a miss."""
         if request.write:
-            # in through mode writes pass to the origin; in aside mode none comes here
+            # in through mode a write passes to the origin; in aside mode none comes here
             self._fetch_and_reply(request)
         elif self.memory.get(request.key, self.kernel.time):
             self.submit_work(request, request.work, lambda: self._send_reply(request, Result.OK, CACHE_HIT))
@@ -268,13 +288,15 @@
 
         epoch = self.epoch
 
-        def fetched(good: bool) -> None:
-            if good and not request.write and self.epoch == epoch:  # not in the memory of a later process
+        def on_fetched(succeeded: bool) -> None:
+            is_same_process = self.epoch == epoch
+            if succeeded and not request.write and is_same_process:
                 self.memory.put(request.key, request.size, self.kernel.time)
-            self._send_reply(request, Result.OK if good else Result.ERROR, CACHE_MISS)
+            self._send_reply(request, Result.OK if succeeded else Result.ERROR, CACHE_MISS)
 
-        self.submit_work(request, self.miss_work_ms, lambda: fetch(self, request, fetched))
+        self.submit_work(request, self.miss_work_ms, lambda: fetch(self, request, on_fetched))
 
     def stop(self) -> None:
+        """End the process, with the loss of its store."""
         super().stop()
         self.memory.clear()
--- a/rosepick/lab/model/random_streams.py
+++ b/rosepick/lab/model/random_streams.py
@@ -1,79 +1,88 @@
-"""Random numbers: a stream for each use, all from one seed, drawn by numpy in blocks.
+"""Random numbers: one stream for each use, all from one seed, drawn by numpy in blocks.
 
-A stream depends on the seed and its own name only: what one part draws changes nothing for another, so that
-two policies meet the same arrivals, keys and troubles.
+A stream depends only on the seed and its own name: what one part of the model draws does not change the draws
+of another. Two policies that are compared get the same arrivals, keys and faults.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Generic, Literal, TypeVar
 from zlib import crc32
 
 import numpy as np
 
-BLOCK_SIZE = 4096
+BLOCK_SIZE = 4096  # numbers that are drawn at one time
+
+NumberT = TypeVar("NumberT", int, float)
+WorkDistribution = Literal["fixed", "exponential", "lognormal"]
 
 
 def create_generator(seed: int, name: str) -> np.random.Generator:
-    """The generator of one use."""
+    """Return the random generator of one use."""
     return np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, crc32(name.encode())])))
 
 
-class UniformStream:
-    """Numbers from 0 to 1, one at a time at little cost."""
+class _BlockStream(Generic[NumberT]):
+    """Numbers that are drawn in blocks and handed out one at a time at little cost."""
 
     __slots__ = ("_block", "_generator")
 
     def __init__(self, seed: int, name: str) -> None:
         self._generator = create_generator(seed, name)
-        self._block: Iterator[float] = iter(())
+        self._block: Iterator[NumberT] = iter(())
 
-    def __call__(self) -> float:
+    def __call__(self) -> NumberT:
+        """Return the next number."""
         for value in self._block:
             return value
-        self._block = iter(self._generator.random(BLOCK_SIZE).tolist())
+        self._block = iter(self._draw_block())
         return next(self._block)
 
+    def _draw_block(self) -> list[NumberT]:
+        raise NotImplementedError
 
-class WorkStream:
-    """Amounts of work with a mean of 1, one at a time: `fixed`, `exponential` or `lognormal`."""
 
-    __slots__ = ("_block", "_generator", "_kind", "_spread")
+class UniformStream(_BlockStream[float]):
+    """Numbers that are uniform in [0, 1)."""
 
-    def __init__(self, seed: int, name: str, kind: str, spread: float) -> None:
-        self._generator = create_generator(seed, name)
-        self._kind, self._spread = kind, spread
-        self._block: Iterator[float] = iter(())
+    __slots__ = ()
 
-    def __call__(self) -> float:
-        for value in self._block:
-            return value
-        self._block = iter(self._draw_block().tolist())
-        return next(self._block)
+    def _draw_block(self) -> list[float]:
+        return list(self._generator.random(BLOCK_SIZE).tolist())
+
+
+class WorkStream(_BlockStream[float]):
+    """Amounts of work with a mean of 1."""
 
-    def _draw_block(self) -> np.ndarray:
-        if self._kind == "fixed":
-            return np.ones(BLOCK_SIZE)
-        if self._kind == "exponential":
-            return self._generator.exponential(1.0, BLOCK_SIZE)
-        # the logarithm's mean that makes the mean of the values 1
-        return self._generator.lognormal(-(self._spread**2) / 2, self._spread, BLOCK_SIZE)
+    __slots__ = ("_distribution", "_spread")
 
+    def __init__(self, seed: int, name: str, distribution: WorkDistribution, spread: float) -> None:
+        """Draw from a distribution; `spread` is the standard deviation of the logarithm if lognormal."""
+        super().__init__(seed, name)
+        self._distribution = distribution
+        self._spread = spread
 
-class ZipfStream:
-    """Ranks from 0 on, asked for in proportion to (rank + 1) ** -exponent; by inversion, in blocks."""
+    def _draw_block(self) -> list[float]:
+        if self._distribution == "fixed":
+            return [1.0] * BLOCK_SIZE
+        if self._distribution == "exponential":
+            return list(self._generator.exponential(1.0, BLOCK_SIZE).tolist())
+        mean_of_logarithm = -(self._spread**2) / 2  # which makes the mean of the values 1
+        return list(self._generator.lognormal(mean_of_logarithm, self._spread, BLOCK_SIZE).tolist())
 
-    __slots__ = ("_block", "_edges", "_generator")
+
+class ZipfStream(_BlockStream[int]):
+    """Ranks from 0 on, in proportion to (rank + 1) ** -exponent, by inversion of the distribution."""
+
+    __slots__ = ("_cumulative_shares",)
 
     def __init__(self, seed: int, name: str, count: int, exponent: float) -> None:
-        self._generator = create_generator(seed, name)
+        super().__init__(seed, name)
         weights = np.arange(1, count + 1, dtype=float) ** -exponent
-        self._edges = np.cumsum(weights) / weights.sum()
-        self._block: Iterator[int] = iter(())
+        self._cumulative_shares = np.cumsum(weights) / weights.sum()
 
-    def __call__(self) -> int:
-        for value in self._block:
-            return value
-        drawn = np.searchsorted(self._edges, self._generator.random(BLOCK_SIZE), side="right")
-        self._block = iter(np.minimum(drawn, len(self._edges) - 1).tolist())
-        return next(self._block)
+    def _draw_block(self) -> list[int]:
+        uniform = self._generator.random(BLOCK_SIZE)
+        ranks = np.searchsorted(self._cumulative_shares, uniform, side="right")
+        return list(np.minimum(ranks, len(self._cumulative_shares) - 1).tolist())
--- a/rosepick/lab/model/router_settings.py
+++ b/rosepick/lab/model/router_settings.py
@@ -1,4 +1,4 @@
-"""The settings that routers of an experiment have, as the platform would tell them."""
+"""The settings that the routers of an experiment get, as the platform would configure them."""
 
 from __future__ import annotations
 
@@ -6,33 +6,33 @@
 from ..experiment import Experiment
 from .nodes import ORIGIN_KIND
 
-OVER_SHARE_WORTH = 0.05
-CROSSING_COST = 0.05
+OVER_SHARE_WORTH = 0.05  # what a request beyond its tenant's share counts, as a part of its worth
+CROSS_ZONE_COST = 0.05  # of an attempt to another zone, in units of worth
 
 
 def router_settings_for(experiment: Experiment, position: int = 0, zone: int = 0) -> api.RouterSettings:
-    """What one router is given at its start; times in milliseconds."""
-    cold = [nodes for nodes in experiment.fleet if nodes.warm_after > 0]
-    shares = sum(tenant.share for tenant in experiment.tenants)
+    """Return the settings of one router; times are milliseconds."""
+    warming_groups = [group for group in experiment.fleet if group.warm_after > 0]
+    total_share = sum(tenant.share for tenant in experiment.tenants)
     return api.RouterSettings(
         classes=tuple(
             api.RequestClass(
-                objective_ms=1000.0 * one.aim,
-                deadline_ms=1000.0 * one.deadline,
-                worth=one.worth,
-                effect=api.Effect(one.effect),
-                group=api.Group(one.group),
-                repeat_window_ms=1000.0 * one.repeat_window,
+                objective_ms=1000.0 * request_class.aim,
+                deadline_ms=1000.0 * request_class.deadline,
+                worth=request_class.worth,
+                effect=api.Effect(request_class.effect),
+                group=api.Group(request_class.group),
+                repeat_window_ms=1000.0 * request_class.repeat_window,
             )
-            for one in experiment.classes
+            for request_class in experiment.classes
         ),
-        tenants=tuple(api.Tenant(tenant.share / shares) for tenant in experiment.tenants),
+        tenants=tuple(api.Tenant(tenant.share / total_share) for tenant in experiment.tenants),
         rules=api.RoutingRules(
             stop_sending_within=1000.0 * experiment.stop_sending_within,
-            cold_from=min((nodes.cold_from for nodes in cold), default=1.0),
-            warm_within=max((1000.0 * nodes.warm_after for nodes in cold), default=0.0),
-            tip_multiple=min((nodes.falls_at for nodes in cold), default=3.0),
-            fall=max((1000.0 * nodes.falls_within for nodes in cold), default=3_000.0),
+            cold_from=min((group.cold_from for group in warming_groups), default=1.0),
+            warm_within=max((1000.0 * group.warm_after for group in warming_groups), default=0.0),
+            tip_multiple=min((group.falls_at for group in warming_groups), default=3.0),
+            fall=max((1000.0 * group.falls_within for group in warming_groups), default=3_000.0),
         ),
         limits=api.RouterLimits(
             max_attempts=experiment.max_attempts,
@@ -46,5 +46,5 @@
         routers=experiment.routers.count,
         position=position,
         over_share_worth=OVER_SHARE_WORTH if experiment.tenants else 1.0,
-        cross_zone_cost=CROSSING_COST,
+        cross_zone_cost=CROSS_ZONE_COST,
     )
--- a/rosepick/lab/model/rule_monitor.py
+++ b/rosepick/lab/model/rule_monitor.py
@@ -1,139 +1,142 @@
-"""The four rules, watched from the nodes' and the clients' side; what a router says of itself counts for
-nothing.
+"""Checks the four rules of the platform from what nodes and clients observe, not from what routers report.
+
+The rules: every request gets one answer in time, a repeated execution does no harm, draining nodes get
+nothing new, and cold nodes are not overloaded.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from ...decisions.api import NEVER_RAN, Effect, Group, RequestClass, Result
 from ..measure import Measure
 
-ANSWER_GRACE_MS = 50.0  # milliseconds after the deadline, as on sockets
+ANSWER_GRACE_MS = 50.0  # an answer may come so long after the deadline, as on sockets
+
+
+class Rule(StrEnum):
+    """A rule; the values are names in results."""
+
+    ANSWERED = "answered"
+    EFFECT = "effect"
+    DRAINS = "drains"
+    COLD = "cold"
 
 
 @dataclass(slots=True)
 class SentAttempt:
-    """One delivery attempt as it was sent."""
+    """One attempt as its node receives it. Times are milliseconds."""
 
     sent_at: float
     node: int
+    node_name: str
     zone: int
     cell: int
+    drain_known_since: float | None = None  # since when its router knows that the node drains
     in_flight: bool = True
     may_have_run: bool = True
 
 
 @dataclass(slots=True)
 class ClientTry:
-    """One try of a client's request, as a router has it."""
+    """One try of a client's request, as it was sent to a router."""
 
     name: str
-    klass: RequestClass
-    deadline: float
+    request_class: RequestClass
+    deadline: float  # milliseconds
     attempts: list[SentAttempt] = field(default_factory=list)
     answers: int = 0
-    client_gone: bool = False  # its client has left, or its router was killed
+    client_gone: bool = False  # its client disconnected, or its router was killed
 
 
 class RuleMonitor:
-    """Watches all tries of a run."""
+    """Checks all tries of a run and records violations."""
 
     def __init__(self, measure: Measure, max_attempts: int, stop_sending_within_ms: float) -> None:
-        self.measure, self.max_attempts = measure, max_attempts
+        self.measure = measure
+        self.max_attempts = max_attempts
         self.stop_sending_within_ms = stop_sending_within_ms
 
-    def record_send(
-        self,
-        client_try: ClientTry,
-        now: float,
-        node: int,
-        name: str,
-        zone: int,
-        cell: int,
-        drain_known_since: float | None,
-    ) -> SentAttempt:
-        """An attempt is sent; `drain_known_since` is since when its router knows that the node wants nothing
-        new.
-        """
-        say = self.measure.record_violation
+    def record_send(self, client_try: ClientTry, attempt: SentAttempt) -> None:
+        """Check an attempt that is sent now, and add it to its try."""
+        for rule, text in self._find_send_violations(client_try, attempt):
+            self._record_violation(rule, client_try.name, attempt.node_name, attempt.sent_at, text)
+        client_try.attempts.append(attempt)
+
+    def _find_send_violations(self, client_try: ClientTry, attempt: SentAttempt) -> list[tuple[Rule, str]]:
+        violations: list[tuple[Rule, str]] = []
         if client_try.answers:
-            say("effect", client_try.name, name, now, "sent after the final answer")
-        if any(one.in_flight for one in client_try.attempts):
-            say("effect", client_try.name, name, now, "sent while another attempt was out")
+            violations.append((Rule.EFFECT, "sent after the final answer"))
+        if any(earlier.in_flight for earlier in client_try.attempts):
+            violations.append((Rule.EFFECT, "sent while another attempt was out"))
         if len(client_try.attempts) >= self.max_attempts:
-            say(
-                "effect",
-                client_try.name,
-                name,
-                now,
-                f"attempt {len(client_try.attempts) + 1} of {self.max_attempts}",
-            )
-        if drain_known_since is not None and now - drain_known_since > self.stop_sending_within_ms:
-            say(
-                "drains",
-                client_try.name,
-                name,
-                now,
-                f"sent {now - drain_known_since:.0f} ms after its router was told",
-            )
-        fault = self._find_repeat_violation(client_try, now, zone, cell)
-        if fault:
-            say("effect", client_try.name, name, now, fault)
-        sent = SentAttempt(now, node, zone, cell)
-        client_try.attempts.append(sent)
-        return sent
+            text = f"attempt {len(client_try.attempts) + 1} of {self.max_attempts}"
+            violations.append((Rule.EFFECT, text))
+        if attempt.drain_known_since is not None:
+            known_for_ms = attempt.sent_at - attempt.drain_known_since
+            if known_for_ms > self.stop_sending_within_ms:
+                violations.append((Rule.DRAINS, f"sent {known_for_ms:.0f} ms after its router was told"))
+        repeat_violation = self._find_repeat_violation(client_try, attempt)
+        if repeat_violation:
+            violations.append((Rule.EFFECT, repeat_violation))
+        return violations
 
     @staticmethod
-    def _find_repeat_violation(client_try: ClientTry, now: float, zone: int, cell: int) -> str:
-        """What is wrong with repeating a request that may have run; empty if nothing is."""
-        klass = client_try.klass
-        if klass.effect is Effect.RETRYABLE:
+    def _find_repeat_violation(client_try: ClientTry, attempt: SentAttempt) -> str:
+        """Return what is wrong with repeating a request that may have run; empty if nothing is."""
+        request_class = client_try.request_class
+        if request_class.effect is Effect.RETRYABLE:
             return ""
-        for one in client_try.attempts:
-            if not one.may_have_run:
+        for earlier in client_try.attempts:
+            if not earlier.may_have_run:
                 continue
-            if klass.effect is Effect.FRAGILE:
+            if request_class.effect is Effect.FRAGILE:
                 return "repeated, though it may have run"
-            if now - one.sent_at > klass.repeat_window_ms:
-                return f"repeated {now - one.sent_at:.0f} ms after an attempt that may have run"
-            same = {Group.ALL: True, Group.ZONE: zone == one.zone, Group.CELL: cell == one.cell}
-            if not same[klass.group]:
-                return f"repeated outside its {klass.group.value}"
+            elapsed_ms = attempt.sent_at - earlier.sent_at
+            if elapsed_ms > request_class.repeat_window_ms:
+                return f"repeated {elapsed_ms:.0f} ms after an attempt that may have run"
+            same_group = {
+                Group.ALL: True,
+                Group.ZONE: attempt.zone == earlier.zone,
+                Group.CELL: attempt.cell == earlier.cell,
+            }
+            if not same_group[request_class.group]:
+                return f"repeated outside its {request_class.group.value}"
         return ""
 
-    def record_outcome(self, sent: SentAttempt, result: Result) -> None:
-        """An attempt has its end."""
-        sent.in_flight = False
+    def record_outcome(self, attempt: SentAttempt, result: Result) -> None:
+        """Record the end of an attempt."""
+        attempt.in_flight = False
         if result in NEVER_RAN:
-            sent.may_have_run = False
+            attempt.may_have_run = False
 
-    def record_answer(self, client_try: ClientTry, now: float, refused: bool, name: str) -> None:
-        """A final answer was given."""
+    def record_answer(self, client_try: ClientTry, now: float, refused: bool, router: str) -> None:
+        """Check a final answer that a router gave."""
         client_try.answers += 1
         if client_try.answers > 1:
-            self.measure.record_violation("answered", client_try.name, name, now, "answered twice")
+            self._record_violation(Rule.ANSWERED, client_try.name, router, now, "answered twice")
         if now > client_try.deadline + ANSWER_GRACE_MS and not client_try.client_gone:
-            late = now - client_try.deadline
-            self.measure.record_violation(
-                "answered", client_try.name, name, now, f"answered {late:.0f} ms late"
-            )
-        may_have_run = any(one.may_have_run for one in client_try.attempts)
-        klass = client_try.klass
-        harmful = klass.effect is Effect.FRAGILE or (
-            klass.effect is Effect.DEDUP and klass.group is not Group.ALL
+            text = f"answered {now - client_try.deadline:.0f} ms late"
+            self._record_violation(Rule.ANSWERED, client_try.name, router, now, text)
+        may_have_run = any(attempt.may_have_run for attempt in client_try.attempts)
+        request_class = client_try.request_class
+        repeat_is_harmful = request_class.effect is Effect.FRAGILE or (
+            request_class.effect is Effect.DEDUP and request_class.group is not Group.ALL
         )
-        if refused and may_have_run and harmful:
-            self.measure.record_violation(
-                "effect", client_try.name, name, now, "refused, though it may have run"
-            )
+        if refused and may_have_run and repeat_is_harmful:
+            text = "refused, though it may have run"
+            self._record_violation(Rule.EFFECT, client_try.name, router, now, text)
 
-    def check_finished(self, client_try: ClientTry, now: float, name: str) -> None:
-        """The run has ended, long after all deadlines."""
+    def check_finished(self, client_try: ClientTry, now: float, router: str) -> None:
+        """Check, long after all deadlines, that a try was answered."""
         if not client_try.answers and not client_try.client_gone:
-            self.measure.record_violation("answered", client_try.name, name, now, "never answered")
+            self._record_violation(Rule.ANSWERED, client_try.name, router, now, "never answered")
 
     def record_cold_overload(self, node: str, now: float) -> None:
-        """A cold node was sent more than it could do, by all routers together, and fell over."""
+        """Record that a cold node was sent more than it could do, by all routers together, and crashed."""
         self.measure.cold_overloads += 1
-        self.measure.record_violation("cold", "", node, now, "pushed over while it was cold")
+        self._record_violation(Rule.COLD, "", node, now, "pushed over while it was cold")
+
+    def _record_violation(self, rule: Rule, request: str, node: str, now: float, text: str) -> None:
+        self.measure.record_violation(rule.value, request, node, now, text)
--- a/rosepick/lab/model/simulated_router.py
+++ b/rosepick/lab/model/simulated_router.py
@@ -1,96 +1,83 @@
-"""One simulated router: the very `Engine` and decisions, behind ports that carry attempts through the world.
+"""One simulated router: the real `Engine` and decisions, behind ports that carry attempts through the model.
 
-An attempt's connection, its bytes and its end are separate, as they are on sockets: a new connection takes a
-round trip and the node's work, the request arrives a latency later, its answer takes another, and giving up
-closes the connection, of which the node hears a latency later.
+Connecting, sending and ending an attempt are separate steps, as on sockets. A new connection takes a round
+trip and work at the node, the request arrives after a latency, its reply takes another, and a cancelled
+attempt closes its connection, which the node notices after a latency.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from ...connections.keep_alive import KeepAliveController
 from ...core.engine import Engine
 from ...core.ports import DecisionModule
 from ...core.request_context import RequestContext, UpstreamAttempt
 from ...decisions import api
 from ...decisions.api import Result
 from ..experiment import RoutersConfig
+from .client_behaviour import TryOutcome
 from .discovery import DiscoverySubscriber, SimulatedDiscovery
 from .kernel import Kernel
 from .network import SimulatedNetwork
-from .nodes import CACHE_HIT, CACHE_KIND, ORIGIN_KIND, ConnectOutcome, NodeRequest, SimulatedNode
+from .nodes import CACHE_HIT, ORIGIN_KIND, ConnectOutcome, NodeRequest, SimulatedCacheNode, SimulatedNode
+from .request_payload import RequestPayload
 from .rule_monitor import ClientTry, RuleMonitor, SentAttempt
-from .workload import ScheduledRequest
+from .upstream_connections import IdleConnections, SimulatedConnection
 
-CONNECT_TIMEOUT_MS = 250.0  # milliseconds until a connection that does not come up is given up
-MAX_IDLE_MS = 10_000.0  # that a router keeps an idle connection at most
-SWEEP_INTERVAL_MS = 250.0
+CONNECT_TIMEOUT_MS = 250.0  # until a connection that does not open is given up
+SWEEP_INTERVAL_MS = 250.0  # between two closings of idle connections
+REJECTION_LATENCIES = 3.0  # more one-way latencies until a connection without a slot is known to be rejected
 
 
-@dataclass(slots=True)
-class RequestPayload:
-    """What an envelope carries through the engine."""
-
-    request: ScheduledRequest
-    client_try: ClientTry
-    on_ended: Callable[[str, float], None]  # how the try ended, and the time to come back in milliseconds
-    missed_at: list[SimulatedNode] = field(default_factory=list)  # where a read missed
-
-
-class SimulatedConnection:
-    """One connection of a router to a node."""
-
-    __slots__ = ("epoch", "idle_since", "node", "open")
-
-    def __init__(self, node: SimulatedNode, now: float) -> None:
-        self.node, self.epoch, self.idle_since, self.open = node, node.epoch, now, True
-
-    def close(self) -> None:
-        """It is closed, on both sides."""
-        if self.open:
-            self.open = False
-            if self.epoch == self.node.epoch:
-                self.node.disconnect()
+def payload_of(request: RequestContext) -> RequestPayload:
+    """Return what the model attached to a request."""
+    payload = request.payload
+    assert isinstance(payload, RequestPayload)
+    return payload
 
 
 class SimulatedExchange:
-    """One delivery attempt on its way."""
+    """One attempt on its way."""
 
     __slots__ = ("attempt", "connection", "node", "node_request", "router", "sent")
 
     def __init__(self, router: SimulatedRouter, attempt: UpstreamAttempt, node: SimulatedNode) -> None:
-        self.router, self.attempt, self.node = router, attempt, node
+        self.router = router
+        self.attempt = attempt
+        self.node = node
         self.connection: SimulatedConnection | None = None
         self.node_request: NodeRequest | None = None
         self.sent: SentAttempt | None = None
 
     def connect(self) -> None:
-        """Open a connection; the attempt goes out once it is up."""
-        port, node = self.router, self.node
-        now = port.kernel.time
-        port.kernel.call_at(now + CONNECT_TIMEOUT_MS, self._on_connect_timeout)
-        if port.can_reach(node):
-            port.kernel.call_at(now + port.latency_to(node), self._on_connect)
+        """Open a connection; the request is sent once it is open."""
+        router = self.router
+        node = self.node
+        now = router.kernel.time
+        router.kernel.call_at(now + CONNECT_TIMEOUT_MS, self._on_connect_timeout)
+        if router.can_reach(node):
+            router.kernel.call_at(now + router.latency_to(node), self._on_connect)
 
     def _on_connect(self) -> None:
         if not self._is_active() or not self.router.can_reach(self.node):
             return
-        port = self.router
-        place, back = self.node.connect(), port.latency_to(self.node)
-        if place is ConnectOutcome.ACCEPTED:
-            port.keep_alive_controllers[self.node.kind].record_accepted()
-            self.connection = SimulatedConnection(self.node, port.kernel.time)
-            port.kernel.call_after(back, self.send_request)
-        elif place is ConnectOutcome.NO_SLOT:  # it says so to the request, a round trip later
-            port.kernel.call_after(3.0 * back, self._on_no_slot)
+        router = self.router
+        outcome = self.node.connect()
+        latency = router.latency_to(self.node)
+        if outcome is ConnectOutcome.ACCEPTED:
+            router.idle_connections.keep_alive_controllers[self.node.kind].record_accepted()
+            self.connection = SimulatedConnection(self.node, router.kernel.time)
+            router.kernel.call_after(latency, self.send_request)
+        elif outcome is ConnectOutcome.NO_SLOT:
+            router.kernel.call_after(REJECTION_LATENCIES * latency, self._on_no_slot)
         else:
-            port.kernel.call_after(back, lambda: self._on_ended(Result.CONNECT_FAILED, 0))
+            router.kernel.call_after(latency, lambda: self._on_ended(Result.CONNECT_FAILED, 0))
 
     def _on_no_slot(self) -> None:
         if self._is_active():
-            self.router.keep_alive_controllers[self.node.kind].record_rejected()
+            controller = self.router.idle_connections.keep_alive_controllers[self.node.kind]
+            controller.record_rejected()
             self._on_ended(Result.CONNECTION_LIMIT, 0)
 
     def _on_connect_timeout(self) -> None:
@@ -101,85 +88,92 @@
         return self.router.exchanges.get(self.attempt) is self
 
     def send_request(self) -> None:
-        """The connection is up: the request goes out on it."""
+        """Send the request on the open connection."""
         if not self._is_active():
             return
-        port = self.router
-        payload = self.attempt.request.payload
-        assert isinstance(payload, RequestPayload)
+        router = self.router
+        payload = payload_of(self.attempt.request)
         request = payload.request
-        write = self.attempt.request.is_write
-        self.sent = port.record_send(payload.client_try, self.node)
+        self.sent = router.record_send(payload.client_try, self.node)
         self.node_request = NodeRequest(
             payload.client_try.name,
             request.key,
-            write,
+            self.attempt.request.is_write,
             request.work_ms,
             request.origin_work_ms,
             request.size,
             self._on_reply,
         )
-        if port.can_reach(self.node):
-            port.kernel.call_after(port.latency_to(self.node), self._on_request_arrived)
+        if router.can_reach(self.node):
+            router.kernel.call_after(router.latency_to(self.node), self._on_request_arrived)
 
     def _on_request_arrived(self) -> None:
-        asked = self.node_request
-        assert asked is not None
-        if asked.finished or not self.router.can_reach(self.node):
+        node_request = self.node_request
+        assert node_request is not None
+        if node_request.finished or not self.router.can_reach(self.node):
             return
-        link = self.connection
-        if link is None or not link.open or link.epoch != self.node.epoch or not self.node.machine.up:
+        if not self._is_connection_good():
             self.router.kernel.call_after(
                 self.router.latency_to(self.node), lambda: self._on_ended(Result.RESET, 0)
             )
             return
-        self.node.on_request(asked)
+        self.node.on_request(node_request)
+
+    def _is_connection_good(self) -> bool:
+        connection = self.connection
+        if connection is None or not connection.open:
+            return False
+        return connection.epoch == self.node.epoch and self.node.machine.up
 
-    def _on_reply(self, result: Result, note: int) -> None:
-        port = self.router
-        if not port.can_reach(self.node):
+    def _on_reply(self, result: Result, cache_status: int) -> None:
+        router = self.router
+        if not router.can_reach(self.node):
             return
-        if port.network.draw_break():
+        if router.network.draw_break():
             result = Result.RESET
-        port.kernel.call_after(port.latency_to(self.node), lambda: self._on_ended(result, note))
+        router.kernel.call_after(router.latency_to(self.node), lambda: self._on_ended(result, cache_status))
 
-    def _on_ended(self, result: Result, note: int) -> None:
-        """The end of the attempt is at the router, which hears it when it has the time."""
+    def _on_ended(self, result: Result, cache_status: int) -> None:
+        """Handle that the attempt's end has reached the router, which processes it when it has time."""
         if self._is_active():
-            self.router.spend_cpu(self.router.config.attempt_us, lambda: self._process_result(result, note))
+            self.router.spend_cpu(
+                self.router.config.attempt_us, lambda: self._process_result(result, cache_status)
+            )
 
-    def _process_result(self, result: Result, note: int) -> None:
+    def _process_result(self, result: Result, cache_status: int) -> None:
         if not self._is_active():
             return
-        port = self.router
-        del port.exchanges[self.attempt]
+        router = self.router
+        del router.exchanges[self.attempt]
         if self.connection is not None:
             if result in (Result.RESET, Result.CONNECT_FAILED):
                 self.connection.close()
             else:
-                port.release_connection(self.connection)
+                router.idle_connections.add(self.connection)
         self._record_outcome(result)
-        if note:
-            port.count_event("hits" if note == CACHE_HIT else "misses")
-        port.record_miss(self.attempt, self.node, result)
-        port.engine.finish_attempt(self.attempt, result, note, response=self.node)
+        if cache_status != 0:
+            router.count_event("hits" if cache_status == CACHE_HIT else "misses")
+        router.store_fetched_value(self.attempt, self.node, result)
+        router.engine.finish_attempt(self.attempt, result, cache_status, response=self.node)
 
     def on_connection_reset(self) -> None:
-        """The node's process has gone: its machine resets the connection."""
-        port = self.router
+        """Handle that the node's process ended and its connections were reset."""
+        router = self.router
         result = Result.RESET if self.node_request is not None else Result.CONNECT_FAILED
         if self.node_request is not None:
             self.node_request.finished = True
-        if not port.can_reach(self.node):
+        if not router.can_reach(self.node):
             return
-        port.kernel.call_after(port.latency_to(self.node), lambda: self._on_ended(result, 0))
+        router.kernel.call_after(router.latency_to(self.node), lambda: self._on_ended(result, 0))
 
     def cancel(self) -> None:
-        """The router closes the attempt's connection; the node hears of it a latency later."""
+        """Close the attempt's connection, which the node notices after a latency."""
         self._record_outcome(Result.CANCELLED)
-        asked, node, port = self.node_request, self.node, self.router
-        if asked is not None:
-            port.kernel.call_after(port.latency_to(node), lambda: node.on_cancelled(asked))
+        node_request = self.node_request
+        node = self.node
+        router = self.router
+        if node_request is not None:
+            router.kernel.call_after(router.latency_to(node), lambda: node.on_cancelled(node_request))
         if self.connection is not None:
             self.connection.close()
 
@@ -188,51 +182,57 @@
             self.router.monitor.record_outcome(self.sent, result)
 
 
+@dataclass(frozen=True, slots=True)
+class RouterEnvironment:
+    """What all routers of a simulation share."""
+
+    kernel: Kernel
+    network: SimulatedNetwork
+    nodes: dict[int, SimulatedNode]  # by number
+    discovery: SimulatedDiscovery
+    monitor: RuleMonitor
+    config: RoutersConfig
+    count_event: Callable[[str], None]
+
+
 class SimulatedRouter:
-    """One router of the world: sender side, next hops, map source and clock of its engine."""
+    """One router: the downstream and upstream ports, endpoint source and clock of its engine."""
 
     def __init__(
         self,
-        name: str,
-        zone: int,
-        kernel: Kernel,
-        network: SimulatedNetwork,
-        nodes: dict[int, SimulatedNode],
-        discovery: SimulatedDiscovery,
-        monitor: RuleMonitor,
+        environment: RouterEnvironment,
         settings: api.RouterSettings,
         seed: int,
         decider: DecisionModule | None,
-        config: RoutersConfig,
     ) -> None:
-        self.name, self.zone = name, zone
-        self.kernel, self.network, self.nodes, self.monitor = kernel, network, nodes, monitor
-        self.discovery = discovery
+        """Start a router, with the real decisions if `decider` is None."""
+        self.name = f"router-{settings.position}"
+        self.zone = settings.zone
+        self.kernel = environment.kernel
+        self.network = environment.network
+        self.nodes = environment.nodes
+        self.monitor = environment.monitor
+        self.discovery = environment.discovery
+        self.config = environment.config
+        self.count_event = environment.count_event
         self.alive = True
         self.exchanges: dict[UpstreamAttempt, SimulatedExchange] = {}
-        self.count_event: Callable[[str], None] = lambda what: None
-        self._idle: dict[int, list[SimulatedConnection]] = {}
-        self.config = config
-        self._unread_requests: dict[
-            RequestContext, RequestPayload
-        ] = {}  # it has not had the time to take them
-        self._busy_until = 0.0  # when it is through with what it has to do
-        self.keep_alive_controllers = {
-            kind: KeepAliveController(MAX_IDLE_MS, settings.routers) for kind in (CACHE_KIND, ORIGIN_KIND)
-        }
-        kernel.call_after(SWEEP_INTERVAL_MS, self._close_idle_connections)
-        self.engine = Engine(settings, seed, kernel, decider)
+        self.idle_connections = IdleConnections(self.kernel, settings.routers)
+        self._unread_requests: dict[RequestContext, RequestPayload] = {}  # accepted, but no time for them yet
+        self._busy_until = 0.0  # when all processor time that was asked for is spent
+        self.kernel.call_after(SWEEP_INTERVAL_MS, self._close_idle_connections)
+        self.engine = Engine(settings, seed, self.kernel, decider)
         self.engine.upstream = self
         self.engine.endpoint_source = self
-        self.subscription: DiscoverySubscriber = discovery.subscribe(self._on_members, zone)
-        self.engine.update_endpoints(discovery.initial_members(self.subscription))
+        self.subscription: DiscoverySubscriber = self.discovery.subscribe(self._on_members, self.zone)
+        self.engine.update_endpoints(self.discovery.initial_members(self.subscription))
 
     def latency_to(self, node: SimulatedNode) -> float:
-        """Of one message to or from a node."""
+        """Draw the latency of one message to or from a node, in milliseconds."""
         return self.network.latency(self.zone, node.zone)
 
     def can_reach(self, node: SimulatedNode) -> bool:
-        """Whether messages to and from a node pass at present."""
+        """Return whether messages to and from a node pass at present."""
         return not node.silent and self.network.is_connected(self.zone, node.zone)
 
     def _on_members(self, event: api.EndpointUpdate) -> None:
@@ -240,13 +240,13 @@
             self.engine.update_endpoints(event)
 
     def set_watching(self, enabled: bool) -> None:
-        """The engine follows discovery, or no more."""
+        """Follow discovery from now on, or no longer."""
         self.discovery.set_subscribed(self.subscription, enabled)
 
-    # ------------------------------------------------------------------------------------- the next hops
+    # ------------------------------------------------------------------------------------------- upstream
 
     def start_attempt(self, attempt: UpstreamAttempt) -> None:
-        """Carry an attempt out."""
+        """Start an attempt, on an idle connection if there is one."""
         if not self.alive:
             return
         node = self.nodes.get(attempt.endpoint_id)
@@ -260,21 +260,21 @@
             self.count_event("crossings")
         exchange = SimulatedExchange(self, attempt, node)
         self.exchanges[attempt] = exchange
-        link = self._take_idle_connection(node)
-        if link is None:
+        connection = self.idle_connections.take(node)
+        if connection is None:
             exchange.connect()
         else:
-            exchange.connection = link
+            exchange.connection = connection
             exchange.send_request()
 
     def cancel_attempt(self, attempt: UpstreamAttempt) -> None:
-        """Stop an attempt."""
+        """Cancel an attempt."""
         exchange = self.exchanges.pop(attempt, None)
         if exchange is not None:
             exchange.cancel()
 
     def spend_cpu(self, cost_us: float, callback: Callable[[], None]) -> None:
-        """Go on once so many microseconds of processor time are spent, behind what is in hand."""
+        """Call back once so many microseconds of processor time are spent, after those asked for before."""
         now = self.kernel.time
         if not cost_us:
             callback()
@@ -283,127 +283,108 @@
         self.kernel.call_at(self._busy_until, lambda: callback() if self.alive else None)
 
     def _close_idle_connections(self) -> None:
-        """Close connections that were idle for as long as they are kept."""
         if not self.alive:
             return
-        now = self.kernel.time
         self.kernel.call_after(SWEEP_INTERVAL_MS, self._close_idle_connections)
-        for number, links in list(self._idle.items()):
-            kept = self.keep_alive_controllers[self.nodes[number].kind].keep_alive_ms
-            for link in links:
-                if now - link.idle_since >= kept:
-                    link.close()
-            self._idle[number] = [link for link in links if link.open]
-
-    def _take_idle_connection(self, node: SimulatedNode) -> SimulatedConnection | None:
-        """The most recently used idle connection that is still good, as far as this side can know."""
-        links, now = self._idle.get(node.number, []), self.kernel.time
-        while links:
-            link = links.pop()
-            if link.open and now - link.idle_since < MAX_IDLE_MS:
-                return link
-            link.close()
-        return None
-
-    def release_connection(self, connection: SimulatedConnection) -> None:
-        """A connection is free for the next attempt."""
-        connection.idle_since = self.kernel.time
-        self._idle.setdefault(connection.node.number, []).append(connection)
+        self.idle_connections.close_expired()
 
     def record_send(self, client_try: ClientTry, node: SimulatedNode) -> SentAttempt:
-        """An attempt's first byte goes out."""
-        told = self.subscription.drain_known_since.get(node.number)
-        return self.monitor.record_send(
-            client_try, self.kernel.time, node.number, node.uid, node.zone, node.cell, told
+        """Record that an attempt's first byte is sent."""
+        attempt = SentAttempt(
+            sent_at=self.kernel.time,
+            node=node.number,
+            node_name=node.uid,
+            zone=node.zone,
+            cell=node.cell,
+            drain_known_since=self.subscription.drain_known_since.get(node.number),
         )
+        self.monitor.record_send(client_try, attempt)
+        return attempt
 
-    def record_miss(self, attempt: UpstreamAttempt, node: SimulatedNode, result: Result) -> None:
-        """Keep in mind where a read missed: what the origin answers is stored there."""
-        payload = attempt.request.payload
-        assert isinstance(payload, RequestPayload)
-        if result is Result.MISS:
+    def store_fetched_value(self, attempt: UpstreamAttempt, node: SimulatedNode, result: Result) -> None:
+        """Store what the origin replies at the cache nodes where the read missed."""
+        payload = payload_of(attempt.request)
+        if result is Result.MISS and isinstance(node, SimulatedCacheNode):
             payload.missed_at.append(node)
         elif result is Result.OK and node.kind == ORIGIN_KIND:
-            for where in payload.missed_at:
-                store = getattr(where, "memory", None)
-                if store is not None and where.machine.up:
-                    store.put(payload.request.key, payload.request.size, self.kernel.time)
+            for cache_node in payload.missed_at:
+                if cache_node.machine.up:
+                    cache_node.memory.put(payload.request.key, payload.request.size, self.kernel.time)
 
     def on_node_connections_lost(self, node: SimulatedNode) -> None:
-        """A node's process has gone, and with it all connections to it."""
-        for exchange in [one for one in self.exchanges.values() if one.node is node]:
+        """Handle that a node's process ended and all connections to it broke."""
+        for exchange in [exchange for exchange in self.exchanges.values() if exchange.node is node]:
             exchange.on_connection_reset()
         if self.can_reach(node):
-            for link in self._idle.get(node.number, ()):
-                self.kernel.call_after(self.latency_to(node), link.close)
-
-    # -------------------------------------------------------------------------------------- the sender side
-
-    def accept(
-        self, request: ScheduledRequest, payload: RequestPayload, deadline: float, write: bool, retry: bool
-    ) -> RequestContext:
-        """A client's try comes."""
-        envelope = RequestContext(
-            class_index=request.klass,
-            deadline=deadline,
-            key=request.key,
-            tenant_index=request.tenant,
-            is_write=write,
-            is_retry=retry,
-            cost_hint=request.cost_hint,
+            for connection in self.idle_connections.of_node(node):
+                self.kernel.call_after(self.latency_to(node), connection.close)
+
+    # ----------------------------------------------------------------------------------------- downstream
+
+    def accept(self, payload: RequestPayload, is_write: bool, is_retry: bool) -> RequestContext:
+        """Accept a client's try."""
+        scheduled = payload.request
+        request = RequestContext(
+            class_index=scheduled.klass,
+            deadline=payload.client_try.deadline,
+            key=scheduled.key,
+            tenant_index=scheduled.tenant,
+            is_write=is_write,
+            is_retry=is_retry,
+            cost_hint=scheduled.cost_hint,
             payload=payload,
         )
-        self._unread_requests[envelope] = payload
-        self.spend_cpu(self.config.request_us, lambda: self._start_request(envelope))
-        return envelope
+        self._unread_requests[request] = payload
+        self.spend_cpu(self.config.request_us, lambda: self._start_request(request))
+        return request
 
     def _start_request(self, request: RequestContext) -> None:
         if not self._unread_requests.pop(request).client_try.client_gone:
             self.engine.accept(request, self)
 
-    def send_response(self, request: RequestContext, response: object) -> None:
-        """A next hop's answer goes to the client."""
-        self._finish_request(request, "served", 0.0)
+    def send_response(self, request: RequestContext, _response: object) -> None:
+        """Send an upstream's response to the client."""
+        self._finish_request(request, TryOutcome.SERVED, 0.0)
 
     def start_response_stream(self, request: RequestContext, response: object) -> None:
-        """Answers come whole here."""
+        """Not used: all responses of the model are whole."""
         raise NotImplementedError
 
     def send_refusal(self, request: RequestContext, retry_after_ms: float) -> None:
-        """The client is turned away."""
-        self._finish_request(request, "refused", retry_after_ms)
+        """Refuse a request."""
+        self._finish_request(request, TryOutcome.REFUSED, retry_after_ms)
 
-    def send_failure(self, request: RequestContext, timed_out: bool) -> None:
-        """The client is told of a failure."""
-        self._finish_request(request, "failed", 0.0)
+    def send_failure(self, request: RequestContext, _timed_out: bool) -> None:
+        """Report a failure to the client."""
+        self._finish_request(request, TryOutcome.FAILED, 0.0)
 
     def send_internal_error(self, request: RequestContext) -> None:
-        """A fault of the program."""
-        self._finish_request(request, "failed", 0.0)
+        """Report a fault of the router to the client."""
+        self._finish_request(request, TryOutcome.FAILED, 0.0)
 
-    def _finish_request(self, request: RequestContext, outcome: str, retry_after_ms: float) -> None:
-        payload = request.payload
-        assert isinstance(payload, RequestPayload)
+    def _finish_request(self, request: RequestContext, outcome: TryOutcome, retry_after_ms: float) -> None:
+        payload = payload_of(request)
         if not self.alive:
             return
-        self.monitor.record_answer(payload.client_try, self.kernel.time, outcome == "refused", self.name)
+        refused = outcome is TryOutcome.REFUSED
+        self.monitor.record_answer(payload.client_try, self.kernel.time, refused, self.name)
         payload.on_ended(outcome, retry_after_ms)
 
-    # -------------------------------------------------------------------------------------------- its end
+    # ----------------------------------------------------------------------------------------- its end
+
+    def unfinished_payloads(self) -> list[RequestPayload]:
+        """Return the payloads of all requests that the engine has not answered."""
+        return [payload_of(request) for request in self.engine.requests.values() if not request.is_finished]
 
     def kill(self) -> list[RequestPayload]:
-        """The process is gone, with all that it had in hand: its clients see their connections break."""
+        """End the process. Return the payloads of the requests whose clients see their connection break."""
         self.alive = False
-        held = list(self._unread_requests.values())
-        for envelope in list(self.engine.requests.values()):
-            if not envelope.is_finished and isinstance(envelope.payload, RequestPayload):
-                envelope.payload.client_try.client_gone = True
-                held.append(envelope.payload)
+        lost = list(self._unread_requests.values())
+        for payload in self.unfinished_payloads():
+            payload.client_try.client_gone = True
+            lost.append(payload)
         for attempt in list(self.exchanges):
             self.cancel_attempt(attempt)
-        for links in self._idle.values():
-            for link in links:
-                link.close()
-        self._idle.clear()
+        self.idle_connections.close_all()
         self.discovery.unsubscribe(self.subscription)
-        return held
+        return lost
--- a/rosepick/lab/model/workload.py
+++ b/rosepick/lab/model/workload.py
@@ -1,6 +1,4 @@
-"""What clients ask: arrivals, classes, tenants, keys and work, drawn from one seed whatever policy serves
-them.
-"""
+"""What clients request: arrivals, classes, tenants, keys and work, from one seed and whatever the policy."""
 
 from __future__ import annotations
 
@@ -15,146 +13,162 @@
 from ..experiment import Experiment, ExperimentError, RequestClassConfig, RoutersConfig
 from .random_streams import UniformStream, WorkStream, ZipfStream, create_generator
 
-COST_HINT_SPREAD = 0.3  # of the logarithm: how rough the hint of a request's work is
+COST_HINT_SPREAD = 0.3  # standard deviation of the logarithm of the error of a hint of a request's work
 
 
 @dataclass(frozen=True, slots=True)
 class ScheduledRequest:
-    """What one client wants, once."""
+    """One request of one client."""
 
     number: int
-    due_ms: float  # milliseconds
+    due_ms: float  # from the start of the run
     router: int
     klass: int
     tenant: int
     key: int
-    work_ms: float  # at a cache node, milliseconds on a core of speed 1
+    work_ms: float  # at a cache node, on a core of speed 1
     origin_work_ms: float
     cost_hint: float
-    size: int
-    abandon_after_ms: float  # so many milliseconds after it was due its client leaves; inf: never early
+    size: int  # bytes
+    abandon_after_ms: float  # how long after it was due its client gives up; inf: not before the deadline
+
+
+@dataclass(frozen=True, slots=True)
+class TracedRequest:
+    """One line of a trace file."""
+
+    due_ms: float
+    klass: int
+    tenant: int
+    key: int
 
 
 class Workload:
     """All requests of a run, in the order in which they are due."""
 
     def __init__(self, experiment: Experiment, seed: int) -> None:
-        self.experiment, self.seed = experiment, seed
-        self.surge_factors: list[float] = []  # so many times the traffic, by each trouble that is on
-        self.flash_shares: list[float] = []  # of the reads are for one key
+        self.experiment = experiment
+        self.seed = seed
+        self.surge_factors: list[float] = []  # the traffic's factor, by each active fault
+        self.flash_shares: list[float] = []  # the share of reads for one key, by each active fault
         self.key_by_rank = _key_numbers(experiment.keys.count)
-        self._ranks = ZipfStream(seed, "keys", experiment.keys.count, experiment.keys.zipf)
-        self._gaps = create_generator(seed, "arrivals")
-        (
-            self._class_stream,
-            self._tenant_stream,
-            self._router_stream,
-            self._flash_stream,
-            self._abandon_stream,
-        ) = (UniformStream(seed, name) for name in ("classes", "tenants", "routers", "flash", "leave"))
-        self._hints = WorkStream(seed, "hints", "lognormal", COST_HINT_SPREAD)
-        self._works = [
-            WorkStream(seed, f"work {one.name}", one.work, one.spread) for one in experiment.classes
+        self._rank_stream = ZipfStream(seed, "keys", experiment.keys.count, experiment.keys.zipf)
+        self._gap_generator = create_generator(seed, "arrivals")
+        self._class_stream = UniformStream(seed, "classes")
+        self._tenant_stream = UniformStream(seed, "tenants")
+        self._router_stream = UniformStream(seed, "routers")
+        self._flash_stream = UniformStream(seed, "flash")
+        self._abandon_stream = UniformStream(seed, "leave")
+        self._hint_stream = WorkStream(seed, "hints", "lognormal", COST_HINT_SPREAD)
+        self._work_streams = [
+            WorkStream(seed, f"work {request_class.name}", request_class.work, request_class.spread)
+            for request_class in experiment.classes
         ]
-        self._classes = _cumulative_shares([one.share for one in experiment.classes])
-        self._tenants = _cumulative_shares([one.traffic or one.share for one in experiment.tenants])
-        self._routers = _cumulative_shares(_router_shares(experiment.routers))
-        self._drifts = create_generator(seed, "drift")
+        self._class_edges = _cumulative_shares([request_class.share for request_class in experiment.classes])
+        self._tenant_edges = _cumulative_shares(
+            [tenant.traffic or tenant.share for tenant in experiment.tenants]
+        )
+        self._router_edges = _cumulative_shares(_router_shares(experiment.routers))
+        self._drift_generator = create_generator(seed, "drift")
         self._last_drift_at = 0.0
 
     def __iter__(self) -> Iterator[ScheduledRequest]:
-        length = 1000.0 * self.experiment.length
+        length_ms = 1000.0 * self.experiment.length
         if self.experiment.traffic.arrivals == "trace":
-            yield from self._traced_requests(length)
+            yield from self._traced_requests(length_ms)
             return
         for number, due in enumerate(self._arrivals()):
-            if due >= length:
+            if due >= length_ms:
                 return
             self._apply_drift(due)
-            yield self._create_request(number, due, self._draw_index(self._class_stream, self._classes))
+            yield self._create_request(number, due, self._draw_index(self._class_stream, self._class_edges))
 
-    # ------------------------------------------------------------------------------------------- when
+    # ------------------------------------------------------------------------------------------- arrivals
 
     def _arrivals(self) -> Iterator[float]:
-        """Times of arrivals, without end. Changes of the rate by a trouble count from the next one on."""
-        traffic, now = self.experiment.traffic, 0.0
-        together = traffic.burst if traffic.arrivals == "bursts" else 1
-        most = 1.0 + (traffic.swing if traffic.arrivals == "daily" else 0.0)
+        """Yield times of arrivals, without end. A fault's change of the rate counts from the next one on."""
+        traffic = self.experiment.traffic
+        now = 0.0
+        burst_size = traffic.burst if traffic.arrivals == "bursts" else 1
+        peak_factor = 1.0 + (traffic.swing if traffic.arrivals == "daily" else 0.0)
         while True:
-            rate = most * traffic.rate * math.prod(self.surge_factors) / together / 1000.0
-            gap = 1.0 if traffic.arrivals == "regular" else float(self._gaps.exponential())
+            rate = peak_factor * traffic.rate * math.prod(self.surge_factors) / burst_size / 1000.0
+            gap = 1.0 if traffic.arrivals == "regular" else float(self._gap_generator.exponential())
             now += gap / rate
-            # by thinning: arrivals at the highest rate, of which such a part counts as the present one is
-            # lower
-            if most > 1.0 and self._gaps.random() * most > self._daily_factor(now):
+            # thinning (Lewis and Shedler 1979): of arrivals at the peak rate the present share is accepted
+            if peak_factor > 1.0 and self._gap_generator.random() * peak_factor > self._daily_factor(now):
                 continue
-            for _ in range(together):
+            for _ in range(burst_size):
                 yield now
 
     def _daily_factor(self, now: float) -> float:
         traffic = self.experiment.traffic
         return 1.0 + traffic.swing * math.sin(2 * math.pi * now / (1000.0 * traffic.period))
 
-    def _traced_requests(self, length: float) -> Iterator[ScheduledRequest]:
-        for number, (due, klass, tenant, key) in enumerate(read_trace(self.experiment)):
-            if due >= length:
+    def _traced_requests(self, length_ms: float) -> Iterator[ScheduledRequest]:
+        for number, traced in enumerate(read_trace(self.experiment)):
+            if traced.due_ms >= length_ms:
                 return
-            yield self._create_request(number, due, klass, key, tenant)
+            yield self._create_request(number, traced.due_ms, traced.klass, traced)
 
-    # ------------------------------------------------------------------------------------------- what
+    # ------------------------------------------------------------------------------------------- contents
 
     def _create_request(
-        self, number: int, due: float, klass: int, key: int | None = None, tenant: int | None = None
+        self, number: int, due: float, klass: int, traced: TracedRequest | None = None
     ) -> ScheduledRequest:
-        one = self.experiment.classes[klass]
-        amount = self._works[klass]()
-        if key is None:
-            key = self._draw_key(one)
-        if tenant is None:
-            tenant = self._draw_index(self._tenant_stream, self._tenants) if self._tenants else 0
-        leaves = math.inf
+        """Draw what a request consists of. The order of the draws is part of every seed's results."""
+        request_class = self.experiment.classes[klass]
+        amount = self._work_streams[klass]()
+        if traced is not None:
+            key = traced.key
+            tenant = traced.tenant
+        else:
+            key = self._draw_key(request_class)
+            tenant = self._draw_index(self._tenant_stream, self._tenant_edges) if self._tenant_edges else 0
+        abandon_after_ms = math.inf
         if self.experiment.clients.leave and self._abandon_stream() < self.experiment.clients.leave:
-            leaves = 1000.0 * one.deadline * (0.1 + 0.9 * self._abandon_stream())
+            abandon_after_ms = 1000.0 * request_class.deadline * (0.1 + 0.9 * self._abandon_stream())
         return ScheduledRequest(
-            number,
-            due,
-            self._draw_index(self._router_stream, self._routers),
-            klass,
-            tenant,
-            key,
-            one.work_ms * amount,
-            one.origin_ms * amount,
-            one.work_ms * amount * self._hints(),
-            one.size,
-            leaves,
+            number=number,
+            due_ms=due,
+            router=self._draw_index(self._router_stream, self._router_edges),
+            klass=klass,
+            tenant=tenant,
+            key=key,
+            work_ms=request_class.work_ms * amount,
+            origin_work_ms=request_class.origin_ms * amount,
+            cost_hint=request_class.work_ms * amount * self._hint_stream(),
+            size=request_class.size,
+            abandon_after_ms=abandon_after_ms,
         )
 
     def _draw_key(self, request_class: RequestClassConfig) -> int:
-        rank = self._ranks()
+        rank = self._rank_stream()
         if self.flash_shares and not request_class.write and self._flash_stream() < max(self.flash_shares):
             rank = len(self.key_by_rank) // 2
         return self.key_by_rank[rank]
 
     @staticmethod
-    def _draw_index(draw: UniformStream, edges: list[float]) -> int:
-        """One of several, by their shares. There are few, so that looking through them costs least."""
-        drawn = draw()
-        for place, edge in enumerate(edges):
-            if drawn < edge:
-                return place
+    def _draw_index(stream: UniformStream, edges: list[float]) -> int:
+        """Draw an index by cumulative shares. There are few, so that a linear search is cheapest."""
+        draw = stream()
+        for index, edge in enumerate(edges):
+            if draw < edge:
+                return index
         return len(edges) - 1
 
     def _apply_drift(self, now: float) -> None:
-        """Keys change places in their popularity."""
+        """Let pairs of keys swap their popularity, as often as configured."""
         drift = self.experiment.keys.drift
         while drift and now - self._last_drift_at >= 1000.0 / drift:
             self._last_drift_at += 1000.0 / drift
-            one, other = self._drifts.integers(0, len(self.key_by_rank), 2)
-            self.key_by_rank[one], self.key_by_rank[other] = self.key_by_rank[other], self.key_by_rank[one]
+            first, second = self._drift_generator.integers(0, len(self.key_by_rank), 2)
+            keys = self.key_by_rank
+            keys[first], keys[second] = keys[second], keys[first]
 
 
 def _key_numbers(count: int) -> list[int]:
-    """A number for each rank, that tells nothing of it: a 64-bit mix (splitmix64's finalizer), never 0."""
+    """Return a key for each rank: its hash by the finalizer of splitmix64, never 0."""
     x = np.arange(1, count + 1, dtype=np.uint64) * np.uint64(0x9E3779B97F4A7C15)
     x ^= x >> np.uint64(30)
     x *= np.uint64(0xBF58476D1CE4E5B9)
@@ -165,47 +179,69 @@
 
 
 def _router_shares(routers: RoutersConfig) -> list[float]:
-    """Of each router, in proportion."""
-    every = round(1.0 / routers.heavy) if routers.heavy else 0
+    """Return the relative traffic of each router."""
+    heavy_interval = round(1.0 / routers.heavy) if routers.heavy else 0
     return [
-        (n + 1) ** -routers.skew * (routers.heavy_by if every and n % every == 0 else 1.0)
+        (n + 1) ** -routers.skew * (routers.heavy_by if heavy_interval and n % heavy_interval == 0 else 1.0)
         for n in range(routers.count)
     ]
 
 
 def _cumulative_shares(shares: list[float]) -> list[float]:
-    total, edges = 0.0, []
+    total = 0.0
+    edges: list[float] = []
     for share in shares:
         total += share
         edges.append(total)
     return [edge / total for edge in edges]
 
 
-def read_trace(experiment: Experiment) -> list[tuple[float, int, int, int]]:
-    """The requests of a trace file: when due (ms), class, tenant, key. ExperimentError names each bad
-    line.
+def read_trace(experiment: Experiment) -> list[TracedRequest]:
+    """Read the requests of an experiment's trace file.
+
+    Raises:
+        ExperimentError: the file cannot be read or holds no request, or some lines are bad; it names each.
     """
     path = Path(experiment.traffic.trace)
-    classes = {one.name: place for place, one in enumerate(experiment.classes)}
-    tenants = {one.name: place for place, one in enumerate(experiment.tenants)}
     try:
         lines = path.read_text("utf-8").splitlines()
-    except (OSError, UnicodeDecodeError) as problem:
-        raise ExperimentError((f"{path}: {getattr(problem, 'strerror', None) or 'not UTF-8'}",)) from None
-    found, faults = list[tuple[float, int, int, int]](), list[str]()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ExperimentError((f"{path}: {getattr(error, 'strerror', None) or 'not UTF-8'}",)) from None
+    parser = _TraceParser(experiment)
+    requests: list[TracedRequest] = []
+    errors: list[str] = []
     for number, line in enumerate(lines, 1):
-        words = [word.strip() for word in line.split(",")]
         if not line.strip() or line.startswith("#"):
             continue
         try:
-            due, klass, key = 1000.0 * float(words[0]), classes[words[1]], words[2]
-            tenant = tenants[words[3]] if tenants else 0
-            if not 0 <= due < math.inf or (found and due < found[-1][0]):
+            request = parser.parse(line)
+            if requests and request.due_ms < requests[-1].due_ms:
                 raise ValueError
         except (ValueError, KeyError, IndexError):
-            faults.append(f"{path.name} line {number}: not `seconds,class,key[,tenant]` in the order of time")
+            errors.append(f"{path.name} line {number}: not `seconds,class,key[,tenant]` in the order of time")
             continue
-        found.append((due, klass, tenant, hash_key(key.encode())))
-    if faults or not found:
-        raise ExperimentError(tuple(faults) or (f"{path.name}: holds no request",))
-    return found
+        requests.append(request)
+    if errors or not requests:
+        raise ExperimentError(tuple(errors) or (f"{path.name}: holds no request",))
+    return requests
+
+
+class _TraceParser:
+    """Parses lines of a trace file, which name classes and tenants of an experiment."""
+
+    def __init__(self, experiment: Experiment) -> None:
+        self._classes = {one.name: index for index, one in enumerate(experiment.classes)}
+        self._tenants = {one.name: index for index, one in enumerate(experiment.tenants)}
+
+    def parse(self, line: str) -> TracedRequest:
+        """Parse one line. It raises ValueError, KeyError or IndexError if the line is bad."""
+        fields = [text.strip() for text in line.split(",")]
+        due_ms = 1000.0 * float(fields[0])
+        if not 0 <= due_ms < math.inf:
+            raise ValueError
+        return TracedRequest(
+            due_ms=due_ms,
+            klass=self._classes[fields[1]],
+            tenant=self._tenants[fields[3]] if self._tenants else 0,
+            key=hash_key(fields[2].encode()),
+        )
--- a/rosepick/lab/sim.py
+++ b/rosepick/lab/sim.py
@@ -12,7 +12,8 @@
 from .experiment import Experiment
 from .measure import Measure
 from .model import fault_schedule
-from .model.simulation import FleetGroundTruth, Simulation
+from .model.ground_truth import FleetGroundTruth
+from .model.simulation import Simulation
 from .policies import Oracle
 from .policies import create_decider as plain
 from .results import RunCost, RunResult
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -179,6 +179,24 @@
     assert sum(rule == "answered" for rule, *_ in said) == 3
 
 
+def test_a_request_without_an_answer_at_the_end_of_a_run_is_a_broken_rule() -> None:
+    given = experiment.parse_experiment(SMALL, "f")
+    measure = Measure(given)
+    world = Simulation(given, 1, measure)
+    world.start()
+    world.kernel.run(3_000.0)
+    router = world.routers[0]
+    assert router is not None
+    while not router.engine.pending_count:
+        world.kernel.run(world.kernel.time + 1.0)
+    unanswered = {payload.client_try.name for payload in router.unfinished_payloads()}
+    assert unanswered
+    world.finish()
+    found = {broken.request for broken in measure.violations if broken.node == "router-0"}
+    assert found == unanswered
+    assert {(broken.rule, broken.text) for broken in measure.violations} == {("answered", "never answered")}
+
+
 def test_a_cold_node_that_is_pushed_over_is_a_broken_rule() -> None:
     text = SMALL + 'troubles = [{kind = "grow", at = 1, nodes = 1}]\npolicy = "random"\n'
     changes = {
--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -231,7 +231,7 @@
     assert server.cold_budget_ms(0.0) == 0.0 and not falls
     kernel.run(2_999.0)
     assert server.submit(0.01, lambda: None) is None
-    assert falls == [2_999.0] and not server.up and server.queue_length() == 0
+    assert falls == [2_999.0] and not server.up and server.item_count() == 0
     assert server.submit(0.01, lambda: None) is None and falls == [2_999.0]
     kernel.run(100_000.0)
     assert not ends  # all that it had is lost
@@ -259,7 +259,7 @@
         assert job is not None
         kernel.call_at(4.0, lambda job=job: server.cancel(job))  # type: ignore[misc]
     kernel.run(4.0)
-    assert server.queue_length() == (1 if cancels else 2)
+    assert server.item_count() == (1 if cancels else 2)
     kernel.run(100.0)
     assert ends == ({"c": 14.0} if cancels else {"a": 10.0, "c": 20.0})
     assert server.busy_ms == pytest.approx(14.0 if cancels else 20.0)
@@ -387,7 +387,7 @@
 def test_a_silent_node_is_known_by_time_outs_only(also: str) -> None:
     world, seen = played(SILENT.replace("for = 9}", "for = 9}" + also))
     node = world.cache_nodes()[0]
-    node.memory.put(world.requests.key_by_rank[0], 1, 0.0)
+    node.memory.put(world.workload.key_by_rank[0], 1, 0.0)
     world.kernel.run(6_000.0)
     ends = {attempt.sent_at: (result, at - attempt.sent_at) for attempt, at, result in seen}
     assert {result for sent, (result, _) in ends.items() if sent < 1_000.0} == {Result.OK}
