--- a/rosepick/lab/policies/__init__.py
+++ b/rosepick/lab/policies/__init__.py
@@ -1,4 +1,4 @@
-"""Plain routing policies that speak the interface of the real router, to be compared with it."""
+"""Baseline routing policies with the interface of the real router, to compare it with."""
 
 from __future__ import annotations
 
@@ -26,7 +26,11 @@
 
 
 def create_decider(name: str, settings: api.RouterSettings, seed: int) -> DecisionModule:
-    """A router instance by the name of its policy. ValueError if there is no such policy."""
+    """Create a router by the name of its policy.
+
+    Raises:
+        ValueError: there is no such policy.
+    """
     if name == REAL_POLICY:
         return Router(settings, seed)
     if name not in POLICIES:
--- a/tests/test_lab_policies.py
+++ b/tests/test_lab_policies.py
@@ -1,4 +1,4 @@
-"""Plain policies: each keeps the rules on random streams, picks as its name says, and does so again."""
+"""Baseline policies: each keeps the rules on random streams, chooses as its name says, and is repeatable."""
 
 from __future__ import annotations
 
@@ -21,34 +21,34 @@
 
 from .driver import ORIGIN_KIND, RandomEventDriver, fleet, settings
 
-USUAL = settings()
-PLAIN_LIMITS = api.RouterLimits(3, max_retry_after_ms=500)
-WORLDS: dict[str, tuple[api.RouterSettings, list[api.Endpoint], int]] = {
-    "aside": (USUAL, fleet(), 40),
+DEFAULT_SETTINGS = settings()
+LIMITS_WITHOUT_CANCEL = api.RouterLimits(3, max_retry_after_ms=500)
+SETUPS: dict[str, tuple[api.RouterSettings, list[api.Endpoint], int]] = {
+    "aside": (DEFAULT_SETTINGS, fleet(), 40),
     "through": (settings(mode=Mode.THROUGH, origin_kind=-1), fleet(origin=False), 40),
-    "stop times": (settings(limits=PLAIN_LIMITS), fleet(), 0),
+    "stop times": (settings(limits=LIMITS_WITHOUT_CANCEL), fleet(), 0),
     "one attempt": (settings(limits=api.RouterLimits(1)), fleet(), 40),
-    "one server": (settings(), fleet(count=1), 40),
+    "one endpoint": (settings(), fleet(count=1), 40),
     "nothing but the origin": (settings(), fleet(count=0), 40),
     "no origin listed": (settings(), fleet(origin=False), 40),
     "automatic list": (settings(subscribe=False), fleet(), 40),
 }
 
 
-class PlainDriver(RandomEventDriver):
-    """The checker, with a plain policy; it ends attempts at their stop times, as the engine does."""
+class BaselineDriver(RandomEventDriver):
+    """The checker with a baseline policy; it ends attempts at their stop times, as the engine does."""
 
-    def __init__(self, name: str, world: str, seed: int) -> None:
-        super().__init__(*WORLDS[world][:2], seed, WORLDS[world][2])
+    def __init__(self, name: str, setup: str, seed: int) -> None:
+        super().__init__(*SETUPS[setup][:2], seed, SETUPS[setup][2])
         # one attempt at a time, whatever the site allows: the checker reads the limits from here
         self.given = replace(self.given, limits=replace(self.given.limits, allow_hedging=False))
-        self.plain = POLICIES[name](self.given, seed)
-        self.router = self.plain  # type: ignore[assignment]
-        if isinstance(self.plain, Oracle):
-            self.plain.ground_truth = Told({})
+        self.policy = POLICIES[name](self.given, seed)
+        self.router = self.policy  # type: ignore[assignment]
+        if isinstance(self.policy, Oracle):
+            self.policy.ground_truth = FakeGroundTruth({})
 
-    def check_cold(self, server: int) -> None:
-        """Left out: plain policies do not know of warm-up, so none can keep a cold node's budget."""
+    def check_cold(self, endpoint: int) -> None:
+        """Check nothing: baseline policies do not know of warm-up, so none can keep a cold node's budget."""
 
     def schedule_outcome(self, action: api.Send, attempt: int) -> None:
         super().schedule_outcome(action, attempt)
@@ -58,51 +58,53 @@
             )
 
 
-class Told:
-    """A truth that tests make up: times by server, and who holds every key."""
+class FakeGroundTruth:
+    """A made-up truth: latencies by endpoint, and the endpoints that hold every key."""
 
-    def __init__(self, times: Mapping[int, float], held_by: Sequence[int] = (), cold: int = 0) -> None:
-        self.times, self.held_by, self.cold = times, held_by, cold
+    def __init__(self, latencies: Mapping[int, float], held_by: Sequence[int] = (), cold: int = 0) -> None:
+        self.latencies = latencies
+        self.held_by = held_by
+        self.cold = cold
 
-    def expected_latency_ms(self, server: int, key: int, now: float) -> float:
-        return self.times.get(server, float(server * key % 7))
+    def expected_latency_ms(self, endpoint: int, key: int, now: float) -> float:
+        return self.latencies.get(endpoint, float(endpoint * key % 7))
 
-    def holds_key(self, server: int, key: int) -> bool:
-        return server in self.held_by
+    def holds_key(self, endpoint: int, key: int) -> bool:
+        return endpoint in self.held_by
 
-    def accepts_cold_request(self, server: int, now: float) -> bool:
-        return server != self.cold
+    def accepts_cold_request(self, endpoint: int, now: float) -> bool:
+        return endpoint != self.cold
 
 
-@pytest.mark.parametrize("world", WORLDS)
+@pytest.mark.parametrize("setup", SETUPS)
 @pytest.mark.parametrize("name", POLICIES)
-def test_rules_hold_on_random_streams(name: str, world: str) -> None:
+def test_rules_hold_on_random_streams(name: str, setup: str) -> None:
     """Every request has one final answer (`run` checks that), and nothing is held then."""
     for seed in range(4):
-        driver = PlainDriver(name, world, seed)
+        driver = BaselineDriver(name, setup, seed)
         driver.run(requests=200)
-        assert not driver.plain.requests
-        assert all(node.in_flight == 0 for node in driver.plain.membership.nodes.values())
+        assert not driver.policy.requests
+        assert all(node.in_flight == 0 for node in driver.policy.membership.nodes.values())
 
 
 def test_random_streams_reach_every_kind_of_action() -> None:
-    driver = PlainDriver("random", "aside", 1)
+    driver = BaselineDriver("random", "aside", 1)
     driver.run()
     kinds = {type(action) for _, action in driver.trace}
     assert kinds == {api.Send, api.Refuse, api.Fail, api.Cancel, api.SetTimer, api.Watch}
-    stops = PlainDriver("random", "stop times", 1)
+    stops = BaselineDriver("random", "stop times", 1)
     stops.run()
     assert any(isinstance(action, api.Send) and action.stop_at for _, action in stops.trace)
 
 
 def digest() -> str:
-    """What all policies decide on one stream."""
-    whole = blake2b()
+    """Return a hash of what all policies decide on one stream."""
+    decisions = blake2b()
     for name in POLICIES:
-        driver = PlainDriver(name, "aside", 5)
+        driver = BaselineDriver(name, "aside", 5)
         driver.run(requests=100)
-        whole.update(repr(driver.trace).encode())
-    return whole.hexdigest()
+        decisions.update(repr(driver.trace).encode())
+    return decisions.hexdigest()
 
 
 def test_same_decisions_whatever_the_hash_seed() -> None:
@@ -121,7 +123,7 @@
         assert done.stdout.strip() == digest()
 
 
-# -------------------------------------------------------------------------------------------- what is shared
+# -------------------------------------------------------------------------------------------- what all share
 
 READ = api.RequestClass(objective_ms=600, deadline_ms=1200)
 WINDOW: dict[str, object] = {"effect": Effect.DEDUP, "repeat_window_ms": 100.0}
@@ -133,57 +135,59 @@
 )
 
 
-def started(
+def create_policy(
     name: str, nodes: int, given: api.RouterSettings = ONE_CLASS, origin: bool = True
 ) -> BaselinePolicy:
-    """A policy that knows cache nodes 1 to `nodes`, and the origin 9000."""
-    plain = POLICIES[name](given, 3)
+    """Return a policy that knows cache nodes 1 to `nodes`, and the origin 9000."""
+    policy = POLICIES[name](given, 3)
     members = [api.Endpoint(number, zone=number % 2, cell=number % 3) for number in range(1, nodes + 1)]
     if origin:
         members.append(api.Endpoint(9000, kind=ORIGIN_KIND))
-    plain.handle(0.0, api.EndpointUpdate(UpdateScope.FULL, tuple(members)))
-    return plain
+    policy.handle(0.0, api.EndpointUpdate(UpdateScope.FULL, tuple(members)))
+    return policy
 
 
-def sent(actions: Sequence[api.Action]) -> int | None:
-    """Where the one attempt among the actions goes, if there is one."""
-    servers = [action.endpoint_id for action in actions if isinstance(action, api.Send)]
-    assert len(servers) < 2
-    return servers[0] if servers else None
+def sent_to(actions: Sequence[api.Action]) -> int | None:
+    """Return where the one attempt among the actions goes, if there is one."""
+    endpoints = [action.endpoint_id for action in actions if isinstance(action, api.Send)]
+    assert len(endpoints) < 2
+    return endpoints[0] if endpoints else None
 
 
-def ask(plain: BaselinePolicy, ref: int, key: int = 7, now: float = 1.0, write: bool = False) -> int | None:
-    return sent(plain.handle(now, api.RequestArrived(ref, 0, 1200.0, key, is_write=write)))
+def send_request(
+    policy: BaselinePolicy, ref: int, key: int = 7, now: float = 1.0, write: bool = False
+) -> int | None:
+    return sent_to(policy.handle(now, api.RequestArrived(ref, 0, 1200.0, key, is_write=write)))
 
 
-def end(
-    plain: BaselinePolicy, result: Result, server: int, attempt: int = 0, now: float = 5.0
+def end_attempt(
+    policy: BaselinePolicy, result: Result, endpoint: int, attempt: int = 0, now: float = 5.0
 ) -> list[api.Action]:
-    """Request 1 has this outcome."""
+    """End an attempt of request 1."""
     closed = result is Result.OK
-    return plain.handle(now, api.AttemptEnded(1, attempt, server, result, closed))
+    return policy.handle(now, api.AttemptEnded(1, attempt, endpoint, result, closed))
 
 
 @pytest.mark.parametrize("name", POLICIES)
 def test_writes_and_misses_go_to_the_origin_at_no_price(name: str) -> None:
-    plain = started(name, 4)
-    assert ask(plain, 2, write=True) == 9000
-    first = ask(plain, 1)
+    policy = create_policy(name, 4)
+    assert send_request(policy, 2, write=True) == 9000
+    first = send_request(policy, 1)
     assert first in range(1, 5)
-    plain.retry_credit = 0.0
-    assert sent(end(plain, Result.MISS, first or 0)) == 9000
-    assert end(plain, Result.MISS, 9000, 1) == [api.Refuse(1, 400)], "no retry left in the budget"
+    policy.retry_credit = 0.0
+    assert sent_to(end_attempt(policy, Result.MISS, first or 0)) == 9000
+    assert end_attempt(policy, Result.MISS, 9000, 1) == [api.Refuse(1, 400)], "no retry left in the budget"
 
 
 @pytest.mark.parametrize("name", POLICIES)
 def test_a_read_is_tried_everywhere_once_before_anywhere_twice(name: str) -> None:
-    plain = started(name, 3)
-    went = [ask(plain, 1)]
+    policy = create_policy(name, 3)
+    tried = [send_request(policy, 1)]
     for attempt in range(4):
-        went.append(sent(end(plain, Result.RESET, went[-1] or 0, attempt)))
-    assert sorted(went[:3], key=str) == [1, 2, 3] and went[3:] == [9000, 9000]
-    assert end(plain, Result.RESET, 9000, 4) == [api.Refuse(1, 400)], "attempts are used up"
-    assert not plain.requests
+        tried.append(sent_to(end_attempt(policy, Result.RESET, tried[-1] or 0, attempt)))
+    assert sorted(tried[:3], key=str) == [1, 2, 3] and tried[3:] == [9000, 9000]
+    assert end_attempt(policy, Result.RESET, 9000, 4) == [api.Refuse(1, 400)], "attempts are used up"
+    assert not policy.requests
 
 
 @pytest.mark.parametrize(
@@ -204,38 +208,38 @@
     changes: dict[str, object], result: Result, now: float, expected: type[api.Action]
 ) -> None:
     klass = replace(READ, **changes)  # type: ignore[arg-type]
-    plain = started("random", 3, replace(ONE_CLASS, classes=(klass,)))
-    action = end(plain, result, ask(plain, 1) or 0, now=now)[0]
+    policy = create_policy("random", 3, replace(ONE_CLASS, classes=(klass,)))
+    action = end_attempt(policy, result, send_request(policy, 1) or 0, now=now)[0]
     assert isinstance(action, expected)
 
 
 def test_repeats_stay_in_their_group() -> None:
     klass = replace(READ, effect=Effect.DEDUP, repeat_window_ms=1000.0, group=Group.CELL)
     for seed in range(20):
-        plain = POLICIES["random"](replace(ONE_CLASS, classes=(klass,)), seed)
+        policy = POLICIES["random"](replace(ONE_CLASS, classes=(klass,)), seed)
         members = [api.Endpoint(number, cell=number % 3) for number in range(1, 7)]
-        plain.handle(0.0, api.EndpointUpdate(UpdateScope.FULL, tuple(members)))
-        first = ask(plain, 1) or 0
-        second = sent(end(plain, Result.RESET, first)) or 0
+        policy.handle(0.0, api.EndpointUpdate(UpdateScope.FULL, tuple(members)))
+        first = send_request(policy, 1) or 0
+        second = sent_to(end_attempt(policy, Result.RESET, first)) or 0
         assert second != first and second % 3 == first % 3
 
 
-def test_an_attempt_that_has_had_its_time_is_called_off() -> None:
-    plain = started("random", 3)
+def test_an_attempt_that_has_had_its_time_is_cancelled() -> None:
+    policy = create_policy("random", 3)
     timers = [
-        a for a in plain.handle(1.0, api.RequestArrived(1, 0, 1200.0, 7)) if isinstance(a, api.SetTimer)
+        a for a in policy.handle(1.0, api.RequestArrived(1, 0, 1200.0, 7)) if isinstance(a, api.SetTimer)
     ]
     check = min(timers, key=lambda timer: timer.due_at)
-    assert check.due_at == 301.0, "half of the aim"
-    first = plain.requests[1].attempts[0].node.server
-    assert plain.handle(300.0, api.TimerFired(check.token)) == []
-    assert plain.handle(301.0, api.TimerFired(check.token)) == [api.Cancel(1, 0)]
-    assert plain.handle(301.0, api.TimerFired(check.token)) == []
-    assert sent(end(plain, Result.CANCELLED, first, now=301.0)) not in (None, first)
-    plain.retry_credit = 0.0
-    assert plain.handle(700.0, api.TimerFired(check.token)) == [], "without a retry it is better to wait"
-    ask(plain, 2, write=True)
-    assert plain.requests[2].check_at == inf, "nor is it of use to ask the only origin again"
+    assert check.due_at == 301.0, "half of the objective"
+    first = policy.requests[1].attempts[0].node.endpoint_id
+    assert policy.handle(300.0, api.TimerFired(check.token)) == []
+    assert policy.handle(301.0, api.TimerFired(check.token)) == [api.Cancel(1, 0)]
+    assert policy.handle(301.0, api.TimerFired(check.token)) == []
+    assert sent_to(end_attempt(policy, Result.CANCELLED, first, now=301.0)) not in (None, first)
+    policy.retry_credit = 0.0
+    assert policy.handle(700.0, api.TimerFired(check.token)) == [], "without a retry it is better to wait"
+    send_request(policy, 2, write=True)
+    assert policy.requests[2].check_at == inf, "nor is it of use to ask the only origin again"
 
 
 @pytest.mark.parametrize(
@@ -254,145 +258,149 @@
     attempts: int, retries: float, changes: dict[str, object], stop_at: float
 ) -> None:
     klass = replace(READ, **changes)  # type: ignore[arg-type]
-    plain = started("random", 3, replace(ONE_CLASS, classes=(klass,), limits=api.RouterLimits(attempts)))
-    plain.retry_credit = retries - 0.2  # a request earns that
-    actions = plain.handle(1.0, api.RequestArrived(1, 0, 1200.0, 7))
+    policy = create_policy(
+        "random", 3, replace(ONE_CLASS, classes=(klass,), limits=api.RouterLimits(attempts))
+    )
+    policy.retry_credit = retries - 0.2  # a request earns that
+    actions = policy.handle(1.0, api.RequestArrived(1, 0, 1200.0, 7))
     assert [action.stop_at for action in actions if isinstance(action, api.Send)] == [stop_at]
 
 
-def test_what_is_called_off_when_nothing_more_is_owed() -> None:
-    plain = started("random", 3)
+def test_what_is_cancelled_once_a_request_is_closed() -> None:
+    policy = create_policy("random", 3)
     for ref, write in ((1, False), (2, True), (3, False)):
-        ask(plain, ref, write=write)
-    assert plain.handle(2.0, api.ClientDisconnected(1)) == [api.Cancel(1, 0)]
-    assert plain.handle(2.0, api.ClientDisconnected(2)) == [], "the origin goes on"
-    assert plain.handle(2.0, api.FirstByte(3, 0, 1)) == [], "the stream is the answer"
+        send_request(policy, ref, write=write)
+    assert policy.handle(2.0, api.ClientDisconnected(1)) == [api.Cancel(1, 0)]
+    assert policy.handle(2.0, api.ClientDisconnected(2)) == [], "the origin goes on"
+    assert policy.handle(2.0, api.FirstByte(3, 0, 1)) == [], "the stream is the answer"
 
 
 def test_the_retry_budget_is_a_burst_and_a_fifth() -> None:
-    plain = started("random", 3)
+    policy = create_policy("random", 3)
     for ref in range(160):
-        server = ask(plain, ref) or 0
+        endpoint = send_request(policy, ref) or 0
         if ref >= 100:
-            plain.handle(1.0, api.AttemptEnded(ref, 0, server, Result.BUSY))
-    assert sum(len(job.attempts) > 1 for job in plain.requests.values()) == 23  # 12, and of 59 a fifth
+            policy.handle(1.0, api.AttemptEnded(ref, 0, endpoint, Result.BUSY))
+    assert sum(len(job.attempts) > 1 for job in policy.requests.values()) == 23  # 12, and of 59 a fifth
 
 
 def test_which_members_are_origins() -> None:
-    assert ask(started("random", 0), 1) is None, "a read asks a cache node first"
-    assert ask(started("random", 0, replace(ONE_CLASS, mode=Mode.THROUGH)), 1) == 9000, "a node like another"
-    plain = started("random", 0)
-    plain.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(9001, kind=ORIGIN_KIND),)))
-    first = ask(plain, 1, write=True) or 0
-    assert sent(end(plain, Result.RESET, first)) == 18001 - first
+    assert send_request(create_policy("random", 0), 1) is None, "a read asks a cache node first"
+    assert (
+        send_request(create_policy("random", 0, replace(ONE_CLASS, mode=Mode.THROUGH)), 1) == 9000
+    ), "a node like another"
+    policy = create_policy("random", 0)
+    policy.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(9001, kind=ORIGIN_KIND),)))
+    first = send_request(policy, 1, write=True) or 0
+    assert sent_to(end_attempt(policy, Result.RESET, first)) == 18001 - first
 
 
 def test_a_node_that_drains_or_left_gets_nothing() -> None:
     for state in (api.Status.DRAINING, api.Status.REMOVED):
-        plain = started("random", 2)
-        plain.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(1, state),)))
-        assert {ask(plain, ref) for ref in range(9)} == {2}
-        plain.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(2, state),)))
-        plain.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(2),)))
-        assert plain.membership.nodes[2].in_flight == 9, "what is out there still counts"
-    plain.handle(2.0, api.EndpointUpdate(UpdateScope.CACHED, (api.Endpoint(5),)))
-    assert {ask(plain, ref) for ref in range(10, 19)} == {5}
+        policy = create_policy("random", 2)
+        policy.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(1, state),)))
+        assert {send_request(policy, ref) for ref in range(9)} == {2}
+        policy.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(2, state),)))
+        policy.handle(1.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(2),)))
+        assert policy.membership.nodes[2].in_flight == 9, "what is out there still counts"
+    policy.handle(2.0, api.EndpointUpdate(UpdateScope.CACHED, (api.Endpoint(5),)))
+    assert {send_request(policy, ref) for ref in range(10, 19)} == {5}
 
 
 def test_discovery_is_asked_again_later_each_time() -> None:
-    plain = POLICIES["random"](replace(ONE_CLASS, subscribe=True), 1)
-    assert plain.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED))[0] == api.Watch(True)
+    policy = POLICIES["random"](replace(ONE_CLASS, subscribe=True), 1)
+    assert policy.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED))[0] == api.Watch(True)
     waits, now, again = [], 0.0, api.TimerFired(0)
     for _ in range(6):
-        timer = plain.handle(now, api.EndpointUpdate(UpdateScope.FAILED))[0]
+        timer = policy.handle(now, api.EndpointUpdate(UpdateScope.FAILED))[0]
         assert isinstance(timer, api.SetTimer)
         waits.append(timer.due_at - now)
         now, again = timer.due_at, api.TimerFired(timer.token)
-        assert plain.handle(now - 1.0, again) == []
-        assert plain.handle(now, again)[0] == api.Watch(True)
+        assert policy.handle(now - 1.0, again) == []
+        assert policy.handle(now, again)[0] == api.Watch(True)
     assert waits[0] < 1100.0 < 3000.0 <= waits[-1] <= 9000.0
     lost = now + 10_000.0
-    assert plain.handle(lost, again)[0] == api.Watch(True), "an answer that never came"
-    plain.handle(lost, api.EndpointUpdate(UpdateScope.DELTA))
-    assert plain.handle(lost + 20_000.0, again) == []
-    plain.handle(lost + 20_000.0, api.EndpointUpdate(UpdateScope.FAILED))
-    assert plain.handle(lost + 22_000.0, again)[0] == api.Watch(True)
+    assert policy.handle(lost, again)[0] == api.Watch(True), "an answer that never came"
+    policy.handle(lost, api.EndpointUpdate(UpdateScope.DELTA))
+    assert policy.handle(lost + 20_000.0, again) == []
+    policy.handle(lost + 20_000.0, api.EndpointUpdate(UpdateScope.FAILED))
+    assert policy.handle(lost + 22_000.0, again)[0] == api.Watch(True)
 
 
-# -------------------------------------------------------------------------------------------- what each picks
+# ---------------------------------------------------------------------------------------- what each chooses
 
 
-def outstanding(plain: BaselinePolicy) -> list[int]:
-    return [node.in_flight for node in plain.membership.caches]
+def outstanding(policy: BaselinePolicy) -> list[int]:
+    return [node.in_flight for node in policy.membership.caches]
 
 
-def even(plain: BaselinePolicy) -> None:
-    """Round robin: so many to each, and one that left does not bring it out of step."""
-    assert set(Counter(ask(plain, ref) for ref in range(60)).values()) == {6}
+def spreads_evenly(policy: BaselinePolicy) -> None:
+    """Round robin: each node gets the same number."""
+    assert set(Counter(send_request(policy, ref) for ref in range(60)).values()) == {6}
 
 
-def least(plain: BaselinePolicy) -> None:
+def chooses_least_loaded(policy: BaselinePolicy) -> None:
     for ref in range(200):
-        lowest = min(outstanding(plain))
-        server = ask(plain, ref)
-        assert plain.membership.nodes[server or 0].in_flight == lowest + 1
-    assert max(outstanding(plain)) == 20
+        lowest = min(outstanding(policy))
+        endpoint = send_request(policy, ref)
+        assert policy.membership.nodes[endpoint or 0].in_flight == lowest + 1
+    assert max(outstanding(policy)) == 20
 
 
-def better_of_two(plain: BaselinePolicy) -> None:
+def chooses_better_of_two(policy: BaselinePolicy) -> None:
     """Two choices: the single most loaded node is never taken, and the draws are of two."""
-    for number, node in plain.membership.nodes.items():
+    for number, node in policy.membership.nodes.items():
         node.in_flight = number
     taken: Counter[int] = Counter()
     for ref in range(300):
-        server = ask(plain, ref) or 0
-        taken[server] += 1
-        plain.membership.nodes[server].in_flight -= 1
+        endpoint = send_request(policy, ref) or 0
+        taken[endpoint] += 1
+        policy.membership.nodes[endpoint].in_flight -= 1
     assert 10 not in taken and taken[1] > taken[5] > taken[9] > 0
 
 
-def anywhere(plain: BaselinePolicy) -> None:
+def chooses_anywhere(policy: BaselinePolicy) -> None:
     """Random: every node has its part."""
-    counts = Counter(ask(plain, ref) for ref in range(1000))
+    counts = Counter(send_request(policy, ref) for ref in range(1000))
     assert len(counts) == 10 and max(counts.values()) < 140
 
 
-def bounded(plain: BaselinePolicy) -> None:
+def keeps_load_bound(policy: BaselinePolicy) -> None:
     """Hashing: one hot key spreads no further than the bound makes it, and never over it."""
     for ref in range(200):
-        ask(plain, ref)
-        assert max(outstanding(plain)) <= ceil(1.25 * (ref + 1) / 10)
+        send_request(policy, ref)
+        assert max(outstanding(policy)) <= ceil(1.25 * (ref + 1) / 10)
 
 
 @pytest.mark.parametrize(
-    ("name", "holds"),
+    ("name", "check"),
     [
-        ("random", anywhere),
-        ("round-robin", even),
-        ("least-outstanding", least),
-        ("oracle", least),
-        ("two-choices", better_of_two),
-        ("hash-bounded", bounded),
+        ("random", chooses_anywhere),
+        ("round-robin", spreads_evenly),
+        ("least-outstanding", chooses_least_loaded),
+        ("oracle", chooses_least_loaded),
+        ("two-choices", chooses_better_of_two),
+        ("hash-bounded", keeps_load_bound),
     ],
 )
-def test_picks_as_its_name_says(name: str, holds: Callable[[BaselinePolicy], None]) -> None:
-    holds(started(name, 10))
+def test_chooses_as_its_name_says(name: str, check: Callable[[BaselinePolicy], None]) -> None:
+    check(create_policy(name, 10))
 
 
 def test_hashing_moves_only_the_keys_of_the_node_that_left() -> None:
-    def places(plain: BaselinePolicy) -> list[int | None]:
+    def places(policy: BaselinePolicy) -> list[int | None]:
         found = []
         for key in range(1, 301):
-            found.append(ask(plain, key, key))
-            plain.handle(1.0, api.AttemptEnded(key, 0, found[-1] or 0, Result.OK, True))
+            found.append(send_request(policy, key, key))
+            policy.handle(1.0, api.AttemptEnded(key, 0, found[-1] or 0, Result.OK, True))
         return found
 
-    before, moved = places(started("hash-bounded", 20)), 0
+    before, moved = places(create_policy("hash-bounded", 20)), 0
     for left in range(1, 21):
-        plain = started("hash-bounded", 20)
-        places(plain)
-        plain.handle(2.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(left, api.Status.REMOVED),)))
-        after = places(plain)
+        policy = create_policy("hash-bounded", 20)
+        places(policy)
+        policy.handle(2.0, api.EndpointUpdate(UpdateScope.DELTA, (api.Endpoint(left, api.Status.REMOVED),)))
+        after = places(policy)
         assert all(new == old or old == left for old, new in zip(before, after, strict=True))
         moved += sum(new != old for old, new in zip(before, after, strict=True))
     assert moved <= 0.05 * 20 * len(before)
@@ -401,30 +409,30 @@
 @pytest.mark.parametrize(
     ("truth", "expected"),
     [
-        (Told({1: 9, 2: 5, 3: 7}, held_by=[1]), 1),  # who holds it, though another is quicker
-        (Told({1: 9, 2: 5, 3: 7}), 2),  # held nowhere: the quickest of its homes
-        (Told({1: 400, 2: 5, 3: 7}, held_by=[1]), 2),  # its holder is too slow
-        (Told({1: 9, 2: 5, 3: 7}, held_by=[2], cold=2), 3),  # its budget is used up
-        (Told({1: inf, 2: inf, 3: 50}), 3),
+        (FakeGroundTruth({1: 9, 2: 5, 3: 7}, held_by=[1]), 1),  # its holder, though another is quicker
+        (FakeGroundTruth({1: 9, 2: 5, 3: 7}), 2),  # held nowhere: the quickest of its homes
+        (FakeGroundTruth({1: 400, 2: 5, 3: 7}, held_by=[1]), 2),  # its holder is too slow
+        (FakeGroundTruth({1: 9, 2: 5, 3: 7}, held_by=[2], cold=2), 3),  # its budget is used up
+        (FakeGroundTruth({1: inf, 2: inf, 3: 50}), 3),
     ],
 )
-def test_oracle_follows_the_truth(truth: Told, expected: int) -> None:
-    plain = started("oracle", 3)
-    assert isinstance(plain, Oracle)
-    plain.ground_truth = truth
-    assert ask(plain, 1) == expected
+def test_oracle_follows_the_truth(truth: FakeGroundTruth, expected: int) -> None:
+    policy = create_policy("oracle", 3)
+    assert isinstance(policy, Oracle)
+    policy.ground_truth = truth
+    assert send_request(policy, 1) == expected
 
 
 def test_oracle_parts_ties_by_key() -> None:
-    plain = started("oracle", 3)
-    assert isinstance(plain, Oracle)
-    plain.ground_truth = Told(dict.fromkeys((1, 2, 3), 4.0))
-    once = [ask(plain, key, key) for key in range(1, 50)]
-    assert set(once) == {1, 2, 3} and once == [ask(plain, 100 + key, key) for key in range(1, 50)]
+    policy = create_policy("oracle", 3)
+    assert isinstance(policy, Oracle)
+    policy.ground_truth = FakeGroundTruth(dict.fromkeys((1, 2, 3), 4.0))
+    once = [send_request(policy, key, key) for key in range(1, 50)]
+    assert set(once) == {1, 2, 3} and once == [send_request(policy, 100 + key, key) for key in range(1, 50)]
 
 
 def test_deciders_by_name() -> None:
-    assert isinstance(create_decider("rosepick", USUAL, 1), Router)
-    assert type(create_decider("hash-bounded", USUAL, 1)) is POLICIES["hash-bounded"]
+    assert isinstance(create_decider("rosepick", DEFAULT_SETTINGS, 1), Router)
+    assert type(create_decider("hash-bounded", DEFAULT_SETTINGS, 1)) is POLICIES["hash-bounded"]
     with pytest.raises(ValueError, match="^policy 'best' is not known; known are rosepick, random, [^\n]*$"):
-        create_decider("best", USUAL, 1)
+        create_decider("best", DEFAULT_SETTINGS, 1)
