--- a/rosepick/lab/account/__init__.py
+++ b/rosepick/lab/account/__init__.py
@@ -1,1 +1,1 @@
-"""Where a day's worth went, by what its routers logged and what the bench printed."""
+"""The account of a day: what was lost and why, from the logs of routers."""
--- a/rosepick/lab/account/day_report.py
+++ b/rosepick/lab/account/day_report.py
@@ -1,4 +1,4 @@
-"""What the bench printed of a day, as far as an account needs it. Only what it prints for people is read."""
+"""Reads what the test bench printed about a day, as far as an account needs it."""
 
 from __future__ import annotations
 
@@ -14,9 +14,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DayReport:
-    """One day's report."""
+    """The figures of one day's report; None or empty if the report does not have them."""
 
-    worth: float | None = None  # G: after prices, the worst seconds, classes and tenants
+    worth: float | None = (
+        None  # G, with the prices, the worst seconds, classes and tenants taken into account
+    )
     floor: float | None = None
     top: float | None = None
     prices: dict[str, float] = field(default_factory=dict)
@@ -24,12 +26,14 @@
 
 
 def parse_day_report(text: str) -> DayReport:
-    """The figures of the first day in a report; what is not there is left out."""
-    worth, prices, top = _WORTH_LINE.search(text), _PRICES_LINE.search(text), _BOUNDS_LINE.search(text)
+    """Return the figures of the first day in a report."""
+    worth = _WORTH_LINE.search(text)
+    prices = _PRICES_LINE.search(text)
+    bounds = _BOUNDS_LINE.search(text)
     return DayReport(
         worth=float(worth[1]) if worth else None,
-        floor=float(top[1]) if top else None,
-        top=float(top[2]) if top else None,
+        floor=float(bounds[1]) if bounds else None,
+        top=float(bounds[2]) if bounds else None,
         prices={name: float(value) for name, value in _PRICE_ITEM.findall(prices[1])} if prices else {},
         classes={name: float(value) for name, value in _CLASS_LINE.findall(text)},
     )
--- a/rosepick/lab/account/loss_account.py
+++ b/rosepick/lab/account/loss_account.py
@@ -1,7 +1,7 @@
-"""An account of a day: what was asked, and what each cause took of its worth.
+"""The account of a day: what was requested, and what each cause took of its worth.
 
-All counts are of envelopes, as routers ended them. A client's repeat is an envelope of its own, and what
-never reached a router is in nobody's log, so shares differ a little from those that clients see.
+All counts are of requests as routers ended them. A client's retry is a request of its own, and what never
+reached a router is in no log, so that shares differ a little from those that clients see.
 """
 
 from __future__ import annotations
@@ -16,8 +16,17 @@
 
 KeyT = TypeVar("KeyT", str, int)
 IN_TIME_OUTCOME = "served"
-SLICE_S = 5.0  # seconds of a row
-BUSY_TRAFFIC_FACTOR = 3.0  # times the mean traffic of a router: those are looked at apart
+SLICE_S = 5.0  # seconds in a row of the table of time slices
+BUSY_TRAFFIC_FACTOR = 3.0  # times the mean traffic, from which on a router is busy
+MAX_ROW_CAUSES = 3  # of a row
+PRICED_COUNTERS = (
+    "attempts",
+    "cross_zone_attempts",
+    "upstream_connects",
+    "late_without_attempt",  # refused or failed after half of its time with nothing sent
+    "attempt_miss",
+    "attempt_ok",
+)
 OUTCOME_TEXTS = {
     "served_late": "served after its aim",
     "refused_overloaded": "refused at once: this router has too much in hand",
@@ -41,157 +50,151 @@
 
 
 def describe_outcome(name: str) -> str:
-    """An end and its cause in words."""
+    """Return an outcome and its cause in words."""
     return OUTCOME_TEXTS.get(name, name.replace("_", " "))
 
 
 @dataclass(frozen=True, slots=True)
 class LossCause:
-    """What one cause took."""
+    """What was lost to one cause."""
 
     name: str
     count: int
-    worth: float  # of the requests that it took
-    waited: float  # mean milliseconds until their end
-    classes: tuple[tuple[str, int], ...]  # the most hit first
+    worth: float  # of the lost requests
+    mean_wait_ms: float  # until the requests ended
+    classes: tuple[tuple[str, int], ...]  # and their numbers of lost requests, the largest first
 
     @property
     def text(self) -> str:
-        """In words."""
+        """The cause in words."""
         return describe_outcome(self.name)
 
 
 @dataclass(frozen=True, slots=True)
 class AccountRow:
-    """A part of the day, or of the routers."""
+    """A class, a time slice or a group of routers."""
 
     name: str
     asked: int
     in_time: float  # share
-    worth: float  # share of the worth that came in time
-    causes: tuple[tuple[str, float], ...]  # the dearest ones, and their share of the requests
+    worth: float  # share of the worth that was served in time
+    causes: tuple[tuple[str, float], ...]  # the most frequent ones, and their shares of the requests
 
 
 @dataclass(frozen=True, slots=True)
 class LossAccount:
-    """All of a day."""
+    """The account of a day."""
 
     routers: int
     starts: int
     asked: int
     in_time: float
     worth: float
-    causes: tuple[LossCause, ...]  # dearest first
+    causes: tuple[LossCause, ...]  # by lost worth, the largest first
     classes: tuple[AccountRow, ...]
     slices: tuple[AccountRow, ...]
     groups: tuple[AccountRow, ...]  # routers with several times the mean traffic, and the others
-    prices: dict[str, float] = field(default_factory=dict)  # each as a count for each request asked
-    printed: DayReport | None = None
+    prices: dict[str, float] = field(
+        default_factory=dict
+    )  # events that the platform charges for, per request
+    day_report: DayReport | None = None
 
 
-def build_account(logs: RouterLogs, printed: DayReport | None = None) -> LossAccount:
-    """What came of a day."""
+def build_account(logs: RouterLogs, day_report: DayReport | None = None) -> LossAccount:
+    """Return the account of a day's logs, with the test bench's report of the day if there is one."""
     whole = _to_row("all", logs.ended)
     return LossAccount(
-        routers=len(logs.starts) or len({one.router for one in logs.ended}),
+        routers=len(logs.starts) or len({ended.router for ended in logs.ended}),
         starts=sum(logs.starts.values()),
         asked=whole.asked,
         in_time=whole.in_time,
         worth=whole.worth,
         causes=_loss_causes(logs.ended),
         classes=tuple(
-            _to_row(name, group) for name, group in _group_ended(logs.ended, lambda one: one.klass)
+            _to_row(name, group) for name, group in _group_by(logs.ended, lambda ended: ended.request_class)
         ),
         slices=tuple(
-            _to_row(f"{int(SLICE_S * place)} s", group)
-            for place, group in _group_ended(logs.ended, lambda one: _slice_of(one.at))
+            _to_row(f"{int(SLICE_S * index)} s", group)
+            for index, group in _group_by(logs.ended, lambda ended: _slice_index(ended.at))
         ),
         groups=_rows_by_traffic(logs.ended),
         prices=_request_prices(logs, whole.asked),
-        printed=printed,
+        day_report=day_report,
     )
 
 
-def _slice_of(at: float) -> int:
-    """Of a line: what it tells is of the time before it."""
+def _slice_index(at: float) -> int:
+    """Return the slice of a record, which is about the time before it."""
     return max(0, int((at - SLICE_S / 2) // SLICE_S))
 
 
-def _group_ended(
-    ended: Iterable[EndedRequests], by: Callable[[EndedRequests], KeyT]
+def _group_by(
+    ended_requests: Iterable[EndedRequests], key_of: Callable[[EndedRequests], KeyT]
 ) -> list[tuple[KeyT, list[EndedRequests]]]:
     groups: dict[KeyT, list[EndedRequests]] = {}
-    for one in ended:
-        groups.setdefault(by(one), []).append(one)
+    for ended in ended_requests:
+        groups.setdefault(key_of(ended), []).append(ended)
     return sorted(groups.items(), key=lambda group: group[0])
 
 
-def _loss_causes(ended: list[EndedRequests]) -> tuple[LossCause, ...]:
+def _loss_causes(ended_requests: list[EndedRequests]) -> tuple[LossCause, ...]:
     counts: Counter[str] = Counter()
-    worth: Counter[str] = Counter()
-    waited: Counter[str] = Counter()
+    worth: dict[str, float] = {}
+    waited_ms: dict[str, float] = {}
     classes: dict[str, Counter[str]] = {}
-    for one in ended:
-        for name, count in one.counts.items():
+    for ended in ended_requests:
+        for name, count in ended.counts.items():
             counts[name] += count
-            worth[name] += count * one.worth  # type: ignore[assignment]
-            waited[name] += one.waited[name]
-            classes.setdefault(name, Counter())[one.klass] += count
-    found = [
-        LossCause(name, count, worth[name], waited[name] / count, tuple(classes[name].most_common()))
+            worth[name] = worth.get(name, 0.0) + count * ended.worth
+            waited_ms[name] = waited_ms.get(name, 0.0) + ended.waited_ms.get(name, 0.0)
+            classes.setdefault(name, Counter())[ended.request_class] += count
+    causes = [
+        LossCause(name, count, worth[name], waited_ms[name] / count, tuple(classes[name].most_common()))
         for name, count in counts.items()
         if name != IN_TIME_OUTCOME and count
     ]
-    return tuple(sorted(found, key=lambda cause: (-cause.worth, cause.name)))
+    return tuple(sorted(causes, key=lambda cause: (-cause.worth, cause.name)))
 
 
-def _to_row(name: str, ended: Iterable[EndedRequests]) -> AccountRow:
+def _to_row(name: str, ended_requests: Iterable[EndedRequests]) -> AccountRow:
     counts: Counter[str] = Counter()
-    asked = got = 0.0
-    for one in ended:
-        counts.update(one.counts)
-        asked += one.worth * sum(one.counts.values())
-        got += one.worth * one.counts[IN_TIME_OUTCOME]
+    worth_asked = 0.0
+    worth_in_time = 0.0
+    for ended in ended_requests:
+        counts.update(ended.counts)
+        worth_asked += ended.worth * sum(ended.counts.values())
+        worth_in_time += ended.worth * ended.counts[IN_TIME_OUTCOME]
     total = sum(counts.values())
-    lost = [
+    causes = [
         (cause, count / total) for cause, count in counts.most_common() if cause != IN_TIME_OUTCOME and count
     ]
     return AccountRow(
-        name,
-        total,
-        counts[IN_TIME_OUTCOME] / total if total else 0.0,
-        got / asked if asked else 0.0,
-        tuple(lost[:3]),
+        name=name,
+        asked=total,
+        in_time=counts[IN_TIME_OUTCOME] / total if total else 0.0,
+        worth=worth_in_time / worth_asked if worth_asked else 0.0,
+        causes=tuple(causes[:MAX_ROW_CAUSES]),
     )
 
 
-def _rows_by_traffic(ended: list[EndedRequests]) -> tuple[AccountRow, ...]:
-    """Routers with at least `BUSY` times the mean traffic, and the others."""
+def _rows_by_traffic(ended_requests: list[EndedRequests]) -> tuple[AccountRow, ...]:
+    """Return a row of the busy routers, by `BUSY_TRAFFIC_FACTOR`, if there are any, and one of the others."""
     asked: Counter[str] = Counter()
-    for one in ended:
-        asked[one.router] += sum(one.counts.values())
+    for ended in ended_requests:
+        asked[ended.router] += sum(ended.counts.values())
     mean = sum(asked.values()) / len(asked) if asked else 0.0
     busy = {router for router, count in asked.items() if count >= BUSY_TRAFFIC_FACTOR * mean}
-    found = [_to_row(f"{len(asked) - len(busy)} others", [one for one in ended if one.router not in busy])]
+    others_name = f"{len(asked) - len(busy)} others"
+    rows = [_to_row(others_name, [ended for ended in ended_requests if ended.router not in busy])]
     if busy:
-        name = f"{len(busy)} with {BUSY_TRAFFIC_FACTOR:g} times the mean or more"
-        found.insert(0, _to_row(name, [one for one in ended if one.router in busy]))
-    return tuple(found)
+        busy_name = f"{len(busy)} with {BUSY_TRAFFIC_FACTOR:g} times the mean or more"
+        rows.insert(0, _to_row(busy_name, [ended for ended in ended_requests if ended.router in busy]))
+    return tuple(rows)
 
 
 def _request_prices(logs: RouterLogs, asked: int) -> dict[str, float]:
-    """What the platform prices, a request: attempts, crossings of zones, connections opened, and requests
-    that were refused or failed after half of their time with nothing sent.
-    """
+    """Return, per request, the events that the platform charges for and what explains them."""
     total: Counter[str] = Counter()
     for counts in logs.counts.values():
         total.update(counts)
-    names = (
-        "attempts",
-        "cross_zone_attempts",
-        "upstream_connects",
-        "late_without_attempt",
-        "attempt_miss",
-        "attempt_ok",
-    )
-    return {name: total[name] / asked for name in names if asked and name in total}
+    return {name: total[name] / asked for name in PRICED_COUNTERS if asked and name in total}
--- a/rosepick/lab/log_terms.py
+++ b/rosepick/lab/log_terms.py
@@ -233,12 +233,13 @@
 
 
 def line_has_event(line: str, event: str) -> bool:
-    """Whether a line of a log is of an event, which is named as today."""
-    found = _EVENT_PATTERN.search(line)
-    return found is not None and EVENTS.get(found[1], found[1]) == event
+    """Return whether a log line, an old or a new one, is of an event, given by its name of today."""
+    match = _EVENT_PATTERN.search(line)
+    return match is not None and EVENTS.get(match[1], match[1]) == event
 
 
 def _field_name(event: str, name: str) -> str:
+    """Return the name of today of a field, given the event's name of today."""
     if name == "held_back":
         return "suppressed"
     renamed = FIELDS.get(event, {}).get(name)
--- a/tests/golden_lab_forms.py
+++ b/tests/golden_lab_forms.py
@@ -101,7 +101,7 @@
         [[row.name, row.asked, row.in_time, row.worth, [share for _, share in row.causes]] for row in part]
         for part in (found.classes, found.slices, found.groups)
     ]
-    causes = [[one.count, one.worth, one.waited, one.classes] for one in found.causes]
+    causes = [[one.count, one.worth, one.mean_wait_ms, one.classes] for one in found.causes]
     prices = sorted(found.prices.values())
     return [found.routers, found.starts, found.asked, found.in_time, found.worth, causes, rows, prices]
 
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -83,7 +83,7 @@
                         ("client_gone", 1, 6.0),
                     ],
                 )
-                self.assertAlmostEqual(account.causes[0].waited, 120 / 7)
+                self.assertAlmostEqual(account.causes[0].mean_wait_ms, 120 / 7)
                 self.assertEqual(
                     [(row.name, row.asked) for row in account.slices],
                     [
@@ -94,7 +94,7 @@
                 )
                 self.assertEqual([row.asked for row in account.groups], [18])
                 self.assertAlmostEqual(account.prices["cross_zone_attempts"], 5 / 18)
-                self.assertEqual(account.printed.prices, {"cross_zone": 0.0478, "handshake": 0.015})  # type: ignore[union-attr]
+                self.assertEqual(account.day_report.prices, {"cross_zone": 0.0478, "handshake": 0.015})  # type: ignore[union-attr]
         console = Console(width=200, file=StringIO())
         for table in format_tables(account):
             console.print(table)
