Lab report: plain English, one step a line, named sizes

The page and its plots had chains of assignments, strings multiplied by conditions and the wording of the earlier house style. Attributes that the template reads and the page's texts stay.

--- a/rosepick/lab/report/__init__.py
+++ b/rosepick/lab/report/__init__.py
@@ -1,4 +1,4 @@
-"""One page about runs, to be opened in a browser and passed on as a single file."""
+"""Renders runs as one HTML page that needs no other file."""
 
 from .page import render
 
--- a/rosepick/lab/report/page.py
+++ b/rosepick/lab/report/page.py
@@ -1,4 +1,4 @@
-"""The page: what must be known first, then figures, verdicts, plots and broken rules; long lists bounded."""
+"""Renders the page: alarms first, then figures, verdicts, plots and broken rules; long lists are bounded."""
 
 from __future__ import annotations
 
@@ -15,12 +15,13 @@
 from ..results import RequirementResult, RuleViolation, RunCost, RunResult
 from .plots import MAX_FAULTS_MARKED, PANELS, Plots, RunTimeline, Style
 
-MAX_GROUPS = 12  # of runs that are drawn together
-MAX_RUNS_PER_GROUP = 8  # runs that are drawn together
-MAX_LINES = 40  # in a plot of percentiles
+MAX_GROUPS = 12  # of runs that are plotted together
+MAX_RUNS_PER_GROUP = 8
+MAX_LINES = 40  # of a plot of percentiles
 MAX_ROWS = 200  # of a table
 MAX_VIOLATIONS = 50
-MAX_NAMED = 20  # in the head
+MAX_NAMED = 20  # names of a list at the top of the page
+UNKNOWN_FIGURE = "\N{EN DASH}"
 
 FIGURE_COLUMNS = (
     ("served_share", "served %", "share"),
@@ -41,36 +42,37 @@
 
 @dataclass(frozen=True, slots=True)
 class RunEntry:
-    """A run as the page speaks of it."""
+    """A run as the page shows it."""
 
     run: RunResult
     case: str  # experiment and settings
-    label: str  # policy, and what tells it from others
-    name: str  # all of it on one line; without the case where there is only one
+    label: str  # policy, and what distinguishes it from other runs of the policy
+    name: str  # case, label and seed; without the case if there is only one
     style: Style
     cost: RunCost | None
 
 
 def render(runs: list[RunResult], costs: list[RunCost], title: str) -> str:
-    """One HTML page that needs nothing else; the same input gives the same bytes. The costs are told run by
-    run if there are as many of them as runs, else together.
+    """Return an HTML page that needs no other file; the same input gives the same bytes.
+
+    Costs are shown for each run if there are as many of them as runs, else their sums only.
     """
     entries = _build_entries(runs, costs)
     worst_first = sorted(entries, key=lambda entry: entry.run.good())
     verdicts = [(entry, verdict) for entry in entries if not entry.run.void for verdict in entry.run.must]
     verdicts.sort(key=lambda pair: pair[1].held)
-    broken = [(entry, rule) for entry in entries for rule in entry.run.broken]
+    broken = [(entry, violation) for entry in entries for violation in entry.run.broken]
     plots = Plots()
-    groups, undrawn = _plot_groups(entries, plots)
+    groups, undrawn_count = _plot_groups(entries, plots)
     return _load_template().render(
         title=title,
         head=_head_rows(runs),
-        alarm=_alarm_text(entries, verdicts, broken),
+        alarm=_alarm_values(entries, verdicts, broken),
         figures=FIGURE_COLUMNS,
         cases=_unique_in_order(entry.case for entry in entries),
         means=_mean_rows(entries),
         rows=_limit_entries(worst_first, entries, MAX_ROWS),
-        costs=_cost_rows(costs),
+        costs=_format_costs(costs),
         count=len(entries),
         verdicts=verdicts[:MAX_ROWS],
         verdict_count=len(verdicts),
@@ -78,42 +80,55 @@
         broken_count=len(broken),
         percentiles=_plot_percentiles(entries, plots),
         groups=groups,
-        undrawn=undrawn,
+        undrawn=undrawn_count,
         styles={entry.label: entry.style for entry in entries},
     )
 
 
 def _load_template() -> Template:
-    page = Environment(autoescape=True, undefined=StrictUndefined, trim_blocks=True, lstrip_blocks=True)
-    page.filters.update(share=_format_share, ms=_format_ms, number=_format_number, figure=_format_figure)
-    return page.from_string(resources.files(__package__).joinpath("page.html.j2").read_text("utf-8"))
+    environment = Environment(
+        autoescape=True, undefined=StrictUndefined, trim_blocks=True, lstrip_blocks=True
+    )
+    environment.filters.update(
+        share=_format_share, ms=_format_ms, number=_format_number, figure=_format_figure
+    )
+    template = resources.files(__package__).joinpath("page.html.j2").read_text("utf-8")
+    return environment.from_string(template)
 
 
-# ---------------------------------------------------------------------------------------- what runs there are
+# ---------------------------------------------------------------------------------------- runs
 
 
 def _build_entries(runs: Sequence[RunResult], costs: Sequence[RunCost]) -> list[RunEntry]:
-    """Runs with labels that tell those apart that else would have the same name."""
-    revisions = len({run.revision for run in runs}) > 1
-    hows = len({run.how for run in runs}) > 1
+    """Return the runs with labels that distinguish those of the same policy."""
+    shows_revision = len({run.revision for run in runs}) > 1
+    shows_mode = len({run.how for run in runs}) > 1
     cases = [_case_of(run) for run in runs]
+    has_several_cases = len(set(cases)) > 1
     seen: Counter[tuple[str, str, int]] = Counter()
     styles: dict[str, Style] = {}
-    entries = []
-    for number, (run, case) in enumerate(zip(runs, cases, strict=True)):
-        label = run.policy + f" {run.how}" * hows + f" at {run.revision}" * revisions
+    entries: list[RunEntry] = []
+    for index, (run, case) in enumerate(zip(runs, cases, strict=True)):
+        label = run.policy
+        if shows_mode:
+            label += f" {run.how}"
+        if shows_revision:
+            label += f" at {run.revision}"
         seen[case, label, run.seed] += 1
-        again = seen[case, label, run.seed]
-        label += f" ({again})" if again > 1 else ""
+        occurrence = seen[case, label, run.seed]
+        if occurrence > 1:
+            label += f" ({occurrence})"
         style = styles.setdefault(label, Style.for_index(len(styles)))
-        cost = costs[number] if len(costs) == len(runs) else None
-        name = f"{case}, " * (len(set(cases)) > 1) + f"{label}, seed {run.seed}"
+        cost = costs[index] if len(costs) == len(runs) else None
+        name = f"{label}, seed {run.seed}"
+        if has_several_cases:
+            name = f"{case}, {name}"
         entries.append(RunEntry(run, case, label, name, style, cost))
     return entries
 
 
 def _case_of(run: RunResult) -> str:
-    """Experiment and settings."""
+    """Return the experiment and the changed settings of a run."""
     return " ".join([run.experiment, *(f"{name}={value}" for name, value in run.changes.items())])
 
 
@@ -124,16 +139,16 @@
 def _limit_entries(
     worst_first: Sequence[RunEntry], entries: Sequence[RunEntry], max_entries: int
 ) -> list[RunEntry]:
-    """As many as may be shown, in order; those that are not good before others."""
-    kept = {id(entry) for entry in worst_first[:max_entries]}
-    return [entry for entry in entries if id(entry) in kept]
+    """Return at most so many entries in their order; the worst ones are preferred."""
+    shown = {id(entry) for entry in worst_first[:max_entries]}
+    return [entry for entry in entries if id(entry) in shown]
 
 
 def _head_rows(runs: Sequence[RunResult]) -> list[tuple[str, str, bool]]:
-    """What is told of all runs: a name, a text, and whether it is a warning."""
+    """Return what the runs have in common, as rows of a name, a text, and whether it is a warning."""
     revisions = _unique_in_order(run.revision for run in runs)
     versions = _unique_in_order(" ".join(map(" ".join, run.versions.items())) for run in runs)
-    told = [
+    rows = [
         ("experiments", _format_list(run.experiment for run in runs), False),
         ("policies", _format_list(run.policy for run in runs), False),
         ("seeds", _format_list(sorted({run.seed for run in runs})), False),
@@ -142,25 +157,25 @@
         ("versions", "; ".join(versions), len(versions) > 1),
     ]
     if any(name.endswith("+") for name in revisions):
-        told.append(("sources", "were changed after the revision that ends with +", True))
-    return told
+        rows.append(("sources", "were changed after the revision that ends with +", True))
+    return rows
 
 
 def _format_list(values: Iterable[Any]) -> str:
-    """On one line, bounded."""
+    """Return different values on one line, bounded."""
     texts = [str(value) for value in _unique_in_order(values)]
-    more = len(texts) - MAX_NAMED
-    return ", ".join(texts[:MAX_NAMED]) + (f" and {more} more" if more > 0 else "")
+    hidden = len(texts) - MAX_NAMED
+    return ", ".join(texts[:MAX_NAMED]) + (f" and {hidden} more" if hidden > 0 else "")
 
 
-def _alarm_text(
+def _alarm_values(
     entries: Sequence[RunEntry],
     verdicts: Sequence[tuple[RunEntry, RequirementResult]],
     broken: Sequence[tuple[RunEntry, RuleViolation]],
 ) -> dict[str, Any]:
-    """What comes first and loudly."""
+    """Return the template's values for the alarm at the top: void runs, broken rules, missed requirements."""
     void = [entry for entry in entries if entry.run.void]
-    rules = Counter(f"{rule.rule}: {entry.name}" for entry, rule in broken)
+    rules = Counter(f"{violation.rule}: {entry.name}" for entry, violation in broken)
     return {
         "void": void[:MAX_NAMED],
         "void_more": max(0, len(void) - MAX_NAMED),
@@ -173,98 +188,110 @@
 
 
 def _mean_rows(entries: Sequence[RunEntry]) -> list[tuple[str, str, int, dict[str, float]]]:
-    """Of the runs that count, where there are several of a kind: case, label, how many, means by figure."""
-    kinds: dict[tuple[str, str], list[RunResult]] = {}
+    """Return case, label, count and mean figures of the runs that count, if some have the same label."""
+    runs_by_kind: dict[tuple[str, str], list[RunResult]] = {}
     for entry in entries:
         if not entry.run.void:
-            kinds.setdefault((entry.case, entry.label), []).append(entry.run)
-    if all(len(runs) < 2 for runs in kinds.values()):
+            runs_by_kind.setdefault((entry.case, entry.label), []).append(entry.run)
+    if all(len(runs) < 2 for runs in runs_by_kind.values()):
         return []
     names = [name for name, *_ in FIGURE_COLUMNS]
     return [
         (*kind, len(runs), {name: fmean(run.totals.get(name, 0.0) for run in runs) for name in names})
-        for kind, runs in list(kinds.items())[:MAX_ROWS]
+        for kind, runs in list(runs_by_kind.items())[:MAX_ROWS]
     ]
 
 
-def _cost_rows(costs: Sequence[RunCost]) -> str:
+def _format_costs(costs: Sequence[RunCost]) -> str:
     if not costs:
         return ""
-    cpu, requests = sum(cost.cpu_s for cost in costs), sum(cost.requests for cost in costs)
-    most = max(cost.memory_mb for cost in costs)
-    return f"{requests:,} requests in {cpu:,.1f} s of CPU time; at most {most:,.0f} MB of memory."
+    cpu_s = sum(cost.cpu_s for cost in costs)
+    requests = sum(cost.requests for cost in costs)
+    max_memory_mb = max(cost.memory_mb for cost in costs)
+    return f"{requests:,} requests in {cpu_s:,.1f} s of CPU time; at most {max_memory_mb:,.0f} MB of memory."
 
 
-# ---------------------------------------------------------------------------------------------- what is drawn
+# ---------------------------------------------------------------------------------------------- plots
 
 
 def _plot_percentiles(entries: Sequence[RunEntry], plots: Plots) -> list[dict[str, Any]]:
-    """A plot a case, of all its runs that count."""
-    made = []
+    """Return the template's values of one plot of percentiles for each case."""
+    plotted: list[dict[str, Any]] = []
     for case in _unique_in_order(entry.case for entry in entries)[:MAX_GROUPS]:
         counted = [entry for entry in entries if entry.case == case and not entry.run.void]
-        drawn = counted[:MAX_LINES]
-        svg = plots.percentiles([(entry.style, entry.run.percentiles) for entry in drawn])
+        shown = counted[:MAX_LINES]
+        svg = plots.percentiles([(entry.style, entry.run.percentiles) for entry in shown])
         if svg:
-            made.append(
+            plotted.append(
                 {
                     "case": case,
                     "svg": Markup(svg),
-                    "labels": _unique_in_order(entry.label for entry in drawn),
-                    "more": len(counted) - len(drawn),
+                    "labels": _unique_in_order(entry.label for entry in shown),
+                    "more": len(counted) - len(shown),
                 }
             )
-    return made
+    return plotted
 
 
 def _plot_groups(entries: Sequence[RunEntry], plots: Plots) -> tuple[list[dict[str, Any]], int]:
-    """Runs of the same experiment, settings and seed, drawn together; and how many such groups are not drawn.
-    Those with a run that is not good go before others, all in order.
+    """Plot runs of the same experiment, settings and seed together.
+
+    Returns:
+        The template's values of each plotted group, in order, and the number of groups that are not plotted.
+        Groups with a run that is not good are preferred.
     """
-    kinds: dict[tuple[str, int], list[RunEntry]] = {}
+    entries_by_kind: dict[tuple[str, int], list[RunEntry]] = {}
     for entry in entries:
-        kinds.setdefault((entry.case, entry.run.seed), []).append(entry)
-    worst = sorted(kinds, key=lambda kind: all(entry.run.good() for entry in kinds[kind]))[:MAX_GROUPS]
-    made = [
-        _plot_group(kinds[kind][:MAX_RUNS_PER_GROUP], len(kinds[kind]), plots)
-        for kind in kinds
-        if kind in worst
+        entries_by_kind.setdefault((entry.case, entry.run.seed), []).append(entry)
+    worst_first = sorted(
+        entries_by_kind, key=lambda kind: all(entry.run.good() for entry in entries_by_kind[kind])
+    )
+    shown_kinds = worst_first[:MAX_GROUPS]
+    groups = [
+        _plot_group(group[:MAX_RUNS_PER_GROUP], len(group), plots)
+        for kind, group in entries_by_kind.items()
+        if kind in shown_kinds
     ]
-    return made, len(kinds) - len(made)
+    return groups, len(entries_by_kind) - len(groups)
 
 
 def _plot_group(entries: Sequence[RunEntry], count: int, plots: Plots) -> dict[str, Any]:
-    """What the template needs of one group."""
+    """Return the template's values of one group; `count` includes the runs that are not plotted."""
     runs = [entry.run for entry in entries]
-    # they are the same for all, except where a run was cut short
-    troubles = _unique_in_order(trouble for run in runs for trouble in run.troubles)
-    time = RunTimeline(max(run.length for run in runs), max(run.warm_up for run in runs), troubles)
+    # all runs have the same faults, except one that was cut short
+    faults = _unique_in_order(fault for run in runs for fault in run.troubles)
+    timeline = RunTimeline(max(run.length for run in runs), max(run.warm_up for run in runs), faults)
     lines = [(entry.style, entry.run.windows) for entry in entries]
-    made = [(panel, plots.over_time(panel, lines, time)) for panel in PANELS]
-    figures = [(panel.title, Markup(svg), panel.wide) for panel, svg in made if svg]
-    most = max((window.offered for run in runs for window in run.windows), default=0)
-    for entry in entries:
-        if svg := plots.outcomes(entry.run.windows, time, float(most)):
-            figures.append((f"How requests ended, a second: {entry.label}", Markup(svg), False))
+    panels = [(panel, plots.over_time(panel, lines, timeline)) for panel in PANELS]
+    figures = [(panel.title, Markup(svg), panel.wide) for panel, svg in panels if svg]
+    max_offered = max((window.offered for run in runs for window in run.windows), default=0)
+    outcome_plots = [
+        (entry, plots.outcomes(entry.run.windows, timeline, float(max_offered))) for entry in entries
+    ]
+    figures += [
+        (f"How requests ended, a second: {entry.label}", Markup(svg), False)
+        for entry, svg in outcome_plots
+        if svg
+    ]
     return {
         "case": entries[0].case,
         "seed": runs[0].seed,
         "entries": entries,
         "more": count - len(entries),
         "figures": figures,
-        "empty": [panel.title for panel, svg in made if not svg],
-        "troubles": troubles[:MAX_FAULTS_MARKED],
-        "troubles_more": max(0, len(troubles) - MAX_FAULTS_MARKED),
+        "empty": [panel.title for panel, svg in panels if not svg],
+        "troubles": faults[:MAX_FAULTS_MARKED],
+        "troubles_more": max(0, len(faults) - MAX_FAULTS_MARKED),
     }
 
 
-# ---------------------------------------------------------------------------------------------- how it is put
+# ---------------------------------------------------------------------------------------------- formats
 
 
 def _format_figure(values: dict[str, float], name: str, kind: str) -> str:
-    """One of `FIGURES`."""
+    """Return a figure of `FIGURE_COLUMNS` by its kind: share, ms or number."""
     if name not in values:
-        return "–"
+        return UNKNOWN_FIGURE
     return {"share": _format_share, "ms": _format_ms, "number": _format_number}[kind](values[name])
 
 
