--- a/rosepick/lab/live/client_connections.py
+++ b/rosepick/lab/live/client_connections.py
@@ -1,4 +1,4 @@
-"""Clients' connections to a router: kept and used again, more opened while all are busy, up to a limit."""
+"""Connections of clients to a router: reused, and opened up to a limit while all are busy."""
 
 from __future__ import annotations
 
@@ -13,37 +13,38 @@
 from ...net.event_loop import READ, WRITE, EventLoop
 from ...net.resource_budget import ResourceBudget
 from ...net.tcp_stream import OutboundConnection, TcpStream, dial
+from .controllable_listener import HOST
 
 logger = logging.getLogger(__name__)
-MAX_CONNECTIONS = 128  # connections that the clients of one router may hold
+MAX_CONNECTIONS = 128  # of all clients to one router
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 
 class ConnectionWaiter(Protocol):
-    """What wants a connection: one try of a request."""
+    """One try of a request, which waits for a connection or uses one."""
 
-    one_shot: bool  # on a connection of its own, which is then held and not used
+    one_shot: bool  # on a connection that is kept open and not reused
 
-    def on_connected(self, link: ClientConnection) -> None:
-        """The connection is there: send."""
+    def on_connected(self, connection: ClientConnection) -> None:
+        """Send the request on an open connection."""
 
     def on_refused(self) -> None:
-        """Nobody listens."""
+        """Handle that the connection was refused."""
 
     def on_written(self) -> None:
-        """The last byte was written."""
+        """Handle that the last byte was written."""
 
     def on_answer(self, answer: Response, surplus: bool) -> None:
-        """A whole answer came; `surplus`: and more than that."""
+        """Handle a complete answer; `surplus` if more bytes followed it."""
 
     def on_broken(self) -> None:
-        """The connection ended without a whole answer."""
+        """Handle that the connection ended without a complete answer."""
 
     def may_resend(self) -> bool:
-        """A kept connection ended with nothing of an answer. Whether the try is to be sent once more."""
+        """Return whether to send the try again, as a reused connection ended without a byte of an answer."""
 
     def needs_connection(self) -> bool:
-        """Whether it still wants a connection."""
+        """Return whether the try still waits for a connection."""
 
 
 class ClientConnection(OutboundConnection):
@@ -54,18 +55,25 @@
         self.pool = pool
         self.waiter: ConnectionWaiter | None = waiter
         self._reader: ResponseReader | None = None
-        self._unwritten = self._answer_started = False  # the request, and anything of its answer
-        self.reused = False  # by a request before the present one
-        self.stream = TcpStream(pool.loop, pool.budget, dial(("127.0.0.1", pool.port)), self.on_ready, WRITE)
+        self._unwritten = False  # whether a part of the request is not written yet
+        self._answer_started = False
+        self.reused = False  # whether an earlier request used the connection
+        self.stream = TcpStream(pool.loop, pool.budget, dial((HOST, pool.port)), self.on_ready, WRITE)
 
     def send(self, data: bytes) -> None:
-        """Send the request of who has this connection. OSError if it broke."""
-        self._reader, self._unwritten, self._answer_started = ResponseReader(MAX_ANSWER_BYTES), True, False
+        """Send a request.
+
+        Raises:
+            OSError: the connection broke.
+        """
+        self._reader = ResponseReader(MAX_ANSWER_BYTES)
+        self._unwritten = True
+        self._answer_started = False
         self.stream.send(data)
         self._write()
 
     def assign(self, waiter: ConnectionWaiter) -> None:
-        """Another request comes on it."""
+        """Use the connection for another try."""
         self.waiter = waiter
         self._run_guarded(lambda: waiter.on_connected(self))
 
@@ -73,10 +81,11 @@
         try:
             self.stream.finish_connect()
         except OSError:
-            asking, self.waiter = self.waiter, None
+            waiter = self.waiter
+            self.waiter = None
             self.close()
-            if asking is not None:
-                asking.on_refused()
+            if waiter is not None:
+                waiter.on_refused()
             return
         self.is_connecting = False
         self.stream.set_events(READ)
@@ -91,9 +100,9 @@
             step()
         except OSError:
             self._on_broken()
-        except Exception as problem:
+        except Exception as error:
             self.pool.loop.fault_count += 1
-            log_exception(logger, "client_fault", problem)
+            log_exception(logger, "client_fault", error)
             self._on_broken()
 
     def _write(self) -> None:
@@ -125,32 +134,36 @@
             self._on_broken()
 
     def _on_answer(self, answer: Response) -> None:
-        asking, self.waiter, self._reader, self.reused = self.waiter, None, None, True
-        assert asking is not None
+        waiter = self.waiter
+        self.waiter = None
+        self._reader = None
+        self.reused = True
+        assert waiter is not None
         closes = answer.headers.get(b"connection", b"").lower() == b"close"
         surplus = not answer.reusable and not closes
         if not answer.reusable:
             self.close()
-        elif not asking.one_shot:  # else it is held, until the router closes it
+        elif not waiter.one_shot:  # else it stays open until the router closes it
             self.pool.release(self)
-        asking.on_answer(answer, surplus)
+        waiter.on_answer(answer, surplus)
 
     def _on_broken(self) -> None:
-        asking, self.waiter = self.waiter, None
+        waiter = self.waiter
+        self.waiter = None
         self.close()
-        if asking is None:
+        if waiter is None:
             return
-        if self.reused and not self._answer_started and asking.may_resend():
-            self.pool.acquire_new(asking)
+        if self.reused and not self._answer_started and waiter.may_resend():
+            self.pool.acquire_new(waiter)
         else:
-            asking.on_broken()
+            waiter.on_broken()
 
-    def quiet(self) -> bool:
-        """Whether it is still good, as far as this side can know."""
+    def is_usable(self) -> bool:
+        """Return whether the connection is still good as far as this side knows."""
         return self.stream.is_open and self.stream.has_nothing_to_read()
 
     def close(self) -> None:
-        """Close it; who has it is not told."""
+        """Close the connection without notice to its try."""
         self.waiter = None
         if self.stream.is_open:
             self.stream.close()
@@ -158,26 +171,29 @@
 
 
 class ClientConnectionPool:
-    """All connections of clients to one router."""
+    """The connections of all clients to one router."""
 
     def __init__(
         self, loop: EventLoop, budget: ResourceBudget, port: int, on_unsolicited: Callable[[], None]
     ) -> None:
-        self.loop, self.budget, self.port = loop, budget, port
-        self.wait_count = 0  # so many found all connections in use
-        self.on_unsolicited = on_unsolicited  # bytes came that nobody asked for
+        """Create a pool; `on_unsolicited` is called for bytes that arrive without a request."""
+        self.loop = loop
+        self.budget = budget
+        self.port = port
+        self.wait_count = 0  # tries that found all connections in use
+        self.on_unsolicited = on_unsolicited
         self._connections: dict[ClientConnection, None] = {}
         self._idle: list[ClientConnection] = []  # the most recently used last
         self._waiting: deque[ConnectionWaiter] = deque()
 
     def acquire(self, waiter: ConnectionWaiter) -> None:
-        """Have a connection for a try: a kept one, a new one, or the next that is free."""
+        """Get a connection for a try: an idle one, a new one, or the next one that is released."""
         while self._idle and not waiter.one_shot:
-            link = self._idle.pop()
-            if link.quiet():
-                link.assign(waiter)
+            connection = self._idle.pop()
+            if connection.is_usable():
+                connection.assign(waiter)
                 return
-            link.close()
+            connection.close()
         if len(self._connections) < MAX_CONNECTIONS:
             self._open_connection(waiter)
         else:
@@ -185,7 +201,7 @@
             self._waiting.append(waiter)
 
     def acquire_new(self, waiter: ConnectionWaiter) -> None:
-        """Have a new connection for a try, whatever is kept."""
+        """Get a new connection for a try, even if there are idle ones."""
         if len(self._connections) < MAX_CONNECTIONS:
             self._open_connection(waiter)
         else:
@@ -198,26 +214,26 @@
             waiter.on_refused()
 
     def release(self, connection: ClientConnection) -> None:
-        """A connection is free: whoever waits has it next."""
+        """Give a connection to the next waiting try, or keep it idle."""
         while self._waiting:
-            asking = self._waiting.popleft()
-            if asking.needs_connection():
-                connection.assign(asking)
+            waiter = self._waiting.popleft()
+            if waiter.needs_connection():
+                connection.assign(waiter)
                 return
         self._idle.append(connection)
 
     def on_closed(self, connection: ClientConnection) -> None:
-        """A connection is gone: there is room for another."""
+        """Remove a closed connection, and open new ones for waiting tries."""
         self._connections.pop(connection, None)
         with contextlib.suppress(ValueError):
             self._idle.remove(connection)
         while self._waiting and len(self._connections) < MAX_CONNECTIONS:
-            asking = self._waiting.popleft()
-            if asking.needs_connection():
-                self._open_connection(asking)
+            waiter = self._waiting.popleft()
+            if waiter.needs_connection():
+                self._open_connection(waiter)
 
     def close(self) -> None:
-        """Close all."""
+        """Close all connections."""
         self._waiting.clear()
-        for link in list(self._connections):
-            link.close()
+        for connection in list(self._connections):
+            connection.close()
--- a/rosepick/lab/live/generator.py
+++ b/rosepick/lab/live/generator.py
@@ -1,8 +1,8 @@
-"""The process of the clients: the load of a run, drawn ahead and sent when it is due, whatever the answers
-do.
+"""The clients' process: it sends the scheduled load of a run when it is due, whatever the responses.
 
-It hears `{"experiment", "seed", "ports", "result"}`, says `{"requests"}`, hears `{"begin": milliseconds on
-the monotonic clock}`, and says `{"done"}` once all requests have their end, after it left an `Asked`.
+It receives `{"experiment", "seed", "ports", "result"}`, sends `{"requests"}`, receives `{"begin": time}` in
+milliseconds of the monotonic clock, and sends `{"done"}` once all requests have ended and it has written a
+`LoadResults`.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 
 
 class LoadGenerator:
-    """The load of one run."""
+    """The load generator of one run."""
 
     def __init__(self) -> None:
         self.loop = EventLoop()
@@ -63,32 +63,32 @@
             self.clients.finish_arrivals()
 
     def _send_due_requests(self) -> None:
-        """Take up all that is due."""
+        """Send all requests that are due."""
         clients = self.clients
-        while self._next_index < len(self._scheduled_requests) and self._scheduled_requests[
-            self._next_index
-        ].due_ms <= (now := clients.now()):
+        while self._next_index < len(self._scheduled_requests):
             request = self._scheduled_requests[self._next_index]
+            now = clients.now()
+            if request.due_ms > now:
+                break
             self._next_index += 1
             self._lateness_ms.append(now - request.due_ms)
             clients.on_request_due(request)
         self._schedule_next()
 
     def _on_done(self) -> None:
-        clients, found = self.clients, self.clients.records
-        clients.close()
-        found.send_lateness, found.loop_lateness = (
-            Lateness.from_samples(self._lateness_ms),
-            self.lateness_probe.lateness(),
-        )
-        found.pool_waits = sum(pool.wait_count for pool in clients.pools)
-        found.cpu_s, found.faults = time.process_time() - self._cpu_at_start_s, self.loop.fault_count
-        write_result(self._result_path, found)
+        self.clients.close()
+        results = self.clients.records
+        results.send_lateness = Lateness.from_samples(self._lateness_ms)
+        results.loop_lateness = self.lateness_probe.lateness()
+        results.pool_waits = sum(pool.wait_count for pool in self.clients.pools)
+        results.cpu_s = time.process_time() - self._cpu_at_start_s
+        results.faults = self.loop.fault_count
+        write_result(self._result_path, results)
         self.parent.send({"done": True})
 
 
 def main() -> None:
-    """Send until all is over and who started us has gone."""
+    """Send until all requests have ended and the parent has gone."""
     logs.configure_logging()
     raise_descriptor_limit()
     LoadGenerator().loop.run()
--- a/rosepick/lab/live/helper_process.py
+++ b/rosepick/lab/live/helper_process.py
@@ -1,5 +1,6 @@
-"""How who plays a run speaks with the processes that it started: JSON lines on a pair of sockets. A process
-whose peer has gone ends.
+"""Helper processes of a run, and the JSON lines that they exchange with it on a pair of sockets.
+
+A helper whose parent has gone ends.
 """
 
 from __future__ import annotations
@@ -21,22 +22,23 @@
 from ...net.event_loop import READ, EventLoop
 
 logger = logging.getLogger(__name__)
-ROOT = Path(__file__).parents[3]  # where the package is found
+ROOT = Path(__file__).parents[3]  # the folder that holds the package
+RECEIVE_BYTES = 65536
 ControlMessage = dict[str, Any]
 
 
 class HelperProcessError(RuntimeError):
-    """A process of the run itself ended or does not answer; the message holds the last lines of its log."""
+    """A helper ended, does not answer or left no result; the message ends with the last lines of its log."""
 
 
 def child_environment() -> dict[str, str]:
-    """That of a process that we start: it must find this very package."""
+    """Return the environment of a process of the run, in which it finds this package."""
     paths = (str(ROOT), os.environ.get("PYTHONPATH", ""))
     return {**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, paths))}
 
 
 def last_log_lines(path: Path, count: int = 12) -> str:
-    """The last lines of a log."""
+    """Return the last lines of a log file; empty if there is none."""
     try:
         return "\n".join(path.read_text("utf-8", "replace").splitlines()[-count:])
     except OSError:
@@ -44,55 +46,65 @@
 
 
 class HelperProcess:
-    """A process of the run, as who plays it sees it."""
+    """A helper process, on the side of the run that started it."""
 
     def __init__(self, module: str, log_file: Path, initial_message: ControlMessage) -> None:
-        self.name, self.log_file = module, log_file
-        ours, theirs = socket.socketpair()
-        with theirs, log_file.open("wb") as log_to:
+        self.name = module
+        self.log_file = log_file
+        parent_socket, child_socket = socket.socketpair()
+        with child_socket, log_file.open("wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", f"{__package__}.{module}", str(theirs.fileno())],
-                pass_fds=(theirs.fileno(),),
+                [sys.executable, "-m", f"{__package__}.{module}", str(child_socket.fileno())],
+                pass_fds=(child_socket.fileno(),),
                 stdin=subprocess.DEVNULL,
-                stdout=log_to,
-                stderr=log_to,
+                stdout=log,
+                stderr=log,
                 env=child_environment(),
                 start_new_session=True,
             )
-        self._sock, self._unread = ours, b""
+        self._sock = parent_socket
+        self._unread = b""
         self.send(initial_message)
 
     def send(self, message: ControlMessage) -> None:
-        """Say something. HelperFailed if it has gone."""
+        """Send a message.
+
+        Raises:
+            HelperProcessError: the helper has ended.
+        """
         try:
             self._sock.sendall(json.dumps(message).encode() + b"\n")
-        except OSError as problem:
-            raise self._to_error(str(problem)) from None
+        except OSError as error:
+            raise self._to_error(str(error)) from None
 
     def has_message(self) -> bool:
-        """Whether it has said something."""
+        """Return whether a message, or the end of the helper, can be received."""
         return bool(select.select([self._sock], [], [], 0.0)[0])
 
     def receive(self, timeout_s: float) -> ControlMessage:
-        """The next that it says, within so many seconds. HelperFailed if it says nothing."""
+        """Return the next message.
+
+        Raises:
+            HelperProcessError: the helper has ended, or sends none within so many seconds.
+        """
         self._sock.settimeout(timeout_s)
         try:
             while b"\n" not in self._unread:
-                data = self._sock.recv(65536)
+                data = self._sock.recv(RECEIVE_BYTES)
                 if not data:
                     raise self._to_error("it ended")
                 self._unread += data
-        except OSError as problem:
-            raise self._to_error(str(problem)) from None
+        except OSError as error:
+            raise self._to_error(str(error)) from None
         line, _, self._unread = self._unread.partition(b"\n")
-        found: ControlMessage = json.loads(line)
-        return found
+        message: ControlMessage = json.loads(line)
+        return message
 
     def _to_error(self, reason: str) -> HelperProcessError:
         return HelperProcessError(f"{self.name}: {reason}\n{last_log_lines(self.log_file)}")
 
     def stop(self, timeout_s: float = 2.0) -> None:
-        """Let it end, or end it."""
+        """Close the connection, upon which the helper ends, and kill it after so many seconds."""
         self._sock.close()
         try:
             self.process.wait(timeout_s)
@@ -102,20 +114,21 @@
 
 
 class ParentChannel:
-    """The other side: a process of the run, as it sees itself."""
+    """The connection to the parent, on the side of the helper."""
 
     def __init__(self, loop: EventLoop, on_message: Callable[[ControlMessage], None]) -> None:
         self._sock = socket.socket(fileno=int(sys.argv[1]))
-        self._loop, self._on_message = loop, on_message
+        self._loop = loop
+        self._on_message = on_message
         self._unread = b""
-        loop.register(self._sock, READ, self._ready)
+        loop.register(self._sock, READ, self._on_ready)
 
     def send(self, message: ControlMessage) -> None:
-        """Say something; the line is short enough to be taken at once."""
+        """Send a message, which is short enough to be accepted at once."""
         self._sock.sendall(json.dumps(message).encode() + b"\n")
 
-    def _ready(self, mask: int) -> None:
-        data = self._sock.recv(65536)
+    def _on_ready(self, _mask: int) -> None:
+        data = self._sock.recv(RECEIVE_BYTES)
         if not data:
             self._loop.stop()
             return
@@ -126,26 +139,30 @@
 
 
 def raise_descriptor_limit() -> None:
-    """As many descriptors as the system lets us have."""
-    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    """Raise the limit of file descriptors to the hard limit."""
+    hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
 
 
 def freeze_garbage_collector() -> None:
-    """What was made up to here stays: collections look at what is new only, and seldom."""
+    """Exclude all present objects from garbage collection, and collect seldom."""
     gc.collect()
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)
 
 
 def write_result(path: str, result: object) -> None:
-    """Leave a result for who started us."""
+    """Write a result for the parent."""
     Path(path).write_bytes(pickle.dumps(result))
 
 
 def read_result(path: Path, kind: type[Any]) -> Any:
-    """A result that a process of ours left."""
-    found = pickle.loads(path.read_bytes())
-    if not isinstance(found, kind):
+    """Read a helper's result.
+
+    Raises:
+        HelperProcessError: the file holds something else.
+    """
+    result = pickle.loads(path.read_bytes())
+    if not isinstance(result, kind):
         raise HelperProcessError(f"{path.name} holds no {kind.__name__}")
-    return found
+    return result
--- a/rosepick/lab/live/live_context.py
+++ b/rosepick/lab/live/live_context.py
@@ -60,6 +60,6 @@
         """Return the model's request for a message."""
 
     def on_node_reply(
-        self, node: SimulatedNode, node_request: NodeRequest, result: Result, note: int
+        self, node: SimulatedNode, node_request: NodeRequest, result: Result, cache_status: int
     ) -> None:
         """Record a node's answer."""
--- a/rosepick/lab/live/live_faults.py
+++ b/rosepick/lab/live/live_faults.py
@@ -56,7 +56,7 @@
     return inject
 
 
-def _reload_routers(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+def _reload_routers(_simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     """Nothing to inject here: the process that started the routers signals them."""
     return InjectedFault(f"{fault.routers or 'all'} routers", no_revert)
 
--- a/rosepick/lab/live/live_run.py
+++ b/rosepick/lab/live/live_run.py
@@ -1,7 +1,6 @@
-"""Plays an experiment on sockets: stand-ins and clients in processes of their own, routers as they are in
-service.
+"""Runs an experiment on sockets: stand-ins, clients and real routers, in processes of their own.
 
-A run is void if its own processes were late: then what was measured is this machine, not the routers.
+A run is void if the processes of stand-ins or clients were late: it then measured the machine, not routers.
 """
 
 from __future__ import annotations
@@ -14,6 +13,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from itertools import count
 from pathlib import Path
 from types import FrameType
@@ -21,19 +21,22 @@
 
 from ..experiment import Experiment, FaultConfig
 from ..measure import Measure
+from ..model.workload import ScheduledRequest
 from ..results import RunCost, RunResult
 from . import request_schedule
 from .helper_process import HelperProcess, HelperProcessError, last_log_lines, read_result
 from .router_process import LiveRouter, fetch_endpoint_document
-from .rule_check import check_rules
+from .rule_check import RunObservations, check_rules
 from .run_records import LoadResults, RouterDowntime, StandInResults
 
 POLICY = "rosepick"
-SET_UP_TIMEOUT_S = 60.0  # seconds, to draw all requests
-START_DELAY_S = 0.25  # seconds from when all are ready until the run begins
-POLL_INTERVAL_S, PROGRESS_INTERVAL_S = 0.005, 0.1
-FINISH_GRACE_S = 5.0  # seconds after the last deadline within which clients must be through
-ROUTER_STOP_GRACE_S = 3.0  # seconds beyond the longest deadline that a router has to end
+SET_UP_TIMEOUT_S = 60.0  # for drawing all requests
+START_DELAY_S = 0.25  # from when all processes are ready until the run begins
+POLL_INTERVAL_S = 0.005
+PROGRESS_INTERVAL_S = 0.1
+DONE_TIMEOUT_S = 1.0
+FINISH_GRACE_S = 5.0  # after the last deadline, until the clients must be done
+ROUTER_STOP_GRACE_S = 3.0  # beyond the longest deadline, until a router must have ended
 
 
 def run_live(
@@ -42,66 +45,78 @@
     changes: dict[str, Any],
     progress: Callable[[float], None] | None = None,
 ) -> tuple[RunResult, RunCost]:
-    """One run in real time. Its processes are ended whatever happens. HelperFailed if one of ours fails;
-    ExperimentError if a trace cannot be used.
+    """Run an experiment in real time. All processes are ended whatever happens.
+
+    Raises:
+        HelperProcessError: stand-ins, clients or a router fail to start or to end.
+        ExperimentError: a trace file cannot be used.
     """
-    with open_live_run(experiment, seed) as stage:
-        stage.set_up()
-        stage.run_to_end(progress or (lambda part: None))
-        return stage.result(changes)
+    with open_live_run(experiment, seed) as run:
+        run.set_up()
+        run.run_to_end(progress or (lambda _share: None))
+        return run.result(changes)
 
 
 @contextmanager
 def open_live_run(experiment: Experiment, seed: int) -> Iterator[LiveRun]:
-    """What plays one run. Its processes are ended and its folder is removed whatever happens."""
+    """Open a run. Its processes are ended and its folder is removed whatever happens."""
     with (
         tempfile.TemporaryDirectory("", "rosepick-live-", ignore_cleanup_errors=True) as folder,
         _interrupt_on_sigterm(),
     ):
-        stage = LiveRun(experiment, seed, Path(folder))
+        run = LiveRun(experiment, seed, Path(folder))
         try:
-            yield stage
+            yield run
         finally:
-            stage.close()
+            run.close()
 
 
 @contextmanager
 def _interrupt_on_sigterm() -> Iterator[None]:
-    """SIGTERM ends a run as Ctrl-C does. Guards against processes that are left behind."""
+    """Let SIGTERM end the run as Ctrl-C does, so that no process is left behind."""
 
-    def interrupt(number: int, frame: FrameType | None) -> None:
+    def interrupt(_number: int, _frame: FrameType | None) -> None:
         raise KeyboardInterrupt
 
     if threading.current_thread() is not threading.main_thread():
         yield
         return
-    before = signal.signal(signal.SIGTERM, interrupt)
+    previous = signal.signal(signal.SIGTERM, interrupt)
     try:
         yield
     finally:
-        signal.signal(signal.SIGTERM, before)
+        signal.signal(signal.SIGTERM, previous)
+
+
+@dataclass(frozen=True, slots=True)
+class UnexpectedExit:
+    """A router that ended without being told to, or did not end when told to."""
+
+    at_s: float  # since the run's begin
+    router: str
+    text: str
 
 
 class LiveRun:
-    """All processes of one run."""
+    """The processes of one run."""
 
     def __init__(self, experiment: Experiment, seed: int, folder: Path) -> None:
-        self.experiment, self.seed, self.folder = experiment, seed, folder
+        self.experiment = experiment
+        self.seed = seed
+        self.folder = folder
         self.requests = request_schedule.schedule_requests(experiment, seed)
-        self.started_at_ms = 0.0  # on the monotonic clock, in milliseconds
+        self.started_at_ms = 0.0  # of the monotonic clock
         self.router_downtimes: list[RouterDowntime] = []
-        self.unexpected_exits: list[
-            tuple[float, str, str]
-        ] = []  # routers that ended unasked: when, which, how
+        self.unexpected_exits: list[UnexpectedExit] = []
         self.routers: list[LiveRouter] = []
         self.helpers: list[HelperProcess] = []
-        self._discovery_ports: list[int] = []  # where discovery listens
-        self._known_endpoints: list[dict[str, Any]] = []  # the list as last held, by zone
+        self._discovery_ports: list[int] = []
+        self._known_endpoints: list[dict[str, Any]] = []  # cached lists, by zone
         self._timeline: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = count()
-        self._reported_pids: set[int] = set()  # processes that ended unasked
+        self._reported_pids: set[int] = set()
 
-    # ------------------------------------------------------------------------------------------ its begin
+    # ------------------------------------------------------------------------------------------ start
 
     def _initial_message(self, name: str) -> dict[str, Any]:
         return {
@@ -110,20 +125,21 @@
             "result": str(self.folder / f"{name}.result"),
         }
 
-    def _start_helper(self, name: str, job: dict[str, Any]) -> HelperProcess:
-        helper = HelperProcess(name, self.folder / f"{name}.log", job)
+    def _start_helper(self, name: str, initial_message: dict[str, Any]) -> HelperProcess:
+        helper = HelperProcess(name, self.folder / f"{name}.log", initial_message)
         self.helpers.append(helper)
         return helper
 
     def set_up(self) -> None:
-        """Start everything, and wait until all is ready."""
-        nodes = self._start_helper("stand_ins", self._initial_message("stand_ins"))
-        told = nodes.receive(SET_UP_TIMEOUT_S)
-        self._discovery_ports, self._known_endpoints = told["discovery"], told["known"]
-        for place in range(self.experiment.routers.count):
-            router = LiveRouter(self.experiment, place, self.seed, self.folder, self._discovery_ports[place])
+        """Start all processes, and wait until they are ready."""
+        stand_ins = self._start_helper("stand_ins", self._initial_message("stand_ins"))
+        ready = stand_ins.receive(SET_UP_TIMEOUT_S)
+        self._discovery_ports = ready["discovery"]
+        self._known_endpoints = ready["known"]
+        for index in range(self.experiment.routers.count):
+            router = LiveRouter(self.experiment, index, self.seed, self.folder, self._discovery_ports[index])
             self.routers.append(router)
-            router.start(self._known_endpoints[place % len(self._known_endpoints)])
+            router.start(self._known_endpoints[index % len(self._known_endpoints)])
         ports = [router.port for router in self.routers]
         clients = self._start_helper("generator", {**self._initial_message("generator"), "ports": ports})
         for router in self.routers:
@@ -132,45 +148,52 @@
         self.started_at_ms = 1000.0 * (time.monotonic() + START_DELAY_S)
         for helper in self.helpers:
             helper.send({"begin": self.started_at_ms})
-        for trouble in self.experiment.troubles:
-            self._schedule_fault(trouble)
+        for fault in self.experiment.troubles:
+            self._schedule_fault(fault)
 
     def _schedule_fault(self, fault: FaultConfig) -> None:
-        """Routers' troubles are played here; the first ones are met, as in simulated time."""
-        met = self.routers[: fault.routers or 1]
+        """Schedule a fault of routers, which affects the first ones as in simulated time."""
+        affected = self.routers[: fault.routers or 1]
         if fault.kind == "router_kill":
-            self._schedule(fault.at, lambda: self._kill_routers(met, fault.last))
+            self._schedule(fault.at, lambda: self._kill_routers(affected, fault.last))
         elif fault.kind == "router_restart":
-            self._schedule(fault.at, lambda: self._restart_routers(met, fault.down))
+            self._schedule(fault.at, lambda: self._restart_routers(affected, fault.down))
         elif fault.kind == "reload":
             self._schedule(fault.at, lambda: self._reload_routers(self.routers[: fault.routers]))
 
-    # ----------------------------------------------------------------------------------------- its course
+    # ----------------------------------------------------------------------------------------- the run
 
-    def _schedule(self, when: float, call: Callable[[], None]) -> None:
-        """Call so many seconds after the run's begin."""
-        heapq.heappush(self._timeline, (when, next(self._sequence), call))
+    def _schedule(self, at_s: float, callback: Callable[[], None]) -> None:
+        """Schedule a callback so many seconds after the run's begin."""
+        heapq.heappush(self._timeline, (at_s, next(self._sequence), callback))
 
     def _elapsed_s(self) -> float:
         return time.monotonic() - self.started_at_ms / 1000.0
 
     def run_to_end(self, progress: Callable[[float], None]) -> None:
-        """Until all requests have their end."""
-        longest = max(one.deadline for one in self.experiment.classes)
-        end, told = self.experiment.length + longest, 0.0
-        nodes, clients = self.helpers
+        """Wait until all requests have ended.
+
+        Raises:
+            HelperProcessError: a helper ended, or the clients are not done in time.
+        """
+        end_s = self.experiment.length + self._longest_deadline_s()
+        next_progress_s = 0.0
+        stand_ins, clients = self.helpers
         while not clients.has_message():
             self._step()
-            if self._elapsed_s() >= told:
-                told = self._elapsed_s() + PROGRESS_INTERVAL_S
-                progress(max(0.0, min(1.0, self._elapsed_s() / end)))
-            if self._elapsed_s() >= end + FINISH_GRACE_S:
+            if self._elapsed_s() >= next_progress_s:
+                next_progress_s = self._elapsed_s() + PROGRESS_INTERVAL_S
+                progress(max(0.0, min(1.0, self._elapsed_s() / end_s)))
+            if self._elapsed_s() >= end_s + FINISH_GRACE_S:
                 raise HelperProcessError("the clients do not come to their end")
-        clients.receive(1.0)
-        nodes.send({"end": True})
-        nodes.receive(SET_UP_TIMEOUT_S)
+        clients.receive(DONE_TIMEOUT_S)
+        stand_ins.send({"end": True})
+        stand_ins.receive(SET_UP_TIMEOUT_S)
         self._check_routers()
 
+    def _longest_deadline_s(self) -> float:
+        return max(request_class.deadline for request_class in self.experiment.classes)
+
     def _step(self) -> None:
         while self._timeline and self._timeline[0][0] <= self._elapsed_s():
             heapq.heappop(self._timeline)[2]()
@@ -181,17 +204,14 @@
         time.sleep(POLL_INTERVAL_S)
 
     def _check_routers(self) -> None:
-        """Notice processes of routers that ended unasked."""
+        """Record processes of routers that ended without being told to."""
         for router in self.routers:
             for process in router.processes:
-                if (
-                    process.has_ended()
-                    and not process.stop_requested
-                    and process.pid not in self._reported_pids
-                ):
+                is_unexpected = process.has_ended() and not process.stop_requested
+                if is_unexpected and process.pid not in self._reported_pids:
                     self._reported_pids.add(process.pid)
                     text = f"ended unasked with status {process.status}"
-                    self.unexpected_exits.append((self._elapsed_s(), router.name, text))
+                    self.unexpected_exits.append(UnexpectedExit(self._elapsed_s(), router.name, text))
                     print(f"{router.name} {text}\n{last_log_lines(router.log_file)}", file=sys.stderr)
 
     def _kill_routers(self, routers: list[LiveRouter], restart_after_s: float) -> None:
@@ -211,8 +231,8 @@
     def _start_later(self, router: LiveRouter, delay_s: float) -> None:
         def start() -> None:
             zone = router.index % len(self._known_endpoints)
-            door = self._discovery_ports[self.experiment.routers.count + zone]
-            self._known_endpoints[zone] = fetch_endpoint_document(door, self._known_endpoints[zone])
+            port = self._discovery_ports[self.experiment.routers.count + zone]
+            self._known_endpoints[zone] = fetch_endpoint_document(port, self._known_endpoints[zone])
             router.start(self._known_endpoints[zone])
 
         self._schedule(self._elapsed_s() + delay_s, start)
@@ -220,93 +240,103 @@
     @staticmethod
     def _reload_routers(routers: list[LiveRouter]) -> None:
         for router in routers:
-            if router.is_serving():  # guards against a signal to one that starts, and would end by it
+            if router.is_serving():  # a router that is starting would end by the signal
                 router.signal(signal.SIGHUP)
 
-    # ------------------------------------------------------------------------------------------- its end
+    # ------------------------------------------------------------------------------------------- results
 
     def _stop_routers(self) -> None:
-        within = ROUTER_STOP_GRACE_S + max(one.deadline for one in self.experiment.classes)
+        timeout_s = ROUTER_STOP_GRACE_S + self._longest_deadline_s()
         for router in self.routers:
             router.signal(signal.SIGTERM)
         for router in self.routers:
-            if not router.wait_ended(within):
-                self.unexpected_exits.append(
-                    (self._elapsed_s(), router.name, f"did not end within {within:g} s of SIGTERM")
-                )
+            if not router.wait_ended(timeout_s):
+                text = f"did not end within {timeout_s:g} s of SIGTERM"
+                self.unexpected_exits.append(UnexpectedExit(self._elapsed_s(), router.name, text))
                 router.kill()
 
     def result(self, changes: dict[str, Any]) -> tuple[RunResult, RunCost]:
-        """End the routers, and put together what all have seen."""
+        """End the routers, and combine what all processes recorded."""
         self._stop_routers()
-        seen: StandInResults = read_result(self.folder / "stand_ins.result", StandInResults)
-        asked: LoadResults = read_result(self.folder / "generator.result", LoadResults)
-        measure = self._build_measure(seen, asked)
-        run = measure.build_result(self.seed, "live", POLICY, changes, self._void_reason(seen, asked))
+        stand_in_results: StandInResults = read_result(self.folder / "stand_ins.result", StandInResults)
+        load_results: LoadResults = read_result(self.folder / "generator.result", LoadResults)
+        measure = self._build_measure(stand_in_results, load_results)
+        void_reason = self._void_reason(stand_in_results, load_results)
+        run = measure.build_result(self.seed, "live", POLICY, changes, void_reason)
         offered = sum(window.offered for window in run.windows)
-        routers = sum(router.cpu_s() for router in self.routers)
+        routers_cpu_s = sum(router.cpu_s() for router in self.routers)
         return run, RunCost(
             requests=offered,
-            cpu_s=routers + seen.cpu_s + asked.cpu_s,
-            events=seen.events,
-            decide_us=1e6 * routers / max(1, offered),  # all that routers do: their CPU seen from outside
+            cpu_s=routers_cpu_s + stand_in_results.cpu_s + load_results.cpu_s,
+            events=stand_in_results.events,
+            decide_us=1e6 * routers_cpu_s / max(1, offered),  # all of the routers' CPU time
             memory_mb=max(router.memory_mb() for router in self.routers),
         )
 
     def _build_measure(self, stand_in_results: StandInResults, load_results: LoadResults) -> Measure:
-        given = self.experiment
-        measure = Measure(given)
-        measure.seconds, measure.spans, measure.cold_overloads = (
-            stand_in_results.seconds,
-            stand_in_results.spans,
-            stand_in_results.cold_overloads,
-        )
+        measure = Measure(self.experiment)
+        measure.seconds = stand_in_results.seconds
+        measure.spans = stand_in_results.spans
+        measure.cold_overloads = stand_in_results.cold_overloads
         measure.violations = stand_in_results.violations
 
-        def of(number: int) -> tuple[float, str, str, float]:
-            request = self.requests[number]
-            one = given.classes[request.klass]
-            tenant = given.tenants[request.tenant].name if given.tenants else ""
-            return request.due_ms, one.name, tenant, one.worth
-
         for request in self.requests:
-            measure.record_offered(*of(request.number))
+            request_class = self.experiment.classes[request.klass]
+            measure.record_offered(
+                request.due_ms, request_class.name, self._tenant_of(request), request_class.worth
+            )
         for ended in load_results.request_ends:
-            measure.record_ended(*of(ended.number), ended.outcome, ended.elapsed_ms)
-        for at, name, text in self.unexpected_exits:
-            measure.record_violation("answered", "", name, 1000.0 * at, text)
-        check_rules(
-            given,
-            measure,
-            stand_in_results.attempts,
-            load_results.tries,
-            self.router_downtimes,
-            stand_in_results.loop_lateness.max_ms,
-            load_results.loop_lateness.max_ms,
+            request = self.requests[ended.number]
+            request_class = self.experiment.classes[request.klass]
+            measure.record_ended(
+                request.due_ms,
+                request_class.name,
+                self._tenant_of(request),
+                request_class.worth,
+                ended.outcome,
+                ended.elapsed_ms,
+            )
+        for unexpected in self.unexpected_exits:
+            at_ms = 1000.0 * unexpected.at_s
+            measure.record_violation("answered", "", unexpected.router, at_ms, unexpected.text)
+        observations = RunObservations(
+            attempts=stand_in_results.attempts,
+            tries=load_results.tries,
+            router_downtimes=self.router_downtimes,
+            nodes_late_ms=stand_in_results.loop_lateness.max_ms,
+            clients_late_ms=load_results.loop_lateness.max_ms,
         )
+        check_rules(measure, observations)
         return measure
 
+    def _tenant_of(self, request: ScheduledRequest) -> str:
+        tenants = self.experiment.tenants
+        return tenants[request.tenant].name if tenants else ""
+
     @staticmethod
     def _void_reason(stand_in_results: StandInResults, load_results: LoadResults) -> str:
-        """Why the run counts for nothing; empty if it counts."""
-        faults = [
+        """Return why the run is void; empty if it is not."""
+        reasons = [
             load_results.send_lateness.void_reason("requests were sent"),
             load_results.loop_lateness.void_reason("the clients' loop was"),
             stand_in_results.loop_lateness.void_reason("the stand-ins' loop was"),
         ]
-        for who, how_many in (("stand-ins", stand_in_results.faults), ("clients", load_results.faults)):
-            if how_many:
-                faults.append(f"{how_many} exceptions in the {who}")
-        return "; ".join(filter(None, faults))
+        for process, fault_count in (
+            ("stand-ins", stand_in_results.faults),
+            ("clients", load_results.faults),
+        ):
+            if fault_count:
+                reasons.append(f"{fault_count} exceptions in the {process}")
+        return "; ".join(filter(None, reasons))
 
     def close(self) -> None:
-        """End all that still runs. Signals wait meanwhile, so that nothing is left behind."""
+        """End all processes. Signals are blocked meanwhile, so that no process is left behind."""
         signals = {signal.SIGINT, signal.SIGTERM}
-        before = signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+        previous = signal.pthread_sigmask(signal.SIG_BLOCK, signals)
         try:
             self._stop_all()
         finally:
-            signal.pthread_sigmask(signal.SIG_SETMASK, before)
+            signal.pthread_sigmask(signal.SIG_SETMASK, previous)
 
     def _stop_all(self) -> None:
         for router in self.routers:
--- a/rosepick/lab/live/live_simulation.py
+++ b/rosepick/lab/live/live_simulation.py
@@ -1,4 +1,4 @@
-"""The model's world with sockets in the place of its routers and clients."""
+"""The simulation of a live run: the model's nodes, origin and discovery, served on sockets."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     SimulatedNode,
 )
 from ..model.simulated_router import SimulatedRouter
-from ..model.simulation import Simulation
+from ..model.simulation import SAMPLE_INTERVAL_MS, Simulation
 from .discovery_server import DiscoveryServer
 from .live_faults import LIVE_FAULT_INJECTORS
 from .node_server import NodeServer
@@ -33,22 +33,24 @@
 from .request_schedule import find_request, schedule_requests
 from .run_records import NodeAttemptRecord
 
-LISTENER_UPDATE_INTERVAL_MS = 5.0  # milliseconds: doors follow their nodes
-SWEEP_INTERVAL_MS = 500.0
-START_DELAY_MS = 1_000.0  # about so long after this world is made the run begins
+LISTENER_UPDATE_INTERVAL_MS = 5.0
+SWEEP_INTERVAL_MS = 500.0  # between two closings of idle connections
+START_DELAY_MS = 1_000.0  # about how long after its set-up the run begins
+DESCRIPTOR_LIMIT = 1_000_000  # practically none
 
 
 class LiveSimulation(Simulation):
-    """Nodes, origin and discovery of one run, on one loop. Its kernel keeps pace with real time."""
+    """Nodes, origin and discovery of one run on one event loop, in real time."""
 
     def __init__(self, loop: EventLoop, experiment: Experiment, seed: int, measure: Measure) -> None:
         self.loop = loop
-        self.budget = ResourceBudget(1_000_000)
+        self.budget = ResourceBudget(DESCRIPTOR_LIMIT)
         self.node_servers: dict[int, NodeServer] = {}
         self.attempts: list[NodeAttemptRecord] = []
         self.unix_start_ms = 1000.0 * time.time() + START_DELAY_MS
         self.scheduled_requests = schedule_requests(experiment, seed)
-        self._origin_fetches, self._write_deduplicator = OriginFetches(), WriteDeduplicator()
+        self._origin_fetches = OriginFetches()
+        self._write_deduplicator = WriteDeduplicator()
         super().__init__(experiment, seed, measure)
         self.real_time_kernel = RealTimeKernel(loop, self.kernel)
         self.discovery_server = DiscoveryServer(self, experiment.discovery, seed)
@@ -57,106 +59,126 @@
         self.discovery = self.discovery_server
 
     def _is_listed(self, node: SimulatedNode) -> bool:
-        """In through mode nobody but nodes speaks to the origin."""
+        """Return whether routers know a node; in through mode they do not know the origin."""
         return node.kind != ORIGIN_KIND or self.experiment.mode == "aside"
 
     def start_at(self, at: float) -> None:
-        """The run begins at that time of the loop."""
+        """Begin the run at a time of the loop."""
         self.unix_start_ms = 1000.0 * time.time() + at - self.loop.now()
         fault_schedule.schedule_faults(self, LIVE_FAULT_INJECTORS)
-        self.kernel.call_after(1_000.0, self._sample_load)
+        self.kernel.call_after(SAMPLE_INTERVAL_MS, self._sample_load)
         self.real_time_kernel.start(at)
 
     def open(self) -> None:
-        """Take connections from now on."""
+        """Accept connections from now on."""
         self._update_listeners()
         self._close_idle_connections()
         self.discovery_server.open()
 
     def close(self) -> None:
-        """Let go of every socket."""
+        """Close all sockets."""
         self.discovery_server.close()
-        for stand in self.node_servers.values():
-            stand.close()
+        for server in self.node_servers.values():
+            server.close()
 
-    # ------------------------------------------------------------------------------ in the model's place
+    # ------------------------------------------------------------------------------ overrides of the model
 
     def _register_node(self, node: SimulatedNode) -> None:
         super()._register_node(node)
         self.node_servers[node.number] = NodeServer(self, node)
 
-    def add_router(self, index: int) -> SimulatedRouter:
-        """Routers are processes of their own."""
+    def add_router(self, _index: int) -> SimulatedRouter:
+        """Add nothing: routers are processes of their own."""
         return cast(SimulatedRouter, None)
 
     def kill_router(self, index: int, down_ms: float | None) -> None:
-        """Who started the routers does that."""
+        """Do nothing: the process that started the routers kills them."""
 
     def _on_connections_lost(self, node: SimulatedNode) -> None:
         self.node_servers[node.number].reset_all()
 
     def start_time_of(self, node: SimulatedNode) -> float:
-        """When a node started, in milliseconds from the run's begin."""
+        """Return when a node started, in milliseconds since the run's begin."""
         return node.machine.started_at
 
     def _update_listeners(self) -> None:
         self.loop.call_after(LISTENER_UPDATE_INTERVAL_MS, self._update_listeners)
-        for stand in list(self.node_servers.values()):
-            stand.update_listeners()
+        for server in list(self.node_servers.values()):
+            server.update_listeners()
 
     def _close_idle_connections(self) -> None:
         self.loop.call_after(SWEEP_INTERVAL_MS, self._close_idle_connections)
         now = self.real_time_kernel.now()
-        for stand in self.node_servers.values():
-            stand.close_idle(now)
+        for server in self.node_servers.values():
+            server.close_idle(now)
 
     def call_after(self, delay_ms: float, callback: Callable[[], None]) -> None:
-        """Call after so many milliseconds of the run."""
+        """Schedule a callback after so many milliseconds of the run."""
         self.kernel.call_after(delay_ms, callback)
 
-    # ---------------------------------------------------------------------------------- delivery attempts
+    # ---------------------------------------------------------------------------------- attempts
 
     def record_attempt(
         self, node: SimulatedNode, zone: int, name: str, first_byte_at: float
     ) -> NodeAttemptRecord:
-        """A request of a router in that zone has come whole to a node; its first byte came at that time."""
+        """Record that a request of a router in a zone has arrived completely at a node."""
         request = find_request(self.scheduled_requests, name)
-        told = None if request is None else self.discovery_server.drain_known_at(request.router, node.number)
-        found = NodeAttemptRecord(name, node.number, node.uid, node.zone, node.cell, first_byte_at, told)
-        self.attempts.append(found)
+        drain_known_since = None
+        if request is not None:
+            drain_known_since = self.discovery_server.drain_known_at(request.router, node.number)
+        record = NodeAttemptRecord(
+            request_id=name,
+            node=node.number,
+            node_name=node.uid,
+            zone=node.zone,
+            cell=node.cell,
+            started_at=first_byte_at,
+            drain_known_since=drain_known_since,
+        )
+        self.attempts.append(record)
         if request is not None:
             self._count_event("attempts")
             if node.kind == ORIGIN_KIND:
                 self._count_event("origin_attempts")
             if zone != node.zone:
                 self._count_event("crossings")
-        return found
+        return record
 
     def to_node_request(
         self, node: SimulatedNode, message: HttpRequest, name: str, reply: ReplyCallback
     ) -> NodeRequest:
-        """What a request means to the model."""
-        request, write = find_request(self.scheduled_requests, name), message.method == b"PUT"
+        """Return the model's request for a message. One that is not scheduled is of the first class."""
+        request = find_request(self.scheduled_requests, name)
+        write = message.method == b"PUT"
         if request is None:
-            one = self.experiment.classes[0]
+            request_class = self.experiment.classes[0]
             key = hash_key(key_of_target(message.target))
-            return NodeRequest(name, key, write, one.work_ms, one.origin_ms, one.size, reply)
-        found = NodeRequest(
+            return NodeRequest(
+                name,
+                key,
+                write,
+                request_class.work_ms,
+                request_class.origin_ms,
+                request_class.size,
+                reply,
+            )
+        node_request = NodeRequest(
             name, request.key, write, request.work_ms, request.origin_work_ms, request.size, reply
         )
-        klass = self.experiment.classes[request.klass]
+        request_class = self.experiment.classes[request.klass]
         if write and self._write_deduplicator.is_repeat(
-            message.header_text(b"idempotency-key"), klass, node, self.real_time_kernel.now()
+            message.header_text(b"idempotency-key"), request_class, node, self.real_time_kernel.now()
         ):
-            found.work = found.origin_work = DEDUPLICATION_WORK_MS
-        return found
+            node_request.work = DEDUPLICATION_WORK_MS
+            node_request.origin_work = DEDUPLICATION_WORK_MS
+        return node_request
 
     def on_node_reply(
-        self, node: SimulatedNode, node_request: NodeRequest, result: Result, note: int
+        self, node: SimulatedNode, node_request: NodeRequest, result: Result, cache_status: int
     ) -> None:
-        """A node answered, as the model has it."""
-        if note:
-            self._count_event("hits" if note == CACHE_HIT else "misses")
+        """Record a node's reply, and store fetched values at cache nodes."""
+        if cache_status:
+            self._count_event("hits" if cache_status == CACHE_HIT else "misses")
         if result is Result.MISS and isinstance(node, SimulatedCacheNode):
             self._origin_fetches.record_miss(node_request.request, node)
         elif result is Result.OK and node.kind == ORIGIN_KIND and not node_request.write:
--- a/rosepick/lab/live/origin_state.py
+++ b/rosepick/lab/live/origin_state.py
@@ -1,6 +1,4 @@
-"""What all stand-ins share besides the model: values that the origin's answers leave at nodes, and repeats
-of writes that are dropped.
-"""
+"""What stand-ins share besides the model: fetched values to store at nodes, and deduplicated writes."""
 
 from __future__ import annotations
 
@@ -9,44 +7,48 @@
 from ..experiment import RequestClassConfig
 from ..model.nodes import NodeRequest, SimulatedCacheNode, SimulatedNode
 
-MAX_REMEMBERED_MISSES = 20_000  # attempts whose key a node lacked: most of them are over long before
-DEDUPLICATION_WORK_MS = 0.2  # milliseconds: to find that a write came before
+MAX_REMEMBERED_MISSES = 20_000  # most of them are fetched long before
+DEDUPLICATION_WORK_MS = 0.2  # the work of detecting a repeated write
 
 
 class OriginFetches:
-    """Where reads missed, by their Req-Id: what the origin answers to such a request is stored there."""
+    """Stores what the origin replies to a read at the nodes where the read missed, by its Req-Id."""
 
     def __init__(self) -> None:
         self._missed_at: OrderedDict[str, list[SimulatedCacheNode]] = OrderedDict()
 
     def record_miss(self, request: str, node: SimulatedCacheNode) -> None:
-        """A node lacked the key of a request."""
+        """Record that a read missed at a node."""
         self._missed_at.setdefault(request, []).append(node)
         if len(self._missed_at) > MAX_REMEMBERED_MISSES:
             self._missed_at.popitem(last=False)
 
     def store_answer(self, request: NodeRequest, now: float) -> None:
-        """The origin answered a request."""
+        """Store the value that the origin replied."""
         for node in self._missed_at.pop(request.request, ()):
             if node.machine.up:
                 node.memory.put(request.key, request.size, now)
 
 
 class WriteDeduplicator:
-    """Keyed writes that came: a repeat within its class's window and group is dropped."""
+    """Detects repeated writes by their keys, within the window and group of their class."""
 
     def __init__(self) -> None:
         self._writes_by_key: dict[str, list[tuple[float, SimulatedNode]]] = {}
 
-    def is_repeat(self, key: str, klass: RequestClassConfig, node: SimulatedNode, now: float) -> bool:
-        """Whether this write came before; else it is remembered."""
-        if klass.effect != "dedup" or not key:
+    def is_repeat(self, key: str, request_class: RequestClassConfig, node: SimulatedNode, now: float) -> bool:
+        """Return whether a write is a repeat; if not, remember it."""
+        if request_class.effect != "dedup" or not key:
             return False
-        came = self._writes_by_key.setdefault(key, [])
-        window = 1000.0 * klass.repeat_window
-        for when, where in came:
-            same = {"all": True, "zone": where.zone == node.zone, "cell": where.cell == node.cell}
-            if now - when < window and same[klass.group]:
+        writes = self._writes_by_key.setdefault(key, [])
+        window_ms = 1000.0 * request_class.repeat_window
+        for written_at, first_node in writes:
+            same_group = {
+                "all": True,
+                "zone": first_node.zone == node.zone,
+                "cell": first_node.cell == node.cell,
+            }
+            if now - written_at < window_ms and same_group[request_class.group]:
                 return True
-        came.append((now, node))
+        writes.append((now, node))
         return False
--- a/rosepick/lab/live/real_time_kernel.py
+++ b/rosepick/lab/live/real_time_kernel.py
@@ -1,8 +1,7 @@
-"""Simulated time that keeps pace with the real one: the model's own kernel, run up to now whenever the loop
-has something for it.
+"""The model's kernel in real time: it is run up to now whenever the event loop has something for it.
 
-What is due is called with the time at which it was due, not at which the loop came to it, so that the model's
-work takes as long as in simulated time. How late the loop was is measured.
+Events see the time at which they were due, not at which the loop ran them, so that the model's work takes as
+long as in simulated time. The lateness of the loop is measured.
 """
 
 from __future__ import annotations
@@ -14,55 +13,55 @@
 from ..model.kernel import Kernel
 from .run_records import Lateness
 
-PROBE_INTERVAL_MS = 10.0  # milliseconds
-# what is due so soon is called already: the selector waits for whole milliseconds, rounded up
-EARLY_CALL_MS = 0.5
+PROBE_INTERVAL_MS = 10.0
+EARLY_CALL_MS = 0.5  # events run so much early, as the selector waits for whole milliseconds, rounded up
 
 
 class LatenessProbe:
-    """Measures how late a loop comes to its timers."""
+    """Measures how late an event loop runs its timers."""
 
     def __init__(self, loop: EventLoop) -> None:
         self._loop = loop
         self._lateness_ms: list[float] = []
 
     def start(self, at: float) -> None:
-        """Measure from that time of the loop on."""
+        """Measure from a time of the loop on."""
         self._loop.call_at(at, lambda: self._measure(at))
 
     def _measure(self, due: float) -> None:
-        late = max(0.0, self._loop.now() - due)
-        self._lateness_ms.append(late)
-        following = due + late + PROBE_INTERVAL_MS
-        self._loop.call_at(following, lambda: self._measure(following))
+        lateness_ms = max(0.0, self._loop.now() - due)
+        self._lateness_ms.append(lateness_ms)
+        next_due = due + lateness_ms + PROBE_INTERVAL_MS
+        self._loop.call_at(next_due, lambda: self._measure(next_due))
 
     def lateness(self) -> Lateness:
-        """What was measured."""
+        """Return the measured lateness."""
         return Lateness.from_samples(self._lateness_ms)
 
 
 class RealTimeKernel:
-    """A kernel on the clock of a loop."""
+    """Runs a kernel on the clock of an event loop."""
 
     def __init__(self, loop: EventLoop, kernel: Kernel) -> None:
-        self.loop, self.kernel = loop, kernel
-        self.started_at_ms = inf  # on the loop's clock; before it the kernel stands still
+        self.loop = loop
+        self.kernel = kernel
+        self.started_at_ms = inf  # on the loop's clock; the kernel stands still before
         self.lateness_probe = LatenessProbe(loop)
         self._timer: ScheduledCall | None = None
         self._scheduled_for = inf
 
     def start(self, at: float) -> None:
-        """The run begins at that time of the loop."""
+        """Begin the run at a time of the loop."""
         self.started_at_ms = at
         self.lateness_probe.start(at)
         self._set_timer(at)
 
     def now(self) -> float:
-        """Milliseconds from the run's begin."""
+        """Return the time since the run's begin, in milliseconds."""
         return max(0.0, self.loop.now() - self.started_at_ms)
 
     def run_synced(self, callback: Callable[[], None]) -> None:
-        """Bring the model up to now, do something, and come back when the model has something to do."""
+        """Bring the model up to now, call back, and schedule the model's next event."""
         self.kernel.run(self.now())
         try:
             callback()
@@ -70,7 +69,8 @@
             self._schedule_next()
 
     def _on_timer(self) -> None:
-        self._scheduled_for, self._timer = inf, None
+        self._scheduled_for = inf
+        self._timer = None
         self.kernel.run(self.now() + EARLY_CALL_MS)
         self._schedule_next()
 
--- a/rosepick/lab/live/request_reader.py
+++ b/rosepick/lab/live/request_reader.py
@@ -1,4 +1,4 @@
-"""Requests of routers to a stand-in, read from bytes; answers as bytes."""
+"""Reads requests of routers to a stand-in, and encodes responses."""
 
 from __future__ import annotations
 
@@ -14,29 +14,29 @@
 
 
 class MalformedRequestError(Exception):
-    """The bytes are no request that can be taken."""
+    """The received bytes are no valid request."""
 
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A whole request; names of headers are in lower case."""
+    """A complete request. Names of headers are in lower case."""
 
     method: bytes
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
-    keep_alive: bool  # whether the connection can carry another one
+    keep_alive: bool  # whether another request may follow on the connection
 
     def header_text(self, name: bytes) -> str:
-        """A header's value; empty if it is not there."""
+        """Return a header's value; empty if there is none."""
         return self.headers.get(name, b"").decode("latin-1")
 
 
 class RequestReader:
-    """Reads one request after another."""
+    """Reads the requests of one connection. The `on_` methods are the parser's callbacks."""
 
     def __init__(self) -> None:
-        self.is_in_request = False  # a request has begun and is not whole
+        self.is_in_request = False  # a request has begun and is not complete
         self._parser = httptools.HttpRequestParser(self)
         self._complete: list[HttpRequest] = []
         self._target = b""
@@ -45,25 +45,36 @@
         self._header_bytes = 0
 
     def feed(self, data: bytes) -> list[HttpRequest]:
-        """Take in bytes; the requests that they made whole. Raises BadRequest."""
+        """Read bytes, and return the requests that they complete.
+
+        Raises:
+            MalformedRequestError: the bytes are no valid request.
+        """
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
-            raise MalformedRequestError(str(problem) or type(problem).__name__) from None
-        found, self._complete = self._complete, []
-        return found
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise MalformedRequestError(str(error) or type(error).__name__) from None
+        complete = self._complete
+        self._complete = []
+        return complete
 
-    # ------------------------------------------------------------------------------ the parser's calls
+    # ------------------------------------------------------------------------------ callbacks of the parser
 
     def on_message_begin(self) -> None:
-        self._target, self._headers, self._body, self._header_bytes = b"", {}, bytearray(), 0
+        """Start a request."""
+        self._target = b""
+        self._headers = {}
+        self._body = bytearray()
+        self._header_bytes = 0
         self.is_in_request = True
 
     def on_url(self, part: bytes) -> None:
+        """Read a part of the target."""
         self._target += part
         self._count_header_bytes(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Read a header; the first of a name counts."""
         self._headers.setdefault(name.lower(), value)
         self._count_header_bytes(len(name) + len(value))
 
@@ -73,11 +84,13 @@
             raise MalformedRequestError("headers too long")
 
     def on_body(self, part: bytes) -> None:
+        """Read a part of the body."""
         self._body += part
         if len(self._body) > MAX_BODY_BYTES:
             raise MalformedRequestError("body too long")
 
     def on_message_complete(self) -> None:
+        """Complete a request."""
         self.is_in_request = False
         self._complete.append(
             HttpRequest(
@@ -91,7 +104,7 @@
 
 
 def encode_response(status: int, body: bytes = b"", extra_headers: ResponseHeaders = ()) -> bytes:
-    """A whole answer."""
+    """Return a complete response."""
     lines = [b"HTTP/1.1 %d %s" % (status, REASON_PHRASES[status]), b"Content-Length: %d" % len(body)]
     lines += [name + b": " + value for name, value in extra_headers]
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/rosepick/lab/live/response_faults.py
+++ b/rosepick/lab/live/response_faults.py
@@ -29,6 +29,7 @@
         """Call after so many milliseconds of the run."""
 
 
+RESET_DELAY_MS = 1.0  # from sending to a reset, which would discard unsent bytes
 DRIP_INTERVAL_MS = 50.0  # from one byte of a slow response to the next
 MALFORMED_RESPONSES = (
     b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + bytes(range(64)),
@@ -40,7 +41,7 @@
 ConnectionLoss = Callable[[FaultyConnection, bytes], None]
 
 
-def reset_before_response(connection: FaultyConnection, data: bytes) -> None:
+def reset_before_response(connection: FaultyConnection, _data: bytes) -> None:
     """Reset the connection before anything of the response is sent."""
     connection.finish_attempt(Result.RESET)
     connection.reset()
@@ -50,11 +51,10 @@
     """Reset the connection in the middle of the response."""
     connection.stream.send(data[: len(data) // 2])
     connection.finish_attempt(Result.RESET)
-    # later: an immediate reset would discard what was sent
-    connection.call_after(1.0, connection.reset)
+    connection.call_after(RESET_DELAY_MS, connection.reset)
 
 
-def half_close_connection(connection: FaultyConnection, data: bytes) -> None:
+def half_close_connection(connection: FaultyConnection, _data: bytes) -> None:
     """Close the sending half without a response, and go on reading."""
     connection.finish_attempt(Result.RESET)
     connection.stream.shutdown_write()
@@ -64,7 +64,7 @@
     """Send the whole response, then reset the connection."""
     connection.stream.send(data)
     connection.finish_attempt(result)
-    connection.call_after(1.0, connection.reset)
+    connection.call_after(RESET_DELAY_MS, connection.reset)
 
 
 def send_malformed_response(connection: FaultyConnection, kind: int) -> None:
--- a/rosepick/lab/live/router_config.py
+++ b/rosepick/lab/live/router_config.py
@@ -1,6 +1,4 @@
-"""What GW_CONFIG says to the routers of an experiment: the same settings as `world.settings` gives the
-simulated ones.
-"""
+"""Configuration files of an experiment's routers, with the settings of simulated routers."""
 
 from __future__ import annotations
 
@@ -12,8 +10,8 @@
 from ..model.router_settings import router_settings_for
 from ..model.simulated_router import CONNECT_TIMEOUT_MS
 
-MACHINE_TYPES = ("std", "origin")  # of machines, by the numbers that the model gives them
-CONNECTION_IDLE_MS = 15_000.0  # milliseconds after which a node closes an idle connection
+MACHINE_TYPES = ("std", "origin")  # names of machine types, by the model's kind of a node
+CONNECTION_IDLE_MS = 15_000.0  # after which a node closes an idle connection
 
 
 def router_config_document(
@@ -26,15 +24,16 @@
     position: int = 0,
     seed: int | None = None,
 ) -> dict[str, Any]:
-    """The configuration of one router. `listen` and `discovery` are host:port, `known` is a list in
-    discovery's form; `position` counts routers from 0 and gives its zone. Times in it are milliseconds.
+    """Return the configuration document of one router; times in it are milliseconds.
+
+    `known` is the cached endpoint list as discovery sends it.
     """
-    drawn = experiment.seed if seed is None else seed
+    actual_seed = experiment.seed if seed is None else seed
     return {
         "name": name,
         "listen": listen,
         "discovery": discovery,
-        "seed": f"{hash_uid(f'{name} {drawn}'):x}",
+        "seed": f"{hash_uid(f'{name} {actual_seed}'):x}",
         "limits": {
             "cores": 1.0,
             "memory_mb": experiment.routers.memory_mb,
@@ -47,10 +46,10 @@
 
 def _settings(experiment: Experiment, position: int) -> dict[str, Any]:
     zone = position % len(experiment.zones)
-    told = router_settings_for(experiment, position, zone)
-    limits = told.limits
+    settings = router_settings_for(experiment, position, zone)
+    limits = settings.limits
     return {
-        "domain": {"mode": told.mode.value, "origin_kind": told.origin_kind},
+        "domain": {"mode": settings.mode.value, "origin_kind": settings.origin_kind},
         "failure_domains": list(experiment.zones),
         "machine_types": list(MACHINE_TYPES),
         "limits": {
@@ -61,27 +60,27 @@
             "max_retry_after": limits.max_retry_after_ms,
             "retry_after": True,
         },
-        "membership_mode": "subscribe" if told.subscribe else "automatic",
+        "membership_mode": "subscribe" if settings.subscribe else "automatic",
         "request_classes": [
             {
-                "name": named.name,
-                "deadline": one.deadline_ms,
-                "objective": one.objective_ms,
-                "worth": one.worth,
-                "effect": one.effect.value,
-                "group": one.group.value,
-                "repeat_window": one.repeat_window_ms,
+                "name": config.name,
+                "deadline": request_class.deadline_ms,
+                "objective": request_class.objective_ms,
+                "worth": request_class.worth,
+                "effect": request_class.effect.value,
+                "group": request_class.group.value,
+                "repeat_window": request_class.repeat_window_ms,
             }
-            for named, one in zip(experiment.classes, told.classes, strict=True)
+            for config, request_class in zip(experiment.classes, settings.classes, strict=True)
         ],
-        "rules": asdict(told.rules),
+        "rules": asdict(settings.rules),
         "tenants": [
-            {"name": named.name, "share": one.share}
-            for named, one in zip(experiment.tenants, told.tenants, strict=True)
+            {"name": config.name, "share": tenant.share}
+            for config, tenant in zip(experiment.tenants, settings.tenants, strict=True)
         ],
         "zone": zone,
-        "balancers": told.routers,
-        "position": told.position,
-        "over_share_worth": told.over_share_worth,
-        "costs": {"cross_zone": told.cross_zone_cost},
+        "balancers": settings.routers,
+        "position": settings.position,
+        "over_share_worth": settings.over_share_worth,
+        "costs": {"cross_zone": settings.cross_zone_cost},
     }
--- a/rosepick/lab/live/router_process.py
+++ b/rosepick/lab/live/router_process.py
@@ -1,4 +1,4 @@
-"""The routers of a run: real ones in processes of their own, with their ports held while they are down."""
+"""The router processes of a live run. A router keeps its port while it is down."""
 
 from __future__ import annotations
 
@@ -20,32 +20,38 @@
 from .helper_process import ROOT, HelperProcessError, child_environment, last_log_lines
 from .run_records import RouterDowntime
 
-READY_TIMEOUT_S = 20.0  # seconds
+READY_TIMEOUT_S = 20.0
+READY_POLL_INTERVAL_S = 0.02
 KILL_TIMEOUT_S = 5.0
+END_POLL_INTERVAL_S = 0.005
+CONNECT_TIMEOUT_S = 1.0
+UTIME_FIELD = 11  # of /proc/PID/stat, after the name of the command
+STIME_FIELD = 12
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
 
 
 class RouterProcess:
     """One process of a router."""
 
-    def __init__(self, file: Path, log_file: Path) -> None:
-        with log_file.open("ab") as log_to:
+    def __init__(self, config_file: Path, log_file: Path) -> None:
+        with log_file.open("ab") as log:
             self._popen = subprocess.Popen(
                 [sys.executable, "-O", "-m", "rosepick", "serve"],
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
-                stdout=log_to,
-                stderr=log_to,
-                env={**child_environment(), "GW_CONFIG": str(file)},
+                stdout=log,
+                stderr=log,
+                env={**child_environment(), "GW_CONFIG": str(config_file)},
                 start_new_session=True,
             )
         self.pid = self._popen.pid
-        self.stop_requested = False  # it was told to
-        self.status: int | None = None  # once it has ended
-        self.cpu_s = self.memory_mb = 0.0
+        self.stop_requested = False  # by a signal
+        self.status: int | None = None  # the exit status, once it has ended
+        self.cpu_s = 0.0  # once it has ended
+        self.memory_mb = 0.0  # the largest sample
 
     def signal(self, number: int) -> None:
-        """Send it a signal, unless it has ended."""
+        """Send a signal, unless the process has ended."""
         if self.has_ended():
             return
         self._sample_memory()
@@ -53,52 +59,57 @@
         os.kill(self.pid, number)
 
     def has_ended(self) -> bool:
-        """Whether it has ended."""
+        """Return whether the process has ended, and record its status and CPU time if so."""
         if self.status is None:
-            found, status, usage = os.wait4(self.pid, os.WNOHANG)
-            if found:
-                self.status = self._popen.returncode = os.waitstatus_to_exitcode(status)
+            pid, status, usage = os.wait4(self.pid, os.WNOHANG)
+            if pid:
+                self.status = os.waitstatus_to_exitcode(status)
+                self._popen.returncode = self.status
                 self.cpu_s = usage.ru_utime + usage.ru_stime
         return self.status is not None
 
     def _sample_memory(self) -> None:
-        """Note its memory while it is there."""
+        """Sample the memory of the running process."""
         with contextlib.suppress(OSError, ValueError, IndexError):
             pages = int(Path(f"/proc/{self.pid}/statm").read_text("ascii").split()[1])
             self.memory_mb = max(self.memory_mb, pages * PAGE_KB / 1024.0)
 
     def cpu_so_far_s(self) -> float:
-        """Seconds of CPU that it has used, while it runs."""
+        """Return the CPU time of the running process in seconds; 0 if it cannot be read."""
         with contextlib.suppress(OSError, ValueError, IndexError):
-            words = Path(f"/proc/{self.pid}/stat").read_text("ascii").rpartition(")")[2].split()
-            return sum(map(int, words[11:13])) / os.sysconf("SC_CLK_TCK")
+            fields = Path(f"/proc/{self.pid}/stat").read_text("ascii").rpartition(")")[2].split()
+            return sum(map(int, fields[UTIME_FIELD : STIME_FIELD + 1])) / os.sysconf("SC_CLK_TCK")
         return 0.0
 
 
 class LiveRouter:
-    """One router, by one process after another. While one ends, its successor may start and wait for the
-    port.
+    """One router, with one process after another.
+
+    While one ends, its successor may already start and wait for the port.
     """
 
     def __init__(
         self, experiment: Experiment, index: int, seed: int, folder: Path, discovery_port: int
     ) -> None:
-        self.name, self.index = f"router-{index}", index
+        self.name = f"router-{index}"
+        self.index = index
         self.log_file = folder / f"{self.name}.log"
         self.processes: list[RouterProcess] = []
-        self._experiment, self._seed, self._discovery = experiment, seed, discovery_port
+        self._experiment = experiment
+        self._seed = seed
+        self._discovery_port = discovery_port
         self._config_file = folder / f"{self.name}.json"
         self._port_reservation = reserve_port()
         self.port = int(self._port_reservation.getsockname()[1])
-        self._start_cpu_s = 0.0  # CPU that its first start took
+        self._start_cpu_s = 0.0  # CPU time of the last start
 
     def start(self, known_endpoints: dict[str, Any]) -> None:
-        """Start a process, with the list as last held."""
+        """Start a process with a cached endpoint list."""
         document = router_config.router_config_document(
             self._experiment,
             self.name,
             f"{HOST}:{self.port}",
-            f"{HOST}:{self._discovery}",
+            f"{HOST}:{self._discovery_port}",
             known_endpoints,
             position=self.index,
             seed=self._seed,
@@ -107,63 +118,73 @@
         self.processes.append(RouterProcess(self._config_file, self.log_file))
 
     def wait_ready(self) -> None:
-        """Wait until it serves. HelperFailed if it does not."""
-        until = time.monotonic() + READY_TIMEOUT_S
+        """Wait until the router serves.
+
+        Raises:
+            HelperProcessError: its process ended, or it does not serve in time.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while not self.is_serving():
-            if self.processes[-1].has_ended() or time.monotonic() >= until:
+            if self.processes[-1].has_ended() or time.monotonic() >= deadline:
                 raise HelperProcessError(f"{self.name} does not serve\n{last_log_lines(self.log_file)}")
-            time.sleep(0.02)
+            time.sleep(READY_POLL_INTERVAL_S)
         self._start_cpu_s = self.processes[-1].cpu_so_far_s()
 
     def is_serving(self) -> bool:
-        """Whether it says that it is ready."""
-        with contextlib.suppress(OSError), socket.create_connection((HOST, self.port), 1.0) as sock:
+        """Return whether the router answers that it is ready."""
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection((HOST, self.port), CONNECT_TIMEOUT_S) as sock,
+        ):
             sock.sendall(b"GET /ready HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n")
             return sock.recv(4096).startswith(b"HTTP/1.1 200")
         return False
 
     def signal(self, number: int) -> None:
-        """Send its processes a signal."""
+        """Send a signal to all running processes."""
         for process in self.processes:
             process.signal(number)
 
     def wait_ended(self, timeout_s: float) -> bool:
-        """Whether all its processes end within so many seconds."""
-        until = time.monotonic() + timeout_s
+        """Wait for the end of all processes; return whether they ended within so many seconds."""
+        deadline = time.monotonic() + timeout_s
         while not all([process.has_ended() for process in self.processes]):
-            if time.monotonic() >= until:
+            if time.monotonic() >= deadline:
                 return False
-            time.sleep(0.005)
+            time.sleep(END_POLL_INTERVAL_S)
         return True
 
     def kill(self) -> RouterDowntime:
-        """Kill it and wait for its end; times on the monotonic clock, in milliseconds."""
-        at = 1000.0 * time.monotonic()
+        """Kill the router and wait for its end; times are milliseconds of the monotonic clock."""
+        killed_at = 1000.0 * time.monotonic()
         self.signal(signal.SIGKILL)
         self.wait_ended(KILL_TIMEOUT_S)
-        return RouterDowntime(self.index, at, 1000.0 * time.monotonic())
+        return RouterDowntime(self.index, killed_at, 1000.0 * time.monotonic())
 
     def cpu_s(self) -> float:
-        """Seconds of CPU of all its processes that have ended, without its first start."""
+        """Return the CPU seconds of all ended processes, without those of the start."""
         return sum(process.cpu_s for process in self.processes) - self._start_cpu_s
 
     def memory_mb(self) -> float:
-        """The most that one of its processes held."""
+        """Return the largest memory sample of all processes."""
         return max((process.memory_mb for process in self.processes), default=0.0)
 
     def close(self) -> None:
-        """Its port is needed no more."""
+        """Release the port."""
         self._port_reservation.close()
 
 
 def fetch_endpoint_document(port: int, fallback: dict[str, Any]) -> dict[str, Any]:
-    """The list as discovery has it at present; the usual one if it does not say."""
-    told = EndpointListReader()
-    with contextlib.suppress(OSError, DiscoveryError), socket.create_connection((HOST, port), 1.0) as sock:
+    """Return discovery's present endpoint list, or `fallback` if it cannot be had."""
+    reader = EndpointListReader()
+    with (
+        contextlib.suppress(OSError, DiscoveryError),
+        socket.create_connection((HOST, port), CONNECT_TIMEOUT_S) as sock,
+    ):
         sock.sendall(encode_list_request("discovery", None, 0.0))
         while part := sock.recv(65536):
-            found = told.feed(part)
-            if found is not None:
-                listed: dict[str, Any] = found[0].data
-                return listed
+            reply = reader.feed(part)
+            if reply is not None:
+                document: dict[str, Any] = reply[0].data
+                return document
     return fallback
--- a/rosepick/lab/live/rule_check.py
+++ b/rosepick/lab/live/rule_check.py
@@ -1,54 +1,59 @@
-"""The four rules, judged from what nodes and clients saw; what a router says of itself counts for nothing.
+"""Checks the four rules on what nodes and clients recorded, not on what routers report.
 
-The rules are the model's own (`world.rules`), which is fed here with what was recorded on sockets. One
-process sees all attempts, in their order. Another one sees the answers, so an attempt counts as sent after an
-answer only if it came by more than `SKEW` later. By what a process was late itself no router is judged.
+The rules are the model's (`RuleMonitor`). One process records all attempts, in their order, and another one
+the answers, so that an attempt counts as sent after an answer only if it came later by more than
+`CLOCK_SKEW_MS`. The lateness of the recording processes is allowed for.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
-from ..experiment import Experiment
 from ..measure import Measure
 from ..model.router_settings import router_settings_for
 from ..model.rule_monitor import ANSWER_GRACE_MS, ClientTry, RuleMonitor, SentAttempt
 from .run_records import NodeAttemptRecord, RouterDowntime, TryRecord
 
-CLOCK_SKEW_MS = 20.0  # milliseconds
+CLOCK_SKEW_MS = 20.0
 ANSWERED_OUTCOMES = ("served", "refused", "failed")
 
 
-def check_rules(
-    experiment: Experiment,
-    measure: Measure,
-    attempts: Iterable[NodeAttemptRecord],
-    tries: Iterable[TryRecord],
-    router_downtimes: Sequence[RouterDowntime] = (),
-    nodes_late_ms: float = 0.0,
-    clients_late_ms: float = 0.0,
-) -> None:
-    """Note all broken rules, in the order of their times. The stand-ins and the clients may have seen what
-    happened so many milliseconds late.
-    """
+@dataclass(frozen=True, slots=True)
+class RunObservations:
+    """What nodes and clients recorded in a run."""
+
+    attempts: Iterable[NodeAttemptRecord]
+    tries: Iterable[TryRecord]
+    router_downtimes: Sequence[RouterDowntime] = ()
+    nodes_late_ms: float = 0.0  # how late the nodes' records may be
+    clients_late_ms: float = 0.0  # how late the clients' records may be
+
+
+def check_rules(measure: Measure, observations: RunObservations) -> None:
+    """Record all violations of a run, in the order of their times."""
+    experiment = measure.experiment
+    nodes_late_ms = observations.nodes_late_ms
     stop_within = 1000.0 * experiment.stop_sending_within + ANSWER_GRACE_MS + nodes_late_ms
     monitor = RuleMonitor(measure, experiment.max_attempts, stop_within)
     classes = router_settings_for(experiment).classes
-    sent: dict[str, list[NodeAttemptRecord]] = {}
-    for attempt in attempts:
-        sent.setdefault(attempt.request_id, []).append(attempt)
-    for tried in tries:
-        one = ClientTry(tried.request_id, classes[tried.klass], tried.deadline + clients_late_ms)
-        course = _TryReplay(
-            monitor, tried, one, _is_answer_owed(tried, router_downtimes), CLOCK_SKEW_MS + nodes_late_ms
+    attempts_by_request: dict[str, list[NodeAttemptRecord]] = {}
+    for attempt in observations.attempts:
+        attempts_by_request.setdefault(attempt.request_id, []).append(attempt)
+    for record in observations.tries:
+        client_try = ClientTry(
+            record.request_id, classes[record.klass], record.deadline + observations.clients_late_ms
         )
-        course.replay(sent.get(tried.request_id, []))
-    measure.violations.sort(key=lambda broken: broken.at)
+        answer_owed = _is_answer_owed(record, observations.router_downtimes)
+        replay = _TryReplay(monitor, record, client_try, answer_owed, CLOCK_SKEW_MS + nodes_late_ms)
+        replay.run(attempts_by_request.get(record.request_id, []))
+    measure.violations.sort(key=lambda violation: violation.at)
 
 
 def _is_answer_owed(record: TryRecord, router_downtimes: Sequence[RouterDowntime]) -> bool:
-    """Whether its router owed it an answer: it was sent whole, its client stayed, and the router was not
-    killed meanwhile.
+    """Return whether the router owed an answer.
+
+    It did if the request was sent whole, the client stayed, and the router was not killed meanwhile.
     """
     if record.outcome in ("left", "crossed") or record.sent_at > record.ended_at:
         return False
@@ -59,21 +64,24 @@
 
 
 class _TryReplay:
-    """One try with its attempts."""
+    """Feeds the rule monitor with one try and its attempts."""
 
     def __init__(
         self, monitor: RuleMonitor, record: TryRecord, client_try: ClientTry, answer_owed: bool, skew: float
     ) -> None:
-        self.monitor, self.record, self.client_try, self.skew = monitor, record, client_try, skew
+        self.monitor = monitor
+        self.record = record
+        self.client_try = client_try
+        self.skew = skew
         self.router = f"router-{record.router}"
         self.answer_owed = answer_owed
         client_try.client_gone = not answer_owed
         self._in_flight: list[tuple[NodeAttemptRecord, SentAttempt]] = []
         self._answered = False
 
-    def replay(self, attempts: list[NodeAttemptRecord]) -> None:
-        """Feed the rules with what happened, in its order."""
-        for attempt in sorted(attempts, key=lambda each: each.started_at):
+    def run(self, attempts: list[NodeAttemptRecord]) -> None:
+        """Feed the monitor with all events of the try, in their order."""
+        for attempt in sorted(attempts, key=lambda attempt: attempt.started_at):
             if (
                 self.record.outcome in ANSWERED_OUTCOMES
                 and self.record.ended_at + self.skew < attempt.started_at
@@ -96,9 +104,9 @@
         elif self.answer_owed:
             self._record_unanswered()
 
-    def _record_ended_by(self, when: float) -> None:
-        """Attempts that had their end by then."""
-        for attempt, sent in [pair for pair in self._in_flight if pair[0].ended_at <= when]:
+    def _record_ended_by(self, at_ms: float) -> None:
+        """Record the attempts that had ended by a time."""
+        for attempt, sent in [pair for pair in self._in_flight if pair[0].ended_at <= at_ms]:
             self.monitor.record_outcome(sent, attempt.result)
             self._in_flight.remove((attempt, sent))
 
@@ -106,17 +114,19 @@
         if self._answered:
             return
         self._answered = True
-        tried = self.record
-        self.monitor.record_answer(self.client_try, tried.ended_at, tried.outcome == "refused", self.router)
-        if tried.surplus:
-            self.monitor.record_answer(self.client_try, tried.ended_at, False, self.router)
+        record = self.record
+        self.monitor.record_answer(self.client_try, record.ended_at, record.outcome == "refused", self.router)
+        if record.surplus:
+            self.monitor.record_answer(self.client_try, record.ended_at, False, self.router)
 
     def _record_unanswered(self) -> None:
-        tried = self.record
-        if tried.outcome == "broke":
-            after = tried.ended_at - tried.sent_at
-            which = "the kept connection" if tried.reused_connection else "the connection"
-            text = f"{which} ended {after:.1f} ms after the request, without a whole answer"
+        record = self.record
+        if record.outcome == "broke":
+            elapsed_ms = record.ended_at - record.sent_at
+            connection = "the kept connection" if record.reused_connection else "the connection"
+            text = f"{connection} ended {elapsed_ms:.1f} ms after the request, without a whole answer"
         else:
-            text = f"no answer by {tried.ended_at - tried.deadline:.0f} ms after its deadline"
-        self.monitor.measure.record_violation("answered", tried.request_id, self.router, tried.ended_at, text)
+            text = f"no answer by {record.ended_at - record.deadline:.0f} ms after its deadline"
+        self.monitor.measure.record_violation(
+            "answered", record.request_id, self.router, record.ended_at, text
+        )
--- a/rosepick/lab/live/run_records.py
+++ b/rosepick/lab/live/run_records.py
@@ -1,4 +1,4 @@
-"""What the processes of a live run hand over when it ends. Times are milliseconds from the run's begin."""
+"""What the processes of a live run record. Times are milliseconds since the run's begin."""
 
 from __future__ import annotations
 
@@ -9,45 +9,45 @@
 from ..measure import SecondCounts
 from ..results import FaultSpan, RuleViolation
 
-MAX_P99_LATENESS_MS = 20.0  # milliseconds that one in a hundred timers or sendings may be late ...
-MAX_LATENESS_MS = 250.0  # ... and that the latest of all may be; else the run is void
+MAX_P99_LATENESS_MS = 20.0  # of timers and sendings; beyond it the run is void
+MAX_LATENESS_MS = 250.0  # of the latest one; beyond it the run is void
 
 
 @dataclass(slots=True)
 class NodeAttemptRecord:
-    """One delivery attempt as its node saw it."""
+    """One attempt as its node observed it."""
 
     request_id: str  # its Req-Id
     node: int
     node_name: str
     zone: int
     cell: int
-    started_at: float  # its first byte
-    drain_known_since: float | None = None  # since when its router knows that the node wants nothing new
-    ended_at: float = inf  # answered, or its connection closed
+    started_at: float  # when its first byte arrived
+    drain_known_since: float | None = None  # since when its router knows that the node drains
+    ended_at: float = inf  # when it was answered or its connection closed
     result: Result = Result.TIMEOUT
 
 
 @dataclass(slots=True)
 class TryRecord:
-    """One try of a request as its client saw it."""
+    """One try of a request as its client observed it."""
 
     request_id: str
     router: int
     klass: int
     deadline: float
-    sent_at: float = inf  # its last byte was written
-    ended_at: float = inf  # its last byte was read, or its connection ended
-    # served, refused, failed; broke: no whole answer; none: nothing came; left: given up;
+    sent_at: float = inf  # when its last byte was written
+    ended_at: float = inf  # when the answer was read or its connection ended
+    # served, refused or failed; broke: no complete answer; none: nothing received; left: abandoned;
+    # crossed: its connection ended before anything was received, and it was sent once more
     outcome: str = "none"
-    # crossed: its connection ended before anything came, and it was sent once more
-    surplus: bool = False  # something came after the answer that nobody asked for
-    reused_connection: bool = False  # it went out on a connection that was used before
+    surplus: bool = False  # unexpected bytes followed the answer
+    reused_connection: bool = False  # it was sent on a connection that had been used before
 
 
 @dataclass(frozen=True, slots=True)
 class RequestEndRecord:
-    """The end of a request, one of `measure.ENDS`."""
+    """The end of a request; the outcome is a value of `ClientOutcome`."""
 
     number: int
     outcome: str
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterDowntime:
-    """A router that was killed: what it had in hand from `at` to `until` is owed to nobody."""
+    """A killed router, which owes no answer to requests that it had between `at` and `until`."""
 
     router: int
     at: float
@@ -65,19 +65,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Lateness:
-    """How late a process of the run itself was, in milliseconds."""
+    """How late a process of the run was, in milliseconds."""
 
     p99_ms: float = 0.0
     max_ms: float = 0.0
 
     @classmethod
     def from_samples(cls, samples_ms: list[float]) -> Lateness:
-        """Of all that was measured."""
+        """Return the lateness of some samples."""
         ordered = sorted(samples_ms)
         return cls(ordered[int(0.99 * len(ordered))], ordered[-1]) if ordered else cls()
 
     def void_reason(self, subject: str) -> str:
-        """Why the run is void by it; empty if it is not."""
+        """Return why the run is void by this lateness; empty if it is not."""
         if self.p99_ms <= MAX_P99_LATENESS_MS and self.max_ms <= MAX_LATENESS_MS:
             return ""
         return (
@@ -88,7 +88,7 @@
 
 @dataclass(slots=True)
 class StandInResults:
-    """From the stand-ins."""
+    """The results of the stand-ins' process."""
 
     attempts: list[NodeAttemptRecord]
     seconds: list[SecondCounts]
@@ -98,19 +98,17 @@
     loop_lateness: Lateness
     cpu_s: float
     events: int
-    faults: int  # exceptions in calls of the loop
+    faults: int  # exceptions in callbacks of the event loop
 
 
 @dataclass(slots=True)
 class LoadResults:
-    """From the generator."""
+    """The results of the clients' process."""
 
     tries: list[TryRecord] = field(default_factory=list)
     request_ends: list[RequestEndRecord] = field(default_factory=list)
-    send_lateness: Lateness = field(
-        default_factory=Lateness
-    )  # from when a request was due until it was taken up
-    loop_lateness: Lateness = field(default_factory=Lateness)  # of its loop
-    pool_waits: int = 0  # tries that found all connections to their router in use
+    send_lateness: Lateness = field(default_factory=Lateness)  # from a request's due time to its sending
+    loop_lateness: Lateness = field(default_factory=Lateness)
+    pool_waits: int = 0  # tries that had to wait for a connection
     cpu_s: float = 0.0
     faults: int = 0
--- a/rosepick/lab/live/stand_ins.py
+++ b/rosepick/lab/live/stand_ins.py
@@ -1,8 +1,9 @@
-"""The process of the stand-ins: all cache nodes, the origin and discovery of a run on one loop. One process
-is enough: 1,000 requests a second, with 1,500 attempts, take it a third of a core.
+"""The stand-ins' process: all cache nodes, the origin and discovery of a run on one event loop.
 
-It hears `{"experiment", "seed", "result"}`, says where discovery listens and what routers hold at first,
-hears `{"begin": milliseconds on the monotonic clock}` and `{"end": true}`, and leaves a `Seen`.
+One process is enough: 1,000 requests a second, with 1,500 attempts, take a third of a core.
+
+It receives `{"experiment", "seed", "result"}`, sends the ports of discovery and the routers' cached lists,
+receives `{"begin": milliseconds of the monotonic clock}` and `{"end": true}`, and writes a `StandInResults`.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 
 
 class StandIns:
-    """One run's stand-ins."""
+    """The stand-ins of one run."""
 
     def __init__(self) -> None:
         self.loop = EventLoop()
@@ -47,32 +48,32 @@
     def _set_up(self, message: ControlMessage) -> None:
         experiment = Experiment.model_validate_json(message["experiment"])
         self._result_path = message["result"]
-        self.simulation = world = LiveSimulation(self.loop, experiment, message["seed"], Measure(experiment))
-        world.open()
+        self.simulation = LiveSimulation(self.loop, experiment, message["seed"], Measure(experiment))
+        self.simulation.open()
         freeze_garbage_collector()
-        known = [
-            world.discovery_server.initial_document(zone) for zone in range(world.discovery_server.zones)
-        ]
-        doors = [door.port for door in world.discovery_server.listeners]
-        self.parent.send({"discovery": doors, "known": known})
+        discovery = self.simulation.discovery_server
+        cached_lists = [discovery.initial_document(zone) for zone in range(discovery.zones)]
+        ports = [listener.port for listener in discovery.listeners]
+        self.parent.send({"discovery": ports, "known": cached_lists})
 
     def _collect_results(self) -> StandInResults:
-        world, measure = self.simulation, self.simulation.measure
+        simulation = self.simulation
+        measure = simulation.measure
         return StandInResults(
-            attempts=world.attempts,
+            attempts=simulation.attempts,
             seconds=measure.seconds,
             spans=measure.spans,
             violations=measure.violations,
             cold_overloads=measure.cold_overloads,
-            loop_lateness=world.real_time_kernel.lateness_probe.lateness(),
+            loop_lateness=simulation.real_time_kernel.lateness_probe.lateness(),
             cpu_s=time.process_time() - self._cpu_at_start_s,
-            events=world.kernel.events_run,
+            events=simulation.kernel.events_run,
             faults=self.loop.fault_count,
         )
 
 
 def main() -> None:
-    """Serve until who started us has gone."""
+    """Serve until the parent has gone."""
     logs.configure_logging()
     raise_descriptor_limit()
     StandIns().loop.run()
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -28,7 +28,7 @@
 from rosepick.lab.live.request_reader import HttpRequest, RequestReader, encode_response
 from rosepick.lab.live.request_schedule import schedule_requests
 from rosepick.lab.live.router_config import router_config_document
-from rosepick.lab.live.rule_check import check_rules
+from rosepick.lab.live.rule_check import RunObservations, check_rules
 from rosepick.lab.live.run_records import Lateness, NodeAttemptRecord, RouterDowntime, TryRecord
 from rosepick.lab.measure import Measure
 from rosepick.lab.model.router_settings import router_settings_for
@@ -146,7 +146,7 @@
 def test_each_breach_is_named(name: str) -> None:
     attempts, one, rule, text, at = BREACHES[name]
     measure = Measure(experiment())
-    check_rules(measure.experiment, measure, attempts, [one])
+    check_rules(measure, RunObservations(attempts, [one]))
     assert [(broken.rule, broken.request) for broken in measure.violations] == [(rule, "5.1")]
     broken = measure.violations[0]
     assert broken.at == pytest.approx(at) and text in broken.text
@@ -157,14 +157,13 @@
     measure = Measure(experiment())
     right = [sent(101, 120), sent(121, 149, Result.OK), sent(140.0, 141.0)]
     right[-1].request_id = "6.1"
-    check_rules(
-        measure.experiment, measure, right, [tried(), tried("left"), tried("crossed"), tried("refused")]
-    )
-    check_rules(measure.experiment, measure, [sent(849, 860, told=100.0)], [tried("served", 870.0)])
+    tries = [tried(), tried("left"), tried("crossed"), tried("refused")]
+    check_rules(measure, RunObservations(right, tries))
+    check_rules(measure, RunObservations([sent(849, 860, told=100.0)], [tried("served", 870.0)]))
     held_at_its_death = RouterDowntime(0, 140.0, 151.0)
-    check_rules(measure.experiment, measure, [], [tried("broke")], [held_at_its_death])
+    check_rules(measure, RunObservations([], [tried("broke")], [held_at_its_death]))
     assert measure.violations == []
-    check_rules(measure.experiment, measure, [], [tried("broke")], [RouterDowntime(1, 140.0, 151.0)])
+    check_rules(measure, RunObservations([], [tried("broke")], [RouterDowntime(1, 140.0, 151.0)]))
     assert len(measure.violations) == 1
 
 
