Tests of the lab and of its accounts: names in the field's terms

Names and locals of the tests still were yards, wires, worlds and what was told; the account counted what was `asked`. Both have the field's words now; the columns that are printed stay. No test and no assert is taken out.

--- a/rosepick/lab/account/loss_account.py
+++ b/rosepick/lab/account/loss_account.py
@@ -75,7 +75,7 @@
     """A class, a time slice or a group of routers."""
 
     name: str
-    asked: int
+    request_count: int
     in_time: float  # share
     worth: float  # share of the worth that was served in time
     causes: tuple[tuple[str, float], ...]  # the most frequent ones, and their shares of the requests
@@ -87,7 +87,7 @@
 
     routers: int
     starts: int
-    asked: int
+    request_count: int
     in_time: float
     worth: float
     causes: tuple[LossCause, ...]  # by lost worth, the largest first
@@ -106,7 +106,7 @@
     return LossAccount(
         routers=len(logs.starts) or len({ended.router for ended in logs.ended}),
         starts=sum(logs.starts.values()),
-        asked=whole.asked,
+        request_count=whole.request_count,
         in_time=whole.in_time,
         worth=whole.worth,
         causes=_loss_causes(logs.ended),
@@ -118,7 +118,7 @@
             for index, group in _group_by(logs.ended, lambda ended: _slice_index(ended.at))
         ),
         groups=_rows_by_traffic(logs.ended),
-        prices=_request_prices(logs, whole.asked),
+        prices=_request_prices(logs, whole.request_count),
         day_report=day_report,
     )
 
@@ -170,7 +170,7 @@
     ]
     return AccountRow(
         name=name,
-        asked=total,
+        request_count=total,
         in_time=counts[IN_TIME_OUTCOME] / total if total else 0.0,
         worth=worth_in_time / worth_asked if worth_asked else 0.0,
         causes=tuple(causes[:MAX_ROW_CAUSES]),
@@ -179,12 +179,12 @@
 
 def _rows_by_traffic(ended_requests: list[EndedRequests]) -> tuple[AccountRow, ...]:
     """Return a row of the busy routers, by `BUSY_TRAFFIC_FACTOR`, if there are any, and one of the others."""
-    asked: Counter[str] = Counter()
+    counts: Counter[str] = Counter()
     for ended in ended_requests:
-        asked[ended.router] += sum(ended.counts.values())
-    mean = sum(asked.values()) / len(asked) if asked else 0.0
-    busy = {router for router, count in asked.items() if count >= BUSY_TRAFFIC_FACTOR * mean}
-    others_name = f"{len(asked) - len(busy)} others"
+        counts[ended.router] += sum(ended.counts.values())
+    mean = sum(counts.values()) / len(counts) if counts else 0.0
+    busy = {router for router, count in counts.items() if count >= BUSY_TRAFFIC_FACTOR * mean}
+    others_name = f"{len(counts) - len(busy)} others"
     rows = [_to_row(others_name, [ended for ended in ended_requests if ended.router not in busy])]
     if busy:
         busy_name = f"{len(busy)} with {BUSY_TRAFFIC_FACTOR:g} times the mean or more"
@@ -192,9 +192,9 @@
     return tuple(rows)
 
 
-def _request_prices(logs: RouterLogs, asked: int) -> dict[str, float]:
+def _request_prices(logs: RouterLogs, request_count: int) -> dict[str, float]:
     """Return, per request, the events that the platform charges for and what explains them."""
     total: Counter[str] = Counter()
     for counts in logs.counts.values():
         total.update(counts)
-    return {name: total[name] / asked for name in PRICED_COUNTERS if asked and name in total}
+    return {name: total[name] / request_count for name in PRICED_COUNTERS if request_count and name in total}
--- a/rosepick/lab/account/tables.py
+++ b/rosepick/lab/account/tables.py
@@ -17,7 +17,7 @@
 def format_tables(account: LossAccount) -> Iterator[Table]:
     """Yield an account's tables: causes, classes, time slices, routers, prices and the bench's figures."""
     heading = (
-        f"{account.asked} requests at {account.routers} routers ({account.starts} starts): "
+        f"{account.request_count} requests at {account.routers} routers ({account.starts} starts): "
         f"{account.in_time:.1%} in time, {account.worth:.1%} of the worth"
     )
     yield _format_table(heading, ("lost to", "requests", "share", "worth", "waited"), _format_causes(account))
@@ -52,15 +52,15 @@
 def _format_causes(account: LossAccount) -> Iterator[tuple[str, ...]]:
     lost_worth = sum(cause.worth for cause in account.causes) or 1.0
     for cause in account.causes:
-        yield _format_cause(cause, account.asked, lost_worth)
+        yield _format_cause(cause, account.request_count, lost_worth)
 
 
-def _format_cause(cause: LossCause, asked: int, lost_worth: float) -> tuple[str, ...]:
+def _format_cause(cause: LossCause, request_count: int, lost_worth: float) -> tuple[str, ...]:
     classes = ", ".join(f"{name} {count}" for name, count in cause.classes[:3])
     return (
         f"{cause.text} ({classes})",
         str(cause.count),
-        f"{cause.count / asked:.1%}",
+        f"{cause.count / request_count:.1%}",
         f"{cause.worth / lost_worth:.0%} of the lost",
         f"{cause.mean_wait_ms:.0f} ms",
     )
@@ -68,4 +68,4 @@
 
 def _format_row(row: AccountRow) -> tuple[str, ...]:
     causes = "; ".join(f"{describe_outcome(name)} {share:.1%}" for name, share in row.causes)
-    return row.name, str(row.asked), f"{row.in_time:.1%}", f"{row.worth:.1%}", causes
+    return row.name, str(row.request_count), f"{row.in_time:.1%}", f"{row.worth:.1%}", causes
--- a/tests/golden_lab_forms.py
+++ b/tests/golden_lab_forms.py
@@ -98,12 +98,24 @@
         (folder / "router.log").write_bytes(data)
         found = build_account(log_reader.read_logs([folder]))
     rows = [
-        [[row.name, row.asked, row.in_time, row.worth, [share for _, share in row.causes]] for row in part]
+        [
+            [row.name, row.request_count, row.in_time, row.worth, [share for _, share in row.causes]]
+            for row in part
+        ]
         for part in (found.classes, found.slices, found.groups)
     ]
     causes = [[one.count, one.worth, one.mean_wait_ms, one.classes] for one in found.causes]
     prices = sorted(found.prices.values())
-    return [found.routers, found.starts, found.asked, found.in_time, found.worth, causes, rows, prices]
+    return [
+        found.routers,
+        found.starts,
+        found.request_count,
+        found.in_time,
+        found.worth,
+        causes,
+        rows,
+        prices,
+    ]
 
 
 def fields_of_log(data: bytes) -> object:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -73,7 +73,7 @@
             )
             account = build_account(read_logs([self.folder]), parse_day_report(PRINTED))
             with self.subTest(stamp=stamp):
-                self.assertEqual((account.routers, account.starts, account.asked), (2, 3, 18))
+                self.assertEqual((account.routers, account.starts, account.request_count), (2, 3, 18))
                 self.assertAlmostEqual(account.in_time, 10 / 18)
                 self.assertAlmostEqual(account.worth, 30 / 57)
                 self.assertEqual(
@@ -85,14 +85,14 @@
                 )
                 self.assertAlmostEqual(account.causes[0].mean_wait_ms, 120 / 7)
                 self.assertEqual(
-                    [(row.name, row.asked) for row in account.slices],
+                    [(row.name, row.request_count) for row in account.slices],
                     [
                         ("0 s", 11),
                         ("5 s", 6),
                         ("10 s", 1),
                     ],
                 )
-                self.assertEqual([row.asked for row in account.groups], [18])
+                self.assertEqual([row.request_count for row in account.groups], [18])
                 self.assertAlmostEqual(account.prices["cross_zone_attempts"], 5 / 18)
                 self.assertEqual(account.day_report.prices, {"cross_zone": 0.0478, "handshake": 0.015})  # type: ignore[union-attr]
         console = Console(width=200, file=StringIO())
@@ -106,7 +106,7 @@
             self.write(
                 f"n{place}", outcomes(5, "read", served=90 if place == 3 else 1, refused_queue_timeout=1)
             )
-        rows = [(row.name, row.asked) for row in build_account(read_logs([self.folder])).groups]
+        rows = [(row.name, row.request_count) for row in build_account(read_logs([self.folder])).groups]
         self.assertEqual(rows, [("1 with 3 times the mean or more", 91), ("9 others", 18)])
         for place in range(10):
             self.write(f"n{place}")
@@ -133,7 +133,7 @@
         self.assertEqual(new.count("event=request_outcomes"), 6)
         found = self.account(old)
         self.assertEqual(self.account(new), found)
-        self.assertEqual(found.asked, 13)
+        self.assertEqual(found.request_count, 13)
         self.assertEqual(
             sorted(cause.name for cause in found.causes),
             ["client_gone", "deadline_exceeded_no_time", "refused_no_endpoint"],
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -70,10 +70,10 @@
 def test_every_fault_of_a_file_is_named_with_its_place(text: str, faults: list[str]) -> None:
     with pytest.raises(ExperimentError) as raised:
         experiment.parse_experiment(text, "f.toml")
-    told = raised.value.errors
-    assert all(line.startswith("f.toml: ") and "\n" not in line for line in told)
+    errors = raised.value.errors
+    assert all(line.startswith("f.toml: ") and "\n" not in line for line in errors)
     for fault in faults:
-        assert sum(fault in line for line in told) == 1, (fault, told)
+        assert sum(fault in line for line in errors) == 1, (fault, errors)
 
 
 def test_values_are_set_by_dotted_names() -> None:
@@ -158,40 +158,40 @@
 def test_a_broken_rule_is_named_with_request_node_and_time() -> None:
     given = experiment.parse_experiment(SMALL, "f")
     measure = Measure(given)
-    world = Simulation(given, 1, measure)
-    node = world.cache_nodes()[0]
-    router = world.routers[0]
+    simulation = Simulation(given, 1, measure)
+    node = simulation.cache_nodes()[0]
+    router = simulation.routers[0]
     assert router is not None
     router.subscription.drain_known_since[node.number] = 0.0
     one = ClientTry("7.1", router.engine.settings.classes[0], 1_000.0)
-    world.kernel.run(749.0)
-    world.monitor.record_outcome(router.record_send(one, node), api.Result.MISS)
+    simulation.kernel.run(749.0)
+    simulation.monitor.record_outcome(router.record_send(one, node), api.Result.MISS)
     assert measure.violations == []
-    world.kernel.run(800.0)
+    simulation.kernel.run(800.0)
     router.record_send(one, node)
     router.record_send(one, node)
-    world.monitor.record_answer(one, 1_060.0, False, "router-0")
-    world.monitor.record_answer(one, 1_070.0, False, "router-0")
-    said = [(broken.rule, broken.request, broken.node, broken.at) for broken in measure.violations]
-    assert said[0] == ("drains", "7.1", node.uid, 0.8)
-    assert ("effect", "7.1", node.uid, 0.8) in said  # one while another was out
-    assert ("answered", "7.1", "router-0", 1.06) in said  # late, and then once more
-    assert sum(rule == "answered" for rule, *_ in said) == 3
+    simulation.monitor.record_answer(one, 1_060.0, False, "router-0")
+    simulation.monitor.record_answer(one, 1_070.0, False, "router-0")
+    found = [(broken.rule, broken.request, broken.node, broken.at) for broken in measure.violations]
+    assert found[0] == ("drains", "7.1", node.uid, 0.8)
+    assert ("effect", "7.1", node.uid, 0.8) in found  # one while another was out
+    assert ("answered", "7.1", "router-0", 1.06) in found  # late, and then once more
+    assert sum(rule == "answered" for rule, *_ in found) == 3
 
 
 def test_a_request_without_an_answer_at_the_end_of_a_run_is_a_broken_rule() -> None:
     given = experiment.parse_experiment(SMALL, "f")
     measure = Measure(given)
-    world = Simulation(given, 1, measure)
-    world.start()
-    world.kernel.run(3_000.0)
-    router = world.routers[0]
+    simulation = Simulation(given, 1, measure)
+    simulation.start()
+    simulation.kernel.run(3_000.0)
+    router = simulation.routers[0]
     assert router is not None
     while not router.engine.pending_count:
-        world.kernel.run(world.kernel.time + 1.0)
+        simulation.kernel.run(simulation.kernel.time + 1.0)
     unanswered = {payload.client_try.name for payload in router.unfinished_payloads()}
     assert unanswered
-    world.finish()
+    simulation.finish()
     found = {broken.request for broken in measure.violations if broken.node == "router-0"}
     assert found == unanswered
     assert {(broken.rule, broken.text) for broken in measure.violations} == {("answered", "never answered")}
@@ -262,13 +262,13 @@
         given = experiment.parse_experiment(
             SMALL, "f", {"discovery.line_ms": line_ms, "discovery.call_ms": 1.0}
         )
-        world = Simulation(given, 1, Measure(given))
-        told: list[float] = []
-        watcher = world.discovery.subscribe(lambda event: told.append(world.kernel.time), 0)
+        simulation = Simulation(given, 1, Measure(given))
+        notified_at: list[float] = []
+        watcher = simulation.discovery.subscribe(lambda event: notified_at.append(simulation.kernel.time), 0)
         watcher.revision = 0  # it knows nothing
-        world.discovery.set_subscribed(watcher, True)
-        world.kernel.run(1_000.0)
-        return told[0], len(world.discovery._members)
+        simulation.discovery.set_subscribed(watcher, True)
+        simulation.kernel.run(1_000.0)
+        return notified_at[0], len(simulation.discovery._members)
 
     (quick, _), (slow, lines) = heard(0.0), heard(10.0)
     assert slow - quick == pytest.approx(10.0 * lines)
@@ -278,13 +278,13 @@
     text = SMALL + 'troubles = [{kind = "replace", at = 1, for = 1, nodes = 2}]'
     given = experiment.parse_experiment(text, "f", {"length": 10.0})
     measure = Measure(given)
-    world = Simulation(given, 1, measure)
-    fault_schedule.schedule_faults(world)
-    world.start()
-    world.kernel.run(9_000.0)
-    states = [node.state for node in world.nodes.values() if node is not world.origin]
+    simulation = Simulation(given, 1, measure)
+    fault_schedule.schedule_faults(simulation)
+    simulation.start()
+    simulation.kernel.run(9_000.0)
+    states = [node.state for node in simulation.nodes.values() if node is not simulation.origin]
     assert states.count(Status.REMOVED) == 2 and states.count(Status.READY) == 4
-    new = [node for node in world.cache_nodes() if node.machine.started_at > 0]
+    new = [node for node in simulation.cache_nodes() if node.machine.started_at > 0]
     assert len(new) == 2 and all(node.machine.busy_ms > 0 for node in new)
     assert measure.violations == []
 
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -29,8 +29,8 @@
     return experiment.parse_experiment(SMALL + more, "f", changes)
 
 
-def world(given: Experiment) -> Simulation:
-    """Played to its end."""
+def play(given: Experiment) -> Simulation:
+    """Play an experiment to its end."""
     made = Simulation(given, 1, Measure(given))
     fault_schedule.schedule_faults(made)
     made.start()
@@ -66,8 +66,8 @@
 
 def test_places_are_scarce_callers_are_turned_away_and_some_routers_are_busy() -> None:
     slow = {"discovery.call_ms": 300.0}
-    assert world(read(slow)).discovery.rejected_calls == 0
-    made = world(
+    assert play(read(slow)).discovery.rejected_calls == 0
+    made = play(
         read(
             {
                 **slow,
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -85,10 +85,10 @@
 
 def test_routers_are_told_what_simulated_ones_are() -> None:
     given = experiment('tenants = [{name = "acme", share = 3}, {name = "beta"}]\nzones = ["a", "b"]')
-    told = router_config_document(
+    document = router_config_document(
         given, "router-1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1, "all": True}, position=1
     )
-    found = config.read(json.loads(json.dumps(told)))
+    found = config.read(json.loads(json.dumps(document)))
     assert found.settings == router_settings_for(given, 1, 1)
     assert list(found.names.classes) == ["read", "set"] and list(found.names.tenants) == ["acme", "beta"]
 
@@ -111,15 +111,15 @@
 
 
 def sent(
-    begin: float, end: float, result: Result = Result.MISS, told: float | None = None
+    begin: float, end: float, result: Result = Result.MISS, drain_known_since: float | None = None
 ) -> NodeAttemptRecord:
     """An attempt of the request 5.1."""
-    return NodeAttemptRecord("5.1", 7, "node-1", 0, 0, begin, told, end, result)
+    return NodeAttemptRecord("5.1", 7, "node-1", 0, 0, begin, drain_known_since, end, result)
 
 
-def tried(how: str = "served", ended: float = 150.0, klass: int = 0, again: bool = False) -> TryRecord:
+def tried(outcome: str = "served", ended: float = 150.0, klass: int = 0, again: bool = False) -> TryRecord:
     """The try 5.1, sent at 100."""
-    return TryRecord("5.1", 0, klass, 2600.0 if klass else 1300.0, 100.0, ended, how, again)
+    return TryRecord("5.1", 0, klass, 2600.0 if klass else 1300.0, 100.0, ended, outcome, again)
 
 
 SET = 1  # place of a class that is dropped for 1.5 s
@@ -138,7 +138,13 @@
         "1599 ms after",
         1.7,
     ),
-    "drains": ([sent(901, 910, told=100.0)], tried("served", 911), "drains", "801 ms after", 0.901),
+    "drains": (
+        [sent(901, 910, drain_known_since=100.0)],
+        tried("served", 911),
+        "drains",
+        "801 ms after",
+        0.901,
+    ),
 }
 
 
@@ -159,7 +165,7 @@
     right[-1].request_id = "6.1"
     tries = [tried(), tried("left"), tried("crossed"), tried("refused")]
     check_rules(measure, RunObservations(right, tries))
-    check_rules(measure, RunObservations([sent(849, 860, told=100.0)], [tried("served", 870.0)]))
+    check_rules(measure, RunObservations([sent(849, 860, drain_known_since=100.0)], [tried("served", 870.0)]))
     held_at_its_death = RouterDowntime(0, 140.0, 151.0)
     check_rules(measure, RunObservations([], [tried("broke")], [held_at_its_death]))
     assert measure.violations == []
@@ -170,20 +176,20 @@
 @pytest.mark.parametrize("falls_at", [0.0005, 0.0008])  # by the connection, or by the request on it
 def test_a_cold_node_that_is_pushed_over_is_named(falls_at: float) -> None:
     fleet = [{"count": 1, "born": 0.0, "falls_at": falls_at}]
-    with yard(experiment("", {"fleet": fleet})) as here:
-        wire = here.wire()
-        wire.ask()
-        here.until(lambda: wire.broken)
-        (broken,) = here.world.measure.violations
+    with stand_in_bench(experiment("", {"fleet": fleet})) as bench:
+        connection = bench.connection()
+        connection.ask()
+        bench.until(lambda: connection.broken)
+        (broken,) = bench.simulation.measure.violations
         assert (broken.rule, broken.node) == ("cold", "node-1")
-        assert here.refuses()
+        assert bench.refuses()
 
 
 # ------------------------------------------------------------------------------------------- stand-ins'
 # faults
 
 
-class Wire:
+class RawConnection:
     """A plain client's connection."""
 
     def __init__(self, port: int) -> None:
@@ -212,38 +218,38 @@
         return ResponseReader(1 << 20).feed(self.seen) if self.seen else None
 
 
-class Yard:
+class StandInBench:
     """Stand-ins in this process, and plain clients."""
 
     def __init__(self, given: Experiment) -> None:
         self.loop = EventLoop()
-        self.world = LiveSimulation(self.loop, given, 1, Measure(given))
-        self.wires: list[Wire] = []
-        self.world.open()
+        self.simulation = LiveSimulation(self.loop, given, 1, Measure(given))
+        self.connections: list[RawConnection] = []
+        self.simulation.open()
         self.begin = self.loop.now()
-        self.world.start_at(self.begin)
+        self.simulation.start_at(self.begin)
         self.for_ms(5)
 
-    def stand(self, kind: str = "node-1") -> NodeServer:
+    def node_server(self, kind: str = "node-1") -> NodeServer:
         """One of the stand-ins."""
-        return next(one for one in self.world.node_servers.values() if one.node.uid == kind)
+        return next(one for one in self.simulation.node_servers.values() if one.node.uid == kind)
 
-    def wire(self, port: int | None = None) -> Wire:
+    def connection(self, port: int | None = None) -> RawConnection:
         """A connection to a node, or elsewhere."""
-        self.wires.append(Wire(port or self.stand().listeners[0].port))
-        return self.wires[-1]
+        self.connections.append(RawConnection(port or self.node_server().listeners[0].port))
+        return self.connections[-1]
 
     def refuses(self) -> bool:
         """Whether a node refuses connections."""
         with contextlib.suppress(ConnectionRefusedError):
-            self.wire()
+            self.connection()
             return False
         return True
 
     def step(self) -> None:
         self.loop.step(0.002)
-        for wire in self.wires:
-            wire.pull()
+        for connection in self.connections:
+            connection.pull()
 
     def for_ms(self, span: float) -> None:
         until = self.loop.now() + span
@@ -256,65 +262,65 @@
             assert self.loop.now() < until
             self.step()
 
-    def answered(self, wire: Wire) -> Response:
+    def wait_for_answer(self, connection: RawConnection) -> Response:
         """Wait for a whole answer."""
-        self.until(lambda: wire.answer() is not None)
-        found = wire.answer()
+        self.until(lambda: connection.answer() is not None)
+        found = connection.answer()
         assert found is not None
-        wire.seen = b""
+        connection.seen = b""
         return found
 
 
 @contextlib.contextmanager
-def yard(given: Experiment) -> Iterator[Yard]:
+def stand_in_bench(given: Experiment) -> Iterator[StandInBench]:
     """Stand-ins that are closed at the end."""
-    made = Yard(given)
+    made = StandInBench(given)
     try:
         yield made
     finally:
-        made.world.close()
-        for wire in made.wires:
-            wire.sock.close()
+        made.simulation.close()
+        for connection in made.connections:
+            connection.sock.close()
     assert made.loop.fault_count == 0
 
 
-def with_trouble(kind: str, more: str = "") -> Experiment:
+def experiment_with_fault(kind: str, more: str = "") -> Experiment:
     """One that begins after 60 ms."""
     return experiment(f'[[troubles]]\nkind = "{kind}"\nat = 0.06\n{more}', ONE_NODE)
 
 
 def test_a_node_misses_until_the_origin_has_answered() -> None:
-    with yard(experiment("", ONE_NODE)) as here:
-        node, origin = here.wire(), here.wire(here.stand("origin").listeners[0].port)
+    with stand_in_bench(experiment("", ONE_NODE)) as bench:
+        node, origin = bench.connection(), bench.connection(bench.node_server("origin").listeners[0].port)
         node.ask()
-        missed = here.answered(node)
+        missed = bench.wait_for_answer(node)
         assert (missed.status, missed.headers[b"srv-cache"]) == (404, b"miss")
         origin.ask()
-        assert here.answered(origin).body == b"v" * 300
+        assert bench.wait_for_answer(origin).body == b"v" * 300
         node.ask()
-        hit = here.answered(node)
+        hit = bench.wait_for_answer(node)
         assert (hit.status, hit.headers[b"srv-cache"], hit.body) == (200, b"hit", b"v" * 300)
         node.ask(headers="")
-        assert here.answered(node).status == 400
+        assert bench.wait_for_answer(node).status == 400
 
 
 def test_idle_connections_are_closed() -> None:
-    with yard(experiment("", ONE_NODE)) as here:
-        wire = here.wire()
-        wire.ask()
-        here.answered(wire)
-        here.stand().close_idle(here.world.real_time_kernel.now() + 14_000.0)
-        here.for_ms(10)
-        assert not wire.ended
-        here.stand().close_idle(here.world.real_time_kernel.now() + 15_000.0)
-        here.until(lambda: wire.ended)
-        assert not wire.broken
+    with stand_in_bench(experiment("", ONE_NODE)) as bench:
+        connection = bench.connection()
+        connection.ask()
+        bench.wait_for_answer(connection)
+        bench.node_server().close_idle(bench.simulation.real_time_kernel.now() + 14_000.0)
+        bench.for_ms(10)
+        assert not connection.ended
+        bench.node_server().close_idle(bench.simulation.real_time_kernel.now() + 15_000.0)
+        bench.until(lambda: connection.ended)
+        assert not connection.broken
 
 
 def test_repeats_of_a_keyed_write_are_dropped_within_window_and_group() -> None:
-    with yard(experiment("", {"zones": ["a", "b"]})) as here:
-        one, other = here.stand("node-1").node, here.stand("node-2").node
-        klass = here.world.experiment.classes[SET].model_copy(update={"group": "zone"})
+    with stand_in_bench(experiment("", {"zones": ["a", "b"]})) as bench:
+        one, other = bench.node_server("node-1").node, bench.node_server("node-2").node
+        klass = bench.simulation.experiment.classes[SET].model_copy(update={"group": "zone"})
         repeats = WriteDeduplicator()
         assert not repeats.is_repeat("k", klass, one, 0.0)
         assert repeats.is_repeat("k", klass, one, 1_499.0)
@@ -324,30 +330,30 @@
 
 
 def test_too_many_connections_are_declined() -> None:
-    with yard(experiment("", {"fleet": [{"count": 1, "connections": 1}]})) as here:
-        one, other = here.wire(), here.wire()
-        here.for_ms(10)
+    with stand_in_bench(experiment("", {"fleet": [{"count": 1, "connections": 1}]})) as bench:
+        one, other = bench.connection(), bench.connection()
+        bench.for_ms(10)
         one.ask()
         other.ask()
-        answers = {here.answered(wire).status: wire for wire in (one, other)}
+        answers = {bench.wait_for_answer(connection).status: connection for connection in (one, other)}
         assert set(answers) == {404, 503}
         answers[503].sock.close()
-        here.until(lambda: len(here.stand().connections) == 1)
-        another = here.wire()  # one that was declined frees no place as it ends
+        bench.until(lambda: len(bench.node_server().connections) == 1)
+        another = bench.connection()  # one that was declined frees no place as it ends
         another.ask()
-        assert here.answered(another).status == 503
+        assert bench.wait_for_answer(another).status == 503
 
 
 @pytest.mark.parametrize("kind", ["stop", "restart"])
 def test_a_process_that_ends_resets_and_refuses(kind: str) -> None:
-    with yard(with_trouble(kind, "for = 0.2\ndown = 0.2")) as here:
-        wire = here.wire()
-        here.until(lambda: wire.broken)
-        assert here.refuses()
-        here.until(lambda: here.stand().listeners[0].state == "open")
-        again = here.wire()
+    with stand_in_bench(experiment_with_fault(kind, "for = 0.2\ndown = 0.2")) as bench:
+        connection = bench.connection()
+        bench.until(lambda: connection.broken)
+        assert bench.refuses()
+        bench.until(lambda: bench.node_server().listeners[0].state == "open")
+        again = bench.connection()
         again.ask()
-        assert here.answered(again).status == 404
+        assert bench.wait_for_answer(again).status == 404
 
 
 def test_troubles_of_one_kind_may_overlap() -> None:
@@ -356,60 +362,60 @@
         for kind in ("refuse", "garbage")
         for last, share in ((0.1, 0.9), (0.4, 0.1))
     )
-    with yard(experiment(two, ONE_NODE)) as here:
-        stand = here.stand()
-        here.until(lambda: stand.refusal_count == 2)
-        assert max(stand.garbage_shares) == 0.9
-        here.until(lambda: stand.refusal_count == 1)
-        assert stand.garbage_shares == [0.1] and here.refuses()
-        here.until(lambda: stand.refusal_count == 0)
-        assert stand.garbage_shares == []
+    with stand_in_bench(experiment(two, ONE_NODE)) as bench:
+        node_server = bench.node_server()
+        bench.until(lambda: node_server.refusal_count == 2)
+        assert max(node_server.garbage_shares) == 0.9
+        bench.until(lambda: node_server.refusal_count == 1)
+        assert node_server.garbage_shares == [0.1] and bench.refuses()
+        bench.until(lambda: node_server.refusal_count == 0)
+        assert node_server.garbage_shares == []
 
 
 def test_a_refusing_node_keeps_its_connections() -> None:
-    with yard(with_trouble("refuse", "for = 0.3")) as here:
-        wire = here.wire()
-        here.until(here.refuses)
-        wire.ask()
-        assert here.answered(wire).status == 404
-        here.until(lambda: here.stand().listeners[0].state == "open")
+    with stand_in_bench(experiment_with_fault("refuse", "for = 0.3")) as bench:
+        connection = bench.connection()
+        bench.until(bench.refuses)
+        connection.ask()
+        assert bench.wait_for_answer(connection).status == 404
+        bench.until(lambda: bench.node_server().listeners[0].state == "open")
 
 
 def test_a_silent_node_neither_accepts_nor_answers() -> None:
-    with yard(with_trouble("silent", "for = 0.4")) as here:
-        wire = here.wire()
-        here.until(lambda: here.stand().listeners[0].state == "mute")
-        wire.ask()
+    with stand_in_bench(experiment_with_fault("silent", "for = 0.4")) as bench:
+        connection = bench.connection()
+        bench.until(lambda: bench.node_server().listeners[0].state == "mute")
+        connection.ask()
         with pytest.raises(TimeoutError):
-            socket.create_connection(("127.0.0.1", here.stand().listeners[0].port), timeout=0.1)
-        here.for_ms(30)
-        assert not wire.seen and not wire.ended
-        here.until(lambda: here.stand().listeners[0].state == "open")
-        again = here.wire()
+            socket.create_connection(("127.0.0.1", bench.node_server().listeners[0].port), timeout=0.1)
+        bench.for_ms(30)
+        assert not connection.seen and not connection.ended
+        bench.until(lambda: bench.node_server().listeners[0].state == "open")
+        again = bench.connection()
         again.ask()
-        assert here.answered(again).status == 404
+        assert bench.wait_for_answer(again).status == 404
 
 
 def test_hung_attempts_are_never_answered() -> None:
-    with yard(with_trouble("hang", "share = 1.0")) as here:
-        wire = here.wire()
-        here.for_ms(80)
-        wire.ask()
-        here.for_ms(200)
-        assert not wire.seen and not wire.ended
-        assert here.world.attempts[-1].result is Result.TIMEOUT
+    with stand_in_bench(experiment_with_fault("hang", "share = 1.0")) as bench:
+        connection = bench.connection()
+        bench.for_ms(80)
+        connection.ask()
+        bench.for_ms(200)
+        assert not connection.seen and not connection.ended
+        assert bench.simulation.attempts[-1].result is Result.TIMEOUT
 
 
 def test_resets_come_before_within_and_after_answers() -> None:
-    with yard(with_trouble("reset", "share = 0.6")) as here:
-        here.for_ms(80)
+    with stand_in_bench(experiment_with_fault("reset", "share = 0.6")) as bench:
+        bench.for_ms(80)
         seen = set()
         for _ in range(100):
-            wire = here.wire()
-            wire.ask()
-            here.until(lambda wire=wire: wire.ended or wire.answer() is not None)  # type: ignore[misc]
-            here.for_ms(4)
-            seen.add((_status(wire), wire.ended, wire.broken))
+            connection = bench.connection()
+            connection.ask()
+            bench.until(lambda connection=connection: connection.ended or connection.answer() is not None)  # type: ignore[misc]
+            bench.for_ms(4)
+            seen.add((_status(connection), connection.ended, connection.broken))
             if len(seen) == 5:
                 break
         assert seen == {
@@ -421,78 +427,78 @@
         }
 
 
-def _status(wire: Wire) -> int:
+def _status(connection: RawConnection) -> int:
     """Of a whole answer; 0 if nothing came, -1 if a part did, or no answer."""
     try:
-        found = wire.answer()
+        found = connection.answer()
     except MalformedResponseError:
         return -1
-    return found.status if found is not None else -1 if wire.seen else 0
+    return found.status if found is not None else -1 if connection.seen else 0
 
 
 def test_garbage_is_no_answer() -> None:
-    with yard(with_trouble("garbage", "share = 1.0")) as here:
-        here.for_ms(80)
+    with stand_in_bench(experiment_with_fault("garbage", "share = 1.0")) as bench:
+        bench.for_ms(80)
         for _ in range(8):
-            wire = here.wire()
-            wire.ask()
-            here.until(lambda wire=wire: wire.ended)  # type: ignore[misc]
-            assert wire.seen and _status(wire) == -1
+            connection = bench.connection()
+            connection.ask()
+            bench.until(lambda connection=connection: connection.ended)  # type: ignore[misc]
+            assert connection.seen and _status(connection) == -1
 
 
 def test_a_dripping_answer_comes_byte_by_byte() -> None:
-    with yard(with_trouble("drip", "share = 1.0")) as here:
-        here.for_ms(80)
-        wire = here.wire()
-        wire.ask()
+    with stand_in_bench(experiment_with_fault("drip", "share = 1.0")) as bench:
+        bench.for_ms(80)
+        connection = bench.connection()
+        connection.ask()
         sizes = set()
 
         def three() -> bool:
-            sizes.add(len(wire.seen))
-            return len(wire.seen) >= 3
+            sizes.add(len(connection.seen))
+            return len(connection.seen) >= 3
 
-        here.until(three)
-        assert sizes <= {0, 1, 2, 3} and not wire.ended
-        wire.sock.close()
-        here.wires.remove(wire)
-        here.until(lambda: here.world.attempts[-1].result is Result.CANCELLED)
+        bench.until(three)
+        assert sizes <= {0, 1, 2, 3} and not connection.ended
+        connection.sock.close()
+        bench.connections.remove(connection)
+        bench.until(lambda: bench.simulation.attempts[-1].result is Result.CANCELLED)
 
 
 def test_a_slow_node_takes_longer() -> None:
-    with yard(with_trouble("slow", "by = 1000.0")) as here:
-        here.for_ms(80)
-        wire, begin = here.wire(), here.loop.now()
-        wire.ask()
-        here.answered(wire)
-        assert here.loop.now() - begin >= 150.0  # 0.2 ms of work
+    with stand_in_bench(experiment_with_fault("slow", "by = 1000.0")) as bench:
+        bench.for_ms(80)
+        connection, begin = bench.connection(), bench.loop.now()
+        connection.ask()
+        bench.wait_for_answer(connection)
+        assert bench.loop.now() - begin >= 150.0  # 0.2 ms of work
 
 
 # -------------------------------------------------------------------------------------------------- discovery
 
 
-def call(here: Yard, wire: Wire, query: str) -> dict[str, Any]:
+def call(bench: StandInBench, connection: RawConnection, query: str) -> dict[str, Any]:
     """Ask discovery, and wait for its answer."""
-    wire.ask(f"/v1/endpoints{query}")
-    found: dict[str, Any] = json.loads(here.answered(wire).body)
+    connection.ask(f"/v1/endpoints{query}")
+    found: dict[str, Any] = json.loads(bench.wait_for_answer(connection).body)
     return found
 
 
 def test_discovery_tells_changes_and_knows_whom() -> None:
     given = experiment('[[troubles]]\nkind = "shrink"\nat = 0.3\n', {"discovery.delay": 0.05})
-    with yard(given) as here:
-        listing = here.world.discovery_server
-        wire = here.wire(listing.listeners[0].port)
-        whole = call(here, wire, "")
+    with stand_in_bench(given) as bench:
+        listing = bench.simulation.discovery_server
+        connection = bench.connection(listing.listeners[0].port)
+        whole = call(bench, connection, "")
         assert whole["all"] and [row["uid"] for row in whole["targets"]] == ["origin", "node-1", "node-2"]
         assert [row["model"] for row in whole["targets"]] == ["origin", "std", "std"]
-        nothing = call(here, wire, f"?after={whole['rev']}&wait_ms=20")
+        nothing = call(bench, connection, f"?after={whole['rev']}&wait_ms=20")
         assert (nothing["rev"], nothing["all"], nothing["targets"]) == (whole["rev"], False, [])
-        news = call(here, wire, f"?after={whole['rev']}&wait_ms=2500")
+        news = call(bench, connection, f"?after={whole['rev']}&wait_ms=2500")
         (row,) = news["targets"]
-        node = here.stand(row["uid"]).node
+        node = bench.node_server(row["uid"]).node
         assert (row["state"], news["rev"], node.state) == ("leaving", whole["rev"] + 1, Status.DRAINING)
         assert listing.drain_known_at(0, node.number) is not None
-        call(here, wire, f"?after={whole['rev']}&wait_ms=0")
+        call(bench, connection, f"?after={whole['rev']}&wait_ms=0")
         assert listing.drain_known_at(0, node.number) is not None
         listing.record_poll(0, whole["rev"])  # as by a router that started anew, with the old list
         assert listing.drain_known_at(0, node.number) is None
@@ -500,24 +506,24 @@
 
 def test_a_stale_list_lacks_what_is_young() -> None:
     fleet = [{"count": 1}, {"count": 1, "born": -2.0}]
-    with yard(experiment("", {"fleet": fleet, "discovery.stale_by": 5.0})) as here:
-        listing = here.world.discovery_server
+    with stand_in_bench(experiment("", {"fleet": fleet, "discovery.stale_by": 5.0})) as bench:
+        listing = bench.simulation.discovery_server
         held = listing.initial_document(0)
         assert [row["uid"] for row in held["targets"]] == ["origin", "node-1"]
-        news = call(here, here.wire(listing.listeners[0].port), f"?after={held['rev']}&wait_ms=1000")
+        news = call(bench, bench.connection(listing.listeners[0].port), f"?after={held['rev']}&wait_ms=1000")
         assert [row["uid"] for row in news["targets"]] == ["node-2"]
         assert 0 <= time.time() - news["targets"][0]["boot_ms"] / 1000.0 - 2.0 < 60.0
 
 
 def test_discovery_goes_down() -> None:
-    with yard(with_trouble("discovery_down", "for = 0.2")) as here:
-        port = here.world.discovery_server.listeners[0].port
-        wire = here.wire(port)
-        here.until(lambda: wire.ended)
+    with stand_in_bench(experiment_with_fault("discovery_down", "for = 0.2")) as bench:
+        port = bench.simulation.discovery_server.listeners[0].port
+        connection = bench.connection(port)
+        bench.until(lambda: connection.ended)
         with pytest.raises(ConnectionRefusedError):
-            here.wire(port)
-        here.until(lambda: here.world.discovery_server.listeners[0].state == "open")
-        assert call(here, here.wire(port), "")["all"]
+            bench.connection(port)
+        bench.until(lambda: bench.simulation.discovery_server.listeners[0].state == "open")
+        assert call(bench, bench.connection(port), "")["all"]
 
 
 # ---------------------------------------------------------------------------------------------------- clients
--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -1,4 +1,4 @@
-"""The lab's world against theory, its order of events, what its routers may know; the paper's scenario."""
+"""The model against theory, its order of events, what its routers may know; and the paper's scenario."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 def exponential(seed: int, name: str, mean: float, count: int) -> FloatArray:
-    """Draws of the world's own kind, all at once."""
+    """Draws of the simulation's own kind, all at once."""
     return mean * create_generator(seed, name).exponential(size=count)
 
 
@@ -130,11 +130,11 @@
     """The mean time of processor sharing is that of a queue in order: what the latter is off by chance, with
     the same draws, is taken from what the former is off.
     """
-    count, told = 30_000, theory.processor_sharing_sojourn(load, 1.0)
+    count, expected = 30_000, theory.processor_sharing_sojourn(load, 1.0)
     shared = served(MachineConfig(cores=1, slots=UNBOUNDED, queue=0), 2, 1.0 / load, count)
     works = exponential(2, "works", 1.0, count)
     queued = recursion(exponential(2, "gaps", 1.0 / load, count), works, 1) + works
-    assert shared.mean() - (queued.mean() - told) == pytest.approx(told, rel=0.03)
+    assert shared.mean() - (queued.mean() - expected) == pytest.approx(expected, rel=0.03)
     assert shared.std() == pytest.approx(theory.processor_sharing_deviation(load, 1.0), rel=0.15)
 
 
@@ -148,8 +148,8 @@
             hits += number >= 0
         else:
             memory.put(key, 1, 0.0)
-    told = theory.che_hit_ratio(theory.zipf_popularity(2_000, exponent), memory.capacity_bytes)
-    assert hits / 150_000 == pytest.approx(told, rel=0.02)
+    expected = theory.che_hit_ratio(theory.zipf_popularity(2_000, exponent), memory.capacity_bytes)
+    assert hits / 150_000 == pytest.approx(expected, rel=0.02)
 
 
 # ------------------------------------------------------------------------------------------- one server
@@ -315,20 +315,20 @@
 
 
 def test_a_whole_experiment_waits_as_theory_says(monkeypatch: pytest.MonkeyPatch) -> None:
-    kept: list[Measure] = []
+    measures: list[Measure] = []
 
-    class Kept(Measure):
+    class RecordedMeasure(Measure):
         def __init__(self, given: experiment.Experiment) -> None:
             super().__init__(given)
-            kept.append(self)
+            measures.append(self)
 
-    monkeypatch.setattr(sim, "Measure", Kept)
+    monkeypatch.setattr(sim, "Measure", RecordedMeasure)
     given = experiment.parse_experiment(ONE_QUEUE, "one queue")
     run, _ = sim.run_simulated(given, 1, "round-robin", {})
     asked = list(Workload(given, 1))
     works = np.array([0.0, *(one.work_ms for one in asked[1:])])  # the first one misses
     gaps = np.diff([0.0, *(one.due_ms for one in asked)])
-    measured = [took for second in kept[0].seconds for took in second.served]
+    measured = [took for second in measures[0].seconds for took in second.served]
     waited, expected = np.mean(measured) - works.mean(), recursion(gaps, works, 1).mean()
     assert len(measured) == len(asked) and run.totals["served_share"] == 1.0 and not run.broken
     assert waited == pytest.approx(expected, rel=1e-4)
@@ -342,24 +342,24 @@
 
 
 def played(text: str) -> tuple[Simulation, list[Ended]]:
-    """A world of an experiment, to be run, and the outcomes of its first router's attempts as they come."""
+    """Return a simulation to be run, and the outcomes of its first router's attempts as they come."""
     given = experiment.parse_experiment(text, "test")
-    world = Simulation(
+    simulation = Simulation(
         given, 1, Measure(given), lambda given, seed, _: create_decider("round-robin", given, seed)
     )
-    fault_schedule.schedule_faults(world)
-    router = world.routers[0]
+    fault_schedule.schedule_faults(simulation)
+    router = simulation.routers[0]
     assert router is not None
     engine, seen = router.engine, list[Ended]()
     ended = engine.finish_attempt
 
     def note(attempt: UpstreamAttempt, result: Result, *more: object, **named: object) -> None:
-        seen.append((attempt, world.kernel.time, result))
+        seen.append((attempt, simulation.kernel.time, result))
         ended(attempt, result, *more, **named)  # type: ignore[arg-type]
 
     engine.finish_attempt = note  # type: ignore[method-assign]
-    world.start()
-    return world, seen
+    simulation.start()
+    return simulation, seen
 
 
 SILENT = """
@@ -385,10 +385,10 @@
     ],
 )
 def test_a_silent_node_is_known_by_time_outs_only(also: str) -> None:
-    world, seen = played(SILENT.replace("for = 9}", "for = 9}" + also))
-    node = world.cache_nodes()[0]
-    node.memory.put(world.workload.key_by_rank[0], 1, 0.0)
-    world.kernel.run(6_000.0)
+    simulation, seen = played(SILENT.replace("for = 9}", "for = 9}" + also))
+    node = simulation.cache_nodes()[0]
+    node.memory.put(simulation.workload.key_by_rank[0], 1, 0.0)
+    simulation.kernel.run(6_000.0)
     ends = {attempt.sent_at: (result, at - attempt.sent_at) for attempt, at, result in seen}
     assert {result for sent, (result, _) in ends.items() if sent < 1_000.0} == {Result.OK}
     # in hand when it fell silent: nothing until the router's own time-out, which is the deadline
@@ -398,9 +398,9 @@
 
 
 def test_fetching_through_nodes_routers_know_no_origin() -> None:
-    world, seen = played(SILENT.split("troubles")[0] + 'mode = "through"')
-    world.kernel.run(4_000.0)
-    assert seen and all(attempt.endpoint_id != world.origin.number for attempt, _, _ in seen)
+    simulation, seen = played(SILENT.split("troubles")[0] + 'mode = "through"')
+    simulation.kernel.run(4_000.0)
+    assert seen and all(attempt.endpoint_id != simulation.origin.number for attempt, _, _ in seen)
 
 
 KILLED = """
@@ -418,9 +418,9 @@
 
 
 def test_clients_of_a_killed_router_see_a_failure_and_come_back() -> None:
-    world, _ = played(KILLED)
-    world.kernel.run(999.999)
-    held = sum(router.engine.pending_count for router in world.routers if router is not None)
+    simulation, _ = played(KILLED)
+    simulation.kernel.run(999.999)
+    held = sum(router.engine.pending_count for router in simulation.routers if router is not None)
     assert held > 2
     for retries, failed in ((0, held), (1, 0)):
         run, _ = sim.run_simulated(
@@ -431,12 +431,12 @@
 
 
 def test_a_killed_router_sends_nothing_more() -> None:
-    world, _ = played(KILLED)
-    dead, sent = world.routers[0], list[str]()
+    simulation, _ = played(KILLED)
+    dead, sent = simulation.routers[0], list[str]()
     assert dead is not None
-    world.kernel.run(1_000.0)
-    dead.count_event = sent.append  # it is told "attempts" at each
-    world.kernel.run(9_000.0)
+    simulation.kernel.run(1_000.0)
+    dead.count_event = sent.append  # it is expected "attempts" at each
+    simulation.kernel.run(9_000.0)
     assert not dead.alive and not sent
 
 
@@ -498,8 +498,8 @@
     assert len(lines) == len(paper.POLICIES)
     for line in lines:
         figures = line[16:].replace("%", "").split()
-        for ours, told in zip(figures[::2], figures[1::2], strict=True):
-            assert told == "-" or float(ours) == pytest.approx(float(told), rel=0.04), line
+        for ours, expected in zip(figures[::2], figures[1::2], strict=True):
+            assert expected == "-" or float(ours) == pytest.approx(float(expected), rel=0.04), line
 
 
 def test_the_papers_order_of_policies_comes_out() -> None:
