--- a/rosepick/coordination/acceptor_store.py
+++ b/rosepick/coordination/acceptor_store.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ..consensus.acceptor import AcceptorState, StateChanges
+from ..consensus.acceptor import AcceptorState, StateChanges, StorageStart
 from ..consensus.messages import Quorum, RegisterState
 
 T = TypeVar("T")
@@ -115,7 +115,8 @@
             for name, blob in self._db.execute("select name, slot from slots")
         }
         known_starts = {
-            storage: (starts, run) for storage, starts, run in self._db.execute("select * from met")
+            storage: StorageStart(starts, run)
+            for storage, starts, run in self._db.execute("select * from met")
         }
         self.state = AcceptorState(
             storage_id,
