--- a/rosepick/lab/sim.py
+++ b/rosepick/lab/sim.py
@@ -1,4 +1,4 @@
-"""Plays an experiment in simulated time: routers' own engine and decisions, everything else a model."""
+"""Runs an experiment in simulated time: real engines and decisions, everything else is a model."""
 
 from __future__ import annotations
 
@@ -14,30 +14,29 @@
 from .model import fault_schedule
 from .model.ground_truth import FleetGroundTruth
 from .model.simulation import Simulation
-from .policies import Oracle
-from .policies import create_decider as plain
+from .policies import Oracle, create_decider
 from .results import RunCost, RunResult
 
-FINISH_GRACE_MS = 2_000.0  # milliseconds beyond the longest deadline: all that is owed is given by then
-PROGRESS_STEPS = 100  # in so many parts progress is told
+FINISH_GRACE_MS = 2_000.0  # after the longest deadline, until all requests must have been answered
+PROGRESS_STEPS = 100  # between which progress is reported
 
 
 class TimedDecider:
-    """A decider, and how long it takes; wall time, since one process plays a run alone."""
+    """Measures the wall time that a decider takes; its process runs one experiment alone."""
 
     def __init__(self, decider: DecisionModule) -> None:
         self._decider = decider
         self.actions = decider.actions
-        self.spent_ns = 0  # nanoseconds
+        self.spent_ns = 0
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
-        """Decide."""
-        begin = time.perf_counter_ns()
+        """Decide on one event."""
+        started_ns = time.perf_counter_ns()
         try:
             return self._decider.handle(now, event)
         finally:
             self.actions = self._decider.actions
-            self.spent_ns += time.perf_counter_ns() - begin
+            self.spent_ns += time.perf_counter_ns() - started_ns
 
 
 def run_simulated(
@@ -47,37 +46,49 @@
     changes: dict[str, Any],
     progress: Callable[[float], None] | None = None,
 ) -> tuple[RunResult, RunCost]:
-    """One run. The same experiment, seed, policy and revision give the same result, byte for byte.
-    ExperimentError if it has troubles that are played on sockets only; ValueError for an unknown policy.
+    """Run an experiment. The same experiment, seed, policy and revision give the same result, byte for byte.
+
+    Raises:
+        ExperimentError: it has faults that can be injected on sockets only.
+        ValueError: there is no such policy.
     """
     measure = Measure(experiment)
     deciders: list[TimedDecider] = []
 
-    def make(settings: api.RouterSettings, router_seed: int, world: Simulation) -> DecisionModule:
-        made = plain(policy, settings, router_seed)
-        if isinstance(made, Oracle):
-            made.ground_truth = FleetGroundTruth(world, experiment.classes[0].work_ms)
-        deciders.append(TimedDecider(made))
+    def create_timed_decider(
+        settings: api.RouterSettings, router_seed: int, simulation: Simulation
+    ) -> DecisionModule:
+        decider = create_decider(policy, settings, router_seed)
+        if isinstance(decider, Oracle):
+            decider.ground_truth = FleetGroundTruth(simulation, experiment.classes[0].work_ms)
+        deciders.append(TimedDecider(decider))
         return deciders[-1]
 
-    begin = time.process_time()
-    world = Simulation(experiment, seed, measure, make)
-    fault_schedule.schedule_faults(world)
-    world.start()
-    end = 1000.0 * (experiment.length + max(one.deadline for one in experiment.classes)) + FINISH_GRACE_MS
-    for step in range(1, PROGRESS_STEPS + 1):
-        world.kernel.run(end * step / PROGRESS_STEPS)
-        if progress is not None:
-            progress(step / PROGRESS_STEPS)
-    world.finish()
-    spent = time.process_time() - begin
+    started_s = time.process_time()
+    simulation = Simulation(experiment, seed, measure, create_timed_decider)
+    _run_to_end(simulation, progress)
+    cpu_s = time.process_time() - started_s
     run = measure.build_result(seed, "sim", policy, changes)
     offered = sum(window.offered for window in run.windows)
     cost = RunCost(
         requests=offered,
-        cpu_s=spent,
-        events=world.kernel.events_run,
-        decide_us=sum(one.spent_ns for one in deciders) / 1000.0 / max(1, offered),
+        cpu_s=cpu_s,
+        events=simulation.kernel.events_run,
+        decide_us=sum(decider.spent_ns for decider in deciders) / 1000.0 / max(1, offered),
         memory_mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0,
     )
     return run, cost
+
+
+def _run_to_end(simulation: Simulation, progress: Callable[[float], None] | None) -> None:
+    """Run a simulation until all requests must have been answered; `progress` gets the share that is done."""
+    experiment = simulation.experiment
+    fault_schedule.schedule_faults(simulation)
+    simulation.start()
+    longest_deadline_s = max(request_class.deadline for request_class in experiment.classes)
+    end_ms = 1000.0 * (experiment.length + longest_deadline_s) + FINISH_GRACE_MS
+    for step in range(1, PROGRESS_STEPS + 1):
+        simulation.kernel.run(end_ms * step / PROGRESS_STEPS)
+        if progress is not None:
+            progress(step / PROGRESS_STEPS)
+    simulation.finish()
