--- a/rosepick/cli/lab_experiments.py
+++ b/rosepick/cli/lab_experiments.py
@@ -162,7 +162,7 @@
 
 def _parse_changes(sets: list[str] | None) -> dict[str, Any]:
     """Return the settings that `--set` changes; end with an error if it states several values of one."""
-    from ..lab.sweep import parse_grid
+    from ..lab.grid import parse_grid
 
     try:
         cells = parse_grid(sets or ())
@@ -204,17 +204,19 @@
 def _play_grid(file: Path, terms: list[str], workers: int, play: Player) -> Iterator[RunResult]:
     """Play a grid and show its progress; each result comes once it and all before it are there."""
     from ..lab import console
-    from ..lab import sweep as grid_sweep
+    from ..lab.grid import parse_grid
+    from ..lab.sweep import CellError, SweepJob, run_sweep
 
     try:
-        cells = grid_sweep.parse_grid(terms)
+        cells = parse_grid(terms)
         text = file.read_text("utf-8")
+        job = SweepJob(text, file.name, play)
         with console.progress_bar(f"{file.name}, {len(cells)} runs") as progress:
-            for result, _ in grid_sweep.run_sweep(text, file.name, cells, workers, play, progress):
+            for result, _ in run_sweep(job, cells, workers, progress):
                 yield result
     except (OSError, ValueError) as error:
         exit_with_faults(error)
-    except grid_sweep.CellError as error:
+    except CellError as error:
         exit_with_error(error, 2)
 
 
--- a/rosepick/cli/lab_options.py
+++ b/rosepick/cli/lab_options.py
@@ -17,7 +17,7 @@
 
 def parse_seeds(text: str, default: int) -> list[int]:
     """Return the seeds that an option states; the default alone if it is empty."""
-    from ..lab.sweep import parse_grid
+    from ..lab.grid import parse_grid
 
     try:
         cells = parse_grid([f"seed={text}"] if text else ())
--- a/rosepick/lab/sweep.py
+++ b/rosepick/lab/sweep.py
@@ -1,44 +1,40 @@
-"""A grid of runs, played over worker processes. Results come in the order of the grid, whatever the number of
-workers. No I/O but that of the processes.
+"""The runs of a grid, played over worker processes.
+
+Results come in the order of the grid, whatever the number of workers. There is no I/O but that of the
+processes.
 """
 
 from __future__ import annotations
 
 import math
 import os
-import re
 import signal
 import threading
-import tomllib
 from collections import deque
-from collections.abc import Callable, Generator, Iterable, Sequence
+from collections.abc import Callable, Generator, Iterator, Sequence
 from concurrent.futures import BrokenExecutor, Future, ProcessPoolExecutor, wait
 from dataclasses import dataclass
 from functools import partial
-from itertools import chain, islice, product
+from itertools import islice
 from multiprocessing import get_context
 from multiprocessing.connection import Connection
 from typing import Any, Protocol
 
 from .experiment import Experiment, ExperimentError, parse_experiment
+from .grid import GridCell
 from .results import RunCost, RunResult
 
-MAX_CELLS = 10_000
-MAX_ERRORS = 20  # that are named one by one
-CELLS_AHEAD = 4  # cells for each worker that may be in work or done beyond the first that is not
-PROGRESS_INTERVAL_S = 0.2  # seconds between two looks at how far the workers are
+MAX_ERRORS = 20  # errors that are listed one by one
+CELLS_AHEAD = 4  # cells for each worker that may run or be done beyond the first one that is not
+PROGRESS_INTERVAL_S = 0.2  # between two reads of the workers' progress
 
 ProgressCallback = Callable[[float], None]
 CellResult = tuple[RunResult, RunCost]
 CellResults = Generator[CellResult, None, None]
 
-_RANGE = re.compile(r"(-?\d{1,15})\.\.(-?\d{1,15})")
-_COMMA = re.compile(r',(?=(?:[^"]*"[^"]*")*[^"]*$)')  # not between double quotes
-_NAME = re.compile(r"[^.\s]+(\.[^.\s]+)*")
-
 
 class RunExperiment(Protocol):
-    """Plays one run; `progress` is called with the part done, 0 to 1."""
+    """A function that plays one run."""
 
     def __call__(
         self,
@@ -47,246 +43,179 @@
         policy: str,
         changes: dict[str, Any],
         progress: ProgressCallback | None = None,
-    ) -> CellResult: ...
-
-
-class GridError(ValueError):
-    """Terms that make no grid; one line a fault."""
-
-    def __init__(self, errors: tuple[str, ...]) -> None:
-        super().__init__("\n".join(errors))
-        self.errors = errors
+    ) -> CellResult:
+        """Return result and cost of a run; `progress` is called with the part done, 0 to 1."""
+        ...
 
 
 class CellError(Exception):
-    """A cell could not be played; one line that names it."""
-
-
-@dataclass(frozen=True, slots=True)
-class GridCell:
-    """One run of a grid; the experiment's own policy or seed where it is None."""
-
-    changes: dict[str, Any]
-    policy: str | None = None
-    seed: int | None = None
-
-    def __str__(self) -> str:
-        given = {**self.changes, "policy": self.policy, "seed": self.seed}
-        return " ".join(f"{name}={value}" for name, value in given.items() if value is not None)
-
-
-# ------------------------------------------------------------------------------------------------- the grid
-
-
-def parse_grid(terms: Iterable[str]) -> list[GridCell]:
-    """The cells of terms such as `traffic.rate=100,200`, `policy=rosepick,random` and `seed=1..5`; the last
-    one changes fastest. GridError names all bad terms.
-    """
-    axes: dict[str, list[Any]] = {}
-    faults: list[str] = []
-    for term in terms:
-        try:
-            name, values = _parse_term(term)
-            if name in axes:
-                raise ValueError(f"{name} comes twice")
-            axes[name] = values
-        except ValueError as problem:
-            faults.append(f"{term}: {problem}")
-    count = math.prod(len(values) for values in axes.values())
-    if count > MAX_CELLS:
-        faults.append(f"{count} cells are more than {MAX_CELLS}")
-    if faults:
-        raise GridError(tuple(faults))
-    return [_to_cell(dict(zip(axes, values, strict=True))) for values in product(*axes.values())]
-
-
-def _parse_term(term: str) -> tuple[str, list[Any]]:
-    """Name and values of a term. ValueError if it is a bad one."""
-    name, sign, given = (part.strip() for part in term.partition("="))
-    if not sign:
-        raise ValueError("has no '='")
-    if not _NAME.fullmatch(name):
-        raise ValueError("has no dotted name before '='")
-    texts = [text.strip() for text in _COMMA.split(given)]
-    if not all(texts):
-        raise ValueError("has an empty value")
-    pieces = [_parse_value(text) for text in texts]
-    # counted before a range is written out
-    if sum(len(piece) for piece in pieces) > MAX_CELLS:
-        raise ValueError(f"has more than {MAX_CELLS} values")
-    values = list(chain.from_iterable(pieces))
-    if name == "policy":
-        values = [value if isinstance(value, str) else texts[n] for n, value in enumerate(values)]
-    if name == "seed" and not all(type(value) is int and value >= 0 for value in values):
-        raise ValueError("a seed is a whole number from 0 on")
-    if len({(type(value), value) for value in values}) < len(values):
-        raise ValueError("has a value twice")
-    return name, values
-
-
-def _parse_value(text: str) -> Sequence[Any]:
-    """A range, or the one value that a text is as TOML, or the text."""
-    if found := _RANGE.fullmatch(text):
-        first, last = (int(end) for end in found.groups())
-        if last < first:
-            raise ValueError(f"{text} holds nothing")
-        return range(first, last + 1)
-    try:
-        document = tomllib.loads(f"value = [{text}]")
-    except ValueError:
-        return [text]
-    values = document["value"]
-    if len(document) == len(values) == 1 and isinstance(values[0], bool | int | float | str):
-        return [values[0]]
-    return [text]
-
-
-def _to_cell(given: dict[str, Any]) -> GridCell:
-    policy, seed = given.pop("policy", None), given.pop("seed", None)
-    return GridCell(given, policy, seed)
-
-
-# ------------------------------------------------------------------------------------------------- the runs
+    """A cell could not be played; the message is one line that names it."""
 
 
 @dataclass(frozen=True, slots=True)
-class _SweepJob:
-    """What a worker needs to know, besides the cell."""
+class SweepJob:
+    """What a worker needs besides the cell; more than one worker needs a picklable `run_experiment`."""
 
     experiment_text: str
     source_name: str
     run_experiment: RunExperiment
 
     def run(self, cell: GridCell, progress: ProgressCallback) -> CellResult:
-        """The result of a cell. CellFailed if there is none."""
+        """Play a cell and return its result.
+
+        Raises:
+            CellError: it could not be played.
+        """
         try:
-            found = parse_experiment(self.experiment_text, self.source_name, cell.changes)
-            seed = found.seed if cell.seed is None else cell.seed
-            policy = found.policy if cell.policy is None else cell.policy
-            return self.run_experiment(found, seed, policy, cell.changes, progress)
-        except Exception as problem:
+            experiment = parse_experiment(self.experiment_text, self.source_name, cell.changes)
+            seed = experiment.seed if cell.seed is None else cell.seed
+            policy = experiment.policy if cell.policy is None else cell.policy
+            return self.run_experiment(experiment, seed, policy, cell.changes, progress)
+        except Exception as error:
             raise CellError(
-                f"{_cell_name(self.source_name, cell)}: {type(problem).__name__}: {problem}"
-            ) from problem
+                f"{_cell_name(self.source_name, cell)}: {type(error).__name__}: {error}"
+            ) from error
 
 
 def run_sweep(
-    experiment_text: str,
-    source_name: str,
-    cells: Sequence[GridCell],
-    workers: int,
-    run_experiment: RunExperiment,
-    on_progress: ProgressCallback,
+    job: SweepJob, cells: Sequence[GridCell], workers: int, on_progress: ProgressCallback
 ) -> CellResults:
     """Play cells and yield their results in order, each as soon as it and all before it are done.
 
-    `on_progress` is given the part of the whole that is done, 0 to 1. More than one worker needs a
-    `run_experiment` that can be pickled. When the caller stops or is interrupted, the workers end at once.
-    ExperimentError before anything starts, if a cell is a faulty experiment; CellFailed at the first cell, in
-    order, that could not be played.
+    `on_progress` is called with the part of all cells that is done, 0 to 1. When the caller stops or is
+    interrupted, the workers end at once.
+
+    Raises:
+        ExperimentError: before anything starts: a cell is an invalid experiment.
+        CellError: at the first cell, in order, that could not be played.
+        ValueError: there is no worker.
     """
     if workers < 1:
         raise ValueError("there must be a worker at least")
-    _check(experiment_text, source_name, cells)
-    job = _SweepJob(experiment_text, source_name, run_experiment)
-    alone = workers == 1 or len(cells) < 2
-    return (
-        _run_in_process(job, cells, on_progress)
-        if alone
-        else _run_in_workers(job, cells, workers, on_progress)
-    )
+    _check_cells(job, cells)
+    if workers == 1 or len(cells) < 2:
+        return _run_in_process(job, cells, on_progress)
+    return _run_in_workers(job, cells, workers, on_progress)
 
 
-def _check(text: str, source_name: str, cells: Sequence[GridCell]) -> None:
-    """ExperimentError names the cells that are faulty experiments, with their changes."""
-    faults: list[str] = []
-    seen: set[str] = set()
+def _check_cells(job: SweepJob, cells: Sequence[GridCell]) -> None:
+    """Check all cells before the first one is played.
+
+    Raises:
+        ExperimentError: names the cells that are invalid experiments, with their changes.
+    """
+    errors: list[str] = []
+    checked: set[str] = set()
     for cell in cells:
-        if repr(cell.changes) in seen:
+        if repr(cell.changes) in checked:
             continue
-        seen.add(repr(cell.changes))
+        checked.add(repr(cell.changes))
         try:
-            parse_experiment(text, _cell_name(source_name, GridCell(cell.changes)), cell.changes)
-        except ExperimentError as problem:
-            faults += problem.errors
-    if len(faults) > MAX_ERRORS:
-        faults[MAX_ERRORS:] = [f"{source_name}: {len(faults) - MAX_ERRORS} faults more"]
-    if faults:
-        raise ExperimentError(tuple(faults))
+            cell_name = _cell_name(job.source_name, GridCell(cell.changes))
+            parse_experiment(job.experiment_text, cell_name, cell.changes)
+        except ExperimentError as error:
+            errors += error.errors
+    if len(errors) > MAX_ERRORS:
+        errors[MAX_ERRORS:] = [f"{job.source_name}: {len(errors) - MAX_ERRORS} faults more"]
+    if errors:
+        raise ExperimentError(tuple(errors))
 
 
 def _cell_name(source_name: str, cell: GridCell) -> str:
     return f"{source_name} with {cell}" if str(cell) else source_name
 
 
-def _run_in_process(job: _SweepJob, cells: Sequence[GridCell], on_progress: ProgressCallback) -> CellResults:
-    """In this process."""
+def _run_in_process(job: SweepJob, cells: Sequence[GridCell], on_progress: ProgressCallback) -> CellResults:
+    """Play all cells in this process."""
     for number, cell in enumerate(cells):
         result = job.run(cell, partial(_report_progress, on_progress, number, len(cells)))
         on_progress((number + 1) / len(cells))
         yield result
 
 
-def _report_progress(on_progress: ProgressCallback, number: int, count: int, part: float) -> None:
-    on_progress((number + part) / count)
+def _report_progress(
+    on_progress: ProgressCallback, number: int, cell_count: int, cell_progress: float
+) -> None:
+    on_progress((number + cell_progress) / cell_count)
 
 
 def _run_in_workers(
-    job: _SweepJob, cells: Sequence[GridCell], workers: int, on_progress: ProgressCallback
+    job: SweepJob, cells: Sequence[GridCell], workers: int, on_progress: ProgressCallback
 ) -> CellResults:
-    """Over processes of their own."""
+    """Play the cells in worker processes."""
     context = get_context("spawn")
-    parts = context.RawArray("d", len(cells))
-    theirs, ours = context.Pipe(duplex=False)
-    pool = ProcessPoolExecutor(min(workers, len(cells)), context, _init_worker, (job, parts, theirs))
-    waiting: deque[Future[CellResult]] = deque()
-    rest = iter(enumerate(cells))
+    cell_progress = context.RawArray("d", len(cells))
+    worker_end, own_end = context.Pipe(duplex=False)
+    pool = ProcessPoolExecutor(
+        min(workers, len(cells)), context, _init_worker, (job, cell_progress, worker_end)
+    )
+    pending: deque[Future[CellResult]] = deque()
+    remaining = iter(enumerate(cells))
     try:
         for _ in cells:
-            # a slow cell must not make all that come after it pile up
-            for number, cell in islice(rest, workers * CELLS_AHEAD - len(waiting)):
-                waiting.append(pool.submit(_run_cell, number, cell))
-            # a pool does not see the end of the process that it started last before it is called again
+            # limited, so that results do not pile up behind a slow cell
+            _submit_cells(pool, pending, remaining, workers * CELLS_AHEAD)
+            # a pool notices the end of the process that it started last only when it is called again
             pool.submit(int)
-            first = waiting.popleft()
+            first = pending.popleft()
             while not first.done():
                 wait([first], PROGRESS_INTERVAL_S)
-                on_progress(math.fsum(parts) / len(cells))
+                on_progress(math.fsum(cell_progress) / len(cells))
             result = first.result()
-            on_progress(math.fsum(parts) / len(cells))
+            on_progress(math.fsum(cell_progress) / len(cells))
             yield result
-    except BrokenExecutor as problem:
-        raise CellError(f"{job.source_name}: a worker process ended before its cell was done") from problem
+    except BrokenExecutor as error:
+        raise CellError(f"{job.source_name}: a worker process ended before its cell was done") from error
     finally:
-        ours.close()
+        own_end.close()
         pool.shutdown(cancel_futures=True)
-        theirs.close()
+        worker_end.close()
+
+
+def _submit_cells(
+    pool: ProcessPoolExecutor,
+    pending: deque[Future[CellResult]],
+    remaining: Iterator[tuple[int, GridCell]],
+    max_pending: int,
+) -> None:
+    """Submit cells until `max_pending` of them are pending or none remains."""
+    for number, cell in islice(remaining, max_pending - len(pending)):
+        pending.append(pool.submit(_run_cell, number, cell))
+
+
+# ------------------------------------------------------------------------------------- in a worker process
+
+
+@dataclass(frozen=True, slots=True)
+class _WorkerState:
+    """What a worker process was started with."""
 
+    job: SweepJob
+    cell_progress: Any  # shared array: the part done of each cell, 0 to 1
 
-# --------------------------------------------------------------------------------------- in a worker process
 
-_worker_state: tuple[_SweepJob, Any] | None = None
+_worker_state: _WorkerState | None = None
 
 
-def _init_worker(job: _SweepJob, parts: Any, alive: Connection) -> None:
-    """Make a process ready for its cells."""
+def _init_worker(job: SweepJob, cell_progress: Any, parent_pipe: Connection) -> None:
+    """Prepare a worker process for its cells."""
     global _worker_state
-    _worker_state = job, parts
-    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the sweep's own process says when it is over
-    threading.Thread(target=_exit_with_parent, args=(alive,), daemon=True).start()
+    _worker_state = _WorkerState(job, cell_progress)
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the sweep's own process decides when to stop
+    threading.Thread(target=_exit_with_parent, args=(parent_pipe,), daemon=True).start()
 
 
-def _exit_with_parent(alive: Connection) -> None:
-    """End this process as soon as the other end of the pipe is closed, which also a kill does."""
+def _exit_with_parent(parent_pipe: Connection) -> None:
+    """End this process as soon as the other end of the pipe is closed, which a kill does as well."""
     try:
-        alive.recv_bytes()
+        parent_pipe.recv_bytes()
     except (EOFError, OSError):
         os._exit(1)
 
 
 def _run_cell(number: int, cell: GridCell) -> CellResult:
-    assert _worker_state is not None
-    job, parts = _worker_state
-    result = job.run(cell, partial(parts.__setitem__, number))
-    parts[number] = 1.0
+    state = _worker_state
+    assert state is not None
+    result = state.job.run(cell, partial(state.cell_progress.__setitem__, number))
+    state.cell_progress[number] = 1.0
     return result
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -16,6 +16,7 @@
 
 from rosepick.lab.compare import FigureDifference, compare_runs, comparison_table
 from rosepick.lab.experiment import Experiment, ExperimentError
+from rosepick.lab.grid import GridError, parse_grid
 from rosepick.lab.results import (
     FaultSpan,
     RequirementResult,
@@ -26,7 +27,7 @@
     encode_result,
     read_results,
 )
-from rosepick.lab.sweep import CellError, GridError, parse_grid, run_sweep
+from rosepick.lab.sweep import CellError, SweepJob, run_sweep
 
 TEXT = 'name = "storm"\npolicy = "hashed"\nseed = 3\n'
 WINDOWS = [
@@ -93,7 +94,7 @@
     """Sweep into a file, interrupted after so many lines; how far it said that it was."""
     parts: list[float] = []
     written = 0
-    for result in run_sweep(TEXT, "s.toml", parse_grid(terms), workers, play, parts.append):
+    for result in run_sweep(SweepJob(TEXT, "s.toml", play), parse_grid(terms), workers, parts.append):
         for line in result:
             with path.open("ab") as file:
                 file.write(encode_result(line))
