--- a/rosepick/lab/__init__.py
+++ b/rosepick/lab/__init__.py
@@ -1,3 +1,1 @@
-"""A model of the fleet that the router serves, and a tool for experiments on it. Nothing here is part of
-`serve`.
-"""
+"""A model of the fleet around a router, and experiments on it; no part of `serve`."""
--- a/rosepick/lab/results.py
+++ b/rosepick/lab/results.py
@@ -1,7 +1,7 @@
-"""Results as JSON lines: one line a run, then one of what the run cost.
+"""Results as JSON lines: for each run a line with its result, then one with its cost.
 
-The line of a run follows from the experiment, the seed and the revision alone: played again it has the same
-bytes. What depends on the machine (CPU, memory) stands in the line after it.
+The result line depends on the experiment, the seed and the revision alone: another run has the same bytes.
+What depends on the machine (CPU, memory) is in the line after it. Field names are the keys of the file.
 """
 
 from __future__ import annotations
@@ -18,64 +18,64 @@
 
 
 class Window(msgspec.Struct, frozen=True):
-    """One second of a run; requests count in the second in which they were due."""
+    """Counts of one second of a run; a request counts in the second in which it was due."""
 
-    at: int  # seconds from the begin
+    at: int  # seconds from the start of the run
     offered: int = 0
     in_time: int = 0
     late: int = 0
     refused: int = 0
     failed: int = 0
-    left: int = 0  # their client gave up early
+    left: int = 0  # abandoned early by their client
     worth_offered: float = 0.0
     worth_in_time: float = 0.0
-    p50_ms: float = 0.0  # of all that were served
+    p50_ms: float = 0.0  # latency of served requests
     p99_ms: float = 0.0
     attempts: int = 0
     hits: int = 0
     misses: int = 0
     origin_attempts: int = 0
     crossings: int = 0  # attempts to another zone
-    origin_load: float = 0.0  # part of its cores in use
+    origin_load: float = 0.0  # part of the origin's cores in use
     node_load_mean: float = 0.0
     node_load_most: float = 0.0
-    cold_used: float = 0.0  # the most that a cold node's budget was used, 0 to 1
+    cold_used: float = 0.0  # highest used part of a cold node's budget, 0 to 1
     nodes_up: int = 0
 
 
 class FaultSpan(msgspec.Struct, frozen=True):
-    """A trouble as it was played."""
+    """A fault as it was played."""
 
     kind: str
-    at: float  # seconds
+    at: float  # seconds from the start of the run
     until: float
-    what: str  # whom it met
+    what: str  # the affected nodes, routers or zones
 
 
 class RequirementResult(msgspec.Struct, frozen=True):
-    """Whether something held that must."""
+    """The outcome of one requirement of the experiment."""
 
-    what: str
+    what: str  # name of the figure
     value: float
     least: float | None
     most: float | None
-    since: float
+    since: float  # seconds from the start of the run
     until: float
     held: bool
 
 
 class RuleViolation(msgspec.Struct, frozen=True):
-    """A broken rule, as it was seen from the nodes' and the clients' side."""
+    """A broken rule, as observed by nodes and clients."""
 
     rule: str  # answered, effect, drains or cold
     request: str
     node: str
-    at: float  # seconds
+    at: float  # seconds from the start of the run
     text: str
 
 
 class GroupSummary(msgspec.Struct, frozen=True):
-    """What a class or a tenant got."""
+    """The service that a request class or a tenant received."""
 
     offered: int
     served_share: float  # in time
@@ -84,7 +84,7 @@
 
 
 class RunResult(msgspec.Struct, frozen=True, tag="run", tag_field="kind"):
-    """One run."""
+    """The result of one run."""
 
     experiment: str
     policy: str
@@ -95,8 +95,8 @@
     versions: dict[str, str]
     length: float  # seconds
     warm_up: float
-    void: str  # why the run counts for nothing; mostly empty
-    totals: dict[str, float]  # by figure, over what is measured
+    void: str  # why the run is invalid; empty if it is valid
+    totals: dict[str, float]  # by figure, without the warm-up
     classes: dict[str, GroupSummary]
     tenants: dict[str, GroupSummary]
     percentiles: list[tuple[float, float]]  # of served requests: per cent, milliseconds
@@ -106,16 +106,16 @@
     broken: list[RuleViolation]
 
     def good(self) -> bool:
-        """Whether it counts, no rule was broken, and all held that must."""
-        return not self.void and not self.broken and all(verdict.held for verdict in self.must)
+        """Return whether the run is valid, broke no rule and met all requirements."""
+        return not self.void and not self.broken and all(requirement.held for requirement in self.must)
 
 
 class RunCost(msgspec.Struct, frozen=True, tag="cost", tag_field="kind"):
-    """What a run cost."""
+    """What a run cost on this machine."""
 
     requests: int
     cpu_s: float
-    decide_us: float  # of the decisions, for each request
+    decide_us: float  # time of decisions per request, microseconds
     events: int
     memory_mb: float
 
@@ -124,42 +124,46 @@
 
 
 def encode_result(line: ResultLine) -> bytes:
-    """A line with its end."""
+    """Return a line of a results file, with its newline."""
     return msgspec.json.encode(line) + b"\n"
 
 
 class ResultsError(ValueError):
-    """A file holds what is no result; the message is one line with its place."""
+    """A results file cannot be read; the message is one line with the file and line number."""
 
 
 def read_results(path: Path) -> Iterator[ResultLine]:
-    """The lines of a file. BadResults if one cannot be read; a last one that is cut short is passed over, as
-    a run that was interrupted leaves it.
+    """Yield the lines of a results file.
+
+    A last line without a newline is skipped, as an interrupted run leaves one.
+
+    Raises:
+        ResultsError: the file or a line of it cannot be read.
     """
     try:
         data = path.read_bytes()
-    except OSError as problem:
-        raise ResultsError(f"{path}: {problem.strerror or problem}") from None
+    except OSError as error:
+        raise ResultsError(f"{path}: {error.strerror or error}") from None
     lines = data.split(b"\n")
     for number, line in enumerate(lines[:-1], 1):
         try:
             yield msgspec.json.decode(line, type=RunResult | RunCost)
-        except msgspec.MsgspecError as problem:
-            raise ResultsError(f"{path.name} line {number}: {problem}") from None
+        except msgspec.MsgspecError as error:
+            raise ResultsError(f"{path.name} line {number}: {error}") from None
 
 
 def library_versions() -> dict[str, str]:
-    """The libraries that a result depends on."""
+    """Return the versions of the libraries that a result depends on."""
     return {name: metadata.version(name) for name in LIBRARIES}
 
 
 def source_revision() -> str:
-    """The revision of this program's sources, with + if they were changed; empty where that is not known."""
+    """Return the Git revision of the sources, with + if they were changed; empty if it is unknown."""
     folder = Path(__file__).parent
 
-    def git(*words: str) -> str:
-        done = subprocess.run(["git", "-C", str(folder), *words], capture_output=True, text=True, check=True)
-        return done.stdout.strip()
+    def git(*arguments: str) -> str:
+        command = ["git", "-C", str(folder), *arguments]
+        return subprocess.run(command, capture_output=True, text=True, check=True).stdout.strip()
 
     try:
         changed = git("status", "--porcelain", "--", ".")
--- a/rosepick/lab/theory.py
+++ b/rosepick/lab/theory.py
@@ -1,8 +1,8 @@
-"""Closed forms of queues and caches, to hold the world's parts against; no simulation here.
+"""Closed-form results for queues and caches, which parts of the model are checked against.
 
-Times are in any one unit (milliseconds where the world is concerned) and rates in its inverse. Arrivals are
-Poisson, work is exponential, and each key is asked for independently of the others. Where a queue has more
-work than it can do there is no mean: ValueError.
+Times are in any one unit (milliseconds for the model) and rates in its inverse. Arrivals are Poisson,
+service times (`work`) are exponential, and each key is requested independently of the others. Functions of
+queues raise ValueError for a load of 1 or more, where no mean exists.
 """
 
 from __future__ import annotations
@@ -14,39 +14,39 @@
 
 
 def mm1_wait(rate: float, work: float) -> float:
-    """Mean time in the queue of M/M/1, first come first served: work * load / (1 - load).
+    """Return the mean waiting time in M/M/1, first come first served: work * load / (1 - load).
 
     Source: A. K. Erlang, "Solution of some problems in the theory of probabilities of significance in
-    automatic telephone exchanges", 1917, with one line.
+    automatic telephone exchanges", 1917, with one server.
     """
     return mmc_wait(rate, work, 1)
 
 
 def mmc_wait(rate: float, work: float, servers: int) -> float:
-    """Mean time in the queue of M/M/c, first come first served; the mean over those too that wait for
-    nothing.
+    """Return the mean waiting time in M/M/c, first come first served, over all arrivals.
 
-    Source: Erlang 1917, as above: the chance to wait, times the mean work, over the lines that are left.
+    Source: Erlang 1917, see `mm1_wait`: the probability of waiting, times the mean service time, over the
+    servers that are idle on average.
     """
     load = _utilisation(rate, work / servers)
     return erlang_c(rate * work, servers) * work / (servers * (1.0 - load))
 
 
 def erlang_c(offered: float, servers: int) -> float:
-    """The chance that an arrival must wait, where `offered` lines of `servers` are in use in the mean.
+    """Return the probability that an arrival must wait; `offered` of `servers` are busy on average.
 
-    Source: Erlang 1917, as above. By way of his loss formula B, whose recursion over the lines neither
-    overflows nor loses digits.
+    Source: Erlang 1917, see `mm1_wait`; computed from his loss formula B, whose recursion over the servers
+    neither overflows nor loses precision.
     """
     load = _utilisation(offered, 1.0 / servers)
     blocked = 1.0
-    for lines in range(1, servers + 1):
-        blocked = offered * blocked / (lines + offered * blocked)
+    for count in range(1, servers + 1):
+        blocked = offered * blocked / (count + offered * blocked)
     return blocked / (1.0 - load * (1.0 - blocked))
 
 
 def processor_sharing_sojourn(rate: float, work: float) -> float:
-    """Mean time in M/M/1 with processor sharing, work and all; the same for any spread of the work.
+    """Return the mean sojourn time in M/G/1 with processor sharing; it depends on the mean work only.
 
     Source: L. Kleinrock, "Time-shared systems: a theoretical treatment", J. ACM 14, 1967.
     """
@@ -54,7 +54,7 @@
 
 
 def processor_sharing_deviation(rate: float, work: float) -> float:
-    """Standard deviation of the time in M/M/1 with processor sharing.
+    """Return the standard deviation of the sojourn time in M/M/1 with processor sharing.
 
     Source: T. J. Ott, "The sojourn-time distribution in the M/G/1 queue with processor sharing", J. Appl.
     Probab. 21, 1984.
@@ -64,6 +64,11 @@
 
 
 def _utilisation(rate: float, work: float) -> float:
+    """Return the load of a server.
+
+    Raises:
+        ValueError: it is not from 0 to less than 1.
+    """
     load = rate * work
     if not 0.0 <= load < 1.0:
         raise ValueError(f"load {load:g} is not from 0 to less than 1: there is no mean")
@@ -71,7 +76,7 @@
 
 
 def zipf_popularity(count: int, exponent: float) -> FloatArray:
-    """Popularities of keys, the first one's first, in proportion to rank ** -exponent; their sum is 1.
+    """Return popularities of keys in order of rank, proportional to rank ** -exponent; their sum is 1.
 
     Source: G. K. Zipf, "Human behavior and the principle of least effort", 1949.
     """
@@ -82,11 +87,11 @@
 def che_characteristic_time(
     popularity: FloatArray, size: float, keys_per_group: FloatArray | None = None
 ) -> float:
-    """The characteristic time of an LRU cache of `size` values, in requests: for so long an unused key stays.
+    """Return the characteristic time of an LRU cache: how long an unused key stays, in requests.
 
-    It is the t at which sum(1 - exp(-popularity * t)) == size, found by bisection; inf if all keys have room,
-    0 if none has. `keys_per_group` says how many keys there are of each popularity, 1 by default;
-    popularities need not add up to 1.
+    It is the t at which sum(1 - exp(-popularity * t)) == size, found by bisection; `size` is the number of
+    values that fit. It is inf if all keys fit and 0 if none does. `keys_per_group` is the number of keys of
+    each popularity, 1 by default; popularities need not add up to 1.
 
     Source: H. Che, Y. Tung, Z. Wang, "Hierarchical Web caching systems: modeling, design and experimental
     results", IEEE J. Sel. Areas Commun. 20, 2002.
@@ -97,21 +102,22 @@
     if size <= 0:
         return 0.0
 
-    def held(time: float) -> float:
+    def expected_size(time: float) -> float:
         return float(-(counts * np.expm1(-popularity * time)).sum())
 
     high = 1.0
-    while held(high) < size:
+    while expected_size(high) < size:
         high *= 2.0
     low = 0.0
-    while low < (middle := (low + high) / 2.0) < high:  # until no number lies between them
-        low, high = (middle, high) if held(middle) < size else (low, middle)
+    while low < (middle := (low + high) / 2.0) < high:  # until no float lies between them
+        low, high = (middle, high) if expected_size(middle) < size else (low, middle)
     return high
 
 
 def che_hits(popularity: FloatArray, size: float, keys_per_group: FloatArray | None = None) -> FloatArray:
-    """For each key, the chance that an LRU cache of `size` values holds it when it is asked for. Source: Che,
-    Tung, Wang 2002, see `che_time`.
+    """Return each key's hit probability in an LRU cache of `size` values.
+
+    Source: Che, Tung, Wang 2002, see `che_characteristic_time`.
     """
     time = che_characteristic_time(popularity, size, keys_per_group)
     if np.isinf(time):
@@ -120,7 +126,8 @@
 
 
 def che_hit_ratio(popularity: FloatArray, size: float) -> float:
-    """The part of all requests that an LRU cache of `size` values can answer, in the long run. Source: Che,
-    Tung, Wang 2002, see `che_time`.
+    """Return the long-run hit ratio of an LRU cache of `size` values.
+
+    Source: Che, Tung, Wang 2002, see `che_characteristic_time`.
     """
     return float((popularity * che_hits(popularity, size)).sum() / popularity.sum())
