--- a/rosepick/lab/demo.py
+++ b/rosepick/lab/demo.py
@@ -1,19 +1,21 @@
-"""`rosepick demo`: a small fleet on this machine, one router, trouble, and what the router makes of it."""
+"""`rosepick demo`: a small fleet on this machine, one router, faults, and how the router handles them."""
 
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from pathlib import Path
+from typing import NamedTuple
 
 from . import console
-from .experiment import Experiment, FaultConfig, parse_experiment
+from .experiment import Experiment, parse_experiment
+from .experiment_config import FaultConfig
 from .live.live_run import LiveRun, open_live_run
 from .log_terms import parse_record
 from .results import RunResult, Window
 
 SEED = 1
-STEP_S = 5  # seconds of a row of the table
+ROW_LENGTH_S = 5  # seconds that a row of the table covers
 EXPERIMENT = """
 name = "demo"
 length = {seconds}
@@ -67,7 +69,7 @@
 nodes = 1
 down = 2
 """
-# what of the router's log is shown, and in which words
+# events of the router's log that are shown, with their texts
 EVENT_TEXTS = {
     "serving": "the router serves on {listen}",
     "decision_message": "the decisions say: {text}",
@@ -79,17 +81,20 @@
 
 
 def run_demo(seconds: int) -> int:
-    """Play it and show it; the exit status. Ends with 1 if a rule was broken."""
-    given = demo_experiment(seconds)
-    nodes = sum(group.count for group in given.fleet)
+    """Play the demo and print it; return the exit status, which is 1 if a rule was broken.
+
+    `seconds` is the length of the run.
+    """
+    experiment = demo_experiment(seconds)
+    node_count = sum(group.count for group in experiment.fleet)
     print(
-        f"{nodes} cache nodes, an origin and one router on this machine, {given.traffic.rate:g} requests a "
-        f"second for {seconds} seconds.\n"
+        f"{node_count} cache nodes, an origin and one router on this machine, "
+        f"{experiment.traffic.rate:g} requests a second for {seconds} seconds.\n"
     )
-    with open_live_run(given, SEED) as stage:
-        stage.set_up()
-        stage.run_to_end(Narrator(stage, given).on_progress)
-        run, cost = stage.result({})
+    with open_live_run(experiment, SEED) as live_run:
+        live_run.set_up()
+        live_run.run_to_end(Narrator(live_run, experiment).on_progress)
+        run, cost = live_run.result({})
     print()
     _print_table(run)
     console.print_run(run, cost)
@@ -98,82 +103,90 @@
 
 
 def demo_experiment(seconds: int) -> Experiment:
-    """What is played; the troubles keep their places in it, however long it lasts."""
+    """Return the experiment; faults begin at the same part of the run, whatever its length in seconds."""
     times = {"slow_at": 0.25 * seconds, "slow_for": 0.2 * seconds, "restart_at": 0.65 * seconds}
     return parse_experiment(EXPERIMENT.format(seconds=seconds, **times), "demo")
 
 
 class Narrator:
-    """Says what happens, as it happens: troubles when they begin and end, and lines of the router's log."""
+    """Prints what happens while it happens: begin and end of faults, and lines of the router's log."""
 
     def __init__(
-        self, stage: LiveRun, experiment: Experiment, print_line: Callable[[str], None] = print
+        self, live_run: LiveRun, experiment: Experiment, print_line: Callable[[str], None] = print
     ) -> None:
-        self._stage, self._print_line = stage, print_line
-        self._run_length_s = experiment.length + max(one.deadline for one in experiment.classes)
-        self._read_offset = 0
+        self._live_run = live_run
+        self._print_line = print_line
+        self._run_length_s = experiment.length + max(
+            request_class.deadline for request_class in experiment.classes
+        )
+        self._read_offset = 0  # bytes of the log that were read
         self._pending_messages = sorted(_fault_messages(experiment.troubles))
 
     def on_progress(self, progress: float) -> None:
-        """Such a part of the run is over, 0 to 1."""
-        now = progress * self._run_length_s
-        while self._pending_messages and self._pending_messages[0][0] <= now:
-            at, text = self._pending_messages.pop(0)
-            self._print_line(f"{at:5.1f} s  {text}")
-        for line in self._lines(self._stage.routers[0].log_file):
+        """Print what happened until this part of the run, 0 to 1."""
+        now_s = progress * self._run_length_s
+        while self._pending_messages and self._pending_messages[0].at_s <= now_s:
+            message = self._pending_messages.pop(0)
+            self._print_line(f"{message.at_s:5.1f} s  {message.text}")
+        for line in self._read_new_lines(self._live_run.routers[0].log_file):
             text = _describe_event(line)
             if text:
-                self._print_line(f"{now:5.1f} s    {text}")
+                self._print_line(f"{now_s:5.1f} s    {text}")
 
-    def _lines(self, path: Path) -> list[str]:
-        """Whole lines that are new in a log."""
+    def _read_new_lines(self, path: Path) -> list[str]:
+        """Return the complete lines that were added to a log since the last call."""
         try:
             with path.open("rb") as file:
                 file.seek(self._read_offset)
                 data = file.read()
         except OSError:
             return []
-        whole = data[: data.rfind(b"\n") + 1]
-        self._read_offset += len(whole)
-        return whole.decode("utf-8", "replace").splitlines()
+        complete = data[: data.rfind(b"\n") + 1]
+        self._read_offset += len(complete)
+        return complete.decode("utf-8", "replace").splitlines()
+
+
+class FaultMessage(NamedTuple):
+    """A text about a fault, and its time in seconds from the start of the run."""
+
+    at_s: float
+    text: str
 
 
-def _fault_messages(faults: tuple[FaultConfig, ...]) -> list[tuple[float, str]]:
-    found = []
-    for trouble in faults:
-        if trouble.kind == "restart":
-            back = f"it is back after {trouble.down:g} s, and cold"
-            found.append((trouble.at, f"a cache node is restarted; {back}"))
+def _fault_messages(faults: Iterable[FaultConfig]) -> Iterator[FaultMessage]:
+    for fault in faults:
+        if fault.kind == "restart":
+            recovery = f"it is back after {fault.down:g} s, and cold"
+            yield FaultMessage(fault.at, f"a cache node is restarted; {recovery}")
         else:
-            found.append((trouble.at, f"a cache node is {trouble.by:g} times as slow"))
-            found.append((trouble.at + trouble.last, "it is as fast as before"))
-    return found
+            yield FaultMessage(fault.at, f"a cache node is {fault.by:g} times as slow")
+            yield FaultMessage(fault.at + fault.last, "it is as fast as before")
 
 
 def _describe_event(line: str) -> str:
-    """A line of the log as it is shown; empty if it is not."""
+    """Return the text that a log line is shown as; empty if it is not shown."""
     fields = parse_record(line)
-    words = EVENT_TEXTS.get(fields.get("event", ""))
-    return words.format_map({"listen": "", "text": "", "reason": "", **fields}) if words else ""
+    template = EVENT_TEXTS.get(fields.get("event", ""))
+    return template.format_map({"listen": "", "text": "", "reason": "", **fields}) if template else ""
 
 
 def _print_table(run: RunResult) -> None:
-    """What clients got, a row for some seconds."""
+    """Print what clients received, with a row for every few seconds."""
     print("  seconds  requests  in time    p99   origin   nodes up")
-    for begin in range(0, len(run.windows), STEP_S):
-        windows = run.windows[begin : begin + STEP_S]
+    for begin in range(0, len(run.windows), ROW_LENGTH_S):
+        windows = run.windows[begin : begin + ROW_LENGTH_S]
         offered = sum(window.offered for window in windows)
         if not offered:
             continue
         in_time = sum(window.in_time for window in windows) / offered
         print(
             f"  {begin:3}-{begin + len(windows):<3}  {offered:8}  {in_time:7.1%}  "
-            f"{max(window.p99_ms for window in windows):4.0f} ms  {_mean_of(windows):6.1%}  "
+            f"{max(window.p99_ms for window in windows):4.0f} ms  {_mean_origin_load(windows):6.1%}  "
             f"{min(window.nodes_up for window in windows):9}"
         )
     print()
     sys.stdout.flush()
 
 
-def _mean_of(windows: list[Window]) -> float:
+def _mean_origin_load(windows: Sequence[Window]) -> float:
     return sum(window.origin_load for window in windows) / len(windows)
--- /dev/null
+++ b/rosepick/lab/experiment_config.py
@@ -0,0 +1,251 @@
+"""The tables of an experiment file, each checked by itself.
+
+Times are seconds unless the name ends in `_ms` or `_us`. Field names are the keys of the file.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+PositiveFloat = Annotated[float, Field(gt=0)]
+NonNegativeFloat = Annotated[float, Field(ge=0)]
+Share = Annotated[float, Field(ge=0, le=1)]
+PositiveInt = Annotated[int, Field(ge=1)]
+
+
+class StrictModel(BaseModel):
+    """A table of the file: unknown names are errors, and numbers must be finite."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+
+
+class NodeGroupConfig(StrictModel):
+    """A group of equal cache nodes."""
+
+    count: PositiveInt = 12
+    zone: str = ""  # empty: distributed evenly over all zones
+    cores: PositiveInt = 2
+    speed: PositiveFloat = 1.0  # of each core; 1 does a millisecond of work in a millisecond
+    speed_spread: Share = 0.0  # each node's speed is drawn from speed * (1 - spread) to speed * (1 + spread)
+    slots: PositiveInt = 16  # requests processed at the same time; they share the cores
+    queue: Annotated[int, Field(ge=0)] = 32  # requests that wait for a slot; more are refused
+    crowding: NonNegativeFloat = 0.0  # part by which each request beyond the cores slows all work
+    memory: PositiveInt = 2_000_000  # bytes of values
+    eviction: Literal["lru", "fifo"] = "lru"
+    keep: NonNegativeFloat = 0.0  # lifetime of a value; 0: unlimited
+    connections: PositiveInt = 1024  # open at the same time; more are refused
+    handshake_ms: NonNegativeFloat = 0.5  # work for a new connection
+    miss_ms: NonNegativeFloat = 0.2  # work to find that a key is missing
+    cold_from: Annotated[float, Field(gt=0, le=1)] = 0.12  # part of its capacity when it starts
+    warm_after: NonNegativeFloat = 24.0  # until full capacity: seconds, or seconds of work of one core
+    warm_by: Literal["time", "work"] = "time"
+    falls_at: PositiveFloat = 3.0  # work sent to a cold node, over its capacity, that overloads it ...
+    falls_within: PositiveFloat = 3.0  # ... within this time
+    born: float = -1000.0  # when it started; if later than -warm_after it is cold at first
+    cancels: bool = True  # whether abandoned work stops
+
+
+class OriginConfig(StrictModel):
+    """The origin, which holds every value; its capacity is limited, and load makes it slower."""
+
+    cores: PositiveInt = 8
+    speed: PositiveFloat = 1.0
+    slots: PositiveInt = 16
+    queue: Annotated[int, Field(ge=0)] = 200
+    crowding: NonNegativeFloat = 0.01
+    connections: PositiveInt = 4096
+    handshake_ms: NonNegativeFloat = 0.5
+    zone: str = ""  # empty: the first one
+    cancels: bool = False  # whether abandoned work stops
+    falls_when: NonNegativeFloat = 0.0  # seconds with a full queue after which it fails; 0: never
+    down_for: PositiveFloat = 5.0  # seconds until it is back
+
+
+class DiscoveryConfig(StrictModel):
+    """The discovery service, which sends endpoint lists to the routers."""
+
+    delay: NonNegativeFloat = 0.5  # until it knows a change
+    delay_spread: Share = 0.5
+    call_ms: NonNegativeFloat = 2.0  # time for a call
+    line_ms: NonNegativeFloat = 0.01  # additional time for each line of the list
+    stale_by: NonNegativeFloat = 0.0  # age of the list that routers start with
+    watch: bool = True
+    # longest wait of a call in the queue, after which it fails; 0: unlimited
+    patience_ms: NonNegativeFloat = 0.0
+
+
+class NetworkConfig(StrictModel):
+    """One-way latencies, and losses of connections."""
+
+    within_ms: NonNegativeFloat = 0.2
+    across_ms: NonNegativeFloat = 1.0
+    jitter: Share = 0.2  # part of the latency, drawn for each message
+    breaks: Share = 0.0  # part of attempts whose connection breaks after they were sent
+
+
+class RequestClassConfig(StrictModel):
+    """A class of requests."""
+
+    name: str
+    share: PositiveFloat = 1.0
+    write: bool = False
+    work_ms: PositiveFloat = 10.0  # mean at a cache node, on a core of speed 1
+    origin_ms: PositiveFloat = 40.0  # mean at the origin
+    work: Literal["fixed", "exponential", "lognormal"] = "lognormal"
+    spread: NonNegativeFloat = 0.5  # standard deviation of the logarithm, for lognormal
+    size: PositiveInt = 512  # mean bytes of a value
+    aim: PositiveFloat = 0.6
+    deadline: PositiveFloat = 1.2
+    worth: NonNegativeFloat = 1.0
+    effect: Literal["retryable", "dedup", "fragile"] = "retryable"
+    group: Literal["all", "zone", "cell"] = "all"
+    repeat_window: NonNegativeFloat = 0.0
+
+
+class TenantConfig(StrictModel):
+    """A tenant."""
+
+    name: str
+    share: PositiveFloat = 1.0  # agreed share of the service
+    traffic: PositiveFloat | None = None  # share of the requests; that of the service if it is missing
+
+
+class KeysConfig(StrictModel):
+    """The keys of requests."""
+
+    count: PositiveInt = 10_000
+    zipf: NonNegativeFloat = 0.9  # a key's popularity is proportional to rank ** -zipf
+    drift: NonNegativeFloat = 0.0  # ranks that are swapped per second
+
+
+class ClientsConfig(StrictModel):
+    """How clients behave after a refusal or failure."""
+
+    retries: Annotated[int, Field(ge=0, le=10)] = 1
+    manner: Literal["obey", "ignore", "at once", "in step"] = "obey"
+    # when they retry: obey: after Retry-After, if there is one, else like ignore; ignore: after `pause`,
+    # drawn; at once: immediately; in step: at the next whole second
+    pause: NonNegativeFloat = 0.3
+    leave: Share = 0.0  # part of requests that clients abandon before the deadline
+    marked: bool = False  # whether retries are marked as such
+    one_shot: Share = 0.0  # live only: part of requests on a new connection that stays open and idle
+
+
+class TrafficConfig(StrictModel):
+    """The requests of all routers together."""
+
+    rate: PositiveFloat = 250.0  # requests per second
+    arrivals: Literal["poisson", "regular", "bursts", "daily", "trace"] = "poisson"
+    burst: Annotated[int, Field(ge=1)] = 20  # for bursts: requests that arrive together
+    period: PositiveFloat = 60.0  # for daily: seconds of a day
+    swing: Annotated[float, Field(ge=0, lt=1)] = 0.5  # for daily: amplitude, as a part of the rate
+    trace: str = ""  # a file with a line per request: seconds, class, key, and the tenant if there are any
+
+
+class RoutersConfig(StrictModel):
+    """The routers, distributed evenly over the zones."""
+
+    count: PositiveInt = 3
+    skew: NonNegativeFloat = 0.0  # traffic of router n is proportional to (n + 1) ** -skew
+    heavy: Share = 0.0  # part of the routers that have ...
+    heavy_by: PositiveFloat = 4.0  # ... a multiple of the others' traffic: this one
+    cores: PositiveFloat = 1.0  # of each router; simulated only, like the next three
+    request_us: NonNegativeFloat = 0.0  # CPU time of a request
+    attempt_us: NonNegativeFloat = 0.0  # CPU time of the end of an attempt
+    start_ms: NonNegativeFloat = 0.0  # CPU time of a start, before it serves
+    memory_mb: PositiveInt = 192  # live only
+    sockets: PositiveInt = 1024  # live only
+
+
+FaultKind = Literal[
+    "slow",
+    "stop",
+    "restart",
+    "replace",
+    "shrink",
+    "grow",
+    "cut",
+    "isolate",
+    "silent",
+    "stale",
+    "discovery_down",
+    "origin_slow",
+    "origin_stop",
+    "flash",
+    "surge",
+    "router_kill",
+    "router_restart",
+    "hang",
+    "reset",
+    "garbage",
+    "drip",
+    "refuse",
+    "reload",
+    "patch",
+]
+
+
+class FaultConfig(StrictModel):
+    """A fault or change that begins at `at` and lasts `last` seconds (`for` in the file)."""
+
+    kind: FaultKind
+    at: NonNegativeFloat
+    last: Annotated[NonNegativeFloat, Field(alias="for")] = 0.0
+    nodes: Annotated[int, Field(ge=1)] | None = None  # number of cache nodes, drawn at random ...
+    part: Share | None = None  # ... or the part of them
+    zone: str = ""  # restricts it to this zone
+    zones: tuple[str, str] | None = None  # cut: the two zones that cannot reach each other
+    by: PositiveFloat = 5.0  # factor of slowness or traffic; stale: additional seconds
+    # flash: part of reads for one key; hang, reset, garbage, drip: part of attempts; patch, agreed: part of
+    # nodes that may be out
+    share: Share = 0.2
+    down: NonNegativeFloat = 1.0  # restart, router_restart: seconds until it is back
+    manner: Literal["alone", "one", "fixed", "agreed"] = "agreed"  # patch: how restarts are ordered
+    most: Annotated[int, Field(ge=1)] = 1  # patch, fixed: nodes restarted at a time
+    # router_kill, router_restart: number of routers, or a `part` of them; restarts are spread over the time
+    # of the fault, a tenth at a time
+    routers: Annotated[int, Field(ge=1)] | None = None
+
+
+FigureName = Literal[
+    "served_share",
+    "worth_share",
+    "refused_share",
+    "failed_share",
+    "late_share",
+    "p50_ms",
+    "p99_ms",
+    "p999_ms",
+    "attempts_per_request",
+    "origin_share",
+    "hit_share",
+    "crossings",
+    "fell",
+    "broken_rules",
+    "origin_load",
+    "node_load",
+]
+
+
+class RequirementConfig(StrictModel):
+    """Bounds of a figure over a span of the run."""
+
+    what: FigureName
+    least: float | None = None
+    most: float | None = None
+    after: Annotated[int, Field(ge=1)] | None = (
+        None  # number of a fault, from 1: the span starts at its end ...
+    )
+    within: NonNegativeFloat = 0.0  # ... and this much later
+    since: NonNegativeFloat | None = None
+    until: NonNegativeFloat | None = None
+
+    @model_validator(mode="after")
+    def _bounded(self) -> RequirementConfig:
+        if self.least is None and self.most is None:
+            raise ValueError("states neither `least` nor `most`")
+        if self.after is not None and self.since is not None:
+            raise ValueError("states both `after` and `since`")
+        return self
--- a/rosepick/lab/live/discovery_server.py
+++ b/rosepick/lab/live/discovery_server.py
@@ -17,7 +17,7 @@
 from ...logs import log_exception
 from ...net.event_loop import READ, WRITE, ScheduledCall
 from ...net.tcp_stream import TcpStream
-from ..experiment import DiscoveryConfig
+from ..experiment_config import DiscoveryConfig
 from ..model.discovery import MemberChange, SimulatedDiscovery
 from .controllable_listener import HOST, ControllableListener
 from .live_context import LiveContext
--- a/rosepick/lab/live/live_faults.py
+++ b/rosepick/lab/live/live_faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol, cast
 
-from ..experiment import FaultConfig
+from ..experiment_config import FaultConfig
 from ..model.fault_schedule import (
     InjectedFault,
     InjectFault,
--- a/rosepick/lab/live/live_run.py
+++ b/rosepick/lab/live/live_run.py
@@ -19,7 +19,8 @@
 from types import FrameType
 from typing import Any
 
-from ..experiment import Experiment, FaultConfig
+from ..experiment import Experiment
+from ..experiment_config import FaultConfig
 from ..measure import Measure
 from ..model.workload import ScheduledRequest
 from ..results import RunCost, RunResult
--- a/rosepick/lab/live/origin_state.py
+++ b/rosepick/lab/live/origin_state.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 
-from ..experiment import RequestClassConfig
+from ..experiment_config import RequestClassConfig
 from ..model.nodes import NodeRequest, SimulatedCacheNode, SimulatedNode
 
 MAX_REMEMBERED_MISSES = 20_000  # most of them are fetched long before
--- a/rosepick/lab/measure.py
+++ b/rosepick/lab/measure.py
@@ -13,7 +13,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from .experiment import Experiment, RequirementConfig
+from .experiment import Experiment
+from .experiment_config import RequirementConfig
 from .results import (
     FaultSpan,
     GroupSummary,
--- a/rosepick/lab/model/client_behaviour.py
+++ b/rosepick/lab/model/client_behaviour.py
@@ -7,7 +7,7 @@
 
 from enum import StrEnum
 
-from ..experiment import ClientsConfig, RequestClassConfig
+from ..experiment_config import ClientsConfig, RequestClassConfig
 
 SECOND_MS = 1000.0
 
--- a/rosepick/lab/model/clients.py
+++ b/rosepick/lab/model/clients.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 
 from ...core.request_context import RequestContext
-from ..experiment import Experiment, RequestClassConfig
+from ..experiment import Experiment
+from ..experiment_config import RequestClassConfig
 from ..measure import Measure
 from .client_behaviour import CLIENT_OUTCOME_BY_TRY, ClientOutcome, TryOutcome, final_outcome, retry_pause_ms
 from .kernel import Kernel
--- a/rosepick/lab/model/discovery.py
+++ b/rosepick/lab/model/discovery.py
@@ -13,7 +13,7 @@
 
 from ...decisions import api
 from ...decisions.api import Endpoint, Status, UpdateScope
-from ..experiment import DiscoveryConfig
+from ..experiment_config import DiscoveryConfig
 from .kernel import Kernel
 from .random_streams import UniformStream
 
--- a/rosepick/lab/model/fault_schedule.py
+++ b/rosepick/lab/model/fault_schedule.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from functools import partial
 
-from ..experiment import ExperimentError, FaultConfig
+from ..experiment import ExperimentError
+from ..experiment_config import FaultConfig
 from ..results import FaultSpan
 from .nodes import SimulatedCacheNode, SimulatedNode
 from .patch_campaign import PatchCampaign
--- a/rosepick/lab/model/network.py
+++ b/rosepick/lab/model/network.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..experiment import NetworkConfig
+from ..experiment_config import NetworkConfig
 from .random_streams import UniformStream
 
 
--- a/rosepick/lab/model/nodes.py
+++ b/rosepick/lab/model/nodes.py
@@ -8,7 +8,7 @@
 
 from ...core.endpoint_directory import hash_uid
 from ...decisions.api import Endpoint, Result, Status
-from ..experiment import NodeGroupConfig, OriginConfig
+from ..experiment_config import NodeGroupConfig, OriginConfig
 from .cache_store import CacheStore
 from .kernel import Kernel
 from .machine import Machine, MachineConfig, WorkItem
--- a/rosepick/lab/model/patch_campaign.py
+++ b/rosepick/lab/model/patch_campaign.py
@@ -18,7 +18,7 @@
 from ...fleet import disruption_budget as budgets
 from ...fleet import failure_detector
 from ...fleet.fleet_state import DrainRequest, FleetMember, FleetState, MemberKind, MemberPhase
-from ..experiment import FaultConfig
+from ..experiment_config import FaultConfig
 from ..results import FaultSpan
 from .nodes import SimulatedCacheNode
 from .simulation import Simulation
--- a/rosepick/lab/model/simulated_router.py
+++ b/rosepick/lab/model/simulated_router.py
@@ -15,7 +15,7 @@
 from ...core.request_context import RequestContext, UpstreamAttempt
 from ...decisions import api
 from ...decisions.api import Result
-from ..experiment import RoutersConfig
+from ..experiment_config import RoutersConfig
 from .client_behaviour import TryOutcome
 from .discovery import DiscoverySubscriber, SimulatedDiscovery
 from .kernel import Kernel
--- a/rosepick/lab/model/simulation.py
+++ b/rosepick/lab/model/simulation.py
@@ -8,7 +8,8 @@
 from ...core.ports import DecisionModule
 from ...decisions import api
 from ...decisions.api import Result, Status
-from ..experiment import Experiment, NodeGroupConfig
+from ..experiment import Experiment
+from ..experiment_config import NodeGroupConfig
 from ..measure import Measure
 from .clients import Clients
 from .discovery import SimulatedDiscovery
--- a/rosepick/lab/model/workload.py
+++ b/rosepick/lab/model/workload.py
@@ -10,7 +10,8 @@
 import numpy as np
 
 from ...core.endpoint_directory import hash_key
-from ..experiment import Experiment, ExperimentError, RequestClassConfig, RoutersConfig
+from ..experiment import Experiment, ExperimentError
+from ..experiment_config import RequestClassConfig, RoutersConfig
 from .random_streams import UniformStream, WorkStream, ZipfStream, create_generator
 
 COST_HINT_SPREAD = 0.3  # standard deviation of the logarithm of the error of a hint of a request's work
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,8 +11,9 @@
 
 from rosepick.decisions import api
 from rosepick.decisions.api import Status
-from rosepick.lab import experiment, results, sim
-from rosepick.lab.experiment import ExperimentError, RequirementConfig
+from rosepick.lab import experiment, experiment_config, results, sim
+from rosepick.lab.experiment import ExperimentError
+from rosepick.lab.experiment_config import RequirementConfig
 from rosepick.lab.live import live_faults
 from rosepick.lab.measure import Measure
 from rosepick.lab.model import fault_schedule
@@ -214,7 +215,7 @@
 def test_every_trouble_that_is_simulated_is_played() -> None:
     kinds = [
         kind
-        for kind in experiment.FaultKind.__args__  # type: ignore[attr-defined]
+        for kind in experiment_config.FaultKind.__args__  # type: ignore[attr-defined]
         if kind not in live_faults.LIVE_FAULT_INJECTORS
     ]
     rows = ", ".join(
