--- a/rosepick/lab/console.py
+++ b/rosepick/lab/console.py
@@ -1,4 +1,4 @@
-"""What the lab's commands show: progress on a terminal, a run in a few lines, tables."""
+"""Output of the lab's commands: progress on a terminal, a run in a few lines, tables."""
 
 from __future__ import annotations
 
@@ -17,15 +17,27 @@
 )
 from rich.table import Table
 
-from .results import RunCost, RunResult
+from .results import RequirementResult, RuleViolation, RunCost, RunResult
 
-_WIDTH = 120  # columns where nobody looks at a terminal
-_CONSOLE = Console(highlight=False, width=None if sys.stdout.isatty() else _WIDTH)
-_MAX_SHOWN = 5  # broken rules that are named
+_FILE_WIDTH = 120  # columns where the output is no terminal
+_CONSOLE = Console(highlight=False, width=None if sys.stdout.isatty() else _FILE_WIDTH)
+_MAX_SHOWN_VIOLATIONS = 5  # broken rules that are listed one by one
+_TOTALS_COLUMNS = (
+    "requests",
+    "in time",
+    "late",
+    "refused",
+    "failed",
+    "p50",
+    "p99",
+    "attempts",
+    "hits",
+    "origin load",
+)
 
 
 def _create_progress_bar() -> Progress:
-    """On standard error, and only on a terminal."""
+    """Return a progress bar on standard error; it is shown on a terminal only."""
     console = Console(stderr=True)
     columns = (
         TextColumn("{task.description}"),
@@ -39,66 +51,65 @@
 
 @contextmanager
 def progress_bar(name: str) -> Iterator[Callable[[float], None]]:
-    """Show the part that is done, 0 to 1."""
+    """Show a progress bar; yields a function that sets the part done, 0 to 1."""
     with _create_progress_bar() as bar:
         task = bar.add_task(name, total=1.0)
-        yield lambda done: bar.update(task, completed=done)
+        yield lambda progress: bar.update(task, completed=progress)
 
 
 def print_run(run: RunResult, cost: RunCost) -> None:
-    """A run in a few lines."""
+    """Print a run in a few lines."""
+    _CONSOLE.print(_totals_table(run))
+    for requirement in run.must:
+        print(_format_requirement(requirement))
+    for violation in run.broken[:_MAX_SHOWN_VIOLATIONS]:
+        print(_format_violation(violation))
+    if len(run.broken) > _MAX_SHOWN_VIOLATIONS:
+        print(f"  ... and {len(run.broken) - _MAX_SHOWN_VIOLATIONS} more")
+    if run.void:
+        print(f"  VOID: {run.void}")
+    print(f"  {cost.requests} requests, {cost.cpu_s:.1f} s of CPU, {cost.memory_mb:.0f} MB")
+
+
+def _totals_table(run: RunResult) -> Table:
     total = run.totals
     table = Table(title=f"{run.experiment}: {run.policy}, seed {run.seed}, {run.how}", title_justify="left")
-    for name in (
-        "requests",
-        "in time",
-        "late",
-        "refused",
-        "failed",
-        "p50",
-        "p99",
-        "attempts",
-        "hits",
-        "origin load",
-    ):
+    for name in _TOTALS_COLUMNS:
         table.add_column(name, justify="right")
     table.add_row(
         f"{total['offered']:.0f}",
-        *(
-            f"{total[name]:.2%}"
-            for name in (
-                "served_share",
-                "late_share",
-                "refused_share",
-                "failed_share",
-            )
-        ),
+        f"{total['served_share']:.2%}",
+        f"{total['late_share']:.2%}",
+        f"{total['refused_share']:.2%}",
+        f"{total['failed_share']:.2%}",
         f"{total['p50_ms']:.1f} ms",
         f"{total['p99_ms']:.1f} ms",
         f"{total['attempts_per_request']:.2f}",
         f"{total['hit_share']:.1%}",
         f"{total['origin_load']:.1%}",
     )
-    _CONSOLE.print(table)
-    for verdict in run.must:
-        bounds = [f"at least {verdict.least:g}"] if verdict.least is not None else []
-        bounds += [f"at most {verdict.most:g}"] if verdict.most is not None else []
-        word = "held" if verdict.held else "DID NOT HOLD"
-        print(
-            f"  {word}: {verdict.what} {verdict.value:g}, {' and '.join(bounds)}, "
-            f"from {verdict.since:g} to {verdict.until:g} s"
-        )
-    for broken in run.broken[:_MAX_SHOWN]:
-        where = f" at {broken.node}" if broken.node else ""
-        who = f", request {broken.request}" if broken.request else ""
-        print(f"  BROKEN RULE {broken.rule}: {broken.text}{who}{where}, {broken.at:.3f} s")
-    if len(run.broken) > _MAX_SHOWN:
-        print(f"  ... and {len(run.broken) - _MAX_SHOWN} more")
-    if run.void:
-        print(f"  VOID: {run.void}")
-    print(f"  {cost.requests} requests, {cost.cpu_s:.1f} s of CPU, {cost.memory_mb:.0f} MB")
+    return table
+
+
+def _format_requirement(requirement: RequirementResult) -> str:
+    bounds: list[str] = []
+    if requirement.least is not None:
+        bounds.append(f"at least {requirement.least:g}")
+    if requirement.most is not None:
+        bounds.append(f"at most {requirement.most:g}")
+    outcome = "held" if requirement.held else "DID NOT HOLD"
+    return (
+        f"  {outcome}: {requirement.what} {requirement.value:g}, {' and '.join(bounds)}, "
+        f"from {requirement.since:g} to {requirement.until:g} s"
+    )
+
+
+def _format_violation(violation: RuleViolation) -> str:
+    request = f", request {violation.request}" if violation.request else ""
+    node = f" at {violation.node}" if violation.node else ""
+    return f"  BROKEN RULE {violation.rule}: {violation.text}{request}{node}, {violation.at:.3f} s"
 
 
 def print_comparison(comparison: RenderableType) -> None:
-    """Show a table."""
+    """Print a table."""
     _CONSOLE.print(comparison)
