Lab measurements: a type for the measured request in place of four parameters

record_offered and record_ended took due time, class, tenant and worth one by one (six parameters); both now take a MeasuredRequest, which the model's clients and the live runs make. Names carry their units.

--- a/rosepick/lab/live/live_run.py
+++ b/rosepick/lab/live/live_run.py
@@ -21,7 +21,7 @@
 
 from ..experiment import Experiment
 from ..experiment_config import FaultConfig
-from ..measure import Measure
+from ..measure import Measure, MeasuredRequest
 from ..model.workload import ScheduledRequest
 from ..results import RunCost, RunResult
 from . import request_schedule
@@ -282,21 +282,10 @@
         measure.violations = stand_in_results.violations
 
         for request in self.requests:
-            request_class = self.experiment.classes[request.klass]
-            measure.record_offered(
-                request.due_ms, request_class.name, self._tenant_of(request), request_class.worth
-            )
+            measure.record_offered(self._measured(request))
         for ended in load_results.request_ends:
             request = self.requests[ended.number]
-            request_class = self.experiment.classes[request.klass]
-            measure.record_ended(
-                request.due_ms,
-                request_class.name,
-                self._tenant_of(request),
-                request_class.worth,
-                ended.outcome,
-                ended.elapsed_ms,
-            )
+            measure.record_ended(self._measured(request), ended.outcome, ended.elapsed_ms)
         for unexpected in self.unexpected_exits:
             at_ms = 1000.0 * unexpected.at_s
             measure.record_violation("answered", "", unexpected.router, at_ms, unexpected.text)
@@ -310,9 +299,11 @@
         check_rules(measure, observations)
         return measure
 
-    def _tenant_of(self, request: ScheduledRequest) -> str:
+    def _measured(self, request: ScheduledRequest) -> MeasuredRequest:
+        request_class = self.experiment.classes[request.klass]
         tenants = self.experiment.tenants
-        return tenants[request.tenant].name if tenants else ""
+        tenant = tenants[request.tenant].name if tenants else ""
+        return MeasuredRequest(request.due_ms, request_class.name, tenant, request_class.worth)
 
     @staticmethod
     def _void_reason(stand_in_results: StandInResults, load_results: LoadResults) -> str:
--- a/rosepick/lab/measure.py
+++ b/rosepick/lab/measure.py
@@ -1,7 +1,7 @@
-"""What is measured in a run, however it is played: requests by second, class and tenant, latencies, loads.
+"""Measurements of a run, simulated or live: requests by second, class and tenant, latencies, loads.
 
-A request is a client's first try with its repeats: its time counts from when it was due, and it is served if
-any of its tries was. Times are milliseconds here, seconds in the results.
+A request is a client's first try with its retries: its latency counts from when it was due, and it is served
+if any of its tries was. Times are milliseconds here, seconds in the results.
 """
 
 from __future__ import annotations
@@ -26,25 +26,35 @@
     source_revision,
 )
 
-MAX_LATENCY_MS = 600_000  # hundredths of a millisecond are counted up to ten minutes
+MAX_LATENCY_MS = 600_000  # histograms end at ten minutes
 PERCENTILES = (50.0, 75.0, 90.0, 95.0, 99.0, 99.5, 99.9, 99.99)
 OUTCOMES = ("in_time", "late", "refused", "failed", "left")
-SECOND_MS = 1_000.0  # of the windows
+SECOND_MS = 1_000.0
 
 
 def _histogram() -> HdrHistogram:
-    """Of hundredths of a millisecond, with two digits."""
+    """Return a histogram of hundredths of a millisecond, with two significant digits."""
     return HdrHistogram(1, MAX_LATENCY_MS * 100, 2)
 
 
+@dataclass(frozen=True, slots=True)
+class MeasuredRequest:
+    """A client's request, as it is measured."""
+
+    due_ms: float
+    class_name: str
+    tenant: str  # empty if the experiment has no tenants
+    worth: float
+
+
 @dataclass(slots=True)
 class SecondCounts:
-    """What is counted in one second."""
+    """Counts of one second."""
 
     counts: Counter[str] = field(default_factory=Counter)
     worth_offered: float = 0.0
     worth_in_time: float = 0.0
-    served: list[float] = field(default_factory=list)
+    served_times_ms: list[float] = field(default_factory=list)
     origin_load: float = 0.0
     node_loads: tuple[float, ...] = ()
     cold_used: float = 0.0
@@ -52,117 +62,127 @@
 
 
 class GroupMeasure:
-    """What a class or a tenant got."""
+    """Measurements of a request class or a tenant."""
 
     def __init__(self) -> None:
-        self.offered = self.in_time = 0
+        self.offered = 0
+        self.in_time = 0
         self.times = _histogram()
 
     def summarize(self) -> GroupSummary:
-        """As a result."""
+        """Return them as a part of the run's result."""
         return GroupSummary(
-            self.offered, _share(self.in_time, self.offered), _at(self.times, 50.0), _at(self.times, 99.0)
+            self.offered,
+            _share(self.in_time, self.offered),
+            _percentile_ms(self.times, 50.0),
+            _percentile_ms(self.times, 99.0),
         )
 
 
 class Measure:
-    """Collects what happens in one run."""
+    """Collects the measurements of one run."""
 
     def __init__(self, experiment: Experiment) -> None:
         self.experiment = experiment
         self.seconds = [SecondCounts() for _ in range(int(-(-experiment.length // 1)))]
         self.times = _histogram()
-        self.classes = {one.name: GroupMeasure() for one in experiment.classes}
-        self.tenants = {one.name: GroupMeasure() for one in experiment.tenants}
+        self.classes = {config.name: GroupMeasure() for config in experiment.classes}
+        self.tenants = {config.name: GroupMeasure() for config in experiment.tenants}
         self.violations: list[RuleViolation] = []
         self.spans: list[FaultSpan] = []
         self.cold_overloads = 0
 
     def second_at(self, now: float) -> SecondCounts:
-        """The one that a time is in; the last one for what comes after the end."""
+        """Return the counts of the second that a time is in; times beyond the end count in the last one."""
         return self.seconds[max(0, min(len(self.seconds) - 1, int(now // SECOND_MS)))]
 
     def count_event(self, now: float, event: str) -> None:
-        """Count an attempt, a hit, a miss, a crossing and the like."""
+        """Count an event, such as an attempt, a hit, a miss or a zone crossing."""
         self.second_at(now).counts[event] += 1
 
-    def record_offered(self, due: float, klass: str, tenant: str, worth: float) -> None:
-        """A request was due."""
-        second = self.second_at(due)
+    def record_offered(self, request: MeasuredRequest) -> None:
+        """Record that a request was due."""
+        second = self.second_at(request.due_ms)
         second.counts["offered"] += 1
-        second.worth_offered += worth
-        if self._is_measured(due):
-            self.classes[klass].offered += 1
-            if tenant:
-                self.tenants[tenant].offered += 1
-
-    def record_ended(
-        self, due: float, klass: str, tenant: str, worth: float, outcome: str, elapsed_ms: float
-    ) -> None:
-        """A request has its end, one of `ENDS`; `elapsed_ms` counts from when it was due."""
-        second = self.second_at(due)
+        second.worth_offered += request.worth
+        if self._is_measured(request):
+            for group in self._groups_of(request):
+                group.offered += 1
+
+    def record_ended(self, request: MeasuredRequest, outcome: str, elapsed_ms: float) -> None:
+        """Record the end of a request.
+
+        `outcome` is one of `OUTCOMES`; `elapsed_ms` is counted from when the request was due.
+        """
+        second = self.second_at(request.due_ms)
         second.counts[outcome] += 1
         if outcome == "in_time":
-            second.worth_in_time += worth
+            second.worth_in_time += request.worth
         if outcome in ("in_time", "late"):
-            second.served.append(elapsed_ms)
-        if not self._is_measured(due):
+            second.served_times_ms.append(elapsed_ms)
+        if not self._is_measured(request):
             return
-        groups = [self.classes[klass], *([self.tenants[tenant]] if tenant else [])]
+        groups = self._groups_of(request)
         for group in groups:
             group.in_time += outcome == "in_time"
         if outcome in ("in_time", "late"):
-            hundredths = max(1, min(MAX_LATENCY_MS * 100, int(elapsed_ms * 100)))
-            self.times.record_value(hundredths)
+            histogram_value = max(1, min(MAX_LATENCY_MS * 100, int(elapsed_ms * 100)))
+            self.times.record_value(histogram_value)
             for group in groups:
-                group.times.record_value(hundredths)
+                group.times.record_value(histogram_value)
 
     def record_violation(self, rule: str, request: str, node: str, now: float, text: str) -> None:
-        """A rule was broken."""
+        """Record a broken rule; `request` and `node` are empty if unknown."""
         self.violations.append(RuleViolation(rule, request, node, now / 1000.0, text))
 
-    def _is_measured(self, due: float) -> bool:
-        return self.experiment.warm_up * 1000.0 <= due < self.experiment.length * 1000.0
+    def _is_measured(self, request: MeasuredRequest) -> bool:
+        return self.experiment.warm_up * 1000.0 <= request.due_ms < self.experiment.length * 1000.0
 
-    # ---------------------------------------------------------------------------------------- its result
+    def _groups_of(self, request: MeasuredRequest) -> list[GroupMeasure]:
+        groups = [self.classes[request.class_name]]
+        if request.tenant:
+            groups.append(self.tenants[request.tenant])
+        return groups
 
     def build_result(
         self, seed: int, mode: str, policy: str, changes: dict[str, object], void: str = ""
     ) -> RunResult:
-        """The result of all that was collected."""
-        given = self.experiment
+        """Return the result of the run; `mode` is `sim` or `live`, `void` why the run is invalid."""
+        experiment = self.experiment
         windows = [_window(n, second) for n, second in enumerate(self.seconds)]
         return RunResult(
-            experiment=given.name,
+            experiment=experiment.name,
             policy=policy,
             seed=seed,
             how=mode,
             changes=changes,
             revision=source_revision(),
             versions=library_versions(),
-            length=given.length,
-            warm_up=given.warm_up,
+            length=experiment.length,
+            warm_up=experiment.warm_up,
             void=void,
-            totals=self.figures(given.warm_up, given.length),
+            totals=self.figures(experiment.warm_up, experiment.length),
             classes={name: group.summarize() for name, group in self.classes.items()},
             tenants={name: group.summarize() for name, group in self.tenants.items()},
-            percentiles=[(q, _at(self.times, q)) for q in PERCENTILES],
+            percentiles=[(percentile, _percentile_ms(self.times, percentile)) for percentile in PERCENTILES],
             windows=windows,
             troubles=self.spans,
-            must=[self._check_requirement(must) for must in given.must],
+            must=[self._check_requirement(requirement) for requirement in experiment.must],
             broken=self.violations,
         )
 
     def figures(self, since: float, until: float) -> dict[str, float]:
-        """All figures over a span, in seconds from the begin; a second counts from the first that begins in
-        it to the last that does.
+        """Return all figures over a span, in seconds from the start of the run.
+
+        Whole seconds count, those that begin within the span.
         """
         seconds = self.seconds[ceil(since) : ceil(until)]
         total: Counter[str] = Counter()
         for second in seconds:
             total.update(second.counts)
-        times = sorted(took for second in seconds for took in second.served)
-        offered, reads = total["offered"], total["hits"] + total["misses"]
+        times = sorted(time_ms for second in seconds for time_ms in second.served_times_ms)
+        offered = total["offered"]
+        reads = total["hits"] + total["misses"]
         loads = [load for second in seconds for load in second.node_loads]
         return {
             "offered": float(offered),
@@ -199,7 +219,8 @@
 
 
 def _window(at: int, second: SecondCounts) -> Window:
-    counts, times = second.counts, sorted(second.served)
+    counts = second.counts
+    times = sorted(second.served_times_ms)
     return Window(
         at=at,
         offered=counts["offered"],
@@ -230,14 +251,19 @@
 
 
 def _mean(values: Iterable[float]) -> float:
-    held = list(values)
-    return round(sum(held) / len(held), 4) if held else 0.0
+    items = list(values)
+    return round(sum(items) / len(items), 4) if items else 0.0
 
 
-def _quantile(ordered: list[float], q: float) -> float:
-    """Of values in order; the next higher one that was measured."""
-    return round(ordered[min(len(ordered) - 1, int(q * len(ordered)))], 2) if ordered else 0.0
+def _quantile(sorted_values: list[float], q: float) -> float:
+    """Return the measured value at the quantile or next above it."""
+    if not sorted_values:
+        return 0.0
+    return round(sorted_values[min(len(sorted_values) - 1, int(q * len(sorted_values)))], 2)
 
 
-def _at(times: HdrHistogram, percentile: float) -> float:
-    return round(times.get_value_at_percentile(percentile) / 100.0, 2) if times.get_total_count() else 0.0
+def _percentile_ms(times: HdrHistogram, percentile: float) -> float:
+    if not times.get_total_count():
+        return 0.0
+    hundredths: int = times.get_value_at_percentile(percentile)
+    return round(hundredths / 100.0, 2)
--- a/rosepick/lab/model/clients.py
+++ b/rosepick/lab/model/clients.py
@@ -9,7 +9,7 @@
 from ...core.request_context import RequestContext
 from ..experiment import Experiment
 from ..experiment_config import RequestClassConfig
-from ..measure import Measure
+from ..measure import Measure, MeasuredRequest
 from .client_behaviour import CLIENT_OUTCOME_BY_TRY, ClientOutcome, TryOutcome, final_outcome, retry_pause_ms
 from .kernel import Kernel
 from .random_streams import UniformStream
@@ -69,7 +69,9 @@
         tenants = self.experiment.tenants
         tenant = tenants[request.tenant].name if tenants else ""
         client_request = ClientRequest(request, request_class, tenant)
-        self.measure.record_offered(request.due_ms, request_class.name, tenant, request_class.worth)
+        self.measure.record_offered(
+            MeasuredRequest(request.due_ms, request_class.name, tenant, request_class.worth)
+        )
         if request.abandon_after_ms < math.inf:
             abandon_at = request.due_ms + request.abandon_after_ms
             self.kernel.call_at(abandon_at, lambda: self._abandon(client_request))
@@ -144,11 +146,10 @@
         client_request.finished = True
         client_request.router_request = None
         request = client_request.request
-        self.measure.record_ended(
+        measured = MeasuredRequest(
             request.due_ms,
             client_request.request_class.name,
             client_request.tenant,
             client_request.request_class.worth,
-            outcome.value,
-            self.kernel.time - request.due_ms,
         )
+        self.measure.record_ended(measured, outcome.value, self.kernel.time - request.due_ms)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -15,7 +15,7 @@
 from rosepick.lab.experiment import ExperimentError
 from rosepick.lab.experiment_config import RequirementConfig
 from rosepick.lab.live import live_faults
-from rosepick.lab.measure import Measure
+from rosepick.lab.measure import Measure, MeasuredRequest
 from rosepick.lab.model import fault_schedule
 from rosepick.lab.model.rule_monitor import ClientTry
 from rosepick.lab.model.simulation import Simulation
@@ -127,10 +127,10 @@
     )
     measure = Measure(given)
     for n in range(40):
-        due = 100.0 * n
-        measure.record_offered(due, "read", "", 1.0)
+        request = MeasuredRequest(100.0 * n, "read", "", 1.0)
+        measure.record_offered(request)
         good = n < 20 or n % 2 == 0
-        measure.record_ended(due, "read", "", 1.0, "in_time" if good else "refused", 30.0 + n)
+        measure.record_ended(request, "in_time" if good else "refused", 30.0 + n)
     run = measure.build_result(1, "sim", "rosepick", {})
     assert [window.in_time for window in run.windows] == [10, 10, 5, 5]
     assert run.totals["offered"] == 30  # the first second is no part of it
@@ -252,7 +252,7 @@
 def test_a_second_that_a_trouble_ends_in_does_not_count_as_after_it() -> None:
     measure = Measure(experiment.parse_experiment(SMALL, "f", {"length": 4.0}))
     for second in range(4):
-        measure.record_offered(1000.0 * second, "read", "", 1.0)
+        measure.record_offered(MeasuredRequest(1000.0 * second, "read", "", 1.0))
     assert measure.figures(1.7, 4.0)["offered"] == 2.0
     assert measure.figures(1.0, 2.5)["offered"] == 2.0
 
--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -328,7 +328,7 @@
     asked = list(Workload(given, 1))
     works = np.array([0.0, *(one.work_ms for one in asked[1:])])  # the first one misses
     gaps = np.diff([0.0, *(one.due_ms for one in asked)])
-    measured = [took for second in measures[0].seconds for took in second.served]
+    measured = [time_ms for second in measures[0].seconds for time_ms in second.served_times_ms]
     waited, expected = np.mean(measured) - works.mean(), recursion(gaps, works, 1).mean()
     assert len(measured) == len(asked) and run.totals["served_share"] == 1.0 and not run.broken
     assert waited == pytest.approx(expected, rel=1e-4)
