Lab paper: formulas, simulation and tables in a module each

Shares of traffic and the plan of a simulation have types in place of long parameter lists; misnamed members (`fog_share_by_group` was a count of requests, `ranks_for_share` a share) have their names. run_rows, which run_comparison only wrapped in a list, is merged with it: it yields, and the test makes the list.

--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -16,7 +16,7 @@
 
 from rosepick.core.request_context import UpstreamAttempt
 from rosepick.decisions.api import Result
-from rosepick.lab import experiment, paper, sim, theory
+from rosepick.lab import experiment, paper, paper_model, paper_simulation, sim, theory
 from rosepick.lab.measure import Measure
 from rosepick.lab.model import fault_schedule
 from rosepick.lab.model.cache_store import CacheStore
@@ -494,8 +494,8 @@
 
 
 def test_the_papers_figures_come_out_of_its_formulas() -> None:
-    lines = list(paper.format_predictions(paper.PAPER_SITE))[2:]
-    assert len(lines) == len(paper.POLICIES)
+    lines = list(paper.format_predictions(paper_model.PAPER_SITE))[2:]
+    assert len(lines) == len(paper_model.POLICIES)
     for line in lines:
         figures = line[16:].replace("%", "").split()
         for ours, expected in zip(figures[::2], figures[1::2], strict=True):
@@ -504,15 +504,16 @@
 
 def test_the_papers_order_of_policies_comes_out() -> None:
     """On a hundredth of its keys and memories, and with few requests."""
-    small = replace(paper.PAPER_SITE, keys=100_000, fog_cache=1_000)
-    found, ranks = paper.run_comparison(1, 6_000, small, (2_000.0,)), paper.RankGroups(small)
-    assert [row.policy for row in found] == list(paper.POLICIES)
-    blind, lfu, lru, roomy = found
+    small = replace(paper_model.PAPER_SITE, keys=100_000, fog_cache=1_000)
+    results = list(paper_simulation.run_comparison(1, 6_000, small, (2_000.0,)))
+    ranks = paper_model.RankGroups(small)
+    assert [row.policy for row in results] == list(paper_model.POLICIES)
+    blind, lfu, lru, roomy = results
     assert lfu.cost < lru.cost < roomy.cost < 0.6 * blind.cost and lru.cost < 1.1 * lfu.cost
     assert lfu.fog_share > lru.fog_share > roomy.fog_share > 2.0 * blind.fog_share
     assert roomy.hit_share > lru.hit_share > blind.hit_share
     assert roomy.over_share < 0.1 * lru.over_share and roomy.longest_ms < lru.longest_ms
-    for row, line in zip(found, list(paper.format_table(iter(found)))[1:], strict=True):
-        expected = paper.predict(small, ranks, row.rate, row.setting)
+    for row, line in zip(results, list(paper.format_table(results))[1:], strict=True):
+        expected = paper_model.predict(small, ranks, row.rate, row.setting)
         assert expected.time_ms <= small.target_ms and f"{row.cost:.2f}" in line
         assert (row.fog_share, row.cost) == pytest.approx((expected.fog_share, expected.cost), rel=0.06)
