Lab live: a parameter object for a router's configuration document

router_config_document took seven parameters; it takes the experiment and a RouterInstance. Callers follow.

--- a/rosepick/lab/drill/drain_harness.py
+++ b/rosepick/lab/drill/drain_harness.py
@@ -208,11 +208,10 @@
         experiment = read_experiment(EXPERIMENT, "drains")
         listen = f"{self.host}:{self.listen_addresses[name][1]}"
         known = {"rev": 0, "all": True, "targets": []}
-        told = router_config.router_config_document(
-            experiment, name, listen, f"{self.host}:{watch}", known, position=number
-        )
-        told["ops"] = f"{self.host}:{self.admin_addresses[name][1]}"
-        (self.folder / f"{name}.json").write_text(json.dumps(told), "utf-8")
+        router = router_config.RouterInstance(name, listen, f"{self.host}:{watch}", known, position=number)
+        document = router_config.router_config_document(experiment, router)
+        document["ops"] = f"{self.host}:{self.admin_addresses[name][1]}"
+        (self.folder / f"{name}.json").write_text(json.dumps(document), "utf-8")
 
     def is_serving(self, name: str) -> bool:
         """Whether a member serves, by asking it."""
--- a/rosepick/lab/live/router_config.py
+++ b/rosepick/lab/live/router_config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from ...core.endpoint_directory import hash_uid
@@ -14,33 +14,33 @@
 CONNECTION_IDLE_MS = 15_000.0  # after which a node closes an idle connection
 
 
-def router_config_document(
-    experiment: Experiment,
-    name: str,
-    listen: str,
-    discovery: str,
-    known: dict[str, Any],
-    *,
-    position: int = 0,
-    seed: int | None = None,
-) -> dict[str, Any]:
-    """Return the configuration document of one router; times in it are milliseconds.
+@dataclass(frozen=True, slots=True)
+class RouterInstance:
+    """One router of an experiment."""
 
-    `known` is the cached endpoint list as discovery sends it.
-    """
-    actual_seed = experiment.seed if seed is None else seed
+    name: str
+    listen: str  # host:port
+    discovery: str  # host:port of the discovery service
+    known_endpoints: dict[str, Any]  # the cached endpoint list, as discovery sends it
+    position: int = 0  # number of the router in the fleet
+    seed: int | None = None  # None: that of the experiment
+
+
+def router_config_document(experiment: Experiment, router: RouterInstance) -> dict[str, Any]:
+    """Return the configuration document of one router; times in it are milliseconds."""
+    seed = experiment.seed if router.seed is None else router.seed
     return {
-        "name": name,
-        "listen": listen,
-        "discovery": discovery,
-        "seed": f"{hash_uid(f'{name} {actual_seed}'):x}",
+        "name": router.name,
+        "listen": router.listen,
+        "discovery": router.discovery,
+        "seed": f"{hash_uid(f'{router.name} {seed}'):x}",
         "limits": {
             "cores": 1.0,
             "memory_mb": experiment.routers.memory_mb,
             "sockets": experiment.routers.sockets,
         },
-        "known": known,
-        "settings": _settings(experiment, position),
+        "known": router.known_endpoints,
+        "settings": _settings(experiment, router.position),
     }
 
 
--- a/rosepick/lab/live/router_process.py
+++ b/rosepick/lab/live/router_process.py
@@ -105,8 +105,7 @@
 
     def start(self, known_endpoints: dict[str, Any]) -> None:
         """Start a process with a cached endpoint list."""
-        document = router_config.router_config_document(
-            self._experiment,
+        router = router_config.RouterInstance(
             self.name,
             f"{HOST}:{self.port}",
             f"{HOST}:{self._discovery_port}",
@@ -114,6 +113,7 @@
             position=self.index,
             seed=self._seed,
         )
+        document = router_config.router_config_document(self._experiment, router)
         self._config_file.write_text(json.dumps(document), "utf-8")
         self.processes.append(RouterProcess(self._config_file, self.log_file))
 
--- a/tests/golden_settings_forms.py
+++ b/tests/golden_settings_forms.py
@@ -169,9 +169,8 @@
 def lab_configuration() -> object:
     """Return the GW_CONFIG that the lab writes for a router, and what its experiment holds."""
     calm = experiment.load_experiment(ROOT / "experiments" / "calm.toml")
-    document = router_config.router_config_document(
-        calm, "n1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1}, position=1
-    )
+    router = router_config.RouterInstance("n1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1}, position=1)
+    document = router_config.router_config_document(calm, router)
     return [document, calm.model_dump(mode="json")]
 
 
--- a/tests/test_lab_live.py
+++ b/tests/test_lab_live.py
@@ -27,7 +27,7 @@
 from rosepick.lab.live.origin_state import WriteDeduplicator
 from rosepick.lab.live.request_reader import HttpRequest, RequestReader, encode_response
 from rosepick.lab.live.request_schedule import schedule_requests
-from rosepick.lab.live.router_config import router_config_document
+from rosepick.lab.live.router_config import RouterInstance, router_config_document
 from rosepick.lab.live.rule_check import RunObservations, check_rules
 from rosepick.lab.live.run_records import Lateness, NodeAttemptRecord, RouterDowntime, TryRecord
 from rosepick.lab.measure import Measure
@@ -85,9 +85,8 @@
 
 def test_routers_are_told_what_simulated_ones_are() -> None:
     given = experiment('tenants = [{name = "acme", share = 3}, {name = "beta"}]\nzones = ["a", "b"]')
-    document = router_config_document(
-        given, "router-1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1, "all": True}, position=1
-    )
+    router = RouterInstance("router-1", "127.0.0.1:1", "127.0.0.1:2", {"rev": 1, "all": True}, position=1)
+    document = router_config_document(given, router)
     found = config.read(json.loads(json.dumps(document)))
     assert found.settings == router_settings_for(given, 1, 1)
     assert list(found.names.classes) == ["read", "set"] and list(found.names.tenants) == ["acme", "beta"]
