--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -91,9 +91,9 @@
     trace = tmp_path / "day.csv"
     trace.write_text("# seconds,class,key\n0.5,read,k1\n0.75,read,k2\n\n0.75,read,k1\n")
     changes = {"traffic.arrivals": "trace", "traffic.trace": str(trace)}
-    found = list(Workload(experiment.parse_experiment(SMALL, "f", changes), 1))
-    assert [one.due_ms for one in found] == [500.0, 750.0, 750.0]
-    assert found[0].key == found[2].key != found[1].key
+    requests = list(Workload(experiment.parse_experiment(SMALL, "f", changes), 1))
+    assert [request.due_ms for request in requests] == [500.0, 750.0, 750.0]
+    assert requests[0].key == requests[2].key != requests[1].key
     trace.write_text("0.5,read,k1\n0.1,read,k2\n1,write,k3\nx\n")
     with pytest.raises(ExperimentError) as raised:
         list(Workload(experiment.parse_experiment(SMALL, "f", changes), 1))
@@ -103,8 +103,8 @@
 def test_arrivals_keep_their_rate_and_what_one_part_draws_changes_nothing_for_another() -> None:
     def dues(**changes: object) -> list[tuple[float, int]]:
         return [
-            (one.due_ms, one.key)
-            for one in Workload(experiment.parse_experiment(SMALL, "f", {"length": 200.0, **changes}), 3)
+            (request.due_ms, request.key)
+            for request in Workload(experiment.parse_experiment(SMALL, "f", {"length": 200.0, **changes}), 3)
         ]
 
     for arrivals in ("poisson", "bursts", "daily", "regular"):
@@ -164,18 +164,18 @@
     router = simulation.routers[0]
     assert router is not None
     router.subscription.drain_known_since[node.number] = 0.0
-    one = ClientTry("7.1", router.engine.settings.classes[0], 1_000.0)
+    client_try = ClientTry("7.1", router.engine.settings.classes[0], 1_000.0)
     simulation.kernel.run(749.0)
-    simulation.monitor.record_outcome(router.record_send(one, node), api.Result.MISS)
+    simulation.monitor.record_outcome(router.record_send(client_try, node), api.Result.MISS)
     assert measure.violations == []
     simulation.kernel.run(800.0)
-    router.record_send(one, node)
-    router.record_send(one, node)
-    simulation.monitor.record_answer(one, 1_060.0, False, "router-0")
-    simulation.monitor.record_answer(one, 1_070.0, False, "router-0")
+    router.record_send(client_try, node)
+    router.record_send(client_try, node)
+    simulation.monitor.record_answer(client_try, 1_060.0, False, "router-0")
+    simulation.monitor.record_answer(client_try, 1_070.0, False, "router-0")
     found = [(broken.rule, broken.request, broken.node, broken.at) for broken in measure.violations]
     assert found[0] == ("drains", "7.1", node.uid, 0.8)
-    assert ("effect", "7.1", node.uid, 0.8) in found  # one while another was out
+    assert ("effect", "7.1", node.uid, 0.8) in found  # sent while another attempt was out
     assert ("answered", "7.1", "router-0", 1.06) in found  # late, and then once more
     assert sum(rule == "answered" for rule, *_ in found) == 3
 
--- a/tests/test_lab_report.py
+++ b/tests/test_lab_report.py
@@ -50,8 +50,8 @@
 ]
 
 
-def made(policy: str = "rosepick", seed: int = 1, void: str = "", **more: Any) -> RunResult:
-    given = {
+def make_run(policy: str = "rosepick", seed: int = 1, void: str = "", **more: Any) -> RunResult:
+    defaults = {
         "experiment": "storm",
         "how": "sim",
         "changes": {},
@@ -68,7 +68,7 @@
         "must": [],
         "broken": [],
     }
-    return RunResult(policy=policy, seed=seed, void=void, **{**given, **more})
+    return RunResult(policy=policy, seed=seed, void=void, **{**defaults, **more})
 
 
 def play(
@@ -87,21 +87,23 @@
     assert progress is not None
     progress(0.5)
     rate = experiment.traffic.rate
-    return made(policy, seed, changes=changes, totals={"served_share": rate}), RunCost(1, 2.0, 3.0, 4, 5.0)
+    return make_run(policy, seed, changes=changes, totals={"served_share": rate}), RunCost(
+        1, 2.0, 3.0, 4, 5.0
+    )
 
 
-def played(path: Path, terms: list[str], workers: int, stop_at: int = 99) -> list[float]:
+def sweep_to_file(path: Path, terms: list[str], workers: int, stop_at: int = 99) -> list[float]:
     """Sweep into a file, interrupted after so many lines; how far it said that it was."""
-    parts: list[float] = []
+    progress: list[float] = []
     written = 0
-    for result in run_sweep(SweepJob(TEXT, "s.toml", play), parse_grid(terms), workers, parts.append):
+    for result in run_sweep(SweepJob(TEXT, "s.toml", play), parse_grid(terms), workers, progress.append):
         for line in result:
             with path.open("ab") as file:
                 file.write(encode_result(line))
             written += 1
             if written == stop_at:
                 raise KeyboardInterrupt
-    return parts
+    return progress
 
 
 # ------------------------------------------------------------------------------------------------- the grid
@@ -135,8 +137,8 @@
     ],
 )
 def test_values_are_toml_or_text(given: str, values: list[Any]) -> None:
-    found = [cell.changes["x.y"] for cell in parse_grid([f"x.y={given}"])]
-    assert list(map(repr, found)) == list(map(repr, values))
+    values_found = [cell.changes["x.y"] for cell in parse_grid([f"x.y={given}"])]
+    assert list(map(repr, values_found)) == list(map(repr, values))
 
 
 @pytest.mark.parametrize(
@@ -169,8 +171,8 @@
 def test_the_same_bytes_with_any_number_of_workers(tmp_path: Path) -> None:
     terms = ["traffic.rate=100,200", "seed=1..6"]
     for workers in (1, 3):
-        parts = played(tmp_path / f"{workers}", terms, workers)
-        assert parts == sorted(parts) and parts[-1] == 1
+        progress = sweep_to_file(tmp_path / f"{workers}", terms, workers)
+        assert progress == sorted(progress) and progress[-1] == 1
     assert (tmp_path / "1").read_bytes() == (tmp_path / "3").read_bytes()
     runs = [line for line in read_results(tmp_path / "3") if isinstance(line, RunResult)]
     assert [(run.totals["served_share"], run.seed) for run in runs] == [
@@ -183,7 +185,7 @@
 def test_what_is_done_stays_when_interrupted(tmp_path: Path, workers: int) -> None:
     began = time.monotonic()
     with pytest.raises(KeyboardInterrupt):
-        played(tmp_path / "runs", ["seed=5,6,90,7"], workers, stop_at=4)
+        sweep_to_file(tmp_path / "runs", ["seed=5,6,90,7"], workers, stop_at=4)
     assert [type(line) for line in read_results(tmp_path / "runs")] == [
         RunResult,
         RunCost,
@@ -195,12 +197,12 @@
 
 def test_faulty_cells_are_named_before_anything_starts(tmp_path: Path) -> None:
     with pytest.raises(ExperimentError) as caught:
-        played(tmp_path / "runs", ["traffic.rate=100,0", "policy=a,b", "keys.count=1"], 1)
+        sweep_to_file(tmp_path / "runs", ["traffic.rate=100,0", "policy=a,b", "keys.count=1"], 1)
     assert caught.value.errors == (
         "s.toml with traffic.rate=0 keys.count=1: traffic.rate: Input should be greater than 0",
     )
     with pytest.raises(ExperimentError) as caught:
-        played(tmp_path / "runs", ["length=1..4", "warm_up=5..14"], 1)
+        sweep_to_file(tmp_path / "runs", ["length=1..4", "warm_up=5..14"], 1)
     assert len(caught.value.errors) == 21 and caught.value.errors[-1] == "s.toml: 20 faults more"
     assert not (tmp_path / "runs").exists()
 
@@ -215,7 +217,7 @@
 )
 def test_a_cell_that_fails_is_named(tmp_path: Path, seed: int, workers: int, message: str) -> None:
     with pytest.raises(CellError, match=f"^{re.escape(message)}$"):
-        played(tmp_path / "runs", [f"seed={seed},90"], workers)
+        sweep_to_file(tmp_path / "runs", [f"seed={seed},90"], workers)
     assert not active_children()
 
 
@@ -223,7 +225,7 @@
 
 
 def pair(seed: int, first: dict[str, float], other: dict[str, float]) -> list[RunResult]:
-    return [made("rosepick", seed, totals=first), made("random", seed, totals=other)]
+    return [make_run("rosepick", seed, totals=first), make_run("random", seed, totals=other)]
 
 
 def test_a_comparison_by_hand() -> None:
@@ -237,9 +239,9 @@
             {"served_share": fewer, "p99_ms": p99, "crossings": 0.1 * p99 / 100, "fell": 0.0},
         )
     ]
-    (found,) = compare_runs(runs)
-    assert (found.arms, found.seeds, found.left_out) == (("rosepick", "random"), (1, 2, 3), ())
-    figures = {figure.name: figure for figure in found.figures}
+    (comparison,) = compare_runs(runs)
+    assert (comparison.arms, comparison.seeds, comparison.left_out) == (("rosepick", "random"), (1, 2, 3), ())
+    figures = {figure.name: figure for figure in comparison.figures}
     # served: -0.10, -0.06, -0.14, of which the deviation is 0.04; 4.303 * 0.04 / sqrt(3) is 0.09937
     served = figures["served_share"]
     assert served.means == pytest.approx({"rosepick": 0.92, "random": 0.82})
@@ -259,20 +261,20 @@
         "broken_rules": "unknown",
         "fell": "same",
     }
-    assert found.as_dict()["figures"][0]["differences"]["random"]["word"] == "worse"
+    assert comparison.as_dict()["figures"][0]["differences"]["random"]["word"] == "worse"
 
 
 def test_one_seed_tells_no_spread() -> None:
-    (found,) = compare_runs(pair(1, {"served_share": 0.75}, {"served_share": 0.5}))
-    assert found.figures[0].differences["random"] == FigureDifference(-0.25, None, None, "unknown")
+    (comparison,) = compare_runs(pair(1, {"served_share": 0.75}, {"served_share": 0.5}))
+    assert comparison.figures[0].differences["random"] == FigureDifference(-0.25, None, None, "unknown")
 
 
 def test_what_has_no_partner_is_left_out_and_named() -> None:
-    runs = [made("rosepick", n) for n in (1, 2, 3, 3)] + [made("[b]x", 1)]
-    runs += [made("[b]x", 2, void="it stood still"), made("gone", 1, void="why")]
-    (found,) = compare_runs(runs)
-    assert found.seeds == (1,) and found.arms == ("rosepick", "[b]x")
-    assert found.left_out == (
+    runs = [make_run("rosepick", n) for n in (1, 2, 3, 3)] + [make_run("[b]x", 1)]
+    runs += [make_run("[b]x", 2, void="it stood still"), make_run("gone", 1, void="why")]
+    (comparison,) = compare_runs(runs)
+    assert comparison.seeds == (1,) and comparison.arms == ("rosepick", "[b]x")
+    assert comparison.left_out == (
         "rosepick, seed 3: comes twice",
         "[b]x, seed 2: void: it stood still",
         "gone, seed 1: void: why",
@@ -281,27 +283,27 @@
         "rosepick, seed 3: has no partner",
     )
     shown = io.StringIO()
-    Console(file=shown, width=120).print(comparison_table(found))
+    Console(file=shown, width=120).print(comparison_table(comparison))
     assert all(text in shown.getvalue() for text in ("[b]x", "left out: gone: no run", "unknown"))
-    assert compare_runs([]) == [] and compare_runs([made(void="x")])[0].arms == ()
+    assert compare_runs([]) == [] and compare_runs([make_run(void="x")])[0].arms == ()
 
 
 def test_by_a_setting_and_apart_by_what_else_differs() -> None:
-    runs = [made(policy, 1, changes=changes) for policy in "ab" for changes in ({}, {"traffic.rate": 9})]
-    assert [one.arms for one in compare_runs(runs, "traffic.rate")] == [
+    runs = [make_run(policy, 1, changes=changes) for policy in "ab" for changes in ({}, {"traffic.rate": 9})]
+    assert [comparison.arms for comparison in compare_runs(runs, "traffic.rate")] == [
         ("traffic.rate as in the file", "traffic.rate=9"),
     ] * 2
-    assert [(one.of, one.arms) for one in compare_runs(runs)] == [
+    assert [(comparison.of, comparison.arms) for comparison in compare_runs(runs)] == [
         ("storm how=sim revision=31bc", ("a", "b")),
         ("storm how=sim revision=31bc traffic.rate=9", ("a", "b")),
     ]
 
 
 def test_no_latency_is_not_the_best_one() -> None:
-    (found,) = compare_runs(
+    (comparison,) = compare_runs(
         pair(1, {"served_share": 0.9, "p99_ms": 80.0}, {"served_share": 0.0, "p99_ms": 0.0})
     )
-    assert {figure.name: figure.pairs for figure in found.figures}["p99_ms"] == 0
+    assert {figure.name: figure.pairs for figure in comparison.figures}["p99_ms"] == 0
 
 
 # ------------------------------------------------------------------------------------------------- the page
@@ -316,13 +318,13 @@
 
 def test_the_page_tells_all_and_loads_nothing() -> None:
     runs = [
-        made(
+        make_run(
             "rose<b>",
             troubles=[FaultSpan("surge", 3, 6, "traffic <i>"), FaultSpan("slow", 4, 99, "n1")],
             must=[RequirementResult("p99_ms", 432.1, None, 200.0, 2, 12, False)],
             broken=[RuleViolation("cold", f"q{n}.", "n<3>", n, "too much") for n in range(60)],
         ),
-        made("random", void="stood <still>"),
+        make_run("random", void="stood <still>"),
     ]
     first = page(runs, [RunCost(9, 1.5, 2.5, 3, 4.0)] * 2)
     for text in (
@@ -366,13 +368,13 @@
     from rosepick.lab.report import plots
 
     monkeypatch.setattr("rosepick.lab.report.page.PANELS", plots.PANELS[:3])
-    runs = [made(windows=WINDOWS[3:4]), made("other")]
+    runs = [make_run(windows=WINDOWS[3:4]), make_run("other")]
     assert page(runs) == page(runs)
 
 
 def test_nothing_to_draw_is_no_fault() -> None:
-    empty = made("a", windows=[Window(at=n) for n in range(3)], totals={}, percentiles=[(50.0, 0.0)])
-    shown = page([empty, made("b", windows=[], length=0.5, warm_up=0.0)])
+    empty = make_run("a", windows=[Window(at=n) for n in range(3)], totals={}, percentiles=[(50.0, 0.0)])
+    shown = page([empty, make_run("b", windows=[], length=0.5, warm_up=0.0)])
     assert "Nothing to draw, or 0 throughout: Served in time" in shown
     assert "There are no runs" in page([])
 
@@ -380,8 +382,8 @@
 def test_long_lists_are_bounded() -> None:
     long = [Window(at=n, offered=5, in_time=5) for n in range(3000)]
     troubles = [FaultSpan("slow", n % 11, n % 11 + 1, f"n{n}") for n in range(40)]
-    runs = [made(f"p{n}", windows=[], totals={}) for n in range(205)]
-    runs += [made("last", windows=long, length=3000.0, troubles=troubles, void="x", seed=2)]
+    runs = [make_run(f"p{n}", windows=[], totals={}) for n in range(205)]
+    runs += [make_run("last", windows=long, length=3000.0, troubles=troubles, void="x", seed=2)]
     shown = page(runs)
     for text in (
         "6 more runs are not listed",
--- a/tests/test_lab_theory.py
+++ b/tests/test_lab_theory.py
@@ -99,15 +99,20 @@
 
 
 def test_che_solves_its_equation() -> None:
-    asked = theory.zipf_popularity(500, 0.9)
-    time = theory.che_characteristic_time(asked, 100)
-    assert sum(1.0 - exp(-one * time) for one in asked.tolist()) == pytest.approx(100)
+    popularity = theory.zipf_popularity(500, 0.9)
+    time = theory.che_characteristic_time(popularity, 100)
+    assert sum(1.0 - exp(-key_popularity * time) for key_popularity in popularity.tolist()) == pytest.approx(
+        100
+    )
     grouped = theory.che_hits(np.array([0.3, 0.1]), 3.0, np.array([2.0, 4.0]))
     assert grouped.tolist() == pytest.approx(
         theory.che_hits(np.array([0.3] * 2 + [0.1] * 4), 3.0)[[0, 5]].tolist()
     )
-    assert theory.che_characteristic_time(asked, 500) == inf and theory.che_hit_ratio(asked, 500) == 1.0
-    assert theory.che_characteristic_time(asked, 0) == 0.0 and theory.che_hit_ratio(asked, 0) == 0.0
+    assert (
+        theory.che_characteristic_time(popularity, 500) == inf
+        and theory.che_hit_ratio(popularity, 500) == 1.0
+    )
+    assert theory.che_characteristic_time(popularity, 0) == 0.0 and theory.che_hit_ratio(popularity, 0) == 0.0
     assert theory.che_hits(np.array([0.5, 0.0]), 1).tolist() == [1.0, 0.0]
 
 
@@ -325,12 +330,12 @@
     monkeypatch.setattr(sim, "Measure", RecordedMeasure)
     given = experiment.parse_experiment(ONE_QUEUE, "one queue")
     run, _ = sim.run_simulated(given, 1, "round-robin", {})
-    asked = list(Workload(given, 1))
-    works = np.array([0.0, *(one.work_ms for one in asked[1:])])  # the first one misses
-    gaps = np.diff([0.0, *(one.due_ms for one in asked)])
+    requests = list(Workload(given, 1))
+    works = np.array([0.0, *(request.work_ms for request in requests[1:])])  # the first request misses
+    gaps = np.diff([0.0, *(request.due_ms for request in requests)])
     measured = [time_ms for second in measures[0].seconds for time_ms in second.served_times_ms]
     waited, expected = np.mean(measured) - works.mean(), recursion(gaps, works, 1).mean()
-    assert len(measured) == len(asked) and run.totals["served_share"] == 1.0 and not run.broken
+    assert len(measured) == len(requests) and run.totals["served_share"] == 1.0 and not run.broken
     assert waited == pytest.approx(expected, rel=1e-4)
     # what the recursion is off by chance in so short a run is taken away
     long = recursion(exponential(4, "gaps", 20.0, LONG), exponential(4, "works", 10.0, LONG), 1).mean()
@@ -476,18 +481,22 @@
 
 def test_the_same_seed_gives_the_same_bytes() -> None:
     """For the real router and for a plain policy, in processes that hash strings differently."""
-    given = {**os.environ, "PYTHONPATH": str(ROOT)}
-    plays = [
+    environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+    processes = [
         subprocess.Popen(
             [sys.executable, "-c", PLAY, TROUBLED],
             stdout=subprocess.PIPE,
             cwd=ROOT,
-            env={**given, "PYTHONHASHSEED": seed},
+            env={**environment, "PYTHONHASHSEED": seed},
         )
         for seed in ("1", "2")
     ]
-    one, other = (play.communicate(timeout=60)[0].splitlines() for play in plays)
-    assert one == other and len(one) == 2 and all(b'"router_kill"' in line for line in one)
+    first_lines, second_lines = (process.communicate(timeout=60)[0].splitlines() for process in processes)
+    assert (
+        first_lines == second_lines
+        and len(first_lines) == 2
+        and all(b'"router_kill"' in line for line in first_lines)
+    )
 
 
 # --------------------------------------------------------------------------------------- the source paper
