--- a/rosepick/lab/drill/lease_model_checker.py
+++ b/rosepick/lab/drill/lease_model_checker.py
@@ -1,9 +1,9 @@
-"""Small worlds of leases explored completely: two contenders, one register, time in whole steps.
+"""Explicit-state model checking of a lease: two clients, one register, time in discrete steps.
 
-The register is one that can be relied on (`explore.py` shows that it is). What may happen in any order: a
-question is asked, takes effect, is answered; an answer is lost, and its change takes effect then, later or
-never; a contender stands still for as long as it likes, or starts anew under its name; time goes on. In each
-state at most one contender is told that it may act.
+The register is linearizable, as `model_checker` checks separately. In any order: a client starts an
+operation; the operation takes effect; its reply is delivered or lost; a change whose reply was lost takes
+effect later or never; a client pauses, or restarts under the same name; time advances. In each state, at
+most one client may act.
 """
 
 from __future__ import annotations
@@ -11,18 +11,29 @@
 import copy
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ...consensus.messages import Register
 from ...consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind, RegisterChange
 from ...leases.lease_client import LeaseClient, LeaseConfig
-from .model_checker import ExplorationResult, explore_states
+from .model_checker import MAX_STATES, ExplorationResult, explore_states
 
-STEP_MS = 1_000.0  # milliseconds
+STEP_MS = 1_000.0
+CLIENT_NAMES = ("a", "b")
+UNCOMPARED_CLIENT_FIELDS = ("_jitter", "config")  # equal in all states
 
 
 @dataclass(frozen=True, slots=True)
 class ModelBounds:
-    """How large the world is: steps of time, of the time to live, lost answers, starts anew, releases."""
+    """The size of the model.
+
+    Attributes:
+        horizon: number of time steps.
+        ttl: time to live of the lease, in time steps.
+        lost_replies: how many replies may be lost.
+        restarts: how many times clients may restart.
+        releases: how many times holders may release the lease.
+    """
 
     horizon: int = 7
     ttl: int = 3
@@ -31,145 +42,188 @@
     releases: int = 1
 
 
+DEFAULT_BOUNDS = ModelBounds()
+
+
+class PendingOperation(NamedTuple):
+    """An operation whose reply was not delivered: a read, if it has no change."""
+
+    change: RegisterChange | None
+    outcome: OperationOutcome | None  # None until the operation takes effect
+
+
+class AbandonedChange(NamedTuple):
+    """A change that may still take effect though its client waits no longer."""
+
+    owner_id: int
+    change: RegisterChange
+
+
 class LeaseModel:
-    """Two contenders and a register."""
+    """Two clients of a lease, and its register."""
 
     def __init__(self, bounds: ModelBounds) -> None:
         self.bounds = bounds
-        self.now = 0
+        self.now = 0  # in time steps
         self.register = Register()
-        self.lost_replies_left, self.restarts_left, self.releases_left = (
-            bounds.lost_replies,
-            bounds.restarts,
-            bounds.releases,
-        )
+        self.lost_replies_left = bounds.lost_replies
+        self.restarts_left = bounds.restarts
+        self.releases_left = bounds.releases
         self.last_owner_id = 0
-        self.clients = [self._create_client(name) for name in "ab"]
-        # a question that is open: its change, and its outcome once it has taken effect
-        self.pending_operations: list[tuple[RegisterChange | None, OperationOutcome | None] | None] = [
-            None,
-            None,
-        ]
-        self.abandoned_changes: list[tuple[int, RegisterChange]] = []  # changes whose askers have given up
+        self.clients = [self._create_client(name) for name in CLIENT_NAMES]
+        self.pending_operations: list[PendingOperation | None] = [None] * len(CLIENT_NAMES)  # by client
+        self.abandoned_changes: list[AbandonedChange] = []
 
     def _create_client(self, name: str) -> LeaseClient:
         self.last_owner_id += 1
-        return LeaseClient(
-            "t", name, self.last_owner_id, LeaseConfig(self.bounds.ttl * STEP_MS, 0.0), lambda: 0.5
-        )
+        config = LeaseConfig(self.bounds.ttl * STEP_MS, 0.0)
+        return LeaseClient("t", name, self.last_owner_id, config, lambda: 0.5)
 
     @property
-    def _now_ms(self) -> float:
+    def now_ms(self) -> float:
+        """The time in milliseconds."""
         return self.now * STEP_MS
 
     def clone(self) -> LeaseModel:
-        """Another one in the same state."""
-        other = copy.copy(self)
-        other.clients = [copy.copy(one) for one in self.clients]
-        other.pending_operations, other.abandoned_changes = (
-            list(self.pending_operations),
-            list(self.abandoned_changes),
-        )
-        return other
+        """Return an independent model in the same state."""
+        clone = copy.copy(self)
+        clone.clients = [copy.copy(client) for client in self.clients]
+        clone.pending_operations = list(self.pending_operations)
+        clone.abandoned_changes = list(self.abandoned_changes)
+        return clone
 
     def state_key(self) -> tuple[object, ...]:
-        """The state."""
-        contenders = tuple(
-            tuple(
-                (name, repr(value)) for name, value in vars(one).items() if name not in ("_jitter", "config")
-            )
-            for one in self.clients
+        """Return the state as a key."""
+        clients = tuple(_client_key(client) for client in self.clients)
+        # the kind of a change follows from the client's state or, if it was abandoned, does not matter
+        pending = tuple(
+            None if operation is None else (operation.change is None, repr(operation.outcome))
+            for operation in self.pending_operations
         )
-        # the kind of a change follows from what its asker asks for, or, of a stray one, from what it asked
-        # for
-        opened = tuple(
-            None if one is None else (one[0] is None, repr(one[1])) for one in self.pending_operations
-        )
-        stray = tuple(who for who, _ in self.abandoned_changes)
-        left = self.lost_replies_left, self.restarts_left, self.releases_left, self.last_owner_id
-        return (self.now, self.register, contenders, opened, stray, left)
-
-    def _take_effect(self, change: RegisterChange | None) -> OperationOutcome:
-        if change is None:
-            return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
-        try:
-            value = change(self.register)
-        except ChangeRejectedError:
-            return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
-        self.register = Register(self.register.version + 1, "", value)
-        return OperationOutcome(OutcomeKind.COMMITTED, self.register)
+        abandoned = tuple(abandoned.owner_id for abandoned in self.abandoned_changes)
+        left = (self.lost_replies_left, self.restarts_left, self.releases_left, self.last_owner_id)
+        return (self.now, self.register, clients, pending, abandoned, left)
 
     def successors(self) -> Iterator[LeaseModel]:
-        """Each state that may come next."""
+        """Return each state that can follow this one."""
         if self.now < self.bounds.horizon:
-            other = self.clone()
-            other.now += 1
-            yield other
+            successor = self.clone()
+            successor.now += 1
+            yield successor
         for index in range(len(self.clients)):
             yield from self._client_successors(index)
         for index in range(len(self.abandoned_changes)):
-            other = self.clone()
-            other._take_effect(other.abandoned_changes.pop(index)[1])
-            yield other
+            successor = self.clone()
+            successor.apply_abandoned_change(index)
+            yield successor
 
     def _client_successors(self, index: int) -> Iterator[LeaseModel]:
-        opened = self.pending_operations[index]
-        if opened is None:
-            other = self.clone()
-            ask = other.clients[index].next_operation(self._now_ms)
-            if ask is not None:
-                other.pending_operations[index] = ask.change, None
-                yield other
+        pending = self.pending_operations[index]
+        if pending is None:
+            successor = self.clone()
+            if successor.start_operation(index):
+                yield successor
         else:
-            yield from self._reply_successors(index, *opened)
+            yield from self._operation_successors(index, pending)
         if self.restarts_left:
-            other = self.clone()
-            other.restarts_left -= 1
-            other._abandon_operation(index)
-            other.clients[index] = other._create_client("ab"[index])
-            yield other
+            successor = self.clone()
+            successor.restart_client(index)
+            yield successor
         if self.releases_left and self.clients[index].token:
-            other = self.clone()
-            other.releases_left -= 1
-            other.clients[index].release()
-            yield other
-
-    def _reply_successors(
-        self, index: int, change: RegisterChange | None, outcome: OperationOutcome | None
-    ) -> Iterator[LeaseModel]:
-        other = self.clone()
-        if outcome is None:
-            other.pending_operations[index] = change, other._take_effect(change)
+            successor = self.clone()
+            successor.release_lease(index)
+            yield successor
+
+    def _operation_successors(self, index: int, pending: PendingOperation) -> Iterator[LeaseModel]:
+        successor = self.clone()
+        if pending.outcome is None:
+            successor.apply_operation(index, pending)
         else:
-            other.pending_operations[index] = None
-            other.clients[index].handle_outcome(self._now_ms, outcome)
-        yield other
+            successor.deliver_outcome(index, pending.outcome)
+        yield successor
         if self.lost_replies_left:
-            other = self.clone()
-            other.lost_replies_left -= 1
-            other._abandon_operation(index)
-            other.clients[index].handle_outcome(self._now_ms, OperationOutcome(OutcomeKind.UNKNOWN))
-            yield other
+            successor = self.clone()
+            successor.lose_reply(index)
+            yield successor
+
+    # -- steps
+
+    def start_operation(self, index: int) -> bool:
+        """Start the next operation of a client; return whether it has one."""
+        operation = self.clients[index].next_operation(self.now_ms)
+        if operation is None:
+            return False
+        self.pending_operations[index] = PendingOperation(operation.change, None)
+        return True
+
+    def apply_operation(self, index: int, pending: PendingOperation) -> None:
+        """Let the operation of a client take effect."""
+        outcome = self._apply_change(pending.change)
+        self.pending_operations[index] = PendingOperation(pending.change, outcome)
+
+    def deliver_outcome(self, index: int, outcome: OperationOutcome) -> None:
+        """Deliver the reply to the operation of a client."""
+        self.pending_operations[index] = None
+        self.clients[index].handle_outcome(self.now_ms, outcome)
+
+    def lose_reply(self, index: int) -> None:
+        """Lose the reply to the operation of a client, which then waits no longer."""
+        self.lost_replies_left -= 1
+        self._abandon_operation(index)
+        self.clients[index].handle_outcome(self.now_ms, OperationOutcome(OutcomeKind.UNKNOWN))
+
+    def restart_client(self, index: int) -> None:
+        """Replace a client by a new one of the same name."""
+        self.restarts_left -= 1
+        self._abandon_operation(index)
+        self.clients[index] = self._create_client(CLIENT_NAMES[index])
+
+    def release_lease(self, index: int) -> None:
+        """Let the holder give the lease back."""
+        self.releases_left -= 1
+        self.clients[index].release()
+
+    def apply_abandoned_change(self, index: int) -> None:
+        """Let a change take effect whose client waits no longer."""
+        self._apply_change(self.abandoned_changes.pop(index).change)
+
+    def _apply_change(self, change: RegisterChange | None) -> OperationOutcome:
+        if change is None:
+            return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
+        try:
+            value = change(self.register)
+        except ChangeRejectedError:
+            return OperationOutcome(OutcomeKind.UNCHANGED, self.register)
+        self.register = Register(self.register.version + 1, "", value)
+        return OperationOutcome(OutcomeKind.COMMITTED, self.register)
 
     def _abandon_operation(self, index: int) -> None:
-        """The answer does not come any more; the change may still take effect."""
-        opened, self.pending_operations[index] = self.pending_operations[index], None
-        if opened is not None and opened[0] is not None and opened[1] is None:
-            self.abandoned_changes.append((self.clients[index].owner_id, opened[0]))
+        """Forget the operation of a client; a change that has not taken effect may still do so."""
+        pending = self.pending_operations[index]
+        self.pending_operations[index] = None
+        if pending is not None and pending.change is not None and pending.outcome is None:
+            owner_id = self.clients[index].owner_id
+            self.abandoned_changes.append(AbandonedChange(owner_id, pending.change))
 
     def find_violation(self) -> str:
-        """Why the claim does not hold in this state."""
-        acting = [one for one in self.clients if one.may_act(self._now_ms)]
+        """Return why two clients may act in this state, or an empty string."""
+        acting = [client for client in self.clients if client.may_act(self.now_ms)]
         if len(acting) > 1:
             return f"two may act at step {self.now}, under tokens {acting[0].token} and {acting[1].token}"
         return ""
 
 
-def explore_leases(bounds: ModelBounds = ModelBounds(), max_states: int = 5_000_000) -> ExplorationResult:  # noqa: B008
-    """Two contenders, in every order."""
+def _client_key(client: LeaseClient) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, repr(value)) for name, value in vars(client).items() if name not in UNCOMPARED_CLIENT_FIELDS
+    )
+
+
+def explore_leases(bounds: ModelBounds = DEFAULT_BOUNDS, max_states: int = MAX_STATES) -> ExplorationResult:
+    """Explore two clients of a lease."""
+    return explore_states(LeaseModel(bounds), LeaseModel.successors, _count_lease_state, max_states)
 
-    def look(world: LeaseModel, found: ExplorationResult) -> None:
-        found.completed_states += any(one.may_act(world._now_ms) for one in world.clients)
-        found.terminal_states += world.now == bounds.horizon
 
-    return explore_states(LeaseModel(bounds), LeaseModel.successors, look, max_states)
+def _count_lease_state(model: LeaseModel, result: ExplorationResult) -> None:
+    result.completed_states += any(client.may_act(model.now_ms) for client in model.clients)
+    result.terminal_states += model.now == model.bounds.horizon
