Forwarder, versions, starter and connections of fault-injection tests in the field's terms

Faults of a link were called there, back, lose, double, disorder, late and trickle; a forwarder took six arguments. They say now what they do, with units (drops_requests, loss_rate, delay_ms, bytes_per_second), and the host and ports of a link are one value, LinkEndpoints. The injector of link faults and the tests follow the names. LinkFaults.refuse is gone: nothing read or set it (search over program and tests; connections are refused by Forwarder.refuse). Keys of counts, order of random draws and what a build's file holds stay.

--- a/rosepick/lab/drill/forwarder.py
+++ b/rosepick/lab/drill/forwarder.py
@@ -1,7 +1,7 @@
-"""A forwarder of our own on a link between two processes: it takes messages apart and can do harm to each.
+"""A TCP proxy on a link between two processes, which splits the stream into messages and injects faults.
 
-Whole messages are lost, doubled, held back or put out of order; bytes go slowly; a connection is refused, cut
-silently in one or both directions, or left open on one side.
+Whole messages are lost, duplicated, delayed or reordered; bytes are sent slowly; connections are refused, cut
+silently in one or both directions, or left half-open.
 """
 
 from __future__ import annotations
@@ -11,35 +11,45 @@
 import socket
 from collections import Counter, deque
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ...consensus.codec import DecodeError, FrameDecoder
 from ...net.event_loop import READ, WRITE, EventLoop
 from ...net.resource_budget import ResourceBudget
 from ...net.tcp_stream import TcpStream, dial
 
-TRICKLE_INTERVAL_MS = 10.0  # milliseconds between two slices where bytes go slowly
+TRICKLE_INTERVAL_MS = 10.0  # between two slices, where bytes are sent slowly
+UNLIMITED_BYTES = 1 << 30
 
 
 @dataclass(slots=True)
 class LinkFaults:
-    """What is done to the messages of a link. Times in milliseconds, parts from 0 to 1."""
+    """The faults of a link; rates are shares of its messages, from 0 to 1."""
 
-    there: bool = False  # nothing gets there
-    back: bool = False  # nothing comes back
-    refuse: bool = False
-    delay: float = 0.0
-    lose: float = 0.0
-    double: float = 0.0
-    disorder: float = 0.0
-    late: float = 1000.0  # a message out of order is held back for up to so long
-    trickle: float = 0.0  # bytes a second; 0: as fast as they go
+    drops_requests: bool = False  # nothing reaches the server
+    drops_replies: bool = False  # nothing reaches the client
+    delay_ms: float = 0.0
+    loss_rate: float = 0.0
+    duplication_rate: float = 0.0
+    reordering_rate: float = 0.0
+    max_reordering_delay_ms: float = 1000.0  # of messages that are reordered, and of duplicates
+    bytes_per_second: float = 0.0  # no limit if 0
+
+
+class LinkEndpoints(NamedTuple):
+    """The port that a forwarder listens on, and the port that it connects to, both of one host."""
+
+    host: str
+    listen_port: int
+    target_port: int
 
 
 class ForwardedSocket:
     """One socket of a connection through the forwarder."""
 
     def __init__(self, connection: ForwardedConnection, sock: socket.socket, connecting: bool) -> None:
-        self.connection, self.connecting = connection, connecting
+        self.connection = connection
+        self.connecting = connecting
         self.frames = FrameDecoder()
         self.outgoing: deque[bytes] = deque()
         self._draining = False
@@ -60,7 +70,7 @@
             self._update_interest()
         except (OSError, DecodeError):
             if self.connection.frozen:
-                self.stream.set_events(0)  # its end is not told to the other side
+                self.stream.set_events(0)  # the other side does not learn that this one was closed
             else:
                 self.connection.close()
 
@@ -78,7 +88,7 @@
             self.stream.set_events(READ | (WRITE if self.stream.has_unwritten() else 0))
 
     def send(self, frame: bytes) -> None:
-        """Send a message on from here."""
+        """Send a message, after those that are queued."""
         if not self.stream.is_open:
             return
         self.outgoing.append(frame)
@@ -89,8 +99,8 @@
         self._draining = False
         if not self.stream.is_open:
             return
-        rate = self.connection.link.faults.trickle
-        left = max(1, int(rate * TRICKLE_INTERVAL_MS / 1000.0)) if rate else 1 << 30
+        rate = self.connection.link.faults.bytes_per_second
+        left = max(1, int(rate * TRICKLE_INTERVAL_MS / 1000.0)) if rate else UNLIMITED_BYTES
         try:
             while self.outgoing and left > 0:
                 frame = self.outgoing.popleft()
@@ -108,43 +118,46 @@
 
 
 class ForwardedConnection:
-    """A connection through the forwarder."""
+    """A connection through the forwarder: a socket to the client, and one to the server."""
 
     def __init__(self, link: Forwarder, sock: socket.socket) -> None:
         self.link = link
-        self.frozen = False  # left open, and nothing goes through any more
+        self.frozen = False  # left open, with nothing forwarded any more
         self.client_side = ForwardedSocket(self, sock, connecting=False)
-        self.server_side = ForwardedSocket(self, dial((link.host, link.target_port)), connecting=True)
+        self.server_side = ForwardedSocket(
+            self, dial((link.endpoints.host, link.endpoints.target_port)), connecting=True
+        )
 
     def forward(self, side: ForwardedSocket, frame: bytes) -> None:
-        """A message has come from one side."""
-        link, harm = self.link, self.link.faults
-        there = side is self.client_side
-        other = self.server_side if there else self.client_side
-        if self.frozen or (harm.there if there else harm.back):
+        """Forward a message that came from one side, as the faults of the link permit."""
+        link = self.link
+        faults = link.faults
+        is_request = side is self.client_side
+        other = self.server_side if is_request else self.client_side
+        if self.frozen or (faults.drops_requests if is_request else faults.drops_replies):
             link.counts["cut"] += 1
             return
-        if harm.lose and link.rng.random() < harm.lose:
+        if faults.loss_rate and link.rng.random() < faults.loss_rate:
             link.counts["lost"] += 1
             return
-        delay = harm.delay
-        if harm.disorder and link.rng.random() < harm.disorder:
+        delay_ms = faults.delay_ms
+        if faults.reordering_rate and link.rng.random() < faults.reordering_rate:
             link.counts["out of order"] += 1
-            delay += link.rng.uniform(0.0, harm.late)
-        self._send_after(other, frame, delay)
-        if harm.double and link.rng.random() < harm.double:
+            delay_ms += link.rng.uniform(0.0, faults.max_reordering_delay_ms)
+        self._send_after(other, frame, delay_ms)
+        if faults.duplication_rate and link.rng.random() < faults.duplication_rate:
             link.counts["doubled"] += 1
-            self._send_after(other, frame, delay + link.rng.uniform(0.0, harm.late))
+            self._send_after(other, frame, delay_ms + link.rng.uniform(0.0, faults.max_reordering_delay_ms))
 
-    def _send_after(self, other: ForwardedSocket, frame: bytes, delay: float) -> None:
-        if delay:
+    def _send_after(self, other: ForwardedSocket, frame: bytes, delay_ms: float) -> None:
+        if delay_ms:
             self.link.counts["delayed"] += 1
-            self.link.loop.call_after(delay, lambda: other.send(frame))
+            self.link.loop.call_after(delay_ms, lambda: other.send(frame))
         else:
             other.send(frame)
 
     def close(self) -> None:
-        """One side has ended: so does the other, unless it is left open."""
+        """Close both sides, unless the connection is frozen."""
         if self.frozen:
             return
         for side in (self.client_side, self.server_side):
@@ -153,25 +166,19 @@
 
 
 class Forwarder:
-    """One link: a port to listen on, and a port to go on to."""
+    """The proxy of one link; `counts` has the messages that were hit by each kind of fault."""
 
     def __init__(
         self,
         loop: EventLoop,
         budget: ResourceBudget,
-        host: str,
-        listen: int,
-        target_port: int,
+        endpoints: LinkEndpoints,
         rng: random.Random,
     ) -> None:
-        self.loop, self.budget, self.host, self.port, self.target_port, self.rng = (
-            loop,
-            budget,
-            host,
-            listen,
-            target_port,
-            rng,
-        )
+        self.loop = loop
+        self.budget = budget
+        self.endpoints = endpoints
+        self.rng = rng
         self.faults = LinkFaults()
         self.connections: dict[ForwardedConnection, None] = {}
         self.counts: Counter[str] = Counter()
@@ -179,28 +186,28 @@
         self.open()
 
     def open(self) -> None:
-        """Take connections."""
+        """Accept connections, as before a call of `refuse`."""
         if self._sock is None:
-            self._sock = socket.create_server((self.host, self.port), backlog=64)
+            self._sock = socket.create_server((self.endpoints.host, self.endpoints.listen_port), backlog=64)
             self._sock.setblocking(False)
             self.loop.register(self._sock, READ, self._accept)
 
     def refuse(self) -> None:
-        """Connections are refused from now on, and those there are break."""
+        """Reset all connections, and refuse new ones until `open` is called."""
         if self._sock is not None:
             self.loop.unregister(self._sock)
             self._sock.close()
             self._sock = None
-        for pipe in list(self.connections):
-            pipe.client_side.stream.reset_on_close()
-            pipe.close()
+        for connection in list(self.connections):
+            connection.client_side.stream.reset_on_close()
+            connection.close()
 
     def freeze(self) -> None:
-        """Connections that there are stay open, and carry nothing."""
-        for pipe in self.connections:
-            pipe.frozen = True
+        """Leave all present connections open, and forward nothing on them."""
+        for connection in self.connections:
+            connection.frozen = True
 
-    def _accept(self, mask: int) -> None:
+    def _accept(self, _mask: int) -> None:
         assert self._sock is not None
         with contextlib.suppress(OSError):
             sock, _ = self._sock.accept()
@@ -210,8 +217,8 @@
                 sock.close()
 
     def close(self) -> None:
-        """Let go of every socket."""
+        """Close all sockets."""
         self.refuse()
-        for pipe in list(self.connections):
-            pipe.frozen = False
-            pipe.close()
+        for connection in list(self.connections):
+            connection.frozen = False
+            connection.close()
--- a/rosepick/lab/drill/lease_benchmark.py
+++ b/rosepick/lab/drill/lease_benchmark.py
@@ -33,7 +33,7 @@
 from ...net.boot_clock import boottime_s
 from ...net.event_loop import EventLoop
 from ...net.resource_budget import ResourceBudget
-from .forwarder import Forwarder
+from .forwarder import Forwarder, LinkEndpoints
 from .processes import FIRST_PORT, ManagedProcess, unique_loopback_address
 
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -199,10 +199,10 @@
     with _running_quorum(3) as (client, loop, processes):
         host, budget, rng = unique_loopback_address(), ResourceBudget(4096), random.Random(2)
         ways = [
-            Forwarder(loop, budget, host, FIRST_PORT + 100 + n, FIRST_PORT + n, rng)
+            Forwarder(loop, budget, LinkEndpoints(host, FIRST_PORT + 100 + n, FIRST_PORT + n), rng)
             for n in range(len(processes))
         ]
-        ends = {f"w{n}": (host, way.port) for n, way in enumerate(ways)}
+        ends = {f"w{n}": (host, way.endpoints.listen_port) for n, way in enumerate(ways)}
         for number in range(rounds):
             other = QuorumClient(loop, tcp_connections(loop, ends, b""), rng)
             first = LeaseHolder(other, f"cut {number}", "first", LeaseConfig(ttl))
@@ -212,7 +212,7 @@
             until = loop.now() + rng.uniform(0.5, 1.2) * ttl
             _run_until(loop, lambda until=until: loop.now() >= until)  # type: ignore[misc]
             for way in ways:
-                way.faults.there = way.faults.back = True
+                way.faults.drops_requests = way.faults.drops_replies = True
             began = loop.now()
             while not second.may_act():
                 if first.may_act():
@@ -221,7 +221,7 @@
             taken.record_value(int(1000.0 * (loop.now() - began)))
             last.record_value(max(1, int(1000.0 * (said - began))))
             for way in ways:
-                way.faults.there = way.faults.back = False
+                way.faults.drops_requests = way.faults.drops_replies = False
             second.release()
             other.close()
         for way in ways:
--- a/rosepick/lab/drill/link_fault_injector.py
+++ b/rosepick/lab/drill/link_fault_injector.py
@@ -15,13 +15,13 @@
 class _LinkFaultSettings(TypedDict, total=False):
     """The fields of `LinkFaults` that a fault sets."""
 
-    there: bool
-    back: bool
-    delay: float
-    trickle: float
-    double: float
-    disorder: float
-    lose: float
+    drops_requests: bool
+    drops_replies: bool
+    delay_ms: float
+    bytes_per_second: float
+    duplication_rate: float
+    reordering_rate: float
+    loss_rate: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +72,7 @@
             for (caller, replica), link in self._cluster.links.items()
             if replica in isolated and caller not in replicas
         ]
-        self._apply(links, length_s, there=True, back=True)
+        self._apply(links, length_s, drops_requests=True, drops_replies=True)
 
     def _apply(
         self, links: Iterable[Forwarder], length_s: float, **settings: Unpack[_LinkFaultSettings]
@@ -108,18 +108,18 @@
         return [link.forwarder for link in self._links_of(fault.target[0])]
 
     def _cut(self, _number: int, fault: Fault) -> None:
-        self._apply(self._forwarders_between(fault), fault.length, there=True, back=True)
+        self._apply(self._forwarders_between(fault), fault.length, drops_requests=True, drops_replies=True)
 
     def _cut_one_way(self, _number: int, fault: Fault) -> None:
         cuts_to_first = self._cluster.rng.random() < 0.5
         for link in self._links_between(*fault.target):
             if link.is_caller is cuts_to_first:
-                self._apply([link.forwarder], fault.length, back=True)
+                self._apply([link.forwarder], fault.length, drops_replies=True)
             else:
-                self._apply([link.forwarder], fault.length, there=True)
+                self._apply([link.forwarder], fault.length, drops_requests=True)
 
     def _isolate(self, _number: int, fault: Fault) -> None:
-        self._apply(self._forwarders_of(fault), fault.length, there=True, back=True)
+        self._apply(self._forwarders_of(fault), fault.length, drops_requests=True, drops_replies=True)
 
     def _split(self, _number: int, fault: Fault) -> None:
         side = set(fault.target)
@@ -128,11 +128,11 @@
             for (caller, replica), link in self._cluster.links.items()
             if (caller in side) != (replica in side)
         ]
-        self._apply(links, fault.length, there=True, back=True)
+        self._apply(links, fault.length, drops_requests=True, drops_replies=True)
 
     def _deafen(self, _number: int, fault: Fault) -> None:
         calls = [link.forwarder for link in self._links_of(fault.target[0]) if link.is_caller]
-        self._apply(calls, fault.length, back=True)
+        self._apply(calls, fault.length, drops_replies=True)
 
     def _refuse(self, _number: int, fault: Fault) -> None:
         for link in self._forwarders_between(fault):
@@ -144,16 +144,16 @@
             link.freeze()
 
     def _slow_down(self, _number: int, fault: Fault) -> None:
-        self._apply(self._forwarders_between(fault), fault.length, delay=1000.0 * fault.amount)
+        self._apply(self._forwarders_between(fault), fault.length, delay_ms=1000.0 * fault.amount)
 
     def _trickle(self, _number: int, fault: Fault) -> None:
-        self._apply(self._forwarders_between(fault), fault.length, trickle=fault.amount)
+        self._apply(self._forwarders_between(fault), fault.length, bytes_per_second=fault.amount)
 
     def _duplicate(self, _number: int, fault: Fault) -> None:
-        self._apply(self._forwarders_of(fault), fault.length, double=fault.amount)
+        self._apply(self._forwarders_of(fault), fault.length, duplication_rate=fault.amount)
 
     def _reorder(self, _number: int, fault: Fault) -> None:
-        self._apply(self._forwarders_of(fault), fault.length, disorder=fault.amount)
+        self._apply(self._forwarders_of(fault), fault.length, reordering_rate=fault.amount)
 
     def _lose(self, _number: int, fault: Fault) -> None:
-        self._apply(self._forwarders_of(fault), fault.length, lose=fault.amount)
+        self._apply(self._forwarders_of(fault), fault.length, loss_rate=fault.amount)
--- a/rosepick/lab/drill/process_cluster.py
+++ b/rosepick/lab/drill/process_cluster.py
@@ -14,7 +14,7 @@
 from ...net.resource_budget import ResourceBudget
 from ..log_terms import line_has_event
 from .drill_file import Drill
-from .forwarder import Forwarder
+from .forwarder import Forwarder, LinkEndpoints
 from .history import AnyEvent
 from .instrumented_client import InstrumentedQuorumClient
 from .processes import FIRST_PORT, ManagedProcess, starter_command, unique_loopback_address
@@ -67,9 +67,8 @@
         self.ports = dict(zip(self.replicas, range(FIRST_PORT, first_link_port), strict=True))
         for port, (caller, replica) in enumerate(ends, first_link_port):
             rng = random.Random(self.rng.getrandbits(64))
-            self.links[caller, replica] = Forwarder(
-                self.loop, self.budget, self.host, port, self.ports[replica], rng
-            )
+            endpoints = LinkEndpoints(self.host, port, self.ports[replica])
+            self.links[caller, replica] = Forwarder(self.loop, self.budget, endpoints, rng)
         return first_link_port + len(ends)
 
     def _add_lease_processes(self, resource_address: str) -> None:
@@ -104,7 +103,11 @@
             for replica in self.replicas
             if name != "operator" or replica != self.spare
         }
-        ports |= {replica: link.port for (caller, replica), link in self.links.items() if caller == name}
+        ports |= {
+            replica: link.endpoints.listen_port
+            for (caller, replica), link in self.links.items()
+            if caller == name
+        }
         lines = ["[witnesses]", *(f'{replica} = "{self.host}:{port}"' for replica, port in ports.items())]
         lines += ["[leases]", f"ttl = {leases.ttl}", f"drift = {leases.drift}", ""]
         (self.folder / f"{name}.toml").write_text("\n".join(lines), "utf-8")
--- a/rosepick/lab/drill/stand_in_connection.py
+++ b/rosepick/lab/drill/stand_in_connection.py
@@ -1,4 +1,4 @@
-"""A connection to a stand-in of a drill: requests as they become whole, answers as they can be written."""
+"""A connection to a server of a fault-injection test: it reads HTTP requests and writes responses."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 
 
 class StandInConnection(ABC):
-    """Who has connected."""
+    """A connection that a client has opened. What it does with a request is up to the subclass."""
 
     def __init__(self, loop: EventLoop, budget: ResourceBudget, sock: socket.socket) -> None:
         self._reader = RequestReader()
         self.stream = TcpStream(loop, budget, sock, self._on_ready)
 
     @abstractmethod
-    def handle_request(self, message: HttpRequest) -> None:
-        """A request is here, whole."""
+    def handle_request(self, request: HttpRequest) -> None:
+        """Handle a complete request."""
 
     def _on_ready(self, mask: int) -> None:
         try:
@@ -29,8 +29,8 @@
             data = self.stream.read() if mask & READ else None
             if data == b"":
                 raise OSError("closed")
-            for message in self._reader.feed(data or b""):
-                self.handle_request(message)
+            for request in self._reader.feed(data or b""):
+                self.handle_request(request)
             self._update_interest()
         except (OSError, MalformedRequestError):
             self.close()
@@ -40,7 +40,7 @@
             self.stream.set_events(READ | (WRITE if self.stream.has_unwritten() else 0))
 
     def send_response(self, data: bytes, keep_alive: bool = True) -> None:
-        """An answer; the connection ends with it unless it is kept."""
+        """Send a response; without `keep_alive`, end the sending direction if all of it was written."""
         if not self.stream.is_open:
             return
         try:
@@ -52,5 +52,5 @@
             self.close()
 
     def close(self) -> None:
-        """Let go of it."""
+        """Close the connection."""
         self.stream.close()
--- a/rosepick/lab/drill/starter.py
+++ b/rosepick/lab/drill/starter.py
@@ -1,10 +1,10 @@
-"""Starts a module of the program in a drill, under a clock that goes at another rate.
+"""Runs a module of the program in a fault-injection test, with clocks that run at another rate.
 
     python -m rosepick.lab.drill.starter RATE MODULE ARGUMENT...
 
-The clock that goes on while a machine sleeps (CLOCK_BOOTTIME) goes at RATE from now on; `time.monotonic`
-stands still while the process is stopped, as it does on a machine that sleeps. The program has no switch for
-this.
+The clock that includes the time while a machine is suspended (CLOCK_BOOTTIME) runs at RATE from now on. So
+does `time.monotonic`, which stands still while the process is stopped, as it does while a machine is
+suspended. The program itself has no option for this.
 """
 
 from __future__ import annotations
@@ -15,48 +15,56 @@
 import time
 from functools import partial
 
-# seconds between two looks: longer than any wait of the loop in a drill, it was stopped meanwhile
+# a longer time between two reads of the clock means that the process was stopped: the event loop of a process
+# in a test never waits so long
 PAUSE_THRESHOLD_S = 0.25
 
 
 def _skew_boottime(rate: float) -> None:
-    real = time.clock_gettime
-    begin = real(time.CLOCK_BOOTTIME)
+    original_clock_gettime = time.clock_gettime
+    started_at = original_clock_gettime(time.CLOCK_BOOTTIME)
 
     def clock_gettime(clock: int) -> float:
-        now = real(clock)
-        return begin + (now - begin) * rate if clock == time.CLOCK_BOOTTIME else now
+        now = original_clock_gettime(clock)
+        if clock != time.CLOCK_BOOTTIME:
+            return now
+        return started_at + (now - started_at) * rate
 
     time.clock_gettime = clock_gettime
 
 
 def _skew_monotonic(rate: float) -> None:
-    real = time.monotonic
-    seen, slept = real(), 0.0
+    original_monotonic = time.monotonic
+    last_read_at = original_monotonic()
+    paused_s = 0.0
 
     def monotonic() -> float:
-        nonlocal seen, slept
-        now = real()
-        if now - seen > PAUSE_THRESHOLD_S:
-            slept += now - seen
-        seen = now
-        return (now - slept) * rate
+        nonlocal last_read_at, paused_s
+        now = original_monotonic()
+        if now - last_read_at > PAUSE_THRESHOLD_S:
+            paused_s += now - last_read_at
+        last_read_at = now
+        return (now - paused_s) * rate
 
     time.monotonic = monotonic
 
 
-def _record_operations(name: str, events: str) -> None:
+def _record_operations(client_name: str, event_file: str) -> None:
+    """Replace the quorum client of the program by one that records its operations in a file."""
     from ...coordination import quorum_client
     from .instrumented_client import InstrumentedQuorumClient
     from .stand_ins import EventLog, drill_clock
 
     InstrumentedQuorumClient.records_operation_start = True
-    quorum_client.QuorumClient = partial(InstrumentedQuorumClient, name, EventLog(events).append, drill_clock)  # type: ignore[misc, assignment]
+    quorum_client.QuorumClient = partial(  # type: ignore[misc, assignment]
+        InstrumentedQuorumClient, client_name, EventLog(event_file).append, drill_clock
+    )
 
 
 def main() -> None:
-    """Start it."""
-    rate, module = float(sys.argv[1]), sys.argv[2]
+    """Run the module that the command line names."""
+    rate = float(sys.argv[1])
+    module = sys.argv[2]
     _skew_boottime(rate)
     _skew_monotonic(rate)
     if "DRILL_EVENTS" in os.environ:
--- a/rosepick/lab/drill/versions.py
+++ b/rosepick/lab/drill/versions.py
@@ -1,8 +1,8 @@
-"""Versions of the router for drills of releases: the program itself, spoilt in one way or another.
+"""Builds of the router for fault-injection tests of releases: the program itself, most with a fault.
 
-A build is a folder with a `member.py` that calls `main` with what is wrong with it. Nothing here is
-product: the faults are put into the decisions' inputs and the process, as a bad change of the program would
-put them in.
+A build is a folder with a `member.py` that calls `main` with the kind of its fault. The program does not use
+this module: the faults are injected into the decision module and the process, as a bad change of the
+program would bring them.
 """
 
 from __future__ import annotations
@@ -20,43 +20,48 @@
 from ...decisions import api
 from ...decisions.decide import Router
 
-LOST_SHARE, BUSY_S, LEAK_BYTES = 0.3, 0.003, 150_000  # part of the requests; seconds and bytes of each
-SHORT_LIFETIME_S = 1.6  # seconds
+FAILED_REQUEST_SHARE = 0.3
+CPU_S_PER_REQUEST = 0.003
+LEAKED_BYTES_PER_REQUEST = 150_000
+SHORT_LIFETIME_S = 1.6
+
 _leaked: list[bytes] = []
 
 
 def write_build(folder: Path, fault_kind: str, mark: str) -> Path:
-    """Make a build; `mark` tells it from others that are bad in the same way."""
+    """Write a build; `mark` tells it from others with the same kind of fault."""
     folder.mkdir(parents=True)
     text = f"# {mark}\nfrom rosepick.lab.drill.versions import main\n\nmain({fault_kind!r})\n"
     (folder / "member.py").write_text(text, "utf-8")
     return folder
 
 
-def _intercept_requests(spoil: Callable[[api.RequestArrived], list[api.Action] | None]) -> None:
-    """Have something done with each request before it is decided on."""
-    decide: Any = Router.handle
+def _intercept_requests(intercept: Callable[[api.RequestArrived], list[api.Action] | None]) -> None:
+    """Call a function for each request; the actions that it returns replace those of the router."""
+    original_handle: Any = Router.handle
 
     def handle(self: Router, now: float, event: api.Event) -> list[api.Action]:
-        spoilt = spoil(event) if isinstance(event, api.RequestArrived) else None
-        found: list[api.Action] = decide(self, now, event) if spoilt is None else spoilt
-        return found
+        replacement = intercept(event) if isinstance(event, api.RequestArrived) else None
+        if replacement is not None:
+            return replacement
+        actions: list[api.Action] = original_handle(self, now, event)
+        return actions
 
     Router.handle = handle  # type: ignore[method-assign]
 
 
 def _fail_some(event: api.RequestArrived) -> list[api.Action] | None:
-    return [api.Fail(event.ref)] if random.random() < LOST_SHARE else None
+    return [api.Fail(event.ref)] if random.random() < FAILED_REQUEST_SHARE else None
 
 
-def _burn_cpu(event: api.RequestArrived) -> None:
-    end = time.thread_time() + BUSY_S
+def _burn_cpu(_event: api.RequestArrived) -> None:
+    end = time.thread_time() + CPU_S_PER_REQUEST
     while time.thread_time() < end:
         pass
 
 
-def _leak_memory(event: api.RequestArrived) -> None:
-    _leaked.append(os.urandom(LEAK_BYTES))
+def _leak_memory(_event: api.RequestArrived) -> None:
+    _leaked.append(os.urandom(LEAKED_BYTES_PER_REQUEST))
 
 
 def _is_in_west_zone() -> bool:
@@ -65,7 +70,11 @@
 
 
 def main(fault_kind: str) -> None:
-    """Be the router, as far as it goes."""
+    """Run the router with a fault; an unknown kind of fault is none.
+
+    Raises:
+        SystemExit: at once, if the fault is that the process ends at its start.
+    """
     if fault_kind == "dead":
         raise SystemExit(1)
     if fault_kind == "mute":
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -288,20 +288,30 @@
 @pytest.mark.parametrize(
     ("kind", "target", "expected", "affected"),
     [
-        (FaultName.CUT, ("w1", "w2"), LinkFaults(there=True, back=True), {("w1", "w2"), ("w2", "w1")}),
-        (FaultName.CUT, ("c0", "w2"), LinkFaults(there=True, back=True), {("c0", "w2")}),
-        (FaultName.SLOW, ("c0", "w2"), LinkFaults(delay=200.0), {("c0", "w2")}),
-        (FaultName.TRICKLE, ("c0", "w2"), LinkFaults(trickle=0.2), {("c0", "w2")}),
-        (FaultName.DEAF, ("c0",), LinkFaults(back=True), {("c0", f"w{n}") for n in range(1, 7)}),
+        (
+            FaultName.CUT,
+            ("w1", "w2"),
+            LinkFaults(drops_requests=True, drops_replies=True),
+            {("w1", "w2"), ("w2", "w1")},
+        ),
+        (FaultName.CUT, ("c0", "w2"), LinkFaults(drops_requests=True, drops_replies=True), {("c0", "w2")}),
+        (FaultName.SLOW, ("c0", "w2"), LinkFaults(delay_ms=200.0), {("c0", "w2")}),
+        (FaultName.TRICKLE, ("c0", "w2"), LinkFaults(bytes_per_second=0.2), {("c0", "w2")}),
+        (FaultName.DEAF, ("c0",), LinkFaults(drops_replies=True), {("c0", f"w{n}") for n in range(1, 7)}),
         (
             FaultName.ISOLATE,
             ("c0",),
-            LinkFaults(there=True, back=True),
+            LinkFaults(drops_requests=True, drops_replies=True),
             {("c0", f"w{n}") for n in range(1, 7)},
         ),
-        (FaultName.LOSE, ("c0",), LinkFaults(lose=0.2), {("c0", f"w{n}") for n in range(1, 7)}),
-        (FaultName.DUPLICATE, ("c0",), LinkFaults(double=0.2), {("c0", f"w{n}") for n in range(1, 7)}),
-        (FaultName.REORDER, ("c0",), LinkFaults(disorder=0.2), {("c0", f"w{n}") for n in range(1, 7)}),
+        (FaultName.LOSE, ("c0",), LinkFaults(loss_rate=0.2), {("c0", f"w{n}") for n in range(1, 7)}),
+        (
+            FaultName.DUPLICATE,
+            ("c0",),
+            LinkFaults(duplication_rate=0.2),
+            {("c0", f"w{n}") for n in range(1, 7)},
+        ),
+        (FaultName.REORDER, ("c0",), LinkFaults(reordering_rate=0.2), {("c0", f"w{n}") for n in range(1, 7)}),
     ],
 )
 def test_faults_of_links_hit_the_links_of_their_target_for_their_time(
@@ -336,7 +346,9 @@
     side = ("w1", "w2", "c0", "c1")
     lease_harness.fault_handlers.inject(0, Fault(0.0, FaultName.SPLIT, side, length=60.0))
     for (caller, replica), link in lease_harness.links.items():
-        assert (link.faults.there and link.faults.back) is ((caller in side) != (replica in side))
+        assert (link.faults.drops_requests and link.faults.drops_replies) is (
+            (caller in side) != (replica in side)
+        )
 
 
 def test_a_short_test_on_real_processes(tmp_path: Path) -> None:
