Cache node and discovery of fault-injection tests: typed states, long conditions as methods

Reports, node states, addresses and notifications were tuples that were read by position; they are named tuples now, with the same JSON. Numbers have names and units. DiscoveryStandIn.forget_router is gone: nothing called it (search over program, tests and docs).

--- a/rosepick/lab/drill/cache_node.py
+++ b/rosepick/lab/drill/cache_node.py
@@ -1,9 +1,8 @@
-"""The stand-in of a cache node in a drill: a process with a memory, an operators' door, and a word to
-discovery.
+"""A cache node of a fault-injection test: a process with a cache, an admin listener and reports to discovery.
 
-    python -m rosepick.lab.drill.cache_node NAME HOST:PORT DOOR_HOST:PORT DISCOVERY_HOST:PORT EVENTS
+    python -m rosepick.lab.drill.cache_node NAME HOST:PORT ADMIN_HOST:PORT DISCOVERY_HOST:PORT EVENTS
 
-What it lacks it fetches itself (through mode). It is cold until it has borne some requests.
+On a miss it fetches the value itself (read-through). It is cold until it has answered some requests.
 """
 
 from __future__ import annotations
@@ -26,116 +25,131 @@
 from .stand_in_connection import StandInConnection
 from .stand_ins import EventLog, drill_clock
 
-WARM_AFTER_REQUESTS = 25  # requests borne ...
-WARM_AFTER_S = 3.0  # ... or seconds
-FETCH_TIME_MS, HIT_TIME_MS = 8.0, 1.0  # milliseconds
+# a node is warm after so many requests, or after so many seconds
+WARM_AFTER_REQUESTS = 25
+WARM_AFTER_S = 3.0
+FETCH_TIME_MS = 8.0
+HIT_TIME_MS = 1.0
 REPORT_INTERVAL_MS = 200.0
-ESTABLISHED_AGE_MS = 3_600_000  # milliseconds
-IDLE_AFTER_S = 1.0  # seconds without a request while it drains: nobody sends any more
+ESTABLISHED_AGE_MS = 3_600_000
+IDLE_AFTER_S = 1.0  # without a request while the node drains
+MAX_DESCRIPTORS = 4096
+LISTEN_BACKLOG = 512
+RESPONSE_BODY = b"v" * 200
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """host:port."""
+    """Split HOST:PORT.
+
+    Raises:
+        ValueError: if the port is no number.
+    """
     host, _, port = text.rpartition(":")
     return host, int(port)
 
 
 class CacheNodeConnection(StandInConnection):
-    """One connection of a router: a request at a time."""
+    """A connection of a router; it has one request in flight at a time."""
 
     def __init__(self, node: CacheNodeStandIn, sock: socket.socket) -> None:
         self._node = node
         super().__init__(node.loop, node.budget, sock)
 
-    def handle_request(self, message: HttpRequest) -> None:
-        self._node.handle_request(self, message)
+    def handle_request(self, request: HttpRequest) -> None:
+        """Pass a request to the node."""
+        self._node.handle_request(self, request)
 
 
 class CacheNodeStandIn:
-    """The whole process."""
+    """The cache node: its listeners, its cache and its reports; addresses are HOST:PORT."""
 
     def __init__(self, name: str, listen: str, admin_address: str, discovery: str, events: str) -> None:
-        self.name, self.loop, self.budget = name, EventLoop(), ResourceBudget(4096)
-        first = not os.path.exists(events) or not os.path.getsize(events)
-        # the fleet of a drill is an old one: only what starts again is cold
-        self._started_at, self._boot_ms = (
-            drill_clock(),
-            round(time.time() * 1000.0) - (ESTABLISHED_AGE_MS if first else 0),
-        )
+        self.name = name
+        self.loop = EventLoop()
+        self.budget = ResourceBudget(MAX_DESCRIPTORS)
+        is_first_start = not os.path.exists(events) or not os.path.getsize(events)
+        self._started_at = drill_clock()
+        # the fleet of a test is an established one: only a node that is restarted is cold
+        self._boot_ms = round(time.time() * 1000.0) - (ESTABLISHED_AGE_MS if is_first_start else 0)
         self.event_log = EventLog(events)
-        self.event_log.append(FaultInjected(name, self._started_at, "first start" if first else "cold start"))
+        start_kind = "first start" if is_first_start else "cold start"
+        self.event_log.append(FaultInjected(name, self._started_at, start_kind))
         self._discovery = parse_address(discovery)
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._memory: set[bytes] = set()
-        self._hits = self._misses = self._in_flight = 0
+        self._cached_targets: set[bytes] = set()
+        self._hits = 0
+        self._misses = 0
+        self._in_flight = 0
         self._last_request_at = drill_clock()
         self.draining = False
-        self._sock = socket.create_server(parse_address(listen), backlog=512)
+        self._sock = socket.create_server(parse_address(listen), backlog=LISTEN_BACKLOG)
         self._sock.setblocking(False)
         self.loop.register(self._sock, READ, self._accept)
-        calls = {
+        commands = {
             "readyz": self._readyz,
             "telemetry": self._telemetry,
             "drain": self._drain,
             "undrain": self._undrain,
         }
-        self.admin_listener = AdminListener(self.loop, parse_address(admin_address), calls)
+        self.admin_listener = AdminListener(self.loop, parse_address(admin_address), commands)
         self._report_periodically()
 
-    def _accept(self, mask: int) -> None:
+    def _accept(self, _mask: int) -> None:
         try:
             CacheNodeConnection(self, self._sock.accept()[0])
         except OSError:
             return
 
-    def handle_request(self, connection: CacheNodeConnection, message: HttpRequest) -> None:
-        """A request is here, whole."""
+    def handle_request(self, connection: CacheNodeConnection, request: HttpRequest) -> None:
+        """Answer a request after the time that a hit or a fetch takes."""
         self._last_request_at = drill_clock()
+        request_id = request.header_text(b"req-id")
         self.event_log.append(
-            NodeRequestReceived(
-                self.name, self._last_request_at, message.header_text(b"req-id"), self.draining
-            )
+            NodeRequestReceived(self.name, self._last_request_at, request_id, self.draining)
         )
-        if message.target in self._memory:
+        is_hit = request.target in self._cached_targets
+        if is_hit:
             self._hits += 1
-            wait, found = HIT_TIME_MS, b"hit"
         else:
             self._misses += 1
-            self._memory.add(message.target)
-            wait, found = FETCH_TIME_MS, b"miss"
+            self._cached_targets.add(request.target)
+        response = encode_response(200, RESPONSE_BODY, ((b"Srv-Cache", b"hit" if is_hit else b"miss"),))
         self._in_flight += 1
 
-        def done() -> None:
+        def respond() -> None:
             self._in_flight -= 1
-            connection.send_response(
-                encode_response(200, b"v" * 200, ((b"Srv-Cache", found),)), message.keep_alive
-            )
+            connection.send_response(response, request.keep_alive)
 
-        self.loop.call_after(wait, done)
+        self.loop.call_after(HIT_TIME_MS if is_hit else FETCH_TIME_MS, respond)
 
-    # -- the door
+    # -- admin commands
 
     def _readyz(self) -> AdminReply:
         return AdminReply(not self.draining, "draining" if self.draining else "ready")
 
+    def _is_idle(self) -> bool:
+        idle_s = drill_clock() - self._last_request_at
+        return self.draining and not self._in_flight and idle_s > IDLE_AFTER_S
+
+    def _is_warm(self) -> bool:
+        if self._hits + self._misses >= WARM_AFTER_REQUESTS:
+            return True
+        return drill_clock() - self._started_at > WARM_AFTER_S
+
     def _telemetry(self) -> AdminReply:
-        idle = self.draining and not self._in_flight and drill_clock() - self._last_request_at > IDLE_AFTER_S
-        warm = (
-            self._hits + self._misses >= WARM_AFTER_REQUESTS
-            or drill_clock() - self._started_at > WARM_AFTER_S
-        )
-        told = {
+        telemetry = {
             "draining": self.draining,
-            "idle": idle,
-            "warm": warm,
+            "idle": self._is_idle(),
+            "warm": self._is_warm(),
             "hits": self._hits,
             "misses": self._misses,
         }
-        return AdminReply(True, msgspec.json.encode(told).decode(), ("END",), is_document=True)
+        return AdminReply(True, msgspec.json.encode(telemetry).decode(), ("END",), is_document=True)
 
     def _drain(self) -> AdminReply:
         if not self.draining:
-            self.draining, self._last_request_at = True, drill_clock()
+            self.draining = True
+            self._last_request_at = drill_clock()
             self._report_state()
         return AdminReply(True, "draining")
 
@@ -144,6 +158,8 @@
         self._report_state()
         return AdminReply(True, "taking")
 
+    # -- reports to discovery
+
     def _report_periodically(self) -> None:
         self._report_state()
         self.loop.call_after(REPORT_INTERVAL_MS, self._report_periodically)
@@ -153,13 +169,13 @@
         self._udp.sendto(msgspec.json.encode((self.name, state, self._boot_ms)), self._discovery)
 
     def stop(self) -> None:
-        """SIGTERM."""
+        """Report to discovery that the node leaves, and end the event loop."""
         self._report_state("left")
         self.loop.stop()
 
 
 def main() -> None:
-    """Serve until told to end."""
+    """Run the cache node until SIGTERM."""
     logs.configure_logging()
     node = CacheNodeStandIn(*sys.argv[1:6])
     node.loop.add_signal_handlers({signal.SIGTERM: node.stop})
--- a/rosepick/lab/drill/discovery_stand_in.py
+++ b/rosepick/lab/drill/discovery_stand_in.py
@@ -1,13 +1,15 @@
-"""Discovery in a drill, on the rig's own loop: nodes tell it by datagrams what they are, routers watch its
-list. It knows which router it has told what, and when.
+"""The discovery service of a fault-injection test, which runs on the event loop of the harness.
+
+Cache nodes report their states in datagrams; routers watch the endpoint list. The service records which
+router was notified of which state, and when.
 """
 
 from __future__ import annotations
 
 import json
 import socket
-from collections.abc import Callable
-from typing import Any
+from functools import partial
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -18,28 +20,73 @@
 from .stand_in_connection import StandInConnection
 from .stand_ins import drill_clock
 
-NODE_TIMEOUT_S = 1.5  # seconds without a word of a node after which it is listed as gone
-_node_report_decoder: msgspec.json.Decoder[tuple[str, str, int]] = msgspec.json.Decoder(tuple[str, str, int])
+NODE_TIMEOUT_S = 1.5  # without a report of a node, until the node is listed as one that has left
+EXPIRY_INTERVAL_MS = 200.0
+MAX_DATAGRAM_BYTES = 4096
+MAX_DESCRIPTORS = 4096
+LISTEN_BACKLOG = 64
+LEFT = "left"
+
+
+class NodeReport(NamedTuple):
+    """What a node reports: an array of JSON."""
+
+    name: str
+    state: str
+    boot_ms: int
+
+
+class NodeAddress(NamedTuple):
+    """Where a node is."""
+
+    endpoint: str
+    zone: str
+
+
+class NodeState(NamedTuple):
+    """The state of a node, and the revision of the endpoint list that brought it."""
+
+    revision: int
+    state: str
+    boot_ms: int
+
+
+class Notification(NamedTuple):
+    """When a router was first notified of a state of a node; in seconds of the test's clock."""
+
+    at: float
+    state: str
+
+
+_node_report_decoder: msgspec.json.Decoder[NodeReport] = msgspec.json.Decoder(NodeReport)
 
 
 class DiscoveryStandIn:
-    """The list of cache nodes. `nodes`: name to endpoint and zone; `doors`: a port for each router."""
+    """The endpoint list of all cache nodes.
+
+    Args:
+        loop: the event loop that it runs on.
+        host: the address of all its sockets.
+        port: the port for the reports of nodes.
+        nodes: the addresses of all nodes, by name.
+        listen_ports: a port for each router, by name, so that routers can be told apart.
+    """
 
     def __init__(
         self,
         loop: EventLoop,
         host: str,
         port: int,
-        nodes: dict[str, tuple[str, str]],
+        nodes: dict[str, NodeAddress],
         listen_ports: dict[str, int],
     ) -> None:
-        self.loop, self._nodes, self.budget = loop, nodes, ResourceBudget(4096)
+        self.loop = loop
+        self.budget = ResourceBudget(MAX_DESCRIPTORS)
+        self._nodes = nodes
         self.revision = 1
-        self.node_states: dict[str, tuple[int, str, int]] = {}  # revision, state, when it started
+        self.node_states: dict[str, NodeState] = {}
         self._last_reported_at: dict[str, float] = {}
-        self.notified: dict[
-            tuple[str, str], tuple[float, str]
-        ] = {}  # router and node: when it was told which state first
+        self.notified: dict[tuple[str, str], Notification] = {}  # by router and node
         self.watchers: set[DiscoveryWatcher] = set()
         self.port = port
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -47,122 +94,118 @@
         self._udp.setblocking(False)
         loop.register(self._udp, READ, self._on_node_report)
         self._listening_sockets = [
-            self._open_listener(host, at, router) for router, at in listen_ports.items()
+            self._open_listener(host, listen_port, router) for router, listen_port in listen_ports.items()
         ]
         self._expire_silent_nodes()
 
     def _open_listener(self, host: str, port: int, router: str) -> socket.socket:
-        sock = socket.create_server((host, port), backlog=64)
+        sock = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         sock.setblocking(False)
-        self.loop.register(sock, READ, self._accept_handler(sock, router))
+        self.loop.register(sock, READ, partial(self._accept, sock, router))
         return sock
 
-    def _accept_handler(self, sock: socket.socket, router: str) -> Callable[[int], None]:
-        def accept(mask: int) -> None:
-            try:
-                self.watchers.add(DiscoveryWatcher(self, router, sock.accept()[0]))
-            except OSError:
-                return
-
-        return accept
+    def _accept(self, sock: socket.socket, router: str, _mask: int) -> None:
+        try:
+            self.watchers.add(DiscoveryWatcher(self, router, sock.accept()[0]))
+        except OSError:
+            return
 
-    def _on_node_report(self, mask: int) -> None:
-        name, state, boot = _node_report_decoder.decode(self._udp.recv(4096))
-        self._last_reported_at[name] = drill_clock()
-        self._set_state(name, state, boot)
+    def _on_node_report(self, _mask: int) -> None:
+        report = _node_report_decoder.decode(self._udp.recv(MAX_DATAGRAM_BYTES))
+        self._last_reported_at[report.name] = drill_clock()
+        self._set_state(report)
 
-    def _set_state(self, name: str, state: str, boot: int) -> None:
-        before = self.node_states.get(name)
-        if before is not None and before[1:] == (state, boot):
+    def _set_state(self, report: NodeReport) -> None:
+        present = self.node_states.get(report.name)
+        if present is not None and (present.state, present.boot_ms) == (report.state, report.boot_ms):
             return
         self.revision += 1
-        self.node_states[name] = self.revision, state, boot
+        self.node_states[report.name] = NodeState(self.revision, report.state, report.boot_ms)
         for watcher in list(self.watchers):
             watcher.on_change()
 
     def _expire_silent_nodes(self) -> None:
-        for name, (_, state, boot) in list(self.node_states.items()):
-            if state != "left" and drill_clock() - self._last_reported_at[name] > NODE_TIMEOUT_S:
-                self._set_state(name, "left", boot)
-        self.loop.call_after(200.0, self._expire_silent_nodes)
+        for name, node in list(self.node_states.items()):
+            if node.state != LEFT and drill_clock() - self._last_reported_at[name] > NODE_TIMEOUT_S:
+                self._set_state(NodeReport(name, LEFT, node.boot_ms))
+        self.loop.call_after(EXPIRY_INTERVAL_MS, self._expire_silent_nodes)
 
     def endpoint_document(self, router: str, after: int | None) -> dict[str, Any]:
-        """What a router is told: what is newer than a revision, or all."""
+        """Return the document for a router, and record that the router is notified.
+
+        It has the nodes that have changed after a revision, or all nodes if that is None.
+        """
         rows = []
-        for name, (revision, state, boot) in self.node_states.items():
-            if after is not None and revision <= after:
+        for name, node in self.node_states.items():
+            if after is not None and node.revision <= after:
                 continue
-            endpoint, zone = self._nodes[name]
-            rows.append(
-                {
-                    "uid": name,
-                    "endpoint": endpoint,
-                    "az": zone,
-                    "model": "std",
-                    "pod_group": 0,
-                    "state": state,
-                    "capacity_hint": 1.0,
-                    "boot_ms": boot,
-                }
-            )
-            known = self.notified.get((router, name))
-            if known is None or known[1] != state:
-                self.notified[router, name] = drill_clock(), state
+            rows.append(self._endpoint_row(name, node))
+            last = self.notified.get((router, name))
+            if last is None or last.state != node.state:
+                self.notified[router, name] = Notification(drill_clock(), node.state)
         return {"rev": self.revision, "all": after is None, "targets": rows}
 
-    def has_changes_since(self, after: int) -> bool:
-        """Whether anything is newer."""
-        return any(revision > after for revision, _, _ in self.node_states.values())
+    def _endpoint_row(self, name: str, node: NodeState) -> dict[str, Any]:
+        address = self._nodes[name]
+        return {
+            "uid": name,
+            "endpoint": address.endpoint,
+            "az": address.zone,
+            "model": "std",
+            "pod_group": 0,
+            "state": node.state,
+            "capacity_hint": 1.0,
+            "boot_ms": node.boot_ms,
+        }
 
-    def forget_router(self, router: str) -> None:
-        """A new start of it knows nothing."""
-        for pair in [pair for pair in self.notified if pair[0] == router]:
-            del self.notified[pair]
+    def has_changes_since(self, after: int) -> bool:
+        """Return whether a node has changed after a revision."""
+        return any(node.revision > after for node in self.node_states.values())
 
     def close(self) -> None:
-        """Let go of every socket."""
+        """Close the sockets that it listens on."""
         for sock in (*self._listening_sockets, self._udp):
             self.loop.unregister(sock)
             sock.close()
 
 
 class DiscoveryWatcher(StandInConnection):
-    """One connection of a router."""
+    """A connection of a router, which asks for changes by long polling."""
 
     def __init__(self, discovery: DiscoveryStandIn, router: str, sock: socket.socket) -> None:
-        self.discovery, self.router = discovery, router
+        self.discovery = discovery
+        self.router = router
         self._after: int | None = None
         self._wait_timer: ScheduledCall | None = None
         super().__init__(discovery.loop, discovery.budget, sock)
 
-    def handle_request(self, message: HttpRequest) -> None:
-        asked = {
-            name: values[0]
-            for name, values in parse_qs(urlsplit(message.target.decode("latin-1")).query).items()
-        }
-        self._after = int(asked["after"]) if "after" in asked else None
-        wait = float(asked.get("wait_ms", "0"))
-        if self._after is None or wait <= 0 or self.discovery.has_changes_since(self._after):
+    def handle_request(self, request: HttpRequest) -> None:
+        """Send the endpoint list, at once or when it has changed or the time to wait is over."""
+        query = parse_qs(urlsplit(request.target.decode("latin-1")).query)
+        self._after = int(query["after"][0]) if "after" in query else None
+        wait_ms = float(query["wait_ms"][0]) if "wait_ms" in query else 0.0
+        if self._after is None or wait_ms <= 0 or self.discovery.has_changes_since(self._after):
             self._send_endpoints()
         else:
-            self._wait_timer = self.discovery.loop.call_after(wait, self._send_endpoints)
+            self._wait_timer = self.discovery.loop.call_after(wait_ms, self._send_endpoints)
 
     def on_change(self) -> None:
-        """Something is newer than what this router holds."""
+        """Send the endpoint list if the router waits for a change."""
         if self._wait_timer is not None:
             self._send_endpoints()
 
-    def _send_endpoints(self) -> None:
+    def _cancel_wait(self) -> None:
         if self._wait_timer is not None:
             self._wait_timer.cancel()
             self._wait_timer = None
+
+    def _send_endpoints(self) -> None:
+        self._cancel_wait()
         body = json.dumps(self.discovery.endpoint_document(self.router, self._after)).encode()
         self.send_response(encode_response(200, body, ((b"Content-Type", b"application/json"),)))
 
     def close(self) -> None:
-        """Close it."""
-        if self._wait_timer is not None:
-            self._wait_timer.cancel()
-            self._wait_timer = None
+        """Close the connection, and stop waiting for a change."""
+        self._cancel_wait()
         super().close()
         self.discovery.watchers.discard(self)
--- a/rosepick/lab/drill/drain_harness.py
+++ b/rosepick/lab/drill/drain_harness.py
@@ -23,7 +23,7 @@
 from ..experiment import parse_experiment as read_experiment
 from ..live import router_config
 from . import drain_invariants, invariants
-from .discovery_stand_in import DiscoveryStandIn
+from .discovery_stand_in import DiscoveryStandIn, NodeAddress
 from .drill_file import Drill
 from .drill_run import DrillRun, DrillRunError
 from .fault_plan import Fault, FaultName
@@ -142,7 +142,7 @@
             self.listen_addresses[name], self.admin_addresses[name] = (self.host, port), (self.host, port + 1)
             port += 2
         nodes = {
-            n: (f"{self.host}:{self.listen_addresses[n][1]}", zone)
+            n: NodeAddress(f"{self.host}:{self.listen_addresses[n][1]}", zone)
             for n, (kind, zone) in self.members.items()
             if kind == "cache"
         }
@@ -394,12 +394,12 @@
         ]
         for node, (kind, _) in self.members.items():
             row = self.discovery.node_states.get(node)
-            if kind != "cache" or row is None or row[1] != "leaving":
+            if kind != "cache" or row is None or row.state != "leaving":
                 self._drain_announced_at.pop(node, None)
                 continue
             told = [self.discovery.notified.get((router, node)) for router in routers]
             if node not in self._drain_announced_at and all(
-                one is not None and one[1] == "leaving" for one in told
+                one is not None and one.state == "leaving" for one in told
             ):
                 self._drain_announced_at[node] = drill_clock()
                 self.events.append(DrainAnnounced(node, drill_clock()))
