Stand-ins of fault-injection tests: event log and request client in modules of their own

One module held the tests' clock and event log, a load generator and three more processes. The clock and the log are event_log, the load generator is request_client; options of a worker and steps of work are typed, and the sub-commands are called in one place. Command lines, datagrams, events and order of random draws stay.

--- a/rosepick/lab/drill/cache_node.py
+++ b/rosepick/lab/drill/cache_node.py
@@ -21,9 +21,9 @@
 from ...net.resource_budget import ResourceBudget
 from ...ops.line_protocol import AdminReply
 from ..live.request_reader import HttpRequest, encode_response
+from .event_log import EventLog, drill_clock
 from .history import FaultInjected, NodeRequestReceived
 from .stand_in_connection import StandInConnection
-from .stand_ins import EventLog, drill_clock
 
 # a node is warm after so many requests, or after so many seconds
 WARM_AFTER_REQUESTS = 25
--- a/rosepick/lab/drill/discovery_stand_in.py
+++ b/rosepick/lab/drill/discovery_stand_in.py
@@ -17,8 +17,8 @@
 from ...net.event_loop import READ, EventLoop, ScheduledCall
 from ...net.resource_budget import ResourceBudget
 from ..live.request_reader import HttpRequest, encode_response
+from .event_log import drill_clock
 from .stand_in_connection import StandInConnection
-from .stand_ins import drill_clock
 
 NODE_TIMEOUT_S = 1.5  # without a report of a node, until the node is listed as one that has left
 EXPIRY_INTERVAL_MS = 200.0
--- a/rosepick/lab/drill/drain_harness.py
+++ b/rosepick/lab/drill/drain_harness.py
@@ -26,6 +26,7 @@
 from .discovery_stand_in import DiscoveryStandIn, NodeAddress
 from .drill_file import Drill
 from .drill_run import DrillRun, DrillRunError
+from .event_log import drill_clock
 from .fault_plan import Fault, FaultName
 from .harness import LeaseHarness
 from .history import (
@@ -41,7 +42,6 @@
 from .process_cluster import STAND_INS_MODULE
 from .processes import FIRST_PORT
 from .quorum_operator import START_TIMEOUT_S
-from .stand_ins import drill_clock
 
 ZONES = ("east", "west")
 MEMBER_LIMIT = Limit(most=2, zone_most=1, share=1.0, zone_share=1.0, stay=1)
--- a/rosepick/lab/drill/drill_run.py
+++ b/rosepick/lab/drill/drill_run.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from .event_log import drill_clock
 from .history import AnyEvent
 from .invariants import InvariantReport
-from .stand_ins import drill_clock
 
 LOG_CONTEXT_S = 1.0  # of logs around an event of a violation
 SECONDS_DIGITS = 19  # of a log line's time, up to its seconds; a point and milliseconds follow
--- a/rosepick/lab/drill/harness.py
+++ b/rosepick/lab/drill/harness.py
@@ -12,6 +12,7 @@
 from . import history, invariants
 from .drill_file import Drill
 from .drill_run import DrillRun, DrillRunError
+from .event_log import drill_clock
 from .fault_handlers import FaultHandlers
 from .fault_plan import QUORUM_CHANGING_FAULTS, Fault, FaultName, FaultPlan, FaultSchedule, FaultTargets
 from .history import AnyEvent, FaultInjected
@@ -19,7 +20,6 @@
 from .link_fault_injector import LinkFaultInjector
 from .process_cluster import ProcessCluster
 from .quorum_operator import START_TIMEOUT_S, QuorumOperator
-from .stand_ins import drill_clock
 from .storage_fault_injector import StorageFaultInjector
 from .takeover_check import TakeoverCheck
 
--- a/rosepick/lab/drill/process_cluster.py
+++ b/rosepick/lab/drill/process_cluster.py
@@ -14,11 +14,11 @@
 from ...net.resource_budget import ResourceBudget
 from ..log_terms import line_has_event
 from .drill_file import Drill
+from .event_log import drill_clock
 from .forwarder import Forwarder, LinkEndpoints
 from .history import AnyEvent
 from .instrumented_client import InstrumentedQuorumClient
 from .processes import FIRST_PORT, ManagedProcess, starter_command, unique_loopback_address
-from .stand_ins import drill_clock
 
 STAND_INS_MODULE = "rosepick.lab.drill.stand_ins"
 BUFFER_BUDGET_BYTES = 1 << 20  # of all links
--- a/rosepick/lab/drill/release_harness.py
+++ b/rosepick/lab/drill/release_harness.py
@@ -24,6 +24,7 @@
 from .drain_harness import GROUP, AvailabilityProbe, DrainHarness
 from .drill_file import Drill
 from .drill_run import DrillRun
+from .event_log import drill_clock
 from .history import AnyEvent, AvailabilityChanged, ReleaseDecided, VersionStarted
 from .invariants import Violation
 from .simulated_releases import (
@@ -33,7 +34,6 @@
     fault_kind_of,
     max_members_exposed,
 )
-from .stand_ins import drill_clock
 
 ROUTER_LIMIT = Limit(most=3, zone_most=2, share=1.0, zone_share=1.0, stay=1)
 ROLLBACK_LIMIT = Limit(most=4, zone_most=3, share=1.0, zone_share=1.0, stay=1)
--- a/rosepick/lab/drill/stand_ins.py
+++ b/rosepick/lab/drill/stand_ins.py
@@ -1,10 +1,13 @@
-"""Processes of a drill that are not the program's own: who works under leases, and what is acted on.
+"""Processes that a fault-injection test runs beside those of the program.
 
-    python -m rosepick.lab.drill.stand_ins worker NAME FLEET EVENTS PLACE TASK,TASK SEED
-    python -m rosepick.lab.drill.stand_ins hand NAME EVENTS PLACE          (as the command of `rosepick lease
-    run`) python -m rosepick.lab.drill.stand_ins resource EVENTS PLACE FOLDER
+    python -m rosepick.lab.drill.stand_ins worker NAME FLEET EVENTS RESOURCE TASK,TASK SEED
+    python -m rosepick.lab.drill.stand_ins hand NAME EVENTS RESOURCE
+    python -m rosepick.lab.drill.stand_ins client EVENTS ROUTER,ROUTER RATE SEED
+    python -m rosepick.lab.drill.stand_ins resource EVENTS RESOURCE FOLDER
 
-They write down what they see, each event at once, by the clock that all processes of a machine share.
+A worker holds leases and acts on the resource; `hand` does so as the command of `rosepick lease run`; a
+client sends requests to routers; the resource is guarded by fencing tokens. Addresses are HOST:PORT. Each
+process appends what it does and sees to a file of events at once.
 """
 
 from __future__ import annotations
@@ -15,8 +18,10 @@
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from typing import NamedTuple
 
 import msgspec
 
@@ -29,221 +34,202 @@
 from ...net.boot_clock import boottime_s
 from ...net.event_loop import READ, EventLoop
 from ...settings import fleet_file
-from .history import (
-    AnyEvent,
-    ClientRequestCompleted,
-    GuardedEffect,
-    LeaseCheckPassed,
-    LeaseStateChanged,
-    encode_line,
-)
+from .event_log import EventLog, drill_clock
+from .history import GuardedEffect, LeaseCheckPassed, LeaseStateChanged
 from .instrumented_client import InstrumentedQuorumClient
+from .request_client import RequestClient
 
-WORK_INTERVAL_S = 0.015  # seconds between two steps of work
-# of the steps come long after their question, as if the process had been paused in between
+WORK_INTERVAL_S = 0.015  # between two steps of work
+# share of the steps that are sent long after the lease was checked, as if the process had been paused
 DELAYED_STEP_SHARE = 0.01
-_step_decoder: msgspec.json.Decoder[tuple[str, str, int, int]] = msgspec.json.Decoder(
-    tuple[str, str, int, int]
-)
+NAMED_RELEASE_SHARE = 0.2  # of the releases name the client that the lease goes to
+CLIENT_NAME_COUNT = 8
+# how long a command under a lease runs
+MIN_COMMAND_S = 0.2
+MAX_COMMAND_S = 8.0
+MAX_DATAGRAM_BYTES = 4096
+IN_DOUBT = "doubt"  # of the changes that a lease holder reports, the one that is no state
 
 
-def _parse_address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
+class WorkStep(NamedTuple):
+    """An action on the resource under a lease: a datagram with an array of JSON."""
 
+    client: str
+    task: str
+    token: int
+    owner_id: int
 
-def drill_clock() -> float:
-    """Seconds by the drill's one clock."""
-    return time.clock_gettime(time.CLOCK_MONOTONIC)
 
+_step_decoder: msgspec.json.Decoder[WorkStep] = msgspec.json.Decoder(WorkStep)
 
-class EventLog:
-    """A file of events; each is there when `append` returns, whatever happens to the process."""
 
-    def __init__(self, path: str) -> None:
-        self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
-
-    def append(self, event: AnyEvent) -> None:
-        """Write it down."""
-        os.write(self._file, encode_line(event))
+def _parse_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
 
 
 class ResourceClient:
-    """Steps of work on their way to the resource; one may get lost."""
+    """Sends steps of work to the resource; a step may get lost."""
 
     def __init__(self, name: str, address: str) -> None:
-        self._name, self._address = name, _parse_address(address)
+        self._name = name
+        self._address = _parse_address(address)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
 
-    def send_step(self, task: str, token: int, owner: int) -> None:
-        """One step."""
+    def send_step(self, task: str, token: int, owner_id: int) -> None:
+        """Send a step of work."""
+        step = WorkStep(self._name, task, token, owner_id)
         try:
-            self._socket.sendto(msgspec.json.encode((self._name, task, token, owner)), self._address)
+            self._socket.sendto(msgspec.json.encode(step), self._address)
         except OSError:
             return  # the resource is down: nothing was done
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerOptions:
+    """What the command line of a worker says."""
+
+    name: str
+    fleet_file: str
+    event_file: str
+    resource_address: str
+    tasks: list[str]
+    seed: int
+
+
 class LeaseWorker:
-    """Wants leases, works while it may, gives them back from time to time."""
-
-    def __init__(
-        self, name: str, fleet: str, events_path: str, resource_address: str, tasks: list[str], seed: int
-    ) -> None:
-        told, key = fleet_file.load(Path(fleet))
-        self.name, self.tasks = name, tasks
-        self.rng = random.Random(f"{seed} {name} {os.getpid()} {drill_clock()}")
+    """Acquires leases, works while it may act, and releases them from time to time."""
+
+    def __init__(self, options: WorkerOptions) -> None:
+        fleet, secret = fleet_file.load(Path(options.fleet_file))
+        self.name = options.name
+        self.tasks = options.tasks
+        self.rng = random.Random(f"{options.seed} {options.name} {os.getpid()} {drill_clock()}")
         self.loop = EventLoop(boottime_s)
-        self.event_log = EventLog(events_path)
-        self.resource = ResourceClient(name, resource_address)
-        self.lease_timeouts = LeaseConfig(told.leases.ttl * 1000.0, told.leases.drift)
-        links = tcp_connections(self.loop, told.endpoints(), key)
+        self.event_log = EventLog(options.event_file)
+        self.resource = ResourceClient(options.name, options.resource_address)
+        self.lease_config = LeaseConfig(fleet.leases.ttl * 1000.0, fleet.leases.drift)
+        connections = tcp_connections(self.loop, fleet.endpoints(), secret)
         self.client = InstrumentedQuorumClient(
-            name, self.event_log.append, drill_clock, self.loop, links, self.rng
+            self.name, self.event_log.append, drill_clock, self.loop, connections, self.rng
         )
         self.client.records_operation_start = True
         self.lease_holders: dict[str, LeaseHolder] = {}
-        for task in tasks:
+        for task in self.tasks:
             self._request_lease(task)
             self._work_step(task)
 
     def _request_lease(self, task: str) -> None:
         self.lease_holders[task] = LeaseHolder(
-            self.client, task, self.name, self.lease_timeouts, partial(self._on_lease_change, task)
+            self.client, task, self.name, self.lease_config, partial(self._on_lease_change, task)
         )
 
     def _on_lease_change(self, task: str, change: str) -> None:
-        keeper = self.lease_holders.get(task)
-        if keeper is None or change == "doubt":
+        holder = self.lease_holders.get(task)
+        if holder is None or change == IN_DOUBT:
             return
-        contender, ttl = keeper.lease_client, self.lease_timeouts.ttl_ms
+        lease = holder.lease_client
+        ttl_ms = self.lease_config.ttl_ms
         self.event_log.append(
-            LeaseStateChanged(self.name, drill_clock(), task, contender.token, contender.owner_id, change)
+            LeaseStateChanged(self.name, drill_clock(), task, lease.token, lease.owner_id, change)
         )
-        if contender.state in (LeaseState.LOST, LeaseState.ENDED):
-            self.loop.call_after(ttl * self.rng.uniform(0.1, 0.5), partial(self._request_lease, task))
-        elif contender.state is LeaseState.HELD:
-            stay = ttl * self.rng.choice((0.6, 2.0, 20.0)) * self.rng.random()
-            self.loop.call_after(stay, partial(self._release_lease, keeper))
-
-    def _release_lease(self, keeper: LeaseHolder) -> None:
-        if keeper.lease_client.state is LeaseState.HELD:
-            keeper.release(f"c{self.rng.randrange(8)}" if self.rng.random() < 0.2 else "")
+        if lease.state in (LeaseState.LOST, LeaseState.ENDED):
+            self.loop.call_after(ttl_ms * self.rng.uniform(0.1, 0.5), partial(self._request_lease, task))
+        elif lease.state is LeaseState.HELD:
+            hold_ms = ttl_ms * self.rng.choice((0.6, 2.0, 20.0)) * self.rng.random()
+            self.loop.call_after(hold_ms, partial(self._release_lease, holder))
+
+    def _release_lease(self, holder: LeaseHolder) -> None:
+        if holder.lease_client.state is not LeaseState.HELD:
+            return
+        is_named = self.rng.random() < NAMED_RELEASE_SHARE
+        holder.release(f"c{self.rng.randrange(CLIENT_NAME_COUNT)}" if is_named else "")
 
     def _work_step(self, task: str) -> None:
-        keeper, begin = self.lease_holders[task], drill_clock()
-        contender = keeper.lease_client
-        if keeper.may_act():
+        holder = self.lease_holders[task]
+        check_started_at = drill_clock()
+        lease = holder.lease_client
+        if holder.may_act():
             self.event_log.append(
-                LeaseCheckPassed(self.name, drill_clock(), begin, task, contender.token, contender.owner_id)
+                LeaseCheckPassed(
+                    self.name, drill_clock(), check_started_at, task, lease.token, lease.owner_id
+                )
             )
-            step = partial(self.resource.send_step, task, contender.token, contender.owner_id)
-            if self.rng.random() < DELAYED_STEP_SHARE:
-                self.loop.call_after(self.lease_timeouts.ttl_ms * self.rng.uniform(1.0, 2.5), step)
-            else:
-                step()
-        self.loop.call_after(
-            1000.0 * WORK_INTERVAL_S * self.rng.uniform(0.5, 1.5), partial(self._work_step, task)
-        )
+            self._send_step(partial(self.resource.send_step, task, lease.token, lease.owner_id))
+        interval_ms = 1000.0 * WORK_INTERVAL_S * self.rng.uniform(0.5, 1.5)
+        self.loop.call_after(interval_ms, partial(self._work_step, task))
 
+    def _send_step(self, send: Callable[[], None]) -> None:
+        """Send a step at once or, seldom, when the lease has ended."""
+        if self.rng.random() < DELAYED_STEP_SHARE:
+            self.loop.call_after(self.lease_config.ttl_ms * self.rng.uniform(1.0, 2.5), send)
+        else:
+            send()
 
-def run_leased_command(name: str, events: str, resource_address: str) -> None:
-    """A command under `rosepick lease run`: it knows the token, and trusts the one that started it to end
-    it.
+
+def run_leased_command(name: str, event_file: str, resource_address: str) -> None:
+    """Act on the resource for some seconds, as a command of `rosepick lease run`.
+
+    The command knows the token of the lease. It relies on its parent to end it when the lease is lost.
     """
-    notes, deeds = EventLog(events), ResourceClient(name, resource_address)
-    task, token, who = os.environ["ROSEPICK_TASK"], int(os.environ["ROSEPICK_TOKEN"]), os.getpid()
-    rng = random.Random(who)
-    until = drill_clock() + rng.uniform(0.2, 8.0)
-    while drill_clock() < until:
+    event_log = EventLog(event_file)
+    resource = ResourceClient(name, resource_address)
+    task = os.environ["ROSEPICK_TASK"]
+    token = int(os.environ["ROSEPICK_TOKEN"])
+    owner_id = os.getpid()
+    rng = random.Random(owner_id)
+    end = drill_clock() + rng.uniform(MIN_COMMAND_S, MAX_COMMAND_S)
+    while drill_clock() < end:
         now = drill_clock()
-        notes.append(LeaseCheckPassed(name, now, now, task, token, who))
-        deeds.send_step(task, token, who)
+        event_log.append(LeaseCheckPassed(name, now, now, task, token, owner_id))
+        resource.send_step(task, token, owner_id)
         time.sleep(WORK_INTERVAL_S)
 
 
-def run_request_client(events: str, router_addresses: str, rate: str, seed: str) -> None:
-    """Asks routers at random, each request on a connection of its own, so many a second; where nobody
-    listens it asks another one.
-    """
-    import threading
-
-    notes, ends = EventLog(events), [_parse_address(text) for text in router_addresses.split(",")]
-    threads = 6
-
-    def ask(number: int) -> None:
-        rng = random.Random(f"{seed} {number}")
-        for count in range(1_000_000):
-            time.sleep(rng.expovariate(float(rate) / threads))
-            for place in rng.sample(ends, len(ends)):
-                name, key = f"{seed}-{number}-{count}", int(200 * rng.random() ** 2)
-                status, begin = _send_request(place, name, key)
-                if begin:
-                    notes.append(
-                        ClientRequestCompleted(
-                            "client", drill_clock(), begin, f"{place[0]}:{place[1]}", status
-                        )
-                    )
-                    break
-
-    for number in range(threads):
-        threading.Thread(target=ask, args=(number,), daemon=True).start()
-    while True:
-        time.sleep(1.0)
-
-
-def _send_request(address: tuple[str, int], request_id: str, key: int) -> tuple[int, float]:
-    """The status, and when the request was written; 0 if nobody listened."""
-    text = (
-        f"GET /k/{key} HTTP/1.1\r\nHost: r\r\nReq-Id: {request_id}\r\nReq-Kind: read\r\nReq-Deadline: 1.2\r\n"
-    )
-    try:
-        sock = socket.create_connection(address, 1.0)
-    except OSError:
-        return 0, 0.0
-    begin = drill_clock()
-    try:
-        sock.sendall(f"{text}Req-Owner: drill\r\nConnection: close\r\n\r\n".encode())
-        sock.settimeout(1.7)
-        first = sock.recv(65536)
-        return int(first[9:12]) if first.startswith(b"HTTP/1.1 ") else 0, begin
-    except OSError:
-        return 0, begin
-    finally:
-        sock.close()
-
-
-def run_guarded_resource(events: str, address: str, folder: str) -> None:
-    """What is acted on: it asks its guard before each step, and keeps the highest token on its disk."""
-    notes, guard = EventLog(events), FencingGuard(SqliteFencingTokenStore(Path(folder)))
+def run_request_client(event_file: str, router_addresses: str, rate: str, seed: str) -> None:
+    """Send requests to routers, so many a second, until the process is ended."""
+    routers = [_parse_address(text) for text in router_addresses.split(",")]
+    RequestClient(EventLog(event_file), routers, float(rate), seed).run()
+
+
+def run_guarded_resource(event_file: str, address: str, folder: str) -> None:
+    """Run the resource: its guard checks the fencing token of each step, and keeps the highest on a disk."""
+    event_log = EventLog(event_file)
+    guard = FencingGuard(SqliteFencingTokenStore(Path(folder)))
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind(_parse_address(address))
     loop = EventLoop()
 
-    def come(mask: int) -> None:
-        step: tuple[str, str, int, int] = _step_decoder.decode(sock.recv(4096))
-        name, task, token, who = step
-        taken = guard.accepts(task, token)
-        notes.append(GuardedEffect(name, drill_clock(), task, token, who, taken))
+    def handle_step(_mask: int) -> None:
+        step = _step_decoder.decode(sock.recv(MAX_DATAGRAM_BYTES))
+        accepted = guard.accepts(step.task, step.token)
+        event_log.append(
+            GuardedEffect(step.client, drill_clock(), step.task, step.token, step.owner_id, accepted)
+        )
 
-    loop.register(sock, READ, come)
+    loop.register(sock, READ, handle_step)
     loop.run()
 
 
+def _run_worker(arguments: list[str]) -> None:
+    name, fleet, event_file, resource_address, tasks, seed = arguments
+    options = WorkerOptions(name, fleet, event_file, resource_address, tasks.split(","), int(seed))
+    LeaseWorker(options).loop.run()
+
+
 def main() -> None:
-    """Start one."""
+    """Run the process that the command line names; an unknown one does nothing."""
     logs.configure_logging()
-    kind, *given = sys.argv[1:]
+    kind, *arguments = sys.argv[1:]
     if kind == "worker":
-        name, fleet, events, place, tasks, seed = given
-        LeaseWorker(name, fleet, events, place, tasks.split(","), int(seed)).loop.run()
-    kinds: dict[str, Callable[[], None]] = {
-        "hand": lambda: run_leased_command(given[0], given[1], given[2]),
-        "client": lambda: run_request_client(given[0], given[1], given[2], given[3]),
-        "resource": lambda: run_guarded_resource(given[0], given[1], given[2]),
-    }
-    if kind in kinds:
-        kinds[kind]()
+        _run_worker(arguments)
+    elif kind == "hand":
+        run_leased_command(*arguments[:3])
+    elif kind == "client":
+        run_request_client(*arguments[:4])
+    elif kind == "resource":
+        run_guarded_resource(*arguments[:3])
 
 
 if __name__ == "__main__":
--- a/rosepick/lab/drill/starter.py
+++ b/rosepick/lab/drill/starter.py
@@ -52,8 +52,8 @@
 def _record_operations(client_name: str, event_file: str) -> None:
     """Replace the quorum client of the program by one that records its operations in a file."""
     from ...coordination import quorum_client
+    from .event_log import EventLog, drill_clock
     from .instrumented_client import InstrumentedQuorumClient
-    from .stand_ins import EventLog, drill_clock
 
     InstrumentedQuorumClient.records_operation_start = True
     quorum_client.QuorumClient = partial(  # type: ignore[misc, assignment]
--- a/rosepick/lab/drill/takeover_check.py
+++ b/rosepick/lab/drill/takeover_check.py
@@ -11,11 +11,11 @@
 from ...net.boot_clock import boottime_s
 from ...net.event_loop import EventLoop
 from . import invariants
+from .event_log import drill_clock
 from .history import AnyEvent, FaultInjected
 from .instrumented_client import InstrumentedQuorumClient
 from .invariants import Violation
 from .process_cluster import ProcessCluster
-from .stand_ins import drill_clock
 
 READ_OPERATION_TIMEOUT_MS = 4_000.0
 READ_TIMEOUT_S = 6.0
