--- a/rosepick/lab/drill/release_harness.py
+++ b/rosepick/lab/drill/release_harness.py
@@ -27,7 +27,7 @@
 from .event_log import drill_clock
 from .history import AnyEvent, AvailabilityChanged, ReleaseDecided, VersionStarted
 from .invariants import Violation
-from .simulated_releases import (
+from .release_versions import (
     GOOD_VERSION,
     WAVES_TO_DETECT,
     count_decisions,
