Faults of versions in tests of releases as an enum in place of compared strings

The kinds of faults stood as strings in the router's faulty builds, the simulation and the drill on real processes. They are the members of VersionFault now, with the same values; the module imports nothing, since faulty builds load it.

Releases on real processes were not run.

--- a/rosepick/lab/drill/release_harness.py
+++ b/rosepick/lab/drill/release_harness.py
@@ -34,6 +34,7 @@
     fault_kind_of,
     max_members_exposed,
 )
+from .version_fault import VersionFault
 
 ROUTER_LIMIT = Limit(most=3, zone_most=2, share=1.0, zone_share=1.0, stay=1)
 ROLLBACK_LIMIT = Limit(most=4, zone_most=3, share=1.0, zone_share=1.0, stay=1)
@@ -293,7 +294,7 @@
             if isinstance(one, VersionStarted) and one.process == event.process
         ]
         version = next((one.version for one in reversed(ran) if one.at <= event.at), "old")
-        if not event.up and fault_kind_of(version) == "short":
+        if not event.up and fault_kind_of(version) == VersionFault.EXITS_SOON:
             host, port = self.listen_addresses[event.process]
             struck = self.kill_times_by_address.setdefault(f"{host}:{port}", [])
             struck += [event.at - 0.2 * n for n in range(3)]
--- a/rosepick/lab/drill/release_versions.py
+++ b/rosepick/lab/drill/release_versions.py
@@ -6,17 +6,18 @@
 
 from ...fleet.rollout_state import BUILD, Artifact, RolloutPhase, RolloutState
 from .history import ReleaseDecided
+from .version_fault import VersionFault
 
 INITIAL_VERSION = "old"
 GOOD_VERSION = "good"
-WAVES_TO_DETECT = {  # by the kind of a version's fault: how many waves may run it
-    "dead": 1,  # it ends at its start
-    "mute": 1,  # it never serves
-    "short": 1,  # it serves, and ends soon after
-    "fails": 1,  # it fails three requests in ten
-    "slow": 2,  # it takes half as much processor time again
-    "leaks": 2,  # its memory grows
-    "west": 3,  # it fails requests in one zone only
+WAVES_TO_DETECT: dict[str, int] = {  # how many waves may run a version with this fault
+    VersionFault.EXITS_AT_START: 1,
+    VersionFault.NEVER_SERVES: 1,
+    VersionFault.EXITS_SOON: 1,
+    VersionFault.FAILS_REQUESTS: 1,
+    VersionFault.SLOW: 2,
+    VersionFault.LEAKS_MEMORY: 2,
+    VersionFault.FAILS_IN_WEST: 3,
 }
 
 
@@ -26,7 +27,7 @@
 
 
 def fault_kind_of(version: str) -> str:
-    """Return the kind of a version's fault, a key of `WAVES_TO_DETECT`, or that the version is good."""
+    """Return the kind of a version's fault, the value of a `VersionFault`, or another name if it has none."""
     return version.partition("-")[0]
 
 
--- a/rosepick/lab/drill/simulated_releases.py
+++ b/rosepick/lab/drill/simulated_releases.py
@@ -37,6 +37,7 @@
 from .simulated_drains import GROUP, SimulatedAgent, SimulatedDrainCluster
 from .simulated_member import MemberObserver, SimulatedMember
 from .simulation import SimulationConfig
+from .version_fault import VersionFault
 
 ROUTER_LIMIT = Limit(most=3, zone_most=2, share=1.0, zone_share=1.0, stay=1)
 ROLLBACK_LIMIT = Limit(most=4, zone_most=3, share=1.0, zone_share=1.0, stay=1)
@@ -100,13 +101,13 @@
         rng = self.simulation.rng
         fault_kind = fault_kind_of(self.version)
         exit_now = partial(self._exit, self.incarnation, "fault")
-        if fault_kind == "dead" and self.running:
+        if fault_kind == VersionFault.EXITS_AT_START and self.running:
             self.simulation.schedule_in(rng.uniform(0.05, 0.3), exit_now)
-        elif fault_kind == "short":
+        elif fault_kind == VersionFault.EXITS_SOON:
             self.simulation.schedule_in(rng.uniform(1.2, 2.2), exit_now)
 
     def _serve(self, incarnation: int) -> None:
-        if fault_kind_of(self.version) != "mute":
+        if fault_kind_of(self.version) != VersionFault.NEVER_SERVES:
             super()._serve(incarnation)
 
     def _exit(self, incarnation: int, cause: str) -> None:
@@ -137,9 +138,13 @@
         fault_kind = fault_kind_of(router.version)
         requests = max(0.0, rng.gauss(MEAN_REQUESTS_PER_REPORT, 3.0)) * serving
         failed_requests = requests * self._draw_failed_share(fault_kind)
-        cpu_factor = SLOW_CPU_FACTOR if fault_kind == "slow" else 1.0
+        cpu_factor = SLOW_CPU_FACTOR if fault_kind == VersionFault.SLOW else 1.0
         cpu_s = requests * CPU_S_PER_REQUEST * rng.uniform(0.85, 1.15) * cpu_factor
-        leak_s = router.simulation.now - router.phase_started_at if fault_kind == "leaks" else 0.0
+        leak_s = (
+            router.simulation.now - router.phase_started_at
+            if fault_kind == VersionFault.LEAKS_MEMORY
+            else 0.0
+        )
         memory_kib = MEMORY_KIB * rng.uniform(0.99, 1.01) * (1.0 + MEMORY_GROWTH_PER_S * leak_s)
         return HealthReport(
             run_id,
@@ -158,7 +163,9 @@
 
     def _draw_failed_share(self, fault_kind: str) -> float:
         rng = self._router.simulation.rng
-        if fault_kind == "fails" or (fault_kind == "west" and self._router.zone == "west"):
+        if fault_kind == VersionFault.FAILS_REQUESTS or (
+            fault_kind == VersionFault.FAILS_IN_WEST and self._router.zone == "west"
+        ):
             return FAILED_REQUEST_SHARE * rng.uniform(0.6, 1.4)
         return rng.choice((0.0, 0.0, 0.0, 0.02))
 
--- a/rosepick/lab/drill/versions.py
+++ b/rosepick/lab/drill/versions.py
@@ -19,6 +19,7 @@
 
 from ...decisions import api
 from ...decisions.decide import Router
+from .version_fault import VersionFault
 
 FAILED_REQUEST_SHARE = 0.3
 CPU_S_PER_REQUEST = 0.003
@@ -31,7 +32,7 @@
 def write_build(folder: Path, fault_kind: str, mark: str) -> Path:
     """Write a build; `mark` tells it from others with the same kind of fault."""
     folder.mkdir(parents=True)
-    text = f"# {mark}\nfrom rosepick.lab.drill.versions import main\n\nmain({fault_kind!r})\n"
+    text = f"# {mark}\nfrom rosepick.lab.drill.versions import main\n\nmain({str(fault_kind)!r})\n"
     (folder / "member.py").write_text(text, "utf-8")
     return folder
 
@@ -75,17 +76,19 @@
     Raises:
         SystemExit: at once, if the fault is that the process ends at its start.
     """
-    if fault_kind == "dead":
+    if fault_kind == VersionFault.EXITS_AT_START:
         raise SystemExit(1)
-    if fault_kind == "mute":
+    if fault_kind == VersionFault.NEVER_SERVES:
         threading.Event().wait()
-    if fault_kind == "short":
+    if fault_kind == VersionFault.EXITS_SOON:
         threading.Timer(SHORT_LIFETIME_S, lambda: os._exit(3)).start()
-    if fault_kind == "fails" or (fault_kind == "west" and _is_in_west_zone()):
+    if fault_kind == VersionFault.FAILS_REQUESTS or (
+        fault_kind == VersionFault.FAILS_IN_WEST and _is_in_west_zone()
+    ):
         _intercept_requests(_fail_some)
-    elif fault_kind == "slow":
+    elif fault_kind == VersionFault.SLOW:
         _intercept_requests(_burn_cpu)
-    elif fault_kind == "leaks":
+    elif fault_kind == VersionFault.LEAKS_MEMORY:
         _intercept_requests(_leak_memory)
     sys.argv = ["rosepick", *sys.argv[1:]]
     runpy.run_module("rosepick", run_name="__main__", alter_sys=True)
