--- a/rosepick/consensus/proposer.py
+++ b/rosepick/consensus/proposer.py
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OperationOutcome:
-    """How an operation has ended, with the register as it is then; `reason` tells why one has failed."""
+    """How an operation has ended, with the register as it is then; `reason` says why one has failed."""
 
     kind: OutcomeKind
     register: Register = EMPTY_REGISTER
--- a/rosepick/lab/live/discovery_server.py
+++ b/rosepick/lab/live/discovery_server.py
@@ -34,7 +34,7 @@
     """That a router knows that a node drains."""
 
     since: float  # milliseconds since the run's begin
-    revision: int  # by which it was told
+    revision: int  # by which the router was notified
 
 
 class DiscoveryServer(SimulatedDiscovery):
@@ -150,7 +150,7 @@
         return None if known is None else known.since
 
     def record_poll(self, router: int, after: int) -> None:
-        """Record that a router has a revision, and forget what it was told later: it may have restarted."""
+        """Record that a router has a revision, and forget later notifications: it may have restarted."""
         known_drains = self._known_drains[router]
         for node in [node for node, known in known_drains.items() if known.revision > after]:
             del known_drains[node]
--- a/rosepick/lab/live/live_run.py
+++ b/rosepick/lab/live/live_run.py
@@ -91,7 +91,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnexpectedExit:
-    """A router that ended without being told to, or did not end when told to."""
+    """A router that ended without a signal, or did not end after one."""
 
     at_s: float  # since the run's begin
     router: str
@@ -205,7 +205,7 @@
         time.sleep(POLL_INTERVAL_S)
 
     def _check_routers(self) -> None:
-        """Record processes of routers that ended without being told to."""
+        """Record processes of routers that ended without a signal."""
         for router in self.routers:
             for process in router.processes:
                 is_unexpected = process.has_ended() and not process.stop_requested
--- a/rosepick/lab/live/rule_check.py
+++ b/rosepick/lab/live/rule_check.py
@@ -44,16 +44,16 @@
         client_try = ClientTry(
             record.request_id, classes[record.klass], record.deadline + observations.clients_late_ms
         )
-        answer_owed = _is_answer_owed(record, observations.router_downtimes)
-        replay = _TryReplay(monitor, record, client_try, answer_owed, CLOCK_SKEW_MS + nodes_late_ms)
+        is_answer_due = _is_answer_due(record, observations.router_downtimes)
+        replay = _TryReplay(monitor, record, client_try, is_answer_due, CLOCK_SKEW_MS + nodes_late_ms)
         replay.run(attempts_by_request.get(record.request_id, []))
     measure.violations.sort(key=lambda violation: violation.at)
 
 
-def _is_answer_owed(record: TryRecord, router_downtimes: Sequence[RouterDowntime]) -> bool:
-    """Return whether the router owed an answer.
+def _is_answer_due(record: TryRecord, router_downtimes: Sequence[RouterDowntime]) -> bool:
+    """Return whether an answer of the router was due.
 
-    It did if the request was sent whole, the client stayed, and the router was not killed meanwhile.
+    It was if the request was sent whole, the client stayed, and the router was not killed meanwhile.
     """
     if record.outcome in ("left", "crossed") or record.sent_at > record.ended_at:
         return False
@@ -67,15 +67,15 @@
     """Feeds the rule monitor with one try and its attempts."""
 
     def __init__(
-        self, monitor: RuleMonitor, record: TryRecord, client_try: ClientTry, answer_owed: bool, skew: float
+        self, monitor: RuleMonitor, record: TryRecord, client_try: ClientTry, is_answer_due: bool, skew: float
     ) -> None:
         self.monitor = monitor
         self.record = record
         self.client_try = client_try
         self.skew = skew
         self.router = f"router-{record.router}"
-        self.answer_owed = answer_owed
-        client_try.client_gone = not answer_owed
+        self.is_answer_due = is_answer_due
+        client_try.client_gone = not is_answer_due
         self._in_flight: list[tuple[NodeAttemptRecord, SentAttempt]] = []
         self._answered = False
 
@@ -101,7 +101,7 @@
         self._record_ended_by(self.record.ended_at + self.skew)
         if self.record.outcome in ANSWERED_OUTCOMES:
             self._record_answer()
-        elif self.answer_owed:
+        elif self.is_answer_due:
             self._record_unanswered()
 
     def _record_ended_by(self, at_ms: float) -> None:
