--- a/rosepick/lab/drill/drain_harness.py
+++ b/rosepick/lab/drill/drain_harness.py
@@ -23,9 +23,10 @@
 from ..experiment import parse_experiment as read_experiment
 from ..live import router_config
 from . import drain_invariants, invariants
-from .discovery_stand_in import DiscoveryStandIn
+from .discovery_stand_in import DiscoveryStandIn, NodeAddress
 from .drill_file import Drill
 from .drill_run import DrillRun, DrillRunError
+from .event_log import drill_clock
 from .fault_plan import Fault, FaultName
 from .harness import LeaseHarness
 from .history import (
@@ -41,7 +42,6 @@
 from .process_cluster import STAND_INS_MODULE
 from .processes import FIRST_PORT
 from .quorum_operator import START_TIMEOUT_S
-from .stand_ins import drill_clock
 
 ZONES = ("east", "west")
 MEMBER_LIMIT = Limit(most=2, zone_most=1, share=1.0, zone_share=1.0, stay=1)
@@ -142,7 +142,7 @@
             self.listen_addresses[name], self.admin_addresses[name] = (self.host, port), (self.host, port + 1)
             port += 2
         nodes = {
-            n: (f"{self.host}:{self.listen_addresses[n][1]}", zone)
+            n: NodeAddress(f"{self.host}:{self.listen_addresses[n][1]}", zone)
             for n, (kind, zone) in self.members.items()
             if kind == "cache"
         }
@@ -208,11 +208,10 @@
         experiment = read_experiment(EXPERIMENT, "drains")
         listen = f"{self.host}:{self.listen_addresses[name][1]}"
         known = {"rev": 0, "all": True, "targets": []}
-        told = router_config.router_config_document(
-            experiment, name, listen, f"{self.host}:{watch}", known, position=number
-        )
-        told["ops"] = f"{self.host}:{self.admin_addresses[name][1]}"
-        (self.folder / f"{name}.json").write_text(json.dumps(told), "utf-8")
+        router = router_config.RouterInstance(name, listen, f"{self.host}:{watch}", known, position=number)
+        document = router_config.router_config_document(experiment, router)
+        document["ops"] = f"{self.host}:{self.admin_addresses[name][1]}"
+        (self.folder / f"{name}.json").write_text(json.dumps(document), "utf-8")
 
     def is_serving(self, name: str) -> bool:
         """Whether a member serves, by asking it."""
@@ -394,12 +393,12 @@
         ]
         for node, (kind, _) in self.members.items():
             row = self.discovery.node_states.get(node)
-            if kind != "cache" or row is None or row[1] != "leaving":
+            if kind != "cache" or row is None or row.state != "leaving":
                 self._drain_announced_at.pop(node, None)
                 continue
             told = [self.discovery.notified.get((router, node)) for router in routers]
             if node not in self._drain_announced_at and all(
-                one is not None and one[1] == "leaving" for one in told
+                one is not None and one.state == "leaving" for one in told
             ):
                 self._drain_announced_at[node] = drill_clock()
                 self.events.append(DrainAnnounced(node, drill_clock()))
--- a/rosepick/lab/live/live_run.py
+++ b/rosepick/lab/live/live_run.py
@@ -19,8 +19,9 @@
 from types import FrameType
 from typing import Any
 
-from ..experiment import Experiment, FaultConfig
-from ..measure import Measure
+from ..experiment import Experiment
+from ..experiment_config import FaultConfig
+from ..measure import Measure, MeasuredRequest
 from ..model.workload import ScheduledRequest
 from ..results import RunCost, RunResult
 from . import request_schedule
@@ -90,7 +91,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnexpectedExit:
-    """A router that ended without being told to, or did not end when told to."""
+    """A router that ended without a signal, or did not end after one."""
 
     at_s: float  # since the run's begin
     router: str
@@ -204,7 +205,7 @@
         time.sleep(POLL_INTERVAL_S)
 
     def _check_routers(self) -> None:
-        """Record processes of routers that ended without being told to."""
+        """Record processes of routers that ended without a signal."""
         for router in self.routers:
             for process in router.processes:
                 is_unexpected = process.has_ended() and not process.stop_requested
@@ -281,21 +282,10 @@
         measure.violations = stand_in_results.violations
 
         for request in self.requests:
-            request_class = self.experiment.classes[request.klass]
-            measure.record_offered(
-                request.due_ms, request_class.name, self._tenant_of(request), request_class.worth
-            )
+            measure.record_offered(self._measured(request))
         for ended in load_results.request_ends:
             request = self.requests[ended.number]
-            request_class = self.experiment.classes[request.klass]
-            measure.record_ended(
-                request.due_ms,
-                request_class.name,
-                self._tenant_of(request),
-                request_class.worth,
-                ended.outcome,
-                ended.elapsed_ms,
-            )
+            measure.record_ended(self._measured(request), ended.outcome, ended.elapsed_ms)
         for unexpected in self.unexpected_exits:
             at_ms = 1000.0 * unexpected.at_s
             measure.record_violation("answered", "", unexpected.router, at_ms, unexpected.text)
@@ -309,9 +299,11 @@
         check_rules(measure, observations)
         return measure
 
-    def _tenant_of(self, request: ScheduledRequest) -> str:
+    def _measured(self, request: ScheduledRequest) -> MeasuredRequest:
+        request_class = self.experiment.classes[request.klass]
         tenants = self.experiment.tenants
-        return tenants[request.tenant].name if tenants else ""
+        tenant = tenants[request.tenant].name if tenants else ""
+        return MeasuredRequest(request.due_ms, request_class.name, tenant, request_class.worth)
 
     @staticmethod
     def _void_reason(stand_in_results: StandInResults, load_results: LoadResults) -> str:
