--- a/rosepick/core/endpoint_directory.py
+++ b/rosepick/core/endpoint_directory.py
@@ -51,6 +51,7 @@
 
     event: api.EndpointUpdate
     retired_endpoint_ids: tuple[int, ...]
+    retired_uids: tuple[str, ...]
 
 
 class EndpointDirectory:
@@ -101,7 +102,8 @@
         else:
             scope = api.UpdateScope.FULL if is_full else api.UpdateScope.DELTA
         event = api.EndpointUpdate(scope, api_endpoints, revision)
-        return DirectoryUpdate(event, tuple(self._find_retired(previous)))
+        retired_ids = tuple(self._find_retired(previous))
+        return DirectoryUpdate(event, retired_ids, tuple(previous[each].uid for each in retired_ids))
 
     def _find_retired(self, previous: dict[int, EndpointEntry]) -> list[int]:
         """Return the ids of endpoints that are gone, not ready, restarted or at another address."""
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -151,6 +151,7 @@
         ):
             return
         attempt.is_in_flight = False
+        attempt.result = result
         if attempt.timeout_timer is not None:
             attempt.timeout_timer.cancel()
         self.counts["attempt_malformed" if malformed else f"attempt_{result.name.lower()}"] += 1
@@ -187,6 +188,7 @@
         if not check_invariant(attempt.is_in_flight, "attempt_ends_once", ref=request.ref, result="begun"):
             return False
         attempt.is_in_flight = False
+        attempt.result = Result.OK
         request.response_started = True
         for timer in (attempt.timeout_timer, request.watchdog_timer):
             if timer is not None:
@@ -440,6 +442,25 @@
         ):
             self.counts["late_without_attempt"] += 1
         self.request_counters.record(request.class_index, outcome, cause, elapsed_ms)
+        if outcome is not RequestOutcome.SERVED:
+            self._log_unserved(request, outcome, cause, elapsed_ms)
+
+    def _log_unserved(
+        self, request: RequestContext, outcome: RequestOutcome, cause: str, elapsed_ms: float
+    ) -> None:
+        """Log why a request was not served, and how each of its attempts ended."""
+        log_event(
+            logger,
+            logging.INFO,
+            "request_unserved",
+            ref=request.ref,
+            client_id=request.client_id,
+            request_class=request.class_index,
+            outcome=outcome.name.lower(),
+            cause=cause or "none",
+            elapsed_ms=elapsed_ms,
+            attempts=",".join(_describe_attempt(attempt) for attempt in request.attempts) or "none",
+        )
 
     def _expire_unanswered_request(self, request: RequestContext) -> None:
         """Fail a request that the module did not answer by its deadline, while an answer still counts."""
@@ -463,3 +484,9 @@
                 self.finish_attempt(attempt, Result.NEVER_SENT)
         if request.is_finished and not any(attempt.is_in_flight for attempt in request.attempts):
             self.requests.pop(request.ref, None)
+
+
+def _describe_attempt(attempt: UpstreamAttempt) -> str:
+    """Return an attempt's endpoint and how it ended, for the log."""
+    state = "in_flight" if attempt.result is None else attempt.result.name.lower()
+    return f"{attempt.endpoint_id}:{state}"
--- a/rosepick/core/request_context.py
+++ b/rosepick/core/request_context.py
@@ -55,6 +55,7 @@
     attempts: list[UpstreamAttempt] = field(default_factory=list)
     watchdog_timer: TimerHandle | None = None
     started_at: float = 0.0  # when its time began to count
+    client_id: str = ""  # the client's own id of the request, for the log
 
     def awaits_response(self) -> bool:
         """Return whether its final answer is due.
@@ -89,5 +90,6 @@
     stop_at: float  # when it times out
     begin_by: float  # its first byte is not to be written later than this
     is_in_flight: bool = True
+    result: api.Result | None = None  # once it has ended
     is_fully_written: bool = False  # its last byte was written: only from then on can it be executed
     timeout_timer: TimerHandle | None = None
--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -382,6 +382,7 @@
                 is_write=method == b"PUT",
                 is_retry=headers.get(b"req-retry") == b"1",
                 cost_hint=None if cost is None else 0.001 * number_header(headers, b"req-cost"),
+                client_id=headers.get(b"req-id", b"").decode("latin-1"),
                 payload=ForwardedRequest(
                     method,
                     self._target,
--- a/rosepick/net/endpoint_watch.py
+++ b/rosepick/net/endpoint_watch.py
@@ -71,6 +71,8 @@
         self._timeout_timer: ScheduledCall | None = None
         self._response_timeout_ms = 0.0  # once the poll can be written
         self._needs_full_list = False  # after a switch, until a list was received
+        self.poll_count = 0  # polls begun since the start; the number of the latest one
+        self._poll_begun_at = 0.0
 
     def set_watching(self, enabled: bool) -> None:
         """Start or stop the watch; one that is active continues as it is."""
@@ -99,6 +101,7 @@
         self._unsent = encode_list_request(host, after_revision, wait_ms)
         self._response = EndpointListReader()
         self._response_timeout_ms = wait_ms + RESPONSE_GRACE_MS if wait_ms else FIRST_RESPONSE_TIMEOUT_MS
+        self._log_poll(after_revision, wait_ms)
         try:
             if self._stream is None:
                 self._dial()
@@ -108,6 +111,23 @@
         except OSError as error:
             self._fail(str(error))
 
+    def _log_poll(self, after_revision: int | None, wait_ms: float) -> None:
+        self.poll_count += 1
+        self._poll_begun_at = self.loop.now()
+        log_event(
+            logger,
+            logging.INFO,
+            "discovery_poll",
+            poll=self.poll_count,
+            after="all" if after_revision is None else after_revision,
+            wait_ms=wait_ms,
+            new_connection=self._stream is None,
+        )
+
+    def _elapsed_ms(self) -> float:
+        """Return the time since the latest poll began, in milliseconds."""
+        return self.loop.now() - self._poll_begun_at
+
     def _set_timeout(self, timeout_ms: float, reason: str) -> None:
         """Fail the poll if its next step takes longer than `timeout_ms`."""
         if self._timeout_timer is not None:
@@ -162,13 +182,23 @@
             self._timeout_timer.cancel()  # before the list is applied, which may take long
         if not reply.reusable or not data:
             self._close()
+        log_event(
+            logger, logging.INFO, "discovery_answer", poll=self.poll_count, elapsed_ms=self._elapsed_ms()
+        )
         self.on_list(reply.document)  # ValueError if it is malformed
         self._needs_full_list = False
         if self.is_active:
             self._poll(LONG_POLL_WAIT_MS)
 
     def _fail(self, reason: str) -> None:
-        log_event(logger, logging.WARNING, "discovery_failed", reason=reason)
+        log_event(
+            logger,
+            logging.WARNING,
+            "discovery_failed",
+            reason=reason,
+            poll=self.poll_count,
+            elapsed_ms=self._elapsed_ms(),
+        )
         self._stop()
         self.on_failure()
 
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -8,10 +8,11 @@
 import signal
 import time
 from collections.abc import Callable
+from dataclasses import asdict
 from functools import partial
 
 from ..connections.connection_table import CloseReason
-from ..core.endpoint_directory import EndpointDirectory
+from ..core.endpoint_directory import DirectoryUpdate, EndpointDirectory
 from ..core.engine import Engine
 from ..core.observed_engine import ObservedEngine
 from ..decisions import api
@@ -40,6 +41,7 @@
 
 logger = logging.getLogger(__name__)
 SUMMARY_INTERVAL_MS = 5_000.0
+MAX_LOGGED_UIDS = 8  # of each kind in a log line; the rest are counted
 GC_THRESHOLDS = (20_000, 20, 50)  # the collector runs seldom, as little of what is allocated forms cycles
 
 
@@ -198,7 +200,29 @@
         if not (self.listener.has_started or self.listener.is_shutting_down or must_wait):
             self.listener.start()
             host, port = self.listener.sock.getsockname()[:2]
-            log_event(logger, logging.INFO, "serving", name=self.config.name, listen=f"{host}:{port}")
+            log_event(
+                logger,
+                logging.INFO,
+                "serving",
+                name=self.config.name,
+                listen=f"{host}:{port}",
+                revision=self.endpoint_directory.revision,
+                endpoints=len(self.endpoint_directory.endpoints),
+            )
+            self._log_rules()
+
+    def _log_rules(self) -> None:
+        """Log the rules and limits in force: what a log is to be read against."""
+        settings = self.config.settings
+        log_event(
+            logger,
+            logging.INFO,
+            "rules_in_force",
+            routers=settings.routers,
+            lists_pushed=settings.pushed,
+            max_attempts=settings.limits.max_attempts,
+            **asdict(settings.rules),
+        )
 
     def run(self) -> None:
         """Serve until a signal ends the router and no request is pending."""
@@ -259,6 +283,7 @@
             scope=change.event.scope.value,
             entries=len(change.event.endpoints),
             endpoints=len(self.endpoint_directory.endpoints),
+            **_changed_uids(change, self.endpoint_directory),
         )
         self.engine.update_endpoints(change.event)
         self.pool.retire_endpoints(change.retired_endpoint_ids)
@@ -330,6 +355,7 @@
             self.capture.recorder.set_names(merged.names)
         if merged.settings != before.settings:
             self.engine.reconfigure(merged.settings)
+            self._log_rules()
         if new_config.discovery != before.discovery:
             self.endpoint_watch.switch_discovery(new_config.discovery)
 
@@ -379,3 +405,20 @@
 def _max_descriptors(config: Config) -> int:
     """Return the limit of descriptors: the configured one or that of the process, whichever is lower."""
     return min(config.max_descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+
+
+def _changed_uids(change: DirectoryUpdate, directory: EndpointDirectory) -> dict[str, str]:
+    """Return the uids of endpoints that an update drains or retires, for the log; none if there are none."""
+    draining = [
+        directory.uid_of(entry.endpoint_id) or ""
+        for entry in change.event.endpoints
+        if entry.status is api.Status.DRAINING
+    ]
+    fields = {"draining": draining, "retired": list(change.retired_uids)}
+    return {name: _shorten(uids) for name, uids in fields.items() if uids}
+
+
+def _shorten(uids: list[str]) -> str:
+    """Return the first uids as one text, and the number of the others."""
+    hidden_count = len(uids) - MAX_LOGGED_UIDS
+    return ",".join([*uids[:MAX_LOGGED_UIDS], *([f"+{hidden_count}"] if hidden_count > 0 else [])])
