--- a/rosepick/lab/experiment_config.py
+++ b/rosepick/lab/experiment_config.py
@@ -171,6 +171,7 @@
     "silent",
     "stale",
     "discovery_down",
+    "discovery_busy",
     "origin_slow",
     "origin_stop",
     "flash",
@@ -199,7 +200,7 @@
     zones: tuple[str, str] | None = None  # cut: the two zones that cannot reach each other
     by: PositiveFloat = 5.0  # factor of slowness or traffic; stale: additional seconds
     # flash: part of reads for one key; hang, reset, garbage, drip: part of attempts; patch, agreed: part of
-    # nodes that may be out
+    # nodes that may be out; discovery_busy: part of calls that discovery turns away
     share: Share = 0.2
     down: NonNegativeFloat = 1.0  # restart, router_restart: seconds until it is back
     manner: Literal["alone", "one", "fixed", "agreed"] = "agreed"  # patch: how restarts are ordered
--- a/rosepick/lab/live/discovery_server.py
+++ b/rosepick/lab/live/discovery_server.py
@@ -9,7 +9,6 @@
 import logging
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -19,22 +18,17 @@
 from ...net.tcp_stream import TcpStream
 from ..experiment_config import DiscoveryConfig
 from ..model.discovery import MemberChange, SimulatedDiscovery
+from ..model.random_streams import UniformStream
 from .controllable_listener import HOST, ControllableListener
 from .live_context import LiveContext
+from .notification_ledger import NotificationLedger
 from .request_reader import HttpRequest, MalformedRequestError, RequestReader, encode_response
 from .router_config import MACHINE_TYPES
 
 logger = logging.getLogger(__name__)
 WIRE_STATES = {Status.READY: "active", Status.DRAINING: "leaving", Status.REMOVED: "left"}
 EndpointRows = dict[str, Any]
-
-
-@dataclass(frozen=True, slots=True)
-class _KnownDrain:
-    """That a router knows that a node drains."""
-
-    since: float  # milliseconds since the run's begin
-    revision: int  # by which the router was notified
+LAST_LIST_PATH = "/last"  # `/last?N`: the list that router N had last, for whoever starts its next process
 
 
 class DiscoveryServer(SimulatedDiscovery):
@@ -55,7 +49,12 @@
             ControllableListener(simulation.loop, self._accept_handler(index))
             for index in range(listener_count)
         ]
-        self._known_drains: list[dict[int, _KnownDrain]] = [{} for _ in self.listeners]
+        self.ledgers = [NotificationLedger() for _ in self.listeners]
+        self.busy_shares: list[float] = []  # of calls that are turned away, by each active fault
+        self._drained_at: dict[int, float] = {}  # since when a node drains or is gone, by its number
+        self._listed_revisions = [0] * listener_count  # that each router had last, by its calls
+        self._initial_members: list[Endpoint] = []  # as routers are configured with at the run's begin
+        self._turn_away_stream = UniformStream(seed, "discovery turns away")
         self._busy_until_ms = 0.0
 
     def load_members(self, members: list[Endpoint]) -> None:
@@ -63,6 +62,8 @@
         super().load_members(members)
         young = [member for member in members if member.started_at > -1000.0 * self.config.stale_by]
         self._changes = [MemberChange(1, member) for member in young]
+        young_ids = {member.endpoint_id for member in young}
+        self._initial_members = [member for member in members if member.endpoint_id not in young_ids]
 
     def open(self) -> None:
         """Accept calls from now on."""
@@ -79,6 +80,8 @@
     def set_available(self, available: bool) -> None:
         """Take the service down, so that calls are refused, or bring it back."""
         self.up = available
+        for ledger in self.ledgers:
+            ledger.record_availability(self._now(), available)
         for listener in self.listeners[: self.routers]:
             listener.set_state("open" if available else "shut")
         if not available:
@@ -100,6 +103,20 @@
         rows = [self._endpoint_row(member, zone) for member in members]
         return {"rev": self.revision, "all": after is None, "targets": rows}, members
 
+    def last_document(self, router: int) -> EndpointRows:
+        """Return the list as a router had it last, by its calls."""
+        revision = self._listed_revisions[router]
+        members = {member.endpoint_id: member for member in self._initial_members}
+        for change in self._changes:
+            if change.revision > revision:
+                continue
+            if change.member.status is Status.REMOVED:
+                members.pop(change.member.endpoint_id, None)
+            else:
+                members[change.member.endpoint_id] = change.member
+        rows = [self._endpoint_row(member, router % self.zones) for member in members.values()]
+        return {"rev": revision, "all": True, "targets": rows}
+
     def initial_document(self, zone: int) -> EndpointRows:
         """Return the cached list of routers in a zone at the start, which is `stale_by` old."""
         new_endpoints = {change.member.endpoint_id for change in self._changes}
@@ -133,6 +150,10 @@
 
     def _apply_change(self, member: Endpoint) -> None:
         super()._apply_change(member)
+        if member.status is Status.READY:
+            self._drained_at.pop(member.endpoint_id, None)
+        else:
+            self._drained_at.setdefault(member.endpoint_id, self._now())
         for connection in list(self.connections):
             connection.on_change()
 
@@ -144,26 +165,41 @@
 
     # ----------------------------------------------------------------------------------- known drains
 
+    def _now(self) -> float:
+        return self.simulation.real_time_kernel.now()
+
     def drain_known_at(self, router: int, node: int) -> float | None:
-        """Return since when a router knows that a node drains; None if it does not."""
-        known = self._known_drains[router].get(node)
-        return None if known is None else known.since
+        """Return since when a router counts as knowing that a node drains; None if it does not."""
+        return self.ledgers[router].drain_known_at(
+            self._now(), node, self._drained_at.get(node), self.revision
+        )
+
+    def record_process_start(self, router: int) -> None:
+        """Record that a process of a router begins to serve."""
+        self.ledgers[router].record_process_start(self._now())
+
+    def record_process_end(self, router: int) -> None:
+        """Record that the process of a router has ended, or is about to be replaced."""
+        self.ledgers[router].record_process_end()
 
     def record_poll(self, router: int, after: int) -> None:
         """Record that a router has a revision, and forget later notifications: it may have restarted."""
-        known_drains = self._known_drains[router]
-        for node in [node for node, known in known_drains.items() if known.revision > after]:
-            del known_drains[node]
+        self._listed_revisions[router] = after
+        self.ledgers[router].record_revision(after)
 
     def record_notification(self, router: int, members: list[Endpoint]) -> None:
         """Record that endpoints were sent to a router."""
-        known_drains = self._known_drains[router]
-        now = self.simulation.real_time_kernel.now()
+        ledger = self.ledgers[router]
         for member in members:
             if member.status is Status.READY:
-                known_drains.pop(member.endpoint_id, None)
+                ledger.record_ready(member.endpoint_id)
             else:
-                known_drains.setdefault(member.endpoint_id, _KnownDrain(now, self.revision))
+                ledger.record_drain(self._now(), member.endpoint_id, self.revision)
+
+    def turns_away(self) -> bool:
+        """Return whether the present call is turned away, as discovery has too many callers."""
+        share = max(self.busy_shares, default=0.0)
+        return share > 0.0 and self._turn_away_stream() < share
 
 
 class DiscoveryConnection:
@@ -175,6 +211,7 @@
         self._reader = RequestReader()
         self._after: int | None = None  # the revision of the present call; None: it asks for the whole list
         self._is_waiting = False  # the present call waits for a change
+        self._is_called = False  # a call is open: neither answered nor refused
         self._wait_timer: ScheduledCall | None = None
         self.stream = TcpStream(server.simulation.loop, server.simulation.budget, sock, self._on_ready)
 
@@ -204,9 +241,17 @@
         """Answer a call at once, at the next change, or when its waiting time is over."""
         loop = self.server.simulation.loop
         url = urlsplit(message.target.decode("latin-1"))
+        if url.path == LAST_LIST_PATH:
+            self._send_last_list(url.query)
+            return
         if url.path != "/v1/endpoints":
             self.stream.send(encode_response(404))
             return
+        self._begin_call()
+        if self.router < self.server.routers and self.server.turns_away():
+            self._end_call()
+            self.stream.send(encode_response(503))
+            return
         parameters = {name: values[0] for name, values in parse_qs(url.query).items()}
         try:
             self._after = int(parameters["after"]) if "after" in parameters else None
@@ -222,6 +267,22 @@
         else:
             self._schedule_answer()
 
+    def _send_last_list(self, query: str) -> None:
+        """Answer the process that starts routers: the list as a router had it last."""
+        document = self.server.last_document(int(query))
+        body = json.dumps(document).encode()
+        self.stream.send(encode_response(200, body, ((b"Content-Type", b"application/json"),)))
+
+    def _begin_call(self) -> None:
+        if not self._is_called:
+            self._is_called = True
+            self.server.ledgers[self.router].record_call()
+
+    def _end_call(self) -> None:
+        if self._is_called:
+            self._is_called = False
+            self.server.ledgers[self.router].record_call_end(self.server.simulation.real_time_kernel.now())
+
     def on_change(self) -> None:
         """Answer a waiting call, as the list has changed."""
         if self._is_waiting:
@@ -246,6 +307,7 @@
             self.close()
             return
         self.server.record_notification(self.router, members)
+        self._end_call()
         self._update_interest()
 
     def close(self) -> None:
@@ -253,5 +315,6 @@
         if self._wait_timer is not None:
             self._wait_timer.cancel()
         self._is_waiting = False
+        self._end_call()
         self.stream.close()
         self.server.connections.pop(self, None)
--- a/rosepick/lab/live/live_faults.py
+++ b/rosepick/lab/live/live_faults.py
@@ -16,6 +16,7 @@
 )
 from ..model.nodes import SimulatedNode
 from ..model.simulation import Simulation
+from .discovery_server import DiscoveryServer
 from .node_server import NodeServer
 
 
@@ -26,6 +27,10 @@
     def node_servers(self) -> Mapping[int, NodeServer]:
         """The node servers by the number of their node."""
 
+    @property
+    def discovery_server(self) -> DiscoveryServer:
+        """The discovery service."""
+
 
 def _refuse_connections(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     servers = _node_servers_of(simulation, choose_cache_nodes(simulation, fault))
@@ -56,6 +61,13 @@
     return inject
 
 
+def _turn_calls_away(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    """Have discovery turn a share of all calls away at once, as for too many callers."""
+    discovery = cast(HasNodeServers, simulation).discovery_server
+    discovery.busy_shares.append(fault.share)
+    return InjectedFault(f"{fault.share:.0%} of calls", lambda: discovery.busy_shares.remove(fault.share))
+
+
 def _reload_routers(_simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     """Nothing to inject here: the process that started the routers signals them."""
     return InjectedFault(f"{fault.routers or 'all'} routers", no_revert)
@@ -71,4 +83,5 @@
     "garbage": _response_share_fault(lambda server: server.garbage_shares),
     "drip": _response_share_fault(lambda server: server.drip_shares),
     "reload": _reload_routers,
+    "discovery_busy": _turn_calls_away,
 }
--- a/rosepick/lab/live/live_run.py
+++ b/rosepick/lab/live/live_run.py
@@ -34,6 +34,7 @@
 SET_UP_TIMEOUT_S = 60.0  # for drawing all requests
 START_DELAY_S = 0.25  # from when all processes are ready until the run begins
 POLL_INTERVAL_S = 0.005
+SERVING_POLL_INTERVAL_S = 0.02
 PROGRESS_INTERVAL_S = 0.1
 DONE_TIMEOUT_S = 1.0
 FINISH_GRACE_S = 5.0  # after the last deadline, until the clients must be done
@@ -218,6 +219,7 @@
     def _kill_routers(self, routers: list[LiveRouter], restart_after_s: float) -> None:
         for router in routers:
             down = router.kill()
+            self.helpers[0].send({"ended": router.index})
             self.router_downtimes.append(
                 RouterDowntime(down.router, down.at - self.started_at_ms, down.until - self.started_at_ms)
             )
@@ -231,13 +233,25 @@
 
     def _start_later(self, router: LiveRouter, delay_s: float) -> None:
         def start() -> None:
-            zone = router.index % len(self._known_endpoints)
-            port = self._discovery_ports[self.experiment.routers.count + zone]
-            self._known_endpoints[zone] = fetch_endpoint_document(port, self._known_endpoints[zone])
-            router.start(self._known_endpoints[zone])
+            self.helpers[0].send({"ended": router.index})
+            router.start(self._restart_list(router))
+            self._await_serving(router)
 
         self._schedule(self._elapsed_s() + delay_s, start)
 
+    def _restart_list(self, router: LiveRouter) -> dict[str, Any]:
+        """Return the list that a restarted router is configured with: what it had last, which may be old."""
+        zone = router.index % len(self._known_endpoints)
+        port = self._discovery_ports[self.experiment.routers.count + zone]
+        return fetch_endpoint_document(port, self._known_endpoints[zone], router.index)
+
+    def _await_serving(self, router: LiveRouter) -> None:
+        """Tell the stand-ins when a process that has been started serves."""
+        if router.is_serving():
+            self.helpers[0].send({"serving": router.index})
+        else:
+            self._schedule(self._elapsed_s() + SERVING_POLL_INTERVAL_S, lambda: self._await_serving(router))
+
     @staticmethod
     def _reload_routers(routers: list[LiveRouter]) -> None:
         for router in routers:
--- a/rosepick/lab/live/router_process.py
+++ b/rosepick/lab/live/router_process.py
@@ -13,10 +13,11 @@
 from pathlib import Path
 from typing import Any
 
-from ...http.discovery import DiscoveryError, EndpointListReader, encode_list_request
+from ...http.discovery import DiscoveryError, EndpointListReader
 from ..experiment import Experiment
 from . import router_config
 from .controllable_listener import HOST, reserve_port
+from .discovery_server import LAST_LIST_PATH
 from .helper_process import ROOT, HelperProcessError, child_environment, last_log_lines
 from .run_records import RouterDowntime
 
@@ -174,14 +175,15 @@
         self._port_reservation.close()
 
 
-def fetch_endpoint_document(port: int, fallback: dict[str, Any]) -> dict[str, Any]:
-    """Return discovery's present endpoint list, or `fallback` if it cannot be had."""
+def fetch_endpoint_document(port: int, fallback: dict[str, Any], router: int) -> dict[str, Any]:
+    """Return the endpoint list that a router had last, or `fallback` if it cannot be had."""
     reader = EndpointListReader()
+    request = f"GET {LAST_LIST_PATH}?{router} HTTP/1.1\r\nHost: discovery\r\n\r\n"
     with (
         contextlib.suppress(OSError, DiscoveryError),
         socket.create_connection((HOST, port), CONNECT_TIMEOUT_S) as sock,
     ):
-        sock.sendall(encode_list_request("discovery", None, 0.0))
+        sock.sendall(request.encode())
         while part := sock.recv(65536):
             reply = reader.feed(part)
             if reply is not None:
--- a/rosepick/lab/live/stand_ins.py
+++ b/rosepick/lab/live/stand_ins.py
@@ -3,7 +3,8 @@
 One process is enough: 1,000 requests a second, with 1,500 attempts, take a third of a core.
 
 It receives `{"experiment", "seed", "result"}`, sends the ports of discovery and the routers' cached lists,
-receives `{"begin": milliseconds of the monotonic clock}` and `{"end": true}`, and writes a `StandInResults`.
+receives `{"begin": milliseconds of the monotonic clock}`, `{"ended": router}` and `{"serving": router}` for
+each further process of a router, and `{"end": true}`, and writes a `StandInResults`.
 """
 
 from __future__ import annotations
@@ -41,6 +42,10 @@
         elif "begin" in message:
             self._cpu_at_start_s = time.process_time()
             self.simulation.start_at(message["begin"])
+        elif "serving" in message:
+            self.simulation.discovery_server.record_process_start(message["serving"])
+        elif "ended" in message:
+            self.simulation.discovery_server.record_process_end(message["ended"])
         elif "end" in message:
             write_result(self._result_path, self._collect_results())
             self.parent.send({"done": True})
--- /dev/null
+++ b/tests/test_stale_list.py
@@ -0,0 +1,99 @@
+"""A router that cannot confirm its endpoint list, on real processes: it may not act on what it remembers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from rosepick.lab.experiment import Experiment, parse_experiment
+from rosepick.lab.live.live_run import run_live
+from rosepick.lab.live.notification_ledger import MAX_CALL_GAP_MS, NotificationLedger
+
+NODE = 7
+
+# Half of the fleet drains while the routers are down, or while discovery turns away the calls that they make
+# at their start. The list that they are configured with is the one that they had last.
+FLEET = """
+name = "stale list"
+length = 6.0
+routers.count = 3
+traffic = {rate = 200, arrivals = "regular"}
+discovery = {delay = 0.1}
+classes = [{name = "read", work = "fixed", work_ms = 2, size = 300}]
+fleet = [{count = 8, cores = 4}]
+"""
+
+
+def fleet_with(*faults: dict[str, Any]) -> Experiment:
+    """The fleet, with faults."""
+    return parse_experiment(FLEET, "test", {"troubles": list(faults)})
+
+
+def violations_of(experiment: Experiment, seed: int) -> list[str]:
+    """Play it on real processes; return the violations of the rule on drains."""
+    run, _ = run_live(experiment, seed, {})
+    assert run.totals["served_share"] > 0.3
+    return [f"{one.at:.0f} {one.node}: {one.text}" for one in run.broken if one.rule == "drains"]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_drain_while_restarted_routers_are_turned_away_by_discovery(seed: int) -> None:
+    experiment = fleet_with(
+        {"kind": "router_kill", "at": 1.0, "for": 0.6, "routers": 2},
+        {"kind": "discovery_busy", "at": 1.0, "for": 3.0, "share": 1.0},
+        {"kind": "shrink", "at": 2.6, "for": 0.1, "nodes": 4},
+    )
+    assert violations_of(experiment, seed) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_drain_while_the_routers_are_down(seed: int) -> None:
+    experiment = fleet_with(
+        {"kind": "router_kill", "at": 1.0, "for": 1.5, "routers": 3},
+        {"kind": "shrink", "at": 1.2, "for": 0.1, "nodes": 4},
+    )
+    assert violations_of(experiment, seed) == []
+
+
+def known_since(ledger: NotificationLedger, now: float, drained_at: float = 100.0) -> float | None:
+    """Since when the router counts as knowing that the node drains, for an attempt at `now`."""
+    return ledger.drain_known_at(now, NODE, drained_at, 2)
+
+
+def test_what_is_written_counts_from_then_on() -> None:
+    ledger = NotificationLedger()
+    ledger.record_call()
+    assert known_since(ledger, 9_000.0) is None  # the call is open: discovery has not written anything
+    ledger.record_drain(9_100.0, NODE, 2)
+    assert known_since(ledger, 9_200.0) == 9_100.0
+
+
+def test_a_gap_without_a_call_counts_as_notified_at_its_end() -> None:
+    ledger = NotificationLedger()
+    ledger.record_call()
+    ledger.record_call_end(1_000.0)
+    assert known_since(ledger, 1_000.0 + MAX_CALL_GAP_MS) is None
+    assert known_since(ledger, 1_001.0 + MAX_CALL_GAP_MS) == 1_000.0 + MAX_CALL_GAP_MS
+    ledger.record_call()  # too late: it knows
+    assert known_since(ledger, 1_100.0 + MAX_CALL_GAP_MS) == 1_000.0 + MAX_CALL_GAP_MS
+
+
+def test_a_drain_in_the_gap_counts_from_the_drain() -> None:
+    ledger = NotificationLedger()
+    ledger.record_process_start(0.0)
+    assert known_since(ledger, 2_000.0, drained_at=1_500.0) == 1_500.0
+
+
+def test_no_gap_while_the_router_is_down_or_discovery_is() -> None:
+    ledger = NotificationLedger()
+    ledger.record_call()
+    ledger.record_call_end(0.0)
+    ledger.record_process_end()
+    assert known_since(ledger, 5_000.0) is None
+    ledger.record_process_start(5_000.0)
+    ledger.record_availability(5_100.0, available=False)
+    assert known_since(ledger, 9_000.0) is None
+    ledger.record_availability(9_000.0, available=True)
+    assert known_since(ledger, 9_100.0) is None
+    assert known_since(ledger, 9_500.0) == 9_000.0 + MAX_CALL_GAP_MS
