Call discovery at once and again within 150 ms; serve only with a confirmed list

Cause: a router acted by a list that nothing confirmed. It served before its first call to discovery, which it put off by up to 0.65 s; after a call that failed it waited up to 1.8 s; and it dropped answers that took 3 s, the longest that discovery lets a call wait. Change: decisions/discovery_calls.py calls at once and within 75 to 150 ms after each failure; a call that is overdue stays open beside the next one; run accepts clients once a list has come, after 5 s, or after 1 s if discovery cannot be reached; after a hold-up a waiting list is read before timers and other sockets act. decisions/permissions.py is the one place for such questions; the start is the first to ask it. The test of backoffs is replaced: its longest gap of 1.8 s is the fault; the new one bounds each gap from below and above, and has the first call made at once.

--- a/rosepick/core/endpoint_directory.py
+++ b/rosepick/core/endpoint_directory.py
@@ -51,7 +51,7 @@
 
     event: api.EndpointUpdate
     retired_endpoint_ids: tuple[int, ...]
-    retired_uids: tuple[str, ...]
+    retired_uids: tuple[str, ...]  # of those that were ready before, for the log
 
 
 class EndpointDirectory:
@@ -103,7 +103,8 @@
             scope = api.UpdateScope.FULL if is_full else api.UpdateScope.DELTA
         event = api.EndpointUpdate(scope, api_endpoints, revision)
         retired_ids = tuple(self._find_retired(previous))
-        return DirectoryUpdate(event, retired_ids, tuple(previous[each].uid for each in retired_ids))
+        newly_retired = [each for each in retired_ids if previous[each].status is api.Status.READY]
+        return DirectoryUpdate(event, retired_ids, tuple(previous[each].uid for each in newly_retired))
 
     def _find_retired(self, previous: dict[int, EndpointEntry]) -> list[int]:
         """Return the ids of endpoints that are gone, not ready, restarted or at another address."""
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -21,6 +21,7 @@
 from ..attempt_timeouts.adaptive_timeout import AdaptiveTimeout, AttemptWait
 from . import api
 from .api import NEVER_RAN, Effect, EndReason, Group, Mode, Result, Status, UpdateScope
+from .discovery_calls import DiscoveryCalls
 
 # ------------------------------------------------------------------------------------------- constants
 # Times are in milliseconds. Each value is a general choice; none is measured on one fleet.
@@ -100,10 +101,6 @@
 BUSY_MEMORY_MS = 3_000.0  # the mean of fetches in flight is taken over about this time
 LATE_FETCH_SHARE = 0.6  # of the objective: a fetch in flight for longer says the same as a failed one
 
-FIRST_BACKOFF_MS = 450.0  # backoff of calls to discovery at most, doubled up to ...
-MAX_BACKOFF_MS = 1_800.0  # ... this: a list that can be had again may not be old for long
-JITTER_MS = 600.0  # of all routers' first calls
-PUSHED_BACKOFF_MS = 150.0  # where lists are pushed: what the agent has counts as known at once
 COLD_REMOTE_FACTOR = 0.7  # of a cold endpoint's budget, where no neighbour in its own zone is warm
 MIN_COLD_SENDS = 4.0  # sends in a window by all routers to a cold endpoint; 1 each of up to twice as many
 LOG_INTERVAL_MS = 5_000.0  # at most one log line of a kind in this time
@@ -112,6 +109,7 @@
 
 MASK_64 = (1 << 64) - 1
 CHECK_TIMER, DEADLINE_TIMER, TICK_TIMER = 1 << 60, 2 << 60, 3 << 60  # low bits: the request
+CALL_TIMER = TICK_TIMER | 1  # the next call to discovery is due
 TIMER_KIND_MASK = 3 << 60
 SILENT_RESULTS = (Result.TIMEOUT, Result.CONNECT_FAILED)  # no liveness signal
 NO_LOAD_SIGNAL = (Result.CONNECT_FAILED, Result.RESET, Result.CONNECTION_LIMIT, Result.NEVER_SENT)
@@ -300,21 +298,13 @@
 
     def __init__(self, settings: api.RouterSettings, rng: random.Random) -> None:
         self.settings = settings
-        self.rng = rng
+        self.calls = DiscoveryCalls(settings, rng)
         self.states: dict[int, EndpointState] = {}
-        self.is_subscribed, self.called = not settings.subscribe, False
-        self.call_at, self.wait_ms = float("-inf"), FIRST_BACKOFF_MS
 
     def apply(self, now: float, update: api.EndpointUpdate) -> None:
-        """Apply an update from discovery."""
-        if update.scope is UpdateScope.FAILED:
-            self.is_subscribed, self.called = not self.settings.subscribe, False
-            max_wait_ms = PUSHED_BACKOFF_MS if self.settings.pushed else MAX_BACKOFF_MS
-            self.call_at = now + min(max_wait_ms, self.wait_ms) * (0.5 + 0.5 * self.rng.random())
-            self.wait_ms = min(MAX_BACKOFF_MS, self.wait_ms * 2.0)
-            return
-        if update.scope is not UpdateScope.CACHED:  # also from a watch not begun here, at a new address
-            self.is_subscribed, self.called, self.wait_ms = True, False, FIRST_BACKOFF_MS
+        """Apply a list, or changes of it, from discovery or from the configuration."""
+        if update.scope is not UpdateScope.CACHED:
+            self.calls.record_list()
         for entry in update.endpoints:
             self._apply_endpoint(now, entry)
         listed_ids = {entry.endpoint_id for entry in update.endpoints}
@@ -340,14 +330,6 @@
         server.endpoint = endpoint
         server.status = endpoint.status
 
-    def begin_due_call(self, now: float) -> bool:
-        """Return whether to subscribe now; repeats back off to spare a failing discovery."""
-        is_lost = now > self.call_at + self.settings.rules.ask_every  # a response that never came
-        if self.is_subscribed or now < self.call_at or (self.called and not is_lost):
-            return False
-        self.called, self.call_at = True, now
-        return True
-
 
 class RendezvousTable:
     """A set of endpoints in rendezvous order for each slot: by id and, if `weighted`, by weight."""
@@ -693,8 +675,8 @@
         self.actions = []
         if not self.has_started:
             self.has_started = True
-            self.endpoints.call_at = now + self.rng.random() * (0.0 if self.settings.pushed else JITTER_MS)
             self.actions.append(api.SetTimer(TICK_TIMER, now + 50.0))
+            self._call_discovery_if_due()  # at once: what is known now may be old
         match event:
             case api.RequestArrived():
                 self._accept_request(event)
@@ -716,6 +698,9 @@
     def _handle_fleet_event(self, event: api.Event) -> None:
         """Handle an event of no request. Peers' messages are ignored: a router trusts its own outcomes."""
         match event:
+            case api.EndpointUpdate(scope=UpdateScope.FAILED):
+                due_at = self.endpoints.calls.record_failure(self.now)
+                self.actions.append(api.SetTimer(CALL_TIMER, due_at))
             case api.EndpointUpdate():
                 self.endpoints.apply(self.now, event)
                 self.pools.refresh()  # at once: an attempt that ends with this list is repeated by it
@@ -727,6 +712,7 @@
     def _reconfigure(self, settings: api.RouterSettings) -> None:
         """Apply new settings; learned state, and pending requests with their class, stay."""
         self.settings = self.endpoints.settings = self.pools.settings = settings
+        self.endpoints.calls.settings = settings
         self.origin.configure(settings)
         self.tenants.configure(settings)
         self.max_worth = max(c.worth for c in settings.classes) or 1.0
@@ -1189,7 +1175,9 @@
 
     def _handle_timer(self, token: int) -> None:
         kind, job = token & TIMER_KIND_MASK, self.pending.get(token & ~TIMER_KIND_MASK)
-        if kind == TICK_TIMER:
+        if token == CALL_TIMER:
+            self._call_discovery_if_due()
+        elif kind == TICK_TIMER:
             self._tick()
         elif job is not None and kind == DEADLINE_TIMER and self.now >= job.deadline:
             self._finish(job, EndReason.DEADLINE)
@@ -1267,7 +1255,7 @@
             self._close(job, attempt)  # the stream is the final answer; its end comes as an outcome
 
     def _record_success(self, server: EndpointState) -> None:
-        server.record_success(self.now, self.settings.rules, self.endpoints.is_subscribed)
+        server.record_success(self.now, self.settings.rules, self.endpoints.calls.is_subscribed)
 
     def _record_silence(self, server: EndpointState) -> None:
         if server.record_silence(self.now):
@@ -1280,12 +1268,12 @@
             self.actions.append(api.Log(text))
 
     def _log_overload(self) -> None:
-        queue, list_ = self.origin.queue, self.endpoints
+        queue = self.origin.queue
         for kind, on, text in (
             ("wide", self.pools.wide_share >= 0.5, "home zone or origin short: overflow reaches all zones"),
             ("late", self.shedder.wait_share < 0.7, "answers are late: refusing earlier"),
             ("origin", len(queue) > self.origin.limit, f"{len(queue)} requests wait for the origin"),
-            ("list", not list_.called and list_.wait_ms >= MAX_BACKOFF_MS, "the server list does not answer"),
+            ("list", self.endpoints.calls.is_failing(), "the server list does not answer"),
         ):
             if on:
                 self._log(kind, text)
@@ -1293,8 +1281,7 @@
     def _tick(self) -> None:
         self.actions.append(api.SetTimer(TICK_TIMER, self.now + 100.0))
         self.shedder.min_limit = max(1.0, MIN_IN_FLIGHT_EACH * self.pools.endpoints_each)
-        if self.endpoints.begin_due_call(self.now):
-            self.actions.append(api.Watch(True))
+        self._call_discovery_if_due()
         if self.now - self.last_control_at >= CONTROL_INTERVAL_MS:
             self.last_control_at = self.now
             self.popularity.adjust_limit()
@@ -1313,6 +1300,10 @@
         self.origin_waits += bool(self.origin.queue) or self.origin.is_strained()
         self._send_probes()
 
+    def _call_discovery_if_due(self) -> None:
+        if self.endpoints.calls.begin_due_call(self.now):
+            self.actions.append(api.Watch(True))
+
     def count_avoided(self) -> int:
         """Return how many listed endpoints get no requests at present."""
         listed = (s for s in self.endpoints.states.values() if s.status is not Status.REMOVED)
--- /dev/null
+++ b/rosepick/net/discovery_connection.py
@@ -0,0 +1,159 @@
+"""One connection to the discovery service, with one poll at a time."""
+
+from __future__ import annotations
+
+import errno
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..connections.descriptor_budget import DescriptorUse
+from ..http.discovery import DiscoveryError, EndpointListReader, EndpointListReply
+from ..logs import log_exception
+from .event_loop import READ, WRITE, EventLoop, ScheduledCall
+from .resource_budget import ResourceBudget
+from .tcp_stream import TcpStream, dial
+
+logger = logging.getLogger(f"{__package__}.endpoint_watch")
+CONNECT_TIMEOUT_MS = 1_000.0  # the kernel retransmits a SYN after a second
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """One call to discovery. Times are milliseconds of the event loop's clock."""
+
+    number: int
+    request: bytes
+    after_revision: int | None  # None: for the full list
+    timeout_ms: float  # until its response is overdue, counted from when it can be written
+    begun_at: float
+
+
+class DiscoveryConnection:
+    """One connection; it reports each reply, an overdue one, and its own failure.
+
+    Args:
+        loop: the event loop.
+        budget: the descriptors.
+        address: host and port of the service.
+        on_reply: gets a list, parsed but not validated.
+        on_overdue: the poll has no response in time; one may still come.
+        on_failure: the connection cannot be used any more; gets the reason.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        budget: ResourceBudget,
+        address: tuple[str, int],
+        on_reply: Callable[[DiscoveryConnection, EndpointListReply], None],
+        on_overdue: Callable[[DiscoveryConnection], None],
+        on_failure: Callable[[DiscoveryConnection, str], None],
+    ) -> None:
+        self._loop = loop
+        self._budget = budget
+        self._address = address
+        self._on_reply = on_reply
+        self._on_overdue = on_overdue
+        self._on_failure = on_failure
+        self.poll: Poll | None = None
+        self.is_connecting = False
+        self._stream: TcpStream | None = None
+        self._unsent = b""
+        self._response = EndpointListReader()
+        self._timer: ScheduledCall | None = None
+
+    def send(self, poll: Poll) -> None:
+        """Begin a poll; connect first if there is no connection yet.
+
+        Raises:
+            OSError: the connection cannot be made, or broke.
+        """
+        self.poll = poll
+        self._unsent = poll.request
+        self._response = EndpointListReader()
+        if self._stream is None:
+            self._dial()
+        else:
+            self._await_response()
+            self._write()
+
+    def close(self) -> None:
+        """Close the connection; nothing is reported any more."""
+        self._cancel_timer()
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.close()
+
+    def _dial(self) -> None:
+        """Connect; a client's descriptor is reclaimed if needed, as there is no upstream without a list."""
+        if not self._budget.ensure_available(DescriptorUse.DISCOVERY):
+            raise OSError(errno.EMFILE, "no descriptor for discovery")
+        self._set_timer(CONNECT_TIMEOUT_MS, lambda: self._fail("no connection"))
+        self.is_connecting = True
+        sock = dial(self._address, self._budget.reclaim_one)
+        self._stream = TcpStream(
+            self._loop, self._budget, sock, self._on_ready, WRITE, DescriptorUse.DISCOVERY
+        )
+        self._loop.prioritize(sock)  # what a busy router sends next depends on the list that may wait there
+
+    def _await_response(self) -> None:
+        assert self.poll is not None
+        self._set_timer(self.poll.timeout_ms, self._report_overdue)
+
+    def _report_overdue(self) -> None:
+        self._timer = None
+        self._on_overdue(self)
+
+    def _set_timer(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        self._cancel_timer()
+        self._timer = self._loop.call_after(delay_ms, callback)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_ready(self, events: int) -> None:
+        stream = self._stream
+        if stream is None:
+            return
+        try:
+            if self.is_connecting:
+                stream.finish_connect()
+                self.is_connecting = False
+                self._await_response()
+                stream.set_events(READ)
+                self._write()
+            elif events & READ:
+                self._read(stream)
+            else:
+                self._write()
+        except (OSError, DiscoveryError, ValueError) as error:
+            self._fail(str(error))
+        except Exception as error:
+            self._loop.fault_count += 1
+            log_exception(logger, "discovery_fault", error, count=self._loop.fault_count)
+            self._fail("fault")
+
+    def _write(self) -> None:
+        assert self._stream is not None
+        if self._unsent:
+            self._unsent = self._unsent[self._stream.write(self._unsent) :]
+            self._stream.set_events(READ | WRITE if self._unsent else READ)
+
+    def _read(self, stream: TcpStream) -> None:
+        data = stream.read()
+        if data is None:
+            return
+        reply = self._response.feed(data) if data else self._response.feed_eof()
+        if reply is None:
+            return
+        self._cancel_timer()  # before the list is applied, which may take long
+        if not reply.reusable or not data:
+            self.close()
+        self._on_reply(self, reply)  # ValueError if it is malformed
+
+    def _fail(self, reason: str) -> None:
+        self.close()
+        self._on_failure(self, reason)
--- a/rosepick/net/endpoint_watch.py
+++ b/rosepick/net/endpoint_watch.py
@@ -2,47 +2,47 @@
 
 A watch can fall silent without an error. A change counts as notified `MAX_NOTIFICATION_DELAY_MS` after the
 service had it and was reachable; `max_notification_delay_ms` is the sum of the terms of that bound.
+
+A list counts as notified once it was written, also if nobody waits for it any more. So a poll whose response
+is overdue is not given up: the next one is sent on another connection, and the first list to arrive counts.
 """
 
 from __future__ import annotations
 
-import errno
 import logging
 from collections.abc import Callable
 
-from ..connections.descriptor_budget import DescriptorUse
-from ..http.discovery import DiscoveryError, EndpointListReader, encode_list_request
-from ..logs import log_event, log_exception
+from ..http.discovery import EndpointListReply, encode_list_request
+from ..logs import log_event
 from ..settings.reader import SettingsReader
-from .event_loop import READ, WRITE, EventLoop, ScheduledCall
+from .discovery_connection import CONNECT_TIMEOUT_MS, DiscoveryConnection, Poll
+from .event_loop import EventLoop
 from .resource_budget import ResourceBudget
-from .tcp_stream import TcpStream, dial
 
 logger = logging.getLogger(__name__)
 FIRST_POLL_WAIT_MS = 0.0  # a new watch first polls, without waiting, for what it has missed
 LONG_POLL_WAIT_MS = 2_500.0  # a watch that fell silent is noticed only after it
 RESPONSE_GRACE_MS = 1_500.0  # beyond that wait, on a connection that has responded before
-# for the first response of a new watch: all routers may poll anew, and the service answers in turn
-FIRST_RESPONSE_TIMEOUT_MS = 3_000.0
-CONNECT_TIMEOUT_MS = 1_000.0  # the kernel retransmits a SYN after a second
+# for the first response of a new watch: all routers may poll anew, and the service answers in turn, for up to
+# 3 s; a little more, so that an answer of the last moment is not crossed by the next poll
+FIRST_RESPONSE_TIMEOUT_MS = 3_200.0
 MAX_NOTIFICATION_DELAY_MS = 6_000.0  # after which a change counts as notified, whatever became of the polls
 
 
-def max_notification_delay_ms(first_retry_ms: float, max_retry_ms: float, timer_step_ms: float) -> float:
+def max_notification_delay_ms(retry_delay_ms: float) -> float:
     """Return the longest time, in milliseconds, from a change to the poll that delivers it.
 
     The time counts from when the service has the change and is reachable. The poll itself has the rest of
     `MAX_NOTIFICATION_DELAY_MS`.
 
     Args:
-        first_retry_ms: delay of the decision module before it polls again after one failure.
-        max_retry_ms: the longest such delay.
-        timer_step_ms: interval of the decision module's timer.
+        retry_delay_ms: longest delay of the decision module before it polls again after a failure.
     """
-    silent_poll = LONG_POLL_WAIT_MS + RESPONSE_GRACE_MS + first_retry_ms  # it fell silent right at its begin
-    # the service is back just after a poll was sent that is never answered
-    unanswered_poll = FIRST_RESPONSE_TIMEOUT_MS + max_retry_ms
-    return max(silent_poll, unanswered_poll) + timer_step_ms + CONNECT_TIMEOUT_MS
+    silent_poll = LONG_POLL_WAIT_MS + RESPONSE_GRACE_MS  # it fell silent right at its begin
+    unanswered_poll = (
+        FIRST_RESPONSE_TIMEOUT_MS  # the service is back just after a poll that is never answered
+    )
+    return max(silent_poll, unanswered_poll) + retry_delay_ms + CONNECT_TIMEOUT_MS
 
 
 class EndpointWatch:
@@ -64,15 +64,11 @@
         self.on_list = on_list
         self.on_failure = on_failure
         self.is_active = False
-        self._stream: TcpStream | None = None
-        self._connecting = False
-        self._unsent = b""
-        self._response = EndpointListReader()
-        self._timeout_timer: ScheduledCall | None = None
-        self._response_timeout_ms = 0.0  # once the poll can be written
-        self._needs_full_list = False  # after a switch, until a list was received
+        self.has_responded = False  # the service, whatever it said, since the start or the latest switch
         self.poll_count = 0  # polls begun since the start; the number of the latest one
-        self._poll_begun_at = 0.0
+        self._connection: DiscoveryConnection | None = None
+        self._overdue: DiscoveryConnection | None = None  # its poll may still be answered
+        self._needs_full_list = False  # after a switch, until a list was received
 
     def set_watching(self, enabled: bool) -> None:
         """Start or stop the watch; one that is active continues as it is."""
@@ -91,124 +87,122 @@
         self._stop()
         self.address = address
         self.is_active = True
+        self.has_responded = False
         self._needs_full_list = True
         self._poll(FIRST_POLL_WAIT_MS)
 
+    def is_reachable(self) -> bool:
+        """Return whether the service has responded, or has accepted the connection of the present poll."""
+        connection = self._connection
+        return self.has_responded or (connection is not None and not connection.is_connecting)
+
     def _poll(self, wait_ms: float) -> None:
         """Poll for lists newer than the revision held, or for the full list if that is needed."""
         host = f"{self.address[0]}:{self.address[1]}"
         after_revision = None if self._needs_full_list else self.revision()
-        self._unsent = encode_list_request(host, after_revision, wait_ms)
-        self._response = EndpointListReader()
-        self._response_timeout_ms = wait_ms + RESPONSE_GRACE_MS if wait_ms else FIRST_RESPONSE_TIMEOUT_MS
-        self._log_poll(after_revision, wait_ms)
-        try:
-            if self._stream is None:
-                self._dial()
-            else:
-                self._set_timeout(self._response_timeout_ms, "silent")
-                self._write()
-        except OSError as error:
-            self._fail(str(error))
-
-    def _log_poll(self, after_revision: int | None, wait_ms: float) -> None:
         self.poll_count += 1
-        self._poll_begun_at = self.loop.now()
+        poll = Poll(
+            self.poll_count,
+            encode_list_request(host, after_revision, wait_ms),
+            after_revision,
+            wait_ms + RESPONSE_GRACE_MS if wait_ms else FIRST_RESPONSE_TIMEOUT_MS,
+            self.loop.now(),
+        )
         log_event(
             logger,
             logging.INFO,
             "discovery_poll",
-            poll=self.poll_count,
+            poll=poll.number,
             after="all" if after_revision is None else after_revision,
             wait_ms=wait_ms,
-            new_connection=self._stream is None,
+            new_connection=self._connection is None,
         )
-
-    def _elapsed_ms(self) -> float:
-        """Return the time since the latest poll began, in milliseconds."""
-        return self.loop.now() - self._poll_begun_at
-
-    def _set_timeout(self, timeout_ms: float, reason: str) -> None:
-        """Fail the poll if its next step takes longer than `timeout_ms`."""
-        if self._timeout_timer is not None:
-            self._timeout_timer.cancel()
-        self._timeout_timer = self.loop.call_after(timeout_ms, lambda: self._fail(reason))
-
-    def _dial(self) -> None:
-        """Connect; a client's descriptor is reclaimed if needed, as there is no upstream without a list."""
-        if not self.budget.ensure_available(DescriptorUse.DISCOVERY):
-            raise OSError(errno.EMFILE, "no descriptor for discovery")
-        self._set_timeout(CONNECT_TIMEOUT_MS, "no connection")
-        self._connecting = True
-        sock = dial(self.address, self.budget.reclaim_one)
-        self._stream = TcpStream(self.loop, self.budget, sock, self._on_ready, WRITE, DescriptorUse.DISCOVERY)
-
-    def _on_ready(self, events: int) -> None:
-        stream = self._stream
-        if stream is None:
-            return
+        if self._connection is None:
+            self._connection = DiscoveryConnection(
+                self.loop, self.budget, self.address, self._on_reply, self._on_overdue, self._on_failed
+            )
+        connection = self._connection
         try:
-            if self._connecting:
-                stream.finish_connect()
-                self._connecting = False
-                self._set_timeout(self._response_timeout_ms, "silent")
-                stream.set_events(READ)
-                self._write()
-            elif events & READ:
-                self._read(stream)
-            else:
-                self._write()
-        except (OSError, DiscoveryError, ValueError) as error:
-            self._fail(str(error))
-        except Exception as error:
-            self.loop.fault_count += 1
-            log_exception(logger, "discovery_fault", error, count=self.loop.fault_count)
-            self._fail("fault")
-
-    def _write(self) -> None:
-        assert self._stream is not None
-        if self._unsent:
-            self._unsent = self._unsent[self._stream.write(self._unsent) :]
-            self._stream.set_events(READ | WRITE if self._unsent else READ)
-
-    def _read(self, stream: TcpStream) -> None:
-        data = stream.read()
-        if data is None:
-            return
-        reply = self._response.feed(data) if data else self._response.feed_eof()
-        if reply is None:
-            return
-        if self._timeout_timer is not None:
-            self._timeout_timer.cancel()  # before the list is applied, which may take long
-        if not reply.reusable or not data:
-            self._close()
+            connection.send(poll)
+        except OSError as error:
+            connection.close()
+            self._on_failed(connection, str(error))
+
+    def _on_reply(self, connection: DiscoveryConnection, reply: EndpointListReply) -> None:
+        """Apply a list.
+
+        Raises:
+            ValueError: the list is malformed.
+        """
+        poll = connection.poll
+        assert poll is not None
+        self.has_responded = True
+        is_overdue = connection is self._overdue
         log_event(
-            logger, logging.INFO, "discovery_answer", poll=self.poll_count, elapsed_ms=self._elapsed_ms()
+            logger,
+            logging.INFO,
+            "discovery_answer",
+            poll=poll.number,
+            elapsed_ms=self.loop.now() - poll.begun_at,
+            overdue=is_overdue,
         )
-        self.on_list(reply.document)  # ValueError if it is malformed
-        self._needs_full_list = False
-        if self.is_active:
+        if is_overdue:
+            self._drop_overdue()
+        elif not reply.reusable:
+            self._connection = None
+        if not self._is_outdated(poll, reply.document):
+            self.on_list(reply.document)
+            self._needs_full_list = False
+        if not is_overdue and self.is_active:
             self._poll(LONG_POLL_WAIT_MS)
 
-    def _fail(self, reason: str) -> None:
+    def _is_outdated(self, poll: Poll, document: SettingsReader) -> bool:
+        """Return whether a newer list arrived meanwhile, as the answer to another poll."""
+        if self._needs_full_list or poll.after_revision == self.revision():
+            return False
+        return not document.boolean("all") and document.integer("rev", 0) <= self.revision()
+
+    def _on_overdue(self, connection: DiscoveryConnection) -> None:
+        """Report a failure, but keep listening for the answer."""
+        self._log_failure(connection, "silent")
+        self._drop_overdue()
+        self._connection, self._overdue = None, connection
+        self._end()
+
+    def _on_failed(self, connection: DiscoveryConnection, reason: str) -> None:
+        if connection is self._overdue:
+            self._overdue = None  # the next poll is under way
+            return
+        self.has_responded = self.has_responded or reason.startswith("status")
+        self._log_failure(connection, reason)
+        self._connection = None
+        self._end()
+
+    def _log_failure(self, connection: DiscoveryConnection, reason: str) -> None:
+        poll = connection.poll
         log_event(
             logger,
             logging.WARNING,
             "discovery_failed",
             reason=reason,
-            poll=self.poll_count,
-            elapsed_ms=self._elapsed_ms(),
+            poll=0 if poll is None else poll.number,
+            elapsed_ms=0.0 if poll is None else self.loop.now() - poll.begun_at,
         )
-        self._stop()
+
+    def _end(self) -> None:
+        """End the watch, as its poll failed."""
+        self.is_active = False
         self.on_failure()
 
+    def _drop_overdue(self) -> None:
+        if self._overdue is not None:
+            self._overdue.close()
+            self._overdue = None
+
     def _stop(self) -> None:
+        """End the watch and close its connections."""
         self.is_active = False
-        if self._timeout_timer is not None:
-            self._timeout_timer.cancel()
-        self._close()
-
-    def _close(self) -> None:
-        stream, self._stream = self._stream, None
-        if stream is not None:
-            stream.close()
+        self._drop_overdue()
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -20,6 +20,7 @@
 CALLS_PER_URGENT_CHECK = 16  # urgent sockets are polled after so many callbacks of others
 LATE_TIMER_WARNING_MS = 50.0  # a timer that is later than this is logged
 ReadyCallback = Callable[[int], None]
+ReadySocket = tuple[selectors.SelectorKey, int]
 
 
 class ScheduledCall:
@@ -42,6 +43,7 @@
         self._clock = clock
         self._selector = selectors.DefaultSelector()
         self._urgent_selector: selectors.EpollSelector | None = None
+        self._prioritized: set[int] = set()  # descriptors of sockets that are served first
         self._heap: list[tuple[float, int, int, ScheduledCall]] = []
         self._timer_count = 0
         self.stopped = False
@@ -72,8 +74,13 @@
         """Change the events or callback of a watched socket."""
         (self._get_urgent_selector() if urgent else self._selector).modify(sock, events, callback)
 
+    def prioritize(self, sock: socket.socket) -> None:
+        """Serve a watched socket before all others that are ready, and before timers that are late."""
+        self._prioritized.add(sock.fileno())
+
     def unregister(self, sock: socket.socket, urgent: bool = False) -> None:
         """Stop watching a socket."""
+        self._prioritized.discard(sock.fileno())
         (self._get_urgent_selector() if urgent else self._selector).unregister(sock)
 
     def _get_urgent_selector(self) -> selectors.EpollSelector:
@@ -128,13 +135,14 @@
 
     def step(self, max_wait_s: float) -> None:
         """Wait once, for `max_wait_s` seconds at most, and run all callbacks that are due."""
+        self._serve_prioritized_if_late()
         self._run_timers()
         wait_s = max_wait_s
         if self._heap:
             wait_s = min(wait_s, max(0.0, (self._heap[0][0] - self.now()) / 1000.0))
         if self.stopped:
             return
-        for number, (key, events) in enumerate(self._selector.select(wait_s), 1):
+        for number, (key, events) in enumerate(self._prioritized_first(self._selector.select(wait_s)), 1):
             # skip sockets that an earlier callback of this batch has closed
             if self._selector.get_map().get(key.fd) is key:
                 self._run_callback(key.data, events)
@@ -143,6 +151,19 @@
             if number % CALLS_PER_URGENT_CHECK == 0:
                 self._run_urgent_callbacks()
 
+    def _prioritized_first(self, ready: list[ReadySocket]) -> list[ReadySocket]:
+        if len(ready) > 1 and self._prioritized:
+            ready.sort(key=lambda entry: entry[0].fd not in self._prioritized)
+        return ready
+
+    def _serve_prioritized_if_late(self) -> None:
+        """After the process was held up, read what waits on prioritized sockets before timers act."""
+        if not (self._prioritized and self._heap) or self.now() - self._heap[0][0] <= LATE_TIMER_WARNING_MS:
+            return
+        for key, events in self._selector.select(0):
+            if key.fd in self._prioritized and self._selector.get_map().get(key.fd) is key:
+                self._run_callback(key.data, events)
+
     def _run_timers(self) -> None:
         while self._heap and self._heap[0][0] <= self.now():
             due_at, _, _, scheduled = heapq.heappop(self._heap)
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import asdict
 from functools import partial
+from math import inf
 
 from ..connections.connection_table import CloseReason
 from ..core.endpoint_directory import DirectoryUpdate, EndpointDirectory
@@ -17,6 +18,7 @@
 from ..core.observed_engine import ObservedEngine
 from ..decisions import api
 from ..decisions.decide import Router
+from ..decisions.permissions import Denial, StartFacts, check_start
 from ..logs import log_event
 from ..ops.line_protocol import AdminReply
 from ..ops.telemetry import TelemetrySnapshot
@@ -40,6 +42,7 @@
 from .upstream_pool import UpstreamPool
 
 logger = logging.getLogger(__name__)
+START_POLL_INTERVAL_MS = 25.0  # between two looks whether clients may be accepted
 SUMMARY_INTERVAL_MS = 5_000.0
 MAX_LOGGED_UIDS = 8  # of each kind in a log line; the rest are counted
 GC_THRESHOLDS = (20_000, 20, 50)  # the collector runs seldom, as little of what is allocated forms cycles
@@ -73,6 +76,9 @@
         self.loop = loop = loop or EventLoop()
         self.reloads_succeeded = 0
         self.reloads_failed = 0
+        self._started_at = loop.now()
+        self._list_received = False  # from discovery, since the start
+        self._awaits_list = False  # before it accepts clients
         self.handover = make_handover(loop, config)
         self.endpoint_directory = EndpointDirectory(config.names, time.time() * 1000.0 - loop.now())
         known_endpoints = self.endpoint_directory.apply_update(config.known, is_cached=True)
@@ -196,8 +202,9 @@
 
     def _start_if_due(self) -> None:
         """Begin to accept clients, unless another process has to be waited for."""
-        must_wait = self.handover is not None and not self.handover.process_share.may_accept_clients()
-        if not (self.listener.has_started or self.listener.is_shutting_down or must_wait):
+        if self.listener.has_started or self.listener.is_shutting_down:
+            return
+        if self._start_denial() is None:
             self.listener.start()
             host, port = self.listener.sock.getsockname()[:2]
             log_event(
@@ -211,6 +218,25 @@
             )
             self._log_rules()
 
+    def _start_denial(self) -> Denial | None:
+        """Return why no client may be accepted yet."""
+        handover = self.handover
+        must_wait = handover is not None and not handover.process_share.may_accept_clients()
+        return check_start(
+            StartFacts(
+                waited_ms=self.loop.now() - self._started_at if self._awaits_list else inf,
+                list_received=self._list_received,
+                discovery_reachable=self.endpoint_watch.is_reachable(),
+                predecessor_serves=must_wait,
+            )
+        )
+
+    def _poll_start(self) -> None:
+        """Look again whether clients may be accepted, until they are."""
+        self._start_if_due()
+        if not (self.listener.has_started or self.listener.is_shutting_down):
+            self.loop.call_after(START_POLL_INTERVAL_MS, self._poll_start)
+
     def _log_rules(self) -> None:
         """Log the rules and limits in force: what a log is to be read against."""
         settings = self.config.settings
@@ -239,7 +265,9 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
+        self._awaits_list = True
         self.start_serving()
+        self._poll_start()
         self.loop.run()
         self._log_summary()
         self.close()
@@ -287,6 +315,7 @@
         )
         self.engine.update_endpoints(change.event)
         self.pool.retire_endpoints(change.retired_endpoint_ids)
+        self._list_received = True
         if self.handover is not None:
             self.handover.process_share.endpoint_list_received = True
         self._start_if_due()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -11,7 +11,9 @@
 from rosepick.connections.descriptor_budget import RESERVED_FOR_CONNECTS, DescriptorUse
 from rosepick.core.body_stream import BodyStream, BufferBudget
 from rosepick.decisions import api, decide
+from rosepick.decisions.discovery_calls import MAX_RETRY_DELAY_MS
 from rosepick.net import endpoint_watch, listener
+from rosepick.net.discovery_connection import CONNECT_TIMEOUT_MS
 from rosepick.net.downstream_connection import DownstreamConnection
 from rosepick.net.event_loop import WRITE
 from rosepick.net.tcp_stream import TcpStream
@@ -417,10 +419,8 @@
     """
 
     def test_the_sum_of_its_terms(self) -> None:
-        oldest = endpoint_watch.max_notification_delay_ms(
-            decide.FIRST_BACKOFF_MS, decide.MAX_BACKOFF_MS, STEP
-        )
-        self.assertEqual(oldest, max(2500 + 1500 + 450, 3000 + 1800) + 100 + 1000)
+        oldest = endpoint_watch.max_notification_delay_ms(MAX_RETRY_DELAY_MS)
+        self.assertEqual(oldest, max(2500 + 1500, 3200) + 150 + 1000)
         self.assertLess(oldest, endpoint_watch.MAX_NOTIFICATION_DELAY_MS)
 
     def until_asked(self, text: str) -> float:
@@ -478,14 +478,14 @@
         self.follow()
         self.play("d close\nd hold\nwait 8000\nd let")
         took = self.until_asked(self.AGAIN)
-        self.assertLess(took, endpoint_watch.CONNECT_TIMEOUT_MS + decide.MAX_BACKOFF_MS + STEP + 10)
+        self.assertLess(took, CONNECT_TIMEOUT_MS + MAX_RETRY_DELAY_MS + STEP + 10)
 
     def test_as_each_poll_is_refused_for_long(self) -> None:
         self.follow()
         for _ in range(8):
             self.play(f"d send 503 no\nwait 1900\n{FIRST}")
         self.play("d send 503 no")
-        self.assertLess(self.until_asked(self.AGAIN), 1_910)
+        self.assertLess(self.until_asked(self.AGAIN), MAX_RETRY_DELAY_MS + 10)
 
     def test_a_change_between_two_polls_is_in_the_next_response(self) -> None:
         self.follow()
@@ -558,7 +558,7 @@
                 break
             self.wait(5)
         took = (self.now - since) * 1000.0
-        self.assertLess(took, decide.MAX_BACKOFF_MS + endpoint_watch.CONNECT_TIMEOUT_MS + STEP + 10)
+        self.assertLess(took, MAX_RETRY_DELAY_MS + CONNECT_TIMEOUT_MS + STEP + 10)
         self.play(f"{FIRST}\nd tell 42 s1=leaving s2=active")
         self.play("c1 send GET /api/k1\ns2 expect GET /api/k1\ns2 send 200 value\nc1 expect 200 value")
         self.assertLess((self.now - since) * 1000.0 - took, 500)
@@ -578,10 +578,10 @@
             d tell 41
             {POLL}
             d close
-            wait {decide.PUSHED_BACKOFF_MS + STEP}
+            wait {MAX_RETRY_DELAY_MS + STEP}
             {FIRST}
             d send 503 no
-            wait {decide.PUSHED_BACKOFF_MS + STEP}
+            wait {MAX_RETRY_DELAY_MS + STEP}
             {FIRST}
             d tell 42 s1=leaving
             c1 send GET /api/k1
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -9,6 +9,7 @@
 from rosepick.decisions import api, decide
 from rosepick.decisions.api import Result, UpdateScope
 from rosepick.decisions.decide import Router
+from rosepick.decisions.discovery_calls import MAX_RETRY_DELAY_MS
 
 from .driver import ORIGIN_ID, READ, WRITE, create_router, fleet, sends, settings
 
@@ -140,7 +141,7 @@
     assert server.ejected
     actions = router.handle(2000.0, api.TimerFired(decide.TICK_TIMER))
     assert api.Probe(100) in actions
-    router.endpoints.is_subscribed = is_subscribed
+    router.endpoints.calls.is_subscribed = is_subscribed
     router.handle(5500.0, api.ProbeResult(100, Result.OK, 2.0))
     assert not server.ejected
     # without a subscription it may have restarted meanwhile: slots return slowly
@@ -223,27 +224,30 @@
     assert not router._has_cold_budget(cold[0])
 
 
-def test_calls_to_discovery_back_off_with_jitter() -> None:
-    times = []
+def test_a_failed_call_to_discovery_is_followed_by_the_next_within_200_ms() -> None:
+    """Neither sooner than half of the longest delay, nor in step with other routers."""
+    delays_by_seed = []
     for seed in (1, 2):
         router = Router(replace(settings(), classes=(READ,)), seed)
-        router.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED, tuple(fleet())))
-        calls, now = [], 0.0
-        while now < 30_000:
-            now += 100.0
-            if any(isinstance(a, api.Watch) for a in router.handle(now, api.TimerFired(decide.TICK_TIMER))):
-                calls.append(now)
-                router.handle(now, api.EndpointUpdate(UpdateScope.FAILED))
-        gaps = [b - a for a, b in zip(calls, calls[1:], strict=False)]
-        assert all(0.5 * decide.FIRST_BACKOFF_MS <= gap <= decide.MAX_BACKOFF_MS + 100 for gap in gaps)
-        assert all(gap >= 0.5 * decide.MAX_BACKOFF_MS for gap in gaps[3:])
-        times.append(calls)
-    assert times[0] != times[1]
+        first = router.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED, tuple(fleet())))
+        assert api.Watch(True) in first  # at once, as the list of the configuration may be old
+        now, delays = 0.0, []
+        for _ in range(200):
+            failed = router.handle(now, api.EndpointUpdate(UpdateScope.FAILED))
+            (due_at,) = [a.due_at for a in failed if isinstance(a, api.SetTimer)]
+            assert api.Watch(True) not in router.handle(due_at - 1.0, api.TimerFired(decide.CALL_TIMER))
+            assert api.Watch(True) in router.handle(due_at, api.TimerFired(decide.CALL_TIMER))
+            delays.append(due_at - now)
+            now = due_at
+        assert all(0.5 * MAX_RETRY_DELAY_MS <= delay <= MAX_RETRY_DELAY_MS < 200.0 for delay in delays)
+        delays_by_seed.append(delays)
+    assert delays_by_seed[0] != delays_by_seed[1]
 
 
 def test_a_lost_response_of_discovery_is_requested_again() -> None:
-    router = create_router()
-    calls, now = 0, 0.0
+    router = Router(replace(settings(), classes=(READ,)), 1)
+    first = router.handle(0.0, api.EndpointUpdate(UpdateScope.CACHED, tuple(fleet())))
+    calls, now = first.count(api.Watch(True)), 0.0
     while now < 25_000:
         now += 100.0
         calls += sum(isinstance(a, api.Watch) for a in router.handle(now, api.TimerFired(decide.TICK_TIMER)))
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -89,7 +89,7 @@
             wait 1200
             e expect nothing
         """)
-        self.assertTrue(self.module().endpoints.is_subscribed)
+        self.assertTrue(self.module().endpoints.calls.is_subscribed)
 
     def test_a_new_discovery_that_refuses_has_failed_and_is_polled_again(self) -> None:
         self.following()
