--- a/rosepick/decisions/discovery_calls.py
+++ b/rosepick/decisions/discovery_calls.py
@@ -1,8 +1,9 @@
 """When a router calls discovery. Times are milliseconds.
 
-The endpoint list is current only while a call is open: discovery answers it as soon as something changes. So
-the first call is made at once, and the next one soon after each end of a call. A router that waits in between
-goes on by a list of which it does not know whether it still holds.
+The endpoint list is current only while a call is open: discovery answers it as soon as something changes. A
+router that waits between two calls goes on by a list of which it does not know whether it still holds. So the
+first call is made at once, and so is nearly the next one after a failure. Calls that go on failing are spread
+further, as turning them away costs a crowded service so much that it would answer nobody.
 """
 
 from __future__ import annotations
@@ -12,9 +13,13 @@
 
 from . import api
 
-# From the end of a call to the next one at most: within 200 ms the watch counts as continued, and the router
-# may be held up meanwhile. Half of it is drawn, so that routers do not call in step.
-MAX_RETRY_DELAY_MS = 150.0
+# From a failure to the next call at most, by how many calls have failed in a row; half of it is drawn, so
+# that routers do not call in step. Within 200 ms a watch counts as continued.
+RETRY_DELAYS_MS = (150.0, 450.0, 900.0, 1_800.0)
+MAX_RETRY_DELAY_MS = RETRY_DELAYS_MS[-1]
+PUSHED_RETRY_DELAY_MS = RETRY_DELAYS_MS[
+    0
+]  # where lists are pushed, what the agent has counts as known at once
 FAILURES_BEFORE_LOG = 5  # in a row, before operators are told
 
 
@@ -38,9 +43,14 @@
         """Record that a call or the watch failed; return when the next call is due."""
         self.is_subscribed, self._is_open = not self.settings.subscribe, False
         self.failures_in_a_row += 1
-        self._next_call_at = now + MAX_RETRY_DELAY_MS * (0.5 + 0.5 * self.rng.random())
+        self._next_call_at = now + self._max_retry_delay_ms() * (0.5 + 0.5 * self.rng.random())
         return self._next_call_at
 
+    def _max_retry_delay_ms(self) -> float:
+        if self.settings.pushed:
+            return PUSHED_RETRY_DELAY_MS
+        return RETRY_DELAYS_MS[min(self.failures_in_a_row, len(RETRY_DELAYS_MS)) - 1]
+
     def begin_due_call(self, now: float) -> bool:
         """Return whether to call now, and record the call."""
         is_lost = now > self._called_at + self.settings.rules.ask_every  # an answer that never came
--- a/rosepick/lab/experiment_config.py
+++ b/rosepick/lab/experiment_config.py
@@ -172,6 +172,7 @@
     "stale",
     "discovery_down",
     "discovery_busy",
+    "discovery_slow",
     "origin_slow",
     "origin_stop",
     "flash",
@@ -198,7 +199,7 @@
     part: Share | None = None  # ... or the part of them
     zone: str = ""  # restricts it to this zone
     zones: tuple[str, str] | None = None  # cut: the two zones that cannot reach each other
-    by: PositiveFloat = 5.0  # factor of slowness or traffic; stale: additional seconds
+    by: PositiveFloat = 5.0  # factor of slowness or traffic; stale, discovery_slow: additional seconds
     # flash: part of reads for one key; hang, reset, garbage, drip: part of attempts; patch, agreed: part of
     # nodes that may be out; discovery_busy: part of calls that discovery turns away
     share: Share = 0.2
--- a/rosepick/lab/live/live_faults.py
+++ b/rosepick/lab/live/live_faults.py
@@ -68,6 +68,15 @@
     return InjectedFault(f"{fault.share:.0%} of calls", lambda: discovery.busy_shares.remove(fault.share))
 
 
+def _delay_answers(simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+    """Have discovery answer first calls of a watch, which do not wait, so many seconds later."""
+    discovery = cast(HasNodeServers, simulation).discovery_server
+    discovery.extra_answer_delays_ms.append(1000.0 * fault.by)
+    return InjectedFault(
+        f"{fault.by:g} s", lambda: discovery.extra_answer_delays_ms.remove(1000.0 * fault.by)
+    )
+
+
 def _reload_routers(_simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     """Nothing to inject here: the process that started the routers signals them."""
     return InjectedFault(f"{fault.routers or 'all'} routers", no_revert)
@@ -84,4 +93,5 @@
     "drip": _response_share_fault(lambda server: server.drip_shares),
     "reload": _reload_routers,
     "discovery_busy": _turn_calls_away,
+    "discovery_slow": _delay_answers,
 }
--- a/rosepick/net/endpoint_watch.py
+++ b/rosepick/net/endpoint_watch.py
@@ -25,24 +25,24 @@
 RESPONSE_GRACE_MS = 1_500.0  # beyond that wait, on a connection that has responded before
 # for the first response of a new watch: all routers may poll anew, and the service answers in turn, for up to
 # 3 s; a little more, so that an answer of the last moment is not crossed by the next poll
-FIRST_RESPONSE_TIMEOUT_MS = 3_200.0
+FIRST_RESPONSE_TIMEOUT_MS = 3_100.0
 MAX_NOTIFICATION_DELAY_MS = 6_000.0  # after which a change counts as notified, whatever became of the polls
 
 
-def max_notification_delay_ms(retry_delay_ms: float) -> float:
+def max_notification_delay_ms(first_retry_ms: float, max_retry_ms: float) -> float:
     """Return the longest time, in milliseconds, from a change to the poll that delivers it.
 
     The time counts from when the service has the change and is reachable. The poll itself has the rest of
     `MAX_NOTIFICATION_DELAY_MS`.
 
     Args:
-        retry_delay_ms: longest delay of the decision module before it polls again after a failure.
+        first_retry_ms: longest delay of the decision module before it polls again after one failure.
+        max_retry_ms: the longest such delay.
     """
-    silent_poll = LONG_POLL_WAIT_MS + RESPONSE_GRACE_MS  # it fell silent right at its begin
-    unanswered_poll = (
-        FIRST_RESPONSE_TIMEOUT_MS  # the service is back just after a poll that is never answered
-    )
-    return max(silent_poll, unanswered_poll) + retry_delay_ms + CONNECT_TIMEOUT_MS
+    silent_poll = LONG_POLL_WAIT_MS + RESPONSE_GRACE_MS + first_retry_ms  # it fell silent right at its begin
+    # the service is back just after a poll was sent that is never answered
+    unanswered_poll = FIRST_RESPONSE_TIMEOUT_MS + max_retry_ms
+    return max(silent_poll, unanswered_poll) + CONNECT_TIMEOUT_MS
 
 
 class EndpointWatch:
