One module decides whether something may be sent, repeated, closed or started now

The same question was answered in four places with different facts and at different times. Change: decisions/permissions.py answers it with typed facts and a typed reason. New at the first byte: an endpoint that is not ready any more, a client that has left though no event has told so, and a passed deadline are looked at again.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -13,6 +13,7 @@
 from ..decisions import api
 from ..decisions.api import Result
 from ..decisions.decide import Router
+from ..decisions.permissions import Denial, SendFacts, WriteFacts, check_send, check_write
 from ..logs import log_event, log_exception
 from .clock import Clock
 from .invariants import check_invariant
@@ -340,18 +341,43 @@
     def _may_send(self, request: RequestContext, attempt: UpstreamAttempt) -> bool:
         """Return whether an attempt may be sent at all.
 
-        The module keeps these rules; they are checked again where the fleet would see a violation.
+        The module has asked the same; it is asked again with what the engine itself knows, as the fleet would
+        see a violation. Only a deadline may have passed in between.
         """
-        limits = request.limits
-        is_only_one = limits.allow_hedging or not any(other.is_in_flight for other in request.attempts)
-        return (
-            check_invariant(not request.is_finished, "no_send_after_the_answer", ref=request.ref)
-            and check_invariant(
-                attempt.number < limits.max_attempts, "attempts_within_limit", ref=request.ref
-            )
-            and check_invariant(is_only_one, "one_attempt_at_a_time", ref=request.ref)
-            and attempt.sent_at < request.deadline
+        facts = SendFacts(
+            now=attempt.sent_at,
+            deadline=request.deadline,
+            is_finished=request.is_finished,
+            attempts_made=attempt.number,
+            max_attempts=request.limits.max_attempts,
+            attempts_in_flight=sum(other.is_in_flight for other in request.attempts),
+            allow_hedging=request.limits.allow_hedging,
+        )
+        denial = check_send(facts)
+        if denial is not None and denial is not Denial.DEADLINE_PASSED:
+            check_invariant(False, f"send_{denial.value}", ref=request.ref)
+        return denial is None
+
+    def check_write(self, attempt: UpstreamAttempt, endpoint_status: api.Status | None) -> Denial | None:
+        """Return why the first byte of an attempt may not be written now; None if it may.
+
+        Time has passed since the attempt was decided on, if it had to connect first or is not the first one:
+        then it is looked whether its client is still there, which nobody may have noticed yet.
+        """
+        request = attempt.request
+        now = self.clock.now()
+        may_have_left = attempt.number > 0 or now > attempt.sent_at
+        facts = WriteFacts(
+            now=now,
+            is_finished=request.is_finished or (may_have_left and request.client_has_left()),
+            stop_at=attempt.stop_at,
+            begin_by=attempt.begin_by,
+            endpoint_status=endpoint_status,
         )
+        denial = check_write(facts)
+        if denial is not None:
+            self.counts[f"write_denied_{denial.value}"] += 1
+        return denial
 
     def _expire_attempt(self, attempt: UpstreamAttempt) -> None:
         if attempt.is_in_flight:
--- a/rosepick/core/request_context.py
+++ b/rosepick/core/request_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -31,6 +32,11 @@
         """Fail the request because of a fault of this program."""
 
 
+def _is_never_noticed() -> bool:
+    """Return that the client is there, where nobody can tell otherwise."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class RequestContext:
     """A request from its arrival until its final answer and the end of its last attempt.
@@ -56,6 +62,7 @@
     watchdog_timer: TimerHandle | None = None
     started_at: float = 0.0  # when its time began to count
     client_id: str = ""  # the client's own id of the request, for the log
+    client_has_left: Callable[[], bool] = _is_never_noticed  # looks, even if nothing was noticed so far
 
     def awaits_response(self) -> bool:
         """Return whether its final answer is due.
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -22,6 +22,7 @@
 from . import api
 from .api import NEVER_RAN, Effect, EndReason, Group, Mode, Result, Status, UpdateScope
 from .discovery_calls import DiscoveryCalls
+from .permissions import RepeatFacts, SendFacts, check_send, repeat_until
 
 # ------------------------------------------------------------------------------------------- constants
 # Times are in milliseconds. Each value is a general choice; none is measured on one fleet.
@@ -74,7 +75,6 @@
 RETRIES_PER_REQUEST = 0.2  # retries earned by a request: at most a fifth of the traffic
 FEW = 2  # attempts after which the last one is worth a fetch; after more, time is short too
 MAX_RETRY_BUDGET = 12.0  # and a burst of failures has this many
-DEDUP_WINDOW_MARGIN = 0.1  # of a repeat window, left for the network
 
 START_CONCURRENCY = 9.0  # initial in-flight limit of one endpoint, divided among all routers ...
 MIN_START_CONCURRENCY = 1.5  # ... at least this each; many routers could fill every queue before a response
@@ -955,29 +955,32 @@
         return job.deadline if job.klass.late_share > 0 else job.objective_at
 
     def _may_send(self, job: PendingRequest, server: EndpointState) -> bool:
-        """Check the rules for every send: one final answer, no second effect, drain, attempts, copies."""
-        limits, klass = job.limits, job.klass
-        if job.is_final or self.now >= job.deadline or len(job.attempts) >= limits.max_attempts:
-            return False
-        if server.status is not Status.READY or not self._has_cold_budget(server):
-            return False  # rule 3: at once, not at the end of the grace; rule 4, whatever path led here
-        if job.in_flight_count() > (1 if limits.allow_hedging else 0):
-            return False
+        """Whether an attempt may begin now, whatever path led here."""
+        facts = SendFacts(
+            now=self.now,
+            deadline=job.deadline,
+            is_finished=job.is_final,
+            attempts_made=len(job.attempts),
+            max_attempts=job.limits.max_attempts,
+            attempts_in_flight=job.in_flight_count(),
+            allow_hedging=job.limits.allow_hedging,
+            endpoint_status=server.status,
+            has_cold_budget=self._has_cold_budget(server),
+            repeat=self._repeat_facts(job, server),
+        )
+        return check_send(facts) is None
+
+    def _repeat_facts(self, job: PendingRequest, server: EndpointState) -> RepeatFacts | None:
         unsafe = job.first_unsafe_attempt()
         if unsafe is None:
-            return True
+            return None
         here, there = server.endpoint, unsafe.server.endpoint
-        near = {Group.ZONE: here.zone == there.zone, Group.CELL: here.cell == there.cell}
-        in_window = self.now <= self._repeat_until(job)
-        return in_window and (klass.effect is Effect.RETRYABLE or near.get(klass.group, True))
+        return RepeatFacts(job.klass, unsafe.sent, here.zone == there.zone, here.cell == there.cell)
 
     def _repeat_until(self, job: PendingRequest) -> float:
         """Return until when (ms) a request that may have run may be sent again."""
-        klass, unsafe = job.klass, job.first_unsafe_attempt()
-        if unsafe is None or klass.effect is Effect.RETRYABLE:
-            return inf
-        window = klass.repeat_window_ms * (1.0 - DEDUP_WINDOW_MARGIN)
-        return unsafe.sent + window if klass.effect is Effect.DEDUP else -inf
+        unsafe = job.first_unsafe_attempt()
+        return repeat_until(job.klass, None if unsafe is None else unsafe.sent)
 
     def _send(self, job: PendingRequest, server: EndpointState) -> None:
         if not self._may_send(job, server):
--- a/rosepick/decisions/permissions.py
+++ b/rosepick/decisions/permissions.py
@@ -35,7 +35,6 @@
     ATTEMPT_IN_FLIGHT = "attempt_in_flight"
     ENDPOINT_NOT_READY = "endpoint_not_ready"  # it drains, has left or was never listed
     COLD_BUDGET_USED = "cold_budget_used"
-    BODY_CONSUMED = "body_consumed"
     MAY_HAVE_RUN = "may_have_run"  # a repeat could take effect twice
     REPEAT_WINDOW_ENDED = "repeat_window_ended"
     ANSWER_OWED = "answer_owed"
@@ -81,8 +80,7 @@
     is_finished: bool
     stop_at: float
     begin_by: float  # infinite if the attempt is no repeat
-    endpoint_status: Status | None
-    is_body_consumed: bool
+    endpoint_status: Status | None  # as discovery has notified it so far
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,9 +149,7 @@
         return Denial.DEADLINE_PASSED
     if facts.endpoint_status is not Status.READY:
         return Denial.ENDPOINT_NOT_READY
-    if facts.now > facts.begin_by:
-        return Denial.REPEAT_WINDOW_ENDED
-    return Denial.BODY_CONSUMED if facts.is_body_consumed else None
+    return Denial.REPEAT_WINDOW_ENDED if facts.now > facts.begin_by else None
 
 
 def check_close(facts: CloseFacts) -> Denial | None:
--- a/rosepick/net/client_connection.py
+++ b/rosepick/net/client_connection.py
@@ -10,6 +10,7 @@
 from ..connections.policy import ConnectionPolicy
 from ..core.body_stream import BodyStream
 from ..core.engine import Engine
+from ..decisions.permissions import CloseFacts, Denial, check_close
 from ..http.server_protocol import ServerProtocol
 from ..settings.config import NameIndexes
 from .event_loop import READ, WRITE, EventLoop, ScheduledCall
@@ -206,11 +207,19 @@
         self.abandon_request()
         self.close(CloseReason.SLOW_CLIENT)
 
-    def has_no_work(self) -> bool:
-        """Whether no request is in hand, nothing unwritten or unread; there may be a partial request."""
-        return (
-            not (self.protocol.response_pending or self.stream.has_unwritten())
-            and self.stream.has_nothing_to_read()
+    def close_denial(self, may_drop_partial: bool = False, is_new: bool = False) -> Denial | None:
+        """Return why the router may not close the connection at its own will; None if it may.
+
+        Args:
+            may_drop_partial: a request that has begun to arrive is no reason to keep it, as it has stalled.
+            is_new: its first request may be on the way.
+        """
+        has_work = not (self.stream.has_nothing_to_read() if may_drop_partial else self.is_idle())
+        return check_close(
+            CloseFacts(
+                owes_answer=self.protocol.response_pending or self.stream.has_unwritten(),
+                expects_request=has_work or is_new,
+            )
         )
 
     def is_idle(self) -> bool:
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -132,8 +132,13 @@
         assert isinstance(request.payload, ForwardedRequest)
         self.request_body = request.payload.body_stream
         self.response_awaited_until = request.deadline + RESPONSE_GRACE_MS
+        request.client_has_left = self._client_has_left
         self.listener.engine.accept(request, self)
 
+    def _client_has_left(self) -> bool:
+        """Look whether the client has closed, or ended its sending, though no event has told so yet."""
+        return self._peer_closed or self.stream.is_at_end() or self.stream.peer_has_closed()
+
     def _reject(self, status: int, reason: str, class_index: int | None = None, last: bool = False) -> None:
         """Answer a request that cannot be accepted.
 
--- a/rosepick/net/graceful_shutdown.py
+++ b/rosepick/net/graceful_shutdown.py
@@ -62,7 +62,7 @@
         idle = [
             connection
             for connection in self._listener.connections
-            if connection.is_idle() and not _may_have_request_coming(connection, now)
+            if connection.close_denial(is_new=_is_new(connection, now)) is None
         ]
         for connection in idle:
             connection.close_gracefully(CloseReason.SHUTDOWN)
@@ -93,7 +93,7 @@
         )
 
 
-def _may_have_request_coming(connection: ClientConnection, now: float) -> bool:
+def _is_new(connection: ClientConnection, now: float) -> bool:
     """Whether a connection is so new that its first request may be on the way.
 
     Guards against a request that is lost because its connection was closed while it was being sent.
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -294,9 +294,8 @@
             return False
         connection = record.driver
         assert isinstance(connection, ClientConnection)
-        if record.state is not ConnectionState.LINGERING and not (
-            connection.has_no_work() if reason is CloseReason.STALLED_REQUEST else connection.is_idle()
-        ):
+        is_lingering = record.state is ConnectionState.LINGERING
+        if not is_lingering and connection.close_denial(reason is CloseReason.STALLED_REQUEST) is not None:
             return False
         connection.close(reason)
         return True
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -133,6 +133,11 @@
 
     # ------------------------------------------------------------------------------ calls of connections
 
+    def status_of(self, endpoint_id: int) -> Status | None:
+        """Return an endpoint's status as last notified by discovery; None if it is not listed."""
+        entry = self.endpoint_directory.endpoints.get(endpoint_id)
+        return None if entry is None else entry.status
+
     def finish_attempt(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Report the result of an attempt to the engine."""
         self.busy.pop(attempt, None)
