Accepts and connects that fail for a moment count against nobody; clients looked for

Cause: an accept that fails for one connection (accept(2): EHOSTUNREACH, EPROTO and others) evicted a client and paused; ECONNABORTED ended the emptying of the accept queue at a shutdown, so that what stood behind it was reset. A connect that failed for a want of this machine counted as the endpoint's silence. Change: such accepts go on with the next connection; a local failure of connect is an attempt that was never sent. An attempt that had to connect, or repeats, looks for its client's end right before the first byte. The test of a connect without a descriptor expects the error where it expected None.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -358,17 +358,18 @@
             check_invariant(False, f"send_{denial.value}", ref=request.ref)
         return denial is None
 
-    def check_write(self, attempt: UpstreamAttempt, endpoint_status: api.Status | None) -> Denial | None:
+    def check_write(
+        self, attempt: UpstreamAttempt, endpoint_status: api.Status | None, had_to_connect: bool
+    ) -> Denial | None:
         """Return why the first byte of an attempt may not be written now; None if it may.
 
-        Time has passed since the attempt was decided on, if it had to connect first or is not the first one:
-        then it is looked whether its client is still there, which nobody may have noticed yet.
+        If it had to connect first, or is not the first one, it is looked whether its client is still there:
+        time has passed, and nobody may have noticed yet.
         """
         request = attempt.request
-        now = self.clock.now()
-        may_have_left = attempt.number > 0 or now > attempt.sent_at
+        may_have_left = attempt.number > 0 or had_to_connect
         facts = WriteFacts(
-            now=now,
+            now=self.clock.now(),
             is_finished=request.is_finished or (may_have_left and request.client_has_left()),
             stop_at=attempt.stop_at,
             begin_by=attempt.begin_by,
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import socket
 from collections.abc import Callable
@@ -31,6 +32,25 @@
 SWEEP_INTERVAL_MS = 250.0
 # between checks for clients that left while nothing is read; 100 ms are allowed for noticing it
 CLOSED_PEER_CHECK_INTERVAL_MS = 40.0
+# accept(2): these concern the one connection that would have been accepted, not the queue behind it
+ONE_CONNECTION_ERRNOS = frozenset(
+    {
+        errno.EINTR,
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.ENETDOWN,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+        errno.ETIMEDOUT,
+        errno.EPERM,
+    }
+)
+MAX_ACCEPTS_AT_CLOSE = 4_096  # the longest accept queue that is emptied, should each accept fail
 MAX_ACCEPTED_OVER_LIMIT = 8  # accepted beyond the limit, only to learn their addresses
 
 ConnectionFactory = Callable[[ConnectionHost, socket.socket, StreamFactory], ClientConnection]
@@ -192,9 +212,11 @@
             return False
         try:
             sock, address = listen_socket.sock.accept()
-        except (BlockingIOError, InterruptedError, ConnectionError):
-            return False
+        except BlockingIOError:
+            return False  # the queue is empty
         except OSError as error:
+            if error.errno in ONE_CONNECTION_ERRNOS:
+                return True
             # out of descriptors or memory: the loop would be woken again at once
             log_event(logger, logging.WARNING, "accept_failed", text=error, open_descriptors=self.budget.used)
             self.budget.reclaim_one()
@@ -307,8 +329,9 @@
         an inherited socket belongs to the other processes as well; only this process's copy is closed.
         """
         for listen_socket in self.listen_sockets[int(self.shares_inherited_socket) :]:
-            while self.is_open and self._accept_one(listen_socket):
-                pass
+            for _ in range(MAX_ACCEPTS_AT_CLOSE):
+                if not (self.is_open and self._accept_one(listen_socket)):
+                    break
         self.pause()
         if self.is_open:
             self.is_open = False
--- a/rosepick/net/tcp_stream.py
+++ b/rosepick/net/tcp_stream.py
@@ -17,6 +17,19 @@
 
 READ_CHUNK_BYTES = 128 * 1024
 OUT_OF_DESCRIPTORS_ERRNOS = (errno.EMFILE, errno.ENFILE)
+# of socket or connect: a want of this machine, for a moment, which says nothing of the peer
+LOCAL_FAILURE_ERRNOS = frozenset(
+    {
+        *OUT_OF_DESCRIPTORS_ERRNOS,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EPERM,
+    }
+)
 _CLOSED_TCP_STATES = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT in the kernel
 KERNEL_BUFFER_BYTES = 128 * 1024
 NO_PROGRESS_TIMEOUT_MS = (
--- a/rosepick/net/upstream_connection.py
+++ b/rosepick/net/upstream_connection.py
@@ -77,6 +77,7 @@
         self.address = entry.address
         self.keep_alive = pool.keep_alive[entry.kind == pool.origin_kind]
         self.has_had_response = False
+        self._had_to_connect = False  # for the present attempt
         self.exchange: HttpExchange | None = None
         self.attempt: UpstreamAttempt | None = None
         self.idle_since = 0.0
@@ -90,6 +91,7 @@
     def start(self, attempt: UpstreamAttempt, request: ForwardedRequest) -> None:
         """Begin an attempt; its request is written as soon as the connection is established."""
         self.attempt = attempt
+        self._had_to_connect = self.is_connecting
         self._build_exchange(attempt, request)
         if request.body_stream is not None:
             request.body_stream.on_readable = self._on_more_request_body
@@ -159,7 +161,9 @@
 
     def _is_write_denied(self, attempt: UpstreamAttempt) -> bool:
         """Ask once more right before the first byte: what was decided may no longer hold."""
-        denial = self.pool.engine.check_write(attempt, self.pool.status_of(self.endpoint_id))
+        denial = self.pool.engine.check_write(
+            attempt, self.pool.status_of(self.endpoint_id), self._had_to_connect
+        )
         if denial is not None:
             log_event(
                 logger,
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 from collections import OrderedDict
 
@@ -18,7 +19,7 @@
 from ..settings.config import Config
 from .event_loop import WRITE, EventLoop
 from .resource_budget import ResourceBudget
-from .tcp_stream import OUT_OF_DESCRIPTORS_ERRNOS, dial
+from .tcp_stream import LOCAL_FAILURE_ERRNOS, OUT_OF_DESCRIPTORS_ERRNOS, dial
 from .upstream_connection import UpstreamConnection
 
 logger = logging.getLogger(__name__)
@@ -96,7 +97,15 @@
         connection = self._take_idle(attempt.endpoint_id)
         if connection is None and endpoint is not None:
             self.engine.counts["upstream_connects"] += 1
-            connection = self._dial(endpoint)
+            try:
+                connection = self._dial(endpoint)
+            except OSError as error:
+                is_local = error.errno in LOCAL_FAILURE_ERRNOS
+                self.engine.counts["local_connect_failures"] += is_local
+                # a local failure says nothing of the endpoint
+                result = Result.NEVER_SENT if is_local else Result.CONNECT_FAILED
+                self.finish_attempt(attempt, AttemptResult(result))
+                return
         if connection is None:
             self.finish_attempt(attempt, AttemptResult(Result.CONNECT_FAILED))
             return
@@ -192,16 +201,20 @@
             connection.close()
         return None
 
-    def _dial(self, entry: EndpointEntry) -> UpstreamConnection | None:
-        if not self.budget.ensure_available(DescriptorUse.UPSTREAM):
-            self._log_no_descriptor(entry)
-            return None
+    def _dial(self, entry: EndpointEntry) -> UpstreamConnection:
+        """Begin to connect to an endpoint.
+
+        Raises:
+            OSError: the connect failed at once.
+        """
         try:
+            if not self.budget.ensure_available(DescriptorUse.UPSTREAM):
+                raise OSError(errno.EMFILE, "no descriptor for an upstream")
             sock = dial(entry.address, self.close_oldest_idle)
         except OSError as error:
             if error.errno in OUT_OF_DESCRIPTORS_ERRNOS:
                 self._log_no_descriptor(entry)
-            return None
+            raise
         connection = UpstreamConnection(self, entry, sock)
         timeout_ms = self.connect_timeout_for(entry.address).timeout_ms()
         self.loop.call_after(timeout_ms, lambda: self._expire_connect(connection))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,7 +4,10 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import socket
+from itertools import chain, repeat
 from typing import Any
 from unittest import mock
 
@@ -316,6 +319,16 @@
         (request,) = (bytes(call.args[0]) for call in write.call_args_list)
         self.assertIn(b"Req-Deadline: 0.3", request)
 
+    def test_a_client_that_has_left_unnoticed_before_the_first_byte(self) -> None:
+        """The connect succeeds in the same turn of the loop in which the client's end could be read."""
+        self.play("s1 hold\nc1 send GET /api/k1")
+        (connection,) = self.server.pool.busy.values()
+        self.wires["c1"][-1].sock.close()
+        with mock.patch.object(TcpStream, "finish_connect"), mock.patch.object(TcpStream, "write") as write:
+            connection.on_ready(WRITE)
+        write.assert_not_called()
+        self.assertEqual(self.server.engine.counts["write_denied_request_finished"], 1)
+
     def test_a_deadline_that_passes_while_connecting(self) -> None:
         self.play("s1 hold\nc1 send GET /api/k1 Req-Deadline=0.100\nwait 100\nc1 expect 504")
         self.freed()
@@ -454,6 +467,14 @@
         took = self.until_asked(self.AGAIN)
         self.assertGreater(took, 4000)
 
+    def test_an_answer_that_comes_when_its_poll_is_overdue_counts(self) -> None:
+        """Discovery has written it, so it counts as notified, though the next poll is under way."""
+        self.play(FIRST)
+        self.wait(endpoint_watch.FIRST_RESPONSE_TIMEOUT_MS + 50)
+        self.play("d tell 42 s1=leaving\nc1 send GET /api/k1\nc1 expect 503\ns1 expect nothing")
+        self.play(f"wait {RETRY_DELAYS_MS[0]}")  # the next one had the old revision: its answer adds nothing
+        self.assertEqual(self.server.endpoint_directory.revision, 42)
+
     def test_amid_a_response(self) -> None:
         self.follow()
         self.play('d raw HTTP/1.1 200 OK\\r\\nContent-Length: 500\\r\\n\\r\\n{"rev":42,')
@@ -566,6 +587,41 @@
         self.assertLessEqual(budget.used, budget.limit + RESERVED_FOR_CONNECTS)
 
 
+class SystemCallsFail(Known):
+    """What accept and connect say of one connection, or of this machine, is held against nobody else."""
+
+    def test_an_aborted_connection_does_not_end_the_queue_at_the_end(self) -> None:
+        (listen_socket,) = self.server.listener.listen_sockets
+        address = listen_socket.sock.getsockname()
+        clients = [socket.create_connection(address) for _ in range(3)]
+        listen_socket.sock = mock.Mock(wraps=listen_socket.sock)
+        aborted = [ConnectionAbortedError(errno.ECONNABORTED, ""), OSError(errno.EHOSTUNREACH, "")]
+        listen_socket.sock.accept.side_effect = chain(aborted, repeat(mock.DEFAULT))
+        self.server.listener.close()
+        self.assertEqual(len(self.server.listener.connections), 3)
+        for client in clients:
+            client.close()
+
+    def test_an_aborted_connection_evicts_nobody(self) -> None:
+        (listen_socket,) = self.server.listener.listen_sockets
+        self.play("c1 send GET /ready\nc1 expect 200 ready")
+        listen_socket.sock = mock.Mock(wraps=listen_socket.sock)
+        listen_socket.sock.accept.side_effect = chain(
+            [OSError(errno.ENETUNREACH, ""), OSError(errno.EPROTO, "")], repeat(mock.DEFAULT)
+        )
+        self.play("c2 send GET /ready\nc2 expect 200 ready\nc1 send GET /ready\nc1 expect 200 ready")
+
+    def test_a_connect_that_fails_here_counts_against_no_endpoint(self) -> None:
+        self.follow()
+        failure = OSError(errno.EADDRNOTAVAIL, "")
+        with mock.patch("rosepick.net.upstream_pool.dial", side_effect=failure):
+            self.play("c1 send GET /api/k1\nc1 expect 503\ns1 expect nothing")
+        states = self.module().endpoints.states.values()
+        self.assertEqual([state.consecutive_failures for state in states], [0] * len(states))
+        self.play("c1 send GET /api/k1\ns1 expect GET /api/k1\ns1 send 200 value\nc1 expect 200 value")
+        self.freed()
+
+
 class ListsArePushed(Known):
     """Lists are pushed to an agent, which still has to be polled: what it has counts as announced."""
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -485,8 +485,13 @@
         """)
 
     def test_connect_without_a_descriptor_fails(self) -> None:
-        with mock.patch("rosepick.net.tcp_stream.socket.socket", side_effect=self.none):
-            self.server.pool._dial(next(iter(self.server.endpoint_directory.endpoints.values())))
+        endpoint = next(iter(self.server.endpoint_directory.endpoints.values()))
+        with (
+            mock.patch("rosepick.net.tcp_stream.socket.socket", side_effect=self.none),
+            self.assertRaises(OSError) as raised,
+        ):
+            self.server.pool._dial(endpoint)
+        self.assertEqual(raised.exception.errno, errno.EMFILE)
         self.play("""
             c1 send GET /api/k1
             s1 expect GET /api/k1
