--- a/rosepick/core/endpoint_directory.py
+++ b/rosepick/core/endpoint_directory.py
@@ -14,8 +14,8 @@
 
 _STATUS_BY_NAME = {"active": api.Status.READY, "leaving": api.Status.DRAINING, "left": api.Status.REMOVED}
 
-# The start time of an endpoint that started before the clock's zero: not 0, which reads as "long ago".
-_MIN_START_MS = 1e-3
+# The start of an endpoint that started just when the loop's clock was 0, which would read as "long ago".
+_ZERO_START_MS = 1e-3
 
 
 def hash_key(key: bytes) -> int:
@@ -124,7 +124,9 @@
                 f"setting {row.path_of('state')} is {state!r}, not one of {', '.join(_STATUS_BY_NAME)}"
             )
         boot_unix_ms = row.number("boot_ms", 0.0)
-        started_at = max(_MIN_START_MS, boot_unix_ms - self.unix_offset_ms) if boot_unix_ms > 0 else 0.0
+        started_at = 0.0
+        if boot_unix_ms > 0:  # before the clock's zero, the start is negative
+            started_at = boot_unix_ms - self.unix_offset_ms or _ZERO_START_MS
         uid = row.text("uid")
         address = row.parsed("endpoint", parse_address, ADDRESS_FORMAT, ("", 0))
         zone = self.names.zones.get(row.text("az"), len(self.names.zones))
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -234,7 +234,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """One entry of the endpoint list; `started_at` is on the router's clock."""
+    """One entry of the endpoint list; `started_at` is on the router's clock, 0 if long ago."""
 
     endpoint_id: int
     status: Status = Status.READY
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rosepick.decisions import api, decide
+from rosepick.decisions import api, decide, endpoint_state
 from rosepick.decisions.api import Result, UpdateScope
 from rosepick.decisions.decide import Router
 from rosepick.decisions.discovery_calls import RETRY_DELAYS_MS
@@ -17,11 +17,11 @@
 def test_the_initial_limit_is_divided_among_the_routers() -> None:
     few, many = create_router(routers=2), create_router(routers=20)
     limits = [next(iter(r.endpoints.states.values())).concurrency_limit for r in (few, many)]
-    assert limits[0] > limits[1] >= decide.MIN_START_CONCURRENCY
+    assert limits[0] > limits[1] >= endpoint_state.MIN_START_CONCURRENCY
 
 
 def test_one_load_report_does_not_scatter_keys() -> None:
-    server = decide.EndpointState(api.Endpoint(1), 0.0)
+    server = endpoint_state.EndpointState(api.Endpoint(1), 0.0)
     server.record_load_report(10.0, 20.0)
     assert server.load(10.0) < 8
     for n in range(20):
@@ -30,7 +30,7 @@
 
 
 def test_expected_latency_is_not_dominated_by_idle_responses() -> None:
-    server = decide.EndpointState(api.Endpoint(1), 0.0)
+    server = endpoint_state.EndpointState(api.Endpoint(1), 0.0)
     for n in range(200):
         busy = n % 2
         server.record_latency(float(n), 400.0 if busy else 100.0, 9.0 if busy else 0.0)
@@ -39,7 +39,7 @@
 
 
 def test_load_reports_alone_do_not_refuse() -> None:
-    server = decide.EndpointState(api.Endpoint(1), 0.0)
+    server = endpoint_state.EndpointState(api.Endpoint(1), 0.0)
     for n in range(50):
         server.record_latency(float(n), 60.0, 0.0)
     for n in range(50):
@@ -136,7 +136,7 @@
 def test_a_silent_endpoint_is_ejected_and_probed(is_subscribed: bool) -> None:
     router = create_router()
     server = router.endpoints.states[100]
-    for n in range(decide.EJECT_AFTER_FAILURES):
+    for n in range(endpoint_state.EJECT_AFTER_FAILURES):
         server.record_silence(1000.0 + n)
     assert server.ejected
     actions = router.handle(2000.0, api.TimerFired(decide.TICK_TIMER))
@@ -151,7 +151,7 @@
 def test_a_request_is_sent_although_all_endpoints_are_ejected() -> None:
     router = create_router()
     for server in router.endpoints.states.values():
-        for _ in range(decide.EJECT_AFTER_FAILURES):
+        for _ in range(endpoint_state.EJECT_AFTER_FAILURES):
             server.record_silence(5.0)
     assert len(sends(router.handle(10.0, api.RequestArrived(1, 0, 900.0, key=5)))) == 1
 
@@ -164,7 +164,7 @@
             server.ejected = False
             router.actions = []
             router.now = n * 100.0
-            for _ in range(decide.EJECT_AFTER_FAILURES):
+            for _ in range(endpoint_state.EJECT_AFTER_FAILURES):
                 router._record_silence(server)
             lines += [action for action in router.actions if isinstance(action, api.Log)]
     assert len(lines) == 1
--- a/tests/test_endpoint_pools.py
+++ b/tests/test_endpoint_pools.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from rosepick.decisions import api, decide
+from rosepick.decisions import api, decide, endpoint_state
 from rosepick.decisions.api import Mode, Result, UpdateScope
 from rosepick.decisions.decide import Router
 
@@ -58,7 +58,7 @@
 
 def test_orders_of_thousands_of_slots_take_little_memory() -> None:
     table = decide.RendezvousTable(False)
-    table.update([decide.EndpointState(api.Endpoint(n), 0.0) for n in range(1, 17)])
+    table.update([endpoint_state.EndpointState(api.Endpoint(n), 0.0) for n in range(1, 17)])
     tracemalloc.start()
     for slot in range(500):
         table.order_for(slot)
