Soak: random, overlapping faults on real processes, stepped clocks and failing calls

Change: rosepick lab soak plays a plan drawn from a seed: kills, restarts and hold-ups of routers, drains, replacements, restarts and silence of nodes, discovery down, busy, slow or stale, malformed answers and resets; inside each router a wall clock that steps by seconds or an hour, accepts and connects that fail singly and in bursts, connections that break, short reads and writes, interrupted waits. Judged by the four rules and by what routers log of faults of their own. Found by it and mended: the reading of signals faulted on EAGAIN. Tests: test_soak.py; test_parts reads the log up to the line it expects, as calls to discovery come first now.

--- a/rosepick/cli/lab_drills.py
+++ b/rosepick/cli/lab_drills.py
@@ -50,6 +50,27 @@
     raise typer.Exit(1 if summary.broken else 2 if summary.failed else 0)
 
 
+def soak(
+    seed: SeedsOption = "1",
+    routers: Annotated[int, typer.Option(min=1, max=60, help="Router processes.")] = 16,
+    process_faults: Annotated[
+        bool, typer.Option(help="Wall clocks step and system calls fail inside the routers.")
+    ] = True,
+) -> None:
+    """Play random, overlapping faults on real processes. Ends with 1 if an invariant is broken."""
+    with require_extra("lab"):
+        from ..lab.soak.soak_plan import draw_plan
+        from ..lab.soak.soak_run import play_soak
+    _log_errors_only()
+
+    is_broken = False
+    for number in parse_seeds(seed, 1):
+        result = play_soak(draw_plan(number, routers, process_faults))
+        print("\n  ".join([result.line(), *result.violations]), flush=True)
+        is_broken = is_broken or bool(result.violations)
+    raise typer.Exit(1 if is_broken else 0)
+
+
 def measure_leases(
     renewals: Annotated[int, typer.Option(min=100, help="For the size of a witness's storage.")] = 100_000,
 ) -> None:
@@ -136,6 +157,7 @@
 def add(lab: typer.Typer) -> None:
     """Add these commands to the lab's."""
     lab.command()(drill)
+    lab.command()(soak)
     lab.command("leases")(measure_leases)
     lab.command("drains")(measure_drains)
     lab.command("releases")(measure_releases)
--- a/rosepick/lab/experiment_config.py
+++ b/rosepick/lab/experiment_config.py
@@ -178,6 +178,7 @@
     "flash",
     "surge",
     "router_kill",
+    "router_pause",
     "router_restart",
     "hang",
     "reset",
--- a/rosepick/lab/live/live_faults.py
+++ b/rosepick/lab/live/live_faults.py
@@ -77,7 +77,7 @@
     )
 
 
-def _reload_routers(_simulation: Simulation, fault: FaultConfig) -> InjectedFault:
+def _signal_routers(_simulation: Simulation, fault: FaultConfig) -> InjectedFault:
     """Nothing to inject here: the process that started the routers signals them."""
     return InjectedFault(f"{fault.routers or 'all'} routers", no_revert)
 
@@ -91,7 +91,8 @@
     "refuse": _refuse_connections,
     "garbage": _response_share_fault(lambda server: server.garbage_shares),
     "drip": _response_share_fault(lambda server: server.drip_shares),
-    "reload": _reload_routers,
+    "reload": _signal_routers,
+    "router_pause": _signal_routers,
     "discovery_busy": _turn_calls_away,
     "discovery_slow": _delay_answers,
 }
--- a/rosepick/lab/live/live_run.py
+++ b/rosepick/lab/live/live_run.py
@@ -26,6 +26,7 @@
 from ..results import RunCost, RunResult
 from . import request_schedule
 from .helper_process import HelperProcess, HelperProcessError, last_log_lines, read_result
+from .process_start import ProcessStart
 from .router_process import LiveRouter, fetch_endpoint_document
 from .rule_check import RunObservations, check_rules
 from .run_records import LoadResults, RouterDowntime, StandInResults
@@ -111,6 +112,8 @@
         self.router_downtimes: list[RouterDowntime] = []
         self.unexpected_exits: list[UnexpectedExit] = []
         self.routers: list[LiveRouter] = []
+        self.process_starts: list[ProcessStart] = []  # of each router; empty: as usual
+        self.held_up_ms = 0.0  # for how long a router may be held up, as by pauses; its answers are as late
         self.helpers: list[HelperProcess] = []
         self._discovery_ports: list[int] = []
         self._known_endpoints: list[dict[str, Any]] = []  # cached lists, by zone
@@ -140,6 +143,8 @@
         self._known_endpoints = ready["known"]
         for index in range(self.experiment.routers.count):
             router = LiveRouter(self.experiment, index, self.seed, self.folder, self._discovery_ports[index])
+            if self.process_starts:
+                router.process_start = self.process_starts[index]
             self.routers.append(router)
             router.start(self._known_endpoints[index % len(self._known_endpoints)])
         ports = [router.port for router in self.routers]
@@ -160,6 +165,8 @@
             self._schedule(fault.at, lambda: self._kill_routers(affected, fault.last))
         elif fault.kind == "router_restart":
             self._schedule(fault.at, lambda: self._restart_routers(affected, fault.down))
+        elif fault.kind == "router_pause":
+            self._schedule(fault.at, lambda: self._pause_routers(affected, fault.last))
         elif fault.kind == "reload":
             self._schedule(fault.at, lambda: self._reload_routers(self.routers[: fault.routers]))
 
@@ -231,6 +238,17 @@
             router.signal(signal.SIGTERM)
             self._start_later(router, down_s)
 
+    def _pause_routers(self, routers: list[LiveRouter], pause_s: float) -> None:
+        """Hold routers up: they do nothing for so many seconds."""
+        for router in routers:
+            router.signal(signal.SIGSTOP)
+        self._schedule(self._elapsed_s() + pause_s, lambda: self._continue_routers(routers))
+
+    @staticmethod
+    def _continue_routers(routers: list[LiveRouter]) -> None:
+        for router in routers:
+            router.signal(signal.SIGCONT)
+
     def _start_later(self, router: LiveRouter, delay_s: float) -> None:
         def start() -> None:
             self.helpers[0].send({"ended": router.index})
@@ -309,6 +327,7 @@
             router_downtimes=self.router_downtimes,
             nodes_late_ms=stand_in_results.loop_lateness.max_ms,
             clients_late_ms=load_results.loop_lateness.max_ms,
+            held_up_ms=self.held_up_ms,
         )
         check_rules(measure, observations)
         return measure
--- a/rosepick/lab/live/router_process.py
+++ b/rosepick/lab/live/router_process.py
@@ -19,6 +19,7 @@
 from .controllable_listener import HOST, reserve_port
 from .discovery_server import LAST_LIST_PATH
 from .helper_process import ROOT, HelperProcessError, child_environment, last_log_lines
+from .process_start import ProcessStart
 from .run_records import RouterDowntime
 
 READY_TIMEOUT_S = 20.0
@@ -34,15 +35,15 @@
 class RouterProcess:
     """One process of a router."""
 
-    def __init__(self, config_file: Path, log_file: Path) -> None:
+    def __init__(self, config_file: Path, log_file: Path, process_start: ProcessStart) -> None:
         with log_file.open("ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, "-O", "-m", "rosepick", "serve"],
+                [sys.executable, "-O", "-m", process_start.module, "serve"],
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**child_environment(), "GW_CONFIG": str(config_file)},
+                env={**child_environment(), **process_start.environment, "GW_CONFIG": str(config_file)},
                 start_new_session=True,
             )
         self.pid = self._popen.pid
@@ -103,6 +104,7 @@
         self._port_reservation = reserve_port()
         self.port = int(self._port_reservation.getsockname()[1])
         self._start_cpu_s = 0.0  # CPU time of the last start
+        self.process_start = ProcessStart()
 
     def start(self, known_endpoints: dict[str, Any]) -> None:
         """Start a process with a cached endpoint list."""
@@ -116,7 +118,7 @@
         )
         document = router_config.router_config_document(self._experiment, router)
         self._config_file.write_text(json.dumps(document), "utf-8")
-        self.processes.append(RouterProcess(self._config_file, self.log_file))
+        self.processes.append(RouterProcess(self._config_file, self.log_file, self.process_start))
 
     def wait_ready(self) -> None:
         """Wait until the router serves.
--- a/rosepick/lab/live/rule_check.py
+++ b/rosepick/lab/live/rule_check.py
@@ -28,6 +28,7 @@
     router_downtimes: Sequence[RouterDowntime] = ()
     nodes_late_ms: float = 0.0  # how late the nodes' records may be
     clients_late_ms: float = 0.0  # how late the clients' records may be
+    held_up_ms: float = 0.0  # for how long routers may have been held up; their answers are as late
 
 
 def check_rules(measure: Measure, observations: RunObservations) -> None:
@@ -42,7 +43,9 @@
         attempts_by_request.setdefault(attempt.request_id, []).append(attempt)
     for record in observations.tries:
         client_try = ClientTry(
-            record.request_id, classes[record.klass], record.deadline + observations.clients_late_ms
+            record.request_id,
+            classes[record.klass],
+            record.deadline + observations.clients_late_ms + observations.held_up_ms,
         )
         is_answer_due = _is_answer_due(record, observations.router_downtimes)
         replay = _TryReplay(monitor, record, client_try, is_answer_due, CLOCK_SKEW_MS + nodes_late_ms)
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -103,8 +103,11 @@
         wakeup.setblocking(False)
 
         def run_handlers(_events: int) -> None:
-            # each byte is the number of a signal
-            for number in sorted(set(receiver.recv(4096))):
+            try:
+                numbers = receiver.recv(4096)  # each byte is the number of a signal
+            except (BlockingIOError, InterruptedError):
+                return  # the loop comes back while there is something to read
+            for number in sorted(set(numbers)):
                 if number in handlers:
                     self._run_callback(handlers[number])
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import unittest
-from typing import Any
+from typing import IO, Any
 from unittest import mock
 
 from rosepick import logs
@@ -207,21 +207,28 @@
                 env={**os.environ, "GW_CONFIG": file.name},
             ) as process:
                 assert process.stderr is not None
-                line = process.stderr.readline()
-                self.assertIn("event=serving", line)
-                host, port = config.parse_address(line.split("listen=")[1].strip())
                 try:
+                    line = self.line_with("event=serving", process.stderr)
+                    host, port = config.parse_address(line.split("listen=")[1].split()[0])
                     with socket.create_connection((host, port)) as sock:
                         sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
                         self.assertTrue(sock.recv(100).startswith(b"HTTP/1.1 200 "))
                     # guards against a signal that ends a router as it does any program without a handler
                     process.send_signal(signal.SIGHUP)
-                    self.assertIn("event=config_reloaded", process.stderr.readline())
+                    self.line_with("event=config_reloaded", process.stderr)
                 finally:  # whatever went wrong: the test must not wait for it without end
                     process.terminate()
                 self.assertIn("event=shutdown_completed", process.stderr.read())
             self.assertEqual(process.returncode, 0)
 
+    def line_with(self, event: str, log: IO[str]) -> str:
+        """Return the next line with an event; lines of calls to discovery may come before it."""
+        for line in log:
+            if event in line:
+                return line
+            self.assertRegex(line, "event=(discovery_|rules_in_force)")
+        raise AssertionError(f"the log ends without {event}")
+
     def python(self, *words: str) -> subprocess.CompletedProcess[str]:
         return subprocess.run(
             [sys.executable, *words], stdin=subprocess.DEVNULL, capture_output=True, text=True, check=False
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,93 @@
+"""The soak: its plans, the faults inside a process, and one seed on a few real processes."""
+
+from __future__ import annotations
+
+import errno
+import socket
+import time
+from collections.abc import Iterator
+from unittest import mock
+
+import pytest
+
+from rosepick.lab.soak import process_faults
+from rosepick.lab.soak.process_faults import FaultInjector, FaultySocket, ProcessFaults
+from rosepick.lab.soak.soak_plan import LENGTH_S, draw_plan
+from rosepick.lab.soak.soak_run import play_soak
+
+
+@pytest.fixture
+def faulty() -> Iterator[FaultInjector]:
+    """The faults of this process, which the test sets; none at first."""
+    injector = FaultInjector(ProcessFaults())
+    with mock.patch.object(process_faults, "injector", injector):
+        yield injector
+
+
+def test_a_plan_is_the_same_each_time_and_another_for_each_seed() -> None:
+    assert draw_plan(7) == draw_plan(7)
+    assert draw_plan(7) != draw_plan(8)
+    for seed in range(1, 40):
+        troubles = draw_plan(seed).experiment.troubles
+        assert 6 <= len(troubles) <= 10
+        assert all(fault.at + fault.last < LENGTH_S for fault in troubles)
+
+
+def test_a_plan_without_faults_inside_its_processes() -> None:
+    assert set(draw_plan(3, routers=4, with_process_faults=False).process_faults) == {ProcessFaults()}
+
+
+def test_the_wall_clock_steps_and_the_monotonic_one_does_not(faulty: FaultInjector) -> None:
+    faulty.faults = ProcessFaults(wall_offset_s=30.0, wall_step_at_s=1_000.0, wall_step_s=3_600.0)
+    assert faulty.wall_time() - time.time() == pytest.approx(30.0, abs=5.0)
+    faulty.faults = ProcessFaults(wall_offset_s=30.0, wall_step_at_s=0.0, wall_step_s=3_600.0)
+    assert faulty.wall_time() - time.time() == pytest.approx(3_630.0, abs=5.0)
+
+
+def test_nothing_is_lost_by_calls_that_fail_or_do_less_than_asked(faulty: FaultInjector) -> None:
+    """An accept that fails leaves the connection to the next one, and short writes keep the order."""
+    with FaultySocket() as listener, socket.socket() as client:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        client.connect(listener.getsockname())
+        faulty.faults = ProcessFaults(failing_share=1.0)
+        with pytest.raises(OSError) as failed:
+            listener.accept()
+        assert failed.value.errno in process_faults.ACCEPT_ERRNOS
+        faulty.faults = ProcessFaults(short_share=0.5)
+        accepted, _ = listener.accept()
+        with accepted:
+            data, sent, received = bytes(range(256)) * 8, 0, b""
+            while len(received) < len(data):
+                if sent < len(data):
+                    sent += _send(accepted, data[sent:])
+                received += client.recv(4096)
+            assert received == data
+
+
+def _send(sock: socket.socket, data: bytes) -> int:
+    """Send what can be sent now."""
+    while True:
+        try:
+            return sock.send(data)
+        except BlockingIOError:
+            continue
+
+
+def test_a_connection_that_broke_stays_broken(faulty: FaultInjector) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server, FaultySocket() as sock:
+        sock.connect(server.getsockname())
+        faulty.faults = ProcessFaults(breaking_share=1.0)
+        with pytest.raises(OSError) as broken:
+            sock.recv(1)
+        assert broken.value.errno in process_faults.BROKEN_ERRNOS
+        faulty.faults = ProcessFaults()
+        with pytest.raises(OSError) as still:
+            sock.recv(1)
+        assert still.value.errno == errno.ECONNRESET
+
+
+def test_one_seed_on_a_few_processes() -> None:
+    result = play_soak(draw_plan(5, routers=4))
+    assert result.violations == ()
+    assert result.run.totals["served_share"] > 0.4
