A shutdown does not close a listening socket while connections wait in its queue

At the end of a shutdown accepts failed with ENFILE and EMFILE for a moment; the listening socket was closed all the same, which reset the connections in its queue, with five requests that had been sent. Change: while connections wait in the accept queue, the shutdown goes on accepting, up to the longest deadline. Tests: accepts that fail for 300 ms just at the end; a planted fault.

--- a/rosepick/net/graceful_shutdown.py
+++ b/rosepick/net/graceful_shutdown.py
@@ -87,6 +87,8 @@
         if self._batch_listener is not None and self._batch_listener.is_active() and elapsed_ms < longest_ms:
             self._batch_listener.shorten_deadlines(self._started_at + longest_ms)
             return False
+        if self._listener.has_waiting_connections() and elapsed_ms < longest_ms:
+            return False  # accepts fail for a moment, as without a descriptor: a close would reset what waits
         return (
             now - self._listener.last_accepted_at >= QUIET_BEFORE_CLOSE_MS
             or elapsed_ms >= MAX_ACCEPT_AFTER_SIGTERM_MS
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -328,7 +328,7 @@
         Connections that wait in the accept queue are accepted first: guards against their reset. The queue of
         an inherited socket belongs to the other processes as well; only this process's copy is closed.
         """
-        for listen_socket in self.listen_sockets[int(self.shares_inherited_socket) :]:
+        for listen_socket in self._own_sockets():
             for _ in range(MAX_ACCEPTS_AT_CLOSE):
                 if not (self.is_open and self._accept_one(listen_socket)):
                     break
@@ -338,6 +338,17 @@
             for listen_socket in self.listen_sockets:
                 listen_socket.sock.close()
 
+    def has_waiting_connections(self) -> bool:
+        """Return whether connections wait in the accept queue of a socket that is this process's alone.
+
+        Closing the socket resets them, and with them requests that their clients have sent.
+        """
+        queues = [accept_queue.queue_length(entry.sock) for entry in self._own_sockets()]
+        return self.is_open and any(queue is not None and queue.queued for queue in queues)
+
+    def _own_sockets(self) -> list[ListenSocket]:
+        return self.listen_sockets[int(self.shares_inherited_socket) :]
+
     def log_summary(self) -> None:
         """Log the counts of connections, and overflows of the accept queues."""
         self._report.log_summary()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -602,6 +602,22 @@
         for client in clients:
             client.close()
 
+    def test_accepts_that_fail_at_the_end_reset_nobody(self) -> None:
+        """Without a descriptor for 300 ms, just when the listening socket would be closed."""
+        (listen_socket,) = self.server.listener.listen_sockets
+        real = listen_socket.sock
+        self.play("router end\nwait 550")
+        listen_socket.sock = mock.Mock(wraps=real)
+        listen_socket.sock.accept.side_effect = OSError(errno.ENFILE, "")
+        client = socket.create_connection(real.getsockname())
+        client.sendall(self.request("/api/k1"))
+        self.wait(300)
+        listen_socket.sock.accept.side_effect = None
+        self.play("wait 100\ns1 expect GET /api/k1\ns1 send 200 value")
+        client.settimeout(2.0)
+        self.assertTrue(client.recv(4096).startswith(b"HTTP/1.1 200"))
+        client.close()
+
     def test_an_aborted_connection_evicts_nobody(self) -> None:
         (listen_socket,) = self.server.listener.listen_sockets
         self.play("c1 send GET /ready\nc1 expect 200 ready")
