A router that may not serve yet refuses connections instead of leaving them in the queue

Change: sockets are bound at once, which finds a wrong address early, and listen from the first start on. A socket that the platform holds takes connections anyway, so a process that inherits one does not wait for a list.

--- a/rosepick/net/listen_socket.py
+++ b/rosepick/net/listen_socket.py
@@ -13,7 +13,18 @@
 
 
 def listen(address: tuple[str, int], backlog: int) -> socket.socket:
-    """Open a non-blocking listening socket.
+    """Open a non-blocking listening socket, as `bind` does.
+
+    Raises:
+        OSError: the address cannot be used, or was in use for `ADDRESS_IN_USE_TIMEOUT_S`.
+    """
+    sock = bind(address)
+    sock.listen(backlog)
+    return sock
+
+
+def bind(address: tuple[str, int]) -> socket.socket:
+    """Open a non-blocking socket at an address, which refuses connections until it listens.
 
     Retries while the address is in use: guards against a restart that fails because the predecessor still
     serves its last requests.
@@ -23,9 +34,12 @@
     """
     retry_until = time.monotonic() + ADDRESS_IN_USE_TIMEOUT_S
     while True:
+        sock = socket.socket(address_family(address), socket.SOCK_STREAM)
         try:
-            sock = socket.create_server(address, family=address_family(address), backlog=backlog)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
         except OSError as error:
+            sock.close()
             if error.errno != errno.EADDRINUSE or time.monotonic() >= retry_until:
                 raise
         else:
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -22,7 +22,7 @@
 from .connection_report import ConnectionReport
 from .downstream_connection import DownstreamConnection
 from .event_loop import READ, EventLoop
-from .listen_socket import inherit_listen_socket, listen
+from .listen_socket import bind, inherit_listen_socket
 from .listener_config import ListenerConfig
 from .resource_budget import ResourceBudget
 from .tcp_stream import StreamFactory, TcpStream
@@ -127,10 +127,8 @@
         make_stream: StreamFactory = TcpStream,
         make_connection: ConnectionFactory = DownstreamConnection,
     ) -> ListenSocket:
-        """Listen on another address; its connections are treated like all others."""
-        return self._register_listen_socket(
-            ListenSocket(name, listen(address, self.config.backlog), make_stream, make_connection)
-        )
+        """Use another address too, from the start on; its connections are treated like all others."""
+        return self._register_listen_socket(ListenSocket(name, bind(address), make_stream, make_connection))
 
     def _register_listen_socket(self, listen_socket: ListenSocket) -> ListenSocket:
         self.listen_sockets.append(listen_socket)
@@ -138,7 +136,7 @@
 
     def apply(self, config: ListenerConfig, max_descriptors: int) -> None:
         """Apply another configuration or limit of descriptors."""
-        if config.backlog != self.config.backlog and self.is_open:
+        if config.backlog != self.config.backlog and self.is_open and self.has_started:
             for listen_socket in self.listen_sockets:
                 listen_socket.sock.listen(config.backlog)
         self.config = config
@@ -146,8 +144,18 @@
         self.resume_after_free()
 
     def start(self) -> None:
-        """Start or resume accepting."""
+        """Start or resume accepting.
+
+        Sockets listen from the first start on. Before it, connections are refused: the system would take them
+        into the accept queue, and their requests with them, for a router that may not serve yet.
+
+        Raises:
+            OSError: another process listens at an address.
+        """
         if self.is_open and not self.is_accepting:
+            if not self.has_started:
+                for listen_socket in self._own_sockets():
+                    listen_socket.sock.listen(self.config.backlog)
             self.is_accepting = True
             self.has_started = True
             for listen_socket in self.listen_sockets:
@@ -328,7 +336,7 @@
         Connections that wait in the accept queue are accepted first: guards against their reset. The queue of
         an inherited socket belongs to the other processes as well; only this process's copy is closed.
         """
-        for listen_socket in self._own_sockets():
+        for listen_socket in self._own_sockets() if self.has_started else ():
             for _ in range(MAX_ACCEPTS_AT_CLOSE):
                 if not (self.is_open and self._accept_one(listen_socket)):
                     break
@@ -344,7 +352,9 @@
         Closing the socket resets them, and with them requests that their clients have sent.
         """
         queues = [accept_queue.queue_length(entry.sock) for entry in self._own_sockets()]
-        return self.is_open and any(queue is not None and queue.queued for queue in queues)
+        return (
+            self.is_open and self.has_started and any(queue is not None and queue.queued for queue in queues)
+        )
 
     def _own_sockets(self) -> list[ListenSocket]:
         return self.listen_sockets[int(self.shares_inherited_socket) :]
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -265,7 +265,8 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
-        self._awaits_list = True
+        # an inherited socket takes connections anyway: nobody is served sooner by another process
+        self._awaits_list = not self.listener.shares_inherited_socket
         self.start_serving()
         self._poll_start()
         self.loop.run()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,10 +15,12 @@
 from rosepick.core.body_stream import BodyStream, BufferBudget
 from rosepick.decisions import api, decide
 from rosepick.decisions.discovery_calls import MAX_RETRY_DELAY_MS, PUSHED_RETRY_DELAY_MS, RETRY_DELAYS_MS
+from rosepick.decisions.permissions import MAX_START_WAIT_MS, UNREACHABLE_START_WAIT_MS
 from rosepick.net import endpoint_watch, listener
 from rosepick.net.discovery_connection import CONNECT_TIMEOUT_MS
 from rosepick.net.downstream_connection import DownstreamConnection
 from rosepick.net.event_loop import WRITE
+from rosepick.net.server import RouterServer
 from rosepick.net.tcp_stream import TcpStream
 
 from .driver import fleet, settings
@@ -587,6 +589,58 @@
         self.assertLessEqual(budget.used, budget.limit + RESERVED_FOR_CONNECTS)
 
 
+class Starting(Known):
+    """A process that has no list from discovery yet."""
+
+    def started(self) -> bool:
+        """Whether the router accepts clients; as `run` begins."""
+        self.server._start_if_due()
+        return self.server.listener.has_started
+
+    def setUp(self) -> None:
+        with mock.patch.object(RouterServer, "start_serving"):
+            super().setUp()
+        self.server._awaits_list = True
+
+    def connects(self) -> bool:
+        """Whether a connection to the router's address comes up."""
+        with socket.socket() as sock:
+            return sock.connect_ex(self.server.listener.sock.getsockname()) == 0
+
+
+class Starts(Starting):
+    """Discovery can be reached."""
+
+    def test_it_refuses_connections_until_it_has_a_list(self) -> None:
+        """The system would take them, and requests with them, for a router that may not serve yet."""
+        self.wait(200)
+        self.assertFalse(self.started())
+        self.assertFalse(self.connects())
+        self.play(f"{FIRST}\nd tell 42 s1=leaving")
+        self.assertTrue(self.server.listener.has_started)
+        self.assertTrue(self.connects())
+
+    def test_a_discovery_that_responds_without_a_list_is_waited_for(self) -> None:
+        self.play(f"{FIRST}\nd send 503 no")
+        self.wait(MAX_START_WAIT_MS - 100)
+        self.assertFalse(self.started())
+        self.wait(100)
+        self.assertTrue(self.started())
+
+
+class StartsAlone(Starting):
+    """Discovery cannot be reached."""
+
+    def document(self) -> dict[str, Any]:
+        return {**super().document(), "discovery": "127.0.0.1:1"}
+
+    def test_it_does_not_wait_for_long(self) -> None:
+        self.wait(UNREACHABLE_START_WAIT_MS - 100)
+        self.assertFalse(self.started())
+        self.wait(200)
+        self.assertTrue(self.started())
+
+
 class SystemCallsFail(Known):
     """What accept and connect say of one connection, or of this machine, is held against nobody else."""
 
