An agent's memory follows its disk after a write that failed

Cause: AgentStateFile.put changed its values before the write, so that a phase and permit that the disk had refused were stored with the next write of anything. Change: memory changes after the write; after a failed one it has what the disk has.

--- a/rosepick/coordination/agent_state_file.py
+++ b/rosepick/coordination/agent_state_file.py
@@ -43,10 +43,20 @@
         Raises:
             OSError: the file cannot be written.
         """
-        self._values |= values
+        stored = {**self._values, **values}
+        try:
+            self._replace_file(stored)
+        except OSError:
+            # memory follows the disk, whichever of the two it has: what was refused must not be stored with
+            # the next write of something else
+            self._values = self._read_file(self._values)
+            raise
+        self._values = stored
+
+    def _replace_file(self, values: dict[str, Any]) -> None:
         new_file = self._path.with_suffix(".new")
         with new_file.open("w", encoding="utf-8") as file:
-            json.dump(self._values, file)
+            json.dump(values, file)
             file.flush()
             os.fsync(file.fileno())
         new_file.replace(self._path)
@@ -56,6 +66,14 @@
         finally:
             os.close(folder_descriptor)
 
+    def _read_file(self, otherwise: dict[str, Any]) -> dict[str, Any]:
+        """Return what the file holds, or `otherwise` if it cannot be read."""
+        try:
+            values: dict[str, Any] = json.loads(self._path.read_text("utf-8"))
+        except (OSError, ValueError):
+            return otherwise
+        return values
+
     def get(self, name: str) -> Any:
         """Return the stored value of a name; None if there is none."""
         return self._values.get(name)
