An overdue poll that fails does not end the next one; age of the list in the counters

Cause: a malformed answer to an overdue poll was taken for the failure of the poll that followed it: that one was forgotten with its connection open, and a third one begun beside it. Change: only the present poll's failure counts. event=counters has list_age_ms and violated_invariants. Tests: a malformed answer to an overdue poll.

--- a/rosepick/net/endpoint_watch.py
+++ b/rosepick/net/endpoint_watch.py
@@ -146,14 +146,15 @@
             elapsed_ms=self.loop.now() - poll.begun_at,
             overdue=is_overdue,
         )
-        if is_overdue:
-            self._drop_overdue()
-        elif not reply.reusable:
-            self._connection = None
         if not self._is_outdated(poll, reply.document):
             self.on_list(reply.document)
             self._needs_full_list = False
-        if not is_overdue and self.is_active:
+        if is_overdue:
+            self._drop_overdue()
+            return
+        if not reply.reusable:
+            self._connection = None
+        if self.is_active:
             self._poll(LONG_POLL_WAIT_MS)
 
     def _is_outdated(self, poll: Poll, document: SettingsReader) -> bool:
@@ -170,8 +171,8 @@
         self._end()
 
     def _on_failed(self, connection: DiscoveryConnection, reason: str) -> None:
-        if connection is self._overdue:
-            self._overdue = None  # the next poll is under way
+        if connection is not self._connection:
+            self._overdue = None  # the next poll is under way, and is all that counts
             return
         self.has_responded = self.has_responded or reason.startswith("status")
         self._log_failure(connection, reason)
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -15,6 +15,7 @@
 from ..connections.connection_table import CloseReason
 from ..core.endpoint_directory import DirectoryUpdate, EndpointDirectory
 from ..core.engine import Engine
+from ..core.invariants import violation_counts
 from ..core.observed_engine import ObservedEngine
 from ..decisions import api
 from ..decisions.decide import Router
@@ -78,6 +79,7 @@
         self.reloads_failed = 0
         self._started_at = loop.now()
         self._list_received = False  # from discovery, since the start
+        self._listed_at = self._started_at  # when discovery's latest list or changes came
         self._awaits_list = False  # before it accepts clients
         self.handover = make_handover(loop, config)
         self.endpoint_directory = EndpointDirectory(config.names, time.time() * 1000.0 - loop.now())
@@ -317,6 +319,7 @@
         self.engine.update_endpoints(change.event)
         self.pool.retire_endpoints(change.retired_endpoint_ids)
         self._list_received = True
+        self._listed_at = self.loop.now()
         if self.handover is not None:
             self.handover.process_share.endpoint_list_received = True
         self._start_if_due()
@@ -423,6 +426,8 @@
             open_descriptors=self.budget.used,
             rejected_requests=self.listener.rejected_count,
             event_loop_faults=self.loop.fault_count,
+            list_age_ms=self.loop.now() - self._listed_at,
+            violated_invariants=sum(violation_counts.values()),
             admin_clients=self.admin_listener.connection_count if self.admin_listener is not None else 0,
             **counts,
         )
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -477,6 +477,17 @@
         self.play(f"wait {RETRY_DELAYS_MS[0]}")  # the next one had the old revision: its answer adds nothing
         self.assertEqual(self.server.endpoint_directory.revision, 42)
 
+    def test_an_overdue_poll_that_fails_does_not_end_the_next_one(self) -> None:
+        self.play(FIRST)
+        self.wait(endpoint_watch.FIRST_RESPONSE_TIMEOUT_MS + 50)
+        self.play('d send 200 {"rev":42,"all":false,"targets":[{"uid":7}]}')
+        self.wait(RETRY_DELAYS_MS[0])
+        self.play(FIRST)
+        polls = self.server.endpoint_watch.poll_count
+        self.wait(1_000)
+        self.assertEqual(self.server.endpoint_watch.poll_count, polls)
+        self.play("d tell 43 s1=leaving\nc1 send GET /api/k1\nc1 expect 503\ns1 expect nothing")
+
     def test_amid_a_response(self) -> None:
         self.follow()
         self.play('d raw HTTP/1.1 200 OK\\r\\nContent-Length: 500\\r\\n\\r\\n{"rev":42,')
