--- a/rosepick/lab/soak/process_faults.py
+++ b/rosepick/lab/soak/process_faults.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import runpy
 import selectors
 import socket
 import sys
@@ -18,6 +19,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+PROGRAM = "rosepick"
 FAULTS_VARIABLE = "ROSEPICK_PROCESS_FAULTS"
 # accept(2) and connect(2): for a moment, and of one connection or of this machine
 ACCEPT_ERRNOS = (errno.ECONNABORTED, errno.EPROTO, errno.EHOSTUNREACH, errno.EMFILE, errno.ENFILE)
@@ -178,10 +180,8 @@
 def main() -> None:
     """Run the command line of the program under the faults of the environment."""
     install(ProcessFaults(**json.loads(os.environ[FAULTS_VARIABLE])))
-    from ...cli.app import app
-
-    sys.argv[0] = "rosepick"
-    app()
+    sys.argv[0] = PROGRAM
+    runpy.run_module(PROGRAM, run_name="__main__")
 
 
 if __name__ == "__main__":
