A start that finds another process listening at its address is tried again

Sockets are bound before they listen since, so that two processes of one router may both be bound; the second's listen fails with EADDRINUSE, and that error ended its looks whether it may start. Change: the failure is logged (listen_failed) and tried again. Tests: an address where another process listens for a while.

--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -206,8 +206,7 @@
         """Begin to accept clients, unless another process has to be waited for."""
         if self.listener.has_started or self.listener.is_shutting_down:
             return
-        if self._start_denial() is None:
-            self.listener.start()
+        if self._start_denial() is None and self._try_listen():
             host, port = self.listener.sock.getsockname()[:2]
             log_event(
                 logger,
@@ -220,6 +219,15 @@
             )
             self._log_rules()
 
+    def _try_listen(self) -> bool:
+        """Begin to listen and accept; return whether that succeeded, else it is tried again."""
+        try:
+            self.listener.start()
+        except OSError as error:  # another process was bound to the address as well, and listens already
+            log_event(logger, logging.WARNING, "listen_failed", text=error)
+            return False
+        return True
+
     def _start_denial(self) -> Denial | None:
         """Return why no client may be accepted yet."""
         handover = self.handover
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -631,6 +631,18 @@
         self.assertTrue(self.server.listener.has_started)
         self.assertTrue(self.connects())
 
+    def test_an_address_where_another_process_listens_is_tried_again(self) -> None:
+        """Both were bound before either listened, as when two processes of a router start at once."""
+        address = self.server.listener.sock.getsockname()
+        with socket.socket() as other:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind(address)
+            other.listen()
+            self.play(f"{FIRST}\nd tell 42 s1=leaving")
+            self.assertFalse(self.started())
+        self.assertTrue(self.started())
+        self.assertTrue(self.connects())
+
     def test_a_discovery_that_responds_without_a_list_is_waited_for(self) -> None:
         self.play(f"{FIRST}\nd send 503 no")
         self.wait(MAX_START_WAIT_MS - 100)
