Every send, close and start goes by the module of permissions; violations in telemetry

Cause: read again, not every path went by the one place. An upgrade's start had its rule in ProcessShare, the pool looked at endpoint and body itself, and a close by anyone but the listener and the shutdown was not looked at. The count of violations did not show in telemetry. Change: check_start has the rule of upgrades; the pool asks check_write for every attempt, and a connection again after it had to connect, in place of once more on kept connections; every close of a client's connection is held against check_close and counted if it takes an answer away (not raised, as a shutdown that is overdue has to end). Telemetry has violations. Tests: test_upgrade asks the new place, with the same table.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -359,7 +359,11 @@
         return denial is None
 
     def check_write(
-        self, attempt: UpstreamAttempt, endpoint_status: api.Status | None, had_to_connect: bool
+        self,
+        attempt: UpstreamAttempt,
+        endpoint_status: api.Status | None,
+        had_to_connect: bool,
+        is_body_consumed: bool,
     ) -> Denial | None:
         """Return why the first byte of an attempt may not be written now; None if it may.
 
@@ -374,10 +378,21 @@
             stop_at=attempt.stop_at,
             begin_by=attempt.begin_by,
             endpoint_status=endpoint_status,
+            is_body_consumed=is_body_consumed,
         )
         denial = check_write(facts)
         if denial is not None:
             self.counts[f"write_denied_{denial.value}"] += 1
+            log_event(
+                logger,
+                logging.INFO,
+                "write_denied",
+                ref=request.ref,
+                client_id=request.client_id,
+                attempt=attempt.number,
+                endpoint=attempt.endpoint_id,
+                reason=denial.value,
+            )
         return denial
 
     def _expire_attempt(self, attempt: UpstreamAttempt) -> None:
--- a/rosepick/core/invariants.py
+++ b/rosepick/core/invariants.py
@@ -12,6 +12,17 @@
 """How often each invariant was violated since the start, by its name."""
 
 
+def record_violation(name: str, **context: object) -> None:
+    """Count and log a violation, in every build; the caller copes with it.
+
+    Args:
+        name: the name of the invariant.
+        **context: further fields of the log line.
+    """
+    violation_counts[name] += 1
+    log_event(logger, logging.ERROR, "invariant_violated", name=name, count=violation_counts[name], **context)
+
+
 def check_invariant(condition: bool, name: str, **context: object) -> bool:
     """Return whether an invariant holds; count and log a violation.
 
@@ -27,8 +38,7 @@
     """
     if condition:
         return True
-    violation_counts[name] += 1
-    log_event(logger, logging.ERROR, "invariant_violated", name=name, count=violation_counts[name], **context)
+    record_violation(name, **context)
     if __debug__:
         raise AssertionError(f"{name} {context}")
     return False
--- a/rosepick/decisions/permissions.py
+++ b/rosepick/decisions/permissions.py
@@ -39,6 +39,7 @@
     REPEAT_WINDOW_ENDED = "repeat_window_ended"
     ANSWER_OWED = "answer_owed"
     REQUEST_EXPECTED = "request_expected"
+    BODY_CONSUMED = "body_consumed"
     PREDECESSOR_SERVES = "predecessor_serves"
     LIST_UNCONFIRMED = "list_unconfirmed"
 
@@ -81,12 +82,14 @@
     stop_at: float
     begin_by: float  # infinite if the attempt is no repeat
     endpoint_status: Status | None  # as discovery has notified it so far
+    is_body_consumed: bool  # by an earlier attempt, so that it cannot be sent again
 
 
 @dataclass(frozen=True, slots=True)
 class CloseFacts:
-    """What matters for closing a client's connection at the router's own will."""
+    """What matters for closing a client's connection."""
 
+    at_own_will: bool  # not because the client has left, stopped, or has an answer that cannot be completed
     owes_answer: bool
     expects_request: bool  # so new, or so recently used, that a request may be on the way
 
@@ -96,9 +99,11 @@
     """What matters for accepting the first client."""
 
     waited_ms: float
-    list_received: bool
+    list_received: bool  # from discovery, since the start
     discovery_reachable: bool
-    predecessor_serves: bool
+    predecessor_serves: bool  # another process of this router that was there at the start
+    state_settled: bool  # the predecessor's state was imported, or is not to be had
+    shares_socket: bool  # with other processes: it takes connections whether or not this one serves
 
 
 def check_send(facts: SendFacts) -> Denial | None:
@@ -149,11 +154,15 @@
         return Denial.DEADLINE_PASSED
     if facts.endpoint_status is not Status.READY:
         return Denial.ENDPOINT_NOT_READY
-    return Denial.REPEAT_WINDOW_ENDED if facts.now > facts.begin_by else None
+    if facts.now > facts.begin_by:
+        return Denial.REPEAT_WINDOW_ENDED
+    return Denial.BODY_CONSUMED if facts.is_body_consumed else None
 
 
 def check_close(facts: CloseFacts) -> Denial | None:
     """Return why a client's connection may not be closed now; None if it may."""
+    if not facts.at_own_will:
+        return None
     if facts.owes_answer:
         return Denial.ANSWER_OWED
     return Denial.REQUEST_EXPECTED if facts.expects_request else None
@@ -162,8 +171,9 @@
 def check_start(facts: StartFacts) -> Denial | None:
     """Return why a process may not accept its first client yet; None if it may."""
     if facts.predecessor_serves:
-        return Denial.PREDECESSOR_SERVES
-    if facts.list_received:
+        is_ready = facts.list_received and facts.state_settled
+        return None if is_ready else Denial.PREDECESSOR_SERVES
+    if facts.list_received or facts.shares_socket:
         return None
     max_wait_ms = MAX_START_WAIT_MS if facts.discovery_reachable else UNREACHABLE_START_WAIT_MS
     return Denial.LIST_UNCONFIRMED if facts.waited_ms < max_wait_ms else None
--- a/rosepick/http/client_protocol.py
+++ b/rosepick/http/client_protocol.py
@@ -51,7 +51,6 @@
         self._body_stream = request.body_stream  # None once its last byte is encoded
         self._chunked = request.body_stream is not None and request.body_stream.content_length is None
         self._reader = ResponseReader(MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES)
-        self._has_begun = False
 
     def next_unsent(self) -> memoryview:
         """Return the bytes that can be written now."""
@@ -75,11 +74,6 @@
     def mark_written(self, count: int) -> None:
         """Record that `count` of the unsent bytes were written."""
         self._unsent = self._unsent[count:]
-        self._has_begun = self._has_begun or count > 0
-
-    def has_begun(self) -> bool:
-        """Return whether a byte of the request was written."""
-        return self._has_begun
 
     def feed(self, data: bytes) -> AttemptResult | None:
         """Parse received bytes; return the result once the response is complete or malformed."""
--- a/rosepick/net/client_connection.py
+++ b/rosepick/net/client_connection.py
@@ -10,6 +10,7 @@
 from ..connections.policy import ConnectionPolicy
 from ..core.body_stream import BodyStream
 from ..core.engine import Engine
+from ..core.invariants import record_violation
 from ..decisions.permissions import CloseFacts, Denial, check_close
 from ..http.server_protocol import ServerProtocol
 from ..settings.config import NameIndexes
@@ -18,6 +19,20 @@
 from .resource_budget import ResourceBudget
 from .tcp_stream import NO_PROGRESS_TIMEOUT_MS, StreamFactory
 
+# other closes follow from what the client or an upstream did
+CLOSES_AT_OWN_WILL = frozenset(
+    {
+        CloseReason.NOT_WORTH_KEEPING,
+        CloseReason.CAPACITY,
+        CloseReason.DESCRIPTORS,
+        CloseReason.ADDRESS_QUOTA,
+        CloseReason.NO_REQUEST,
+        CloseReason.IDLE_TIMEOUT,
+        CloseReason.STALLED_REQUEST,
+        CloseReason.INTERNAL_ERROR,
+        CloseReason.SHUTDOWN,
+    }
+)
 LINGER_MS = 500.0  # to read on after a response that precedes the request's end: a reset could overtake it
 LATE_FIRST_REQUEST_MS = 500.0  # for the rest of a first request that began late
 BODY_STALL_TIMEOUT_MS = 1_000.0  # without a byte of a body, once the time for its head has passed
@@ -217,6 +232,7 @@
         has_work = not (self.stream.has_nothing_to_read() if may_drop_partial else self.is_idle())
         return check_close(
             CloseFacts(
+                at_own_will=True,
                 owes_answer=self.protocol.response_pending or self.stream.has_unwritten(),
                 expects_request=has_work or is_new,
             )
@@ -243,6 +259,7 @@
 
     def close(self, reason: CloseReason = CloseReason.CLIENT_CLOSED) -> None:
         """Close the connection; the client notices an incomplete response."""
+        self._check_close(reason)
         self.abandon_request()
         if self._linger_timer is not None:
             self._linger_timer.cancel()  # guards against closed connections that a timer keeps in memory
@@ -250,6 +267,14 @@
         self.listener.forget(self, reason)  # first: closing the stream may accept another connection at once
         self.stream.close()
 
+    def _check_close(self, reason: CloseReason) -> None:
+        """Count a close at the router's own will that takes a client's answer away."""
+        owes_answer = self.protocol.response_pending or self.stream.has_unwritten()
+        facts = CloseFacts(reason in CLOSES_AT_OWN_WILL, owes_answer, expects_request=False)
+        denial = check_close(facts)
+        if denial is not None:
+            record_violation(f"close_{denial.value}", reason=reason.value)
+
     def close_broken(self) -> None:
         """Close a connection that broke."""
         self.abandon_request()
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -167,6 +167,7 @@
             avoided_count,
             self.reloads_succeeded,
             self.reloads_failed,
+            sum(violation_counts.values()),
         )
 
     def _class_names(self) -> dict[int, str]:
@@ -230,14 +231,15 @@
 
     def _start_denial(self) -> Denial | None:
         """Return why no client may be accepted yet."""
-        handover = self.handover
-        must_wait = handover is not None and not handover.process_share.may_accept_clients()
+        share = None if self.handover is None else self.handover.process_share
         return check_start(
             StartFacts(
                 waited_ms=self.loop.now() - self._started_at if self._awaits_list else inf,
                 list_received=self._list_received,
                 discovery_reachable=self.endpoint_watch.is_reachable(),
-                predecessor_serves=must_wait,
+                predecessor_serves=share is not None and share.has_predecessor(),
+                state_settled=share is None or share.state_transfer_settled,
+                shares_socket=self.listener.shares_inherited_socket,
             )
         )
 
@@ -275,8 +277,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
-        # an inherited socket takes connections anyway: nobody is served sooner by another process
-        self._awaits_list = not self.listener.shares_inherited_socket
+        self._awaits_list = True
         self.start_serving()
         self._poll_start()
         self.loop.run()
@@ -328,8 +329,6 @@
         self.pool.retire_endpoints(change.retired_endpoint_ids)
         self._list_received = True
         self._listed_at = self.loop.now()
-        if self.handover is not None:
-            self.handover.process_share.endpoint_list_received = True
         self._start_if_due()
 
     def _on_discovery_failed(self) -> None:
--- a/rosepick/net/upstream_connection.py
+++ b/rosepick/net/upstream_connection.py
@@ -15,7 +15,7 @@
 from ..core.endpoint_directory import EndpointEntry
 from ..core.engine import Engine
 from ..core.request_context import UpstreamAttempt
-from ..decisions.api import Result, Status
+from ..decisions.api import Result
 from ..http.client_protocol import AttemptResult, HttpExchange, StreamedResponse
 from ..http.request_messages import ForwardedRequest
 from ..logs import log_event, log_exception
@@ -49,8 +49,8 @@
     def connect_timeout_for(self, address: tuple[str, int]) -> ConnectTimeout:
         """Return the adaptive timeout of connects to an address."""
 
-    def status_of(self, endpoint_id: int) -> Status | None:
-        """Return an endpoint's status as last notified by discovery; None if it is not listed."""
+    def may_write(self, attempt: UpstreamAttempt, had_to_connect: bool) -> bool:
+        """Return whether the first byte of an attempt may be written now."""
 
     def finish_attempt(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Report the result of an attempt to the engine."""
@@ -77,7 +77,6 @@
         self.address = entry.address
         self.keep_alive = pool.keep_alive[entry.kind == pool.origin_kind]
         self.has_had_response = False
-        self._had_to_connect = False  # for the present attempt
         self.exchange: HttpExchange | None = None
         self.attempt: UpstreamAttempt | None = None
         self.idle_since = 0.0
@@ -91,7 +90,6 @@
     def start(self, attempt: UpstreamAttempt, request: ForwardedRequest) -> None:
         """Begin an attempt; its request is written as soon as the connection is established."""
         self.attempt = attempt
-        self._had_to_connect = self.is_connecting
         self._build_exchange(attempt, request)
         if request.body_stream is not None:
             request.body_stream.on_readable = self._on_more_request_body
@@ -119,6 +117,9 @@
         attempt = self.attempt
         self.stream.finish_connect()
         self.pool.connect_timeout_for(self.address).record_connected(now - self.dialed_at)
+        if attempt is not None and not self.pool.may_write(attempt, had_to_connect=True):
+            self.withdraw_attempt(Result.NEVER_SENT)
+            return
         if attempt is not None and isinstance(attempt.request.payload, ForwardedRequest):
             # less time is left than when the connect began
             self._build_exchange(attempt, attempt.request.payload)
@@ -144,9 +145,6 @@
         exchange = self.exchange
         if exchange is None:
             return
-        if not exchange.has_begun() and self.attempt is not None and self._is_write_denied(self.attempt):
-            self.withdraw_attempt(Result.NEVER_SENT)
-            return
         if exchange.next_unsent():
             try:
                 exchange.mark_written(self.stream.write(exchange.next_unsent()))
@@ -159,24 +157,6 @@
                 return
         self.stream.set_events(READ | WRITE if exchange.next_unsent() else READ)
 
-    def _is_write_denied(self, attempt: UpstreamAttempt) -> bool:
-        """Ask once more right before the first byte: what was decided may no longer hold."""
-        denial = self.pool.engine.check_write(
-            attempt, self.pool.status_of(self.endpoint_id), self._had_to_connect
-        )
-        if denial is not None:
-            log_event(
-                logger,
-                logging.INFO,
-                "write_denied",
-                ref=attempt.request.ref,
-                client_id=attempt.request.client_id,
-                attempt=attempt.number,
-                endpoint=self.endpoint_id,
-                reason=denial.value,
-            )
-        return denial is not None
-
     def _read(self, extra_reads: int = EXTRA_READS) -> None:
         body = self.response_body
         data = (
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -12,7 +12,7 @@
 from ..core.endpoint_directory import EndpointDirectory, EndpointEntry
 from ..core.engine import Engine
 from ..core.request_context import UpstreamAttempt
-from ..decisions.api import Result, Status
+from ..decisions.api import Result
 from ..http.client_protocol import AttemptResult
 from ..http.request_messages import ForwardedRequest
 from ..logs import log_event
@@ -84,14 +84,10 @@
         """Begin an attempt on the most recently used idle connection, or on a new one."""
         request = attempt.request.payload
         assert isinstance(request, ForwardedRequest)
-        if _body_was_consumed(request):
-            self.finish_attempt(attempt, AttemptResult(Result.NEVER_SENT))
-            return
         endpoint = self.endpoint_directory.endpoints.get(attempt.endpoint_id)
         if endpoint is not None and endpoint.zone != self.zone:
             self.engine.counts["cross_zone_attempts"] += 1
-        if endpoint is not None and endpoint.status is not Status.READY:
-            # it was chosen before the decision module was notified of the drain
+        if not self.may_write(attempt, had_to_connect=False):
             self.finish_attempt(attempt, AttemptResult(Result.NEVER_SENT))
             return
         connection = self._take_idle(attempt.endpoint_id)
@@ -142,10 +138,12 @@
 
     # ------------------------------------------------------------------------------ calls of connections
 
-    def status_of(self, endpoint_id: int) -> Status | None:
-        """Return an endpoint's status as last notified by discovery; None if it is not listed."""
-        entry = self.endpoint_directory.endpoints.get(endpoint_id)
-        return None if entry is None else entry.status
+    def may_write(self, attempt: UpstreamAttempt, had_to_connect: bool) -> bool:
+        """Return whether the first byte of an attempt may be written now."""
+        entry = self.endpoint_directory.endpoints.get(attempt.endpoint_id)
+        status = None if entry is None else entry.status
+        is_body_consumed = _body_was_consumed(attempt.request.payload)
+        return self.engine.check_write(attempt, status, had_to_connect, is_body_consumed) is None
 
     def finish_attempt(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Report the result of an attempt to the engine."""
--- a/rosepick/ops/telemetry.py
+++ b/rosepick/ops/telemetry.py
@@ -34,6 +34,7 @@
     hosts_down: int
     reconfig_ok: int
     reconfig_failed: int
+    violations: int = 0  # of invariants, since the start
 
     def document(self) -> dict[str, object]:
         """Return the document as a JSON object."""
@@ -45,6 +46,7 @@
             "hosts_down": self.hosts_down,
             "reconfig_ok": self.reconfig_ok,
             "reconfig_failed": self.reconfig_failed,
+            "violations": self.violations,
         }
 
     def line(self) -> str:
--- a/rosepick/upgrade/process_share.py
+++ b/rosepick/upgrade/process_share.py
@@ -23,7 +23,6 @@
     def __init__(self, other_descriptor_counts: Sequence[int] = ()) -> None:
         self.other_descriptor_counts = tuple(other_descriptor_counts)
         self.started_during_upgrade = bool(other_descriptor_counts)
-        self.endpoint_list_received = False  # from discovery, since the start
         self.state_transfer_settled = False  # the other process's state was imported, or is not to be had
 
     def update_others(self, other_descriptor_counts: Sequence[int]) -> bool:
@@ -32,18 +31,12 @@
         self.other_descriptor_counts = tuple(other_descriptor_counts)
         return has_changed
 
-    def may_accept_clients(self) -> bool:
-        """Return whether this process may accept clients.
+    def has_predecessor(self) -> bool:
+        """Return whether this process started beside another one that has not ended.
 
-        A process that started beside another one needs discovery's endpoint list and the other's state first.
-        Guards against serving from an old list in place of a router that works. If the other one has ended,
-        there is nothing to wait for.
+        Guards against serving in place of a router that works, before this one can.
         """
-        return (
-            not self.started_during_upgrade
-            or not self.other_descriptor_counts
-            or (self.endpoint_list_received and self.state_transfer_settled)
-        )
+        return self.started_during_upgrade and bool(self.other_descriptor_counts)
 
     def descriptor_share(self, limit: int) -> int:
         """Return how many of `limit` descriptors this process may hold."""
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -507,7 +507,10 @@
             if connection.stream.is_connected():
                 break
             time.sleep(0.005)
-        with mock.patch.object(pool, "finish_attempt") as ended:
+        with (
+            mock.patch.object(pool, "finish_attempt") as ended,
+            mock.patch.object(pool, "may_write", return_value=True),  # the attempt is a mock
+        ):
             pool._expire_connect(connection)  # its time is over before the loop has looked at sockets
         ended.assert_not_called()
         self.assertTrue(connection.stream.is_open and not connection.is_connecting)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,6 +16,7 @@
 
 from rosepick.decisions import api
 from rosepick.decisions.decide import Router
+from rosepick.decisions.permissions import StartFacts, check_start
 from rosepick.net.process_registry import ProcessRegistry, open_registry
 from rosepick.settings import config
 from rosepick.upgrade.process_share import ProcessShare
@@ -59,7 +60,18 @@
                 self.assertLessEqual(min(share, limit) + min(held, limit // 2), limit)
 
     def test_clients_are_accepted_with_list_and_state_or_without_another_process(self) -> None:
-        for others, list_received, state_settled, may_accept in (
+        def may_accept(share: ProcessShare, list_received: bool) -> bool:
+            facts = StartFacts(
+                waited_ms=0.0,
+                list_received=list_received,
+                discovery_reachable=True,
+                predecessor_serves=share.has_predecessor(),
+                state_settled=share.state_transfer_settled,
+                shares_socket=True,
+            )
+            return check_start(facts) is None
+
+        for others, list_received, state_settled, expected in (
             ((), False, False, True),
             ((9,), False, False, False),
             ((9,), True, False, False),
@@ -67,11 +79,10 @@
             ((9,), True, True, True),
         ):
             process_share = ProcessShare(others)
-            process_share.endpoint_list_received = list_received
             process_share.state_transfer_settled = state_settled
-            self.assertIs(process_share.may_accept_clients(), may_accept)
+            self.assertIs(may_accept(process_share, list_received), expected)
             self.assertEqual(process_share.update_others(()), bool(others))
-            self.assertTrue(process_share.may_accept_clients())
+            self.assertTrue(may_accept(process_share, list_received))
 
 
 class ProcessRegistryTest(TestCase):
