--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,12 +7,16 @@
 import errno
 import json
 import socket
+import subprocess
+import sys
 from itertools import chain, repeat
 from typing import Any
 from unittest import mock
 
+from rosepick.connections.connection_table import CloseReason
 from rosepick.connections.descriptor_budget import RESERVED_FOR_CONNECTS, DescriptorUse
 from rosepick.core.body_stream import BodyStream, BufferBudget
+from rosepick.core.invariants import violation_counts
 from rosepick.decisions import api, decide
 from rosepick.decisions.discovery_calls import MAX_RETRY_DELAY_MS, PUSHED_RETRY_DELAY_MS, RETRY_DELAYS_MS
 from rosepick.decisions.permissions import MAX_START_WAIT_MS, UNREACHABLE_START_WAIT_MS
@@ -715,6 +719,41 @@
         self.freed()
 
 
+class Violations(Known):
+    """What a path does that it may not is counted where operators look, in every build."""
+
+    def counted(self) -> int:
+        """How many violations the telemetry has."""
+        return int(json.loads(self.server.telemetry().line())["violations"])
+
+    def test_a_close_that_takes_an_answer_away_is_counted(self) -> None:
+        self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
+        before = self.counted()
+        (connection,) = self.server.listener.connections
+        connection.close(CloseReason.CAPACITY)
+        self.assertEqual(self.counted(), before + 1)
+        self.assertIn("close_answer_owed", violation_counts)
+
+    def test_other_closes_are_not(self) -> None:
+        before = self.counted()
+        self.play("c1 send GET /api/k1\ns1 expect GET /api/k1\nc1 close")  # its client has left
+        self.play("c2 send GET /api/k2\ns1 expect GET /api/k2\ns1 send 200 value\nc2 expect 200 value")
+        (connection,) = self.server.listener.connections
+        connection.close(CloseReason.CAPACITY)  # it rests
+        self.assertEqual(self.counted(), before)
+
+    def test_in_a_release_build(self) -> None:
+        """A send that the module may not make is not carried out, and is counted, not asserted."""
+        done = subprocess.run(
+            [sys.executable, "-O", "-m", "tests.release_build_violation"],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(json.loads(done.stdout), {"sent": 0, "telemetry": 1})
+        self.assertIn("event=invariant_violated name=send_attempts_used", done.stderr)
+
+
 class ListsArePushed(Known):
     """Lists are pushed to an agent, which still has to be polled: what it has counts as announced."""
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -12,6 +12,7 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parent.parent
+DEFAULT_MODULE = "test_endings.py"  # of a fault that names no other
 FAULTS = tomllib.loads((ROOT / "tests" / "guards.toml").read_text("utf-8"))["fault"]
 
 
@@ -25,10 +26,10 @@
     return folder
 
 
-def outcome(folder: Path, test: str) -> tuple[int, str]:
+def outcome(folder: Path, module: str, test: str) -> tuple[int, str]:
     """Pytest's exit and its words over one test of the copy."""
     environment = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1", "PYTHONPATH": str(folder)}
-    command = [sys.executable, "-m", "pytest", "-q", f"tests/test_endings.py::{test}"]
+    command = [sys.executable, "-m", "pytest", "-q", f"tests/{module}::{test}"]
     done = subprocess.run(command, cwd=folder, capture_output=True, text=True, env=environment, check=False)
     return done.returncode, done.stdout
 
@@ -40,8 +41,9 @@
     assert text.count(fault["old"]) == 1
     path.write_text(text.replace(fault["old"], fault["new"]), "utf-8")
     try:
-        code, said = outcome(copy, fault["test"])
+        code, said = outcome(copy, fault.get("module", DEFAULT_MODULE), fault["test"])
     finally:
         path.write_text(text, "utf-8")
     # 1 is a test that failed; guards against a fault that breaks the program's import, or a test that is none
-    assert code == 1 and "FAILED tests/test_endings.py::" + fault["test"] in said, said
+    failed = f"FAILED tests/{fault.get('module', DEFAULT_MODULE)}::{fault['test']}"
+    assert code == 1 and failed in said, said
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -87,7 +87,7 @@
     offset_ms: float, machine_step_ms: float
 ) -> None:
     stepped = SteppedRouter(offset_ms)
-    stepped.tell(0.0, {"one": -HOUR_MS}, is_full=True)
+    stepped.tell(0.0, {"one": -HOUR_MS / 6.0}, is_full=True)  # a step back of an hour gives an earlier start
     stepped.tell(SECOND_LIST_AT - 2_500.0, {})
     stepped.tell(SECOND_LIST_AT, {"one": SECOND_LIST_AT - 1_000.0 + machine_step_ms})
     cold_until = stepped.cold_until("one")
