The pool asks once whether an attempt may begin, before it looks at its endpoint

Cause: read again, start_attempt kept branches that the check before them makes unreachable, and counted a crossing for an attempt that is not begun. Change: the check first, then the endpoint, which is listed then; the end of a failed connect in a method of its own.

--- a/rosepick/core/request_context.py
+++ b/rosepick/core/request_context.py
@@ -32,8 +32,8 @@
         """Fail the request because of a fault of this program."""
 
 
-def _is_never_noticed() -> bool:
-    """Return that the client is there, where nobody can tell otherwise."""
+def _nobody_looks() -> bool:
+    """Return that the client is there: its protocol adapter has no way to look."""
     return False
 
 
@@ -62,7 +62,7 @@
     watchdog_timer: TimerHandle | None = None
     started_at: float = 0.0  # when its time began to count
     client_id: str = ""  # the client's own id of the request, for the log
-    client_has_left: Callable[[], bool] = _is_never_noticed  # looks, even if nothing was noticed so far
+    client_has_left: Callable[[], bool] = _nobody_looks  # looks, even if nothing was noticed so far
 
     def awaits_response(self) -> bool:
         """Return whether its final answer is due.
--- a/rosepick/lab/live/notification_ledger.py
+++ b/rosepick/lab/live/notification_ledger.py
@@ -16,7 +16,7 @@
 
 # twice the 200 ms within which the next call continues a watch, for machines that are busy
 MAX_CALL_GAP_MS = 400.0
-MAX_NOTIFICATION_DELAY_MS = 6_000.0
+MAX_NOTIFICATION_DELAY_MS = 6_000.0  # of the platform's terms; the judge does not take the router's constant
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -84,30 +84,30 @@
         """Begin an attempt on the most recently used idle connection, or on a new one."""
         request = attempt.request.payload
         assert isinstance(request, ForwardedRequest)
-        endpoint = self.endpoint_directory.endpoints.get(attempt.endpoint_id)
-        if endpoint is not None and endpoint.zone != self.zone:
-            self.engine.counts["cross_zone_attempts"] += 1
         if not self.may_write(attempt, had_to_connect=False):
             self.finish_attempt(attempt, AttemptResult(Result.NEVER_SENT))
             return
+        endpoint = self.endpoint_directory.endpoints[attempt.endpoint_id]  # listed, as it may be written to
+        if endpoint.zone != self.zone:
+            self.engine.counts["cross_zone_attempts"] += 1
         connection = self._take_idle(attempt.endpoint_id)
-        if connection is None and endpoint is not None:
+        if connection is None:
             self.engine.counts["upstream_connects"] += 1
             try:
                 connection = self._dial(endpoint)
             except OSError as error:
-                is_local = error.errno in LOCAL_FAILURE_ERRNOS
-                self.engine.counts["local_connect_failures"] += is_local
-                # a local failure says nothing of the endpoint
-                result = Result.NEVER_SENT if is_local else Result.CONNECT_FAILED
-                self.finish_attempt(attempt, AttemptResult(result))
+                self._finish_failed_dial(attempt, error)
                 return
-        if connection is None:
-            self.finish_attempt(attempt, AttemptResult(Result.CONNECT_FAILED))
-            return
         self.busy[attempt] = connection
         connection.start(attempt, request)
 
+    def _finish_failed_dial(self, attempt: UpstreamAttempt, error: OSError) -> None:
+        """End an attempt whose connect failed at once; a local failure says nothing of the endpoint."""
+        is_local = error.errno in LOCAL_FAILURE_ERRNOS
+        self.engine.counts["local_connect_failures"] += is_local
+        result = Result.NEVER_SENT if is_local else Result.CONNECT_FAILED
+        self.finish_attempt(attempt, AttemptResult(result))
+
     def cancel_attempt(self, attempt: UpstreamAttempt) -> None:
         """Close the attempt's connection: its response could be taken for that of the next request."""
         connection = self.busy.pop(attempt, None)
