The incident's faults in other orders, and in fleets of one and of twelve

Change: kill, crowded discovery and drain in four other orders, all routers killed, on real processes; fleets of 1 and 12. Result: no violation.

--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -51,6 +51,35 @@
     assert violations_of(experiment, seed) == []
 
 
+ALL_AT_ONCE = {"router_kill": 1.0, "discovery_busy": 1.0, "shrink": 1.0}
+OTHER_ORDERS = {
+    "all at once": ALL_AT_ONCE,
+    "drain, busy, kill": {"shrink": 1.0, "discovery_busy": 1.4, "router_kill": 1.8},
+    "busy, drain, kill": {"discovery_busy": 1.0, "shrink": 1.3, "router_kill": 1.5},
+    "kill, drain, busy": {"router_kill": 1.0, "shrink": 1.3, "discovery_busy": 1.5},
+}
+
+
+def in_order(begins: dict[str, float], routers: int) -> list[dict[str, Any]]:
+    """The faults of the incident, each beginning at its second, with all routers killed."""
+    return [
+        {"kind": "router_kill", "at": begins["router_kill"], "for": 0.6, "routers": routers},
+        {"kind": "discovery_busy", "at": begins["discovery_busy"], "for": 3.0, "share": 1.0},
+        {"kind": "shrink", "at": begins["shrink"], "for": 0.1, "nodes": 4},
+    ]
+
+
+@pytest.mark.parametrize("order", OTHER_ORDERS)
+def test_the_same_faults_in_another_order(order: str) -> None:
+    assert violations_of(fleet_with(*in_order(OTHER_ORDERS[order], 3)), 3) == []
+
+
+@pytest.mark.parametrize("routers", [1, 12])
+def test_fleets_of_another_size(routers: int) -> None:
+    changes = {"routers.count": routers, "troubles": in_order(ALL_AT_ONCE, routers)}
+    assert violations_of(parse_experiment(FLEET, "test", changes), 4) == []
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_drain_while_the_routers_are_down(seed: int) -> None:
     experiment = fleet_with(
