--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 drill: env
 	$(BIN)/python -m rosepick lab drill drills/simulated.toml --simulated --seed 1..100 --workers 4
 	$(BIN)/python -m rosepick lab drill drills/drains-simulated.toml --simulated --seed 1..24 --workers 4
+	$(BIN)/python -m rosepick lab drill drills/agent-disks-simulated.toml --simulated --seed 1..12 --workers 4
 	$(BIN)/python -m rosepick lab drill drills/short.toml --seed 1..2 --workers 2
 	$(BIN)/python -m rosepick lab drill drills/drains-short.toml --seed 1
 	$(BIN)/python -m rosepick lab drill drills/releases-simulated.toml --simulated --seed 1..8 --workers 4
--- a/rosepick/coordination/agent_driver.py
+++ b/rosepick/coordination/agent_driver.py
@@ -86,6 +86,17 @@
         self._tick()
 
     def _tick(self) -> None:
+        self.loop.call_after(TICK_MS, self._tick)  # first: whatever fails in this turn, the next one comes
+        try:
+            self._take_turn()
+        except OSError as error:
+            self._log_storage_failure(error)
+
+    def _log_storage_failure(self, error: OSError) -> None:
+        """Log that the agent's disk refused a write: the step that rests on it is due again."""
+        log_event(logger, logging.ERROR, "agent_storage_failed", member=self.agent.name, text=error)
+
+    def _take_turn(self) -> None:
         now = self.loop.now()
         self._status = self._member.read_status()
         action = self.agent.next_action(now, self._status)
@@ -97,7 +108,6 @@
         self._send_report(now)
         self._detector_driver.update_lease()
         self._log_transitions(now)
-        self.loop.call_after(TICK_MS, self._tick)
 
     def _guard_accepts(self) -> bool:
         """Return whether the guard allows an action under the agent's permit: it has seen no newer one."""
@@ -120,7 +130,10 @@
             )
 
     def _handle_outcome(self, operation: FleetOperation, outcome: OperationOutcome) -> None:
-        self.agent.handle_outcome(self.loop.now(), operation, outcome)
+        try:
+            self.agent.handle_outcome(self.loop.now(), operation, outcome)
+        except OSError as error:
+            self._log_storage_failure(error)
         if operation.action == "halt" and outcome.kind is OutcomeKind.COMMITTED:
             log_event(logger, logging.ERROR, "drains_halted", member=self.agent.name)
         self._log_transitions(self.loop.now())
--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -225,13 +225,18 @@
         """Return the next operation on the fleet state; None while one is open or none is due.
 
         `wall_time_s` is the wall clock in seconds, for the history and for hours without drains.
+
+        Raises:
+            OSError: a phase could not be saved; the operation is due again.
         """
         if self._operation_started_at is not None or now < self._next_operation_at:
             return None
-        self._operation_started_at = now
         if self.fleet_state is None or self.decode_error or self.is_partitioned(now):
-            return FleetOperation(OperationKind.READ, None)
-        return self._choose_operation(now, status, wall_time_s, self.fleet_state)
+            operation = FleetOperation(OperationKind.READ, None)
+        else:
+            operation = self._choose_operation(now, status, wall_time_s, self.fleet_state)
+        self._operation_started_at = now  # not before: a phase that could not be saved leaves none open
+        return operation
 
     def _choose_operation(
         self, now: float, status: MemberStatus, wall_time_s: float, state: FleetState
--- a/rosepick/lab/drill/fault_plan.py
+++ b/rosepick/lab/drill/fault_plan.py
@@ -36,6 +36,7 @@
     MEMBER_CRASH = "member"  # the process that an agent supervises dies
     HOST_LOSS = "host"  # an agent and its member die for long
     WIPED_AGENT = "wiped"  # an agent dies, and its folder is lost
+    AGENT_DISK = "agent disk"  # an agent's folder takes no writes for a while
     SWAP_REPLICA = "swap"  # a running replica is replaced by the spare one
 
 
@@ -120,6 +121,7 @@
     FaultTemplate(FaultName.MEMBER_CRASH, 2.0, TargetKind.CLIENT, 0.0, 0.0, only_if_named=True),
     FaultTemplate(FaultName.HOST_LOSS, 2.0, TargetKind.CLIENT, 6.0, 12.0, only_if_named=True),
     FaultTemplate(FaultName.WIPED_AGENT, 1.0, TargetKind.CLIENT, 0.1, 0.5, only_if_named=True),
+    FaultTemplate(FaultName.AGENT_DISK, 2.0, TargetKind.CLIENT, 1.0, 6.0, only_if_named=True),
     FaultTemplate(FaultName.SWAP_REPLICA, 1.0, TargetKind.REPLICA, 0.0, 0.0),
 )
 STORAGE_FAULTS = frozenset(
--- a/rosepick/lab/drill/simulated_drains.py
+++ b/rosepick/lab/drill/simulated_drains.py
@@ -106,6 +106,7 @@
         self.fault_injector.handlers.register(FaultName.MEMBER_CRASH, self._crash_member)
         self.fault_injector.handlers.register(FaultName.HOST_LOSS, self._lose_host)
         self.fault_injector.handlers.register(FaultName.WIPED_AGENT, self._wipe_agent)
+        self.fault_injector.handlers.register(FaultName.AGENT_DISK, self._fill_disk)
 
     def _create_client(self, name: str, clock_rate: float) -> SimulatedLeaseClient:
         return SimulatedAgent(self, name, clock_rate)
@@ -128,6 +129,16 @@
         self.agents[fault.target[0]].disk = InMemoryAgentState()
         self.fault_injector.kill(number, fault)
 
+    def _fill_disk(self, _number: int, fault: Fault) -> None:
+        """Have an agent's disk refuse writes, also those of its next start, for the fault's time."""
+        disk = self.agents[fault.target[0]].disk
+        disk.refusals += 1
+
+        def empty() -> None:
+            disk.refusals -= 1
+
+        self.schedule_in(fault.length, empty)
+
     # -- orders
 
     def _start_clients(self) -> None:
--- a/rosepick/lab/drill/simulated_member.py
+++ b/rosepick/lab/drill/simulated_member.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 from functools import partial
 
 from ...fleet.agent import MemberAction, MemberStatus
@@ -155,13 +157,19 @@
         self.tokens = InMemoryTokenStore()
         self._phase_and_permit = (0, 0)
         self._values: dict[str, object] = {}
+        self.refusals = 0  # active faults by which it takes no writes
 
     def load(self) -> tuple[int, int]:
         """Return the stored phase and permit."""
         return self._phase_and_permit
 
     def save(self, phase: int, permit: int) -> None:
-        """Store phase and permit."""
+        """Store phase and permit.
+
+        Raises:
+            OSError: the disk is full.
+        """
+        self._check_writable()
         self._phase_and_permit = phase, permit
 
     def get(self, name: str) -> object:
@@ -169,5 +177,14 @@
         return self._values.get(name)
 
     def put(self, **values: object) -> None:
-        """Store values under names."""
+        """Store values under names.
+
+        Raises:
+            OSError: the disk is full.
+        """
+        self._check_writable()
         self._values |= values
+
+    def _check_writable(self) -> None:
+        if self.refusals:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -722,3 +722,11 @@
     command = [sys.executable, "-m", "rosepick", *given]
     done = subprocess.run(command, capture_output=True, text=True, env=environment, timeout=60)
     assert done.returncode == 2 and "rosepick[fleet]" in done.stderr and "Traceback" not in done.stderr
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_drains_end_though_agents_could_not_write_for_a_while(seed: int) -> None:
+    plan = drill_file.load_drill(Path(__file__).parent.parent / "drills" / "agent-disks-simulated.toml")
+    report = simulated_drains.run_drill(runner._simulation_config(plan), seed)
+    assert report.violations == []
+    assert report.counts["fault agent disk"] > 3
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -261,7 +261,12 @@
         drill_file.load_drill(path)
 
 
-AGENT_FAULTS = {FaultName.MEMBER_CRASH, FaultName.HOST_LOSS, FaultName.WIPED_AGENT}
+AGENT_FAULTS = {
+    FaultName.MEMBER_CRASH,
+    FaultName.HOST_LOSS,
+    FaultName.WIPED_AGENT,
+    FaultName.AGENT_DISK,
+}
 
 
 @pytest.fixture
