--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -501,6 +501,7 @@
             outcome=outcome.name.lower(),
             cause=cause or "none",
             elapsed_ms=elapsed_ms,
+            read_late_ms=request.read_late_ms,
             attempts=",".join(_describe_attempt(attempt) for attempt in request.attempts) or "none",
         )
 
--- a/rosepick/core/request_context.py
+++ b/rosepick/core/request_context.py
@@ -61,6 +61,7 @@
     attempts: list[UpstreamAttempt] = field(default_factory=list)
     watchdog_timer: TimerHandle | None = None
     started_at: float = 0.0  # when its time began to count
+    read_late_ms: float = 0.0  # how long it may have waited to be read
     client_id: str = ""  # the client's own id of the request, for the log
     client_has_left: Callable[[], bool] = _nobody_looks  # looks, even if nothing was noticed so far
 
--- a/rosepick/logs.py
+++ b/rosepick/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import re
 import sys
 import time
@@ -52,7 +53,7 @@
 
 
 class KeyValueFormatter(logging.Formatter):
-    """Formats a record as `time=… level=… part=… event=…` and the event's own fields."""
+    """Formats a record as `time=… level=… pid=… monotonic_ms=… part=… event=…` and the event's own fields."""
 
     converter = time.gmtime
 
@@ -60,6 +61,8 @@
         """Return the line of a record, without its end."""
         timestamp = self.formatTime(record, "%Y-%m-%dT%H:%M:%S") + f".{int(record.msecs):03d}Z"
         pairs: dict[str, object] = {"time": timestamp, "level": record.levelname.lower()}
+        pairs["pid"] = os.getpid()
+        pairs["monotonic_ms"] = 1000.0 * time.monotonic()  # orders the lines of two processes
         pairs["part"] = record.name.removeprefix("rosepick.")
         pairs["event"] = record.getMessage()
         pairs.update(getattr(record, "fields", {}))
--- a/rosepick/net/accept_queue.py
+++ b/rosepick/net/accept_queue.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import struct
+from collections import deque
 from itertools import pairwise
 from pathlib import Path
 from typing import NamedTuple
@@ -22,6 +23,56 @@
     backlog: int
 
 
+class AcceptQueueAge:
+    """Since when the connections at the head of an accept queue can have waited there at most.
+
+    The queue is first in, first out: a connection that is accepted after all that were in the queue at some
+    time came after that time. Times are milliseconds.
+
+    Args:
+        now: the present time.
+    """
+
+    __slots__ = ("_accepted_total", "_is_empty", "_marks", "_since")
+
+    def __init__(self, now: float) -> None:
+        self._since = now  # the next connection came after this time
+        self._is_empty = True
+        self._accepted_total = 0
+        # times, each with how many connections had come until then; the earliest first
+        self._marks: deque[tuple[float, int]] = deque()
+
+    def begin_batch(self, now: float, ready_since: float, length: QueueLength | None) -> None:
+        """Record that connections are going to be accepted.
+
+        Args:
+            now: the present time.
+            ready_since: a time at which nothing was in the queue, if the last batch has emptied it.
+            length: the present queue; None if the system does not tell.
+        """
+        if self._is_empty:
+            self._since = max(self._since, ready_since)
+        self._is_empty = False
+        if length is None:
+            return
+        arrived_total = self._accepted_total + length.queued
+        if self._marks and self._marks[-1][1] == arrived_total:
+            self._marks.pop()
+        self._marks.append((now, arrived_total))
+
+    def record_accept(self) -> float:
+        """Record an accept; return the time before which its client cannot have connected."""
+        self._accepted_total += 1
+        while self._marks and self._marks[0][1] < self._accepted_total:
+            self._since = self._marks.popleft()[0]
+        return self._since
+
+    def record_empty(self) -> None:
+        """Record that the queue is empty."""
+        self._is_empty = True
+        self._marks.clear()
+
+
 def queue_length(sock: socket.socket) -> QueueLength | None:
     """Return the accept queue of a listening socket; None where the system does not provide it."""
     option = getattr(socket, "TCP_INFO", None)
--- a/rosepick/net/client_connection.py
+++ b/rosepick/net/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 from abc import ABC, abstractmethod
 from typing import Protocol
@@ -13,12 +14,14 @@
 from ..core.invariants import record_violation
 from ..decisions.permissions import CloseFacts, Denial, check_close
 from ..http.server_protocol import ServerProtocol
+from ..logs import log_event
 from ..settings.config import NameIndexes
 from .event_loop import READ, WRITE, EventLoop, ScheduledCall
 from .listener_config import ListenerConfig
 from .resource_budget import ResourceBudget
 from .tcp_stream import NO_PROGRESS_TIMEOUT_MS, StreamFactory
 
+logger = logging.getLogger(__name__)
 # other closes follow from what the client or an upstream did
 CLOSES_AT_OWN_WILL = frozenset(
     {
@@ -84,6 +87,9 @@
         self._linger_timer: ScheduledCall | None = None
         self.response_body: BodyStream | None = None  # of the response that is being streamed
         self.last_received_at = 0.0
+        self.received_since = 0.0  # before which the data received last cannot have arrived
+        self.accepted_since = listener.loop.now()  # before which its client cannot have connected
+        self.has_read = False
         self._peer_closed = False  # the client has ended its side of the connection
         self.stream = make_stream(listener.loop, listener.budget, sock, self.on_ready)
 
@@ -112,6 +118,10 @@
     def abandon_request(self) -> None:
         """Give up the request in hand and the response that is being streamed."""
 
+    def request_in_hand(self) -> str:
+        """Return the client's id of the request in hand, for the log; empty if there is none."""
+        return ""
+
     @abstractmethod
     def _handle_fault(self, error: Exception) -> None:
         """Answer 500 after an exception, and close the connection; the process continues."""
@@ -268,8 +278,18 @@
         self.stream.close()
 
     def _check_close(self, reason: CloseReason) -> None:
-        """Count a close at the router's own will that takes a client's answer away."""
+        """Log a close that takes a client's answer away; count it if it is at the router's own will."""
         owes_answer = self.protocol.response_pending or self.stream.has_unwritten()
+        if owes_answer:
+            log_event(
+                logger,
+                logging.INFO,
+                "connection_closed_unanswered",
+                reason=(self.record.close_reason or reason).value,
+                client_id=self.request_in_hand(),
+                unwritten=self.stream.has_unwritten(),
+                open_ms=self.listener.loop.now() - self.record.opened_at,
+            )
         facts = CloseFacts(reason in CLOSES_AT_OWN_WILL, owes_answer, expects_request=False)
         denial = check_close(facts)
         if denial is not None:
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -57,6 +57,7 @@
             return
         self.record.mark_bytes_received(now)
         self.last_received_at = now
+        self.received_since = self._received_since()
         self.protocol.feed(data, now)
         if self.protocol.body_stream is not None:
             self.protocol.body_stream.on_writable = self._update_state
@@ -72,6 +73,14 @@
             self.request_body.notify_reader()
         self._reject_broken_body()
 
+    def _received_since(self) -> float:
+        """Return the time before which none of the data that was just read can have arrived."""
+        since = self.listener.loop.events_since
+        if not self.has_read:  # it may have arrived while the connection waited to be accepted
+            self.has_read = True
+            since = min(since, self.accepted_since)
+        return since
+
     def _complete_request(self, request: RequestContext, deadline: float) -> None:
         """Record that the body of a request was received completely."""
         if request is self.request:
@@ -133,6 +142,7 @@
         self.request_body = request.payload.body_stream
         self.response_awaited_until = request.deadline + RESPONSE_GRACE_MS
         request.client_has_left = self._client_has_left
+        request.read_late_ms = max(0.0, self.last_received_at - self.received_since)
         self.listener.engine.accept(request, self)
 
     def _client_has_left(self) -> bool:
@@ -165,6 +175,10 @@
         if not (self.stream.has_unwritten() or self.protocol.has_pipelined()):
             self.close()
 
+    def request_in_hand(self) -> str:
+        """Return the client's id of the request in hand, for the log; empty if there is none."""
+        return "" if self.request is None else self.request.client_id
+
     def abandon_request(self) -> None:
         """Give up the request in hand and the response that is being streamed."""
         request = self._release_request()
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -12,6 +12,7 @@
 from types import FrameType
 
 from ..logs import log_event, log_exception
+from .loop_load import LoopLoad
 
 logger = logging.getLogger(__name__)
 READ = selectors.EVENT_READ
@@ -48,6 +49,11 @@
         self._timer_count = 0
         self.stopped = False
         self.fault_count = 0
+        self.load = LoopLoad(self.now())
+        self._polled_at = self.now()  # when the selector last returned
+        # The events of this turn came after this time. It is a lower bound: what had come before was
+        # reported by the poll before.
+        self.events_since = self._polled_at
 
     def now(self) -> float:
         """Return the monotonic time in milliseconds."""
@@ -145,7 +151,7 @@
             wait_s = min(wait_s, max(0.0, (self._heap[0][0] - self.now()) / 1000.0))
         if self.stopped:
             return
-        for number, (key, events) in enumerate(self._prioritized_first(self._selector.select(wait_s)), 1):
+        for number, (key, events) in enumerate(self._prioritized_first(self._poll(wait_s)), 1):
             # skip sockets that an earlier callback of this batch has closed
             if self._selector.get_map().get(key.fd) is key:
                 self._run_callback(key.data, events)
@@ -154,6 +160,19 @@
             if number % CALLS_PER_URGENT_CHECK == 0:
                 self._run_urgent_callbacks()
 
+    def _poll(self, wait_s: float) -> list[ReadySocket]:
+        """Return the sockets that are ready; wait for one if none is."""
+        turn_ended_at = self.now()
+        ready = self._selector.select(0)
+        if ready or wait_s <= 0:
+            self.events_since = self._polled_at
+            self._polled_at = self.now()
+        else:
+            ready = self._selector.select(wait_s)
+            self.events_since = self._polled_at = self.now()  # it waited, so they came just now
+        self.load.end_turn(turn_ended_at, self._polled_at)
+        return ready
+
     def _prioritized_first(self, ready: list[ReadySocket]) -> list[ReadySocket]:
         if len(ready) > 1 and self._prioritized:
             ready.sort(key=lambda entry: entry[0].fd not in self._prioritized)
@@ -178,8 +197,10 @@
 
     def _run_callback(self, callback: Callable[..., None], *args: int) -> None:
         """Run one callback; an exception is logged and must not end the process."""
+        began_at = self.now()
         try:
             callback(*args)
         except Exception as error:
             self.fault_count += 1
             log_exception(logger, "event_loop_fault", error, count=self.fault_count)
+        self.load.record_call(callback, self.now() - began_at)
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -17,7 +17,7 @@
 from ..core.engine import Engine
 from ..logs import log_event
 from ..settings.config import NameIndexes
-from . import accept_queue
+from .accept_queue import AcceptQueueAge, queue_length
 from .client_connection import ClientConnection, ConnectionHost
 from .connection_report import ConnectionReport
 from .downstream_connection import DownstreamConnection
@@ -64,6 +64,7 @@
     sock: socket.socket
     make_stream: StreamFactory
     make_connection: ConnectionFactory
+    queue_age: AcceptQueueAge
 
 
 class Listener:
@@ -102,7 +103,9 @@
             self.add_listen_socket("http", address)
         else:
             sock = inherit_listen_socket(inherited_fd, config.backlog)
-            self._register_listen_socket(ListenSocket("http", sock, TcpStream, DownstreamConnection))
+            self._register_listen_socket(
+                ListenSocket("http", sock, TcpStream, DownstreamConnection, AcceptQueueAge(self.loop.now()))
+            )
         self.is_accepting = False
         self.has_started = False
         self.is_open = True
@@ -128,7 +131,9 @@
         make_connection: ConnectionFactory = DownstreamConnection,
     ) -> ListenSocket:
         """Use another address too, from the start on; its connections are treated like all others."""
-        return self._register_listen_socket(ListenSocket(name, bind(address), make_stream, make_connection))
+        return self._register_listen_socket(
+            ListenSocket(name, bind(address), make_stream, make_connection, AcceptQueueAge(self.loop.now()))
+        )
 
     def _register_listen_socket(self, listen_socket: ListenSocket) -> ListenSocket:
         self.listen_sockets.append(listen_socket)
@@ -205,14 +210,18 @@
 
     def _accept_batch(self, listen_socket: ListenSocket, _events: int) -> None:
         throttle = AcceptThrottle(self.loop.now())
+        listen_socket.queue_age.begin_batch(
+            self.loop.now(), self.loop.events_since, queue_length(listen_socket.sock)
+        )
         while throttle.try_accept(self.loop.now()) and self._accept_one(listen_socket):
             pass
 
     def _accept_one(self, listen_socket: ListenSocket) -> bool:
         """Accept one connection; return whether one was accepted, so that there may be more."""
         if self._is_at_limit():
-            queue = accept_queue.queue_length(listen_socket.sock)
+            queue = queue_length(listen_socket.sock)
             if queue is not None and queue.queued == 0:
+                listen_socket.queue_age.record_empty()
                 return False  # guards against evicting a connection for nobody
         if not (self._can_accept() or self._may_accept_over_limit()):
             log_event(logger, logging.WARNING, "accept_paused", open_descriptors=self.budget.used)
@@ -221,7 +230,8 @@
         try:
             sock, address = listen_socket.sock.accept()
         except BlockingIOError:
-            return False  # the queue is empty
+            listen_socket.queue_age.record_empty()
+            return False
         except OSError as error:
             if error.errno in ONE_CONNECTION_ERRNOS:
                 return True
@@ -242,6 +252,7 @@
     def _admit(self, listen_socket: ListenSocket, sock: socket.socket, peer: str) -> None:
         self.last_accepted_at = self.loop.now()
         connection = listen_socket.make_connection(self, sock, listen_socket.make_stream)
+        connection.accepted_since = listen_socket.queue_age.record_accept()
         connection.record = self.connection_table.add_connection(
             connection, listen_socket.name, peer, self.last_accepted_at
         )
@@ -351,7 +362,7 @@
 
         Closing the socket resets them, and with them requests that their clients have sent.
         """
-        queues = [accept_queue.queue_length(entry.sock) for entry in self._own_sockets()]
+        queues = [queue_length(entry.sock) for entry in self._own_sockets()]
         return (
             self.is_open and self.has_started and any(queue is not None and queue.queued for queue in queues)
         )
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -314,7 +314,10 @@
     # ------------------------------------------------------------------------------------- discovery
 
     def _apply_endpoint_list(self, document: SettingsReader) -> None:
+        began_at = self.loop.now()
         change = self.endpoint_directory.apply_update(document)
+        self.engine.update_endpoints(change.event)
+        self.pool.retire_endpoints(change.retired_endpoint_ids)
         log_event(
             logger,
             logging.INFO,
@@ -323,10 +326,9 @@
             scope=change.event.scope.value,
             entries=len(change.event.endpoints),
             endpoints=len(self.endpoint_directory.endpoints),
+            apply_ms=self.loop.now() - began_at,
             **_changed_uids(change, self.endpoint_directory),
         )
-        self.engine.update_endpoints(change.event)
-        self.pool.retire_endpoints(change.retired_endpoint_ids)
         self._list_received = True
         self._listed_at = self.loop.now()
         self._start_if_due()
@@ -434,10 +436,13 @@
             rejected_requests=self.listener.rejected_count,
             event_loop_faults=self.loop.fault_count,
             list_age_ms=self.loop.now() - self._listed_at,
+            longest_turn_ms=self.loop.load.longest_turn_ms,
+            longest_call_ms=self.loop.load.longest_call_ms,
             violated_invariants=sum(violation_counts.values()),
             admin_clients=self.admin_listener.connection_count if self.admin_listener is not None else 0,
             **counts,
         )
+        self.loop.load.reset()
         worths = {index: entry.worth for index, entry in enumerate(self.config.settings.classes)}
         for fields in self.engine.request_counters.iter_log_fields(self._class_names(), worths):
             log_event(logger, logging.INFO, "request_outcomes", **fields)
--- /dev/null
+++ b/tests/test_loop_load.py
@@ -0,0 +1,81 @@
+"""How late the event loop is, and since when what it reads can have waited."""
+
+from __future__ import annotations
+
+import logging
+import socket
+
+import pytest
+
+from rosepick.net.accept_queue import AcceptQueueAge, QueueLength
+from rosepick.net.event_loop import READ, EventLoop
+
+
+class FakeClock:
+    """A clock in seconds that the test moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def test_what_came_during_a_long_callback_is_not_taken_for_new() -> None:
+    clock = FakeClock()
+    loop = EventLoop(clock)
+    seen: list[float] = []
+    (busy, busy_peer), (late, late_peer) = socket.socketpair(), socket.socketpair()
+
+    def hold_up(_events: int) -> None:
+        busy.recv(1)
+        late_peer.send(b"x")
+        clock.now_s += 0.7
+
+    def read_late(_events: int) -> None:
+        late.recv(1)
+        seen.append(loop.now() - loop.events_since)
+
+    loop.register(busy, READ, hold_up)
+    loop.register(late, READ, read_late)
+    busy_peer.send(b"x")
+    loop.step(0.0)
+    loop.step(0.0)
+    assert seen == [pytest.approx(700.0)]
+    for sock in (busy, busy_peer, late, late_peer):
+        sock.close()
+    loop.close()
+
+
+def test_a_long_turn_is_logged_with_its_longest_call(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = FakeClock()
+    loop = EventLoop(clock)
+
+    def slow_call() -> None:
+        clock.now_s += 0.2
+
+    loop.call_at(loop.now(), slow_call)
+    monkeypatch.setattr(logging.getLogger("rosepick"), "propagate", True)
+    with caplog.at_level(logging.WARNING, "rosepick.net.loop_load"):
+        loop.step(0.0)
+    fields = [vars(each)["fields"] for each in caplog.records if each.getMessage() == "event_loop_behind"]
+    assert [(entry["turn_ms"], entry["calls"]) for entry in fields] == [(pytest.approx(200.0), 1)]
+    assert fields[0]["longest"].endswith("slow_call")
+    assert loop.load.longest_call_ms == pytest.approx(200.0)
+    loop.close()
+
+
+def test_connections_behind_a_queue_came_after_it_was_counted() -> None:
+    age = AcceptQueueAge(0.0)
+    age.begin_batch(1_000.0, 990.0, QueueLength(2, 128))
+    assert [age.record_accept(), age.record_accept()] == [990.0, 990.0]
+    # the batch ended before the queue was empty; three more had come until 1,500, after the first two
+    age.begin_batch(1_500.0, 1_400.0, QueueLength(3, 128))
+    assert [age.record_accept() for _ in range(3)] == [1_000.0] * 3
+    age.begin_batch(1_800.0, 1_700.0, QueueLength(1, 128))
+    assert age.record_accept() == 1_500.0
+    age.record_empty()
+    age.begin_batch(5_000.0, 4_990.0, None)
+    assert age.record_accept() == 4_990.0
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -125,8 +125,11 @@
         record = logging.LogRecord("rosepick.net.upstream_pool", logging.INFO, "", 1, "closed", None, None)
         record.fields = {"ms": 1.25, "text": 'a "b"\n'}
         line = logs.KeyValueFormatter().format(record)
-        self.assertTrue(
-            line.endswith(r'level=info part=net.upstream_pool event=closed ms=1.2 text="a \"b\"\n"'), line
+        self.assertRegex(
+            line,
+            r"^time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z level=info "
+            rf"pid={os.getpid()} monotonic_ms=\d+\.\d part=net\.upstream_pool event=closed ms=1\.2 "
+            r'text="a \\"b\\"\\n"$',
         )
         read = logs.parse_log_fields(line)
         self.assertEqual((read["part"], read["ms"], read["text"]), ("net.upstream_pool", "1.2", 'a "b"\n'))
