--- a/rosepick/lab/live/router_process.py
+++ b/rosepick/lab/live/router_process.py
@@ -135,13 +135,7 @@
 
     def is_serving(self) -> bool:
         """Return whether the router answers that it is ready."""
-        with (
-            contextlib.suppress(OSError),
-            socket.create_connection((HOST, self.port), CONNECT_TIMEOUT_S) as sock,
-        ):
-            sock.sendall(b"GET /ready HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n")
-            return sock.recv(4096).startswith(b"HTTP/1.1 200")
-        return False
+        return is_router_serving(self.port)
 
     def signal(self, number: int) -> None:
         """Send a signal to all running processes."""
@@ -177,6 +171,17 @@
         self._port_reservation.close()
 
 
+def is_router_serving(port: int) -> bool:
+    """Return whether the router at a port answers that it is ready."""
+    with (
+        contextlib.suppress(OSError),
+        socket.create_connection((HOST, port), CONNECT_TIMEOUT_S) as sock,
+    ):
+        sock.sendall(b"GET /ready HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n")
+        return sock.recv(4096).startswith(b"HTTP/1.1 200")
+    return False
+
+
 def fetch_endpoint_document(port: int, fallback: dict[str, Any], router: int) -> dict[str, Any]:
     """Return the endpoint list that a router had last, or `fallback` if it cannot be had."""
     reader = EndpointListReader()
--- /dev/null
+++ b/rosepick/lab/scale/fleet_process.py
@@ -0,0 +1,118 @@
+"""The stand-ins of a scale run: cache nodes, origin and discovery in one process.
+
+Reads the plan as the first line of its input and writes its ports. Each further line is
+`{"begin_s", "unix_ms"}`: when the run begins, by the monotonic clock and as Unix time. Writes a `FleetRecord`
+once its input ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import resource
+import sys
+import time
+from dataclasses import asdict, dataclass, field
+from urllib.parse import parse_qs, urlsplit
+from zlib import crc32
+
+from .http_peer import HttpPeer, serve
+from .scale_plan import NODE_LISTENERS, EndpointTimeline, ScalePlan, plan_from_document
+
+HEARTBEAT_S = 0.01
+MIN_LATE_S = 0.03  # a loop that stood still for less is not late
+ORIGIN_SERVICE_S = 0.02
+
+
+@dataclass(slots=True)
+class FleetRecord:
+    """What the stand-ins saw. Times are seconds since the run's begin."""
+
+    attempts: list[tuple[str, float]] = field(default_factory=list)  # Req-Id, when the request arrived
+    list_answers: int = 0
+
+
+async def watch_lateness(begin_s: float, late_periods: list[tuple[float, float]]) -> None:
+    """Record the periods in which this process's loop stood still, in seconds of the run."""
+    while True:
+        began_at = time.monotonic()
+        await asyncio.sleep(HEARTBEAT_S)
+        now = time.monotonic()
+        if now - began_at - HEARTBEAT_S > MIN_LATE_S:
+            late_periods.append((began_at - begin_s, now - begin_s))
+
+
+class Fleet:
+    """All stand-ins of one run."""
+
+    def __init__(self, plan: ScalePlan) -> None:
+        self.plan = plan
+        self.record = FleetRecord()
+        self.begin_s = float("inf")
+        self.timeline: EndpointTimeline | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def now_s(self) -> float:
+        """Return the time of the run; negative before its begin."""
+        return time.monotonic() - self.begin_s
+
+    def answer_at_node(self, peer: HttpPeer, target: str, headers: dict[str, str]) -> None:
+        """Answer as a cache node: the key itself says whether it is a hit."""
+        self.record.attempts.append((headers.get("req-id", ""), self.now_s()))
+        is_hit = crc32(target.encode()) % 1000 < 1000 * self.plan.hit_share
+        reply = ("200 OK", b"v" * 200) if is_hit else ("404 Not Found", b"")
+        asyncio.get_running_loop().call_later(self.plan.service_s, peer.respond, *reply)
+
+    def answer_at_origin(self, peer: HttpPeer, _target: str, headers: dict[str, str]) -> None:
+        """Answer as the origin, which has every key."""
+        self.record.attempts.append((headers.get("req-id", ""), self.now_s()))
+        asyncio.get_running_loop().call_later(ORIGIN_SERVICE_S, peer.respond, "200 OK", b"v" * 200)
+
+    def answer_list(self, peer: HttpPeer, target: str, _headers: dict[str, str]) -> None:
+        """Answer as discovery."""
+        task = asyncio.get_running_loop().create_task(self._answer_list(peer, target))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer_list(self, peer: HttpPeer, target: str) -> None:
+        query = parse_qs(urlsplit(target).query)
+        timeline = self.timeline
+        if timeline is None:
+            peer.respond("503 Service Unavailable", b"")
+            return
+        give_up_at = self.now_s() + float(query.get("wait_ms", ["0"])[0]) / 1000.0
+        after = int(query["after"][0]) if "after" in query else None
+        while after is not None and timeline.revision_at(self.now_s()) <= after and self.now_s() < give_up_at:
+            await asyncio.sleep(HEARTBEAT_S)
+        revision = timeline.revision_at(self.now_s())
+        is_delta = after is not None and timeline.FIRST_REVISION <= after <= revision
+        document = (
+            timeline.delta_document(after or 0, revision) if is_delta else timeline.full_document(revision)
+        )
+        self.record.list_answers += 1
+        peer.respond("200 OK", json.dumps(document).encode())
+
+
+async def run(plan: ScalePlan) -> None:
+    """Serve until the input ends."""
+    fleet = Fleet(plan)
+    node_ports = [await serve(fleet.answer_at_node) for _ in range(NODE_LISTENERS)]
+    origin_port = await serve(fleet.answer_at_origin)
+    discovery_port = await serve(fleet.answer_list)
+    print(json.dumps({"nodes": node_ports, "origin": origin_port, "discovery": discovery_port}), flush=True)
+    while line := await asyncio.to_thread(sys.stdin.readline):
+        begin = json.loads(line)
+        fleet.timeline = EndpointTimeline(plan, node_ports, origin_port, begin["unix_ms"])
+        fleet.begin_s = begin["begin_s"]
+    print(json.dumps(asdict(fleet.record)), flush=True)
+
+
+def main() -> None:
+    """Read the plan and serve."""
+    hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
+    asyncio.run(run(plan_from_document(json.loads(sys.stdin.readline()))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rosepick/lab/scale/scale_plan.py
@@ -0,0 +1,149 @@
+"""What a scale run plays: the fleet, its traffic, and the changes of its endpoint list. No I/O, no clock."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import asdict, dataclass
+from typing import Any
+
+NODE_LISTENERS = 8  # listening sockets that all cache nodes share
+ORIGIN_UID = "s-origin"
+ZONE_NAMES = ("a", "b", "c")
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReplacement:
+    """Cache nodes that leave in steps and come back cold, all in the same steps, `away_s` later."""
+
+    at_s: float
+    steps: int
+    nodes_each: int
+    away_s: float
+    interval_s: float = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class RouterKill:
+    """Routers that are killed at a time and started again later."""
+
+    at_s: float
+    down_s: float
+    routers: int
+
+
+@dataclass(frozen=True, slots=True)
+class ScalePlan:
+    """One run.
+
+    `rate` is in requests a second for each router; `cpu_share` is the part of the time in which the routers
+    may run at all.
+    """
+
+    nodes: int
+    routers: int = 1
+    rate: float = 100.0
+    length_s: float = 8.0
+    deadline_s: float = 1.2
+    seed: int = 1
+    keys: int = 20_000
+    hit_share: float = 0.8
+    service_s: float = 0.004
+    cpu_share: float = 1.0
+    replacements: tuple[NodeReplacement, ...] = ()
+    kills: tuple[RouterKill, ...] = ()
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the plan as an object for JSON."""
+        return asdict(self)
+
+
+def plan_from_document(document: dict[str, Any]) -> ScalePlan:
+    """Return the plan that `to_document` has written."""
+    replacements = tuple(NodeReplacement(**entry) for entry in document["replacements"])
+    kills = tuple(RouterKill(**entry) for entry in document["kills"])
+    return ScalePlan(**{**document, "replacements": replacements, "kills": kills})
+
+
+@dataclass(frozen=True, slots=True)
+class ListChange:
+    """One revision of the endpoint list: the nodes that leave, and those that come back."""
+
+    at_s: float
+    left: tuple[str, ...]
+    joined: tuple[str, ...]
+
+
+class EndpointTimeline:
+    """All revisions of the endpoint list of a run.
+
+    Args:
+        plan: the plan.
+        node_ports: the ports that the cache nodes share.
+        origin_port: the port of the origin.
+        unix_ms: the Unix time at which the run begins, in milliseconds.
+    """
+
+    FIRST_REVISION = 10
+
+    def __init__(self, plan: ScalePlan, node_ports: list[int], origin_port: int, unix_ms: float) -> None:
+        self._unix_ms = unix_ms
+        self._ports = node_ports
+        self._origin_port = origin_port
+        self._uids = [f"s-{number:05d}" for number in range(plan.nodes)]
+        self.changes = sorted(_draw_changes(plan, self._uids), key=lambda change: change.at_s)
+
+    def revision_at(self, at_s: float) -> int:
+        """Return the revision in force at a time of the run, in seconds."""
+        return self.FIRST_REVISION + sum(change.at_s <= at_s for change in self.changes)
+
+    def full_document(self, revision: int) -> dict[str, Any]:
+        """Return the whole list of a revision, in the form of discovery."""
+        rows = {uid: self._row(uid) for uid in self._uids}
+        for change in self.changes[: revision - self.FIRST_REVISION]:
+            for uid in change.left:
+                del rows[uid]
+            for uid in change.joined:
+                rows[uid] = self._row(uid, born_s=change.at_s)
+        targets = [*rows.values(), self._origin_row()]
+        return {"rev": revision, "all": True, "targets": targets}
+
+    def delta_document(self, after: int, revision: int) -> dict[str, Any]:
+        """Return what has changed since a revision, in the form of discovery."""
+        rows: dict[str, dict[str, Any]] = {}
+        for change in self.changes[after - self.FIRST_REVISION : revision - self.FIRST_REVISION]:
+            for uid in change.left:
+                rows[uid] = self._row(uid, state="left")
+            for uid in change.joined:
+                rows[uid] = self._row(uid, born_s=change.at_s)
+        return {"rev": revision, "all": False, "targets": list(rows.values())}
+
+    def _row(self, uid: str, state: str = "active", born_s: float | None = None) -> dict[str, Any]:
+        number = int(uid[2:])
+        return {
+            "uid": uid,
+            "endpoint": f"127.0.0.1:{self._ports[number % len(self._ports)]}",
+            "az": ZONE_NAMES[number % len(ZONE_NAMES)],
+            "model": "std",
+            "pod_group": number % 16,
+            "state": state,
+            "capacity_hint": 1.0,
+            "boot_ms": 0 if born_s is None else int(self._unix_ms + 1000.0 * born_s),
+        }
+
+    def _origin_row(self) -> dict[str, Any]:
+        return {**self._row("s-00000"), "uid": ORIGIN_UID, "endpoint": f"127.0.0.1:{self._origin_port}"} | {
+            "model": "origin"
+        }
+
+
+def _draw_changes(plan: ScalePlan, uids: list[str]) -> list[ListChange]:
+    rng = random.Random(plan.seed)
+    changes = []
+    for replacement in plan.replacements:
+        chosen = rng.sample(uids, min(len(uids), replacement.steps * replacement.nodes_each))
+        for step in range(replacement.steps):
+            part = tuple(chosen[step * replacement.nodes_each : (step + 1) * replacement.nodes_each])
+            leave_s = replacement.at_s + step * replacement.interval_s
+            changes.append(ListChange(leave_s, part, ()))
+            changes.append(ListChange(leave_s + replacement.away_s, (), part))
+    return changes
--- /dev/null
+++ b/rosepick/lab/scale/scale_run.py
@@ -0,0 +1,324 @@
+"""Plays a scale plan on real routers: is each request answered in time, and sent no more after its end?"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from itertools import count
+from math import inf
+from pathlib import Path
+from typing import Any
+
+from ...logs import parse_log_fields
+from ..experiment import Experiment, parse_experiment
+from ..live.controllable_listener import HOST, reserve_port
+from ..live.helper_process import ROOT, child_environment, last_log_lines
+from ..live.process_start import ProcessStart
+from ..live.router_config import RouterInstance, router_config_document
+from ..live.router_process import RouterProcess, is_router_serving
+from .fleet_process import HEARTBEAT_S
+from .load_process import LATE_ANSWER_S, LoadRecord, RequestRecord
+from .processor_slices import ProcessorSlices
+from .scale_plan import ZONE_NAMES, EndpointTimeline, ScalePlan
+
+READY_TIMEOUT_S = 30.0
+START_DELAY_S = 0.3
+POLL_INTERVAL_S = 0.005
+READY_POLL_INTERVAL_S = 0.05
+MAX_RIG_LATE_S = 0.25  # a run in which the rig itself was later says nothing
+AFTER_END_S = 0.1  # an attempt that begins later than this after its request's end is a violation
+LOST_OUTCOMES = ("lost", "broken")
+
+
+@dataclass(slots=True)
+class ScaleResult:
+    """What came of a run."""
+
+    outcomes: Counter[str]
+    lost: list[RequestRecord]
+    sent_after_end: int  # attempts
+    by_second: dict[int, Counter[str]]  # outcomes by the second of the request
+    router_cpu_s: float  # of the processes that still ran at the end
+    rig_late_s: float
+    void: str  # why the run says nothing; empty if it does
+    events: Counter[str]  # of the routers' logs
+    logs: list[str]
+
+    def line(self) -> str:
+        """Return the figures as one line."""
+        outcomes = " ".join(f"{name} {number}" for name, number in sorted(self.outcomes.items()))
+        figures = (
+            f"{outcomes}; lost {len(self.lost)}, sent after the end {self.sent_after_end}; "
+            f"routers {self.router_cpu_s:.2f} s CPU; rig {1000 * self.rig_late_s:.0f} ms late"
+        )
+        return f"{figures}; void: {self.void}" if self.void else figures
+
+
+class ScaleRouter:
+    """One router of a run, with its processes."""
+
+    def __init__(self, experiment: Experiment, index: int, seed: int, folder: Path, discovery: int) -> None:
+        self.name = f"router-{index}"
+        self.index = index
+        self.log_file = folder / f"{self.name}.log"
+        self.downtimes: list[tuple[float, float]] = []  # seconds of the run
+        self.processes: list[RouterProcess] = []
+        self._experiment = experiment
+        self._seed = seed
+        self._discovery = discovery
+        self._config_file = folder / f"{self.name}.json"
+        self._reservation = reserve_port()
+        self.port = int(self._reservation.getsockname()[1])
+
+    def start(self, known: dict[str, Any]) -> None:
+        """Start a process with a cached list."""
+        router = RouterInstance(
+            self.name,
+            f"{HOST}:{self.port}",
+            f"{HOST}:{self._discovery}",
+            known,
+            position=self.index,
+            seed=self._seed,
+        )
+        self._config_file.write_text(json.dumps(router_config_document(self._experiment, router)), "utf-8")
+        self.processes.append(RouterProcess(self._config_file, self.log_file, ProcessStart()))
+
+    def running_pids(self) -> list[int]:
+        """Return the processes that have not ended."""
+        return [process.pid for process in self.processes if not process.has_ended()]
+
+    def close(self) -> None:
+        """Kill the router and release its port."""
+        for process in self.processes:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        self._reservation.close()
+
+
+class StandInProcess:
+    """A process of the rig that talks JSON lines on its standard input and output."""
+
+    def __init__(self, module: str, message: dict[str, Any]) -> None:
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", f"{__package__}.{module}"],
+            cwd=ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            env=child_environment(),
+            text=True,
+        )
+        self.send(message)
+
+    def send(self, message: dict[str, Any]) -> None:
+        """Send a line."""
+        assert self._popen.stdin is not None
+        self._popen.stdin.write(json.dumps(message) + "\n")
+        self._popen.stdin.flush()
+
+    def receive(self) -> dict[str, Any]:
+        """Wait for a line."""
+        assert self._popen.stdout is not None
+        received: dict[str, Any] = json.loads(self._popen.stdout.readline())
+        return received
+
+    def end_input(self) -> None:
+        """Tell the process that nothing more comes."""
+        assert self._popen.stdin is not None
+        self._popen.stdin.close()
+
+    def close(self) -> None:
+        """End the process."""
+        self._popen.kill()
+        self._popen.wait()
+        for stream in (self._popen.stdin, self._popen.stdout):
+            if stream is not None and not stream.closed:
+                stream.close()
+
+
+def experiment_for(plan: ScalePlan) -> Experiment:
+    """Return the experiment whose settings the routers of a plan get."""
+    return parse_experiment(
+        f"""
+        name = "scale"
+        length = {plan.length_s}
+        zones = {list(ZONE_NAMES)}
+        routers.count = {max(plan.routers, 40)}
+        traffic = {{rate = {plan.rate * plan.routers}}}
+        classes = [{{name = "read", aim = {plan.deadline_s / 2}, deadline = {plan.deadline_s}}}]
+        fleet = [{{count = {plan.nodes}}}]
+        """,
+        "scale",
+        {},
+    )
+
+
+class ScaleRun:
+    """The processes of one run."""
+
+    def __init__(self, plan: ScalePlan, folder: Path) -> None:
+        self.plan = plan
+        self.begin_s = time.monotonic()
+        self.unix_ms = 1000.0 * time.time()
+        self.fault_late_s = 0.0
+        self.routers: list[ScaleRouter] = []
+        self.clients: StandInProcess | None = None
+        self.fleet = StandInProcess("fleet_process", plan.to_document())
+        self._ports = self.fleet.receive()
+        experiment = experiment_for(plan)
+        for index in range(plan.routers):
+            self.routers.append(ScaleRouter(experiment, index, plan.seed, folder, self._ports["discovery"]))
+        self._timeline: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = count()
+        self._slices = ProcessorSlices(plan.cpu_share, self._router_pids)
+
+    def _router_pids(self) -> list[int]:
+        return [pid for router in self.routers for pid in router.running_pids()]
+
+    def _lists(self) -> EndpointTimeline:
+        return EndpointTimeline(self.plan, self._ports["nodes"], self._ports["origin"], self.unix_ms)
+
+    def _begin_in(self, delay_s: float) -> None:
+        """Let the run begin after so many seconds, for the stand-ins as well."""
+        self.begin_s = time.monotonic() + delay_s
+        self.unix_ms = 1000.0 * (time.time() + delay_s)
+        self.fleet.send({"begin_s": self.begin_s, "unix_ms": self.unix_ms})
+
+    def now_s(self) -> float:
+        """Return the time of the run."""
+        return time.monotonic() - self.begin_s
+
+    def set_up(self) -> None:
+        """Start all routers and the clients, and wait until the routers serve.
+
+        Raises:
+            TimeoutError: a router does not serve.
+        """
+        self._begin_in(READY_TIMEOUT_S)  # the list stays as it is meanwhile
+        for router in self.routers:
+            router.start(self._lists().full_document(EndpointTimeline.FIRST_REVISION))
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while not all(is_router_serving(router.port) for router in self.routers):
+            if time.monotonic() >= deadline:
+                raise TimeoutError(f"a router does not serve\n{last_log_lines(self.routers[0].log_file)}")
+            time.sleep(READY_POLL_INTERVAL_S)
+        self._begin_in(START_DELAY_S)
+        ports = [router.port for router in self.routers]
+        message = {"plan": self.plan.to_document(), "ports": ports, "begin_s": self.begin_s}
+        self.clients = StandInProcess("load_process", message)
+        for kill in self.plan.kills:
+            affected = self.routers[: kill.routers]
+            self._schedule(kill.at_s, partial(self._kill, affected))
+            self._schedule(kill.at_s + kill.down_s, partial(self._restart, affected))
+
+    def _schedule(self, at_s: float, callback: Callable[[], None]) -> None:
+        heapq.heappush(self._timeline, (at_s, next(self._sequence), callback))
+
+    def _kill(self, routers: list[ScaleRouter]) -> None:
+        for router in routers:
+            router.processes[-1].signal(signal.SIGKILL)
+            router.downtimes.append((self.now_s(), inf))
+
+    def _restart(self, routers: list[ScaleRouter]) -> None:
+        """Start routers again, with the list that they had when they were killed."""
+        lists = self._lists()
+        for router in routers:
+            killed_s = router.downtimes[-1][0]
+            router.downtimes[-1] = killed_s, self.now_s()
+            router.start(lists.full_document(lists.revision_at(killed_s)))
+
+    def run_to_end(self) -> None:
+        """Play the faults, and wait until the clients are done."""
+        self._slices.start()
+        end_s = self.plan.length_s + self.plan.deadline_s + LATE_ANSWER_S
+        while self.now_s() < end_s:
+            while self._timeline and self._timeline[0][0] <= self.now_s():
+                due_s, _, callback = heapq.heappop(self._timeline)
+                callback()
+                self.fault_late_s = max(self.fault_late_s, self.now_s() - due_s)
+            time.sleep(POLL_INTERVAL_S)
+
+    def result(self) -> ScaleResult:
+        """Return what came of the run."""
+        assert self.clients is not None
+        load = _load_record(self.clients.receive())
+        self.fleet.end_input()
+        fleet = self.fleet.receive()
+        self._slices.close()
+        logs = [router.log_file.read_text("utf-8", "replace") for router in self.routers]
+        late_s = max(
+            [load.max_send_late_s, self.fault_late_s, *(end - begin for begin, end in load.late_periods)]
+        )
+        lost = [request for request in load.requests if self._is_lost(request, load.late_periods)]
+        by_second: dict[int, Counter[str]] = {}
+        for request in load.requests:
+            by_second.setdefault(int(request.sent_s), Counter())[request.outcome] += 1
+        return ScaleResult(
+            outcomes=Counter(request.outcome for request in load.requests),
+            lost=lost,
+            sent_after_end=_sent_after_end(load, fleet["attempts"]),
+            by_second=by_second,
+            router_cpu_s=sum(
+                process.cpu_so_far_s() for router in self.routers for process in router.processes
+            ),
+            rig_late_s=late_s,
+            void=f"the rig was {late_s:.2f} s late" if late_s > MAX_RIG_LATE_S else "",
+            events=Counter(
+                parse_log_fields(line).get("event", "") for log in logs for line in log.splitlines()
+            ),
+            logs=logs,
+        )
+
+    def _is_lost(self, request: RequestRecord, late_periods: list[tuple[float, float]]) -> bool:
+        """Return whether a request was lost by its router, and not by a kill or by clients that were late."""
+        if request.outcome not in LOST_OUTCOMES:
+            return False
+        if any(begin <= request.ended_s <= end + HEARTBEAT_S for begin, end in late_periods):
+            return False  # its answer may have waited at the client
+        downtimes = self.routers[request.router].downtimes
+        return not any(begin <= request.ended_s and request.sent_s <= end for begin, end in downtimes)
+
+    def close(self) -> None:
+        """End all processes."""
+        self._slices.close()
+        for router in self.routers:
+            router.close()
+        for process in (self.fleet, self.clients):
+            if process is not None:
+                process.close()
+
+
+def _load_record(document: dict[str, Any]) -> LoadRecord:
+    requests = [RequestRecord(**entry) for entry in document["requests"]]
+    late_periods = [(begin, end) for begin, end in document["late_periods"]]
+    return LoadRecord(requests, document["max_send_late_s"], late_periods)
+
+
+def _sent_after_end(load: LoadRecord, attempts: list[tuple[str, float]]) -> int:
+    """Return how many attempts arrived at a stand-in after the end of their request and `AFTER_END_S`."""
+    ended_s = {request.request_id: request.ended_s for request in load.requests if request.ended_s}
+    return sum(at_s > ended_s.get(request_id, inf) + AFTER_END_S for request_id, at_s in attempts)
+
+
+def play_scale(plan: ScalePlan) -> ScaleResult:
+    """Play a plan. All processes are ended whatever happens.
+
+    Raises:
+        TimeoutError: a router does not serve.
+    """
+    with tempfile.TemporaryDirectory("", "rosepick-scale-", ignore_cleanup_errors=True) as folder:
+        run = ScaleRun(plan, Path(folder))
+        try:
+            run.set_up()
+            run.run_to_end()
+            return run.result()
+        finally:
+            run.close()
