--- a/rosepick/coordination/process_stats.py
+++ b/rosepick/coordination/process_stats.py
@@ -46,4 +46,6 @@
         cpu_ns = sum(int(text.split()[0]) for text in tasks)
     except (OSError, IndexError, ValueError):
         return ProcessUsage()
+    if not process_start_time(pid):  # a zombie, which keeps its times until it is reaped
+        return ProcessUsage()
     return ProcessUsage(cpu_ns / NANOSECONDS_PER_SECOND, pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_KIB)
--- a/tests/test_supervised_process.py
+++ b/tests/test_supervised_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -98,3 +99,12 @@
     assert not member.read_status().running
     assert member.read_status().exit_count == 1
     state_file.close()
+
+
+def test_a_process_that_has_ended_and_is_not_reaped_uses_nothing() -> None:
+    pid = os.posix_spawn("/bin/true", ["/bin/true"], {})
+    try:
+        os.waitid(os.P_PID, pid, os.WEXITED | os.WNOWAIT)
+        assert process_usage(pid) == ProcessUsage()
+    finally:
+        os.waitpid(pid, 0)
