--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -13,7 +13,15 @@
 from ..decisions import api
 from ..decisions.api import Result
 from ..decisions.decide import Router
-from ..decisions.permissions import Denial, SendFacts, WriteFacts, check_send, check_write
+from ..decisions.permissions import (
+    AcceptFacts,
+    Denial,
+    SendFacts,
+    WriteFacts,
+    check_accept,
+    check_send,
+    check_write,
+)
 from ..logs import log_event, log_exception
 from .clock import Clock
 from .invariants import check_invariant
@@ -75,9 +83,25 @@
         self.requests[request.ref] = request
         self.pending_count += 1
         self.counts["requests"] += 1
+        facts = AcceptFacts(request.read_late_ms, request.deadline - request.started_at, request.busy_ms)
+        if check_accept(facts) is not None:
+            self._shed(request)
+            return
         self._arm_watchdog(request)
         self._dispatch(request)
 
+    def _shed(self, request: RequestContext) -> None:
+        """Answer a request that this router is too far behind for, at the least cost."""
+        is_refused = self.clock.now() < request.deadline
+        outcome = RequestOutcome.REFUSED if is_refused else RequestOutcome.DEADLINE_EXCEEDED
+        downstream = self._close_request(request, outcome, api.EndReason.READ_LATE)
+        del self.requests[request.ref]
+        if is_refused:
+            retry_after_ms = self.settings.limits.max_retry_after_ms
+            self._deliver_response("refused", lambda: downstream.send_refusal(request, retry_after_ms))
+        else:
+            self._deliver_response("failed", lambda: downstream.send_failure(request, timed_out=True))
+
     def _arm_watchdog(self, request: RequestContext) -> None:
         if request.watchdog_timer is not None:
             request.watchdog_timer.cancel()
@@ -121,6 +145,13 @@
         """Count a request of a class that a protocol adapter could not accept."""
         self.rejected_by_class[class_index] += 1
 
+    def record_shed(self, class_index: int, late_ms: float, is_refused: bool) -> None:
+        """Count a request that was answered before it became one, as this router is behind."""
+        self.counts["requests"] += 1
+        self.counts["shed_at_accept"] += 1
+        outcome = RequestOutcome.REFUSED if is_refused else RequestOutcome.DEADLINE_EXCEEDED
+        self.request_counters.record(class_index, outcome, api.EndReason.READ_LATE.name.lower(), late_ms)
+
     def totals(self) -> Counter[str]:
         """Return all counts since the start, with the outcomes of requests."""
         totals = Counter(self.counts)
--- a/rosepick/core/request_context.py
+++ b/rosepick/core/request_context.py
@@ -62,6 +62,7 @@
     watchdog_timer: TimerHandle | None = None
     started_at: float = 0.0  # when its time began to count
     read_late_ms: float = 0.0  # how long it may have waited to be read
+    busy_ms: float = 0.0  # for how long the router had not been idle when it was read
     client_id: str = ""  # the client's own id of the request, for the log
     client_has_left: Callable[[], bool] = _nobody_looks  # looks, even if nothing was noticed so far
 
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -84,6 +84,7 @@
     BODY_CONSUMED = "spent"  # an attempt failed, and its body is no longer held
     DEADLINE = "deadline"
     INVALID = "unfit"  # the request itself was rejected
+    READ_LATE = "read_late"  # it had waited for too long when it was read
 
 
 NEVER_RAN = frozenset(
--- a/rosepick/decisions/endpoint_pools.py
+++ b/rosepick/decisions/endpoint_pools.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
+from dataclasses import dataclass
 
 from . import api
 from .api import Mode, Status
@@ -20,7 +20,8 @@
 SHORTAGE_SHARE = 0.3  # share of reads short of capacity that counts as a shortage
 
 
-class Placement(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Placement:
     """Where a ready endpoint belongs."""
 
     server: EndpointState
--- a/rosepick/decisions/permissions.py
+++ b/rosepick/decisions/permissions.py
@@ -19,6 +19,13 @@
 MAX_HOLD_UP_MS = 150.0
 REPEAT_WINDOW_MARGIN = 0.1  # of a repeat window at least, left for the network
 
+# How long a request may have waited before it was read, as a share of the time that its client gives it:
+# serving it takes several steps more, each as late as the first. The lower share holds in a router that has
+# not been idle for some time, as it will not catch up by itself.
+MAX_READ_LATE_SHARE = 0.25
+MAX_READ_LATE_SHARE_BUSY = 0.0625
+BUSY_AFTER_MS = 200.0
+
 # A process that starts waits for a list, as the one that it is configured with may be old: this long while
 # discovery responds without giving one, ...
 MAX_START_WAIT_MS = 5_000.0
@@ -42,6 +49,7 @@
     BODY_CONSUMED = "body_consumed"
     PREDECESSOR_SERVES = "predecessor_serves"
     LIST_UNCONFIRMED = "list_unconfirmed"
+    READ_LATE = "read_late"  # it has waited for too long before it was read
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +93,15 @@
     is_body_consumed: bool  # by an earlier attempt, so that it cannot be sent again
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptFacts:
+    """What matters for accepting a request that was read."""
+
+    read_late_ms: float  # how long it may have waited before it was read
+    time_left_ms: float  # to its deadline
+    busy_ms: float  # since the router was idle last
+
+
 @dataclass(frozen=True, slots=True)
 class CloseFacts:
     """What matters for closing a client's connection."""
@@ -159,6 +176,15 @@
     return Denial.BODY_CONSUMED if facts.is_body_consumed else None
 
 
+def check_accept(facts: AcceptFacts) -> Denial | None:
+    """Return why a request is refused before anything is done for it; None if it is accepted."""
+    if facts.time_left_ms <= 0:
+        return Denial.DEADLINE_PASSED
+    share = MAX_READ_LATE_SHARE_BUSY if facts.busy_ms > BUSY_AFTER_MS else MAX_READ_LATE_SHARE
+    time_given_ms = facts.read_late_ms + facts.time_left_ms
+    return Denial.READ_LATE if facts.read_late_ms > share * time_given_ms else None
+
+
 def check_close(facts: CloseFacts) -> Denial | None:
     """Return why a client's connection may not be closed now; None if it may."""
     if not facts.at_own_will:
--- a/rosepick/decisions/rendezvous.py
+++ b/rosepick/decisions/rendezvous.py
@@ -15,9 +15,9 @@
 from array import array
 from bisect import bisect, insort
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import log
-from typing import NamedTuple
 
 from .endpoint_state import EndpointState
 from .hashing import hash64
@@ -37,11 +37,12 @@
 _DRAWS = struct.Struct(">8Q").unpack  # a hash of 64 bytes is eight draws
 
 
-class SlotOrder(NamedTuple):
+@dataclass(slots=True)
+class SlotOrder:
     """The points of one slot, the nearest first; an endpoint is there once."""
 
-    distances: array[float]
-    servers: list[EndpointState]
+    distances: array[float] = field(default_factory=lambda: array("d"))
+    servers: list[EndpointState] = field(default_factory=list)
 
 
 class RendezvousTable:
@@ -126,7 +127,7 @@
         return block
 
     def _build_block(self, number: int) -> list[SlotOrder]:
-        block = [SlotOrder(array("d"), []) for _ in range(BLOCK_SLOTS)]
+        block = [SlotOrder() for _ in range(BLOCK_SLOTS)]
         rows: list[tuple[float, int, EndpointState]] = []
         for server in self.members:
             for distance, offset in self._points(server.id, self._weights[server.id], number):
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -58,7 +58,7 @@
         self.record.mark_bytes_received(now)
         self.last_received_at = now
         self.received_since = self._received_since()
-        self.protocol.feed(data, now)
+        self.protocol.feed(data, self.received_since)
         if self.protocol.body_stream is not None:
             self.protocol.body_stream.on_writable = self._update_state
         if self.stream.is_at_end():
@@ -143,6 +143,7 @@
         self.response_awaited_until = request.deadline + RESPONSE_GRACE_MS
         request.client_has_left = self._client_has_left
         request.read_late_ms = max(0.0, self.last_received_at - self.received_since)
+        request.busy_ms = max(0.0, self.last_received_at - self.listener.loop.idle_at)
         self.listener.engine.accept(request, self)
 
     def _client_has_left(self) -> bool:
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -54,6 +54,7 @@
         # The events of this turn came after this time. It is a lower bound: what had come before was
         # reported by the poll before.
         self.events_since = self._polled_at
+        self.idle_at = self._polled_at  # when there was nothing to do last
 
     def now(self) -> float:
         """Return the monotonic time in milliseconds."""
@@ -169,7 +170,8 @@
             self._polled_at = self.now()
         else:
             ready = self._selector.select(wait_s)
-            self.events_since = self._polled_at = self.now()  # it waited, so they came just now
+            # it waited, so they came just now
+            self.events_since = self.idle_at = self._polled_at = self.now()
         self.load.end_turn(turn_ended_at, self._polled_at)
         return ready
 
--- /dev/null
+++ b/rosepick/net/late_refusal.py
@@ -0,0 +1,94 @@
+"""Refusal of requests that have waited too long in the accept queue, before anything is set up for them.
+
+A router that is behind gets further behind by each connection that it sets up for a request that it will
+not serve. A plain request that is there as a whole can be answered at a fraction of that cost. Anything else
+takes the usual way.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import re
+import socket
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from ..decisions.permissions import AcceptFacts, Denial, check_accept
+from ..http.response_encoding import encode_head
+
+MIN_LATE_MS = 40.0  # a connection that has waited for less takes the usual way
+MAX_HEAD_BYTES = 4_096  # of a plain request
+END_OF_HEAD = b"\r\n\r\n"
+BODY_HEADERS = (b"\r\ncontent-length:", b"\r\ntransfer-encoding:")
+_DEADLINE = re.compile(rb"\r\nreq-deadline:[ \t]*([0-9]{1,9}(?:\.[0-9]{0,9})?)[ \t]*\r\n", re.IGNORECASE)
+_KIND = re.compile(rb"\r\nreq-kind:[ \t]*([^\r\n]*?)[ \t]*\r\n", re.IGNORECASE)
+
+
+class PlainRequest(NamedTuple):
+    """What matters here of a whole request without a body."""
+
+    class_index: int
+    deadline_ms: float  # from its last byte
+
+
+class Lateness(NamedTuple):
+    """How late a request is read, in milliseconds."""
+
+    late_ms: float  # how long it may have waited
+    busy_ms: float  # since the router was idle last
+
+
+def parse_plain_request(data: bytes, classes: Mapping[str, int]) -> PlainRequest | None:
+    """Return the request that the data is; None if it is anything but one whole plain read."""
+    head = data.lower()
+    is_plain = head.startswith(b"get ") and head.endswith(END_OF_HEAD) and head.count(END_OF_HEAD) == 1
+    if not is_plain or any(name in head for name in BODY_HEADERS):
+        return None
+    deadline, kind = _DEADLINE.search(data), _KIND.search(data)
+    class_index = None if kind is None else classes.get(kind[1].decode("latin-1"))
+    if deadline is None or class_index is None:
+        return None
+    return PlainRequest(class_index, 1000.0 * float(deadline[1]))
+
+
+def refuse_if_late(
+    sock: socket.socket, lateness: Lateness, classes: Mapping[str, int], retry_after_ms: float
+) -> PlainRequest | None:
+    """Answer and close an accepted connection if its request has waited for too long.
+
+    Args:
+        sock: the connection, of which nothing was read.
+        lateness: how late the request is read.
+        classes: the indexes of the request classes by name.
+        retry_after_ms: when its client should come back; 0 for no advice.
+
+    Returns:
+        The request that was answered; None if the connection is as it was.
+    """
+    sock.setblocking(False)
+    try:
+        data = sock.recv(MAX_HEAD_BYTES, socket.MSG_PEEK)
+    except OSError:
+        return None
+    request = parse_plain_request(data, classes)
+    if request is None:
+        return None
+    denial = check_accept(
+        AcceptFacts(lateness.late_ms, request.deadline_ms - lateness.late_ms, lateness.busy_ms)
+    )
+    if denial is None:
+        return None
+    with contextlib.suppress(OSError):  # the client has left
+        sock.recv(len(data))
+        sock.send(_encode_answer(denial, retry_after_ms))
+    sock.close()
+    return request
+
+
+def _encode_answer(denial: Denial, retry_after_ms: float) -> bytes:
+    if denial is Denial.DEADLINE_PASSED:
+        return encode_head(504, True, ((b"Content-Length", b"0"),))
+    headers = [(b"Content-Length", b"0")]
+    if retry_after_ms > 0:
+        headers.append((b"Retry-After", b"%.3f" % (retry_after_ms / 1000.0)))
+    return encode_head(503, True, tuple(headers))
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -22,6 +22,7 @@
 from .connection_report import ConnectionReport
 from .downstream_connection import DownstreamConnection
 from .event_loop import READ, EventLoop
+from .late_refusal import MIN_LATE_MS, Lateness, refuse_if_late
 from .listen_socket import bind, inherit_listen_socket
 from .listener_config import ListenerConfig
 from .resource_budget import ResourceBudget
@@ -241,7 +242,25 @@
             self._pause_accepting()
             return False
         peer = "" if address[:2] in self.own_addresses else str(address[0])
-        self._admit(listen_socket, sock, peer)
+        accepted_since = listen_socket.queue_age.record_accept()
+        if not self._refuse_if_late(listen_socket, sock, accepted_since):
+            self._admit(listen_socket, sock, peer, accepted_since)
+        return True
+
+    def _refuse_if_late(
+        self, listen_socket: ListenSocket, sock: socket.socket, accepted_since: float
+    ) -> bool:
+        """Answer and close a connection whose request has waited for too long; return whether it was."""
+        late_ms = self.loop.now() - accepted_since
+        if late_ms < MIN_LATE_MS or listen_socket.make_stream is not TcpStream:
+            return False
+        retry_after_ms = self.engine.settings.limits.max_retry_after_ms
+        busy_ms = self.loop.now() - self.loop.idle_at
+        request = refuse_if_late(sock, Lateness(late_ms, busy_ms), self.names.classes, retry_after_ms)
+        if request is None:
+            return False
+        self.last_accepted_at = self.loop.now()
+        self.engine.record_shed(request.class_index, late_ms, late_ms < request.deadline_ms)
         return True
 
     def _pause_accepting(self) -> None:
@@ -249,10 +268,12 @@
         # guards against a burst that fills all slots at once: connections are evicted only after a while
         self.loop.call_after(ACCEPT_RETRY_MS, self.start)
 
-    def _admit(self, listen_socket: ListenSocket, sock: socket.socket, peer: str) -> None:
+    def _admit(
+        self, listen_socket: ListenSocket, sock: socket.socket, peer: str, accepted_since: float
+    ) -> None:
         self.last_accepted_at = self.loop.now()
         connection = listen_socket.make_connection(self, sock, listen_socket.make_stream)
-        connection.accepted_since = listen_socket.queue_age.record_accept()
+        connection.accepted_since = accepted_since
         connection.record = self.connection_table.add_connection(
             connection, listen_socket.name, peer, self.last_accepted_at
         )
--- a/tests/golden_capture_forms.py
+++ b/tests/golden_capture_forms.py
@@ -246,6 +246,11 @@
     return (keys, when) if again == document else again
 
 
+def relearned_document() -> bytes:
+    """Return what a router hands over that has learned a document of a version with another order of slots."""
+    return taught((GOLDEN / "upgrade-document-old-order.bin").read_bytes())[2]
+
+
 def replayed_recording() -> object:
     """Replay the recorded capture of a router that met hits, misses, a reset, refusals and a changed list."""
     return replayed((GOLDEN / "capture-recorded.txt").read_bytes())
@@ -258,6 +263,7 @@
     "capture-words.json": Form(capture_words, as_json),
     "capture-recorder.txt": Form(recorded_by_observer, as_given),
     "upgrade-document.bin": Form(constant((50, 5.0)), lambda _: upgrade_document(), read_taught),
+    "upgrade-document-old-order.bin": Form(constant((50, 5.0)), lambda _: relearned_document(), read_taught),
     "upgrade-seats.json": Form(seat_files, as_json),
     "upgrade-environment.json": Form(around_environment, as_json),
 }
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -40,6 +40,7 @@
     imported |= {node.module for node in nodes if isinstance(node, ast.ImportFrom) and node.module}
     allowed = {"__future__", "bisect", "collections", "collections.abc", "dataclasses", "heapq", "itertools"}
     allowed |= {"array", "enum", "math", "random", "attempt_timeouts.adaptive_timeout"}
+    allowed |= {"hashlib", "struct"}  # a hash without a salt, and its bytes as numbers
     assert imported <= allowed | SIBLINGS
     called = {node.func for node in nodes if isinstance(node, ast.Call)}
     names = {func.id for func in called if isinstance(func, ast.Name)}
