--- a/rosepick/decisions/rendezvous.py
+++ b/rosepick/decisions/rendezvous.py
@@ -13,7 +13,7 @@
 
 import struct
 from array import array
-from bisect import bisect, insort
+from bisect import bisect
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -30,6 +30,7 @@
 MAX_SLOTS_SEARCHED = 16  # whose points are looked at, one after another, for one request
 SLOT_STRIDE = 37  # from one of them to the next
 MAX_SAMPLED = 64  # endpoints that are looked at beyond, where none of those points serves
+MIN_CHANGES_KEPT = 256  # for blocks that are not used; more, and more than members, are not worth it
 MIN_WEIGHT = 1e-3
 OFFSET_BITS = 8  # of a hash, from which a slot is drawn; the others become a number from 0 to 1
 UNIT = 1.0 / (1 << (64 - OFFSET_BITS))
@@ -45,51 +46,80 @@
     servers: list[EndpointState] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """An endpoint that was added or removed, with the weight that its points are drawn by."""
+
+    server: EndpointState
+    weight: float
+    is_added: bool
+
+
+@dataclass(slots=True)
+class SlotBlock:
+    """The orders of some slots that follow each other."""
+
+    orders: list[SlotOrder]
+    applied_count: int  # changes of the table that they include
+
+
 class RendezvousTable:
     """A set of endpoints in rendezvous order for each slot: by id and, if `weighted`, by weight."""
 
     def __init__(self, weighted: bool) -> None:
         self.weighted = weighted
         self.members: list[EndpointState] = []  # by `EndpointState.order_key`
+        self._keys: list[tuple[int, int]] = []  # of the members
         self._weights: dict[int, float] = {}  # by endpoint id, as the points were drawn
         self._total_weight = 0.0
         self._bound = 0.0  # distance up to which points are kept
-        self._blocks: dict[int, list[SlotOrder]] = {}
+        self._blocks: dict[int, SlotBlock] = {}
+        # a block applies changes when it is used next, so that a list of many changes takes no time by itself
+        self._changes: list[MemberChange] = []
 
     def add(self, server: EndpointState) -> None:
         """Add an endpoint."""
         weight = max(MIN_WEIGHT, server.endpoint.weight) if self.weighted else 1.0
         self._weights[server.id] = weight
         self._total_weight += weight
-        insort(self.members, server, key=_order_key)
-        if self._rebound():
-            return
-        for number, block in self._blocks.items():
-            for distance, offset in self._points(server.id, weight, number):
-                _insert(block[offset], distance, server)
+        at = bisect(self._keys, server.order_key)
+        self._keys.insert(at, server.order_key)
+        self.members.insert(at, server)
+        self._record_change(MemberChange(server, weight, is_added=True))
 
     def remove(self, server: EndpointState) -> None:
         """Remove an endpoint that was added."""
         weight = self._weights.pop(server.id)
         self._total_weight -= weight
-        del self.members[bisect(self.members, server.order_key, key=_order_key) - 1]
-        for number, block in self._blocks.items():
-            for _, offset in self._points(server.id, weight, number):
-                _delete(block[offset], server)
-        self._rebound()
+        at = bisect(self._keys, server.order_key) - 1
+        del self._keys[at]
+        del self.members[at]
+        self._record_change(MemberChange(server, weight, is_added=False))
 
     def replace_all(self, servers: Iterable[EndpointState]) -> None:
         """Hold these endpoints and no others."""
         self.members = []
+        self._keys = []
         self._weights = {}
         self._total_weight = 0.0
-        self._blocks = {}
+        self._forget_blocks()
         for server in servers:
             self.add(server)
 
+    def _record_change(self, change: MemberChange) -> None:
+        """Record a change for the blocks; forget them if building them anew costs no more."""
+        if self._rebound() or len(self._changes) > max(MIN_CHANGES_KEPT, len(self.members)):
+            self._forget_blocks()
+        elif self._blocks:
+            self._changes.append(change)
+
+    def _forget_blocks(self) -> None:
+        self._blocks = {}
+        self._changes = []
+
     def order_for(self, slot: int) -> Iterator[EndpointState]:
         """Yield endpoints for a slot, its holder first: a bounded number, and all of a small set."""
-        block = self._block(slot // BLOCK_SLOTS)
+        block = self._block(slot // BLOCK_SLOTS).orders
         offset = slot % BLOCK_SLOTS
         nearest = block[offset].servers
         yield from nearest
@@ -117,28 +147,34 @@
         if bound == self._bound:
             return False
         self._bound = bound
-        self._blocks = {}
         return True
 
-    def _block(self, number: int) -> list[SlotOrder]:
+    def _block(self, number: int) -> SlotBlock:
         block = self._blocks.get(number)
         if block is None:
-            block = self._blocks[number] = self._build_block(number)
+            block = self._blocks[number] = SlotBlock(self._build_orders(number), len(self._changes))
+        for change in self._changes[block.applied_count :]:
+            for distance, offset in self._points(change.server.id, change.weight, number):
+                if change.is_added:
+                    _insert(block.orders[offset], distance, change.server)
+                else:
+                    _delete(block.orders[offset], change.server)
+        block.applied_count = len(self._changes)
         return block
 
-    def _build_block(self, number: int) -> list[SlotOrder]:
-        block = [SlotOrder() for _ in range(BLOCK_SLOTS)]
+    def _build_orders(self, number: int) -> list[SlotOrder]:
+        orders = [SlotOrder() for _ in range(BLOCK_SLOTS)]
         rows: list[tuple[float, int, EndpointState]] = []
         for server in self.members:
             for distance, offset in self._points(server.id, self._weights[server.id], number):
                 rows.append((distance, offset, server))
         rows.sort(key=_distance)
         for distance, offset, server in rows:
-            order = block[offset]
+            order = orders[offset]
             if server not in order.servers:
                 order.distances.append(distance)
                 order.servers.append(server)
-        return block
+        return orders
 
     def _points(self, endpoint_id: int, weight: float, block: int) -> list[tuple[float, int]]:
         """Return an endpoint's points in a block below the bound: distance and offset of the slot."""
@@ -158,10 +194,6 @@
             number += NEXT_DRAWS
 
 
-def _order_key(server: EndpointState) -> tuple[int, int]:
-    return server.order_key
-
-
 def _distance(row: tuple[float, int, EndpointState]) -> float:
     return row[0]
 
