--- a/rosepick/decisions/permissions.py
+++ b/rosepick/decisions/permissions.py
@@ -19,12 +19,11 @@
 MAX_HOLD_UP_MS = 150.0
 REPEAT_WINDOW_MARGIN = 0.1  # of a repeat window at least, left for the network
 
-# How long a request may have waited before it was read, as a share of the time that its client gives it:
-# serving it takes several steps more, each as late as the first. The lower share holds in a router that has
-# not been idle for some time, as it will not catch up by itself.
-MAX_READ_LATE_SHARE = 0.25
-MAX_READ_LATE_SHARE_BUSY = 0.0625
-BUSY_AFTER_MS = 200.0
+# How long a request may have waited before it was read, as a share of the time that its client gives it, in a
+# router that has not been idle for some time: it will not catch up by itself, and serving a request takes
+# several steps more, each as late as the first.
+MAX_READ_LATE_SHARE = 0.0625
+BUSY_AFTER_MS = 100.0
 
 # A process that starts waits for a list, as the one that it is configured with may be old: this long while
 # discovery responds without giving one, ...
@@ -180,9 +179,9 @@
     """Return why a request is refused before anything is done for it; None if it is accepted."""
     if facts.time_left_ms <= 0:
         return Denial.DEADLINE_PASSED
-    share = MAX_READ_LATE_SHARE_BUSY if facts.busy_ms > BUSY_AFTER_MS else MAX_READ_LATE_SHARE
     time_given_ms = facts.read_late_ms + facts.time_left_ms
-    return Denial.READ_LATE if facts.read_late_ms > share * time_given_ms else None
+    is_late = facts.read_late_ms > MAX_READ_LATE_SHARE * time_given_ms
+    return Denial.READ_LATE if is_late and facts.busy_ms > BUSY_AFTER_MS else None
 
 
 def check_close(facts: CloseFacts) -> Denial | None:
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -165,12 +165,13 @@
         """Return the sockets that are ready; wait for one if none is."""
         turn_ended_at = self.now()
         ready = self._selector.select(0)
-        if ready or wait_s <= 0:
+        if ready:
             self.events_since = self._polled_at
             self._polled_at = self.now()
         else:
-            ready = self._selector.select(wait_s)
-            # it waited, so they came just now
+            if wait_s > 0:
+                ready = self._selector.select(wait_s)
+            # nothing had been ready, so what is has come just now
             self.events_since = self.idle_at = self._polled_at = self.now()
         self.load.end_turn(turn_ended_at, self._polled_at)
         return ready
