--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -97,7 +97,7 @@
         downstream = self._close_request(request, outcome, api.EndReason.READ_LATE)
         del self.requests[request.ref]
         if is_refused:
-            retry_after_ms = self.settings.limits.max_retry_after_ms
+            retry_after_ms = self.retry_after_ms(request.class_index)
             self._deliver_response("refused", lambda: downstream.send_refusal(request, retry_after_ms))
         else:
             self._deliver_response("failed", lambda: downstream.send_failure(request, timed_out=True))
@@ -145,6 +145,12 @@
         """Count a request of a class that a protocol adapter could not accept."""
         self.rejected_by_class[class_index] += 1
 
+    def retry_after_ms(self, class_index: int) -> float:
+        """Return when a client may come back whose request was refused unseen; 0 for no advice."""
+        classes = self.settings.classes
+        request_class = classes[class_index] if class_index < len(classes) else classes[0]
+        return min(self.settings.limits.max_retry_after_ms, request_class.objective_ms)
+
     def record_shed(self, class_index: int, late_ms: float, is_refused: bool) -> None:
         """Count a request that was answered before it became one, as this router is behind."""
         self.counts["requests"] += 1
--- a/rosepick/net/late_refusal.py
+++ b/rosepick/net/late_refusal.py
@@ -10,7 +10,7 @@
 import contextlib
 import re
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from ..decisions.permissions import AcceptFacts, Denial, check_accept
@@ -52,7 +52,10 @@
 
 
 def refuse_if_late(
-    sock: socket.socket, lateness: Lateness, classes: Mapping[str, int], retry_after_ms: float
+    sock: socket.socket,
+    lateness: Lateness,
+    classes: Mapping[str, int],
+    retry_after_ms: Callable[[int], float],
 ) -> PlainRequest | None:
     """Answer and close an accepted connection if its request has waited for too long.
 
@@ -60,7 +63,7 @@
         sock: the connection, of which nothing was read.
         lateness: how late the request is read.
         classes: the indexes of the request classes by name.
-        retry_after_ms: when its client should come back; 0 for no advice.
+        retry_after_ms: when a client with a request of a class should come back; 0 for no advice.
 
     Returns:
         The request that was answered; None if the connection is as it was.
@@ -80,7 +83,7 @@
         return None
     with contextlib.suppress(OSError):  # the client has left
         sock.recv(len(data))
-        sock.send(_encode_answer(denial, retry_after_ms))
+        sock.send(_encode_answer(denial, retry_after_ms(request.class_index)))
     sock.close()
     return request
 
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -67,6 +67,10 @@
     make_connection: ConnectionFactory
     queue_age: AcceptQueueAge
 
+    def takes_plain_requests(self) -> bool:
+        """Whether what arrives here is HTTP itself, one request after another."""
+        return self.make_stream is TcpStream and self.make_connection is DownstreamConnection
+
 
 class Listener:
     """Accepts client connections on one or more listening sockets."""
@@ -252,11 +256,10 @@
     ) -> bool:
         """Answer and close a connection whose request has waited for too long; return whether it was."""
         late_ms = self.loop.now() - accepted_since
-        if late_ms < MIN_LATE_MS or listen_socket.make_stream is not TcpStream:
+        if late_ms < MIN_LATE_MS or not listen_socket.takes_plain_requests():
             return False
-        retry_after_ms = self.engine.settings.limits.max_retry_after_ms
-        busy_ms = self.loop.now() - self.loop.idle_at
-        request = refuse_if_late(sock, Lateness(late_ms, busy_ms), self.names.classes, retry_after_ms)
+        lateness = Lateness(late_ms, self.loop.now() - self.loop.idle_at)
+        request = refuse_if_late(sock, lateness, self.names.classes, self.engine.retry_after_ms)
         if request is None:
             return False
         self.last_accepted_at = self.loop.now()
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -71,7 +71,9 @@
 def test_a_late_request_gets_its_answer_whole_and_then_the_end(late_ms: float, status: bytes) -> None:
     client, accepted = connected_pair(REQUEST)
     with client, accepted:
-        assert refuse_if_late(accepted, Lateness(late_ms, 300.0), CLASSES, 250.0) == PlainRequest(1, 480.0)
+        assert refuse_if_late(
+            accepted, Lateness(late_ms, 300.0), CLASSES, lambda _class_index: 250.0
+        ) == PlainRequest(1, 480.0)
         received = b""
         while part := client.recv(999):
             received += part
@@ -87,6 +89,6 @@
 def test_what_is_not_refused_is_left_unread(data: bytes, late_ms: float) -> None:
     client, accepted = connected_pair(data)
     with client, accepted:
-        assert refuse_if_late(accepted, Lateness(late_ms, 300.0), CLASSES, 250.0) is None
+        assert refuse_if_late(accepted, Lateness(late_ms, 300.0), CLASSES, lambda _class_index: 250.0) is None
         if data:
             assert accepted.recv(9_999) == data
