--- a/rosepick/lab/live/live_run.py
+++ b/rosepick/lab/live/live_run.py
@@ -36,6 +36,9 @@
 START_DELAY_S = 0.25  # from when all processes are ready until the run begins
 POLL_INTERVAL_S = 0.005
 SERVING_POLL_INTERVAL_S = 0.02
+SERVING_TIMEOUT_S = 0.02  # of one look during the run: a router that is stopped must not hold its schedule up
+RELOAD_TIMEOUT_S = 0.2  # of the look before a reload
+MAX_FAULT_LATE_S = 0.25  # a run with a fault that came later says nothing
 PROGRESS_INTERVAL_S = 0.1
 DONE_TIMEOUT_S = 1.0
 FINISH_GRACE_S = 5.0  # after the last deadline, until the clients must be done
@@ -113,6 +116,7 @@
         self.unexpected_exits: list[UnexpectedExit] = []
         self.routers: list[LiveRouter] = []
         self.process_starts: list[ProcessStart] = []  # of each router; empty: as usual
+        self.fault_late_s = 0.0  # how late a step of the schedule was at most
         self.held_up_ms = 0.0  # for how long a router may be held up, as by pauses; its answers are as late
         self.helpers: list[HelperProcess] = []
         self._discovery_ports: list[int] = []
@@ -205,7 +209,9 @@
 
     def _step(self) -> None:
         while self._timeline and self._timeline[0][0] <= self._elapsed_s():
-            heapq.heappop(self._timeline)[2]()
+            due_s, _, callback = heapq.heappop(self._timeline)
+            self.fault_late_s = max(self.fault_late_s, self._elapsed_s() - due_s)
+            callback()
         self._check_routers()
         for helper in self.helpers:
             if helper.process.poll() is not None:
@@ -265,7 +271,7 @@
 
     def _await_serving(self, router: LiveRouter) -> None:
         """Tell the stand-ins when a process that has been started serves."""
-        if router.is_serving():
+        if router.is_serving(SERVING_TIMEOUT_S):
             self.helpers[0].send({"serving": router.index})
         else:
             self._schedule(self._elapsed_s() + SERVING_POLL_INTERVAL_S, lambda: self._await_serving(router))
@@ -273,7 +279,7 @@
     @staticmethod
     def _reload_routers(routers: list[LiveRouter]) -> None:
         for router in routers:
-            if router.is_serving():  # a router that is starting would end by the signal
+            if router.is_serving(RELOAD_TIMEOUT_S):  # a router that is starting would end by the signal
                 router.signal(signal.SIGHUP)
 
     # ------------------------------------------------------------------------------------------- results
@@ -338,14 +344,15 @@
         tenant = tenants[request.tenant].name if tenants else ""
         return MeasuredRequest(request.due_ms, request_class.name, tenant, request_class.worth)
 
-    @staticmethod
-    def _void_reason(stand_in_results: StandInResults, load_results: LoadResults) -> str:
+    def _void_reason(self, stand_in_results: StandInResults, load_results: LoadResults) -> str:
         """Return why the run is void; empty if it is not."""
         reasons = [
             load_results.send_lateness.void_reason("requests were sent"),
             load_results.loop_lateness.void_reason("the clients' loop was"),
             stand_in_results.loop_lateness.void_reason("the stand-ins' loop was"),
         ]
+        if self.fault_late_s > MAX_FAULT_LATE_S:
+            reasons.append(f"a fault came {self.fault_late_s:.2f} s late")
         for process, fault_count in (
             ("stand-ins", stand_in_results.faults),
             ("clients", load_results.faults),
--- a/rosepick/lab/live/router_process.py
+++ b/rosepick/lab/live/router_process.py
@@ -133,9 +133,9 @@
             time.sleep(READY_POLL_INTERVAL_S)
         self._start_cpu_s = self.processes[-1].cpu_so_far_s()
 
-    def is_serving(self) -> bool:
-        """Return whether the router answers that it is ready."""
-        return is_router_serving(self.port)
+    def is_serving(self, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
+        """Return whether the router answers that it is ready, within so many seconds for each step."""
+        return is_router_serving(self.port, timeout_s)
 
     def signal(self, number: int) -> None:
         """Send a signal to all running processes."""
@@ -171,11 +171,11 @@
         self._port_reservation.close()
 
 
-def is_router_serving(port: int) -> bool:
-    """Return whether the router at a port answers that it is ready."""
+def is_router_serving(port: int, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
+    """Return whether the router at a port answers that it is ready, within so many seconds for each step."""
     with (
         contextlib.suppress(OSError),
-        socket.create_connection((HOST, port), CONNECT_TIMEOUT_S) as sock,
+        socket.create_connection((HOST, port), timeout_s) as sock,
     ):
         sock.sendall(b"GET /ready HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n")
         return sock.recv(4096).startswith(b"HTTP/1.1 200")
--- a/rosepick/lab/soak/soak_run.py
+++ b/rosepick/lab/soak/soak_run.py
@@ -49,7 +49,7 @@
         run = live.result({})
         faults = tuple(_faults_in_logs(live))
     broken = tuple(
-        f"{one.rule} at {one.at:.0f} ms, {one.request or one.node}: {one.text}" for one in run[0].broken
+        f"{one.rule} at {one.at:.2f} s, {one.request or one.node}: {one.text}" for one in run[0].broken
     )
     return SoakResult(plan.seed, run[0], broken + faults)
 
