--- a/rosepick/cli/lab_drills.py
+++ b/rosepick/cli/lab_drills.py
@@ -71,6 +71,40 @@
     raise typer.Exit(1 if is_broken else 0)
 
 
+def scale(
+    nodes: Annotated[int, typer.Option(min=1, max=10_000, help="Cache nodes in the list.")] = 3_200,
+    routers: Annotated[int, typer.Option(min=1, max=60, help="Router processes.")] = 1,
+    rate: Annotated[float, typer.Option(min=1, help="Requests a second to each router.")] = 250.0,
+    deadline: Annotated[float, typer.Option(min=0.05, help="Seconds that a client waits.")] = 1.2,
+    cpu_share: Annotated[
+        float, typer.Option(min=0.02, max=1.0, help="Part of the time in which routers may run.")
+    ] = 1.0,
+    calm: Annotated[bool, typer.Option(help="Neither kills nor changes of the list.")] = False,
+    seed: SeedsOption = "1",
+) -> None:
+    """Play real routers beside many nodes, of which two thirds are replaced; 1 if a request is lost."""
+    with require_extra("lab"):
+        from ..lab.scale import scale_plan
+        from ..lab.scale.scale_run import play_scale
+
+    is_broken = False
+    for number in parse_seeds(seed, 1):
+        plan = scale_plan.ScalePlan(
+            nodes=nodes,
+            routers=routers,
+            rate=rate,
+            seed=number,
+            deadline_s=deadline,
+            cpu_share=cpu_share,
+            replacements=() if calm else scale_plan.two_thirds_replaced(nodes),
+            kills=() if calm else (scale_plan.RouterKill(1.0, 1.5, max(1, routers // 2)),),
+        )
+        result = play_scale(plan)
+        print(f"seed {number}: {result.line()}", flush=True)
+        is_broken = is_broken or bool(result.lost or result.sent_after_end)
+    raise typer.Exit(1 if is_broken else 0)
+
+
 def measure_leases(
     renewals: Annotated[int, typer.Option(min=100, help="For the size of a witness's storage.")] = 100_000,
 ) -> None:
@@ -158,6 +192,7 @@
     """Add these commands to the lab's."""
     lab.command()(drill)
     lab.command()(soak)
+    lab.command()(scale)
     lab.command("leases")(measure_leases)
     lab.command("drains")(measure_drains)
     lab.command("releases")(measure_releases)
--- a/rosepick/lab/scale/scale_plan.py
+++ b/rosepick/lab/scale/scale_plan.py
@@ -31,6 +31,11 @@
     routers: int
 
 
+def two_thirds_replaced(nodes: int) -> tuple[NodeReplacement, ...]:
+    """Return the replacement of two thirds of a fleet, in four steps within some five seconds."""
+    return (NodeReplacement(at_s=1.0, steps=4, nodes_each=nodes // 6, away_s=2.5),)
+
+
 @dataclass(frozen=True, slots=True)
 class ScalePlan:
     """One run.
--- a/rosepick/lab/scale/scale_run.py
+++ b/rosepick/lab/scale/scale_run.py
@@ -48,6 +48,7 @@
     sent_after_end: int  # attempts
     by_second: dict[int, Counter[str]]  # outcomes by the second of the request
     router_cpu_s: float  # of the processes that still ran at the end
+    router_memory_mb: float  # the largest of them, at the end
     rig_late_s: float
     void: str  # why the run says nothing; empty if it does
     events: Counter[str]  # of the routers' logs
@@ -56,11 +57,13 @@
     def line(self) -> str:
         """Return the figures as one line."""
         outcomes = " ".join(f"{name} {number}" for name, number in sorted(self.outcomes.items()))
-        figures = (
-            f"{outcomes}; lost {len(self.lost)}, sent after the end {self.sent_after_end}; "
-            f"routers {self.router_cpu_s:.2f} s CPU; rig {1000 * self.rig_late_s:.0f} ms late"
-        )
-        return f"{figures}; void: {self.void}" if self.void else figures
+        parts = [
+            outcomes,
+            f"lost {len(self.lost)}, sent after the end {self.sent_after_end}",
+            f"routers {self.router_cpu_s:.2f} s CPU, {self.router_memory_mb:.0f} MB",
+            f"rig {1000 * self.rig_late_s:.0f} ms late",
+        ]
+        return "; ".join([*parts, f"void: {self.void}"] if self.void else parts)
 
 
 class ScaleRouter:
@@ -96,6 +99,11 @@
         """Return the processes that have not ended."""
         return [process.pid for process in self.processes if not process.has_ended()]
 
+    def memory_mb(self) -> float:
+        """Return the memory of the process that runs."""
+        self.processes[-1].signal(0)  # which takes a sample
+        return self.processes[-1].memory_mb
+
     def close(self) -> None:
         """Kill the router and release its port."""
         for process in self.processes:
@@ -269,6 +277,7 @@
             router_cpu_s=sum(
                 process.cpu_so_far_s() for router in self.routers for process in router.processes
             ),
+            router_memory_mb=max(router.memory_mb() for router in self.routers),
             rig_late_s=late_s,
             void=f"the rig was {late_s:.2f} s late" if late_s > MAX_RIG_LATE_S else "",
             events=Counter(
