--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -32,3 +32,9 @@
 def test_requests_are_lost_by_a_router_with_a_part_of_the_processor_that_it_needs(deadline_s: float) -> None:
     plan = ScalePlan(nodes=200, rate=300.0, length_s=6.0, deadline_s=deadline_s, cpu_share=0.1)
     assert_nothing_lost(play_scale(plan))
+
+
+def test_requests_are_lost_with_short_deadlines_in_a_calm_fleet_of_thousands() -> None:
+    assert_nothing_lost(
+        play_scale(ScalePlan(nodes=3_200, routers=2, rate=120.0, length_s=6.0, deadline_s=0.4))
+    )
