--- a/rosepick/cli/lab_drills.py
+++ b/rosepick/cli/lab_drills.py
@@ -11,6 +11,7 @@
 from .common import exit_with_error, require_extra
 from .lab_options import SeedsOption, WorkersOption, parse_seeds
 
+MAX_LOST_LINES = 8  # that are printed of one run
 SUMMARY_NAME = "sum.json"  # in the folder of a report
 
 
@@ -101,10 +102,28 @@
         )
         result = play_scale(plan)
         print("\n  ".join([f"seed {number}: {result.line()}", *result.lost_lines()]), flush=True)
-        is_broken = is_broken or bool(result.lost or result.sent_after_end)
+        is_broken = is_broken or result.is_broken()
     raise typer.Exit(1 if is_broken else 0)
 
 
+def scale_soak(seed: SeedsOption = "1") -> None:
+    """Play a random scale plan of each seed: fleets of all sizes, signals, crowds. 1 if one breaks."""
+    with require_extra("lab"):
+        from ..lab.scale.scale_run import play_scale
+        from ..lab.scale.soak_plan import draw_scale_plan
+
+    broken_seeds = []
+    for number in parse_seeds(seed, 1):
+        plan = draw_scale_plan(number)
+        result = play_scale(plan)
+        print(f"seed {number}: {plan.summary()}", flush=True)
+        print("\n  ".join([f"  {result.line()}", *result.lost_lines()[:MAX_LOST_LINES]]), flush=True)
+        if result.is_broken():
+            broken_seeds.append(number)
+    print(f"broken: {', '.join(map(str, broken_seeds)) or 'none'}")
+    raise typer.Exit(1 if broken_seeds else 0)
+
+
 def measure_leases(
     renewals: Annotated[int, typer.Option(min=100, help="For the size of a witness's storage.")] = 100_000,
 ) -> None:
@@ -193,6 +212,7 @@
     lab.command()(drill)
     lab.command()(soak)
     lab.command()(scale)
+    lab.command()(scale_soak)
     lab.command("leases")(measure_leases)
     lab.command("drains")(measure_drains)
     lab.command("releases")(measure_releases)
--- a/rosepick/lab/scale/load_process.py
+++ b/rosepick/lab/scale/load_process.py
@@ -19,6 +19,7 @@
 from .scale_plan import ScalePlan, plan_from_document
 
 LATE_ANSWER_S = 0.5  # after its deadline an answer earns nothing, but the request is not lost
+IDLE_CLIENT_PAUSE_S = 0.5
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -70,6 +71,15 @@
             due_s += self._rng.expovariate(self.plan.rate)
         await asyncio.gather(*tasks)
 
+    async def hold_idle_connection(self) -> None:
+        """Keep a connection open that sends nothing; open it again some time after its end."""
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                await reader.read()
+                writer.close()
+            await asyncio.sleep(IDLE_CLIENT_PAUSE_S)
+
     async def _request(self, number: int) -> None:
         key = int(self.plan.keys * self._rng.random() ** 3)  # the first keys are popular
         request = RequestRecord(f"{self.index:04x}{number:012x}", self.index, self.now_s())
@@ -128,10 +138,14 @@
     await asyncio.sleep(max(0.0, begin_s - time.monotonic()))
     heartbeat = asyncio.get_running_loop().create_task(watch_lateness(begin_s, record.late_periods))
     clients = [RouterClients(plan, index, port, begin_s, record) for index, port in enumerate(ports)]
+    loop = asyncio.get_running_loop()
+    crowd = [
+        loop.create_task(each.hold_idle_connection()) for each in clients for _ in range(plan.idle_clients)
+    ]
     await asyncio.gather(*(each.play() for each in clients))
-    heartbeat.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await heartbeat
+    for task in (heartbeat, *crowd):
+        task.cancel()
+    await asyncio.gather(heartbeat, *crowd, return_exceptions=True)
     return record
 
 
--- a/rosepick/lab/scale/scale_plan.py
+++ b/rosepick/lab/scale/scale_plan.py
@@ -9,6 +9,7 @@
 NODE_LISTENERS = 8  # listening sockets that all cache nodes share
 ORIGIN_UID = "s-origin"
 ZONE_NAMES = ("a", "b", "c")
+KILL_AFTER_DEADLINE_S = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,20 @@
     return (NodeReplacement(at_s=1.0, steps=4, nodes_each=nodes // 6, away_s=2.5),)
 
 
+@dataclass(frozen=True, slots=True)
+class RouterSignals:
+    """Signals in series to one router, which is killed and started again if SIGTERM is one of them.
+
+    The kill comes at the earliest time that the terms allow: the longest deadline and `KILL_AFTER_DEADLINE_S`
+    after the first SIGTERM.
+    """
+
+    at_s: float
+    router: int
+    names: tuple[str, ...]  # such as SIGTERM
+    spacing_s: float = 0.05
+
+
 @dataclass(frozen=True, slots=True)
 class ScalePlan:
     """One run.
@@ -57,6 +72,21 @@
     cpu_share: float = 1.0
     replacements: tuple[NodeReplacement, ...] = ()
     kills: tuple[RouterKill, ...] = ()
+    signals: tuple[RouterSignals, ...] = ()
+    idle_clients: int = 0  # of each router: connections that send nothing, opened all through the run
+    sockets: int = 1_024  # descriptors that a router may have
+
+    def summary(self) -> str:
+        """Return what is played, on one line."""
+        parts = [
+            f"{self.nodes} nodes, {self.routers} routers, {self.rate:.0f} a second each",
+            f"deadline {self.deadline_s:g} s, processor {self.cpu_share:g}",
+            f"{sum(each.steps * each.nodes_each for each in self.replacements)} nodes replaced",
+            f"{sum(each.routers for each in self.kills)} routers killed",
+            f"{len(self.signals)} get {' '.join(self.signals[0].names) if self.signals else 'no signals'}",
+            f"{self.idle_clients} idle clients, {100 * self.hang_share:g}% of attempts hang",
+        ]
+        return "; ".join(parts)
 
     def to_document(self) -> dict[str, Any]:
         """Return the plan as an object for JSON."""
@@ -67,7 +97,10 @@
     """Return the plan that `to_document` has written."""
     replacements = tuple(NodeReplacement(**entry) for entry in document["replacements"])
     kills = tuple(RouterKill(**entry) for entry in document["kills"])
-    return ScalePlan(**{**document, "replacements": replacements, "kills": kills})
+    signals = tuple(
+        RouterSignals(**{**entry, "names": tuple(entry["names"])}) for entry in document["signals"]
+    )
+    return ScalePlan(**{**document, "replacements": replacements, "kills": kills, "signals": signals})
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/lab/scale/scale_run.py
+++ b/rosepick/lab/scale/scale_run.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from ...logs import parse_log_fields
+from ...net.client_connection import CLOSES_AT_OWN_WILL
 from ..experiment import Experiment, parse_experiment
 from ..live.controllable_listener import HOST, reserve_port
 from ..live.helper_process import ROOT, child_environment, last_log_lines
@@ -28,12 +29,13 @@
 from .fleet_process import HEARTBEAT_S
 from .load_process import LATE_ANSWER_S, LoadRecord, RequestRecord
 from .processor_slices import ProcessorSlices
-from .scale_plan import ZONE_NAMES, EndpointTimeline, ScalePlan
+from .scale_plan import KILL_AFTER_DEADLINE_S, ZONE_NAMES, EndpointTimeline, RouterSignals, ScalePlan
 
 READY_TIMEOUT_S = 30.0
 START_DELAY_S = 0.3
 POLL_INTERVAL_S = 0.005
 READY_POLL_INTERVAL_S = 0.05
+RESTART_DELAY_S = 0.2  # from a kill after a warning until the next process
 MAX_RIG_LATE_S = 0.25  # a run in which the rig itself was later says nothing
 AFTER_END_S = 0.1  # an attempt that begins later than this after its request's end is a violation
 LOST_OUTCOMES = ("lost", "broken")
@@ -53,8 +55,15 @@
     rig_late_s: float
     void: str  # why the run says nothing; empty if it does
     events: Counter[str]  # of the routers' logs
+    unanswered_closes: int  # of connections that were owed an answer, by the router itself, by its log
     logs: list[str]
 
+    def is_broken(self) -> bool:
+        """Return whether a rule was broken."""
+        return bool(
+            self.lost or self.sent_after_end or self.unanswered_closes or self.events["invariant_violated"]
+        )
+
     def lost_lines(self) -> list[str]:
         """Return a line for each lost request, with when its router was down."""
         return [
@@ -69,6 +78,7 @@
         parts = [
             outcomes,
             f"lost {len(self.lost)}, sent after the end {self.sent_after_end}",
+            f"closed unanswered {self.unanswered_closes}, violations {self.events['invariant_violated']}",
             f"routers {self.router_cpu_s:.2f} s CPU, {self.router_memory_mb:.0f} MB",
             f"rig {1000 * self.rig_late_s:.0f} ms late",
         ]
@@ -169,6 +179,7 @@
         length = {plan.length_s}
         zones = {list(ZONE_NAMES)}
         routers.count = {max(plan.routers, 40)}
+        routers.sockets = {plan.sockets}
         traffic = {{rate = {plan.rate * plan.routers}}}
         classes = [{{name = "read", aim = {plan.deadline_s / 2}, deadline = {plan.deadline_s}}}]
         fleet = [{{count = {plan.nodes}}}]
@@ -235,6 +246,28 @@
             affected = self.routers[: kill.routers]
             self._schedule(kill.at_s, partial(self._kill, affected))
             self._schedule(kill.at_s + kill.down_s, partial(self._restart, affected))
+        for series in self.plan.signals:
+            self._schedule_signals(series)
+
+    def _schedule_signals(self, series: RouterSignals) -> None:
+        router = self.routers[series.router]
+        for number, name in enumerate(series.names):
+            at_s = series.at_s + number * series.spacing_s
+            self._schedule(at_s, partial(self._signal, router, signal.Signals[name]))
+        if "SIGTERM" in series.names:
+            first_s = series.at_s + series.names.index("SIGTERM") * series.spacing_s
+            kill_s = first_s + self.plan.deadline_s + KILL_AFTER_DEADLINE_S
+            self._schedule(kill_s, partial(self._signal, router, signal.SIGKILL))
+            self._schedule(kill_s + RESTART_DELAY_S, partial(self._start_with_present_list, router))
+
+    @staticmethod
+    def _signal(router: ScaleRouter, number: int) -> None:
+        """Signal a router; what it owes then is lost, unlike at a kill without a warning."""
+        router.processes[-1].signal(number)
+
+    def _start_with_present_list(self, router: ScaleRouter) -> None:
+        lists = self._lists()
+        router.start(lists.full_document(lists.revision_at(self.now_s())))
 
     def _schedule(self, at_s: float, callback: Callable[[], None]) -> None:
         heapq.heappush(self._timeline, (at_s, next(self._sequence), callback))
@@ -293,6 +326,7 @@
             events=Counter(
                 parse_log_fields(line).get("event", "") for log in logs for line in log.splitlines()
             ),
+            unanswered_closes=sum(map(_count_unanswered_closes, logs)),
             logs=logs,
         )
 
@@ -315,6 +349,13 @@
                 process.close()
 
 
+def _count_unanswered_closes(log: str) -> int:
+    """Return how many lines of a log tell of a close that took an answer away, at the router's own will."""
+    lines = [parse_log_fields(line) for line in log.splitlines() if "connection_closed_unanswered" in line]
+    own_reasons = {reason.value for reason in CLOSES_AT_OWN_WILL}
+    return sum(fields.get("reason") in own_reasons for fields in lines)
+
+
 def _load_record(document: dict[str, Any]) -> LoadRecord:
     requests = [RequestRecord(**entry) for entry in document["requests"]]
     late_periods = [(begin, end) for begin, end in document["late_periods"]]
