--- a/rosepick/lab/scale/load_process.py
+++ b/rosepick/lab/scale/load_process.py
@@ -16,10 +16,11 @@
 from dataclasses import asdict, dataclass, field
 
 from .fleet_process import watch_lateness
-from .scale_plan import ScalePlan, plan_from_document
+from .scale_plan import KILL_AFTER_DEADLINE_S, ScalePlan, plan_from_document
 
 LATE_ANSWER_S = 0.5  # after its deadline an answer earns nothing, but the request is not lost
 IDLE_CLIENT_PAUSE_S = 0.5
+FRONT_DELAY_S = 0.4  # from SIGTERM until no new connection comes; those that are open are used on
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -91,8 +92,19 @@
             request.is_resent = True
             await self._try(request, f"k{key}", None)
 
+    def _is_warned(self) -> bool:
+        """Return whether the front has taken the router out, as it gets or got SIGTERM and is not back."""
+        waits_s = self.plan.deadline_s + KILL_AFTER_DEADLINE_S
+        return any(
+            sigterm_s + FRONT_DELAY_S <= self.now_s() <= sigterm_s + waits_s
+            for sigterm_s in self.plan.sigterm_times(self.index)
+        )
+
     async def _try(self, request: RequestRecord, key: str, streams: Streams | None) -> None:
         """Send a request on a connection that is idle, or on a new one, and record its end."""
+        if streams is None and self._is_warned():
+            request.outcome = "unreachable"
+            return
         try:
             if streams is None:
                 streams = await asyncio.open_connection("127.0.0.1", self.port)
--- a/rosepick/lab/scale/scale_plan.py
+++ b/rosepick/lab/scale/scale_plan.py
@@ -76,6 +76,11 @@
     idle_clients: int = 0  # of each router: connections that send nothing, opened all through the run
     sockets: int = 1_024  # descriptors that a router may have
 
+    def sigterm_times(self, router: int) -> list[float]:
+        """Return when a router gets its first SIGTERM of each series, in seconds of the run."""
+        series = [each for each in self.signals if each.router == router and "SIGTERM" in each.names]
+        return [each.at_s + each.names.index("SIGTERM") * each.spacing_s for each in series]
+
     def summary(self) -> str:
         """Return what is played, on one line."""
         parts = [
--- a/rosepick/lab/scale/scale_run.py
+++ b/rosepick/lab/scale/scale_run.py
@@ -37,6 +37,7 @@
 READY_POLL_INTERVAL_S = 0.05
 RESTART_DELAY_S = 0.2  # from a kill after a warning until the next process
 MAX_RIG_LATE_S = 0.25  # a run in which the rig itself was later says nothing
+MAX_HOLD_UP_S = 0.15  # for which the terms let a router be held up
 AFTER_END_S = 0.1  # an attempt that begins later than this after its request's end is a violation
 LOST_OUTCOMES = ("lost", "broken")
 
@@ -307,6 +308,7 @@
         late_s = max(
             [load.max_send_late_s, self.fault_late_s, *(end - begin for begin, end in load.late_periods)]
         )
+        held_up_s = self._slices.longest_stop_s
         lost = [request for request in load.requests if self._is_lost(request, load.late_periods)]
         by_second: dict[int, Counter[str]] = {}
         for request in load.requests:
@@ -322,7 +324,7 @@
             ),
             router_memory_mb=max(router.memory_mb() for router in self.routers),
             rig_late_s=late_s,
-            void=f"the rig was {late_s:.2f} s late" if late_s > MAX_RIG_LATE_S else "",
+            void=_void_reason(late_s, held_up_s),
             events=Counter(
                 parse_log_fields(line).get("event", "") for log in logs for line in log.splitlines()
             ),
@@ -349,6 +351,15 @@
                 process.close()
 
 
+def _void_reason(late_s: float, held_up_s: float) -> str:
+    """Return why a run says nothing; empty if it does."""
+    if late_s > MAX_RIG_LATE_S:
+        return f"the rig was {late_s:.2f} s late"
+    if held_up_s > MAX_HOLD_UP_S:
+        return f"routers were stopped for {held_up_s:.2f} s"
+    return ""
+
+
 def _count_unanswered_closes(log: str) -> int:
     """Return how many lines of a log tell of a close that took an answer away, at the router's own will."""
     lines = [parse_log_fields(line) for line in log.splitlines() if "connection_closed_unanswered" in line]
