--- a/rosepick/capture/record_format.py
+++ b/rosepick/capture/record_format.py
@@ -57,10 +57,13 @@
 
     def text(self) -> str:
         """Return the lines of the record."""
+        return self.first_line(len(self.members)) + "".join(format_entry(*member) for member in self.members)
+
+    def first_line(self, member_count: int) -> str:
+        """Return the first line of the record; one line for each member follows it."""
         return (
             f"H {FORMAT_VERSION} {self.segment} {self.preceding_lines} {self.seed:x} "
-            f"{self.unix_offset_ms!r} {self.now!r} {self.version} {len(self.members)}\n"
-            + _format_entries(self.members)
+            f"{self.unix_offset_ms!r} {self.now!r} {self.version} {member_count}\n"
         )
 
 
@@ -74,8 +77,11 @@
 
     def text(self) -> str:
         """Return the lines of the record."""
-        head = f"M {self.now!r} {self.scope.value} {self.version} {len(self.members)}\n"
-        return head + _format_entries(self.members)
+        return self.first_line(len(self.members)) + "".join(format_entry(*member) for member in self.members)
+
+    def first_line(self, member_count: int) -> str:
+        """Return the first line of the record; one line for each member follows it."""
+        return f"M {self.now!r} {self.scope.value} {self.version} {member_count}\n"
 
 
 class ArrivalRecord(NamedTuple):
@@ -200,11 +206,11 @@
 )
 
 
-def _format_entries(members: EndpointEntries) -> str:
-    return "".join(
+def format_entry(endpoint: api.Endpoint, uid: str) -> str:
+    """Return the line of an endpoint, with its uid as a word."""
+    return (
         f"m {uid} {endpoint.endpoint_id} {STATUS_WORDS[endpoint.status]} {endpoint.started_at!r} "
         f"{endpoint.zone} {endpoint.cell} {endpoint.kind} {endpoint.weight!r}\n"
-        for endpoint, uid in members
     )
 
 
--- a/rosepick/capture/recorder.py
+++ b/rosepick/capture/recorder.py
@@ -82,6 +82,14 @@
     outcome: RequestOutcome
 
 
+class _Member(NamedTuple):
+    """A listed endpoint, with its uid as a word and its line."""
+
+    endpoint: Endpoint
+    uid: str
+    line: str
+
+
 class CaptureRecorder:
     """Writes what the engine shows to an observer into a ring of lines, in order.
 
@@ -106,7 +114,7 @@
         self._uid_of = uid_of
         self.set_names(names)
         self._list_version = 0
-        self.members: dict[int, tuple[Endpoint, str]] = {}  # with their uids as words, by id
+        self.members: dict[int, _Member] = {}  # by id
         self.departed: OrderedDict[int, str] = OrderedDict()  # uids of removed endpoints, by id
         self.ring = LineRing(capture_config.max_segments, capture_config.segment_bytes, self._make_header)
         self._chunk_bytes = min(MAX_CHUNK_BYTES, capture_config.segment_bytes // 4)
@@ -237,53 +245,58 @@
 
     def _append_endpoint_list(self, now: float, event: api.EndpointUpdate) -> None:
         """Write an update of the endpoint list, and apply it to what the next segment's header has."""
-        entries = tuple((endpoint, self._uid_of_listed(endpoint.endpoint_id)) for endpoint in event.endpoints)
+        members = [self._member_of(endpoint) for endpoint in event.endpoints]
         self.pending_since = now
-        text = EndpointListRecord(now, event.scope, event.version, entries).text()
-        if not self.ring.append(text.encode("ascii"), 1 + len(entries)):
+        record = EndpointListRecord(now, event.scope, event.version)
+        text = record.first_line(len(members)) + "".join(member.line for member in members)
+        if not self.ring.append(text.encode("ascii"), 1 + len(members)):
             self._append_lost(now)
         if event.scope is UpdateScope.FAILED:
             return
         self._list_version = event.version
         if event.scope is not UpdateScope.DELTA:
-            listed_ids = {endpoint.endpoint_id for endpoint, _ in entries}
+            listed_ids = {endpoint.endpoint_id for endpoint in event.endpoints}
             self._mark_departed([one for one in self.members if one not in listed_ids])
-        for endpoint, uid in entries:
-            self.members[endpoint.endpoint_id] = endpoint, uid
-        self._mark_departed(
-            [endpoint.endpoint_id for endpoint, _ in entries if endpoint.status is Status.REMOVED]
-        )
+        for member in members:
+            self.members[member.endpoint.endpoint_id] = member
+        self._mark_departed([one.endpoint_id for one in event.endpoints if one.status is Status.REMOVED])
+
+    def _member_of(self, endpoint: Endpoint) -> _Member:
+        """Return an endpoint with its line, which is not formatted again if it is as it was."""
+        known = self.members.get(endpoint.endpoint_id)
+        if known is not None and known.endpoint is endpoint:
+            return known
+        uid = self._uid_of_listed(endpoint.endpoint_id)
+        return _Member(endpoint, uid, record_format.format_entry(endpoint, uid))
 
     def _mark_departed(self, endpoint_ids: list[int]) -> None:
         for endpoint_id in endpoint_ids:
-            _, uid = self.members.pop(endpoint_id)
-            self.departed[endpoint_id] = uid
+            self.departed[endpoint_id] = self.members.pop(endpoint_id).uid
         while len(self.departed) > MAX_DEPARTED:
             self.departed.popitem(last=False)
 
     def _make_header(self, ring: LineRing, max_bytes: int) -> bytes:
         """Return the header of the segment that begins. An endpoint list that does not fit is cut."""
-        members = tuple(self.members.values())
+        lines = [member.line for member in self.members.values()]
+        header = SegmentHeader(
+            ring.next_segment,
+            ring.line_count,
+            self._config.seed,
+            self._config.unix_offset_ms,
+            self.pending_since,
+            self._list_version,
+        )
         while True:
-            header = SegmentHeader(
-                ring.next_segment,
-                ring.line_count,
-                self._config.seed,
-                self._config.unix_offset_ms,
-                self.pending_since,
-                self._list_version,
-                members,
-            )
-            text = header.text().encode("ascii")
+            text = (header.first_line(len(lines)) + "".join(lines)).encode("ascii")
             if len(text) <= max_bytes:
                 return text
-            members = members[: len(members) * max_bytes // len(text)]
+            lines = lines[: len(lines) * max_bytes // len(text)]
 
     # -------------------------------------------------------------------------------------------- words
 
     def _uid(self, endpoint_id: int) -> str:
         member = self.members.get(endpoint_id)
-        return member[1] if member is not None else self.departed.get(endpoint_id, f"#{endpoint_id}")
+        return member.uid if member is not None else self.departed.get(endpoint_id, f"#{endpoint_id}")
 
     def _uid_of_listed(self, endpoint_id: int) -> str:
         """Return the uid of an endpoint of the newest list; one that was removed is known from before."""
