--- a/rosepick/core/endpoint_directory.py
+++ b/rosepick/core/endpoint_directory.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from hashlib import blake2b
+from typing import Any
 
 from ..decisions import api
 from ..settings.config import ADDRESS_FORMAT, NameIndexes, parse_address
@@ -32,6 +33,14 @@
     return int.from_bytes(digest.digest(), "big") or 1
 
 
+def _content_hash(row: dict[str, Any]) -> int:
+    """Return a hash of a row as received; another one each time for a row with values that are no scalars."""
+    try:
+        return hash(tuple(row.items()))
+    except TypeError:  # a list or an object in it
+        return id(row)
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
     """An endpoint as last notified by discovery."""
@@ -45,6 +54,15 @@
     kind: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ParsedRow:
+    """A row of discovery's list."""
+
+    entry: EndpointEntry
+    endpoint: api.Endpoint
+    content: int  # the hash of the row as it was received
+
+
 @dataclass(frozen=True, slots=True)
 class DirectoryUpdate:
     """An applied update: the module's event, and the endpoints whose idle connections are to be closed."""
@@ -68,6 +86,7 @@
         self.endpoints: dict[int, EndpointEntry] = {}
         self.ids_by_uid: dict[str, int] = {}
         self._uids_by_id: dict[int, str] = {}
+        self._rows_by_uid: dict[str, ParsedRow] = {}  # of the listed endpoints
         self._new_uids: list[str] = []  # that the present update has given ids to
         self.revision = 0
 
@@ -90,21 +109,21 @@
         is_full = update.boolean("all")
         self._new_uids = []
         try:
-            rows = [(self._parse_endpoint(row), row) for row in update.rows("targets")]
-            api_endpoints = tuple(self._to_api_endpoint(entry, row) for entry, row in rows)
+            rows = [self._read_row(row) for row in update.rows("targets")]
         except ValueError:
             self._release_new_ids()
             raise
-        entries = {entry.endpoint_id: entry for entry, _ in rows}
+        entries = {row.entry.endpoint_id: row.entry for row in rows}
         gone = [each for each in self.endpoints if each not in entries] if is_full else []
         retired = self._find_retired(entries, gone)
         self._apply_entries(entries, gone)
+        self._rows_by_uid.update((row.entry.uid, row) for row in rows if row.entry.uid in self.ids_by_uid)
         self.revision = revision
         if is_cached:
             scope = api.UpdateScope.CACHED
         else:
             scope = api.UpdateScope.FULL if is_full else api.UpdateScope.DELTA
-        event = api.EndpointUpdate(scope, api_endpoints, revision)
+        event = api.EndpointUpdate(scope, tuple(row.endpoint for row in rows), revision)
         newly_retired = [entry.uid for entry in retired if entry.status is api.Status.READY]
         retired_ids = tuple(entry.endpoint_id for entry in retired)
         return DirectoryUpdate(event, retired_ids, tuple(newly_retired))
@@ -139,6 +158,16 @@
         entry = self.endpoints.pop(endpoint_id)
         del self.ids_by_uid[entry.uid]
         del self._uids_by_id[endpoint_id]
+        self._rows_by_uid.pop(entry.uid, None)
+
+    def _read_row(self, row: SettingsReader) -> ParsedRow:
+        """Return what a row says; one that is as it was is not parsed again."""
+        content = _content_hash(row.data)
+        known = self._rows_by_uid.get(row.data.get("uid", ""))
+        if known is not None and known.content == content:
+            return known
+        entry = self._parse_endpoint(row)
+        return ParsedRow(entry, self._to_api_endpoint(entry, row), content)
 
     def _parse_endpoint(self, row: SettingsReader) -> EndpointEntry:
         state = row.text("state")
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -253,6 +253,7 @@
     scope: UpdateScope
     endpoints: tuple[Endpoint, ...] = ()
     version: int = 0
+    is_continued: bool = False  # a further part of the change before it
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/decisions/endpoint_state.py
+++ b/rosepick/decisions/endpoint_state.py
@@ -132,7 +132,8 @@
         self.settings = settings
         self.calls = DiscoveryCalls(settings, rng)
         self.states: dict[int, EndpointState] = {}
-        self._listed_at: float | None = None  # when the previous list came from discovery
+        self._listed_at: float | None = None  # when the latest list came from discovery ...
+        self._previous_list_at: float | None = None  # ... and the one before
         self._removed: dict[int, EndpointState] = {}  # still known, as they have attempts in flight
         self._departed: dict[int, float] = {}  # starts of endpoints that have left, oldest first
 
@@ -140,17 +141,25 @@
         """Apply a list or changes of it, from discovery or the configuration; return what it touches."""
         if update.scope is not UpdateScope.CACHED:
             self.calls.record_list()
-        changed = [self._apply_endpoint(now, entry) for entry in update.endpoints]
+        if not update.is_continued:
+            self._previous_list_at = self._listed_at
         if update.scope is not UpdateScope.CACHED:
             self._listed_at = now
+        rows = [entry for entry in update.endpoints if not self._is_as_it_was(entry)]
+        changed = [self._apply_endpoint(now, entry) for entry in rows]
         if update.scope is not UpdateScope.DELTA:
             listed_ids = {entry.endpoint_id for entry in update.endpoints}
-            changed += [server for server in self.states.values() if server.id not in listed_ids]
-            for server in changed[len(update.endpoints) :]:
+            unlisted = [server for server in self.states.values() if server.id not in listed_ids]
+            for server in unlisted:
                 server.status = Status.REMOVED
+            changed += unlisted
         self._forget_removed(changed)
         return changed
 
+    def _is_as_it_was(self, endpoint: api.Endpoint) -> bool:
+        server = self.states.get(endpoint.endpoint_id)
+        return server is not None and server.endpoint is endpoint and server.status is endpoint.status
+
     def _forget_removed(self, changed: list[EndpointState]) -> None:
         """Forget removed endpoints without attempts in flight, and remember their starts."""
         for server in changed:
@@ -197,8 +206,8 @@
         """
         listed = server.endpoint.started_at
         started_at = min(listed, now)
-        if self._listed_at is not None and listed_start != listed:
-            started_at = max(started_at, min(self._listed_at, now))
+        if self._previous_list_at is not None and listed_start != listed:
+            started_at = max(started_at, min(self._previous_list_at, now))
         if listed and now - started_at < self.settings.rules.warm_within:
             server.start_warmup(started_at, self.settings.rules)
         return started_at
--- a/rosepick/net/loop_load.py
+++ b/rosepick/net/loop_load.py
@@ -13,6 +13,9 @@
 
 logger = logging.getLogger(__name__)
 LONG_TURN_MS = 50.0  # a turn that takes longer is logged
+MAX_CALL_MS = (
+    10.0  # one callback should take no longer, whatever it is for: a longer one is counted and logged
+)
 
 
 def describe_callback(callback: Callable[..., object]) -> str:
@@ -29,11 +32,20 @@
         now: the present time.
     """
 
-    __slots__ = ("_calls", "_longest", "_longest_ms", "_turn_began_at", "longest_call_ms", "longest_turn_ms")
+    __slots__ = (
+        "_calls",
+        "_longest",
+        "_longest_ms",
+        "_turn_began_at",
+        "long_call_count",
+        "longest_call_ms",
+        "longest_turn_ms",
+    )
 
     def __init__(self, now: float) -> None:
         self.longest_turn_ms = 0.0  # since the last `reset`
         self.longest_call_ms = 0.0  # since the last `reset`
+        self.long_call_count = 0  # since the start
         self._begin(now)
 
     def _begin(self, now: float) -> None:
@@ -48,6 +60,11 @@
         if elapsed_ms > self._longest_ms:
             self._longest = callback
             self._longest_ms = elapsed_ms
+        if elapsed_ms > MAX_CALL_MS:
+            self.long_call_count += 1
+            log_event(
+                logger, logging.INFO, "long_call", call=describe_callback(callback), elapsed_ms=elapsed_ms
+            )
 
     def end_turn(self, now: float, next_began_at: float) -> None:
         """Record the end of a turn.
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -29,6 +29,7 @@
 from .endpoint_watch import EndpointWatch
 from .event_loop import EventLoop
 from .graceful_shutdown import GracefulShutdown
+from .list_slices import EndpointListSlices
 from .listener import Listener
 from .listener_config import listener_config
 from .optional_parts import (
@@ -87,6 +88,7 @@
         self.budget = ResourceBudget(self._descriptor_limit(), self._memory_mb(), self._downstream_fraction())
         self.capture = make_capture(loop, config, self.operator_settings, self.endpoint_directory)
         self.engine = self._make_engine()
+        self._list_slices = EndpointListSlices(loop, self._apply_list_slice)
         self.pool = UpstreamPool(loop, self.budget, self.endpoint_directory, config)
         self.endpoint_watch = self._make_endpoint_watch()
         self.pool.engine = self.engine
@@ -316,8 +318,7 @@
     def _apply_endpoint_list(self, document: SettingsReader) -> None:
         began_at = self.loop.now()
         change = self.endpoint_directory.apply_update(document)
-        self.engine.update_endpoints(change.event)
-        self.pool.retire_endpoints(change.retired_endpoint_ids)
+        self._list_slices.apply(change)
         log_event(
             logger,
             logging.INFO,
@@ -333,7 +334,12 @@
         self._listed_at = self.loop.now()
         self._start_if_due()
 
+    def _apply_list_slice(self, event: api.EndpointUpdate, retired_endpoint_ids: tuple[int, ...]) -> None:
+        self.engine.update_endpoints(event)
+        self.pool.retire_endpoints(retired_endpoint_ids)
+
     def _on_discovery_failed(self) -> None:
+        self._list_slices.finish()
         self.engine.update_endpoints(api.EndpointUpdate(api.UpdateScope.FAILED))
 
     # ----------------------------------------------------------------------- reload of the configuration
@@ -438,6 +444,7 @@
             list_age_ms=self.loop.now() - self._listed_at,
             longest_turn_ms=self.loop.load.longest_turn_ms,
             longest_call_ms=self.loop.load.longest_call_ms,
+            long_calls=self.loop.load.long_call_count,
             violated_invariants=sum(violation_counts.values()),
             admin_clients=self.admin_listener.connection_count if self.admin_listener is not None else 0,
             **counts,
