--- a/rosepick/decisions/rendezvous.py
+++ b/rosepick/decisions/rendezvous.py
@@ -17,10 +17,10 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from math import log
+from math import exp, log
 
 from .endpoint_state import EndpointState
-from .hashing import hash64
+from .hashing import MASK_64, hash64
 
 SLOT_COUNT = 4_096  # many slots for each endpoint, so that a pool's slots divide evenly
 BLOCK_SLOTS = 128  # slots whose orders are built together, when the first of them is used
@@ -34,6 +34,7 @@
 MIN_WEIGHT = 1e-3
 OFFSET_BITS = 8  # of a hash, from which a slot is drawn; the others become a number from 0 to 1
 UNIT = 1.0 / (1 << (64 - OFFSET_BITS))
+FIRST_MULTIPLIER, SECOND_MULTIPLIER = 0xBF58476D1CE4E5B9, 0x94D049BB133111EB  # of splitmix64
 NEXT_DRAWS = 1 << 64  # is added to what is hashed, for further draws
 _DRAWS = struct.Struct(">8Q").unpack  # a hash of 64 bytes is eight draws
 
@@ -154,7 +155,7 @@
         if block is None:
             block = self._blocks[number] = SlotBlock(self._build_orders(number), len(self._changes))
         for change in self._changes[block.applied_count :]:
-            for distance, offset in self._points(change.server.id, change.weight, number):
+            for distance, offset in self._points(change.server, change.weight, number):
                 if change.is_added:
                     _insert(block.orders[offset], distance, change.server)
                 else:
@@ -165,9 +166,15 @@
     def _build_orders(self, number: int) -> list[SlotOrder]:
         orders = [SlotOrder() for _ in range(BLOCK_SLOTS)]
         rows: list[tuple[float, int, EndpointState]] = []
+        block_key = hash64(number)
+        weights = self._weights
+        least_draws = {weight: self._least_draw(weight) for weight in set(weights.values())}
         for server in self.members:
-            for distance, offset in self._points(server.id, self._weights[server.id], number):
-                rows.append((distance, offset, server))
+            weight = weights[server.id]
+            # in a large set most endpoints have no point in a block: one draw shows it
+            if _first_draw(server.order_key[0], block_key) >= least_draws[weight]:
+                for distance, offset in self._points(server, weight, number):
+                    rows.append((distance, offset, server))
         rows.sort(key=_distance)
         for distance, offset, server in rows:
             order = orders[offset]
@@ -176,14 +183,18 @@
                 order.servers.append(server)
         return orders
 
-    def _points(self, endpoint_id: int, weight: float, block: int) -> list[tuple[float, int]]:
+    def _least_draw(self, weight: float) -> int:
+        """Return the least first draw by which an endpoint of this weight has a point in a block."""
+        return int(exp(-self._bound * weight * BLOCK_SLOTS) / UNIT) << OFFSET_BITS
+
+    def _points(self, server: EndpointState, weight: float, block: int) -> list[tuple[float, int]]:
         """Return an endpoint's points in a block below the bound: distance and offset of the slot."""
         rate = weight * BLOCK_SLOTS
         bound = self._bound * rate
-        number = endpoint_id * SLOT_COUNT + block
+        number = server.id * SLOT_COUNT + block
         points: list[tuple[float, int]] = []
         distance = 0.0
-        draws: tuple[int, ...] = (hash64(number),)  # in a large set most have no point, and need no more
+        draws: tuple[int, ...] = (_first_draw(server.order_key[0], hash64(block)),)
         while True:
             for drawn in draws:
                 distance -= log((drawn >> OFFSET_BITS) * UNIT + UNIT)
@@ -194,6 +205,13 @@
             number += NEXT_DRAWS
 
 
+def _first_draw(endpoint_key: int, block_key: int) -> int:
+    """Return the first 64 random bits of an endpoint in a block, given the hashes of both."""
+    mixed = (endpoint_key ^ block_key) * FIRST_MULTIPLIER & MASK_64
+    mixed = (mixed ^ mixed >> 32) * SECOND_MULTIPLIER & MASK_64
+    return mixed ^ mixed >> 29
+
+
 def _distance(row: tuple[float, int, EndpointState]) -> float:
     return row[0]
 
--- a/rosepick/lab/live/process_start.py
+++ b/rosepick/lab/live/process_start.py
@@ -8,7 +8,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessStart:
-    """The module that is run in place of the program, and additional environment variables."""
+    """The module that is run in place of the program, additional environment variables and arguments."""
 
     module: str = "rosepick"
     environment: Mapping[str, str] = field(default_factory=dict)
+    arguments: tuple[str, ...] = ()  # of `serve`
--- a/rosepick/lab/live/router_process.py
+++ b/rosepick/lab/live/router_process.py
@@ -38,7 +38,7 @@
     def __init__(self, config_file: Path, log_file: Path, process_start: ProcessStart) -> None:
         with log_file.open("ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, "-O", "-m", process_start.module, "serve"],
+                [sys.executable, "-O", "-m", process_start.module, "serve", *process_start.arguments],
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
--- a/rosepick/lab/scale/scale_run.py
+++ b/rosepick/lab/scale/scale_run.py
@@ -21,16 +21,15 @@
 from ...logs import parse_log_fields
 from ...net.client_connection import CLOSES_AT_OWN_WILL
 from ..experiment import Experiment, parse_experiment
-from ..live.controllable_listener import HOST, reserve_port
 from ..live.helper_process import ROOT, child_environment, last_log_lines
 from ..live.process_start import ProcessStart
-from ..live.router_config import RouterInstance, router_config_document
-from ..live.router_process import RouterProcess, is_router_serving
+from ..live.router_process import LiveRouter
 from .fleet_process import HEARTBEAT_S
 from .load_process import LATE_ANSWER_S, LoadRecord, RequestRecord
 from .processor_slices import ProcessorSlices
 from .scale_plan import KILL_AFTER_DEADLINE_S, ZONE_NAMES, EndpointTimeline, RouterSignals, ScalePlan
 
+SERVE_ARGUMENTS = ("--capture",)  # as in service
 READY_TIMEOUT_S = 30.0
 START_DELAY_S = 0.3
 POLL_INTERVAL_S = 0.005
@@ -86,52 +85,6 @@
         return "; ".join([*parts, f"void: {self.void}"] if self.void else parts)
 
 
-class ScaleRouter:
-    """One router of a run, with its processes."""
-
-    def __init__(self, experiment: Experiment, index: int, seed: int, folder: Path, discovery: int) -> None:
-        self.name = f"router-{index}"
-        self.index = index
-        self.log_file = folder / f"{self.name}.log"
-        self.downtimes: list[tuple[float, float]] = []  # seconds of the run
-        self.processes: list[RouterProcess] = []
-        self._experiment = experiment
-        self._seed = seed
-        self._discovery = discovery
-        self._config_file = folder / f"{self.name}.json"
-        self._reservation = reserve_port()
-        self.port = int(self._reservation.getsockname()[1])
-
-    def start(self, known: dict[str, Any]) -> None:
-        """Start a process with a cached list."""
-        router = RouterInstance(
-            self.name,
-            f"{HOST}:{self.port}",
-            f"{HOST}:{self._discovery}",
-            known,
-            position=self.index,
-            seed=self._seed,
-        )
-        self._config_file.write_text(json.dumps(router_config_document(self._experiment, router)), "utf-8")
-        self.processes.append(RouterProcess(self._config_file, self.log_file, ProcessStart()))
-
-    def running_pids(self) -> list[int]:
-        """Return the processes that have not ended."""
-        return [process.pid for process in self.processes if not process.has_ended()]
-
-    def memory_mb(self) -> float:
-        """Return the memory of the process that runs."""
-        self.processes[-1].signal(0)  # which takes a sample
-        return self.processes[-1].memory_mb
-
-    def close(self) -> None:
-        """Kill the router and release its port."""
-        for process in self.processes:
-            process.signal(signal.SIGCONT)
-            process.signal(signal.SIGKILL)
-        self._reservation.close()
-
-
 class StandInProcess:
     """A process of the rig that talks JSON lines on its standard input and output."""
 
@@ -198,19 +151,23 @@
         self.begin_s = time.monotonic()
         self.unix_ms = 1000.0 * time.time()
         self.fault_late_s = 0.0
-        self.routers: list[ScaleRouter] = []
+        self.routers: list[LiveRouter] = []
+        self.downtimes: list[list[tuple[float, float]]] = [[] for _ in range(plan.routers)]
         self.clients: StandInProcess | None = None
         self.fleet = StandInProcess("fleet_process", plan.to_document())
         self._ports = self.fleet.receive()
         experiment = experiment_for(plan)
         for index in range(plan.routers):
-            self.routers.append(ScaleRouter(experiment, index, plan.seed, folder, self._ports["discovery"]))
+            router = LiveRouter(experiment, index, plan.seed, folder, self._ports["discovery"])
+            router.process_start = ProcessStart(arguments=SERVE_ARGUMENTS)
+            self.routers.append(router)
         self._timeline: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = count()
         self._slices = ProcessorSlices(plan.cpu_share, self._router_pids)
 
     def _router_pids(self) -> list[int]:
-        return [pid for router in self.routers for pid in router.running_pids()]
+        processes = [process for router in self.routers for process in router.processes]
+        return [process.pid for process in processes if not process.has_ended()]
 
     def _lists(self) -> EndpointTimeline:
         return EndpointTimeline(self.plan, self._ports["nodes"], self._ports["origin"], self.unix_ms)
@@ -235,7 +192,7 @@
         for router in self.routers:
             router.start(self._lists().full_document(EndpointTimeline.FIRST_REVISION))
         deadline = time.monotonic() + READY_TIMEOUT_S
-        while not all(is_router_serving(router.port) for router in self.routers):
+        while not all(router.is_serving() for router in self.routers):
             if time.monotonic() >= deadline:
                 raise TimeoutError(f"a router does not serve\n{last_log_lines(self.routers[0].log_file)}")
             time.sleep(READY_POLL_INTERVAL_S)
@@ -262,28 +219,28 @@
             self._schedule(kill_s + RESTART_DELAY_S, partial(self._start_with_present_list, router))
 
     @staticmethod
-    def _signal(router: ScaleRouter, number: int) -> None:
+    def _signal(router: LiveRouter, number: int) -> None:
         """Signal a router; what it owes then is lost, unlike at a kill without a warning."""
         router.processes[-1].signal(number)
 
-    def _start_with_present_list(self, router: ScaleRouter) -> None:
+    def _start_with_present_list(self, router: LiveRouter) -> None:
         lists = self._lists()
         router.start(lists.full_document(lists.revision_at(self.now_s())))
 
     def _schedule(self, at_s: float, callback: Callable[[], None]) -> None:
         heapq.heappush(self._timeline, (at_s, next(self._sequence), callback))
 
-    def _kill(self, routers: list[ScaleRouter]) -> None:
+    def _kill(self, routers: list[LiveRouter]) -> None:
         for router in routers:
-            router.downtimes.append((self.now_s(), inf))  # before it: clients see the end at once
+            self.downtimes[router.index].append((self.now_s(), inf))  # before it: clients see the end at once
             router.processes[-1].signal(signal.SIGKILL)
 
-    def _restart(self, routers: list[ScaleRouter]) -> None:
+    def _restart(self, routers: list[LiveRouter]) -> None:
         """Start routers again, with the list that they had when they were killed."""
         lists = self._lists()
         for router in routers:
-            killed_s = router.downtimes[-1][0]
-            router.downtimes[-1] = killed_s, self.now_s()
+            killed_s = self.downtimes[router.index][-1][0]
+            self.downtimes[router.index][-1] = killed_s, self.now_s()
             router.start(lists.full_document(lists.revision_at(killed_s)))
 
     def run_to_end(self) -> None:
@@ -316,13 +273,13 @@
         return ScaleResult(
             outcomes=Counter(request.outcome for request in load.requests),
             lost=lost,
-            downtimes=[router.downtimes for router in self.routers],
+            downtimes=self.downtimes,
             sent_after_end=_sent_after_end(load, fleet["attempts"]),
             by_second=by_second,
             router_cpu_s=sum(
                 process.cpu_so_far_s() for router in self.routers for process in router.processes
             ),
-            router_memory_mb=max(router.memory_mb() for router in self.routers),
+            router_memory_mb=self._sample_memory_mb(),
             rig_late_s=late_s,
             void=_void_reason(late_s, held_up_s),
             events=Counter(
@@ -332,19 +289,27 @@
             logs=logs,
         )
 
+    def _sample_memory_mb(self) -> float:
+        """Return the largest memory of a router."""
+        for router in self.routers:
+            router.signal(0)  # which takes a sample
+        return max(router.memory_mb() for router in self.routers)
+
     def _is_lost(self, request: RequestRecord, late_periods: list[tuple[float, float]]) -> bool:
         """Return whether a request was lost by its router, and not by a kill or by clients that were late."""
         if request.outcome not in LOST_OUTCOMES:
             return False
         if any(begin <= request.ended_s <= end + HEARTBEAT_S for begin, end in late_periods):
             return False  # its answer may have waited at the client
-        downtimes = self.routers[request.router].downtimes
+        downtimes = self.downtimes[request.router]
         return not any(begin <= request.ended_s and request.sent_s <= end for begin, end in downtimes)
 
     def close(self) -> None:
         """End all processes."""
         self._slices.close()
         for router in self.routers:
+            router.signal(signal.SIGCONT)
+            router.kill()
             router.close()
         for process in (self.fleet, self.clients):
             if process is not None:
