--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -27,7 +27,7 @@
 from .warm_traffic import WarmTraffic
 
 # ------------------------------------------------------------------------------------------- constants
-# Times are in milliseconds. Each value is a general choice; none is measured on one fleet.
+# Times are in milliseconds.
 
 FILTER_CAPACITY = 20_000  # key names held: far more than one router meets while an object stays cached
 INITIAL_TOP_SIZE = 4_000  # k' at the start: a key met twice is kept until errors or latency say otherwise
--- a/rosepick/decisions/endpoint_state.py
+++ b/rosepick/decisions/endpoint_state.py
@@ -1,6 +1,6 @@
 """What a router knows of each endpoint: its status, health, load and warm-up, from its own observations.
 
-Times are milliseconds. Each constant is a general choice; none is measured on one fleet.
+Times are milliseconds.
 """
 
 from __future__ import annotations
--- a/rosepick/lab/scale/fleet_process.py
+++ b/rosepick/lab/scale/fleet_process.py
@@ -10,19 +10,21 @@
 import asyncio
 import json
 import random
-import resource
 import sys
 import time
 from dataclasses import asdict, dataclass, field
 from urllib.parse import parse_qs, urlsplit
 from zlib import crc32
 
+from ..live.helper_process import raise_descriptor_limit
+from ..live.request_reader import HttpRequest
 from .http_peer import HttpPeer, serve
 from .scale_plan import NODE_LISTENERS, EndpointTimeline, ScalePlan, plan_from_document
 
 HEARTBEAT_S = 0.01
 MIN_LATE_S = 0.03  # a loop that stood still for less is not late
 ORIGIN_SERVICE_S = 0.02
+VALUE = b"v" * 200
 
 
 @dataclass(slots=True)
@@ -58,23 +60,26 @@
         """Return the time of the run; negative before its begin."""
         return time.monotonic() - self.begin_s
 
-    def answer_at_node(self, peer: HttpPeer, target: str, headers: dict[str, str]) -> None:
+    def _record_attempt(self, request: HttpRequest) -> None:
+        self.record.attempts.append((request.header_text(b"req-id"), self.now_s()))
+
+    def answer_at_node(self, peer: HttpPeer, request: HttpRequest) -> None:
         """Answer as a cache node: the key itself says whether it is a hit."""
-        self.record.attempts.append((headers.get("req-id", ""), self.now_s()))
+        self._record_attempt(request)
         if self._rng.random() < self.plan.hang_share:
             return
-        is_hit = crc32(target.encode()) % 1000 < 1000 * self.plan.hit_share
-        reply = ("200 OK", b"v" * 200) if is_hit else ("404 Not Found", b"")
+        is_hit = crc32(request.target) % 1000 < 1000 * self.plan.hit_share
+        reply = (200, VALUE) if is_hit else (404, b"")
         asyncio.get_running_loop().call_later(self.plan.service_s, peer.respond, *reply)
 
-    def answer_at_origin(self, peer: HttpPeer, _target: str, headers: dict[str, str]) -> None:
+    def answer_at_origin(self, peer: HttpPeer, request: HttpRequest) -> None:
         """Answer as the origin, which has every key."""
-        self.record.attempts.append((headers.get("req-id", ""), self.now_s()))
-        asyncio.get_running_loop().call_later(ORIGIN_SERVICE_S, peer.respond, "200 OK", b"v" * 200)
+        self._record_attempt(request)
+        asyncio.get_running_loop().call_later(ORIGIN_SERVICE_S, peer.respond, 200, VALUE)
 
-    def answer_list(self, peer: HttpPeer, target: str, _headers: dict[str, str]) -> None:
+    def answer_list(self, peer: HttpPeer, request: HttpRequest) -> None:
         """Answer as discovery."""
-        task = asyncio.get_running_loop().create_task(self._answer_list(peer, target))
+        task = asyncio.get_running_loop().create_task(self._answer_list(peer, request.target.decode()))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -82,7 +87,7 @@
         query = parse_qs(urlsplit(target).query)
         timeline = self.timeline
         if timeline is None:
-            peer.respond("503 Service Unavailable", b"")
+            peer.respond(503)
             return
         give_up_at = self.now_s() + float(query.get("wait_ms", ["0"])[0]) / 1000.0
         after = int(query["after"][0]) if "after" in query else None
@@ -94,7 +99,7 @@
             timeline.delta_document(after or 0, revision) if is_delta else timeline.full_document(revision)
         )
         self.record.list_answers += 1
-        peer.respond("200 OK", json.dumps(document).encode())
+        peer.respond(200, json.dumps(document).encode())
 
 
 async def run(plan: ScalePlan) -> None:
@@ -113,8 +118,7 @@
 
 def main() -> None:
     """Read the plan and serve."""
-    hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
+    raise_descriptor_limit()
     asyncio.run(run(plan_from_document(json.loads(sys.stdin.readline()))))
 
 
--- a/rosepick/lab/scale/http_peer.py
+++ b/rosepick/lab/scale/http_peer.py
@@ -1,4 +1,4 @@
-"""A minimal HTTP/1.1 server for the stand-ins of a scale run: requests without a body, on asyncio."""
+"""A server of the stand-ins' protocol for a scale run, on asyncio."""
 
 from __future__ import annotations
 
@@ -6,42 +6,36 @@
 from collections.abc import Callable
 from typing import cast
 
-END_OF_HEAD = b"\r\n\r\n"
-HttpHandler = Callable[["HttpPeer", str, dict[str, str]], None]
+from ..live.request_reader import HttpRequest, RequestReader, encode_response
+
+HttpHandler = Callable[["HttpPeer", HttpRequest], None]
 
 
 class HttpPeer(asyncio.Protocol):
-    """One connection; calls its handler with the target and the headers of each request."""
+    """One connection; calls its handler with each request."""
 
     def __init__(self, handler: HttpHandler) -> None:
         self._handler = handler
-        self._received = b""
-        self.transport: asyncio.Transport | None = None
+        self._reader = RequestReader()
+        self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
-        self.transport = cast("asyncio.Transport", transport)
+        self._transport = cast("asyncio.Transport", transport)
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Forget the transport."""
-        self.transport = None
+        self._transport = None
 
     def data_received(self, data: bytes) -> None:
-        """Parse complete request heads."""
-        self._received += data
-        while END_OF_HEAD in self._received:
-            head, _, self._received = self._received.partition(END_OF_HEAD)
-            lines = head.decode("latin-1").split("\r\n")
-            headers = {
-                name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:])
-            }
-            self._handler(self, lines[0].split(" ")[1], headers)
-
-    def respond(self, status: str, body: bytes, extra: str = "") -> None:
+        """Hand complete requests on."""
+        for request in self._reader.feed(data):
+            self._handler(self, request)
+
+    def respond(self, status: int, body: bytes = b"") -> None:
         """Send a response, if the peer is still there."""
-        if self.transport is not None:
-            head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
-            self.transport.write(head.encode() + body)
+        if self._transport is not None:
+            self._transport.write(encode_response(status, body))
 
 
 async def serve(handler: HttpHandler, backlog: int = 4096) -> int:
--- a/rosepick/lab/scale/load_process.py
+++ b/rosepick/lab/scale/load_process.py
@@ -10,11 +10,11 @@
 import contextlib
 import json
 import random
-import resource
 import sys
 import time
 from dataclasses import asdict, dataclass, field
 
+from ..live.helper_process import raise_descriptor_limit
 from .fleet_process import watch_lateness
 from .scale_plan import KILL_AFTER_DEADLINE_S, ScalePlan, plan_from_document
 
@@ -163,8 +163,7 @@
 
 def main() -> None:
     """Read what to play, play it and write the record."""
-    hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
+    raise_descriptor_limit()
     message = json.loads(sys.stdin.readline())
     plan = plan_from_document(message["plan"])
     print(json.dumps(asdict(asyncio.run(run(plan, message["ports"], message["begin_s"])))), flush=True)
