--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -216,10 +216,16 @@
             sock.sendall(encode_response(200, json.dumps(document).encode()))
 
 
+def _exit_on_signal(_number: int, _frame: object) -> None:
+    """End the script by an exception, so that its clean-up runs."""
+    raise SystemExit(COULD_NOT_RUN)
+
+
 class Processes:
     """Starts processes of the project in sessions of their own, and ends them."""
 
     def __init__(self) -> None:
+        signal.signal(signal.SIGTERM, _exit_on_signal)  # so that a script that is ended ends what it started
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._started: list[subprocess.Popen[bytes]] = []
 
