--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -217,7 +217,8 @@
 
 
 def _exit_on_signal(_number: int, _frame: object) -> None:
-    """End the script by an exception, so that its clean-up runs."""
+    """End the script by an exception, so that its clean-up runs; a second signal must not end that."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     raise SystemExit(COULD_NOT_RUN)
 
 
