--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -566,6 +566,7 @@
                 self.finish_attempt(attempt, Result.NEVER_SENT)
         if request.is_finished and not any(attempt.is_in_flight for attempt in request.attempts):
             self.requests.pop(request.ref, None)
+            request.attempts.clear()  # breaks the reference cycle with the attempts
 
 
 def _describe_attempt(attempt: UpstreamAttempt) -> str:
--- a/rosepick/http/request_messages.py
+++ b/rosepick/http/request_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..core.body_stream import BodyStream
 from ..core.request_context import RequestContext
@@ -21,6 +21,10 @@
     deadline_header: bytes = b""  # Req-Deadline as received, for captures and streamed bodies
     body_stream: BodyStream | None = None  # replaces `body` while the body is being received
 
+    def without_body(self) -> ForwardedRequest:
+        """Return the request without its buffered body, which no further attempt needs."""
+        return replace(self, body=b"") if self.body else self
+
 
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
