Attempts without a whole response leave no parser, body copy or timer behind

Cause: a response parser and its reader refer to each other until the response is whole. Each attempt that had to connect made two readers, and the first stayed in a cycle; so did that of each attempt that was cancelled, timed out, malformed or reset, with what it had received, of an overdue poll of discovery (up to 4 MiB) and of a batch item. An exchange kept its joined copy of the request body until its response came, and timers for the connect and for stalled responses held connection and exchange until they were due.

Evidence: with the collector off, one or two ResponseReader and HttpResponseParser stayed behind on 15 of 18 paths of test_memory_release; the test, which now lets no object of the router stay behind, failed on them before and passes now.

Change: an exchange is made once for an attempt and closed with it; a body of over 4 KiB is written after its head without a copy and dropped with its last byte; both timers are cancelled.

--- a/rosepick/http/client_protocol.py
+++ b/rosepick/http/client_protocol.py
@@ -14,6 +14,8 @@
 # Longer responses are streamed. If a buffered response breaks off, another attempt can still fetch it.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
 UPLOAD_CHUNK_BYTES = 64 * 1024  # longest part of a streamed request body that is encoded at once
+MAX_JOINED_BODY_BYTES = 4 * 1024  # a longer buffered body is written after the head, without a copy
+_NOTHING = memoryview(b"")
 _CACHE_STATUSES = {b"hit": 1, b"miss": 2, b"pending": 3}
 
 
@@ -47,13 +49,29 @@
     """Encodes the request of one attempt and parses its response."""
 
     def __init__(self, request: ForwardedRequest, host: str, time_left_ms: float) -> None:
-        self._unsent = memoryview(_encode_request(request, host, time_left_ms))
+        self._request = request
+        self._host = host
         self._body_stream = request.body_stream  # None after its last byte is encoded
         self._chunked = request.body_stream is not None and request.body_stream.content_length is None
         self._reader = ResponseReader(MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES)
+        self.encode(time_left_ms)
+
+    def encode(self, time_left_ms: float) -> None:
+        """Encode the head with the time that remains until the deadline; nothing may be written yet."""
+        head, body = _encode_head(self._request, self._host, time_left_ms), self._request.body
+        is_joined = len(body) <= MAX_JOINED_BODY_BYTES
+        self._unsent = memoryview(head + body if is_joined else head)
+        self._unsent_body = _NOTHING if is_joined else memoryview(body)
+
+    def close(self) -> None:
+        """Drop all buffers; breaks the reference cycle with the parser of an incomplete response."""
+        self._unsent = self._unsent_body = _NOTHING
+        self._reader.close()
 
     def next_unsent(self) -> memoryview:
         """Return the next request bytes to write; encodes a further part of a streamed body if necessary."""
+        if not self._unsent and self._unsent_body:
+            self._unsent, self._unsent_body = self._unsent_body, _NOTHING
         if not self._unsent and self._body_stream is not None:
             self._encode_body(self._body_stream)
         return self._unsent
@@ -67,13 +85,19 @@
             parts += [b"0\r\n\r\n"] if self._chunked else []
         self._unsent = memoryview(b"".join(parts))
 
+    def head_is_written(self) -> bool:
+        """Return whether the head is written and a buffered body is to follow it at once."""
+        return bool(not self._unsent and self._unsent_body)
+
     def is_sent(self) -> bool:
         """Return whether the request has been written completely."""
-        return not self._unsent and self._body_stream is None
+        return not (self._unsent or self._unsent_body) and self._body_stream is None
 
     def mark_written(self, count: int) -> None:
-        """Record that `count` of the unsent bytes were written."""
-        self._unsent = self._unsent[count:]
+        """Record that `count` of the unsent bytes were written; the body is dropped with its last byte."""
+        self._unsent = self._unsent[count:] or _NOTHING
+        if self.is_sent():
+            self._request = self._request.without_body()
 
     def feed(self, data: bytes) -> AttemptResult | None:
         """Parse received bytes; return the result once the response is complete or malformed."""
@@ -143,7 +167,7 @@
     return Result.ERROR  # the request may have been executed
 
 
-def _encode_request(request: ForwardedRequest, host: str, time_left_ms: float) -> bytes:
+def _encode_head(request: ForwardedRequest, host: str, time_left_ms: float) -> bytes:
     lines = [
         request.method + b" " + request.target + b" HTTP/1.1",
         b"Host: " + host.encode(),
@@ -162,4 +186,4 @@
         lines.append(b"Content-Length: %d" % request.body_stream.content_length)
     elif request.body or request.method != b"GET":
         lines.append(b"Content-Length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/rosepick/http/discovery.py
+++ b/rosepick/http/discovery.py
@@ -64,6 +64,10 @@
             raise DiscoveryError("the connection closed before the response was complete")
         return self._parse_list(response)
 
+    def close(self) -> None:
+        """Drop what was received of the response."""
+        self._reader.close()
+
     def _parse_list(self, response: Response) -> EndpointListReply:
         if response.status != 200:
             raise DiscoveryError(f"status {response.status}")
--- a/rosepick/http/response.py
+++ b/rosepick/http/response.py
@@ -103,6 +103,11 @@
         body = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
         return Response(parser.get_status_code(), self._headers, body, reusable)
 
+    def close(self) -> None:
+        """Drop what was received; breaks the reference cycle with the parser of an incomplete response."""
+        self._parser = None
+        self._parts = []
+
     # ----------------------------------------------------------------------------------- parser callbacks
 
     def on_message_begin(self) -> None:
--- a/rosepick/net/batch_scheduler.py
+++ b/rosepick/net/batch_scheduler.py
@@ -93,6 +93,7 @@
         """Send the request for an item once the connection is established."""
         self.item = item
         item.connection = self
+        self._reader.close()
         self._reader = ResponseReader(batch_protocol.MAX_ITEM_RESPONSE_BYTES)
         self._response_begun = False
         self._unsent = memoryview(request)
@@ -166,6 +167,7 @@
     def close(self) -> None:
         """Close the connection; the router handles this as a disconnect of the client."""
         self.item = None
+        self._reader.close()
         self._set_buffered_bytes(0)
         self.scheduler.remove_idle(self)
         self.scheduler.own_addresses.discard(self.local_address)
--- a/rosepick/net/discovery_connection.py
+++ b/rosepick/net/discovery_connection.py
@@ -71,6 +71,7 @@
         """
         self.poll = poll
         self._unsent = poll.request
+        self._response.close()
         self._response = EndpointListReader()
         if self._stream is None:
             self._dial()
@@ -81,6 +82,7 @@
     def close(self) -> None:
         """Close the connection; no callback is called afterwards."""
         self._cancel_timer()
+        self._response.close()
         stream, self._stream = self._stream, None
         if stream is not None:
             stream.close()
--- a/rosepick/net/upstream_connection.py
+++ b/rosepick/net/upstream_connection.py
@@ -19,7 +19,7 @@
 from ..http.client_protocol import AttemptResult, HttpExchange, StreamedResponse
 from ..http.request_messages import ForwardedRequest
 from ..logs import log_event, log_exception
-from .event_loop import READ, WRITE, EventLoop
+from .event_loop import READ, WRITE, EventLoop, ScheduledCall
 from .resource_budget import ResourceBudget
 from .tcp_stream import (
     LONG_BODY_BYTES,
@@ -82,6 +82,8 @@
         self.idle_since = 0.0
         self.buffered_bytes = 0
         self.stalled_at: float | None = None  # when a partial response without progress counts as malformed
+        self._stall_timer: ScheduledCall | None = None
+        self.connect_timer: ScheduledCall | None = None
         self.retired = False  # its endpoint drains, left the endpoint list or restarted
         self.response_body: BodyStream | None = None  # body of the response that is being streamed
         self.last_progress_at = 0.0  # when data of that response was last received or read by its client
@@ -90,7 +92,7 @@
     def start(self, attempt: UpstreamAttempt, request: ForwardedRequest) -> None:
         """Begin an attempt; its request is written once the connection is established."""
         self.attempt = attempt
-        self._build_exchange(attempt, request)
+        self.exchange = HttpExchange(request, self.host, attempt.stop_at - self.pool.loop.now())
         if request.body_stream is not None:
             request.body_stream.on_readable = self._on_more_request_body
         if not self.is_connecting:
@@ -108,21 +110,19 @@
         if self.exchange is not None and not self.is_connecting:
             self._run_guarded(self._write)
 
-    def _build_exchange(self, attempt: UpstreamAttempt, request: ForwardedRequest) -> None:
-        """Encode the request with the time that remains until its deadline."""
-        self.exchange = HttpExchange(request, self.host, attempt.stop_at - self.pool.loop.now())
-
     def _on_connected(self) -> None:
         now = self.pool.loop.now()
         attempt = self.attempt
         self.stream.finish_connect()
+        if self.connect_timer is not None:
+            self.connect_timer.cancel()
         self.pool.connect_timeout_for(self.address).record_connected(now - self.dialed_at)
         if attempt is not None and not self.pool.may_write(attempt, had_to_connect=True):
             self.withdraw_attempt(Result.NEVER_SENT)
             return
-        if attempt is not None and isinstance(attempt.request.payload, ForwardedRequest):
+        if attempt is not None and self.exchange is not None:
             # Encode again, because less time remains than at the start of the connect.
-            self._build_exchange(attempt, attempt.request.payload)
+            self.exchange.encode(attempt.stop_at - now)
         super()._on_connected()
 
     def _run_guarded(self, step: Callable[[], None]) -> None:
@@ -149,6 +149,8 @@
         if exchange.next_unsent():
             try:
                 exchange.mark_written(self.stream.write(exchange.next_unsent()))
+                if exchange.head_is_written():
+                    exchange.mark_written(self.stream.write(exchange.next_unsent()))
                 if exchange.is_sent() and self.attempt is not None:
                     self.pool.engine.mark_attempt_written(self.attempt)
             except OSError:
@@ -208,7 +210,7 @@
         attempt = self.attempt
         assert attempt is not None
         self._set_buffered_bytes(0)
-        self.stalled_at = None
+        self._clear_stall()
         self.has_had_response = True
         headers, length = exchange.response_head()
         self.response_body = body = BodyStream(self.pool.budget.body_buffers, length)
@@ -235,7 +237,7 @@
         assert body is not None
         assert attempt is not None
         self.attempt = None
-        self.exchange = None
+        self._close_exchange()
         self.pool.streaming.pop(self, None)
         self.pool.busy.pop(attempt, None)
         if result.reusable and not self.retired:
@@ -274,7 +276,9 @@
         if self.pool.budget.buffered_bytes > self.pool.budget.max_buffered_bytes:
             return exchange.malformed_result()
         if self.stalled_at is None:
-            self.pool.loop.call_after(self.pool.stall_timeout_ms, lambda: self._check_stall(exchange))
+            self._stall_timer = self.pool.loop.call_after(
+                self.pool.stall_timeout_ms, lambda: self._check_stall(exchange)
+            )
         self.stalled_at = self.pool.loop.now() + self.pool.stall_timeout_ms
         return None
 
@@ -288,10 +292,17 @@
             return
         now = self.pool.loop.now()
         if now < self.stalled_at:
-            self.pool.loop.call_at(self.stalled_at, lambda: self._check_stall(exchange))
+            self._stall_timer = self.pool.loop.call_at(self.stalled_at, lambda: self._check_stall(exchange))
         else:
             self._finish(exchange.malformed_result())
 
+    def _clear_stall(self) -> None:
+        """Stop waiting for progress of a partial response; the timer holds the exchange with its buffers."""
+        self.stalled_at = None
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
     def _set_buffered_bytes(self, byte_count: int) -> None:
         """Set the number of buffered bytes of a response, also in the memory budget."""
         self.pool.budget.buffered_bytes += byte_count - self.buffered_bytes
@@ -304,11 +315,11 @@
             return
         attempt = self.attempt
         self.attempt = None
-        self.exchange = None
+        self._close_exchange()
         if result is not None and result.response is not None:
             result = self._classify_first_response(result)
         self._set_buffered_bytes(0)
-        self.stalled_at = None
+        self._clear_stall()
         if result is not None and result.reusable and not self.retired:
             self.stream.set_events(READ)
             self.pool.add_idle(self)
@@ -317,6 +328,12 @@
         if attempt is not None and result is not None:
             self.pool.finish_attempt(attempt, result)
 
+    def _close_exchange(self) -> None:
+        """Drop the exchange and its buffers."""
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.close()
+
     def _classify_first_response(self, result: AttemptResult) -> AttemptResult:
         """Distinguish a rejected connection from a rejected request.
 
@@ -335,8 +352,11 @@
     def close(self) -> None:
         """Close the connection, and abandon its attempt."""
         self.attempt = None
-        self.exchange = None
+        self._close_exchange()
         self.response_body = None
+        self._clear_stall()
+        if self.connect_timer is not None:
+            self.connect_timer.cancel()
         self._set_buffered_bytes(0)
         self.pool.streaming.pop(self, None)
         self.pool.remove_idle(self)
--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -222,7 +222,7 @@
             raise
         connection = UpstreamConnection(self, entry, sock)
         timeout_ms = self.connect_timeout_for(entry.address).timeout_ms()
-        self.loop.call_after(timeout_ms, lambda: self._expire_connect(connection))
+        connection.connect_timer = self.loop.call_after(timeout_ms, lambda: self._expire_connect(connection))
         return connection
 
     def _log_no_descriptor(self, entry: EndpointEntry) -> None:
--- a/tests/test_memory_release.py
+++ b/tests/test_memory_release.py
@@ -39,13 +39,6 @@
     "streamed request left": f"c1 raw {COUNTED}{LONG_BODY}; wait 20; c1 close; wait 50",
     "malformed chunk": rf"c1 raw {CHUNKED}186a0\r\n{LONG_BODY}\r\nzz\r\n; c1 expect 400",
 }
-REQUEST_TYPES = {
-    "RequestContext",
-    "UpstreamAttempt",
-    "ForwardedRequest",
-    "BodyStream",
-    "DownstreamConnection",
-}
 
 
 class MemoryReleaseTest(Scenario):
@@ -76,6 +69,6 @@
             with self.subTest(name):
                 self.tearDown()
                 self.setUp()
-                self.assertEqual(self.cyclic_garbage(steps) & REQUEST_TYPES, set())
+                self.assertEqual(self.cyclic_garbage(steps), set())
                 self.assertEqual(self.server.engine.requests, {})
                 self.assertEqual(self.server.budget.body_buffers.stream_count, 0)
