Rejected heads leave no frames behind, and idle connections no last message

Cause: ServerProtocol.feed kept the exception of the parser callback in a local name. Its traceback refers to the frames of the callers, and these to the exception: a cycle with the connection and with the received data, up to 128 KiB for each rejected request. And a connection kept target, headers and body of its last message until the next one began, so each idle connection held the body of its last write, up to 64 KiB.

Two paths of test_memory_release left 13 and 14 frames in cycles.

Change: the rejection is made anew from status and reason; the parts of a message are dropped when it is whole, rejected, or when the connection closes. Both tests failed before.

--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -112,11 +112,7 @@
             if self.has_partial_request and self._unframed_bytes > MAX_HEAD_BYTES:
                 raise BadRequestError(431, "headers too long")
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if isinstance(cause, BadRequestError):
-                self._reject(cause)
-            else:
-                self._reject(BadRequestError(400, "malformed request"))
+            self._reject(_bad_request(error))
         except httptools.HttpParserUpgrade:
             # The request that asks for an upgrade is complete and in the inbox, and is answered without one.
             # Bytes after it belong to another protocol and are not read.
@@ -129,18 +125,26 @@
 
     def _reject(self, error: BadRequestError) -> None:
         """Reject the request being received; its end is unknown, so no bytes after it are read."""
+        rejection = self._make_rejection(error)
         self._parser = None
         self.has_partial_request = False
+        self._drop_message()
         body, self.body_stream = self.body_stream, None
         self._streaming_request = None
         if body is not None:
             body.abort()
             if self._streams_current_request:  # the current request gets the rejection
-                self.body_rejection = self._make_rejection(error)
+                self.body_rejection = rejection
                 return
             self._inbox.pop()
             body.close()
-        self._inbox.append((self._make_rejection(error), False))
+        self._inbox.append((rejection, False))
+
+    def _drop_message(self) -> None:
+        """Drop the received parts of a message; otherwise an idle connection would hold its last one."""
+        self._target = b""
+        self._headers = {}
+        self._body = bytearray()
 
     def _make_rejection(self, error: BadRequestError) -> RequestRejected:
         """Return the rejection; it counts for the request class that the headers name."""
@@ -180,6 +184,7 @@
     def close(self) -> None:
         """Discard all requests and buffers after the connection was closed."""
         self._parser = None  # breaks the reference cycle with the parser
+        self._drop_message()
         self.is_done = True
         self._discard_pending()
 
@@ -246,6 +251,7 @@
         )
         if self.is_done:
             self._parser = None
+            self._drop_message()
             self._discard_pending()
 
     # ----------------------------------------------------------------------------------- parser callbacks
@@ -358,6 +364,7 @@
             self._completed_requests.append(CompletedUpload(self._streaming_request, deadline))
             self.body_stream = None
             self._streaming_request = None
+            self._drop_message()
             body.finish()
             return
         method = self._parser.get_method()
@@ -366,6 +373,7 @@
             message = self._parse_request(method)
         except BadRequestError as error:
             message = self._make_rejection(error)
+        self._drop_message()
         self._inbox.append((message, self._parser.should_keep_alive()))
 
     # ------------------------------------------------------------------------------------ request parsing
@@ -404,3 +412,15 @@
                 ),
             )
         )
+
+
+def _bad_request(error: httptools.HttpParserCallbackError) -> BadRequestError:
+    """Return the reason for which a parser callback rejected a request.
+
+    The exception of the callback itself is not kept: it refers to the frames of its callers, and through them
+    to the connection and to the received data.
+    """
+    cause = error.__context__
+    if isinstance(cause, BadRequestError):
+        return BadRequestError(cause.status, str(cause))
+    return BadRequestError(400, "malformed request")
--- a/tests/test_memory_release.py
+++ b/tests/test_memory_release.py
@@ -29,6 +29,8 @@
     "id in use": "c1 send GET /api/k1 Req-Id=a; s1 expect GET; c2 send GET /api/k1 Req-Id=a; c2 expect 409; "
     "s1 send 200 v; c1 expect 200",
     "rejected": "c1 send GET /api/k1 Req-Id=; c1 expect 400",
+    "rejected in the head": r"c1 raw GET /api/k1 HTTP/1.1\r\nReq-Id: 7\r\nReq-Id: 8\r\n\r\n; c1 expect 400",
+    "too long a body": rf"c1 raw {PUT}Content-Length: 99999999999\r\n\r\n; c1 expect 413",
     "incomplete head": "c1 raw GET /ap; wait 3000; c1 expect 408",
     "incomplete body": f"c1 raw {COUNTED}{BODY}; wait 10; c1 close; wait 50",
     "streamed response": f"c1 send GET /api/k1; s1 expect GET; s1 send 200 {LONG_BODY}; c1 expect 200",
@@ -72,3 +74,11 @@
                 self.assertEqual(self.cyclic_garbage(steps), set())
                 self.assertEqual(self.server.engine.requests, {})
                 self.assertEqual(self.server.budget.body_buffers.stream_count, 0)
+
+    def test_buffers_of_the_last_request_are_dropped(self) -> None:
+        """Guards against idle connections that each hold the body of their last write."""
+        self.steps(PATHS["written"])
+        (connection,) = self.server.listener.connections
+        protocol = connection.protocol
+        self.assertEqual((protocol._target, protocol._headers, protocol._body), (b"", {}, bytearray()))
+        self.assertTrue(protocol.is_idle())
