Timers of a request end with it, and cancelled timers leave the heap

Cause: the decision module's deadline and check timers of a finished request stayed set until they were due, and the entries of cancelled timers stayed in the heap as long. With the provisional deadline of a long write that is 600 s, and with a Req-Deadline of a client's choice up to years: a client could fill the memory with finished requests' timers. A timer that had fired kept its callback, and through it a closed connection.

Change: api.SetTimer names the request that it concerns (`ref`); the engine cancels these timers when it drops the request. As in other event loops, the heap is rebuilt without cancelled timers once they are half of it. A timer drops its callback when it fires. The module ignored such timers before, so no decision changes.

test_timers_of_a_request_do_not_outlive_it failed before: 256 requests with a deadline of 25 hours left over 256 timers. Two tests of the capture's ring play 300 requests in place of 150, with the same bounds on what must be evicted and compared: a capture has no lines of these timers any more, so 150 requests no longer fill its two segments.

--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -69,6 +69,7 @@
         self.rejected_by_class: Counter[int] = Counter()  # requests that could not be accepted, by class
         self.written_attempts_by_class: Counter[int] = Counter()  # fully written attempts, by class
         self._last_ref = 0
+        self._last_timer = 0  # number of the decision module's latest timer
         self._events: deque[api.Event | RequestContext] = deque()
         self._is_dispatching = False
 
@@ -319,8 +320,7 @@
             case api.Send():
                 self._send_attempt(action)
             case api.SetTimer():
-                token = action.token
-                self.clock.call_at(action.due_at, lambda: self._dispatch(api.TimerFired(token)))
+                self._set_module_timer(action)
             case api.Cancel():
                 self._cancel_attempt(action)
             case api.Refuse():
@@ -340,6 +340,19 @@
             case api.Probe():
                 check_invariant(False, "no_probes", endpoint=action.endpoint_id)
 
+    def _set_module_timer(self, action: api.SetTimer) -> None:
+        """Set a timer of the decision module; one of a request is cancelled when the request is dropped."""
+        self._last_timer += 1
+        number = self._last_timer
+        request = self.requests.get(action.ref)
+        timers = {} if request is None else request.module_timers
+
+        def fire() -> None:
+            timers.pop(number, None)
+            self._dispatch(api.TimerFired(action.token))
+
+        timers[number] = self.clock.call_at(action.due_at, fire)
+
     # ------------------------------------------------------------------------------------------ attempts
 
     def _send_attempt(self, action: api.Send) -> None:
@@ -565,8 +578,15 @@
                 self.upstream.cancel_attempt(attempt)
                 self.finish_attempt(attempt, Result.NEVER_SENT)
         if request.is_finished and not any(attempt.is_in_flight for attempt in request.attempts):
-            self.requests.pop(request.ref, None)
-            request.attempts.clear()  # breaks the reference cycle with the attempts
+            self._drop_request(request)
+
+    def _drop_request(self, request: RequestContext) -> None:
+        """Forget a request that has ended, with its timers, and break its reference cycles."""
+        self.requests.pop(request.ref, None)
+        request.attempts.clear()
+        for timer in request.module_timers.values():
+            timer.cancel()
+        request.module_timers.clear()
 
 
 def _describe_attempt(attempt: UpstreamAttempt) -> str:
--- a/rosepick/core/request_context.py
+++ b/rosepick/core/request_context.py
@@ -60,6 +60,7 @@
     limits: api.RouterLimits = field(default_factory=api.RouterLimits)  # in force at its arrival
     attempts: list[UpstreamAttempt] = field(default_factory=list)
     watchdog_timer: TimerHandle | None = None
+    module_timers: dict[int, TimerHandle] = field(default_factory=dict)  # of the decision module, by number
     started_at: float = 0.0  # start of the request's time, from which its duration is measured
     read_late_ms: float = 0.0  # upper bound for its wait before the router read it
     busy_ms: float = 0.0  # time since the router was last idle, when it read the request
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -403,10 +403,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Request a `TimerFired` event at `due_at` or later."""
+    """Request a `TimerFired` event at `due_at` or later.
+
+    A timer with a `ref` concerns that request only, and need not fire once the request has ended.
+    """
 
     token: int
     due_at: float
+    ref: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/decisions/decide.py
+++ b/rosepick/decisions/decide.py
@@ -520,7 +520,7 @@
             value=request_class.worth * (self.settings.over_share_worth if is_over_share else 1.0),
         )
         self.pending[event.ref] = request
-        self.actions.append(api.SetTimer(DEADLINE_TIMER | event.ref, request.deadline))
+        self.actions.append(api.SetTimer(DEADLINE_TIMER | event.ref, request.deadline, event.ref))
         self.retry_budget = min(MAX_RETRY_BUDGET, self.retry_budget + RETRIES_PER_REQUEST)
         self.timeouts.budget.record_request()
         self.probe_budget = min(40.0, self.probe_budget + PROBES_PER_REQUEST)
@@ -539,7 +539,7 @@
             self.now,
             self.now + max(0.0, event.time_left_ms),
         )
-        self.actions.append(api.SetTimer(DEADLINE_TIMER | request.ref, request.deadline))
+        self.actions.append(api.SetTimer(DEADLINE_TIMER | request.ref, request.deadline, request.ref))
         for attempt in filter(lambda a: a.in_flight, request.attempts):
             attempt.sent_at, attempt.counts_as_fetch = (
                 self.now,
@@ -841,7 +841,7 @@
             request.overdue_at, self.timeouts.next_check_at(request.attempts[-1].wait, self.now)
         )
         if request.check_at < request.deadline:
-            self.actions.append(api.SetTimer(CHECK_TIMER | request.ref, request.check_at))
+            self.actions.append(api.SetTimer(CHECK_TIMER | request.ref, request.check_at, request.ref))
 
     def _finish(self, request: PendingRequest, reason: EndReason) -> None:
         """End a request unserved: refuse it if a retry is harmless, and fail it otherwise or if invalid."""
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -20,21 +20,33 @@
 MAX_WAIT_S = 1.0  # maximum duration of one wait, in case a wake-up is lost
 CALLS_PER_URGENT_CHECK = 16  # number of other callbacks between two polls of urgent sockets
 LATE_TIMER_WARNING_MS = 50.0  # longer delays of timers are logged
+MIN_CANCELLED_TIMERS = 256  # fewer cancelled timers stay in the heap until they are due
 ReadyCallback = Callable[[int], None]
 ReadySocket = tuple[selectors.SelectorKey, int]
 
 
+def _ignore_cancel() -> None:
+    """Do nothing when a timer is cancelled."""
+
+
 class ScheduledCall:
     """A timer of the loop."""
 
-    __slots__ = ("callback",)
+    __slots__ = ("_on_cancel", "callback")
 
-    def __init__(self, callback: Callable[[], None]) -> None:
+    def __init__(self, callback: Callable[[], None], on_cancel: Callable[[], None] = _ignore_cancel) -> None:
         self.callback: Callable[[], None] | None = callback
+        self._on_cancel = on_cancel
+
+    def take_callback(self) -> Callable[[], None] | None:
+        """Return the callback, or None if the timer was cancelled, and drop the reference to it."""
+        callback, self.callback = self.callback, None
+        return callback
 
     def cancel(self) -> None:
         """Cancel the timer, and drop the reference to its callback at once."""
-        self.callback = None
+        if self.take_callback() is not None:
+            self._on_cancel()
 
 
 class EventLoop:
@@ -47,6 +59,7 @@
         self._prioritized: set[int] = set()  # descriptors of prioritized sockets
         self._heap: list[tuple[float, int, int, ScheduledCall]] = []
         self._timer_count = 0
+        self._cancelled_count = 0  # cancelled timers that are still in the heap
         self.stopped = False
         self.fault_count = 0
         self.load = LoopLoad(self.now())
@@ -61,11 +74,24 @@
 
     def call_at(self, at_ms: float, callback: Callable[[], None], run_first: bool = False) -> ScheduledCall:
         """Schedule a call at a time on the clock of `now`; `run_first` runs it before others of that time."""
-        scheduled = ScheduledCall(callback)
+        scheduled = ScheduledCall(callback, self._record_cancelled)
         self._timer_count += 1
         heapq.heappush(self._heap, (at_ms, 0 if run_first else 1, self._timer_count, scheduled))
         return scheduled
 
+    def _record_cancelled(self) -> None:
+        """Remove cancelled timers from the heap once they are the greater part of it.
+
+        Otherwise each would stay until it is due, which a client that states a long deadline may put off for
+        hours.
+        """
+        self._cancelled_count += 1
+        if self._cancelled_count >= max(MIN_CANCELLED_TIMERS, 0.5 * len(self._heap)):
+            # In place: a caller may be working on the list.
+            self._heap[:] = [entry for entry in self._heap if entry[3].callback is not None]
+            heapq.heapify(self._heap)
+            self._cancelled_count = 0
+
     def call_after(self, delay_ms: float, callback: Callable[[], None]) -> ScheduledCall:
         """Schedule a call after `delay_ms` milliseconds."""
         return self.call_at(self.now() + delay_ms, callback)
@@ -191,8 +217,10 @@
     def _run_timers(self) -> None:
         while self._heap and self._heap[0][0] <= self.now():
             due_at, _, _, scheduled = heapq.heappop(self._heap)
-            callback = scheduled.callback
-            if callback is not None:
+            callback = scheduled.take_callback()
+            if callback is None:
+                self._cancelled_count -= 1
+            else:
                 if self.now() - due_at > LATE_TIMER_WARNING_MS:
                     log_event(logger, logging.WARNING, "timer_late", delay_ms=self.now() - due_at)
                 self._run_callback(callback)
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -355,18 +355,18 @@
     conf = "capture_segments 2\ncapture_segment_kb 16"
 
     def test_requests_from_before_the_oldest_segment_are_not_compared(self) -> None:
-        for n in range(150):
+        for n in range(300):
             self.hit(f"k{n}")
             self.play("wait 10")
         data = self.capture_bytes()
         self.assertNotIn(b"H 1 0 ", data)
         report = self.replay(data)
         self.assertEqual((report.section_count, report.missing_start_count), (1, 1))
-        self.assertLess(report.compared_count, 150)
+        self.assertLess(report.compared_count, 300)
         self.assertGreater(report.compared_count, 20)
 
     def test_the_endpoint_list_is_known_after_the_oldest_segment_was_evicted(self) -> None:
-        for n in range(150):
+        for n in range(300):
             self.hit(f"k{n}")
             self.play("wait 10")
         ((_, header), *_) = list(RecordReader(self.capture_bytes()))
--- a/tests/test_memory_release.py
+++ b/tests/test_memory_release.py
@@ -7,6 +7,8 @@
 
 import gc
 
+from rosepick.net.event_loop import MIN_CANCELLED_TIMERS
+
 from .scenario import Scenario
 
 BODY = "x" * 60_000
@@ -82,3 +84,16 @@
         protocol = connection.protocol
         self.assertEqual((protocol._target, protocol._headers, protocol._body), (b"", {}, bytearray()))
         self.assertTrue(protocol.is_idle())
+
+    def test_timers_of_a_request_do_not_outlive_it(self) -> None:
+        """Guards against requests with long deadlines, which leave timers in memory for hours."""
+        self.steps("c1 send GET /api/k1 Req-Deadline=9.000; s1 expect GET; s1 send 200 v; c1 expect 200")
+        before = len(self.loop._heap)
+        for _ in range(MIN_CANCELLED_TIMERS):
+            self.steps(
+                "c1 send GET /api/k1 Req-Deadline=90000.000; s1 expect GET; s1 send 200 v; c1 expect 200"
+            )
+        self.assertLess(len(self.loop._heap) - before, MIN_CANCELLED_TIMERS)
+        self.steps(f"c1 raw {COUNTED}{3 * LONG_BODY}; origin expect PUT; origin send 200 ok; c1 expect 200")
+        due_later = [entry for entry in self.loop._heap if entry[0] > self.loop.now() + 60_000.0]
+        self.assertEqual([entry for entry in due_later if entry[3].callback is not None], [])
