A long answer that no client awaits any more ends its attempt and its stream

Cause: a response over 64 KiB that came after its client had left was neither streamed nor reported: its BodyStream was not closed, so the share of all other streams shrank for good, and the attempt stayed in flight, with its request, until its timeout, which then counted against an endpoint that had answered.

Evidence: the new path of test_memory_release (a write, its client leaves, the origin answers with 100 kB) failed with the request still in the engine; with the attempt ended and the stream not closed, stream_count stays 1.

Change: the stream is closed and the attempt ends as cancelled.

--- a/rosepick/net/upstream_connection.py
+++ b/rosepick/net/upstream_connection.py
@@ -221,10 +221,17 @@
         if not self.pool.engine.begin_response_stream(
             attempt, exchange.cache_status(), StreamedResponse(headers, body)
         ):
-            self.close()
+            self._discard_response(attempt, body)
             return False
         return self.response_body is body
 
+    def _discard_response(self, attempt: UpstreamAttempt, body: BodyStream) -> None:
+        """Drop a response that no client awaits; otherwise its attempt would last until its timeout."""
+        body.close()
+        self.close()
+        if attempt.is_in_flight:
+            self.pool.finish_attempt(attempt, AttemptResult(Result.CANCELLED))
+
     def _resume_reading(self) -> None:
         """Continue to read a streamed response after its client has read."""
         if self.response_body is not None:
--- a/tests/test_memory_release.py
+++ b/tests/test_memory_release.py
@@ -38,6 +38,8 @@
     "streamed response": f"c1 send GET /api/k1; s1 expect GET; s1 send 200 {LONG_BODY}; c1 expect 200",
     "streamed response left": "c1 send GET /api/k1; s1 expect GET; "
     f"s1 raw HTTP/1.1 200 OK\\r\\nContent-Length: 3000000\\r\\n\\r\\n{LONG_BODY}; c1 close; wait 11000",
+    "streamed response too late": "c1 send PUT /api/k1 v; origin expect PUT; c1 close; wait 20; "
+    f"origin send 200 {LONG_BODY}; wait 100",
     "streamed request": f"c1 send PUT /api/k1 {3 * LONG_BODY}; origin expect PUT; origin send 200 ok; "
     "c1 expect 200",
     "streamed request left": f"c1 raw {COUNTED}{LONG_BODY}; wait 20; c1 close; wait 50",
