A long answer over TLS is no longer cut off while its client reads it slowly

Cause: TlsStream.flush did not set last_write_at, which stayed at the time of the accept.

Change: a write over TLS sets it, as over plain TCP. The new test failed before and passes now.

--- a/rosepick/net/tls_stream.py
+++ b/rosepick/net/tls_stream.py
@@ -221,6 +221,7 @@
             except (BlockingIOError, InterruptedError):
                 return
             self._budget.buffered_bytes -= count
+            self.last_write_at = self._loop.now()
             self._encrypted = self._encrypted[count:]
 
     def _next_encrypted(self) -> bytes:
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import os
 import shutil
@@ -187,6 +188,18 @@
             for _ in range(20):
                 self.step()
 
+    def test_long_response_on_an_old_connection_is_not_cut_off(self) -> None:
+        """Guards against a client that reads slowly and counts as one that has read nothing for 10 s."""
+        self.play("wait 6000\nc1 send GET /ready\nc1 expect 200\nwait 5000")
+        self.send_unread_response("x" * MIB)
+        wire, received = self.wire("c1"), 0
+        with mock.patch.object(wire, "pull"):
+            for _ in range(100):
+                self.wait(300)
+                with contextlib.suppress(BlockingIOError):
+                    received += len(wire.sock.recv(64 * 1024))
+        self.assertGreater(received, MIB)
+
     def test_unread_response_is_discarded_with_its_connection(self) -> None:
         self.send_unread_response("x" * MIB)
         with mock.patch.object(self.wire("c1"), "pull"):
