A pipelined request is not rejected with 408 for time in which the router did not read

Cause: the timeout of a partial request started once and was kept while any part of a next request was under way, so a client that always has one was rejected 2.5 s after its first. And time in which the router itself had paused reading, as the pipeline was full, counted against the client.

Change: each request has a timeout of its own, and time without reading does not count.

Both new tests failed before with a 408.

--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -95,6 +95,7 @@
         self._body = bytearray()
         self._head_bytes = 0  # parsed bytes of the current head
         self._in_head = False
+        self.begun_count = 0  # requests of which at least a part was received
         self.has_partial_request = False  # a request is received in part
         self.response_pending = False  # the current request has no response yet
         self.is_done = False  # no more requests are read or answered
@@ -258,6 +259,7 @@
 
     def on_message_begin(self) -> None:
         """Parser callback: a request begins."""
+        self.begun_count += 1
         self._target = b""
         self._headers = {}
         self._body = bytearray()
--- a/rosepick/net/client_connection.py
+++ b/rosepick/net/client_connection.py
@@ -84,7 +84,8 @@
     def __init__(self, listener: ConnectionHost, sock: socket.socket, make_stream: StreamFactory) -> None:
         self.listener = listener
         self.protocol = self.make_protocol()
-        self.stalled_since: float | None = None
+        self.stalled_since: float | None = None  # start of the timeout of a partial request
+        self._timed_request = 0  # count of requests begun when that timeout started
         self.response_awaited_until = listener.loop.now() + listener.request_timeout_ms
         self._linger_timer: ScheduledCall | None = None
         self.response_body: BodyStream | None = None  # body of the response that is being streamed
@@ -92,6 +93,8 @@
         self.received_since = 0.0  # earliest possible arrival of the latest data
         self.accepted_since = listener.loop.now()  # earliest possible connect of the client
         self.has_read = False
+        self._is_reading = True  # the router waits for data
+        self._reading_since = self.accepted_since  # when it began to
         self._peer_closed = False  # the client has ended its side of the connection
         self.stream = make_stream(listener.loop, listener.budget, sock, self.on_ready)
 
@@ -152,8 +155,7 @@
         is_waiting = unwritten or self.protocol.has_partial_request or self.stream.has_partial_record()
         record = self.record
         now = self.listener.loop.now()
-        started_at = self._request_started_at(now)
-        self.stalled_since = (self.stalled_since or started_at) if is_waiting else None
+        self._update_stalled_since(is_waiting, now)
         if not unwritten and self._linger_timer is None:
             if self.protocol.is_done:
                 self.listener.connection_table.mark_lingering(record, now)
@@ -174,9 +176,20 @@
             or (body is not None and body.pause_if_full())
         )
         reads = self._linger_timer is not None or not is_full
+        if reads and not self._is_reading:
+            self._reading_since = now
+        self._is_reading = reads
         self.listener.set_reading(self, reads or self._peer_closed)
         self.stream.set_events((READ if reads else 0) | (WRITE if unwritten else 0))
 
+    def _update_stalled_since(self, is_waiting: bool, now: float) -> None:
+        """Start the timeout of a partial request; each pipelined request has one of its own."""
+        if not is_waiting:
+            self.stalled_since = None
+        elif self.stalled_since is None or self._timed_request != self.protocol.begun_count:
+            self.stalled_since = self._request_started_at(now)
+            self._timed_request = self.protocol.begun_count
+
     def _request_started_at(self, now: float) -> float:
         """Return the time at which the request timeout starts; later data does not restart it.
 
@@ -203,7 +216,9 @@
     def _client_stopped_sending(self, now: float, since: float) -> bool:
         """Return whether the client sends its request head too late or its body below the minimum rate."""
         protocol = self.protocol
-        overdue_ms = now - since - self.listener.request_timeout_ms
+        # While the router did not read, it cannot know whether the client sent.
+        received_at = max(self.last_received_at, self._reading_since)
+        overdue_ms = now - max(since, self._reading_since) - self.listener.request_timeout_ms
         if overdue_ms < 0 or (protocol.response_pending and protocol.body_stream is None):
             return False
         if protocol.body_stream is not None and protocol.body_stream.is_paused:
@@ -211,7 +226,7 @@
             return False
         return (
             protocol.is_in_head()
-            or now - self.last_received_at >= BODY_STALL_TIMEOUT_MS
+            or now - received_at >= BODY_STALL_TIMEOUT_MS
             or protocol.body_bytes < MIN_BODY_BYTES_PER_MS * overdue_ms
         )
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -80,6 +80,33 @@
             c1 expect 408
         """)
 
+    def test_each_pipelined_request_has_its_own_timeout(self) -> None:
+        """Guards against a 408 for a client that always has a part of its next request under way."""
+        self.play(r"c1 raw GET /ready HTTP/1.1\r\n\r\nGET /re")
+        for _ in range(8):
+            self.play(r"""
+                c1 expect 200
+                wait 600
+                c1 raw ady HTTP/1.1\r\n\r\nGET /re
+            """)
+
+    def test_time_in_which_the_router_does_not_read_does_not_count(self) -> None:
+        """Guards against a 408 for a request whose rest waits behind others that fill the pipeline."""
+        probes = 4 * r"GET /ready HTTP/1.1\r\n\r\n"
+        self.play(rf"""
+            c1 send PUT /api/k1 Req-Deadline=9.000 v
+            origin expect PUT
+            c1 raw {probes}GET /ready HTTP/1.1\r\nContent-Length: 40000\r\n\r\n{10_000 * "x"}
+            wait 3500
+            origin send 200 stored
+        """)
+        self.play(5 * "c1 expect 200\n")
+        self.play(rf"""
+            wait 600
+            c1 raw {30_000 * "x"}
+            c1 expect 200
+        """)
+
     def test_connection_without_a_request_is_closed_in_time(self) -> None:
         self.connect("c1")
         self.play("wait 2900\nc1 expect closed")
