limits.memory_mb bounds the requests that are held at one time, with their bodies

Cause: a quarter of the memory bounded responses and a sixteenth streamed bodies; requests had no part. The minimum parts of streams were not bounded either, and at 32 MB the parts and the process itself did not fit into the memory together.

Change: an eighth of the memory is the budget of requests. Each reserves 1 KiB from its first byte and its body as it comes; one that waits behind another may use half of the budget only, so that clients that send one at a time keep the other half. A request that finds none is read to its end without its body and refused in its turn (503 with Retry-After; cause no_memory, shed_for_memory). Less is read at once while little is left. A streamed body needs a free minimum part; without one a long write is refused and a long response counts as one that cannot be used, as with the responses' part.

--- a/rosepick/core/body_stream.py
+++ b/rosepick/core/body_stream.py
@@ -30,6 +30,10 @@
         self.stream_count = 0
         self.buffered_bytes = 0
 
+    def has_free_stream(self) -> bool:
+        """Return whether the budget has the minimum part of one more stream."""
+        return (self.stream_count + 1) * MIN_STREAM_BUFFER_BYTES <= self.total_bytes
+
     def bytes_per_stream(self) -> int:
         """Return how many bytes one stream may buffer now."""
         return max(
--- a/rosepick/core/engine.py
+++ b/rosepick/core/engine.py
@@ -155,10 +155,20 @@
 
     def record_shed(self, class_index: int, late_ms: float, is_refused: bool) -> None:
         """Count a request that was answered before it was accepted, as this router is behind."""
-        self.counts["requests"] += 1
         self.counts["shed_at_accept"] += 1
+        self._record_unaccepted(class_index, is_refused, api.EndReason.READ_LATE, late_ms)
+
+    def record_shed_for_memory(self, class_index: int, is_refused: bool) -> None:
+        """Count a request that was answered before it was accepted, as no memory was left for it."""
+        self.counts["shed_for_memory"] += 1
+        self._record_unaccepted(class_index, is_refused, api.EndReason.NO_MEMORY, 0.0)
+
+    def _record_unaccepted(
+        self, class_index: int, is_refused: bool, reason: api.EndReason, elapsed_ms: float
+    ) -> None:
+        self.counts["requests"] += 1
         outcome = RequestOutcome.REFUSED if is_refused else RequestOutcome.DEADLINE_EXCEEDED
-        self.request_counters.record(class_index, outcome, api.EndReason.READ_LATE.name.lower(), late_ms)
+        self.request_counters.record(class_index, outcome, reason.name.lower(), elapsed_ms)
 
     def totals(self) -> Counter[str]:
         """Return all counts since the start, including request outcomes."""
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -85,6 +85,7 @@
     DEADLINE = "deadline"
     INVALID = "unfit"  # the request itself was rejected
     READ_LATE = "read_late"  # it had waited too long before it was read
+    NO_MEMORY = "no_memory"  # the memory for requests is used up
 
 
 NEVER_RAN = frozenset(
--- a/rosepick/http/batch_protocol.py
+++ b/rosepick/http/batch_protocol.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from ..core.request_budget import RequestBudget
 from ..settings.config import NameIndexes
 from .request_headers import index_header, number_header, text_header
-from .request_messages import BadRequestError, ParsedMessage, ProtocolMessage, RequestRejected
+from .request_messages import BadRequestError, ParsedMessage, ProtocolMessage, RequestRejected, RequestShed
 from .server_protocol import ServerProtocol
 
 PATH = b"/mget"
@@ -33,11 +34,28 @@
 class BatchServerProtocol(ServerProtocol):
     """Parses the batches of one client connection and encodes their responses, entry by entry."""
 
-    def __init__(self, get_names: Callable[[], NameIndexes], max_keys: Callable[[], int]) -> None:
-        super().__init__(get_names)
+    def __init__(
+        self,
+        get_names: Callable[[], NameIndexes],
+        max_keys: Callable[[], int],
+        request_budget: RequestBudget | None = None,
+    ) -> None:
+        super().__init__(get_names, request_budget=request_budget)
         self._max_keys = max_keys
 
     def _parse_request(self, method: bytes) -> ParsedMessage:
+        deadline = self._parse_deadline(method)
+        keys = _parse_keys(bytes(self._body), self._max_keys())
+        headers = self._headers
+        return BatchRequest(
+            keys, text_header(headers, b"req-kind"), text_header(headers, b"req-owner"), deadline
+        )
+
+    def _parse_shed(self, method: bytes) -> ParsedMessage:
+        return RequestShed(None, self._parse_deadline(method))
+
+    def _parse_deadline(self, method: bytes) -> float:
+        """Check the head of a batch, and return the deadline in milliseconds, on the clock of `feed`."""
         if self._target.partition(b"?")[0] != PATH:
             raise BadRequestError(404, "only /mget is known here")
         if method != b"POST":
@@ -47,11 +65,7 @@
         index_header(headers, b"req-kind", names.classes)
         if names.tenants:
             index_header(headers, b"req-owner", names.tenants)
-        deadline = self._now + 1000.0 * number_header(headers, b"req-deadline")
-        keys = _parse_keys(bytes(self._body), self._max_keys())
-        return BatchRequest(
-            keys, text_header(headers, b"req-kind"), text_header(headers, b"req-owner"), deadline
-        )
+        return self._now + 1000.0 * number_header(headers, b"req-deadline")
 
     def _make_rejection(self, error: BadRequestError) -> RequestRejected:
         return RequestRejected(error.status, str(error))  # the counters of a request class exclude batches
--- a/rosepick/http/request_messages.py
+++ b/rosepick/http/request_messages.py
@@ -47,11 +47,19 @@
     class_index: int | None = None  # None if the request names no known request class
 
 
+@dataclass(frozen=True, slots=True)
+class RequestShed:
+    """Reports a request that is refused because the memory for requests is used up; its body was dropped."""
+
+    class_index: int | None  # None for a request of no class, for example a batch
+    deadline: float  # milliseconds, on the clock of `ServerProtocol.feed`
+
+
 class ProtocolMessage:
     """Base class of the messages that subclasses of `ServerProtocol` parse."""
 
 
-ParsedMessage = RequestReceived | ReadinessProbe | RequestRejected | ProtocolMessage
+ParsedMessage = RequestReceived | ReadinessProbe | RequestRejected | RequestShed | ProtocolMessage
 
 
 class BadRequestError(Exception):
--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -4,12 +4,14 @@
 
 from collections import deque
 from collections.abc import Callable
+from math import inf
 from typing import NamedTuple
 
 import httptools
 
 from ..core.body_stream import BodyStream, BufferBudget
 from ..core.endpoint_directory import hash_key
+from ..core.request_budget import RequestBudget, RequestReservation
 from ..core.request_context import RequestContext
 from ..settings.config import NameIndexes
 from .request_headers import (
@@ -26,6 +28,7 @@
     ReadinessProbe,
     RequestReceived,
     RequestRejected,
+    RequestShed,
     discard_body,
     key_of_target,
 )
@@ -36,6 +39,8 @@
 BODY_TIMEOUT_MS = 600_000.0  # limits the time in which a streamed body is received
 MAX_HEAD_BYTES = 16 * 1024  # maximum length of the request target and headers together
 MAX_PIPELINED_REQUESTS = 4  # limit of the requests that wait behind the current request
+REQUEST_BYTES = 1024  # memory of a request whose body is empty and whose head is short
+LONG_HEAD_BYTES = 1024  # a longer head counts in addition to `REQUEST_BYTES`
 
 # If one of these headers were repeated, the router and an upstream or a proxy might use different values.
 _SINGLE_VALUE_HEADERS = frozenset(
@@ -63,16 +68,30 @@
     deadline: float  # milliseconds, on the clock of `ServerProtocol.feed`
 
 
+class QueuedMessage(NamedTuple):
+    """Holds a message that waits for the responses to earlier ones."""
+
+    message: ParsedMessage
+    keep_alive: bool  # whether the connection persists after it
+    reservation: RequestReservation
+
+
 class ServerProtocol:
     """Parses the requests of one client connection, which are answered one at a time and in order."""
 
-    def __init__(self, get_names: Callable[[], NameIndexes], body_budget: BufferBudget | None = None) -> None:
+    def __init__(
+        self,
+        get_names: Callable[[], NameIndexes],
+        body_budget: BufferBudget | None = None,
+        request_budget: RequestBudget | None = None,
+    ) -> None:
         """Create the state of a new connection.
 
         Args:
             get_names: returns the current names of classes and tenants; called for each request.
             body_budget: buffer memory of streamed bodies; without it, bodies are limited to
                 `MAX_BUFFERED_BODY_BYTES`.
+            request_budget: memory of requests; without it, their number and size are not limited.
         """
         self._get_names = get_names
         self._body_budget = body_budget
@@ -83,7 +102,12 @@
         self._completed_requests: list[CompletedUpload] = []
         self._unframed_bytes = 0  # bytes received since the last end of a head or message, or part of a body
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self._inbox: deque[tuple[ParsedMessage, bool]] = deque()
+        self._inbox: deque[QueuedMessage] = deque()
+        self._request_budget = request_budget or RequestBudget(inf)
+        self._reservation = RequestReservation(self._request_budget, False)  # of the request being received
+        self._current_reservation = self._reservation  # of the request that is due a response
+        self._long_head_is_reserved = False
+        self._is_shed = False  # no memory is left for the request being received
         self._version = "1.1"  # HTTP version of the last request that was parsed
         self._keep_alive = True  # whether the connection persists after the current request
         self._streams_current_request = False  # `body_stream` belongs to the current request
@@ -112,13 +136,15 @@
             # The parser buffers incomplete fields. The limit guards against endless headers or trailers.
             if self.has_partial_request and self._unframed_bytes > MAX_HEAD_BYTES:
                 raise BadRequestError(431, "headers too long")
+            if self._in_head and self._unframed_bytes > LONG_HEAD_BYTES:
+                self._reserve_long_head()
         except httptools.HttpParserCallbackError as error:
             self._reject(_bad_request(error))
         except httptools.HttpParserUpgrade:
             # The request that asks for an upgrade is complete and in the inbox, and is answered without one.
             # Bytes after it belong to another protocol and are not read.
             self._parser = None
-            self._inbox.append((self._inbox.pop()[0], False))
+            self._inbox.append(self._inbox.pop()._replace(keep_alive=False))
         except httptools.HttpParserError:
             self._reject(BadRequestError(400, "malformed request"))
         except BadRequestError as error:
@@ -130,6 +156,7 @@
         self._parser = None
         self.has_partial_request = False
         self._drop_message()
+        self._reservation.release()
         body, self.body_stream = self.body_stream, None
         self._streaming_request = None
         if body is not None:
@@ -137,9 +164,9 @@
             if self._streams_current_request:  # the current request gets the rejection
                 self.body_rejection = rejection
                 return
-            self._inbox.pop()
+            self._inbox.pop().reservation.release()
             body.close()
-        self._inbox.append((rejection, False))
+        self._inbox.append(QueuedMessage(rejection, False, self._reservation))
 
     def _drop_message(self) -> None:
         """Drop the received parts of a message; otherwise an idle connection would hold its last one."""
@@ -156,7 +183,7 @@
         """Return the next message, or None while a response is pending or there is no message."""
         if self.response_pending or self.is_done or not self._inbox:
             return None
-        message, self._keep_alive = self._inbox.popleft()
+        message, self._keep_alive, self._current_reservation = self._inbox.popleft()
         self.response_pending = True
         self._streams_current_request = self.body_stream is not None and not self._inbox
         return message
@@ -186,14 +213,17 @@
         """Discard all requests and buffers after the connection was closed."""
         self._parser = None  # breaks the reference cycle with the parser
         self._drop_message()
+        self._reservation.release()
+        self._current_reservation.release()
         self.is_done = True
         self._discard_pending()
 
     def _discard_pending(self) -> None:
         """Discard the requests that are pipelined or being received."""
-        for message, _ in self._inbox:
-            if isinstance(message, RequestReceived):
-                discard_body(message.request)
+        for queued in self._inbox:
+            queued.reservation.release()
+            if isinstance(queued.message, RequestReceived):
+                discard_body(queued.message.request)
         self._inbox.clear()
         if self.body_stream is not None:
             self.body_stream.abort()
@@ -244,6 +274,7 @@
     def _finish_response(self, closing: bool, last: bool = False) -> None:
         """Record that the current request is answered, and whether the connection persists."""
         self.response_pending = False
+        self._current_reservation.release()
         # The rest of an incomplete streamed request body is not read.
         last = last or (self._streams_current_request and self.body_stream is not None)
         # Pipelined requests were accepted, so they are answered before the connection closes.
@@ -253,6 +284,7 @@
         if self.is_done:
             self._parser = None
             self._drop_message()
+            self._reservation.release()
             self._discard_pending()
 
     # ----------------------------------------------------------------------------------- parser callbacks
@@ -268,6 +300,11 @@
         self._streams_current_request = False
         self.has_partial_request = True
         self._in_head = True
+        self._reservation = RequestReservation(
+            self._request_budget, is_pipelined=self.response_pending or bool(self._inbox)
+        )
+        self._is_shed = not self._reservation.try_grow(REQUEST_BYTES)
+        self._long_head_is_reserved = False
 
     def on_url(self, part: bytes) -> None:
         """Parser callback: a part of the request target."""
@@ -298,6 +335,8 @@
         """
         self._in_head = False
         self._unframed_bytes = 0
+        if self._head_bytes > LONG_HEAD_BYTES:
+            self._reserve_long_head()
         length = self._headers.get(b"content-length", b"0").strip()
         if length.isdigit() and int(length) > MAX_BODY_BYTES:
             raise BadRequestError(413, "body too long")
@@ -308,6 +347,16 @@
             raise BadRequestError(417, "an expectation that is not known here")
         self.wants_continue = b"expect" in self._headers
 
+    def _reserve_long_head(self) -> None:
+        """Reserve memory for a long head.
+
+        Raises:
+            BadRequestError: none is left, and a part of the head cannot be dropped.
+        """
+        if not self._long_head_is_reserved and not self._reservation.try_grow(MAX_HEAD_BYTES):
+            raise BadRequestError(503, "no memory for so long a head")
+        self._long_head_is_reserved = True
+
     def is_in_head(self) -> bool:
         """Return whether the head of the request being received is incomplete."""
         return self._in_head
@@ -328,14 +377,29 @@
         if self.body_stream is not None:
             self.body_stream.write(part)
             return
+        if self._is_shed or not self._reservation.try_grow(len(part)):
+            self._shed()
+            return
         self._body += part
         if len(self._body) > MAX_BUFFERED_BODY_BYTES:
             self._start_streaming_body()
 
+    def _shed(self) -> None:
+        """Drop the body of the request being received, whose rest is read and dropped as well."""
+        self._is_shed = True
+        self._body = bytearray()
+        self._reservation.release()
+
     def _start_streaming_body(self) -> None:
-        """Queue the request before its body is complete, because the body is too long to be buffered."""
+        """Queue the request before its body is complete, because the body is too long to be buffered.
+
+        What is reserved for it covers the part of the body that is encoded for the upstream.
+        """
         assert self._parser is not None
         assert self._body_budget is not None
+        if not self._body_budget.has_free_stream():
+            self._shed()
+            return
         length = self._headers.get(b"content-length", b"").strip()
         self.body_stream = BodyStream(
             self._body_budget, int(length) if length.isdigit() else None, notifies_reader=False
@@ -352,7 +416,7 @@
         if not isinstance(message, RequestReceived):
             raise BadRequestError(413, "body too long")
         self._streaming_request = message.request
-        self._inbox.append((message, self._parser.should_keep_alive()))
+        self._queue(message)
 
     def on_message_complete(self) -> None:
         """Queue the complete request, or end its streamed body (parser callback)."""
@@ -372,14 +436,26 @@
         method = self._parser.get_method()
         self._version = self._parser.get_http_version()
         try:
-            message = self._parse_request(method)
+            message = self._parse_shed(method) if self._is_shed else self._parse_request(method)
         except BadRequestError as error:
             message = self._make_rejection(error)
         self._drop_message()
-        self._inbox.append((message, self._parser.should_keep_alive()))
+        self._queue(message)
+
+    def _queue(self, message: ParsedMessage) -> None:
+        """Queue a message with what is reserved for it."""
+        assert self._parser is not None
+        self._inbox.append(QueuedMessage(message, self._parser.should_keep_alive(), self._reservation))
 
     # ------------------------------------------------------------------------------------ request parsing
 
+    def _parse_shed(self, method: bytes) -> ParsedMessage:
+        """Return the message of a request for which no memory is left; its head is checked like any other."""
+        message = self._parse_request(method)
+        if not isinstance(message, RequestReceived):
+            return message
+        return RequestShed(message.request.class_index, message.request.deadline)
+
     def _parse_request(self, method: bytes) -> ParsedMessage:
         self._target = to_origin_form(self._target)
         path = self._target.partition(b"?")[0]
--- a/rosepick/net/batch_connection.py
+++ b/rosepick/net/batch_connection.py
@@ -56,7 +56,9 @@
     def make_protocol(self) -> BatchServerProtocol:
         """Create the parser of this connection's batches."""
         listener = self.listener
-        self.batch_protocol = BatchServerProtocol(lambda: listener.names, self.max_keys)
+        self.batch_protocol = BatchServerProtocol(
+            lambda: listener.names, self.max_keys, listener.budget.requests
+        )
         return self.batch_protocol
 
     def _handle(self, message: ParsedMessage) -> None:
--- a/rosepick/net/client_connection.py
+++ b/rosepick/net/client_connection.py
@@ -101,7 +101,8 @@
     def make_protocol(self) -> ServerProtocol:
         """Create the protocol parser of this connection."""
         listener = self.listener
-        return ServerProtocol(lambda: listener.names, listener.budget.body_buffers)
+        budget = listener.budget
+        return ServerProtocol(lambda: listener.names, budget.body_buffers, budget.requests)
 
     @abstractmethod
     def _read(self) -> None:
@@ -236,17 +237,18 @@
             return
         if self.stream.has_unwritten():
             if self._client_stopped_reading(now):
-                self._close_slow()
+                self.close_slow()
         elif self._client_stopped_sending(now, self.stalled_since):
             if not self.stream.is_established():
-                self._close_slow()
+                self.close_slow()
                 return
             self.protocol.reject_timeout()
             self._start_next_request()
             self._reject_broken_body()
             self._update_state()
 
-    def _close_slow(self) -> None:
+    def close_slow(self) -> None:
+        """Close the connection because its client reads or sends too slowly."""
         self.abandon_request()
         self.close(CloseReason.SLOW_CLIENT)
 
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -15,6 +15,7 @@
     ReadinessProbe,
     RequestReceived,
     RequestRejected,
+    RequestShed,
     discard_body,
 )
 from ..http.response import Response
@@ -25,6 +26,8 @@
 
 logger = logging.getLogger(__name__)
 CLOSE_REASON_BY_STATUS = {408: CloseReason.SLOW_CLIENT, 499: CloseReason.CLIENT_CLOSED}
+MIN_READ_BYTES = 4 * 1024  # smallest read while little memory is left for the requests in it
+READS_PER_FREE_MEMORY = 32  # reads that together may bring as many bytes of requests as are free
 WRITE_CHUNK_BYTES = 256 * 1024  # maximum part of a streamed body that is written at once
 RESPONSE_GRACE_MS = 500.0  # time after the deadline until the client no longer waits for the response
 
@@ -39,12 +42,8 @@
 
     def _read(self) -> None:
         was_established = self.stream.is_established()
-        body = self.protocol.body_stream
-        data = (
-            self.stream.read()
-            if body is None
-            else self.stream.read(max(1, min(READ_CHUNK_BYTES, body.writable_bytes())))
-        )
+        max_bytes = self._max_read_bytes()
+        data = self.stream.read(max_bytes)
         now = self.listener.loop.now()
         if not was_established and self.stream.is_established():
             self.record.ready_at = now
@@ -61,7 +60,7 @@
         self.protocol.feed(data, self.received_since)
         if self.protocol.body_stream is not None:
             self.protocol.body_stream.on_writable = self._update_state
-        if self.stream.is_at_end():
+        if self.stream.is_at_end() or (len(data) == max_bytes and self.stream.peer_has_closed()):
             # Handle this before a request is started, so that none is forwarded for a disconnected client.
             self._on_end_of_input()
         self._start_next_request()
@@ -73,6 +72,18 @@
             self.request_body.notify_reader()
         self._reject_broken_body()
 
+    def _max_read_bytes(self) -> int:
+        """Return how many bytes to read at once.
+
+        A body is read no faster than it is forwarded. Other data may hold hundreds of requests, so less of it
+        is read while the memory for requests is nearly used up.
+        """
+        body = self.protocol.body_stream
+        if body is not None:
+            return max(1, min(READ_CHUNK_BYTES, body.writable_bytes()))
+        free_bytes = self.listener.budget.requests.free_bytes(is_pipelined=True)
+        return int(max(MIN_READ_BYTES, min(READ_CHUNK_BYTES, free_bytes / READS_PER_FREE_MEMORY)))
+
     def _received_since(self) -> float:
         """Return a lower bound for the arrival time of the data that was just read."""
         since = self.listener.loop.events_since
@@ -120,6 +131,8 @@
                 self._send_response(200 if is_ready else 503, b"ready\n" if is_ready else b"ending\n")
             case RequestRejected(status, reason, class_index):
                 self._reject(status, reason, class_index)
+            case RequestShed():
+                self._shed(message)
 
     def _accept_request(self, request: RequestContext) -> None:
         """Pass a request to the engine.
@@ -151,6 +164,26 @@
         """Return whether the client has closed the connection, even before the loop reports it."""
         return self._peer_closed or self.stream.is_at_end() or self.stream.peer_has_closed()
 
+    def _shed(self, request: RequestShed) -> None:
+        """Refuse a request for which no memory is left, or fail it after its deadline."""
+        is_refused = self.listener.loop.now() < request.deadline
+        class_index = request.class_index or 0
+        budget = self.listener.budget.requests
+        log_event(
+            logger,
+            logging.WARNING,
+            "request_shed_for_memory",
+            held_bytes=budget.held_bytes,
+            total_bytes=budget.total_bytes,
+        )
+        if request.class_index is not None:
+            self.listener.engine.record_shed_for_memory(class_index, is_refused)
+        if is_refused:
+            retry_after = _retry_after_header(self.listener.engine.retry_after_ms(class_index))
+            self._send_response(503, b"refused\n", retry_after)
+        else:
+            self._send_response(504, b"failed\n")
+
     def _reject(self, status: int, reason: str, class_index: int | None = None, last: bool = False) -> None:
         """Send the response to a request that cannot be accepted.
 
@@ -275,8 +308,7 @@
 
     def send_refusal(self, _request: RequestContext, retry_after_ms: float) -> None:
         """Send a 503 response; without a Retry-After header if `retry_after_ms` is 0."""
-        headers = ((b"Retry-After", b"%.3f" % (retry_after_ms / 1000.0)),) if retry_after_ms > 0 else ()
-        self._send_final_response(503, b"refused\n", headers)
+        self._send_final_response(503, b"refused\n", _retry_after_header(retry_after_ms))
 
     def send_failure(self, _request: RequestContext, timed_out: bool) -> None:
         """Send a 504 response after the deadline, or a 502 response if all attempts failed."""
@@ -342,6 +374,11 @@
         self.close(CloseReason.INTERNAL_ERROR)
 
 
+def _retry_after_header(retry_after_ms: float) -> ExtraHeaders:
+    """Return the header that says when a client may retry; none if `retry_after_ms` is 0."""
+    return ((b"Retry-After", b"%.3f" % (retry_after_ms / 1000.0)),) if retry_after_ms > 0 else ()
+
+
 def _content_type_header(headers: dict[bytes, bytes]) -> ExtraHeaders:
     """Return the headers of an upstream response that are forwarded to the client."""
     content_type = headers.get(b"content-type")
--- a/rosepick/net/upstream_connection.py
+++ b/rosepick/net/upstream_connection.py
@@ -212,6 +212,9 @@
         self._set_buffered_bytes(0)
         self._clear_stall()
         self.has_had_response = True
+        if not self.pool.budget.body_buffers.has_free_stream():
+            self._finish(exchange.malformed_result())
+            return False
         headers, length = exchange.response_head()
         self.response_body = body = BodyStream(self.pool.budget.body_buffers, length)
         body.on_writable = self._resume_reading
