Clients that do not read their responses no longer fill the memory

Cause: a connection began its next pipelined request while earlier responses were still unwritten, so a client that sends reads and reads nothing piled up a response of up to 64 KiB for each, until it was closed after 3 s. Unwritten responses counted against their quarter of limits.memory_mb, but only a response that arrived in parts was ever measured by it.

Change: the next request of a connection begins once the responses before it are written. While unwritten data exceeds its part, the client that has read nothing for longest, and for 250 ms at least, is closed.

The tests on the peak and on the choice failed before.

--- a/rosepick/net/client_connection.py
+++ b/rosepick/net/client_connection.py
@@ -69,6 +69,9 @@
     def record_request(self, connection: ClientConnection) -> None:
         """Record that a connection has begun to serve a request."""
 
+    def reclaim_response_memory(self) -> None:
+        """Close clients that do not read, if unread responses exceed their part of the memory."""
+
     def remove_connection(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Remove a connection that is being closed for `reason`."""
 
@@ -140,6 +143,8 @@
                 self._write_body()
             if events & READ:
                 self._read()
+            if self.protocol.has_pipelined():
+                self._start_next_request()  # it may have waited until the last response was written
             self._update_state()
         except OSError:
             self.close_broken()
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -110,13 +110,16 @@
 
     def _send_continue(self) -> None:
         """Send 100 Continue if a body is awaited and no earlier response is pending."""
-        if self.protocol.wants_continue and not self.protocol.response_pending and self.stream.is_open:
-            self.protocol.wants_continue = False
+        protocol = self.protocol
+        is_awaited = protocol.wants_continue and not (protocol.response_pending or protocol.has_pipelined())
+        if is_awaited and self.stream.is_open:
+            protocol.wants_continue = False
             self.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _start_next_request(self) -> None:
         """Serve the next request, if none is in progress."""
-        while (message := self.protocol.next_message()) is not None:
+        # A client that does not read its responses gets no further ones, which would fill the memory.
+        while not self.stream.has_unwritten() and (message := self.protocol.next_message()) is not None:
             self.listener.record_request(self)
             self.response_awaited_until = self.listener.loop.now() + self.listener.request_timeout_ms
             self._handle(message)
@@ -336,6 +339,8 @@
                 self.protocol.encode_response_head(status, body, extra_headers, closing, last), body
             )
             self.record_response(status)
+            if self.stream.has_unwritten():
+                self.listener.reclaim_response_memory()
 
     def closes_after_response(self) -> bool:
         """Return whether the connection closes after the pending response.
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -34,6 +34,7 @@
 # Interval of the checks whether clients of paused connections have closed; 100 ms are allowed for the
 # detection.
 CLOSED_PEER_CHECK_INTERVAL_MS = 40.0
+STALLED_READER_MS = 250.0  # time without a read after which a client may be closed for its unread responses
 # Errors of accept(2) that concern a single pending connection; later ones can still be accepted.
 PER_CONNECTION_ERRNOS = frozenset(
     {
@@ -269,6 +270,16 @@
         self.engine.record_shed(request.class_index, late_ms, late_ms < request.deadline_ms)
         return True
 
+    def reclaim_response_memory(self) -> None:
+        """Close the clients that read nothing for longest, while unread responses exceed their memory."""
+        stalled_since = self.loop.now() - STALLED_READER_MS
+        while self.budget.buffered_bytes > self.budget.max_buffered_bytes:
+            unread = (each for each in self.connections if each.stream.has_unwritten())
+            slowest = min(unread, key=lambda each: each.stream.last_write_at, default=None)
+            if slowest is None or slowest.stream.last_write_at > stalled_since:
+                return
+            slowest.close_slow()
+
     def _pause_accepting(self) -> None:
         self.pause()
         # A timer resumes accepting even if no descriptor is released. After a burst that fills all slots at
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
+import socket
+
 from rosepick.core.body_stream import MIN_STREAM_BUFFER_BYTES
 from rosepick.core.request_budget import PIPELINED_FRACTION, RequestBudget, RequestReservation
 from rosepick.http.server_protocol import REQUEST_BYTES
+from rosepick.net.listener import STALLED_READER_MS
 from rosepick.net.resource_budget import (
     BYTES_PER_MB,
     PROCESS_MB,
@@ -14,7 +18,7 @@
     ResourceBudget,
 )
 
-from .scenario import Scenario
+from .scenario import Scenario, ScenarioConnection
 
 BODY = "x" * 60_000
 PROBE = b"GET /ready HTTP/1.1\r\n\r\n"
@@ -145,3 +149,70 @@
         self.assertGreater(self.held_bytes(), 30_000)
         self.play("c1 close\nwait 50")
         self.assertEqual(self.held_bytes(), 0)
+
+
+class UnreadResponsesTest(Scenario):
+    def test_a_client_that_does_not_read_gets_no_further_responses(self) -> None:
+        """Guards against a client that sends reads without end and lets the responses fill the memory."""
+        client = self.slow_client()
+        peak = 0
+        for number in itertools.count():
+            try:
+                client.sock.send(get(number))
+            except BlockingIOError:
+                break
+            self.answer_reads(60_000)
+            peak = max(peak, self.server.budget.buffered_bytes)
+            if number > 400:
+                break
+        self.assertLessEqual(peak, 2 * 60_200)
+        self.assertGreater(peak, 0)
+
+    def test_waiting_requests_go_on_when_the_client_reads(self) -> None:
+        client = self.slow_client()
+        client.sock.send(b"".join(map(get, range(60))))
+        received, count = b"", 0
+        for _ in range(3000):
+            self.answer_reads(60_000)
+            self.now += 0.0001
+            try:
+                received += client.sock.recv(1 << 20)
+            except BlockingIOError:
+                continue
+            count = received.count(b"HTTP/1.1 ")
+            if count == 60 and len(received) > 60 * 60_000:
+                break
+        self.assertEqual(count, 60)
+        self.assertEqual(self.server.budget.buffered_bytes, 0)
+
+    def test_the_client_that_reads_least_is_closed_when_the_memory_is_used_up(self) -> None:
+        clients = [self.slow_client() for _ in range(3)]
+        for number, client in enumerate(clients):
+            client.sock.send(b"".join(get(100 * number + index) for index in range(80)))
+            for _ in range(100):
+                self.answer_reads(60_000)
+            self.wait(STALLED_READER_MS + 50)
+        connections = sorted(self.server.listener.connections, key=lambda each: each.stream.last_write_at)
+        self.assertEqual([each.stream.has_unwritten() for each in connections], [True] * 3)
+        self.server.budget.max_buffered_bytes = self.server.budget.buffered_bytes - 1
+        self.server.listener.reclaim_response_memory()
+        self.assertEqual([each.stream.is_open for each in connections], [False, True, True])
+
+    def slow_client(self) -> ScenarioConnection:
+        """Connect a client that does not read, with small buffers of the system."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(self.server.listener.sock.getsockname())
+        return ScenarioConnection(sock)
+
+    def answer_reads(self, length: int) -> None:
+        """Answer all reads that have reached the cache nodes."""
+        self.step()
+        for name in self.nodes:
+            for wire in self.wires[name]:
+                while wire.message() is not None:
+                    head = f"HTTP/1.1 200 OK\r\nSrv-Cache: hit\r\nContent-Length: {length}\r\n\r\n"
+                    wire.sock.setblocking(True)
+                    wire.sock.sendall(head.encode() + b"v" * length)
+                    wire.sock.setblocking(False)
+        self.step()
