The request being received has a module of its own, and partial heads count

Target, headers, buffered body and reservation of the request that is being received are now in http/received_request.py, one object for each request, so what a connection drops between requests is one reference. A rejection of bytes after a whole request no longer releases what is reserved for that request.

A response's partial head, up to 32 KiB for each attempt, counts against the responses' part of the memory like its body; the new test of test_malformed_responses failed before (no 503).

--- a/rosepick/core/request_budget.py
+++ b/rosepick/core/request_budget.py
@@ -30,19 +30,18 @@
 
     Args:
         budget: the budget.
-        is_pipelined: whether the request waits behind another one of its connection.
     """
 
-    __slots__ = ("_budget", "_held_bytes", "_is_pipelined")
+    __slots__ = ("_budget", "_held_bytes", "is_pipelined")
 
-    def __init__(self, budget: RequestBudget, is_pipelined: bool) -> None:
+    def __init__(self, budget: RequestBudget) -> None:
+        self.is_pipelined = False  # whether the request waits behind another one of its connection
         self._budget = budget
-        self._is_pipelined = is_pipelined
         self._held_bytes = 0
 
     def try_grow(self, byte_count: int) -> bool:
         """Reserve further bytes; return False, without a change, if the budget has too few."""
-        if byte_count > self._budget.free_bytes(self._is_pipelined):
+        if byte_count > self._budget.free_bytes(self.is_pipelined):
             return False
         self._budget.held_bytes += byte_count
         self._held_bytes += byte_count
--- a/rosepick/http/batch_protocol.py
+++ b/rosepick/http/batch_protocol.py
@@ -45,8 +45,8 @@
 
     def _parse_request(self, method: bytes) -> ParsedMessage:
         deadline = self._parse_deadline(method)
-        keys = _parse_keys(bytes(self._body), self._max_keys())
-        headers = self._headers
+        keys = _parse_keys(bytes(self._received.body), self._max_keys())
+        headers = self._received.headers
         return BatchRequest(
             keys, text_header(headers, b"req-kind"), text_header(headers, b"req-owner"), deadline
         )
@@ -56,11 +56,11 @@
 
     def _parse_deadline(self, method: bytes) -> float:
         """Check the head of a batch, and return the deadline in milliseconds, on the clock of `feed`."""
-        if self._target.partition(b"?")[0] != PATH:
+        if self._received.target.partition(b"?")[0] != PATH:
             raise BadRequestError(404, "only /mget is known here")
         if method != b"POST":
             raise BadRequestError(405, "only POST is known here")
-        headers = self._headers
+        headers = self._received.headers
         names = self._get_names()
         index_header(headers, b"req-kind", names.classes)
         if names.tenants:
--- a/rosepick/http/response.py
+++ b/rosepick/http/response.py
@@ -68,8 +68,10 @@
         return None
 
     def buffered_bytes(self) -> int:
-        """Return the number of buffered bytes of a body that is not streamed."""
-        return 0 if self.is_streaming or not self._parts else self._body_bytes
+        """Return the number of buffered bytes of a response that is not streamed, with its partial head."""
+        if self.is_streaming:
+            return 0
+        return self._unframed_bytes + (self._body_bytes if self._parts else 0)
 
     def take_body(self) -> list[bytes]:
         """Return the parts of a streamed body that were received since the last call."""
--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -10,54 +10,26 @@
 import httptools
 
 from ..core.body_stream import BodyStream, BufferBudget
-from ..core.endpoint_directory import hash_key
 from ..core.request_budget import RequestBudget, RequestReservation
 from ..core.request_context import RequestContext
 from ..settings.config import NameIndexes
-from .request_headers import (
-    index_header,
-    number_header,
-    request_id_header,
-    time_to_deadline_ms,
-    to_origin_form,
-)
+from .received_request import LONG_HEAD_BYTES, MAX_HEAD_BYTES, ReceivedRequest
+from .request_headers import time_to_deadline_ms, to_origin_form
 from .request_messages import (
     BadRequestError,
-    ForwardedRequest,
     ParsedMessage,
     ReadinessProbe,
     RequestReceived,
     RequestRejected,
     RequestShed,
     discard_body,
-    key_of_target,
 )
 from .response_encoding import ExtraHeaders, encode_head
 
 MAX_BODY_BYTES = 36 * 1024 * 1024  # maximum length of a request body
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # a longer body is streamed
-BODY_TIMEOUT_MS = 600_000.0  # limits the time in which a streamed body is received
-MAX_HEAD_BYTES = 16 * 1024  # maximum length of the request target and headers together
 MAX_PIPELINED_REQUESTS = 4  # limit of the requests that wait behind the current request
-REQUEST_BYTES = 1024  # memory of a request whose body is empty and whose head is short
-LONG_HEAD_BYTES = 1024  # a longer head counts in addition to `REQUEST_BYTES`
-
-# If one of these headers were repeated, the router and an upstream or a proxy might use different values.
-_SINGLE_VALUE_HEADERS = frozenset(
-    {
-        b"req-id",
-        b"req-kind",
-        b"req-owner",
-        b"req-deadline",
-        b"req-cost",
-        b"req-retry",
-        b"idempotency-key",
-        b"content-length",
-        b"transfer-encoding",
-        b"host",
-        b"expect",
-    }
-)
+
 _READINESS_PATHS = (b"/ready", b"/health")
 
 
@@ -104,20 +76,14 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._inbox: deque[QueuedMessage] = deque()
         self._request_budget = request_budget or RequestBudget(inf)
-        self._reservation = RequestReservation(self._request_budget, False)  # of the request being received
-        self._current_reservation = self._reservation  # of the request that is due a response
-        self._long_head_is_reserved = False
-        self._is_shed = False  # no memory is left for the request being received
+        self._received = ReceivedRequest(self._request_budget)
+        self._current_reservation = self._received.reservation  # of the request that is due a response
         self._version = "1.1"  # HTTP version of the last request that was parsed
         self._keep_alive = True  # whether the connection persists after the current request
         self._streams_current_request = False  # `body_stream` belongs to the current request
         self._chunked = False  # the streamed response uses chunked encoding
         self._closes_after_response = False
         self._now = 0.0
-        self._target = b""
-        self._headers: dict[bytes, bytes] = {}
-        self._body = bytearray()
-        self._head_bytes = 0  # parsed bytes of the current head
         self._in_head = False
         self.begun_count = 0  # requests of which at least a part was received
         self.has_partial_request = False  # a request is received in part
@@ -137,7 +103,7 @@
             if self.has_partial_request and self._unframed_bytes > MAX_HEAD_BYTES:
                 raise BadRequestError(431, "headers too long")
             if self._in_head and self._unframed_bytes > LONG_HEAD_BYTES:
-                self._reserve_long_head()
+                self._received.reserve_long_head()
         except httptools.HttpParserCallbackError as error:
             self._reject(_bad_request(error))
         except httptools.HttpParserUpgrade:
@@ -155,8 +121,7 @@
         rejection = self._make_rejection(error)
         self._parser = None
         self.has_partial_request = False
-        self._drop_message()
-        self._reservation.release()
+        self._drop_received()
         body, self.body_stream = self.body_stream, None
         self._streaming_request = None
         if body is not None:
@@ -166,17 +131,16 @@
                 return
             self._inbox.pop().reservation.release()
             body.close()
-        self._inbox.append(QueuedMessage(rejection, False, self._reservation))
+        self._inbox.append(QueuedMessage(rejection, False, self._received.reservation))
 
-    def _drop_message(self) -> None:
-        """Drop the received parts of a message; otherwise an idle connection would hold its last one."""
-        self._target = b""
-        self._headers = {}
-        self._body = bytearray()
+    def _drop_received(self) -> None:
+        """Drop the request being received, and what is reserved for it."""
+        self._received.reservation.release()
+        self._received = ReceivedRequest(self._request_budget)
 
     def _make_rejection(self, error: BadRequestError) -> RequestRejected:
         """Return the rejection; it counts for the request class that the headers name."""
-        name = self._headers.get(b"req-kind", b"").decode("latin-1")
+        name = self._received.headers.get(b"req-kind", b"").decode("latin-1")
         return RequestRejected(error.status, str(error), self._get_names().classes.get(name))
 
     def next_message(self) -> ParsedMessage | None:
@@ -212,8 +176,7 @@
     def close(self) -> None:
         """Discard all requests and buffers after the connection was closed."""
         self._parser = None  # breaks the reference cycle with the parser
-        self._drop_message()
-        self._reservation.release()
+        self._drop_received()
         self._current_reservation.release()
         self.is_done = True
         self._discard_pending()
@@ -283,8 +246,7 @@
         )
         if self.is_done:
             self._parser = None
-            self._drop_message()
-            self._reservation.release()
+            self._drop_received()
             self._discard_pending()
 
     # ----------------------------------------------------------------------------------- parser callbacks
@@ -292,40 +254,22 @@
     def on_message_begin(self) -> None:
         """Parser callback: a request begins."""
         self.begun_count += 1
-        self._target = b""
-        self._headers = {}
-        self._body = bytearray()
-        self._head_bytes = 0
         self.body_bytes = 0
         self._streams_current_request = False
         self.has_partial_request = True
         self._in_head = True
-        self._reservation = RequestReservation(
-            self._request_budget, is_pipelined=self.response_pending or bool(self._inbox)
-        )
-        self._is_shed = not self._reservation.try_grow(REQUEST_BYTES)
-        self._long_head_is_reserved = False
+        self._received = ReceivedRequest(self._request_budget)
+        self._received.begin(is_pipelined=self.response_pending or bool(self._inbox))
 
     def on_url(self, part: bytes) -> None:
         """Parser callback: a part of the request target."""
-        self._target += part
-        self._count_head_bytes(len(part))
+        self._received.add_target(part)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: a header of the head, or a trailer."""
-        self._count_head_bytes(len(name) + len(value) + 4)
-        if not self._in_head:
-            return  # ignores trailers
-        name = name.lower()
-        value = value.strip(b" \t")  # the parser keeps trailing blanks
-        # Guards against request smuggling: an upstream or a proxy might use the other value.
-        if self._headers.setdefault(name, value) is not value and name in _SINGLE_VALUE_HEADERS:
-            raise BadRequestError(400, "a header that may come once came again")
-
-    def _count_head_bytes(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise BadRequestError(431, "headers too long")
+        self._received.count_head_bytes(len(name) + len(value) + 4)
+        if self._in_head:  # ignores trailers
+            self._received.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the headers that frame the body (parser callback).
@@ -335,27 +279,16 @@
         """
         self._in_head = False
         self._unframed_bytes = 0
-        if self._head_bytes > LONG_HEAD_BYTES:
-            self._reserve_long_head()
-        length = self._headers.get(b"content-length", b"0").strip()
-        if length.isdigit() and int(length) > MAX_BODY_BYTES:
+        self._received.end_head()
+        headers = self._received.headers
+        if (self._received.body_length() or 0) > MAX_BODY_BYTES:
             raise BadRequestError(413, "body too long")
-        if self._headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+        if headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             raise BadRequestError(400, "a coding of the body that is not known here")
-        expect = self._headers.get(b"expect", b"100-continue").lower()
+        expect = headers.get(b"expect", b"100-continue").lower()
         if expect != b"100-continue":
             raise BadRequestError(417, "an expectation that is not known here")
-        self.wants_continue = b"expect" in self._headers
-
-    def _reserve_long_head(self) -> None:
-        """Reserve memory for a long head.
-
-        Raises:
-            BadRequestError: none is left, and a part of the head cannot be dropped.
-        """
-        if not self._long_head_is_reserved and not self._reservation.try_grow(MAX_HEAD_BYTES):
-            raise BadRequestError(503, "no memory for so long a head")
-        self._long_head_is_reserved = True
+        self.wants_continue = b"expect" in headers
 
     def is_in_head(self) -> bool:
         """Return whether the head of the request being received is incomplete."""
@@ -377,19 +310,10 @@
         if self.body_stream is not None:
             self.body_stream.write(part)
             return
-        if self._is_shed or not self._reservation.try_grow(len(part)):
-            self._shed()
-            return
-        self._body += part
-        if len(self._body) > MAX_BUFFERED_BODY_BYTES:
+        self._received.add_body(part)
+        if len(self._received.body) > MAX_BUFFERED_BODY_BYTES:
             self._start_streaming_body()
 
-    def _shed(self) -> None:
-        """Drop the body of the request being received, whose rest is read and dropped as well."""
-        self._is_shed = True
-        self._body = bytearray()
-        self._reservation.release()
-
     def _start_streaming_body(self) -> None:
         """Queue the request before its body is complete, because the body is too long to be buffered.
 
@@ -398,14 +322,10 @@
         assert self._parser is not None
         assert self._body_budget is not None
         if not self._body_budget.has_free_stream():
-            self._shed()
+            self._received.shed()
             return
-        length = self._headers.get(b"content-length", b"").strip()
-        self.body_stream = BodyStream(
-            self._body_budget, int(length) if length.isdigit() else None, notifies_reader=False
-        )
-        self.body_stream.write(bytes(self._body))
-        self._body = bytearray()
+        self.body_stream = BodyStream(self._body_budget, self._received.body_length(), notifies_reader=False)
+        self.body_stream.write(self._received.take_body())
         self._version = self._parser.get_http_version()
         try:
             message = self._parse_request(self._parser.get_method())
@@ -426,26 +346,27 @@
         self._unframed_bytes = 0
         if self.body_stream is not None and self._streaming_request is not None:
             body = self.body_stream
-            deadline = self._now + time_to_deadline_ms(self._headers)
+            deadline = self._now + time_to_deadline_ms(self._received.headers)
             self._completed_requests.append(CompletedUpload(self._streaming_request, deadline))
             self.body_stream = None
             self._streaming_request = None
-            self._drop_message()
+            self._received = ReceivedRequest(self._request_budget)
             body.finish()
             return
         method = self._parser.get_method()
         self._version = self._parser.get_http_version()
         try:
-            message = self._parse_shed(method) if self._is_shed else self._parse_request(method)
+            message = self._parse_shed(method) if self._received.is_shed else self._parse_request(method)
         except BadRequestError as error:
             message = self._make_rejection(error)
-        self._drop_message()
         self._queue(message)
+        self._received = ReceivedRequest(self._request_budget)  # an idle connection holds no request
 
     def _queue(self, message: ParsedMessage) -> None:
         """Queue a message with what is reserved for it."""
         assert self._parser is not None
-        self._inbox.append(QueuedMessage(message, self._parser.should_keep_alive(), self._reservation))
+        keep_alive = self._parser.should_keep_alive()
+        self._inbox.append(QueuedMessage(message, keep_alive, self._received.reservation))
 
     # ------------------------------------------------------------------------------------ request parsing
 
@@ -457,38 +378,15 @@
         return RequestShed(message.request.class_index, message.request.deadline)
 
     def _parse_request(self, method: bytes) -> ParsedMessage:
-        self._target = to_origin_form(self._target)
-        path = self._target.partition(b"?")[0]
+        received = self._received
+        received.target = to_origin_form(received.target)
+        path = received.target.partition(b"?")[0]
         if path in _READINESS_PATHS:
             return ReadinessProbe()
         if method not in (b"GET", b"PUT"):
             raise BadRequestError(405, "only GET and PUT are known here")
-        headers = self._headers
-        names = self._get_names()
-        cost = headers.get(b"req-cost")
-        is_partial = self.body_stream is not None
         return RequestReceived(
-            RequestContext(
-                class_index=index_header(headers, b"req-kind", names.classes),
-                tenant_index=index_header(headers, b"req-owner", names.tenants) if names.tenants else 0,
-                deadline=self._now + (BODY_TIMEOUT_MS if is_partial else time_to_deadline_ms(headers)),
-                is_partial=is_partial,
-                key=hash_key(key_of_target(path)),
-                is_write=method == b"PUT",
-                is_retry=headers.get(b"req-retry") == b"1",
-                cost_hint=None if cost is None else 0.001 * number_header(headers, b"req-cost"),
-                client_id=headers.get(b"req-id", b"").decode("latin-1"),
-                payload=ForwardedRequest(
-                    method,
-                    self._target,
-                    bytes(self._body),
-                    request_id_header(headers),
-                    headers.get(b"idempotency-key"),
-                    headers.get(b"content-type"),
-                    headers[b"req-deadline"],
-                    self.body_stream,
-                ),
-            )
+            received.to_context(method, path, self._now, self._get_names(), self.body_stream)
         )
 
 
--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -165,6 +165,18 @@
         """)
         self.assertEqual(self.server.budget.buffered_bytes, 0)
 
+    def test_the_memory_of_incomplete_heads_is_bounded(self) -> None:
+        """Guards against endpoints that each send a long part of a head and no more."""
+        self.server.budget.max_buffered_bytes = 10_000
+        self.play(rf"""
+            c1 send GET /api/k1
+            s1 expect GET /api/k1
+            s1 raw {OK}X: {"x" * 15_000}
+            c1 expect 503
+            s1 expect closed
+        """)
+        self.assertEqual(self.server.budget.buffered_bytes, 0)
+
     def test_a_response_that_the_client_does_not_read_ends_after_its_deadline(self) -> None:
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
--- a/tests/test_memory_release.py
+++ b/tests/test_memory_release.py
@@ -83,9 +83,9 @@
         """Guards against idle connections that each hold the body of their last write."""
         self.steps(PATHS["written"])
         (connection,) = self.server.listener.connections
-        protocol = connection.protocol
-        self.assertEqual((protocol._target, protocol._headers, protocol._body), (b"", {}, bytearray()))
-        self.assertTrue(protocol.is_idle())
+        received = connection.protocol._received
+        self.assertEqual((received.target, received.headers, received.body), (b"", {}, bytearray()))
+        self.assertTrue(connection.protocol.is_idle())
 
     def test_timers_of_a_request_do_not_outlive_it(self) -> None:
         """Guards against requests with long deadlines, which leave timers in memory for hours."""
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -7,7 +7,7 @@
 
 from rosepick.core.body_stream import MIN_STREAM_BUFFER_BYTES
 from rosepick.core.request_budget import PIPELINED_FRACTION, RequestBudget, RequestReservation
-from rosepick.http.server_protocol import REQUEST_BYTES
+from rosepick.http.received_request import REQUEST_BYTES
 from rosepick.net.listener import STALLED_READER_MS
 from rosepick.net.resource_budget import (
     BYTES_PER_MB,
@@ -43,7 +43,8 @@
 class RequestBudgetTest(Scenario):
     def test_waiting_requests_leave_a_part_for_others(self) -> None:
         budget = RequestBudget(1000)
-        waiting, first = RequestReservation(budget, True), RequestReservation(budget, False)
+        waiting, first = RequestReservation(budget), RequestReservation(budget)
+        waiting.is_pipelined = True
         self.assertFalse(waiting.try_grow(int(PIPELINED_FRACTION * 1000) + 1))
         self.assertTrue(waiting.try_grow(int(PIPELINED_FRACTION * 1000)))
         self.assertFalse(waiting.try_grow(1))
@@ -95,7 +96,7 @@
             self.put(f"c{number}", put(number, 60_000) + b"x" * 40_000)
             self.wait(100)
         self.assertLessEqual(self.held_bytes(), 2 * 50_000)
-        buffered = sum(len(each.protocol._body) for each in self.server.listener.connections)
+        buffered = sum(len(each.protocol._received.body) for each in self.server.listener.connections)
         self.assertEqual(buffered, 2 * 40_000)
         for number in range(4):
             self.put(f"c{number}", b"x" * 20_000)
