A connection makes one object for a request that it receives, not two

A fresh ReceivedRequest stands ready after each message, and on_message_begin made another. Found on reading the change again.

--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -258,7 +258,6 @@
         self._streams_current_request = False
         self.has_partial_request = True
         self._in_head = True
-        self._received = ReceivedRequest(self._request_budget)
         self._received.begin(is_pipelined=self.response_pending or bool(self._inbox))
 
     def on_url(self, part: bytes) -> None:
