--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 from rig import HOST, Case, Discovery, Message, Node, Router, response, run_case
 
-SEED = 7
+SEED = 9
 BODY_BYTES = 4 * 1024 * 1024
 CLIENTS = 3
 BYTES_PER_S = 512 * 1024  # how fast a client reads: eight times the slowest rate that the pages name
--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -384,9 +384,16 @@
     """One router, started with the command `run` of the deploy file."""
 
     def __init__(
-        self, case: Case, discovery: Discovery | SlowPath, known: dict[str, Any], name: str = "n1"
+        self,
+        case: Case,
+        discovery: Discovery | SlowPath,
+        known: dict[str, Any],
+        name: str = "n1",
+        output: int | None = None,
     ) -> None:
+        """Prepare a router; its output goes to a descriptor, or to a file that `copy_log` reads."""
         self.case = case
+        self._output = output
         self.name = name
         self.port = free_port()
         self.log_path = case.folder / f"{name}.log"
@@ -417,8 +424,9 @@
             "TMPDIR": str(scratch),
         }
         with self.log_path.open("ab") as log:
+            output = log if self._output is None else self._output
             self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                "/bin/sh", "-c", command, cwd=ROOT, env=environment, stdout=output, stderr=output
             )
         self.case.processes.append(self.process)
         self.case.log(f"router started: {command}")
