--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,93 +1,70 @@
-"""A restart by SIGTERM while clients read long answers slowly."""
+"""An answer of discovery that comes late, while it turns new calls away; later a cache node drains."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
-from rig import HOST, Case, Discovery, Message, Node, Router, response, run_case
+from rig import Case, Discovery, Node, Router, read_keys, run_case
 
 SEED = 9
-BODY_BYTES = 4 * 1024 * 1024
 CLIENTS = 3
-BYTES_PER_S = 512 * 1024  # how fast a client reads: eight times the slowest rate that the pages name
-TERM_AFTER_S = 1.0
-KILL_AFTER_S = 20.0  # from SIGTERM to SIGKILL
-
-
-async def read_slowly(case: Case, port: int, req_id: str) -> int:
-    """Read a long answer at a steady rate; return how many bytes of the body came."""
-    reader, writer = await asyncio.open_connection(HOST, port, limit=64 * 1024)
-    writer.write(
-        f"GET /api/long-{req_id} HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {req_id}\r\nReq-Kind: read\r\n"
-        f"Req-Owner: t1\r\nReq-Deadline: 1.200\r\n\r\n".encode()
-    )
-    received = 0
-    try:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        case.log(f"client {req_id} has the head: {head.splitlines()}")
-        began_at = case.now()
-        while received < BODY_BYTES:
-            data = await reader.read(32 * 1024)
-            if not data:
-                break
-            received += len(data)
-            await asyncio.sleep(max(0.0, began_at + received / BYTES_PER_S - case.now()))
-    except (asyncio.IncompleteReadError, OSError) as error:
-        case.log(f"client {req_id}: {error!r}")
-    case.log(f"client {req_id} has {received} of {BODY_BYTES} bytes, then the end")
-    writer.close()
-    return received
+CROWDED_S = 7.0  # new calls get 503 for so long
+LATE_S = 5.0  # the answer to the watch that was open is so late
+DRAIN_AFTER_S = 4.0  # from the end of the crowd to the drain
+TOLD_S = 6.0  # a change counts as told so long after discovery has it, at the latest
+GRACE_S = 0.75 + 0.05  # `stop_sending_within`, and the slack on sockets
+END_S = 12.0  # from the drain to the end
 
 
 async def play(case: Case) -> str:
-    """Return which answers the router cut off although their cache node went on giving."""
+    """Return the sends to the cache node that drains, after all grace."""
     rng = random.Random(SEED)
-    broken_off: list[str] = []
-
-    async def answer(node: Node, request: Message, writer: asyncio.StreamWriter) -> None:
-        req_id = request.headers.get("req-id", "")
-        try:
-            writer.write(response(200, b"x" * BODY_BYTES, "Srv-Cache: hit"))
-            await writer.drain()
-        except OSError:
-            broken_off.append(req_id)
-            case.log(f"node {node.name} could not give the rest for {req_id}: the router closed")
-            raise
-
-    nodes = [Node(case, f"c{number}", answer=answer) for number in range(3)]
+    nodes = [Node(case, f"c{number}") for number in range(4)]
     origin = Node(case, "origin", model="origin")
     for node in (*nodes, origin):
         await node.open()
     discovery = Discovery(case, [node.row() for node in (*nodes, origin)])
     await discovery.open()
+    crowded = False
+    late_call = 0
+
+    async def before_call(number: int) -> bool:
+        return not crowded or number == late_call
+
+    async def before_answer(number: int, _document: object) -> None:
+        if number == late_call:
+            await asyncio.sleep(LATE_S)
+
+    discovery.before_call, discovery.before_answer = before_call, before_answer
     router = Router(case, discovery, discovery.document(None))
     await router.start()
-    ids = [f"{rng.getrandbits(64):016x}" for _ in range(CLIENTS)]
-    reads = [case.start(read_slowly(case, router.port, req_id)) for req_id in ids]
-    await asyncio.sleep(TERM_AFTER_S)
+
+    for _ in range(CLIENTS):
+        case.start(read_keys(case, router.port, rng))
+    await asyncio.sleep(2.0)
     if case.trouble:
-        router.send_signal(signal.SIGTERM)
-        sent_at = case.now()
-        while router.is_running() and case.now() - sent_at < KILL_AFTER_S:
-            await asyncio.sleep(0.02)
-        if router.is_running():
-            router.send_signal(signal.SIGKILL)
-        else:
-            case.log(f"the router ended by itself {case.now() - sent_at:.2f} s after SIGTERM")
-    counts = await asyncio.gather(*reads)
-    router.copy_log("shutdown", "truncated")
-    lost = [
-        f"{req_id} ({count} bytes)" for req_id, count in zip(ids, counts, strict=True) if count < BODY_BYTES
-    ]
+        late_call, crowded = len(discovery.calls), True  # the watch that is open now
+        case.log(f"discovery is crowded; its answer to call {late_call} will be late")
+    await asyncio.sleep(CROWDED_S)
+    crowded = False
+    case.log("discovery is no longer crowded")
+    await asyncio.sleep(DRAIN_AFTER_S)
+    discovery.change(nodes[0].row("leaving"))
+    drained_at = case.now()
+    calls_before = len(discovery.calls)
+    await asyncio.sleep(END_S)
+    case.log(f"calls to discovery after the drain: {len(discovery.calls) - calls_before}")
+    late = [at for at, _ in nodes[0].received if at > drained_at + TOLD_S + GRACE_S]
+    router.copy_log("discovery_", "endpoints_updated")
+    if not late:
+        return ""
     return (
-        f"{len(lost)} of {CLIENTS} answers of {BODY_BYTES} bytes were cut off: {', '.join(lost)}"
-        if lost
-        else ""
+        f"{len(late)} requests sent to a draining cache node later than {TOLD_S + GRACE_S:.2f} s after "
+        f"discovery had the drain and could be reached, the last one {late[-1] - drained_at:.1f} s after it"
     )
 
 
