Review cases: name record.txt in each case, and keep this machine's paths out of it

Each case.py passes its record.txt to the shared stand-ins, and the lines of a record have ROOT and TEMPORARY in place of the checkout and the temporary folder.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -69,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, play)
+    run_case(Path(__file__).resolve().parent / "record.txt", play)
--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -35,12 +35,12 @@
 class Case:
     """The record of one run, the processes that it started, and its clock."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, record: Path) -> None:
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started_at = time.monotonic()
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self.temporary.name)
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self._file = record.open("w", encoding="utf-8")
         self.processes: list[asyncio.subprocess.Process] = []
         self.tasks: list[asyncio.Task[Any]] = []
 
@@ -49,7 +49,8 @@
         return time.monotonic() - self.started_at
 
     def log(self, text: str) -> None:
-        """Write a line to the record."""
+        """Write a line to the record, without the paths of this machine."""
+        text = text.replace(str(self.folder), "TEMPORARY").replace(str(ROOT), "ROOT")
         self._file.write(f"{self.now():9.4f} {text}\n")
         self._file.flush()
 
@@ -518,11 +519,11 @@
         self._reader = self._writer = None
 
 
-def run_case(folder: Path, play: Callable[[Case], Awaitable[str]]) -> None:
+def run_case(record: Path, play: Callable[[Case], Awaitable[str]]) -> None:
     """Run a case and exit: `play` returns how the rule was broken, or an empty text if it held."""
 
     async def run() -> None:
-        case = Case(folder)
+        case = Case(record)
         work = asyncio.ensure_future(play(case))
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, work.cancel)
