A late list from discovery no longer ends the watch or resets the backoff

Cause: the decision module took any list as the answer to its present call. A late list between two retries made it subscribed while the watch had ended, so the retry timer found nothing to do. The same line set the backoff back, and made it subscribed before a retry under way was answered.

Evidence: in the case's log no discovery_poll follows discovery_answer overdue=True. In a scenario on a clock of its own is_subscribed is true and the watch inactive right after it; the retry timer fires, and begin_due_call declines. Ruled out: a lost timer, a hanging connect, an open call that blocks the next one.

Change: an update says whether it answers a call that had failed (EndpointUpdate.is_late). Its list is applied, and it changes nothing about calls. A capture's form is as it was, so a replay takes a late list for a timely one; it does not compare calls. counters has discovery_watched.

--- a/rosepick/core/endpoint_directory.py
+++ b/rosepick/core/endpoint_directory.py
@@ -95,12 +95,15 @@
         entry = self.endpoints.get(endpoint_id)
         return None if entry is None else entry.uid
 
-    def apply_update(self, update: SettingsReader, is_cached: bool = False) -> DirectoryUpdate:
+    def apply_update(
+        self, update: SettingsReader, is_cached: bool = False, is_late: bool = False
+    ) -> DirectoryUpdate:
         """Apply a full list or a change of it.
 
         Args:
             update: the document from discovery.
             is_cached: whether it comes from the settings file, not from discovery.
+            is_late: whether it answers a call that had counted as failed.
 
         Raises:
             ValueError: the document is malformed; nothing was applied.
@@ -123,7 +126,7 @@
             scope = api.UpdateScope.CACHED
         else:
             scope = api.UpdateScope.FULL if is_full else api.UpdateScope.DELTA
-        event = api.EndpointUpdate(scope, tuple(row.endpoint for row in rows), revision)
+        event = api.EndpointUpdate(scope, tuple(row.endpoint for row in rows), revision, is_late=is_late)
         newly_retired = [entry.uid for entry in retired if entry.status is api.Status.READY]
         retired_ids = tuple(entry.endpoint_id for entry in retired)
         return DirectoryUpdate(event, retired_ids, tuple(newly_retired))
--- a/rosepick/decisions/api.py
+++ b/rosepick/decisions/api.py
@@ -257,6 +257,7 @@
     endpoints: tuple[Endpoint, ...] = ()
     version: int = 0
     is_continued: bool = False  # whether it continues the change of the update before
+    is_late: bool = False  # whether it answers a call that had counted as failed
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosepick/decisions/discovery_calls.py
+++ b/rosepick/decisions/discovery_calls.py
@@ -35,7 +35,7 @@
         self._called_at = -inf
 
     def record_list(self) -> None:
-        """Record that a list arrived from discovery, even if no call was made here."""
+        """Record that a list arrived from discovery in time, even if no call was made here."""
         self.is_subscribed, self._is_open, self.failures_in_a_row = True, False, 0
 
     def record_failure(self, now: float) -> float:
--- a/rosepick/decisions/endpoint_state.py
+++ b/rosepick/decisions/endpoint_state.py
@@ -157,7 +157,8 @@
 
     def apply(self, now: float, update: api.EndpointUpdate) -> list[EndpointState]:
         """Apply a list or changes of it, from discovery or configuration; return the changed endpoints."""
-        if update.scope is not UpdateScope.CACHED:
+        # A late list says nothing about the present call, or whether there is one.
+        if update.scope is not UpdateScope.CACHED and not update.is_late:
             self.calls.record_list()
         if not update.is_continued:
             self._previous_list_at = self._listed_at
--- a/rosepick/net/endpoint_watch.py
+++ b/rosepick/net/endpoint_watch.py
@@ -5,8 +5,8 @@
 sum of the delays that must stay below this bound.
 
 Discovery counts a list as notified once it has written the list, even if the router no longer waits for it.
-Therefore a poll whose response is overdue stays open: the next poll uses another connection, and the first
-list to arrive counts.
+Therefore a poll whose response is overdue stays open, and the next poll uses another connection. A late list
+is applied, but it says nothing about the present poll: only a response in time establishes the watch.
 """
 
 from __future__ import annotations
@@ -59,7 +59,7 @@
         budget: ResourceBudget,
         address: tuple[str, int],
         revision: Callable[[], int],
-        on_list: Callable[[SettingsReader], None],
+        on_list: Callable[[SettingsReader, bool], None],
         on_failure: Callable[[], None],
     ) -> None:
         self.loop = loop
@@ -153,7 +153,7 @@
             overdue=is_overdue,
         )
         if not self._is_outdated(poll, reply.document):
-            self.on_list(reply.document)
+            self.on_list(reply.document, is_overdue)
             self._needs_full_list = False
         if is_overdue:
             self._drop_overdue()
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -327,9 +327,9 @@
 
     # ------------------------------------------------------------------------------------- discovery
 
-    def _apply_endpoint_list(self, document: SettingsReader) -> None:
+    def _apply_endpoint_list(self, document: SettingsReader, is_late: bool) -> None:
         began_at = self.loop.now()
-        change = self.endpoint_directory.apply_update(document)
+        change = self.endpoint_directory.apply_update(document, is_late=is_late)
         self._list_slices.apply(change)
         log_event(
             logger,
@@ -454,6 +454,7 @@
             rejected_requests=self.listener.rejected_count,
             event_loop_faults=self.loop.fault_count,
             list_age_ms=self.loop.now() - self._listed_at,
+            discovery_watched=self.endpoint_watch.is_active,
             longest_turn_ms=self.loop.load.longest_turn_ms,
             longest_call_ms=self.loop.load.longest_call_ms,
             long_calls=self.loop.load.long_call_count,
