A list from discovery that is older than the one in force is dropped

Cause: EndpointWatch._is_outdated exempted whole lists, because a discovery that has lost its state numbers its lists anew and its list with a lower revision has to apply. It asked neither what revision the call had stated nor in which numbering.

A timely answer that is dropped still establishes the watch.

--- a/rosepick/net/discovery_connection.py
+++ b/rosepick/net/discovery_connection.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..connections.descriptor_budget import DescriptorUse
+from ..core.list_order import ListCall
 from ..http.discovery import DiscoveryError, EndpointListReader, EndpointListReply
 from ..logs import log_exception
 from .event_loop import READ, WRITE, EventLoop, ScheduledCall
@@ -24,7 +25,7 @@
 
     number: int  # the sequence number of the poll in its watch
     request: bytes  # the encoded HTTP request
-    after_revision: int | None  # None requests the full list
+    call: ListCall  # what the request asks for
     timeout_ms: float  # time from the write of the request until its response is overdue
     begun_at: float  # when the poll was started
 
--- a/rosepick/net/endpoint_watch.py
+++ b/rosepick/net/endpoint_watch.py
@@ -6,7 +6,8 @@
 
 Discovery counts a list as notified once it has written the list, even if the router no longer waits for it.
 Therefore a poll whose response is overdue stays open, and the next poll uses another connection. A late list
-is applied, but it says nothing about the present poll: only a response in time establishes the watch.
+is applied unless a newer one is in force (`core/list_order.py`), but it says nothing about the present poll:
+the watch is established only by a response that arrives in time.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 import logging
 from collections.abc import Callable
 
+from ..core.list_order import ListOrder
 from ..http.discovery import EndpointListReply, encode_list_request
 from ..logs import log_event
 from ..settings.reader import SettingsReader
@@ -51,7 +53,17 @@
 
 
 class EndpointWatch:
-    """Polls the endpoint list while enabled; a failure ends the watch until it is enabled again."""
+    """Polls the endpoint list while enabled; a failure ends the watch until it is enabled again.
+
+    Args:
+        loop: the event loop.
+        budget: the descriptor budget.
+        address: host and port of the service.
+        revision: returns the revision of the list in force.
+        on_list: called with each list that is to be applied, and whether its poll was overdue.
+        on_unchanged: called after a timely response with a list that is not newer than the one in force.
+        on_failure: called after a failure of the watch.
+    """
 
     def __init__(
         self,
@@ -60,6 +72,7 @@
         address: tuple[str, int],
         revision: Callable[[], int],
         on_list: Callable[[SettingsReader, bool], None],
+        on_unchanged: Callable[[], None],
         on_failure: Callable[[], None],
     ) -> None:
         self.loop = loop
@@ -67,6 +80,7 @@
         self.address = address
         self.revision = revision
         self.on_list = on_list
+        self.on_unchanged = on_unchanged
         self.on_failure = on_failure
         self.is_active = False
         self.has_responded = False  # whether the service responded since the start or the latest switch
@@ -74,7 +88,7 @@
         self._connection: DiscoveryConnection | None = None
         # connection of an overdue poll, which may still get a response
         self._overdue: DiscoveryConnection | None = None
-        self._needs_full_list = False  # true from a switch of the service until a list is received
+        self._order = ListOrder()
 
     def set_watching(self, enabled: bool) -> None:
         """Start or stop the watch; enabling an active watch has no effect."""
@@ -94,7 +108,7 @@
         self.address = address
         self.is_active = True
         self.has_responded = False
-        self._needs_full_list = True
+        self._order.begin_service()
         self._poll(FIRST_POLL_WAIT_MS)
 
     def is_reachable(self) -> bool:
@@ -105,12 +119,13 @@
     def _poll(self, wait_ms: float) -> None:
         """Poll for changes after the held revision, or for the full list after a switch."""
         host = f"{self.address[0]}:{self.address[1]}"
-        after_revision = None if self._needs_full_list else self.revision()
+        call = self._order.next_call(self.revision())
+        after_revision = call.after_revision
         self.poll_count += 1
         poll = Poll(
             self.poll_count,
             encode_list_request(host, after_revision, wait_ms),
-            after_revision,
+            call,
             wait_ms + RESPONSE_GRACE_MS if wait_ms else FIRST_RESPONSE_TIMEOUT_MS,
             self.loop.now(),
         )
@@ -144,6 +159,8 @@
         assert poll is not None
         self.has_responded = True
         is_overdue = connection is self._overdue
+        revision = reply.document.integer("rev", 0)
+        is_accepted = self._order.accepts(poll.call, revision, self.revision(), is_overdue)
         log_event(
             logger,
             logging.INFO,
@@ -151,10 +168,13 @@
             poll=poll.number,
             elapsed_ms=self.loop.now() - poll.begun_at,
             overdue=is_overdue,
+            outdated=not is_accepted,
         )
-        if not self._is_outdated(poll, reply.document):
+        if is_accepted:
             self.on_list(reply.document, is_overdue)
-            self._needs_full_list = False
+            self._order.record_applied(poll.call, revision)
+        elif not is_overdue:
+            self.on_unchanged()
         if is_overdue:
             self._drop_overdue()
             return
@@ -163,12 +183,6 @@
         if self.is_active:
             self._poll(LONG_POLL_WAIT_MS)
 
-    def _is_outdated(self, poll: Poll, document: SettingsReader) -> bool:
-        """Return whether another poll has delivered a newer list in the meantime."""
-        if self._needs_full_list or poll.after_revision == self.revision():
-            return False
-        return not document.boolean("all") and document.integer("rev", 0) <= self.revision()
-
     def _on_overdue(self, connection: DiscoveryConnection) -> None:
         """Report a failure, but keep the connection open for a late response."""
         self._log_failure(connection, "silent")
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -120,6 +120,7 @@
             self.config.discovery,
             lambda: self.endpoint_directory.revision,
             self._apply_endpoint_list,
+            self._on_list_unchanged,
             self._on_discovery_failed,
         )
 
@@ -350,6 +351,13 @@
         self.engine.update_endpoints(event)
         self.pool.retire_endpoints(retired_endpoint_ids)
 
+    def _on_list_unchanged(self) -> None:
+        """Tell the decision module that discovery has answered, although its list is not newer."""
+        self._list_slices.finish()
+        revision = self.endpoint_directory.revision
+        self.engine.update_endpoints(api.EndpointUpdate(api.UpdateScope.DELTA, (), revision))
+        self._listed_at = self.loop.now()
+
     def _on_discovery_failed(self) -> None:
         self._list_slices.finish()
         self.engine.update_endpoints(api.EndpointUpdate(api.UpdateScope.FAILED))
