A reader of the log that stalls no longer hangs the program

Cause: the log wrote by a blocking write in the one thread that serves, and a pipe holds 64 KiB.

Change: log_output.LineWriter writes only while the descriptor takes more, by a non-blocking file description of its own (another process may fill the same pipe between the look and the write; commands that inherit standard error keep theirs). A line that does not fit is dropped and counted: log_lines_dropped says how many are missing once the reader is back, counters has dropped_log_lines.

--- a/rosepick/logs.py
+++ b/rosepick/logs.py
@@ -11,8 +11,11 @@
 from collections.abc import Callable
 from typing import TextIO
 
+from .log_output import LineHandler, LineWriter
+
 MAX_LINES_PER_EVENT = 20  # for each module and event in a window; further lines are counted
 RATE_LIMIT_WINDOW_S = 10.0
+_line_writer: LineWriter | None = None  # of the log in use
 UNLIMITED_EVENTS = frozenset({"client_verified"})  # the audit trail of verified clients is complete
 
 
@@ -98,8 +101,8 @@
 
 
 def configure_logging(stream: TextIO | None = None) -> None:
-    """Write the log of the package to a stream, by default to standard error."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+    """Write the log of the package to a stream, by default to standard error without blocking."""
+    handler = _make_handler(stream or sys.stderr)
     handler.setFormatter(KeyValueFormatter())
     handler.addFilter(LogRateLimiter())
     root = logging.getLogger("rosepick")
@@ -107,3 +110,26 @@
     root.setLevel(logging.INFO)
     root.propagate = False
     logging.raiseExceptions = False  # without this, each line to a closed pipe would print a traceback
+
+
+def _make_handler(stream: TextIO) -> logging.Handler:
+    """Return a handler for a stream, which does not block if the stream has a descriptor."""
+    global _line_writer
+    try:
+        _line_writer = LineWriter(stream.fileno())
+    except (OSError, ValueError):
+        _line_writer = None
+        return logging.StreamHandler(stream)
+    return LineHandler(_line_writer, _make_gap_record)
+
+
+def _make_gap_record(count: int) -> logging.LogRecord:
+    """Return the record of the event that lines were dropped, as nobody read the log."""
+    record = logging.LogRecord(__name__, logging.WARNING, __file__, 0, "log_lines_dropped", None, None)
+    record.fields = {"count": count}
+    return record
+
+
+def dropped_line_count() -> int:
+    """Return how many log lines were dropped since the start, because nobody read the log."""
+    return 0 if _line_writer is None else _line_writer.dropped_count
--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -20,7 +20,7 @@
 from ..decisions import api
 from ..decisions.decide import Router
 from ..decisions.permissions import Denial, StartFacts, check_start
-from ..logs import log_event
+from ..logs import dropped_line_count, log_event
 from ..ops.line_protocol import AdminReply
 from ..ops.telemetry import TelemetrySnapshot
 from ..settings.config import Config, ConfigError, merge_reload, settings_needing_restart
@@ -467,6 +467,7 @@
             longest_call_ms=self.loop.load.longest_call_ms,
             long_calls=self.loop.load.long_call_count,
             violated_invariants=sum(violation_counts.values()),
+            dropped_log_lines=dropped_line_count(),
             admin_clients=self.admin_listener.connection_count if self.admin_listener is not None else 0,
             **counts,
         )
