All processes in a leased command's session end with its lease

Cause: guard and LeasedCommand signalled the command's process group; timeout gives its child another group of the same session. The lease was released without a look at what was left.

Change: CommandSession finds the members of a session by getsid, signals them by pidfd, and repeats until none is left; the guard and lease run use it, and the lease is kept until then. process_group_guard is session_guard now.

--- a/rosepick/coordination/leased_command.py
+++ b/rosepick/coordination/leased_command.py
@@ -13,8 +13,9 @@
 
 from ..leases.lease_client import LeaseState
 from ..logs import log_event
+from .command_session import CommandSession
 from .lease_holder import LeaseHolder
-from .process_group_guard import ProcessGroupGuard
+from .session_guard import SessionGuard
 
 if TYPE_CHECKING:
     from ..net.event_loop import EventLoop
@@ -34,8 +35,8 @@
 def _set_parent_death_signal(parent_pid: int) -> None:
     """Make the kernel kill this process when its parent dies, whatever the cause of death.
 
-    This runs between fork and exec. It covers the time until the guard of the process group watches; that
-    covers the processes that the command starts, too.
+    This runs between fork and exec. It covers the time until the guard of the session watches; that covers
+    the processes that the command starts, too.
     """
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, int(signal.SIGKILL), 0, 0, 0)
     if os.getppid() != parent_pid:
@@ -52,6 +53,7 @@
         self.loop: EventLoop = holder.loop  # type: ignore[assignment]
         self.holder = holder
         self.process: subprocess.Popen[bytes] | None = None
+        self._session: CommandSession | None = None  # of the running command
         self._received_signal: int | None = None  # latest signal to this process that is not handled yet
 
     def run(self, wait_timeout_ms: float | None) -> int:
@@ -103,13 +105,13 @@
             "ROSEPICK_TOKEN": str(lease_client.token),
             "ROSEPICK_TASK": lease_client.task,
         }
-        guard = ProcessGroupGuard()
+        guard = SessionGuard()
         try:
             return self._run_guarded(guard, environment)
         finally:
             guard.dismiss()
 
-    def _run_guarded(self, guard: ProcessGroupGuard, environment: dict[str, str]) -> int:
+    def _run_guarded(self, guard: SessionGuard, environment: dict[str, str]) -> int:
         lease_client = self.holder.lease_client
         try:
             self.process = subprocess.Popen(
@@ -121,6 +123,7 @@
         except OSError as error:
             log_event(logger, logging.ERROR, "command_start_failed", command=self.command[0], text=error)
             return EXIT_COMMAND_NOT_STARTED
+        self._session = CommandSession(self.process.pid)
         guard.watch(self.process.pid)
         log_event(
             logger,
@@ -138,7 +141,7 @@
                 self._signal_command(self._received_signal)
                 self._received_signal = None
         status = self.process.returncode
-        self._signal_command(signal.SIGKILL)  # child processes of the command must not outlive the lease
+        self._kill_remaining()
         return status if status >= 0 else EXIT_SIGNAL_BASE - status
 
     def _terminate_command(self) -> int:
@@ -161,15 +164,18 @@
             self.loop.step(min(POLL_INTERVAL_MS, max(1.0, deadline - self.loop.now())) / 1000.0)
         self._signal_command(signal.SIGKILL)
         self.process.wait()
+        self._kill_remaining()
         return EXIT_LEASE_IN_DOUBT
 
-    def _signal_command(self, signal_number: int) -> None:
-        """Send a signal to the command's process group."""
-        assert self.process is not None
-        try:
-            os.killpg(self.process.pid, signal_number)
-        except ProcessLookupError:
-            return
+    def _signal_command(self, signal_number: int) -> bool:
+        """Send a signal to all processes of the command's session; return False if there are none."""
+        assert self._session is not None
+        return self._session.signal(signal_number)
+
+    def _kill_remaining(self) -> None:
+        """Kill what the command has left in its session; the lease is kept until all of it has ended."""
+        while self._signal_command(signal.SIGKILL):
+            self.loop.step(POLL_INTERVAL_MS / 1000.0)
 
     def _release_lease(self) -> None:
         self.holder.release(self.successor)
--- a/rosepick/coordination/session_guard.py
+++ b/rosepick/coordination/session_guard.py
@@ -1,24 +1,26 @@
-"""Kills a process group when the process that watches over it has ended, whatever ended it.
+"""Kills the session of a command when the process that watches over it has ended, whatever ended it.
 
 The module is also the program of the guard: a process of its own, which reads from its standard input the
-number of the group and, when nothing is left to guard, a line that says so. The end of the input without that
+id of the session and, when nothing is left to guard, a line that says so. The end of the input without that
 line means that the other side has died.
 """
 
 from __future__ import annotations
 
 import contextlib
-import os
 import signal
 import subprocess
 import sys
 from typing import BinaryIO
 
+from .command_session import CommandSession
+
 DISMISSAL = b"dismissed"
 DISMISSAL_TIMEOUT_S = 2.0
+KILL_TIMEOUT_S = 30.0
 
 
-class ProcessGroupGuard:
+class SessionGuard:
     """Starts a guard, which outlives this process."""
 
     def __init__(self) -> None:
@@ -26,12 +28,12 @@
             [sys.executable, "-m", __name__], stdin=subprocess.PIPE, start_new_session=True
         )
 
-    def watch(self, process_group: int) -> None:
-        """Let the guard kill a process group once this process has ended."""
-        self._write(b"%d\n" % process_group)
+    def watch(self, leader_pid: int) -> None:
+        """Let the guard kill the session of a command once this process has ended."""
+        self._write(b"%d\n" % leader_pid)
 
     def dismiss(self) -> None:
-        """End the guard; the process group has ended."""
+        """End the guard; the session has ended."""
         self._write(DISMISSAL + b"\n")
         with contextlib.suppress(OSError, subprocess.TimeoutExpired):
             self._process.communicate(timeout=DISMISSAL_TIMEOUT_S)
@@ -44,11 +46,14 @@
 
 
 def guard(lines: BinaryIO) -> None:
-    """Kill the process group in the first line, unless the last one is the dismissal."""
-    received = [line.strip() for line in lines]
-    if received and received[0].isdigit() and received[-1] != DISMISSAL:
-        with contextlib.suppress(ProcessLookupError):
-            os.killpg(int(received[0]), signal.SIGKILL)
+    """Kill the session in the first line, unless the last line is the dismissal."""
+    first = lines.readline().strip()
+    if not first.isdigit():
+        return
+    session = CommandSession(int(first))
+    last = [line.strip() for line in lines][-1:]
+    if last != [DISMISSAL]:
+        session.kill(KILL_TIMEOUT_S)
 
 
 if __name__ == "__main__":
