Let a connection to a node rest for 5 ms, so that no second answer is taken for another

Cause: UpstreamPool._take_idle handed a connection out again at once if nothing was there to read; the second answer crossed the next request.

Change: a connection rests for MIN_REST_MS before it is used again; bytes that come meanwhile close it, as before. Without a descriptor for another connection one that has not rested is used. upstream_connects counts each dial, as before.

Tests that expected a connection to be used again in the same instant wait for its rest first; what they check is as it was. One more in test_malformed_responses waits 6 ms, which is under the 12 ms that it checks to have ended.

--- a/rosepick/net/upstream_pool.py
+++ b/rosepick/net/upstream_pool.py
@@ -29,6 +29,9 @@
 SWEEP_FRACTION = 0.25  # interval of the checks, as a fraction of the shortest keep-alive time
 # Time without progress after which a partial response is malformed, as a fraction of the shortest objective.
 STALL_FRACTION_OF_OBJECTIVE = 0.2
+# Minimum idle time before a connection is reused: an upstream may send a second response some milliseconds
+# after the first, and nothing in it tells that it is not the response to the next request.
+MIN_REST_MS = 5.0
 EARLY_CLOSE_MS = 100.0  # an upstream that closes an idle connection sooner does not support keep-alive
 REUSE_DELAY_DURATION_MS = 60_000.0  # how long the reuse of idle connections is delayed after an early close
 REUSE_DELAY_FACTOR = 1.2  # reuse delay, as a multiple of the idle time at the early close
@@ -92,14 +95,15 @@
         endpoint = self.endpoint_directory.endpoints[attempt.endpoint_id]  # `may_write` implies an entry
         if endpoint.zone != self.zone:
             self.engine.counts["cross_zone_attempts"] += 1
-        connection = self._take_idle(attempt.endpoint_id)
+        connection = self._take_idle(attempt.endpoint_id, self._min_rest_ms())
         if connection is None:
-            self.engine.counts["upstream_connects"] += 1
             try:
                 connection = self._dial(endpoint)
             except OSError as error:
-                self._finish_failed_dial(attempt, error)
-                return
+                connection = self._take_idle(attempt.endpoint_id, 0.0)
+                if connection is None:
+                    self._finish_failed_dial(attempt, error)
+                    return
         self.busy[attempt] = connection
         connection.start(attempt, request)
 
@@ -197,16 +201,20 @@
 
     # ---------------------------------------------------------------------------------- connections
 
-    def _take_idle(self, endpoint_id: int) -> UpstreamConnection | None:
+    def _min_rest_ms(self) -> float:
+        """Return how long a connection must have been idle before it is reused, in milliseconds."""
+        if self.loop.now() > self.reuse_delay_until:
+            self.reuse_delay_ms = 0.0
+        return max(MIN_REST_MS, self.reuse_delay_ms)
+
+    def _take_idle(self, endpoint_id: int, min_rest_ms: float) -> UpstreamConnection | None:
         """Remove and return the most recently used idle connection that can be reused; None without one.
 
         Connections that the upstream has closed, or on which it sent unsolicited data, are closed.
         """
         now = self.loop.now()
-        if now > self.reuse_delay_until:
-            self.reuse_delay_ms = 0.0
         for connection in self.idle.get(endpoint_id, [])[::-1]:
-            if now - connection.idle_since < self.reuse_delay_ms:
+            if now - connection.idle_since < min_rest_ms:
                 continue
             # Usable as far as known: the upstream has neither closed it nor sent unsolicited data.
             if connection.stream.has_nothing_to_read():
@@ -222,6 +230,7 @@
         Raises:
             OSError: the connect failed at once.
         """
+        self.engine.counts["upstream_connects"] += 1
         try:
             if not self.budget.ensure_available(DescriptorUse.UPSTREAM):
                 raise OSError(errno.EMFILE, "no file descriptor is left for a connection to an upstream")
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -254,7 +254,7 @@
                 )
                 + "s1 breaks; c1 broken Transfer-Encoding: chunked; all free",
                 "the upstream stops sending": self.LONG + stopped,
-                "the connections are reused": f"{response}{self.ASK}s1 send 200 v; c1 expect 200; "
+                "the connections are reused": f"{response}wait 10; {self.ASK}s1 send 200 v; c1 expect 200; "
                 "all holds budget.used 3; "
                 "all free",
                 "the decision module raises during a response": f"{self.ASK}module faults; "
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -46,6 +46,7 @@
             origin expect GET /api/k1
             origin send 200 x
             c1 expect 200 x
+            wait 10
             c1 send PUT /api/k2 v
             origin expect PUT /api/k2
             origin {REJECT_CONNECTION}
--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import errno
 import socket
+from unittest import mock
 
 from rosepick.decisions import api
+from rosepick.net import upstream_pool
 
 from .scenario import Scenario
 
@@ -123,7 +126,38 @@
         self.assertEqual(len(self.wires["s1"]), 2)
         self.play("wait 15" + read)
         self.assertEqual(len(self.wires["s1"]), 2)
-        self.play("wait 61000\nc1 expect closed\ns1 expect closed\ns1 expect closed" + read + read)
+        self.play("wait 61000\nc1 expect closed\ns1 expect closed\ns1 expect closed" + read + "wait 6" + read)
+        self.assertEqual(len(self.wires["s1"]), 1)
+
+
+class SecondResponses(Scenario):
+    """An upstream sends a response twice, the second time some milliseconds after the first."""
+
+    FIRST = """
+        c1 send GET /api/k1
+        s1 expect GET /api/k1
+        s1 send 200 first
+        c1 expect 200 first
+    """
+
+    def test_a_second_response_is_not_served_to_the_next_request(self) -> None:
+        """It crossed the next request on the connection, whose client got another client's value."""
+        for late_ms in range(5):
+            with self.subTest(late_ms=late_ms):
+                self.tearDown()
+                self.setUp()
+                self.play(self.FIRST)
+                before = self.wires["s1"][-1]
+                self.wait(late_ms)
+                self.play("c2 send GET /api/k2\ns1 expect GET /api/k2")
+                self.assertIsNot(self.wires["s1"][-1], before)
+                before.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst")
+                self.play("s1 expect closed\ns1 send 200 other\nc2 expect 200 other")
+
+    def test_a_connection_is_used_at_once_if_no_other_one_can_be_opened(self) -> None:
+        self.play(self.FIRST)
+        with mock.patch.object(upstream_pool, "dial", side_effect=OSError(errno.EMFILE, "no descriptor")):
+            self.play("c2 send GET /api/k2\ns1 expect GET /api/k2\ns1 send 200 other\nc2 expect 200 other")
         self.assertEqual(len(self.wires["s1"]), 1)
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -41,7 +41,7 @@
             s1 send 200 value
             c1 expect 200 value
         """
-        self.play(read + read)
+        self.play(read + "wait 6" + read)
         self.assertEqual([len(self.wires[name]) for name in ("c1", "s1")], [1, 1])
 
     def test_chunked_response_in_pieces(self) -> None:
