Move the log lines of a router process to a module of their own

A slow answer that two shutdown tests played is one function.

Result: test_account, test_endings, test_reload, test_package_layers and test_shutdown_transfers pass.

--- a/rosepick/net/server.py
+++ b/rosepick/net/server.py
@@ -8,19 +8,18 @@
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import asdict
 from functools import partial
 from math import inf
 
 from ..connections.connection_table import CloseReason
-from ..core.endpoint_directory import DirectoryUpdate, EndpointDirectory
+from ..core.endpoint_directory import EndpointDirectory
 from ..core.engine import Engine
 from ..core.invariants import violation_counts
 from ..core.observed_engine import ObservedEngine
 from ..decisions import api
 from ..decisions.decide import Router
 from ..decisions.permissions import Denial, StartFacts, check_start
-from ..logs import dropped_line_count, log_event
+from ..logs import log_event
 from ..ops.line_protocol import AdminReply
 from ..ops.telemetry import TelemetrySnapshot
 from ..settings.config import Config, ConfigError, merge_reload, settings_needing_restart
@@ -41,12 +40,12 @@
     reserved_descriptors,
 )
 from .resource_budget import ResourceBudget
+from .server_log import changed_uid_fields, log_counters, log_outcomes, log_rules
 from .upstream_pool import UpstreamPool
 
 logger = logging.getLogger(__name__)
 START_POLL_INTERVAL_MS = 25.0  # interval of the checks whether clients may be accepted
 SUMMARY_INTERVAL_MS = 5_000.0
-MAX_LOGGED_UIDS = 8  # maximum number of uids per log field; the others are counted
 GC_THRESHOLDS = (20_000, 20, 50)  # collections are rare, because few allocated objects form reference cycles
 
 
@@ -224,7 +223,7 @@
                 revision=self.endpoint_directory.revision,
                 endpoints=len(self.endpoint_directory.endpoints),
             )
-            self._log_rules()
+            log_rules(self.config.settings)
 
     def _try_listen(self) -> bool:
         """Start to listen and accept; return False if listening failed, so that the caller retries."""
@@ -255,19 +254,6 @@
         if not (self.listener.has_started or self.listener.is_shutting_down):
             self.loop.call_after(START_POLL_INTERVAL_MS, self._poll_start)
 
-    def _log_rules(self) -> None:
-        """Log the rules and limits in force, for the analysis of the log."""
-        settings = self.config.settings
-        log_event(
-            logger,
-            logging.INFO,
-            "rules_in_force",
-            routers=settings.routers,
-            lists_pushed=settings.pushed,
-            max_attempts=settings.limits.max_attempts,
-            **asdict(settings.rules),
-        )
-
     def run(self) -> None:
         """Serve until a signal starts the shutdown and no request is pending."""
         handlers: dict[int, Callable[[], None]] = {
@@ -341,7 +327,7 @@
             entries=len(change.event.endpoints),
             endpoints=len(self.endpoint_directory.endpoints),
             apply_ms=self.loop.now() - began_at,
-            **_changed_uids(change, self.endpoint_directory),
+            **changed_uid_fields(change, self.endpoint_directory),
         )
         self._list_received = True
         self._listed_at = self.loop.now()
@@ -423,7 +409,7 @@
             self.capture.recorder.set_names(merged.names)
         if merged.settings != before.settings:
             self.engine.reconfigure(merged.settings)
-            self._log_rules()
+            log_rules(self.config.settings)
         if new_config.discovery != before.discovery:
             self.endpoint_watch.switch_discovery(new_config.discovery)
 
@@ -452,49 +438,20 @@
     def _log_summary(self) -> None:
         """Log the counters and the outcomes of each request class."""
         self.loop.call_after(SUMMARY_INTERVAL_MS, self._log_summary)
-        counts = dict(sorted(self.engine.totals().items()))
-        log_event(
-            logger,
-            logging.INFO,
-            "counters",
-            pending_requests=self.engine.pending_count,
+        log_counters(
+            self.engine,
+            self.loop,
             open_descriptors=self.budget.used,
             rejected_requests=self.listener.rejected_count,
-            event_loop_faults=self.loop.fault_count,
             list_age_ms=self.loop.now() - self._listed_at,
             discovery_watched=self.endpoint_watch.is_active,
-            longest_turn_ms=self.loop.load.longest_turn_ms,
-            longest_call_ms=self.loop.load.longest_call_ms,
-            long_calls=self.loop.load.long_call_count,
-            violated_invariants=sum(violation_counts.values()),
-            dropped_log_lines=dropped_line_count(),
             admin_clients=self.admin_listener.connection_count if self.admin_listener is not None else 0,
-            **counts,
         )
-        self.loop.load.reset()
         worths = {index: entry.worth for index, entry in enumerate(self.config.settings.classes)}
-        for fields in self.engine.request_counters.iter_log_fields(self._class_names(), worths):
-            log_event(logger, logging.INFO, "request_outcomes", **fields)
+        log_outcomes(self.engine.request_counters, self._class_names(), worths)
         self.listener.log_summary()
 
 
 def _max_descriptors(config: Config) -> int:
     """Return the descriptor limit: the lower of the configured limit and the process's RLIMIT_NOFILE."""
     return min(config.max_descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-
-
-def _changed_uids(change: DirectoryUpdate, directory: EndpointDirectory) -> dict[str, str]:
-    """Return log fields with the uids of endpoints that an update drains or retires, without empty fields."""
-    draining = [
-        directory.uid_of(entry.endpoint_id) or ""
-        for entry in change.event.endpoints
-        if entry.status is api.Status.DRAINING
-    ]
-    fields = {"draining": draining, "retired": list(change.retired_uids)}
-    return {name: _join_uids(uids) for name, uids in fields.items() if uids}
-
-
-def _join_uids(uids: list[str]) -> str:
-    """Return the first `MAX_LOGGED_UIDS` uids as one text, and the number of the others."""
-    hidden_count = len(uids) - MAX_LOGGED_UIDS
-    return ",".join([*uids[:MAX_LOGGED_UIDS], *([f"+{hidden_count}"] if hidden_count > 0 else [])])
--- a/tests/test_shutdown_transfers.py
+++ b/tests/test_shutdown_transfers.py
@@ -11,7 +11,7 @@
 from rosepick.net.graceful_shutdown import MAX_ACCEPT_AFTER_SIGTERM_MS
 from rosepick.net.tcp_stream import NO_PROGRESS_TIMEOUT_MS
 
-from .scenario import ScenarioConnection
+from .scenario import Scenario, ScenarioConnection
 from .test_endings import EndingScenario
 from .test_multiget import Batches, unchunked
 from .test_tls import TlsScenario
@@ -79,6 +79,19 @@
         return self.wires[who][-1].seen.partition(b"\r\n\r\n")[2]
 
 
+def play_slow_answer(scenario: Scenario) -> None:
+    """Have s1 answer c1's read until long after the deadlines, and check that the answer comes whole."""
+    scenario.put("s1", b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES + PART * 4)
+    scenario.wait(200)
+    scenario.play("router end")
+    for _ in range(PART_COUNT - 4):
+        scenario.wait(PART_INTERVAL_MS)
+        scenario.play("router going")
+        scenario.put("s1", PART)
+    body = scenario.wires["c1"][-1].seen.partition(b"\r\n\r\n")[2]
+    scenario.assertEqual(len(body), BODY_BYTES)
+
+
 class LongAnswersAtShutdown(TransferScenario):
     def test_an_answer_of_stated_length_that_is_given_slowly_comes_whole(self) -> None:
         """Answers that were still being passed on 3.6 s after SIGTERM were cut off."""
@@ -239,14 +252,7 @@
 class TlsAtShutdown(TlsScenario):
     def test_a_long_answer_over_tls_that_is_given_slowly_comes_whole(self) -> None:
         self.play("c1 send GET /api/k1\ns1 expect GET /api/k1")
-        self.put("s1", b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES + PART * 4)
-        self.wait(200)
-        self.play("router end")
-        for _ in range(PART_COUNT - 4):
-            self.wait(PART_INTERVAL_MS)
-            self.play("router going")
-            self.put("s1", PART)
-        self.assertEqual(len(self.wires["c1"][-1].seen.partition(b"\r\n\r\n")[2]), BODY_BYTES)
+        play_slow_answer(self)
         self.wait(600)
         self.play("router ended")
 
@@ -254,14 +260,7 @@
 class UpgradeAtShutdown(HandoverScenario):
     def test_a_long_answer_of_the_old_process_that_is_given_slowly_comes_whole(self) -> None:
         self.play("other dies\nc1 send GET /api/k1\ns1 expect GET /api/k1")
-        self.put("s1", b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES + PART * 4)
-        self.wait(200)
-        self.play("router end")
-        for _ in range(PART_COUNT - 4):
-            self.wait(PART_INTERVAL_MS)
-            self.play("router going")
-            self.put("s1", PART)
-        self.assertEqual(len(self.wires["c1"][-1].seen.partition(b"\r\n\r\n")[2]), BODY_BYTES)
+        play_slow_answer(self)
         self.play("c9 queues\nwait 600\nrouter ended\nother accepts")
 
 
