Serve new connections beside kept ones while a router is behind

Cause: a turn of the loop serves each ready connection once, but the whole accept queue by one batch of 3 ms at most, and bulk, which new clients are until their first response, for 5 ms, however long the turn is.

Change: the loop serves a listening socket again after every 5 ms of other work in a turn; bulk gets as much time as all other work of the turn took. A queue that was seen empty dates the next connections from then on.

--- a/rosepick/net/accept_queue.py
+++ b/rosepick/net/accept_queue.py
@@ -67,9 +67,10 @@
             self._since = self._marks.popleft()[0]
         return self._since
 
-    def record_empty(self) -> None:
-        """Record that the queue is empty."""
+    def record_empty(self, now: float) -> None:
+        """Record that the queue was empty at `now`, so that all further connections arrive after it."""
         self._is_empty = True
+        self._since = max(self._since, now)
         self._marks.clear()
 
 
--- a/rosepick/net/event_loop.py
+++ b/rosepick/net/event_loop.py
@@ -20,9 +20,11 @@
 WRITE = selectors.EVENT_WRITE
 MAX_WAIT_S = 1.0  # maximum duration of one wait, in case a wake-up is lost
 CALLS_PER_URGENT_CHECK = 16  # number of other callbacks between two polls of urgent sockets
+REPEAT_INTERVAL_MS = 5.0  # time for other callbacks between two calls for a repeated socket
 LATE_TIMER_WARNING_MS = 50.0  # longer delays of timers are logged
-# Time in each turn for sockets and calls that count as bulk. What is left of them waits for the next turn, so
-# that many clients at once, or one at full speed, do not hold up all others.
+# Time in each turn for sockets and calls that count as bulk, or as much as all others took, if that is more.
+# What is left of them waits for the next turn, so that many clients at once, or one at full speed, do not
+# hold up all others.
 BULK_BUDGET_MS = 5.0
 MIN_CANCELLED_TIMERS = 256  # fewer cancelled timers stay in the heap until they are due
 ReadyCallback = Callable[[int], None]
@@ -61,6 +63,7 @@
         self._selector = selectors.DefaultSelector()
         self._urgent_selector: selectors.EpollSelector | None = None
         self._prioritized: set[int] = set()  # descriptors of prioritized sockets
+        self._repeated: set[int] = set()  # descriptors of repeated sockets
         self._heap: list[tuple[float, int, int, ScheduledCall]] = []
         self._bulk: set[int] = set()  # descriptors of bulk sockets
         self._last_bulk_fd = -1  # the next turn begins with the ready bulk socket after it
@@ -121,6 +124,13 @@
         """Serve a watched socket before other ready sockets and before late timers."""
         self._prioritized.add(sock.fileno())
 
+    def repeat(self, sock: socket.socket) -> None:
+        """Serve a watched socket several times in a long turn: again after every `REPEAT_INTERVAL_MS`.
+
+        Suits a socket for which one call does only a part of the waiting work, such as a listening socket.
+        """
+        self._repeated.add(sock.fileno())
+
     def set_bulk(self, sock: socket.socket, is_bulk: bool) -> None:
         """Set whether a socket is served within the time for bulk only, after all others."""
         if is_bulk:
@@ -136,6 +146,7 @@
     def unregister(self, sock: socket.socket, urgent: bool = False) -> None:
         """Stop watching a socket."""
         self._prioritized.discard(sock.fileno())
+        self._repeated.discard(sock.fileno())
         (self._get_urgent_selector() if urgent else self._selector).unregister(sock)
 
     def _get_urgent_selector(self) -> selectors.EpollSelector:
@@ -202,13 +213,22 @@
         if self.stopped:
             return
         ready = self._prioritized_first(self._poll(wait_s))
-        bulk = [entry for entry in ready if entry[0].fd in self._bulk] if self._bulk else []
+        bulk = [entry for entry in ready if entry[0].fd in self._bulk]
+        self._serve_others([entry for entry in ready if entry[0].fd not in self._bulk] if bulk else ready)
+        self._serve_bulk(bulk)
+
+    def _serve_others(self, ready: list[ReadySocket]) -> None:
+        """Serve all ready sockets that are not bulk; urgent and repeated ones also in between."""
+        repeated = [entry for entry in ready if entry[0].fd in self._repeated]
+        repeat_at = self.now() + REPEAT_INTERVAL_MS
         for number, (key, events) in enumerate(ready, 1):
-            if not bulk or key.fd not in self._bulk:
-                self._serve(key, events)
+            self._serve(key, events)
             if number % CALLS_PER_URGENT_CHECK == 0:
                 self._run_urgent_callbacks()
-        self._serve_bulk(bulk)
+            if repeated and self.now() >= repeat_at:
+                for entry in repeated:
+                    self._serve(*entry)
+                repeat_at = self.now() + REPEAT_INTERVAL_MS
 
     def _serve(self, key: selectors.SelectorKey, events: int) -> None:
         # Skip sockets that an earlier callback of this batch has closed.
@@ -218,8 +238,9 @@
         self._run_timers()
 
     def _serve_bulk(self, ready: list[ReadySocket]) -> None:
-        """Serve bulk calls and sockets in turn, for `BULK_BUDGET_MS`; the others stay ready."""
-        until = self.now() + BULK_BUDGET_MS
+        """Serve bulk calls and sockets in turn, within their time; the others stay ready."""
+        now = self.now()
+        until = now + max(BULK_BUDGET_MS, now - self._polled_at)
         calls = len(self._next_turn)
         ready.sort(key=lambda entry: (entry[0].fd <= self._last_bulk_fd, entry[0].fd))
         for index in range(max(calls, len(ready))):
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -177,6 +177,7 @@
             self.has_started = True
             for listen_socket in self.listen_sockets:
                 self.loop.register(listen_socket.sock, READ, partial(self._accept_batch, listen_socket))
+                self.loop.repeat(listen_socket.sock)
 
     def is_serving(self) -> bool:
         """Return whether new clients are accepted."""
@@ -230,10 +231,11 @@
 
     def _accept_one(self, listen_socket: ListenSocket) -> bool:
         """Accept one connection; return False if the queue is empty or accepting has paused."""
+        asked_at = self.loop.now()
         if self._is_at_limit():
             queue = queue_length(listen_socket.sock)
             if queue is not None and queue.queued == 0:
-                listen_socket.queue_age.record_empty()
+                listen_socket.queue_age.record_empty(asked_at)
                 return False  # do not evict a connection if no other one waits
         if not (self._can_accept() or self._may_accept_over_limit()):
             log_event(logger, logging.WARNING, "accept_paused", open_descriptors=self.budget.used)
@@ -242,7 +244,7 @@
         try:
             sock, address = listen_socket.sock.accept()
         except BlockingIOError:
-            listen_socket.queue_age.record_empty()
+            listen_socket.queue_age.record_empty(asked_at)
             return False
         except OSError as error:
             if error.errno in PER_CONNECTION_ERRNOS:
--- a/tests/test_loop_load.py
+++ b/tests/test_loop_load.py
@@ -4,6 +4,9 @@
 
 import logging
 import socket
+from collections import Counter
+from functools import partial
+from itertools import chain
 
 import pytest
 
@@ -77,6 +80,37 @@
     assert [age.record_accept() for _ in range(3)] == [1_000.0] * 3
     age.begin_batch(1_800.0, 1_700.0, QueueLength(1, 128))
     assert age.record_accept() == 1_500.0
-    age.record_empty()
+    age.record_empty(1_801.0)
     age.begin_batch(5_000.0, 4_990.0, None)
     assert age.record_accept() == 4_990.0
+
+
+def test_connections_accepted_later_in_a_turn_arrived_after_the_queue_was_empty_in_it() -> None:
+    age = AcceptQueueAge(0.0)
+    age.begin_batch(1_000.0, 400.0, QueueLength(1, 128))
+    assert age.record_accept() == 400.0
+    age.record_empty(1_001.0)
+    age.begin_batch(1_050.0, 400.0, QueueLength(1, 128))
+    assert age.record_accept() == 1_001.0
+
+
+def test_bulk_sockets_get_as_much_of_a_long_turn_as_all_others() -> None:
+    clock = FakeClock()
+    loop = EventLoop(clock)
+    seen: Counter[str] = Counter()
+    pairs = [socket.socketpair() for _ in range(20)]
+
+    def take(name: str, _events: int) -> None:
+        seen[name] += 1
+        clock.now_s += 0.01
+
+    for number, (watched, peer) in enumerate(pairs):
+        is_bulk = number % 2 == 1
+        loop.register(watched, READ, partial(take, "bulk" if is_bulk else "other"))
+        loop.set_bulk(watched, is_bulk)
+        peer.send(b"x")
+    loop.step(0.0)
+    assert seen == {"other": 10, "bulk": 10}
+    for sock in chain.from_iterable(pairs):
+        sock.close()
+    loop.close()
