Lend descriptors that upstreams leave to clients that send heads slowly

Cause: 104 of 208 descriptors are for client connections, and the slow heads held 100 of them. They make progress, and a client may take 2 s for a head, so none could be closed. Upstreams used 38.

Change: where nothing can be closed, partial heads beyond a quarter of the slots use descriptors that upstreams leave, 64 at most; 16 stay for connects.

When all slow heads complete at once each still gets its answer (test).

--- a/rosepick/connections/connection_table.py
+++ b/rosepick/connections/connection_table.py
@@ -142,6 +142,7 @@
         self.lingering: OrderedDict[ConnectionRecord, None] = OrderedDict()  # the longest lingering first
         # connections with a partial request, and when bytes last arrived on them; the earliest first
         self.partial_requests: OrderedDict[ConnectionRecord, float] = OrderedDict()
+        self.partial_heads: set[ConnectionRecord] = set()  # those of them whose head is partial
         self.active_count = 0
         self.opened_total = 0  # since the start
         self.request_total = 0  # since the start
@@ -188,11 +189,16 @@
         self.idle.unused.add(record, now)
         return record
 
-    def record_partial_request(self, record: ConnectionRecord, now: float) -> None:
-        """Record that bytes of a partial request arrived."""
-        if self.idle.queue_of(record) is not None:
-            self.partial_requests[record] = now
-            self.partial_requests.move_to_end(record)
+    def record_partial_request(self, record: ConnectionRecord, now: float, in_head: bool = False) -> None:
+        """Record that bytes of a partial request arrived; `in_head` tells whether its head is partial."""
+        if self.idle.queue_of(record) is None:
+            return
+        self.partial_requests[record] = now
+        self.partial_requests.move_to_end(record)
+        if in_head:
+            self.partial_heads.add(record)
+        else:
+            self.partial_heads.discard(record)
 
     def record_partial_upload(self, record: ConnectionRecord, now: float) -> None:
         """Record that bytes of a streamed body arrived, whose request is served already."""
@@ -249,6 +255,7 @@
             raise ValueError(f"a connection that is {record.state.value} cannot become {state.value}")
         queue = self.idle.queue_of(record)
         self.partial_requests.pop(record, None)
+        self.partial_heads.discard(record)
         if queue is not None:
             queue.remove(record, now, for_request)
         elif record.state is ConnectionState.LINGERING:
--- a/rosepick/connections/descriptor_budget.py
+++ b/rosepick/connections/descriptor_budget.py
@@ -4,7 +4,7 @@
       program, files          reserved: listeners, selector, wake-up pair, log; files that are open briefly
       connects                reserved: connections to upstreams for requests that were already accepted
       the rest                shared by downstream, upstreams, discovery and batches
-        downstream            limited to its fraction of the rest
+        downstream            limited to its fraction of the rest, and what of it is lent (`lendable`)
 
 If no descriptor is left, the `reclaimers` of `DescriptorBudget` are tried in order; each closes a connection
 of low value.
@@ -29,6 +29,7 @@
 RESERVED_FOR_FILES = 16  # certificates, captures, configuration: open briefly
 RESERVED_FOR_CONNECTS = 16  # connects for accepted requests while all other descriptors are in use
 MIN_DESCRIPTORS = 8
+MAX_LENT = 64  # upper bound of the descriptors that are lent, as each connection takes memory too
 
 Reclaimer = Callable[[], bool]
 """Closes one descriptor, and returns whether it closed one."""
@@ -79,10 +80,21 @@
         """Return how many descriptors client connections may hold."""
         return max(1, int(self.downstream_fraction * self.limit))
 
-    def ensure_available(self, use: DescriptorUse) -> bool:
-        """Return whether one more descriptor may be opened; reclaim another one if necessary."""
+    def lendable(self, wanted: int) -> int:
+        """Return how many of `wanted` further client connections may use descriptors that others leave."""
+        used_by_others = self.used - self.used_by_purpose[DescriptorUse.DOWNSTREAM]
+        unused = self.limit - self.downstream_limit() - used_by_others - RESERVED_FOR_CONNECTS
+        return max(0, min(wanted, unused, MAX_LENT))
+
+    def ensure_available(self, use: DescriptorUse, lent: int = 0) -> bool:
+        """Return whether one more descriptor may be opened; reclaim another one if necessary.
+
+        Args:
+            use: its purpose.
+            lent: how many more client connections may be open than the downstream limit.
+        """
         if use is DescriptorUse.DOWNSTREAM and (
-            self.used_by_purpose[use] >= self.downstream_limit() or self.excess()
+            self.used_by_purpose[use] >= self.downstream_limit() + lent or self.excess()
         ):
             return False  # accept no client while more descriptors are open than a lowered limit
         limit = self.limit + (RESERVED_FOR_CONNECTS if use is DescriptorUse.UPSTREAM else 0)
--- a/rosepick/connections/policy.py
+++ b/rosepick/connections/policy.py
@@ -27,6 +27,7 @@
 # One in this many connections that are not expected to be reused is kept, to test that expectation.
 CANDIDATES_PER_SAMPLE = 8
 MAX_SAMPLED_FRACTION = 1 / 8  # maximum number of samples, as a fraction of the capacity
+MAX_PARTIAL_HEADS_FRACTION = 1 / 4  # part of the slots for connections whose request has a partial head
 MIN_EXCESS_CLOSES = 4  # minimum closes per review while more connections are open than a lowered limit
 EXCESS_CLOSE_FRACTION = 1 / 8  # closes per review, as a fraction of the excess over a lowered limit
 CLAIM_WINDOW_MS = 300.0  # an evicted slot that no client uses within this time counts as unclaimed
@@ -135,6 +136,19 @@
         """Return the maximum number of connections that clients can hold for requests."""
         return self.headroom.capacity()
 
+    def lent_slots(self) -> int:
+        """Return how many connections may be open beyond the downstream limit.
+
+        Clients that send a head slowly need no connection to an upstream yet. Those of them that would use
+        more than their part of the slots use descriptors that upstreams leave.
+        """
+        max_heads = int(MAX_PARTIAL_HEADS_FRACTION * self.descriptors.downstream_limit())
+        return self.descriptors.lendable(len(self.connection_table.partial_heads) - max_heads)
+
+    def open_limit(self) -> int:
+        """Return how many client connections may be open."""
+        return self.descriptors.downstream_limit() + self.lent_slots()
+
     def free_slots(self) -> int:
         """Return how many more connections clients can open for requests."""
         return self.headroom.free_slots()
@@ -161,13 +175,13 @@
 
     def excess_connections(self) -> int:
         """Return how many client connections to close in this review because they exceed their limit."""
-        return _limit_batch(len(self.connection_table) - self.descriptors.downstream_limit())
+        return _limit_batch(len(self.connection_table) - self.open_limit())
 
     # ---------------------------------------------------------------------------- closing with a response
 
     def should_close_after_response(self, record: ConnectionRecord, now: float) -> bool:
         """Return whether to close a connection after its pending response; if so, set `close_reason`."""
-        if self.descriptors.excess() or len(self.connection_table) > self.descriptors.downstream_limit():
+        if self.descriptors.excess() or len(self.connection_table) > self.open_limit():
             return self._mark_for_close(record, CloseReason.DESCRIPTORS, now)
         if self.headroom.is_short_of_slots(now) and self.headroom.has_address_over_quota():
             # Connections of addresses within their quota stay open.
--- a/rosepick/http/server_protocol.py
+++ b/rosepick/http/server_protocol.py
@@ -163,6 +163,10 @@
         """Return whether further messages wait behind the current request."""
         return bool(self._inbox)
 
+    def receives_head(self) -> bool:
+        """Return whether the head of a request is incomplete."""
+        return self.has_partial_request and self._in_head
+
     def receives_current_body(self) -> bool:
         """Return whether the streamed body of the current request is incomplete."""
         return self._streams_current_request and self.body_stream is not None
--- a/rosepick/net/downstream_connection.py
+++ b/rosepick/net/downstream_connection.py
@@ -95,7 +95,7 @@
         if self.protocol.receives_current_body():
             table.record_partial_upload(self.record, now)
         elif self.protocol.has_partial_request and not self.protocol.response_pending:
-            table.record_partial_request(self.record, now)
+            table.record_partial_request(self.record, now, self.protocol.receives_head())
 
     def _read_data(self, max_bytes: int) -> bytes | None:
         """Return received data as `TcpStream.read` does, and record when the connection became ready."""
--- a/rosepick/net/listener.py
+++ b/rosepick/net/listener.py
@@ -196,7 +196,7 @@
             self.has_started
             and not self.is_accepting
             and self.budget.used < self.budget.limit
-            and not self._is_at_limit()
+            and len(self.connections) < self.policy.open_limit()
         ):
             self.start()
 
@@ -212,13 +212,16 @@
         The downstream limit keeps descriptors for upstream connections. Without it, connection pressure would
         close idle upstream connections, and each attempt would need a new one.
         """
-        if self._is_at_limit() and (self.policy.has_address_over_quota() or not self.evict_one()):
-            return False  # only the address of the new connection, which is not known yet, can decide
-        return self.budget.ensure_available(DescriptorUse.DOWNSTREAM)
+        if self._is_at_limit():
+            if self.policy.has_address_over_quota():
+                return False  # only the address of the new connection, which is not known yet, can decide
+            if not self.evict_one() and len(self.connections) >= self.policy.open_limit():
+                return False
+        return self.budget.ensure_available(DescriptorUse.DOWNSTREAM, self.policy.lent_slots())
 
     def _may_accept_over_limit(self) -> bool:
         """Return whether a connection may be accepted beyond the limit to learn its address."""
-        excess = len(self.connections) - self.budget.downstream_limit()
+        excess = len(self.connections) - self.policy.open_limit()
         return 0 <= excess < MAX_ACCEPTED_OVER_LIMIT and self.budget.used < self.budget.limit
 
     def _accept_batch(self, listen_socket: ListenSocket, _events: int) -> None:
@@ -302,7 +305,7 @@
             connection, listen_socket.name, peer, self.last_accepted_at
         )
         self.connections[connection] = None
-        if len(self.connections) <= self.budget.downstream_limit():
+        if len(self.connections) <= self.policy.open_limit():
             return
         if self.policy.should_reject_address(peer):
             connection.close(CloseReason.ADDRESS_QUOTA)
--- a/tests/test_connection_pressure.py
+++ b/tests/test_connection_pressure.py
@@ -394,6 +394,40 @@
             }
         )
 
+    def hold_slow_heads(self, count: int) -> list[str]:
+        """Open connections that send a head slowly; return their clients."""
+        clients = [f"c{number}" for number in range(100, 100 + count)]
+        for client in clients:
+            self.play(rf"{client} raw GET /api/k1 HTTP/1.1\r\nReq-Kind: read\r\nReq-Id: {client}\r\n")
+        return clients
+
+    def continue_heads(self, clients: list[str]) -> None:
+        """Send a further field of each head, 100 ms later."""
+        self.play("wait 100")
+        for client in clients:
+            self.play(rf"{client} raw X: y\r\n")
+
+    def test_clients_that_send_heads_slowly_hold_all_slots_beside_others(self) -> None:
+        clients = self.hold_slow_heads(55)
+        for number in range(6):
+            self.continue_heads(clients)
+            self.steps(f"c{number} send GET /ready; wait 10; c{number} expect 200; c{number} close")
+        closed = self.server.listener.connection_table.closed_by_reason
+        self.assertEqual(closed[CloseReason.STALLED_REQUEST], 0)
+
+    def test_slow_heads_on_lent_descriptors_that_complete_at_once_are_all_answered(self) -> None:
+        clients = self.hold_slow_heads(60)
+        for _ in range(3):
+            self.continue_heads(clients)
+        accepted = [client for client in clients if not self.wire(client).ended]
+        for client in accepted:
+            self.play(rf"{client} raw Req-Owner: acme\r\nReq-Deadline: 0.5\r\n\r\n")
+        self.play("wait 600")
+        self.play("wait 100")
+        self.assertEqual([client for client in accepted if not self.is_answered(client)], [])
+        self.assertLess(self.server.budget.used, self.sockets)
+        self.assertEqual(sum(violation_counts.values()), self.violated_before)
+
     def test_uploads_that_have_stopped_are_evicted_while_slots_are_short(self) -> None:
         """Guards against long writes left half way, which hold all slots."""
         head = r"PUT /api/k1 HTTP/1.1\r\nReq-Kind: set\r\nReq-Owner: acme\r\nReq-Deadline: 1\r\nReq-Id: "
--- a/tests/test_descriptor_budget.py
+++ b/tests/test_descriptor_budget.py
@@ -59,6 +59,21 @@
     assert not budget.ensure_available(DescriptorUse.DOWNSTREAM)
 
 
+def test_what_is_lent_leaves_the_descriptors_for_connects() -> None:
+    budget = DescriptorBudget(RESERVED_FOR_PROGRAM + RESERVED_FOR_FILES + RESERVED_FOR_CONNECTS + 60)
+    for _ in range(30):
+        budget.acquire(DescriptorUse.DOWNSTREAM)
+    for _ in range(5):
+        budget.acquire(DescriptorUse.UPSTREAM)
+    assert budget.lendable(100) == 30 - 5 - RESERVED_FOR_CONNECTS
+    assert budget.lendable(3) == 3
+    assert budget.lendable(-3) == 0
+    budget.acquire(DescriptorUse.DOWNSTREAM)  # one that is lent does not change what is lent
+    assert budget.lendable(100) == 30 - 5 - RESERVED_FOR_CONNECTS
+    assert budget.ensure_available(DescriptorUse.DOWNSTREAM, lent=2)
+    assert not budget.ensure_available(DescriptorUse.DOWNSTREAM, lent=1)
+
+
 def test_connections_above_a_lowered_limit_close_after_their_responses() -> None:
     simulation = ListenerSimulation(descriptors=200)
     records = [simulation.connect(f"p{n}") for n in range(20)]
