Keep an accepted drain of a member that comes back or that a rollout restarts

The same for a member that a release restarts, and for one that a halt brought back. An idle cache node was stopped without being told to drain.

Cause: one field holds the request that a member left by and the one for its next departure. The end of the return cleared it whichever it was; a new request counted as the pending one; the agent took `idle` for drained.

Change: a return ends the request that it returned from, by number. An operator's request replaces a rollout's, and any of a member that has begun to leave; a rollout's replaces none. A cache node drains for a second before it is stopped. Stored forms are unchanged.

--- a/rosepick/cli/drain.py
+++ b/rosepick/cli/drain.py
@@ -88,8 +88,12 @@
 
 def _waiting_reasons(session: FleetSession, state: FleetState, name: str, minute: int) -> list[str]:
     from ..fleet.disruption_budget import blocking_reasons, may_take_permit
+    from ..fleet.fleet_state import MemberPhase
 
-    if state.members[name].phase:
+    phase = state.members[name].phase
+    if phase == MemberPhase.BACK:
+        return ["it is coming back"]
+    if phase:
         return []
     budget = session.disruption_budget()
     reasons = blocking_reasons(state, budget, name, minute)
@@ -108,10 +112,13 @@
         task = progress.add_task("out", total=len(names))
         while True:
             state = session.fleet_state.read()
-            out = sum(state.members[name].phase == MemberPhase.OUT for name in names)
+            members = [state.members[name] for name in names]
+            out = sum(
+                member.phase == MemberPhase.OUT and member.drain_request is not None for member in members
+            )
             halted = f" halted: {state.halt.reason}" if state.halt else ""
             progress.update(task, completed=out, description=f"{out} of {len(names)} out{halted}")
-            if out == len(names) or all(state.members[name].drain_request is None for name in names):
+            if out == len(names) or all(member.drain_request is None for member in members):
                 return
             pause(session.client)
 
--- a/rosepick/fleet/agent.py
+++ b/rosepick/fleet/agent.py
@@ -24,6 +24,8 @@
 
 MIN_RELATIVE_HIT_RATIO = 0.8  # a cache node is warm from this fraction of the typical hit ratio
 POLL_INTERVAL_PER_MEMBER_MS = 10.0  # limits the reads of all agents together to 100 per second
+# A cache node drains for at least this time: routers are told within 750 ms, and requests are in transit.
+MIN_DRAIN_MS = 1_000.0
 MAX_STATE_AGE_MS = 2_000.0  # an agent does not drain or stop its member by an older fleet state
 
 
@@ -115,6 +117,8 @@
         self.deployer: Deployer | None = None  # None if the member takes no part in rollouts
         self._exit_count = 0
         self._serving_since: float | None = None
+        self._draining_since: float | None = None
+        self._ended_request = drain_permits.NO_REQUEST  # drain request that ended with the last return
         self._partitions = PartitionDetector(policy.partition_timeout_ms)
         self._state_read_at = -MAX_STATE_AGE_MS - 1.0  # the fleet state was read at this time or later
         self._operation_started_at: float | None = None  # None: no operation is open
@@ -130,15 +134,12 @@
 
     def next_action(self, now: float, status: MemberStatus) -> MemberAction:
         """Return what to do with the member now; STOP and DRAIN need the fencing guard's consent."""
-        if not status.serving:
-            self._serving_since = None
-        elif self._serving_since is None:
-            self._serving_since = now
+        self._record_status(now, status)
         self._partitions.begin(now)
         self._advance_deployer(now, status)
         is_leaving_or_out = self.phase in (MemberPhase.LEAVING, MemberPhase.OUT)
         if is_leaving_or_out and self._should_return(now) and not self._must_stop(status):
-            self._save_phase(MemberPhase.BACK, self.permit)
+            self._return_member()
         if self.phase == MemberPhase.LEAVING:
             return self._drain_action(now, status)
         if self.phase == MemberPhase.OUT:  # a running member was started by something other than the agent
@@ -151,6 +152,17 @@
             return MemberAction.UNDRAIN
         return MemberAction.NONE
 
+    def _record_status(self, now: float, status: MemberStatus) -> None:
+        """Record since when the member serves, and since when it drains."""
+        if not status.serving:
+            self._serving_since = None
+        elif self._serving_since is None:
+            self._serving_since = now
+        if not status.draining:
+            self._draining_since = None
+        elif self._draining_since is None:
+            self._draining_since = now
+
     def _advance_deployer(self, now: float, status: MemberStatus) -> None:
         if self.deployer is None:
             return
@@ -166,10 +178,26 @@
         # a resumed process must not act on a state from before its pause: drains may be halted by now
         if now - self._state_read_at > MAX_STATE_AGE_MS and not status.stopping:
             return MemberAction.NONE
-        if self.kind == MemberKind.CACHE and not status.idle:
+        if self.kind == MemberKind.CACHE and not self._has_drained(now, status):
             return MemberAction.DRAIN
         return MemberAction.STOP
 
+    def _has_drained(self, now: float, status: MemberStatus) -> bool:
+        """Return whether a cache node is idle although routers had time to learn that it drains.
+
+        A node that few requests reach is idle before it drains, too.
+        """
+        if self._draining_since is None or not status.idle:
+            return False
+        return now - self._draining_since >= MIN_DRAIN_MS
+
+    def _return_member(self) -> None:
+        """Let the member return; its present drain request ends with that, a later one does not."""
+        member = self._own_member()
+        request = None if member is None else member.drain_request
+        self._save_phase(MemberPhase.BACK, self.permit)
+        self._ended_request = drain_permits.NO_REQUEST if request is None else request.number
+
     def _must_stop(self, status: MemberStatus) -> bool:
         """Return whether the member is still stopping; it cannot be started again before it has stopped."""
         return status.running and status.stopping
@@ -306,7 +334,7 @@
         if self.phase != MemberPhase.BACK:
             return None
         if member.phase in (MemberPhase.LEAVING, MemberPhase.OUT):
-            change = drain_permits.mark_rejoining(self.name, self.permit, wall_time_s)
+            change = drain_permits.mark_rejoining(self.name, self.permit, wall_time_s, self._ended_request)
             return FleetOperation(OperationKind.MARK_REJOINING, change)
         if member.phase == MemberPhase.BACK and self.is_healthy(now, status):
             change = drain_permits.mark_healthy(self.name, self.permit, wall_time_s)
--- a/rosepick/fleet/deployer.py
+++ b/rosepick/fleet/deployer.py
@@ -20,7 +20,6 @@
 from .fleet_state import FleetMember, FleetState, MemberPhase
 from .rollout_state import (
     BUILD,
-    ROLLOUT_ACTOR_PREFIX,
     SETTINGS,
     Artifact,
     Rollout,
@@ -262,7 +261,7 @@
         is_fresh = self._is_state_fresh(now)
         if (
             request is not None
-            and request.actor.startswith(ROLLOUT_ACTOR_PREFIX)
+            and request.is_by_rollout
             and not needs_drain
             and is_fresh
             and phase in (MemberPhase.IN, MemberPhase.GIVEN, MemberPhase.OUT)
--- a/rosepick/fleet/drain_permits.py
+++ b/rosepick/fleet/drain_permits.py
@@ -14,6 +14,7 @@
 from .fleet_state import AuditEntry, FleetMember, FleetState, MemberPhase, update_fleet_state, with_changes
 
 NO_PERMIT = 0
+NO_REQUEST = 0  # no drain request has this number
 
 
 def _require_member(state: FleetState, name: str, permit: int, *phases: MemberPhase) -> FleetMember:
@@ -28,17 +29,6 @@
     return member
 
 
-def _move_member(
-    name: str, permit: int, timestamp_s: float, target: MemberPhase, *sources: MemberPhase
-) -> RegisterChange:
-    def update(state: FleetState) -> FleetState:
-        member = _require_member(state, name, permit, *sources)
-        entry = AuditEntry(timestamp_s, name, f"{target.name.lower()}, permit {permit}")
-        return with_changes(state, {name: msgspec.structs.replace(member, phase=int(target))}, entry)
-
-    return update_fleet_state(update)
-
-
 def acquire_permit(
     name: str, is_allowed: Callable[[FleetState, str], bool], timestamp_s: float
 ) -> RegisterChange:
@@ -91,22 +81,47 @@
 
 def mark_out(name: str, permit: int, timestamp_s: float) -> RegisterChange:
     """Record that a leaving member is out."""
-    return _move_member(name, permit, timestamp_s, MemberPhase.OUT, MemberPhase.LEAVING)
 
+    def update(state: FleetState) -> FleetState:
+        member = _require_member(state, name, permit, MemberPhase.LEAVING)
+        entry = AuditEntry(timestamp_s, name, f"out, permit {permit}")
+        out = msgspec.structs.replace(member, phase=int(MemberPhase.OUT))
+        return with_changes(state, {name: out}, entry)
+
+    return update_fleet_state(update)
+
+
+def mark_rejoining(
+    name: str, permit: int, timestamp_s: float, ended_request: int = NO_REQUEST
+) -> RegisterChange:
+    """Record that a member which was leaving or out is rejoining.
+
+    Args:
+        name: the member.
+        permit: its permit.
+        timestamp_s: the wall clock, for the history.
+        ended_request: the number of the drain request that ends with the return. A request that came later
+            stays.
+    """
+
+    def update(state: FleetState) -> FleetState:
+        member = _require_member(state, name, permit, MemberPhase.LEAVING, MemberPhase.OUT)
+        request = member.drain_request
+        if request is not None and request.number == ended_request:
+            request = None
+        entry = AuditEntry(timestamp_s, name, f"back, permit {permit}")
+        rejoining = msgspec.structs.replace(member, phase=int(MemberPhase.BACK), drain_request=request)
+        return with_changes(state, {name: rejoining}, entry)
 
-def mark_rejoining(name: str, permit: int, timestamp_s: float) -> RegisterChange:
-    """Record that a member which was leaving or out is rejoining."""
-    return _move_member(name, permit, timestamp_s, MemberPhase.BACK, MemberPhase.LEAVING, MemberPhase.OUT)
+    return update_fleet_state(update)
 
 
 def mark_healthy(name: str, permit: int, timestamp_s: float) -> RegisterChange:
-    """Record that a member is healthy again, and end its permit and its drain request."""
+    """Record that a member is healthy again, and end its permit; a drain request stays."""
 
     def update(state: FleetState) -> FleetState:
         member = _require_member(state, name, permit, MemberPhase.BACK)
-        healthy = msgspec.structs.replace(
-            member, phase=int(MemberPhase.IN), permit=NO_PERMIT, drain_request=None
-        )
+        healthy = msgspec.structs.replace(member, phase=int(MemberPhase.IN), permit=NO_PERMIT)
         entry = AuditEntry(timestamp_s, name, f"in, permit {permit} ended")
         return with_changes(state, {name: healthy}, entry)
 
--- a/rosepick/fleet/fleet_state.py
+++ b/rosepick/fleet/fleet_state.py
@@ -26,6 +26,7 @@
 
 REGISTER_PREFIX = "fleet/"  # prefix of the register keys of all documents and reports of a fleet
 FORMAT_VERSION = 1  # newest document format that this program reads
+ROLLOUT_ACTOR_PREFIX = "release "  # prefix of the actor in drain requests on behalf of a rollout
 MAX_MEMBERS = 1_000
 MAX_HISTORY_ENTRIES = 80
 MAX_TEXT_LENGTH = 160  # maximum length of a reason or a history message in characters
@@ -67,6 +68,11 @@
     ignores_minimum: bool = False  # the member may leave although too few members stay in its zone
     uses_rollback_limit: bool = False  # the budget's limit for rollbacks applies
 
+    @property
+    def is_by_rollout(self) -> bool:
+        """Whether a rollout, not an operator, has requested the drain."""
+        return self.actor.startswith(ROLLOUT_ACTOR_PREFIX)
+
 
 class FleetMember(msgspec.Struct, frozen=True, array_like=True):
     """A router or a cache node.
@@ -237,6 +243,20 @@
 # ---------------------------------------------------------------------------- drain requests
 
 
+def _may_replace(member: FleetMember, request: DrainRequest) -> bool:
+    """Return whether a drain request takes the place of a member's present one."""
+    pending = member.drain_request
+    if pending is None:
+        return True
+    urgency = request.immediate, request.ignores_minimum
+    pending_urgency = pending.immediate, pending.ignores_minimum
+    if urgency != pending_urgency:
+        return urgency > pending_urgency
+    if request.is_by_rollout:
+        return False
+    return pending.is_by_rollout or member.phase not in (MemberPhase.IN, MemberPhase.GIVEN)
+
+
 def request_drain(
     names: Iterable[str],
     actor: str,
@@ -248,8 +268,9 @@
 ) -> RegisterChange:
     """Request drains of members, in the given order.
 
-    Only a more urgent request replaces a pending one. The change is rejected if a member is unknown or
-    evicted, or if no request changes.
+    A pending request is replaced by a more urgent one, and by an operator's if it is a rollout's or the
+    member has begun to leave: it may be about to return, which ends the request before. The change is
+    rejected if a member is unknown or evicted, or if no request changes.
     """
 
     def update(state: FleetState) -> FleetState:
@@ -259,12 +280,11 @@
             member = state.members.get(name)
             if member is None or member.evicted:
                 raise ChangeRejectedError
-            pending = member.drain_request
-            if pending is None or (immediate, ignores_minimum) > (pending.immediate, pending.ignores_minimum):
+            request = DrainRequest(
+                number + 1, actor, reason[:MAX_TEXT_LENGTH], immediate, ignores_minimum, uses_rollback_limit
+            )
+            if _may_replace(member, request):
                 number += 1
-                request = DrainRequest(
-                    number, actor, reason[:MAX_TEXT_LENGTH], immediate, ignores_minimum, uses_rollback_limit
-                )
                 members[name] = msgspec.structs.replace(member, drain_request=request)
         if not members:
             raise ChangeRejectedError
--- a/rosepick/fleet/rollout_leader.py
+++ b/rosepick/fleet/rollout_leader.py
@@ -22,7 +22,7 @@
 from .fleet_state import DrainRequest, FleetMember, FleetState, MemberKind, MemberPhase
 from .leader_steps import LeaderAction, LeaderContext, LeaderUpdate, apply_leader_update
 from .rollout_metrics import Interval, IntervalCollector, running_digest
-from .rollout_state import ROLLOUT_ACTOR_PREFIX, Rollout, RolloutPhase, RolloutState, describe
+from .rollout_state import Rollout, RolloutPhase, RolloutState, describe
 
 MAX_STEP_INTERVAL_MS = 5_000.0  # limits the observation time that one interval between steps adds
 RECORD_INTERVAL_MS = 2_000  # observation time between two records of the progress
@@ -358,4 +358,4 @@
 
 def _is_drained_by_operator(drain_request: DrainRequest | None) -> bool:
     """Return whether an operator, not a rollout, has requested the drain."""
-    return drain_request is not None and not drain_request.actor.startswith(ROLLOUT_ACTOR_PREFIX)
+    return drain_request is not None and not drain_request.is_by_rollout
--- a/rosepick/fleet/rollout_state.py
+++ b/rosepick/fleet/rollout_state.py
@@ -21,12 +21,19 @@
 import msgspec
 
 from ..consensus.proposer import ChangeRejectedError, RegisterChange
-from .fleet_state import MAX_TEXT_LENGTH, REGISTER_PREFIX, AuditEntry, FleetState, HaltState, MemberKind
+from .fleet_state import (
+    MAX_TEXT_LENGTH,
+    REGISTER_PREFIX,
+    ROLLOUT_ACTOR_PREFIX,
+    AuditEntry,
+    FleetState,
+    HaltState,
+    MemberKind,
+)
 from .versioned_document import VersionedDocument
 
 FORMAT_VERSION = 1  # newest document format that this program reads
 MAX_HISTORY_ENTRIES = 60
-ROLLOUT_ACTOR_PREFIX = "release "  # prefix of the actor in drain requests on behalf of a rollout
 BUILD = "build"  # artifact kind: a folder with the program
 SETTINGS = "settings"  # artifact kind: a file with settings
 STEP_ZONE = "zone"  # step of a rollout plan: the remaining routers of the first zone
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -507,7 +507,8 @@
     agent._store.save(int(MemberPhase.LEAVING), 1)
     agent.phase, agent.permit = MemberPhase.LEAVING, 1
     assert run_steps(MemberStatus(True, True)) is MemberAction.DRAIN
-    assert run_steps(MemberStatus(True, False, draining=True, idle=True)) is MemberAction.STOP
+    assert run_steps(MemberStatus(True, False, draining=True, idle=True)) is MemberAction.DRAIN
+    assert run_steps(MemberStatus(True, False, draining=True, idle=True), 8) is MemberAction.STOP
     run_steps(DOWN, 5)
     register.apply(fleet_state.cancel_drain(["a"], "op", 0.0))
     assert run_steps(DOWN, 6) is MemberAction.START
