--- a/rosepick/net/graceful_shutdown.py
+++ b/rosepick/net/graceful_shutdown.py
@@ -15,7 +15,7 @@
 from ..connections.eviction import NEW_CONNECTION_GRACE_MS
 from ..core.engine import Engine
 from ..logs import log_event
-from .client_connection import LINGER_MS, ClientConnection
+from .client_connection import ClientConnection
 from .event_loop import EventLoop
 from .listener import Listener
 
@@ -28,6 +28,10 @@
 QUIET_BEFORE_CLOSE_MS = 150.0
 MAX_ACCEPT_AFTER_SIGTERM_MS = 1_000.0  # maximum time during which new connections are accepted
 SHUTDOWN_GRACE_MS = 100.0  # time from the last possible deadline until the shutdown is overdue
+# SIGKILL may follow SIGTERM after the longest deadline, or `MAX_AWAITED_DEADLINE_MS`, and this time.
+KILL_AFTER_DEADLINE_MS = 700.0
+MAX_AWAITED_DEADLINE_MS = 3_000.0
+TIME_FOR_LAST_ANSWERS_MS = 100.0  # all requests are answered this long before that
 # Longest time of one body in transit once the shutdown is overdue. Guards against peers that go on for ever.
 LONGEST_BODY_BYTES = 32 * 1024 * 1024
 SLOWEST_BYTES_PER_MS = 64
@@ -85,9 +89,7 @@
         if self._listener.is_open and self._may_stop_accepting(now, longest_ms):
             self._listener.close()
         overdue_ms = self.elapsed_ms() - MAX_ACCEPT_AFTER_SIGTERM_MS - longest_ms - SHUTDOWN_GRACE_MS
-        if overdue_ms >= -LINGER_MS:
-            # A request may state a longer time than any class allows.
-            self._engine.fail_requests_begun_by(now - longest_ms)
+        self._fail_late_requests(now, longest_ms)
         if not self._is_pending() or overdue_ms >= MAX_TRANSFER_MS:
             self._listener.close()
             self._loop.stop()
@@ -96,6 +98,17 @@
             self._begin_overdue()
         self._loop.call_after(SHUTDOWN_POLL_INTERVAL_MS, self._continue)
 
+    def _fail_late_requests(self, now: float, longest_ms: float) -> None:
+        """Fail the requests whose answers would come after the earliest SIGKILL.
+
+        They began after SIGTERM, or state a longer time than any class allows. A write that is complete only
+        later has as much time as any request.
+        """
+        kill_at = self._started_at + min(longest_ms, MAX_AWAITED_DEADLINE_MS) + KILL_AFTER_DEADLINE_MS
+        last_answers_at = kill_at - TIME_FOR_LAST_ANSWERS_MS
+        if now >= last_answers_at:
+            self._engine.fail_requests_begun_by(max(last_answers_at, now - longest_ms))
+
     def _close_idle_connections(self, now: float) -> None:
         idle = [
             connection
--- a/tests/test_shutdown_transfers.py
+++ b/tests/test_shutdown_transfers.py
@@ -199,6 +199,28 @@
         self.play("c1 send PUT /api/k1 value Req-Deadline=9.000\norigin expect PUT /api/k1\nrouter end")
         self.play("wait 3120\nc1 expect 504 Connection=close\nwait 540\nrouter ended")
 
+    def test_a_request_that_begins_after_sigterm_is_unanswered_at_the_earliest_kill(self) -> None:
+        """Its deadline ends 3.24 s after SIGTERM; SIGKILL may come after 3.2 s."""
+        request = self.request("/api/k1", "PUT").replace(b"1.000", b"2.500")
+        head, rest = request[:20], request[20:]
+        self.play("router end\nwait 550")
+        self.put("c1", head)
+        self.wait(190)
+        self.put("c1", rest)
+        self.play("origin expect PUT /api/k1\nwait 2340\nc1 expect nothing\nwait 50")
+        self.play("c1 expect 504 Connection=close\nwait 540\nrouter ended")
+
+    def test_a_request_of_a_class_beyond_three_seconds_is_answered_before_the_kill(self) -> None:
+        """SIGKILL may come after 3.7 s, also where a class has more time than that."""
+        classes = self.file["settings"]["request_classes"]
+        self.file["settings"] = {
+            **self.file["settings"],
+            "request_classes": [{**each, "deadline": 9000.0} for each in classes],
+        }
+        self.play("router reload")
+        self.play("c1 send PUT /api/k1 value Req-Deadline=8.000\norigin expect PUT /api/k1\nrouter end")
+        self.play("wait 3580\nc1 expect nothing\nwait 40\nc1 expect 504 Connection=close")
+
 
 class UploadsAtShutdown(TransferScenario):
     def begin_upload(self) -> None:
