Let clients of a scale run follow the kill that was made, not the planned one

Change: the rig reports each kill to its clients, and these connect again only then. What counts as lost is unchanged.

Evidence: the new test fails with the planned time.

--- a/rosepick/lab/scale/load_process.py
+++ b/rosepick/lab/scale/load_process.py
@@ -1,6 +1,7 @@
 """The clients of a scale run: an open loop of requests to each router.
 
-The process reads `{"plan", "ports", "begin_s"}` as one line, plays all requests and writes a `LoadRecord`. A
+The process reads `{"plan", "ports", "begin_s"}` as one line, plays all requests and writes a `LoadRecord`.
+Each further line, `{"killed_router"}`, tells that the SIGKILL that follows its SIGTERM has been sent. A
 client waits until `LATE_ANSWER_S` after its deadline and then leaves; a request without an answer by then is
 lost.
 """
@@ -10,6 +11,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import random
 import sys
 import time
@@ -18,7 +20,7 @@
 from ..live.helper_process import raise_descriptor_limit
 from .crowd import crowd_size, hold_crowd_connection
 from .fleet_process import watch_lateness
-from .scale_plan import KILL_AFTER_DEADLINE_S, ScalePlan, plan_from_document
+from .scale_plan import ScalePlan, plan_from_document
 
 # How long clients wait after the deadline. A late answer has no value, but the request is not lost.
 LATE_ANSWER_S = 0.5
@@ -58,6 +60,7 @@
         self.port = port
         self.begin_s = begin_s
         self.record = record
+        self.killed_at_s: list[float] = []  # when the kills that follow a SIGTERM were reported
         self._idle: list[Streams] = []
         self._rng = random.Random(plan.seed * 1000 + index)
 
@@ -97,10 +100,13 @@
             await self._send_request(request, f"k{key}", None)
 
     def _is_out_of_rotation(self) -> bool:
-        """Return whether the load balancer sends the router no new connections because of a SIGTERM."""
-        kill_delay_s = self.plan.deadline_s + KILL_AFTER_DEADLINE_S
+        """Return whether the load balancer sends the router no new connections because of a SIGTERM.
+
+        It does again once the process has been killed, which may be later than planned.
+        """
         return any(
-            sigterm_s + LOAD_BALANCER_DELAY_S <= self.now_s() <= sigterm_s + kill_delay_s
+            sigterm_s + LOAD_BALANCER_DELAY_S <= self.now_s()
+            and not any(killed_s >= sigterm_s for killed_s in self.killed_at_s)
             for sigterm_s in self.plan.sigterm_times(self.index)
         )
 
@@ -155,6 +161,7 @@
     heartbeat = asyncio.get_running_loop().create_task(watch_lateness(begin_s, record.late_periods))
     clients = [RouterClients(plan, index, port, begin_s, record) for index, port in enumerate(ports)]
     loop = asyncio.get_running_loop()
+    loop.add_reader(sys.stdin, _receive_kills, clients)
     other_clients = [
         loop.create_task(each.hold_idle_connection()) for each in clients for _ in range(plan.idle_clients)
     ]
@@ -164,12 +171,23 @@
             loop.create_task(hold_crowd_connection(plan.crowd, port)) for port in ports for _ in range(count)
         ]
     await asyncio.gather(*(each.play() for each in clients))
+    loop.remove_reader(sys.stdin)
     for task in (heartbeat, *other_clients):
         task.cancel()
     await asyncio.gather(heartbeat, *other_clients, return_exceptions=True)
     return record
 
 
+def _receive_kills(clients: list[RouterClients]) -> None:
+    """Read the lines that report kills, with the indexes of their routers; each line is written at once."""
+    lines = os.read(sys.stdin.fileno(), 65_536).splitlines()
+    if not lines:
+        asyncio.get_running_loop().remove_reader(sys.stdin)  # the rig has ended
+    for line in lines:
+        killed = clients[json.loads(line)["killed_router"]]
+        killed.killed_at_s.append(killed.now_s())
+
+
 def main() -> None:
     """Read the plan and the ports from standard input, play the load and write the record."""
     raise_descriptor_limit()
--- a/rosepick/lab/scale/scale_run.py
+++ b/rosepick/lab/scale/scale_run.py
@@ -217,7 +217,7 @@
         if "SIGTERM" in series.names:
             first_s = series.at_s + series.names.index("SIGTERM") * series.spacing_s
             kill_s = first_s + self.plan.deadline_s + KILL_AFTER_DEADLINE_S
-            self._schedule(kill_s, partial(self._signal, router, signal.SIGKILL))
+            self._schedule(kill_s, partial(self._kill_after_sigterm, router))
             self._schedule(kill_s + RESTART_DELAY_S, partial(self._start_with_current_list, router))
 
     @staticmethod
@@ -225,6 +225,12 @@
         """Signal a router; unlike after `_kill`, a request without an answer counts as lost."""
         router.processes[-1].signal(number)
 
+    def _kill_after_sigterm(self, router: LiveRouter) -> None:
+        """Kill a router, and let its clients connect again."""
+        assert self.clients is not None
+        self._signal(router, signal.SIGKILL)
+        self.clients.send({"killed_router": router.index})
+
     def _start_with_current_list(self, router: LiveRouter) -> None:
         timeline = self._endpoint_timeline()
         router.start(timeline.full_document(timeline.revision_at(self.now_s())))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from rosepick.lab.scale.load_process import LoadRecord, RouterClients
+from rosepick.lab.scale.scale_plan import RouterSignals, ScalePlan
 from rosepick.lab.soak import process_faults
 from rosepick.lab.soak.process_faults import FaultInjector, FaultySocket, ProcessFaults
 from rosepick.lab.soak.soak_plan import LENGTH_S, draw_plan
@@ -91,3 +93,15 @@
     result = play_soak(draw_plan(5, routers=4))
     assert result.violations == ()
     assert result.run.totals["served_share"] > 0.4
+
+
+def test_clients_connect_again_once_their_router_is_killed_and_not_when_that_was_planned() -> None:
+    plan = ScalePlan(nodes=2, deadline_s=0.3, signals=(RouterSignals(1.0, 0, ("SIGHUP", "SIGTERM")),))
+    clients = RouterClients(plan, 0, 1, 0.0, LoadRecord())
+    with mock.patch.object(clients, "now_s") as now_s:
+        now_s.side_effect = (1.0, 1.4, 1.5, 2.0, 2.1, 2.5)
+        seen = [clients._is_out_of_rotation() for _ in range(6)]
+        assert seen == [False, False, True, True, True, True]  # the kill is planned at 2.05
+        clients.killed_at_s.append(2.1)
+        now_s.side_effect = (2.6,)
+        assert not clients._is_out_of_rotation()
