Move the changes of drain requests to a module of their own

Requests and cancellations are in drain_requests.py now, beside drain_permits.py; the code is unchanged.

--- a/rosepick/cli/drain.py
+++ b/rosepick/cli/drain.py
@@ -34,14 +34,14 @@
     They stay out until `undrain`, a halt, or a loss of the quorum.
     """
     session = FleetSession(fleet)
-    from ..fleet import fleet_state
+    from ..fleet import drain_requests
 
     names = _select_members(session.fleet_state.read(), members, zone)
     if not reason:
         exit_with_error("a drain needs --why", 2)
     if minimum_override and (not at_once or names != [minimum_override]):
         exit_with_error("--even-below goes with --now and one member, named twice", 2)
-    change = fleet_state.request_drain(
+    change = drain_requests.request_drain(
         names, current_actor(), reason, time.time(), at_once, bool(minimum_override)
     )
     state = session.fleet_state.change(change, accept_unchanged)
@@ -55,10 +55,10 @@
 ) -> None:
     """Cancel drains: members return, or do not leave."""
     session = FleetSession(fleet)
-    from ..fleet import fleet_state
+    from ..fleet import drain_requests
 
     names = _select_members(session.fleet_state.read(), members, zone)
-    change = fleet_state.cancel_drain(names, current_actor(), time.time())
+    change = drain_requests.cancel_drain(names, current_actor(), time.time())
     session.fleet_state.change(change, accept_unchanged)
     print(f"wanted in: {', '.join(names)}")
 
--- a/rosepick/fleet/deployer.py
+++ b/rosepick/fleet/deployer.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple, Protocol
 
 from ..consensus.proposer import RegisterChange
-from . import fleet_state
+from . import drain_requests
 from .fleet_state import FleetMember, FleetState, MemberPhase
 from .rollout_state import (
     BUILD,
@@ -266,7 +266,9 @@
             and is_fresh
             and phase in (MemberPhase.IN, MemberPhase.GIVEN, MemberPhase.OUT)
         ):
-            return fleet_state.cancel_drain([self.name], self.name, wall_time_s, requested_by=request.actor)
+            return drain_requests.cancel_drain(
+                [self.name], self.name, wall_time_s, requested_by=request.actor
+            )
         return None
 
     def _request_drain(
@@ -279,7 +281,7 @@
         if state.halt is not None and not is_rollback:
             return None
         reason = f"to run {due.name}" if due is not None else "to run what it is to"
-        return fleet_state.request_drain(
+        return drain_requests.request_drain(
             [self.name], self.rollout_state.drain_actor, reason, wall_time_s, uses_rollback_limit=is_rollback
         )
 
--- a/rosepick/fleet/fleet_state.py
+++ b/rosepick/fleet/fleet_state.py
@@ -10,12 +10,12 @@
                       +--withdraw (before the drain begins)--> IN
 
 The document is MessagePack with positional fields, compressed by raw deflate (RFC 1951). The state of 1,000
-members takes about 20 KB. `drain_permits` has the changes of a permit.
+members takes about 20 KB. `drain_requests` and `drain_permits` have the changes of requests and permits.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -240,84 +240,6 @@
     return update_fleet_state(lambda state: with_changes(state, {}, entry, budget_digest=budget_digest))
 
 
-# ---------------------------------------------------------------------------- drain requests
-
-
-def _may_replace(member: FleetMember, request: DrainRequest) -> bool:
-    """Return whether a drain request takes the place of a member's present one."""
-    pending = member.drain_request
-    if pending is None:
-        return True
-    urgency = request.immediate, request.ignores_minimum
-    pending_urgency = pending.immediate, pending.ignores_minimum
-    if urgency != pending_urgency:
-        return urgency > pending_urgency
-    if request.is_by_rollout:
-        return False
-    return pending.is_by_rollout or member.phase not in (MemberPhase.IN, MemberPhase.GIVEN)
-
-
-def request_drain(
-    names: Iterable[str],
-    actor: str,
-    reason: str,
-    timestamp_s: float,
-    immediate: bool = False,
-    ignores_minimum: bool = False,
-    uses_rollback_limit: bool = False,
-) -> RegisterChange:
-    """Request drains of members, in the given order.
-
-    A pending request is replaced by a more urgent one, and by an operator's if it is a rollout's or the
-    member has begun to leave: it may be about to return, which ends the request before. The change is
-    rejected if a member is unknown or evicted, or if no request changes.
-    """
-
-    def update(state: FleetState) -> FleetState:
-        members: dict[str, FleetMember] = {}
-        number = state.last_request_number
-        for name in names:
-            member = state.members.get(name)
-            if member is None or member.evicted:
-                raise ChangeRejectedError
-            request = DrainRequest(
-                number + 1, actor, reason[:MAX_TEXT_LENGTH], immediate, ignores_minimum, uses_rollback_limit
-            )
-            if _may_replace(member, request):
-                number += 1
-                members[name] = msgspec.structs.replace(member, drain_request=request)
-        if not members:
-            raise ChangeRejectedError
-        text = f"wants {', '.join(members)} out{' NOW' if immediate else ''}: {reason}"
-        entry = AuditEntry(timestamp_s, actor, text[:MAX_TEXT_LENGTH])
-        return with_changes(state, members, entry, last_request_number=number)
-
-    return update_fleet_state(update)
-
-
-def cancel_drain(
-    names: Iterable[str], actor: str, timestamp_s: float, requested_by: str = ""
-) -> RegisterChange:
-    """Cancel drain requests, so that the members stay or return.
-
-    With `requested_by` only requests of that actor are cancelled. The change is rejected if there is none.
-    """
-
-    def update(state: FleetState) -> FleetState:
-        known = {name: state.members[name] for name in names if name in state.members}
-        members = {
-            name: msgspec.structs.replace(member, drain_request=None)
-            for name, member in known.items()
-            if member.drain_request and requested_by in ("", member.drain_request.actor)
-        }
-        if not members:
-            raise ChangeRejectedError
-        entry = AuditEntry(timestamp_s, actor, f"wants {', '.join(members)} in"[:MAX_TEXT_LENGTH])
-        return with_changes(state, members, entry)
-
-    return update_fleet_state(update)
-
-
 # ---------------------------------------------------------------------------- halt and health
 
 
--- a/rosepick/lab/drill/drain_benchmark.py
+++ b/rosepick/lab/drill/drain_benchmark.py
@@ -13,7 +13,7 @@
 from ...coordination.agent_driver import AgentDriver
 from ...coordination.agent_driver_config import AgentDriverConfig
 from ...coordination.quorum_client import QuorumClient, tcp_connection_factory
-from ...fleet import failure_detector, fleet_state
+from ...fleet import drain_requests, failure_detector, fleet_state
 from ...fleet.agent import Agent, AgentPolicy, MemberAction, MemberStatus
 from ...fleet.disruption_budget import DisruptionBudget, Limit
 from ...fleet.failure_detector import HealthReport
@@ -108,7 +108,7 @@
         _run_until(loop, has_all_members, 180.0)
         for load in ("without drains", "during a drain"):
             if load.startswith("during"):
-                drain_change = fleet_state.request_drain(names[:40], "lab", "x", time.time())
+                drain_change = drain_requests.request_drain(names[:40], "lab", "x", time.time())
                 clients[0].execute(fleet_state.fleet_state_key("measured"), drain_change, lambda o: None, 5e3)
             cpu_before = {name: _cpu_seconds(process) for name, process in processes.items()}
             operations_before, bytes_before = (
@@ -128,7 +128,7 @@
                     if out_members:
                         clients[1].execute(
                             fleet_state.fleet_state_key("measured"),
-                            fleet_state.cancel_drain(out_members, "lab", time.time()),
+                            drain_requests.cancel_drain(out_members, "lab", time.time()),
                             lambda o: None,
                             5e3,
                         )
--- a/rosepick/lab/drill/drain_harness.py
+++ b/rosepick/lab/drill/drain_harness.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 
 from ...consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
-from ...fleet import fleet_state
+from ...fleet import drain_requests, fleet_state
 from ...fleet.disruption_budget import DisruptionBudget, Limit
 from ...net.boot_clock import boottime_s
 from ..experiment import parse_experiment
@@ -353,17 +353,17 @@
         draw = rng.random()
         if draw < 0.55:
             self._send_order(
-                "out", fleet_state.request_drain(names, rng.choice("ab"), "patch", now), tuple(names)
+                "out", drain_requests.request_drain(names, rng.choice("ab"), "patch", now), tuple(names)
             )
         elif draw < 0.68:
-            self._send_order("in", fleet_state.cancel_drain(names, rng.choice("ab"), now), tuple(names))
+            self._send_order("in", drain_requests.cancel_drain(names, rng.choice("ab"), now), tuple(names))
         elif draw < 0.71:
             self._send_order("halt", fleet_state.halt_drains("crew", "drill", now))
         elif draw < 0.73:
             self.forced_drain_until[names[0]] = drill_clock() + FORCED_DRAIN_WINDOW_S
             self._send_order(
                 "now",
-                fleet_state.request_drain(names[:1], "a", "it dies", now, immediate=True),
+                drain_requests.request_drain(names[:1], "a", "it dies", now, immediate=True),
                 tuple(names[:1]),
             )
         elif draw < 0.75:
@@ -453,7 +453,7 @@
     def _cancel_all_drains(self) -> None:
         self.operator_client.execute(
             fleet_state.fleet_state_key(GROUP),
-            fleet_state.cancel_drain(self.workers, "crew", boottime_s()),
+            drain_requests.cancel_drain(self.workers, "crew", boottime_s()),
             lambda outcome: None,
             3_000.0,
         )
--- a/rosepick/lab/drill/release_harness.py
+++ b/rosepick/lab/drill/release_harness.py
@@ -17,7 +17,7 @@
 
 from ...consensus.proposer import OperationOutcome, OutcomeKind
 from ...coordination.artifact_fetch import compute_digest
-from ...fleet import fleet_state, rollout_state
+from ...fleet import drain_requests, fleet_state, rollout_state
 from ...fleet.disruption_budget import DisruptionBudget, Limit
 from ...fleet.rollout_state import BUILD, SETTINGS, RolloutPhase, RolloutState
 from ...net.boot_clock import boottime_s
@@ -210,8 +210,8 @@
     def _order_random_drain(self) -> None:
         name = self.order_rng.choice(self.workers)
         now = boottime_s()
-        self._send_order("out", fleet_state.request_drain([name], "crew", "patch", now), (name,))
-        cancellation = fleet_state.cancel_drain([name], "crew", now, requested_by="crew")
+        self._send_order("out", drain_requests.request_drain([name], "crew", "patch", now), (name,))
+        cancellation = drain_requests.cancel_drain([name], "crew", now, requested_by="crew")
         self.loop.call_after(5_000.0, partial(self._send_order, "in", cancellation, (name,)))
 
     def _start_rollout(self, record: RolloutState) -> None:
--- a/rosepick/lab/drill/simulated_drains.py
+++ b/rosepick/lab/drill/simulated_drains.py
@@ -11,7 +11,7 @@
 from ...consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
 from ...coordination.agent_driver import AgentDriver
 from ...coordination.agent_driver_config import AGENT_OPERATION_TIMEOUT_MS, AgentDriverConfig
-from ...fleet import fleet_state
+from ...fleet import drain_requests, fleet_state
 from ...fleet.agent import Agent, AgentPolicy
 from ...fleet.disruption_budget import DisruptionBudget, Limit
 from ...fleet.failure_detector import FailureDetectorPolicy
@@ -167,10 +167,10 @@
         draw = rng.random()
         if draw < 0.5:
             self._send_order(
-                "out", fleet_state.request_drain(names, rng.choice("ab"), "patch", now), tuple(names)
+                "out", drain_requests.request_drain(names, rng.choice("ab"), "patch", now), tuple(names)
             )
         elif draw < 0.8:
-            self._send_order("in", fleet_state.cancel_drain(names, rng.choice("ab"), now), tuple(names))
+            self._send_order("in", drain_requests.cancel_drain(names, rng.choice("ab"), now), tuple(names))
         elif draw < 0.85:
             self._send_order("halt", fleet_state.halt_drains("operator", "drill", now))
         elif draw < 0.95:
@@ -203,7 +203,7 @@
         member.exempt_from_budget = True
         self.schedule_in(FORCED_DRAIN_WINDOW_S, lambda: setattr(member, "exempt_from_budget", False))
         self._send_order(
-            "now", fleet_state.request_drain([name], "a", "it dies", self.now, immediate=True), (name,)
+            "now", drain_requests.request_drain([name], "a", "it dies", self.now, immediate=True), (name,)
         )
 
     def _evict_member(self, name: str) -> None:
@@ -248,7 +248,7 @@
 
         client.execute(
             fleet_state.fleet_state_key(GROUP),
-            fleet_state.cancel_drain(list(self.agents), "a", self.now),
+            drain_requests.cancel_drain(list(self.agents), "a", self.now),
             on_outcome,
             OPERATION_TIMEOUT_MS,
         )
--- a/rosepick/lab/drill/simulated_releases.py
+++ b/rosepick/lab/drill/simulated_releases.py
@@ -12,7 +12,7 @@
 from functools import partial
 
 from ...consensus.proposer import OperationOutcome, OutcomeKind, RegisterChange
-from ...fleet import fleet_state, rollout_state
+from ...fleet import drain_requests, fleet_state, rollout_state
 from ...fleet.agent import Agent, MemberStatus
 from ...fleet.deployer import ArtifactStatus, Deployer, DeployPolicy, FailureCause
 from ...fleet.disruption_budget import DisruptionBudget, Limit
@@ -313,10 +313,12 @@
         names = rng.sample(list(self.agents), rng.choice((1, 2)))
         draw = rng.random()
         if draw < 0.4:
-            self._send_order("out", fleet_state.request_drain(names, "crew", "patch", now), tuple(names))
+            self._send_order("out", drain_requests.request_drain(names, "crew", "patch", now), tuple(names))
             self.operator.call_after(
                 6_000.0,
-                partial(self._send_order, "in", fleet_state.cancel_drain(names, "crew", now), tuple(names)),
+                partial(
+                    self._send_order, "in", drain_requests.cancel_drain(names, "crew", now), tuple(names)
+                ),
             )
         elif draw < 0.55:
             self._send_order("halt", fleet_state.halt_drains("crew", "drill", now))
--- a/tests/golden_fleet_forms.py
+++ b/tests/golden_fleet_forms.py
@@ -16,7 +16,14 @@
 from rosepick.consensus.proposer import RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
 from rosepick.coordination.artifact_fetch import compute_digest
-from rosepick.fleet import drain_permits, failure_detector, fleet_state, leader_steps, rollout_state
+from rosepick.fleet import (
+    drain_permits,
+    drain_requests,
+    failure_detector,
+    fleet_state,
+    leader_steps,
+    rollout_state,
+)
 from rosepick.fleet.canary_analysis import CanaryAnalysis, HealthMetrics
 from rosepick.fleet.deployer import ArtifactStatus, Deployer, DeployPolicy
 from rosepick.fleet.disruption_budget import DisruptionBudget, Limit
@@ -110,9 +117,9 @@
     changes += [fleet_state.join_member("c1", cache, rules, NOON + 1)]
     seen = dict.fromkeys((*names, "c1"), False)
     changes += [fleet_state.apply_health_summary(seen, 1000, 930, 1, "", "warden", NOON + 2)]
-    changes += [fleet_state.request_drain(names[:5], "me@host", "new kernels", NOON + 3)]
-    changes += [fleet_state.request_drain(["c1"], "me@host", "its host dies", NOON + 3, True, True)]
-    changes += [fleet_state.request_drain(["r6"], "release 3", "to run new", NOON + 3, False, False, True)]
+    changes += [drain_requests.request_drain(names[:5], "me@host", "new kernels", NOON + 3)]
+    changes += [drain_requests.request_drain(["c1"], "me@host", "its host dies", NOON + 3, True, True)]
+    changes += [drain_requests.request_drain(["r6"], "release 3", "to run new", NOON + 3, False, False, True)]
 
     def allow(seen: fleet_state.FleetState, name: str) -> bool:
         return True
@@ -125,7 +132,7 @@
         drain_permits.mark_rejoining("r4", 4, NOON + 7),
         drain_permits.withdraw_permit("r1", 1, NOON + 7),
     ]
-    changes += [fleet_state.cancel_drain(["r5"], "me@host", NOON + 8)]
+    changes += [drain_requests.cancel_drain(["r5"], "me@host", NOON + 8)]
     changes += [fleet_state.evict_member("r5", "me@host", "sold", NOON + 8)]
     changes += [fleet_state.apply_health_summary({"r6": True}, 800, 900, 2, "", "warden", NOON + 9)]
     changes += [fleet_state.halt_drains("me@host", "a storm", NOON + 10)]
--- a/tests/test_drain_orders.py
+++ b/tests/test_drain_orders.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rosepick.fleet import fleet_state
+from rosepick.fleet import drain_requests, fleet_state
 from rosepick.fleet.agent import Agent, AgentPolicy, MemberAction, MemberStatus
 from rosepick.fleet.fleet_state import MemberKind, MemberPhase
 
@@ -34,9 +34,11 @@
         """Carry out an order of the operator, or of a rollout."""
         match name:
             case "drain":
-                self.wanted_out |= self.register.commits(fleet_state.request_drain(["a"], "op", "patch", 0.0))
+                self.wanted_out |= self.register.commits(
+                    drain_requests.request_drain(["a"], "op", "patch", 0.0)
+                )
             case "undrain":
-                self.register.apply(fleet_state.cancel_drain(["a"], "op", 0.0))
+                self.register.apply(drain_requests.cancel_drain(["a"], "op", 0.0))
                 self.wanted_out = False
             case "halt":
                 phase = self.register.state.members["a"].phase
@@ -45,9 +47,9 @@
             case "resume":
                 self.register.apply(fleet_state.resume_drains("op", "x", 0.0))
             case "release":
-                self.register.apply(fleet_state.request_drain(["a"], ROLLOUT, "to run b", 0.0))
+                self.register.apply(drain_requests.request_drain(["a"], ROLLOUT, "to run b", 0.0))
             case "released":  # as the deployer does once its build is installed
-                self.register.apply(fleet_state.cancel_drain(["a"], ROLLOUT, 0.0, requested_by=ROLLOUT))
+                self.register.apply(drain_requests.cancel_drain(["a"], ROLLOUT, 0.0, requested_by=ROLLOUT))
 
     def finish(self) -> None:
         """End halts and rollouts, and wait until nothing changes any more."""
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -16,7 +16,7 @@
 from rosepick.consensus.proposer import ChangeRejectedError, OperationOutcome, OutcomeKind, RegisterChange
 from rosepick.coordination.agent_state_file import AgentStateFile
 from rosepick.coordination.process_stats import process_start_time
-from rosepick.fleet import drain_permits, failure_detector, fleet_state
+from rosepick.fleet import drain_permits, drain_requests, failure_detector, fleet_state
 from rosepick.fleet.agent import Agent, AgentPolicy, MemberAction, MemberStatus
 from rosepick.fleet.disruption_budget import (
     DisruptionBudget,
@@ -86,7 +86,7 @@
     def take_out(self, *names: str, to: MemberPhase = MemberPhase.OUT) -> None:
         """Drain members up to a phase under permits that ignore the budget."""
         for name in names:
-            self.apply(fleet_state.request_drain([name], "a", "x", 0.0))
+            self.apply(drain_requests.request_drain([name], "a", "x", 0.0))
             self.apply(drain_permits.acquire_permit(name, lambda state, name: True, 0.0))
             permit = self.state.members[name].permit
             for phase, step in (
@@ -104,7 +104,7 @@
 
 def test_last_permit_is_granted_once_to_agents_with_stale_copies() -> None:
     register = FleetRegister("a", "b", "c", "d", "e", "f")
-    register.apply(fleet_state.request_drain(["a", "b", "c", "d"], "crew", "patch", 0.0))
+    register.apply(drain_requests.request_drain(["a", "b", "c", "d"], "crew", "patch", 0.0))
     old = register.content  # the state that all agents have read
 
     def takes_permit(name: str) -> bool:
@@ -160,7 +160,7 @@
 ) -> None:
     register = FleetRegister("a", "b", "c", "d", "e", "f")
     prepare(register)
-    register.apply(fleet_state.request_drain([name], "crew", "patch", 0.0))
+    register.apply(drain_requests.request_drain([name], "crew", "patch", 0.0))
     reasons = blocking_reasons(register.state, BUDGET, name, 600)
     assert (not reasons) is is_free, reasons
     assert may_take_permit(BUDGET, 600, register.state, name) is is_free
@@ -195,11 +195,13 @@
 def test_immediate_drain_exceeds_the_budget_but_keeps_the_minimum() -> None:
     register = FleetRegister("a", "b", "c", "d")
     register.take_out("c", "b")
-    register.apply(fleet_state.request_drain(["d"], "op", "smoke", 0.0, immediate=True))
+    register.apply(drain_requests.request_drain(["d"], "op", "smoke", 0.0, immediate=True))
     assert (
         "must stay" in blocking_reasons(register.state, BUDGET, "d", 0)[0]
     )  # b and d are all members of the zone w
-    register.apply(fleet_state.request_drain(["d"], "op", "smoke", 0.0, immediate=True, ignores_minimum=True))
+    register.apply(
+        drain_requests.request_drain(["d"], "op", "smoke", 0.0, immediate=True, ignores_minimum=True)
+    )
     assert may_leave(register.state, "d")
     register.apply(fleet_state.halt_drains("op", "stop", 0.0))
     assert may_leave(register.state, "d")
@@ -208,9 +210,9 @@
 def test_earlier_requests_go_first_unless_they_are_blocked() -> None:
     register = FleetRegister("a", "b", "c", "d", "e", "f")
     register.take_out("b")
-    register.apply(fleet_state.request_drain(["d"], "one", "x", 0.0))  # blocked: b of its zone is out
-    register.apply(fleet_state.request_drain(["c"], "one", "x", 0.0))
-    register.apply(fleet_state.request_drain(["a"], "two", "x", 0.0))
+    register.apply(drain_requests.request_drain(["d"], "one", "x", 0.0))  # blocked: b of its zone is out
+    register.apply(drain_requests.request_drain(["c"], "one", "x", 0.0))
+    register.apply(drain_requests.request_drain(["a"], "two", "x", 0.0))
     assert [may_take_permit(BUDGET, 0, register.state, name) for name in "dca"] == [False, True, False]
     register.apply(
         fleet_state.apply_health_summary({"c": True}, 1000, 0, 1, "", "w", 0.0)
@@ -235,7 +237,7 @@
         (
             MemberPhase.GIVEN,
             lambda r, p: (
-                r.apply(fleet_state.cancel_drain(["a"], "op", 0.0)),
+                r.apply(drain_requests.cancel_drain(["a"], "op", 0.0)),
                 drain_permits.begin_drain("a", p, 0.0),
             )[1],
             False,
@@ -401,7 +403,7 @@
     assert (
         harness.run_steps(UP, 4) is MemberAction.NONE and harness.run_steps(DOWN) is MemberAction.START
     )  # the agent starts a member that has exited
-    harness.register.apply(fleet_state.request_drain(["a"], "op", "patch", 0.0))
+    harness.register.apply(drain_requests.request_drain(["a"], "op", "patch", 0.0))
     harness.detects_failures = False
     assert (
         harness.run_steps(UP, 9) is MemberAction.NONE and harness.phase_name() == "IN"
@@ -409,7 +411,7 @@
     harness.detects_failures = True
     assert harness.run_steps(UP, 5) is MemberAction.STOP and harness.phase_name() == "LEAVING"
     assert harness.run_steps(DOWN, 4) is MemberAction.NONE and harness.phase_name() == "OUT"
-    harness.register.apply(fleet_state.cancel_drain(["a"], "op", 0.0))
+    harness.register.apply(drain_requests.cancel_drain(["a"], "op", 0.0))
     assert harness.run_steps(DOWN, 3) is MemberAction.START
     harness.run_steps(MemberStatus(True, False), 40)
     assert harness.phase_name() == "BACK"  # the member runs but does not serve
@@ -430,7 +432,7 @@
     for _ in range(6):
         action = harness.run_steps(UP if is_up else DOWN)
         is_up = {MemberAction.STOP: False, MemberAction.START: True}.get(action, is_up)
-    harness.register.apply(fleet_state.cancel_drain(["a"], "op", 0.0))
+    harness.register.apply(drain_requests.cancel_drain(["a"], "op", 0.0))
     for _ in range(60):
         action = harness.run_steps(UP if is_up else DOWN)
         is_up = {MemberAction.STOP: False, MemberAction.START: True}.get(action, is_up)
@@ -444,7 +446,7 @@
 def test_without_the_quorum_nothing_begins_and_the_member_returns() -> None:
     harness = AgentHarness("b", "c", "d")
     harness.run_steps(UP, 2)
-    harness.register.apply(fleet_state.request_drain(["a"], "op", "patch", 0.0))
+    harness.register.apply(drain_requests.request_drain(["a"], "op", "patch", 0.0))
     harness.run_steps(UP, 3)
     assert harness.phase_name() == "LEAVING"
     # after a pause of this process the agent does not act on the state from before the pause
@@ -510,7 +512,7 @@
     assert run_steps(MemberStatus(True, False, draining=True, idle=True)) is MemberAction.DRAIN
     assert run_steps(MemberStatus(True, False, draining=True, idle=True), 8) is MemberAction.STOP
     run_steps(DOWN, 5)
-    register.apply(fleet_state.cancel_drain(["a"], "op", 0.0))
+    register.apply(drain_requests.cancel_drain(["a"], "op", 0.0))
     assert run_steps(DOWN, 6) is MemberAction.START
     for status in (MemberStatus(True, True, warm=False), MemberStatus(True, True, hit_ratio=0.3)):
         run_steps(status, 60)
@@ -534,7 +536,7 @@
     summary = detector.summarize(register.state, 1_500.0)
     assert summary.lost == {"a": False, "b": True, "c": True, "d": True}
     assert not summary.halt_reason and failure_detector.detector_candidates(register.state) == ["a", "b", "c"]
-    register.apply(fleet_state.request_drain(["a"], "op", "x", 0.0))
+    register.apply(drain_requests.request_drain(["a"], "op", "x", 0.0))
     assert failure_detector.detector_candidates(register.state) == ["b", "c", "a"]
 
 
@@ -703,7 +705,7 @@
 
 def test_drain_requests_are_shown_as_json() -> None:
     register = FleetRegister("a")
-    register.apply(fleet_state.request_drain(["a"], "me", "because", 0.0))
+    register.apply(drain_requests.request_drain(["a"], "me", "because", 0.0))
     shown = json.loads(msgspec.json.encode(msgspec.to_builtins(register.state)))
     assert isinstance(shown, list) and register.state.members["a"].drain_request == DrainRequest(
         1, "me", "because"
